--- /dev/null
+++ b/__utils__/bench/bin/demo.js
@@ -0,0 +1,3 @@
+import { demo } from '../lib/index.js'
+
+await demo()
--- /dev/null
+++ b/__utils__/bench/src/fleetProcess.ts
@@ -0,0 +1,58 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import { once } from 'node:events'
+
+/** A process of a test fleet. */
+export class FleetProcess {
+  readonly name: string
+  readonly #child: ChildProcess
+  readonly #output: string[] = []
+
+  constructor (name: string, script: string, args: readonly string[]) {
+    this.name = name
+    this.#child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', 'pipe', 'ipc'] })
+    this.#child.stdout?.on('data', (chunk) => this.#output.push(String(chunk)))
+    this.#child.stderr?.on('data', (chunk) => this.#output.push(String(chunk)))
+  }
+
+  get pid (): number {
+    return this.#child.pid as number
+  }
+
+  get running (): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null
+  }
+
+  /** What the process wrote so far. */
+  get output (): string {
+    return this.#output.join('')
+  }
+
+  /** Resolves with the next message of the process. Fails when it exits first. */
+  async nextMessage<T> (): Promise<T> {
+    const exited = once(this.#child, 'exit').then(() => { throw new Error(`${this.name} exited:\n${this.output}`) })
+    const [message] = await Promise.race([once(this.#child, 'message'), exited])
+    return message
+  }
+
+  async tell (message: object): Promise<void> {
+    const done = this.nextMessage()
+    this.#child.send(message)
+    await done
+  }
+
+  signal (signal: NodeJS.Signals): void {
+    this.#child.kill(signal)
+  }
+
+  /** Resolves with the exit code, or null after a signal. */
+  async waitExit (): Promise<number | null> {
+    if (this.running) await once(this.#child, 'exit')
+    return this.#child.exitCode
+  }
+
+  async kill (): Promise<void> {
+    this.signal('SIGCONT')
+    this.signal('SIGKILL')
+    await this.waitExit()
+  }
+}
--- /dev/null
+++ b/__utils__/bench/src/index.ts
@@ -0,0 +1,5 @@
+export { demo } from './demo.js'
+export { ProcessFleet } from './processFleet.js'
+export type { FleetOptions } from './processFleet.js'
+export { runLoad } from './runLoad.js'
+export { summarize } from './summarize.js'
--- /dev/null
+++ b/__utils__/bench/src/processFleet.ts
@@ -0,0 +1,148 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
+import { Collection } from '@reelspan/core.messages'
+import { type EngineModelOptions, tuulDeclarations, tuulFleet } from '@reelspan/utils.fakes'
+import { EngineRole } from '@reelspan/upstream.client'
+import { type StandInMessage } from '@reelspan/utils.stand-ins'
+import { stringify } from 'smol-toml'
+import { request } from 'undici'
+import { FleetProcess } from './fleetProcess.js'
+
+const REELSPAN = fileURLToPath(import.meta.resolve('reelspan').replace('lib/index.js', 'bin/reelspan.js'))
+const STAND_IN = fileURLToPath(import.meta.resolve('@reelspan/utils.stand-ins').replace('lib/index.js', 'bin/stand-in.js'))
+const READY_POLL_MS = 50
+const READY_LIMIT_MS = 20_000
+
+export interface FleetOptions {
+  /** Settings of every box, section by section, over the defaults. */
+  settings?: Record<string, Record<string, unknown>>
+  engine?: Partial<EngineModelOptions>
+  declarations?: ReturnType<typeof tuulDeclarations>
+  deployment?: ReturnType<typeof tuulFleet>
+}
+
+export interface FleetBox {
+  name: string
+  process: FleetProcess
+  callerAddress: string
+  peerAddress: string
+  operatorAddress: string
+  settingsFile: string
+}
+
+/** A whole deployment on this machine, each part a process of its own. */
+export class ProcessFleet {
+  readonly boxes: FleetBox[] = []
+  readonly upstreams = new Map<string, { process: FleetProcess, address: string }>()
+  readonly #opts: FleetOptions
+  readonly #folder: string
+  #platform!: { process: FleetProcess, address: string }
+
+  private constructor (opts: FleetOptions, folder: string) {
+    this.#opts = opts
+    this.#folder = folder
+  }
+
+  /** Starts platform, upstreams and boxes, and resolves when every box serves. */
+  static async start (opts: FleetOptions = {}): Promise<ProcessFleet> {
+    const fleet = new ProcessFleet(opts, await mkdtemp(join(tmpdir(), 'reelspan-')))
+    try {
+      await fleet.#start()
+      return fleet
+    } catch (thrown) {
+      await fleet.stop()
+      throw thrown
+    }
+  }
+
+  box (name: string): FleetBox {
+    return this.boxes.find((box) => box.name === name) as FleetBox
+  }
+
+  async tellPlatform (message: StandInMessage): Promise<void> {
+    await this.#platform.process.tell(message)
+  }
+
+  /** Starts a box again after its process ended, at the same addresses. */
+  async restartBox (name: string): Promise<void> {
+    const box = this.box(name)
+    box.process = new FleetProcess(name, REELSPAN, ['serve', '--config', box.settingsFile])
+    await waitReady(box)
+  }
+
+  async stop (): Promise<void> {
+    const processes = [...this.boxes.map(({ process }) => process), ...[...this.upstreams.values()].map(({ process }) => process), ...this.#platform ? [this.#platform.process] : []]
+    await Promise.all(processes.map((process) => process.running ? process.kill() : undefined))
+    await rm(this.#folder, { recursive: true, force: true })
+  }
+
+  async #start (): Promise<void> {
+    const { boxes, upstreams } = this.#opts.deployment ?? tuulFleet()
+    this.#platform = await startStandIn('platform', 'platform', {})
+    await Promise.all(upstreams.map(async ({ name, kind, pool }) => {
+      this.upstreams.set(name, await this.#startUpstream(name, kind, pool))
+    }))
+    const ports = await freePorts(3 * boxes.length)
+    const placed = boxes.map((box, i) => ({ ...box, addresses: ports.slice(3 * i, 3 * i + 3).map((port) => `127.0.0.1:${port}`) }))
+    await this.tellPlatform({ type: 'publish', collection: Collection.Declarations, entries: this.#opts.declarations ?? tuulDeclarations() })
+    await this.tellPlatform({
+      type: 'publish',
+      collection: Collection.Fleet,
+      entries: [
+        ...placed.map(({ name, availabilityZone, addresses }) => ({ kind: FleetEntryKind.Box, name, spec: { peerAddress: addresses[1], availabilityZone } })),
+        ...upstreams.map(({ name, ...spec }) => ({ kind: FleetEntryKind.Upstream, name, spec: { ...spec, address: this.upstreams.get(name)?.address } })),
+      ],
+    })
+    await Promise.all(placed.map((box) => this.#startBox(box)))
+  }
+
+  async #startUpstream (name: string, kind: UpstreamKind, pool: string) {
+    if (kind === UpstreamKind.Service) return startStandIn(name, 'service', { name })
+    const role = pool.includes('prefill') ? EngineRole.Prefill : EngineRole.Decode
+    return startStandIn(name, 'engine', { name, role, loaded: [{ model: 'draft', version: '1' }], reportLagMs: 500, ...this.#opts.engine })
+  }
+
+  async #startBox ({ name, availabilityZone, addresses }: { name: string, availabilityZone: string, addresses: string[] }): Promise<void> {
+    const [callerAddress, peerAddress, operatorAddress] = addresses
+    const settingsFile = join(this.#folder, `${name}.toml`)
+    await writeFile(settingsFile, stringify({
+      ...this.#opts.settings,
+      box: { name, availabilityZone },
+      listen: { callerAddress, peerAddress, operatorAddress },
+      platform: { addresses: [this.#platform.address], ...this.#opts.settings?.platform },
+    }))
+    const box = { name, callerAddress, peerAddress, operatorAddress, settingsFile, process: new FleetProcess(name, REELSPAN, ['serve', '--config', settingsFile]) }
+    this.boxes.push(box)
+    await waitReady(box)
+  }
+}
+
+async function startStandIn (name: string, kind: string, settings: object): Promise<{ process: FleetProcess, address: string }> {
+  const process = new FleetProcess(name, STAND_IN, [kind, JSON.stringify(settings)])
+  const { address } = await process.nextMessage<{ address: string }>()
+  return { process, address }
+}
+
+async function waitReady ({ callerAddress, process, name }: FleetBox): Promise<void> {
+  const startedAtMs = performance.now()
+  while (performance.now() - startedAtMs < READY_LIMIT_MS && process.running) {
+    const response = await request(`http://${callerAddress}/healthz`).catch(() => undefined)
+    await response?.body.dump()
+    if (response?.statusCode === 200) return
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
+  }
+  throw new Error(`${name} did not start:\n${process.output}`)
+}
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => resolve(server))
+  })))
+  const ports = servers.map((server) => (server.address() as { port: number }).port)
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
+  return ports
+}
--- /dev/null
+++ b/__utils__/bench/src/runLoad.ts
@@ -0,0 +1,109 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Verdict } from '@reelspan/core.error'
+import { expectedAnswer } from '@reelspan/utils.fakes'
+import { Agent, request } from 'undici'
+import { type LoadRequest } from './loadShape.js'
+
+/** What became of one request, as its caller saw it. */
+export interface LoadOutcome {
+  id: string
+  client: string
+  startedAtMs: number
+  verdict: Verdict
+  code?: string
+  retryAfterMs?: number
+  ttftMs?: number
+  tbtMs: number[]
+  endMs: number
+  /** The whole answer to the caller's own request arrived. */
+  whole: boolean
+  /** Came back when told to, this many times. */
+  returns: number
+}
+
+export interface RunLoadOptions {
+  /** `ip:port` of boxes for callers. */
+  addresses: readonly string[]
+  model: string
+  /** Times that a refused request comes back when it is told to. */
+  maxReturns?: number
+}
+
+interface SsePart {
+  choices?: { text: string }[]
+  reelspan?: { verdict: Verdict, code?: string, retryAfterMs?: number }
+}
+
+/** Sends requests at their times, whatever becomes of earlier ones, and waits for all to end. */
+export async function runLoad (requests: readonly LoadRequest[], opts: RunLoadOptions): Promise<LoadOutcome[]> {
+  const agent = new Agent({ connections: 512, connect: { timeout: 2000 } })
+  const startedAtMs = performance.now()
+  const outcomes = await Promise.all(requests.map(async (one, i) => {
+    await sleep(Math.max(0, one.atMs - (performance.now() - startedAtMs)))
+    return sendWithReturns(one, opts.addresses[i % opts.addresses.length], agent, opts, startedAtMs)
+  }))
+  await agent.destroy()
+  return outcomes
+}
+
+async function sendWithReturns (one: LoadRequest, address: string, agent: Agent, opts: RunLoadOptions, startedAtMs: number): Promise<LoadOutcome> {
+  for (let returns = 0; ; returns++) {
+    const outcome = { ...await send(one, address, agent, opts, startedAtMs), returns }
+    const comesBack = outcome.verdict === Verdict.NotRun && outcome.retryAfterMs !== undefined && returns < (opts.maxReturns ?? 0)
+    if (!comesBack) return outcome
+    await sleep(outcome.retryAfterMs)
+  }
+}
+
+async function send (one: LoadRequest, address: string, agent: Agent, { model }: RunLoadOptions, epochMs: number): Promise<Omit<LoadOutcome, 'returns'>> {
+  const sentAtMs = performance.now()
+  const texts: string[] = []
+  const tbtMs: number[] = []
+  let ttftMs: number | undefined
+  let lastAtMs = sentAtMs
+  let end: SsePart['reelspan']
+  const take = (part: SsePart) => {
+    if (part.reelspan) end = part.reelspan
+    const text = part.choices?.[0]?.text
+    if (!text) return
+    const nowMs = performance.now()
+    if (ttftMs === undefined) ttftMs = nowMs - sentAtMs
+    else tbtMs.push(nowMs - lastAtMs)
+    lastAtMs = nowMs
+    texts.push(text)
+  }
+  try {
+    const response = await request(`http://${address}/v1/completions`, {
+      dispatcher: agent,
+      method: 'POST',
+      headers: { 'content-type': 'application/json', 'reelspan-client': one.client },
+      body: JSON.stringify({ model, prompt: one.prompt, max_tokens: one.maxTokens, stream: true }),
+    })
+    if (response.statusCode === 200) for await (const part of sseParts(response.body)) take(part)
+    else take(await response.body.json() as SsePart)
+  } catch {
+    // The verdict below says that nothing is known.
+  }
+  return {
+    id: one.id,
+    client: one.client,
+    startedAtMs: sentAtMs - epochMs,
+    verdict: end?.verdict ?? Verdict.MayHaveRun,
+    code: end?.code,
+    retryAfterMs: end?.retryAfterMs,
+    ttftMs,
+    tbtMs,
+    endMs: performance.now() - sentAtMs,
+    whole: texts.join('') === expectedAnswer(one.prompt, one.maxTokens),
+  }
+}
+
+async function * sseParts (body: AsyncIterable<Uint8Array>): AsyncGenerator<SsePart> {
+  const decoder = new TextDecoder()
+  let pending = ''
+  for await (const chunk of body) {
+    const blocks = (pending + decoder.decode(chunk, { stream: true })).split('\n\n')
+    pending = blocks.pop() ?? ''
+    yield * blocks.map((block) => block.replace(/^data: /, '')).filter((data) => data !== '[DONE]').map((data) => JSON.parse(data) as SsePart)
+  }
+}
--- /dev/null
+++ b/__utils__/fakes/src/deployments.ts
@@ -0,0 +1,73 @@
+import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
+import { PoolRole, ResourceKind } from '@reelspan/config.resources'
+import { Collection } from '@reelspan/core.messages'
+import { type PlatformModel, type PublishedEntry } from './platformModel.js'
+
+export interface UpstreamPlace {
+  name: string
+  kind: UpstreamKind
+  pool: string
+  availabilityZone: string
+}
+
+export interface BoxPlace {
+  name: string
+  availabilityZone: string
+}
+
+/** Tuul's availability zones. */
+const TUUL_ZONES = ['hall-a', 'hall-b', 'hall-c']
+const TUUL_PREFILL_ENGINES = 3
+const TUUL_DECODE_ENGINES = 5
+const TUUL_SERVICES = 3
+const TUUL_BOXES = 8
+const KV_BYTES_PER_ENGINE = 4_000_000_000
+const LINK_BYTES_PER_SECOND = 2_500_000_000
+
+/** What Tuul declares: one model in two pools, and a desk service whose bookings may not be repeated. */
+export function tuulDeclarations (): PublishedEntry[] {
+  return [
+    { kind: ResourceKind.Pool, name: 'draft-prefill', spec: { role: PoolRole.Prefill, linkBytesPerSecond: LINK_BYTES_PER_SECOND } },
+    { kind: ResourceKind.Pool, name: 'draft-decode', spec: { role: PoolRole.Decode, minReadyEngines: 3, kvBytesPerEngine: KV_BYTES_PER_ENGINE, linkBytesPerSecond: LINK_BYTES_PER_SECOND } },
+    { kind: ResourceKind.Pool, name: 'script-desk', spec: { role: PoolRole.Service } },
+    {
+      kind: ResourceKind.Model,
+      name: 'draft',
+      spec: {
+        version: '1',
+        prefillPool: 'draft-prefill',
+        decodePool: 'draft-decode',
+        kvBytesPerToken: 100_000,
+        prefillTokensPerSecond: 6000,
+        decodeStepBaseMs: 25,
+        decodeStepPerRequestMs: 2,
+      },
+    },
+    { kind: ResourceKind.Route, name: 'drafts', spec: { model: 'draft' } },
+    { kind: ResourceKind.Route, name: 'desk', spec: { pool: 'script-desk', pathPrefix: '/desk' } },
+    { kind: ResourceKind.Route, name: 'bookings', spec: { pool: 'script-desk', method: 'POST', pathPrefix: '/desk/bookings', notRepeatable: true } },
+  ]
+}
+
+/** Tuul's machines of today. */
+export function tuulFleet (): { boxes: BoxPlace[], upstreams: UpstreamPlace[] } {
+  const zone = (i: number) => TUUL_ZONES[i % TUUL_ZONES.length]
+  const upstreams = (count: number, name: string, kind: UpstreamKind, pool: string) =>
+    Array.from({ length: count }, (_, i): UpstreamPlace => ({ name: `${name}-${i + 1}`, kind, pool, availabilityZone: zone(i) }))
+  return {
+    boxes: Array.from({ length: TUUL_BOXES }, (_, i) => ({ name: `box-${i + 1}`, availabilityZone: zone(i) })),
+    upstreams: [
+      ...upstreams(TUUL_PREFILL_ENGINES, 'prefill', UpstreamKind.Engine, 'draft-prefill'),
+      ...upstreams(TUUL_DECODE_ENGINES, 'decode', UpstreamKind.Engine, 'draft-decode'),
+      ...upstreams(TUUL_SERVICES, 'desk', UpstreamKind.Service, 'script-desk'),
+    ],
+  }
+}
+
+/** Publishes boxes and upstreams with their addresses. */
+export function publishFleet (platform: PlatformModel, boxes: readonly (BoxPlace & { peerAddress: string })[], upstreams: readonly (UpstreamPlace & { address: string })[]): void {
+  platform.publish(Collection.Fleet, [
+    ...boxes.map(({ name, ...spec }) => ({ kind: FleetEntryKind.Box, name, spec })),
+    ...upstreams.map(({ name, ...spec }) => ({ kind: FleetEntryKind.Upstream, name, spec })),
+  ])
+}
--- /dev/null
+++ b/__utils__/fakes/src/fakeClients.ts
@@ -0,0 +1,150 @@
+import { PlatformReader, type PlatformReadOptions, type RevisionedContent } from '@reelspan/config.store'
+import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
+import { type Collection, type HoldLabel } from '@reelspan/core.messages'
+import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type PrefillRequest, type PrefillResult, ServiceClient, type ServiceCall, type ServiceReply, type UpstreamCallOptions, UpstreamError } from '@reelspan/upstream.client'
+import { type EngineModel } from './engineModel.js'
+import { type FakeNetwork } from './fakeNetwork.js'
+import { type NodeClock } from './nodeClock.js'
+import { type PlatformModel } from './platformModel.js'
+import { type ServiceModel } from './serviceModel.js'
+
+export interface FakeClientOptions<T> {
+  clock: NodeClock
+  network: FakeNetwork
+  /** Address of the process that calls. */
+  address: string
+  models: Map<string, T>
+}
+
+/** The way of one call to an upstream and back, with its cuts. */
+class FakeChannel<T> {
+  readonly #opts: FakeClientOptions<T>
+
+  constructor (opts: FakeClientOptions<T>) {
+    this.#opts = opts
+  }
+
+  async call<R> (address: string, work: (model: T) => Promise<R> | R, { timeoutMs, signal }: UpstreamCallOptions): Promise<R> {
+    const outcome = await raceTimeout(this.#opts.clock, Promise.race([this.#exchange(address, work), aborted(signal)]), timeoutMs)
+    if (outcome === TimedOut) throw new UpstreamError(`${address}: no answer in time`, { mayHaveRun: true })
+    return outcome
+  }
+
+  async * stream<R> (address: string, work: (model: T) => AsyncIterable<R>, opts: UpstreamCallOptions): AsyncGenerator<R> {
+    const iterator = (await this.call(address, async (model) => work(model)[Symbol.asyncIterator](), opts))
+    while (true) {
+      const part = await this.#within(iterator.next(), opts)
+      if (!await this.#opts.network.travel(address, this.#opts.address)) await never()
+      await this.#opts.clock.whileRunning()
+      if (opts.signal?.aborted) throw new UpstreamError('given up', { mayHaveRun: true })
+      if (part.done) return
+      yield part.value
+    }
+  }
+
+  async #within<R> (work: Promise<R>, { timeoutMs, signal }: UpstreamCallOptions): Promise<R> {
+    const outcome = await raceTimeout(this.#opts.clock, Promise.race([work, aborted(signal)]), timeoutMs)
+    if (outcome === TimedOut) throw new UpstreamError('silent for too long', { mayHaveRun: true })
+    return outcome
+  }
+
+  async #exchange<R> (address: string, work: (model: T) => Promise<R> | R): Promise<R> {
+    const { network, models, clock, address: from } = this.#opts
+    await clock.whileRunning()
+    if (!network.isAlive(from)) return never()
+    if (!await network.travel(from, address)) return never()
+    const model = models.get(address)
+    if (!model) throw new UpstreamError(`${address}: connection refused`, { mayHaveRun: false })
+    const answer = await work(model)
+    if (!models.has(address)) throw new UpstreamError(`${address}: died`, { mayHaveRun: true })
+    if (!await network.travel(address, from)) return never()
+    await clock.whileRunning()
+    return answer
+  }
+}
+
+export class FakeEngineClient extends EngineClient {
+  readonly #channel: FakeChannel<EngineModel>
+
+  constructor (opts: FakeClientOptions<EngineModel>) {
+    super()
+    this.#channel = new FakeChannel(opts)
+  }
+
+  prefill (address: string, request: PrefillRequest, opts: UpstreamCallOptions): Promise<PrefillResult> {
+    return this.#channel.call(address, (engine) => engine.prefill(request), opts)
+  }
+
+  decode (address: string, request: DecodeRequest, opts: UpstreamCallOptions): AsyncIterable<DecodeEvent> {
+    return this.#channel.stream(address, (engine) => engine.decode(request), opts)
+  }
+
+  release (address: string, label: HoldLabel, opts: UpstreamCallOptions): Promise<void> {
+    return this.#channel.call(address, (engine) => engine.release(label), opts)
+  }
+
+  report (address: string, opts: UpstreamCallOptions): Promise<EngineReport> {
+    return this.#channel.call(address, (engine) => engine.report(), opts)
+  }
+
+  cacheEvents (address: string, sinceSequence: number, opts: UpstreamCallOptions): Promise<CacheEventPage> {
+    return this.#channel.call(address, (engine) => engine.cacheEvents(sinceSequence), opts)
+  }
+
+  order (address: string, order: EngineOrder, opts: UpstreamCallOptions): Promise<void> {
+    return this.#channel.call(address, async (engine) => {
+      // The engine accepts at once and carries the order out afterwards.
+      const carriedOut = engine.order(order)
+      await Promise.race([carriedOut, Promise.resolve()])
+      carriedOut.catch(() => {})
+    }, opts)
+  }
+}
+
+export class FakeServiceClient extends ServiceClient {
+  readonly #channel: FakeChannel<ServiceModel>
+
+  constructor (opts: FakeClientOptions<ServiceModel>) {
+    super()
+    this.#channel = new FakeChannel(opts)
+  }
+
+  call (address: string, call: ServiceCall, opts: UpstreamCallOptions): Promise<ServiceReply> {
+    return this.#channel.call(address, (service) => service.call(call), opts)
+  }
+}
+
+export class FakePlatformReader extends PlatformReader {
+  readonly #clock: Clock
+  readonly #platform: PlatformModel
+  #lastAnswerMs = Number.NEGATIVE_INFINITY
+
+  constructor (clock: Clock, platform: PlatformModel) {
+    super()
+    this.#clock = clock
+    this.#platform = platform
+  }
+
+  get lastAnswerMs (): number {
+    return this.#lastAnswerMs
+  }
+
+  async read (collection: Collection, sinceRevision: number, { waitMs, signal }: PlatformReadOptions): Promise<RevisionedContent> {
+    const content = await this.#platform.read(collection, sinceRevision, waitMs, signal)
+    await this.#clock.settle()
+    this.#lastAnswerMs = this.#clock.nowMs()
+    return structuredClone(content)
+  }
+}
+
+function aborted (signal: AbortSignal | undefined): Promise<never> {
+  return new Promise((resolve, reject) => {
+    const abort = () => reject(new UpstreamError('given up', { mayHaveRun: true }))
+    if (signal?.aborted) abort()
+    signal?.addEventListener('abort', abort, { once: true })
+  })
+}
+
+function never (): Promise<never> {
+  return new Promise(() => {})
+}
--- /dev/null
+++ b/__utils__/stand-ins/src/index.ts
@@ -0,0 +1,7 @@
+export { runStandIn, StandInKind } from './runStandIn.js'
+export type { StandInMessage } from './runStandIn.js'
+export { createEngineServer } from './createEngineServer.js'
+export { createPlatformServer } from './createPlatformServer.js'
+export { createServiceServer } from './createServiceServer.js'
+export { httpExport } from './httpExport.js'
+export { listenOn } from './listenOn.js'
--- /dev/null
+++ b/box/runtime/src/box.ts
@@ -0,0 +1,180 @@
+import { TaskGroup } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { type AnswerEvent, Collection, type Member, MemberHealth, MessageType, type RoutedRequest } from '@reelspan/core.messages'
+import { type Configuration } from '@reelspan/config.resources'
+import { type LookupAnswer } from '@reelspan/request.lookup'
+import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { type BoxParts } from './createBox.js'
+import { plannedStop } from './plannedStop.js'
+import { type ResourceApi } from './resourceApi.js'
+
+const INCARNATION_DIGITS = 16
+const FIRST_PEERS_ASKED = 3
+const LOOKUP_TIMEOUT_MS = 500
+
+/** One box: everything that runs in one process, behind a narrow interface for the HTTP front. */
+export class Box {
+  readonly #parts: BoxParts
+  readonly #tasks: TaskGroup
+  #ready = false
+  #stopping = false
+  #callersBeingServed = 0
+
+  constructor (parts: BoxParts) {
+    this.#parts = parts
+    this.#tasks = new TaskGroup(parts.clock)
+  }
+
+  /** Whether this box has a configuration to serve by. */
+  get ready (): boolean {
+    return this.#ready
+  }
+
+  get configuration (): Configuration {
+    return this.#parts.declarations.value
+  }
+
+  get resources (): ResourceApi {
+    return this.#parts.resources
+  }
+
+  get self (): Member {
+    return this.#parts.view.self
+  }
+
+  /** Reads platform and peers, meets the other boxes, and begins to serve. */
+  async start (): Promise<void> {
+    const { link, dispatch, followers, prober, fleet, view, log, random, owner } = this.#parts
+    link.serve(dispatch)
+    view.onChange((member) => this.#onMemberChange(member))
+    await followers[Collection.Fleet].readFirst([])
+    const others = fleet.value.boxes.map(({ peerAddress }) => peerAddress).filter((address) => address !== view.self.peerAddress)
+    const asked = random.sample(others, FIRST_PEERS_ASKED)
+    await Promise.all([
+      prober.join(asked),
+      followers[Collection.Fleet].readFirst(asked),
+      followers[Collection.Declarations].readFirst(asked),
+    ])
+    this.#parts.metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
+    Object.values(followers).forEach((follower) => follower.start())
+    prober.start()
+    Object.values(Collection).forEach((collection) => this.#tasks.run(() => this.#onRevisions(collection)))
+    this.#reconcile()
+    log.info(LogEvent.Started, { incarnation: view.self.incarnation, revision: this.#parts.declarations.revision })
+  }
+
+  /** Runs or joins a request and yields its answer, to the final event. */
+  async * submit (request: RoutedRequest, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+    this.#callersBeingServed++
+    try {
+      yield * this.#parts.router.submit(request, signal)
+    } finally {
+      this.#callersBeingServed--
+    }
+  }
+
+  createKey (): string {
+    return this.#parts.router.createKey()
+  }
+
+  async cancel (key: string): Promise<void> {
+    await this.#parts.router.cancel(key)
+  }
+
+  /** Which boxes to use. A box that is about to stop lets another one answer, since it must not own new requests. */
+  async lookup (availabilityZone?: string): Promise<LookupAnswer> {
+    const { lookup, link, random, view } = this.#parts
+    if (!view.self.leaving) return lookup(availabilityZone)
+    const [other] = random.sample(view.takingWork(), 1)
+    if (!other) throw new ReelspanError(ErrorCode.Draining, 'no other box is known to take new work', { retryAfterMs: 1000 })
+    const answer = await link.call(other.peerAddress, { type: MessageType.Lookup, availabilityZone }, { timeoutMs: LOOKUP_TIMEOUT_MS })
+    if (answer.type !== MessageType.LookupAnswer) throw new ReelspanError(ErrorCode.PeerProtocol, `unexpected answer ${answer.type}`)
+    return { boxes: answer.boxes, keepMs: answer.keepMs, keyPrefix: answer.keyPrefix }
+  }
+
+  metricsText (): string {
+    return this.#parts.metrics.exposition()
+  }
+
+  /** The whole state of the process. */
+  describe () {
+    const { view, declarations, fleet, records, owner, keepers, prober, placer, settings } = this.#parts
+    return {
+      self: view.self,
+      ready: this.#ready,
+      stopping: this.#stopping,
+      declarations: { revision: declarations.revision, resources: declarations.value.resources.length, rejected: declarations.rejected },
+      fleet: { revision: fleet.revision, boxes: fleet.value.boxes.length, upstreams: fleet.value.upstreams.length },
+      members: view.all().map((member) => ({ ...member, requestsInFlight: prober.loadOf(member.incarnation) })),
+      records: { count: records.size, bytes: records.bytes, maxBytes: settings.requests.recordBytes, taken: records.taken() },
+      owner: owner.describe(),
+      placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
+      shards: keepers.describe(),
+      callersBeingServed: this.#callersBeingServed,
+    }
+  }
+
+  /** Stops as planned, without cutting off a request. */
+  async drain (): Promise<void> {
+    const { log } = this.#parts
+    this.#stopping = true
+    log.info(LogEvent.Stopping)
+    await plannedStop({ ...this.#parts, ...this.#stopParts(), callersServed: () => this.#waitCallersServed() })
+    await this.stop()
+  }
+
+  /** Stops at once. What runs gets its verdict. */
+  async stop (): Promise<void> {
+    const { prober, followers, keepers, owner, link, log } = this.#parts
+    this.#stopping = true
+    await owner.stop()
+    await Promise.all([this.#tasks.stop(), prober.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
+    log.info(LogEvent.Stopped)
+  }
+
+  #stopParts () {
+    const { clock, settings, link, view, prober, owner, records, log } = this.#parts
+    return { clock, settings, link, view, prober, owner, records, log }
+  }
+
+  async #waitCallersServed (): Promise<void> {
+    const { clock, settings } = this.#parts
+    const patienceMs = settings.limits.slowCallerMs
+    for (let waitedMs = 0; this.#callersBeingServed > 0 && waitedMs < patienceMs; waitedMs += 50) await clock.sleep(50)
+  }
+
+  #onMemberChange (member: Member): void {
+    const { view, keepers, placer, log, clock, random, owner } = this.#parts
+    const isSelf = member.incarnation === view.self.incarnation
+    if (isSelf && member.health === MemberHealth.Gone && !this.#stopping) {
+      owner.endAll(ErrorCode.OwnerGone, 'this box was declared gone')
+      view.takeIncarnation(random.hex(INCARNATION_DIGITS), clock.nowMs())
+      log.warn(LogEvent.IncarnationRenewed, { incarnation: view.self.incarnation })
+      return
+    }
+    if (!isSelf) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
+    if (member.health === MemberHealth.Gone) keepers.releaseOwner(member.incarnation)
+    this.#reconcile()
+    if (placer instanceof SchedulerPlacer) this.#tasks.run(() => placer.adoptByNewSchedulers())
+  }
+
+  #reconcile (): void {
+    const { declarations, keepers, settings } = this.#parts
+    this.#ready = declarations.revision > 0
+    if (settings.scheduling.strategy === 'scheduler') keepers.reconcile()
+  }
+
+  /** Acts on each new revision, and tells the peers of it at once. */
+  async #onRevisions (collection: Collection): Promise<void> {
+    const { log, prober, view } = this.#parts
+    const store = collection === Collection.Declarations ? this.#parts.declarations : this.#parts.fleet
+    for (let revision = 0; !this.#tasks.stopped; revision = store.revision) {
+      await store.waitAbove(revision, this.#tasks.signal)
+      if (this.#tasks.stopped) return
+      log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
+      this.#reconcile()
+      this.#tasks.run(() => prober.tellNow())
+    }
+  }
+}
--- /dev/null
+++ b/box/runtime/src/createBox.ts
@@ -0,0 +1,237 @@
+import { parseFleetList, type FleetList } from '@reelspan/config.fleet'
+import { checkResources, type Configuration } from '@reelspan/config.resources'
+import { ConfigFollower, ConfigStore } from '@reelspan/config.store'
+import { Collection, type Member, MemberHealth } from '@reelspan/core.messages'
+import { rankByRendezvous } from '@reelspan/core.hashing'
+import { Prober } from '@reelspan/membership.prober'
+import { MembershipView } from '@reelspan/membership.view'
+import { answerLookup, type LookupAnswer } from '@reelspan/request.lookup'
+import { Owner } from '@reelspan/request.owner'
+import { RecordStore } from '@reelspan/request.records'
+import { createEnginePicker, FreshReports, OwnerAlonePlacer, PickerKind, PolledReports } from '@reelspan/scheduling.owner-alone'
+import { type Placer } from '@reelspan/scheduling.placer'
+import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
+import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
+import { Box } from './box.js'
+import { type BoxEnvironment } from './boxEnvironment.js'
+import { noteRequestEnd } from './noteRequestEnd.js'
+import { PeerDispatch } from './peerDispatch.js'
+import { RequestRouter } from './requestRouter.js'
+import { ResourceApi } from './resourceApi.js'
+import { ShardKeepers } from './shardKeepers.js'
+
+/** Everything that makes up a box. */
+export interface BoxParts extends BoxEnvironment {
+  view: MembershipView
+  declarations: ConfigStore<Configuration>
+  fleet: ConfigStore<FleetList>
+  followers: Record<Collection, ConfigFollower>
+  prober: Prober
+  records: RecordStore
+  placer: Placer
+  owner: Owner
+  keepers: ShardKeepers
+  router: RequestRouter
+  dispatch: PeerDispatch
+  resources: ResourceApi
+  lookup: (availabilityZone?: string) => LookupAnswer
+  vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
+  box: Box
+}
+
+const INCARNATION_DIGITS = 16
+const LOOKUP_BOXES = 3
+const PEER_TIMEOUT_MS = 1000
+const FALLBACK_SAMPLE = 2
+
+/** Composes a box. Nothing runs until it is started. */
+export function createBox (environment: BoxEnvironment): Box {
+  const container = createContainer<BoxParts>({ injectionMode: InjectionMode.PROXY, strict: true })
+  Object.entries(environment).forEach(([name, value]) => container.register(name, asValue(value)))
+  container.register({
+    view: asFunction(createView).singleton(),
+    declarations: asFunction(createDeclarations).singleton(),
+    fleet: asFunction(createFleet).singleton(),
+    followers: asFunction(createFollowers).singleton(),
+    prober: asFunction(createProber).singleton(),
+    records: asFunction(createRecords).singleton(),
+    placer: asFunction(createPlacer).singleton(),
+    owner: asFunction(createOwner).singleton(),
+    keepers: asFunction(createKeepers).singleton(),
+    router: asFunction((parts: BoxParts) => new RequestRouter(parts)).singleton(),
+    dispatch: asFunction(createDispatch).singleton(),
+    resources: asFunction((parts: BoxParts) => new ResourceApi(parts)).singleton(),
+    lookup: asFunction(createLookup).singleton(),
+    vouchHere: asFunction(createVouchHere).singleton(),
+    box: asFunction((parts: BoxParts) => new Box(parts)).singleton(),
+  })
+  return container.cradle.box
+}
+
+function createView ({ settings, random }: BoxParts): MembershipView {
+  const { box, listen, requests } = settings
+  const self: Member = {
+    name: box.name,
+    availabilityZone: box.availabilityZone,
+    peerAddress: listen.peerAddress,
+    callerAddress: listen.callerAddress,
+    incarnation: random.hex(INCARNATION_DIGITS),
+    version: 0,
+    health: MemberHealth.Alive,
+    leaving: false,
+  }
+  return new MembershipView({ self, goneMemoryMs: recordLifeMs(requests) })
+}
+
+/** Records outlive every key that could still ask for them. */
+function recordLifeMs ({ prefixLifeMs, longestRequestMs }: BoxParts['settings']['requests']): number {
+  return prefixLifeMs + 2 * longestRequestMs
+}
+
+function createDeclarations (): ConfigStore<Configuration> {
+  return new ConfigStore((entries, revision) => {
+    const { configuration, problems } = checkResources(entries, revision)
+    return { value: configuration, problems: problems.map(({ resource, field, message }) => `${resource}: ${field}: ${message}`) }
+  })
+}
+
+function createFleet (): ConfigStore<FleetList> {
+  return new ConfigStore(parseFleetList)
+}
+
+function createFollowers (parts: BoxParts): Record<Collection, ConfigFollower> {
+  const create = (collection: Collection, store: ConfigStore<unknown>) => new ConfigFollower({
+    ...environmentOf(parts),
+    store,
+    collection,
+    isWatcher: () => isWatcher(parts),
+    watchWaitMs: parts.settings.platform.watchWaitMs,
+    backstopPollMs: parts.settings.platform.backstopPollMs,
+    peerTimeoutMs: PEER_TIMEOUT_MS,
+    onRejected: (problems, revision) => parts.log.warn(LogEvent.RevisionRejected, { collection, revision, problems }),
+  })
+  return {
+    [Collection.Declarations]: create(Collection.Declarations, parts.declarations),
+    [Collection.Fleet]: create(Collection.Fleet, parts.fleet),
+  }
+}
+
+/** A few boxes of each availability zone watch the platform for the rest. */
+function isWatcher ({ settings, view }: BoxParts): boolean {
+  const { availabilityZone, incarnation } = view.self
+  const ofZone = view.takingWork().filter((member) => member.availabilityZone === availabilityZone)
+  return rankByRendezvous(`watch|${availabilityZone}`, ofZone, (member) => member.incarnation)
+    .slice(0, settings.platform.watchersPerAvailabilityZone)
+    .some((member) => member.incarnation === incarnation)
+}
+
+function createProber (parts: BoxParts): Prober {
+  const { settings, view, declarations, fleet } = parts
+  return new Prober({
+    ...environmentOf(parts),
+    ...settings.membership,
+    view,
+    listedAddresses: () => fleet.value.boxes.map(({ peerAddress }) => peerAddress).filter((address) => address !== view.self.peerAddress),
+    revisions: () => ({ [Collection.Declarations]: declarations.revision, [Collection.Fleet]: fleet.revision }),
+    inFlight: () => parts.owner.inFlight,
+    onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
+      void parts.followers[collection].hear(address, revisions[collection])
+    }),
+  })
+}
+
+function createRecords ({ clock, settings }: BoxParts): RecordStore {
+  return new RecordStore({ clock, maxBytes: settings.requests.recordBytes, recordLifeMs: recordLifeMs(settings.requests) })
+}
+
+function createPlacer (parts: BoxParts): Placer {
+  const { clock, random, engines, link, settings, view } = parts
+  const { strategy, prefixIndex, admission, countOwn, reportPeriodMs, fallbackPlacesPercent } = settings.scheduling
+  const shardsOfModel = (model: string) => parts.keepers.shardsOfModel(model)
+  const index = createPrefixIndex(prefixIndex)
+  if (strategy !== 'scheduler') {
+    const reports = new PolledReports({ clock, engines, periodMs: reportPeriodMs, listed: () => parts.keepers.shards().flatMap((shard) => [...shard.prefillEngines, ...shard.decodeEngines]) })
+    return new OwnerAlonePlacer({ clock, picker: createEnginePicker(strategy, random), reports, index, shardsOfModel, admission, countOwn, placesPercent: 100 })
+  }
+  const fallback = new OwnerAlonePlacer({
+    clock,
+    picker: createEnginePicker(PickerKind.TwoChoices, random),
+    reports: new FreshReports({ clock, random, engines, timeoutMs: reportPeriodMs / 2, sampleSize: FALLBACK_SAMPLE }),
+    index,
+    shardsOfModel,
+    admission: true,
+    countOwn: true,
+    placesPercent: fallbackPlacesPercent,
+  })
+  return new SchedulerPlacer({
+    clock,
+    link,
+    selfIncarnation: () => view.self.incarnation,
+    schedulers: () => view.takingWork(),
+    shardsOfModel,
+    localScheduler: (shardId) => parts.keepers.scheduler(shardId),
+    fallback,
+  })
+}
+
+function createOwner (parts: BoxParts): Owner {
+  const { settings, view, declarations, fleet, log, metrics } = parts
+  return new Owner({
+    ...environmentOf(parts),
+    placer: parts.placer,
+    records: parts.records,
+    standing: () => view.self,
+    configuration: () => declarations.value,
+    fleet: () => fleet.value,
+    prefixLifeMs: settings.requests.prefixLifeMs,
+    rejoinGraceMs: settings.requests.rejoinGraceMs,
+    upstreamTimeoutMs: settings.requests.upstreamTimeoutMs,
+    onEnd: (record, request, timings) => noteRequestEnd({ log, metrics, revision: declarations.revision }, record, request, timings),
+  })
+}
+
+function createKeepers (parts: BoxParts): ShardKeepers {
+  return new ShardKeepers({
+    ...environmentOf(parts),
+    declarations: parts.declarations,
+    fleet: parts.fleet,
+    view: parts.view,
+    vouchHere: parts.vouchHere,
+    isGone: (incarnation) => parts.view.get(incarnation)?.health === MemberHealth.Gone,
+    lastContactMs: () => Math.max(parts.prober.lastMajorityContactMs, parts.platform.lastAnswerMs),
+  })
+}
+
+function createDispatch (parts: BoxParts): PeerDispatch {
+  return new PeerDispatch({
+    prober: parts.prober,
+    view: parts.view,
+    stores: { [Collection.Declarations]: parts.declarations, [Collection.Fleet]: parts.fleet },
+    keepers: parts.keepers,
+    owner: parts.owner,
+    records: parts.records,
+    lookup: parts.lookup,
+    vouchHere: parts.vouchHere,
+    describeForStatus: () => parts.keepers.describe(),
+    log: parts.log,
+  })
+}
+
+function createLookup (parts: BoxParts): BoxParts['lookup'] {
+  const { clock, random, settings, view } = parts
+  const loadOf = (incarnation: string) => incarnation === view.self.incarnation ? parts.owner.inFlight : parts.prober.loadOf(incarnation)
+  return (availabilityZone) => answerLookup({ clock, random, view, loadOf, availabilityZone, keepMs: settings.requests.lookupKeepMs, boxCount: LOOKUP_BOXES })
+}
+
+/** This process answers for its own incarnation alone. */
+function createVouchHere (parts: BoxParts): BoxParts['vouchHere'] {
+  return (incarnation, requestIds) => incarnation === parts.view.self.incarnation
+    ? parts.owner.vouch(incarnation, requestIds)
+    : undefined
+}
+
+function environmentOf ({ settings, clock, random, link, platform, engines, services, log, metrics }: BoxParts): BoxEnvironment {
+  return { settings, clock, random, link, platform, engines, services, log, metrics }
+}
--- /dev/null
+++ b/box/runtime/src/peerDispatch.ts
@@ -0,0 +1,103 @@
+import { type ConfigStore } from '@reelspan/config.store'
+import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
+import { Collection, MemberHealth, type MessageOf, MessageType, type PeerHandler, type PeerMessage } from '@reelspan/core.messages'
+import { type Prober } from '@reelspan/membership.prober'
+import { type MembershipView } from '@reelspan/membership.view'
+import { parseRequestKey } from '@reelspan/request.key'
+import { type LookupAnswer } from '@reelspan/request.lookup'
+import { type Owner } from '@reelspan/request.owner'
+import { type RecordStore } from '@reelspan/request.records'
+import { type Log, LogEvent } from '@reelspan/telemetry.log'
+import { type ShardKeepers } from './shardKeepers.js'
+
+export interface PeerDispatchOptions {
+  prober: Prober
+  view: MembershipView
+  stores: Record<Collection, ConfigStore<unknown>>
+  keepers: ShardKeepers
+  owner: Owner
+  records: RecordStore
+  lookup: (availabilityZone?: string) => LookupAnswer
+  vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
+  describeForStatus: () => unknown
+  log: Log
+}
+
+/** What this box does with messages of other boxes. */
+export class PeerDispatch implements PeerHandler {
+  readonly #opts: PeerDispatchOptions
+
+  constructor (opts: PeerDispatchOptions) {
+    this.#opts = opts
+  }
+
+  async onCall (message: PeerMessage): Promise<PeerMessage> {
+    const { prober, stores, keepers, owner, lookup, vouchHere, describeForStatus } = this.#opts
+    switch (message.type) {
+      case MessageType.ConfigPull:
+        return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision) }
+      case MessageType.Reserve:
+        return this.#reserve(message)
+      case MessageType.ReleaseReservation:
+        keepers.existing(message.shardId)?.release(message.label, message.completionTokens)
+        return DONE
+      case MessageType.AdoptReservations:
+        keepers.scheduler(message.shardId)?.adopt(message.reservations)
+        return DONE
+      case MessageType.Vouch:
+        return this.#vouch(message, vouchHere)
+      case MessageType.Cancel:
+        owner.cancel(message.key)
+        return DONE
+      case MessageType.RecordsHandoff:
+        return this.#takeRecords(message)
+      case MessageType.Lookup:
+        return { type: MessageType.LookupAnswer, ...lookup(message.availabilityZone) }
+      case MessageType.StatusPull:
+        return { type: MessageType.StatusContent, status: describeForStatus() }
+      default:
+        return await prober.answer(message) ?? unexpected(message)
+    }
+  }
+
+  async * onStream (message: PeerMessage, signal: AbortSignal): AsyncGenerator<PeerMessage> {
+    if (message.type !== MessageType.Submit) return unexpected(message)
+    const { owner } = this.#opts
+    const record = owner.submit(message.request, { takeOver: message.takeOver === true && this.#mayTakeOver(message.request.key) })
+    for await (const event of record.read(message.fromEvent, signal)) yield { type: MessageType.Answer, event }
+  }
+
+  async #reserve ({ request }: MessageOf<MessageType.Reserve>): Promise<PeerMessage> {
+    const scheduler = this.#opts.keepers.scheduler(request.shardId)
+    if (!scheduler) throw new ReelspanError(ErrorCode.NotReady, `this box knows no shard ${request.shardId}`)
+    return { type: MessageType.ReserveAnswer, answer: await scheduler.reserve(request) }
+  }
+
+  #vouch ({ ownerIncarnation, requestIds }: MessageOf<MessageType.Vouch>, vouchHere: PeerDispatchOptions['vouchHere']): PeerMessage {
+    const vouched = vouchHere(ownerIncarnation, requestIds)
+    if (!vouched) throw new ReelspanError(ErrorCode.OwnerGone, 'another process runs here now')
+    return { type: MessageType.Vouched, ownerIncarnation, requestIds: vouched }
+  }
+
+  #takeRecords ({ records: portable, taken }: MessageOf<MessageType.RecordsHandoff>): PeerMessage {
+    const { records, view, log } = this.#opts
+    if (view.self.leaving) throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop itself')
+    records.import(portable)
+    records.markTaken(taken)
+    if (taken.length > 0) log.info(LogEvent.RecordsTaken, { incarnations: taken.map(({ incarnation }) => incarnation) })
+    return DONE
+  }
+
+  /** The sender has proof that the owner is gone. Word to the contrary here counts more. */
+  #mayTakeOver (key: string): boolean {
+    const { owner } = parseRequestKey(key)
+    const member = owner && this.#opts.view.get(owner.incarnation)
+    return member === undefined || member.health === MemberHealth.Gone
+  }
+}
+
+const DONE: PeerMessage = { type: MessageType.Done }
+
+function unexpected (message: PeerMessage): never {
+  throw new ReelspanError(ErrorCode.PeerProtocol, `unexpected message ${message.type}`, { verdict: Verdict.NotRun })
+}
--- /dev/null
+++ b/box/runtime/src/shardKeeper.ts
@@ -0,0 +1,89 @@
+import { type Configuration } from '@reelspan/config.resources'
+import { type Clock, TaskGroup } from '@reelspan/core.env'
+import { type EngineAccount } from '@reelspan/scheduling.ledger'
+import { type ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { type EngineClient, type EngineReport, EngineRole } from '@reelspan/upstream.client'
+import { type HoldSweeper } from '@reelspan/upstream.holds'
+import { OrderController, type OrderRight, type OrderControllerOptions } from '@reelspan/upstream.orders'
+
+export interface ShardKeeperOptions {
+  clock: Clock
+  engines: EngineClient
+  scheduler: ShardScheduler
+  sweeper: HoldSweeper
+  right: OrderRight
+  configuration: () => Configuration
+  reportPeriodMs: number
+  onOrder: OrderControllerOptions['onOrder']
+}
+
+/** Cache events are asked for at every so many passes. */
+const CACHE_EVENTS_EVERY = 2
+
+/** What the box that accounts for a shard does: asks its engines, frees what nobody answers for, gives orders. */
+export class ShardKeeper {
+  readonly scheduler: ShardScheduler
+  readonly right: OrderRight
+  readonly #opts: ShardKeeperOptions
+  readonly #tasks: TaskGroup
+  readonly #orders: OrderController
+  readonly #cacheSequences = new Map<string, number>()
+  #pass = 0
+
+  constructor (opts: ShardKeeperOptions) {
+    this.#opts = opts
+    this.scheduler = opts.scheduler
+    this.right = opts.right
+    this.#tasks = new TaskGroup(opts.clock)
+    this.#orders = new OrderController({ ...opts, orderTimeoutMs: opts.reportPeriodMs * 2 })
+  }
+
+  start (): void {
+    this.#tasks.repeat(() => this.#lookAround(), { periodMs: this.#opts.reportPeriodMs })
+  }
+
+  async stop (): Promise<void> {
+    await this.scheduler.stop()
+    await this.#tasks.stop()
+  }
+
+  async #lookAround (): Promise<void> {
+    const { ledger } = this.scheduler
+    this.#pass++
+    await Promise.all([...ledger.prefillEngines(), ...ledger.decodeEngines()].map((engine) => this.#lookAt(engine)))
+    if (this.right.holds()) await this.#giveOrders()
+  }
+
+  async #lookAt (engine: EngineAccount<unknown>): Promise<void> {
+    const report = await this.#report(engine)
+    if (!report) return this.scheduler.noteSilent(engine.name)
+    this.scheduler.noteReport(engine.name, report)
+    this.#tasks.run(() => this.#opts.sweeper.sweep(engine, report.holds))
+    if (report.role === EngineRole.Prefill && this.#pass % CACHE_EVENTS_EVERY === 0) await this.#readCacheEvents(engine)
+  }
+
+  #report ({ address }: EngineAccount<unknown>): Promise<EngineReport | undefined> {
+    const { engines, reportPeriodMs } = this.#opts
+    return engines.report(address, { timeoutMs: reportPeriodMs, signal: this.#tasks.signal }).catch(() => undefined)
+  }
+
+  async #readCacheEvents ({ name, address }: EngineAccount<unknown>): Promise<void> {
+    const { engines, reportPeriodMs } = this.#opts
+    const since = this.#cacheSequences.get(name) ?? 0
+    const page = await engines.cacheEvents(address, since, { timeoutMs: reportPeriodMs, signal: this.#tasks.signal }).catch(() => undefined)
+    if (!page) return
+    this.#cacheSequences.set(name, page.nextSequence)
+    this.scheduler.noteRemovals(name, { removedDigests: page.removedDigests, afterGap: page.firstSequence > since || page.nextSequence < since })
+  }
+
+  async #giveOrders (): Promise<void> {
+    const { ledger } = this.scheduler
+    const { model, prefillPool, decodePool } = ledger.shard
+    const plans = [
+      await this.#orders.pass({ model, role: EngineRole.Prefill, pool: prefillPool, engines: ledger.prefillEngines() }),
+      await this.#orders.pass({ model, role: EngineRole.Decode, pool: decodePool, engines: ledger.decodeEngines() }),
+    ]
+    const retiring = new Set(plans.flatMap((plan) => plan.retiring));
+    [...ledger.prefillEngines(), ...ledger.decodeEngines()].forEach((engine) => { engine.retiring = retiring.has(engine.name) })
+  }
+}
--- /dev/null
+++ b/box/runtime/src/shardKeepers.ts
@@ -0,0 +1,158 @@
+import { type FleetList } from '@reelspan/config.fleet'
+import { type Configuration } from '@reelspan/config.resources'
+import { type ConfigStore } from '@reelspan/config.store'
+import { type HoldLabel } from '@reelspan/core.messages'
+import { type MembershipView } from '@reelspan/membership.view'
+import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
+import { ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { deriveShards, schedulerOf, type Shard } from '@reelspan/scheduling.shards'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { HoldSweeper } from '@reelspan/upstream.holds'
+import { OrderRight } from '@reelspan/upstream.orders'
+import { type BoxEnvironment } from './boxEnvironment.js'
+import { ShardKeeper } from './shardKeeper.js'
+
+export interface ShardKeepersOptions extends BoxEnvironment {
+  declarations: ConfigStore<Configuration>
+  fleet: ConfigStore<FleetList>
+  view: MembershipView
+  /** Answers for requests of this box's own incarnations. */
+  vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
+  isGone: (incarnation: string) => boolean
+  /** When the platform or most watched peers last answered. */
+  lastContactMs: () => number
+}
+
+/** A report this many periods old says nothing any more. */
+const REPORT_LIFE_PERIODS = 4
+
+/** The shards that this box accounts for, as declarations, fleet and membership change. */
+export class ShardKeepers {
+  readonly #opts: ShardKeepersOptions
+  readonly #keepers = new Map<string, ShardKeeper>()
+  #shards: Shard[] = []
+  #shardsOf = ''
+
+  constructor (opts: ShardKeepersOptions) {
+    this.#opts = opts
+  }
+
+  shards (): readonly Shard[] {
+    const { declarations, fleet } = this.#opts
+    const of = `${declarations.revision}/${fleet.revision}`
+    if (of !== this.#shardsOf) this.#shards = deriveShards(declarations.value, fleet.value)
+    this.#shardsOf = of
+    return this.#shards
+  }
+
+  shardsOfModel (model: string): Shard[] {
+    return this.shards().filter((shard) => shard.model === model)
+  }
+
+  /**
+   * The scheduler of a shard. One is set up on demand: an owner may know sooner
+   * than this box that it is the scheduler now, and two of them do no harm.
+   */
+  scheduler (shardId: string): ShardScheduler | undefined {
+    const shard = this.shards().find(({ id }) => id === shardId)
+    return shard && this.#keeper(shard).scheduler
+  }
+
+  /** The scheduler of a shard, if it was set up. */
+  existing (shardId: string): ShardScheduler | undefined {
+    return this.#keepers.get(shardId)?.scheduler
+  }
+
+  /** Takes up and lays down shards. Called after every change of declarations, fleet or members. */
+  reconcile (): void {
+    const { view } = this.#opts
+    const shards = this.shards()
+    const members = view.takingWork()
+    shards.forEach((shard) => {
+      const mine = schedulerOf(shard, members)?.incarnation === view.self.incarnation
+      if (mine) this.#keeper(shard).right.take()
+      else this.#keepers.get(shard.id)?.right.giveUp()
+      this.#keepers.get(shard.id)?.scheduler.update(shard)
+    })
+    const ids = new Set(shards.map(({ id }) => id))
+    this.#keepers.forEach((keeper, id) => {
+      const shard = shards.find((one) => one.id === id)
+      const mine = shard && schedulerOf(shard, members)?.incarnation === view.self.incarnation
+      const idle = keeper.scheduler.ledger.reservationCount === 0 && keeper.scheduler.waitingCount === 0
+      if (!ids.has(id) || (!mine && idle)) this.#drop(id, keeper)
+    })
+  }
+
+  releaseOwner (incarnation: string): void {
+    this.#keepers.forEach(({ scheduler }) => scheduler.releaseOwner(incarnation))
+  }
+
+  describe () {
+    return [...this.#keepers.values()].map(({ scheduler, right }) => ({ ...scheduler.describe(), mayOrder: right.holds() }))
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all([...this.#keepers.values()].map((keeper) => keeper.stop()))
+  }
+
+  #keeper (shard: Shard): ShardKeeper {
+    const known = this.#keepers.get(shard.id)
+    if (known) return known
+    const keeper = this.#createKeeper(shard)
+    this.#keepers.set(shard.id, keeper)
+    keeper.start()
+    this.#opts.log.info(LogEvent.SchedulerTaken, { shard: shard.id })
+    return keeper
+  }
+
+  #drop (id: string, keeper: ShardKeeper): void {
+    this.#keepers.delete(id)
+    void keeper.stop()
+    this.#opts.log.info(LogEvent.SchedulerLeft, { shard: id })
+  }
+
+  #createKeeper (shard: Shard): ShardKeeper {
+    const { clock, engines, declarations, settings, lastContactMs, log, metrics } = this.#opts
+    const { reportPeriodMs, prefixIndex, orderRightMs } = settings.scheduling
+    const scheduler = new ShardScheduler({
+      clock,
+      shard,
+      route: () => declarations.value.routeOfModel(shard.model)?.spec,
+      index: createPrefixIndex(prefixIndex),
+      reportLifeMs: reportPeriodMs * REPORT_LIFE_PERIODS,
+    })
+    return new ShardKeeper({
+      clock,
+      engines,
+      scheduler,
+      sweeper: this.#createSweeper(scheduler),
+      right: new OrderRight({ clock, lifeMs: orderRightMs, lastContactMs }),
+      configuration: () => declarations.value,
+      reportPeriodMs,
+      onOrder: ({ engine, order }, outcome) => {
+        log.info(LogEvent.OrderSent, { engine, order: order.kind, fence: order.fence, outcome })
+        metrics.count('reelspan_orders_total', { outcome })
+      },
+    })
+  }
+
+  #createSweeper (scheduler: ShardScheduler): HoldSweeper {
+    const { clock, link, engines, settings, isGone, vouchHere, log, metrics } = this.#opts
+    const { reportPeriodMs } = settings.scheduling
+    return new HoldSweeper({
+      clock,
+      link,
+      engines,
+      isGone,
+      vouchHere,
+      isAccounted: (label: HoldLabel) => scheduler.ledger.isCurrent(label, clock.nowMs()),
+      vouchTimeoutMs: reportPeriodMs,
+      releaseTimeoutMs: reportPeriodMs,
+      onRelease: (engine, hold, reason) => {
+        scheduler.release(hold.label)
+        log.info(LogEvent.HoldReleased, { engine, kind: hold.kind, kvBytes: hold.kvBytes, reason })
+        metrics.count('reelspan_holds_released_total', { reason })
+      },
+    })
+  }
+}
--- /dev/null
+++ b/cli/reelspan/src/index.ts
@@ -0,0 +1,2 @@
+export { main } from './main.js'
+export { startBox } from './startBox.js'
--- /dev/null
+++ b/cli/reelspan/src/main.ts
@@ -0,0 +1,106 @@
+import { readFile } from 'node:fs/promises'
+import { parseSettings, type Settings } from '@reelspan/config.settings'
+import { ReelspanError } from '@reelspan/core.error'
+import { PROTOCOL_VERSION } from '@reelspan/core.messages'
+import meow from 'meow'
+import { startBox } from './startBox.js'
+
+/** Exit codes of `reelspan`. */
+export enum ExitCode {
+  Done = 0,
+  Failed = 1,
+  /** The command line is wrong. */
+  Usage = 2,
+  BadSettings = 3,
+}
+
+const HELP = `
+  Usage
+    $ reelspan serve --config box.toml    Run a box
+    $ reelspan check --config box.toml    Check a settings file
+    $ reelspan version                    Print the versions
+
+  Options
+    --config FILE   The box's settings (TOML)
+    --json          check, version: print JSON
+
+  Exit codes
+    0 done   1 failed   2 wrong command line   3 wrong settings
+
+  A planned stop is SIGTERM: requests that run are completed first. A second
+  signal ends the box at once.
+`
+
+/** The `reelspan` command. Resolves with its exit code. */
+export async function main (argv: readonly string[]): Promise<ExitCode> {
+  const cli = meow(HELP, {
+    importMeta: import.meta,
+    argv: [...argv],
+    description: 'A router for language models served with separate prefill and decode pools',
+    flags: { config: { type: 'string' }, json: { type: 'boolean', default: false } },
+    allowUnknownFlags: false,
+  })
+  const [command] = cli.input
+  try {
+    switch (command) {
+      case 'serve': return await serve(await readSettings(cli.flags.config))
+      case 'check': return await check(cli.flags.config, cli.flags.json)
+      case 'version': return printVersion(cli.pkg.version as string, cli.flags.json)
+      default: return usage(command === undefined ? 'a command is needed: serve, check or version' : `unknown command «${command}»: use serve, check or version`)
+    }
+  } catch (thrown) {
+    return report(thrown)
+  }
+}
+
+async function readSettings (file: string | undefined): Promise<Settings> {
+  if (file === undefined) throw new UsageError('--config FILE is needed')
+  const text = await readFile(file, 'utf8').catch((cause: NodeJS.ErrnoException) => {
+    throw new UsageError(`--config: ${file} cannot be read: ${cause.code}`)
+  })
+  return parseSettings(text, file)
+}
+
+async function check (file: string | undefined, json: boolean): Promise<ExitCode> {
+  const settings = await readSettings(file)
+  console.log(json ? JSON.stringify(settings) : `${file}: ok`)
+  return ExitCode.Done
+}
+
+function printVersion (version: string, json: boolean): ExitCode {
+  console.log(json ? JSON.stringify({ version, protocolVersion: PROTOCOL_VERSION }) : `reelspan ${version}, protocol ${PROTOCOL_VERSION}`)
+  return ExitCode.Done
+}
+
+async function serve (settings: Settings): Promise<ExitCode> {
+  const { box, stopListening } = await startBox(settings)
+  const stopped = new Promise<void>((resolve, reject) => {
+    const onSignal = () => {
+      process.once('SIGTERM', () => process.exit(ExitCode.Failed))
+      process.once('SIGINT', () => process.exit(ExitCode.Failed))
+      box.drain().then(resolve, reject)
+    }
+    process.once('SIGTERM', onSignal)
+    process.once('SIGINT', onSignal)
+  })
+  await stopped
+  await stopListening()
+  process.exit(ExitCode.Done)
+}
+
+class UsageError extends Error {}
+
+function usage (message: string): ExitCode {
+  console.error(`reelspan: ${message}\nTry «reelspan --help».`)
+  return ExitCode.Usage
+}
+
+function report (thrown: unknown): ExitCode {
+  if (thrown instanceof UsageError) return usage(thrown.message)
+  if (thrown instanceof ReelspanError) {
+    console.error(`${thrown.message}${thrown.hint ? `\n${thrown.hint}` : ''}`)
+    return ExitCode.BadSettings
+  }
+  console.error(thrown instanceof Error ? `reelspan: ${thrown.message}` : String(thrown))
+  return ExitCode.Failed
+}
--- /dev/null
+++ b/cli/reelspan/src/startBox.ts
@@ -0,0 +1,80 @@
+import { readFile } from 'node:fs/promises'
+import { type Server } from 'node:http'
+import { type Box, createBox } from '@reelspan/box.runtime'
+import { type Settings } from '@reelspan/config.settings'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
+import { WsPeerLink } from '@reelspan/net.peer-link'
+import { HttpPlatformReader } from '@reelspan/net.platform-http'
+import { SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
+import { BunyanLog } from '@reelspan/telemetry.log'
+import { Metrics } from '@reelspan/telemetry.metrics'
+
+const PLATFORM_TIMEOUT_MS = 3000
+const MAX_PEER_MESSAGE_BYTES = 16_000_000
+const IDLE_CLOSE_MS = 30_000
+const NOT_READY_POLL_MS = 50
+
+/** A box that serves. */
+export interface RunningBox {
+  box: Box
+  /** Ends what is listened on; answers under way are completed. */
+  stopListening: () => Promise<void>
+}
+
+/** Starts a box from its settings: reads platform and peers first, then listens. */
+export async function startBox (settings: Settings): Promise<RunningBox> {
+  const clock = new SystemClock()
+  const { listen, limits, platform, log } = settings
+  const token = await readToken(settings)
+  const link = new WsPeerLink({ clock, listenAddress: listen.peerAddress, maxMessageBytes: MAX_PEER_MESSAGE_BYTES, idleCloseMs: IDLE_CLOSE_MS })
+  const metrics = new Metrics()
+  const box = createBox({
+    settings,
+    clock,
+    random: new SystemRandom(),
+    link,
+    platform: new HttpPlatformReader({ clock, addresses: platform.addresses, timeoutMs: PLATFORM_TIMEOUT_MS }),
+    engines: new HttpEngineClient(),
+    services: new HttpServiceClient(),
+    log: new BunyanLog({ box: settings.box.name, level: log.level }),
+    metrics,
+  })
+  metrics.gauge('reelspan_peer_sent_bytes_total', () => link.traffic.sentBytes)
+  metrics.gauge('reelspan_peer_received_bytes_total', () => link.traffic.receivedBytes)
+  metrics.gauge('reelspan_peer_connections', () => link.openConnections)
+  await link.listen()
+  await box.start()
+  const operators = createOperatorServer({ clock, box, token, bodyBytes: limits.bodyBytes })
+  await listenAt(operators, listen.operatorAddress)
+  // Callers are let in once there is something to serve them by.
+  while (!box.ready) await clock.sleep(NOT_READY_POLL_MS)
+  const callers = createCallerServer({ clock, box, ...limits })
+  await listenAt(callers, listen.callerAddress)
+  return { box, stopListening: () => closeServers([callers, operators]) }
+}
+
+async function readToken ({ listen }: Settings): Promise<string | undefined> {
+  const { operatorTokenFile, operatorTokenVariable } = listen
+  if (operatorTokenFile !== undefined) return (await readFile(operatorTokenFile, 'utf8')).trim()
+  if (operatorTokenVariable === undefined) return undefined
+  const token = process.env[operatorTokenVariable]
+  if (!token) throw new ReelspanError(ErrorCode.BadSettings, `listen.operatorTokenVariable: the environment has no ${operatorTokenVariable}`)
+  return token
+}
+
+async function listenAt (server: Server, address: string): Promise<void> {
+  const at = address.lastIndexOf(':')
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }, resolve)
+  })
+}
+
+async function closeServers (servers: readonly Server[]): Promise<void> {
+  await Promise.all(servers.map((server) => new Promise((resolve) => {
+    server.close(resolve)
+    server.closeIdleConnections()
+  })))
+}
--- /dev/null
+++ b/config/fleet/src/fleetList.ts
@@ -0,0 +1,30 @@
+import { type ListedBox, type ListedUpstream } from './entries.js'
+
+/** The platform's list of boxes and upstreams. It lags behind reality. */
+export class FleetList {
+  readonly boxes: readonly ListedBox[]
+  readonly upstreams: readonly ListedUpstream[]
+  readonly #byPool: Map<string, ListedUpstream[]>
+
+  constructor (boxes: readonly ListedBox[], upstreams: readonly ListedUpstream[]) {
+    this.boxes = boxes
+    this.upstreams = upstreams
+    this.#byPool = groupByPool(upstreams)
+  }
+
+  /** Everything listed in a pool, leaving or not. */
+  inPool (pool: string): readonly ListedUpstream[] {
+    return this.#byPool.get(pool) ?? []
+  }
+
+  /** What new work may be given to. */
+  takingWork (pool: string): readonly ListedUpstream[] {
+    return this.inPool(pool).filter(({ leaving }) => !leaving)
+  }
+}
+
+function groupByPool (upstreams: readonly ListedUpstream[]): Map<string, ListedUpstream[]> {
+  const groups = new Map<string, ListedUpstream[]>()
+  upstreams.forEach((upstream) => groups.set(upstream.pool, [...groups.get(upstream.pool) ?? [], upstream]))
+  return groups
+}
--- /dev/null
+++ b/config/resources/src/checkResources.ts
@@ -0,0 +1,100 @@
+import { type z } from 'zod'
+import { describeIssues } from './describeIssues.js'
+import { Configuration } from './configuration.js'
+import { ResourceKind, resourceId, type DeclaredResource, type Resource } from './resource.js'
+import { modelSpecSchema, PoolRole, poolSpecSchema, rolloutSpecSchema, routeSpecSchema } from './specs.js'
+import { suggestName } from './suggestName.js'
+
+/** What is wrong with one field of one resource. */
+export interface ResourceProblem {
+  resource: string
+  field: string
+  message: string
+}
+
+export interface CheckResult {
+  configuration: Configuration
+  problems: ResourceProblem[]
+}
+
+const SCHEMAS = {
+  [ResourceKind.Model]: modelSpecSchema,
+  [ResourceKind.Pool]: poolSpecSchema,
+  [ResourceKind.Route]: routeSpecSchema,
+  [ResourceKind.Rollout]: rolloutSpecSchema,
+}
+
+/** Checks a whole set of declared resources: each by its schema, then the references between them. */
+export function checkResources (declared: readonly DeclaredResource[], revision: number): CheckResult {
+  const parsed = declared.map(parseResource)
+  const resources = parsed.flatMap(({ resource }) => resource ? [resource] : [])
+  const configuration = new Configuration(revision, resources)
+  const problems = [
+    ...duplicates(declared),
+    ...parsed.flatMap((result) => result.problems),
+    ...resources.flatMap((resource) => checkReferences(resource, configuration)),
+  ]
+  return { configuration, problems }
+}
+
+function parseResource (declared: DeclaredResource): { resource?: Resource, problems: ResourceProblem[] } {
+  const id = resourceId(declared)
+  const schema: z.ZodObject | undefined = SCHEMAS[declared.kind as ResourceKind]
+  if (!schema) {
+    const close = suggestName(declared.kind, Object.values(ResourceKind))
+    const hint = close ? `did you mean «${close}»?` : `known kinds: ${Object.values(ResourceKind).join(', ')}`
+    return { problems: [{ resource: id, field: 'kind', message: `unknown kind «${declared.kind}»; ${hint}` }] }
+  }
+  const result = schema.safeParse(declared.spec)
+  if (result.success) return { resource: { ...declared, spec: result.data } as Resource, problems: [] }
+  const problems = describeIssues(result.error.issues, () => Object.keys(schema.shape))
+  return { problems: problems.map(({ field, message }) => ({ resource: id, field: field ? `spec.${field}` : 'spec', message })) }
+}
+
+function duplicates (declared: readonly DeclaredResource[]): ResourceProblem[] {
+  const ids = declared.map(resourceId)
+  return ids
+    .filter((id, i) => ids.indexOf(id) !== i)
+    .map((resource) => ({ resource, field: 'name', message: 'declared more than once' }))
+}
+
+function checkReferences (resource: Resource, configuration: Configuration): ResourceProblem[] {
+  const problem = (field: string, message: string) => ({ resource: resourceId(resource), field: `spec.${field}`, message })
+  const missingModel = (name: string) => configuration.model(name) ? [] : [problem('model', unknownReference('Model', name, configuration.modelNames()))]
+  const wrongPool = (field: string, name: string, role: PoolRole) => {
+    const pool = configuration.pool(name)
+    if (!pool) return [problem(field, unknownReference('Pool', name, configuration.poolNames()))]
+    return pool.role === role ? [] : [problem(field, `Pool/${name} has role ${pool.role}, ${role} is needed`)]
+  }
+  switch (resource.kind) {
+    case ResourceKind.Model:
+      return [
+        ...wrongPool('prefillPool', resource.spec.prefillPool, PoolRole.Prefill),
+        ...wrongPool('decodePool', resource.spec.decodePool, PoolRole.Decode),
+      ]
+    case ResourceKind.Rollout: {
+      const rivals = configuration.rollouts().filter((other) => other.spec.model === resource.spec.model)
+      return [
+        ...missingModel(resource.spec.model),
+        ...(rivals.length > 1 ? [problem('model', `has more than one rollout: ${rivals.map(({ name }) => name).join(', ')}`)] : []),
+      ]
+    }
+    case ResourceKind.Route: {
+      const { model, pool, pathPrefix } = resource.spec
+      if ((model === undefined) === (pool === undefined)) return [problem('model', 'a route has either a model or a pool')]
+      if (model !== undefined) return missingModel(model)
+      return [
+        ...wrongPool('pool', pool as string, PoolRole.Service),
+        ...(pathPrefix === undefined ? [problem('pathPrefix', 'needed with a service pool')] : []),
+        ...(pathPrefix?.startsWith('/v1/lookup') || pathPrefix?.startsWith('/v1/completions') ? [problem('pathPrefix', `«${pathPrefix}» is reelspan's own`)] : []),
+      ]
+    }
+    case ResourceKind.Pool:
+      return []
+  }
+}
+
+function unknownReference (kind: string, name: string, known: string[]): string {
+  const close = suggestName(name, known)
+  return `there is no ${kind}/${name}${close ? `; did you mean «${close}»?` : ''}`
+}
--- /dev/null
+++ b/config/resources/src/configuration.ts
@@ -0,0 +1,72 @@
+import { ResourceKind, type Resource } from './resource.js'
+import { type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
+
+export interface Named<S> {
+  name: string
+  spec: S
+}
+
+/** A checked set of resources at one revision. */
+export class Configuration {
+  readonly revision: number
+  readonly resources: readonly Resource[]
+  readonly #models: Map<string, ModelSpec>
+  readonly #pools: Map<string, PoolSpec>
+  readonly #routes: Named<RouteSpec>[]
+  readonly #rollouts: Named<RolloutSpec>[]
+
+  constructor (revision: number, resources: readonly Resource[]) {
+    this.revision = revision
+    this.resources = resources
+    this.#models = new Map(resources.flatMap((r) => r.kind === ResourceKind.Model ? [[r.name, r.spec]] : []))
+    this.#pools = new Map(resources.flatMap((r) => r.kind === ResourceKind.Pool ? [[r.name, r.spec]] : []))
+    this.#routes = resources.flatMap((r) => r.kind === ResourceKind.Route ? [{ name: r.name, spec: r.spec }] : [])
+    this.#rollouts = resources.flatMap((r) => r.kind === ResourceKind.Rollout ? [{ name: r.name, spec: r.spec }] : [])
+  }
+
+  model (name: string): ModelSpec | undefined {
+    return this.#models.get(name)
+  }
+
+  pool (name: string): PoolSpec | undefined {
+    return this.#pools.get(name)
+  }
+
+  route (name: string): RouteSpec | undefined {
+    return this.#routes.find((route) => route.name === name)?.spec
+  }
+
+  routes (): readonly Named<RouteSpec>[] {
+    return this.#routes
+  }
+
+  rollouts (): readonly Named<RolloutSpec>[] {
+    return this.#rollouts
+  }
+
+  modelNames (): string[] {
+    return [...this.#models.keys()]
+  }
+
+  poolNames (): string[] {
+    return [...this.#pools.keys()]
+  }
+
+  /** The route that answers for a model. */
+  routeOfModel (model: string): Named<RouteSpec> | undefined {
+    return this.#routes.find(({ spec }) => spec.model === model)
+  }
+
+  /** The route of a call to a plain service: the longest path prefix that fits. */
+  routeOfCall (method: string, path: string): Named<RouteSpec> | undefined {
+    return this.#routes
+      .filter(({ spec }) => spec.pathPrefix !== undefined && isUnderPrefix(path, spec.pathPrefix))
+      .filter(({ spec }) => spec.method === undefined || spec.method === method)
+      .sort((a, b) => (b.spec.pathPrefix as string).length - (a.spec.pathPrefix as string).length)
+      .at(0)
+  }
+}
+
+function isUnderPrefix (path: string, prefix: string): boolean {
+  return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
+}
--- /dev/null
+++ b/config/resources/src/resource.ts
@@ -0,0 +1,35 @@
+import { type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
+
+export enum ResourceKind {
+  Model = 'Model',
+  Pool = 'Pool',
+  Route = 'Route',
+  Rollout = 'Rollout',
+}
+
+/** A resource as it was published, not yet checked. */
+export interface DeclaredResource {
+  kind: string
+  name: string
+  /** Revision of its last change. */
+  revision: number
+  spec: unknown
+}
+
+interface ResourceOf<K extends ResourceKind, S> {
+  kind: K
+  name: string
+  revision: number
+  spec: S
+}
+
+/** A checked resource, defaults filled in. */
+export type Resource =
+  | ResourceOf<ResourceKind.Model, ModelSpec>
+  | ResourceOf<ResourceKind.Pool, PoolSpec>
+  | ResourceOf<ResourceKind.Route, RouteSpec>
+  | ResourceOf<ResourceKind.Rollout, RolloutSpec>
+
+export function resourceId (resource: { kind: string, name: string }): string {
+  return `${resource.kind}/${resource.name}`
+}
--- /dev/null
+++ b/config/resources/src/specs.ts
@@ -0,0 +1,88 @@
+import { z } from 'zod'
+
+export enum PoolRole {
+  Prefill = 'prefill',
+  Decode = 'decode',
+  Service = 'service',
+}
+
+export enum RolloutState {
+  Running = 'running',
+  /** Nothing more is ordered; what was reached stays. */
+  Paused = 'paused',
+  /** Engines return to the model's own version. */
+  Back = 'back',
+}
+
+export enum RouteObjective {
+  /** Prefer requests that end within both latency targets. */
+  Goodput = 'goodput',
+  /** Prefer not to spend prefill work that may come to nothing. */
+  WastedPrefill = 'wastedPrefill',
+}
+
+const positiveInt = z.number().int().positive()
+const name = z.string().min(1)
+
+export const modelSpecSchema = z.strictObject({
+  version: name,
+  prefillPool: name,
+  decodePool: name,
+  kvBytesPerToken: positiveInt,
+  /** First guess of a prefill engine's speed. */
+  prefillTokensPerSecond: z.number().positive(),
+  /** Fixed cost of a prefill. */
+  prefillBaseMs: z.number().nonnegative().default(5),
+  /** Time of one decode step: base plus a part for each running request. */
+  decodeStepBaseMs: z.number().positive(),
+  decodeStepPerRequestMs: z.number().nonnegative(),
+  /** How long a prefill result waits for its export before the engine drops it. */
+  prefillResultLifeMs: positiveInt.default(800),
+})
+
+export const poolSpecSchema = z.strictObject({
+  role: z.enum(PoolRole),
+  /** Running requests that one decode engine takes. */
+  placesPerEngine: positiveInt.default(20),
+  kvBytesPerEngine: positiveInt.default(16_000_000_000),
+  /** Rate of one engine's link to the other pool. */
+  linkBytesPerSecond: positiveInt.default(1_250_000_000),
+  /** Engines that must stay in service while orders are carried out. */
+  minReadyEngines: z.number().int().nonnegative().default(0),
+  /** A pool with more engines is cut into several shards. */
+  maxEnginesPerShard: positiveInt.max(64).default(64),
+})
+
+export const routeSpecSchema = z.strictObject({
+  /** The model that answers. A route has either a model or a service pool. */
+  model: name.optional(),
+  pool: name.optional(),
+  /** For a service pool: which calls the route takes. */
+  method: z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']).optional(),
+  pathPrefix: z.string().regex(/^\/[^?#\s]*$/, 'a path that starts with /').optional(),
+  /** Each call may run at most once. */
+  notRepeatable: z.boolean().default(false),
+  ttftTargetMs: z.number().positive().default(390),
+  tbtTargetMs: z.number().positive().default(76),
+  deadlineMs: positiveInt.max(600_000).default(30_000),
+  objective: z.enum(RouteObjective).default(RouteObjective.Goodput),
+  /** Part of the pool's capacity that the route may use, while others use the rest beside reelspan. */
+  poolSharePercent: z.number().min(1).max(100).default(100),
+  /** Weights of client accounts in overload. An account that is not named has weight 1. */
+  clientWeights: z.record(z.string(), z.number().positive()).default({}),
+})
+
+export const rolloutSpecSchema = z.strictObject({
+  model: name,
+  toVersion: name,
+  /** Engines, in percent of each pool, that get the new version. */
+  enginePercent: z.number().min(0).max(100),
+  /** Engines of a pool that may be out of service for it at once. */
+  maxUnavailable: positiveInt.default(1),
+  state: z.enum(RolloutState).default(RolloutState.Running),
+})
+
+export type ModelSpec = z.infer<typeof modelSpecSchema>
+export type PoolSpec = z.infer<typeof poolSpecSchema>
+export type RouteSpec = z.infer<typeof routeSpecSchema>
+export type RolloutSpec = z.infer<typeof rolloutSpecSchema>
--- /dev/null
+++ b/config/settings/src/index.ts
@@ -0,0 +1,3 @@
+export { parseSettings } from './parseSettings.js'
+export { settingsSchema } from './settingsSchema.js'
+export type { Settings } from './settingsSchema.js'
--- /dev/null
+++ b/config/store/src/configFollower.ts
@@ -0,0 +1,107 @@
+import { type Clock, type Random, TaskGroup } from '@reelspan/core.env'
+import { type Collection, MessageType, type PeerLink } from '@reelspan/core.messages'
+import { AdoptOutcome, type ConfigStore } from './configStore.js'
+import { type PlatformReader } from './platformReader.js'
+import { type RevisionedContent } from './revisionedContent.js'
+
+export interface ConfigFollowerOptions {
+  clock: Clock
+  random: Random
+  platform: PlatformReader
+  link: PeerLink
+  store: ConfigStore<unknown>
+  collection: Collection
+  /** Whether this box is one of the few of its availability zone that watch the platform. */
+  isWatcher: () => boolean
+  /** Longest wait of one watch. */
+  watchWaitMs: number
+  /** How often a box that does not watch asks the platform all the same, on average. */
+  backstopPollMs: number
+  peerTimeoutMs: number
+  onRejected?: (problems: string[], revision: number) => void
+}
+
+const FIRST_BACKOFF_MS = 200
+const LAST_BACKOFF_MS = 5000
+
+/** Keeps one collection up to date from the platform and from peers. */
+export class ConfigFollower {
+  readonly #opts: ConfigFollowerOptions
+  readonly #tasks: TaskGroup
+  #pulling = false
+  #backoffMs = FIRST_BACKOFF_MS
+
+  constructor (opts: ConfigFollowerOptions) {
+    this.#opts = opts
+    this.#tasks = new TaskGroup(opts.clock)
+  }
+
+  /** Asks platform and peers at once and takes the highest revision that answers. */
+  async readFirst (peerAddresses: readonly string[]): Promise<void> {
+    await Promise.all([
+      this.#readPlatform(0).catch(() => {}),
+      ...peerAddresses.map((address) => this.#pull(address).catch(() => {})),
+    ])
+  }
+
+  start (): void {
+    this.#tasks.run(() => this.#follow())
+  }
+
+  async stop (): Promise<void> {
+    await this.#tasks.stop()
+  }
+
+  /** A peer said which revision it has; gets it from there when it is higher. */
+  async hear (address: string, revision: number): Promise<void> {
+    const { store } = this.#opts
+    const worthPulling = revision > Math.max(store.revision, store.rejected?.revision ?? 0)
+    if (!worthPulling || this.#pulling) return
+    this.#pulling = true
+    await this.#pull(address).catch(() => {})
+    this.#pulling = false
+  }
+
+  async #follow (): Promise<void> {
+    const { clock, random, isWatcher, backstopPollMs, watchWaitMs } = this.#opts
+    const signal = this.#tasks.signal
+    while (!this.#tasks.stopped) {
+      const watching = isWatcher()
+      if (!watching) await clock.sleep(backstopPollMs * (0.5 + random.nextFloat()), { signal })
+      if (this.#tasks.stopped) return
+      await this.#readPlatform(watching ? watchWaitMs : 0).catch(() => this.#backOff())
+    }
+  }
+
+  /** Waits longer after each failure in a row, and a random part of it, so that boxes do not come back together. */
+  async #backOff (): Promise<void> {
+    const { clock, random } = this.#opts
+    await clock.sleep(this.#backoffMs * (0.5 + random.nextFloat()), { signal: this.#tasks.signal })
+    this.#backoffMs = Math.min(LAST_BACKOFF_MS, this.#backoffMs * 2)
+  }
+
+  async #readPlatform (waitMs: number): Promise<void> {
+    const { platform, collection, store } = this.#opts
+    const since = store.revision
+    const content = await platform.read(collection, since, { waitMs, signal: this.#tasks.signal })
+    const outcome = this.#adopt(content, since)
+    // An answer below our own revision comes from a stale replica: asking again at once would only load it.
+    const idle = outcome !== AdoptOutcome.Adopted && (content.revision < since || outcome === AdoptOutcome.Invalid)
+    if (idle && waitMs > 0) await this.#backOff()
+    else this.#backoffMs = FIRST_BACKOFF_MS
+  }
+
+  async #pull (address: string): Promise<void> {
+    const { link, collection, store, peerTimeoutMs } = this.#opts
+    const since = store.revision
+    const answer = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: since }, { timeoutMs: peerTimeoutMs })
+    if (answer.type === MessageType.ConfigContent) this.#adopt(answer, since)
+  }
+
+  #adopt (content: RevisionedContent, since: number): AdoptOutcome {
+    const { store, onRejected } = this.#opts
+    const outcome = store.adopt(content, since)
+    if (outcome === AdoptOutcome.Invalid) onRejected?.(store.rejected?.problems ?? [], content.revision)
+    return outcome
+  }
+}
--- /dev/null
+++ b/config/store/src/revisionedContent.ts
@@ -0,0 +1,16 @@
+/** A changed entry. A null spec says that it was deleted. */
+export interface ContentChange {
+  kind: string
+  name: string
+  /** Revision of this change. */
+  revision: number
+  spec: unknown
+}
+
+/** What the platform, or a peer, answers for "everything since revision R". */
+export interface RevisionedContent {
+  revision: number
+  /** The changes are all entries there are, instead of those since R. */
+  full: boolean
+  changes: ContentChange[]
+}
--- /dev/null
+++ b/core/env/src/index.ts
@@ -0,0 +1,7 @@
+export { Clock } from './clock.js'
+export type { SleepOptions } from './clock.js'
+export { Random } from './random.js'
+export { AsyncQueue } from './asyncQueue.js'
+export { Notifier } from './notifier.js'
+export { raceTimeout, TimedOut } from './raceTimeout.js'
+export { TaskGroup } from './taskGroup.js'
--- /dev/null
+++ b/core/env/src/taskGroup.ts
@@ -0,0 +1,47 @@
+import { type Clock } from './clock.js'
+
+export interface RepeatOptions {
+  periodMs: number
+  /** Told of a pass that threw. The loop goes on. */
+  onError?: (error: unknown) => void
+}
+
+/** The long-running tasks of one component, stopped together. */
+export class TaskGroup {
+  readonly #clock: Clock
+  readonly #stop = new AbortController()
+  readonly #tasks = new Set<Promise<void>>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  get signal (): AbortSignal {
+    return this.#stop.signal
+  }
+
+  get stopped (): boolean {
+    return this.#stop.signal.aborted
+  }
+
+  /** Starts a task. A failure ends that task alone. */
+  run (task: () => Promise<void>, onError: (error: unknown) => void = () => {}): void {
+    const running: Promise<void> = task().catch(onError).finally(() => this.#tasks.delete(running))
+    this.#tasks.add(running)
+  }
+
+  /** Repeats a task with a pause of `periodMs` between its passes. */
+  repeat (task: () => Promise<void>, opts: RepeatOptions): void {
+    this.run(async () => {
+      while (!this.stopped) {
+        await task().catch(opts.onError ?? (() => {}))
+        await this.#clock.sleep(opts.periodMs, { signal: this.signal })
+      }
+    })
+  }
+
+  async stop (): Promise<void> {
+    this.#stop.abort()
+    await Promise.all(this.#tasks)
+  }
+}
--- /dev/null
+++ b/core/error/src/reelspanError.ts
@@ -0,0 +1,36 @@
+import { ErrorCode } from './errorCode.js'
+import { Verdict } from './verdict.js'
+
+export interface ReelspanErrorOptions {
+  /** What the reader can do about it. */
+  hint?: string
+  /** What is known about the request that failed. Defaults to `notRun`. */
+  verdict?: Verdict
+  /** When the caller should come back, in milliseconds from now. */
+  retryAfterMs?: number
+  cause?: unknown
+}
+
+/** The only error class that crosses package borders. */
+export class ReelspanError extends Error {
+  readonly code: ErrorCode
+  readonly verdict: Verdict
+  readonly hint?: string
+  readonly retryAfterMs?: number
+
+  constructor (code: ErrorCode, message: string, opts: ReelspanErrorOptions = {}) {
+    super(message, opts.cause === undefined ? undefined : { cause: opts.cause })
+    this.name = 'ReelspanError'
+    this.code = code
+    this.verdict = opts.verdict ?? Verdict.NotRun
+    this.hint = opts.hint
+    this.retryAfterMs = opts.retryAfterMs
+  }
+}
+
+/** Wraps whatever was thrown. An unknown error proves nothing about the request, so its verdict is `mayHaveRun`. */
+export function toReelspanError (thrown: unknown): ReelspanError {
+  if (thrown instanceof ReelspanError) return thrown
+  const message = thrown instanceof Error ? thrown.message : String(thrown)
+  return new ReelspanError(ErrorCode.Internal, message, { verdict: Verdict.MayHaveRun, cause: thrown })
+}
--- /dev/null
+++ b/core/messages/src/peerMessage.ts
@@ -0,0 +1,141 @@
+import { ErrorCode, Verdict } from '@reelspan/core.error'
+import { z } from 'zod'
+import { answerEventSchema } from './answer.js'
+import { holdLabelSchema } from './holdLabel.js'
+import { memberSchema } from './member.js'
+import { placementAnswerSchema, placementPlanSchema, reserveRequestSchema } from './placement.js'
+import { requestSchema } from './request.js'
+
+/**
+ * Version of the messages between boxes. Fields are only added, as optional
+ * ones; a reader drops fields that it does not know. The version is raised
+ * when that is not enough, and a box speaks this version and the one before.
+ */
+export const PROTOCOL_VERSION = 1
+
+/** The two revisioned lists that the platform publishes. */
+export enum Collection {
+  /** Routes, pools, models and rollouts. */
+  Declarations = 'declarations',
+  /** Boxes and upstreams, live and leaving. It lags behind reality. */
+  Fleet = 'fleet',
+}
+
+export enum MessageType {
+  Heartbeat = 'heartbeat',
+  HeartbeatAck = 'heartbeatAck',
+  ProbeFor = 'probeFor',
+  ProbeResult = 'probeResult',
+  MembersPull = 'membersPull',
+  MembersState = 'membersState',
+  ConfigPull = 'configPull',
+  ConfigContent = 'configContent',
+  Reserve = 'reserve',
+  ReserveAnswer = 'reserveAnswer',
+  ReleaseReservation = 'releaseReservation',
+  AdoptReservations = 'adoptReservations',
+  Vouch = 'vouch',
+  Vouched = 'vouched',
+  Submit = 'submit',
+  Answer = 'answer',
+  Cancel = 'cancel',
+  RecordsHandoff = 'recordsHandoff',
+  Lookup = 'lookup',
+  LookupAnswer = 'lookupAnswer',
+  StatusPull = 'statusPull',
+  StatusContent = 'statusContent',
+  Done = 'done',
+  Failed = 'failed',
+}
+
+const message = <T extends MessageType, S extends z.ZodRawShape>(type: T, shape: S) =>
+  z.object({ type: z.literal(type), ...shape })
+
+const revision = z.number().int().nonnegative()
+
+const newsShape = {
+  self: memberSchema,
+  /** Changes to other members that the receiver may not know yet. */
+  news: z.array(memberSchema),
+  /** Digest of the sender's whole view. */
+  digest: z.number(),
+  /** The revisions in force at the sender. */
+  revisions: z.object({ [Collection.Declarations]: revision, [Collection.Fleet]: revision }),
+  /** Requests that the sender holds at the moment. */
+  inFlight: z.number().int().nonnegative(),
+}
+
+/** A resource as it travels: its kind, name, the revision of its last change, and its spec, or null once deleted. */
+const resourceChangeSchema = z.object({
+  kind: z.string(),
+  name: z.string(),
+  revision,
+  spec: z.unknown(),
+})
+
+export const peerMessageSchema = z.discriminatedUnion('type', [
+  message(MessageType.Heartbeat, { ...newsShape, expectedIncarnation: z.string().optional() }),
+  message(MessageType.HeartbeatAck, newsShape),
+  message(MessageType.ProbeFor, { address: z.string(), incarnation: z.string() }),
+  message(MessageType.ProbeResult, { member: memberSchema.optional() }),
+  message(MessageType.MembersPull, {}),
+  message(MessageType.MembersState, { members: z.array(memberSchema) }),
+  message(MessageType.ConfigPull, { collection: z.enum(Collection), sinceRevision: revision }),
+  message(MessageType.ConfigContent, {
+    revision,
+    /** The content is all there is, instead of the changes since the asked revision. */
+    full: z.boolean(),
+    changes: z.array(resourceChangeSchema),
+  }),
+  message(MessageType.Reserve, { request: reserveRequestSchema }),
+  message(MessageType.ReserveAnswer, { answer: placementAnswerSchema }),
+  message(MessageType.ReleaseReservation, {
+    shardId: z.string(),
+    label: holdLabelSchema,
+    /** Tokens that were generated, to learn usual lengths from. Absent when the request did not finish. */
+    completionTokens: z.number().int().optional(),
+  }),
+  message(MessageType.AdoptReservations, {
+    shardId: z.string(),
+    reservations: z.array(z.object({
+      request: reserveRequestSchema,
+      plan: placementPlanSchema,
+      ageMs: z.number(),
+      decoding: z.boolean(),
+      tokensDone: z.number(),
+    })),
+  }),
+  message(MessageType.Vouch, { ownerIncarnation: z.string(), requestIds: z.array(z.string()) }),
+  message(MessageType.Vouched, { ownerIncarnation: z.string(), requestIds: z.array(z.string()) }),
+  message(MessageType.Submit, { request: requestSchema, fromEvent: z.number().int().nonnegative(), takeOver: z.boolean().optional() }),
+  message(MessageType.Answer, { event: answerEventSchema }),
+  message(MessageType.Cancel, { key: z.string() }),
+  message(MessageType.RecordsHandoff, {
+    /** With the last part: the incarnations whose records are now all handed over, and their clocks. */
+    taken: z.array(z.object({ incarnation: z.string(), clockMs: z.number() })),
+    records: z.array(z.object({
+      key: z.string(),
+      fingerprint: z.string(),
+      ageMs: z.number(),
+      events: z.array(answerEventSchema),
+    })),
+  }),
+  message(MessageType.Lookup, { availabilityZone: z.string().optional() }),
+  message(MessageType.LookupAnswer, {
+    boxes: z.array(z.object({ name: z.string(), address: z.string(), availabilityZone: z.string() })),
+    keepMs: z.number(),
+    keyPrefix: z.string(),
+  }),
+  message(MessageType.StatusPull, {}),
+  message(MessageType.StatusContent, { status: z.unknown() }),
+  message(MessageType.Done, {}),
+  message(MessageType.Failed, {
+    code: z.enum(ErrorCode),
+    verdict: z.enum(Verdict),
+    text: z.string(),
+    retryAfterMs: z.number().optional(),
+  }),
+])
+
+export type PeerMessage = z.infer<typeof peerMessageSchema>
+export type MessageOf<T extends MessageType> = Extract<PeerMessage, { type: T }>
--- /dev/null
+++ b/core/messages/src/placement.ts
@@ -0,0 +1,54 @@
+import { z } from 'zod'
+import { holdLabelSchema } from './holdLabel.js'
+
+export enum PlacementOutcome {
+  Placed = 'placed',
+  Refused = 'refused',
+}
+
+/** What a scheduler needs to know of a request to place it. */
+export const reserveRequestSchema = z.object({
+  shardId: z.string(),
+  label: holdLabelSchema,
+  /** Names the request over its tries, so that one that was asked to come back is known again. */
+  returnId: z.string(),
+  client: z.string(),
+  priority: z.number().int(),
+  promptTokens: z.number().int().positive(),
+  prefixes: z.array(z.object({ digest: z.string(), tokens: z.number() })),
+  maxTokens: z.number().int().positive(),
+  /** Time left until the first token is late. */
+  ttftLeftMs: z.number(),
+  tbtTargetMs: z.number().positive(),
+  deadlineMs: z.number().positive(),
+  /** Engines that just failed this request. */
+  avoid: z.array(z.string()),
+})
+
+/** Where a request runs. Everything in it is reserved until `lifeMs` after it was made or its release. */
+export const placementPlanSchema = z.object({
+  outcome: z.literal(PlacementOutcome.Placed),
+  prefillEngine: z.string(),
+  prefillAddress: z.string(),
+  decodeEngine: z.string(),
+  decodeAddress: z.string(),
+  kvBytes: z.number().nonnegative(),
+  /** Wait this long before starting the prefill. */
+  startInMs: z.number().nonnegative(),
+  /** The prefill must have been started by then, or the plan is void. */
+  startWithinMs: z.number().nonnegative(),
+  expectedTtftMs: z.number().nonnegative(),
+})
+
+export const placementRefusalSchema = z.object({
+  outcome: z.literal(PlacementOutcome.Refused),
+  reason: z.string(),
+  retryAfterMs: z.number().nonnegative(),
+})
+
+export const placementAnswerSchema = z.discriminatedUnion('outcome', [placementPlanSchema, placementRefusalSchema])
+
+export type ReserveRequest = z.infer<typeof reserveRequestSchema>
+export type PlacementPlan = z.infer<typeof placementPlanSchema>
+export type PlacementRefusal = z.infer<typeof placementRefusalSchema>
+export type PlacementAnswer = z.infer<typeof placementAnswerSchema>
--- /dev/null
+++ b/membership/prober/src/index.ts
@@ -0,0 +1,3 @@
+export { Prober } from './prober.js'
+export type { ProberOptions } from './prober.js'
+export { watchedMembers } from './watchedMembers.js'
--- /dev/null
+++ b/membership/prober/src/prober.ts
@@ -0,0 +1,235 @@
+import { type Clock, Notifier, type Random, TaskGroup } from '@reelspan/core.env'
+import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
+import { type MembershipView } from '@reelspan/membership.view'
+import { watchedMembers } from './watchedMembers.js'
+
+export interface ProberOptions {
+  clock: Clock
+  random: Random
+  link: PeerLink
+  view: MembershipView
+  /** Addresses of boxes that the platform lists. */
+  listedAddresses: () => readonly string[]
+  revisions: () => Record<Collection, number>
+  inFlight: () => number
+  /** A peer named its revisions. */
+  onPeerRevisions: (address: string, revisions: Record<Collection, number>) => void
+  probePeriodMs: number
+  probeTimeoutMs: number
+  /** Members that each box watches. */
+  watchCount: number
+  /** A member that stayed silent for this long is taken for gone. Long, since a cut between regions looks the same. */
+  silentGoneMs: number
+}
+
+/** News about one member is passed on this many times by each box. */
+const NEWS_REPEATS = 3
+const MAX_NEWS_PER_MESSAGE = 30
+const MAX_INDIRECT_PROBES = 2
+/** One round in this many also probes a listed box that is not believed live. */
+const REJOIN_EVERY_ROUNDS = 4
+
+/** Learns which members live, and tells. Its cost for a box does not grow with the fleet. */
+export class Prober {
+  readonly #opts: ProberOptions
+  readonly #tasks: TaskGroup
+  readonly #newsLeft = new Map<string, number>()
+  readonly #newsArrived = new Notifier()
+  readonly #peerLoad = new Map<string, number>()
+  #round = 0
+  #pulledInRound = -1
+  #lastMajorityContactMs: number
+
+  constructor (opts: ProberOptions) {
+    this.#opts = opts
+    this.#tasks = new TaskGroup(opts.clock)
+    this.#lastMajorityContactMs = opts.clock.nowMs()
+    opts.view.onChange((member) => this.#queueNews(member))
+  }
+
+  /** Requests in flight at a member, as it last said. */
+  loadOf (incarnation: string): number | undefined {
+    return this.#peerLoad.get(incarnation)
+  }
+
+  /** When most of the watched members last answered in one round, on this box's clock. */
+  get lastMajorityContactMs (): number {
+    return this.#lastMajorityContactMs
+  }
+
+  /** Meets the given boxes and returns once each has answered or failed. */
+  async join (addresses: readonly string[]): Promise<void> {
+    await Promise.all(addresses.map((address) => this.#greet(address)))
+  }
+
+  start (): void {
+    this.#tasks.repeat(() => this.#probeRound(), { periodMs: this.#opts.probePeriodMs })
+    this.#tasks.run(() => this.#passOnNews())
+  }
+
+  async stop (): Promise<void> {
+    await this.#tasks.stop()
+  }
+
+  /** Sends own state to the watched members at once, for a change that should not wait for the next round. */
+  async tellNow (): Promise<void> {
+    await Promise.all(this.#watched().map((member) => this.#heartbeat(member.peerAddress).catch(() => {})))
+  }
+
+  /** Answers a probe message of a peer, or returns nothing when the message is none. */
+  async answer (message: PeerMessage): Promise<PeerMessage | undefined> {
+    switch (message.type) {
+      case MessageType.Heartbeat:
+        this.#takeNews(message)
+        return { type: MessageType.HeartbeatAck, ...this.#ownNews() }
+      case MessageType.ProbeFor:
+        return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
+      case MessageType.MembersPull:
+        return { type: MessageType.MembersState, members: this.#opts.view.all() }
+      default:
+        return undefined
+    }
+  }
+
+  async #probeRound (): Promise<void> {
+    const { clock, view, silentGoneMs } = this.#opts
+    this.#round++
+    const watched = this.#watched()
+    const rejoin = this.#round % REJOIN_EVERY_ROUNDS === 0 ? this.#missingAddresses(1) : []
+    const unsure = this.#contestedAddresses().slice(0, 1)
+    const [answers] = await Promise.all([
+      Promise.all(watched.map((member) => this.#probe(member))),
+      ...[...rejoin, ...unsure].map((address) => this.#greet(address)),
+    ])
+    const nowMs = clock.nowMs()
+    if (2 * answers.filter((answered) => answered).length > watched.length) this.#lastMajorityContactMs = nowMs
+    view.suspectedLongerThan(silentGoneMs, nowMs).forEach(({ incarnation }) => view.declareGone(incarnation, nowMs))
+    view.forgetOld(nowMs)
+  }
+
+  #watched (): Member[] {
+    const { view, watchCount } = this.#opts
+    return watchedMembers(view.self, view.live(), watchCount)
+  }
+
+  /** Resolves with whether the member itself answered. */
+  async #probe (member: Member): Promise<boolean> {
+    const { clock, view } = this.#opts
+    const sentAtMs = clock.nowMs()
+    try {
+      await this.#heartbeat(member.peerAddress, member.incarnation)
+      return true
+    } catch {
+      // Sleeping through the wait ourselves (a pause) proves nothing about the other side.
+      const overslept = clock.nowMs() - sentAtMs > 3 * this.#opts.probeTimeoutMs
+      if (!overslept && !await this.#askOthers(member)) view.suspect(member.incarnation, clock.nowMs())
+      return false
+    }
+  }
+
+  async #askOthers (member: Member): Promise<boolean> {
+    const { clock, random, link, view, probeTimeoutMs } = this.#opts
+    const helpers = random.sample(view.live().filter(({ incarnation }) => incarnation !== member.incarnation && incarnation !== view.self.incarnation), MAX_INDIRECT_PROBES)
+    const results = await Promise.all(helpers.map(async (helper) => {
+      const question = { type: MessageType.ProbeFor, address: member.peerAddress, incarnation: member.incarnation } as const
+      const answer = await link.call(helper.peerAddress, question, { timeoutMs: 2 * probeTimeoutMs }).catch(() => undefined)
+      return answer?.type === MessageType.ProbeResult ? answer.member : undefined
+    }))
+    const found = results.filter((result) => result !== undefined)
+    found.forEach((result) => this.#meet(member.peerAddress, result, clock.nowMs()))
+    return found.some(({ incarnation }) => incarnation === member.incarnation)
+  }
+
+  async #probeFor (question: MessageOf<MessageType.ProbeFor>): Promise<Member | undefined> {
+    const answer = await this.#heartbeat(question.address, question.incarnation).catch(() => undefined)
+    return answer?.self
+  }
+
+  async #greet (address: string): Promise<void> {
+    await this.#heartbeat(address).catch(() => {})
+  }
+
+  async #heartbeat (address: string, expectedIncarnation?: string): Promise<MessageOf<MessageType.HeartbeatAck>> {
+    const { clock, link, view, probeTimeoutMs } = this.#opts
+    const message = { type: MessageType.Heartbeat, ...this.#ownNews(), expectedIncarnation } as const
+    const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs })
+    if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
+    this.#meet(address, answer.self, clock.nowMs())
+    this.#takeNews(answer)
+    if (answer.digest !== view.digest) await this.#pullMembers(address)
+    return answer
+  }
+
+  /** Whoever answers at an address is proof that any other incarnation there is gone. */
+  #meet (address: string, answering: Member, nowMs: number): void {
+    const { view } = this.#opts
+    // A late answer of an incarnation that is already known as gone proves nothing about its successor.
+    if (view.get(answering.incarnation)?.health === MemberHealth.Gone) return
+    view.all()
+      .filter((member) => member.peerAddress === address && member.incarnation !== answering.incarnation && member.health !== MemberHealth.Gone)
+      .forEach(({ incarnation }) => view.declareGone(incarnation, nowMs))
+  }
+
+  /** Views that still differ after the news was exchanged are compared whole, once a round at most. */
+  async #pullMembers (address: string): Promise<void> {
+    const { clock, link, view, probeTimeoutMs } = this.#opts
+    if (this.#pulledInRound === this.#round) return
+    this.#pulledInRound = this.#round
+    const state = await link.call(address, { type: MessageType.MembersPull }, { timeoutMs: 4 * probeTimeoutMs })
+    if (state.type === MessageType.MembersState) state.members.forEach((member) => view.merge(member, clock.nowMs()))
+  }
+
+  #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
+    const { clock, view, onPeerRevisions } = this.#opts
+    const nowMs = clock.nowMs()
+    this.#peerLoad.set(message.self.incarnation, message.inFlight)
+    const tellers = [message.self, ...message.news]
+    tellers.forEach((member) => view.merge(member, nowMs))
+    onPeerRevisions(message.self.peerAddress, message.revisions)
+  }
+
+  #ownNews () {
+    const { view, revisions, inFlight } = this.#opts
+    return { self: view.self, news: this.#drawNews(), digest: view.digest, revisions: revisions(), inFlight: inFlight() }
+  }
+
+  #drawNews (): Member[] {
+    const chosen = [...this.#newsLeft.keys()].slice(0, MAX_NEWS_PER_MESSAGE)
+    chosen.forEach((incarnation) => this.#countDown(incarnation))
+    return chosen.flatMap((incarnation) => this.#opts.view.get(incarnation) ?? [])
+  }
+
+  #countDown (incarnation: string): void {
+    const left = (this.#newsLeft.get(incarnation) ?? 0) - 1
+    this.#newsLeft.delete(incarnation)
+    if (left > 0) this.#newsLeft.set(incarnation, left)
+  }
+
+  #queueNews (member: Member): void {
+    this.#newsLeft.set(member.incarnation, NEWS_REPEATS * this.#opts.watchCount)
+    if (member.health === MemberHealth.Gone) this.#peerLoad.delete(member.incarnation)
+    this.#newsArrived.notify()
+  }
+
+  /** Sends news on soon after it came, instead of at the next round. */
+  async #passOnNews (): Promise<void> {
+    const { clock, probePeriodMs } = this.#opts
+    while (!this.#tasks.stopped) {
+      await this.#newsArrived.wait(this.#tasks.signal)
+      await clock.sleep(probePeriodMs / 10, { signal: this.#tasks.signal })
+      if (!this.#tasks.stopped) await this.tellNow()
+    }
+  }
+
+  /** Addresses that two incarnations claim. Asking there shows which one is gone. */
+  #contestedAddresses (): string[] {
+    const claimed = this.#opts.view.all().filter(({ health }) => health !== MemberHealth.Gone).map(({ peerAddress }) => peerAddress).sort()
+    return claimed.filter((address, i) => i > 0 && claimed[i - 1] === address && address !== this.#opts.view.self.peerAddress)
+  }
+
+  #missingAddresses (count: number): string[] {
+    const { random, view, listedAddresses } = this.#opts
+    const live = new Set(view.live().map(({ peerAddress }) => peerAddress))
+    return random.sample(listedAddresses().filter((address) => !live.has(address)), count)
+  }
+}
--- /dev/null
+++ b/membership/view/src/membershipView.ts
@@ -0,0 +1,157 @@
+import { hash32 } from '@reelspan/core.hashing'
+import { type Member, MemberHealth } from '@reelspan/core.messages'
+import { mergeMember } from './mergeMember.js'
+
+export interface MembershipViewOptions {
+  self: Member
+  /** How long a gone incarnation is remembered. Not shorter than records and request keys live. */
+  goneMemoryMs: number
+}
+
+interface Entry {
+  member: Member
+  /** On this box's clock. */
+  changedAtMs: number
+}
+
+/** Told of each member whose entry changed. */
+export type MemberListener = (member: Member) => void
+
+/** What one box believes of all box incarnations. Its own entry is changed by itself alone. */
+export class MembershipView {
+  readonly #goneMemoryMs: number
+  readonly #entries = new Map<string, Entry>()
+  readonly #listeners = new Set<MemberListener>()
+  #self: Member
+  #digest = 0
+  #liveCache?: Member[]
+
+  constructor (opts: MembershipViewOptions) {
+    this.#goneMemoryMs = opts.goneMemoryMs
+    this.#self = opts.self
+    this.#put(opts.self, 0)
+  }
+
+  get self (): Member {
+    return this.#self
+  }
+
+  /** Equal at two boxes whose views are the same. */
+  get digest (): number {
+    return this.#digest
+  }
+
+  /** Registers a listener. Returns the means to end it. */
+  onChange (listener: MemberListener): () => void {
+    this.#listeners.add(listener)
+    return () => this.#listeners.delete(listener)
+  }
+
+  get (incarnation: string): Member | undefined {
+    return this.#entries.get(incarnation)?.member
+  }
+
+  all (): Member[] {
+    return [...this.#entries.values()].map(({ member }) => member)
+  }
+
+  /** Members that are neither suspected nor gone, this box included. */
+  live (): Member[] {
+    this.#liveCache ??= this.all().filter(({ health }) => health === MemberHealth.Alive)
+    return this.#liveCache
+  }
+
+  /** Live members that take new work. */
+  takingWork (): Member[] {
+    return this.live().filter(({ leaving }) => !leaving)
+  }
+
+  /** The incarnation at an address that was not seen to go, if any. */
+  atAddress (peerAddress: string): Member | undefined {
+    return this.all().find((member) => member.peerAddress === peerAddress && member.health !== MemberHealth.Gone)
+  }
+
+  /**
+   * Takes in what another box believes. Returns whether anything changed. Word
+   * that this box is suspected is refuted with a higher version; word that it is
+   * gone is returned to the caller of `merge` through the listener, unrefuted.
+   */
+  merge (heard: Member, nowMs: number): boolean {
+    if (heard.incarnation === this.#self.incarnation) return this.#mergeSelf(heard, nowMs)
+    const known = this.get(heard.incarnation)
+    const merged = known ? mergeMember(known, heard) : heard
+    if (known && sameBelief(known, merged)) return false
+    this.#put(merged, nowMs)
+    return true
+  }
+
+  /** Marks an incarnation as not answering. It may come back by refuting. */
+  suspect (incarnation: string, nowMs: number): void {
+    const member = this.get(incarnation)
+    if (member?.health === MemberHealth.Alive) this.merge({ ...member, health: MemberHealth.Suspect }, nowMs)
+  }
+
+  /** Declares an incarnation gone for good. Only on proof: another process answers at its address, or it said so. */
+  declareGone (incarnation: string, nowMs: number): void {
+    const member = this.get(incarnation)
+    if (member) this.merge({ ...member, health: MemberHealth.Gone }, nowMs)
+  }
+
+  /** Changes what this box says of itself. */
+  announce (change: Partial<Pick<Member, 'leaving' | 'health' | 'successor'>>, nowMs: number): void {
+    this.#put({ ...this.#self, ...change, version: this.#self.version + 1 }, nowMs)
+  }
+
+  /** Replaces this box's own incarnation. The old one is gone. */
+  takeIncarnation (incarnation: string, nowMs: number): void {
+    const old = this.#self
+    this.#self = { ...old, incarnation, version: 0, health: MemberHealth.Alive, successor: undefined }
+    this.#put({ ...old, health: MemberHealth.Gone }, nowMs)
+    this.#put(this.#self, nowMs)
+  }
+
+  /** Members that have been suspected for longer than `durationMs`. */
+  suspectedLongerThan (durationMs: number, nowMs: number): Member[] {
+    return [...this.#entries.values()]
+      .filter(({ member, changedAtMs }) => member.health === MemberHealth.Suspect && nowMs - changedAtMs > durationMs)
+      .map(({ member }) => member)
+  }
+
+  /** Forgets members that have been gone for long. */
+  forgetOld (nowMs: number): void {
+    [...this.#entries.values()]
+      .filter(({ member, changedAtMs }) => member.health === MemberHealth.Gone && nowMs - changedAtMs > this.#goneMemoryMs)
+      .forEach(({ member }) => {
+        this.#entries.delete(member.incarnation)
+        this.#digest ^= beliefDigest(member)
+      })
+  }
+
+  #mergeSelf (heard: Member, nowMs: number): boolean {
+    if (heard.health === MemberHealth.Gone && this.#self.health !== MemberHealth.Gone) {
+      this.#put({ ...this.#self, health: MemberHealth.Gone }, nowMs)
+      return true
+    }
+    const refute = heard.health === MemberHealth.Suspect && heard.version >= this.#self.version
+    if (refute) this.#put({ ...this.#self, version: heard.version + 1 }, nowMs)
+    return refute
+  }
+
+  #put (member: Member, nowMs: number): void {
+    const known = this.get(member.incarnation)
+    if (known) this.#digest ^= beliefDigest(known)
+    this.#digest ^= beliefDigest(member)
+    this.#entries.set(member.incarnation, { member, changedAtMs: nowMs })
+    if (member.incarnation === this.#self.incarnation) this.#self = member
+    this.#liveCache = undefined;
+    [...this.#listeners].forEach((listener) => listener(member))
+  }
+}
+
+function sameBelief (a: Member, b: Member): boolean {
+  return a.version === b.version && a.health === b.health && a.leaving === b.leaving && a.successor?.incarnation === b.successor?.incarnation
+}
+
+function beliefDigest (member: Member): number {
+  return hash32([member.incarnation, member.version, member.health, member.leaving, member.successor?.incarnation ?? ''].join('|'))
+}
--- /dev/null
+++ b/membership/view/src/mergeMember.ts
@@ -0,0 +1,17 @@
+import { type Member, MemberHealth } from '@reelspan/core.messages'
+
+/**
+ * What two beliefs about one incarnation come to. The result does not depend on
+ * the order in which beliefs arrive: `gone` is final, then the higher version
+ * counts, then suspicion beats health.
+ */
+export function mergeMember (a: Member, b: Member): Member {
+  if (a.health === MemberHealth.Gone || b.health === MemberHealth.Gone) return mergeGone(a, b)
+  if (a.version !== b.version) return a.version > b.version ? a : b
+  return a.health === MemberHealth.Suspect ? a : b
+}
+
+function mergeGone (a: Member, b: Member): Member {
+  const newer = a.version >= b.version ? a : b
+  return { ...newer, health: MemberHealth.Gone, successor: a.successor ?? b.successor }
+}
--- /dev/null
+++ b/net/http-front/src/createCallerServer.ts
@@ -0,0 +1,141 @@
+import { createServer, type Server } from 'node:http'
+import { type Box } from '@reelspan/box.runtime'
+import { type Clock } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError, toReelspanError } from '@reelspan/core.error'
+import { type AnswerEvent, AnswerEventKind, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
+import Koa, { type Context } from 'koa'
+import { answerStreamed, answerWhole } from './answerCompletion.js'
+import { Header } from './headers.js'
+import { keyOrCreated } from './keyOrCreated.js'
+import { parseCompletion } from './parseCompletion.js'
+import { readBody } from './readBody.js'
+import { readCallOptions } from './readCallOptions.js'
+import { setVerdict } from './setVerdict.js'
+
+export interface CallerServerOptions {
+  clock: Clock
+  box: Box
+  headerBytes: number
+  bodyBytes: number
+  slowCallerMs: number
+  requestReadMs: number
+  connections: number
+}
+
+const REQUEST_PATH = /^\/v1\/requests\/([^/]+)$/
+const NOT_READY_RETRY_AFTER_MS = 1000
+
+/** The HTTP server for callers: lookups, completions, calls to plain services, cancels. */
+export function createCallerServer (opts: CallerServerOptions): Server {
+  const app = new Koa()
+  app.silent = true
+  app.use(async (ctx) => {
+    try {
+      await serve(ctx, opts)
+    } catch (thrown) {
+      answerError(ctx, toReelspanError(thrown))
+    }
+  })
+  const server = createServer({
+    maxHeaderSize: opts.headerBytes,
+    headersTimeout: opts.requestReadMs,
+    requestTimeout: opts.requestReadMs,
+    connectionsCheckingInterval: Math.max(100, opts.requestReadMs / 4),
+  }, app.callback())
+  server.maxConnections = opts.connections
+  return server
+}
+
+async function serve (ctx: Context, opts: CallerServerOptions): Promise<void> {
+  const { box } = opts
+  if (ctx.method === 'GET' && ctx.path === '/healthz') {
+    ctx.status = box.ready ? 200 : 503
+    ctx.body = { ready: box.ready }
+    return
+  }
+  if (!box.ready) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
+  const [, key] = REQUEST_PATH.exec(ctx.path) ?? []
+  if (ctx.method === 'GET' && ctx.path === '/v1/lookup') return serveLookup(ctx, opts)
+  if (ctx.method === 'POST' && ctx.path === '/v1/completions') return serveCompletion(ctx, opts)
+  if (ctx.method === 'DELETE' && key !== undefined) return serveCancel(ctx, decodeURIComponent(key), opts)
+  return serveCall(ctx, opts)
+}
+
+async function serveLookup (ctx: Context, { box }: CallerServerOptions): Promise<void> {
+  const zone = ctx.query.availabilityZone
+  const answer = await box.lookup(typeof zone === 'string' ? zone : undefined)
+  ctx.set('cache-control', `max-age=${Math.floor(answer.keepMs / 1000)}`)
+  ctx.body = answer
+}
+
+async function serveCancel (ctx: Context, key: string, { box }: CallerServerOptions): Promise<void> {
+  await box.cancel(key)
+  ctx.status = 204
+}
+
+async function serveCompletion (ctx: Context, opts: CallerServerOptions): Promise<void> {
+  const { box, clock, bodyBytes, slowCallerMs } = opts
+  const call = readCallOptions(ctx)
+  const { request, stream } = parseCompletion(await readBody(ctx.req, bodyBytes), call, { configuration: box.configuration, createKey: () => box.createKey() })
+  ctx.set(Header.IdempotencyKey, request.key)
+  const events = box.submit(request, callerGone(ctx))
+  const answerOpts = { clock, slowCallerMs, model: request.model, key: request.key }
+  if (stream) await answerStreamed(ctx, events, answerOpts)
+  else await answerWhole(ctx, events, answerOpts)
+}
+
+async function serveCall (ctx: Context, { box, bodyBytes }: CallerServerOptions): Promise<void> {
+  const call = readCallOptions(ctx)
+  const route = box.configuration.routeOfCall(ctx.method, ctx.path)
+  if (!route) throw new ReelspanError(ErrorCode.NoRoute, `no route takes ${ctx.method} ${ctx.path}`)
+  const { spec } = route
+  const notRepeatable = call.notRepeatable || spec.notRepeatable
+  const request: ServiceRequest = {
+    kind: RequestKind.Service,
+    key: keyOrCreated(call, notRepeatable, () => box.createKey()),
+    route: route.name,
+    client: call.client,
+    notRepeatable,
+    deadlineMs: Math.min(call.deadlineMs ?? spec.deadlineMs, spec.deadlineMs),
+    method: ctx.method,
+    path: ctx.url,
+    contentType: ctx.get('content-type') || undefined,
+    body: await readBody(ctx.req, bodyBytes),
+  }
+  ctx.set(Header.IdempotencyKey, request.key)
+  await answerCall(ctx, box.submit(request, callerGone(ctx)))
+}
+
+async function answerCall (ctx: Context, events: AsyncGenerator<AnswerEvent>): Promise<void> {
+  for await (const event of events) {
+    if (event.kind === AnswerEventKind.Response) {
+      ctx.set('content-type', event.contentType)
+      ctx.status = event.status
+      ctx.body = Buffer.from(event.body)
+    }
+    if (event.kind === AnswerEventKind.Final) {
+      setVerdict(ctx, event, ctx.status)
+      if (event.code !== undefined) ctx.body = errorBody(event)
+    }
+  }
+}
+
+/** Aborted when the caller's connection closes before its answer is complete. */
+function callerGone (ctx: Context): AbortSignal {
+  const gone = new AbortController()
+  ctx.res.on('close', () => gone.abort())
+  return gone.signal
+}
+
+function answerError (ctx: Context, error: ReelspanError): void {
+  const { code, verdict, retryAfterMs, message, hint } = error
+  const final: FinalAnswer = { kind: AnswerEventKind.Final, verdict, code, message: hint ? `${message}. ${hint}` : message, retryAfterMs, eventCount: 0 }
+  setVerdict(ctx, final)
+  // What is left of an unread body would be taken for the next request.
+  if (code === ErrorCode.BodyTooLarge) ctx.set('connection', 'close')
+  ctx.body = errorBody(final)
+}
+
+function errorBody ({ code, message, verdict, retryAfterMs }: FinalAnswer) {
+  return { error: { code, message }, reelspan: { verdict, code, message, retryAfterMs } }
+}
--- /dev/null
+++ b/net/http-front/src/readCallOptions.ts
@@ -0,0 +1,47 @@
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { type Context } from 'koa'
+import { Header } from './headers.js'
+
+/** What a caller says of a request in its headers. */
+export interface CallOptions {
+  /** Absent when the caller gave none. */
+  key?: string
+  client: string
+  notRepeatable: boolean
+  deadlineMs?: number
+}
+
+const DEFAULT_CLIENT = 'default'
+const CLIENT_NAME = /^[\w.@-]{1,100}$/
+
+/** Reads the headers of a request. Throws `ERR_REELSPAN_BAD_REQUEST` naming the header. */
+export function readCallOptions (ctx: Context): CallOptions {
+  const client = ctx.get(Header.Client) || DEFAULT_CLIENT
+  if (!CLIENT_NAME.test(client)) throw badHeader(Header.Client, 'expected 1 to 100 letters, digits, and . _ @ -')
+  return {
+    key: unquoted(ctx.get(Header.IdempotencyKey)) || undefined,
+    client,
+    notRepeatable: readFlag(ctx.get(Header.NotRepeatable)),
+    deadlineMs: readDuration(ctx.get(Header.DeadlineMs)),
+  }
+}
+
+/** The key may come as a quoted string, as the draft of the `Idempotency-Key` header has it. */
+function unquoted (text: string): string {
+  return text.replace(/^"(.*)"$/, '$1')
+}
+
+function readFlag (text: string): boolean {
+  if (text !== '' && text !== 'true' && text !== 'false') throw badHeader(Header.NotRepeatable, 'expected true or false')
+  return text === 'true'
+}
+
+function readDuration (text: string): number | undefined {
+  if (text === '') return undefined
+  if (!/^[1-9]\d{0,8}$/.test(text)) throw badHeader(Header.DeadlineMs, 'expected a whole number of milliseconds')
+  return Number(text)
+}
+
+function badHeader (header: Header, expected: string): ReelspanError {
+  return new ReelspanError(ErrorCode.BadRequest, `${header}: ${expected}`)
+}
--- /dev/null
+++ b/net/peer-link/src/index.ts
@@ -0,0 +1,2 @@
+export { WsPeerLink } from './wsPeerLink.js'
+export type { WsPeerLinkOptions, LinkTraffic } from './wsPeerLink.js'
--- /dev/null
+++ b/net/platform-http/src/httpPlatformReader.ts
@@ -0,0 +1,75 @@
+import { type Clock } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { PlatformReader, type PlatformReadOptions, type RevisionedContent } from '@reelspan/config.store'
+import { type Collection } from '@reelspan/core.messages'
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+
+export interface HttpPlatformReaderOptions {
+  clock: Clock
+  /** `ip:port` of the platform's read service; tried in order. */
+  addresses: readonly string[]
+  timeoutMs: number
+}
+
+const contentSchema = z.object({
+  revision: z.number().int().nonnegative(),
+  full: z.boolean(),
+  changes: z.array(z.object({
+    kind: z.string(),
+    name: z.string(),
+    revision: z.number().int().nonnegative(),
+    spec: z.unknown(),
+  })),
+})
+
+/** Reads the platform's published collections: `GET /v1/<collection>?since=<revision>&waitMs=<ms>`. */
+export class HttpPlatformReader extends PlatformReader {
+  readonly #opts: HttpPlatformReaderOptions
+  readonly #agent = new Agent({ connections: 4 })
+  #lastAnswerMs = Number.NEGATIVE_INFINITY
+
+  constructor (opts: HttpPlatformReaderOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  /** When the platform last answered, on this process's clock. */
+  get lastAnswerMs (): number {
+    return this.#lastAnswerMs
+  }
+
+  async read (collection: Collection, sinceRevision: number, opts: PlatformReadOptions): Promise<RevisionedContent> {
+    const failures: string[] = []
+    for (const address of this.#opts.addresses) {
+      try {
+        return await this.#readFrom(address, collection, sinceRevision, opts)
+      } catch (thrown) {
+        failures.push(`${address}: ${thrown instanceof Error ? thrown.message : String(thrown)}`)
+      }
+    }
+    throw new ReelspanError(ErrorCode.PlatformUnavailable, failures.join('; '))
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #readFrom (address: string, collection: Collection, sinceRevision: number, { waitMs, signal }: PlatformReadOptions): Promise<RevisionedContent> {
+    const { clock, timeoutMs } = this.#opts
+    const patienceMs = waitMs + timeoutMs
+    const response = await request(`http://${address}/v1/${collection}?since=${sinceRevision}&waitMs=${waitMs}`, {
+      dispatcher: this.#agent,
+      signal,
+      headersTimeout: patienceMs,
+      bodyTimeout: patienceMs,
+    })
+    if (response.statusCode !== 200) {
+      await response.body.dump()
+      throw new ReelspanError(ErrorCode.PlatformUnavailable, `status ${response.statusCode}`)
+    }
+    const content = contentSchema.parse(await response.body.json())
+    this.#lastAnswerMs = clock.nowMs()
+    return content
+  }
+}
--- /dev/null
+++ b/net/platform-http/src/index.ts
@@ -0,0 +1,2 @@
+export { HttpPlatformReader } from './httpPlatformReader.js'
+export type { HttpPlatformReaderOptions } from './httpPlatformReader.js'
--- /dev/null
+++ b/net/system-env/src/index.ts
@@ -0,0 +1,2 @@
+export { SystemClock } from './systemClock.js'
+export { SystemRandom } from './systemRandom.js'
--- /dev/null
+++ b/net/upstream-http/src/index.ts
@@ -0,0 +1,2 @@
+export { HttpEngineClient } from './httpEngineClient.js'
+export { HttpServiceClient } from './httpServiceClient.js'
--- /dev/null
+++ b/request/owner/src/completionRun.ts
@@ -0,0 +1,234 @@
+import { type Configuration } from '@reelspan/config.resources'
+import { type Clock } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { hash32, prefixDigests, tokensOfText } from '@reelspan/core.hashing'
+import { AnswerEventKind, type CompletionRequest, type HoldLabel, type PlacementPlan, type PlacementRefusal, sameHolder } from '@reelspan/core.messages'
+import { type Placement, type Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { type EngineClient, type PrefillResult, UpstreamError } from '@reelspan/upstream.client'
+import { type RequestTimings } from './requestTimings.js'
+import { type RunContext } from './runContext.js'
+
+export interface CompletionRunOptions {
+  clock: Clock
+  engines: EngineClient
+  placer: Placer
+  standing: () => { peerAddress: string, incarnation: string }
+  configuration: () => Configuration
+  upstreamTimeoutMs: number
+}
+
+/** Breaks of one decode stream that are mended by taking it up again. */
+const MAX_RESUMES = 3
+/** Waits between tries to continue an answer that has begun. */
+const CONTINUE_BACKOFF_MS = 100
+const MAX_ATTEMPTS = 8
+/** Runs one completion: place, prefill, decode; on a failure, again from what was generated so far. */
+export class CompletionRun {
+  readonly #opts: CompletionRunOptions
+  readonly #run: RunContext
+  readonly #request: CompletionRequest
+  readonly #timings: RequestTimings
+  readonly #failedEngines = new Set<string>()
+  /** What was generated, in the order in which the caller gets it. */
+  readonly #generated: string[] = []
+  #lastTokenAtMs?: number
+
+  constructor (opts: CompletionRunOptions, run: RunContext, request: CompletionRequest, timings: RequestTimings) {
+    this.#opts = opts
+    this.#run = run
+    this.#request = request
+    this.#timings = timings
+  }
+
+  async carryOut (): Promise<void> {
+    for (let attempt = 1; ; attempt++) {
+      const label = this.#nextLabel()
+      const placement = await this.#place(label)
+      try {
+        await this.#carryOutPlaced(label, placement)
+        this.#run.finish(tokensOfText(this.#request.prompt))
+        return
+      } catch (thrown) {
+        this.#run.throwIfEnded()
+        if (!this.#mayRetry(thrown, attempt)) throw thrown
+      }
+    }
+  }
+
+  #mayRetry (thrown: unknown, attempt: number): boolean {
+    if (!(thrown instanceof UpstreamError) || attempt >= MAX_ATTEMPTS) return false
+    if (this.#run.mayHaveRun && this.#request.notRepeatable) return false
+    return this.#run.takeRetry()
+  }
+
+  /** Places the request, or what is left of it. Only a request that has not begun is refused. */
+  async #place (label: HoldLabel): Promise<Placement> {
+    const { clock, placer } = this.#opts
+    while (true) {
+      await this.#run.checkBeforeSend()
+      const outcome = await placer.place(this.#placeRequest(label), { signal: this.#run.signal })
+      if ('plan' in outcome) return outcome
+      this.#run.throwIfEnded()
+      if (!this.#hasBegun()) throw this.#refusal(outcome)
+      await clock.sleep(CONTINUE_BACKOFF_MS, { signal: this.#run.signal })
+    }
+  }
+
+  #hasBegun (): boolean {
+    return this.#generated.length > 0
+  }
+
+  #refusal (refusal: PlacementRefusal): ReelspanError {
+    return new ReelspanError(ErrorCode.Overloaded, refusal.reason, { retryAfterMs: refusal.retryAfterMs })
+  }
+
+  #placeRequest (label: HoldLabel): PlaceRequest {
+    const { model, client, priority, maxTokens, ttftTargetMs, tbtTargetMs } = this.#request
+    const prompt = this.#promptSoFar()
+    return {
+      model,
+      client,
+      label,
+      returnId: hash32(this.#request.key).toString(36),
+      priority,
+      promptTokens: tokensOfText(prompt),
+      prefixes: prefixDigests(prompt),
+      maxTokens: maxTokens - this.#generated.length,
+      // An answer that has begun is late already: any time left will do.
+      ttftLeftMs: this.#hasBegun() ? this.#run.leftMs : ttftTargetMs - this.#run.elapsedMs,
+      tbtTargetMs,
+      deadlineMs: this.#run.leftMs,
+      avoid: [...this.#failedEngines],
+    }
+  }
+
+  #nextLabel (): HoldLabel {
+    const { peerAddress, incarnation } = this.#opts.standing()
+    return { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: this.#run.nextAttempt(), maxHoldMs: this.#run.leftMs }
+  }
+
+  #promptSoFar (): string {
+    return this.#request.prompt + this.#generated.join('')
+  }
+
+  async #carryOutPlaced (label: HoldLabel, placement: Placement): Promise<void> {
+    const { clock } = this.#opts
+    const { plan } = placement
+    const placedAtMs = clock.nowMs()
+    let settled = false
+    try {
+      await clock.sleep(plan.startInMs, { signal: this.#run.signal })
+      await this.#run.checkBeforeSend()
+      // Waking late, the place that was kept for the end of this prefill may be another's by now.
+      if (clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the placement was not used in time', { mayHaveRun: false })
+      await this.#prefillAndDecode(label, placement)
+      settled = true
+    } finally {
+      placement.release(settled ? this.#generated.length : undefined)
+      if (!settled) this.#releaseEngines(label, plan)
+    }
+  }
+
+  async #prefillAndDecode (label: HoldLabel, placement: Placement): Promise<void> {
+    const { plan } = placement
+    const prefilled = await this.#prefill(label, plan)
+    const tokensBefore = this.#generated.length
+    try {
+      await this.#decode(label, placement)
+    } catch (thrown) {
+      if (this.#generated.length === tokensBefore) this.#timings.wastedPrefillTokens += prefilled.promptTokens - prefilled.cachedTokens
+      throw thrown
+    }
+  }
+
+  async #prefill (label: HoldLabel, plan: PlacementPlan): Promise<PrefillResult> {
+    const { engines } = this.#opts
+    const request = { label, model: this.#request.model, prompt: this.#promptSoFar(), priority: this.#request.priority }
+    const result = await this.#blame(plan.prefillEngine, () =>
+      this.#run.dispatch(() => engines.prefill(plan.prefillAddress, request, this.#callOptions())))
+    this.#timings.prefilledTokens += result.promptTokens - result.cachedTokens
+    if (!sameHolder(result.label, label)) throw new UpstreamError(`${plan.prefillEngine} answered another request`, { mayHaveRun: true })
+    return result
+  }
+
+  /** Receives the stream, taking it up again after a break, until it is whole. */
+  async #decode (label: HoldLabel, placement: Placement): Promise<void> {
+    const firstIndex = this.#generated.length
+    for (let resumes = 0; ; resumes++) {
+      try {
+        await this.#receive(label, placement, firstIndex)
+        return
+      } catch (thrown) {
+        this.#run.throwIfEnded()
+        const broken = thrown instanceof UpstreamError && !thrown.refused && this.#generated.length > firstIndex
+        if (!broken || resumes >= MAX_RESUMES) throw thrown
+      }
+    }
+  }
+
+  async #receive (label: HoldLabel, placement: Placement, firstIndex: number): Promise<void> {
+    const { engines } = this.#opts
+    const { plan } = placement
+    const request = {
+      label,
+      model: this.#request.model,
+      prefillAddress: plan.prefillAddress,
+      maxTokens: this.#request.maxTokens - firstIndex,
+      priority: this.#request.priority,
+      fromIndex: this.#generated.length,
+      firstIndex,
+    }
+    await this.#blame(plan.decodeEngine, async () => {
+      for await (const event of engines.decode(plan.decodeAddress, request, this.#callOptions())) {
+        if (!sameHolder(event.label, label)) throw new UpstreamError(`${plan.decodeEngine} sent a part of another answer`, { mayHaveRun: true })
+        if (event.end) return this.#checkWhole(event.count, plan)
+        this.#take(event.index, event.text, plan)
+        placement.progressed(this.#generated.length - firstIndex)
+      }
+      throw new UpstreamError(`${plan.decodeEngine} broke the stream off`, { mayHaveRun: true })
+    })
+  }
+
+  /** Adds a token to the answer. One that came twice is dropped; a missing one breaks the stream. */
+  #take (index: number, text: string, plan: PlacementPlan): void {
+    if (index < this.#generated.length) return
+    if (index > this.#generated.length) throw new UpstreamError(`${plan.decodeEngine} left out a token`, { mayHaveRun: true })
+    const nowMs = this.#opts.clock.nowMs()
+    this.#noteTime(nowMs)
+    this.#generated.push(text)
+    this.#run.record.append({ kind: AnswerEventKind.Token, index, text }, nowMs)
+  }
+
+  #noteTime (nowMs: number): void {
+    if (this.#lastTokenAtMs === undefined) this.#timings.ttftMs = this.#run.elapsedMs
+    else this.#timings.tbtMs.push(nowMs - this.#lastTokenAtMs)
+    this.#lastTokenAtMs = nowMs
+  }
+
+  #checkWhole (count: number, plan: PlacementPlan): void {
+    if (count !== this.#generated.length) throw new UpstreamError(`${plan.decodeEngine} ended a stream that is not whole`, { mayHaveRun: true })
+  }
+
+  #callOptions () {
+    return { timeoutMs: Math.min(this.#opts.upstreamTimeoutMs, Math.max(1, this.#run.leftMs)), signal: this.#run.signal }
+  }
+
+  /** Remembers an engine that failed, so that the next attempt goes elsewhere. */
+  async #blame<T> (engine: string, work: () => Promise<T>): Promise<T> {
+    try {
+      return await work()
+    } catch (thrown) {
+      if (thrown instanceof UpstreamError) this.#failedEngines.add(engine)
+      throw thrown
+    }
+  }
+
+  /** Frees both engines without waiting. What does not get through is found by the scheduler's sweep. */
+  #releaseEngines (label: HoldLabel, plan: PlacementPlan): void {
+    const { engines, upstreamTimeoutMs } = this.#opts
+    const addresses = [plan.prefillAddress, plan.decodeAddress]
+    addresses.forEach((address) => {
+      engines.release(address, label, { timeoutMs: upstreamTimeoutMs }).catch(() => {})
+    })
+  }
+}
--- /dev/null
+++ b/request/owner/src/runContext.ts
@@ -0,0 +1,143 @@
+import { type Clock } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
+import { AnswerEventKind } from '@reelspan/core.messages'
+import { type RequestRecord } from '@reelspan/request.records'
+
+export interface RunContextOptions {
+  clock: Clock
+  record: RequestRecord
+  deadlineMs: number
+  /** Unique within this incarnation. */
+  requestId: string
+  /** Whether this box is still the incarnation that started the run. */
+  holdsStanding: () => boolean
+  takeRetry: () => boolean
+}
+
+/** When to come back after a refusal that knows no better time. */
+const DEFAULT_RETRY_AFTER_MS = 1000
+
+/** One run of a request: its deadline, its end, and what is known of whether an upstream has begun it. */
+export class RunContext {
+  readonly record: RequestRecord
+  readonly #opts: RunContextOptions
+  readonly #abort = new AbortController()
+  readonly #startedAtMs: number
+  #mayHaveRun = false
+  #attempt = 0
+
+  constructor (opts: RunContextOptions) {
+    this.#opts = opts
+    this.record = opts.record
+    this.#startedAtMs = opts.clock.nowMs()
+  }
+
+  /** Aborted when the run is over, for whatever reason. */
+  get signal (): AbortSignal {
+    return this.#abort.signal
+  }
+
+  get mayHaveRun (): boolean {
+    return this.#mayHaveRun
+  }
+
+  get elapsedMs (): number {
+    return this.#opts.clock.nowMs() - this.#startedAtMs
+  }
+
+  get leftMs (): number {
+    return this.#opts.deadlineMs - this.elapsedMs
+  }
+
+  /** Names the current attempt. What an engine holds for an earlier one is vouched for no more. */
+  get currentRequestId (): string {
+    return `${this.#opts.requestId}.${this.#attempt}`
+  }
+
+  nextAttempt (): string {
+    this.#attempt++
+    return this.currentRequestId
+  }
+
+  takeRetry (): boolean {
+    return this.#opts.takeRetry()
+  }
+
+  /** Right before a message that an upstream acts on: reads what has come in, then checks that the run still stands. */
+  async checkBeforeSend (): Promise<void> {
+    await this.#opts.clock.settle()
+    if (!this.#opts.holdsStanding()) this.end(new ReelspanError(ErrorCode.OwnerGone, 'this box was declared gone'))
+    if (this.leftMs <= 0) this.#endLate()
+    this.throwIfEnded()
+  }
+
+  throwIfEnded (): void {
+    if (this.signal.aborted) throw new RunEnded()
+  }
+
+  /**
+   * Sends something that makes an upstream begin the request. From here on it
+   * may have run, unless the upstream is known not to have begun this or
+   * anything before.
+   */
+  async dispatch<T> (send: () => Promise<T>): Promise<T> {
+    const mayHaveRunBefore = this.#mayHaveRun
+    this.#mayHaveRun = true
+    try {
+      return await send()
+    } catch (thrown) {
+      if (toReelspanError(thrown).verdict === Verdict.NotRun) this.#mayHaveRun = mayHaveRunBefore
+      throw thrown
+    }
+  }
+
+  /** Ends the request with its final answer, at once. Only the first end counts. */
+  end (error: ReelspanError): void {
+    if (error instanceof RunEnded) return
+    const verdict = this.#mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun
+    this.#append(verdict, error)
+    this.#abort.abort()
+  }
+
+  finish (promptTokens?: number): void {
+    this.#append(Verdict.Finished, undefined, promptTokens)
+    this.#abort.abort()
+  }
+
+  /** Frees what waits on the run. A run without a final answer gets one. */
+  close (): void {
+    if (!this.record.final) this.end(new ReelspanError(ErrorCode.Internal, 'the run ended without an answer'))
+    this.#abort.abort()
+  }
+
+  async enforceDeadline (): Promise<void> {
+    const { clock } = this.#opts
+    await clock.sleep(this.leftMs, { signal: this.signal })
+    // After a pause of this process, an answer that came in time may still be waiting to be read.
+    await clock.settle()
+    if (!this.signal.aborted) this.#endLate()
+  }
+
+  #endLate (): void {
+    this.end(new ReelspanError(ErrorCode.DeadlinePassed, 'the deadline has passed'))
+  }
+
+  #append (verdict: Verdict, error?: ReelspanError, promptTokens?: number): void {
+    this.record.append({
+      kind: AnswerEventKind.Final,
+      verdict,
+      code: error?.code,
+      message: error?.message,
+      retryAfterMs: error?.retryAfterMs ?? (verdict === Verdict.NotRun ? DEFAULT_RETRY_AFTER_MS : undefined),
+      eventCount: this.record.events.length,
+      promptTokens,
+    }, this.#opts.clock.nowMs())
+  }
+}
+
+/** Unwinds a run whose final answer stands already. */
+class RunEnded extends ReelspanError {
+  constructor () {
+    super(ErrorCode.Cancelled, 'the run has ended')
+  }
+}
--- /dev/null
+++ b/request/records/src/requestRecord.ts
@@ -0,0 +1,91 @@
+import { Notifier } from '@reelspan/core.env'
+import { type AnswerEvent, AnswerEventKind, type FinalAnswer } from '@reelspan/core.messages'
+
+const EVENT_OVERHEAD_BYTES = 64
+
+/** One request and its one answer, as far as it has come. Any number of readers get the same events. */
+export class RequestRecord {
+  readonly key: string
+  /** Digest of the request's content, to find a key that is used for two requests. */
+  readonly fingerprint: string
+  readonly createdAtMs: number
+  readonly #events: AnswerEvent[] = []
+  readonly #grown = new Notifier()
+  #bytes = 0
+  #readers = 0
+  #final?: FinalAnswer
+  #finishedAtMs?: number
+
+  constructor (key: string, fingerprint: string, createdAtMs: number) {
+    this.key = key
+    this.fingerprint = fingerprint
+    this.createdAtMs = createdAtMs
+  }
+
+  get events (): readonly AnswerEvent[] {
+    return this.#events
+  }
+
+  get bytes (): number {
+    return this.#bytes
+  }
+
+  get readers (): number {
+    return this.#readers
+  }
+
+  get final (): FinalAnswer | undefined {
+    return this.#final
+  }
+
+  get finishedAtMs (): number | undefined {
+    return this.#finishedAtMs
+  }
+
+  /** Adds an event. Nothing is added after the final one: the first end of a request counts. */
+  append (event: AnswerEvent, nowMs: number): boolean {
+    if (this.#final) return false
+    this.#events.push(event)
+    this.#bytes += eventBytes(event)
+    if (event.kind === AnswerEventKind.Final) {
+      this.#final = event
+      this.#finishedAtMs = nowMs
+    }
+    this.#grown.notify()
+    return true
+  }
+
+  /** Events from a position on, to the final one. */
+  async * read (fromEvent: number, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+    this.#readers++
+    this.#grown.notify()
+    try {
+      for (let next = fromEvent; !signal.aborted; next++) {
+        while (next >= this.#events.length && !this.#final && !signal.aborted) await this.#grown.wait(signal)
+        if (next >= this.#events.length) return
+        yield this.#events[next]
+      }
+    } finally {
+      this.#readers--
+      this.#grown.notify()
+    }
+  }
+
+  /** Resolves once the record is final, or nobody reads it, or the signal is aborted. */
+  async waitUnread (signal: AbortSignal): Promise<void> {
+    while (this.#readers > 0 && !this.#final && !signal.aborted) await this.#grown.wait(signal)
+  }
+
+  /** Resolves once someone reads it or it is final, or the signal is aborted. */
+  async waitRead (signal: AbortSignal): Promise<void> {
+    while (this.#readers === 0 && !this.#final && !signal.aborted) await this.#grown.wait(signal)
+  }
+}
+
+function eventBytes (event: AnswerEvent): number {
+  switch (event.kind) {
+    case AnswerEventKind.Token: return EVENT_OVERHEAD_BYTES + 2 * event.text.length
+    case AnswerEventKind.Response: return EVENT_OVERHEAD_BYTES + event.body.byteLength
+    case AnswerEventKind.Final: return EVENT_OVERHEAD_BYTES
+  }
+}
--- /dev/null
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -0,0 +1,155 @@
+import { type HoldLabel, holdLabelKey } from '@reelspan/core.messages'
+import { type Shard } from '@reelspan/scheduling.shards'
+import { type EngineReport } from '@reelspan/upstream.client'
+import { DecodeAccount } from './decodeAccount.js'
+import { PrefillAccount } from './prefillAccount.js'
+
+/** What one placed request has reserved. */
+export interface LedgerEntry {
+  label: HoldLabel
+  client: string
+  maxTokens: number
+  prefillEngine: string
+  decodeEngine: string
+  kvBytes: number
+  prefillEndMs: number
+  importEndMs: number
+  latestEndMs: number
+  /** The reservation lapses then, whatever became of its owner. */
+  expiresAtMs: number
+}
+
+/** An engine as the ledger knows it. */
+export interface EngineAccount<A> {
+  name: string
+  address: string
+  leaving: boolean
+  account: A
+  /** The last report, and when it came. */
+  report?: EngineReport
+  reportAtMs: number
+  /** Set by whoever carries out orders: no new work, so that it empties. */
+  retiring: boolean
+}
+
+export interface ShardLedgerOptions {
+  /** An engine whose last report is older than this gets no work. */
+  reportLifeMs: number
+}
+
+/** Exact accounting of one shard. A right to nothing: the engines have the last word. */
+export class ShardLedger {
+  readonly #opts: ShardLedgerOptions
+  readonly #entries = new Map<string, LedgerEntry>()
+  readonly #prefill = new Map<string, EngineAccount<PrefillAccount>>()
+  readonly #decode = new Map<string, EngineAccount<DecodeAccount>>()
+  #shard: Shard
+
+  constructor (shard: Shard, opts: ShardLedgerOptions) {
+    this.#opts = opts
+    this.#shard = shard
+    this.update(shard)
+  }
+
+  get shard (): Shard {
+    return this.#shard
+  }
+
+  get reservationCount (): number {
+    return this.#entries.size
+  }
+
+  /** Takes over the shard's present engines. What is reserved on those that stay is kept. */
+  update (shard: Shard): void {
+    this.#shard = shard
+    updateAccounts(this.#prefill, shard.prefillEngines, () => new PrefillAccount())
+    updateAccounts(this.#decode, shard.decodeEngines, () => new DecodeAccount())
+  }
+
+  prefillEngines (): EngineAccount<PrefillAccount>[] {
+    return [...this.#prefill.values()]
+  }
+
+  decodeEngines (): EngineAccount<DecodeAccount>[] {
+    return [...this.#decode.values()]
+  }
+
+  /** The version of the shard's model that an engine serves now, or nothing when it takes no new work. */
+  servedVersion (engine: EngineAccount<unknown>, nowMs: number): string | undefined {
+    const { report } = engine
+    const usable = report && !engine.leaving && !engine.retiring && !report.changing && nowMs - engine.reportAtMs <= this.#opts.reportLifeMs
+    return usable ? report.loaded.find(({ model }) => model === this.#shard.model)?.version : undefined
+  }
+
+  reserve (entry: LedgerEntry): void {
+    const key = holdLabelKey(entry.label)
+    this.release(entry.label)
+    this.#entries.set(key, entry)
+    const prefill = this.#prefill.get(entry.prefillEngine)
+    const decode = this.#decode.get(entry.decodeEngine)
+    prefill?.account.plan(key, entry.prefillEndMs)
+    decode?.account.reserve(key, { kvBytes: entry.kvBytes, latestEndMs: entry.latestEndMs })
+    if (prefill) prefill.account.linkFreeAtMs = Math.max(prefill.account.linkFreeAtMs, entry.importEndMs)
+    if (decode) decode.account.linkFreeAtMs = Math.max(decode.account.linkFreeAtMs, entry.importEndMs)
+  }
+
+  has (label: HoldLabel): boolean {
+    return this.#entries.has(holdLabelKey(label))
+  }
+
+  /** Whether a reservation stands and its request may still run. */
+  isCurrent (label: HoldLabel, nowMs: number): boolean {
+    const entry = this.#entries.get(holdLabelKey(label))
+    return entry !== undefined && entry.latestEndMs > nowMs
+  }
+
+  release (label: HoldLabel): LedgerEntry | undefined {
+    const key = holdLabelKey(label)
+    const entry = this.#entries.get(key)
+    if (!entry) return undefined
+    this.#entries.delete(key)
+    this.#prefill.get(entry.prefillEngine)?.account.release(key)
+    this.#decode.get(entry.decodeEngine)?.account.release(key)
+    return entry
+  }
+
+  /** Gives back what an incarnation had reserved. */
+  releaseOwner (ownerIncarnation: string): void {
+    [...this.#entries.values()]
+      .filter(({ label }) => label.ownerIncarnation === ownerIncarnation)
+      .forEach(({ label }) => this.release(label))
+  }
+
+  noteReport (engineName: string, report: EngineReport, nowMs: number): void {
+    const engine = this.#prefill.get(engineName) ?? this.#decode.get(engineName)
+    if (!engine) return
+    engine.report = report
+    engine.reportAtMs = nowMs
+    engine.account.noteReport(report, nowMs)
+  }
+
+  /** The engine did not answer. It gets no work until it reports again. */
+  noteSilent (engineName: string): void {
+    const engine = this.#prefill.get(engineName) ?? this.#decode.get(engineName)
+    if (engine) engine.report = undefined
+  }
+
+  expire (nowMs: number): void {
+    [...this.#entries.values()].filter(({ expiresAtMs }) => expiresAtMs <= nowMs).forEach(({ label }) => this.release(label))
+    this.#prefill.forEach(({ account }) => account.expire(nowMs))
+  }
+}
+
+function updateAccounts<A> (
+  accounts: Map<string, EngineAccount<A>>,
+  listed: readonly { name: string, address: string, leaving: boolean }[],
+  createAccount: () => A
+): void {
+  const names = new Set(listed.map(({ name }) => name));
+  [...accounts.keys()].filter((name) => !names.has(name)).forEach((name) => accounts.delete(name))
+  listed.forEach(({ name, address, leaving }) => {
+    const known = accounts.get(name)
+    if (known && known.address === address) known.leaving = leaving
+    else accounts.set(name, { name, address, leaving, account: createAccount(), reportAtMs: 0, retiring: false })
+  })
+}
--- /dev/null
+++ b/scheduling/owner-alone/src/freshReports.ts
@@ -0,0 +1,32 @@
+import { type Clock, type Random } from '@reelspan/core.env'
+import { type EngineClient } from '@reelspan/upstream.client'
+import { type DatedReport, ReportSource } from './reportSource.js'
+
+export interface FreshReportsOptions {
+  clock: Clock
+  random: Random
+  engines: EngineClient
+  timeoutMs: number
+  /** Engines asked for each placement, of each pool. */
+  sampleSize: number
+}
+
+/** Asks a few random engines at the moment of placing. Costs nothing while it is not used. */
+export class FreshReports extends ReportSource {
+  readonly #opts: FreshReportsOptions
+
+  constructor (opts: FreshReportsOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  async reports (listed: readonly { name: string, address: string }[]): Promise<Map<string, DatedReport>> {
+    const { clock, random, engines, timeoutMs, sampleSize } = this.#opts
+    const asked = random.sample(listed, sampleSize)
+    const answers = await Promise.all(asked.map(async ({ name, address }) => {
+      const report = await engines.report(address, { timeoutMs }).catch(() => undefined)
+      return report ? [[name, { report, atMs: clock.nowMs() }] as const] : []
+    }))
+    return new Map(answers.flat())
+  }
+}
--- /dev/null
+++ b/scheduling/owner-alone/src/index.ts
@@ -0,0 +1,6 @@
+export { OwnerAlonePlacer } from './ownerAlonePlacer.js'
+export type { OwnerAloneOptions } from './ownerAlonePlacer.js'
+export { EnginePicker, RandomPicker, RoundRobinPicker, LeastLoadPicker, TwoChoicesPicker, createEnginePicker, PickerKind } from './enginePicker.js'
+export { ReportSource } from './reportSource.js'
+export { PolledReports } from './polledReports.js'
+export { FreshReports } from './freshReports.js'
--- /dev/null
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -0,0 +1,144 @@
+import { type Clock } from '@reelspan/core.env'
+import { type PlacementPlan, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
+import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
+import { type Shard } from '@reelspan/scheduling.shards'
+import { type ListedUpstream } from '@reelspan/config.fleet'
+import { type EnginePicker } from './enginePicker.js'
+import { type DatedReport, type ReportSource } from './reportSource.js'
+
+export interface OwnerAloneOptions {
+  clock: Clock
+  picker: EnginePicker
+  reports: ReportSource
+  index: PrefixIndex
+  shardsOfModel: (model: string) => readonly Shard[]
+  /** Refuse what would be late or finds no place. */
+  admission: boolean
+  /** Count this owner's own placements since each report. */
+  countOwn: boolean
+  /** Part of each decode engine's places that may be used, in percent. */
+  placesPercent: number
+}
+
+interface Candidate {
+  engine: ListedUpstream
+  dated: DatedReport
+  /** Believed load: queue for a prefill engine in ms, places used for a decode engine. */
+  load: number
+  version: string
+}
+
+interface OwnPlacement {
+  engine: string
+  placedAtMs: number
+  load: number
+}
+
+const MS_PER_SECOND = 1000
+const START_WITHIN_MS = 1000
+const REFUSAL_RETRY_AFTER_MS = 500
+const TARGET_MARGIN = 0.95
+/** Own placements are remembered until reports must have seen them. */
+const OWN_MEMORY_MS = 2000
+
+/** Places from an owner's own knowledge: engine reports and its own recent placements. */
+export class OwnerAlonePlacer extends Placer {
+  readonly #opts: OwnerAloneOptions
+  #own: OwnPlacement[] = []
+
+  constructor (opts: OwnerAloneOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  async place (request: PlaceRequest): Promise<Placement | PlacementRefusal> {
+    const { shardsOfModel, reports, admission } = this.#opts
+    const shards = shardsOfModel(request.model)
+    const prefillListed = shards.flatMap((shard) => shard.prefillEngines).filter(({ leaving }) => !leaving)
+    const decodeListed = shards.flatMap((shard) => shard.decodeEngines).filter(({ leaving }) => !leaving)
+    const [prefillReports, decodeReports] = await Promise.all([reports.reports(prefillListed), reports.reports(decodeListed)])
+    const prefill = this.#pickPrefill(request, this.#candidates(prefillListed, prefillReports, request, ({ prefillQueueMs }) => prefillQueueMs))
+    if (!prefill) return refusal('no prefill engine answers')
+    const decodes = this.#candidates(decodeListed, decodeReports, request, ({ placesUsed }) => placesUsed)
+      .filter(({ version }) => version === prefill.version)
+    if (decodes.length === 0) return refusal('no decode engine answers')
+    const decode = this.#opts.picker.pick(decodes, ({ load }) => load)
+    const shard = shards.find(({ prefillEngines }) => prefillEngines.includes(prefill.engine)) as Shard
+    if (admission && !this.#isInTime(request, prefill, shard)) return refusal('the first token would be late')
+    if (admission && !this.#hasRoom(request, decode, shard)) return refusal('the decode engine is full')
+    return this.#keep(request, prefill, decode, shard)
+  }
+
+  #candidates (listed: readonly ListedUpstream[], reports: Map<string, DatedReport>, request: PlaceRequest, reportedLoad: (report: DatedReport['report']) => number): Candidate[] {
+    return listed.flatMap((engine) => {
+      const dated = reports.get(engine.name)
+      const version = dated?.report.loaded.find(({ model }) => model === request.model)?.version
+      if (!dated || dated.report.changing || version === undefined || request.avoid.includes(engine.name)) return []
+      return [{ engine, dated, version, load: reportedLoad(dated.report) + this.#ownLoad(engine.name, dated.atMs) }]
+    })
+  }
+
+  #ownLoad (engine: string, sinceMs: number): number {
+    if (!this.#opts.countOwn) return 0
+    return this.#own.filter((own) => own.engine === engine && own.placedAtMs > sinceMs).reduce((sum, { load }) => sum + load, 0)
+  }
+
+  /** Prefers an engine that has a prefix of the prompt, unless another would be done sooner. */
+  #pickPrefill (request: PlaceRequest, candidates: Candidate[]): Candidate | undefined {
+    if (candidates.length === 0) return undefined
+    const shard = this.#opts.shardsOfModel(request.model)[0]
+    const cached = candidates.filter(({ engine }) => this.#cachedTokens(request, engine) > 0)
+    const picked = this.#opts.picker.pick(candidates, ({ load }) => load)
+    const finishMs = (candidate: Candidate) => candidate.load + this.#prefillMs(request, candidate.engine, shard)
+    return [picked, ...cached].reduce((best, candidate) => finishMs(candidate) < finishMs(best) ? candidate : best)
+  }
+
+  #cachedTokens (request: PlaceRequest, engine: ListedUpstream): number {
+    return this.#opts.index.cachedTokens(engine.name, request.prefixes, this.#opts.clock.nowMs())
+  }
+
+  #prefillMs (request: PlaceRequest, engine: ListedUpstream, { spec }: Shard): number {
+    return spec.prefillBaseMs + (request.promptTokens - this.#cachedTokens(request, engine)) * MS_PER_SECOND / spec.prefillTokensPerSecond
+  }
+
+  #isInTime (request: PlaceRequest, prefill: Candidate, shard: Shard): boolean {
+    const transferMs = request.promptTokens * shard.spec.kvBytesPerToken * MS_PER_SECOND / shard.prefillPool.linkBytesPerSecond
+    return prefill.load + this.#prefillMs(request, prefill.engine, shard) + transferMs + shard.spec.decodeStepBaseMs <= request.ttftLeftMs
+  }
+
+  #hasRoom (request: PlaceRequest, decode: Candidate, shard: Shard): boolean {
+    const { spec, decodePool } = shard
+    const withinTarget = spec.decodeStepPerRequestMs === 0
+      ? decodePool.placesPerEngine
+      : Math.floor((request.tbtTargetMs * TARGET_MARGIN - spec.decodeStepBaseMs) / spec.decodeStepPerRequestMs)
+    const places = Math.min(decodePool.placesPerEngine, withinTarget) * this.#opts.placesPercent / 100
+    const kvBytes = (request.promptTokens + request.maxTokens) * spec.kvBytesPerToken
+    const { kvBytesTotal, kvBytesUsed } = decode.dated.report
+    return decode.load + 1 <= Math.max(1, places) && kvBytesUsed + kvBytes <= kvBytesTotal
+  }
+
+  #keep (request: PlaceRequest, prefill: Candidate, decode: Candidate, shard: Shard): Placement {
+    const nowMs = this.#opts.clock.nowMs()
+    const prefillMs = this.#prefillMs(request, prefill.engine, shard)
+    this.#own = this.#own.filter(({ placedAtMs }) => nowMs - placedAtMs < OWN_MEMORY_MS)
+    this.#own.push({ engine: prefill.engine.name, placedAtMs: nowMs, load: prefillMs }, { engine: decode.engine.name, placedAtMs: nowMs, load: 1 })
+    this.#opts.index.noteSent(prefill.engine.name, request.prefixes, nowMs)
+    const plan: PlacementPlan = {
+      outcome: PlacementOutcome.Placed,
+      prefillEngine: prefill.engine.name,
+      prefillAddress: prefill.engine.address,
+      decodeEngine: decode.engine.name,
+      decodeAddress: decode.engine.address,
+      kvBytes: (request.promptTokens + request.maxTokens) * shard.spec.kvBytesPerToken,
+      startInMs: 0,
+      startWithinMs: START_WITHIN_MS,
+      expectedTtftMs: prefill.load + prefillMs,
+    }
+    return { plan, release: () => {}, progressed: () => {} }
+  }
+}
+
+function refusal (reason: string): PlacementRefusal {
+  return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: REFUSAL_RETRY_AFTER_MS }
+}
--- /dev/null
+++ b/scheduling/owner-alone/src/polledReports.ts
@@ -0,0 +1,41 @@
+import { type Clock, TaskGroup } from '@reelspan/core.env'
+import { type EngineClient } from '@reelspan/upstream.client'
+import { type DatedReport, ReportSource } from './reportSource.js'
+
+export interface PolledReportsOptions {
+  clock: Clock
+  engines: EngineClient
+  listed: () => readonly { name: string, address: string }[]
+  periodMs: number
+}
+
+/** Asks every engine now and then. What it answers is as old as the last pass, and lags as the engines' word does. */
+export class PolledReports extends ReportSource {
+  readonly #opts: PolledReportsOptions
+  readonly #tasks: TaskGroup
+  readonly #known = new Map<string, DatedReport>()
+
+  constructor (opts: PolledReportsOptions) {
+    super()
+    this.#opts = opts
+    this.#tasks = new TaskGroup(opts.clock)
+    this.#tasks.repeat(() => this.#pass(), { periodMs: opts.periodMs })
+  }
+
+  async reports (): Promise<Map<string, DatedReport>> {
+    return this.#known
+  }
+
+  async stop (): Promise<void> {
+    await this.#tasks.stop()
+  }
+
+  async #pass (): Promise<void> {
+    const { clock, engines, listed, periodMs } = this.#opts
+    await Promise.all(listed().map(async ({ name, address }) => {
+      const report = await engines.report(address, { timeoutMs: periodMs }).catch(() => undefined)
+      if (report) this.#known.set(name, { report, atMs: clock.nowMs() })
+      else this.#known.delete(name)
+    }))
+  }
+}
--- /dev/null
+++ b/scheduling/prefix-index/src/hitJudgedPrefixIndex.ts
@@ -0,0 +1,66 @@
+import { EntriesPrefixIndex } from './entriesPrefixIndex.js'
+import { type RemovalPage } from './prefixIndex.js'
+
+const MAX_REMOVALS_PER_ENGINE = 4000
+
+interface RemovalLog {
+  /** When each digest was last heard to be removed, oldest first. */
+  removedAtMs: Map<string, number>
+  /** Nothing is known of removals before this. */
+  knownFromMs: number
+}
+
+export interface HitJudgedOptions {
+  /** How late a removal is heard of, about. */
+  eventLagMs: number
+  /** How long an entry from before a gap is still believed. */
+  unknownLifeMs: number
+}
+
+/**
+ * Judges an entry when it is hit, against a bounded log of recent removals:
+ * first by time alone (an entry younger than the last removal log is cheap to
+ * accept), then by the digest's own removal. Nothing is swept when events come.
+ *
+ * The idea is from X. Bai and F. P. Junqueira, "Online Result Cache
+ * Invalidation for Real-time Web Search".
+ */
+export class HitJudgedPrefixIndex extends EntriesPrefixIndex {
+  readonly #opts: HitJudgedOptions
+  readonly #logs = new Map<string, RemovalLog>()
+
+  constructor (maxEntriesPerEngine: number, opts: HitJudgedOptions) {
+    super(maxEntriesPerEngine)
+    this.#opts = opts
+  }
+
+  noteRemovals (engine: string, page: RemovalPage, nowMs: number): void {
+    const log = this.#logs.get(engine) ?? { removedAtMs: new Map(), knownFromMs: nowMs }
+    this.#logs.set(engine, log)
+    if (page.afterGap) log.knownFromMs = nowMs
+    page.removedDigests.forEach((digest) => {
+      log.removedAtMs.delete(digest)
+      log.removedAtMs.set(digest, nowMs)
+    })
+    const surplus = log.removedAtMs.size - MAX_REMOVALS_PER_ENGINE
+    if (surplus <= 0) return
+    const dropped = [...log.removedAtMs].slice(0, surplus)
+    dropped.forEach(([digest]) => log.removedAtMs.delete(digest))
+    log.knownFromMs = Math.max(log.knownFromMs, dropped[surplus - 1][1])
+  }
+
+  override forgetEngine (engine: string): void {
+    super.forgetEngine(engine)
+    this.#logs.delete(engine)
+  }
+
+  protected isProbablyCached (engine: string, digest: string, sentAtMs: number, nowMs: number): boolean {
+    const log = this.#logs.get(engine)
+    if (!log) return nowMs - sentAtMs <= this.#opts.unknownLifeMs
+    const unheardOf = sentAtMs + this.#opts.eventLagMs < log.knownFromMs
+    if (unheardOf && nowMs - sentAtMs > this.#opts.unknownLifeMs) return false
+    const removedAtMs = log.removedAtMs.get(digest)
+    // A removal is heard of late: one that arrived shortly after the send may be older than it.
+    return removedAtMs === undefined || removedAtMs < sentAtMs + this.#opts.eventLagMs
+  }
+}
--- /dev/null
+++ b/scheduling/prefix-index/src/index.ts
@@ -0,0 +1,7 @@
+export { PrefixIndex } from './prefixIndex.js'
+export type { CachedPrefix, RemovalPage } from './prefixIndex.js'
+export { NoPrefixIndex } from './noPrefixIndex.js'
+export { TimeLimitPrefixIndex } from './timeLimitPrefixIndex.js'
+export { EventPrefixIndex } from './eventPrefixIndex.js'
+export { HitJudgedPrefixIndex } from './hitJudgedPrefixIndex.js'
+export { createPrefixIndex, PrefixIndexKind } from './createPrefixIndex.js'
--- /dev/null
+++ b/scheduling/prefix-index/src/timeLimitPrefixIndex.ts
@@ -0,0 +1,17 @@
+import { EntriesPrefixIndex } from './entriesPrefixIndex.js'
+
+/** Takes a prefix for cached for a fixed time after it was sent. */
+export class TimeLimitPrefixIndex extends EntriesPrefixIndex {
+  readonly #lifeMs: number
+
+  constructor (maxEntriesPerEngine: number, lifeMs: number) {
+    super(maxEntriesPerEngine)
+    this.#lifeMs = lifeMs
+  }
+
+  noteRemovals (): void {}
+
+  protected isProbablyCached (_engine: string, _digest: string, sentAtMs: number, nowMs: number): boolean {
+    return nowMs - sentAtMs <= this.#lifeMs
+  }
+}
--- /dev/null
+++ b/scheduling/scheduler-placer/src/index.ts
@@ -0,0 +1,2 @@
+export { SchedulerPlacer } from './schedulerPlacer.js'
+export type { SchedulerPlacerOptions } from './schedulerPlacer.js'
--- /dev/null
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -0,0 +1,168 @@
+import { type Clock } from '@reelspan/core.env'
+import { ReelspanError } from '@reelspan/core.error'
+import { rankByRendezvous } from '@reelspan/core.hashing'
+import { type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
+import { type Placement, type PlaceOptions, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { type AdoptedReservation, type ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { schedulerOf, type Shard } from '@reelspan/scheduling.shards'
+
+export interface SchedulerPlacerOptions {
+  clock: Clock
+  link: PeerLink
+  /** This box's incarnation. */
+  selfIncarnation: () => string
+  /** Members that may be schedulers, by this box's view. */
+  schedulers: () => readonly Member[]
+  shardsOfModel: (model: string) => readonly Shard[]
+  /** This box's own scheduler of a shard. */
+  localScheduler: (shardId: string) => ShardScheduler | undefined
+  /** Places alone while no scheduler can be reached. */
+  fallback: Placer
+}
+
+/** Shards that a request is offered to, one after the other. */
+const MAX_SHARDS_ASKED = 2
+/** A scheduler answers at the latest when the first token would be late; this is for the way. */
+const ANSWER_SLACK_MS = 100
+const RELEASE_TIMEOUT_MS = 1000
+/** Prompts share a shard by this many of their first tokens. */
+const AFFINITY_TOKENS = 512
+
+/** A placement that has not been given back. */
+interface LivePlacement {
+  request: ReserveRequest
+  plan: PlacementPlan
+  placedAtMs: number
+  tokensDone: number
+  scheduler: Member
+}
+
+/** Asks the scheduler of a shard of the model, and spills to a second shard. */
+export class SchedulerPlacer extends Placer {
+  readonly #opts: SchedulerPlacerOptions
+  readonly #live = new Map<string, LivePlacement>()
+
+  constructor (opts: SchedulerPlacerOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  get liveCount (): number {
+    return this.#live.size
+  }
+
+  async place (request: PlaceRequest, opts: PlaceOptions): Promise<Placement | PlacementRefusal> {
+    const { clock, fallback } = this.#opts
+    const startedAtMs = clock.nowMs()
+    const refusals: PlacementRefusal[] = []
+    for (const shard of this.#shardsFor(request)) {
+      const elapsedMs = clock.nowMs() - startedAtMs
+      const reserve = { ...request, shardId: shard.id, ttftLeftMs: request.ttftLeftMs - elapsedMs }
+      const answer = await this.#ask(shard, reserve, opts.signal)
+      if (!answer) return fallback.place({ ...request, ttftLeftMs: request.ttftLeftMs - (clock.nowMs() - startedAtMs) }, opts)
+      if ('plan' in answer) return answer
+      refusals.push(answer)
+    }
+    return soonestReturn(refusals)
+  }
+
+  /** Tells schedulers that are new in their shard what this box has placed there. */
+  async adoptByNewSchedulers (): Promise<void> {
+    const moved = [...this.#live.values()].flatMap((live) => {
+      const shard = this.#shard(live.request)
+      const scheduler = shard && schedulerOf(shard, this.#opts.schedulers())
+      return scheduler && scheduler.incarnation !== live.scheduler.incarnation ? [{ live, scheduler }] : []
+    })
+    const shardIds = new Set(moved.map(({ live }) => live.request.shardId))
+    await Promise.all([...shardIds].map((shardId) => this.#sendAdoption(shardId, moved.filter(({ live }) => live.request.shardId === shardId))))
+  }
+
+  /** The request's home shard by its prefix, and one more to spill to. */
+  #shardsFor (request: PlaceRequest): Shard[] {
+    const shards = this.#opts.shardsOfModel(request.model)
+    if (shards.length <= 1) return [...shards]
+    const prefix = request.prefixes.findLast(({ tokens }) => tokens <= AFFINITY_TOKENS)
+    const affinity = prefix?.digest ?? holdLabelKey(request.label)
+    return rankByRendezvous(affinity, shards, ({ id }) => id).slice(0, MAX_SHARDS_ASKED)
+  }
+
+  #shard ({ model, shardId }: ReserveRequest & { model?: string }): Shard | undefined {
+    return this.#opts.shardsOfModel(model ?? shardId.split('#')[0]).find(({ id }) => id === shardId)
+  }
+
+  /** Answers nothing when no scheduler can be asked. */
+  async #ask (shard: Shard, request: ReserveRequest & PlaceRequest, signal: AbortSignal): Promise<Placement | PlacementRefusal | undefined> {
+    const scheduler = schedulerOf(shard, this.#opts.schedulers())
+    if (!scheduler) return undefined
+    try {
+      const answer = await this.#reserve(scheduler, request, signal)
+      return answer.outcome === PlacementOutcome.Refused ? answer : this.#keep(request, answer, scheduler)
+    } catch (thrown) {
+      if (!(thrown instanceof ReelspanError)) throw thrown
+      this.#release(scheduler, request)
+      return undefined
+    }
+  }
+
+  async #reserve (scheduler: Member, request: ReserveRequest, signal: AbortSignal): Promise<PlacementAnswer> {
+    const withdraw = () => this.#release(scheduler, request)
+    signal.addEventListener('abort', withdraw, { once: true })
+    try {
+      if (scheduler.incarnation === this.#opts.selfIncarnation()) return await this.#reserveHere(request)
+      const timeoutMs = Math.max(ANSWER_SLACK_MS, request.ttftLeftMs + ANSWER_SLACK_MS)
+      const answer = await this.#opts.link.call(scheduler.peerAddress, { type: MessageType.Reserve, request }, { timeoutMs, signal })
+      if (answer.type !== MessageType.ReserveAnswer) throw new Error(`unexpected answer ${answer.type}`)
+      return answer.answer
+    } finally {
+      signal.removeEventListener('abort', withdraw)
+    }
+  }
+
+  async #reserveHere (request: ReserveRequest): Promise<PlacementAnswer> {
+    const scheduler = this.#opts.localScheduler(request.shardId)
+    if (!scheduler) return { outcome: PlacementOutcome.Refused, reason: `there is no shard ${request.shardId}`, retryAfterMs: RELEASE_TIMEOUT_MS }
+    return scheduler.reserve(request)
+  }
+
+  #keep (request: ReserveRequest, plan: PlacementPlan, scheduler: Member): Placement {
+    const key = holdLabelKey(request.label)
+    const live: LivePlacement = { request, plan, scheduler, placedAtMs: this.#opts.clock.nowMs(), tokensDone: 0 }
+    this.#live.set(key, live)
+    return {
+      plan,
+      release: (completionTokens) => {
+        this.#live.delete(key)
+        this.#release(live.scheduler, request, completionTokens)
+      },
+      progressed: (tokensDone) => { live.tokensDone = tokensDone },
+    }
+  }
+
+  /** Not waited for: a reservation that is not given back lapses by itself. */
+  #release (scheduler: Member, request: { shardId: string, label: HoldLabel }, completionTokens?: number): void {
+    const { link, localScheduler, selfIncarnation } = this.#opts
+    const { shardId, label } = request
+    if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.release(label, completionTokens)
+    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, completionTokens }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+  }
+
+  async #sendAdoption (shardId: string, moved: { live: LivePlacement, scheduler: Member }[]): Promise<void> {
+    const { clock, link, localScheduler, selfIncarnation } = this.#opts
+    const { scheduler } = moved[0]
+    const reservations = moved.map(({ live }): AdoptedReservation => ({
+      request: live.request,
+      plan: live.plan,
+      ageMs: clock.nowMs() - live.placedAtMs,
+      decoding: live.tokensDone > 0,
+      tokensDone: live.tokensDone,
+    }))
+    if (scheduler.incarnation === selfIncarnation()) localScheduler(shardId)?.adopt(reservations)
+    else await link.call(scheduler.peerAddress, { type: MessageType.AdoptReservations, shardId, reservations }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+    moved.forEach(({ live }) => { live.scheduler = scheduler })
+  }
+}
+
+function soonestReturn (refusals: PlacementRefusal[]): PlacementRefusal {
+  const [soonest] = [...refusals].sort((a, b) => a.retryAfterMs - b.retryAfterMs)
+  return soonest ?? { outcome: PlacementOutcome.Refused, reason: 'the model has no engines', retryAfterMs: 1000 }
+}
--- /dev/null
+++ b/scheduling/scheduler/src/index.ts
@@ -0,0 +1,5 @@
+export { ShardScheduler } from './shardScheduler.js'
+export type { AdoptedReservation, ShardSchedulerOptions } from './shardScheduler.js'
+export { ClientShares } from './clientShares.js'
+export { ReturnCalendar } from './returnCalendar.js'
+export { LengthEstimator } from './lengthEstimator.js'
--- /dev/null
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -0,0 +1,107 @@
+import { type RouteSpec } from '@reelspan/config.resources'
+import { type ReserveRequest } from '@reelspan/core.messages'
+import { type DecodeAccount, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
+import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
+
+/** What a placement on a certain pair of engines would come to. Times are on this box's clock. */
+export interface PlacementEstimate {
+  prefill: EngineAccount<PrefillAccount>
+  decode: EngineAccount<DecodeAccount>
+  prefillStartMs: number
+  prefillEndMs: number
+  importEndMs: number
+  firstTokenMs: number
+  latestEndMs: number
+  costMs: number
+  kvBytes: number
+}
+
+/** The prefill part of an estimate. */
+export interface PrefillEstimate {
+  prefill: EngineAccount<PrefillAccount>
+  startMs: number
+  endMs: number
+  costMs: number
+}
+
+/** Part of a latency target that is left for what the estimate does not see. */
+const TARGET_MARGIN = 0.95
+/** Steps may take this much longer than declared before a place is counted as free too early. */
+const STEP_SLACK = 1.15
+const MS_PER_SECOND = 1000
+
+/** Estimates placements from the ledger and the prefix index. */
+export class PlacementEstimator {
+  readonly #ledger: ShardLedger
+  readonly #index: PrefixIndex
+
+  constructor (ledger: ShardLedger, index: PrefixIndex) {
+    this.#ledger = ledger
+    this.#index = index
+  }
+
+  /** Places of a decode engine that keep the time between tokens within the target. */
+  usablePlaces (tbtTargetMs: number, route?: RouteSpec): number {
+    const { spec, decodePool } = this.#ledger.shard
+    const shared = Math.max(1, Math.floor(decodePool.placesPerEngine * (route?.poolSharePercent ?? 100) / 100))
+    if (spec.decodeStepPerRequestMs === 0) return shared
+    const withinTarget = Math.floor((tbtTargetMs * TARGET_MARGIN - spec.decodeStepBaseMs) / spec.decodeStepPerRequestMs)
+    return Math.max(1, Math.min(shared, withinTarget))
+  }
+
+  kvBytes (request: ReserveRequest): number {
+    return (request.promptTokens + request.maxTokens) * this.#ledger.shard.spec.kvBytesPerToken
+  }
+
+  /** Time that the prefill takes on an engine, by what is probably cached there. */
+  prefillCostMs (request: ReserveRequest, engine: string, nowMs: number): number {
+    const { prefillBaseMs, prefillTokensPerSecond } = this.#ledger.shard.spec
+    const cached = this.#index.cachedTokens(engine, request.prefixes, nowMs)
+    return prefillBaseMs + (request.promptTokens - cached) * MS_PER_SECOND / prefillTokensPerSecond
+  }
+
+  estimatePrefill (request: ReserveRequest, prefill: EngineAccount<PrefillAccount>, nowMs: number): PrefillEstimate {
+    const startMs = prefill.account.freeAtMs(nowMs)
+    const costMs = this.prefillCostMs(request, prefill.name, nowMs)
+    return { prefill, startMs, endMs: startMs + costMs, costMs }
+  }
+
+  /** The least time from the end of a prefill to its first token. */
+  handoverMs (request: ReserveRequest): number {
+    const { spec, prefillPool } = this.#ledger.shard
+    const transferMs = request.promptTokens * spec.kvBytesPerToken * MS_PER_SECOND / prefillPool.linkBytesPerSecond
+    return transferMs + spec.decodeStepBaseMs
+  }
+
+  /** Completes an estimate with the decode engine that has most room when the prefill ends, if one has any. */
+  estimateDecode (request: ReserveRequest, part: PrefillEstimate, usablePlaces: number, nowMs: number): PlacementEstimate | undefined {
+    const { spec, prefillPool, decodePool } = this.#ledger.shard
+    const kvBytes = this.kvBytes(request)
+    const capacity = { places: usablePlaces, kvBytes: decodePool.kvBytesPerEngine }
+    const version = this.#ledger.servedVersion(part.prefill, nowMs)
+    const [roomiest] = this.#ledger.decodeEngines()
+      // KV cache of one version means nothing to another.
+      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && !request.avoid.includes(decode.name))
+      .map((decode) => ({ decode, free: decode.account.freeAt(part.endMs, capacity) }))
+      .filter(({ free }) => free.places >= 1 && free.kvBytes >= kvBytes)
+      .sort((a, b) => b.free.places - a.free.places || b.free.kvBytes - a.free.kvBytes)
+    if (!roomiest) return undefined
+    const { decode, free } = roomiest
+    const linkFreeMs = Math.max(part.endMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
+    const transferMs = request.promptTokens * spec.kvBytesPerToken * MS_PER_SECOND / prefillPool.linkBytesPerSecond
+    const importEndMs = linkFreeMs + transferMs
+    const batch = usablePlaces - free.places + 1
+    const fullStepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usablePlaces
+    return {
+      prefill: part.prefill,
+      decode,
+      prefillStartMs: part.startMs,
+      prefillEndMs: part.endMs,
+      importEndMs,
+      firstTokenMs: importEndMs + spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * batch,
+      latestEndMs: importEndMs + request.maxTokens * fullStepMs * STEP_SLACK,
+      costMs: part.costMs,
+      kvBytes,
+    }
+  }
+}
--- /dev/null
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -0,0 +1,316 @@
+import { type RouteSpec } from '@reelspan/config.resources'
+import { type Clock, TaskGroup } from '@reelspan/core.env'
+import { type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type ReserveRequest } from '@reelspan/core.messages'
+import { ShardLedger } from '@reelspan/scheduling.ledger'
+import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
+import { type Shard } from '@reelspan/scheduling.shards'
+import { type EngineReport } from '@reelspan/upstream.client'
+import { ClientShares } from './clientShares.js'
+import { LengthEstimator } from './lengthEstimator.js'
+import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
+import { ReturnCalendar } from './returnCalendar.js'
+import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
+
+export interface ShardSchedulerOptions {
+  clock: Clock
+  shard: Shard
+  /** The route of the shard's model, for client weights and shares. */
+  route: () => RouteSpec | undefined
+  index: PrefixIndex
+  reportLifeMs: number
+}
+
+export type AdoptedReservation = MessageOf<MessageType.AdoptReservations>['reservations'][number]
+
+/** A prefill is handed to an engine when the engine is this close to done with the one before. */
+const HANDOUT_LOOKAHEAD_MS = 25
+/** An owner that gets a plan must start its prefill within this time. */
+const START_WITHIN_MS = 300
+/** Room in the first-token target for the way between owner, engines and caller. */
+const PATH_MS = 10
+/** A reservation outlives its request's deadline by this much. */
+const RESERVATION_GRACE_MS = 1000
+const MAX_WAITING = 2000
+const RETURN_SHARE = 0.8
+const RETURN_MIN_MS = 500
+const RETURN_MAX_MS = 30_000
+
+/** Places requests on one shard: holds them until an engine can begin at once, best use first, and refuses what would be late. */
+export class ShardScheduler {
+  readonly ledger: ShardLedger
+  readonly #opts: ShardSchedulerOptions
+  readonly #tasks: TaskGroup
+  readonly #estimator: PlacementEstimator
+  readonly #shares = new ClientShares()
+  readonly #lengths = new LengthEstimator()
+  readonly #calendar = new ReturnCalendar({ share: RETURN_SHARE, minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
+  readonly #waiting = new WaitingQueue()
+  #wake?: AbortController
+
+  constructor (opts: ShardSchedulerOptions) {
+    this.#opts = opts
+    this.ledger = new ShardLedger(opts.shard, { reportLifeMs: opts.reportLifeMs })
+    this.#estimator = new PlacementEstimator(this.ledger, opts.index)
+    this.#tasks = new TaskGroup(opts.clock)
+  }
+
+  get waitingCount (): number {
+    return this.#waiting.size
+  }
+
+  update (shard: Shard): void {
+    this.ledger.update(shard)
+    this.#pump()
+  }
+
+  async stop (): Promise<void> {
+    this.#waiting.all().forEach((waiting) => this.#answer(waiting, { outcome: PlacementOutcome.Refused, reason: 'the scheduler stops', retryAfterMs: 0 }))
+    await this.#tasks.stop()
+  }
+
+  /** Waits until the request can be placed, or until it is clear that it would be late. */
+  reserve (request: ReserveRequest): Promise<PlacementAnswer> {
+    const { clock } = this.#opts
+    if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal(request, 'too many requests wait'))
+    const nowMs = clock.nowMs()
+    return new Promise((resolve) => {
+      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs: nowMs + request.ttftLeftMs - PATH_MS, returned: this.#calendar.isDue(request.returnId, nowMs) })
+      this.#pump()
+    })
+  }
+
+  /** The request is over, or its caller has gone. */
+  release (label: HoldLabel, completionTokens?: number): void {
+    this.#waiting.withdraw(label)
+    const entry = this.ledger.release(label)
+    if (entry && completionTokens !== undefined) this.#lengths.learn(entry.client, entry.maxTokens, completionTokens)
+    this.#pump()
+  }
+
+  /** Takes in reservations that another scheduler made. */
+  adopt (reservations: readonly AdoptedReservation[]): void {
+    const nowMs = this.#opts.clock.nowMs()
+    reservations
+      .filter(({ request }) => !this.ledger.has(request.label))
+      .forEach(({ request, plan, ageMs, decoding, tokensDone }) => {
+        const { spec } = this.ledger.shard
+        const stepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * this.ledger.shard.decodePool.placesPerEngine
+        const prefillEndMs = decoding ? nowMs : nowMs - ageMs + plan.expectedTtftMs
+        this.ledger.reserve({
+          label: request.label,
+          client: request.client,
+          maxTokens: request.maxTokens,
+          prefillEngine: plan.prefillEngine,
+          decodeEngine: plan.decodeEngine,
+          kvBytes: plan.kvBytes,
+          prefillEndMs,
+          importEndMs: prefillEndMs,
+          latestEndMs: prefillEndMs + (request.maxTokens - tokensDone) * stepMs,
+          expiresAtMs: nowMs - ageMs + request.deadlineMs + RESERVATION_GRACE_MS,
+        })
+      })
+  }
+
+  releaseOwner (ownerIncarnation: string): void {
+    this.#waiting.withdrawOwner(ownerIncarnation)
+    this.ledger.releaseOwner(ownerIncarnation)
+    this.#pump()
+  }
+
+  noteReport (engine: string, report: EngineReport): void {
+    this.ledger.noteReport(engine, report, this.#opts.clock.nowMs())
+    this.#pump()
+  }
+
+  noteSilent (engine: string): void {
+    this.ledger.noteSilent(engine)
+    this.#opts.index.forgetEngine(engine)
+  }
+
+  noteRemovals (engine: string, page: RemovalPage): void {
+    this.#opts.index.noteRemovals(engine, page, this.#opts.clock.nowMs())
+  }
+
+  /** State for the dump. */
+  describe () {
+    const nowMs = this.#opts.clock.nowMs()
+    return {
+      shard: this.ledger.shard.id,
+      waiting: this.#waiting.size,
+      reservations: this.ledger.reservationCount,
+      returnsBooked: this.#calendar.size,
+      prefixEntries: this.#opts.index.size,
+      prefill: this.ledger.prefillEngines().map((engine) => ({
+        name: engine.name,
+        servedVersion: this.ledger.servedVersion(engine, nowMs),
+        leaving: engine.leaving,
+        retiring: engine.retiring,
+        busyMs: Math.round(engine.account.freeAtMs(nowMs) - nowMs),
+        reportAgeMs: engine.report && Math.round(nowMs - engine.reportAtMs),
+      })),
+      decode: this.ledger.decodeEngines().map((engine) => ({
+        name: engine.name,
+        servedVersion: this.ledger.servedVersion(engine, nowMs),
+        leaving: engine.leaving,
+        retiring: engine.retiring,
+        reservedPlaces: engine.account.reservedPlaces,
+        externalPlaces: engine.account.externalPlaces,
+        kvBytesInUse: engine.account.kvBytesInUse,
+        reportAgeMs: engine.report && Math.round(nowMs - engine.reportAtMs),
+      })),
+    }
+  }
+
+  /** Places and refuses whatever can be decided now, then sleeps until the next moment that could change that. */
+  #pump (): void {
+    const nowMs = this.#opts.clock.nowMs()
+    this.ledger.expire(nowMs)
+    this.#calendar.expire(nowMs)
+    this.#refuseLate(nowMs)
+    for (let choice = this.#choose(nowMs); choice; choice = this.#choose(nowMs)) this.#commit(choice.waiting, choice.estimate, nowMs)
+    this.#sleepUntilNext(nowMs)
+  }
+
+  /** Refuses, at once, each request that no engine could serve in time any more. */
+  #refuseLate (nowMs: number): void {
+    const engines = this.#usablePrefill(nowMs)
+    this.#waiting.all().forEach((waiting) => {
+      const { request, lateAtMs } = waiting
+      const earliestMs = Math.min(...engines.map((engine) => this.#estimator.estimatePrefill(request, engine, nowMs).endMs))
+      const known = engines.length > 0
+      const firstTokenMs = (known ? earliestMs : nowMs) + this.#estimator.handoverMs(request)
+      if (firstTokenMs > lateAtMs) this.#answer(waiting, this.#refusal(request, known ? 'the first token would be late' : 'no engine of the model takes work'))
+    })
+  }
+
+  #usablePrefill (nowMs: number) {
+    return this.ledger.prefillEngines().filter((engine) => this.ledger.servedVersion(engine, nowMs) !== undefined)
+  }
+
+  /** The waiting request that makes best use of an engine that is about to be free. */
+  #choose (nowMs: number): { waiting: WaitingRequest, estimate: PlacementEstimate } | undefined {
+    const engines = this.#usablePrefill(nowMs)
+    const ready = new Set(engines.filter(({ account }) => account.freeAtMs(nowMs) <= nowMs + HANDOUT_LOOKAHEAD_MS).map(({ name }) => name))
+    if (ready.size === 0 || this.#waiting.size === 0) return undefined
+    const pressure = this.#pressure(engines.length, nowMs)
+    const candidates = this.#waiting.all().flatMap((waiting) => {
+      const estimate = this.#bestEstimate(waiting, engines, pressure, nowMs)
+      return estimate && ready.has(estimate.prefill.name) ? [{ waiting, estimate }] : []
+    })
+    return this.#bestCandidate(candidates)
+  }
+
+  /** How much more prefill work waits than the engines can do before it is late: 0 when nothing waits, up to 2. */
+  #pressure (engineCount: number, nowMs: number): number {
+    const waiting = this.#waiting.all()
+    if (waiting.length <= 1) return 0.3
+    const costMs = waiting.reduce((sum, { request }) => sum + this.#leastCostMs(request, nowMs), 0)
+    return Math.min(2, 0.3 + costMs / (engineCount * 150))
+  }
+
+  #leastCostMs (request: ReserveRequest, nowMs: number): number {
+    const costs = this.#usablePrefill(nowMs).map(({ name }) => this.#estimator.prefillCostMs(request, name, nowMs))
+    return costs.length > 0 ? Math.min(...costs) : 0
+  }
+
+  /** Earliest first token, with work that a cached prefix would save counted as time under pressure. */
+  #bestEstimate (waiting: WaitingRequest, engines: ReturnType<ShardScheduler['ledger']['prefillEngines']>, pressure: number, nowMs: number): PlacementEstimate | undefined {
+    const { request, lateAtMs } = waiting
+    const usablePlaces = this.#estimator.usablePlaces(request.tbtTargetMs, this.#opts.route())
+    const [best] = engines
+      .filter(({ name }) => !request.avoid.includes(name))
+      .map((engine) => this.#estimator.estimatePrefill(request, engine, nowMs))
+      .map((part) => ({ part, score: part.endMs + pressure * part.costMs }))
+      .filter(({ part }) => part.endMs + this.#estimator.handoverMs(request) <= lateAtMs)
+      .sort((a, b) => a.score - b.score)
+    if (!best) return undefined
+    const estimate = this.#estimator.estimateDecode(request, best.part, usablePlaces, nowMs)
+    return estimate && estimate.firstTokenMs <= lateAtMs ? estimate : undefined
+  }
+
+  /** Priority first; then those who were asked to return; then clients that are not ahead of their share; then the least work. */
+  #bestCandidate (candidates: { waiting: WaitingRequest, estimate: PlacementEstimate }[]) {
+    if (candidates.length <= 1) return candidates.at(0)
+    const leastUsedMs = Math.min(...candidates.map(({ waiting }) => this.#shares.usedMs(waiting.request.client)))
+    this.#shares.raiseFloor(leastUsedMs)
+    const rank = ({ waiting, estimate }: typeof candidates[number]) => [
+      -waiting.request.priority,
+      waiting.returned ? 0 : 1,
+      this.#shares.isAhead(waiting.request.client, leastUsedMs) ? 1 : 0,
+      estimate.costMs,
+      waiting.arrivedAtMs,
+    ]
+    return candidates
+      .map((candidate) => ({ candidate, rank: rank(candidate) }))
+      .sort((a, b) => compareRanks(a.rank, b.rank))[0].candidate
+  }
+
+  #commit (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
+    const { request } = waiting
+    const { prefill, decode } = estimate
+    this.ledger.reserve({
+      label: request.label,
+      client: request.client,
+      maxTokens: request.maxTokens,
+      prefillEngine: prefill.name,
+      decodeEngine: decode.name,
+      kvBytes: estimate.kvBytes,
+      prefillEndMs: estimate.prefillEndMs,
+      importEndMs: estimate.importEndMs,
+      latestEndMs: estimate.latestEndMs,
+      expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
+    })
+    this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
+    const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
+    this.#shares.charge(request.client, estimate.costMs, weight)
+    this.#calendar.forget(request.returnId)
+    this.#answer(waiting, planOf(estimate, nowMs))
+  }
+
+  #answer (waiting: WaitingRequest, answer: PlacementAnswer): void {
+    this.#waiting.remove(waiting)
+    waiting.resolve(answer)
+  }
+
+  #refusal (request: ReserveRequest, reason: string): PlacementAnswer {
+    const nowMs = this.#opts.clock.nowMs()
+    const engineCount = Math.max(1, this.#usablePrefill(nowMs).length)
+    const retryAfterMs = this.#calendar.book(request.returnId, this.#leastCostMs(request, nowMs) / engineCount, nowMs)
+    return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: Math.round(retryAfterMs) }
+  }
+
+  #sleepUntilNext (nowMs: number): void {
+    this.#wake?.abort()
+    if (this.#waiting.size === 0 || this.#tasks.stopped) return
+    const wake = new AbortController()
+    this.#wake = wake
+    const handoutsMs = this.ledger.prefillEngines().map(({ account }) => account.freeAtMs(nowMs) - HANDOUT_LOOKAHEAD_MS)
+    const nextMs = Math.min(...handoutsMs.filter((atMs) => atMs > nowMs), nowMs + MAX_SLEEP_MS)
+    this.#tasks.run(async () => {
+      await this.#opts.clock.sleep(Math.max(1, nextMs - nowMs), { signal: wake.signal })
+      if (!wake.signal.aborted && !this.#tasks.stopped) this.#pump()
+    })
+  }
+}
+
+/** Waiting requests are looked at again at least this often. */
+const MAX_SLEEP_MS = 10
+
+function planOf (estimate: PlacementEstimate, nowMs: number): PlacementPlan {
+  return {
+    outcome: PlacementOutcome.Placed,
+    prefillEngine: estimate.prefill.name,
+    prefillAddress: estimate.prefill.address,
+    decodeEngine: estimate.decode.name,
+    decodeAddress: estimate.decode.address,
+    kvBytes: estimate.kvBytes,
+    startInMs: 0,
+    startWithinMs: START_WITHIN_MS,
+    expectedTtftMs: Math.max(0, estimate.firstTokenMs - nowMs),
+  }
+}
+
+function compareRanks (a: readonly number[], b: readonly number[]): number {
+  const at = a.findIndex((value, i) => value !== b[i])
+  return at < 0 ? 0 : a[at] - b[at]
+}
--- /dev/null
+++ b/scheduling/scheduler/src/waitingQueue.ts
@@ -0,0 +1,48 @@
+import { type HoldLabel, holdLabelKey, type PlacementAnswer, PlacementOutcome, type ReserveRequest } from '@reelspan/core.messages'
+
+/** A request that waits for its placement. */
+export interface WaitingRequest {
+  request: ReserveRequest
+  resolve: (answer: PlacementAnswer) => void
+  arrivedAtMs: number
+  /** A first token after this is late. */
+  lateAtMs: number
+  /** It came back when it was told to. */
+  returned: boolean
+}
+
+/** The requests that wait at a scheduler, in order of arrival. */
+export class WaitingQueue {
+  readonly #waiting = new Map<string, WaitingRequest>()
+
+  get size (): number {
+    return this.#waiting.size
+  }
+
+  all (): WaitingRequest[] {
+    return [...this.#waiting.values()]
+  }
+
+  add (waiting: WaitingRequest): void {
+    this.withdraw(waiting.request.label)
+    this.#waiting.set(holdLabelKey(waiting.request.label), waiting)
+  }
+
+  remove (waiting: WaitingRequest): void {
+    this.#waiting.delete(holdLabelKey(waiting.request.label))
+  }
+
+  /** Its owner no longer wants it placed. */
+  withdraw (label: HoldLabel): void {
+    const waiting = this.#waiting.get(holdLabelKey(label))
+    if (!waiting) return
+    this.remove(waiting)
+    waiting.resolve({ outcome: PlacementOutcome.Refused, reason: 'withdrawn', retryAfterMs: 0 })
+  }
+
+  withdrawOwner (ownerIncarnation: string): void {
+    this.all()
+      .filter(({ request }) => request.label.ownerIncarnation === ownerIncarnation)
+      .forEach(({ request }) => this.withdraw(request.label))
+  }
+}
--- /dev/null
+++ b/scheduling/shards/src/deriveShards.ts
@@ -0,0 +1,83 @@
+import { type FleetList, type ListedUpstream } from '@reelspan/config.fleet'
+import { type Configuration, type ModelSpec, type PoolSpec } from '@reelspan/config.resources'
+import { hash32 } from '@reelspan/core.hashing'
+
+/** Engines of one model that one scheduler accounts for. */
+export interface Shard {
+  id: string
+  model: string
+  spec: ModelSpec
+  prefillPool: PoolSpec
+  decodePool: PoolSpec
+  /** Every listed engine, leaving ones too. */
+  prefillEngines: readonly ListedUpstream[]
+  decodeEngines: readonly ListedUpstream[]
+  /** Set when all its engines are in one availability zone by design. */
+  availabilityZone?: string
+}
+
+/**
+ * Cuts a model's engines into shards. Up to `maxEnginesPerShard` engines a pool
+ * are one shard. More are cut by availability zone, and within it into equal
+ * parts in hash order, so that an engine more or less moves few others.
+ */
+export function deriveShards (configuration: Configuration, fleet: FleetList): Shard[] {
+  return configuration.modelNames().flatMap((model) => shardsOfModel(model, configuration, fleet))
+}
+
+function shardsOfModel (model: string, configuration: Configuration, fleet: FleetList): Shard[] {
+  const spec = configuration.model(model) as ModelSpec
+  const whole: Shard = {
+    id: model,
+    model,
+    spec,
+    prefillPool: configuration.pool(spec.prefillPool) as PoolSpec,
+    decodePool: configuration.pool(spec.decodePool) as PoolSpec,
+    prefillEngines: fleet.inPool(spec.prefillPool),
+    decodeEngines: fleet.inPool(spec.decodePool),
+  }
+  if (partCount(whole) <= 1) return [whole]
+  return zonesWithBothRoles(whole).flatMap((zone) => {
+    const ofZone = (engines: readonly ListedUpstream[]) => engines.filter(({ availabilityZone }) => availabilityZone === zone)
+    return cutEvenly({
+      ...whole,
+      id: `${model}#${zone}`,
+      availabilityZone: zone,
+      prefillEngines: ofZone(whole.prefillEngines),
+      decodeEngines: ofZone(whole.decodeEngines),
+    })
+  })
+}
+
+function partCount (shard: Shard): number {
+  return Math.max(
+    Math.ceil(shard.prefillEngines.length / shard.prefillPool.maxEnginesPerShard),
+    Math.ceil(shard.decodeEngines.length / shard.decodePool.maxEnginesPerShard)
+  )
+}
+
+function zonesWithBothRoles (shard: Shard): string[] {
+  const decodeZones = new Set(shard.decodeEngines.map(({ availabilityZone }) => availabilityZone))
+  const prefillZones = new Set(shard.prefillEngines.map(({ availabilityZone }) => availabilityZone))
+  return [...prefillZones].filter((zone) => decodeZones.has(zone)).sort()
+}
+
+function cutEvenly (shard: Shard): Shard[] {
+  const parts = Math.min(partCount(shard), shard.prefillEngines.length, shard.decodeEngines.length)
+  const prefillOrder = inHashOrder(shard.prefillEngines)
+  const decodeOrder = inHashOrder(shard.decodeEngines)
+  return Array.from({ length: parts }, (_, part) => ({
+    ...shard,
+    id: `${shard.id}.${part}`,
+    prefillEngines: slicePart(prefillOrder, part, parts),
+    decodeEngines: slicePart(decodeOrder, part, parts),
+  }))
+}
+
+function inHashOrder (engines: readonly ListedUpstream[]): ListedUpstream[] {
+  return [...engines].sort((a, b) => hash32(a.name) - hash32(b.name) || (a.name < b.name ? -1 : 1))
+}
+
+function slicePart<T> (items: readonly T[], part: number, parts: number): T[] {
+  return items.slice(Math.floor(part * items.length / parts), Math.floor((part + 1) * items.length / parts))
+}
--- /dev/null
+++ b/telemetry/log/src/index.ts
@@ -0,0 +1,3 @@
+export { Log, LogEvent } from './log.js'
+export type { LogFields } from './log.js'
+export { BunyanLog } from './bunyanLog.js'
--- /dev/null
+++ b/telemetry/log/src/log.ts
@@ -0,0 +1,25 @@
+/** Everything that reelspan logs. The operator's page explains each. */
+export enum LogEvent {
+  Started = 'started',
+  Stopping = 'stopping',
+  Stopped = 'stopped',
+  RequestEnded = 'requestEnded',
+  RevisionAdopted = 'revisionAdopted',
+  RevisionRejected = 'revisionRejected',
+  MemberChanged = 'memberChanged',
+  IncarnationRenewed = 'incarnationRenewed',
+  SchedulerTaken = 'schedulerTaken',
+  SchedulerLeft = 'schedulerLeft',
+  HoldReleased = 'holdReleased',
+  OrderSent = 'orderSent',
+  RecordsTaken = 'recordsTaken',
+  HandoffFailed = 'handoffFailed',
+}
+
+export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
+
+/** Where log events go. Prompts, tokens and bodies are never among the fields. */
+export abstract class Log {
+  abstract info (event: LogEvent, fields?: LogFields): void
+  abstract warn (event: LogEvent, fields?: LogFields): void
+}
--- /dev/null
+++ b/telemetry/metrics/src/index.ts
@@ -0,0 +1,2 @@
+export { Metrics } from './metrics.js'
+export type { Labels } from './metrics.js'
