--- /dev/null
+++ b/upstream/client/src/engineReport.ts
@@ -0,0 +1,56 @@
+import { type HoldLabel } from '@reelspan/core.messages'
+
+export enum EngineRole {
+  Prefill = 'prefill',
+  Decode = 'decode',
+}
+
+export enum HoldKind {
+  /** KV cache of a finished prefill that waits for its export. */
+  PrefillResult = 'prefillResult',
+  /** A prefill that is queued or computing. */
+  Prefill = 'prefill',
+  /** KV cache on its way in. */
+  Import = 'import',
+  Decode = 'decode',
+}
+
+/** Something that an engine holds for a request. */
+export interface EngineHold {
+  label: HoldLabel
+  kind: HoldKind
+  kvBytes: number
+  /** Tokens that were generated so far. */
+  tokensDone: number
+}
+
+export interface LoadedModel {
+  model: string
+  version: string
+}
+
+/** An engine's own word of itself. Its load part may lag; its list of holds is exact. */
+export interface EngineReport {
+  role: EngineRole
+  loaded: LoadedModel[]
+  /** A load or role change is under way. */
+  changing: boolean
+  placesUsed: number
+  placesTotal: number
+  kvBytesUsed: number
+  kvBytesTotal: number
+  prefillQueueMs: number
+  /** The highest fencing number it has accepted. 0 from one that does not check them. */
+  fence: number
+  holds: EngineHold[]
+}
+
+export enum OrderKind {
+  LoadModel = 'loadModel',
+  ChangeRole = 'changeRole',
+}
+
+/** An order to an engine. It carries a fencing number that an engine may check or ignore. */
+export type EngineOrder =
+  | { kind: OrderKind.LoadModel, model: string, version: string, fence: number }
+  | { kind: OrderKind.ChangeRole, role: EngineRole, fence: number }
--- /dev/null
+++ b/upstream/holds/src/index.ts
@@ -0,0 +1,2 @@
+export { HoldSweeper, ReleaseReason } from './holdSweeper.js'
+export type { HoldSweeperOptions } from './holdSweeper.js'
--- /dev/null
+++ b/upstream/orders/src/index.ts
@@ -0,0 +1,6 @@
+export { planOrders } from './planOrders.js'
+export type { OrderPlan, PlannedOrder, ReportedEngine, OrderScope } from './planOrders.js'
+export { fenceOf, FENCE_STEPS } from './fenceOf.js'
+export { OrderRight } from './orderRight.js'
+export { OrderController, OrderOutcome } from './orderController.js'
+export type { OrderControllerOptions } from './orderController.js'
