--- /dev/null
+++ b/__utils__/fake-fleet/src/collectAnswer.ts
@@ -0,0 +1,35 @@
+import { type Clock } from '@reelspan/core.env'
+import { type ErrorCode, Verdict } from '@reelspan/core.error'
+import { type AnswerEvent, AnswerEventKind } from '@reelspan/core.messages'
+
+/** What a caller got. */
+export interface Outcome {
+  verdict: Verdict
+  code?: ErrorCode
+  message?: string
+  retryAfterMs?: number
+  text: string
+  /** Times of the tokens and of the end, from the start of the request. */
+  tokenAtMs: number[]
+  endMs: number
+}
+
+/** Reads an answer to its end. One that breaks off leaves its caller knowing nothing. */
+export async function collectAnswer (clock: Clock, events: AsyncIterable<AnswerEvent>): Promise<Outcome> {
+  const startedAtMs = clock.nowMs()
+  const outcome: Outcome = { verdict: Verdict.MayHaveRun, text: '', tokenAtMs: [], endMs: 0 }
+  for await (const event of events) {
+    const atMs = clock.nowMs() - startedAtMs
+    if (event.kind === AnswerEventKind.Token) {
+      outcome.text += event.text
+      outcome.tokenAtMs.push(atMs)
+    }
+    if (event.kind === AnswerEventKind.Response) outcome.text += Buffer.from(event.body).toString()
+    if (event.kind === AnswerEventKind.Final) {
+      const { verdict, code, message, retryAfterMs } = event
+      Object.assign(outcome, { verdict, code, message, retryAfterMs })
+    }
+  }
+  outcome.endMs = clock.nowMs() - startedAtMs
+  return outcome
+}
--- /dev/null
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -0,0 +1,218 @@
+import { type Box, createBox } from '@reelspan/box.runtime'
+import { type Settings, settingsSchema } from '@reelspan/config.settings'
+import { Collection, type CompletionRequest, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
+import { UpstreamKind } from '@reelspan/config.fleet'
+import { EngineModel, type EngineModelOptions, FakeEngineClient, FakeNetwork, FakePlatformReader, FakeServiceClient, type NodeClock, PlatformModel, publishFleet, type PublishedEntry, SeededRandom, ServiceModel, tuulDeclarations, tuulFleet, VirtualClock } from '@reelspan/utils.fakes'
+import { Metrics } from '@reelspan/telemetry.metrics'
+import { EngineRole } from '@reelspan/upstream.client'
+import { collectAnswer, type Outcome } from './collectAnswer.js'
+import { SilentLog } from './silentLog.js'
+
+export interface FakeFleetOptions {
+  seed?: number
+  boxCount?: number
+  /** Settings of every box, section by section, over the defaults. */
+  settings?: Partial<Record<keyof Settings, object>>
+  engine?: Partial<EngineModelOptions>
+  declarations?: readonly PublishedEntry[]
+  deployment?: ReturnType<typeof tuulFleet>
+}
+
+/** One box process. A restart makes another one at the same address. */
+export interface FakeBox {
+  name: string
+  address: string
+  availabilityZone: string
+  clock: NodeClock
+  box: Box
+  log: SilentLog
+  metrics: Metrics
+  alive: boolean
+}
+
+/** Platform, upstreams and boxes in one program. */
+export class FakeFleet {
+  readonly clock = new VirtualClock()
+  readonly random: SeededRandom
+  readonly network: FakeNetwork
+  readonly platform: PlatformModel
+  readonly engines = new Map<string, EngineModel>()
+  readonly services = new Map<string, ServiceModel>()
+  readonly boxes: FakeBox[] = []
+  readonly #opts: FakeFleetOptions
+  readonly #deployment: ReturnType<typeof tuulFleet>
+  /** Callers and upstreams have addresses too, so that ways between them can be cut. */
+  readonly #addressOf = new Map<string, string>()
+
+  constructor (opts: FakeFleetOptions = {}) {
+    this.#opts = opts
+    this.random = new SeededRandom(opts.seed ?? 1)
+    this.network = new FakeNetwork({ clock: this.clock, random: this.random })
+    this.platform = new PlatformModel(this.clock)
+    const { boxes, upstreams } = opts.deployment ?? tuulFleet()
+    this.#deployment = { boxes: boxes.slice(0, opts.boxCount ?? boxes.length), upstreams }
+    this.#deployment.upstreams.forEach(({ name, kind, pool }, i) => this.#addUpstream(name, kind, pool, `10.1.0.${i + 1}:80`))
+    this.#deployment.boxes.forEach(({ name }, i) => this.#addressOf.set(name, `10.0.${Math.floor(i / 250)}.${i % 250 + 1}:7101`))
+  }
+
+  /** Publishes the deployment, starts the boxes, and lets them meet. */
+  async start (): Promise<this> {
+    this.platform.publish(Collection.Declarations, this.#opts.declarations ?? tuulDeclarations())
+    publishFleet(
+      this.platform,
+      this.#deployment.boxes.map((box) => ({ ...box, peerAddress: this.address(box.name) })),
+      this.#deployment.upstreams.map((upstream) => ({ ...upstream, address: this.address(upstream.name) }))
+    )
+    await this.clock.run(Promise.all(this.#deployment.boxes.map(({ name }) => this.startBox(name))))
+    await this.clock.advance(3000)
+    return this
+  }
+
+  address (name: string): string {
+    return this.#addressOf.get(name) as string
+  }
+
+  box (name: string): FakeBox {
+    return this.boxes.findLast((box) => box.name === name) as FakeBox
+  }
+
+  engine (name: string): EngineModel {
+    return this.engines.get(this.address(name)) as EngineModel
+  }
+
+  service (name: string): ServiceModel {
+    return this.services.get(this.address(name)) as ServiceModel
+  }
+
+  liveBoxes (): FakeBox[] {
+    return this.boxes.filter(({ alive }) => alive)
+  }
+
+  /** The box whose scheduler has the most engines under account; the first one if none has any. */
+  schedulerBox (): FakeBox {
+    return this.liveBoxes().find(({ box }) => box.describe().shards.length > 0) ?? this.liveBoxes()[0]
+  }
+
+  async startBox (name: string): Promise<FakeBox> {
+    const { availabilityZone } = this.#deployment.boxes.find((box) => box.name === name) as { availabilityZone: string }
+    const address = this.address(name)
+    const { clock, link } = this.network.addNode(address)
+    const log = new SilentLog()
+    const metrics = new Metrics()
+    const channel = { clock, network: this.network, address }
+    const box = createBox({
+      settings: this.#settings(name, availabilityZone, address),
+      clock,
+      random: new SeededRandom(this.random.nextInt(2 ** 32)),
+      link,
+      platform: new FakePlatformReader(clock, this.platform),
+      engines: new FakeEngineClient({ ...channel, models: this.engines }),
+      services: new FakeServiceClient({ ...channel, models: this.services }),
+      log,
+      metrics,
+    })
+    const running: FakeBox = { name, address, availabilityZone, clock, box, log, metrics, alive: true }
+    this.boxes.push(running)
+    await box.start()
+    return running
+  }
+
+  /** The process dies. */
+  kill (name: string): void {
+    this.box(name).alive = false
+    this.network.kill(this.address(name))
+    this.box(name).clock.pause()
+  }
+
+  killEngine (name: string): void {
+    this.engines.delete(this.address(name))
+  }
+
+  /** Sends a request through a box, as a caller that waits for the whole answer. */
+  send (boxName: string, request: CompletionRequest | ServiceRequest, signal: AbortSignal = new AbortController().signal): Promise<Outcome> {
+    const { box, clock } = this.box(boxName)
+    return collectAnswer(clock, box.submit(request, signal))
+  }
+
+  completion (boxName: string, prompt: string, over: Partial<CompletionRequest> = {}): CompletionRequest {
+    return {
+      kind: RequestKind.Completion,
+      key: this.box(boxName).box.createKey(),
+      route: 'drafts',
+      client: 'client',
+      notRepeatable: false,
+      deadlineMs: 30_000,
+      model: 'draft',
+      prompt,
+      maxTokens: 64,
+      priority: 0,
+      ttftTargetMs: 390,
+      tbtTargetMs: 76,
+      ...over,
+    }
+  }
+
+  booking (key: string, over: Partial<ServiceRequest> = {}): ServiceRequest {
+    return {
+      kind: RequestKind.Service,
+      key,
+      route: 'bookings',
+      client: 'client',
+      notRepeatable: true,
+      deadlineMs: 10_000,
+      method: 'POST',
+      path: '/desk/bookings',
+      body: new Uint8Array(),
+      ...over,
+    }
+  }
+
+  /** A key whose prefix a box gives out now. */
+  key (boxName: string): string {
+    return this.box(boxName).box.createKey()
+  }
+
+  /** Times that a request ran, over all services. */
+  serviceRuns (key: string): number {
+    return [...this.services.values()].reduce((sum, { runs }) => sum + (runs.get(key) ?? 0), 0)
+  }
+
+  /** Everything that engines hold now. */
+  holds () {
+    return [...this.engines.values()].flatMap((engine) => engine.holds().map((hold) => ({ ...hold, engine: engine.name })))
+  }
+
+  async stop (): Promise<void> {
+    this.boxes.forEach(({ clock }) => clock.resume())
+    await this.clock.run(Promise.all(this.liveBoxes().map(({ box }) => box.stop())))
+  }
+
+  #settings (name: string, availabilityZone: string, address: string): Settings {
+    return settingsSchema.parse({
+      ...this.#opts.settings,
+      box: { name, availabilityZone },
+      listen: { callerAddress: address.replace('7101', '8101'), peerAddress: address, operatorAddress: '127.0.0.1:9101' },
+      platform: { addresses: ['10.9.0.1:80'], ...this.#opts.settings?.platform },
+    })
+  }
+
+  #addUpstream (name: string, kind: UpstreamKind, pool: string, address: string): void {
+    this.#addressOf.set(name, address)
+    if (kind === UpstreamKind.Service) {
+      this.services.set(address, new ServiceModel({ clock: this.clock, name }))
+      return
+    }
+    this.engines.set(address, new EngineModel({
+      clock: this.clock,
+      name,
+      role: pool.includes('prefill') ? EngineRole.Prefill : EngineRole.Decode,
+      loaded: [{ model: 'draft', version: '1' }],
+      exportFrom: async (prefillAddress, label) => {
+        const engine = this.engines.get(prefillAddress)
+        if (!engine) throw new Error('the prefill engine is gone')
+        return engine.exportResult(label)
+      },
+      ...this.#opts.engine,
+    }))
+  }
+}
--- /dev/null
+++ b/__utils__/fake-fleet/src/index.ts
@@ -0,0 +1,5 @@
+export { FakeFleet } from './fakeFleet.js'
+export type { FakeFleetOptions, FakeBox } from './fakeFleet.js'
+export { SilentLog } from './silentLog.js'
+export { collectAnswer } from './collectAnswer.js'
+export type { Outcome } from './collectAnswer.js'
--- a/__utils__/fakes/src/fakeClients.ts
+++ b/__utils__/fakes/src/fakeClients.ts
@@ -2,6 +2,7 @@
 import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
 import { type Collection, type HoldLabel } from '@reelspan/core.messages'
 import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type PrefillRequest, type PrefillResult, ServiceClient, type ServiceCall, type ServiceReply, type UpstreamCallOptions, UpstreamError } from '@reelspan/upstream.client'
+import { orAborted } from './orAborted.js'
 import { type EngineModel } from './engineModel.js'
 import { type FakeNetwork } from './fakeNetwork.js'
 import { type NodeClock } from './nodeClock.js'
@@ -25,7 +26,7 @@
   }
 
   async call<R> (address: string, work: (model: T) => Promise<R> | R, { timeoutMs, signal }: UpstreamCallOptions): Promise<R> {
-    const outcome = await raceTimeout(this.#opts.clock, Promise.race([this.#exchange(address, work), aborted(signal)]), timeoutMs)
+    const outcome = await raceTimeout(this.#opts.clock, orAborted(this.#exchange(address, work), [signal], givenUp), timeoutMs)
     if (outcome === TimedOut) throw new UpstreamError(`${address}: no answer in time`, { mayHaveRun: true })
     return outcome
   }
@@ -36,14 +37,14 @@
       const part = await this.#within(iterator.next(), opts)
       if (!await this.#opts.network.travel(address, this.#opts.address)) await never()
       await this.#opts.clock.whileRunning()
-      if (opts.signal?.aborted) throw new UpstreamError('given up', { mayHaveRun: true })
+      if (opts.signal?.aborted) throw givenUp()
       if (part.done) return
       yield part.value
     }
   }
 
   async #within<R> (work: Promise<R>, { timeoutMs, signal }: UpstreamCallOptions): Promise<R> {
-    const outcome = await raceTimeout(this.#opts.clock, Promise.race([work, aborted(signal)]), timeoutMs)
+    const outcome = await raceTimeout(this.#opts.clock, orAborted(work, [signal], givenUp), timeoutMs)
     if (outcome === TimedOut) throw new UpstreamError('silent for too long', { mayHaveRun: true })
     return outcome
   }
@@ -137,12 +138,8 @@
   }
 }
 
-function aborted (signal: AbortSignal | undefined): Promise<never> {
-  return new Promise((resolve, reject) => {
-    const abort = () => reject(new UpstreamError('given up', { mayHaveRun: true }))
-    if (signal?.aborted) abort()
-    signal?.addEventListener('abort', abort, { once: true })
-  })
+function givenUp (): UpstreamError {
+  return new UpstreamError('given up', { mayHaveRun: true })
 }
 
 function never (): Promise<never> {
--- a/__utils__/fakes/src/fakeNetwork.ts
+++ b/__utils__/fakes/src/fakeNetwork.ts
@@ -1,7 +1,9 @@
+import { setMaxListeners } from 'node:events'
 import { AsyncQueue, type Clock, Notifier, raceTimeout, type Random, TimedOut } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { type PeerCallOptions, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
 import { NodeClock } from './nodeClock.js'
+import { orAborted } from './orAborted.js'
 
 /** A process on the fake network. */
 interface Node {
@@ -34,6 +36,7 @@
   /** Starts a process at an address. */
   addNode (address: string): { clock: NodeClock, link: PeerLink } {
     const node: Node = { clock: new NodeClock(this.#opts.clock), killed: new AbortController() }
+    setMaxListeners(0, node.killed.signal)
     this.#nodes.set(address, node)
     return { clock: node.clock, link: new FakePeerLink(this, address, node) }
   }
@@ -101,7 +104,7 @@
   }
 
   async call (address: string, message: PeerMessage, opts: PeerCallOptions): Promise<PeerMessage> {
-    const outcome = await raceTimeout(this.#node.clock, orAborted(this.#exchange(address, message), [opts.signal, this.#node.killed.signal]), opts.timeoutMs)
+    const outcome = await raceTimeout(this.#node.clock, orAborted(this.#exchange(address, message), [opts.signal, this.#node.killed.signal], givenUp), opts.timeoutMs)
     if (outcome === TimedOut) throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
     return outcome
   }
@@ -113,7 +116,7 @@
     const iterator = parts[Symbol.asyncIterator]()
     try {
       while (true) {
-        const part = await raceTimeout(this.#node.clock, orAborted(iterator.next(), [opts.signal, this.#node.killed.signal]), opts.timeoutMs)
+        const part = await raceTimeout(this.#node.clock, orAborted(iterator.next(), [opts.signal, this.#node.killed.signal], givenUp), opts.timeoutMs)
         if (part === TimedOut) throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
         if (part.done) return
         yield part.value
@@ -177,10 +180,6 @@
   throw thrown
 }
 
-function orAborted<T> (work: Promise<T>, signals: readonly (AbortSignal | undefined)[]): Promise<T> {
-  return new Promise((resolve, reject) => {
-    const abort = () => reject(new PeerLinkError('the exchange was given up', { mayHaveArrived: true }))
-    signals.forEach((signal) => signal?.aborted ? abort() : signal?.addEventListener('abort', abort, { once: true }))
-    work.then(resolve, reject)
-  })
+function givenUp (): PeerLinkError {
+  return new PeerLinkError('the exchange was given up', { mayHaveArrived: true })
 }
--- /dev/null
+++ b/box/runtime/test/holds.ts
@@ -0,0 +1,109 @@
+import { Verdict } from '@reelspan/core.error'
+import { FakeFleet } from '@reelspan/utils.fake-fleet'
+import { promptFor } from '@reelspan/utils.fakes'
+import test, { type ExecutionContext } from 'ava'
+
+const LONG_PROMPT = promptFor('long', { answerTokens: 500 })
+
+/** Starts a long completion on the fleet and waits until a decode engine runs it. */
+async function startLong (fleet: FakeFleet, owner: string, signal?: AbortSignal) {
+  const request = fleet.completion(owner, LONG_PROMPT, { maxTokens: 500 })
+  const answer = fleet.send(owner, request, signal)
+  answer.catch(() => {})
+  await fleet.clock.advance(700)
+  return { request, answer }
+}
+
+/** A box that is not the scheduler of the only shard. */
+function otherBox (fleet: FakeFleet): string {
+  return fleet.liveBoxes().find(({ name }) => name !== fleet.schedulerBox().name)?.name as string
+}
+
+async function freedWithin (t: ExecutionContext, fleet: FakeFleet, boundMs: number): Promise<void> {
+  t.not(fleet.holds().length, 0, 'nothing was held')
+  await fleet.clock.advance(boundMs)
+  t.deepEqual(fleet.holds(), [])
+}
+
+test('a cancel frees the engine at once', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const { request, answer } = await startLong(fleet, 'box-1')
+  void fleet.box('box-4').box.cancel(request.key)
+  t.is((await fleet.clock.run(answer)).verdict, Verdict.MayHaveRun)
+  await fleet.clock.advance(20)
+  t.deepEqual(fleet.holds(), [])
+  await fleet.stop()
+})
+
+test('a caller that goes away frees the engine after the time to rejoin', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const gone = new AbortController()
+  await startLong(fleet, 'box-1', gone.signal)
+  gone.abort()
+  await freedWithin(t, fleet, 1100)
+  await fleet.stop()
+})
+
+test('what a killed owner held is freed within four seconds', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const owner = otherBox(fleet)
+  await startLong(fleet, owner)
+  fleet.kill(owner)
+  await fleet.clock.run(fleet.startBox(owner))
+  await freedWithin(t, fleet, 4000)
+  await fleet.stop()
+})
+
+test('what an owner held that never comes back is freed after the longest duration of its label', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const owner = otherBox(fleet)
+  const request = fleet.completion(owner, LONG_PROMPT, { maxTokens: 5000, deadlineMs: 8000 })
+  void fleet.send(owner, request)
+  await fleet.clock.advance(700)
+  fleet.kill(owner)
+  await freedWithin(t, fleet, 10_000)
+  await fleet.stop()
+})
+
+test('a stalled transfer is given up and both engines are freed', async (t) => {
+  const fleet = await new FakeFleet().start()
+  fleet.engines.forEach((engine) => { engine.faults.stallTransfers = true })
+  const { answer } = await startLong(fleet, 'box-1')
+  t.not(fleet.holds().length, 0)
+  fleet.engines.forEach((engine) => { engine.faults.stallTransfers = false })
+  t.is((await fleet.clock.run(answer)).verdict, Verdict.Finished)
+  await fleet.clock.advance(3000)
+  t.deepEqual(fleet.holds(), [])
+  await fleet.stop()
+})
+
+test('a killed scheduler leaves nothing held for requests that are gone', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const owner = otherBox(fleet)
+  await startLong(fleet, owner)
+  fleet.kill(fleet.schedulerBox().name)
+  fleet.kill(owner)
+  await fleet.clock.run(fleet.startBox(owner))
+  await freedWithin(t, fleet, 6000)
+  await fleet.stop()
+})
+
+test('an owner that is cut off from its engine has its hold freed by the scheduler', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const owner = otherBox(fleet)
+  const { request } = await startLong(fleet, owner)
+  const engine = fleet.holds()[0].engine
+  fleet.network.cutBoth(fleet.address(owner), fleet.address(engine))
+  fleet.box(owner).box.cancel(request.key)
+  await freedWithin(t, fleet, 3000)
+  await fleet.stop()
+})
+
+test('a hold of a request that still runs is left alone', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const { answer } = await startLong(fleet, otherBox(fleet))
+  const outcome = await fleet.clock.run(answer)
+  t.is(outcome.verdict, Verdict.Finished)
+  t.is(outcome.tokenAtMs.length, 500)
+  await fleet.stop()
+})
--- /dev/null
+++ b/box/runtime/test/leaving.ts
@@ -0,0 +1,111 @@
+import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
+import { ErrorCode, Verdict } from '@reelspan/core.error'
+import { Collection } from '@reelspan/core.messages'
+import { FakeFleet } from '@reelspan/utils.fake-fleet'
+import { expectedAnswer, promptFor } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const FEW_SECONDS_MS = 3000
+
+function announceLeaving (fleet: FakeFleet, name: string, kind: UpstreamKind, pool: string): void {
+  const spec = { kind, pool, address: fleet.address(name), availabilityZone: 'hall-a', leaving: true }
+  fleet.platform.publish(Collection.Fleet, [{ kind: FleetEntryKind.Upstream, name, spec }])
+}
+
+test('a leaving service gets no new calls after a few seconds', async (t) => {
+  const fleet = await new FakeFleet().start()
+  announceLeaving(fleet, 'desk-1', UpstreamKind.Service, 'script-desk')
+  await fleet.clock.advance(FEW_SECONDS_MS)
+  const keys = fleet.boxes.flatMap(({ name }) => Array.from({ length: 4 }, () => fleet.key(name)))
+  await fleet.clock.run(Promise.all(keys.map((key, i) => fleet.send(fleet.boxes[i % 8].name, fleet.booking(key)))))
+  t.is(keys.filter((key) => fleet.service('desk-1').runs.has(key)).length, 0)
+  t.is(keys.filter((key) => fleet.serviceRuns(key) === 1).length, keys.length)
+  await fleet.stop()
+})
+
+test('a leaving engine gets no new work after a few seconds, and what runs there ends well', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const prompt = promptFor('before', { answerTokens: 200 })
+  const running = fleet.send('box-1', fleet.completion('box-1', prompt, { maxTokens: 200 }))
+  await fleet.clock.advance(800)
+  const engine = fleet.holds()[0].engine
+  announceLeaving(fleet, engine, UpstreamKind.Engine, 'draft-decode')
+  await fleet.clock.advance(FEW_SECONDS_MS)
+  const runsBefore = fleet.engine(engine).runs.length
+  const later = Array.from({ length: 20 }, (_, i) => fleet.send('box-2', fleet.completion('box-2', promptFor(`later-${i}`, { answerTokens: 5 }))))
+  await fleet.clock.run(Promise.all(later))
+  t.is(fleet.engine(engine).runs.length, runsBefore)
+  t.is((await fleet.clock.run(running)).text, expectedAnswer(prompt, 200))
+  await fleet.stop()
+})
+
+test('a planned stop cuts off no request and leaves its records with another box', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const prompt = promptFor('stop', { answerTokens: 150 })
+  const request = fleet.completion('box-1', prompt, { maxTokens: 150 })
+  const booking = fleet.booking(fleet.key('box-1'))
+  const booked = await fleet.clock.run(fleet.send('box-2', booking))
+  const running = [fleet.send('box-1', request), fleet.send('box-3', request)]
+  await fleet.clock.advance(500)
+  const stopped = fleet.box('box-1').box.drain()
+  const outcomes = await fleet.clock.run(Promise.all(running))
+  t.deepEqual(outcomes.map(({ text }) => text), [expectedAnswer(prompt, 150), expectedAnswer(prompt, 150)])
+  await fleet.clock.run(stopped)
+  fleet.box('box-1').alive = false
+  const retries = await fleet.clock.run(Promise.all([fleet.send('box-4', request), fleet.send('box-5', booking)]))
+  t.is(retries[0].text, expectedAnswer(prompt, 150))
+  t.is(retries[1].text, booked.text)
+  t.is(fleet.serviceRuns(booking.key), 1)
+  await fleet.stop()
+})
+
+test('a key of a stopped box that was never used is known not to have run', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const key = fleet.key('box-1')
+  await fleet.clock.run(fleet.box('box-1').box.drain())
+  fleet.box('box-1').alive = false
+  const outcome = await fleet.clock.run(fleet.send('box-4', fleet.booking(key)))
+  t.is(outcome.verdict, Verdict.NotRun)
+  t.is(outcome.code, ErrorCode.OwnerReplaced)
+  t.is(fleet.serviceRuns(key), 0)
+  await fleet.stop()
+})
+
+test('records go on from successor to successor', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const booking = fleet.booking(fleet.key('box-1'))
+  const booked = await fleet.clock.run(fleet.send('box-2', booking))
+  await fleet.clock.run(fleet.box('box-1').box.drain())
+  fleet.box('box-1').alive = false
+  const successor = fleet.liveBoxes().find(({ box }) => box.describe().records.taken.length > 0)
+  t.truthy(successor)
+  await fleet.clock.run(fleet.box(successor?.name as string).box.drain())
+  fleet.box(successor?.name as string).alive = false
+  const asked = fleet.liveBoxes()[0].name
+  const retry = await fleet.clock.run(fleet.send(asked, booking))
+  t.is(retry.text, booked.text)
+  await fleet.stop()
+})
+
+test('lookups stop naming a box that is about to stop, and it gives out no keys of its own', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const stopped = fleet.box('box-1').box.drain()
+  await fleet.clock.advance(1000)
+  const answers = await Promise.all(fleet.boxes.flatMap(({ box }) => Array.from({ length: 5 }, () => box.lookup())).map((answer) => fleet.clock.run(answer)))
+  t.true(answers.every(({ boxes }) => boxes.length > 0 && boxes.every(({ name }) => name !== 'box-1')))
+  const own = fleet.key('box-1').split('-')[1].slice(0, 20)
+  t.true(answers.every(({ keyPrefix }) => !keyPrefix.includes(own)))
+  await fleet.clock.run(stopped)
+  await fleet.stop()
+})
+
+test('a caller that keeps a lookup answer is served by a box that is about to stop', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const key = fleet.key('box-1')
+  const stopped = fleet.box('box-1').box.drain()
+  await fleet.clock.advance(4000)
+  const outcome = await fleet.clock.run(fleet.send('box-1', fleet.booking(key)))
+  t.is(outcome.verdict, Verdict.Finished)
+  await fleet.clock.run(stopped)
+  await fleet.stop()
+})
--- a/core/env/src/taskGroup.ts
+++ b/core/env/src/taskGroup.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { type Clock } from './clock.js'
 
 export interface RepeatOptions {
@@ -14,6 +15,8 @@
 
   constructor (clock: Clock) {
     this.#clock = clock
+    // Each task of the group listens to it, and there is no usual number of them.
+    setMaxListeners(0, this.#stop.signal)
   }
 
   get signal (): AbortSignal {
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -61,7 +61,7 @@
     return this.#run.takeRetry()
   }
 
-  /** Places the request, or what is left of it. Only a request that has not begun is refused. */
+  /** Places the request, or what is left of it. Only a request that no engine has begun is refused. */
   async #place (label: HoldLabel): Promise<Placement> {
     const { clock, placer } = this.#opts
     while (true) {
@@ -69,15 +69,11 @@
       const outcome = await placer.place(this.#placeRequest(label), { signal: this.#run.signal })
       if ('plan' in outcome) return outcome
       this.#run.throwIfEnded()
-      if (!this.#hasBegun()) throw this.#refusal(outcome)
+      if (!this.#run.mayHaveRun) throw this.#refusal(outcome)
       await clock.sleep(CONTINUE_BACKOFF_MS, { signal: this.#run.signal })
     }
   }
 
-  #hasBegun (): boolean {
-    return this.#generated.length > 0
-  }
-
   #refusal (refusal: PlacementRefusal): ReelspanError {
     return new ReelspanError(ErrorCode.Overloaded, refusal.reason, { retryAfterMs: refusal.retryAfterMs })
   }
@@ -94,8 +90,8 @@
       promptTokens: tokensOfText(prompt),
       prefixes: prefixDigests(prompt),
       maxTokens: maxTokens - this.#generated.length,
-      // An answer that has begun is late already: any time left will do.
-      ttftLeftMs: this.#hasBegun() ? this.#run.leftMs : ttftTargetMs - this.#run.elapsedMs,
+      // A request that has begun and failed is finished late rather than left in doubt: any time left will do.
+      ttftLeftMs: this.#run.mayHaveRun ? this.#run.leftMs : ttftTargetMs - this.#run.elapsedMs,
       tbtTargetMs,
       deadlineMs: this.#run.leftMs,
       avoid: [...this.#failedEngines],
--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { type Clock } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { AnswerEventKind } from '@reelspan/core.messages'
@@ -28,6 +29,7 @@
 
   constructor (opts: RunContextOptions) {
     this.#opts = opts
+    setMaxListeners(0, this.#abort.signal)
     this.record = opts.record
     this.#startedAtMs = opts.clock.nowMs()
   }
