test(utils.fuzz): stateful fuzzing of whole boxes against a simple oracle

29 kinds of step (requests, retries, cancels, kills, restarts, pauses, late wakes, replacement of a sleeping box, cuts both and one way, platform faults, operators' edits, rollouts, leaving upstreams, engine and service faults, doubled messages, planned stops) on five boxes with a virtual clock. The oracle knows what was sent, what ran and what is held.

--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -1,5 +1,6 @@
 import { type Box, createBox } from '@reelspan/box.runtime'
 import { type Settings, settingsSchema } from '@reelspan/config.settings'
+import { Verdict } from '@reelspan/core.error'
 import { Collection, type CompletionRequest, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
 import { UpstreamKind } from '@reelspan/config.fleet'
 import { EngineModel, type EngineModelOptions, FakeEngineClient, FakeNetwork, FakePlatformReader, FakeServiceClient, type NodeClock, PlatformModel, publishFleet, type PublishedEntry, SeededRandom, ServiceModel, tuulDeclarations, tuulFleet, VirtualClock } from '@reelspan/utils.fakes'
@@ -28,6 +29,8 @@
   log: SilentLog
   metrics: Metrics
   alive: boolean
+  /** Ends every caller's connection when the process dies. */
+  killed: AbortController
 }
 
 /** Platform, upstreams and boxes in one program. */
@@ -40,6 +43,7 @@
   readonly services = new Map<string, ServiceModel>()
   readonly boxes: FakeBox[] = []
   readonly #opts: FakeFleetOptions
+  readonly #pastEngines: EngineModel[] = []
   readonly #deployment: ReturnType<typeof tuulFleet>
   /** Callers and upstreams have addresses too, so that ways between them can be cut. */
   readonly #addressOf = new Map<string, string>()
@@ -111,7 +115,7 @@
       log,
       metrics,
     })
-    const running: FakeBox = { name, address, availabilityZone, clock, box, log, metrics, alive: true }
+    const running: FakeBox = { name, address, availabilityZone, clock, box, log, metrics, alive: true, killed: new AbortController() }
     this.boxes.push(running)
     await box.start()
     return running
@@ -120,18 +124,38 @@
   /** The process dies. */
   kill (name: string): void {
     this.box(name).alive = false
+    this.box(name).killed.abort()
     this.network.kill(this.address(name))
     this.box(name).clock.pause()
   }
 
   killEngine (name: string): void {
+    this.#pastEngines.push(this.engine(name))
     this.engines.delete(this.address(name))
   }
 
+  /** The engine's process ends and another one starts, empty. */
+  restartEngine (name: string): void {
+    const { role } = this.engine(name)
+    this.killEngine(name)
+    this.#addEngine(name, role, this.address(name))
+  }
+
+  /** Engines that run or have run: their logs of runs outlive them. */
+  allEngines (): EngineModel[] {
+    return [...this.#pastEngines, ...this.engines.values()]
+  }
+
+  /** Addresses of boxes and upstreams. */
+  everyAddress (): string[] {
+    return [...this.#addressOf.values()]
+  }
+
   /** Sends a request through a box, as a caller that waits for the whole answer. */
   send (boxName: string, request: CompletionRequest | ServiceRequest, signal: AbortSignal = new AbortController().signal): Promise<Outcome> {
-    const { box, clock } = this.box(boxName)
-    return collectAnswer(clock, box.submit(request, signal))
+    const { box, clock, killed } = this.box(boxName)
+    const answer = collectAnswer(clock, box.submit(request, signal))
+    return Promise.race([answer, connectionLost([killed.signal, signal])])
   }
 
   completion (boxName: string, prompt: string, over: Partial<CompletionRequest> = {}): CompletionRequest {
@@ -183,7 +207,7 @@
   }
 
   async stop (): Promise<void> {
-    this.boxes.forEach(({ clock }) => clock.resume())
+    this.liveBoxes().forEach(({ clock }) => clock.resume())
     await this.clock.run(Promise.all(this.liveBoxes().map(({ box }) => box.stop())))
   }
 
@@ -202,10 +226,14 @@
       this.services.set(address, new ServiceModel({ clock: this.clock, name }))
       return
     }
+    this.#addEngine(name, pool.includes('prefill') ? EngineRole.Prefill : EngineRole.Decode, address)
+  }
+
+  #addEngine (name: string, role: EngineRole, address: string): void {
     this.engines.set(address, new EngineModel({
       clock: this.clock,
       name,
-      role: pool.includes('prefill') ? EngineRole.Prefill : EngineRole.Decode,
+      role,
       loaded: [{ model: 'draft', version: '1' }],
       exportFrom: async (prefillAddress, label) => {
         const engine = this.engines.get(prefillAddress)
@@ -216,3 +244,11 @@
     }))
   }
 }
+
+/** What a caller knows when its connection breaks. */
+function connectionLost (signals: readonly AbortSignal[]): Promise<Outcome> {
+  const outcome: Outcome = { verdict: Verdict.MayHaveRun, text: '', tokenAtMs: [], endMs: 0 }
+  return new Promise((resolve) => {
+    signals.forEach((signal) => signal.aborted ? resolve(outcome) : signal.addEventListener('abort', () => resolve(outcome), { once: true }))
+  })
+}
--- a/__utils__/fakes/src/engineModel.ts
+++ b/__utils__/fakes/src/engineModel.ts
@@ -95,8 +95,10 @@
  */
 export class EngineModel {
   readonly faults: EngineFaults = { stallTransfers: false, crossAnswers: false, doubleTokens: false, loseCacheEvents: false }
-  /** Prompt ids in the order in which their prefills or decodes began. */
-  readonly runs: string[] = []
+  /** Prompt ids in the order in which their prefills began. */
+  readonly prefillRuns: string[] = []
+  /** The same for decodes. */
+  readonly decodeRuns: string[] = []
   readonly orders: EngineOrder[] = []
   readonly stats = { prefilledTokens: 0, generatedTokens: 0, expiredPrefillTokens: 0, refusedDecodes: 0 }
   readonly name: string
@@ -249,7 +251,7 @@
     for (let prefill = this.#queue.shift(); prefill; prefill = this.#queue.shift()) {
       if (prefill.cancelled) continue
       const { label, prompt } = prefill.request
-      this.runs.push(promptId(prompt))
+      this.prefillRuns.push(promptId(prompt))
       const promptTokens = tokensOfText(prompt)
       const prefixes: PrefixDigest[] = prefixDigests(prompt)
       const cachedTokens = this.#cache.touch(prefixes)
@@ -288,7 +290,7 @@
       stream.kvBytes = (promptTokens + request.maxTokens) * kvBytesPerToken
       stream.endIndex = Math.min(answerLength(prompt, request.firstIndex + request.maxTokens), request.firstIndex + request.maxTokens)
       if (this.kvBytesUsed > this.#opts.kvBytesTotal) this.#refuseDecode('has no free memory')
-      this.runs.push(promptId(prompt))
+      this.decodeRuns.push(promptId(prompt))
       this.#linkFreeAtMs = Math.max(this.#linkFreeAtMs, clock.nowMs()) + promptTokens * kvBytesPerToken * MS_PER_SECOND / linkBytesPerSecond
       await clock.sleep(this.#linkFreeAtMs - clock.nowMs())
       if (this.faults.stallTransfers) await new Promise(() => {})
--- /dev/null
+++ b/__utils__/fuzz/src/index.ts
@@ -0,0 +1,2 @@
+export { runFuzz } from './runFuzz.js'
+export type { FuzzOptions } from './runFuzz.js'
--- a/__utils__/stand-ins/src/createEngineServer.ts
+++ b/__utils__/stand-ins/src/createEngineServer.ts
@@ -31,7 +31,7 @@
       case '/v1/orders':
         return acceptOrder(ctx, engine, await readJson<EngineOrder>(ctx))
       case '/stand-in/stats':
-        ctx.body = { ...engine.stats, runs: engine.runs.length, placesUsed: engine.placesUsed, kvBytesUsed: engine.kvBytesUsed, kvBytesTotal: engine.kvBytesTotal }
+        ctx.body = { ...engine.stats, runs: engine.prefillRuns.length + engine.decodeRuns.length, placesUsed: engine.placesUsed, kvBytesUsed: engine.kvBytesUsed, kvBytesTotal: engine.kvBytesTotal }
     }
   })
 }
--- a/box/runtime/test/leaving.ts
+++ b/box/runtime/test/leaving.ts
@@ -31,10 +31,10 @@
   const engine = fleet.holds()[0].engine
   announceLeaving(fleet, engine, UpstreamKind.Engine, 'draft-decode')
   await fleet.clock.advance(FEW_SECONDS_MS)
-  const runsBefore = fleet.engine(engine).runs.length
+  const runsBefore = fleet.engine(engine).decodeRuns.length
   const later = Array.from({ length: 20 }, (_, i) => fleet.send('box-2', fleet.completion('box-2', promptFor(`later-${i}`, { answerTokens: 5 }))))
   await fleet.clock.run(Promise.all(later))
-  t.is(fleet.engine(engine).runs.length, runsBefore)
+  t.is(fleet.engine(engine).decodeRuns.length, runsBefore)
   t.is((await fleet.clock.run(running)).text, expectedAnswer(prompt, 200))
   await fleet.stop()
 })
--- a/box/runtime/test/onceOnly.ts
+++ b/box/runtime/test/onceOnly.ts
@@ -91,7 +91,7 @@
   const retry = fleet.send('box-5', request)
   const outcomes = await fleet.clock.run(Promise.all([first, retry]))
   t.deepEqual(outcomes.map(({ text }) => text), [expectedAnswer(prompt, 64), expectedAnswer(prompt, 64)])
-  t.is([...fleet.engines.values()].flatMap(({ runs }) => runs).filter((id) => id === 'join').length, 2, 'one prefill and one decode')
+  t.deepEqual([...fleet.engines.values()].flatMap(({ prefillRuns, decodeRuns }) => [...prefillRuns, ...decodeRuns]), ['join', 'join'], 'one prefill and one decode')
   await fleet.stop()
 })
 
