--- /dev/null
+++ b/box/runtime/test/membership.ts
@@ -0,0 +1,70 @@
+import { MemberHealth } from '@reelspan/core.messages'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { FakeFleet } from '@reelspan/utils.fake-fleet'
+import test from 'ava'
+
+function healthOf (fleet: FakeFleet, name: string): (MemberHealth | undefined)[] {
+  const { address } = fleet.box(name)
+  return fleet.liveBoxes().filter((box) => box.name !== name).map(({ box }) => box.describe().members.findLast(({ peerAddress }) => peerAddress === address)?.health)
+}
+
+function renewals (fleet: FakeFleet): number {
+  return fleet.boxes.reduce((sum, { log }) => sum + log.count(LogEvent.IncarnationRenewed), 0)
+}
+
+test('every box knows within three seconds that another one does not answer', async (t) => {
+  const fleet = await new FakeFleet().start()
+  fleet.kill('box-3')
+  await fleet.clock.advance(3000)
+  t.deepEqual(new Set(healthOf(fleet, 'box-3')), new Set([MemberHealth.Suspect]))
+  await fleet.stop()
+})
+
+test('a box that was asleep for ten seconds goes on as the same process', async (t) => {
+  const fleet = await new FakeFleet().start()
+  fleet.box('box-3').clock.pause()
+  await fleet.clock.advance(10_000)
+  t.deepEqual(new Set(healthOf(fleet, 'box-3')), new Set([MemberHealth.Suspect]))
+  fleet.box('box-3').clock.resume()
+  await fleet.clock.advance(8000)
+  t.deepEqual(new Set(healthOf(fleet, 'box-3')), new Set([MemberHealth.Alive]))
+  t.is(renewals(fleet), 0)
+  await fleet.stop()
+})
+
+test('a cut between availability zones for minutes makes no box give up what it is', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const zoneA = fleet.boxes.filter(({ availabilityZone }) => availabilityZone === 'hall-a')
+  const rest = fleet.boxes.filter(({ availabilityZone }) => availabilityZone !== 'hall-a')
+  zoneA.forEach((a) => rest.forEach((b) => fleet.network.cutBoth(a.address, b.address)))
+  await fleet.clock.advance(180_000)
+  t.is(zoneA[0].box.describe().members.filter(({ health }) => health === MemberHealth.Alive).length, zoneA.length)
+  fleet.network.healAll()
+  await fleet.clock.advance(20_000)
+  fleet.boxes.forEach(({ box }) => t.is(box.describe().members.filter(({ health }) => health === MemberHealth.Alive).length, 8))
+  t.is(renewals(fleet), 0)
+  await fleet.stop()
+})
+
+test('a one-way cut between two boxes is seen through with the help of others', async (t) => {
+  const fleet = await new FakeFleet().start()
+  fleet.network.cut(fleet.address('box-1'), fleet.address('box-2'))
+  await fleet.clock.advance(10_000)
+  t.deepEqual(new Set(healthOf(fleet, 'box-2')), new Set([MemberHealth.Alive]))
+  await fleet.stop()
+})
+
+test('a box that learns of its replacement takes a new incarnation', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const sleeper = fleet.box('box-3')
+  const before = sleeper.box.self.incarnation
+  sleeper.clock.pause()
+  await fleet.clock.advance(1000)
+  await fleet.clock.run(fleet.startBox('box-3'))
+  await fleet.clock.advance(3000)
+  sleeper.clock.resume()
+  await fleet.clock.advance(5000)
+  t.not(sleeper.box.self.incarnation, before)
+  t.true(sleeper.log.count(LogEvent.IncarnationRenewed) > 0)
+  await fleet.stop()
+})
--- /dev/null
+++ b/config/resources/test/checkResources.ts
@@ -0,0 +1,43 @@
+import { checkResources, Configuration, ResourceKind, routeSpecSchema } from '@reelspan/config.resources'
+import { tuulDeclarations } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const DECLARED = tuulDeclarations().map((entry) => ({ ...entry, revision: 1 }))
+
+function problemsWith (name: string, spec: object, kind: string = ResourceKind.Route): string[] {
+  return checkResources([...DECLARED.filter((entry) => entry.name !== name), { kind, name, revision: 1, spec }], 1)
+    .problems.map(({ resource, field, message }) => `${resource}: ${field}: ${message}`)
+}
+
+test('a deployment as it is meant is accepted', (t) => {
+  t.deepEqual(checkResources(DECLARED, 1).problems, [])
+})
+
+test('a misspelt field is named with the close one', (t) => {
+  t.deepEqual(problemsWith('drafts', { model: 'draft', ttftTargetMS: 1 }), ['Route/drafts: spec.ttftTargetMS: unknown key; did you mean «ttftTargetMs»?'])
+})
+
+test('a reference to nothing is named with the close one', (t) => {
+  t.deepEqual(problemsWith('drafts', { model: 'draught' }), ['Route/drafts: spec.model: there is no Model/draught; did you mean «draft»?'])
+  t.deepEqual(problemsWith('r', { model: 'dratf', toVersion: '2', enginePercent: 1 }, ResourceKind.Rollout), ['Rollout/r: spec.model: there is no Model/dratf; did you mean «draft»?'])
+})
+
+test('a pool in the wrong role is found', (t) => {
+  t.deepEqual(problemsWith('desk', { pool: 'draft-decode', pathPrefix: '/desk' }), ['Route/desk: spec.pool: Pool/draft-decode has role decode, service is needed'])
+})
+
+test('an unknown kind is named with the close one', (t) => {
+  t.deepEqual(problemsWith('x', {}, 'Rout'), ['Rout/x: kind: unknown kind «Rout»; did you mean «Route»?'])
+})
+
+test('a route cannot take reelspan\'s own paths', (t) => {
+  t.deepEqual(problemsWith('desk', { pool: 'script-desk', pathPrefix: '/v1/completions' }), ['Route/desk: spec.pathPrefix: «/v1/completions» is reelspan\'s own'])
+})
+
+test('the longest path prefix takes a call, and a prefix ends at a slash', (t) => {
+  const route = (name: string, pathPrefix: string) => ({ kind: ResourceKind.Route as const, name, revision: 1, spec: routeSpecSchema.parse({ pool: 'p', pathPrefix }) })
+  const configuration = new Configuration(1, [route('short', '/desk'), route('long', '/desk/bookings')])
+  t.is(configuration.routeOfCall('POST', '/desk/bookings/7')?.name, 'long')
+  t.is(configuration.routeOfCall('POST', '/desk/other')?.name, 'short')
+  t.is(configuration.routeOfCall('POST', '/desktop'), undefined)
+})
--- /dev/null
+++ b/membership/view/test/membershipView.ts
@@ -0,0 +1,56 @@
+import { type Member, MemberHealth } from '@reelspan/core.messages'
+import { mergeMember, MembershipView } from '@reelspan/membership.view'
+import test from 'ava'
+import fc from 'fast-check'
+
+function member (incarnation: string, over: Partial<Member> = {}): Member {
+  return {
+    name: 'box',
+    availabilityZone: 'zone',
+    peerAddress: `10.0.0.1:${incarnation.length}`,
+    callerAddress: '10.0.0.1:1',
+    incarnation,
+    version: 0,
+    health: MemberHealth.Alive,
+    leaving: false,
+    ...over,
+  }
+}
+
+const belief = fc.record({
+  version: fc.nat({ max: 3 }),
+  health: fc.constantFrom(...Object.values(MemberHealth)),
+}).map(({ version, health }) => member('a', { version, health }))
+
+test('beliefs come to the same whatever their order', (t) => {
+  fc.assert(fc.property(fc.shuffledSubarray([0, 1, 2, 3, 4], { minLength: 5 }), fc.array(belief, { minLength: 5, maxLength: 5 }), (order, beliefs) => {
+    const straight = beliefs.reduce(mergeMember)
+    const shuffled = order.map((i) => beliefs[i]).reduce(mergeMember)
+    return straight.health === shuffled.health && straight.version === shuffled.version
+  }), { seed: 1 })
+  t.pass()
+})
+
+test('an incarnation that is gone never comes back', (t) => {
+  const gone = member('a', { health: MemberHealth.Gone })
+  t.is(mergeMember(gone, member('a', { version: 100 })).health, MemberHealth.Gone)
+})
+
+test('a member refutes that it is suspected', (t) => {
+  const view = new MembershipView({ self: member('a'), goneMemoryMs: 1000 })
+  view.merge(member('a', { health: MemberHealth.Suspect, version: 4 }), 0)
+  t.is(view.self.version, 5)
+  t.is(view.self.health, MemberHealth.Alive)
+})
+
+test('the digest tells equal views from different ones, and survives forgetting', (t) => {
+  const one = new MembershipView({ self: member('a'), goneMemoryMs: 1000 })
+  const two = new MembershipView({ self: member('b'), goneMemoryMs: 1000 })
+  one.merge(two.self, 0)
+  t.not(one.digest, two.digest)
+  two.merge(one.self, 0)
+  t.is(one.digest, two.digest)
+  one.merge(member('c', { health: MemberHealth.Gone }), 0)
+  one.forgetOld(2000)
+  t.is(one.digest, two.digest)
+})
--- /dev/null
+++ b/upstream/orders/test/orders.ts
@@ -0,0 +1,89 @@
+import { checkResources, type DeclaredResource } from '@reelspan/config.resources'
+import { type EngineReport, EngineRole, HoldKind, OrderKind } from '@reelspan/upstream.client'
+import { fenceOf, FENCE_STEPS, OrderRight, type OrderScope, planOrders, type ReportedEngine } from '@reelspan/upstream.orders'
+import { NodeClock, VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const POOLS = [
+  { kind: 'Pool', name: 'p', revision: 1, spec: { role: 'prefill' } },
+  { kind: 'Pool', name: 'd', revision: 1, spec: { role: 'decode', minReadyEngines: 2 } },
+]
+const MODEL = { kind: 'Model', name: 'm', revision: 1, spec: { version: '1', prefillPool: 'p', decodePool: 'd', kvBytesPerToken: 1, prefillTokensPerSecond: 1, decodeStepBaseMs: 1, decodeStepPerRequestMs: 0 } }
+
+function configurationWith (rollout: object | undefined, revision = 5) {
+  const declared: DeclaredResource[] = [...POOLS, MODEL, ...rollout ? [{ kind: 'Rollout', name: 'r', revision, spec: { model: 'm', toVersion: '2', enginePercent: 100, ...rollout } }] : []]
+  const { configuration, problems } = checkResources(declared, revision)
+  if (problems.length > 0) throw new Error(JSON.stringify(problems))
+  return configuration
+}
+
+function engine (name: string, over: Partial<EngineReport> = {}): ReportedEngine {
+  const report: EngineReport = {
+    role: EngineRole.Decode,
+    loaded: [{ model: 'm', version: '1' }],
+    changing: false,
+    placesUsed: 0,
+    placesTotal: 20,
+    kvBytesUsed: 0,
+    kvBytesTotal: 1,
+    prefillQueueMs: 0,
+    fence: 0,
+    holds: [],
+    ...over,
+  }
+  return { name, address: name, leaving: false, report }
+}
+
+function scope (engines: ReportedEngine[]): OrderScope {
+  return { model: 'm', role: EngineRole.Decode, pool: configurationWith(undefined).pool('d')!, engines }
+}
+
+const HOLD = { label: { ownerAddress: 'a', ownerIncarnation: 'i', requestId: 'r', maxHoldMs: 1 }, kind: HoldKind.Decode, kvBytes: 1, tokensDone: 0 }
+
+test('an engine is emptied before it is ordered', (t) => {
+  const busy = planOrders(configurationWith({}), scope([engine('a', { holds: [HOLD] }), engine('b'), engine('c')]))
+  t.deepEqual(busy.retiring, ['a'])
+  t.deepEqual(busy.orders, [])
+  const empty = planOrders(configurationWith({}), scope([engine('a'), engine('b'), engine('c')]))
+  t.deepEqual(empty.orders, [{ engine: 'a', address: 'a', order: { kind: OrderKind.LoadModel, model: 'm', version: '2', fence: fenceOf(5, 0) } }])
+})
+
+test('the declared number of engines stays in service', (t) => {
+  t.deepEqual(planOrders(configurationWith({ maxUnavailable: 3 }), scope([engine('a'), engine('b')])).retiring, [])
+  t.deepEqual(planOrders(configurationWith({ maxUnavailable: 3 }), scope([engine('a'), engine('b'), engine('c')])).retiring, ['a'])
+})
+
+test('an engine that does not answer counts as out of service', (t) => {
+  const silent = { ...engine('a'), report: undefined }
+  t.deepEqual(planOrders(configurationWith({}), scope([silent, engine('b'), engine('c'), engine('d')])).retiring, [])
+})
+
+test('an engine with a wrong role is told its role first', (t) => {
+  const plan = planOrders(configurationWith(undefined), scope([engine('a', { role: EngineRole.Prefill }), engine('b'), engine('c')]))
+  t.deepEqual(plan.orders.map(({ order }) => order.kind), [OrderKind.ChangeRole])
+})
+
+test('fencing numbers rise with the revision and with each accepted order, and are the same for whoever computes them', (t) => {
+  t.true(fenceOf(5, 0) > fenceOf(4, 0))
+  t.is(fenceOf(5, fenceOf(5, 0)), fenceOf(5, 0) + 1)
+  t.is(fenceOf(5, fenceOf(4, 0)), 5 * FENCE_STEPS + 1)
+})
+
+test('the right to order lapses without contact, and a new holder waits for the one before', async (t) => {
+  const shared = new VirtualClock()
+  const clock = new NodeClock(shared)
+  let contactMs = clock.nowMs()
+  const right = new OrderRight({ clock, lifeMs: 1000, lastContactMs: () => contactMs })
+  t.false(right.holds())
+  right.take()
+  contactMs = clock.nowMs()
+  t.false(right.holds(), 'the one before may still hold it')
+  await shared.advance(2000)
+  contactMs = clock.nowMs()
+  t.true(right.holds())
+  await shared.advance(1000)
+  t.false(right.holds())
+  right.giveUp()
+  contactMs = clock.nowMs()
+  t.false(right.holds())
+})
