--- /dev/null
+++ b/__utils__/bench/bin/bench.js
@@ -0,0 +1,3 @@
+import { bench } from '../lib/index.js'
+
+await bench(process.argv.slice(2))
--- a/__utils__/bench/src/demo.ts
+++ b/__utils__/bench/src/demo.ts
@@ -1,12 +1,13 @@
 import { SeededRandom } from '@reelspan/utils.fakes'
 import { request } from 'undici'
-import { drawLoad, TUUL_SHAPE } from './loadShape.js'
+import { drawLoad, readShape } from './loadShape.js'
 import { ProcessFleet } from './processFleet.js'
 import { readEngineStats } from './readEngineStats.js'
 import { runLoad } from './runLoad.js'
 import { summarize } from './summarize.js'
 
-const TARGETS = { ttftMs: 390, tbtMs: 76 }
+const SHAPE = readShape('tuul')
+const TARGETS = { ttftMs: SHAPE.ttftTargetMs, tbtMs: SHAPE.tbtTargetMs }
 const REQUESTS_PER_SECOND = 15
 const DURATION_MS = 8000
 const BOOKINGS = 20
@@ -17,10 +18,10 @@
   const fleet = await ProcessFleet.start()
   try {
     const addresses = fleet.boxes.map(({ callerAddress }) => callerAddress)
-    const requests = drawLoad(new SeededRandom(1), TUUL_SHAPE, { requestsPerSecond: REQUESTS_PER_SECOND, durationMs: DURATION_MS, name: 'demo' })
+    const requests = drawLoad(new SeededRandom(1), SHAPE, { requestsPerSecond: REQUESTS_PER_SECOND, durationMs: DURATION_MS, name: 'demo' })
     console.log(`Sending ${requests.length} completions in ${DURATION_MS / 1000} s and ${BOOKINGS} bookings that may not be repeated …`)
     const [outcomes, bookings] = await Promise.all([
-      runLoad(requests, { addresses, model: TUUL_SHAPE.model }),
+      runLoad(requests, { addresses, model: SHAPE.model }),
       Promise.all(Array.from({ length: BOOKINGS }, (_, i) => book(addresses, i))),
     ])
     const engines = await readEngineStats(fleet)
--- a/__utils__/bench/src/fleetProcess.ts
+++ b/__utils__/bench/src/fleetProcess.ts
@@ -6,6 +6,7 @@
   readonly name: string
   readonly #child: ChildProcess
   readonly #output: string[] = []
+  #frozen = false
 
   constructor (name: string, script: string, args: readonly string[]) {
     this.name = name
@@ -40,7 +41,14 @@
     await done
   }
 
+  /** Stopped by SIGSTOP and not continued yet. */
+  get frozen (): boolean {
+    return this.#frozen
+  }
+
   signal (signal: NodeJS.Signals): void {
+    if (signal === 'SIGSTOP') this.#frozen = true
+    if (signal === 'SIGCONT') this.#frozen = false
     this.#child.kill(signal)
   }
 
--- a/__utils__/bench/src/index.ts
+++ b/__utils__/bench/src/index.ts
@@ -1,4 +1,6 @@
+export { bench } from './bench.js'
 export { demo } from './demo.js'
+export { drawLoad, readShape } from './loadShape.js'
 export { ProcessFleet } from './processFleet.js'
 export type { FleetOptions } from './processFleet.js'
 export { runLoad } from './runLoad.js'
--- a/__utils__/bench/src/loadShape.ts
+++ b/__utils__/bench/src/loadShape.ts
@@ -1,21 +1,38 @@
+import { readFileSync } from 'node:fs'
+import { join } from 'node:path'
 import { type Random } from '@reelspan/core.env'
 import { promptFor } from '@reelspan/utils.fakes'
+import { parse } from 'smol-toml'
+import { z } from 'zod'
 
-/** What requests look like. Lengths are in tokens. */
-export interface LoadShape {
-  model: string
+const count = z.number().int().positive()
+
+const shapeSchema = z.strictObject({
+  model: z.string(),
+  ttftTargetMs: z.number().positive(),
+  tbtTargetMs: z.number().positive(),
+  /** Requests a second that count as load 1. */
+  baseRequestsPerSecond: z.number().positive(),
   /** Shared prefixes, and how unevenly they are asked for: 0 is evenly. */
-  sharedPrefixes: number
-  sharedTokens: number
-  popularitySkew: number
+  sharedPrefixes: count,
+  sharedTokens: count,
+  popularitySkew: z.number().nonnegative(),
   /** What each request adds to the shared part. */
-  ownTokensMin: number
-  ownTokensMax: number
-  answerTokensMin: number
-  answerTokensMax: number
-  /** Allowed tokens, as a multiple of what is generated at most. */
-  maxTokens: number
-  clients: number
+  ownTokensMin: count,
+  ownTokensMax: count,
+  answerTokensMin: count,
+  answerTokensMax: count,
+  /** Tokens that each request allows. */
+  maxTokens: count,
+  clients: count,
+})
+
+/** What requests look like. Lengths are in tokens. */
+export type LoadShape = z.infer<typeof shapeSchema>
+
+/** Reads one of the shapes in `shapes/`: `tuul` or `magnolia`. */
+export function readShape (name: string): LoadShape {
+  return shapeSchema.parse(parse(readFileSync(join(import.meta.dirname, '..', 'shapes', `${name}.toml`), 'utf8')))
 }
 
 export interface LoadRequest {
@@ -24,38 +41,13 @@
   prompt: string
   maxTokens: number
   client: string
+  /** Tokens that it shares with others. */
+  sharedTokens: number
+  answerTokens: number
 }
 
 const CHARS_PER_TOKEN = 4
 
-/** Tuul's drafts: house guidance and campaign briefs are shared, answers are short. */
-export const TUUL_SHAPE: LoadShape = {
-  model: 'draft',
-  sharedPrefixes: 60,
-  sharedTokens: 1200,
-  popularitySkew: 0.8,
-  ownTokensMin: 80,
-  ownTokensMax: 400,
-  answerTokensMin: 10,
-  answerTokensMax: 60,
-  maxTokens: 64,
-  clients: 12,
-}
-
-/** Magnolia's trip summaries: long packets, each asked about a few times. */
-export const MAGNOLIA_SHAPE: LoadShape = {
-  model: 'draft',
-  sharedPrefixes: 400,
-  sharedTokens: 1600,
-  popularitySkew: 0.3,
-  ownTokensMin: 50,
-  ownTokensMax: 300,
-  answerTokensMin: 30,
-  answerTokensMax: 120,
-  maxTokens: 128,
-  clients: 6,
-}
-
 /** Requests with exponential times between arrivals, the same for the same seed. */
 export function drawLoad (random: Random, shape: LoadShape, opts: { requestsPerSecond: number, durationMs: number, name: string }): LoadRequest[] {
   const weights = Array.from({ length: shape.sharedPrefixes }, (_, i) => (i + 1) ** -shape.popularitySkew)
@@ -65,12 +57,15 @@
     const id = `${opts.name}-${requests.length}`
     const shared = sharedText(pickWeighted(random, weights, total), shape.sharedTokens)
     const own = 'x'.repeat(CHARS_PER_TOKEN * between(random, shape.ownTokensMin, shape.ownTokensMax))
+    const answerTokens = between(random, shape.answerTokensMin, shape.answerTokensMax)
     requests.push({
       atMs,
       id,
-      prompt: promptFor(id, { shared: `${shared}${id} ${own}`, answerTokens: between(random, shape.answerTokensMin, shape.answerTokensMax) }),
+      prompt: promptFor(id, { shared: `${shared}${id} ${own}`, answerTokens }),
       maxTokens: shape.maxTokens,
       client: `client-${random.nextInt(shape.clients)}`,
+      sharedTokens: shape.sharedTokens,
+      answerTokens,
     })
   }
   return requests
--- a/__utils__/bench/src/processFleet.ts
+++ b/__utils__/bench/src/processFleet.ts
@@ -3,9 +3,11 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { type Box } from '@reelspan/box.runtime'
 import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
+import { ResourceKind } from '@reelspan/config.resources'
 import { Collection } from '@reelspan/core.messages'
-import { type EngineModelOptions, tuulDeclarations, tuulFleet } from '@reelspan/utils.fakes'
+import { type EngineModelOptions, type PublishedEntry, tuulDeclarations, tuulFleet } from '@reelspan/utils.fakes'
 import { EngineRole } from '@reelspan/upstream.client'
 import { type StandInMessage } from '@reelspan/utils.stand-ins'
 import { stringify } from 'smol-toml'
@@ -23,6 +25,8 @@
   engine?: Partial<EngineModelOptions>
   declarations?: ReturnType<typeof tuulDeclarations>
   deployment?: ReturnType<typeof tuulFleet>
+  /** Latency targets of the completions' route. */
+  routeTargets?: { ttftTargetMs: number, tbtTargetMs: number }
 }
 
 export interface FleetBox {
@@ -63,6 +67,22 @@
     return this.boxes.find((box) => box.name === name) as FleetBox
   }
 
+  /** The box's dump of its state. */
+  async readState ({ operatorAddress }: FleetBox): Promise<ReturnType<Box['describe']>> {
+    const response = await request(`http://${operatorAddress}/debug/state`)
+    return await response.body.json() as ReturnType<Box['describe']>
+  }
+
+  /** Every process of an availability zone. */
+  inZone (availabilityZone: string): FleetProcess[] {
+    const { boxes, upstreams } = this.#opts.deployment ?? tuulFleet()
+    const isHere = (place: { availabilityZone: string }) => place.availabilityZone === availabilityZone
+    return [
+      ...boxes.filter(isHere).map(({ name }) => this.box(name).process),
+      ...upstreams.filter(isHere).flatMap(({ name }) => this.upstreams.get(name)?.process ?? []),
+    ]
+  }
+
   async tellPlatform (message: StandInMessage): Promise<void> {
     await this.#platform.process.tell(message)
   }
@@ -88,7 +108,7 @@
     }))
     const ports = await freePorts(3 * boxes.length)
     const placed = boxes.map((box, i) => ({ ...box, addresses: ports.slice(3 * i, 3 * i + 3).map((port) => `127.0.0.1:${port}`) }))
-    await this.tellPlatform({ type: 'publish', collection: Collection.Declarations, entries: this.#opts.declarations ?? tuulDeclarations() })
+    await this.tellPlatform({ type: 'publish', collection: Collection.Declarations, entries: this.#declarations() })
     await this.tellPlatform({
       type: 'publish',
       collection: Collection.Fleet,
@@ -100,6 +120,13 @@
     await Promise.all(placed.map((box) => this.#startBox(box)))
   }
 
+  #declarations (): PublishedEntry[] {
+    const { declarations = tuulDeclarations(), routeTargets } = this.#opts
+    if (!routeTargets) return declarations
+    const { ttftTargetMs, tbtTargetMs } = routeTargets
+    return [...declarations, { kind: ResourceKind.Route, name: 'drafts', spec: { model: 'draft', ttftTargetMs, tbtTargetMs } }]
+  }
+
   async #startUpstream (name: string, kind: UpstreamKind, pool: string) {
     if (kind === UpstreamKind.Service) return startStandIn(name, 'service', { name })
     const role = pool.includes('prefill') ? EngineRole.Prefill : EngineRole.Decode
--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { type Box, createBox } from '@reelspan/box.runtime'
 import { type Settings, settingsSchema } from '@reelspan/config.settings'
 import { Verdict } from '@reelspan/core.error'
@@ -116,6 +117,7 @@
       metrics,
     })
     const running: FakeBox = { name, address, availabilityZone, clock, box, log, metrics, alive: true, killed: new AbortController() }
+    setMaxListeners(0, running.killed.signal)
     this.boxes.push(running)
     await box.start()
     return running
--- a/__utils__/fakes/src/deployments.ts
+++ b/__utils__/fakes/src/deployments.ts
@@ -22,7 +22,7 @@
 const TUUL_SERVICES = 3
 const TUUL_BOXES = 8
 const KV_BYTES_PER_ENGINE = 4_000_000_000
-const LINK_BYTES_PER_SECOND = 2_500_000_000
+const LINK_BYTES_PER_SECOND = 5_000_000_000
 
 /** What Tuul declares: one model in two pools, and a desk service whose bookings may not be repeated. */
 export function tuulDeclarations (): PublishedEntry[] {
@@ -38,7 +38,7 @@
         prefillPool: 'draft-prefill',
         decodePool: 'draft-decode',
         kvBytesPerToken: 100_000,
-        prefillTokensPerSecond: 6000,
+        prefillTokensPerSecond: 8000,
         decodeStepBaseMs: 25,
         decodeStepPerRequestMs: 2,
       },
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -153,16 +153,19 @@
   const index = createPrefixIndex(prefixIndex)
   if (strategy !== 'scheduler') {
     const reports = new PolledReports({ clock, engines, periodMs: reportPeriodMs, listed: () => parts.keepers.shards().flatMap((shard) => [...shard.prefillEngines, ...shard.decodeEngines]) })
-    return new OwnerAlonePlacer({ clock, picker: createEnginePicker(strategy, random), reports, index, shardsOfModel, admission, countOwn, placesPercent: 100 })
+    const decodePicker = createEnginePicker(strategy === PickerKind.PrefixHash ? PickerKind.LeastLoad : strategy, random)
+    const ownWeight = () => countOwn ? view.takingWork().length : 0
+    return new OwnerAlonePlacer({ clock, picker: createEnginePicker(strategy, random), decodePicker, reports, index, shardsOfModel, admission, ownWeight, placesPercent: 100 })
   }
   const fallback = new OwnerAlonePlacer({
     clock,
     picker: createEnginePicker(PickerKind.TwoChoices, random),
+    decodePicker: createEnginePicker(PickerKind.TwoChoices, random),
     reports: new FreshReports({ clock, random, engines, timeoutMs: reportPeriodMs / 2, sampleSize: FALLBACK_SAMPLE }),
     index,
     shardsOfModel,
     admission: true,
-    countOwn: true,
+    ownWeight: () => 1,
     placesPercent: fallbackPlacesPercent,
   })
   return new SchedulerPlacer({
--- a/scheduling/owner-alone/src/ownerAlonePlacer.ts
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -10,18 +10,24 @@
 export interface OwnerAloneOptions {
   clock: Clock
   picker: EnginePicker
+  /** For decode engines, where a prefix means nothing. */
+  decodePicker: EnginePicker
   reports: ReportSource
   index: PrefixIndex
   shardsOfModel: (model: string) => readonly Shard[]
   /** Refuse what would be late or finds no place. */
   admission: boolean
-  /** Count this owner's own placements since each report. */
-  countOwn: boolean
+  /**
+   * How much this owner's own placements since each report count: 0 not at all,
+   * the number of owners when each is taken to place as much as this one.
+   */
+  ownWeight: () => number
   /** Part of each decode engine's places that may be used, in percent. */
   placesPercent: number
 }
 
 interface Candidate {
+  name: string
   engine: ListedUpstream
   dated: DatedReport
   /** Believed load: queue for a prefill engine in ms, places used for a decode engine. */
@@ -29,16 +35,33 @@
   version: string
 }
 
+/** The load of an engine by what it reported, what was placed since, and how long ago that was. */
+type LoadEstimate = (report: DatedReport['report'], unseen: number, ageMs: number) => number
+
+/** A queue gets shorter by a millisecond of work each millisecond. */
+const queueLoad: LoadEstimate = ({ prefillQueueMs }, unseen, ageMs) => Math.max(0, prefillQueueMs + unseen - ageMs)
+
+const placesLoad: LoadEstimate = ({ placesUsed }, unseen) => placesUsed + unseen
+
 interface OwnPlacement {
   engine: string
   placedAtMs: number
   load: number
 }
 
+/** What engines report is about this old when it arrives. */
+const REPORT_LAG_MS = 500
 const MS_PER_SECOND = 1000
 const START_WITHIN_MS = 1000
 const REFUSAL_RETRY_AFTER_MS = 500
+/** Prompts are kept together by this many of their first tokens. */
+const AFFINITY_TOKENS = 1024
 const TARGET_MARGIN = 0.95
+/**
+ * Part of the first-token target that an estimate may use up, since reports are
+ * old. Of 0.7, 0.85 and 1, the first gave the most goodput in trials.
+ */
+const ADMISSION_MARGIN = 0.7
 /** Own placements are remembered until reports must have seen them. */
 const OWN_MEMORY_MS = 2000
 
@@ -58,30 +81,37 @@
     const prefillListed = shards.flatMap((shard) => shard.prefillEngines).filter(({ leaving }) => !leaving)
     const decodeListed = shards.flatMap((shard) => shard.decodeEngines).filter(({ leaving }) => !leaving)
     const [prefillReports, decodeReports] = await Promise.all([reports.reports(prefillListed), reports.reports(decodeListed)])
-    const prefill = this.#pickPrefill(request, this.#candidates(prefillListed, prefillReports, request, ({ prefillQueueMs }) => prefillQueueMs))
+    const prefill = this.#pickPrefill(request, this.#candidates(prefillListed, prefillReports, request, queueLoad))
     if (!prefill) return refusal('no prefill engine answers')
-    const decodes = this.#candidates(decodeListed, decodeReports, request, ({ placesUsed }) => placesUsed)
+    const decodes = this.#candidates(decodeListed, decodeReports, request, placesLoad)
       .filter(({ version }) => version === prefill.version)
     if (decodes.length === 0) return refusal('no decode engine answers')
-    const decode = this.#opts.picker.pick(decodes, ({ load }) => load)
+    const decode = this.#opts.decodePicker.pick(decodes, ({ load }) => load, '')
     const shard = shards.find(({ prefillEngines }) => prefillEngines.includes(prefill.engine)) as Shard
     if (admission && !this.#isInTime(request, prefill, shard)) return refusal('the first token would be late')
     if (admission && !this.#hasRoom(request, decode, shard)) return refusal('the decode engine is full')
     return this.#keep(request, prefill, decode, shard)
   }
 
-  #candidates (listed: readonly ListedUpstream[], reports: Map<string, DatedReport>, request: PlaceRequest, reportedLoad: (report: DatedReport['report']) => number): Candidate[] {
+  #candidates (listed: readonly ListedUpstream[], reports: Map<string, DatedReport>, request: PlaceRequest, loadOf: LoadEstimate): Candidate[] {
     return listed.flatMap((engine) => {
       const dated = reports.get(engine.name)
       const version = dated?.report.loaded.find(({ model }) => model === request.model)?.version
       if (!dated || dated.report.changing || version === undefined || request.avoid.includes(engine.name)) return []
-      return [{ engine, dated, version, load: reportedLoad(dated.report) + this.#ownLoad(engine.name, dated.atMs) }]
+      const ageMs = this.#opts.clock.nowMs() - dated.atMs + REPORT_LAG_MS
+      const load = loadOf(dated.report, this.#unseenLoad(engine.name, listed, dated.atMs), ageMs)
+      return [{ name: engine.name, engine, dated, version, load }]
     })
   }
 
-  #ownLoad (engine: string, sinceMs: number): number {
-    if (!this.#opts.countOwn) return 0
-    return this.#own.filter((own) => own.engine === engine && own.placedAtMs > sinceMs).reduce((sum, { load }) => sum + load, 0)
+  /** What was placed since a report: by this owner, exactly; by each other one as much as by this one, spread evenly. */
+  #unseenLoad (engine: string, listed: readonly ListedUpstream[], reportAtMs: number): number {
+    const owners = this.#opts.ownWeight()
+    if (owners === 0) return 0
+    const names = new Set(listed.map(({ name }) => name))
+    const recent = this.#own.filter((own) => names.has(own.engine) && own.placedAtMs > reportAtMs - REPORT_LAG_MS)
+    const sumOf = (placements: readonly OwnPlacement[]) => placements.reduce((sum, { load }) => sum + load, 0)
+    return sumOf(recent.filter((own) => own.engine === engine)) + (owners - 1) * sumOf(recent) / listed.length
   }
 
   /** Prefers an engine that has a prefix of the prompt, unless another would be done sooner. */
@@ -89,7 +119,7 @@
     if (candidates.length === 0) return undefined
     const shard = this.#opts.shardsOfModel(request.model)[0]
     const cached = candidates.filter(({ engine }) => this.#cachedTokens(request, engine) > 0)
-    const picked = this.#opts.picker.pick(candidates, ({ load }) => load)
+    const picked = this.#opts.picker.pick(candidates, ({ load }) => load, affinityOf(request))
     const finishMs = (candidate: Candidate) => candidate.load + this.#prefillMs(request, candidate.engine, shard)
     return [picked, ...cached].reduce((best, candidate) => finishMs(candidate) < finishMs(best) ? candidate : best)
   }
@@ -104,7 +134,7 @@
 
   #isInTime (request: PlaceRequest, prefill: Candidate, shard: Shard): boolean {
     const transferMs = request.promptTokens * shard.spec.kvBytesPerToken * MS_PER_SECOND / shard.prefillPool.linkBytesPerSecond
-    return prefill.load + this.#prefillMs(request, prefill.engine, shard) + transferMs + shard.spec.decodeStepBaseMs <= request.ttftLeftMs
+    return prefill.load + this.#prefillMs(request, prefill.engine, shard) + transferMs + shard.spec.decodeStepBaseMs <= ADMISSION_MARGIN * request.ttftLeftMs
   }
 
   #hasRoom (request: PlaceRequest, decode: Candidate, shard: Shard): boolean {
@@ -139,6 +169,11 @@
   }
 }
 
+/** Names the beginning that a request shares with others. */
+function affinityOf ({ prefixes, label }: PlaceRequest): string {
+  return prefixes.findLast(({ tokens }) => tokens <= AFFINITY_TOKENS)?.digest ?? label.requestId
+}
+
 function refusal (reason: string): PlacementRefusal {
   return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: REFUSAL_RETRY_AFTER_MS }
 }
