feat(scheduling.scheduler): learn from ends of prefills, first tokens and times between tokens

The scheduler took an engine for free when its estimate said so; errors of the estimates added up until the next report.

Ruled out: the boxes' processor time (a profile shows them idle 75% of it).

Change: owners tell of the end of each prefill; the account follows the queue from end to end and learns the engine's real speed; the margin before the first-token target follows the errors; aborts carry a reason, since each default one costs a stack trace (143 ms of 2.5 s in the profile).

Failed try: lowering the places of a decode engine by the 95th percentile of the times between tokens. It follows the median now.

--- a/__utils__/bench/src/bench.ts
+++ b/__utils__/bench/src/bench.ts
@@ -11,6 +11,7 @@
 import { runLoad } from './runLoad.js'
 import { type LoadSummary, summarize } from './summarize.js'
 import { printTable } from './printTable.js'
+import { runVirtualLoad } from './runVirtualLoad.js'
 import { upperBound } from './upperBound.js'
 
 /** One run of the bench. */
@@ -31,6 +32,12 @@
   usage: Usage
 }
 
+interface RunOptions {
+  seed: number
+  seconds: number
+  maxReturns: number
+}
+
 const WARM_UP_MS = 6000
 const FAULT_AFTER_MS = 2000
 const SAMPLE_MS = 500
@@ -54,6 +61,7 @@
   conditions: { type: 'string', default: Condition.Calm },
   admission: { type: 'string', default: 'true' },
   returns: { type: 'string', default: '0' },
+  virtual: { type: 'boolean', default: false },
 } as const
 
 /** Runs real boxes against engine stand-ins under load, strategy after strategy, on the same arrivals. */
@@ -64,7 +72,8 @@
   console.log(`shape ${values.shape}, seed ${values.seed}, ${seconds} s measured after ${WARM_UP_MS / 1000} s, load 1 is ${shape.baseRequestsPerSecond} requests a second`)
   const results: CellResult[] = []
   for (const cell of cellsOf(values)) {
-    const result = await runCell(cell, shape, Number(values.seed), seconds, Number(values.returns))
+    const run = values.virtual ? runVirtualCell : runCell
+    const result = await run(cell, shape, { seed: Number(values.seed), seconds, maxReturns: Number(values.returns) })
     results.push(result)
     printTable(results.length === 1, rowOf(result))
   }
@@ -85,7 +94,7 @@
           }))))))
 }
 
-async function runCell (cell: Cell, shape: LoadShape, seed: number, seconds: number, maxReturns: number): Promise<CellResult> {
+async function runCell (cell: Cell, shape: LoadShape, { seed, seconds, maxReturns }: RunOptions): Promise<CellResult> {
   const { strategy, index, admission, load, condition } = cell
   const fleet = await ProcessFleet.start({
     settings: { scheduling: { strategy, prefixIndex: index, admission, countOwn: admission }, log: { level: 'warn' } },
@@ -113,6 +122,29 @@
   }
 }
 
+async function runVirtualCell (cell: Cell, shape: LoadShape, { seed, seconds, maxReturns }: RunOptions): Promise<CellResult> {
+  const { requests, outcomes, engines, kvShare } = await runVirtualLoad({
+    ...cell,
+    shape,
+    seed,
+    maxReturns,
+    requestsPerSecond: shape.baseRequestsPerSecond * cell.load,
+    durationMs: WARM_UP_MS + seconds * 1000,
+    warmUpMs: WARM_UP_MS,
+    faultAfterMs: FAULT_AFTER_MS,
+    floodShare: 0,
+  })
+  return {
+    ...cell,
+    engines,
+    kvShare,
+    seconds,
+    usage: { cpuPercentMean: 0, cpuPercentMax: 0, peerBytesPerSecondMean: 0 },
+    summary: summarize(outcomes, { ttftMs: shape.ttftTargetMs, tbtMs: shape.tbtTargetMs }),
+    bound: upperBound(requests, seconds * 1000, CAPACITY),
+  }
+}
+
 /** Reads counters over the measured part of a run. */
 async function measure (fleet: ProcessFleet, seconds: number): Promise<Pick<CellResult, 'engines' | 'kvShare' | 'usage'>> {
   await sleep(WARM_UP_MS)
@@ -157,4 +189,3 @@
     'peer KB/s': (usage.peerBytesPerSecondMean / 1000).toFixed(1),
   }
 }
-
--- a/__utils__/bench/src/condition.ts
+++ b/__utils__/bench/src/condition.ts
@@ -41,4 +41,3 @@
   const states = await Promise.all(fleet.boxes.map(async (box) => ({ box, state: await fleet.readState(box) })))
   return states.find(({ state }) => state.shards.length > 0)?.box
 }
-
--- a/__utils__/bench/src/summarize.ts
+++ b/__utils__/bench/src/summarize.ts
@@ -1,4 +1,5 @@
 import { Verdict } from '@reelspan/core.error'
+import { percentile } from '@reelspan/request.owner'
 import { type LoadOutcome } from './runLoad.js'
 
 export interface Targets {
@@ -47,9 +48,3 @@
 export function isGood ({ verdict, whole, ttftMs, tbtMs }: LoadOutcome, targets: Targets): boolean {
   return verdict === Verdict.Finished && whole && ttftMs !== undefined && ttftMs <= targets.ttftMs && percentile(tbtMs, 95) <= targets.tbtMs
 }
-
-/** 0 for no values. */
-export function percentile (values: readonly number[], percent: number): number {
-  const sorted = [...values].sort((a, b) => a - b)
-  return sorted.at(Math.min(sorted.length - 1, Math.floor(sorted.length * percent / 100))) ?? 0
-}
--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -143,6 +143,15 @@
     this.#addEngine(name, role, this.address(name))
   }
 
+  /** Nothing passes between an availability zone and the rest. */
+  cutOffZone (availabilityZone: string): void {
+    const { boxes, upstreams } = this.#deployment
+    const places = [...boxes, ...upstreams]
+    const inside = places.filter((place) => place.availabilityZone === availabilityZone)
+    const outside = places.filter((place) => place.availabilityZone !== availabilityZone)
+    inside.forEach((a) => outside.forEach((b) => this.network.cutBoth(this.address(a.name), this.address(b.name))))
+  }
+
   /** Engines that run or have run: their logs of runs outlive them. */
   allEngines (): EngineModel[] {
     return [...this.#pastEngines, ...this.engines.values()]
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -39,7 +39,10 @@
       case MessageType.Reserve:
         return this.#reserve(message)
       case MessageType.ReleaseReservation:
-        keepers.existing(message.shardId)?.release(message.label, message.completionTokens)
+        keepers.existing(message.shardId)?.release(message.label, message.report)
+        return DONE
+      case MessageType.PrefillDone:
+        keepers.existing(message.shardId)?.prefilled(message.label)
         return DONE
       case MessageType.AdoptReservations:
         keepers.scheduler(message.shardId)?.adopt(message.reservations)
--- a/core/env/src/asyncQueue.ts
+++ b/core/env/src/asyncQueue.ts
@@ -3,15 +3,18 @@
   readonly #items: T[] = []
   #wake?: () => void
   #ended = false
+  #received = 0
   #failure?: unknown
 
-  get length (): number {
-    return this.#items.length
+  /** Items pushed so far. */
+  get received (): number {
+    return this.#received
   }
 
   push (item: T): void {
     if (this.#ended) return
     this.#items.push(item)
+    this.#received++
     this.#notify()
   }
 
--- a/core/env/src/raceTimeout.ts
+++ b/core/env/src/raceTimeout.ts
@@ -1,4 +1,5 @@
 import { type Clock } from './clock.js'
+import { STOPPED } from './stopped.js'
 
 /** Returned by `raceTimeout` when the time ran out first. */
 export const TimedOut: unique symbol = Symbol('timed out')
@@ -9,7 +10,7 @@
   try {
     return await Promise.race([work, timeOut(clock, timeoutMs, stop.signal)])
   } finally {
-    stop.abort()
+    stop.abort(STOPPED)
   }
 }
 
--- a/core/env/src/taskGroup.ts
+++ b/core/env/src/taskGroup.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events'
 import { type Clock } from './clock.js'
+import { STOPPED } from './stopped.js'
 
 export interface RepeatOptions {
   periodMs: number
@@ -44,7 +45,7 @@
   }
 
   async stop (): Promise<void> {
-    this.#stop.abort()
+    this.#stop.abort(STOPPED)
     await Promise.all(this.#tasks)
   }
 }
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -3,7 +3,7 @@
 import { answerEventSchema } from './answer.js'
 import { holdLabelSchema } from './holdLabel.js'
 import { memberSchema } from './member.js'
-import { placementAnswerSchema, placementPlanSchema, reserveRequestSchema } from './placement.js'
+import { placementAnswerSchema, placementPlanSchema, placementReportSchema, reserveRequestSchema } from './placement.js'
 import { requestSchema } from './request.js'
 
 /**
@@ -33,6 +33,7 @@
   Reserve = 'reserve',
   ReserveAnswer = 'reserveAnswer',
   ReleaseReservation = 'releaseReservation',
+  PrefillDone = 'prefillDone',
   AdoptReservations = 'adoptReservations',
   Vouch = 'vouch',
   Vouched = 'vouched',
@@ -92,9 +93,10 @@
   message(MessageType.ReleaseReservation, {
     shardId: z.string(),
     label: holdLabelSchema,
-    /** Tokens that were generated, to learn usual lengths from. Absent when the request did not finish. */
-    completionTokens: z.number().int().optional(),
+    /** Absent when the request did not finish. */
+    report: placementReportSchema.optional(),
   }),
+  message(MessageType.PrefillDone, { shardId: z.string(), label: holdLabelSchema }),
   message(MessageType.AdoptReservations, {
     shardId: z.string(),
     reservations: z.array(z.object({
--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -48,6 +48,16 @@
 
 export const placementAnswerSchema = z.discriminatedUnion('outcome', [placementPlanSchema, placementRefusalSchema])
 
+/** How a placed request that finished went, to learn from. */
+export const placementReportSchema = z.object({
+  completionTokens: z.number().int().nonnegative(),
+  /** First token after the plan was made, less what the plan expected. */
+  ttftErrorMs: z.number(),
+  /** Median time between tokens. */
+  tbtP50Ms: z.number().nonnegative(),
+})
+
+export type PlacementReport = z.infer<typeof placementReportSchema>
 export type ReserveRequest = z.infer<typeof reserveRequestSchema>
 export type PlacementPlan = z.infer<typeof placementPlanSchema>
 export type PlacementRefusal = z.infer<typeof placementRefusalSchema>
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server } from 'node:http'
 import { type Box } from '@reelspan/box.runtime'
-import { type Clock } from '@reelspan/core.env'
+import { type Clock, STOPPED } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError } from '@reelspan/core.error'
 import { type AnswerEvent, AnswerEventKind, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
 import Koa, { type Context } from 'koa'
@@ -123,7 +123,7 @@
 /** Aborted when the caller's connection closes before its answer is complete. */
 function callerGone (ctx: Context): AbortSignal {
   const gone = new AbortController()
-  ctx.res.on('close', () => gone.abort())
+  ctx.res.on('close', () => gone.abort(STOPPED))
   return gone.signal
 }
 
--- a/net/http-front/src/cutSlowCaller.ts
+++ b/net/http-front/src/cutSlowCaller.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@reelspan/core.env'
+import { type Clock, STOPPED } from '@reelspan/core.env'
 import { type Context } from 'koa'
 
 /** Passes parts on, and cuts the caller off when it takes nothing for too long. */
@@ -9,7 +9,7 @@
     try {
       yield part
     } finally {
-      taken.abort()
+      taken.abort(STOPPED)
     }
   }
 }
--- a/net/peer-link/src/outgoingConnection.ts
+++ b/net/peer-link/src/outgoingConnection.ts
@@ -1,4 +1,4 @@
-import { AsyncQueue, type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
+import { AsyncQueue, type Clock, raceTimeout, STOPPED, TimedOut } from '@reelspan/core.env'
 import { type PeerCallOptions, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
 import { WebSocket } from 'ws'
 import { decodeFrame, encodeFrame, FrameKind } from './frame.js'
@@ -54,24 +54,20 @@
     }
     const id = this.#nextId++
     const answers = new AsyncQueue<PeerMessage>()
-    const abort = () => answers.fail(new PeerLinkError('the exchange was given up', { mayHaveArrived: true }))
+    const fail = (reason: string) => answers.fail(new PeerLinkError(reason, { mayHaveArrived: true }))
+    const abort = () => fail('the exchange was given up')
+    const over = new AbortController()
     this.#exchanges.set(id, answers)
     opts.signal?.addEventListener('abort', abort, { once: true })
     let ended = false
     try {
       if (opts.signal?.aborted) abort()
       this.#send(id, isStream ? FrameKind.Stream : FrameKind.Call, message)
-      const parts = answers[Symbol.asyncIterator]()
-      while (true) {
-        const part = await raceTimeout(clock, parts.next(), opts.timeoutMs)
-        if (part === TimedOut) throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
-        if (part.done) {
-          ended = true
-          return
-        }
-        yield part.value
-      }
+      void failWhenSilent(clock, answers, { timeoutMs: opts.timeoutMs, over: over.signal, fail: () => fail(`${address} did not answer in time`) })
+      yield * answers
+      ended = true
     } finally {
+      over.abort(STOPPED)
       opts.signal?.removeEventListener('abort', abort)
       this.#exchanges.delete(id)
       if (!ended && isStream) this.#send(id, FrameKind.Abort)
@@ -117,3 +113,18 @@
     }
   }
 }
+
+interface SilenceOptions {
+  timeoutMs: number
+  over: AbortSignal
+  fail: () => void
+}
+
+/** Fails an exchange that nothing came in on for too long. One timer an exchange, however many parts it has. */
+async function failWhenSilent (clock: Clock, answers: AsyncQueue<PeerMessage>, { timeoutMs, over, fail }: SilenceOptions): Promise<void> {
+  for (let seen = -1; !over.aborted && seen !== answers.received;) {
+    seen = answers.received
+    await clock.sleep(timeoutMs, { signal: over })
+  }
+  if (!over.aborted) fail()
+}
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -2,9 +2,10 @@
 import { type Clock } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { hash32, prefixDigests, tokensOfText } from '@reelspan/core.hashing'
-import { AnswerEventKind, type CompletionRequest, type HoldLabel, type PlacementPlan, type PlacementRefusal, sameHolder } from '@reelspan/core.messages'
+import { AnswerEventKind, type CompletionRequest, type HoldLabel, type PlacementPlan, type PlacementRefusal, type PlacementReport, sameHolder } from '@reelspan/core.messages'
 import { type Placement, type Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type EngineClient, type PrefillResult, UpstreamError } from '@reelspan/upstream.client'
+import { percentile } from './percentile.js'
 import { type RequestTimings } from './requestTimings.js'
 import { type RunContext } from './runContext.js'
 
@@ -31,6 +32,7 @@
   readonly #failedEngines = new Set<string>()
   /** What was generated, in the order in which the caller gets it. */
   readonly #generated: string[] = []
+  #firstTokenAtMs?: number
   #lastTokenAtMs?: number
 
   constructor (opts: CompletionRunOptions, run: RunContext, request: CompletionRequest, timings: RequestTimings) {
@@ -120,14 +122,20 @@
       await this.#prefillAndDecode(label, placement)
       settled = true
     } finally {
-      placement.release(settled ? this.#generated.length : undefined)
+      placement.release(settled ? this.#report(plan, placedAtMs) : undefined)
       if (!settled) this.#releaseEngines(label, plan)
     }
   }
 
+  #report (plan: PlacementPlan, placedAtMs: number): PlacementReport {
+    const ttftErrorMs = (this.#firstTokenAtMs ?? placedAtMs) - placedAtMs - plan.expectedTtftMs
+    return { completionTokens: this.#generated.length, ttftErrorMs, tbtP50Ms: percentile(this.#timings.tbtMs, 50) }
+  }
+
   async #prefillAndDecode (label: HoldLabel, placement: Placement): Promise<void> {
     const { plan } = placement
     const prefilled = await this.#prefill(label, plan)
+    placement.prefilled()
     const tokensBefore = this.#generated.length
     try {
       await this.#decode(label, placement)
@@ -196,6 +204,7 @@
   }
 
   #noteTime (nowMs: number): void {
+    this.#firstTokenAtMs ??= nowMs
     if (this.#lastTokenAtMs === undefined) this.#timings.ttftMs = this.#run.elapsedMs
     else this.#timings.tbtMs.push(nowMs - this.#lastTokenAtMs)
     this.#lastTokenAtMs = nowMs
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { type Configuration } from '@reelspan/config.resources'
 import { type FleetList } from '@reelspan/config.fleet'
-import { type Clock, Notifier, type Random, TaskGroup } from '@reelspan/core.env'
+import { type Clock, Notifier, STOPPED, type Random, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { RequestKind, type RoutedRequest } from '@reelspan/core.messages'
 import { type EngineClient, type ServiceClient } from '@reelspan/upstream.client'
@@ -213,7 +213,7 @@
       const graceOver = new AbortController()
       const rejoined = record.waitRead(AbortSignal.any([signal, graceOver.signal]))
       await Promise.race([rejoined, clock.sleep(rejoinGraceMs, { signal })])
-      graceOver.abort()
+      graceOver.abort(STOPPED)
       if (record.readers === 0) run.end(new ReelspanError(ErrorCode.Cancelled, 'the caller went away'))
     }
   }
--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import { type Clock } from '@reelspan/core.env'
+import { type Clock, STOPPED } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { AnswerEventKind } from '@reelspan/core.messages'
 import { type RequestRecord } from '@reelspan/request.records'
@@ -98,18 +98,18 @@
     if (error instanceof RunEnded) return
     const verdict = this.#mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun
     this.#append(verdict, error)
-    this.#abort.abort()
+    this.#abort.abort(STOPPED)
   }
 
   finish (promptTokens?: number): void {
     this.#append(Verdict.Finished, undefined, promptTokens)
-    this.#abort.abort()
+    this.#abort.abort(STOPPED)
   }
 
   /** Frees what waits on the run. A run without a final answer gets one. */
   close (): void {
     if (!this.record.final) this.end(new ReelspanError(ErrorCode.Internal, 'the run ended without an answer'))
-    this.#abort.abort()
+    this.#abort.abort(STOPPED)
   }
 
   async enforceDeadline (): Promise<void> {
--- a/scheduling/ledger/src/prefillAccount.ts
+++ b/scheduling/ledger/src/prefillAccount.ts
@@ -1,41 +1,82 @@
 import { holdLabelKey } from '@reelspan/core.messages'
 import { type EngineReport, HoldKind } from '@reelspan/upstream.client'
 
-/** Planned work of one prefill engine. Times are on this box's clock. */
+/** Work whose end was not heard of by now, this long after its planned end, is taken to have ended. */
+const UNHEARD_END_MS = 500
+const SMOOTHING = 0.05
+const SLOWEST = 3
+const FASTEST = 0.5
+
+interface PlannedWork {
+  costMs: number
+  plannedAtMs: number
+}
+
+/**
+ * Planned work of one prefill engine, which does one prefill after another.
+ * Times are on this box's clock. Ends are heard of, so that errors of the
+ * estimates do not add up, and the engine's real speed is learnt from them.
+ */
 export class PrefillAccount {
-  readonly #endsAtMs = new Map<string, number>()
+  /** In the order in which the engine does it. */
+  readonly #work = new Map<string, PlannedWork>()
+  #headStartMs = 0
   #externalUntilMs = 0
+  #speedFactor = 1
   /** When the engine's link to the decode pool is free. */
   linkFreeAtMs = 0
 
+  /** Real durations of prefills over estimated ones. */
+  get speedFactor (): number {
+    return this.#speedFactor
+  }
+
   /** When the engine can begin another prefill. */
   freeAtMs (nowMs: number): number {
-    return Math.max(nowMs, this.#externalUntilMs, ...this.#endsAtMs.values())
+    const [head, ...rest] = this.#work.values()
+    const headEndMs = head ? Math.max(nowMs, this.#headStartMs + head.costMs) : nowMs
+    const queuedMs = rest.reduce((sum, { costMs }) => sum + costMs, 0)
+    return Math.max(headEndMs + queuedMs, this.#externalUntilMs)
   }
 
-  plan (labelKey: string, endMs: number): void {
-    this.#endsAtMs.set(labelKey, endMs)
+  plan (labelKey: string, costMs: number, nowMs: number): void {
+    if (this.#work.size === 0) this.#headStartMs = nowMs
+    this.#work.set(labelKey, { costMs, plannedAtMs: nowMs })
   }
 
-  release (labelKey: string): void {
-    this.#endsAtMs.delete(labelKey)
+  /** The owner says that the prefill has ended. */
+  finish (labelKey: string, nowMs: number): void {
+    const [head] = this.#work.keys()
+    const work = this.#work.get(labelKey)
+    if (work && head === labelKey && work.costMs > 0) this.#learnSpeed((nowMs - this.#headStartMs) / work.costMs)
+    this.remove(labelKey, nowMs)
+  }
+
+  remove (labelKey: string, nowMs = this.#headStartMs): void {
+    const [head] = this.#work.keys()
+    this.#work.delete(labelKey)
+    if (head === labelKey) this.#headStartMs = Math.max(this.#headStartMs, nowMs)
   }
 
   /** Corrects the plan by what the engine says it still has before it. */
   noteReport (report: EngineReport, nowMs: number): void {
-    const queued = report.holds.filter(({ kind }) => kind === HoldKind.Prefill).map(({ label }) => holdLabelKey(label))
-    const external = queued.some((key) => !this.#endsAtMs.has(key))
+    const queued = report.holds.filter(({ kind }) => kind === HoldKind.Prefill)
+    const external = queued.some(({ label }) => !this.#work.has(holdLabelKey(label)))
     this.#externalUntilMs = external ? nowMs + report.prefillQueueMs : 0
-    const stillQueued = new Set(queued)
-    this.#endsAtMs.forEach((endMs, key) => {
-      if (endMs < nowMs && stillQueued.has(key)) this.#endsAtMs.set(key, nowMs + report.prefillQueueMs)
-    })
   }
 
-  /** Forgets work that has ended by plan. */
+  /** Forgets work whose end should have been heard of long ago. */
   expire (nowMs: number): void {
-    this.#endsAtMs.forEach((endMs, key) => {
-      if (endMs <= nowMs) this.#endsAtMs.delete(key)
-    })
+    const [head] = this.#work
+    if (!head) return
+    const [key, { costMs }] = head
+    if (this.#headStartMs + costMs + UNHEARD_END_MS > nowMs) return
+    this.remove(key, this.#headStartMs + costMs)
+    this.expire(nowMs)
+  }
+
+  #learnSpeed (factor: number): void {
+    const bounded = Math.min(SLOWEST, Math.max(FASTEST, factor))
+    this.#speedFactor += SMOOTHING * (bounded * this.#speedFactor - this.#speedFactor)
   }
 }
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -8,11 +8,11 @@
 export interface LedgerEntry {
   label: HoldLabel
   client: string
-  maxTokens: number
+  tbtTargetMs: number
   prefillEngine: string
   decodeEngine: string
   kvBytes: number
-  prefillEndMs: number
+  prefillCostMs: number
   importEndMs: number
   latestEndMs: number
   /** The reservation lapses then, whatever became of its owner. */
@@ -81,18 +81,24 @@
     return usable ? report.loaded.find(({ model }) => model === this.#shard.model)?.version : undefined
   }
 
-  reserve (entry: LedgerEntry): void {
+  reserve (entry: LedgerEntry, nowMs: number): void {
     const key = holdLabelKey(entry.label)
     this.release(entry.label)
     this.#entries.set(key, entry)
     const prefill = this.#prefill.get(entry.prefillEngine)
     const decode = this.#decode.get(entry.decodeEngine)
-    prefill?.account.plan(key, entry.prefillEndMs)
+    prefill?.account.plan(key, entry.prefillCostMs, nowMs)
     decode?.account.reserve(key, { kvBytes: entry.kvBytes, latestEndMs: entry.latestEndMs })
     if (prefill) prefill.account.linkFreeAtMs = Math.max(prefill.account.linkFreeAtMs, entry.importEndMs)
     if (decode) decode.account.linkFreeAtMs = Math.max(decode.account.linkFreeAtMs, entry.importEndMs)
   }
 
+  /** A prefill has ended. */
+  prefilled (label: HoldLabel, nowMs: number): void {
+    const entry = this.#entries.get(holdLabelKey(label))
+    if (entry) this.#prefill.get(entry.prefillEngine)?.account.finish(holdLabelKey(label), nowMs)
+  }
+
   has (label: HoldLabel): boolean {
     return this.#entries.has(holdLabelKey(label))
   }
@@ -108,7 +114,7 @@
     const entry = this.#entries.get(key)
     if (!entry) return undefined
     this.#entries.delete(key)
-    this.#prefill.get(entry.prefillEngine)?.account.release(key)
+    this.#prefill.get(entry.prefillEngine)?.account.remove(key)
     this.#decode.get(entry.decodeEngine)?.account.release(key)
     return entry
   }
--- a/scheduling/owner-alone/src/ownerAlonePlacer.ts
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -165,7 +165,7 @@
       startWithinMs: START_WITHIN_MS,
       expectedTtftMs: prefill.load + prefillMs,
     }
-    return { plan, release: () => {}, progressed: () => {} }
+    return { plan, prefilled: () => {}, release: () => {}, progressed: () => {} }
   }
 }
 
--- a/scheduling/placer/src/placer.ts
+++ b/scheduling/placer/src/placer.ts
@@ -1,4 +1,4 @@
-import { type PlacementPlan, type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
+import { type PlacementPlan, type PlacementReport, type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
 
 /** A request to be placed. The placer finds the shard. */
 export type PlaceRequest = Omit<ReserveRequest, 'shardId'> & { model: string }
@@ -10,12 +10,10 @@
 /** A plan and the means to give it back. */
 export interface Placement {
   plan: PlacementPlan
-  /**
-   * Ends the reservation. Called once on every way out.
-   *
-   * @param completionTokens generated tokens of a request that finished
-   */
-  release: (completionTokens?: number) => void
+  /** The prefill has ended: its engine is free for another one. */
+  prefilled: () => void
+  /** Ends the reservation. Called once on every way out, with a report of a request that finished. */
+  release: (report?: PlacementReport) => void
   /** The decode stream runs: `tokensDone` tokens were received so far. */
   progressed: (tokensDone: number) => void
 }
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { rankByRendezvous } from '@reelspan/core.hashing'
-import { type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
+import { type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
 import { type Placement, type PlaceOptions, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type AdoptedReservation, type ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { schedulerOf, type Shard } from '@reelspan/scheduling.shards'
@@ -130,20 +130,27 @@
     this.#live.set(key, live)
     return {
       plan,
-      release: (completionTokens) => {
+      prefilled: () => this.#tellPrefilled(live),
+      release: (report) => {
         this.#live.delete(key)
-        this.#release(live.scheduler, request, completionTokens)
+        this.#release(live.scheduler, request, report)
       },
       progressed: (tokensDone) => { live.tokensDone = tokensDone },
     }
   }
 
+  #tellPrefilled ({ scheduler, request: { shardId, label } }: LivePlacement): void {
+    const { link, localScheduler, selfIncarnation } = this.#opts
+    if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.prefilled(label)
+    link.call(scheduler.peerAddress, { type: MessageType.PrefillDone, shardId, label }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+  }
+
   /** Not waited for: a reservation that is not given back lapses by itself. */
-  #release (scheduler: Member, request: { shardId: string, label: HoldLabel }, completionTokens?: number): void {
+  #release (scheduler: Member, request: { shardId: string, label: HoldLabel }, report?: PlacementReport): void {
     const { link, localScheduler, selfIncarnation } = this.#opts
     const { shardId, label } = request
-    if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.release(label, completionTokens)
-    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, completionTokens }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+    if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.release(label, report)
+    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, report }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
   }
 
   async #sendAdoption (shardId: string, moved: { live: LivePlacement, scheduler: Member }[]): Promise<void> {
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -28,6 +28,8 @@
 const TARGET_MARGIN = 0.95
 /** Steps may take this much longer than declared before a place is counted as free too early. */
 const STEP_SLACK = 1.15
+/** A request joins the batch in the middle of a step, on average, and gets its first token at the end of the next. */
+const STEPS_TO_FIRST_TOKEN = 1.5
 const MS_PER_SECOND = 1000
 
 /** Estimates placements from the ledger and the prefix index. */
@@ -62,7 +64,7 @@
 
   estimatePrefill (request: ReserveRequest, prefill: EngineAccount<PrefillAccount>, nowMs: number): PrefillEstimate {
     const startMs = prefill.account.freeAtMs(nowMs)
-    const costMs = this.prefillCostMs(request, prefill.name, nowMs)
+    const costMs = this.prefillCostMs(request, prefill.name, nowMs) * prefill.account.speedFactor
     return { prefill, startMs, endMs: startMs + costMs, costMs }
   }
 
@@ -98,7 +100,7 @@
       prefillStartMs: part.startMs,
       prefillEndMs: part.endMs,
       importEndMs,
-      firstTokenMs: importEndMs + spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * batch,
+      firstTokenMs: importEndMs + STEPS_TO_FIRST_TOKEN * (spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * batch),
       latestEndMs: importEndMs + request.maxTokens * fullStepMs * STEP_SLACK,
       costMs: part.costMs,
       kvBytes,
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,13 +1,14 @@
 import { type RouteSpec } from '@reelspan/config.resources'
-import { type Clock, TaskGroup } from '@reelspan/core.env'
-import { type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type ReserveRequest } from '@reelspan/core.messages'
-import { ShardLedger } from '@reelspan/scheduling.ledger'
+import { type Clock, STOPPED, TaskGroup } from '@reelspan/core.env'
+import { type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
+import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
 import { ClientShares } from './clientShares.js'
-import { LengthEstimator } from './lengthEstimator.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
+import { PlacesLimit } from './placesLimit.js'
+import { QuantileEstimator } from './quantileEstimator.js'
 import { ReturnCalendar } from './returnCalendar.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
 
@@ -26,8 +27,8 @@
 const HANDOUT_LOOKAHEAD_MS = 25
 /** An owner that gets a plan must start its prefill within this time. */
 const START_WITHIN_MS = 300
-/** Room in the first-token target for the way between owner, engines and caller. */
-const PATH_MS = 10
+/** First guess of how much later than estimated first tokens come. */
+const FIRST_PATH_MS = 10
 /** A reservation outlives its request's deadline by this much. */
 const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
@@ -42,7 +43,8 @@
   readonly #tasks: TaskGroup
   readonly #estimator: PlacementEstimator
   readonly #shares = new ClientShares()
-  readonly #lengths = new LengthEstimator()
+  readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
+  readonly #placesLimit: PlacesLimit
   readonly #calendar = new ReturnCalendar({ share: RETURN_SHARE, minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
   readonly #waiting = new WaitingQueue()
   #wake?: AbortController
@@ -51,6 +53,7 @@
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { reportLifeMs: opts.reportLifeMs })
     this.#estimator = new PlacementEstimator(this.ledger, opts.index)
+    this.#placesLimit = new PlacesLimit(opts.shard.decodePool.placesPerEngine)
     this.#tasks = new TaskGroup(opts.clock)
   }
 
@@ -74,19 +77,30 @@
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal(request, 'too many requests wait'))
     const nowMs = clock.nowMs()
     return new Promise((resolve) => {
-      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs: nowMs + request.ttftLeftMs - PATH_MS, returned: this.#calendar.isDue(request.returnId, nowMs) })
+      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs: nowMs + request.ttftLeftMs - this.#ttftError.valueMs, returned: this.#calendar.isDue(request.returnId, nowMs) })
       this.#pump()
     })
   }
 
   /** The request is over, or its caller has gone. */
-  release (label: HoldLabel, completionTokens?: number): void {
+  release (label: HoldLabel, report?: PlacementReport): void {
     this.#waiting.withdraw(label)
     const entry = this.ledger.release(label)
-    if (entry && completionTokens !== undefined) this.#lengths.learn(entry.client, entry.maxTokens, completionTokens)
+    if (entry && report) this.#learn(entry, report)
     this.#pump()
   }
 
+  /** A prefill has ended, as its owner says. */
+  prefilled (label: HoldLabel): void {
+    this.ledger.prefilled(label, this.#opts.clock.nowMs())
+    this.#pump()
+  }
+
+  #learn (entry: LedgerEntry, report: PlacementReport): void {
+    this.#ttftError.learn(report.ttftErrorMs)
+    this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
+  }
+
   /** Takes in reservations that another scheduler made. */
   adopt (reservations: readonly AdoptedReservation[]): void {
     const nowMs = this.#opts.clock.nowMs()
@@ -99,15 +113,15 @@
         this.ledger.reserve({
           label: request.label,
           client: request.client,
-          maxTokens: request.maxTokens,
+          tbtTargetMs: request.tbtTargetMs,
           prefillEngine: plan.prefillEngine,
           decodeEngine: plan.decodeEngine,
           kvBytes: plan.kvBytes,
-          prefillEndMs,
+          prefillCostMs: decoding ? 0 : Math.max(0, prefillEndMs - nowMs),
           importEndMs: prefillEndMs,
           latestEndMs: prefillEndMs + (request.maxTokens - tokensDone) * stepMs,
           expiresAtMs: nowMs - ageMs + request.deadlineMs + RESERVATION_GRACE_MS,
-        })
+        }, nowMs)
       })
   }
 
@@ -139,6 +153,8 @@
       waiting: this.#waiting.size,
       reservations: this.ledger.reservationCount,
       returnsBooked: this.#calendar.size,
+      ttftErrorMs: Math.round(this.#ttftError.valueMs),
+      placesLimit: this.#placesLimit.places,
       prefixEntries: this.#opts.index.size,
       prefill: this.ledger.prefillEngines().map((engine) => ({
         name: engine.name,
@@ -146,6 +162,7 @@
         leaving: engine.leaving,
         retiring: engine.retiring,
         busyMs: Math.round(engine.account.freeAtMs(nowMs) - nowMs),
+        speedFactor: Number(engine.account.speedFactor.toFixed(2)),
         reportAgeMs: engine.report && Math.round(nowMs - engine.reportAtMs),
       })),
       decode: this.ledger.decodeEngines().map((engine) => ({
@@ -216,7 +233,7 @@
   /** Earliest first token, with work that a cached prefix would save counted as time under pressure. */
   #bestEstimate (waiting: WaitingRequest, engines: ReturnType<ShardScheduler['ledger']['prefillEngines']>, pressure: number, nowMs: number): PlacementEstimate | undefined {
     const { request, lateAtMs } = waiting
-    const usablePlaces = this.#estimator.usablePlaces(request.tbtTargetMs, this.#opts.route())
+    const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, this.#opts.route()))
     const [best] = engines
       .filter(({ name }) => !request.avoid.includes(name))
       .map((engine) => this.#estimator.estimatePrefill(request, engine, nowMs))
@@ -251,15 +268,15 @@
     this.ledger.reserve({
       label: request.label,
       client: request.client,
-      maxTokens: request.maxTokens,
+      tbtTargetMs: request.tbtTargetMs,
       prefillEngine: prefill.name,
       decodeEngine: decode.name,
       kvBytes: estimate.kvBytes,
-      prefillEndMs: estimate.prefillEndMs,
+      prefillCostMs: estimate.costMs,
       importEndMs: estimate.importEndMs,
       latestEndMs: estimate.latestEndMs,
       expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
-    })
+    }, nowMs)
     this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
     const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
     this.#shares.charge(request.client, estimate.costMs, weight)
@@ -280,7 +297,7 @@
   }
 
   #sleepUntilNext (nowMs: number): void {
-    this.#wake?.abort()
+    this.#wake?.abort(STOPPED)
     if (this.#waiting.size === 0 || this.#tasks.stopped) return
     const wake = new AbortController()
     this.#wake = wake
