--- a/__utils__/bench/src/processFleet.ts
+++ b/__utils__/bench/src/processFleet.ts
@@ -23,6 +23,8 @@
   /** Settings of every box, section by section, over the defaults. */
   settings?: Record<string, Record<string, unknown>>
   engine?: Partial<EngineModelOptions>
+  /** How long a call to a plain service takes. */
+  serviceWorkMs?: number
   declarations?: ReturnType<typeof tuulDeclarations>
   deployment?: ReturnType<typeof tuulFleet>
   /** Latency targets of the completions' route. */
@@ -128,7 +130,7 @@
   }
 
   async #startUpstream (name: string, kind: UpstreamKind, pool: string) {
-    if (kind === UpstreamKind.Service) return startStandIn(name, 'service', { name })
+    if (kind === UpstreamKind.Service) return startStandIn(name, 'service', { name, workMs: this.#opts.serviceWorkMs })
     const role = pool.includes('prefill') ? EngineRole.Prefill : EngineRole.Decode
     return startStandIn(name, 'engine', { name, role, loaded: [{ model: 'draft', version: '1' }], reportLagMs: 500, ...this.#opts.engine })
   }
--- a/__utils__/fakes/src/fakeClients.ts
+++ b/__utils__/fakes/src/fakeClients.ts
@@ -34,15 +34,20 @@
   async * stream<R> (address: string, work: (model: T) => AsyncIterable<R>, opts: UpstreamCallOptions): AsyncGenerator<R> {
     const iterator = (await this.call(address, async (model) => work(model)[Symbol.asyncIterator](), opts))
     while (true) {
-      const part = await this.#within(iterator.next(), opts)
-      if (!await this.#opts.network.travel(address, this.#opts.address)) await never()
-      await this.#opts.clock.whileRunning()
+      const part = await this.#within(this.#nextPart(address, iterator), opts)
       if (opts.signal?.aborted) throw givenUp()
       if (part.done) return
       yield part.value
     }
   }
 
+  async #nextPart<R> (address: string, iterator: AsyncIterator<R>): Promise<IteratorResult<R>> {
+    const part = await iterator.next()
+    if (!await this.#opts.network.travel(address, this.#opts.address)) return never()
+    await this.#opts.clock.whileRunning()
+    return part
+  }
+
   async #within<R> (work: Promise<R>, { timeoutMs, signal }: UpstreamCallOptions): Promise<R> {
     const outcome = await raceTimeout(this.#opts.clock, orAborted(work, [signal], givenUp), timeoutMs)
     if (outcome === TimedOut) throw new UpstreamError('silent for too long', { mayHaveRun: true })
--- /dev/null
+++ b/cli/reelspanctl/src/exitCode.ts
@@ -0,0 +1,11 @@
+/** Exit codes of `reelspanctl`. */
+export enum ExitCode {
+  Done = 0,
+  Failed = 1,
+  /** The command line is wrong. */
+  Usage = 2,
+  /** `check` found something, or what was asked for does not exist. */
+  Problems = 3,
+  /** The box could not be reached. */
+  Unreachable = 4,
+}
--- /dev/null
+++ b/cli/reelspanctl/src/index.ts
@@ -0,0 +1,1 @@
+export { main } from './main.js'
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -12,9 +12,12 @@
 import { readCallOptions } from './readCallOptions.js'
 import { setVerdict } from './setVerdict.js'
 
+/** What callers need of a box. */
+export type CallerBox = Pick<Box, 'ready' | 'configuration' | 'lookup' | 'submit' | 'cancel' | 'createKey'>
+
 export interface CallerServerOptions {
   clock: Clock
-  box: Box
+  box: CallerBox
   headerBytes: number
   bodyBytes: number
   slowCallerMs: number
--- a/net/http-front/src/createOperatorServer.ts
+++ b/net/http-front/src/createOperatorServer.ts
@@ -8,9 +8,12 @@
 import { readBody } from './readBody.js'
 import { statusOf } from './statusOf.js'
 
+/** What operators need of a box. */
+export type OperatorBox = Pick<Box, 'configuration' | 'resources' | 'lookup' | 'describe' | 'metricsText'>
+
 export interface OperatorServerOptions {
   clock: Clock
-  box: Box
+  box: OperatorBox
   /** What operators must send as a bearer token, if anything. */
   token?: string
   bodyBytes: number
--- a/net/http-front/src/index.ts
+++ b/net/http-front/src/index.ts
@@ -1,4 +1,4 @@
 export { createCallerServer } from './createCallerServer.js'
-export type { CallerServerOptions } from './createCallerServer.js'
+export type { CallerBox, CallerServerOptions } from './createCallerServer.js'
 export { createOperatorServer } from './createOperatorServer.js'
-export type { OperatorServerOptions } from './createOperatorServer.js'
+export type { OperatorBox, OperatorServerOptions } from './createOperatorServer.js'
--- /dev/null
+++ b/net/http-front/test/callerServer.ts
@@ -0,0 +1,204 @@
+import { connect } from 'node:net'
+import { type AddressInfo } from 'node:net'
+import { checkResources } from '@reelspan/config.resources'
+import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
+import { type AnswerEvent, AnswerEventKind, type RoutedRequest } from '@reelspan/core.messages'
+import { type CallerBox, createCallerServer, createOperatorServer, type OperatorBox } from '@reelspan/net.http-front'
+import { SystemClock } from '@reelspan/net.system-env'
+import { tuulDeclarations } from '@reelspan/utils.fakes'
+import test, { type ExecutionContext } from 'ava'
+
+const TOKENS: AnswerEvent[] = ['a', 'b'].map((text, index) => ({ kind: AnswerEventKind.Token, index, text }))
+const FINISHED: AnswerEvent = { kind: AnswerEventKind.Final, verdict: Verdict.Finished, eventCount: 2, promptTokens: 3 }
+const REFUSED: AnswerEvent = { kind: AnswerEventKind.Final, verdict: Verdict.NotRun, code: ErrorCode.Overloaded, message: 'full', retryAfterMs: 1200, eventCount: 0 }
+
+interface ServerOptions {
+  events?: AnswerEvent[]
+  over?: Partial<CallerBox>
+  slowCallerMs?: number
+  bodyBytes?: number
+  requestReadMs?: number
+}
+
+async function startServer (t: ExecutionContext, { events = [...TOKENS, FINISHED], over, ...limits }: ServerOptions = {}) {
+  const requests: RoutedRequest[] = []
+  const gone: boolean[] = []
+  const { configuration } = checkResources(tuulDeclarations().map((entry) => ({ ...entry, revision: 1 })), 1)
+  const box: CallerBox = {
+    ready: true,
+    configuration,
+    createKey: () => 'made-up-key',
+    lookup: async () => ({ boxes: [], keepMs: 5000, keyPrefix: 'rs1-x' }),
+    cancel: async () => {},
+    submit: async function * (request, signal) {
+      requests.push(request)
+      signal.addEventListener('abort', () => gone.push(true))
+      yield * events
+    },
+    ...over,
+  }
+  const server = createCallerServer({ clock: new SystemClock(), box, headerBytes: 16_384, bodyBytes: 10_000, slowCallerMs: 10_000, requestReadMs: 10_000, connections: 100, ...limits })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => server.closeAllConnections())
+  t.teardown(() => { server.close() })
+  const { port } = server.address() as AddressInfo
+  return { url: `http://127.0.0.1:${port}`, port, requests, gone }
+}
+
+function complete (url: string, body: object, headers: Record<string, string> = {}): Promise<Response> {
+  return fetch(`${url}/v1/completions`, { method: 'POST', body: JSON.stringify(body), headers })
+}
+
+test('a completion is answered in one piece', async (t) => {
+  const { url, requests } = await startServer(t)
+  const response = await complete(url, { model: 'draft', prompt: 'hi', max_tokens: 5 }, { 'reelspan-client': 'bank' })
+  t.is(response.status, 200)
+  t.is(response.headers.get('reelspan-verdict'), Verdict.Finished)
+  t.like(await response.json(), { choices: [{ text: 'ab', finish_reason: 'stop' }], usage: { prompt_tokens: 3, completion_tokens: 2 } })
+  t.like(requests[0], { client: 'bank', route: 'drafts', maxTokens: 5, key: 'made-up-key', ttftTargetMs: 390 })
+})
+
+test('a completion is streamed as server-sent events that end with the verdict', async (t) => {
+  const { url } = await startServer(t)
+  const text = await (await complete(url, { model: 'draft', prompt: 'hi', stream: true })).text()
+  const parts = text.trim().split('\n\n').map((part) => part.replace('data: ', ''))
+  t.is(parts.at(-1), '[DONE]')
+  t.is(JSON.parse(parts[0]).choices[0].text, 'a')
+  t.is(JSON.parse(parts[2]).reelspan.verdict, Verdict.Finished)
+})
+
+test('a refusal says that nothing ran and when to come back', async (t) => {
+  const { url } = await startServer(t, { events: [REFUSED] })
+  for (const stream of [true, false]) {
+    const response = await complete(url, { model: 'draft', prompt: 'hi', stream })
+    t.is(response.status, 429)
+    t.is(response.headers.get('reelspan-verdict'), Verdict.NotRun)
+    t.is(response.headers.get('reelspan-code'), ErrorCode.Overloaded)
+    t.is(response.headers.get('retry-after'), '2')
+    t.is(response.headers.get('reelspan-retry-after-ms'), '1200')
+    t.like(await response.json(), { error: { code: ErrorCode.Overloaded, message: 'full' } })
+  }
+})
+
+test('wrong input is named', async (t) => {
+  const { url, requests } = await startServer(t)
+  const messageOf = async (response: Response) => (await response.json() as { error: { message: string } }).error.message
+  t.regex(await messageOf(await complete(url, { model: 'draft' })), /^prompt: /)
+  t.regex(await messageOf(await complete(url, { model: 'draft', prompt: 'x', max_tokens: 0 })), /^max_tokens: /)
+  t.is(await messageOf(await fetch(`${url}/v1/completions`, { method: 'POST', body: '{' })), 'body: not JSON')
+  t.is(await messageOf(await complete(url, { model: 'nobody', prompt: 'x' })), 'no route answers for model «nobody»')
+  t.is(await messageOf(await complete(url, { model: 'draft', prompt: 'x' }, { 'reelspan-deadline-ms': '5s' })), 'reelspan-deadline-ms: expected a whole number of milliseconds')
+  t.is(await messageOf(await complete(url, { model: 'draft', prompt: 'x' }, { 'reelspan-not-repeatable': 'yes' })), 'reelspan-not-repeatable: expected true or false')
+  t.is((await fetch(`${url}/nowhere`)).status, 404)
+  t.deepEqual(requests, [])
+})
+
+test('a body over the limit is refused', async (t) => {
+  const { url } = await startServer(t)
+  const response = await complete(url, { model: 'draft', prompt: 'x'.repeat(20_000) })
+  t.is(response.status, 413)
+  t.is(response.headers.get('reelspan-verdict'), Verdict.NotRun)
+})
+
+test('headers over the limit are refused', async (t) => {
+  const { url } = await startServer(t)
+  t.is((await fetch(`${url}/v1/lookup`, { headers: { long: 'x'.repeat(20_000) } })).status, 431)
+})
+
+test('a call that may not be repeated gets no key made up for it', async (t) => {
+  const { url, requests } = await startServer(t, { events: [REFUSED] })
+  await fetch(`${url}/desk/bookings`, { method: 'POST' })
+  await fetch(`${url}/desk/other`, { method: 'POST', headers: { 'reelspan-not-repeatable': 'true' } })
+  await fetch(`${url}/desk/other`, { method: 'POST' })
+  t.deepEqual(requests.map(({ key, notRepeatable }) => [key, notRepeatable]), [['none', true], ['none', true], ['made-up-key', false]])
+})
+
+test('a call to a service gets the service\'s own answer', async (t) => {
+  const reply: AnswerEvent = { kind: AnswerEventKind.Response, status: 201, contentType: 'text/plain', body: Buffer.from('booked') }
+  const { url } = await startServer(t, { events: [reply, FINISHED] })
+  const response = await fetch(`${url}/desk/bookings`, { method: 'POST', headers: { 'idempotency-key': '"k"' } })
+  t.is(response.status, 201)
+  t.is(await response.text(), 'booked')
+  t.is(response.headers.get('reelspan-verdict'), Verdict.Finished)
+})
+
+test('an error of a box without configuration tells when to come back', async (t) => {
+  const { url } = await startServer(t, { over: { ready: false } })
+  const response = await fetch(`${url}/v1/lookup`)
+  t.is(response.status, 503)
+  t.is(response.headers.get('retry-after'), '1')
+  t.is((await fetch(`${url}/healthz`)).status, 503)
+})
+
+test('a caller that goes away is noticed', async (t) => {
+  const goneSeen = withResolvers()
+  const { url } = await startServer(t, {
+    over: {
+      submit: async function * (_, signal) {
+        yield TOKENS[0]
+        await new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve()))
+        goneSeen.resolve()
+      },
+    },
+  })
+  const response = await complete(url, { model: 'draft', prompt: 'hi', stream: true })
+  await response.body?.cancel()
+  await t.notThrowsAsync(goneSeen.promise)
+})
+
+test('a caller that does not read its answer is cut off', async (t) => {
+  const cut = withResolvers()
+  const big = 'x'.repeat(100_000)
+  const { port } = await startServer(t, {
+    slowCallerMs: 100,
+    over: {
+      submit: async function * (_, signal) {
+        signal.addEventListener('abort', () => cut.resolve())
+        for (let index = 0; !signal.aborted && index < 10_000; index++) yield { kind: AnswerEventKind.Token, index, text: big }
+      },
+    },
+  })
+  const socket = connect(port, '127.0.0.1')
+  socket.on('error', () => {})
+  const body = JSON.stringify({ model: 'draft', prompt: 'hi', stream: true })
+  socket.write(`POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+  socket.pause()
+  await t.notThrowsAsync(cut.promise)
+  socket.destroy()
+})
+
+test('a caller that sends its request too slowly is cut off', async (t) => {
+  const { port } = await startServer(t, { requestReadMs: 200 })
+  const socket = connect(port, '127.0.0.1')
+  socket.write('POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{')
+  const answer = await new Promise<string>((resolve) => {
+    let text = ''
+    socket.on('data', (chunk) => { text += String(chunk) })
+    socket.on('close', () => resolve(text))
+  })
+  t.regex(answer, /408/)
+})
+
+test('operators off loopback must send the token', async (t) => {
+  const box = { describe: () => ({ self: 'x' }) } as unknown as OperatorBox
+  const server = createOperatorServer({ clock: new SystemClock(), box, token: 'secret', bodyBytes: 1000 })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => { server.close() })
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/debug/state`
+  t.is((await fetch(url)).status, 401)
+  t.is((await fetch(url, { headers: { authorization: 'Bearer wrong' } })).status, 401)
+  t.deepEqual(await (await fetch(url, { headers: { authorization: 'Bearer secret' } })).json(), { self: 'x' })
+})
+
+test('an error that is thrown is answered with its verdict', async (t) => {
+  const { url } = await startServer(t, { over: { lookup: async () => { throw new ReelspanError(ErrorCode.Draining, 'stopping', { retryAfterMs: 10 }) } } })
+  const response = await fetch(`${url}/v1/lookup`)
+  t.is(response.headers.get('reelspan-code'), ErrorCode.Draining)
+  t.is(response.headers.get('reelspan-verdict'), Verdict.NotRun)
+})
+
+function withResolvers () {
+  let resolve: () => void = () => {}
+  const promise = new Promise<void>((_resolve) => { resolve = _resolve })
+  return { promise, resolve }
+}
--- /dev/null
+++ b/net/peer-link/test/wsPeerLink.ts
@@ -0,0 +1,129 @@
+import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
+import { MessageType, type PeerHandler, type PeerMessage } from '@reelspan/core.messages'
+import { WsPeerLink } from '@reelspan/net.peer-link'
+import { SystemClock } from '@reelspan/net.system-env'
+import test, { type ExecutionContext } from 'ava'
+import { createServer, type AddressInfo } from 'node:net'
+import { Packr } from 'msgpackr'
+import { WebSocket } from 'ws'
+
+const DONE: PeerMessage = { type: MessageType.Done }
+const QUESTION: PeerMessage = { type: MessageType.Cancel, key: 'k' }
+const CALL = { timeoutMs: 2000 }
+
+async function freeAddress (): Promise<string> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return `127.0.0.1:${port}`
+}
+
+async function createLink (t: ExecutionContext, handler?: Partial<PeerHandler>) {
+  const address = await freeAddress()
+  const link = new WsPeerLink({ clock: new SystemClock(), listenAddress: address, maxMessageBytes: 10_000, idleCloseMs: 60_000 })
+  link.serve({ onCall: async () => DONE, onStream: async function * () {}, ...handler })
+  await link.listen()
+  t.teardown(() => link.close())
+  return { link, address }
+}
+
+test('a call is answered', async (t) => {
+  const { address } = await createLink(t)
+  const { link } = await createLink(t)
+  t.deepEqual(await link.call(address, QUESTION, CALL), DONE)
+})
+
+test('an error travels with its code and verdict', async (t) => {
+  const { address } = await createLink(t, {
+    onCall: async () => { throw new ReelspanError(ErrorCode.OwnerGone, 'gone', { verdict: Verdict.MayHaveRun }) },
+  })
+  const { link } = await createLink(t)
+  await t.throwsAsync(link.call(address, QUESTION, CALL), { code: ErrorCode.OwnerGone, message: 'gone' })
+})
+
+test('a stream comes in order and ends', async (t) => {
+  const { address } = await createLink(t, {
+    onStream: async function * () {
+      yield QUESTION
+      yield DONE
+    },
+  })
+  const { link } = await createLink(t)
+  const parts = []
+  for await (const part of link.stream(address, QUESTION, CALL)) parts.push(part.type)
+  t.deepEqual(parts, [MessageType.Cancel, MessageType.Done])
+})
+
+test('a reader that stops tells the other side', async (t) => {
+  const stopped = withResolvers()
+  const { address } = await createLink(t, {
+    onStream: async function * (_, signal) {
+      yield DONE
+      await new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve()))
+      stopped.resolve()
+    },
+  })
+  const { link } = await createLink(t)
+  const parts = link.stream(address, QUESTION, CALL)[Symbol.asyncIterator]()
+  t.like(await parts.next(), { value: DONE })
+  await parts.return?.()
+  await t.notThrowsAsync(stopped.promise)
+})
+
+test('a peer that is not there is known not to have got the message', async (t) => {
+  const { link } = await createLink(t)
+  await t.throwsAsync(link.call(await freeAddress(), QUESTION, CALL), { code: ErrorCode.PeerUnreachable, message: /cannot be reached/ })
+  const error = await link.call(await freeAddress(), QUESTION, CALL).catch((thrown: ReelspanError) => thrown)
+  t.like(error, { mayHaveArrived: false, verdict: Verdict.NotRun })
+})
+
+test('a peer that dies after it got the message may have acted on it', async (t) => {
+  const other = await createLink(t, { onCall: async () => { await other.link.close(); return DONE } })
+  const { link } = await createLink(t)
+  const error = await link.call(other.address, QUESTION, CALL).catch((thrown: ReelspanError) => thrown)
+  t.like(error, { mayHaveArrived: true, verdict: Verdict.MayHaveRun })
+})
+
+test('a peer that stays silent is given up, and may have acted', async (t) => {
+  let calls = 0
+  const { address } = await createLink(t, { onCall: async () => calls++ === 0 ? DONE : new Promise(() => {}) })
+  const { link } = await createLink(t)
+  await link.call(address, QUESTION, CALL)
+  const error = await link.call(address, QUESTION, { timeoutMs: 50 }).catch((thrown: ReelspanError) => thrown)
+  t.like(error, { mayHaveArrived: true })
+})
+
+/** Sends raw bytes to a link and tells whether it was cut off or answered. */
+async function sendRaw (address: string, bytes: Buffer): Promise<'closed' | 'answered'> {
+  const socket = new WebSocket(`ws://${address}`)
+  await new Promise((resolve) => socket.once('open', resolve))
+  socket.send(bytes)
+  const outcome = await new Promise<'closed' | 'answered'>((resolve) => {
+    socket.once('close', () => resolve('closed'))
+    socket.once('message', () => resolve('answered'))
+  })
+  socket.terminate()
+  return outcome
+}
+
+test('whoever sends what is not a message is cut off', async (t) => {
+  const { address } = await createLink(t)
+  const packr = new Packr()
+  t.is(await sendRaw(address, Buffer.from('nonsense')), 'closed')
+  t.is(await sendRaw(address, packr.pack([1, 1, 0, { type: 'noSuchType' }])), 'closed')
+  t.is(await sendRaw(address, packr.pack([1, 1, 0, { type: MessageType.Cancel, key: 7 }])), 'closed')
+  t.is(await sendRaw(address, packr.pack([0, 1, 0, QUESTION])), 'closed')
+  t.is(await sendRaw(address, packr.pack([1, 1, 0, { ...QUESTION, key: 'k'.repeat(20_000) }])), 'closed')
+})
+
+test('a message of a newer release, with fields that this one does not know, is understood', async (t) => {
+  const { address } = await createLink(t)
+  t.is(await sendRaw(address, new Packr().pack([2, 1, 0, { ...QUESTION, addedLater: true }])), 'answered')
+})
+
+function withResolvers () {
+  let resolve: () => void = () => {}
+  const promise = new Promise<void>((_resolve) => { resolve = _resolve })
+  return { promise, resolve }
+}
--- /dev/null
+++ b/net/upstream-http/test/httpEngineClient.ts
@@ -0,0 +1,66 @@
+import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
+import { SystemClock } from '@reelspan/net.system-env'
+import { Verdict } from '@reelspan/core.error'
+import { EngineRole, UpstreamError } from '@reelspan/upstream.client'
+import { EngineModel, promptFor, ServiceModel } from '@reelspan/utils.fakes'
+import { createEngineServer, createServiceServer, httpExport, listenOn } from '@reelspan/utils.stand-ins'
+import test, { type ExecutionContext } from 'ava'
+
+const OPTS = { timeoutMs: 2000 }
+const LABEL = { ownerAddress: '10.0.0.1:1', ownerIncarnation: 'i', requestId: 'r', maxHoldMs: 1000 }
+const MODEL = { model: 'draft', version: '1' }
+
+async function startEngine (t: ExecutionContext, role: EngineRole) {
+  const engine = new EngineModel({ clock: new SystemClock(), name: role, role, loaded: [MODEL], exportFrom: httpExport })
+  const server = createEngineServer(engine)
+  const address = await listenOn(server)
+  t.teardown(() => { server.closeAllConnections() })
+  t.teardown(() => { server.close() })
+  return { engine, address, server }
+}
+
+function client (t: ExecutionContext): HttpEngineClient {
+  const engines = new HttpEngineClient()
+  t.teardown(() => engines.close())
+  return engines
+}
+
+test('a prompt is prefilled on one engine and decoded on another', async (t) => {
+  const prefill = await startEngine(t, EngineRole.Prefill)
+  const decode = await startEngine(t, EngineRole.Decode)
+  const engines = client(t)
+  await engines.prefill(prefill.address, { label: LABEL, model: 'draft', prompt: promptFor('p', { answerTokens: 3 }), priority: 0 }, OPTS)
+  t.is((await engines.report(prefill.address, OPTS)).holds.length, 1)
+  const events = []
+  for await (const event of engines.decode(decode.address, { label: LABEL, model: 'draft', prefillAddress: prefill.address, maxTokens: 9, priority: 0, fromIndex: 0, firstIndex: 0 }, OPTS)) events.push(event)
+  t.is(events.length, 4)
+  t.like(events[3], { end: true, count: 3 })
+  t.deepEqual((await engines.report(prefill.address, OPTS)).holds, [])
+})
+
+test('an engine that is not there has not begun', async (t) => {
+  const { address, server } = await startEngine(t, EngineRole.Prefill)
+  await new Promise((resolve) => server.close(resolve))
+  const error = await t.throwsAsync<UpstreamError>(client(t).report(address, OPTS), { instanceOf: UpstreamError })
+  t.is(error?.verdict, Verdict.NotRun)
+})
+
+test('an engine\'s refusal says that it has not begun', async (t) => {
+  const { address } = await startEngine(t, EngineRole.Decode)
+  const error = await t.throwsAsync<UpstreamError>(client(t).prefill(address, { label: LABEL, model: 'draft', prompt: 'x', priority: 0 }, OPTS), { instanceOf: UpstreamError })
+  t.true(error?.refused)
+  t.is(error?.verdict, Verdict.NotRun)
+})
+
+test('a connection that breaks leaves it open whether a service ran the call', async (t) => {
+  const service = new ServiceModel({ clock: new SystemClock(), name: 's', workMs: 5000 })
+  const server = createServiceServer(service)
+  const address = await listenOn(server)
+  const services = new HttpServiceClient()
+  t.teardown(() => services.close())
+  const call = services.call(address, { requestKey: 'k', method: 'POST', path: '/', body: Buffer.from('x') }, OPTS)
+  server.on('request', () => setImmediate(() => server.closeAllConnections()))
+  const error = await t.throwsAsync<UpstreamError>(call, { instanceOf: UpstreamError })
+  t.is(error?.verdict, Verdict.MayHaveRun)
+  server.close()
+})
