--- /dev/null
+++ b/__utils__/bench/bin/members.js
@@ -0,0 +1,3 @@
+import { runMemberHost } from '../lib/index.js'
+
+runMemberHost()
--- /dev/null
+++ b/__utils__/bench/bin/slopes.js
@@ -0,0 +1,3 @@
+import { slopes } from '../lib/index.js'
+
+await slopes(process.argv.slice(2))
--- a/__utils__/bench/src/bench.ts
+++ b/__utils__/bench/src/bench.ts
@@ -57,7 +57,7 @@
   seconds: { type: 'string', default: '12' },
   loads: { type: 'string', default: '1,1.2,1.5' },
   strategies: { type: 'string', default: ['scheduler', ...Object.values(PickerKind)].join(',') },
-  indexes: { type: 'string', default: PrefixIndexKind.HitJudged },
+  indexes: { type: 'string', default: PrefixIndexKind.Events },
   conditions: { type: 'string', default: Condition.Calm },
   admission: { type: 'string', default: 'true' },
   returns: { type: 'string', default: '0' },
--- a/__utils__/bench/src/fleetProcess.ts
+++ b/__utils__/bench/src/fleetProcess.ts
@@ -37,10 +37,14 @@
 
   async tell (message: object): Promise<void> {
     const done = this.nextMessage()
-    this.#child.send(message)
+    this.send(message)
     await done
   }
 
+  send (message: object): void {
+    this.#child.send(message)
+  }
+
   /** Stopped by SIGSTOP and not continued yet. */
   get frozen (): boolean {
     return this.#frozen
--- a/__utils__/bench/src/processFleet.ts
+++ b/__utils__/bench/src/processFleet.ts
@@ -1,5 +1,4 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -13,6 +12,7 @@
 import { stringify } from 'smol-toml'
 import { request } from 'undici'
 import { FleetProcess } from './fleetProcess.js'
+import { freePorts } from './freePorts.js'
 
 const REELSPAN = fileURLToPath(import.meta.resolve('reelspan').replace('lib/index.js', 'bin/reelspan.js'))
 const STAND_IN = fileURLToPath(import.meta.resolve('@reelspan/utils.stand-ins').replace('lib/index.js', 'bin/stand-in.js'))
@@ -166,12 +166,3 @@
   }
   throw new Error(`${name} did not start:\n${process.output}`)
 }
-
-async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map((server) => (server.address() as { port: number }).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
-}
--- a/__utils__/bench/src/readUsage.ts
+++ b/__utils__/bench/src/readUsage.ts
@@ -54,7 +54,8 @@
   }
 }
 
-async function readCpuMs (pid: number): Promise<number> {
+/** Processor time of a process so far. */
+export async function readCpuMs (pid: number): Promise<number> {
   const stat = await readFile(`/proc/${pid}/stat`, 'utf8')
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
   return (Number(fields[11]) + Number(fields[12])) * 1000 / TICKS_PER_SECOND
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -56,7 +56,7 @@
   }).prefault({}),
   scheduling: z.strictObject({
     strategy: placementStrategySchema.default('scheduler'),
-    prefixIndex: z.enum(PrefixIndexKind).default(PrefixIndexKind.HitJudged),
+    prefixIndex: z.enum(PrefixIndexKind).default(PrefixIndexKind.Events),
     /** For baselines: refuse what would be late. */
     admission: z.boolean().default(true),
     /** For baselines: count own placements since the last report. */
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -79,7 +79,11 @@
   message(MessageType.HeartbeatAck, newsShape),
   message(MessageType.ProbeFor, { address: z.string(), incarnation: z.string() }),
   message(MessageType.ProbeResult, { member: memberSchema.optional() }),
-  message(MessageType.MembersPull, {}),
+  message(MessageType.MembersPull, {
+    /** Digests of the parts of the asking side's view. */
+    partDigests: z.array(z.number()),
+  }),
+  /** The members of those parts that differ. */
   message(MessageType.MembersState, { members: z.array(memberSchema) }),
   message(MessageType.ConfigPull, { collection: z.enum(Collection), sinceRevision: revision }),
   message(MessageType.ConfigContent, {
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -28,6 +28,8 @@
 const MAX_INDIRECT_PROBES = 2
 /** One round in this many also probes a listed box that is not believed live. */
 const REJOIN_EVERY_ROUNDS = 4
+/** News has had this many rounds to spread before views are compared. */
+const COMPARE_EVERY_ROUNDS = 4
 
 /** Learns which members live, and tells. Its cost for a box does not grow with the fleet. */
 export class Prober {
@@ -38,6 +40,7 @@
   readonly #peerLoad = new Map<string, number>()
   #round = 0
   #pulledInRound = -1
+  #comparing = false
   #lastMajorityContactMs: number
 
   constructor (opts: ProberOptions) {
@@ -85,7 +88,7 @@
       case MessageType.ProbeFor:
         return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
       case MessageType.MembersPull:
-        return { type: MessageType.MembersState, members: this.#opts.view.all() }
+        return { type: MessageType.MembersState, members: this.#opts.view.differingFrom(message.partDigests) }
       default:
         return undefined
     }
@@ -170,13 +173,17 @@
       .forEach(({ incarnation }) => view.declareGone(incarnation, nowMs))
   }
 
-  /** Views that still differ after the news was exchanged are compared whole, once a round at most. */
+  /** Views that still differ after the news was exchanged are compared part by part, once in a few rounds. */
   async #pullMembers (address: string): Promise<void> {
     const { clock, link, view, probeTimeoutMs } = this.#opts
-    if (this.#pulledInRound === this.#round) return
+    const isFirst = this.#pulledInRound < 0
+    if (!isFirst && this.#round - this.#pulledInRound < COMPARE_EVERY_ROUNDS) return
     this.#pulledInRound = this.#round
-    const state = await link.call(address, { type: MessageType.MembersPull }, { timeoutMs: 4 * probeTimeoutMs })
-    if (state.type === MessageType.MembersState) state.members.forEach((member) => view.merge(member, clock.nowMs()))
+    const state = await link.call(address, { type: MessageType.MembersPull, partDigests: [...view.partDigests] }, { timeoutMs: 4 * probeTimeoutMs })
+    if (state.type !== MessageType.MembersState) return
+    this.#comparing = true
+    state.members.forEach((member) => view.merge(member, clock.nowMs()))
+    this.#comparing = false
   }
 
   #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
@@ -206,6 +213,8 @@
   }
 
   #queueNews (member: Member): void {
+    // What a comparison brings is known to others already, and they compare too.
+    if (this.#comparing) return
     this.#newsLeft.set(member.incarnation, NEWS_REPEATS * this.#opts.watchCount)
     if (member.health === MemberHealth.Gone) this.#peerLoad.delete(member.incarnation)
     this.#newsArrived.notify()
--- a/membership/view/src/membershipView.ts
+++ b/membership/view/src/membershipView.ts
@@ -8,6 +8,9 @@
   goneMemoryMs: number
 }
 
+/** Parts that a view is compared in. */
+const PARTS = 64
+
 interface Entry {
   member: Member
   /** On this box's clock. */
@@ -23,7 +26,7 @@
   readonly #entries = new Map<string, Entry>()
   readonly #listeners = new Set<MemberListener>()
   #self: Member
-  #digest = 0
+  readonly #partDigests: number[] = Array.from({ length: PARTS }, () => 0)
   #liveCache?: Member[]
 
   constructor (opts: MembershipViewOptions) {
@@ -38,7 +41,17 @@
 
   /** Equal at two boxes whose views are the same. */
   get digest (): number {
-    return this.#digest
+    return this.#partDigests.reduce((sum, part) => sum ^ part, 0)
+  }
+
+  /** Digests of the view's parts, so that two boxes find where their views differ without sending all of them. */
+  get partDigests (): readonly number[] {
+    return this.#partDigests
+  }
+
+  /** Members of the parts whose digests are not the given ones. */
+  differingFrom (partDigests: readonly number[]): Member[] {
+    return this.all().filter((member) => this.#partDigests[partOf(member)] !== partDigests[partOf(member)])
   }
 
   /** Registers a listener. Returns the means to end it. */
@@ -123,7 +136,7 @@
       .filter(({ member, changedAtMs }) => member.health === MemberHealth.Gone && nowMs - changedAtMs > this.#goneMemoryMs)
       .forEach(({ member }) => {
         this.#entries.delete(member.incarnation)
-        this.#digest ^= beliefDigest(member)
+        this.#toggleDigest(member)
       })
   }
 
@@ -137,10 +150,14 @@
     return refute
   }
 
+  #toggleDigest (member: Member): void {
+    this.#partDigests[partOf(member)] ^= beliefDigest(member)
+  }
+
   #put (member: Member, nowMs: number): void {
     const known = this.get(member.incarnation)
-    if (known) this.#digest ^= beliefDigest(known)
-    this.#digest ^= beliefDigest(member)
+    if (known) this.#toggleDigest(known)
+    this.#toggleDigest(member)
     this.#entries.set(member.incarnation, { member, changedAtMs: nowMs })
     if (member.incarnation === this.#self.incarnation) this.#self = member
     this.#liveCache = undefined;
@@ -152,6 +169,10 @@
   return a.version === b.version && a.health === b.health && a.leaving === b.leaving && a.successor?.incarnation === b.successor?.incarnation
 }
 
+function partOf ({ incarnation }: Member): number {
+  return hash32(incarnation) % PARTS
+}
+
 function beliefDigest (member: Member): number {
   return hash32([member.incarnation, member.version, member.health, member.leaving, member.successor?.incarnation ?? ''].join('|'))
 }
