perf(scheduling.scheduler): a reservation's cost no longer grows with the square of the shard

Cause: each event estimated every waiting request on every engine several times over, digest look-ups included, and looked at each reservation of each decode engine for each of them.

Change: prefill times are remembered while a request waits, the engines' free times are read once a pass, free places are counted as they change, and the decode engine is only sought for the request that is about to be placed.

--- a/scheduling/ledger/src/decodeAccount.ts
+++ b/scheduling/ledger/src/decodeAccount.ts
@@ -13,9 +13,13 @@
   kvBytes: number
 }
 
+/** A stream that runs past its latest end is given this much more at each report. */
+const OVERRUN_STEP_MS = 500
+
 /** Places and KV bytes of one decode engine: what was reserved here, and what others hold on it. */
 export class DecodeAccount {
   readonly #reserved = new Map<string, PlaceReservation>()
+  #reservedKvBytes = 0
   #external: DecodeCapacity = { places: 0, kvBytes: 0 }
   /** When the engine's link from the prefill pool is free. */
   linkFreeAtMs = 0
@@ -29,23 +33,36 @@
   }
 
   get kvBytesInUse (): number {
-    return this.#external.kvBytes + [...this.#reserved.values()].reduce((sum, { kvBytes }) => sum + kvBytes, 0)
+    return this.#external.kvBytes + this.#reservedKvBytes
   }
 
-  /** What is certainly free at a time to come, within the given capacity. */
-  freeAt (atMs: number, capacity: DecodeCapacity): DecodeCapacity {
-    const taken = [...this.#reserved.values()].filter(({ latestEndMs }) => latestEndMs > atMs)
+  /** What is free now, within the given capacity. */
+  freeNow (capacity: DecodeCapacity): DecodeCapacity {
     return {
-      places: capacity.places - this.#external.places - taken.length,
-      kvBytes: capacity.kvBytes - this.#external.kvBytes - taken.reduce((sum, { kvBytes }) => sum + kvBytes, 0),
+      places: capacity.places - this.#external.places - this.#reserved.size,
+      kvBytes: capacity.kvBytes - this.kvBytesInUse,
     }
   }
 
+  /** What is certainly free at a time to come. Looks at each reservation. */
+  freeAt (atMs: number, capacity: DecodeCapacity): DecodeCapacity {
+    const free = this.freeNow(capacity)
+    this.#reserved.forEach(({ latestEndMs, kvBytes }) => {
+      if (latestEndMs > atMs) return
+      free.places++
+      free.kvBytes += kvBytes
+    })
+    return free
+  }
+
   reserve (labelKey: string, reservation: PlaceReservation): void {
+    this.release(labelKey)
     this.#reserved.set(labelKey, reservation)
+    this.#reservedKvBytes += reservation.kvBytes
   }
 
   release (labelKey: string): void {
+    this.#reservedKvBytes -= this.#reserved.get(labelKey)?.kvBytes ?? 0
     this.#reserved.delete(labelKey)
   }
 
@@ -60,6 +77,3 @@
     })
   }
 }
-
-/** A stream that runs past its latest end is given this much more at each report. */
-const OVERRUN_STEP_MS = 500
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -44,6 +44,8 @@
   readonly #prefill = new Map<string, EngineAccount<PrefillAccount>>()
   readonly #decode = new Map<string, EngineAccount<DecodeAccount>>()
   #shard: Shard
+  #prefillList: EngineAccount<PrefillAccount>[] = []
+  #decodeList: EngineAccount<DecodeAccount>[] = []
 
   constructor (shard: Shard, opts: ShardLedgerOptions) {
     this.#opts = opts
@@ -64,14 +66,17 @@
     this.#shard = shard
     updateAccounts(this.#prefill, shard.prefillEngines, () => new PrefillAccount())
     updateAccounts(this.#decode, shard.decodeEngines, () => new DecodeAccount())
+    this.#prefillList = [...this.#prefill.values()]
+    this.#decodeList = [...this.#decode.values()]
   }
 
-  prefillEngines (): EngineAccount<PrefillAccount>[] {
-    return [...this.#prefill.values()]
+  /** In an order that changes only with `update`. */
+  prefillEngines (): readonly EngineAccount<PrefillAccount>[] {
+    return this.#prefillList
   }
 
-  decodeEngines (): EngineAccount<DecodeAccount>[] {
-    return [...this.#decode.values()]
+  decodeEngines (): readonly EngineAccount<DecodeAccount>[] {
+    return this.#decodeList
   }
 
   /** The version of the shard's model that an engine serves now, or nothing when it takes no new work. */
@@ -141,7 +146,9 @@
   }
 
   expire (nowMs: number): void {
-    [...this.#entries.values()].filter(({ expiresAtMs }) => expiresAtMs <= nowMs).forEach(({ label }) => this.release(label))
+    this.#entries.forEach(({ expiresAtMs, label }) => {
+      if (expiresAtMs <= nowMs) this.release(label)
+    })
     this.#prefill.forEach(({ account }) => account.expire(nowMs))
   }
 }
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -1,6 +1,6 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type ReserveRequest } from '@reelspan/core.messages'
-import { type DecodeAccount, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
+import { type DecodeAccount, type DecodeCapacity, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 
 /** What a placement on a certain pair of engines would come to. Times are on this box's clock. */
@@ -62,12 +62,6 @@
     return prefillBaseMs + (request.promptTokens - cached) * MS_PER_SECOND / prefillTokensPerSecond
   }
 
-  estimatePrefill (request: ReserveRequest, prefill: EngineAccount<PrefillAccount>, nowMs: number): PrefillEstimate {
-    const startMs = prefill.account.freeAtMs(nowMs)
-    const costMs = this.prefillCostMs(request, prefill.name, nowMs) * prefill.account.speedFactor
-    return { prefill, startMs, endMs: startMs + costMs, costMs }
-  }
-
   /** The least time from the end of a prefill to its first token. */
   handoverMs (request: ReserveRequest): number {
     const { spec, prefillPool } = this.#ledger.shard
@@ -81,12 +75,10 @@
     const kvBytes = this.kvBytes(request)
     const capacity = { places: usablePlaces, kvBytes: decodePool.kvBytesPerEngine }
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
-    const [roomiest] = this.#ledger.decodeEngines()
-      // KV cache of one version means nothing to another.
-      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && !request.avoid.includes(decode.name))
-      .map((decode) => ({ decode, free: decode.account.freeAt(part.endMs, capacity) }))
-      .filter(({ free }) => free.places >= 1 && free.kvBytes >= kvBytes)
-      .sort((a, b) => b.free.places - a.free.places || b.free.kvBytes - a.free.kvBytes)
+    // KV cache of one version means nothing to another.
+    const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && !request.avoid.includes(decode.name))
+    const roomiest = findRoomiest(engines, kvBytes, ({ account }) => account.freeNow(capacity)) ??
+      findRoomiest(engines, kvBytes, ({ account }) => account.freeAt(part.endMs, capacity))
     if (!roomiest) return undefined
     const { decode, free } = roomiest
     const linkFreeMs = Math.max(part.endMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
@@ -107,3 +99,15 @@
     }
   }
 }
+
+/** The engine with most free places, among those that have one and the memory for it. */
+function findRoomiest (engines: readonly EngineAccount<DecodeAccount>[], kvBytes: number, freeOf: (engine: EngineAccount<DecodeAccount>) => DecodeCapacity) {
+  let best: { decode: EngineAccount<DecodeAccount>, free: DecodeCapacity } | undefined
+  engines.forEach((decode) => {
+    const free = freeOf(decode)
+    const fits = free.places >= 1 && free.kvBytes >= kvBytes
+    const roomier = !best || free.places > best.free.places || (free.places === best.free.places && free.kvBytes > best.free.kvBytes)
+    if (fits && roomier) best = { decode, free }
+  })
+  return best
+}
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,7 +1,7 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type Clock, STOPPED, TaskGroup } from '@reelspan/core.env'
 import { type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
-import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
+import { type EngineAccount, type LedgerEntry, type PrefillAccount, ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
@@ -32,10 +32,31 @@
 /** A reservation outlives its request's deadline by this much. */
 const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
+const MAX_FITS_TRIED = 3
+/** Prefill work that an engine gets done while a request can wait, about. */
+const WORK_IN_SIGHT_MS = 150
+const LEAST_PRESSURE = 0.3
+const MOST_PRESSURE = 2
 const RETURN_SHARE = 0.8
 const RETURN_MIN_MS = 500
 const RETURN_MAX_MS = 30_000
 
+/** A prefill engine that takes work, as of one moment. */
+interface ReadyEngine {
+  engine: EngineAccount<PrefillAccount>
+  /** Its place among the shard's prefill engines. */
+  slot: number
+  freeAtMs: number
+  speedFactor: number
+}
+
+/** A waiting request and the engine it would go to. */
+interface Candidate {
+  waiting: WaitingRequest
+  ready: ReadyEngine
+  costMs: number
+}
+
 /** Places requests on one shard: holds them until an engine can begin at once, best use first, and refuses what would be late. */
 export class ShardScheduler {
   readonly ledger: ShardLedger
@@ -63,6 +84,7 @@
 
   update (shard: Shard): void {
     this.ledger.update(shard)
+    this.#waiting.all().forEach((waiting) => { waiting.costsMs = [] })
     this.#pump()
   }
 
@@ -77,7 +99,7 @@
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal(request, 'too many requests wait'))
     const nowMs = clock.nowMs()
     return new Promise((resolve) => {
-      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs: nowMs + request.ttftLeftMs - this.#ttftError.valueMs, returned: this.#calendar.isDue(request.returnId, nowMs) })
+      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs: nowMs + request.ttftLeftMs - this.#ttftError.valueMs, returned: this.#calendar.isDue(request.returnId, nowMs), handoverMs: this.#estimator.handoverMs(request), costsMs: [] })
       this.#pump()
     })
   }
@@ -143,6 +165,7 @@
 
   noteRemovals (engine: string, page: RemovalPage): void {
     this.#opts.index.noteRemovals(engine, page, this.#opts.clock.nowMs())
+    this.#forgetCosts(engine)
   }
 
   /** State for the dump. */
@@ -180,86 +203,111 @@
 
   /** Places and refuses whatever can be decided now, then sleeps until the next moment that could change that. */
   #pump (): void {
+    if (this.#waiting.size === 0) return
     const nowMs = this.#opts.clock.nowMs()
     this.ledger.expire(nowMs)
     this.#calendar.expire(nowMs)
-    this.#refuseLate(nowMs)
-    for (let choice = this.#choose(nowMs); choice; choice = this.#choose(nowMs)) this.#commit(choice.waiting, choice.estimate, nowMs)
+    const waitingMs = this.#refuseLate(nowMs)
+    const next = () => this.#choose(waitingMs, nowMs)
+    for (let choice = next(); choice; choice = next()) this.#commit(choice.waiting, choice.estimate, nowMs)
     this.#sleepUntilNext(nowMs)
   }
 
-  /** Refuses, at once, each request that no engine could serve in time any more. */
-  #refuseLate (nowMs: number): void {
-    const engines = this.#usablePrefill(nowMs)
+  /** Refuses, at once, each request that no engine could serve in time any more. Answers with the least prefill work that is left. */
+  #refuseLate (nowMs: number): number {
+    const engines = this.#readyTimes(nowMs)
+    let waitingMs = 0
     this.#waiting.all().forEach((waiting) => {
-      const { request, lateAtMs } = waiting
-      const earliestMs = Math.min(...engines.map((engine) => this.#estimator.estimatePrefill(request, engine, nowMs).endMs))
-      const known = engines.length > 0
-      const firstTokenMs = (known ? earliestMs : nowMs) + this.#estimator.handoverMs(request)
-      if (firstTokenMs > lateAtMs) this.#answer(waiting, this.#refusal(request, known ? 'the first token would be late' : 'no engine of the model takes work'))
+      let earliestMs = engines.length > 0 ? Number.POSITIVE_INFINITY : nowMs
+      let leastMs = Number.POSITIVE_INFINITY
+      engines.forEach((ready) => {
+        const costMs = this.#costMs(waiting, ready)
+        leastMs = Math.min(leastMs, costMs)
+        earliestMs = Math.min(earliestMs, ready.freeAtMs + costMs)
+      })
+      if (earliestMs + waiting.handoverMs <= waiting.lateAtMs) waitingMs += engines.length > 0 ? leastMs : 0
+      else this.#answer(waiting, this.#refusal(waiting.request, engines.length > 0 ? 'the first token would be late' : 'no engine of the model takes work'))
     })
+    return waitingMs
   }
 
-  #usablePrefill (nowMs: number) {
-    return this.ledger.prefillEngines().filter((engine) => this.ledger.servedVersion(engine, nowMs) !== undefined)
+  /** The prefill engines that take work, and when each can begin another prefill. */
+  #readyTimes (nowMs: number): ReadyEngine[] {
+    return this.ledger.prefillEngines().flatMap((engine, slot) => this.ledger.servedVersion(engine, nowMs) === undefined
+      ? []
+      : [{ engine, slot, freeAtMs: engine.account.freeAtMs(nowMs), speedFactor: engine.account.speedFactor }])
   }
 
   /** The waiting request that makes best use of an engine that is about to be free. */
-  #choose (nowMs: number): { waiting: WaitingRequest, estimate: PlacementEstimate } | undefined {
-    const engines = this.#usablePrefill(nowMs)
-    const ready = new Set(engines.filter(({ account }) => account.freeAtMs(nowMs) <= nowMs + HANDOUT_LOOKAHEAD_MS).map(({ name }) => name))
-    if (ready.size === 0 || this.#waiting.size === 0) return undefined
-    const pressure = this.#pressure(engines.length, nowMs)
+  #choose (waitingMs: number, nowMs: number): { waiting: WaitingRequest, estimate: PlacementEstimate } | undefined {
+    if (this.#waiting.size === 0) return undefined
+    const engines = this.#readyTimes(nowMs)
+    const handoutUntilMs = nowMs + HANDOUT_LOOKAHEAD_MS
+    if (!engines.some(({ freeAtMs }) => freeAtMs <= handoutUntilMs)) return undefined
+    const pressure = this.#pressure(this.#waiting.size > 1 ? waitingMs : 0, engines.length)
     const candidates = this.#waiting.all().flatMap((waiting) => {
-      const estimate = this.#bestEstimate(waiting, engines, pressure, nowMs)
-      return estimate && ready.has(estimate.prefill.name) ? [{ waiting, estimate }] : []
+      const ready = this.#bestEngine(waiting, engines, pressure)
+      return ready && ready.freeAtMs <= handoutUntilMs ? [{ waiting, ready, costMs: this.#costMs(waiting, ready) }] : []
     })
-    return this.#bestCandidate(candidates)
+    return this.#firstThatFits(this.#inOrder(candidates), nowMs)
   }
 
-  /** How much more prefill work waits than the engines can do before it is late: 0 when nothing waits, up to 2. */
-  #pressure (engineCount: number, nowMs: number): number {
-    const waiting = this.#waiting.all()
-    if (waiting.length <= 1) return 0.3
-    const costMs = waiting.reduce((sum, { request }) => sum + this.#leastCostMs(request, nowMs), 0)
-    return Math.min(2, 0.3 + costMs / (engineCount * 150))
+  /** How much more prefill work waits than the engines can do before it is late: from 0.3 when nothing waits, up to 2. */
+  #pressure (waitingMs: number, engineCount: number): number {
+    return Math.min(MOST_PRESSURE, LEAST_PRESSURE + waitingMs / (engineCount * WORK_IN_SIGHT_MS))
   }
 
-  #leastCostMs (request: ReserveRequest, nowMs: number): number {
-    const costs = this.#usablePrefill(nowMs).map(({ name }) => this.#estimator.prefillCostMs(request, name, nowMs))
-    return costs.length > 0 ? Math.min(...costs) : 0
+  /** Time that a prefill takes on an engine. Remembered while the request waits; it depends on what is cached there. */
+  #costMs ({ request, costsMs }: WaitingRequest, { engine, slot, speedFactor }: ReadyEngine): number {
+    const costMs = costsMs[slot] ?? this.#estimator.prefillCostMs(request, engine.name, this.#opts.clock.nowMs())
+    costsMs[slot] = costMs
+    return costMs * speedFactor
   }
 
-  /** Earliest first token, with work that a cached prefix would save counted as time under pressure. */
-  #bestEstimate (waiting: WaitingRequest, engines: ReturnType<ShardScheduler['ledger']['prefillEngines']>, pressure: number, nowMs: number): PlacementEstimate | undefined {
-    const { request, lateAtMs } = waiting
-    const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, this.#opts.route()))
-    const [best] = engines
-      .filter(({ name }) => !request.avoid.includes(name))
-      .map((engine) => this.#estimator.estimatePrefill(request, engine, nowMs))
-      .map((part) => ({ part, score: part.endMs + pressure * part.costMs }))
-      .filter(({ part }) => part.endMs + this.#estimator.handoverMs(request) <= lateAtMs)
-      .sort((a, b) => a.score - b.score)
-    if (!best) return undefined
-    const estimate = this.#estimator.estimateDecode(request, best.part, usablePlaces, nowMs)
-    return estimate && estimate.firstTokenMs <= lateAtMs ? estimate : undefined
+  /** The engine with the earliest first token, where work that a cached prefix would save counts as time under pressure. */
+  #bestEngine (waiting: WaitingRequest, engines: readonly ReadyEngine[], pressure: number): ReadyEngine | undefined {
+    const { request: { avoid }, lateAtMs, handoverMs } = waiting
+    let best: ReadyEngine | undefined
+    let bestScore = Number.POSITIVE_INFINITY
+    engines.forEach((ready) => {
+      const costMs = this.#costMs(waiting, ready)
+      const endMs = ready.freeAtMs + costMs
+      const score = endMs + pressure * costMs
+      if (score >= bestScore || endMs + handoverMs > lateAtMs || (avoid.length > 0 && avoid.includes(ready.engine.name))) return
+      best = ready
+      bestScore = score
+    })
+    return best
   }
 
   /** Priority first; then those who were asked to return; then clients that are not ahead of their share; then the least work. */
-  #bestCandidate (candidates: { waiting: WaitingRequest, estimate: PlacementEstimate }[]) {
-    if (candidates.length <= 1) return candidates.at(0)
+  #inOrder (candidates: Candidate[]): Candidate[] {
+    if (candidates.length <= 1) return candidates
     const leastUsedMs = Math.min(...candidates.map(({ waiting }) => this.#shares.usedMs(waiting.request.client)))
     this.#shares.raiseFloor(leastUsedMs)
-    const rank = ({ waiting, estimate }: typeof candidates[number]) => [
+    const rank = ({ waiting, costMs }: Candidate) => [
       -waiting.request.priority,
       waiting.returned ? 0 : 1,
       this.#shares.isAhead(waiting.request.client, leastUsedMs) ? 1 : 0,
-      estimate.costMs,
+      costMs,
       waiting.arrivedAtMs,
     ]
     return candidates
       .map((candidate) => ({ candidate, rank: rank(candidate) }))
-      .sort((a, b) => compareRanks(a.rank, b.rank))[0].candidate
+      .sort((a, b) => compareRanks(a.rank, b.rank))
+      .map(({ candidate }) => candidate)
+  }
+
+  /** The first of the candidates that a decode engine has room for. Few are tried: what one does not find, the next seldom does. */
+  #firstThatFits (candidates: readonly Candidate[], nowMs: number): { waiting: WaitingRequest, estimate: PlacementEstimate } | undefined {
+    for (const { waiting, ready, costMs } of candidates.slice(0, MAX_FITS_TRIED)) {
+      const { request, lateAtMs } = waiting
+      const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, this.#opts.route()))
+      const part = { prefill: ready.engine, startMs: ready.freeAtMs, endMs: ready.freeAtMs + costMs, costMs }
+      const estimate = this.#estimator.estimateDecode(request, part, usablePlaces, nowMs)
+      if (estimate && estimate.firstTokenMs <= lateAtMs) return { waiting, estimate }
+    }
+    return undefined
   }
 
   #commit (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
@@ -278,12 +326,19 @@
       expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
     }, nowMs)
     this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
+    this.#forgetCosts(prefill.name)
     const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
     this.#shares.charge(request.client, estimate.costMs, weight)
     this.#calendar.forget(request.returnId)
     this.#answer(waiting, planOf(estimate, nowMs))
   }
 
+  /** What an engine has cached has changed. */
+  #forgetCosts (engine: string): void {
+    const slot = this.ledger.prefillEngines().findIndex(({ name }) => name === engine)
+    this.#waiting.all().forEach(({ costsMs }) => { costsMs[slot] = undefined })
+  }
+
   #answer (waiting: WaitingRequest, answer: PlacementAnswer): void {
     this.#waiting.remove(waiting)
     waiting.resolve(answer)
@@ -291,8 +346,10 @@
 
   #refusal (request: ReserveRequest, reason: string): PlacementAnswer {
     const nowMs = this.#opts.clock.nowMs()
-    const engineCount = Math.max(1, this.#usablePrefill(nowMs).length)
-    const retryAfterMs = this.#calendar.book(request.returnId, this.#leastCostMs(request, nowMs) / engineCount, nowMs)
+    const engines = this.#readyTimes(nowMs)
+    const costsMs = engines.map(({ engine }) => this.#estimator.prefillCostMs(request, engine.name, nowMs))
+    const shardCostMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
+    const retryAfterMs = this.#calendar.book(request.returnId, shardCostMs, nowMs)
     return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: Math.round(retryAfterMs) }
   }
 
--- a/scheduling/scheduler/src/waitingQueue.ts
+++ b/scheduling/scheduler/src/waitingQueue.ts
@@ -7,6 +7,10 @@
   arrivedAtMs: number
   /** A first token after this is late. */
   lateAtMs: number
+  /** The least time from the end of its prefill to its first token. */
+  handoverMs: number
+  /** Prefill times by the engine's place in the shard, as far as they were needed. */
+  costsMs: (number | undefined)[]
   /** It came back when it was told to. */
   returned: boolean
 }
