--- a/net/http-front/src/answerCompletion.ts
+++ b/net/http-front/src/answerCompletion.ts
@@ -40,23 +40,22 @@
 }
 
 async function * serverSentEvents (first: AnswerEvent, rest: Events, { model, key }: AnswerOptions): AsyncGenerator<string> {
-  yield * sseOf(first, model, key)
-  for await (const event of rest) yield * sseOf(event, model, key)
+  // The same for each token of an answer, so it is made once.
+  const head = `data: {"id":${JSON.stringify(key)},"object":"text_completion","model":${JSON.stringify(model)},"choices":[{"index":0,"text":`
+  yield sseOf(first, head, key)
+  for await (const event of rest) yield sseOf(event, head, key)
 }
 
-function * sseOf (event: AnswerEvent, model: string, key: string): Generator<string> {
-  if (event.kind === AnswerEventKind.Token) {
-    yield sse({ id: key, object: 'text_completion', model, choices: [{ index: 0, text: event.text, finish_reason: null }] })
+function sseOf (event: AnswerEvent, head: string, key: string): string {
+  switch (event.kind) {
+    case AnswerEventKind.Token: return `${head}${JSON.stringify(event.text)},"finish_reason":null}]}\n\n`
+    case AnswerEventKind.Final: {
+      const finishReason = event.verdict === Verdict.Finished ? 'stop' : 'error'
+      const rest = JSON.stringify({ usage: usageOf(event), reelspan: outcomeOf(event, key) }).slice(1)
+      return `${head}"","finish_reason":"${finishReason}"}],${rest}\n\ndata: [DONE]\n\n`
+    }
+    case AnswerEventKind.Response: return ''
   }
-  if (event.kind === AnswerEventKind.Final) {
-    const finishReason = event.verdict === Verdict.Finished ? 'stop' : 'error'
-    yield sse({ id: key, object: 'text_completion', model, choices: [{ index: 0, text: '', finish_reason: finishReason }], usage: usageOf(event), reelspan: outcomeOf(event, key) })
-    yield 'data: [DONE]\n\n'
-  }
-}
-
-function sse (data: object): string {
-  return `data: ${JSON.stringify(data)}\n\n`
 }
 
 function answerFinal (ctx: Context, final: FinalAnswer, { model, key, texts }: { model: string, key: string, texts: string[] }): void {
--- a/net/http-front/src/cutSlowCaller.ts
+++ b/net/http-front/src/cutSlowCaller.ts
@@ -1,20 +1,36 @@
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { type Context } from 'koa'
 
-/** Passes parts on, and cuts the caller off when it takes nothing for too long. */
-export async function * cutSlowCaller<T> (ctx: Context, parts: AsyncIterable<T>, opts: { clock: Clock, slowCallerMs: number }): AsyncGenerator<T> {
-  for await (const part of parts) {
-    const taken = new AbortController()
-    void cutUnlessTaken(ctx, taken.signal, opts)
-    try {
+export interface CutSlowCallerOptions {
+  clock: Clock
+  slowCallerMs: number
+}
+
+/** Passes parts on, and cuts the caller off when it takes nothing for too long. One timer a caller, however many parts it gets. */
+export async function * cutSlowCaller<T> (ctx: Context, parts: AsyncIterable<T>, opts: CutSlowCallerOptions): AsyncGenerator<T> {
+  const progress: Progress = { waitingSinceMs: undefined }
+  const over = new AbortController()
+  void watch(ctx, progress, over.signal, opts)
+  try {
+    for await (const part of parts) {
+      progress.waitingSinceMs = opts.clock.nowMs()
       yield part
-    } finally {
-      taken.abort(STOPPED)
+      progress.waitingSinceMs = undefined
     }
+  } finally {
+    over.abort(STOPPED)
   }
 }
 
-async function cutUnlessTaken (ctx: Context, taken: AbortSignal, { clock, slowCallerMs }: { clock: Clock, slowCallerMs: number }): Promise<void> {
-  await clock.sleep(slowCallerMs, { signal: taken })
-  if (!taken.aborted) ctx.res.destroy()
+interface Progress {
+  /** Since when a part waits to be taken. */
+  waitingSinceMs?: number
+}
+
+async function watch (ctx: Context, progress: Progress, over: AbortSignal, { clock, slowCallerMs }: CutSlowCallerOptions): Promise<void> {
+  while (!over.aborted) {
+    await clock.sleep(slowCallerMs / 2, { signal: over })
+    const { waitingSinceMs } = progress
+    if (!over.aborted && waitingSinceMs !== undefined && clock.nowMs() - waitingSinceMs >= slowCallerMs) ctx.res.destroy()
+  }
 }
--- a/net/upstream-http/src/httpEngineClient.ts
+++ b/net/upstream-http/src/httpEngineClient.ts
@@ -2,6 +2,7 @@
 import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, EngineRole, HoldKind, type PrefillRequest, type PrefillResult, type UpstreamCallOptions, UpstreamError } from '@reelspan/upstream.client'
 import { Agent, request, type Dispatcher } from 'undici'
 import { z } from 'zod'
+import { parseDecodeEvent } from './parseDecodeEvent.js'
 import { readLines } from './readLines.js'
 import { toUpstreamError } from './toUpstreamError.js'
 
@@ -12,11 +13,6 @@
   cachedTokens: z.number(),
 })
 
-const decodeEventSchema = z.union([
-  z.object({ label: holdLabelSchema, end: z.literal(true), count: z.number().int() }),
-  z.object({ label: holdLabelSchema, index: z.number().int(), text: z.string() }),
-])
-
 const reportSchema = z.object({
   role: z.enum(EngineRole),
   loaded: z.array(z.object({ model: z.string(), version: z.string() })),
@@ -57,7 +53,7 @@
   async * decode (address: string, body: DecodeRequest, opts: UpstreamCallOptions): AsyncIterable<DecodeEvent> {
     try {
       const response = await this.#send(address, 'POST', '/v1/decode', opts, body)
-      for await (const line of readLines(response.body)) yield decodeEventSchema.parse(JSON.parse(line))
+      for await (const line of readLines(response.body)) yield parseDecodeEvent(line)
     } catch (thrown) {
       throw toUpstreamError(thrown, address)
     }
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -182,14 +182,20 @@
       fromIndex: this.#generated.length,
       firstIndex,
     }
+    let ended = false
     await this.#blame(plan.decodeEngine, async () => {
       for await (const event of engines.decode(plan.decodeAddress, request, this.#callOptions())) {
         if (!sameHolder(event.label, label)) throw new UpstreamError(`${plan.decodeEngine} sent a part of another answer`, { mayHaveRun: true })
-        if (event.end) return this.#checkWhole(event.count, plan)
+        if (event.end) {
+          // Read on to the end of the stream: one that is left early costs its connection.
+          this.#checkWhole(event.count, plan)
+          ended = true
+          continue
+        }
         this.#take(event.index, event.text, plan)
         placement.progressed(this.#generated.length - firstIndex)
       }
-      throw new UpstreamError(`${plan.decodeEngine} broke the stream off`, { mayHaveRun: true })
+      if (!ended) throw new UpstreamError(`${plan.decodeEngine} broke the stream off`, { mayHaveRun: true })
     })
   }
 
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -203,9 +203,9 @@
 
   /** Places and refuses whatever can be decided now, then sleeps until the next moment that could change that. */
   #pump (): void {
-    if (this.#waiting.size === 0) return
     const nowMs = this.#opts.clock.nowMs()
     this.ledger.expire(nowMs)
+    if (this.#waiting.size === 0) return
     this.#calendar.expire(nowMs)
     const waitingMs = this.#refuseLate(nowMs)
     const next = () => this.#choose(waitingMs, nowMs)
