feat(scheduling.scheduler): shares by recent use, return times that hold, reports once a second

The floor of the fair queue rose to the flood's own use whenever only the flood waited.

Change: shares follow each client's use of the last seconds; a client over its share goes behind all others that wait. 60% instead of 80% of the capacity is promised to requests that were asked to return.

An idle box spends 0.2% of a core for each engine that it asks twice a second; it asks once a second now.

--- a/__utils__/bench/src/bench.ts
+++ b/__utils__/bench/src/bench.ts
@@ -3,6 +3,7 @@
 import { PickerKind } from '@reelspan/scheduling.owner-alone'
 import { PrefixIndexKind } from '@reelspan/scheduling.prefix-index'
 import { SeededRandom } from '@reelspan/utils.fakes'
+import { BASELINE_REPORTS } from './baselineReports.js'
 import { Condition, impose } from './condition.js'
 import { drawLoad, type LoadRequest, type LoadShape, readShape } from './loadShape.js'
 import { ProcessFleet } from './processFleet.js'
@@ -11,7 +12,7 @@
 import { runLoad } from './runLoad.js'
 import { type LoadSummary, summarize } from './summarize.js'
 import { printTable } from './printTable.js'
-import { runVirtualLoad } from './runVirtualLoad.js'
+import { FLOOD_CLIENT, runVirtualLoad } from './runVirtualLoad.js'
 import { upperBound } from './upperBound.js'
 
 /** One run of the bench. */
@@ -36,6 +37,8 @@
   seed: number
   seconds: number
   maxReturns: number
+  /** Virtual clock only: load of one more client account, as a part of all others'. */
+  floodShare: number
 }
 
 const WARM_UP_MS = 6000
@@ -62,6 +65,7 @@
   admission: { type: 'string', default: 'true' },
   returns: { type: 'string', default: '0' },
   virtual: { type: 'boolean', default: false },
+  flood: { type: 'string', default: '0' },
 } as const
 
 /** Runs real boxes against engine stand-ins under load, strategy after strategy, on the same arrivals. */
@@ -73,7 +77,7 @@
   const results: CellResult[] = []
   for (const cell of cellsOf(values)) {
     const run = values.virtual ? runVirtualCell : runCell
-    const result = await run(cell, shape, { seed: Number(values.seed), seconds, maxReturns: Number(values.returns) })
+    const result = await run(cell, shape, { seed: Number(values.seed), seconds, maxReturns: Number(values.returns), floodShare: Number(values.flood) })
     results.push(result)
     printTable(results.length === 1, rowOf(result))
   }
@@ -97,7 +101,7 @@
 async function runCell (cell: Cell, shape: LoadShape, { seed, seconds, maxReturns }: RunOptions): Promise<CellResult> {
   const { strategy, index, admission, load, condition } = cell
   const fleet = await ProcessFleet.start({
-    settings: { scheduling: { strategy, prefixIndex: index, admission, countOwn: admission }, log: { level: 'warn' } },
+    settings: { scheduling: { ...strategy !== 'scheduler' && BASELINE_REPORTS, strategy, prefixIndex: index, admission, countOwn: admission }, log: { level: 'warn' } },
     routeTargets: shape,
   })
   try {
@@ -122,7 +126,7 @@
   }
 }
 
-async function runVirtualCell (cell: Cell, shape: LoadShape, { seed, seconds, maxReturns }: RunOptions): Promise<CellResult> {
+async function runVirtualCell (cell: Cell, shape: LoadShape, { seed, seconds, maxReturns, floodShare }: RunOptions): Promise<CellResult> {
   const { requests, outcomes, engines, kvShare } = await runVirtualLoad({
     ...cell,
     shape,
@@ -132,7 +136,7 @@
     durationMs: WARM_UP_MS + seconds * 1000,
     warmUpMs: WARM_UP_MS,
     faultAfterMs: FAULT_AFTER_MS,
-    floodShare: 0,
+    floodShare,
   })
   return {
     ...cell,
@@ -140,7 +144,7 @@
     kvShare,
     seconds,
     usage: { cpuPercentMean: 0, cpuPercentMax: 0, peerBytesPerSecondMean: 0 },
-    summary: summarize(outcomes, { ttftMs: shape.ttftTargetMs, tbtMs: shape.tbtTargetMs }),
+    summary: summarize(outcomes.filter(({ client }) => client !== FLOOD_CLIENT), { ttftMs: shape.ttftTargetMs, tbtMs: shape.tbtTargetMs }),
     bound: upperBound(requests, seconds * 1000, CAPACITY),
   }
 }
@@ -184,6 +188,7 @@
     'ttft p50/p95': `${summary.ttftP50Ms.toFixed(0)}/${summary.ttftP95Ms.toFixed(0)}`,
     'tbt p50/p95': `${summary.tbtP50Ms.toFixed(0)}/${summary.tbtP95Ms.toFixed(0)}`,
     'refusal p95': summary.refusalP95Ms.toFixed(0),
+    'returns ok': summary.returned > 0 ? `${summary.returnedWell}/${summary.returned}` : '-',
     kv: `${(100 * kvShare).toFixed(0)}%`,
     'box cpu mean/max': `${usage.cpuPercentMean.toFixed(1)}/${usage.cpuPercentMax.toFixed(1)}%`,
     'peer KB/s': (usage.peerBytesPerSecondMean / 1000).toFixed(1),
--- a/__utils__/bench/src/runLoad.ts
+++ b/__utils__/bench/src/runLoad.ts
@@ -31,7 +31,7 @@
 
 interface SsePart {
   choices?: { text: string }[]
-  reelspan?: { verdict: Verdict, code?: string, retryAfterMs?: number }
+  reelspan?: { key?: string, verdict: Verdict, code?: string, retryAfterMs?: number }
 }
 
 /** Sends requests at their times, whatever becomes of earlier ones, and waits for all to end. */
@@ -47,15 +47,18 @@
 }
 
 async function sendWithReturns (one: LoadRequest, address: string, agent: Agent, opts: RunLoadOptions, startedAtMs: number): Promise<LoadOutcome> {
+  let key: string | undefined
   for (let returns = 0; ; returns++) {
-    const outcome = { ...await send(one, address, agent, opts, startedAtMs), returns }
+    const { key: usedKey, ...sent } = await send(one, address, agent, opts, startedAtMs, key)
+    const outcome = { ...sent, returns }
+    key = usedKey
     const comesBack = outcome.verdict === Verdict.NotRun && outcome.retryAfterMs !== undefined && returns < (opts.maxReturns ?? 0)
     if (!comesBack) return outcome
     await sleep(outcome.retryAfterMs)
   }
 }
 
-async function send (one: LoadRequest, address: string, agent: Agent, { model }: RunLoadOptions, epochMs: number): Promise<Omit<LoadOutcome, 'returns'>> {
+async function send (one: LoadRequest, address: string, agent: Agent, { model }: RunLoadOptions, epochMs: number, key?: string): Promise<Omit<LoadOutcome, 'returns'> & { key?: string }> {
   const sentAtMs = performance.now()
   const texts: string[] = []
   const tbtMs: number[] = []
@@ -76,7 +79,7 @@
     const response = await request(`http://${address}/v1/completions`, {
       dispatcher: agent,
       method: 'POST',
-      headers: { 'content-type': 'application/json', 'reelspan-client': one.client },
+      headers: { 'content-type': 'application/json', 'reelspan-client': one.client, ...key !== undefined && { 'idempotency-key': key } },
       body: JSON.stringify({ model, prompt: one.prompt, max_tokens: one.maxTokens, stream: true }),
     })
     if (response.statusCode === 200) for await (const part of sseParts(response.body)) take(part)
@@ -85,6 +88,7 @@
     // The verdict below says that nothing is known.
   }
   return {
+    key: end?.key,
     id: one.id,
     client: one.client,
     startedAtMs: sentAtMs - epochMs,
--- a/__utils__/bench/src/runVirtualLoad.ts
+++ b/__utils__/bench/src/runVirtualLoad.ts
@@ -2,6 +2,7 @@
 import { FakeFleet } from '@reelspan/utils.fake-fleet'
 import { expectedAnswer } from '@reelspan/utils.fakes'
 import { type PrefixIndexKind } from '@reelspan/scheduling.prefix-index'
+import { BASELINE_REPORTS } from './baselineReports.js'
 import { Condition } from './condition.js'
 import { drawLoad, type LoadRequest, type LoadShape } from './loadShape.js'
 import { addStats, type EngineStats, NO_STATS } from './readEngineStats.js'
@@ -32,6 +33,9 @@
   kvShare: number
 }
 
+/** The account that floods. Its own requests are not counted. */
+export const FLOOD_CLIENT = 'flood'
+
 const REPORT_LAG_MS = 500
 const LIMIT_MS = 120_000
 const SAMPLE_MS = 500
@@ -44,7 +48,7 @@
 export async function runVirtualLoad (opts: VirtualLoadOptions): Promise<VirtualLoadResult> {
   const { strategy, index, admission, shape, seed, requestsPerSecond, durationMs, warmUpMs } = opts
   const fleet = await new FakeFleet({
-    settings: { scheduling: { strategy, prefixIndex: index, admission, countOwn: admission } },
+    settings: { scheduling: { ...strategy !== 'scheduler' && BASELINE_REPORTS, strategy, prefixIndex: index, admission, countOwn: admission } },
     engine: { reportLagMs: REPORT_LAG_MS },
   }).start()
   const load = drawLoad(new SeededRandom(seed), shape, { requestsPerSecond, durationMs, name: 'r' })
@@ -66,17 +70,17 @@
 function drawFlood ({ shape, seed, requestsPerSecond, durationMs, floodShare }: VirtualLoadOptions): LoadRequest[] {
   if (floodShare === 0) return []
   const flood = drawLoad(new SeededRandom(seed + 1), shape, { requestsPerSecond: requestsPerSecond * floodShare, durationMs, name: 'flood' })
-  return flood.map((one) => ({ ...one, client: 'flood' }))
+  return flood.map((one) => ({ ...one, client: FLOOD_CLIENT }))
 }
 
 async function send (fleet: FakeFleet, one: LoadRequest, i: number, { shape, maxReturns }: VirtualLoadOptions): Promise<LoadOutcome> {
   await fleet.clock.sleep(one.atMs)
   const sentAtMs = fleet.clock.nowMs()
+  const boxes = fleet.liveBoxes()
+  const { name } = boxes[i % boxes.length]
+  const { maxTokens, client, prompt } = one
+  const request = fleet.completion(name, prompt, { maxTokens, client, ttftTargetMs: shape.ttftTargetMs, tbtTargetMs: shape.tbtTargetMs })
   for (let returns = 0; ; returns++) {
-    const boxes = fleet.liveBoxes()
-    const { name } = boxes[i % boxes.length]
-    const { maxTokens, client, prompt } = one
-    const request = fleet.completion(name, prompt, { maxTokens, client, ttftTargetMs: shape.ttftTargetMs, tbtTargetMs: shape.tbtTargetMs })
     const outcome = await fleet.send(name, request)
     const { verdict, code, retryAfterMs, tokenAtMs, endMs, text } = outcome
     if (retryAfterMs === undefined || returns >= maxReturns) {
--- a/__utils__/bench/src/summarize.ts
+++ b/__utils__/bench/src/summarize.ts
@@ -21,6 +21,9 @@
   tbtP50Ms: number
   tbtP95Ms: number
   refusalP95Ms: number
+  /** Requests that came back once when told to, and those of them that then finished. */
+  returned: number
+  returnedWell: number
 }
 
 /** Sums up what callers saw. */
@@ -40,6 +43,8 @@
     ttftP95Ms: percentile(ttfts, 95),
     tbtP50Ms: percentile(tbts, 50),
     tbtP95Ms: percentile(tbts, 95),
+    returned: outcomes.filter(({ returns }) => returns >= 1).length,
+    returnedWell: finished.filter(({ returns }) => returns === 1).length,
     refusalP95Ms: percentile(refused.map(({ endMs }) => endMs), 95),
   }
 }
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -61,7 +61,7 @@
     admission: z.boolean().default(true),
     /** For baselines: count own placements since the last report. */
     countOwn: z.boolean().default(true),
-    reportPeriodMs: durationMs.default(500),
+    reportPeriodMs: durationMs.default(1000),
     /** Part of a decode engine that an owner uses while no scheduler can be reached. */
     fallbackPlacesPercent: z.number().min(1).max(100).default(50),
     orderRightMs: durationMs.default(3000),
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -37,7 +37,7 @@
 const WORK_IN_SIGHT_MS = 150
 const LEAST_PRESSURE = 0.3
 const MOST_PRESSURE = 2
-const RETURN_SHARE = 0.8
+const RETURN_SHARE = 0.6
 const RETURN_MIN_MS = 500
 const RETURN_MAX_MS = 30_000
 
@@ -249,7 +249,7 @@
       const ready = this.#bestEngine(waiting, engines, pressure)
       return ready && ready.freeAtMs <= handoutUntilMs ? [{ waiting, ready, costMs: this.#costMs(waiting, ready) }] : []
     })
-    return this.#firstThatFits(this.#inOrder(candidates), nowMs)
+    return this.#firstThatFits(this.#inOrder(candidates, nowMs), nowMs)
   }
 
   /** How much more prefill work waits than the engines can do before it is late: from 0.3 when nothing waits, up to 2. */
@@ -281,14 +281,12 @@
   }
 
   /** Priority first; then those who were asked to return; then clients that are not ahead of their share; then the least work. */
-  #inOrder (candidates: Candidate[]): Candidate[] {
+  #inOrder (candidates: Candidate[], nowMs: number): Candidate[] {
     if (candidates.length <= 1) return candidates
-    const leastUsedMs = Math.min(...candidates.map(({ waiting }) => this.#shares.usedMs(waiting.request.client)))
-    this.#shares.raiseFloor(leastUsedMs)
     const rank = ({ waiting, costMs }: Candidate) => [
       -waiting.request.priority,
       waiting.returned ? 0 : 1,
-      this.#shares.isAhead(waiting.request.client, leastUsedMs) ? 1 : 0,
+      this.#shares.isAhead(waiting.request.client, nowMs) ? 1 : 0,
       costMs,
       waiting.arrivedAtMs,
     ]
@@ -328,7 +326,7 @@
     this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
     this.#forgetCosts(prefill.name)
     const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
-    this.#shares.charge(request.client, estimate.costMs, weight)
+    this.#shares.charge(request.client, estimate.costMs, weight, nowMs)
     this.#calendar.forget(request.returnId)
     this.#answer(waiting, planOf(estimate, nowMs))
   }
