--- /dev/null
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -0,0 +1,65 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
+import { checkResources, type RouteSpec } from '@reelspan/config.resources'
+import { type PrefixDigest } from '@reelspan/core.hashing'
+import { type ReserveRequest } from '@reelspan/core.messages'
+import { createPrefixIndex, PrefixIndexKind } from '@reelspan/scheduling.prefix-index'
+import { ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { type Shard } from '@reelspan/scheduling.shards'
+import { type EngineReport, EngineRole } from '@reelspan/upstream.client'
+import { tuulDeclarations, VirtualClock } from '@reelspan/utils.fakes'
+
+export interface TestShardOptions {
+  prefill?: number
+  decode?: number
+  places?: number
+  route?: Partial<RouteSpec>
+}
+
+/** A scheduler of a small shard whose engines have reported. 1,000 uncached tokens take 130 ms. */
+export function createShard ({ prefill = 2, decode = 2, places = 20, route }: TestShardOptions = {}) {
+  const clock = new VirtualClock()
+  const shard = shardOf(prefill, decode, places)
+  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000 })
+  shard.prefillEngines.forEach(({ name }) => scheduler.noteReport(name, reportOf(EngineRole.Prefill)))
+  shard.decodeEngines.forEach(({ name }) => scheduler.noteReport(name, reportOf(EngineRole.Decode)))
+  return { clock, scheduler, shard }
+}
+
+export function reportOf (role: EngineRole, over: Partial<EngineReport> = {}): EngineReport {
+  return { role, loaded: [{ model: 'draft', version: '1' }], changing: false, placesUsed: 0, placesTotal: 20, kvBytesUsed: 0, kvBytesTotal: 4e9, prefillQueueMs: 0, fence: 0, holds: [], ...over }
+}
+
+let sequence = 0
+
+export function requestOf (over: Partial<ReserveRequest> = {}): ReserveRequest {
+  const requestId = String(sequence++)
+  return {
+    shardId: 'draft',
+    label: { ownerAddress: '10.0.0.1:1', ownerIncarnation: 'owner', requestId, maxHoldMs: 30_000 },
+    returnId: requestId,
+    client: 'client',
+    priority: 0,
+    promptTokens: 1000,
+    prefixes: [],
+    maxTokens: 64,
+    ttftLeftMs: 390,
+    tbtTargetMs: 76,
+    deadlineMs: 30_000,
+    avoid: [],
+    ...over,
+  }
+}
+
+export function sharedPrefix (digest: string, tokens = 960): PrefixDigest[] {
+  return [{ digest, tokens }]
+}
+
+function shardOf (prefill: number, decode: number, places: number): Shard {
+  const { configuration } = checkResources(tuulDeclarations().map((entry) => ({ ...entry, revision: 1 })), 1)
+  const spec = configuration.model('draft')
+  const prefillPool = configuration.pool('draft-prefill')
+  const decodePool = configuration.pool('draft-decode')
+  if (!spec || !prefillPool || !decodePool) throw new Error('the declarations have no model draft')
+  const engines = (pool: string, count: number) => Array.from({ length: count }, (_, i) => ({ name: `${pool}-${i + 1}`, kind: UpstreamKind.Engine, address: `${pool}:${i + 1}`, availabilityZone: 'z', pool, leaving: false }))
+  return { id: 'draft', model: 'draft', spec, prefillPool, decodePool: { ...decodePool, placesPerEngine: places }, prefillEngines: engines('p', prefill), decodeEngines: engines('d', decode) }
+}
--- /dev/null
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -0,0 +1,195 @@
+import { type PlacementAnswer, PlacementOutcome } from '@reelspan/core.messages'
+import { EngineRole, HoldKind } from '@reelspan/upstream.client'
+import test from 'ava'
+import { createShard, reportOf, requestOf, sharedPrefix } from './__utils__/createShard.js'
+
+const REPORT = { completionTokens: 40, ttftErrorMs: 0, tbtP50Ms: 50 }
+
+function prefillOf (answer: PlacementAnswer): string | undefined {
+  return answer.outcome === PlacementOutcome.Placed ? answer.prefillEngine : undefined
+}
+
+function placedCount (answers: PlacementAnswer[]): number {
+  return answers.filter(({ outcome }) => outcome === PlacementOutcome.Placed).length
+}
+
+test('what cannot be in time is refused at once, with a time to return', async (t) => {
+  const { clock, scheduler } = createShard()
+  const startedAtMs = clock.nowMs()
+  const answer = await clock.run(scheduler.reserve(requestOf({ promptTokens: 10_000 })))
+  t.like(answer, { outcome: PlacementOutcome.Refused, reason: 'the first token would be late' })
+  t.true(answer.outcome === PlacementOutcome.Refused && answer.retryAfterMs > 0)
+  t.is(clock.nowMs(), startedAtMs)
+})
+
+test('a burst is admitted as far as it can be in time, and the rest is refused while it is still of use', async (t) => {
+  const { clock, scheduler } = createShard()
+  const startedAtMs = clock.nowMs()
+  const answers = await clock.run(Promise.all(Array.from({ length: 30 }, () => scheduler.reserve(requestOf()))))
+  t.true(placedCount(answers) >= 2 && placedCount(answers) <= 6, `${placedCount(answers)} placed`)
+  t.true(clock.nowMs() - startedAtMs <= 390)
+})
+
+test('no prefill starts without a decode place', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 4, decode: 1, places: 2 })
+  const answers = await clock.run(Promise.all(Array.from({ length: 6 }, () => scheduler.reserve(requestOf()))))
+  t.is(placedCount(answers), 2)
+})
+
+test('a place that is given back serves the next one that waits', async (t) => {
+  const { clock, scheduler } = createShard({ decode: 1, places: 1 })
+  const first = requestOf()
+  t.is((await clock.run(scheduler.reserve(first))).outcome, PlacementOutcome.Placed)
+  const second = scheduler.reserve(requestOf())
+  await clock.advance(50)
+  scheduler.release(first.label, REPORT)
+  t.is((await clock.run(second)).outcome, PlacementOutcome.Placed)
+})
+
+test('memory counts as well as places', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 4, decode: 1 })
+  const big = { maxTokens: 19_000 }
+  const answers = await clock.run(Promise.all([scheduler.reserve(requestOf(big)), scheduler.reserve(requestOf(big)), scheduler.reserve(requestOf(big))]))
+  t.is(placedCount(answers), 2, 'two of 2 GB fit into 4 GB')
+})
+
+test('what others hold on an engine is counted', async (t) => {
+  const { clock, scheduler } = createShard({ decode: 1, places: 2 })
+  const label = { ownerAddress: 'x', ownerIncarnation: 'script', requestId: '1', maxHoldMs: 1 }
+  scheduler.noteReport('d-1', reportOf(EngineRole.Decode, { holds: [{ label, kind: HoldKind.Decode, kvBytes: 1, tokensDone: 3 }] }))
+  const answers = await clock.run(Promise.all([scheduler.reserve(requestOf()), scheduler.reserve(requestOf())]))
+  t.is(placedCount(answers), 1)
+})
+
+test('a request goes where its prefix was sent before', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 4 })
+  const first = await clock.run(scheduler.reserve(requestOf({ prefixes: sharedPrefix('a') })))
+  await clock.advance(200)
+  const second = await clock.run(scheduler.reserve(requestOf({ prefixes: sharedPrefix('a') })))
+  t.is(prefillOf(second), prefillOf(first))
+})
+
+test('a prefix that is asked for more than one engine can serve spreads', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 3, decode: 4 })
+  const answers: PlacementAnswer[] = []
+  for (let i = 0; i < 40; i++) {
+    const request = requestOf({ prefixes: sharedPrefix('hot', 512) })
+    void scheduler.reserve(request).then(async (answer) => {
+      answers.push(answer)
+      await clock.sleep(80)
+      scheduler.prefilled(request.label)
+    })
+    await clock.advance(30)
+  }
+  await clock.advance(1000)
+  t.true(new Set(answers.flatMap((answer) => prefillOf(answer) ?? [])).size > 1)
+})
+
+test('an engine that dropped a prefix is no longer preferred for it', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 2 })
+  const request = requestOf({ prefixes: sharedPrefix('a') })
+  const engine = prefillOf(await clock.run(scheduler.reserve(request))) as string
+  scheduler.noteRemovals(engine, { removedDigests: ['a'], afterGap: false })
+  const again = await clock.run(scheduler.reserve(requestOf({ prefixes: sharedPrefix('a') })))
+  t.not(prefillOf(again), engine, 'the first engine is busy and has no advantage')
+})
+
+test('prefill and decode are never paired over two versions', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 2 })
+  scheduler.noteReport('d-1', reportOf(EngineRole.Decode, { loaded: [{ model: 'draft', version: '2' }] }))
+  const answers = await clock.run(Promise.all([scheduler.reserve(requestOf()), scheduler.reserve(requestOf())]))
+  t.deepEqual([...new Set(answers.flatMap((answer) => answer.outcome === PlacementOutcome.Placed ? answer.decodeEngine : []))], ['d-2'])
+})
+
+test('an engine that is silent, changing, leaving or being emptied gets no work', async (t) => {
+  const { clock, scheduler, shard } = createShard({ prefill: 5 })
+  scheduler.noteSilent('p-1')
+  scheduler.noteReport('p-2', reportOf(EngineRole.Prefill, { changing: true }))
+  scheduler.update({ ...shard, prefillEngines: shard.prefillEngines.map((engine) => ({ ...engine, leaving: engine.name === 'p-3' })) })
+  scheduler.ledger.prefillEngines().forEach((engine) => { engine.retiring = engine.name === 'p-4' })
+  const answers = await clock.run(Promise.all(Array.from({ length: 8 }, () => scheduler.reserve(requestOf()))))
+  t.deepEqual([...new Set(answers.flatMap((answer) => prefillOf(answer) ?? []))], ['p-5'])
+})
+
+test('a higher priority goes first', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1 })
+  const running = requestOf()
+  await clock.run(scheduler.reserve(running))
+  const order: string[] = []
+  const low = scheduler.reserve(requestOf({ priority: 0 })).then(({ outcome }) => order.push(`low ${outcome}`))
+  const high = scheduler.reserve(requestOf({ priority: 5 })).then(({ outcome }) => order.push(`high ${outcome}`))
+  await clock.advance(120)
+  scheduler.prefilled(running.label)
+  await clock.run(Promise.all([low, high]))
+  t.is(order[0], 'high placed')
+})
+
+test('a client that floods does not keep another one out', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 4 })
+  const outcomes: Record<string, PlacementOutcome[]> = { flood: [], small: [] }
+  const send = (client: string) => {
+    const request = requestOf({ client, promptTokens: 500 })
+    void scheduler.reserve(request).then(async (answer) => {
+      outcomes[client].push(answer.outcome)
+      if (answer.outcome === PlacementOutcome.Refused) return
+      await clock.sleep(70)
+      scheduler.prefilled(request.label)
+      await clock.sleep(500)
+      scheduler.release(request.label, REPORT)
+    })
+  }
+  for (let i = 0; i < 200; i++) {
+    send('flood')
+    send('flood')
+    if (i % 5 === 0) send('small')
+    await clock.advance(50)
+  }
+  await clock.advance(1000)
+  const share = outcomes.small.filter((outcome) => outcome === PlacementOutcome.Placed).length / outcomes.small.length
+  t.true(share > 0.9, `${(100 * share).toFixed(0)}% of the small client's requests were placed`)
+})
+
+test('a refused request that returns when told to goes before those that were not told', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 4 })
+  const burst = Array.from({ length: 12 }, () => requestOf())
+  const answers = await clock.run(Promise.all(burst.map((request) => scheduler.reserve(request))))
+  const refused = burst[answers.findIndex(({ outcome }) => outcome === PlacementOutcome.Refused)]
+  const refusal = answers.find(({ outcome }) => outcome === PlacementOutcome.Refused)
+  burst.forEach(({ label }) => scheduler.release(label))
+  await clock.advance(refusal?.outcome === PlacementOutcome.Refused ? refusal.retryAfterMs : 0)
+  const newcomers = Array.from({ length: 12 }, () => scheduler.reserve(requestOf()))
+  const returned = scheduler.reserve({ ...refused, label: { ...refused.label, requestId: 'again' } })
+  t.is((await clock.run(returned)).outcome, PlacementOutcome.Placed)
+  await clock.run(Promise.all(newcomers))
+})
+
+test('a new scheduler counts what owners tell it that the one before had placed', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 4, decode: 1, places: 2 })
+  const before = createShard({ prefill: 4, decode: 1, places: 2 })
+  const request = requestOf()
+  const plan = await before.clock.run(before.scheduler.reserve(request))
+  if (plan.outcome !== PlacementOutcome.Placed) return t.fail()
+  scheduler.adopt([{ request, plan, ageMs: 100, decoding: true, tokensDone: 1 }])
+  const answers = await clock.run(Promise.all([scheduler.reserve(requestOf()), scheduler.reserve(requestOf())]))
+  t.is(placedCount(answers), 1)
+})
+
+test('a reservation lapses when its request\'s deadline is past', async (t) => {
+  const { clock, scheduler } = createShard({ decode: 1, places: 1 })
+  await clock.run(scheduler.reserve(requestOf({ deadlineMs: 2000 })))
+  await clock.advance(3100)
+  t.is((await clock.run(scheduler.reserve(requestOf()))).outcome, PlacementOutcome.Placed)
+})
+
+test('a slow engine is learnt to be slow', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 4 })
+  for (let i = 0; i < 30; i++) {
+    const request = requestOf()
+    await clock.run(scheduler.reserve(request))
+    await clock.advance(260)
+    scheduler.prefilled(request.label)
+    scheduler.release(request.label, REPORT)
+  }
+  const factor = scheduler.ledger.prefillEngines()[0].account.speedFactor
+  t.true(factor > 1.5 && factor < 2.5, `factor ${factor}`)
+})
