--- /dev/null
+++ b/__utils__/bench/bin/mechanisms.js
@@ -0,0 +1,4 @@
+import { join } from 'node:path'
+import { checkMechanisms } from '../lib/index.js'
+
+await checkMechanisms(join(import.meta.dirname, '..', '..', '..'))
--- a/__utils__/bench/src/index.ts
+++ b/__utils__/bench/src/index.ts
@@ -1,4 +1,5 @@
 export { bench } from './bench.js'
+export { checkMechanisms } from './checkMechanisms.js'
 export { demo } from './demo.js'
 export { drawLoad, readShape } from './loadShape.js'
 export { measureMembership } from './measureMembership.js'
--- /dev/null
+++ b/__utils__/bench/src/mechanisms.ts
@@ -0,0 +1,184 @@
+/** A mechanism, how to put it out of action, and the tests that must then fail. */
+export interface Mechanism {
+  name: string
+  file: string
+  find: string
+  replace: string
+  /** Compiled test files. */
+  tests: string[]
+}
+
+const HOLDS = 'box/runtime/test.lib/holds.js'
+const ONCE_ONLY = 'box/runtime/test.lib/onceOnly.js'
+const WHOLE_ANSWERS = 'box/runtime/test.lib/wholeAnswers.js'
+const CONFIGURATION = 'box/runtime/test.lib/configuration.js'
+const LEAVING = 'box/runtime/test.lib/leaving.js'
+const ORDERS = 'box/runtime/test.lib/orders.js'
+const MEMBERSHIP = 'box/runtime/test.lib/membership.js'
+const SCHEDULER = 'scheduling/scheduler/test.lib/shardScheduler.js'
+const STORE = 'config/store/test.lib/configStore.js'
+
+/** What the promises rest on. */
+export const MECHANISMS: Mechanism[] = [
+  {
+    name: 'an owner releases its engines on every way out',
+    file: 'request/owner/src/completionRun.ts',
+    find: 'if (!settled) this.#releaseEngines(label, plan)',
+    replace: 'if (label === undefined) this.#releaseEngines(label, plan)',
+    tests: [HOLDS],
+  },
+  {
+    name: 'the scheduler sweeps what nobody vouches for',
+    file: 'box/runtime/src/shardKeeper.ts',
+    find: 'this.#tasks.run(() => this.#opts.sweeper.sweep(engine, report.holds))',
+    replace: '',
+    tests: [HOLDS],
+  },
+  {
+    name: 'a key is run by the incarnation that it names alone',
+    file: 'request/owner/src/owner.ts',
+    find: 'if (!opts.takeOver || request.notRepeatable) this.#checkKey(request)',
+    replace: 'if (opts.takeOver && request.notRepeatable) this.#checkKey(request)',
+    tests: [ONCE_ONLY],
+  },
+  {
+    name: 'a key older than its prefix is not run',
+    file: 'request/owner/src/owner.ts',
+    find: 'issuerClockMs - owner.issuedAtMs > prefixLifeMs',
+    replace: 'issuerClockMs - owner.issuedAtMs > 1000 * prefixLifeMs',
+    tests: [ONCE_ONLY],
+  },
+  {
+    name: 'what may have run and may not be repeated is not sent again',
+    file: 'request/owner/src/serviceRun.ts',
+    find: 'if (this.#run.mayHaveRun && this.#request.notRepeatable) return false',
+    replace: '',
+    tests: [ONCE_ONLY],
+  },
+  {
+    name: 'the verdict follows what was sent',
+    file: 'request/owner/src/runContext.ts',
+    find: 'this.#mayHaveRun = true',
+    replace: 'this.#mayHaveRun = false',
+    tests: [ONCE_ONLY],
+  },
+  {
+    name: 'deadline and standing are checked right before a send',
+    file: 'request/owner/src/runContext.ts',
+    find: 'if (this.leftMs <= 0) this.#endLate()',
+    replace: '',
+    tests: [ONCE_ONLY],
+  },
+  {
+    name: 'an answer must carry the label of its request',
+    file: 'request/owner/src/completionRun.ts',
+    find: 'if (!sameHolder(event.label, label)) throw',
+    replace: 'if (event.label === undefined) throw',
+    tests: [WHOLE_ANSWERS],
+  },
+  {
+    name: 'a token that came twice is dropped',
+    file: 'request/owner/src/completionRun.ts',
+    find: 'if (index < this.#generated.length) return',
+    replace: '',
+    tests: [WHOLE_ANSWERS],
+  },
+  {
+    name: 'only a higher revision is adopted',
+    file: 'config/store/src/configStore.ts',
+    find: 'if (content.revision <= this.#revision) return',
+    replace: 'if (content.revision === this.#revision) return',
+    tests: [CONFIGURATION, STORE],
+  },
+  {
+    name: 'a revision is adopted only if the whole of it is valid',
+    file: 'config/store/src/configStore.ts',
+    find: 'if (problems.length > 0) {',
+    replace: 'if (problems.length > 1000) {',
+    tests: [CONFIGURATION],
+  },
+  {
+    name: 'boxes get revisions from their peers',
+    file: 'config/store/src/configFollower.ts',
+    find: 'if (!worthPulling || this.#pulling) return',
+    replace: 'if (worthPulling) return',
+    tests: [CONFIGURATION],
+  },
+  {
+    name: 'a leaving service is not chosen',
+    file: 'config/fleet/src/fleetList.ts',
+    find: 'return this.inPool(pool).filter(({ leaving }) => !leaving)',
+    replace: 'return this.inPool(pool)',
+    tests: [LEAVING],
+  },
+  {
+    name: 'a leaving engine is not chosen',
+    file: 'scheduling/ledger/src/shardLedger.ts',
+    find: '!engine.leaving && !engine.retiring',
+    replace: '!engine.retiring',
+    tests: [LEAVING, SCHEDULER],
+  },
+  {
+    name: 'a planned stop waits for what runs',
+    file: 'box/runtime/src/plannedStop.ts',
+    find: 'await waitAtMost(opts, settings.requests.longestRequestMs)',
+    replace: '',
+    tests: [LEAVING],
+  },
+  {
+    name: 'a planned stop hands its records over',
+    file: 'box/runtime/src/plannedStop.ts',
+    find: 'const successor = await handOffRecords(opts)',
+    replace: 'const successor = opts.settings.requests.longestRequestMs < 0 ? await handOffRecords(opts) : undefined',
+    tests: [LEAVING],
+  },
+  {
+    name: 'the right to order lapses',
+    file: 'upstream/orders/src/orderRight.ts',
+    find: 'return predecessorIsDone && nowMs - lastContactMs() < lifeMs',
+    replace: 'return predecessorIsDone || nowMs - lastContactMs() < lifeMs',
+    tests: ['upstream/orders/test.lib/orders.js', ORDERS],
+  },
+  {
+    name: 'orders keep the declared engines in service',
+    file: 'upstream/orders/src/planOrders.ts',
+    find: 'Math.max(0, serving - pool.minReadyEngines)',
+    replace: 'Math.max(0, serving)',
+    tests: ['upstream/orders/test.lib/orders.js'],
+  },
+  {
+    name: 'a box that was declared gone takes a new incarnation',
+    file: 'box/runtime/src/box.ts',
+    find: 'if (isSelf && member.health === MemberHealth.Gone && !this.#stopping) {',
+    replace: 'if (isSelf && member.health === MemberHealth.Gone && this.#stopping) {',
+    tests: [MEMBERSHIP],
+  },
+  {
+    name: 'other boxes are asked before one is suspected',
+    file: 'membership/prober/src/prober.ts',
+    find: 'if (!overslept && !await this.#askOthers(member))',
+    replace: 'if (!overslept)',
+    tests: [MEMBERSHIP],
+  },
+  {
+    name: 'what would be late is refused at once',
+    file: 'scheduling/scheduler/src/shardScheduler.ts',
+    find: 'if (earliestMs + waiting.handoverMs <= waiting.lateAtMs) waitingMs',
+    replace: 'if (earliestMs + waiting.handoverMs <= waiting.lateAtMs + 60_000) waitingMs',
+    tests: [SCHEDULER],
+  },
+  {
+    name: 'a prefill starts only with a decode place',
+    file: 'scheduling/scheduler/src/placementEstimator.ts',
+    find: 'const fits = free.places >= 1 && free.kvBytes >= kvBytes',
+    replace: 'const fits = true',
+    tests: [SCHEDULER],
+  },
+  {
+    name: 'a client over its share goes behind the others',
+    file: 'scheduling/scheduler/src/shardScheduler.ts',
+    find: 'this.#shares.isAhead(waiting.request.client, nowMs) ? 1 : 0',
+    replace: '0',
+    tests: [SCHEDULER],
+  },
+]
