fix(upstream.holds): leave alone what something else holds on an engine

Cause: old scripts may use engines beside reelspan. Ruled out: the ledger, which counts such holds and releases none.

--- a/core/messages/src/holdLabel.ts
+++ b/core/messages/src/holdLabel.ts
@@ -16,6 +16,13 @@
   return `${label.ownerIncarnation}/${label.requestId}`
 }
 
+const INCARNATION = /^[0-9a-f]{16}$/
+
+/** Whether a label was made by reelspan, and not by something else that uses the engine beside it. */
+export function isOwnLabel ({ ownerIncarnation }: HoldLabel): boolean {
+  return INCARNATION.test(ownerIncarnation)
+}
+
 /** Whether both labels belong to the same request of the same owner. */
 export function sameHolder (a: HoldLabel, b: HoldLabel): boolean {
   return holdLabelKey(a) === holdLabelKey(b)
--- a/core/messages/src/index.ts
+++ b/core/messages/src/index.ts
@@ -1,6 +1,6 @@
 export { AnswerEventKind, answerEventSchema } from './answer.js'
 export type { AnswerEvent, FinalAnswer, TokenEvent, ResponseEvent } from './answer.js'
-export { holdLabelSchema, holdLabelKey, sameHolder } from './holdLabel.js'
+export { holdLabelSchema, holdLabelKey, isOwnLabel, sameHolder } from './holdLabel.js'
 export type { HoldLabel } from './holdLabel.js'
 export { memberSchema, MemberHealth, memberId } from './member.js'
 export type { Member } from './member.js'
--- a/upstream/holds/src/holdSweeper.ts
+++ b/upstream/holds/src/holdSweeper.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
-import { type HoldLabel, holdLabelKey, MessageType, type PeerLink } from '@reelspan/core.messages'
+import { type HoldLabel, holdLabelKey, isOwnLabel, MessageType, type PeerLink } from '@reelspan/core.messages'
 import { type EngineClient, type EngineHold } from '@reelspan/upstream.client'
 
 export interface HoldSweeperOptions {
@@ -42,7 +42,9 @@
   }
 
   /** Checks one engine's holds. Resolves once those to release were released or could not be. */
-  async sweep (engine: { name: string, address: string }, holds: readonly EngineHold[]): Promise<void> {
+  async sweep (engine: { name: string, address: string }, allHolds: readonly EngineHold[]): Promise<void> {
+    // Old scripts may use the engine beside reelspan: what they hold is theirs.
+    const holds = allHolds.filter(({ label }) => isOwnLabel(label))
     this.#noteSeen(engine.name, holds)
     const byOwner = new Map<string, EngineHold[]>()
     holds.forEach((hold) => byOwner.set(hold.label.ownerIncarnation, [...byOwner.get(hold.label.ownerIncarnation) ?? [], hold]))
