fix(membership.prober): a process whose machine refuses connections is gone, not only silent

Cause: what a killed owner held, without a replacement at its address, stayed held until its deadline: 20 s, measured, since silence proves nothing. But a refused connection does: a process that sleeps does not refuse. Ruled out: declaring silence gone sooner, which makes every box give up its requests after each cut between regions. Change: two refusals, a probe timeout apart, declare an incarnation gone. A machine that vanishes still takes the deadline.

--- /dev/null
+++ b/__utils__/bench/bin/holds.js
@@ -0,0 +1,3 @@
+import { measureHolds } from '../lib/index.js'
+
+await measureHolds()
--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -143,6 +143,11 @@
     this.#addEngine(name, role, this.address(name))
   }
 
+  /** Nothing passes between a box and anything else. */
+  cutOff (name: string): void {
+    this.everyAddress().filter((address) => address !== this.address(name)).forEach((address) => this.network.cutBoth(this.address(name), address))
+  }
+
   /** Nothing passes between an availability zone and the rest. */
   cutOffZone (availabilityZone: string): void {
     const { boxes, upstreams } = this.#deployment
--- a/__utils__/fakes/src/fakeNetwork.ts
+++ b/__utils__/fakes/src/fakeNetwork.ts
@@ -158,7 +158,7 @@
     if (this.#node.killed.signal.aborted) return never()
     if (!await this.#network.travel(this.#address, address)) return never()
     const target = this.#network.node(address)
-    if (!target?.handler) throw new PeerLinkError(`${address} refused the connection`, { mayHaveArrived: false })
+    if (!target?.handler) throw new PeerLinkError(`${address} refused the connection`, { mayHaveArrived: false, refused: true })
     await target.clock.whileRunning()
     return target
   }
--- a/box/runtime/test/holds.ts
+++ b/box/runtime/test/holds.ts
@@ -60,11 +60,20 @@
   const request = fleet.completion(owner, LONG_PROMPT, { maxTokens: 5000, deadlineMs: 8000 })
   void fleet.send(owner, request)
   await fleet.clock.advance(700)
-  fleet.kill(owner)
+  fleet.cutOff(owner)
   await freedWithin(t, fleet, 10_000)
   await fleet.stop()
 })
 
+test('what a killed owner held is freed within four seconds without a replacement too', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const owner = otherBox(fleet)
+  await startLong(fleet, owner)
+  fleet.kill(owner)
+  await freedWithin(t, fleet, 4000)
+  await fleet.stop()
+})
+
 test('a stalled transfer is given up and both engines are freed', async (t) => {
   const fleet = await new FakeFleet().start()
   fleet.engines.forEach((engine) => { engine.faults.stallTransfers = true })
--- a/box/runtime/test/leaving.ts
+++ b/box/runtime/test/leaving.ts
@@ -59,6 +59,20 @@
   await fleet.stop()
 })
 
+test('a planned stop waits for an answer that outlasts the lookup answers', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const prompt = promptFor('long', { answerTokens: 600 })
+  const running = fleet.send('box-1', fleet.completion('box-1', prompt, { maxTokens: 600 }))
+  await fleet.clock.advance(500)
+  const stopped = fleet.box('box-1').box.drain()
+  const outcome = await fleet.clock.run(running)
+  t.true(outcome.endMs > 10_000)
+  t.is(outcome.text, expectedAnswer(prompt, 600))
+  await fleet.clock.run(stopped)
+  fleet.box('box-1').alive = false
+  await fleet.stop()
+})
+
 test('a key of a stopped box that was never used is known not to have run', async (t) => {
   const fleet = await new FakeFleet().start()
   const key = fleet.key('box-1')
--- a/box/runtime/test/membership.ts
+++ b/box/runtime/test/membership.ts
@@ -14,12 +14,20 @@
 
 test('every box knows within three seconds that another one does not answer', async (t) => {
   const fleet = await new FakeFleet().start()
-  fleet.kill('box-3')
+  fleet.cutOff('box-3')
   await fleet.clock.advance(3000)
   t.deepEqual(new Set(healthOf(fleet, 'box-3')), new Set([MemberHealth.Suspect]))
   await fleet.stop()
 })
 
+test('every box knows within three seconds that another one\'s process is gone', async (t) => {
+  const fleet = await new FakeFleet().start()
+  fleet.kill('box-3')
+  await fleet.clock.advance(3000)
+  t.deepEqual(new Set(healthOf(fleet, 'box-3')), new Set([MemberHealth.Gone]))
+  await fleet.stop()
+})
+
 test('a box that was asleep for ten seconds goes on as the same process', async (t) => {
   const fleet = await new FakeFleet().start()
   fleet.box('box-3').clock.pause()
@@ -54,6 +62,18 @@
   await fleet.stop()
 })
 
+test('a box that one other cannot reach is not even suspected', async (t) => {
+  const others = ['box-2', 'box-3', 'box-4', 'box-5', 'box-6', 'box-7', 'box-8']
+  for (const name of others) {
+    const fleet = await new FakeFleet().start()
+    fleet.network.cut(fleet.address('box-1'), fleet.address(name))
+    await fleet.clock.advance(5000)
+    const suspicions = fleet.boxes.flatMap(({ log }) => log.entries.filter(({ fields }) => fields?.health === MemberHealth.Suspect))
+    t.deepEqual(suspicions, [])
+    await fleet.stop()
+  }
+})
+
 test('a box that learns of its replacement takes a new incarnation', async (t) => {
   const fleet = await new FakeFleet().start()
   const sleeper = fleet.box('box-3')
--- a/core/messages/src/peerLink.ts
+++ b/core/messages/src/peerLink.ts
@@ -30,12 +30,15 @@
 export class PeerLinkError extends ReelspanError {
   /** Whether the peer may have received the message. */
   readonly mayHaveArrived: boolean
+  /** The machine answered that no process listens there: the one that did is gone. */
+  readonly refused: boolean
 
-  constructor (message: string, opts: { mayHaveArrived: boolean, cause?: unknown }) {
+  constructor (message: string, opts: { mayHaveArrived: boolean, refused?: boolean, cause?: unknown }) {
     super(ErrorCode.PeerUnreachable, message, {
       verdict: opts.mayHaveArrived ? Verdict.MayHaveRun : Verdict.NotRun,
       cause: opts.cause,
     })
     this.mayHaveArrived = opts.mayHaveArrived
+    this.refused = opts.refused ?? false
   }
 }
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -122,14 +122,28 @@
     try {
       await this.#heartbeat(member.peerAddress, member.incarnation)
       return true
-    } catch {
+    } catch (thrown) {
       // Sleeping through the wait ourselves (a pause) proves nothing about the other side.
       const overslept = clock.nowMs() - sentAtMs > 3 * this.#opts.probeTimeoutMs
-      if (!overslept && !await this.#askOthers(member)) view.suspect(member.incarnation, clock.nowMs())
+      if (isRefusal(thrown)) await this.#confirmRefusal(member)
+      else if (!overslept && !await this.#askOthers(member)) view.suspect(member.incarnation, clock.nowMs())
       return false
     }
   }
 
+  /**
+   * A refused connection means that no process listens at the address, though
+   * its machine runs: the member is gone. A sleeping process would not refuse.
+   * It is asked twice, since one refusal may be a passing fault on the way.
+   */
+  async #confirmRefusal (member: Member): Promise<void> {
+    const { clock, view, probeTimeoutMs } = this.#opts
+    view.suspect(member.incarnation, clock.nowMs())
+    await clock.sleep(probeTimeoutMs, { signal: this.#tasks.signal })
+    const again = await this.#heartbeat(member.peerAddress, member.incarnation).catch((thrown: unknown) => thrown)
+    if (isRefusal(again)) view.declareGone(member.incarnation, clock.nowMs())
+  }
+
   async #askOthers (member: Member): Promise<boolean> {
     const { clock, random, link, view, probeTimeoutMs } = this.#opts
     const helpers = random.sample(view.live().filter(({ incarnation }) => incarnation !== member.incarnation && incarnation !== view.self.incarnation), MAX_INDIRECT_PROBES)
@@ -242,3 +256,7 @@
     return random.sample(listedAddresses().filter((address) => !live.has(address)), count)
   }
 }
+
+function isRefusal (outcome: unknown): boolean {
+  return outcome instanceof PeerLinkError && outcome.refused
+}
--- a/net/peer-link/src/outgoingConnection.ts
+++ b/net/peer-link/src/outgoingConnection.ts
@@ -30,10 +30,11 @@
     opts.traffic.connectionsOpened++
     this.#opened = new Promise((resolve, reject) => {
       this.#socket.once('open', () => resolve())
-      this.#socket.once('close', () => reject(new PeerLinkError(`${opts.address} cannot be reached`, { mayHaveArrived: false })))
+      let refused = false
+      this.#socket.on('error', ({ code }: NodeJS.ErrnoException) => { refused ||= code === 'ECONNREFUSED' })
+      this.#socket.once('close', () => reject(new PeerLinkError(`${opts.address} cannot be reached`, { mayHaveArrived: false, refused })))
     })
     this.#opened.catch(() => {})
-    this.#socket.on('error', () => {})
     this.#socket.on('message', (data) => this.#receive(data as Buffer))
     this.#socket.on('close', () => this.#fail())
     this.#closeWhenIdle()
