feat(scheduling.scheduler): a route's objective says whether a prefill may bet on a place that is about to be free

Was accepted and not used until now. Test: the same request is placed under 'goodput' and waits under 'wastedPrefill'.

--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -1,4 +1,4 @@
-import { type RouteSpec } from '@reelspan/config.resources'
+import { RouteObjective, type RouteSpec } from '@reelspan/config.resources'
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { type DecodeAccount, type DecodeCapacity, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
@@ -24,6 +24,12 @@
   costMs: number
 }
 
+export interface DecodeOptions {
+  usablePlaces: number
+  objective?: RouteObjective
+  nowMs: number
+}
+
 /** Part of a latency target that is left for what the estimate does not see. */
 const TARGET_MARGIN = 0.95
 /** Steps may take this much longer than declared before a place is counted as free too early. */
@@ -70,15 +76,17 @@
   }
 
   /** Completes an estimate with the decode engine that has most room when the prefill ends, if one has any. */
-  estimateDecode (request: ReserveRequest, part: PrefillEstimate, usablePlaces: number, nowMs: number): PlacementEstimate | undefined {
+  estimateDecode (request: ReserveRequest, part: PrefillEstimate, { usablePlaces, objective, nowMs }: DecodeOptions): PlacementEstimate | undefined {
     const { spec, prefillPool, decodePool } = this.#ledger.shard
     const kvBytes = this.kvBytes(request)
     const capacity = { places: usablePlaces, kvBytes: decodePool.kvBytesPerEngine }
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
     // KV cache of one version means nothing to another.
     const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && !request.avoid.includes(decode.name))
+    // A place that is free only by the time the prefill ends may still be lost to a fault: some routes do not bet on it.
+    const betsOnEnds = objective !== RouteObjective.WastedPrefill
     const roomiest = findRoomiest(engines, kvBytes, ({ account }) => account.freeNow(capacity)) ??
-      findRoomiest(engines, kvBytes, ({ account }) => account.freeAt(part.endMs, capacity))
+      (betsOnEnds ? findRoomiest(engines, kvBytes, ({ account }) => account.freeAt(part.endMs, capacity)) : undefined)
     if (!roomiest) return undefined
     const { decode, free } = roomiest
     const linkFreeMs = Math.max(part.endMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -300,9 +300,10 @@
   #firstThatFits (candidates: readonly Candidate[], nowMs: number): { waiting: WaitingRequest, estimate: PlacementEstimate } | undefined {
     for (const { waiting, ready, costMs } of candidates.slice(0, MAX_FITS_TRIED)) {
       const { request, lateAtMs } = waiting
-      const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, this.#opts.route()))
+      const route = this.#opts.route()
+      const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, route))
       const part = { prefill: ready.engine, startMs: ready.freeAtMs, endMs: ready.freeAtMs + costMs, costMs }
-      const estimate = this.#estimator.estimateDecode(request, part, usablePlaces, nowMs)
+      const estimate = this.#estimator.estimateDecode(request, part, { usablePlaces, objective: route?.objective, nowMs })
       if (estimate && estimate.firstTokenMs <= lateAtMs) return { waiting, estimate }
     }
     return undefined
--- a/scheduling/scheduler/test/shardScheduler.ts
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -1,3 +1,4 @@
+import { RouteObjective } from '@reelspan/config.resources'
 import { type PlacementAnswer, PlacementOutcome } from '@reelspan/core.messages'
 import { EngineRole, HoldKind } from '@reelspan/upstream.client'
 import test from 'ava'
@@ -53,6 +54,20 @@
   t.is(placedCount(answers), 2, 'two of 2 GB fit into 4 GB')
 })
 
+test('a place that will certainly be free when the prefill ends counts, unless the route would rather not waste prefill', async (t) => {
+  const outcomes = await Promise.all([RouteObjective.Goodput, RouteObjective.WastedPrefill].map(async (objective) => {
+    const { clock, scheduler } = createShard({ prefill: 2, decode: 1, places: 1, route: { objective, poolSharePercent: 100, clientWeights: {} } })
+    // It ends after at most one step of 27 ms, and a prefill of 1,000 tokens takes 130 ms.
+    await clock.run(scheduler.reserve(requestOf({ promptTokens: 64, maxTokens: 1 })))
+    await clock.advance(5)
+    let second = 'waits'
+    void scheduler.reserve(requestOf()).then(({ outcome }) => { second = outcome })
+    await clock.advance(5)
+    return second
+  }))
+  t.deepEqual(outcomes, [PlacementOutcome.Placed, 'waits'])
+})
+
 test('what others hold on an engine is counted', async (t) => {
   const { clock, scheduler } = createShard({ decode: 1, places: 2 })
   const label = { ownerAddress: 'x', ownerIncarnation: 'script', requestId: '1', maxHoldMs: 1 }
