fix(config.store): do not ask a platform again at once that does not let watches wait

Cause: a watch that comes back at once with the revision in force was followed by the next one without a pause. Found by reading; the test never ended before the change (a hot loop), and sees fewer than 60 reads a minute after it.

--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -23,6 +23,8 @@
 
 const FIRST_BACKOFF_MS = 200
 const LAST_BACKOFF_MS = 5000
+/** A watch that ends sooner, without news, did not wait as it was asked to. */
+const SHORTEST_WATCH_MS = 1000
 
 /** Keeps one collection up to date from the platform and from peers. */
 export class ConfigFollower {
@@ -81,12 +83,14 @@
   }
 
   async #readPlatform (waitMs: number): Promise<void> {
-    const { platform, collection, store } = this.#opts
+    const { clock, platform, collection, store } = this.#opts
     const since = store.revision
+    const askedAtMs = clock.nowMs()
     const content = await platform.read(collection, since, { waitMs, signal: this.#tasks.signal })
     const outcome = this.#adopt(content, since)
-    // An answer below our own revision comes from a stale replica: asking again at once would only load it.
-    const idle = outcome !== AdoptOutcome.Adopted && (content.revision < since || outcome === AdoptOutcome.Invalid)
+    // A watch that brought nothing new and did not wait comes from a stale replica, or from a platform that cannot wait.
+    const waitedMs = clock.nowMs() - askedAtMs
+    const idle = outcome !== AdoptOutcome.Adopted && (outcome === AdoptOutcome.Invalid || waitedMs < Math.min(waitMs, SHORTEST_WATCH_MS))
     if (idle && waitMs > 0) await this.#backOff()
     else this.#backoffMs = FIRST_BACKOFF_MS
   }
--- /dev/null
+++ b/config/store/test/configFollower.ts
@@ -0,0 +1,50 @@
+import { ConfigFollower, ConfigStore, PlatformReader, type RevisionedContent } from '@reelspan/config.store'
+import { Collection, type PeerLink } from '@reelspan/core.messages'
+import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+/** Answers every read at once, whatever wait it asks for. */
+class ImpatientPlatform extends PlatformReader {
+  reads = 0
+  content: RevisionedContent = { revision: 1, full: true, changes: [] }
+
+  get lastAnswerMs (): number {
+    return 0
+  }
+
+  async read (): Promise<RevisionedContent> {
+    this.reads++
+    return this.content
+  }
+}
+
+function createFollower (platform: PlatformReader) {
+  const clock = new VirtualClock()
+  const store = new ConfigStore((entries) => ({ value: entries, problems: [] }))
+  const follower = new ConfigFollower({
+    clock,
+    random: new SeededRandom(1),
+    platform,
+    link: {} as PeerLink,
+    store,
+    collection: Collection.Declarations,
+    isWatcher: () => true,
+    watchWaitMs: 20_000,
+    backstopPollMs: 10_000,
+    peerTimeoutMs: 100,
+  })
+  return { clock, store, follower }
+}
+
+test('a platform that does not let watches wait is not asked again and again', async (t) => {
+  const platform = new ImpatientPlatform()
+  const { clock, store, follower } = createFollower(platform)
+  follower.start()
+  await clock.advance(60_000)
+  t.is(store.revision, 1)
+  t.true(platform.reads < 60, `${platform.reads} reads in a minute`)
+  platform.content = { revision: 2, full: false, changes: [] }
+  await clock.advance(10_000)
+  t.is(store.revision, 2)
+  await clock.run(follower.stop())
+})
