refactor(scheduling): choosing apart from the scheduler, formulas in one place

Prefill, transfer and place formulas stood in the scheduler and in the baselines; both use the shard's now. Prefill engines whose version no decode engine serves are not offered work any more.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -176,7 +176,7 @@
   },
   {
     name: 'a client over its share goes behind the others',
-    file: 'scheduling/scheduler/src/shardScheduler.ts',
+    file: 'scheduling/scheduler/src/placementChooser.ts',
     find: 'this.#shares.isAhead(waiting.request.client, nowMs) ? 1 : 0',
     replace: '0',
     tests: [SCHEDULER],
--- a/scheduling/owner-alone/src/ownerAlonePlacer.ts
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -2,7 +2,7 @@
 import { type PlacementPlan, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
-import { type Shard } from '@reelspan/scheduling.shards'
+import { placesWithinTarget, prefillMs, requestKvBytes, type Shard, transferMs } from '@reelspan/scheduling.shards'
 import { type ListedUpstream } from '@reelspan/config.fleet'
 import { type EnginePicker } from './enginePicker.js'
 import { type DatedReport, type ReportSource } from './reportSource.js'
@@ -51,12 +51,10 @@
 
 /** What engines report is about this old when it arrives. */
 const REPORT_LAG_MS = 500
-const MS_PER_SECOND = 1000
 const START_WITHIN_MS = 1000
 const REFUSAL_RETRY_AFTER_MS = 500
 /** Prompts are kept together by this many of their first tokens. */
 const AFFINITY_TOKENS = 1024
-const TARGET_MARGIN = 0.95
 /**
  * Part of the first-token target that an estimate may use up, since reports are
  * old. Of 0.7, 0.85 and 1, the first gave the most goodput in trials.
@@ -128,31 +126,26 @@
     return this.#opts.index.cachedTokens(engine.name, request.prefixes, this.#opts.clock.nowMs())
   }
 
-  #prefillMs (request: PlaceRequest, engine: ListedUpstream, { spec }: Shard): number {
-    return spec.prefillBaseMs + (request.promptTokens - this.#cachedTokens(request, engine)) * MS_PER_SECOND / spec.prefillTokensPerSecond
+  #prefillMs (request: PlaceRequest, engine: ListedUpstream, shard: Shard): number {
+    return prefillMs(shard, request.promptTokens - this.#cachedTokens(request, engine))
   }
 
   #isInTime (request: PlaceRequest, prefill: Candidate, shard: Shard): boolean {
-    const transferMs = request.promptTokens * shard.spec.kvBytesPerToken * MS_PER_SECOND / shard.prefillPool.linkBytesPerSecond
-    return prefill.load + this.#prefillMs(request, prefill.engine, shard) + transferMs + shard.spec.decodeStepBaseMs <= ADMISSION_MARGIN * request.ttftLeftMs
+    const handoverMs = transferMs(shard, request.promptTokens) + shard.spec.decodeStepBaseMs
+    return prefill.load + this.#prefillMs(request, prefill.engine, shard) + handoverMs <= ADMISSION_MARGIN * request.ttftLeftMs
   }
 
   #hasRoom (request: PlaceRequest, decode: Candidate, shard: Shard): boolean {
-    const { spec, decodePool } = shard
-    const withinTarget = spec.decodeStepPerRequestMs === 0
-      ? decodePool.placesPerEngine
-      : Math.floor((request.tbtTargetMs * TARGET_MARGIN - spec.decodeStepBaseMs) / spec.decodeStepPerRequestMs)
-    const places = Math.min(decodePool.placesPerEngine, withinTarget) * this.#opts.placesPercent / 100
-    const kvBytes = (request.promptTokens + request.maxTokens) * spec.kvBytesPerToken
+    const places = placesWithinTarget(shard, request.tbtTargetMs) * this.#opts.placesPercent / 100
     const { kvBytesTotal, kvBytesUsed } = decode.dated.report
-    return decode.load + 1 <= Math.max(1, places) && kvBytesUsed + kvBytes <= kvBytesTotal
+    return decode.load + 1 <= Math.max(1, places) && kvBytesUsed + requestKvBytes(shard, request) <= kvBytesTotal
   }
 
   #keep (request: PlaceRequest, prefill: Candidate, decode: Candidate, shard: Shard): Placement {
     const nowMs = this.#opts.clock.nowMs()
-    const prefillMs = this.#prefillMs(request, prefill.engine, shard)
+    const costMs = this.#prefillMs(request, prefill.engine, shard)
     this.#own = this.#own.filter(({ placedAtMs }) => nowMs - placedAtMs < OWN_MEMORY_MS)
-    this.#own.push({ engine: prefill.engine.name, placedAtMs: nowMs, load: prefillMs }, { engine: decode.engine.name, placedAtMs: nowMs, load: 1 })
+    this.#own.push({ engine: prefill.engine.name, placedAtMs: nowMs, load: costMs }, { engine: decode.engine.name, placedAtMs: nowMs, load: 1 })
     this.#opts.index.noteSent(prefill.engine.name, request.prefixes, nowMs)
     const plan: PlacementPlan = {
       outcome: PlacementOutcome.Placed,
@@ -160,10 +153,10 @@
       prefillAddress: prefill.engine.address,
       decodeEngine: decode.engine.name,
       decodeAddress: decode.engine.address,
-      kvBytes: (request.promptTokens + request.maxTokens) * shard.spec.kvBytesPerToken,
+      kvBytes: requestKvBytes(shard, request),
       startInMs: 0,
       startWithinMs: START_WITHIN_MS,
-      expectedTtftMs: prefill.load + prefillMs,
+      expectedTtftMs: prefill.load + costMs,
     }
     return { plan, prefilled: () => {}, release: () => {}, progressed: () => {} }
   }
--- /dev/null
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -0,0 +1,152 @@
+import { type RouteSpec } from '@reelspan/config.resources'
+import { type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
+import { type ClientShares } from './clientShares.js'
+import { type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
+import { type PlacesLimit } from './placesLimit.js'
+import { type WaitingRequest } from './waitingQueue.js'
+
+export interface PlacementChooserOptions {
+  ledger: ShardLedger
+  estimator: PlacementEstimator
+  shares: ClientShares
+  placesLimit: PlacesLimit
+  /** The route of the shard's model. */
+  route: () => RouteSpec | undefined
+}
+
+/** A prefill engine that takes work, as of one moment. */
+export interface ReadyEngine {
+  engine: EngineAccount<PrefillAccount>
+  /** Its place among the shard's prefill engines. */
+  slot: number
+  freeAtMs: number
+  speedFactor: number
+}
+
+/** A waiting request and the engine it would go to. */
+interface Candidate {
+  waiting: WaitingRequest
+  ready: ReadyEngine
+  costMs: number
+}
+
+/** A request and where it goes. */
+export interface Choice {
+  waiting: WaitingRequest
+  estimate: PlacementEstimate
+}
+
+/** A prefill is handed to an engine when the engine is this close to done with the one before. */
+export const HANDOUT_LOOKAHEAD_MS = 25
+const MAX_FITS_TRIED = 3
+/** Prefill work that an engine gets done while a request can wait, about. */
+const WORK_IN_SIGHT_MS = 150
+const LEAST_PRESSURE = 0.3
+const MOST_PRESSURE = 2
+
+/** Chooses which waiting request goes next, and where. */
+export class PlacementChooser {
+  readonly #ledger: ShardLedger
+  readonly #estimator: PlacementEstimator
+  readonly #shares: ClientShares
+  readonly #placesLimit: PlacesLimit
+  readonly #route: () => RouteSpec | undefined
+
+  constructor ({ ledger, estimator, shares, placesLimit, route }: PlacementChooserOptions) {
+    this.#ledger = ledger
+    this.#estimator = estimator
+    this.#shares = shares
+    this.#placesLimit = placesLimit
+    this.#route = route
+  }
+
+  /** The prefill engines that take work and whose version some decode engine serves too, and when each can begin another prefill. */
+  readyEngines (nowMs: number): ReadyEngine[] {
+    const decodable = new Set(this.#ledger.decodeEngines().map((decode) => this.#ledger.servedVersion(decode, nowMs)))
+    return this.#ledger.prefillEngines().flatMap((engine, slot) => {
+      const version = this.#ledger.servedVersion(engine, nowMs)
+      if (version === undefined || !decodable.has(version)) return []
+      return [{ engine, slot, freeAtMs: engine.account.freeAtMs(nowMs), speedFactor: engine.account.speedFactor }]
+    })
+  }
+
+  /**
+   * The waiting request that makes best use of an engine that is about to be free.
+   *
+   * @param waitingMs least prefill work of all that wait
+   */
+  choose (queue: readonly WaitingRequest[], waitingMs: number, nowMs: number): Choice | undefined {
+    if (queue.length === 0) return undefined
+    const engines = this.readyEngines(nowMs)
+    const handoutUntilMs = nowMs + HANDOUT_LOOKAHEAD_MS
+    if (!engines.some(({ freeAtMs }) => freeAtMs <= handoutUntilMs)) return undefined
+    const pressure = this.#pressure(queue.length > 1 ? waitingMs : 0, engines.length)
+    const candidates = queue.flatMap((waiting) => {
+      const ready = this.#bestEngine(waiting, engines, { pressure, nowMs })
+      return ready && ready.freeAtMs <= handoutUntilMs ? [{ waiting, ready, costMs: this.costMs(waiting, ready, nowMs) }] : []
+    })
+    return this.#firstThatFits(this.#inOrder(candidates, nowMs), nowMs)
+  }
+
+  /** How much more prefill work waits than the engines can do before it is late: from 0.3 when nothing waits, up to 2. */
+  #pressure (waitingMs: number, engineCount: number): number {
+    return Math.min(MOST_PRESSURE, LEAST_PRESSURE + waitingMs / (engineCount * WORK_IN_SIGHT_MS))
+  }
+
+  /** Time that a prefill takes on an engine. Remembered while the request waits; it depends on what is cached there. */
+  costMs ({ request, costsMs }: WaitingRequest, { engine, slot, speedFactor }: ReadyEngine, nowMs: number): number {
+    const costMs = costsMs[slot] ?? this.#estimator.prefillCostMs(request, engine.name, nowMs)
+    costsMs[slot] = costMs
+    return costMs * speedFactor
+  }
+
+  /** The engine with the earliest first token, where work that a cached prefix would save counts as time under pressure. */
+  #bestEngine (waiting: WaitingRequest, engines: readonly ReadyEngine[], { pressure, nowMs }: { pressure: number, nowMs: number }): ReadyEngine | undefined {
+    const { request: { avoid }, lateAtMs, handoverMs } = waiting
+    let best: ReadyEngine | undefined
+    let bestScore = Number.POSITIVE_INFINITY
+    engines.forEach((ready) => {
+      const costMs = this.costMs(waiting, ready, nowMs)
+      const endMs = ready.freeAtMs + costMs
+      const score = endMs + pressure * costMs
+      if (score >= bestScore || endMs + handoverMs > lateAtMs || (avoid.length > 0 && avoid.includes(ready.engine.name))) return
+      best = ready
+      bestScore = score
+    })
+    return best
+  }
+
+  /** Priority first; then those who were asked to return; then clients that are not ahead of their share; then the least work. */
+  #inOrder (candidates: Candidate[], nowMs: number): Candidate[] {
+    if (candidates.length <= 1) return candidates
+    const rank = ({ waiting, costMs }: Candidate) => [
+      -waiting.request.priority,
+      waiting.returned ? 0 : 1,
+      this.#shares.isAhead(waiting.request.client, nowMs) ? 1 : 0,
+      costMs,
+      waiting.arrivedAtMs,
+    ]
+    return candidates
+      .map((candidate) => ({ candidate, rank: rank(candidate) }))
+      .sort((a, b) => compareRanks(a.rank, b.rank))
+      .map(({ candidate }) => candidate)
+  }
+
+  /** The first of the candidates that a decode engine has room for. Few are tried: what one does not find, the next seldom does. */
+  #firstThatFits (candidates: readonly Candidate[], nowMs: number): Choice | undefined {
+    for (const { waiting, ready, costMs } of candidates.slice(0, MAX_FITS_TRIED)) {
+      const { request, lateAtMs } = waiting
+      const route = this.#route()
+      const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, route))
+      const part = { prefill: ready.engine, startMs: ready.freeAtMs, endMs: ready.freeAtMs + costMs, costMs }
+      const estimate = this.#estimator.estimateDecode(request, part, { usablePlaces, objective: route?.objective, nowMs })
+      if (estimate && estimate.firstTokenMs <= lateAtMs) return { waiting, estimate }
+    }
+    return undefined
+  }
+}
+
+function compareRanks (a: readonly number[], b: readonly number[]): number {
+  const at = a.findIndex((value, i) => value !== b[i])
+  return at < 0 ? 0 : a[at] - b[at]
+}
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -2,6 +2,7 @@
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { type DecodeAccount, type DecodeCapacity, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
+import { placesWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
 
 /** What a placement on a certain pair of engines would come to. Times are on this box's clock. */
 export interface PlacementEstimate {
@@ -30,13 +31,10 @@
   nowMs: number
 }
 
-/** Part of a latency target that is left for what the estimate does not see. */
-const TARGET_MARGIN = 0.95
 /** Steps may take this much longer than declared before a place is counted as free too early. */
 const STEP_SLACK = 1.15
 /** A request joins the batch in the middle of a step, on average, and gets its first token at the end of the next. */
 const STEPS_TO_FIRST_TOKEN = 1.5
-const MS_PER_SECOND = 1000
 
 /** Estimates placements from the ledger and the prefix index. */
 export class PlacementEstimator {
@@ -48,37 +46,30 @@
     this.#index = index
   }
 
-  /** Places of a decode engine that keep the time between tokens within the target. */
+  /** Places of a decode engine that this route may use and that keep the time between tokens within the target. */
   usablePlaces (tbtTargetMs: number, route?: RouteSpec): number {
-    const { spec, decodePool } = this.#ledger.shard
-    const shared = Math.max(1, Math.floor(decodePool.placesPerEngine * (route?.poolSharePercent ?? 100) / 100))
-    if (spec.decodeStepPerRequestMs === 0) return shared
-    const withinTarget = Math.floor((tbtTargetMs * TARGET_MARGIN - spec.decodeStepBaseMs) / spec.decodeStepPerRequestMs)
-    return Math.max(1, Math.min(shared, withinTarget))
-  }
-
-  kvBytes (request: ReserveRequest): number {
-    return (request.promptTokens + request.maxTokens) * this.#ledger.shard.spec.kvBytesPerToken
+    const { shard } = this.#ledger
+    const shared = Math.max(1, Math.floor(shard.decodePool.placesPerEngine * (route?.poolSharePercent ?? 100) / 100))
+    return Math.min(shared, placesWithinTarget(shard, tbtTargetMs))
   }
 
   /** Time that the prefill takes on an engine, by what is probably cached there. */
   prefillCostMs (request: ReserveRequest, engine: string, nowMs: number): number {
-    const { prefillBaseMs, prefillTokensPerSecond } = this.#ledger.shard.spec
     const cached = this.#index.cachedTokens(engine, request.prefixes, nowMs)
-    return prefillBaseMs + (request.promptTokens - cached) * MS_PER_SECOND / prefillTokensPerSecond
+    return prefillMs(this.#ledger.shard, request.promptTokens - cached)
   }
 
   /** The least time from the end of a prefill to its first token. */
   handoverMs (request: ReserveRequest): number {
-    const { spec, prefillPool } = this.#ledger.shard
-    const transferMs = request.promptTokens * spec.kvBytesPerToken * MS_PER_SECOND / prefillPool.linkBytesPerSecond
-    return transferMs + spec.decodeStepBaseMs
+    const { shard } = this.#ledger
+    return transferMs(shard, request.promptTokens) + shard.spec.decodeStepBaseMs
   }
 
   /** Completes an estimate with the decode engine that has most room when the prefill ends, if one has any. */
   estimateDecode (request: ReserveRequest, part: PrefillEstimate, { usablePlaces, objective, nowMs }: DecodeOptions): PlacementEstimate | undefined {
-    const { spec, prefillPool, decodePool } = this.#ledger.shard
-    const kvBytes = this.kvBytes(request)
+    const { shard } = this.#ledger
+    const { spec, decodePool } = shard
+    const kvBytes = requestKvBytes(shard, request)
     const capacity = { places: usablePlaces, kvBytes: decodePool.kvBytesPerEngine }
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
     // KV cache of one version means nothing to another.
@@ -90,8 +81,7 @@
     if (!roomiest) return undefined
     const { decode, free } = roomiest
     const linkFreeMs = Math.max(part.endMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
-    const transferMs = request.promptTokens * spec.kvBytesPerToken * MS_PER_SECOND / prefillPool.linkBytesPerSecond
-    const importEndMs = linkFreeMs + transferMs
+    const importEndMs = linkFreeMs + transferMs(shard, request.promptTokens)
     const batch = usablePlaces - free.places + 1
     const fullStepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usablePlaces
     return {
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,11 +1,12 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type Clock, STOPPED, TaskGroup } from '@reelspan/core.env'
 import { type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
-import { type EngineAccount, type LedgerEntry, type PrefillAccount, ShardLedger } from '@reelspan/scheduling.ledger'
+import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
 import { ClientShares } from './clientShares.js'
+import { HANDOUT_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { PlacesLimit } from './placesLimit.js'
 import { QuantileEstimator } from './quantileEstimator.js'
@@ -23,8 +24,6 @@
 
 export type AdoptedReservation = MessageOf<MessageType.AdoptReservations>['reservations'][number]
 
-/** A prefill is handed to an engine when the engine is this close to done with the one before. */
-const HANDOUT_LOOKAHEAD_MS = 25
 /** An owner that gets a plan must start its prefill within this time. */
 const START_WITHIN_MS = 300
 /** First guess of how much later than estimated first tokens come. */
@@ -32,31 +31,12 @@
 /** A reservation outlives its request's deadline by this much. */
 const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
-const MAX_FITS_TRIED = 3
-/** Prefill work that an engine gets done while a request can wait, about. */
-const WORK_IN_SIGHT_MS = 150
-const LEAST_PRESSURE = 0.3
-const MOST_PRESSURE = 2
+/** Waiting requests are looked at again at least this often. */
+const MAX_SLEEP_MS = 10
 const RETURN_SHARE = 0.6
 const RETURN_MIN_MS = 500
 const RETURN_MAX_MS = 30_000
 
-/** A prefill engine that takes work, as of one moment. */
-interface ReadyEngine {
-  engine: EngineAccount<PrefillAccount>
-  /** Its place among the shard's prefill engines. */
-  slot: number
-  freeAtMs: number
-  speedFactor: number
-}
-
-/** A waiting request and the engine it would go to. */
-interface Candidate {
-  waiting: WaitingRequest
-  ready: ReadyEngine
-  costMs: number
-}
-
 /** Places requests on one shard: holds them until an engine can begin at once, best use first, and refuses what would be late. */
 export class ShardScheduler {
   readonly ledger: ShardLedger
@@ -66,6 +46,7 @@
   readonly #shares = new ClientShares()
   readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
   readonly #placesLimit: PlacesLimit
+  readonly #chooser: PlacementChooser
   readonly #calendar = new ReturnCalendar({ share: RETURN_SHARE, minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
   readonly #waiting = new WaitingQueue()
   #wake?: AbortController
@@ -75,6 +56,7 @@
     this.ledger = new ShardLedger(opts.shard, { reportLifeMs: opts.reportLifeMs })
     this.#estimator = new PlacementEstimator(this.ledger, opts.index)
     this.#placesLimit = new PlacesLimit(opts.shard.decodePool.placesPerEngine)
+    this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit: this.#placesLimit, route: opts.route })
     this.#tasks = new TaskGroup(opts.clock)
   }
 
@@ -118,11 +100,6 @@
     this.#pump()
   }
 
-  #learn (entry: LedgerEntry, report: PlacementReport): void {
-    this.#ttftError.learn(report.ttftErrorMs)
-    this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
-  }
-
   /** Takes in reservations that another scheduler made. */
   adopt (reservations: readonly AdoptedReservation[]): void {
     const nowMs = this.#opts.clock.nowMs()
@@ -201,6 +178,11 @@
     }
   }
 
+  #learn (entry: LedgerEntry, report: PlacementReport): void {
+    this.#ttftError.learn(report.ttftErrorMs)
+    this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
+  }
+
   /** Places and refuses whatever can be decided now, then sleeps until the next moment that could change that. */
   #pump (): void {
     const nowMs = this.#opts.clock.nowMs()
@@ -208,20 +190,20 @@
     if (this.#waiting.size === 0) return
     this.#calendar.expire(nowMs)
     const waitingMs = this.#refuseLate(nowMs)
-    const next = () => this.#choose(waitingMs, nowMs)
+    const next = () => this.#chooser.choose(this.#waiting.all(), waitingMs, nowMs)
     for (let choice = next(); choice; choice = next()) this.#commit(choice.waiting, choice.estimate, nowMs)
     this.#sleepUntilNext(nowMs)
   }
 
   /** Refuses, at once, each request that no engine could serve in time any more. Answers with the least prefill work that is left. */
   #refuseLate (nowMs: number): number {
-    const engines = this.#readyTimes(nowMs)
+    const engines = this.#chooser.readyEngines(nowMs)
     let waitingMs = 0
     this.#waiting.all().forEach((waiting) => {
       let earliestMs = engines.length > 0 ? Number.POSITIVE_INFINITY : nowMs
       let leastMs = Number.POSITIVE_INFINITY
       engines.forEach((ready) => {
-        const costMs = this.#costMs(waiting, ready)
+        const costMs = this.#chooser.costMs(waiting, ready, nowMs)
         leastMs = Math.min(leastMs, costMs)
         earliestMs = Math.min(earliestMs, ready.freeAtMs + costMs)
       })
@@ -231,84 +213,6 @@
     return waitingMs
   }
 
-  /** The prefill engines that take work, and when each can begin another prefill. */
-  #readyTimes (nowMs: number): ReadyEngine[] {
-    return this.ledger.prefillEngines().flatMap((engine, slot) => this.ledger.servedVersion(engine, nowMs) === undefined
-      ? []
-      : [{ engine, slot, freeAtMs: engine.account.freeAtMs(nowMs), speedFactor: engine.account.speedFactor }])
-  }
-
-  /** The waiting request that makes best use of an engine that is about to be free. */
-  #choose (waitingMs: number, nowMs: number): { waiting: WaitingRequest, estimate: PlacementEstimate } | undefined {
-    if (this.#waiting.size === 0) return undefined
-    const engines = this.#readyTimes(nowMs)
-    const handoutUntilMs = nowMs + HANDOUT_LOOKAHEAD_MS
-    if (!engines.some(({ freeAtMs }) => freeAtMs <= handoutUntilMs)) return undefined
-    const pressure = this.#pressure(this.#waiting.size > 1 ? waitingMs : 0, engines.length)
-    const candidates = this.#waiting.all().flatMap((waiting) => {
-      const ready = this.#bestEngine(waiting, engines, pressure)
-      return ready && ready.freeAtMs <= handoutUntilMs ? [{ waiting, ready, costMs: this.#costMs(waiting, ready) }] : []
-    })
-    return this.#firstThatFits(this.#inOrder(candidates, nowMs), nowMs)
-  }
-
-  /** How much more prefill work waits than the engines can do before it is late: from 0.3 when nothing waits, up to 2. */
-  #pressure (waitingMs: number, engineCount: number): number {
-    return Math.min(MOST_PRESSURE, LEAST_PRESSURE + waitingMs / (engineCount * WORK_IN_SIGHT_MS))
-  }
-
-  /** Time that a prefill takes on an engine. Remembered while the request waits; it depends on what is cached there. */
-  #costMs ({ request, costsMs }: WaitingRequest, { engine, slot, speedFactor }: ReadyEngine): number {
-    const costMs = costsMs[slot] ?? this.#estimator.prefillCostMs(request, engine.name, this.#opts.clock.nowMs())
-    costsMs[slot] = costMs
-    return costMs * speedFactor
-  }
-
-  /** The engine with the earliest first token, where work that a cached prefix would save counts as time under pressure. */
-  #bestEngine (waiting: WaitingRequest, engines: readonly ReadyEngine[], pressure: number): ReadyEngine | undefined {
-    const { request: { avoid }, lateAtMs, handoverMs } = waiting
-    let best: ReadyEngine | undefined
-    let bestScore = Number.POSITIVE_INFINITY
-    engines.forEach((ready) => {
-      const costMs = this.#costMs(waiting, ready)
-      const endMs = ready.freeAtMs + costMs
-      const score = endMs + pressure * costMs
-      if (score >= bestScore || endMs + handoverMs > lateAtMs || (avoid.length > 0 && avoid.includes(ready.engine.name))) return
-      best = ready
-      bestScore = score
-    })
-    return best
-  }
-
-  /** Priority first; then those who were asked to return; then clients that are not ahead of their share; then the least work. */
-  #inOrder (candidates: Candidate[], nowMs: number): Candidate[] {
-    if (candidates.length <= 1) return candidates
-    const rank = ({ waiting, costMs }: Candidate) => [
-      -waiting.request.priority,
-      waiting.returned ? 0 : 1,
-      this.#shares.isAhead(waiting.request.client, nowMs) ? 1 : 0,
-      costMs,
-      waiting.arrivedAtMs,
-    ]
-    return candidates
-      .map((candidate) => ({ candidate, rank: rank(candidate) }))
-      .sort((a, b) => compareRanks(a.rank, b.rank))
-      .map(({ candidate }) => candidate)
-  }
-
-  /** The first of the candidates that a decode engine has room for. Few are tried: what one does not find, the next seldom does. */
-  #firstThatFits (candidates: readonly Candidate[], nowMs: number): { waiting: WaitingRequest, estimate: PlacementEstimate } | undefined {
-    for (const { waiting, ready, costMs } of candidates.slice(0, MAX_FITS_TRIED)) {
-      const { request, lateAtMs } = waiting
-      const route = this.#opts.route()
-      const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, route))
-      const part = { prefill: ready.engine, startMs: ready.freeAtMs, endMs: ready.freeAtMs + costMs, costMs }
-      const estimate = this.#estimator.estimateDecode(request, part, { usablePlaces, objective: route?.objective, nowMs })
-      if (estimate && estimate.firstTokenMs <= lateAtMs) return { waiting, estimate }
-    }
-    return undefined
-  }
-
   #commit (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
     const { request } = waiting
     const { prefill, decode } = estimate
@@ -345,7 +249,7 @@
 
   #refusal (request: ReserveRequest, reason: string): PlacementAnswer {
     const nowMs = this.#opts.clock.nowMs()
-    const engines = this.#readyTimes(nowMs)
+    const engines = this.#chooser.readyEngines(nowMs)
     const costsMs = engines.map(({ engine }) => this.#estimator.prefillCostMs(request, engine.name, nowMs))
     const shardCostMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
     const retryAfterMs = this.#calendar.book(request.returnId, shardCostMs, nowMs)
@@ -366,9 +270,6 @@
   }
 }
 
-/** Waiting requests are looked at again at least this often. */
-const MAX_SLEEP_MS = 10
-
 function planOf (estimate: PlacementEstimate, nowMs: number): PlacementPlan {
   return {
     outcome: PlacementOutcome.Placed,
@@ -382,8 +283,3 @@
     expectedTtftMs: Math.max(0, estimate.firstTokenMs - nowMs),
   }
 }
-
-function compareRanks (a: readonly number[], b: readonly number[]): number {
-  const at = a.findIndex((value, i) => value !== b[i])
-  return at < 0 ? 0 : a[at] - b[at]
-}
--- a/scheduling/shards/src/index.ts
+++ b/scheduling/shards/src/index.ts
@@ -1,3 +1,4 @@
 export { deriveShards } from './deriveShards.js'
 export type { Shard } from './deriveShards.js'
+export { placesWithinTarget, prefillMs, requestKvBytes, transferMs } from './shardTimes.js'
 export { schedulerOf } from './schedulerOf.js'
--- /dev/null
+++ b/scheduling/shards/src/shardTimes.ts
@@ -0,0 +1,27 @@
+import { type Shard } from './deriveShards.js'
+
+const MS_PER_SECOND = 1000
+/** Part of the target for the time between tokens that a full batch may use up. */
+const TBT_MARGIN = 0.95
+
+/** Time to compute so many prompt tokens, by the model's declared speed. */
+export function prefillMs ({ spec }: Shard, tokens: number): number {
+  return spec.prefillBaseMs + tokens * MS_PER_SECOND / spec.prefillTokensPerSecond
+}
+
+/** Time to bring the KV cache of a prompt from one pool to the other. */
+export function transferMs ({ spec, prefillPool }: Shard, promptTokens: number): number {
+  return promptTokens * spec.kvBytesPerToken * MS_PER_SECOND / prefillPool.linkBytesPerSecond
+}
+
+/** KV bytes that a request may come to need. */
+export function requestKvBytes ({ spec }: Shard, request: { promptTokens: number, maxTokens: number }): number {
+  return (request.promptTokens + request.maxTokens) * spec.kvBytesPerToken
+}
+
+/** Places of a decode engine that keep the time between tokens within its target. */
+export function placesWithinTarget ({ spec, decodePool }: Shard, tbtTargetMs: number): number {
+  if (spec.decodeStepPerRequestMs === 0) return decodePool.placesPerEngine
+  const within = Math.floor((tbtTargetMs * TBT_MARGIN - spec.decodeStepBaseMs) / spec.decodeStepPerRequestMs)
+  return Math.max(1, Math.min(decodePool.placesPerEngine, within))
+}
