fix(request.owner): a box that slept does not say «not run» of what may have been taken over

Cause: a box sleeps with a repeatable request that it has not sent yet; its address is taken by another process, which proves it gone; a retry is taken over by a third box and runs. The sleeper wakes, learns that it is gone, and answers its own caller «not run»: true of itself, false of the request.

Ruled out: the verdict of what was sent (nothing was); requests that may not be repeated (nobody takes them over).

Change: an owner notices pauses of its process (a gap of more than 300 ms between ticks) and stops vouching for requests from before, until most peers have answered since; a request is taken over only once its owner has been known as gone for a second; whoever asks and is believed gone or suspect is told so in the answer.

The price: a machine that stalls for 300 ms answers «may have run» to repeatable requests that it then refuses.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -62,6 +62,13 @@
     replace: 'this.#mayHaveRun = false',
     tests: [ONCE_ONLY],
   },
+  {
+    name: 'a box that slept does not say that nothing ran',
+    file: 'request/owner/src/runContext.ts',
+    find: ' || !this.#opts.isSure()',
+    replace: '',
+    tests: [ONCE_ONLY],
+  },
   {
     name: 'deadline and standing are checked right before a send',
     file: 'request/owner/src/runContext.ts',
--- a/__utils__/fuzz/src/runFuzz.ts
+++ b/__utils__/fuzz/src/runFuzz.ts
@@ -10,6 +10,8 @@
   maxSteps?: number
   /** Replays one run of a seed, as fast-check prints it. */
   path?: string
+  /** Report the first failing run as it is, without looking for a shorter one. */
+  noShrink?: boolean
 }
 
 const MAX_STEPS = 40
@@ -19,7 +21,7 @@
 }
 
 /** Runs random steps on a small fleet and checks them against the oracle. Throws with the seed and the shortest failing run found. */
-export async function runFuzz ({ seed, runs, path, maxSteps = MAX_STEPS }: FuzzOptions): Promise<void> {
+export async function runFuzz ({ seed, runs, path, noShrink = false, maxSteps = MAX_STEPS }: FuzzOptions): Promise<void> {
   const property = fc.asyncProperty(fc.commands(STEPS, { maxCommands: maxSteps, size: 'max' }), fc.nat(), async (steps, fleetSeed) => {
     const fleet = await new FakeFleet({ boxCount: BOXES, seed: fleetSeed, settings: SETTINGS }).start()
     const world: World = { fleet, oracle: new Oracle(fleet) }
@@ -29,5 +31,5 @@
     world.oracle.checkAtRest()
     await fleet.stop()
   })
-  await fc.assert(property, { seed, path, numRuns: runs, endOnFailure: false, includeErrorInReport: true })
+  await fc.assert(property, { seed, path, numRuns: runs, endOnFailure: noShrink, includeErrorInReport: true })
 }
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -148,8 +148,9 @@
     const { view, keepers, placer, log, clock, random, owner } = this.#parts
     const isSelf = member.incarnation === view.self.incarnation
     if (isSelf && member.health === MemberHealth.Gone && !this.#stopping) {
-      owner.endAll(ErrorCode.OwnerGone, 'this box was declared gone')
+      // The new incarnation first: what ends now may have been taken over from the old one.
       view.takeIncarnation(random.hex(INCARNATION_DIGITS), clock.nowMs())
+      owner.endAll(ErrorCode.OwnerGone, 'this box was declared gone')
       log.warn(LogEvent.IncarnationRenewed, { incarnation: view.self.incarnation })
       return
     }
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -191,6 +191,8 @@
     prefixLifeMs: settings.requests.prefixLifeMs,
     rejoinGraceMs: settings.requests.rejoinGraceMs,
     upstreamTimeoutMs: settings.requests.upstreamTimeoutMs,
+    lastContactMs: () => parts.prober.lastMajorityContactMs,
+    hasPeers: () => view.all().length > 1,
     onEnd: (record, request, timings) => noteRequestEnd({ log, metrics, revision: declarations.revision }, record, request, timings),
   })
 }
--- a/box/runtime/src/requestRouter.ts
+++ b/box/runtime/src/requestRouter.ts
@@ -22,6 +22,8 @@
 /** The owner ends a request at its deadline; its word of that may take this long. */
 const FINAL_ANSWER_SLACK_MS = 500
 const MAX_SUCCESSORS = 16
+/** An owner must have been known as gone for this long before another box runs its requests. Longer than the pause that it notices. */
+const TAKE_OVER_AFTER_MS = 1000
 
 /** Where a request goes from here. */
 interface Target {
@@ -72,8 +74,10 @@
     if (records.get(request.key)) return {}
     const member = view.get(owner.incarnation)
     const lost = member?.health === MemberHealth.Gone && member.successor === undefined
-    // Nobody else may run what must not run twice; what may be repeated is run by the box that all would choose.
-    if (lost && !request.notRepeatable) return { ...this.#homeOf(request.key), takeOver: true }
+    // Nobody else may run what must not run twice; what may be repeated is run by the box that all would choose,
+    // once its owner, if it only sleeps, must notice that it did when it wakes.
+    const goneMs = lost ? view.unchangedForMs(owner.incarnation, this.#opts.clock.nowMs()) : 0
+    if (lost && !request.notRepeatable && goneMs >= TAKE_OVER_AFTER_MS) return { ...this.#homeOf(request.key), takeOver: true }
     return this.#addressOf(owner)
   }
 
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -84,7 +84,7 @@
     switch (message.type) {
       case MessageType.Heartbeat:
         this.#takeNews(message)
-        return { type: MessageType.HeartbeatAck, ...this.#ownNews() }
+        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self) }
       case MessageType.ProbeFor:
         return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
       case MessageType.MembersPull:
@@ -209,9 +209,12 @@
     onPeerRevisions(message.self.peerAddress, message.revisions)
   }
 
-  #ownNews () {
+  /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
+  #ownNews (asking?: Member) {
     const { view, revisions, inFlight } = this.#opts
-    return { self: view.self, news: this.#drawNews(), digest: view.digest, revisions: revisions(), inFlight: inFlight() }
+    const belief = asking && view.get(asking.incarnation)
+    const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
+    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight() }
   }
 
   #drawNews (): Member[] {
--- a/membership/view/src/membershipView.ts
+++ b/membership/view/src/membershipView.ts
@@ -64,6 +64,12 @@
     return this.#entries.get(incarnation)?.member
   }
 
+  /** For how long this box has believed what it does of an incarnation. */
+  unchangedForMs (incarnation: string, nowMs: number): number {
+    const entry = this.#entries.get(incarnation)
+    return entry ? nowMs - entry.changedAtMs : 0
+  }
+
   all (): Member[] {
     return [...this.#entries.values()].map(({ member }) => member)
   }
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -13,6 +13,7 @@
 import { RetryBudget } from './retryBudget.js'
 import { RunContext } from './runContext.js'
 import { ServiceRun } from './serviceRun.js'
+import { WakeWatch } from './wakeWatch.js'
 
 /** What this box is at the moment. */
 export interface Standing {
@@ -40,6 +41,9 @@
   /** How long a request without readers goes on, so that its caller can come back. */
   rejoinGraceMs: number
   upstreamTimeoutMs: number
+  /** When most watched peers last answered. */
+  lastContactMs: () => number
+  hasPeers: () => boolean
 }
 
 /** Room for one token of an answer, in a record. */
@@ -62,6 +66,7 @@
 export class Owner {
   readonly #opts: OwnerOptions
   readonly #tasks: TaskGroup
+  readonly #wakeWatch: WakeWatch
   readonly #running = new Map<string, Running>()
   readonly #retries = new RetryBudget({ perRequest: RETRIES_PER_REQUEST, maxRetries: MAX_BUDGETED_RETRIES })
   readonly #ended = new Notifier()
@@ -71,6 +76,8 @@
   constructor (opts: OwnerOptions) {
     this.#opts = opts
     this.#tasks = new TaskGroup(opts.clock)
+    this.#wakeWatch = new WakeWatch(opts)
+    this.#wakeWatch.start(this.#tasks)
   }
 
   get inFlight (): number {
@@ -164,12 +171,16 @@
 
   #start (record: RequestRecord, request: RoutedRequest): void {
     const { incarnation } = this.#opts.standing()
+    const holdsStanding = () => this.#opts.standing().incarnation === incarnation
+    const acceptedAtMs = this.#opts.clock.nowMs()
     const run = new RunContext({
       clock: this.#opts.clock,
       record,
       deadlineMs: request.deadlineMs,
       requestId: (this.#sequence++).toString(36),
-      holdsStanding: () => this.#opts.standing().incarnation === incarnation,
+      holdsStanding,
+      // Nobody else runs what may not be repeated, whatever became of this box.
+      isSure: () => request.notRepeatable || (holdsStanding() && this.#wakeWatch.isSureSince(acceptedAtMs)),
       takeRetry: () => this.#retries.takeRetry(),
     })
     this.#retries.countRequest()
--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -13,6 +13,8 @@
   /** Whether this box is still the incarnation that started the run. */
   holdsStanding: () => boolean
   takeRetry: () => boolean
+  /** Whether nobody else can have run the request in the meantime. */
+  isSure: () => boolean
 }
 
 /** When to come back after a refusal that knows no better time. */
@@ -96,7 +98,7 @@
   /** Ends the request with its final answer, at once. Only the first end counts. */
   end (error: ReelspanError): void {
     if (error instanceof RunEnded) return
-    const verdict = this.#mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun
+    const verdict = this.#mayHaveRun || !this.#opts.isSure() ? Verdict.MayHaveRun : Verdict.NotRun
     this.#append(verdict, error)
     this.#abort.abort(STOPPED)
   }
