--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -6,12 +6,13 @@
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts } from './createBox.js'
+import { drawIncarnation } from './drawIncarnation.js'
 import { plannedStop } from './plannedStop.js'
 import { type ResourceApi } from './resourceApi.js'
 
-const INCARNATION_DIGITS = 16
 const FIRST_PEERS_ASKED = 3
 const LOOKUP_TIMEOUT_MS = 500
+const RECONCILE_PERIOD_MS = 5000
 
 /** One box: everything that runs in one process, behind a narrow interface for the HTTP front. */
 export class Box {
@@ -61,6 +62,8 @@
     prober.start()
     Object.values(Collection).forEach((collection) => this.#tasks.run(() => this.#onRevisions(collection)))
     this.#reconcile()
+    // What was left because something ran there still is given up once it is idle.
+    this.#tasks.repeat(async () => this.#reconcile(), { periodMs: RECONCILE_PERIOD_MS })
     log.info(LogEvent.Started, { incarnation: view.self.incarnation, revision: this.#parts.declarations.revision })
   }
 
@@ -120,7 +123,7 @@
     const { log } = this.#parts
     this.#stopping = true
     log.info(LogEvent.Stopping)
-    await plannedStop({ ...this.#parts, ...this.#stopParts(), callersServed: () => this.#waitCallersServed() })
+    await plannedStop({ ...this.#stopParts(), callersServed: () => this.#waitCallersServed() })
     await this.stop()
   }
 
@@ -149,7 +152,7 @@
     const isSelf = member.incarnation === view.self.incarnation
     if (isSelf && member.health === MemberHealth.Gone && !this.#stopping) {
       // The new incarnation first: what ends now may have been taken over from the old one.
-      view.takeIncarnation(random.hex(INCARNATION_DIGITS), clock.nowMs())
+      view.takeIncarnation(drawIncarnation(random), clock.nowMs())
       owner.endAll(ErrorCode.OwnerGone, 'this box was declared gone')
       log.warn(LogEvent.IncarnationRenewed, { incarnation: view.self.incarnation })
       return
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -16,6 +16,7 @@
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import { Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
+import { drawIncarnation } from './drawIncarnation.js'
 import { noteRequestEnd } from './noteRequestEnd.js'
 import { PeerDispatch } from './peerDispatch.js'
 import { RequestRouter } from './requestRouter.js'
@@ -41,7 +42,6 @@
   box: Box
 }
 
-const INCARNATION_DIGITS = 16
 const LOOKUP_BOXES = 3
 const PEER_TIMEOUT_MS = 1000
 const FALLBACK_SAMPLE = 2
@@ -77,7 +77,7 @@
     availabilityZone: box.availabilityZone,
     peerAddress: listen.peerAddress,
     callerAddress: listen.callerAddress,
-    incarnation: random.hex(INCARNATION_DIGITS),
+    incarnation: drawIncarnation(random),
     version: 0,
     health: MemberHealth.Alive,
     leaving: false,
--- a/box/runtime/src/requestRouter.ts
+++ b/box/runtime/src/requestRouter.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Random } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
-import { rankByRendezvous } from '@reelspan/core.hashing'
+import { topByRendezvous } from '@reelspan/core.hashing'
 import { type AnswerEvent, AnswerEventKind, type Member, MemberHealth, MessageType, type PeerLink, PeerLinkError, type RoutedRequest } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { formatKeyPrefix, type KeyOwner, parseRequestKey } from '@reelspan/request.key'
@@ -101,7 +101,7 @@
   /** The box that owns a key which names none. */
   #homeOf (key: string): Target {
     const { view } = this.#opts
-    const [home] = rankByRendezvous(key, view.takingWork(), ({ incarnation }) => incarnation)
+    const home = topByRendezvous(key, view.takingWork(), ({ incarnation }) => incarnation)
     return !home || home.incarnation === view.self.incarnation ? {} : { address: home.peerAddress }
   }
 
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -76,10 +76,7 @@
     })
     const ids = new Set(shards.map(({ id }) => id))
     this.#keepers.forEach((keeper, id) => {
-      const shard = shards.find((one) => one.id === id)
-      const mine = shard && schedulerOf(shard, members)?.incarnation === view.self.incarnation
-      const idle = keeper.scheduler.ledger.reservationCount === 0 && keeper.scheduler.waitingCount === 0
-      if (!ids.has(id) || (!mine && idle)) this.#drop(id, keeper)
+      if (!ids.has(id) || (!keeper.right.taken && keeper.scheduler.idle)) this.#drop(id, keeper)
     })
   }
 
--- /dev/null
+++ b/core/hashing/src/topByRendezvous.ts
@@ -0,0 +1,13 @@
+import { hash32 } from './hash32.js'
+
+/** The first of `rankByRendezvous`, in one pass. */
+export function topByRendezvous<T> (key: string, members: readonly T[], nameOf: (member: T) => string): T | undefined {
+  let top: { member: T, name: string, weight: number } | undefined
+  members.forEach((member) => {
+    const name = nameOf(member)
+    const weight = hash32(`${key}|${name}`)
+    const higher = !top || weight > top.weight || (weight === top.weight && name < top.name)
+    if (higher) top = { member, name, weight }
+  })
+  return top?.member
+}
--- a/scheduling/owner-alone/src/ownerAlonePlacer.ts
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -57,7 +57,7 @@
 const AFFINITY_TOKENS = 1024
 /**
  * Part of the first-token target that an estimate may use up, since reports are
- * old. Of 0.7, 0.85 and 1, the first gave the most goodput in trials.
+ * old. Of 0.7 and 1, the first gave more goodput in trials.
  */
 const ADMISSION_MARGIN = 0.7
 /** Own placements are remembered until reports must have seen them. */
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -60,8 +60,9 @@
     this.#tasks = new TaskGroup(opts.clock)
   }
 
-  get waitingCount (): number {
-    return this.#waiting.size
+  /** Nothing waits and nothing is reserved. */
+  get idle (): boolean {
+    return this.#waiting.size === 0 && this.ledger.reservationCount === 0
   }
 
   update (shard: Shard): void {
--- a/upstream/orders/src/orderRight.ts
+++ b/upstream/orders/src/orderRight.ts
@@ -25,6 +25,11 @@
     this.#opts = opts
   }
 
+  /** Whether this box is the shard's scheduler, by its own view. */
+  get taken (): boolean {
+    return this.#heldFromMs !== undefined
+  }
+
   /** This box became the shard's scheduler. */
   take (): void {
     this.#heldFromMs ??= this.#opts.clock.nowMs()
