--- a/__utils__/bench/src/slopes.ts
+++ b/__utils__/bench/src/slopes.ts
@@ -4,13 +4,16 @@
 import { measureMembership } from './measureMembership.js'
 import { measureRecords } from './measureRecords.js'
 import { measureScheduler } from './measureScheduler.js'
+import { measureChange, measurePrefixEntry, measureWatch } from './measureState.js'
 
+const ROUTE_COUNTS = [20, 100, 400, 1600]
 const MEMBER_COUNTS = [8, 50, 200, 690]
 const SCHEDULER_ENGINES = [4, 8, 16, 32, 64]
 const RECORD_TOKENS = [0, 50, 100, 200]
 const IDLE_ENGINES = [2, 8, 16, 32]
 
 const PARTS = {
+  state: slopeOfState,
   scheduler: slopeOfScheduler,
   records: slopeOfRecords,
   box: slopeOfBox,
@@ -27,6 +30,13 @@
   }
 }
 
+async function slopeOfState (): Promise<void> {
+  console.log(`${measurePrefixEntry().toFixed(0)} bytes of heap a prefix entry, ${measureWatch().toFixed(0)} bytes a waiting watch`)
+  const points = ROUTE_COUNTS.map((routes) => ({ x: routes, y: measureChange(routes) }))
+  points.forEach(({ x, y }) => console.log(`a change beside ${x} routes: ${y.toFixed(0)} µs`))
+  printFit('µs a change, by resource', points)
+}
+
 async function slopeOfMembership (): Promise<void> {
   for (const count of MEMBER_COUNTS) {
     const cost = await measureMembership(count)
--- a/config/resources/src/checkResources.ts
+++ b/config/resources/src/checkResources.ts
@@ -52,9 +52,10 @@
 }
 
 function duplicates (declared: readonly DeclaredResource[]): ResourceProblem[] {
-  const ids = declared.map(resourceId)
-  return ids
-    .filter((id, i) => ids.indexOf(id) !== i)
+  const seen = new Set<string>()
+  return declared
+    .map(resourceId)
+    .filter((id) => seen.has(id) || !seen.add(id))
     .map((resource) => ({ resource, field: 'name', message: 'declared more than once' }))
 }
 
--- a/config/resources/test/checkResources.ts
+++ b/config/resources/test/checkResources.ts
@@ -22,6 +22,11 @@
   t.deepEqual(problemsWith('r', { model: 'dratf', toVersion: '2', enginePercent: 1 }, ResourceKind.Rollout), ['Rollout/r: spec.model: there is no Model/dratf; did you mean «draft»?'])
 })
 
+test('a resource that is declared twice is named once', (t) => {
+  const problems = checkResources([...DECLARED, DECLARED[0]], 1).problems
+  t.deepEqual(problems, [{ resource: 'Pool/draft-prefill', field: 'name', message: 'declared more than once' }])
+})
+
 test('a pool in the wrong role is found', (t) => {
   t.deepEqual(problemsWith('desk', { pool: 'draft-decode', pathPrefix: '/desk' }), ['Route/desk: spec.pool: Pool/draft-decode has role decode, service is needed'])
 })
--- a/core/error/src/errorCode.ts
+++ b/core/error/src/errorCode.ts
@@ -18,13 +18,10 @@
   UpstreamFailed = 'ERR_REELSPAN_UPSTREAM_FAILED',
   DeadlinePassed = 'ERR_REELSPAN_DEADLINE_PASSED',
   Cancelled = 'ERR_REELSPAN_CANCELLED',
-  SlowCaller = 'ERR_REELSPAN_SLOW_CALLER',
   PeerUnreachable = 'ERR_REELSPAN_PEER_UNREACHABLE',
   PeerProtocol = 'ERR_REELSPAN_PEER_PROTOCOL',
   PlatformUnavailable = 'ERR_REELSPAN_PLATFORM_UNAVAILABLE',
   BadSettings = 'ERR_REELSPAN_BAD_SETTINGS',
-  BadResource = 'ERR_REELSPAN_BAD_RESOURCE',
-  OrderRightLost = 'ERR_REELSPAN_ORDER_RIGHT_LOST',
   Unauthorized = 'ERR_REELSPAN_UNAUTHORIZED',
   Internal = 'ERR_REELSPAN_INTERNAL',
 }
