--- a/scheduling/ledger/src/prefillAccount.ts
+++ b/scheduling/ledger/src/prefillAccount.ts
@@ -7,19 +7,14 @@
 const SLOWEST = 3
 const FASTEST = 0.5
 
-interface PlannedWork {
-  costMs: number
-  plannedAtMs: number
-}
-
 /**
  * Planned work of one prefill engine, which does one prefill after another.
  * Times are on this box's clock. Ends are heard of, so that errors of the
  * estimates do not add up, and the engine's real speed is learnt from them.
  */
 export class PrefillAccount {
-  /** In the order in which the engine does it. */
-  readonly #work = new Map<string, PlannedWork>()
+  /** Estimated time of each prefill, in the order in which the engine does them. */
+  readonly #work = new Map<string, number>()
   #headStartMs = 0
   #externalUntilMs = 0
   #speedFactor = 1
@@ -34,21 +29,21 @@
   /** When the engine can begin another prefill. */
   freeAtMs (nowMs: number): number {
     const [head, ...rest] = this.#work.values()
-    const headEndMs = head ? Math.max(nowMs, this.#headStartMs + head.costMs) : nowMs
-    const queuedMs = rest.reduce((sum, { costMs }) => sum + costMs, 0)
+    const headEndMs = head === undefined ? nowMs : Math.max(nowMs, this.#headStartMs + head)
+    const queuedMs = rest.reduce((sum, costMs) => sum + costMs, 0)
     return Math.max(headEndMs + queuedMs, this.#externalUntilMs)
   }
 
   plan (labelKey: string, costMs: number, nowMs: number): void {
     if (this.#work.size === 0) this.#headStartMs = nowMs
-    this.#work.set(labelKey, { costMs, plannedAtMs: nowMs })
+    this.#work.set(labelKey, costMs)
   }
 
   /** The owner says that the prefill has ended. */
   finish (labelKey: string, nowMs: number): void {
     const [head] = this.#work.keys()
-    const work = this.#work.get(labelKey)
-    if (work && head === labelKey && work.costMs > 0) this.#learnSpeed((nowMs - this.#headStartMs) / work.costMs)
+    const costMs = this.#work.get(labelKey) ?? 0
+    if (head === labelKey && costMs > 0) this.#learnSpeed((nowMs - this.#headStartMs) / costMs)
     this.remove(labelKey, nowMs)
   }
 
@@ -69,7 +64,7 @@
   expire (nowMs: number): void {
     const [head] = this.#work
     if (!head) return
-    const [key, { costMs }] = head
+    const [key, costMs] = head
     if (this.#headStartMs + costMs + UNHEARD_END_MS > nowMs) return
     this.remove(key, this.#headStartMs + costMs)
     this.expire(nowMs)
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -7,7 +7,6 @@
 /** What one placed request has reserved. */
 export interface LedgerEntry {
   label: HoldLabel
-  client: string
   tbtTargetMs: number
   prefillEngine: string
   decodeEngine: string
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -138,7 +138,7 @@
       const { request, lateAtMs } = waiting
       const route = this.#route()
       const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, route))
-      const part = { prefill: ready.engine, startMs: ready.freeAtMs, endMs: ready.freeAtMs + costMs, costMs }
+      const part = { prefill: ready.engine, endMs: ready.freeAtMs + costMs, costMs }
       const estimate = this.#estimator.estimateDecode(request, part, { usablePlaces, objective: route?.objective, nowMs })
       if (estimate && estimate.firstTokenMs <= lateAtMs) return { waiting, estimate }
     }
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -8,8 +8,6 @@
 export interface PlacementEstimate {
   prefill: EngineAccount<PrefillAccount>
   decode: EngineAccount<DecodeAccount>
-  prefillStartMs: number
-  prefillEndMs: number
   importEndMs: number
   firstTokenMs: number
   latestEndMs: number
@@ -20,7 +18,6 @@
 /** The prefill part of an estimate. */
 export interface PrefillEstimate {
   prefill: EngineAccount<PrefillAccount>
-  startMs: number
   endMs: number
   costMs: number
 }
@@ -87,8 +84,6 @@
     return {
       prefill: part.prefill,
       decode,
-      prefillStartMs: part.startMs,
-      prefillEndMs: part.endMs,
       importEndMs,
       firstTokenMs: importEndMs + STEPS_TO_FIRST_TOKEN * (spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * batch),
       latestEndMs: importEndMs + request.maxTokens * fullStepMs * STEP_SLACK,
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -112,7 +112,6 @@
         const prefillEndMs = decoding ? nowMs : nowMs - ageMs + plan.expectedTtftMs
         this.ledger.reserve({
           label: request.label,
-          client: request.client,
           tbtTargetMs: request.tbtTargetMs,
           prefillEngine: plan.prefillEngine,
           decodeEngine: plan.decodeEngine,
@@ -219,7 +218,6 @@
     const { prefill, decode } = estimate
     this.ledger.reserve({
       label: request.label,
-      client: request.client,
       tbtTargetMs: request.tbtTargetMs,
       prefillEngine: prefill.name,
       decodeEngine: decode.name,
