--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -2,10 +2,12 @@
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type AnswerEvent, Collection, type Member, MemberHealth, MessageType, type RoutedRequest } from '@reelspan/core.messages'
 import { type Configuration } from '@reelspan/config.resources'
+import { type RelayCaller } from '@reelspan/request.relay'
+import { type RelayedRequest } from '@reelspan/upstream.client'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type BoxParts } from './createBox.js'
+import { type BoxParts, listedPeers } from './createBox.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { plannedStop } from './plannedStop.js'
 import { type ResourceApi } from './resourceApi.js'
@@ -46,12 +48,11 @@
 
   /** Reads platform and peers, meets the other boxes, and begins to serve. */
   async start (): Promise<void> {
-    const { link, dispatch, followers, prober, fleet, view, log, random, owner } = this.#parts
+    const { link, dispatch, followers, prober, view, log, random, owner } = this.#parts
     link.serve(dispatch)
     view.onChange((member) => this.#onMemberChange(member))
     await followers[Collection.Fleet].readFirst([])
-    const others = fleet.value.boxes.map(({ peerAddress }) => peerAddress).filter((address) => address !== view.self.peerAddress)
-    const asked = random.sample(others, FIRST_PEERS_ASKED)
+    const asked = random.sample(listedPeers(this.#parts), FIRST_PEERS_ASKED)
     await Promise.all([
       prober.join(asked),
       followers[Collection.Fleet].readFirst(asked),
@@ -77,6 +78,29 @@
     }
   }
 
+  /** Runs an opaque request and answers its caller. */
+  async relay (request: RelayedRequest, caller: RelayCaller, deadlineMs?: number): Promise<void> {
+    const { relay } = this.#parts
+    if (!relay) throw new ReelspanError(ErrorCode.NoRoute, 'this box relays no requests')
+    this.#callersBeingServed++
+    try {
+      await relay.relay(request, caller, deadlineMs)
+    } finally {
+      this.#callersBeingServed--
+    }
+  }
+
+  /** Whether this box is about to stop. */
+  get leaving (): boolean {
+    return this.#stopping
+  }
+
+  /** KV bytes that a token takes on the engine at an address, or 0 where none is known. */
+  kvBytesPerTokenAt (address: string): number {
+    const shard = this.#parts.keepers.shards().find(({ prefillEngines, decodeEngines }) => [...prefillEngines, ...decodeEngines].some((engine) => engine.address === address))
+    return shard?.spec.kvBytesPerToken ?? 0
+  }
+
   createKey (): string {
     return this.#parts.router.createKey()
   }
@@ -102,7 +126,7 @@
 
   /** The whole state of the process. */
   describe () {
-    const { view, declarations, fleet, records, owner, keepers, prober, placer, settings } = this.#parts
+    const { view, declarations, fleet, records, owner, relay, keepers, prober, placer, settings } = this.#parts
     return {
       self: view.self,
       ready: this.#ready,
@@ -112,6 +136,7 @@
       members: view.all().map((member) => ({ ...member, requestsInFlight: prober.loadOf(member.incarnation) })),
       records: { count: records.size, bytes: records.bytes, maxBytes: settings.requests.recordBytes, taken: records.taken() },
       owner: owner.describe(),
+      relay: relay?.describe(),
       placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
       shards: keepers.describe(),
       callersBeingServed: this.#callersBeingServed,
@@ -129,16 +154,16 @@
 
   /** Stops at once. What runs gets its verdict. */
   async stop (): Promise<void> {
-    const { prober, followers, keepers, owner, link, log } = this.#parts
+    const { prober, followers, keepers, owner, relay, link, log } = this.#parts
     this.#stopping = true
-    await owner.stop()
+    await Promise.all([owner.stop(), relay?.stop()])
     await Promise.all([this.#tasks.stop(), prober.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
     log.info(LogEvent.Stopped)
   }
 
   #stopParts () {
-    const { clock, settings, link, view, prober, owner, records, log } = this.#parts
-    return { clock, settings, link, view, prober, owner, records, log }
+    const { clock, settings, link, view, prober, owner, relay, records, log } = this.#parts
+    return { clock, settings, link, view, prober, owner, relay, records, log }
   }
 
   async #waitCallersServed (): Promise<void> {
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -7,6 +7,7 @@
 import { MembershipView } from '@reelspan/membership.view'
 import { answerLookup, type LookupAnswer } from '@reelspan/request.lookup'
 import { Owner } from '@reelspan/request.owner'
+import { Relay } from '@reelspan/request.relay'
 import { RecordStore } from '@reelspan/request.records'
 import { createEnginePicker, FreshReports, OwnerAlonePlacer, PickerKind, PolledReports } from '@reelspan/scheduling.owner-alone'
 import { type Placer } from '@reelspan/scheduling.placer'
@@ -33,6 +34,7 @@
   records: RecordStore
   placer: Placer
   owner: Owner
+  relay?: Relay
   keepers: ShardKeepers
   router: RequestRouter
   dispatch: PeerDispatch
@@ -42,14 +44,13 @@
   box: Box
 }
 
-const LOOKUP_BOXES = 3
 const PEER_TIMEOUT_MS = 1000
 const FALLBACK_SAMPLE = 2
 
 /** Composes a box. Nothing runs until it is started. */
 export function createBox (environment: BoxEnvironment): Box {
   const container = createContainer<BoxParts>({ injectionMode: InjectionMode.PROXY, strict: true })
-  Object.entries(environment).forEach(([name, value]) => container.register(name, asValue(value)))
+  Object.entries({ relayClient: undefined, ...environment }).forEach(([name, value]) => container.register(name, asValue(value)))
   container.register({
     view: asFunction(createView).singleton(),
     declarations: asFunction(createDeclarations).singleton(),
@@ -59,6 +60,7 @@
     records: asFunction(createRecords).singleton(),
     placer: asFunction(createPlacer).singleton(),
     owner: asFunction(createOwner).singleton(),
+    relay: asFunction(createRelay).singleton(),
     keepers: asFunction(createKeepers).singleton(),
     router: asFunction((parts: BoxParts) => new RequestRouter(parts)).singleton(),
     dispatch: asFunction(createDispatch).singleton(),
@@ -110,6 +112,7 @@
     watchWaitMs: parts.settings.platform.watchWaitMs,
     backstopPollMs: parts.settings.platform.backstopPollMs,
     peerTimeoutMs: PEER_TIMEOUT_MS,
+    longestBackoffMs: parts.settings.platform.longestBackoffMs,
     onRejected: (problems, revision) => parts.log.warn(LogEvent.RevisionRejected, { collection, revision, problems }),
   })
   return {
@@ -133,15 +136,21 @@
     ...environmentOf(parts),
     ...settings.membership,
     view,
-    listedAddresses: () => fleet.value.boxes.map(({ peerAddress }) => peerAddress).filter((address) => address !== view.self.peerAddress),
+    listedAddresses: () => listedPeers(parts),
     revisions: () => ({ [Collection.Declarations]: declarations.revision, [Collection.Fleet]: fleet.revision }),
-    inFlight: () => parts.owner.inFlight,
+    inFlight: () => parts.owner.inFlight + (parts.relay?.inFlight ?? 0),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
       void parts.followers[collection].hear(address, revisions[collection])
     }),
   })
 }
 
+/** Peer addresses of boxes that the platform lists or the settings name, without this one's. */
+export function listedPeers ({ fleet, settings, view }: Pick<BoxParts, 'fleet' | 'settings' | 'view'>): string[] {
+  const addresses = new Set([...fleet.value.boxes.map(({ peerAddress }) => peerAddress), ...settings.membership.seedAddresses])
+  return [...addresses].filter((address) => address !== view.self.peerAddress)
+}
+
 function createRecords ({ clock, settings }: BoxParts): RecordStore {
   return new RecordStore({ clock, maxBytes: settings.requests.recordBytes, recordLifeMs: recordLifeMs(settings.requests) })
 }
@@ -197,6 +206,24 @@
   })
 }
 
+function createRelay (parts: BoxParts): Relay | undefined {
+  const { clock, random, relayClient, placer, settings, view, declarations, fleet, log, metrics } = parts
+  if (!relayClient) return undefined
+  return new Relay({
+    clock,
+    random,
+    upstreams: relayClient,
+    placer,
+    configuration: () => declarations.value,
+    fleet: () => fleet.value,
+    standing: () => view.self,
+    boxCount: () => view.takingWork().length,
+    ...settings.relay,
+    log,
+    metrics,
+  })
+}
+
 function createKeepers (parts: BoxParts): ShardKeepers {
   return new ShardKeepers({
     ...environmentOf(parts),
@@ -227,7 +254,7 @@
 function createLookup (parts: BoxParts): BoxParts['lookup'] {
   const { clock, random, settings, view } = parts
   const loadOf = (incarnation: string) => incarnation === view.self.incarnation ? parts.owner.inFlight : parts.prober.loadOf(incarnation)
-  return (availabilityZone) => answerLookup({ clock, random, view, loadOf, availabilityZone, keepMs: settings.requests.lookupKeepMs, boxCount: LOOKUP_BOXES })
+  return (availabilityZone) => answerLookup({ clock, random, view, loadOf, availabilityZone, keepMs: settings.requests.lookupKeepMs, boxCount: settings.requests.lookupBoxes })
 }
 
 /** This process answers for its own incarnation alone. */
--- a/box/runtime/src/plannedStop.ts
+++ b/box/runtime/src/plannedStop.ts
@@ -5,6 +5,7 @@
 import { type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
 import { type Owner } from '@reelspan/request.owner'
+import { type Relay } from '@reelspan/request.relay'
 import { type PortableRecord, type RecordStore } from '@reelspan/request.records'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 
@@ -15,6 +16,7 @@
   view: MembershipView
   prober: Prober
   owner: Owner
+  relay?: Relay
   records: RecordStore
   /** Resolves once no caller is being answered. */
   callersServed: () => Promise<void>
@@ -29,13 +31,14 @@
 
 /** Stops a box so that no request is cut off. Resolves when the process may exit. */
 export async function plannedStop (opts: PlannedStopOptions): Promise<void> {
-  const { clock, settings, view, prober, owner, callersServed } = opts
+  const { clock, settings, view, prober, owner, relay, callersServed } = opts
   const spreadMs = SPREAD_PERIODS * settings.membership.probePeriodMs
   view.announce({ leaving: true }, clock.nowMs())
   await prober.tellNow()
   // Callers keep lookup answers for a while and still come here.
   await clock.sleep(settings.requests.lookupKeepMs + spreadMs)
   owner.closeForNew()
+  relay?.closeForNew()
   await waitAtMost(opts, settings.requests.longestRequestMs)
   const successor = await handOffRecords(opts)
   view.announce({ health: MemberHealth.Gone, successor }, clock.nowMs())
@@ -44,9 +47,9 @@
   await callersServed()
 }
 
-async function waitAtMost ({ clock, owner }: PlannedStopOptions, durationMs: number): Promise<void> {
+async function waitAtMost ({ clock, owner, relay }: PlannedStopOptions, durationMs: number): Promise<void> {
   const stop = new AbortController()
-  await Promise.race([owner.waitIdle(stop.signal), clock.sleep(durationMs, { signal: stop.signal })])
+  await Promise.race([Promise.all([owner.waitIdle(stop.signal), relay?.waitIdle(stop.signal)]), clock.sleep(durationMs, { signal: stop.signal })])
   stop.abort()
 }
 
--- a/cli/reelspan/src/main.ts
+++ b/cli/reelspan/src/main.ts
@@ -2,8 +2,9 @@
 import { parseSettings, type Settings } from '@reelspan/config.settings'
 import { ReelspanError } from '@reelspan/core.error'
 import { PROTOCOL_VERSION } from '@reelspan/core.messages'
+import { parseSettingsFile, SETTINGS_VARIABLE, startPlatformBox } from '@reelspan/platform.adapter'
 import meow from 'meow'
-import { startBox } from './startBox.js'
+import { type RunningBox, startBox } from './startBox.js'
 
 /** Exit codes of `reelspan`. */
 export enum ExitCode {
@@ -17,11 +18,14 @@
 const HELP = `
   Usage
     $ reelspan serve --config box.toml    Run a box
+    $ reelspan serve --platform           Run a box on the users' platform
     $ reelspan check --config box.toml    Check a settings file
+    $ reelspan check --platform           Check the platform's settings file
     $ reelspan version                    Print the versions
 
   Options
     --config FILE   The box's settings (TOML)
+    --platform      Take the settings from the platform's file, which $${SETTINGS_VARIABLE} names
     --json          check, version: print JSON
 
   Exit codes
@@ -37,14 +41,14 @@
     importMeta: import.meta,
     argv: [...argv],
     description: 'A router for language models served with separate prefill and decode pools',
-    flags: { config: { type: 'string' }, json: { type: 'boolean', default: false } },
+    flags: { config: { type: 'string' }, platform: { type: 'boolean', default: false }, json: { type: 'boolean', default: false } },
     allowUnknownFlags: false,
   })
   const [command] = cli.input
   try {
     switch (command) {
-      case 'serve': return await serve(await readSettings(cli.flags.config))
-      case 'check': return await check(cli.flags.config, cli.flags.json)
+      case 'serve': return cli.flags.platform ? await servePlatform(platformFile()) : await serve(await readSettings(cli.flags.config))
+      case 'check': return cli.flags.platform ? await checkPlatform(platformFile(), cli.flags.json) : await check(cli.flags.config, cli.flags.json)
       case 'version': return printVersion(cli.pkg.version as string, cli.flags.json)
       default: return usage(command === undefined ? 'a command is needed: serve, check or version' : `unknown command «${command}»: use serve, check or version`)
     }
@@ -72,8 +76,29 @@
   return ExitCode.Done
 }
 
+function platformFile (): string {
+  const file = process.env[SETTINGS_VARIABLE]
+  if (!file) throw new UsageError(`--platform needs the variable ${SETTINGS_VARIABLE}, which names the settings file`)
+  return file
+}
+
+async function checkPlatform (file: string, json: boolean): Promise<ExitCode> {
+  const settings = parseSettingsFile(await readFile(file, 'utf8'), file)
+  console.log(json ? JSON.stringify(settings) : `${file}: ok`)
+  return ExitCode.Done
+}
+
+async function servePlatform (file: string): Promise<ExitCode> {
+  const running = await startPlatformBox(file)
+  process.on('SIGHUP', () => { void running.reload() })
+  return serveUntilStopped(running)
+}
+
 async function serve (settings: Settings): Promise<ExitCode> {
-  const { box, stopListening } = await startBox(settings)
+  return serveUntilStopped(await startBox(settings))
+}
+
+async function serveUntilStopped ({ box, stopListening }: RunningBox): Promise<ExitCode> {
   const stopped = new Promise<void>((resolve, reject) => {
     const onSignal = () => {
       process.once('SIGTERM', () => process.exit(ExitCode.Failed))
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -1,12 +1,11 @@
 import { readFile } from 'node:fs/promises'
-import { type Server } from 'node:http'
 import { type Box, createBox } from '@reelspan/box.runtime'
 import { type Settings } from '@reelspan/config.settings'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
-import { SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { closeServers, listenAt, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { BunyanLog } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
@@ -63,18 +62,3 @@
   if (!token) throw new ReelspanError(ErrorCode.BadSettings, `listen.operatorTokenVariable: the environment has no ${operatorTokenVariable}`)
   return token
 }
-
-async function listenAt (server: Server, address: string): Promise<void> {
-  const at = address.lastIndexOf(':')
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }, resolve)
-  })
-}
-
-async function closeServers (servers: readonly Server[]): Promise<void> {
-  await Promise.all(servers.map((server) => new Promise((resolve) => {
-    server.close(resolve)
-    server.closeIdleConnections()
-  })))
-}
--- a/config/resources/src/checkResources.ts
+++ b/config/resources/src/checkResources.ts
@@ -2,7 +2,7 @@
 import { describeIssues } from './describeIssues.js'
 import { Configuration } from './configuration.js'
 import { ResourceKind, resourceId, type DeclaredResource, type Resource } from './resource.js'
-import { modelSpecSchema, PoolRole, poolSpecSchema, rolloutSpecSchema, routeSpecSchema } from './specs.js'
+import { callerLimitsSpecSchema, modelSpecSchema, PoolRole, poolSpecSchema, rolloutSpecSchema, routeSpecSchema } from './specs.js'
 import { suggestName } from './suggestName.js'
 
 /** What is wrong with one field of one resource. */
@@ -22,6 +22,7 @@
   [ResourceKind.Pool]: poolSpecSchema,
   [ResourceKind.Route]: routeSpecSchema,
   [ResourceKind.Rollout]: rolloutSpecSchema,
+  [ResourceKind.CallerLimits]: callerLimitsSpecSchema,
 }
 
 /** Checks a whole set of declared resources: each by its schema, then the references between them. */
@@ -81,7 +82,17 @@
       ]
     }
     case ResourceKind.Route: {
-      const { model, pool, pathPrefix } = resource.spec
+      const { model, pool, pathPrefix, targets } = resource.spec
+      if (targets !== undefined) {
+        return [
+          ...(model !== undefined || pool !== undefined ? [problem('targets', 'stands in place of model and pool')] : []),
+          ...(pathPrefix === undefined ? [problem('pathPrefix', 'needed with targets')] : []),
+          ...targets.flatMap((target) => {
+            if ((target.model === undefined) === (target.pool === undefined)) return [problem('targets', 'a target has either a model or a pool')]
+            return target.model !== undefined ? missingModel(target.model) : wrongPool('targets', target.pool as string, PoolRole.Service)
+          }),
+        ]
+      }
       if ((model === undefined) === (pool === undefined)) return [problem('model', 'a route has either a model or a pool')]
       if (model !== undefined) return missingModel(model)
       return [
@@ -91,6 +102,7 @@
       ]
     }
     case ResourceKind.Pool:
+    case ResourceKind.CallerLimits:
       return []
   }
 }
--- a/config/resources/src/configuration.ts
+++ b/config/resources/src/configuration.ts
@@ -1,5 +1,5 @@
 import { ResourceKind, type Resource } from './resource.js'
-import { type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
+import { type CallerLimitsSpec, type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
 
 export interface Named<S> {
   name: string
@@ -14,6 +14,8 @@
   readonly #pools: Map<string, PoolSpec>
   readonly #routes: Named<RouteSpec>[]
   readonly #rollouts: Named<RolloutSpec>[]
+  /** Routes with a host, longest path prefix first. */
+  readonly #byHost: Map<string, Named<RouteSpec>[]>
 
   constructor (revision: number, resources: readonly Resource[]) {
     this.revision = revision
@@ -22,6 +24,7 @@
     this.#pools = new Map(resources.flatMap((r) => r.kind === ResourceKind.Pool ? [[r.name, r.spec]] : []))
     this.#routes = resources.flatMap((r) => r.kind === ResourceKind.Route ? [{ name: r.name, spec: r.spec }] : [])
     this.#rollouts = resources.flatMap((r) => r.kind === ResourceKind.Rollout ? [{ name: r.name, spec: r.spec }] : [])
+    this.#byHost = groupByHost(this.#routes)
   }
 
   model (name: string): ModelSpec | undefined {
@@ -54,13 +57,22 @@
 
   /** The route that answers for a model. */
   routeOfModel (model: string): Named<RouteSpec> | undefined {
-    return this.#routes.find(({ spec }) => spec.model === model)
+    return this.#routes.find(({ spec }) => spec.model === model || spec.targets?.some((target) => target.model === model))
+  }
+
+  /** The route of a request that names a host: the longest path prefix that fits. */
+  routeOfHost (host: string, path: string): Named<RouteSpec> | undefined {
+    return this.#byHost.get(host.toLowerCase())?.find(({ spec }) => path.startsWith(spec.pathPrefix as string))
+  }
+
+  get callerLimits (): CallerLimitsSpec | undefined {
+    return this.resources.flatMap((r) => r.kind === ResourceKind.CallerLimits ? [r.spec] : []).at(0)
   }
 
   /** The route of a call to a plain service: the longest path prefix that fits. */
   routeOfCall (method: string, path: string): Named<RouteSpec> | undefined {
     return this.#routes
-      .filter(({ spec }) => spec.pathPrefix !== undefined && isUnderPrefix(path, spec.pathPrefix))
+      .filter(({ spec }) => spec.host === undefined && spec.pathPrefix !== undefined && isUnderPrefix(path, spec.pathPrefix))
       .filter(({ spec }) => spec.method === undefined || spec.method === method)
       .sort((a, b) => (b.spec.pathPrefix as string).length - (a.spec.pathPrefix as string).length)
       .at(0)
@@ -70,3 +82,17 @@
 function isUnderPrefix (path: string, prefix: string): boolean {
   return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
 }
+
+function groupByHost (routes: readonly Named<RouteSpec>[]): Map<string, Named<RouteSpec>[]> {
+  const groups = new Map<string, Named<RouteSpec>[]>()
+  routes
+    .filter(({ spec }) => spec.host !== undefined && spec.pathPrefix !== undefined)
+    .sort((a, b) => (b.spec.pathPrefix as string).length - (a.spec.pathPrefix as string).length)
+    .forEach((route) => {
+      const host = (route.spec.host as string).toLowerCase()
+      const group = groups.get(host)
+      if (group) group.push(route)
+      else groups.set(host, [route])
+    })
+  return groups
+}
--- a/config/resources/src/resource.ts
+++ b/config/resources/src/resource.ts
@@ -1,10 +1,11 @@
-import { type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
+import { type CallerLimitsSpec, type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
 
 export enum ResourceKind {
   Model = 'Model',
   Pool = 'Pool',
   Route = 'Route',
   Rollout = 'Rollout',
+  CallerLimits = 'CallerLimits',
 }
 
 /** A resource as it was published, not yet checked. */
@@ -29,6 +30,7 @@
   | ResourceOf<ResourceKind.Pool, PoolSpec>
   | ResourceOf<ResourceKind.Route, RouteSpec>
   | ResourceOf<ResourceKind.Rollout, RolloutSpec>
+  | ResourceOf<ResourceKind.CallerLimits, CallerLimitsSpec>
 
 export function resourceId (resource: { kind: string, name: string }): string {
   return `${resource.kind}/${resource.name}`
--- a/config/resources/src/specs.ts
+++ b/config/resources/src/specs.ts
@@ -38,6 +38,8 @@
   decodeStepPerRequestMs: z.number().nonnegative(),
   /** How long a prefill result waits for its export before the engine drops it. */
   prefillResultLifeMs: positiveInt.default(800),
+  /** What engines call the model, when that is not its name here. */
+  servedName: name.optional(),
 })
 
 export const poolSpecSchema = z.strictObject({
@@ -51,12 +53,33 @@
   minReadyEngines: z.number().int().nonnegative().default(0),
   /** A pool with more engines is cut into several shards. */
   maxEnginesPerShard: positiveInt.max(64).default(64),
+  /** Connections that one upstream accepts from all boxes together. */
+  maxConnections: positiveInt.optional(),
+})
+
+/** Where a part of a route's requests goes. */
+const routeTargetSchema = z.strictObject({
+  model: name.optional(),
+  pool: name.optional(),
+  weight: z.number().nonnegative().default(1),
 })
 
 export const routeSpecSchema = z.strictObject({
   /** The model that answers. A route has either a model or a service pool. */
   model: name.optional(),
   pool: name.optional(),
+  /** In place of the two above: models or service pools that share the route's requests by weight. */
+  targets: z.array(routeTargetSchema).min(1).optional(),
+  /** The route takes requests for this host alone. Such requests are relayed as they are. */
+  host: name.optional(),
+  /** The answer is a stream of events. */
+  streaming: z.boolean().default(false),
+  /** An answer that broke off may be taken up at another upstream. */
+  resumable: z.boolean().default(false),
+  /** Upstreams that one request may be sent to. */
+  maxAttempts: positiveInt.default(1),
+  /** 0 is the most urgent. */
+  urgency: z.number().int().nonnegative().default(5),
   /** For a service pool: which calls the route takes. */
   method: z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']).optional(),
   pathPrefix: z.string().regex(/^\/[^?#\s]*$/, 'a path that starts with /').optional(),
@@ -82,6 +105,17 @@
   state: z.enum(RolloutState).default(RolloutState.Running),
 })
 
+/** What callers may send and how long they may take. */
+export const callerLimitsSpecSchema = z.strictObject({
+  headerBytes: positiveInt.default(16_384),
+  bodyBytes: positiveInt.default(4_000_000),
+  headerReadMs: positiveInt.default(10_000),
+  /** A connection that rests for longer may be closed. */
+  idleMs: positiveInt.default(15_000),
+})
+
+export type RouteTarget = z.infer<typeof routeTargetSchema>
+export type CallerLimitsSpec = z.infer<typeof callerLimitsSpecSchema>
 export type ModelSpec = z.infer<typeof modelSpecSchema>
 export type PoolSpec = z.infer<typeof poolSpecSchema>
 export type RouteSpec = z.infer<typeof routeSpecSchema>
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -28,6 +28,8 @@
     addresses: z.array(address).min(1, 'expected at least one address'),
     watchWaitMs: durationMs.default(20_000),
     backstopPollMs: durationMs.default(10_000),
+    /** Longest wait between tries while the platform does not answer, on average. */
+    longestBackoffMs: durationMs.default(5000),
     watchersPerAvailabilityZone: z.number().int().positive().default(2),
   }),
   membership: z.strictObject({
@@ -35,10 +37,14 @@
     probeTimeoutMs: durationMs.default(400),
     watchCount: z.number().int().positive().default(4),
     silentGoneMs: durationMs.default(600_000),
+    /** Peer addresses of boxes to meet first, beside those that the platform lists. They may be out of date. */
+    seedAddresses: z.array(address).default([]),
   }).prefault({}),
   requests: z.strictObject({
     /** Lookup answers may be kept for this long. */
     lookupKeepMs: durationMs.default(5000),
+    /** Boxes that a lookup names. */
+    lookupBoxes: z.number().int().positive().default(3),
     prefixLifeMs: durationMs.default(300_000),
     longestRequestMs: durationMs.default(120_000),
     recordBytes: bytes.default(64_000_000),
@@ -54,6 +60,12 @@
     requestReadMs: durationMs.default(10_000),
     connections: z.number().int().positive().default(5000),
   }).prefault({}),
+  relay: z.strictObject({
+    /** Retries that each relayed request adds to what its pool may get. */
+    retriesPerRequest: z.number().nonnegative().default(0.1),
+    /** Retries that all boxes together may make at once in each pool, beside those. */
+    retryBurst: z.number().nonnegative().default(20),
+  }).prefault({}),
   scheduling: z.strictObject({
     strategy: placementStrategySchema.default('scheduler'),
     prefixIndex: z.enum(PrefixIndexKind).default(PrefixIndexKind.Events),
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -18,11 +18,12 @@
   /** How often a box that does not watch asks the platform all the same, on average. */
   backstopPollMs: number
   peerTimeoutMs: number
+  /** Longest wait between tries while the platform does not answer, on average. */
+  longestBackoffMs: number
   onRejected?: (problems: string[], revision: number) => void
 }
 
 const FIRST_BACKOFF_MS = 200
-const LAST_BACKOFF_MS = 5000
 /** A watch that ends sooner, without news, did not wait as it was asked to. */
 const SHORTEST_WATCH_MS = 1000
 
@@ -77,9 +78,9 @@
 
   /** Waits longer after each failure in a row, and a random part of it, so that boxes do not come back together. */
   async #backOff (): Promise<void> {
-    const { clock, random } = this.#opts
+    const { clock, random, longestBackoffMs } = this.#opts
     await clock.sleep(this.#backoffMs * (0.5 + random.nextFloat()), { signal: this.#tasks.signal })
-    this.#backoffMs = Math.min(LAST_BACKOFF_MS, this.#backoffMs * 2)
+    this.#backoffMs = Math.min(longestBackoffMs, this.#backoffMs * 2)
   }
 
   async #readPlatform (waitMs: number): Promise<void> {
--- a/config/store/test/configFollower.ts
+++ b/config/store/test/configFollower.ts
@@ -32,6 +32,7 @@
     watchWaitMs: 20_000,
     backstopPollMs: 10_000,
     peerTimeoutMs: 100,
+    longestBackoffMs: 5000,
   })
   return { clock, store, follower }
 }
--- /dev/null
+++ b/deploy/bundle.mjs
@@ -0,0 +1,45 @@
+// Bundles the box program from its sources into target/: one file, which starts faster than many.
+import { existsSync, realpathSync } from 'node:fs'
+import { join } from 'node:path'
+import { build } from 'esbuild'
+
+const ROOT = join(import.meta.dirname, '..')
+
+// The workspace's packages are taken from their sources, so that nothing needs to be compiled before.
+const workspaceSources = {
+  name: 'workspace-sources',
+  setup ({ onResolve }) {
+    onResolve({ filter: /^@reelspan\// }, ({ path }) => ({ path: join(realpathSync(join(ROOT, 'node_modules', path)), 'src/index.ts') }))
+    onResolve({ filter: /^\.\/.*\.js$/ }, ({ path, resolveDir }) => {
+      const source = join(resolveDir, path.replace(/\.js$/, '.ts'))
+      return existsSync(source) ? { path: source } : undefined
+    })
+  },
+}
+
+// CommonJS libraries inside an ES module need these.
+const COMMONJS_NAMES = `
+import { createRequire as __createRequire } from 'node:module'
+import { fileURLToPath as __fileURLToPath } from 'node:url'
+const require = __createRequire(import.meta.url)
+const __filename = __fileURLToPath(import.meta.url)
+const __dirname = __fileURLToPath(new URL('.', import.meta.url))
+`
+
+await build({
+  stdin: {
+    contents: "import { main } from './cli/reelspan/src/main.ts'\nprocess.exitCode = await main(process.argv.slice(2))\n",
+    resolveDir: ROOT,
+  },
+  outfile: join(ROOT, 'target/reelspan.mjs'),
+  plugins: [workspaceSources],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minify: true,
+  keepNames: true,
+  // Optional parts of libraries that are not used.
+  external: ['dtrace-provider', 'bufferutil', 'utf-8-validate', 'mv', 'safe-json-stringify', 'moment', 'source-map-support', 'msgpackr-extract'],
+  banner: { js: COMMONJS_NAMES },
+})
--- /dev/null
+++ b/net/http-exchange/src/connectionPool.ts
@@ -0,0 +1,135 @@
+import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
+import { type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
+import { ExchangeError } from './exchangeError.js'
+import { type AcceptHead, UpstreamConnection } from './upstreamConnection.js'
+
+export interface ConnectionPoolOptions {
+  clock: Clock
+  /** A connection must have come up within this time. */
+  connectTimeoutMs: number
+  onOpened?: (address: string) => void
+}
+
+export interface ExchangeOptions {
+  /** Ends the exchange and its connection. */
+  signal: AbortSignal
+  /** Tells an answer to this request from one to another. */
+  accept?: AcceptHead
+  /** The request is about to be sent: from here on the upstream may act on it. */
+  onSend?: () => void
+}
+
+/** An idle connection is not used in the last part of its life, since the upstream may be closing it. */
+const KEEP_ALIVE_MARGIN_MS = 500
+/** Idle connections kept to one upstream; more were needed only in a burst. */
+const MAX_IDLE_PER_UPSTREAM = 32
+
+/** Connections to upstreams, each used for one exchange at a time. Nothing is sent twice. */
+export class ConnectionPool {
+  readonly #opts: ConnectionPoolOptions
+  readonly #idle = new Map<string, UpstreamConnection[]>()
+  readonly #open = new Set<UpstreamConnection>()
+
+  constructor (opts: ConnectionPoolOptions) {
+    this.#opts = opts
+  }
+
+  get openCount (): number {
+    return this.#open.size
+  }
+
+  /** Sends a request once and resolves with its answer's head. Throws `ExchangeError`. */
+  async exchange (address: string, request: ExchangeRequest, opts: ExchangeOptions): Promise<ExchangeAnswer> {
+    const { signal, accept = () => true, onSend } = opts
+    if (signal.aborted) throw new ExchangeError('the exchange was given up', { mayHaveRun: false })
+    const connection = this.#takeIdle(address) ?? await this.#connect(address, signal)
+    if (signal.aborted) {
+      this.#keep(connection)
+      throw new ExchangeError('the exchange was given up', { mayHaveRun: false })
+    }
+    const token = Symbol('exchange')
+    const cancel = () => connection.cancel(token)
+    signal.addEventListener('abort', cancel, { once: true })
+    const settle = () => {
+      signal.removeEventListener('abort', cancel)
+      cancel()
+    }
+    onSend?.()
+    try {
+      const answer = await connection.send(request, accept, token)
+      return { ...answer, body: settling(answer.body, settle) }
+    } catch (thrown) {
+      settle()
+      throw thrown
+    }
+  }
+
+  close (): void {
+    this.#open.forEach((connection) => connection.close())
+  }
+
+  /** Closes idle connections whose upstream is about to close them, or is not used any more. */
+  closeStale (): void {
+    this.#idle.forEach((connections, address) => {
+      connections.filter((connection) => !this.#isFresh(connection)).forEach((connection) => connection.close())
+      if (this.#idle.get(address)?.length === 0) this.#idle.delete(address)
+    })
+  }
+
+  #takeIdle (address: string): UpstreamConnection | undefined {
+    const idle = this.#idle.get(address)
+    for (let connection = idle?.pop(); connection; connection = idle?.pop()) {
+      if (!connection.closed && this.#isFresh(connection)) return connection
+      connection.close()
+    }
+    return undefined
+  }
+
+  #isFresh ({ idleSinceMs, keepAliveMs }: UpstreamConnection): boolean {
+    return this.#opts.clock.nowMs() - idleSinceMs < keepAliveMs - KEEP_ALIVE_MARGIN_MS
+  }
+
+  async #connect (address: string, signal: AbortSignal): Promise<UpstreamConnection> {
+    const { clock, connectTimeoutMs, onOpened } = this.#opts
+    const connection = new UpstreamConnection({
+      address,
+      onIdle: (idle) => this.#keep(idle),
+      onClosed: (closed) => this.#forget(closed),
+    })
+    this.#open.add(connection)
+    onOpened?.(address)
+    const abort = () => connection.close()
+    signal.addEventListener('abort', abort, { once: true })
+    try {
+      const opened = await raceTimeout(clock, connection.opened(), connectTimeoutMs)
+      if (opened !== TimedOut) return connection
+    } finally {
+      signal.removeEventListener('abort', abort)
+    }
+    connection.close()
+    throw new ExchangeError(`${address} did not accept a connection in time`, { mayHaveRun: false, unreachable: true })
+  }
+
+  #keep (connection: UpstreamConnection): void {
+    const idle = this.#idle.get(connection.address) ?? []
+    this.#idle.set(connection.address, idle)
+    connection.idleSinceMs = this.#opts.clock.nowMs()
+    if (idle.length < MAX_IDLE_PER_UPSTREAM) idle.push(connection)
+    else connection.close()
+  }
+
+  #forget (connection: UpstreamConnection): void {
+    this.#open.delete(connection)
+    const idle = this.#idle.get(connection.address)
+    if (idle?.includes(connection)) this.#idle.set(connection.address, idle.filter((one) => one !== connection))
+  }
+}
+
+/** Passes a body on. Whoever stops reading early gives up the exchange. */
+async function * settling (body: AsyncIterable<Uint8Array>, settle: () => void): AsyncGenerator<Uint8Array> {
+  try {
+    yield * body
+  } finally {
+    settle()
+  }
+}
--- /dev/null
+++ b/net/http-exchange/src/index.ts
@@ -0,0 +1,5 @@
+export { ConnectionPool } from './connectionPool.js'
+export type { ConnectionPoolOptions, ExchangeOptions } from './connectionPool.js'
+export { ExchangeError } from './exchangeError.js'
+export type { AnswerHead, ExchangeAnswer, ExchangeRequest } from './exchange.js'
+export { headerValue, withoutHeaders } from './rawHeaders.js'
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -68,7 +68,7 @@
   readonly #tasks: TaskGroup
   readonly #wakeWatch: WakeWatch
   readonly #running = new Map<string, Running>()
-  readonly #retries = new RetryBudget({ perRequest: RETRIES_PER_REQUEST, maxRetries: MAX_BUDGETED_RETRIES })
+  readonly #retries = new RetryBudget({ perRequest: RETRIES_PER_REQUEST, maxRetries: () => MAX_BUDGETED_RETRIES })
   readonly #ended = new Notifier()
   #sequence = 0
   #closed = false
--- a/request/owner/src/retryBudget.ts
+++ b/request/owner/src/retryBudget.ts
@@ -1,8 +1,8 @@
 export interface RetryBudgetOptions {
   /** Retries that each request adds to the budget. */
   perRequest: number
-  /** The budget's upper bound, and what it starts with. */
-  maxRetries: number
+  /** The budget's upper bound at present, and what it starts with. */
+  maxRetries: () => number
 }
 
 /** Keeps retries a small part of all requests, so that a failing upstream is not buried in them. */
@@ -12,7 +12,7 @@
 
   constructor (opts: RetryBudgetOptions) {
     this.#opts = opts
-    this.#left = opts.maxRetries
+    this.#left = opts.maxRetries()
   }
 
   get left (): number {
@@ -20,7 +20,7 @@
   }
 
   countRequest (): void {
-    this.#left = Math.min(this.#opts.maxRetries, this.#left + this.#opts.perRequest)
+    this.#left = Math.min(this.#opts.maxRetries(), this.#left + this.#opts.perRequest)
   }
 
   /** Takes one retry from the budget, if there is one. */
--- /dev/null
+++ b/request/relay/src/completionRelay.ts
@@ -0,0 +1,191 @@
+import { hash32 } from '@reelspan/core.hashing'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { type HoldLabel, type PlacementPlan, type PlacementRefusal, type PlacementReport } from '@reelspan/core.messages'
+import { percentile } from '@reelspan/request.owner'
+import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { type PrefillSource, type PromptSizes, type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
+import { dropAnswer } from './dropAnswer.js'
+import { type AnswerTimes, passAnswer } from './passAnswer.js'
+import { type RelayContext } from './relayContext.js'
+import { UpstreamOutcome } from './upstreamHealth.js'
+
+/** Placements tried for one request, however many of them reached an engine. */
+const MAX_TRIES = 4
+/** Freeing a handle is tried once; the engine frees it by itself soon after. */
+const FREE_TIMEOUT_MS = 500
+const FIRST_SERVER_ERROR = 500
+
+/** Relays a request to a model's engines: place, prefill, decode. */
+export class CompletionRelay {
+  readonly #context: RelayContext
+  readonly #model: string
+  readonly #prompt: PromptSizes
+  readonly #failed = new Set<string>()
+  #decodesSent = 0
+
+  constructor (context: RelayContext, model: string, prompt: PromptSizes) {
+    this.#context = context
+    this.#model = model
+    this.#prompt = prompt
+  }
+
+  async carryOut (times: AnswerTimes): Promise<void> {
+    const { run, decided } = this.#context
+    for (let attempt = 1; ; attempt++) {
+      await run.checkBeforeSend()
+      const placement = await this.#place(attempt)
+      try {
+        await this.#carryOutPlaced(placement, times)
+        return
+      } catch (thrown) {
+        run.throwIfEnded()
+        if (!this.#mayRetry(thrown, attempt)) throw thrown
+        decided(LogEvent.RequestRetried, { attempt, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
+      }
+    }
+  }
+
+  #mayRetry (thrown: unknown, attempt: number): boolean {
+    const { run, route, budget, caller } = this.#context
+    if (!(thrown instanceof UpstreamError) || caller.begun || attempt >= MAX_TRIES) return false
+    if (run.mayHaveRun && !route.spec.resumable) return false
+    if (this.#decodesSent >= route.spec.maxAttempts) return false
+    return budget.takeRetry()
+  }
+
+  async #place (attempt: number): Promise<Placement> {
+    const { opts, run, decided } = this.#context
+    const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
+    run.throwIfEnded()
+    if (!('plan' in outcome)) throw refusalOf(outcome)
+    const { prefillEngine, decodeEngine, startInMs, expectedTtftMs } = outcome.plan
+    decided(LogEvent.RequestPlaced, { attempt, prefillEngine, decodeEngine, startInMs, expectedTtftMs: Math.round(expectedTtftMs), atMs: Math.round(run.elapsedMs) })
+    return outcome
+  }
+
+  #placeRequest (attempt: number): PlaceRequest {
+    const { opts, run, route, request, health } = this.#context
+    const { promptTokens, maxTokens, prefixes } = this.#prompt
+    const { peerAddress, incarnation } = opts.standing()
+    const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${attempt}`, maxHoldMs: run.leftMs }
+    return {
+      model: this.#model,
+      client: '',
+      label,
+      // A caller's retry has an id of its own, but its prompt ends in the same part.
+      returnId: prefixes.at(-1)?.digest ?? hash32(request.id).toString(36),
+      priority: -route.spec.urgency,
+      promptTokens,
+      prefixes: [...prefixes],
+      maxTokens,
+      ttftLeftMs: route.spec.ttftTargetMs - run.elapsedMs,
+      tbtTargetMs: route.spec.tbtTargetMs,
+      deadlineMs: run.leftMs,
+      avoid: [...this.#failed, ...health.suspects()],
+    }
+  }
+
+  async #carryOutPlaced (placement: Placement, times: AnswerTimes): Promise<void> {
+    const { opts, run } = this.#context
+    const { plan } = placement
+    const placedAtMs = opts.clock.nowMs()
+    let report: PlacementReport | undefined
+    let source: PrefillSource | undefined
+    let taken = false
+    try {
+      await opts.clock.sleep(plan.startInMs, { signal: run.signal })
+      await run.checkBeforeSend()
+      // Waking late, the place that was kept for the end of this prefill may be another's by now.
+      if (opts.clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the placement was not used in time', { mayHaveRun: false })
+      source = await this.#prefill(plan)
+      placement.prefilled()
+      await run.checkBeforeSend()
+      const answer = await this.#decode(plan, source)
+      taken = !answer.notRun
+      await this.#judge(plan, answer, placement, times)
+      report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs), times)
+    } finally {
+      placement.release(report)
+      if (source && !taken) this.#free(source)
+    }
+  }
+
+  async #prefill (plan: PlacementPlan): Promise<PrefillSource> {
+    const { opts, run, request } = this.#context
+    const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
+    const { handle } = await this.#blame(plan.prefillEngine, () =>
+      opts.upstreams.prefill(target, request, { signal: run.signal, deadlineMs: run.leftMs }))
+    return { address: plan.prefillAddress, handle }
+  }
+
+  #decode (plan: PlacementPlan, source: PrefillSource): Promise<RelayAnswer> {
+    const { opts, run, request, route } = this.#context
+    const target = { instance: plan.decodeEngine, address: plan.decodeAddress }
+    this.#decodesSent++
+    return this.#blame(plan.decodeEngine, () => run.dispatch(() => opts.upstreams.run(target, request, {
+      signal: run.signal,
+      deadlineMs: run.leftMs,
+      source,
+      urgency: route.spec.urgency,
+      resumeAfter: request.resumeAfter,
+    })))
+  }
+
+  async #judge (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes): Promise<void> {
+    const { run, route, decided } = this.#context
+    decided(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, notRun: answer.notRun, atMs: Math.round(run.elapsedMs) })
+    if (answer.notRun) {
+      this.#failed.add(plan.decodeEngine)
+      void dropAnswer(answer)
+      throw new UpstreamError(`${plan.decodeEngine} did not take the request`, { mayHaveRun: false, refused: true })
+    }
+    const failed = answer.status >= FIRST_SERVER_ERROR
+    if (failed && route.spec.resumable && this.#decodesSent < route.spec.maxAttempts) {
+      void dropAnswer(answer)
+      this.#note(plan.decodeEngine, UpstreamOutcome.Failed)
+      this.#failed.add(plan.decodeEngine)
+      throw new UpstreamError(`${plan.decodeEngine} answered ${answer.status}`, { mayHaveRun: true })
+    }
+    placement.progressed(1)
+    await this.#blame(plan.decodeEngine, () => passAnswer(this.#context, answer, times))
+    this.#note(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
+  }
+
+  /** Remembers an engine that failed, so that the next attempt goes elsewhere. */
+  async #blame<T> (engine: string, work: () => Promise<T>): Promise<T> {
+    try {
+      return await work()
+    } catch (thrown) {
+      if (thrown instanceof UpstreamError && !this.#context.run.signal.aborted) {
+        this.#failed.add(engine)
+        if (!thrown.refused) this.#note(engine, thrown.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed)
+      }
+      throw thrown
+    }
+  }
+
+  #note (engine: string, outcome: UpstreamOutcome): void {
+    this.#context.health.note(engine, outcome, [])
+  }
+
+  #report (plan: PlacementPlan, placedAtMs: number, { firstMs = 0, pausesMs, parts }: AnswerTimes): PlacementReport {
+    return {
+      completionTokens: parts,
+      ttftErrorMs: firstMs - placedAtMs - plan.expectedTtftMs,
+      tbtP50Ms: percentile(pausesMs, 50) ?? 0,
+    }
+  }
+
+  /** Not waited for: what is not freed lapses soon. */
+  #free (source: PrefillSource): void {
+    const { opts, decided } = this.#context
+    opts.metrics.count('reelspan_wasted_prefill_tokens_total', {}, this.#prompt.promptTokens)
+    opts.upstreams.free(source, { timeoutMs: FREE_TIMEOUT_MS }).catch((thrown: unknown) =>
+      decided(LogEvent.HandleLeft, { upstream: source.address, reason: String(thrown) }))
+  }
+}
+
+function refusalOf ({ reason, retryAfterMs }: PlacementRefusal): ReelspanError {
+  return new ReelspanError(ErrorCode.Overloaded, reason, { retryAfterMs })
+}
--- /dev/null
+++ b/request/relay/src/index.ts
@@ -0,0 +1,5 @@
+export { Relay } from './relay.js'
+export type { RelayOptions } from './relayOptions.js'
+export { RelayCaller } from './relayCaller.js'
+export { UpstreamHealth } from './upstreamHealth.js'
+export { UpstreamPicker } from './upstreamPicker.js'
--- /dev/null
+++ b/request/relay/src/relay.ts
@@ -0,0 +1,176 @@
+import { type Named, type RouteSpec, type RouteTarget } from '@reelspan/config.resources'
+import { Notifier, TaskGroup } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
+import { RetryBudget, RunContext } from '@reelspan/request.owner'
+import { RequestRecord } from '@reelspan/request.records'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { type RelayedRequest } from '@reelspan/upstream.client'
+import { CompletionRelay } from './completionRelay.js'
+import { type AnswerTimes } from './passAnswer.js'
+import { type RelayCaller } from './relayCaller.js'
+import { type RelayContext } from './relayContext.js'
+import { type RelayOptions } from './relayOptions.js'
+import { ServiceRelay } from './serviceRelay.js'
+import { UpstreamHealth } from './upstreamHealth.js'
+import { UpstreamPicker } from './upstreamPicker.js'
+
+const NOT_READY_RETRY_AFTER_MS = 1000
+const DRAINING_RETRY_AFTER_MS = 100
+/** Part of the retries that the system may make which is planned for; the rest covers boxes that know of fewer others. */
+const BURST_SHARE = 0.8
+
+/** Owns relayed requests: each is run by the box that received it, at most once unless it may be repeated, and answered once. */
+export class Relay {
+  readonly #opts: RelayOptions
+  readonly #tasks: TaskGroup
+  readonly #health: UpstreamHealth
+  readonly #picker: UpstreamPicker
+  readonly #budgets = new Map<string, RetryBudget>()
+  readonly #ended = new Notifier()
+  readonly #running = new Map<string, RunContext>()
+  #sequence = 0
+  #closed = false
+
+  constructor (opts: RelayOptions) {
+    this.#opts = opts
+    const { clock, random, log } = opts
+    this.#tasks = new TaskGroup(clock)
+    this.#health = new UpstreamHealth({
+      clock,
+      onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, forMs, failureShare: Number(failureShare.toFixed(2)) }),
+      onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream }),
+    })
+    this.#picker = new UpstreamPicker({ random, health: this.#health })
+  }
+
+  get inFlight (): number {
+    return this.#running.size
+  }
+
+  /** From now on new requests are refused unrun; those under way go on. */
+  closeForNew (): void {
+    this.#closed = true
+  }
+
+  /** Resolves once no request runs, or the signal is aborted. */
+  async waitIdle (signal: AbortSignal): Promise<void> {
+    while (this.#running.size > 0 && !signal.aborted) await this.#ended.wait(signal)
+  }
+
+  async stop (): Promise<void> {
+    this.#running.forEach((run) => run.end(new ReelspanError(ErrorCode.Draining, 'the box stops', { retryAfterMs: DRAINING_RETRY_AFTER_MS })))
+    await this.#tasks.stop()
+  }
+
+  describe () {
+    return {
+      running: [...this.#running].map(([key, run]) => ({ key, ageMs: Math.round(run.elapsedMs), mayHaveRun: run.mayHaveRun })),
+      upstreams: this.#health.describe(),
+      retryBudgets: [...this.#budgets].map(([pool, { left }]) => ({ pool, left: Math.floor(left) })),
+    }
+  }
+
+  /** Runs a request and answers its caller. Resolves when the answer is given. */
+  async relay (request: RelayedRequest, caller: RelayCaller, deadlineMs?: number): Promise<void> {
+    const route = this.#opts.configuration().routeOfHost(request.host, pathOf(request.target))
+    const run = this.#open(request, Math.min(deadlineMs ?? Number.POSITIVE_INFINITY, route?.spec.deadlineMs ?? Number.POSITIVE_INFINITY))
+    const key = `${request.id}#${this.#sequence++}`
+    const times: AnswerTimes = { longestPauseMs: 0, pausesMs: [], parts: 0 }
+    const leave = () => run.end(new ReelspanError(ErrorCode.Cancelled, 'the caller went away'))
+    this.#running.set(key, run)
+    caller.signal.addEventListener('abort', leave, { once: true })
+    if (caller.signal.aborted) leave()
+    this.#tasks.run(() => run.enforceDeadline())
+    try {
+      // A run that is ended is answered at once, even while its work still winds up.
+      await Promise.race([this.#carryOut(run, route, request, caller, times), ended(run)])
+    } catch (thrown) {
+      run.end(toReelspanError(thrown))
+    } finally {
+      run.close()
+      caller.signal.removeEventListener('abort', leave)
+      this.#running.delete(key)
+      this.#ended.notify()
+      this.#answer(run, route, request, caller, times)
+    }
+  }
+
+  #open (request: RelayedRequest, deadlineMs: number): RunContext {
+    const { clock } = this.#opts
+    return new RunContext({
+      clock,
+      record: new RequestRecord(request.id, '', clock.nowMs()),
+      deadlineMs,
+      requestId: request.id,
+      // The attempt is bound to this process and to no other, whatever becomes of its membership.
+      holdsStanding: () => true,
+      isSure: () => true,
+      takeRetry: () => false,
+    })
+  }
+
+  async #carryOut (run: RunContext, route: Named<RouteSpec> | undefined, request: RelayedRequest, caller: RelayCaller, times: AnswerTimes): Promise<void> {
+    const { opts, health, picker } = { opts: this.#opts, health: this.#health, picker: this.#picker }
+    if (opts.configuration().revision === 0) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
+    if (!route) throw new ReelspanError(ErrorCode.NoRoute, `there is no route for ${request.host}${pathOf(request.target)}`)
+    if (this.#closed) throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
+    const { model, pool } = this.#pickTarget(route.spec)
+    const budget = this.#budget(model ?? pool as string)
+    budget.countRequest()
+    const context: RelayContext = { opts, run, request, caller, route, budget, health, picker, decided: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, ...fields }) }
+    if (model === undefined) return new ServiceRelay(context, pool as string).carryOut(times)
+    if (!request.prompt) throw new ReelspanError(ErrorCode.BadRequest, 'a request to a model declares the sizes of its prompt')
+    return new CompletionRelay(context, model, request.prompt).carryOut(times)
+  }
+
+  #pickTarget ({ targets, model, pool }: RouteSpec): Pick<RouteTarget, 'model' | 'pool'> {
+    if (!targets) return { model, pool }
+    const total = targets.reduce((sum, { weight }) => sum + weight, 0)
+    let left = this.#opts.random.nextFloat() * total
+    return targets.find(({ weight }) => (left -= weight) < 0) ?? targets[0]
+  }
+
+  #budget (pool: string): RetryBudget {
+    const known = this.#budgets.get(pool)
+    if (known) return known
+    const { boxCount, retriesPerRequest, retryBurst } = this.#opts
+    const budget = new RetryBudget({ perRequest: retriesPerRequest, maxRetries: () => Math.max(1, retryBurst * BURST_SHARE / Math.max(1, boxCount())) })
+    this.#budgets.set(pool, budget)
+    return budget
+  }
+
+  #answer (run: RunContext, route: Named<RouteSpec> | undefined, request: RelayedRequest, caller: RelayCaller, times: AnswerTimes): void {
+    const { final } = run.record
+    const { log, metrics, configuration } = this.#opts
+    if (final && final.verdict !== Verdict.Finished) {
+      if (caller.begun) caller.cut()
+      else caller.refuse(final)
+    }
+    const verdict = final?.verdict ?? 'none'
+    log.info(LogEvent.RequestEnded, {
+      request: request.id,
+      route: route?.name,
+      verdict,
+      code: final?.code,
+      reason: final?.message,
+      retryAfterMs: final?.retryAfterMs,
+      revision: configuration().revision,
+      durationMs: Math.round(run.elapsedMs),
+      firstMs: times.firstMs && Math.round(times.firstMs),
+      longestPauseMs: Math.round(times.longestPauseMs),
+      parts: times.parts,
+    })
+    metrics.count('reelspan_relayed_total', { verdict, code: final?.code ?? '' })
+    if (times.firstMs !== undefined) metrics.recordMs('reelspan_ttft_ms', times.firstMs)
+  }
+}
+
+function pathOf (target: string): string {
+  const at = target.indexOf('?')
+  return at < 0 ? target : target.slice(0, at)
+}
+
+function ended ({ signal }: RunContext): Promise<void> {
+  if (signal.aborted) return Promise.resolve()
+  return new Promise((resolve) => signal.addEventListener('abort', () => resolve(), { once: true }))
+}
--- /dev/null
+++ b/request/relay/src/relayContext.ts
@@ -0,0 +1,22 @@
+import { type Named, type RouteSpec } from '@reelspan/config.resources'
+import { type RetryBudget, type RunContext } from '@reelspan/request.owner'
+import { type LogEvent, type LogFields } from '@reelspan/telemetry.log'
+import { type RelayedRequest } from '@reelspan/upstream.client'
+import { type RelayCaller } from './relayCaller.js'
+import { type RelayOptions } from './relayOptions.js'
+import { type UpstreamHealth } from './upstreamHealth.js'
+import { type UpstreamPicker } from './upstreamPicker.js'
+
+/** What one relayed request works with. */
+export interface RelayContext {
+  opts: RelayOptions
+  run: RunContext
+  request: RelayedRequest
+  caller: RelayCaller
+  route: Named<RouteSpec>
+  budget: RetryBudget
+  health: UpstreamHealth
+  picker: UpstreamPicker
+  /** Writes a decision about this request to the log. */
+  decided: (event: LogEvent, fields: LogFields) => void
+}
--- /dev/null
+++ b/request/relay/src/relayOptions.ts
@@ -0,0 +1,24 @@
+import { type FleetList } from '@reelspan/config.fleet'
+import { type Configuration } from '@reelspan/config.resources'
+import { type Clock, type Random } from '@reelspan/core.env'
+import { type Placer } from '@reelspan/scheduling.placer'
+import { type Log } from '@reelspan/telemetry.log'
+import { type Metrics } from '@reelspan/telemetry.metrics'
+import { type RelayClient } from '@reelspan/upstream.client'
+
+export interface RelayOptions {
+  clock: Clock
+  random: Random
+  upstreams: RelayClient
+  placer: Placer
+  configuration: () => Configuration
+  fleet: () => FleetList
+  /** This box's present incarnation. */
+  standing: () => { peerAddress: string, incarnation: string }
+  /** Boxes that share the retry budget, this one included. */
+  boxCount: () => number
+  retriesPerRequest: number
+  retryBurst: number
+  log: Log
+  metrics: Metrics
+}
--- /dev/null
+++ b/request/relay/src/serviceRelay.ts
@@ -0,0 +1,130 @@
+import { type ListedUpstream } from '@reelspan/config.fleet'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
+import { type AnswerTimes, passAnswer } from './passAnswer.js'
+import { dropAnswer } from './dropAnswer.js'
+import { type RelayContext } from './relayContext.js'
+import { UpstreamOutcome } from './upstreamHealth.js'
+
+const NO_UPSTREAM_RETRY_AFTER_MS = 1000
+/** Connections that could not be opened reach no upstream and do not count as attempts; this bounds them. */
+const MAX_TRIES = 6
+const FIRST_SERVER_ERROR = 500
+/** Latency targets after which a silent upstream is given up for another one: later, the answer is worth little anyway. */
+const PATIENCE_TARGETS = 1.5
+
+/** Relays a request to a plain service. */
+export class ServiceRelay {
+  readonly #context: RelayContext
+  readonly #pool: string
+  readonly #tried = new Set<string>()
+  #sent = 0
+
+  constructor (context: RelayContext, pool: string) {
+    this.#context = context
+    this.#pool = pool
+  }
+
+  async carryOut (times: AnswerTimes): Promise<void> {
+    const { run } = this.#context
+    for (let attempt = 1; ; attempt++) {
+      await run.checkBeforeSend()
+      const upstream = this.#pick()
+      try {
+        await this.#tryAt(upstream, attempt, times)
+        return
+      } catch (thrown) {
+        run.throwIfEnded()
+        this.#tried.add(upstream.name)
+        if (!this.#mayRetry(thrown, attempt)) throw thrown
+        this.#context.decided(LogEvent.RequestRetried, { upstream: upstream.name, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
+      }
+    }
+  }
+
+  async #tryAt (upstream: ListedUpstream, attempt: number, times: AnswerTimes): Promise<void> {
+    const { picker, decided, run } = this.#context
+    picker.noteStart(upstream.name)
+    try {
+      const answer = await this.#send(upstream, attempt)
+      decided(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, atMs: Math.round(run.elapsedMs) })
+      await this.#judge(upstream, answer, attempt, times)
+      this.#note(upstream, answer.status >= FIRST_SERVER_ERROR ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
+    } catch (thrown) {
+      if (!run.signal.aborted && thrown instanceof UpstreamError && !thrown.refused) this.#note(upstream, outcomeOf(thrown))
+      throw thrown
+    } finally {
+      picker.noteEnd(upstream.name)
+    }
+  }
+
+  #send (upstream: ListedUpstream, attempt: number): Promise<RelayAnswer> {
+    const { opts, run, request } = this.#context
+    const signal = this.#attemptSignal(attempt)
+    return run.dispatch(() => opts.upstreams.run({ instance: upstream.name, address: upstream.address }, request, {
+      signal,
+      deadlineMs: run.leftMs,
+      onSend: () => { this.#sent++ },
+    }))
+  }
+
+  /** While another attempt is left, silence is waited out for a part of the time only. */
+  #attemptSignal (attempt: number): AbortSignal {
+    const { opts, run, route } = this.#context
+    if (route.spec.notRepeatable || attempt >= route.spec.maxAttempts) return run.signal
+    const silent = new AbortController()
+    const patienceMs = Math.min(run.leftMs / 2, PATIENCE_TARGETS * route.spec.ttftTargetMs)
+    void opts.clock.sleep(patienceMs, { signal: run.signal }).then(() => {
+      if (!this.#context.caller.begun) silent.abort()
+    })
+    return AbortSignal.any([run.signal, silent.signal])
+  }
+
+  /** Passes the answer on, unless another upstream may give a better one. */
+  async #judge (upstream: ListedUpstream, answer: RelayAnswer, attempt: number, times: AnswerTimes): Promise<void> {
+    const { route, run, budget } = this.#context
+    if (answer.notRun) {
+      void dropAnswer(answer)
+      throw new UpstreamError(`${upstream.name} did not take the request`, { mayHaveRun: false, refused: true })
+    }
+    const better = answer.status >= FIRST_SERVER_ERROR && !route.spec.notRepeatable && this.#sent < route.spec.maxAttempts && attempt < MAX_TRIES
+    if (better && budget.left >= 1 && this.#hasOther(upstream)) {
+      void dropAnswer(answer)
+      throw new UpstreamError(`${upstream.name} answered ${answer.status}`, { mayHaveRun: true })
+    }
+    run.throwIfEnded()
+    await passAnswer(this.#context, answer, times)
+  }
+
+  #mayRetry (thrown: unknown, attempt: number): boolean {
+    const { run, route, budget, caller } = this.#context
+    if (!(thrown instanceof UpstreamError) || caller.begun || attempt >= MAX_TRIES) return false
+    if (run.mayHaveRun && route.spec.notRepeatable) return false
+    if (this.#sent >= route.spec.maxAttempts && !(this.#sent === 0)) return false
+    return this.#sent === 0 || budget.takeRetry()
+  }
+
+  #hasOther (upstream: ListedUpstream): boolean {
+    const { health } = this.#context
+    return this.#listed().some(({ name }) => name !== upstream.name && !this.#tried.has(name) && !health.isSuspect(name))
+  }
+
+  #pick (): ListedUpstream {
+    const picked = this.#context.picker.pick(this.#listed(), this.#tried)
+    if (picked) return picked
+    throw new ReelspanError(ErrorCode.NoUpstream, `pool ${this.#pool} has no upstream that takes work`, { retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
+  }
+
+  #listed (): readonly ListedUpstream[] {
+    return this.#context.opts.fleet().takingWork(this.#pool)
+  }
+
+  #note (upstream: ListedUpstream, outcome: UpstreamOutcome): void {
+    this.#context.health.note(upstream.name, outcome, this.#listed().map(({ name }) => name))
+  }
+}
+
+function outcomeOf (error: UpstreamError): UpstreamOutcome {
+  return error.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed
+}
--- /dev/null
+++ b/request/relay/src/upstreamHealth.ts
@@ -0,0 +1,104 @@
+import { type Clock } from '@reelspan/core.env'
+
+/** How a request that was sent to an upstream ended there. */
+export enum UpstreamOutcome {
+  Answered = 'answered',
+  /** An answer that says that the upstream failed, or one that broke off. */
+  Failed = 'failed',
+  /** No connection, or silence. */
+  Unreachable = 'unreachable',
+}
+
+export interface UpstreamHealthOptions {
+  clock: Clock
+  onSuspected?: (upstream: string, forMs: number, failureShare: number) => void
+  onTrusted?: (upstream: string) => void
+}
+
+interface Standing {
+  /** Share of failures among late outcomes. */
+  failureShare: number
+  outcomes: number
+  suspectUntilMs: number
+  suspectForMs: number
+}
+
+/** Weight of one outcome in the share of failures: some ten outcomes are remembered. */
+const SMOOTHING = 0.1
+/** Outcomes before the share is believed. */
+const FEWEST_OUTCOMES = 4
+/** An upstream fails when it does so this much more often than the best of its pool. Some services fail a tenth of their requests by nature. */
+const FAILURE_MARGIN = 0.3
+const FIRST_SUSPICION_MS = 1000
+const LONGEST_SUSPICION_MS = 8000
+
+/** What this box has seen of upstreams' failures of late. Suspicion is a reason to go elsewhere, not a proof. */
+export class UpstreamHealth {
+  readonly #opts: UpstreamHealthOptions
+  readonly #standings = new Map<string, Standing>()
+
+  constructor (opts: UpstreamHealthOptions) {
+    this.#opts = opts
+  }
+
+  note (upstream: string, outcome: UpstreamOutcome, pool: readonly string[]): void {
+    const standing = this.#standing(upstream)
+    const failed = outcome === UpstreamOutcome.Answered ? 0 : 1
+    standing.failureShare += SMOOTHING * (failed - standing.failureShare)
+    standing.outcomes++
+    if (outcome === UpstreamOutcome.Answered) this.#trust(upstream, standing)
+    else if (outcome === UpstreamOutcome.Unreachable || this.#failsMore(upstream, standing, pool)) this.#suspect(upstream, standing)
+  }
+
+  isSuspect (upstream: string): boolean {
+    const standing = this.#standings.get(upstream)
+    return standing !== undefined && standing.suspectUntilMs > this.#opts.clock.nowMs()
+  }
+
+  /** All that are suspected now. */
+  suspects (): string[] {
+    return [...this.#standings.keys()].filter((upstream) => this.isSuspect(upstream))
+  }
+
+  /** Forgets upstreams that are listed no more. */
+  keepOnly (listed: ReadonlySet<string>): void {
+    [...this.#standings.keys()].filter((name) => !listed.has(name)).forEach((name) => this.#standings.delete(name))
+  }
+
+  /** State for the dump. */
+  describe () {
+    const nowMs = this.#opts.clock.nowMs()
+    return [...this.#standings].map(([upstream, { failureShare, suspectUntilMs }]) => ({
+      upstream,
+      failureShare: Number(failureShare.toFixed(2)),
+      suspectForMs: Math.max(0, Math.round(suspectUntilMs - nowMs)),
+    }))
+  }
+
+  #failsMore (upstream: string, { failureShare, outcomes }: Standing, pool: readonly string[]): boolean {
+    const others = pool.filter((name) => name !== upstream).map((name) => this.#standings.get(name)?.failureShare ?? 0)
+    return outcomes >= FEWEST_OUTCOMES && failureShare > FAILURE_MARGIN + Math.min(...others, 1)
+  }
+
+  #suspect (upstream: string, standing: Standing): void {
+    const nowMs = this.#opts.clock.nowMs()
+    if (standing.suspectUntilMs > nowMs) return
+    standing.suspectForMs = Math.min(LONGEST_SUSPICION_MS, Math.max(FIRST_SUSPICION_MS, 2 * standing.suspectForMs))
+    standing.suspectUntilMs = nowMs + standing.suspectForMs
+    this.#opts.onSuspected?.(upstream, standing.suspectForMs, standing.failureShare)
+  }
+
+  #trust (upstream: string, standing: Standing): void {
+    if (standing.suspectForMs === 0 || standing.suspectUntilMs > this.#opts.clock.nowMs()) return
+    standing.suspectForMs = 0
+    this.#opts.onTrusted?.(upstream)
+  }
+
+  #standing (upstream: string): Standing {
+    const known = this.#standings.get(upstream)
+    if (known) return known
+    const standing = { failureShare: 0, outcomes: 0, suspectUntilMs: 0, suspectForMs: 0 }
+    this.#standings.set(upstream, standing)
+    return standing
+  }
+}
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -82,7 +82,8 @@
   servedVersion (engine: EngineAccount<unknown>, nowMs: number): string | undefined {
     const { report } = engine
     const usable = report && !engine.leaving && !engine.retiring && !report.changing && nowMs - engine.reportAtMs <= this.#opts.reportLifeMs
-    return usable ? report.loaded.find(({ model }) => model === this.#shard.model)?.version : undefined
+    const servedName = this.#shard.spec.servedName ?? this.#shard.model
+    return usable ? report.loaded.find(({ model }) => model === servedName)?.version : undefined
   }
 
   reserve (entry: LedgerEntry, nowMs: number): void {
--- a/scheduling/owner-alone/src/ownerAlonePlacer.ts
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -92,9 +92,10 @@
   }
 
   #candidates (listed: readonly ListedUpstream[], reports: Map<string, DatedReport>, request: PlaceRequest, loadOf: LoadEstimate): Candidate[] {
+    const servedName = this.#opts.shardsOfModel(request.model)[0]?.spec.servedName ?? request.model
     return listed.flatMap((engine) => {
       const dated = reports.get(engine.name)
-      const version = dated?.report.loaded.find(({ model }) => model === request.model)?.version
+      const version = dated?.report.loaded.find(({ model }) => model === servedName)?.version
       if (!dated || dated.report.changing || version === undefined || request.avoid.includes(engine.name)) return []
       const ageMs = this.#opts.clock.nowMs() - dated.atMs + REPORT_LAG_MS
       const load = loadOf(dated.report, this.#unseenLoad(engine.name, listed, dated.atMs), ageMs)
--- a/telemetry/log/src/bunyanLog.ts
+++ b/telemetry/log/src/bunyanLog.ts
@@ -1,4 +1,5 @@
 import bunyan from 'bunyan'
+import { BoundedLineStream } from './boundedLineStream.js'
 import { Log, type LogEvent, type LogFields } from './log.js'
 
 export interface BunyanLogOptions {
@@ -12,7 +13,10 @@
 
   constructor (opts: BunyanLogOptions) {
     super()
-    this.#logger = bunyan.createLogger({ name: 'reelspan', box: opts.box, level: opts.level, stream: process.stdout })
+    const lines = new BoundedLineStream({ fileDescriptor: process.stdout.fd, nowMs: () => performance.now() })
+    // All that bunyan asks of a stream is that lines can be written to it.
+    const stream = lines as unknown as NodeJS.WritableStream
+    this.#logger = bunyan.createLogger({ name: 'reelspan', box: opts.box, level: opts.level, stream })
   }
 
   info (event: LogEvent, fields: LogFields = {}): void {
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -14,6 +14,12 @@
   OrderSent = 'orderSent',
   RecordsTaken = 'recordsTaken',
   HandoffFailed = 'handoffFailed',
+  RequestPlaced = 'requestPlaced',
+  RequestSent = 'requestSent',
+  RequestRetried = 'requestRetried',
+  HandleLeft = 'handleLeft',
+  UpstreamSuspected = 'upstreamSuspected',
+  UpstreamTrusted = 'upstreamTrusted',
 }
 
 export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
--- a/upstream/client/src/index.ts
+++ b/upstream/client/src/index.ts
@@ -5,3 +5,5 @@
 export { ServiceClient } from './serviceClient.js'
 export type { ServiceCall, ServiceReply } from './serviceClient.js'
 export { UpstreamError } from './upstreamError.js'
+export { RelayClient } from './relayClient.js'
+export type { PrefilledPrompt, PrefillSource, PromptSizes, RelayAnswer, RelayCallOptions, RelayedRequest, RelayRunOptions, RelayTarget } from './relayClient.js'
--- a/upstream/client/src/upstreamError.ts
+++ b/upstream/client/src/upstreamError.ts
@@ -1,15 +1,25 @@
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 
+export interface UpstreamErrorOptions {
+  mayHaveRun: boolean
+  refused?: boolean
+  unreachable?: boolean
+  cause?: unknown
+}
+
 /** A call to an upstream failed. Its verdict is `notRun` only when the upstream is known not to have begun. */
 export class UpstreamError extends ReelspanError {
   /** The upstream answered, and its answer was no. */
   readonly refused: boolean
+  /** The upstream could not be reached or fell silent, as opposed to answering wrongly. */
+  readonly unreachable: boolean
 
-  constructor (message: string, opts: { mayHaveRun: boolean, refused?: boolean, cause?: unknown }) {
+  constructor (message: string, { mayHaveRun, refused, unreachable, cause }: UpstreamErrorOptions) {
     super(ErrorCode.UpstreamFailed, message, {
-      verdict: opts.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun,
-      cause: opts.cause,
+      verdict: mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun,
+      cause,
     })
-    this.refused = opts.refused ?? false
+    this.refused = refused ?? false
+    this.unreachable = unreachable ?? false
   }
 }
