--- a/config/resources/src/specs.ts
+++ b/config/resources/src/specs.ts
@@ -25,7 +25,8 @@
 const name = z.string().min(1)
 
 export const modelSpecSchema = z.strictObject({
-  version: name,
+  /** The version that engines are brought to. Without it they keep what they serve, and no orders are given. */
+  version: name.optional(),
   prefillPool: name,
   decodePool: name,
   kvBytesPerToken: positiveInt,
