feat(scheduling.scheduler): memory is reserved for the usual answer, and a prefill's latency does not occupy its engine

Reservations counted the longest answer (1,920 tokens); answers have 816 on average. Prefills take 80 ms + 37 ms for each 1,000 tokens when alone; the first part does not keep the engine from computing others. Ruled out: too few engines (prefill was idle half of the time).

--- a/config/resources/src/specs.ts
+++ b/config/resources/src/specs.ts
@@ -14,6 +14,13 @@
   Back = 'back',
 }
 
+export enum KvReservation {
+  /** Memory for the longest answer is reserved. For engines that fail when they run out of it. */
+  Most = 'most',
+  /** Memory for the usual answer is reserved. For engines that put a request back when they run out of it. */
+  Usual = 'usual',
+}
+
 export enum RouteObjective {
   /** Prefer requests that end within both latency targets. */
   Goodput = 'goodput',
@@ -34,6 +41,10 @@
   prefillTokensPerSecond: z.number().positive(),
   /** Fixed cost of a prefill. */
   prefillBaseMs: z.number().nonnegative().default(5),
+  /** Part of a prefill's time in which its engine computes others already. */
+  prefillLatencyMs: z.number().nonnegative().default(0),
+  /** Tokens that one event of an answer holds. */
+  tokensPerEvent: positiveInt.default(1),
   /** Time of one decode step: base plus a part for each running request. */
   decodeStepBaseMs: z.number().positive(),
   decodeStepPerRequestMs: z.number().nonnegative(),
@@ -54,6 +65,7 @@
   minReadyEngines: z.number().int().nonnegative().default(0),
   /** A pool with more engines is cut into several shards. */
   maxEnginesPerShard: positiveInt.max(64).default(64),
+  kvReservation: z.enum(KvReservation).default(KvReservation.Most),
   /** Connections that one upstream accepts from all boxes together. */
   maxConnections: positiveInt.optional(),
 })
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -23,6 +23,7 @@
   readonly #prompt: PromptSizes
   readonly #failed = new Set<string>()
   #decodesSent = 0
+  #prefillMs = 0
 
   constructor (context: RelayContext, model: string, prompt: PromptSizes) {
     this.#context = context
@@ -60,7 +61,7 @@
     run.throwIfEnded()
     if (!('plan' in outcome)) throw refusalOf(outcome)
     const { prefillEngine, decodeEngine, startInMs, expectedTtftMs } = outcome.plan
-    decided(LogEvent.RequestPlaced, { attempt, prefillEngine, decodeEngine, startInMs, expectedTtftMs: Math.round(expectedTtftMs), atMs: Math.round(run.elapsedMs) })
+    decided(LogEvent.RequestPlaced, { attempt, promptTokens: this.#prompt.promptTokens, maxTokens: this.#prompt.maxTokens, expectedTokens: this.#prompt.expectedTokens, prefillEngine, decodeEngine, startInMs, expectedTtftMs: Math.round(expectedTtftMs), atMs: Math.round(run.elapsedMs) })
     return outcome
   }
 
@@ -99,6 +100,7 @@
       // Waking late, the place that was kept for the end of this prefill may be another's by now.
       if (opts.clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the placement was not used in time', { mayHaveRun: false })
       source = await this.#prefill(plan)
+      this.#prefillMs = opts.clock.nowMs() - placedAtMs
       placement.prefilled()
       await run.checkBeforeSend()
       const answer = await this.#decode(plan, source)
@@ -134,7 +136,7 @@
 
   async #judge (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes): Promise<void> {
     const { run, route, decided } = this.#context
-    decided(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, notRun: answer.notRun, atMs: Math.round(run.elapsedMs) })
+    decided(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, notRun: answer.notRun, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     if (answer.notRun) {
       this.#failed.add(plan.decodeEngine)
       void dropAnswer(answer)
@@ -170,8 +172,9 @@
   }
 
   #report (plan: PlacementPlan, placedAtMs: number, { firstMs = 0, pausesMs, parts }: AnswerTimes): PlacementReport {
+    const tokensPerEvent = this.#context.opts.configuration().model(this.#model)?.tokensPerEvent ?? 1
     return {
-      completionTokens: parts,
+      completionTokens: parts * tokensPerEvent,
       ttftErrorMs: firstMs - placedAtMs - plan.expectedTtftMs,
       tbtP50Ms: percentile(pausesMs, 50) ?? 0,
     }
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -7,6 +7,7 @@
 /** What one placed request has reserved. */
 export interface LedgerEntry {
   label: HoldLabel
+  maxTokens: number
   tbtTargetMs: number
   prefillEngine: string
   decodeEngine: string
@@ -101,7 +102,7 @@
   /** A prefill has ended. */
   prefilled (label: HoldLabel, nowMs: number): void {
     const entry = this.#entries.get(holdLabelKey(label))
-    if (entry) this.#prefill.get(entry.prefillEngine)?.account.finish(holdLabelKey(label), nowMs)
+    if (entry) this.#prefill.get(entry.prefillEngine)?.account.finish(holdLabelKey(label), nowMs - this.#shard.spec.prefillLatencyMs)
   }
 
   has (label: HoldLabel): boolean {
--- a/scheduling/owner-alone/src/ownerAlonePlacer.ts
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -60,6 +60,8 @@
  * old. Of 0.7 and 1, the first gave more goodput in trials.
  */
 const ADMISSION_MARGIN = 0.7
+/** Part of the longest answer that is reckoned with. An owner alone sees too few answers to learn it. */
+const USUAL_SHARE = 0.6
 /** Own placements are remembered until reports must have seen them. */
 const OWN_MEMORY_MS = 2000
 
@@ -139,7 +141,7 @@
   #hasRoom (request: PlaceRequest, decode: Candidate, shard: Shard): boolean {
     const places = placesWithinTarget(shard, request.tbtTargetMs) * this.#opts.placesPercent / 100
     const { kvBytesTotal, kvBytesUsed } = decode.dated.report
-    return decode.load + 1 <= Math.max(1, places) && kvBytesUsed + requestKvBytes(shard, request) <= kvBytesTotal
+    return decode.load + 1 <= Math.max(1, places) && kvBytesUsed + requestKvBytes(shard, request, USUAL_SHARE) <= kvBytesTotal
   }
 
   #keep (request: PlaceRequest, prefill: Candidate, decode: Candidate, shard: Shard): Placement {
@@ -154,7 +156,7 @@
       prefillAddress: prefill.engine.address,
       decodeEngine: decode.engine.name,
       decodeAddress: decode.engine.address,
-      kvBytes: requestKvBytes(shard, request),
+      kvBytes: requestKvBytes(shard, request, USUAL_SHARE),
       startInMs: 0,
       startWithinMs: START_WITHIN_MS,
       expectedTtftMs: prefill.load + costMs,
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -2,6 +2,7 @@
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { type DecodeAccount, type DecodeCapacity, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
+import { type AnswerLengths } from './answerLengths.js'
 import { placesWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
 
 /** What a placement on a certain pair of engines would come to. Times are on this box's clock. */
@@ -18,6 +19,7 @@
 /** The prefill part of an estimate. */
 export interface PrefillEstimate {
   prefill: EngineAccount<PrefillAccount>
+  /** When its engine is free again. */
   endMs: number
   costMs: number
 }
@@ -38,9 +40,12 @@
   readonly #ledger: ShardLedger
   readonly #index: PrefixIndex
 
-  constructor (ledger: ShardLedger, index: PrefixIndex) {
+  readonly #lengths: AnswerLengths
+
+  constructor (ledger: ShardLedger, index: PrefixIndex, lengths: AnswerLengths) {
     this.#ledger = ledger
     this.#index = index
+    this.#lengths = lengths
   }
 
   /** Places of a decode engine that this route may use and that keep the time between tokens within the target. */
@@ -56,17 +61,17 @@
     return prefillMs(this.#ledger.shard, request.promptTokens - cached)
   }
 
-  /** The least time from the end of a prefill to its first token. */
+  /** The least time from when a prefill's engine is free again to its first token. */
   handoverMs (request: ReserveRequest): number {
     const { shard } = this.#ledger
-    return transferMs(shard, request.promptTokens) + shard.spec.decodeStepBaseMs
+    return shard.spec.prefillLatencyMs + transferMs(shard, request.promptTokens) + shard.spec.decodeStepBaseMs
   }
 
   /** Completes an estimate with the decode engine that has most room when the prefill ends, if one has any. */
   estimateDecode (request: ReserveRequest, part: PrefillEstimate, { usablePlaces, objective, nowMs }: DecodeOptions): PlacementEstimate | undefined {
     const { shard } = this.#ledger
     const { spec, decodePool } = shard
-    const kvBytes = requestKvBytes(shard, request)
+    const kvBytes = requestKvBytes(shard, request, this.#lengths.usualShare)
     const capacity = { places: usablePlaces, kvBytes: decodePool.kvBytesPerEngine }
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
     // KV cache of one version means nothing to another.
@@ -77,7 +82,7 @@
       (betsOnEnds ? findRoomiest(engines, kvBytes, ({ account }) => account.freeAt(part.endMs, capacity)) : undefined)
     if (!roomiest) return undefined
     const { decode, free } = roomiest
-    const linkFreeMs = Math.max(part.endMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
+    const linkFreeMs = Math.max(part.endMs + spec.prefillLatencyMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
     const importEndMs = linkFreeMs + transferMs(shard, request.promptTokens)
     const batch = usablePlaces - free.places + 1
     const fullStepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usablePlaces
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -5,6 +5,7 @@
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
+import { AnswerLengths } from './answerLengths.js'
 import { ClientShares } from './clientShares.js'
 import { HANDOUT_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
@@ -44,6 +45,7 @@
   readonly #tasks: TaskGroup
   readonly #estimator: PlacementEstimator
   readonly #shares = new ClientShares()
+  readonly #lengths = new AnswerLengths()
   readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
   readonly #placesLimit: PlacesLimit
   readonly #chooser: PlacementChooser
@@ -54,7 +56,7 @@
   constructor (opts: ShardSchedulerOptions) {
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { reportLifeMs: opts.reportLifeMs })
-    this.#estimator = new PlacementEstimator(this.ledger, opts.index)
+    this.#estimator = new PlacementEstimator(this.ledger, opts.index, this.#lengths)
     this.#placesLimit = new PlacesLimit(opts.shard.decodePool.placesPerEngine)
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit: this.#placesLimit, route: opts.route })
     this.#tasks = new TaskGroup(opts.clock)
@@ -112,6 +114,7 @@
         const prefillEndMs = decoding ? nowMs : nowMs - ageMs + plan.expectedTtftMs
         this.ledger.reserve({
           label: request.label,
+          maxTokens: request.maxTokens,
           tbtTargetMs: request.tbtTargetMs,
           prefillEngine: plan.prefillEngine,
           decodeEngine: plan.decodeEngine,
@@ -155,6 +158,7 @@
       returnsBooked: this.#calendar.size,
       ttftErrorMs: Math.round(this.#ttftError.valueMs),
       placesLimit: this.#placesLimit.places,
+      usualAnswerShare: Number(this.#lengths.usualShare.toFixed(2)),
       prefixEntries: this.#opts.index.size,
       prefill: this.ledger.prefillEngines().map((engine) => ({
         name: engine.name,
@@ -180,6 +184,7 @@
 
   #learn (entry: LedgerEntry, report: PlacementReport): void {
     this.#ttftError.learn(report.ttftErrorMs)
+    this.#lengths.learn(report.completionTokens, entry.maxTokens)
     this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
   }
 
@@ -218,6 +223,7 @@
     const { prefill, decode } = estimate
     this.ledger.reserve({
       label: request.label,
+      maxTokens: request.maxTokens,
       tbtTargetMs: request.tbtTargetMs,
       prefillEngine: prefill.name,
       decodeEngine: decode.name,
--- a/scheduling/shards/src/shardTimes.ts
+++ b/scheduling/shards/src/shardTimes.ts
@@ -1,3 +1,4 @@
+import { KvReservation } from '@reelspan/config.resources'
 import { type Shard } from './deriveShards.js'
 
 const MS_PER_SECOND = 1000
@@ -14,9 +15,14 @@
   return promptTokens * spec.kvBytesPerToken * MS_PER_SECOND / prefillPool.linkBytesPerSecond
 }
 
-/** KV bytes that a request may come to need. */
-export function requestKvBytes ({ spec }: Shard, request: { promptTokens: number, maxTokens: number }): number {
-  return (request.promptTokens + request.maxTokens) * spec.kvBytesPerToken
+/**
+ * KV bytes to reserve for a request.
+ *
+ * @param usualShare part of the longest answer that answers usually reach
+ */
+export function requestKvBytes ({ spec, decodePool }: Shard, request: { promptTokens: number, maxTokens: number }, usualShare: number): number {
+  const share = decodePool.kvReservation === KvReservation.Usual ? usualShare : 1
+  return (request.promptTokens + Math.ceil(share * request.maxTokens)) * spec.kvBytesPerToken
 }
 
 /** Places of a decode engine that keep the time between tokens within its target. */
