--- a/telemetry/log/src/boundedLineStream.ts
+++ b/telemetry/log/src/boundedLineStream.ts
@@ -77,7 +77,10 @@
 
   #writeAll (bytes: Buffer): void {
     write(this.#opts.fileDescriptor, bytes, (error, written) => {
-      if (error?.code === 'EAGAIN') return void setTimeout(() => this.#writeAll(bytes), FULL_RETRY_MS).unref()
+      if (error?.code === 'EAGAIN') {
+        setTimeout(() => this.#writeAll(bytes), FULL_RETRY_MS).unref()
+        return
+      }
       const rest = error ? Buffer.alloc(0) : bytes.subarray(written)
       // A reader that is gone leaves nothing to write to: what is lost is counted.
       if (error) this.#dropped++
