fix(net.http-exchange): a reset that arrives with the last bytes does not make an answer whole

The socket layer tells of an end where a hang-up follows a partial read, although it was a reset; the answer was then taken for whole. Reproduced on loopback without the bench, and with a test that failed first. Ruled out: framing (the parser had no length to go by), the front (it cut what it was told to cut).

--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -30,6 +30,7 @@
 /** Where `Keep-Alive` gives no time, idle connections are taken to live this long; commonly used servers close after 5 s or more. */
 const DEFAULT_KEEP_ALIVE_MS = 4000
 const MS_PER_SECOND = 1000
+const NO_BYTES = new Uint8Array()
 
 /** One connection to an upstream, with at most one exchange at a time. Bytes that no request asked for end it. */
 export class UpstreamConnection {
@@ -48,7 +49,7 @@
     this.address = opts.address
     this.#opts = opts
     const at = opts.address.lastIndexOf(':')
-    this.#socket = connect({ host: opts.address.slice(0, at), port: Number(opts.address.slice(at + 1)), noDelay: true })
+    this.#socket = connect({ host: opts.address.slice(0, at), port: Number(opts.address.slice(at + 1)), noDelay: true, allowHalfOpen: true })
     this.#parser = new ResponseParser({
       onHead: (head) => this.#takeHead(head),
       onBody: (bytes) => this.#takeBody(bytes),
@@ -152,10 +153,17 @@
     if (seconds !== undefined) this.#keepAliveMs = Number(seconds) * MS_PER_SECOND
   }
 
-  /** The upstream has ended the connection in order. */
+  /**
+   * No more bytes follow. Node says so too when a reset arrives together with
+   * the last bytes; only a write tells the two apart, and one of no bytes does
+   * no harm. It matters to an answer that has no length.
+   */
   #finish (): void {
-    this.#parser.end()
-    this.#fail('ended the connection')
+    if (!this.#exchange?.body) return this.#fail('ended the connection')
+    this.#socket.write(NO_BYTES, (error) => {
+      if (!error && !this.#closed) this.#parser.end()
+      this.#fail(error ? 'reset the connection' : 'ended the connection')
+    })
   }
 
   #fail (reason: string, cause?: unknown): void {
--- /dev/null
+++ b/net/http-exchange/test/connectionPool.ts
@@ -0,0 +1,165 @@
+import { once } from 'node:events'
+import { createServer, type Server, type Socket } from 'node:net'
+import { Verdict } from '@reelspan/core.error'
+import { ConnectionPool, ExchangeError, headerValue } from '@reelspan/net.http-exchange'
+import { SystemClock } from '@reelspan/net.system-env'
+import test, { type ExecutionContext } from 'ava'
+
+const GET = { method: 'GET', target: '/', headers: ['Host', 'x'], body: new Uint8Array() }
+
+interface Upstream {
+  address: string
+  connections: number
+}
+
+/** A server that does with each connection what the test says. */
+async function startUpstream (t: ExecutionContext, serve: (socket: Socket, nth: number) => void): Promise<Upstream> {
+  const upstream = { address: '', connections: 0 }
+  const sockets = new Set<Socket>()
+  const server: Server = createServer((socket) => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    serve(socket, upstream.connections++)
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as { port: number }
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy())
+    server.close()
+  })
+  upstream.address = `127.0.0.1:${port}`
+  return upstream
+}
+
+function createPool (): ConnectionPool {
+  return new ConnectionPool({ clock: new SystemClock(), connectTimeoutMs: 5000 })
+}
+
+function signal (): AbortSignal {
+  return new AbortController().signal
+}
+
+async function textOf (body: AsyncIterable<Uint8Array>): Promise<string> {
+  const parts: Uint8Array[] = []
+  for await (const bytes of body) parts.push(bytes)
+  return Buffer.concat(parts).toString()
+}
+
+function answer (text: string, headers = ''): string {
+  return `HTTP/1.1 200 OK\r\n${headers}Content-Length: ${text.length}\r\n\r\n${text}`
+}
+
+test('a connection serves one request after the other', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => socket.write(answer('hello'))))
+  const pool = createPool()
+  const first = await pool.exchange(upstream.address, GET, { signal: signal() })
+  t.is(await textOf(first.body), 'hello')
+  const second = await pool.exchange(upstream.address, GET, { signal: signal() })
+  t.is(await textOf(second.body), 'hello')
+  t.is(upstream.connections, 1)
+  pool.close()
+})
+
+test('an answer without a length that ends with a reset is not whole', async (t) => {
+  // The reset arrives together with the last bytes, so that the socket tells of an end in order.
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhello', () => socket.resetAndDestroy())
+  }))
+  const pool = createPool()
+  const { body } = await pool.exchange(upstream.address, GET, { signal: signal() })
+  // Busy while both arrive.
+  const untilMs = performance.now() + 30
+  while (performance.now() < untilMs);
+  await t.throwsAsync(textOf(body), { instanceOf: ExchangeError })
+})
+
+test('an answer without a length that ends in order is whole', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => socket.end('HTTP/1.1 200 OK\r\n\r\nhello')))
+  const pool = createPool()
+  const { body } = await pool.exchange(upstream.address, GET, { signal: signal() })
+  t.is(await textOf(body), 'hello')
+})
+
+test('an answer that ends before its length is not whole', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello')))
+  const { body } = await createPool().exchange(upstream.address, GET, { signal: signal() })
+  await t.throwsAsync(textOf(body), { instanceOf: ExchangeError })
+})
+
+test('a malformed chunk size does not end an answer', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => {
+    socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nrubbish\r\n\r\n')
+  }))
+  const { body } = await createPool().exchange(upstream.address, GET, { signal: signal() })
+  await t.throwsAsync(textOf(body), { instanceOf: ExchangeError })
+})
+
+test('a second answer behind a whole one is given to nobody', async (t) => {
+  const upstream = await startUpstream(t, (socket, nth) => socket.on('data', () => {
+    socket.write(nth === 0 ? answer('first') + answer('stray') : answer('second'))
+  }))
+  const pool = createPool()
+  const first = await pool.exchange(upstream.address, GET, { signal: signal() })
+  t.is(await textOf(first.body), 'first')
+  const second = await pool.exchange(upstream.address, GET, { signal: signal() })
+  t.is(await textOf(second.body), 'second')
+  t.is(upstream.connections, 2)
+  pool.close()
+})
+
+test('an answer to another request is passed over, and the right one behind it is taken', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => {
+    socket.write(answer('late', 'Id: 1\r\n') + answer('mine', 'Id: 2\r\n'))
+  }))
+  const { body } = await createPool().exchange(upstream.address, GET, { signal: signal(), accept: ({ headers }) => headerValue(headers, 'id') === '2' })
+  t.is(await textOf(body), 'mine')
+})
+
+test('a connection whose upstream answered before it had the whole request is not used again', async (t) => {
+  const upstream = await startUpstream(t, (socket) => {
+    socket.pause()
+    setImmediate(() => socket.write(answer('early')))
+  })
+  const pool = createPool()
+  const large = { ...GET, method: 'POST', body: new Uint8Array(30_000_000) }
+  const first = await pool.exchange(upstream.address, large, { signal: signal() })
+  t.is(await textOf(first.body), 'early')
+  await pool.exchange(upstream.address, GET, { signal: signal() })
+  t.is(upstream.connections, 2)
+  pool.close()
+})
+
+test('giving up a finished exchange does not touch the next one on its connection', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => setImmediate(() => socket.write(answer('hello')))))
+  const pool = createPool()
+  const stop = new AbortController()
+  const first = await pool.exchange(upstream.address, GET, { signal: stop.signal })
+  // The first answer is whole, but nobody has read it yet.
+  await new Promise((resolve) => setImmediate(resolve))
+  const second = pool.exchange(upstream.address, GET, { signal: signal() })
+  stop.abort()
+  t.is(await textOf((await second).body), 'hello')
+  t.is(await textOf(first.body), 'hello')
+  pool.close()
+})
+
+test('a request that no connection could be opened for has not run', async (t) => {
+  const upstream = await startUpstream(t, () => {})
+  const closed = createServer()
+  closed.listen(0, '127.0.0.1')
+  await once(closed, 'listening')
+  const { port } = closed.address() as { port: number }
+  closed.close()
+  await once(closed, 'close')
+  const error = await t.throwsAsync(createPool().exchange(`127.0.0.1:${port}`, GET, { signal: signal() }), { instanceOf: ExchangeError })
+  t.is((error as ExchangeError).verdict, Verdict.NotRun)
+  t.true((error as ExchangeError).unreachable)
+  t.is(upstream.connections, 0)
+})
+
+test('a request whose connection was reset may have run', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => socket.resetAndDestroy()))
+  const error = await t.throwsAsync(createPool().exchange(upstream.address, GET, { signal: signal() }), { instanceOf: ExchangeError })
+  t.is((error as ExchangeError).verdict, Verdict.MayHaveRun)
+})
