--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -6,15 +6,23 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type PrefillSource, type PromptSizes, type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
 import { dropAnswer } from './dropAnswer.js'
-import { type AnswerTimes, passAnswer } from './passAnswer.js'
+import { EventProgress } from './eventProgress.js'
+import { type AnswerTimes } from './passAnswer.js'
+import { passEvents } from './passEvents.js'
 import { type RelayContext } from './relayContext.js'
+import { sendToUpstream } from './sendToUpstream.js'
 import { UpstreamOutcome } from './upstreamHealth.js'
 
 /** Placements tried for one request, however many of them reached an engine. */
 const MAX_TRIES = 4
 /** Freeing a handle is tried once; the engine frees it by itself soon after. */
 const FREE_TIMEOUT_MS = 500
+const OK = 200
 const FIRST_SERVER_ERROR = 500
+/** Waits between tries to continue an answer that has begun. */
+const CONTINUE_BACKOFF_MS = 100
+/** A stream that stands still for longer than this is given up by its client. */
+const CONTINUE_WITHIN_MS = 2000
 
 /** Relays a request to a model's engines: place, prefill, decode. */
 export class CompletionRelay {
@@ -22,6 +30,7 @@
   readonly #model: string
   readonly #prompt: PromptSizes
   readonly #failed = new Set<string>()
+  readonly #progress = new EventProgress()
   #decodesSent = 0
   #prefillMs = 0
 
@@ -49,25 +58,35 @@
 
   #mayRetry (thrown: unknown, attempt: number): boolean {
     const { run, route, budget, caller } = this.#context
-    if (!(thrown instanceof UpstreamError) || caller.begun || attempt >= MAX_TRIES) return false
+    if (!(thrown instanceof UpstreamError) || attempt >= MAX_TRIES) return false
+    // What has no numbered event yet cannot be taken up behind it.
+    if (caller.begun && this.#progress.lastId === undefined && this.#progress.events > 0) return false
     if (run.mayHaveRun && !route.spec.resumable) return false
     if (this.#decodesSent >= route.spec.maxAttempts) return false
     return budget.takeRetry()
   }
 
   async #place (attempt: number): Promise<Placement> {
-    const { opts, run, decided } = this.#context
-    const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
+    const { opts, run, caller, decided } = this.#context
+    let outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
     run.throwIfEnded()
-    if (!('plan' in outcome)) throw refusalOf(outcome)
+    while (!('plan' in outcome)) {
+      // An answer that has begun is continued late rather than cut.
+      if (!caller.begun) throw refusalOf(outcome)
+      await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal: run.signal })
+      run.throwIfEnded()
+      outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
+      run.throwIfEnded()
+    }
     const { prefillEngine, decodeEngine, startInMs, expectedTtftMs } = outcome.plan
     decided(LogEvent.RequestPlaced, { attempt, promptTokens: this.#prompt.promptTokens, maxTokens: this.#prompt.maxTokens, expectedTokens: this.#prompt.expectedTokens, prefillEngine, decodeEngine, startInMs, expectedTtftMs: Math.round(expectedTtftMs), atMs: Math.round(run.elapsedMs) })
     return outcome
   }
 
   #placeRequest (attempt: number): PlaceRequest {
-    const { opts, run, route, request, health } = this.#context
+    const { opts, run, route, request, caller, health } = this.#context
     const { promptTokens, maxTokens, prefixes } = this.#prompt
+    const doneTokens = this.#progress.events * this.#tokensPerEvent()
     const { peerAddress, incarnation } = opts.standing()
     const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${attempt}`, maxHoldMs: run.leftMs }
     return {
@@ -77,10 +96,10 @@
       // A caller's retry has an id of its own, but its prompt ends in the same part.
       returnId: prefixes.at(-1)?.digest ?? hash32(request.id).toString(36),
       priority: -route.spec.urgency,
-      promptTokens,
+      promptTokens: promptTokens + doneTokens,
       prefixes: [...prefixes],
-      maxTokens,
-      ttftLeftMs: route.spec.ttftTargetMs - run.elapsedMs,
+      maxTokens: Math.max(1, maxTokens - doneTokens),
+      ttftLeftMs: caller.begun ? CONTINUE_WITHIN_MS : route.spec.ttftTargetMs - run.elapsedMs,
       tbtTargetMs: route.spec.tbtTargetMs,
       deadlineMs: run.leftMs,
       avoid: [...this.#failed, ...health.suspects()],
@@ -104,7 +123,7 @@
       placement.prefilled()
       await run.checkBeforeSend()
       const answer = await this.#decode(plan, source)
-      taken = !answer.notRun
+      taken = true
       await this.#judge(plan, answer, placement, times)
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs), times)
     } finally {
@@ -122,35 +141,30 @@
   }
 
   #decode (plan: PlacementPlan, source: PrefillSource): Promise<RelayAnswer> {
-    const { opts, run, request, route } = this.#context
-    const target = { instance: plan.decodeEngine, address: plan.decodeAddress }
+    const { run, request, route } = this.#context
     this.#decodesSent++
-    return this.#blame(plan.decodeEngine, () => run.dispatch(() => opts.upstreams.run(target, request, {
+    return this.#blame(plan.decodeEngine, () => sendToUpstream(this.#context, { instance: plan.decodeEngine, address: plan.decodeAddress }, {
       signal: run.signal,
       deadlineMs: run.leftMs,
       source,
       urgency: route.spec.urgency,
-      resumeAfter: request.resumeAfter,
-    })))
+      resumeAfter: this.#progress.lastId ?? request.resumeAfter,
+    }))
   }
 
   async #judge (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes): Promise<void> {
-    const { run, route, decided } = this.#context
-    decided(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, notRun: answer.notRun, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
-    if (answer.notRun) {
-      this.#failed.add(plan.decodeEngine)
-      void dropAnswer(answer)
-      throw new UpstreamError(`${plan.decodeEngine} did not take the request`, { mayHaveRun: false, refused: true })
-    }
+    const { run, route, caller, decided } = this.#context
+    decided(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     const failed = answer.status >= FIRST_SERVER_ERROR
-    if (failed && route.spec.resumable && this.#decodesSent < route.spec.maxAttempts) {
+    const mayRepeat = route.spec.resumable && this.#decodesSent < route.spec.maxAttempts
+    if (caller.begun ? answer.status !== OK : failed && mayRepeat) {
       void dropAnswer(answer)
       this.#note(plan.decodeEngine, UpstreamOutcome.Failed)
       this.#failed.add(plan.decodeEngine)
       throw new UpstreamError(`${plan.decodeEngine} answered ${answer.status}`, { mayHaveRun: true })
     }
     placement.progressed(1)
-    await this.#blame(plan.decodeEngine, () => passAnswer(this.#context, answer, times))
+    await this.#blame(plan.decodeEngine, () => passEvents(this.#context, answer, times, { progress: this.#progress, wholeEvents: route.spec.resumable }))
     this.#note(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
 
@@ -171,15 +185,18 @@
     this.#context.health.note(engine, outcome, [])
   }
 
-  #report (plan: PlacementPlan, placedAtMs: number, { firstMs = 0, pausesMs, parts }: AnswerTimes): PlacementReport {
-    const tokensPerEvent = this.#context.opts.configuration().model(this.#model)?.tokensPerEvent ?? 1
+  #report (plan: PlacementPlan, placedAtMs: number, { firstMs = 0, pausesMs }: AnswerTimes): PlacementReport {
     return {
-      completionTokens: parts * tokensPerEvent,
+      completionTokens: this.#progress.events * this.#tokensPerEvent(),
       ttftErrorMs: firstMs - placedAtMs - plan.expectedTtftMs,
       tbtP50Ms: percentile(pausesMs, 50) ?? 0,
     }
   }
 
+  #tokensPerEvent (): number {
+    return this.#context.opts.configuration().model(this.#model)?.tokensPerEvent ?? 1
+  }
+
   /** Not waited for: what is not freed lapses soon. */
   #free (source: PrefillSource): void {
     const { opts, decided } = this.#context
--- a/request/relay/src/passAnswer.ts
+++ b/request/relay/src/passAnswer.ts
@@ -4,6 +4,7 @@
 /** When parts of an answer were passed on, since the request began. */
 export interface AnswerTimes {
   firstMs?: number
+  lastMs?: number
   longestPauseMs: number
   pausesMs: number[]
   parts: number
@@ -12,13 +13,9 @@
 /** Passes an upstream's answer on as it comes. Throws `UpstreamError` when it breaks off. */
 export async function passAnswer ({ run, caller }: RelayContext, answer: RelayAnswer, times: AnswerTimes): Promise<void> {
   caller.begin(answer.status, answer.headers)
-  let lastMs: number | undefined
   for await (const bytes of answer.body) {
-    const nowMs = run.elapsedMs
-    times.firstMs ??= nowMs
-    if (lastMs !== undefined) notePause(times, nowMs - lastMs)
+    noteTime(times, run.elapsedMs)
     times.parts++
-    lastMs = nowMs
     await caller.write(bytes)
   }
   run.throwIfEnded()
@@ -26,7 +23,13 @@
   run.finish()
 }
 
-function notePause (times: AnswerTimes, pauseMs: number): void {
-  times.longestPauseMs = Math.max(times.longestPauseMs, pauseMs)
-  times.pausesMs.push(pauseMs)
+/** A part of the answer was passed on. */
+export function noteTime (times: AnswerTimes, nowMs: number): void {
+  times.firstMs ??= nowMs
+  if (times.lastMs !== undefined) {
+    const pauseMs = nowMs - times.lastMs
+    times.longestPauseMs = Math.max(times.longestPauseMs, pauseMs)
+    times.pausesMs.push(pauseMs)
+  }
+  times.lastMs = nowMs
 }
--- /dev/null
+++ b/request/relay/src/passEvents.ts
@@ -0,0 +1,38 @@
+import { type RelayAnswer } from '@reelspan/upstream.client'
+import { type EventProgress } from './eventProgress.js'
+import { type AnswerTimes, noteTime } from './passAnswer.js'
+import { type RelayContext } from './relayContext.js'
+
+export interface PassEventsOptions {
+  progress: EventProgress
+  /** Pass on whole events only, so that another upstream can go on behind the last of them. */
+  wholeEvents: boolean
+}
+
+/**
+ * Passes a stream of events on as they come. An answer that goes on with one
+ * that broke off keeps that one's head. Throws `UpstreamError` when it breaks off.
+ */
+export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
+  const { run, caller } = context
+  const { progress, wholeEvents } = opts
+  if (!caller.begun) caller.begin(answer.status, answer.headers)
+  try {
+    for await (const bytes of answer.body) {
+      const complete = progress.take(bytes)
+      if (complete.byteLength > 0) noteTime(times, run.elapsedMs)
+      const passed = wholeEvents ? complete : bytes
+      if (passed.byteLength > 0) await caller.write(passed)
+    }
+  } catch (thrown) {
+    // A part of an event belongs to the answer that broke off.
+    progress.takeRest()
+    throw thrown
+  }
+  run.throwIfEnded()
+  const rest = progress.takeRest()
+  if (wholeEvents && rest.byteLength > 0) await caller.write(rest)
+  times.parts = progress.events
+  caller.finish()
+  run.finish()
+}
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -5,6 +5,7 @@
 import { type AnswerTimes, passAnswer } from './passAnswer.js'
 import { dropAnswer } from './dropAnswer.js'
 import { type RelayContext } from './relayContext.js'
+import { sendToUpstream } from './sendToUpstream.js'
 import { UpstreamOutcome } from './upstreamHealth.js'
 
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000
@@ -60,13 +61,12 @@
   }
 
   #send (upstream: ListedUpstream, attempt: number): Promise<RelayAnswer> {
-    const { opts, run, request } = this.#context
-    const signal = this.#attemptSignal(attempt)
-    return run.dispatch(() => opts.upstreams.run({ instance: upstream.name, address: upstream.address }, request, {
-      signal,
+    const { run } = this.#context
+    return sendToUpstream(this.#context, { instance: upstream.name, address: upstream.address }, {
+      signal: this.#attemptSignal(attempt),
       deadlineMs: run.leftMs,
       onSend: () => { this.#sent++ },
-    }))
+    })
   }
 
   /** While another attempt is left, silence is waited out for a part of the time only. */
@@ -84,10 +84,6 @@
   /** Passes the answer on, unless another upstream may give a better one. */
   async #judge (upstream: ListedUpstream, answer: RelayAnswer, attempt: number, times: AnswerTimes): Promise<void> {
     const { route, run, budget } = this.#context
-    if (answer.notRun) {
-      void dropAnswer(answer)
-      throw new UpstreamError(`${upstream.name} did not take the request`, { mayHaveRun: false, refused: true })
-    }
     const better = answer.status >= FIRST_SERVER_ERROR && !route.spec.notRepeatable && this.#sent < route.spec.maxAttempts && attempt < MAX_TRIES
     if (better && budget.left >= 1 && this.#hasOther(upstream)) {
       void dropAnswer(answer)
--- /dev/null
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -0,0 +1,193 @@
+import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
+import { checkResources, ResourceKind } from '@reelspan/config.resources'
+import { type FinalAnswer, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
+import { Relay, RelayCaller } from '@reelspan/request.relay'
+import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
+import { Metrics } from '@reelspan/telemetry.metrics'
+import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
+import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
+
+/** What a scripted upstream does with one request. */
+export type Script = (opts: RelayRunOptions & { clock: VirtualClock }) => Promise<RelayAnswer>
+
+/** Upstreams that follow scripts, in the order in which requests reach them. */
+export class ScriptedUpstreams extends RelayClient {
+  readonly runs: { instance: string, request: RelayedRequest, opts: RelayRunOptions }[] = []
+  readonly prefills: string[] = []
+  readonly freed: PrefillSource[] = []
+  readonly #clock: VirtualClock
+  readonly #scripts: Script[]
+  prefillFailure?: UpstreamError
+
+  constructor (clock: VirtualClock, scripts: Script[]) {
+    super()
+    this.#clock = clock
+    this.#scripts = scripts
+  }
+
+  async run (target: RelayTarget, request: RelayedRequest, opts: RelayRunOptions): Promise<RelayAnswer> {
+    const script = this.#scripts[this.runs.length]
+    this.runs.push({ instance: target.instance, request, opts })
+    opts.onSend?.()
+    return script({ ...opts, clock: this.#clock })
+  }
+
+  async prefill (target: RelayTarget): Promise<PrefilledPrompt> {
+    this.prefills.push(target.instance)
+    if (this.prefillFailure) throw this.prefillFailure
+    return { handle: `handle-${this.prefills.length}`, promptTokens: 1000 }
+  }
+
+  async free (source: PrefillSource): Promise<void> {
+    this.freed.push(source)
+  }
+}
+
+/** A caller that keeps what it gets. */
+export class RecordingCaller extends RelayCaller {
+  readonly left = new AbortController()
+  status?: number
+  body = ''
+  whole = false
+  wasCut = false
+  refused?: FinalAnswer
+
+  get signal (): AbortSignal {
+    return this.left.signal
+  }
+
+  get begun (): boolean {
+    return this.status !== undefined
+  }
+
+  begin (status: number): void {
+    this.status = status
+  }
+
+  async write (bytes: Uint8Array): Promise<void> {
+    this.body += Buffer.from(bytes).toString()
+  }
+
+  finish (): void {
+    this.whole = true
+  }
+
+  cut (): void {
+    this.wasCut = true
+  }
+
+  refuse (final: FinalAnswer): void {
+    this.refused = final
+  }
+}
+
+/** Places everything on the same two engines, or refuses. */
+class FixedPlacer extends Placer {
+  readonly asked: PlaceRequest[] = []
+  released = 0
+  refusal?: PlacementRefusal
+
+  async place (request: PlaceRequest): Promise<Placement | PlacementRefusal> {
+    this.asked.push(request)
+    if (this.refusal) return this.refusal
+    const nth = this.asked.length
+    const plan = { outcome: PlacementOutcome.Placed as const, prefillEngine: 'p1', prefillAddress: '10.0.0.1:1', decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1`, kvBytes: 1, startInMs: 0, startWithinMs: 300, expectedTtftMs: 100 }
+    return { plan, prefilled: () => {}, release: () => { this.released++ }, progressed: () => {} }
+  }
+}
+
+class KeptLog extends Log {
+  readonly entries: { event: LogEvent, fields?: LogFields }[] = []
+
+  info (event: LogEvent, fields?: LogFields): void {
+    this.entries.push({ event, fields })
+  }
+
+  warn (event: LogEvent, fields?: LogFields): void {
+    this.entries.push({ event, fields })
+  }
+}
+
+const DECLARED = [
+  { kind: ResourceKind.Pool, name: 'desk', spec: { role: 'service' } },
+  { kind: ResourceKind.Pool, name: 'p', spec: { role: 'prefill' } },
+  { kind: ResourceKind.Pool, name: 'd', spec: { role: 'decode' } },
+  { kind: ResourceKind.Model, name: 'm', spec: { prefillPool: 'p', decodePool: 'd', kvBytesPerToken: 1000, prefillTokensPerSecond: 1000, decodeStepBaseMs: 4, decodeStepPerRequestMs: 0.1 } },
+  { kind: ResourceKind.Route, name: 'fetch', spec: { host: 'desk.example', pathPrefix: '/fetch/', targets: [{ pool: 'desk' }], notRepeatable: true, maxAttempts: 3, deadlineMs: 2000, ttftTargetMs: 200 } },
+  { kind: ResourceKind.Route, name: 'status', spec: { host: 'desk.example', pathPrefix: '/status/', targets: [{ pool: 'desk' }], maxAttempts: 2, deadlineMs: 2000, ttftTargetMs: 200 } },
+  { kind: ResourceKind.Route, name: 'draft', spec: { host: 'desk.example', pathPrefix: '/draft/', targets: [{ model: 'm' }], streaming: true, notRepeatable: true, maxAttempts: 1, deadlineMs: 10_000, ttftTargetMs: 900 } },
+  { kind: ResourceKind.Route, name: 'reply', spec: { host: 'desk.example', pathPrefix: '/reply/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 10_000, ttftTargetMs: 900 } },
+]
+
+export interface TestRelayOptions {
+  retryBurst?: number
+}
+
+/** A relay before scripted upstreams, with four routes of the kinds there are. */
+export function createRelay (scripts: Script[], { retryBurst = 20 }: TestRelayOptions = {}) {
+  const clock = new VirtualClock()
+  const upstreams = new ScriptedUpstreams(clock, scripts)
+  const placer = new FixedPlacer()
+  const log = new KeptLog()
+  const { configuration, problems } = checkResources(DECLARED.map((one) => ({ ...one, revision: 1 })), 1)
+  if (problems.length > 0) throw new Error(JSON.stringify(problems))
+  const desk = ['s1', 's2', 's3'].map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
+  const relay = new Relay({
+    clock,
+    random: new SeededRandom(7),
+    upstreams,
+    placer,
+    configuration: () => configuration,
+    fleet: () => new FleetList([], desk),
+    standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16) }),
+    boxCount: () => 1,
+    retriesPerRequest: 0,
+    retryBurst,
+    log,
+    metrics: new Metrics(),
+  })
+  return { clock, relay, upstreams, placer, log }
+}
+
+export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
+  return {
+    id: 'r1',
+    method: 'POST',
+    host: 'desk.example',
+    target: path,
+    headers: ['Host', 'desk.example'],
+    body: new Uint8Array([1]),
+    prompt: { model: 'm', promptTokens: 1000, maxTokens: 100, prefixes: [{ digest: 'own', tokens: 1000 }] },
+    ...over,
+  }
+}
+
+export function answers (status: number, text: string): Script {
+  return async () => ({ status, notRun: false, headers: [], body: bodyOf([text]) })
+}
+
+/** Begins an answer and breaks off behind the given parts. */
+export function breaksOff (status: number, parts: string[]): Script {
+  return async () => ({ status, notRun: false, headers: [], body: bodyOf(parts, new UpstreamError('broke off', { mayHaveRun: true })) })
+}
+
+export function refuses (): Script {
+  return async () => ({ status: 503, notRun: true, headers: [], body: bodyOf([]) })
+}
+
+export function fails (opts: { mayHaveRun: boolean, unreachable?: boolean }): Script {
+  return async () => { throw new UpstreamError('failed', opts) }
+}
+
+/** Says nothing until it is given up. */
+export function silent (): Script {
+  return ({ signal }) => new Promise((_resolve, reject) => {
+    signal.addEventListener('abort', () => reject(new UpstreamError('given up', { mayHaveRun: true, unreachable: true })))
+  })
+}
+
+async function * bodyOf (parts: string[], failure?: Error): AsyncGenerator<Uint8Array> {
+  for (const part of parts) yield Buffer.from(part)
+  if (failure) throw failure
+}
--- /dev/null
+++ b/request/relay/test/relay.ts
@@ -0,0 +1,212 @@
+import { ErrorCode, Verdict } from '@reelspan/core.error'
+import { PlacementOutcome } from '@reelspan/core.messages'
+import { UpstreamError } from '@reelspan/upstream.client'
+import test from 'ava'
+import { answers, breaksOff, createRelay, fails, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
+
+test('an answer is passed on whole', async (t) => {
+  const { clock, relay } = createRelay([answers(200, 'script')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(caller.status, 200)
+  t.is(caller.body, 'script')
+  t.true(caller.whole)
+})
+
+test('a request that may not be repeated is sent once when it may have run', async (t) => {
+  const { clock, relay, upstreams } = createRelay([fails({ mayHaveRun: true })])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.is(caller.refused?.verdict, Verdict.MayHaveRun)
+})
+
+test('a request that an upstream refused unrun is sent to another one', async (t) => {
+  const { clock, relay, upstreams } = createRelay([refuses(), answers(200, 'script')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(new Set(upstreams.runs.map(({ instance }) => instance)).size, 2)
+  t.true(caller.whole)
+})
+
+test('a request that no upstream ran is refused as not run, with a time to return', async (t) => {
+  const { clock, relay } = createRelay([refuses(), refuses(), refuses()])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+  t.true((caller.refused?.retryAfterMs ?? 0) > 0)
+})
+
+test('a repeatable request that failed is sent to another upstream, as often as its route allows', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answers(500, 'oops'), answers(500, 'oops again')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/status/1'), caller))
+  t.is(upstreams.runs.length, 2)
+  t.is(caller.status, 500)
+  t.is(caller.body, 'oops again')
+})
+
+test('an upstream\'s failure is passed on when nothing may be repeated', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answers(500, 'oops')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.is(caller.status, 500)
+  t.true(caller.whole)
+})
+
+test('without budget nothing is sent twice', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answers(500, 'oops'), answers(500, 'oops'), answers(500, 'oops')], { retryBurst: 1 })
+  const callers = [new RecordingCaller(), new RecordingCaller()]
+  await clock.run(relay.relay(requestTo('/status/1'), callers[0]))
+  await clock.run(relay.relay(requestTo('/status/2'), callers[1]))
+  t.is(upstreams.runs.length, 3)
+  t.is(callers[1].status, 500)
+})
+
+test('a repeatable request leaves an upstream that is silent for another one', async (t) => {
+  const { clock, relay, upstreams } = createRelay([silent(), answers(200, 'status')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/status/1'), caller))
+  t.is(upstreams.runs.length, 2)
+  t.is(caller.body, 'status')
+})
+
+test('a request that may not be repeated waits for a silent upstream until its time is over, and is answered then', async (t) => {
+  const { clock, relay, upstreams } = createRelay([silent()])
+  const caller = new RecordingCaller()
+  const startedAtMs = clock.nowMs()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(clock.nowMs() - startedAtMs, 2000)
+  t.is(upstreams.runs.length, 1)
+  t.is(caller.refused?.code, ErrorCode.DeadlinePassed)
+  t.is(caller.refused?.verdict, Verdict.MayHaveRun)
+})
+
+test('a caller\'s own deadline counts when it is the sooner one', async (t) => {
+  const { clock, relay, upstreams } = createRelay([silent()])
+  const caller = new RecordingCaller()
+  const startedAtMs = clock.nowMs()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller, 700))
+  t.is(clock.nowMs() - startedAtMs, 700)
+  t.is(upstreams.runs[0].opts.deadlineMs, 700)
+})
+
+test('an upstream stops working for a caller that has left', async (t) => {
+  const { clock, relay, upstreams } = createRelay([silent()])
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/fetch/1'), caller)
+  await clock.advance(50)
+  caller.left.abort()
+  await clock.run(work)
+  t.true(upstreams.runs[0].opts.signal.aborted)
+  t.is(relay.inFlight, 0)
+})
+
+test('an answer that breaks off is cut for the caller too', async (t) => {
+  const { clock, relay } = createRelay([breaksOff(200, ['half'])])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(caller.body, 'half')
+  t.true(caller.wasCut)
+  t.false(caller.whole)
+})
+
+test('there is no answer but «no route» for a path that nothing is declared for', async (t) => {
+  const { clock, relay, upstreams } = createRelay([])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/elsewhere/1'), caller))
+  t.is(caller.refused?.code, ErrorCode.NoRoute)
+  t.is(upstreams.runs.length, 0)
+})
+
+test('a completion is placed, prefilled and decoded where it was placed', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([answers(200, 'data: line')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.deepEqual(upstreams.prefills, ['p1'])
+  t.is(upstreams.runs[0].instance, 'd1')
+  t.deepEqual(upstreams.runs[0].opts.source, { address: '10.0.0.1:1', handle: 'handle-1' })
+  t.true(caller.whole)
+  t.deepEqual(upstreams.freed, [])
+  t.is(placer.released, 1)
+})
+
+test('a completion that finds no place is refused at once with the scheduler\'s time to return', async (t) => {
+  const { clock, relay, placer, upstreams } = createRelay([])
+  placer.refusal = { outcome: PlacementOutcome.Refused, reason: 'full', retryAfterMs: 640 }
+  const caller = new RecordingCaller()
+  const startedAtMs = clock.nowMs()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(clock.nowMs(), startedAtMs)
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+  t.is(caller.refused?.retryAfterMs, 640)
+  t.is(upstreams.prefills.length, 0)
+})
+
+test('what an engine keeps of a prompt is freed when no decode engine takes it', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([refuses()])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.deepEqual(upstreams.freed, [{ address: '10.0.0.1:1', handle: 'handle-1' }])
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+  t.is(placer.released, 1)
+})
+
+test('a completion whose prefill failed has not run, and is tried again', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([])
+  upstreams.prefillFailure = new UpstreamError('reset', { mayHaveRun: true, unreachable: true })
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.true(upstreams.prefills.length > 1)
+  t.true(placer.asked.at(-1)?.avoid.includes('p1'))
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+})
+
+test('a retry of a caller is known to the scheduler by the last part of its prompt', async (t) => {
+  const { clock, relay, placer } = createRelay([answers(200, 'a'), answers(200, 'b')])
+  await clock.run(relay.relay(requestTo('/draft/1', { id: 'first' }), new RecordingCaller()))
+  await clock.run(relay.relay(requestTo('/draft/1', { id: 'second' }), new RecordingCaller()))
+  t.is(placer.asked[0].returnId, placer.asked[1].returnId)
+  t.not(placer.asked[0].label.requestId, placer.asked[1].label.requestId)
+})
+
+test('a box that is about to stop refuses new requests unrun', async (t) => {
+  const { clock, relay, upstreams } = createRelay([])
+  relay.closeForNew()
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(caller.refused?.code, ErrorCode.Draining)
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+  t.is(upstreams.runs.length, 0)
+})
+
+test('a resumable answer that breaks off goes on at another engine behind the last whole event', async (t) => {
+  const { clock, relay, upstreams } = createRelay([
+    breaksOff(200, ['id: 0\ndata: a\n\nid: 1\nda', 'ta: b\n\nid: 2\ndat']),
+    answers(200, 'id: 2\ndata: c\n\n'),
+  ])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(caller.body, 'id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n')
+  t.true(caller.whole)
+  t.is(upstreams.runs[1].opts.resumeAfter, '1')
+  t.not(upstreams.runs[1].instance, upstreams.runs[0].instance)
+})
+
+test('an answer that may not be resumed is cut where it broke off', async (t) => {
+  const { clock, relay, upstreams } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\nid: 1\nda'])])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(caller.body, 'id: 0\ndata: a\n\nid: 1\nda')
+  t.true(caller.wasCut)
+  t.is(upstreams.runs.length, 1)
+})
+
+test('an answer that has begun is not mixed with another engine\'s failure', async (t) => {
+  const { clock, relay } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\n']), answers(500, 'oops')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(caller.body, 'id: 0\ndata: a\n\n')
+  t.true(caller.wasCut)
+})
