feat(config.fleet): entries that lapsed while the platform was away are kept until they must be back

Upstreams whose entries vanish after an absence of three seconds or more stay in use for 2.2 s after the platform's return; what has not entered itself again by then is gone. The loss and the return of the platform are logged, each with how long it was silent.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -9,6 +9,7 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts, listedPeers } from './createBox.js'
 import { drawIncarnation } from './drawIncarnation.js'
+import { REENTRY_MS } from './platformContactWatch.js'
 import { plannedStop } from './plannedStop.js'
 import { type ResourceApi } from './resourceApi.js'
 
@@ -48,7 +49,7 @@
 
   /** Reads platform and peers, meets the other boxes, and begins to serve. */
   async start (): Promise<void> {
-    const { link, dispatch, followers, prober, view, log, random, owner } = this.#parts
+    const { link, dispatch, followers, prober, view, log, random, owner, platformContact } = this.#parts
     link.serve(dispatch)
     view.onChange((member) => this.#onMemberChange(member))
     await followers[Collection.Fleet].readFirst([])
@@ -62,6 +63,7 @@
     Object.values(followers).forEach((follower) => follower.start())
     prober.start()
     Object.values(Collection).forEach((collection) => this.#tasks.run(() => this.#onRevisions(collection)))
+    platformContact.onBack(() => this.#tasks.run(() => this.#reconcileAfterReentry()))
     this.#reconcile()
     // What was left because something ran there still is given up once it is idle.
     this.#tasks.repeat(async () => this.#reconcile(), { periodMs: RECONCILE_PERIOD_MS })
@@ -126,13 +128,13 @@
 
   /** The whole state of the process. */
   describe () {
-    const { view, declarations, fleet, records, owner, relay, keepers, prober, placer, settings } = this.#parts
+    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, settings } = this.#parts
     return {
       self: view.self,
       ready: this.#ready,
       stopping: this.#stopping,
       declarations: { revision: declarations.revision, resources: declarations.value.resources.length, rejected: declarations.rejected },
-      fleet: { revision: fleet.revision, boxes: fleet.value.boxes.length, upstreams: fleet.value.upstreams.length },
+      fleet: { revision: fleetList.revision, boxes: fleet.value.boxes.length, upstreams: fleet.value.upstreams.length, keptThoughMissing: fleet.missing },
       members: view.all().map((member) => ({ ...member, requestsInFlight: prober.loadOf(member.incarnation) })),
       records: { count: records.size, bytes: records.bytes, maxBytes: settings.requests.recordBytes, taken: records.taken() },
       owner: owner.describe(),
@@ -188,6 +190,14 @@
     if (placer instanceof SchedulerPlacer) this.#tasks.run(() => placer.adoptByNewSchedulers())
   }
 
+  /** Upstreams whose entries lapsed while the platform was away must be back by then, or are gone. */
+  async #reconcileAfterReentry (): Promise<void> {
+    const { clock, fleet, log } = this.#parts
+    await clock.sleep(REENTRY_MS, { signal: this.#tasks.signal })
+    log.info(LogEvent.EntriesKept, { gone: fleet.missing })
+    this.#reconcile()
+  }
+
   #reconcile (): void {
     const { declarations, keepers, settings } = this.#parts
     this.#ready = declarations.revision > 0
@@ -197,7 +207,7 @@
   /** Acts on each new revision, and tells the peers of it at once. */
   async #onRevisions (collection: Collection): Promise<void> {
     const { log, prober, view } = this.#parts
-    const store = collection === Collection.Declarations ? this.#parts.declarations : this.#parts.fleet
+    const store = collection === Collection.Declarations ? this.#parts.declarations : this.#parts.fleetList
     for (let revision = 0; !this.#tasks.stopped; revision = store.revision) {
       await store.waitAbove(revision, this.#tasks.signal)
       if (this.#tasks.stopped) return
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,4 +1,4 @@
-import { parseFleetList, type FleetList } from '@reelspan/config.fleet'
+import { GuardedFleet, parseFleetList, type FleetList } from '@reelspan/config.fleet'
 import { checkResources, type Configuration } from '@reelspan/config.resources'
 import { ConfigFollower, ConfigStore } from '@reelspan/config.store'
 import { Collection, type Member, MemberHealth } from '@reelspan/core.messages'
@@ -19,6 +19,7 @@
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { noteRequestEnd } from './noteRequestEnd.js'
+import { PlatformContactWatch } from './platformContactWatch.js'
 import { PeerDispatch } from './peerDispatch.js'
 import { RequestRouter } from './requestRouter.js'
 import { ResourceApi } from './resourceApi.js'
@@ -28,7 +29,11 @@
 export interface BoxParts extends BoxEnvironment {
   view: MembershipView
   declarations: ConfigStore<Configuration>
-  fleet: ConfigStore<FleetList>
+  /** The platform's list as it was last read. */
+  fleetList: ConfigStore<FleetList>
+  /** The same, with entries that lapsed while the platform was away. */
+  fleet: GuardedFleet
+  platformContact: PlatformContactWatch
   followers: Record<Collection, ConfigFollower>
   prober: Prober
   records: RecordStore
@@ -54,7 +59,9 @@
   container.register({
     view: asFunction(createView).singleton(),
     declarations: asFunction(createDeclarations).singleton(),
+    fleetList: asFunction(createFleetList).singleton(),
     fleet: asFunction(createFleet).singleton(),
+    platformContact: asFunction(createContact).singleton(),
     followers: asFunction(createFollowers).singleton(),
     prober: asFunction(createProber).singleton(),
     records: asFunction(createRecords).singleton(),
@@ -99,10 +106,18 @@
   })
 }
 
-function createFleet (): ConfigStore<FleetList> {
+function createFleetList (): ConfigStore<FleetList> {
   return new ConfigStore(parseFleetList)
 }
 
+function createFleet ({ fleetList, platformContact }: BoxParts): GuardedFleet {
+  return new GuardedFleet({ listed: fleetList, mayHaveLapsed: () => platformContact.mayHaveLapsed })
+}
+
+function createContact ({ clock, log }: BoxParts): PlatformContactWatch {
+  return new PlatformContactWatch({ clock, log })
+}
+
 function createFollowers (parts: BoxParts): Record<Collection, ConfigFollower> {
   const create = (collection: Collection, store: ConfigStore<unknown>) => new ConfigFollower({
     ...environmentOf(parts),
@@ -113,11 +128,12 @@
     backstopPollMs: parts.settings.platform.backstopPollMs,
     peerTimeoutMs: PEER_TIMEOUT_MS,
     longestBackoffMs: parts.settings.platform.longestBackoffMs,
+    onReachable: (reachable, details) => parts.platformContact.note(reachable, details),
     onRejected: (problems, revision) => parts.log.warn(LogEvent.RevisionRejected, { collection, revision, problems }),
   })
   return {
     [Collection.Declarations]: create(Collection.Declarations, parts.declarations),
-    [Collection.Fleet]: create(Collection.Fleet, parts.fleet),
+    [Collection.Fleet]: create(Collection.Fleet, parts.fleetList),
   }
 }
 
@@ -131,13 +147,13 @@
 }
 
 function createProber (parts: BoxParts): Prober {
-  const { settings, view, declarations, fleet } = parts
+  const { settings, view, declarations, fleetList } = parts
   return new Prober({
     ...environmentOf(parts),
     ...settings.membership,
     view,
     listedAddresses: () => listedPeers(parts),
-    revisions: () => ({ [Collection.Declarations]: declarations.revision, [Collection.Fleet]: fleet.revision }),
+    revisions: () => ({ [Collection.Declarations]: declarations.revision, [Collection.Fleet]: fleetList.revision }),
     inFlight: () => parts.owner.inFlight + (parts.relay?.inFlight ?? 0),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
       void parts.followers[collection].hear(address, revisions[collection])
@@ -240,7 +256,7 @@
   return new PeerDispatch({
     prober: parts.prober,
     view: parts.view,
-    stores: { [Collection.Declarations]: parts.declarations, [Collection.Fleet]: parts.fleet },
+    stores: { [Collection.Declarations]: parts.declarations, [Collection.Fleet]: parts.fleetList },
     keepers: parts.keepers,
     owner: parts.owner,
     records: parts.records,
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -14,7 +14,7 @@
 
 export interface ShardKeepersOptions extends BoxEnvironment {
   declarations: ConfigStore<Configuration>
-  fleet: ConfigStore<FleetList>
+  fleet: { readonly value: FleetList, readonly revision: number }
   view: MembershipView
   /** Answers for requests of this box's own incarnations. */
   vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
--- a/cli/reelspan/src/main.ts
+++ b/cli/reelspan/src/main.ts
@@ -2,9 +2,11 @@
 import { parseSettings, type Settings } from '@reelspan/config.settings'
 import { ReelspanError } from '@reelspan/core.error'
 import { PROTOCOL_VERSION } from '@reelspan/core.messages'
-import { parseSettingsFile, SETTINGS_VARIABLE, startPlatformBox } from '@reelspan/platform.adapter'
 import meow from 'meow'
-import { type RunningBox, startBox } from './startBox.js'
+import { type RunningBox } from './startBox.js'
+
+/** Environment variable that holds the path of the platform's settings file. */
+const SETTINGS_VARIABLE = 'REELSPAN_BOOT'
 
 /** Exit codes of `reelspan`. */
 export enum ExitCode {
@@ -83,18 +85,21 @@
 }
 
 async function checkPlatform (file: string, json: boolean): Promise<ExitCode> {
+  const { parseSettingsFile } = await import('@reelspan/platform.adapter')
   const settings = parseSettingsFile(await readFile(file, 'utf8'), file)
   console.log(json ? JSON.stringify(settings) : `${file}: ok`)
   return ExitCode.Done
 }
 
 async function servePlatform (file: string): Promise<ExitCode> {
+  const { startPlatformBox } = await import('@reelspan/platform.adapter')
   const running = await startPlatformBox(file)
   process.on('SIGHUP', () => { void running.reload() })
   return serveUntilStopped(running)
 }
 
 async function serve (settings: Settings): Promise<ExitCode> {
+  const { startBox } = await import('./startBox.js')
   return serveUntilStopped(await startBox(settings))
 }
 
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -4,6 +4,14 @@
 import { type PlatformReader } from './platformReader.js'
 import { type RevisionedContent } from './revisionedContent.js'
 
+/** What is known of the contact with the platform when it is lost or regained. */
+export interface PlatformContact {
+  collection: Collection
+  /** Since the platform's last answer. */
+  silentMs: number
+  reason?: string
+}
+
 export interface ConfigFollowerOptions {
   clock: Clock
   random: Random
@@ -20,6 +28,8 @@
   peerTimeoutMs: number
   /** Longest wait between tries while the platform does not answer, on average. */
   longestBackoffMs: number
+  /** The platform answers again, or no longer. */
+  onReachable?: (reachable: boolean, details: PlatformContact) => void
   onRejected?: (problems: string[], revision: number) => void
 }
 
@@ -33,10 +43,18 @@
   readonly #tasks: TaskGroup
   #pulling = false
   #backoffMs = FIRST_BACKOFF_MS
+  #reachable = true
+  #lastAnswerMs: number
 
   constructor (opts: ConfigFollowerOptions) {
     this.#opts = opts
     this.#tasks = new TaskGroup(opts.clock)
+    this.#lastAnswerMs = opts.clock.nowMs()
+  }
+
+  /** When the platform last answered, on this box's clock. */
+  get lastAnswerMs (): number {
+    return this.#lastAnswerMs
   }
 
   /** Asks platform and peers at once and takes the highest revision that answers. */
@@ -87,7 +105,7 @@
     const { clock, platform, collection, store } = this.#opts
     const since = store.revision
     const askedAtMs = clock.nowMs()
-    const content = await platform.read(collection, since, { waitMs, signal: this.#tasks.signal })
+    const content = await this.#noting(platform.read(collection, since, { waitMs, signal: this.#tasks.signal }))
     const outcome = this.#adopt(content, since)
     // A watch that brought nothing new and did not wait comes from a stale replica, or from a platform that cannot wait.
     const waitedMs = clock.nowMs() - askedAtMs
@@ -96,6 +114,26 @@
     else this.#backoffMs = FIRST_BACKOFF_MS
   }
 
+  /** Notes whether the platform answers. */
+  async #noting<T> (read: Promise<T>): Promise<T> {
+    try {
+      const content = await read
+      this.#noteContact(true)
+      this.#lastAnswerMs = this.#opts.clock.nowMs()
+      return content
+    } catch (thrown) {
+      if (!this.#tasks.stopped) this.#noteContact(false, thrown instanceof Error ? thrown.message : String(thrown))
+      throw thrown
+    }
+  }
+
+  #noteContact (reachable: boolean, reason?: string): void {
+    const { clock, collection, onReachable } = this.#opts
+    if (reachable === this.#reachable) return
+    this.#reachable = reachable
+    onReachable?.(reachable, { collection, silentMs: Math.round(clock.nowMs() - this.#lastAnswerMs), reason })
+  }
+
   async #pull (address: string): Promise<void> {
     const { link, collection, store, peerTimeoutMs } = this.#opts
     const since = store.revision
--- a/config/store/src/index.ts
+++ b/config/store/src/index.ts
@@ -1,6 +1,6 @@
 export { ConfigStore, AdoptOutcome } from './configStore.js'
 export type { RevisionedContent, ContentChange } from './revisionedContent.js'
 export { ConfigFollower } from './configFollower.js'
-export type { ConfigFollowerOptions } from './configFollower.js'
+export type { ConfigFollowerOptions, PlatformContact } from './configFollower.js'
 export { PlatformReader } from './platformReader.js'
 export type { PlatformReadOptions } from './platformReader.js'
--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,4 +1,5 @@
-// Bundles the box program from its sources into target/: one file, which starts faster than many.
+// Bundles the box program from its sources into target/: a few files, of which a
+// start reads only those that it needs.
 import { existsSync, realpathSync } from 'node:fs'
 import { join } from 'node:path'
 import { build } from 'esbuild'
@@ -27,18 +28,16 @@
 `
 
 await build({
-  stdin: {
-    contents: "import { main } from './cli/reelspan/src/main.ts'\nprocess.exitCode = await main(process.argv.slice(2))\n",
-    resolveDir: ROOT,
-  },
-  outfile: join(ROOT, 'target/reelspan.mjs'),
+  entryPoints: { reelspan: join(ROOT, 'deploy/entry.ts') },
+  outdir: join(ROOT, 'target'),
+  outExtension: { '.js': '.mjs' },
+  splitting: true,
   plugins: [workspaceSources],
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'esm',
   minify: true,
-  keepNames: true,
   // Optional parts of libraries that are not used.
   external: ['dtrace-provider', 'bufferutil', 'utf-8-validate', 'mv', 'safe-json-stringify', 'moment', 'source-map-support', 'msgpackr-extract'],
   banner: { js: COMMONJS_NAMES },
