feat(scheduling.scheduler): early refusals by what is ahead, patience for who waited or came back

Change: the rate of placements is followed while requests wait; within 200 ms of its arrival a request is refused that has too many before it; others wait as long as a first token is of use.

--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -19,6 +19,8 @@
   maxTokens: z.number().int().positive(),
   /** Time left until the first token is late. */
   ttftLeftMs: z.number(),
+  /** Time left until the first token is of no use any more. Without it, a late one is of none. */
+  patienceMs: z.number().optional(),
   tbtTargetMs: z.number().positive(),
   deadlineMs: z.number().positive(),
   /** Engines that just failed this request. */
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -18,6 +18,8 @@
 /** Freeing a handle is tried once; the engine frees it by itself soon after. */
 const FREE_TIMEOUT_MS = 500
 const OK = 200
+/** Callers give a stream up that has not begun after some four latency targets. */
+const PATIENCE_TARGETS = 3
 const FIRST_SERVER_ERROR = 500
 /** Waits between tries to continue an answer that has begun. */
 const CONTINUE_BACKOFF_MS = 100
@@ -100,6 +102,7 @@
       prefixes: [...prefixes],
       maxTokens: Math.max(1, maxTokens - doneTokens),
       ttftLeftMs: caller.begun ? CONTINUE_WITHIN_MS : route.spec.ttftTargetMs - run.elapsedMs,
+      patienceMs: Math.min(run.leftMs, PATIENCE_TARGETS * route.spec.ttftTargetMs - run.elapsedMs),
       tbtTargetMs: route.spec.tbtTargetMs,
       deadlineMs: run.leftMs,
       avoid: [...this.#failed, ...health.suspects()],
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -22,7 +22,7 @@
 
 /** Shards that a request is offered to, one after the other. */
 const MAX_SHARDS_ASKED = 2
-/** A scheduler answers at the latest when the first token would be late; this is for the way. */
+/** A scheduler answers at the latest when the first token would be of no use; this is for the way. */
 const ANSWER_SLACK_MS = 100
 const RELEASE_TIMEOUT_MS = 1000
 /** Prompts share a shard by this many of their first tokens. */
@@ -109,7 +109,7 @@
     signal.addEventListener('abort', withdraw, { once: true })
     try {
       if (scheduler.incarnation === this.#opts.selfIncarnation()) return await this.#reserveHere(request)
-      const timeoutMs = Math.max(ANSWER_SLACK_MS, request.ttftLeftMs + ANSWER_SLACK_MS)
+      const timeoutMs = Math.max(0, request.ttftLeftMs, request.patienceMs ?? 0) + ANSWER_SLACK_MS
       const answer = await this.#opts.link.call(scheduler.peerAddress, { type: MessageType.Reserve, request }, { timeoutMs, signal })
       if (answer.type !== MessageType.ReserveAnswer) throw new Error(`unexpected answer ${answer.type}`)
       return answer.answer
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -102,29 +102,33 @@
 
   /** The engine with the earliest first token, where work that a cached prefix would save counts as time under pressure. */
   #bestEngine (waiting: WaitingRequest, engines: readonly ReadyEngine[], { pressure, nowMs }: { pressure: number, nowMs: number }): ReadyEngine | undefined {
-    const { request: { avoid }, lateAtMs, handoverMs } = waiting
+    const { request: { avoid }, uselessAtMs, handoverMs } = waiting
     let best: ReadyEngine | undefined
     let bestScore = Number.POSITIVE_INFINITY
     engines.forEach((ready) => {
       const costMs = this.costMs(waiting, ready, nowMs)
       const endMs = ready.freeAtMs + costMs
       const score = endMs + pressure * costMs
-      if (score >= bestScore || endMs + handoverMs > lateAtMs || (avoid.length > 0 && avoid.includes(ready.engine.name))) return
+      if (score >= bestScore || endMs + handoverMs > uselessAtMs || (avoid.length > 0 && avoid.includes(ready.engine.name))) return
       best = ready
       bestScore = score
     })
     return best
   }
 
-  /** Priority first; then those who were asked to return; then clients that are not ahead of their share; then the least work. */
+  /**
+   * Priority first; then those that can still be in time; then those who were
+   * asked to return; then clients that are not ahead of their share; then in
+   * order of arrival, where less work makes up for having come later.
+   */
   #inOrder (candidates: Candidate[], nowMs: number): Candidate[] {
     if (candidates.length <= 1) return candidates
-    const rank = ({ waiting, costMs }: Candidate) => [
+    const rank = ({ waiting, ready, costMs }: Candidate) => [
       -waiting.request.priority,
+      ready.freeAtMs + costMs + waiting.handoverMs <= waiting.lateAtMs ? 0 : 1,
       waiting.returned ? 0 : 1,
       this.#shares.isAhead(waiting.request.client, nowMs) ? 1 : 0,
-      costMs,
-      waiting.arrivedAtMs,
+      waiting.arrivedAtMs + costMs,
     ]
     return candidates
       .map((candidate) => ({ candidate, rank: rank(candidate) }))
@@ -135,12 +139,12 @@
   /** The first of the candidates that a decode engine has room for. Few are tried: what one does not find, the next seldom does. */
   #firstThatFits (candidates: readonly Candidate[], nowMs: number): Choice | undefined {
     for (const { waiting, ready, costMs } of candidates.slice(0, MAX_FITS_TRIED)) {
-      const { request, lateAtMs } = waiting
+      const { request, uselessAtMs } = waiting
       const route = this.#route()
       const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, route))
       const part = { prefill: ready.engine, endMs: ready.freeAtMs + costMs, costMs }
       const estimate = this.#estimator.estimateDecode(request, part, { usablePlaces, objective: route?.objective, nowMs })
-      if (estimate && estimate.firstTokenMs <= lateAtMs) return { waiting, estimate }
+      if (estimate && estimate.firstTokenMs <= uselessAtMs) return { waiting, estimate }
     }
     return undefined
   }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -9,6 +9,7 @@
 import { ClientShares } from './clientShares.js'
 import { HANDOUT_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
+import { PlacementRate } from './placementRate.js'
 import { PlacesLimit } from './placesLimit.js'
 import { QuantileEstimator } from './quantileEstimator.js'
 import { ReturnCalendar } from './returnCalendar.js'
@@ -32,6 +33,8 @@
 /** A reservation outlives its request's deadline by this much. */
 const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
+/** A refusal is early, and costs its caller little, within this time; a quarter of the usual target for the first token. */
+const EARLY_REFUSAL_MS = 200
 /** Waiting requests are looked at again at least this often. */
 const MAX_SLEEP_MS = 10
 const RETURN_SHARE = 0.6
@@ -46,6 +49,7 @@
   readonly #estimator: PlacementEstimator
   readonly #shares = new ClientShares()
   readonly #lengths = new AnswerLengths()
+  readonly #rate = new PlacementRate()
   readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
   readonly #placesLimit: PlacesLimit
   readonly #chooser: PlacementChooser
@@ -84,7 +88,9 @@
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal(request, 'too many requests wait'))
     const nowMs = clock.nowMs()
     return new Promise((resolve) => {
-      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs: nowMs + request.ttftLeftMs - this.#ttftError.valueMs, returned: this.#calendar.isDue(request.returnId, nowMs), handoverMs: this.#estimator.handoverMs(request), costsMs: [] })
+      const lateAtMs = nowMs + request.ttftLeftMs - this.#ttftError.valueMs
+      const uselessAtMs = Math.max(lateAtMs, nowMs + (request.patienceMs ?? 0))
+      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs, uselessAtMs, returned: this.#calendar.isDue(request.returnId, nowMs), handoverMs: this.#estimator.handoverMs(request), costsMs: [] })
       this.#pump()
     })
   }
@@ -192,16 +198,17 @@
   #pump (): void {
     const nowMs = this.#opts.clock.nowMs()
     this.ledger.expire(nowMs)
-    if (this.#waiting.size === 0) return
+    if (this.#waiting.size === 0) return this.#rate.noteIdle(nowMs)
     this.#calendar.expire(nowMs)
-    const waitingMs = this.#refuseLate(nowMs)
+    const waitingMs = this.#refuseUseless(nowMs)
     const next = () => this.#chooser.choose(this.#waiting.all(), waitingMs, nowMs)
     for (let choice = next(); choice; choice = next()) this.#commit(choice.waiting, choice.estimate, nowMs)
+    this.#refuseHopeless(nowMs)
     this.#sleepUntilNext(nowMs)
   }
 
-  /** Refuses, at once, each request that no engine could serve in time any more. Answers with the least prefill work that is left. */
-  #refuseLate (nowMs: number): number {
+  /** Refuses, at once, each request that no engine could serve any more while that is of use. Answers with the least prefill work that is left. */
+  #refuseUseless (nowMs: number): number {
     const engines = this.#chooser.readyEngines(nowMs)
     let waitingMs = 0
     this.#waiting.all().forEach((waiting) => {
@@ -212,12 +219,28 @@
         leastMs = Math.min(leastMs, costMs)
         earliestMs = Math.min(earliestMs, ready.freeAtMs + costMs)
       })
-      if (earliestMs + waiting.handoverMs <= waiting.lateAtMs) waitingMs += engines.length > 0 ? leastMs : 0
+      if (earliestMs + waiting.handoverMs <= waiting.uselessAtMs) waitingMs += engines.length > 0 ? leastMs : 0
       else this.#answer(waiting, this.#refusal(waiting.request, engines.length > 0 ? 'the first token would be late' : 'no engine of the model takes work'))
     })
     return waitingMs
   }
 
+  /**
+   * Refuses, while that is early, requests that have too many before them to be
+   * in time: their callers come back when there is room. Who has come back, and
+   * who has waited for longer, waits on.
+   */
+  #refuseHopeless (nowMs: number): void {
+    const msPerPlace = this.#rate.msPerPlace(nowMs)
+    if (msPerPlace === undefined) return
+    this.#waiting.all().forEach((waiting, ahead) => {
+      const { arrivedAtMs, lateAtMs, returned, handoverMs, request } = waiting
+      if (returned || request.patienceMs === undefined || nowMs - arrivedAtMs > EARLY_REFUSAL_MS) return
+      const placedAtMs = nowMs + (ahead + 1) * msPerPlace
+      if (placedAtMs + handoverMs > lateAtMs) this.#answer(waiting, this.#refusal(request, 'too many requests wait for the same engines'))
+    })
+  }
+
   #commit (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
     const { request } = waiting
     const { prefill, decode } = estimate
@@ -238,6 +261,7 @@
     const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
     this.#shares.charge(request.client, estimate.costMs, weight, nowMs)
     this.#calendar.forget(request.returnId)
+    this.#rate.note(nowMs)
     this.#answer(waiting, planOf(estimate, nowMs))
   }
 
@@ -256,7 +280,8 @@
     const nowMs = this.#opts.clock.nowMs()
     const engines = this.#chooser.readyEngines(nowMs)
     const costsMs = engines.map(({ engine }) => this.#estimator.prefillCostMs(request, engine.name, nowMs))
-    const shardCostMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
+    const prefillShareMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
+    const shardCostMs = Math.max(prefillShareMs, this.#rate.msPerPlace(nowMs) ?? 0)
     const retryAfterMs = this.#calendar.book(request.returnId, shardCostMs, nowMs)
     return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: Math.round(retryAfterMs) }
   }
--- a/scheduling/scheduler/src/waitingQueue.ts
+++ b/scheduling/scheduler/src/waitingQueue.ts
@@ -7,6 +7,8 @@
   arrivedAtMs: number
   /** A first token after this is late. */
   lateAtMs: number
+  /** A first token after this is of no use. */
+  uselessAtMs: number
   /** The least time from the end of its prefill to its first token. */
   handoverMs: number
   /** Prefill times by the engine's place in the shard, as far as they were needed. */
--- a/scheduling/scheduler/test/shardScheduler.ts
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -208,3 +208,31 @@
   const factor = scheduler.ledger.prefillEngines()[0].account.speedFactor
   t.true(factor > 1.5 && factor < 2.5, `factor ${factor}`)
 })
+
+test('what has too many before it is refused early, and who has come back is placed first', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 1, places: 2 })
+  const patient = (over = {}) => requestOf({ ttftLeftMs: 900, patienceMs: 2700, ...over })
+  const placed: string[] = []
+  const place = async (request: ReturnType<typeof requestOf>) => {
+    const answer = await scheduler.reserve(request)
+    if (answer.outcome === PlacementOutcome.Placed) placed.push(request.label.requestId)
+    return answer
+  }
+  const requests = Array.from({ length: 7 }, () => patient())
+  const labelOf = (requestId: string) => requests.find(({ label }) => label.requestId === requestId)?.label ?? requests[0].label
+  requests.forEach((request) => { void place(request) })
+  // A place becomes free every 400 ms, as the scheduler learns.
+  for (let i = 0; i < 3; i++) {
+    await clock.advance(400)
+    scheduler.release(labelOf(placed[i]))
+  }
+  const late = patient()
+  const beforeMs = clock.nowMs()
+  const refusal = await clock.run(place(late))
+  t.is(refusal.outcome, PlacementOutcome.Refused)
+  t.true(clock.nowMs() - beforeMs < 225)
+  await clock.advance(refusal.outcome === PlacementOutcome.Refused ? refusal.retryAfterMs : 0)
+  const returned = place(patient({ returnId: late.returnId }))
+  scheduler.release(labelOf(placed[3]))
+  t.is((await clock.run(returned)).outcome, PlacementOutcome.Placed)
+})
