feat(request.relay): silent prefills, and silent streams that another engine can go on with, are given up

Found by the trail of the request ids: placed, then nothing until the caller went away. Ruled out: the scheduler (placed within 10 ms), the decode engines (never asked). Change: a prefill is waited for twice its estimate and 300 ms, a resumable stream two targets for the time between events, where the budget has a retry.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -11,6 +11,7 @@
 import { passEvents } from './passEvents.js'
 import { type RelayContext } from './relayContext.js'
 import { sendToUpstream } from './sendToUpstream.js'
+import { SilenceWatch } from './silenceWatch.js'
 import { UpstreamOutcome } from './upstreamHealth.js'
 
 /** Placements tried for one request, however many of them reached an engine. */
@@ -18,6 +19,11 @@
 /** Freeing a handle is tried once; the engine frees it by itself soon after. */
 const FREE_TIMEOUT_MS = 500
 const OK = 200
+/** A prefill that takes this much longer than its estimate, and the time below, is given up: its answer is lost, or its engine hangs. */
+const PREFILL_PATIENCE = 2
+const PREFILL_PATIENCE_MS = 300
+/** A stream that another engine could go on with is given up after this many targets for the time between events. */
+const DECODE_PATIENCE = 2
 /** Callers give a stream up that has not begun after some four latency targets. */
 const PATIENCE_TARGETS = 3
 const FIRST_SERVER_ERROR = 500
@@ -125,9 +131,8 @@
       this.#prefillMs = opts.clock.nowMs() - placedAtMs
       placement.prefilled()
       await run.checkBeforeSend()
-      const answer = await this.#decode(plan, source)
+      await this.#decode(plan, source, placement, times)
       taken = true
-      await this.#judge(plan, answer, placement, times)
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs), times)
     } finally {
       placement.release(report)
@@ -138,36 +143,57 @@
   async #prefill (plan: PlacementPlan): Promise<PrefillSource> {
     const { opts, run, request } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
-    const { handle } = await this.#blame(plan.prefillEngine, () =>
-      opts.upstreams.prefill(target, request, { signal: run.signal, deadlineMs: run.leftMs }))
+    const patienceMs = PREFILL_PATIENCE_MS + PREFILL_PATIENCE * plan.expectedTtftMs
+    const { handle } = await this.#blame(plan.prefillEngine, () => this.#unlessSilent(patienceMs, ({ signal }) =>
+      opts.upstreams.prefill(target, request, { signal, deadlineMs: run.leftMs })))
     return { address: plan.prefillAddress, handle }
   }
 
-  #decode (plan: PlacementPlan, source: PrefillSource): Promise<RelayAnswer> {
+  /** Gives work up that is not heard of for too long. */
+  async #unlessSilent<T> (patienceMs: number, work: (watch: SilenceWatch) => Promise<T>): Promise<T> {
+    const { opts, run } = this.#context
+    const watch = new SilenceWatch(opts.clock, patienceMs, run.signal)
+    try {
+      return await work(watch)
+    } finally {
+      watch.stop()
+    }
+  }
+
+  /** Sends the request to its decode engine and passes the answer on. */
+  async #decode (plan: PlacementPlan, source: PrefillSource, placement: Placement, times: AnswerTimes): Promise<void> {
     const { run, request, route } = this.#context
     this.#decodesSent++
-    return this.#blame(plan.decodeEngine, () => sendToUpstream(this.#context, { instance: plan.decodeEngine, address: plan.decodeAddress }, {
-      signal: run.signal,
-      deadlineMs: run.leftMs,
-      source,
-      urgency: route.spec.urgency,
-      resumeAfter: this.#progress.lastId ?? request.resumeAfter,
+    const patienceMs = this.#mayDecodeAgain() ? DECODE_PATIENCE * route.spec.tbtTargetMs : Number.POSITIVE_INFINITY
+    await this.#blame(plan.decodeEngine, () => this.#unlessSilent(patienceMs, async (watch) => {
+      const answer = await sendToUpstream(this.#context, { instance: plan.decodeEngine, address: plan.decodeAddress }, {
+        signal: watch.signal,
+        deadlineMs: run.leftMs,
+        source,
+        urgency: route.spec.urgency,
+        resumeAfter: this.#progress.lastId ?? request.resumeAfter,
+      })
+      watch.heard()
+      await this.#judge(plan, answer, placement, times, watch)
     }))
   }
 
-  async #judge (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes): Promise<void> {
+  /** Whether another engine could go on if this one failed. */
+  #mayDecodeAgain (): boolean {
+    const { route, budget } = this.#context
+    return route.spec.resumable && this.#decodesSent < route.spec.maxAttempts && budget.left >= 1
+  }
+
+  async #judge (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes, watch: SilenceWatch): Promise<void> {
     const { run, route, caller, decided } = this.#context
     decided(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     const failed = answer.status >= FIRST_SERVER_ERROR
-    const mayRepeat = route.spec.resumable && this.#decodesSent < route.spec.maxAttempts
-    if (caller.begun ? answer.status !== OK : failed && mayRepeat) {
+    if (caller.begun ? answer.status !== OK : failed && this.#mayDecodeAgain()) {
       void dropAnswer(answer)
-      this.#note(plan.decodeEngine, UpstreamOutcome.Failed)
-      this.#failed.add(plan.decodeEngine)
       throw new UpstreamError(`${plan.decodeEngine} answered ${answer.status}`, { mayHaveRun: true })
     }
     placement.progressed(1)
-    await this.#blame(plan.decodeEngine, () => passEvents(this.#context, answer, times, { progress: this.#progress, wholeEvents: route.spec.resumable }))
+    await passEvents(this.#context, answer, times, { progress: this.#progress, wholeEvents: route.spec.resumable, onPart: () => watch.heard() })
     this.#note(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
 
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -7,6 +7,8 @@
   progress: EventProgress
   /** Pass on whole events only, so that another upstream can go on behind the last of them. */
   wholeEvents: boolean
+  /** Something has come. */
+  onPart: () => void
 }
 
 /**
@@ -15,10 +17,11 @@
  */
 export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
   const { run, caller } = context
-  const { progress, wholeEvents } = opts
+  const { progress, wholeEvents, onPart } = opts
   if (!caller.begun) caller.begin(answer.status, answer.headers)
   try {
     for await (const bytes of answer.body) {
+      onPart()
       const complete = progress.take(bytes)
       if (complete.byteLength > 0) noteTime(times, run.elapsedMs)
       const passed = wholeEvents ? complete : bytes
--- /dev/null
+++ b/request/relay/src/silenceWatch.ts
@@ -0,0 +1,46 @@
+import { type Clock, STOPPED } from '@reelspan/core.env'
+
+/** Aborts its signal when nothing was heard for a while, or when what it belongs to ends. */
+export class SilenceWatch {
+  readonly #clock: Clock
+  readonly #silent = new AbortController()
+  readonly #over = new AbortController()
+  #heardAtMs: number
+
+  readonly #outer: AbortSignal
+  readonly #end = () => this.#silent.abort(STOPPED)
+
+  /** @param outer aborted when the work that is watched is of no use any more */
+  constructor (clock: Clock, patienceMs: number, outer: AbortSignal) {
+    this.#clock = clock
+    this.#outer = outer
+    this.#heardAtMs = clock.nowMs()
+    if (outer.aborted) this.#end()
+    else outer.addEventListener('abort', this.#end, { once: true })
+    if (patienceMs !== Number.POSITIVE_INFINITY) void this.#watch(patienceMs)
+  }
+
+  get signal (): AbortSignal {
+    return this.#silent.signal
+  }
+
+  heard (): void {
+    this.#heardAtMs = this.#clock.nowMs()
+  }
+
+  /** Ends the watch. */
+  stop (): void {
+    this.#outer.removeEventListener('abort', this.#end)
+    this.#over.abort(STOPPED)
+  }
+
+  async #watch (patienceMs: number): Promise<void> {
+    for (let leftMs = patienceMs; leftMs > 0; leftMs = this.#heardAtMs + patienceMs - this.#clock.nowMs()) {
+      await this.#clock.sleep(leftMs, { signal: this.#over.signal })
+      // After a pause of this process, what came in time may still be waiting to be read.
+      await this.#clock.settle()
+      if (this.#over.signal.aborted) return
+    }
+    this.#end()
+  }
+}
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -5,7 +5,7 @@
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
-import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
+import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
 /** What a scripted upstream does with one request. */
@@ -19,6 +19,7 @@
   readonly #clock: VirtualClock
   readonly #scripts: Script[]
   prefillFailure?: UpstreamError
+  prefillIsSilent = false
 
   constructor (clock: VirtualClock, scripts: Script[]) {
     super()
@@ -33,8 +34,9 @@
     return script({ ...opts, clock: this.#clock })
   }
 
-  async prefill (target: RelayTarget): Promise<PrefilledPrompt> {
+  async prefill (target: RelayTarget, _request: RelayedRequest, { signal }: RelayCallOptions): Promise<PrefilledPrompt> {
     this.prefills.push(target.instance)
+    if (this.prefillIsSilent) await givenUp(signal)
     if (this.prefillFailure) throw this.prefillFailure
     return { handle: `handle-${this.prefills.length}`, promptTokens: 1000 }
   }
@@ -182,7 +184,21 @@
 
 /** Says nothing until it is given up. */
 export function silent (): Script {
-  return ({ signal }) => new Promise((_resolve, reject) => {
+  return ({ signal }) => givenUp(signal)
+}
+
+/** Begins an answer and says no more until it is given up. */
+export function fallsSilent (status: number, part: string): Script {
+  return async ({ signal }) => ({ status, notRun: false, headers: [], body: silentBody(part, signal) })
+}
+
+async function * silentBody (part: string, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+  yield Buffer.from(part)
+  await givenUp(signal)
+}
+
+function givenUp (signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
     signal.addEventListener('abort', () => reject(new UpstreamError('given up', { mayHaveRun: true, unreachable: true })))
   })
 }
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -2,7 +2,7 @@
 import { PlacementOutcome } from '@reelspan/core.messages'
 import { UpstreamError } from '@reelspan/upstream.client'
 import test from 'ava'
-import { answers, breaksOff, createRelay, fails, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
+import { answers, breaksOff, createRelay, fails, fallsSilent, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
 
 test('an answer is passed on whole', async (t) => {
   const { clock, relay } = createRelay([answers(200, 'script')])
@@ -210,3 +210,37 @@
   t.is(caller.body, 'id: 0\ndata: a\n\n')
   t.true(caller.wasCut)
 })
+
+test('a prefill whose answer does not come is given up, and another engine reads the prompt', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([answers(200, 'data: line\n\n')])
+  upstreams.prefillIsSilent = true
+  const caller = new RecordingCaller()
+  const startedAtMs = clock.nowMs()
+  const work = relay.relay(requestTo('/draft/1'), caller)
+  await clock.advance(400)
+  upstreams.prefillIsSilent = false
+  await clock.run(work)
+  t.true(caller.whole)
+  t.true(clock.nowMs() - startedAtMs < 900)
+  t.true(placer.asked[1].avoid.includes('p1'))
+})
+
+test('a resumable stream that falls silent goes on at another engine', async (t) => {
+  const { clock, relay, upstreams } = createRelay([fallsSilent(200, 'id: 0\ndata: a\n\n'), answers(200, 'id: 1\ndata: b\n\n')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(caller.body, 'id: 0\ndata: a\n\nid: 1\ndata: b\n\n')
+  t.true(caller.whole)
+  t.true(upstreams.runs[0].opts.signal.aborted)
+})
+
+test('a stream that may not be resumed is waited for while its caller waits', async (t) => {
+  const { clock, relay, upstreams } = createRelay([fallsSilent(200, 'id: 0\ndata: a\n\n')])
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/draft/1'), caller)
+  await clock.advance(9000)
+  t.false(upstreams.runs[0].opts.signal.aborted)
+  caller.left.abort()
+  await clock.run(work)
+  t.true(upstreams.runs[0].opts.signal.aborted)
+})
