--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -2,12 +2,14 @@
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type AnswerEvent, Collection, type Member, MemberHealth, MessageType, type RoutedRequest } from '@reelspan/core.messages'
 import { type Configuration } from '@reelspan/config.resources'
+import { type Settings } from '@reelspan/config.settings'
 import { type RelayCaller } from '@reelspan/request.relay'
 import { type RelayedRequest } from '@reelspan/upstream.client'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts, listedPeers } from './createBox.js'
+import { changedKeys } from './changedKeys.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { REENTRY_MS } from './platformContactWatch.js'
 import { plannedStop } from './plannedStop.js'
@@ -92,6 +94,16 @@
     }
   }
 
+  /** Takes in what may change while the box runs: the addresses of boxes to meet. Answers the names of changed keys that need a restart. */
+  reload (next: Settings): string[] {
+    const { settings, log } = this.#parts
+    const changed = changedKeys(settings, next)
+    settings.membership.seedAddresses = next.membership.seedAddresses
+    const needRestart = changed.filter((key) => key !== 'membership.seedAddresses')
+    log.info(LogEvent.Reloaded, { changed, needRestart })
+    return needRestart
+  }
+
   /** Whether this box is about to stop. */
   get leaving (): boolean {
     return this.#stopping
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -14,6 +14,8 @@
   OrderSent = 'orderSent',
   RecordsTaken = 'recordsTaken',
   HandoffFailed = 'handoffFailed',
+  Reloaded = 'reloaded',
+  ReloadFailed = 'reloadFailed',
   DependencyLost = 'dependencyLost',
   DependencyRegained = 'dependencyRegained',
   EntriesKept = 'entriesKept',
