--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -223,7 +223,7 @@
 }
 
 function createRelay (parts: BoxParts): Relay | undefined {
-  const { clock, random, relayClient, placer, settings, view, declarations, fleet, log, metrics } = parts
+  const { clock, random, relayClient, placer, settings, view, declarations, fleetList, fleet, log, metrics } = parts
   if (!relayClient) return undefined
   return new Relay({
     clock,
@@ -232,6 +232,7 @@
     placer,
     configuration: () => declarations.value,
     fleet: () => fleet.value,
+    fleetRevision: () => fleetList.revision,
     standing: () => view.self,
     boxCount: () => view.takingWork().length,
     ...settings.relay,
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -76,6 +76,7 @@
 
   async #place (attempt: number): Promise<Placement> {
     const { opts, run, caller, decided } = this.#context
+    const askedAtMs = run.elapsedMs
     let outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
     run.throwIfEnded()
     while (!('plan' in outcome)) {
@@ -86,8 +87,20 @@
       outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
       run.throwIfEnded()
     }
-    const { prefillEngine, decodeEngine, startInMs, expectedTtftMs } = outcome.plan
-    decided(LogEvent.RequestPlaced, { attempt, promptTokens: this.#prompt.promptTokens, maxTokens: this.#prompt.maxTokens, expectedTokens: this.#prompt.expectedTokens, prefillEngine, decodeEngine, startInMs, expectedTtftMs: Math.round(expectedTtftMs), atMs: Math.round(run.elapsedMs) })
+    const { plan: { prefillEngine, decodeEngine, expectedTtftMs }, placedBy } = outcome
+    const { promptTokens, maxTokens, expectedTokens } = this.#prompt
+    decided(LogEvent.RequestPlaced, {
+      attempt,
+      promptTokens,
+      maxTokens,
+      expectedTokens,
+      prefillEngine,
+      decodeEngine,
+      scheduler: placedBy,
+      expectedTtftMs: Math.round(expectedTtftMs),
+      waitedMs: Math.round(run.elapsedMs - askedAtMs),
+      atMs: Math.round(run.elapsedMs),
+    })
     return outcome
   }
 
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -141,7 +141,7 @@
 
   #answer (run: RunContext, route: Named<RouteSpec> | undefined, request: RelayedRequest, caller: RelayCaller, times: AnswerTimes): void {
     const { final } = run.record
-    const { log, metrics, configuration } = this.#opts
+    const { log, metrics, configuration, fleetRevision } = this.#opts
     if (final && final.verdict !== Verdict.Finished) {
       if (caller.begun) caller.cut()
       else caller.refuse(final)
@@ -155,6 +155,7 @@
       reason: final?.message,
       retryAfterMs: final?.retryAfterMs,
       revision: configuration().revision,
+      fleetRevision: fleetRevision(),
       durationMs: Math.round(run.elapsedMs),
       firstMs: times.firstMs && Math.round(times.firstMs),
       longestPauseMs: Math.round(times.longestPauseMs),
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -13,6 +13,8 @@
   placer: Placer
   configuration: () => Configuration
   fleet: () => FleetList
+  /** The revision of the list that the fleet comes from. */
+  fleetRevision: () => number
   /** This box's present incarnation. */
   standing: () => { peerAddress: string, incarnation: string }
   /** Boxes that share the retry budget, this one included. */
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -95,7 +95,7 @@
     if (this.refusal) return this.refusal
     const nth = this.asked.length
     const plan = { outcome: PlacementOutcome.Placed as const, prefillEngine: 'p1', prefillAddress: '10.0.0.1:1', decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1`, kvBytes: 1, startInMs: 0, startWithinMs: 300, expectedTtftMs: 100 }
-    return { plan, prefilled: () => {}, release: () => { this.released++ }, progressed: () => {} }
+    return { plan, placedBy: 'test', prefilled: () => {}, release: () => { this.released++ }, progressed: () => {} }
   }
 }
 
@@ -142,6 +142,7 @@
     placer,
     configuration: () => configuration,
     fleet: () => new FleetList([], desk),
+    fleetRevision: () => 1,
     standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16) }),
     boxCount: () => 1,
     retriesPerRequest: 0,
--- a/scheduling/owner-alone/src/ownerAlonePlacer.ts
+++ b/scheduling/owner-alone/src/ownerAlonePlacer.ts
@@ -161,7 +161,7 @@
       startWithinMs: START_WITHIN_MS,
       expectedTtftMs: prefill.load + costMs,
     }
-    return { plan, prefilled: () => {}, release: () => {}, progressed: () => {} }
+    return { plan, placedBy: 'owner alone', prefilled: () => {}, release: () => {}, progressed: () => {} }
   }
 }
 
--- a/scheduling/placer/src/placer.ts
+++ b/scheduling/placer/src/placer.ts
@@ -10,6 +10,8 @@
 /** A plan and the means to give it back. */
 export interface Placement {
   plan: PlacementPlan
+  /** Who placed it: a scheduler's box, or this box alone. */
+  placedBy: string
   /** The prefill has ended: its engine is free for another one. */
   prefilled: () => void
   /** Ends the reservation. Called once on every way out, with a report of a request that finished. */
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -130,6 +130,7 @@
     this.#live.set(key, live)
     return {
       plan,
+      placedBy: scheduler.name,
       prefilled: () => this.#tellPrefilled(live),
       release: (report) => {
         this.#live.delete(key)
