--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -26,6 +26,8 @@
   #ready = false
   #stopping = false
   #callersBeingServed = 0
+  /** Members as the log last told of them. */
+  readonly #membersTold = new Map<string, string>()
 
   constructor (parts: BoxParts) {
     this.#parts = parts
@@ -186,6 +188,15 @@
     for (let waitedMs = 0; this.#callersBeingServed > 0 && waitedMs < patienceMs; waitedMs += 50) await clock.sleep(50)
   }
 
+  /** Members raise their version without changing anything that matters here. */
+  #isNewsOf ({ incarnation, health, leaving }: Member): boolean {
+    const standing = `${health} ${leaving}`
+    if (this.#membersTold.get(incarnation) === standing) return false
+    this.#membersTold.set(incarnation, standing)
+    if (health === MemberHealth.Gone) this.#membersTold.delete(incarnation)
+    return true
+  }
+
   #onMemberChange (member: Member): void {
     const { view, keepers, placer, log, clock, random, owner } = this.#parts
     const isSelf = member.incarnation === view.self.incarnation
@@ -196,7 +207,7 @@
       log.warn(LogEvent.IncarnationRenewed, { incarnation: view.self.incarnation })
       return
     }
-    if (!isSelf) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
+    if (!isSelf && this.#isNewsOf(member)) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
     if (member.health === MemberHealth.Gone) keepers.releaseOwner(member.incarnation)
     this.#reconcile()
     if (placer instanceof SchedulerPlacer) this.#tasks.run(() => placer.adoptByNewSchedulers())
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -137,9 +137,13 @@
   }
 }
 
-/** A few boxes of each availability zone watch the platform for the rest. */
-function isWatcher ({ settings, view }: BoxParts): boolean {
+/** This many probe periods without an answer from most watched members, and a box is on its own. */
+const ALONE_AFTER_PERIODS = 2
+
+/** A few boxes of each availability zone watch the platform for the rest, and those that have lost sight of the others. */
+function isWatcher ({ clock, settings, view, prober }: BoxParts): boolean {
   const { availabilityZone, incarnation } = view.self
+  if (clock.nowMs() - prober.lastMajorityContactMs > ALONE_AFTER_PERIODS * settings.membership.probePeriodMs) return true
   const ofZone = view.takingWork().filter((member) => member.availabilityZone === availabilityZone)
   return rankByRendezvous(`watch|${availabilityZone}`, ofZone, (member) => member.incarnation)
     .slice(0, settings.platform.watchersPerAvailabilityZone)
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -34,6 +34,12 @@
 }
 
 const FIRST_BACKOFF_MS = 200
+/** Revisions that follow each other within this time are pulled from a peer at once. */
+const PULL_DELAY_MS = 100
+/** A watch brings what a peer has heard of within this time, or has stalled. */
+const WATCHER_PULL_DELAY_MS = 400
+/** How often a box looks whether it is to watch the platform itself. */
+const ROLE_CHECK_MS = 500
 /** A watch that ends sooner, without news, did not wait as it was asked to. */
 const SHORTEST_WATCH_MS = 1000
 
@@ -73,24 +79,34 @@
     await this.#tasks.stop()
   }
 
-  /** A peer said which revision it has; gets it from there when it is higher. */
+  /**
+   * A peer said which revision it has; gets it from there when it is higher. Waits
+   * a little first: revisions come in series, and a box that watches the platform
+   * will hear of them from there.
+   */
   async hear (address: string, revision: number): Promise<void> {
-    const { store } = this.#opts
-    const worthPulling = revision > Math.max(store.revision, store.rejected?.revision ?? 0)
-    if (!worthPulling || this.#pulling) return
+    const { clock, isWatcher } = this.#opts
+    if (!this.#isNews(revision) || this.#pulling) return
     this.#pulling = true
-    await this.#pull(address).catch(() => {})
+    await clock.sleep(isWatcher() && this.#reachable ? WATCHER_PULL_DELAY_MS : PULL_DELAY_MS, { signal: this.#tasks.signal })
+    if (this.#isNews(revision) && !this.#tasks.stopped) await this.#pull(address).catch(() => {})
     this.#pulling = false
   }
 
+  #isNews (revision: number): boolean {
+    const { store } = this.#opts
+    return revision > Math.max(store.revision, store.rejected?.revision ?? 0)
+  }
+
   async #follow (): Promise<void> {
     const { clock, random, isWatcher, backstopPollMs, watchWaitMs } = this.#opts
     const signal = this.#tasks.signal
     while (!this.#tasks.stopped) {
-      const watching = isWatcher()
-      if (!watching) await clock.sleep(backstopPollMs * (0.5 + random.nextFloat()), { signal })
+      const untilMs = clock.nowMs() + backstopPollMs * (0.5 + random.nextFloat())
+      // Whoever loses sight of the others becomes a watcher at once.
+      while (!isWatcher() && clock.nowMs() < untilMs && !this.#tasks.stopped) await clock.sleep(ROLE_CHECK_MS, { signal })
       if (this.#tasks.stopped) return
-      await this.#readPlatform(watching ? watchWaitMs : 0).catch(() => this.#backOff())
+      await this.#readPlatform(isWatcher() ? watchWaitMs : 0).catch(() => this.#backOff())
     }
   }
 
--- a/config/store/test/configFollower.ts
+++ b/config/store/test/configFollower.ts
@@ -18,7 +18,7 @@
   }
 }
 
-function createFollower (platform: PlatformReader) {
+function createFollower (platform: PlatformReader, isWatcher = () => true) {
   const clock = new VirtualClock()
   const store = new ConfigStore((entries) => ({ value: entries, problems: [] }))
   const follower = new ConfigFollower({
@@ -28,7 +28,7 @@
     link: {} as PeerLink,
     store,
     collection: Collection.Declarations,
-    isWatcher: () => true,
+    isWatcher,
     watchWaitMs: 20_000,
     backstopPollMs: 10_000,
     peerTimeoutMs: 100,
@@ -49,3 +49,16 @@
   t.is(store.revision, 2)
   await clock.run(follower.stop())
 })
+
+test('a box that has to watch from now on asks the platform at once', async (t) => {
+  const role = { watcher: false }
+  const platform = new ImpatientPlatform()
+  const { clock, follower } = createFollower(platform, () => role.watcher)
+  follower.start()
+  await clock.advance(4000)
+  t.is(platform.reads, 0)
+  role.watcher = true
+  await clock.advance(600)
+  t.true(platform.reads > 0)
+  await clock.run(follower.stop())
+})
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -237,7 +237,7 @@
       const { arrivedAtMs, lateAtMs, returned, handoverMs, request } = waiting
       if (returned || request.patienceMs === undefined || nowMs - arrivedAtMs > EARLY_REFUSAL_MS) return
       const placedAtMs = nowMs + (ahead + 1) * msPerPlace
-      if (placedAtMs + handoverMs > lateAtMs) this.#answer(waiting, this.#refusal(request, 'too many requests wait for the same engines'))
+      if (placedAtMs + handoverMs > lateAtMs) this.#answer(waiting, this.#refusal(request, `${ahead} requests wait before it, and a place becomes free every ${Math.round(msPerPlace)} ms`))
     })
   }
 
