--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -18,6 +18,17 @@
   },
 }
 
+// Parts of libraries that nothing here uses, and that cost each start their reading.
+const unusedParts = {
+  name: 'unused-parts',
+  setup ({ onLoad }) {
+    // Error texts in other languages.
+    onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({ contents: "export { default as en } from './en.js'" }))
+    // Looking for modules in folders, and packing histograms.
+    onLoad({ filter: /node_modules\/(fast-glob|pako)\// }, () => ({ contents: 'module.exports = {}' }))
+  },
+}
+
 // CommonJS libraries inside an ES module need these.
 const COMMONJS_NAMES = `
 import { createRequire as __createRequire } from 'node:module'
@@ -32,7 +43,7 @@
   outdir: join(ROOT, 'target'),
   outExtension: { '.js': '.mjs' },
   splitting: true,
-  plugins: [workspaceSources],
+  plugins: [workspaceSources, unusedParts],
   bundle: true,
   platform: 'node',
   target: 'node20',
