--- a/request/relay/src/index.ts
+++ b/request/relay/src/index.ts
@@ -1,5 +1,6 @@
 export { Relay } from './relay.js'
 export type { RelayOptions } from './relayOptions.js'
 export { RelayCaller } from './relayCaller.js'
-export { UpstreamHealth } from './upstreamHealth.js'
+export { EventProgress } from './eventProgress.js'
+export { UpstreamHealth, UpstreamOutcome } from './upstreamHealth.js'
 export { UpstreamPicker } from './upstreamPicker.js'
--- /dev/null
+++ b/request/relay/test/upstreamHealth.ts
@@ -0,0 +1,42 @@
+import { UpstreamHealth, UpstreamOutcome } from '@reelspan/request.relay'
+import { VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const POOL = ['a', 'b', 'c']
+
+function createHealth () {
+  const clock = new VirtualClock()
+  return { clock, health: new UpstreamHealth({ clock }) }
+}
+
+test('an upstream that cannot be reached is suspected at once, and longer each time', async (t) => {
+  const { clock, health } = createHealth()
+  health.note('a', UpstreamOutcome.Unreachable, POOL)
+  t.true(health.isSuspect('a'))
+  await clock.advance(1000)
+  t.false(health.isSuspect('a'))
+  health.note('a', UpstreamOutcome.Unreachable, POOL)
+  await clock.advance(1500)
+  t.true(health.isSuspect('a'))
+  await clock.advance(500)
+  health.note('a', UpstreamOutcome.Answered, POOL)
+  health.note('a', UpstreamOutcome.Unreachable, POOL)
+  await clock.advance(1000)
+  t.false(health.isSuspect('a'))
+})
+
+test('failures that all upstreams of a pool share are no reason for suspicion', (t) => {
+  const { health } = createHealth()
+  for (let i = 0; i < 60; i++) POOL.forEach((name) => health.note(name, i % 3 === 0 ? UpstreamOutcome.Failed : UpstreamOutcome.Answered, POOL))
+  t.deepEqual(health.suspects(), [])
+})
+
+test('an upstream that fails much more often than the others is suspected', (t) => {
+  const { health } = createHealth()
+  for (let i = 0; i < 10; i++) {
+    health.note('a', UpstreamOutcome.Failed, POOL)
+    health.note('b', UpstreamOutcome.Answered, POOL)
+    health.note('c', i % 5 === 0 ? UpstreamOutcome.Failed : UpstreamOutcome.Answered, POOL)
+  }
+  t.deepEqual(health.suspects(), ['a'])
+})
--- a/telemetry/log/src/bunyanLog.ts
+++ b/telemetry/log/src/bunyanLog.ts
@@ -2,6 +2,8 @@
 import { BoundedLineStream } from './boundedLineStream.js'
 import { Log, type LogEvent, type LogFields } from './log.js'
 
+const STANDARD_OUTPUT = 1
+
 export interface BunyanLogOptions {
   box: string
   level: 'debug' | 'info' | 'warn' | 'error'
@@ -13,7 +15,7 @@
 
   constructor (opts: BunyanLogOptions) {
     super()
-    const lines = new BoundedLineStream({ fileDescriptor: process.stdout.fd, nowMs: () => performance.now() })
+    const lines = new BoundedLineStream({ fileDescriptor: STANDARD_OUTPUT, nowMs: () => performance.now() })
     // All that bunyan asks of a stream is that lines can be written to it.
     const stream = lines as unknown as NodeJS.WritableStream
     this.#logger = bunyan.createLogger({ name: 'reelspan', box: opts.box, level: opts.level, stream })
