--- a/cli/reelspan/src/main.ts
+++ b/cli/reelspan/src/main.ts
@@ -2,6 +2,7 @@
 import { parseSettings, type Settings } from '@reelspan/config.settings'
 import { ReelspanError } from '@reelspan/core.error'
 import { PROTOCOL_VERSION } from '@reelspan/core.messages'
+import { type RunningPlatformBox } from '@reelspan/platform.adapter'
 import meow from 'meow'
 import { type RunningBox } from './startBox.js'
 
@@ -93,9 +94,11 @@
 
 async function servePlatform (file: string): Promise<ExitCode> {
   const { startPlatformBox } = await import('@reelspan/platform.adapter')
-  const running = await startPlatformBox(file)
-  process.on('SIGHUP', () => { void running.reload() })
-  return serveUntilStopped(running)
+  // Without a listener the signal would end the process, also while it starts.
+  const started: { box?: RunningPlatformBox } = {}
+  process.on('SIGHUP', () => { void started.box?.reload() })
+  started.box = await startPlatformBox(file)
+  return serveUntilStopped(started.box)
 }
 
 async function serve (settings: Settings): Promise<ExitCode> {
--- /dev/null
+++ b/cli/reelspan/test/platform.ts
@@ -0,0 +1,75 @@
+import { type ChildProcess, execFile, spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtemp, writeFile } from 'node:fs/promises'
+import { request } from 'node:http'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+import test from 'ava'
+
+const BIN = join(import.meta.dirname, '..', 'bin', 'reelspan.js')
+/** An address of its own, since the metrics port is the same on every machine. */
+const IP = '127.0.0.2'
+
+async function freePort (): Promise<number> {
+  const server = createServer().listen(0, IP)
+  await once(server, 'listening')
+  const { port } = server.address() as { port: number }
+  server.close()
+  await once(server, 'close')
+  return port
+}
+
+async function settingsFile (lines: string[]): Promise<string> {
+  const file = join(await mkdtemp(join(tmpdir(), 'reelspan-test-')), 'settings.conf')
+  await writeFile(file, lines.join('\n'))
+  return file
+}
+
+async function settingsLines (): Promise<{ lines: string[], readyPort: number }> {
+  const [front, readyPort, control, directory, platform] = await Promise.all([freePort(), freePort(), freePort(), freePort(), freePort()])
+  const lines = ['node=b', 'zone=z', `listen.front=${IP}:${front}`, `listen.ready=${IP}:${readyPort}`, `listen.control=${IP}:${control}`, `listen.directory=${IP}:${directory}`, 'port_range=7380,7395', `platform.address=${IP}:${platform}`]
+  return { lines, readyPort }
+}
+
+/** Resolves with the first log line of an event. */
+async function logged (box: ChildProcess, event: string): Promise<void> {
+  for await (const line of createInterface({ input: box.stdout as NodeJS.ReadableStream })) {
+    if (JSON.parse(line).event === event) return
+  }
+  throw new Error(`the process ended without «${event}»`)
+}
+
+function statusOf (port: number): Promise<number | undefined> {
+  return new Promise((resolve, reject) => {
+    request({ host: IP, port, path: '/v1/readiness' }, (response) => resolve(response.resume().statusCode)).on('error', reject).end()
+  })
+}
+
+test('a settings file of the platform is checked, field by field', async (t) => {
+  const { lines } = await settingsLines()
+  const check = async (file: string) => new Promise<{ code: number, out: string, err: string }>((resolve) => {
+    execFile(process.execPath, [BIN, 'check', '--platform'], { env: { ...process.env, REELSPAN_BOOT: file } }, (error, out, err) => resolve({ code: error ? Number(error.code) : 0, out, err }))
+  })
+  const right = await settingsFile(lines)
+  t.like(await check(right), { code: 0, out: `${right}: ok\n` })
+  const wrong = await settingsFile(lines.filter((line) => !line.startsWith('listen.ready')))
+  const { code, err } = await check(wrong)
+  t.is(code, 3)
+  t.true(err.includes(`${wrong}: listen.ready: is missing`))
+})
+
+test('without a platform a box is not ready; SIGHUP does not end it, SIGTERM does', async (t) => {
+  const { lines, readyPort } = await settingsLines()
+  const box = spawn(process.execPath, [BIN, 'serve', '--platform'], { env: { ...process.env, REELSPAN_BOOT: await settingsFile(lines) }, stdio: ['ignore', 'pipe', 'inherit'] })
+  t.teardown(() => box.kill('SIGKILL'))
+  await logged(box, 'started')
+  t.is(await statusOf(readyPort), 503)
+  box.kill('SIGHUP')
+  t.is(await statusOf(readyPort), 503)
+  const ended = once(box, 'exit')
+  box.kill('SIGTERM')
+  const [code] = await ended
+  t.is(code, 0)
+})
