--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -110,14 +110,24 @@
   }
 
   async #carryOut (run: RunContext, route: Named<RouteSpec> | undefined, request: RelayedRequest, caller: RelayCaller, times: AnswerTimes): Promise<void> {
-    const { opts, health, picker } = { opts: this.#opts, health: this.#health, picker: this.#picker }
+    const opts = this.#opts
     if (opts.configuration().revision === 0) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     if (!route) throw new ReelspanError(ErrorCode.NoRoute, `there is no route for ${request.host}${pathOf(request.target)}`)
     if (this.#closed) throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
     const { model, pool } = this.#pickTarget(route.spec)
     const budget = this.#budget(model ?? pool as string)
     budget.countRequest()
-    const context: RelayContext = { opts, run, request, caller, route, budget, health, picker, decided: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, ...fields }) }
+    const context: RelayContext = {
+      opts,
+      run,
+      request,
+      caller,
+      route,
+      budget,
+      health: this.#health,
+      picker: this.#picker,
+      decided: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, ...fields }),
+    }
     if (model === undefined) return new ServiceRelay(context, pool as string).carryOut(times)
     if (!request.prompt) throw new ReelspanError(ErrorCode.BadRequest, 'a request to a model declares the sizes of its prompt')
     return new CompletionRelay(context, model, request.prompt).carryOut(times)
@@ -126,8 +136,9 @@
   #pickTarget ({ targets, model, pool }: RouteSpec): Pick<RouteTarget, 'model' | 'pool'> {
     if (!targets) return { model, pool }
     const total = targets.reduce((sum, { weight }) => sum + weight, 0)
-    let left = this.#opts.random.nextFloat() * total
-    return targets.find(({ weight }) => (left -= weight) < 0) ?? targets[0]
+    const drawn = this.#opts.random.nextFloat() * total
+    const sumUpTo = (last: number) => targets.slice(0, last + 1).reduce((sum, { weight }) => sum + weight, 0)
+    return targets.find((_, i) => drawn < sumUpTo(i)) ?? targets[0]
   }
 
   #budget (pool: string): RetryBudget {
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -97,8 +97,9 @@
     const { run, route, budget, caller } = this.#context
     if (!(thrown instanceof UpstreamError) || caller.begun || attempt >= MAX_TRIES) return false
     if (run.mayHaveRun && route.spec.notRepeatable) return false
-    if (this.#sent >= route.spec.maxAttempts && !(this.#sent === 0)) return false
-    return this.#sent === 0 || budget.takeRetry()
+    // Nothing has reached an upstream yet: what follows is no repetition.
+    if (this.#sent === 0) return true
+    return this.#sent < route.spec.maxAttempts && budget.takeRetry()
   }
 
   #hasOther (upstream: ListedUpstream): boolean {
