fix(request.relay): an engine that has begun to leave is not used, whatever the scheduler chose

The scheduler's box had not heard of it (it hears from peers there), and the owner sent what it was told to without looking at its own list. Change: the owner looks at its own list before the prefill and before the decode; two tests that failed first. The way of the news to the scheduler's box is not traced yet.

--- a/config/fleet/src/fleetList.ts
+++ b/config/fleet/src/fleetList.ts
@@ -5,11 +5,17 @@
   readonly boxes: readonly ListedBox[]
   readonly upstreams: readonly ListedUpstream[]
   readonly #byPool: Map<string, ListedUpstream[]>
+  readonly #byName: Map<string, ListedUpstream>
 
   constructor (boxes: readonly ListedBox[], upstreams: readonly ListedUpstream[]) {
     this.boxes = boxes
     this.upstreams = upstreams
     this.#byPool = groupByPool(upstreams)
+    this.#byName = new Map(upstreams.map((upstream) => [upstream.name, upstream]))
+  }
+
+  upstream (name: string): ListedUpstream | undefined {
+    return this.#byName.get(name)
   }
 
   /** Everything listed in a pool, leaving or not. */
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -140,10 +140,13 @@
       await run.checkBeforeSend()
       // Waking late, the place that was kept for the end of this prefill may be another's by now.
       if (opts.clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the placement was not used in time', { mayHaveRun: false })
+      this.#checkTakesWork(plan.prefillEngine)
+      this.#checkTakesWork(plan.decodeEngine)
       source = await this.#prefill(plan)
       this.#prefillMs = opts.clock.nowMs() - placedAtMs
       placement.prefilled()
       await run.checkBeforeSend()
+      this.#checkTakesWork(plan.decodeEngine)
       await this.#decode(plan, source, placement, times)
       taken = true
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs), times)
@@ -153,6 +156,15 @@
     }
   }
 
+  /** The scheduler may not have heard yet that an engine leaves, or it has begun to since it was chosen. */
+  #checkTakesWork (engine: string): void {
+    const { opts } = this.#context
+    const listed = opts.fleet().upstream(engine)
+    if (listed && !listed.leaving) return
+    this.#failed.add(engine)
+    throw new UpstreamError(`${engine} takes no more work, by revision ${opts.fleetRevision()} of the list`, { mayHaveRun: false, refused: true })
+  }
+
   async #prefill (plan: PlacementPlan): Promise<PrefillSource> {
     const { opts, run, request } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -20,6 +20,7 @@
   readonly #scripts: Script[]
   prefillFailure?: UpstreamError
   prefillIsSilent = false
+  onPrefill?: () => void
 
   constructor (clock: VirtualClock, scripts: Script[]) {
     super()
@@ -36,6 +37,7 @@
 
   async prefill (target: RelayTarget, _request: RelayedRequest, { signal }: RelayCallOptions): Promise<PrefilledPrompt> {
     this.prefills.push(target.instance)
+    this.onPrefill?.()
     if (this.prefillIsSilent) await givenUp(signal)
     if (this.prefillFailure) throw this.prefillFailure
     return { handle: `handle-${this.prefills.length}`, promptTokens: 1000 }
@@ -135,13 +137,14 @@
   const { configuration, problems } = checkResources(DECLARED.map((one) => ({ ...one, revision: 1 })), 1)
   if (problems.length > 0) throw new Error(JSON.stringify(problems))
   const desk = ['s1', 's2', 's3'].map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
+  const engines = ['p1', 'd1', 'd2', 'd3', 'd4'].map((name): ListedUpstream => ({ name, kind: UpstreamKind.Engine, address: '10.0.3.1:1', availabilityZone: 'a', pool: name.startsWith('p') ? 'p' : 'd', leaving: false }))
   const relay = new Relay({
     clock,
     random: new SeededRandom(7),
     upstreams,
     placer,
     configuration: () => configuration,
-    fleet: () => new FleetList([], desk),
+    fleet: () => new FleetList([], [...desk, ...engines]),
     fleetRevision: () => 1,
     standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16) }),
     boxCount: () => 1,
@@ -150,7 +153,7 @@
     log,
     metrics: new Metrics(),
   })
-  return { clock, relay, upstreams, placer, log }
+  return { clock, relay, upstreams, placer, log, engines }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -2,8 +2,13 @@
 import { PlacementOutcome } from '@reelspan/core.messages'
 import { UpstreamError } from '@reelspan/upstream.client'
 import test from 'ava'
+import { type ListedUpstream } from '@reelspan/config.fleet'
 import { answers, breaksOff, createRelay, fails, fallsSilent, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
 
+function leave (engines: readonly ListedUpstream[], name: string): void {
+  engines.filter((engine) => engine.name === name).forEach((engine) => { engine.leaving = true })
+}
+
 test('an answer is passed on whole', async (t) => {
   const { clock, relay } = createRelay([answers(200, 'script')])
   const caller = new RecordingCaller()
@@ -244,3 +249,22 @@
   await clock.run(work)
   t.true(upstreams.runs[0].opts.signal.aborted)
 })
+
+test('an engine that leaves after the request was placed there gets no prompt', async (t) => {
+  const { clock, relay, upstreams, engines } = createRelay([answers(200, 'data: line\n\n')])
+  leave(engines, 'd1')
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(upstreams.prefills.length, 1)
+  t.is(upstreams.runs[0].instance, 'd2')
+  t.true(caller.whole)
+})
+
+test('an engine that leaves while the prompt is read elsewhere does not get the request', async (t) => {
+  const { clock, relay, upstreams, engines } = createRelay([answers(200, 'data: line\n\n')])
+  upstreams.onPrefill = () => { leave(engines, 'd1') }
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(upstreams.runs[0].instance, 'd2')
+  t.deepEqual(upstreams.freed, [{ address: '10.0.0.1:1', handle: 'handle-1' }])
+})
