--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -50,6 +50,7 @@
   #pulling = false
   #backoffMs = FIRST_BACKOFF_MS
   #reachable = true
+  /** When the platform last answered, on this box's clock. */
   #lastAnswerMs: number
 
   constructor (opts: ConfigFollowerOptions) {
@@ -58,11 +59,6 @@
     this.#lastAnswerMs = opts.clock.nowMs()
   }
 
-  /** When the platform last answered, on this box's clock. */
-  get lastAnswerMs (): number {
-    return this.#lastAnswerMs
-  }
-
   /** Asks platform and peers at once and takes the highest revision that answers. */
   async readFirst (peerAddresses: readonly string[]): Promise<void> {
     await Promise.all([
--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -34,10 +34,6 @@
     this.#opts = opts
   }
 
-  get openCount (): number {
-    return this.#open.size
-  }
-
   /** Sends a request once and resolves with its answer's head. Throws `ExchangeError`. */
   async exchange (address: string, request: ExchangeRequest, opts: ExchangeOptions): Promise<ExchangeAnswer> {
     const { signal, accept = () => true, onSend } = opts
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -1,5 +1,6 @@
 import { connect, type Socket } from 'node:net'
 import { AsyncQueue } from '@reelspan/core.env'
+import { splitAddress } from '@reelspan/net.system-env'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { headerValue } from './rawHeaders.js'
@@ -48,8 +49,7 @@
   constructor (opts: UpstreamConnectionOptions) {
     this.address = opts.address
     this.#opts = opts
-    const at = opts.address.lastIndexOf(':')
-    this.#socket = connect({ host: opts.address.slice(0, at), port: Number(opts.address.slice(at + 1)), noDelay: true, allowHalfOpen: true })
+    this.#socket = connect({ ...splitAddress(opts.address), noDelay: true, allowHalfOpen: true })
     this.#parser = new ResponseParser({
       onHead: (head) => this.#takeHead(head),
       onBody: (bytes) => this.#takeBody(bytes),
--- a/net/peer-link/src/wsPeerLink.ts
+++ b/net/peer-link/src/wsPeerLink.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { MessageType, type PeerCallOptions, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
+import { splitAddress } from '@reelspan/net.system-env'
 import { WebSocketServer } from 'ws'
 import { OutgoingConnection } from './outgoingConnection.js'
 import { serveConnection } from './serveConnection.js'
@@ -102,8 +103,3 @@
   if (answer.type !== MessageType.Failed) return answer
   throw new ReelspanError(answer.code, answer.text, { verdict: answer.verdict, retryAfterMs: answer.retryAfterMs })
 }
-
-function splitAddress (address: string): { host: string, port: number } {
-  const at = address.lastIndexOf(':')
-  return { host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }
-}
--- a/net/system-env/src/listenAt.ts
+++ b/net/system-env/src/listenAt.ts
@@ -1,10 +1,10 @@
 import { type Server } from 'node:http'
+import { splitAddress } from './splitAddress.js'
 
 /** Listens at `ip:port`. Resolves once it does. */
 export async function listenAt (server: Server, address: string): Promise<void> {
-  const at = address.lastIndexOf(':')
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen({ host: address.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(address.slice(at + 1)) }, resolve)
+    server.listen(splitAddress(address), resolve)
   })
 }
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -14,7 +14,9 @@
 import { UpstreamHealth } from './upstreamHealth.js'
 import { UpstreamPicker } from './upstreamPicker.js'
 
+/** Longer than a box was seen to take from its start to a configuration. */
 const NOT_READY_RETRY_AFTER_MS = 1000
+/** Another box can take the request at once. */
 const DRAINING_RETRY_AFTER_MS = 100
 /** Part of the retries that the system may make which is planned for; the rest covers boxes that know of fewer others. */
 const BURST_SHARE = 0.8
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -8,6 +8,7 @@
 import { sendToUpstream } from './sendToUpstream.js'
 import { UpstreamOutcome } from './upstreamHealth.js'
 
+/** Upstreams enter themselves again within some seconds; callers have few tries. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000
 /** Connections that could not be opened reach no upstream and do not count as attempts; this bounds them. */
 const MAX_TRIES = 6
--- a/request/relay/src/upstreamHealth.ts
+++ b/request/relay/src/upstreamHealth.ts
@@ -29,6 +29,7 @@
 const FEWEST_OUTCOMES = 4
 /** An upstream fails when it does so this much more often than the best of its pool. Some services fail a tenth of their requests by nature. */
 const FAILURE_MARGIN = 0.3
+/** Doubled each time: a passing fault costs little capacity, a lasting one few requests. */
 const FIRST_SUSPICION_MS = 1000
 const LONGEST_SUSPICION_MS = 8000
 
@@ -60,11 +61,6 @@
     return [...this.#standings.keys()].filter((upstream) => this.isSuspect(upstream))
   }
 
-  /** Forgets upstreams that are listed no more. */
-  keepOnly (listed: ReadonlySet<string>): void {
-    [...this.#standings.keys()].filter((name) => !listed.has(name)).forEach((name) => this.#standings.delete(name))
-  }
-
   /** State for the dump. */
   describe () {
     const nowMs = this.#opts.clock.nowMs()
