fix(config.store): a peer that does not answer does not keep news of others back

Cause: a pull from a peer had no end for a second, and whatever other peers told meanwhile was dropped, until their next heartbeat 0.7 s later. Two such hops exceed the time in which a leaving upstream must be known (3 s). Ruled out by reading: watchers (they adopt at once), heartbeats (sent at once). Change: who told is remembered, the next one is asked after 200 ms, nobody is asked twice at once. Test: fails before (revision 0 after 550 ms), passes after.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -160,7 +160,7 @@
     revisions: () => ({ [Collection.Declarations]: declarations.revision, [Collection.Fleet]: fleetList.revision }),
     inFlight: () => parts.owner.inFlight + (parts.relay?.inFlight ?? 0),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
-      void parts.followers[collection].hear(address, revisions[collection])
+      parts.followers[collection].hear(address, revisions[collection])
     }),
   })
 }
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Random, TaskGroup } from '@reelspan/core.env'
+import { type Clock, type Random, STOPPED, TaskGroup } from '@reelspan/core.env'
 import { type Collection, MessageType, type PeerLink } from '@reelspan/core.messages'
 import { AdoptOutcome, type ConfigStore } from './configStore.js'
 import { type PlatformReader } from './platformReader.js'
@@ -40,6 +40,8 @@
 const WATCHER_PULL_DELAY_MS = 400
 /** How often a box looks whether it is to watch the platform itself. */
 const ROLE_CHECK_MS = 500
+/** A peer that has not answered within this time does not keep others from being asked: many times a usual answer's. */
+const HEDGE_MS = 200
 /** A watch that ends sooner, without news, did not wait as it was asked to. */
 const SHORTEST_WATCH_MS = 1000
 
@@ -47,6 +49,10 @@
 export class ConfigFollower {
   readonly #opts: ConfigFollowerOptions
   readonly #tasks: TaskGroup
+  /** Peers that told of a revision which is not in force here, the newest word last. */
+  readonly #heard = new Map<string, number>()
+  /** Peers that are being asked. */
+  readonly #asking = new Set<string>()
   #pulling = false
   #backoffMs = FIRST_BACKOFF_MS
   #reachable = true
@@ -80,13 +86,38 @@
    * a little first: revisions come in series, and a box that watches the platform
    * will hear of them from there.
    */
-  async hear (address: string, revision: number): Promise<void> {
-    const { clock, isWatcher } = this.#opts
-    if (!this.#isNews(revision) || this.#pulling) return
+  hear (address: string, revision: number): void {
+    if (!this.#isNews(revision)) return
+    this.#heard.delete(address)
+    this.#heard.set(address, revision)
+    if (this.#pulling) return
     this.#pulling = true
-    await clock.sleep(isWatcher() && this.#reachable ? WATCHER_PULL_DELAY_MS : PULL_DELAY_MS, { signal: this.#tasks.signal })
-    if (this.#isNews(revision) && !this.#tasks.stopped) await this.#pull(address).catch(() => {})
-    this.#pulling = false
+    this.#tasks.run(async () => {
+      await this.#pullNews()
+      this.#pulling = false
+    })
+  }
+
+  /** Asks one peer after the other until none is known to have anything newer. */
+  async #pullNews (): Promise<void> {
+    const { clock, isWatcher } = this.#opts
+    const signal = this.#tasks.signal
+    await clock.sleep(isWatcher() && this.#reachable ? WATCHER_PULL_DELAY_MS : PULL_DELAY_MS, { signal })
+    for (let peer = this.#nextTeller(); peer !== undefined && !this.#tasks.stopped; peer = this.#nextTeller()) {
+      const answered = new AbortController()
+      void this.#pull(peer).catch(() => {}).finally(() => answered.abort(STOPPED))
+      await clock.sleep(HEDGE_MS, { signal: AbortSignal.any([answered.signal, signal]) })
+    }
+  }
+
+  /** The peer that told last of something newer, and is not being asked. */
+  #nextTeller (): string | undefined {
+    this.#heard.forEach((revision, address) => {
+      if (!this.#isNews(revision)) this.#heard.delete(address)
+    })
+    const peer = [...this.#heard.keys()].findLast((address) => !this.#asking.has(address))
+    if (peer !== undefined) this.#heard.delete(peer)
+    return peer
   }
 
   #isNews (revision: number): boolean {
@@ -149,8 +180,13 @@
   async #pull (address: string): Promise<void> {
     const { link, collection, store, peerTimeoutMs } = this.#opts
     const since = store.revision
-    const answer = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: since }, { timeoutMs: peerTimeoutMs })
-    if (answer.type === MessageType.ConfigContent) this.#adopt(answer, since)
+    this.#asking.add(address)
+    try {
+      const answer = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: since }, { timeoutMs: peerTimeoutMs })
+      if (answer.type === MessageType.ConfigContent) this.#adopt(answer, since)
+    } finally {
+      this.#asking.delete(address)
+    }
   }
 
   #adopt (content: RevisionedContent, since: number): AdoptOutcome {
--- a/config/store/test/configFollower.ts
+++ b/config/store/test/configFollower.ts
@@ -1,5 +1,5 @@
 import { ConfigFollower, ConfigStore, PlatformReader, type RevisionedContent } from '@reelspan/config.store'
-import { Collection, type PeerLink } from '@reelspan/core.messages'
+import { Collection, MessageType, PeerLink, type PeerMessage } from '@reelspan/core.messages'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
@@ -18,14 +18,14 @@
   }
 }
 
-function createFollower (platform: PlatformReader, isWatcher = () => true) {
+function createFollower (platform: PlatformReader, isWatcher = () => true, link = {} as PeerLink) {
   const clock = new VirtualClock()
   const store = new ConfigStore((entries) => ({ value: entries, problems: [] }))
   const follower = new ConfigFollower({
     clock,
     random: new SeededRandom(1),
     platform,
-    link: {} as PeerLink,
+    link,
     store,
     collection: Collection.Declarations,
     isWatcher,
@@ -62,3 +62,42 @@
   t.true(platform.reads > 0)
   await clock.run(follower.stop())
 })
+
+/** Peers that have revision 7, but for one that never answers. */
+class PeersWithOneSilent extends PeerLink {
+  readonly asked: string[] = []
+  readonly #silent: string
+
+  constructor (silent: string) {
+    super()
+    this.#silent = silent
+  }
+
+  serve (): void {}
+
+  async close (): Promise<void> {}
+
+  async call (address: string): Promise<PeerMessage> {
+    this.asked.push(address)
+    if (address === this.#silent) return new Promise(() => {})
+    return { type: MessageType.ConfigContent, revision: 7, full: true, changes: [] }
+  }
+
+  stream (): AsyncIterable<PeerMessage> {
+    throw new Error('not used')
+  }
+}
+
+test('a peer that does not answer does not keep news of other peers back', async (t) => {
+  const link = new PeersWithOneSilent('10.0.0.1:1')
+  const { clock, store, follower } = createFollower(new ImpatientPlatform(), () => false, link)
+  follower.hear('10.0.0.1:1', 7)
+  await clock.advance(150)
+  follower.hear('10.0.0.2:1', 7)
+  await clock.advance(400)
+  t.is(store.revision, 7)
+  follower.hear('10.0.0.2:1', 7)
+  await clock.advance(1000)
+  t.deepEqual(link.asked, ['10.0.0.1:1', '10.0.0.2:1'], 'nothing is asked for twice')
+  await clock.run(follower.stop())
+})
