feat(scheduling.shards): shards are scheduled by boxes with much room

Change: members tell their room (cores that they have); those with less than half of the most get no shard. Tests: two, the first fails without the change.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -90,6 +90,7 @@
     version: 0,
     health: MemberHealth.Alive,
     leaving: false,
+    room: box.room,
   }
   return new MembershipView({ self, goneMemoryMs: recordLifeMs(requests) })
 }
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -14,6 +14,8 @@
   box: z.strictObject({
     name,
     availabilityZone: name,
+    /** Capacity of the machine against that of other boxes, about the cores that it has. Boxes with more of it do more of the work beside callers' requests. */
+    room: z.number('expected a number').positive('expected more than 0').default(1),
   }),
   listen: z.strictObject({
     callerAddress: address,
--- a/core/messages/src/member.ts
+++ b/core/messages/src/member.ts
@@ -20,6 +20,8 @@
   health: z.enum(MemberHealth),
   /** The member said that it is about to stop. */
   leaving: z.boolean(),
+  /** How much work the box can do beside its callers' requests, against others; about the cores that it has. */
+  room: z.number().positive().optional(),
   /** Who took over the records of a member that stopped as planned. */
   successor: z.object({ peerAddress: z.string(), incarnation: z.string() }).optional(),
 })
--- a/scheduling/shards/src/schedulerOf.ts
+++ b/scheduling/shards/src/schedulerOf.ts
@@ -1,9 +1,23 @@
 import { topByRendezvous } from '@reelspan/core.hashing'
 import { type Member } from '@reelspan/core.messages'
 
-/** The member that accounts for a shard, by this box's view. Members of the shard's own availability zone go first. */
+/** Members with less than this part of the room of the largest are not asked to account for a shard: it costs them more than their callers can bear. */
+const LEAST_ROOM_SHARE = 0.5
+/** Room of members that do not tell theirs. */
+const USUAL_ROOM = 1
+
+/**
+ * The member that accounts for a shard, by this box's view. Members of the shard's
+ * own availability zone go first, and among those the ones with much room.
+ */
 export function schedulerOf (shard: { id: string, availabilityZone?: string }, members: readonly Member[]): Member | undefined {
   const near = members.filter(({ availabilityZone }) => availabilityZone === shard.availabilityZone)
   const candidates = near.length > 0 ? near : members
-  return topByRendezvous(shard.id, candidates, ({ incarnation }) => incarnation)
+  const mostRoom = candidates.reduce((most, member) => Math.max(most, roomOf(member)), 0)
+  const roomy = candidates.filter((member) => roomOf(member) >= LEAST_ROOM_SHARE * mostRoom)
+  return topByRendezvous(shard.id, roomy, ({ incarnation }) => incarnation)
+}
+
+function roomOf ({ room }: Member): number {
+  return room ?? USUAL_ROOM
 }
--- a/scheduling/shards/test/deriveShards.ts
+++ b/scheduling/shards/test/deriveShards.ts
@@ -35,6 +35,22 @@
   t.true(moved <= 12, `${moved} moved`)
 })
 
+function membersWithRooms (rooms: readonly (number | undefined)[]) {
+  return rooms.map((room, i) => ({ name: `box-${i}`, availabilityZone: 'z', peerAddress: `a:${i}`, callerAddress: '', incarnation: `i${i}`, version: 0, health: MemberHealth.Alive, leaving: false, room }))
+}
+
+test('shards are accounted for by boxes with much room', (t) => {
+  const members = membersWithRooms([0.3, 0.3, 0.3, 0.3, 1.3, 0.3, 1.2, 0.3])
+  const chosen = Array.from({ length: 50 }, (_, i) => schedulerOf({ id: `shard-${i}` }, members)?.name)
+  t.deepEqual([...new Set(chosen)].sort(), ['box-4', 'box-6'])
+})
+
+test('boxes that do not tell their room count alike', (t) => {
+  const members = membersWithRooms([undefined, undefined, undefined, 1])
+  const chosen = Array.from({ length: 50 }, (_, i) => schedulerOf({ id: `shard-${i}` }, members)?.name)
+  t.is(new Set(chosen).size, 4)
+})
+
 test('losing a box moves only the shards that it accounted for', (t) => {
   const members = Array.from({ length: 20 }, (_, i) => ({ name: `box-${i}`, availabilityZone: 'z', peerAddress: `a:${i}`, callerAddress: '', incarnation: `i${i}`, version: 0, health: MemberHealth.Alive, leaving: false }))
   const ids = Array.from({ length: 150 }, (_, i) => `shard-${i}`)
