feat(scheduling.scheduler): schedulers learn which engines fail from what owners tell

Cause: owners noted failures of engines with an empty pool, so an engine was suspected when it could not be reached, and never for answers that say it failed; and on 86 boxes each owner sees an engine about once in a minute. Change: each placement's end tells its scheduler how its engines answered. An engine that fails much more often than the best of its pool is used when the others are full; one that was not reached is looked at at once and gets nothing until it reports. UpstreamHealth moves to upstream/health, corrects its share for few outcomes, and forgets upstreams that are listed no more. Ruled out: hard exclusion of engines that fail (a lost answer in ten would take capacity away in bursts).

--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -39,7 +39,7 @@
       case MessageType.Reserve:
         return this.#reserve(message)
       case MessageType.ReleaseReservation:
-        keepers.existing(message.shardId)?.release(message.label, message.report)
+        keepers.existing(message.shardId)?.release(message.label, message.report, message.outcomes)
         return DONE
       case MessageType.PrefillDone:
         keepers.existing(message.shardId)?.prefilled(message.label)
--- a/box/runtime/src/shardKeeper.ts
+++ b/box/runtime/src/shardKeeper.ts
@@ -17,6 +17,8 @@
   onOrder: OrderControllerOptions['onOrder']
 }
 
+/** Engines answer a report within some milliseconds. */
+const CHECK_TIMEOUT_MS = 300
 /** Cache events are asked for at every so many passes. */
 const CACHE_EVENTS_EVERY = 2
 
@@ -27,6 +29,7 @@
   readonly #opts: ShardKeeperOptions
   readonly #tasks: TaskGroup
   readonly #orders: OrderController
+  readonly #checked = new Set<string>()
   readonly #cacheSequences = new Map<string, number>()
   #pass = 0
 
@@ -47,6 +50,18 @@
     await this.#tasks.stop()
   }
 
+  /** Looks whether an engine that was not reached answers this box. One that does not gets no work until it reports again. */
+  async checkReachable (engineName: string): Promise<void> {
+    const { ledger } = this.scheduler
+    const engine = [...ledger.prefillEngines(), ...ledger.decodeEngines()].find(({ name }) => name === engineName)
+    if (!engine || this.#checked.has(engineName)) return
+    this.#checked.add(engineName)
+    const report = await this.#report(engine, CHECK_TIMEOUT_MS)
+    this.#checked.delete(engineName)
+    if (report) this.scheduler.noteReport(engineName, report)
+    else this.scheduler.noteSilent(engineName)
+  }
+
   async #lookAround (): Promise<void> {
     const { ledger } = this.scheduler
     this.#pass++
@@ -55,16 +70,16 @@
   }
 
   async #lookAt (engine: EngineAccount<unknown>): Promise<void> {
-    const report = await this.#report(engine)
+    const report = await this.#report(engine, this.#opts.reportPeriodMs)
     if (!report) return this.scheduler.noteSilent(engine.name)
     this.scheduler.noteReport(engine.name, report)
     this.#tasks.run(() => this.#opts.sweeper.sweep(engine, report.holds))
     if (report.role === EngineRole.Prefill && this.#pass % CACHE_EVENTS_EVERY === 0) await this.#readCacheEvents(engine)
   }
 
-  #report ({ address }: EngineAccount<unknown>): Promise<EngineReport | undefined> {
-    const { engines, reportPeriodMs } = this.#opts
-    return engines.report(address, { timeoutMs: reportPeriodMs, signal: this.#tasks.signal }).catch(() => undefined)
+  #report ({ address }: EngineAccount<unknown>, timeoutMs: number): Promise<EngineReport | undefined> {
+    const { engines } = this.#opts
+    return engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
   }
 
   async #readCacheEvents ({ name, address }: EngineAccount<unknown>): Promise<void> {
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -117,8 +117,11 @@
       route: () => declarations.value.routeOfModel(shard.model)?.spec,
       index: createPrefixIndex(prefixIndex),
       reportLifeMs: reportPeriodMs * REPORT_LIFE_PERIODS,
+      onUnreachable: (engine) => { void keeper.checkReachable(engine) },
+      onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
+      onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
     })
-    return new ShardKeeper({
+    const keeper: ShardKeeper = new ShardKeeper({
       clock,
       engines,
       scheduler,
@@ -131,6 +134,7 @@
         metrics.count('reelspan_orders_total', { outcome })
       },
     })
+    return keeper
   }
 
   #createSweeper (scheduler: ShardScheduler): HoldSweeper {
--- a/core/messages/src/index.ts
+++ b/core/messages/src/index.ts
@@ -8,6 +8,8 @@
 export type { PeerMessage, MessageOf } from './peerMessage.js'
 export { PeerLink, PeerLinkError } from './peerLink.js'
 export type { PeerHandler, PeerCallOptions } from './peerLink.js'
+export { engineOutcomeSchema, UpstreamOutcome } from './upstreamOutcome.js'
+export type { EngineOutcome } from './upstreamOutcome.js'
 export { requestSchema, RequestKind } from './request.js'
 export type { RoutedRequest, CompletionRequest, ServiceRequest } from './request.js'
 export { reserveRequestSchema, placementPlanSchema, PlacementOutcome } from './placement.js'
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -5,6 +5,7 @@
 import { memberSchema } from './member.js'
 import { placementAnswerSchema, placementPlanSchema, placementReportSchema, reserveRequestSchema } from './placement.js'
 import { requestSchema } from './request.js'
+import { engineOutcomeSchema } from './upstreamOutcome.js'
 
 /**
  * Version of the messages between boxes. Fields are only added, as optional
@@ -99,6 +100,8 @@
     label: holdLabelSchema,
     /** Absent when the request did not finish. */
     report: placementReportSchema.optional(),
+    /** How the calls to its engines ended. */
+    outcomes: z.array(engineOutcomeSchema).optional(),
   }),
   message(MessageType.PrefillDone, { shardId: z.string(), label: holdLabelSchema }),
   message(MessageType.AdoptReservations, {
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -1,6 +1,6 @@
 import { hash32 } from '@reelspan/core.hashing'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
-import { type HoldLabel, type PlacementPlan, type PlacementRefusal, type PlacementReport } from '@reelspan/core.messages'
+import { type EngineOutcome, type HoldLabel, type PlacementPlan, type PlacementRefusal, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
 import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
@@ -12,7 +12,6 @@
 import { type RelayContext } from './relayContext.js'
 import { sendToUpstream } from './sendToUpstream.js'
 import { SilenceWatch } from './silenceWatch.js'
-import { UpstreamOutcome } from './upstreamHealth.js'
 
 /** Placements tried for one request, however many of them reached an engine. */
 const MAX_TRIES = 4
@@ -39,6 +38,8 @@
   readonly #prompt: PromptSizes
   readonly #failed = new Set<string>()
   readonly #progress = new EventProgress()
+  /** How the engines of the present placement answered. */
+  #outcomes: EngineOutcome[] = []
   #decodesSent = 0
   #prefillMs = 0
 
@@ -135,6 +136,7 @@
     let report: PlacementReport | undefined
     let source: PrefillSource | undefined
     let taken = false
+    this.#outcomes = []
     try {
       await opts.clock.sleep(plan.startInMs, { signal: run.signal })
       await run.checkBeforeSend()
@@ -151,7 +153,7 @@
       taken = true
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs), times)
     } finally {
-      placement.release(report)
+      placement.release(report, this.#outcomes)
       if (source && !taken) this.#free(source)
     }
   }
@@ -171,6 +173,7 @@
     const patienceMs = PREFILL_PATIENCE_MS + PREFILL_PATIENCE * plan.expectedTtftMs
     const { handle } = await this.#blame(plan.prefillEngine, () => this.#unlessSilent(patienceMs, ({ signal }) =>
       opts.upstreams.prefill(target, request, { signal, deadlineMs: run.leftMs })))
+    this.#note(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
   }
 
@@ -229,13 +232,16 @@
     } catch (thrown) {
       if (thrown instanceof UpstreamError && !this.#context.run.signal.aborted) {
         this.#failed.add(engine)
-        if (!thrown.refused) this.#note(engine, thrown.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed)
+        // An engine that refuses is not broken, but a bad choice, which its scheduler learns from.
+        if (thrown.refused) this.#outcomes.push({ engine, outcome: UpstreamOutcome.Failed })
+        else this.#note(engine, thrown.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed)
       }
       throw thrown
     }
   }
 
   #note (engine: string, outcome: UpstreamOutcome): void {
+    this.#outcomes.push({ engine, outcome })
     this.#context.health.note(engine, outcome, [])
   }
 
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -5,13 +5,13 @@
 import { RequestRecord } from '@reelspan/request.records'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type RelayedRequest } from '@reelspan/upstream.client'
+import { UpstreamHealth } from '@reelspan/upstream.health'
 import { CompletionRelay } from './completionRelay.js'
 import { type AnswerTimes } from './passAnswer.js'
 import { type RelayCaller } from './relayCaller.js'
 import { type RelayContext } from './relayContext.js'
 import { type RelayOptions } from './relayOptions.js'
 import { ServiceRelay } from './serviceRelay.js'
-import { UpstreamHealth } from './upstreamHealth.js'
 import { UpstreamPicker } from './upstreamPicker.js'
 
 /** Longer than a box was seen to take from its start to a configuration. */
@@ -30,6 +30,7 @@
   readonly #budgets = new Map<string, RetryBudget>()
   readonly #ended = new Notifier()
   readonly #running = new Map<string, RunContext>()
+  #fleetRevision = 0
   #sequence = 0
   #closed = false
 
@@ -116,6 +117,7 @@
     if (opts.configuration().revision === 0) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     if (!route) throw new ReelspanError(ErrorCode.NoRoute, `there is no route for ${request.host}${pathOf(request.target)}`)
     if (this.#closed) throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
+    this.#forgetUnlisted()
     const { model, pool } = this.#pickTarget(route.spec)
     const budget = this.#budget(model ?? pool as string)
     budget.countRequest()
@@ -135,6 +137,14 @@
     return new CompletionRelay(context, model, request.prompt).carryOut(times)
   }
 
+  /** What was seen of upstreams that are gone is of no use any more. */
+  #forgetUnlisted (): void {
+    const { fleet, fleetRevision } = this.#opts
+    if (this.#fleetRevision === fleetRevision()) return
+    this.#fleetRevision = fleetRevision()
+    this.#health.retain(new Set(fleet().upstreams.map(({ name }) => name)))
+  }
+
   #pickTarget ({ targets, model, pool }: RouteSpec): Pick<RouteTarget, 'model' | 'pool'> {
     if (!targets) return { model, pool }
     const total = targets.reduce((sum, { weight }) => sum + weight, 0)
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -2,9 +2,9 @@
 import { type RetryBudget, type RunContext } from '@reelspan/request.owner'
 import { type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { type RelayedRequest } from '@reelspan/upstream.client'
+import { type UpstreamHealth } from '@reelspan/upstream.health'
 import { type RelayCaller } from './relayCaller.js'
 import { type RelayOptions } from './relayOptions.js'
-import { type UpstreamHealth } from './upstreamHealth.js'
 import { type UpstreamPicker } from './upstreamPicker.js'
 
 /** What one relayed request works with. */
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -1,12 +1,12 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { UpstreamOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
 import { type AnswerTimes, passAnswer } from './passAnswer.js'
 import { dropAnswer } from './dropAnswer.js'
 import { type RelayContext } from './relayContext.js'
 import { sendToUpstream } from './sendToUpstream.js'
-import { UpstreamOutcome } from './upstreamHealth.js'
 
 /** Upstreams enter themselves again within some seconds; callers have few tries. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000
--- a/request/relay/src/upstreamPicker.ts
+++ b/request/relay/src/upstreamPicker.ts
@@ -1,6 +1,6 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
 import { type Random } from '@reelspan/core.env'
-import { type UpstreamHealth } from './upstreamHealth.js'
+import { type UpstreamHealth } from '@reelspan/upstream.health'
 
 export interface UpstreamPickerOptions {
   random: Random
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -1,6 +1,6 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, ResourceKind } from '@reelspan/config.resources'
-import { type FinalAnswer, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
+import { type EngineOutcome, type FinalAnswer, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
 import { Relay, RelayCaller } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
@@ -90,6 +90,7 @@
 class FixedPlacer extends Placer {
   readonly asked: PlaceRequest[] = []
   released = 0
+  readonly outcomes: EngineOutcome[] = []
   refusal?: PlacementRefusal
 
   async place (request: PlaceRequest): Promise<Placement | PlacementRefusal> {
@@ -97,7 +98,16 @@
     if (this.refusal) return this.refusal
     const nth = this.asked.length
     const plan = { outcome: PlacementOutcome.Placed as const, prefillEngine: 'p1', prefillAddress: '10.0.0.1:1', decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1`, kvBytes: 1, startInMs: 0, startWithinMs: 300, expectedTtftMs: 100 }
-    return { plan, placedBy: 'test', prefilled: () => {}, release: () => { this.released++ }, progressed: () => {} }
+    return {
+      plan,
+      placedBy: 'test',
+      prefilled: () => {},
+      release: (_report, outcomes) => {
+        this.released++
+        this.outcomes.push(...outcomes ?? [])
+      },
+      progressed: () => {}
+    }
   }
 }
 
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -1,5 +1,5 @@
 import { ErrorCode, Verdict } from '@reelspan/core.error'
-import { PlacementOutcome } from '@reelspan/core.messages'
+import { PlacementOutcome, UpstreamOutcome } from '@reelspan/core.messages'
 import { UpstreamError } from '@reelspan/upstream.client'
 import test from 'ava'
 import { type ListedUpstream } from '@reelspan/config.fleet'
@@ -125,6 +125,17 @@
   t.is(upstreams.runs.length, 0)
 })
 
+test('the scheduler is told how the engines of a placement answered', async (t) => {
+  const { clock, relay, placer } = createRelay([fails({ mayHaveRun: true }), answers(200, 'data: line')])
+  await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  t.deepEqual(placer.outcomes, [
+    { engine: 'p1', outcome: UpstreamOutcome.Answered },
+    { engine: 'd1', outcome: UpstreamOutcome.Failed },
+    { engine: 'p1', outcome: UpstreamOutcome.Answered },
+    { engine: 'd2', outcome: UpstreamOutcome.Answered },
+  ])
+})
+
 test('a completion is placed, prefilled and decoded where it was placed', async (t) => {
   const { clock, relay, upstreams, placer } = createRelay([answers(200, 'data: line')])
   const caller = new RecordingCaller()
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -79,6 +79,12 @@
     return this.#decodeList
   }
 
+  /** Names of all engines that do the same work as the given one, itself included; none when it is not of the shard. */
+  poolOf (engineName: string): string[] {
+    const pool = [this.#prefill, this.#decode].find((accounts) => accounts.has(engineName))
+    return pool ? [...pool.keys()] : []
+  }
+
   /** The version of the shard's model that an engine serves now, or nothing when it takes no new work. */
   servedVersion (engine: EngineAccount<unknown>, nowMs: number): string | undefined {
     const { report } = engine
--- a/scheduling/placer/src/placer.ts
+++ b/scheduling/placer/src/placer.ts
@@ -1,4 +1,4 @@
-import { type PlacementPlan, type PlacementReport, type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
+import { type EngineOutcome, type PlacementPlan, type PlacementReport, type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
 
 /** A request to be placed. The placer finds the shard. */
 export type PlaceRequest = Omit<ReserveRequest, 'shardId'> & { model: string }
@@ -14,8 +14,8 @@
   placedBy: string
   /** The prefill has ended: its engine is free for another one. */
   prefilled: () => void
-  /** Ends the reservation. Called once on every way out, with a report of a request that finished. */
-  release: (report?: PlacementReport) => void
+  /** Ends the reservation. Called once on every way out, with how its engines answered and a report of a request that finished. */
+  release: (report?: PlacementReport, outcomes?: readonly EngineOutcome[]) => void
   /** The decode stream runs: `tokensDone` tokens were received so far. */
   progressed: (tokensDone: number) => void
 }
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { rankByRendezvous } from '@reelspan/core.hashing'
-import { type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
+import { type EngineOutcome, type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
 import { type Placement, type PlaceOptions, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type AdoptedReservation, type ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { schedulerOf, type Shard } from '@reelspan/scheduling.shards'
@@ -132,9 +132,9 @@
       plan,
       placedBy: scheduler.name,
       prefilled: () => this.#tellPrefilled(live),
-      release: (report) => {
+      release: (report, outcomes) => {
         this.#live.delete(key)
-        this.#release(live.scheduler, request, report)
+        this.#release(live.scheduler, request, report, outcomes)
       },
       progressed: (tokensDone) => { live.tokensDone = tokensDone },
     }
@@ -147,11 +147,11 @@
   }
 
   /** Not waited for: a reservation that is not given back lapses by itself. */
-  #release (scheduler: Member, request: { shardId: string, label: HoldLabel }, report?: PlacementReport): void {
+  #release (scheduler: Member, request: { shardId: string, label: HoldLabel }, report?: PlacementReport, outcomes: readonly EngineOutcome[] = []): void {
     const { link, localScheduler, selfIncarnation } = this.#opts
     const { shardId, label } = request
-    if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.release(label, report)
-    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, report }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+    if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.release(label, report, outcomes)
+    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, report, outcomes: [...outcomes] }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
   }
 
   async #sendAdoption (shardId: string, moved: { live: LivePlacement, scheduler: Member }[]): Promise<void> {
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -12,6 +12,8 @@
   placesLimit: PlacesLimit
   /** The route of the shard's model. */
   route: () => RouteSpec | undefined
+  /** Engines that fail of late. */
+  isSuspect: (engine: string) => boolean
 }
 
 /** A prefill engine that takes work, as of one moment. */
@@ -41,6 +43,8 @@
 const MAX_FITS_TRIED = 3
 /** Prefill work that an engine gets done while a request can wait, about. */
 const WORK_IN_SIGHT_MS = 150
+/** A prefill that fails costs about this much time until it is made again elsewhere. */
+const SUSPECT_PENALTY_MS = 300
 const LEAST_PRESSURE = 0.3
 const MOST_PRESSURE = 2
 
@@ -51,13 +55,15 @@
   readonly #shares: ClientShares
   readonly #placesLimit: PlacesLimit
   readonly #route: () => RouteSpec | undefined
+  readonly #isSuspect: (engine: string) => boolean
 
-  constructor ({ ledger, estimator, shares, placesLimit, route }: PlacementChooserOptions) {
+  constructor ({ ledger, estimator, shares, placesLimit, route, isSuspect }: PlacementChooserOptions) {
     this.#ledger = ledger
     this.#estimator = estimator
     this.#shares = shares
     this.#placesLimit = placesLimit
     this.#route = route
+    this.#isSuspect = isSuspect
   }
 
   /** The prefill engines that take work and whose version some decode engine serves too, and when each can begin another prefill. */
@@ -108,7 +114,7 @@
     engines.forEach((ready) => {
       const costMs = this.costMs(waiting, ready, nowMs)
       const endMs = ready.freeAtMs + costMs
-      const score = endMs + pressure * costMs
+      const score = endMs + pressure * costMs + (this.#isSuspect(ready.engine.name) ? SUSPECT_PENALTY_MS : 0)
       if (score >= bestScore || endMs + handoverMs > uselessAtMs || (avoid.length > 0 && avoid.includes(ready.engine.name))) return
       best = ready
       bestScore = score
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -30,6 +30,14 @@
   nowMs: number
 }
 
+export interface PlacementEstimatorOptions {
+  ledger: ShardLedger
+  index: PrefixIndex
+  lengths: AnswerLengths
+  /** Engines that fail of late. */
+  isSuspect: (engine: string) => boolean
+}
+
 /** Steps may take this much longer than declared before a place is counted as free too early. */
 const STEP_SLACK = 1.15
 /** A request joins the batch in the middle of a step, on average, and gets its first token at the end of the next. */
@@ -39,13 +47,14 @@
 export class PlacementEstimator {
   readonly #ledger: ShardLedger
   readonly #index: PrefixIndex
-
   readonly #lengths: AnswerLengths
+  readonly #isSuspect: (engine: string) => boolean
 
-  constructor (ledger: ShardLedger, index: PrefixIndex, lengths: AnswerLengths) {
+  constructor ({ ledger, index, lengths, isSuspect }: PlacementEstimatorOptions) {
     this.#ledger = ledger
     this.#index = index
     this.#lengths = lengths
+    this.#isSuspect = isSuspect
   }
 
   /** Places of a decode engine that this route may use and that keep the time between tokens within the target. */
@@ -67,7 +76,7 @@
     return shard.spec.prefillLatencyMs + transferMs(shard, request.promptTokens) + shard.spec.decodeStepBaseMs
   }
 
-  /** Completes an estimate with the decode engine that has most room when the prefill ends, if one has any. */
+  /** Completes an estimate with the decode engine that has most room when the prefill ends, if one has any. Those that fail of late come last. */
   estimateDecode (request: ReserveRequest, part: PrefillEstimate, { usablePlaces, objective, nowMs }: DecodeOptions): PlacementEstimate | undefined {
     const { shard } = this.#ledger
     const { spec, decodePool } = shard
@@ -78,8 +87,10 @@
     const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && !request.avoid.includes(decode.name))
     // A place that is free only by the time the prefill ends may still be lost to a fault: some routes do not bet on it.
     const betsOnEnds = objective !== RouteObjective.WastedPrefill
-    const roomiest = findRoomiest(engines, kvBytes, ({ account }) => account.freeNow(capacity)) ??
-      (betsOnEnds ? findRoomiest(engines, kvBytes, ({ account }) => account.freeAt(part.endMs, capacity)) : undefined)
+    const roomiestOf = (candidates: readonly EngineAccount<DecodeAccount>[]) =>
+      findRoomiest(candidates, kvBytes, ({ account }) => account.freeNow(capacity)) ??
+      (betsOnEnds ? findRoomiest(candidates, kvBytes, ({ account }) => account.freeAt(part.endMs, capacity)) : undefined)
+    const roomiest = roomiestOf(engines.filter(({ name }) => !this.#isSuspect(name))) ?? roomiestOf(engines)
     if (!roomiest) return undefined
     const { decode, free } = roomiest
     const linkFreeMs = Math.max(part.endMs + spec.prefillLatencyMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,10 +1,11 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type Clock, STOPPED, TaskGroup } from '@reelspan/core.env'
-import { type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
+import { type EngineOutcome, type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
 import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
+import { UpstreamHealth } from '@reelspan/upstream.health'
 import { AnswerLengths } from './answerLengths.js'
 import { ClientShares } from './clientShares.js'
 import { HANDOUT_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
@@ -22,6 +23,11 @@
   route: () => RouteSpec | undefined
   index: PrefixIndex
   reportLifeMs: number
+  /** An owner did not reach an engine: it is time to look whether it lives. */
+  onUnreachable?: (engine: string) => void
+  /** An engine is left aside for a while, since owners say that it fails. */
+  onSuspected?: (engine: string, forMs: number, failureShare: number) => void
+  onTrusted?: (engine: string) => void
 }
 
 export type AdoptedReservation = MessageOf<MessageType.AdoptReservations>['reservations'][number]
@@ -55,14 +61,17 @@
   readonly #chooser: PlacementChooser
   readonly #calendar = new ReturnCalendar({ share: RETURN_SHARE, minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
   readonly #waiting = new WaitingQueue()
+  readonly #health: UpstreamHealth
   #wake?: AbortController
 
   constructor (opts: ShardSchedulerOptions) {
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { reportLifeMs: opts.reportLifeMs })
-    this.#estimator = new PlacementEstimator(this.ledger, opts.index, this.#lengths)
+    this.#health = new UpstreamHealth(opts)
+    const isSuspect = (engine: string) => this.#health.isSuspect(engine)
+    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths: this.#lengths, isSuspect })
     this.#placesLimit = new PlacesLimit(opts.shard.decodePool.placesPerEngine)
-    this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit: this.#placesLimit, route: opts.route })
+    this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit: this.#placesLimit, route: opts.route, isSuspect })
     this.#tasks = new TaskGroup(opts.clock)
   }
 
@@ -73,6 +82,7 @@
 
   update (shard: Shard): void {
     this.ledger.update(shard)
+    this.#health.retain(new Set([...this.ledger.prefillEngines(), ...this.ledger.decodeEngines()].map(({ name }) => name)))
     this.#waiting.all().forEach((waiting) => { waiting.costsMs = [] })
     this.#pump()
   }
@@ -96,8 +106,9 @@
   }
 
   /** The request is over, or its caller has gone. */
-  release (label: HoldLabel, report?: PlacementReport): void {
+  release (label: HoldLabel, report?: PlacementReport, outcomes: readonly EngineOutcome[] = []): void {
     this.#waiting.withdraw(label)
+    outcomes.forEach(({ engine, outcome }) => this.#noteOutcome(engine, outcome))
     const entry = this.ledger.release(label)
     if (entry && report) this.#learn(entry, report)
     this.#pump()
@@ -166,6 +177,7 @@
       placesLimit: this.#placesLimit.places,
       usualAnswerShare: Number(this.#lengths.usualShare.toFixed(2)),
       prefixEntries: this.#opts.index.size,
+      suspects: this.#health.suspects(),
       prefill: this.ledger.prefillEngines().map((engine) => ({
         name: engine.name,
         servedVersion: this.ledger.servedVersion(engine, nowMs),
@@ -188,6 +200,14 @@
     }
   }
 
+  /** Owners see few answers of each engine; here they come together. */
+  #noteOutcome (engine: string, outcome: UpstreamOutcome): void {
+    const pool = this.ledger.poolOf(engine)
+    if (pool.length === 0) return
+    this.#health.note(engine, outcome, pool)
+    if (outcome === UpstreamOutcome.Unreachable) this.#opts.onUnreachable?.(engine)
+  }
+
   #learn (entry: LedgerEntry, report: PlacementReport): void {
     this.#ttftError.learn(report.ttftErrorMs)
     this.#lengths.learn(report.completionTokens, entry.maxTokens)
--- a/scheduling/scheduler/test/__utils__/createShard.ts
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -13,13 +13,14 @@
   decode?: number
   places?: number
   route?: Partial<RouteSpec>
+  onUnreachable?: (engine: string) => void
 }
 
 /** A scheduler of a small shard whose engines have reported. 1,000 uncached tokens take 130 ms. */
-export function createShard ({ prefill = 2, decode = 2, places = 20, route }: TestShardOptions = {}) {
+export function createShard ({ prefill = 2, decode = 2, places = 20, route, onUnreachable }: TestShardOptions = {}) {
   const clock = new VirtualClock()
   const shard = shardOf(prefill, decode, places)
-  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000 })
+  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000, onUnreachable })
   shard.prefillEngines.forEach(({ name }) => scheduler.noteReport(name, reportOf(EngineRole.Prefill)))
   shard.decodeEngines.forEach(({ name }) => scheduler.noteReport(name, reportOf(EngineRole.Decode)))
   return { clock, scheduler, shard }
--- a/scheduling/scheduler/test/shardScheduler.ts
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -1,5 +1,5 @@
 import { RouteObjective } from '@reelspan/config.resources'
-import { type PlacementAnswer, PlacementOutcome } from '@reelspan/core.messages'
+import { type PlacementAnswer, PlacementOutcome, UpstreamOutcome } from '@reelspan/core.messages'
 import { EngineRole, HoldKind } from '@reelspan/upstream.client'
 import test from 'ava'
 import { createShard, reportOf, requestOf, sharedPrefix } from './__utils__/createShard.js'
@@ -31,6 +31,31 @@
   t.true(clock.nowMs() - startedAtMs <= 390)
 })
 
+test('a decode engine that fails more than the others gets work only when they are full', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 4, decode: 2, places: 3 })
+  const failing = { engine: 'd-1', outcome: UpstreamOutcome.Failed }
+  const answering = { engine: 'd-2', outcome: UpstreamOutcome.Answered }
+  for (let i = 0; i < 4; i++) scheduler.release(requestOf().label, undefined, [failing, answering])
+  const answers = await clock.run(Promise.all(Array.from({ length: 4 }, () => scheduler.reserve(requestOf()))))
+  t.deepEqual(answers.map((answer) => answer.outcome === PlacementOutcome.Placed && answer.decodeEngine), ['d-2', 'd-2', 'd-2', 'd-1'])
+})
+
+test('a prefill engine that fails more than the others is used when they are busy', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 2, decode: 2 })
+  const failing = { engine: 'p-1', outcome: UpstreamOutcome.Failed }
+  for (let i = 0; i < 4; i++) scheduler.release(requestOf().label, undefined, [failing])
+  const answers = await clock.run(Promise.all([requestOf({ promptTokens: 200 }), requestOf({ promptTokens: 200 }), requestOf({ promptTokens: 2000 })].map((request) => scheduler.reserve(request))))
+  t.is(prefillOf(answers[0]), 'p-2')
+  t.true(placedCount(answers) === 3)
+})
+
+test('an engine that an owner did not reach is to be looked at', (t) => {
+  const doubted: string[] = []
+  const { scheduler } = createShard({ onUnreachable: (engine) => doubted.push(engine) })
+  scheduler.release(requestOf().label, undefined, [{ engine: 'p-1', outcome: UpstreamOutcome.Unreachable }, { engine: 'd-1', outcome: UpstreamOutcome.Answered }, { engine: 'unknown', outcome: UpstreamOutcome.Unreachable }])
+  t.deepEqual(doubted, ['p-1'])
+})
+
 test('no prefill starts without a decode place', async (t) => {
   const { clock, scheduler } = createShard({ prefill: 4, decode: 1, places: 2 })
   const answers = await clock.run(Promise.all(Array.from({ length: 6 }, () => scheduler.reserve(requestOf()))))
--- /dev/null
+++ b/upstream/health/src/index.ts
@@ -0,0 +1,2 @@
+export { UpstreamHealth } from './upstreamHealth.js'
+export type { UpstreamHealthOptions } from './upstreamHealth.js'
--- a/request/relay/src/upstreamHealth.ts
+++ b/upstream/health/src/upstreamHealth.ts
@@ -1,13 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
-
-/** How a request that was sent to an upstream ended there. */
-export enum UpstreamOutcome {
-  Answered = 'answered',
-  /** An answer that says that the upstream failed, or one that broke off. */
-  Failed = 'failed',
-  /** No connection, or silence. */
-  Unreachable = 'unreachable',
-}
+import { UpstreamOutcome } from '@reelspan/core.messages'
 
 export interface UpstreamHealthOptions {
   clock: Clock
@@ -16,8 +8,10 @@
 }
 
 interface Standing {
-  /** Share of failures among late outcomes. */
-  failureShare: number
+  /** Weighted sum of late failures. */
+  failures: number
+  /** The same sum if each outcome had been a failure. */
+  weight: number
   outcomes: number
   suspectUntilMs: number
   suspectForMs: number
@@ -33,7 +27,7 @@
 const FIRST_SUSPICION_MS = 1000
 const LONGEST_SUSPICION_MS = 8000
 
-/** What this box has seen of upstreams' failures of late. Suspicion is a reason to go elsewhere, not a proof. */
+/** What was seen of upstreams' failures of late. Suspicion is a reason to go elsewhere, not a proof. */
 export class UpstreamHealth {
   readonly #opts: UpstreamHealthOptions
   readonly #standings = new Map<string, Standing>()
@@ -45,7 +39,8 @@
   note (upstream: string, outcome: UpstreamOutcome, pool: readonly string[]): void {
     const standing = this.#standing(upstream)
     const failed = outcome === UpstreamOutcome.Answered ? 0 : 1
-    standing.failureShare += SMOOTHING * (failed - standing.failureShare)
+    standing.failures += SMOOTHING * (failed - standing.failures)
+    standing.weight += SMOOTHING * (1 - standing.weight)
     standing.outcomes++
     if (outcome === UpstreamOutcome.Answered) this.#trust(upstream, standing)
     else if (outcome === UpstreamOutcome.Unreachable || this.#failsMore(upstream, standing, pool)) this.#suspect(upstream, standing)
@@ -61,19 +56,24 @@
     return [...this.#standings.keys()].filter((upstream) => this.isSuspect(upstream))
   }
 
+  /** Forgets upstreams that are listed no more. */
+  retain (listed: ReadonlySet<string>): void {
+    [...this.#standings.keys()].filter((upstream) => !listed.has(upstream)).forEach((upstream) => this.#standings.delete(upstream))
+  }
+
   /** State for the dump. */
   describe () {
     const nowMs = this.#opts.clock.nowMs()
-    return [...this.#standings].map(([upstream, { failureShare, suspectUntilMs }]) => ({
+    return [...this.#standings].map(([upstream, standing]) => ({
       upstream,
-      failureShare: Number(failureShare.toFixed(2)),
-      suspectForMs: Math.max(0, Math.round(suspectUntilMs - nowMs)),
+      failureShare: Number(failureShare(standing).toFixed(2)),
+      suspectForMs: Math.max(0, Math.round(standing.suspectUntilMs - nowMs)),
     }))
   }
 
-  #failsMore (upstream: string, { failureShare, outcomes }: Standing, pool: readonly string[]): boolean {
-    const others = pool.filter((name) => name !== upstream).map((name) => this.#standings.get(name)?.failureShare ?? 0)
-    return outcomes >= FEWEST_OUTCOMES && failureShare > FAILURE_MARGIN + Math.min(...others, 1)
+  #failsMore (upstream: string, standing: Standing, pool: readonly string[]): boolean {
+    const others = pool.filter((name) => name !== upstream).map((name) => failureShare(this.#standings.get(name)))
+    return standing.outcomes >= FEWEST_OUTCOMES && failureShare(standing) > FAILURE_MARGIN + Math.min(...others, 1)
   }
 
   #suspect (upstream: string, standing: Standing): void {
@@ -81,7 +81,7 @@
     if (standing.suspectUntilMs > nowMs) return
     standing.suspectForMs = Math.min(LONGEST_SUSPICION_MS, Math.max(FIRST_SUSPICION_MS, 2 * standing.suspectForMs))
     standing.suspectUntilMs = nowMs + standing.suspectForMs
-    this.#opts.onSuspected?.(upstream, standing.suspectForMs, standing.failureShare)
+    this.#opts.onSuspected?.(upstream, standing.suspectForMs, failureShare(standing))
   }
 
   #trust (upstream: string, standing: Standing): void {
@@ -93,8 +93,13 @@
   #standing (upstream: string): Standing {
     const known = this.#standings.get(upstream)
     if (known) return known
-    const standing = { failureShare: 0, outcomes: 0, suspectUntilMs: 0, suspectForMs: 0 }
+    const standing = { failures: 0, weight: 0, outcomes: 0, suspectUntilMs: 0, suspectForMs: 0 }
     this.#standings.set(upstream, standing)
     return standing
   }
 }
+
+/** Part of late outcomes that were failures, as if one more had been none: the first ones prove little. */
+function failureShare (standing?: Standing): number {
+  return standing ? standing.failures / (standing.weight + SMOOTHING) : 0
+}
--- a/request/relay/test/upstreamHealth.ts
+++ b/upstream/health/test/upstreamHealth.ts
@@ -1,4 +1,5 @@
-import { UpstreamHealth, UpstreamOutcome } from '@reelspan/request.relay'
+import { UpstreamOutcome } from '@reelspan/core.messages'
+import { UpstreamHealth } from '@reelspan/upstream.health'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
@@ -40,3 +41,17 @@
   }
   t.deepEqual(health.suspects(), ['a'])
 })
+
+test('a few failures in a row suffice where the others have none', (t) => {
+  const { health } = createHealth()
+  for (let i = 0; i < 4; i++) health.note('a', i % 2 === 0 ? UpstreamOutcome.Failed : UpstreamOutcome.Answered, POOL)
+  health.note('a', UpstreamOutcome.Failed, POOL)
+  t.deepEqual(health.suspects(), ['a'])
+})
+
+test('upstreams that are listed no more are forgotten', (t) => {
+  const { health } = createHealth()
+  POOL.forEach((name) => health.note(name, UpstreamOutcome.Unreachable, POOL))
+  health.retain(new Set(['b']))
+  t.deepEqual(health.describe().map(({ upstream }) => upstream), ['b'])
+})
