feat(utils.soak): a randomized soak of real boxes, with faults from outside

Real box processes on loopback, before stand-ins of the users' platform (moved from the adapter's tests, so that both use them). A proxy delays, silences, cuts one way and resets paths to the store and to upstreams; signals stop, pause, kill and restart boxes, in overlapping series; the store refuses, falls silent and forgets. Checked from what clients and upstreams saw: at most once, true refusals, whole answers, deadlines, planned stops, changes of the configuration and leaving upstreams within their bounds, nothing held, service afterwards.

--- a/platform/adapter/test/__utils__/samples.ts
+++ b/__utils__/platform-stand-ins/src/samples.ts
@@ -35,3 +35,38 @@
 platform.address=10.200.1.7:8142
 something.new=1
 `
+
+/** Where a box listens. */
+export interface BoxAddresses {
+  front: string
+  ready: string
+  control: string
+  directory: string
+}
+
+/** The settings file of a box. */
+export function settingsFileText (box: { name: string, zone: string, addresses: BoxAddresses, seeds: readonly string[], store: string }): string {
+  const { name, zone, addresses, seeds, store } = box
+  return [
+    `node=${name}`,
+    `zone=${zone}`,
+    ...Object.entries(addresses).map(([role, address]) => `listen.${role}=${address}`),
+    'port_range=7380,7395',
+    `seeds=${seeds.join(',')}`,
+    `platform.address=${store}`,
+    'bounds.grace_s=8',
+    'bounds.budget_slack=58',
+    'bounds.retry_budget=0.2',
+    '',
+  ].join('\n')
+}
+
+/** The headers of a client's attempt. A prompt makes it a stream's. */
+export function requestHeaders (id: string, opts: { deadlineMs?: number, prompt?: string }): Record<string, string> {
+  return {
+    host: 'scripts.example',
+    'X-Reelspan-Request-Id': id,
+    ...opts.deadlineMs === undefined ? {} : { 'X-Reelspan-Deadline-Ms': String(opts.deadlineMs) },
+    ...opts.prompt === undefined ? {} : { 'X-Reelspan-Model': 'm', 'X-Reelspan-Token-Count': '50,24', 'X-Reelspan-Prompt-Prefix': `aa:20,${opts.prompt}:30` },
+  }
+}
--- /dev/null
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -0,0 +1,173 @@
+import { once } from 'node:events'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+export enum Role {
+  Prefill = 'prefill',
+  Decode = 'decode',
+  Service = 'service',
+}
+
+/** One run of a request, as the upstream saw it. */
+export interface UpstreamRun {
+  id: string
+  instance: string
+  path: string
+  /** On `performance.now()`. */
+  beganAtMs: number
+  /** Unset while it runs. */
+  endedAtMs?: number
+  /** The whole answer was written, and its connection stood. */
+  whole: boolean
+  /** It ran, and its answer was lost on purpose. */
+  answerLost: boolean
+  /** Where a stream was taken up, if it was. */
+  resumedAfter?: number
+}
+
+/** Which prefill results are there to be taken, over all engines of a deployment. */
+export class HandleTable {
+  readonly #held = new Set<string>()
+
+  get size (): number {
+    return this.#held.size
+  }
+
+  put (handle: string): void {
+    this.#held.add(handle)
+  }
+
+  /** Whether it was there. */
+  take (handle: string): boolean {
+    return this.#held.delete(handle)
+  }
+}
+
+export interface StandInUpstreamOptions {
+  /** Requests that expect another instance are refused. */
+  instance?: string
+  /** Work of a call, or the pause between two events of a stream. */
+  workMs?: number
+  handles?: HandleTable
+  /** How long a prefill result is kept. */
+  handleLifeMs?: number
+  /** Decides whether to refuse a request unrun. */
+  refuses?: () => boolean
+  /** Decides whether the answer of a run is lost. */
+  losesAnswer?: () => boolean
+  port?: number
+}
+
+const TOKENS = 4
+
+/** A small stand-in for one of the platform's upstreams: it reads prompts, streams tokens, or answers calls. */
+export class StandInUpstream {
+  readonly #role: Role
+  readonly #opts: StandInUpstreamOptions
+  readonly #server: Server
+  readonly #handles: HandleTable
+  #nextHandle = 0
+  readonly runs: UpstreamRun[] = []
+  address = ''
+
+  constructor (role: Role, opts: StandInUpstreamOptions = {}) {
+    this.#role = role
+    this.#opts = opts
+    this.#handles = opts.handles ?? new HandleTable()
+    this.#server = createServer((message, response) => {
+      message.resume()
+      message.on('end', () => { void this.#serve(message, response) })
+      response.on('error', () => {})
+    })
+  }
+
+  /** Ids of the requests that it ran. */
+  get ran (): string[] {
+    return this.runs.map(({ id }) => id)
+  }
+
+  /** Handles that nobody has taken or freed. */
+  get handlesLeft (): number {
+    return this.#handles.size
+  }
+
+  async start (): Promise<void> {
+    this.#server.listen(this.#opts.port ?? 0, '127.0.0.1')
+    await once(this.#server, 'listening')
+    this.address = `127.0.0.1:${(this.#server.address() as { port: number }).port}`
+  }
+
+  stop (): void {
+    this.#server.closeAllConnections()
+    this.#server.close()
+  }
+
+  async #serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { url = '', method, headers } = message
+    if (url === '/v1/report') return this.#report(response)
+    if (method === 'DELETE') {
+      this.#handles.take(url.split('/').at(-1) ?? '')
+      response.end()
+      return
+    }
+    const id = String(headers['x-reelspan-request-id'])
+    response.setHeader('X-Reelspan-Request-Id', id)
+    response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
+    const expected = headers['x-reelspan-expect-instance']
+    if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return refuse(response, 421)
+    if (this.#opts.refuses?.()) return refuse(response, 503)
+    if (this.#role === Role.Prefill) return this.#prefill(headers, response)
+    const source = String(headers['x-reelspan-kv-source'] ?? '').split('/').at(-1) ?? ''
+    if (this.#role === Role.Decode && this.#opts.handles && !this.#handles.take(source)) return refuse(response, 503)
+    await this.#run(id, message, response)
+  }
+
+  async #run (id: string, { url = '', headers }: IncomingMessage, response: ServerResponse): Promise<void> {
+    const after = headers['last-event-id']
+    const losesAnswer = this.#opts.losesAnswer?.() ?? false
+    const run: UpstreamRun = { id, instance: this.#opts.instance ?? '', path: url, beganAtMs: performance.now(), whole: false, answerLost: losesAnswer, resumedAfter: after === undefined ? undefined : Number(after) }
+    this.runs.push(run)
+    response.on('close', () => { run.endedAtMs ??= performance.now() })
+    if (this.#role === Role.Service) await this.#call(id, response, losesAnswer)
+    else await this.#stream(id, response, { from: run.resumedAfter === undefined ? 0 : run.resumedAfter + 1, losesAnswer })
+    run.whole = response.writableEnded && !response.destroyed
+    run.endedAtMs = performance.now()
+  }
+
+  #report (response: ServerResponse): void {
+    response.end(JSON.stringify({ stage: this.#role, models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
+  }
+
+  #prefill (headers: IncomingMessage['headers'], response: ServerResponse): void {
+    if (headers['x-reelspan-serving-stage'] !== 'prefill') return refuse(response, 421)
+    const handle = `${this.#opts.instance ?? 'h'}${this.#nextHandle++}`
+    this.#handles.put(handle)
+    if (this.#opts.handleLifeMs !== undefined) setTimeout(() => this.#handles.take(handle), this.#opts.handleLifeMs).unref()
+    response.end(JSON.stringify({ kv_handle: handle, tokens: 100, version: 1 }))
+  }
+
+  async #call (id: string, response: ServerResponse, losesAnswer: boolean): Promise<void> {
+    if (this.#opts.workMs) await sleep(this.#opts.workMs)
+    if (losesAnswer) response.destroy()
+    else response.end(`done ${id}`)
+  }
+
+  async #stream (id: string, response: ServerResponse, { from, losesAnswer }: { from: number, losesAnswer: boolean }): Promise<void> {
+    response.writeHead(200, { 'Content-Type': 'text/event-stream' })
+    for (let i = from; i < TOKENS; i++) {
+      if (this.#opts.workMs) await sleep(this.#opts.workMs)
+      if (response.destroyed) return
+      if (losesAnswer && i === TOKENS - 1) {
+        response.destroy()
+        return
+      }
+      response.write(`id: ${i}\ndata: ${id} ${i}\n\n`)
+    }
+    response.end()
+  }
+}
+
+/** Refuses a request that was not run. */
+function refuse (response: ServerResponse, status: number): void {
+  response.writeHead(status, { 'X-Reelspan-Not-Executed': '1' }).end()
+}
--- /dev/null
+++ b/__utils__/soak/bin/soak.js
@@ -0,0 +1,3 @@
+import { main } from '../lib/index.js'
+
+process.exit(await main(process.argv.slice(2)))
--- /dev/null
+++ b/__utils__/soak/src/groupBy.ts
@@ -0,0 +1,10 @@
+/** The items under each key, in their order. */
+export function groupBy<T> (items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>()
+  items.forEach((item) => {
+    const group = groups.get(keyOf(item))
+    if (group) group.push(item)
+    else groups.set(keyOf(item), [item])
+  })
+  return groups
+}
--- /dev/null
+++ b/__utils__/soak/src/main.ts
@@ -0,0 +1,67 @@
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import meow from 'meow'
+import { soak, type SoakResult } from './soak.js'
+
+const HELP = `
+  Usage
+    $ npm run soak -- [options]
+
+  Options
+    --seed N      The first seed (drawn and printed when left out)
+    --seeds N     Seeds in a row, 1 without
+    --known       Play the seeds that ever failed, in place of others
+    --minutes M   Go on with fresh seeds for so long
+    --rounds N    Rounds of faults a seed, 1 without
+    --boxes N     Boxes, 6 without
+    --clients N   Clients, 12 without
+`
+const KNOWN_SEEDS = new URL('../seeds.json', import.meta.url)
+const MOST_SHOWN = 20
+const MS_PER_MINUTE = 60_000
+
+/** The `soak` command. Resolves with its exit code. */
+export async function main (argv: readonly string[]): Promise<number> {
+  const { flags } = meow(HELP, {
+    importMeta: import.meta,
+    argv: [...argv],
+    flags: {
+      seed: { type: 'number' },
+      seeds: { type: 'number', default: 1 },
+      known: { type: 'boolean', default: false },
+      minutes: { type: 'number', default: 0 },
+      rounds: { type: 'number', default: 1 },
+      boxes: { type: 'number', default: 6 },
+      clients: { type: 'number', default: 12 },
+    },
+    allowUnknownFlags: false,
+  })
+  const first = flags.seed ?? Date.now() % 1_000_000
+  const untilMs = performance.now() + flags.minutes * MS_PER_MINUTE
+  const failed: number[] = []
+  const seeds = flags.known ? await knownSeeds() : Array.from({ length: flags.seeds }, (_, i) => first + i)
+  for (let i = 0; i < seeds.length || performance.now() < untilMs; i++) {
+    const seed = seeds[i] ?? first + i
+    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds })
+    if (result.violations.length > 0) failed.push(seed)
+    await report(seed, result)
+  }
+  console.log(failed.length > 0 ? `failed seeds: ${failed.join(', ')}` : 'no promise broken')
+  return failed.length > 0 ? 1 : 0
+}
+
+/** Seeds that failed once, each with its cause. */
+export async function knownSeeds (): Promise<number[]> {
+  const known = JSON.parse(await readFile(KNOWN_SEEDS, 'utf8')) as { seed: number, cause: string }[]
+  return known.map(({ seed }) => seed)
+}
+
+async function report (seed: number, { attempts, outcomes, faults, violations, tookMs, logs }: SoakResult): Promise<void> {
+  console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, ${faults.length} faults, ${violations.length} violations, took ${JSON.stringify(tookMs)} ms`)
+  if (violations.length === 0) return
+  const folder = await mkdtemp(join(tmpdir(), `reelspan-soak-${seed}-`))
+  await Promise.all(Object.entries(logs).map(([box, text]) => writeFile(join(folder, `${box}.log`), text)))
+  const shown = violations.length > MOST_SHOWN ? [...violations.slice(0, MOST_SHOWN), `and ${violations.length - MOST_SHOWN} more`] : violations
+  console.log([...shown, `faults: ${faults.join('; ')}`, `logs of the boxes: ${folder}`].map((line) => `  ${line}`).join('\n'))
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,9 +3,9 @@
 // Packages that touch the outside world. Everything else is decision code: it
 // gets its clock, randomness and network handed in, so that any harness can
 // drive it with time and network of its own.
-const OUTSIDE_PACKAGES = ['net/**', 'cli/**', 'platform/**', 'telemetry/log/**', '__utils__/fakes/src/virtualClock.ts', '__utils__/stand-ins/**', '__utils__/bench/**', '**/test/**']
+const OUTSIDE_PACKAGES = ['net/**', 'cli/**', 'platform/**', 'telemetry/log/**', '__utils__/fakes/src/virtualClock.ts', '__utils__/stand-ins/**', '__utils__/platform-stand-ins/**', '__utils__/soak/**', '__utils__/bench/**', '**/test/**']
 
-// The platform's names are decoded once, in platform/.
+// The platform's names are decoded once, in platform/; the stand-ins for it speak them too.
 const PLATFORM_NAMES = 'x-reelspan-|kv_|token_kv|path_prefix|private_key|store_revision|target_latency|max_attempts|allow_resume|traffic_split|fencing_token|ttl_s|X-Reelspan-'
 const PLATFORM_MESSAGE = 'The platform\'s names stay in platform/.'
 
@@ -18,7 +18,7 @@
   },
   {
     files: ['*/*/{src,test}/**/*.ts'],
-    ignores: ['platform/**'],
+    ignores: ['platform/**', '__utils__/platform-stand-ins/**'],
     rules: {
       'no-restricted-syntax': ['error',
         { selector: `Literal[value=/${PLATFORM_NAMES}/]`, message: PLATFORM_MESSAGE },
