feat(reelspanctl): explain a request from log lines

`reelspanctl explain ID [FILE …]`: the trail over all lines, what the box and its scheduler believed, who suspected its upstreams, and the likely cause; lines that were dropped, cut or are missing are said to be.

--- a/__utils__/soak/src/attempt.ts
+++ b/__utils__/soak/src/attempt.ts
@@ -24,8 +24,8 @@
   retryAfter?: string
   /** The connection broke, or the client gave up. */
   error?: string
-  /** The box stood still for a part of the time. */
-  boxWasPaused?: boolean
+  /** The box, or the whole machine, stood still for a part of the time. */
+  stoodStill?: boolean
   /** Nothing but planned work went on, from some seconds before it to its end. */
   calm?: boolean
 }
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -6,6 +6,7 @@
 import { Faults } from './faults.js'
 import { groupBy } from './groupBy.js'
 import { SoakFleet } from './soakFleet.js'
+import { overlaps, StallWatch } from './stallWatch.js'
 
 export interface SoakOptions {
   seed: number
@@ -28,6 +29,8 @@
 }
 
 const PROBE_KIND = RouteKind.Repeatable
+/** A check that a stall of the machine spoilt is made again so often. */
+const MOST_TRIES = 3
 const READY_LIMIT_MS = 15_000
 const PROBE_DEADLINE_MS = 1500
 const TROUBLE_MS = 5000
@@ -72,6 +75,7 @@
   /** Unset while there is trouble. */
   #calmSinceMs?: number
   #sending = true
+  readonly #stalls = new StallWatch()
   readonly #tookMs: Record<string, number> = {}
 
   constructor (fleet: SoakFleet, random: SeededRandom, opts: SoakOptions) {
@@ -93,13 +97,14 @@
       }
       await this.#timed('recovery', () => this.#checkRecovery())
     } finally {
+      this.#stalls.stop()
       this.#sending = false
       await this.#timed('ends', () => Promise.all(sending))
       await Promise.all(this.#clients.map((client) => client.close()))
     }
     await sleep(HANDLES_GONE_MS)
     if (this.#fleet.handles.size > 0) this.violations.push(`${this.#fleet.handles.size} prefill results are held for nobody`)
-    this.#attempts().forEach((attempt) => { attempt.boxWasPaused = this.#wasPaused(attempt) })
+    this.#attempts().forEach((attempt) => { attempt.stoodStill = this.#stoodStill(attempt) })
     this.violations.push(...checkHistory([...this.#attempts(), ...this.#probes], this.#fleet.runs))
   }
 
@@ -120,9 +125,22 @@
     return this.#clients.flatMap(({ attempts }) => attempts)
   }
 
-  #wasPaused ({ box, sentAtMs, endedAtMs = Number.POSITIVE_INFINITY }: Attempt): boolean {
+  #stoodStill ({ box, sentAtMs, endedAtMs = Number.POSITIVE_INFINITY }: Attempt): boolean {
     const pauses = this.#fleet.boxes.find(({ addresses }) => addresses.front === box)?.pauses ?? []
-    return pauses.some(({ fromMs, toMs }) => fromMs < endedAtMs && toMs > sentAtMs)
+    return overlaps([...pauses, ...this.#stalls.stalls], sentAtMs, endedAtMs)
+  }
+
+  /** Runs a check of something that has a bound in time. It is made again where the machine stood still meanwhile. */
+  async #bounded (check: () => Promise<string[]>): Promise<void> {
+    for (let tries = 1; ; tries++) {
+      const fromMs = performance.now()
+      const found = await check()
+      if (found.length === 0) return
+      if (tries === MOST_TRIES || !overlaps(this.#stalls.stalls, fromMs, performance.now())) {
+        this.violations.push(...found)
+        return
+      }
+    }
   }
 
   async #keepSending (client: SoakClient): Promise<void> {
@@ -159,22 +177,25 @@
   async #calm (): Promise<void> {
     this.#calmSinceMs = performance.now()
     await sleep(CONTACT_MS)
-    await this.#checkConfiguration()
-    await this.#checkLeaving()
+    await this.#bounded(() => this.#checkConfiguration())
+    await this.#bounded(() => this.#checkLeaving())
     await this.#faults.stopBox(this.#drawBox())
     await this.#waitReady()
   }
 
-  async #checkConfiguration (): Promise<void> {
+  async #checkConfiguration (): Promise<string[]> {
     const old = this.#fleet.publish()
     await sleep(CONFIGURATION_BOUND_MS)
     const path = this.#fleet.publish()
     await sleep(CONFIGURATION_BOUND_MS)
-    await Promise.all(this.#fleet.boxes.map(async (box) => {
+    const found = await Promise.all(this.#fleet.boxes.map(async (box) => {
       const [added, removed] = await Promise.all([this.#probe(box.name, path), this.#probe(box.name, old)])
-      if (added === 404) this.violations.push(`${box.name} does not know ${path} ${CONFIGURATION_BOUND_MS} ms after it was published`)
-      if (removed !== 404) this.violations.push(`${box.name} still knows ${old} ${CONFIGURATION_BOUND_MS} ms after it was removed (${removed})`)
+      return [
+        ...added === 404 ? [`${box.name} does not know ${path} ${CONFIGURATION_BOUND_MS} ms after it was published`] : [],
+        ...removed === 404 ? [] : [`${box.name} still knows ${old} ${CONFIGURATION_BOUND_MS} ms after it was removed (${removed})`],
+      ]
     }))
+    return found.flat()
   }
 
   async #probe (boxName: string, path: string): Promise<number> {
@@ -187,7 +208,7 @@
   }
 
   /** An upstream says that it leaves: after the bound nothing new arrives there. */
-  async #checkLeaving (): Promise<void> {
+  async #checkLeaving (): Promise<string[]> {
     const place = this.#fleet.places[Math.floor(this.#random.nextFloat() * this.#fleet.places.length)]
     const { instance } = place
     place.leaving = true
@@ -196,9 +217,9 @@
     const boundMs = performance.now()
     await sleep(LEAVING_WATCH_MS)
     const late = this.#fleet.runsAt(instance, boundMs)
-    if (late.length > 0) this.violations.push(`${instance} got ${late.map(({ id }) => id).join(', ')} more than ${LEAVING_BOUND_MS} ms after it began to leave`)
     await this.#fleet.crash(place)
     await this.#fleet.revive(place)
+    return late.length === 0 ? [] : [`${instance} got ${late.map(({ id }) => id).join(', ')} more than ${LEAVING_BOUND_MS} ms after it began to leave`]
   }
 
   async #checkRecovery (): Promise<void> {
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -7,6 +7,7 @@
 import { type BoxAddresses, enterUpstream, HandleTable, publishRoutes, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
 import { FaultProxy } from './faultProxy.js'
+import { type Stall } from './stallWatch.js'
 
 const REELSPAN = fileURLToPath(import.meta.resolve('reelspan').replace('lib/index.js', 'bin/reelspan.js'))
 const ZONES = ['hall-a', 'hall-b', 'hall-c']
@@ -27,7 +28,7 @@
   addresses: BoxAddresses
   process: FleetProcess
   /** Times for which its process stood still, on `performance.now()`. */
-  pauses: { fromMs: number, toMs: number }[]
+  pauses: Stall[]
 }
 
 /** A place for an upstream. Its proxy keeps the address over restarts. */
--- /dev/null
+++ b/__utils__/soak/test/faultProxy.ts
@@ -0,0 +1,73 @@
+import { once } from 'node:events'
+import { createServer, Socket } from 'node:net'
+import { FaultProxy, PathFault } from '@reelspan/utils.soak'
+import test, { type ExecutionContext } from 'ava'
+
+/** A server that sends back what it gets, behind a proxy, and a connection to it. */
+async function startEcho (t: ExecutionContext) {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.pipe(socket)
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const proxy = new FaultProxy(() => `127.0.0.1:${(server.address() as { port: number }).port}`)
+  await proxy.start()
+  const client = connectTo(proxy)
+  t.teardown(() => {
+    client.destroy()
+    proxy.stop()
+    server.close()
+  })
+  await once(client, 'connect')
+  return { proxy, client }
+}
+
+function connectTo (proxy: FaultProxy): Socket {
+  const [host, port] = proxy.address.split(':')
+  return new Socket().connect(Number(port), host)
+}
+
+/** Resolves when a connection is closed, by an error or not. */
+function closeOf (socket: Socket): Promise<void> {
+  socket.on('error', () => {})
+  return new Promise((resolve) => socket.on('close', () => resolve()))
+}
+
+async function answerTo (client: Socket, text: string): Promise<string> {
+  client.write(text)
+  const [bytes] = await once(client, 'data') as [Buffer]
+  return bytes.toString()
+}
+
+test('bytes pass while there is no fault', async (t) => {
+  const { client } = await startEcho(t)
+  t.is(await answerTo(client, 'one'), 'one')
+})
+
+test('what a silent path holds back comes when it is over, in order', async (t) => {
+  const { proxy, client } = await startEcho(t)
+  proxy.fault = PathFault.Silent
+  client.write('one ')
+  client.write('two')
+  const answer = once(client, 'data')
+  proxy.fault = PathFault.None
+  t.regex(String((await answer)[0]), /^one/)
+})
+
+test('a reset path resets connections, old and new', async (t) => {
+  const { proxy, client } = await startEcho(t)
+  const closed = closeOf(client)
+  proxy.fault = PathFault.Reset
+  await closed
+  const next = connectTo(proxy)
+  await closeOf(next)
+  t.true(next.destroyed)
+})
+
+test('a slow path delays answers', async (t) => {
+  const { proxy, client } = await startEcho(t)
+  proxy.fault = PathFault.Slow
+  const fromMs = performance.now()
+  t.is(await answerTo(client, 'one'), 'one')
+  t.true(performance.now() - fromMs >= 290, 'on both ways')
+})
--- a/cli/reelspanctl/src/main.ts
+++ b/cli/reelspanctl/src/main.ts
@@ -3,6 +3,7 @@
 import { BoxAnswerError, BoxClient, BoxUnreachableError } from './boxClient.js'
 import { checkFolder } from './checkFolder.js'
 import { ExitCode } from './exitCode.js'
+import { explain } from './explain.js'
 import { showResources, showStatus } from './show.js'
 
 const DEFAULT_BOX = '127.0.0.1:9101'
@@ -16,6 +17,7 @@
     $ reelspanctl status KIND NAME        Its state over the fleet
     $ reelspanctl watch [--since N]       Print each change as it comes into force
     $ reelspanctl check FOLDER            Check declarations before they are published
+    $ reelspanctl explain ID [FILE …]     A request's trail and likely cause, from log lines
     $ reelspanctl dump                    The box's whole state (JSON)
     $ reelspanctl metrics                 The box's metrics
 
@@ -24,11 +26,11 @@
     --token-file FILE   File with the operators' token
     --since N           watch: print changes after this revision
     --once              watch: stop after the first answer
-    --json              list, get, status, watch, check, lookup: print JSON
+    --json              list, get, status, watch, check, lookup, explain: print JSON
 
   Exit codes
     0 done   1 failed   2 wrong command line
-    3 check found problems, or there is no such resource   4 box unreachable
+    3 check found problems, or there is no such resource or request   4 box unreachable
 `
 
 interface Flags {
@@ -70,6 +72,11 @@
     case 'status': return showStatus(await box.json(`${resourcePath(args)}/status`), flags.json)
     case 'watch': return watch(box, flags)
     case 'check': return check(args, flags.json)
+    case 'explain': {
+      const [requestId, ...files] = args
+      if (requestId === undefined) throw new UsageError('the ID of a request is needed')
+      return explain(requestId, files, flags.json)
+    }
     case 'dump': return print(await box.json('/debug/state'))
     case 'metrics': return printText(await box.text('/metrics'))
     default: throw new UsageError(command === undefined ? 'a command is needed' : `unknown command «${command}»`)
