--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -5,7 +5,7 @@
 import { SoakClient } from './client.js'
 import { Faults } from './faults.js'
 import { groupBy } from './groupBy.js'
-import { SoakFleet } from './soakFleet.js'
+import { type SoakBox, SoakFleet } from './soakFleet.js'
 import { overlaps, StallWatch } from './stallWatch.js'
 
 export interface SoakOptions {
@@ -41,6 +41,13 @@
 const LEAVING_BOUND_MS = 2000
 /** How long an upstream that leaves is watched for arrivals. */
 const LEAVING_WATCH_MS = 800
+/** Boxes that are stopped as planned in each calm, one after the other. */
+const PLANNED_STOPS = 2
+/** A request that was sent this long ago is with an upstream, most likely. */
+const BUSY_AFTER_MS = 15
+const BUSY_POLL_MS = 5
+/** Clients ask anew which boxes to use every two seconds. */
+const BUSY_LIMIT_MS = 5000
 const LONGEST_PAUSE_MS = 80
 /** Prefill results that nobody takes lapse by then. */
 const HANDLES_GONE_MS = 1500
@@ -179,8 +186,22 @@
     await sleep(CONTACT_MS)
     await this.#bounded(() => this.#checkConfiguration())
     await this.#bounded(() => this.#checkLeaving())
-    await this.#faults.stopBox(this.#drawBox())
-    await this.#waitReady()
+    for (let stops = 0; stops < PLANNED_STOPS; stops++) {
+      const box = this.#drawBox()
+      await this.#waitBusy(box)
+      await this.#faults.stopBox(box)
+      await this.#waitReady()
+    }
+  }
+
+  /** Resolves while the box answers a request, so that a stop has something to cut. */
+  async #waitBusy ({ name, addresses }: SoakBox): Promise<void> {
+    const isRunningThere = ({ box, sentAtMs, endedAtMs }: Attempt) => box === addresses.front && endedAtMs === undefined && performance.now() - sentAtMs > BUSY_AFTER_MS
+    for (let waitedMs = 0; waitedMs < BUSY_LIMIT_MS; waitedMs += BUSY_POLL_MS) {
+      if (this.#clients.some(({ attempts }) => attempts.slice(-1).some(isRunningThere))) return
+      await sleep(BUSY_POLL_MS)
+    }
+    this.violations.push(`${name} got no request for ${BUSY_LIMIT_MS} ms`)
   }
 
   async #checkConfiguration (): Promise<string[]> {
@@ -229,7 +250,7 @@
     if (served < RECOVERY_SHARE * RECOVERY_ATTEMPTS) this.violations.push(`after the last fault only ${served} of ${RECOVERY_ATTEMPTS} attempts were served`)
   }
 
-  #drawBox () {
+  #drawBox (): SoakBox {
     return this.#fleet.boxes[Math.floor(this.#random.nextFloat() * this.#fleet.boxes.length)]
   }
 }
