--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -2,6 +2,7 @@
 import { askDirectory, requestHeaders } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
 import { type Attempt, RouteKind } from './attempt.js'
+import { drawOne } from './drawOne.js'
 import { type SoakBox } from './soakFleet.js'
 
 const PATHS: Record<RouteKind, string> = {
@@ -40,10 +41,10 @@
 
   /** Sends one attempt of a random kind. Resolves with it when it has ended. */
   async send (): Promise<Attempt | undefined> {
-    const kind = this.#draw(Object.values(RouteKind))
+    const kind = drawOne(this.#random, Object.values(RouteKind))
     await this.#lookUp()
     if (this.#addresses.length === 0) return undefined
-    const box = this.#draw(this.#addresses)
+    const box = drawOne(this.#random, this.#addresses)
     const deadlineMs = kind === RouteKind.Stream || kind === RouteKind.Resumable ? STREAM_DEADLINE_MS : CALL_DEADLINE_MS
     const attempt: Attempt = { id: `${this.#name}-${this.attempts.length}`, kind, box, sentAtMs: performance.now(), deadlineMs }
     this.attempts.push(attempt)
@@ -76,14 +77,10 @@
 
   async #lookUp (): Promise<void> {
     if (performance.now() < this.#keptUntilMs) return
-    const { addresses: { directory } } = this.#draw(this.#boxes)
+    const { addresses: { directory } } = drawOne(this.#random, this.#boxes)
     const answer = await askDirectory(directory, this.#agent)
     if (!answer) return
     this.#addresses = answer.addresses
     this.#keptUntilMs = performance.now() + answer.keepMs
   }
-
-  #draw<T> (items: readonly T[]): T {
-    return items[Math.floor(this.#random.nextFloat() * items.length)]
-  }
 }
--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type SeededRandom } from '@reelspan/utils.fakes'
+import { drawOne } from './drawOne.js'
 import { PathFault } from './faultProxy.js'
 import { type SoakBox, type SoakFleet } from './soakFleet.js'
 
@@ -46,7 +47,7 @@
   /** Begins a random fault that ends by itself. */
   begin (): void {
     const kinds = Object.values(FaultKind)
-    const kind = this.#draw(kinds)
+    const kind = drawOne(this.#opts.random, kinds)
     const durationMs = Math.round(SHORTEST_MS + this.#opts.random.nextFloat() * (LONGEST_MS - SHORTEST_MS))
     this.log.push(`${kind} ${durationMs} ms`)
     const running: Promise<void> = this.#cause(kind, durationMs)
@@ -117,14 +118,14 @@
   }
 
   async #harm (path: { fault: PathFault }, durationMs: number): Promise<void> {
-    path.fault = this.#draw(Object.values(PathFault))
+    path.fault = drawOne(this.#opts.random, Object.values(PathFault))
     await sleep(durationMs)
     path.fault = PathFault.None
   }
 
   async #storeRefuses (durationMs: number): Promise<void> {
     const { store } = this.#opts.fleet
-    store.failWith = this.#draw([429, 503])
+    store.failWith = drawOne(this.#opts.random, [429, 503])
     await sleep(durationMs)
     store.failWith = undefined
   }
@@ -148,7 +149,7 @@
   async #withFree<T extends object> (all: readonly T[], work: (one: T) => Promise<void>): Promise<void> {
     const free = all.filter((one) => !this.#busy.has(one))
     if (free.length === 0) return
-    const one = this.#draw(free)
+    const one = drawOne(this.#opts.random, free)
     await this.#with(one, () => work(one))
   }
 
@@ -160,8 +161,4 @@
       this.#busy.delete(one)
     }
   }
-
-  #draw<T> (items: readonly T[]): T {
-    return items[Math.floor(this.#opts.random.nextFloat() * items.length)]
-  }
 }
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -3,6 +3,7 @@
 import { type Attempt, RouteKind } from './attempt.js'
 import { checkHistory } from './checkHistory.js'
 import { SoakClient } from './client.js'
+import { drawOne } from './drawOne.js'
 import { Faults } from './faults.js'
 import { groupBy } from './groupBy.js'
 import { type SoakBox, SoakFleet } from './soakFleet.js'
@@ -187,7 +188,7 @@
     await this.#bounded(() => this.#checkConfiguration())
     await this.#bounded(() => this.#checkLeaving())
     for (let stops = 0; stops < PLANNED_STOPS; stops++) {
-      const box = this.#drawBox()
+      const box = drawOne(this.#random, this.#fleet.boxes)
       await this.#waitBusy(box)
       await this.#faults.stopBox(box)
       await this.#waitReady()
@@ -230,7 +231,7 @@
 
   /** An upstream says that it leaves: after the bound nothing new arrives there. */
   async #checkLeaving (): Promise<string[]> {
-    const place = this.#fleet.places[Math.floor(this.#random.nextFloat() * this.#fleet.places.length)]
+    const place = drawOne(this.#random, this.#fleet.places)
     const { instance } = place
     place.leaving = true
     this.#fleet.announce(place)
@@ -249,8 +250,4 @@
     const served = this.#ended.slice(from).filter(({ status, error }) => status === 200 && error === undefined).length
     if (served < RECOVERY_SHARE * RECOVERY_ATTEMPTS) this.violations.push(`after the last fault only ${served} of ${RECOVERY_ATTEMPTS} attempts were served`)
   }
-
-  #drawBox (): SoakBox {
-    return this.#fleet.boxes[Math.floor(this.#random.nextFloat() * this.#fleet.boxes.length)]
-  }
 }
