--- a/__utils__/soak/src/faultProxy.ts
+++ b/__utils__/soak/src/faultProxy.ts
@@ -82,7 +82,11 @@
   }
 
   reset (): void {
-    [this.#client, this.#server].filter((socket) => !socket.destroyed).forEach((socket) => socket.resetAndDestroy())
+    [this.#client, this.#server].filter((socket) => !socket.destroyed).forEach((socket) => {
+      // A socket that has sent its end cannot be reset: libuv refuses, and Node would keep its handle for ever.
+      if (socket.writableEnded) socket.destroy()
+      else socket.resetAndDestroy()
+    })
   }
 
   flush (fault: PathFault): void {
--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -49,7 +49,7 @@
     const kinds = Object.values(FaultKind)
     const kind = drawOne(this.#opts.random, kinds)
     const durationMs = Math.round(SHORTEST_MS + this.#opts.random.nextFloat() * (LONGEST_MS - SHORTEST_MS))
-    this.log.push(`${kind} ${durationMs} ms`)
+    this.log.push(`${new Date().toISOString().slice(14, 23)} ${kind} ${durationMs} ms`)
     const running: Promise<void> = this.#cause(kind, durationMs)
       .catch((thrown: unknown) => this.#opts.violation(`${kind}: ${String(thrown)}`))
       .finally(() => this.#active.delete(running))
@@ -83,6 +83,7 @@
   /** A planned stop and a new start. */
   async stopBox (box: SoakBox): Promise<void> {
     const { fleet, violation } = this.#opts
+    this.log.push(`${new Date().toISOString().slice(14, 23)} SIGTERM to ${box.name}`)
     box.process.signal('SIGTERM')
     const late = sleep(GRACE_MS + GRACE_SLACK_MS, 'late', { ref: false })
     if (await Promise.race([box.process.waitExit(), late]) === 'late') {
--- a/__utils__/soak/src/index.ts
+++ b/__utils__/soak/src/index.ts
@@ -1,6 +1,7 @@
 export { FaultProxy, PathFault } from './faultProxy.js'
 export { checkHistory } from './checkHistory.js'
 export { type Attempt, RouteKind } from './attempt.js'
+export { keepLogs } from './keepLogs.js'
 export { knownSeeds, main } from './main.js'
 export { soak } from './soak.js'
 export type { SoakOptions, SoakResult } from './soak.js'
--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -1,7 +1,6 @@
-import { mkdtemp, readFile, writeFile } from 'node:fs/promises'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
+import { readFile } from 'node:fs/promises'
 import meow from 'meow'
+import { keepLogs } from './keepLogs.js'
 import { soak, type SoakResult } from './soak.js'
 
 const HELP = `
@@ -57,11 +56,10 @@
   return known.map(({ seed }) => seed)
 }
 
-async function report (seed: number, { attempts, outcomes, faults, violations, tookMs, logs }: SoakResult): Promise<void> {
+async function report (seed: number, result: SoakResult): Promise<void> {
+  const { attempts, outcomes, faults, violations, tookMs } = result
   console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, ${faults.length} faults, ${violations.length} violations, took ${JSON.stringify(tookMs)} ms`)
   if (violations.length === 0) return
-  const folder = await mkdtemp(join(tmpdir(), `reelspan-soak-${seed}-`))
-  await Promise.all(Object.entries(logs).map(([box, text]) => writeFile(join(folder, `${box}.log`), text)))
   const shown = violations.length > MOST_SHOWN ? [...violations.slice(0, MOST_SHOWN), `and ${violations.length - MOST_SHOWN} more`] : violations
-  console.log([...shown, `faults: ${faults.join('; ')}`, `logs of the boxes: ${folder}`].map((line) => `  ${line}`).join('\n'))
+  console.log([...shown, `faults: ${faults.join('; ')}`, `logs of the boxes: ${await keepLogs(seed, result)}`].map((line) => `  ${line}`).join('\n'))
 }
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -32,7 +32,8 @@
 const PROBE_KIND = RouteKind.Repeatable
 /** A check that a stall of the machine spoilt is made again so often. */
 const MOST_TRIES = 3
-const READY_LIMIT_MS = 15_000
+/** A start takes about a second; this leaves room for a machine that is busy with other tests. */
+const READY_LIMIT_MS = 40_000
 const PROBE_DEADLINE_MS = 1500
 const TROUBLE_MS = 5000
 const LONGEST_GAP_MS = 700
@@ -83,13 +84,14 @@
   /** Unset while there is trouble. */
   #calmSinceMs?: number
   #sending = true
-  readonly #stalls = new StallWatch()
+  readonly #stalls: StallWatch
   readonly #tookMs: Record<string, number> = {}
 
   constructor (fleet: SoakFleet, random: SeededRandom, opts: SoakOptions) {
     this.#fleet = fleet
     this.#random = random
     this.#opts = opts
+    this.#stalls = new StallWatch(fleet.boxes)
     this.#faults = new Faults({ fleet, random, violation: (text) => this.violations.push(text) })
     const isCalm = () => this.#calmSinceMs !== undefined && performance.now() - this.#calmSinceMs > CONTACT_MS
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, isCalm }))
@@ -125,7 +127,7 @@
       faults: this.#faults.log,
       tookMs: this.#tookMs,
       violations: this.violations,
-      logs: Object.fromEntries(this.#fleet.boxes.map(({ name, process }) => [name, process.output])),
+      logs: Object.fromEntries(this.#fleet.boxes.map(({ name, process, pastOutput }) => [name, pastOutput + process.output])),
     }
   }
 
@@ -138,13 +140,17 @@
     return overlaps([...pauses, ...this.#stalls.stalls], sentAtMs, endedAtMs)
   }
 
+  #stalledAnywhere (fromMs: number, toMs: number): boolean {
+    return overlaps([...this.#stalls.stalls, ...this.#fleet.boxes.flatMap(({ pauses }) => pauses)], fromMs, toMs)
+  }
+
   /** Runs a check of something that has a bound in time. It is made again where the machine stood still meanwhile. */
   async #bounded (check: () => Promise<string[]>): Promise<void> {
     for (let tries = 1; ; tries++) {
       const fromMs = performance.now()
       const found = await check()
       if (found.length === 0) return
-      if (tries === MOST_TRIES || !overlaps(this.#stalls.stalls, fromMs, performance.now())) {
+      if (tries === MOST_TRIES || !this.#stalledAnywhere(fromMs, performance.now())) {
         this.violations.push(...found)
         return
       }
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -29,6 +29,8 @@
   process: FleetProcess
   /** Times for which its process stood still, on `performance.now()`. */
   pauses: Stall[]
+  /** What its earlier processes wrote. */
+  pastOutput: string
 }
 
 /** A place for an upstream. Its proxy keeps the address over restarts. */
@@ -124,6 +126,7 @@
   }
 
   startBox (box: SoakBox): void {
+    if (box.process) box.pastOutput += box.process.output
     box.process = new FleetProcess(box.name, REELSPAN, ['serve', '--platform'], { REELSPAN_BOOT: this.#settingsPath(box.name) })
   }
 
@@ -189,7 +192,7 @@
   #describeBox (i: number): SoakBox {
     const address = (port: number) => `${this.#subnet}.${i + 1}:${port}`
     const addresses = { front: address(PORTS.front), ready: address(PORTS.ready), control: address(PORTS.control), directory: address(PORTS.directory) }
-    return { name: `box-${i + 1}`, zone: ZONES[i % ZONES.length], addresses, process: undefined as unknown as FleetProcess, pauses: [] }
+    return { name: `box-${i + 1}`, zone: ZONES[i % ZONES.length], addresses, process: undefined as unknown as FleetProcess, pauses: [], pastOutput: '' }
   }
 
   async #addPlace (role: Role, name: string): Promise<void> {
