--- a/cli/reelspanctl/src/explainRequest.ts
+++ b/cli/reelspanctl/src/explainRequest.ts
@@ -43,13 +43,12 @@
   const before = lines.slice(0, lines.indexOf(last)).filter(({ box }) => boxes.has(box))
   const upstreams = new Set<unknown>(trail.flatMap(({ upstream, prefillEngine, decodeEngine }) => [upstream, prefillEngine, decodeEngine]).filter((name) => name !== undefined))
   const suspicions = lines.filter((line) => line.event === LogEvent.UpstreamSuspected && upstreams.has(line.upstream) && isAround(line, last))
-  const beliefs = lastOfEach(before.filter(isBelief))
   return {
     trail,
-    beliefs,
+    beliefs: lastOfEach(before.filter(isBelief)),
     suspicions,
     droppedLines: lines.filter(({ event, box }) => event === 'linesDropped' && (box === undefined || boxes.has(box))).reduce((sum, line) => sum + Number(line.lines), 0),
-    cause: likelyCause({ trail, beliefs, suspicions }),
+    cause: likelyCause({ trail, suspicions }),
   }
 }
 
--- a/cli/reelspanctl/src/likelyCause.ts
+++ b/cli/reelspanctl/src/likelyCause.ts
@@ -15,7 +15,7 @@
 }
 
 /** The most likely cause of how a request ended, in a sentence. A guess from the lines that there are. */
-export function likelyCause ({ trail, suspicions }: Pick<Explanation, 'trail' | 'beliefs' | 'suspicions'>): string {
+export function likelyCause ({ trail, suspicions }: Pick<Explanation, 'trail' | 'suspicions'>): string {
   const end = trail.findLast(({ event }) => event === LogEvent.RequestEnded)
   if (!end) return 'not known, the end is missing'
   if (end.verdict === Verdict.Finished) return causeOfDelay(trail, end)
