feat(box.runtime): the log tells what each revision of the list changed, and what a planned stop found and cut

Cause: in the incident's logs a revision of the list was adopted, but not which upstreams it named, so an upstream that is kept though it vanished could not be told from one that the box never heard of. Nor did a stop say what it cut. Tests: three; no logic is changed.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -11,6 +11,7 @@
 import { type BoxParts, listedPeers } from './createBox.js'
 import { changedKeys } from './changedKeys.js'
 import { drawIncarnation } from './drawIncarnation.js'
+import { FleetChanges } from './fleetChanges.js'
 import { REENTRY_MS } from './platformContactWatch.js'
 import { plannedStop } from './plannedStop.js'
 import { type ResourceApi } from './resourceApi.js'
@@ -28,10 +29,12 @@
   #callersBeingServed = 0
   /** Members as the log last told of them. */
   readonly #membersTold = new Map<string, string>()
+  readonly #fleetChanges: FleetChanges
 
   constructor (parts: BoxParts) {
     this.#parts = parts
     this.#tasks = new TaskGroup(parts.clock)
+    this.#fleetChanges = new FleetChanges({ fleet: parts.fleet, log: parts.log, platformSilentMs: () => parts.platformContact.silentMs })
   }
 
   /** Whether this box has a configuration to serve by. */
@@ -163,7 +166,7 @@
   async drain (): Promise<void> {
     const { log } = this.#parts
     this.#stopping = true
-    log.info(LogEvent.Stopping)
+    log.info(LogEvent.Stopping, { requestsInFlight: this.#callersBeingServed })
     await plannedStop({ ...this.#stopParts(), callersServed: () => this.#waitCallersServed() })
     await this.stop()
   }
@@ -172,9 +175,10 @@
   async stop (): Promise<void> {
     const { prober, followers, keepers, owner, relay, link, log } = this.#parts
     this.#stopping = true
+    const requestsCut = this.#callersBeingServed
     await Promise.all([owner.stop(), relay?.stop()])
     await Promise.all([this.#tasks.stop(), prober.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
-    log.info(LogEvent.Stopped)
+    log.info(LogEvent.Stopped, { requestsCut })
   }
 
   #stopParts () {
@@ -215,9 +219,10 @@
 
   /** Upstreams whose entries lapsed while the platform was away must be back by then, or are gone. */
   async #reconcileAfterReentry (): Promise<void> {
-    const { clock, fleet, log } = this.#parts
+    const { clock, fleet, fleetList, log } = this.#parts
     await clock.sleep(REENTRY_MS, { signal: this.#tasks.signal })
     log.info(LogEvent.EntriesKept, { gone: fleet.missing })
+    this.#fleetChanges.note(fleetList.revision)
     this.#reconcile()
   }
 
@@ -235,6 +240,7 @@
       await store.waitAbove(revision, this.#tasks.signal)
       if (this.#tasks.stopped) return
       log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
+      if (collection === Collection.Fleet) this.#fleetChanges.note(store.revision)
       this.#reconcile()
       this.#tasks.run(() => prober.tellNow())
     }
--- /dev/null
+++ b/box/runtime/test/fleetChanges.ts
@@ -0,0 +1,47 @@
+import { FleetChanges } from '@reelspan/box.runtime'
+import { FleetList, GuardedFleet, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { SilentLog } from '@reelspan/utils.fake-fleet'
+import test from 'ava'
+
+function upstream (name: string, leaving = false): ListedUpstream {
+  return { name, kind: UpstreamKind.Service, address: `10.0.0.${name}:1`, availabilityZone: 'a', pool: 'desk', leaving }
+}
+
+function createChanges () {
+  const listed = { value: new FleetList([], []), revision: 0 }
+  const guard = { lapsed: false }
+  const log = new SilentLog()
+  const fleet = new GuardedFleet({ listed, mayHaveLapsed: () => guard.lapsed })
+  const changes = new FleetChanges({ fleet, log, platformSilentMs: () => 1234.5 })
+  const list = (...upstreams: ListedUpstream[]) => {
+    Object.assign(listed, { value: new FleetList([], upstreams), revision: listed.revision + 1 })
+    changes.note(listed.revision)
+    return log.entries.at(-1)?.fields
+  }
+  return { log, guard, list }
+}
+
+test('the log tells which upstreams came, leave and went, and by which revision', (t) => {
+  const { log, list } = createChanges()
+  t.like(list(upstream('1'), upstream('2')), { revision: 1, takingWork: ['1', '2'], leaving: [], gone: [] })
+  t.like(list(upstream('1', true), upstream('2')), { revision: 2, takingWork: [], leaving: ['1'], gone: [], platformSilentMs: 1235 })
+  t.like(list(upstream('2')), { revision: 3, leaving: [], gone: ['1'] })
+  t.deepEqual(log.entries.map(({ event }) => event), [LogEvent.UpstreamsChanged, LogEvent.UpstreamsChanged, LogEvent.UpstreamsChanged])
+})
+
+test('the log tells which upstreams are kept though they are not listed, and when they are dropped', (t) => {
+  const { guard, list } = createChanges()
+  list(upstream('1'), upstream('2'))
+  guard.lapsed = true
+  t.like(list(upstream('2')), { kept: ['1'], gone: [] })
+  guard.lapsed = false
+  t.like(list(upstream('2')), { kept: [], gone: ['1'] })
+})
+
+test('a revision that changes no upstream is no line', (t) => {
+  const { log, list } = createChanges()
+  list(upstream('1'))
+  list(upstream('1'))
+  t.is(log.entries.length, 1)
+})
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -19,6 +19,7 @@
   DependencyLost = 'dependencyLost',
   DependencyRegained = 'dependencyRegained',
   EntriesKept = 'entriesKept',
+  UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
   RequestPlaced = 'requestPlaced',
   RequestSent = 'requestSent',
