--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -110,7 +110,7 @@
       clock,
       random: new SeededRandom(this.random.nextInt(2 ** 32)),
       link,
-      platform: new FakePlatformReader(clock, this.platform),
+      platform: new FakePlatformReader({ clock, platform: this.platform, address }),
       engines: new FakeEngineClient({ ...channel, models: this.engines }),
       services: new FakeServiceClient({ ...channel, models: this.services }),
       log,
@@ -148,6 +148,11 @@
     this.everyAddress().filter((address) => address !== this.address(name)).forEach((address) => this.network.cutBoth(this.address(name), address))
   }
 
+  /** Addresses of the boxes of an availability zone. */
+  boxAddresses (availabilityZone: string): string[] {
+    return this.#deployment.boxes.filter((box) => box.availabilityZone === availabilityZone).map(({ name }) => this.address(name))
+  }
+
   /** Nothing passes between an availability zone and the rest. */
   cutOffZone (availabilityZone: string): void {
     const { boxes, upstreams } = this.#deployment
--- a/__utils__/fakes/src/fakeClients.ts
+++ b/__utils__/fakes/src/fakeClients.ts
@@ -1,5 +1,6 @@
 import { PlatformReader, type PlatformReadOptions, type RevisionedContent } from '@reelspan/config.store'
 import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type Collection, type HoldLabel } from '@reelspan/core.messages'
 import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type PrefillRequest, type PrefillResult, ServiceClient, type ServiceCall, type ServiceReply, type UpstreamCallOptions, UpstreamError } from '@reelspan/upstream.client'
 import { orAborted } from './orAborted.js'
@@ -120,15 +121,26 @@
   }
 }
 
+export interface FakePlatformReaderOptions {
+  clock: Clock
+  platform: PlatformModel
+  /** Where the reader is. */
+  address: string
+}
+
+/** A platform that is silent does not let a reader connect. */
+const PLATFORM_CONNECT_TIMEOUT_MS = 500
+/** An answer is waited for this much longer than the platform was asked to wait. */
+const PLATFORM_ANSWER_TIMEOUT_MS = 1000
+
+/** Reads a model of the platform, which may be silent to this reader alone. */
 export class FakePlatformReader extends PlatformReader {
-  readonly #clock: Clock
-  readonly #platform: PlatformModel
+  readonly #opts: FakePlatformReaderOptions
   #lastAnswerMs = Number.NEGATIVE_INFINITY
 
-  constructor (clock: Clock, platform: PlatformModel) {
+  constructor (opts: FakePlatformReaderOptions) {
     super()
-    this.#clock = clock
-    this.#platform = platform
+    this.#opts = opts
   }
 
   get lastAnswerMs (): number {
@@ -136,13 +148,22 @@
   }
 
   async read (collection: Collection, sinceRevision: number, { waitMs, signal }: PlatformReadOptions): Promise<RevisionedContent> {
-    const content = await this.#platform.read(collection, sinceRevision, waitMs, signal)
-    await this.#clock.settle()
-    this.#lastAnswerMs = this.#clock.nowMs()
+    const { clock, platform, address } = this.#opts
+    const askedAtMs = clock.nowMs()
+    if (platform.silentTo.has(address)) await unanswered(clock, PLATFORM_CONNECT_TIMEOUT_MS, signal)
+    const content = await platform.read(collection, sinceRevision, waitMs, signal)
+    if (platform.silentTo.has(address)) await unanswered(clock, askedAtMs + waitMs + PLATFORM_ANSWER_TIMEOUT_MS - clock.nowMs(), signal)
+    await clock.settle()
+    this.#lastAnswerMs = clock.nowMs()
     return structuredClone(content)
   }
 }
 
+async function unanswered (clock: Clock, durationMs: number, signal?: AbortSignal): Promise<never> {
+  await clock.sleep(durationMs, { signal })
+  throw new ReelspanError(ErrorCode.PlatformUnavailable, 'the platform did not answer in time')
+}
+
 function givenUp (): UpstreamError {
   return new UpstreamError('given up', { mayHaveRun: true })
 }
--- a/__utils__/fakes/src/platformModel.ts
+++ b/__utils__/fakes/src/platformModel.ts
@@ -20,6 +20,8 @@
   calls = 0
   /** No call is answered. */
   outage = false
+  /** Readers that get no answer, by address, while others do. */
+  readonly silentTo = new Set<string>()
   /** Answers are what they were this long ago. */
   staleMs = 0
   /** The list of boxes and upstreams shows changes this much later. */
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -120,6 +120,11 @@
     return shard?.spec.kvBytesPerToken ?? 0
   }
 
+  /** Whether an upstream is in the list by which this box gives out work. */
+  listsUpstream (name: string): boolean {
+    return this.#parts.fleet.value.upstream(name) !== undefined
+  }
+
   createKey (): string {
     return this.#parts.router.createKey()
   }
