fix(box.runtime): a box's own lost contact is not taken for an absence of the platform

Cause: a box that reached neither platform nor peers took whatever had vanished meanwhile for lapsed entries, until 2.2 s after it was answered again, though the platform had answered others all the while. And the return was noticed when a whole watch of 2 s had ended, so the 2.2 s began late. Ruled out: news that does not come (the list was adopted 0.2 s after the cut). Change: heartbeats tell since when the platform has answered without an absence of 3 s, beside until when. Who hears of a stretch that covers its own loss knows that nothing lapsed; the time to come back counts from the first answer that anyone got. While the platform is away it is asked to wait for 0.1 s only.

--- a/__utils__/bench/src/memberHost.ts
+++ b/__utils__/bench/src/memberHost.ts
@@ -90,8 +90,8 @@
   const view = new MembershipView({ self, goneMemoryMs: 600_000 })
   const node: Partial<Node> & { revision: number } = { link, view, revision: 1, heardAtMs: 0 }
   node.prober = new Prober({
-    platformSilentMs: () => undefined,
-    onPlatformContact: () => {},
+    platformAnswering: () => undefined,
+    onPlatformAnswering: () => {},
     clock,
     random,
     link,
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -164,8 +164,8 @@
     listedAddresses: () => listedPeers(parts),
     revisions: () => ({ [Collection.Declarations]: declarations.revision, [Collection.Fleet]: fleetList.revision }),
     inFlight: () => parts.owner.inFlight + (parts.relay?.inFlight ?? 0),
-    platformSilentMs: () => parts.platformContact.silentMs,
-    onPlatformContact: (silentMs) => parts.platformContact.hear(silentMs),
+    platformAnswering: () => parts.platformContact.answering,
+    onPlatformAnswering: (told) => parts.platformContact.hear(told),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
       parts.followers[collection].hear(address, revisions[collection])
     }),
--- a/box/runtime/src/platformContactWatch.ts
+++ b/box/runtime/src/platformContactWatch.ts
@@ -1,6 +1,6 @@
 import { type PlatformContact } from '@reelspan/config.store'
 import { type Clock } from '@reelspan/core.env'
-import { Collection } from '@reelspan/core.messages'
+import { Collection, type PlatformAnswering } from '@reelspan/core.messages'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 
 export interface PlatformContactWatchOptions {
@@ -10,6 +10,12 @@
   isWatcher: () => boolean
 }
 
+/** A time, on this box's clock, throughout which the platform answered somebody at least every few seconds. */
+interface Stretch {
+  sinceMs: number
+  lastMs: number
+}
+
 /** Upstreams' entries lapse after some three heartbeats of about a second; a shorter absence takes none away. */
 const SHORTEST_LAPSE_MS = 3000
 /** Upstreams that live enter themselves again within two seconds of the platform's return. */
@@ -17,29 +23,39 @@
 
 /**
  * Follows whether the platform answers anyone: this box by itself, or its peers,
- * who tell how long ago they last knew it to answer. Says whether the platform's
- * list may lack entries that lapsed while it answered nobody.
+ * who tell since when they have known it to answer. Says whether the platform's
+ * list may lack entries that lapsed while it answered nobody. That this box lost
+ * contact proves no absence: peers that kept it say so, also afterwards.
  */
 export class PlatformContactWatch {
   readonly #opts: PlatformContactWatchOptions
   readonly #listeners = new Set<() => void>()
   #reachable = true
-  /** On this box's clock. Unset until the platform has answered anyone. */
-  #lastContactMs?: number
-  #lapsedUntilMs = Number.NEGATIVE_INFINITY
+  /** Unset until the platform has answered anyone. */
+  #stretch?: Stretch
+  /** The stretch before the latest one, if there was an absence between them. */
+  #before?: Stretch
 
   constructor (opts: PlatformContactWatchOptions) {
     this.#opts = opts
   }
 
   get mayHaveLapsed (): boolean {
-    return (this.silentMs ?? 0) >= SHORTEST_LAPSE_MS || this.#opts.clock.nowMs() < this.#lapsedUntilMs
+    if ((this.silentMs ?? 0) >= SHORTEST_LAPSE_MS) return true
+    return this.#before !== undefined && this.#stretch !== undefined && this.#opts.clock.nowMs() < this.#stretch.sinceMs + REENTRY_MS
   }
 
   /** How long ago the platform answered anyone, as far as this box knows. */
   get silentMs (): number | undefined {
     if (this.#isLive) return 0
-    return this.#lastContactMs === undefined ? undefined : this.#opts.clock.nowMs() - this.#lastContactMs
+    return this.#stretch && this.#opts.clock.nowMs() - this.#stretch.lastMs
+  }
+
+  /** What this box can tell its peers: since when and until when the platform has answered. */
+  get answering (): PlatformAnswering | undefined {
+    const { silentMs } = this
+    if (silentMs === undefined || !this.#stretch) return undefined
+    return { silentMs, answeringMs: Math.max(silentMs, this.#opts.clock.nowMs() - this.#stretch.sinceMs) }
   }
 
   /** Calls back when the platform is back after entries may have lapsed. */
@@ -54,32 +70,56 @@
     if (reachable) log.info(LogEvent.DependencyRegained, fields)
     else log.warn(LogEvent.DependencyLost, fields)
     if (collection !== Collection.Fleet) return
-    const lastAnswerMs = clock.nowMs() - silentMs
-    if (reachable) this.#contact(clock.nowMs())
-    else this.#lastContactMs = Math.max(this.#lastContactMs ?? lastAnswerMs, lastAnswerMs)
+    // A wait that has failed was no contact.
+    if (!reachable) this.#reachable = false
+    const lastAnswerMs = reachable ? clock.nowMs() : clock.nowMs() - silentMs
+    this.#take({ sinceMs: lastAnswerMs, lastMs: lastAnswerMs })
     this.#reachable = reachable
   }
 
   /** The platform has answered this box. */
   answered (): void {
-    this.#contact(this.#opts.clock.nowMs())
+    const nowMs = this.#opts.clock.nowMs()
+    this.#take({ sinceMs: nowMs, lastMs: nowMs })
   }
 
-  /** A peer knows the platform to have answered someone so long ago. */
-  hear (silentMs: number): void {
-    this.#contact(this.#opts.clock.nowMs() - silentMs)
+  /** A peer tells since when and until when it knows the platform to have answered. */
+  hear ({ silentMs, answeringMs }: PlatformAnswering): void {
+    const nowMs = this.#opts.clock.nowMs()
+    this.#take({ sinceMs: nowMs - answeringMs, lastMs: nowMs - silentMs })
   }
 
   get #isLive (): boolean {
-    return this.#reachable && this.#lastContactMs !== undefined && this.#opts.isWatcher()
+    return this.#reachable && this.#stretch !== undefined && this.#opts.isWatcher()
+  }
+
+  #take (told: Stretch): void {
+    const known = this.#stretch
+    if (!known) this.#stretch = told
+    else if (isApart(this.#isLive ? { ...known, lastMs: this.#opts.clock.nowMs() } : known, told)) this.#beginStretch(known, told)
+    else if (!isApart(told, known)) this.#extend(joined(known, told))
   }
 
-  #contact (atMs: number): void {
-    const lastMs = this.#lastContactMs
-    const wasAway = !this.#isLive && lastMs !== undefined && atMs - lastMs >= SHORTEST_LAPSE_MS
-    this.#lastContactMs = Math.max(lastMs ?? atMs, atMs)
-    if (!wasAway) return
-    this.#lapsedUntilMs = this.#opts.clock.nowMs() + REENTRY_MS
+  /** The platform answered nobody between what was known and what is told. */
+  #beginStretch (known: Stretch, told: Stretch): void {
+    this.#before = known
+    this.#stretch = told
     this.#listeners.forEach((listener) => listener())
   }
+
+  /** Whoever was answered during what was taken for an absence shows that there was none. */
+  #extend (stretch: Stretch): void {
+    const joinsBefore = this.#before !== undefined && !isApart(this.#before, stretch)
+    this.#stretch = joinsBefore ? joined(this.#before as Stretch, stretch) : stretch
+    if (joinsBefore) this.#before = undefined
+  }
+}
+
+/** Whether entries may have lapsed between the end of the earlier stretch and the beginning of the later one. */
+function isApart (earlier: Stretch, later: Stretch): boolean {
+  return later.sinceMs - earlier.lastMs >= SHORTEST_LAPSE_MS
+}
+
+function joined (a: Stretch, b: Stretch): Stretch {
+  return { sinceMs: Math.min(a.sinceMs, b.sinceMs), lastMs: Math.max(a.lastMs, b.lastMs) }
 }
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -44,6 +44,8 @@
 const ROLE_CHECK_MS = 500
 /** A peer that has not answered within this time does not keep others from being asked: many times a usual answer's. */
 const HEDGE_MS = 200
+/** While the platform does not answer it is asked to wait no longer than this, so that its return shows at once. */
+const RETURN_WAIT_MS = 100
 /** A watch that ends sooner, without news, did not wait as it was asked to. */
 const SHORTEST_WATCH_MS = 1000
 
@@ -135,7 +137,8 @@
       // Whoever loses sight of the others becomes a watcher at once.
       while (!isWatcher() && clock.nowMs() < untilMs && !this.#tasks.stopped) await clock.sleep(ROLE_CHECK_MS, { signal })
       if (this.#tasks.stopped) return
-      await this.#readPlatform(isWatcher() ? watchWaitMs : 0).catch(() => this.#backOff())
+      const longestWaitMs = this.#reachable ? watchWaitMs : Math.min(watchWaitMs, RETURN_WAIT_MS)
+      await this.#readPlatform(isWatcher() ? longestWaitMs : 0).catch(() => this.#backOff())
     }
   }
 
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -67,6 +67,14 @@
   inFlight: z.number().int().nonnegative(),
   /** How long ago the platform answered anyone, as far as the sender knows. */
   platformSilentMs: z.number().nonnegative().optional(),
+  /** Since when the sender knows the platform to have answered without a longer absence. Boxes of earlier releases do not tell. */
+  platformAnsweringMs: z.number().nonnegative().optional(),
+}
+
+/** Since when, and until when, the platform is known to have answered, counted back from now. */
+export interface PlatformAnswering {
+  silentMs: number
+  answeringMs: number
 }
 
 /** A resource as it travels: its kind, name, the revision of its last change, and its spec, or null once deleted. */
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -1,5 +1,5 @@
 import { type Clock, Notifier, type Random, TaskGroup } from '@reelspan/core.env'
-import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
+import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { watchedMembers } from './watchedMembers.js'
 
@@ -12,10 +12,10 @@
   listedAddresses: () => readonly string[]
   revisions: () => Record<Collection, number>
   inFlight: () => number
-  /** How long ago the platform answered anyone, as far as this box knows. */
-  platformSilentMs: () => number | undefined
-  /** A peer knows the platform to have answered someone so long ago. */
-  onPlatformContact: (silentMs: number) => void
+  /** What this box knows of the platform's answering; peers are told. */
+  platformAnswering: () => PlatformAnswering | undefined
+  /** What a peer knows of it. */
+  onPlatformAnswering: (told: PlatformAnswering) => void
   /** A peer named its revisions. */
   onPeerRevisions: (address: string, revisions: Record<Collection, number>) => void
   probePeriodMs: number
@@ -205,8 +205,9 @@
   }
 
   #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
-    const { clock, view, onPeerRevisions, onPlatformContact } = this.#opts
-    if (message.platformSilentMs !== undefined) onPlatformContact(message.platformSilentMs)
+    const { clock, view, onPeerRevisions, onPlatformAnswering } = this.#opts
+    const { platformSilentMs: silentMs, platformAnsweringMs: answeringMs = silentMs } = message
+    if (silentMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeringMs })
     const nowMs = clock.nowMs()
     this.#peerLoad.set(message.self.incarnation, message.inFlight)
     const tellers = [message.self, ...message.news]
@@ -216,10 +217,11 @@
 
   /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
   #ownNews (asking?: Member) {
-    const { view, revisions, inFlight, platformSilentMs } = this.#opts
+    const { view, revisions, inFlight, platformAnswering } = this.#opts
+    const answering = platformAnswering()
     const belief = asking && view.get(asking.incarnation)
     const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
-    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: platformSilentMs() }
+    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweringMs: answering?.answeringMs }
   }
 
   #drawNews (): Member[] {
