fix(membership.prober): members that a cut had parted find each other again within two rounds

Cause: a suspected member is no longer probed, and only one listed address that is not believed live was greeted in each fourth round (2.8 s), on the users' platform just the seeds. So after a cut between zones had healed, boxes went on believing what was true during it: 3.0 s after it, 1 to 5 of 8 members were live at each. Change: each round greets one suspected member, and as long as any answers twice as many more, up to 15. The greeting says what is believed of its receiver, so that it can refute in its answer. Cost: one message a round while anyone is suspected; none otherwise.

--- a/box/runtime/test/ownContactLost.ts
+++ b/box/runtime/test/ownContactLost.ts
@@ -1,5 +1,5 @@
 import { FleetEntryKind } from '@reelspan/config.fleet'
-import { Collection } from '@reelspan/core.messages'
+import { Collection, MemberHealth } from '@reelspan/core.messages'
 import { FakeFleet } from '@reelspan/utils.fake-fleet'
 import test from 'ava'
 
@@ -14,6 +14,9 @@
 /** Within this time of its end, an absence of the platform counts no more. */
 const STABLE_AFTER_MS = 3000
 
+/** Two rounds of probes. */
+const HEALED_WITHIN_MS = 1400
+
 async function startFleet (seed: number, boxCount = 8): Promise<FakeFleet> {
   const fleet = await new FakeFleet({ seed, boxCount, settings: PLATFORM_SETTINGS }).start()
   // Where the boxes' watches stand when the fault begins differs from seed to seed.
@@ -81,3 +84,16 @@
     await fleet.stop()
   }
 })
+
+test('boxes that were cut off are members again for all soon after the cut has healed', async (t) => {
+  for (const seed of SEEDS) {
+    const fleet = await startFleet(seed)
+    fleet.cutOffZone('hall-a')
+    await fleet.clock.advance(13_000)
+    fleet.network.healAll()
+    await fleet.clock.advance(HEALED_WITHIN_MS)
+    const liveMembers = fleet.boxes.map(({ box }) => box.describe().members.filter(({ health }) => health === MemberHealth.Alive).length)
+    t.deepEqual(liveMembers, fleet.boxes.map(() => fleet.boxes.length), `seed ${seed}`)
+    await fleet.stop()
+  }
+})
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -32,6 +32,8 @@
 const MAX_INDIRECT_PROBES = 2
 /** One round in this many also probes a listed box that is not believed live. */
 const REJOIN_EVERY_ROUNDS = 4
+/** Suspected members that one round greets at most, once one of them has answered: a cut that heals gives many back at once. */
+const MAX_SUSPECTS_GREETED = 15
 /** News has had this many rounds to spread before views are compared. */
 const COMPARE_EVERY_ROUNDS = 4
 
@@ -107,6 +109,7 @@
     const [answers] = await Promise.all([
       Promise.all(watched.map((member) => this.#probe(member))),
       ...[...rejoin, ...unsure].map((address) => this.#greet(address)),
+      this.#greetSuspected(),
     ])
     const nowMs = clock.nowMs()
     if (2 * answers.filter((answered) => answered).length > watched.length) this.#lastMajorityContactMs = nowMs
@@ -166,13 +169,33 @@
     return answer?.self
   }
 
-  async #greet (address: string): Promise<void> {
-    await this.#heartbeat(address).catch(() => {})
+  /** Greets one suspected member, and twice as many more for as long as any of them answers. */
+  async #greetSuspected (): Promise<void> {
+    const { random, view } = this.#opts
+    const greeted = new Set<string>()
+    for (let count = 1, answered = true; answered && greeted.size < MAX_SUSPECTS_GREETED; count *= 2) {
+      const left = view.suspected().map(({ peerAddress }) => peerAddress).filter((address) => !greeted.has(address))
+      const chosen = random.sample(left, count)
+      chosen.forEach((address) => greeted.add(address))
+      const answers = await Promise.all(chosen.map((address) => this.#greet(address)))
+      answered = answers.some((one) => one)
+    }
+  }
+
+  /** Resolves with whether a box answered. */
+  async #greet (address: string): Promise<boolean> {
+    try {
+      await this.#heartbeat(address)
+      return true
+    } catch {
+      // Whoever does not answer is believed what it was believed before.
+      return false
+    }
   }
 
   async #heartbeat (address: string, expectedIncarnation?: string): Promise<MessageOf<MessageType.HeartbeatAck>> {
     const { clock, link, view, probeTimeoutMs } = this.#opts
-    const message = { type: MessageType.Heartbeat, ...this.#ownNews(), expectedIncarnation } as const
+    const message = { type: MessageType.Heartbeat, ...this.#ownNews(view.atAddress(address)), expectedIncarnation } as const
     const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs })
     if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
     this.#meet(address, answer.self, clock.nowMs())
@@ -216,10 +239,10 @@
   }
 
   /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
-  #ownNews (asking?: Member) {
+  #ownNews (receiver?: Member) {
     const { view, revisions, inFlight, platformAnswering } = this.#opts
     const answering = platformAnswering()
-    const belief = asking && view.get(asking.incarnation)
+    const belief = receiver && view.get(receiver.incarnation)
     const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
     return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweringMs: answering?.answeringMs }
   }
--- a/membership/view/src/membershipView.ts
+++ b/membership/view/src/membershipView.ts
@@ -80,6 +80,11 @@
     return this.#liveCache
   }
 
+  /** Members that did not answer, and were not seen to go. */
+  suspected (): Member[] {
+    return this.all().filter(({ health }) => health === MemberHealth.Suspect)
+  }
+
   /** Live members that take new work. */
   takingWork (): Member[] {
     return this.live().filter(({ leaving }) => !leaving)
