fix(request.relay): a box that is about to stop takes only what it can be expected to finish

The stop had no bound of its own either: its hand-over alone may take 6 s. Change: the box knows when it will end (requests.stopWithinMs, from the platform's grace).

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -1,4 +1,4 @@
-import { TaskGroup } from '@reelspan/core.env'
+import { raceTimeout, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type AnswerEvent, Collection, type Member, MemberHealth, MessageType, type RoutedRequest } from '@reelspan/core.messages'
 import { type Configuration } from '@reelspan/config.resources'
@@ -169,10 +169,12 @@
 
   /** Stops as planned, without cutting off a request. */
   async drain (): Promise<void> {
-    const { log } = this.#parts
+    const { clock, log, relay, settings: { requests: { stopWithinMs } } } = this.#parts
     this.#stopping = true
     log.info(LogEvent.Stopping, { requestsInFlight: this.#callersBeingServed })
-    await plannedStop({ ...this.#stopParts(), callersServed: () => this.#waitCallersServed() })
+    if (stopWithinMs !== undefined) relay?.endWithin(stopWithinMs)
+    const stop = plannedStop({ ...this.#stopParts(), callersServed: () => this.#waitCallersServed() })
+    await (stopWithinMs === undefined ? stop : raceTimeout(clock, stop, stopWithinMs))
     await this.stop()
   }
 
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -49,6 +49,8 @@
     lookupBoxes: z.number().int().positive().default(3),
     prefixLifeMs: durationMs.default(300_000),
     longestRequestMs: durationMs.default(120_000),
+    /** A planned stop is over within this time, if whoever stops the process then ends it by force. */
+    stopWithinMs: durationMs.optional(),
     recordBytes: bytes.default(64_000_000),
     rejoinGraceMs: durationMs.default(1000),
     upstreamTimeoutMs: durationMs.default(3000),
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -11,6 +11,7 @@
 import { type RelayCaller } from './relayCaller.js'
 import { type RelayContext } from './relayContext.js'
 import { type RelayOptions } from './relayOptions.js'
+import { RunTimes } from './runTimes.js'
 import { ServiceRelay } from './serviceRelay.js'
 import { UpstreamPicker } from './upstreamPicker.js'
 
@@ -30,9 +31,12 @@
   readonly #budgets = new Map<string, RetryBudget>()
   readonly #ended = new Notifier()
   readonly #running = new Map<string, RunContext>()
+  readonly #runTimes = new RunTimes()
   #fleetRevision = 0
   #sequence = 0
   #closed = false
+  /** When this box ends whatever runs, on its clock. */
+  #endsAtMs = Number.POSITIVE_INFINITY
 
   constructor (opts: RelayOptions) {
     this.#opts = opts
@@ -50,6 +54,11 @@
     return this.#running.size
   }
 
+  /** This box ends within that time: new requests are taken only if they can be expected to be over by then. */
+  endWithin (durationMs: number): void {
+    this.#endsAtMs = this.#opts.clock.nowMs() + durationMs
+  }
+
   /** From now on new requests are refused unrun; those under way go on. */
   closeForNew (): void {
     this.#closed = true
@@ -119,7 +128,9 @@
     if (this.#closed) throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
     this.#forgetUnlisted()
     const { model, pool } = this.#pickTarget(route.spec)
-    const budget = this.#budget(model ?? pool as string)
+    const target = model ?? pool as string
+    this.#checkHasTime(run, target)
+    const budget = this.#budget(target)
     budget.countRequest()
     const context: RelayContext = {
       opts,
@@ -132,9 +143,26 @@
       picker: this.#picker,
       decided: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, ...fields }),
     }
+    try {
+      await this.#carryOutAt(context, { model, pool }, times)
+    } finally {
+      if (run.mayHaveRun) this.#runTimes.note(target, run.elapsedMs)
+    }
+  }
+
+  async #carryOutAt (context: RelayContext, { model, pool }: Pick<RouteTarget, 'model' | 'pool'>, times: AnswerTimes): Promise<void> {
     if (model === undefined) return new ServiceRelay(context, pool as string).carryOut(times)
-    if (!request.prompt) throw new ReelspanError(ErrorCode.BadRequest, 'a request to a model declares the sizes of its prompt')
-    return new CompletionRelay(context, model, request.prompt).carryOut(times)
+    const { prompt } = context.request
+    if (!prompt) throw new ReelspanError(ErrorCode.BadRequest, 'a request to a model declares the sizes of its prompt')
+    return new CompletionRelay(context, model, prompt).carryOut(times)
+  }
+
+  /** Throws when the request would probably still run when this box ends. */
+  #checkHasTime (run: RunContext, target: string): void {
+    const leftMs = this.#endsAtMs - this.#opts.clock.nowMs()
+    const likelyMs = Math.min(run.leftMs, this.#runTimes.likelyLongestMs(target) ?? run.leftMs)
+    if (likelyMs <= leftMs) return
+    throw new ReelspanError(ErrorCode.Draining, `this box stops within ${Math.round(leftMs)} ms, and the request may take ${Math.round(likelyMs)} ms`, { retryAfterMs: DRAINING_RETRY_AFTER_MS })
   }
 
   /** What was seen of upstreams that are gone is of no use any more. */
