fix(box.runtime): a wait at the platform that has not failed yet does not shorten an absence

Cause: an absence was counted from the last moment at which any box's wait had not failed, up to 3 s after the last answer, to the first answer after it. The sooner the return is noticed, the shorter that looks, and an absence of 6 s may pass for one of less than 3 s: entries that lapsed are dropped at once. Change: heartbeats tell the last answer's age beside that of the last contact; the absence counts between answers, what is silent now still counts from contacts. Test: 'a peer whose wait has not failed yet does not shorten an absence'; fails before by its meaning (the message lacked the field).

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -116,8 +116,8 @@
 }
 
 function createContact (parts: BoxParts): PlatformContactWatch {
-  const { clock, log } = parts
-  return new PlatformContactWatch({ clock, log, isWatcher: () => isWatcher(parts) })
+  const { clock, log, platform } = parts
+  return new PlatformContactWatch({ clock, log, isWatcher: () => isWatcher(parts), lastAnswerMs: () => platform.lastAnswerMs })
 }
 
 function createFollowers (parts: BoxParts): Record<Collection, ConfigFollower> {
--- a/box/runtime/src/platformContactWatch.ts
+++ b/box/runtime/src/platformContactWatch.ts
@@ -8,6 +8,8 @@
   log: Log
   /** Whether this box waits at the platform for news. Such a wait counts as contact until it fails. */
   isWatcher: () => boolean
+  /** When the platform last answered this box, on this box's clock. */
+  lastAnswerMs: () => number
 }
 
 /** A time, on this box's clock, throughout which the platform answered somebody at least every few seconds. */
@@ -35,6 +37,8 @@
   #stretch?: Stretch
   /** The stretch before the latest one, if there was an absence between them. */
   #before?: Stretch
+  /** When somebody was last in contact, a wait that had not failed counted. */
+  #contactAtMs = Number.NEGATIVE_INFINITY
 
   constructor (opts: PlatformContactWatchOptions) {
     this.#opts = opts
@@ -45,17 +49,19 @@
     return this.#before !== undefined && this.#stretch !== undefined && this.#opts.clock.nowMs() < this.#stretch.sinceMs + REENTRY_MS
   }
 
-  /** How long ago the platform answered anyone, as far as this box knows. */
+  /** How long ago anyone was in contact with the platform, as far as this box knows. */
   get silentMs (): number | undefined {
     if (this.#isLive) return 0
-    return this.#stretch && this.#opts.clock.nowMs() - this.#stretch.lastMs
+    return this.#stretch && this.#opts.clock.nowMs() - this.#contactAtMs
   }
 
-  /** What this box can tell its peers: since when and until when the platform has answered. */
+  /** What this box can tell its peers. */
   get answering (): PlatformAnswering | undefined {
     const { silentMs } = this
-    if (silentMs === undefined || !this.#stretch) return undefined
-    return { silentMs, answeringMs: Math.max(silentMs, this.#opts.clock.nowMs() - this.#stretch.sinceMs) }
+    const stretch = this.#known
+    if (silentMs === undefined || !stretch) return undefined
+    const nowMs = this.#opts.clock.nowMs()
+    return { silentMs, answeredMs: nowMs - stretch.lastMs, answeringMs: nowMs - stretch.sinceMs }
   }
 
   /** Calls back when the platform is back after entries may have lapsed. */
@@ -72,7 +78,8 @@
     if (collection !== Collection.Fleet) return
     // A wait that has failed was no contact.
     if (!reachable) this.#reachable = false
-    const lastAnswerMs = reachable ? clock.nowMs() : clock.nowMs() - silentMs
+    const lastAnswerMs = reachable ? clock.nowMs() : Math.max(clock.nowMs() - silentMs, this.#opts.lastAnswerMs())
+    this.#noteContact(lastAnswerMs)
     this.#take({ sinceMs: lastAnswerMs, lastMs: lastAnswerMs })
     this.#reachable = reachable
   }
@@ -80,23 +87,38 @@
   /** The platform has answered this box. */
   answered (): void {
     const nowMs = this.#opts.clock.nowMs()
+    this.#noteContact(nowMs)
     this.#take({ sinceMs: nowMs, lastMs: nowMs })
   }
 
-  /** A peer tells since when and until when it knows the platform to have answered. */
-  hear ({ silentMs, answeringMs }: PlatformAnswering): void {
+  /** A peer tells what it knows. */
+  hear ({ silentMs, answeredMs, answeringMs }: PlatformAnswering): void {
     const nowMs = this.#opts.clock.nowMs()
-    this.#take({ sinceMs: nowMs - answeringMs, lastMs: nowMs - silentMs })
+    this.#noteContact(nowMs - silentMs)
+    this.#take({ sinceMs: nowMs - answeringMs, lastMs: nowMs - answeredMs })
   }
 
   get #isLive (): boolean {
     return this.#reachable && this.#stretch !== undefined && this.#opts.isWatcher()
   }
 
+  /** The latest stretch, with what this box's own wait has brought since it was last looked at. */
+  get #known (): Stretch | undefined {
+    const stretch = this.#stretch
+    if (!stretch || !this.#isLive) return stretch
+    return { ...stretch, lastMs: Math.max(stretch.lastMs, this.#opts.lastAnswerMs()) }
+  }
+
+  #noteContact (atMs: number): void {
+    this.#contactAtMs = Math.max(this.#contactAtMs, atMs)
+  }
+
   #take (told: Stretch): void {
-    const known = this.#stretch
+    const known = this.#known
+    // As long as this box's own wait has not failed, there was no absence.
+    const isAfterAbsence = known && !this.#isLive && isApart(known, told)
     if (!known) this.#stretch = told
-    else if (isApart(this.#isLive ? { ...known, lastMs: this.#opts.clock.nowMs() } : known, told)) this.#beginStretch(known, told)
+    else if (isAfterAbsence) this.#beginStretch(known, told)
     else if (!isApart(told, known)) this.#extend(joined(known, told))
   }
 
--- a/box/runtime/test/platformContactWatch.ts
+++ b/box/runtime/test/platformContactWatch.ts
@@ -5,10 +5,10 @@
 import { SilentLog } from '@reelspan/utils.fake-fleet'
 import test from 'ava'
 
-function createWatch ({ isWatcher = true } = {}) {
+function createWatch ({ isWatcher = true, lastAnswerMs = Number.NEGATIVE_INFINITY } = {}) {
   const clock = new VirtualClock()
   const log = new SilentLog()
-  return { clock, log, watch: new PlatformContactWatch({ clock, log, isWatcher: () => isWatcher }) }
+  return { clock, log, watch: new PlatformContactWatch({ clock, log, isWatcher: () => isWatcher, lastAnswerMs: () => lastAnswerMs }) }
 }
 
 test('entries may have lapsed after a long absence of the platform, until upstreams had time to enter themselves again', async (t) => {
@@ -47,23 +47,23 @@
   watch.note(false, { collection: Collection.Fleet, silentMs: 100, reason: 'reset' })
   for (let i = 0; i < 20; i++) {
     await clock.advance(700)
-    watch.hear({ silentMs: 300, answeringMs: 300 })
+    watch.hear({ silentMs: 300, answeredMs: 300, answeringMs: 300 })
   }
   t.false(watch.mayHaveLapsed)
 })
 
 test('a box that asks the platform seldom hears from its peers that it is away, and that it is back', async (t) => {
   const { clock, watch } = createWatch({ isWatcher: false })
-  watch.hear({ silentMs: 0, answeringMs: 0 })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 0 })
   for (let silentMs = 700; silentMs < 5000; silentMs += 700) {
     await clock.advance(700)
-    watch.hear({ silentMs, answeringMs: silentMs })
+    watch.hear({ silentMs, answeredMs: silentMs, answeringMs: silentMs })
   }
   t.true(watch.mayHaveLapsed)
-  watch.hear({ silentMs: 0, answeringMs: 0 })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 0 })
   t.true(watch.mayHaveLapsed, 'upstreams enter themselves again')
   await clock.advance(REENTRY_MS)
-  watch.hear({ silentMs: 0, answeringMs: 0 })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 0 })
   t.false(watch.mayHaveLapsed)
 })
 
@@ -94,18 +94,18 @@
   await clock.advance(5000)
   watch.note(true, { collection: Collection.Fleet, silentMs: 10_000 })
   t.true(watch.mayHaveLapsed, 'as far as this box knows by itself')
-  watch.hear({ silentMs: 0, answeringMs: 60_000 })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 60_000 })
   t.false(watch.mayHaveLapsed)
-  t.deepEqual(watch.answering, { silentMs: 0, answeringMs: 60_000 })
+  t.deepEqual(watch.answering, { silentMs: 0, answeredMs: 0, answeringMs: 60_000 })
 })
 
 test('the time for entries to come back counts from the first answer that anyone got', async (t) => {
   const { clock, watch } = createWatch({ isWatcher: false })
-  watch.hear({ silentMs: 0, answeringMs: 60_000 })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 60_000 })
   await clock.advance(8000)
   watch.answered()
   await clock.advance(500)
-  watch.hear({ silentMs: 0, answeringMs: 2000 })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 2000 })
   t.true(watch.mayHaveLapsed)
   await clock.advance(REENTRY_MS - 2000)
   t.false(watch.mayHaveLapsed)
@@ -113,10 +113,10 @@
 
 test('what a peer knew before the absence does not shorten it', async (t) => {
   const { clock, watch } = createWatch({ isWatcher: false })
-  watch.hear({ silentMs: 0, answeringMs: 60_000 })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 60_000 })
   await clock.advance(8000)
   watch.answered()
-  watch.hear({ silentMs: 8000, answeringMs: 70_000 })
+  watch.hear({ silentMs: 8000, answeredMs: 8000, answeringMs: 70_000 })
   t.true(watch.mayHaveLapsed)
   t.is(watch.silentMs, 0)
 })
@@ -125,8 +125,19 @@
   const { clock, watch } = createWatch()
   watch.answered()
   await clock.advance(2000)
-  watch.hear({ silentMs: 1500, answeringMs: 30_000 })
+  watch.hear({ silentMs: 1500, answeredMs: 1500, answeringMs: 30_000 })
   await clock.advance(2000)
   watch.note(false, { collection: Collection.Fleet, silentMs: 4000 })
   t.is(watch.silentMs, 3500)
 })
+
+test('a peer whose wait has not failed yet does not shorten an absence', async (t) => {
+  const { clock, watch } = createWatch({ isWatcher: false })
+  watch.hear({ silentMs: 0, answeredMs: 0, answeringMs: 60_000 })
+  await clock.advance(2900)
+  watch.hear({ silentMs: 0, answeredMs: 2900, answeringMs: 62_900 })
+  t.false(watch.mayHaveLapsed, 'nobody has noticed an absence')
+  await clock.advance(2000)
+  watch.answered()
+  t.true(watch.mayHaveLapsed, 'the platform answered nobody for 4.9 s')
+})
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -54,6 +54,7 @@
   z.object({ type: z.literal(type), ...shape })
 
 const revision = z.number().int().nonnegative()
+const durationMs = z.number().nonnegative()
 
 const newsShape = {
   self: memberSchema,
@@ -65,15 +66,20 @@
   revisions: z.object({ [Collection.Declarations]: revision, [Collection.Fleet]: revision }),
   /** Requests that the sender holds at the moment. */
   inFlight: z.number().int().nonnegative(),
-  /** How long ago the platform answered anyone, as far as the sender knows. */
-  platformSilentMs: z.number().nonnegative().optional(),
-  /** Since when the sender knows the platform to have answered without a longer absence. Boxes of earlier releases do not tell. */
-  platformAnsweringMs: z.number().nonnegative().optional(),
+  /** How long ago anyone was in contact with the platform, as far as the sender knows. A wait there counts until it fails. */
+  platformSilentMs: durationMs.optional(),
+  /** How long ago the platform answered anyone, and since when it has without a longer absence. Boxes of earlier releases do not tell. */
+  platformAnsweredMs: durationMs.optional(),
+  platformAnsweringMs: durationMs.optional(),
 }
 
-/** Since when, and until when, the platform is known to have answered, counted back from now. */
+/** What is known of the platform's answering, counted back from now. */
 export interface PlatformAnswering {
+  /** Since anyone was in contact. A wait that has not failed is contact. */
   silentMs: number
+  /** Since the last answer. */
+  answeredMs: number
+  /** Since the first answer after the last absence. */
   answeringMs: number
 }
 
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -229,8 +229,8 @@
 
   #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
     const { clock, view, onPeerRevisions, onPlatformAnswering } = this.#opts
-    const { platformSilentMs: silentMs, platformAnsweringMs: answeringMs = silentMs } = message
-    if (silentMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeringMs })
+    const { platformSilentMs: silentMs, platformAnsweredMs: answeredMs = silentMs, platformAnsweringMs: answeringMs = answeredMs } = message
+    if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
     const nowMs = clock.nowMs()
     this.#peerLoad.set(message.self.incarnation, message.inFlight)
     const tellers = [message.self, ...message.news]
@@ -244,7 +244,7 @@
     const answering = platformAnswering()
     const belief = receiver && view.get(receiver.incarnation)
     const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
-    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweringMs: answering?.answeringMs }
+    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs }
   }
 
   #drawNews (): Member[] {
