test(membership.prober): a suspected member is flooded by a large fleet, and greetings delay the notice of contact

One box of 690 greeted the same silent member in each of 100 rounds (101 greetings): 690 heartbeats a round reach it, and wait for it when it wakes. And greetings are part of the round: with a third of the fleet suspected and some of it back, contact with the others was noticed after 1550 ms, while a box counts as alone, and watches the platform itself, after 1400 ms. Both tests fail on the code as it is. No logic is changed.

--- /dev/null
+++ b/membership/prober/test/prober.ts
@@ -0,0 +1,105 @@
+import { Collection, type Member, MemberHealth, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage, MessageType, type PeerCallOptions } from '@reelspan/core.messages'
+import { Prober } from '@reelspan/membership.prober'
+import { MembershipView } from '@reelspan/membership.view'
+import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const PROBE_PERIOD_MS = 700
+const PROBE_TIMEOUT_MS = 300
+const FLEET = 690
+/** Members that are greeted by one box out of many in each round, so that each is greeted by a few. */
+const ROUNDS = 100
+
+function memberOf (i: number): Member {
+  return {
+    name: `box-${i}`,
+    availabilityZone: 'zone',
+    peerAddress: `10.0.0.1:${i}`,
+    callerAddress: '',
+    incarnation: `incarnation-${i}`,
+    version: 0,
+    health: MemberHealth.Alive,
+    leaving: false,
+  }
+}
+
+/** Members answer at once, but for the silent ones. */
+class FleetLink extends PeerLink {
+  readonly heartbeats = new Map<string, number>()
+  readonly silent = new Set<string>()
+  readonly #clock: VirtualClock
+
+  constructor (clock: VirtualClock) {
+    super()
+    this.#clock = clock
+  }
+
+  async call (address: string, message: PeerMessage, { timeoutMs }: PeerCallOptions): Promise<PeerMessage> {
+    if (message.type === MessageType.MembersPull) return { type: MessageType.MembersState, members: [] }
+    if (message.type === MessageType.ProbeFor) return { type: MessageType.ProbeResult }
+    this.heartbeats.set(address, (this.heartbeats.get(address) ?? 0) + 1)
+    if (this.silent.has(address)) {
+      await this.#clock.sleep(timeoutMs)
+      throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
+    }
+    const self = memberOf(Number(address.split(':')[1]))
+    return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: 1 }, inFlight: 0 }
+  }
+
+  async * stream (): AsyncGenerator<PeerMessage> {}
+
+  serve (_handler: PeerHandler): void {}
+
+  async close (): Promise<void> {}
+}
+
+/** One box of a large fleet that believes of some others that they do not answer. */
+function startProber (suspects: readonly Member[]) {
+  const clock = new VirtualClock()
+  const view = new MembershipView({ self: memberOf(0), goneMemoryMs: 600_000 })
+  const link = new FleetLink(clock)
+  for (let i = 1; i < FLEET; i++) view.merge(memberOf(i), clock.nowMs())
+  suspects.forEach(({ incarnation }) => view.suspect(incarnation, clock.nowMs()))
+  const prober = new Prober({
+    clock,
+    random: new SeededRandom(1),
+    link,
+    view,
+    listedAddresses: () => [],
+    revisions: () => ({ [Collection.Declarations]: 1, [Collection.Fleet]: 1 }),
+    inFlight: () => 0,
+    platformAnswering: () => undefined,
+    onPlatformAnswering: () => {},
+    onPeerRevisions: () => {},
+    probePeriodMs: PROBE_PERIOD_MS,
+    probeTimeoutMs: PROBE_TIMEOUT_MS,
+    watchCount: 4,
+    silentGoneMs: 600_000,
+  })
+  prober.start()
+  return { clock, link, prober }
+}
+
+test('a member that does not answer is greeted by a few of many boxes in a round, so that it is not flooded when it wakes', async (t) => {
+  const suspect = memberOf(345)
+  const { clock, link, prober } = startProber([suspect])
+  link.silent.add(suspect.peerAddress)
+  await clock.advance(ROUNDS * (PROBE_PERIOD_MS + PROBE_TIMEOUT_MS))
+  const greetings = link.heartbeats.get(suspect.peerAddress) ?? 0
+  t.true(greetings <= 10, `${greetings} in ${ROUNDS} rounds, of one box in ${FLEET}`)
+  void prober.stop()
+})
+
+test('members that do not answer do not make it later that a box notices its contact with the others', async (t) => {
+  const suspects = Array.from({ length: FLEET / 3 }, (_, i) => memberOf(3 * i + 1))
+  const { clock, link, prober } = startProber(suspects)
+  // Some are back and some are not: each wave of greetings finds one that answers and waits for one that does not.
+  suspects.filter((_, i) => i % 2 === 0).forEach(({ peerAddress }) => link.silent.add(peerAddress))
+  let longestMs = 0
+  for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 50) {
+    await clock.advance(50)
+    longestMs = Math.max(longestMs, clock.nowMs() - prober.lastMajorityContactMs)
+  }
+  t.true(longestMs <= 2 * PROBE_PERIOD_MS, `${longestMs} ms: after ${2 * PROBE_PERIOD_MS} ms a box counts as alone and watches the platform itself`)
+  void prober.stop()
+})
