fix(membership.prober): a suspected member is greeted by a few boxes, beside the rounds of probes

Cause: since every box greets suspected members in each of its rounds, so the load on one that is paused or starts again grows with the fleet (at 690 boxes, 690 heartbeats a round), and a round ends only when those greeted have answered or 300 ms have passed, up to four times in a row. Contact with the others is noted at a round's end, and a box without it for 1.4 s watches the platform itself. Change: a box greets with the chance by which four boxes greet a suspected member in a round; where many are suspected, as after a cut, each greets as before. Greetings have a task of their own. Tests: both of prober.ts failed before and pass. Greetings of one suspected member in 100 rounds of one box in 690: 101 before, 2 after.

--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -32,6 +32,8 @@
 const MAX_INDIRECT_PROBES = 2
 /** One round in this many also probes a listed box that is not believed live. */
 const REJOIN_EVERY_ROUNDS = 4
+/** Boxes that greet a suspected member in one round, on average, however many there are: enough for one of them to find it soon. */
+const GREETERS_PER_SUSPECT = 4
 /** Suspected members that one round greets at most, once one of them has answered: a cut that heals gives many back at once. */
 const MAX_SUSPECTS_GREETED = 15
 /** News has had this many rounds to spread before views are compared. */
@@ -73,6 +75,8 @@
 
   start (): void {
     this.#tasks.repeat(() => this.#probeRound(), { periodMs: this.#opts.probePeriodMs })
+    // Beside the rounds, which must not wait for those that do not answer.
+    this.#tasks.repeat(() => this.#greetSuspected(), { periodMs: this.#opts.probePeriodMs })
     this.#tasks.run(() => this.#passOnNews())
   }
 
@@ -109,7 +113,6 @@
     const [answers] = await Promise.all([
       Promise.all(watched.map((member) => this.#probe(member))),
       ...[...rejoin, ...unsure].map((address) => this.#greet(address)),
-      this.#greetSuspected(),
     ])
     const nowMs = clock.nowMs()
     if (2 * answers.filter((answered) => answered).length > watched.length) this.#lastMajorityContactMs = nowMs
@@ -169,9 +172,11 @@
     return answer?.self
   }
 
-  /** Greets one suspected member, and twice as many more for as long as any of them answers. */
+  /** Greets one suspected member, unless others do, and twice as many more for as long as any of them answers. */
   async #greetSuspected (): Promise<void> {
     const { random, view } = this.#opts
+    const share = GREETERS_PER_SUSPECT * view.suspected().length / view.live().length
+    if (random.nextFloat() >= share) return
     const greeted = new Set<string>()
     for (let count = 1, answered = true; answered && greeted.size < MAX_SUSPECTS_GREETED; count *= 2) {
       const left = view.suspected().map(({ peerAddress }) => peerAddress).filter((address) => !greeted.has(address))
