fix(request.relay): how long runs last is known for each route at a target

Cause: a planned stop took a request by the longest of the last 64 runs at its model or pool, whatever route they came by. Kinds of requests differ: after 64 short ones, a long one looked short, was taken, and was cut. Change: runs are remembered by route and target. Tests: 'short requests of one route do not hide …' failed before and passes (npx ava platform/adapter/test.lib/plannedStop.js).

--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -129,7 +129,9 @@
     this.#forgetUnlisted()
     const { model, pool } = this.#pickTarget(route.spec)
     const target = model ?? pool as string
-    this.#checkHasTime(run, target)
+    // Routes to one target differ in how long their requests last.
+    const kind = `${route.name}|${target}`
+    this.#checkHasTime(run, kind)
     const budget = this.#budget(target)
     budget.countRequest()
     const context: RelayContext = {
@@ -146,7 +148,7 @@
     try {
       await this.#carryOutAt(context, { model, pool }, times)
     } finally {
-      if (run.mayHaveRun) this.#runTimes.note(target, run.elapsedMs)
+      if (run.mayHaveRun) this.#runTimes.note(kind, run.elapsedMs)
     }
   }
 
@@ -158,9 +160,9 @@
   }
 
   /** Throws when the request would probably still run when this box ends. */
-  #checkHasTime (run: RunContext, target: string): void {
+  #checkHasTime (run: RunContext, kind: string): void {
     const leftMs = this.#endsAtMs - this.#opts.clock.nowMs()
-    const likelyMs = Math.min(run.leftMs, this.#runTimes.likelyLongestMs(target) ?? run.leftMs)
+    const likelyMs = Math.min(run.leftMs, this.#runTimes.likelyLongestMs(kind) ?? run.leftMs)
     if (likelyMs <= leftMs) return
     throw new ReelspanError(ErrorCode.Draining, `this box stops within ${Math.round(leftMs)} ms, and the request may take ${Math.round(likelyMs)} ms`, { retryAfterMs: DRAINING_RETRY_AFTER_MS })
   }
