test(box.runtime): a box that is about to be ended by force takes requests as owner that it cannot finish

With requests.stopWithinMs of 8 s, a completion of more than 10 s that comes 1 s after the signal is taken, and ended with 'may have run' at 8 s: the bound holds for relayed requests only. Fails on the code as it is. No logic is changed.

--- a/box/runtime/test/leaving.ts
+++ b/box/runtime/test/leaving.ts
@@ -123,3 +123,17 @@
   await fleet.clock.run(stopped)
   await fleet.stop()
 })
+
+test('a box that is about to be ended by force takes as owner only what ends before by its deadline', async (t) => {
+  const fleet = await new FakeFleet({ settings: { requests: { stopWithinMs: 8000 } } }).start()
+  const keys = { long: fleet.key('box-1'), short: fleet.key('box-1') }
+  const stopped = fleet.box('box-1').box.drain()
+  await fleet.clock.advance(1000)
+  const long = fleet.send('box-2', fleet.completion('box-1', promptFor('long', { answerTokens: 600 }), { key: keys.long, maxTokens: 600 }))
+  const short = fleet.send('box-2', fleet.completion('box-1', promptFor('short', { answerTokens: 5 }), { key: keys.short, deadlineMs: 5000 }))
+  const outcomes = await fleet.clock.run(Promise.all([long, short]))
+  t.deepEqual(outcomes.map(({ verdict }) => verdict), [Verdict.NotRun, Verdict.Finished])
+  await fleet.clock.run(stopped)
+  fleet.box('box-1').alive = false
+  await fleet.stop()
+})
