fix(request.owner): a box that is about to be ended by force takes as owner only what ends before by its deadline

Cause: requests.stopWithinMs bounds the whole stop, but only relayed requests were refused by it; the project's own interface took others until lookups had lapsed, and whatever still ran at the bound was ended with 'may have run'. Change: from the signal on, new requests whose deadlines end after the box does are refused unrun, with the hint to ask for a new lookup, which names other boxes; known keys can be joined as before. Without requests.stopWithinMs nothing changes. Tests: 'a box that is about to be ended by force …' failed before and passes; the others of leaving.ts, plannedStop.ts and request.owner pass (16).

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -169,10 +169,10 @@
 
   /** Stops as planned, without cutting off a request. */
   async drain (): Promise<void> {
-    const { clock, log, relay, settings: { requests: { stopWithinMs } } } = this.#parts
+    const { clock, log, owner, relay, settings: { requests: { stopWithinMs } } } = this.#parts
     this.#stopping = true
     log.info(LogEvent.Stopping, { requestsInFlight: this.#callersBeingServed })
-    if (stopWithinMs !== undefined) relay?.endWithin(stopWithinMs)
+    if (stopWithinMs !== undefined) [owner, relay].forEach((part) => part?.endWithin(stopWithinMs))
     const stop = plannedStop({ ...this.#stopParts(), callersServed: () => this.#waitCallersServed() })
     await (stopWithinMs === undefined ? stop : raceTimeout(clock, stop, stopWithinMs))
     await this.stop()
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -72,6 +72,8 @@
   readonly #ended = new Notifier()
   #sequence = 0
   #closed = false
+  /** When this box ends whatever runs, on its clock. */
+  #endsAtMs = Number.POSITIVE_INFINITY
 
   constructor (opts: OwnerOptions) {
     this.#opts = opts
@@ -89,7 +91,9 @@
     const known = this.#opts.records.get(request.key)
     if (known) return this.#join(known, request)
     if (!opts.takeOver || request.notRepeatable) this.#checkKey(request)
-    if (this.#closed) throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop', { retryAfterMs: 0, hint: 'Ask for a new lookup.' })
+    if (this.#closed || this.#opts.clock.nowMs() + request.deadlineMs > this.#endsAtMs) {
+      throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop', { retryAfterMs: 0, hint: 'Ask for a new lookup.' })
+    }
     const record = this.#opts.records.open(request.key, fingerprintOf(request), answerBytes(request))
     this.#start(record, request)
     return record
@@ -113,6 +117,11 @@
     return requestIds.filter((requestId) => live.has(requestId))
   }
 
+  /** This box ends within that time: new requests are taken only if their deadlines end before. */
+  endWithin (durationMs: number): void {
+    this.#endsAtMs = this.#opts.clock.nowMs() + durationMs
+  }
+
   /** From now on nothing new is started; known requests go on and can be joined. */
   closeForNew (): void {
     this.#closed = true
