--- /dev/null
+++ b/box/runtime/test/platformAway.ts
@@ -0,0 +1,37 @@
+import { FleetEntryKind } from '@reelspan/config.fleet'
+import { Collection } from '@reelspan/core.messages'
+import { FakeFleet } from '@reelspan/utils.fake-fleet'
+import test, { type ExecutionContext } from 'ava'
+
+/** As on the users' platform. */
+const PLATFORM_SETTINGS = {
+  platform: { watchWaitMs: 2000, longestBackoffMs: 700, watchersPerAvailabilityZone: 4, backstopPollMs: 40_000 },
+  membership: { probePeriodMs: 700, probeTimeoutMs: 300 },
+}
+const SEEDS = [1, 2, 3, 4]
+/** Upstreams that live have not all entered themselves again by then. */
+const SOON_AFTER_MS = 1500
+
+/** The platform answers nobody for some time; an upstream's entry has lapsed when it is back. */
+async function lapsedIsKept (t: ExecutionContext, awayMs: number): Promise<void> {
+  for (const seed of SEEDS) {
+    const fleet = await new FakeFleet({ seed, settings: PLATFORM_SETTINGS }).start()
+    await fleet.clock.advance(5000 + 530 * seed)
+    fleet.everyAddress().forEach((address) => fleet.platform.silentTo.add(address))
+    await fleet.clock.advance(awayMs)
+    fleet.platform.publish(Collection.Fleet, [{ kind: FleetEntryKind.Upstream, name: 'desk-2', spec: null }])
+    fleet.platform.silentTo.clear()
+    await fleet.clock.advance(SOON_AFTER_MS)
+    const dropping = fleet.boxes.filter(({ box }) => !box.listsUpstream('desk-2')).map(({ name }) => name)
+    t.deepEqual(dropping, [], `seed ${seed}`)
+    await fleet.stop()
+  }
+}
+
+test('entries that lapsed while the platform was silent for long are kept until they can be back', async (t) => {
+  await lapsedIsKept(t, 7000)
+})
+
+test('entries that lapsed while the platform was silent for a little longer than they live are kept until they can be back', async (t) => {
+  await lapsedIsKept(t, 4500)
+})
