--- a/box/runtime/test/leaving.ts
+++ b/box/runtime/test/leaving.ts
@@ -39,6 +39,18 @@
   await fleet.stop()
 })
 
+test('an engine that leaves while the prompt is read elsewhere gets nothing to decode', async (t) => {
+  const fleet = await new FakeFleet({ engine: { prefillBaseMs: 2000 } }).start()
+  const prompt = promptFor('leaves', { answerTokens: 20 })
+  const running = fleet.send('box-1', fleet.completion('box-1', prompt, { maxTokens: 20, ttftTargetMs: 5000 }))
+  await fleet.clock.advance(300)
+  const chosen = fleet.schedulerBox().box.describe().shards.flatMap(({ decode }) => decode).find(({ reservedPlaces }) => reservedPlaces > 0)?.name as string
+  announceLeaving(fleet, chosen, UpstreamKind.Engine, 'draft-decode')
+  t.is((await fleet.clock.run(running)).text, expectedAnswer(prompt, 20))
+  t.is(fleet.engine(chosen).decodeRuns.length, 0)
+  await fleet.stop()
+})
+
 test('a planned stop cuts off no request and leaves its records with another box', async (t) => {
   const fleet = await new FakeFleet().start()
   const prompt = promptFor('stop', { answerTokens: 150 })
