fix(request.relay): a place that is found for a caller that has left is given back

Cause: the owner asked its placer, and when the answer came after the run had ended it unwound without giving the place back. The placer kept it as live, so that the next scheduler of the shard would have adopted a reservation for a request that nobody runs. Change: such a place is released where it is taken in.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -78,15 +78,13 @@
   async #place (attempt: number): Promise<Placement> {
     const { opts, run, caller, decided } = this.#context
     const askedAtMs = run.elapsedMs
-    let outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
-    run.throwIfEnded()
+    let outcome = await this.#askPlacer(attempt)
     while (!('plan' in outcome)) {
       // An answer that has begun is continued late rather than cut.
       if (!caller.begun) throw refusalOf(outcome)
       await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal: run.signal })
       run.throwIfEnded()
-      outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
-      run.throwIfEnded()
+      outcome = await this.#askPlacer(attempt)
     }
     const { plan: { prefillEngine, decodeEngine, expectedTtftMs }, placedBy } = outcome
     const { promptTokens, maxTokens, expectedTokens } = this.#prompt
@@ -105,6 +103,15 @@
     return outcome
   }
 
+  /** A place that is found for a run that has ended is given back. */
+  async #askPlacer (attempt: number): Promise<Placement | PlacementRefusal> {
+    const { opts, run } = this.#context
+    const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
+    if (run.signal.aborted && 'plan' in outcome) outcome.release()
+    run.throwIfEnded()
+    return outcome
+  }
+
   #placeRequest (attempt: number): PlaceRequest {
     const { opts, run, route, request, caller, health } = this.#context
     const { promptTokens, maxTokens, prefixes } = this.#prompt
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -18,9 +18,14 @@
   readonly freed: PrefillSource[] = []
   readonly #clock: VirtualClock
   readonly #scripts: Script[]
+  readonly #working: AbortSignal[] = []
   prefillFailure?: UpstreamError
   prefillIsSilent = false
+  /** The prefill ends when this resolves, whatever becomes of its caller. */
+  prefillEnds?: Promise<void>
   onPrefill?: () => void
+  /** Requests wait for this before they are sent, or are given up unsent. */
+  connects?: Promise<void>
 
   constructor (clock: VirtualClock, scripts: Script[]) {
     super()
@@ -28,17 +33,25 @@
     this.#scripts = scripts
   }
 
+  /** What goes on at upstreams and was not given up. */
+  get working (): number {
+    return this.#working.filter(({ aborted }) => !aborted).length
+  }
+
   async run (target: RelayTarget, request: RelayedRequest, opts: RelayRunOptions): Promise<RelayAnswer> {
+    if (this.connects) await Promise.race([this.connects, givenUp(opts.signal, { mayHaveRun: false })])
     const script = this.#scripts[this.runs.length]
     this.runs.push({ instance: target.instance, request, opts })
     opts.onSend?.()
-    return script({ ...opts, clock: this.#clock })
+    const answer = await this.#atWork(opts.signal, script({ ...opts, clock: this.#clock }))
+    return { ...answer, body: this.#bodyAtWork(opts.signal, answer.body) }
   }
 
   async prefill (target: RelayTarget, _request: RelayedRequest, { signal }: RelayCallOptions): Promise<PrefilledPrompt> {
     this.prefills.push(target.instance)
     this.onPrefill?.()
-    if (this.prefillIsSilent) await givenUp(signal)
+    if (this.prefillEnds) await this.#atWork(signal, this.prefillEnds)
+    if (this.prefillIsSilent) await this.#atWork(signal, givenUp(signal))
     if (this.prefillFailure) throw this.prefillFailure
     return { handle: `handle-${this.prefills.length}`, promptTokens: 1000 }
   }
@@ -46,6 +59,24 @@
   async free (source: PrefillSource): Promise<void> {
     this.freed.push(source)
   }
+
+  async #atWork<T> (signal: AbortSignal, work: Promise<T>): Promise<T> {
+    this.#working.push(signal)
+    try {
+      return await work
+    } finally {
+      this.#working.splice(this.#working.indexOf(signal), 1)
+    }
+  }
+
+  async * #bodyAtWork (signal: AbortSignal, body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
+    this.#working.push(signal)
+    try {
+      yield * body
+    } finally {
+      this.#working.splice(this.#working.indexOf(signal), 1)
+    }
+  }
 }
 
 /** A caller that keeps what it gets. */
@@ -56,6 +87,8 @@
   whole = false
   wasCut = false
   refused?: FinalAnswer
+  /** Takes in nothing more until it leaves. */
+  readsNothing = false
 
   get signal (): AbortSignal {
     return this.left.signal
@@ -71,6 +104,8 @@
 
   async write (bytes: Uint8Array): Promise<void> {
     this.body += Buffer.from(bytes).toString()
+    if (!this.readsNothing || this.left.signal.aborted) return
+    await new Promise<void>((resolve) => this.left.signal.addEventListener('abort', () => resolve(), { once: true }))
   }
 
   finish (): void {
@@ -89,15 +124,21 @@
 /** Places everything on the same two engines, or refuses. */
 class FixedPlacer extends Placer {
   readonly asked: PlaceRequest[] = []
+  placed = 0
   released = 0
   readonly outcomes: EngineOutcome[] = []
   refusal?: PlacementRefusal
+  startInMs = 0
+  /** The answer comes when this resolves, whatever becomes of its caller. */
+  answers?: Promise<void>
 
   async place (request: PlaceRequest): Promise<Placement | PlacementRefusal> {
     this.asked.push(request)
+    await this.answers
     if (this.refusal) return this.refusal
     const nth = this.asked.length
-    const plan = { outcome: PlacementOutcome.Placed as const, prefillEngine: 'p1', prefillAddress: '10.0.0.1:1', decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1`, kvBytes: 1, startInMs: 0, startWithinMs: 300, expectedTtftMs: 100 }
+    this.placed++
+    const plan = { outcome: PlacementOutcome.Placed as const, prefillEngine: 'p1', prefillAddress: '10.0.0.1:1', decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1`, kvBytes: 1, startInMs: this.startInMs, startWithinMs: 300, expectedTtftMs: 100 }
     return {
       plan,
       placedBy: 'test',
@@ -211,9 +252,11 @@
   await givenUp(signal)
 }
 
-function givenUp (signal: AbortSignal): Promise<never> {
+function givenUp (signal: AbortSignal, { mayHaveRun } = { mayHaveRun: true }): Promise<never> {
   return new Promise((_resolve, reject) => {
-    signal.addEventListener('abort', () => reject(new UpstreamError('given up', { mayHaveRun: true, unreachable: true })))
+    const giveUp = () => reject(new UpstreamError('given up', { mayHaveRun, unreachable: true }))
+    if (signal.aborted) giveUp()
+    else signal.addEventListener('abort', giveUp)
   })
 }
 
