fix(request.relay): a request that waits for a connection has not run yet

Cause: a run was taken to have been sent from the moment at which its connection was asked for. A caller that left, or a deadline that passed, while the connection was still being opened was told and logged «may have run», although nothing can have run; a request that may run at most once could then not be repeated. Change: the mark is set when the sender says that it sends, which it always did for counting attempts. Nothing is sent once the run has ended: the pool looks at the signal after the connection is open. Tests: a caller that leaves and a deadline that passes while the connection is awaited (three, which failed before).

--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -84,13 +84,21 @@
    * may have run, unless the upstream is known not to have begun this or
    * anything before.
    */
-  async dispatch<T> (send: () => Promise<T>): Promise<T> {
+  dispatch<T> (send: () => Promise<T>): Promise<T> {
+    return this.dispatchWhenSent((sent) => {
+      sent()
+      return send()
+    })
+  }
+
+  /** Like `dispatch`, but the request may have run only from when the sender says that it sends. */
+  async dispatchWhenSent<T> (send: (sent: () => void) => Promise<T>): Promise<T> {
     const mayHaveRunBefore = this.#mayHaveRun
-    this.#mayHaveRun = true
+    const sent = () => { this.#mayHaveRun = true }
     try {
-      return await send()
+      return await send(sent)
     } catch (thrown) {
-      if (toReelspanError(thrown).verdict === Verdict.NotRun) this.#mayHaveRun = mayHaveRunBefore
+      this.#mayHaveRun = toReelspanError(thrown).verdict === Verdict.NotRun ? mayHaveRunBefore : true
       throw thrown
     }
   }
--- a/request/relay/test/leftCaller.ts
+++ b/request/relay/test/leftCaller.ts
@@ -171,6 +171,15 @@
     await checkFreed(t, made, asked)
     t.is(asked.runs, 1)
   })
+
+  test(`a request that waits for a connection to its service is sent nowhere after its caller left (${path})`, async (t) => {
+    const made = createRelay([])
+    made.upstreams.connects = new Promise(() => {})
+    const { asked } = await leaveAfter(made, path, 100)
+    await checkFreed(t, made, asked)
+    t.is(asked.runs, 0)
+    t.is(verdictOf(made), Verdict.NotRun)
+  })
 }
 
 test('between two tries at services nothing more is sent for a caller that left', async (t) => {
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -97,6 +97,16 @@
   t.is(upstreams.runs[0].opts.deadlineMs, 700)
 })
 
+test('a request whose time ends while it waits for a connection has not run', async (t) => {
+  const { clock, relay, upstreams } = createRelay([])
+  upstreams.connects = new Promise(() => {})
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller, 300))
+  t.is(upstreams.runs.length, 0)
+  t.is(caller.refused?.code, ErrorCode.DeadlinePassed)
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+})
+
 test('an upstream stops working for a caller that has left', async (t) => {
   const { clock, relay, upstreams } = createRelay([silent()])
   const caller = new RecordingCaller()
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -44,7 +44,7 @@
   signal: AbortSignal
   /** Time that the upstream has for the request. */
   deadlineMs: number
-  /** The upstream may act on the request from now on. */
+  /** The upstream may act on the request from now on. Always called before anything is sent. */
   onSend?: () => void
 }
 
