fix(request.relay): an engine is not taken for silent while its caller does not read

Cause: a stream's silence was counted from the last part that was read off the connection, and nothing is read off while the caller takes no more. A caller that paused for twice the target between events had its engine given up and noted as failed, and its stream prefilled and decoded again elsewhere. Change: the watch stands still while a part waits for the caller, and counts silence from when the caller takes it. Tests: a caller that pauses for 5 s keeps its engine; an engine that is silent behind such a caller is given up once the caller reads (both failed before).

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -228,7 +228,7 @@
       throw new UpstreamError(`${plan.decodeEngine} answered ${answer.status}`, { mayHaveRun: true })
     }
     placement.progressed(1)
-    await passEvents(this.#context, answer, times, { progress: this.#progress, wholeEvents: route.spec.resumable, onPart: () => watch.heard() })
+    await passEvents(this.#context, answer, times, { progress: this.#progress, wholeEvents: route.spec.resumable, watch })
     this.#note(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
 
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -2,13 +2,14 @@
 import { type EventProgress } from './eventProgress.js'
 import { type AnswerTimes, noteTime } from './passAnswer.js'
 import { type RelayContext } from './relayContext.js'
+import { type SilenceWatch } from './silenceWatch.js'
 
 export interface PassEventsOptions {
   progress: EventProgress
   /** Pass on whole events only, so that another upstream can go on behind the last of them. */
   wholeEvents: boolean
-  /** Something has come. */
-  onPart: () => void
+  /** Watches for the upstream's silence. */
+  watch: SilenceWatch
 }
 
 /**
@@ -17,15 +18,16 @@
  */
 export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
   const { run, caller } = context
-  const { progress, wholeEvents, onPart } = opts
+  const { progress, wholeEvents, watch } = opts
   if (!caller.begun) caller.begin(answer.status, answer.headers)
   try {
     for await (const bytes of answer.body) {
-      onPart()
+      watch.heard()
       const complete = progress.take(bytes)
       if (complete.byteLength > 0) noteTime(times, run.elapsedMs)
       const passed = wholeEvents ? complete : bytes
-      if (passed.byteLength > 0) await caller.write(passed)
+      // A caller that is slow to read says nothing about the upstream.
+      if (passed.byteLength > 0) await watch.pauseFor(caller.write(passed))
     }
   } catch (thrown) {
     // A part of an event belongs to the answer that broke off.
--- a/request/relay/src/silenceWatch.ts
+++ b/request/relay/src/silenceWatch.ts
@@ -6,6 +6,7 @@
   readonly #silent = new AbortController()
   readonly #over = new AbortController()
   #heardAtMs: number
+  #pauses = 0
 
   readonly #outer: AbortSignal
   readonly #end = () => this.#silent.abort(STOPPED)
@@ -28,6 +29,17 @@
     this.#heardAtMs = this.#clock.nowMs()
   }
 
+  /** Does something during which nothing can be heard, since nobody listens: silence counts from its end. */
+  async pauseFor<T> (work: Promise<T>): Promise<T> {
+    this.#pauses++
+    try {
+      return await work
+    } finally {
+      this.#pauses--
+      this.heard()
+    }
+  }
+
   /** Ends the watch. */
   stop (): void {
     this.#outer.removeEventListener('abort', this.#end)
@@ -35,7 +47,7 @@
   }
 
   async #watch (patienceMs: number): Promise<void> {
-    for (let leftMs = patienceMs; leftMs > 0; leftMs = this.#heardAtMs + patienceMs - this.#clock.nowMs()) {
+    for (let leftMs = patienceMs; leftMs > 0; leftMs = this.#leftMs(patienceMs)) {
       await this.#clock.sleep(leftMs, { signal: this.#over.signal })
       // After a pause of this process, what came in time may still be waiting to be read.
       await this.#clock.settle()
@@ -43,4 +55,8 @@
     }
     this.#end()
   }
+
+  #leftMs (patienceMs: number): number {
+    return this.#pauses > 0 ? patienceMs : this.#heardAtMs + patienceMs - this.#clock.nowMs()
+  }
 }
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -87,8 +87,9 @@
   whole = false
   wasCut = false
   refused?: FinalAnswer
-  /** Takes in nothing more until it leaves. */
+  /** Takes in nothing more until it leaves or reads again. */
   readsNothing = false
+  #readsAgain = () => {}
 
   get signal (): AbortSignal {
     return this.left.signal
@@ -105,7 +106,15 @@
   async write (bytes: Uint8Array): Promise<void> {
     this.body += Buffer.from(bytes).toString()
     if (!this.readsNothing || this.left.signal.aborted) return
-    await new Promise<void>((resolve) => this.left.signal.addEventListener('abort', () => resolve(), { once: true }))
+    await new Promise<void>((resolve) => {
+      this.#readsAgain = resolve
+      this.left.signal.addEventListener('abort', () => resolve(), { once: true })
+    })
+  }
+
+  readAgain (): void {
+    this.readsNothing = false
+    this.#readsAgain()
   }
 
   finish (): void {
@@ -260,6 +269,18 @@
   })
 }
 
+/** Gives its parts at once; breaks off if it is given up before they are taken. */
+export function endsUnlessGivenUp (status: number, parts: string[]): Script {
+  return async ({ signal }) => ({ status, notRun: false, headers: [], body: bodyUnlessGivenUp(parts, signal) })
+}
+
+async function * bodyUnlessGivenUp (parts: string[], signal: AbortSignal): AsyncGenerator<Uint8Array> {
+  for (const part of parts) {
+    if (signal.aborted) throw new UpstreamError('given up', { mayHaveRun: true, unreachable: true })
+    yield Buffer.from(part)
+  }
+}
+
 async function * bodyOf (parts: string[], failure?: Error): AsyncGenerator<Uint8Array> {
   for (const part of parts) yield Buffer.from(part)
   if (failure) throw failure
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -3,7 +3,7 @@
 import { UpstreamError } from '@reelspan/upstream.client'
 import test from 'ava'
 import { type ListedUpstream } from '@reelspan/config.fleet'
-import { answers, breaksOff, createRelay, fails, fallsSilent, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
+import { answers, breaksOff, createRelay, endsUnlessGivenUp, fails, fallsSilent, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
 
 function leave (engines: readonly ListedUpstream[], name: string): void {
   engines.filter((engine) => engine.name === name).forEach((engine) => { engine.leaving = true })
@@ -260,6 +260,33 @@
   t.true(upstreams.runs[0].opts.signal.aborted)
 })
 
+test('an engine is not given up for a caller that is slow to read', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([endsUnlessGivenUp(200, ['id: 0\ndata: a\n\n', 'id: 1\ndata: b\n\n'])])
+  const caller = new RecordingCaller()
+  caller.readsNothing = true
+  const work = relay.relay(requestTo('/reply/1'), caller)
+  await clock.advance(5000)
+  caller.readAgain()
+  await clock.run(work)
+  t.is(caller.body, 'id: 0\ndata: a\n\nid: 1\ndata: b\n\n')
+  t.true(caller.whole)
+  t.is(upstreams.runs.length, 1)
+  t.false(placer.outcomes.some(({ outcome }) => outcome !== UpstreamOutcome.Answered))
+})
+
+test('an engine that falls silent behind a caller that is slow to read is given up once the caller reads', async (t) => {
+  const { clock, relay, upstreams } = createRelay([fallsSilent(200, 'id: 0\ndata: a\n\n'), answers(200, 'id: 1\ndata: b\n\n')])
+  const caller = new RecordingCaller()
+  caller.readsNothing = true
+  const work = relay.relay(requestTo('/reply/1'), caller)
+  await clock.advance(3000)
+  t.false(upstreams.runs[0].opts.signal.aborted)
+  caller.readAgain()
+  await clock.run(work, 2000)
+  t.is(caller.body, 'id: 0\ndata: a\n\nid: 1\ndata: b\n\n')
+  t.true(caller.whole)
+})
+
 test('a stream that may not be resumed is waited for while its caller waits', async (t) => {
   const { clock, relay, upstreams } = createRelay([fallsSilent(200, 'id: 0\ndata: a\n\n')])
   const caller = new RecordingCaller()
