fix(scheduling.scheduler-placer): a request that ends while it is placed is withdrawn everywhere, and nobody else is asked

Cause: a caller's leaving withdrew its request at the scheduler that was being asked, and the answer «withdrawn» was then taken for a refusal: the request went on to the model's second shard, where it waited, was placed and held its place until the reservation lapsed. Where another box was asked, the call that was given up looked like a scheduler out of reach: the request was withdrawn there twice and placed by the owner alone. A place found in the very moment was kept as live, so that the next scheduler would have adopted it. Change: the signal is looked at before each shard and after each answer; the request is withdrawn once. Ruled out: leaving it to the relay alone, which gives back a place that it is handed, but learns nothing of what waits at the second shard.

--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -28,6 +28,9 @@
 /** Prompts share a shard by this many of their first tokens. */
 const AFFINITY_TOKENS = 512
 
+/** The answer to a request that has ended while it was being placed. */
+const WITHDRAWN: PlacementRefusal = { outcome: PlacementOutcome.Refused, reason: 'withdrawn', retryAfterMs: 0 }
+
 /** A placement that has not been given back. */
 interface LivePlacement {
   request: ReserveRequest
@@ -56,6 +59,7 @@
     const startedAtMs = clock.nowMs()
     const refusals: PlacementRefusal[] = []
     for (const shard of this.#shardsFor(request)) {
+      if (opts.signal.aborted) return WITHDRAWN
       const elapsedMs = clock.nowMs() - startedAtMs
       const reserve = { ...request, shardId: shard.id, ttftLeftMs: request.ttftLeftMs - elapsedMs }
       const answer = await this.#ask(shard, reserve, opts.signal)
@@ -90,32 +94,32 @@
     return this.#opts.shardsOfModel(model ?? shardId.split('#')[0]).find(({ id }) => id === shardId)
   }
 
-  /** Answers nothing when no scheduler can be asked. */
+  /** Answers nothing when no scheduler can be asked. Whoever asked in vain, or for a request that has ended, gives back what it may have got. */
   async #ask (shard: Shard, request: ReserveRequest & PlaceRequest, signal: AbortSignal): Promise<Placement | PlacementRefusal | undefined> {
     const scheduler = schedulerOf(shard, this.#opts.schedulers())
     if (!scheduler) return undefined
+    const withdraw = () => this.#release(scheduler, request)
+    signal.addEventListener('abort', withdraw, { once: true })
     try {
       const answer = await this.#reserve(scheduler, request, signal)
+      if (signal.aborted) return WITHDRAWN
       return answer.outcome === PlacementOutcome.Refused ? answer : this.#keep(request, answer, scheduler)
     } catch (thrown) {
       if (!(thrown instanceof ReelspanError)) throw thrown
-      this.#release(scheduler, request)
+      if (signal.aborted) return WITHDRAWN
+      withdraw()
       return undefined
+    } finally {
+      signal.removeEventListener('abort', withdraw)
     }
   }
 
   async #reserve (scheduler: Member, request: ReserveRequest, signal: AbortSignal): Promise<PlacementAnswer> {
-    const withdraw = () => this.#release(scheduler, request)
-    signal.addEventListener('abort', withdraw, { once: true })
-    try {
-      if (scheduler.incarnation === this.#opts.selfIncarnation()) return await this.#reserveHere(request)
-      const timeoutMs = Math.max(0, request.ttftLeftMs, request.patienceMs ?? 0) + ANSWER_SLACK_MS
-      const answer = await this.#opts.link.call(scheduler.peerAddress, { type: MessageType.Reserve, request }, { timeoutMs, signal })
-      if (answer.type !== MessageType.ReserveAnswer) throw new Error(`unexpected answer ${answer.type}`)
-      return answer.answer
-    } finally {
-      signal.removeEventListener('abort', withdraw)
-    }
+    if (scheduler.incarnation === this.#opts.selfIncarnation()) return this.#reserveHere(request)
+    const timeoutMs = Math.max(0, request.ttftLeftMs, request.patienceMs ?? 0) + ANSWER_SLACK_MS
+    const answer = await this.#opts.link.call(scheduler.peerAddress, { type: MessageType.Reserve, request }, { timeoutMs, signal })
+    if (answer.type !== MessageType.ReserveAnswer) throw new Error(`unexpected answer ${answer.type}`)
+    return answer.answer
   }
 
   async #reserveHere (request: ReserveRequest): Promise<PlacementAnswer> {
--- /dev/null
+++ b/scheduling/scheduler-placer/test/__utils__/createPlacer.ts
@@ -0,0 +1,110 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
+import { checkResources } from '@reelspan/config.resources'
+import { type Member, MemberHealth, MessageType, type PeerCallOptions, PeerLink, PeerLinkError, type PeerMessage, PlacementOutcome, type PlacementPlan, type PlacementRefusal } from '@reelspan/core.messages'
+import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { createPrefixIndex, PrefixIndexKind } from '@reelspan/scheduling.prefix-index'
+import { ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
+import { type Shard } from '@reelspan/scheduling.shards'
+import { EngineRole } from '@reelspan/upstream.client'
+import { tuulDeclarations, VirtualClock } from '@reelspan/utils.fakes'
+
+const SELF = 'a'.repeat(16)
+const OTHER = 'b'.repeat(16)
+
+/** A link whose calls are answered by the test. */
+class HeldLink extends PeerLink {
+  readonly calls: { message: PeerMessage, answer: (message: PeerMessage) => void }[] = []
+
+  call (address: string, message: PeerMessage, { signal }: PeerCallOptions): Promise<PeerMessage> {
+    return new Promise((resolve, reject) => {
+      this.calls.push({ message, answer: resolve })
+      signal?.addEventListener('abort', () => reject(new PeerLinkError(`the exchange with ${address} was given up`, { mayHaveArrived: true })))
+    })
+  }
+
+  async * stream (): AsyncGenerator<PeerMessage> {
+    throw new Error('nothing here asks for a stream')
+  }
+
+  serve (): void {}
+
+  async close (): Promise<void> {}
+
+  ofType (type: MessageType): PeerMessage[] {
+    return this.calls.map(({ message }) => message).filter((message) => message.type === type)
+  }
+}
+
+class RecordingPlacer extends Placer {
+  asked = 0
+
+  async place (): Promise<Placement | PlacementRefusal> {
+    this.asked++
+    return { outcome: PlacementOutcome.Refused, reason: 'nobody answers', retryAfterMs: 100 }
+  }
+}
+
+export interface TestPlacerOptions {
+  shards?: number
+  /** Another box schedules. */
+  remote?: boolean
+}
+
+/** A placer of a box that schedules itself, or asks another box. */
+export function createPlacer ({ shards = 1, remote = false }: TestPlacerOptions = {}) {
+  const clock = new VirtualClock()
+  const link = new HeldLink()
+  const fallback = new RecordingPlacer()
+  const placeAt = (shard: Shard) => new ShardScheduler({ clock, shard, route: () => undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000 })
+  const listed = Array.from({ length: shards }, (_, i) => shardOf(`draft#${i}`))
+  const schedulers = new Map(listed.map((shard) => [shard.id, placeAt(shard)]))
+  const member: Member = { name: 'box', availabilityZone: 'z', peerAddress: '10.0.0.2:1', callerAddress: '10.0.0.2:2', incarnation: remote ? OTHER : SELF, version: 1, health: MemberHealth.Alive, leaving: false }
+  const placer = new SchedulerPlacer({
+    clock,
+    link,
+    selfIncarnation: () => SELF,
+    schedulers: () => [member],
+    shardsOfModel: () => listed,
+    localScheduler: (id) => schedulers.get(id),
+    fallback,
+  })
+  return { clock, link, fallback, placer, schedulers: [...schedulers.values()] }
+}
+
+/** Lets a scheduler whose engines had not reported place what waits. */
+export function reportEngines (scheduler: ShardScheduler): void {
+  const report = { loaded: [{ model: 'draft', version: '1' }], changing: false, placesUsed: 0, placesTotal: 20, kvBytesUsed: 0, kvBytesTotal: 4e9, prefillQueueMs: 0, fence: 0, holds: [] }
+  scheduler.noteReport('d-1', { ...report, role: EngineRole.Decode })
+  scheduler.noteReport('p-1', { ...report, role: EngineRole.Prefill })
+}
+
+export function requestOf (requestId: string): PlaceRequest {
+  return {
+    model: 'draft',
+    label: { ownerAddress: '10.0.0.1:1', ownerIncarnation: SELF, requestId, maxHoldMs: 30_000 },
+    returnId: requestId,
+    client: '',
+    priority: 0,
+    promptTokens: 1000,
+    prefixes: [],
+    maxTokens: 64,
+    ttftLeftMs: 390,
+    patienceMs: 2000,
+    tbtTargetMs: 76,
+    deadlineMs: 30_000,
+    avoid: [],
+  }
+}
+
+export const PLAN: PlacementPlan = { outcome: PlacementOutcome.Placed, prefillEngine: 'p-1', prefillAddress: 'p:1', decodeEngine: 'd-1', decodeAddress: 'd:1', kvBytes: 1, startInMs: 0, startWithinMs: 300, expectedTtftMs: 130 }
+
+function shardOf (id: string): Shard {
+  const { configuration } = checkResources(tuulDeclarations().map((entry) => ({ ...entry, revision: 1 })), 1)
+  const spec = configuration.model('draft')
+  const prefillPool = configuration.pool('draft-prefill')
+  const decodePool = configuration.pool('draft-decode')
+  if (!spec || !prefillPool || !decodePool) throw new Error('the declarations have no model draft')
+  const engine = (pool: string) => ({ name: `${pool}-1`, kind: UpstreamKind.Engine, address: `${pool}:1`, availabilityZone: 'z', pool, leaving: false })
+  return { id, model: 'draft', spec, prefillPool, decodePool, prefillEngines: [engine('p')], decodeEngines: [engine('d')] }
+}
