fix(request.relay): what cannot be sent elsewhere is waited for

Cause: a repeatable request left a service that had been silent for one and a half latency targets, also where the pool had no other upstream or the budget for repetitions was used up; it then failed with an answer of our own, though its caller was there and the upstream at work. For streams the budget was looked at only when the decode began: one that paused later was broken off without another engine that might go on with it; the same where its events have no numbers. Change: whether the request could go elsewhere is asked when the upstream is found silent, and again after each further such time. Ruled out: never giving a silent upstream up; a late answer is worth less than one in time from elsewhere. A stream without numbered events is covered by the same function as its retry.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -66,10 +66,9 @@
   }
 
   #mayRetry (thrown: unknown, attempt: number): boolean {
-    const { run, route, budget, caller } = this.#context
+    const { run, route, budget } = this.#context
     if (!(thrown instanceof UpstreamError) || attempt >= MAX_TRIES) return false
-    // What has no numbered event yet cannot be taken up behind it.
-    if (caller.begun && this.#progress.lastId === undefined && this.#progress.events > 0) return false
+    if (!this.#mayTakeUp()) return false
     if (run.mayHaveRun && !route.spec.resumable) return false
     if (this.#decodesSent >= route.spec.maxAttempts) return false
     return budget.takeRetry()
@@ -185,9 +184,9 @@
   }
 
   /** Gives work up that is not heard of for too long. */
-  async #unlessSilent<T> (patienceMs: number, work: (watch: SilenceWatch) => Promise<T>): Promise<T> {
+  async #unlessSilent<T> (patienceMs: number, work: (watch: SilenceWatch) => Promise<T>, mayGiveUp?: () => boolean): Promise<T> {
     const { opts, run } = this.#context
-    const watch = new SilenceWatch(opts.clock, patienceMs, run.signal)
+    const watch = new SilenceWatch(opts.clock, patienceMs, run.signal, mayGiveUp)
     try {
       return await work(watch)
     } finally {
@@ -199,7 +198,7 @@
   async #decode (plan: PlacementPlan, source: PrefillSource, placement: Placement, times: AnswerTimes): Promise<void> {
     const { run, request, route } = this.#context
     this.#decodesSent++
-    const patienceMs = this.#mayDecodeAgain() ? DECODE_PATIENCE * route.spec.tbtTargetMs : Number.POSITIVE_INFINITY
+    const patienceMs = this.#isRepeatable() ? DECODE_PATIENCE * route.spec.tbtTargetMs : Number.POSITIVE_INFINITY
     await this.#blame(plan.decodeEngine, () => this.#unlessSilent(patienceMs, async (watch) => {
       const answer = await sendToUpstream(this.#context, { instance: plan.decodeEngine, address: plan.decodeAddress }, {
         signal: watch.signal,
@@ -210,13 +209,23 @@
       })
       watch.heard()
       await this.#judge(plan, answer, placement, times, watch)
-    }))
+    }, () => this.#mayDecodeAgain()))
   }
 
-  /** Whether another engine could go on if this one failed. */
+  /** Whether another engine could go on now if this one failed. */
   #mayDecodeAgain (): boolean {
-    const { route, budget } = this.#context
-    return route.spec.resumable && this.#decodesSent < route.spec.maxAttempts && budget.left >= 1
+    return this.#isRepeatable() && this.#context.budget.left >= 1 && this.#mayTakeUp()
+  }
+
+  /** Whether the request may be sent to one more decode engine as long as there is budget for it. */
+  #isRepeatable (): boolean {
+    const { resumable, maxAttempts } = this.#context.route.spec
+    return resumable && this.#decodesSent < maxAttempts
+  }
+
+  /** What has no numbered event yet cannot be taken up behind it. */
+  #mayTakeUp (): boolean {
+    return !this.#context.caller.begun || this.#progress.lastId !== undefined || this.#progress.events === 0
   }
 
   async #judge (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes, watch: SilenceWatch): Promise<void> {
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -64,24 +64,32 @@
   #send (upstream: ListedUpstream, attempt: number): Promise<RelayAnswer> {
     const { run } = this.#context
     return sendToUpstream(this.#context, { instance: upstream.name, address: upstream.address }, {
-      signal: this.#attemptSignal(attempt),
+      signal: this.#attemptSignal(upstream, attempt),
       deadlineMs: run.leftMs,
       onSend: () => { this.#sent++ },
     })
   }
 
   /** While another attempt is left, silence is waited out for a part of the time only. */
-  #attemptSignal (attempt: number): AbortSignal {
-    const { opts, run, route } = this.#context
+  #attemptSignal (upstream: ListedUpstream, attempt: number): AbortSignal {
+    const { run, route } = this.#context
     if (route.spec.notRepeatable || attempt >= route.spec.maxAttempts) return run.signal
     const silent = new AbortController()
-    const patienceMs = Math.min(run.leftMs / 2, PATIENCE_TARGETS * route.spec.ttftTargetMs)
-    void opts.clock.sleep(patienceMs, { signal: run.signal }).then(() => {
-      if (!this.#context.caller.begun) silent.abort()
-    })
+    void this.#giveUpWhenSilent(upstream, silent)
     return AbortSignal.any([run.signal, silent.signal])
   }
 
+  /** What cannot be sent elsewhere is waited for: its answer is of use as long as the caller is there. */
+  async #giveUpWhenSilent (upstream: ListedUpstream, silent: AbortController): Promise<void> {
+    const { opts, run, route, caller, budget } = this.#context
+    const patienceMs = Math.min(run.leftMs / 2, PATIENCE_TARGETS * route.spec.ttftTargetMs)
+    while (!silent.signal.aborted) {
+      await opts.clock.sleep(patienceMs, { signal: run.signal })
+      if (run.signal.aborted || caller.begun) return
+      if (budget.left >= 1 && this.#untriedOthers(upstream).length > 0) silent.abort()
+    }
+  }
+
   /** Passes the answer on, unless another upstream may give a better one. */
   async #judge (upstream: ListedUpstream, answer: RelayAnswer, attempt: number, times: AnswerTimes): Promise<void> {
     const { route, run, budget } = this.#context
@@ -105,7 +113,11 @@
 
   #hasOther (upstream: ListedUpstream): boolean {
     const { health } = this.#context
-    return this.#listed().some(({ name }) => name !== upstream.name && !this.#tried.has(name) && !health.isSuspect(name))
+    return this.#untriedOthers(upstream).some(({ name }) => !health.isSuspect(name))
+  }
+
+  #untriedOthers (upstream: ListedUpstream): ListedUpstream[] {
+    return this.#listed().filter(({ name }) => name !== upstream.name && !this.#tried.has(name))
   }
 
   #pick (): ListedUpstream {
--- a/request/relay/src/silenceWatch.ts
+++ b/request/relay/src/silenceWatch.ts
@@ -9,12 +9,17 @@
   #pauses = 0
 
   readonly #outer: AbortSignal
+  readonly #mayGiveUp: () => boolean
   readonly #end = () => this.#silent.abort(STOPPED)
 
-  /** @param outer aborted when the work that is watched is of no use any more */
-  constructor (clock: Clock, patienceMs: number, outer: AbortSignal) {
+  /**
+   * @param outer aborted when the work that is watched is of no use any more
+   * @param mayGiveUp whether anything better than waiting could be done
+   */
+  constructor (clock: Clock, patienceMs: number, outer: AbortSignal, mayGiveUp: () => boolean = () => true) {
     this.#clock = clock
     this.#outer = outer
+    this.#mayGiveUp = mayGiveUp
     this.#heardAtMs = clock.nowMs()
     if (outer.aborted) this.#end()
     else outer.addEventListener('abort', this.#end, { once: true })
@@ -57,6 +62,7 @@
   }
 
   #leftMs (patienceMs: number): number {
-    return this.#pauses > 0 ? patienceMs : this.#heardAtMs + patienceMs - this.#clock.nowMs()
+    const leftMs = this.#pauses > 0 ? patienceMs : this.#heardAtMs + patienceMs - this.#clock.nowMs()
+    return leftMs > 0 || this.#mayGiveUp() ? leftMs : patienceMs
   }
 }
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -186,17 +186,18 @@
 
 export interface TestRelayOptions {
   retryBurst?: number
+  services?: readonly string[]
 }
 
 /** A relay before scripted upstreams, with four routes of the kinds there are. */
-export function createRelay (scripts: Script[], { retryBurst = 20 }: TestRelayOptions = {}) {
+export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'] }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const upstreams = new ScriptedUpstreams(clock, scripts)
   const placer = new FixedPlacer()
   const log = new KeptLog()
   const { configuration, problems } = checkResources(DECLARED.map((one) => ({ ...one, revision: 1 })), 1)
   if (problems.length > 0) throw new Error(JSON.stringify(problems))
-  const desk = ['s1', 's2', 's3'].map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
+  const desk = services.map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
   const engines = ['p1', 'd1', 'd2', 'd3', 'd4'].map((name): ListedUpstream => ({ name, kind: UpstreamKind.Engine, address: '10.0.3.1:1', availabilityZone: 'a', pool: name.startsWith('p') ? 'p' : 'd', leaving: false }))
   const relay = new Relay({
     clock,
@@ -233,6 +234,15 @@
   return async () => ({ status, notRun: false, headers: [], body: bodyOf([text]) })
 }
 
+/** Answers after a while, unless it is given up before. */
+export function answersAfter (waitMs: number, status: number, text: string): Script {
+  return async ({ clock, signal }) => {
+    await clock.sleep(waitMs, { signal })
+    if (signal.aborted) throw new UpstreamError('given up', { mayHaveRun: true, unreachable: true })
+    return { status, notRun: false, headers: [], body: bodyOf([text]) }
+  }
+}
+
 /** Begins an answer and breaks off behind the given parts. */
 export function breaksOff (status: number, parts: string[]): Script {
   return async () => ({ status, notRun: false, headers: [], body: bodyOf(parts, new UpstreamError('broke off', { mayHaveRun: true })) })
@@ -274,6 +284,19 @@
   return async ({ signal }) => ({ status, notRun: false, headers: [], body: bodyUnlessGivenUp(parts, signal) })
 }
 
+/** Gives a part, pauses before each further one, and breaks off if it is given up. */
+export function pauses (status: number, parts: string[], pauseMs: number): Script {
+  return async ({ clock, signal }) => ({ status, notRun: false, headers: [], body: pausingBody(parts, () => clock.sleep(pauseMs, { signal }), signal) })
+}
+
+async function * pausingBody (parts: string[], pause: () => Promise<void>, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+  for (const [i, part] of parts.entries()) {
+    if (i > 0) await pause()
+    if (signal.aborted) throw new UpstreamError('given up', { mayHaveRun: true, unreachable: true })
+    yield Buffer.from(part)
+  }
+}
+
 async function * bodyUnlessGivenUp (parts: string[], signal: AbortSignal): AsyncGenerator<Uint8Array> {
   for (const part of parts) {
     if (signal.aborted) throw new UpstreamError('given up', { mayHaveRun: true, unreachable: true })
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -3,7 +3,7 @@
 import { UpstreamError } from '@reelspan/upstream.client'
 import test from 'ava'
 import { type ListedUpstream } from '@reelspan/config.fleet'
-import { answers, breaksOff, createRelay, endsUnlessGivenUp, fails, fallsSilent, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
+import { answers, answersAfter, breaksOff, createRelay, endsUnlessGivenUp, fails, fallsSilent, pauses, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
 
 function leave (engines: readonly ListedUpstream[], name: string): void {
   engines.filter((engine) => engine.name === name).forEach((engine) => { engine.leaving = true })
@@ -77,6 +77,62 @@
   t.is(caller.body, 'status')
 })
 
+test('a late answer is passed on when there is no other upstream that could answer sooner', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answersAfter(1500, 200, 'status')], { services: ['s1'] })
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/status/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.is(caller.body, 'status')
+  t.true(caller.whole)
+})
+
+test('a late answer is passed on when nothing may be sent twice any more', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answers(500, 'oops'), answers(200, 'status'), answersAfter(1500, 200, 'late status')], { retryBurst: 1 })
+  await clock.run(relay.relay(requestTo('/status/1'), new RecordingCaller()))
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/status/2'), caller))
+  t.is(upstreams.runs.length, 3)
+  t.is(caller.body, 'late status')
+})
+
+test('a late answer of the last upstream that may be asked is passed on while its caller waits', async (t) => {
+  const { clock, relay, upstreams } = createRelay([silent(), answersAfter(1000, 200, 'late status')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/status/1'), caller))
+  t.is(upstreams.runs.length, 2)
+  t.is(caller.body, 'late status')
+})
+
+test('a stream that begins late is passed on while its caller waits', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answersAfter(5000, 200, 'id: 0\ndata: a\n\n')])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.is(caller.body, 'id: 0\ndata: a\n\n')
+  t.true(caller.whole)
+})
+
+test('a late answer that may be resumed elsewhere is waited for when nothing may be sent twice any more', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answers(500, 'oops'), answers(200, 'status'), answersAfter(5000, 200, 'id: 0\ndata: a\n\n')], { retryBurst: 1 })
+  await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/2'), caller))
+  t.is(upstreams.runs.length, 3)
+  t.is(caller.body, 'id: 0\ndata: a\n\n')
+})
+
+test('a stream goes on at its engine when nothing may be sent twice any more by the time it pauses', async (t) => {
+  const { clock, relay, upstreams } = createRelay([pauses(200, ['id: 0\ndata: a\n\n', 'id: 1\ndata: b\n\n'], 1000), answers(500, 'oops'), answers(200, 'id: 0\ndata: c\n\n')], { retryBurst: 1 })
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/reply/1'), caller)
+  await clock.advance(20)
+  await clock.run(relay.relay(requestTo('/reply/2'), new RecordingCaller()), 50)
+  await clock.run(work)
+  t.is(upstreams.runs.length, 3)
+  t.is(caller.body, 'id: 0\ndata: a\n\nid: 1\ndata: b\n\n')
+  t.true(caller.whole)
+})
+
 test('a request that may not be repeated waits for a silent upstream until its time is over, and is answered then', async (t) => {
   const { clock, relay, upstreams } = createRelay([silent()])
   const caller = new RecordingCaller()
