fix(net.http-exchange): a header of an answer keeps every byte

Cause: the parser's library reads heads as seven bits a byte. A byte above 127 in a header became another one, which might be a line end; such an answer was then no answer to us, and the caller of a request that had run got a failure of our own instead. Change: heads are read as Latin-1, byte for byte, as they are written. Tests: an answer with every byte from 128 to 255 in a header (failed before).

--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -7,6 +7,9 @@
   onComplete: () => void
 }
 
+// The library drops a bit of each byte of a head, so that bytes above 127 become others, line ends among them.
+HTTPParser.encoding = 'latin1'
+
 const CHUNK_SIZE = /^[\da-f]{1,8}[ \t]*(;.*)?$/i
 const FIRST_FINAL_STATUS = 200
 const CONTENT_LENGTH = /^\d{1,15}$/
--- a/net/http-exchange/test/connectionPool.ts
+++ b/net/http-exchange/test/connectionPool.ts
@@ -163,3 +163,11 @@
   const error = await t.throwsAsync(createPool().exchange(upstream.address, GET, { signal: signal() }), { instanceOf: ExchangeError })
   t.is((error as ExchangeError).verdict, Verdict.MayHaveRun)
 })
+
+test('a header of an answer keeps every byte', async (t) => {
+  const value = Array.from({ length: 128 }, (_, i) => String.fromCharCode(128 + i)).join('')
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => socket.write(Buffer.from(answer('hello', `Note: ${value}\r\n`), 'latin1'))))
+  const { headers, body } = await createPool().exchange(upstream.address, GET, { signal: signal() })
+  t.is(headerValue(headers, 'note'), value)
+  t.is(await textOf(body), 'hello')
+})
