fix(net.http-exchange): an answer to HEAD is whole without a body

Cause: the length in an answer to HEAD speaks of a body that does not follow; it was waited for until the caller's time was over, and the caller got a cut answer. Change: what was asked decides whether a body follows. Tests: two such exchanges on one connection (failed before).

--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -2,7 +2,8 @@
 
 /** What a parser tells of the answers on one connection. */
 export interface ParserEvents {
-  onHead: (head: { status: number, headers: readonly string[], reusable: boolean }) => void
+  /** Answers whether no body follows, whatever the head says of its length. */
+  onHead: (head: { status: number, headers: readonly string[], reusable: boolean }) => boolean
   onBody: (bytes: Uint8Array) => void
   onComplete: () => void
 }
@@ -11,6 +12,8 @@
 HTTPParser.encoding = 'latin1'
 
 const CHUNK_SIZE = /^[\da-f]{1,8}[ \t]*(;.*)?$/i
+/** Tells the library that no body follows. */
+const SKIP_BODY = 1
 const FIRST_FINAL_STATUS = 200
 const CONTENT_LENGTH = /^\d{1,15}$/
 
@@ -36,7 +39,8 @@
       checkFraming(headers)
       // Interim answers stand before the real one.
       interim = status < FIRST_FINAL_STATUS
-      if (!interim) events.onHead({ status, headers, reusable: shouldKeepAlive })
+      const bodyless = !interim && events.onHead({ status, headers, reusable: shouldKeepAlive })
+      return bodyless ? SKIP_BODY : undefined
     }
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => events.onBody(chunk.subarray(offset, offset + length))
     parser[HTTPParser.kOnMessageComplete] = () => {
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -11,6 +11,8 @@
 
 interface Exchange {
   token: symbol
+  /** The answer has a head alone. */
+  headOnly: boolean
   accept: AcceptHead
   resolve: (answer: ExchangeAnswer) => void
   reject: (error: ExchangeError) => void
@@ -31,6 +33,7 @@
 /** Where `Keep-Alive` gives no time, idle connections are taken to live this long; commonly used servers close after 5 s or more. */
 const DEFAULT_KEEP_ALIVE_MS = 4000
 const MS_PER_SECOND = 1000
+const HEAD = 'HEAD'
 const NO_BYTES = new Uint8Array()
 
 /** One connection to an upstream, with at most one exchange at a time. Bytes that no request asked for end it. */
@@ -84,7 +87,7 @@
   /** Sends a request and resolves with its answer's head. The token names the exchange, to cancel it by. */
   send (request: ExchangeRequest, accept: AcceptHead, token: symbol): Promise<ExchangeAnswer> {
     return new Promise((resolve, reject) => {
-      this.#exchange = { token, accept, resolve, reject, skipping: false, reusable: false }
+      this.#exchange = { token, headOnly: request.method === HEAD, accept, resolve, reject, skipping: false, reusable: false }
       this.#socket.cork()
       this.#socket.write(headText(request), 'latin1')
       if (request.body.byteLength > 0) this.#socket.write(request.body)
@@ -111,16 +114,18 @@
     }
   }
 
-  #takeHead (head: { status: number, headers: readonly string[], reusable: boolean }): void {
+  /** Answers whether no body follows. */
+  #takeHead (head: { status: number, headers: readonly string[], reusable: boolean }): boolean {
     const exchange = this.#exchange
     // A second answer behind a whole one: the connection is of no more use.
     if (!exchange || exchange.body) throw new Error('an answer that nothing asked for')
     exchange.skipping = !exchange.accept(head)
-    if (exchange.skipping) return
+    if (exchange.skipping) return false
     exchange.reusable = head.reusable && !this.#closed
     this.#noteKeepAlive(head.headers)
     exchange.body = new AsyncQueue()
     exchange.resolve({ status: head.status, headers: head.headers, body: exchange.body })
+    return exchange.headOnly
   }
 
   #takeBody (bytes: Uint8Array): void {
--- a/net/http-exchange/test/connectionPool.ts
+++ b/net/http-exchange/test/connectionPool.ts
@@ -171,3 +171,15 @@
   t.is(headerValue(headers, 'note'), value)
   t.is(await textOf(body), 'hello')
 })
+
+test('an answer to HEAD is whole without the body that its length speaks of', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n')))
+  const pool = createPool()
+  for (let nth = 0; nth < 2; nth++) {
+    const { status, body } = await pool.exchange(upstream.address, { ...GET, method: 'HEAD' }, { signal: AbortSignal.timeout(5000) })
+    t.is(status, 200)
+    t.is(await textOf(body), '')
+  }
+  t.is(upstream.connections, 1)
+  pool.close()
+})
