refactor(request.owner): one place marks a request as sent

A failure that does not prove that nothing ran marks it the same way as the send itself, so that the check of mechanisms still puts both out of action.

--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -98,7 +98,8 @@
     try {
       return await send(sent)
     } catch (thrown) {
-      this.#mayHaveRun = toReelspanError(thrown).verdict === Verdict.NotRun ? mayHaveRunBefore : true
+      if (toReelspanError(thrown).verdict === Verdict.NotRun) this.#mayHaveRun = mayHaveRunBefore
+      else sent()
       throw thrown
     }
   }
