--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -10,6 +10,7 @@
 
 const HOLDS = 'box/runtime/test.lib/holds.js'
 const ONCE_ONLY = 'box/runtime/test.lib/onceOnly.js'
+const LEFT_CALLER = 'request/relay/test.lib/leftCaller.js'
 const WHOLE_ANSWERS = 'box/runtime/test.lib/wholeAnswers.js'
 const CONFIGURATION = 'box/runtime/test.lib/configuration.js'
 const LEAVING = 'box/runtime/test.lib/leaving.js'
@@ -62,6 +63,34 @@
     replace: 'this.#mayHaveRun = false',
     tests: [ONCE_ONLY],
   },
+  {
+    name: 'a place that is found for a run that has ended is given back',
+    file: 'request/relay/src/completionRelay.ts',
+    find: "if (run.signal.aborted && 'plan' in outcome) outcome.release()",
+    replace: '',
+    tests: [LEFT_CALLER],
+  },
+  {
+    name: 'a request that was withdrawn is offered to nobody else',
+    file: 'scheduling/scheduler-placer/src/schedulerPlacer.ts',
+    find: 'if (signal.aborted) return WITHDRAWN',
+    replace: '',
+    tests: ['scheduling/scheduler-placer/test.lib/schedulerPlacer.js'],
+  },
+  {
+    name: 'a client that ends its side of the connection has left',
+    file: 'platform/adapter/src/httpCaller.ts',
+    find: "socket.once('end', leave)",
+    replace: '',
+    tests: ['platform/adapter/test.lib/leftClient.js'],
+  },
+  {
+    name: 'a request that is not sent yet has not run',
+    file: 'request/owner/src/runContext.ts',
+    find: 'return await send(sent)',
+    replace: 'sent(); return await send(sent)',
+    tests: [LEFT_CALLER],
+  },
   {
     name: 'a box that slept does not say that nothing ran',
     file: 'request/owner/src/runContext.ts',
