feat(request.relay): the line of a request that ended says what its route wants and when it was last sent

Whether an answer was in time, and how long a request was held that was not served, could not be told from the log alone: the line had no target, no kind, no status of the answer passed on and no time of the last send (a service that was sent a request and never answered it leaves no requestSent line).

requestEnded now has kind, ttftTargetMs, tbtTargetMs, status and lastSentMs. Nothing decides by them.

--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -27,6 +27,7 @@
   readonly #abort = new AbortController()
   readonly #startedAtMs: number
   #mayHaveRun = false
+  #lastSentMs?: number
   #attempt = 0
 
   constructor (opts: RunContextOptions) {
@@ -49,6 +50,11 @@
     return this.#opts.clock.nowMs() - this.#startedAtMs
   }
 
+  /** When an upstream was last sent the request, since its start. */
+  get lastSentMs (): number | undefined {
+    return this.#lastSentMs
+  }
+
   get leftMs (): number {
     return this.#opts.deadlineMs - this.elapsedMs
   }
@@ -94,7 +100,10 @@
   /** Like `dispatch`, but the request may have run only from when the sender says that it sends. */
   async dispatchWhenSent<T> (send: (sent: () => void) => Promise<T>): Promise<T> {
     const mayHaveRunBefore = this.#mayHaveRun
-    const sent = () => { this.#mayHaveRun = true }
+    const sent = () => {
+      this.#mayHaveRun = true
+      this.#lastSentMs = this.elapsedMs
+    }
     try {
       return await send(sent)
     } catch (thrown) {
--- a/request/relay/src/passAnswer.ts
+++ b/request/relay/src/passAnswer.ts
@@ -3,6 +3,8 @@
 
 /** When parts of an answer were passed on, since the request began. */
 export interface AnswerTimes {
+  /** The upstream's, once it was passed on. */
+  status?: number
   firstMs?: number
   lastMs?: number
   longestPauseMs: number
@@ -13,6 +15,7 @@
 /** Passes an upstream's answer on as it comes. Throws `UpstreamError` when it breaks off. */
 export async function passAnswer ({ run, caller }: RelayContext, answer: RelayAnswer, times: AnswerTimes): Promise<void> {
   caller.begin(answer.status, answer.headers)
+  times.status = answer.status
   for await (const bytes of answer.body) {
     noteTime(times, run.elapsedMs)
     times.parts++
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -20,6 +20,7 @@
   const { run, caller } = context
   const { progress, wholeEvents, watch } = opts
   if (!caller.begun) caller.begin(answer.status, answer.headers)
+  times.status = answer.status
   try {
     for await (const bytes of answer.body) {
       watch.heard()
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -11,6 +11,7 @@
 import { type RelayCaller } from './relayCaller.js'
 import { type RelayContext } from './relayContext.js'
 import { type RelayOptions } from './relayOptions.js'
+import { requestKind } from './requestKind.js'
 import { RunTimes } from './runTimes.js'
 import { ServiceRelay } from './serviceRelay.js'
 import { UpstreamPicker } from './upstreamPicker.js'
@@ -203,6 +204,9 @@
     log.info(LogEvent.RequestEnded, {
       request: request.id,
       route: route?.name,
+      kind: route && requestKind(route.spec),
+      ttftTargetMs: route?.spec.ttftTargetMs,
+      tbtTargetMs: route?.spec.tbtTargetMs,
       verdict,
       code: final?.code,
       reason: final?.message,
@@ -212,6 +216,8 @@
       durationMs: Math.round(run.elapsedMs),
       firstMs: times.firstMs && Math.round(times.firstMs),
       longestPauseMs: Math.round(times.longestPauseMs),
+      lastSentMs: run.lastSentMs && Math.round(run.lastSentMs),
+      status: times.status,
       parts: times.parts,
     })
     metrics.count('reelspan_relayed_total', { verdict, code: final?.code ?? '' })
--- /dev/null
+++ b/request/relay/test/requestEnded.ts
@@ -0,0 +1,29 @@
+import { LogEvent } from '@reelspan/telemetry.log'
+import test from 'ava'
+import { answers, createRelay, RecordingCaller, requestTo, silent } from './__utils__/createRelay.js'
+
+function endOf ({ log }: ReturnType<typeof createRelay>) {
+  return log.entries.find(({ event }) => event === LogEvent.RequestEnded)?.fields
+}
+
+test('the line of a request that ended says what its route wants, and the status that was passed on', async (t) => {
+  const relay = createRelay([answers(500, 'oops')])
+  await relay.clock.run(relay.relay.relay(requestTo('/fetch/1'), new RecordingCaller()))
+  t.like(endOf(relay), { route: 'fetch', kind: 'call', ttftTargetMs: 200, tbtTargetMs: 76, status: 500 })
+})
+
+test('the line of a request that ended says when an upstream was last sent it', async (t) => {
+  const relay = createRelay([silent(), answers(200, 'state')])
+  await relay.clock.run(relay.relay.relay(requestTo('/status/1'), new RecordingCaller()))
+  t.like(endOf(relay), { kind: 'repeatableCall', lastSentMs: 300, status: 200 })
+})
+
+test('the line of a request that no upstream was sent does not say that one was', async (t) => {
+  const relay = createRelay([])
+  relay.relay.closeForNew()
+  await relay.clock.run(relay.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  const end = endOf(relay)
+  t.is(end?.kind, 'resumableStream')
+  t.is(end?.lastSentMs, undefined)
+  t.is(end?.status, undefined)
+})
