--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -206,7 +206,7 @@
       route: route?.name,
       kind: route && requestKind(route.spec),
       ttftTargetMs: route?.spec.ttftTargetMs,
-      tbtTargetMs: route?.spec.tbtTargetMs,
+      tbtTargetMs: route?.spec.streaming ? route.spec.tbtTargetMs : undefined,
       verdict,
       code: final?.code,
       reason: final?.message,
