feat(reelspanctl): tally says how requests ended and how long those were held that were not served in time

explain answers for one request. For all of them there was no answer: which share of a route was late, refused or failed, by what, after how long, and how far each had come by then.

tally reads the same lines as explain (files or standard input, with whatever a collector puts before them), so reading moved to a file that both use. Lines that were dropped or cannot be read, requests without an end and answers whose trail is not there are said. Refusals are told apart by their reason without its numbers.

--- a/cli/reelspanctl/src/explain.ts
+++ b/cli/reelspanctl/src/explain.ts
@@ -1,12 +1,10 @@
-import { readFile } from 'node:fs/promises'
-import { text } from 'node:stream/consumers'
 import { ExitCode } from './exitCode.js'
-import { explainRequest, explanationLines, parseLogLines } from './explainRequest.js'
+import { explainRequest, explanationLines } from './explainRequest.js'
+import { readLogLines } from './readLogLines.js'
 
 /** Prints what the boxes' log lines, from files or standard input, say of a request. */
 export async function explain (requestId: string, files: readonly string[], json: boolean): Promise<ExitCode> {
-  const texts = files.length > 0 ? await Promise.all(files.map((file) => readFile(file, 'utf8'))) : [await text(process.stdin)]
-  const { lines, unreadable } = parseLogLines(texts.join('\n'))
+  const { lines, unreadable } = await readLogLines(files)
   const explanation = explainRequest(lines, requestId)
   if (unreadable > 0) console.error(`reelspanctl: ${unreadable} lines could not be read`)
   if (!explanation) {
--- a/cli/reelspanctl/src/explainRequest.ts
+++ b/cli/reelspanctl/src/explainRequest.ts
@@ -1,15 +1,6 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { likelyCause } from './likelyCause.js'
-
-/** A log line of a box, as far as it is needed here. */
-export interface LogLine {
-  event: string
-  box?: string
-  /** Wall clock of the box: good to order its own lines, and not against another box's. */
-  time?: string
-  request?: string
-  [field: string]: unknown
-}
+import { droppedLines, type LogLine } from './readLogLines.js'
 
 /** What log lines say of one request. */
 export interface Explanation {
@@ -28,12 +19,6 @@
 const AROUND_MS = 10_000
 const NOT_OF_THE_DECISION = ['name', 'hostname', 'pid', 'level', 'v', 'msg', 'time', 'event', 'box', 'request']
 
-/** Reads log lines; whatever stands before the first brace of a line is passed over. */
-export function parseLogLines (text: string): { lines: LogLine[], unreadable: number } {
-  const parsed = text.split('\n').filter((line) => line.includes('{')).map(parseLine)
-  return { lines: parsed.filter((line) => line !== undefined), unreadable: parsed.filter((line) => line === undefined).length }
-}
-
 /** Explains a request, or answers nothing when no line names it. */
 export function explainRequest (lines: readonly LogLine[], requestId: string): Explanation | undefined {
   const trail = lines.filter(({ request }) => request === requestId)
@@ -47,7 +32,7 @@
     trail,
     beliefs: lastOfEach(before.filter(isBelief)),
     suspicions,
-    droppedLines: lines.filter(({ event, box }) => event === 'linesDropped' && (box === undefined || boxes.has(box))).reduce((sum, line) => sum + Number(line.lines), 0),
+    droppedLines: droppedLines(lines.filter(({ box }) => box === undefined || boxes.has(box))),
     cause: likelyCause({ trail, suspicions }),
   }
 }
@@ -65,16 +50,6 @@
   ]
 }
 
-function parseLine (text: string): LogLine | undefined {
-  try {
-    const line = JSON.parse(text.slice(text.indexOf('{'))) as LogLine
-    return typeof line.event === 'string' ? line : undefined
-  } catch {
-    // A line that was cut, or of another program; the caller is told how many there were.
-    return undefined
-  }
-}
-
 function isBelief ({ event }: LogLine): boolean {
   const kinds: string[] = [LogEvent.Started, LogEvent.Stopping, LogEvent.RevisionAdopted, LogEvent.RevisionRejected, LogEvent.DependencyLost, LogEvent.DependencyRegained, LogEvent.EntriesKept, LogEvent.SchedulerTaken, LogEvent.SchedulerLeft]
   return kinds.includes(event)
--- a/cli/reelspanctl/src/likelyCause.ts
+++ b/cli/reelspanctl/src/likelyCause.ts
@@ -1,6 +1,7 @@
 import { ErrorCode, Verdict } from '@reelspan/core.error'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type Explanation, type LogLine } from './explainRequest.js'
+import { type Explanation } from './explainRequest.js'
+import { type LogLine } from './readLogLines.js'
 
 /** Each code that says by itself why a request was refused. */
 const CAUSE_OF_CODE: Partial<Record<string, string>> = {
--- a/cli/reelspanctl/src/main.ts
+++ b/cli/reelspanctl/src/main.ts
@@ -5,6 +5,7 @@
 import { ExitCode } from './exitCode.js'
 import { explain } from './explain.js'
 import { showResources, showStatus } from './show.js'
+import { tally } from './tally.js'
 
 const DEFAULT_BOX = '127.0.0.1:9101'
 const WATCH_WAIT_MS = 30_000
@@ -18,6 +19,7 @@
     $ reelspanctl watch [--since N]       Print each change as it comes into force
     $ reelspanctl check FOLDER            Check declarations before they are published
     $ reelspanctl explain ID [FILE …]     A request's trail and likely cause, from log lines
+    $ reelspanctl tally [FILE …]          How requests ended, route by route, and how long they were held, from log lines
     $ reelspanctl dump                    The box's whole state (JSON)
     $ reelspanctl metrics                 The box's metrics
 
@@ -26,7 +28,7 @@
     --token-file FILE   File with the operators' token
     --since N           watch: print changes after this revision
     --once              watch: stop after the first answer
-    --json              list, get, status, watch, check, lookup, explain: print JSON
+    --json              list, get, status, watch, check, lookup, explain, tally: print JSON
 
   Exit codes
     0 done   1 failed   2 wrong command line
@@ -77,6 +79,7 @@
       if (requestId === undefined) throw new UsageError('the ID of a request is needed')
       return explain(requestId, files, flags.json)
     }
+    case 'tally': return tally(args, flags.json)
     case 'dump': return print(await box.json('/debug/state'))
     case 'metrics': return printText(await box.text('/metrics'))
     default: throw new UsageError(command === undefined ? 'a command is needed' : `unknown command «${command}»`)
