feat(reelspanctl): tally follows refused requests to their callers' later tries

What a refusal is worth depends on whether the caller is served when it comes back. A retry has an id of its own, so requestEnded now has promptHash, a hash of the digest that the scheduler knows a returning request by, and tally counts the prompts that were refused, came again, and how they ended at last. It goes by which tries there are and not by their order, since boxes' clocks differ.

--- a/cli/reelspanctl/src/tallyLines.ts
+++ b/cli/reelspanctl/src/tallyLines.ts
@@ -1,4 +1,5 @@
 import { Outcome } from './requestEnd.js'
+import { type TallyReturns } from './tallyReturns.js'
 import { type MissingLines, type Tally, type TallyGroup } from './tallyRequests.js'
 import { type Reached, type TallyRow } from './tallyRow.js'
 
@@ -15,11 +16,12 @@
 const TO_PERCENT = 100
 
 /** The tally as text, a line each. */
-export function tallyLines ({ kinds, routes, missing }: Tally): string[] {
+export function tallyLines ({ kinds, routes, returns, missing }: Tally): string[] {
   return [
     'Times are milliseconds since the request came; «3 @ 40» says that 3 of them got so far, at the median after 40 ms.',
     ...kinds.flatMap((kind) => ['', `kind ${kind.name}: ${kind.requests} requests`, ...table(kind)]),
     ...routes.flatMap((route) => ['', `route ${route.name}${route.kind === undefined ? '' : ` (${route.kind})`}: ${route.requests} requests`, ...table(route)]),
+    ...returnLines(returns),
     ...missingLines(missing),
   ]
 }
@@ -45,6 +47,11 @@
   return reached && reached.requests > 0 ? `${reached.requests} @ ${reached.medianMs}` : NOTHING
 }
 
+function returnLines ({ refused, cameBack, ends }: TallyReturns): string[] {
+  if (refused === 0) return []
+  return ['', `${refused} prompts were refused at least once; ${cameBack} of them came again`, ...ends.map(({ outcome, requests }) => `  ${requests} ${outcome === Outcome.Refused ? 'refused again' : WORDS[outcome]}`)]
+}
+
 function missingLines ({ droppedLines, unreadableLines, withoutEnd, withoutTrail }: MissingLines): string[] {
   const said = [
     { count: droppedLines, text: 'lines were dropped under load: what they told of is not counted' },
--- a/cli/reelspanctl/src/tallyRequests.ts
+++ b/cli/reelspanctl/src/tallyRequests.ts
@@ -1,6 +1,7 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { droppedLines, type LogLine } from './readLogLines.js'
 import { Outcome, requestEnd, type RequestEnd } from './requestEnd.js'
+import { tallyReturns, type TallyReturns } from './tallyReturns.js'
 import { type EndedRequest, tallyRow, type TallyRow } from './tallyRow.js'
 
 export interface TallyGroup {
@@ -24,6 +25,7 @@
 export interface Tally {
   kinds: TallyGroup[]
   routes: TallyGroup[]
+  returns: TallyReturns
   missing: MissingLines
 }
 
@@ -37,6 +39,7 @@
   return {
     kinds: groupsOf(ended, kindOf),
     routes: groupsOf(ended, ({ end }) => String(end.route ?? NO_ROUTE)).map((group) => ({ ...group, kind: kindOfRoute(ended, group.name) })),
+    returns: tallyReturns(ended),
     missing: {
       droppedLines: droppedLines(lines),
       unreadableLines,
--- a/cli/reelspanctl/test/tally.ts
+++ b/cli/reelspanctl/test/tally.ts
@@ -66,6 +66,13 @@
   t.like(left, { heldMs: { median: 3600 }, placed: { requests: 0 } })
 })
 
+test('refused requests are followed to their caller\'s later tries by the hash of their prompt', async (t) => {
+  const { returns } = await tallied()
+  t.deepEqual(returns, { refused: 3, cameBack: 2, ends: [{ outcome: 'servedInTime', requests: 1 }, { outcome: 'refused', requests: 1 }] })
+  const { out } = await run([LOG])
+  t.regex(out, /^3 prompts were refused at least once; 2 of them came again\n {2}1 served in time\n {2}1 refused again$/m)
+})
+
 test('what is missing of the log is said', async (t) => {
   const { missing } = await tallied()
   t.deepEqual(missing, { droppedLines: 12, unreadableLines: 1, withoutEnd: 1, withoutTrail: 4 })
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -1,4 +1,5 @@
 import { type Named, type RouteSpec, type RouteTarget } from '@reelspan/config.resources'
+import { hash32 } from '@reelspan/core.hashing'
 import { Notifier, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { RetryBudget, RunContext } from '@reelspan/request.owner'
@@ -204,6 +205,7 @@
     log.info(LogEvent.RequestEnded, {
       request: request.id,
       route: route?.name,
+      promptHash: promptHash(request),
       kind: route && requestKind(route.spec),
       ttftTargetMs: route?.spec.ttftTargetMs,
       tbtTargetMs: route?.spec.streaming ? route.spec.tbtTargetMs : undefined,
@@ -225,6 +227,12 @@
   }
 }
 
+/** Connects the tries of a caller, which have ids of their own. */
+function promptHash ({ prompt }: RelayedRequest): string | undefined {
+  const whole = prompt?.prefixes.at(-1)
+  return whole && hash32(whole.digest).toString(36)
+}
+
 function pathOf (target: string): string {
   const at = target.indexOf('?')
   return at < 0 ? target : target.slice(0, at)
--- a/request/relay/test/requestEnded.ts
+++ b/request/relay/test/requestEnded.ts
@@ -27,3 +27,16 @@
   t.is(end?.lastSentMs, undefined)
   t.is(end?.status, undefined)
 })
+
+test('tries of one prompt have the same hash in their lines, and no part of the prompt', async (t) => {
+  const relay = createRelay([])
+  relay.relay.closeForNew()
+  const prompt = { model: 'm', promptTokens: 30, maxTokens: 10, prefixes: [{ digest: 'shared', tokens: 10 }, { digest: 'own-part', tokens: 30 }] }
+  await relay.clock.run(relay.relay.relay(requestTo('/reply/1', { id: 'first', prompt }), new RecordingCaller()))
+  await relay.clock.run(relay.relay.relay(requestTo('/reply/1', { id: 'second', prompt }), new RecordingCaller()))
+  await relay.clock.run(relay.relay.relay(requestTo('/reply/1', { id: 'other', prompt: { ...prompt, prefixes: prompt.prefixes.slice(0, 1) } }), new RecordingCaller()))
+  const [first, second, other] = relay.log.entries.filter(({ event }) => event === LogEvent.RequestEnded).map(({ fields }) => String(fields?.promptHash))
+  t.is(first, second)
+  t.not(first, other)
+  t.notRegex(first, /own-part|undefined/)
+})
