fix(request.owner): an engine that has begun to leave since the placement is not used

An engine that began to leave 0.3 s after the placement got the decode after a prefill of 2 s. Change: both engines are looked up before the prefill, the decode engine again before the decode; another placement is made. A request that may not be repeated has begun with its prefill and goes on where it was placed: the engine still serves.

--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -1,3 +1,4 @@
+import { type FleetList } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type Clock } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
@@ -15,6 +16,7 @@
   placer: Placer
   standing: () => { peerAddress: string, incarnation: string }
   configuration: () => Configuration
+  fleet: () => FleetList
   upstreamTimeoutMs: number
 }
 
@@ -23,6 +25,7 @@
 /** Waits between tries to continue an answer that has begun. */
 const CONTINUE_BACKOFF_MS = 100
 const MAX_ATTEMPTS = 8
+
 /** Runs one completion: place, prefill, decode; on a failure, again from what was generated so far. */
 export class CompletionRun {
   readonly #opts: CompletionRunOptions
@@ -134,8 +137,12 @@
 
   async #prefillAndDecode (label: HoldLabel, placement: Placement): Promise<void> {
     const { plan } = placement
+    this.#checkTakesWork(plan.prefillEngine)
+    this.#checkTakesWork(plan.decodeEngine)
     const prefilled = await this.#prefill(label, plan)
     placement.prefilled()
+    // What has begun and may not be repeated ends here or nowhere; an engine that leaves still serves.
+    if (!this.#request.notRepeatable) this.#checkTakesWork(plan.decodeEngine)
     const tokensBefore = this.#generated.length
     try {
       await this.#decode(label, placement)
@@ -145,6 +152,14 @@
     }
   }
 
+  /** The scheduler may not have heard yet that an engine leaves, or it has begun to since it was chosen. */
+  #checkTakesWork (engine: string): void {
+    const listed = this.#opts.fleet().upstream(engine)
+    if (listed && !listed.leaving) return
+    this.#failedEngines.add(engine)
+    throw new UpstreamError(`${engine} takes no more work`, { mayHaveRun: false, refused: true })
+  }
+
   async #prefill (label: HoldLabel, plan: PlacementPlan): Promise<PrefillResult> {
     const { engines } = this.#opts
     const request = { label, model: this.#request.model, prompt: this.#promptSoFar(), priority: this.#request.priority }
