perf(config.resources): of a new configuration only what has changed is checked

Cause: the platform publishes a configuration whole, so each adoption checked each of its entries by its schema, whatever had changed.

Change: a store keeps the very spec that is in force for each entry whose spec comes again the same (isDeepStrictEqual). DeclarationsChecker remembers by that object what a schema made of it, while the store keeps it. References between entries, duplicates and rollouts of one model are looked at for the whole configuration each time; what was refused is checked anew.

--- a/__utils__/bench/src/measureState.ts
+++ b/__utils__/bench/src/measureState.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import { checkResources } from '@reelspan/config.resources'
+import { DeclarationsChecker } from '@reelspan/config.resources'
 import { ConfigStore } from '@reelspan/config.store'
 import { createPrefixIndex, PrefixIndexKind } from '@reelspan/scheduling.prefix-index'
 import { tuulDeclarations } from '@reelspan/utils.fakes'
@@ -45,10 +45,7 @@
 }
 
 function createStore (): ConfigStore<unknown> {
-  return new ConfigStore((entries, revision) => {
-    const { configuration, problems } = checkResources(entries, revision)
-    return { value: configuration, problems: problems.map(({ message }) => message) }
-  })
+  return new ConfigStore(new DeclarationsChecker().parse)
 }
 
 function heapBytes (): number {
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,5 +1,5 @@
 import { GuardedFleet, parseFleetList, type FleetList } from '@reelspan/config.fleet'
-import { checkResources, type Configuration } from '@reelspan/config.resources'
+import { type Configuration, DeclarationsChecker } from '@reelspan/config.resources'
 import { ConfigFollower, ConfigStore } from '@reelspan/config.store'
 import { Collection, type Member, MemberHealth } from '@reelspan/core.messages'
 import { rankByRendezvous } from '@reelspan/core.hashing'
@@ -101,10 +101,7 @@
 }
 
 function createDeclarations (): ConfigStore<Configuration> {
-  return new ConfigStore((entries, revision) => {
-    const { configuration, problems } = checkResources(entries, revision)
-    return { value: configuration, problems: problems.map(({ resource, field, message }) => `${resource}: ${field}: ${message}`) }
-  })
+  return new ConfigStore(new DeclarationsChecker().parse)
 }
 
 function createFleetList (): ConfigStore<FleetList> {
--- a/config/resources/src/checkResources.ts
+++ b/config/resources/src/checkResources.ts
@@ -15,6 +15,16 @@
 export interface CheckResult {
   configuration: Configuration
   problems: ResourceProblem[]
+  /** Resources that a schema was applied to. */
+  checkedCount: number
+}
+
+/** What a schema made of a declared spec, by that object, which nobody changes. */
+export type CheckedSpecs = WeakMap<object, Resource>
+
+export interface CheckOptions {
+  /** Valid specs are looked up here before they are checked, and noted afterwards. */
+  checkedBefore?: CheckedSpecs
 }
 
 const SCHEMAS = {
@@ -26,8 +36,8 @@
 }
 
 /** Checks a whole set of declared resources: each by its schema, then the references between them. */
-export function checkResources (declared: readonly DeclaredResource[], revision: number): CheckResult {
-  const parsed = declared.map(parseResource)
+export function checkResources (declared: readonly DeclaredResource[], revision: number, { checkedBefore }: CheckOptions = {}): CheckResult {
+  const parsed = declared.map((resource) => recallResource(resource, checkedBefore) ?? checkResource(resource, checkedBefore))
   const resources = parsed.flatMap(({ resource }) => resource ? [resource] : [])
   const configuration = new Configuration(revision, resources)
   const problems = [
@@ -35,10 +45,33 @@
     ...parsed.flatMap((result) => result.problems),
     ...resources.flatMap((resource) => checkReferences(resource, configuration)),
   ]
-  return { configuration, problems }
+  return { configuration, problems, checkedCount: parsed.filter(({ recalled }) => !recalled).length }
+}
+
+interface ParsedResource {
+  resource?: Resource
+  problems: ResourceProblem[]
+  /** The schema was applied before. */
+  recalled?: boolean
+}
+
+function recallResource (declared: DeclaredResource, checkedBefore?: CheckedSpecs): ParsedResource | undefined {
+  const before = isObject(declared.spec) ? checkedBefore?.get(declared.spec) : undefined
+  if (before?.kind !== declared.kind) return undefined
+  return { resource: { ...declared, spec: before.spec } as Resource, problems: [], recalled: true }
+}
+
+function checkResource (declared: DeclaredResource, checkedBefore?: CheckedSpecs): ParsedResource {
+  const parsed = parseResource(declared)
+  if (parsed.resource && isObject(declared.spec)) checkedBefore?.set(declared.spec, parsed.resource)
+  return parsed
+}
+
+function isObject (spec: unknown): spec is object {
+  return typeof spec === 'object' && spec !== null
 }
 
-function parseResource (declared: DeclaredResource): { resource?: Resource, problems: ResourceProblem[] } {
+function parseResource (declared: DeclaredResource): ParsedResource {
   const id = resourceId(declared)
   const schema: z.ZodObject | undefined = SCHEMAS[declared.kind as ResourceKind]
   if (!schema) {
--- a/config/resources/src/index.ts
+++ b/config/resources/src/index.ts
@@ -1,5 +1,6 @@
 export { checkResources } from './checkResources.js'
 export type { ResourceProblem } from './checkResources.js'
+export { DeclarationsChecker } from './declarationsChecker.js'
 export { Configuration } from './configuration.js'
 export type { Named } from './configuration.js'
 export { ResourceKind, resourceId } from './resource.js'
--- a/config/store/src/configStore.ts
+++ b/config/store/src/configStore.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util'
 import { Notifier } from '@reelspan/core.env'
 import { type ContentChange, type RevisionedContent } from './revisionedContent.js'
 
@@ -56,7 +57,7 @@
     if (content.revision <= this.#revision) return AdoptOutcome.NotNewer
     // A delta counted from a later revision than ours would leave a gap.
     if (!content.full && sinceRevision > this.#revision) return AdoptOutcome.NotNewer
-    const entries = applyChanges(content.full ? new Map() : this.#entries, content.changes)
+    const entries = applyChanges(content.full ? new Map() : this.#entries, content.changes.map((change) => this.#withKnownSpec(change)))
     const { value, problems } = this.#parse([...entries.values()].filter(({ spec }) => spec !== null), content.revision)
     if (problems.length > 0) {
       this.#rejected = { revision: content.revision, problems }
@@ -78,6 +79,12 @@
       : { revision: this.#revision, full: false, changes: entries.filter(({ revision }) => revision > sinceRevision) }
   }
 
+  /** The change with the very spec that is in force here, if it is the same, so that a parser recognizes it. */
+  #withKnownSpec (change: ContentChange): ContentChange {
+    const known = this.#entries.get(idOf(change))
+    return known && isDeepStrictEqual(known.spec, change.spec) ? { ...change, spec: known.spec } : change
+  }
+
   #forgetOldDeletions (entries: Map<string, ContentChange>): Map<string, ContentChange> {
     const forgotten = [...entries]
       .filter(([, { spec }]) => spec === null)
@@ -99,9 +106,13 @@
 function applyChanges (entries: Map<string, ContentChange>, changes: readonly ContentChange[]): Map<string, ContentChange> {
   const next = new Map(entries)
   changes.forEach((change) => {
-    const id = `${change.kind}/${change.name}`
+    const id = idOf(change)
     const known = next.get(id)
     if (!known || known.revision < change.revision) next.set(id, change)
   })
   return next
 }
+
+function idOf ({ kind, name }: ContentChange): string {
+  return `${kind}/${name}`
+}
