perf(config.store): a reader gets what has changed since the content that it has

Cause: the platform publishes a configuration in one item, so every revision went whole to every box.

Whoever has had that content in force, one of its last 100, answers with the entries that changed since, deletions too, and with the digest of what they lead to. A reader that comes to another one adopts nothing and asks for the whole; so does everyone whose content the other side has never had. Of a whole content, entries that stay the same remain the entries they were, with the revision of their last change. Where changes would bring readers to another order, the digests from before are forgotten.

Weighed: naming contents by revision. A list that is read in pages is not wholly given by its revision, and a box that had skipped a revision would not know what changed in it and back. Releases that name no content get and give what they did.

Tests: a store that was read whole gave everything to each reader before. The property and two more tests fail when the comparison of digests is put out of action.

--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -35,7 +35,7 @@
     const { prober, stores, keepers, owner, lookup, vouchHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
-        return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision) }
+        return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
       case MessageType.Reserve:
         return this.#reserve(message)
       case MessageType.ReleaseReservation:
--- a/config/resources/test/declarationsChecker.ts
+++ b/config/resources/test/declarationsChecker.ts
@@ -3,6 +3,7 @@
 import { tuulDeclarations } from '@reelspan/utils.fakes'
 import test from 'ava'
 import fc from 'fast-check'
+import { isDeepStrictEqual } from 'node:util'
 
 const SEED = 20_261_202
 const RUNS = 500
@@ -31,7 +32,8 @@
   t.is(checker.checkedCount, first.length + 1)
   t.is(store.value.route('route-7')?.deadlineMs, 5)
   t.is(store.value.route('route-8')?.deadlineMs, 1008)
-  t.is(store.value.resources.find(({ name }) => name === 'route-8')?.revision, 2)
+  t.is(store.value.resources.find(({ name }) => name === 'route-7')?.revision, 2)
+  t.is(store.value.resources.find(({ name }) => name === 'route-8')?.revision, 1, 'it changed last at revision 1')
 })
 
 test('an entry that has not changed is refused when what it names goes', (t) => {
@@ -91,7 +93,12 @@
       const content = received({ revision, full, changes: [...before, ...changes].map((change) => ({ ...change, revision })) })
       // The first of two entries with one name counts.
       const given = content.changes.filter((change, at) => content.changes.findIndex((other) => resourceId(other) === resourceId(change)) === at)
-      const next = new Map([...(full ? [] : inForce), ...given.map((change) => [resourceId(change), change] as const)])
+      // What comes whole says of each entry that it is new; it is not where its spec stays.
+      const lastChange = (change: ContentChange) => {
+        const known = inForce.get(resourceId(change))
+        return full && known && isDeepStrictEqual(known.spec, change.spec) ? known : change
+      }
+      const next = new Map([...(full ? [] : inForce), ...given.map((change) => [resourceId(change), lastChange(change)] as const)])
       const expected = checkResources([...next.values()].filter(({ spec }) => spec !== null), revision)
       const outcome = store.adopt(received(content), store.revision)
       t.is(outcome, expected.problems.length > 0 ? AdoptOutcome.Invalid : AdoptOutcome.Adopted)
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -188,8 +188,10 @@
     const since = store.revision
     this.#asking.add(address)
     try {
-      const answer = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: since }, { timeoutMs: peerTimeoutMs })
-      if (answer.type === MessageType.ConfigContent) this.#adopt(answer, since)
+      const answer = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: since, digest: store.digest }, { timeoutMs: peerTimeoutMs })
+      if (answer.type !== MessageType.ConfigContent || this.#adopt(answer, since) !== AdoptOutcome.Mismatch) return
+      const whole = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: 0 }, { timeoutMs: peerTimeoutMs })
+      if (whole.type === MessageType.ConfigContent) this.#adopt(whole, 0)
     } finally {
       this.#asking.delete(address)
     }
--- a/config/store/src/configStore.ts
+++ b/config/store/src/configStore.ts
@@ -1,11 +1,14 @@
 import { isDeepStrictEqual } from 'node:util'
 import { Notifier } from '@reelspan/core.env'
+import { ContentDigest } from './contentDigest.js'
 import { type ContentChange, type RevisionedContent } from './revisionedContent.js'
 
 export enum AdoptOutcome {
   Adopted = 'adopted',
   NotNewer = 'notNewer',
   Invalid = 'invalid',
+  /** The changes do not lead to the content that they were taken from. */
+  Mismatch = 'mismatch',
 }
 
 /** A revision that was not adopted, and why. */
@@ -20,6 +23,9 @@
 /** Deleted entries that are kept for readers who do not know of the deletion. */
 const MAX_DELETED_ENTRIES = 1000
 
+/** Contents that a reader may still have: changes come some thousands of times a day at most, and spread within seconds. */
+const MAX_PAST_CONTENTS = 100
+
 /**
  * One collection as it is in force at this box. Its revision never falls: only
  * a higher one is adopted, and only if the whole of it is valid.
@@ -27,7 +33,11 @@
 export class ConfigStore<T> {
   readonly #parse: ContentParser<T>
   readonly #changed = new Notifier()
+  readonly #digests = new ContentDigest()
+  /** Digests of the contents that were in force here, the newest last, and their revisions. */
+  readonly #past = new Map<string, number>()
   #entries = new Map<string, ContentChange>()
+  #digest?: string
   #revision = 0
   /** Readers below this revision may lack deletions that were forgotten here. */
   #deltaFloor = 0
@@ -43,6 +53,11 @@
     return this.#revision
   }
 
+  /** Names the content in force, whatever box has it. None before the first. */
+  get digest (): string | undefined {
+    return this.#digest
+  }
+
   get value (): T {
     return this.#value
   }
@@ -57,26 +72,51 @@
     if (content.revision <= this.#revision) return AdoptOutcome.NotNewer
     // A delta counted from a later revision than ours would leave a gap.
     if (!content.full && sinceRevision > this.#revision) return AdoptOutcome.NotNewer
-    const entries = applyChanges(content.full ? new Map() : this.#entries, content.changes.map((change) => this.#withKnownSpec(change)))
-    const { value, problems } = this.#parse([...entries.values()].filter(({ spec }) => spec !== null), content.revision)
+    const entries = content.full ? this.#replaceAll(content) : this.#applyChanges(content)
+    const live = liveOf(entries)
+    const digest = this.#digests.of(live)
+    if (!content.full && content.digest !== undefined && content.digest !== digest) return AdoptOutcome.Mismatch
+    const { value, problems } = this.#parse(live, content.revision)
     if (problems.length > 0) {
       this.#rejected = { revision: content.revision, problems }
       return AdoptOutcome.Invalid
     }
     if (content.full) this.#deltaFloor = content.revision
+    // Changes alone would not bring readers to the same order.
+    if (content.full && this.#digests.of(liveOf(applyChanges(this.#entries, [...entries.values()]))) !== digest) this.#past.clear()
     this.#entries = this.#forgetOldDeletions(entries)
     this.#revision = content.revision
+    this.#notePast(digest)
     this.#value = value
     this.#changed.notify()
     return AdoptOutcome.Adopted
   }
 
-  /** The changes that a reader at `sinceRevision` lacks. */
-  changesSince (sinceRevision: number): RevisionedContent {
+  /** The changes that a reader at `sinceRevision`, with the content of that digest, lacks. */
+  changesSince (sinceRevision: number, digest?: string): RevisionedContent {
     const entries = [...this.#entries.values()]
-    return sinceRevision < this.#deltaFloor || sinceRevision === 0
+    const pastRevision = digest === undefined ? undefined : this.#past.get(digest)
+    const since = pastRevision ?? sinceRevision
+    return pastRevision === undefined && (sinceRevision < this.#deltaFloor || sinceRevision === 0)
       ? { revision: this.#revision, full: true, changes: entries.filter(({ spec }) => spec !== null) }
-      : { revision: this.#revision, full: false, changes: entries.filter(({ revision }) => revision > sinceRevision) }
+      : { revision: this.#revision, full: false, changes: entries.filter(({ revision }) => revision > since), digest: this.#digest }
+  }
+
+  /** All entries there are now. Those that stay the same remain the entries that they were, so that nothing is done for them again. */
+  #replaceAll ({ revision, changes }: RevisionedContent): Map<string, ContentChange> {
+    const next = applyChanges(new Map(), changes)
+    next.forEach((change, id) => {
+      const known = this.#entries.get(id)
+      if (known && isDeepStrictEqual(known.spec, change.spec)) next.set(id, known)
+    })
+    this.#entries.forEach((known, id) => {
+      if (!next.has(id)) next.set(id, known.spec === null ? known : { ...known, revision, spec: null })
+    })
+    return next
+  }
+
+  #applyChanges ({ changes }: RevisionedContent): Map<string, ContentChange> {
+    return applyChanges(this.#entries, changes.map((change) => this.#withKnownSpec(change)))
   }
 
   /** The change with the very spec that is in force here, if it is the same, so that a parser recognizes it. */
@@ -85,6 +125,13 @@
     return known && isDeepStrictEqual(known.spec, change.spec) ? { ...change, spec: known.spec } : change
   }
 
+  #notePast (digest: string): void {
+    this.#digest = digest
+    this.#past.delete(digest)
+    this.#past.set(digest, this.#revision)
+    if (this.#past.size > MAX_PAST_CONTENTS) this.#past.delete(this.#past.keys().next().value as string)
+  }
+
   #forgetOldDeletions (entries: Map<string, ContentChange>): Map<string, ContentChange> {
     const forgotten = [...entries]
       .filter(([, { spec }]) => spec === null)
@@ -113,6 +160,10 @@
   return next
 }
 
+function liveOf (entries: Map<string, ContentChange>): ContentChange[] {
+  return [...entries.values()].filter(({ spec }) => spec !== null)
+}
+
 function idOf ({ kind, name }: ContentChange): string {
   return `${kind}/${name}`
 }
--- a/config/store/src/revisionedContent.ts
+++ b/config/store/src/revisionedContent.ts
@@ -13,4 +13,6 @@
   /** The changes are all entries there are, instead of those since R. */
   full: boolean
   changes: ContentChange[]
+  /** Of the content that the changes lead to, if the sender knows it. */
+  digest?: string
 }
--- a/config/store/test/configFollower.ts
+++ b/config/store/test/configFollower.ts
@@ -88,6 +88,27 @@
   }
 }
 
+test('a box that was sent changes which do not fit asks for the whole', async (t) => {
+  const asked: PeerMessage[] = []
+  class PeerWithOtherChanges extends PeersWithOneSilent {
+    override async call (_: string, question?: PeerMessage): Promise<PeerMessage> {
+      if (question) asked.push(question)
+      const changes = [{ kind: 'Thing', name: 'a', revision: 7, spec: {} }]
+      return asked.length === 1
+        ? { type: MessageType.ConfigContent, revision: 7, full: false, changes: [], digest: 'of something else' }
+        : { type: MessageType.ConfigContent, revision: 7, full: true, changes }
+    }
+  }
+  const { clock, store, follower } = createFollower(new ImpatientPlatform(), () => false, new PeerWithOtherChanges(''))
+  store.adopt({ revision: 6, full: true, changes: [{ kind: 'Thing', name: 'b', revision: 6, spec: {} }] }, 0)
+  const { digest } = store
+  follower.hear('10.0.0.2:1', 7)
+  await clock.advance(400)
+  t.deepEqual(asked.map((question) => question.type === MessageType.ConfigPull && [question.sinceRevision, question.digest]), [[6, digest], [0, undefined]])
+  t.deepEqual((store.value as { name: string }[]).map(({ name }) => name), ['a'])
+  await clock.run(follower.stop())
+})
+
 test('a peer that does not answer does not keep news of other peers back', async (t) => {
   const link = new PeersWithOneSilent('10.0.0.1:1')
   const { clock, store, follower } = createFollower(new ImpatientPlatform(), () => false, link)
--- a/config/store/test/configStore.ts
+++ b/config/store/test/configStore.ts
@@ -1,5 +1,9 @@
-import { AdoptOutcome, ConfigStore, type ContentChange } from '@reelspan/config.store'
+import { AdoptOutcome, ConfigStore, type ContentChange, type RevisionedContent } from '@reelspan/config.store'
 import test from 'ava'
+import fc from 'fast-check'
+
+const SEED = 20_261_202
+const RUNS = 500
 
 function change (name: string, revision: number, spec: unknown = {}): ContentChange {
   return { kind: 'Thing', name, revision, spec }
@@ -54,3 +58,81 @@
   t.false(store.changesSince(store.revision - 1).full)
   t.deepEqual(store.value, ['kept'])
 })
+
+/** Every entry of a content, at its revision, as a platform gives it that publishes everything in one item. */
+function whole (revision: number, specs: Record<string, unknown>): RevisionedContent {
+  return { revision, full: true, changes: Object.entries(specs).map(([name, spec]) => change(name, revision, spec)) }
+}
+
+function adoptAll (...contents: RevisionedContent[]): ConfigStore<string[]> {
+  const store = createStore()
+  contents.forEach((content) => store.adopt(structuredClone(content), store.revision))
+  return store
+}
+
+/** One store gets what another one has. */
+function pull (reader: ConfigStore<unknown>, from: ConfigStore<unknown>): { content: RevisionedContent, outcome: AdoptOutcome } {
+  const content = structuredClone(from.changesSince(reader.revision, reader.digest))
+  return { content, outcome: reader.adopt(content, reader.revision) }
+}
+
+test('a reader whose content was in force here gets what has changed since, also of contents that come whole', (t) => {
+  const first = whole(3, { a: 1, b: 1, c: 1 })
+  const here = adoptAll(first, whole(5, { a: 1, b: 2, c: 1 }), whole(9, { a: 1, b: 2, d: 1 }))
+  const reader = adoptAll(first)
+  const { content, outcome } = pull(reader, here)
+  t.false(content.full)
+  t.deepEqual(content.changes.map(({ name, spec }) => [name, spec]), [['b', 2], ['d', 1], ['c', null]])
+  t.is(outcome, AdoptOutcome.Adopted)
+  t.deepEqual(reader.value, ['a', 'b', 'd'])
+  t.is(reader.digest, here.digest)
+})
+
+test('a reader whose content was never in force here gets everything, whatever its revision', (t) => {
+  const here = adoptAll(whole(3, { a: 1 }), whole(9, { a: 1 }))
+  const between = adoptAll(whole(3, { a: 1 }), whole(5, { a: 2 }))
+  t.true(here.changesSince(between.revision, between.digest).full)
+  t.true(here.changesSince(3, adoptAll(whole(3, { a: 2 })).digest).full)
+  t.true(here.changesSince(3).full, 'nor does one of a release that does not name its content')
+  pull(between, here)
+  t.is(between.digest, here.digest)
+})
+
+test('changes that do not lead to the content which they were taken from are not adopted', (t) => {
+  const store = adoptAll(whole(3, { a: 1, b: 1 }))
+  const digest = adoptAll(whole(5, { a: 1, b: 2 })).digest
+  t.is(store.adopt({ revision: 5, full: false, changes: [change('a', 5, 2)], digest }, 3), AdoptOutcome.Mismatch)
+  t.is(store.revision, 3)
+  t.is(store.adopt({ revision: 5, full: false, changes: [change('b', 5, 2)], digest }, 3), AdoptOutcome.Adopted)
+})
+
+test(`stores that pull from each other have the content of their revision (seed ${SEED})`, (t) => {
+  const specs = fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd', 'e'), fc.integer({ min: 0, max: 1 }), { noNullPrototype: true })
+  const steps = fc.array(fc.record({
+    specs,
+    /** Which stores read the platform themselves; then who pulls from whom. */
+    readers: fc.array(fc.integer({ min: 0, max: 3 }), { maxLength: 3 }),
+    pulls: fc.array(fc.tuple(fc.integer({ min: 0, max: 3 }), fc.integer({ min: 0, max: 3 })), { maxLength: 6 }),
+  }), { minLength: 8, maxLength: 20 })
+  const seen = { changes: 0, wholes: 0, mismatches: 0 }
+  fc.assert(fc.property(steps, (run) => {
+    const stores = Array.from({ length: 4 }, () => new ConfigStore((entries) => ({ value: Object.fromEntries(entries.map(({ name, spec }) => [name, spec])), problems: [] })))
+    const published = new Map<number, object>([[0, {}]])
+    run.forEach(({ specs, readers, pulls }, i) => {
+      const revision = i + 1
+      published.set(revision, specs)
+      const inOrder = Object.fromEntries(Object.entries(specs).sort(([a], [b]) => a < b ? -1 : 1))
+      readers.forEach((at) => stores[at].adopt(structuredClone(whole(revision, inOrder)), stores[at].revision))
+      pulls.forEach(([to, from]) => {
+        const { content, outcome } = pull(stores[to], stores[from])
+        if (outcome === AdoptOutcome.Mismatch) stores[to].adopt(structuredClone(stores[from].changesSince(0)), 0)
+        if (outcome === AdoptOutcome.Mismatch) seen.mismatches++
+        else if (outcome === AdoptOutcome.Adopted) seen[content.full ? 'wholes' : 'changes']++
+        t.true(stores[to].revision >= stores[from].revision)
+      })
+      stores.forEach((store) => t.deepEqual(store.value, published.get(store.revision)))
+    })
+  }), { seed: SEED, numRuns: RUNS })
+  t.log(seen)
+  t.true(seen.changes > RUNS && seen.mismatches < seen.changes / 10)
+})
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -102,12 +102,19 @@
   }),
   /** The members of those parts that differ. */
   message(MessageType.MembersState, { members: z.array(memberSchema) }),
-  message(MessageType.ConfigPull, { collection: z.enum(Collection), sinceRevision: revision }),
+  message(MessageType.ConfigPull, {
+    collection: z.enum(Collection),
+    sinceRevision: revision,
+    /** Of the content in force at the asking side. */
+    digest: z.string().optional(),
+  }),
   message(MessageType.ConfigContent, {
     revision,
     /** The content is all there is, instead of the changes since the asked revision. */
     full: z.boolean(),
     changes: z.array(resourceChangeSchema),
+    /** Of the content that changes lead to. Whoever has got another one asks for all of it. */
+    digest: z.string().optional(),
   }),
   message(MessageType.Reserve, { request: reserveRequestSchema }),
   message(MessageType.ReserveAnswer, { answer: placementAnswerSchema }),
