--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -37,6 +37,10 @@
   async start (): Promise<string> {
     this.#server.listen(0, '127.0.0.1')
     await once(this.#server, 'listening')
+    return this.address
+  }
+
+  get address (): string {
     return `127.0.0.1:${(this.#server.address() as { port: number }).port}`
   }
 
