refactor(telemetry.log): linesDropped is an event of the enum, and the rate of lines a class of its own

The count of lines in a second is needed a second time, by the log of failed calls. No line changes.

--- a/cli/reelspanctl/src/readLogLines.ts
+++ b/cli/reelspanctl/src/readLogLines.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises'
 import { text } from 'node:stream/consumers'
+import { LogEvent } from '@reelspan/telemetry.log'
 
 /** A log line of a box, as far as it is needed here. */
 export interface LogLine {
@@ -24,7 +25,7 @@
 
 /** How many lines boxes dropped under load. */
 export function droppedLines (lines: readonly LogLine[]): number {
-  return lines.filter(({ event }) => event === 'linesDropped').reduce((sum, line) => sum + Number(line.lines), 0)
+  return lines.filter(({ event }) => event === LogEvent.LinesDropped).reduce((sum, line) => sum + Number(line.lines), 0)
 }
 
 /** Whatever stands before the first brace of a line is passed over. */
--- a/telemetry/log/src/boundedLineStream.ts
+++ b/telemetry/log/src/boundedLineStream.ts
@@ -1,4 +1,6 @@
 import { write } from 'node:fs'
+import { LogEvent } from './log.js'
+import { RateLimit } from './rateLimit.js'
 
 export interface BoundedLineStreamOptions {
   /** File descriptor that lines go to. */
@@ -16,20 +18,19 @@
 const MAX_LINES_PER_SECOND = 500
 /** A full pipe is tried again after this time. */
 const FULL_RETRY_MS = 20
-const MS_PER_SECOND = 1000
 
 /** Writes lines without ever holding up the process: what is too much is dropped and counted. */
 export class BoundedLineStream {
   readonly #opts: BoundedLineStreamOptions
+  readonly #rate: RateLimit
   #waiting: string[] = []
   #waitingBytes = 0
   #writing = false
   #dropped = 0
-  #secondBeganMs = Number.NEGATIVE_INFINITY
-  #linesInSecond = 0
 
   constructor (opts: BoundedLineStreamOptions) {
     this.#opts = opts
+    this.#rate = new RateLimit({ nowMs: opts.nowMs, perSecond: opts.maxLinesPerSecond ?? MAX_LINES_PER_SECOND })
   }
 
   /** Lines dropped and not yet told of. */
@@ -39,7 +40,7 @@
 
   write (line: string): void {
     const { maxWaitingBytes = MAX_WAITING_BYTES } = this.#opts
-    if (!this.#withinRate() || this.#waitingBytes + line.length > maxWaitingBytes) {
+    if (!this.#rate.take() || this.#waitingBytes + line.length > maxWaitingBytes) {
       this.#dropped++
       return
     }
@@ -48,17 +49,8 @@
     this.#pump()
   }
 
-  #withinRate (): boolean {
-    const { nowMs, maxLinesPerSecond = MAX_LINES_PER_SECOND } = this.#opts
-    if (nowMs() - this.#secondBeganMs >= MS_PER_SECOND) {
-      this.#secondBeganMs = nowMs()
-      this.#linesInSecond = 0
-    }
-    return this.#linesInSecond++ < maxLinesPerSecond
-  }
-
   #tellDropped (): void {
-    this.#add(`${JSON.stringify({ event: 'linesDropped', lines: this.#dropped })}\n`)
+    this.#add(`${JSON.stringify({ event: LogEvent.LinesDropped, lines: this.#dropped })}\n`)
     this.#dropped = 0
   }
 
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -27,6 +27,7 @@
   HandleLeft = 'handleLeft',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
+  LinesDropped = 'linesDropped',
 }
 
 export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
