fix(box.runtime): failed calls that are got over leave a line in the log

Cause: pulls from peers, reports of engines, releases, vouches and messages to schedulers were caught and dropped without a line, so that an engineer could not tell from the logs alone why a box had old declarations or an engine got no work. Only a change of the platform's reachability and of members was told.

Ruled out: a line at each place that catches. There are some twenty, in packages that have no log, and each would need bounds of its own.

The change: the box hands its parts a peer link and an engine client that note each call that failed (LoggedPeerLink, LoggedEngineClient) and pass the error on. FailureLog tells of the same call to the same address at once and then once a minute with the number since, 20 lines a second at most, and counts each in reelspan_calls_failed_total. Calls that the box ends itself have not failed.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,7 +1,7 @@
 import { GuardedFleet, parseFleetList, type FleetList } from '@reelspan/config.fleet'
 import { type Configuration, DeclarationsChecker } from '@reelspan/config.resources'
 import { ConfigFollower, ConfigStore } from '@reelspan/config.store'
-import { Collection, type Member, MemberHealth } from '@reelspan/core.messages'
+import { Collection, type Member, MemberHealth, type PeerLink } from '@reelspan/core.messages'
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
@@ -14,10 +14,14 @@
 import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { LogEvent } from '@reelspan/telemetry.log'
+import { type EngineClient } from '@reelspan/upstream.client'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import { Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { drawIncarnation } from './drawIncarnation.js'
+import { FailureLog } from './failureLog.js'
+import { LoggedEngineClient } from './loggedEngineClient.js'
+import { LoggedPeerLink } from './loggedPeerLink.js'
 import { noteRequestEnd } from './noteRequestEnd.js'
 import { PlatformContactWatch } from './platformContactWatch.js'
 import { PeerDispatch } from './peerDispatch.js'
@@ -27,6 +31,8 @@
 
 /** Everything that makes up a box. */
 export interface BoxParts extends BoxEnvironment {
+  /** Tells of calls that failed and were got over. */
+  failures: FailureLog
   view: MembershipView
   declarations: ConfigStore<Configuration>
   /** The platform's list as it was last read. */
@@ -57,6 +63,9 @@
   const container = createContainer<BoxParts>({ injectionMode: InjectionMode.PROXY, strict: true })
   Object.entries({ relayClient: undefined, ...environment }).forEach(([name, value]) => container.register(name, asValue(value)))
   container.register({
+    failures: asFunction((parts: BoxParts) => new FailureLog(parts)).singleton(),
+    link: asFunction((parts: BoxParts) => createLink(environment.link, parts)).singleton(),
+    engines: asFunction((parts: BoxParts) => createEngines(environment.engines, parts)).singleton(),
     view: asFunction(createView).singleton(),
     declarations: asFunction(createDeclarations).singleton(),
     fleetList: asFunction(createFleetList).singleton(),
@@ -79,6 +88,14 @@
   return container.cradle.box
 }
 
+function createLink (link: PeerLink, { failures, view }: BoxParts): PeerLink {
+  return new LoggedPeerLink({ link, failures, nameAt: (address) => view.atAddress(address)?.name })
+}
+
+function createEngines (engines: EngineClient, { failures, fleet }: BoxParts): EngineClient {
+  return new LoggedEngineClient({ engines, failures, nameAt: (address) => fleet.value.upstreams.find((upstream) => upstream.address === address)?.name })
+}
+
 function createView ({ settings, random }: BoxParts): MembershipView {
   const { box, listen, requests } = settings
   const self: Member = {
--- /dev/null
+++ b/box/runtime/src/loggedEngineClient.ts
@@ -0,0 +1,59 @@
+import { type HoldLabel } from '@reelspan/core.messages'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type PrefillRequest, type PrefillResult, type UpstreamCallOptions } from '@reelspan/upstream.client'
+import { type FailureLog } from './failureLog.js'
+
+export interface LoggedEngineClientOptions {
+  engines: EngineClient
+  failures: FailureLog
+  /** The name of the engine at an address, if it is listed. */
+  nameAt: (address: string) => string | undefined
+}
+
+/** A client whose failed calls beside requests are told of in the log. Callers may get over them without a line of their own. */
+export class LoggedEngineClient extends EngineClient {
+  readonly #opts: LoggedEngineClientOptions
+
+  constructor (opts: LoggedEngineClientOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  report (address: string, opts: UpstreamCallOptions): Promise<EngineReport> {
+    return this.#noting('report', address, opts, this.#opts.engines.report(address, opts))
+  }
+
+  cacheEvents (address: string, sinceSequence: number, opts: UpstreamCallOptions): Promise<CacheEventPage> {
+    return this.#noting('cacheEvents', address, opts, this.#opts.engines.cacheEvents(address, sinceSequence, opts))
+  }
+
+  release (address: string, label: HoldLabel, opts: UpstreamCallOptions): Promise<void> {
+    return this.#noting('release', address, opts, this.#opts.engines.release(address, label, opts))
+  }
+
+  /** The request's own lines tell of it. */
+  prefill (address: string, request: PrefillRequest, opts: UpstreamCallOptions): Promise<PrefillResult> {
+    return this.#opts.engines.prefill(address, request, opts)
+  }
+
+  /** The request's own lines tell of it. */
+  decode (address: string, request: DecodeRequest, opts: UpstreamCallOptions): AsyncIterable<DecodeEvent> {
+    return this.#opts.engines.decode(address, request, opts)
+  }
+
+  /** Whoever gives the order tells its outcome. */
+  order (address: string, order: EngineOrder, opts: UpstreamCallOptions): Promise<void> {
+    return this.#opts.engines.order(address, order, opts)
+  }
+
+  async #noting<T> (call: string, address: string, { signal }: UpstreamCallOptions, answer: Promise<T>): Promise<T> {
+    const { failures, nameAt } = this.#opts
+    try {
+      return await answer
+    } catch (thrown) {
+      // A call that this box has ended itself has not failed.
+      if (!signal?.aborted) failures.note({ event: LogEvent.EngineCallFailed, call, target: { upstream: nameAt(address), address } }, thrown)
+      throw thrown
+    }
+  }
+}
--- /dev/null
+++ b/box/runtime/test/failureLog.ts
@@ -0,0 +1,40 @@
+import { FailureLog } from '@reelspan/box.runtime'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { Metrics } from '@reelspan/telemetry.metrics'
+import { VirtualClock } from '@reelspan/utils.fakes'
+import { SilentLog } from '@reelspan/utils.fake-fleet'
+import test from 'ava'
+
+const MINUTE_MS = 60_000
+
+function createFailureLog () {
+  const clock = new VirtualClock()
+  const log = new SilentLog()
+  const metrics = new Metrics()
+  return { clock, log, metrics, failures: new FailureLog({ clock, log, metrics }) }
+}
+
+test('a call that fails again and again is told of at once and then once a minute, with how often it failed since', async (t) => {
+  const { clock, log, metrics, failures } = createFailureLog()
+  const note = () => failures.note({ event: LogEvent.EngineCallFailed, call: 'report', target: { address: '10.1.0.1:80' } }, new Error('reset'))
+  note()
+  note()
+  note()
+  t.deepEqual(log.entries.map(({ fields }) => fields), [{ call: 'report', address: '10.1.0.1:80', reason: 'reset', times: 1 }])
+  await clock.advance(MINUTE_MS)
+  note()
+  t.deepEqual(log.entries.map(({ fields }) => fields?.times), [1, 3])
+  t.true(metrics.exposition().includes('reelspan_calls_failed_total{event="engineCallFailed",call="report"} 4'))
+})
+
+test('failures of many targets at once are told of in few lines, and all are counted', async (t) => {
+  const { clock, log, metrics, failures } = createFailureLog()
+  const noteAll = () => Array.from({ length: 3000 }, (_, i) => failures.note({ event: LogEvent.PeerCallFailed, call: 'heartbeat', target: { address: `10.0.0.${i}:1` } }, 'cut'))
+  noteAll()
+  const first = log.entries.length
+  t.true(first > 0 && first <= 20, `${first} lines`)
+  await clock.advance(2 * MINUTE_MS)
+  noteAll()
+  t.true(log.entries.length <= 2 * first)
+  t.true(metrics.exposition().includes('reelspan_calls_failed_total{event="peerCallFailed",call="heartbeat"} 6000'))
+})
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -27,6 +27,8 @@
   HandleLeft = 'handleLeft',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
+  EngineCallFailed = 'engineCallFailed',
+  PeerCallFailed = 'peerCallFailed',
   LinesDropped = 'linesDropped',
 }
 
