fix(config.store): a starting box reads the list of upstreams once

Box.start read the list alone, to know its peers, and a second time beside them, though the platform had answered it a moment before: three reads at a start in place of two, 86 boxes starting together 86 reads more. A follower's first read now asks the platform only while it has never answered here; peers are asked as before, so a higher revision still comes.

Ruled out: leaving the second call out of Box.start, since a first read that failed would then not be tried again before the backstop of some ten seconds.

Test, failing before (3 reads in place of 2): the read is not repeated, a failed one is.

--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -28,9 +28,9 @@
   peerTimeoutMs: number
   /** Longest wait between tries while the platform does not answer, on average. */
   longestBackoffMs: number
-  /** The platform answers again, or no longer. */
   /** The platform has answered. */
   onAnswer?: () => void
+  /** The platform answers again, or no longer. */
   onReachable?: (reachable: boolean, details: PlatformContact) => void
   onRejected?: (problems: string[], revision: number) => void
 }
@@ -60,7 +60,9 @@
   #pulling = false
   #backoffMs = FIRST_BACKOFF_MS
   #reachable = true
-  /** When the platform last answered, on this box's clock. */
+  /** Whether the platform has ever answered here. */
+  #answered = false
+  /** When the platform last answered, on this box's clock; until it has, when this box began. */
   #lastAnswerMs: number
 
   constructor (opts: ConfigFollowerOptions) {
@@ -69,10 +71,11 @@
     this.#lastAnswerMs = opts.clock.nowMs()
   }
 
-  /** Asks platform and peers at once and takes the highest revision that answers. */
+  /** Asks peers, and the platform unless it has answered before, and takes the highest revision that answers. */
   async readFirst (peerAddresses: readonly string[]): Promise<void> {
     await Promise.all([
-      this.#readPlatform(0).catch(() => {}),
+      // A failed read is told of by `onReachable`, a failed pull by the link. What is missing then, `start` gets.
+      this.#answered ? undefined : this.#readPlatform(0).catch(() => {}),
       ...peerAddresses.map((address) => this.#pull(address).catch(() => {})),
     ])
   }
@@ -109,6 +112,7 @@
     await clock.sleep(isWatcher() && this.#reachable ? WATCHER_PULL_DELAY_MS : PULL_DELAY_MS, { signal })
     for (let peer = this.#nextTeller(); peer !== undefined && !this.#tasks.stopped; peer = this.#nextTeller()) {
       const answered = new AbortController()
+      // The link tells of a failed pull; the next teller is asked then.
       void this.#pull(peer).catch(() => {}).finally(() => answered.abort(STOPPED))
       await clock.sleep(HEDGE_MS, { signal: AbortSignal.any([answered.signal, signal]) })
     }
@@ -138,6 +142,7 @@
       while (!isWatcher() && clock.nowMs() < untilMs && !this.#tasks.stopped) await clock.sleep(ROLE_CHECK_MS, { signal })
       if (this.#tasks.stopped) return
       const longestWaitMs = this.#reachable ? watchWaitMs : Math.min(watchWaitMs, RETURN_WAIT_MS)
+      // `onReachable` tells of a failed read.
       await this.#readPlatform(isWatcher() ? longestWaitMs : 0).catch(() => this.#backOff())
     }
   }
@@ -167,6 +172,7 @@
     try {
       const content = await read
       this.#noteContact(true)
+      this.#answered = true
       this.#lastAnswerMs = this.#opts.clock.nowMs()
       this.#opts.onAnswer?.()
       return content
--- a/config/store/test/configFollower.ts
+++ b/config/store/test/configFollower.ts
@@ -6,6 +6,7 @@
 /** Answers every read at once, whatever wait it asks for. */
 class ImpatientPlatform extends PlatformReader {
   reads = 0
+  outage = false
   content: RevisionedContent = { revision: 1, full: true, changes: [] }
 
   get lastAnswerMs (): number {
@@ -14,6 +15,7 @@
 
   async read (): Promise<RevisionedContent> {
     this.reads++
+    if (this.outage) throw new Error('the platform is down')
     return this.content
   }
 }
@@ -63,6 +65,19 @@
   await clock.run(follower.stop())
 })
 
+test('a platform that has answered is not asked a second time while the box starts; one that has not is', async (t) => {
+  const platform = new ImpatientPlatform()
+  const { clock, store, follower } = createFollower(platform, () => true, new PeersWithOneSilent('none'))
+  platform.outage = true
+  await clock.run(follower.readFirst([]))
+  t.is(store.revision, 0)
+  platform.outage = false
+  await clock.run(follower.readFirst([]))
+  t.deepEqual([store.revision, platform.reads], [1, 2])
+  await clock.run(follower.readFirst(['10.0.0.2:1']))
+  t.deepEqual([store.revision, platform.reads], [7, 2], 'peers are asked all the same')
+})
+
 /** Peers that have revision 7, but for one that never answers. */
 class PeersWithOneSilent extends PeerLink {
   readonly asked: string[] = []
