perf(box.runtime): the zone's boxes are ranked when members change, not with each look

Whether a box watches the platform was asked with each look at the list of upstreams and each heartbeat, and each time the zone's boxes were hashed and sorted. WatcherRole, which createBox.ts held as a function, keeps the outcome until the view gives another list of members that take work; the view makes that list anew only when a member changes.

Ruled out: an outcome kept for some time, since another box has to take over as soon as one is known to leave.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -2,7 +2,6 @@
 import { type Configuration, DeclarationsChecker } from '@reelspan/config.resources'
 import { ConfigFollower, ConfigStore } from '@reelspan/config.store'
 import { Collection, type Member, MemberHealth, type PeerLink } from '@reelspan/core.messages'
-import { rankByRendezvous } from '@reelspan/core.hashing'
 import { Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
 import { answerLookup, type LookupAnswer } from '@reelspan/request.lookup'
@@ -28,6 +27,7 @@
 import { RequestRouter } from './requestRouter.js'
 import { ResourceApi } from './resourceApi.js'
 import { ShardKeepers } from './shardKeepers.js'
+import { WatcherRole } from './watcherRole.js'
 
 /** Everything that makes up a box. */
 export interface BoxParts extends BoxEnvironment {
@@ -39,6 +39,8 @@
   fleetList: ConfigStore<FleetList>
   /** The same, with entries that lapsed while the platform was away. */
   fleet: GuardedFleet
+  /** Whether this box watches the platform for its zone. */
+  watcherRole: WatcherRole
   platformContact: PlatformContactWatch
   followers: Record<Collection, ConfigFollower>
   prober: Prober
@@ -70,6 +72,7 @@
     declarations: asFunction(createDeclarations).singleton(),
     fleetList: asFunction(createFleetList).singleton(),
     fleet: asFunction(createFleet).singleton(),
+    watcherRole: asFunction(createWatcherRole).singleton(),
     platformContact: asFunction(createContact).singleton(),
     followers: asFunction(createFollowers).singleton(),
     prober: asFunction(createProber).singleton(),
@@ -129,9 +132,13 @@
   return new GuardedFleet({ listed: fleetList, mayHaveLapsed: () => platformContact.mayHaveLapsed })
 }
 
-function createContact (parts: BoxParts): PlatformContactWatch {
-  const { clock, log, platform } = parts
-  return new PlatformContactWatch({ clock, log, isWatcher: () => isWatcher(parts), lastAnswerMs: () => platform.lastAnswerMs })
+function createContact ({ clock, log, platform, watcherRole }: BoxParts): PlatformContactWatch {
+  return new PlatformContactWatch({ clock, log, isWatcher: () => watcherRole.holds(), lastAnswerMs: () => platform.lastAnswerMs })
+}
+
+function createWatcherRole (parts: BoxParts): WatcherRole {
+  const { clock, settings, view } = parts
+  return new WatcherRole({ clock, settings, view, lastMajorityContactMs: () => parts.prober.lastMajorityContactMs })
 }
 
 function createFollowers (parts: BoxParts): Record<Collection, ConfigFollower> {
@@ -139,7 +146,7 @@
     ...environmentOf(parts),
     store,
     collection,
-    isWatcher: () => isWatcher(parts),
+    isWatcher: () => parts.watcherRole.holds(),
     watchWaitMs: parts.settings.platform.watchWaitMs,
     backstopPollMs: parts.settings.platform.backstopPollMs,
     peerTimeoutMs: PEER_TIMEOUT_MS,
@@ -156,19 +163,6 @@
   }
 }
 
-/** This many probe periods without an answer from most watched members, and a box is on its own. */
-const ALONE_AFTER_PERIODS = 2
-
-/** A few boxes of each availability zone watch the platform for the rest, and those that have lost sight of the others. */
-function isWatcher ({ clock, settings, view, prober }: BoxParts): boolean {
-  const { availabilityZone, incarnation } = view.self
-  if (clock.nowMs() - prober.lastMajorityContactMs > ALONE_AFTER_PERIODS * settings.membership.probePeriodMs) return true
-  const ofZone = view.takingWork().filter((member) => member.availabilityZone === availabilityZone)
-  return rankByRendezvous(`watch|${availabilityZone}`, ofZone, (member) => member.incarnation)
-    .slice(0, settings.platform.watchersPerAvailabilityZone)
-    .some((member) => member.incarnation === incarnation)
-}
-
 function createProber (parts: BoxParts): Prober {
   const { settings, view, declarations, fleetList } = parts
   return new Prober({
--- a/membership/view/src/membershipView.ts
+++ b/membership/view/src/membershipView.ts
@@ -28,6 +28,7 @@
   #self: Member
   readonly #partDigests: number[] = Array.from({ length: PARTS }, () => 0)
   #liveCache?: Member[]
+  #takingWorkCache?: readonly Member[]
 
   constructor (opts: MembershipViewOptions) {
     this.#goneMemoryMs = opts.goneMemoryMs
@@ -85,9 +86,10 @@
     return this.all().filter(({ health }) => health === MemberHealth.Suspect)
   }
 
-  /** Live members that take new work. */
-  takingWork (): Member[] {
-    return this.live().filter(({ leaving }) => !leaving)
+  /** Live members that take new work. The same list until a member changes. */
+  takingWork (): readonly Member[] {
+    this.#takingWorkCache ??= this.live().filter(({ leaving }) => !leaving)
+    return this.#takingWorkCache
   }
 
   /** The incarnation at an address that was not seen to go, if any. */
@@ -171,7 +173,8 @@
     this.#toggleDigest(member)
     this.#entries.set(member.incarnation, { member, changedAtMs: nowMs })
     if (member.incarnation === this.#self.incarnation) this.#self = member
-    this.#liveCache = undefined;
+    this.#liveCache = undefined
+    this.#takingWorkCache = undefined;
     [...this.#listeners].forEach((listener) => listener(member))
   }
 }
--- a/membership/view/test/membershipView.ts
+++ b/membership/view/test/membershipView.ts
@@ -54,3 +54,12 @@
   one.forgetOld(2000)
   t.is(one.digest, two.digest)
 })
+
+test('members that take work are listed anew only when a member has changed', (t) => {
+  const view = new MembershipView({ self: member('a'), goneMemoryMs: 1000 })
+  view.merge(member('b'), 0)
+  const before = view.takingWork()
+  t.is(view.takingWork(), before)
+  view.merge(member('b', { version: 1, leaving: true }), 0)
+  t.deepEqual(view.takingWork().map(({ incarnation }) => incarnation), ['a'])
+})
