--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -14,6 +14,7 @@
 import { FleetChanges } from './fleetChanges.js'
 import { REENTRY_MS } from './platformContactWatch.js'
 import { plannedStop } from './plannedStop.js'
+import { registerBoxMetrics } from './registerBoxMetrics.js'
 import { type ResourceApi } from './resourceApi.js'
 
 const FIRST_PEERS_ASKED = 3
@@ -56,7 +57,7 @@
 
   /** Reads platform and peers, meets the other boxes, and begins to serve. */
   async start (): Promise<void> {
-    const { link, dispatch, followers, prober, view, log, random, owner, platformContact } = this.#parts
+    const { link, dispatch, followers, prober, view, log, random, platformContact } = this.#parts
     link.serve(dispatch)
     view.onChange((member) => this.#onMemberChange(member))
     await followers[Collection.Fleet].readFirst([])
@@ -66,7 +67,7 @@
       followers[Collection.Fleet].readFirst(asked),
       followers[Collection.Declarations].readFirst(asked),
     ])
-    this.#parts.metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
+    registerBoxMetrics(this.#parts)
     Object.values(followers).forEach((follower) => follower.start())
     prober.start()
     Object.values(Collection).forEach((collection) => this.#tasks.run(() => this.#onRevisions(collection)))
@@ -241,11 +242,12 @@
 
   /** Acts on each new revision, and tells the peers of it at once. */
   async #onRevisions (collection: Collection): Promise<void> {
-    const { log, prober, view } = this.#parts
+    const { log, prober, view, beliefAges } = this.#parts
     const store = collection === Collection.Declarations ? this.#parts.declarations : this.#parts.fleetList
     for (let revision = 0; !this.#tasks.stopped; revision = store.revision) {
       await store.waitAbove(revision, this.#tasks.signal)
       if (this.#tasks.stopped) return
+      beliefAges.noteAdopted(collection)
       log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
       if (collection === Collection.Fleet) this.#fleetChanges.note(store.revision)
       this.#reconcile()
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -15,6 +15,7 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
+import { BeliefAges } from './beliefAges.js'
 import { Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { drawIncarnation } from './drawIncarnation.js'
@@ -49,6 +50,7 @@
   owner: Owner
   relay?: Relay
   keepers: ShardKeepers
+  beliefAges: BeliefAges
   router: RequestRouter
   dispatch: PeerDispatch
   resources: ResourceApi
@@ -81,6 +83,7 @@
     owner: asFunction(createOwner).singleton(),
     relay: asFunction(createRelay).singleton(),
     keepers: asFunction(createKeepers).singleton(),
+    beliefAges: asFunction(createBeliefAges).singleton(),
     router: asFunction((parts: BoxParts) => new RequestRouter(parts)).singleton(),
     dispatch: asFunction(createDispatch).singleton(),
     resources: asFunction((parts: BoxParts) => new ResourceApi(parts)).singleton(),
@@ -272,6 +275,10 @@
   })
 }
 
+function createBeliefAges ({ clock, platformContact, keepers }: BoxParts): BeliefAges {
+  return new BeliefAges({ clock, platformSilentMs: () => platformContact.silentMs, oldestReportAgeMs: () => keepers.oldestReportAgeMs() })
+}
+
 function createDispatch (parts: BoxParts): PeerDispatch {
   return new PeerDispatch({
     prober: parts.prober,
--- /dev/null
+++ b/box/runtime/src/registerBoxMetrics.ts
@@ -0,0 +1,20 @@
+import { type LabelledValue } from '@reelspan/telemetry.metrics'
+import { type BoxParts } from './createBox.js'
+
+/** Registers what a box tells of its own state in the metrics. */
+export function registerBoxMetrics (parts: BoxParts): void {
+  const { metrics, owner, log, beliefAges } = parts
+  metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
+  metrics.gauge('reelspan_log_lines_dropped_total', () => log.droppedLines)
+  metrics.gauges('reelspan_belief_age_ms', () => beliefAges.values())
+  metrics.gauges('reelspan_retry_budget_left', () => retryBudgets(parts))
+}
+
+/** Relayed requests have a budget for each pool, owned ones a common one. */
+function retryBudgets ({ owner, relay }: BoxParts): LabelledValue[] {
+  const relayed = relay?.describe().retryBudgets ?? []
+  return [
+    { labels: { requests: 'owned' }, value: owner.describe().retryBudgetLeft },
+    ...relayed.map(({ pool, left }) => ({ labels: { requests: 'relayed', pool }, value: left })),
+  ]
+}
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -84,6 +84,12 @@
     this.#keepers.forEach(({ scheduler }) => scheduler.releaseOwner(incarnation))
   }
 
+  /** How long ago the engine reported that has been silent longest, of those that are scheduled here. */
+  oldestReportAgeMs (): number | undefined {
+    const times = [...this.#keepers.values()].map(({ scheduler }) => scheduler.ledger.oldestReportAtMs()).filter((atMs) => atMs !== undefined)
+    return times.length > 0 ? this.#opts.clock.nowMs() - Math.min(...times) : undefined
+  }
+
   describe () {
     return [...this.#keepers.values()].map(({ scheduler, right }) => ({ ...scheduler.describe(), mayOrder: right.holds() }))
   }
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -5,7 +5,7 @@
 import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
-import { closeServers, listenAt, SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { closeServers, listenAt, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { BunyanLog } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
@@ -40,9 +40,7 @@
     log: new BunyanLog({ box: settings.box.name, level: log.level }),
     metrics,
   })
-  metrics.gauge('reelspan_peer_sent_bytes_total', () => link.traffic.sentBytes)
-  metrics.gauge('reelspan_peer_received_bytes_total', () => link.traffic.receivedBytes)
-  metrics.gauge('reelspan_peer_connections', () => link.openConnections)
+  registerProcessMetrics(metrics, link)
   await link.listen()
   await box.start()
   const operators = createOperatorServer({ clock, box, token, bodyBytes: limits.bodyBytes })
--- a/cli/reelspan/test/platform.ts
+++ b/cli/reelspan/test/platform.ts
@@ -11,6 +11,7 @@
 const BIN = join(import.meta.dirname, '..', 'bin', 'reelspan.js')
 /** An address of its own, since the metrics port is the same on every machine. */
 const IP = '127.0.0.2'
+const PROCESS_METRICS = ['reelspan_loop_delay_ms', 'reelspan_log_lines_dropped_total', 'reelspan_peer_sent_bytes_total', 'reelspan_peer_received_bytes_total', 'reelspan_peer_connections']
 
 async function freePort (): Promise<number> {
   const server = createServer().listen(0, IP)
@@ -47,6 +48,12 @@
   })
 }
 
+/** Metrics that a box on the platform tells, without their labels. */
+async function metricNames (): Promise<Set<string>> {
+  const text = await (await fetch(`http://${IP}:9464/metrics`)).text()
+  return new Set(text.split('\n').filter((line) => line && !line.startsWith('#')).map((line) => line.split(/[{ ]/)[0]))
+}
+
 test('a settings file of the platform is checked, field by field', async (t) => {
   const { lines } = await settingsLines()
   const check = async (file: string) => new Promise<{ code: number, out: string, err: string }>((resolve) => {
@@ -66,6 +73,8 @@
   t.teardown(() => box.kill('SIGKILL'))
   await logged(box, 'started')
   t.is(await statusOf(readyPort), 503)
+  const names = await metricNames()
+  t.deepEqual(PROCESS_METRICS.filter((name) => !names.has(name)), [], 'metrics of the process that are missing')
   box.kill('SIGHUP')
   t.is(await statusOf(readyPort), 503)
   const ended = once(box, 'exit')
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -152,6 +152,12 @@
     if (engine) engine.report = undefined
   }
 
+  /** When the engine last reported that has been silent longest, of those that ever did. */
+  oldestReportAtMs (): number | undefined {
+    const times = [...this.#prefillList, ...this.#decodeList].map(({ reportAtMs }) => reportAtMs).filter((atMs) => atMs > 0)
+    return times.length > 0 ? Math.min(...times) : undefined
+  }
+
   expire (nowMs: number): void {
     this.#entries.forEach(({ expiresAtMs, label }) => {
       if (expiresAtMs <= nowMs) this.release(label)
--- a/telemetry/log/src/boundedLineStream.ts
+++ b/telemetry/log/src/boundedLineStream.ts
@@ -27,6 +27,7 @@
   #waitingBytes = 0
   #writing = false
   #dropped = 0
+  #toldDropped = 0
 
   constructor (opts: BoundedLineStreamOptions) {
     this.#opts = opts
@@ -38,6 +39,11 @@
     return this.#dropped
   }
 
+  /** Lines dropped so far. */
+  get droppedInAll (): number {
+    return this.#dropped + this.#toldDropped
+  }
+
   write (line: string): void {
     const { maxWaitingBytes = MAX_WAITING_BYTES } = this.#opts
     if (!this.#rate.take() || this.#waitingBytes + line.length > maxWaitingBytes) {
@@ -51,6 +57,7 @@
 
   #tellDropped (): void {
     this.#add(`${JSON.stringify({ event: LogEvent.LinesDropped, lines: this.#dropped })}\n`)
+    this.#toldDropped += this.#dropped
     this.#dropped = 0
   }
 
--- a/telemetry/log/src/bunyanLog.ts
+++ b/telemetry/log/src/bunyanLog.ts
@@ -12,15 +12,20 @@
 /** Writes log events as JSON lines to standard output. */
 export class BunyanLog extends Log {
   readonly #logger: bunyan
+  readonly #lines: BoundedLineStream
 
   constructor (opts: BunyanLogOptions) {
     super()
-    const lines = new BoundedLineStream({ fileDescriptor: STANDARD_OUTPUT, nowMs: () => performance.now() })
+    this.#lines = new BoundedLineStream({ fileDescriptor: STANDARD_OUTPUT, nowMs: () => performance.now() })
     // All that bunyan asks of a stream is that lines can be written to it.
-    const stream = lines as unknown as NodeJS.WritableStream
+    const stream = this.#lines as unknown as NodeJS.WritableStream
     this.#logger = bunyan.createLogger({ name: 'reelspan', box: opts.box, level: opts.level, stream })
   }
 
+  override get droppedLines (): number {
+    return this.#lines.droppedInAll
+  }
+
   info (event: LogEvent, fields: LogFields = {}): void {
     this.#logger.info({ event, ...fields }, event)
   }
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -36,6 +36,11 @@
 
 /** Where log events go. Prompts, tokens and bodies are never among the fields. */
 export abstract class Log {
+  /** Lines that were dropped so far because nobody took them in time. */
+  get droppedLines (): number {
+    return 0
+  }
+
   abstract info (event: LogEvent, fields?: LogFields): void
   abstract warn (event: LogEvent, fields?: LogFields): void
 }
--- a/telemetry/log/test/boundedLineStream.ts
+++ b/telemetry/log/test/boundedLineStream.ts
@@ -33,6 +33,7 @@
   stream.write('later\n')
   await until(() => read().endsWith('later\n'))
   t.is(read(), '0\n1\n{"event":"linesDropped","lines":3}\nlater\n')
+  t.is(stream.droppedInAll, 3)
 })
 
 test('a reader that takes nothing makes lines drop and holds nothing up', (t) => {
--- a/telemetry/metrics/src/index.ts
+++ b/telemetry/metrics/src/index.ts
@@ -1,2 +1,2 @@
 export { Metrics } from './metrics.js'
-export type { Labels } from './metrics.js'
+export type { LabelledValue, Labels } from './metrics.js'
--- a/telemetry/metrics/src/metrics.ts
+++ b/telemetry/metrics/src/metrics.ts
@@ -5,6 +5,12 @@
 const QUANTILES = [50, 90, 95, 99]
 const HIGHEST_MS = 3_600_000
 
+/** One value of a metric; without a value, it is not known at the moment. */
+export interface LabelledValue {
+  labels: Labels
+  value: number | undefined
+}
+
 interface Series<T> {
   name: string
   labels: Labels
@@ -15,7 +21,7 @@
 export class Metrics {
   readonly #counters = new Map<string, Series<number>>()
   readonly #histograms = new Map<string, Series<Histogram>>()
-  readonly #gauges = new Map<string, () => number>()
+  readonly #gauges = new Map<string, () => readonly LabelledValue[]>()
 
   count (name: string, labels: Labels = {}, by = 1): void {
     const key = seriesKey(name, labels)
@@ -26,6 +32,11 @@
 
   /** Registers a value that is read when the metrics are. */
   gauge (name: string, read: () => number): void {
+    this.gauges(name, () => [{ labels: {}, value: read() }])
+  }
+
+  /** Registers values that are read when the metrics are. */
+  gauges (name: string, read: () => readonly LabelledValue[]): void {
     this.#gauges.set(name, read)
   }
 
@@ -52,7 +63,10 @@
       `# TYPE ${name} counter`,
       ...series.map(({ labels, value }) => `${name}${labelText(labels)} ${value}`),
     ])
-    const gauges = [...this.#gauges].flatMap(([name, read]) => [`# TYPE ${name} gauge`, `${name} ${read()}`])
+    const gauges = [...this.#gauges].flatMap(([name, read]) => [
+      `# TYPE ${name} gauge`,
+      ...read().filter(({ value }) => value !== undefined).map(({ labels, value }) => `${name}${labelText(labels)} ${value}`),
+    ])
     const histograms = grouped([...this.#histograms.values()]).flatMap(([name, series]) => [
       `# TYPE ${name} summary`,
       ...series.flatMap(({ labels, value }) => [
