fix(core.env): a task that a fault of the program ends is no longer lost without a word

Cause: TaskGroup caught whatever a task threw and dropped it, and nobody ever handed it a listener: a follower, a prober's round or the reaction to a new revision could end or fail each time with nothing to be read of it. A fault while checking what the platform sent passed for a platform that does not answer.

The change: a group is given its listener when it is made; box, followers, prober, owner, shard keepers and polled reports hand theirs to FailureLog, which writes taskFailed with the reason and the place in the code, bounded as failed calls are.

Not looked after here: net.peer-link (outgoingConnection 2, serveConnection 2, wsPeerLink), net.http-exchange (the opened promise), platform.adapter httpCaller, and the task groups of request.relay and scheduling.scheduler, which still have no listener.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -34,7 +34,7 @@
 
   constructor (parts: BoxParts) {
     this.#parts = parts
-    this.#tasks = new TaskGroup(parts.clock)
+    this.#tasks = new TaskGroup(parts.clock, (thrown) => parts.failures.noteTask('box', thrown))
     this.#fleetChanges = new FleetChanges({ fleet: parts.fleet, log: parts.log, platformSilentMs: () => parts.platformContact.silentMs })
   }
 
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -158,6 +158,7 @@
       if (collection === Collection.Fleet) parts.platformContact.answered()
     },
     onReachable: (reachable, details) => parts.platformContact.note(reachable, details),
+    onTaskError: (thrown) => parts.failures.noteTask(`follower of ${collection}`, thrown),
     onRejected: (problems, revision) => parts.log.warn(LogEvent.RevisionRejected, { collection, revision, problems }),
   })
   return {
@@ -177,6 +178,7 @@
     inFlight: () => parts.owner.inFlight + (parts.relay?.inFlight ?? 0),
     platformAnswering: () => parts.platformContact.answering,
     onPlatformAnswering: (told) => parts.platformContact.hear(told),
+    onTaskError: (thrown) => parts.failures.noteTask('prober', thrown),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
       parts.followers[collection].hear(address, revisions[collection])
     }),
@@ -199,7 +201,13 @@
   const shardsOfModel = (model: string) => parts.keepers.shardsOfModel(model)
   const index = createPrefixIndex(prefixIndex)
   if (strategy !== 'scheduler') {
-    const reports = new PolledReports({ clock, engines, periodMs: reportPeriodMs, listed: () => parts.keepers.shards().flatMap((shard) => [...shard.prefillEngines, ...shard.decodeEngines]) })
+    const reports = new PolledReports({
+      clock,
+      engines,
+      periodMs: reportPeriodMs,
+      listed: () => parts.keepers.shards().flatMap((shard) => [...shard.prefillEngines, ...shard.decodeEngines]),
+      onTaskError: (thrown) => parts.failures.noteTask('polledReports', thrown),
+    })
     const decodePicker = createEnginePicker(strategy === PickerKind.PrefixHash ? PickerKind.LeastLoad : strategy, random)
     const ownWeight = () => countOwn ? view.takingWork().length : 0
     return new OwnerAlonePlacer({ clock, picker: createEnginePicker(strategy, random), decodePicker, reports, index, shardsOfModel, admission, ownWeight, placesPercent: 100 })
@@ -240,6 +248,7 @@
     upstreamTimeoutMs: settings.requests.upstreamTimeoutMs,
     lastContactMs: () => parts.prober.lastMajorityContactMs,
     hasPeers: () => view.all().length > 1,
+    onTaskError: (thrown) => parts.failures.noteTask('owner', thrown),
     onEnd: (record, request, timings) => noteRequestEnd({ log, metrics, revision: declarations.revision }, record, request, timings),
   })
 }
@@ -266,6 +275,7 @@
 function createKeepers (parts: BoxParts): ShardKeepers {
   return new ShardKeepers({
     ...environmentOf(parts),
+    failures: parts.failures,
     declarations: parts.declarations,
     fleet: parts.fleet,
     view: parts.view,
--- a/box/runtime/src/failureLog.ts
+++ b/box/runtime/src/failureLog.ts
@@ -1,5 +1,6 @@
 import { type Clock } from '@reelspan/core.env'
-import { type Log, type LogEvent, type LogFields, RateLimit } from '@reelspan/telemetry.log'
+import { toReelspanError } from '@reelspan/core.error'
+import { type Log, LogEvent, type LogFields, RateLimit } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 
 /** A call that nobody waits for, or whose failure the caller gets over. */
@@ -29,7 +30,7 @@
 /** More than the boxes and engines that one box calls in a minute. */
 const MAX_REMEMBERED = 5000
 
-/** Tells of calls that failed and were got over, seldom enough for the log. The metrics count each. */
+/** Tells of calls that failed and were got over, and of tasks that a fault of the program ended, seldom enough for the log. The metrics count each. */
 export class FailureLog {
   readonly #opts: FailureLogOptions
   readonly #rate: RateLimit
@@ -44,7 +45,15 @@
     const { log, metrics } = this.#opts
     metrics.count('reelspan_calls_failed_total', { event, call })
     const times = this.#timesToTell(`${call} ${target.address}`)
-    if (times > 0) log.warn(event, { call, ...target, reason: thrown instanceof Error ? thrown.message : String(thrown), times })
+    if (times > 0) log.warn(event, { call, ...target, reason: toReelspanError(thrown).message, times })
+  }
+
+  /** A task threw what nothing in it expects. */
+  noteTask (task: string, thrown: unknown): void {
+    const { log, metrics } = this.#opts
+    metrics.count('reelspan_tasks_failed_total', { task })
+    const times = this.#timesToTell(`task ${task}`)
+    if (times > 0) log.warn(LogEvent.TaskFailed, { task, reason: toReelspanError(thrown).message, at: placeOf(thrown), times })
   }
 
   /** How many failures a line now tells of; 0 when there is to be no line. */
@@ -65,3 +74,8 @@
     this.#told.delete(longestUnheard)
   }
 }
+
+/** The innermost place of a stack trace. */
+function placeOf (thrown: unknown): string | undefined {
+  return thrown instanceof Error ? thrown.stack?.split('\n').find((line) => line.trimStart().startsWith('at '))?.trim() : undefined
+}
--- a/box/runtime/src/shardKeeper.ts
+++ b/box/runtime/src/shardKeeper.ts
@@ -1,5 +1,5 @@
 import { type Configuration } from '@reelspan/config.resources'
-import { type Clock, TaskGroup } from '@reelspan/core.env'
+import { type Clock, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { type EngineAccount } from '@reelspan/scheduling.ledger'
 import { type ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { type EngineClient, type EngineReport, EngineRole } from '@reelspan/upstream.client'
@@ -15,6 +15,8 @@
   configuration: () => Configuration
   reportPeriodMs: number
   onOrder: OrderControllerOptions['onOrder']
+  /** Told of a task that a fault of the program ended. */
+  onTaskError?: TaskErrorListener
 }
 
 /** Engines answer a report within some milliseconds. */
@@ -37,7 +39,7 @@
     this.#opts = opts
     this.scheduler = opts.scheduler
     this.right = opts.right
-    this.#tasks = new TaskGroup(opts.clock)
+    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#orders = new OrderController({ ...opts, orderTimeoutMs: opts.reportPeriodMs * 2 })
   }
 
@@ -79,12 +81,14 @@
 
   #report ({ address }: EngineAccount<unknown>, timeoutMs: number): Promise<EngineReport | undefined> {
     const { engines } = this.#opts
+    // The client tells of a failure; the engine counts as silent.
     return engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
   }
 
   async #readCacheEvents ({ name, address }: EngineAccount<unknown>): Promise<void> {
     const { engines, reportPeriodMs } = this.#opts
     const since = this.#cacheSequences.get(name) ?? 0
+    // The client tells of a failure; the next page asked for has what this one would have had.
     const page = await engines.cacheEvents(address, since, { timeoutMs: reportPeriodMs, signal: this.#tasks.signal }).catch(() => undefined)
     if (!page) return
     this.#cacheSequences.set(name, page.nextSequence)
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -10,9 +10,11 @@
 import { HoldSweeper } from '@reelspan/upstream.holds'
 import { OrderRight } from '@reelspan/upstream.orders'
 import { type BoxEnvironment } from './boxEnvironment.js'
+import { type FailureLog } from './failureLog.js'
 import { ShardKeeper } from './shardKeeper.js'
 
 export interface ShardKeepersOptions extends BoxEnvironment {
+  failures: FailureLog
   declarations: ConfigStore<Configuration>
   fleet: { readonly value: FleetList, readonly revision: number }
   view: MembershipView
@@ -115,7 +117,7 @@
   }
 
   #createKeeper (shard: Shard): ShardKeeper {
-    const { clock, engines, declarations, settings, lastContactMs, log, metrics } = this.#opts
+    const { clock, engines, declarations, settings, lastContactMs, failures, log, metrics } = this.#opts
     const { reportPeriodMs, prefixIndex, orderRightMs } = settings.scheduling
     const scheduler = new ShardScheduler({
       clock,
@@ -135,6 +137,7 @@
       right: new OrderRight({ clock, lifeMs: orderRightMs, lastContactMs }),
       configuration: () => declarations.value,
       reportPeriodMs,
+      onTaskError: (thrown) => failures.noteTask('shardKeeper', thrown),
       onOrder: ({ engine, order }, outcome) => {
         log.info(LogEvent.OrderSent, { engine, order: order.kind, fence: order.fence, outcome })
         metrics.count('reelspan_orders_total', { outcome })
--- a/box/runtime/test/failedCalls.ts
+++ b/box/runtime/test/failedCalls.ts
@@ -41,3 +41,17 @@
   t.deepEqual(fleet.boxes.flatMap((box) => [...linesOf(box, LogEvent.PeerCallFailed), ...linesOf(box, LogEvent.EngineCallFailed)]), [])
   await fleet.stop()
 })
+
+test('a fleet under faults tells of no task that failed by a fault of the program', async (t) => {
+  const fleet = await new FakeFleet().start()
+  fleet.kill('box-2')
+  fleet.cutOff('box-3')
+  fleet.killEngine([...fleet.engines.values()][0].name)
+  fleet.platform.outage = true
+  await fleet.clock.advance(20_000)
+  fleet.network.healAll()
+  fleet.platform.outage = false
+  await fleet.clock.advance(20_000)
+  t.deepEqual(fleet.boxes.flatMap((box) => linesOf(box, LogEvent.TaskFailed)), [])
+  await fleet.stop()
+})
--- a/box/runtime/test/failureLog.ts
+++ b/box/runtime/test/failureLog.ts
@@ -38,3 +38,12 @@
   t.true(log.entries.length <= 2 * first)
   t.true(metrics.exposition().includes('reelspan_calls_failed_total{event="peerCallFailed",call="heartbeat"} 6000'))
 })
+
+test('a task that fails by a fault of the program is told of with the place in the code', (t) => {
+  const { log, metrics, failures } = createFailureLog()
+  failures.noteTask('prober', new TypeError('x is not a function'))
+  t.is(log.entries[0].event, LogEvent.TaskFailed)
+  t.like(log.entries[0].fields, { task: 'prober', reason: 'x is not a function', times: 1 })
+  t.true(String(log.entries[0].fields?.at).includes('failureLog'))
+  t.true(metrics.exposition().includes('reelspan_tasks_failed_total{task="prober"} 1'))
+})
--- a/cli/reelspanctl/src/boxClient.ts
+++ b/cli/reelspanctl/src/boxClient.ts
@@ -45,6 +45,7 @@
   try {
     return (JSON.parse(text) as { error: { message: string } }).error.message
   } catch {
+    // Not an answer of a box's API: the status is all that it says.
     return `status ${status}`
   }
 }
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Random, STOPPED, TaskGroup } from '@reelspan/core.env'
+import { type Clock, type Random, STOPPED, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { type Collection, MessageType, type PeerLink } from '@reelspan/core.messages'
 import { AdoptOutcome, type ConfigStore } from './configStore.js'
 import { type PlatformReader } from './platformReader.js'
@@ -33,6 +33,8 @@
   /** The platform answers again, or no longer. */
   onReachable?: (reachable: boolean, details: PlatformContact) => void
   onRejected?: (problems: string[], revision: number) => void
+  /** Told of a task that a fault of the program ended. */
+  onTaskError?: TaskErrorListener
 }
 
 const FIRST_BACKOFF_MS = 200
@@ -67,7 +69,7 @@
 
   constructor (opts: ConfigFollowerOptions) {
     this.#opts = opts
-    this.#tasks = new TaskGroup(opts.clock)
+    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#lastAnswerMs = opts.clock.nowMs()
   }
 
@@ -203,9 +205,19 @@
     }
   }
 
+  /** Whoever asked gets over a read or pull that failed; a fault in checking what came must not pass for one. */
+  #tryAdopt (content: RevisionedContent, since: number): AdoptOutcome {
+    try {
+      return this.#opts.store.adopt(content, since)
+    } catch (thrown) {
+      this.#opts.onTaskError?.(thrown)
+      throw thrown
+    }
+  }
+
   #adopt (content: RevisionedContent, since: number): AdoptOutcome {
     const { store, onRejected } = this.#opts
-    const outcome = store.adopt(content, since)
+    const outcome = this.#tryAdopt(content, since)
     if (outcome === AdoptOutcome.Invalid) onRejected?.(store.rejected?.problems ?? [], content.revision)
     return outcome
   }
--- a/config/store/test/configFollower.ts
+++ b/config/store/test/configFollower.ts
@@ -1,4 +1,5 @@
 import { ConfigFollower, ConfigStore, PlatformReader, type RevisionedContent } from '@reelspan/config.store'
+import { type TaskErrorListener } from '@reelspan/core.env'
 import { Collection, MessageType, PeerLink, type PeerMessage } from '@reelspan/core.messages'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -20,15 +21,21 @@
   }
 }
 
-function createFollower (platform: PlatformReader, isWatcher = () => true, link = {} as PeerLink) {
+interface FaultOptions {
+  check?: () => never
+  onTaskError?: TaskErrorListener
+}
+
+function createFollower (platform: PlatformReader, isWatcher = () => true, link = {} as PeerLink, { check, onTaskError }: FaultOptions = {}) {
   const clock = new VirtualClock()
-  const store = new ConfigStore((entries) => ({ value: entries, problems: [] }))
+  const store = new ConfigStore((entries, revision) => (revision > 0 && check?.()) || { value: entries, problems: [] })
   const follower = new ConfigFollower({
     clock,
     random: new SeededRandom(1),
     platform,
     link,
     store,
+    onTaskError,
     collection: Collection.Declarations,
     isWatcher,
     watchWaitMs: 20_000,
@@ -78,6 +85,19 @@
   t.deepEqual([store.revision, platform.reads], [7, 2], 'peers are asked all the same')
 })
 
+test('a fault in checking what the platform sent does not pass for a silent platform', async (t) => {
+  const fault = new TypeError('x is not a function')
+  const errors: unknown[] = []
+  const { clock, follower } = createFollower(new ImpatientPlatform(), () => true, {} as PeerLink, {
+    check: () => { throw fault },
+    onTaskError: (error) => { errors.push(error) },
+  })
+  follower.start()
+  await clock.advance(100)
+  t.deepEqual(errors, [fault])
+  await clock.run(follower.stop())
+})
+
 /** Peers that have revision 7, but for one that never answers. */
 class PeersWithOneSilent extends PeerLink {
   readonly asked: string[] = []
--- a/core/env/src/taskGroup.ts
+++ b/core/env/src/taskGroup.ts
@@ -4,18 +4,21 @@
 
 export interface RepeatOptions {
   periodMs: number
-  /** Told of a pass that threw. The loop goes on. */
-  onError?: (error: unknown) => void
 }
 
+/** Told of a task, or a pass of a repeated one, that threw. */
+export type TaskErrorListener = (error: unknown) => void
+
 /** The long-running tasks of one component, stopped together. */
 export class TaskGroup {
   readonly #clock: Clock
+  readonly #onError: TaskErrorListener
   readonly #stop = new AbortController()
   readonly #tasks = new Set<Promise<void>>()
 
-  constructor (clock: Clock) {
+  constructor (clock: Clock, onError: TaskErrorListener = () => {}) {
     this.#clock = clock
+    this.#onError = onError
     // Each task of the group listens to it, and there is no usual number of them.
     setMaxListeners(0, this.#stop.signal)
   }
@@ -29,16 +32,16 @@
   }
 
   /** Starts a task. A failure ends that task alone. */
-  run (task: () => Promise<void>, onError: (error: unknown) => void = () => {}): void {
-    const running: Promise<void> = task().catch(onError).finally(() => this.#tasks.delete(running))
+  run (task: () => Promise<void>): void {
+    const running: Promise<void> = task().catch(this.#onError).finally(() => this.#tasks.delete(running))
     this.#tasks.add(running)
   }
 
-  /** Repeats a task with a pause of `periodMs` between its passes. */
+  /** Repeats a task with a pause of `periodMs` between its passes, also after one that failed. */
   repeat (task: () => Promise<void>, opts: RepeatOptions): void {
     this.run(async () => {
       while (!this.stopped) {
-        await task().catch(opts.onError ?? (() => {}))
+        await task().catch(this.#onError)
         await this.#clock.sleep(opts.periodMs, { signal: this.signal })
       }
     })
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -1,4 +1,4 @@
-import { type Clock, Notifier, type Random, TaskGroup } from '@reelspan/core.env'
+import { type Clock, Notifier, type Random, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { watchedMembers } from './watchedMembers.js'
@@ -24,6 +24,8 @@
   watchCount: number
   /** A member that stayed silent for this long is taken for gone. Long, since a cut between regions looks the same. */
   silentGoneMs: number
+  /** Told of a task that a fault of the program ended. */
+  onTaskError?: TaskErrorListener
 }
 
 /** News about one member is passed on this many times by each box. */
@@ -53,7 +55,7 @@
 
   constructor (opts: ProberOptions) {
     this.#opts = opts
-    this.#tasks = new TaskGroup(opts.clock)
+    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#lastMajorityContactMs = opts.clock.nowMs()
     opts.view.onChange((member) => this.#queueNews(member))
   }
@@ -86,6 +88,7 @@
 
   /** Sends own state to the watched members at once, for a change that should not wait for the next round. */
   async tellNow (): Promise<void> {
+    // The link tells of a failure; the next round probes again and draws the consequence.
     await Promise.all(this.#watched().map((member) => this.#heartbeat(member.peerAddress).catch(() => {})))
   }
 
@@ -159,6 +162,7 @@
     const helpers = random.sample(view.live().filter(({ incarnation }) => incarnation !== member.incarnation && incarnation !== view.self.incarnation), MAX_INDIRECT_PROBES)
     const results = await Promise.all(helpers.map(async (helper) => {
       const question = { type: MessageType.ProbeFor, address: member.peerAddress, incarnation: member.incarnation } as const
+      // A helper that does not answer, of which the link tells, has not found the member either.
       const answer = await link.call(helper.peerAddress, question, { timeoutMs: 2 * probeTimeoutMs }).catch(() => undefined)
       return answer?.type === MessageType.ProbeResult ? answer.member : undefined
     }))
@@ -168,6 +172,7 @@
   }
 
   async #probeFor (question: MessageOf<MessageType.ProbeFor>): Promise<Member | undefined> {
+    // That the member does not answer is what the peer wanted to know; the link tells of it.
     const answer = await this.#heartbeat(question.address, question.incarnation).catch(() => undefined)
     return answer?.self
   }
@@ -193,7 +198,7 @@
       await this.#heartbeat(address)
       return true
     } catch {
-      // Whoever does not answer is believed what it was believed before.
+      // The link tells of a failure. Whoever does not answer is believed what it was believed before.
       return false
     }
   }
--- a/net/http-front/src/parseCompletion.ts
+++ b/net/http-front/src/parseCompletion.ts
@@ -60,6 +60,7 @@
   try {
     return JSON.parse(Buffer.from(body).toString())
   } catch {
+    // Where it goes wrong would quote the body.
     throw new ReelspanError(ErrorCode.BadRequest, 'body: not JSON')
   }
 }
--- a/net/upstream-http/src/httpEngineClient.ts
+++ b/net/upstream-http/src/httpEngineClient.ts
@@ -99,6 +99,7 @@
       bodyTimeout: timeoutMs,
     })
     if (response.statusCode === 200) return response
+    // A body that is no refusal is told of by its status.
     const refusal = refusalSchema.safeParse(await response.body.json().catch(() => undefined))
     const text = refusal.success ? refusal.data.error : `status ${response.statusCode}`
     throw new UpstreamError(`${address}: ${text}`, { mayHaveRun: !refusal.success || refusal.data.begun, refused: refusal.success })
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -254,6 +254,7 @@
     const { engines, upstreamTimeoutMs } = this.#opts
     const addresses = [plan.prefillAddress, plan.decodeAddress]
     addresses.forEach((address) => {
+      // The client tells of a failure.
       engines.release(address, label, { timeoutMs: upstreamTimeoutMs }).catch(() => {})
     })
   }
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { type Configuration } from '@reelspan/config.resources'
 import { type FleetList } from '@reelspan/config.fleet'
-import { type Clock, Notifier, STOPPED, type Random, TaskGroup } from '@reelspan/core.env'
+import { type Clock, Notifier, type Random, STOPPED, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { RequestKind, type RoutedRequest } from '@reelspan/core.messages'
 import { type EngineClient, type ServiceClient } from '@reelspan/upstream.client'
@@ -44,6 +44,8 @@
   /** When most watched peers last answered. */
   lastContactMs: () => number
   hasPeers: () => boolean
+  /** Told of a task that a fault of the program ended. */
+  onTaskError?: TaskErrorListener
 }
 
 /** Room for one token of an answer, in a record. */
@@ -77,7 +79,7 @@
 
   constructor (opts: OwnerOptions) {
     this.#opts = opts
-    this.#tasks = new TaskGroup(opts.clock)
+    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#wakeWatch = new WakeWatch(opts)
     this.#wakeWatch.start(this.#tasks)
   }
--- a/scheduling/owner-alone/src/freshReports.ts
+++ b/scheduling/owner-alone/src/freshReports.ts
@@ -24,6 +24,7 @@
     const { clock, random, engines, timeoutMs, sampleSize } = this.#opts
     const asked = random.sample(listed, sampleSize)
     const answers = await Promise.all(asked.map(async ({ name, address }) => {
+      // The client tells of a failure; an engine without a report is not chosen.
       const report = await engines.report(address, { timeoutMs }).catch(() => undefined)
       return report ? [[name, { report, atMs: clock.nowMs() }] as const] : []
     }))
--- a/scheduling/owner-alone/src/polledReports.ts
+++ b/scheduling/owner-alone/src/polledReports.ts
@@ -1,4 +1,4 @@
-import { type Clock, TaskGroup } from '@reelspan/core.env'
+import { type Clock, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { type DatedReport, ReportSource } from './reportSource.js'
 
@@ -7,6 +7,8 @@
   engines: EngineClient
   listed: () => readonly { name: string, address: string }[]
   periodMs: number
+  /** Told of a task that a fault of the program ended. */
+  onTaskError?: TaskErrorListener
 }
 
 /** Asks every engine now and then. What it answers is as old as the last pass, and lags as the engines' word does. */
@@ -18,7 +20,7 @@
   constructor (opts: PolledReportsOptions) {
     super()
     this.#opts = opts
-    this.#tasks = new TaskGroup(opts.clock)
+    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#tasks.repeat(() => this.#pass(), { periodMs: opts.periodMs })
   }
 
@@ -33,6 +35,7 @@
   async #pass (): Promise<void> {
     const { clock, engines, listed, periodMs } = this.#opts
     await Promise.all(listed().map(async ({ name, address }) => {
+      // The client tells of a failure; the report before stays, and its age with it.
       const report = await engines.report(address, { timeoutMs: periodMs }).catch(() => undefined)
       if (report) this.#known.set(name, { report, atMs: clock.nowMs() })
       else this.#known.delete(name)
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -147,6 +147,7 @@
   #tellPrefilled ({ scheduler, request: { shardId, label } }: LivePlacement): void {
     const { link, localScheduler, selfIncarnation } = this.#opts
     if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.prefilled(label)
+    // The link tells of a failure; the scheduler goes by its own estimate then.
     link.call(scheduler.peerAddress, { type: MessageType.PrefillDone, shardId, label }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
   }
 
@@ -155,6 +156,7 @@
     const { link, localScheduler, selfIncarnation } = this.#opts
     const { shardId, label } = request
     if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.release(label, report, outcomes)
+    // The link tells of a failure.
     link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, report, outcomes: [...outcomes] }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
   }
 
@@ -168,6 +170,7 @@
       decoding: live.tokensDone > 0,
       tokensDone: live.tokensDone,
     }))
+    // The link tells of a failure; a scheduler that was not told sees what runs in the engines' reports alone.
     if (scheduler.incarnation === selfIncarnation()) localScheduler(shardId)?.adopt(reservations)
     else await link.call(scheduler.peerAddress, { type: MessageType.AdoptReservations, shardId, reservations }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
     moved.forEach(({ live }) => { live.scheduler = scheduler })
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -29,6 +29,7 @@
   UpstreamTrusted = 'upstreamTrusted',
   EngineCallFailed = 'engineCallFailed',
   PeerCallFailed = 'peerCallFailed',
+  TaskFailed = 'taskFailed',
   LinesDropped = 'linesDropped',
 }
 
--- a/upstream/holds/src/holdSweeper.ts
+++ b/upstream/holds/src/holdSweeper.ts
@@ -71,6 +71,7 @@
     const { link, vouchHere, vouchTimeoutMs } = this.#opts
     const here = vouchHere(ownerIncarnation, requestIds)
     if (here) return new Set(here)
+    // The link tells of a failure; the hold is then left until its label lapses.
     const answer = await link.call(address, { type: MessageType.Vouch, ownerIncarnation, requestIds }, { timeoutMs: vouchTimeoutMs }).catch(() => undefined)
     // Another incarnation at the address cannot speak for this one.
     const speaks = answer?.type === MessageType.Vouched && answer.ownerIncarnation === ownerIncarnation
@@ -97,6 +98,7 @@
     const { engines, releaseTimeoutMs, onRelease } = this.#opts
     await engines.release(engine.address, hold.label, { timeoutMs: releaseTimeoutMs }).then(
       () => onRelease?.(engine.name, hold, reason),
+      // The client tells of a failure; the engine's next report has the hold again.
       () => {}
     )
   }
