refactor(box.runtime): an engine's report and its silence are taken in by one piece of code

ShardKeeper turned a missing report into silence twice. The engines of both pools of a shard were put together in six places, of the ledger and of the shard; each now has one function (ShardLedger.allEngines, enginesOf).

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -7,6 +7,7 @@
 import { type RelayedRequest } from '@reelspan/upstream.client'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
+import { enginesOf } from '@reelspan/scheduling.shards'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts, listedPeers } from './createBox.js'
 import { changedKeys } from './changedKeys.js'
@@ -117,7 +118,7 @@
 
   /** KV bytes that a token takes on the engine at an address, or 0 where none is known. */
   kvBytesPerTokenAt (address: string): number {
-    const shard = this.#parts.keepers.shards().find(({ prefillEngines, decodeEngines }) => [...prefillEngines, ...decodeEngines].some((engine) => engine.address === address))
+    const shard = this.#parts.keepers.shards().find((one) => enginesOf(one).some((engine) => engine.address === address))
     return shard?.spec.kvBytesPerToken ?? 0
   }
 
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -12,6 +12,7 @@
 import { type Placer } from '@reelspan/scheduling.placer'
 import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
+import { enginesOf } from '@reelspan/scheduling.shards'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
@@ -205,7 +206,7 @@
       clock,
       engines,
       periodMs: reportPeriodMs,
-      listed: () => parts.keepers.shards().flatMap((shard) => [...shard.prefillEngines, ...shard.decodeEngines]),
+      listed: () => parts.keepers.shards().flatMap(enginesOf),
       onTaskError: (thrown) => parts.failures.noteTask('polledReports', thrown),
     })
     const decodePicker = createEnginePicker(strategy === PickerKind.PrefixHash ? PickerKind.LeastLoad : strategy, random)
--- a/box/runtime/src/shardKeeper.ts
+++ b/box/runtime/src/shardKeeper.ts
@@ -54,35 +54,34 @@
 
   /** Looks whether an engine that was not reached answers this box. One that does not gets no work until it reports again. */
   async checkReachable (engineName: string): Promise<void> {
-    const { ledger } = this.scheduler
-    const engine = [...ledger.prefillEngines(), ...ledger.decodeEngines()].find(({ name }) => name === engineName)
+    const engine = this.scheduler.ledger.allEngines().find(({ name }) => name === engineName)
     if (!engine || this.#checked.has(engineName)) return
     this.#checked.add(engineName)
-    const report = await this.#report(engine, CHECK_TIMEOUT_MS)
+    await this.#askReport(engine, CHECK_TIMEOUT_MS)
     this.#checked.delete(engineName)
-    if (report) this.scheduler.noteReport(engineName, report)
-    else this.scheduler.noteSilent(engineName)
   }
 
   async #lookAround (): Promise<void> {
-    const { ledger } = this.scheduler
     this.#pass++
-    await Promise.all([...ledger.prefillEngines(), ...ledger.decodeEngines()].map((engine) => this.#lookAt(engine)))
+    await Promise.all(this.scheduler.ledger.allEngines().map((engine) => this.#lookAt(engine)))
     if (this.right.holds()) await this.#giveOrders()
   }
 
   async #lookAt (engine: EngineAccount<unknown>): Promise<void> {
-    const report = await this.#report(engine, this.#opts.reportPeriodMs)
-    if (!report) return this.scheduler.noteSilent(engine.name)
-    this.scheduler.noteReport(engine.name, report)
+    const report = await this.#askReport(engine, this.#opts.reportPeriodMs)
+    if (!report) return
     this.#tasks.run(() => this.#opts.sweeper.sweep(engine, report.holds))
     if (report.role === EngineRole.Prefill && this.#pass % CACHE_EVENTS_EVERY === 0) await this.#readCacheEvents(engine)
   }
 
-  #report ({ address }: EngineAccount<unknown>, timeoutMs: number): Promise<EngineReport | undefined> {
+  /** Asks an engine for its report, and lets the scheduler know of it or of its silence. */
+  async #askReport ({ name, address }: EngineAccount<unknown>, timeoutMs: number): Promise<EngineReport | undefined> {
     const { engines } = this.#opts
-    // The client tells of a failure; the engine counts as silent.
-    return engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
+    // The client tells of a failure.
+    const report = await engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
+    if (report) this.scheduler.noteReport(name, report)
+    else this.scheduler.noteSilent(name)
+    return report
   }
 
   async #readCacheEvents ({ name, address }: EngineAccount<unknown>): Promise<void> {
@@ -102,7 +101,7 @@
       await this.#orders.pass({ model, role: EngineRole.Prefill, pool: prefillPool, engines: ledger.prefillEngines() }),
       await this.#orders.pass({ model, role: EngineRole.Decode, pool: decodePool, engines: ledger.decodeEngines() }),
     ]
-    const retiring = new Set(plans.flatMap((plan) => plan.retiring));
-    [...ledger.prefillEngines(), ...ledger.decodeEngines()].forEach((engine) => { engine.retiring = retiring.has(engine.name) })
+    const retiring = new Set(plans.flatMap((plan) => plan.retiring))
+    ledger.allEngines().forEach((engine) => { engine.retiring = retiring.has(engine.name) })
   }
 }
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -79,6 +79,11 @@
     return this.#decodeList
   }
 
+  /** Engines of both pools. */
+  allEngines (): readonly EngineAccount<PrefillAccount | DecodeAccount>[] {
+    return [...this.#prefillList, ...this.#decodeList]
+  }
+
   /** Names of all engines that do the same work as the given one, itself included; none when it is not of the shard. */
   poolOf (engineName: string): string[] {
     const pool = [this.#prefill, this.#decode].find((accounts) => accounts.has(engineName))
@@ -154,7 +159,7 @@
 
   /** When the engine last reported that has been silent longest, of those that ever did. */
   oldestReportAtMs (): number | undefined {
-    const times = [...this.#prefillList, ...this.#decodeList].map(({ reportAtMs }) => reportAtMs).filter((atMs) => atMs > 0)
+    const times = this.allEngines().map(({ reportAtMs }) => reportAtMs).filter((atMs) => atMs > 0)
     return times.length > 0 ? Math.min(...times) : undefined
   }
 
--- a/scheduling/shards/src/deriveShards.ts
+++ b/scheduling/shards/src/deriveShards.ts
@@ -16,6 +16,11 @@
   availabilityZone?: string
 }
 
+/** Engines of both pools. */
+export function enginesOf ({ prefillEngines, decodeEngines }: Shard): ListedUpstream[] {
+  return [...prefillEngines, ...decodeEngines]
+}
+
 /**
  * Cuts a model's engines into shards. Up to `maxEnginesPerShard` engines a pool
  * are one shard. More are cut by availability zone, and within it into equal
--- a/scheduling/shards/src/index.ts
+++ b/scheduling/shards/src/index.ts
@@ -1,4 +1,4 @@
-export { deriveShards } from './deriveShards.js'
+export { deriveShards, enginesOf } from './deriveShards.js'
 export type { Shard } from './deriveShards.js'
 export { placesWithinTarget, prefillMs, requestKvBytes, transferMs } from './shardTimes.js'
 export { schedulerOf } from './schedulerOf.js'
