refactor(box.runtime): createBox.ts is split by what its parts do

BoxParts is a file of its own, the parts that follow the platform are in createConfigParts.ts, and those that choose engines in createPlacer.ts, whose one function of 36 lines is three with a name each. What the log has told of members leaves box.ts as MemberNews, the new incarnation is a method, and a keeper's scheduler is created apart from the keeper. No behaviour changes; the tests pass as they are.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -9,10 +9,11 @@
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { enginesOf } from '@reelspan/scheduling.shards'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type BoxParts, listedPeers } from './createBox.js'
+import { type BoxParts, listedPeers } from './boxParts.js'
 import { changedKeys } from './changedKeys.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { FleetChanges } from './fleetChanges.js'
+import { MemberNews } from './memberNews.js'
 import { REENTRY_MS } from './platformContactWatch.js'
 import { plannedStop } from './plannedStop.js'
 import { registerBoxMetrics } from './registerBoxMetrics.js'
@@ -29,8 +30,7 @@
   #ready = false
   #stopping = false
   #callersBeingServed = 0
-  /** Members as the log last told of them. */
-  readonly #membersTold = new Map<string, string>()
+  readonly #memberNews = new MemberNews()
   readonly #fleetChanges: FleetChanges
 
   constructor (parts: BoxParts) {
@@ -201,26 +201,22 @@
     for (let waitedMs = 0; this.#callersBeingServed > 0 && waitedMs < patienceMs; waitedMs += 50) await clock.sleep(50)
   }
 
-  /** Members raise their version without changing anything that matters here. */
-  #isNewsOf ({ incarnation, health, leaving }: Member): boolean {
-    const standing = `${health} ${leaving}`
-    if (this.#membersTold.get(incarnation) === standing) return false
-    this.#membersTold.set(incarnation, standing)
-    if (health === MemberHealth.Gone) this.#membersTold.delete(incarnation)
-    return true
+  /** This box was declared gone. The new incarnation comes first: what ends now may have been taken over from the old one. */
+  #renewIncarnation (): void {
+    const { view, log, clock, random, owner } = this.#parts
+    view.takeIncarnation(drawIncarnation(random), clock.nowMs())
+    owner.endAll(ErrorCode.OwnerGone, 'this box was declared gone')
+    log.warn(LogEvent.IncarnationRenewed, { incarnation: view.self.incarnation })
   }
 
   #onMemberChange (member: Member): void {
-    const { view, keepers, placer, log, clock, random, owner } = this.#parts
+    const { view, keepers, placer, log } = this.#parts
     const isSelf = member.incarnation === view.self.incarnation
     if (isSelf && member.health === MemberHealth.Gone && !this.#stopping) {
-      // The new incarnation first: what ends now may have been taken over from the old one.
-      view.takeIncarnation(drawIncarnation(random), clock.nowMs())
-      owner.endAll(ErrorCode.OwnerGone, 'this box was declared gone')
-      log.warn(LogEvent.IncarnationRenewed, { incarnation: view.self.incarnation })
+      this.#renewIncarnation()
       return
     }
-    if (!isSelf && this.#isNewsOf(member)) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
+    if (!isSelf && this.#memberNews.take(member)) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
     if (member.health === MemberHealth.Gone) keepers.releaseOwner(member.incarnation)
     this.#reconcile()
     if (placer instanceof SchedulerPlacer) this.#tasks.run(() => placer.adoptByNewSchedulers())
--- /dev/null
+++ b/box/runtime/src/boxParts.ts
@@ -0,0 +1,61 @@
+import { type FleetList, type GuardedFleet } from '@reelspan/config.fleet'
+import { type Configuration } from '@reelspan/config.resources'
+import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
+import { type Collection } from '@reelspan/core.messages'
+import { type Prober } from '@reelspan/membership.prober'
+import { type MembershipView } from '@reelspan/membership.view'
+import { type LookupAnswer } from '@reelspan/request.lookup'
+import { type Owner } from '@reelspan/request.owner'
+import { type RecordStore } from '@reelspan/request.records'
+import { type Relay } from '@reelspan/request.relay'
+import { type Placer } from '@reelspan/scheduling.placer'
+import { type BeliefAges } from './beliefAges.js'
+import { type Box } from './box.js'
+import { type BoxEnvironment } from './boxEnvironment.js'
+import { type FailureLog } from './failureLog.js'
+import { type PeerDispatch } from './peerDispatch.js'
+import { type PlatformContactWatch } from './platformContactWatch.js'
+import { type RequestRouter } from './requestRouter.js'
+import { type ResourceApi } from './resourceApi.js'
+import { type ShardKeepers } from './shardKeepers.js'
+import { type WatcherRole } from './watcherRole.js'
+
+/** Everything that makes up a box. */
+export interface BoxParts extends BoxEnvironment {
+  /** Tells of calls that failed and were got over. */
+  failures: FailureLog
+  view: MembershipView
+  declarations: ConfigStore<Configuration>
+  /** The platform's list as it was last read. */
+  fleetList: ConfigStore<FleetList>
+  /** The same, with entries that lapsed while the platform was away. */
+  fleet: GuardedFleet
+  /** Whether this box watches the platform for its zone. */
+  watcherRole: WatcherRole
+  platformContact: PlatformContactWatch
+  followers: Record<Collection, ConfigFollower>
+  prober: Prober
+  records: RecordStore
+  placer: Placer
+  owner: Owner
+  relay?: Relay
+  keepers: ShardKeepers
+  beliefAges: BeliefAges
+  router: RequestRouter
+  dispatch: PeerDispatch
+  resources: ResourceApi
+  lookup: (availabilityZone?: string) => LookupAnswer
+  vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
+  box: Box
+}
+
+/** What the parts of a box get from outside, without the parts. */
+export function environmentOf ({ settings, clock, random, link, platform, engines, services, log, metrics }: BoxParts): BoxEnvironment {
+  return { settings, clock, random, link, platform, engines, services, log, metrics }
+}
+
+/** Peer addresses of boxes that the platform lists or the settings name, without this one's. */
+export function listedPeers ({ fleet, settings, view }: Pick<BoxParts, 'fleet' | 'settings' | 'view'>): string[] {
+  const addresses = new Set([...fleet.value.boxes.map(({ peerAddress }) => peerAddress), ...settings.membership.seedAddresses])
+  return [...addresses].filter((address) => address !== view.self.peerAddress)
+}
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,67 +1,27 @@
-import { GuardedFleet, parseFleetList, type FleetList } from '@reelspan/config.fleet'
-import { type Configuration, DeclarationsChecker } from '@reelspan/config.resources'
-import { ConfigFollower, ConfigStore } from '@reelspan/config.store'
 import { Collection, type Member, MemberHealth, type PeerLink } from '@reelspan/core.messages'
 import { Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
-import { answerLookup, type LookupAnswer } from '@reelspan/request.lookup'
+import { answerLookup } from '@reelspan/request.lookup'
 import { Owner } from '@reelspan/request.owner'
 import { Relay } from '@reelspan/request.relay'
 import { RecordStore } from '@reelspan/request.records'
-import { createEnginePicker, FreshReports, OwnerAlonePlacer, PickerKind, PolledReports } from '@reelspan/scheduling.owner-alone'
-import { type Placer } from '@reelspan/scheduling.placer'
-import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
-import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
-import { enginesOf } from '@reelspan/scheduling.shards'
-import { LogEvent } from '@reelspan/telemetry.log'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import { BeliefAges } from './beliefAges.js'
 import { Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
+import { type BoxParts, environmentOf, listedPeers } from './boxParts.js'
+import { createContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
+import { createPlacer } from './createPlacer.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { FailureLog } from './failureLog.js'
 import { LoggedEngineClient } from './loggedEngineClient.js'
 import { LoggedPeerLink } from './loggedPeerLink.js'
 import { noteRequestEnd } from './noteRequestEnd.js'
-import { PlatformContactWatch } from './platformContactWatch.js'
 import { PeerDispatch } from './peerDispatch.js'
 import { RequestRouter } from './requestRouter.js'
 import { ResourceApi } from './resourceApi.js'
 import { ShardKeepers } from './shardKeepers.js'
-import { WatcherRole } from './watcherRole.js'
-
-/** Everything that makes up a box. */
-export interface BoxParts extends BoxEnvironment {
-  /** Tells of calls that failed and were got over. */
-  failures: FailureLog
-  view: MembershipView
-  declarations: ConfigStore<Configuration>
-  /** The platform's list as it was last read. */
-  fleetList: ConfigStore<FleetList>
-  /** The same, with entries that lapsed while the platform was away. */
-  fleet: GuardedFleet
-  /** Whether this box watches the platform for its zone. */
-  watcherRole: WatcherRole
-  platformContact: PlatformContactWatch
-  followers: Record<Collection, ConfigFollower>
-  prober: Prober
-  records: RecordStore
-  placer: Placer
-  owner: Owner
-  relay?: Relay
-  keepers: ShardKeepers
-  beliefAges: BeliefAges
-  router: RequestRouter
-  dispatch: PeerDispatch
-  resources: ResourceApi
-  lookup: (availabilityZone?: string) => LookupAnswer
-  vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
-  box: Box
-}
-
-const PEER_TIMEOUT_MS = 1000
-const FALLBACK_SAMPLE = 2
 
 /** Composes a box. Nothing runs until it is started. */
 export function createBox (environment: BoxEnvironment): Box {
@@ -124,50 +84,6 @@
   return prefixLifeMs + 2 * longestRequestMs
 }
 
-function createDeclarations (): ConfigStore<Configuration> {
-  return new ConfigStore(new DeclarationsChecker().parse)
-}
-
-function createFleetList (): ConfigStore<FleetList> {
-  return new ConfigStore(parseFleetList)
-}
-
-function createFleet ({ fleetList, platformContact }: BoxParts): GuardedFleet {
-  return new GuardedFleet({ listed: fleetList, mayHaveLapsed: () => platformContact.mayHaveLapsed })
-}
-
-function createContact ({ clock, log, platform, watcherRole }: BoxParts): PlatformContactWatch {
-  return new PlatformContactWatch({ clock, log, isWatcher: () => watcherRole.holds(), lastAnswerMs: () => platform.lastAnswerMs })
-}
-
-function createWatcherRole (parts: BoxParts): WatcherRole {
-  const { clock, settings, view } = parts
-  return new WatcherRole({ clock, settings, view, lastMajorityContactMs: () => parts.prober.lastMajorityContactMs })
-}
-
-function createFollowers (parts: BoxParts): Record<Collection, ConfigFollower> {
-  const create = (collection: Collection, store: ConfigStore<unknown>) => new ConfigFollower({
-    ...environmentOf(parts),
-    store,
-    collection,
-    isWatcher: () => parts.watcherRole.holds(),
-    watchWaitMs: parts.settings.platform.watchWaitMs,
-    backstopPollMs: parts.settings.platform.backstopPollMs,
-    peerTimeoutMs: PEER_TIMEOUT_MS,
-    longestBackoffMs: parts.settings.platform.longestBackoffMs,
-    onAnswer: () => {
-      if (collection === Collection.Fleet) parts.platformContact.answered()
-    },
-    onReachable: (reachable, details) => parts.platformContact.note(reachable, details),
-    onTaskError: (thrown) => parts.failures.noteTask(`follower of ${collection}`, thrown),
-    onRejected: (problems, revision) => parts.log.warn(LogEvent.RevisionRejected, { collection, revision, problems }),
-  })
-  return {
-    [Collection.Declarations]: create(Collection.Declarations, parts.declarations),
-    [Collection.Fleet]: create(Collection.Fleet, parts.fleetList),
-  }
-}
-
 function createProber (parts: BoxParts): Prober {
   const { settings, view, declarations, fleetList } = parts
   return new Prober({
@@ -186,55 +102,10 @@
   })
 }
 
-/** Peer addresses of boxes that the platform lists or the settings name, without this one's. */
-export function listedPeers ({ fleet, settings, view }: Pick<BoxParts, 'fleet' | 'settings' | 'view'>): string[] {
-  const addresses = new Set([...fleet.value.boxes.map(({ peerAddress }) => peerAddress), ...settings.membership.seedAddresses])
-  return [...addresses].filter((address) => address !== view.self.peerAddress)
-}
-
 function createRecords ({ clock, settings }: BoxParts): RecordStore {
   return new RecordStore({ clock, maxBytes: settings.requests.recordBytes, recordLifeMs: recordLifeMs(settings.requests) })
 }
 
-function createPlacer (parts: BoxParts): Placer {
-  const { clock, random, engines, link, settings, view } = parts
-  const { strategy, prefixIndex, admission, countOwn, reportPeriodMs, fallbackPlacesPercent } = settings.scheduling
-  const shardsOfModel = (model: string) => parts.keepers.shardsOfModel(model)
-  const index = createPrefixIndex(prefixIndex)
-  if (strategy !== 'scheduler') {
-    const reports = new PolledReports({
-      clock,
-      engines,
-      periodMs: reportPeriodMs,
-      listed: () => parts.keepers.shards().flatMap(enginesOf),
-      onTaskError: (thrown) => parts.failures.noteTask('polledReports', thrown),
-    })
-    const decodePicker = createEnginePicker(strategy === PickerKind.PrefixHash ? PickerKind.LeastLoad : strategy, random)
-    const ownWeight = () => countOwn ? view.takingWork().length : 0
-    return new OwnerAlonePlacer({ clock, picker: createEnginePicker(strategy, random), decodePicker, reports, index, shardsOfModel, admission, ownWeight, placesPercent: 100 })
-  }
-  const fallback = new OwnerAlonePlacer({
-    clock,
-    picker: createEnginePicker(PickerKind.TwoChoices, random),
-    decodePicker: createEnginePicker(PickerKind.TwoChoices, random),
-    reports: new FreshReports({ clock, random, engines, timeoutMs: reportPeriodMs / 2, sampleSize: FALLBACK_SAMPLE }),
-    index,
-    shardsOfModel,
-    admission: true,
-    ownWeight: () => 1,
-    placesPercent: fallbackPlacesPercent,
-  })
-  return new SchedulerPlacer({
-    clock,
-    link,
-    selfIncarnation: () => view.self.incarnation,
-    schedulers: () => view.takingWork(),
-    shardsOfModel,
-    localScheduler: (shardId) => parts.keepers.scheduler(shardId),
-    fallback,
-  })
-}
-
 function createOwner (parts: BoxParts): Owner {
   const { settings, view, declarations, fleet, log, metrics } = parts
   return new Owner({
@@ -317,7 +188,3 @@
     ? parts.owner.vouch(incarnation, requestIds)
     : undefined
 }
-
-function environmentOf ({ settings, clock, random, link, platform, engines, services, log, metrics }: BoxParts): BoxEnvironment {
-  return { settings, clock, random, link, platform, engines, services, log, metrics }
-}
--- /dev/null
+++ b/box/runtime/src/createPlacer.ts
@@ -0,0 +1,66 @@
+import { createEnginePicker, FreshReports, OwnerAlonePlacer, PickerKind, PolledReports } from '@reelspan/scheduling.owner-alone'
+import { type Placer } from '@reelspan/scheduling.placer'
+import { createPrefixIndex, type PrefixIndex } from '@reelspan/scheduling.prefix-index'
+import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
+import { enginesOf } from '@reelspan/scheduling.shards'
+import { type BoxParts } from './boxParts.js'
+
+/** Engines of each pool that an owner asks before it places without a scheduler; it takes the better of two. */
+const FALLBACK_SAMPLE = 2
+
+/** Whoever chooses engines for this box's requests. */
+export function createPlacer (parts: BoxParts): Placer {
+  const { clock, link, settings, view } = parts
+  const index = createPrefixIndex(settings.scheduling.prefixIndex)
+  if (settings.scheduling.strategy !== 'scheduler') return createBaseline(parts, settings.scheduling.strategy, index)
+  return new SchedulerPlacer({
+    clock,
+    link,
+    selfIncarnation: () => view.self.incarnation,
+    schedulers: () => view.takingWork(),
+    shardsOfModel: (model) => parts.keepers.shardsOfModel(model),
+    localScheduler: (shardId) => parts.keepers.scheduler(shardId),
+    fallback: createFallback(parts, index),
+  })
+}
+
+/** A strategy without schedulers, to measure against. */
+function createBaseline (parts: BoxParts, strategy: PickerKind, index: PrefixIndex): Placer {
+  const { clock, random, engines, settings, view } = parts
+  const { admission, countOwn, reportPeriodMs } = settings.scheduling
+  const decodeStrategy = strategy === PickerKind.PrefixHash ? PickerKind.LeastLoad : strategy
+  return new OwnerAlonePlacer({
+    clock,
+    picker: createEnginePicker(strategy, random),
+    decodePicker: createEnginePicker(decodeStrategy, random),
+    reports: new PolledReports({
+      clock,
+      engines,
+      periodMs: reportPeriodMs,
+      listed: () => parts.keepers.shards().flatMap(enginesOf),
+      onTaskError: (thrown) => parts.failures.noteTask('polledReports', thrown),
+    }),
+    index,
+    shardsOfModel: (model) => parts.keepers.shardsOfModel(model),
+    admission,
+    ownWeight: () => countOwn ? view.takingWork().length : 0,
+    placesPercent: 100,
+  })
+}
+
+/** What owners do while no scheduler can be reached. */
+function createFallback (parts: BoxParts, index: PrefixIndex): OwnerAlonePlacer {
+  const { clock, random, engines, settings } = parts
+  const { reportPeriodMs, fallbackPlacesPercent } = settings.scheduling
+  return new OwnerAlonePlacer({
+    clock,
+    picker: createEnginePicker(PickerKind.TwoChoices, random),
+    decodePicker: createEnginePicker(PickerKind.TwoChoices, random),
+    reports: new FreshReports({ clock, random, engines, timeoutMs: reportPeriodMs / 2, sampleSize: FALLBACK_SAMPLE }),
+    index,
+    shardsOfModel: (model) => parts.keepers.shardsOfModel(model),
+    admission: true,
+    ownWeight: () => 1,
+    placesPercent: fallbackPlacesPercent,
+  })
+}
--- a/box/runtime/src/registerBoxMetrics.ts
+++ b/box/runtime/src/registerBoxMetrics.ts
@@ -1,5 +1,5 @@
 import { type LabelledValue } from '@reelspan/telemetry.metrics'
-import { type BoxParts } from './createBox.js'
+import { type BoxParts } from './boxParts.js'
 
 /** Registers what a box tells of its own state in the metrics. */
 export function registerBoxMetrics (parts: BoxParts): void {
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -118,17 +118,8 @@
 
   #createKeeper (shard: Shard): ShardKeeper {
     const { clock, engines, declarations, settings, lastContactMs, failures, log, metrics } = this.#opts
-    const { reportPeriodMs, prefixIndex, orderRightMs } = settings.scheduling
-    const scheduler = new ShardScheduler({
-      clock,
-      shard,
-      route: () => declarations.value.routeOfModel(shard.model)?.spec,
-      index: createPrefixIndex(prefixIndex),
-      reportLifeMs: reportPeriodMs * REPORT_LIFE_PERIODS,
-      onUnreachable: (engine) => { void keeper.checkReachable(engine) },
-      onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
-      onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
-    })
+    const { reportPeriodMs, orderRightMs } = settings.scheduling
+    const scheduler = this.#createScheduler(shard, (engine) => { void keeper.checkReachable(engine) })
     const keeper: ShardKeeper = new ShardKeeper({
       clock,
       engines,
@@ -146,6 +137,21 @@
     return keeper
   }
 
+  #createScheduler (shard: Shard, onUnreachable: (engineName: string) => void): ShardScheduler {
+    const { clock, declarations, settings, log } = this.#opts
+    const { reportPeriodMs, prefixIndex } = settings.scheduling
+    return new ShardScheduler({
+      clock,
+      shard,
+      route: () => declarations.value.routeOfModel(shard.model)?.spec,
+      index: createPrefixIndex(prefixIndex),
+      reportLifeMs: reportPeriodMs * REPORT_LIFE_PERIODS,
+      onUnreachable,
+      onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
+      onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
+    })
+  }
+
   #createSweeper (scheduler: ShardScheduler): HoldSweeper {
     const { clock, link, engines, settings, isGone, vouchHere, log, metrics } = this.#opts
     const { reportPeriodMs } = settings.scheduling
