--- a/box/runtime/src/failureLog.ts
+++ b/box/runtime/src/failureLog.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
-import { toReelspanError } from '@reelspan/core.error'
+import { errorMessage } from '@reelspan/core.error'
 import { type Log, LogEvent, type LogFields, RateLimit } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 
@@ -45,7 +45,7 @@
     const { log, metrics } = this.#opts
     metrics.count('reelspan_calls_failed_total', { event, call })
     const times = this.#timesToTell(`${call} ${target.address}`)
-    if (times > 0) log.warn(event, { call, ...target, reason: toReelspanError(thrown).message, times })
+    if (times > 0) log.warn(event, { call, ...target, reason: errorMessage(thrown), times })
   }
 
   /** A task threw what nothing in it expects. */
@@ -53,7 +53,7 @@
     const { log, metrics } = this.#opts
     metrics.count('reelspan_tasks_failed_total', { task })
     const times = this.#timesToTell(`task ${task}`)
-    if (times > 0) log.warn(LogEvent.TaskFailed, { task, reason: toReelspanError(thrown).message, at: placeOf(thrown), times })
+    if (times > 0) log.warn(LogEvent.TaskFailed, { task, reason: errorMessage(thrown), at: placeOf(thrown), times })
   }
 
   /** How many failures a line now tells of; 0 when there is to be no line. */
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -1,4 +1,5 @@
 import { type Clock, type Random, STOPPED, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
+import { errorMessage } from '@reelspan/core.error'
 import { type Collection, MessageType, type PeerLink } from '@reelspan/core.messages'
 import { AdoptOutcome, type ConfigStore } from './configStore.js'
 import { type PlatformReader } from './platformReader.js'
@@ -179,7 +180,7 @@
       this.#opts.onAnswer?.()
       return content
     } catch (thrown) {
-      if (!this.#tasks.stopped) this.#noteContact(false, thrown instanceof Error ? thrown.message : String(thrown))
+      if (!this.#tasks.stopped) this.#noteContact(false, errorMessage(thrown))
       throw thrown
     }
   }
--- a/core/error/src/index.ts
+++ b/core/error/src/index.ts
@@ -1,4 +1,4 @@
 export { ErrorCode } from './errorCode.js'
 export { Verdict } from './verdict.js'
-export { ReelspanError, toReelspanError } from './reelspanError.js'
+export { errorMessage, ReelspanError, toReelspanError } from './reelspanError.js'
 export type { ReelspanErrorOptions } from './reelspanError.js'
--- a/core/error/src/reelspanError.ts
+++ b/core/error/src/reelspanError.ts
@@ -28,9 +28,13 @@
   }
 }
 
+/** What whatever was thrown says of itself. */
+export function errorMessage (thrown: unknown): string {
+  return thrown instanceof Error ? thrown.message : String(thrown)
+}
+
 /** Wraps whatever was thrown. An unknown error proves nothing about the request, so its verdict is `mayHaveRun`. */
 export function toReelspanError (thrown: unknown): ReelspanError {
   if (thrown instanceof ReelspanError) return thrown
-  const message = thrown instanceof Error ? thrown.message : String(thrown)
-  return new ReelspanError(ErrorCode.Internal, message, { verdict: Verdict.MayHaveRun, cause: thrown })
+  return new ReelspanError(ErrorCode.Internal, errorMessage(thrown), { verdict: Verdict.MayHaveRun, cause: thrown })
 }
--- a/net/platform-http/src/httpPlatformReader.ts
+++ b/net/platform-http/src/httpPlatformReader.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
-import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { ErrorCode, errorMessage, ReelspanError } from '@reelspan/core.error'
 import { PlatformReader, type PlatformReadOptions, type RevisionedContent } from '@reelspan/config.store'
 import { type Collection } from '@reelspan/core.messages'
 import { Agent, request } from 'undici'
@@ -45,7 +45,7 @@
       try {
         return await this.#readFrom(address, collection, sinceRevision, opts)
       } catch (thrown) {
-        failures.push(`${address}: ${thrown instanceof Error ? thrown.message : String(thrown)}`)
+        failures.push(`${address}: ${errorMessage(thrown)}`)
       }
     }
     throw new ReelspanError(ErrorCode.PlatformUnavailable, failures.join('; '))
