--- a/__utils__/bench/src/index.ts
+++ b/__utils__/bench/src/index.ts
@@ -1,5 +1,7 @@
 export { bench } from './bench.js'
 export { checkMechanisms } from './checkMechanisms.js'
+export { MECHANISMS } from './mechanisms.js'
+export type { Mechanism } from './mechanisms.js'
 export { demo } from './demo.js'
 export { drawLoad, readShape } from './loadShape.js'
 export { FleetProcess } from './fleetProcess.js'
--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -136,8 +136,8 @@
   {
     name: 'boxes get revisions from their peers',
     file: 'config/store/src/configFollower.ts',
-    find: 'if (!worthPulling || this.#pulling) return',
-    replace: 'if (worthPulling) return',
+    find: 'if (!this.#isNews(revision)) return',
+    replace: 'if (this.#isNews(revision)) return',
     tests: [CONFIGURATION],
   },
   {
@@ -199,8 +199,8 @@
   {
     name: 'what would be late is refused at once',
     file: 'scheduling/scheduler/src/shardScheduler.ts',
-    find: 'if (earliestMs + waiting.handoverMs <= waiting.lateAtMs) waitingMs',
-    replace: 'if (earliestMs + waiting.handoverMs <= waiting.lateAtMs + 60_000) waitingMs',
+    find: 'if (earliestMs + waiting.handoverMs <= waiting.uselessAtMs) waitingMs',
+    replace: 'if (earliestMs + waiting.handoverMs <= waiting.uselessAtMs + 60_000) waitingMs',
     tests: [SCHEDULER],
   },
   {
