refactor(utils.bench): two functions of some forty lines are split

What a caller has received, and when, is a class beside `send`; a member's description is a function beside `startNode`.

--- a/__utils__/bench/src/memberHost.ts
+++ b/__utils__/bench/src/memberHost.ts
@@ -77,17 +77,7 @@
   const random = new SystemRandom()
   const peerAddress = `127.0.0.1:${port}`
   const link = new WsPeerLink({ clock, listenAddress: peerAddress, maxMessageBytes: 1_000_000, idleCloseMs: 30_000 })
-  const self: Member = {
-    name: `box-${i}`,
-    availabilityZone: `zone-${i % 8}`,
-    peerAddress,
-    callerAddress: `127.0.0.1:${port + 1}`,
-    incarnation: random.hex(16),
-    version: 0,
-    health: MemberHealth.Alive,
-    leaving: false,
-  }
-  const view = new MembershipView({ self, goneMemoryMs: 600_000 })
+  const view = new MembershipView({ self: memberAt(i, port, random.hex(16)), goneMemoryMs: 600_000 })
   const node: Partial<Node> & { revision: number } = { link, view, revision: 1, heardAtMs: 0 }
   node.prober = new Prober({
     platformAnswering: () => undefined,
@@ -114,6 +104,19 @@
   return node as Node
 }
 
+function memberAt (i: number, port: number, incarnation: string): Member {
+  return {
+    name: `box-${i}`,
+    availabilityZone: `zone-${i % 8}`,
+    peerAddress: `127.0.0.1:${port}`,
+    callerAddress: `127.0.0.1:${port + 1}`,
+    incarnation,
+    version: 0,
+    health: MemberHealth.Alive,
+    leaving: false,
+  }
+}
+
 /** A box that hears of a higher revision adopts it and tells on at once. */
 function hear (node: Node, revision: number): void {
   if (revision <= node.revision) return
--- a/__utils__/bench/src/runLoad.ts
+++ b/__utils__/bench/src/runLoad.ts
@@ -59,22 +59,7 @@
 }
 
 async function send (one: LoadRequest, address: string, agent: Agent, { model }: RunLoadOptions, epochMs: number, key?: string): Promise<Omit<LoadOutcome, 'returns'> & { key?: string }> {
-  const sentAtMs = performance.now()
-  const texts: string[] = []
-  const tbtMs: number[] = []
-  let ttftMs: number | undefined
-  let lastAtMs = sentAtMs
-  let end: SsePart['reelspan']
-  const take = (part: SsePart) => {
-    if (part.reelspan) end = part.reelspan
-    const text = part.choices?.[0]?.text
-    if (!text) return
-    const nowMs = performance.now()
-    if (ttftMs === undefined) ttftMs = nowMs - sentAtMs
-    else tbtMs.push(nowMs - lastAtMs)
-    lastAtMs = nowMs
-    texts.push(text)
-  }
+  const received = new ReceivedAnswer()
   try {
     const response = await request(`http://${address}/v1/completions`, {
       dispatcher: agent,
@@ -82,23 +67,45 @@
       headers: { 'content-type': 'application/json', 'reelspan-client': one.client, ...key !== undefined && { 'idempotency-key': key } },
       body: JSON.stringify({ model, prompt: one.prompt, max_tokens: one.maxTokens, stream: true }),
     })
-    if (response.statusCode === 200) for await (const part of sseParts(response.body)) take(part)
-    else take(await response.body.json() as SsePart)
+    if (response.statusCode === 200) for await (const part of sseParts(response.body)) received.take(part)
+    else received.take(await response.body.json() as SsePart)
   } catch {
     // The verdict below says that nothing is known.
   }
+  const { end } = received
   return {
     key: end?.key,
     id: one.id,
     client: one.client,
-    startedAtMs: sentAtMs - epochMs,
+    startedAtMs: received.sentAtMs - epochMs,
     verdict: end?.verdict ?? Verdict.MayHaveRun,
     code: end?.code,
     retryAfterMs: end?.retryAfterMs,
-    ttftMs,
-    tbtMs,
-    endMs: performance.now() - sentAtMs,
-    whole: texts.join('') === expectedAnswer(one.prompt, one.maxTokens),
+    ttftMs: received.ttftMs,
+    tbtMs: received.tbtMs,
+    endMs: performance.now() - received.sentAtMs,
+    whole: received.text === expectedAnswer(one.prompt, one.maxTokens),
+  }
+}
+
+/** What a caller has received of an answer so far, and when. */
+class ReceivedAnswer {
+  readonly sentAtMs = performance.now()
+  readonly tbtMs: number[] = []
+  text = ''
+  ttftMs?: number
+  end?: SsePart['reelspan']
+  #lastAtMs = this.sentAtMs
+
+  take ({ reelspan, choices }: SsePart): void {
+    if (reelspan) this.end = reelspan
+    const text = choices?.[0]?.text
+    if (!text) return
+    const nowMs = performance.now()
+    if (this.ttftMs === undefined) this.ttftMs = nowMs - this.sentAtMs
+    else this.tbtMs.push(nowMs - this.#lastAtMs)
+    this.#lastAtMs = nowMs
+    this.text += text
   }
 }
 
