--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -73,7 +73,7 @@
   {
     name: 'a request that was withdrawn is offered to nobody else',
     file: 'scheduling/scheduler-placer/src/schedulerPlacer.ts',
-    find: 'if (signal.aborted) return WITHDRAWN',
+    find: 'if (opts.signal.aborted) return WITHDRAWN',
     replace: '',
     tests: ['scheduling/scheduler-placer/test.lib/schedulerPlacer.js'],
   },
