feat(utils.soak): the proxy silences established connections

Cause: connections may go silent for good without a reset while new ones work, and no fault of the proxy does that: its silent path holds new ones back too, and delivers everything in the end. Change: silenceEstablished loses what is sent on the connections that stand, in both directions or one, with their ends; new ones pass. The soak's own faults do not draw it yet.

--- a/__utils__/soak/src/faultProxy.ts
+++ b/__utils__/soak/src/faultProxy.ts
@@ -14,6 +14,15 @@
   Reset = 'reset',
 }
 
+/** Which way the bytes of silenced connections are lost. */
+export enum SilencedWay {
+  Both = 'both',
+  /** What the client sends does not arrive; answers do. */
+  ToServer = 'toServer',
+  /** The server gets everything, and its answers do not arrive. */
+  ToClient = 'toClient',
+}
+
 const SLOW_MS = 150
 
 /** A TCP proxy on loopback that harms what passes through it. */
@@ -46,6 +55,11 @@
     this.#paths.forEach((path) => path.flush(fault))
   }
 
+  /** Connections that stand now go silent for good, without a reset. New ones work. */
+  silenceEstablished (way: SilencedWay): void {
+    this.#paths.forEach((path) => path.silence(way))
+  }
+
   stop (): void {
     this.#paths.forEach((path) => path.reset())
     this.#server.close()
@@ -74,11 +88,19 @@
     this.#server = server
     this.#toServer = new Direction(client, server, () => fault() === PathFault.Silent, () => fault() === PathFault.Slow)
     this.#toClient = new Direction(server, client, () => fault() === PathFault.Silent || fault() === PathFault.NoAnswers, () => fault() === PathFault.Slow)
-    const gone = () => {
+    const gone = (direction: Direction) => {
+      // The other side does not hear of it either.
+      if (direction.silenced) return
       onGone()
       this.reset()
-    };
-    [client, server].forEach((socket) => socket.on('error', gone).on('close', gone))
+    }
+    client.on('error', () => gone(this.#toServer)).on('close', () => gone(this.#toServer))
+    server.on('error', () => gone(this.#toClient)).on('close', () => gone(this.#toClient))
+  }
+
+  silence (way: SilencedWay): void {
+    if (way !== SilencedWay.ToClient) this.#toServer.silence()
+    if (way !== SilencedWay.ToServer) this.#toClient.silence()
   }
 
   reset (): void {
@@ -100,11 +122,13 @@
   readonly #to: Socket
   readonly #isHeld: () => boolean
   #held: (Buffer | undefined)[] = []
+  #silenced = false
 
   constructor (from: Socket, to: Socket, isHeld: () => boolean, isSlow: () => boolean) {
     this.#to = to
     this.#isHeld = isHeld
     const take = (bytes?: Buffer) => {
+      if (this.#silenced) return
       this.#held.push(bytes)
       if (isSlow()) setTimeout(() => this.flush(), SLOW_MS)
       else this.flush()
@@ -113,6 +137,16 @@
     from.on('end', () => take())
   }
 
+  get silenced (): boolean {
+    return this.#silenced
+  }
+
+  /** From now on everything is lost. */
+  silence (): void {
+    this.#silenced = true
+    this.#held = []
+  }
+
   flush (): void {
     if (this.#isHeld() || this.#to.destroyed) return
     const ready = this.#held
--- a/__utils__/soak/src/index.ts
+++ b/__utils__/soak/src/index.ts
@@ -1,4 +1,4 @@
-export { FaultProxy, PathFault } from './faultProxy.js'
+export { FaultProxy, PathFault, SilencedWay } from './faultProxy.js'
 export { checkHistory } from './checkHistory.js'
 export { type Attempt, RouteKind } from './attempt.js'
 export { keepLogs } from './keepLogs.js'
--- a/__utils__/soak/test/faultProxy.ts
+++ b/__utils__/soak/test/faultProxy.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events'
 import { createServer, Socket } from 'node:net'
-import { FaultProxy, PathFault } from '@reelspan/utils.soak'
+import { FaultProxy, PathFault, SilencedWay } from '@reelspan/utils.soak'
 import test, { type ExecutionContext } from 'ava'
 
 /** A server that sends back what it gets, behind a proxy, and a connection to it. */
@@ -94,3 +94,19 @@
   t.is(await answerTo(client, 'one'), 'one')
   t.true(performance.now() - fromMs >= 290, 'on both ways')
 })
+
+for (const way of Object.values(SilencedWay)) {
+  test.serial(`a connection that is silenced (${way}) stays so without an end, and a new one works`, async (t) => {
+    const { proxy, client } = await startEcho(t)
+    t.is(await answerTo(client, 'one'), 'one')
+    proxy.silenceEstablished(way)
+    let heard = 0
+    client.on('data', () => { heard++ })
+    client.write('two')
+    const next = connectTo(proxy)
+    t.teardown(() => next.destroy())
+    t.is(await answerTo(next, 'three'), 'three')
+    t.is(heard, 0)
+    t.false(client.destroyed)
+  })
+}
