feat(net.peer-link): a connection on which nothing comes is found dead, and replaced

Cause: an established connection between boxes may go silent for good without a reset while new ones work. Calls on it then ended with their own time-outs (a placement's takes seconds), the connection was used again for each next one, and streams hung until their whole time was over. On the serving side a stream to a peer that is cut off went on for good. Ruled out: giving a connection up for a missing pong alone. A peer that is only busy would lose all that is outstanding; so another connection is opened first, and the old one is dead only when the peer answers there. Ruled out: TCP keep-alive. Node gives 1 s before the first probe and ten of them: 11 s, and none while data is outstanding. Change: while something is outstanding and nothing comes for 80 ms, the peer is pinged; 120 ms later another connection is opened, and when it comes up the old one ends, its exchanges as ones that may have arrived. Calls marked as repeatable are sent once more. Calls marked so end when the peer gives no sign of life on either connection (400 ms more). Each served connection is pinged every 5 s and ended when nothing came since. Conclusion: a single silent connection costs 0.2 to 0.28 s and a way, not the time-out of each call.

--- a/core/messages/src/peerLink.ts
+++ b/core/messages/src/peerLink.ts
@@ -4,6 +4,10 @@
 export interface PeerCallOptions {
   timeoutMs: number
   signal?: AbortSignal
+  /** The message does no harm when it arrives twice: it is sent once more, with its whole time, if the connection it was sent on went silent. */
+  repeatable?: boolean
+  /** Fails as soon as the peer gives no sign of life, on a new connection either. */
+  endIfSilent?: boolean
 }
 
 /** What a box does with messages of its peers. */
@@ -32,13 +36,16 @@
   readonly mayHaveArrived: boolean
   /** The machine answered that no process listens there: the one that did is gone. */
   readonly refused: boolean
+  /** The connection went silent, and the peer answers on a new one. */
+  readonly silent: boolean
 
-  constructor (message: string, opts: { mayHaveArrived: boolean, refused?: boolean, cause?: unknown }) {
+  constructor (message: string, opts: { mayHaveArrived: boolean, refused?: boolean, silent?: boolean, cause?: unknown }) {
     super(ErrorCode.PeerUnreachable, message, {
       verdict: opts.mayHaveArrived ? Verdict.MayHaveRun : Verdict.NotRun,
       cause: opts.cause,
     })
     this.mayHaveArrived = opts.mayHaveArrived
     this.refused = opts.refused ?? false
+    this.silent = opts.silent ?? false
   }
 }
--- a/net/peer-link/src/outgoingConnection.ts
+++ b/net/peer-link/src/outgoingConnection.ts
@@ -1,3 +1,4 @@
+import { type Socket } from 'node:net'
 import { AsyncQueue, type Clock, raceTimeout, STOPPED, TimedOut } from '@reelspan/core.env'
 import { type PeerCallOptions, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
 import { WebSocket } from 'ws'
@@ -12,31 +13,67 @@
   idleCloseMs: number
   traffic: LinkTraffic
   onClosed: () => void
+  /** Opens another connection to the same peer, to see whether the peer answers there. */
+  openAnother: () => OutgoingConnection
+  /** Nothing came on this connection since then, while the peer answers on the other one, which takes its place. */
+  onSilent: (other: OutgoingConnection, sinceMs: number) => void
 }
 
 /** The WebSocket close code of a side that got a message larger than it takes. */
 const MESSAGE_TOO_BIG = 1009
 /** What the library says of such a message when it comes. */
 const OVERSIZE_ERROR = 'WS_ERR_UNSUPPORTED_MESSAGE_LENGTH'
+/** Peers answer a ping within some milliseconds; what is outstanding for longer makes a connection worth looking at. */
+const QUIET_MS = 80
+/** Many times the way between availability zones, with room for a busy box. Together with the above well under a heartbeat's time-out. */
+const PONG_MS = 120
+/** Whether the peer answers on a new connection is known by then; an opening packet that was lost is sent again only after a second. */
+const CONNECT_TIMEOUT_MS = 400
 
-/** One connection to one peer, with any number of exchanges on it. */
+/** What is thrown at the exchanges of a connection that ends. */
+interface EndReason {
+  text: string
+  silent?: boolean
+}
+
+/** What became of a connection that was opened beside one on which nothing comes. */
+enum Beside {
+  Answers,
+  Refuses,
+  Silent,
+}
+
+interface Exchange {
+  answers: AsyncQueue<PeerMessage>
+  endIfSilent: boolean
+}
+
+/**
+ * One connection to one peer, with any number of exchanges on it. While one is
+ * outstanding and nothing comes, the peer is pinged. If nothing comes then either,
+ * another connection is opened: when the peer answers there, this one is dead.
+ * A peer that answers nowhere may only be busy, and is waited for.
+ */
 export class OutgoingConnection {
   readonly #opts: OutgoingConnectionOptions
   readonly #socket: WebSocket
   readonly #opened: Promise<void>
-  readonly #exchanges = new Map<number, AsyncQueue<PeerMessage>>()
+  readonly #exchanges = new Map<number, Exchange>()
   readonly #closed = new AbortController()
   #nextId = 1
   /** An answer was larger than this side takes, as it came or inflated. */
   #tooLarge = false
   #lastUseMs: number
+  #stream?: Socket
+  #watching = false
+  #endReason: EndReason
 
   constructor (opts: OutgoingConnectionOptions) {
     this.#opts = opts
     this.#lastUseMs = opts.clock.nowMs()
+    this.#endReason = { text: `the connection to ${opts.address} broke` }
     this.#socket = new WebSocket(`ws://${opts.address}`, { maxPayload: opts.maxMessageBytes, perMessageDeflate: MESSAGE_COMPRESSION })
     opts.traffic.connectionsOpened++
-    this.#socket.once('upgrade', ({ socket }) => opts.traffic.count(socket))
     this.#opened = new Promise((resolve, reject) => {
       this.#socket.once('open', () => resolve())
       let refused = false
@@ -44,12 +81,21 @@
       this.#socket.once('close', () => reject(new PeerLinkError(`${opts.address} cannot be reached`, { mayHaveArrived: false, refused })))
     })
     this.#opened.catch(() => {})
+    this.#socket.once('upgrade', ({ socket }) => {
+      opts.traffic.count(socket)
+      this.#stream = socket
+    })
     this.#socket.on('message', (data) => this.#receive(data as Buffer))
     this.#socket.on('error', ({ code }: NodeJS.ErrnoException) => { this.#tooLarge ||= code === OVERSIZE_ERROR })
     this.#socket.on('close', (code) => this.#fail(code))
     this.#closeWhenIdle()
   }
 
+  /** Resolves once the peer has accepted the connection. Throws `PeerLinkError`. */
+  opened (): Promise<void> {
+    return this.#opened
+  }
+
   close (): void {
     this.#socket.terminate()
   }
@@ -57,7 +103,8 @@
   /** Sends a message and yields what comes back, until its end. */
   async * exchange (message: PeerMessage, isStream: boolean, opts: PeerCallOptions): AsyncGenerator<PeerMessage> {
     const { clock, address } = this.#opts
-    const opened = await raceTimeout(clock, this.#opened, opts.timeoutMs)
+    const { endIfSilent = false } = opts
+    const opened = await raceTimeout(clock, this.#opened, endIfSilent ? Math.min(opts.timeoutMs, CONNECT_TIMEOUT_MS) : opts.timeoutMs)
     if (opened === TimedOut) {
       // The peer may be cut off; a later exchange starts with a new connection.
       this.close()
@@ -68,12 +115,13 @@
     const fail = (reason: string) => answers.fail(new PeerLinkError(reason, { mayHaveArrived: true }))
     const abort = () => fail('the exchange was given up')
     const over = new AbortController()
-    this.#exchanges.set(id, answers)
+    this.#exchanges.set(id, { answers, endIfSilent })
     opts.signal?.addEventListener('abort', abort, { once: true })
     let ended = false
     try {
       if (opts.signal?.aborted) abort()
       this.#send(id, isStream ? FrameKind.Stream : FrameKind.Call, message)
+      void this.#watchWhileUsed()
       void failWhenSilent(clock, answers, { timeoutMs: opts.timeoutMs, over: over.signal, fail: () => fail(`${address} did not answer in time`) })
       yield * answers
       ended = true
@@ -98,7 +146,7 @@
     this.#lastUseMs = this.#opts.clock.nowMs()
     try {
       const { id, kind, message } = decodeFrame(bytes)
-      const answers = this.#exchanges.get(id)
+      const answers = this.#exchanges.get(id)?.answers
       if (kind === FrameKind.Answer && message) answers?.push(message)
       if (kind === FrameKind.End) answers?.end()
     } catch {
@@ -108,8 +156,9 @@
 
   #fail (closeCode: number): void {
     this.#closed.abort()
+    const { silent } = this.#endReason
     const reason = this.#whyClosed(closeCode)
-    this.#exchanges.forEach((answers) => answers.fail(new PeerLinkError(reason, { mayHaveArrived: true })))
+    this.#exchanges.forEach(({ answers }) => answers.fail(new PeerLinkError(reason, { mayHaveArrived: true, silent })))
     this.#opts.onClosed()
   }
 
@@ -117,7 +166,54 @@
     const { address, maxMessageBytes } = this.#opts
     if (this.#tooLarge) return `a message from ${address} is larger than ${maxMessageBytes} bytes`
     if (closeCode === MESSAGE_TOO_BIG) return `a message to ${address} is larger than the peer takes`
-    return `the connection to ${address} broke`
+    return this.#endReason.text
+  }
+
+  /** One task while something is outstanding. */
+  async #watchWhileUsed (): Promise<void> {
+    if (this.#watching) return
+    this.#watching = true
+    while (this.#exchanges.size > 0 && !this.#closed.signal.aborted) {
+      if (await this.#staysQuiet(QUIET_MS)) await this.#examine()
+    }
+    this.#watching = false
+  }
+
+  /** Whether nothing comes for a while. */
+  async #staysQuiet (forMs: number): Promise<boolean> {
+    const { clock } = this.#opts
+    const seen = this.#stream?.bytesRead
+    await clock.sleep(forMs, { signal: this.#closed.signal })
+    // After a pause of this process, what came in time may still be waiting to be read.
+    await clock.settle()
+    return this.#stream?.bytesRead === seen && !this.#closed.signal.aborted
+  }
+
+  /** Finds out why nothing comes. */
+  async #examine (): Promise<void> {
+    const { clock, address, openAnother, onSilent } = this.#opts
+    const sinceMs = clock.nowMs() - QUIET_MS
+    const seen = this.#stream?.bytesRead
+    this.#socket.ping()
+    if (!await this.#staysQuiet(PONG_MS)) return
+    const other = openAnother()
+    const outcome = await raceTimeout(clock, besideOf(other), CONNECT_TIMEOUT_MS)
+    await clock.settle()
+    const cameBack = this.#stream?.bytesRead !== seen || this.#closed.signal.aborted
+    if (cameBack || outcome !== Beside.Answers) other.close()
+    if (cameBack) return
+    if (outcome === Beside.Answers) {
+      this.#endReason = { text: `the connection to ${address} went silent`, silent: true }
+      onSilent(other, sinceMs)
+    }
+    // Whoever had this connection is gone, or lives on another one.
+    if (outcome === Beside.Answers || outcome === Beside.Refuses) this.close()
+    else this.#endIfSilent()
+  }
+
+  #endIfSilent (): void {
+    const error = () => new PeerLinkError(`${this.#opts.address} gives no sign of life`, { mayHaveArrived: true });
+    [...this.#exchanges.values()].filter(({ endIfSilent }) => endIfSilent).forEach(({ answers }) => answers.fail(error()))
   }
 
   async #closeWhenIdle (): Promise<void> {
@@ -130,6 +226,15 @@
   }
 }
 
+async function besideOf (other: OutgoingConnection): Promise<Beside> {
+  try {
+    await other.opened()
+    return Beside.Answers
+  } catch (thrown) {
+    return thrown instanceof PeerLinkError && thrown.refused ? Beside.Refuses : Beside.Silent
+  }
+}
+
 interface SilenceOptions {
   timeoutMs: number
   over: AbortSignal
--- a/net/peer-link/src/wsPeerLink.ts
+++ b/net/peer-link/src/wsPeerLink.ts
@@ -1,13 +1,17 @@
-import { type Clock } from '@reelspan/core.env'
+import { type Socket } from 'node:net'
+import { type Clock, STOPPED } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { MessageType, type PeerCallOptions, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
 import { splitAddress } from '@reelspan/net.system-env'
-import { WebSocketServer } from 'ws'
+import { type WebSocket, WebSocketServer } from 'ws'
 import { LinkTraffic } from './linkTraffic.js'
 import { MESSAGE_COMPRESSION } from './messageCompression.js'
 import { OutgoingConnection } from './outgoingConnection.js'
 import { serveConnection } from './serveConnection.js'
 
+/** A peer that opened a connection here and gives no sign of life for this long, nor to a ping, is taken for cut off. It opens another one when it needs it. */
+const SERVED_PING_MS = 5000
+
 export interface WsPeerLinkOptions {
   clock: Clock
   /** `ip:port` to listen on. */
@@ -15,13 +19,17 @@
   maxMessageBytes: number
   /** An outgoing connection that nothing used for this long is closed. */
   idleCloseMs: number
+  /** A connection of this box on which nothing came since then was dead, while a new one to the same peer works. */
+  onSilentConnection?: (address: string, sinceMs: number) => void
 }
 
 /** Carries messages between boxes over WebSocket connections, one for each peer that is talked to, opened on demand. */
 export class WsPeerLink extends PeerLink {
   readonly traffic = new LinkTraffic()
   readonly #opts: WsPeerLinkOptions
+  /** The connection to use, for each peer. */
   readonly #connections = new Map<string, OutgoingConnection>()
+  readonly #open = new Set<OutgoingConnection>()
   readonly #closed = new AbortController()
   #server?: WebSocketServer
   #handler?: PeerHandler
@@ -32,18 +40,19 @@
   }
 
   get openConnections (): number {
-    return this.#connections.size
+    return this.#open.size
   }
 
   /** Resolves once the link listens. */
   async listen (): Promise<void> {
     const { host, port } = splitAddress(this.#opts.listenAddress)
     this.#server = new WebSocketServer({ host, port, maxPayload: this.#opts.maxMessageBytes, perMessageDeflate: MESSAGE_COMPRESSION })
-    this.#server.on('connection', (socket, request) => {
-      this.traffic.count(request.socket)
+    const server = this.#server
+    server.on('connection', (socket, { socket: stream }) => {
+      this.traffic.count(stream)
       serveConnection(socket, () => this.#handler)
+      void this.#endWhenSilent(socket, stream)
     })
-    const server = this.#server
     await new Promise<void>((resolve, reject) => {
       server.once('listening', resolve)
       server.once('error', reject)
@@ -56,6 +65,15 @@
   }
 
   async call (address: string, message: PeerMessage, opts: PeerCallOptions): Promise<PeerMessage> {
+    try {
+      return await this.#callOnce(address, message, opts)
+    } catch (thrown) {
+      if (!opts.repeatable || !(thrown instanceof PeerLinkError) || !thrown.silent) throw thrown
+      return this.#callOnce(address, message, opts)
+    }
+  }
+
+  async #callOnce (address: string, message: PeerMessage, opts: PeerCallOptions): Promise<PeerMessage> {
     const answers = this.#connection(address).exchange(message, false, opts)
     try {
       const answer = await answers.next()
@@ -72,27 +90,53 @@
 
   async close (): Promise<void> {
     this.#closed.abort()
-    this.#connections.forEach((connection) => connection.close())
+    this.#open.forEach((connection) => connection.close())
     this.#server?.clients.forEach((socket) => socket.terminate())
     await new Promise<void>((resolve) => this.#server ? this.#server.close(() => resolve()) : resolve())
   }
 
+  /** A peer that is cut off does not close its connections; what is streamed to it goes on until it is noticed. */
+  async #endWhenSilent (socket: WebSocket, stream: Socket): Promise<void> {
+    const { clock } = this.#opts
+    const gone = new AbortController()
+    socket.once('close', () => gone.abort(STOPPED))
+    for (let seen = -1; seen !== stream.bytesRead && !gone.signal.aborted;) {
+      seen = stream.bytesRead
+      socket.ping()
+      await clock.sleep(SERVED_PING_MS, { signal: gone.signal })
+      await clock.settle()
+    }
+    socket.terminate()
+  }
+
   #connection (address: string): OutgoingConnection {
     const known = this.#connections.get(address)
     if (known) return known
     if (this.#closed.signal.aborted) throw new PeerLinkError('the link is closed', { mayHaveArrived: false })
-    const { clock, maxMessageBytes, idleCloseMs } = this.#opts
-    const connection = new OutgoingConnection({
+    const connection = this.#connect(address)
+    this.#connections.set(address, connection)
+    return connection
+  }
+
+  #connect (address: string): OutgoingConnection {
+    const { clock, maxMessageBytes, idleCloseMs, onSilentConnection } = this.#opts
+    const connection: OutgoingConnection = new OutgoingConnection({
       clock,
       address,
       maxMessageBytes,
       idleCloseMs,
       traffic: this.traffic,
       onClosed: () => {
+        this.#open.delete(connection)
         if (this.#connections.get(address) === connection) this.#connections.delete(address)
       },
+      openAnother: () => this.#connect(address),
+      onSilent: (other, sinceMs) => {
+        this.#connections.set(address, other)
+        onSilentConnection?.(address, sinceMs)
+      },
     })
-    this.#connections.set(address, connection)
+    this.#open.add(connection)
     return connection
   }
 }
