fix(membership.prober, scheduling.scheduler-placer): a silent connection is no reason to doubt a peer or a scheduler

Cause: a heartbeat on a connection that went silent ended with its time-out. With no third box to ask, the peer was suspected; with one, the next heartbeat went over the same connection again. A placement waited for as long as its first token could be of use (some 2.8 s), then was placed alone. Change: messages of the prober are repeatable, so that the link sends them again on a new connection. Ruled out: sending a placement twice as it is; the scheduler would reserve twice.

--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -163,7 +163,7 @@
     const results = await Promise.all(helpers.map(async (helper) => {
       const question = { type: MessageType.ProbeFor, address: member.peerAddress, incarnation: member.incarnation } as const
       // A helper that does not answer, of which the link tells, has not found the member either.
-      const answer = await link.call(helper.peerAddress, question, { timeoutMs: 2 * probeTimeoutMs }).catch(() => undefined)
+      const answer = await link.call(helper.peerAddress, question, { timeoutMs: 2 * probeTimeoutMs, repeatable: true }).catch(() => undefined)
       return answer?.type === MessageType.ProbeResult ? answer.member : undefined
     }))
     const found = results.filter((result) => result !== undefined)
@@ -206,7 +206,7 @@
   async #heartbeat (address: string, expectedIncarnation?: string): Promise<MessageOf<MessageType.HeartbeatAck>> {
     const { clock, link, view, probeTimeoutMs } = this.#opts
     const message = { type: MessageType.Heartbeat, ...this.#ownNews(view.atAddress(address)), expectedIncarnation } as const
-    const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs })
+    const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs, repeatable: true })
     if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
     this.#meet(address, answer.self, clock.nowMs())
     this.#takeNews(answer)
@@ -230,7 +230,7 @@
     const isFirst = this.#pulledInRound < 0
     if (!isFirst && this.#round - this.#pulledInRound < COMPARE_EVERY_ROUNDS) return
     this.#pulledInRound = this.#round
-    const state = await link.call(address, { type: MessageType.MembersPull, partDigests: [...view.partDigests] }, { timeoutMs: 4 * probeTimeoutMs })
+    const state = await link.call(address, { type: MessageType.MembersPull, partDigests: [...view.partDigests] }, { timeoutMs: 4 * probeTimeoutMs, repeatable: true })
     if (state.type !== MessageType.MembersState) return
     this.#comparing = true
     state.members.forEach((member) => view.merge(member, clock.nowMs()))
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { rankByRendezvous } from '@reelspan/core.hashing'
-import { type EngineOutcome, type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
+import { type EngineOutcome, type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, PeerLinkError, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
 import { type Placement, type PlaceOptions, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type AdoptedReservation, type ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { schedulerOf, type Shard } from '@reelspan/scheduling.shards'
@@ -101,7 +101,7 @@
     const withdraw = () => this.#release(scheduler, request)
     signal.addEventListener('abort', withdraw, { once: true })
     try {
-      const answer = await this.#reserve(scheduler, request, signal)
+      const answer = await this.#reserveOnLiveConnection(scheduler, request, signal)
       if (signal.aborted) return WITHDRAWN
       return answer.outcome === PlacementOutcome.Refused ? answer : this.#keep(request, answer, scheduler)
     } catch (thrown) {
@@ -114,10 +114,25 @@
     }
   }
 
+  /** When the connection went silent and the scheduler answers on a new one, what it may have reserved is taken back first. */
+  async #reserveOnLiveConnection (scheduler: Member, request: ReserveRequest, signal: AbortSignal): Promise<PlacementAnswer> {
+    const { clock } = this.#opts
+    const askedAtMs = clock.nowMs()
+    try {
+      return await this.#reserve(scheduler, request, signal)
+    } catch (thrown) {
+      if (!(thrown instanceof PeerLinkError) || !thrown.silent || signal.aborted) throw thrown
+      this.#release(scheduler, request)
+      const elapsedMs = clock.nowMs() - askedAtMs
+      const patienceMs = request.patienceMs === undefined ? undefined : request.patienceMs - elapsedMs
+      return this.#reserve(scheduler, { ...request, ttftLeftMs: request.ttftLeftMs - elapsedMs, patienceMs }, signal)
+    }
+  }
+
   async #reserve (scheduler: Member, request: ReserveRequest, signal: AbortSignal): Promise<PlacementAnswer> {
     if (scheduler.incarnation === this.#opts.selfIncarnation()) return this.#reserveHere(request)
     const timeoutMs = Math.max(0, request.ttftLeftMs, request.patienceMs ?? 0) + ANSWER_SLACK_MS
-    const answer = await this.#opts.link.call(scheduler.peerAddress, { type: MessageType.Reserve, request }, { timeoutMs, signal })
+    const answer = await this.#opts.link.call(scheduler.peerAddress, { type: MessageType.Reserve, request }, { timeoutMs, signal, endIfSilent: true })
     if (answer.type !== MessageType.ReserveAnswer) throw new Error(`unexpected answer ${answer.type}`)
     return answer.answer
   }
@@ -148,7 +163,7 @@
     const { link, localScheduler, selfIncarnation } = this.#opts
     if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.prefilled(label)
     // The link tells of a failure; the scheduler goes by its own estimate then.
-    link.call(scheduler.peerAddress, { type: MessageType.PrefillDone, shardId, label }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+    link.call(scheduler.peerAddress, { type: MessageType.PrefillDone, shardId, label }, { timeoutMs: RELEASE_TIMEOUT_MS, repeatable: true }).catch(() => {})
   }
 
   /** Not waited for: a reservation that is not given back lapses by itself. */
@@ -157,7 +172,7 @@
     const { shardId, label } = request
     if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.release(label, report, outcomes)
     // The link tells of a failure.
-    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, report, outcomes: [...outcomes] }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, report, outcomes: [...outcomes] }, { timeoutMs: RELEASE_TIMEOUT_MS, repeatable: true }).catch(() => {})
   }
 
   async #sendAdoption (shardId: string, moved: { live: LivePlacement, scheduler: Member }[]): Promise<void> {
@@ -172,7 +187,7 @@
     }))
     // The link tells of a failure; a scheduler that was not told sees what runs in the engines' reports alone.
     if (scheduler.incarnation === selfIncarnation()) localScheduler(shardId)?.adopt(reservations)
-    else await link.call(scheduler.peerAddress, { type: MessageType.AdoptReservations, shardId, reservations }, { timeoutMs: RELEASE_TIMEOUT_MS }).catch(() => {})
+    else await link.call(scheduler.peerAddress, { type: MessageType.AdoptReservations, shardId, reservations }, { timeoutMs: RELEASE_TIMEOUT_MS, repeatable: true }).catch(() => {})
     moved.forEach(({ live }) => { live.scheduler = scheduler })
   }
 }
