--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -141,7 +141,7 @@
     if (!view.self.leaving) return lookup(availabilityZone)
     const [other] = random.sample(view.takingWork(), 1)
     if (!other) throw new ReelspanError(ErrorCode.Draining, 'no other box is known to take new work', { retryAfterMs: 1000 })
-    const answer = await link.call(other.peerAddress, { type: MessageType.Lookup, availabilityZone }, { timeoutMs: LOOKUP_TIMEOUT_MS })
+    const answer = await link.call(other.peerAddress, { type: MessageType.Lookup, availabilityZone }, { timeoutMs: LOOKUP_TIMEOUT_MS, repeatable: true })
     if (answer.type !== MessageType.LookupAnswer) throw new ReelspanError(ErrorCode.PeerProtocol, `unexpected answer ${answer.type}`)
     return { boxes: answer.boxes, keepMs: answer.keepMs, keyPrefix: answer.keyPrefix }
   }
--- a/box/runtime/src/requestRouter.ts
+++ b/box/runtime/src/requestRouter.ts
@@ -66,7 +66,7 @@
     const parsed = parseRequestKey(key)
     const { address } = parsed.owner ? this.#addressOf(parsed.owner) : this.#homeOf(key)
     if (address === undefined) return owner.cancel(key)
-    await link.call(address, { type: MessageType.Cancel, key }, { timeoutMs: FINAL_ANSWER_SLACK_MS })
+    await link.call(address, { type: MessageType.Cancel, key }, { timeoutMs: FINAL_ANSWER_SLACK_MS, repeatable: true })
   }
 
   #targetOf (owner: KeyOwner, request: RoutedRequest): Target {
--- a/box/runtime/src/resourceApi.ts
+++ b/box/runtime/src/resourceApi.ts
@@ -108,7 +108,7 @@
 
   async #pull (link: PeerLink, address: string): Promise<{ shard: string }[] | undefined> {
     // The link tells of a failure; the view says that this scheduler has not answered.
-    const answer = await link.call(address, { type: MessageType.StatusPull }, { timeoutMs: STATUS_TIMEOUT_MS }).catch(() => undefined)
+    const answer = await link.call(address, { type: MessageType.StatusPull }, { timeoutMs: STATUS_TIMEOUT_MS, repeatable: true }).catch(() => undefined)
     return answer?.type === MessageType.StatusContent ? answer.status as { shard: string }[] : undefined
   }
 }
--- a/membership/prober/test/silentConnection.ts
+++ b/membership/prober/test/silentConnection.ts
@@ -31,8 +31,8 @@
   const self: Member = { name, availabilityZone: 'zone', peerAddress: proxy.address, callerAddress: '', incarnation: random.hex(16), version: 0, health: MemberHealth.Alive, leaving: false }
   const view = new MembershipView({ self, goneMemoryMs: 600_000 })
   const prober = new Prober({
-    platformSilentMs: () => undefined,
-    onPlatformContact: () => {},
+    platformAnswering: () => undefined,
+    onPlatformAnswering: () => {},
     clock,
     random,
     link,
--- a/upstream/holds/src/holdSweeper.ts
+++ b/upstream/holds/src/holdSweeper.ts
@@ -72,7 +72,7 @@
     const here = vouchHere(ownerIncarnation, requestIds)
     if (here) return new Set(here)
     // The link tells of a failure; the hold is then left until its label lapses.
-    const answer = await link.call(address, { type: MessageType.Vouch, ownerIncarnation, requestIds }, { timeoutMs: vouchTimeoutMs }).catch(() => undefined)
+    const answer = await link.call(address, { type: MessageType.Vouch, ownerIncarnation, requestIds }, { timeoutMs: vouchTimeoutMs, repeatable: true }).catch(() => undefined)
     // Another incarnation at the address cannot speak for this one.
     const speaks = answer?.type === MessageType.Vouched && answer.ownerIncarnation === ownerIncarnation
     return speaks ? new Set(answer.requestIds) : undefined
