feat(net.http-exchange): kept connections that may have gone silent are not used again

Cause: a kept connection to an upstream, or to the store, may go silent for good without a reset. The request that is sent on it is lost for as long as its sender waits; and then the next kept connection, silenced with it, took the next request. What can be known: the connection that nothing came on since a request was sent, and which others were heard of since then. Whether the request ran cannot be known; it stays one that may have run, and nothing is sent again here. Change: when an exchange on a kept connection is given up after 250 ms without a byte, the kept ones of its upstream that were not heard of since it was sent are closed. distrustKept does that for all upstreams, for whoever found a connection of this box silent. A connection is kept for 10 s at the longest, whatever its upstream says. An exchange can ask for a new connection. TCP keep-alive from 1 s on, which ends a silent connection after 11 s, is a backstop without a test of its own: a proxy on loopback answers the probes. Ruled out: probing a kept connection before each use (priced, and a way longer), and a shorter keep (new connections are priced too).

--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -17,10 +17,14 @@
   accept?: AcceptHead
   /** The request is about to be sent: from here on the upstream may act on it. */
   onSend?: () => void
+  /** Opens a new connection for it. */
+  fresh?: boolean
 }
 
 /** An idle connection is not used in the last part of its life, since the upstream may be closing it. */
 const KEEP_ALIVE_MARGIN_MS = 500
+/** A kept connection that says nothing to a request for this long, and is given up, may have gone silent, and others with it: several times a usual answer's time. */
+const SILENT_AFTER_MS = 250
 /** Idle connections kept to one upstream; more were needed only in a burst. */
 const MAX_IDLE_PER_UPSTREAM = 32
 
@@ -36,15 +40,21 @@
 
   /** Sends a request once and resolves with its answer's head. Throws `ExchangeError`. */
   async exchange (address: string, request: ExchangeRequest, opts: ExchangeOptions): Promise<ExchangeAnswer> {
-    const { signal, accept = () => true, onSend } = opts
+    const { signal, accept = () => true, onSend, fresh = false } = opts
     if (signal.aborted) throw new ExchangeError('the exchange was given up', { mayHaveRun: false })
-    const connection = this.#takeIdle(address) ?? await this.#connect(address, signal)
+    const kept = fresh ? undefined : this.#takeIdle(address)
+    const connection = kept ?? await this.#connect(address, signal)
     if (signal.aborted) {
       this.#keep(connection)
       throw new ExchangeError('the exchange was given up', { mayHaveRun: false })
     }
     const token = Symbol('exchange')
-    const cancel = () => connection.cancel(token)
+    const cancel = () => {
+      const sentAtMs = connection.lastSentAtMs
+      const silent = kept !== undefined && connection.silentForMs(token) >= SILENT_AFTER_MS
+      connection.cancel(token)
+      if (silent) this.distrustKept(sentAtMs, address)
+    }
     signal.addEventListener('abort', cancel, { once: true })
     const settle = () => {
       signal.removeEventListener('abort', cancel)
@@ -64,6 +74,12 @@
     this.#open.forEach((connection) => connection.close())
   }
 
+  /** Closes kept connections on which nothing came since then. */
+  distrustKept (sinceMs: number, address?: string): void {
+    const known = address === undefined ? [...this.#idle.values()] : [this.#idle.get(address) ?? []]
+    known.flat().filter(({ heardAtMs }) => heardAtMs < sinceMs).forEach((connection) => connection.close())
+  }
+
   /** Closes idle connections whose upstream is about to close them, or is not used any more. */
   closeStale (): void {
     this.#idle.forEach((connections, address) => {
@@ -89,6 +105,7 @@
     const { clock, connectTimeoutMs, onOpened } = this.#opts
     const connection = new UpstreamConnection({
       address,
+      clock,
       onIdle: (idle) => this.#keep(idle),
       onClosed: (closed) => this.#forget(closed),
     })
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -1,5 +1,5 @@
 import { connect, type Socket } from 'node:net'
-import { AsyncQueue } from '@reelspan/core.env'
+import { AsyncQueue, type Clock } from '@reelspan/core.env'
 import { splitAddress } from '@reelspan/net.system-env'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
@@ -25,6 +25,7 @@
 
 export interface UpstreamConnectionOptions {
   address: string
+  clock: Clock
   /** Nothing runs on the connection any more. Called once an exchange; the connection may be used again if it is `reusable`. */
   onIdle: (connection: UpstreamConnection) => void
   onClosed: (connection: UpstreamConnection) => void
@@ -32,6 +33,10 @@
 
 /** Where `Keep-Alive` gives no time, idle connections are taken to live this long; commonly used servers close after 5 s or more. */
 const DEFAULT_KEEP_ALIVE_MS = 4000
+/** A connection that stays idle longer is not used again, whatever its upstream says: nothing would tell that it went silent meanwhile. */
+const LONGEST_KEEP_ALIVE_MS = 10_000
+/** The operating system asks a silent upstream for a sign of life from then on; with Node's fixed ten probes, one a second, it ends the connection after 11 s. */
+const PROBE_AFTER_MS = 1000
 const MS_PER_SECOND = 1000
 const HEAD = 'HEAD'
 const NO_BYTES = new Uint8Array()
@@ -48,11 +53,14 @@
   #keepAliveMs = DEFAULT_KEEP_ALIVE_MS
   /** On the clock of whoever uses the connection. */
   idleSinceMs = 0
+  #lastSentAtMs = 0
+  #heardAtMs: number
 
   constructor (opts: UpstreamConnectionOptions) {
+    this.#heardAtMs = opts.clock.nowMs()
     this.address = opts.address
     this.#opts = opts
-    this.#socket = connect({ ...splitAddress(opts.address), noDelay: true, allowHalfOpen: true })
+    this.#socket = connect({ ...splitAddress(opts.address), noDelay: true, allowHalfOpen: true, keepAlive: true, keepAliveInitialDelay: PROBE_AFTER_MS })
     this.#parser = new ResponseParser({
       onHead: (head) => this.#takeHead(head),
       onBody: (bytes) => this.#takeBody(bytes),
@@ -79,6 +87,22 @@
     return this.#keepAliveMs
   }
 
+  /** When the last request was sent. */
+  get lastSentAtMs (): number {
+    return this.#lastSentAtMs
+  }
+
+  /** When the connection was opened, or something came on it last. */
+  get heardAtMs (): number {
+    return this.#heardAtMs
+  }
+
+  /** How long nothing has come since the request of an exchange that still runs was sent. */
+  silentForMs (token: symbol): number {
+    const waits = this.#exchange?.token === token && this.#heardAtMs <= this.#lastSentAtMs
+    return waits ? this.#opts.clock.nowMs() - this.#lastSentAtMs : 0
+  }
+
   /** Resolves once the connection is open. */
   opened (): Promise<void> {
     return this.#opened
@@ -88,6 +112,7 @@
   send (request: ExchangeRequest, accept: AcceptHead, token: symbol): Promise<ExchangeAnswer> {
     return new Promise((resolve, reject) => {
       this.#exchange = { token, headOnly: request.method === HEAD, accept, resolve, reject, skipping: false, reusable: false }
+      this.#lastSentAtMs = this.#opts.clock.nowMs()
       this.#socket.cork()
       this.#socket.write(headText(request), 'latin1')
       if (request.body.byteLength > 0) this.#socket.write(request.body)
@@ -106,6 +131,7 @@
   }
 
   #receive (bytes: Buffer): void {
+    this.#heardAtMs = this.#opts.clock.nowMs()
     if (!this.#exchange) return this.#fail('sent bytes that nothing asked for')
     try {
       this.#parser.push(bytes)
@@ -155,7 +181,7 @@
 
   #noteKeepAlive (headers: readonly string[]): void {
     const seconds = /timeout=(\d+)/.exec(headerValue(headers, 'keep-alive') ?? '')?.[1]
-    if (seconds !== undefined) this.#keepAliveMs = Number(seconds) * MS_PER_SECOND
+    if (seconds !== undefined) this.#keepAliveMs = Math.min(LONGEST_KEEP_ALIVE_MS, Number(seconds) * MS_PER_SECOND)
   }
 
   /**
