fix(net.platform-http): a read that is not answered ends at its time, and leaves the connections from before

Cause: undici counts its time-outs in steps of about a second, and the connections beside the one that was found silent were used on. Change: the read's deadline is the clock's; at it, the connections are left for new ones. Reads that still wait on the old ones go on. Test: silentConnections.ts, for both directions and each one; all three failed before. In it the time is virtual.

--- a/net/platform-http/src/httpPlatformReader.ts
+++ b/net/platform-http/src/httpPlatformReader.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@reelspan/core.env'
+import { type Clock, withDeadline } from '@reelspan/core.env'
 import { ErrorCode, errorMessage, ReelspanError } from '@reelspan/core.error'
 import { PlatformReader, type PlatformReadOptions, type RevisionedContent } from '@reelspan/config.store'
 import { type Collection } from '@reelspan/core.messages'
@@ -9,6 +9,7 @@
   clock: Clock
   /** `ip:port` of the platform's read service; tried in order. */
   addresses: readonly string[]
+  /** An answer is given up this long after its wait. */
   timeoutMs: number
 }
 
@@ -23,10 +24,12 @@
   })),
 })
 
+const CONNECTIONS = 4
+
 /** Reads the platform's published collections: `GET /v1/<collection>?since=<revision>&waitMs=<ms>`. */
 export class HttpPlatformReader extends PlatformReader {
   readonly #opts: HttpPlatformReaderOptions
-  readonly #agent = new Agent({ connections: 4 })
+  #agent = new Agent({ connections: CONNECTIONS })
   #lastAnswerMs = Number.NEGATIVE_INFINITY
 
   constructor (opts: HttpPlatformReaderOptions) {
@@ -57,19 +60,27 @@
 
   async #readFrom (address: string, collection: Collection, sinceRevision: number, { waitMs, signal }: PlatformReadOptions): Promise<RevisionedContent> {
     const { clock, timeoutMs } = this.#opts
-    const patienceMs = waitMs + timeoutMs
-    const response = await request(`http://${address}/v1/${collection}?since=${sinceRevision}&waitMs=${waitMs}`, {
-      dispatcher: this.#agent,
-      signal,
-      headersTimeout: patienceMs,
-      bodyTimeout: patienceMs,
+    const agent = this.#agent
+    return withDeadline(clock, { timeoutMs: waitMs + timeoutMs, signal }, async (until) => {
+      try {
+        const response = await request(`http://${address}/v1/${collection}?since=${sinceRevision}&waitMs=${waitMs}`, { dispatcher: agent, signal: until, headersTimeout: 0, bodyTimeout: 0 })
+        if (response.statusCode !== 200) {
+          await response.body.dump()
+          throw new ReelspanError(ErrorCode.PlatformUnavailable, `status ${response.statusCode}`)
+        }
+        const content = contentSchema.parse(await response.body.json())
+        this.#lastAnswerMs = clock.nowMs()
+        return content
+      } finally {
+        if (until.aborted && !signal?.aborted) this.#leaveConnections(agent)
+      }
     })
-    if (response.statusCode !== 200) {
-      await response.body.dump()
-      throw new ReelspanError(ErrorCode.PlatformUnavailable, `status ${response.statusCode}`)
-    }
-    const content = contentSchema.parse(await response.body.json())
-    this.#lastAnswerMs = clock.nowMs()
-    return content
+  }
+
+  /** Connections may go silent together. Those that still wait for an answer are closed after it, or at its time-out. */
+  #leaveConnections (agent: Agent): void {
+    if (this.#agent !== agent) return
+    this.#agent = new Agent({ connections: CONNECTIONS })
+    void agent.close()
   }
 }
