--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -7,7 +7,7 @@
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
 import { closeServers, listenAt, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
-import { BunyanLog } from '@reelspan/telemetry.log'
+import { BunyanLog, LogEvent } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
 
 const PLATFORM_TIMEOUT_MS = 3000
@@ -27,8 +27,15 @@
   const clock = new SystemClock()
   const { listen, limits, platform, log } = settings
   const token = await readToken(settings)
-  const link = new WsPeerLink({ clock, listenAddress: listen.peerAddress, maxMessageBytes: MAX_PEER_MESSAGE_BYTES, idleCloseMs: IDLE_CLOSE_MS })
   const metrics = new Metrics()
+  const boxLog = new BunyanLog({ box: settings.box.name, level: log.level })
+  const link = new WsPeerLink({
+    clock,
+    listenAddress: listen.peerAddress,
+    maxMessageBytes: MAX_PEER_MESSAGE_BYTES,
+    idleCloseMs: IDLE_CLOSE_MS,
+    onSilentConnection: (address, sinceMs) => boxLog.warn(LogEvent.ConnectionSilent, { peer: address, silentMs: Math.round(clock.nowMs() - sinceMs) }),
+  })
   const box = createBox({
     settings,
     clock,
@@ -37,7 +44,7 @@
     platform: new HttpPlatformReader({ clock, addresses: platform.addresses, timeoutMs: PLATFORM_TIMEOUT_MS }),
     engines: new HttpEngineClient(),
     services: new HttpServiceClient(),
-    log: new BunyanLog({ box: settings.box.name, level: log.level }),
+    log: boxLog,
     metrics,
   })
   registerProcessMetrics(metrics, link)
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -18,6 +18,8 @@
   ReloadFailed = 'reloadFailed',
   DependencyLost = 'dependencyLost',
   DependencyRegained = 'dependencyRegained',
+  /** A connection to another box brought nothing any more, while a new one works. */
+  ConnectionSilent = 'connectionSilent',
   EntriesKept = 'entriesKept',
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
