feat(net.system-env, net.http-exchange, net.peer-link): each kind of connection keeps to its part of the descriptors

Cause: nothing bounded connections to upstreams and between boxes, and only the project's own front bounded callers'. A second error of a listener ended the process, since the first one's handler was still there and was used up. Change: descriptorShares divides a number of descriptors: 0.4 callers, 0.1 lookups, 0.25 peers, 0.2 upstreams, the rest for listeners, platform, readiness and metrics. At its limit, a kind closes the connection that was idle longest; with none idle, a request to an upstream has not run, and a message to a peer has not arrived. Of served peers the one not heard of for longest gives way. ConnectionGuard closes a server's idle connections from 0.9 of its part on, says that it takes none from 0.95 on until 0.9, and after a failure of its listener until the next connection. A pool keeps no more connections to an upstream than its share. Ruled out: a hard limit at the share; boxes' loads differ. Tests: connectionGuard.ts, and the last of connectionPool.ts and wsPeerLink.ts; a connection that is still being opened counted as idle at first, which the test found.

--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -62,7 +62,12 @@
     slowCallerMs: durationMs.default(10_000),
     /** A caller must have sent its whole request within this time. */
     requestReadMs: durationMs.default(10_000),
+    /** Callers' connections. */
     connections: z.number().int().positive().default(5000),
+    /** Connections with other boxes, in both directions. */
+    peerConnections: z.number().int().min(2).default(4000),
+    /** Connections to upstreams, where requests are relayed. */
+    upstreamConnections: z.number().int().positive().default(4000),
   }).prefault({}),
   relay: z.strictObject({
     /** Retries that each relayed request adds to what its pool may get. */
--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -7,6 +7,10 @@
   clock: Clock
   /** A connection must have come up within this time. */
   connectTimeoutMs: number
+  /** Open ones, to all upstreams together. */
+  maxConnections?: number
+  /** How many of an upstream's connections are this box's. No more are kept, since it takes a number of all boxes together. */
+  shareOf?: (address: string) => number | undefined
   onOpened?: (address: string) => void
 }
 
@@ -33,6 +37,8 @@
   readonly #opts: ConnectionPoolOptions
   readonly #idle = new Map<string, UpstreamConnection[]>()
   readonly #open = new Set<UpstreamConnection>()
+  /** Open ones to each upstream. */
+  readonly #counts = new Map<string, number>()
 
   constructor (opts: ConnectionPoolOptions) {
     this.#opts = opts
@@ -103,6 +109,7 @@
 
   async #connect (address: string, signal: AbortSignal): Promise<UpstreamConnection> {
     const { clock, connectTimeoutMs, onOpened } = this.#opts
+    this.#makeRoom()
     const connection = new UpstreamConnection({
       address,
       clock,
@@ -110,6 +117,7 @@
       onClosed: (closed) => this.#forget(closed),
     })
     this.#open.add(connection)
+    this.#counts.set(address, (this.#counts.get(address) ?? 0) + 1)
     onOpened?.(address)
     const abort = () => connection.close()
     signal.addEventListener('abort', abort, { once: true })
@@ -123,16 +131,31 @@
     throw new ExchangeError(`${address} did not accept a connection in time`, { mayHaveRun: false, unreachable: true })
   }
 
+  /** At the limit, the connection that was idle longest gives way. */
+  #makeRoom (): void {
+    const { maxConnections = Number.POSITIVE_INFINITY } = this.#opts
+    if (this.#open.size < maxConnections) return
+    const idle = [...this.#idle.values()].flat()
+    if (idle.length === 0) throw new ExchangeError(`all ${maxConnections} connections to upstreams are in use`, { mayHaveRun: false, refused: true })
+    idle.reduce((oldest, one) => one.idleSinceMs < oldest.idleSinceMs ? one : oldest).close()
+  }
+
   #keep (connection: UpstreamConnection): void {
     const idle = this.#idle.get(connection.address) ?? []
     this.#idle.set(connection.address, idle)
     connection.idleSinceMs = this.#opts.clock.nowMs()
-    if (idle.length < MAX_IDLE_PER_UPSTREAM) idle.push(connection)
+    const { address } = connection
+    const open = this.#counts.get(address) ?? 0
+    const withinShare = open <= 1 || open <= (this.#opts.shareOf?.(address) ?? Number.POSITIVE_INFINITY)
+    if (withinShare && idle.length < MAX_IDLE_PER_UPSTREAM) idle.push(connection)
     else connection.close()
   }
 
   #forget (connection: UpstreamConnection): void {
     this.#open.delete(connection)
+    const left = (this.#counts.get(connection.address) ?? 0) - 1
+    if (left > 0) this.#counts.set(connection.address, left)
+    else this.#counts.delete(connection.address)
     const idle = this.#idle.get(connection.address)
     if (idle?.includes(connection)) this.#idle.set(connection.address, idle.filter((one) => one !== connection))
   }
--- a/net/http-exchange/test/connectionPool.ts
+++ b/net/http-exchange/test/connectionPool.ts
@@ -3,6 +3,7 @@
 import { Verdict } from '@reelspan/core.error'
 import { ConnectionPool, ExchangeError, headerValue } from '@reelspan/net.http-exchange'
 import { SystemClock } from '@reelspan/net.system-env'
+import { VirtualClock } from '@reelspan/utils.fakes'
 import test, { type ExecutionContext } from 'ava'
 
 const GET = { method: 'GET', target: '/', headers: ['Host', 'x'], body: new Uint8Array() }
@@ -183,3 +184,50 @@
   t.is(upstream.connections, 1)
   pool.close()
 })
+
+test('at the limit the connection that was idle longest gives way', async (t) => {
+  const clock = new VirtualClock()
+  const [a, b, c] = await Promise.all([1, 2, 3].map(() => startUpstream(t, (socket) => socket.on('data', () => socket.write(answer('hello'))))))
+  const pool = new ConnectionPool({ clock, connectTimeoutMs: 5000, maxConnections: 2 })
+  t.teardown(() => pool.close())
+  const ask = async ({ address }: Upstream) => textOf((await pool.exchange(address, GET, { signal: signal() })).body)
+  for (const upstream of [a, b, c, b]) {
+    t.is(await ask(upstream), 'hello')
+    await clock.advance(10)
+  }
+  t.deepEqual([a, b, c].map(({ connections }) => connections), [1, 1, 1])
+  await ask(a)
+  await ask(c)
+  t.deepEqual([a, b, c].map(({ connections }) => connections), [2, 1, 2])
+})
+
+test('a request that finds all connections in use has not run, and its upstream is not blamed', async (t) => {
+  const upstream = await startUpstream(t, () => {})
+  const pool = new ConnectionPool({ clock: new SystemClock(), connectTimeoutMs: 5000, maxConnections: 1 })
+  t.teardown(() => pool.close())
+  void pool.exchange(upstream.address, GET, { signal: signal() }).catch(() => {})
+  const error = await t.throwsAsync(pool.exchange(upstream.address, GET, { signal: signal() }), { instanceOf: ExchangeError }) as ExchangeError
+  t.is(error.verdict, Verdict.NotRun)
+  t.false(error.unreachable)
+  t.true(error.refused)
+})
+
+test('no more connections are kept to an upstream than this box\'s share of what it takes', async (t) => {
+  const waiting: Socket[] = []
+  let together = 3
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => {
+    waiting.push(socket)
+    if (waiting.length >= together) waiting.splice(0).forEach((one) => one.write(answer('hello')))
+  }))
+  const pool = new ConnectionPool({ clock: new SystemClock(), connectTimeoutMs: 5000, shareOf: () => 2 })
+  t.teardown(() => pool.close())
+  const ask = async () => textOf((await pool.exchange(upstream.address, GET, { signal: signal() })).body)
+  await Promise.all([ask(), ask(), ask()])
+  t.is(upstream.connections, 3)
+  together = 2
+  await Promise.all([ask(), ask()])
+  t.is(upstream.connections, 3)
+  together = 3
+  await Promise.all([ask(), ask(), ask()])
+  t.is(upstream.connections, 4)
+})
--- a/net/peer-link/src/outgoingConnection.ts
+++ b/net/peer-link/src/outgoingConnection.ts
@@ -65,6 +65,8 @@
   #tooLarge = false
   #lastUseMs: number
   #stream?: Socket
+  /** Exchanges under way, those included that wait for the connection to open. */
+  #users = 0
   #watching = false
   #endReason: EndReason
 
@@ -91,6 +93,15 @@
     this.#closeWhenIdle()
   }
 
+  /** Whether anyone waits for something on it. */
+  get busy (): boolean {
+    return this.#users > 0
+  }
+
+  get lastUseMs (): number {
+    return this.#lastUseMs
+  }
+
   /** Resolves once the peer has accepted the connection. Throws `PeerLinkError`. */
   opened (): Promise<void> {
     return this.#opened
@@ -102,6 +113,15 @@
 
   /** Sends a message and yields what comes back, until its end. */
   async * exchange (message: PeerMessage, isStream: boolean, opts: PeerCallOptions): AsyncGenerator<PeerMessage> {
+    this.#users++
+    try {
+      yield * this.#exchange(message, isStream, opts)
+    } finally {
+      this.#users--
+    }
+  }
+
+  async * #exchange (message: PeerMessage, isStream: boolean, opts: PeerCallOptions): AsyncGenerator<PeerMessage> {
     const { clock, address } = this.#opts
     const { endIfSilent = false } = opts
     const opened = await raceTimeout(clock, this.#opened, endIfSilent ? Math.min(opts.timeoutMs, CONNECT_TIMEOUT_MS) : opts.timeoutMs)
--- a/net/peer-link/src/wsPeerLink.ts
+++ b/net/peer-link/src/wsPeerLink.ts
@@ -19,6 +19,8 @@
   maxMessageBytes: number
   /** An outgoing connection that nothing used for this long is closed. */
   idleCloseMs: number
+  /** Half of them for each direction. */
+  maxConnections?: number
   /** A connection of this box on which nothing came since then was dead, while a new one to the same peer works. */
   onSilentConnection?: (address: string, sinceMs: number) => void
 }
@@ -30,6 +32,9 @@
   /** The connection to use, for each peer. */
   readonly #connections = new Map<string, OutgoingConnection>()
   readonly #open = new Set<OutgoingConnection>()
+  /** Connections that peers opened, the one that was heard of last at the end. */
+  readonly #served = new Set<WebSocket>()
+  readonly #maxEachWay: number
   readonly #closed = new AbortController()
   #server?: WebSocketServer
   #handler?: PeerHandler
@@ -37,6 +42,7 @@
   constructor (opts: WsPeerLinkOptions) {
     super()
     this.#opts = opts
+    this.#maxEachWay = Math.max(1, Math.floor((opts.maxConnections ?? Number.POSITIVE_INFINITY) / 2))
   }
 
   get openConnections (): number {
@@ -49,6 +55,7 @@
     this.#server = new WebSocketServer({ host, port, maxPayload: this.#opts.maxMessageBytes, perMessageDeflate: MESSAGE_COMPRESSION })
     const server = this.#server
     server.on('connection', (socket, { socket: stream }) => {
+      this.#admit(socket)
       this.traffic.count(stream)
       serveConnection(socket, () => this.#handler)
       void this.#endWhenSilent(socket, stream)
@@ -95,6 +102,24 @@
     await new Promise<void>((resolve) => this.#server ? this.#server.close(() => resolve()) : resolve())
   }
 
+  /** At the limit, the peer that was not heard of for longest gives way. It connects again when it needs to. */
+  #admit (socket: WebSocket): void {
+    if (this.#served.size >= this.#maxEachWay) [...this.#served][0].terminate()
+    this.#served.add(socket)
+    socket.on('close', () => this.#served.delete(socket))
+    socket.on('message', () => {
+      if (this.#served.delete(socket)) this.#served.add(socket)
+    })
+  }
+
+  /** At the limit, the connection that was not used for longest gives way. */
+  #makeRoom (): void {
+    if (this.#open.size < this.#maxEachWay) return
+    const idle = [...this.#open].filter(({ busy }) => !busy)
+    if (idle.length === 0) throw new PeerLinkError(`all ${this.#maxEachWay} connections to other boxes are in use`, { mayHaveArrived: false })
+    idle.reduce((oldest, one) => one.lastUseMs < oldest.lastUseMs ? one : oldest).close()
+  }
+
   /** A peer that is cut off does not close its connections; what is streamed to it goes on until it is noticed. */
   async #endWhenSilent (socket: WebSocket, stream: Socket): Promise<void> {
     const { clock } = this.#opts
@@ -113,6 +138,7 @@
     const known = this.#connections.get(address)
     if (known) return known
     if (this.#closed.signal.aborted) throw new PeerLinkError('the link is closed', { mayHaveArrived: false })
+    this.#makeRoom()
     const connection = this.#connect(address)
     this.#connections.set(address, connection)
     return connection
--- a/net/peer-link/test/wsPeerLink.ts
+++ b/net/peer-link/test/wsPeerLink.ts
@@ -203,6 +203,50 @@
   t.true(isDeepStrictEqual(await link.call(`127.0.0.1:${port}`, content, LARGE_CALL), content))
 })
 
+/** A link that may have so many connections each way. */
+async function createSmallLink (t: ExecutionContext, eachWay: number, onCall: PeerHandler['onCall'] = async () => DONE) {
+  const address = await freeAddress()
+  const link = new WsPeerLink({ clock: new SystemClock(), listenAddress: address, maxMessageBytes: 10_000, idleCloseMs: 60_000, maxConnections: 2 * eachWay })
+  link.serve({ onCall, onStream: async function * () {} })
+  await link.listen()
+  t.teardown(() => link.close())
+  return { link, address }
+}
+
+test('at the limit the connection that was not used for longest gives way, and one in use never does', async (t) => {
+  let finish: (message: PeerMessage) => void = () => {}
+  const busy = await createLink(t, { onCall: async () => new Promise((resolve) => { finish = resolve }) })
+  const others = await Promise.all([createLink(t), createLink(t), createLink(t)])
+  const { link } = await createSmallLink(t, 2)
+  const waiting = link.call(busy.address, QUESTION, CALL)
+  for (const { address } of others) t.deepEqual(await link.call(address, QUESTION, CALL), DONE)
+  t.is(link.traffic.connectionsOpened, 4)
+  finish(DONE)
+  t.deepEqual(await waiting, DONE)
+})
+
+test('a message that finds all connections in use has not arrived', async (t) => {
+  const busy = await createLink(t, { onCall: async () => new Promise(() => {}) })
+  const { address } = await createLink(t)
+  const { link } = await createSmallLink(t, 1)
+  const stop = new AbortController()
+  const waiting = t.throwsAsync(link.call(busy.address, QUESTION, { ...CALL, signal: stop.signal }))
+  const error = await link.call(address, QUESTION, CALL).catch((thrown: ReelspanError) => thrown)
+  t.like(error, { mayHaveArrived: false, verdict: Verdict.NotRun })
+  stop.abort()
+  await waiting
+})
+
+test('of more peers than it may serve, the one that was not heard of for longest gives way, and can come back', async (t) => {
+  const { address } = await createSmallLink(t, 2)
+  const peers = await Promise.all([createLink(t), createLink(t), createLink(t)])
+  for (const { link } of [...peers, ...peers]) {
+    // A connection that is just being ended may take the message along.
+    const answer = await link.call(address, QUESTION, CALL).catch(() => link.call(address, QUESTION, CALL))
+    t.deepEqual(answer, DONE)
+  }
+})
+
 function withResolvers () {
   let resolve: () => void = () => {}
   const promise = new Promise<void>((_resolve) => { resolve = _resolve })
--- a/net/system-env/src/listenAt.ts
+++ b/net/system-env/src/listenAt.ts
@@ -5,6 +5,9 @@
 export async function listenAt (server: Server, address: string): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen(splitAddress(address), resolve)
+    server.listen(splitAddress(address), () => {
+      server.off('error', reject)
+      resolve()
+    })
   })
 }
--- /dev/null
+++ b/net/system-env/test/connectionGuard.ts
@@ -0,0 +1,95 @@
+import { once } from 'node:events'
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import { connect, type Socket } from 'node:net'
+import { ConnectionGuard, descriptorShares, listenAt } from '@reelspan/net.system-env'
+import test, { type ExecutionContext } from 'ava'
+
+const MAX_CONNECTIONS = 10
+
+/** A server that answers when the test says so. */
+async function startServer (t: ExecutionContext) {
+  const answers: (() => void)[] = []
+  const told: boolean[] = []
+  const server = createServer((_, response: ServerResponse) => {
+    answers.push(() => response.end('done'))
+  })
+  const guard = new ConnectionGuard(server, { maxConnections: MAX_CONNECTIONS, onFull: (full) => told.push(full) })
+  await listenAt(server, '127.0.0.1:0')
+  const sockets: Socket[] = []
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy())
+    server.close()
+  })
+  /** Opens a connection with a request on it. */
+  const ask = async (): Promise<Socket> => {
+    const socket = connect((server.address() as { port: number }).port, '127.0.0.1')
+    socket.on('error', () => {})
+    sockets.push(socket)
+    const arrived = once(server, 'request')
+    socket.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    await arrived
+    return socket
+  }
+  return { server, guard, ask, answers, told }
+}
+
+async function closeOf (server: Server, socket: Socket): Promise<void> {
+  const closed = once(socket, 'close')
+  socket.destroy()
+  await closed
+  while (await connectionsOf(server) >= MAX_CONNECTIONS) await new Promise((resolve) => setImmediate(resolve))
+}
+
+function connectionsOf (server: Server): Promise<number> {
+  return new Promise((resolve, reject) => server.getConnections((error, count) => error ? reject(error) : resolve(count)))
+}
+
+test('a server that has as many connections as it may says that it takes none, until there is room again', async (t) => {
+  const { server, guard, ask, told } = await startServer(t)
+  t.true(guard.takesConnections)
+  const sockets: Socket[] = []
+  for (let i = 0; i < MAX_CONNECTIONS; i++) sockets.push(await ask())
+  t.false(guard.takesConnections)
+  await closeOf(server, sockets[0])
+  // One free place is not enough, so that it does not go to and fro.
+  t.false(guard.takesConnections)
+  await closeOf(server, sockets[1])
+  await closeOf(server, sockets[2])
+  while (!guard.takesConnections) await new Promise((resolve) => setImmediate(resolve))
+  t.deepEqual(told, [true, false])
+})
+
+test('idle connections are closed first when it gets tight', async (t) => {
+  const { guard, ask, answers } = await startServer(t)
+  const idle = await ask()
+  const closed = once(idle, 'close')
+  answers[0]()
+  await once(idle, 'data')
+  const busy: Socket[] = []
+  for (let i = 1; i < MAX_CONNECTIONS; i++) busy.push(await ask())
+  await closed
+  t.true(busy.every((socket) => !socket.destroyed))
+  t.true(guard.takesConnections)
+})
+
+test('a listener that fails takes no connections, and does not end the process', async (t) => {
+  const { server, guard, ask } = await startServer(t)
+  const outOfDescriptors = Object.assign(new Error('accept EMFILE'), { code: 'EMFILE' })
+  server.emit('error', outOfDescriptors)
+  server.emit('error', outOfDescriptors)
+  t.false(guard.takesConnections)
+  await ask()
+  t.true(guard.takesConnections)
+})
+
+test('a server that does not listen takes no connections', async (t) => {
+  t.false(new ConnectionGuard(createServer(), { maxConnections: MAX_CONNECTIONS }).takesConnections)
+})
+
+test('all kinds of connections together leave some descriptors', (t) => {
+  for (const descriptors of [100, 824, 3900]) {
+    const { callers, lookups, peers, upstreams } = descriptorShares(descriptors)
+    t.true(callers + lookups + peers + upstreams <= 0.95 * descriptors)
+    t.true(Math.min(callers, lookups, peers, upstreams) >= Math.floor(0.1 * descriptors))
+  }
+})
