--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -127,6 +127,11 @@
     return this.#parts.fleet.value.upstream(name) !== undefined
   }
 
+  /** Connections of the upstream at an address that are this box's, where its pool declares how many it takes of all boxes. */
+  connectionShareAt (address: string): number | undefined {
+    return this.#parts.connectionShares.at(address)
+  }
+
   createKey (): string {
     return this.#parts.router.createKey()
   }
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -14,6 +14,7 @@
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { type FailureLog } from './failureLog.js'
 import { type PeerDispatch } from './peerDispatch.js'
+import { type ConnectionShares } from './connectionShares.js'
 import { type PlatformContactWatch } from './platformContactWatch.js'
 import { type RequestRouter } from './requestRouter.js'
 import { type ResourceApi } from './resourceApi.js'
@@ -33,6 +34,7 @@
   /** Whether this box watches the platform for its zone. */
   watcherRole: WatcherRole
   platformContact: PlatformContactWatch
+  connectionShares: ConnectionShares
   followers: Record<Collection, ConfigFollower>
   prober: Prober
   records: RecordStore
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -11,6 +11,7 @@
 import { Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { type BoxParts, environmentOf, listedPeers } from './boxParts.js'
+import { ConnectionShares } from './connectionShares.js'
 import { createContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
 import { createPlacer } from './createPlacer.js'
 import { drawIncarnation } from './drawIncarnation.js'
@@ -37,6 +38,7 @@
     fleet: asFunction(createFleet).singleton(),
     watcherRole: asFunction(createWatcherRole).singleton(),
     platformContact: asFunction(createContact).singleton(),
+    connectionShares: asFunction(createConnectionShares).singleton(),
     followers: asFunction(createFollowers).singleton(),
     prober: asFunction(createProber).singleton(),
     records: asFunction(createRecords).singleton(),
@@ -125,6 +127,15 @@
   })
 }
 
+function createConnectionShares ({ declarations, fleet, fleetList, view }: BoxParts): ConnectionShares {
+  return new ConnectionShares({
+    configuration: () => declarations.value,
+    fleet: () => fleet.value,
+    fleetRevision: () => fleetList.revision,
+    boxCount: () => view.takingWork().length,
+  })
+}
+
 function createRelay (parts: BoxParts): Relay | undefined {
   const { clock, random, relayClient, placer, settings, view, declarations, fleetList, fleet, log, metrics } = parts
   if (!relayClient) return undefined
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -34,6 +34,7 @@
     listenAddress: listen.peerAddress,
     maxMessageBytes: MAX_PEER_MESSAGE_BYTES,
     idleCloseMs: IDLE_CLOSE_MS,
+    maxConnections: limits.peerConnections,
     onSilentConnection: (address, sinceMs) => boxLog.warn(LogEvent.ConnectionSilent, { peer: address, silentMs: Math.round(clock.nowMs() - sinceMs) }),
   })
   const box = createBox({
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -3,6 +3,7 @@
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError } from '@reelspan/core.error'
 import { type AnswerEvent, AnswerEventKind, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
+import { ConnectionGuard } from '@reelspan/net.system-env'
 import Koa, { type Context } from 'koa'
 import { answerStreamed, answerWhole } from './answerCompletion.js'
 import { Header } from './headers.js'
@@ -34,7 +35,8 @@
   app.silent = true
   app.use(async (ctx) => {
     try {
-      await serve(ctx, opts)
+      if (ctx.method === 'GET' && ctx.path === '/healthz') answerHealth(ctx, opts.box.ready && guard.takesConnections)
+      else await serve(ctx, opts)
     } catch (thrown) {
       answerError(ctx, toReelspanError(thrown))
     }
@@ -45,17 +47,17 @@
     requestTimeout: opts.requestReadMs,
     connectionsCheckingInterval: Math.max(100, opts.requestReadMs / 4),
   }, app.callback())
-  server.maxConnections = opts.connections
+  const guard = new ConnectionGuard(server, { maxConnections: opts.connections })
   return server
 }
 
+function answerHealth (ctx: Context, ready: boolean): void {
+  ctx.status = ready ? 200 : 503
+  ctx.body = { ready }
+}
+
 async function serve (ctx: Context, opts: CallerServerOptions): Promise<void> {
   const { box } = opts
-  if (ctx.method === 'GET' && ctx.path === '/healthz') {
-    ctx.status = box.ready ? 200 : 503
-    ctx.body = { ready: box.ready }
-    return
-  }
   if (!box.ready) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
   const [, key] = REQUEST_PATH.exec(ctx.path) ?? []
   if (ctx.method === 'GET' && ctx.path === '/v1/lookup') return serveLookup(ctx, opts)
--- a/net/http-front/test/callerServer.ts
+++ b/net/http-front/test/callerServer.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import { type AddressInfo } from 'node:net'
 import { checkResources } from '@reelspan/config.resources'
@@ -18,6 +19,7 @@
   slowCallerMs?: number
   bodyBytes?: number
   requestReadMs?: number
+  connections?: number
 }
 
 async function startServer (t: ExecutionContext, { events = [...TOKENS, FINISHED], over, ...limits }: ServerOptions = {}) {
@@ -202,3 +204,12 @@
   const promise = new Promise<void>((_resolve) => { resolve = _resolve })
   return { promise, resolve }
 }
+
+test('a server that has as many connections as it may says that it is not ready', async (t) => {
+  const { url, port } = await startServer(t, { connections: 10 })
+  t.is((await fetch(`${url}/healthz`, { headers: { connection: 'close' } })).status, 200)
+  const sockets = Array.from({ length: 9 }, () => connect(port, '127.0.0.1'))
+  t.teardown(() => sockets.forEach((socket) => socket.destroy()))
+  await Promise.all(sockets.map((socket) => once(socket, 'connect')))
+  t.is((await fetch(`${url}/healthz`)).status, 503)
+})
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -20,6 +20,8 @@
   DependencyRegained = 'dependencyRegained',
   /** A connection to another box brought nothing any more, while a new one works. */
   ConnectionSilent = 'connectionSilent',
+  /** A server has as many connections as it may, or has room again. */
+  ConnectionsFull = 'connectionsFull',
   EntriesKept = 'entriesKept',
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
