--- a/net/http-exchange/test/silentConnections.ts
+++ b/net/http-exchange/test/silentConnections.ts
@@ -11,6 +11,9 @@
 /** Longer than a kept connection may say nothing before others of its upstream are doubted. */
 const GIVEN_UP_AFTER_MS = 400
 
+/** For exchanges that are answered at once, unless they are lost. */
+const LOST_AFTER_MS = 10_000
+
 /** An upstream behind a proxy, and a pool. Answers all that wait once `together` requests have come. */
 async function startUpstream (t: ExecutionContext, { keepAliveS = 60, clock = new SystemClock() } = {}) {
   const upstream = { address: '', served: 0, connections: 0, together: 1 }
@@ -34,7 +37,7 @@
     server.close()
   })
   const ask = async (opts: Partial<ExchangeOptions> = {}) => {
-    const { body } = await pool.exchange(proxy.address, GET, { signal: new AbortController().signal, ...opts })
+    const { body } = await pool.exchange(proxy.address, GET, { signal: AbortSignal.timeout(LOST_AFTER_MS), ...opts })
     for await (const bytes of body) void bytes
   }
   /** Leaves so many kept connections. */
