--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Whether the next exchange with an upstream would be on a kept connection. */
+  hasKept (address: string): boolean {
+    return (this.#idle.get(address) ?? []).some((connection) => this.#isFresh(connection))
+  }
+
   close (): void {
     this.#open.forEach((connection) => connection.close())
   }
