feat(utils.bench): the bench counts what is served on the first try

The bench counted a request that was refused, came back and was then in time like any other. A column of its own tells those served in time on their first try; the one for all stays.

--- a/__utils__/bench/src/bench.ts
+++ b/__utils__/bench/src/bench.ts
@@ -178,6 +178,7 @@
     load: String(load),
     condition,
     'good/s': (summary.good / seconds).toFixed(1),
+    'first try/s': (summary.goodAtFirst / seconds).toFixed(1),
     'of bound': (summary.good / bound).toFixed(2),
     sent: String(summary.sent),
     finished: String(summary.finished),
--- a/__utils__/bench/src/summarize.ts
+++ b/__utils__/bench/src/summarize.ts
@@ -14,8 +14,10 @@
   mayHaveRun: number
   /** Finished answers that were not whole or not the caller's. Must be 0. */
   wrong: number
-  /** Requests within both latency targets. */
+  /** Requests within both latency targets, counted from their last try. */
   good: number
+  /** Those of them that were served on their first try. */
+  goodAtFirst: number
   ttftP50Ms: number
   ttftP95Ms: number
   tbtP50Ms: number
@@ -39,6 +41,7 @@
     mayHaveRun: outcomes.length - finished.length - refused.length,
     wrong: finished.filter(({ whole }) => !whole).length,
     good: outcomes.filter((outcome) => isGood(outcome, targets)).length,
+    goodAtFirst: outcomes.filter((outcome) => outcome.returns === 0 && isGood(outcome, targets)).length,
     ttftP50Ms: percentile(ttfts, 50),
     ttftP95Ms: percentile(ttfts, 95),
     tbtP50Ms: percentile(tbts, 50),
