fix(request.relay): a prompt is not read for an answer that cannot be whole in time

Cause: the time for which a first token was of use was bounded by the caller's deadline alone. A stream that broke off, or a request tried again after an engine was lost, had its prompt read anew even when the rest of the answer would take longer than its caller waits. A stream that had begun was also given the patience for one that had not, less or more than what it needs.

Change: the time of use ends where the tokens that are missing, by the caller's own estimate and at the engine's least step, would end after the deadline. Only requests that give an estimate are bounded so: the longest answer is no estimate. It holds for the first try too.

Ruled out: the usual share of the longest answer as an estimate.

Test: 'a prompt is read again only for an answer that can still be whole in time' failed before (patience of 2700 ms in place of 400).

What is left: a stream that has begun and is refused asks again every 100 ms until its caller leaves; ending it earlier is not part of this change.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -23,7 +23,7 @@
 const PREFILL_PATIENCE_MS = 300
 /** A stream that another engine could go on with is given up after this many targets for the time between events. */
 const DECODE_PATIENCE = 2
-/** Callers give a stream up that has not begun after some four latency targets. */
+/** Callers give a stream up that has not begun after four latency targets; the last of them is for the way, and for what an estimate misses. */
 const PATIENCE_TARGETS = 3
 const FIRST_SERVER_ERROR = 500
 /** Waits between tries to continue an answer that has begun. */
@@ -115,6 +115,8 @@
     const { opts, run, route, request, caller, health } = this.#context
     const { promptTokens, maxTokens, prefixes } = this.#prompt
     const doneTokens = this.#progress.events * this.#tokensPerEvent()
+    // The prompt is not read, or read again, when the answer could not be whole in time.
+    const usefulMs = run.leftMs - this.#leastRestMs(doneTokens)
     const { peerAddress, incarnation } = opts.standing()
     const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${attempt}`, maxHoldMs: run.leftMs }
     return {
@@ -127,14 +129,20 @@
       promptTokens: promptTokens + doneTokens,
       prefixes: [...prefixes],
       maxTokens: Math.max(1, maxTokens - doneTokens),
-      ttftLeftMs: caller.begun ? CONTINUE_WITHIN_MS : route.spec.ttftTargetMs - run.elapsedMs,
-      patienceMs: Math.min(run.leftMs, PATIENCE_TARGETS * route.spec.ttftTargetMs - run.elapsedMs),
+      ttftLeftMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : route.spec.ttftTargetMs - run.elapsedMs),
+      patienceMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : PATIENCE_TARGETS * route.spec.ttftTargetMs - run.elapsedMs),
       tbtTargetMs: route.spec.tbtTargetMs,
       deadlineMs: run.leftMs,
       avoid: [...this.#failed, ...health.suspects()],
     }
   }
 
+  /** The least time for the tokens that are missing, by the caller's own estimate of the answer. */
+  #leastRestMs (doneTokens: number): number {
+    const stepMs = this.#context.opts.configuration().model(this.#model)?.decodeStepBaseMs ?? 0
+    return Math.max(0, (this.#prompt.expectedTokens ?? 0) - doneTokens) * stepMs
+  }
+
   async #carryOutPlaced (placement: Placement, times: AnswerTimes): Promise<void> {
     const { opts, run } = this.#context
     const { plan } = placement
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -276,6 +276,18 @@
   t.not(upstreams.runs[1].instance, upstreams.runs[0].instance)
 })
 
+test('a prompt is read again only for an answer that can still be whole in time', async (t) => {
+  const { clock, relay, placer } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\n']), answers(200, 'id: 1\ndata: b\n\n')])
+  const request = requestTo('/reply/1')
+  // The model takes at least 4 ms a token, and the route's time is 10,000 ms.
+  const prompt = { ...request.prompt, model: 'm', promptTokens: 1000, maxTokens: 4000, prefixes: [], expectedTokens: 2400 }
+  await clock.run(relay.relay({ ...request, prompt }, new RecordingCaller()))
+  const [first, again] = placer.asked
+  t.true(first.patienceMs !== undefined && first.patienceMs <= 400, `${first.patienceMs} ms`)
+  t.true(again.ttftLeftMs <= 400 + 4, `${again.ttftLeftMs} ms`)
+  t.true(again.patienceMs !== undefined && again.patienceMs <= 400 + 4, `${again.patienceMs} ms`)
+})
+
 test('an answer that may not be resumed is cut where it broke off', async (t) => {
   const { clock, relay, upstreams } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\nid: 1\nda'])])
   const caller = new RecordingCaller()
