fix(request.relay): only a further try is bounded by the caller's estimate

Callers' estimates are right at the median only, and nothing kept them within the longest answer.

Change: the estimate bounds a prompt that is read once more, and not beyond the longest answer.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -115,8 +115,8 @@
     const { opts, run, route, request, caller, health } = this.#context
     const { promptTokens, maxTokens, prefixes } = this.#prompt
     const doneTokens = this.#progress.events * this.#tokensPerEvent()
-    // The prompt is not read, or read again, when the answer could not be whole in time.
-    const usefulMs = run.leftMs - this.#leastRestMs(doneTokens)
+    // The prompt is not read once more when the answer could not be whole in time. A first try is never refused for an estimate.
+    const usefulMs = attempt > 1 ? run.leftMs - this.#leastRestMs(doneTokens) : run.leftMs
     const { peerAddress, incarnation } = opts.standing()
     const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${attempt}`, maxHoldMs: run.leftMs }
     return {
@@ -140,7 +140,8 @@
   /** The least time for the tokens that are missing, by the caller's own estimate of the answer. */
   #leastRestMs (doneTokens: number): number {
     const stepMs = this.#context.opts.configuration().model(this.#model)?.decodeStepBaseMs ?? 0
-    return Math.max(0, (this.#prompt.expectedTokens ?? 0) - doneTokens) * stepMs
+    const { maxTokens, expectedTokens = 0 } = this.#prompt
+    return Math.max(0, Math.min(expectedTokens, maxTokens) - doneTokens) * stepMs
   }
 
   async #carryOutPlaced (placement: Placement, times: AnswerTimes): Promise<void> {
