feat(scheduling.scheduler): a request that cannot be served in time is refused when that is known

Cause: refusals followed windows of an earlier accounting. For 200 ms a request could be refused for too many before it; after that it was held until its answer was of no use. Everything that had come earlier counted as before a request, also what was late already or less urgent and would go behind it. Who came back went before those that could still be in time, with a fresh target, though worth counts from the first try. A lost engine was noticed up to 10 ms later, and times to return went beyond what callers honour.

Change: one pure function, decideAdmission, says of each waiting request whether it is kept in time, kept late or refused, on arrival and at each change; its figures are logged (admissionDecided). decideQueue goes through the queue in the order in which it is placed. Time counts from the first arrival. Promised returns wait a quarter of their time of use for a place that nobody in time needs, then go first. Retry-After follows the queue, or is the latest time that the caller honours; no promise beyond it. The rate of places is counted while requests wait.

Tests: 'what has too many before it is refused early' counted two late requests as before a newcomer, which in truth went first; it is replaced by one in which as many can be in time, and now asks for a refusal on arrival.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -226,9 +226,9 @@
   },
   {
     name: 'what would be late is refused at once',
-    file: 'scheduling/scheduler/src/shardScheduler.ts',
-    find: 'if (earliestMs + waiting.handoverMs <= waiting.uselessAtMs) waitingMs',
-    replace: 'if (earliestMs + waiting.handoverMs <= waiting.uselessAtMs + 60_000) waitingMs',
+    file: 'scheduling/scheduler/src/decideAdmission.ts',
+    find: 'if (leastMs > usefulLeftMs) return',
+    replace: 'if (leastMs > usefulLeftMs + 60_000) return',
     tests: [SCHEDULER],
   },
   {
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -4,9 +4,9 @@
 import { type HoldLabel } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
-import { ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { type AdmissionDecision, type AdmissionInputs, ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { deriveShards, schedulerOf, type Shard } from '@reelspan/scheduling.shards'
-import { LogEvent } from '@reelspan/telemetry.log'
+import { LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { HoldSweeper } from '@reelspan/upstream.holds'
 import { OrderRight } from '@reelspan/upstream.orders'
 import { type BoxEnvironment } from './boxEnvironment.js'
@@ -149,6 +149,7 @@
       onUnreachable,
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
+      onAdmission: (attempt, inputs, decision) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...admissionFields(inputs, decision) }),
     })
   }
 
@@ -172,3 +173,23 @@
     })
   }
 }
+
+/** What a decision to keep or refuse a waiting request was made from. */
+function admissionFields (inputs: AdmissionInputs, { outcome, estimateMs, errorMs }: AdmissionDecision): LogFields {
+  const { aheadInTime, aheadLate, aheadDue, msPerPlace, msPerArrival, inTimeLeftMs, usefulLeftMs, returned, promised, kept } = inputs
+  return {
+    outcome,
+    estimateMs: Number.isFinite(estimateMs) ? Math.round(estimateMs) : undefined,
+    errorMs: Math.round(errorMs),
+    aheadInTime,
+    aheadLate,
+    aheadDue,
+    msPerPlace: Math.round(msPerPlace),
+    msPerArrival: msPerArrival && Math.round(msPerArrival),
+    inTimeLeftMs: Math.round(inTimeLeftMs),
+    usefulLeftMs: Math.round(usefulLeftMs),
+    returned,
+    promised,
+    kept,
+  }
+}
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -123,18 +123,20 @@
   }
 
   /**
-   * Priority first; then those that can still be in time; then those who were
-   * asked to return; then clients that are not ahead of their share; then in
-   * order of arrival, where less work makes up for having come later.
+   * Priority first; then those whose promise is due; then those that can still be
+   * in time; then others that were promised a place; then clients that are not
+   * ahead of their share; then in order of their first arrival, where less work
+   * makes up for having come later.
    */
   #inOrder (candidates: Candidate[], nowMs: number): Candidate[] {
     if (candidates.length <= 1) return candidates
     const rank = ({ waiting, ready, costMs }: Candidate) => [
       -waiting.request.priority,
+      waiting.promiseDueAtMs !== undefined && nowMs >= waiting.promiseDueAtMs ? 0 : 1,
       ready.freeAtMs + costMs + waiting.handoverMs <= waiting.lateAtMs ? 0 : 1,
-      waiting.returned ? 0 : 1,
+      waiting.promiseDueAtMs !== undefined ? 0 : 1,
       this.#shares.isAhead(waiting.request.client, nowMs) ? 1 : 0,
-      waiting.arrivedAtMs + costMs,
+      waiting.firstArrivedAtMs + costMs,
     ]
     return candidates
       .map((candidate) => ({ candidate, rank: rank(candidate) }))
--- a/scheduling/scheduler/src/placementRate.ts
+++ b/scheduling/scheduler/src/placementRate.ts
@@ -1,17 +1,30 @@
-/** Placements are counted over this time. */
+import { RecentEvents } from './recentEvents.js'
+
+/** Placements and arrivals are counted over this time: some tens of them on a busy shard, and a burst shows within it. */
 const WINDOW_MS = 2000
-/** Fewer placements than this in the window say nothing. */
+/** Fewer placements than this say little, unless requests waited for the whole window. */
 const FEWEST = 3
 
-/** How fast places become free: the rate of late placements, as long as requests wait for them. */
+/** A rate that was known when a queue emptied says something of the next queue for this long: bursts come some seconds apart. */
+const MEMORY_MS = 10_000
+/** Standard error of what is remembered or nearly uncounted. */
+const MOST_ERROR = 0.5
+
+/** How fast places become free while requests wait for them, and how fast new requests come. */
 export class PlacementRate {
-  #placedAtMs: number[] = []
+  readonly #placed = new RecentEvents(WINDOW_MS)
+  readonly #arrived = new RecentEvents(WINDOW_MS)
   #idleUntilMs = 0
+  #known?: { msPerPlace: number, atMs: number }
 
   /** A request was placed. */
   note (nowMs: number): void {
-    this.#placedAtMs.push(nowMs)
-    this.#forget(nowMs)
+    this.#placed.note(nowMs)
+  }
+
+  /** A request came for the first time. */
+  noteArrival (nowMs: number): void {
+    this.#arrived.note(nowMs)
   }
 
   /** Nothing waits: placements are as fast as requests come and say nothing of the engines. */
@@ -19,15 +32,36 @@
     this.#idleUntilMs = nowMs
   }
 
-  /** Time from one free place to the next, or nothing when it is not known. */
-  msPerPlace (nowMs: number): number | undefined {
-    this.#forget(nowMs)
-    const sinceMs = Math.max(this.#idleUntilMs, nowMs - WINDOW_MS)
-    const count = this.#placedAtMs.filter((atMs) => atMs > sinceMs).length
-    return count < FEWEST ? undefined : (nowMs - sinceMs) / count
+  /** Time from one free place to the next. At the start of a first queue nothing is known, and it is 0. */
+  msPerPlace (nowMs: number): number {
+    const sinceMs = this.#waitingSinceMs(nowMs)
+    const waitedMs = nowMs - sinceMs
+    const count = this.#placed.countSince(sinceMs, nowMs)
+    if (count < FEWEST && waitedMs < WINDOW_MS) return this.#remembered(waitedMs / (count + 1), nowMs)
+    const msPerPlace = waitedMs / Math.max(1, count)
+    this.#known = { msPerPlace, atMs: nowMs }
+    return msPerPlace
+  }
+
+  /** Time from one new request to the next, or nothing when it is not known. */
+  msPerArrival (nowMs: number): number | undefined {
+    const count = this.#arrived.countSince(nowMs - WINDOW_MS, nowMs)
+    return count < FEWEST ? undefined : WINDOW_MS / count
+  }
+
+  /** Standard error of the time per place, as a part of it: the fewer were counted, the larger. */
+  error (nowMs: number): number {
+    const count = this.#placed.countSince(this.#waitingSinceMs(nowMs), nowMs)
+    return count < FEWEST ? MOST_ERROR : Math.min(MOST_ERROR, 1 / Math.sqrt(count))
+  }
+
+  /** What was known of the last queue, unless places come more slowly than that already. */
+  #remembered (leastMs: number, nowMs: number): number {
+    const known = this.#known && nowMs - this.#known.atMs <= MEMORY_MS ? this.#known.msPerPlace : 0
+    return Math.max(known, leastMs)
   }
 
-  #forget (nowMs: number): void {
-    this.#placedAtMs = this.#placedAtMs.filter((atMs) => atMs > nowMs - WINDOW_MS)
+  #waitingSinceMs (nowMs: number): number {
+    return Math.max(this.#idleUntilMs, nowMs - WINDOW_MS)
   }
 }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -8,6 +8,8 @@
 import { UpstreamHealth } from '@reelspan/upstream.health'
 import { AnswerLengths } from './answerLengths.js'
 import { ClientShares } from './clientShares.js'
+import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, msPerLatePlace } from './decideAdmission.js'
+import { decideQueue, type QueueDecision } from './decideQueue.js'
 import { HANDOUT_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { PlacementRate } from './placementRate.js'
@@ -28,6 +30,8 @@
   /** An engine is left aside for a while, since owners say that it fails. */
   onSuspected?: (engine: string, forMs: number, failureShare: number) => void
   onTrusted?: (engine: string) => void
+  /** It was decided whether a request that is not placed at once is kept waiting, or the decision changed. */
+  onAdmission?: (requestId: string, inputs: AdmissionInputs, decision: AdmissionDecision) => void
 }
 
 export type AdoptedReservation = MessageOf<MessageType.AdoptReservations>['reservations'][number]
@@ -39,13 +43,17 @@
 /** A reservation outlives its request's deadline by this much. */
 const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
-/** A refusal is early, and costs its caller little, within this time; a quarter of the usual target for the first token. */
-const EARLY_REFUSAL_MS = 200
 /** Waiting requests are looked at again at least this often. */
 const MAX_SLEEP_MS = 10
-const RETURN_SHARE = 0.6
+/** Part of the places that is kept for those who return: they are late, so most is left to those who can be in time. */
+const RETURN_SHARE = 0.5
+/** Part of the time in which it is of use that a promised request waits for a place that nobody in time needs. */
+const PROMISE_DUE_SHARE = 0.25
+/** Engines report, and callers connect anew, within about this time: sooner, little has changed. */
 const RETURN_MIN_MS = 500
 const RETURN_MAX_MS = 30_000
+/** Callers honour a time to return for a third of the time that they have left; the refusal takes some of it to reach them. */
+const RETURN_HONOURED_SHARE = 0.3
 
 /** Places requests on one shard: holds them until an engine can begin at once, best use first, and refuses what would be late. */
 export class ShardScheduler {
@@ -59,7 +67,7 @@
   readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
   readonly #placesLimit: PlacesLimit
   readonly #chooser: PlacementChooser
-  readonly #calendar = new ReturnCalendar({ share: RETURN_SHARE, minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
+  readonly #calendar = new ReturnCalendar({ minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
   readonly #waiting = new WaitingQueue()
   readonly #health: UpstreamHealth
   #wake?: AbortController
@@ -92,15 +100,27 @@
     await this.#tasks.stop()
   }
 
-  /** Waits until the request can be placed, or until it is clear that it would be late. */
+  /** Waits until the request can be placed, or until it is clear that this will be too late. */
   reserve (request: ReserveRequest): Promise<PlacementAnswer> {
-    const { clock } = this.#opts
-    if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal(request, 'too many requests wait'))
-    const nowMs = clock.nowMs()
+    const nowMs = this.#opts.clock.nowMs()
+    const back = this.#calendar.due(request.returnId, nowMs)
+    const firstArrivedAtMs = back?.firstArrivedAtMs ?? nowMs
+    if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, 'too many requests wait'))
+    if (!back) this.#rate.noteArrival(nowMs)
+    const leftMs = request.ttftLeftMs - this.#ttftError.valueMs
+    const usefulMs = Math.min(Math.max(leftMs, request.patienceMs ?? 0), request.deadlineMs)
     return new Promise((resolve) => {
-      const lateAtMs = nowMs + request.ttftLeftMs - this.#ttftError.valueMs
-      const uselessAtMs = Math.max(lateAtMs, nowMs + (request.patienceMs ?? 0))
-      this.#waiting.add({ request, resolve, arrivedAtMs: nowMs, lateAtMs, uselessAtMs, returned: this.#calendar.isDue(request.returnId, nowMs), handoverMs: this.#estimator.handoverMs(request), costsMs: [] })
+      this.#waiting.add({
+        request,
+        resolve,
+        firstArrivedAtMs,
+        lateAtMs: firstArrivedAtMs + leftMs,
+        uselessAtMs: nowMs + usefulMs,
+        returned: back !== undefined,
+        promiseDueAtMs: back?.promised ? nowMs + PROMISE_DUE_SHARE * usefulMs : undefined,
+        handoverMs: this.#estimator.handoverMs(request),
+        costsMs: [],
+      })
       this.#pump()
     })
   }
@@ -158,6 +178,7 @@
   noteSilent (engine: string): void {
     this.ledger.noteSilent(engine)
     this.#opts.index.forgetEngine(engine)
+    this.#pump()
   }
 
   noteRemovals (engine: string, page: RemovalPage): void {
@@ -220,45 +241,42 @@
     this.ledger.expire(nowMs)
     if (this.#waiting.size === 0) return this.#rate.noteIdle(nowMs)
     this.#calendar.expire(nowMs)
-    const waitingMs = this.#refuseUseless(nowMs)
+    const waitingMs = this.#waitingWorkMs(nowMs)
     const next = () => this.#chooser.choose(this.#waiting.all(), waitingMs, nowMs)
     for (let choice = next(); choice; choice = next()) this.#commit(choice.waiting, choice.estimate, nowMs)
-    this.#refuseHopeless(nowMs)
+    this.#decideAll(nowMs)
+    if (this.#waiting.size === 0) this.#rate.noteIdle(nowMs)
     this.#sleepUntilNext(nowMs)
   }
 
-  /** Refuses, at once, each request that no engine could serve any more while that is of use. Answers with the least prefill work that is left. */
-  #refuseUseless (nowMs: number): number {
+  /** Least prefill work of all that wait. */
+  #waitingWorkMs (nowMs: number): number {
     const engines = this.#chooser.readyEngines(nowMs)
-    let waitingMs = 0
-    this.#waiting.all().forEach((waiting) => {
-      let earliestMs = engines.length > 0 ? Number.POSITIVE_INFINITY : nowMs
-      let leastMs = Number.POSITIVE_INFINITY
-      engines.forEach((ready) => {
-        const costMs = this.#chooser.costMs(waiting, ready, nowMs)
-        leastMs = Math.min(leastMs, costMs)
-        earliestMs = Math.min(earliestMs, ready.freeAtMs + costMs)
-      })
-      if (earliestMs + waiting.handoverMs <= waiting.uselessAtMs) waitingMs += engines.length > 0 ? leastMs : 0
-      else this.#answer(waiting, this.#refusal(waiting.request, engines.length > 0 ? 'the first token would be late' : 'no engine of the model takes work'))
-    })
-    return waitingMs
+    if (engines.length === 0) return 0
+    return this.#waiting.all().reduce((sum, waiting) => sum + Math.min(...engines.map((ready) => this.#chooser.costMs(waiting, ready, nowMs))), 0)
   }
 
-  /**
-   * Refuses, while that is early, requests that have too many before them to be
-   * in time: their callers come back when there is room. Who has come back, and
-   * who has waited for longer, waits on.
-   */
-  #refuseHopeless (nowMs: number): void {
-    const msPerPlace = this.#rate.msPerPlace(nowMs)
-    if (msPerPlace === undefined) return
-    this.#waiting.all().forEach((waiting, ahead) => {
-      const { arrivedAtMs, lateAtMs, returned, handoverMs, request } = waiting
-      if (returned || request.patienceMs === undefined || nowMs - arrivedAtMs > EARLY_REFUSAL_MS) return
-      const placedAtMs = nowMs + (ahead + 1) * msPerPlace
-      if (placedAtMs + handoverMs > lateAtMs) this.#answer(waiting, this.#refusal(request, `${ahead} requests wait before it, and a place becomes free every ${Math.round(msPerPlace)} ms`))
+  /** Decides anew of each request that waits whether it is kept. */
+  #decideAll (nowMs: number): void {
+    if (this.#waiting.size === 0) return
+    const engines = this.#chooser.readyEngines(nowMs)
+    const endOf = (waiting: WaitingRequest) => Math.min(...engines.map((ready) => ready.freeAtMs + this.#chooser.costMs(waiting, ready, nowMs)))
+    const decisions = decideQueue(this.#waiting.all(), {
+      nowMs,
+      msPerPlace: this.#rate.msPerPlace(nowMs),
+      msPerArrival: this.#rate.msPerArrival(nowMs),
+      rateError: this.#rate.error(nowMs),
+      leastMs: (waiting) => engines.length > 0 ? endOf(waiting) - nowMs + waiting.handoverMs : undefined,
+      isAhead: (client) => this.#shares.isAhead(client, nowMs),
+      promisesDueAtMs: this.#calendar.promisesDueAtMs(nowMs),
     })
+    decisions.forEach((decided) => this.#carryOut(decided))
+  }
+
+  #carryOut ({ waiting, inputs, decision }: QueueDecision): void {
+    if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision)
+    waiting.outcome = decision.outcome
+    if (decision.outcome === AdmissionOutcome.Refused) this.#answer(waiting, this.#refusal(waiting, decision.reason))
   }
 
   #commit (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
@@ -296,13 +314,20 @@
     waiting.resolve(answer)
   }
 
-  #refusal (request: ReserveRequest, reason: string): PlacementAnswer {
+  #refusal ({ request, firstArrivedAtMs }: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string): PlacementAnswer {
     const nowMs = this.#opts.clock.nowMs()
     const engines = this.#chooser.readyEngines(nowMs)
     const costsMs = engines.map(({ engine }) => this.#estimator.prefillCostMs(request, engine.name, nowMs))
     const prefillShareMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
-    const shardCostMs = Math.max(prefillShareMs, this.#rate.msPerPlace(nowMs) ?? 0)
-    const retryAfterMs = this.#calendar.book(request.returnId, shardCostMs, nowMs)
+    const rates = { msPerPlace: this.#rate.msPerPlace(nowMs), msPerArrival: this.#rate.msPerArrival(nowMs) }
+    const msPerPlaceLeft = Math.min(msPerLatePlace(rates, 0), rates.msPerPlace / RETURN_SHARE)
+    const retryAfterMs = this.#calendar.book({
+      returnId: request.returnId,
+      firstArrivedAtMs,
+      placeInMs: this.#waiting.size * msPerLatePlace(rates, 0),
+      costMs: Math.max(prefillShareMs, msPerPlaceLeft),
+      honouredMs: RETURN_HONOURED_SHARE * request.deadlineMs,
+    }, nowMs)
     return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: Math.round(retryAfterMs) }
   }
 
--- a/scheduling/scheduler/src/waitingQueue.ts
+++ b/scheduling/scheduler/src/waitingQueue.ts
@@ -1,10 +1,12 @@
 import { type HoldLabel, holdLabelKey, type PlacementAnswer, PlacementOutcome, type ReserveRequest } from '@reelspan/core.messages'
+import { type AdmissionOutcome } from './decideAdmission.js'
 
 /** A request that waits for its placement. */
 export interface WaitingRequest {
   request: ReserveRequest
   resolve: (answer: PlacementAnswer) => void
-  arrivedAtMs: number
+  /** When its caller first tried: before now, if it was refused and has come back when told to. */
+  firstArrivedAtMs: number
   /** A first token after this is late. */
   lateAtMs: number
   /** A first token after this is of no use. */
@@ -13,8 +15,12 @@
   handoverMs: number
   /** Prefill times by the engine's place in the shard, as far as they were needed. */
   costsMs: (number | undefined)[]
-  /** It came back when it was told to. */
+  /** It was refused before and came back when it was told to. */
   returned: boolean
+  /** It has come back for a place that it was promised: from then on it goes before those that can be in time. */
+  promiseDueAtMs?: number
+  /** What was last decided of it. */
+  outcome?: AdmissionOutcome
 }
 
 /** The requests that wait at a scheduler, in order of arrival. */
--- a/scheduling/scheduler/test/__utils__/createShard.ts
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -3,7 +3,7 @@
 import { type PrefixDigest } from '@reelspan/core.hashing'
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { createPrefixIndex, PrefixIndexKind } from '@reelspan/scheduling.prefix-index'
-import { ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { ShardScheduler, type ShardSchedulerOptions } from '@reelspan/scheduling.scheduler'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport, EngineRole } from '@reelspan/upstream.client'
 import { tuulDeclarations, VirtualClock } from '@reelspan/utils.fakes'
@@ -14,13 +14,14 @@
   places?: number
   route?: Partial<RouteSpec>
   onUnreachable?: (engine: string) => void
+  onAdmission?: ShardSchedulerOptions['onAdmission']
 }
 
 /** A scheduler of a small shard whose engines have reported. 1,000 uncached tokens take 130 ms. */
-export function createShard ({ prefill = 2, decode = 2, places = 20, route, onUnreachable }: TestShardOptions = {}) {
+export function createShard ({ prefill = 2, decode = 2, places = 20, route, onUnreachable, onAdmission }: TestShardOptions = {}) {
   const clock = new VirtualClock()
   const shard = shardOf(prefill, decode, places)
-  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000, onUnreachable })
+  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000, onUnreachable, onAdmission })
   shard.prefillEngines.forEach(({ name }) => scheduler.noteReport(name, reportOf(EngineRole.Prefill)))
   shard.decodeEngines.forEach(({ name }) => scheduler.noteReport(name, reportOf(EngineRole.Decode)))
   return { clock, scheduler, shard }
--- /dev/null
+++ b/scheduling/scheduler/test/decideAdmission.ts
@@ -0,0 +1,77 @@
+import { type AdmissionInputs, AdmissionOutcome, decideAdmission } from '@reelspan/scheduling.scheduler'
+import test from 'ava'
+import fc from 'fast-check'
+
+/** Nobody waits, and the engines are free. */
+const EMPTY: AdmissionInputs = { leastMs: 200, aheadInTime: 0, aheadLate: 0, aheadDue: 0, msPerPlace: 0, msPerArrival: undefined, rateError: 0.2, handoverMs: 100, inTimeLeftMs: 900, usefulLeftMs: 2700, returned: false, promised: false, kept: false }
+/** A place becomes free every 100 ms, and a quarter as many new requests come. */
+const BUSY: AdmissionInputs = { ...EMPTY, msPerPlace: 100, msPerArrival: 400 }
+
+function outcomeOf (over: Partial<AdmissionInputs>): AdmissionOutcome {
+  return decideAdmission({ ...BUSY, ...over }).outcome
+}
+
+test('a request that can be in time is kept', (t) => {
+  t.is(decideAdmission(EMPTY).outcome, AdmissionOutcome.InTime)
+  t.is(outcomeOf({ aheadInTime: 7, aheadLate: 50 }), AdmissionOutcome.InTime)
+})
+
+test('a request that can only be late is kept while a place for it is in sight', (t) => {
+  t.is(outcomeOf({ aheadInTime: 8 }), AdmissionOutcome.Late)
+  t.is(outcomeOf({ aheadInTime: 8, aheadLate: 10 }), AdmissionOutcome.Refused)
+})
+
+test('those who will come back for a promised place count as before it', (t) => {
+  t.is(outcomeOf({ aheadInTime: 4, aheadDue: 3 }), AdmissionOutcome.InTime)
+  t.is(outcomeOf({ aheadInTime: 4, aheadDue: 4 }), AdmissionOutcome.Late)
+})
+
+test('nothing is kept behind newcomers that take every place', (t) => {
+  t.is(outcomeOf({ aheadInTime: 8, msPerArrival: 100 }), AdmissionOutcome.Refused)
+})
+
+test('the error of the estimate counts against a newcomer, and for a request that has waited or come back', (t) => {
+  const close = { aheadInTime: 8, aheadLate: 5 }
+  t.is(outcomeOf(close), AdmissionOutcome.Refused)
+  t.is(outcomeOf({ ...close, kept: true }), AdmissionOutcome.Late)
+  t.is(outcomeOf({ ...close, returned: true }), AdmissionOutcome.Late)
+})
+
+test('a promise is kept as long as the answer is of use', (t) => {
+  t.is(outcomeOf({ promised: true, aheadInTime: 30 }), AdmissionOutcome.Late)
+  t.is(outcomeOf({ promised: true, leastMs: 2800 }), AdmissionOutcome.Refused)
+})
+
+test('without an engine nothing is kept', (t) => {
+  t.like(decideAdmission({ ...EMPTY, leastMs: undefined }), { outcome: AdmissionOutcome.Refused, reason: 'no engine of the model takes work' })
+})
+
+test('the reason of a refusal has its numbers', (t) => {
+  t.is(decideAdmission({ ...BUSY, aheadInTime: 8, msPerArrival: 91 }).reason, '8 requests wait before it, a place becomes free every 100 ms, and a request comes every 91 ms')
+})
+
+const ORDER = [AdmissionOutcome.InTime, AdmissionOutcome.Late, AdmissionOutcome.Refused]
+
+test('more requests before it, slower places or less time never make a decision better', (t) => {
+  const inputs = fc.record({
+    leastMs: fc.integer({ min: 1, max: 4000 }),
+    aheadInTime: fc.nat(60),
+    aheadLate: fc.nat(60),
+    aheadDue: fc.nat(20),
+    msPerPlace: fc.integer({ min: 1, max: 500 }),
+    msPerArrival: fc.option(fc.integer({ min: 1, max: 500 }), { nil: undefined }),
+    rateError: fc.double({ min: 0, max: 1, noNaN: true }),
+    handoverMs: fc.nat(300),
+    inTimeLeftMs: fc.integer({ min: -500, max: 900 }),
+    usefulLeftMs: fc.integer({ min: 900, max: 3000 }),
+    returned: fc.boolean(),
+    promised: fc.boolean(),
+    kept: fc.constant(false),
+  })
+  const worse = fc.record({ aheadInTime: fc.nat(10), aheadLate: fc.nat(10), msPerPlace: fc.nat(100), inTimeLeftMs: fc.nat(500).map((ms) => -ms), usefulLeftMs: fc.nat(500).map((ms) => -ms) })
+  fc.assert(fc.property(inputs, worse, (one, by) => {
+    const after = { ...one, ...Object.fromEntries(Object.entries(by).map(([key, change]) => [key, one[key as keyof typeof by] + change])) }
+    return ORDER.indexOf(decideAdmission(after).outcome) >= ORDER.indexOf(decideAdmission(one).outcome)
+  }), { seed: 17, numRuns: 2000 })
+  t.pass()
+})
--- a/scheduling/scheduler/test/shardScheduler.ts
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -1,5 +1,6 @@
 import { RouteObjective } from '@reelspan/config.resources'
 import { type PlacementAnswer, PlacementOutcome, UpstreamOutcome } from '@reelspan/core.messages'
+import { AdmissionOutcome } from '@reelspan/scheduling.scheduler'
 import { EngineRole, HoldKind } from '@reelspan/upstream.client'
 import test from 'ava'
 import { createShard, reportOf, requestOf, sharedPrefix } from './__utils__/createShard.js'
@@ -234,30 +235,71 @@
   t.true(factor > 1.5 && factor < 2.5, `factor ${factor}`)
 })
 
-test('what has too many before it is refused early, and who has come back is placed first', async (t) => {
-  const { clock, scheduler } = createShard({ prefill: 1, decode: 1, places: 2 })
-  const patient = (over = {}) => requestOf({ ttftLeftMs: 900, patienceMs: 2700, ...over })
+/** A scheduler of whose places one became free every 400 ms, and whose two places are taken again. */
+async function createBusyShard () {
+  const admissions: AdmissionOutcome[] = []
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 1, places: 2, onAdmission: (_, __, { outcome }) => admissions.push(outcome) })
   const placed: string[] = []
   const place = async (request: ReturnType<typeof requestOf>) => {
     const answer = await scheduler.reserve(request)
     if (answer.outcome === PlacementOutcome.Placed) placed.push(request.label.requestId)
     return answer
   }
-  const requests = Array.from({ length: 7 }, () => patient())
-  const labelOf = (requestId: string) => requests.find(({ label }) => label.requestId === requestId)?.label ?? requests[0].label
+  const requests = Array.from({ length: 7 }, () => patientRequest())
+  const releaseNext = (i: number) => scheduler.release(requests.find(({ label }) => label.requestId === placed[i])?.label ?? requests[0].label)
   requests.forEach((request) => { void place(request) })
-  // A place becomes free every 400 ms, as the scheduler learns.
   for (let i = 0; i < 3; i++) {
     await clock.advance(400)
-    scheduler.release(labelOf(placed[i]))
+    releaseNext(i)
   }
-  const late = patient()
+  while (scheduler.ledger.reservationCount < 2) await clock.run(place(patientRequest()))
+  await clock.advance(200)
+  return { clock, scheduler, place, placed, releaseNext, admissions }
+}
+
+function patientRequest (over = {}) {
+  return requestOf({ ttftLeftMs: 900, patienceMs: 2700, ...over })
+}
+
+test('what has too many before it is refused on arrival, and who has come back is placed first', async (t) => {
+  const { clock, place, releaseNext } = await createBusyShard()
+  for (let i = 0; i < 4; i++) void place(patientRequest())
+  const late = patientRequest()
   const beforeMs = clock.nowMs()
   const refusal = await clock.run(place(late))
   t.is(refusal.outcome, PlacementOutcome.Refused)
-  t.true(clock.nowMs() - beforeMs < 225)
+  t.is(clock.nowMs(), beforeMs)
   await clock.advance(refusal.outcome === PlacementOutcome.Refused ? refusal.retryAfterMs : 0)
-  const returned = place(patient({ returnId: late.returnId }))
-  scheduler.release(labelOf(placed[3]))
+  void place(patientRequest())
+  const returned = place(patientRequest({ returnId: late.returnId }))
+  releaseNext(3)
   t.is((await clock.run(returned)).outcome, PlacementOutcome.Placed)
 })
+
+test('a request is refused in the moment in which its engines are lost', async (t) => {
+  const { clock, scheduler, place } = await createBusyShard()
+  const waiting = place(patientRequest())
+  await clock.advance(30)
+  scheduler.noteSilent('p-1')
+  const lostAtMs = clock.nowMs()
+  const answer = await clock.run(waiting)
+  t.like(answer, { outcome: PlacementOutcome.Refused, reason: 'no engine of the model takes work' })
+  t.is(clock.nowMs(), lostAtMs)
+})
+
+test('a request whose queue comes to a standstill is not held until its answer is of no use', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 1, places: 1 })
+  await clock.run(scheduler.reserve(patientRequest()))
+  const startedAtMs = clock.nowMs()
+  const answer = await clock.run(scheduler.reserve(patientRequest()))
+  t.is(answer.outcome, PlacementOutcome.Refused)
+  t.true(clock.nowMs() - startedAtMs < 1900, `held for ${clock.nowMs() - startedAtMs} ms`)
+})
+
+test('each decision to keep or refuse a request is told once', async (t) => {
+  const { clock, place, admissions } = await createBusyShard()
+  admissions.length = 0
+  void place(patientRequest())
+  await clock.advance(50)
+  t.deepEqual(admissions, [AdmissionOutcome.InTime])
+})
--- /dev/null
+++ b/scheduling/scheduler/test/urgency.ts
@@ -0,0 +1,72 @@
+import { PlacementOutcome } from '@reelspan/core.messages'
+import test from 'ava'
+import fc from 'fast-check'
+import { createShard, requestOf } from './__utils__/createShard.js'
+
+/** A request of either kind at a moment; both kinds come as often and with the same sizes. */
+interface Arrival {
+  gapMs: number
+  promptTokens: number
+  urgentFirst: boolean
+}
+
+/** What became of the requests of one kind. */
+interface Tally {
+  sent: number
+  served: number
+  inTime: number
+}
+
+/** The difference that users take for equal: 5 in 100. */
+const TOLERANCE = 0.05
+const TTFT_TARGET_MS = 900
+/** Prefills of 1,000 tokens take this long on the test's shard. */
+const PREFILL_MS_PER_TOKEN = 0.13
+
+async function play (arrivals: readonly Arrival[], { streamMs, places, engineLostAt }: { streamMs: number, places: number, engineLostAt: number }): Promise<Record<'urgent' | 'other', Tally>> {
+  const { clock, scheduler } = createShard({ prefill: 2, decode: 2, places })
+  const tallies = { urgent: { sent: 0, served: 0, inTime: 0 }, other: { sent: 0, served: 0, inTime: 0 } }
+  const carryOut = async (kind: 'urgent' | 'other', promptTokens: number) => {
+    const tally = tallies[kind]
+    const firstAtMs = clock.nowMs()
+    tally.sent++
+    const request = requestOf({ promptTokens, priority: kind === 'urgent' ? 2 : 1, ttftLeftMs: TTFT_TARGET_MS, patienceMs: 3 * TTFT_TARGET_MS, deadlineMs: 14_000 })
+    for (const attempt of ['1', '2']) {
+      const label = { ...request.label, requestId: `${request.label.requestId}.${attempt}` }
+      const answer = await scheduler.reserve({ ...request, label })
+      if (answer.outcome === PlacementOutcome.Placed) {
+        tally.served++
+        if (clock.nowMs() + answer.expectedTtftMs - firstAtMs <= TTFT_TARGET_MS) tally.inTime++
+        await clock.sleep(promptTokens * PREFILL_MS_PER_TOKEN)
+        scheduler.prefilled(label)
+        await clock.sleep(streamMs)
+        scheduler.release(label)
+        return
+      }
+      await clock.sleep(answer.retryAfterMs)
+    }
+  }
+  const running: Promise<void>[] = []
+  for (const [i, { gapMs, promptTokens, urgentFirst }] of arrivals.entries()) {
+    await clock.advance(gapMs)
+    if (i === engineLostAt) scheduler.noteSilent('d-2')
+    running.push(...(urgentFirst ? ['urgent', 'other'] as const : ['other', 'urgent'] as const).map((kind) => carryOut(kind, promptTokens)))
+  }
+  await clock.run(Promise.all(running))
+  return tallies
+}
+
+test('an urgent kind of request is never served worse than a less urgent one of the same model, at any load and when engines are lost', async (t) => {
+  const arrival = fc.record({ gapMs: fc.integer({ min: 1, max: 160 }), promptTokens: fc.integer({ min: 200, max: 3000 }), urgentFirst: fc.boolean() })
+  const load = fc.record({
+    arrivals: fc.array(arrival, { minLength: 60, maxLength: 90 }),
+    streamMs: fc.integer({ min: 100, max: 1500 }),
+    places: fc.integer({ min: 1, max: 8 }),
+    engineLostAt: fc.nat(120),
+  })
+  await fc.assert(fc.asyncProperty(load, async ({ arrivals, ...opts }) => {
+    const { urgent, other } = await play(arrivals, opts)
+    return urgent.served / urgent.sent >= other.served / other.sent - TOLERANCE && urgent.inTime / urgent.sent >= other.inTime / other.sent - TOLERANCE
+  }), { seed: 27, numRuns: 40, endOnFailure: true })
+  t.pass()
+})
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -25,6 +25,7 @@
   EntriesKept = 'entriesKept',
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
+  AdmissionDecided = 'admissionDecided',
   RequestPlaced = 'requestPlaced',
   RequestSent = 'requestSent',
   RequestRetried = 'requestRetried',
