test(utils.soak): silent connections, series of faults, long streams, and bounds judged all the while

The soak injected one fault a box at a time, judged bounds only in a calm, and its streams lasted 60 ms, so that a planned stop had little to cut.

- The proxy silences open connections for good, both ways or one way each, and lets new ones through: to the store, to upstreams, and between boxes (what a box tells others is a proxy's address; it listens beside it).
A path may be cut either way.
What harmed what is noted, and judged afterwards, all the while: no new work at an upstream 2 s after it left, nothing for a caller that left, no request cut by planned work, configurations in force and not reverted.
The checks say how much they judged.

--- a/__utils__/platform-stand-ins/src/index.ts
+++ b/__utils__/platform-stand-ins/src/index.ts
@@ -6,4 +6,4 @@
 export type { BoxAddresses } from './samples.js'
 export { StandInStore } from './standInStore.js'
 export { HandleTable, Role, StandInUpstream } from './standInUpstream.js'
-export type { StandInUpstreamOptions, UpstreamRun } from './standInUpstream.js'
+export type { RequestShape, StandInUpstreamOptions, UpstreamArrival, UpstreamRun } from './standInUpstream.js'
--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -28,10 +28,16 @@
   failWith?: number
   /** Calls get no answer while this is set. */
   mute = false
+  /** Every answer is this late. */
+  delayMs = 0
   itemsPerPage = 2
 
   constructor () {
-    this.#server = createServer((message, response) => this.#serve(new URL(message.url ?? '/', 'http://store'), response))
+    this.#server = createServer((message, response) => {
+      const serve = () => this.#serve(new URL(message.url ?? '/', 'http://store'), response)
+      if (this.delayMs > 0) setTimeout(serve, this.delayMs)
+      else serve()
+    })
   }
 
   async start (): Promise<string> {
@@ -62,6 +68,10 @@
     this.#stale = { items: new Map(this.#items), revision: this.#revision }
   }
 
+  answerFreshReads (): void {
+    this.#stale = undefined
+  }
+
   forgetHistory (): void {
     this.#forgottenUpTo = this.#revision
     this.#history.length = 0
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -25,6 +25,22 @@
   resumedAfter?: number
 }
 
+/** A request that reached an upstream and was not turned away as another instance's, run or not. */
+export interface UpstreamArrival {
+  id: string
+  instance: string
+  /** On `performance.now()`. */
+  atMs: number
+}
+
+/** How much work a request is. */
+export interface RequestShape {
+  /** Events of a stream. */
+  events: number
+  /** Work of a call, or the pause between two events of a stream. */
+  workMs: number
+}
+
 /** Which prefill results are there to be taken, over all engines of a deployment. */
 export class HandleTable {
   readonly #held = new Set<string>()
@@ -48,6 +64,8 @@
   instance?: string
   /** Work of a call, or the pause between two events of a stream. */
   workMs?: number
+  /** The shape of some requests, by their ids. */
+  shapeOf?: (id: string) => RequestShape | undefined
   handles?: HandleTable
   /** How long a prefill result is kept. */
   handleLifeMs?: number
@@ -58,7 +76,7 @@
   port?: number
 }
 
-const TOKENS = 4
+const EVENTS = 4
 
 /** A small stand-in for one of the platform's upstreams: it reads prompts, streams tokens, or answers calls. */
 export class StandInUpstream {
@@ -68,6 +86,7 @@
   readonly #handles: HandleTable
   #nextHandle = 0
   readonly runs: UpstreamRun[] = []
+  readonly arrivals: UpstreamArrival[] = []
   address = ''
 
   constructor (role: Role, opts: StandInUpstreamOptions = {}) {
@@ -97,7 +116,9 @@
     this.address = `127.0.0.1:${(this.#server.address() as { port: number }).port}`
   }
 
+  /** Ends at once. What still runs is cut off by it. */
   stop (): void {
+    this.runs.filter(({ endedAtMs }) => endedAtMs === undefined).forEach((run) => { run.answerLost = true })
     this.#server.closeAllConnections()
     this.#server.close()
   }
@@ -115,6 +136,7 @@
     response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
     const expected = headers['x-reelspan-expect-instance']
     if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return refuse(response, 421)
+    this.arrivals.push({ id, instance: this.#opts.instance ?? '', atMs: performance.now() })
     if (this.#opts.refuses?.()) return refuse(response, 503)
     if (this.#role === Role.Prefill) return this.#prefill(headers, response)
     const source = String(headers['x-reelspan-kv-source'] ?? '').split('/').at(-1) ?? ''
@@ -131,7 +153,11 @@
     if (this.#role === Role.Service) await this.#call(id, response, losesAnswer)
     else await this.#stream(id, response, { from: run.resumedAfter === undefined ? 0 : run.resumedAfter + 1, losesAnswer })
     run.whole = response.writableEnded && !response.destroyed
-    run.endedAtMs = performance.now()
+    run.endedAtMs ??= performance.now()
+  }
+
+  #shapeOf (id: string): RequestShape {
+    return this.#opts.shapeOf?.(id) ?? { events: EVENTS, workMs: this.#opts.workMs ?? 0 }
   }
 
   #report (response: ServerResponse): void {
@@ -147,17 +173,19 @@
   }
 
   async #call (id: string, response: ServerResponse, losesAnswer: boolean): Promise<void> {
-    if (this.#opts.workMs) await sleep(this.#opts.workMs)
+    const { workMs } = this.#shapeOf(id)
+    if (workMs > 0) await sleep(workMs)
     if (losesAnswer) response.destroy()
     else response.end(`done ${id}`)
   }
 
   async #stream (id: string, response: ServerResponse, { from, losesAnswer }: { from: number, losesAnswer: boolean }): Promise<void> {
     response.writeHead(200, { 'Content-Type': 'text/event-stream' })
-    for (let i = from; i < TOKENS; i++) {
-      if (this.#opts.workMs) await sleep(this.#opts.workMs)
+    const { events, workMs } = this.#shapeOf(id)
+    for (let i = from; i < events; i++) {
+      if (workMs > 0) await sleep(workMs)
       if (response.destroyed) return
-      if (losesAnswer && i === TOKENS - 1) {
+      if (losesAnswer && i === events - 1) {
         response.destroy()
         return
       }
--- a/__utils__/soak/src/attempt.ts
+++ b/__utils__/soak/src/attempt.ts
@@ -18,14 +18,24 @@
   box: string
   sentAtMs: number
   deadlineMs: number
+  /** Events that its answer has, when it is a stream and not of the usual size. */
+  events?: number
   endedAtMs?: number
   status?: number
   body?: string
   retryAfter?: string
   /** The connection broke, or the client gave up. */
   error?: string
+  /** When the client closed the connection of its own, before the end. */
+  leftAtMs?: number
   /** The box, or the whole machine, stood still for a part of the time. */
   stoodStill?: boolean
-  /** Nothing but planned work went on, from some seconds before it to its end. */
-  calm?: boolean
+}
+
+export function isStream (kind: RouteKind): boolean {
+  return kind === RouteKind.Stream || kind === RouteKind.Resumable
+}
+
+export function mayRepeat (kind: RouteKind): boolean {
+  return kind === RouteKind.Repeatable || kind === RouteKind.Resumable
 }
--- a/__utils__/soak/src/checkHistory.ts
+++ b/__utils__/soak/src/checkHistory.ts
@@ -1,11 +1,11 @@
 import { type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
-import { type Attempt, RouteKind } from './attempt.js'
+import { type Attempt, isStream, mayRepeat } from './attempt.js'
 import { groupBy } from './groupBy.js'
 
 /** Statuses that promise that the request has not run and will not. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
 const OK = 200
-const EVENTS = [0, 1, 2, 3]
+const USUAL_EVENTS = 4
 /** After its deadline a client must have its answer within this time. */
 const ANSWER_SLACK_MS = 500
 
@@ -23,22 +23,20 @@
 }
 
 function problemsOf (attempt: Attempt, runs: readonly UpstreamRun[]): string[] {
-  const { kind, status, body = '', id, endedAtMs, sentAtMs, deadlineMs, error, calm, retryAfter, stoodStill } = attempt
+  const { kind, status, body = '', endedAtMs, sentAtMs, deadlineMs, error, retryAfter, stoodStill } = attempt
+  const whole = wholeBody(attempt)
   const problems: string[] = []
-  const mayRepeat = kind === RouteKind.Repeatable || kind === RouteKind.Resumable
-  if (!mayRepeat && runs.length > 1) problems.push(`ran ${runs.length} times`)
-  if (!mayRepeat && runs.length > 0 && NOT_RUN_STATUSES.includes(status ?? 0)) problems.push('was refused as not run, and ran')
-  if (status === OK && error === undefined && body !== wholeBody(kind, id)) problems.push(`got another body: ${JSON.stringify(body)}`)
-  if (status === OK && error !== undefined && !wholeBody(kind, id).startsWith(body)) problems.push(`got bytes that are not its own: ${JSON.stringify(body)}`)
+  if (!mayRepeat(kind) && runs.length > 1) problems.push(`ran ${runs.length} times`)
+  if (!mayRepeat(kind) && runs.length > 0 && NOT_RUN_STATUSES.includes(status ?? 0)) problems.push('was refused as not run, and ran')
+  if (status === OK && error === undefined && body !== whole) problems.push(`got another body: ${JSON.stringify(body)}`)
+  if (status === OK && error !== undefined && !whole.startsWith(body)) problems.push(`got bytes that are not its own: ${JSON.stringify(body)}`)
   if (status === OK && runs.length === 0) problems.push('got an answer and did not run')
   if (status === 503 && retryAfter === undefined) problems.push('was refused without a time to return')
   if (endedAtMs === undefined) problems.push('has no end')
   else if (!stoodStill && endedAtMs - sentAtMs > deadlineMs + ANSWER_SLACK_MS) problems.push(`ended after ${Math.round(endedAtMs - sentAtMs)} ms`)
-  if (calm && error !== undefined && runs.length > 0 && !runs.some(({ answerLost }) => answerLost)) problems.push(`was cut during planned work: ${error}`)
   return problems
 }
 
-function wholeBody (kind: RouteKind, id: string): string {
-  const isStream = kind === RouteKind.Stream || kind === RouteKind.Resumable
-  return isStream ? EVENTS.map((i) => `id: ${i}\ndata: ${id} ${i}\n\n`).join('') : `done ${id}`
+function wholeBody ({ kind, id, events = USUAL_EVENTS }: Attempt): string {
+  return isStream(kind) ? Array.from({ length: events }, (_, i) => `id: ${i}\ndata: ${id} ${i}\n\n`).join('') : `done ${id}`
 }
--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -1,8 +1,9 @@
 import { type SeededRandom } from '@reelspan/utils.fakes'
 import { askDirectory, requestHeaders } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
-import { type Attempt, RouteKind } from './attempt.js'
+import { type Attempt, isStream, RouteKind } from './attempt.js'
 import { drawOne } from './drawOne.js'
+import { drawShape, idOfShape } from './requestShape.js'
 import { type SoakBox } from './soakFleet.js'
 
 const PATHS: Record<RouteKind, string> = {
@@ -13,26 +14,35 @@
 }
 const CALL_DEADLINE_MS = 1200
 const STREAM_DEADLINE_MS = 5000
+/** Past the longest stream, with room for one that is taken up again. */
+const LONG_STREAM_DEADLINE_MS = 9000
 /** Clients give the connection up this long after their deadline. */
 const GIVE_UP_MS = 2000
+/** Part of the requests whose caller leaves before the end. */
+const LEAVING_SHARE = 0.12
+const LONGEST_STAY_MS = 1500
+/** How long addresses are used by clients that do not ask again when they were told to. */
+const HOLD_MS = 30_000
+
+export interface SoakClientOptions {
+  random: SeededRandom
+  boxes: readonly SoakBox[]
+  /** Uses addresses for long after they should be asked for again. */
+  holds: boolean
+}
 
 /** Sends attempts as the platform's clients do: asks a box which addresses to use, keeps the answer, and uses open connections until they close. */
 export class SoakClient {
   readonly attempts: Attempt[] = []
-  readonly #random: SeededRandom
-  readonly #boxes: readonly SoakBox[]
   readonly #name: string
-  /** Nothing but planned work goes on, and has for some time. */
-  readonly #isCalm: () => boolean
-  readonly #agent = new Agent({ connections: 4, pipelining: 1, connect: { timeout: 1000 } })
+  readonly #opts: SoakClientOptions
+  readonly #agent = new Agent({ connections: 4, pipelining: 1, keepAliveTimeout: HOLD_MS, connect: { timeout: 1000 } })
   #addresses: string[] = []
   #keptUntilMs = 0
 
-  constructor (name: string, opts: { random: SeededRandom, boxes: readonly SoakBox[], isCalm: () => boolean }) {
+  constructor (name: string, opts: SoakClientOptions) {
     this.#name = name
-    this.#random = opts.random
-    this.#boxes = opts.boxes
-    this.#isCalm = opts.isCalm
+    this.#opts = opts
   }
 
   async close (): Promise<void> {
@@ -41,30 +51,34 @@
 
   /** Sends one attempt of a random kind. Resolves with it when it has ended. */
   async send (): Promise<Attempt | undefined> {
-    const kind = drawOne(this.#random, Object.values(RouteKind))
+    const { random } = this.#opts
+    const kind = drawOne(random, Object.values(RouteKind))
+    const shape = drawShape(random, kind)
+    const stayMs = random.nextFloat() < LEAVING_SHARE ? random.nextFloat() * LONGEST_STAY_MS : undefined
     await this.#lookUp()
     if (this.#addresses.length === 0) return undefined
-    const box = drawOne(this.#random, this.#addresses)
-    const deadlineMs = kind === RouteKind.Stream || kind === RouteKind.Resumable ? STREAM_DEADLINE_MS : CALL_DEADLINE_MS
-    const attempt: Attempt = { id: `${this.#name}-${this.attempts.length}`, kind, box, sentAtMs: performance.now(), deadlineMs }
+    const box = drawOne(random, this.#addresses)
+    const streamDeadlineMs = shape ? LONG_STREAM_DEADLINE_MS : STREAM_DEADLINE_MS
+    const deadlineMs = isStream(kind) ? streamDeadlineMs : CALL_DEADLINE_MS
+    const id = idOfShape(`${this.#name}-${this.attempts.length}`, shape)
+    const attempt: Attempt = { id, kind, box, events: shape?.events, sentAtMs: performance.now(), deadlineMs }
     this.attempts.push(attempt)
-    const wasCalm = this.#isCalm()
-    await this.#exchange(attempt)
+    await this.#exchange(attempt, stayMs)
     attempt.endedAtMs = performance.now()
-    attempt.calm = wasCalm && this.#isCalm()
     return attempt
   }
 
-  async #exchange (attempt: Attempt): Promise<void> {
+  async #exchange (attempt: Attempt, stayMs?: number): Promise<void> {
     const { id, kind, box, deadlineMs } = attempt
-    const isStream = kind === RouteKind.Stream || kind === RouteKind.Resumable
+    const leave = new AbortController()
+    const leaving = stayMs === undefined ? undefined : setTimeout(() => leaveNow(attempt, leave), stayMs)
     try {
       const response = await request(`http://${box}${PATHS[kind]}`, {
         method: kind === RouteKind.Repeatable ? 'GET' : 'POST',
-        headers: requestHeaders(id, { deadlineMs, prompt: isStream ? Buffer.from(id).toString('hex') : undefined }),
+        headers: requestHeaders(id, { deadlineMs, prompt: isStream(kind) ? Buffer.from(id).toString('hex') : undefined }),
         body: kind === RouteKind.Repeatable ? undefined : 'brief',
         dispatcher: this.#agent,
-        signal: AbortSignal.timeout(deadlineMs + GIVE_UP_MS),
+        signal: AbortSignal.any([leave.signal, AbortSignal.timeout(deadlineMs + GIVE_UP_MS)]),
       })
       attempt.status = response.statusCode
       attempt.retryAfter = response.headers['retry-after'] as string | undefined
@@ -72,15 +86,22 @@
       for await (const bytes of response.body) attempt.body += String(bytes)
     } catch (thrown) {
       attempt.error = thrown instanceof Error ? `${thrown.name}: ${thrown.message}` : String(thrown)
+    } finally {
+      clearTimeout(leaving)
     }
   }
 
   async #lookUp (): Promise<void> {
     if (performance.now() < this.#keptUntilMs) return
-    const { addresses: { directory } } = drawOne(this.#random, this.#boxes)
+    const { addresses: { directory } } = drawOne(this.#opts.random, this.#opts.boxes)
     const answer = await askDirectory(directory, this.#agent)
     if (!answer) return
     this.#addresses = answer.addresses
-    this.#keptUntilMs = performance.now() + answer.keepMs
+    this.#keptUntilMs = performance.now() + (this.#opts.holds ? HOLD_MS : answer.keepMs)
   }
 }
+
+function leaveNow (attempt: Attempt, leave: AbortController): void {
+  attempt.leftAtMs = performance.now()
+  leave.abort()
+}
--- a/__utils__/soak/src/faultProxy.ts
+++ b/__utils__/soak/src/faultProxy.ts
@@ -8,22 +8,26 @@
   Silent = 'silent',
   /** Bytes towards the server pass, answers wait. */
   NoAnswers = 'noAnswers',
+  /** Answers pass, bytes towards the server wait. */
+  NoRequests = 'noRequests',
   /** Bytes are passed on late. */
   Slow = 'slow',
   /** Connections are reset, old and new. */
   Reset = 'reset',
 }
 
-/** Which way the bytes of silenced connections are lost. */
-export enum SilencedWay {
-  Both = 'both',
-  /** What the client sends does not arrive; answers do. */
+/** Which way a connection carries nothing any more. */
+export enum Silence {
+  BothWays = 'bothWays',
   ToServer = 'toServer',
-  /** The server gets everything, and its answers do not arrive. */
   ToClient = 'toClient',
 }
 
 const SLOW_MS = 150
+const HOLDS_REQUESTS = [PathFault.Silent, PathFault.NoRequests]
+const HOLDS_ANSWERS = [PathFault.Silent, PathFault.NoAnswers]
+const SILENT_TO_SERVER = [Silence.BothWays, Silence.ToServer]
+const SILENT_TO_CLIENT = [Silence.BothWays, Silence.ToClient]
 
 /** A TCP proxy on loopback that harms what passes through it. */
 export class FaultProxy {
@@ -39,10 +43,12 @@
     this.#server = createServer({ allowHalfOpen: true }, (client) => this.#accept(client))
   }
 
-  async start (): Promise<void> {
-    this.#server.listen(0, '127.0.0.1')
+  /** @param address where to listen; anywhere on loopback without */
+  async start (address = '127.0.0.1:0'): Promise<void> {
+    const [host, port] = address.split(':')
+    this.#server.listen(Number(port), host)
     await once(this.#server, 'listening')
-    this.address = `127.0.0.1:${(this.#server.address() as { port: number }).port}`
+    this.address = `${host}:${(this.#server.address() as { port: number }).port}`
   }
 
   get fault (): PathFault {
@@ -52,12 +58,14 @@
   set fault (fault: PathFault) {
     this.#fault = fault
     if (fault === PathFault.Reset) this.#paths.forEach((path) => path.reset())
-    this.#paths.forEach((path) => path.flush(fault))
+    this.#paths.forEach((path) => path.flush())
   }
 
-  /** Connections that stand now go silent for good, without a reset. New ones work. */
-  silenceEstablished (way: SilencedWay): void {
-    this.#paths.forEach((path) => path.silence(way))
+  /** Silences open connections for good, without an end or a reset. New ones are let through. Answers how many there were. */
+  silenceOpen (silence: Silence, isChosen: () => boolean = () => true): number {
+    const chosen = [...this.#paths].filter(isChosen)
+    chosen.forEach((path) => path.silence(silence))
+    return chosen.length
   }
 
   stop (): void {
@@ -86,21 +94,16 @@
   constructor (client: Socket, server: Socket, fault: () => PathFault, onGone: () => void) {
     this.#client = client
     this.#server = server
-    this.#toServer = new Direction(client, server, () => fault() === PathFault.Silent, () => fault() === PathFault.Slow)
-    this.#toClient = new Direction(server, client, () => fault() === PathFault.Silent || fault() === PathFault.NoAnswers, () => fault() === PathFault.Slow)
-    const gone = (direction: Direction) => {
-      // The other side does not hear of it either.
-      if (direction.silenced) return
-      onGone()
-      this.reset()
+    const isSlow = () => fault() === PathFault.Slow
+    this.#toServer = new Direction(client, server, { isHeld: () => HOLDS_REQUESTS.includes(fault()), isSlow })
+    this.#toClient = new Direction(server, client, { isHeld: () => HOLDS_ANSWERS.includes(fault()), isSlow })
+    const gone = ({ silent }: Direction) => () => {
+      // The other side of a silent connection hears nothing of this one's end.
+      if (!silent) this.reset()
+      if (client.destroyed && server.destroyed) onGone()
     }
-    client.on('error', () => gone(this.#toServer)).on('close', () => gone(this.#toServer))
-    server.on('error', () => gone(this.#toClient)).on('close', () => gone(this.#toClient))
-  }
-
-  silence (way: SilencedWay): void {
-    if (way !== SilencedWay.ToClient) this.#toServer.silence()
-    if (way !== SilencedWay.ToServer) this.#toClient.silence()
+    client.on('error', gone(this.#toServer)).on('close', gone(this.#toServer))
+    server.on('error', gone(this.#toClient)).on('close', gone(this.#toClient))
   }
 
   reset (): void {
@@ -111,24 +114,29 @@
     })
   }
 
-  flush (fault: PathFault): void {
-    if (fault !== PathFault.Silent) this.#toServer.flush()
-    if (fault !== PathFault.Silent && fault !== PathFault.NoAnswers) this.#toClient.flush()
+  silence (silence: Silence): void {
+    this.#toServer.silent ||= SILENT_TO_SERVER.includes(silence)
+    this.#toClient.silent ||= SILENT_TO_CLIENT.includes(silence)
+  }
+
+  flush (): void {
+    this.#toServer.flush()
+    this.#toClient.flush()
   }
 }
 
-/** Bytes, and the end, of one direction. What is held back comes later, in order. */
+/** Bytes, and the end, of one direction. What is held back comes later, in order; what comes into silence is lost. */
 class Direction {
   readonly #to: Socket
   readonly #isHeld: () => boolean
   #held: (Buffer | undefined)[] = []
-  #silenced = false
+  silent = false
 
-  constructor (from: Socket, to: Socket, isHeld: () => boolean, isSlow: () => boolean) {
+  constructor (from: Socket, to: Socket, { isHeld, isSlow }: { isHeld: () => boolean, isSlow: () => boolean }) {
     this.#to = to
     this.#isHeld = isHeld
     const take = (bytes?: Buffer) => {
-      if (this.#silenced) return
+      if (this.silent) return
       this.#held.push(bytes)
       if (isSlow()) setTimeout(() => this.flush(), SLOW_MS)
       else this.flush()
@@ -137,18 +145,8 @@
     from.on('end', () => take())
   }
 
-  get silenced (): boolean {
-    return this.#silenced
-  }
-
-  /** From now on everything is lost. */
-  silence (): void {
-    this.#silenced = true
-    this.#held = []
-  }
-
   flush (): void {
-    if (this.#isHeld() || this.#to.destroyed) return
+    if (this.silent || this.#isHeld() || this.#to.destroyed) return
     const ready = this.#held
     this.#held = []
     ready.forEach((bytes) => bytes ? this.#to.write(bytes) : this.#to.end())
--- a/__utils__/soak/src/index.ts
+++ b/__utils__/soak/src/index.ts
@@ -1,4 +1,7 @@
-export { FaultProxy, PathFault, SilencedWay } from './faultProxy.js'
+export { FaultProxy, PathFault, Silence } from './faultProxy.js'
+export { checkBounds } from './checkBounds.js'
+export type { BoundedHistory, BoundedVerdict, Departure, PlannedStop, Probe, Publication } from './checkBounds.js'
+export { EVERYTHING, HarmKind, HarmLog } from './harmLog.js'
 export { checkHistory } from './checkHistory.js'
 export { type Attempt, RouteKind } from './attempt.js'
 export { keepLogs } from './keepLogs.js'
--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -15,6 +15,7 @@
     --rounds N    Rounds of faults a seed, 1 without
     --boxes N     Boxes, 6 without
     --clients N   Clients, 12 without
+    --logs DIR    Where logs of failed seeds are kept, the folder for temporary files without
 `
 const KNOWN_SEEDS = new URL('../seeds.json', import.meta.url)
 const MOST_SHOWN = 20
@@ -33,6 +34,7 @@
       rounds: { type: 'number', default: 1 },
       boxes: { type: 'number', default: 6 },
       clients: { type: 'number', default: 12 },
+      logs: { type: 'string' },
     },
     allowUnknownFlags: false,
   })
@@ -44,7 +46,7 @@
     const seed = seeds[i] ?? first + i
     const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds })
     if (result.violations.length > 0) failed.push(seed)
-    await report(seed, result)
+    await report(seed, result, flags.logs)
   }
   console.log(failed.length > 0 ? `failed seeds: ${failed.join(', ')}` : 'no promise broken')
   return failed.length > 0 ? 1 : 0
@@ -56,10 +58,10 @@
   return known.map(({ seed }) => seed)
 }
 
-async function report (seed: number, result: SoakResult): Promise<void> {
-  const { attempts, outcomes, faults, violations, tookMs } = result
-  console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, ${faults.length} faults, ${violations.length} violations, took ${JSON.stringify(tookMs)} ms`)
+async function report (seed: number, result: SoakResult, logs?: string): Promise<void> {
+  const { attempts, outcomes, faults, violations, tookMs, judged, memory } = result
+  console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, ${faults.length} faults, ${violations.length} violations, judged ${JSON.stringify(judged)}, ${memory.processes} processes with ${memory.sharedOnceMb} MB, took ${JSON.stringify(tookMs)} ms`)
   if (violations.length === 0) return
   const shown = violations.length > MOST_SHOWN ? [...violations.slice(0, MOST_SHOWN), `and ${violations.length - MOST_SHOWN} more`] : violations
-  console.log([...shown, `faults: ${faults.join('; ')}`, `logs of the boxes: ${await keepLogs(seed, result)}`].map((line) => `  ${line}`).join('\n'))
+  console.log([...shown, `faults: ${faults.join('; ')}`, `logs of the boxes: ${await keepLogs(seed, result, logs)}`].map((line) => `  ${line}`).join('\n'))
 }
--- a/__utils__/soak/test/checkHistory.ts
+++ b/__utils__/soak/test/checkHistory.ts
@@ -42,6 +42,12 @@
   t.regex(checkHistory([stream], [runOf()])[0], /another body/)
 })
 
+test('a longer stream is whole with all its events, and not before', (t) => {
+  const body = 'id: 0\ndata: a 0\n\nid: 1\ndata: a 1\n\n'
+  t.deepEqual(checkHistory([attemptOf({ kind: RouteKind.Stream, events: 2, body })], [runOf()]), [])
+  t.regex(checkHistory([attemptOf({ kind: RouteKind.Stream, events: 3, body })], [runOf()])[0], /another body/)
+})
+
 test('a run that nobody asked for is found', (t) => {
   t.regex(checkHistory([], [runOf()])[0], /nobody sent it/)
 })
@@ -51,10 +57,3 @@
   t.deepEqual(checkHistory([attemptOf({ endedAtMs: 1600, stoodStill: true })], [runOf()]), [])
   t.regex(checkHistory([attemptOf({ endedAtMs: undefined, status: undefined, error: 'none' })], [])[0], /has no end/)
 })
-
-test('a request that planned work cuts is found, unless its upstream cut it', (t) => {
-  const cut = attemptOf({ status: undefined, body: undefined, error: 'reset', calm: true })
-  t.regex(checkHistory([cut], [runOf({ whole: false })])[0], /cut during planned work/)
-  t.deepEqual(checkHistory([cut], [runOf({ whole: false, answerLost: true })]), [])
-  t.deepEqual(checkHistory([cut], []), [], 'a connection that closed before the request was read')
-})
--- a/__utils__/soak/test/faultProxy.ts
+++ b/__utils__/soak/test/faultProxy.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events'
 import { createServer, Socket } from 'node:net'
-import { FaultProxy, PathFault, SilencedWay } from '@reelspan/utils.soak'
+import { FaultProxy, PathFault, Silence } from '@reelspan/utils.soak'
 import test, { type ExecutionContext } from 'ava'
 
 /** A server that sends back what it gets, behind a proxy, and a connection to it. */
@@ -95,18 +95,29 @@
   t.true(performance.now() - fromMs >= 290, 'on both ways')
 })
 
-for (const way of Object.values(SilencedWay)) {
-  test.serial(`a connection that is silenced (${way}) stays so without an end, and a new one works`, async (t) => {
+test.serial('a path that is cut towards the server keeps requests back, and answers no longer than that', async (t) => {
+  const { proxy, client } = await startEcho(t)
+  proxy.fault = PathFault.NoRequests
+  const answer = answerTo(client, 'one')
+  proxy.fault = PathFault.NoAnswers
+  proxy.fault = PathFault.None
+  t.is(await answer, 'one')
+})
+
+for (const silence of Object.values(Silence)) {
+  test.serial(`an open connection that is silent ${silence} stays so, without an end, while a new one works`, async (t) => {
     const { proxy, client } = await startEcho(t)
     t.is(await answerTo(client, 'one'), 'one')
-    proxy.silenceEstablished(way)
-    let heard = 0
-    client.on('data', () => { heard++ })
+    let heard = false
+    client.on('data', () => { heard = true })
+    t.is(proxy.silenceOpen(silence), 1)
     client.write('two')
     const next = connectTo(proxy)
     t.teardown(() => next.destroy())
     t.is(await answerTo(next, 'three'), 'three')
-    t.is(heard, 0)
+    t.false(heard)
     t.false(client.destroyed)
+    client.destroy()
+    t.is(await answerTo(next, 'four'), 'four', 'the end of a silent connection harms no other')
   })
 }
--- a/membership/prober/test/silentConnection.ts
+++ b/membership/prober/test/silentConnection.ts
@@ -5,7 +5,7 @@
 import { MembershipView } from '@reelspan/membership.view'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { SystemClock, SystemRandom } from '@reelspan/net.system-env'
-import { FaultProxy, SilencedWay } from '@reelspan/utils.soak'
+import { FaultProxy, Silence } from '@reelspan/utils.soak'
 import test, { type ExecutionContext } from 'ava'
 
 const PROBE_PERIOD_MS = 700
@@ -66,7 +66,7 @@
   return { proxy, view, prober, heartbeats }
 }
 
-for (const way of Object.values(SilencedWay)) {
+for (const way of Object.values(Silence)) {
   test(`a box whose connection to a peer goes silent (${way}) does not doubt the peer`, async (t) => {
     const addresses: string[] = []
     const a = await startBox(t, 'a', () => addresses)
@@ -78,7 +78,7 @@
       if (name === 'b' && health !== MemberHealth.Alive) doubted.push(health)
     })
     a.prober.start()
-    b.proxy.silenceEstablished(way)
+    b.proxy.silenceOpen(way)
     const enough = b.heartbeats.count + ENOUGH_HEARTBEATS
     while (b.heartbeats.count < enough) await b.heartbeats.more.wait()
     t.deepEqual(doubted, [])
--- a/net/http-exchange/test/silentConnections.ts
+++ b/net/http-exchange/test/silentConnections.ts
@@ -4,7 +4,7 @@
 import { ConnectionPool, ExchangeError, type ExchangeOptions } from '@reelspan/net.http-exchange'
 import { SystemClock } from '@reelspan/net.system-env'
 import { VirtualClock } from '@reelspan/utils.fakes'
-import { FaultProxy, SilencedWay } from '@reelspan/utils.soak'
+import { FaultProxy, Silence } from '@reelspan/utils.soak'
 import test, { type ExecutionContext } from 'ava'
 
 const GET = { method: 'GET', target: '/', headers: ['Host', 'x'], body: new Uint8Array() }
@@ -49,24 +49,24 @@
   return { upstream, proxy, pool, ask, keep }
 }
 
-for (const way of Object.values(SilencedWay)) {
+for (const way of Object.values(Silence)) {
   test(`when one kept connection is found silent (${way}), the others from before are not used again`, async (t) => {
     const { upstream, proxy, ask, keep } = await startUpstream(t)
     await keep(3)
-    proxy.silenceEstablished(way)
+    proxy.silenceOpen(way)
     const error = await t.throwsAsync(ask({ signal: AbortSignal.timeout(GIVEN_UP_AFTER_MS) }), { instanceOf: ExchangeError })
     t.is((error as ExchangeError).verdict, Verdict.MayHaveRun)
     await ask()
     t.is(upstream.connections, 4)
     // Nothing was sent twice.
-    t.is(upstream.served, way === SilencedWay.ToClient ? 5 : 4)
+    t.is(upstream.served, way === Silence.ToClient ? 5 : 4)
   })
 }
 
 test('a kept connection that was heard of since the silent one was used stays in use', async (t) => {
   const { upstream, proxy, ask, keep } = await startUpstream(t)
   await ask()
-  proxy.silenceEstablished(SilencedWay.Both)
+  proxy.silenceOpen(Silence.BothWays)
   const silent = t.throwsAsync(ask({ signal: AbortSignal.timeout(GIVEN_UP_AFTER_MS) }), { instanceOf: ExchangeError })
   await keep(2)
   await silent
@@ -86,9 +86,9 @@
 
 test('a connection whose answer was given up is not used again', async (t) => {
   const { upstream, proxy, ask } = await startUpstream(t)
-  proxy.silenceEstablished(SilencedWay.Both)
+  proxy.silenceOpen(Silence.BothWays)
   await ask()
-  proxy.silenceEstablished(SilencedWay.ToClient)
+  proxy.silenceOpen(Silence.ToClient)
   await t.throwsAsync(ask({ signal: AbortSignal.timeout(50) }), { instanceOf: ExchangeError })
   await ask()
   t.is(upstream.connections, 2)
--- a/net/peer-link/test/silentConnections.ts
+++ b/net/peer-link/test/silentConnections.ts
@@ -2,7 +2,7 @@
 import { type SleepOptions } from '@reelspan/core.env'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { SystemClock } from '@reelspan/net.system-env'
-import { FaultProxy, PathFault, SilencedWay } from '@reelspan/utils.soak'
+import { FaultProxy, PathFault, Silence } from '@reelspan/utils.soak'
 import test, { type ExecutionContext } from 'ava'
 import { createServer, type AddressInfo } from 'node:net'
 
@@ -56,24 +56,24 @@
   return performance.now() - startMs
 }
 
-for (const way of Object.values(SilencedWay)) {
+for (const way of Object.values(Silence)) {
   test(`a call on a connection that went silent (${way}) fails soon, and the next one is answered`, async (t) => {
     const { link, proxy, arrived } = await connectThrough(t)
-    proxy.silenceEstablished(way)
+    proxy.silenceOpen(way)
     const startMs = performance.now()
     const error = await t.throwsAsync(link.call(proxy.address, QUESTION, LONG), { instanceOf: PeerLinkError })
     t.true((error as PeerLinkError).mayHaveArrived)
     t.deepEqual(await link.call(proxy.address, DONE, LONG), DONE)
     t.true(elapsedSince(startMs) < WELL_WITHIN_MS)
     // Nothing was sent twice.
-    t.is(arrived.filter(({ type }) => type === MessageType.Cancel).length, way === SilencedWay.ToClient ? 1 : 0)
+    t.is(arrived.filter(({ type }) => type === MessageType.Cancel).length, way === Silence.ToClient ? 1 : 0)
   })
 
   test(`a stream on a connection that went silent (${way}) breaks off soon`, async (t) => {
     const { link, proxy } = await connectThrough(t, { onStream: async function * () { yield DONE; await new Promise(() => {}) } })
     const parts = link.stream(proxy.address, QUESTION, LONG)[Symbol.asyncIterator]()
     await parts.next()
-    proxy.silenceEstablished(way)
+    proxy.silenceOpen(way)
     const startMs = performance.now()
     const error = await t.throwsAsync(Promise.resolve(parts.next()), { instanceOf: PeerLinkError })
     t.true((error as PeerLinkError).mayHaveArrived)
@@ -103,7 +103,7 @@
 
 test('a repeatable call is sent once more on a new connection', async (t) => {
   const { link, proxy, arrived } = await connectThrough(t)
-  proxy.silenceEstablished(SilencedWay.ToClient)
+  proxy.silenceOpen(Silence.ToClient)
   const startMs = performance.now()
   t.deepEqual(await link.call(proxy.address, QUESTION, { ...LONG, repeatable: true }), DONE)
   t.true(elapsedSince(startMs) < WELL_WITHIN_MS)
@@ -133,7 +133,7 @@
   t.teardown(() => link.close())
   await link.call(peer.proxy.address, DONE, LONG)
   const startMs = performance.now()
-  peer.proxy.silenceEstablished(SilencedWay.Both)
+  peer.proxy.silenceOpen(Silence.BothWays)
   await t.throwsAsync(link.call(peer.proxy.address, QUESTION, LONG))
   t.like(told, [{ address: peer.proxy.address }])
   t.true(told[0].sinceMs >= startMs && told[0].sinceMs < performance.now())
@@ -151,7 +151,7 @@
   }, new HastyClock())
   const parts = link.stream(proxy.address, QUESTION, { timeoutMs: 6_000_000 })[Symbol.asyncIterator]()
   await parts.next()
-  proxy.silenceEstablished(SilencedWay.Both)
+  proxy.silenceOpen(Silence.BothWays)
   await t.notThrowsAsync(noticed)
   await parts.return?.()
 })
--- a/net/platform-http/test/silentConnections.ts
+++ b/net/platform-http/test/silentConnections.ts
@@ -3,10 +3,10 @@
 import { Collection } from '@reelspan/core.messages'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
 import { VirtualClock } from '@reelspan/utils.fakes'
-import { FaultProxy, SilencedWay } from '@reelspan/utils.soak'
+import { FaultProxy, Silence } from '@reelspan/utils.soak'
 import test from 'ava'
 
-for (const way of Object.values(SilencedWay)) {
+for (const way of Object.values(Silence)) {
   test(`a read whose connection went silent (${way}) ends a set time after its wait, and none of the next ones uses a connection from before`, async (t) => {
     const waiting: (() => void)[] = []
     // As many connections as the reader may have.
@@ -33,8 +33,8 @@
     await Promise.all([read(), read(), read(), read()])
     together = 1
     together = 1
-    proxy.silenceEstablished(way)
-    const arrived = way === SilencedWay.ToClient ? once(server, 'request') : undefined
+    proxy.silenceOpen(way)
+    const arrived = way === Silence.ToClient ? once(server, 'request') : undefined
     const failed = t.throwsAsync(read(), { code: 'ERR_REELSPAN_PLATFORM_UNAVAILABLE' })
     await arrived
     await clock.advance(299)
