--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises'
 import meow from 'meow'
+import { FaultKind } from './faults.js'
 import { keepLogs } from './keepLogs.js'
 import { soak, type SoakResult } from './soak.js'
 
@@ -15,6 +16,7 @@
     --rounds N    Rounds of faults a seed, 1 without
     --boxes N     Boxes, 6 without
     --clients N   Clients, 12 without
+    --kinds A,B   Kinds of faults in place of drawn ones, as faults.ts names them
     --logs DIR    Where logs of failed seeds are kept, the folder for temporary files without
 `
 const KNOWN_SEEDS = new URL('../seeds.json', import.meta.url)
@@ -34,17 +36,19 @@
       rounds: { type: 'number', default: 1 },
       boxes: { type: 'number', default: 6 },
       clients: { type: 'number', default: 12 },
+      kinds: { type: 'string' },
       logs: { type: 'string' },
     },
     allowUnknownFlags: false,
   })
   const first = flags.seed ?? Date.now() % 1_000_000
   const untilMs = performance.now() + flags.minutes * MS_PER_MINUTE
+  const kinds = flags.kinds?.split(',').map(faultKindOf)
   const failed: number[] = []
   const seeds = flags.known ? await knownSeeds() : Array.from({ length: flags.seeds }, (_, i) => first + i)
   for (let i = 0; i < seeds.length || performance.now() < untilMs; i++) {
     const seed = seeds[i] ?? first + i
-    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds })
+    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, kinds })
     if (result.violations.length > 0) failed.push(seed)
     await report(seed, result, flags.logs)
   }
@@ -58,6 +62,12 @@
   return known.map(({ seed }) => seed)
 }
 
+function faultKindOf (name: string): FaultKind {
+  const kind = Object.values(FaultKind).find((known) => known === name)
+  if (kind === undefined) throw new Error(`no kind of fault is called ${name}: ${Object.values(FaultKind).join(', ')}`)
+  return kind
+}
+
 async function report (seed: number, result: SoakResult, logs?: string): Promise<void> {
   const { attempts, outcomes, faults, violations, tookMs, judged, memory } = result
   console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, ${faults.length} faults, ${violations.length} violations, judged ${JSON.stringify(judged)}, ${memory.processes} processes with ${memory.sharedOnceMb} MB, took ${JSON.stringify(tookMs)} ms`)
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -18,6 +18,8 @@
   clients: number
   /** Rounds of faults, each followed by a calm of planned work alone. */
   rounds: number
+  /** Kinds of faults in place of drawn ones. */
+  kinds?: readonly FaultKind[]
 }
 
 export interface SoakResult {
@@ -193,7 +195,8 @@
   async #trouble (): Promise<void> {
     const untilMs = performance.now() + TROUBLE_MS
     const count = KINDS_A_ROUND.least + Math.floor(this.#random.nextFloat() * (KINDS_A_ROUND.most - KINDS_A_ROUND.least + 1))
-    const kinds = this.#random.sample(Object.values(FaultKind), count)
+    const drawn = this.#random.sample(Object.values(FaultKind), count)
+    const kinds = this.#opts.kinds ?? drawn
     while (performance.now() < untilMs) {
       this.#faults.begin(kinds)
       await sleep(this.#random.nextFloat() * LONGEST_GAP_MS)
