--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -36,6 +36,10 @@
 /** An upstream that leaves goes on for so long at most, for what it runs. */
 const LONGEST_RUN_MS = 7000
 const PROBE_TIMEOUT_MS = 1500
+/** Networks of one process lie this far apart, to keep clear of those of processes with near ids. */
+const NETWORK_STEP = 97
+
+let fleets = 0
 
 export interface SoakBox {
   name: string
@@ -93,8 +97,8 @@
   private constructor (random: SeededRandom, folder: string) {
     this.#random = random
     this.#folder = folder
-    // Loopback addresses of this run alone, so that runs beside it do not meet.
-    this.#subnet = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 200}`
+    // Loopback addresses of this run alone, so that runs beside it, in this process or others, do not meet.
+    this.#subnet = `127.${10 + process.pid % 200}.${1 + (Math.floor(process.pid / 200) + NETWORK_STEP * fleets++) % 200}`
     // In a single zone only some boxes watch the store, and the others hear from them.
     this.#zones = random.nextFloat() < 0.5 ? ZONES : ZONES.slice(0, 1)
   }
