test(utils.soak): stale reads come with a change and a lost history

A mutant that adopts older revisions was not found: boxes read anew only after their history was lost, which seldom fell into the time of stale reads, and a box acts on what it read only after its watch.

--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -29,6 +29,7 @@
   StoreRefuses = 'storeRefuses',
   StoreSilent = 'storeSilent',
   StoreSlow = 'storeSlow',
+  /** Reads are stale, and after a change the history is lost, so that boxes read anew. */
   StoreStale = 'storeStale',
   StoreForgets = 'storeForgets',
   CrashUpstream = 'crashUpstream',
@@ -47,6 +48,10 @@
 const MOST_KILLED = 12
 /** An upstream that leaves serves on for this long, past the time by which nothing new may reach it. */
 const LEAVING_MS = 3500
+/** News of a change is at the boxes by then. */
+const NEWS_MS = 400
+/** Past a watch of a box, after which it acts on what it read. */
+const STALE_MS = 3000
 /** Part of the open connections of a path that go silent. */
 const SILENT_SHARE = 0.7
 /** A silent connection hides from an upstream what its caller does. By then those that were open have ended. */
@@ -134,7 +139,7 @@
       case FaultKind.StoreRefuses: return this.#whileStore(durationMs, () => { store.failWith = drawOne(random, [429, 503]) }, () => { store.failWith = undefined })
       case FaultKind.StoreSilent: return this.#whileStore(durationMs, () => { store.mute = true }, () => { store.mute = false })
       case FaultKind.StoreSlow: return this.#whileStore(durationMs, () => { store.delayMs = this.#drawMs(0, LONGEST_STORE_DELAY_MS) }, () => { store.delayMs = 0 })
-      case FaultKind.StoreStale: return this.#whileStore(durationMs, () => store.answerStaleReads(), () => store.answerFreshReads())
+      case FaultKind.StoreStale: return this.#storeStale()
       case FaultKind.StoreForgets: return this.#whileStore(0, () => store.forgetHistory(), () => {})
       case FaultKind.CrashUpstream: return this.#crashUpstream(durationMs)
       case FaultKind.UpstreamLeaves: return this.#withFree(fleet.places, (place) => this.leave(place))
@@ -230,6 +235,18 @@
     })
   }
 
+  async #storeStale (): Promise<void> {
+    const { fleet, fleet: { store } } = this.#opts
+    await this.#harming(EVERYTHING, async () => {
+      store.answerStaleReads()
+      fleet.publish()
+      await sleep(NEWS_MS)
+      store.forgetHistory()
+      await sleep(STALE_MS)
+      store.answerFreshReads()
+    })
+  }
+
   async #crashUpstream (downMs: number): Promise<void> {
     const { fleet } = this.#opts
     await this.#withFree(fleet.places, (place) => this.#harming(place.name, async () => {
