--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -139,7 +139,7 @@
       case FaultKind.StoreRefuses: return this.#whileStore(durationMs, () => { store.failWith = drawOne(random, [429, 503]) }, () => { store.failWith = undefined })
       case FaultKind.StoreSilent: return this.#whileStore(durationMs, () => { store.mute = true }, () => { store.mute = false })
       case FaultKind.StoreSlow: return this.#whileStore(durationMs, () => { store.delayMs = this.#drawMs(0, LONGEST_STORE_DELAY_MS) }, () => { store.delayMs = 0 })
-      case FaultKind.StoreStale: return this.#storeStale()
+      case FaultKind.StoreStale: return this.#withFree([store], () => this.#storeStale())
       case FaultKind.StoreForgets: return this.#whileStore(0, () => store.forgetHistory(), () => {})
       case FaultKind.CrashUpstream: return this.#crashUpstream(durationMs)
       case FaultKind.UpstreamLeaves: return this.#withFree(fleet.places, (place) => this.leave(place))
