--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -72,9 +72,11 @@
     this.#stale = undefined
   }
 
+  /** Watches from before now, those that wait included, are told that their history is gone. */
   forgetHistory (): void {
     this.#forgottenUpTo = this.#revision
-    this.#history.length = 0
+    this.#history.length = 0;
+    [...this.#waiting].forEach((wake) => wake())
   }
 
   #change (change: Change): void {
@@ -119,20 +121,20 @@
   }
 
   #watch (prefix: string, after: number, waitMs: number, response: ServerResponse): void {
-    if (after < this.#forgottenUpTo) {
-      response.writeHead(410).end()
-      return
-    }
     const answer = () => {
       this.#waiting.delete(wake)
       clearTimeout(timer)
+      if (after < this.#forgottenUpTo) {
+        response.writeHead(410).end()
+        return
+      }
       const events = this.#changesAfter(prefix, after).map(({ key, revision, value }) => value === undefined
         ? { private_key: key, revision, deleted: true }
         : wireItem(key, { value, revision }))
       json(response, { events, store_revision: this.#revision })
     }
     const wake = () => {
-      if (this.#changesAfter(prefix, after).length > 0) answer()
+      if (after < this.#forgottenUpTo || this.#changesAfter(prefix, after).length > 0) answer()
     }
     const timer = setTimeout(answer, waitMs)
     this.#waiting.add(wake)
