--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -3,6 +3,7 @@
 import { FaultKind } from './faults.js'
 import { keepLogs } from './keepLogs.js'
 import { soak, type SoakResult } from './soak.js'
+import { stopFleets } from './soakFleet.js'
 
 const HELP = `
   Usage
@@ -43,6 +44,8 @@
   })
   const first = flags.seed ?? Date.now() % 1_000_000
   const untilMs = performance.now() + flags.minutes * MS_PER_MINUTE
+  const endBoxesToo = () => { void stopFleets().then(() => process.exit(1)) }
+  process.once('SIGTERM', endBoxesToo).once('SIGINT', endBoxesToo)
   const kinds = flags.kinds?.split(',').map(faultKindOf)
   const failed: number[] = []
   const seeds = flags.known ? await knownSeeds() : Array.from({ length: flags.seeds }, (_, i) => first + i)
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -40,6 +40,12 @@
 const NETWORK_STEP = 97
 
 let fleets = 0
+const running = new Set<SoakFleet>()
+
+/** Ends the processes of all fleets that run, for a harness that is told to end. */
+export async function stopFleets (): Promise<void> {
+  await Promise.all([...running].map((fleet) => fleet.stop()))
+}
 
 export interface SoakBox {
   name: string
@@ -105,6 +111,7 @@
 
   static async start (random: SeededRandom, boxCount: number): Promise<SoakFleet> {
     const fleet = new SoakFleet(random, await mkdtemp(join(tmpdir(), 'reelspan-soak-')))
+    running.add(fleet)
     try {
       await fleet.#start(boxCount)
       return fleet
@@ -255,6 +262,7 @@
   /** Ends the processes that this fleet started, and no others. */
   async stop (): Promise<void> {
     this.#stopping = true
+    running.delete(this)
     clearInterval(this.#heartbeat)
     await Promise.all(this.boxes.map((box) => box.process?.running ? this.killBox(box) : undefined))
     this.places.forEach(({ proxy, upstream }) => {
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -6,7 +6,7 @@
 const SIZE = { boxes: 3, clients: 6, rounds: 1 }
 const LIMIT_MS = 180_000
 /** Runs that share the machine, so that all seeds take a minute or two. */
-const RUNS_AT_ONCE = 2
+const RUNS_AT_ONCE = 3
 
 const seeds = [...USUAL_SEEDS, ...await knownSeeds()]
 const groups = Array.from({ length: Math.ceil(seeds.length / RUNS_AT_ONCE) }, (_, i) => seeds.slice(i * RUNS_AT_ONCE, (i + 1) * RUNS_AT_ONCE))
