--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -205,7 +205,7 @@
     if (box.process) box.pastOutput += box.process.output
     const started = new FleetProcess(box.name, REELSPAN, ['serve', '--platform'], {
       REELSPAN_BOOT: this.#settingsPath(box.name),
-      NODE_OPTIONS: `--import=${LISTEN_BEHIND_PROXY}`,
+      NODE_OPTIONS: `${process.env.NODE_OPTIONS ?? ''} --import=${LISTEN_BEHIND_PROXY}`,
       SOAK_PROXIED_PORT: String(PORTS.control),
     })
     box.process = started
