--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -48,10 +48,10 @@
   process.once('SIGTERM', endBoxesToo).once('SIGINT', endBoxesToo)
   const kinds = flags.kinds?.split(',').map(faultKindOf)
   const failed: number[] = []
-  const seeds = flags.known ? await knownSeeds() : Array.from({ length: flags.seeds }, (_, i) => first + i)
+  const seeds: KnownSeed[] = flags.known ? await knownSeeds() : Array.from({ length: flags.seeds }, (_, i) => ({ seed: first + i }))
   for (let i = 0; i < seeds.length || performance.now() < untilMs; i++) {
-    const seed = seeds[i] ?? first + i
-    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, kinds })
+    const { seed, kinds: knownKinds } = seeds[i] ?? { seed: first + i }
+    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, kinds: kinds ?? knownKinds })
     if (result.violations.length > 0) failed.push(seed)
     await report(seed, result, flags.logs)
   }
@@ -59,10 +59,14 @@
   return failed.length > 0 ? 1 : 0
 }
 
-/** Seeds that failed once, each with its cause. */
-export async function knownSeeds (): Promise<number[]> {
-  const known = JSON.parse(await readFile(KNOWN_SEEDS, 'utf8')) as { seed: number, cause: string }[]
-  return known.map(({ seed }) => seed)
+/** A seed that failed once, and the kinds of faults that it had drawn. */
+export interface KnownSeed {
+  seed: number
+  kinds?: FaultKind[]
+}
+
+export async function knownSeeds (): Promise<KnownSeed[]> {
+  return JSON.parse(await readFile(KNOWN_SEEDS, 'utf8')) as KnownSeed[]
 }
 
 function faultKindOf (name: string): FaultKind {
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -84,6 +84,8 @@
   readonly violations: string[] = []
   readonly #fleet: SoakFleet
   readonly #random: SeededRandom
+  /** Apart from the clients', whose draws come in whatever order they are answered. */
+  readonly #faultRandom: SeededRandom
   readonly #opts: SoakOptions
   readonly #faults: Faults
   readonly #clients: SoakClient[]
@@ -99,8 +101,9 @@
     this.#fleet = fleet
     this.#random = random
     this.#opts = opts
+    this.#faultRandom = new SeededRandom(opts.seed)
     this.#stalls = new StallWatch(fleet.boxes)
-    this.#faults = new Faults({ fleet, random, violation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
+    this.#faults = new Faults({ fleet, random: this.#faultRandom, violation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % HOLDERS_AMONG === 0 }))
   }
 
@@ -194,12 +197,12 @@
 
   async #trouble (): Promise<void> {
     const untilMs = performance.now() + TROUBLE_MS
-    const count = KINDS_A_ROUND.least + Math.floor(this.#random.nextFloat() * (KINDS_A_ROUND.most - KINDS_A_ROUND.least + 1))
-    const drawn = this.#random.sample(Object.values(FaultKind), count)
+    const count = KINDS_A_ROUND.least + Math.floor(this.#faultRandom.nextFloat() * (KINDS_A_ROUND.most - KINDS_A_ROUND.least + 1))
+    const drawn = this.#faultRandom.sample(Object.values(FaultKind), count)
     const kinds = this.#opts.kinds ?? drawn
     while (performance.now() < untilMs) {
       this.#faults.begin(kinds)
-      await sleep(this.#random.nextFloat() * LONGEST_GAP_MS)
+      await sleep(this.#faultRandom.nextFloat() * LONGEST_GAP_MS)
     }
     await this.#faults.over()
     await this.#waitReady()
