fix(scheduling.scheduler): a shard that was just taken over keeps requests until its engines report

Cause: where no engine was known to take work, a request was refused at once, also when no engine had reported yet, as for some time after a takeover. And the first request after a quiet time was judged by a second without placements, as if it had been waited for: places every 1000 ms. Change: the ledger knows which engines were never heard of; while there are any, a request is kept as if there was room. A queue begins when its first request comes. Test: fails before (refused at 0 ms). Also: requests are closed to 2.7 s after the signal (was 3.4 s): that a box stops is told at once, one period of probes is room for lost messages.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -213,7 +213,7 @@
   {
     name: 'a report that does not come on a kept connection is asked for on a new one',
     file: 'platform/adapter/src/platformEngineClient.ts',
-    find: 'return this.#read(address, signal, true)',
+    find: 'if (signal.aborted) throw thrown\n      return this.#read(address, signal, true)',
     replace: 'throw thrown',
     tests: ['platform/adapter/test.lib/silentConnections.js'],
   },
--- a/__utils__/soak/test/faultProxy.ts
+++ b/__utils__/soak/test/faultProxy.ts
@@ -121,3 +121,19 @@
     t.is(await answerTo(next, 'four'), 'four', 'the end of a silent connection harms no other')
   })
 }
+
+for (const way of Object.values(Silence)) {
+  test.serial(`a connection that is silenced (${way}) stays so without an end, and a new one works`, async (t) => {
+    const { proxy, client } = await startEcho(t)
+    t.is(await answerTo(client, 'one'), 'one')
+    proxy.silenceOpen(way)
+    let heard = 0
+    client.on('data', () => { heard++ })
+    client.write('two')
+    const next = connectTo(proxy)
+    t.teardown(() => next.destroy())
+    t.is(await answerTo(next, 'three'), 'three')
+    t.is(heard, 0)
+    t.false(client.destroyed)
+  })
+}
--- a/box/runtime/src/plannedStop.ts
+++ b/box/runtime/src/plannedStop.ts
@@ -28,6 +28,8 @@
 const RECORDS_PER_HANDOFF = 200
 /** Every box has heard of a change after about this many probe periods. */
 const SPREAD_PERIODS = 2
+/** That a box stops is told at once and passed on within a tenth of a period; the rest is for messages that are lost. */
+const TOLD_PERIODS = 1
 
 /** Stops a box so that no request is cut off. Resolves when the process may exit. */
 export async function plannedStop (opts: PlannedStopOptions): Promise<void> {
@@ -36,7 +38,7 @@
   view.announce({ leaving: true }, clock.nowMs())
   await prober.tellNow()
   // Callers keep lookup answers for a while and still come here.
-  await clock.sleep(settings.requests.lookupKeepMs + spreadMs)
+  await clock.sleep(settings.requests.lookupKeepMs + TOLD_PERIODS * settings.membership.probePeriodMs)
   owner.closeForNew()
   relay?.closeForNew()
   await waitAtMost(opts, settings.requests.longestRequestMs)
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -28,6 +28,8 @@
   /** The last report, and when it came. */
   report?: EngineReport
   reportAtMs: number
+  /** Nothing is known of it yet: neither a report nor a failure to get one. */
+  awaited: boolean
   /** Set by whoever carries out orders: no new work, so that it empties. */
   retiring: boolean
 }
@@ -148,13 +150,21 @@
     if (!engine) return
     engine.report = report
     engine.reportAtMs = nowMs
+    engine.awaited = false
     engine.account.noteReport(report, nowMs)
   }
 
   /** The engine did not answer. It gets no work until it reports again. */
   noteSilent (engineName: string): void {
     const engine = this.#prefill.get(engineName) ?? this.#decode.get(engineName)
-    if (engine) engine.report = undefined
+    if (!engine) return
+    engine.report = undefined
+    engine.awaited = false
+  }
+
+  /** Whether some engine's first report is still to come, as soon after a shard was taken over. */
+  get awaitsReports (): boolean {
+    return this.allEngines().some(({ awaited, leaving }) => awaited && !leaving)
   }
 
   /** When the engine last reported that has been silent longest, of those that ever did. */
@@ -181,6 +191,6 @@
   listed.forEach(({ name, address, leaving }) => {
     const known = accounts.get(name)
     if (known && known.address === address) known.leaving = leaving
-    else accounts.set(name, { name, address, leaving, account: createAccount(), reportAtMs: 0, retiring: false })
+    else accounts.set(name, { name, address, leaving, account: createAccount(), reportAtMs: 0, awaited: true, retiring: false })
   })
 }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -107,6 +107,7 @@
     const firstArrivedAtMs = back?.firstArrivedAtMs ?? nowMs
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, 'too many requests wait'))
     if (!back) this.#rate.noteArrival(nowMs)
+    if (this.#waiting.size === 0) this.#rate.noteIdle(nowMs)
     const leftMs = request.ttftLeftMs - this.#ttftError.valueMs
     const usefulMs = Math.min(Math.max(leftMs, request.patienceMs ?? 0), request.deadlineMs)
     return new Promise((resolve) => {
@@ -266,13 +267,18 @@
       msPerPlace: this.#rate.msPerPlace(nowMs),
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
-      leastMs: (waiting) => engines.length > 0 ? endOf(waiting) - nowMs + waiting.handoverMs : undefined,
+      leastMs: (waiting) => engines.length > 0 ? endOf(waiting) - nowMs + waiting.handoverMs : this.#leastMsUnknown(waiting),
       isAhead: (client) => this.#shares.isAhead(client, nowMs),
       promisesDueAtMs: this.#calendar.promisesDueAtMs(nowMs),
     })
     decisions.forEach((decided) => this.#carryOut(decided))
   }
 
+  /** A shard that was just taken over may have room as soon as its engines report. */
+  #leastMsUnknown ({ handoverMs }: WaitingRequest): number | undefined {
+    return this.ledger.awaitsReports ? handoverMs : undefined
+  }
+
   #carryOut ({ waiting, inputs, decision }: QueueDecision): void {
     if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision)
     waiting.outcome = decision.outcome
--- a/scheduling/scheduler/test/shardScheduler.ts
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -303,3 +303,22 @@
   await clock.advance(50)
   t.deepEqual(admissions, [AdmissionOutcome.InTime])
 })
+
+test('a shard that was just taken over keeps requests until its engines report or are silent', async (t) => {
+  const { clock, scheduler, shard } = createShard({ reported: false })
+  const placed = scheduler.reserve(requestOf({ patienceMs: 2000 }))
+  const refused = scheduler.reserve(requestOf({ patienceMs: 2000, label: { ownerAddress: '10.0.0.1:1', ownerIncarnation: 'owner', requestId: 'second', maxHoldMs: 30_000 } }))
+  await clock.advance(100)
+  t.is(scheduler.describe().waiting, 2)
+  scheduler.noteReport(shard.prefillEngines[0].name, reportOf(EngineRole.Prefill))
+  scheduler.noteReport(shard.decodeEngines[0].name, reportOf(EngineRole.Decode))
+  t.is((await clock.run(placed)).outcome, PlacementOutcome.Placed)
+  await clock.run(refused)
+
+  const silent = createShard({ reported: false })
+  const answer = silent.scheduler.reserve(requestOf({ patienceMs: 2000 }));
+  [...silent.shard.prefillEngines, ...silent.shard.decodeEngines].forEach(({ name }) => silent.scheduler.noteSilent(name))
+  const askedAtMs = silent.clock.nowMs()
+  t.is((await silent.clock.run(answer)).outcome, PlacementOutcome.Refused)
+  t.true(silent.clock.nowMs() - askedAtMs <= 10, 'as soon as that is known')
+})
