fix(net.peer-link): a peer that was busy is not taken for a silent connection

Cause: a test of large messages failed once on a busy machine with 'the connection went silent': its peer had been busy for longer than the checks last, and the new connection was heard of first. Change: once the peer answers on a new connection, the old one has 50 ms more.

--- a/net/peer-link/src/outgoingConnection.ts
+++ b/net/peer-link/src/outgoingConnection.ts
@@ -27,6 +27,8 @@
 const QUIET_MS = 80
 /** Many times the way between availability zones, with room for a busy box. Together with the above well under a heartbeat's time-out. */
 const PONG_MS = 120
+/** What a peer that answers has to say on its other connections comes within this time. */
+const BOTH_MS = 50
 /** Whether the peer answers on a new connection is known by then; an opening packet that was lost is sent again only after a second. */
 const CONNECT_TIMEOUT_MS = 400
 
@@ -218,6 +220,8 @@
     if (!await this.#staysQuiet(PONG_MS)) return
     const other = openAnother()
     const outcome = await raceTimeout(clock, besideOf(other), CONNECT_TIMEOUT_MS)
+    // A peer that was busy for some time answers on both when it is done, in any order.
+    if (outcome === Beside.Answers) await this.#staysQuiet(BOTH_MS)
     await clock.settle()
     const cameBack = this.#stream?.bytesRead !== seen || this.#closed.signal.aborted
     if (cameBack || outcome !== Beside.Answers) other.close()
