--- a/config/fleet/src/fleetList.ts
+++ b/config/fleet/src/fleetList.ts
@@ -18,6 +18,11 @@
     return this.#byName.get(name)
   }
 
+  /** Whether new work may be given to an upstream: it is listed and does not leave. */
+  takesWork (name: string): boolean {
+    return this.upstream(name)?.leaving === false
+  }
+
   /** Everything listed in a pool, leaving or not. */
   inPool (pool: string): readonly ListedUpstream[] {
     return this.#byPool.get(pool) ?? []
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -154,8 +154,7 @@
 
   /** The scheduler may not have heard yet that an engine leaves, or it has begun to since it was chosen. */
   #checkTakesWork (engine: string): void {
-    const listed = this.#opts.fleet().upstream(engine)
-    if (listed && !listed.leaving) return
+    if (this.#opts.fleet().takesWork(engine)) return
     this.#failedEngines.add(engine)
     throw new UpstreamError(`${engine} takes no more work`, { mayHaveRun: false, refused: true })
   }
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -176,8 +176,7 @@
   /** The scheduler may not have heard yet that an engine leaves, or it has begun to since it was chosen. */
   #checkTakesWork (engine: string): void {
     const { opts } = this.#context
-    const listed = opts.fleet().upstream(engine)
-    if (listed && !listed.leaving) return
+    if (opts.fleet().takesWork(engine)) return
     this.#failed.add(engine)
     throw new UpstreamError(`${engine} takes no more work, by revision ${opts.fleetRevision()} of the list`, { mayHaveRun: false, refused: true })
   }
