feat(upstream.orders): engines are told to prefill or to decode as the load needs it

Cause: the platform starts a fixed part of the engines as prefill engines.

Change: the scheduler of a shard learns what a prompt takes of a prefill engine and an answer of a decode engine, and how fast requests come. planRoles, a pure function, looks for the nearest share that serves nine tenths of the most; RoleBalancer empties engines and orders them, at most a quarter of a pool at once, ten seconds apart, with the right to order and with numbers that no other holder gives. A report that disagrees with the list keeps an engine from work of either kind.

--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -3,7 +3,7 @@
 import { type Settings, settingsSchema } from '@reelspan/config.settings'
 import { Verdict } from '@reelspan/core.error'
 import { Collection, type CompletionRequest, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
-import { UpstreamKind } from '@reelspan/config.fleet'
+import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
 import { EngineModel, type EngineModelOptions, FakeEngineClient, FakeNetwork, FakePlatformReader, FakeServiceClient, type NodeClock, PlatformModel, publishFleet, type PublishedEntry, SeededRandom, ServiceModel, tuulDeclarations, tuulFleet, VirtualClock } from '@reelspan/utils.fakes'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { EngineRole } from '@reelspan/upstream.client'
@@ -261,9 +261,19 @@
         if (!engine) throw new Error('the prefill engine is gone')
         return engine.exportResult(label)
       },
+      onRole: (next) => this.#listInRole(name, next),
       ...this.#opts.engine,
     }))
   }
+
+  /** The platform lists an engine in the pool of the role that it has come to. */
+  #listInRole (name: string, role: EngineRole): void {
+    const upstream = this.#deployment.upstreams.find((one) => one.name === name)
+    const pool = this.#deployment.upstreams.map((one) => one.pool).find((one) => one.endsWith(role))
+    if (!upstream || !pool) return
+    const { kind, availabilityZone } = upstream
+    this.platform.publish(Collection.Fleet, [{ kind: FleetEntryKind.Upstream, name, spec: { kind, pool, availabilityZone, address: this.address(name) } }])
+  }
 }
 
 /** What a caller knows when its connection breaks. */
--- a/__utils__/fakes/src/engineModel.ts
+++ b/__utils__/fakes/src/engineModel.ts
@@ -35,6 +35,8 @@
   /** Refuses an order whose fencing number is not above the last. */
   checksFence?: boolean
   loadModelMs?: number
+  /** Called when the engine has come to another role. */
+  onRole?: (role: EngineRole) => void
 }
 
 /** What can be made to go wrong. */
@@ -228,11 +230,16 @@
     this.orders.push(order)
     this.#changing = true
     await this.#opts.clock.sleep(this.#opts.loadModelMs)
-    if (order.kind === OrderKind.ChangeRole) this.#role = order.role
+    if (order.kind === OrderKind.ChangeRole) this.#changeRole(order.role)
     else this.#loaded = [...this.#loaded.filter(({ model }) => model !== order.model), { model: order.model, version: order.version }]
     this.#changing = false
   }
 
+  #changeRole (role: EngineRole): void {
+    this.#role = role
+    this.#opts.onRole?.(role)
+  }
+
   #serves (model: string, role: EngineRole): boolean {
     return this.#role === role && !this.#changing && this.#loaded.some((loaded) => loaded.model === model)
   }
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -73,6 +73,8 @@
   refuses?: () => boolean
   /** Decides whether the answer of a run is lost. */
   losesAnswer?: () => boolean
+  /** Status of its answer to an order; nothing when it does not answer one. */
+  orderStatus?: () => number | undefined
   port?: number
 }
 
@@ -87,6 +89,8 @@
   #nextHandle = 0
   readonly runs: UpstreamRun[] = []
   readonly arrivals: UpstreamArrival[] = []
+  /** Orders that reached it: their bodies, and the instance that they were for. */
+  readonly orders: { body: unknown, expected?: string }[] = []
   address = ''
 
   constructor (role: Role, opts: StandInUpstreamOptions = {}) {
@@ -94,8 +98,9 @@
     this.#opts = opts
     this.#handles = opts.handles ?? new HandleTable()
     this.#server = createServer((message, response) => {
-      message.resume()
-      message.on('end', () => { void this.#serve(message, response) })
+      const parts: Buffer[] = []
+      message.on('data', (part: Buffer) => parts.push(part))
+      message.on('end', () => { void this.#serve(message, response, Buffer.concat(parts).toString()) })
       response.on('error', () => {})
     })
   }
@@ -123,9 +128,10 @@
     this.#server.close()
   }
 
-  async #serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #serve (message: IncomingMessage, response: ServerResponse, text: string): Promise<void> {
     const { url = '', method, headers } = message
     if (url === '/v1/report') return this.#report(response)
+    if (url === '/v1/order') return this.#takeOrder(text, headers, response)
     if (method === 'DELETE') {
       this.#handles.take(url.split('/').at(-1) ?? '')
       response.end()
@@ -164,6 +170,13 @@
     response.end(JSON.stringify({ stage: this.#role, models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
   }
 
+  #takeOrder (text: string, headers: IncomingMessage['headers'], response: ServerResponse): void {
+    const expected = headers['x-reelspan-expect-instance']
+    this.orders.push({ body: JSON.parse(text), expected: expected === undefined ? undefined : String(expected) })
+    const status = this.#opts.orderStatus ? this.#opts.orderStatus() : 202
+    if (status !== undefined) response.writeHead(status).end()
+  }
+
   #prefill (headers: IncomingMessage['headers'], response: ServerResponse): void {
     if (headers['x-reelspan-serving-stage'] !== 'prefill') return refuse(response, 421)
     const handle = `${this.#opts.instance ?? 'h'}${this.#nextHandle++}`
--- a/box/runtime/src/shardKeeper.ts
+++ b/box/runtime/src/shardKeeper.ts
@@ -4,7 +4,7 @@
 import { type ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { type EngineClient, type EngineReport, EngineRole } from '@reelspan/upstream.client'
 import { type HoldSweeper } from '@reelspan/upstream.holds'
-import { OrderController, type OrderRight, type OrderControllerOptions } from '@reelspan/upstream.orders'
+import { type BalancedEngine, OrderController, type OrderControllerOptions, type OrderRight, RoleBalancer, type RoleBalancerOptions } from '@reelspan/upstream.orders'
 
 export interface ShardKeeperOptions {
   clock: Clock
@@ -15,6 +15,8 @@
   configuration: () => Configuration
   reportPeriodMs: number
   onOrder: OrderControllerOptions['onOrder']
+  /** Engines are given the roles that the load needs. Without it they keep those that the list gives them. */
+  roles?: Pick<RoleBalancerOptions, 'holder' | 'revision' | 'onPlan'>
   /** Told of a task that a fault of the program ended. */
   onTaskError?: TaskErrorListener
 }
@@ -31,6 +33,7 @@
   readonly #opts: ShardKeeperOptions
   readonly #tasks: TaskGroup
   readonly #orders: OrderController
+  readonly #balancer?: RoleBalancer
   readonly #checked = new Set<string>()
   readonly #cacheSequences = new Map<string, number>()
   #pass = 0
@@ -40,13 +43,20 @@
     this.scheduler = opts.scheduler
     this.right = opts.right
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
-    this.#orders = new OrderController({ ...opts, orderTimeoutMs: opts.reportPeriodMs * 2 })
+    const orderTimeoutMs = opts.reportPeriodMs * 2
+    this.#orders = new OrderController({ ...opts, orderTimeoutMs })
+    this.#balancer = opts.roles && new RoleBalancer({ ...opts, ...opts.roles, orderTimeoutMs })
   }
 
   start (): void {
     this.#tasks.repeat(() => this.#lookAround(), { periodMs: this.#opts.reportPeriodMs })
   }
 
+  /** State for the dump. */
+  describe () {
+    return { ...this.scheduler.describe(), mayOrder: this.right.holds(), roles: this.#balancer?.plan }
+  }
+
   async stop (): Promise<void> {
     await this.scheduler.stop()
     await this.#tasks.stop()
@@ -65,6 +75,7 @@
     this.#pass++
     await Promise.all(this.scheduler.ledger.allEngines().map((engine) => this.#lookAt(engine)))
     if (this.right.holds()) await this.#giveOrders()
+    else this.#balancer?.standDown()
   }
 
   async #lookAt (engine: EngineAccount<unknown>): Promise<void> {
@@ -97,11 +108,29 @@
   async #giveOrders (): Promise<void> {
     const { ledger } = this.scheduler
     const { model, prefillPool, decodePool } = ledger.shard
+    const inRole = (engine: EngineAccount<unknown>) => this.#isInRole(engine)
     const plans = [
-      await this.#orders.pass({ model, role: EngineRole.Prefill, pool: prefillPool, engines: ledger.prefillEngines() }),
-      await this.#orders.pass({ model, role: EngineRole.Decode, pool: decodePool, engines: ledger.decodeEngines() }),
+      await this.#orders.pass({ model, role: EngineRole.Prefill, pool: prefillPool, engines: ledger.prefillEngines().filter(inRole) }),
+      await this.#orders.pass({ model, role: EngineRole.Decode, pool: decodePool, engines: ledger.decodeEngines().filter(inRole) }),
     ]
+    await this.#balanceRoles()
     const retiring = new Set(plans.flatMap((plan) => plan.retiring))
-    ledger.allEngines().forEach((engine) => { engine.retiring = retiring.has(engine.name) })
+    ledger.allEngines().forEach((engine) => { engine.retiring = retiring.has(engine.name) || this.#balancer?.isMoving(engine.name) === true })
+  }
+
+  /** Where roles follow the load, the list tells of them late and does not wish for them. */
+  #isInRole ({ name, role, report }: EngineAccount<unknown>): boolean {
+    return !this.#balancer || (!this.#balancer.isMoving(name) && (report === undefined || report.role === role))
+  }
+
+  async #balanceRoles (): Promise<void> {
+    const { ledger } = this.scheduler
+    const { prefillPool, decodePool } = ledger.shard
+    const balanced = (engine: EngineAccount<unknown>): BalancedEngine => ({ ...engine, reservations: ledger.reservationsOn(engine.name) })
+    await this.#balancer?.pass(
+      { prefill: ledger.prefillEngines().map(balanced), decode: ledger.decodeEngines().map(balanced) },
+      { prefill: Math.max(1, prefillPool.minReadyEngines), decode: Math.max(1, decodePool.minReadyEngines) },
+      this.scheduler.observedLoad()
+    )
   }
 }
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -8,10 +8,10 @@
 import { deriveShards, schedulerOf, type Shard } from '@reelspan/scheduling.shards'
 import { LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { HoldSweeper } from '@reelspan/upstream.holds'
-import { OrderRight } from '@reelspan/upstream.orders'
+import { OrderRight, type RoleLoad, type RolePlan } from '@reelspan/upstream.orders'
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { type FailureLog } from './failureLog.js'
-import { ShardKeeper } from './shardKeeper.js'
+import { ShardKeeper, type ShardKeeperOptions } from './shardKeeper.js'
 
 export interface ShardKeepersOptions extends BoxEnvironment {
   failures: FailureLog
@@ -93,7 +93,7 @@
   }
 
   describe () {
-    return [...this.#keepers.values()].map(({ scheduler, right }) => ({ ...scheduler.describe(), mayOrder: right.holds() }))
+    return [...this.#keepers.values()].map((keeper) => keeper.describe())
   }
 
   async stop (): Promise<void> {
@@ -129,6 +129,7 @@
       configuration: () => declarations.value,
       reportPeriodMs,
       onTaskError: (thrown) => failures.noteTask('shardKeeper', thrown),
+      roles: settings.scheduling.rolesFollowLoad ? this.#roleOptions(shard) : undefined,
       onOrder: ({ engine, order }, outcome) => {
         log.info(LogEvent.OrderSent, { engine, order: order.kind, fence: order.fence, outcome })
         metrics.count('reelspan_orders_total', { outcome })
@@ -137,6 +138,15 @@
     return keeper
   }
 
+  #roleOptions (shard: Shard): ShardKeeperOptions['roles'] {
+    const { settings, declarations, fleet, log } = this.#opts
+    return {
+      holder: settings.box.name,
+      revision: () => Math.max(declarations.revision, fleet.revision),
+      onPlan: (plan, load) => log.info(LogEvent.RolesPlanned, { shard: shard.id, ...rolePlanFields(plan, load) }),
+    }
+  }
+
   #createScheduler (shard: Shard, onUnreachable: (engineName: string) => void): ShardScheduler {
     const { clock, declarations, settings, log } = this.#opts
     const { reportPeriodMs, prefixIndex } = settings.scheduling
@@ -193,3 +203,20 @@
     kept,
   }
 }
+
+/** Which roles the engines of a shard should have, and what that was planned from. */
+function rolePlanFields ({ outcome, target, from, count, servesPerSecond, targetServesPerSecond }: RolePlan, load?: RoleLoad): LogFields {
+  const rounded = (value: number | undefined) => value && Number(value.toFixed(1))
+  return {
+    outcome,
+    targetPrefill: target.prefill,
+    targetDecode: target.decode,
+    from,
+    count,
+    servesPerSecond: rounded(servesPerSecond),
+    targetServesPerSecond: rounded(targetServesPerSecond),
+    prefillMs: rounded(load?.prefillMs),
+    decodeMs: rounded(load?.decodeMs),
+    arrivalsPerSecond: load && rounded(load.arrivalsPerMs * 1000),
+  }
+}
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -86,6 +86,8 @@
     /** Part of a decode engine that an owner uses while no scheduler can be reached. */
     fallbackPlacesPercent: z.number().min(1).max(100).default(50),
     orderRightMs: durationMs.default(3000),
+    /** Engines are told to prefill or to decode as the load needs it. Pools bound it by `minReadyEngines`. */
+    rolesFollowLoad: z.boolean().default(false),
   }).prefault({}),
   log: z.strictObject({
     level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
--- a/scheduling/ledger/src/prefillAccount.ts
+++ b/scheduling/ledger/src/prefillAccount.ts
@@ -26,6 +26,11 @@
     return this.#speedFactor
   }
 
+  /** Prefills that have not ended. */
+  get plannedCount (): number {
+    return this.#work.size
+  }
+
   /** When the engine can begin another prefill. */
   freeAtMs (nowMs: number): number {
     const [head, ...rest] = this.#work.values()
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -1,6 +1,7 @@
+import { type ListedUpstream } from '@reelspan/config.fleet'
 import { type HoldLabel, holdLabelKey } from '@reelspan/core.messages'
 import { type Shard } from '@reelspan/scheduling.shards'
-import { type EngineReport } from '@reelspan/upstream.client'
+import { type EngineReport, EngineRole } from '@reelspan/upstream.client'
 import { DecodeAccount } from './decodeAccount.js'
 import { PrefillAccount } from './prefillAccount.js'
 
@@ -23,6 +24,9 @@
 export interface EngineAccount<A> {
   name: string
   address: string
+  availabilityZone: string
+  /** The role that the list gives it. */
+  role: EngineRole
   leaving: boolean
   account: A
   /** The last report, and when it came. */
@@ -66,8 +70,8 @@
   /** Takes over the shard's present engines. What is reserved on those that stay is kept. */
   update (shard: Shard): void {
     this.#shard = shard
-    updateAccounts(this.#prefill, shard.prefillEngines, () => new PrefillAccount())
-    updateAccounts(this.#decode, shard.decodeEngines, () => new DecodeAccount())
+    updateAccounts(this.#prefill, EngineRole.Prefill, shard.prefillEngines, () => new PrefillAccount())
+    updateAccounts(this.#decode, EngineRole.Decode, shard.decodeEngines, () => new DecodeAccount())
     this.#prefillList = [...this.#prefill.values()]
     this.#decodeList = [...this.#decode.values()]
   }
@@ -95,7 +99,8 @@
   /** The version of the shard's model that an engine serves now, or nothing when it takes no new work. */
   servedVersion (engine: EngineAccount<unknown>, nowMs: number): string | undefined {
     const { report } = engine
-    const usable = report && !engine.leaving && !engine.retiring && !report.changing && nowMs - engine.reportAtMs <= this.#opts.reportLifeMs
+    // While an engine changes its role, the list and its report disagree for a while: it takes neither kind of work.
+    const usable = report && report.role === engine.role && !engine.leaving && !engine.retiring && !report.changing && nowMs - engine.reportAtMs <= this.#opts.reportLifeMs
     const servedName = this.#shard.spec.servedName ?? this.#shard.model
     return usable ? report.loaded.find(({ model }) => model === servedName)?.version : undefined
   }
@@ -118,6 +123,11 @@
     if (entry) this.#prefill.get(entry.prefillEngine)?.account.finish(holdLabelKey(label), nowMs - this.#shard.spec.prefillLatencyMs)
   }
 
+  /** Requests that are placed on an engine. */
+  reservationsOn (engineName: string): number {
+    return this.#prefill.get(engineName)?.account.plannedCount ?? this.#decode.get(engineName)?.account.reservedPlaces ?? 0
+  }
+
   has (label: HoldLabel): boolean {
     return this.#entries.has(holdLabelKey(label))
   }
@@ -183,14 +193,15 @@
 
 function updateAccounts<A> (
   accounts: Map<string, EngineAccount<A>>,
-  listed: readonly { name: string, address: string, leaving: boolean }[],
+  role: EngineRole,
+  listed: readonly ListedUpstream[],
   createAccount: () => A
 ): void {
   const names = new Set(listed.map(({ name }) => name));
   [...accounts.keys()].filter((name) => !names.has(name)).forEach((name) => accounts.delete(name))
-  listed.forEach(({ name, address, leaving }) => {
+  listed.forEach(({ name, address, availabilityZone, leaving }) => {
     const known = accounts.get(name)
     if (known && known.address === address) known.leaving = leaving
-    else accounts.set(name, { name, address, leaving, account: createAccount(), reportAtMs: 0, awaited: true, retiring: false })
+    else accounts.set(name, { name, address, availabilityZone, role, leaving, account: createAccount(), reportAtMs: 0, awaited: true, retiring: false })
   })
 }
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -76,6 +76,11 @@
     return shard.spec.prefillLatencyMs + transferMs(shard, request.promptTokens) + shard.spec.decodeStepBaseMs
   }
 
+  /** How long the answer lasts on a lightly loaded engine, if it is as long as answers usually are. */
+  usualAnswerMs ({ maxTokens }: ReserveRequest): number {
+    return this.#lengths.usualShare * maxTokens * this.#ledger.shard.spec.decodeStepBaseMs
+  }
+
   /** Completes an estimate with the decode engine that has most room when the prefill ends, if one has any. Those that fail of late come last. */
   estimateDecode (request: ReserveRequest, part: PrefillEstimate, { usablePlaces, objective, nowMs }: DecodeOptions): PlacementEstimate | undefined {
     const { shard } = this.#ledger
--- /dev/null
+++ b/scheduling/scheduler/src/shardLoad.ts
@@ -0,0 +1,81 @@
+import { RecentEvents } from './recentEvents.js'
+
+/** What the requests of a shard take of its engines, and how fast they come. */
+export interface ObservedLoad {
+  /** Time of a prefill engine that a prompt takes. */
+  prefillMs: number
+  /** Time of a decode engine that an answer takes: how long it lasts, times the part of the engine that it fills. */
+  decodeMs: number
+  /** New requests a millisecond, at the busiest of the last while. */
+  arrivalsPerMs: number
+}
+
+/** Arrivals are counted over this time: some tens of them, and a burst shows within it. */
+const WINDOW_MS = 3000
+/** Fewer requests than this say little about the next ones: their sizes differ by a half, their mean by a sixth. */
+const FEWEST = 10
+/** A busy time is remembered about this long: bursts come some ten seconds apart. */
+const PEAK_MEMORY_MS = 30_000
+/** Weight of one request: some thirty are remembered, a few seconds of them. */
+const SMOOTHING = 0.03
+/** Until this many answers have ended, what was expected of them counts as well: the first to end are the short ones. */
+const ENOUGH_ENDED = 60
+
+/** Learns what requests take of the engines of one shard. */
+export class ShardLoad {
+  readonly #arrived = new RecentEvents(WINDOW_MS)
+  readonly #prefillMs = new Mean()
+  readonly #expectedMs = new Mean()
+  readonly #endedMs = new Mean()
+  #firstAtMs = Number.POSITIVE_INFINITY
+  #peakPerMs = 0
+  #peakAtMs = 0
+
+  /** A request came for the first time. */
+  noteArrival (nowMs: number): void {
+    this.#arrived.note(nowMs)
+    this.#firstAtMs = Math.min(this.#firstAtMs, nowMs)
+    const count = this.#arrived.countSince(nowMs - WINDOW_MS, nowMs)
+    const countedMs = Math.min(WINDOW_MS, nowMs - this.#firstAtMs)
+    const ratePerMs = count < FEWEST ? 0 : count / countedMs
+    this.#peakPerMs = Math.max(ratePerMs, this.#peakAt(nowMs))
+    this.#peakAtMs = nowMs
+  }
+
+  /** A request was placed. */
+  notePlaced (prefillMs: number, expectedDecodeMs: number): void {
+    this.#prefillMs.learn(prefillMs)
+    this.#expectedMs.learn(expectedDecodeMs)
+  }
+
+  /** An answer is whole. */
+  noteEnded (decodeMs: number): void {
+    this.#endedMs.learn(decodeMs)
+  }
+
+  /** Nothing until enough requests were placed. */
+  observed (nowMs: number): ObservedLoad | undefined {
+    if (this.#prefillMs.count < FEWEST) return undefined
+    const known = Math.min(1, this.#endedMs.count / ENOUGH_ENDED)
+    return {
+      prefillMs: this.#prefillMs.value,
+      decodeMs: known * this.#endedMs.value + (1 - known) * this.#expectedMs.value,
+      arrivalsPerMs: this.#peakAt(nowMs),
+    }
+  }
+
+  #peakAt (nowMs: number): number {
+    return this.#peakPerMs * Math.exp(-(nowMs - this.#peakAtMs) / PEAK_MEMORY_MS)
+  }
+}
+
+/** A mean in which late values weigh more. */
+class Mean {
+  count = 0
+  value = 0
+
+  learn (sample: number): void {
+    this.count++
+    this.value += Math.max(SMOOTHING, 1 / this.count) * (sample - this.value)
+  }
+}
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -14,6 +14,7 @@
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { PlacementRate } from './placementRate.js'
 import { PlacesLimit } from './placesLimit.js'
+import { type ObservedLoad, ShardLoad } from './shardLoad.js'
 import { QuantileEstimator } from './quantileEstimator.js'
 import { ReturnCalendar } from './returnCalendar.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
@@ -64,6 +65,7 @@
   readonly #shares = new ClientShares()
   readonly #lengths = new AnswerLengths()
   readonly #rate = new PlacementRate()
+  readonly #load = new ShardLoad()
   readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
   readonly #placesLimit: PlacesLimit
   readonly #chooser: PlacementChooser
@@ -106,7 +108,7 @@
     const back = this.#calendar.due(request.returnId, nowMs)
     const firstArrivedAtMs = back?.firstArrivedAtMs ?? nowMs
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, 'too many requests wait'))
-    if (!back) this.#rate.noteArrival(nowMs)
+    if (!back) this.#noteArrival(nowMs)
     if (this.#waiting.size === 0) this.#rate.noteIdle(nowMs)
     const leftMs = request.ttftLeftMs - this.#ttftError.valueMs
     const usefulMs = Math.min(Math.max(leftMs, request.patienceMs ?? 0), request.deadlineMs)
@@ -187,6 +189,11 @@
     this.#forgetCosts(engine)
   }
 
+  /** What requests take of the engines; nothing until enough were seen. */
+  observedLoad (): ObservedLoad | undefined {
+    return this.#load.observed(this.#opts.clock.nowMs())
+  }
+
   /** State for the dump. */
   describe () {
     const nowMs = this.#opts.clock.nowMs()
@@ -230,12 +237,24 @@
     if (outcome === UpstreamOutcome.Unreachable) this.#opts.onUnreachable?.(engine)
   }
 
+  #noteArrival (nowMs: number): void {
+    this.#rate.noteArrival(nowMs)
+    this.#load.noteArrival(nowMs)
+  }
+
   #learn (entry: LedgerEntry, report: PlacementReport): void {
+    this.#load.noteEnded(this.#fillOf(entry.kvBytes) * Math.max(0, this.#opts.clock.nowMs() - entry.importEndMs))
     this.#ttftError.learn(report.ttftErrorMs)
     this.#lengths.learn(report.completionTokens, entry.maxTokens)
     this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
   }
 
+  /** The part of a decode engine that a request fills, by its memory or its place. */
+  #fillOf (kvBytes: number): number {
+    const { kvBytesPerEngine, placesPerEngine } = this.ledger.shard.decodePool
+    return Math.max(kvBytes / kvBytesPerEngine, 1 / placesPerEngine)
+  }
+
   /** Places and refuses whatever can be decided now, then sleeps until the next moment that could change that. */
   #pump (): void {
     const nowMs = this.#opts.clock.nowMs()
@@ -306,6 +325,7 @@
     this.#shares.charge(request.client, estimate.costMs, weight, nowMs)
     this.#calendar.forget(request.returnId)
     this.#rate.note(nowMs)
+    this.#load.notePlaced(estimate.costMs, this.#fillOf(estimate.kvBytes) * this.#estimator.usualAnswerMs(request))
     this.#answer(waiting, planOf(estimate, nowMs))
   }
 
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -12,6 +12,8 @@
   SchedulerLeft = 'schedulerLeft',
   HoldReleased = 'holdReleased',
   OrderSent = 'orderSent',
+  /** Which roles engines should have, when that changes. */
+  RolesPlanned = 'rolesPlanned',
   RecordsTaken = 'recordsTaken',
   HandoffFailed = 'handoffFailed',
   Reloaded = 'reloaded',
--- a/upstream/client/src/engineReport.ts
+++ b/upstream/client/src/engineReport.ts
@@ -42,6 +42,8 @@
   prefillQueueMs: number
   /** The highest fencing number it has accepted. 0 from one that does not check them. */
   fence: number
+  /** Orders that it has taken since it started. Only some engines tell. */
+  ordersTaken?: number
   holds: EngineHold[]
 }
 
@@ -51,6 +53,17 @@
 }
 
 /** An order to an engine. It carries a fencing number that an engine may check or ignore. */
-export type EngineOrder =
+export type EngineOrder = OrderAddress & (
   | { kind: OrderKind.LoadModel, model: string, version: string, fence: number }
   | { kind: OrderKind.ChangeRole, role: EngineRole, fence: number }
+)
+
+/** Who orders whom, for engines that ask. */
+export interface OrderAddress {
+  /** Only this incarnation of the engine may take the order. */
+  instance?: string
+  /** Who gives the order. */
+  holder?: string
+  /** Orders that the engine has taken before, as far as the holder knows. It refuses the order when there were others. */
+  ordersTaken?: number
+}
--- a/upstream/client/src/index.ts
+++ b/upstream/client/src/index.ts
@@ -1,7 +1,7 @@
 export { EngineClient } from './engineClient.js'
 export type { DecodeEvent, DecodeRequest, PrefillRequest, PrefillResult, CacheEventPage, UpstreamCallOptions } from './engineClient.js'
 export { EngineRole, HoldKind, OrderKind } from './engineReport.js'
-export type { EngineHold, EngineReport, EngineOrder, LoadedModel } from './engineReport.js'
+export type { EngineHold, EngineReport, EngineOrder, LoadedModel, OrderAddress } from './engineReport.js'
 export { ServiceClient } from './serviceClient.js'
 export type { ServiceCall, ServiceReply } from './serviceClient.js'
 export { UpstreamError } from './upstreamError.js'
--- a/upstream/orders/src/fenceOf.ts
+++ b/upstream/orders/src/fenceOf.ts
@@ -1,3 +1,5 @@
+import { hash32 } from '@reelspan/core.hashing'
+
 /** Orders that one revision can number. */
 export const FENCE_STEPS = 2 ** 20
 
@@ -12,3 +14,18 @@
   const step = acceptedRevision === revision ? acceptedFence % FENCE_STEPS : 0
   return revision * FENCE_STEPS + step + 1
 }
+
+/** Orders to one engine that are told apart within one revision; more have the same number but for their holder. */
+const UNIQUE_STEPS = 2 ** 8
+/** Numbers of holders: two of 700 boxes have the same in one of some two thousand pairs of orders at one revision and step. */
+const HOLDERS = 2 ** 20
+
+/**
+ * The fencing number of an order to an engine that does not report the last number
+ * it took, but how many orders. It rises with the revision and with each order, and
+ * two holders that believe the same do not give the same number.
+ */
+export function uniqueFenceOf (revision: number, ordersTaken: number, holder: string): number {
+  const step = Math.min(ordersTaken, UNIQUE_STEPS - 1)
+  return (revision * UNIQUE_STEPS + step) * HOLDERS + hash32(holder) % HOLDERS
+}
--- a/upstream/orders/src/orderController.ts
+++ b/upstream/orders/src/orderController.ts
@@ -1,6 +1,7 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type Clock } from '@reelspan/core.env'
 import { type EngineClient } from '@reelspan/upstream.client'
+import { OrderOutcome, outcomeOf } from './orderOutcome.js'
 import { type OrderRight } from './orderRight.js'
 import { type OrderPlan, type OrderScope, type PlannedOrder, planOrders } from './planOrders.js'
 
@@ -13,13 +14,6 @@
   onOrder?: (order: PlannedOrder, outcome: OrderOutcome) => void
 }
 
-export enum OrderOutcome {
-  Accepted = 'accepted',
-  Refused = 'refused',
-  /** The right to order was lost before it was sent. */
-  NotSent = 'notSent',
-}
-
 /** Carries out what is declared for the engines of one shard. */
 export class OrderController {
   readonly #opts: OrderControllerOptions
@@ -46,7 +40,7 @@
     }
     await engines.order(planned.address, planned.order, { timeoutMs: orderTimeoutMs }).then(
       () => onOrder?.(planned, OrderOutcome.Accepted),
-      () => onOrder?.(planned, OrderOutcome.Refused)
+      (thrown: unknown) => onOrder?.(planned, outcomeOf(thrown))
     )
   }
 }
--- /dev/null
+++ b/upstream/orders/test/roleBalancer.ts
@@ -0,0 +1,162 @@
+import { type CacheEventPage, type DecodeEvent, EngineClient, type EngineOrder, type EngineReport, EngineRole, type PrefillResult, UpstreamError } from '@reelspan/upstream.client'
+import { type BalancedEngine, OrderOutcome, OrderRight, RoleBalancer, type RoleLoad, RolePlanOutcome, uniqueFenceOf } from '@reelspan/upstream.orders'
+import { NodeClock, VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const LOAD: RoleLoad = { prefillMs: 100, decodeMs: 320, arrivalsPerMs: 0.007 }
+const LEAST = { prefill: 1, decode: 1 }
+
+/** Takes orders, or fails them. */
+class OrderTaker extends EngineClient {
+  readonly orders: EngineOrder[] = []
+  failure?: UpstreamError
+
+  async order (_address: string, order: EngineOrder): Promise<void> {
+    this.orders.push(order)
+    if (this.failure) throw this.failure
+  }
+
+  async prefill (): Promise<PrefillResult> { throw new Error('not asked here') }
+  async * decode (): AsyncGenerator<DecodeEvent> { throw new Error('not asked here') }
+  async release (): Promise<void> {}
+  async report (): Promise<EngineReport> { throw new Error('not asked here') }
+  async cacheEvents (): Promise<CacheEventPage> { throw new Error('not asked here') }
+}
+
+function engineOf (name: string, role: EngineRole, over: Partial<BalancedEngine> = {}): BalancedEngine {
+  const report: EngineReport = { role, loaded: [], changing: false, placesUsed: 0, placesTotal: 1, kvBytesUsed: 0, kvBytesTotal: 1, prefillQueueMs: 0, fence: 0, ordersTaken: 4, holds: [] }
+  return { name, address: `${name}:1`, availabilityZone: 'a', leaving: false, reservations: 0, report, ...over }
+}
+
+function fleetOf (prefill: string[], decode: string[]) {
+  return {
+    prefill: prefill.map((name) => engineOf(name, EngineRole.Prefill)),
+    decode: decode.map((name) => engineOf(name, EngineRole.Decode)),
+  }
+}
+
+/** A balancer that has had the right to order for long. */
+async function createBalancer () {
+  const shared = new VirtualClock()
+  const clock = new NodeClock(shared)
+  const contact = { lost: false }
+  const right = new OrderRight({ clock, lifeMs: 1000, lastContactMs: () => contact.lost ? 0 : clock.nowMs() })
+  right.take()
+  await shared.advance(10_000)
+  const engines = new OrderTaker()
+  const outcomes: OrderOutcome[] = []
+  const balancer = new RoleBalancer({ clock, engines, right, holder: 'box-1', revision: () => 7, orderTimeoutMs: 1000, onOrder: (_order, outcome) => outcomes.push(outcome) })
+  const pass = async (fleet: ReturnType<typeof fleetOf>, load = LOAD) => {
+    await shared.run(balancer.pass(fleet, LEAST, load))
+    await shared.advance(1000)
+  }
+  return { balancer, engines, outcomes, pass, contact, clock: shared }
+}
+
+const THREE = fleetOf(['p1', 'p2', 'p3'], ['d1', 'd2', 'd3'])
+
+test('an engine is told its new role once that was wanted twice, with the orders it has taken and a number of this holder', async (t) => {
+  const { engines, pass, outcomes } = await createBalancer()
+  await pass(THREE)
+  t.deepEqual(engines.orders, [])
+  await pass(THREE)
+  t.is(engines.orders.length, 1)
+  const [order] = engines.orders
+  t.like(order, { role: EngineRole.Decode, holder: 'box-1', ordersTaken: 4, fence: uniqueFenceOf(7, 4, 'box-1') })
+  t.true(['p1', 'p2', 'p3'].includes(order.instance ?? ''))
+  t.deepEqual(outcomes, [OrderOutcome.Accepted])
+})
+
+test('an engine gets no new work from when it is chosen, and its order when it is empty', async (t) => {
+  const { balancer, engines, pass } = await createBalancer()
+  const busy = { ...THREE, prefill: THREE.prefill.map((engine) => ({ ...engine, reservations: 1 })) }
+  await pass(busy)
+  await pass(busy)
+  const moving = THREE.prefill.filter(({ name }) => balancer.isMoving(name))
+  t.is(moving.length, 1)
+  t.deepEqual(engines.orders, [])
+  await pass(THREE)
+  t.deepEqual(engines.orders.map(({ instance }) => instance), [moving[0].name])
+})
+
+test('an engine that was ordered is ordered once, however long it takes', async (t) => {
+  const { balancer, engines, pass } = await createBalancer()
+  for (let i = 0; i < 20; i++) await pass(THREE)
+  t.is(engines.orders.length, 1)
+  t.is(balancer.plan?.outcome, RolePlanOutcome.Settling)
+})
+
+test('an engine that the list has in its new role takes work', async (t) => {
+  const { balancer, engines, pass } = await createBalancer()
+  await pass(THREE)
+  await pass(THREE)
+  const moved = engines.orders[0].instance as string
+  const left = ['p1', 'p2', 'p3'].filter((name) => name !== moved)
+  const after = fleetOf(left, ['d1', 'd2', 'd3', moved])
+  await pass(after)
+  t.false(balancer.isMoving(moved))
+  for (let i = 0; i < 30; i++) await pass(after)
+  t.is(engines.orders.length, 1, 'the share is balanced')
+})
+
+test('an engine that refuses its order works on, and no other is asked for a while', async (t) => {
+  const { balancer, engines, pass, outcomes } = await createBalancer()
+  engines.failure = new UpstreamError('another order is under way', { mayHaveRun: false, refused: true })
+  for (let i = 0; i < 8; i++) await pass(THREE)
+  t.deepEqual(outcomes, [OrderOutcome.Refused])
+  t.false(THREE.prefill.some(({ name }) => balancer.isMoving(name)))
+})
+
+test('an order that was not answered may have been taken: its engine waits for what its reports say', async (t) => {
+  const { balancer, engines, pass, outcomes } = await createBalancer()
+  engines.failure = new UpstreamError('no answer', { mayHaveRun: true, unreachable: true })
+  for (let i = 0; i < 4; i++) await pass(THREE)
+  t.deepEqual(outcomes, [OrderOutcome.NotAnswered])
+  t.true(balancer.isMoving(engines.orders[0].instance as string))
+})
+
+test('without the right to order nothing is sent, and engines that were chosen work on', async (t) => {
+  const { balancer, engines, pass, contact, outcomes } = await createBalancer()
+  const busy = { ...THREE, prefill: THREE.prefill.map((engine) => ({ ...engine, reservations: 1 })) }
+  await pass(busy)
+  await pass(busy)
+  contact.lost = true
+  await pass(THREE)
+  t.deepEqual(engines.orders, [])
+  t.deepEqual(outcomes, [OrderOutcome.NotSent])
+  t.false(THREE.prefill.some(({ name }) => balancer.isMoving(name)))
+})
+
+test('standing down lets engines go that were not ordered, and keeps those that were', async (t) => {
+  const { balancer, engines, pass } = await createBalancer()
+  await pass(THREE)
+  await pass(THREE)
+  balancer.standDown()
+  t.true(balancer.isMoving(engines.orders[0].instance as string))
+})
+
+test('an engine that never changes is let go again', async (t) => {
+  const { balancer, engines, pass } = await createBalancer()
+  for (let i = 0; i < 2; i++) await pass(THREE)
+  const first = engines.orders[0].instance as string
+  for (let i = 0; i < 30; i++) await pass(THREE, { ...LOAD, arrivalsPerMs: 0.001 })
+  t.false(balancer.isMoving(first))
+})
+
+test('a zone with more engines of the role than of the other gives one up first', async (t) => {
+  const { engines, pass } = await createBalancer()
+  const fleet = {
+    prefill: [engineOf('p1', EngineRole.Prefill, { availabilityZone: 'a' }), engineOf('p2', EngineRole.Prefill, { availabilityZone: 'b' }), engineOf('p3', EngineRole.Prefill, { availabilityZone: 'b' })],
+    decode: [engineOf('d1', EngineRole.Decode, { availabilityZone: 'a' }), engineOf('d2', EngineRole.Decode, { availabilityZone: 'a' }), engineOf('d3', EngineRole.Decode, { availabilityZone: 'b' })],
+  }
+  await pass(fleet)
+  await pass(fleet)
+  t.true(['p2', 'p3'].includes(engines.orders[0].instance as string))
+})
+
+test('numbers of orders rise with the revision and the orders taken, and differ between holders', (t) => {
+  t.true(uniqueFenceOf(8, 0, 'box-1') > uniqueFenceOf(7, 200, 'box-2'))
+  t.true(uniqueFenceOf(7, 5, 'box-1') > uniqueFenceOf(7, 4, 'box-2'))
+  t.not(uniqueFenceOf(7, 4, 'box-1'), uniqueFenceOf(7, 4, 'box-2'))
+  t.true(Number.isSafeInteger(uniqueFenceOf(2 ** 24, 255, 'box-1')))
+})
