feat(scheduling.scheduler): decode engines compute prompts themselves where the prefill engines are late or gone

Change: a model can declare how fast its decode engines compute prompts between the tokens of their streams. A placement on one engine alone is made for the first request in line that such an engine, with room, would be done with before the prefill engines are. One prompt at a time on each engine; the real time is learnt as for prefill engines. What is computed there counts in the plan of roles.

--- a/config/resources/src/specs.ts
+++ b/config/resources/src/specs.ts
@@ -39,6 +39,8 @@
   kvBytesPerToken: positiveInt,
   /** First guess of a prefill engine's speed. */
   prefillTokensPerSecond: z.number().positive(),
+  /** First guess of how fast a decode engine computes a prompt itself, between the tokens of its streams. Without it, decode engines cannot. */
+  decodePrefillTokensPerSecond: z.number().positive().optional(),
   /** Fixed cost of a prefill. */
   prefillBaseMs: z.number().nonnegative().default(5),
   /** Part of a prefill's time in which its engine computes others already. */
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -159,11 +159,13 @@
       if (opts.clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the placement was not used in time', { mayHaveRun: false })
       this.#checkTakesWork(plan.prefillEngine)
       this.#checkTakesWork(plan.decodeEngine)
-      source = await this.#prefill(plan)
-      this.#prefillMs = opts.clock.nowMs() - placedAtMs
-      placement.prefilled()
-      await run.checkBeforeSend()
-      this.#checkTakesWork(plan.decodeEngine)
+      if (!isOwnPrefill(plan)) {
+        source = await this.#prefill(plan)
+        this.#prefillMs = opts.clock.nowMs() - placedAtMs
+        placement.prefilled()
+        await run.checkBeforeSend()
+        this.#checkTakesWork(plan.decodeEngine)
+      }
       await this.#decode(plan, source, placement, times)
       taken = true
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs), times)
@@ -203,10 +205,12 @@
   }
 
   /** Sends the request to its decode engine and passes the answer on. */
-  async #decode (plan: PlacementPlan, source: PrefillSource, placement: Placement, times: AnswerTimes): Promise<void> {
+  async #decode (plan: PlacementPlan, source: PrefillSource | undefined, placement: Placement, times: AnswerTimes): Promise<void> {
     const { run, request, route } = this.#context
     this.#decodesSent++
-    const patienceMs = this.#isRepeatable() ? DECODE_PATIENCE * route.spec.tbtTargetMs : Number.POSITIVE_INFINITY
+    // An engine that reads the prompt first is silent for that time as well.
+    const readMs = isOwnPrefill(plan) ? PREFILL_PATIENCE * plan.expectedTtftMs : 0
+    const patienceMs = this.#isRepeatable() ? DECODE_PATIENCE * route.spec.tbtTargetMs + readMs : Number.POSITIVE_INFINITY
     await this.#blame(plan.decodeEngine, () => this.#unlessSilent(patienceMs, async (watch) => {
       const answer = await sendToUpstream(this.#context, { instance: plan.decodeEngine, address: plan.decodeAddress }, {
         signal: watch.signal,
@@ -245,7 +249,8 @@
       throw new UpstreamError(`${plan.decodeEngine} answered ${answer.status}`, { mayHaveRun: true })
     }
     placement.progressed(1)
-    await passEvents(this.#context, answer, times, { progress: this.#progress, wholeEvents: route.spec.resumable, watch })
+    const onFirst = isOwnPrefill(plan) ? () => placement.prefilled() : undefined
+    await passEvents(this.#context, answer, times, { progress: this.#progress, wholeEvents: route.spec.resumable, watch, onFirst })
     this.#note(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
 
@@ -290,6 +295,11 @@
   }
 }
 
+/** The decode engine computes the prompt itself. */
+function isOwnPrefill ({ prefillEngine, decodeEngine }: PlacementPlan): boolean {
+  return prefillEngine === decodeEngine
+}
+
 function refusalOf ({ reason, retryAfterMs }: PlacementRefusal): ReelspanError {
   return new ReelspanError(ErrorCode.Overloaded, reason, { retryAfterMs })
 }
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -10,6 +10,8 @@
   wholeEvents: boolean
   /** Watches for the upstream's silence. */
   watch: SilenceWatch
+  /** Called when the first event of this answer is there. */
+  onFirst?: () => void
 }
 
 /**
@@ -18,14 +20,19 @@
  */
 export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
   const { run, caller } = context
-  const { progress, wholeEvents, watch } = opts
+  const { progress, wholeEvents, watch, onFirst } = opts
+  let first = true
   if (!caller.begun) caller.begin(answer.status, answer.headers)
   times.status = answer.status
   try {
     for await (const bytes of answer.body) {
       watch.heard()
       const complete = progress.take(bytes)
-      if (complete.byteLength > 0) noteTime(times, run.elapsedMs)
+      if (complete.byteLength > 0) {
+        noteTime(times, run.elapsedMs)
+        if (first) onFirst?.()
+        first = false
+      }
       const passed = wholeEvents ? complete : bytes
       // A caller that is slow to read says nothing about the upstream.
       if (passed.byteLength > 0) await watch.pauseFor(caller.write(passed))
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -138,6 +138,9 @@
   readonly outcomes: EngineOutcome[] = []
   refusal?: PlacementRefusal
   startInMs = 0
+  /** Decode engines compute the prompts themselves. */
+  ownPrefill = false
+  prefilled = 0
   /** The answer comes when this resolves, whatever becomes of its caller. */
   answers?: Promise<void>
 
@@ -147,11 +150,13 @@
     if (this.refusal) return this.refusal
     const nth = this.asked.length
     this.placed++
-    const plan = { outcome: PlacementOutcome.Placed as const, prefillEngine: 'p1', prefillAddress: '10.0.0.1:1', decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1`, kvBytes: 1, startInMs: this.startInMs, startWithinMs: 300, expectedTtftMs: 100 }
+    const decode = { decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1` }
+    const prefill = this.ownPrefill ? { prefillEngine: decode.decodeEngine, prefillAddress: decode.decodeAddress } : { prefillEngine: 'p1', prefillAddress: '10.0.0.1:1' }
+    const plan = { outcome: PlacementOutcome.Placed as const, ...prefill, ...decode, kvBytes: 1, startInMs: this.startInMs, startWithinMs: 300, expectedTtftMs: 100 }
     return {
       plan,
       placedBy: 'test',
-      prefilled: () => {},
+      prefilled: () => { this.prefilled++ },
       release: (_report, outcomes) => {
         this.released++
         this.outcomes.push(...outcomes ?? [])
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -214,6 +214,26 @@
   t.is(placer.released, 1)
 })
 
+test('a completion whose decode engine computes the prompt is sent there alone, without a source', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([answers(200, 'data: line\n\n')])
+  placer.ownPrefill = true
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.deepEqual(upstreams.prefills, [])
+  t.deepEqual(upstreams.runs.map(({ instance, opts }) => [instance, opts.source]), [['d1', undefined]])
+  t.true(caller.whole)
+  t.is(placer.prefilled, 1, 'the scheduler is told that the prompt is computed')
+})
+
+test('a decode engine that computes the prompt first is given that time before it counts as silent', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([answersAfter(300, 200, 'data: line')])
+  placer.ownPrefill = true
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.true(caller.whole)
+})
+
 test('a completion that finds no place is refused at once with the scheduler\'s time to return', async (t) => {
   const { clock, relay, placer, upstreams } = createRelay([])
   placer.refusal = { outcome: PlacementOutcome.Refused, reason: 'full', retryAfterMs: 640 }
--- a/scheduling/ledger/src/decodeAccount.ts
+++ b/scheduling/ledger/src/decodeAccount.ts
@@ -1,5 +1,6 @@
 import { holdLabelKey } from '@reelspan/core.messages'
 import { type EngineReport, HoldKind } from '@reelspan/upstream.client'
+import { PrefillAccount } from './prefillAccount.js'
 
 /** One request's place on a decode engine. */
 export interface PlaceReservation {
@@ -21,6 +22,8 @@
   readonly #reserved = new Map<string, PlaceReservation>()
   #reservedKvBytes = 0
   #external: DecodeCapacity = { places: 0, kvBytes: 0 }
+  /** Prompts that it computes itself, between the tokens of its streams. */
+  readonly ownPrefills = new PrefillAccount()
   /** When the engine's link from the prefill pool is free. */
   linkFreeAtMs = 0
 
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -111,16 +111,18 @@
     this.#entries.set(key, entry)
     const prefill = this.#prefill.get(entry.prefillEngine)
     const decode = this.#decode.get(entry.decodeEngine)
-    prefill?.account.plan(key, entry.prefillCostMs, nowMs)
+    this.#prefillsOf(entry)?.plan(key, entry.prefillCostMs, nowMs)
     decode?.account.reserve(key, { kvBytes: entry.kvBytes, latestEndMs: entry.latestEndMs })
-    if (prefill) prefill.account.linkFreeAtMs = Math.max(prefill.account.linkFreeAtMs, entry.importEndMs)
+    // What a decode engine computes itself takes no link.
+    if (!prefill) return
+    prefill.account.linkFreeAtMs = Math.max(prefill.account.linkFreeAtMs, entry.importEndMs)
     if (decode) decode.account.linkFreeAtMs = Math.max(decode.account.linkFreeAtMs, entry.importEndMs)
   }
 
   /** A prefill has ended. */
   prefilled (label: HoldLabel, nowMs: number): void {
     const entry = this.#entries.get(holdLabelKey(label))
-    if (entry) this.#prefill.get(entry.prefillEngine)?.account.finish(holdLabelKey(label), nowMs - this.#shard.spec.prefillLatencyMs)
+    if (entry) this.#prefillsOf(entry)?.finish(holdLabelKey(label), nowMs - this.#shard.spec.prefillLatencyMs)
   }
 
   /** Requests that are placed on an engine. */
@@ -143,7 +145,7 @@
     const entry = this.#entries.get(key)
     if (!entry) return undefined
     this.#entries.delete(key)
-    this.#prefill.get(entry.prefillEngine)?.account.remove(key)
+    this.#prefillsOf(entry)?.remove(key)
     this.#decode.get(entry.decodeEngine)?.account.release(key)
     return entry
   }
@@ -188,6 +190,12 @@
       if (expiresAtMs <= nowMs) this.release(label)
     })
     this.#prefill.forEach(({ account }) => account.expire(nowMs))
+    this.#decode.forEach(({ account }) => account.ownPrefills.expire(nowMs))
+  }
+
+  /** Where a request's prompt is computed: on a prefill engine, or on its decode engine itself. */
+  #prefillsOf ({ prefillEngine, decodeEngine }: LedgerEntry): PrefillAccount | undefined {
+    return prefillEngine === decodeEngine ? this.#decode.get(decodeEngine)?.account.ownPrefills : this.#prefill.get(prefillEngine)?.account
   }
 }
 
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -1,4 +1,5 @@
 import { type RouteSpec } from '@reelspan/config.resources'
+import { type ReserveRequest } from '@reelspan/core.messages'
 import { type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type ClientShares } from './clientShares.js'
 import { type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
@@ -85,13 +86,60 @@
     if (queue.length === 0) return undefined
     const engines = this.readyEngines(nowMs)
     const handoutUntilMs = nowMs + HANDOUT_LOOKAHEAD_MS
-    if (!engines.some(({ freeAtMs }) => freeAtMs <= handoutUntilMs)) return undefined
+    if (!engines.some(({ freeAtMs }) => freeAtMs <= handoutUntilMs)) return this.#chooseOwnPrefill(queue, engines, nowMs)
     const pressure = this.#pressure(queue.length > 1 ? waitingMs : 0, engines.length)
     const candidates = queue.flatMap((waiting) => {
       const ready = this.#bestEngine(waiting, engines, { pressure, nowMs })
       return ready && ready.freeAtMs <= handoutUntilMs ? [{ waiting, ready, costMs: this.costMs(waiting, ready, nowMs) }] : []
     })
-    return this.#firstThatFits(this.#inOrder(candidates, nowMs), nowMs)
+    return this.#firstThatFits(this.#inOrder(candidates, nowMs), nowMs) ?? this.#chooseOwnPrefill(queue, engines, nowMs)
+  }
+
+  /**
+   * The first request, in the order in which they came, whose decode engine would be
+   * done with its prompt before the prefill engines are, behind all that wait before it.
+   * A decode engine takes longer and holds its streams up meanwhile (about 190 ms of
+   * each for a prompt of 3,200 tokens), so prefill engines that are free go first.
+   */
+  #chooseOwnPrefill (queue: readonly WaitingRequest[], engines: readonly ReadyEngine[], nowMs: number): Choice | undefined {
+    // What the first one does not find, the next seldom does.
+    const soonest = this.#ownPrefill(queue[0], nowMs)
+    if (!soonest) return undefined
+    const pooledAtMs = this.#pooledEnds(queue, engines, nowMs)
+    const gaining = queue.findIndex((_, i) => pooledAtMs[i] > soonest.firstTokenMs)
+    if (gaining < 0) return undefined
+    const waiting = queue[gaining]
+    const estimate = this.#ownPrefill(waiting, nowMs)
+    return estimate && estimate.firstTokenMs < pooledAtMs[gaining] && estimate.firstTokenMs <= waiting.uselessAtMs ? { waiting, estimate } : undefined
+  }
+
+  /** When each request would have its first token if the prefill engines took them in this order. */
+  #pooledEnds (queue: readonly WaitingRequest[], engines: readonly ReadyEngine[], nowMs: number): number[] {
+    if (engines.length === 0) return queue.map(() => Number.POSITIVE_INFINITY)
+    let workMs = engines.reduce((sum, { freeAtMs }) => sum + Math.max(0, freeAtMs - nowMs), 0)
+    return queue.map((waiting) => {
+      const costMs = Math.min(...engines.map((ready) => this.costMs(waiting, ready, nowMs)))
+      const endMs = nowMs + workMs / engines.length + costMs + waiting.handoverMs
+      workMs += costMs
+      return endMs
+    })
+  }
+
+  #ownPrefill ({ request }: WaitingRequest, nowMs: number): PlacementEstimate | undefined {
+    return this.#estimator.estimateOwnPrefill(request, { usablePlaces: this.#usablePlaces(request), nowMs })
+  }
+
+  /** The least time to a first token if a decode engine computes the prompt itself, though all may be full now; nothing when none takes work. */
+  leastOwnPrefillMs ({ request }: WaitingRequest, nowMs: number): number | undefined {
+    const timesMs = this.#ledger.decodeEngines().flatMap((decode) => {
+      const ownMs = this.#ledger.servedVersion(decode, nowMs) === undefined ? undefined : this.#estimator.ownPrefillMs(request, decode)
+      return ownMs === undefined ? [] : [ownMs]
+    })
+    return timesMs.length > 0 ? Math.min(...timesMs) : undefined
+  }
+
+  #usablePlaces ({ tbtTargetMs }: ReserveRequest): number {
+    return Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(tbtTargetMs, this.#route()))
   }
 
   /** How much more prefill work waits than the engines can do before it is late: from 0.3 when nothing waits, up to 2. */
@@ -148,10 +196,8 @@
   #firstThatFits (candidates: readonly Candidate[], nowMs: number): Choice | undefined {
     for (const { waiting, ready, costMs } of candidates.slice(0, MAX_FITS_TRIED)) {
       const { request, uselessAtMs } = waiting
-      const route = this.#route()
-      const usablePlaces = Math.min(this.#placesLimit.places, this.#estimator.usablePlaces(request.tbtTargetMs, route))
       const part = { prefill: ready.engine, endMs: ready.freeAtMs + costMs, costMs }
-      const estimate = this.#estimator.estimateDecode(request, part, { usablePlaces, objective: route?.objective, nowMs })
+      const estimate = this.#estimator.estimateDecode(request, part, { usablePlaces: this.#usablePlaces(request), objective: this.#route()?.objective, nowMs })
       if (estimate && estimate.firstTokenMs <= uselessAtMs) return { waiting, estimate }
     }
     return undefined
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -3,11 +3,12 @@
 import { type DecodeAccount, type DecodeCapacity, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { type AnswerLengths } from './answerLengths.js'
-import { placesWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
+import { ownPrefillMs, placesWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
 
 /** What a placement on a certain pair of engines would come to. Times are on this box's clock. */
 export interface PlacementEstimate {
-  prefill: EngineAccount<PrefillAccount>
+  /** The decode engine, when that computes the prompt itself. */
+  prefill: EngineAccount<unknown>
   decode: EngineAccount<DecodeAccount>
   importEndMs: number
   firstTokenMs: number
@@ -70,6 +71,12 @@
     return prefillMs(this.#ledger.shard, request.promptTokens - cached)
   }
 
+  /** Time in which a decode engine computes the prompt itself; nothing when decode engines cannot. What is cached there is not known. */
+  ownPrefillMs ({ promptTokens }: ReserveRequest, { account }: EngineAccount<DecodeAccount>): number | undefined {
+    const declaredMs = ownPrefillMs(this.#ledger.shard, promptTokens)
+    return declaredMs === undefined ? undefined : declaredMs * account.ownPrefills.speedFactor
+  }
+
   /** The least time from when a prefill's engine is free again to its first token. */
   handoverMs (request: ReserveRequest): number {
     const { shard } = this.#ledger
@@ -100,16 +107,35 @@
     const { decode, free } = roomiest
     const linkFreeMs = Math.max(part.endMs + spec.prefillLatencyMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
     const importEndMs = linkFreeMs + transferMs(shard, request.promptTokens)
-    const batch = usablePlaces - free.places + 1
+    const times = this.#streamTimes(request, importEndMs, usablePlaces, usablePlaces - free.places + 1)
+    return { prefill: part.prefill, decode, ...times, costMs: part.costMs, kvBytes }
+  }
+
+  /** The estimate with the decode engine that would be done first with computing the prompt itself, of those that have room now. */
+  estimateOwnPrefill (request: ReserveRequest, { usablePlaces, nowMs }: DecodeOptions): PlacementEstimate | undefined {
+    const { shard } = this.#ledger
+    const kvBytes = requestKvBytes(shard, request, this.#lengths.usualShare)
+    const capacity = { places: usablePlaces, kvBytes: shard.decodePool.kvBytesPerEngine }
+    const estimates = this.#ledger.decodeEngines()
+      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && !request.avoid.includes(decode.name) && !this.#isSuspect(decode.name))
+      .flatMap((decode): PlacementEstimate[] => {
+        const costMs = this.ownPrefillMs(request, decode)
+        const free = decode.account.freeNow(capacity)
+        if (costMs === undefined || free.places < 1 || free.kvBytes < kvBytes) return []
+        const endMs = decode.account.ownPrefills.freeAtMs(nowMs) + costMs
+        return [{ prefill: decode, decode, ...this.#streamTimes(request, endMs, usablePlaces, usablePlaces - free.places + 1), costMs, kvBytes }]
+      })
+    return estimates.sort((a, b) => a.firstTokenMs - b.firstTokenMs)[0]
+  }
+
+  /** When a stream begins and surely has ended, on an engine that has its KV cache from a time on. */
+  #streamTimes ({ maxTokens }: ReserveRequest, importEndMs: number, usablePlaces: number, batch: number) {
+    const { spec } = this.#ledger.shard
     const fullStepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usablePlaces
     return {
-      prefill: part.prefill,
-      decode,
       importEndMs,
       firstTokenMs: importEndMs + STEPS_TO_FIRST_TOKEN * (spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * batch),
-      latestEndMs: importEndMs + request.maxTokens * fullStepMs * STEP_SLACK,
-      costMs: part.costMs,
-      kvBytes,
+      latestEndMs: importEndMs + maxTokens * fullStepMs * STEP_SLACK,
     }
   }
 }
--- a/scheduling/scheduler/src/shardLoad.ts
+++ b/scheduling/scheduler/src/shardLoad.ts
@@ -42,7 +42,7 @@
     this.#peakAtMs = nowMs
   }
 
-  /** A request was placed. */
+  /** A request was placed. Its times are those that it would take of a prefill and of a decode engine, whoever computes the prompt. */
   notePlaced (prefillMs: number, expectedDecodeMs: number): void {
     this.#prefillMs.learn(prefillMs)
     this.#expectedMs.learn(expectedDecodeMs)
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -10,7 +10,7 @@
 import { ClientShares } from './clientShares.js'
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, msPerLatePlace } from './decideAdmission.js'
 import { decideQueue, type QueueDecision } from './decideQueue.js'
-import { HANDOUT_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
+import { HANDOUT_LOOKAHEAD_MS, PlacementChooser, type ReadyEngine } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { PlacementRate } from './placementRate.js'
 import { PlacesLimit } from './placesLimit.js'
@@ -190,8 +190,10 @@
   }
 
   /** What requests take of the engines; nothing until enough were seen. */
-  observedLoad (): ObservedLoad | undefined {
-    return this.#load.observed(this.#opts.clock.nowMs())
+  observedLoad (): (ObservedLoad & { ownPrefillMs?: number }) | undefined {
+    const { prefillTokensPerSecond, decodePrefillTokensPerSecond } = this.ledger.shard.spec
+    const load = this.#load.observed(this.#opts.clock.nowMs())
+    return load && { ...load, ownPrefillMs: decodePrefillTokensPerSecond && load.prefillMs * prefillTokensPerSecond / decodePrefillTokensPerSecond }
   }
 
   /** State for the dump. */
@@ -244,7 +246,7 @@
 
   #learn (entry: LedgerEntry, report: PlacementReport): void {
     this.#load.noteEnded(this.#fillOf(entry.kvBytes) * Math.max(0, this.#opts.clock.nowMs() - entry.importEndMs))
-    this.#ttftError.learn(report.ttftErrorMs)
+    if (entry.prefillEngine !== entry.decodeEngine) this.#ttftError.learn(report.ttftErrorMs)
     this.#lengths.learn(report.completionTokens, entry.maxTokens)
     this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
   }
@@ -280,22 +282,24 @@
   #decideAll (nowMs: number): void {
     if (this.#waiting.size === 0) return
     const engines = this.#chooser.readyEngines(nowMs)
-    const endOf = (waiting: WaitingRequest) => Math.min(...engines.map((ready) => ready.freeAtMs + this.#chooser.costMs(waiting, ready, nowMs)))
     const decisions = decideQueue(this.#waiting.all(), {
       nowMs,
       msPerPlace: this.#rate.msPerPlace(nowMs),
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
-      leastMs: (waiting) => engines.length > 0 ? endOf(waiting) - nowMs + waiting.handoverMs : this.#leastMsUnknown(waiting),
+      leastMs: (waiting) => this.#leastMs(waiting, engines, nowMs),
       isAhead: (client) => this.#shares.isAhead(client, nowMs),
       promisesDueAtMs: this.#calendar.promisesDueAtMs(nowMs),
     })
     decisions.forEach((decided) => this.#carryOut(decided))
   }
 
-  /** A shard that was just taken over may have room as soon as its engines report. */
-  #leastMsUnknown ({ handoverMs }: WaitingRequest): number | undefined {
-    return this.ledger.awaitsReports ? handoverMs : undefined
+  /** Least time to a first token; nothing when no engine takes work. */
+  #leastMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number | undefined {
+    const endsMs = engines.map((ready) => ready.freeAtMs - nowMs + this.#chooser.costMs(waiting, ready, nowMs) + waiting.handoverMs)
+    if (endsMs.length > 0) return Math.min(...endsMs)
+    // A shard that was just taken over may have room as soon as its engines report.
+    return this.#chooser.leastOwnPrefillMs(waiting, nowMs) ?? (this.ledger.awaitsReports ? waiting.handoverMs : undefined)
   }
 
   #carryOut ({ waiting, inputs, decision }: QueueDecision): void {
@@ -319,13 +323,17 @@
       latestEndMs: estimate.latestEndMs,
       expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
     }, nowMs)
-    this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
-    this.#forgetCosts(prefill.name)
+    const isOwnPrefill = prefill.name === decode.name
+    if (!isOwnPrefill) {
+      this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
+      this.#forgetCosts(prefill.name)
+    }
     const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
     this.#shares.charge(request.client, estimate.costMs, weight, nowMs)
     this.#calendar.forget(request.returnId)
     this.#rate.note(nowMs)
-    this.#load.notePlaced(estimate.costMs, this.#fillOf(estimate.kvBytes) * this.#estimator.usualAnswerMs(request))
+    const pooledMs = isOwnPrefill ? this.#estimator.prefillCostMs(request, prefill.name, nowMs) : estimate.costMs
+    this.#load.notePlaced(pooledMs, this.#fillOf(estimate.kvBytes) * this.#estimator.usualAnswerMs(request))
     this.#answer(waiting, planOf(estimate, nowMs))
   }
 
--- a/scheduling/scheduler/test/__utils__/createShard.ts
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -15,14 +15,17 @@
   /** Whether its engines have reported. */
   reported?: boolean
   route?: Partial<RouteSpec>
+  /** How fast decode engines compute prompts themselves; they cannot without it. */
+  decodePrefillTokensPerSecond?: number
   onUnreachable?: (engine: string) => void
   onAdmission?: ShardSchedulerOptions['onAdmission']
 }
 
 /** A scheduler of a small shard whose engines have reported. 1,000 uncached tokens take 130 ms. */
-export function createShard ({ prefill = 2, decode = 2, places = 20, reported = true, route, onUnreachable, onAdmission }: TestShardOptions = {}) {
+export function createShard ({ prefill = 2, decode = 2, places = 20, reported = true, route, decodePrefillTokensPerSecond, onUnreachable, onAdmission }: TestShardOptions = {}) {
   const clock = new VirtualClock()
-  const shard = shardOf(prefill, decode, places)
+  const derived = shardOf(prefill, decode, places)
+  const shard = { ...derived, spec: { ...derived.spec, decodePrefillTokensPerSecond } }
   const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000, onUnreachable, onAdmission })
   if (!reported) return { clock, scheduler, shard }
   shard.prefillEngines.forEach(({ name }) => scheduler.noteReport(name, reportOf(EngineRole.Prefill)))
--- /dev/null
+++ b/scheduling/scheduler/test/ownPrefill.ts
@@ -0,0 +1,86 @@
+import { type PlacementAnswer, PlacementOutcome } from '@reelspan/core.messages'
+import { EngineRole } from '@reelspan/upstream.client'
+import test from 'ava'
+import { createShard, reportOf, requestOf } from './__utils__/createShard.js'
+import { playRequests } from './__utils__/playRequests.js'
+
+/** Half the pace of the prefill engines: 1,000 tokens take 255 ms, against 130 ms and the way. */
+const HALF_PACE = 4000
+const TARGET = { ttftLeftMs: 900, tbtTargetMs: 300, patienceMs: 2700 }
+
+function isOwn (answer: PlacementAnswer): boolean {
+  return answer.outcome === PlacementOutcome.Placed && answer.prefillEngine === answer.decodeEngine
+}
+
+/** A load that the shard's prefill engines cannot read alone; its decode engines are half empty. */
+async function playPrefillBound (decodePrefillTokensPerSecond?: number) {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 4, places: 20, decodePrefillTokensPerSecond })
+  let readUntilMs = 0
+  const outcome = await playRequests({
+    clock,
+    scheduler,
+    requestsPerSecond: 12,
+    durationMs: 20_000,
+    request: TARGET,
+    firstTokenMs: ({ prefillEngine, decodeEngine }) => {
+      if (prefillEngine === decodeEngine) return 300
+      readUntilMs = Math.max(readUntilMs, clock.nowMs()) + 130
+      return readUntilMs - clock.nowMs() + 30
+    },
+    streamMs: () => 2000,
+  })
+  return outcome
+}
+
+test('while prefill engines are free, decode engines compute no prompts', async (t) => {
+  const { clock, scheduler } = createShard({ decodePrefillTokensPerSecond: HALF_PACE })
+  const answers = await clock.run(Promise.all([scheduler.reserve(requestOf(TARGET)), scheduler.reserve(requestOf(TARGET))]))
+  t.deepEqual(answers.map(isOwn), [false, false])
+})
+
+test('a prompt that would wait longer for the prefill engines than a decode engine takes is computed by that', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 1, decode: 2, decodePrefillTokensPerSecond: HALF_PACE })
+  const answers = await clock.run(Promise.all(Array.from({ length: 5 }, () => scheduler.reserve(requestOf(TARGET)))))
+  t.true(answers.some(isOwn))
+  t.true(answers.some((answer) => !isOwn(answer)))
+})
+
+test('without prefill engines, decode engines compute the prompts', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 0, decode: 2, decodePrefillTokensPerSecond: HALF_PACE })
+  const answers = await clock.run(Promise.all([scheduler.reserve(requestOf(TARGET)), scheduler.reserve(requestOf(TARGET))]))
+  t.deepEqual(answers.map(isOwn), [true, true])
+  const engines = answers.map((answer) => answer.outcome === PlacementOutcome.Placed && answer.decodeEngine)
+  t.is(new Set(engines).size, 2, 'each computes one at a time')
+})
+
+test('a decode engine without room computes no prompts', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 0, decode: 1, places: 1, decodePrefillTokensPerSecond: HALF_PACE })
+  const first = requestOf(TARGET)
+  t.true(isOwn(await clock.run(scheduler.reserve(first))))
+  const second = scheduler.reserve(requestOf(TARGET))
+  await clock.advance(400)
+  scheduler.release(first.label, { completionTokens: 10, ttftErrorMs: 0, tbtP50Ms: 20 })
+  t.true(isOwn(await clock.run(second)))
+})
+
+test('engines that compute no prompts are asked for none', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 0, decode: 2 })
+  t.like(await clock.run(scheduler.reserve(requestOf(TARGET))), { outcome: PlacementOutcome.Refused, reason: 'no engine of the model takes work' })
+})
+
+test('an engine that reports another role than the list gives it takes no work', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 2, decode: 2 })
+  scheduler.noteReport('p-1', reportOf(EngineRole.Decode))
+  const answers = await clock.run(Promise.all([scheduler.reserve(requestOf(TARGET)), scheduler.reserve(requestOf(TARGET))]))
+  t.deepEqual(answers.map((answer) => answer.outcome === PlacementOutcome.Placed && answer.prefillEngine), ['p-2', 'p-2'])
+})
+
+test('a load that prefill engines cannot read alone is served in time by decode engines that have room', async (t) => {
+  const before = await playPrefillBound()
+  const after = await playPrefillBound(HALF_PACE)
+  t.log(`in time of ${before.requests}: ${before.inTime} without own prefills, ${after.inTime} with; refused ${before.refused}, ${after.refused}; own ${after.ownPrefills}; waited in vain ${Math.round(before.waitedInVainMs)} ms, ${Math.round(after.waitedInVainMs)} ms`)
+  t.is(before.ownPrefills, 0)
+  t.true(after.inTime >= 0.95 * after.requests, `${after.inTime} of ${after.requests}`)
+  t.true(before.inTime < 0.7 * before.requests, `${before.inTime} of ${before.requests}`)
+  t.true(after.ownPrefills < 0.6 * after.requests, 'prefill engines are still used first')
+})
--- a/scheduling/shards/src/shardTimes.ts
+++ b/scheduling/shards/src/shardTimes.ts
@@ -10,6 +10,12 @@
   return spec.prefillBaseMs + tokens * MS_PER_SECOND / spec.prefillTokensPerSecond
 }
 
+/** Time in which a decode engine computes so many prompt tokens itself, by the model's declared speed; nothing when decode engines cannot. */
+export function ownPrefillMs ({ spec }: Shard, tokens: number): number | undefined {
+  const { decodePrefillTokensPerSecond: tokensPerSecond } = spec
+  return tokensPerSecond === undefined ? undefined : spec.prefillBaseMs + tokens * MS_PER_SECOND / tokensPerSecond
+}
+
 /** Time to bring the KV cache of a prompt from one pool to the other. */
 export function transferMs ({ spec, prefillPool }: Shard, promptTokens: number): number {
   return promptTokens * spec.kvBytesPerToken * MS_PER_SECOND / prefillPool.linkBytesPerSecond
