fix(scheduling.scheduler-placer): a scheduler that was replaced holds nothing for what its successor accounts for

Cause: after all boxes had lost power, several schedule one shard in turn within a second. Owners told the new scheduler what they had placed, but the one before kept it too, until the request's deadline. A request that ended while the new scheduler was told of it stayed there in the same way.

Ruled out: streams that really ran (those placed before 38 s end within some 4 s).

Change: once the new scheduler knows of a placement, the one before is told that it is over there, if that box lives; what has ended meanwhile is given back at the new one.

--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -188,7 +188,19 @@
     // The link tells of a failure; a scheduler that was not told sees what runs in the engines' reports alone.
     if (scheduler.incarnation === selfIncarnation()) localScheduler(shardId)?.adopt(reservations)
     else await link.call(scheduler.peerAddress, { type: MessageType.AdoptReservations, shardId, reservations }, { timeoutMs: RELEASE_TIMEOUT_MS, repeatable: true }).catch(() => {})
-    moved.forEach(({ live }) => { live.scheduler = scheduler })
+    moved.forEach(({ live }) => this.#handOver(live, scheduler))
+  }
+
+  /**
+   * From now on the new scheduler accounts for a placement. What the one before keeps of it
+   * would take a place until the request's deadline, if that box schedules the shard again.
+   */
+  #handOver (live: LivePlacement, scheduler: Member): void {
+    const before = live.scheduler
+    live.scheduler = scheduler
+    if (this.#opts.schedulers().some(({ incarnation }) => incarnation === before.incarnation)) this.#release(before, live.request)
+    // It may have ended while the new scheduler was told of it.
+    if (!this.#live.has(holdLabelKey(live.request.label))) this.#release(scheduler, live.request)
   }
 }
 
--- a/scheduling/scheduler-placer/test/__utils__/createPlacer.ts
+++ b/scheduling/scheduler-placer/test/__utils__/createPlacer.ts
@@ -59,17 +59,28 @@
   const placeAt = (shard: Shard) => new ShardScheduler({ clock, shard, route: () => undefined, index: createPrefixIndex(PrefixIndexKind.Events), reportLifeMs: 1_000_000 })
   const listed = Array.from({ length: shards }, (_, i) => shardOf(`draft#${i}`))
   const schedulers = new Map(listed.map((shard) => [shard.id, placeAt(shard)]))
-  const member: Member = { name: 'box', availabilityZone: 'z', peerAddress: '10.0.0.2:1', callerAddress: '10.0.0.2:2', incarnation: remote ? OTHER : SELF, version: 1, health: MemberHealth.Alive, leaving: false }
+  const members = [memberOf(remote ? OTHER : SELF)]
   const placer = new SchedulerPlacer({
     clock,
     link,
     selfIncarnation: () => SELF,
-    schedulers: () => [member],
+    schedulers: () => members,
     shardsOfModel: () => listed,
     localScheduler: (id) => schedulers.get(id),
     fallback,
   })
-  return { clock, link, fallback, placer, schedulers: [...schedulers.values()] }
+  /** Another box takes the shards over; the one before lives on. */
+  const replaceScheduler = () => members.unshift(members.length > 0 && members[0].incarnation === SELF ? roomy(memberOf(OTHER)) : roomy(memberOf(SELF)))
+  return { clock, link, fallback, placer, schedulers: [...schedulers.values()], replaceScheduler }
+}
+
+/** A member that is chosen before those with usual room. */
+function roomy (member: Member): Member {
+  return { ...member, room: 10 }
+}
+
+function memberOf (incarnation: string): Member {
+  return { name: `box-${incarnation[0]}`, availabilityZone: 'z', peerAddress: '10.0.0.2:1', callerAddress: '10.0.0.2:2', incarnation, version: 1, health: MemberHealth.Alive, leaving: false }
 }
 
 /** Lets a scheduler whose engines had not reported place what waits. */
