perf(upstream.orders): engines change their roles for 18 in 100 more, no longer for 11

Hypothesis: a change for little more costs more than it brings, since it takes an engine away for some ten seconds in which others may go as well.

Change: shares that serve 85 in 100 of the most (before: 90) are as good as the best.

--- a/upstream/orders/src/planRoles.ts
+++ b/upstream/orders/src/planRoles.ts
@@ -59,8 +59,11 @@
 const MS_PER_SECOND = 1000
 /** Bursts of twice the load are usual and shorter than a change, so engines are made ready before one comes; from some 80% of use on, requests wait too long. */
 const BURST_FACTOR = 2.5
-/** Shares that serve this part of the most are as good as the best: what a request takes is known to about a tenth. */
-const NEAR_BEST = 0.9
+/**
+ * Shares that serve this part of the most are as good as the best: what a request takes is known to
+ * about a tenth, and each change costs an engine for some ten seconds, in which others may go.
+ */
+const NEAR_BEST = 0.85
 /** An engine that changes is away for about this long: it ends its work, loads, and is listed anew. */
 const CHANGE_MS = 9000
 /** A change must pay within this time; loads stay alike for some tens of seconds. */
