fix(scheduling.scheduler-placer): an earlier scheduler is told when what it had placed ends, and not before

Cause: the mend before this one took a placement from the scheduler before as soon as the next one knew of it. While the boxes' views differ, others still ask that one, and it then gave the same places out again: engines refused after the prompt was read.

Change: owners keep the schedulers that ever accounted for a placement and tell each of its end. Nothing is left over, and nothing is forgotten early.

--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -38,6 +38,8 @@
   placedAtMs: number
   tokensDone: number
   scheduler: Member
+  /** Schedulers that accounted for it before. They are told of its end as well. */
+  earlier: Member[]
 }
 
 /** Asks the scheduler of a shard of the model, and spills to a second shard. */
@@ -145,7 +147,7 @@
 
   #keep (request: ReserveRequest, plan: PlacementPlan, scheduler: Member): Placement {
     const key = holdLabelKey(request.label)
-    const live: LivePlacement = { request, plan, scheduler, placedAtMs: this.#opts.clock.nowMs(), tokensDone: 0 }
+    const live: LivePlacement = { request, plan, scheduler, placedAtMs: this.#opts.clock.nowMs(), tokensDone: 0, earlier: [] }
     this.#live.set(key, live)
     return {
       plan,
@@ -154,6 +156,7 @@
       release: (report, outcomes) => {
         this.#live.delete(key)
         this.#release(live.scheduler, request, report, outcomes)
+        this.#releaseEarlier(live)
       },
       progressed: (tokensDone) => { live.tokensDone = tokensDone },
     }
@@ -192,16 +195,21 @@
   }
 
   /**
-   * From now on the new scheduler accounts for a placement. What the one before keeps of it
-   * would take a place until the request's deadline, if that box schedules the shard again.
+   * From now on the new scheduler accounts for a placement. The one before keeps it as well, as long
+   * as it runs: other boxes may still ask that one.
    */
   #handOver (live: LivePlacement, scheduler: Member): void {
-    const before = live.scheduler
+    live.earlier = [...live.earlier, live.scheduler].filter(({ incarnation }) => incarnation !== scheduler.incarnation)
     live.scheduler = scheduler
-    if (this.#opts.schedulers().some(({ incarnation }) => incarnation === before.incarnation)) this.#release(before, live.request)
     // It may have ended while the new scheduler was told of it.
     if (!this.#live.has(holdLabelKey(live.request.label))) this.#release(scheduler, live.request)
   }
+
+  /** What an earlier scheduler keeps of a placement would take a place until the request's deadline, if its box schedules the shard again. */
+  #releaseEarlier ({ earlier, request }: LivePlacement): void {
+    const living = new Set(this.#opts.schedulers().map(({ incarnation }) => incarnation))
+    earlier.filter(({ incarnation }) => living.has(incarnation)).forEach((scheduler) => this.#release(scheduler, request))
+  }
 }
 
 function soonestReturn (refusals: PlacementRefusal[]): PlacementRefusal {
