perf(scheduling.scheduler): streams run near to where their prompts are computed and their owners are; calls stay in their zone

Change: a decode engine in another zone than the prefill engine or the owner counts as a tenth fuller for each; one that computes the prompt itself as 20 ms later. For calls, a box picks the upstream where it expects a call to end first, by how long calls took there of late and by its own under way, and takes one in another zone for a quarter slower. What turned a call away counts as slow for some seconds.

--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -23,6 +23,8 @@
   patienceMs: z.number().optional(),
   tbtTargetMs: z.number().positive(),
   deadlineMs: z.number().positive(),
+  /** Where the owner is. Streams go through it. */
+  availabilityZone: z.string().optional(),
   /** Engines that just failed this request. */
   avoid: z.array(z.string()),
 })
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -117,7 +117,7 @@
     const doneTokens = this.#progress.events * this.#tokensPerEvent()
     // The prompt is not read once more when the answer could not be whole in time. A first try is never refused for an estimate.
     const usefulMs = attempt > 1 ? run.leftMs - this.#leastRestMs(doneTokens) : run.leftMs
-    const { peerAddress, incarnation } = opts.standing()
+    const { peerAddress, incarnation, availabilityZone } = opts.standing()
     const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${attempt}`, maxHoldMs: run.leftMs }
     return {
       model: this.#model,
@@ -133,6 +133,7 @@
       patienceMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : PATIENCE_TARGETS * route.spec.ttftTargetMs - run.elapsedMs),
       tbtTargetMs: route.spec.tbtTargetMs,
       deadlineMs: run.leftMs,
+      availabilityZone,
       avoid: [...this.#failed, ...health.suspects()],
     }
   }
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -49,7 +49,7 @@
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, forMs, failureShare: Number(failureShare.toFixed(2)) }),
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream }),
     })
-    this.#picker = new UpstreamPicker({ random, health: this.#health })
+    this.#picker = new UpstreamPicker({ clock, random, health: this.#health, availabilityZone: () => opts.standing().availabilityZone })
   }
 
   get inFlight (): number {
@@ -174,7 +174,9 @@
     const { fleet, fleetRevision } = this.#opts
     if (this.#fleetRevision === fleetRevision()) return
     this.#fleetRevision = fleetRevision()
-    this.#health.retain(new Set(fleet().upstreams.map(({ name }) => name)))
+    const names = new Set(fleet().upstreams.map(({ name }) => name))
+    this.#health.retain(names)
+    this.#picker.retain(names)
   }
 
   #pickTarget ({ targets, model, pool }: RouteSpec): Pick<RouteTarget, 'model' | 'pool'> {
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -16,7 +16,7 @@
   /** The revision of the list that the fleet comes from. */
   fleetRevision: () => number
   /** This box's present incarnation. */
-  standing: () => { peerAddress: string, incarnation: string }
+  standing: () => { peerAddress: string, incarnation: string, availabilityZone: string }
   /** Boxes that share the retry budget, this one included. */
   boxCount: () => number
   retriesPerRequest: number
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -46,15 +46,21 @@
   }
 
   async #tryAt (upstream: ListedUpstream, attempt: number, times: AnswerTimes): Promise<void> {
-    const { picker, decided, run } = this.#context
+    const { opts: { clock }, picker, decided, run, route } = this.#context
+    const startedAtMs = clock.nowMs()
     picker.noteStart(upstream.name)
     try {
       const answer = await this.#send(upstream, attempt)
+      picker.noteTime(upstream.name, clock.nowMs() - startedAtMs)
       decided(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, atMs: Math.round(run.elapsedMs) })
       await this.#judge(upstream, answer, attempt, times)
       this.#note(upstream, answer.status >= FIRST_SERVER_ERROR ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
     } catch (thrown) {
-      if (!run.signal.aborted && thrown instanceof UpstreamError && !thrown.refused) this.#note(upstream, outcomeOf(thrown))
+      if (!run.signal.aborted && thrown instanceof UpstreamError) {
+        // One that is full turns calls away at once. Its next calls would wait about as long as a call may take.
+        if (thrown.refused) picker.noteTime(upstream.name, route.spec.ttftTargetMs)
+        else this.#note(upstream, outcomeOf(thrown))
+      }
       throw thrown
     } finally {
       picker.noteEnd(upstream.name)
--- a/request/relay/src/upstreamPicker.ts
+++ b/request/relay/src/upstreamPicker.ts
@@ -1,32 +1,59 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
-import { type Random } from '@reelspan/core.env'
+import { type Clock, type Random } from '@reelspan/core.env'
 import { type UpstreamHealth } from '@reelspan/upstream.health'
+import { CallTimes } from './callTimes.js'
 
 export interface UpstreamPickerOptions {
+  clock: Clock
   random: Random
   health: UpstreamHealth
+  /** Where this box is. */
+  availabilityZone: () => string
 }
 
-/** Picks upstreams of service pools by what this box has in flight there. */
+/**
+ * An upstream in another availability zone is taken for this much slower: more than the way (some 3 ms
+ * on calls of 60), so that the noise of the few calls that one box sees does not send calls between zones.
+ */
+const FAR_FACTOR = 1.25
+
+/** Picks upstreams of service pools by how long calls take there, and by what this box has in flight. */
 export class UpstreamPicker {
   readonly #opts: UpstreamPickerOptions
   readonly #inFlight = new Map<string, number>()
+  readonly #times = new CallTimes()
 
   constructor (opts: UpstreamPickerOptions) {
     this.#opts = opts
   }
 
-  /** One of those with the fewest requests of this box; suspects and those that failed the request only when there is no other. */
+  /** The one where a call is expected to end first; suspects and those that failed the request only when there is no other. */
   pick (listed: readonly ListedUpstream[], tried: ReadonlySet<string>): ListedUpstream | undefined {
     const { health, random } = this.#opts
     const untried = listed.filter(({ name }) => !tried.has(name))
     const trusted = untried.filter(({ name }) => !health.isSuspect(name))
     const candidates = trusted.length > 0 ? trusted : untried
-    const fewest = Math.min(...candidates.map(({ name }) => this.inFlightAt(name)))
-    const [picked] = random.sample(candidates.filter(({ name }) => this.inFlightAt(name) === fewest), 1)
+    const costs = candidates.map((candidate) => this.#expectedMs(candidate))
+    const least = Math.min(...costs)
+    const [picked] = random.sample(candidates.filter((_, i) => costs[i] === least), 1)
     return picked
   }
 
+  /** A call took this long there, or it was turned away and lost this much. */
+  noteTime (upstream: string, durationMs: number): void {
+    this.#times.note(upstream, durationMs, this.#opts.clock.nowMs())
+  }
+
+  #expectedMs ({ name, availabilityZone }: ListedUpstream): number {
+    const far = availabilityZone === this.#opts.availabilityZone() ? 1 : FAR_FACTOR
+    return (this.inFlightAt(name) + 1) * this.#times.expectedMs(name, this.#opts.clock.nowMs()) * far
+  }
+
+  /** Forgets upstreams that are gone. */
+  retain (names: ReadonlySet<string>): void {
+    this.#times.retain(names)
+  }
+
   inFlightAt (upstream: string): number {
     return this.#inFlight.get(upstream) ?? 0
   }
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -212,7 +212,7 @@
     configuration: () => configuration,
     fleet: () => new FleetList([], [...desk, ...engines]),
     fleetRevision: () => 1,
-    standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16) }),
+    standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16), availabilityZone: 'a' }),
     boxCount: () => 1,
     retriesPerRequest: 0,
     retryBurst,
--- /dev/null
+++ b/request/relay/test/upstreamPicker.ts
@@ -0,0 +1,58 @@
+import { type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
+import { UpstreamPicker } from '@reelspan/request.relay'
+import { UpstreamHealth } from '@reelspan/upstream.health'
+import { NodeClock, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+function upstream (name: string, availabilityZone: string): ListedUpstream {
+  return { name, kind: UpstreamKind.Service, address: `${name}:1`, availabilityZone, pool: 'desk', leaving: false }
+}
+
+const LISTED = [upstream('a1', 'a'), upstream('b1', 'b'), upstream('c1', 'c')]
+const NONE = new Set<string>()
+
+function createPicker () {
+  const clock = new VirtualClock()
+  const health = new UpstreamHealth({ clock: new NodeClock(clock) })
+  const picker = new UpstreamPicker({ clock: new NodeClock(clock), random: new SeededRandom(3), health, availabilityZone: () => 'a' })
+  return { clock, picker }
+}
+
+test('a call stays in its availability zone', (t) => {
+  const { picker } = createPicker()
+  t.is(picker.pick(LISTED, NONE)?.name, 'a1')
+})
+
+test('a call goes to another zone when one of this box is under way in its own', (t) => {
+  const { picker } = createPicker()
+  picker.noteStart('a1')
+  t.not(picker.pick(LISTED, NONE)?.name, 'a1')
+  picker.noteEnd('a1')
+  t.is(picker.pick(LISTED, NONE)?.name, 'a1')
+})
+
+test('an upstream whose calls take long, or that turns calls away, is left for others until that was some seconds ago', async (t) => {
+  const { clock, picker } = createPicker()
+  for (let i = 0; i < 5; i++) {
+    picker.noteTime('a1', 300)
+    picker.noteTime('b1', 60)
+    picker.noteTime('c1', 80)
+  }
+  t.is(picker.pick(LISTED, NONE)?.name, 'b1')
+  await clock.advance(10_000)
+  t.is(picker.pick(LISTED, NONE)?.name, 'a1')
+})
+
+test('the noise of few calls sends none to another zone', (t) => {
+  const { picker } = createPicker()
+  const random = new SeededRandom(4)
+  const names = ['a1', 'b1', 'c1']
+  for (let i = 0; i < 30; i++) picker.noteTime(names[i % 3], 60 + 30 * (random.nextFloat() - 0.5))
+  t.is(picker.pick(LISTED, NONE)?.name, 'a1')
+})
+
+test('who failed the request before is asked only when there is no other', (t) => {
+  const { picker } = createPicker()
+  t.not(picker.pick(LISTED, new Set(['a1']))?.name, 'a1')
+  t.is(picker.pick(LISTED.slice(0, 1), new Set(['a1'])), undefined)
+})
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -44,6 +44,14 @@
 /** A request joins the batch in the middle of a step, on average, and gets its first token at the end of the next. */
 const STEPS_TO_FIRST_TOKEN = 1.5
 
+/**
+ * Room, as a part of an engine, that is worth an availability zone less on the way: about one stream of ten.
+ * KV cache takes twice as long between zones, and streams through another zone cost their operators more.
+ */
+const FAR_ROOM_SHARE = 0.1
+/** The same for an engine that computes the prompt itself: about the way of a request and of its first token. */
+const FAR_READER_MS = 20
+
 /** Estimates placements from the ledger and the prefix index. */
 export class PlacementEstimator {
   readonly #ledger: ShardLedger
@@ -99,9 +107,10 @@
     const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && !request.avoid.includes(decode.name))
     // A place that is free only by the time the prefill ends may still be lost to a fault: some routes do not bet on it.
     const betsOnEnds = objective !== RouteObjective.WastedPrefill
+    const zones = [part.prefill.availabilityZone, request.availabilityZone]
     const roomiestOf = (candidates: readonly EngineAccount<DecodeAccount>[]) =>
-      findRoomiest(candidates, kvBytes, ({ account }) => account.freeNow(capacity)) ??
-      (betsOnEnds ? findRoomiest(candidates, kvBytes, ({ account }) => account.freeAt(part.endMs, capacity)) : undefined)
+      findRoomiest(candidates, { kvBytes, capacity, zones, freeOf: ({ account }) => account.freeNow(capacity) }) ??
+      (betsOnEnds ? findRoomiest(candidates, { kvBytes, capacity, zones, freeOf: ({ account }) => account.freeAt(part.endMs, capacity) }) : undefined)
     const roomiest = roomiestOf(engines.filter(({ name }) => !this.#isSuspect(name))) ?? roomiestOf(engines)
     if (!roomiest) return undefined
     const { decode, free } = roomiest
@@ -125,7 +134,8 @@
         const endMs = decode.account.ownPrefills.freeAtMs(nowMs) + costMs
         return [{ prefill: decode, decode, ...this.#streamTimes(request, endMs, usablePlaces, usablePlaces - free.places + 1), costMs, kvBytes }]
       })
-    return estimates.sort((a, b) => a.firstTokenMs - b.firstTokenMs)[0]
+    const lateMs = ({ decode, firstTokenMs }: PlacementEstimate) => firstTokenMs + FAR_READER_MS * farAway(decode, [request.availabilityZone])
+    return estimates.sort((a, b) => lateMs(a) - lateMs(b))[0]
   }
 
   /** When a stream begins and surely has ended, on an engine that has its KV cache from a time on. */
@@ -140,14 +150,30 @@
   }
 }
 
-/** The engine with most free places, among those that have one and the memory for it. */
-function findRoomiest (engines: readonly EngineAccount<DecodeAccount>[], kvBytes: number, freeOf: (engine: EngineAccount<DecodeAccount>) => DecodeCapacity) {
+interface RoomSearch {
+  kvBytes: number
+  capacity: DecodeCapacity
+  /** Availability zones that the stream has to do with: where its prompt is computed, and where its owner is. */
+  zones: readonly (string | undefined)[]
+  freeOf: (engine: EngineAccount<DecodeAccount>) => DecodeCapacity
+}
+
+/** The engine with most room, among those that have a place and the memory for it. Each zone that it is not in counts as if it had less. */
+function findRoomiest (engines: readonly EngineAccount<DecodeAccount>[], { kvBytes, capacity, zones, freeOf }: RoomSearch) {
   let best: { decode: EngineAccount<DecodeAccount>, free: DecodeCapacity } | undefined
+  let bestRoom = Number.NEGATIVE_INFINITY
   engines.forEach((decode) => {
     const free = freeOf(decode)
-    const fits = free.places >= 1 && free.kvBytes >= kvBytes
-    const roomier = !best || free.places > best.free.places || (free.places === best.free.places && free.kvBytes > best.free.kvBytes)
-    if (fits && roomier) best = { decode, free }
+    if (free.places < 1 || free.kvBytes < kvBytes) return
+    const room = Math.min(free.places / capacity.places, free.kvBytes / capacity.kvBytes) - FAR_ROOM_SHARE * farAway(decode, zones)
+    if (room <= bestRoom) return
+    best = { decode, free }
+    bestRoom = room
   })
   return best
 }
+
+/** How many of the zones, as far as they are known, an engine is not in. */
+function farAway ({ availabilityZone }: EngineAccount<unknown>, zones: readonly (string | undefined)[]): number {
+  return zones.filter((zone) => zone !== undefined && zone !== availabilityZone).length
+}
