perf(request.relay): a stream that breaks off, or cannot have its KV cache, is asked for once more at its own engine

And a route that allows one engine has no second one to ask when its handle lapsed.

Change: after an answer that broke off (not after silence, and not after an answer that is a failure), or after a refusal of a request with a source, the same engine is asked again behind the last event, without a source. Its place is still reserved. The retry is paid from the budget; attempts count engines, as routes declare them.

Tests: goes on at its engine with one prefill; leaves an engine that breaks off twice; also where a request may run once, if it was refused; not where an answer may not be resumed; not without budget.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -40,7 +40,10 @@
   readonly #progress = new EventProgress()
   /** How the engines of the present placement answered. */
   #outcomes: EngineOutcome[] = []
-  #decodesSent = 0
+  /** Decode engines that the request was sent to. */
+  readonly #decodedAt = new Set<string>()
+  /** The last answer broke off, or did not come, while its engine was listened to. */
+  #brokeOff = false
   #prefillMs = 0
 
   constructor (context: RelayContext, model: string, prompt: PromptSizes) {
@@ -70,7 +73,7 @@
     if (!(thrown instanceof UpstreamError) || attempt >= MAX_TRIES) return false
     if (!this.#mayTakeUp()) return false
     if (run.mayHaveRun && !route.spec.resumable) return false
-    if (this.#decodesSent >= route.spec.maxAttempts) return false
+    if (this.#decodedAt.size >= route.spec.maxAttempts) return false
     return budget.takeRetry()
   }
 
@@ -205,14 +208,40 @@
     }
   }
 
-  /** Sends the request to its decode engine and passes the answer on. */
+  /**
+   * Sends the request to its decode engine and passes the answer on. When that breaks off, or the
+   * engine cannot have the KV cache, it is asked once more, to compute what it has not kept itself:
+   * its place is still reserved, and what it read of the prompt is most often still in its memory.
+   */
   async #decode (plan: PlacementPlan, source: PrefillSource | undefined, placement: Placement, times: AnswerTimes): Promise<void> {
+    const { budget, decided } = this.#context
+    try {
+      await this.#decodeOnce(plan, source, placement, times)
+    } catch (thrown) {
+      this.#context.run.throwIfEnded()
+      if (!this.#mayAskAgain(plan, thrown, source) || !budget.takeRetry()) throw thrown
+      decided(LogEvent.RequestRetried, { upstream: plan.decodeEngine, reason: (thrown as Error).message, mayHaveRun: this.#context.run.mayHaveRun })
+      await this.#decodeOnce(plan, undefined, placement, times)
+    }
+  }
+
+  /** Not after silence, which may be the engine's, and not after an answer that is a failure. */
+  #mayAskAgain (plan: PlacementPlan, thrown: unknown, source: PrefillSource | undefined): boolean {
+    const { opts, run, route } = this.#context
+    const computesPrompts = opts.configuration().model(this.#model)?.decodePrefillTokensPerSecond !== undefined
+    if (!(thrown instanceof UpstreamError) || !computesPrompts || !opts.fleet().takesWork(plan.decodeEngine)) return false
+    if (thrown.refused) return source !== undefined
+    return this.#brokeOff && (route.spec.resumable || !run.mayHaveRun) && this.#mayTakeUp()
+  }
+
+  async #decodeOnce (plan: PlacementPlan, source: PrefillSource | undefined, placement: Placement, times: AnswerTimes): Promise<void> {
     const { run, request, route } = this.#context
-    this.#decodesSent++
+    this.#brokeOff = false
+    this.#decodedAt.add(plan.decodeEngine)
     // An engine that reads the prompt first is silent for that time as well.
-    const readMs = isOwnPrefill(plan) ? PREFILL_PATIENCE * plan.expectedTtftMs : 0
+    const readMs = source === undefined ? PREFILL_PATIENCE * plan.expectedTtftMs : 0
     const patienceMs = this.#isRepeatable() ? DECODE_PATIENCE * route.spec.tbtTargetMs + readMs : Number.POSITIVE_INFINITY
-    await this.#blame(plan.decodeEngine, () => this.#unlessSilent(patienceMs, async (watch) => {
+    await this.#blame(plan.decodeEngine, () => this.#unlessSilent(patienceMs, (watch) => this.#notingBreaks(watch, async () => {
       const answer = await sendToUpstream(this.#context, { instance: plan.decodeEngine, address: plan.decodeAddress }, {
         signal: watch.signal,
         deadlineMs: run.leftMs,
@@ -222,7 +251,17 @@
       })
       watch.heard()
       await this.#judge(plan, answer, placement, times, watch)
-    }, () => this.#mayDecodeAgain()))
+    }), () => this.#mayDecodeAgain()))
+  }
+
+  /** Notes when an exchange ends before its answer does, other than by being given up. */
+  async #notingBreaks (watch: SilenceWatch, work: () => Promise<void>): Promise<void> {
+    try {
+      await work()
+    } catch (thrown) {
+      this.#brokeOff = thrown instanceof UpstreamError && !thrown.refused && !thrown.failed && !watch.signal.aborted
+      throw thrown
+    }
   }
 
   /** Whether another engine could go on now if this one failed. */
@@ -233,7 +272,7 @@
   /** Whether the request may be sent to one more decode engine as long as there is budget for it. */
   #isRepeatable (): boolean {
     const { resumable, maxAttempts } = this.#context.route.spec
-    return resumable && this.#decodesSent < maxAttempts
+    return resumable && this.#decodedAt.size < maxAttempts
   }
 
   /** What has no numbered event yet cannot be taken up behind it. */
@@ -247,7 +286,7 @@
     const failed = answer.status >= FIRST_SERVER_ERROR
     if (caller.begun ? answer.status !== OK : failed && this.#mayDecodeAgain()) {
       void dropAnswer(answer)
-      throw new UpstreamError(`${plan.decodeEngine} answered ${answer.status}`, { mayHaveRun: true })
+      throw new UpstreamError(`${plan.decodeEngine} answered ${answer.status}`, { mayHaveRun: true, failed: true })
     }
     placement.progressed(1)
     const onFirst = isOwnPrefill(plan) ? () => placement.prefilled() : undefined
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -102,7 +102,7 @@
     const better = answer.status >= FIRST_SERVER_ERROR && !route.spec.notRepeatable && this.#sent < route.spec.maxAttempts && attempt < MAX_TRIES
     if (better && budget.left >= 1 && this.#hasOther(upstream)) {
       void dropAnswer(answer)
-      throw new UpstreamError(`${upstream.name} answered ${answer.status}`, { mayHaveRun: true })
+      throw new UpstreamError(`${upstream.name} answered ${answer.status}`, { mayHaveRun: true, failed: true })
     }
     run.throwIfEnded()
     await passAnswer(this.#context, answer, times)
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -189,18 +189,24 @@
   { kind: ResourceKind.Route, name: 'reply', spec: { host: 'desk.example', pathPrefix: '/reply/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 10_000, ttftTargetMs: 900 } },
 ]
 
+function declared (computesPrompts: boolean) {
+  return DECLARED.map((one) => computesPrompts && one.kind === ResourceKind.Model ? { ...one, spec: { ...one.spec, decodePrefillTokensPerSecond: 500 } } : one)
+}
+
 export interface TestRelayOptions {
   retryBurst?: number
   services?: readonly string[]
+  /** Decode engines compute prompts themselves if they must. */
+  computesPrompts?: boolean
 }
 
 /** A relay before scripted upstreams, with four routes of the kinds there are. */
-export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'] }: TestRelayOptions = {}) {
+export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const upstreams = new ScriptedUpstreams(clock, scripts)
   const placer = new FixedPlacer()
   const log = new KeptLog()
-  const { configuration, problems } = checkResources(DECLARED.map((one) => ({ ...one, revision: 1 })), 1)
+  const { configuration, problems } = checkResources(declared(computesPrompts).map((one) => ({ ...one, revision: 1 })), 1)
   if (problems.length > 0) throw new Error(JSON.stringify(problems))
   const desk = services.map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
   const engines = ['p1', 'd1', 'd2', 'd3', 'd4'].map((name): ListedUpstream => ({ name, kind: UpstreamKind.Engine, address: '10.0.3.1:1', availabilityZone: 'a', pool: name.startsWith('p') ? 'p' : 'd', leaving: false }))
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -296,6 +296,52 @@
   t.not(upstreams.runs[1].instance, upstreams.runs[0].instance)
 })
 
+test('a resumable answer that breaks off goes on at its engine, which has kept the prompt', async (t) => {
+  const { clock, relay, upstreams, placer } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\n']), answers(200, 'id: 1\ndata: b\n\n')], { computesPrompts: true })
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.deepEqual(upstreams.runs.map(({ instance, opts }) => [instance, opts.source?.handle, opts.resumeAfter]), [['d1', 'handle-1', undefined], ['d1', undefined, '0']])
+  t.is(upstreams.prefills.length, 1)
+  t.is(caller.body, 'id: 0\ndata: a\n\nid: 1\ndata: b\n\n')
+  t.true(caller.whole)
+  t.is(placer.released, 1)
+})
+
+test('an engine that breaks off twice is left for another one', async (t) => {
+  const { clock, relay, upstreams } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\n']), breaksOff(200, []), answers(200, 'id: 1\ndata: b\n\n')], { computesPrompts: true })
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.deepEqual(upstreams.runs.map(({ instance }) => instance), ['d1', 'd1', 'd2'])
+  t.true(caller.whole)
+})
+
+test('an engine that cannot have the KV cache is asked to compute the prompt itself, also where a request may run once', async (t) => {
+  const { clock, relay, upstreams } = createRelay([refuses(), answers(200, 'data: line\n\n')], { computesPrompts: true })
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.deepEqual(upstreams.runs.map(({ instance, opts }) => [instance, opts.source?.handle]), [['d1', 'handle-1'], ['d1', undefined]])
+  t.true(caller.whole)
+})
+
+test('an answer that may not be resumed is not asked for again where it broke off', async (t) => {
+  const { clock, relay, upstreams } = createRelay([breaksOff(200, ['data: a\n\n'])], { computesPrompts: true })
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.true(caller.wasCut)
+})
+
+test('without budget an engine whose answer broke off is not asked again', async (t) => {
+  const cut = breaksOff(200, ['id: 0\ndata: a\n\n'])
+  const { clock, relay, upstreams } = createRelay([cut, answers(200, 'id: 1\ndata: b\n\n'), cut], { computesPrompts: true, retryBurst: 1 })
+  const callers = [new RecordingCaller(), new RecordingCaller()]
+  await clock.run(relay.relay(requestTo('/reply/1'), callers[0]))
+  t.is(upstreams.runs.length, 2)
+  await clock.run(relay.relay(requestTo('/reply/2'), callers[1]))
+  t.is(upstreams.runs.length, 3)
+  t.true(callers[1].wasCut)
+})
+
 test('a prompt is read again only for an answer that can still be whole in time', async (t) => {
   const { clock, relay, placer } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\n']), answers(200, 'id: 1\ndata: b\n\n')])
   const request = requestTo('/reply/1')
--- a/upstream/client/src/upstreamError.ts
+++ b/upstream/client/src/upstreamError.ts
@@ -4,6 +4,7 @@
   mayHaveRun: boolean
   refused?: boolean
   unreachable?: boolean
+  failed?: boolean
   cause?: unknown
 }
 
@@ -14,12 +15,16 @@
   /** The upstream could not be reached or fell silent, as opposed to answering wrongly. */
   readonly unreachable: boolean
 
-  constructor (message: string, { mayHaveRun, refused, unreachable, cause }: UpstreamErrorOptions) {
+  /** The upstream answered that it ran the request and failed. */
+  readonly failed: boolean
+
+  constructor (message: string, { mayHaveRun, refused, unreachable, failed, cause }: UpstreamErrorOptions) {
     super(ErrorCode.UpstreamFailed, message, {
       verdict: mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun,
       cause,
     })
     this.refused = refused ?? false
     this.unreachable = unreachable ?? false
+    this.failed = failed ?? false
   }
 }
