fix(membership.prober): boxes that start together meet within some 100 ms

Cause: after all boxes lost power, the first ones to be up found no other and tried one address in 2.8 s from then on.

Change: a box that knows of no other greets up to three of the addresses that it has every 100 ms, for ten seconds at most.

Tests: failed first (a box whose seed is up after a second does not know it 200 ms later); one that stays alone greets as seldom as before after a while.

--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -38,6 +38,16 @@
 const GREETERS_PER_SUSPECT = 4
 /** Suspected members that one round greets at most, once one of them has answered: a cut that heals gives many back at once. */
 const MAX_SUSPECTS_GREETED = 15
+/**
+ * A box that knows of no other tries anew after this: boxes that start together are up within some
+ * hundred ms of each other, and until they meet each one schedules alone (five did for 2 s, and
+ * engines refused one in four of what was placed).
+ */
+const ALONE_PERIOD_MS = 100
+/** From then on it is alone, and the usual rounds look for others. */
+const ALONE_TRIES = 100
+/** Boxes that one that is alone greets at a time. */
+const ALONE_GREETED = 3
 /** News has had this many rounds to spread before views are compared. */
 const COMPARE_EVERY_ROUNDS = 4
 
@@ -80,6 +90,7 @@
     // Beside the rounds, which must not wait for those that do not answer.
     this.#tasks.repeat(() => this.#greetSuspected(), { periodMs: this.#opts.probePeriodMs })
     this.#tasks.run(() => this.#passOnNews())
+    this.#tasks.run(() => this.#greetWhileAlone())
   }
 
   async stop (): Promise<void> {
@@ -177,6 +188,16 @@
     return answer?.self
   }
 
+  /** Soon after its start, a box may be the first one that is up. */
+  async #greetWhileAlone (): Promise<void> {
+    const { clock, view } = this.#opts
+    for (let tries = 0; tries < ALONE_TRIES && view.live().length <= 1 && !this.#tasks.stopped; tries++) {
+      // What is silent is waited for by its own greeting, and not by the next one.
+      this.#missingAddresses(ALONE_GREETED).forEach((address) => { void this.#greet(address) })
+      await clock.sleep(ALONE_PERIOD_MS, { signal: this.#tasks.signal })
+    }
+  }
+
   /** Greets one suspected member, unless others do, and twice as many more for as long as any of them answers. */
   async #greetSuspected (): Promise<void> {
     const { random, view } = this.#opts
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -57,15 +57,27 @@
 function startProber (suspects: readonly Member[]) {
   const clock = new VirtualClock()
   const view = new MembershipView({ self: memberOf(0), goneMemoryMs: 600_000 })
-  const link = new FleetLink(clock)
   for (let i = 1; i < FLEET; i++) view.merge(memberOf(i), clock.nowMs())
   suspects.forEach(({ incarnation }) => view.suspect(incarnation, clock.nowMs()))
+  return startWith(clock, view, [])
+}
+
+/** One box that knows of no other, but addresses at which nobody answers yet. */
+function startAlone (listed: readonly Member[]) {
+  const clock = new VirtualClock()
+  const view = new MembershipView({ self: memberOf(0), goneMemoryMs: 600_000 })
+  return { view, ...startWith(clock, view, listed.map(({ peerAddress }) => peerAddress)) }
+}
+
+function startWith (clock: VirtualClock, view: MembershipView, listedAddresses: readonly string[]) {
+  const link = new FleetLink(clock)
+  listedAddresses.forEach((address) => link.silent.add(address))
   const prober = new Prober({
     clock,
     random: new SeededRandom(1),
     link,
     view,
-    listedAddresses: () => [],
+    listedAddresses: () => listedAddresses,
     revisions: () => ({ [Collection.Declarations]: 1, [Collection.Fleet]: 1 }),
     inFlight: () => 0,
     platformAnswering: () => undefined,
@@ -103,3 +115,25 @@
   t.true(longestMs <= 2 * PROBE_PERIOD_MS, `${longestMs} ms: after ${2 * PROBE_PERIOD_MS} ms a box counts as alone and watches the platform itself`)
   void prober.stop()
 })
+
+test('a box that starts before the others meets them soon after they are up', async (t) => {
+  const seeds = [memberOf(1), memberOf(2), memberOf(3)]
+  const { clock, link, prober, view } = startAlone(seeds)
+  await clock.advance(1000)
+  link.silent.delete(seeds[2].peerAddress)
+  await clock.advance(200)
+  t.deepEqual(view.live().map(({ name }) => name), ['box-0', 'box-3'])
+  void prober.stop()
+})
+
+test('a box that stays alone greets where others may be no more often than usual after a while', async (t) => {
+  const seed = memberOf(1)
+  const { clock, link, prober } = startAlone([seed])
+  await clock.advance(10_000)
+  const soon = link.heartbeats.get(seed.peerAddress) ?? 0
+  t.true(soon <= 105, `${soon} in 10 s`)
+  await clock.advance(60_000)
+  const later = (link.heartbeats.get(seed.peerAddress) ?? 0) - soon
+  t.true(later <= 60_000 / PROBE_PERIOD_MS / 2, `${later} in a minute`)
+  void prober.stop()
+})
