revert(scheduling.scheduler): the forecast of places

In overload it is not known who will be served that matters most but how many places there are, and the counted rate says that well enough.

--- a/scheduling/ledger/src/decodeAccount.ts
+++ b/scheduling/ledger/src/decodeAccount.ts
@@ -5,8 +5,6 @@
 /** One request's place on a decode engine. */
 export interface PlaceReservation {
   kvBytes: number
-  /** When the engine has its KV cache and generates, about. */
-  beginsAtMs: number
   /** The place is certainly free again by then. */
   latestEndMs: number
 }
@@ -41,11 +39,6 @@
     return this.#external.kvBytes + this.#reservedKvBytes
   }
 
-  /** What was reserved here. */
-  reservations (): PlaceReservation[] {
-    return [...this.#reserved.values()]
-  }
-
   /** What is free now, within the given capacity. */
   freeNow (capacity: DecodeCapacity): DecodeCapacity {
     return {
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -112,7 +112,7 @@
     const prefill = this.#prefill.get(entry.prefillEngine)
     const decode = this.#decode.get(entry.decodeEngine)
     this.#prefillsOf(entry)?.plan(key, entry.prefillCostMs, nowMs)
-    decode?.account.reserve(key, { kvBytes: entry.kvBytes, beginsAtMs: entry.importEndMs, latestEndMs: entry.latestEndMs })
+    decode?.account.reserve(key, { kvBytes: entry.kvBytes, latestEndMs: entry.latestEndMs })
     // What a decode engine computes itself takes no link.
     if (!prefill) return
     prefill.account.linkFreeAtMs = Math.max(prefill.account.linkFreeAtMs, entry.importEndMs)
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -1,14 +1,9 @@
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, decideAdmission } from './decideAdmission.js'
-import { countUpTo } from './countUpTo.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 /** What is known of a shard at one moment, for all that wait there. */
-export interface QueueFacts extends Pick<AdmissionInputs, 'msPerArrival'> {
+export interface QueueFacts extends Pick<AdmissionInputs, 'msPerPlace' | 'msPerArrival' | 'rateError'> {
   nowMs: number
-  /** From one free place to the next, on average until so many are free. */
-  msPerPlace: (places: number) => number
-  /** Standard error of that, as a part of it. */
-  rateError: (places: number) => number
   /** Least time to a request's first token if it were placed at once; nothing when no engine takes work. */
   leastMs: (waiting: WaitingRequest) => number | undefined
   /** A client has used more than its share. */
@@ -55,16 +50,14 @@
   const { handoverMs, lateAtMs, uselessAtMs, returned, promiseDueAtMs, outcome } = waiting
   const { nowMs, msPerPlace, msPerArrival, rateError, leastMs, promisesDueAtMs } = facts
   const promised = promiseDueAtMs !== undefined
-  const aheadDue = promised ? 0 : countUpTo(promisesDueAtMs, lateAtMs)
-  const places = aheadInTime + aheadLate + aheadDue + 1
   const inputs: AdmissionInputs = {
     leastMs: leastMs(waiting),
     aheadInTime,
     aheadLate,
-    aheadDue,
-    msPerPlace: msPerPlace(places),
+    aheadDue: promised ? 0 : countUpTo(promisesDueAtMs, lateAtMs),
+    msPerPlace,
     msPerArrival,
-    rateError: rateError(places),
+    rateError,
     handoverMs,
     inTimeLeftMs: lateAtMs - nowMs,
     usefulLeftMs: uselessAtMs - nowMs,
@@ -87,3 +80,15 @@
 function isKept ({ decision }: QueueDecision): boolean {
   return decision.outcome !== AdmissionOutcome.Refused
 }
+
+/** How many of the sorted values are no larger than a bound. */
+function countUpTo (sorted: readonly number[], bound: number): number {
+  let low = 0
+  let high = sorted.length
+  while (low < high) {
+    const middle = (low + high) >> 1
+    if (sorted[middle] <= bound) low = middle + 1
+    else high = middle
+  }
+  return low
+}
--- a/scheduling/scheduler/src/placementRate.ts
+++ b/scheduling/scheduler/src/placementRate.ts
@@ -49,12 +49,6 @@
     return count < FEWEST ? undefined : WINDOW_MS / count
   }
 
-  /** Requests have waited for the whole window, and none was placed in it. */
-  standsStill (nowMs: number): boolean {
-    const sinceMs = this.#waitingSinceMs(nowMs)
-    return nowMs - sinceMs >= WINDOW_MS && this.#placed.countSince(sinceMs, nowMs) === 0
-  }
-
   /** Standard error of the time per place, as a part of it: the fewer were counted, the larger. */
   error (nowMs: number): number {
     const count = this.#placed.countSince(this.#waitingSinceMs(nowMs), nowMs)
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -3,15 +3,13 @@
 import { type EngineOutcome, type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
 import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
-import { ownPrefillMs, prefillMs, requestKvBytes, type Shard } from '@reelspan/scheduling.shards'
+import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
 import { UpstreamHealth } from '@reelspan/upstream.health'
 import { AnswerLengths } from './answerLengths.js'
 import { ClientShares } from './clientShares.js'
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, msPerLatePlace } from './decideAdmission.js'
-import { decideQueue, type QueueDecision, type QueueFacts } from './decideQueue.js'
-import { PlaceForecast } from './placeForecast.js'
-import { StreamDurations } from './streamDurations.js'
+import { decideQueue, type QueueDecision } from './decideQueue.js'
 import { HANDOUT_LOOKAHEAD_MS, PlacementChooser, type ReadyEngine } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { PlacementRate } from './placementRate.js'
@@ -46,8 +44,6 @@
 /** A reservation outlives its request's deadline by this much. */
 const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
-/** When the next one of some streams ends is known to about half of the time until then. */
-const MOST_FORECAST_ERROR = 0.5
 /** Waiting requests are looked at again at least this often. */
 const MAX_SLEEP_MS = 10
 /** Part of the places that is kept for those who return: they are late, so most is left to those who can be in time. */
@@ -70,7 +66,6 @@
   readonly #lengths = new AnswerLengths()
   readonly #rate = new PlacementRate()
   readonly #load = new ShardLoad()
-  readonly #durations = new StreamDurations()
   readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
   readonly #placesLimit: PlacesLimit
   readonly #chooser: PlacementChooser
@@ -250,9 +245,7 @@
   }
 
   #learn (entry: LedgerEntry, report: PlacementReport): void {
-    const lastedMs = Math.max(0, this.#opts.clock.nowMs() - entry.importEndMs)
-    this.#load.noteEnded(this.#fillOf(entry.kvBytes) * lastedMs)
-    this.#durations.learn(lastedMs)
+    this.#load.noteEnded(this.#fillOf(entry.kvBytes) * Math.max(0, this.#opts.clock.nowMs() - entry.importEndMs))
     if (entry.prefillEngine !== entry.decodeEngine) this.#ttftError.learn(report.ttftErrorMs)
     this.#lengths.learn(report.completionTokens, entry.maxTokens)
     this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
@@ -291,8 +284,9 @@
     const engines = this.#chooser.readyEngines(nowMs)
     const decisions = decideQueue(this.#waiting.all(), {
       nowMs,
-      ...this.#placeRates(nowMs),
+      msPerPlace: this.#rate.msPerPlace(nowMs),
       msPerArrival: this.#rate.msPerArrival(nowMs),
+      rateError: this.#rate.error(nowMs),
       leastMs: (waiting) => this.#leastMs(waiting, engines, nowMs),
       isAhead: (client) => this.#shares.isAhead(client, nowMs),
       promisesDueAtMs: this.#calendar.promisesDueAtMs(nowMs),
@@ -300,52 +294,6 @@
     decisions.forEach((decided) => this.#carryOut(decided))
   }
 
-  /** By what runs on the engines, once it is known how long streams last; when requests wait and none is placed, something is wrong there, and what was counted says more. */
-  #placeRates (nowMs: number): Pick<QueueFacts, 'msPerPlace' | 'rateError'> {
-    if (!this.#durations.known || this.#rate.standsStill(nowMs)) return { msPerPlace: () => this.#rate.msPerPlace(nowMs), rateError: () => this.#rate.error(nowMs) }
-    const forecast = this.#forecast(nowMs)
-    // Nothing is known of a shard whose engines are yet to report.
-    if (!forecast) return { msPerPlace: () => 0, rateError: () => MOST_FORECAST_ERROR }
-    return {
-      msPerPlace: (places) => forecast.timeOf(places) / places,
-      rateError: (places) => Math.min(MOST_FORECAST_ERROR, 1 / Math.sqrt(places)),
-    }
-  }
-
-  #forecast (nowMs: number): PlaceForecast | undefined {
-    const { kvBytesPerEngine, placesPerEngine } = this.ledger.shard.decodePool
-    const places = Math.min(placesPerEngine, this.#placesLimit.places)
-    const working = this.ledger.decodeEngines().filter((engine) => this.ledger.servedVersion(engine, nowMs) !== undefined)
-    if (working.length === 0 || this.#waiting.size === 0) return undefined
-    const usual = this.#usualRequest()
-    const fillOf = (kvBytes: number) => Math.max(kvBytes / kvBytesPerEngine, 1 / places)
-    const promptsPerMs = this.#chooser.readyEngines(nowMs).length / usual.prefillMs + (usual.ownPrefillMs === undefined ? 0 : working.length / usual.ownPrefillMs)
-    return new PlaceForecast({
-      msPerPrompt: 1 / promptsPerMs,
-      fill: fillOf(usual.kvBytes),
-      durations: this.#durations,
-      engines: working.map(({ account }) => {
-        const free = account.freeNow({ places, kvBytes: kvBytesPerEngine })
-        return {
-          free: Math.min(free.places / places, free.kvBytes / kvBytesPerEngine),
-          streams: account.reservations().map(({ kvBytes, beginsAtMs }) => ({ fill: fillOf(kvBytes), ageMs: nowMs - beginsAtMs })),
-        }
-      }),
-    })
-  }
-
-  /** What the requests that wait take, on average. */
-  #usualRequest () {
-    const { shard } = this.ledger
-    const waiting = this.#waiting.all().map(({ request }) => request)
-    const meanOf = (value: (request: ReserveRequest) => number) => waiting.reduce((sum, request) => sum + value(request), 0) / waiting.length
-    return {
-      prefillMs: meanOf(({ promptTokens }) => prefillMs(shard, promptTokens)),
-      ownPrefillMs: shard.spec.decodePrefillTokensPerSecond === undefined ? undefined : meanOf(({ promptTokens }) => ownPrefillMs(shard, promptTokens) ?? 0),
-      kvBytes: meanOf((request) => requestKvBytes(shard, request, this.#lengths.usualShare)),
-    }
-  }
-
   /** Least time to a first token; nothing when no engine takes work. */
   #leastMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number | undefined {
     const endsMs = engines.map((ready) => ready.freeAtMs - nowMs + this.#chooser.costMs(waiting, ready, nowMs) + waiting.handoverMs)
@@ -405,7 +353,7 @@
     const engines = this.#chooser.readyEngines(nowMs)
     const costsMs = engines.map(({ engine }) => this.#estimator.prefillCostMs(request, engine.name, nowMs))
     const prefillShareMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
-    const rates = { msPerPlace: this.#placeRates(nowMs).msPerPlace(this.#waiting.size + 1), msPerArrival: this.#rate.msPerArrival(nowMs) }
+    const rates = { msPerPlace: this.#rate.msPerPlace(nowMs), msPerArrival: this.#rate.msPerArrival(nowMs) }
     const msPerPlaceLeft = Math.min(msPerLatePlace(rates, 0), rates.msPerPlace / RETURN_SHARE)
     const retryAfterMs = this.#calendar.book({
       returnId: request.returnId,
--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -3,7 +3,7 @@
 import { requestOf } from './__utils__/createShard.js'
 
 /** A place becomes free every 100 ms, and a quarter as many new requests come. */
-const FACTS: QueueFacts = { nowMs: 10_000, msPerPlace: () => 100, msPerArrival: 400, rateError: () => 0.2, leastMs: () => 200, isAhead: () => false, promisesDueAtMs: [] }
+const FACTS: QueueFacts = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, leastMs: () => 200, isAhead: () => false, promisesDueAtMs: [] }
 
 function waitingSince (ms: number, over: Partial<WaitingRequest> = {}, request = {}): WaitingRequest {
   const arrivedAtMs = FACTS.nowMs - ms
