perf(upstream.orders): engines change as soon as the load is known, if they were as many as before

Cause: a change was wanted for two passes of a second each before it began.

Change: what must be steady are the engines themselves, over two passes: that is what an odd report, a crash or a replacement disturbs.

Tests: no order while engines come and go; an order in the first pass in which the load is known.

--- a/upstream/orders/src/roleBalancer.ts
+++ b/upstream/orders/src/roleBalancer.ts
@@ -37,7 +37,7 @@
   ordered: boolean
 }
 
-/** A change is wanted for this many passes in a row before it begins: a single odd report moves nothing. */
+/** Engines of both roles are as many for this many passes before one changes: those that crash or are replaced come and go within a second or two. */
 const STEADY_PASSES = 2
 /** An engine that is not empty by then, or has not changed its role, is let go again. */
 const MOVE_LIFE_MS = 25_000
@@ -50,7 +50,8 @@
   readonly #opts: RoleBalancerOptions
   readonly #moves = new Map<string, Move>()
   #plan?: RolePlan
-  #wantedPasses = 0
+  #counts?: RoleCounts
+  #steadyPasses = 0
   #lastChangeMs?: number
 
   constructor (opts: RoleBalancerOptions) {
@@ -69,7 +70,9 @@
 
   async pass (engines: BalancedEngines, least: RoleCounts, load: RoleLoad | undefined): Promise<void> {
     this.#forgetEnded(engines)
-    this.#choose(engines, this.#planNow(engines, least, load))
+    const counts = { prefill: countOf(engines.prefill), decode: countOf(engines.decode) }
+    this.#noteCounts(counts)
+    this.#choose(engines, this.#planNow(engines, counts, least, load))
     const ready = allOf(engines).filter((engine) => this.#isReady(engine))
     for (const engine of ready) await this.#send(engine)
   }
@@ -79,13 +82,19 @@
     this.#moves.forEach(({ ordered }, engine) => {
       if (!ordered) this.#moves.delete(engine)
     })
-    this.#wantedPasses = 0
+    this.#steadyPasses = 0
   }
 
-  #planNow (engines: BalancedEngines, least: RoleCounts, load: RoleLoad | undefined): RolePlan {
+  #noteCounts (counts: RoleCounts): void {
+    const same = counts.prefill === this.#counts?.prefill && counts.decode === this.#counts.decode
+    this.#steadyPasses = same ? this.#steadyPasses + 1 : 1
+    this.#counts = counts
+  }
+
+  #planNow (engines: BalancedEngines, counts: RoleCounts, least: RoleCounts, load: RoleLoad | undefined): RolePlan {
     const nowMs = this.#opts.clock.nowMs()
     const plan = planRoles({
-      counts: { prefill: countOf(engines.prefill), decode: countOf(engines.decode) },
+      counts,
       least,
       changing: this.#moves.size + allOf(engines).filter(isChanging).length,
       load,
@@ -93,12 +102,11 @@
     })
     if (plan.outcome !== this.#plan?.outcome || plan.target.prefill !== this.#plan.target.prefill) this.#opts.onPlan?.(plan, load)
     this.#plan = plan
-    this.#wantedPasses = plan.outcome === RolePlanOutcome.Change ? this.#wantedPasses + 1 : 0
     return plan
   }
 
   #choose (engines: BalancedEngines, { from, count }: RolePlan): void {
-    if (from === undefined || this.#wantedPasses < STEADY_PASSES) return
+    if (from === undefined || this.#steadyPasses < STEADY_PASSES) return
     const nowMs = this.#opts.clock.nowMs()
     this.#lastChangeMs = nowMs
     withLeastToLose(engines, from).slice(0, count).forEach(({ name }) => this.#moves.set(name, { from, sinceMs: nowMs, ordered: false }))
--- a/upstream/orders/test/roleBalancer.ts
+++ b/upstream/orders/test/roleBalancer.ts
@@ -46,8 +46,8 @@
   const engines = new OrderTaker()
   const outcomes: OrderOutcome[] = []
   const balancer = new RoleBalancer({ clock, engines, right, holder: 'box-1', revision: () => 7, orderTimeoutMs: 1000, onOrder: (_order, outcome) => outcomes.push(outcome) })
-  const pass = async (fleet: ReturnType<typeof fleetOf>, load = LOAD) => {
-    await shared.run(balancer.pass(fleet, LEAST, load))
+  const pass = async (fleet: ReturnType<typeof fleetOf>, load: RoleLoad | null = LOAD) => {
+    await shared.run(balancer.pass(fleet, LEAST, load ?? undefined))
     await shared.advance(1000)
   }
   return { balancer, engines, outcomes, pass, contact, clock: shared }
@@ -55,7 +55,7 @@
 
 const THREE = fleetOf(['p1', 'p2', 'p3'], ['d1', 'd2', 'd3'])
 
-test('an engine is told its new role once that was wanted twice, with the orders it has taken and a number of this holder', async (t) => {
+test('an engine is told its new role once the engines are as many as before, with the orders it has taken and a number of this holder', async (t) => {
   const { engines, pass, outcomes } = await createBalancer()
   await pass(THREE)
   t.deepEqual(engines.orders, [])
@@ -67,6 +67,20 @@
   t.deepEqual(outcomes, [OrderOutcome.Accepted])
 })
 
+test('while engines come and go no engine is told another role', async (t) => {
+  const { engines, pass } = await createBalancer()
+  const more = fleetOf(['p1', 'p2', 'p3', 'p4'], ['d1', 'd2', 'd3'])
+  for (let i = 0; i < 6; i++) await pass(i % 2 === 0 ? THREE : more)
+  t.deepEqual(engines.orders, [])
+})
+
+test('engines that were as many for long change as soon as the load is known', async (t) => {
+  const { engines, pass } = await createBalancer()
+  for (let i = 0; i < 3; i++) await pass(THREE, null)
+  await pass(THREE)
+  t.is(engines.orders.length, 1)
+})
+
 test('an engine gets no new work from when it is chosen, and its order when it is empty', async (t) => {
   const { balancer, engines, pass } = await createBalancer()
   const busy = { ...THREE, prefill: THREE.prefill.map((engine) => ({ ...engine, reservations: 1 })) }
