--- a/upstream/orders/src/roleBalancer.ts
+++ b/upstream/orders/src/roleBalancer.ts
@@ -5,7 +5,7 @@
 import { OrderOutcome, outcomeOf } from './orderOutcome.js'
 import { type OrderRight } from './orderRight.js'
 import { type PlannedOrder, type ReportedEngine } from './planOrders.js'
-import { type RoleCounts, type RoleLoad, type RolePlan, planRoles, RolePlanOutcome } from './planRoles.js'
+import { type RoleCounts, type RoleLoad, type RolePlan, planRoles } from './planRoles.js'
 
 /** An engine that may be told another role. */
 export interface BalancedEngine extends ReportedEngine {
