--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -17,6 +17,7 @@
 const ORDERS = 'box/runtime/test.lib/orders.js'
 const MEMBERSHIP = 'box/runtime/test.lib/membership.js'
 const SCHEDULER = 'scheduling/scheduler/test.lib/shardScheduler.js'
+const ROLES = 'upstream/orders/test.lib/roleBalancer.js'
 const STORE = 'config/store/test.lib/configStore.js'
 
 /** What the promises rest on. */
@@ -182,6 +183,62 @@
     replace: 'Math.max(0, serving)',
     tests: ['upstream/orders/test.lib/orders.js'],
   },
+  {
+    name: 'an engine whose report and list disagree on its role takes no work',
+    file: 'scheduling/ledger/src/shardLedger.ts',
+    find: 'report && report.role === engine.role &&',
+    replace: 'report &&',
+    tests: ['scheduling/scheduler/test.lib/ownPrefill.js'],
+  },
+  {
+    name: 'an engine is told its role only while the right to order holds',
+    file: 'upstream/orders/src/roleBalancer.ts',
+    find: 'if (!right.holds()) {',
+    replace: 'if (order.fence < 0) {',
+    tests: [ROLES],
+  },
+  {
+    name: 'an engine is empty before it is told another role',
+    file: 'upstream/orders/src/roleBalancer.ts',
+    find: '!move.ordered && reservations === 0 &&',
+    replace: '!move.ordered &&',
+    tests: [ROLES],
+  },
+  {
+    name: 'no two holders give an order the same number',
+    file: 'upstream/orders/src/fenceOf.ts',
+    find: ' + hash32(holder) % HOLDERS',
+    replace: '',
+    tests: [ROLES],
+  },
+  {
+    name: 'a decode engine computes a prompt itself only when that is sooner',
+    file: 'scheduling/scheduler/src/placementChooser.ts',
+    find: 'if (gaining < 0) return undefined',
+    replace: '',
+    tests: ['scheduling/scheduler/test.lib/ownPrefill.js'],
+  },
+  {
+    name: 'earlier schedulers are told when a placement ends',
+    file: 'scheduling/scheduler-placer/src/schedulerPlacer.ts',
+    find: '        this.#releaseEarlier(live)',
+    replace: '',
+    tests: ['scheduling/scheduler-placer/test.lib/schedulerPlacer.js'],
+  },
+  {
+    name: 'a stream that breaks off is asked for once more at its engine only where it may be resumed',
+    file: 'request/relay/src/completionRelay.ts',
+    find: '(route.spec.resumable || !run.mayHaveRun) &&',
+    replace: '',
+    tests: ['request/relay/test.lib/relay.js'],
+  },
+  {
+    name: 'a box that knows of no other looks for them at once',
+    file: 'membership/prober/src/prober.ts',
+    find: 'this.#tasks.run(() => this.#greetWhileAlone())',
+    replace: '',
+    tests: ['membership/prober/test.lib/prober.js'],
+  },
   {
     name: 'a box that was declared gone takes a new incarnation',
     file: 'box/runtime/src/box.ts',
@@ -234,8 +291,8 @@
   {
     name: 'a prefill starts only with a decode place',
     file: 'scheduling/scheduler/src/placementEstimator.ts',
-    find: 'const fits = free.places >= 1 && free.kvBytes >= kvBytes',
-    replace: 'const fits = true',
+    find: 'return free.places >= 1 && free.kvBytes >= kvBytes',
+    replace: 'return free.places > -1000 && kvBytes > -1',
     tests: [SCHEDULER],
   },
   {
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -130,7 +130,7 @@
       .flatMap((decode): PlacementEstimate[] => {
         const costMs = this.ownPrefillMs(request, decode)
         const free = decode.account.freeNow(capacity)
-        if (costMs === undefined || free.places < 1 || free.kvBytes < kvBytes) return []
+        if (costMs === undefined || !hasRoom(free, kvBytes)) return []
         const endMs = decode.account.ownPrefills.freeAtMs(nowMs) + costMs
         return [{ prefill: decode, decode, ...this.#streamTimes(request, endMs, usablePlaces, usablePlaces - free.places + 1), costMs, kvBytes }]
       })
@@ -164,7 +164,7 @@
   let bestRoom = Number.NEGATIVE_INFINITY
   engines.forEach((decode) => {
     const free = freeOf(decode)
-    if (free.places < 1 || free.kvBytes < kvBytes) return
+    if (!hasRoom(free, kvBytes)) return
     const room = Math.min(free.places / capacity.places, free.kvBytes / capacity.kvBytes) - FAR_ROOM_SHARE * farAway(decode, zones)
     if (room <= bestRoom) return
     best = { decode, free }
@@ -173,6 +173,10 @@
   return best
 }
 
+function hasRoom (free: DecodeCapacity, kvBytes: number): boolean {
+  return free.places >= 1 && free.kvBytes >= kvBytes
+}
+
 /** How many of the zones, as far as they are known, an engine is not in. */
 function farAway ({ availabilityZone }: EngineAccount<unknown>, zones: readonly (string | undefined)[]): number {
   return zones.filter((zone) => zone !== undefined && zone !== availabilityZone).length
