test(request.relay): what may run once is not asked for again, also where its events are numbered

The check of the mechanism showed that no test failed without it: the answer of the test had no numbered event, so that it could not be taken up anyway.

--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -324,13 +324,21 @@
 })
 
 test('an answer that may not be resumed is not asked for again where it broke off', async (t) => {
-  const { clock, relay, upstreams } = createRelay([breaksOff(200, ['data: a\n\n'])], { computesPrompts: true })
+  const { clock, relay, upstreams } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\n']), answers(200, 'id: 1\ndata: b\n\n')], { computesPrompts: true })
   const caller = new RecordingCaller()
   await clock.run(relay.relay(requestTo('/draft/1'), caller))
   t.is(upstreams.runs.length, 1)
   t.true(caller.wasCut)
 })
 
+test('a request that may run once is not asked for again at an engine that may have run it', async (t) => {
+  const { clock, relay, upstreams } = createRelay([fails({ mayHaveRun: true }), answers(200, 'data: line\n\n')], { computesPrompts: true })
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.is(caller.refused?.verdict, Verdict.MayHaveRun)
+})
+
 test('without budget an engine whose answer broke off is not asked again', async (t) => {
   const cut = breaksOff(200, ['id: 0\ndata: a\n\n'])
   const { clock, relay, upstreams } = createRelay([cut, answers(200, 'id: 1\ndata: b\n\n'), cut], { computesPrompts: true, retryBurst: 1 })
