--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,21 +1,19 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type Clock, STOPPED, TaskGroup } from '@reelspan/core.env'
 import { type EngineOutcome, type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
-import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
+import { ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
 import { UpstreamHealth } from '@reelspan/upstream.health'
-import { AnswerLengths } from './answerLengths.js'
 import { ClientShares } from './clientShares.js'
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, msPerLatePlace } from './decideAdmission.js'
 import { decideQueue, type QueueDecision } from './decideQueue.js'
+import { describeEngines } from './describeEngines.js'
 import { HANDOUT_LOOKAHEAD_MS, PlacementChooser, type ReadyEngine } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
+import { type LearntLoad, PlacementLessons } from './placementLessons.js'
 import { PlacementRate } from './placementRate.js'
-import { PlacesLimit } from './placesLimit.js'
-import { type ObservedLoad, ShardLoad } from './shardLoad.js'
-import { QuantileEstimator } from './quantileEstimator.js'
 import { ReturnCalendar } from './returnCalendar.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
 
@@ -39,8 +37,6 @@
 
 /** An owner that gets a plan must start its prefill within this time. */
 const START_WITHIN_MS = 300
-/** First guess of how much later than estimated first tokens come. */
-const FIRST_PATH_MS = 10
 /** A reservation outlives its request's deadline by this much. */
 const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
@@ -63,11 +59,8 @@
   readonly #tasks: TaskGroup
   readonly #estimator: PlacementEstimator
   readonly #shares = new ClientShares()
-  readonly #lengths = new AnswerLengths()
+  readonly #lessons: PlacementLessons
   readonly #rate = new PlacementRate()
-  readonly #load = new ShardLoad()
-  readonly #ttftError = new QuantileEstimator({ quantile: 0.85, firstMs: FIRST_PATH_MS, minMs: 5, maxMs: 60 })
-  readonly #placesLimit: PlacesLimit
   readonly #chooser: PlacementChooser
   readonly #calendar = new ReturnCalendar({ minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
   readonly #waiting = new WaitingQueue()
@@ -77,11 +70,12 @@
   constructor (opts: ShardSchedulerOptions) {
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { reportLifeMs: opts.reportLifeMs })
+    this.#lessons = new PlacementLessons(this.ledger)
+    const { lengths, placesLimit } = this.#lessons
     this.#health = new UpstreamHealth(opts)
     const isSuspect = (engine: string) => this.#health.isSuspect(engine)
-    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths: this.#lengths, isSuspect })
-    this.#placesLimit = new PlacesLimit(opts.shard.decodePool.placesPerEngine)
-    this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit: this.#placesLimit, route: opts.route, isSuspect })
+    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect })
+    this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect })
     this.#tasks = new TaskGroup(opts.clock)
   }
 
@@ -110,7 +104,7 @@
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, 'too many requests wait'))
     if (!back) this.#noteArrival(nowMs)
     if (this.#waiting.size === 0) this.#rate.noteIdle(nowMs)
-    const leftMs = request.ttftLeftMs - this.#ttftError.valueMs
+    const leftMs = request.ttftLeftMs - this.#lessons.ttftErrorMs
     const usefulMs = Math.min(Math.max(leftMs, request.patienceMs ?? 0), request.deadlineMs)
     return new Promise((resolve) => {
       this.#waiting.add({
@@ -133,7 +127,7 @@
     this.#waiting.withdraw(label)
     outcomes.forEach(({ engine, outcome }) => this.#noteOutcome(engine, outcome))
     const entry = this.ledger.release(label)
-    if (entry && report) this.#learn(entry, report)
+    if (entry && report) this.#lessons.noteEnded(entry, report, this.#opts.clock.nowMs())
     this.#pump()
   }
 
@@ -190,10 +184,8 @@
   }
 
   /** What requests take of the engines; nothing until enough were seen. */
-  observedLoad (): (ObservedLoad & { ownPrefillMs?: number }) | undefined {
-    const { prefillTokensPerSecond, decodePrefillTokensPerSecond } = this.ledger.shard.spec
-    const load = this.#load.observed(this.#opts.clock.nowMs())
-    return load && { ...load, ownPrefillMs: decodePrefillTokensPerSecond && load.prefillMs * prefillTokensPerSecond / decodePrefillTokensPerSecond }
+  observedLoad (): LearntLoad | undefined {
+    return this.#lessons.observedLoad(this.#opts.clock.nowMs())
   }
 
   /** State for the dump. */
@@ -204,30 +196,10 @@
       waiting: this.#waiting.size,
       reservations: this.ledger.reservationCount,
       returnsBooked: this.#calendar.size,
-      ttftErrorMs: Math.round(this.#ttftError.valueMs),
-      placesLimit: this.#placesLimit.places,
-      usualAnswerShare: Number(this.#lengths.usualShare.toFixed(2)),
+      ...this.#lessons.describe(),
       prefixEntries: this.#opts.index.size,
       suspects: this.#health.suspects(),
-      prefill: this.ledger.prefillEngines().map((engine) => ({
-        name: engine.name,
-        servedVersion: this.ledger.servedVersion(engine, nowMs),
-        leaving: engine.leaving,
-        retiring: engine.retiring,
-        busyMs: Math.round(engine.account.freeAtMs(nowMs) - nowMs),
-        speedFactor: Number(engine.account.speedFactor.toFixed(2)),
-        reportAgeMs: engine.report && Math.round(nowMs - engine.reportAtMs),
-      })),
-      decode: this.ledger.decodeEngines().map((engine) => ({
-        name: engine.name,
-        servedVersion: this.ledger.servedVersion(engine, nowMs),
-        leaving: engine.leaving,
-        retiring: engine.retiring,
-        reservedPlaces: engine.account.reservedPlaces,
-        externalPlaces: engine.account.externalPlaces,
-        kvBytesInUse: engine.account.kvBytesInUse,
-        reportAgeMs: engine.report && Math.round(nowMs - engine.reportAtMs),
-      })),
+      ...describeEngines(this.ledger, nowMs),
     }
   }
 
@@ -241,20 +213,7 @@
 
   #noteArrival (nowMs: number): void {
     this.#rate.noteArrival(nowMs)
-    this.#load.noteArrival(nowMs)
-  }
-
-  #learn (entry: LedgerEntry, report: PlacementReport): void {
-    this.#load.noteEnded(this.#fillOf(entry.kvBytes) * Math.max(0, this.#opts.clock.nowMs() - entry.importEndMs))
-    if (entry.prefillEngine !== entry.decodeEngine) this.#ttftError.learn(report.ttftErrorMs)
-    this.#lengths.learn(report.completionTokens, entry.maxTokens)
-    this.#placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
-  }
-
-  /** The part of a decode engine that a request fills, by its memory or its place. */
-  #fillOf (kvBytes: number): number {
-    const { kvBytesPerEngine, placesPerEngine } = this.ledger.shard.decodePool
-    return Math.max(kvBytes / kvBytesPerEngine, 1 / placesPerEngine)
+    this.#lessons.noteArrival(nowMs)
   }
 
   /** Places and refuses whatever can be decided now, then sleeps until the next moment that could change that. */
@@ -332,8 +291,11 @@
     this.#shares.charge(request.client, estimate.costMs, weight, nowMs)
     this.#calendar.forget(request.returnId)
     this.#rate.note(nowMs)
-    const pooledMs = isOwnPrefill ? this.#estimator.prefillCostMs(request, prefill.name, nowMs) : estimate.costMs
-    this.#load.notePlaced(pooledMs, this.#fillOf(estimate.kvBytes) * this.#estimator.usualAnswerMs(request))
+    this.#lessons.notePlaced({
+      prefillMs: isOwnPrefill ? this.#estimator.prefillCostMs(request, prefill.name, nowMs) : estimate.costMs,
+      usualAnswerMs: this.#estimator.usualAnswerMs(request),
+      kvBytes: estimate.kvBytes,
+    })
     this.#answer(waiting, planOf(estimate, nowMs))
   }
 
