--- a/cli/reelspanctl/src/show.ts
+++ b/cli/reelspanctl/src/show.ts
@@ -16,11 +16,27 @@
   reportAgeMs?: number
 }
 
-interface Status {
+/** Which roles the engines of a shard should have, where they follow the load. */
+interface RolesLine {
+  outcome: string
+  target: { prefill: number, decode: number }
+}
+
+interface ShardLine {
+  shard: string
+  waiting: number
+  reservations: number
+  mayOrder: boolean
+  roles?: RolesLine
+  prefill: EngineLine[]
+  decode: EngineLine[]
+}
+
+export interface Status {
   resource: { kind: string, name: string, revision: number }
   revisionInForce: number
   rejected?: { revision: number, problems: string[] }
-  shards: { box: string, ageMs: number, shard: { shard: string, waiting: number, reservations: number, mayOrder: boolean, prefill: EngineLine[], decode: EngineLine[] } }[]
+  shards: { box: string, ageMs: number, shard: ShardLine }[]
   boxesNotAsked: string[]
 }
 
@@ -35,12 +51,14 @@
   return ExitCode.Done
 }
 
-function statusLines ({ resource, revisionInForce, rejected, shards, boxesNotAsked }: Status): string[] {
+/** The status of a resource as lines for an operator. */
+export function statusLines ({ resource, revisionInForce, rejected, shards, boxesNotAsked }: Status): string[] {
   return [
     `${resource.kind}/${resource.name}  changed in revision ${resource.revision}, revision ${revisionInForce} is in force`,
     ...(rejected ? [`revision ${rejected.revision} was refused:`, ...rejected.problems.map((problem) => `  ${problem}`)] : []),
     ...shards.flatMap(({ box, ageMs, shard }) => [
       `shard ${shard.shard}  accounted for by ${box}, ${ageMs} ms ago: ${shard.waiting} wait, ${shard.reservations} run${shard.mayOrder ? '' : ', may not order yet'}`,
+      ...shard.roles ? [`  roles: ${shard.roles.target.prefill} prefill and ${shard.roles.target.decode} decode wanted (${shard.roles.outcome})`] : [],
       ...[...shard.prefill, ...shard.decode].map(engineLine),
     ]),
     ...(boxesNotAsked.length > 0 ? [`could not be asked: ${boxesNotAsked.join(', ')}`] : []),
