--- a/cli/reelspan/src/main.ts
+++ b/cli/reelspan/src/main.ts
@@ -29,6 +29,7 @@
   Options
     --config FILE   The box's settings (TOML)
     --platform      Take the settings from the platform's file, which $${SETTINGS_VARIABLE} names
+    --fixed-roles   With --platform: engines keep the roles in which the platform starts them
     --json          check, version: print JSON
 
   Exit codes
@@ -44,13 +45,13 @@
     importMeta: import.meta,
     argv: [...argv],
     description: 'A router for language models served with separate prefill and decode pools',
-    flags: { config: { type: 'string' }, platform: { type: 'boolean', default: false }, json: { type: 'boolean', default: false } },
+    flags: { config: { type: 'string' }, platform: { type: 'boolean', default: false }, fixedRoles: { type: 'boolean', default: false }, json: { type: 'boolean', default: false } },
     allowUnknownFlags: false,
   })
   const [command] = cli.input
   try {
     switch (command) {
-      case 'serve': return cli.flags.platform ? await servePlatform(platformFile()) : await serve(await readSettings(cli.flags.config))
+      case 'serve': return cli.flags.platform ? await servePlatform(platformFile(), cli.flags.fixedRoles) : await serve(await readSettings(cli.flags.config))
       case 'check': return cli.flags.platform ? await checkPlatform(platformFile(), cli.flags.json) : await check(cli.flags.config, cli.flags.json)
       case 'version': return printVersion(cli.pkg.version as string, cli.flags.json)
       default: return usage(command === undefined ? 'a command is needed: serve, check or version' : `unknown command «${command}»: use serve, check or version`)
@@ -92,12 +93,12 @@
   return ExitCode.Done
 }
 
-async function servePlatform (file: string): Promise<ExitCode> {
+async function servePlatform (file: string, fixedRoles: boolean): Promise<ExitCode> {
   const { startPlatformBox } = await import('@reelspan/platform.adapter')
   // Without a listener the signal would end the process, also while it starts.
   const started: { box?: RunningPlatformBox } = {}
   process.on('SIGHUP', () => { void started.box?.reload() })
-  started.box = await startPlatformBox(file)
+  started.box = await startPlatformBox(file, { fixedRoles })
   return serveUntilStopped(started.box)
 }
 
