fix(request.relay): a request counts as under way from the moment in which it came

Cause: the wait for a first configuration was awaited also by boxes that have one, so that a request that came in the same moment as a stop was not waited for.

Change: only a box without a configuration waits.

--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -94,7 +94,8 @@
   /** Runs a request and answers its caller. Resolves when the answer is given. */
   async relay (request: RelayedRequest, caller: RelayCaller, deadlineMs?: number): Promise<void> {
     const arrivedAtMs = this.#opts.clock.nowMs()
-    await this.#waitForConfiguration(caller.signal, deadlineMs)
+    // Without a wait a request counts as under way from the moment in which it came.
+    if (this.#opts.configuration().revision === 0) await this.#waitForConfiguration(caller.signal, deadlineMs)
     const route = this.#opts.configuration().routeOfHost(request.host, pathOf(request.target))
     const run = this.#open(request, Math.min(deadlineMs ?? Number.POSITIVE_INFINITY, route?.spec.deadlineMs ?? Number.POSITIVE_INFINITY), arrivedAtMs)
     const key = `${request.id}#${this.#sequence++}`
@@ -120,9 +121,9 @@
 
   /** A box that has just started does not know yet where requests go, and soon does. */
   async #waitForConfiguration (callerSignal: AbortSignal, deadlineMs = Number.POSITIVE_INFINITY): Promise<void> {
-    const { clock, configuration, configured } = this.#opts
+    const { clock, configured } = this.#opts
     const patienceMs = Math.min(this.#startedAtMs + START_PATIENCE_MS - clock.nowMs(), deadlineMs)
-    if (configuration().revision > 0 || patienceMs <= 0) return
+    if (patienceMs <= 0) return
     const over = new AbortController()
     await raceTimeout(clock, configured(AbortSignal.any([callerSignal, this.#tasks.signal, over.signal])), patienceMs)
     over.abort(STOPPED)
