fix(net.peer-link): a peer that cannot have read a large message yet is not taken for a silent connection

A large message is compressed in another thread before it leaves, and decompressed so by the peer; on a busy machine that takes longer than the 250 ms after which a connection is judged, while a new one is answered at once.

Ruled out: the time that the test allows (60 s).

Change: nothing is expected of the peer while a frame of this side is being compressed, for as long as it may take to read what was sent (10 KB a ms), and for a second more after a compressed message.

--- a/net/peer-link/src/outgoingConnection.ts
+++ b/net/peer-link/src/outgoingConnection.ts
@@ -4,7 +4,7 @@
 import { WebSocket } from 'ws'
 import { decodeFrame, encodeFrame, FrameKind } from './frame.js'
 import { type LinkTraffic } from './linkTraffic.js'
-import { MESSAGE_COMPRESSION } from './messageCompression.js'
+import { COMPRESS_FROM_BYTES, MESSAGE_COMPRESSION } from './messageCompression.js'
 
 export interface OutgoingConnectionOptions {
   clock: Clock
@@ -29,6 +29,13 @@
 const PONG_MS = 120
 /** What a peer that answers has to say on its other connections comes within this time. */
 const BOTH_MS = 50
+/** A peer decompresses and reads what it got at least as fast, in bytes of the message, also where it has a third of a core. */
+const PEER_READS_BYTES_PER_MS = 10_000
+/**
+ * A compressed message may wait for a thread that decompresses it, while the peer answers on other connections:
+ * on a machine with twice as many busy processes as cores one of 360 KB took over 250 ms in one of seven runs.
+ */
+const PEER_UNPACKS_MS = 1000
 /** Whether the peer answers on a new connection is known by then; an opening packet that was lost is sent again only after a second. */
 const CONNECT_TIMEOUT_MS = 400
 
@@ -70,6 +77,10 @@
   /** Exchanges under way, those included that wait for the connection to open. */
   #users = 0
   #watching = false
+  /** Frames that are not on their way yet. */
+  #unsentFrames = 0
+  /** When the peer should have read what was sent. */
+  #peerReadsUntilMs = 0
   #endReason: EndReason
 
   constructor (opts: OutgoingConnectionOptions) {
@@ -161,7 +172,29 @@
       return
     }
     this.#lastUseMs = this.#opts.clock.nowMs()
-    this.#socket.send(encodeFrame(id, kind, message))
+    const frame = encodeFrame(id, kind, message)
+    this.#unsentFrames++
+    // A frame that cannot be sent any more ends with its connection, which tells whoever waits.
+    this.#socket.send(frame, () => this.#noteSent(frame.byteLength))
+  }
+
+  #noteSent (bytes: number): void {
+    this.#unsentFrames--
+    const readMs = bytes / PEER_READS_BYTES_PER_MS + (bytes >= COMPRESS_FROM_BYTES ? PEER_UNPACKS_MS : 0)
+    this.#peerReadsUntilMs = Math.max(this.#peerReadsUntilMs, this.#opts.clock.nowMs() + readMs)
+  }
+
+  /** Whether the peer may be at work on what was sent, so that nothing is to be expected of it yet. */
+  get #mayBeReading (): boolean {
+    return this.#isCompressing || this.#opts.clock.nowMs() < this.#peerReadsUntilMs
+  }
+
+  /**
+   * Whether a frame is being compressed, beside the event loop, before it goes: the peer cannot answer
+   * it yet. What waits to be written has been compressed, and may wait on a connection that is silent.
+   */
+  get #isCompressing (): boolean {
+    return this.#unsentFrames > 0 && this.#stream?.writableLength === 0
   }
 
   #receive (bytes: Buffer): void {
@@ -208,7 +241,7 @@
     await clock.sleep(forMs, { signal: this.#closed.signal })
     // After a pause of this process, what came in time may still be waiting to be read.
     await clock.settle()
-    return this.#stream?.bytesRead === seen && !this.#closed.signal.aborted
+    return this.#stream?.bytesRead === seen && !this.#closed.signal.aborted && !this.#mayBeReading
   }
 
   /** Finds out why nothing comes. */
@@ -223,7 +256,7 @@
     // A peer that was busy for some time answers on both when it is done, in any order.
     if (outcome === Beside.Answers) await this.#staysQuiet(BOTH_MS)
     await clock.settle()
-    const cameBack = this.#stream?.bytesRead !== seen || this.#closed.signal.aborted
+    const cameBack = this.#stream?.bytesRead !== seen || this.#closed.signal.aborted || this.#mayBeReading
     if (cameBack || outcome !== Beside.Answers) other.close()
     if (cameBack) return
     if (outcome === Beside.Answers) {
--- a/net/peer-link/test/wsPeerLink.ts
+++ b/net/peer-link/test/wsPeerLink.ts
@@ -23,6 +23,7 @@
 const MAX_MESSAGE_BYTES = 10_000
 /** A configuration of 1,600 routes fits. */
 const WIDE = { maxMessageBytes: 1_000_000 }
+const VAST = { maxMessageBytes: 100_000_000 }
 
 async function createLink (t: ExecutionContext, handler?: Partial<PeerHandler>, { maxMessageBytes = MAX_MESSAGE_BYTES } = {}) {
   const address = await freeAddress()
@@ -156,6 +157,12 @@
   t.true(link.traffic.sentBytes < 50_000, `${link.traffic.sentBytes} bytes went`)
 })
 
+test('a question that takes its own side long to compress does not make its connection count as silent', async (t) => {
+  const { address } = await createLink(t, undefined, VAST)
+  const { link } = await createLink(t, undefined, VAST)
+  t.deepEqual(await link.call(address, contentOf(120_000), { timeoutMs: 60_000 }), DONE)
+})
+
 test('a message of usual size goes as it is', async (t) => {
   const { address } = await createLink(t)
   const { link } = await createLink(t)
