fix(scheduling.scheduler): the most urgent request that waits is computed by a decode engine first

Read again: own prefills went by arrival alone, so that a less urgent kind of request could be served before a more urgent one of the same model. The test failed first.

--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -96,12 +96,13 @@
   }
 
   /**
-   * The first request, in the order in which they came, whose decode engine would be
+   * The first request, by urgency and then in the order in which they came, whose decode engine would be
    * done with its prompt before the prefill engines are, behind all that wait before it.
    * A decode engine takes longer and holds its streams up meanwhile (about 190 ms of
    * each for a prompt of 3,200 tokens), so prefill engines that are free go first.
    */
-  #chooseOwnPrefill (queue: readonly WaitingRequest[], engines: readonly ReadyEngine[], nowMs: number): Choice | undefined {
+  #chooseOwnPrefill (waitingRequests: readonly WaitingRequest[], engines: readonly ReadyEngine[], nowMs: number): Choice | undefined {
+    const queue = [...waitingRequests].sort((a, b) => b.request.priority - a.request.priority)
     // What the first one does not find, the next seldom does.
     const soonest = this.#ownPrefill(queue[0], nowMs)
     if (!soonest) return undefined
--- a/scheduling/scheduler/test/ownPrefill.ts
+++ b/scheduling/scheduler/test/ownPrefill.ts
@@ -84,3 +84,17 @@
   t.true(before.inTime < 0.7 * before.requests, `${before.inTime} of ${before.requests}`)
   t.true(after.ownPrefills < 0.6 * after.requests, 'prefill engines are still used first')
 })
+
+test('of those that wait, the most urgent one is computed by a decode engine first', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 0, decode: 1, places: 1, decodePrefillTokensPerSecond: HALF_PACE })
+  const first = requestOf(TARGET)
+  t.true(isOwn(await clock.run(scheduler.reserve(first))))
+  const order: string[] = []
+  const reserve = (name: string, priority: number) => scheduler.reserve(requestOf({ ...TARGET, priority })).then((answer) => { if (isOwn(answer)) order.push(name) })
+  void reserve('usual', 0)
+  void reserve('urgent', 1)
+  await clock.advance(100)
+  scheduler.release(first.label, { completionTokens: 10, ttftErrorMs: 0, tbtP50Ms: 20 })
+  await clock.advance(10)
+  t.deepEqual(order, ['urgent'])
+})
