test(telemetry.log): the test of a reader that is gone keeps its descriptor

Seen: a run of all tests did not end; one thread of it was at work for 33 minutes. Of all tests this one alone had no result. It closed a descriptor and waited for the write to it to fail; tests run in threads of one process, so that another test could open a file under the same number in between. The write went there, nothing failed, and the test waited for ever.

Change: the descriptor is open for reading only. The write fails as before (EBADF), and the number cannot become another file's.

--- a/telemetry/log/test/boundedLineStream.ts
+++ b/telemetry/log/test/boundedLineStream.ts
@@ -1,12 +1,12 @@
-import { closeSync, openSync, readFileSync, rmSync } from 'node:fs'
+import { constants, openSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { BoundedLineStream } from '@reelspan/telemetry.log'
 import test, { type ExecutionContext } from 'ava'
 
-function createFile (t: ExecutionContext) {
+function createFile (t: ExecutionContext, flags: string | number = 'w') {
   const path = join(tmpdir(), `reelspan-lines-${process.pid}-${Math.trunc(performance.now() * 1000)}`)
-  const fileDescriptor = openSync(path, 'w')
+  const fileDescriptor = openSync(path, flags)
   t.teardown(() => rmSync(path))
   return { fileDescriptor, read: () => readFileSync(path, 'utf8') }
 }
@@ -46,8 +46,8 @@
 })
 
 test('a reader that is gone is not written to for ever', async (t) => {
-  const { fileDescriptor } = createFile(t)
-  closeSync(fileDescriptor)
+  // Nothing can be written to it, as to one that is closed; but its number stays its own, while tests beside this one open files.
+  const { fileDescriptor } = createFile(t, constants.O_CREAT | constants.O_RDONLY)
   const stream = new BoundedLineStream({ fileDescriptor, nowMs: () => 0 })
   stream.write('lost\n')
   await until(() => stream.dropped > 0)
