fix(box.runtime): an order to change a role bears the platform's revision

Cause: the number of an order was made from the revision of the list that the box acts by. That one counts the box's own changes: of two boxes that follow each other as scheduler, the one that has been up for less time gave lower numbers, and an engine that does not check them would have taken them.

Change: the number is made from the revision of the platform's list, which rises over all boxes. Numbers of holders are said to be told apart one in a million times; the comment had it wrong.

Test, failing before: after five revisions that come at once the order bore number (revision 2), where (revision 6) is due.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -162,6 +162,7 @@
     failures: parts.failures,
     declarations: parts.declarations,
     fleet: parts.fleet,
+    fleetRevision: () => parts.fleetList.revision,
     view: parts.view,
     vouchHere: parts.vouchHere,
     isGone: (incarnation) => parts.view.get(incarnation)?.health === MemberHealth.Gone,
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -16,7 +16,10 @@
 export interface ShardKeepersOptions extends BoxEnvironment {
   failures: FailureLog
   declarations: ConfigStore<Configuration>
+  /** The list that this box acts by. Its revision counts this box's own changes. */
   fleet: { readonly value: FleetList, readonly revision: number }
+  /** The platform's revision of the list. */
+  fleetRevision: () => number
   view: MembershipView
   /** Answers for requests of this box's own incarnations. */
   vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
@@ -139,10 +142,10 @@
   }
 
   #roleOptions (shard: Shard): ShardKeeperOptions['roles'] {
-    const { settings, declarations, fleet, log } = this.#opts
+    const { settings, declarations, fleetRevision, log } = this.#opts
     return {
       holder: settings.box.name,
-      revision: () => Math.max(declarations.revision, fleet.revision),
+      revision: () => Math.max(declarations.revision, fleetRevision()),
       onPlan: (plan, load) => log.info(LogEvent.RolesPlanned, { shard: shard.id, ...rolePlanFields(plan, load) }),
     }
   }
--- a/box/runtime/test/rolesFollowLoad.ts
+++ b/box/runtime/test/rolesFollowLoad.ts
@@ -1,7 +1,9 @@
 import { Verdict } from '@reelspan/core.error'
+import { Collection } from '@reelspan/core.messages'
 import { FakeFleet } from '@reelspan/utils.fake-fleet'
 import { promptFor, SeededRandom } from '@reelspan/utils.fakes'
 import { EngineRole } from '@reelspan/upstream.client'
+import { uniqueFenceOf } from '@reelspan/upstream.orders'
 import test from 'ava'
 
 const ANSWER_TOKENS = 60
@@ -49,23 +51,37 @@
   t.true(after.inTime > before.inTime + 0.1, `${before.inTime} before, ${after.inTime} after`)
 })
 
+/** Requests with long answers, which make the scheduler change the role of an engine after some seconds. */
+async function sendLongAnswers (fleet: FakeFleet, durationMs: number): Promise<void> {
+  for (let atMs = 0; atMs < durationMs; atMs += 40) {
+    const { name } = fleet.liveBoxes()[(atMs / 40) % fleet.liveBoxes().length]
+    void fleet.send(name, fleet.completion(name, promptFor(`k${atMs}-${durationMs}`, { answerTokens: ANSWER_TOKENS })))
+    await fleet.clock.advance(40)
+  }
+}
+
 test('engines end in working roles when the scheduler dies while one changes', async (t) => {
   const fleet = await new FakeFleet({ settings: { scheduling: { rolesFollowLoad: true } }, engine: { loadModelMs: 6000 } }).start()
   await fleet.clock.advance(6000)
-  const sendFor = async (durationMs: number) => {
-    for (let atMs = 0; atMs < durationMs; atMs += 40) {
-      const { name } = fleet.liveBoxes()[(atMs / 40) % fleet.liveBoxes().length]
-      void fleet.send(name, fleet.completion(name, promptFor(`k${atMs}-${durationMs}`, { answerTokens: ANSWER_TOKENS })))
-      await fleet.clock.advance(40)
-    }
-  }
-  await sendFor(8000)
+  await sendLongAnswers(fleet, 8000)
   t.is([...fleet.engines.values()].reduce((sum, engine) => sum + engine.orders.length, 0), 1)
   fleet.kill(fleet.schedulerBox().name)
-  await sendFor(30_000)
+  await sendLongAnswers(fleet, 30_000)
   const orders = [...fleet.engines.values()].map((engine) => engine.orders.length)
   t.true(Math.max(...orders) === 1, 'no engine was ordered twice')
   t.true(countOf(fleet, EngineRole.Prefill) >= 1)
   t.true([...fleet.engines.values()].every((engine) => !engine.report().changing))
   await fleet.stop()
 })
+
+test('an order to change a role bears the revision of the platform that its box knows, and no count of its own', async (t) => {
+  const fleet = await new FakeFleet({ settings: { scheduling: { rolesFollowLoad: true } }, engine: { loadModelMs: 6000 } }).start()
+  // Boxes get several revisions at once, and which ones differs from box to box.
+  for (let i = 0; i < 5; i++) fleet.platform.publish(Collection.Fleet, [])
+  await fleet.clock.advance(6000)
+  const revision = Math.max(...Object.values(Collection).map((collection) => fleet.platform.revision(collection)))
+  await sendLongAnswers(fleet, 8000)
+  const [order] = [...fleet.engines.values()].flatMap(({ orders }) => orders)
+  t.is(order.fence, uniqueFenceOf(revision, 0, fleet.schedulerBox().name))
+  await fleet.stop()
+})
--- a/upstream/orders/src/fenceOf.ts
+++ b/upstream/orders/src/fenceOf.ts
@@ -17,7 +17,10 @@
 
 /** Orders to one engine that are told apart within one revision; more have the same number but for their holder. */
 const UNIQUE_STEPS = 2 ** 8
-/** Numbers of holders: two of 700 boxes have the same in one of some two thousand pairs of orders at one revision and step. */
+/**
+ * Numbers of holders: two boxes have the same one in a million times. Fencing numbers are exact up to revision
+ * 2^25; above it they still rise with revision and step, and fewer holders are told apart.
+ */
 const HOLDERS = 2 ** 20
 
 /**
