--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -61,6 +61,11 @@
   tbtP50Ms: z.number().nonnegative(),
 })
 
+/** Whether the decode engine of a placement computes the prompt itself. */
+export function isOwnPrefill ({ prefillEngine, decodeEngine }: { prefillEngine: string, decodeEngine: string }): boolean {
+  return prefillEngine === decodeEngine
+}
+
 export type PlacementReport = z.infer<typeof placementReportSchema>
 export type ReserveRequest = z.infer<typeof reserveRequestSchema>
 export type PlacementPlan = z.infer<typeof placementPlanSchema>
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -1,6 +1,6 @@
 import { hash32 } from '@reelspan/core.hashing'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
-import { type EngineOutcome, type HoldLabel, type PlacementPlan, type PlacementRefusal, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
+import { type EngineOutcome, type HoldLabel, isOwnPrefill, type PlacementPlan, type PlacementRefusal, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
 import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
@@ -335,11 +335,6 @@
   }
 }
 
-/** The decode engine computes the prompt itself. */
-function isOwnPrefill ({ prefillEngine, decodeEngine }: PlacementPlan): boolean {
-  return prefillEngine === decodeEngine
-}
-
 function refusalOf ({ reason, retryAfterMs }: PlacementRefusal): ReelspanError {
   return new ReelspanError(ErrorCode.Overloaded, reason, { retryAfterMs })
 }
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -1,5 +1,5 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
-import { type HoldLabel, holdLabelKey } from '@reelspan/core.messages'
+import { type HoldLabel, holdLabelKey, isOwnPrefill } from '@reelspan/core.messages'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport, EngineRole } from '@reelspan/upstream.client'
 import { DecodeAccount } from './decodeAccount.js'
@@ -194,8 +194,8 @@
   }
 
   /** Where a request's prompt is computed: on a prefill engine, or on its decode engine itself. */
-  #prefillsOf ({ prefillEngine, decodeEngine }: LedgerEntry): PrefillAccount | undefined {
-    return prefillEngine === decodeEngine ? this.#decode.get(decodeEngine)?.account.ownPrefills : this.#prefill.get(prefillEngine)?.account
+  #prefillsOf (entry: LedgerEntry): PrefillAccount | undefined {
+    return isOwnPrefill(entry) ? this.#decode.get(entry.decodeEngine)?.account.ownPrefills : this.#prefill.get(entry.prefillEngine)?.account
   }
 }
 
--- a/scheduling/scheduler/src/placementLessons.ts
+++ b/scheduling/scheduler/src/placementLessons.ts
@@ -1,4 +1,4 @@
-import { type PlacementReport } from '@reelspan/core.messages'
+import { isOwnPrefill, type PlacementReport } from '@reelspan/core.messages'
 import { type LedgerEntry, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { AnswerLengths } from './answerLengths.js'
 import { PlacesLimit } from './placesLimit.js'
@@ -51,7 +51,7 @@
   noteEnded (entry: LedgerEntry, report: PlacementReport, nowMs: number): void {
     this.#load.noteEnded(this.#fillOf(entry.kvBytes) * Math.max(0, nowMs - entry.importEndMs))
     // What a decode engine computes itself has a speed of its own.
-    if (entry.prefillEngine !== entry.decodeEngine) this.#ttftError.learn(report.ttftErrorMs)
+    if (!isOwnPrefill(entry)) this.#ttftError.learn(report.ttftErrorMs)
     this.lengths.learn(report.completionTokens, entry.maxTokens)
     this.placesLimit.learn(report.tbtP50Ms, entry.tbtTargetMs)
   }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,7 +1,7 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type Clock, STOPPED, TaskGroup } from '@reelspan/core.env'
-import { type EngineOutcome, type HoldLabel, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
-import { ShardLedger } from '@reelspan/scheduling.ledger'
+import { type EngineOutcome, type HoldLabel, isOwnPrefill, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
+import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
@@ -270,7 +270,7 @@
   #commit (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
     const { request } = waiting
     const { prefill, decode } = estimate
-    this.ledger.reserve({
+    const entry: LedgerEntry = {
       label: request.label,
       maxTokens: request.maxTokens,
       tbtTargetMs: request.tbtTargetMs,
@@ -281,9 +281,9 @@
       importEndMs: estimate.importEndMs,
       latestEndMs: estimate.latestEndMs,
       expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
-    }, nowMs)
-    const isOwnPrefill = prefill.name === decode.name
-    if (!isOwnPrefill) {
+    }
+    this.ledger.reserve(entry, nowMs)
+    if (!isOwnPrefill(entry)) {
       this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
       this.#forgetCosts(prefill.name)
     }
@@ -292,7 +292,7 @@
     this.#calendar.forget(request.returnId)
     this.#rate.note(nowMs)
     this.#lessons.notePlaced({
-      prefillMs: isOwnPrefill ? this.#estimator.prefillCostMs(request, prefill.name, nowMs) : estimate.costMs,
+      prefillMs: isOwnPrefill(entry) ? this.#estimator.prefillCostMs(request, prefill.name, nowMs) : estimate.costMs,
       usualAnswerMs: this.#estimator.usualAnswerMs(request),
       kvBytes: estimate.kvBytes,
     })
