refactor(upstream.orders): whether engines change is a yes or no

Engines on their way to another role were counted twice when their report said so too, and the count served as a yes or no alone. The comment said that a report which disagrees with the list counts as well, which it does not. Tests give false and true where they gave 0 and 1; what they expect is the same.

Above revision 2^25 fencing numbers do not fall, but may be the same: the comment said that they rise.

--- a/upstream/orders/src/fenceOf.ts
+++ b/upstream/orders/src/fenceOf.ts
@@ -19,7 +19,7 @@
 const UNIQUE_STEPS = 2 ** 8
 /**
  * Numbers of holders: two boxes have the same one in a million times. Fencing numbers are exact up to revision
- * 2^25; above it they still rise with revision and step, and fewer holders are told apart.
+ * 2^25; above it they never fall, and fewer holders are told apart.
  */
 const HOLDERS = 2 ** 20
 
--- a/upstream/orders/src/planRoles.ts
+++ b/upstream/orders/src/planRoles.ts
@@ -22,8 +22,8 @@
   counts: RoleCounts
   /** The fewest engines of each role. */
   least: RoleCounts
-  /** Engines on their way from one role to the other, or that report another role than the list gives them. */
-  changing: number
+  /** Some engine is on its way from one role to the other, or carries out an order. */
+  changing: boolean
   /** Nothing until enough requests were seen. */
   load?: RoleLoad
   /** Since the last engine was told another role; nothing when none was. */
@@ -85,7 +85,7 @@
   const served = requestsPerMs(counts, load)
   const target = nearestGoodShare(inputs, load)
   const rates = { servesPerSecond: MS_PER_SECOND * served, targetServesPerSecond: MS_PER_SECOND * requestsPerMs(target, load) }
-  if (changing > 0 || sinceLastChangeMs < SETTLE_MS) return { ...stay(target, RolePlanOutcome.Settling), ...rates }
+  if (changing || sinceLastChangeMs < SETTLE_MS) return { ...stay(target, RolePlanOutcome.Settling), ...rates }
   if (target[EngineRole.Prefill] === counts[EngineRole.Prefill]) return { ...stay(counts, RolePlanOutcome.Balanced), ...rates }
   if (served >= BURST_FACTOR * load.arrivalsPerMs) return { ...stay(target, RolePlanOutcome.Enough), ...rates }
   const from = target[EngineRole.Prefill] < counts[EngineRole.Prefill] ? EngineRole.Prefill : EngineRole.Decode
--- a/upstream/orders/src/roleBalancer.ts
+++ b/upstream/orders/src/roleBalancer.ts
@@ -96,7 +96,7 @@
     const plan = planRoles({
       counts,
       least,
-      changing: this.#moves.size + allOf(engines).filter(isChanging).length,
+      changing: this.#moves.size > 0 || allOf(engines).some(isChanging),
       load,
       sinceLastChangeMs: this.#lastChangeMs === undefined ? undefined : nowMs - this.#lastChangeMs,
     })
--- a/upstream/orders/test/planRoles.ts
+++ b/upstream/orders/test/planRoles.ts
@@ -20,7 +20,7 @@
   const plans: RolePlan[] = []
   let counts = first
   for (let round = 0; round < 200; round++) {
-    const plan = planRoles({ counts, least: LEAST, changing: 0, load })
+    const plan = planRoles({ counts, least: LEAST, changing: false, load })
     plans.push(plan)
     if (plan.outcome !== RolePlanOutcome.Change) break
     const moved = plan.from === EngineRole.Prefill ? -plan.count : plan.count
@@ -30,28 +30,28 @@
 }
 
 test('an engine that reads too little is told to decode, and one that decodes too little to read', (t) => {
-  t.like(planRoles({ counts: { prefill: 3, decode: 3 }, least: LEAST, changing: 0, load: LOAD }), { outcome: RolePlanOutcome.Change, from: EngineRole.Prefill, count: 1, target: { prefill: 2, decode: 4 } })
-  t.like(planRoles({ counts: { prefill: 1, decode: 5 }, least: LEAST, changing: 0, load: { ...LOAD, prefillMs: 300 } }), { outcome: RolePlanOutcome.Change, from: EngineRole.Decode, count: 1 })
+  t.like(planRoles({ counts: { prefill: 3, decode: 3 }, least: LEAST, changing: false, load: LOAD }), { outcome: RolePlanOutcome.Change, from: EngineRole.Prefill, count: 1, target: { prefill: 2, decode: 4 } })
+  t.like(planRoles({ counts: { prefill: 1, decode: 5 }, least: LEAST, changing: false, load: { ...LOAD, prefillMs: 300 } }), { outcome: RolePlanOutcome.Change, from: EngineRole.Decode, count: 1 })
 })
 
 test('nothing changes while nothing is known, while engines change, or soon after they did', (t) => {
   const counts = { prefill: 3, decode: 3 }
-  t.is(planRoles({ counts, least: LEAST, changing: 0 }).outcome, RolePlanOutcome.Unknown)
-  t.is(planRoles({ counts, least: LEAST, changing: 1, load: LOAD }).outcome, RolePlanOutcome.Settling)
-  t.is(planRoles({ counts, least: LEAST, changing: 0, load: LOAD, sinceLastChangeMs: 5000 }).outcome, RolePlanOutcome.Settling)
-  t.is(planRoles({ counts, least: LEAST, changing: 0, load: LOAD, sinceLastChangeMs: 11_000 }).outcome, RolePlanOutcome.Change)
+  t.is(planRoles({ counts, least: LEAST, changing: false }).outcome, RolePlanOutcome.Unknown)
+  t.is(planRoles({ counts, least: LEAST, changing: true, load: LOAD }).outcome, RolePlanOutcome.Settling)
+  t.is(planRoles({ counts, least: LEAST, changing: false, load: LOAD, sinceLastChangeMs: 5000 }).outcome, RolePlanOutcome.Settling)
+  t.is(planRoles({ counts, least: LEAST, changing: false, load: LOAD, sinceLastChangeMs: 11_000 }).outcome, RolePlanOutcome.Change)
 })
 
 test('engines that would bear a burst keep their roles', (t) => {
-  t.is(planRoles({ counts: { prefill: 3, decode: 3 }, least: LEAST, changing: 0, load: { ...LOAD, arrivalsPerMs: 0.003 } }).outcome, RolePlanOutcome.Enough)
+  t.is(planRoles({ counts: { prefill: 3, decode: 3 }, least: LEAST, changing: false, load: { ...LOAD, arrivalsPerMs: 0.003 } }).outcome, RolePlanOutcome.Enough)
 })
 
 test('a change that would cost more while it goes on than it brings is left', (t) => {
   const counts = { prefill: 1, decode: 8 }
   const load = { prefillMs: 100, decodeMs: 10, ownPrefillMs: 125, arrivalsPerMs: 1 }
   // Decode engines read nearly as fast: one less of them for 9 s is more than a quarter of one more for 30 s.
-  t.is(planRoles({ counts, least: LEAST, changing: 0, load }).outcome, RolePlanOutcome.TooDear)
-  t.is(planRoles({ counts, least: LEAST, changing: 0, load: { ...load, ownPrefillMs: 200 } }).outcome, RolePlanOutcome.Change)
+  t.is(planRoles({ counts, least: LEAST, changing: false, load }).outcome, RolePlanOutcome.TooDear)
+  t.is(planRoles({ counts, least: LEAST, changing: false, load: { ...load, ownPrefillMs: 200 } }).outcome, RolePlanOutcome.Change)
 })
 
 test('what prefill engines cannot read, decode engines read themselves', (t) => {
@@ -61,13 +61,13 @@
 })
 
 test('the declared number of engines keeps each role', (t) => {
-  const plan = planRoles({ counts: { prefill: 3, decode: 3 }, least: { prefill: 3, decode: 1 }, changing: 0, load: LOAD })
+  const plan = planRoles({ counts: { prefill: 3, decode: 3 }, least: { prefill: 3, decode: 1 }, changing: false, load: LOAD })
   t.is(plan.outcome, RolePlanOutcome.Balanced)
 })
 
 test('no plan empties a pool, and few engines change at once', (t) => {
   fc.assert(fc.property(fleets, loads, (counts, load) => {
-    const plan = planRoles({ counts, least: LEAST, changing: 0, load })
+    const plan = planRoles({ counts, least: LEAST, changing: false, load })
     if (plan.outcome !== RolePlanOutcome.Change || plan.from === undefined) return plan.count === 0
     const left = counts[plan.from] - plan.count
     return left >= 1 && plan.count >= 1 && plan.count <= Math.max(1, counts[plan.from] / 4) && plan.target.prefill >= 1 && plan.target.decode >= 1
