fix(scheduling.scheduler): only owners that can do without a prefill engine are given none

Cause: where a model declares how fast its decode engines compute prompts, a request was given to a decode engine alone whoever had sent it. What a box runs for its callers always asks a prefill engine first: it would have asked the decode engine, and been refused.

Change: a request says whether its owner can do without (relayed ones do). One that does not waits for the prefill engines.

Test, failing before: without prefill engines such a request was placed on a decode engine; now it is refused at once.

Requests relayed on the users' platform are placed as before.

--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -23,6 +23,8 @@
   patienceMs: z.number().optional(),
   tbtTargetMs: z.number().positive(),
   deadlineMs: z.number().positive(),
+  /** Whether the owner can do without a prefill engine: its decode engine may then compute the prompt itself. */
+  allowsOwnPrefill: z.boolean().optional(),
   /** Where the owner is. Streams go through it. */
   availabilityZone: z.string().optional(),
   /** Engines that just failed this request. */
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -136,6 +136,7 @@
       patienceMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : PATIENCE_TARGETS * route.spec.ttftTargetMs - run.elapsedMs),
       tbtTargetMs: route.spec.tbtTargetMs,
       deadlineMs: run.leftMs,
+      allowsOwnPrefill: true,
       availabilityZone,
       avoid: [...this.#failed, ...health.suspects()],
     }
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -264,6 +264,7 @@
   t.deepEqual(upstreams.prefills, [])
   t.deepEqual(upstreams.runs.map(({ instance, opts }) => [instance, opts.source]), [['d1', undefined]])
   t.true(caller.whole)
+  t.true(placer.asked[0].allowsOwnPrefill)
   t.is(placer.prefilled, 1, 'the scheduler is told that the prompt is computed')
 })
 
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -104,10 +104,11 @@
   #chooseOwnPrefill (waitingRequests: readonly WaitingRequest[], engines: readonly ReadyEngine[], nowMs: number): Choice | undefined {
     const queue = [...waitingRequests].sort((a, b) => b.request.priority - a.request.priority)
     // What the first one does not find, the next seldom does.
-    const soonest = this.#ownPrefill(queue[0], nowMs)
+    const first = queue.find(({ request }) => request.allowsOwnPrefill)
+    const soonest = first && this.#ownPrefill(first, nowMs)
     if (!soonest) return undefined
     const pooledAtMs = this.#pooledEnds(queue, engines, nowMs)
-    const gaining = queue.findIndex((_, i) => pooledAtMs[i] > soonest.firstTokenMs)
+    const gaining = queue.findIndex(({ request }, i) => request.allowsOwnPrefill && pooledAtMs[i] > soonest.firstTokenMs)
     if (gaining < 0) return undefined
     const waiting = queue[gaining]
     const estimate = this.#ownPrefill(waiting, nowMs)
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -79,9 +79,9 @@
     return prefillMs(this.#ledger.shard, request.promptTokens - cached)
   }
 
-  /** Time in which a decode engine computes the prompt itself; nothing when decode engines cannot. What is cached there is not known. */
-  ownPrefillMs ({ promptTokens }: ReserveRequest, { account }: EngineAccount<DecodeAccount>): number | undefined {
-    const declaredMs = ownPrefillMs(this.#ledger.shard, promptTokens)
+  /** Time in which a decode engine computes the prompt itself; nothing when that cannot be. What is cached there is not known. */
+  ownPrefillMs ({ promptTokens, allowsOwnPrefill }: ReserveRequest, { account }: EngineAccount<DecodeAccount>): number | undefined {
+    const declaredMs = allowsOwnPrefill ? ownPrefillMs(this.#ledger.shard, promptTokens) : undefined
     return declaredMs === undefined ? undefined : declaredMs * account.ownPrefills.speedFactor
   }
 
--- a/scheduling/scheduler/test/ownPrefill.ts
+++ b/scheduling/scheduler/test/ownPrefill.ts
@@ -6,7 +6,7 @@
 
 /** Half the pace of the prefill engines: 1,000 tokens take 255 ms, against 130 ms and the way. */
 const HALF_PACE = 4000
-const TARGET = { ttftLeftMs: 900, tbtTargetMs: 300, patienceMs: 2700 }
+const TARGET = { ttftLeftMs: 900, tbtTargetMs: 300, patienceMs: 2700, allowsOwnPrefill: true }
 
 function isOwn (answer: PlacementAnswer): boolean {
   return answer.outcome === PlacementOutcome.Placed && answer.prefillEngine === answer.decodeEngine
@@ -68,6 +68,11 @@
   t.like(await clock.run(scheduler.reserve(requestOf(TARGET))), { outcome: PlacementOutcome.Refused, reason: 'no engine of the model takes work' })
 })
 
+test('a request whose owner needs a prefill engine is not given to a decode engine alone', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 0, decode: 2, decodePrefillTokensPerSecond: HALF_PACE })
+  t.like(await clock.run(scheduler.reserve(requestOf({ ...TARGET, allowsOwnPrefill: undefined }))), { outcome: PlacementOutcome.Refused, reason: 'no engine of the model takes work' })
+})
+
 test('an engine that reports another role than the list gives it takes no work', async (t) => {
   const { clock, scheduler } = createShard({ prefill: 2, decode: 2 })
   scheduler.noteReport('p-1', reportOf(EngineRole.Decode))
--- a/scheduling/scheduler/test/zones.ts
+++ b/scheduling/scheduler/test/zones.ts
@@ -43,6 +43,6 @@
 
 test('without prefill engines a prompt is computed near its owner', async (t) => {
   const { clock, scheduler } = createShard({ prefill: 0, decode: 3, zones: ZONES, decodePrefillTokensPerSecond: 4000 })
-  const { decodeEngine } = await place(clock, scheduler, { availabilityZone: 'c' })
+  const { decodeEngine } = await place(clock, scheduler, { availabilityZone: 'c', allowsOwnPrefill: true })
   t.is(zoneOf(decodeEngine), 'c')
 })
