--- a/box/runtime/src/plannedStop.ts
+++ b/box/runtime/src/plannedStop.ts
@@ -1,5 +1,6 @@
 import { type Settings } from '@reelspan/config.settings'
 import { type Clock } from '@reelspan/core.env'
+import { errorMessage } from '@reelspan/core.error'
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { type Member, MemberHealth, MessageType, type PeerLink } from '@reelspan/core.messages'
 import { type Prober } from '@reelspan/membership.prober'
@@ -65,7 +66,7 @@
       await sendRecords(opts, peerAddress)
       return { peerAddress, incarnation }
     } catch (thrown) {
-      log.warn(LogEvent.HandoffFailed, { peerAddress, reason: thrown instanceof Error ? thrown.message : String(thrown) })
+      log.warn(LogEvent.HandoffFailed, { peerAddress, reason: errorMessage(thrown) })
     }
   }
   return undefined
--- a/cli/reelspanctl/src/main.ts
+++ b/cli/reelspanctl/src/main.ts
@@ -1,4 +1,5 @@
 import { readFile } from 'node:fs/promises'
+import { errorMessage } from '@reelspan/core.error'
 import meow from 'meow'
 import { BoxAnswerError, BoxClient, BoxUnreachableError } from './boxClient.js'
 import { checkFolder } from './checkFolder.js'
@@ -121,8 +122,7 @@
 class UsageError extends Error {}
 
 function report (thrown: unknown): ExitCode {
-  const message = thrown instanceof Error ? thrown.message : String(thrown)
-  console.error(`reelspanctl: ${message}`)
+  console.error(`reelspanctl: ${errorMessage(thrown)}`)
   if (thrown instanceof UsageError) {
     console.error('Try «reelspanctl --help».')
     return ExitCode.Usage
--- a/config/settings/src/parseSettings.ts
+++ b/config/settings/src/parseSettings.ts
@@ -1,5 +1,5 @@
 import { describeIssues } from '@reelspan/config.resources'
-import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { ErrorCode, errorMessage, ReelspanError } from '@reelspan/core.error'
 import { parse, TomlError } from 'smol-toml'
 import { z } from 'zod'
 import { type Settings, settingsSchema } from './settingsSchema.js'
@@ -24,7 +24,7 @@
     return parse(text)
   } catch (cause) {
     const where = cause instanceof TomlError ? `:${cause.line}:${cause.column}` : ''
-    const reason = cause instanceof Error ? cause.message.split('\n')[0] : String(cause)
+    const reason = errorMessage(cause).split('\n')[0]
     throw badSettings([`${fileName}${where}: ${reason}`], cause)
   }
 }
