--- a/__utils__/bench/src/measureMembership.ts
+++ b/__utils__/bench/src/measureMembership.ts
@@ -1,8 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { type Member } from '@reelspan/core.messages'
+import { freePorts } from '@reelspan/utils.stand-ins'
 import { FleetProcess } from './fleetProcess.js'
-import { freePorts } from './freePorts.js'
 import { type HostUsage } from './memberHost.js'
 import { type HostCommand } from './runMemberHost.js'
 
--- a/__utils__/bench/src/processFleet.ts
+++ b/__utils__/bench/src/processFleet.ts
@@ -8,11 +8,10 @@
 import { Collection } from '@reelspan/core.messages'
 import { type EngineModelOptions, type PublishedEntry, tuulDeclarations, tuulFleet } from '@reelspan/utils.fakes'
 import { EngineRole } from '@reelspan/upstream.client'
-import { type StandInMessage } from '@reelspan/utils.stand-ins'
+import { freePorts, type StandInMessage } from '@reelspan/utils.stand-ins'
 import { stringify } from 'smol-toml'
 import { request } from 'undici'
 import { FleetProcess } from './fleetProcess.js'
-import { freePorts } from './freePorts.js'
 
 const REELSPAN = fileURLToPath(import.meta.resolve('reelspan').replace('lib/index.js', 'bin/reelspan.js'))
 const STAND_IN = fileURLToPath(import.meta.resolve('@reelspan/utils.stand-ins').replace('lib/index.js', 'bin/stand-in.js'))
--- a/cli/reelspan/test/platform.ts
+++ b/cli/reelspan/test/platform.ts
@@ -2,10 +2,10 @@
 import { once } from 'node:events'
 import { mkdtemp, writeFile } from 'node:fs/promises'
 import { request } from 'node:http'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
+import { freePorts } from '@reelspan/utils.stand-ins'
 import test from 'ava'
 
 const BIN = join(import.meta.dirname, '..', 'bin', 'reelspan.js')
@@ -13,15 +13,6 @@
 const IP = '127.0.0.2'
 const PROCESS_METRICS = ['reelspan_loop_delay_ms', 'reelspan_log_lines_dropped_total', 'reelspan_peer_sent_bytes_total', 'reelspan_peer_received_bytes_total', 'reelspan_peer_connections']
 
-async function freePort (): Promise<number> {
-  const server = createServer().listen(0, IP)
-  await once(server, 'listening')
-  const { port } = server.address() as { port: number }
-  server.close()
-  await once(server, 'close')
-  return port
-}
-
 async function settingsFile (lines: string[]): Promise<string> {
   const file = join(await mkdtemp(join(tmpdir(), 'reelspan-test-')), 'settings.conf')
   await writeFile(file, lines.join('\n'))
@@ -29,7 +20,7 @@
 }
 
 async function settingsLines (): Promise<{ lines: string[], readyPort: number }> {
-  const [front, readyPort, control, directory, platform] = await Promise.all([freePort(), freePort(), freePort(), freePort(), freePort()])
+  const [front, readyPort, control, directory, platform] = await freePorts(5, IP)
   const lines = ['node=b', 'zone=z', `listen.front=${IP}:${front}`, `listen.ready=${IP}:${readyPort}`, `listen.control=${IP}:${control}`, `listen.directory=${IP}:${directory}`, 'port_range=7380,7395', `platform.address=${IP}:${platform}`]
   return { lines, readyPort }
 }
--- /dev/null
+++ b/membership/prober/test/__utils__/memberOf.ts
@@ -0,0 +1,15 @@
+import { type Member, MemberHealth } from '@reelspan/core.messages'
+
+/** A member that lives, one of many. Its port is its number. */
+export function memberOf (i: number): Member {
+  return {
+    name: `box-${i}`,
+    availabilityZone: 'zone',
+    peerAddress: `10.0.0.1:${i}`,
+    callerAddress: '',
+    incarnation: `incarnation-${i}`,
+    version: 0,
+    health: MemberHealth.Alive,
+    leaving: false,
+  }
+}
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -1,8 +1,9 @@
-import { Collection, type Member, MemberHealth, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage, MessageType, type PeerCallOptions } from '@reelspan/core.messages'
+import { Collection, type Member, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage, MessageType, type PeerCallOptions } from '@reelspan/core.messages'
 import { Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
+import { memberOf } from './__utils__/memberOf.js'
 
 const PROBE_PERIOD_MS = 700
 const PROBE_TIMEOUT_MS = 300
@@ -10,19 +11,6 @@
 /** Members that are greeted by one box out of many in each round, so that each is greeted by a few. */
 const ROUNDS = 100
 
-function memberOf (i: number): Member {
-  return {
-    name: `box-${i}`,
-    availabilityZone: 'zone',
-    peerAddress: `10.0.0.1:${i}`,
-    callerAddress: '',
-    incarnation: `incarnation-${i}`,
-    version: 0,
-    health: MemberHealth.Alive,
-    leaving: false,
-  }
-}
-
 /** Members answer at once, but for the silent ones. */
 class FleetLink extends PeerLink {
   readonly heartbeats = new Map<string, number>()
--- a/membership/prober/test/silentConnection.ts
+++ b/membership/prober/test/silentConnection.ts
@@ -1,4 +1,3 @@
-import { createServer, type AddressInfo } from 'node:net'
 import { Notifier } from '@reelspan/core.env'
 import { Collection, type Member, MemberHealth, MessageType } from '@reelspan/core.messages'
 import { Prober } from '@reelspan/membership.prober'
@@ -6,6 +5,7 @@
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { FaultProxy, Silence } from '@reelspan/utils.soak'
+import { freeAddress } from '@reelspan/utils.stand-ins'
 import test, { type ExecutionContext } from 'ava'
 
 const PROBE_PERIOD_MS = 700
@@ -13,14 +13,6 @@
 const PROBE_TIMEOUT_MS = 2000
 const ENOUGH_HEARTBEATS = 4
 
-async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return `127.0.0.1:${port}`
-}
-
 /** A box that others reach through a proxy. */
 async function startBox (t: ExecutionContext, name: string, listedAddresses: () => string[]) {
   const clock = new SystemClock()
--- a/membership/prober/test/watchedMembers.ts
+++ b/membership/prober/test/watchedMembers.ts
@@ -1,18 +1,10 @@
-import { type Member, MemberHealth } from '@reelspan/core.messages'
+import { type Member } from '@reelspan/core.messages'
 import { watchedMembers } from '@reelspan/membership.prober'
 import test from 'ava'
+import { memberOf } from './__utils__/memberOf.js'
 
 function fleetOf (count: number): Member[] {
-  return Array.from({ length: count }, (_, i) => ({
-    name: `box-${i}`,
-    availabilityZone: 'zone',
-    peerAddress: `10.0.0.1:${i}`,
-    callerAddress: '',
-    incarnation: `incarnation-${i}`,
-    version: 0,
-    health: MemberHealth.Alive,
-    leaving: false,
-  }))
+  return Array.from({ length: count }, (_, i) => memberOf(i))
 }
 
 /** Most hops that news needs from the first member to any other. */
--- a/net/peer-link/test/silentConnections.ts
+++ b/net/peer-link/test/silentConnections.ts
@@ -3,8 +3,8 @@
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { SystemClock } from '@reelspan/net.system-env'
 import { FaultProxy, PathFault, Silence } from '@reelspan/utils.soak'
+import { freeAddress } from '@reelspan/utils.stand-ins'
 import test, { type ExecutionContext } from 'ava'
-import { createServer, type AddressInfo } from 'node:net'
 
 const DONE: PeerMessage = { type: MessageType.Done }
 const QUESTION: PeerMessage = { type: MessageType.Cancel, key: 'k' }
@@ -13,14 +13,6 @@
 /** News is to be everywhere within two seconds; the link's own bound is 0.25 s, and the machine may be busy. */
 const WELL_WITHIN_MS = 2000
 
-async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return `127.0.0.1:${port}`
-}
-
 /** A peer behind a proxy, and a link that has an established connection to it. */
 async function connectThrough (t: ExecutionContext, handler: Partial<PeerHandler> = {}, clock = new SystemClock()) {
   const arrived: PeerMessage[] = []
--- a/net/peer-link/test/wsPeerLink.ts
+++ b/net/peer-link/test/wsPeerLink.ts
@@ -2,8 +2,9 @@
 import { MessageType, type MessageOf, type PeerHandler, type PeerMessage } from '@reelspan/core.messages'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { SystemClock } from '@reelspan/net.system-env'
+import { freeAddress } from '@reelspan/utils.stand-ins'
 import test, { type ExecutionContext } from 'ava'
-import { createServer, type AddressInfo } from 'node:net'
+import { type AddressInfo } from 'node:net'
 import { isDeepStrictEqual } from 'node:util'
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
@@ -12,14 +13,6 @@
 const QUESTION: PeerMessage = { type: MessageType.Cancel, key: 'k' }
 const CALL = { timeoutMs: 2000 }
 
-async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return `127.0.0.1:${port}`
-}
-
 const MAX_MESSAGE_BYTES = 10_000
 /** A configuration of 1,600 routes fits. */
 const WIDE = { maxMessageBytes: 1_000_000 }
