fix(request.relay): faults in the relay's and the scheduler's tasks are told of

Cause: both had a task group without a listener. A fault of the program while requests wait at a scheduler, or while the relay watches a deadline, left no line, as it does elsewhere (taskFailed).

Change: both pass theirs on to the log of failures, as the tasks relay and shardScheduler.

Tests, both failing before: a route that throws in a later pass of the scheduler; a clock that throws at a deadline.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -150,6 +150,7 @@
     fleetRevision: () => fleetList.revision,
     standing: () => view.self,
     boxCount: () => view.takingWork().length,
+    onTaskError: (thrown) => parts.failures.noteTask('relay', thrown),
     ...settings.relay,
     log,
     metrics,
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -151,7 +151,7 @@
   }
 
   #createScheduler (shard: Shard, onUnreachable: (engineName: string) => void): ShardScheduler {
-    const { clock, declarations, settings, log } = this.#opts
+    const { clock, declarations, settings, failures, log } = this.#opts
     const { reportPeriodMs, prefixIndex } = settings.scheduling
     return new ShardScheduler({
       clock,
@@ -163,6 +163,7 @@
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
       onAdmission: (attempt, inputs, decision) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...admissionFields(inputs, decision) }),
+      onTaskError: (thrown) => failures.noteTask('shardScheduler', thrown),
     })
   }
 
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -49,7 +49,7 @@
   constructor (opts: RelayOptions) {
     this.#opts = opts
     const { clock, random, log } = opts
-    this.#tasks = new TaskGroup(clock)
+    this.#tasks = new TaskGroup(clock, opts.onTaskError)
     this.#startedAtMs = clock.nowMs()
     this.#health = new UpstreamHealth({
       clock,
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -1,6 +1,6 @@
 import { type FleetList } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
-import { type Clock, type Random } from '@reelspan/core.env'
+import { type Clock, type Random, type TaskErrorListener } from '@reelspan/core.env'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { type Log } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
@@ -21,6 +21,8 @@
   standing: () => { peerAddress: string, incarnation: string, availabilityZone: string }
   /** Boxes that share the retry budget, this one included. */
   boxCount: () => number
+  /** Told of a task that a fault of the program ended. */
+  onTaskError?: TaskErrorListener
   retriesPerRequest: number
   retryBurst: number
   log: Log
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -1,7 +1,7 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, Configuration, ResourceKind } from '@reelspan/config.resources'
 import { type EngineOutcome, type FinalAnswer, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
-import { Relay, RelayCaller } from '@reelspan/request.relay'
+import { Relay, RelayCaller, type RelayOptions } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
@@ -200,10 +200,11 @@
   configuredAfterMs?: number
   /** Decode engines compute prompts themselves if they must. */
   computesPrompts?: boolean
+  onTaskError?: RelayOptions['onTaskError']
 }
 
 /** A relay before scripted upstreams, with four routes of the kinds there are. */
-export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0 }: TestRelayOptions = {}) {
+export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const startedAtMs = clock.nowMs()
   const upstreams = new ScriptedUpstreams(clock, scripts)
@@ -224,6 +225,7 @@
     fleetRevision: () => 1,
     standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16), availabilityZone: 'a' }),
     boxCount: () => 1,
+    onTaskError,
     retriesPerRequest: 0,
     retryBurst,
     log,
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -18,6 +18,16 @@
   t.true(caller.whole)
 })
 
+test('a fault of the program while a deadline is watched is told of', async (t) => {
+  const errors: unknown[] = []
+  const fault = new TypeError('x is not a function')
+  const { clock, relay } = createRelay([answersAfter(800, 200, 'script')], { onTaskError: (error) => { errors.push(error) } })
+  const ended = relay.relay(requestTo('/fetch/1'), new RecordingCaller(), 500)
+  clock.settle = async () => { throw fault }
+  await clock.run(ended)
+  t.deepEqual(errors, [fault])
+})
+
 test('a request that may not be repeated is sent once when it may have run', async (t) => {
   const { clock, relay, upstreams } = createRelay([fails({ mayHaveRun: true })])
   const caller = new RecordingCaller()
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,5 +1,5 @@
 import { type RouteSpec } from '@reelspan/config.resources'
-import { type Clock, STOPPED, TaskGroup } from '@reelspan/core.env'
+import { type Clock, STOPPED, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { type EngineOutcome, type HoldLabel, isOwnPrefill, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
 import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
@@ -31,6 +31,8 @@
   onTrusted?: (engine: string) => void
   /** It was decided whether a request that is not placed at once is kept waiting, or the decision changed. */
   onAdmission?: (requestId: string, inputs: AdmissionInputs, decision: AdmissionDecision) => void
+  /** Told of a task that a fault of the program ended. */
+  onTaskError?: TaskErrorListener
 }
 
 export type AdoptedReservation = MessageOf<MessageType.AdoptReservations>['reservations'][number]
@@ -76,7 +78,7 @@
     const isSuspect = (engine: string) => this.#health.isSuspect(engine)
     this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect })
-    this.#tasks = new TaskGroup(opts.clock)
+    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
   }
 
   /** Nothing waits and nothing is reserved. */
--- a/scheduling/scheduler/test/shardScheduler.ts
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -57,6 +57,25 @@
   t.deepEqual(doubted, ['p-1'])
 })
 
+test('a fault of the program while requests wait is told of', async (t) => {
+  const errors: unknown[] = []
+  const fault = new TypeError('x is not a function')
+  let faulty = false
+  const route = {
+    get clientWeights (): Record<string, number> {
+      if (faulty) throw fault
+      return {}
+    },
+  }
+  const { clock, scheduler } = createShard({ prefill: 1, route, onTaskError: (error) => { errors.push(error) } })
+  const answers = [0, 1, 2].map(() => scheduler.reserve(requestOf({ ttftLeftMs: 900 })))
+  await clock.run(answers[0])
+  faulty = true
+  await clock.advance(400)
+  t.true(errors.length > 0)
+  t.is(errors[0], fault)
+})
+
 test('no prefill starts without a decode place', async (t) => {
   const { clock, scheduler } = createShard({ prefill: 4, decode: 1, places: 2 })
   const answers = await clock.run(Promise.all(Array.from({ length: 6 }, () => scheduler.reserve(requestOf()))))
