fix(net.system-env): a listener that fails is told of in the log

Cause: a server whose listener failed (no descriptors left) made the box not ready and left no line: the error was dropped.

Change: the guard tells of the first failure since a connection was taken, and the box logs it as listenerFailed with the reason.

Test, failing before: two failures, a connection, a failure are told of twice.

--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -55,7 +55,7 @@
   await listenAt(operators, listen.operatorAddress)
   // Callers are let in once there is something to serve them by.
   while (!box.ready) await clock.sleep(NOT_READY_POLL_MS)
-  const callers = createCallerServer({ clock, box, ...limits })
+  const callers = createCallerServer({ clock, box, ...limits, onFailed: ({ message }) => boxLog.warn(LogEvent.ListenerFailed, { server: 'callers', reason: message }) })
   await listenAt(callers, listen.callerAddress)
   return { box, stopListening: () => closeServers([callers, operators]) }
 }
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -24,6 +24,8 @@
   slowCallerMs: number
   requestReadMs: number
   connections: number
+  /** The server could not take a connection. */
+  onFailed?: (error: Error) => void
 }
 
 const REQUEST_PATH = /^\/v1\/requests\/([^/]+)$/
@@ -47,7 +49,7 @@
     requestTimeout: opts.requestReadMs,
     connectionsCheckingInterval: Math.max(100, opts.requestReadMs / 4),
   }, app.callback())
-  const guard = new ConnectionGuard(server, { maxConnections: opts.connections })
+  const guard = new ConnectionGuard(server, { maxConnections: opts.connections, onFailed: opts.onFailed })
   return server
 }
 
--- a/net/system-env/src/connectionGuard.ts
+++ b/net/system-env/src/connectionGuard.ts
@@ -5,6 +5,8 @@
   maxConnections: number
   /** The server has begun or ceased to turn new connections away, with how many it has. */
   onFull?: (full: boolean, connections: number) => void
+  /** The server could not take a connection, for the first time since it last took one. */
+  onFailed?: (error: Error) => void
 }
 
 /** From this part of its connections on, a server closes idle ones. */
@@ -27,7 +29,7 @@
     this.#opts = opts
     server.maxConnections = opts.maxConnections
     server.on('connection', (socket) => this.#take(socket))
-    server.on('error', () => { this.#failed = true })
+    server.on('error', (error) => this.#fail(error))
   }
 
   /** Whether a new connection would be taken now. */
@@ -47,6 +49,12 @@
     this.#note()
   }
 
+  /** Told once, since a listener without descriptors may fail many times a second. */
+  #fail (error: Error): void {
+    if (!this.#failed) this.#opts.onFailed?.(error)
+    this.#failed = true
+  }
+
   #note (): void {
     const { maxConnections, onFull } = this.#opts
     const full = this.#connections >= (this.#full ? TIGHT_PART : FULL_PART) * maxConnections
--- a/net/system-env/test/connectionGuard.ts
+++ b/net/system-env/test/connectionGuard.ts
@@ -10,10 +10,11 @@
 async function startServer (t: ExecutionContext) {
   const answers: (() => void)[] = []
   const told: boolean[] = []
+  const failures: string[] = []
   const server = createServer((_, response: ServerResponse) => {
     answers.push(() => response.end('done'))
   })
-  const guard = new ConnectionGuard(server, { maxConnections: MAX_CONNECTIONS, onFull: (full) => told.push(full) })
+  const guard = new ConnectionGuard(server, { maxConnections: MAX_CONNECTIONS, onFull: (full) => told.push(full), onFailed: ({ message }) => failures.push(message) })
   await listenAt(server, '127.0.0.1:0')
   const sockets: Socket[] = []
   t.teardown(() => {
@@ -30,7 +31,7 @@
     await arrived
     return socket
   }
-  return { server, guard, ask, answers, told }
+  return { server, guard, ask, answers, told, failures }
 }
 
 async function closeOf (server: Server, socket: Socket): Promise<void> {
@@ -82,6 +83,17 @@
   t.true(guard.takesConnections)
 })
 
+test('a listener that fails is told of once until it takes a connection again', async (t) => {
+  const { server, ask, failures } = await startServer(t)
+  const fail = () => server.emit('error', new Error('accept EMFILE'))
+  fail()
+  fail()
+  t.deepEqual(failures, ['accept EMFILE'])
+  await ask()
+  fail()
+  t.deepEqual(failures, ['accept EMFILE', 'accept EMFILE'])
+})
+
 test('a server that does not listen takes no connections', async (t) => {
   t.false(new ConnectionGuard(createServer(), { maxConnections: MAX_CONNECTIONS }).takesConnections)
 })
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -24,6 +24,8 @@
   ConnectionSilent = 'connectionSilent',
   /** A server has as many connections as it may, or has room again. */
   ConnectionsFull = 'connectionsFull',
+  /** A server could not take a connection. */
+  ListenerFailed = 'listenerFailed',
   EntriesKept = 'entriesKept',
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
