refactor: names and computations that stood twice

The relay's kinds of requests had the name of the product's own (RequestKind); they are RelayedKind. A refusal worked out the time to the next late place twice. Behaviour is the same.

--- a/cli/reelspanctl/src/tallyRequests.ts
+++ b/cli/reelspanctl/src/tallyRequests.ts
@@ -32,6 +32,7 @@
 const NO_ROUTE = 'no route'
 const NO_KIND = 'not known'
 const IN_ORDER = Object.values(Outcome)
+
 /** Counts requests by route and by how they ended. */
 export function tallyRequests (lines: readonly LogLine[], unreadableLines: number): Tally {
   const trails = trailsOf(lines)
--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -146,10 +146,10 @@
   }
 
   #keep (connection: UpstreamConnection): void {
-    const idle = this.#idle.get(connection.address) ?? []
-    this.#idle.set(connection.address, idle)
-    connection.idleSinceMs = this.#opts.clock.nowMs()
     const { address } = connection
+    const idle = this.#idle.get(address) ?? []
+    this.#idle.set(address, idle)
+    connection.idleSinceMs = this.#opts.clock.nowMs()
     const open = this.#counts.get(address) ?? 0
     const withinShare = open <= 1 || open <= (this.#opts.shareOf?.(address) ?? Number.POSITIVE_INFINITY)
     if (withinShare && idle.length < MAX_IDLE_PER_UPSTREAM) idle.push(connection)
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -11,8 +11,8 @@
 import { type AnswerTimes } from './passAnswer.js'
 import { type RelayCaller } from './relayCaller.js'
 import { type RelayContext } from './relayContext.js'
+import { relayedKind } from './relayedKind.js'
 import { type RelayOptions } from './relayOptions.js'
-import { requestKind } from './requestKind.js'
 import { RunTimes } from './runTimes.js'
 import { ServiceRelay } from './serviceRelay.js'
 import { UpstreamPicker } from './upstreamPicker.js'
@@ -229,7 +229,7 @@
       request: request.id,
       route: route?.name,
       promptHash: promptHash(request),
-      kind: route && requestKind(route.spec),
+      kind: route && relayedKind(route.spec),
       ttftTargetMs: route?.spec.ttftTargetMs,
       tbtTargetMs: route?.spec.streaming ? route.spec.tbtTargetMs : undefined,
       verdict,
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -317,13 +317,14 @@
     const engines = this.#chooser.readyEngines(nowMs)
     const costsMs = engines.map(({ engine }) => this.#estimator.prefillCostMs(request, engine.name, nowMs))
     const prefillShareMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
-    const rates = { msPerPlace: this.#rate.msPerPlace(nowMs), msPerArrival: this.#rate.msPerArrival(nowMs) }
-    const msPerPlaceLeft = Math.min(msPerLatePlace(rates, 0), rates.msPerPlace / RETURN_SHARE)
+    const msPerPlace = this.#rate.msPerPlace(nowMs)
+    const msPerLate = msPerLatePlace({ msPerPlace, msPerArrival: this.#rate.msPerArrival(nowMs) }, 0)
+    const msPerReturn = Math.min(msPerLate, msPerPlace / RETURN_SHARE)
     const retryAfterMs = this.#calendar.book({
       returnId: request.returnId,
       firstArrivedAtMs,
-      placeInMs: this.#waiting.size * msPerLatePlace(rates, 0),
-      costMs: Math.max(prefillShareMs, msPerPlaceLeft),
+      placeInMs: this.#waiting.size * msPerLate,
+      costMs: Math.max(prefillShareMs, msPerReturn),
       honouredMs: RETURN_HONOURED_SHARE * request.deadlineMs,
     }, nowMs)
     return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: Math.round(retryAfterMs) }
