feat(platform.adapter): an upstream that starts again under its id is another one

Cause: an engine may start again under the id that it had, with nothing of before. Every belief stood under the id, so reservations, prefixes, suspicion, moves to another role and kept connections would have outlived the start they were about.

Ruled out: a field for the start beside the id, checked at each use: some twenty places, and one more with each new belief.

Change: the adapter makes an upstream's name of its id and the time of its start; towards the platform it is cut back to the id. Word of an older start is passed over (NewestStarts, ledger); a report of a newer start than is listed makes the engine silent; kept connections of another start are closed unused; prefixes are forgotten when a name leaves the shard. ConnectionShares and the bytes of a token look an upstream up by its address in one map (UpstreamsByAddress) in place of a search.

--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -2,14 +2,14 @@
 import { createServer, type Server, type ServerResponse } from 'node:http'
 
 interface Item {
-  value: string
+  value: string | Uint8Array
   revision: number
 }
 
 interface Change {
   key: string
   revision: number
-  value?: string
+  value?: string | Uint8Array
 }
 
 /** A small stand-in for the platform's store: one page at a time, watches, and a history that can be forgotten. */
@@ -56,7 +56,7 @@
   }
 
   put (key: string, value: unknown): void {
-    this.#change({ key, revision: ++this.#revision, value: typeof value === 'string' ? value : JSON.stringify(value) })
+    this.#change({ key, revision: ++this.#revision, value: typeof value === 'string' || value instanceof Uint8Array ? value : JSON.stringify(value) })
   }
 
   delete (key: string): void {
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -62,6 +62,8 @@
 export interface StandInUpstreamOptions {
   /** Requests that expect another instance are refused. */
   instance?: string
+  /** When it started, as it says itself. It says nothing without. */
+  bornMs?: number
   /** Work of a call, or the pause between two events of a stream. */
   workMs?: number
   /** The shape of some requests, by their ids. */
@@ -167,7 +169,7 @@
   }
 
   #report (response: ServerResponse): void {
-    response.end(JSON.stringify({ stage: this.#role, models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
+    response.end(JSON.stringify({ born: this.#opts.bornMs, stage: this.#role, models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
   }
 
   #takeOrder (text: string, headers: IncomingMessage['headers'], response: ServerResponse): void {
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -7,7 +7,6 @@
 import { type RelayedRequest } from '@reelspan/upstream.client'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
-import { enginesOf } from '@reelspan/scheduling.shards'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts, listedPeers } from './boxParts.js'
 import { changedKeys } from './changedKeys.js'
@@ -118,10 +117,17 @@
 
   /** KV bytes that a token takes on the engine at an address, or 0 where none is known. */
   kvBytesPerTokenAt (address: string): number {
-    const shard = this.#parts.keepers.shards().find((one) => enginesOf(one).some((engine) => engine.address === address))
+    const { keepers, upstreams } = this.#parts
+    const pool = upstreams.at(address)?.pool
+    const shard = keepers.shards().find(({ spec }) => spec.prefillPool === pool || spec.decodePool === pool)
     return shard?.spec.kvBytesPerToken ?? 0
   }
 
+  /** Names the start of an upstream that is known to be at an address. */
+  upstreamStartAt (address: string): string | undefined {
+    return this.#parts.upstreams.at(address)?.name
+  }
+
   /** Whether an upstream is in the list by which this box gives out work. */
   listsUpstream (name: string): boolean {
     return this.#parts.fleet.value.upstream(name) !== undefined
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -19,6 +19,7 @@
 import { type RequestRouter } from './requestRouter.js'
 import { type ResourceApi } from './resourceApi.js'
 import { type ShardKeepers } from './shardKeepers.js'
+import { type UpstreamsByAddress } from './upstreamsByAddress.js'
 import { type WatcherRole } from './watcherRole.js'
 
 /** Everything that makes up a box. */
@@ -34,6 +35,8 @@
   /** Whether this box watches the platform for its zone. */
   watcherRole: WatcherRole
   platformContact: PlatformContactWatch
+  /** The list that this box acts by, by address. */
+  upstreams: UpstreamsByAddress
   connectionShares: ConnectionShares
   followers: Record<Collection, ConfigFollower>
   prober: Prober
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -23,6 +23,7 @@
 import { RequestRouter } from './requestRouter.js'
 import { ResourceApi } from './resourceApi.js'
 import { ShardKeepers } from './shardKeepers.js'
+import { UpstreamsByAddress } from './upstreamsByAddress.js'
 
 /** Composes a box. Nothing runs until it is started. */
 export function createBox (environment: BoxEnvironment): Box {
@@ -38,6 +39,7 @@
     fleet: asFunction(createFleet).singleton(),
     watcherRole: asFunction(createWatcherRole).singleton(),
     platformContact: asFunction(createContact).singleton(),
+    upstreams: asFunction((parts: BoxParts) => new UpstreamsByAddress(parts)).singleton(),
     connectionShares: asFunction(createConnectionShares).singleton(),
     followers: asFunction(createFollowers).singleton(),
     prober: asFunction(createProber).singleton(),
@@ -61,8 +63,8 @@
   return new LoggedPeerLink({ link, failures, nameAt: (address) => view.atAddress(address)?.name })
 }
 
-function createEngines (engines: EngineClient, { failures, fleet }: BoxParts): EngineClient {
-  return new LoggedEngineClient({ engines, failures, nameAt: (address) => fleet.value.upstreams.find((upstream) => upstream.address === address)?.name })
+function createEngines (engines: EngineClient, { failures, upstreams }: BoxParts): EngineClient {
+  return new LoggedEngineClient({ engines, failures, nameAt: (address) => upstreams.at(address)?.name })
 }
 
 function createView ({ settings, random }: BoxParts): MembershipView {
@@ -127,11 +129,10 @@
   })
 }
 
-function createConnectionShares ({ declarations, fleet, fleetList, view }: BoxParts): ConnectionShares {
+function createConnectionShares ({ declarations, upstreams, view }: BoxParts): ConnectionShares {
   return new ConnectionShares({
     configuration: () => declarations.value,
-    fleet: () => fleet.value,
-    fleetRevision: () => fleetList.revision,
+    upstreams,
     boxCount: () => view.takingWork().length,
   })
 }
--- a/box/runtime/src/shardKeeper.ts
+++ b/box/runtime/src/shardKeeper.ts
@@ -2,7 +2,7 @@
 import { type Clock, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { type EngineAccount } from '@reelspan/scheduling.ledger'
 import { type ShardScheduler } from '@reelspan/scheduling.scheduler'
-import { type EngineClient, type EngineReport, EngineRole } from '@reelspan/upstream.client'
+import { type EngineClient, type EngineReport, EngineRole, ReportStart, reportStart } from '@reelspan/upstream.client'
 import { type HoldSweeper } from '@reelspan/upstream.holds'
 import { type BalancedEngine, OrderController, type OrderControllerOptions, type OrderRight, RoleBalancer, type RoleBalancerOptions } from '@reelspan/upstream.orders'
 
@@ -86,13 +86,14 @@
   }
 
   /** Asks an engine for its report, and lets the scheduler know of it or of its silence. */
-  async #askReport ({ name, address }: EngineAccount<unknown>, timeoutMs: number): Promise<EngineReport | undefined> {
+  async #askReport (engine: EngineAccount<unknown>, timeoutMs: number): Promise<EngineReport | undefined> {
     const { engines } = this.#opts
+    const { name, address } = engine
     // The client tells of a failure.
     const report = await engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
     if (report) this.scheduler.noteReport(name, report)
     else this.scheduler.noteSilent(name)
-    return report
+    return report && reportStart(engine, report) === ReportStart.Same ? report : undefined
   }
 
   async #readCacheEvents ({ name, address }: EngineAccount<unknown>): Promise<void> {
--- /dev/null
+++ b/box/runtime/src/upstreamsByAddress.ts
@@ -0,0 +1,26 @@
+import { type FleetList, type ListedUpstream } from '@reelspan/config.fleet'
+
+export interface UpstreamsByAddressOptions {
+  /** The list that this box acts by. */
+  fleet: { readonly value: FleetList, readonly revision: number }
+}
+
+/** Finds upstreams by where they are. */
+export class UpstreamsByAddress {
+  readonly #opts: UpstreamsByAddressOptions
+  #byAddress: ReadonlyMap<string, ListedUpstream> = new Map()
+  #revision = -1
+
+  constructor (opts: UpstreamsByAddressOptions) {
+    this.#opts = opts
+  }
+
+  /** The upstream that is listed at an address. */
+  at (address: string): ListedUpstream | undefined {
+    const { fleet } = this.#opts
+    const { revision } = fleet
+    if (revision !== this.#revision) this.#byAddress = new Map(fleet.value.upstreams.map((upstream) => [upstream.address, upstream]))
+    this.#revision = revision
+    return this.#byAddress.get(address)
+  }
+}
--- a/box/runtime/test/connectionShares.ts
+++ b/box/runtime/test/connectionShares.ts
@@ -1,4 +1,4 @@
-import { ConnectionShares } from '@reelspan/box.runtime'
+import { ConnectionShares, UpstreamsByAddress } from '@reelspan/box.runtime'
 import { FleetList, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, PoolRole } from '@reelspan/config.resources'
 import test from 'ava'
@@ -9,12 +9,14 @@
     { kind: 'Pool', name: 'open', revision: 1, spec: { role: PoolRole.Service } },
   ], 1)
   let boxCount = 9
-  let fleetRevision = 1
-  let fleet = new FleetList([], [
-    { name: 'a', kind: UpstreamKind.Service, pool: 'desk', address: '10.0.0.9:1', availabilityZone: 'z', leaving: false },
-    { name: 'b', kind: UpstreamKind.Service, pool: 'open', address: '10.0.0.9:2', availabilityZone: 'z', leaving: false },
-  ])
-  const shares = new ConnectionShares({ configuration: () => configuration, fleet: () => fleet, fleetRevision: () => fleetRevision, boxCount: () => boxCount })
+  const fleet = {
+    revision: 1,
+    value: new FleetList([], [
+      { name: 'a', kind: UpstreamKind.Service, pool: 'desk', address: '10.0.0.9:1', availabilityZone: 'z', leaving: false },
+      { name: 'b', kind: UpstreamKind.Service, pool: 'open', address: '10.0.0.9:2', availabilityZone: 'z', leaving: false },
+    ])
+  }
+  const shares = new ConnectionShares({ configuration: () => configuration, upstreams: new UpstreamsByAddress({ fleet }), boxCount: () => boxCount })
   t.is(shares.at('10.0.0.9:1'), 12)
   t.is(shares.at('10.0.0.9:2'), undefined)
   t.is(shares.at('10.0.0.9:3'), undefined)
@@ -22,7 +24,6 @@
   t.is(shares.at('10.0.0.9:1'), 1)
   boxCount = 0
   t.is(shares.at('10.0.0.9:1'), 110)
-  fleet = new FleetList([], [])
-  fleetRevision = 2
+  Object.assign(fleet, { value: new FleetList([], []), revision: 2 })
   t.is(shares.at('10.0.0.9:1'), undefined)
 })
--- a/config/fleet/src/entries.ts
+++ b/config/fleet/src/entries.ts
@@ -26,6 +26,10 @@
   /** The declared pool it belongs to. */
   pool: z.string(),
   leaving: z.boolean().default(false),
+  /** What it is called over all its starts, where its name names one of them. */
+  instance: z.string().optional(),
+  /** When this start of it began, in Unix milliseconds by its own clock. Only starts of one instance can be compared. */
+  startedAtMs: z.number().int().optional(),
 })
 
 /** A box that may be a member of the system. */
--- a/config/fleet/src/guardedFleet.ts
+++ b/config/fleet/src/guardedFleet.ts
@@ -1,5 +1,6 @@
 import { type ListedUpstream } from './entries.js'
 import { FleetList } from './fleetList.js'
+import { instanceOf, NewestStarts } from './newestStarts.js'
 
 export interface GuardedFleetOptions {
   /** The list as it was last read. */
@@ -15,6 +16,7 @@
  */
 export class GuardedFleet {
   readonly #opts: GuardedFleetOptions
+  readonly #starts = new NewestStarts()
   #seenRevision = -1
   #base = new FleetList([], [])
   #missing: readonly ListedUpstream[] = []
@@ -47,18 +49,19 @@
     const changed = listed.revision !== this.#seenRevision
     if (!changed && (guarding || this.#missing.length === 0)) return
     const known = [...this.#base.upstreams, ...this.#missing]
-    const missing = guarding ? missingFrom(listed.value, known) : []
+    const base = changed ? this.#starts.take(listed.value) : this.#base
+    const missing = guarding ? missingFrom(base, known) : []
     this.#seenRevision = listed.revision
-    this.#base = listed.value
+    this.#base = base
     this.#missing = missing
     this.#value = missing.length > 0 ? new FleetList(this.#base.boxes, [...this.#base.upstreams, ...missing]) : this.#base
     this.#version++
   }
 }
 
-/** Known upstreams that are not listed and had not said that they leave. An address that another one has now is no longer theirs. */
+/** Known upstreams that are not listed and had not said that they leave. An address that another one has now is no longer theirs, and one that started again is not missing. */
 function missingFrom (list: FleetList, known: readonly ListedUpstream[]): ListedUpstream[] {
-  const names = new Set(list.upstreams.map(({ name }) => name))
+  const instances = new Set(list.upstreams.map(instanceOf))
   const addresses = new Set(list.upstreams.map(({ address }) => address))
-  return known.filter(({ name, address, leaving }) => !leaving && !names.has(name) && !addresses.has(address))
+  return known.filter((upstream) => !upstream.leaving && !instances.has(instanceOf(upstream)) && !addresses.has(upstream.address))
 }
--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -11,6 +11,8 @@
   maxConnections?: number
   /** How many of an upstream's connections are this box's. No more are kept, since it takes a number of all boxes together. */
   shareOf?: (address: string) => number | undefined
+  /** Which start of an upstream is known to be at an address. A connection from before another one came is not used again: what is sent on it may be lost, and nobody could tell. */
+  startAt?: (address: string) => string | undefined
   onOpened?: (address: string) => void
 }
 
@@ -78,7 +80,7 @@
 
   /** Whether the next exchange with an upstream would be on a kept connection. */
   hasKept (address: string): boolean {
-    return (this.#idle.get(address) ?? []).some((connection) => this.#isFresh(connection))
+    return (this.#idle.get(address) ?? []).some((connection) => this.#isFresh(connection) && this.#leadsToPresentStart(connection))
   }
 
   close (): void {
@@ -94,7 +96,7 @@
   /** Closes idle connections whose upstream is about to close them, or is not used any more. */
   closeStale (): void {
     this.#idle.forEach((connections, address) => {
-      connections.filter((connection) => !this.#isFresh(connection)).forEach((connection) => connection.close())
+      connections.filter((connection) => !this.#isFresh(connection) || !this.#leadsToPresentStart(connection)).forEach((connection) => connection.close())
       if (this.#idle.get(address)?.length === 0) this.#idle.delete(address)
     })
   }
@@ -102,7 +104,7 @@
   #takeIdle (address: string): UpstreamConnection | undefined {
     const idle = this.#idle.get(address)
     for (let connection = idle?.pop(); connection; connection = idle?.pop()) {
-      if (!connection.closed && this.#isFresh(connection)) return connection
+      if (!connection.closed && this.#isFresh(connection) && this.#leadsToPresentStart(connection)) return connection
       connection.close()
     }
     return undefined
@@ -112,11 +114,17 @@
     return this.#opts.clock.nowMs() - idleSinceMs < keepAliveMs - KEEP_ALIVE_MARGIN_MS
   }
 
+  #leadsToPresentStart ({ address, upstreamStart }: UpstreamConnection): boolean {
+    const present = this.#opts.startAt?.(address)
+    return upstreamStart === undefined || present === undefined || upstreamStart === present
+  }
+
   async #connect (address: string, signal: AbortSignal): Promise<UpstreamConnection> {
     const { clock, connectTimeoutMs, onOpened } = this.#opts
     this.#makeRoom()
     const connection = new UpstreamConnection({
       address,
+      upstreamStart: this.#opts.startAt?.(address),
       clock,
       onIdle: (idle) => this.#keep(idle),
       onClosed: (closed) => this.#forget(closed),
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -25,6 +25,8 @@
 
 export interface UpstreamConnectionOptions {
   address: string
+  /** Which start of the upstream was known to be there when the connection was opened. */
+  upstreamStart?: string
   clock: Clock
   /** Nothing runs on the connection any more. Called once an exchange; the connection may be used again if it is `reusable`. */
   onIdle: (connection: UpstreamConnection) => void
@@ -44,6 +46,7 @@
 /** One connection to an upstream, with at most one exchange at a time. Bytes that no request asked for end it. */
 export class UpstreamConnection {
   readonly address: string
+  readonly upstreamStart?: string
   readonly #opts: UpstreamConnectionOptions
   readonly #socket: Socket
   readonly #parser: ResponseParser
@@ -59,6 +62,7 @@
   constructor (opts: UpstreamConnectionOptions) {
     this.#heardAtMs = opts.clock.nowMs()
     this.address = opts.address
+    this.upstreamStart = opts.upstreamStart
     this.#opts = opts
     this.#socket = connect({ ...splitAddress(opts.address), noDelay: true, allowHalfOpen: true, keepAlive: true, keepAliveInitialDelay: PROBE_AFTER_MS })
     this.#parser = new ResponseParser({
--- a/net/http-exchange/test/connectionPool.ts
+++ b/net/http-exchange/test/connectionPool.ts
@@ -231,3 +231,20 @@
   await Promise.all([ask(), ask(), ask()])
   t.is(upstream.connections, 4)
 })
+
+test('a connection from before an upstream started again is not used', async (t) => {
+  const upstream = await startUpstream(t, (socket) => socket.on('data', () => socket.write(answer('hello'))))
+  let start: string | undefined = 'e@100'
+  const pool = new ConnectionPool({ clock: new SystemClock(), connectTimeoutMs: 5000, startAt: () => start })
+  const ask = async () => textOf((await pool.exchange(upstream.address, GET, { signal: signal() })).body)
+  await ask()
+  await ask()
+  t.is(upstream.connections, 1)
+  start = 'e@200'
+  t.false(pool.hasKept(upstream.address))
+  await ask()
+  t.is(upstream.connections, 2)
+  start = undefined
+  await ask()
+  t.is(upstream.connections, 2)
+})
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -1,7 +1,7 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
 import { type HoldLabel, holdLabelKey, isOwnPrefill } from '@reelspan/core.messages'
 import { type Shard } from '@reelspan/scheduling.shards'
-import { type EngineReport, EngineRole } from '@reelspan/upstream.client'
+import { type EngineReport, EngineRole, ReportStart, reportStart } from '@reelspan/upstream.client'
 import { DecodeAccount } from './decodeAccount.js'
 import { PrefillAccount } from './prefillAccount.js'
 
@@ -28,6 +28,8 @@
   /** The role that the list gives it. */
   role: EngineRole
   leaving: boolean
+  /** When this start of it began, by its own clock, where it tells. */
+  startedAtMs?: number
   account: A
   /** The last report, and when it came. */
   report?: EngineReport
@@ -157,9 +159,13 @@
       .forEach(({ label }) => this.release(label))
   }
 
+  /** A report of an older start of the engine says nothing; one of a newer start says that this one is over. */
   noteReport (engineName: string, report: EngineReport, nowMs: number): void {
     const engine = this.#prefill.get(engineName) ?? this.#decode.get(engineName)
     if (!engine) return
+    const start = reportStart(engine, report)
+    if (start === ReportStart.Older) return
+    if (start === ReportStart.Newer) return this.noteSilent(engineName)
     engine.report = report
     engine.reportAtMs = nowMs
     engine.awaited = false
@@ -207,9 +213,9 @@
 ): void {
   const names = new Set(listed.map(({ name }) => name));
   [...accounts.keys()].filter((name) => !names.has(name)).forEach((name) => accounts.delete(name))
-  listed.forEach(({ name, address, availabilityZone, leaving }) => {
+  listed.forEach(({ name, address, availabilityZone, leaving, startedAtMs }) => {
     const known = accounts.get(name)
     if (known && known.address === address) known.leaving = leaving
-    else accounts.set(name, { name, address, availabilityZone, role, leaving, account: createAccount(), reportAtMs: 0, awaited: true, retiring: false })
+    else accounts.set(name, { name, address, availabilityZone, role, leaving, startedAtMs, account: createAccount(), reportAtMs: 0, awaited: true, retiring: false })
   })
 }
--- /dev/null
+++ b/scheduling/ledger/test/restartedEngines.ts
@@ -0,0 +1,60 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
+import { checkResources } from '@reelspan/config.resources'
+import { ShardLedger } from '@reelspan/scheduling.ledger'
+import { type Shard } from '@reelspan/scheduling.shards'
+import { type EngineReport, EngineRole } from '@reelspan/upstream.client'
+import { tuulDeclarations } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const LABEL = { ownerAddress: '10.0.0.1:1', ownerIncarnation: 'owner', requestId: '1', maxHoldMs: 1000 }
+
+function shardOf (startedAtMs: number): Shard {
+  const { configuration } = checkResources(tuulDeclarations().map((entry) => ({ ...entry, revision: 1 })), 1)
+  const [spec, prefillPool, decodePool] = [configuration.model('draft'), configuration.pool('draft-prefill'), configuration.pool('draft-decode')]
+  if (!spec || !prefillPool || !decodePool) throw new Error('the declarations have no model draft')
+  const engineOf = (instance: string) => ({ name: `${instance}@${startedAtMs}`, instance, startedAtMs, kind: UpstreamKind.Engine, address: `${instance}:1`, availabilityZone: 'z', pool: 'x', leaving: false })
+  return { id: 'draft', model: 'draft', spec, prefillPool, decodePool, prefillEngines: [engineOf('p')], decodeEngines: [engineOf('d')] }
+}
+
+function reportOf (role: EngineRole, startedAtMs?: number): EngineReport {
+  return { startedAtMs, role, loaded: [{ model: 'draft', version: '1' }], changing: false, placesUsed: 0, placesTotal: 20, kvBytesUsed: 0, kvBytesTotal: 4e9, prefillQueueMs: 0, fence: 0, holds: [] }
+}
+
+function createLedger (startedAtMs = 100) {
+  const ledger = new ShardLedger(shardOf(startedAtMs), { reportLifeMs: 10_000 })
+  const served = () => ledger.allEngines().map((engine) => ledger.servedVersion(engine, 0))
+  return { ledger, served }
+}
+
+test('reservations and reports of an engine end with its start', (t) => {
+  const { ledger, served } = createLedger()
+  ledger.noteReport('d@100', reportOf(EngineRole.Decode, 100), 0)
+  ledger.reserve({ label: LABEL, maxTokens: 10, tbtTargetMs: 76, prefillEngine: 'p@100', decodeEngine: 'd@100', kvBytes: 1, prefillCostMs: 100, importEndMs: 100, latestEndMs: 500, expiresAtMs: 1000 }, 0)
+  t.is(ledger.reservationsOn('d@100'), 1)
+  ledger.update(shardOf(200))
+  t.is(ledger.reservationsOn('d@200'), 0)
+  t.is(ledger.reservationsOn('p@200'), 0)
+  t.deepEqual(served(), [undefined, undefined])
+})
+
+test('a report that comes late from an older start is passed over', (t) => {
+  const { ledger, served } = createLedger(200)
+  ledger.noteReport('d@200', reportOf(EngineRole.Decode, 100), 0)
+  t.deepEqual(served(), [undefined, undefined])
+  ledger.noteReport('d@200', reportOf(EngineRole.Decode, 200), 0)
+  ledger.noteReport('d@200', { ...reportOf(EngineRole.Decode, 100), changing: true }, 0)
+  t.deepEqual(served(), [undefined, '1'])
+})
+
+test('an engine whose report tells of a newer start than is listed gets no work', (t) => {
+  const { ledger, served } = createLedger(100)
+  ledger.noteReport('d@100', reportOf(EngineRole.Decode, 100), 0)
+  ledger.noteReport('d@100', reportOf(EngineRole.Decode, 200), 0)
+  t.deepEqual(served(), [undefined, undefined])
+})
+
+test('an engine that does not tell of its start is taken at its word', (t) => {
+  const { ledger, served } = createLedger(100)
+  ledger.noteReport('d@100', reportOf(EngineRole.Decode), 0)
+  t.deepEqual(served(), [undefined, '1'])
+})
--- a/scheduling/owner-alone/src/freshReports.ts
+++ b/scheduling/owner-alone/src/freshReports.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Random } from '@reelspan/core.env'
-import { type EngineClient } from '@reelspan/upstream.client'
-import { type DatedReport, ReportSource } from './reportSource.js'
+import { type EngineClient, ReportStart, reportStart } from '@reelspan/upstream.client'
+import { type DatedReport, type ReportedUpstream, ReportSource } from './reportSource.js'
 
 export interface FreshReportsOptions {
   clock: Clock
@@ -20,13 +20,14 @@
     this.#opts = opts
   }
 
-  async reports (listed: readonly { name: string, address: string }[]): Promise<Map<string, DatedReport>> {
+  async reports (listed: readonly ReportedUpstream[]): Promise<Map<string, DatedReport>> {
     const { clock, random, engines, timeoutMs, sampleSize } = this.#opts
     const asked = random.sample(listed, sampleSize)
-    const answers = await Promise.all(asked.map(async ({ name, address }) => {
+    const answers = await Promise.all(asked.map(async (upstream) => {
+      const { name, address } = upstream
       // The client tells of a failure; an engine without a report is not chosen.
       const report = await engines.report(address, { timeoutMs }).catch(() => undefined)
-      return report ? [[name, { report, atMs: clock.nowMs() }] as const] : []
+      return report && reportStart(upstream, report) === ReportStart.Same ? [[name, { report, atMs: clock.nowMs() }] as const] : []
     }))
     return new Map(answers.flat())
   }
--- a/scheduling/owner-alone/src/polledReports.ts
+++ b/scheduling/owner-alone/src/polledReports.ts
@@ -1,11 +1,11 @@
 import { type Clock, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
-import { type EngineClient } from '@reelspan/upstream.client'
-import { type DatedReport, ReportSource } from './reportSource.js'
+import { type EngineClient, ReportStart, reportStart } from '@reelspan/upstream.client'
+import { type DatedReport, type ReportedUpstream, ReportSource } from './reportSource.js'
 
 export interface PolledReportsOptions {
   clock: Clock
   engines: EngineClient
-  listed: () => readonly { name: string, address: string }[]
+  listed: () => readonly ReportedUpstream[]
   periodMs: number
   /** Told of a task that a fault of the program ended. */
   onTaskError?: TaskErrorListener
@@ -34,10 +34,11 @@
 
   async #pass (): Promise<void> {
     const { clock, engines, listed, periodMs } = this.#opts
-    await Promise.all(listed().map(async ({ name, address }) => {
+    await Promise.all(listed().map(async (upstream) => {
+      const { name, address } = upstream
       // The client tells of a failure; the report before stays, and its age with it.
       const report = await engines.report(address, { timeoutMs: periodMs }).catch(() => undefined)
-      if (report) this.#known.set(name, { report, atMs: clock.nowMs() })
+      if (report && reportStart(upstream, report) === ReportStart.Same) this.#known.set(name, { report, atMs: clock.nowMs() })
       else this.#known.delete(name)
     }))
   }
--- a/scheduling/owner-alone/src/reportSource.ts
+++ b/scheduling/owner-alone/src/reportSource.ts
@@ -6,8 +6,16 @@
   atMs: number
 }
 
+/** An engine that is asked for its report. */
+export interface ReportedUpstream {
+  name: string
+  address: string
+  /** When the start of it that is asked began, where the list tells. */
+  startedAtMs?: number
+}
+
 /** Where an owner that places alone gets engine reports. */
 export abstract class ReportSource {
   /** Reports of those engines that answered. */
-  abstract reports (engines: readonly { name: string, address: string }[]): Promise<Map<string, DatedReport>>
+  abstract reports (engines: readonly ReportedUpstream[]): Promise<Map<string, DatedReport>>
 }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -87,8 +87,11 @@
   }
 
   update (shard: Shard): void {
+    const before = this.ledger.allEngines()
     this.ledger.update(shard)
-    this.#health.retain(new Set([...this.ledger.prefillEngines(), ...this.ledger.decodeEngines()].map(({ name }) => name)))
+    const listed = new Set(this.ledger.allEngines().map(({ name }) => name))
+    this.#health.retain(listed)
+    before.filter(({ name }) => !listed.has(name)).forEach(({ name }) => this.#opts.index.forgetEngine(name))
     this.#waiting.all().forEach((waiting) => { waiting.costsMs = [] })
     this.#pump()
   }
--- a/scheduling/shards/src/deriveShards.ts
+++ b/scheduling/shards/src/deriveShards.ts
@@ -1,4 +1,4 @@
-import { type FleetList, type ListedUpstream } from '@reelspan/config.fleet'
+import { type FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { type Configuration, type ModelSpec, type PoolSpec } from '@reelspan/config.resources'
 import { hash32 } from '@reelspan/core.hashing'
 
@@ -38,8 +38,8 @@
     spec,
     prefillPool: configuration.pool(spec.prefillPool) as PoolSpec,
     decodePool: configuration.pool(spec.decodePool) as PoolSpec,
-    prefillEngines: fleet.inPool(spec.prefillPool),
-    decodeEngines: fleet.inPool(spec.decodePool),
+    prefillEngines: fleet.inPool(spec.prefillPool).filter(isEngine),
+    decodeEngines: fleet.inPool(spec.decodePool).filter(isEngine),
   }
   if (partCount(whole) <= 1) return [whole]
   return zonesWithBothRoles(whole).flatMap((zone) => {
@@ -54,6 +54,11 @@
   })
 }
 
+/** Whatever else says that it belongs to an engine pool computes nothing. */
+function isEngine ({ kind }: ListedUpstream): boolean {
+  return kind === UpstreamKind.Engine
+}
+
 function partCount (shard: Shard): number {
   return Math.max(
     Math.ceil(shard.prefillEngines.length / shard.prefillPool.maxEnginesPerShard),
--- a/upstream/client/src/engineReport.ts
+++ b/upstream/client/src/engineReport.ts
@@ -31,6 +31,8 @@
 
 /** An engine's own word of itself. Its load part may lag; its list of holds is exact. */
 export interface EngineReport {
+  /** When the start of the engine began that reports, in Unix milliseconds by its own clock. Only some engines tell. */
+  startedAtMs?: number
   role: EngineRole
   loaded: LoadedModel[]
   /** A load or role change is under way. */
--- a/upstream/orders/test/roleBalancer.ts
+++ b/upstream/orders/test/roleBalancer.ts
@@ -174,3 +174,16 @@
   t.not(uniqueFenceOf(7, 4, 'box-1'), uniqueFenceOf(7, 4, 'box-2'))
   t.true(Number.isSafeInteger(uniqueFenceOf(2 ** 24, 255, 'box-1')))
 })
+
+test('an engine that starts again while it is on its way to another role is free to work, and is not ordered for the start before', async (t) => {
+  const { balancer, engines, pass } = await createBalancer()
+  const busy = { ...THREE, prefill: THREE.prefill.map((engine) => ({ ...engine, reservations: 1 })) }
+  await pass(busy)
+  await pass(busy)
+  const [chosen] = ['p1', 'p2', 'p3'].filter((name) => balancer.isMoving(name))
+  const restarted = { ...THREE, prefill: THREE.prefill.map((engine) => engine.name === chosen ? { ...engine, name: `${chosen}@200` } : engine) }
+  await pass(restarted, { ...LOAD, arrivalsPerMs: 0.001 })
+  t.false(balancer.isMoving(chosen))
+  t.false(balancer.isMoving(`${chosen}@200`))
+  t.deepEqual(engines.orders, [])
+})
