fix(request.relay): a stream that could not be sent goes to another engine

Cause: an engine counted as one that the request was sent to from the moment in which it was chosen. Where a route allows one engine, and that one had crashed since, the caller got a failure though nothing had run and other engines stood.

Ruled out: asking the same engine again (it takes no connection).

Change: an engine to which no connection came up is not counted among those that the request was sent to.

Test: «a stream that may be sent to one engine, and could not be sent to it, goes to another one» fails before, passes after; one that was sent stays with its engine.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -238,7 +238,9 @@
   async #decodeOnce (plan: PlacementPlan, source: PrefillSource | undefined, placement: Placement, times: AnswerTimes): Promise<void> {
     const { run, request, route } = this.#context
     this.#brokeOff = false
+    const wasSentBefore = this.#decodedAt.has(plan.decodeEngine)
     this.#decodedAt.add(plan.decodeEngine)
+    let sent = false
     // An engine that reads the prompt first is silent for that time as well.
     const readMs = source === undefined ? PREFILL_PATIENCE * plan.expectedTtftMs : 0
     const patienceMs = this.#isRepeatable() ? DECODE_PATIENCE * route.spec.tbtTargetMs + readMs : Number.POSITIVE_INFINITY
@@ -249,10 +251,15 @@
         source,
         urgency: route.spec.urgency,
         resumeAfter: this.#progress.lastId ?? request.resumeAfter,
+        onSend: () => { sent = true },
       })
       watch.heard()
       await this.#judge(plan, answer, placement, times, watch)
-    }), () => this.#mayDecodeAgain()))
+    }), () => this.#mayDecodeAgain())).catch((thrown: unknown) => {
+      // An engine that took no connection has had nothing of the request, which may go to another one in its place.
+      if (!sent && !wasSentBefore) this.#decodedAt.delete(plan.decodeEngine)
+      throw thrown
+    })
   }
 
   /** Notes when an exchange ends before its answer does, other than by being given up. */
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -24,6 +24,8 @@
   /** The prefill ends when this resolves, whatever becomes of its caller. */
   prefillEnds?: Promise<void>
   onPrefill?: () => void
+  /** Instances that accept no connection. */
+  readonly unreachable = new Set<string>()
   /** Requests wait for this before they are sent, or are given up unsent. */
   connects?: Promise<void>
 
@@ -40,6 +42,7 @@
 
   async run (target: RelayTarget, request: RelayedRequest, opts: RelayRunOptions): Promise<RelayAnswer> {
     if (this.connects) await Promise.race([this.connects, givenUp(opts.signal, { mayHaveRun: false })])
+    if (this.unreachable.has(target.instance)) throw new UpstreamError(`${target.instance} cannot be reached`, { mayHaveRun: false, unreachable: true })
     const script = this.#scripts[this.runs.length]
     this.runs.push({ instance: target.instance, request, opts })
     opts.onSend?.()
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -511,3 +511,22 @@
   t.is(upstreams.runs[0].instance, 'd2')
   t.deepEqual(upstreams.freed, [{ address: '10.0.0.1:1', handle: 'handle-1' }])
 })
+
+test('a stream that may be sent to one engine, and could not be sent to it, goes to another one', async (t) => {
+  const { clock, relay, upstreams } = createRelay([answers(200, 'data: line')])
+  upstreams.unreachable.add('d1')
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.deepEqual(upstreams.runs.map(({ instance }) => instance), ['d2'])
+  t.true(caller.whole)
+  t.is(upstreams.freed.length, 1, 'the prompt that was read for the first one is given back')
+})
+
+test('a stream that was sent to the one engine that it may be sent to is not sent to another', async (t) => {
+  const { clock, relay, upstreams } = createRelay([refuses()])
+  upstreams.unreachable.add('d1')
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.true(new Set(upstreams.runs.map(({ instance }) => instance)).size <= 1)
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+})
