fix(scheduling.shards): a group of engines is not cut anew when its engines change roles

Cause: a model was cut by zones as soon as one of its pools passed 64 engines. On 87 engines the roles that follow the load lead past that in a burst (22 prefill and 65 decode engines), and every reservation went to five other schedulers at once. Engines of zones that lack one of the roles were in no shard, and a model of which no zone has both had none at all.

Ruled out: a cut with a memory of the one before, since boxes must agree without telling each other.

Change: up to the allowance of both pools together (128 engines) stay one shard, whatever their roles; engines of a zone without the other role work with another zone's; parts go by what an engine is called over all its starts. Within a zone of a larger model the parts still follow the larger pool.

Tests: four, each fails before.

--- a/scheduling/shards/src/deriveShards.ts
+++ b/scheduling/shards/src/deriveShards.ts
@@ -1,4 +1,4 @@
-import { type FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
+import { type FleetList, instanceOf, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { type Configuration, type ModelSpec, type PoolSpec } from '@reelspan/config.resources'
 import { hash32 } from '@reelspan/core.hashing'
 
@@ -22,9 +22,11 @@
 }
 
 /**
- * Cuts a model's engines into shards. Up to `maxEnginesPerShard` engines a pool
- * are one shard. More are cut by availability zone, and within it into equal
- * parts in hash order, so that an engine more or less moves few others.
+ * Cuts a model's engines into shards. As many engines as `maxEnginesPerShard` allows
+ * both pools together are one shard, however many of them have which role: roles
+ * follow the load, and an engine that changes its role in a burst must not hand every
+ * reservation to other schedulers. More are cut by availability zone, and within it
+ * into equal parts in hash order, so that an engine more or less moves few others.
  */
 export function deriveShards (configuration: Configuration, fleet: FleetList): Shard[] {
   return configuration.modelNames().flatMap((model) => shardsOfModel(model, configuration, fleet))
@@ -41,9 +43,10 @@
     prefillEngines: fleet.inPool(spec.prefillPool).filter(isEngine),
     decodeEngines: fleet.inPool(spec.decodePool).filter(isEngine),
   }
-  if (partCount(whole) <= 1) return [whole]
-  return zonesWithBothRoles(whole).flatMap((zone) => {
-    const ofZone = (engines: readonly ListedUpstream[]) => engines.filter(({ availabilityZone }) => availabilityZone === zone)
+  const zones = zonesWithBothRoles(whole)
+  if (fitsOneShard(whole) || zones.length === 0) return [whole]
+  return zones.flatMap((zone) => {
+    const ofZone = (engines: readonly ListedUpstream[]) => engines.filter((engine) => zoneToServe(engine, zones) === zone)
     return cutEvenly({
       ...whole,
       id: `${model}#${zone}`,
@@ -59,6 +62,16 @@
   return kind === UpstreamKind.Engine
 }
 
+function fitsOneShard (shard: Shard): boolean {
+  return enginesOf(shard).length <= shard.prefillPool.maxEnginesPerShard + shard.decodePool.maxEnginesPerShard
+}
+
+/** An engine of a zone that lacks the other role works with the engines of another zone, always the same one. */
+function zoneToServe (engine: ListedUpstream, zones: readonly string[]): string {
+  const { availabilityZone } = engine
+  return zones.includes(availabilityZone) ? availabilityZone : zones[hash32(instanceOf(engine)) % zones.length]
+}
+
 function partCount (shard: Shard): number {
   return Math.max(
     Math.ceil(shard.prefillEngines.length / shard.prefillPool.maxEnginesPerShard),
@@ -85,7 +98,7 @@
 }
 
 function inHashOrder (engines: readonly ListedUpstream[]): ListedUpstream[] {
-  return [...engines].sort((a, b) => hash32(a.name) - hash32(b.name) || (a.name < b.name ? -1 : 1))
+  return [...engines].sort((a, b) => hash32(instanceOf(a)) - hash32(instanceOf(b)) || (instanceOf(a) < instanceOf(b) ? -1 : 1))
 }
 
 function slicePart<T> (items: readonly T[], part: number, parts: number): T[] {
--- a/scheduling/shards/test/deriveShards.ts
+++ b/scheduling/shards/test/deriveShards.ts
@@ -58,3 +58,29 @@
   const after = ids.map((id) => schedulerOf({ id }, members.slice(1))?.incarnation)
   t.deepEqual(ids.filter((_, i) => before[i] !== after[i]), ids.filter((_, i) => before[i] === 'i0'))
 })
+
+test('a group of engines stays one shard while its engines change their roles', (t) => {
+  const splits = [[40, 47], [30, 57], [22, 65], [10, 77]]
+  t.deepEqual(splits.map(([prefill, decode]) => shardsOf(prefill, decode).map(({ id }) => id)), splits.map(() => ['draft']))
+})
+
+test('engines of a zone that lacks one role are in the shard of another zone', (t) => {
+  const moved = engines('draft-prefill', 60).map((engine) => ({ ...engine, availabilityZone: engine.availabilityZone === 'zone-3' ? 'zone-2' : engine.availabilityZone }))
+  const shards = deriveShards(configuration, new FleetList([], [...moved, ...engines('draft-decode', 120)]))
+  t.false(shards.some(({ availabilityZone }) => availabilityZone === 'zone-3'))
+  const decodeNames = shards.flatMap(({ decodeEngines }) => decodeEngines.map(({ name }) => name))
+  t.is(new Set(decodeNames).size, 120)
+  t.is(decodeNames.length, 120)
+})
+
+test('a large model of which no zone has both roles is one shard', (t) => {
+  const inZone = (pool: string, count: number, availabilityZone: string) => engines(pool, count).map((engine) => ({ ...engine, availabilityZone }))
+  const shards = deriveShards(configuration, new FleetList([], [...inZone('draft-prefill', 80, 'a'), ...inZone('draft-decode', 90, 'b')]))
+  t.deepEqual(shards.map(({ id, prefillEngines, decodeEngines }) => [id, prefillEngines.length, decodeEngines.length]), [['draft', 80, 90]])
+})
+
+test('an engine that starts again stays in its shard', (t) => {
+  const startsOf = (startedAtMs: number) => [...engines('draft-prefill', 100), ...engines('draft-decode', 600)].map((engine) => ({ ...engine, name: `${engine.name}@${startedAtMs}`, instance: engine.name, startedAtMs }))
+  const membersOf = (startedAtMs: number) => deriveShards(configuration, new FleetList([], startsOf(startedAtMs))).map(({ decodeEngines }) => decodeEngines.map(({ instance }) => instance))
+  t.deepEqual(membersOf(1), membersOf(2))
+})
