perf(membership.prober): revisions that follow each other are told of together

Cause: each new revision of the list made every box send its four watched members a message at once. Where engines go up and down or are replaced, some ten revisions come in a second, and a box spent several times what it spends when idle.

Change: after a quiet time a revision is told of at once, as before; further ones are told of together each half a probe period (350 ms), and only to members that have not named them.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -277,7 +277,7 @@
       log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
       if (collection === Collection.Fleet) this.#fleetChanges.note(store.revision)
       this.#reconcile()
-      this.#tasks.run(() => prober.tellNow())
+      this.#tasks.run(() => prober.tellRevisionsSoon())
     }
   }
 }
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -51,6 +51,13 @@
 /** News has had this many rounds to spread before views are compared. */
 const COMPARE_EVERY_ROUNDS = 4
 
+/**
+ * Revisions that follow each other are told of together, this part of a probe period apart: where engines
+ * go up and down some ten revisions come in a second, and each made every box send four messages. One that
+ * comes after a quiet time is told of at once.
+ */
+const TELL_PERIOD_SHARE = 0.5
+
 /** Learns which members live, and tells. Its cost for a box does not grow with the fleet. */
 export class Prober {
   readonly #opts: ProberOptions
@@ -58,6 +65,11 @@
   readonly #newsLeft = new Map<string, number>()
   readonly #newsArrived = new Notifier()
   readonly #peerLoad = new Map<string, number>()
+  /** Revisions that members last named. */
+  readonly #peerRevisions = new Map<string, Record<Collection, number>>()
+  /** When the watched members were last told of the revisions here. */
+  #toldAtMs = Number.NEGATIVE_INFINITY
+  #isTellingSoon = false
   #ringOf?: readonly Member[]
   #watchedOfRing: readonly Member[] = []
   #round = 0
@@ -105,6 +117,28 @@
     await Promise.all(this.#watched().map((member) => this.#heartbeat(member.peerAddress).catch(() => {})))
   }
 
+  /** Sends the revisions in force here to those watched members that are not known to have them: at once, or together with others that follow soon. */
+  async tellRevisionsSoon (): Promise<void> {
+    if (this.#isTellingSoon) return
+    const { clock, probePeriodMs } = this.#opts
+    this.#isTellingSoon = true
+    const waitMs = this.#toldAtMs + TELL_PERIOD_SHARE * probePeriodMs - clock.nowMs()
+    if (waitMs > 0) await clock.sleep(waitMs, { signal: this.#tasks.signal })
+    this.#isTellingSoon = false
+    if (this.#tasks.stopped) return
+    this.#toldAtMs = clock.nowMs()
+    const behind = this.#watched().filter(({ incarnation }) => this.#isBehind(incarnation))
+    // The link tells of a failure; the next round probes again and draws the consequence.
+    await Promise.all(behind.map(({ peerAddress }) => this.#heartbeat(peerAddress).catch(() => {})))
+  }
+
+  /** Whether a member has not named the revisions that are in force here. */
+  #isBehind (incarnation: string): boolean {
+    const here = this.#opts.revisions()
+    const there = this.#peerRevisions.get(incarnation)
+    return there === undefined || Object.values(Collection).some((collection) => there[collection] < here[collection])
+  }
+
   /** Answers a probe message of a peer, or returns nothing when the message is none. */
   async answer (message: PeerMessage): Promise<PeerMessage | undefined> {
     switch (message.type) {
@@ -123,6 +157,7 @@
   async #probeRound (): Promise<void> {
     const { clock, view, silentGoneMs } = this.#opts
     this.#round++
+    this.#toldAtMs = clock.nowMs()
     const watched = this.#watched()
     const rejoin = this.#round % REJOIN_EVERY_ROUNDS === 0 ? this.#missingAddresses(1) : []
     const unsure = this.#contestedAddresses().slice(0, 1)
@@ -270,6 +305,7 @@
     if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
     const nowMs = clock.nowMs()
     this.#peerLoad.set(message.self.incarnation, message.inFlight)
+    this.#peerRevisions.set(message.self.incarnation, message.revisions)
     const tellers = [message.self, ...message.news]
     tellers.forEach((member) => view.merge(member, nowMs))
     onPeerRevisions(message.self.peerAddress, message.revisions)
@@ -300,10 +336,15 @@
     // What a comparison brings is known to others already, and they compare too.
     if (this.#comparing) return
     this.#newsLeft.set(member.incarnation, NEWS_REPEATS * this.#opts.watchCount)
-    if (member.health === MemberHealth.Gone) this.#peerLoad.delete(member.incarnation)
+    if (member.health === MemberHealth.Gone) this.#forget(member.incarnation)
     this.#newsArrived.notify()
   }
 
+  #forget (incarnation: string): void {
+    this.#peerLoad.delete(incarnation)
+    this.#peerRevisions.delete(incarnation)
+  }
+
   /** Sends news on soon after it came, instead of at the next round. */
   async #passOnNews (): Promise<void> {
     const { clock, probePeriodMs } = this.#opts
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -15,6 +15,8 @@
 class FleetLink extends PeerLink {
   readonly heartbeats = new Map<string, number>()
   readonly silent = new Set<string>()
+  /** The revision of the list that members name. */
+  fleetRevision = 1
   readonly #clock: VirtualClock
 
   constructor (clock: VirtualClock) {
@@ -31,7 +33,7 @@
       throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
     }
     const self = memberOf(Number(address.split(':')[1]))
-    return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: 1 }, inFlight: 0 }
+    return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: this.fleetRevision }, inFlight: 0 }
   }
 
   async * stream (): AsyncGenerator<PeerMessage> {}
@@ -59,6 +61,7 @@
 
 function startWith (clock: VirtualClock, view: MembershipView, listedAddresses: readonly string[]) {
   const link = new FleetLink(clock)
+  const here = { fleetRevision: 1 }
   listedAddresses.forEach((address) => link.silent.add(address))
   const prober = new Prober({
     clock,
@@ -66,7 +69,7 @@
     link,
     view,
     listedAddresses: () => listedAddresses,
-    revisions: () => ({ [Collection.Declarations]: 1, [Collection.Fleet]: 1 }),
+    revisions: () => ({ [Collection.Declarations]: 1, [Collection.Fleet]: here.fleetRevision }),
     inFlight: () => 0,
     platformAnswering: () => undefined,
     onPlatformAnswering: () => {},
@@ -77,7 +80,7 @@
     silentGoneMs: 600_000,
   })
   prober.start()
-  return { clock, link, prober }
+  return { clock, link, prober, here }
 }
 
 test('a member that does not answer is greeted by a few of many boxes in a round, so that it is not flooded when it wakes', async (t) => {
@@ -125,3 +128,38 @@
   t.true(later <= 60_000 / PROBE_PERIOD_MS / 2, `${later} in a minute`)
   void prober.stop()
 })
+
+function heartbeatsSent (link: FleetLink): number {
+  return [...link.heartbeats.values()].reduce((sum, count) => sum + count, 0)
+}
+
+test('a revision after a quiet time is told of at once, to members that are not known to have it', async (t) => {
+  const { clock, link, prober, here } = startProber([])
+  await clock.advance(PROBE_PERIOD_MS * 0.9)
+  const before = heartbeatsSent(link)
+  here.fleetRevision = 2
+  void prober.tellRevisionsSoon()
+  await clock.advance(1)
+  t.is(heartbeatsSent(link) - before, 4)
+  link.fleetRevision = 2
+  await clock.advance(PROBE_PERIOD_MS * 1.9)
+  const informed = heartbeatsSent(link)
+  await prober.tellRevisionsSoon()
+  t.is(heartbeatsSent(link), informed, 'all have named it')
+  await prober.stop()
+})
+
+test('revisions in quick succession are told of together', async (t) => {
+  const { clock, link, prober, here } = startProber([])
+  await clock.advance(PROBE_PERIOD_MS)
+  const before = heartbeatsSent(link)
+  for (let i = 0; i < 70; i++) {
+    here.fleetRevision++
+    void prober.tellRevisionsSoon()
+    await clock.advance(100)
+  }
+  const told = heartbeatsSent(link) - before
+  const rounds = 7000 / PROBE_PERIOD_MS
+  t.true(told >= 4 * rounds && told <= 3 * 4 * (rounds + 1), `${told} messages`)
+  await prober.stop()
+})
