--- a/config/fleet/src/newestStarts.ts
+++ b/config/fleet/src/newestStarts.ts
@@ -9,16 +9,16 @@
  * word that an engine wrote before it crashed comes in late.
  */
 export class NewestStarts {
-  /** When the newest known start of each instance began, the one heard of last at the end. */
+  /** When the newest known start of each instance began, the one that started again last at the end. */
   readonly #startedAtMs = new Map<string, number>()
-  /** The upstreams of the last list that was taken in, by instance. */
-  #listed: ReadonlyMap<string, ListedUpstream> = new Map()
+  /** The last list that was taken in. */
+  #listed = new FleetList([], [])
 
   /** The list with older starts left out. The newest start, if it was listed before, stays in their place. */
   take (list: FleetList): FleetList {
     list.upstreams.forEach((upstream) => this.#note(upstream))
     const taken = list.upstreams.some((upstream) => this.#isOlder(upstream)) ? this.#withoutOlder(list) : list
-    this.#listed = new Map(taken.upstreams.map((upstream) => [instanceOf(upstream), upstream]))
+    this.#listed = taken
     return taken
   }
 
@@ -27,7 +27,7 @@
     const instances = new Set(current.map(instanceOf))
     const kept = upstreams
       .filter((upstream) => this.#isOlder(upstream) && !instances.has(instanceOf(upstream)))
-      .flatMap((upstream) => this.#listed.get(instanceOf(upstream)) ?? [])
+      .flatMap((upstream) => this.#listed.upstreams.find((known) => instanceOf(known) === instanceOf(upstream)) ?? [])
     return new FleetList(boxes, [...current, ...new Set(kept)])
   }
 
@@ -35,9 +35,10 @@
     const { startedAtMs } = upstream
     if (startedAtMs === undefined) return
     const instance = instanceOf(upstream)
-    const newestMs = Math.max(startedAtMs, this.#startedAtMs.get(instance) ?? startedAtMs)
+    const newestMs = this.#startedAtMs.get(instance)
+    if (newestMs !== undefined && newestMs >= startedAtMs) return
     this.#startedAtMs.delete(instance)
-    this.#startedAtMs.set(instance, newestMs)
+    this.#startedAtMs.set(instance, startedAtMs)
     if (this.#startedAtMs.size > MAX_REMEMBERED) this.#startedAtMs.delete(this.#startedAtMs.keys().next().value as string)
   }
 
