feat(request.quarantine): what becomes of upstreams whose answers break off is told, with the request that ran

Cause: of an incident the logs could not tell whether the same request came again, whether an engine had ended or only a connection, and who ran there. Change: attempts of one request have an identity (hashes of content and caller), and after an answer has broken off the upstream's address is looked at once; line runBrokeOff, counter. No decision uses it yet. Ruled out: the engine's report (services have none), the list (it tells after three heartbeats). Tests: identity, probe, one look for 64 runs that end together, no line for a run that was ended here. The fakes can end an upstream under a request that is relayed.

--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -4,10 +4,11 @@
 import { Verdict } from '@reelspan/core.error'
 import { Collection, type CompletionRequest, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
 import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
-import { EngineModel, type EngineModelOptions, FakeEngineClient, FakeNetwork, FakePlatformReader, FakeServiceClient, type NodeClock, PlatformModel, publishFleet, type PublishedEntry, SeededRandom, ServiceModel, tuulDeclarations, tuulFleet, VirtualClock } from '@reelspan/utils.fakes'
+import { EngineModel, type EngineModelOptions, FakeEngineClient, FakeNetwork, FakePlatformReader, FakeRelayClient, FakeServiceClient, FakeUpstreamProbe, type NodeClock, PlatformModel, publishFleet, type PublishedEntry, RelayedUpstreams, SeededRandom, ServiceModel, tuulDeclarations, tuulFleet, VirtualClock } from '@reelspan/utils.fakes'
 import { Metrics } from '@reelspan/telemetry.metrics'
-import { EngineRole } from '@reelspan/upstream.client'
+import { EngineRole, type RelayedRequest } from '@reelspan/upstream.client'
 import { collectAnswer, type Outcome } from './collectAnswer.js'
+import { KeepingCaller } from './keepingCaller.js'
 import { SilentLog } from './silentLog.js'
 
 export interface FakeFleetOptions {
@@ -34,6 +35,9 @@
   killed: AbortController
 }
 
+/** An upstream whose process has ended is back after this time, as the users' are. */
+const BACK_AFTER_MS = 3500
+
 /** Platform, upstreams and boxes in one program. */
 export class FakeFleet {
   readonly clock = new VirtualClock()
@@ -42,6 +46,8 @@
   readonly platform: PlatformModel
   readonly engines = new Map<string, EngineModel>()
   readonly services = new Map<string, ServiceModel>()
+  /** What relayed requests do at upstreams. */
+  readonly relayed: RelayedUpstreams
   readonly boxes: FakeBox[] = []
   readonly #opts: FakeFleetOptions
   readonly #pastEngines: EngineModel[] = []
@@ -54,6 +60,7 @@
     this.random = new SeededRandom(opts.seed ?? 1)
     this.network = new FakeNetwork({ clock: this.clock, random: this.random })
     this.platform = new PlatformModel(this.clock)
+    this.relayed = new RelayedUpstreams({ clock: this.clock, isThere: (address) => this.#isThere(address), end: (address) => { void this.#crashAt(address) } })
     const { boxes, upstreams } = opts.deployment ?? tuulFleet()
     this.#deployment = { boxes: boxes.slice(0, opts.boxCount ?? boxes.length), upstreams }
     this.#deployment.upstreams.forEach(({ name, kind, pool }, i) => this.#addUpstream(name, kind, pool, `10.1.0.${i + 1}:80`))
@@ -113,6 +120,8 @@
       platform: new FakePlatformReader({ clock, platform: this.platform, address }),
       engines: new FakeEngineClient({ ...channel, models: this.engines }),
       services: new FakeServiceClient({ ...channel, models: this.services }),
+      probe: new FakeUpstreamProbe({ ...channel, isThere: (upstream) => this.#isThere(upstream) }),
+      relayClient: new FakeRelayClient({ ...channel, upstreams: this.relayed }),
       log,
       metrics,
     })
@@ -143,6 +152,11 @@
     this.#addEngine(name, role, this.address(name))
   }
 
+  /** The upstream's process ends, and with it all that runs there. Another one starts at its address after a while. */
+  async crash (name: string): Promise<void> {
+    await this.#crashAt(this.address(name))
+  }
+
   /** Nothing passes between a box and anything else. */
   cutOff (name: string): void {
     this.everyAddress().filter((address) => address !== this.address(name)).forEach((address) => this.network.cutBoth(this.address(name), address))
@@ -232,6 +246,32 @@
     await this.clock.run(Promise.all(this.liveBoxes().map(({ box }) => box.stop())))
   }
 
+  /** Relays a request through a box, and answers what its caller got. */
+  async relay (boxName: string, request: Partial<RelayedRequest> & Pick<RelayedRequest, 'id' | 'host' | 'target'>, deadlineMs?: number): Promise<KeepingCaller> {
+    const caller = new KeepingCaller()
+    const { box, killed } = this.box(boxName)
+    killed.signal.addEventListener('abort', () => caller.cut(), { once: true })
+    const prompt = { model: 'draft', promptTokens: 500, maxTokens: 40, prefixes: [{ digest: request.target, tokens: 500 }] }
+    await box.relay({ method: 'POST', headers: [], body: Buffer.from('body'), callerAddress: '10.9.0.1', prompt, ...request }, caller, deadlineMs)
+    return caller
+  }
+
+  #isThere (address: string): boolean {
+    return this.engines.has(address) || this.services.has(address)
+  }
+
+  async #crashAt (address: string): Promise<void> {
+    const engine = this.engines.get(address)
+    const service = this.services.get(address)
+    if (engine) this.killEngine(engine.name)
+    this.services.delete(address)
+    engine?.crash()
+    this.relayed.breakOff(address)
+    await this.clock.sleep(BACK_AFTER_MS)
+    if (engine) this.#addEngine(engine.name, engine.role, address)
+    if (service) this.services.set(address, new ServiceModel({ clock: this.clock, name: service.name }))
+  }
+
   #settings (name: string, availabilityZone: string, address: string): Settings {
     return settingsSchema.parse({
       ...this.#opts.settings,
--- a/__utils__/fakes/src/engineModel.ts
+++ b/__utils__/fakes/src/engineModel.ts
@@ -37,6 +37,8 @@
   loadModelMs?: number
   /** Called when the engine has come to another role. */
   onRole?: (role: EngineRole) => void
+  /** Called when the engine begins to decode a request. */
+  onRun?: (engine: string, prompt: string) => void
 }
 
 /** What can be made to go wrong. */
@@ -188,6 +190,13 @@
     })
   }
 
+  /** The process ends: every answer under way breaks off. */
+  crash (): void {
+    const running = [...this.#streams.values()].map(({ label }) => label)
+    const queued = [...this.#queue, ...this.#computing ? [this.#computing.prefill] : []].map(({ request }) => request.label);
+    [...running, ...queued].forEach((label) => this.release(label))
+  }
+
   report (): EngineReport {
     this.#expireResults()
     const nowMs = this.#opts.clock.nowMs()
@@ -307,6 +316,7 @@
       throw thrown
     }
     stream.importing = false
+    this.#opts.onRun?.(this.name, stream.prompt)
     if (!this.#stepping) void this.#step()
     return stream
   }
--- a/__utils__/fakes/src/fakeClients.ts
+++ b/__utils__/fakes/src/fakeClients.ts
@@ -2,7 +2,7 @@
 import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type Collection, type HoldLabel } from '@reelspan/core.messages'
-import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type PrefillRequest, type PrefillResult, ServiceClient, type ServiceCall, type ServiceReply, type UpstreamCallOptions, UpstreamError } from '@reelspan/upstream.client'
+import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type PrefillRequest, type PrefillResult, ServiceClient, type ServiceCall, type ServiceReply, type UpstreamCallOptions, UpstreamError, UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
 import { orAborted } from './orAborted.js'
 import { type EngineModel } from './engineModel.js'
 import { type FakeNetwork } from './fakeNetwork.js'
@@ -121,6 +121,33 @@
   }
 }
 
+export interface FakeUpstreamProbeOptions {
+  clock: NodeClock
+  network: FakeNetwork
+  /** Address of the process that looks. */
+  address: string
+  /** Whether an upstream's process runs at an address. */
+  isThere: (address: string) => boolean
+}
+
+export class FakeUpstreamProbe extends UpstreamProbe {
+  readonly #opts: FakeUpstreamProbeOptions
+
+  constructor (opts: FakeUpstreamProbeOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  async look (address: string): Promise<UpstreamPresence> {
+    const { clock, network, address: from, isThere } = this.#opts
+    await clock.whileRunning()
+    const arrived = await network.travel(from, address) && await network.travel(address, from)
+    await clock.whileRunning()
+    if (!arrived) return UpstreamPresence.Silent
+    return isThere(address) ? UpstreamPresence.Listens : UpstreamPresence.Refuses
+  }
+}
+
 export interface FakePlatformReaderOptions {
   clock: Clock
   platform: PlatformModel
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -6,6 +6,7 @@
 import { type MembershipView } from '@reelspan/membership.view'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
+import { type BrokenRuns } from '@reelspan/request.quarantine'
 import { type RecordStore } from '@reelspan/request.records'
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
@@ -40,6 +41,7 @@
   connectionShares: ConnectionShares
   followers: Record<Collection, ConfigFollower>
   prober: Prober
+  brokenRuns: BrokenRuns
   records: RecordStore
   placer: Placer
   owner: Owner
@@ -55,8 +57,8 @@
 }
 
 /** What the parts of a box get from outside, without the parts. */
-export function environmentOf ({ settings, clock, random, link, platform, engines, services, log, metrics }: BoxParts): BoxEnvironment {
-  return { settings, clock, random, link, platform, engines, services, log, metrics }
+export function environmentOf ({ settings, clock, random, link, platform, engines, services, probe, log, metrics }: BoxParts): BoxEnvironment {
+  return { settings, clock, random, link, platform, engines, services, probe, log, metrics }
 }
 
 /** Peer addresses of boxes that the platform lists or the settings name, without this one's. */
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -4,6 +4,7 @@
 import { answerLookup } from '@reelspan/request.lookup'
 import { Owner } from '@reelspan/request.owner'
 import { Relay } from '@reelspan/request.relay'
+import { BrokenRuns } from '@reelspan/request.quarantine'
 import { RecordStore } from '@reelspan/request.records'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
@@ -43,6 +44,7 @@
     connectionShares: asFunction(createConnectionShares).singleton(),
     followers: asFunction(createFollowers).singleton(),
     prober: asFunction(createProber).singleton(),
+    brokenRuns: asFunction((parts: BoxParts) => new BrokenRuns(parts)).singleton(),
     records: asFunction(createRecords).singleton(),
     placer: asFunction(createPlacer).singleton(),
     owner: asFunction(createOwner).singleton(),
@@ -115,6 +117,7 @@
   return new Owner({
     ...environmentOf(parts),
     placer: parts.placer,
+    brokenRuns: parts.brokenRuns,
     records: parts.records,
     standing: () => view.self,
     configuration: () => declarations.value,
@@ -145,6 +148,7 @@
     random,
     upstreams: relayClient,
     placer,
+    brokenRuns: parts.brokenRuns,
     configuration: () => declarations.value,
     configured: (signal) => declarations.waitAbove(0, signal),
     fleet: () => fleet.value,
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -7,6 +7,7 @@
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
 import { closeServers, listenAt, LoopDelay, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
+import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
 import { BunyanLog, LogEvent } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
 
@@ -46,6 +47,7 @@
     platform: new HttpPlatformReader({ clock, addresses: platform.addresses, timeoutMs: PLATFORM_TIMEOUT_MS }),
     engines: new HttpEngineClient(),
     services: new HttpServiceClient(),
+    probe: new TcpUpstreamProbe({ clock }),
     log: boxLog,
     metrics,
   })
--- /dev/null
+++ b/net/upstream-probe/src/index.ts
@@ -0,0 +1,2 @@
+export { TcpUpstreamProbe } from './tcpUpstreamProbe.js'
+export type { TcpUpstreamProbeOptions } from './tcpUpstreamProbe.js'
--- /dev/null
+++ b/net/upstream-probe/test/tcpUpstreamProbe.ts
@@ -0,0 +1,17 @@
+import { once } from 'node:events'
+import { type AddressInfo, createServer } from 'node:net'
+import { SystemClock } from '@reelspan/net.system-env'
+import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
+import { UpstreamPresence } from '@reelspan/upstream.client'
+import test from 'ava'
+
+test('an upstream that listens and one whose process has ended are told apart', async (t) => {
+  const probe = new TcpUpstreamProbe({ clock: new SystemClock() })
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  t.is(await probe.look(address), UpstreamPresence.Listens)
+  server.close()
+  await once(server, 'close')
+  t.is(await probe.look(address), UpstreamPresence.Refuses)
+})
--- /dev/null
+++ b/request/identity/src/index.ts
@@ -0,0 +1,2 @@
+export { identityOfRelayed, identityOfRouted } from './requestIdentity.js'
+export type { RequestIdentity } from './requestIdentity.js'
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -4,6 +4,8 @@
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { hash32, prefixDigests, tokensOfText } from '@reelspan/core.hashing'
 import { AnswerEventKind, type CompletionRequest, type HoldLabel, type PlacementPlan, type PlacementRefusal, type PlacementReport, sameHolder } from '@reelspan/core.messages'
+import { identityOfRouted } from '@reelspan/request.identity'
+import { type BrokenRuns } from '@reelspan/request.quarantine'
 import { type Placement, type Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type EngineClient, type PrefillResult, UpstreamError } from '@reelspan/upstream.client'
 import { percentile } from './percentile.js'
@@ -18,6 +20,8 @@
   configuration: () => Configuration
   fleet: () => FleetList
   upstreamTimeoutMs: number
+  /** Told of answers of upstreams that broke off. */
+  brokenRuns: BrokenRuns
 }
 
 /** Breaks of one decode stream that are mended by taking it up again. */
@@ -162,7 +166,7 @@
   async #prefill (label: HoldLabel, plan: PlacementPlan): Promise<PrefillResult> {
     const { engines } = this.#opts
     const request = { label, model: this.#request.model, prompt: this.#promptSoFar(), priority: this.#request.priority }
-    const result = await this.#blame(plan.prefillEngine, () =>
+    const result = await this.#blame(plan.prefillEngine, plan.prefillAddress, () =>
       this.#run.dispatch(() => engines.prefill(plan.prefillAddress, request, this.#callOptions())))
     this.#timings.prefilledTokens += result.promptTokens - result.cachedTokens
     if (!sameHolder(result.label, label)) throw new UpstreamError(`${plan.prefillEngine} answered another request`, { mayHaveRun: true })
@@ -197,7 +201,7 @@
       firstIndex,
     }
     let ended = false
-    await this.#blame(plan.decodeEngine, async () => {
+    await this.#blame(plan.decodeEngine, plan.decodeAddress, async () => {
       for await (const event of engines.decode(plan.decodeAddress, request, this.#callOptions())) {
         if (!sameHolder(event.label, label)) throw new UpstreamError(`${plan.decodeEngine} sent a part of another answer`, { mayHaveRun: true })
         if (event.end) {
@@ -239,15 +243,22 @@
   }
 
   /** Remembers an engine that failed, so that the next attempt goes elsewhere. */
-  async #blame<T> (engine: string, work: () => Promise<T>): Promise<T> {
+  async #blame<T> (engine: string, address: string, work: () => Promise<T>): Promise<T> {
+    const sentAtMs = this.#opts.clock.nowMs()
     try {
       return await work()
     } catch (thrown) {
       if (thrown instanceof UpstreamError) this.#failedEngines.add(engine)
+      if (thrown instanceof UpstreamError && thrown.brokeOff && !this.#run.signal.aborted) this.#noteBreak(engine, address, sentAtMs, thrown)
       throw thrown
     }
   }
 
+  #noteBreak (upstream: string, address: string, sentAtMs: number, { message: reason }: UpstreamError): void {
+    const { key, route } = this.#request
+    void this.#opts.brokenRuns.note({ request: key, route, identity: identityOfRouted(this.#request), upstream, address, sentAtMs, reason })
+  }
+
   /** Frees both engines without waiting. What does not get through is found by the scheduler's sweep. */
   #releaseEngines (label: HoldLabel, plan: PlacementPlan): void {
     const { engines, upstreamTimeoutMs } = this.#opts
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -6,6 +6,7 @@
 import { RequestKind, type RoutedRequest } from '@reelspan/core.messages'
 import { type EngineClient, type ServiceClient } from '@reelspan/upstream.client'
 import { parseRequestKey } from '@reelspan/request.key'
+import { type BrokenRuns } from '@reelspan/request.quarantine'
 import { type RecordStore, type RequestRecord } from '@reelspan/request.records'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { CompletionRun } from './completionRun.js'
@@ -41,6 +42,8 @@
   /** How long a request without readers goes on, so that its caller can come back. */
   rejoinGraceMs: number
   upstreamTimeoutMs: number
+  /** Told of answers of upstreams that broke off. */
+  brokenRuns: BrokenRuns
   /** When most watched peers last answered. */
   lastContactMs: () => number
   hasPeers: () => boolean
--- /dev/null
+++ b/request/quarantine/src/index.ts
@@ -0,0 +1,2 @@
+export { BrokenRuns } from './brokenRuns.js'
+export type { BrokenRun, BrokenRunsOptions } from './brokenRuns.js'
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -4,9 +4,10 @@
 import { percentile } from '@reelspan/request.owner'
 import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type PrefillSource, type PromptSizes, type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
+import { type PrefillSource, type PromptSizes, type RelayAnswer, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { dropAnswer } from './dropAnswer.js'
 import { EventProgress } from './eventProgress.js'
+import { notingBreak, type SendingWork } from './notingBreak.js'
 import { type AnswerTimes } from './passAnswer.js'
 import { passEvents } from './passEvents.js'
 import { type RelayContext } from './relayContext.js'
@@ -192,8 +193,8 @@
     const { opts, run, request } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const patienceMs = PREFILL_PATIENCE_MS + PREFILL_PATIENCE * plan.expectedTtftMs
-    const { handle } = await this.#blame(plan.prefillEngine, () => this.#unlessSilent(patienceMs, ({ signal }) =>
-      opts.upstreams.prefill(target, request, { signal, deadlineMs: run.leftMs })))
+    const { handle } = await this.#blame(target, (onSend) => this.#unlessSilent(patienceMs, ({ signal }) =>
+      opts.upstreams.prefill(target, request, { signal, deadlineMs: run.leftMs, onSend })))
     this.#note(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
   }
@@ -244,14 +245,18 @@
     // An engine that reads the prompt first is silent for that time as well.
     const readMs = source === undefined ? PREFILL_PATIENCE * plan.expectedTtftMs : 0
     const patienceMs = this.#isRepeatable() ? DECODE_PATIENCE * route.spec.tbtTargetMs + readMs : Number.POSITIVE_INFINITY
-    await this.#blame(plan.decodeEngine, () => this.#unlessSilent(patienceMs, (watch) => this.#notingBreaks(watch, async () => {
-      const answer = await sendToUpstream(this.#context, { instance: plan.decodeEngine, address: plan.decodeAddress }, {
+    const target = { instance: plan.decodeEngine, address: plan.decodeAddress }
+    await this.#blame(target, (onSend) => this.#unlessSilent(patienceMs, (watch) => this.#notingBreaks(watch, async () => {
+      const answer = await sendToUpstream(this.#context, target, {
         signal: watch.signal,
         deadlineMs: run.leftMs,
         source,
         urgency: route.spec.urgency,
         resumeAfter: this.#progress.lastId ?? request.resumeAfter,
-        onSend: () => { sent = true },
+        onSend: () => {
+          sent = true
+          onSend()
+        },
       })
       watch.heard()
       await this.#judge(plan, answer, placement, times, watch)
@@ -303,9 +308,10 @@
   }
 
   /** Remembers an engine that failed, so that the next attempt goes elsewhere. */
-  async #blame<T> (engine: string, work: () => Promise<T>): Promise<T> {
+  async #blame<T> (target: RelayTarget, work: SendingWork<T>): Promise<T> {
+    const engine = target.instance
     try {
-      return await work()
+      return await notingBreak(this.#context, target, work)
     } catch (thrown) {
       if (thrown instanceof UpstreamError && !this.#context.run.signal.aborted) {
         this.#failed.add(engine)
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -5,6 +5,7 @@
 import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
 import { type AnswerTimes, passAnswer } from './passAnswer.js'
 import { dropAnswer } from './dropAnswer.js'
+import { notingBreak } from './notingBreak.js'
 import { type RelayContext } from './relayContext.js'
 import { sendToUpstream } from './sendToUpstream.js'
 
@@ -49,12 +50,15 @@
     const { opts: { clock }, picker, decided, run, route } = this.#context
     const startedAtMs = clock.nowMs()
     picker.noteStart(upstream.name)
+    const target = { instance: upstream.name, address: upstream.address }
     try {
-      const answer = await this.#send(upstream, attempt)
-      picker.noteTime(upstream.name, clock.nowMs() - startedAtMs)
-      decided(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, atMs: Math.round(run.elapsedMs) })
-      await this.#judge(upstream, answer, attempt, times)
-      this.#note(upstream, answer.status >= FIRST_SERVER_ERROR ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
+      await notingBreak(this.#context, target, async (onSend) => {
+        const answer = await this.#send(upstream, attempt, onSend)
+        picker.noteTime(upstream.name, clock.nowMs() - startedAtMs)
+        decided(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, atMs: Math.round(run.elapsedMs) })
+        await this.#judge(upstream, answer, attempt, times)
+        this.#note(upstream, answer.status >= FIRST_SERVER_ERROR ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
+      })
     } catch (thrown) {
       if (!run.signal.aborted && thrown instanceof UpstreamError) {
         // One that is full turns calls away at once. Its next calls would wait about as long as a call may take.
@@ -67,12 +71,15 @@
     }
   }
 
-  #send (upstream: ListedUpstream, attempt: number): Promise<RelayAnswer> {
+  #send (upstream: ListedUpstream, attempt: number, onSend: () => void): Promise<RelayAnswer> {
     const { run } = this.#context
     return sendToUpstream(this.#context, { instance: upstream.name, address: upstream.address }, {
       signal: this.#attemptSignal(upstream, attempt),
       deadlineMs: run.leftMs,
-      onSend: () => { this.#sent++ },
+      onSend: () => {
+        this.#sent++
+        onSend()
+      },
     })
   }
 
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -1,11 +1,12 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, Configuration, ResourceKind } from '@reelspan/config.resources'
 import { type EngineOutcome, type FinalAnswer, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
+import { BrokenRuns } from '@reelspan/request.quarantine'
 import { Relay, RelayCaller, type RelayOptions } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
-import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
+import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
 /** What a scripted upstream does with one request. */
@@ -169,6 +170,15 @@
   }
 }
 
+/** Upstreams that have ended refuse connections; all others listen. */
+class ScriptedProbe extends UpstreamProbe {
+  readonly ended = new Set<string>()
+
+  async look (address: string): Promise<UpstreamPresence> {
+    return this.ended.has(address) ? UpstreamPresence.Refuses : UpstreamPresence.Listens
+  }
+}
+
 class KeptLog extends Log {
   readonly entries: { event: LogEvent, fields?: LogFields }[] = []
 
@@ -213,6 +223,8 @@
   const upstreams = new ScriptedUpstreams(clock, scripts)
   const placer = new FixedPlacer()
   const log = new KeptLog()
+  const probe = new ScriptedProbe()
+  const metrics = new Metrics()
   const { configuration, problems } = checkResources(declared(computesPrompts).map((one) => ({ ...one, revision: 1 })), 1)
   if (problems.length > 0) throw new Error(JSON.stringify(problems))
   const desk = services.map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
@@ -229,12 +241,13 @@
     standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16), availabilityZone: 'a' }),
     boxCount: () => 1,
     onTaskError,
+    brokenRuns: new BrokenRuns({ clock, probe, log, metrics }),
     retriesPerRequest: 0,
     retryBurst,
     log,
-    metrics: new Metrics(),
+    metrics,
   })
-  return { clock, relay, upstreams, placer, log, engines }
+  return { clock, relay, upstreams, placer, probe, log, engines }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
@@ -245,6 +258,7 @@
     target: path,
     headers: ['Host', 'desk.example'],
     body: new Uint8Array([1]),
+    callerAddress: '10.9.0.1',
     prompt: { model: 'm', promptTokens: 1000, maxTokens: 100, prefixes: [{ digest: 'own', tokens: 1000 }] },
     ...over,
   }
--- a/request/relay/test/requestEnded.ts
+++ b/request/relay/test/requestEnded.ts
@@ -1,6 +1,6 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import test from 'ava'
-import { answers, createRelay, RecordingCaller, requestTo, silent } from './__utils__/createRelay.js'
+import { answers, breaksOff, createRelay, RecordingCaller, refuses, requestTo, silent } from './__utils__/createRelay.js'
 
 function endOf ({ log }: ReturnType<typeof createRelay>) {
   return log.entries.find(({ event }) => event === LogEvent.RequestEnded)?.fields
@@ -40,3 +40,25 @@
   t.not(first, other)
   t.notRegex(first, /own-part|undefined/)
 })
+
+test('a run that broke off is told of, with what its attempts have in common', async (t) => {
+  const { clock, relay, probe, log } = createRelay([breaksOff(200, ['id: 0\ndata: a\n\n']), breaksOff(200, [])])
+  probe.ended.add('10.0.1.1:1')
+  await clock.run(relay.relay(requestTo('/draft/1', { id: 'first' }), new RecordingCaller()))
+  await clock.run(relay.relay(requestTo('/draft/1', { id: 'second' }), new RecordingCaller()))
+  await clock.advance(10)
+  const told = log.entries.filter(({ event }) => event === LogEvent.RunBrokeOff).map(({ fields }) => fields)
+  t.like(told, [{ request: 'first', upstream: 'd1', presence: 'refuses' }, { request: 'second', upstream: 'd2', presence: 'listens' }])
+  t.is(told[0]?.contentHash, told[1]?.contentHash)
+})
+
+test('a run that was ended here, or never sent, is not told of as broken off', async (t) => {
+  const { clock, relay, log } = createRelay([silent(), refuses(), refuses(), refuses()])
+  const caller = new RecordingCaller()
+  const ended = relay.relay(requestTo('/draft/1'), caller)
+  await clock.advance(100)
+  caller.left.abort()
+  await clock.run(ended)
+  await clock.run(relay.relay(requestTo('/fetch/1'), new RecordingCaller()))
+  t.deepEqual(log.entries.filter(({ event }) => event === LogEvent.RunBrokeOff), [])
+})
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -34,6 +34,8 @@
   RequestSent = 'requestSent',
   RequestRetried = 'requestRetried',
   HandleLeft = 'handleLeft',
+  /** An upstream's answer to a request broke off, and what was then found at its address. */
+  RunBrokeOff = 'runBrokeOff',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
   EngineCallFailed = 'engineCallFailed',
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -26,6 +26,8 @@
   prompt?: PromptSizes
   /** Number of the last event that the caller has of an earlier attempt's answer. */
   resumeAfter?: string
+  /** Where the caller is: its IP number. */
+  callerAddress: string
 }
 
 /** One incarnation of an upstream. Any other one at the address refuses the request unrun. */
--- a/upstream/client/src/upstreamError.ts
+++ b/upstream/client/src/upstreamError.ts
@@ -18,6 +18,11 @@
   /** The upstream answered that it ran the request and failed. */
   readonly failed: boolean
 
+  /** The upstream was sent the request, and its answer broke off or did not come. */
+  get brokeOff (): boolean {
+    return this.verdict === Verdict.MayHaveRun && !this.refused && !this.failed
+  }
+
   constructor (message: string, { mayHaveRun, refused, unreachable, failed, cause }: UpstreamErrorOptions) {
     super(ErrorCode.UpstreamFailed, message, {
       verdict: mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun,
