--- /dev/null
+++ b/box/runtime/test/__utils__/crashingRequests.ts
@@ -0,0 +1,83 @@
+import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
+import { ResourceKind } from '@reelspan/config.resources'
+import { Collection } from '@reelspan/core.messages'
+import { FakeFleet, type KeepingCaller } from '@reelspan/utils.fake-fleet'
+import { type BoxPlace, tuulDeclarations, type UpstreamPlace } from '@reelspan/utils.fakes'
+
+export const HOST = 'drafts.example'
+/** As on the users' platform. */
+const SETTINGS = {
+  platform: { watchWaitMs: 2000, longestBackoffMs: 700, watchersPerAvailabilityZone: 4, backstopPollMs: 40_000 },
+  membership: { probePeriodMs: 700, probeTimeoutMs: 300 },
+  relay: { retriesPerRequest: 0.14, retryBurst: 40 },
+}
+const ZONES = ['hall-a', 'hall-b', 'hall-c']
+const PREFILL_ENGINES = 4
+const DECODE_ENGINES = 14
+const SERVICES = 5
+/** Boxes have heard of what happened this long ago, as the users count it. */
+export const CONTACT_MS = 3000
+/** Attempts under which upstreams may end after that. */
+export const MOST_AFTERWARDS = 3
+
+const ROUTES = [
+  { kind: ResourceKind.Route, name: 'draft', spec: { host: HOST, pathPrefix: '/draft/', targets: [{ model: 'draft' }], streaming: true, notRepeatable: true, maxAttempts: 1, deadlineMs: 14_000, ttftTargetMs: 900, tbtTargetMs: 300 } },
+  { kind: ResourceKind.Route, name: 'reply', spec: { host: HOST, pathPrefix: '/reply/', targets: [{ model: 'draft' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 14_000, ttftTargetMs: 900, tbtTargetMs: 300 } },
+  { kind: ResourceKind.Route, name: 'status', spec: { host: HOST, pathPrefix: '/status/', targets: [{ pool: 'script-desk' }], maxAttempts: 2, deadlineMs: 2500, ttftTargetMs: 900 } },
+]
+
+function places (boxCount: number): { boxes: BoxPlace[], upstreams: UpstreamPlace[] } {
+  const zone = (i: number) => ZONES[i % ZONES.length]
+  const some = (count: number, name: string, kind: UpstreamKind, pool: string) => Array.from({ length: count }, (_, i): UpstreamPlace => ({ name: `${name}-${i + 1}`, kind, pool, availabilityZone: zone(i) }))
+  return {
+    boxes: Array.from({ length: boxCount }, (_, i) => ({ name: `box-${i + 1}`, availabilityZone: zone(i) })),
+    upstreams: [
+      ...some(PREFILL_ENGINES, 'prefill', UpstreamKind.Engine, 'draft-prefill'),
+      ...some(DECODE_ENGINES, 'decode', UpstreamKind.Engine, 'draft-decode'),
+      ...some(SERVICES, 'desk', UpstreamKind.Service, 'script-desk'),
+    ],
+  }
+}
+
+/** A deployment with a stream that may go on elsewhere, one that may not, and a repeatable call; targets that contain `ends` end the upstreams that run them. */
+export async function startFleet ({ seed = 1, boxCount = 8 } = {}): Promise<FakeFleet> {
+  const fleet = new FakeFleet({ seed, deployment: places(boxCount), declarations: [...tuulDeclarations(), ...ROUTES], settings: SETTINGS })
+  fleet.relayed.endsUpstream = ({ target }) => target.includes('ends')
+  await fleet.start()
+  await fleet.clock.advance(2000)
+  return fleet
+}
+
+export interface RepeatOptions {
+  target: string
+  times: number
+  everyMs: number
+  callerAddress?: string
+  /** Boxes that the caller may use; all without. */
+  boxes?: readonly string[]
+}
+
+/** A caller sends the same request again and again, each time under a new id at a box of its choice. */
+export async function repeat (fleet: FakeFleet, { target, times, everyMs, callerAddress = '10.9.0.1', boxes }: RepeatOptions): Promise<KeepingCaller[]> {
+  const callers: KeepingCaller[] = []
+  for (let i = 0; i < times; i++) {
+    const names = boxes ?? fleet.liveBoxes().map(({ name }) => name)
+    const [box] = fleet.random.sample(names, 1)
+    void fleet.relay(box, { id: `${target}#${callerAddress}#${i}`, host: HOST, target, callerAddress }).then((caller) => callers.push(caller))
+    await fleet.clock.advance(everyMs)
+  }
+  return callers
+}
+
+/** Attempts at a target that reached upstreams though boxes could have known that it had ended three. */
+export function attemptsTooMany ({ relayed }: FakeFleet, target: string): string[] {
+  const third = relayed.endedUnder.filter((ended) => ended.target === target)[2]
+  if (!third) return []
+  const late = relayed.arrivals.filter((arrival) => arrival.target === target && arrival.sentAtMs > third.atMs + CONTACT_MS)
+  return [...new Set(late.map(({ id }) => id))]
+}
+
+/** An upstream's entry goes from the list. */
+export function unlist (fleet: FakeFleet, name: string): void {
+  fleet.platform.publish(Collection.Fleet, [{ kind: FleetEntryKind.Upstream, name, spec: null }])
+}
