fix(request.quarantine): a request that ends the upstreams that run it is not run any more, at any box

Cause: what is learnt from a failure was filed under the engine and ended with its start; of a request nothing outlived its attempt, so each repeat, under a new id and mostly at another box, was placed like a first one. Ruled out: the box sending it on by itself (one placement an id), engines that fail by themselves (20 of 22 ends under two requests). Tests: both sides (a bystander, another caller's same path and body, copies that lose power together are served), cuts, lost news, restarts, flood, any order of news (property).

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -165,7 +165,7 @@
 
   /** The whole state of the process. */
   describe () {
-    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, settings } = this.#parts
+    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, settings } = this.#parts
     return {
       self: view.self,
       ready: this.#ready,
@@ -178,6 +178,7 @@
       relay: relay?.describe(),
       placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
       shards: keepers.describe(),
+      quarantine: { requests: quarantine.size, runsKnown: runHistory.size },
       callersBeingServed: this.#callersBeingServed,
     }
   }
@@ -195,11 +196,11 @@
 
   /** Stops at once. What runs gets its verdict. */
   async stop (): Promise<void> {
-    const { prober, followers, keepers, owner, relay, link, log } = this.#parts
+    const { prober, followers, keepers, owner, relay, runGossip, link, log } = this.#parts
     this.#stopping = true
     const requestsCut = this.#callersBeingServed
     await Promise.all([owner.stop(), relay?.stop()])
-    await Promise.all([this.#tasks.stop(), prober.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
+    await Promise.all([this.#tasks.stop(), prober.stop(), runGossip.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
     log.info(LogEvent.Stopped, { requestsCut })
   }
 
@@ -257,10 +258,15 @@
     const { clock, fleet, fleetList, log } = this.#parts
     await clock.sleep(REENTRY_MS, { signal: this.#tasks.signal })
     log.info(LogEvent.EntriesKept, { gone: fleet.missing })
-    this.#fleetChanges.note(fleetList.revision)
+    this.#noteFleet(fleetList.revision)
     this.#reconcile()
   }
 
+  #noteFleet (revision: number): void {
+    this.#fleetChanges.note(revision)
+    this.#parts.brokenRuns.noteFleet()
+  }
+
   #reconcile (): void {
     const { declarations, keepers, settings } = this.#parts
     this.#ready = declarations.revision > 0
@@ -276,7 +282,7 @@
       if (this.#tasks.stopped) return
       beliefAges.noteAdopted(collection)
       log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
-      if (collection === Collection.Fleet) this.#fleetChanges.note(store.revision)
+      if (collection === Collection.Fleet) this.#noteFleet(store.revision)
       this.#reconcile()
       this.#tasks.run(() => prober.tellRevisionsSoon())
     }
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -6,7 +6,7 @@
 import { type MembershipView } from '@reelspan/membership.view'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
-import { type BrokenRuns } from '@reelspan/request.quarantine'
+import { type BrokenRuns, type Quarantine, type RunGossip, type RunHistory } from '@reelspan/request.quarantine'
 import { type RecordStore } from '@reelspan/request.records'
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
@@ -42,6 +42,10 @@
   followers: Record<Collection, ConfigFollower>
   prober: Prober
   brokenRuns: BrokenRuns
+  /** Runs that ended with their upstreams, at any box. */
+  runHistory: RunHistory
+  runGossip: RunGossip
+  quarantine: Quarantine
   records: RecordStore
   placer: Placer
   owner: Owner
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -4,7 +4,7 @@
 import { answerLookup } from '@reelspan/request.lookup'
 import { Owner } from '@reelspan/request.owner'
 import { Relay } from '@reelspan/request.relay'
-import { BrokenRuns } from '@reelspan/request.quarantine'
+import { BrokenRuns, Quarantine, RunGossip, RunHistory } from '@reelspan/request.quarantine'
 import { RecordStore } from '@reelspan/request.records'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
@@ -44,7 +44,10 @@
     connectionShares: asFunction(createConnectionShares).singleton(),
     followers: asFunction(createFollowers).singleton(),
     prober: asFunction(createProber).singleton(),
-    brokenRuns: asFunction((parts: BoxParts) => new BrokenRuns(parts)).singleton(),
+    brokenRuns: asFunction(createBrokenRuns).singleton(),
+    runHistory: asFunction((parts: BoxParts) => new RunHistory(parts)).singleton(),
+    runGossip: asFunction(createRunGossip).singleton(),
+    quarantine: asFunction(createQuarantine).singleton(),
     records: asFunction(createRecords).singleton(),
     placer: asFunction(createPlacer).singleton(),
     owner: asFunction(createOwner).singleton(),
@@ -101,6 +104,8 @@
     inFlight: () => parts.owner.inFlight + (parts.relay?.inFlight ?? 0),
     platformAnswering: () => parts.platformContact.answering,
     onPlatformAnswering: (told) => parts.platformContact.hear(told),
+    runsDigest: () => parts.runHistory.size > 0 ? parts.runHistory.digest : undefined,
+    onPeerRunsDigest: (address, digest) => parts.runGossip.hear(address, digest),
     onTaskError: (thrown) => parts.failures.noteTask('prober', thrown),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
       parts.followers[collection].hear(address, revisions[collection])
@@ -112,12 +117,43 @@
   return new RecordStore({ clock, maxBytes: settings.requests.recordBytes, recordLifeMs: recordLifeMs(settings.requests) })
 }
 
+function createBrokenRuns (parts: BoxParts): BrokenRuns {
+  const { clock, probe, log, metrics, fleet } = parts
+  return new BrokenRuns({
+    clock,
+    probe,
+    log,
+    metrics,
+    fleet: () => fleet.value,
+    onUpstreamEnded: ({ identity, upstream, sentAtMs, brokeAtMs }) =>
+      parts.quarantine.noteUpstreamEnded(identity, upstream, { ranMs: brokeAtMs - sentAtMs, ageMs: clock.nowMs() - brokeAtMs }),
+  })
+}
+
+function createRunGossip (parts: BoxParts): RunGossip {
+  const { clock, link, runHistory } = parts
+  return new RunGossip({
+    clock,
+    link,
+    history: runHistory,
+    watchedAddresses: () => parts.prober.watchedAddresses(),
+    onAdded: (events) => parts.quarantine.noteAdded(events),
+    onTaskError: (thrown) => parts.failures.noteTask('runGossip', thrown),
+  })
+}
+
+function createQuarantine (parts: BoxParts): Quarantine {
+  const { clock, log, view, runHistory } = parts
+  return new Quarantine({ clock, log, history: runHistory, incarnation: () => view.self.incarnation, onEvent: (event) => parts.runGossip.tell([event]) })
+}
+
 function createOwner (parts: BoxParts): Owner {
   const { settings, view, declarations, fleet, log, metrics } = parts
   return new Owner({
     ...environmentOf(parts),
     placer: parts.placer,
     brokenRuns: parts.brokenRuns,
+    quarantine: parts.quarantine,
     records: parts.records,
     standing: () => view.self,
     configuration: () => declarations.value,
@@ -149,6 +185,7 @@
     upstreams: relayClient,
     placer,
     brokenRuns: parts.brokenRuns,
+    quarantine: parts.quarantine,
     configuration: () => declarations.value,
     configured: (signal) => declarations.waitAbove(0, signal),
     fleet: () => fleet.value,
@@ -188,6 +225,7 @@
     keepers: parts.keepers,
     owner: parts.owner,
     records: parts.records,
+    runGossip: parts.runGossip,
     lookup: parts.lookup,
     vouchHere: parts.vouchHere,
     describeForStatus: () => parts.keepers.describe(),
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -6,6 +6,7 @@
 import { parseRequestKey } from '@reelspan/request.key'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
+import { type RunGossip } from '@reelspan/request.quarantine'
 import { type RecordStore } from '@reelspan/request.records'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type ShardKeepers } from './shardKeepers.js'
@@ -17,6 +18,7 @@
   keepers: ShardKeepers
   owner: Owner
   records: RecordStore
+  runGossip: RunGossip
   lookup: (availabilityZone?: string) => LookupAnswer
   vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
   describeForStatus: () => unknown
@@ -32,7 +34,7 @@
   }
 
   async onCall (message: PeerMessage): Promise<PeerMessage> {
-    const { prober, stores, keepers, owner, lookup, vouchHere, describeForStatus } = this.#opts
+    const { prober, stores, keepers, owner, runGossip, lookup, vouchHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
         return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
@@ -56,6 +58,11 @@
         return this.#takeRecords(message)
       case MessageType.Lookup:
         return { type: MessageType.LookupAnswer, ...lookup(message.availabilityZone) }
+      case MessageType.RunsTell:
+        runGossip.take(message.events)
+        return DONE
+      case MessageType.RunsPull:
+        return { type: MessageType.RunsContent, events: runGossip.known() }
       case MessageType.StatusPull:
         return { type: MessageType.StatusContent, status: describeForStatus() }
       default:
--- a/box/runtime/src/registerBoxMetrics.ts
+++ b/box/runtime/src/registerBoxMetrics.ts
@@ -3,9 +3,11 @@
 
 /** Registers what a box tells of its own state in the metrics. */
 export function registerBoxMetrics (parts: BoxParts): void {
-  const { metrics, owner, log, beliefAges } = parts
+  const { metrics, owner, log, beliefAges, quarantine, runHistory } = parts
   metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
   metrics.gauge('reelspan_log_lines_dropped_total', () => log.droppedLines)
+  metrics.gauge('reelspan_requests_quarantined', () => quarantine.size)
+  metrics.gauge('reelspan_run_events_known', () => runHistory.size)
   metrics.gauges('reelspan_belief_age_ms', () => beliefAges.values())
   metrics.gauges('reelspan_retry_budget_left', () => retryBudgets(parts))
 }
--- a/box/runtime/test/__utils__/crashingRequests.ts
+++ b/box/runtime/test/__utils__/crashingRequests.ts
@@ -1,6 +1,5 @@
-import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { ResourceKind } from '@reelspan/config.resources'
-import { Collection } from '@reelspan/core.messages'
 import { FakeFleet, type KeepingCaller } from '@reelspan/utils.fake-fleet'
 import { type BoxPlace, tuulDeclarations, type UpstreamPlace } from '@reelspan/utils.fakes'
 
@@ -12,9 +11,9 @@
   relay: { retriesPerRequest: 0.14, retryBurst: 40 },
 }
 const ZONES = ['hall-a', 'hall-b', 'hall-c']
-const PREFILL_ENGINES = 4
-const DECODE_ENGINES = 14
-const SERVICES = 5
+const PREFILL_ENGINES = named('prefill', 4)
+const DECODE_ENGINES = named('decode', 14)
+export const SERVICES = named('desk', 5)
 /** Boxes have heard of what happened this long ago, as the users count it. */
 export const CONTACT_MS = 3000
 /** Attempts under which upstreams may end after that. */
@@ -26,15 +25,19 @@
   { kind: ResourceKind.Route, name: 'status', spec: { host: HOST, pathPrefix: '/status/', targets: [{ pool: 'script-desk' }], maxAttempts: 2, deadlineMs: 2500, ttftTargetMs: 900 } },
 ]
 
+function named (kind: string, count: number): string[] {
+  return Array.from({ length: count }, (_, i) => `${kind}-${i + 1}`)
+}
+
 function places (boxCount: number): { boxes: BoxPlace[], upstreams: UpstreamPlace[] } {
   const zone = (i: number) => ZONES[i % ZONES.length]
-  const some = (count: number, name: string, kind: UpstreamKind, pool: string) => Array.from({ length: count }, (_, i): UpstreamPlace => ({ name: `${name}-${i + 1}`, kind, pool, availabilityZone: zone(i) }))
+  const some = (names: readonly string[], kind: UpstreamKind, pool: string) => names.map((name, i): UpstreamPlace => ({ name, kind, pool, availabilityZone: zone(i) }))
   return {
     boxes: Array.from({ length: boxCount }, (_, i) => ({ name: `box-${i + 1}`, availabilityZone: zone(i) })),
     upstreams: [
-      ...some(PREFILL_ENGINES, 'prefill', UpstreamKind.Engine, 'draft-prefill'),
-      ...some(DECODE_ENGINES, 'decode', UpstreamKind.Engine, 'draft-decode'),
-      ...some(SERVICES, 'desk', UpstreamKind.Service, 'script-desk'),
+      ...some(PREFILL_ENGINES, UpstreamKind.Engine, 'draft-prefill'),
+      ...some(DECODE_ENGINES, UpstreamKind.Engine, 'draft-decode'),
+      ...some(SERVICES, UpstreamKind.Service, 'script-desk'),
     ],
   }
 }
@@ -76,8 +79,3 @@
   const late = relayed.arrivals.filter((arrival) => arrival.target === target && arrival.sentAtMs > third.atMs + CONTACT_MS)
   return [...new Set(late.map(({ id }) => id))]
 }
-
-/** An upstream's entry goes from the list. */
-export function unlist (fleet: FakeFleet, name: string): void {
-  fleet.platform.publish(Collection.Fleet, [{ kind: FleetEntryKind.Upstream, name, spec: null }])
-}
--- a/box/runtime/test/crashingRequest.ts
+++ b/box/runtime/test/crashingRequest.ts
@@ -5,9 +5,11 @@
 // the cause and left it aside for a second; nobody noted whose request it had been, so that each attempt was
 // placed like a first one. The evidence: the hash of the prompt stood in the lines of all twelve ends, with
 // `attempt=1` each time, and in no other stream's line twice.
-import { FakeFleet } from '@reelspan/utils.fake-fleet'
+import { ErrorCode, Verdict } from '@reelspan/core.error'
+import { QUARANTINE_MS } from '@reelspan/request.quarantine'
+import { FakeFleet, type KeepingCaller } from '@reelspan/utils.fake-fleet'
 import test from 'ava'
-import { attemptsTooMany, HOST, MOST_AFTERWARDS, repeat, startFleet } from './__utils__/crashingRequests.js'
+import { attemptsTooMany, CONTACT_MS, HOST, MOST_AFTERWARDS, repeat, SERVICES, startFleet } from './__utils__/crashingRequests.js'
 
 const SEEDS = [1, 2, 3]
 const CRASHING = { times: 20, everyMs: 900 }
@@ -49,3 +51,140 @@
   t.true(again.whole)
   await fleet.stop()
 })
+
+/** Attempts of a target that were refused since it ends upstreams. */
+function quarantined (callers: readonly KeepingCaller[]): KeepingCaller[] {
+  return callers.filter(({ refused }) => refused?.code === ErrorCode.RequestQuarantined)
+}
+
+/** Boxes that believe of some request that it ends upstreams. */
+function believers ({ boxes }: FakeFleet): string[] {
+  return boxes.filter(({ alive, box }) => alive && box.describe().quarantine.requests > 0).map(({ name }) => name)
+}
+
+test('a request that ends upstreams is refused at once, as one that has not run, with the time for which it is not run', async (t) => {
+  const fleet = await startFleet()
+  const callers = await repeat(fleet, { ...CRASHING, target: '/draft/ends' })
+  const refused = quarantined(callers)
+  t.true(refused.length >= CRASHING.times - 3 - MOST_AFTERWARDS)
+  t.deepEqual([...new Set(refused.map((caller) => caller.refused?.verdict))], [Verdict.NotRun])
+  refused.forEach(({ refused: final }) => t.true((final?.retryAfterMs ?? 0) > 0 && (final?.retryAfterMs ?? 0) <= QUARANTINE_MS))
+  const sent = new Set(fleet.relayed.arrivals.filter(({ target }) => target === '/draft/ends').map(({ id }) => id))
+  t.is(sent.size, CRASHING.times - refused.length)
+  await fleet.stop()
+})
+
+test('a stream that goes on elsewhere does not end one engine after the other', async (t) => {
+  const fleet = await startFleet()
+  await repeat(fleet, { ...CRASHING, target: '/reply/ends' })
+  t.true(endedUnder(fleet, '/reply/ends') >= 3)
+  t.true(attemptsTooMany(fleet, '/reply/ends').length <= MOST_AFTERWARDS)
+  await fleet.stop()
+})
+
+test('requests of the own interface that end engines are not sent to engines any more', async (t) => {
+  const ended: number[] = []
+  const onRun = (engine: string, prompt: string) => {
+    if (!prompt.includes('ends')) return
+    ended.push(fleet.clock.nowMs())
+    void fleet.crash(engine)
+  }
+  const fleet: FakeFleet = new FakeFleet({ seed: 1, engine: { onRun } })
+  await fleet.start()
+  for (let i = 0; i < 12; i++) {
+    const box = `box-${1 + i % 8}`
+    void fleet.send(box, fleet.completion(box, 'draft that ends engines', { notRepeatable: true })).catch(() => {})
+    await fleet.clock.advance(4500)
+  }
+  t.true(ended.length >= 3 && ended.length <= 3 + MOST_AFTERWARDS, `${ended.length}`)
+  const other = await fleet.clock.run(fleet.send('box-1', fleet.completion('box-1', 'another draft')))
+  t.is(other.verdict, Verdict.Finished)
+  await fleet.stop()
+})
+
+test('of 195 boxes each knows soon what a request has ended at some of them', async (t) => {
+  const fleet = await startFleet({ boxCount: 195 })
+  await repeat(fleet, { target: '/draft/ends', times: 3, everyMs: 900 })
+  await fleet.clock.advance(1000)
+  t.is(endedUnder(fleet, '/draft/ends'), 3)
+  t.is(believers(fleet).length, 195)
+  await repeat(fleet, { target: '/draft/ends', times: 5, everyMs: 200 })
+  t.is(endedUnder(fleet, '/draft/ends'), 3)
+  await fleet.stop()
+})
+
+test('boxes that were cut off, or start with nothing, hear what a request has ended, soon after they reach another box', async (t) => {
+  for (const seed of SEEDS) {
+    const fleet = await startFleet({ seed })
+    const cutOff = fleet.boxes.filter(({ availabilityZone }) => availabilityZone === 'hall-a').map(({ name }) => name)
+    const others = fleet.boxes.map(({ name }) => name).filter((name) => !cutOff.includes(name))
+    fleet.cutOffZone('hall-a')
+    await repeat(fleet, { target: '/draft/ends', times: 6, everyMs: 900, boxes: others })
+    t.true(believers(fleet).every((name) => others.includes(name)))
+    fleet.network.healAll()
+    await fleet.clock.advance(CONTACT_MS)
+    t.deepEqual(believers(fleet), fleet.boxes.map(({ name }) => name), `seed ${seed}, after a cut`)
+    fleet.kill('box-2')
+    await fleet.clock.advance(500)
+    await fleet.clock.run(fleet.startBox('box-2'))
+    await fleet.clock.advance(CONTACT_MS)
+    t.true(believers(fleet).includes('box-2'), `seed ${seed}, after a restart`)
+    await fleet.stop()
+  }
+})
+
+test('news that is lost on the way comes with a heartbeat', async (t) => {
+  const fleet = await startFleet()
+  const [deaf, ...rest] = fleet.boxes
+  const unheard = rest.filter(({ address }) => address !== deaf.address)
+  unheard.forEach(({ address }) => fleet.network.cut(address, deaf.address))
+  await repeat(fleet, { target: '/draft/ends', times: 3, everyMs: 400, boxes: unheard.map(({ name }) => name) })
+  fleet.network.healAll()
+  await fleet.clock.advance(CONTACT_MS)
+  t.true(believers(fleet).includes(deaf.name))
+  await fleet.stop()
+})
+
+test('the same path and body of another caller is served, while it ends upstreams for one', async (t) => {
+  const fleet = await startFleet()
+  fleet.relayed.endsUpstream = ({ target, callerAddress }) => target.includes('ends') && callerAddress === '10.9.0.1'
+  const innocent = repeat(fleet, { target: '/status/ends', times: 40, everyMs: 450, callerAddress: '10.9.0.2' })
+  await fleet.clock.advance(100)
+  const crashing = await repeat(fleet, { ...CRASHING, target: '/status/ends', callerAddress: '10.9.0.1' })
+  t.true(quarantined(crashing).length >= CRASHING.times - 3 - MOST_AFTERWARDS)
+  t.deepEqual(quarantined(await innocent), [])
+  await fleet.stop()
+})
+
+test('a request that runs beside one that ends engines, again and again, is not taken for the cause', async (t) => {
+  const fleet = await startFleet()
+  const crashing = repeat(fleet, { ...CRASHING, target: '/draft/ends' })
+  const beside = await repeat(fleet, { target: '/draft/beside', times: 60, everyMs: 300, callerAddress: '10.9.0.2' })
+  await crashing
+  t.deepEqual(quarantined(beside), [])
+  const after = await fleet.clock.run(fleet.relay('box-3', { id: 'after', host: HOST, target: '/draft/beside', callerAddress: '10.9.0.2' }))
+  t.true(after.whole)
+  await fleet.stop()
+})
+
+test('copies of a request on upstreams that end together do not make it the cause', async (t) => {
+  const fleet = await startFleet()
+  const running = fleet.boxes.map(({ name }, i) => fleet.relay(name, { id: `copy-${i}`, host: HOST, target: '/status/popular' }))
+  await fleet.clock.advance(30)
+  SERVICES.forEach((name) => { void fleet.crash(name) })
+  await fleet.clock.run(Promise.all(running))
+  await fleet.clock.advance(5000)
+  const after = await fleet.clock.run(fleet.relay('box-3', { id: 'after', host: HOST, target: '/status/popular' }))
+  t.true(after.whole)
+  await fleet.stop()
+})
+
+test('a quarantine ends, and begins again at the next end', async (t) => {
+  const fleet = await startFleet()
+  await repeat(fleet, { ...CRASHING, target: '/draft/ends' })
+  const before = endedUnder(fleet, '/draft/ends')
+  await fleet.clock.advance(QUARANTINE_MS)
+  await repeat(fleet, { target: '/draft/ends', times: 6, everyMs: 900 })
+  t.is(endedUnder(fleet, '/draft/ends'), before + 1)
+  await fleet.stop()
+})
--- a/core/error/src/errorCode.ts
+++ b/core/error/src/errorCode.ts
@@ -13,6 +13,8 @@
   OwnerReplaced = 'ERR_REELSPAN_OWNER_REPLACED',
   Draining = 'ERR_REELSPAN_DRAINING',
   Overloaded = 'ERR_REELSPAN_OVERLOADED',
+  /** The request ended the upstreams that ran it, one after the other. */
+  RequestQuarantined = 'ERR_REELSPAN_REQUEST_QUARANTINED',
   RecordsFull = 'ERR_REELSPAN_RECORDS_FULL',
   NoUpstream = 'ERR_REELSPAN_NO_UPSTREAM',
   UpstreamFailed = 'ERR_REELSPAN_UPSTREAM_FAILED',
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -5,6 +5,7 @@
 import { memberSchema } from './member.js'
 import { placementAnswerSchema, placementPlanSchema, placementReportSchema, reserveRequestSchema } from './placement.js'
 import { requestSchema } from './request.js'
+import { runEventSchema } from './runEvent.js'
 import { engineOutcomeSchema } from './upstreamOutcome.js'
 
 /**
@@ -44,6 +45,9 @@
   RecordsHandoff = 'recordsHandoff',
   Lookup = 'lookup',
   LookupAnswer = 'lookupAnswer',
+  RunsTell = 'runsTell',
+  RunsPull = 'runsPull',
+  RunsContent = 'runsContent',
   StatusPull = 'statusPull',
   StatusContent = 'statusContent',
   Done = 'done',
@@ -71,6 +75,8 @@
   /** How long ago the platform answered anyone, and since when it has without a longer absence. Boxes of earlier releases do not tell. */
   platformAnsweredMs: durationMs.optional(),
   platformAnsweringMs: durationMs.optional(),
+  /** Digest of the run events that the sender knows. Left out when it knows of none. */
+  runsDigest: z.number().optional(),
 }
 
 /** What is known of the platform's answering, counted back from now. */
@@ -158,6 +164,11 @@
     keepMs: z.number(),
     keyPrefix: z.string(),
   }),
+  /** Run events that the receiver may not know yet. */
+  message(MessageType.RunsTell, { events: z.array(runEventSchema) }),
+  /** Asks for all run events that the receiver knows. */
+  message(MessageType.RunsPull, {}),
+  message(MessageType.RunsContent, { events: z.array(runEventSchema) }),
   message(MessageType.StatusPull, {}),
   message(MessageType.StatusContent, { status: z.unknown() }),
   message(MessageType.Done, {}),
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -18,6 +18,10 @@
   onPlatformAnswering: (told: PlatformAnswering) => void
   /** A peer named its revisions. */
   onPeerRevisions: (address: string, revisions: Record<Collection, number>) => void
+  /** Digest of the run events that this box knows; nothing when it knows of none. */
+  runsDigest?: () => number | undefined
+  /** A peer named its digest, or knows of none. */
+  onPeerRunsDigest?: (address: string, digest: number | undefined) => void
   probePeriodMs: number
   probeTimeoutMs: number
   /** Members that each box watches. */
@@ -139,6 +143,11 @@
     return there === undefined || Object.values(Collection).some((collection) => there[collection] < here[collection])
   }
 
+  /** Peer addresses of the members that this box watches. */
+  watchedAddresses (): string[] {
+    return this.#watched().map(({ peerAddress }) => peerAddress)
+  }
+
   /** Answers a probe message of a peer, or returns nothing when the message is none. */
   async answer (message: PeerMessage): Promise<PeerMessage | undefined> {
     switch (message.type) {
@@ -299,7 +308,7 @@
   }
 
   #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
-    const { clock, view, onPeerRevisions, onPlatformAnswering } = this.#opts
+    const { clock, view, onPeerRevisions, onPeerRunsDigest, onPlatformAnswering } = this.#opts
     const { platformSilentMs: silentMs, platformAnsweredMs: answeredMs = silentMs, platformAnsweringMs: answeringMs = answeredMs } = message
     if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
     const nowMs = clock.nowMs()
@@ -308,15 +317,16 @@
     const tellers = [message.self, ...message.news]
     tellers.forEach((member) => view.merge(member, nowMs))
     onPeerRevisions(message.self.peerAddress, message.revisions)
+    onPeerRunsDigest?.(message.self.peerAddress, message.runsDigest)
   }
 
   /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
   #ownNews (receiver?: Member) {
-    const { view, revisions, inFlight, platformAnswering } = this.#opts
+    const { view, revisions, inFlight, platformAnswering, runsDigest } = this.#opts
     const answering = platformAnswering()
     const belief = receiver && view.get(receiver.incarnation)
     const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
-    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs }
+    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, runsDigest: runsDigest?.() }
   }
 
   #drawNews (): Member[] {
--- a/request/identity/src/index.ts
+++ b/request/identity/src/index.ts
@@ -1,2 +1,3 @@
 export { identityOfRelayed, identityOfRouted } from './requestIdentity.js'
 export type { RequestIdentity } from './requestIdentity.js'
+export { once } from './once.js'
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -6,7 +6,8 @@
 import { RequestKind, type RoutedRequest } from '@reelspan/core.messages'
 import { type EngineClient, type ServiceClient } from '@reelspan/upstream.client'
 import { parseRequestKey } from '@reelspan/request.key'
-import { type BrokenRuns } from '@reelspan/request.quarantine'
+import { identityOfRouted, once, type RequestIdentity } from '@reelspan/request.identity'
+import { type BrokenRuns, type Quarantine } from '@reelspan/request.quarantine'
 import { type RecordStore, type RequestRecord } from '@reelspan/request.records'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { CompletionRun } from './completionRun.js'
@@ -44,6 +45,8 @@
   upstreamTimeoutMs: number
   /** Told of answers of upstreams that broke off. */
   brokenRuns: BrokenRuns
+  /** Keeps requests from upstreams that have ended those that ran them. */
+  quarantine: Quarantine
   /** When most watched peers last answered. */
   lastContactMs: () => number
   hasPeers: () => boolean
@@ -85,6 +88,7 @@
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#wakeWatch = new WakeWatch(opts)
     this.#wakeWatch.start(this.#tasks)
+    opts.quarantine.onQuarantined(() => this.#running.forEach(({ run }) => run.endIfRefused()))
   }
 
   get inFlight (): number {
@@ -187,6 +191,7 @@
     const { incarnation } = this.#opts.standing()
     const holdsStanding = () => this.#opts.standing().incarnation === incarnation
     const acceptedAtMs = this.#opts.clock.nowMs()
+    const identity = once(() => identityOfRouted(request))
     const run = new RunContext({
       clock: this.#opts.clock,
       record,
@@ -196,19 +201,21 @@
       // Nobody else runs what may not be repeated, whatever became of this box.
       isSure: () => request.notRepeatable || (holdsStanding() && this.#wakeWatch.isSureSince(acceptedAtMs)),
       takeRetry: () => this.#retries.takeRetry(),
+      refusal: () => this.#opts.quarantine.refusalOf(identity),
     })
     this.#retries.countRequest()
     this.#running.set(record.key, { run, incarnation })
-    this.#tasks.run(() => this.#carryOut(run, request))
+    this.#tasks.run(() => this.#carryOut(run, request, identity))
     this.#tasks.run(() => run.enforceDeadline())
     if (!request.notRepeatable) this.#tasks.run(() => this.#endUnread(run))
   }
 
-  async #carryOut (run: RunContext, request: RoutedRequest): Promise<void> {
+  async #carryOut (run: RunContext, request: RoutedRequest, identity: () => RequestIdentity): Promise<void> {
     const timings: RequestTimings = { tbtMs: [], prefilledTokens: 0, wastedPrefillTokens: 0 }
     try {
       if (request.kind === RequestKind.Completion) await new CompletionRun(this.#opts, run, request, timings).carryOut()
       else await new ServiceRun(this.#opts, run, request).carryOut()
+      this.#opts.quarantine.noteFinished(identity)
     } catch (thrown) {
       run.end(toReelspanError(thrown))
     } finally {
--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -17,6 +17,8 @@
   takeRetry: () => boolean
   /** Whether nobody else can have run the request in the meantime. */
   isSure: () => boolean
+  /** Why the request must not be sent to any upstream now, if it must not. */
+  refusal: () => ReelspanError | undefined
 }
 
 /** When to come back after a refusal that knows no better time. */
@@ -79,10 +81,19 @@
   async checkBeforeSend (): Promise<void> {
     await this.#opts.clock.settle()
     if (!this.#opts.holdsStanding()) this.end(new ReelspanError(ErrorCode.OwnerGone, 'this box was declared gone'))
+    const refusal = this.#opts.refusal()
+    if (refusal) this.end(refusal)
     if (this.leftMs <= 0) this.#endLate()
     this.throwIfEnded()
   }
 
+  /** Ends a run that waits for its first upstream, if it must not be sent to any more. */
+  endIfRefused (): void {
+    if (this.#lastSentMs !== undefined) return
+    const refusal = this.#opts.refusal()
+    if (refusal) this.end(refusal)
+  }
+
   throwIfEnded (): void {
     if (this.signal.aborted) throw new RunEnded()
   }
--- a/request/quarantine/test/brokenRuns.ts
+++ b/request/quarantine/test/brokenRuns.ts
@@ -1,4 +1,5 @@
-import { type BrokenRun, BrokenRuns } from '@reelspan/request.quarantine'
+import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
+import { type BrokenRun, BrokenRuns, type EndedRun } from '@reelspan/request.quarantine'
 import { Log, LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
@@ -17,6 +18,8 @@
   }
 }
 
+const PRESENCE: Partial<Record<string, UpstreamPresence>> = { '10.0.1.1:1': UpstreamPresence.Refuses, '10.0.1.3:1': UpstreamPresence.Silent }
+
 /** Takes some ms, and counts how often it looked. */
 class CountingProbe extends UpstreamProbe {
   looks = 0
@@ -30,7 +33,7 @@
   async look (address: string): Promise<UpstreamPresence> {
     this.looks++
     await this.#clock.sleep(5)
-    return address === '10.0.1.1:1' ? UpstreamPresence.Refuses : UpstreamPresence.Listens
+    return PRESENCE[address] ?? UpstreamPresence.Listens
   }
 }
 
@@ -39,9 +42,11 @@
   const log = new KeptLog()
   const probe = new CountingProbe(clock)
   const metrics = new Metrics()
-  const brokenRuns = new BrokenRuns({ clock, probe, log, metrics })
+  const listed: ListedUpstream[] = ['d1', 'd2', 'd3'].map((name, i) => ({ name, kind: UpstreamKind.Engine, address: `10.0.1.${i + 1}:1`, availabilityZone: 'a', pool: 'd', leaving: false }))
+  const ended: EndedRun[] = []
+  const brokenRuns = new BrokenRuns({ clock, probe, log, metrics, fleet: () => new FleetList([], [...listed]), onUpstreamEnded: (run) => ended.push(run) })
   const run = (over: Partial<BrokenRun> = {}): BrokenRun => ({ request: 'r1', route: 'draft', identity: { content: 'c', caller: 'w' }, upstream: 'd1', address: '10.0.1.1:1', sentAtMs: clock.nowMs() - 90, reason: 'ended the connection', ...over })
-  return { clock, log, probe, metrics, brokenRuns, run }
+  return { clock, log, probe, metrics, brokenRuns, run, listed, ended }
 }
 
 test('a broken run is told of with the request that ran, and whether its upstream has ended', async (t) => {
@@ -62,3 +67,27 @@
   t.is(probe.looks, 1)
   t.is(log.lines.length, 64)
 })
+
+test('only upstreams whose processes were found ended are told of as such', async (t) => {
+  const { clock, brokenRuns, run, ended } = startBrokenRuns()
+  await clock.run(Promise.all([brokenRuns.note(run()), brokenRuns.note(run({ upstream: 'd2', address: '10.0.1.2:1' })), brokenRuns.note(run({ upstream: 'd3', address: '10.0.1.3:1' }))]))
+  t.deepEqual(ended.map(({ upstream }) => upstream), ['d1'])
+})
+
+test('an upstream that was silent has ended when the list drops it, unless it had said that it leaves', async (t) => {
+  const { clock, brokenRuns, run, listed, ended } = startBrokenRuns()
+  const silent = () => brokenRuns.note(run({ upstream: 'd3', address: '10.0.1.3:1' }))
+  await clock.run(silent())
+  brokenRuns.noteFleet()
+  t.deepEqual(ended, [])
+  const [gone] = listed.splice(2, 1)
+  brokenRuns.noteFleet()
+  brokenRuns.noteFleet()
+  t.deepEqual(ended.map(({ upstream }) => upstream), ['d3'])
+  listed.push({ ...gone, leaving: true })
+  await clock.run(silent())
+  brokenRuns.noteFleet()
+  listed.pop()
+  brokenRuns.noteFleet()
+  t.is(ended.length, 1)
+})
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -223,6 +223,7 @@
       this.#context.run.throwIfEnded()
       if (!this.#mayAskAgain(plan, thrown, source) || !budget.takeRetry()) throw thrown
       decided(LogEvent.RequestRetried, { upstream: plan.decodeEngine, reason: (thrown as Error).message, mayHaveRun: this.#context.run.mayHaveRun })
+      await this.#context.run.checkBeforeSend()
       await this.#decodeOnce(plan, undefined, placement, times)
     }
   }
--- a/request/relay/src/notingBreak.ts
+++ b/request/relay/src/notingBreak.ts
@@ -1,4 +1,3 @@
-import { identityOfRelayed } from '@reelspan/request.identity'
 import { type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { type RelayContext } from './relayContext.js'
 
@@ -6,7 +5,7 @@
 export type SendingWork<T> = (onSend: () => void) => Promise<T>
 
 /** Does work that sends the request to an upstream, and has the upstream looked at when it breaks off. */
-export async function notingBreak<T> ({ opts, run, route, request }: RelayContext, target: RelayTarget, work: SendingWork<T>): Promise<T> {
+export async function notingBreak<T> ({ opts, run, route, request, identity }: RelayContext, target: RelayTarget, work: SendingWork<T>): Promise<T> {
   let sentAtMs: number | undefined
   try {
     return await work(() => { sentAtMs = opts.clock.nowMs() })
@@ -16,7 +15,7 @@
       void opts.brokenRuns.note({
         request: request.id,
         route: route.name,
-        identity: identityOfRelayed(request),
+        identity: identity(),
         upstream: target.instance,
         address: target.address,
         sentAtMs,
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -2,6 +2,7 @@
 import { hash32 } from '@reelspan/core.hashing'
 import { Notifier, raceTimeout, STOPPED, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
+import { identityOfRelayed, once, type RequestIdentity } from '@reelspan/request.identity'
 import { RetryBudget, RunContext } from '@reelspan/request.owner'
 import { RequestRecord } from '@reelspan/request.records'
 import { LogEvent } from '@reelspan/telemetry.log'
@@ -28,6 +29,7 @@
 const DRAINING_RETRY_AFTER_MS = 100
 /** Part of the retries that the system may make which is planned for; the rest covers boxes that know of fewer others. */
 const BURST_SHARE = 0.8
+const FIRST_SERVER_ERROR = 500
 
 /** Owns relayed requests: each is run by the box that received it, at most once unless it may be repeated, and answered once. */
 export class Relay {
@@ -51,6 +53,7 @@
     const { clock, random, log } = opts
     this.#tasks = new TaskGroup(clock, opts.onTaskError)
     this.#startedAtMs = clock.nowMs()
+    opts.quarantine.onQuarantined(() => this.#running.forEach((run) => run.endIfRefused()))
     this.#health = new UpstreamHealth({
       clock,
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, forMs, failureShare: Number(failureShare.toFixed(2)) }),
@@ -97,7 +100,8 @@
     // Without a wait a request counts as under way from the moment in which it came.
     if (this.#opts.configuration().revision === 0) await this.#waitForConfiguration(caller.signal, deadlineMs)
     const route = this.#opts.configuration().routeOfHost(request.host, pathOf(request.target))
-    const run = this.#open(request, Math.min(deadlineMs ?? Number.POSITIVE_INFINITY, route?.spec.deadlineMs ?? Number.POSITIVE_INFINITY), arrivedAtMs)
+    const identity = once(() => identityOfRelayed(request))
+    const run = this.#open(request, identity, Math.min(deadlineMs ?? Number.POSITIVE_INFINITY, route?.spec.deadlineMs ?? Number.POSITIVE_INFINITY), arrivedAtMs)
     const key = `${request.id}#${this.#sequence++}`
     const times: AnswerTimes = { longestPauseMs: 0, pausesMs: [], parts: 0 }
     const leave = () => run.end(new ReelspanError(ErrorCode.Cancelled, 'the caller went away'))
@@ -107,7 +111,7 @@
     this.#tasks.run(() => run.enforceDeadline())
     try {
       // A run that is ended is answered at once, even while its work still winds up.
-      await Promise.race([this.#carryOut(run, route, request, caller, times), ended(run)])
+      await Promise.race([this.#carryOut(run, route, { request, identity }, caller, times), ended(run)])
     } catch (thrown) {
       run.end(toReelspanError(thrown))
     } finally {
@@ -129,7 +133,7 @@
     over.abort(STOPPED)
   }
 
-  #open (request: RelayedRequest, deadlineMs: number, arrivedAtMs: number): RunContext {
+  #open (request: RelayedRequest, identity: () => RequestIdentity, deadlineMs: number, arrivedAtMs: number): RunContext {
     const { clock } = this.#opts
     return new RunContext({
       clock,
@@ -141,10 +145,11 @@
       holdsStanding: () => true,
       isSure: () => true,
       takeRetry: () => false,
+      refusal: () => this.#opts.quarantine.refusalOf(identity),
     })
   }
 
-  async #carryOut (run: RunContext, route: Named<RouteSpec> | undefined, request: RelayedRequest, caller: RelayCaller, times: AnswerTimes): Promise<void> {
+  async #carryOut (run: RunContext, route: Named<RouteSpec> | undefined, { request, identity }: Pick<RelayContext, 'request' | 'identity'>, caller: RelayCaller, times: AnswerTimes): Promise<void> {
     const opts = this.#opts
     if (opts.configuration().revision === 0) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     if (!route) throw new ReelspanError(ErrorCode.NoRoute, `there is no route for ${request.host}${pathOf(request.target)}`)
@@ -161,6 +166,7 @@
       opts,
       run,
       request,
+      identity,
       caller,
       route,
       budget,
@@ -170,6 +176,7 @@
     }
     try {
       await this.#carryOutAt(context, { model, pool }, times)
+      if (times.status !== undefined && times.status < FIRST_SERVER_ERROR) opts.quarantine.noteFinished(identity)
     } finally {
       if (run.mayHaveRun) this.#runTimes.note(kind, run.elapsedMs)
     }
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -1,4 +1,5 @@
 import { type Named, type RouteSpec } from '@reelspan/config.resources'
+import { type RequestIdentity } from '@reelspan/request.identity'
 import { type RetryBudget, type RunContext } from '@reelspan/request.owner'
 import { type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { type RelayedRequest } from '@reelspan/upstream.client'
@@ -12,6 +13,8 @@
   opts: RelayOptions
   run: RunContext
   request: RelayedRequest
+  /** What the request has in common with its caller's other attempts. */
+  identity: () => RequestIdentity
   caller: RelayCaller
   route: Named<RouteSpec>
   budget: RetryBudget
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -1,7 +1,7 @@
 import { type FleetList } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type Clock, type Random, type TaskErrorListener } from '@reelspan/core.env'
-import { type BrokenRuns } from '@reelspan/request.quarantine'
+import { type BrokenRuns, type Quarantine } from '@reelspan/request.quarantine'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { type Log } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
@@ -22,6 +22,8 @@
   standing: () => { peerAddress: string, incarnation: string, availabilityZone: string }
   /** Told of answers of upstreams that broke off. */
   brokenRuns: BrokenRuns
+  /** Keeps requests from upstreams that have ended those that ran them. */
+  quarantine: Quarantine
   /** Boxes that share the retry budget, this one included. */
   boxCount: () => number
   /** Told of a task that a fault of the program ended. */
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -1,7 +1,7 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, Configuration, ResourceKind } from '@reelspan/config.resources'
 import { type EngineOutcome, type FinalAnswer, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
-import { BrokenRuns } from '@reelspan/request.quarantine'
+import { BrokenRuns, type BrokenRunsOptions, Quarantine, RunHistory } from '@reelspan/request.quarantine'
 import { Relay, RelayCaller, type RelayOptions } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
@@ -51,8 +51,9 @@
     return { ...answer, body: this.#bodyAtWork(opts.signal, answer.body) }
   }
 
-  async prefill (target: RelayTarget, _request: RelayedRequest, { signal }: RelayCallOptions): Promise<PrefilledPrompt> {
+  async prefill (target: RelayTarget, _request: RelayedRequest, { signal, onSend }: RelayCallOptions): Promise<PrefilledPrompt> {
     this.prefills.push(target.instance)
+    onSend?.()
     this.onPrefill?.()
     if (this.prefillEnds) await this.#atWork(signal, this.prefillEnds)
     if (this.prefillIsSilent) await this.#atWork(signal, givenUp(signal))
@@ -225,10 +226,15 @@
   const log = new KeptLog()
   const probe = new ScriptedProbe()
   const metrics = new Metrics()
+  const history = new RunHistory({ clock })
+  const quarantine = new Quarantine({ clock, log, history, incarnation: () => 'a'.repeat(16), onEvent: () => {} })
+  const onUpstreamEnded: BrokenRunsOptions['onUpstreamEnded'] = ({ identity, upstream, sentAtMs, brokeAtMs }) =>
+    quarantine.noteUpstreamEnded(identity, upstream, { ranMs: brokeAtMs - sentAtMs, ageMs: 0 })
   const { configuration, problems } = checkResources(declared(computesPrompts).map((one) => ({ ...one, revision: 1 })), 1)
   if (problems.length > 0) throw new Error(JSON.stringify(problems))
   const desk = services.map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
   const engines = ['p1', 'd1', 'd2', 'd3', 'd4'].map((name): ListedUpstream => ({ name, kind: UpstreamKind.Engine, address: '10.0.3.1:1', availabilityZone: 'a', pool: name.startsWith('p') ? 'p' : 'd', leaving: false }))
+  const fleet = () => new FleetList([], [...desk, ...engines])
   const relay = new Relay({
     clock,
     random: new SeededRandom(7),
@@ -236,18 +242,19 @@
     placer,
     configuration: () => clock.nowMs() - startedAtMs >= configuredAfterMs ? configuration : new Configuration(0, []),
     configured: (signal) => clock.sleep(startedAtMs + configuredAfterMs - clock.nowMs(), { signal }),
-    fleet: () => new FleetList([], [...desk, ...engines]),
+    fleet,
     fleetRevision: () => 1,
     standing: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16), availabilityZone: 'a' }),
     boxCount: () => 1,
     onTaskError,
-    brokenRuns: new BrokenRuns({ clock, probe, log, metrics }),
+    brokenRuns: new BrokenRuns({ clock, probe, log, metrics, fleet, onUpstreamEnded }),
+    quarantine,
     retriesPerRequest: 0,
     retryBurst,
     log,
     metrics,
   })
-  return { clock, relay, upstreams, placer, probe, log, engines }
+  return { clock, relay, upstreams, placer, probe, quarantine, log, engines }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -36,6 +36,8 @@
   HandleLeft = 'handleLeft',
   /** An upstream's answer to a request broke off, and what was then found at its address. */
   RunBrokeOff = 'runBrokeOff',
+  /** A request is not run any more, since it ended the upstreams that ran it, or may run again. */
+  QuarantineChanged = 'quarantineChanged',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
   EngineCallFailed = 'engineCallFailed',
