fix(net.peer-link): a link closes at once, also when a peer has connected and said nothing yet

Closing the link waits for its listener, and a listener waits for connections on which no request has come: one opened by a peer over a path that is silent.

--- a/net/peer-link/src/wsPeerLink.ts
+++ b/net/peer-link/src/wsPeerLink.ts
@@ -1,8 +1,9 @@
+import { createServer, type Server } from 'node:http'
 import { type Socket } from 'node:net'
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { MessageType, type PeerCallOptions, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
-import { splitAddress } from '@reelspan/net.system-env'
+import { listenAt } from '@reelspan/net.system-env'
 import { type WebSocket, WebSocketServer } from 'ws'
 import { LinkTraffic } from './linkTraffic.js'
 import { MESSAGE_COMPRESSION } from './messageCompression.js'
@@ -36,6 +37,7 @@
   readonly #served = new Set<WebSocket>()
   readonly #maxEachWay: number
   readonly #closed = new AbortController()
+  #listener?: Server
   #server?: WebSocketServer
   #handler?: PeerHandler
 
@@ -51,8 +53,9 @@
 
   /** Resolves once the link listens. */
   async listen (): Promise<void> {
-    const { host, port } = splitAddress(this.#opts.listenAddress)
-    this.#server = new WebSocketServer({ host, port, maxPayload: this.#opts.maxMessageBytes, perMessageDeflate: MESSAGE_COMPRESSION })
+    const listener = createServer()
+    this.#listener = listener
+    this.#server = new WebSocketServer({ server: listener, maxPayload: this.#opts.maxMessageBytes, perMessageDeflate: MESSAGE_COMPRESSION })
     const server = this.#server
     server.on('connection', (socket, { socket: stream }) => {
       this.#admit(socket)
@@ -60,11 +63,8 @@
       serveConnection(socket, () => this.#handler)
       void this.#endWhenSilent(socket, stream)
     })
-    await new Promise<void>((resolve, reject) => {
-      server.once('listening', resolve)
-      server.once('error', reject)
-    })
     server.on('error', () => {})
+    await listenAt(listener, this.#opts.listenAddress)
   }
 
   serve (handler: PeerHandler): void {
@@ -99,7 +99,12 @@
     this.#closed.abort()
     this.#open.forEach((connection) => connection.close())
     this.#server?.clients.forEach((socket) => socket.terminate())
-    await new Promise<void>((resolve) => this.#server ? this.#server.close(() => resolve()) : resolve())
+    const listener = this.#listener
+    if (!listener) return
+    const closed = new Promise<void>((resolve) => listener.close(() => resolve()))
+    // A peer may have connected and said nothing yet. Waiting for it would hold up a planned stop until the box is killed.
+    listener.closeAllConnections()
+    await closed
   }
 
   /** At the limit, the peer that was not heard of for longest gives way. It connects again when it needs to. */
--- a/net/peer-link/test/wsPeerLink.ts
+++ b/net/peer-link/test/wsPeerLink.ts
@@ -1,10 +1,12 @@
+import { raceTimeout, TimedOut } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 import { MessageType, type MessageOf, type PeerHandler, type PeerMessage } from '@reelspan/core.messages'
 import { WsPeerLink } from '@reelspan/net.peer-link'
-import { SystemClock } from '@reelspan/net.system-env'
+import { splitAddress, SystemClock } from '@reelspan/net.system-env'
 import { freeAddress } from '@reelspan/utils.stand-ins'
 import test, { type ExecutionContext } from 'ava'
-import { type AddressInfo } from 'node:net'
+import { once } from 'node:events'
+import { type AddressInfo, connect } from 'node:net'
 import { isDeepStrictEqual } from 'node:util'
 import { Packr } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
@@ -252,3 +254,12 @@
   const promise = new Promise<void>((_resolve) => { resolve = _resolve })
   return { promise, resolve }
 }
+
+test('a link closes at once, also when a peer has opened a connection and said nothing on it yet', async (t) => {
+  const { link, address } = await createLink(t)
+  const silent = connect(splitAddress(address))
+  t.teardown(() => { silent.destroy() })
+  await once(silent, 'connect')
+  const outcome = await raceTimeout(new SystemClock(), link.close(), 2000)
+  t.not(outcome, TimedOut)
+})
