fix(net.system-env): time for which the machine was suspended counts

A box that wakes after seconds believes that no time has passed: it may give orders by a right that has run out while another box has taken over, use kept connections and placements that are no longer good, and tell engines a deadline that is seconds too long. Change: the time of day that goes ahead of the steady clock by more than 150 ms is taken for a pause; sleeps that were due end. A time of day that is merely set forward is taken for a pause too, with what a pause costs. One watch for pauses in place of one in the owner.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -59,7 +59,8 @@
 
   /** Reads platform and peers, meets the other boxes, and begins to serve. */
   async start (): Promise<void> {
-    const { link, dispatch, followers, prober, view, log, random, platformContact } = this.#parts
+    const { link, dispatch, followers, prober, view, log, random, platformContact, pauses } = this.#parts
+    pauses.start(this.#tasks)
     link.serve(dispatch)
     view.onChange((member) => this.#onMemberChange(member))
     await followers[Collection.Fleet].readFirst([])
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -1,6 +1,7 @@
 import { type FleetList, type GuardedFleet } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
+import { type PauseWatch } from '@reelspan/core.env'
 import { type Collection } from '@reelspan/core.messages'
 import { type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
@@ -25,6 +26,8 @@
 
 /** Everything that makes up a box. */
 export interface BoxParts extends BoxEnvironment {
+  /** Notices that this process stood still. */
+  pauses: PauseWatch
   /** Tells of calls that failed and were got over. */
   failures: FailureLog
   view: MembershipView
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,3 +1,4 @@
+import { PauseWatch } from '@reelspan/core.env'
 import { Collection, type Member, MemberHealth, type PeerLink } from '@reelspan/core.messages'
 import { Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
@@ -31,6 +32,7 @@
   const container = createContainer<BoxParts>({ injectionMode: InjectionMode.PROXY, strict: true })
   Object.entries({ relayClient: undefined, ...environment }).forEach(([name, value]) => container.register(name, asValue(value)))
   container.register({
+    pauses: asFunction((parts: BoxParts) => new PauseWatch(parts)).singleton(),
     failures: asFunction((parts: BoxParts) => new FailureLog(parts)).singleton(),
     link: asFunction((parts: BoxParts) => createLink(environment.link, parts)).singleton(),
     engines: asFunction((parts: BoxParts) => createEngines(environment.engines, parts)).singleton(),
@@ -151,6 +153,7 @@
   const { settings, view, declarations, fleet, log, metrics } = parts
   return new Owner({
     ...environmentOf(parts),
+    pauses: parts.pauses,
     placer: parts.placer,
     brokenRuns: parts.brokenRuns,
     quarantine: parts.quarantine,
@@ -203,6 +206,7 @@
   return new ShardKeepers({
     ...environmentOf(parts),
     failures: parts.failures,
+    pauses: parts.pauses,
     declarations: parts.declarations,
     fleet: parts.fleet,
     fleetRevision: () => parts.fleetList.revision,
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -1,6 +1,7 @@
 import { type FleetList } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigStore } from '@reelspan/config.store'
+import { type PauseWatch } from '@reelspan/core.env'
 import { type HoldLabel } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
@@ -15,6 +16,7 @@
 
 export interface ShardKeepersOptions extends BoxEnvironment {
   failures: FailureLog
+  pauses: PauseWatch
   declarations: ConfigStore<Configuration>
   /** The list that this box acts by. Its revision counts this box's own changes. */
   fleet: { readonly value: FleetList, readonly revision: number }
@@ -120,7 +122,7 @@
   }
 
   #createKeeper (shard: Shard): ShardKeeper {
-    const { clock, engines, declarations, settings, lastContactMs, failures, log, metrics } = this.#opts
+    const { clock, engines, declarations, settings, lastContactMs, pauses, failures, log, metrics } = this.#opts
     const { reportPeriodMs, orderRightMs } = settings.scheduling
     const scheduler = this.#createScheduler(shard, (engine) => { void keeper.checkReachable(engine) })
     const keeper: ShardKeeper = new ShardKeeper({
@@ -128,7 +130,7 @@
       engines,
       scheduler,
       sweeper: this.#createSweeper(scheduler),
-      right: new OrderRight({ clock, lifeMs: orderRightMs, lastContactMs }),
+      right: new OrderRight({ clock, lifeMs: orderRightMs, lastContactMs, pauses }),
       configuration: () => declarations.value,
       reportPeriodMs,
       onTaskError: (thrown) => failures.noteTask('shardKeeper', thrown),
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -26,11 +26,14 @@
 /** Starts a box from its settings: reads platform and peers first, then listens. */
 export async function startBox (settings: Settings): Promise<RunningBox> {
   const loopDelay = new LoopDelay()
-  const clock = new SystemClock({ onLate: (lateMs) => loopDelay.note(lateMs) })
   const { listen, limits, platform, log } = settings
+  const boxLog = new BunyanLog({ box: settings.box.name, level: log.level })
+  const clock = new SystemClock({
+    onLate: (lateMs) => loopDelay.note(lateMs),
+    onSuspended: (durationMs) => boxLog.warn(LogEvent.ClockLeapt, { durationMs: Math.round(durationMs) }),
+  })
   const token = await readToken(settings)
   const metrics = new Metrics()
-  const boxLog = new BunyanLog({ box: settings.box.name, level: log.level })
   const link = new WsPeerLink({
     clock,
     listenAddress: listen.peerAddress,
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -93,7 +93,10 @@
     return this.#peerLoad.get(incarnation)
   }
 
-  /** When most of the watched members last answered in one round, on this box's clock. */
+  /**
+   * When the last round began that most of the watched members answered, on this box's clock. Not when
+   * they had answered: a box that was paused in between reads answers from before its pause.
+   */
   get lastMajorityContactMs (): number {
     return this.#lastMajorityContactMs
   }
@@ -166,6 +169,7 @@
   async #probeRound (): Promise<void> {
     const { clock, view, silentGoneMs } = this.#opts
     this.#round++
+    const askedAtMs = clock.nowMs()
     const watched = this.#watched()
     const rejoin = this.#round % REJOIN_EVERY_ROUNDS === 0 ? this.#missingAddresses(1) : []
     const unsure = this.#contestedAddresses().slice(0, 1)
@@ -174,7 +178,7 @@
       ...[...rejoin, ...unsure].map((address) => this.#greet(address)),
     ])
     const nowMs = clock.nowMs()
-    if (2 * answers.filter((answered) => answered).length > watched.length) this.#lastMajorityContactMs = nowMs
+    if (2 * answers.filter((answered) => answered).length > watched.length) this.#lastMajorityContactMs = askedAtMs
     view.suspectedLongerThan(silentGoneMs, nowMs).forEach(({ incarnation }) => view.declareGone(incarnation, nowMs))
     view.forgetOld(nowMs)
   }
--- a/net/system-env/src/systemClock.ts
+++ b/net/system-env/src/systemClock.ts
@@ -1,40 +1,86 @@
 import { Clock, type SleepOptions } from '@reelspan/core.env'
 
 const MAX_TIMER_MS = 2 ** 31 - 1
+/**
+ * The time of day that goes ahead of the steady clock by more than this between two looks means that
+ * the machine was suspended. Adjustments of the time of day take half a millisecond a second at most.
+ */
+const SUSPENDED_MS = 150
+/** The time of day is looked at no more often than this: the clock is read many times for each request. */
+const LOOK_EVERY_MS = 1
 
 export interface SystemClockOptions {
   /** A timer fired this long after it was due. */
   onLate?: (lateMs: number) => void
+  /** The machine was suspended for so long, or its time of day was set forward. */
+  onSuspended?: (durationMs: number) => void
+  /** The process's steady clock, which stands still while the machine is suspended. */
+  steadyMs?: () => number
+  /** The time of day, which does not. */
+  timeOfDayMs?: () => number
 }
 
-/** The process's own monotonic clock and timers. */
+/** A sleep whose timer is set anew when the time is found to have gone ahead of it. */
+interface Sleeper {
+  setTimer: () => void
+}
+
+/**
+ * The process's own monotonic clock and timers. Time for which the machine was suspended counts:
+ * rights run out, deadlines pass and beliefs age meanwhile, as in a pause of the process. Node's
+ * timers and steady clock leave that time out, and it cannot read the clock that has it; the time
+ * of day tells. Where that is merely set forward, it is taken for a pause as well, which costs
+ * what a pause of that length costs, and is never the other way round.
+ */
 export class SystemClock extends Clock {
   readonly #opts: SystemClockOptions
+  readonly #steadyMs: () => number
+  readonly #timeOfDayMs: () => number
+  readonly #sleepers = new Set<Sleeper>()
+  #suspendedMs = 0
+  #lookedAtMs: number
+  /** How far the time of day was ahead of the steady clock then. */
+  #aheadMs: number
 
   constructor (opts: SystemClockOptions = {}) {
     super()
     this.#opts = opts
+    this.#steadyMs = opts.steadyMs ?? (() => performance.now())
+    this.#timeOfDayMs = opts.timeOfDayMs ?? (() => Date.now())
+    this.#lookedAtMs = this.#steadyMs()
+    this.#aheadMs = this.#timeOfDayMs() - this.#lookedAtMs
   }
 
   nowMs (): number {
-    return performance.now()
+    const steadyMs = this.#steadyMs()
+    if (steadyMs - this.#lookedAtMs >= LOOK_EVERY_MS) this.#look(steadyMs)
+    return steadyMs + this.#suspendedMs
   }
 
   sleep (durationMs: number, opts: SleepOptions = {}): Promise<void> {
     const { signal } = opts
     if (signal?.aborted) return Promise.resolve()
-    const waitMs = Math.min(MAX_TIMER_MS, Math.max(0, durationMs))
-    const dueMs = this.nowMs() + waitMs
+    const dueMs = this.nowMs() + Math.min(MAX_TIMER_MS, Math.max(0, durationMs))
     return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined
       const done = () => {
         clearTimeout(timer)
+        this.#sleepers.delete(sleeper)
         signal?.removeEventListener('abort', done)
         resolve()
       }
-      const timer = setTimeout(() => {
+      const wake = () => {
         this.#opts.onLate?.(this.nowMs() - dueMs)
         done()
-      }, waitMs)
+      }
+      const sleeper: Sleeper = {
+        setTimer: () => {
+          clearTimeout(timer)
+          timer = setTimeout(wake, Math.max(0, dueMs - this.nowMs()))
+        },
+      }
+      this.#sleepers.add(sleeper)
+      sleeper.setTimer()
       signal?.addEventListener('abort', done, { once: true })
     })
   }
@@ -44,4 +90,15 @@
     await new Promise((resolve) => setImmediate(resolve))
     await new Promise((resolve) => setImmediate(resolve))
   }
+
+  #look (steadyMs: number): void {
+    const aheadMs = this.#timeOfDayMs() - steadyMs
+    const suspendedMs = aheadMs - this.#aheadMs
+    this.#lookedAtMs = steadyMs
+    this.#aheadMs = aheadMs
+    if (suspendedMs <= SUSPENDED_MS) return
+    this.#suspendedMs += suspendedMs;
+    [...this.#sleepers].forEach(({ setTimer }) => setTimer())
+    this.#opts.onSuspended?.(suspendedMs)
+  }
 }
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { type Configuration } from '@reelspan/config.resources'
 import { type FleetList } from '@reelspan/config.fleet'
-import { type Clock, Notifier, type Random, STOPPED, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
+import { type Clock, Notifier, type PauseWatch, type Random, STOPPED, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { RequestKind, type RoutedRequest } from '@reelspan/core.messages'
 import { type EngineClient, type ServiceClient } from '@reelspan/upstream.client'
@@ -47,6 +47,8 @@
   brokenRuns: BrokenRuns
   /** Keeps requests from upstreams that have ended those that ran them. */
   quarantine: Quarantine
+  /** When this process stood still. */
+  pauses: PauseWatch
   /** When most watched peers last answered. */
   lastContactMs: () => number
   hasPeers: () => boolean
@@ -87,7 +89,6 @@
     this.#opts = opts
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#wakeWatch = new WakeWatch(opts)
-    this.#wakeWatch.start(this.#tasks)
     opts.quarantine.onQuarantined(() => this.#running.forEach(({ run }) => run.endIfRefused()))
   }
 
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -43,6 +43,8 @@
   EngineCallFailed = 'engineCallFailed',
   PeerCallFailed = 'peerCallFailed',
   TaskFailed = 'taskFailed',
+  /** The machine was suspended, or its time of day was set forward. */
+  ClockLeapt = 'clockLeapt',
   LinesDropped = 'linesDropped',
 }
 
--- a/upstream/orders/src/orderRight.ts
+++ b/upstream/orders/src/orderRight.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@reelspan/core.env'
+import { type Clock, type PauseWatch } from '@reelspan/core.env'
 
 export interface OrderRightOptions {
   clock: Clock
@@ -6,12 +6,19 @@
   lifeMs: number
   /** When this box last heard from the platform or from most of the peers it watches, on its own clock. */
   lastContactMs: () => number
+  /** When this process stood still. */
+  pauses: PauseWatch
 }
 
+/** Boxes are suspected, and their shards given to others, after a second; a right lasts for three. */
+const PAUSE_SHARE = 0.3
+
 /**
  * The right of this box to give orders in a shard, for engines that do not
  * check fencing numbers. It lapses on the box's own clock unless contact renews
- * it, and a new holder first waits until the one before must have lost it.
+ * it, and a new holder first waits until the one before must have lost it. So does
+ * a box that stood still: another one may have it by now, and what it reads first
+ * is from before.
  *
  * What it cannot prevent: a process that is paused between the check and the
  * send. The order then leaves at most as late as the pause is long, and the
@@ -42,10 +49,11 @@
 
   /** Whether an order may be sent at this very moment. */
   holds (): boolean {
-    const { clock, lifeMs, lastContactMs } = this.#opts
+    const { clock, lifeMs, lastContactMs, pauses } = this.#opts
     const nowMs = clock.nowMs()
     if (this.#heldFromMs === undefined) return false
-    const predecessorIsDone = nowMs - this.#heldFromMs >= 2 * lifeMs
-    return predecessorIsDone && nowMs - lastContactMs() < lifeMs
+    const fromMs = Math.max(this.#heldFromMs, pauses.wokeAtMs(PAUSE_SHARE * lifeMs))
+    const othersAreDone = nowMs - fromMs >= 2 * lifeMs
+    return othersAreDone && nowMs - lastContactMs() < lifeMs
   }
 }
--- a/upstream/orders/test/orders.ts
+++ b/upstream/orders/test/orders.ts
@@ -1,3 +1,4 @@
+import { type Clock, PauseWatch, TaskGroup } from '@reelspan/core.env'
 import { checkResources, type DeclaredResource } from '@reelspan/config.resources'
 import { type EngineReport, EngineRole, HoldKind, OrderKind } from '@reelspan/upstream.client'
 import { fenceOf, FENCE_STEPS, OrderRight, type OrderScope, planOrders, type ReportedEngine } from '@reelspan/upstream.orders'
@@ -69,11 +70,39 @@
   t.is(fenceOf(5, fenceOf(4, 0)), 5 * FENCE_STEPS + 1)
 })
 
+function startPauseWatch (clock: Clock): PauseWatch {
+  const pauses = new PauseWatch({ clock })
+  pauses.start(new TaskGroup(clock))
+  return pauses
+}
+
+test('a box that stood still waits for whoever may have taken over, before it gives an order', async (t) => {
+  const shared = new VirtualClock()
+  const clock = new NodeClock(shared)
+  const right = new OrderRight({ clock, lifeMs: 1000, lastContactMs: () => clock.nowMs(), pauses: startPauseWatch(clock) })
+  right.take()
+  await shared.advance(2000)
+  t.true(right.holds())
+  clock.pause()
+  await shared.advance(250)
+  clock.resume()
+  t.true(right.holds(), 'too short for anyone to take over')
+  await shared.advance(500)
+  clock.pause()
+  await shared.advance(1500)
+  clock.resume()
+  t.false(right.holds())
+  await shared.advance(1900)
+  t.false(right.holds())
+  await shared.advance(200)
+  t.true(right.holds())
+})
+
 test('the right to order lapses without contact, and a new holder waits for the one before', async (t) => {
   const shared = new VirtualClock()
   const clock = new NodeClock(shared)
   let contactMs = clock.nowMs()
-  const right = new OrderRight({ clock, lifeMs: 1000, lastContactMs: () => contactMs })
+  const right = new OrderRight({ clock, lifeMs: 1000, lastContactMs: () => contactMs, pauses: startPauseWatch(clock) })
   t.false(right.holds())
   right.take()
   contactMs = clock.nowMs()
--- a/upstream/orders/test/roleBalancer.ts
+++ b/upstream/orders/test/roleBalancer.ts
@@ -1,3 +1,4 @@
+import { PauseWatch, TaskGroup } from '@reelspan/core.env'
 import { type CacheEventPage, type DecodeEvent, EngineClient, type EngineOrder, type EngineReport, EngineRole, type PrefillResult, UpstreamError } from '@reelspan/upstream.client'
 import { type BalancedEngine, OrderOutcome, OrderRight, RoleBalancer, type RoleLoad, RolePlanOutcome, uniqueFenceOf } from '@reelspan/upstream.orders'
 import { NodeClock, VirtualClock } from '@reelspan/utils.fakes'
@@ -40,7 +41,9 @@
   const shared = new VirtualClock()
   const clock = new NodeClock(shared)
   const contact = { lost: false }
-  const right = new OrderRight({ clock, lifeMs: 1000, lastContactMs: () => contact.lost ? 0 : clock.nowMs() })
+  const pauses = new PauseWatch({ clock })
+  pauses.start(new TaskGroup(clock))
+  const right = new OrderRight({ clock, lifeMs: 1000, lastContactMs: () => contact.lost ? 0 : clock.nowMs(), pauses })
   right.take()
   await shared.advance(10_000)
   const engines = new OrderTaker()
