fix(box.runtime): a box asks its peers whether its machine was suspended or its time of day set

Cause: a time of day that is set forward was taken for a suspension, and a box that takes itself for paused refuses and delays what it could serve. Change: heartbeats tell how long ago a box was last heard of by the peer's clock; where those went ahead as well, the time counts. Order rights wait in either case.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -19,6 +19,8 @@
 const SCHEDULER = 'scheduling/scheduler/test.lib/shardScheduler.js'
 const ROLES = 'upstream/orders/test.lib/roleBalancer.js'
 const STORE = 'config/store/test.lib/configStore.js'
+const CRASHING = 'box/runtime/test.lib/crashingRequest.js'
+const JUDGE = 'request/quarantine/test.lib/judgeRequest.js'
 
 /** What the promises rest on. */
 export const MECHANISMS: Mechanism[] = [
@@ -172,8 +174,8 @@
   {
     name: 'the right to order lapses',
     file: 'upstream/orders/src/orderRight.ts',
-    find: 'return predecessorIsDone && nowMs - lastContactMs() < lifeMs',
-    replace: 'return predecessorIsDone || nowMs - lastContactMs() < lifeMs',
+    find: 'return othersAreDone && nowMs - lastContactMs() < lifeMs',
+    replace: 'return othersAreDone || nowMs - lastContactMs() < lifeMs',
     tests: ['upstream/orders/test.lib/orders.js', ORDERS],
   },
   {
@@ -295,6 +297,48 @@
     replace: 'return free.places > -1000 && kvBytes > -1',
     tests: [SCHEDULER],
   },
+  {
+    name: 'a request that ends upstreams is kept from them',
+    file: 'request/owner/src/runContext.ts',
+    find: 'if (refusal) this.end(refusal)\n    if (this.leftMs <= 0)',
+    replace: 'if (this.leftMs <= 0)',
+    tests: [CRASHING],
+  },
+  {
+    name: 'ends of upstreams are told to other boxes at once',
+    file: 'request/quarantine/src/runGossip.ts',
+    find: 'await Promise.all(watchedAddresses().map(',
+    replace: 'await Promise.all([].map(',
+    tests: [CRASHING],
+  },
+  {
+    name: 'boxes that know of different ends ask for them',
+    file: 'request/quarantine/src/runGossip.ts',
+    find: 'this.#tasks.run(() => this.#pull(address))',
+    replace: '',
+    tests: [CRASHING],
+  },
+  {
+    name: 'upstreams that end together are one end',
+    file: 'request/quarantine/src/judgeRequest.ts',
+    find: 'run.beganAtMs >= (chain.at(-1)?.endedAtMs ?? Number.NEGATIVE_INFINITY) ?',
+    replace: 'run.beganAtMs >= 0 ?',
+    tests: [CRASHING, JUDGE],
+  },
+  {
+    name: 'a box that stood still waits before it orders again',
+    file: 'upstream/orders/src/orderRight.ts',
+    find: 'Math.max(this.#heldFromMs, pauses.wokeAtMs(PAUSE_SHARE * lifeMs))',
+    replace: 'this.#heldFromMs',
+    tests: ['upstream/orders/test.lib/orders.js'],
+  },
+  {
+    name: 'time for which the machine was suspended counts',
+    file: 'net/system-env/src/systemClock.ts',
+    find: 'this.#suspendedMs += durationMs;',
+    replace: 'this.#suspendedMs += 0;',
+    tests: ['net/system-env/test.lib/systemClock.js'],
+  },
   {
     name: 'a client over its share goes behind the others',
     file: 'scheduling/scheduler/src/placementChooser.ts',
--- a/__utils__/fakes/src/nodeClock.ts
+++ b/__utils__/fakes/src/nodeClock.ts
@@ -5,6 +5,8 @@
   readonly #shared: Clock
   readonly #resumed = new Notifier()
   #paused = false
+  /** Time that its machine was suspended for, which its clock left out. */
+  #missedMs = 0
 
   constructor (shared: Clock) {
     super()
@@ -16,7 +18,7 @@
   }
 
   nowMs (): number {
-    return this.#shared.nowMs()
+    return this.#shared.nowMs() - this.#missedMs
   }
 
   async sleep (durationMs: number, opts: SleepOptions = {}): Promise<void> {
@@ -32,6 +34,14 @@
     this.#paused = true
   }
 
+  /** The machine is suspended for a while. The clock does not count it. */
+  async suspendFor (durationMs: number): Promise<void> {
+    this.pause()
+    await this.#shared.sleep(durationMs)
+    this.#missedMs += durationMs
+    this.resume()
+  }
+
   resume (): void {
     this.#paused = false
     this.#resumed.notify()
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -103,6 +103,15 @@
     }
   }
 
+  /** Whether this machine was suspended, now that its time of day went ahead of its clock by so much. Until that is known, no order is given. */
+  async wasSuspended (durationMs: number): Promise<boolean> {
+    const { log, pauses, prober } = this.#parts
+    pauses.note(durationMs)
+    const suspended = await prober.hasLostTime(durationMs)
+    log.warn(LogEvent.ClockLeapt, { durationMs: Math.round(durationMs), suspended })
+    return suspended
+  }
+
   /** Takes in what may change while the box runs: the addresses of boxes to meet. Answers the names of changed keys that need a restart. */
   reload (next: Settings): string[] {
     const { settings, log } = this.#parts
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -28,9 +28,10 @@
   const loopDelay = new LoopDelay()
   const { listen, limits, platform, log } = settings
   const boxLog = new BunyanLog({ box: settings.box.name, level: log.level })
+  const started: { box?: Box } = {}
   const clock = new SystemClock({
     onLate: (lateMs) => loopDelay.note(lateMs),
-    onSuspended: (durationMs) => boxLog.warn(LogEvent.ClockLeapt, { durationMs: Math.round(durationMs) }),
+    wasSuspended: async (durationMs) => started.box?.wasSuspended(durationMs) ?? true,
   })
   const token = await readToken(settings)
   const metrics = new Metrics()
@@ -54,6 +55,7 @@
     log: boxLog,
     metrics,
   })
+  started.box = box
   registerProcessMetrics(metrics, link, loopDelay)
   await link.listen()
   await box.start()
--- a/core/env/src/pauseWatch.ts
+++ b/core/env/src/pauseWatch.ts
@@ -25,6 +25,11 @@
     tasks.repeat(async () => this.#look(), { periodMs: TICK_MS })
   }
 
+  /** The process may have stood still for so long, though its clock does not say so. */
+  note (lengthMs: number): void {
+    this.#pauses = [...this.#pauses, { lengthMs, wokeAtMs: this.#clock.nowMs() }].slice(-MAX_PAUSES)
+  }
+
   /** When the last pause that was longer than `longerThanMs` ended; long ago if there was none. */
   wokeAtMs (longerThanMs: number): number {
     this.#look()
@@ -34,7 +39,7 @@
   #look (): void {
     const nowMs = this.#clock.nowMs()
     const lengthMs = nowMs - this.#lookedAtMs
-    if (lengthMs > 2 * TICK_MS) this.#pauses = [...this.#pauses, { lengthMs, wokeAtMs: nowMs }].slice(-MAX_PAUSES)
+    if (lengthMs > 2 * TICK_MS) this.note(lengthMs)
     this.#lookedAtMs = nowMs
   }
 }
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -75,6 +75,8 @@
   /** How long ago the platform answered anyone, and since when it has without a longer absence. Boxes of earlier releases do not tell. */
   platformAnsweredMs: durationMs.optional(),
   platformAnsweringMs: durationMs.optional(),
+  /** In an answer: how long before its question the one who asks was last heard of here. */
+  heardAgoMs: durationMs.optional(),
   /** Digest of the run events that the sender knows. Left out when it knows of none. */
   runsDigest: z.number().optional(),
 }
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -52,6 +52,8 @@
 const ALONE_TRIES = 100
 /** Boxes that one that is alone greets at a time. */
 const ALONE_GREETED = 3
+/** Messages take some ms, and may be held up by less than this. */
+const LOST_TIME_MS = 75
 /** News has had this many rounds to spread before views are compared. */
 const COMPARE_EVERY_ROUNDS = 4
 
@@ -76,6 +78,12 @@
   #isTellingSoon = false
   #ringOf?: readonly Member[]
   #watchedOfRing: readonly Member[] = []
+  /** When heartbeats of members last came, by incarnation. */
+  readonly #heardAtMs = new Map<string, number>()
+  /** When the last heartbeat was sent to an address that was answered. */
+  readonly #sentAtMs = new Map<string, number>()
+  /** By how much a member's clock went ahead of this one between two heartbeats, and when that was found. */
+  #lostTime = { durationMs: 0, atMs: Number.NEGATIVE_INFINITY }
   #round = 0
   #pulledInRound = -1
   #comparing = false
@@ -139,6 +147,17 @@
     await Promise.all(behind.map(({ peerAddress }) => this.#heartbeat(peerAddress).catch(() => {})))
   }
 
+  /**
+   * Whether time has passed for the watched members that this box's clock left out, half of
+   * `durationMs` or more. Where none of them answers, nothing speaks against it.
+   */
+  async hasLostTime (durationMs: number): Promise<boolean> {
+    const askedAtMs = this.#opts.clock.nowMs()
+    const answered = await Promise.all(this.#watched().map(({ peerAddress }) => this.#greet(peerAddress)))
+    const { durationMs: lostMs, atMs } = this.#lostTime
+    return answered.every((one) => !one) || (atMs >= askedAtMs && lostMs >= durationMs / 2)
+  }
+
   /** Whether a member has not named the revisions that are in force here. */
   #isBehind (incarnation: string): boolean {
     const here = this.#opts.revisions()
@@ -156,7 +175,7 @@
     switch (message.type) {
       case MessageType.Heartbeat:
         this.#takeNews(message)
-        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self) }
+        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self), heardAgoMs: this.#heardAgoMs(message.self.incarnation) }
       case MessageType.ProbeFor:
         return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
       case MessageType.MembersPull:
@@ -280,14 +299,31 @@
   async #heartbeat (address: string, expectedIncarnation?: string): Promise<MessageOf<MessageType.HeartbeatAck>> {
     const { clock, link, view, probeTimeoutMs } = this.#opts
     const message = { type: MessageType.Heartbeat, ...this.#ownNews(view.atAddress(address)), expectedIncarnation } as const
+    const sentAtMs = clock.nowMs()
     const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs, repeatable: true })
     if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
+    this.#noteLostTime(address, sentAtMs, answer.heardAgoMs)
     this.#meet(address, answer.self, clock.nowMs())
     this.#takeNews(answer)
     if (answer.digest !== view.digest) await this.#pullMembers(address)
     return answer
   }
 
+  #heardAgoMs (incarnation: string): number | undefined {
+    const nowMs = this.#opts.clock.nowMs()
+    const lastMs = this.#heardAtMs.get(incarnation)
+    this.#heardAtMs.set(incarnation, nowMs)
+    return lastMs === undefined ? undefined : nowMs - lastMs
+  }
+
+  #noteLostTime (address: string, sentAtMs: number, heardAgoMs?: number): void {
+    const lastMs = this.#sentAtMs.get(address)
+    this.#sentAtMs.set(address, sentAtMs)
+    if (heardAgoMs === undefined || lastMs === undefined) return
+    const durationMs = heardAgoMs - (sentAtMs - lastMs)
+    if (durationMs > LOST_TIME_MS) this.#lostTime = { durationMs, atMs: this.#opts.clock.nowMs() }
+  }
+
   /** Whoever answers at an address is proof that any other incarnation there is gone. */
   #meet (address: string, answering: Member, nowMs: number): void {
     const { view } = this.#opts
@@ -354,6 +390,7 @@
   }
 
   #forget (incarnation: string): void {
+    this.#heardAtMs.delete(incarnation)
     this.#peerLoad.delete(incarnation)
     this.#peerRevisions.delete(incarnation)
   }
--- a/net/system-env/src/systemClock.ts
+++ b/net/system-env/src/systemClock.ts
@@ -2,18 +2,18 @@
 
 const MAX_TIMER_MS = 2 ** 31 - 1
 /**
- * The time of day that goes ahead of the steady clock by more than this between two looks means that
+ * A time of day that goes ahead of the steady clock by more than this between two looks was set forward, or
  * the machine was suspended. Adjustments of the time of day take half a millisecond a second at most.
  */
-const SUSPENDED_MS = 150
+const LEAP_MS = 150
 /** The time of day is looked at no more often than this: the clock is read many times for each request. */
 const LOOK_EVERY_MS = 1
 
 export interface SystemClockOptions {
   /** A timer fired this long after it was due. */
   onLate?: (lateMs: number) => void
-  /** The machine was suspended for so long, or its time of day was set forward. */
-  onSuspended?: (durationMs: number) => void
+  /** Whether the machine was suspended, now that its time of day went ahead by so much; true without. */
+  wasSuspended?: (durationMs: number) => Promise<boolean>
   /** The process's steady clock, which stands still while the machine is suspended. */
   steadyMs?: () => number
   /** The time of day, which does not. */
@@ -28,9 +28,8 @@
 /**
  * The process's own monotonic clock and timers. Time for which the machine was suspended counts:
  * rights run out, deadlines pass and beliefs age meanwhile, as in a pause of the process. Node's
- * timers and steady clock leave that time out, and it cannot read the clock that has it; the time
- * of day tells. Where that is merely set forward, it is taken for a pause as well, which costs
- * what a pause of that length costs, and is never the other way round.
+ * timers and steady clock leave that time out, and it cannot read the clock that has it. The time
+ * of day has it, but may have been set forward; whoever else has a clock can tell the two apart.
  */
 export class SystemClock extends Clock {
   readonly #opts: SystemClockOptions
@@ -96,9 +95,12 @@
     const suspendedMs = aheadMs - this.#aheadMs
     this.#lookedAtMs = steadyMs
     this.#aheadMs = aheadMs
-    if (suspendedMs <= SUSPENDED_MS) return
-    this.#suspendedMs += suspendedMs;
+    if (suspendedMs > LEAP_MS) void this.#countIfSuspended(suspendedMs)
+  }
+
+  async #countIfSuspended (durationMs: number): Promise<void> {
+    if (this.#opts.wasSuspended && !await this.#opts.wasSuspended(durationMs)) return
+    this.#suspendedMs += durationMs;
     [...this.#sleepers].forEach(({ setTimer }) => setTimer())
-    this.#opts.onSuspended?.(suspendedMs)
   }
 }
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -43,7 +43,7 @@
   EngineCallFailed = 'engineCallFailed',
   PeerCallFailed = 'peerCallFailed',
   TaskFailed = 'taskFailed',
-  /** The machine was suspended, or its time of day was set forward. */
+  /** The time of day went ahead of the steady clock: the machine was suspended, or the time was set. */
   ClockLeapt = 'clockLeapt',
   LinesDropped = 'linesDropped',
 }
