refactor: found lost time, and breaks of the own interface's runs, in files of their own

The prober grew by what finds a suspension; it stands in LostTime now. The two kinds of run of the own interface noted breaks in the same words. An event of a finished run names no upstream. Counting quarantined requests is a method, since it tells the log of those that may run again.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -188,7 +188,7 @@
       relay: relay?.describe(),
       placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
       shards: keepers.describe(),
-      quarantine: { requests: quarantine.size, runsKnown: runHistory.size },
+      quarantine: { requests: quarantine.countQuarantined(), runsKnown: runHistory.size },
       callersBeingServed: this.#callersBeingServed,
     }
   }
--- a/box/runtime/src/registerBoxMetrics.ts
+++ b/box/runtime/src/registerBoxMetrics.ts
@@ -6,7 +6,7 @@
   const { metrics, owner, log, beliefAges, quarantine, runHistory } = parts
   metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
   metrics.gauge('reelspan_log_lines_dropped_total', () => log.droppedLines)
-  metrics.gauge('reelspan_requests_quarantined', () => quarantine.size)
+  metrics.gauge('reelspan_requests_quarantined', () => quarantine.countQuarantined())
   metrics.gauge('reelspan_run_events_known', () => runHistory.size)
   metrics.gauges('reelspan_belief_age_ms', () => beliefAges.values())
   metrics.gauges('reelspan_retry_budget_left', () => retryBudgets(parts))
--- a/core/messages/src/runEvent.ts
+++ b/core/messages/src/runEvent.ts
@@ -17,7 +17,8 @@
   content: z.string(),
   /** Hash of who sent it. */
   caller: z.string(),
-  upstream: z.string(),
+  /** The upstream that ended; left out where none did. */
+  upstream: z.string().optional(),
   /** How long ago the run ended. */
   ageMs: z.number().nonnegative(),
   /** How long before its end the upstream had been sent the request. */
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -1,6 +1,7 @@
 import { type Clock, Notifier, type Random, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
+import { LostTime } from './lostTime.js'
 import { watchedMembers } from './watchedMembers.js'
 
 export interface ProberOptions {
@@ -52,8 +53,6 @@
 const ALONE_TRIES = 100
 /** Boxes that one that is alone greets at a time. */
 const ALONE_GREETED = 3
-/** Messages take some ms, and may be held up by less than this. */
-const LOST_TIME_MS = 75
 /** News has had this many rounds to spread before views are compared. */
 const COMPARE_EVERY_ROUNDS = 4
 
@@ -78,12 +77,7 @@
   #isTellingSoon = false
   #ringOf?: readonly Member[]
   #watchedOfRing: readonly Member[] = []
-  /** When heartbeats of members last came, by incarnation. */
-  readonly #heardAtMs = new Map<string, number>()
-  /** When the last heartbeat was sent to an address that was answered. */
-  readonly #sentAtMs = new Map<string, number>()
-  /** By how much a member's clock went ahead of this one between two heartbeats, and when that was found. */
-  #lostTime = { durationMs: 0, atMs: Number.NEGATIVE_INFINITY }
+  readonly #lostTime: LostTime
   #round = 0
   #pulledInRound = -1
   #comparing = false
@@ -92,6 +86,7 @@
   constructor (opts: ProberOptions) {
     this.#opts = opts
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
+    this.#lostTime = new LostTime(opts.clock)
     this.#lastMajorityContactMs = opts.clock.nowMs()
     opts.view.onChange((member) => this.#queueNews(member))
   }
@@ -154,8 +149,7 @@
   async hasLostTime (durationMs: number): Promise<boolean> {
     const askedAtMs = this.#opts.clock.nowMs()
     const answered = await Promise.all(this.#watched().map(({ peerAddress }) => this.#greet(peerAddress)))
-    const { durationMs: lostMs, atMs } = this.#lostTime
-    return answered.every((one) => !one) || (atMs >= askedAtMs && lostMs >= durationMs / 2)
+    return answered.every((one) => !one) || this.#lostTime.foundSince(askedAtMs) >= durationMs / 2
   }
 
   /** Whether a member has not named the revisions that are in force here. */
@@ -175,7 +169,7 @@
     switch (message.type) {
       case MessageType.Heartbeat:
         this.#takeNews(message)
-        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self), heardAgoMs: this.#heardAgoMs(message.self.incarnation) }
+        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self), heardAgoMs: this.#lostTime.noteHeard(message.self.incarnation) }
       case MessageType.ProbeFor:
         return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
       case MessageType.MembersPull:
@@ -302,28 +296,13 @@
     const sentAtMs = clock.nowMs()
     const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs, repeatable: true })
     if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
-    this.#noteLostTime(address, sentAtMs, answer.heardAgoMs)
+    this.#lostTime.noteAnswered(address, sentAtMs, answer.heardAgoMs)
     this.#meet(address, answer.self, clock.nowMs())
     this.#takeNews(answer)
     if (answer.digest !== view.digest) await this.#pullMembers(address)
     return answer
   }
 
-  #heardAgoMs (incarnation: string): number | undefined {
-    const nowMs = this.#opts.clock.nowMs()
-    const lastMs = this.#heardAtMs.get(incarnation)
-    this.#heardAtMs.set(incarnation, nowMs)
-    return lastMs === undefined ? undefined : nowMs - lastMs
-  }
-
-  #noteLostTime (address: string, sentAtMs: number, heardAgoMs?: number): void {
-    const lastMs = this.#sentAtMs.get(address)
-    this.#sentAtMs.set(address, sentAtMs)
-    if (heardAgoMs === undefined || lastMs === undefined) return
-    const durationMs = heardAgoMs - (sentAtMs - lastMs)
-    if (durationMs > LOST_TIME_MS) this.#lostTime = { durationMs, atMs: this.#opts.clock.nowMs() }
-  }
-
   /** Whoever answers at an address is proof that any other incarnation there is gone. */
   #meet (address: string, answering: Member, nowMs: number): void {
     const { view } = this.#opts
@@ -390,7 +369,7 @@
   }
 
   #forget (incarnation: string): void {
-    this.#heardAtMs.delete(incarnation)
+    this.#lostTime.forget(incarnation)
     this.#peerLoad.delete(incarnation)
     this.#peerRevisions.delete(incarnation)
   }
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -4,10 +4,10 @@
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { hash32, prefixDigests, tokensOfText } from '@reelspan/core.hashing'
 import { AnswerEventKind, type CompletionRequest, type HoldLabel, type PlacementPlan, type PlacementRefusal, type PlacementReport, sameHolder } from '@reelspan/core.messages'
-import { identityOfRouted } from '@reelspan/request.identity'
 import { type BrokenRuns } from '@reelspan/request.quarantine'
 import { type Placement, type Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type EngineClient, type PrefillResult, UpstreamError } from '@reelspan/upstream.client'
+import { noteBreak } from './noteBreak.js'
 import { percentile } from './percentile.js'
 import { type RequestTimings } from './requestTimings.js'
 import { type RunContext } from './runContext.js'
@@ -249,16 +249,11 @@
       return await work()
     } catch (thrown) {
       if (thrown instanceof UpstreamError) this.#failedEngines.add(engine)
-      if (thrown instanceof UpstreamError && thrown.brokeOff && !this.#run.signal.aborted) this.#noteBreak(engine, address, sentAtMs, thrown)
+      noteBreak(this.#opts.brokenRuns, this.#run, { request: this.#request, upstream: engine, address, sentAtMs }, thrown)
       throw thrown
     }
   }
 
-  #noteBreak (upstream: string, address: string, sentAtMs: number, { message: reason }: UpstreamError): void {
-    const { key, route } = this.#request
-    void this.#opts.brokenRuns.note({ request: key, route, identity: identityOfRouted(this.#request), upstream, address, sentAtMs, reason })
-  }
-
   /** Frees both engines without waiting. What does not get through is found by the scheduler's sweep. */
   #releaseEngines (label: HoldLabel, plan: PlacementPlan): void {
     const { engines, upstreamTimeoutMs } = this.#opts
--- a/request/owner/src/serviceRun.ts
+++ b/request/owner/src/serviceRun.ts
@@ -4,8 +4,8 @@
 import { ErrorCode, ReelspanError, toReelspanError } from '@reelspan/core.error'
 import { AnswerEventKind, type ServiceRequest } from '@reelspan/core.messages'
 import { type ServiceClient, type ServiceReply, UpstreamError } from '@reelspan/upstream.client'
-import { identityOfRouted } from '@reelspan/request.identity'
 import { type BrokenRuns } from '@reelspan/request.quarantine'
+import { noteBreak } from './noteBreak.js'
 import { type RunContext } from './runContext.js'
 
 export interface ServiceRunOptions {
@@ -53,25 +53,21 @@
   }
 
   async #send (upstream: ListedUpstream): Promise<ServiceReply> {
-    const { clock, services } = this.#opts
+    const { clock, services, brokenRuns } = this.#opts
+    const { name, address } = upstream
     const { key, method, path, contentType, body } = this.#request
     const call = { requestKey: key, method, path, contentType, body }
     const sentAtMs = clock.nowMs()
     const reply = await this.#run.dispatch(() =>
-      services.call(upstream.address, call, { timeoutMs: this.#run.leftMs, signal: this.#run.signal }))
+      services.call(address, call, { timeoutMs: this.#run.leftMs, signal: this.#run.signal }))
       .catch((thrown: unknown) => {
-        if (thrown instanceof UpstreamError && thrown.brokeOff && !this.#run.signal.aborted) this.#noteBreak(upstream, sentAtMs, thrown)
+        noteBreak(brokenRuns, this.#run, { request: this.#request, upstream: name, address, sentAtMs }, thrown)
         throw thrown
       })
-    if (reply.requestKey !== key) throw new UpstreamError(`${upstream.name} answered another request`, { mayHaveRun: true })
+    if (reply.requestKey !== key) throw new UpstreamError(`${name} answered another request`, { mayHaveRun: true })
     return reply
   }
 
-  #noteBreak ({ name, address }: ListedUpstream, sentAtMs: number, { message: reason }: UpstreamError): void {
-    const { key, route } = this.#request
-    void this.#opts.brokenRuns.note({ request: key, route, identity: identityOfRouted(this.#request), upstream: name, address, sentAtMs, reason })
-  }
-
   /** A call that may have run is sent again only if the caller said that it may be. */
   #mayRetry (thrown: unknown, attempt: number): boolean {
     if (!(thrown instanceof UpstreamError) || attempt >= MAX_ATTEMPTS) return false
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -38,8 +38,8 @@
     this.#opts = opts
   }
 
-  /** Requests that are not run at present. */
-  get size (): number {
+  /** How many requests are not run at present. Tells of those that may run again. */
+  countQuarantined (): number {
     [...this.#told.values()].forEach((request) => this.#tell(request, this.#judge(request)))
     return this.#told.size
   }
@@ -68,7 +68,7 @@
     if (history.size === 0) return
     const request = identity()
     const last = history.of(request.content).at(-1)
-    if (last?.end === RunEnd.UpstreamEnded) this.#note({ ...request, end: RunEnd.Finished, upstream: '', ranMs: 0, ageMs: 0 })
+    if (last?.end === RunEnd.UpstreamEnded) this.#note({ ...request, end: RunEnd.Finished, ranMs: 0, ageMs: 0 })
   }
 
   /** Events of this or another box were added to the history. */
@@ -97,7 +97,7 @@
   }
 
   #refusal (runs: readonly PastRun[]): ReelspanError {
-    const upstreams = runs.map(({ upstream }) => upstream).join(', ')
+    const upstreams = endedUpstreams(runs).join(', ')
     return new ReelspanError(ErrorCode.RequestQuarantined, `${runs.length} upstreams ended under this request, one after the other: ${upstreams}`, {
       retryAfterMs: this.#leftMs(runs.at(-1) as PastRun),
     })
@@ -109,6 +109,10 @@
     if (quarantined === this.#told.has(key)) return
     if (quarantined) this.#told.set(key, { content, caller })
     else this.#told.delete(key)
-    this.#opts.log.warn(LogEvent.QuarantineChanged, { quarantined, contentHash: content, callerHash: caller, upstreams: runs.map(({ upstream }) => upstream) })
+    this.#opts.log.warn(LogEvent.QuarantineChanged, { quarantined, contentHash: content, callerHash: caller, upstreams: endedUpstreams(runs) })
   }
 }
+
+function endedUpstreams (runs: readonly PastRun[]): string[] {
+  return runs.flatMap(({ upstream }) => upstream ?? [])
+}
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -8,7 +8,8 @@
   end: RunEnd
   content: string
   caller: string
-  upstream: string
+  /** The upstream that ended. */
+  upstream?: string
   beganAtMs: number
   endedAtMs: number
 }
@@ -61,7 +62,7 @@
     const runs = this.#byContent.get(content) ?? []
     this.#byContent.delete(content)
     this.#byContent.set(content, [...runs, run].toSorted((a, b) => a.endedAtMs - b.endedAtMs))
-    if (end === RunEnd.UpstreamEnded) this.#byUpstream.set(upstream, [...this.#byUpstream.get(upstream) ?? [], run])
+    if (upstream !== undefined) this.#byUpstream.set(upstream, [...this.#byUpstream.get(upstream) ?? [], run])
     this.#ids.add(id)
     this.#digest ^= hash32(id)
     if (runs.length >= MAX_RUNS_PER_CONTENT) this.#forget((this.#byContent.get(content) as PastRun[])[0])
@@ -76,7 +77,7 @@
 
   /** Contents of the other requests that ended with the same upstream. */
   beside ({ content, upstream, endedAtMs }: PastRun): string[] {
-    const there = (this.#byUpstream.get(upstream) ?? []).filter((run) => Math.abs(run.endedAtMs - endedAtMs) <= SAME_END_MS)
+    const there = (this.#byUpstream.get(upstream ?? '') ?? []).filter((run) => Math.abs(run.endedAtMs - endedAtMs) <= SAME_END_MS)
     return [...new Set(there.map((run) => run.content))].filter((other) => other !== content)
   }
 
@@ -100,7 +101,7 @@
 
   #forget (run: PastRun): void {
     removeFrom(this.#byContent, run.content, run)
-    removeFrom(this.#byUpstream, run.upstream, run)
+    if (run.upstream !== undefined) removeFrom(this.#byUpstream, run.upstream, run)
     this.#ids.delete(run.id)
     this.#digest ^= hash32(run.id)
   }
--- a/request/quarantine/test/judgeRequest.ts
+++ b/request/quarantine/test/judgeRequest.ts
@@ -46,7 +46,7 @@
 })
 
 test('a run that came to its end takes back what was held against its request', (t) => {
-  const finished = (ageMs: number, caller = 'w') => end('a', 0, { end: RunEnd.Finished, upstream: '', ageMs, ranMs: 0, caller })
+  const finished = (ageMs: number, caller = 'w') => end('a', 0, { end: RunEnd.Finished, upstream: undefined, ageMs, ranMs: 0, caller })
   const three = series('a', [1, 2, 3])
   const afterTwo = (20 - 2) * APART_MS - 100
   t.false(isJudged([...three, finished(0)], 'a'))
@@ -86,7 +86,7 @@
     finished: fc.boolean(),
   }), { maxLength: 15 })
   fc.assert(fc.property(drawn, fc.infiniteStream(fc.nat()), (runs, order) => {
-    const events = runs.map(({ content, caller, nth, finished }, i) => end(content, nth, finished ? { caller, end: RunEnd.Finished, ageMs: i * 500, upstream: '' } : { caller, ageMs: i * 500 }))
+    const events = runs.map(({ content, caller, nth, finished }, i) => end(content, nth, finished ? { caller, end: RunEnd.Finished, ageMs: i * 500, upstream: undefined } : { caller, ageMs: i * 500 }))
     const keys = new Map(events.map(({ id }) => [id, order.next().value]))
     const shuffled = [...events, ...events.slice(0, 3)].toSorted((a, b) => (keys.get(a.id) ?? 0) - (keys.get(b.id) ?? 0))
     const [one, other] = [historyOf(events), historyOf(shuffled)]
--- a/request/relay/test/quarantine.ts
+++ b/request/relay/test/quarantine.ts
@@ -64,7 +64,7 @@
   relay.upstreams.prefillFailure = new UpstreamError('closed the connection', { mayHaveRun: true, unreachable: true })
   relay.probe.ended.add('10.0.0.1:1')
   await relay.clock.run(relay.relay.relay(requestTo('/draft/1'), new RecordingCaller()))
-  t.is(relay.quarantine.size, 1)
+  t.is(relay.quarantine.countQuarantined(), 1)
 })
 
 test('a request that ran to its end is not held for what its upstreams ended for before', async (t) => {
