--- a/request/relay/test/upstreamPicker.ts
+++ b/request/relay/test/upstreamPicker.ts
@@ -58,3 +58,25 @@
   t.not(picker.pick(LISTED, new Set(['a1']))?.name, 'a1')
   t.is(picker.pick(LISTED.slice(0, 1), new Set(['a1'])), undefined)
 })
+
+test('an upstream that started again is not held for how long calls took before, nor for those that are under way there', async (t) => {
+  const { clock, picker } = createPicker()
+  for (let i = 0; i < 5; i++) {
+    picker.noteTime('a1@1000', 900)
+    picker.noteTime('b1', 60)
+    picker.noteTime('c1', 60)
+    picker.noteStart('a1@1000')
+  }
+  t.not(picker.pick([upstream('a1@1000', 'a'), upstream('b1', 'b'), upstream('c1', 'c')], NONE)?.name, 'a1@1000')
+  const restarted = [upstream('a1@2000', 'a'), upstream('b1', 'b'), upstream('c1', 'c')]
+  picker.retain(new Set(restarted.map(({ name }) => name)))
+  t.is(picker.inFlightAt('a1@2000'), 0)
+  const neverSeen = [upstream('a2', 'a'), upstream('b1', 'b'), upstream('c1', 'c')]
+  t.is(picker.pick(restarted, NONE)?.name === 'a1@2000', picker.pick(neverSeen, NONE)?.name === 'a2')
+  // What an upstream that was never seen is taken for, the mean of all calls, is what all come back to.
+  await clock.advance(20_000)
+  t.is(picker.pick(restarted, NONE)?.name, 'a1@2000')
+  Array.from({ length: 5 }, () => picker.noteEnd('a1@1000'))
+  t.is(picker.inFlightAt('a1@2000'), 0)
+  t.is(picker.inFlightAt('a1@1000'), 0)
+})
