--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -1,12 +1,13 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, Configuration, ResourceKind } from '@reelspan/config.resources'
-import { type EngineOutcome, type FinalAnswer, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
+import { type EngineOutcome, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
 import { BrokenRuns, type BrokenRunsOptions, Quarantine, RunHistory } from '@reelspan/request.quarantine'
-import { Relay, RelayCaller, type RelayOptions } from '@reelspan/request.relay'
+import { Relay, type RelayOptions } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
+import { KeepingCaller } from '@reelspan/utils.fake-fleet'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
 /** What a scripted upstream does with one request. */
@@ -84,32 +85,14 @@
   }
 }
 
-/** A caller that keeps what it gets. */
-export class RecordingCaller extends RelayCaller {
-  readonly left = new AbortController()
-  status?: number
-  body = ''
-  whole = false
-  wasCut = false
-  refused?: FinalAnswer
+/** A caller that keeps what it gets, and may stop taking it in. */
+export class RecordingCaller extends KeepingCaller {
   /** Takes in nothing more until it leaves or reads again. */
   readsNothing = false
   #readsAgain = () => {}
 
-  get signal (): AbortSignal {
-    return this.left.signal
-  }
-
-  get begun (): boolean {
-    return this.status !== undefined
-  }
-
-  begin (status: number): void {
-    this.status = status
-  }
-
-  async write (bytes: Uint8Array): Promise<void> {
-    this.body += Buffer.from(bytes).toString()
+  override async write (bytes: Uint8Array): Promise<void> {
+    await super.write(bytes)
     if (!this.readsNothing || this.left.signal.aborted) return
     await new Promise<void>((resolve) => {
       this.#readsAgain = resolve
@@ -121,18 +104,6 @@
     this.readsNothing = false
     this.#readsAgain()
   }
-
-  finish (): void {
-    this.whole = true
-  }
-
-  cut (): void {
-    this.wasCut = true
-  }
-
-  refuse (final: FinalAnswer): void {
-    this.refused = final
-  }
 }
 
 /** Places everything on the same two engines, or refuses. */
