--- a/__utils__/bench/src/slopes.ts
+++ b/__utils__/bench/src/slopes.ts
@@ -3,6 +3,7 @@
 import { measureBox, measureIdleBox } from './measureBox.js'
 import { measureMembership } from './measureMembership.js'
 import { measureRecords } from './measureRecords.js'
+import { measureRuns } from './measureRuns.js'
 import { measureScheduler } from './measureScheduler.js'
 import { measureChange, measurePrefixEntry, measureWatch } from './measureState.js'
 
@@ -11,11 +12,13 @@
 const SCHEDULER_ENGINES = [4, 8, 16, 32, 64]
 const RECORD_TOKENS = [0, 50, 100, 200]
 const IDLE_ENGINES = [2, 8, 16, 32]
+const RUN_COUNTS = [100, 500, 2000]
 
 const PARTS = {
   state: slopeOfState,
   scheduler: slopeOfScheduler,
   records: slopeOfRecords,
+  runs: slopeOfRuns,
   box: slopeOfBox,
   idle: slopeOfIdleBox,
   membership: slopeOfMembership,
@@ -61,6 +64,11 @@
   printFit('µs a record, by token', costs.map(({ tokens, microsecondsPerRecord }) => ({ x: tokens, y: microsecondsPerRecord })))
 }
 
+async function slopeOfRuns (): Promise<void> {
+  RUN_COUNTS.map(measureRuns).forEach((cost) =>
+    console.log(`${cost.runs} ends of runs: ${cost.heapBytesPerRun.toFixed(0)} bytes of heap and ${cost.microsecondsPerRun.toFixed(1)} µs each, ${cost.microsecondsPerJudgement.toFixed(1)} µs a judgement`))
+}
+
 async function slopeOfBox (): Promise<void> {
   const costs = await measureBox()
   costs.forEach(({ what, count, tokens, milliseconds }) => console.log(`${count} ${what}s${what === 'completion' ? ` of ${tokens} tokens` : ''}: ${milliseconds.toFixed(0)} ms of processor time, ${(1000 * milliseconds / count).toFixed(0)} µs each`))
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -16,7 +16,7 @@
 
 /** How long a run is remembered: several times the time for which a request is not run because of it, so that one that comes back is known again at once. */
 export const RUN_MEMORY_MS = 30 * 60_000
-/** Some 300 KB. An engine that ends takes up to 64 requests with it; a zone of some 20 engines is remembered whole. */
+/** 0.9 MB (460 bytes each, `npm run slopes -- --parts runs`). An engine that ends takes up to 64 requests with it; a zone of some 20 engines is remembered whole. */
 const MAX_RUNS = 2000
 /** Of one request. More say nothing new. */
 const MAX_RUNS_PER_CONTENT = 16
