--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -21,9 +21,45 @@
 const STORE = 'config/store/test.lib/configStore.js'
 const CRASHING = 'box/runtime/test.lib/crashingRequest.js'
 const JUDGE = 'request/quarantine/test.lib/judgeRequest.js'
+const ACCOUNTS = 'box/runtime/test.lib/accounts.js'
 
 /** What the promises rest on. */
 export const MECHANISMS: Mechanism[] = [
+  {
+    name: 'keyed requests are taken within the bound of the proof alone',
+    file: 'accounts/proof/src/configurationProof.ts',
+    find: 'return boundMs === undefined || this.ageMs < boundMs',
+    replace: 'return boundMs === undefined || this.ageMs < 100 * boundMs',
+    tests: [ACCOUNTS],
+  },
+  {
+    name: 'a peer\'s proof counts from when the peer was asked',
+    file: 'accounts/proof/src/configurationProof.ts',
+    find: 'this.noteRead(revision, askedAtMs - ageMs)',
+    replace: 'this.noteRead(revision, askedAtMs)',
+    tests: ['accounts/proof/test.lib/configurationProof.js'],
+  },
+  {
+    name: 'a suspension ends all proofs',
+    file: 'box/runtime/src/box.ts',
+    find: '    proof.forget()\n',
+    replace: '',
+    tests: [ACCOUNTS],
+  },
+  {
+    name: 'keys stop at the box',
+    file: 'platform/adapter/src/upstreamHeaders.ts',
+    find: '...keysAreAccounts ? KEY_HEADERS : []',
+    replace: '',
+    tests: ['platform/adapter/test.lib/accounts.js'],
+  },
+  {
+    name: 'one box keeps an account\'s limit for all',
+    file: 'accounts/limits/src/homeLimiter.ts',
+    find: 'if (answer !== undefined) return answer',
+    replace: 'if (answer !== undefined) return 0',
+    tests: [ACCOUNTS],
+  },
   {
     name: 'an owner releases its engines on every way out',
     file: 'request/owner/src/completionRun.ts',
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -93,6 +93,8 @@
   #nextHandle = 0
   readonly runs: UpstreamRun[] = []
   readonly arrivals: UpstreamArrival[] = []
+  /** Heads and trailers of all that reached it, one text each. */
+  readonly received: string[] = []
   /** Orders that reached it: their bodies, and the instance that they were for. */
   readonly orders: { body: unknown, expected?: string }[] = []
   address = ''
@@ -104,6 +106,7 @@
     this.#server = createServer((message, response) => {
       const parts: Buffer[] = []
       message.on('data', (part: Buffer) => parts.push(part))
+      message.on('end', () => { this.received.push([message.method, message.url, ...message.rawHeaders, ...message.rawTrailers].join('\n')) })
       message.on('end', () => { void this.#serve(message, response, Buffer.concat(parts).toString()) })
       response.on('error', () => {})
     })
--- /dev/null
+++ b/accounts/admission/src/index.ts
@@ -0,0 +1,3 @@
+export { AccessPatience } from './accessPatience.js'
+export { Admission } from './admission.js'
+export type { AdmissionRequest, BoxAdmission, Admitted } from './admission.js'
--- /dev/null
+++ b/accounts/limits/src/homeLimiter.ts
@@ -0,0 +1,103 @@
+import { type Clock } from '@reelspan/core.env'
+import { rankByRendezvous } from '@reelspan/core.hashing'
+import { type Member, MessageType, type PeerLink } from '@reelspan/core.messages'
+import { AccountLimiter, type LimitedCost } from './accountLimiter.js'
+import { type LimitBook } from './limitBook.js'
+
+export interface HomeLimiterOptions {
+  clock: Clock
+  link: PeerLink
+  /** The buckets that are kept here, for the accounts that have their home at this box. */
+  book: LimitBook
+  /** Decides here when no home answers. */
+  alone: AccountLimiter
+  /** Boxes that may be homes, this one included. The same list until one changes. */
+  members: () => readonly Member[]
+  self: () => Member
+}
+
+/** Many times the way to a home and back, and a small part of the time in which calls to services are to be answered. */
+const HOME_TIMEOUT_MS = 50
+/** A home that did not answer is passed over for as long as it takes to be suspected. */
+const PASSED_OVER_MS = 1500
+/** The home, and the one that follows when it does not answer. */
+const HOMES = 2
+
+/** One box, the home of the account, keeps its bucket; others ask it for each request. */
+export class HomeLimiter extends AccountLimiter {
+  readonly #opts: HomeLimiterOptions
+  /** Homes by account, worked out anew when the members change. */
+  readonly #homes = new Map<string, readonly Member[]>()
+  #homesAmong?: readonly Member[]
+  /** Until when a box that did not answer is passed over, by incarnation. */
+  readonly #passedOverUntilMs = new Map<string, number>()
+  /** Where each cost that may be given back was taken. */
+  readonly #takenAt = new WeakMap<LimitedCost, Member | AccountLimiter>()
+
+  constructor (opts: HomeLimiterOptions) {
+    super()
+    this.#opts = opts
+  }
+
+  async take (taken: LimitedCost): Promise<number> {
+    const { alone } = this.#opts
+    const answer = await this.#askHomes(taken, this.#homesOf(taken.account))
+    if (answer !== undefined) return answer
+    this.#takenAt.set(taken, alone)
+    return alone.take(taken)
+  }
+
+  giveBack (taken: LimitedCost): void {
+    const { book, link, self } = this.#opts
+    const home = this.#takenAt.get(taken)
+    if (!home) return
+    this.#takenAt.delete(taken)
+    const { account, cost } = taken
+    if (home instanceof AccountLimiter) return home.giveBack(taken)
+    if (home.incarnation === self().incarnation) return book.giveBack(account, cost)
+    // What is lost on the way is filled up again by the rate; the link tells of it.
+    link.call(home.peerAddress, { type: MessageType.AccountGiveBack, account, cost }, { timeoutMs: HOME_TIMEOUT_MS, repeatable: false }).catch(() => {})
+  }
+
+  async #askHomes (taken: LimitedCost, [home, ...others]: readonly Member[]): Promise<number | undefined> {
+    if (!home) return undefined
+    const answer = this.#isPassedOver(home) ? undefined : await this.#ask(home, taken)
+    if (answer === undefined) return this.#askHomes(taken, others)
+    this.#takenAt.set(taken, home)
+    return answer
+  }
+
+  async #ask (home: Member, { account, cost }: LimitedCost): Promise<number | undefined> {
+    const { book, clock, link, self } = this.#opts
+    if (home.incarnation === self().incarnation) return book.take(account, cost)
+    try {
+      const answer = await link.call(home.peerAddress, { type: MessageType.AccountTake, account, cost }, { timeoutMs: HOME_TIMEOUT_MS, repeatable: false })
+      return answer.type === MessageType.AccountTaken ? answer.waitMs : undefined
+    } catch {
+      // The link tells of the failure.
+      this.#passedOverUntilMs.set(home.incarnation, clock.nowMs() + PASSED_OVER_MS)
+      return undefined
+    }
+  }
+
+  #isPassedOver ({ incarnation }: Member): boolean {
+    const untilMs = this.#passedOverUntilMs.get(incarnation)
+    if (untilMs === undefined) return false
+    if (untilMs > this.#opts.clock.nowMs()) return true
+    this.#passedOverUntilMs.delete(incarnation)
+    return false
+  }
+
+  #homesOf (account: string): readonly Member[] {
+    const members = this.#opts.members()
+    if (members !== this.#homesAmong) {
+      this.#homesAmong = members
+      this.#homes.clear()
+    }
+    const known = this.#homes.get(account)
+    if (known) return known
+    const homes = rankByRendezvous(`limit|${account}`, [...members], ({ incarnation }) => incarnation).slice(0, HOMES)
+    this.#homes.set(account, homes)
+    return homes
+  }
+}
--- /dev/null
+++ b/accounts/limits/src/index.ts
@@ -0,0 +1,8 @@
+export { AccountLimiter } from './accountLimiter.js'
+export type { LimitedCost } from './accountLimiter.js'
+export { EvenShareLimiter } from './evenShareLimiter.js'
+export { HomeLimiter } from './homeLimiter.js'
+export { LimitBook } from './limitBook.js'
+export type { LimitBookOptions, LimitTolerance } from './limitBook.js'
+export { LimitBucket } from './limitBucket.js'
+export { limitCost } from './limitCost.js'
--- /dev/null
+++ b/accounts/proof/src/index.ts
@@ -0,0 +1,5 @@
+export { ConfigurationProof } from './configurationProof.js'
+export type { ToldProof } from './configurationProof.js'
+export { decideRenewal, ProofRole } from './decideRenewal.js'
+export type { Renewal } from './decideRenewal.js'
+export { ProofKeeper } from './proofKeeper.js'
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -1,3 +1,4 @@
+import { type BoxAdmission } from '@reelspan/accounts.admission'
 import { raceTimeout, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type AnswerEvent, Collection, type Member, MemberHealth, MessageType, type RoutedRequest } from '@reelspan/core.messages'
@@ -45,6 +46,11 @@
     return this.#ready
   }
 
+  /** Takes requests in for client accounts. */
+  get admission (): BoxAdmission {
+    return this.#parts.admission
+  }
+
   get configuration (): Configuration {
     return this.#parts.declarations.value
   }
@@ -73,6 +79,7 @@
     registerBoxMetrics(this.#parts)
     Object.values(followers).forEach((follower) => follower.start())
     prober.start()
+    this.#parts.proofKeeper?.start()
     Object.values(Collection).forEach((collection) => this.#tasks.run(() => this.#onRevisions(collection)))
     platformContact.onBack(() => this.#tasks.run(() => this.#reconcileAfterReentry()))
     this.#reconcile()
@@ -105,8 +112,9 @@
 
   /** Whether this machine was suspended, now that its time of day went ahead of its clock by so much. Until that is known, no order is given. */
   async wasSuspended (durationMs: number): Promise<boolean> {
-    const { log, pauses, prober } = this.#parts
+    const { log, pauses, prober, proof } = this.#parts
     pauses.note(durationMs)
+    proof.forget()
     const suspended = await prober.hasLostTime(durationMs)
     log.warn(LogEvent.ClockLeapt, { durationMs: Math.round(durationMs), suspended })
     return suspended
@@ -175,10 +183,11 @@
 
   /** The whole state of the process. */
   describe () {
-    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, settings } = this.#parts
+    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, proof, settings } = this.#parts
     return {
       self: view.self,
       ready: this.#ready,
+      proofAgeMs: Number.isFinite(proof.ageMs) ? Math.round(proof.ageMs) : undefined,
       stopping: this.#stopping,
       declarations: { revision: declarations.revision, resources: declarations.value.resources.length, rejected: declarations.rejected },
       fleet: { revision: fleetList.revision, boxes: fleet.value.boxes.length, upstreams: fleet.value.upstreams.length, keptThoughMissing: fleet.missing },
@@ -206,11 +215,11 @@
 
   /** Stops at once. What runs gets its verdict. */
   async stop (): Promise<void> {
-    const { prober, followers, keepers, owner, relay, runGossip, link, log } = this.#parts
+    const { prober, proofKeeper, followers, keepers, owner, relay, runGossip, link, log } = this.#parts
     this.#stopping = true
     const requestsCut = this.#callersBeingServed
     await Promise.all([owner.stop(), relay?.stop()])
-    await Promise.all([this.#tasks.stop(), prober.stop(), runGossip.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
+    await Promise.all([this.#tasks.stop(), prober.stop(), proofKeeper?.stop(), runGossip.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
     log.info(LogEvent.Stopped, { requestsCut })
   }
 
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -1,3 +1,6 @@
+import { type Admission } from '@reelspan/accounts.admission'
+import { type AccountLimiter, type LimitBook } from '@reelspan/accounts.limits'
+import { type ConfigurationProof, type ProofKeeper } from '@reelspan/accounts.proof'
 import { type FleetList, type GuardedFleet } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
@@ -43,6 +46,13 @@
   upstreams: UpstreamsByAddress
   connectionShares: ConnectionShares
   followers: Record<Collection, ConfigFollower>
+  /** That the declarations in force here are new enough for requests with accounts' keys. */
+  proof: ConfigurationProof
+  proofKeeper?: ProofKeeper
+  /** Buckets of client accounts whose home is this box. */
+  limitBook: LimitBook
+  limiter: AccountLimiter
+  admission: Admission
   prober: Prober
   brokenRuns: BrokenRuns
   /** Runs that ended with their upstreams, at any box. */
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -14,6 +14,7 @@
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { type BoxParts, environmentOf, listedPeers } from './boxParts.js'
 import { ConnectionShares } from './connectionShares.js'
+import { createAdmission, createLimitBook, createLimiter, createProof, createProofKeeper } from './createAccountParts.js'
 import { createContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
 import { createPlacer } from './createPlacer.js'
 import { drawIncarnation } from './drawIncarnation.js'
@@ -45,6 +46,11 @@
     upstreams: asFunction((parts: BoxParts) => new UpstreamsByAddress(parts)).singleton(),
     connectionShares: asFunction(createConnectionShares).singleton(),
     followers: asFunction(createFollowers).singleton(),
+    proof: asFunction(createProof).singleton(),
+    proofKeeper: asFunction(createProofKeeper).singleton(),
+    limitBook: asFunction(createLimitBook).singleton(),
+    limiter: asFunction(createLimiter).singleton(),
+    admission: asFunction(createAdmission).singleton(),
     prober: asFunction(createProber).singleton(),
     brokenRuns: asFunction(createBrokenRuns).singleton(),
     runHistory: asFunction((parts: BoxParts) => new RunHistory(parts)).singleton(),
@@ -106,6 +112,8 @@
     inFlight: () => parts.owner.inFlight + (parts.relay?.inFlight ?? 0),
     platformAnswering: () => parts.platformContact.answering,
     onPlatformAnswering: (told) => parts.platformContact.hear(told),
+    proof: () => parts.proof.told,
+    onPeerProof: (told, askedAtMs) => parts.proof.hear(told, askedAtMs),
     runsDigest: () => parts.runHistory.size > 0 ? parts.runHistory.digest : undefined,
     onPeerRunsDigest: (address, digest) => parts.runGossip.hear(address, digest),
     onTaskError: (thrown) => parts.failures.noteTask('prober', thrown),
@@ -187,6 +195,7 @@
     random,
     upstreams: relayClient,
     placer,
+    admission: parts.admission,
     brokenRuns: parts.brokenRuns,
     quarantine: parts.quarantine,
     configuration: () => declarations.value,
@@ -230,6 +239,7 @@
     owner: parts.owner,
     records: parts.records,
     runGossip: parts.runGossip,
+    limitBook: parts.limitBook,
     lookup: parts.lookup,
     vouchHere: parts.vouchHere,
     describeForStatus: () => parts.keepers.describe(),
--- a/box/runtime/src/createConfigParts.ts
+++ b/box/runtime/src/createConfigParts.ts
@@ -51,6 +51,9 @@
       if (collection === Collection.Fleet) parts.platformContact.answered()
     },
     onReachable: (reachable, details) => parts.platformContact.note(reachable, details),
+    onConfirmed: (revision, askedAtMs) => {
+      if (collection === Collection.Declarations) parts.proof.noteRead(revision, askedAtMs)
+    },
     onTaskError: (thrown) => parts.failures.noteTask(`follower of ${collection}`, thrown),
     onRejected: (problems, revision) => parts.log.warn(LogEvent.RevisionRejected, { collection, revision, problems }),
   })
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -1,3 +1,4 @@
+import { type LimitBook } from '@reelspan/accounts.limits'
 import { type ConfigStore } from '@reelspan/config.store'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 import { Collection, MemberHealth, type MessageOf, MessageType, type PeerHandler, type PeerMessage } from '@reelspan/core.messages'
@@ -19,6 +20,7 @@
   owner: Owner
   records: RecordStore
   runGossip: RunGossip
+  limitBook: LimitBook
   lookup: (availabilityZone?: string) => LookupAnswer
   vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
   describeForStatus: () => unknown
@@ -34,7 +36,7 @@
   }
 
   async onCall (message: PeerMessage): Promise<PeerMessage> {
-    const { prober, stores, keepers, owner, runGossip, lookup, vouchHere, describeForStatus } = this.#opts
+    const { prober, stores, keepers, owner, runGossip, limitBook, lookup, vouchHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
         return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
@@ -63,6 +65,11 @@
         return DONE
       case MessageType.RunsPull:
         return { type: MessageType.RunsContent, events: runGossip.known() }
+      case MessageType.AccountTake:
+        return { type: MessageType.AccountTaken, waitMs: limitBook.take(message.account, message.cost) }
+      case MessageType.AccountGiveBack:
+        limitBook.giveBack(message.account, message.cost)
+        return DONE
       case MessageType.StatusPull:
         return { type: MessageType.StatusContent, status: describeForStatus() }
       default:
--- a/box/runtime/src/resourceApi.ts
+++ b/box/runtime/src/resourceApi.ts
@@ -122,7 +122,8 @@
     case ResourceKind.Model: return [resource.name]
     case ResourceKind.Rollout: return [resource.spec.model]
     case ResourceKind.Route: return [resource.spec, ...resource.spec.targets ?? []].flatMap(({ model }) => model ?? [])
-    case ResourceKind.CallerLimits: return []
+    case ResourceKind.CallerLimits:
+    case ResourceKind.Account: return []
     case ResourceKind.Pool: return configuration.modelNames().filter((name) => {
       const model = configuration.model(name)
       return model?.prefillPool === resource.name || model?.decodePool === resource.name
--- a/box/runtime/src/watcherRole.ts
+++ b/box/runtime/src/watcherRole.ts
@@ -1,3 +1,4 @@
+import { ProofRole } from '@reelspan/accounts.proof'
 import { type Settings } from '@reelspan/config.settings'
 import { type Clock } from '@reelspan/core.env'
 import { rankByRendezvous } from '@reelspan/core.hashing'
@@ -20,7 +21,7 @@
   readonly #opts: WatcherRoleOptions
   /** Members that the zone's boxes were last ranked among, and what came of it. Asked far more often than they change. */
   #rankedAmong?: readonly Member[]
-  #isRankedFirst = false
+  #role = ProofRole.Other
 
   constructor (opts: WatcherRoleOptions) {
     this.#opts = opts
@@ -30,18 +31,25 @@
   holds (): boolean {
     const { clock, settings, lastMajorityContactMs } = this.#opts
     if (clock.nowMs() - lastMajorityContactMs() > ALONE_AFTER_PERIODS * settings.membership.probePeriodMs) return true
+    return this.proofRole() !== ProofRole.Other
+  }
+
+  /** How near this box stands to the platform, by its rank in its zone. */
+  proofRole (): ProofRole {
     const members = this.#opts.view.takingWork()
-    if (members !== this.#rankedAmong) this.#isRankedFirst = this.#rank(members)
+    if (members !== this.#rankedAmong) this.#role = this.#rank(members)
     this.#rankedAmong = members
-    return this.#isRankedFirst
+    return this.#role
   }
 
-  #rank (members: readonly Member[]): boolean {
+  #rank (members: readonly Member[]): ProofRole {
     const { settings, view } = this.#opts
     const { availabilityZone, incarnation } = view.self
     const ofZone = members.filter((member) => member.availabilityZone === availabilityZone)
-    return rankByRendezvous(`watch|${availabilityZone}`, ofZone, (member) => member.incarnation)
+    const rank = rankByRendezvous(`watch|${availabilityZone}`, ofZone, (member) => member.incarnation)
       .slice(0, settings.platform.watchersPerAvailabilityZone)
-      .some((member) => member.incarnation === incarnation)
+      .findIndex((member) => member.incarnation === incarnation)
+    if (rank < 0) return ProofRole.Other
+    return rank === 0 ? ProofRole.First : ProofRole.Watcher
   }
 }
--- /dev/null
+++ b/box/runtime/test/accounts.ts
@@ -0,0 +1,150 @@
+import { keyDigest } from '@reelspan/accounts.keys'
+import { LimitUnit, ResourceKind } from '@reelspan/config.resources'
+import { ErrorCode, Verdict } from '@reelspan/core.error'
+import { Collection } from '@reelspan/core.messages'
+import { FakeFleet, type FakeFleetOptions } from '@reelspan/utils.fake-fleet'
+import { fullestWindow, type PublishedEntry, tuulDeclarations } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const HOST = 'scripts.example'
+const KEY_PROOF_MS = 5000
+const SETTINGS = {
+  accounts: { required: true, keyProofMs: KEY_PROOF_MS },
+  membership: { probePeriodMs: 700, probeTimeoutMs: 300 },
+  platform: { watchWaitMs: 3000, longestBackoffMs: 700, watchersPerAvailabilityZone: 1 },
+}
+const PER_SECOND = 20
+const BURST = 20
+const ROUTE: PublishedEntry = { kind: ResourceKind.Route, name: 'status', spec: { host: HOST, pathPrefix: '/status/', targets: [{ pool: 'script-desk' }], maxAttempts: 2, deadlineMs: 4000, ttftTargetMs: 1000 } }
+
+function accountWith (keys: readonly string[], limited = false): PublishedEntry {
+  const limit = limited ? { unit: LimitUnit.Requests, perSecond: PER_SECOND, burst: BURST } : undefined
+  return { kind: ResourceKind.Account, name: 'bank', spec: { keyDigests: keys.map(keyDigest), limit } }
+}
+
+async function startFleet (opts: FakeFleetOptions = {}, account = accountWith(['k1', 'k2'])): Promise<FakeFleet> {
+  return new FakeFleet({ settings: SETTINGS, declarations: [...tuulDeclarations(), ROUTE, account], ...opts }).start()
+}
+
+let nextId = 0
+
+function ask (fleet: FakeFleet, box: string, key: string) {
+  return fleet.relay(box, { id: `r-${nextId++}`, host: HOST, target: '/status/1', prompt: undefined, keyDigest: keyDigest(key) })
+}
+
+async function code (fleet: FakeFleet, box: string, key: string): Promise<ErrorCode | undefined> {
+  return (await fleet.clock.run(ask(fleet, box, key))).refused?.code
+}
+
+function takeAway (fleet: FakeFleet): void {
+  fleet.platform.publish(Collection.Declarations, [accountWith(['k2'])])
+}
+
+test('a key that was taken away stops to work at every box within a second, and the others go on', async (t) => {
+  const fleet = await startFleet()
+  takeAway(fleet)
+  await fleet.clock.advance(1000)
+  for (const { name } of fleet.boxes) {
+    t.is(await code(fleet, name, 'k1'), ErrorCode.AccountKey)
+    t.is(await code(fleet, name, 'k2'), undefined)
+  }
+  await fleet.stop()
+})
+
+test('boxes that the platform turns away keep their proof by their peers, and learn which keys go', async (t) => {
+  const fleet = await startFleet()
+  const blind = fleet.boxes.slice(0, 3)
+  blind.forEach(({ address }) => fleet.platform.silentTo.add(address))
+  await fleet.clock.advance(2 * KEY_PROOF_MS)
+  takeAway(fleet)
+  await fleet.clock.advance(1500)
+  for (const { name } of blind) {
+    t.is(await code(fleet, name, 'k1'), ErrorCode.AccountKey)
+    t.is(await code(fleet, name, 'k2'), undefined)
+  }
+  await fleet.stop()
+})
+
+test('a key that was taken away does not work after the bound at a box that is cut off, wherever its requests come, and other keys are refused there as not run', async (t) => {
+  const fleet = await startFleet()
+  const { name, address } = fleet.boxes[0]
+  fleet.cutOff(name)
+  fleet.platform.silentTo.add(address)
+  takeAway(fleet)
+  await fleet.clock.advance(KEY_PROOF_MS)
+  const late = await fleet.clock.run(ask(fleet, name, 'k1'))
+  t.like(late.refused, { code: ErrorCode.AccountsUnproved, verdict: Verdict.NotRun })
+  t.true((late.refused?.retryAfterMs ?? 0) > 0)
+  t.is(await code(fleet, name, 'k2'), ErrorCode.AccountsUnproved)
+  t.false(fleet.box(name).box.admission.isProved)
+  await fleet.stop()
+})
+
+test('boxes that see each other alone have no proof after the bound', async (t) => {
+  const fleet = await startFleet()
+  fleet.boxes.forEach(({ address }) => fleet.platform.silentTo.add(address))
+  takeAway(fleet)
+  await fleet.clock.advance(KEY_PROOF_MS)
+  for (const { name } of fleet.boxes) t.is(await code(fleet, name, 'k1'), ErrorCode.AccountsUnproved)
+  fleet.platform.silentTo.clear()
+  await fleet.clock.advance(2500)
+  for (const { name } of fleet.boxes) t.is(await code(fleet, name, 'k2'), undefined)
+  await fleet.stop()
+})
+
+test('a box that was paused does not take a key that went meanwhile', async (t) => {
+  const fleet = await startFleet()
+  const { name, clock } = fleet.boxes[0]
+  clock.pause()
+  takeAway(fleet)
+  await fleet.clock.advance(KEY_PROOF_MS + 1000)
+  clock.resume()
+  t.not(await code(fleet, name, 'k1'), undefined)
+  await fleet.stop()
+})
+
+test('a box whose machine was suspended does not take a key that went meanwhile', async (t) => {
+  const fleet = await startFleet()
+  const { name, box, clock } = fleet.boxes[0]
+  const suspended = clock.suspendFor(KEY_PROOF_MS + 1000)
+  takeAway(fleet)
+  await fleet.clock.run(suspended)
+  // As its clock does once it sees the time of day.
+  void box.wasSuspended(KEY_PROOF_MS + 1000)
+  t.not(await code(fleet, name, 'k1'), undefined)
+  await fleet.stop()
+})
+
+test('a box that starts while the platform is away has no proof, whatever configuration its peers give it', async (t) => {
+  const fleet = await startFleet()
+  fleet.boxes.forEach(({ address }) => fleet.platform.silentTo.add(address))
+  await fleet.clock.advance(KEY_PROOF_MS)
+  const { name } = fleet.boxes[0]
+  fleet.kill(name)
+  await fleet.clock.run(fleet.startBox(name))
+  t.is(await code(fleet, name, 'k1'), ErrorCode.AccountsUnproved)
+  await fleet.stop()
+})
+
+test('an account is kept within its limit over all boxes, also when they all restart one after the other', async (t) => {
+  const fleet = await startFleet({}, accountWith(['k1'], true))
+  const from = fleet.clock.nowMs()
+  const restarts = (async () => {
+    for (const { name } of [...fleet.boxes]) {
+      await fleet.clock.sleep(1200)
+      fleet.kill(name)
+      await fleet.startBox(name)
+    }
+  })()
+  const callers: Promise<unknown>[] = []
+  for (let i = 0; i < 1000; i++) {
+    await fleet.clock.advance(10)
+    const up = fleet.liveBoxes()
+    callers.push(ask(fleet, up[i % up.length].name, 'k1'))
+  }
+  await fleet.clock.run(Promise.all([restarts, ...callers]))
+  const runs = fleet.relayed.arrivals.map(({ sentAtMs }) => ({ atMs: sentAtMs - from, cost: 1 }))
+  t.true(fullestWindow(runs, { perSecond: PER_SECOND, burst: BURST, windowMs: 8000, overage: 0.25, slack: BURST }) <= 1)
+  t.true(runs.length > 0.9 * 10 * PER_SECOND)
+  await fleet.stop()
+})
--- a/cli/reelspanctl/src/likelyCause.ts
+++ b/cli/reelspanctl/src/likelyCause.ts
@@ -12,6 +12,9 @@
   [ErrorCode.NoRoute]: 'no route of the declarations in force (`revision`) takes the path',
   [ErrorCode.NoUpstream]: 'the list in force (`fleetRevision`) has nobody who takes work for the route',
   [ErrorCode.Cancelled]: 'the caller went away before there was an answer',
+  [ErrorCode.AccountKey]: 'it had no key, or one that no client account of the declarations in force has: `accountRefused` says which, and `revision`',
+  [ErrorCode.AccountLimit]: 'its client account had asked more than its declaration allows: `accountRefused` has the account and the cost',
+  [ErrorCode.AccountsUnproved]: 'the box could not prove that it knew of all keys that were taken away: `accountsProofChanged` and `dependencyLost` say since when',
   [ErrorCode.BadRequest]: 'the request itself was wrong',
   [ErrorCode.BodyTooLarge]: 'the request was larger than the declared limit',
 }
--- a/config/resources/src/checkResources.ts
+++ b/config/resources/src/checkResources.ts
@@ -2,7 +2,7 @@
 import { describeIssues } from './describeIssues.js'
 import { Configuration } from './configuration.js'
 import { ResourceKind, resourceId, type DeclaredResource, type Resource } from './resource.js'
-import { callerLimitsSpecSchema, modelSpecSchema, PoolRole, poolSpecSchema, rolloutSpecSchema, routeSpecSchema } from './specs.js'
+import { accountSpecSchema, callerLimitsSpecSchema, modelSpecSchema, PoolRole, poolSpecSchema, rolloutSpecSchema, routeSpecSchema } from './specs.js'
 import { suggestName } from './suggestName.js'
 
 /** What is wrong with one field of one resource. */
@@ -33,6 +33,7 @@
   [ResourceKind.Route]: routeSpecSchema,
   [ResourceKind.Rollout]: rolloutSpecSchema,
   [ResourceKind.CallerLimits]: callerLimitsSpecSchema,
+  [ResourceKind.Account]: accountSpecSchema,
 }
 
 /** Checks a whole set of declared resources: each by its schema, then the references between them. */
@@ -134,6 +135,10 @@
         ...(pathPrefix?.startsWith('/v1/lookup') || pathPrefix?.startsWith('/v1/completions') ? [problem('pathPrefix', `«${pathPrefix}» is reelspan's own`)] : []),
       ]
     }
+    case ResourceKind.Account: {
+      const shared = resource.spec.keyDigests.map((digest) => configuration.accountOfKey(digest)?.name).find((name) => name !== resource.name)
+      return shared === undefined ? [] : [problem('keyDigests', `has a key of Account/${shared}`)]
+    }
     case ResourceKind.Pool:
     case ResourceKind.CallerLimits:
       return []
--- a/config/resources/src/configuration.ts
+++ b/config/resources/src/configuration.ts
@@ -1,5 +1,5 @@
 import { ResourceKind, type Resource } from './resource.js'
-import { type CallerLimitsSpec, type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
+import { type AccountSpec, type CallerLimitsSpec, type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
 
 export interface Named<S> {
   name: string
@@ -16,6 +16,9 @@
   readonly #rollouts: Named<RolloutSpec>[]
   /** Routes with a host, longest path prefix first. */
   readonly #byHost: Map<string, Named<RouteSpec>[]>
+  readonly #accounts: readonly Named<AccountSpec>[]
+  /** Accounts by the digests of their keys. */
+  readonly #byKeyDigest: ReadonlyMap<string, Named<AccountSpec>>
 
   constructor (revision: number, resources: readonly Resource[]) {
     this.revision = revision
@@ -25,6 +28,8 @@
     this.#routes = resources.flatMap((r) => r.kind === ResourceKind.Route ? [{ name: r.name, spec: r.spec }] : [])
     this.#rollouts = resources.flatMap((r) => r.kind === ResourceKind.Rollout ? [{ name: r.name, spec: r.spec }] : [])
     this.#byHost = groupByHost(this.#routes)
+    this.#accounts = resources.flatMap((r) => r.kind === ResourceKind.Account ? [{ name: r.name, spec: r.spec }] : [])
+    this.#byKeyDigest = new Map(this.#accounts.flatMap((account) => account.spec.keyDigests.map((digest) => [digest, account] as const)))
   }
 
   model (name: string): ModelSpec | undefined {
@@ -47,6 +52,19 @@
     return this.#rollouts
   }
 
+  accounts (): readonly Named<AccountSpec>[] {
+    return this.#accounts
+  }
+
+  account (name: string): AccountSpec | undefined {
+    return this.#accounts.find((account) => account.name === name)?.spec
+  }
+
+  /** The account that has the key with this digest. */
+  accountOfKey (digest: string): Named<AccountSpec> | undefined {
+    return this.#byKeyDigest.get(digest)
+  }
+
   modelNames (): string[] {
     return [...this.#models.keys()]
   }
--- a/config/resources/src/resource.ts
+++ b/config/resources/src/resource.ts
@@ -1,4 +1,4 @@
-import { type CallerLimitsSpec, type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
+import { type AccountSpec, type CallerLimitsSpec, type ModelSpec, type PoolSpec, type RolloutSpec, type RouteSpec } from './specs.js'
 
 export enum ResourceKind {
   Model = 'Model',
@@ -6,6 +6,8 @@
   Route = 'Route',
   Rollout = 'Rollout',
   CallerLimits = 'CallerLimits',
+  /** A client account. */
+  Account = 'Account',
 }
 
 /** A resource as it was published, not yet checked. */
@@ -31,6 +33,7 @@
   | ResourceOf<ResourceKind.Route, RouteSpec>
   | ResourceOf<ResourceKind.Rollout, RolloutSpec>
   | ResourceOf<ResourceKind.CallerLimits, CallerLimitsSpec>
+  | ResourceOf<ResourceKind.Account, AccountSpec>
 
 export function resourceId (resource: { kind: string, name: string }): string {
   return `${resource.kind}/${resource.name}`
--- a/config/resources/src/specs.ts
+++ b/config/resources/src/specs.ts
@@ -21,6 +21,12 @@
   Usual = 'usual',
 }
 
+export enum LimitUnit {
+  Requests = 'requests',
+  /** Tokens of the prompt and the most that the answer may have. */
+  Tokens = 'tokens',
+}
+
 export enum RouteObjective {
   /** Prefer requests that end within both latency targets. */
   Goodput = 'goodput',
@@ -100,6 +106,8 @@
   pathPrefix: z.string().regex(/^\/[^?#\s]*$/, 'a path that starts with /').optional(),
   /** Each call may run at most once. */
   notRepeatable: z.boolean().default(false),
+  /** Takes requests without a client account's key. */
+  open: z.boolean().default(false),
   ttftTargetMs: z.number().positive().default(390),
   tbtTargetMs: z.number().positive().default(76),
   deadlineMs: positiveInt.max(600_000).default(30_000),
@@ -129,6 +137,27 @@
   idleMs: positiveInt.default(15_000),
 })
 
+/** What an account may ask of all boxes together. */
+const accountLimitSchema = z.strictObject({
+  unit: z.enum(LimitUnit).default(LimitUnit.Requests),
+  perSecond: z.number().positive(),
+  /** What may be asked at once above the rate. */
+  burst: z.number().nonnegative().default(0),
+  /** What a request without a declared size counts, in units. */
+  unsizedCost: z.number().positive().default(1),
+})
+
+export const accountSpecSchema = z.strictObject({
+  /** SHA-256 of each key, in hex. Keys themselves are declared nowhere. */
+  keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hex digits, the SHA-256 of a key')).default([]),
+  /** Goes before that of the route. 0 is the most urgent. */
+  urgency: z.number().int().nonnegative().optional(),
+  /** Without it, the account may ask whatever the engines bear. */
+  limit: accountLimitSchema.optional(),
+})
+
+export type AccountLimit = z.infer<typeof accountLimitSchema>
+export type AccountSpec = z.infer<typeof accountSpecSchema>
 export type RouteTarget = z.infer<typeof routeTargetSchema>
 export type CallerLimitsSpec = z.infer<typeof callerLimitsSpecSchema>
 export type ModelSpec = z.infer<typeof modelSpecSchema>
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -75,6 +75,16 @@
     /** Retries that all boxes together may make at once in each pool, beside those. */
     retryBurst: z.number().nonnegative().default(20),
   }).prefault({}),
+  accounts: z.strictObject({
+    /** Requests need a client account's key also while no account is declared: a configuration without any opens nothing. */
+    required: z.boolean('expected true or false').default(false),
+    /** A key that was taken away works no longer than this, on any box. Without it a box takes keyed requests by whatever configuration it has. */
+    keyProofMs: durationMs.optional(),
+    /** Limits are judged over any span of this length. */
+    limitWindowMs: durationMs.default(8000),
+    /** Part of a limit by which the boxes together may go beyond it. */
+    limitOverage: z.number('expected a number').nonnegative('expected 0 or more').max(1, 'expected 1 or less').default(0),
+  }).prefault({}),
   scheduling: z.strictObject({
     strategy: placementStrategySchema.default('scheduler'),
     prefixIndex: z.enum(PrefixIndexKind).default(PrefixIndexKind.Events),
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -34,6 +34,8 @@
   /** The platform answers again, or no longer. */
   onReachable?: (reachable: boolean, details: PlatformContact) => void
   onRejected?: (problems: string[], revision: number) => void
+  /** The platform was asked then, and this was the newest revision, whether or not it could be adopted. */
+  onConfirmed?: (revision: number, askedAtMs: number) => void
   /** Told of a task that a fault of the program ended. */
   onTaskError?: TaskErrorListener
 }
@@ -78,11 +80,16 @@
   async readFirst (peerAddresses: readonly string[]): Promise<void> {
     await Promise.all([
       // A failed read is told of by `onReachable`, a failed pull by the link. What is missing then, `start` gets.
-      this.#answered ? undefined : this.#readPlatform(0).catch(() => {}),
+      this.#answered ? undefined : this.#readPlatform(0, true).catch(() => {}),
       ...peerAddresses.map((address) => this.#pull(address).catch(() => {})),
     ])
   }
 
+  /** Reads what stands at the platform now, whatever its feed of changes has brought. Throws what the platform threw. */
+  async confirm (): Promise<void> {
+    await this.#readPlatform(0, true)
+  }
+
   start (): void {
     this.#tasks.run(() => this.#follow())
   }
@@ -157,12 +164,14 @@
     this.#backoffMs = Math.min(longestBackoffMs, this.#backoffMs * 2)
   }
 
-  async #readPlatform (waitMs: number): Promise<void> {
-    const { clock, platform, collection, store } = this.#opts
+  async #readPlatform (waitMs: number, fresh = false): Promise<void> {
+    const { clock, platform, collection, store, onConfirmed } = this.#opts
     const since = store.revision
     const askedAtMs = clock.nowMs()
-    const content = await this.#noting(platform.read(collection, since, { waitMs, signal: this.#tasks.signal }))
+    const content = await this.#noting(platform.read(collection, since, { waitMs, fresh, signal: this.#tasks.signal }))
     const outcome = this.#adopt(content, since)
+    // Content without an entry is that of a platform which has none yet, or has lost it.
+    if (fresh && content.revision > 0 && (content.changes.length > 0 || !content.full)) onConfirmed?.(content.revision, askedAtMs)
     // A watch that brought nothing new and did not wait comes from a stale replica, or from a platform that cannot wait.
     const waitedMs = clock.nowMs() - askedAtMs
     const idle = outcome !== AdoptOutcome.Adopted && (outcome === AdoptOutcome.Invalid || waitedMs < Math.min(waitMs, SHORTEST_WATCH_MS))
--- a/config/store/src/platformReader.ts
+++ b/config/store/src/platformReader.ts
@@ -4,6 +4,8 @@
 export interface PlatformReadOptions {
   /** Wait this long for a revision above the given one. 0 answers at once. */
   waitMs: number
+  /** What stands when the platform is asked, not what a feed of changes has brought by then. Goes with a wait of 0. */
+  fresh?: boolean
   signal?: AbortSignal
 }
 
--- a/core/error/src/errorCode.ts
+++ b/core/error/src/errorCode.ts
@@ -25,5 +25,11 @@
   PlatformUnavailable = 'ERR_REELSPAN_PLATFORM_UNAVAILABLE',
   BadSettings = 'ERR_REELSPAN_BAD_SETTINGS',
   Unauthorized = 'ERR_REELSPAN_UNAUTHORIZED',
+  /** A request needs a client account's key, and brought none that any account has. */
+  AccountKey = 'ERR_REELSPAN_ACCOUNT_KEY',
+  /** This box cannot prove that it would know of a key that was taken away. */
+  AccountsUnproved = 'ERR_REELSPAN_ACCOUNTS_UNPROVED',
+  /** The client account has asked more than it may. */
+  AccountLimit = 'ERR_REELSPAN_ACCOUNT_LIMIT',
   Internal = 'ERR_REELSPAN_INTERNAL',
 }
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -48,6 +48,9 @@
   RunsTell = 'runsTell',
   RunsPull = 'runsPull',
   RunsContent = 'runsContent',
+  AccountTake = 'accountTake',
+  AccountTaken = 'accountTaken',
+  AccountGiveBack = 'accountGiveBack',
   StatusPull = 'statusPull',
   StatusContent = 'statusContent',
   Done = 'done',
@@ -79,6 +82,8 @@
   heardAgoMs: durationMs.optional(),
   /** Digest of the run events that the sender knows. Left out when it knows of none. */
   runsDigest: z.number().optional(),
+  /** In an answer: what the sender can prove of its configuration. */
+  proof: z.object({ revision, ageMs: durationMs }).optional(),
 }
 
 /** What is known of the platform's answering, counted back from now. */
@@ -171,6 +176,14 @@
   /** Asks for all run events that the receiver knows. */
   message(MessageType.RunsPull, {}),
   message(MessageType.RunsContent, { events: z.array(runEventSchema) }),
+  /** Takes a cost from the limit of an account whose bucket the receiver keeps. */
+  message(MessageType.AccountTake, { account: z.string(), cost: z.number().positive() }),
+  message(MessageType.AccountTaken, {
+    /** 0 when it is taken, else how long until it could be. */
+    waitMs: durationMs,
+  }),
+  /** What was taken was not used. */
+  message(MessageType.AccountGiveBack, { account: z.string(), cost: z.number().positive() }),
   message(MessageType.StatusPull, {}),
   message(MessageType.StatusContent, { status: z.unknown() }),
   message(MessageType.Done, {}),
--- a/membership/prober/src/lostTime.ts
+++ b/membership/prober/src/lostTime.ts
@@ -12,7 +12,7 @@
   readonly #clock: Clock
   /** When heartbeats of members last came, by incarnation. */
   readonly #heardAtMs = new Map<string, number>()
-  /** When the last heartbeat was sent to an address that was answered. */
+  /** When the last heartbeat was sent that a member answered, by incarnation. */
   readonly #sentAtMs = new Map<string, number>()
   #found = { durationMs: 0, atMs: Number.NEGATIVE_INFINITY }
 
@@ -29,9 +29,9 @@
   }
 
   /** A heartbeat was answered, with how long before it the one before had come there. */
-  noteAnswered (address: string, sentAtMs: number, heardAgoMs?: number): void {
-    const lastMs = this.#sentAtMs.get(address)
-    this.#sentAtMs.set(address, sentAtMs)
+  noteAnswered (incarnation: string, sentAtMs: number, heardAgoMs?: number): void {
+    const lastMs = this.#sentAtMs.get(incarnation)
+    this.#sentAtMs.set(incarnation, sentAtMs)
     if (heardAgoMs === undefined || lastMs === undefined) return
     const durationMs = heardAgoMs - (sentAtMs - lastMs)
     if (durationMs > LOST_MS) this.#found = { durationMs, atMs: this.#clock.nowMs() }
@@ -44,5 +44,6 @@
 
   forget (incarnation: string): void {
     this.#heardAtMs.delete(incarnation)
+    this.#sentAtMs.delete(incarnation)
   }
 }
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -1,7 +1,10 @@
-import { type Clock, Notifier, type Random, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
+import { type ToldProof } from '@reelspan/accounts.proof'
+import { type Clock, type Random, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { LostTime } from './lostTime.js'
+import { NewsQueue } from './newsQueue.js'
+import { RevisionTeller } from './revisionTeller.js'
 import { watchedMembers } from './watchedMembers.js'
 
 export interface ProberOptions {
@@ -23,6 +26,10 @@
   runsDigest?: () => number | undefined
   /** A peer named its digest, or knows of none. */
   onPeerRunsDigest?: (address: string, digest: number | undefined) => void
+  /** What this box can prove of its configuration; whoever asks is told. */
+  proof?: () => ToldProof | undefined
+  /** What a peer could prove that was asked at `askedAtMs`. */
+  onPeerProof?: (proof: ToldProof, askedAtMs: number) => void
   probePeriodMs: number
   probeTimeoutMs: number
   /** Members that each box watches. */
@@ -33,9 +40,6 @@
   onTaskError?: TaskErrorListener
 }
 
-/** News about one member is passed on this many times by each box. */
-const NEWS_REPEATS = 3
-const MAX_NEWS_PER_MESSAGE = 30
 const MAX_INDIRECT_PROBES = 2
 /** One round in this many also probes a listed box that is not believed live. */
 const REJOIN_EVERY_ROUNDS = 4
@@ -56,25 +60,13 @@
 /** News has had this many rounds to spread before views are compared. */
 const COMPARE_EVERY_ROUNDS = 4
 
-/**
- * Revisions that follow each other are told of together, this part of a probe period apart: where engines
- * go up and down some ten revisions come in a second, and each made every box send four messages. One that
- * comes after a quiet time is told of at once.
- */
-const TELL_PERIOD_SHARE = 0.5
-
 /** Learns which members live, and tells. Its cost for a box does not grow with the fleet. */
 export class Prober {
   readonly #opts: ProberOptions
   readonly #tasks: TaskGroup
-  readonly #newsLeft = new Map<string, number>()
-  readonly #newsArrived = new Notifier()
+  readonly #news: NewsQueue
+  readonly #revisionTeller: RevisionTeller
   readonly #peerLoad = new Map<string, number>()
-  /** Revisions that members last named. */
-  readonly #peerRevisions = new Map<string, Record<Collection, number>>()
-  /** When the watched members were last told of a new revision. */
-  #toldAtMs = Number.NEGATIVE_INFINITY
-  #isTellingSoon = false
   #ringOf?: readonly Member[]
   #watchedOfRing: readonly Member[] = []
   readonly #lostTime: LostTime
@@ -87,6 +79,15 @@
     this.#opts = opts
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#lostTime = new LostTime(opts.clock)
+    this.#news = new NewsQueue(opts.watchCount)
+    this.#revisionTeller = new RevisionTeller({
+      clock: opts.clock,
+      probePeriodMs: opts.probePeriodMs,
+      revisions: opts.revisions,
+      watched: () => this.#watched(),
+      tell: ({ peerAddress }) => this.#greet(peerAddress),
+      signal: this.#tasks.signal,
+    })
     this.#lastMajorityContactMs = opts.clock.nowMs()
     opts.view.onChange((member) => this.#queueNews(member))
   }
@@ -129,17 +130,7 @@
 
   /** Sends the revisions in force here to those watched members that are not known to have them: at once, or together with others that follow soon. */
   async tellRevisionsSoon (): Promise<void> {
-    if (this.#isTellingSoon) return
-    const { clock, probePeriodMs } = this.#opts
-    this.#isTellingSoon = true
-    const waitMs = this.#toldAtMs + TELL_PERIOD_SHARE * probePeriodMs - clock.nowMs()
-    if (waitMs > 0) await clock.sleep(waitMs, { signal: this.#tasks.signal })
-    this.#isTellingSoon = false
-    if (this.#tasks.stopped) return
-    this.#toldAtMs = clock.nowMs()
-    const behind = this.#watched().filter(({ incarnation }) => this.#isBehind(incarnation))
-    // The link tells of a failure; the next round probes again and draws the consequence.
-    await Promise.all(behind.map(({ peerAddress }) => this.#heartbeat(peerAddress).catch(() => {})))
+    await this.#revisionTeller.tellSoon()
   }
 
   /**
@@ -152,11 +143,11 @@
     return answered.every((one) => !one) || this.#lostTime.foundSince(askedAtMs) >= durationMs / 2
   }
 
-  /** Whether a member has not named the revisions that are in force here. */
-  #isBehind (incarnation: string): boolean {
-    const here = this.#opts.revisions()
-    const there = this.#peerRevisions.get(incarnation)
-    return there === undefined || Object.values(Collection).some((collection) => there[collection] < here[collection])
+  /** Asks some member for its state, and with it for its proof. */
+  async askAnyone (members: readonly Member[]): Promise<void> {
+    const { random, view } = this.#opts
+    const others = members.filter(({ incarnation }) => incarnation !== view.self.incarnation)
+    await Promise.all(random.sample(others, 1).map(({ peerAddress }) => this.#greet(peerAddress)))
   }
 
   /** Peer addresses of the members that this box watches. */
@@ -169,7 +160,7 @@
     switch (message.type) {
       case MessageType.Heartbeat:
         this.#takeNews(message)
-        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self), heardAgoMs: this.#lostTime.noteHeard(message.self.incarnation) }
+        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self), heardAgoMs: this.#lostTime.noteHeard(message.self.incarnation), proof: this.#opts.proof?.() }
       case MessageType.ProbeFor:
         return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
       case MessageType.MembersPull:
@@ -296,9 +287,11 @@
     const sentAtMs = clock.nowMs()
     const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs, repeatable: true })
     if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
-    this.#lostTime.noteAnswered(address, sentAtMs, answer.heardAgoMs)
+    this.#lostTime.noteAnswered(answer.self.incarnation, sentAtMs, answer.heardAgoMs)
     this.#meet(address, answer.self, clock.nowMs())
     this.#takeNews(answer)
+    // Known only now, and only as old as it was: what a peer tells unasked may have been under way for long.
+    if (answer.proof) this.#opts.onPeerProof?.(answer.proof, sentAtMs)
     if (answer.digest !== view.digest) await this.#pullMembers(address)
     return answer
   }
@@ -332,7 +325,7 @@
     if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
     const nowMs = clock.nowMs()
     this.#peerLoad.set(message.self.incarnation, message.inFlight)
-    this.#peerRevisions.set(message.self.incarnation, message.revisions)
+    this.#revisionTeller.noteNamed(message.self.incarnation, message.revisions)
     const tellers = [message.self, ...message.news]
     tellers.forEach((member) => view.merge(member, nowMs))
     onPeerRevisions(message.self.peerAddress, message.revisions)
@@ -349,36 +342,27 @@
   }
 
   #drawNews (): Member[] {
-    const chosen = [...this.#newsLeft.keys()].slice(0, MAX_NEWS_PER_MESSAGE)
-    chosen.forEach((incarnation) => this.#countDown(incarnation))
-    return chosen.flatMap((incarnation) => this.#opts.view.get(incarnation) ?? [])
-  }
-
-  #countDown (incarnation: string): void {
-    const left = (this.#newsLeft.get(incarnation) ?? 0) - 1
-    this.#newsLeft.delete(incarnation)
-    if (left > 0) this.#newsLeft.set(incarnation, left)
+    return this.#news.draw().flatMap((incarnation) => this.#opts.view.get(incarnation) ?? [])
   }
 
   #queueNews (member: Member): void {
     // What a comparison brings is known to others already, and they compare too.
     if (this.#comparing) return
-    this.#newsLeft.set(member.incarnation, NEWS_REPEATS * this.#opts.watchCount)
     if (member.health === MemberHealth.Gone) this.#forget(member.incarnation)
-    this.#newsArrived.notify()
+    this.#news.put(member.incarnation)
   }
 
   #forget (incarnation: string): void {
     this.#lostTime.forget(incarnation)
     this.#peerLoad.delete(incarnation)
-    this.#peerRevisions.delete(incarnation)
+    this.#revisionTeller.forget(incarnation)
   }
 
   /** Sends news on soon after it came, instead of at the next round. */
   async #passOnNews (): Promise<void> {
     const { clock, probePeriodMs } = this.#opts
     while (!this.#tasks.stopped) {
-      await this.#newsArrived.wait(this.#tasks.signal)
+      await this.#news.wait(this.#tasks.signal)
       await clock.sleep(probePeriodMs / 10, { signal: this.#tasks.signal })
       if (!this.#tasks.stopped) await this.tellNow()
     }
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -2,7 +2,8 @@
 import { type Box } from '@reelspan/box.runtime'
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError } from '@reelspan/core.error'
-import { type AnswerEvent, AnswerEventKind, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
+import { tokensOfText } from '@reelspan/core.hashing'
+import { type AnswerEvent, AnswerEventKind, type CompletionRequest, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
 import { ConnectionGuard } from '@reelspan/net.system-env'
 import Koa, { type Context } from 'koa'
 import { answerStreamed, answerWhole } from './answerCompletion.js'
@@ -10,11 +11,11 @@
 import { keyOrCreated } from './keyOrCreated.js'
 import { parseCompletion } from './parseCompletion.js'
 import { readBody } from './readBody.js'
-import { readCallOptions } from './readCallOptions.js'
+import { type CallOptions, readCallOptions } from './readCallOptions.js'
 import { setVerdict } from './setVerdict.js'
 
 /** What callers need of a box. */
-export type CallerBox = Pick<Box, 'ready' | 'configuration' | 'lookup' | 'submit' | 'cancel' | 'createKey'>
+export type CallerBox = Pick<Box, 'ready' | 'admission' | 'configuration' | 'lookup' | 'submit' | 'cancel' | 'createKey'>
 
 export interface CallerServerOptions {
   clock: Clock
@@ -37,7 +38,7 @@
   app.silent = true
   app.use(async (ctx) => {
     try {
-      if (ctx.method === 'GET' && ctx.path === '/healthz') answerHealth(ctx, opts.box.ready && guard.takesConnections)
+      if (ctx.method === 'GET' && ctx.path === '/healthz') answerHealth(ctx, opts.box.ready && opts.box.admission.isProved && guard.takesConnections)
       else await serve(ctx, opts)
     } catch (thrown) {
       answerError(ctx, toReelspanError(thrown))
@@ -85,7 +86,8 @@
   const call = readCallOptions(ctx)
   const { request, stream } = parseCompletion(await readBody(ctx.req, bodyBytes), call, { configuration: box.configuration, createKey: () => box.createKey() })
   ctx.set(Header.IdempotencyKey, request.key)
-  const events = box.submit(request, callerGone(ctx))
+  const sizeTokens = tokensOfText(request.prompt) + request.maxTokens
+  const events = box.submit(await admitted(request, { box, call, sizeTokens }), callerGone(ctx))
   const answerOpts = { clock, slowCallerMs, model: request.model, key: request.key }
   if (stream) await answerStreamed(ctx, events, answerOpts)
   else await answerWhole(ctx, events, answerOpts)
@@ -110,7 +112,22 @@
     body: await readBody(ctx.req, bodyBytes),
   }
   ctx.set(Header.IdempotencyKey, request.key)
-  await answerCall(ctx, box.submit(request, callerGone(ctx)))
+  await answerCall(ctx, box.submit(await admitted(request, { box, call }), callerGone(ctx)))
+}
+
+interface AdmitOptions {
+  box: CallerBox
+  call: CallOptions
+  sizeTokens?: number
+}
+
+/** The request as that of the account whose key came with it. Where no accounts are in use it stays the client's whom it names. */
+async function admitted<R extends CompletionRequest | ServiceRequest> (request: R, { box, call, sizeTokens }: AdmitOptions): Promise<R> {
+  const { admission, configuration } = box
+  if (!admission.usesAccounts) return request
+  const open = configuration.route(request.route)?.open ?? false
+  const { account } = await admission.admit({ id: request.key, open, keyDigest: call.accountKeyDigest, sizeTokens })
+  return account === undefined ? request : { ...request, client: account }
 }
 
 async function answerCall (ctx: Context, events: AsyncGenerator<AnswerEvent>): Promise<void> {
--- a/net/http-front/src/readCallOptions.ts
+++ b/net/http-front/src/readCallOptions.ts
@@ -1,3 +1,4 @@
+import { readBearerKey } from '@reelspan/accounts.keys'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type Context } from 'koa'
 import { Header } from './headers.js'
@@ -7,6 +8,8 @@
   /** Absent when the caller gave none. */
   key?: string
   client: string
+  /** Of the client account's key that it brought. */
+  accountKeyDigest?: string
   notRepeatable: boolean
   deadlineMs?: number
 }
@@ -21,6 +24,7 @@
   return {
     key: unquoted(ctx.get(Header.IdempotencyKey)) || undefined,
     client,
+    accountKeyDigest: readBearerKey(ctx.req.headersDistinct.authorization ?? []),
     notRepeatable: readFlag(ctx.get(Header.NotRepeatable)),
     deadlineMs: readDuration(ctx.get(Header.DeadlineMs)),
   }
--- a/net/http-front/test/callerServer.ts
+++ b/net/http-front/test/callerServer.ts
@@ -6,7 +6,7 @@
 import { type AnswerEvent, AnswerEventKind, type RoutedRequest } from '@reelspan/core.messages'
 import { type CallerBox, createCallerServer, createOperatorServer, type OperatorBox } from '@reelspan/net.http-front'
 import { SystemClock } from '@reelspan/net.system-env'
-import { tuulDeclarations } from '@reelspan/utils.fakes'
+import { NO_ACCOUNTS, tuulDeclarations } from '@reelspan/utils.fakes'
 import test, { type ExecutionContext } from 'ava'
 
 const TOKENS: AnswerEvent[] = ['a', 'b'].map((text, index) => ({ kind: AnswerEventKind.Token, index, text }))
@@ -28,6 +28,7 @@
   const { configuration } = checkResources(tuulDeclarations().map((entry) => ({ ...entry, revision: 1 })), 1)
   const box: CallerBox = {
     ready: true,
+    admission: NO_ACCOUNTS,
     configuration,
     createKey: () => 'made-up-key',
     lookup: async () => ({ boxes: [], keepMs: 5000, keyPrefix: 'rs1-x' }),
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -116,7 +116,7 @@
   }
 
   #placeRequest (attempt: number): PlaceRequest {
-    const { opts, run, route, request, caller, health } = this.#context
+    const { opts, run, route, request, caller, health, urgency } = this.#context
     const { promptTokens, maxTokens, prefixes } = this.#prompt
     const doneTokens = this.#progress.events * this.#tokensPerEvent()
     // The prompt is not read once more when the answer could not be whole in time. A first try is never refused for an estimate.
@@ -129,7 +129,7 @@
       label,
       // A caller's retry has an id of its own, but its prompt ends in the same part.
       returnId: prefixes.at(-1)?.digest ?? hash32(request.id).toString(36),
-      priority: -route.spec.urgency,
+      priority: -urgency,
       promptTokens: promptTokens + doneTokens,
       prefixes: [...prefixes],
       maxTokens: Math.max(1, maxTokens - doneTokens),
@@ -252,7 +252,7 @@
         signal: watch.signal,
         deadlineMs: run.leftMs,
         source,
-        urgency: route.spec.urgency,
+        urgency: this.#context.urgency,
         resumeAfter: this.#progress.lastId ?? request.resumeAfter,
         onSend: () => {
           sent = true
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -1,3 +1,4 @@
+import { type Admitted } from '@reelspan/accounts.admission'
 import { type Named, type RouteSpec, type RouteTarget } from '@reelspan/config.resources'
 import { hash32 } from '@reelspan/core.hashing'
 import { Notifier, raceTimeout, STOPPED, TaskGroup } from '@reelspan/core.env'
@@ -31,6 +32,14 @@
 const BURST_SHARE = 0.8
 const FIRST_SERVER_ERROR = 500
 
+type Target = Pick<RouteTarget, 'model' | 'pool'>
+
+/** A request that was taken in, and where it goes. */
+interface TakenRequest extends Pick<RelayContext, 'run' | 'route' | 'request' | 'identity' | 'caller'> {
+  admitted: Admitted
+  target: Target
+}
+
 /** Owns relayed requests: each is run by the box that received it, at most once unless it may be repeated, and answered once. */
 export class Relay {
   readonly #opts: RelayOptions
@@ -156,33 +165,46 @@
     if (this.#closed) throw new ReelspanError(ErrorCode.Draining, 'this box is about to stop', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
     this.#forgetUnlisted()
     const { model, pool } = this.#pickTarget(route.spec)
-    const target = model ?? pool as string
     // Routes to one target differ in how long their requests last.
-    const kind = `${route.name}|${target}`
+    const kind = `${route.name}|${model ?? pool as string}`
+    // Before anything is waited for: a request that came before the stop counts as under way.
     this.#checkHasTime(run, kind)
-    const budget = this.#budget(target)
+    const admitted = await this.#admit(request, route)
+    try {
+      run.throwIfEnded()
+      await this.#carryOutAt(this.#contextOf({ run, route, request, identity, caller, admitted, target: { model, pool } }), { model, pool }, times)
+      if (times.status !== undefined && times.status < FIRST_SERVER_ERROR) opts.quarantine.noteFinished(identity)
+    } finally {
+      if (run.mayHaveRun) this.#runTimes.note(kind, run.elapsedMs)
+      else admitted.giveBack()
+    }
+  }
+
+  #admit ({ id, keyDigest, prompt }: RelayedRequest, { spec: { open } }: Named<RouteSpec>): Promise<Admitted> {
+    const sizeTokens = prompt && prompt.promptTokens + prompt.maxTokens
+    return this.#opts.admission.admit({ id, open, keyDigest, sizeTokens })
+  }
+
+  #contextOf ({ run, route, request, identity, caller, admitted: { account, urgency }, target }: TakenRequest): RelayContext {
+    const opts = this.#opts
+    const budget = this.#budget(target.model ?? target.pool as string)
     budget.countRequest()
-    const context: RelayContext = {
+    return {
       opts,
       run,
-      request,
+      request: { ...request, account },
       identity,
       caller,
       route,
+      urgency: urgency ?? route.spec.urgency,
       budget,
       health: this.#health,
       picker: this.#picker,
-      decided: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, ...fields }),
-    }
-    try {
-      await this.#carryOutAt(context, { model, pool }, times)
-      if (times.status !== undefined && times.status < FIRST_SERVER_ERROR) opts.quarantine.noteFinished(identity)
-    } finally {
-      if (run.mayHaveRun) this.#runTimes.note(kind, run.elapsedMs)
+      decided: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, account, ...fields }),
     }
   }
 
-  async #carryOutAt (context: RelayContext, { model, pool }: Pick<RouteTarget, 'model' | 'pool'>, times: AnswerTimes): Promise<void> {
+  async #carryOutAt (context: RelayContext, { model, pool }: Target, times: AnswerTimes): Promise<void> {
     if (model === undefined) return new ServiceRelay(context, pool as string).carryOut(times)
     const { prompt } = context.request
     if (!prompt) throw new ReelspanError(ErrorCode.BadRequest, 'a request to a model declares the sizes of its prompt')
@@ -207,7 +229,7 @@
     this.#picker.retain(names)
   }
 
-  #pickTarget ({ targets, model, pool }: RouteSpec): Pick<RouteTarget, 'model' | 'pool'> {
+  #pickTarget ({ targets, model, pool }: RouteSpec): Target {
     if (!targets) return { model, pool }
     const total = targets.reduce((sum, { weight }) => sum + weight, 0)
     const drawn = this.#opts.random.nextFloat() * total
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -17,6 +17,8 @@
   identity: () => RequestIdentity
   caller: RelayCaller
   route: Named<RouteSpec>
+  /** 0 is the most urgent. */
+  urgency: number
   budget: RetryBudget
   health: UpstreamHealth
   picker: UpstreamPicker
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -1,3 +1,4 @@
+import { type BoxAdmission } from '@reelspan/accounts.admission'
 import { type FleetList } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type Clock, type Random, type TaskErrorListener } from '@reelspan/core.env'
@@ -12,6 +13,8 @@
   random: Random
   upstreams: RelayClient
   placer: Placer
+  /** Takes requests in for client accounts. */
+  admission: BoxAdmission
   configuration: () => Configuration
   /** Resolves once this box has a configuration, or the signal is aborted. */
   configured: (signal: AbortSignal) => Promise<void>
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -8,7 +8,7 @@
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
 import { KeepingCaller } from '@reelspan/utils.fake-fleet'
-import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
+import { NO_ACCOUNTS, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
 /** What a scripted upstream does with one request. */
 export type Script = (opts: RelayRunOptions & { clock: VirtualClock }) => Promise<RelayAnswer>
@@ -186,10 +186,11 @@
   /** Decode engines compute prompts themselves if they must. */
   computesPrompts?: boolean
   onTaskError?: RelayOptions['onTaskError']
+  admission?: RelayOptions['admission']
 }
 
 /** A relay before scripted upstreams, with four routes of the kinds there are. */
-export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError }: TestRelayOptions = {}) {
+export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError, admission = NO_ACCOUNTS }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const startedAtMs = clock.nowMs()
   const upstreams = new ScriptedUpstreams(clock, scripts)
@@ -211,6 +212,7 @@
     random: new SeededRandom(7),
     upstreams,
     placer,
+    admission,
     configuration: () => clock.nowMs() - startedAtMs >= configuredAfterMs ? configuration : new Configuration(0, []),
     configured: (signal) => clock.sleep(startedAtMs + configuredAfterMs - clock.nowMs(), { signal }),
     fleet,
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -30,6 +30,10 @@
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
   AdmissionDecided = 'admissionDecided',
+  /** A request was refused for its client account's key or limit. */
+  AccountRefused = 'accountRefused',
+  /** This box has, or no longer has, proof that its configuration is new enough for keyed requests. */
+  AccountsProofChanged = 'accountsProofChanged',
   RequestPlaced = 'requestPlaced',
   RequestSent = 'requestSent',
   RequestRetried = 'requestRetried',
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -28,6 +28,10 @@
   resumeAfter?: string
   /** Where the caller is: its IP number. */
   callerAddress: string
+  /** Digest of the client account's key that came with it, if any. The key itself is not kept. */
+  keyDigest?: string
+  /** The client account that it was taken in for. Upstreams are told. */
+  account?: string
 }
 
 /** One incarnation of an upstream. Any other one at the address refuses the request unrun. */
