--- a/request/quarantine/src/judgeRequest.ts
+++ b/request/quarantine/src/judgeRequest.ts
@@ -33,13 +33,13 @@
   const rank = successive(ended).length
   if (rank < MOST_ENDED) return []
   const own = successive(ended.filter((run) => !history.beside(run).some((other) => rankOf(history, other) > rank)))
-  return own.length >= (isInDoubt(history, content, own, rank) ? MOST_ENDED_IN_DOUBT : MOST_ENDED) ? own : []
+  return own.length >= (isInDoubt(history, own, rank) ? MOST_ENDED_IN_DOUBT : MOST_ENDED) ? own : []
 }
 
 /** Whether another request of the same rank was at all of these ends. */
-function isInDoubt (history: RunHistory, content: string, runs: readonly PastRun[], rank: number): boolean {
+function isInDoubt (history: RunHistory, runs: readonly PastRun[], rank: number): boolean {
   const [first = [], ...rest] = runs.map((run) => history.beside(run))
-  const everywhere = first.filter((other) => other !== content && rest.every((beside) => beside.includes(other)))
+  const everywhere = first.filter((other) => rest.every((beside) => beside.includes(other)))
   return everywhere.some((other) => rankOf(history, other) === rank)
 }
 
