--- a/__utils__/platform-stand-ins/src/publish.ts
+++ b/__utils__/platform-stand-ins/src/publish.ts
@@ -11,12 +11,18 @@
   sequence: number
 }
 
+/** A client account as it is published. */
+export interface PublishedAccount {
+  name: string
+  keys: readonly string[]
+}
+
 /** Publishes the sample's routes, without shares, and one more of services. Answers the path of that one. */
-export function publishRoutes (store: StandInStore, version: number): string {
+export function publishRoutes (store: StandInStore, version: number, account?: PublishedAccount): string {
   const path = `/probe-${version}/`
   const probe = { name: 'r-probe', host: 'scripts.example', path_prefix: path, kind: 'safe', timeout_ms: 1200, service: 'desk', max_attempts: 2 }
   const routes = CONFIGURATION.routes.map((route) => ({ ...route, traffic_split: undefined, service: route.service ?? 'llm' }))
-  store.put('op/config', { ...CONFIGURATION, version, routes: [...routes, probe] })
+  store.put('op/config', { ...CONFIGURATION, version, routes: [...routes, probe], ...account ? { tenants: [{ name: account.name, api_keys: account.keys }] } : {} })
   return path
 }
 
--- a/__utils__/platform-stand-ins/src/samples.ts
+++ b/__utils__/platform-stand-ins/src/samples.ts
@@ -45,7 +45,7 @@
 }
 
 /** The settings file of a box. */
-export function settingsFileText (box: { name: string, zone: string, addresses: BoxAddresses, seeds: readonly string[], store: string }): string {
+export function settingsFileText (box: { name: string, zone: string, addresses: BoxAddresses, seeds: readonly string[], store: string }, more: readonly string[] = []): string {
   const { name, zone, addresses, seeds, store } = box
   return [
     `node=${name}`,
@@ -57,15 +57,17 @@
     'bounds.grace_s=8',
     'bounds.budget_slack=58',
     'bounds.retry_budget=0.2',
+    ...more,
     '',
   ].join('\n')
 }
 
 /** The headers of a client's attempt. A prompt makes it a stream's. */
-export function requestHeaders (id: string, opts: { deadlineMs?: number, prompt?: string }): Record<string, string> {
+export function requestHeaders (id: string, opts: { deadlineMs?: number, prompt?: string, key?: string }): Record<string, string> {
   return {
     host: 'scripts.example',
     'X-Reelspan-Request-Id': id,
+    ...opts.key === undefined ? {} : { Authorization: `Bearer ${opts.key}` },
     ...opts.deadlineMs === undefined ? {} : { 'X-Reelspan-Deadline-Ms': String(opts.deadlineMs) },
     ...opts.prompt === undefined ? {} : { 'X-Reelspan-Model': 'm', 'X-Reelspan-Token-Count': '50,24', 'X-Reelspan-Prompt-Prefix': `aa:20,${opts.prompt}:30` },
   }
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -41,6 +41,19 @@
   workMs: number
 }
 
+/** What an upstream received beside a body. */
+export interface ReceivedHead {
+  path: string
+  /** It was a client's request. */
+  isRequest: boolean
+  /** Client accounts that it was said to be for. */
+  accounts: string[]
+  /** It brought a header for keys. */
+  hasKey: boolean
+  /** Names and values of headers and trailers, a line each. */
+  text: string
+}
+
 /** Which prefill results are there to be taken, over all engines of a deployment. */
 export class HandleTable {
   readonly #held = new Set<string>()
@@ -93,8 +106,8 @@
   #nextHandle = 0
   readonly runs: UpstreamRun[] = []
   readonly arrivals: UpstreamArrival[] = []
-  /** Heads and trailers of all that reached it, one text each. */
-  readonly received: string[] = []
+  /** Everything that reached it, calls that are no requests too. */
+  readonly received: ReceivedHead[] = []
   /** Orders that reached it: their bodies, and the instance that they were for. */
   readonly orders: { body: unknown, expected?: string }[] = []
   address = ''
@@ -106,7 +119,7 @@
     this.#server = createServer((message, response) => {
       const parts: Buffer[] = []
       message.on('data', (part: Buffer) => parts.push(part))
-      message.on('end', () => { this.received.push([message.method, message.url, ...message.rawHeaders, ...message.rawTrailers].join('\n')) })
+      message.on('end', () => { this.received.push(headOf(message)) })
       message.on('end', () => { void this.#serve(message, response, Buffer.concat(parts).toString()) })
       response.on('error', () => {})
     })
@@ -216,6 +229,18 @@
   }
 }
 
+function headOf ({ url = '', rawHeaders, rawTrailers }: IncomingMessage): ReceivedHead {
+  const lines = [...rawHeaders, ...rawTrailers]
+  const valuesOf = (header: string) => lines.filter((_, i) => i % 2 === 1 && lines[i - 1].toLowerCase() === header)
+  return {
+    path: url,
+    isRequest: valuesOf('x-reelspan-request-id').length > 0,
+    accounts: valuesOf('x-reelspan-tenant'),
+    hasKey: valuesOf('authorization').length > 0,
+    text: lines.join('\n'),
+  }
+}
+
 /** Refuses a request that was not run. */
 function refuse (response: ServerResponse, status: number): void {
   response.writeHead(status, { 'X-Reelspan-Not-Executed': '1' }).end()
--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -4,7 +4,7 @@
 import { type Attempt, isStream, RouteKind } from './attempt.js'
 import { drawOne } from './drawOne.js'
 import { drawShape, idOfShape } from './requestShape.js'
-import { type SoakBox } from './soakFleet.js'
+import { CALLERS_KEY, type SoakBox } from './soakFleet.js'
 
 const PATHS: Record<RouteKind, string> = {
   [RouteKind.Once]: '/fetch/1',
@@ -75,7 +75,7 @@
     try {
       const response = await request(`http://${box}${PATHS[kind]}`, {
         method: kind === RouteKind.Repeatable ? 'GET' : 'POST',
-        headers: requestHeaders(id, { deadlineMs, prompt: isStream(kind) ? Buffer.from(id).toString('hex') : undefined }),
+        headers: requestHeaders(id, { key: CALLERS_KEY, deadlineMs, prompt: isStream(kind) ? Buffer.from(id).toString('hex') : undefined }),
         body: kind === RouteKind.Repeatable ? undefined : 'brief',
         dispatcher: this.#agent,
         signal: AbortSignal.any([leave.signal, AbortSignal.timeout(deadlineMs + GIVE_UP_MS)]),
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from '@reelspan/utils.fakes'
 import { type Attempt, RouteKind } from './attempt.js'
 import { checkBounds, type Probe } from './checkBounds.js'
+import { checkKeys, type KeyProbe } from './checkKeys.js'
 import { checkHistory } from './checkHistory.js'
 import { SoakClient } from './client.js'
 import { drawOne } from './drawOne.js'
@@ -9,7 +10,7 @@
 import { groupBy } from './groupBy.js'
 import { type HarmKind } from './harmLog.js'
 import { measureMemory } from './measureMemory.js'
-import { type SoakBox, SoakFleet } from './soakFleet.js'
+import { ACCOUNT, CALLERS_KEY, keyOf, type SoakBox, SoakFleet } from './soakFleet.js'
 import { overlaps, type Stall, StallWatch } from './stallWatch.js'
 
 export interface SoakOptions {
@@ -57,6 +58,8 @@
 const LONGEST_PAUSE_MS = 80
 const PROBE_GAP_MS = 40
 const PROBE_DEADLINE_MS = 1500
+/** Keys of this many versions are tried: those that went of late. */
+const VERSIONS_TRIED = 4
 /** Every so many clients, one holds old addresses. */
 const HOLDERS_AMONG = 3
 /** Prefill results that nobody takes lapse by then. */
@@ -91,6 +94,9 @@
   readonly #clients: SoakClient[]
   readonly #ended: Attempt[] = []
   readonly #probes: (Probe & { id: string })[] = []
+  readonly #keyProbes: KeyProbe[] = []
+  /** Apart from the others, whose draws stay what they were. */
+  readonly #keyRandom: SeededRandom
   readonly #stalls: StallWatch
   readonly #tookMs: Record<string, number> = {}
   #judged: Record<string, number> = {}
@@ -102,13 +108,14 @@
     this.#random = random
     this.#opts = opts
     this.#faultRandom = new SeededRandom(opts.seed)
+    this.#keyRandom = new SeededRandom(opts.seed)
     this.#stalls = new StallWatch(fleet.boxes)
     this.#faults = new Faults({ fleet, random: this.#faultRandom, violation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % HOLDERS_AMONG === 0 }))
   }
 
   async play (): Promise<void> {
-    const sending = [...this.#clients.map((client) => this.#keepSending(client)), this.#keepProbing()]
+    const sending = [...this.#clients.map((client) => this.#keepSending(client)), this.#keepProbing(), this.#keepTryingKeys()]
     try {
       for (let round = 0; round < this.#opts.rounds; round++) {
         await this.#timed('trouble', () => this.#trouble())
@@ -148,8 +155,16 @@
     attempts.forEach((attempt) => { attempt.stoodStill = this.#stoodStill(attempt) })
     const probes = this.#probes.map((probe): Attempt => ({ ...probe, kind: RouteKind.Repeatable, deadlineMs: PROBE_DEADLINE_MS, body: `done ${probe.id}`, retryAfter: '' }))
     const bounds = checkBounds({ attempts: [...attempts, ...probes], runs, arrivals, departures, publications, stops, probes: this.#probes, isUnharmed: this.#isUnharmed.bind(this) })
-    this.#judged = bounds.judged
-    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs), ...bounds.violations)
+    this.#judged = { ...bounds.judged, keys: this.#keyProbes.length }
+    // Calls with keys that come and go are judged by their keys alone.
+    const tried = new Set(this.#keyProbes.map(({ id }) => id))
+    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !tried.has(id))), ...bounds.violations, ...this.#keyViolations())
+  }
+
+  #keyViolations (): string[] {
+    const { runs, publications, received } = this.#fleet
+    const keys = [CALLERS_KEY, ...publications.map(({ version }) => keyOf(version))]
+    return checkKeys({ probes: this.#keyProbes, runs, publications, received, keys, account: ACCOUNT })
   }
 
   #attempts (): Attempt[] {
@@ -188,6 +203,17 @@
     }
   }
 
+  /** Tries keys that are declared, or were until a moment ago, at all boxes and all the while. */
+  async #keepTryingKeys (): Promise<void> {
+    while (this.#sending) {
+      const version = Math.max(1, this.#fleet.newestVersion - this.#keyRandom.nextInt(VERSIONS_TRIED))
+      const probe = { id: `key-${this.#keyProbes.length}`, version, sentAtMs: performance.now() }
+      this.#keyProbes.push(probe)
+      await this.#fleet.callWithKeyOf(version, drawOne(this.#keyRandom, this.#fleet.boxes), probe.id)
+      await sleep(PROBE_GAP_MS)
+    }
+  }
+
   async #probe (box: SoakBox, version: number): Promise<void> {
     const probe = { id: `probe-${this.#probes.length}`, box: box.addresses.front, life: `${box.name}#${box.process.pid}`, version, sentAtMs: performance.now(), endedAtMs: 0, status: 0 }
     this.#probes.push(probe)
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -5,8 +5,9 @@
 import { fileURLToPath } from 'node:url'
 import { FleetProcess } from '@reelspan/utils.bench'
 import { type SeededRandom } from '@reelspan/utils.fakes'
-import { type BoxAddresses, enterUpstream, HandleTable, publishRoutes, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
+import { type BoxAddresses, enterUpstream, HandleTable, publishRoutes, type ReceivedHead, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
+import { REVOKE_MS } from './checkKeys.js'
 import { type Departure, type PlannedStop, type Publication } from './checkBounds.js'
 import { FaultProxy } from './faultProxy.js'
 import { HarmKind, HarmLog } from './harmLog.js'
@@ -17,6 +18,10 @@
 const REELSPAN = fileURLToPath(import.meta.resolve('reelspan').replace('lib/index.js', 'bin/reelspan.js'))
 const LISTEN_BEHIND_PROXY = new URL('./listenBehindProxy.js', import.meta.url).href
 const ZONES = ['hall-a', 'hall-b', 'hall-c']
+/** The account of all callers, and the key that they send. */
+export const ACCOUNT = 'callers'
+export const CALLERS_KEY = 'key-of-all-callers'
+const ACCOUNT_SETTINGS = ['contracts=tenants', 'bounds.strict_revoke=true', `bounds.revoke_ms=${REVOKE_MS}`]
 const PORTS = { front: 8149, ready: 8141, control: 8144, directory: 8143 }
 const SEEDS = 3
 const START_LIMIT_MS = 30_000
@@ -146,15 +151,29 @@
   /** Publishes a configuration whose probe route has a new path. */
   publish (): void {
     const version = this.newestVersion + 1
-    const path = publishRoutes(this.store, version)
+    const path = publishRoutes(this.store, version, { name: ACCOUNT, keys: [CALLERS_KEY, keyOf(version)] })
     this.publications.push({ version, path, atMs: performance.now() })
   }
 
+  /** Heads of everything that upstreams received. */
+  get received (): ReceivedHead[] {
+    return this.#upstreams.flatMap(({ received }) => received)
+  }
+
+  /** Calls a service with the key of one version. */
+  async callWithKeyOf (version: number, box: SoakBox, id: string): Promise<void> {
+    await this.#get(box, '/fetch/status/x', requestHeaders(id, { key: keyOf(version) }))
+  }
+
   /** The status that a box answers to a call of a version's own route, 0 when there is no answer. */
   async probe (box: SoakBox, version: number, id: string): Promise<number> {
     const { path } = this.publications[version - 1]
+    return this.#get(box, `${path}x`, requestHeaders(id, { key: CALLERS_KEY }))
+  }
+
+  async #get (box: SoakBox, path: string, headers: Record<string, string>): Promise<number> {
     try {
-      const response = await request(`http://${box.addresses.front}${path}x`, { headers: requestHeaders(id, {}), dispatcher: this.#agent, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS) })
+      const response = await request(`http://${box.addresses.front}${path}`, { headers, dispatcher: this.#agent, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS) })
       await response.body.dump()
       return response.statusCode
     } catch {
@@ -238,7 +257,7 @@
   /** Writes the settings again, with other seeds. */
   async changeSettings (box: SoakBox): Promise<void> {
     const seeds = this.#random.sample(this.boxes, SEEDS).map(({ addresses }) => addresses.control)
-    await writeFile(this.#settingsPath(box.name), settingsFileText({ ...box, seeds, store: box.storePath.address }))
+    await writeFile(this.#settingsPath(box.name), settingsFileText({ ...box, seeds, store: box.storePath.address }, ACCOUNT_SETTINGS))
   }
 
   async isReady ({ addresses }: SoakBox): Promise<boolean> {
@@ -357,3 +376,8 @@
     return join(this.#folder, `${boxName}.conf`)
   }
 }
+
+/** The key that is declared in one version alone. */
+export function keyOf (version: number): string {
+  return `key-of-version-${version}`
+}
