fix(net.http-front): where accounts are in use, a request's client is its key's account or nobody

A caller without a key on an open route could still name the account whose share its request counts against. Test: a request names another client, with a key and without.

--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -11,7 +11,7 @@
 import { keyOrCreated } from './keyOrCreated.js'
 import { parseCompletion } from './parseCompletion.js'
 import { readBody } from './readBody.js'
-import { type CallOptions, readCallOptions } from './readCallOptions.js'
+import { type CallOptions, DEFAULT_CLIENT, readCallOptions } from './readCallOptions.js'
 import { setVerdict } from './setVerdict.js'
 
 /** What callers need of a box. */
@@ -121,13 +121,13 @@
   sizeTokens?: number
 }
 
-/** The request as that of the account whose key came with it. Where no accounts are in use it stays the client's whom it names. */
+/** The request as that of the account whose key came with it, or nobody's. Where no accounts are in use it stays the client's whom it names. */
 async function admitted<R extends CompletionRequest | ServiceRequest> (request: R, { box, call, sizeTokens }: AdmitOptions): Promise<R> {
   const { admission, configuration } = box
   if (!admission.usesAccounts) return request
   const open = configuration.route(request.route)?.open ?? false
   const { account } = await admission.admit({ id: request.key, open, keyDigest: call.accountKeyDigest, sizeTokens })
-  return account === undefined ? request : { ...request, client: account }
+  return { ...request, client: account ?? DEFAULT_CLIENT }
 }
 
 async function answerCall (ctx: Context, events: AsyncGenerator<AnswerEvent>): Promise<void> {
--- a/net/http-front/src/readCallOptions.ts
+++ b/net/http-front/src/readCallOptions.ts
@@ -14,7 +14,8 @@
   deadlineMs?: number
 }
 
-const DEFAULT_CLIENT = 'default'
+/** Who asks without saying who it is. */
+export const DEFAULT_CLIENT = 'default'
 const CLIENT_NAME = /^[\w.@-]{1,100}$/
 
 /** Reads the headers of a request. Throws `ERR_REELSPAN_BAD_REQUEST` naming the header. */
--- a/net/http-front/test/callerServer.ts
+++ b/net/http-front/test/callerServer.ts
@@ -1,6 +1,8 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { type AddressInfo } from 'node:net'
+import { type BoxAdmission } from '@reelspan/accounts.admission'
+import { keyDigest } from '@reelspan/accounts.keys'
 import { checkResources } from '@reelspan/config.resources'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 import { type AnswerEvent, AnswerEventKind, type RoutedRequest } from '@reelspan/core.messages'
@@ -214,3 +216,29 @@
   await Promise.all(sockets.map((socket) => once(socket, 'connect')))
   t.is((await fetch(`${url}/healthz`)).status, 503)
 })
+
+const bank: BoxAdmission = {
+  usesAccounts: true,
+  isProved: true,
+  admit: async ({ keyDigest: digest, sizeTokens }) => {
+    if (digest === keyDigest('k1')) return { account: `bank-${sizeTokens ?? 'unsized'}`, giveBack: () => {} }
+    if (digest === undefined) return { giveBack: () => {} }
+    throw new ReelspanError(ErrorCode.AccountKey, 'no client account has this key')
+  },
+}
+
+test('where accounts are in use a request is that of its key, whatever client it names', async (t) => {
+  const { url, requests } = await startServer(t, { over: { admission: bank } })
+  const body = { model: 'draft', prompt: 'hi', max_tokens: 5 }
+  await complete(url, body, { 'reelspan-client': 'telecom', authorization: 'Bearer k1' })
+  await complete(url, body, { 'reelspan-client': 'telecom' })
+  t.deepEqual(requests.map(({ client }) => client), ['bank-6', 'default'])
+})
+
+test('a key that no account has is answered with 401, and nothing runs', async (t) => {
+  const { url, requests } = await startServer(t, { over: { admission: bank } })
+  const response = await complete(url, { model: 'draft', prompt: 'hi' }, { authorization: 'Bearer k2' })
+  t.is(response.status, 401)
+  t.is(response.headers.get('reelspan-verdict'), Verdict.NotRun)
+  t.is(requests.length, 0)
+})
