test(utils.bench): the mechanism of telling is found where it stands now

The entry names the new file; what is put out of action and the tests that must fail are the same. One more for reports of failing upstreams, and mechanisms can be chosen by name.

--- a/__utils__/bench/src/checkMechanisms.ts
+++ b/__utils__/bench/src/checkMechanisms.ts
@@ -6,13 +6,14 @@
 
 const MAX_OUTPUT_BYTES = 64_000_000
 
-/** Puts one mechanism after the other out of action, in a copy of the workspace, and sees that its tests fail then. */
-export async function checkMechanisms (workspace: string): Promise<void> {
+/** Puts one mechanism after the other out of action, in a copy of the workspace, and sees that its tests fail then. With words, those alone whose names have one of them. */
+export async function checkMechanisms (workspace: string, words: readonly string[] = []): Promise<void> {
   const copy = await mkdtemp(join(tmpdir(), 'reelspan-mechanisms-'))
   try {
     await cp(workspace, copy, { recursive: true, verbatimSymlinks: true, filter: (path) => !path.endsWith('/.git') })
     const unproved = []
-    for (const mechanism of MECHANISMS) {
+    const chosen = MECHANISMS.filter(({ name }) => words.length === 0 || words.some((word) => name.includes(word)))
+    for (const mechanism of chosen) {
       const failed = await failingTests(copy, mechanism)
       console.log(`${failed.length > 0 ? 'proved  ' : 'UNPROVED'}  ${mechanism.name}: without it ${failed.length} tests fail`)
       failed.forEach((title) => console.log(`            ${title}`))
--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -53,6 +53,13 @@
     replace: '',
     tests: ['platform/adapter/test.lib/accounts.js'],
   },
+  {
+    name: 'boxes go past upstreams of which others agree that they fail',
+    file: 'upstream/health/src/upstreamReports.ts',
+    find: '(this.#passedOverUntilMs.get(upstream) ?? 0) > this.#clock.nowMs()',
+    replace: 'this.#passedOverUntilMs.get(upstream) === -1',
+    tests: ['box/runtime/test.lib/upstreamReports.js'],
+  },
   {
     name: 'one box keeps an account\'s limit for all',
     file: 'accounts/limits/src/homeLimiter.ts',
@@ -342,7 +349,7 @@
   },
   {
     name: 'ends of upstreams are told to other boxes at once',
-    file: 'request/quarantine/src/runGossip.ts',
+    file: 'membership/prober/src/flood.ts',
     find: 'await Promise.all(watchedAddresses().map(',
     replace: 'await Promise.all([].map(',
     tests: [CRASHING],
