--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -236,8 +236,7 @@
 /** Tells all boxes that an upstream closed a connection of this one without an answer. */
 function reportUpstream ({ random, reportFlood, upstreamReports, view }: BoxParts, upstream: string): void {
   const report = { id: random.hex(16), upstream, box: view.self.name, ageMs: 0 }
-  upstreamReports.add(report)
-  reportFlood.tell([report])
+  if (upstreamReports.add(report)) reportFlood.tell([report])
 }
 
 function createKeepers (parts: BoxParts): ShardKeepers {
--- a/upstream/health/src/upstreamReports.ts
+++ b/upstream/health/src/upstreamReports.ts
@@ -22,6 +22,9 @@
 /** Reports are remembered for longer than it takes them to reach all boxes. */
 const MEMORY_MS = 5000
 const MOST_REMEMBERED = 500
+/** Of one upstream no more is told on in a second: two reports that agree are all that is needed, and each costs every box four messages. */
+const MOST_TOLD = 2
+const TOLD_WITHIN_MS = 1000
 
 /**
  * What boxes tell each other of upstreams that close connections without an answer. Where each box sends an upstream a
@@ -33,22 +36,32 @@
   readonly #heard = new Map<string, number>()
   readonly #last = new Map<string, Kept>()
   readonly #passedOverUntilMs = new Map<string, number>()
+  /** When reports of an upstream were last told on. */
+  readonly #toldAtMs = new Map<string, number[]>()
 
   constructor ({ clock }: { clock: Clock }) {
     this.#clock = clock
   }
 
-  /** Takes a report in. Answers whether it is new here. */
+  /** Takes a report in. Answers whether others are to be told: it is new here, and they do not know enough yet. */
   add ({ id, upstream, box, ageMs }: UpstreamReport): boolean {
     const nowMs = this.#clock.nowMs()
     this.#forgetOld(nowMs)
     if (this.#heard.has(id) || ageMs > MEMORY_MS) return false
     this.#heard.set(id, nowMs)
+    const isNeeded = !this.isFailing(upstream) && this.#mayTell(upstream, nowMs)
     const atMs = nowMs - ageMs
     const last = this.#last.get(upstream)
     if (last && last.box !== box && Math.abs(atMs - last.atMs) <= AGREE_MS) this.#passedOverUntilMs.set(upstream, Math.max(atMs, last.atMs) + PASSED_OVER_MS)
     if (!last || atMs >= last.atMs) this.#last.set(upstream, { box, atMs })
-    return true
+    return isNeeded
+  }
+
+  #mayTell (upstream: string, nowMs: number): boolean {
+    const lately = (this.#toldAtMs.get(upstream) ?? []).filter((atMs) => nowMs - atMs < TOLD_WITHIN_MS)
+    const may = lately.length < MOST_TOLD
+    this.#toldAtMs.set(upstream, may ? [...lately, nowMs] : lately)
+    return may
   }
 
   /** Whether boxes agree that an upstream fails. A reason to go elsewhere, not a proof. */
@@ -62,6 +75,7 @@
     [...this.#last].filter(([, { atMs }]) => nowMs - atMs > MEMORY_MS).forEach(([upstream]) => {
       this.#last.delete(upstream)
       this.#passedOverUntilMs.delete(upstream)
+      this.#toldAtMs.delete(upstream)
     })
   }
 }
--- a/upstream/health/test/upstreamReports.ts
+++ b/upstream/health/test/upstreamReports.ts
@@ -56,3 +56,18 @@
   t.false(reports.isFailing('desk-1'))
   t.false(reports.add(report('box-3', { ageMs: 6000 })))
 })
+
+test('of one upstream two reports a second are told on at most, and none once boxes agree', async (t) => {
+  const { clock, reports } = createReports()
+  t.true(reports.add(report('box-1')))
+  await clock.advance(200)
+  t.true(reports.add(report('box-2')))
+  await clock.advance(200)
+  t.false(reports.add(report('box-3')))
+  await clock.advance(1000)
+  t.true(reports.add(report('box-1')))
+  t.true(reports.add(report('box-2')))
+  t.true(reports.isFailing('desk-1'))
+  await clock.advance(900)
+  t.false(reports.add(report('box-3')))
+})
