--- a/accounts/admission/src/admission.ts
+++ b/accounts/admission/src/admission.ts
@@ -2,14 +2,12 @@
 import { type AccountLimiter, limitCost } from '@reelspan/accounts.limits'
 import { type ConfigurationProof } from '@reelspan/accounts.proof'
 import { type AccountSpec, type Configuration, type Named } from '@reelspan/config.resources'
-import { type Clock } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type AccessPatience } from './accessPatience.js'
 
 export interface AdmissionOptions {
-  clock: Clock
   configuration: () => Configuration
   /** Requests need a key also while no account is declared. */
   required: boolean
--- a/box/runtime/src/createAccountParts.ts
+++ b/box/runtime/src/createAccountParts.ts
@@ -61,7 +61,7 @@
 export function createAdmission (parts: BoxParts): Admission {
   const { clock, declarations, limiter, log, metrics, proof, settings } = parts
   const patience = new AccessPatience({ clock, changed: (signal) => declarations.waitAbove(declarations.revision, signal) })
-  return new Admission({ clock, configuration: () => declarations.value, required: settings.accounts.required, proof, limiter, patience, log, metrics })
+  return new Admission({ configuration: () => declarations.value, required: settings.accounts.required, proof, limiter, patience, log, metrics })
 }
 
 function toleranceOf ({ settings: { accounts } }: BoxParts): LimitTolerance {
