feat(upstream.limits): boxes say what limits upstreams name in their answers

Cause: an upstream in need names in its answers how many requests a second it takes from all boxes together. No line or metric told of it, so that «nobody reads it» and «each box keeps it for itself» could not be told apart.

Nothing is sent differently yet.

--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -15,6 +15,7 @@
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { type UpstreamReport, type UpstreamReports } from '@reelspan/upstream.health'
+import { type StatedLimits } from '@reelspan/upstream.limits'
 import { type BeliefAges } from './beliefAges.js'
 import { type Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
@@ -58,6 +59,8 @@
   brokenRuns: BrokenRuns
   upstreamReports: UpstreamReports
   reportFlood: Flood<UpstreamReport>
+  /** Limits that upstreams name in their answers. */
+  statedLimits: StatedLimits
   /** Runs that ended with their upstreams, at any box. */
   runHistory: RunHistory
   runGossip: RunGossip
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -9,6 +9,7 @@
 import { RecordStore } from '@reelspan/request.records'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { type UpstreamReport, UpstreamReports } from '@reelspan/upstream.health'
+import { StatedLimits } from '@reelspan/upstream.limits'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import { BeliefAges } from './beliefAges.js'
 import { Box } from './box.js'
@@ -59,6 +60,7 @@
     brokenRuns: asFunction(createBrokenRuns).singleton(),
     upstreamReports: asFunction((parts: BoxParts) => new UpstreamReports(parts)).singleton(),
     reportFlood: asFunction(createReportFlood).singleton(),
+    statedLimits: asFunction((parts: BoxParts) => new StatedLimits(parts)).singleton(),
     runHistory: asFunction((parts: BoxParts) => new RunHistory(parts)).singleton(),
     runGossip: asFunction(createRunGossip).singleton(),
     quarantine: asFunction(createQuarantine).singleton(),
@@ -217,6 +219,7 @@
     placer,
     admission: parts.admission,
     upstreamReports: parts.upstreamReports,
+    statedLimits: parts.statedLimits,
     onClosedUnanswered: (upstream) => reportUpstream(parts, upstream),
     brokenRuns: parts.brokenRuns,
     quarantine: parts.quarantine,
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -11,7 +11,7 @@
 import { type AnswerTimes } from './passAnswer.js'
 import { passEvents } from './passEvents.js'
 import { type RelayContext } from './relayContext.js'
-import { sendToUpstream } from './sendToUpstream.js'
+import { prefillAtUpstream, sendToUpstream } from './sendToUpstream.js'
 import { SilenceWatch } from './silenceWatch.js'
 
 /** Placements tried for one request, however many of them reached an engine. */
@@ -190,11 +190,11 @@
   }
 
   async #prefill (plan: PlacementPlan): Promise<PrefillSource> {
-    const { opts, run, request } = this.#context
+    const { run } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const patienceMs = PREFILL_PATIENCE_MS + PREFILL_PATIENCE * plan.expectedTtftMs
     const { handle } = await this.#blame(target, (onSend) => this.#unlessSilent(patienceMs, ({ signal }) =>
-      opts.upstreams.prefill(target, request, { signal, deadlineMs: run.leftMs, onSend })))
+      prefillAtUpstream(this.#context, target, { signal, deadlineMs: run.leftMs, onSend })))
     this.#note(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
   }
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -7,6 +7,7 @@
 import { type Log } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type UpstreamReports } from '@reelspan/upstream.health'
+import { type StatedLimits } from '@reelspan/upstream.limits'
 import { type RelayClient } from '@reelspan/upstream.client'
 
 export interface RelayOptions {
@@ -26,6 +27,8 @@
   standing: () => { peerAddress: string, incarnation: string, availabilityZone: string }
   /** What boxes tell each other of upstreams that close connections without an answer. */
   upstreamReports: Pick<UpstreamReports, 'isFailing'>
+  /** What upstreams say of how many requests they take. */
+  statedLimits: StatedLimits
   /** An upstream closed a connection without an answer. */
   onClosedUnanswered: (upstream: string) => void
   /** Told of answers of upstreams that broke off. */
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -8,6 +8,7 @@
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
 import { UpstreamReports } from '@reelspan/upstream.health'
+import { StatedLimits } from '@reelspan/upstream.limits'
 import { KeepingCaller } from '@reelspan/utils.fake-fleet'
 import { NO_ACCOUNTS, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
@@ -217,6 +218,7 @@
     placer,
     admission,
     upstreamReports: reports,
+    statedLimits: new StatedLimits({ clock, log }),
     onClosedUnanswered: (upstream) => { reports.add({ id: `own-${closedUnanswered.push(upstream)}`, upstream, box: 'test', ageMs: 0 }) },
     configuration: () => clock.nowMs() - startedAtMs >= configuredAfterMs ? configuration : new Configuration(0, []),
     configured: (signal) => clock.sleep(startedAtMs + configuredAfterMs - clock.nowMs(), { signal }),
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -42,6 +42,10 @@
   RunBrokeOff = 'runBrokeOff',
   /** A request is not run any more, since it ended the upstreams that ran it, or may run again. */
   QuarantineChanged = 'quarantineChanged',
+  /** An upstream names a limit, another one or none any more. */
+  UpstreamLimitChanged = 'upstreamLimitChanged',
+  /** What an upstream names as its limit cannot be read. */
+  UpstreamLimitUnreadable = 'upstreamLimitUnreadable',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
   EngineCallFailed = 'engineCallFailed',
--- /dev/null
+++ b/upstream/limits/src/index.ts
@@ -0,0 +1,2 @@
+export { StatedLimits } from './statedLimits.js'
+export type { StatedLimitsOptions } from './statedLimits.js'
--- /dev/null
+++ b/upstream/limits/test/statedLimits.ts
@@ -0,0 +1,53 @@
+import { LogEvent } from '@reelspan/telemetry.log'
+import { StatedLimits } from '@reelspan/upstream.limits'
+import { SilentLog } from '@reelspan/utils.fake-fleet'
+import { VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+function create () {
+  const clock = new VirtualClock()
+  const log = new SilentLog()
+  return { clock, log, limits: new StatedLimits({ clock, log }) }
+}
+
+const named = (perSecond: number, succeeded = true) => ({ succeeded, limit: { perSecond, text: String(perSecond) } })
+const SILENT = { succeeded: true }
+
+test('a limit holds from the first answer that names it, a failure or refusal too', (t) => {
+  const { clock, limits, log } = create()
+  t.is(limits.perSecond('a'), undefined)
+  limits.noteAnswer('a', named(3, false), clock.nowMs())
+  t.is(limits.perSecond('a'), 3)
+  limits.noteAnswer('a', named(5.1), clock.nowMs())
+  t.is(limits.perSecond('a'), 5.1)
+  t.deepEqual(log.entries.map(({ event, fields }) => [event, fields?.perSecond]), [[LogEvent.UpstreamLimitChanged, 3], [LogEvent.UpstreamLimitChanged, 5.1]])
+})
+
+test('a success that names no limit ends it if its request was sent since; a failure or an older answer does not', async (t) => {
+  const { clock, limits } = create()
+  const before = clock.nowMs()
+  await clock.advance(100)
+  limits.noteAnswer('a', named(3), before)
+  await clock.advance(100)
+  limits.noteAnswer('a', SILENT, before)
+  limits.noteAnswer('a', { succeeded: false }, clock.nowMs())
+  t.is(limits.perSecond('a'), 3)
+  limits.noteAnswer('a', SILENT, clock.nowMs())
+  t.is(limits.perSecond('a'), undefined)
+})
+
+test('a limit that cannot be read changes nothing, and is told of once', (t) => {
+  const { clock, limits, log } = create()
+  limits.noteAnswer('a', named(3), clock.nowMs())
+  for (let i = 0; i < 5; i++) limits.noteAnswer('a', { succeeded: true, limit: { text: 'some' } }, clock.nowMs())
+  t.is(limits.perSecond('a'), 3)
+  t.is(log.count(LogEvent.UpstreamLimitUnreadable), 1)
+})
+
+test('an upstream that starts again owes nothing to the limit of its start before', (t) => {
+  const { clock, limits } = create()
+  limits.noteAnswer('a@1', named(3), clock.nowMs())
+  limits.retain(new Set(['a@2']))
+  t.is(limits.perSecond('a@2'), undefined)
+  t.is(limits.count, 0)
+})
