--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
-import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
+import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, type StatedLimit, UpstreamError } from '@reelspan/upstream.client'
 import { type FakeNetwork } from './fakeNetwork.js'
 import { type NodeClock } from './nodeClock.js'
 
@@ -12,6 +12,8 @@
   from: string
   /** When the box sent it. */
   sentAtMs: number
+  /** When it reached the upstream. */
+  atMs: number
   /** Its prompt is only read. */
   prefill: boolean
 }
@@ -37,6 +39,8 @@
   readonly endedUnder: { id: string, target: string, address: string, atMs: number }[] = []
   /** Whether an upstream that begins to run the request ends. */
   endsUpstream: (request: RelayedRequest) => boolean = () => false
+  /** What an upstream names as its limit in its answers, if it names one. */
+  limitNamedBy: (upstream: string) => StatedLimit | undefined = () => undefined
   readonly #opts: RelayedUpstreamsOptions
   /** Aborted when the process at the address ends. */
   readonly #processes = new Map<string, AbortController>()
@@ -108,23 +112,31 @@
 
   async run (target: RelayTarget, request: RelayedRequest, opts: RelayRunOptions): Promise<RelayAnswer> {
     await this.#arrive(target, request, opts, false)
-    return this.#opts.upstreams.run(target, request, opts)
+    const answer = this.#opts.upstreams.run(target, request, opts)
+    this.#answered(target, opts)
+    return answer
   }
 
   async prefill (target: RelayTarget, request: RelayedRequest, opts: RelayCallOptions): Promise<PrefilledPrompt> {
     await this.#arrive(target, request, opts, true)
-    return this.#opts.upstreams.prefill(target, opts.signal)
+    const prefilled = await this.#opts.upstreams.prefill(target, opts.signal)
+    this.#answered(target, opts)
+    return prefilled
   }
 
   async free (_source: PrefillSource): Promise<void> {}
 
+  #answered ({ instance }: RelayTarget, { onAnswer }: RelayCallOptions): void {
+    onAnswer?.({ succeeded: true, limit: this.#opts.upstreams.limitNamedBy(instance) })
+  }
+
   async #arrive (target: RelayTarget, { id, target: path }: RelayedRequest, { onSend, signal }: RelayCallOptions, prefill: boolean): Promise<void> {
     const { clock, network, address, upstreams } = this.#opts
     const sentAtMs = clock.nowMs()
     await clock.whileRunning()
     if (!await network.travel(address, target.address)) return givenUp(signal, target.address)
     onSend?.()
-    upstreams.arrivals.push({ id, target: path, upstream: target.instance, from: address, sentAtMs, prefill })
+    upstreams.arrivals.push({ id, target: path, upstream: target.instance, from: address, sentAtMs, atMs: clock.nowMs(), prefill })
   }
 }
 
--- /dev/null
+++ b/box/runtime/test/__utils__/limitedUpstreams.ts
@@ -0,0 +1,56 @@
+import { type FakeFleet, type KeepingCaller } from '@reelspan/utils.fake-fleet'
+import { fullestWindow, type LimitRule, type RelayedArrival } from '@reelspan/utils.fakes'
+import { CONTACT_MS, HOST } from './crashingRequests.js'
+
+const MS_PER_SECOND = 1000
+
+/** What an upstream that names a limit may get in any 4 s, as the users' pages say. */
+export function ruleOf (perSecond: number): LimitRule {
+  return { perSecond, burst: 0, windowMs: 4000, overage: 0.5, slack: 5 }
+}
+
+/** Upstreams name their limits from now on. */
+export function nameLimits ({ relayed }: FakeFleet, limits: Readonly<Record<string, number>>): void {
+  relayed.limitNamedBy = (upstream) => {
+    const perSecond = limits[upstream]
+    return perSecond === undefined ? undefined : { perSecond, text: String(perSecond) }
+  }
+}
+
+export interface LoadOptions {
+  target: string
+  perSecond: number
+  seconds: number
+  /** Names the requests. */
+  name?: string
+  /** Boxes that callers use; all that live without. */
+  boxes?: readonly string[]
+}
+
+/** Requests at random moments and boxes. Resolves with what their callers got, once all have ended. */
+export async function load (fleet: FakeFleet, { target, perSecond, seconds, name = 'load', boxes }: LoadOptions): Promise<KeepingCaller[]> {
+  const { clock, random } = fleet
+  const endMs = clock.nowMs() + seconds * MS_PER_SECOND
+  const callers: Promise<KeepingCaller>[] = []
+  for (let i = 0; clock.nowMs() < endMs; i++) {
+    const [box] = random.sample(boxes ?? fleet.liveBoxes().map((live) => live.name), 1)
+    const prompt = target.startsWith('/status') || target.startsWith('/once') ? { prompt: undefined } : {}
+    callers.push(fleet.relay(box, { id: `${name}-${i}`, host: HOST, target: `${target}${name}-${i}`, ...prompt }))
+    await clock.advance(-Math.log(1 - random.nextFloat()) * MS_PER_SECOND / perSecond)
+  }
+  return clock.run(Promise.all(callers))
+}
+
+/** What reached an upstream from a moment on. */
+export function arrivalsAt ({ relayed }: FakeFleet, upstream: string, sinceMs: number): RelayedArrival[] {
+  return relayed.arrivals.filter((arrival) => arrival.upstream === upstream && arrival.atMs >= sinceMs)
+}
+
+/**
+ * The most that an upstream got in any 4 s, as a part of what it may get there, from when boxes can have
+ * known its limit. Above 1 the rule is broken.
+ */
+export function fullestAt (fleet: FakeFleet, upstream: string, { perSecond, namedAtMs }: { perSecond: number, namedAtMs: number }): number {
+  const runs = arrivalsAt(fleet, upstream, namedAtMs + CONTACT_MS).map(({ atMs }) => ({ atMs, cost: 1 }))
+  return fullestWindow(runs, ruleOf(perSecond))
+}
