refactor(membership.limits): what keeps accounts' limits over all boxes is a package of its own

The home of a limit, its bucket and the even shares knew that limits are accounts'. Limits that upstreams name need the same. Behaviour of accounts is unchanged: their bucket is a function of limit, tolerance and share now, and their messages are the ones before.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -62,7 +62,7 @@
   },
   {
     name: 'one box keeps an account\'s limit for all',
-    file: 'accounts/limits/src/homeLimiter.ts',
+    file: 'membership/limits/src/homeLimiter.ts',
     find: 'if (answer !== undefined) return answer',
     replace: 'if (answer !== undefined) return 0',
     tests: [ACCOUNTS],
--- a/accounts/admission/src/admission.ts
+++ b/accounts/admission/src/admission.ts
@@ -1,8 +1,9 @@
 import { Access, decideAccess } from '@reelspan/accounts.keys'
-import { type AccountLimiter, limitCost } from '@reelspan/accounts.limits'
+import { limitCost } from '@reelspan/accounts.limits'
 import { type ConfigurationProof } from '@reelspan/accounts.proof'
 import { type AccountSpec, type Configuration, type Named } from '@reelspan/config.resources'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { type SharedLimiter } from '@reelspan/membership.limits'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type AccessPatience } from './accessPatience.js'
@@ -12,7 +13,7 @@
   /** Requests need a key also while no account is declared. */
   required: boolean
   proof: ConfigurationProof
-  limiter: AccountLimiter
+  limiter: SharedLimiter
   /** Waits for news of a key that is not known here. */
   patience: AccessPatience
   log: Log
@@ -94,7 +95,7 @@
     const { limiter, metrics } = this.#opts
     metrics.count('reelspan_account_requests_total', { account: name })
     if (!limit) return { account: name, urgency, giveBack: NOBODYS.giveBack }
-    const taken = { account: name, cost: limitCost(limit, request.sizeTokens) }
+    const taken = { name, cost: limitCost(limit, request.sizeTokens) }
     const waitMs = await limiter.take(taken)
     if (waitMs === 0) return { account: name, urgency, giveBack: () => limiter.giveBack(taken) }
     throw this.#refused(request, 'limit', new ReelspanError(ErrorCode.AccountLimit, `account «${name}» has asked more than it may`, { retryAfterMs: Math.ceil(waitMs) }), { account: name, cost: taken.cost })
--- /dev/null
+++ b/accounts/limits/src/accountMessages.ts
@@ -0,0 +1,17 @@
+import { MessageType, type PeerMessage } from '@reelspan/core.messages'
+import { type LimitedCost, LimitMessages } from '@reelspan/membership.limits'
+
+/** How boxes speak of client accounts' limits. */
+export class AccountMessages extends LimitMessages {
+  take ({ name: account, cost }: LimitedCost): PeerMessage {
+    return { type: MessageType.AccountTake, account, cost }
+  }
+
+  waitMsIn (answer: PeerMessage): number | undefined {
+    return answer.type === MessageType.AccountTaken ? answer.waitMs : undefined
+  }
+
+  giveBack ({ name: account, cost }: LimitedCost): PeerMessage {
+    return { type: MessageType.AccountGiveBack, account, cost }
+  }
+}
--- a/accounts/limits/test/__utils__/limitFleet.ts
+++ b/accounts/limits/test/__utils__/limitFleet.ts
@@ -1,7 +1,8 @@
-import { AccountLimiter, EvenShareLimiter, HomeLimiter, LimitBook, LimitBucket, type LimitedCost, type LimitTolerance } from '@reelspan/accounts.limits'
+import { accountBucket, AccountMessages, type LimitTolerance } from '@reelspan/accounts.limits'
 import { type AccountLimit, LimitUnit } from '@reelspan/config.resources'
 import { type Clock } from '@reelspan/core.env'
 import { type Member, MemberHealth, MessageType, type PeerLink, type PeerMessage } from '@reelspan/core.messages'
+import { EvenShareLimiter, HomeLimiter, LimitBook, LimitBucket, type LimitedCost, SharedLimiter } from '@reelspan/membership.limits'
 import { type CountedRun, FakeNetwork, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
 export enum Way {
@@ -20,7 +21,7 @@
 
 interface Box {
   member: Member
-  limiter: AccountLimiter
+  limiter: SharedLimiter
   side: number
   sees: readonly Member[]
   missing: number
@@ -65,7 +66,7 @@
   /** A request of the account at some box. */
   async arrive (cost: number, at = this.random.nextInt(this.#boxes.length)): Promise<void> {
     if (this.#reference.take(cost, { perSecond: this.limit.perSecond, burst: this.limit.burst }, this.clock.nowMs()) === 0) this.dueCost += cost
-    const waitMs = await this.#boxes[at].limiter.take({ account: ACCOUNT, cost })
+    const waitMs = await this.#boxes[at].limiter.take({ name: ACCOUNT, cost })
     if (waitMs === 0) this.runs.push({ atMs: this.clock.nowMs(), cost })
     else this.refused++
   }
@@ -105,20 +106,19 @@
     const peerAddress = `10.0.${i >> 8}.${i & 255}:1`
     const { clock, link } = this.#network.addNode(peerAddress)
     const member: Member = { name: `b${i}`, availabilityZone: 'z', peerAddress, callerAddress: '', incarnation: `${this.#starts++}`.padStart(16, '0'), version: 0, health: MemberHealth.Alive, leaving: false }
-    const box: Box = { member, side: 0, sees: [member], missing: 0, untold: 0, limiter: undefined as unknown as AccountLimiter, bucket: new LimitBucket(this.limit.burst, clock.nowMs()) }
+    const box: Box = { member, side: 0, sees: [member], missing: 0, untold: 0, limiter: undefined as unknown as SharedLimiter, bucket: new LimitBucket(this.limit.burst, clock.nowMs()) }
     box.limiter = this.#limiterOf(box, clock, this.#counted(link))
     return box
   }
 
-  #limiterOf (box: Box, clock: Clock, link: PeerLink): AccountLimiter {
-    const limitOf = () => this.limit
+  #limiterOf (box: Box, clock: Clock, link: PeerLink): SharedLimiter {
     const known = () => box.sees.length + box.missing
-    const alone = new EvenShareLimiter({ clock, limitOf, tolerance: TOLERANCE, share: () => 1 / known() })
+    const alone = new EvenShareLimiter({ clock, planOf: () => accountBucket(this.limit, TOLERANCE, 1 / known()) })
     if (this.#way === Way.EvenShares) return alone
     if (this.#way === Way.ToldTotals) return new ToldTotalsLimiter(box, clock, () => this.limit)
-    const book = new LimitBook({ clock, limitOf, tolerance: TOLERANCE, share: () => box.sees.length / known() })
+    const book = new LimitBook({ clock, planOf: () => accountBucket(this.limit, TOLERANCE, box.sees.length / known()) })
     link.serve({ onCall: async (message) => answer(book, message), onStream: async function * () {} })
-    const limiter = new HomeLimiter({ clock, link, book, alone, members: () => box.sees, self: () => box.member })
+    const limiter = new HomeLimiter({ clock, link, messages: new AccountMessages(), book, alone, members: () => box.sees, self: () => box.member })
     box.onMembers = () => book.retain((account) => limiter.isHome(account))
     return limiter
   }
@@ -153,7 +153,7 @@
 }
 
 /** Counts what it takes itself at once, and what others took when they tell of it. */
-class ToldTotalsLimiter extends AccountLimiter {
+class ToldTotalsLimiter extends SharedLimiter {
   readonly #box: Box
   readonly #clock: Clock
   readonly #limit: () => AccountLimit
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -1,11 +1,11 @@
 import { type Admission } from '@reelspan/accounts.admission'
-import { type AccountLimiter, type LimitBook } from '@reelspan/accounts.limits'
 import { type ConfigurationProof, type ProofKeeper } from '@reelspan/accounts.proof'
 import { type FleetList, type GuardedFleet } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseWatch } from '@reelspan/core.env'
 import { type Collection } from '@reelspan/core.messages'
+import { type LimitBook, type SharedLimiter } from '@reelspan/membership.limits'
 import { type Flood, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
 import { type LookupAnswer } from '@reelspan/request.lookup'
@@ -53,7 +53,7 @@
   proofKeeper?: ProofKeeper
   /** Buckets of client accounts whose home is this box. */
   limitBook: LimitBook
-  limiter: AccountLimiter
+  limiter: SharedLimiter
   admission: Admission
   prober: Prober
   brokenRuns: BrokenRuns
--- a/box/runtime/src/createAccountParts.ts
+++ b/box/runtime/src/createAccountParts.ts
@@ -1,9 +1,11 @@
 import { AccessPatience, Admission } from '@reelspan/accounts.admission'
-import { EvenShareLimiter, HomeLimiter, LimitBook, type LimitTolerance } from '@reelspan/accounts.limits'
+import { accountBucket, AccountMessages, type LimitTolerance } from '@reelspan/accounts.limits'
 import { ConfigurationProof, ProofKeeper } from '@reelspan/accounts.proof'
 import { Collection } from '@reelspan/core.messages'
+import { type BucketPlan, EvenShareLimiter, HomeLimiter, LimitBook } from '@reelspan/membership.limits'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts } from './boxParts.js'
+import { sideShare, singleShare } from './limitShares.js'
 
 /** Clocks of two machines run apart by less than a thousandth; this is what may pass between the decision on a request and its start, and more. */
 const PROOF_SLACK_MS = 200
@@ -43,17 +45,16 @@
   })
 }
 
-/** The buckets whose home is this box. */
+/** The buckets of client accounts whose home is this box. */
 export function createLimitBook (parts: BoxParts): LimitBook {
   const { clock, view } = parts
-  // Of a fleet in two parts, each part may give out its part of a limit.
-  return new LimitBook({ clock, limitOf: limitOf(parts), tolerance: toleranceOf(parts), share: () => view.live().length / (view.live().length + view.suspected().length) })
+  return new LimitBook({ clock, planOf: (account) => planOf(parts, account, sideShare(view)) })
 }
 
 export function createLimiter (parts: BoxParts): HomeLimiter {
   const { clock, link, limitBook, view } = parts
-  const alone = new EvenShareLimiter({ clock, limitOf: limitOf(parts), tolerance: toleranceOf(parts), share: () => 1 / (view.live().length + view.suspected().length) })
-  const limiter = new HomeLimiter({ clock, link, book: limitBook, alone, members: () => view.takingWork(), self: () => view.self })
+  const alone = new EvenShareLimiter({ clock, planOf: (account) => planOf(parts, account, singleShare(view)) })
+  const limiter = new HomeLimiter({ clock, link, messages: new AccountMessages(), book: limitBook, alone, members: () => view.takingWork(), self: () => view.self })
   view.onChange(() => limitBook.retain((account) => limiter.isHome(account)))
   return limiter
 }
@@ -64,10 +65,11 @@
   return new Admission({ configuration: () => declarations.value, required: settings.accounts.required, proof, limiter, patience, log, metrics })
 }
 
-function toleranceOf ({ settings: { accounts } }: BoxParts): LimitTolerance {
-  return { windowMs: accounts.limitWindowMs, overage: accounts.limitOverage, slack: accounts.limitSlack }
+function planOf (parts: BoxParts, account: string, share: number): BucketPlan | undefined {
+  const limit = parts.declarations.value.account(account)?.limit
+  return limit && accountBucket(limit, toleranceOf(parts), share)
 }
 
-function limitOf ({ declarations }: BoxParts) {
-  return (account: string) => declarations.value.account(account)?.limit
+function toleranceOf ({ settings: { accounts } }: BoxParts): LimitTolerance {
+  return { windowMs: accounts.limitWindowMs, overage: accounts.limitOverage, slack: accounts.limitSlack }
 }
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -1,7 +1,7 @@
-import { type LimitBook } from '@reelspan/accounts.limits'
 import { type ConfigStore } from '@reelspan/config.store'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 import { Collection, MemberHealth, type MessageOf, MessageType, type PeerHandler, type PeerMessage } from '@reelspan/core.messages'
+import { type LimitBook } from '@reelspan/membership.limits'
 import { type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
 import { parseRequestKey } from '@reelspan/request.key'
--- a/accounts/limits/src/homeLimiter.ts
+++ b/membership/limits/src/homeLimiter.ts
@@ -1,16 +1,20 @@
 import { type Clock } from '@reelspan/core.env'
 import { rankByRendezvous } from '@reelspan/core.hashing'
-import { type Member, MessageType, type PeerLink, PeerLinkError } from '@reelspan/core.messages'
-import { AccountLimiter, type LimitedCost } from './accountLimiter.js'
+import { type Member, type PeerLink, PeerLinkError } from '@reelspan/core.messages'
 import { type LimitBook } from './limitBook.js'
+import { type LimitMessages } from './limitMessages.js'
+import { type LimitedCost, SharedLimiter } from './sharedLimiter.js'
 
 export interface HomeLimiterOptions {
   clock: Clock
   link: PeerLink
-  /** The buckets that are kept here, for the accounts that have their home at this box. */
+  messages: LimitMessages
+  /** The buckets that are kept here, for the limits that have their home at this box. */
   book: LimitBook
   /** Decides here when no home answers. */
-  alone: AccountLimiter
+  alone: SharedLimiter
+  /** A home has answered for the limit of that name. */
+  onHomeAnswered?: (name: string) => void
   /** Boxes that may be homes, this one included. The same list until one changes. */
   members: () => readonly Member[]
   self: () => Member
@@ -30,16 +34,16 @@
   ended: boolean
 }
 
-/** One box, the home of the account, keeps its bucket; others ask it for each request. Who cannot reach it has its even share. */
-export class HomeLimiter extends AccountLimiter {
+/** One box, the home of a limit, keeps its bucket; others ask it for each request. Who cannot reach it has its even share. */
+export class HomeLimiter extends SharedLimiter {
   readonly #opts: HomeLimiterOptions
-  /** Homes by account, worked out anew when the members change. */
+  /** Homes by the limits' names, worked out anew when the members change. */
   readonly #homes = new Map<string, readonly Member[]>()
   #homesAmong?: readonly Member[]
   /** Boxes that did not answer, by incarnation. */
   readonly #unanswered = new Map<string, Unanswered>()
   /** Where each cost that may be given back was taken. */
-  readonly #takenAt = new WeakMap<LimitedCost, Member | AccountLimiter>()
+  readonly #takenAt = new WeakMap<LimitedCost, Member | SharedLimiter>()
 
   constructor (opts: HomeLimiterOptions) {
     super()
@@ -48,27 +52,26 @@
 
   async take (taken: LimitedCost): Promise<number> {
     const { alone } = this.#opts
-    const answer = await this.#askHomes(taken, this.#homesOf(taken.account))
+    const answer = await this.#askHomes(taken, this.#homesOf(taken.name))
     if (answer !== undefined) return answer
     this.#takenAt.set(taken, alone)
     return alone.take(taken)
   }
 
   giveBack (taken: LimitedCost): void {
-    const { book, link, self } = this.#opts
+    const { book, link, messages, self } = this.#opts
     const home = this.#takenAt.get(taken)
     if (!home) return
     this.#takenAt.delete(taken)
-    const { account, cost } = taken
-    if (home instanceof AccountLimiter) return home.giveBack(taken)
-    if (home.incarnation === self().incarnation) return book.giveBack(account, cost)
+    if (home instanceof SharedLimiter) return home.giveBack(taken)
+    if (home.incarnation === self().incarnation) return book.giveBack(taken.name, taken.cost)
     // What is lost on the way is filled up again by the rate; the link tells of it.
-    link.call(home.peerAddress, { type: MessageType.AccountGiveBack, account, cost }, { timeoutMs: HOME_TIMEOUT_MS, repeatable: false }).catch(() => {})
+    link.call(home.peerAddress, messages.giveBack(taken), { timeoutMs: HOME_TIMEOUT_MS, repeatable: false }).catch(() => {})
   }
 
-  /** Whether this box is the home of an account, as it sees the members. */
-  isHome (account: string): boolean {
-    return this.#homesOf(account)[0]?.incarnation === this.#opts.self().incarnation
+  /** Whether this box is the home of a limit, as it sees the members. */
+  isHome (name: string): boolean {
+    return this.#homesOf(name)[0]?.incarnation === this.#opts.self().incarnation
   }
 
   async #askHomes (taken: LimitedCost, [home, ...others]: readonly Member[]): Promise<number | undefined> {
@@ -76,15 +79,16 @@
     const answer = this.#unansweredBy(home) ? undefined : await this.#ask(home, taken)
     if (answer === undefined) return this.#unansweredBy(home)?.ended ? this.#askHomes(taken, others) : undefined
     this.#takenAt.set(taken, home)
+    this.#opts.onHomeAnswered?.(taken.name)
     return answer
   }
 
-  async #ask (home: Member, { account, cost }: LimitedCost): Promise<number | undefined> {
-    const { book, clock, link, self } = this.#opts
-    if (home.incarnation === self().incarnation) return book.take(account, cost)
+  async #ask (home: Member, taken: LimitedCost): Promise<number | undefined> {
+    const { book, clock, link, messages, self } = this.#opts
+    if (home.incarnation === self().incarnation) return book.take(taken.name, taken.cost)
     try {
-      const answer = await link.call(home.peerAddress, { type: MessageType.AccountTake, account, cost }, { timeoutMs: HOME_TIMEOUT_MS, repeatable: false })
-      return answer.type === MessageType.AccountTaken ? answer.waitMs : undefined
+      const answer = await link.call(home.peerAddress, messages.take(taken), { timeoutMs: HOME_TIMEOUT_MS, repeatable: false })
+      return messages.waitMsIn(answer)
     } catch (thrown) {
       // The link tells of the failure.
       const ended = thrown instanceof PeerLinkError && thrown.refused
@@ -100,16 +104,16 @@
     return undefined
   }
 
-  #homesOf (account: string): readonly Member[] {
+  #homesOf (name: string): readonly Member[] {
     const members = this.#opts.members()
     if (members !== this.#homesAmong) {
       this.#homesAmong = members
       this.#homes.clear()
     }
-    const known = this.#homes.get(account)
+    const known = this.#homes.get(name)
     if (known) return known
-    const homes = rankByRendezvous(`limit|${account}`, [...members], ({ incarnation }) => incarnation).slice(0, HOMES)
-    this.#homes.set(account, homes)
+    const homes = rankByRendezvous(`limit|${name}`, [...members], ({ incarnation }) => incarnation).slice(0, HOMES)
+    this.#homes.set(name, homes)
     return homes
   }
 }
--- a/accounts/limits/src/limitBucket.ts
+++ b/membership/limits/src/limitBucket.ts
@@ -6,7 +6,7 @@
   burst: number
 }
 
-/** What an account has left of its limit. Fills at the rate, up to the burst. */
+/** What is left of a limit. Fills at the rate, up to the burst. */
 export class LimitBucket {
   #level: number
   #atMs: number
@@ -17,15 +17,20 @@
   }
 
   /**
-   * Takes the cost and answers 0, or takes nothing and answers how long the caller has to wait for it. The size may
-   * have changed since the last time. What is larger than the bucket is taken when that is full, and owed.
+   * How long a caller has to wait for a cost; 0 when there is room for it now. The size may have changed since
+   * the last time. What is larger than the bucket finds room when that is full, and is owed.
    */
-  take (cost: number, size: BucketSize, nowMs: number): number {
+  waitMs (cost: number, size: BucketSize, nowMs: number): number {
     this.#fill(size, nowMs)
     const lacking = Math.min(cost, size.burst) - this.#level
-    if (lacking > 0) return Math.max(1, lacking / size.perSecond * MS_PER_SECOND)
-    this.#level -= cost
-    return 0
+    return lacking > 0 ? Math.max(1, lacking / size.perSecond * MS_PER_SECOND) : 0
+  }
+
+  /** Takes the cost and answers 0, or takes nothing and answers how long the caller has to wait for it. */
+  take (cost: number, size: BucketSize, nowMs: number): number {
+    const waitMs = this.waitMs(cost, size, nowMs)
+    if (waitMs === 0) this.#level -= cost
+    return waitMs
   }
 
   /** Takes the cost, whatever is left. A negative one gives it back. */
--- a/accounts/limits/src/accountLimiter.ts
+++ b/membership/limits/src/sharedLimiter.ts
@@ -1,12 +1,13 @@
-/** What a request takes from its account's limit. */
+/** What a request takes from a limit. */
 export interface LimitedCost {
-  account: string
+  /** Whose limit it is. */
+  name: string
   /** In units of the limit. */
   cost: number
 }
 
-/** Keeps client accounts within their limits, over all boxes. */
-export abstract class AccountLimiter {
+/** Keeps limits over all boxes. */
+export abstract class SharedLimiter {
   /** Resolves with 0 when the cost is taken, else with the time until it could be. */
   abstract take (taken: LimitedCost): Promise<number>
 
