refactor(membership.prober): news that boxes tell each other, with digests in heartbeats, is one piece of code

What told boxes of ends of upstreams knew of nothing else. Limits that upstreams name have to reach boxes in the same way, also those that were cut off or start with nothing. No change of behaviour.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -356,7 +356,7 @@
   },
   {
     name: 'boxes that know of different ends ask for them',
-    file: 'request/quarantine/src/runGossip.ts',
+    file: 'membership/prober/src/gossip.ts',
     find: 'this.#tasks.run(() => this.#pull(address))',
     replace: '',
     tests: [CRASHING],
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -4,13 +4,13 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseWatch } from '@reelspan/core.env'
-import { type Collection } from '@reelspan/core.messages'
+import { type Collection, type RunEvent } from '@reelspan/core.messages'
 import { type LimitBook, type SharedLimiter } from '@reelspan/membership.limits'
-import { type Flood, type Prober } from '@reelspan/membership.prober'
+import { type Flood, type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
-import { type BrokenRuns, type Quarantine, type RunGossip, type RunHistory } from '@reelspan/request.quarantine'
+import { type BrokenRuns, type Quarantine, type RunHistory } from '@reelspan/request.quarantine'
 import { type RecordStore } from '@reelspan/request.records'
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
@@ -63,7 +63,7 @@
   statedLimits: StatedLimits
   /** Runs that ended with their upstreams, at any box. */
   runHistory: RunHistory
-  runGossip: RunGossip
+  runGossip: Gossip<RunEvent>
   quarantine: Quarantine
   records: RecordStore
   placer: Placer
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,11 +1,11 @@
 import { PauseWatch } from '@reelspan/core.env'
-import { Collection, type Member, MemberHealth, MessageType, type PeerLink } from '@reelspan/core.messages'
-import { Flood, Prober } from '@reelspan/membership.prober'
+import { Collection, type Member, MemberHealth, MessageType, type PeerLink, type RunEvent } from '@reelspan/core.messages'
+import { Flood, Gossip, Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
 import { answerLookup } from '@reelspan/request.lookup'
 import { Owner } from '@reelspan/request.owner'
 import { Relay } from '@reelspan/request.relay'
-import { BrokenRuns, Quarantine, RunGossip, RunHistory } from '@reelspan/request.quarantine'
+import { BrokenRuns, Quarantine, RunHistory, RunMessages } from '@reelspan/request.quarantine'
 import { RecordStore } from '@reelspan/request.records'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { type UpstreamReport, UpstreamReports } from '@reelspan/upstream.health'
@@ -122,7 +122,7 @@
     onPlatformAnswering: (told) => parts.platformContact.hear(told),
     proof: () => parts.proof.told,
     onPeerProof: (told, askedAtMs) => parts.proof.hear(told, askedAtMs),
-    runsDigest: () => parts.runHistory.size > 0 ? parts.runHistory.digest : undefined,
+    runsDigest: () => parts.runHistory.digest || undefined,
     onPeerRunsDigest: (address, digest) => parts.runGossip.hear(address, digest),
     onTaskError: (thrown) => parts.failures.noteTask('prober', thrown),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
@@ -162,12 +162,13 @@
   })
 }
 
-function createRunGossip (parts: BoxParts): RunGossip {
+function createRunGossip (parts: BoxParts): Gossip<RunEvent> {
   const { clock, link, runHistory } = parts
-  return new RunGossip({
+  return new Gossip({
     clock,
     link,
-    history: runHistory,
+    book: runHistory,
+    messages: new RunMessages(),
     watchedAddresses: () => parts.prober.watchedAddresses(),
     onAdded: (events) => parts.quarantine.noteAdded(events),
     onTaskError: (thrown) => parts.failures.noteTask('runGossip', thrown),
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -1,13 +1,12 @@
 import { type ConfigStore } from '@reelspan/config.store'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
-import { Collection, MemberHealth, type MessageOf, MessageType, type PeerHandler, type PeerMessage } from '@reelspan/core.messages'
+import { Collection, MemberHealth, type MessageOf, MessageType, type PeerHandler, type PeerMessage, type RunEvent } from '@reelspan/core.messages'
 import { type LimitBook } from '@reelspan/membership.limits'
-import { type Prober } from '@reelspan/membership.prober'
+import { type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
 import { parseRequestKey } from '@reelspan/request.key'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
-import { type RunGossip } from '@reelspan/request.quarantine'
 import { type RecordStore } from '@reelspan/request.records'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type ShardKeepers } from './shardKeepers.js'
@@ -20,7 +19,7 @@
   keepers: ShardKeepers
   owner: Owner
   records: RecordStore
-  runGossip: RunGossip
+  runGossip: Gossip<RunEvent>
   limitBook: LimitBook
   onUpstreamReports: (reports: readonly UpstreamReport[]) => void
   lookup: (availabilityZone?: string) => LookupAnswer
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '@reelspan/core.env'
 import { hash32 } from '@reelspan/core.hashing'
 import { RunEnd, type RunEvent } from '@reelspan/core.messages'
+import { NewsBook } from '@reelspan/membership.prober'
 
 /** A run of a request that ended, on this box's clock. */
 export interface PastRun {
@@ -28,7 +29,7 @@
  * requests that came to their end. Boxes that have heard of the same events hold the
  * same, in whatever order they heard. Nothing of a request but hashes is kept.
  */
-export class RunHistory {
+export class RunHistory extends NewsBook<RunEvent> {
   readonly #clock: Clock
   /** By content, the one that was heard of last at the end. */
   readonly #byContent = new Map<string, PastRun[]>()
@@ -37,6 +38,7 @@
   #digest = 0
 
   constructor ({ clock }: { clock: Clock }) {
+    super()
     this.#clock = clock
   }
 
@@ -44,12 +46,10 @@
     return this.#ids.size
   }
 
-  /** What is forgotten for want of room may differ from box to box. */
-  get full (): boolean {
-    return this.size >= MAX_RUNS
+  get comparable (): boolean {
+    return this.size < MAX_RUNS
   }
 
-  /** Equal at two boxes that know the same runs; 0 when there are none. */
   get digest (): number {
     return this.#digest
   }
@@ -81,8 +81,7 @@
     return [...new Set(there.map((run) => run.content))].filter((other) => other !== content)
   }
 
-  /** All that is known, as it is told to others. */
-  events (): RunEvent[] {
+  all (): RunEvent[] {
     const nowMs = this.#clock.nowMs()
     return [...this.#byContent.values()].flat().map((run) => eventOf(run, nowMs))
   }
--- /dev/null
+++ b/request/quarantine/src/runMessages.ts
@@ -0,0 +1,17 @@
+import { MessageType, type PeerMessage, type RunEvent } from '@reelspan/core.messages'
+import { NewsMessages } from '@reelspan/membership.prober'
+
+/** How boxes tell each other of runs that ended. */
+export class RunMessages extends NewsMessages<RunEvent> {
+  tell (events: readonly RunEvent[]): PeerMessage {
+    return { type: MessageType.RunsTell, events: [...events] }
+  }
+
+  pull (): PeerMessage {
+    return { type: MessageType.RunsPull }
+  }
+
+  contentOf (answer: PeerMessage): readonly RunEvent[] | undefined {
+    return answer.type === MessageType.RunsContent ? answer.events : undefined
+  }
+}
--- a/request/quarantine/test/runHistory.ts
+++ b/request/quarantine/test/runHistory.ts
@@ -17,7 +17,7 @@
   known.forEach((event) => history.add(event))
   Array.from({ length: FLOOD }, (_, i) => history.add(end(`f${i}`, `other-${i}`)))
   t.is(history.size, MOST_REMEMBERED)
-  t.is(history.events().length, MOST_REMEMBERED)
+  t.is(history.all().length, MOST_REMEMBERED)
   t.is(judgeRequest(history, { content: 'ends', caller: 'w' }).length, 3)
 })
 
@@ -45,5 +45,5 @@
   const history = new RunHistory({ clock })
   history.add(end('a', 'ends', { ageMs: 30 }))
   await clock.advance(70)
-  t.like(history.events(), [{ id: 'a', ageMs: 100, ranMs: 50, upstream: 'a' }])
+  t.like(history.all(), [{ id: 'a', ageMs: 100, ranMs: 50, upstream: 'a' }])
 })
