--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -22,6 +22,8 @@
 const CRASHING = 'box/runtime/test.lib/crashingRequest.js'
 const JUDGE = 'request/quarantine/test.lib/judgeRequest.js'
 const ACCOUNTS = 'box/runtime/test.lib/accounts.js'
+const LIMITED = 'box/runtime/test.lib/upstreamLimitShared.js'
+const ENGINE_LIMITS = 'scheduling/scheduler/test.lib/engineLimits.js'
 
 /** What the promises rest on. */
 export const MECHANISMS: Mechanism[] = [
@@ -67,6 +69,27 @@
     replace: 'if (answer !== undefined) return 0',
     tests: [ACCOUNTS],
   },
+  {
+    name: 'one box keeps an upstream\'s permits for all',
+    file: 'box/runtime/src/createLimitParts.ts',
+    find: 'waitMs: permitBook.take(upstream, cost)',
+    replace: 'waitMs: 0 * permitBook.take(upstream, cost)',
+    tests: [LIMITED],
+  },
+  {
+    name: 'a limit that one box hears of is told to others',
+    file: 'upstream/limits/src/statedLimits.ts',
+    find: 'if (changed && saying && this.mayTell(saying)) this.#opts.onChanged?.(saying)',
+    replace: '',
+    tests: [LIMITED],
+  },
+  {
+    name: 'a scheduler places no more than engines take',
+    file: 'scheduling/scheduler/src/shardScheduler.ts',
+    find: 'this.#limits.notePlaced([prefill.name, decode.name])',
+    replace: '',
+    tests: [ENGINE_LIMITS],
+  },
   {
     name: 'an owner releases its engines on every way out',
     file: 'request/owner/src/completionRun.ts',
@@ -359,7 +382,7 @@
     file: 'membership/prober/src/gossip.ts',
     find: 'this.#tasks.run(() => this.#pull(address))',
     replace: '',
-    tests: [CRASHING],
+    tests: [CRASHING, LIMITED],
   },
   {
     name: 'upstreams that end together are one end',
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -4,8 +4,8 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseWatch } from '@reelspan/core.env'
-import { type Collection, type RunEvent } from '@reelspan/core.messages'
-import { type LimitBook, type SharedLimiter } from '@reelspan/membership.limits'
+import { type Collection, type LimitSaying, type RunEvent } from '@reelspan/core.messages'
+import { type HomeLimiter, type LimitBook, type SharedLimiter } from '@reelspan/membership.limits'
 import { type Flood, type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
 import { type LookupAnswer } from '@reelspan/request.lookup'
@@ -15,7 +15,7 @@
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { type UpstreamReport, type UpstreamReports } from '@reelspan/upstream.health'
-import { type StatedLimits } from '@reelspan/upstream.limits'
+import { type ReturnTimes, type SendPermits, type StatedLimits } from '@reelspan/upstream.limits'
 import { type BeliefAges } from './beliefAges.js'
 import { type Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
@@ -61,6 +61,12 @@
   reportFlood: Flood<UpstreamReport>
   /** Limits that upstreams name in their answers. */
   statedLimits: StatedLimits
+  limitGossip: Gossip<LimitSaying>
+  /** Buckets of permits for upstreams whose home is this box. */
+  permitBook: LimitBook
+  permitLimiter: HomeLimiter
+  permits: SendPermits
+  returnTimes: ReturnTimes
   /** Runs that ended with their upstreams, at any box. */
   runHistory: RunHistory
   runGossip: Gossip<RunEvent>
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -9,7 +9,6 @@
 import { RecordStore } from '@reelspan/request.records'
 import { type EngineClient } from '@reelspan/upstream.client'
 import { type UpstreamReport, UpstreamReports } from '@reelspan/upstream.health'
-import { StatedLimits } from '@reelspan/upstream.limits'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import { BeliefAges } from './beliefAges.js'
 import { Box } from './box.js'
@@ -18,6 +17,7 @@
 import { ConnectionShares } from './connectionShares.js'
 import { createAdmission, createLimitBook, createLimiter, createProof, createProofKeeper } from './createAccountParts.js'
 import { createContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
+import { createLimitGossip, createPermitBook, createPermitLimiter, createPermits, createReturnTimes, createStatedLimits } from './createLimitParts.js'
 import { createPlacer } from './createPlacer.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { FailureLog } from './failureLog.js'
@@ -60,7 +60,12 @@
     brokenRuns: asFunction(createBrokenRuns).singleton(),
     upstreamReports: asFunction((parts: BoxParts) => new UpstreamReports(parts)).singleton(),
     reportFlood: asFunction(createReportFlood).singleton(),
-    statedLimits: asFunction((parts: BoxParts) => new StatedLimits(parts)).singleton(),
+    statedLimits: asFunction(createStatedLimits).singleton(),
+    limitGossip: asFunction(createLimitGossip).singleton(),
+    permitBook: asFunction(createPermitBook).singleton(),
+    permitLimiter: asFunction(createPermitLimiter).singleton(),
+    permits: asFunction(createPermits).singleton(),
+    returnTimes: asFunction(createReturnTimes).singleton(),
     runHistory: asFunction((parts: BoxParts) => new RunHistory(parts)).singleton(),
     runGossip: asFunction(createRunGossip).singleton(),
     quarantine: asFunction(createQuarantine).singleton(),
@@ -122,8 +127,11 @@
     onPlatformAnswering: (told) => parts.platformContact.hear(told),
     proof: () => parts.proof.told,
     onPeerProof: (told, askedAtMs) => parts.proof.hear(told, askedAtMs),
-    runsDigest: () => parts.runHistory.digest || undefined,
-    onPeerRunsDigest: (address, digest) => parts.runGossip.hear(address, digest),
+    newsDigests: () => ({ runsDigest: parts.runHistory.digest || undefined, limitsDigest: parts.statedLimits.digest || undefined }),
+    onPeerNewsDigests: (address, { runsDigest, limitsDigest }) => {
+      parts.runGossip.hear(address, runsDigest)
+      parts.limitGossip.hear(address, limitsDigest)
+    },
     onTaskError: (thrown) => parts.failures.noteTask('prober', thrown),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
       parts.followers[collection].hear(address, revisions[collection])
@@ -221,6 +229,8 @@
     admission: parts.admission,
     upstreamReports: parts.upstreamReports,
     statedLimits: parts.statedLimits,
+    permits: parts.permits,
+    returnTimes: parts.returnTimes,
     onClosedUnanswered: (upstream) => reportUpstream(parts, upstream),
     brokenRuns: parts.brokenRuns,
     quarantine: parts.quarantine,
@@ -251,6 +261,7 @@
     declarations: parts.declarations,
     fleet: parts.fleet,
     fleetRevision: () => parts.fleetList.revision,
+    limitPerSecond: (engine) => parts.statedLimits.perSecond(engine),
     view: parts.view,
     vouchHere: parts.vouchHere,
     isGone: (incarnation) => parts.view.get(incarnation)?.health === MemberHealth.Gone,
@@ -272,6 +283,9 @@
     records: parts.records,
     runGossip: parts.runGossip,
     limitBook: parts.limitBook,
+    limitGossip: parts.limitGossip,
+    permitBook: parts.permitBook,
+    statedLimits: parts.statedLimits,
     onUpstreamReports: (reports) => parts.reportFlood.tell(reports.filter((report) => parts.upstreamReports.add(report))),
     lookup: parts.lookup,
     vouchHere: parts.vouchHere,
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -1,6 +1,6 @@
 import { type ConfigStore } from '@reelspan/config.store'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
-import { Collection, MemberHealth, type MessageOf, MessageType, type PeerHandler, type PeerMessage, type RunEvent } from '@reelspan/core.messages'
+import { Collection, MemberHealth, type LimitSaying, type MessageOf, MessageType, type PeerHandler, type PeerMessage, type RunEvent } from '@reelspan/core.messages'
 import { type LimitBook } from '@reelspan/membership.limits'
 import { type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
@@ -11,6 +11,8 @@
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type ShardKeepers } from './shardKeepers.js'
 import { type UpstreamReport } from '@reelspan/upstream.health'
+import { type StatedLimits } from '@reelspan/upstream.limits'
+import { givePermits } from './createLimitParts.js'
 
 export interface PeerDispatchOptions {
   prober: Prober
@@ -21,6 +23,9 @@
   records: RecordStore
   runGossip: Gossip<RunEvent>
   limitBook: LimitBook
+  limitGossip: Gossip<LimitSaying>
+  permitBook: LimitBook
+  statedLimits: StatedLimits
   onUpstreamReports: (reports: readonly UpstreamReport[]) => void
   lookup: (availabilityZone?: string) => LookupAnswer
   vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
@@ -37,7 +42,7 @@
   }
 
   async onCall (message: PeerMessage): Promise<PeerMessage> {
-    const { prober, stores, keepers, owner, runGossip, limitBook, onUpstreamReports, lookup, vouchHere, describeForStatus } = this.#opts
+    const { prober, stores, keepers, owner, runGossip, limitBook, limitGossip, permitBook, onUpstreamReports, lookup, vouchHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
         return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
@@ -74,6 +79,17 @@
       case MessageType.AccountGiveBack:
         limitBook.giveBack(message.account, message.cost)
         return DONE
+      case MessageType.LimitsTell:
+        limitGossip.take(message.limits)
+        return DONE
+      case MessageType.LimitsPull:
+        limitGossip.take(message.limits)
+        return { type: MessageType.LimitsContent, limits: limitGossip.known() }
+      case MessageType.UpstreamTake:
+        return givePermits(this.#opts, message)
+      case MessageType.UpstreamGiveBack:
+        permitBook.giveBack(message.upstream, message.cost)
+        return DONE
       case MessageType.StatusPull:
         return { type: MessageType.StatusContent, status: describeForStatus() }
       default:
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -22,6 +22,8 @@
   fleet: { readonly value: FleetList, readonly revision: number }
   /** The platform's revision of the list. */
   fleetRevision: () => number
+  /** Requests a second that an engine takes; nothing where it names no limit. */
+  limitPerSecond: (engine: string) => number | undefined
   view: MembershipView
   /** Answers for requests of this box's own incarnations. */
   vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
@@ -153,7 +155,7 @@
   }
 
   #createScheduler (shard: Shard, onUnreachable: (engineName: string) => void): ShardScheduler {
-    const { clock, declarations, settings, failures, log } = this.#opts
+    const { clock, declarations, limitPerSecond, settings, failures, log } = this.#opts
     const { reportPeriodMs, prefixIndex } = settings.scheduling
     return new ShardScheduler({
       clock,
@@ -161,6 +163,7 @@
       route: () => declarations.value.routeOfModel(shard.model)?.spec,
       index: createPrefixIndex(prefixIndex),
       reportLifeMs: reportPeriodMs * REPORT_LIFE_PERIODS,
+      limitPerSecond,
       onUnreachable,
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
--- a/box/runtime/test/upstreamLimit.ts
+++ b/box/runtime/test/upstreamLimit.ts
@@ -1,6 +1,9 @@
 // Two of three upstreams of a service named a limit in their answers, some four requests a second from all boxes
-// together. Callers saw nothing; the upstreams got as many requests as before, one of them more than the third,
-// which had named no limit.
+// together. Callers saw nothing; the upstreams got as many requests as before, one of them more than the third, which
+// had named no limit. Boxes passed the answers on and read nothing of it: what a box sent followed from zone and time
+// alone. Nor would it have helped if each had: no single box sent more than the limit, all eight together did. The
+// evidence: in the 4 s after the limits were named 80 and 44 requests, 7 of them second tries, against 18 and 16 that
+// were named; and that these tests fail in the same way for prompts and streams, which the report does not have.
 import { FakeFleet } from '@reelspan/utils.fake-fleet'
 import test from 'ava'
 import { startFleet } from './__utils__/crashingRequests.js'
--- a/core/error/src/errorCode.ts
+++ b/core/error/src/errorCode.ts
@@ -17,6 +17,8 @@
   RequestQuarantined = 'ERR_REELSPAN_REQUEST_QUARANTINED',
   RecordsFull = 'ERR_REELSPAN_RECORDS_FULL',
   NoUpstream = 'ERR_REELSPAN_NO_UPSTREAM',
+  /** Each upstream that could take the request has got as many as it takes for now. */
+  UpstreamLimit = 'ERR_REELSPAN_UPSTREAM_LIMIT',
   UpstreamFailed = 'ERR_REELSPAN_UPSTREAM_FAILED',
   DeadlinePassed = 'ERR_REELSPAN_DEADLINE_PASSED',
   Cancelled = 'ERR_REELSPAN_CANCELLED',
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { answerEventSchema } from './answer.js'
 import { holdLabelSchema } from './holdLabel.js'
+import { limitSayingSchema } from './limitSaying.js'
 import { memberSchema } from './member.js'
 import { placementAnswerSchema, placementPlanSchema, placementReportSchema, reserveRequestSchema } from './placement.js'
 import { requestSchema } from './request.js'
@@ -52,6 +53,12 @@
   AccountTake = 'accountTake',
   AccountTaken = 'accountTaken',
   AccountGiveBack = 'accountGiveBack',
+  LimitsTell = 'limitsTell',
+  LimitsPull = 'limitsPull',
+  LimitsContent = 'limitsContent',
+  UpstreamTake = 'upstreamTake',
+  UpstreamTaken = 'upstreamTaken',
+  UpstreamGiveBack = 'upstreamGiveBack',
   StatusPull = 'statusPull',
   StatusContent = 'statusContent',
   Done = 'done',
@@ -83,6 +90,8 @@
   heardAgoMs: durationMs.optional(),
   /** Digest of the run events that the sender knows. Left out when it knows of none. */
   runsDigest: z.number().optional(),
+  /** Digest of the limits that upstreams name, as the sender knows them. Left out when it knows of none. */
+  limitsDigest: z.number().optional(),
   /** In an answer: what the sender can prove of its configuration. */
   proof: z.object({ revision, ageMs: durationMs }).optional(),
 }
@@ -187,6 +196,24 @@
   }),
   /** What was taken was not used. */
   message(MessageType.AccountGiveBack, { account: z.string(), cost: z.number().positive() }),
+  /** Limits that upstreams named, which the receiver may not know yet. */
+  message(MessageType.LimitsTell, { limits: z.array(limitSayingSchema) }),
+  /** Asks for all limits that the receiver knows, and tells of those that the sender does. */
+  message(MessageType.LimitsPull, { limits: z.array(limitSayingSchema) }),
+  message(MessageType.LimitsContent, { limits: z.array(limitSayingSchema) }),
+  /** Takes permits from the limit of an upstream whose bucket the receiver keeps. */
+  message(MessageType.UpstreamTake, {
+    upstream: z.string(),
+    cost: z.number().positive(),
+    /** The limit as the sender knows it. */
+    said: limitSayingSchema.optional(),
+  }),
+  message(MessageType.UpstreamTaken, {
+    /** 0 when they are taken, else how long until they could be. */
+    waitMs: durationMs,
+  }),
+  /** Permits that were taken were not used. */
+  message(MessageType.UpstreamGiveBack, { upstream: z.string(), cost: z.number().positive() }),
   message(MessageType.StatusPull, {}),
   message(MessageType.StatusContent, { status: z.unknown() }),
   message(MessageType.Done, {}),
--- a/membership/limits/src/homeLimiter.ts
+++ b/membership/limits/src/homeLimiter.ts
@@ -55,7 +55,8 @@
     const answer = await this.#askHomes(taken, this.#homesOf(taken.name))
     if (answer !== undefined) return answer
     this.#takenAt.set(taken, alone)
-    return alone.take(taken)
+    // By then the home is asked again, or there is another one.
+    return Math.min(await alone.take(taken), PASSED_OVER_MS)
   }
 
   giveBack (taken: LimitedCost): void {
--- a/membership/prober/src/gossip.ts
+++ b/membership/prober/src/gossip.ts
@@ -38,6 +38,8 @@
   messages: NewsMessages<T>
   /** Addresses of the members that this box watches: news that each box passes on to them reaches all. */
   watchedAddresses: () => readonly string[]
+  /** Whether news of others is told on; digests show the rest. All is without. */
+  mayTell?: (news: T) => boolean
   /** News that was new here. */
   onAdded?: (news: readonly T[]) => void
   /** Told of a task that a fault of the program ended. */
@@ -74,8 +76,9 @@
   take (news: readonly T[]): void {
     const added = news.filter((one) => this.#opts.book.add(one))
     if (added.length === 0) return
-    this.#opts.onAdded?.(added)
-    this.tell(added)
+    const { onAdded, mayTell = () => true } = this.#opts
+    onAdded?.(added)
+    this.tell(added.filter(mayTell))
   }
 
   /** What this box knows, for a peer that asks. */
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -7,6 +7,9 @@
 import { RevisionTeller } from './revisionTeller.js'
 import { watchedMembers } from './watchedMembers.js'
 
+/** Digests of the news that a box knows, by kind. Nothing for a kind of which it knows none. */
+export type NewsDigests = Pick<MessageOf<MessageType.Heartbeat>, 'runsDigest' | 'limitsDigest'>
+
 export interface ProberOptions {
   clock: Clock
   random: Random
@@ -22,10 +25,10 @@
   onPlatformAnswering: (told: PlatformAnswering) => void
   /** A peer named its revisions. */
   onPeerRevisions: (address: string, revisions: Record<Collection, number>) => void
-  /** Digest of the run events that this box knows; nothing when it knows of none. */
-  runsDigest?: () => number | undefined
-  /** A peer named its digest, or knows of none. */
-  onPeerRunsDigest?: (address: string, digest: number | undefined) => void
+  /** Digests of the news that this box knows. */
+  newsDigests?: () => NewsDigests
+  /** A peer named the digests of what it knows. */
+  onPeerNewsDigests?: (address: string, digests: NewsDigests) => void
   /** What this box can prove of its configuration; whoever asks is told. */
   proof?: () => ToldProof | undefined
   /** What a peer could prove that was asked at `askedAtMs`. */
@@ -320,7 +323,7 @@
   }
 
   #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
-    const { clock, view, onPeerRevisions, onPeerRunsDigest, onPlatformAnswering } = this.#opts
+    const { clock, view, onPeerRevisions, onPeerNewsDigests, onPlatformAnswering } = this.#opts
     const { platformSilentMs: silentMs, platformAnsweredMs: answeredMs = silentMs, platformAnsweringMs: answeringMs = answeredMs } = message
     if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
     const nowMs = clock.nowMs()
@@ -329,16 +332,16 @@
     const tellers = [message.self, ...message.news]
     tellers.forEach((member) => view.merge(member, nowMs))
     onPeerRevisions(message.self.peerAddress, message.revisions)
-    onPeerRunsDigest?.(message.self.peerAddress, message.runsDigest)
+    onPeerNewsDigests?.(message.self.peerAddress, message)
   }
 
   /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
   #ownNews (receiver?: Member) {
-    const { view, revisions, inFlight, platformAnswering, runsDigest } = this.#opts
+    const { view, revisions, inFlight, platformAnswering, newsDigests } = this.#opts
     const answering = platformAnswering()
     const belief = receiver && view.get(receiver.incarnation)
     const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
-    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, runsDigest: runsDigest?.() }
+    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, ...newsDigests?.() }
   }
 
   #drawNews (): Member[] {
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -1,16 +1,18 @@
 import { hash32 } from '@reelspan/core.hashing'
-import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type EngineOutcome, type HoldLabel, isOwnPrefill, type PlacementPlan, type PlacementRefusal, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
 import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type PrefillSource, type PromptSizes, type RelayAnswer, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
+import { type SendPermit } from '@reelspan/upstream.limits'
 import { dropAnswer } from './dropAnswer.js'
 import { EventProgress } from './eventProgress.js'
 import { notingBreak, type SendingWork } from './notingBreak.js'
 import { type AnswerTimes } from './passAnswer.js'
 import { passEvents } from './passEvents.js'
 import { type RelayContext } from './relayContext.js'
+import { type PermittedPlacement, refuseUnplaced, takeEnginePermits } from './permittedPlacement.js'
+import { takePermit } from './pickPermitted.js'
 import { prefillAtUpstream, sendToUpstream } from './sendToUpstream.js'
 import { SilenceWatch } from './silenceWatch.js'
 
@@ -38,6 +40,8 @@
   readonly #model: string
   readonly #prompt: PromptSizes
   readonly #failed = new Set<string>()
+  /** Engines that had no permit left when the request was placed there, and how long until they had. */
+  readonly #waitsMs = new Map<string, number>()
   readonly #progress = new EventProgress()
   /** How the engines of the present placement answered. */
   #outcomes: EngineOutcome[] = []
@@ -46,6 +50,7 @@
   /** The last answer broke off, or did not come, while its engine was listened to. */
   #brokeOff = false
   #prefillMs = 0
+  #placements = 0
 
   constructor (context: RelayContext, model: string, prompt: PromptSizes) {
     this.#context = context
@@ -57,9 +62,9 @@
     const { run, decided } = this.#context
     for (let attempt = 1; ; attempt++) {
       await run.checkBeforeSend()
-      const placement = await this.#place(attempt)
+      const placed = await this.#placePermitted(attempt)
       try {
-        await this.#carryOutPlaced(placement, times)
+        await this.#carryOutPlaced(placed, times)
         return
       } catch (thrown) {
         run.throwIfEnded()
@@ -78,14 +83,25 @@
     return budget.takeRetry()
   }
 
+  /** An engine without a permit is no failure: the request is placed without it, which is no attempt. */
+  async #placePermitted (attempt: number): Promise<PermittedPlacement> {
+    this.#waitsMs.clear()
+    for (;;) {
+      const placement = await this.#place(attempt)
+      const permits = await takeEnginePermits(this.#context, placement, this.#waitsMs)
+      if (permits) return { placement, permits }
+    }
+  }
+
   async #place (attempt: number): Promise<Placement> {
     const { opts, run, caller, decided } = this.#context
     const askedAtMs = run.elapsedMs
     let outcome = await this.#askPlacer(attempt)
     while (!('plan' in outcome)) {
       // An answer that has begun is continued late rather than cut.
-      if (!caller.begun) throw refusalOf(outcome)
+      if (!caller.begun) throw refuseUnplaced(outcome, this.#waitsMs)
       await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal: run.signal })
+      this.#waitsMs.clear()
       run.throwIfEnded()
       outcome = await this.#askPlacer(attempt)
     }
@@ -122,7 +138,7 @@
     // The prompt is not read once more when the answer could not be whole in time. A first try is never refused for an estimate.
     const usefulMs = attempt > 1 ? run.leftMs - this.#leastRestMs(doneTokens) : run.leftMs
     const { peerAddress, incarnation, availabilityZone } = opts.standing()
-    const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${attempt}`, maxHoldMs: run.leftMs }
+    const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${++this.#placements}`, maxHoldMs: run.leftMs }
     return {
       model: this.#model,
       client: '',
@@ -139,7 +155,7 @@
       deadlineMs: run.leftMs,
       allowsOwnPrefill: true,
       availabilityZone,
-      avoid: [...this.#failed, ...health.suspects()],
+      avoid: [...this.#failed, ...health.suspects(), ...this.#waitsMs.keys()],
     }
   }
 
@@ -150,7 +166,7 @@
     return Math.max(0, Math.min(expectedTokens, maxTokens) - doneTokens) * stepMs
   }
 
-  async #carryOutPlaced (placement: Placement, times: AnswerTimes): Promise<void> {
+  async #carryOutPlaced ({ placement, permits }: PermittedPlacement, times: AnswerTimes): Promise<void> {
     const { opts, run } = this.#context
     const { plan } = placement
     const placedAtMs = opts.clock.nowMs()
@@ -166,17 +182,19 @@
       this.#checkTakesWork(plan.prefillEngine)
       this.#checkTakesWork(plan.decodeEngine)
       if (!isOwnPrefill(plan)) {
-        source = await this.#prefill(plan)
+        source = await this.#prefill(plan, permits.prefill)
         this.#prefillMs = opts.clock.nowMs() - placedAtMs
         placement.prefilled()
         await run.checkBeforeSend()
         this.#checkTakesWork(plan.decodeEngine)
       }
-      await this.#decode(plan, source, placement, times)
+      await this.#decode({ placement, permits }, source, times)
       taken = true
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs), times)
     } finally {
       placement.release(report, this.#outcomes)
+      permits.prefill.release()
+      permits.decode.release()
       if (source && !taken) this.#free(source)
     }
   }
@@ -189,12 +207,12 @@
     throw new UpstreamError(`${engine} takes no more work, by revision ${opts.fleetRevision()} of the list`, { mayHaveRun: false, refused: true })
   }
 
-  async #prefill (plan: PlacementPlan): Promise<PrefillSource> {
+  async #prefill (plan: PlacementPlan, permit: SendPermit): Promise<PrefillSource> {
     const { run } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const patienceMs = PREFILL_PATIENCE_MS + PREFILL_PATIENCE * plan.expectedTtftMs
     const { handle } = await this.#blame(target, (onSend) => this.#unlessSilent(patienceMs, ({ signal }) =>
-      prefillAtUpstream(this.#context, target, { signal, deadlineMs: run.leftMs, onSend })))
+      prefillAtUpstream(this.#context, { target, permit }, { signal, deadlineMs: run.leftMs, onSend })))
     this.#note(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
   }
@@ -215,16 +233,24 @@
    * engine cannot have the KV cache, it is asked once more, to compute what it has not kept itself:
    * its place is still reserved, and what it read of the prompt is most often still in its memory.
    */
-  async #decode (plan: PlacementPlan, source: PrefillSource | undefined, placement: Placement, times: AnswerTimes): Promise<void> {
-    const { budget, decided } = this.#context
+  async #decode ({ placement, permits }: PermittedPlacement, source: PrefillSource | undefined, times: AnswerTimes): Promise<void> {
+    const { budget, decided, run } = this.#context
+    const { plan } = placement
     try {
-      await this.#decodeOnce(plan, source, placement, times)
+      await this.#decodeOnce(placement, permits.decode, source, times)
     } catch (thrown) {
-      this.#context.run.throwIfEnded()
-      if (!this.#mayAskAgain(plan, thrown, source) || !budget.takeRetry()) throw thrown
-      decided(LogEvent.RequestRetried, { upstream: plan.decodeEngine, reason: (thrown as Error).message, mayHaveRun: this.#context.run.mayHaveRun })
-      await this.#context.run.checkBeforeSend()
-      await this.#decodeOnce(plan, undefined, placement, times)
+      run.throwIfEnded()
+      if (!this.#mayAskAgain(plan, thrown, source)) throw thrown
+      const permit = await takePermit(this.#context, plan.decodeEngine)
+      if (!permit.granted) throw thrown
+      try {
+        if (!budget.takeRetry()) throw thrown
+        decided(LogEvent.RequestRetried, { upstream: plan.decodeEngine, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
+        await run.checkBeforeSend()
+        await this.#decodeOnce(placement, permit, undefined, times)
+      } finally {
+        permit.release()
+      }
     }
   }
 
@@ -237,8 +263,9 @@
     return this.#brokeOff && (route.spec.resumable || !run.mayHaveRun) && this.#mayTakeUp()
   }
 
-  async #decodeOnce (plan: PlacementPlan, source: PrefillSource | undefined, placement: Placement, times: AnswerTimes): Promise<void> {
+  async #decodeOnce (placement: Placement, permit: SendPermit, source: PrefillSource | undefined, times: AnswerTimes): Promise<void> {
     const { run, request, route } = this.#context
+    const { plan } = placement
     this.#brokeOff = false
     const wasSentBefore = this.#decodedAt.has(plan.decodeEngine)
     this.#decodedAt.add(plan.decodeEngine)
@@ -248,7 +275,7 @@
     const patienceMs = this.#isRepeatable() ? DECODE_PATIENCE * route.spec.tbtTargetMs + readMs : Number.POSITIVE_INFINITY
     const target = { instance: plan.decodeEngine, address: plan.decodeAddress }
     await this.#blame(target, (onSend) => this.#unlessSilent(patienceMs, (watch) => this.#notingBreaks(watch, async () => {
-      const answer = await sendToUpstream(this.#context, target, {
+      const answer = await sendToUpstream(this.#context, { target, permit }, {
         signal: watch.signal,
         deadlineMs: run.leftMs,
         source,
@@ -349,7 +376,3 @@
       decided(LogEvent.HandleLeft, { upstream: source.address, reason: String(thrown) }))
   }
 }
-
-function refusalOf ({ reason, retryAfterMs }: PlacementRefusal): ReelspanError {
-  return new ReelspanError(ErrorCode.Overloaded, reason, { retryAfterMs })
-}
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -227,7 +227,6 @@
     const names = new Set(fleet().upstreams.map(({ name }) => name))
     this.#health.retain(names)
     this.#picker.retain(names)
-    this.#opts.statedLimits.retain(names)
   }
 
   #pickTarget ({ targets, model, pool }: RouteSpec): Target {
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -7,7 +7,7 @@
 import { type Log } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type UpstreamReports } from '@reelspan/upstream.health'
-import { type StatedLimits } from '@reelspan/upstream.limits'
+import { type ReturnTimes, type SendPermits, type StatedLimits } from '@reelspan/upstream.limits'
 import { type RelayClient } from '@reelspan/upstream.client'
 
 export interface RelayOptions {
@@ -29,6 +29,10 @@
   upstreamReports: Pick<UpstreamReports, 'isFailing'>
   /** What upstreams say of how many requests they take. */
   statedLimits: StatedLimits
+  /** What it takes to send an upstream a request. */
+  permits: SendPermits
+  /** When callers come back that no upstream may be sent. */
+  returnTimes: ReturnTimes
   /** An upstream closed a connection without an answer. */
   onClosedUnanswered: (upstream: string) => void
   /** Told of answers of upstreams that broke off. */
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -1,19 +1,27 @@
 import { type PrefilledPrompt, type RelayAnswer, type RelayCallOptions, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
+import { type SendPermit } from '@reelspan/upstream.limits'
 import { dropAnswer } from './dropAnswer.js'
 import { type RelayContext } from './relayContext.js'
 
+/** An upstream, and the permit to send it one request. */
+export interface PermittedTarget {
+  target: RelayTarget
+  permit: SendPermit
+}
+
 /**
  * Sends a request to an upstream that will run it. Once it is sent it may have run,
  * unless the upstream says that it did not. Throws `UpstreamError`.
  */
-export function sendToUpstream (context: RelayContext, target: RelayTarget, runOptions: RelayRunOptions): Promise<RelayAnswer> {
+export function sendToUpstream (context: RelayContext, to: PermittedTarget, runOptions: RelayRunOptions): Promise<RelayAnswer> {
   const { opts, run, request } = context
+  const { target } = to
   return run.dispatchWhenSent(async (sent) => {
     const onSend = () => {
       sent()
       runOptions.onSend?.()
     }
-    const answer = await opts.upstreams.run(target, request, notingAnswer(context, target, { ...runOptions, onSend }))
+    const answer = await opts.upstreams.run(target, request, accountedFor(context, to, { ...runOptions, onSend }))
     if (!answer.notRun) return answer
     void dropAnswer(answer)
     throw new UpstreamError(`${target.instance} answered ${answer.status} and did not run the request`, { mayHaveRun: false, refused: true })
@@ -21,20 +29,21 @@
 }
 
 /** Has an engine compute the KV cache of a request's prompt. Throws `UpstreamError`. */
-export function prefillAtUpstream (context: RelayContext, target: RelayTarget, callOptions: RelayCallOptions): Promise<PrefilledPrompt> {
+export function prefillAtUpstream (context: RelayContext, to: PermittedTarget, callOptions: RelayCallOptions): Promise<PrefilledPrompt> {
   const { opts, request } = context
-  return opts.upstreams.prefill(target, request, notingAnswer(context, target, callOptions))
+  return opts.upstreams.prefill(to.target, request, accountedFor(context, to, callOptions))
 }
 
-/** Takes in what the answer says of the upstream. */
-function notingAnswer<T extends RelayCallOptions> ({ opts: { clock, statedLimits } }: RelayContext, { instance }: RelayTarget, callOptions: T): T {
+/** Uses the permit when the request is sent, and takes in what the answer says of the upstream. */
+function accountedFor<T extends RelayCallOptions> ({ opts: { clock, statedLimits } }: RelayContext, { target, permit }: PermittedTarget, callOptions: T): T {
   let sentAtMs = clock.nowMs()
   return {
     ...callOptions,
     onSend: () => {
       sentAtMs = clock.nowMs()
+      permit.noteSent()
       callOptions.onSend?.()
     },
-    onAnswer: (said) => statedLimits.noteAnswer(instance, said, sentAtMs),
+    onAnswer: (said) => statedLimits.noteAnswer(target.instance, said, sentAtMs),
   }
 }
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -1,16 +1,14 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
-import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { UpstreamOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
 import { type AnswerTimes, passAnswer } from './passAnswer.js'
 import { dropAnswer } from './dropAnswer.js'
 import { notingBreak } from './notingBreak.js'
+import { type PermittedUpstream, pickPermitted, refuseUnpicked } from './pickPermitted.js'
 import { type RelayContext } from './relayContext.js'
 import { sendToUpstream } from './sendToUpstream.js'
 
-/** Upstreams enter themselves again within some seconds; callers have few tries. */
-const NO_UPSTREAM_RETRY_AFTER_MS = 1000
 /** Connections that could not be opened reach no upstream and do not count as attempts; this bounds them. */
 const MAX_TRIES = 6
 const FIRST_SERVER_ERROR = 500
@@ -22,6 +20,8 @@
   readonly #context: RelayContext
   readonly #pool: string
   readonly #tried = new Set<string>()
+  /** Where the next attempt goes. */
+  #next?: PermittedUpstream
   #sent = 0
 
   constructor (context: RelayContext, pool: string) {
@@ -30,30 +30,43 @@
   }
 
   async carryOut (times: AnswerTimes): Promise<void> {
+    try {
+      await this.#attempts(times)
+    } finally {
+      this.#dropNext()
+    }
+  }
+
+  async #attempts (times: AnswerTimes): Promise<void> {
     const { run } = this.#context
     for (let attempt = 1; ; attempt++) {
       await run.checkBeforeSend()
-      const upstream = this.#pick()
+      const picked = this.#next ?? await this.#pick()
+      this.#next = undefined
+      const { upstream } = picked
       try {
-        await this.#tryAt(upstream, attempt, times)
+        await this.#tryAt(picked, attempt, times)
         return
       } catch (thrown) {
         run.throwIfEnded()
         this.#tried.add(upstream.name)
-        if (!this.#mayRetry(thrown, attempt)) throw thrown
+        if (!await this.#mayRetry(thrown, attempt)) throw thrown
         this.#context.decided(LogEvent.RequestRetried, { upstream: upstream.name, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
+      } finally {
+        picked.permit.release()
       }
     }
   }
 
-  async #tryAt (upstream: ListedUpstream, attempt: number, times: AnswerTimes): Promise<void> {
+  async #tryAt (picked: PermittedUpstream, attempt: number, times: AnswerTimes): Promise<void> {
     const { opts: { clock }, picker, decided, run, route } = this.#context
+    const { upstream } = picked
     const startedAtMs = clock.nowMs()
     picker.noteStart(upstream.name)
     const target = { instance: upstream.name, address: upstream.address }
     try {
       await notingBreak(this.#context, target, async (onSend) => {
-        const answer = await this.#send(upstream, attempt, onSend)
+        const answer = await this.#send(picked, attempt, onSend)
         picker.noteTime(upstream.name, clock.nowMs() - startedAtMs)
         decided(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, atMs: Math.round(run.elapsedMs) })
         await this.#judge(upstream, answer, attempt, times)
@@ -72,9 +85,9 @@
     }
   }
 
-  #send (upstream: ListedUpstream, attempt: number, onSend: () => void): Promise<RelayAnswer> {
+  #send ({ upstream, permit }: PermittedUpstream, attempt: number, onSend: () => void): Promise<RelayAnswer> {
     const { run } = this.#context
-    return sendToUpstream(this.#context, { instance: upstream.name, address: upstream.address }, {
+    return sendToUpstream(this.#context, { target: { instance: upstream.name, address: upstream.address }, permit }, {
       signal: this.#attemptSignal(upstream, attempt),
       deadlineMs: run.leftMs,
       onSend: () => {
@@ -100,7 +113,7 @@
     while (!silent.signal.aborted) {
       await opts.clock.sleep(patienceMs, { signal: run.signal })
       if (run.signal.aborted || caller.begun) return
-      if (budget.left >= 1 && this.#untriedOthers(upstream).length > 0) silent.abort()
+      if (budget.left >= 1 && await this.#findNextWhileRunning(upstream) && !caller.begun) silent.abort()
     }
   }
 
@@ -108,7 +121,8 @@
   async #judge (upstream: ListedUpstream, answer: RelayAnswer, attempt: number, times: AnswerTimes): Promise<void> {
     const { route, run, budget } = this.#context
     const better = answer.status >= FIRST_SERVER_ERROR && !route.spec.notRepeatable && this.#sent < route.spec.maxAttempts && attempt < MAX_TRIES
-    if (better && budget.left >= 1 && this.#hasOther(upstream)) {
+    // What can be passed on is not given up before there is another upstream that takes the request.
+    if (better && budget.left >= 1 && this.#hasOther(upstream) && await this.#findNext(upstream)) {
       void dropAnswer(answer)
       throw new UpstreamError(`${upstream.name} answered ${answer.status}`, { mayHaveRun: true, failed: true })
     }
@@ -116,13 +130,39 @@
     await passAnswer(this.#context, answer, times)
   }
 
-  #mayRetry (thrown: unknown, attempt: number): boolean {
+  async #mayRetry (thrown: unknown, attempt: number): Promise<boolean> {
     const { run, route, budget, caller } = this.#context
     if (!(thrown instanceof UpstreamError) || caller.begun || attempt >= MAX_TRIES) return false
     if (run.mayHaveRun && route.spec.notRepeatable) return false
     // Nothing has reached an upstream yet: what follows is no repetition.
     if (this.#sent === 0) return true
-    return this.#sent < route.spec.maxAttempts && budget.takeRetry()
+    return this.#sent < route.spec.maxAttempts && await this.#findNext() && budget.takeRetry()
+  }
+
+  /**
+   * Finds where another attempt goes, if there is such an upstream.
+   *
+   * @param failed where the present one is
+   */
+  async #findNext (failed?: ListedUpstream): Promise<boolean> {
+    if (this.#next) return true
+    const { picked } = await pickPermitted(this.#context, this.#pool, new Set([...this.#tried, ...failed ? [failed.name] : []]))
+    this.#next = picked
+    return picked !== undefined
+  }
+
+  /** The same beside an attempt, for a run that may end meanwhile. */
+  async #findNextWhileRunning (upstream: ListedUpstream): Promise<boolean> {
+    const { run } = this.#context
+    return this.#findNext(upstream).catch((thrown: unknown) => {
+      if (run.signal.aborted) return false
+      throw thrown
+    })
+  }
+
+  #dropNext (): void {
+    this.#next?.permit.release()
+    this.#next = undefined
   }
 
   #hasOther (upstream: ListedUpstream): boolean {
@@ -134,10 +174,10 @@
     return this.#listed().filter(({ name }) => name !== upstream.name && !this.#tried.has(name))
   }
 
-  #pick (): ListedUpstream {
-    const picked = this.#context.picker.pick(this.#listed(), this.#tried)
-    if (picked) return picked
-    throw new ReelspanError(ErrorCode.NoUpstream, `pool ${this.#pool} has no upstream that takes work`, { retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
+  async #pick (): Promise<PermittedUpstream> {
+    const { picked, waitsMs } = await pickPermitted(this.#context, this.#pool, this.#tried)
+    if (!picked) throw refuseUnpicked(this.#context, this.#pool, waitsMs)
+    return picked
   }
 
   #listed (): readonly ListedUpstream[] {
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -2,6 +2,7 @@
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type ClientShares } from './clientShares.js'
+import { type EngineLimits } from './engineLimits.js'
 import { type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
 import { type PlacesLimit } from './placesLimit.js'
 import { type WaitingRequest } from './waitingQueue.js'
@@ -15,6 +16,7 @@
   route: () => RouteSpec | undefined
   /** Engines that fail of late. */
   isSuspect: (engine: string) => boolean
+  limits: EngineLimits
 }
 
 /** A prefill engine that takes work, as of one moment. */
@@ -57,14 +59,16 @@
   readonly #placesLimit: PlacesLimit
   readonly #route: () => RouteSpec | undefined
   readonly #isSuspect: (engine: string) => boolean
+  readonly #limits: EngineLimits
 
-  constructor ({ ledger, estimator, shares, placesLimit, route, isSuspect }: PlacementChooserOptions) {
+  constructor ({ ledger, estimator, shares, placesLimit, route, isSuspect, limits }: PlacementChooserOptions) {
     this.#ledger = ledger
     this.#estimator = estimator
     this.#shares = shares
     this.#placesLimit = placesLimit
     this.#route = route
     this.#isSuspect = isSuspect
+    this.#limits = limits
   }
 
   /** The prefill engines that take work and whose version some decode engine serves too, and when each can begin another prefill. */
@@ -73,10 +77,24 @@
     return this.#ledger.prefillEngines().flatMap((engine, slot) => {
       const version = this.#ledger.servedVersion(engine, nowMs)
       if (version === undefined || !decodable.has(version)) return []
-      return [{ engine, slot, freeAtMs: engine.account.freeAtMs(nowMs), speedFactor: engine.account.speedFactor }]
+      return [{ engine, slot, freeAtMs: Math.max(engine.account.freeAtMs(nowMs), this.#permittedAtMs(engine.name, nowMs)), speedFactor: engine.account.speedFactor }]
     })
   }
 
+  /** An engine at its limit is as good as busy until it takes another request; one is not handed out sooner. */
+  #permittedAtMs (engine: string, nowMs: number): number {
+    const freeInMs = this.#limits.freeInMs(engine)
+    return freeInMs > 0 ? nowMs + freeInMs + HANDOUT_LOOKAHEAD_MS : Number.NEGATIVE_INFINITY
+  }
+
+  /** How long until some decode engine takes another request, as far as limits go; nothing when there is none that takes work. */
+  decodePermittedInMs ({ request }: WaitingRequest, nowMs: number): number | undefined {
+    const waitsMs = this.#ledger.decodeEngines()
+      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && !request.avoid.includes(decode.name))
+      .map(({ name }) => this.#limits.freeInMs(name))
+    return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined
+  }
+
   /**
    * The waiting request that makes best use of an engine that is about to be free.
    *
@@ -134,8 +152,9 @@
   /** The least time to a first token if a decode engine computes the prompt itself, though all may be full now; nothing when none takes work. */
   leastOwnPrefillMs ({ request }: WaitingRequest, nowMs: number): number | undefined {
     const timesMs = this.#ledger.decodeEngines().flatMap((decode) => {
-      const ownMs = this.#ledger.servedVersion(decode, nowMs) === undefined ? undefined : this.#estimator.ownPrefillMs(request, decode)
-      return ownMs === undefined ? [] : [ownMs]
+      const takesWork = this.#ledger.servedVersion(decode, nowMs) !== undefined && !request.avoid.includes(decode.name)
+      const ownMs = takesWork ? this.#estimator.ownPrefillMs(request, decode) : undefined
+      return ownMs === undefined ? [] : [ownMs + this.#limits.freeInMs(decode.name)]
     })
     return timesMs.length > 0 ? Math.min(...timesMs) : undefined
   }
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -3,6 +3,7 @@
 import { type DecodeAccount, type DecodeCapacity, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { type AnswerLengths } from './answerLengths.js'
+import { type EngineLimits } from './engineLimits.js'
 import { ownPrefillMs, placesWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
 
 /** What a placement on a certain pair of engines would come to. Times are on this box's clock. */
@@ -37,6 +38,7 @@
   lengths: AnswerLengths
   /** Engines that fail of late. */
   isSuspect: (engine: string) => boolean
+  limits: EngineLimits
 }
 
 /** Steps may take this much longer than declared before a place is counted as free too early. */
@@ -58,12 +60,14 @@
   readonly #index: PrefixIndex
   readonly #lengths: AnswerLengths
   readonly #isSuspect: (engine: string) => boolean
+  readonly #limits: EngineLimits
 
-  constructor ({ ledger, index, lengths, isSuspect }: PlacementEstimatorOptions) {
+  constructor ({ ledger, index, lengths, isSuspect, limits }: PlacementEstimatorOptions) {
     this.#ledger = ledger
     this.#index = index
     this.#lengths = lengths
     this.#isSuspect = isSuspect
+    this.#limits = limits
   }
 
   /** Places of a decode engine that this route may use and that keep the time between tokens within the target. */
@@ -104,7 +108,7 @@
     const capacity = { places: usablePlaces, kvBytes: decodePool.kvBytesPerEngine }
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
     // KV cache of one version means nothing to another.
-    const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && !request.avoid.includes(decode.name))
+    const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && this.#takes(decode, request))
     // A place that is free only by the time the prefill ends may still be lost to a fault: some routes do not bet on it.
     const betsOnEnds = objective !== RouteObjective.WastedPrefill
     const zones = [part.prefill.availabilityZone, request.availabilityZone]
@@ -126,7 +130,7 @@
     const kvBytes = requestKvBytes(shard, request, this.#lengths.usualShare)
     const capacity = { places: usablePlaces, kvBytes: shard.decodePool.kvBytesPerEngine }
     const estimates = this.#ledger.decodeEngines()
-      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && !request.avoid.includes(decode.name) && !this.#isSuspect(decode.name))
+      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && this.#takes(decode, request) && !this.#isSuspect(decode.name))
       .flatMap((decode): PlacementEstimate[] => {
         const costMs = this.ownPrefillMs(request, decode)
         const free = decode.account.freeNow(capacity)
@@ -138,6 +142,11 @@
     return estimates.sort((a, b) => lateMs(a) - lateMs(b))[0]
   }
 
+  /** Whether an engine takes the request at all, room aside. */
+  #takes ({ name }: EngineAccount<unknown>, { avoid }: ReserveRequest): boolean {
+    return !avoid.includes(name) && this.#limits.freeInMs(name) === 0
+  }
+
   /** When a stream begins and surely has ended, on an engine that has its KV cache from a time on. */
   #streamTimes ({ maxTokens }: ReserveRequest, importEndMs: number, usablePlaces: number, batch: number) {
     const { spec } = this.#ledger.shard
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -10,6 +10,7 @@
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, msPerLatePlace } from './decideAdmission.js'
 import { decideQueue, type QueueDecision } from './decideQueue.js'
 import { describeEngines } from './describeEngines.js'
+import { EngineLimits } from './engineLimits.js'
 import { HANDOUT_LOOKAHEAD_MS, PlacementChooser, type ReadyEngine } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { type LearntLoad, PlacementLessons } from './placementLessons.js'
@@ -24,6 +25,8 @@
   route: () => RouteSpec | undefined
   index: PrefixIndex
   reportLifeMs: number
+  /** Requests a second that an engine takes; nothing where it names no limit. */
+  limitPerSecond?: (engine: string) => number | undefined
   /** An owner did not reach an engine: it is time to look whether it lives. */
   onUnreachable?: (engine: string) => void
   /** An engine is left aside for a while, since owners say that it fails. */
@@ -67,6 +70,7 @@
   readonly #calendar = new ReturnCalendar({ minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
   readonly #waiting = new WaitingQueue()
   readonly #health: UpstreamHealth
+  readonly #limits: EngineLimits
   #wake?: AbortController
 
   constructor (opts: ShardSchedulerOptions) {
@@ -75,9 +79,11 @@
     this.#lessons = new PlacementLessons(this.ledger)
     const { lengths, placesLimit } = this.#lessons
     this.#health = new UpstreamHealth(opts)
+    this.#limits = new EngineLimits({ clock: opts.clock, perSecond: opts.limitPerSecond })
     const isSuspect = (engine: string) => this.#health.isSuspect(engine)
-    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect })
-    this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect })
+    const limits = this.#limits
+    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect, limits })
+    this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
   }
 
@@ -91,6 +97,7 @@
     this.ledger.update(shard)
     const listed = new Set(this.ledger.allEngines().map(({ name }) => name))
     this.#health.retain(listed)
+    this.#limits.retain(listed)
     before.filter(({ name }) => !listed.has(name)).forEach(({ name }) => this.#opts.index.forgetEngine(name))
     this.#waiting.all().forEach((waiting) => { waiting.costsMs = [] })
     this.#pump()
@@ -260,10 +267,14 @@
 
   /** Least time to a first token; nothing when no engine takes work. */
   #leastMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number | undefined {
-    const endsMs = engines.map((ready) => ready.freeAtMs - nowMs + this.#chooser.costMs(waiting, ready, nowMs) + waiting.handoverMs)
+    const { request: { avoid }, handoverMs } = waiting
+    const permittedInMs = this.#chooser.decodePermittedInMs(waiting, nowMs) ?? 0
+    const endsMs = engines
+      .filter(({ engine }) => !avoid.includes(engine.name))
+      .map((ready) => Math.max(permittedInMs, ready.freeAtMs - nowMs + this.#chooser.costMs(waiting, ready, nowMs)) + handoverMs)
     if (endsMs.length > 0) return Math.min(...endsMs)
     // A shard that was just taken over may have room as soon as its engines report.
-    return this.#chooser.leastOwnPrefillMs(waiting, nowMs) ?? (this.ledger.awaitsReports ? waiting.handoverMs : undefined)
+    return this.#chooser.leastOwnPrefillMs(waiting, nowMs) ?? (this.ledger.awaitsReports ? handoverMs : undefined)
   }
 
   #carryOut ({ waiting, inputs, decision }: QueueDecision): void {
@@ -288,6 +299,7 @@
       expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
     }
     this.ledger.reserve(entry, nowMs)
+    this.#limits.notePlaced([prefill.name, decode.name])
     if (!isOwnPrefill(entry)) {
       this.#opts.index.noteSent(prefill.name, request.prefixes, nowMs)
       this.#forgetCosts(prefill.name)
--- /dev/null
+++ b/scheduling/scheduler/test/engineLimits.ts
@@ -0,0 +1,58 @@
+// A scheduler that does not know of limits chooses engines at their limits, since these look idle: owners get no
+// permit there and have to ask again.
+import { type PlacementAnswer, PlacementOutcome } from '@reelspan/core.messages'
+import test from 'ava'
+import { createShard, requestOf, type TestShardOptions } from './__utils__/createShard.js'
+
+const EVERY_MS = 50
+const SECONDS = 10
+
+/** Short requests, one each 50 ms, each over as soon as it is placed. */
+async function placements (opts: TestShardOptions, patience: { ttftLeftMs: number }): Promise<PlacementAnswer[]> {
+  const { clock, scheduler } = createShard({ prefill: 3, decode: 3, ...opts })
+  const answers: Promise<PlacementAnswer>[] = []
+  for (let i = 0; i < SECONDS * 1000 / EVERY_MS; i++) {
+    const request = requestOf({ promptTokens: 100, ...patience })
+    answers.push(scheduler.reserve(request).then((answer) => {
+      scheduler.release(request.label)
+      return answer
+    }))
+    await clock.advance(EVERY_MS)
+  }
+  return clock.run(Promise.all(answers))
+}
+
+function countOf (answers: readonly PlacementAnswer[], engine: string): number {
+  return answers.filter((answer) => answer.outcome === PlacementOutcome.Placed && [answer.prefillEngine, answer.decodeEngine].includes(engine)).length
+}
+
+for (const engine of ['p-1', 'd-1']) {
+  test(`${engine} gets no more than it takes, and the others the rest`, async (t) => {
+    const answers = await placements({ limitPerSecond: (name) => name === engine ? 2 : undefined }, { ttftLeftMs: 390 })
+    const got = countOf(answers, engine)
+    t.true(got >= 0.5 * 2 * SECONDS && got <= 2 * SECONDS + 2, `${got}`)
+    t.true(answers.every(({ outcome }) => outcome === PlacementOutcome.Placed))
+  })
+}
+
+test('what engines take together is placed, and the rest refused at once where no permit comes in time', async (t) => {
+  const answers = await placements({ limitPerSecond: (name) => name.startsWith('d') ? 2 : undefined }, { ttftLeftMs: 390 })
+  const placed = answers.filter(({ outcome }) => outcome === PlacementOutcome.Placed).length
+  t.true(placed >= 0.9 * 6 * SECONDS && placed <= 6 * SECONDS + 6, `${placed}`)
+})
+
+test('a request that can have no permit in time is refused at once', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 2, decode: 2, limitPerSecond: () => 0.2 })
+  const startedAtMs = clock.nowMs()
+  const answer = await clock.run(scheduler.reserve(requestOf({ promptTokens: 100 })))
+  t.is(answer.outcome, PlacementOutcome.Refused)
+  t.is(clock.nowMs(), startedAtMs)
+})
+
+test('a request that avoids all engines is refused at once', async (t) => {
+  const { clock, scheduler } = createShard({ prefill: 2, decode: 2 })
+  const startedAtMs = clock.nowMs()
+  const answer = await clock.run(scheduler.reserve(requestOf({ avoid: ['p-1', 'p-2', 'd-1', 'd-2'] })))
+  t.is(answer.outcome, PlacementOutcome.Refused)
+  t.is(clock.nowMs(), startedAtMs)
+})
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -44,6 +44,8 @@
   QuarantineChanged = 'quarantineChanged',
   /** An upstream names a limit, another one or none any more. */
   UpstreamLimitChanged = 'upstreamLimitChanged',
+  /** A request did not go to upstreams that have got as many as they take for now. */
+  UpstreamsAtLimit = 'upstreamsAtLimit',
   /** What an upstream names as its limit cannot be read. */
   UpstreamLimitUnreadable = 'upstreamLimitUnreadable',
   UpstreamSuspected = 'upstreamSuspected',
--- a/upstream/health/src/upstreamReports.ts
+++ b/upstream/health/src/upstreamReports.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
+import { TellRate } from '@reelspan/membership.prober'
 
 /** A box was sent no answer by an upstream that it had sent a request, which closed the connection. */
 export interface UpstreamReport {
@@ -22,9 +23,6 @@
 /** Reports are remembered for longer than it takes them to reach all boxes. */
 const MEMORY_MS = 5000
 const MOST_REMEMBERED = 500
-/** Of one upstream no more is told on in a second: two reports that agree are all that is needed, and each costs every box four messages. */
-const MOST_TOLD = 2
-const TOLD_WITHIN_MS = 1000
 
 /**
  * What boxes tell each other of upstreams that close connections without an answer. Where each box sends an upstream a
@@ -36,8 +34,8 @@
   readonly #heard = new Map<string, number>()
   readonly #last = new Map<string, Kept>()
   readonly #passedOverUntilMs = new Map<string, number>()
-  /** When reports of an upstream were last told on. */
-  readonly #toldAtMs = new Map<string, number[]>()
+  /** Two reports that agree are all that is needed of one upstream. */
+  readonly #toldOn = new TellRate()
 
   constructor ({ clock }: { clock: Clock }) {
     this.#clock = clock
@@ -49,7 +47,7 @@
     this.#forgetOld(nowMs)
     if (this.#heard.has(id) || ageMs > MEMORY_MS) return false
     this.#heard.set(id, nowMs)
-    const isNeeded = !this.isFailing(upstream) && this.#mayTell(upstream, nowMs)
+    const isNeeded = !this.isFailing(upstream) && this.#toldOn.take(upstream, nowMs)
     const atMs = nowMs - ageMs
     const last = this.#last.get(upstream)
     if (last && last.box !== box && Math.abs(atMs - last.atMs) <= AGREE_MS) this.#passedOverUntilMs.set(upstream, Math.max(atMs, last.atMs) + PASSED_OVER_MS)
@@ -57,13 +55,6 @@
     return isNeeded
   }
 
-  #mayTell (upstream: string, nowMs: number): boolean {
-    const lately = (this.#toldAtMs.get(upstream) ?? []).filter((atMs) => nowMs - atMs < TOLD_WITHIN_MS)
-    const may = lately.length < MOST_TOLD
-    this.#toldAtMs.set(upstream, may ? [...lately, nowMs] : lately)
-    return may
-  }
-
   /** Whether boxes agree that an upstream fails. A reason to go elsewhere, not a proof. */
   isFailing (upstream: string): boolean {
     return (this.#passedOverUntilMs.get(upstream) ?? 0) > this.#clock.nowMs()
@@ -75,7 +66,7 @@
     [...this.#last].filter(([, { atMs }]) => nowMs - atMs > MEMORY_MS).forEach(([upstream]) => {
       this.#last.delete(upstream)
       this.#passedOverUntilMs.delete(upstream)
-      this.#toldAtMs.delete(upstream)
+      this.#toldOn.forget(upstream)
     })
   }
 }
