fix(membership.prober): a box that knows no other waits for those it has greeted

Cause: boxes that start together all greet the few that the settings name, each again after 100 ms, whether or not these have answered, and give an answer up after a probe's 300 ms. Where hundreds start at once, the few take longer than that to answer all, so that greetings pile up and none is done (serving again after all were killed: 1.0 s at 30 boxes, 7.5 s at 100, not within 30 s at 300).

Now a box that was greeted is not greeted anew before it has answered, and has four times as long for it. The test with slow answers fails on the code before. Whether the 7.5 s come from this is not measured yet.

--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -60,9 +60,20 @@
 const ALONE_TRIES = 100
 /** Boxes that one that is alone greets at a time. */
 const ALONE_GREETED = 3
+/**
+ * Probe timeouts for which one that is alone waits for a box to answer its greeting. Where hundreds start together, all
+ * greet the same few, which take longer than for a probe to answer them: greeted anew before that, they would never be done.
+ */
+const ALONE_PATIENCE = 4
 /** News has had this many rounds to spread before views are compared. */
 const COMPARE_EVERY_ROUNDS = 4
 
+interface HeartbeatOptions {
+  /** Whoever runs there now answers without. */
+  expectedIncarnation?: string
+  timeoutMs?: number
+}
+
 /** Learns which members live, and tells. Its cost for a box does not grow with the fleet. */
 export class Prober {
   readonly #opts: ProberOptions
@@ -204,7 +215,7 @@
     const { clock, view } = this.#opts
     const sentAtMs = clock.nowMs()
     try {
-      await this.#heartbeat(member.peerAddress, member.incarnation)
+      await this.#heartbeat(member.peerAddress, { expectedIncarnation: member.incarnation })
       return true
     } catch (thrown) {
       // Sleeping through the wait ourselves (a pause) proves nothing about the other side.
@@ -224,7 +235,7 @@
     const { clock, view, probeTimeoutMs } = this.#opts
     view.suspect(member.incarnation, clock.nowMs())
     await clock.sleep(probeTimeoutMs, { signal: this.#tasks.signal })
-    const again = await this.#heartbeat(member.peerAddress, member.incarnation).catch((thrown: unknown) => thrown)
+    const again = await this.#heartbeat(member.peerAddress, { expectedIncarnation: member.incarnation }).catch((thrown: unknown) => thrown)
     if (isRefusal(again)) view.declareGone(member.incarnation, clock.nowMs())
   }
 
@@ -244,16 +255,20 @@
 
   async #probeFor (question: MessageOf<MessageType.ProbeFor>): Promise<Member | undefined> {
     // That the member does not answer is what the peer wanted to know; the link tells of it.
-    const answer = await this.#heartbeat(question.address, question.incarnation).catch(() => undefined)
+    const answer = await this.#heartbeat(question.address, { expectedIncarnation: question.incarnation }).catch(() => undefined)
     return answer?.self
   }
 
   /** Soon after its start, a box may be the first one that is up. */
   async #greetWhileAlone (): Promise<void> {
-    const { clock, view } = this.#opts
+    const { clock, probeTimeoutMs, view } = this.#opts
+    const greeted = new Set<string>()
     for (let tries = 0; tries < ALONE_TRIES && view.live().length <= 1 && !this.#tasks.stopped; tries++) {
       // What is silent is waited for by its own greeting, and not by the next one.
-      this.#missingAddresses(ALONE_GREETED).forEach((address) => { void this.#greet(address) })
+      this.#missingAddresses(ALONE_GREETED).filter((address) => !greeted.has(address)).forEach((address) => {
+        greeted.add(address)
+        void this.#greet(address, ALONE_PATIENCE * probeTimeoutMs).finally(() => greeted.delete(address))
+      })
       await clock.sleep(ALONE_PERIOD_MS, { signal: this.#tasks.signal })
     }
   }
@@ -274,9 +289,9 @@
   }
 
   /** Resolves with whether a box answered. */
-  async #greet (address: string): Promise<boolean> {
+  async #greet (address: string, timeoutMs?: number): Promise<boolean> {
     try {
-      await this.#heartbeat(address)
+      await this.#heartbeat(address, { timeoutMs })
       return true
     } catch {
       // The link tells of a failure. Whoever does not answer is believed what it was believed before.
@@ -284,11 +299,11 @@
     }
   }
 
-  async #heartbeat (address: string, expectedIncarnation?: string): Promise<MessageOf<MessageType.HeartbeatAck>> {
-    const { clock, link, view, probeTimeoutMs } = this.#opts
+  async #heartbeat (address: string, { expectedIncarnation, timeoutMs = this.#opts.probeTimeoutMs }: HeartbeatOptions = {}): Promise<MessageOf<MessageType.HeartbeatAck>> {
+    const { clock, link, view } = this.#opts
     const message = { type: MessageType.Heartbeat, ...this.#ownNews(view.atAddress(address)), expectedIncarnation } as const
     const sentAtMs = clock.nowMs()
-    const answer = await link.call(address, message, { timeoutMs: probeTimeoutMs, repeatable: true })
+    const answer = await link.call(address, message, { timeoutMs, repeatable: true })
     if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
     this.#lostTime.noteAnswered(answer.self.incarnation, sentAtMs, answer.heardAgoMs)
     this.#meet(address, answer.self, clock.nowMs())
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -15,6 +15,8 @@
 class FleetLink extends PeerLink {
   readonly heartbeats = new Map<string, number>()
   readonly silent = new Set<string>()
+  /** How long members take to answer. */
+  answersAfterMs = 0
   /** The revision of the list that members name. */
   fleetRevision = 1
   readonly #clock: VirtualClock
@@ -32,6 +34,8 @@
       await this.#clock.sleep(timeoutMs)
       throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
     }
+    await this.#clock.sleep(Math.min(this.answersAfterMs, timeoutMs))
+    if (this.answersAfterMs > timeoutMs) throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
     const self = memberOf(Number(address.split(':')[1]))
     return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: this.fleetRevision }, inFlight: 0 }
   }
@@ -53,16 +57,18 @@
 }
 
 /** One box that knows of no other, but addresses at which nobody answers yet. */
-function startAlone (listed: readonly Member[]) {
+function startAlone (listed: readonly Member[], answersAfterMs?: number) {
   const clock = new VirtualClock()
   const view = new MembershipView({ self: memberOf(0), goneMemoryMs: 600_000 })
-  return { view, ...startWith(clock, view, listed.map(({ peerAddress }) => peerAddress)) }
+  return { view, ...startWith(clock, view, listed.map(({ peerAddress }) => peerAddress), answersAfterMs) }
 }
 
-function startWith (clock: VirtualClock, view: MembershipView, listedAddresses: readonly string[]) {
+/** @param answersAfterMs how long the listed boxes take to answer; they do not without */
+function startWith (clock: VirtualClock, view: MembershipView, listedAddresses: readonly string[], answersAfterMs?: number) {
   const link = new FleetLink(clock)
+  link.answersAfterMs = answersAfterMs ?? 0
   const here = { fleetRevision: 1 }
-  listedAddresses.forEach((address) => link.silent.add(address))
+  if (answersAfterMs === undefined) listedAddresses.forEach((address) => link.silent.add(address))
   const prober = new Prober({
     clock,
     random: new SeededRandom(1),
@@ -164,3 +170,14 @@
   t.true(told >= 4 * rounds && told <= 3 * 4 * (rounds + 1), `${told} messages`)
   await prober.stop()
 })
+
+// Where three hundred boxes were started at the same moment, they were not serving within half a minute: all greeted
+// the same three, which took longer than for a probe to answer each, and were greeted anew ten times a second.
+test('boxes that are slow to answer are met, and not greeted anew before they have', async (t) => {
+  const { clock, link, prober, view } = startAlone([memberOf(1), memberOf(2), memberOf(3)], 3 * PROBE_TIMEOUT_MS)
+  await clock.advance(3.5 * PROBE_TIMEOUT_MS)
+  t.is(view.live().length, 4)
+  const most = Math.max(...link.heartbeats.values())
+  t.true(most <= 2, `${most} greetings of one box`)
+  void prober.stop()
+})
