--- a/__utils__/fakes/src/virtualClock.ts
+++ b/__utils__/fakes/src/virtualClock.ts
@@ -1,14 +1,9 @@
 import { Clock, type SleepOptions } from '@reelspan/core.env'
-
-interface Sleeper {
-  atMs: number
-  order: number
-  wake: () => void
-}
+import { type Sleeper, SleeperQueue } from './sleeperQueue.js'
 
 /** A clock that stands still until it is advanced. Sleepers wake in order of time, then of going to sleep. */
 export class VirtualClock extends Clock {
-  readonly #sleepers = new Set<Sleeper>()
+  readonly #sleepers = new SleeperQueue()
   #nowMs = 1000
   #order = 0
 
@@ -22,13 +17,14 @@
       const sleeper: Sleeper = {
         atMs: this.#nowMs + Math.max(0, durationMs),
         order: this.#order++,
+        awake: false,
         wake: () => {
-          this.#sleepers.delete(sleeper)
+          sleeper.awake = true
           signal?.removeEventListener('abort', sleeper.wake)
           resolve()
         },
       }
-      this.#sleepers.add(sleeper)
+      this.#sleepers.put(sleeper)
       signal?.addEventListener('abort', sleeper.wake, { once: true })
     })
   }
@@ -63,12 +59,8 @@
   }
 
   #nextUntil (endMs: number): Sleeper | undefined {
-    let next: Sleeper | undefined
-    this.#sleepers.forEach((sleeper) => {
-      const earlier = !next || sleeper.atMs < next.atMs || (sleeper.atMs === next.atMs && sleeper.order < next.order)
-      if (sleeper.atMs <= endMs && earlier) next = sleeper
-    })
-    return next
+    const first = this.#sleepers.first()
+    return first && first.atMs <= endMs ? first : undefined
   }
 }
 
