fix(accounts.admission): a request that waits for news of its key does not spin at the end of its wait

Cause of the warnings that the tests of accounts printed (11 abort listeners at one signal): a timer may end a moment before its time by the clock; until the clock had caught up, the wait looked at the configuration again and again without a pause. It ends with its timer now. Ruled out: several requests at one signal (each has its own).

--- a/accounts/admission/src/accessPatience.ts
+++ b/accounts/admission/src/accessPatience.ts
@@ -28,11 +28,12 @@
     const over = new AbortController()
     this.#waiting++
     try {
-      const untilMs = clock.nowMs() + NEWS_MS
-      const time = clock.sleep(NEWS_MS, { signal: over.signal })
+      const time = { isOver: false }
+      // A timer may end a moment before its time by the clock, which is not asked for that reason.
+      const end = clock.sleep(NEWS_MS, { signal: over.signal }).then(() => { time.isOver = true })
       let decision = first
-      while (clock.nowMs() < untilMs && decision.access === Access.KeyUnknown) {
-        await Promise.race([time, changed(over.signal)])
+      while (!time.isOver && decision.access === Access.KeyUnknown) {
+        await Promise.race([end, changed(over.signal)])
         decision = decide()
       }
       return decision
--- a/accounts/admission/test/accessPatience.ts
+++ b/accounts/admission/test/accessPatience.ts
@@ -48,3 +48,34 @@
   await clock.advance(500)
   t.is(refused, 1000)
 })
+
+/** A clock by which timers end half a millisecond before their time. */
+class EarlyTimersClock extends VirtualClock {
+  #readAtMs = this.virtualMs()
+
+  override nowMs (): number {
+    return this.virtualMs() > this.#readAtMs ? this.virtualMs() - 0.5 : this.#readAtMs
+  }
+
+  virtualMs (): number {
+    return super.nowMs()
+  }
+}
+
+// Requests with a key that nobody has looked at the configuration hundreds of times at the end of their wait, without
+// a pause: the timer had ended, and the clock said that half a millisecond was left. The evidence: a warning of more
+// than ten listeners at one signal, each added by one more look.
+test('a request that waits looks at the configuration once when its time is over', async (t) => {
+  const clock = new EarlyTimersClock()
+  const news = new Notifier()
+  let looks = 0
+  const changed = (signal: AbortSignal) => {
+    if (++looks > 10) throw new Error('it looks again and again')
+    return news.wait(signal)
+  }
+  const patience = new AccessPatience({ clock, changed })
+  const decided = patience.untilDecided(() => UNKNOWN, UNKNOWN)
+  await Promise.race([clock.advance(500), decided])
+  t.is((await Promise.race([decided, Promise.resolve(undefined)]))?.access, Access.KeyUnknown)
+  t.is(looks, 1)
+})
