fix(request.relay): an attempt that is over takes no permit for a next one

A timer that waits out an upstream's silence outlived its attempt, and would have taken a permit for a try that nobody makes. Tests of what relaying does at upstreams' limits, for calls and streams: passed over without an attempt, given back unsent, failures passed on, refusals with times to return one after the other.

--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -22,6 +22,8 @@
   readonly #tried = new Set<string>()
   /** Where the next attempt goes. */
   #next?: PermittedUpstream
+  /** Gives the present attempt up, if it may be given up. */
+  #silent?: AbortController
   #sent = 0
 
   constructor (context: RelayContext, pool: string) {
@@ -100,8 +102,10 @@
   /** While another attempt is left, silence is waited out for a part of the time only. */
   #attemptSignal (upstream: ListedUpstream, attempt: number): AbortSignal {
     const { run, route } = this.#context
+    this.#silent = undefined
     if (route.spec.notRepeatable || attempt >= route.spec.maxAttempts) return run.signal
     const silent = new AbortController()
+    this.#silent = silent
     void this.#giveUpWhenSilent(upstream, silent)
     return AbortSignal.any([run.signal, silent.signal])
   }
@@ -112,7 +116,7 @@
     const patienceMs = Math.min(run.leftMs / 2, PATIENCE_TARGETS * route.spec.ttftTargetMs)
     while (!silent.signal.aborted) {
       await opts.clock.sleep(patienceMs, { signal: run.signal })
-      if (run.signal.aborted || caller.begun) return
+      if (run.signal.aborted || caller.begun || this.#silent !== silent) return
       if (budget.left >= 1 && await this.#findNextWhileRunning(upstream) && !caller.begun) silent.abort()
     }
   }
