perf(membership.prober): news of a member is not told back to whoever has just told it, and eight times in place of twelve

Hypothesis: what grows with the fleet between boxes at a start is news of each member, twelve times from each box, and half of it goes back in the answer to the heartbeat that brought it, where it is known.

--- a/membership/prober/src/newsQueue.ts
+++ b/membership/prober/src/newsQueue.ts
@@ -1,7 +1,7 @@
 import { Notifier } from '@reelspan/core.env'
 
 /** News about one member is passed on this many times by each box. */
-const NEWS_REPEATS = 3
+const NEWS_REPEATS = 2
 const MAX_NEWS_PER_MESSAGE = 30
 
 /** Members that there is news of, by incarnation, and how often this box still passes it on. */
@@ -19,9 +19,13 @@
     this.#arrived.notify()
   }
 
-  /** What the next message carries. Whoever waits longest comes first. */
-  draw (): string[] {
-    const chosen = [...this.#left.keys()].slice(0, MAX_NEWS_PER_MESSAGE)
+  /**
+   * What the next message carries. Whoever waits longest comes first.
+   *
+   * @param told what the receiver has just told itself, which would be sent for nothing
+   */
+  draw (told: ReadonlySet<string>): string[] {
+    const chosen = [...this.#left.keys()].filter((incarnation) => !told.has(incarnation)).slice(0, MAX_NEWS_PER_MESSAGE)
     chosen.forEach((incarnation) => this.#countDown(incarnation))
     return chosen
   }
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -174,7 +174,7 @@
     switch (message.type) {
       case MessageType.Heartbeat:
         this.#takeNews(message)
-        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self), heardAgoMs: this.#lostTime.noteHeard(message.self.incarnation), proof: this.#opts.proof?.() }
+        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self, message.news), heardAgoMs: this.#lostTime.noteHeard(message.self.incarnation), proof: this.#opts.proof?.() }
       case MessageType.ProbeFor:
         return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
       case MessageType.MembersPull:
@@ -351,16 +351,18 @@
   }
 
   /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
-  #ownNews (receiver?: Member) {
+  #ownNews (receiver?: Member, told: readonly Member[] = []) {
     const { view, revisions, inFlight, platformAnswering, newsDigests } = this.#opts
     const answering = platformAnswering()
     const belief = receiver && view.get(receiver.incarnation)
     const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
-    return { self: view.self, news: [...doubts, ...this.#drawNews()], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, ...newsDigests?.() }
+    return { self: view.self, news: [...doubts, ...this.#drawNews(told)], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, ...newsDigests?.() }
   }
 
-  #drawNews (): Member[] {
-    return this.#news.draw().flatMap((incarnation) => this.#opts.view.get(incarnation) ?? [])
+  /** @param told what the receiver has just told, of which later news is still news */
+  #drawNews (told: readonly Member[]): Member[] {
+    const known = told.filter((member) => isSameNews(member, this.#opts.view.get(member.incarnation)))
+    return this.#news.draw(new Set(known.map(({ incarnation }) => incarnation))).flatMap((incarnation) => this.#opts.view.get(incarnation) ?? [])
   }
 
   #queueNews (member: Member): void {
@@ -403,3 +405,7 @@
 function isRefusal (outcome: unknown): boolean {
   return outcome instanceof PeerLinkError && outcome.refused
 }
+
+function isSameNews (told: Member, here?: Member): boolean {
+  return here !== undefined && told.version === here.version && told.health === here.health && told.leaving === here.leaving
+}
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -181,3 +181,16 @@
   t.true(most <= 2, `${most} greetings of one box`)
   void prober.stop()
 })
+
+test('an answer does not tell back what its question told, unless more is known here', async (t) => {
+  const { clock, prober, view } = startAlone([], 0)
+  const told = [memberOf(2), memberOf(3)]
+  view.merge({ ...memberOf(3), version: 1, leaving: true }, clock.nowMs())
+  const question = { type: MessageType.Heartbeat, self: memberOf(1), news: told, digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: 1 }, inFlight: 0 } as const
+  const answer = await prober.answer({ ...question, news: [...question.news] })
+  t.true(answer?.type === MessageType.HeartbeatAck)
+  const names = answer?.type === MessageType.HeartbeatAck ? answer.news.map(({ name, leaving }) => [name, leaving]) : []
+  t.false(names.some(([name]) => name === memberOf(2).name))
+  t.true(names.some(([name, leaving]) => name === memberOf(3).name && leaving === true))
+  void prober.stop()
+})
