--- a/cli/reelspanctl/src/likelyCause.ts
+++ b/cli/reelspanctl/src/likelyCause.ts
@@ -7,6 +7,7 @@
 const CAUSE_OF_CODE: Partial<Record<string, string>> = {
   [ErrorCode.Overloaded]: 'engines were short: `reason` has what waited before it',
   [ErrorCode.RequestQuarantined]: 'upstreams that ran the same request before ended under it: `reason` names them, `quarantineChanged` and `runBrokeOff` have its `contentHash`',
+  [ErrorCode.UpstreamLimit]: 'each upstream that was left for it names a limit and had got as many requests as it takes: `upstreamsAtLimit` names them, `upstreamLimitChanged` has the limits',
   [ErrorCode.NotReady]: 'the box had no declarations yet, soon after its start or with the platform and its peers away',
   [ErrorCode.Draining]: 'the box was about to stop',
   [ErrorCode.NoRoute]: 'no route of the declarations in force (`revision`) takes the path',
--- a/cli/reelspanctl/test/explain.ts
+++ b/cli/reelspanctl/test/explain.ts
@@ -36,6 +36,12 @@
   t.regex((await run('explain', 'r-late', LOG)).out, /likely cause: it was served \(first part after 1055 ms, longest pause 67 ms, waited 744 ms for a place, prefill 301 ms, 0 more tries\)/)
 })
 
+test('a refusal for upstreams\' limits names these', async (t) => {
+  const { out } = await run('explain', 'r-limited', LOG)
+  t.regex(out, /upstreamsAtLimit {2}upstreams=\["i-5","i-6"\] retryAfterMs=412/)
+  t.regex(out, /likely cause: each upstream that was left for it names a limit/)
+})
+
 test('a request without an end is said to have none', async (t) => {
   const { out } = await run('explain', 'r-open', LOG)
   t.regex(out, /the end is missing/)
