--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -3,6 +3,7 @@
 import { type Attempt, RouteKind } from './attempt.js'
 import { checkBounds, type Probe } from './checkBounds.js'
 import { checkKeys, type KeyProbe } from './checkKeys.js'
+import { checkLimits } from './checkLimits.js'
 import { checkHistory } from './checkHistory.js'
 import { SoakClient } from './client.js'
 import { drawOne } from './drawOne.js'
@@ -64,6 +65,9 @@
 const HOLDERS_AMONG = 3
 /** Prefill results that nobody takes lapse by then. */
 const HANDLES_GONE_MS = 1500
+/** An upstream names a limit for some seconds after boxes must know it. */
+const LIMITED_MS = 9000
+const LIMITS_PER_SECOND = [0.5, 2, 3, 5]
 /** Attempts by which it is judged whether the system serves again. */
 const RECOVERY_ATTEMPTS = 40
 const RECOVERY_SHARE = 0.8
@@ -97,6 +101,8 @@
   readonly #keyProbes: KeyProbe[] = []
   /** Apart from the others, whose draws stay what they were. */
   readonly #keyRandom: SeededRandom
+  /** Apart for the same reason. */
+  readonly #limitRandom: SeededRandom
   readonly #stalls: StallWatch
   readonly #tookMs: Record<string, number> = {}
   #judged: Record<string, number> = {}
@@ -109,6 +115,7 @@
     this.#opts = opts
     this.#faultRandom = new SeededRandom(opts.seed)
     this.#keyRandom = new SeededRandom(opts.seed)
+    this.#limitRandom = new SeededRandom(opts.seed)
     this.#stalls = new StallWatch(fleet.boxes)
     this.#faults = new Faults({ fleet, random: this.#faultRandom, violation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % HOLDERS_AMONG === 0 }))
@@ -154,11 +161,12 @@
     if (handles.size > 0) this.violations.push(`${handles.size} prefill results are held for nobody`)
     attempts.forEach((attempt) => { attempt.stoodStill = this.#stoodStill(attempt) })
     const probes = this.#probes.map((probe): Attempt => ({ ...probe, kind: RouteKind.Repeatable, deadlineMs: PROBE_DEADLINE_MS, body: `done ${probe.id}`, retryAfter: '' }))
-    const bounds = checkBounds({ attempts: [...attempts, ...probes], runs, arrivals, departures, publications, stops, probes: this.#probes, isUnharmed: this.#isUnharmed.bind(this) })
-    this.#judged = { ...bounds.judged, keys: this.#keyProbes.length }
+    const history = { attempts: [...attempts, ...probes], runs, arrivals, departures, publications, stops, probes: this.#probes, isUnharmed: this.#isUnharmed.bind(this) }
+    const bounds = checkBounds(history)
+    this.#judged = { ...bounds.judged, keys: this.#keyProbes.length, limits: fleet.namings.length }
     // Calls with keys that come and go are judged by their keys alone.
     const tried = new Set(this.#keyProbes.map(({ id }) => id))
-    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !tried.has(id))), ...bounds.violations, ...this.#keyViolations())
+    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !tried.has(id))), ...bounds.violations, ...checkLimits(fleet.namings, history), ...this.#keyViolations())
   }
 
   #keyViolations (): string[] {
@@ -252,9 +260,14 @@
       this.#publishSome(),
       this.#faults.leave(drawOne(this.#random, this.#fleet.places)),
       this.#stopSome(),
+      this.#limitOne(),
     ])
   }
 
+  async #limitOne (): Promise<void> {
+    await this.#fleet.limit(drawOne(this.#limitRandom, this.#fleet.places), drawOne(this.#limitRandom, LIMITS_PER_SECOND), LIMITED_MS)
+  }
+
   async #publishSome (): Promise<void> {
     for (let i = 0; i < PUBLICATIONS; i++) {
       this.#fleet.publish()
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -9,6 +9,7 @@
 import { Agent, request } from 'undici'
 import { REVOKE_MS } from './checkKeys.js'
 import { type Departure, type PlannedStop, type Publication } from './checkBounds.js'
+import { type Naming } from './checkLimits.js'
 import { FaultProxy } from './faultProxy.js'
 import { HarmKind, HarmLog } from './harmLog.js'
 import { PORT_SHIFT } from './listenBehindProxy.js'
@@ -89,6 +90,8 @@
   readonly departures: Departure[] = []
   readonly publications: Publication[] = []
   readonly stops: PlannedStop[] = []
+  /** Limits that upstreams named. One that is named now has no end yet. */
+  readonly namings: Naming[] = []
   /** Times throughout which the store's reads were stale. */
   readonly staleReads: Stall[] = []
   /** What boxes did that they may not do, whatever happens to them. */
@@ -193,6 +196,18 @@
     this.departures.push({ instance: place.instance, atMs: performance.now() })
   }
 
+  /** An upstream names a limit in its answers for a while. */
+  async limit ({ instance }: UpstreamPlace, perSecond: number, durationMs: number): Promise<void> {
+    const naming = { instance, perSecond, fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY }
+    this.namings.push(naming)
+    await sleep(durationMs)
+    naming.toMs = performance.now()
+  }
+
+  #limitOf (instance: string): string | undefined {
+    return this.namings.find((naming) => naming.instance === instance && naming.toMs === Number.POSITIVE_INFINITY)?.perSecond.toString()
+  }
+
   /** Resolves when an upstream runs nothing, or has been given long enough for it. */
   async waitIdle ({ upstream }: UpstreamPlace): Promise<void> {
     const untilMs = performance.now() + LONGEST_RUN_MS
@@ -361,6 +376,7 @@
       handleLifeMs: HANDLE_LIFE_MS,
       refuses: draws(REFUSED_SHARE),
       losesAnswer: draws(LOST_ANSWER_SHARE),
+      namesLimit: () => this.#limitOf(instance),
     })
     await upstream.start()
     return upstream
