fix(upstream.limits): a permit that was refused gives nothing back, and a wait that is remembered is told whole

Found in reading: a run that ended while it asked for a permit gave back one that it had not got, which the home would have given out twice; callers that were refused from memory were told of at most a second, however long the wait. Tests of permits, which fail for the first on the code before.

--- a/request/relay/src/pickPermitted.ts
+++ b/request/relay/src/pickPermitted.ts
@@ -60,5 +60,5 @@
   const perSecond = upstreams.reduce((sum, upstream) => sum + (opts.statedLimits.perSecond(upstream) ?? 0), 0)
   const retryAfterMs = Math.ceil(opts.returnTimes.book(pool, perSecond, Math.min(...waitsMs.values())))
   decided(LogEvent.UpstreamsAtLimit, { upstreams, retryAfterMs })
-  return new ReelspanError(ErrorCode.UpstreamLimit, `upstreams of ${pool} take ${perSecond} requests a second and have got them: ${upstreams.join(', ')}`, { retryAfterMs })
+  return new ReelspanError(ErrorCode.UpstreamLimit, `upstreams of ${pool} take ${Number(perSecond.toFixed(2))} requests a second and have got them: ${upstreams.join(', ')}`, { retryAfterMs })
 }
--- a/upstream/limits/src/sendPermit.ts
+++ b/upstream/limits/src/sendPermit.ts
@@ -14,7 +14,7 @@
     return this.waitMs === 0
   }
 
-  /** The upstream names a limit. */
+  /** The upstream names a limit, so that another box may have been asked. */
   get limited (): boolean {
     return this.#onUnused !== undefined || this.waitMs > 0
   }
--- a/upstream/limits/src/sendPermits.ts
+++ b/upstream/limits/src/sendPermits.ts
@@ -11,14 +11,23 @@
   metrics: Metrics
 }
 
-/** A limit may be raised meanwhile, or a permit given back. */
+/** A permit may be given back meanwhile, so that a long wait is asked about again. */
 const LONGEST_REFUSAL_MS = 1000
 
+/** An upstream had no permit left. */
+interface Refusal {
+  /** The limit at that time. */
+  perSecond: number
+  /** When there is one, as far as is known. */
+  dueAtMs: number
+  /** Nobody is asked before. */
+  askAgainAtMs: number
+}
+
 /** Permits to send upstreams requests. Upstreams that name no limit need none. */
 export class SendPermits {
   readonly #opts: SendPermitsOptions
-  /** Until when an upstream is known to have no permit left, and under which limit. */
-  readonly #refused = new Map<string, { untilMs: number, perSecond: number }>()
+  readonly #refusals = new Map<string, Refusal>()
 
   constructor (opts: SendPermitsOptions) {
     this.#opts = opts
@@ -29,23 +38,23 @@
     const { clock, limits, limiter, metrics } = this.#opts
     const perSecond = limits.perSecond(upstream)
     if (perSecond === undefined) return new SendPermit(0)
-    const knownMs = this.waitMs(upstream)
-    if (knownMs > 0) return new SendPermit(knownMs)
+    this.#forgetOld()
+    const refusal = this.#refusals.get(upstream)
+    if (refusal) return new SendPermit(refusal.dueAtMs - clock.nowMs())
     const taken = { name: upstream, cost: 1 }
     const waitMs = await limiter.take(taken)
     metrics.count('reelspan_limit_permits_total', { outcome: waitMs === 0 ? 'granted' : 'refused' })
-    if (waitMs > 0) this.#refused.set(upstream, { untilMs: clock.nowMs() + Math.min(waitMs, LONGEST_REFUSAL_MS), perSecond })
-    return new SendPermit(waitMs, () => limiter.giveBack(taken))
+    if (waitMs === 0) return new SendPermit(0, () => limiter.giveBack(taken))
+    const nowMs = clock.nowMs()
+    this.#refusals.set(upstream, { perSecond, dueAtMs: nowMs + waitMs, askAgainAtMs: nowMs + Math.min(waitMs, LONGEST_REFUSAL_MS) })
+    return new SendPermit(waitMs)
   }
 
-  /** How long an upstream is known to have no permit; 0 when it may have one. */
-  waitMs (upstream: string): number {
+  /** Refusals that were long enough ago, or under another limit. */
+  #forgetOld (): void {
     const { clock, limits } = this.#opts
-    const refused = this.#refused.get(upstream)
-    if (!refused) return 0
-    const leftMs = refused.untilMs - clock.nowMs()
-    if (leftMs > 0 && limits.perSecond(upstream) === refused.perSecond) return leftMs
-    this.#refused.delete(upstream)
-    return 0
+    const nowMs = clock.nowMs()
+    const isOld = ([upstream, { perSecond, askAgainAtMs }]: [string, Refusal]) => nowMs >= askAgainAtMs || limits.perSecond(upstream) !== perSecond;
+    [...this.#refusals].filter(isOld).forEach(([upstream]) => this.#refusals.delete(upstream))
   }
 }
--- /dev/null
+++ b/upstream/limits/test/sendPermits.ts
@@ -0,0 +1,81 @@
+import { type LimitedCost, SharedLimiter } from '@reelspan/membership.limits'
+import { Metrics } from '@reelspan/telemetry.metrics'
+import { SendPermits, StatedLimits } from '@reelspan/upstream.limits'
+import { SilentLog } from '@reelspan/utils.fake-fleet'
+import { VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+/** Grants a number of costs, and counts what was asked and given back. */
+class CountingLimiter extends SharedLimiter {
+  asked = 0
+  givenBack = 0
+  left = 1
+  waitMs = 400
+
+  async take (_taken: LimitedCost): Promise<number> {
+    this.asked++
+    return this.left-- > 0 ? 0 : this.waitMs
+  }
+
+  giveBack (): void {
+    this.givenBack++
+  }
+}
+
+function create () {
+  const clock = new VirtualClock()
+  const limits = new StatedLimits({ clock, log: new SilentLog(), isListed: () => true })
+  const limiter = new CountingLimiter()
+  const name = (perSecond: number) => limits.noteAnswer('a', { succeeded: true, limit: { perSecond, text: '' } }, 0)
+  return { clock, limiter, limits, name, permits: new SendPermits({ clock, limits, limiter, metrics: new Metrics() }) }
+}
+
+test('an upstream that names no limit needs nobody\'s permit', async (t) => {
+  const { limiter, permits } = create()
+  t.true((await permits.take('a')).granted)
+  t.is(limiter.asked, 0)
+})
+
+test('a permit is given back once, and only if it was granted and nothing was sent', async (t) => {
+  const { limiter, name, permits } = create()
+  name(2)
+  limiter.left = 2
+  const [sent, unsent, refused] = [await permits.take('a'), await permits.take('a'), await permits.take('a')]
+  sent.noteSent()
+  t.deepEqual([sent.granted, unsent.granted, refused.granted], [true, true, false]);
+  [sent, unsent, refused].forEach((permit) => {
+    permit.release()
+    permit.release()
+  })
+  t.is(limiter.givenBack, 1)
+})
+
+test('nobody is asked again before there can be a permit, unless the limit has changed', async (t) => {
+  const { clock, limiter, name, permits } = create()
+  name(2)
+  limiter.left = 0
+  t.is((await permits.take('a')).waitMs, 400)
+  await clock.advance(100)
+  t.is((await permits.take('a')).waitMs, 300)
+  t.is(limiter.asked, 1)
+  await clock.advance(300)
+  await permits.take('a')
+  t.is(limiter.asked, 2)
+  name(3)
+  await permits.take('a')
+  t.is(limiter.asked, 3)
+})
+
+test('a long wait is asked about again after a second, since a permit may have been given back', async (t) => {
+  const { clock, limiter, name, permits } = create()
+  name(0.1)
+  limiter.left = 0
+  limiter.waitMs = 9000
+  t.is((await permits.take('a')).waitMs, 9000)
+  await clock.advance(500)
+  t.is((await permits.take('a')).waitMs, 8500)
+  t.is(limiter.asked, 1)
+  await clock.advance(501)
+  await permits.take('a')
+  t.is(limiter.asked, 2)
+})
