--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -3,7 +3,10 @@
 import { dropAnswer } from './dropAnswer.js'
 import { type RelayContext } from './relayContext.js'
 
-/** An upstream, and the permit to send it one request. */
+/**
+ * An upstream, and the permit to send it one request. Nothing is sent without one: an upstream's limit is for all
+ * boxes together, and no box sees what the others send.
+ */
 export interface PermittedTarget {
   target: RelayTarget
   permit: SendPermit
