--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -78,8 +78,8 @@
   },
   {
     name: 'a limit that one box hears of is told to others',
-    file: 'upstream/limits/src/statedLimits.ts',
-    find: 'if (changed && saying && this.mayTell(saying)) this.#opts.onChanged?.(saying)',
+    file: 'upstream/signals/src/upstreamStates.ts',
+    find: 'if (changed && update && this.mayTell(update)) this.#opts.onChanged?.(update)',
     replace: '',
     tests: [LIMITED],
   },
--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
-import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, type StatedLimit, UpstreamError } from '@reelspan/upstream.client'
+import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, type AdvertisedRateLimit, UpstreamError } from '@reelspan/upstream.client'
 import { type FakeNetwork } from './fakeNetwork.js'
 import { type NodeClock } from './nodeClock.js'
 
@@ -40,7 +40,7 @@
   /** Whether an upstream that begins to run the request ends. */
   endsUpstream: (request: RelayedRequest) => boolean = () => false
   /** What an upstream names as its limit in its answers, if it names one. */
-  limitNamedBy: (upstream: string) => StatedLimit | undefined = () => undefined
+  limitNamedBy: (upstream: string) => AdvertisedRateLimit | undefined = () => undefined
   readonly #opts: RelayedUpstreamsOptions
   /** Aborted when the process at the address ends. */
   readonly #processes = new Map<string, AbortController>()
@@ -126,8 +126,8 @@
 
   async free (_source: PrefillSource): Promise<void> {}
 
-  #answered ({ instance }: RelayTarget, { onAnswer }: RelayCallOptions): void {
-    onAnswer?.({ succeeded: true, limit: this.#opts.upstreams.limitNamedBy(instance) })
+  #answered ({ instance }: RelayTarget, { onSignals }: RelayCallOptions): void {
+    onSignals?.({ succeeded: true, rateLimit: this.#opts.upstreams.limitNamedBy(instance) })
   }
 
   async #arrive (target: RelayTarget, { id, target: path }: RelayedRequest, { onSend, signal }: RelayCallOptions, prefill: boolean): Promise<void> {
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -188,7 +188,7 @@
 
   /** The whole state of the process. */
   describe () {
-    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, statedLimits, proof, settings } = this.#parts
+    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, upstreamStates, proof, settings } = this.#parts
     return {
       self: view.self,
       ready: this.#ready,
@@ -203,7 +203,7 @@
       placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
       shards: keepers.describe(),
       quarantine: { requests: quarantine.countQuarantined(), runsKnown: runHistory.size },
-      upstreamLimits: statedLimits.all(),
+      upstreamLimits: upstreamStates.all(),
       callersBeingServed: this.#callersBeingServed,
     }
   }
@@ -221,11 +221,11 @@
 
   /** Stops at once. What runs gets its verdict. */
   async stop (): Promise<void> {
-    const { prober, proofKeeper, reportFlood, followers, keepers, owner, relay, runGossip, limitGossip, link, log } = this.#parts
+    const { prober, proofKeeper, reportFlood, followers, keepers, owner, relay, runGossip, upstreamStateGossip, link, log } = this.#parts
     this.#stopping = true
     const requestsCut = this.#callersBeingServed
     await Promise.all([owner.stop(), relay?.stop()])
-    await Promise.all([this.#tasks.stop(), prober.stop(), proofKeeper?.stop(), reportFlood.stop(), runGossip.stop(), limitGossip.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
+    await Promise.all([this.#tasks.stop(), prober.stop(), proofKeeper?.stop(), reportFlood.stop(), runGossip.stop(), upstreamStateGossip.stop(), keepers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
     log.info(LogEvent.Stopped, { requestsCut })
   }
 
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -4,7 +4,7 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseWatch } from '@reelspan/core.env'
-import { type Collection, type LimitSaying, type RunEvent } from '@reelspan/core.messages'
+import { type Collection, type UpstreamStateUpdate, type RunEvent } from '@reelspan/core.messages'
 import { type HomeLimiter, type LimitBook, type SharedLimiter } from '@reelspan/membership.limits'
 import { type Flood, type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
@@ -15,7 +15,8 @@
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { type UpstreamReport, type UpstreamReports } from '@reelspan/upstream.health'
-import { type ReturnTimes, type SendPermits, type StatedLimits } from '@reelspan/upstream.limits'
+import { type ReturnTimes, type SendPermits } from '@reelspan/upstream.limits'
+import { type UpstreamStates } from '@reelspan/upstream.signals'
 import { type BeliefAges } from './beliefAges.js'
 import { type Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
@@ -60,8 +61,8 @@
   upstreamReports: UpstreamReports
   reportFlood: Flood<UpstreamReport>
   /** Limits that upstreams name in their answers. */
-  statedLimits: StatedLimits
-  limitGossip: Gossip<LimitSaying>
+  upstreamStates: UpstreamStates
+  upstreamStateGossip: Gossip<UpstreamStateUpdate>
   /** Buckets of permits for upstreams whose home is this box. */
   permitBook: LimitBook
   permitLimiter: HomeLimiter
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -17,7 +17,7 @@
 import { ConnectionShares } from './connectionShares.js'
 import { createAdmission, createLimitBook, createLimiter, createProof, createProofKeeper } from './createAccountParts.js'
 import { createContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
-import { createLimitGossip, createPermitBook, createPermitLimiter, createPermits, createReturnTimes, createStatedLimits } from './createLimitParts.js'
+import { createUpstreamStateGossip, createPermitBook, createPermitLimiter, createPermits, createReturnTimes, createUpstreamStates } from './createLimitParts.js'
 import { createPlacer } from './createPlacer.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { FailureLog } from './failureLog.js'
@@ -60,8 +60,8 @@
     brokenRuns: asFunction(createBrokenRuns).singleton(),
     upstreamReports: asFunction((parts: BoxParts) => new UpstreamReports(parts)).singleton(),
     reportFlood: asFunction(createReportFlood).singleton(),
-    statedLimits: asFunction(createStatedLimits).singleton(),
-    limitGossip: asFunction(createLimitGossip).singleton(),
+    upstreamStates: asFunction(createUpstreamStates).singleton(),
+    upstreamStateGossip: asFunction(createUpstreamStateGossip).singleton(),
     permitBook: asFunction(createPermitBook).singleton(),
     permitLimiter: asFunction(createPermitLimiter).singleton(),
     permits: asFunction(createPermits).singleton(),
@@ -127,10 +127,10 @@
     onPlatformAnswering: (told) => parts.platformContact.hear(told),
     proof: () => parts.proof.told,
     onPeerProof: (told, askedAtMs) => parts.proof.hear(told, askedAtMs),
-    newsDigests: () => ({ runsDigest: parts.runHistory.digest || undefined, limitsDigest: parts.statedLimits.digest || undefined }),
-    onPeerNewsDigests: (address, { runsDigest, limitsDigest }) => {
+    newsDigests: () => ({ runsDigest: parts.runHistory.digest || undefined, upstreamStatesDigest: parts.upstreamStates.digest || undefined }),
+    onPeerNewsDigests: (address, { runsDigest, upstreamStatesDigest }) => {
       parts.runGossip.hear(address, runsDigest)
-      parts.limitGossip.hear(address, limitsDigest)
+      parts.upstreamStateGossip.hear(address, upstreamStatesDigest)
     },
     onTaskError: (thrown) => parts.failures.noteTask('prober', thrown),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
@@ -228,7 +228,7 @@
     placer,
     admission: parts.admission,
     upstreamReports: parts.upstreamReports,
-    statedLimits: parts.statedLimits,
+    upstreamStates: parts.upstreamStates,
     permits: parts.permits,
     returnTimes: parts.returnTimes,
     onClosedUnanswered: (upstream) => reportUpstream(parts, upstream),
@@ -261,7 +261,7 @@
     declarations: parts.declarations,
     fleet: parts.fleet,
     fleetRevision: () => parts.fleetList.revision,
-    limitPerSecond: (engine) => parts.statedLimits.perSecond(engine),
+    limitPerSecond: (engine) => parts.upstreamStates.perSecond(engine),
     view: parts.view,
     vouchHere: parts.vouchHere,
     isGone: (incarnation) => parts.view.get(incarnation)?.health === MemberHealth.Gone,
@@ -283,9 +283,9 @@
     records: parts.records,
     runGossip: parts.runGossip,
     limitBook: parts.limitBook,
-    limitGossip: parts.limitGossip,
+    upstreamStateGossip: parts.upstreamStateGossip,
     permitBook: parts.permitBook,
-    statedLimits: parts.statedLimits,
+    upstreamStates: parts.upstreamStates,
     onUpstreamReports: (reports) => parts.reportFlood.tell(reports.filter((report) => parts.upstreamReports.add(report))),
     lookup: parts.lookup,
     vouchHere: parts.vouchHere,
--- a/box/runtime/src/createLimitParts.ts
+++ b/box/runtime/src/createLimitParts.ts
@@ -1,47 +1,48 @@
-import { type LimitSaying, type MessageOf, MessageType, type PeerMessage } from '@reelspan/core.messages'
+import { type UpstreamStateUpdate, type MessageOf, MessageType, type PeerMessage } from '@reelspan/core.messages'
 import { EvenShareLimiter, HomeLimiter, LimitBook } from '@reelspan/membership.limits'
 import { Gossip } from '@reelspan/membership.prober'
-import { LimitNews, permitBucket, PermitMessages, ReturnTimes, SendPermits, StatedLimits } from '@reelspan/upstream.limits'
+import { permitBucket, PermitMessages, ReturnTimes, SendPermits } from '@reelspan/upstream.limits'
+import { UpstreamStateMessages, UpstreamStates } from '@reelspan/upstream.signals'
 import { type BoxParts } from './boxParts.js'
 import { sideShare, singleShare } from './limitShares.js'
 
-/** Limits that upstreams name in their answers, to this or any other box. */
-export function createStatedLimits (parts: BoxParts): StatedLimits {
+/** What upstreams advertise in their responses, to this or any other box. */
+export function createUpstreamStates (parts: BoxParts): UpstreamStates {
   const { clock, log, fleet } = parts
-  return new StatedLimits({
+  return new UpstreamStates({
     clock,
     log,
     isListed: (upstream) => fleet.value.upstream(upstream) !== undefined,
-    onChanged: (saying) => parts.limitGossip.tell([saying]),
+    onChanged: (update) => parts.upstreamStateGossip.tell([update]),
   })
 }
 
-export function createLimitGossip (parts: BoxParts): Gossip<LimitSaying> {
-  const { clock, link, statedLimits } = parts
+export function createUpstreamStateGossip (parts: BoxParts): Gossip<UpstreamStateUpdate> {
+  const { clock, link, upstreamStates } = parts
   return new Gossip({
     clock,
     link,
-    book: statedLimits,
-    messages: new LimitNews(),
+    book: upstreamStates,
+    messages: new UpstreamStateMessages(),
     watchedAddresses: () => parts.prober.watchedAddresses(),
-    mayTell: (saying) => statedLimits.mayTell(saying),
-    onTaskError: (thrown) => parts.failures.noteTask('limitGossip', thrown),
+    mayTell: (update) => upstreamStates.mayTell(update),
+    onTaskError: (thrown) => parts.failures.noteTask('upstreamStateGossip', thrown),
   })
 }
 
 /** The buckets of permits whose home is this box. It does not know what another home gave out before, so they begin empty. */
-export function createPermitBook ({ clock, statedLimits, view }: BoxParts): LimitBook {
-  return new LimitBook({ clock, planOf: (upstream) => permitBucketOf(statedLimits, upstream, sideShare(view), 0) })
+export function createPermitBook ({ clock, upstreamStates, view }: BoxParts): LimitBook {
+  return new LimitBook({ clock, planOf: (upstream) => permitBucketOf(upstreamStates, upstream, sideShare(view), 0) })
 }
 
 export function createPermitLimiter (parts: BoxParts): HomeLimiter {
-  const { clock, link, permitBook, random, statedLimits, view } = parts
+  const { clock, link, permitBook, random, upstreamStates, view } = parts
   // Boxes that lose a home at the same moment begin at different points of the way to their first permit.
-  const alone = new EvenShareLimiter({ clock, planOf: (upstream) => permitBucketOf(statedLimits, upstream, singleShare(view), random.nextFloat()) })
+  const alone = new EvenShareLimiter({ clock, planOf: (upstream) => permitBucketOf(upstreamStates, upstream, singleShare(view), random.nextFloat()) })
   const limiter = new HomeLimiter({
     clock,
     link,
-    messages: new PermitMessages((upstream) => statedLimits.sayingOf(upstream)),
+    messages: new PermitMessages((upstream) => upstreamStates.updateOf(upstream)),
     book: permitBook,
     alone,
     onHomeAnswered: (upstream) => alone.forget(upstream),
@@ -52,8 +53,8 @@
   return limiter
 }
 
-export function createPermits ({ clock, metrics, permitLimiter, statedLimits }: BoxParts): SendPermits {
-  return new SendPermits({ clock, limits: statedLimits, limiter: permitLimiter, metrics })
+export function createPermits ({ clock, metrics, permitLimiter, upstreamStates }: BoxParts): SendPermits {
+  return new SendPermits({ clock, limits: upstreamStates, limiter: permitLimiter, metrics })
 }
 
 export function createReturnTimes ({ clock, view }: BoxParts): ReturnTimes {
@@ -61,12 +62,12 @@
 }
 
 /** Answers a box that asks for permits of an upstream whose home this box is, as that box sees the members. */
-export function givePermits ({ statedLimits, permitBook }: Pick<BoxParts, 'statedLimits' | 'permitBook'>, { upstream, cost, said }: MessageOf<MessageType.UpstreamTake>): PeerMessage {
-  if (said) statedLimits.add(said)
+export function givePermits ({ upstreamStates, permitBook }: Pick<BoxParts, 'upstreamStates' | 'permitBook'>, { upstream, cost, said }: MessageOf<MessageType.UpstreamTake>): PeerMessage {
+  if (said) upstreamStates.add(said)
   return { type: MessageType.UpstreamTaken, waitMs: permitBook.take(upstream, cost) }
 }
 
-function permitBucketOf (statedLimits: StatedLimits, upstream: string, share: number, firstLevel: number) {
-  const perSecond = statedLimits.perSecond(upstream)
+function permitBucketOf (upstreamStates: UpstreamStates, upstream: string, share: number, firstLevel: number) {
+  const perSecond = upstreamStates.perSecond(upstream)
   return perSecond === undefined ? undefined : permitBucket(perSecond, share, firstLevel)
 }
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -1,6 +1,6 @@
 import { type ConfigStore } from '@reelspan/config.store'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
-import { Collection, MemberHealth, type LimitSaying, type MessageOf, MessageType, type PeerHandler, type PeerMessage, type RunEvent } from '@reelspan/core.messages'
+import { Collection, MemberHealth, type UpstreamStateUpdate, type MessageOf, MessageType, type PeerHandler, type PeerMessage, type RunEvent } from '@reelspan/core.messages'
 import { type LimitBook } from '@reelspan/membership.limits'
 import { type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
@@ -11,7 +11,7 @@
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type ShardKeepers } from './shardKeepers.js'
 import { type UpstreamReport } from '@reelspan/upstream.health'
-import { type StatedLimits } from '@reelspan/upstream.limits'
+import { type UpstreamStates } from '@reelspan/upstream.signals'
 import { givePermits } from './createLimitParts.js'
 
 export interface PeerDispatchOptions {
@@ -23,9 +23,9 @@
   records: RecordStore
   runGossip: Gossip<RunEvent>
   limitBook: LimitBook
-  limitGossip: Gossip<LimitSaying>
+  upstreamStateGossip: Gossip<UpstreamStateUpdate>
   permitBook: LimitBook
-  statedLimits: StatedLimits
+  upstreamStates: UpstreamStates
   onUpstreamReports: (reports: readonly UpstreamReport[]) => void
   lookup: (availabilityZone?: string) => LookupAnswer
   vouchHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
@@ -42,7 +42,7 @@
   }
 
   async onCall (message: PeerMessage): Promise<PeerMessage> {
-    const { prober, stores, keepers, owner, runGossip, limitBook, limitGossip, permitBook, onUpstreamReports, lookup, vouchHere, describeForStatus } = this.#opts
+    const { prober, stores, keepers, owner, runGossip, limitBook, upstreamStateGossip, permitBook, onUpstreamReports, lookup, vouchHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
         return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
@@ -79,12 +79,12 @@
       case MessageType.AccountGiveBack:
         limitBook.giveBack(message.account, message.cost)
         return DONE
-      case MessageType.LimitsTell:
-        limitGossip.take(message.limits)
+      case MessageType.UpstreamStatesTell:
+        upstreamStateGossip.take(message.updates)
         return DONE
-      case MessageType.LimitsPull:
-        limitGossip.take(message.limits)
-        return { type: MessageType.LimitsContent, limits: limitGossip.known() }
+      case MessageType.UpstreamStatesPull:
+        upstreamStateGossip.take(message.updates)
+        return { type: MessageType.UpstreamStatesContent, updates: upstreamStateGossip.known() }
       case MessageType.UpstreamTake:
         return givePermits(this.#opts, message)
       case MessageType.UpstreamGiveBack:
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 import { answerEventSchema } from './answer.js'
 import { holdLabelSchema } from './holdLabel.js'
-import { limitSayingSchema } from './limitSaying.js'
+import { upstreamStateUpdateSchema } from './upstreamStateUpdate.js'
 import { memberSchema } from './member.js'
 import { placementAnswerSchema, placementPlanSchema, placementReportSchema, reserveRequestSchema } from './placement.js'
 import { requestSchema } from './request.js'
@@ -53,9 +53,9 @@
   AccountTake = 'accountTake',
   AccountTaken = 'accountTaken',
   AccountGiveBack = 'accountGiveBack',
-  LimitsTell = 'limitsTell',
-  LimitsPull = 'limitsPull',
-  LimitsContent = 'limitsContent',
+  UpstreamStatesTell = 'upstreamStatesTell',
+  UpstreamStatesPull = 'upstreamStatesPull',
+  UpstreamStatesContent = 'upstreamStatesContent',
   UpstreamTake = 'upstreamTake',
   UpstreamTaken = 'upstreamTaken',
   UpstreamGiveBack = 'upstreamGiveBack',
@@ -90,8 +90,8 @@
   heardAgoMs: durationMs.optional(),
   /** Digest of the run events that the sender knows. Left out when it knows of none. */
   runsDigest: z.number().optional(),
-  /** Digest of the limits that upstreams name, as the sender knows them. Left out when it knows of none. */
-  limitsDigest: z.number().optional(),
+  /** Digest of the advertised states that the sender knows. Left out when it knows of none. */
+  upstreamStatesDigest: z.number().optional(),
   /** In an answer: what the sender can prove of its configuration. */
   proof: z.object({ revision, ageMs: durationMs }).optional(),
 }
@@ -196,17 +196,17 @@
   }),
   /** What was taken was not used. */
   message(MessageType.AccountGiveBack, { account: z.string(), cost: z.number().positive() }),
-  /** Limits that upstreams named, which the receiver may not know yet. */
-  message(MessageType.LimitsTell, { limits: z.array(limitSayingSchema) }),
-  /** Asks for all limits that the receiver knows, and tells of those that the sender does. */
-  message(MessageType.LimitsPull, { limits: z.array(limitSayingSchema) }),
-  message(MessageType.LimitsContent, { limits: z.array(limitSayingSchema) }),
+  /** Advertised states of upstreams that the receiver may not know yet. */
+  message(MessageType.UpstreamStatesTell, { updates: z.array(upstreamStateUpdateSchema) }),
+  /** Asks for all advertised states that the receiver knows, and carries those of the sender. */
+  message(MessageType.UpstreamStatesPull, { updates: z.array(upstreamStateUpdateSchema) }),
+  message(MessageType.UpstreamStatesContent, { updates: z.array(upstreamStateUpdateSchema) }),
   /** Takes permits from the limit of an upstream whose bucket the receiver keeps. */
   message(MessageType.UpstreamTake, {
     upstream: z.string(),
     cost: z.number().positive(),
     /** The limit as the sender knows it. */
-    said: limitSayingSchema.optional(),
+    said: upstreamStateUpdateSchema.optional(),
   }),
   message(MessageType.UpstreamTaken, {
     /** 0 when they are taken, else how long until they could be. */
--- a/core/messages/src/limitSaying.ts
+++ b/core/messages/src/upstreamStateUpdate.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 
-/** What an upstream said of its limit, and how long ago. */
-export const limitSayingSchema = z.object({
+/** State that an upstream advertised, and how long ago. */
+export const upstreamStateUpdateSchema = z.object({
   /** Names one start of the upstream. */
   upstream: z.string(),
   /** Requests a second that it takes from all boxes together. Left out when it names no limit any more. */
@@ -9,4 +9,4 @@
   ageMs: z.number().nonnegative(),
 })
 
-export type LimitSaying = z.infer<typeof limitSayingSchema>
+export type UpstreamStateUpdate = z.infer<typeof upstreamStateUpdateSchema>
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -8,7 +8,7 @@
 import { watchedMembers } from './watchedMembers.js'
 
 /** Digests of the news that a box knows, by kind. Nothing for a kind of which it knows none. */
-export type NewsDigests = Pick<MessageOf<MessageType.Heartbeat>, 'runsDigest' | 'limitsDigest'>
+export type NewsDigests = Pick<MessageOf<MessageType.Heartbeat>, 'runsDigest' | 'upstreamStatesDigest'>
 
 export interface ProberOptions {
   clock: Clock
--- a/request/relay/src/pickPermitted.ts
+++ b/request/relay/src/pickPermitted.ts
@@ -57,7 +57,7 @@
 export function refuseUnpicked ({ opts, decided }: RelayContext, pool: string, waitsMs: ReadonlyMap<string, number>): ReelspanError {
   if (waitsMs.size === 0) return new ReelspanError(ErrorCode.NoUpstream, `pool ${pool} has no upstream that takes work`, { retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
   const upstreams = [...waitsMs.keys()]
-  const perSecond = upstreams.reduce((sum, upstream) => sum + (opts.statedLimits.perSecond(upstream) ?? 0), 0)
+  const perSecond = upstreams.reduce((sum, upstream) => sum + (opts.upstreamStates.perSecond(upstream) ?? 0), 0)
   const retryAfterMs = Math.ceil(opts.returnTimes.book(pool, perSecond, Math.min(...waitsMs.values())))
   decided(LogEvent.UpstreamsAtLimit, { upstreams, retryAfterMs })
   return new ReelspanError(ErrorCode.UpstreamLimit, `upstreams of ${pool} take ${Number(perSecond.toFixed(2))} requests a second and have got them: ${upstreams.join(', ')}`, { retryAfterMs })
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -7,7 +7,8 @@
 import { type Log } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type UpstreamReports } from '@reelspan/upstream.health'
-import { type ReturnTimes, type SendPermits, type StatedLimits } from '@reelspan/upstream.limits'
+import { type ReturnTimes, type SendPermits } from '@reelspan/upstream.limits'
+import { type UpstreamStates } from '@reelspan/upstream.signals'
 import { type RelayClient } from '@reelspan/upstream.client'
 
 export interface RelayOptions {
@@ -28,7 +29,7 @@
   /** What boxes tell each other of upstreams that close connections without an answer. */
   upstreamReports: Pick<UpstreamReports, 'isFailing'>
   /** What upstreams say of how many requests they take. */
-  statedLimits: StatedLimits
+  upstreamStates: UpstreamStates
   /** What it takes to send an upstream a request. */
   permits: SendPermits
   /** When callers come back that no upstream may be sent. */
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -37,8 +37,8 @@
   return opts.upstreams.prefill(to.target, request, accountedFor(context, to, callOptions))
 }
 
-/** Uses the permit when the request is sent, and takes in what the answer says of the upstream. */
-function accountedFor<T extends RelayCallOptions> ({ opts: { clock, statedLimits } }: RelayContext, { target, permit }: PermittedTarget, callOptions: T): T {
+/** Uses the permit when the request is sent, and observes what the response advertises. */
+function accountedFor<T extends RelayCallOptions> ({ opts: { clock, upstreamStates } }: RelayContext, { target, permit }: PermittedTarget, callOptions: T): T {
   let sentAtMs = clock.nowMs()
   return {
     ...callOptions,
@@ -47,6 +47,6 @@
       permit.noteSent()
       callOptions.onSend?.()
     },
-    onAnswer: (said) => statedLimits.noteAnswer(target.instance, said, sentAtMs),
+    onSignals: (signals) => upstreamStates.observe(target.instance, signals, sentAtMs),
   }
 }
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -9,7 +9,8 @@
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
 import { UpstreamReports } from '@reelspan/upstream.health'
-import { permitBucket, ReturnTimes, SendPermits, StatedLimits } from '@reelspan/upstream.limits'
+import { permitBucket, ReturnTimes, SendPermits } from '@reelspan/upstream.limits'
+import { UpstreamStates } from '@reelspan/upstream.signals'
 import { KeepingCaller } from '@reelspan/utils.fake-fleet'
 import { NO_ACCOUNTS, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
@@ -212,11 +213,11 @@
   const desk = services.map((name, i): ListedUpstream => ({ name, kind: UpstreamKind.Service, address: `10.0.2.${i}:1`, availabilityZone: 'a', pool: 'desk', leaving: false }))
   const engines = ['p1', 'd1', 'd2', 'd3', 'd4'].map((name): ListedUpstream => ({ name, kind: UpstreamKind.Engine, address: '10.0.3.1:1', availabilityZone: 'a', pool: name.startsWith('p') ? 'p' : 'd', leaving: false }))
   const fleet = () => new FleetList([], [...desk, ...engines])
-  const statedLimits = new StatedLimits({ clock, log, isListed: () => true })
+  const upstreamStates = new UpstreamStates({ clock, log, isListed: () => true })
   const limiter = new EvenShareLimiter({
     clock,
     planOf: (upstream) => {
-      const perSecond = statedLimits.perSecond(upstream)
+      const perSecond = upstreamStates.perSecond(upstream)
       return perSecond === undefined ? undefined : permitBucket(perSecond, 1, 1)
     },
   })
@@ -227,8 +228,8 @@
     placer,
     admission,
     upstreamReports: reports,
-    statedLimits,
-    permits: new SendPermits({ clock, limits: statedLimits, limiter, metrics }),
+    upstreamStates,
+    permits: new SendPermits({ clock, limits: upstreamStates, limiter, metrics }),
     returnTimes: new ReturnTimes({ clock, boxCount: () => 1 }),
     onClosedUnanswered: (upstream) => { reports.add({ id: `own-${closedUnanswered.push(upstream)}`, upstream, box: 'test', ageMs: 0 }) },
     configuration: () => clock.nowMs() - startedAtMs >= configuredAfterMs ? configuration : new Configuration(0, []),
@@ -245,7 +246,7 @@
     log,
     metrics,
   })
-  return { clock, relay, upstreams, statedLimits, placer, probe, quarantine, log, engines, reports, closedUnanswered }
+  return { clock, relay, upstreams, upstreamStates, placer, probe, quarantine, log, engines, reports, closedUnanswered }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
--- a/request/relay/test/upstreamLimits.ts
+++ b/request/relay/test/upstreamLimits.ts
@@ -1,18 +1,18 @@
 import { ErrorCode, Verdict } from '@reelspan/core.error'
 import { PlacementOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type StatedLimits } from '@reelspan/upstream.limits'
+import { type UpstreamStates } from '@reelspan/upstream.signals'
 import test from 'ava'
 import { answers, answersAfter, createRelay, RecordingCaller, requestTo } from './__utils__/createRelay.js'
 
 /** Upstreams take one request in ten seconds, the first one now. */
-function limit (statedLimits: StatedLimits, upstreams: readonly string[]): void {
-  upstreams.forEach((upstream) => statedLimits.noteAnswer(upstream, { succeeded: true, limit: { perSecond: 0.1, text: '0.1' } }, 0))
+function limit (upstreamStates: UpstreamStates, upstreams: readonly string[]): void {
+  upstreams.forEach((upstream) => upstreamStates.observe(upstream, { succeeded: true, rateLimit: { perSecond: 0.1, text: '0.1' } }, 0))
 }
 
 test('an upstream at its limit is passed over, which is no attempt, and what none takes is refused unrun with a time to return', async (t) => {
-  const { clock, relay, upstreams, statedLimits, log } = createRelay(Array.from({ length: 3 }, () => answers(200, 'script')))
-  limit(statedLimits, ['s1', 's2', 's3'])
+  const { clock, relay, upstreams, upstreamStates, log } = createRelay(Array.from({ length: 3 }, () => answers(200, 'script')))
+  limit(upstreamStates, ['s1', 's2', 's3'])
   const callers = [0, 1, 2, 3].map(() => new RecordingCaller())
   for (const caller of callers) await clock.run(relay.relay(requestTo('/fetch/1'), caller))
   t.deepEqual(upstreams.runs.map(({ instance }) => instance).sort(), ['s1', 's2', 's3'])
@@ -24,8 +24,8 @@
 })
 
 test('callers that are refused one after the other are told to come back one after the other', async (t) => {
-  const { clock, relay, statedLimits } = createRelay([answers(200, 'script')], { services: ['s1'] })
-  limit(statedLimits, ['s1'])
+  const { clock, relay, upstreamStates } = createRelay([answers(200, 'script')], { services: ['s1'] })
+  limit(upstreamStates, ['s1'])
   const callers = [0, 1, 2].map(() => new RecordingCaller())
   for (const caller of callers) await clock.run(relay.relay(requestTo('/fetch/1'), caller))
   const [, first, second] = callers.map(({ refused }) => refused?.retryAfterMs ?? 0)
@@ -33,8 +33,8 @@
 })
 
 test('a permit of a request that was not sent is given back', async (t) => {
-  const { clock, relay, upstreams, statedLimits } = createRelay([answers(200, 'script')], { services: ['s1'] })
-  limit(statedLimits, ['s1'])
+  const { clock, relay, upstreams, upstreamStates } = createRelay([answers(200, 'script')], { services: ['s1'] })
+  limit(upstreamStates, ['s1'])
   upstreams.unreachable.add('s1')
   await clock.run(relay.relay(requestTo('/fetch/1'), new RecordingCaller()))
   upstreams.unreachable.clear()
@@ -44,8 +44,8 @@
 })
 
 test('a failure is passed on where no other upstream takes the request', async (t) => {
-  const { clock, relay, upstreams, statedLimits } = createRelay([answers(200, 'one'), answers(500, 'oops')], { services: ['s1', 's2'] })
-  limit(statedLimits, ['s1', 's2'])
+  const { clock, relay, upstreams, upstreamStates } = createRelay([answers(200, 'one'), answers(500, 'oops')], { services: ['s1', 's2'] })
+  limit(upstreamStates, ['s1', 's2'])
   await clock.run(relay.relay(requestTo('/status/1'), new RecordingCaller()))
   const caller = new RecordingCaller()
   await clock.run(relay.relay(requestTo('/status/1', { id: 'r2' }), caller))
@@ -56,8 +56,8 @@
 })
 
 test('a silent upstream is waited for where no other takes the request', async (t) => {
-  const { clock, relay, upstreams, statedLimits } = createRelay([answers(200, 'one'), answersAfter(1500, 200, 'late')], { services: ['s1', 's2'] })
-  limit(statedLimits, ['s1', 's2'])
+  const { clock, relay, upstreams, upstreamStates } = createRelay([answers(200, 'one'), answersAfter(1500, 200, 'late')], { services: ['s1', 's2'] })
+  limit(upstreamStates, ['s1', 's2'])
   await clock.run(relay.relay(requestTo('/status/1'), new RecordingCaller()))
   const caller = new RecordingCaller()
   await clock.run(relay.relay(requestTo('/status/1', { id: 'r2' }), caller))
@@ -66,13 +66,13 @@
 })
 
 test('a stream is placed again without an engine at its limit, and nothing of it is sent there', async (t) => {
-  const { clock, relay, upstreams, placer, statedLimits } = createRelay([answers(200, 'data: 1\n\n')])
-  limit(statedLimits, ['d1', 'p1'])
+  const { clock, relay, upstreams, placer, upstreamStates } = createRelay([answers(200, 'data: 1\n\n')])
+  limit(upstreamStates, ['d1', 'p1'])
   const caller = new RecordingCaller()
   placer.ownPrefill = true
   await clock.run(relay.relay(requestTo('/draft/1'), caller))
   t.deepEqual(upstreams.runs.map(({ instance }) => instance), ['d1'])
-  limit(statedLimits, ['d2'])
+  limit(upstreamStates, ['d2'])
   placer.asked.length = 0
   const again = new RecordingCaller()
   upstreams.runs.length = 0
@@ -84,8 +84,8 @@
 })
 
 test('a stream that no engine takes is refused unrun, with the time until one does', async (t) => {
-  const { clock, relay, upstreams, placer, statedLimits } = createRelay([answers(200, 'data: 1\n\n')])
-  limit(statedLimits, ['p1'])
+  const { clock, relay, upstreams, placer, upstreamStates } = createRelay([answers(200, 'data: 1\n\n')])
+  limit(upstreamStates, ['p1'])
   await clock.run(relay.relay(requestTo('/draft/1'), new RecordingCaller()))
   const place = placer.place.bind(placer)
   placer.place = async (request) => {
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -1,4 +1,4 @@
-import { type AnswerSaid } from './answerSaid.js'
+import { type UpstreamSignals } from './upstreamSignals.js'
 import { type UpstreamCallOptions } from './engineClient.js'
 
 /** Declared sizes of a prompt that is itself opaque. */
@@ -53,8 +53,8 @@
   deadlineMs: number
   /** The upstream may act on the request from now on. Always called before anything is sent. */
   onSend?: () => void
-  /** Told of each answer as soon as its head is there: success, failure or refusal. */
-  onAnswer?: (said: AnswerSaid) => void
+  /** Called with each response head: success, failure or refusal. */
+  onSignals?: (signals: UpstreamSignals) => void
 }
 
 export interface RelayRunOptions extends RelayCallOptions {
--- a/upstream/limits/src/index.ts
+++ b/upstream/limits/src/index.ts
@@ -1,8 +1,5 @@
-export { LimitNews } from './limitNews.js'
 export { permitBucket } from './permitBucket.js'
 export { PermitMessages } from './permitMessages.js'
 export { ReturnTimes } from './returnTimes.js'
 export { SendPermit } from './sendPermit.js'
 export { SendPermits } from './sendPermits.js'
-export { StatedLimits } from './statedLimits.js'
-export type { StatedLimitsOptions } from './statedLimits.js'
--- a/upstream/limits/src/sendPermits.ts
+++ b/upstream/limits/src/sendPermits.ts
@@ -1,12 +1,12 @@
 import { type Clock } from '@reelspan/core.env'
 import { type SharedLimiter } from '@reelspan/membership.limits'
 import { type Metrics } from '@reelspan/telemetry.metrics'
+import { type UpstreamStates } from '@reelspan/upstream.signals'
 import { SendPermit } from './sendPermit.js'
-import { type StatedLimits } from './statedLimits.js'
 
 export interface SendPermitsOptions {
   clock: Clock
-  limits: StatedLimits
+  limits: UpstreamStates
   limiter: SharedLimiter
   metrics: Metrics
 }
--- a/upstream/limits/test/sendPermits.ts
+++ b/upstream/limits/test/sendPermits.ts
@@ -1,6 +1,7 @@
 import { type LimitedCost, SharedLimiter } from '@reelspan/membership.limits'
 import { Metrics } from '@reelspan/telemetry.metrics'
-import { SendPermits, StatedLimits } from '@reelspan/upstream.limits'
+import { SendPermits } from '@reelspan/upstream.limits'
+import { UpstreamStates } from '@reelspan/upstream.signals'
 import { SilentLog } from '@reelspan/utils.fake-fleet'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -24,9 +25,9 @@
 
 function create () {
   const clock = new VirtualClock()
-  const limits = new StatedLimits({ clock, log: new SilentLog(), isListed: () => true })
+  const limits = new UpstreamStates({ clock, log: new SilentLog(), isListed: () => true })
   const limiter = new CountingLimiter()
-  const name = (perSecond: number) => limits.noteAnswer('a', { succeeded: true, limit: { perSecond, text: '' } }, 0)
+  const name = (perSecond: number) => limits.observe('a', { succeeded: true, rateLimit: { perSecond, text: '' } }, 0)
   return { clock, limiter, limits, name, permits: new SendPermits({ clock, limits, limiter, metrics: new Metrics() }) }
 }
 
--- /dev/null
+++ b/upstream/signals/src/index.ts
@@ -0,0 +1,3 @@
+export { UpstreamStateMessages } from './upstreamStateMessages.js'
+export { UpstreamStates } from './upstreamStates.js'
+export type { UpstreamStatesOptions } from './upstreamStates.js'
--- a/upstream/limits/test/statedLimits.ts
+++ b/upstream/signals/test/upstreamStates.ts
@@ -1,5 +1,5 @@
 import { LogEvent } from '@reelspan/telemetry.log'
-import { StatedLimits } from '@reelspan/upstream.limits'
+import { UpstreamStates } from '@reelspan/upstream.signals'
 import { SilentLog } from '@reelspan/utils.fake-fleet'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -8,18 +8,18 @@
   const clock = new VirtualClock()
   const log = new SilentLog()
   const listed = new Set(['a'])
-  return { clock, log, limits: new StatedLimits({ clock, log, isListed: (name) => listed.has(name) }) }
+  return { clock, log, limits: new UpstreamStates({ clock, log, isListed: (name) => listed.has(name) }) }
 }
 
-const named = (perSecond: number, succeeded = true) => ({ succeeded, limit: { perSecond, text: String(perSecond) } })
+const named = (perSecond: number, succeeded = true) => ({ succeeded, rateLimit: { perSecond, text: String(perSecond) } })
 const SILENT = { succeeded: true }
 
 test('a limit holds from the first answer that names it, a failure or refusal too', (t) => {
   const { clock, limits, log } = create()
   t.is(limits.perSecond('a'), undefined)
-  limits.noteAnswer('a', named(3, false), clock.nowMs())
+  limits.observe('a', named(3, false), clock.nowMs())
   t.is(limits.perSecond('a'), 3)
-  limits.noteAnswer('a', named(5.1), clock.nowMs())
+  limits.observe('a', named(5.1), clock.nowMs())
   t.is(limits.perSecond('a'), 5.1)
   t.deepEqual(log.entries.map(({ event, fields }) => [event, fields?.perSecond]), [[LogEvent.UpstreamLimitChanged, 3], [LogEvent.UpstreamLimitChanged, 5.1]])
 })
@@ -28,26 +28,26 @@
   const { clock, limits } = create()
   const before = clock.nowMs()
   await clock.advance(100)
-  limits.noteAnswer('a', named(3), before)
+  limits.observe('a', named(3), before)
   await clock.advance(100)
-  limits.noteAnswer('a', SILENT, before)
-  limits.noteAnswer('a', { succeeded: false }, clock.nowMs())
+  limits.observe('a', SILENT, before)
+  limits.observe('a', { succeeded: false }, clock.nowMs())
   t.is(limits.perSecond('a'), 3)
-  limits.noteAnswer('a', SILENT, clock.nowMs())
+  limits.observe('a', SILENT, clock.nowMs())
   t.is(limits.perSecond('a'), undefined)
 })
 
 test('a limit that cannot be read changes nothing, and is told of once', (t) => {
   const { clock, limits, log } = create()
-  limits.noteAnswer('a', named(3), clock.nowMs())
-  for (let i = 0; i < 5; i++) limits.noteAnswer('a', { succeeded: true, limit: { text: 'some' } }, clock.nowMs())
+  limits.observe('a', named(3), clock.nowMs())
+  for (let i = 0; i < 5; i++) limits.observe('a', { succeeded: true, rateLimit: { text: 'some' } }, clock.nowMs())
   t.is(limits.perSecond('a'), 3)
   t.is(log.count(LogEvent.UpstreamLimitUnreadable), 1)
 })
 
 test('an upstream that starts again owes nothing to the limit of its start before, which is forgotten', async (t) => {
   const { clock, limits } = create()
-  limits.noteAnswer('a@1', named(3), clock.nowMs())
+  limits.observe('a@1', named(3), clock.nowMs())
   t.is(limits.perSecond('a@2'), undefined)
   limits.expire()
   t.is(limits.perSecond('a@1'), 3)
