--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@reelspan/core.env'
-import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, type AdvertisedRateLimit, UpstreamError } from '@reelspan/upstream.client'
+import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, type UpstreamSignals } from '@reelspan/upstream.client'
 import { type FakeNetwork } from './fakeNetwork.js'
 import { type NodeClock } from './nodeClock.js'
 
@@ -39,8 +39,10 @@
   readonly endedUnder: { id: string, target: string, address: string, atMs: number }[] = []
   /** Whether an upstream that begins to run the request ends. */
   endsUpstream: (request: RelayedRequest) => boolean = () => false
-  /** What an upstream names as its limit in its answers, if it names one. */
-  limitNamedBy: (upstream: string) => AdvertisedRateLimit | undefined = () => undefined
+  /** What an upstream advertises in its responses to a box. */
+  signalsOf: (upstream: string, boxAddress: string) => Partial<UpstreamSignals> = () => ({})
+  /** The status with which an upstream refuses a request without running it, if it does. */
+  refusalStatusOf: (upstream: string, boxAddress: string) => number | undefined = () => undefined
   readonly #opts: RelayedUpstreamsOptions
   /** Aborted when the process at the address ends. */
   readonly #processes = new Map<string, AbortController>()
@@ -112,22 +114,40 @@
 
   async run (target: RelayTarget, request: RelayedRequest, opts: RelayRunOptions): Promise<RelayAnswer> {
     await this.#arrive(target, request, opts, false)
+    const status = this.#refusalStatusOf(target)
+    if (status !== undefined) return this.#refused(target, opts, status)
     const answer = this.#opts.upstreams.run(target, request, opts)
-    this.#answered(target, opts)
+    this.#advertise(target, opts, true)
     return answer
   }
 
   async prefill (target: RelayTarget, request: RelayedRequest, opts: RelayCallOptions): Promise<PrefilledPrompt> {
     await this.#arrive(target, request, opts, true)
+    const status = this.#refusalStatusOf(target)
+    if (status !== undefined) {
+      this.#refused(target, opts, status)
+      throw new UpstreamError(`${target.instance} answered a prefill with ${status}`, { mayHaveRun: false, refused: true })
+    }
     const prefilled = await this.#opts.upstreams.prefill(target, opts.signal)
-    this.#answered(target, opts)
+    this.#advertise(target, opts, true)
     return prefilled
   }
 
   async free (_source: PrefillSource): Promise<void> {}
 
-  #answered ({ instance }: RelayTarget, { onSignals }: RelayCallOptions): void {
-    onSignals?.({ succeeded: true, rateLimit: this.#opts.upstreams.limitNamedBy(instance) })
+  #refusalStatusOf ({ instance }: RelayTarget): number | undefined {
+    const { upstreams, address } = this.#opts
+    return upstreams.refusalStatusOf(instance, address)
+  }
+
+  #refused (target: RelayTarget, opts: RelayCallOptions, status: number): RelayAnswer {
+    this.#advertise(target, opts, false)
+    return { status, notRun: true, headers: [], body: nothing() }
+  }
+
+  #advertise ({ instance }: RelayTarget, { onSignals }: RelayCallOptions, succeeded: boolean): void {
+    const { upstreams, address } = this.#opts
+    onSignals?.({ succeeded, ...upstreams.signalsOf(instance, address) })
   }
 
   async #arrive (target: RelayTarget, { id, target: path }: RelayedRequest, { onSend, signal }: RelayCallOptions, prefill: boolean): Promise<void> {
@@ -149,6 +169,8 @@
   })
 }
 
+async function * nothing (): AsyncGenerator<Uint8Array> {}
+
 function brokenOff (address: string): UpstreamError {
   return new UpstreamError(`${address} closed the connection`, { mayHaveRun: true, unreachable: true })
 }
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -16,7 +16,7 @@
 import { type Placer } from '@reelspan/scheduling.placer'
 import { type UpstreamReport, type UpstreamReports } from '@reelspan/upstream.health'
 import { type ReturnTimes, type SendPermits } from '@reelspan/upstream.limits'
-import { type UpstreamStates } from '@reelspan/upstream.signals'
+import { type Backoffs, type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
 import { type BeliefAges } from './beliefAges.js'
 import { type Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
@@ -60,8 +60,10 @@
   brokenRuns: BrokenRuns
   upstreamReports: UpstreamReports
   reportFlood: Flood<UpstreamReport>
-  /** Limits that upstreams name in their answers. */
+  /** What upstreams advertise in their responses. */
   upstreamStates: UpstreamStates
+  backoffs: Backoffs
+  signals: SignalObserver
   upstreamStateGossip: Gossip<UpstreamStateUpdate>
   /** Buckets of permits for upstreams whose home is this box. */
   permitBook: LimitBook
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -17,8 +17,9 @@
 import { ConnectionShares } from './connectionShares.js'
 import { createAdmission, createLimitBook, createLimiter, createProof, createProofKeeper } from './createAccountParts.js'
 import { createContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
-import { createUpstreamStateGossip, createPermitBook, createPermitLimiter, createPermits, createReturnTimes, createUpstreamStates } from './createLimitParts.js'
+import { createPermitBook, createPermitLimiter, createPermits, createReturnTimes } from './createLimitParts.js'
 import { createPlacer } from './createPlacer.js'
+import { createBackoffs, createSignalObserver, createUpstreamStateGossip, createUpstreamStates } from './createSignalParts.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { FailureLog } from './failureLog.js'
 import { LoggedEngineClient } from './loggedEngineClient.js'
@@ -61,6 +62,8 @@
     upstreamReports: asFunction((parts: BoxParts) => new UpstreamReports(parts)).singleton(),
     reportFlood: asFunction(createReportFlood).singleton(),
     upstreamStates: asFunction(createUpstreamStates).singleton(),
+    backoffs: asFunction(createBackoffs).singleton(),
+    signals: asFunction(createSignalObserver).singleton(),
     upstreamStateGossip: asFunction(createUpstreamStateGossip).singleton(),
     permitBook: asFunction(createPermitBook).singleton(),
     permitLimiter: asFunction(createPermitLimiter).singleton(),
@@ -228,6 +231,7 @@
     placer,
     admission: parts.admission,
     upstreamReports: parts.upstreamReports,
+    signals: parts.signals,
     upstreamStates: parts.upstreamStates,
     permits: parts.permits,
     returnTimes: parts.returnTimes,
--- a/box/runtime/src/createLimitParts.ts
+++ b/box/runtime/src/createLimitParts.ts
@@ -1,35 +1,10 @@
-import { type UpstreamStateUpdate, type MessageOf, MessageType, type PeerMessage } from '@reelspan/core.messages'
+import { type MessageOf, MessageType, type PeerMessage } from '@reelspan/core.messages'
 import { EvenShareLimiter, HomeLimiter, LimitBook } from '@reelspan/membership.limits'
-import { Gossip } from '@reelspan/membership.prober'
 import { permitBucket, PermitMessages, ReturnTimes, SendPermits } from '@reelspan/upstream.limits'
-import { UpstreamStateMessages, UpstreamStates } from '@reelspan/upstream.signals'
+import { type UpstreamStates } from '@reelspan/upstream.signals'
 import { type BoxParts } from './boxParts.js'
 import { sideShare, singleShare } from './limitShares.js'
 
-/** What upstreams advertise in their responses, to this or any other box. */
-export function createUpstreamStates (parts: BoxParts): UpstreamStates {
-  const { clock, log, fleet } = parts
-  return new UpstreamStates({
-    clock,
-    log,
-    isListed: (upstream) => fleet.value.upstream(upstream) !== undefined,
-    onChanged: (update) => parts.upstreamStateGossip.tell([update]),
-  })
-}
-
-export function createUpstreamStateGossip (parts: BoxParts): Gossip<UpstreamStateUpdate> {
-  const { clock, link, upstreamStates } = parts
-  return new Gossip({
-    clock,
-    link,
-    book: upstreamStates,
-    messages: new UpstreamStateMessages(),
-    watchedAddresses: () => parts.prober.watchedAddresses(),
-    mayTell: (update) => upstreamStates.mayTell(update),
-    onTaskError: (thrown) => parts.failures.noteTask('upstreamStateGossip', thrown),
-  })
-}
-
 /** The buckets of permits whose home is this box. It does not know what another home gave out before, so they begin empty. */
 export function createPermitBook ({ clock, upstreamStates, view }: BoxParts): LimitBook {
   return new LimitBook({ clock, planOf: (upstream) => permitBucketOf(upstreamStates, upstream, sideShare(view), 0) })
--- /dev/null
+++ b/box/runtime/src/createSignalParts.ts
@@ -0,0 +1,36 @@
+import { type UpstreamStateUpdate } from '@reelspan/core.messages'
+import { Gossip } from '@reelspan/membership.prober'
+import { Backoffs, SignalObserver, UpstreamStateMessages, UpstreamStates } from '@reelspan/upstream.signals'
+import { type BoxParts } from './boxParts.js'
+
+/** What upstreams advertise in their responses, to this or any other box. */
+export function createUpstreamStates (parts: BoxParts): UpstreamStates {
+  const { clock, log, fleet } = parts
+  return new UpstreamStates({
+    clock,
+    log,
+    isListed: (upstream) => fleet.value.upstream(upstream) !== undefined,
+    onChanged: (update) => parts.upstreamStateGossip.tell([update]),
+  })
+}
+
+export function createUpstreamStateGossip (parts: BoxParts): Gossip<UpstreamStateUpdate> {
+  const { clock, link, upstreamStates } = parts
+  return new Gossip({
+    clock,
+    link,
+    book: upstreamStates,
+    messages: new UpstreamStateMessages(),
+    watchedAddresses: () => parts.prober.watchedAddresses(),
+    mayTell: (update) => upstreamStates.mayTell(update),
+    onTaskError: (thrown) => parts.failures.noteTask('upstreamStateGossip', thrown),
+  })
+}
+
+export function createBackoffs (parts: BoxParts): Backoffs {
+  return new Backoffs(parts)
+}
+
+export function createSignalObserver ({ clock, log, upstreamStates: states, backoffs }: BoxParts): SignalObserver {
+  return new SignalObserver({ clock, log, states, backoffs })
+}
--- a/box/runtime/src/registerBoxMetrics.ts
+++ b/box/runtime/src/registerBoxMetrics.ts
@@ -3,12 +3,14 @@
 
 /** Registers what a box tells of its own state in the metrics. */
 export function registerBoxMetrics (parts: BoxParts): void {
-  const { metrics, owner, log, beliefAges, quarantine, runHistory, proof, upstreamStates } = parts
+  const { metrics, owner, log, beliefAges, quarantine, runHistory, proof, upstreamStates, backoffs } = parts
   metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
   metrics.gauge('reelspan_log_lines_dropped_total', () => log.droppedLines)
   metrics.gauge('reelspan_requests_quarantined', () => quarantine.countQuarantined())
   metrics.gauge('reelspan_run_events_known', () => runHistory.size)
   metrics.gauge('reelspan_upstreams_limited', () => upstreamStates.count)
+  metrics.gauge('reelspan_upstreams_draining', () => upstreamStates.drainingCount)
+  metrics.gauge('reelspan_upstreams_backing_off', () => backoffs.count)
   if (proof.isNeeded) metrics.gauge('reelspan_accounts_proof_age_ms', () => proof.ageMs)
   metrics.gauges('reelspan_belief_age_ms', () => beliefAges.values())
   metrics.gauges('reelspan_retry_budget_left', () => retryBudgets(parts))
--- a/box/runtime/test/__utils__/limitedUpstreams.ts
+++ b/box/runtime/test/__utils__/limitedUpstreams.ts
@@ -11,9 +11,9 @@
 
 /** Upstreams name these limits from now on, and the others none. */
 export function nameLimits ({ relayed }: FakeFleet, limits: Readonly<Record<string, number>>): void {
-  relayed.limitNamedBy = (upstream) => {
+  relayed.signalsOf = (upstream) => {
     const perSecond = limits[upstream]
-    return perSecond === undefined ? undefined : { perSecond, text: String(perSecond) }
+    return perSecond === undefined ? {} : { rateLimit: { perSecond, text: String(perSecond) } }
   }
 }
 
--- a/box/runtime/test/upstreamLimitShared.ts
+++ b/box/runtime/test/upstreamLimitShared.ts
@@ -119,7 +119,7 @@
 test('what cannot be read as a limit changes nothing', async (t) => {
   const fleet = await startFleet()
   const namedAtMs = fleet.clock.nowMs()
-  fleet.relayed.limitNamedBy = (upstream) => upstream === 'desk-1' ? { text: 'few' } : undefined
+  fleet.relayed.signalsOf = (upstream) => upstream === 'desk-1' ? { rateLimit: { text: 'few' } } : {}
   const outcomes = await load(fleet, { target: '/status/', perSecond: 40, seconds: 8 })
   t.deepEqual(refused(outcomes), [])
   t.true(takenAt(fleet, 'desk-1', 5, { namedAtMs, seconds: 5 }) >= LEAST_TAKEN)
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -8,7 +8,7 @@
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type UpstreamReports } from '@reelspan/upstream.health'
 import { type ReturnTimes, type SendPermits } from '@reelspan/upstream.limits'
-import { type UpstreamStates } from '@reelspan/upstream.signals'
+import { type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
 import { type RelayClient } from '@reelspan/upstream.client'
 
 export interface RelayOptions {
@@ -28,7 +28,9 @@
   standing: () => { peerAddress: string, incarnation: string, availabilityZone: string }
   /** What boxes tell each other of upstreams that close connections without an answer. */
   upstreamReports: Pick<UpstreamReports, 'isFailing'>
-  /** What upstreams say of how many requests they take. */
+  /** Takes in what responses advertise about their upstreams. */
+  signals: SignalObserver
+  /** What upstreams advertised of late, to any box. */
   upstreamStates: UpstreamStates
   /** What it takes to send an upstream a request. */
   permits: SendPermits
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -38,7 +38,7 @@
 }
 
 /** Uses the permit when the request is sent, and observes what the response advertises. */
-function accountedFor<T extends RelayCallOptions> ({ opts: { clock, upstreamStates } }: RelayContext, { target, permit }: PermittedTarget, callOptions: T): T {
+function accountedFor<T extends RelayCallOptions> ({ opts: { clock, signals } }: RelayContext, { target, permit }: PermittedTarget, callOptions: T): T {
   let sentAtMs = clock.nowMs()
   return {
     ...callOptions,
@@ -47,6 +47,6 @@
       permit.noteSent()
       callOptions.onSend?.()
     },
-    onSignals: (signals) => upstreamStates.observe(target.instance, signals, sentAtMs),
+    onSignals: (advertised) => signals.observe(target.instance, advertised, sentAtMs),
   }
 }
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -10,7 +10,7 @@
 import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamPresence, UpstreamProbe } from '@reelspan/upstream.client'
 import { UpstreamReports } from '@reelspan/upstream.health'
 import { permitBucket, ReturnTimes, SendPermits } from '@reelspan/upstream.limits'
-import { UpstreamStates } from '@reelspan/upstream.signals'
+import { Backoffs, SignalObserver, UpstreamStates } from '@reelspan/upstream.signals'
 import { KeepingCaller } from '@reelspan/utils.fake-fleet'
 import { NO_ACCOUNTS, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
@@ -214,6 +214,8 @@
   const engines = ['p1', 'd1', 'd2', 'd3', 'd4'].map((name): ListedUpstream => ({ name, kind: UpstreamKind.Engine, address: '10.0.3.1:1', availabilityZone: 'a', pool: name.startsWith('p') ? 'p' : 'd', leaving: false }))
   const fleet = () => new FleetList([], [...desk, ...engines])
   const upstreamStates = new UpstreamStates({ clock, log, isListed: () => true })
+  const backoffs = new Backoffs({ clock, log })
+  const signals = new SignalObserver({ clock, log, states: upstreamStates, backoffs })
   const limiter = new EvenShareLimiter({
     clock,
     planOf: (upstream) => {
@@ -228,6 +230,7 @@
     placer,
     admission,
     upstreamReports: reports,
+    signals,
     upstreamStates,
     permits: new SendPermits({ clock, limits: upstreamStates, limiter, metrics }),
     returnTimes: new ReturnTimes({ clock, boxCount: () => 1 }),
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -46,8 +46,14 @@
   UpstreamLimitChanged = 'upstreamLimitChanged',
   /** A request did not go to upstreams that have got as many as they take for now. */
   UpstreamsAtLimit = 'upstreamsAtLimit',
-  /** What an upstream names as its limit cannot be read. */
-  UpstreamLimitUnreadable = 'upstreamLimitUnreadable',
+  /** An upstream advertises that it is draining. */
+  UpstreamDraining = 'upstreamDraining',
+  /** An upstream refused a request and asked this box to wait. */
+  UpstreamBackoff = 'upstreamBackoff',
+  /** A value that an upstream advertises cannot be parsed. */
+  UpstreamSignalUnreadable = 'upstreamSignalUnreadable',
+  /** An upstream sends a header that this version does not know. */
+  UpstreamHeaderUnknown = 'upstreamHeaderUnknown',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
   EngineCallFailed = 'engineCallFailed',
--- a/upstream/signals/src/index.ts
+++ b/upstream/signals/src/index.ts
@@ -1,3 +1,7 @@
+export { Backoffs } from './backoffs.js'
+export type { BackoffsOptions } from './backoffs.js'
+export { SignalObserver } from './signalObserver.js'
+export type { SignalObserverOptions } from './signalObserver.js'
 export { UpstreamStateMessages } from './upstreamStateMessages.js'
 export { UpstreamStates } from './upstreamStates.js'
 export type { UpstreamStatesOptions } from './upstreamStates.js'
--- a/upstream/signals/src/upstreamStates.ts
+++ b/upstream/signals/src/upstreamStates.ts
@@ -3,7 +3,7 @@
 import { type UpstreamStateUpdate } from '@reelspan/core.messages'
 import { NewsBook, TellRate } from '@reelspan/membership.prober'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
-import { type AdvertisedRateLimit, type UpstreamSignals } from '@reelspan/upstream.client'
+import { type UpstreamSignals } from '@reelspan/upstream.client'
 
 export interface UpstreamStatesOptions {
   clock: Clock
@@ -18,14 +18,12 @@
 interface AdvertisedState {
   /** Requests a second. Undefined when it no longer advertises a limit. */
   perSecond?: number
+  /** It leaves, and does not come back as this incarnation. */
+  draining: boolean
   /** On this box's clock. */
   observedAtMs: number
 }
 
-/** Shortest time between log lines about unreadable values of one upstream. */
-const UNREADABLE_EVERY_MS = 60_000
-/** Part of an unreadable value that is logged. */
-const MOST_TEXT_LENGTH = 40
 /** How long the state of an unlisted upstream is kept, since entries lapse while the platform is away. */
 const UNLISTED_LIFE_MS = 60_000
 /** How long the end of a limit is kept, so that an older update from a partitioned box does not restore it. */
@@ -40,7 +38,6 @@
 export class UpstreamStates extends NewsBook<UpstreamStateUpdate> {
   readonly #opts: UpstreamStatesOptions
   readonly #states = new Map<string, AdvertisedState>()
-  readonly #unreadableAtMs = new Map<string, number>()
   /** Some upstreams advertise another limit in each response. */
   readonly #broadcastRate = new TellRate()
   #digest = 0
@@ -68,6 +65,16 @@
     return this.#states.get(upstream)?.perSecond
   }
 
+  /** How many upstreams advertise that they are draining. */
+  get drainingCount (): number {
+    return [...this.#states.values()].filter(({ draining }) => draining).length
+  }
+
+  /** Whether an upstream advertised that it is draining. */
+  isDraining (upstream: string): boolean {
+    return this.#states.get(upstream)?.draining === true
+  }
+
   /** The state of an upstream, for other boxes. */
   updateOf (upstream: string): UpstreamStateUpdate | undefined {
     const state = this.#states.get(upstream)
@@ -79,11 +86,12 @@
    *
    * @param sentAtMs when its request was sent
    */
-  observe (upstream: string, { succeeded, rateLimit }: UpstreamSignals, sentAtMs: number): void {
-    if (rateLimit && rateLimit.perSecond === undefined) return this.#logUnreadable(upstream, rateLimit)
+  observe (upstream: string, { succeeded, rateLimit, draining }: UpstreamSignals, sentAtMs: number): void {
+    if (draining?.draining) this.#noteDraining(upstream)
+    if (rateLimit && rateLimit.perSecond === undefined) return
     // Responses overtake each other, so only one to a later request ends a limit.
     if (!rateLimit && !(succeeded && this.#endsLimit(upstream, sentAtMs))) return
-    const changed = this.#update(upstream, { perSecond: rateLimit?.perSecond, observedAtMs: this.#opts.clock.nowMs() })
+    const changed = this.#update(upstream, { perSecond: rateLimit?.perSecond, draining: this.isDraining(upstream), observedAtMs: this.#opts.clock.nowMs() })
     const update = this.updateOf(upstream)
     if (changed && update && this.mayTell(update)) this.#opts.onChanged?.(update)
   }
@@ -94,7 +102,7 @@
     const observedAtMs = this.#opts.clock.nowMs() - ageMs
     if (known ? observedAtMs <= known.observedAtMs : perSecond === undefined || !this.comparable) return false
     if (ageMs > UNLISTED_LIFE_MS && !this.#opts.isListed(upstream)) return false
-    return this.#update(upstream, { perSecond, observedAtMs })
+    return this.#update(upstream, { perSecond, draining: this.isDraining(upstream), observedAtMs })
   }
 
   all (): UpstreamStateUpdate[] {
@@ -108,7 +116,7 @@
 
   expire (): void {
     const nowMs = this.#opts.clock.nowMs()
-    const isOver = ([upstream, { perSecond, observedAtMs }]: [string, AdvertisedState]) => perSecond === undefined
+    const isOver = ([upstream, { perSecond, draining, observedAtMs }]: [string, AdvertisedState]) => perSecond === undefined && !draining
       ? nowMs - observedAtMs > ENDED_LIFE_MS
       : nowMs - observedAtMs > UNLISTED_LIFE_MS && !this.#opts.isListed(upstream);
     [...this.#states].filter(isOver).forEach(([upstream]) => this.#forget(upstream))
@@ -132,16 +140,13 @@
   #forget (upstream: string): void {
     this.#digest ^= digestOf(upstream, this.perSecond(upstream))
     this.#states.delete(upstream)
-    this.#unreadableAtMs.delete(upstream)
     this.#broadcastRate.forget(upstream)
   }
 
-  /** The previous limit stays in force. */
-  #logUnreadable (upstream: string, { text }: AdvertisedRateLimit): void {
-    const nowMs = this.#opts.clock.nowMs()
-    if (nowMs - (this.#unreadableAtMs.get(upstream) ?? Number.NEGATIVE_INFINITY) < UNREADABLE_EVERY_MS) return
-    this.#unreadableAtMs.set(upstream, nowMs)
-    this.#opts.log.warn(LogEvent.UpstreamLimitUnreadable, { upstream, text: text.slice(0, MOST_TEXT_LENGTH) })
+  #noteDraining (upstream: string): void {
+    if (this.isDraining(upstream)) return
+    this.#states.set(upstream, { perSecond: this.perSecond(upstream), draining: true, observedAtMs: this.#opts.clock.nowMs() })
+    this.#opts.log.info(LogEvent.UpstreamDraining, { upstream })
   }
 }
 
--- a/upstream/signals/test/upstreamStates.ts
+++ b/upstream/signals/test/upstreamStates.ts
@@ -37,14 +37,6 @@
   t.is(limits.perSecond('a'), undefined)
 })
 
-test('a limit that cannot be read changes nothing, and is told of once', (t) => {
-  const { clock, limits, log } = create()
-  limits.observe('a', named(3), clock.nowMs())
-  for (let i = 0; i < 5; i++) limits.observe('a', { succeeded: true, rateLimit: { text: 'some' } }, clock.nowMs())
-  t.is(limits.perSecond('a'), 3)
-  t.is(log.count(LogEvent.UpstreamLimitUnreadable), 1)
-})
-
 test('an upstream that starts again owes nothing to the limit of its start before, which is forgotten', async (t) => {
   const { clock, limits } = create()
   limits.observe('a@1', named(3), clock.nowMs())
