--- a/box/runtime/test/__utils__/crashingRequests.ts
+++ b/box/runtime/test/__utils__/crashingRequests.ts
@@ -11,8 +11,8 @@
   relay: { retriesPerRequest: 0.14, retryBurst: 40 },
 }
 const ZONES = ['hall-a', 'hall-b', 'hall-c']
-const PREFILL_ENGINES = named('prefill', 4)
-const DECODE_ENGINES = named('decode', 14)
+export const PREFILL_ENGINES = named('prefill', 4)
+export const DECODE_ENGINES = named('decode', 14)
 export const SERVICES = named('desk', 5)
 /** Boxes have heard of what happened this long ago, as the users count it. */
 export const CONTACT_MS = 3000
