--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -23,6 +23,7 @@
 const JUDGE = 'request/quarantine/test.lib/judgeRequest.js'
 const ACCOUNTS = 'box/runtime/test.lib/accounts.js'
 const LIMITED = 'box/runtime/test.lib/upstreamLimitShared.js'
+const DRAINING = 'box/runtime/test.lib/drainingUpstream.js'
 const ENGINE_LIMITS = 'scheduling/scheduler/test.lib/engineLimits.js'
 
 /** What the promises rest on. */
@@ -83,6 +84,20 @@
     replace: '',
     tests: [LIMITED],
   },
+  {
+    name: 'an upstream that advertises draining is leaving in the list that boxes act by',
+    file: 'config/fleet/src/guardedFleet.ts',
+    find: 'this.#opts.draining?.has(name) === true',
+    replace: 'this.#opts.draining?.has(name) === undefined',
+    tests: [DRAINING],
+  },
+  {
+    name: 'a draining upstream is told to other boxes',
+    file: 'upstream/signals/src/upstreamStates.ts',
+    find: 'return limitChanged || startsDraining',
+    replace: 'return limitChanged',
+    tests: [DRAINING],
+  },
   {
     name: 'a scheduler places no more than engines take',
     file: 'scheduling/scheduler/src/shardScheduler.ts',
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -88,6 +88,12 @@
     log.info(LogEvent.Started, { incarnation: view.self.incarnation, revision: this.#parts.declarations.revision })
   }
 
+  /** Acts on a change of the fleet that the platform's list does not have. */
+  onFleetChange (): void {
+    this.#noteFleet(this.#parts.fleetList.revision)
+    this.#reconcileSoon()
+  }
+
   /** Runs or joins a request and yields its answer, to the final event. */
   async * submit (request: RoutedRequest, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
     this.#callersBeingServed++
--- a/box/runtime/src/createConfigParts.ts
+++ b/box/runtime/src/createConfigParts.ts
@@ -21,8 +21,16 @@
 }
 
 /** The list that this box acts by. */
-export function createFleet ({ fleetList, platformContact }: BoxParts): GuardedFleet {
-  return new GuardedFleet({ listed: fleetList, mayHaveLapsed: () => platformContact.mayHaveLapsed })
+export function createFleet (parts: BoxParts): GuardedFleet {
+  const { fleetList, platformContact } = parts
+  return new GuardedFleet({
+    listed: fleetList,
+    mayHaveLapsed: () => platformContact.mayHaveLapsed,
+    draining: {
+      get revision () { return parts.upstreamStates.drainingRevision },
+      has: (upstream) => parts.upstreamStates.isDraining(upstream),
+    },
+  })
 }
 
 /** Whether the platform answers anyone. */
--- a/box/runtime/src/createSignalParts.ts
+++ b/box/runtime/src/createSignalParts.ts
@@ -5,12 +5,13 @@
 
 /** What upstreams advertise in their responses, to this or any other box. */
 export function createUpstreamStates (parts: BoxParts): UpstreamStates {
-  const { clock, log, fleet } = parts
+  const { clock, log } = parts
   return new UpstreamStates({
     clock,
     log,
-    isListed: (upstream) => fleet.value.upstream(upstream) !== undefined,
+    isListed: (upstream) => parts.fleet.value.upstream(upstream) !== undefined,
     onChanged: (update) => parts.upstreamStateGossip.tell([update]),
+    onDraining: () => parts.box.onFleetChange(),
   })
 }
 
--- a/box/runtime/test/__utils__/signallingUpstreams.ts
+++ b/box/runtime/test/__utils__/signallingUpstreams.ts
@@ -5,6 +5,8 @@
 export const DRAIN_MS = 2000
 /** Requests that cross a refusal on the way are not counted for this long. */
 export const CROSSING_MS = 500
+/** A request that cannot be served is refused within this time: some calls between boxes. */
+export const AT_ONCE_MS = 100
 /** What an upstream may get of a box in the rest of the time for which it asked for nothing. */
 export const MAX_IN_BACKOFF = 2
 
--- a/box/runtime/test/drainingUpstream.ts
+++ b/box/runtime/test/drainingUpstream.ts
@@ -1,10 +1,22 @@
+import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
+import { Verdict } from '@reelspan/core.error'
+import { Collection } from '@reelspan/core.messages'
+import { type FakeFleet } from '@reelspan/utils.fake-fleet'
 import test from 'ava'
-import { startFleet } from './__utils__/crashingRequests.js'
-import { load } from './__utils__/limitedUpstreams.js'
-import { arrivalsAfterDrain, drain } from './__utils__/signallingUpstreams.js'
+import { CONTACT_MS, DECODE_ENGINES, PREFILL_ENGINES, SERVICES, startFleet } from './__utils__/crashingRequests.js'
+import { arrivalsAt, load } from './__utils__/limitedUpstreams.js'
+import { AT_ONCE_MS, arrivalsAfterDrain, drain } from './__utils__/signallingUpstreams.js'
 
 const DRAINING = ['desk-1', 'prefill-1', 'decode-1', 'decode-2']
 
+function listAgain (fleet: FakeFleet, name: string): void {
+  const spec = { kind: UpstreamKind.Service, pool: 'script-desk', availabilityZone: 'hall-a', address: fleet.address('desk-1') }
+  fleet.platform.publish(Collection.Fleet, [
+    { kind: FleetEntryKind.Upstream, name: 'desk-1', spec: null },
+    { kind: FleetEntryKind.Upstream, name, spec },
+  ])
+}
+
 // An upstream's word that it drains was passed on to the caller and not heeded.
 test('calls, prompts and streams reach upstreams that said in an answer that they are draining', async (t) => {
   const fleet = await startFleet()
@@ -17,3 +29,72 @@
   t.true(callers.flat().length > 0)
   await fleet.stop()
 })
+
+for (const boxCount of [2, 8, 60]) {
+  test(`${boxCount} boxes send nothing to an upstream that told one of them that it is draining, and no caller is refused for it`, async (t) => {
+    const fleet = await startFleet({ boxCount })
+    const advertised = drain(fleet, ['desk-1'])
+    while (advertised.count === 0) await load(fleet, { target: '/status/', perSecond: 40, seconds: 0.5, name: `first-${fleet.clock.nowMs()}` })
+    await fleet.clock.advance(CONTACT_MS)
+    const toldAtMs = fleet.clock.nowMs()
+    const outcomes = await load(fleet, { target: '/status/', perSecond: 40, seconds: 8 })
+    t.deepEqual(arrivalsAt(fleet, 'desk-1', toldAtMs), [])
+    t.true(outcomes.every(({ caller }) => caller.whole))
+    await fleet.stop()
+  })
+}
+
+test('a box that starts again, or was cut off, hears of a draining upstream from the others', async (t) => {
+  const fleet = await startFleet()
+  fleet.cutOff('box-2')
+  drain(fleet, ['desk-1'])
+  await load(fleet, { target: '/status/', perSecond: 40, seconds: 3, boxes: ['box-1'], name: 'first' })
+  fleet.network.healAll()
+  fleet.kill('box-3')
+  await fleet.clock.run(fleet.startBox('box-3'))
+  await fleet.clock.advance(CONTACT_MS)
+  const toldAtMs = fleet.clock.nowMs()
+  await load(fleet, { target: '/status/', perSecond: 40, seconds: 5, boxes: ['box-2', 'box-3'] })
+  t.deepEqual(arrivalsAt(fleet, 'desk-1', toldAtMs), [])
+  await fleet.stop()
+})
+
+test('streams that run at an engine when it says that it is draining are let end', async (t) => {
+  const fleet = await startFleet()
+  const running = load(fleet, { target: '/draft/', perSecond: 15, seconds: 1, name: 'before' })
+  drain(fleet, DECODE_ENGINES.slice(1))
+  const outcomes = await running
+  t.true(outcomes.every(({ caller }) => caller.whole), JSON.stringify(outcomes.map(({ caller }) => caller.refused)))
+  await fleet.stop()
+})
+
+for (const [target, upstreams] of [['/status/', SERVICES], ['/draft/', [...PREFILL_ENGINES, ...DECODE_ENGINES]]] as const) {
+  test(`requests to ${target} are refused at once, unrun and with a time to return, where all upstreams are draining`, async (t) => {
+    const fleet = await startFleet()
+    drain(fleet, upstreams)
+    await load(fleet, { target, perSecond: 60, seconds: 8, name: 'first' })
+    const arrivals = fleet.relayed.arrivals.length
+    const outcomes = await load(fleet, { target, perSecond: 20, seconds: 2 })
+    t.is(fleet.relayed.arrivals.length, arrivals)
+    outcomes.forEach(({ caller: { refused }, heldMs }) => {
+      t.is(refused?.verdict, Verdict.NotRun)
+      t.true((refused?.retryAfterMs ?? 0) > 0)
+      t.true(heldMs <= AT_ONCE_MS, `${heldMs}`)
+    })
+    await fleet.stop()
+  })
+}
+
+test('a draining upstream gets nothing while the list goes on showing it as ready, and its next start is used', async (t) => {
+  const fleet = await startFleet()
+  const advertised = drain(fleet, ['desk-1'])
+  await load(fleet, { target: '/status/', perSecond: 40, seconds: 4, name: 'first' })
+  listAgain(fleet, 'desk-1')
+  await load(fleet, { target: '/status/', perSecond: 40, seconds: 13, name: 'listed' })
+  t.deepEqual(arrivalsAfterDrain(fleet, advertised), [])
+  listAgain(fleet, 'desk-1@2')
+  await fleet.clock.advance(CONTACT_MS)
+  await load(fleet, { target: '/status/', perSecond: 40, seconds: 3, name: 'again' })
+  t.true(fleet.relayed.arrivals.some(({ upstream }) => upstream === 'desk-1@2'))
+  await fleet.stop()
+})
--- a/config/fleet/src/guardedFleet.ts
+++ b/config/fleet/src/guardedFleet.ts
@@ -7,17 +7,21 @@
   listed: { readonly value: FleetList, readonly revision: number }
   /** Whether entries may be missing because the platform was away. */
   mayHaveLapsed: () => boolean
+  /** Upstreams that are known to be draining, whatever the list says. The revision rises with each change. */
+  draining?: { readonly revision: number, has: (upstream: string) => boolean }
 }
 
 /**
  * The list of the fleet, with those upstreams that are missing for now because
  * their entries lapsed while the platform was away. They enter themselves again
- * soon after it is back; what has not done so by then is gone.
+ * soon after it is back; what has not done so by then is gone. Upstreams that are
+ * known to be draining are leaving.
  */
 export class GuardedFleet {
   readonly #opts: GuardedFleetOptions
   readonly #starts = new NewestStarts()
   #seenRevision = -1
+  #seenDraining = 0
   #base = new FleetList([], [])
   #missing: readonly ListedUpstream[] = []
   #value = new FleetList([], [])
@@ -44,19 +48,27 @@
   }
 
   #refresh (): void {
-    const { listed, mayHaveLapsed } = this.#opts
+    const { listed, mayHaveLapsed, draining } = this.#opts
     const guarding = mayHaveLapsed()
     const changed = listed.revision !== this.#seenRevision
-    if (!changed && (guarding || this.#missing.length === 0)) return
-    const known = [...this.#base.upstreams, ...this.#missing]
+    const drainingRevision = draining?.revision ?? 0
+    if (!changed && drainingRevision === this.#seenDraining && (guarding || this.#missing.length === 0)) return
+    const known = this.#value.upstreams
     const base = changed ? this.#starts.take(listed.value) : this.#base
     const missing = guarding ? missingFrom(base, known) : []
     this.#seenRevision = listed.revision
+    this.#seenDraining = drainingRevision
     this.#base = base
     this.#missing = missing
-    this.#value = missing.length > 0 ? new FleetList(this.#base.boxes, [...this.#base.upstreams, ...missing]) : this.#base
+    this.#value = this.#withDraining(missing.length > 0 ? new FleetList(base.boxes, [...base.upstreams, ...missing]) : base)
     this.#version++
   }
+
+  #withDraining (list: FleetList): FleetList {
+    const drains = ({ name, leaving }: ListedUpstream) => !leaving && this.#opts.draining?.has(name) === true
+    if (!list.upstreams.some(drains)) return list
+    return new FleetList(list.boxes, list.upstreams.map((upstream) => drains(upstream) ? { ...upstream, leaving: true } : upstream))
+  }
 }
 
 /** Known upstreams that are not listed and had not said that they leave. An address that another one has now is no longer theirs, and one that started again is not missing. */
--- a/config/fleet/test/guardedFleet.ts
+++ b/config/fleet/test/guardedFleet.ts
@@ -54,3 +54,26 @@
   list(upstream('3', { address: '10.0.0.1:1' }))
   t.deepEqual(names(), ['3'])
 })
+
+test('an upstream that is known to be draining is leaving, whatever the list says, and nobody keeps it', (t) => {
+  const listed = { value: new FleetList([], []), revision: 0 }
+  const draining = { revision: 0, names: new Set<string>(), has: (name: string) => draining.names.has(name) }
+  const guard = { lapsed: false }
+  const fleet = new GuardedFleet({ listed, mayHaveLapsed: () => guard.lapsed, draining })
+  const list = (...upstreams: ListedUpstream[]) => Object.assign(listed, { value: new FleetList([], upstreams), revision: listed.revision + 1 })
+  const names = () => fleet.value.takingWork('desk').map(({ name }) => name)
+  list(upstream('1'), upstream('2'))
+  t.deepEqual(names(), ['1', '2'])
+  const { revision } = fleet
+  draining.names.add('1')
+  draining.revision++
+  t.deepEqual(names(), ['2'])
+  t.true(fleet.revision > revision)
+  t.true(fleet.value.upstream('1')?.leaving)
+  list(upstream('1'), upstream('2'), upstream('3'))
+  t.deepEqual(names(), ['2', '3'])
+  guard.lapsed = true
+  list()
+  t.deepEqual(names(), ['2', '3'])
+  t.deepEqual(fleet.missing, ['2', '3'])
+})
--- a/core/messages/src/upstreamStateUpdate.ts
+++ b/core/messages/src/upstreamStateUpdate.ts
@@ -6,6 +6,7 @@
   upstream: z.string(),
   /** Requests a second that it takes from all boxes together. Left out when it names no limit any more. */
   perSecond: z.number().nonnegative().optional(),
+  draining: z.boolean().optional(),
   ageMs: z.number().nonnegative(),
 })
 
--- a/upstream/signals/src/upstreamStates.ts
+++ b/upstream/signals/src/upstreamStates.ts
@@ -12,15 +12,17 @@
   isListed: (upstream: string) => boolean
   /** Called with a change that this box observed itself, for other boxes. */
   onChanged?: (update: UpstreamStateUpdate) => void
+  /** Called when an upstream is found to be draining, by whichever box. */
+  onDraining?: () => void
 }
 
 /** What one upstream advertised last. */
 interface AdvertisedState {
   /** Requests a second. Undefined when it no longer advertises a limit. */
   perSecond?: number
-  /** It leaves, and does not come back as this incarnation. */
+  /** Final for this incarnation. */
   draining: boolean
-  /** On this box's clock. */
+  /** When the limit was last observed, on this box's clock. */
   observedAtMs: number
 }
 
@@ -33,7 +35,7 @@
 
 /**
  * State that upstreams advertise in their responses, to this box or to any other. It belongs to one
- * incarnation of an upstream. The latest observation wins.
+ * incarnation of an upstream. Of limits the latest observation wins.
  */
 export class UpstreamStates extends NewsBook<UpstreamStateUpdate> {
   readonly #opts: UpstreamStatesOptions
@@ -41,6 +43,7 @@
   /** Some upstreams advertise another limit in each response. */
   readonly #broadcastRate = new TellRate()
   #digest = 0
+  #drainingRevision = 0
 
   constructor (opts: UpstreamStatesOptions) {
     super()
@@ -60,16 +63,21 @@
     return [...this.#states.values()].filter(({ perSecond }) => perSecond !== undefined).length
   }
 
-  /** Requests a second that an upstream takes from all boxes together; undefined where it advertises no limit. */
-  perSecond (upstream: string): number | undefined {
-    return this.#states.get(upstream)?.perSecond
-  }
-
   /** How many upstreams advertise that they are draining. */
   get drainingCount (): number {
     return [...this.#states.values()].filter(({ draining }) => draining).length
   }
 
+  /** Rises whenever another set of upstreams is draining. */
+  get drainingRevision (): number {
+    return this.#drainingRevision
+  }
+
+  /** Requests a second that an upstream takes from all boxes together; undefined where it advertises no limit. */
+  perSecond (upstream: string): number | undefined {
+    return this.#states.get(upstream)?.perSecond
+  }
+
   /** Whether an upstream advertised that it is draining. */
   isDraining (upstream: string): boolean {
     return this.#states.get(upstream)?.draining === true
@@ -78,7 +86,9 @@
   /** The state of an upstream, for other boxes. */
   updateOf (upstream: string): UpstreamStateUpdate | undefined {
     const state = this.#states.get(upstream)
-    return state && { upstream, perSecond: state.perSecond, ageMs: Math.max(0, this.#opts.clock.nowMs() - state.observedAtMs) }
+    if (!state) return undefined
+    const { perSecond, draining, observedAtMs } = state
+    return { upstream, perSecond, draining: draining || undefined, ageMs: Math.max(0, this.#opts.clock.nowMs() - observedAtMs) }
   }
 
   /**
@@ -86,23 +96,24 @@
    *
    * @param sentAtMs when its request was sent
    */
-  observe (upstream: string, { succeeded, rateLimit, draining }: UpstreamSignals, sentAtMs: number): void {
-    if (draining?.draining) this.#noteDraining(upstream)
-    if (rateLimit && rateLimit.perSecond === undefined) return
-    // Responses overtake each other, so only one to a later request ends a limit.
-    if (!rateLimit && !(succeeded && this.#endsLimit(upstream, sentAtMs))) return
-    const changed = this.#update(upstream, { perSecond: rateLimit?.perSecond, draining: this.isDraining(upstream), observedAtMs: this.#opts.clock.nowMs() })
+  observe (upstream: string, signals: UpstreamSignals, sentAtMs: number): void {
+    const draining = this.isDraining(upstream) || signals.draining?.draining === true
+    const limit = this.#observedLimit(upstream, signals, sentAtMs)
+    if (!limit && draining === this.isDraining(upstream)) return
+    const changed = this.#update(upstream, { ...limit ?? this.#knownLimit(upstream), draining })
     const update = this.updateOf(upstream)
     if (changed && update && this.mayTell(update)) this.#opts.onChanged?.(update)
   }
 
   /** Records the observation of another box. Answers whether it changed the state. */
-  add ({ upstream, perSecond, ageMs }: UpstreamStateUpdate): boolean {
+  add ({ upstream, perSecond, draining = false, ageMs }: UpstreamStateUpdate): boolean {
     const known = this.#states.get(upstream)
-    const observedAtMs = this.#opts.clock.nowMs() - ageMs
-    if (known ? observedAtMs <= known.observedAtMs : perSecond === undefined || !this.comparable) return false
+    if (!known && ((perSecond === undefined && !draining) || !this.comparable)) return false
     if (ageMs > UNLISTED_LIFE_MS && !this.#opts.isListed(upstream)) return false
-    return this.#update(upstream, { perSecond, draining: this.isDraining(upstream), observedAtMs })
+    const observedAtMs = this.#opts.clock.nowMs() - ageMs
+    const limit = known && observedAtMs <= known.observedAtMs ? known : { perSecond, observedAtMs }
+    if (limit === known && (known.draining || !draining)) return false
+    return this.#update(upstream, { perSecond: limit.perSecond, observedAtMs: limit.observedAtMs, draining: draining || this.isDraining(upstream) })
   }
 
   all (): UpstreamStateUpdate[] {
@@ -122,35 +133,52 @@
     [...this.#states].filter(isOver).forEach(([upstream]) => this.#forget(upstream))
   }
 
+  /** What a response says of the limit; undefined when that is nothing, or cannot be read. */
+  #observedLimit (upstream: string, { succeeded, rateLimit }: UpstreamSignals, sentAtMs: number): Pick<AdvertisedState, 'perSecond' | 'observedAtMs'> | undefined {
+    // Responses overtake each other, so only one to a later request ends a limit.
+    const isSaid = rateLimit ? rateLimit.perSecond !== undefined : succeeded && this.#endsLimit(upstream, sentAtMs)
+    return isSaid ? { perSecond: rateLimit?.perSecond, observedAtMs: this.#opts.clock.nowMs() } : undefined
+  }
+
+  #knownLimit (upstream: string): Pick<AdvertisedState, 'perSecond' | 'observedAtMs'> {
+    return this.#states.get(upstream) ?? { observedAtMs: this.#opts.clock.nowMs() }
+  }
+
   #endsLimit (upstream: string, sentAtMs: number): boolean {
     const known = this.#states.get(upstream)
     return known?.perSecond !== undefined && sentAtMs > known.observedAtMs
   }
 
-  /** Answers whether the limit changed. */
-  #update (upstream: string, state: AdvertisedState): boolean {
-    const before = this.perSecond(upstream)
+  /** Answers whether limit or draining changed. */
+  #update (upstream: string, { perSecond, draining, observedAtMs }: AdvertisedState): boolean {
+    const before = this.#states.get(upstream)
+    const state = { perSecond, draining, observedAtMs }
     this.#states.set(upstream, state)
-    if (before === state.perSecond) return false
-    this.#digest ^= digestOf(upstream, before) ^ digestOf(upstream, state.perSecond)
-    this.#opts.log.info(LogEvent.UpstreamLimitChanged, { upstream, perSecond: state.perSecond, perSecondBefore: before })
-    return true
+    this.#digest ^= digestOf(upstream, before) ^ digestOf(upstream, state)
+    const limitChanged = before?.perSecond !== perSecond
+    const startsDraining = draining && !before?.draining
+    if (limitChanged) this.#opts.log.info(LogEvent.UpstreamLimitChanged, { upstream, perSecond, perSecondBefore: before?.perSecond })
+    if (startsDraining) this.#noteDraining(upstream)
+    return limitChanged || startsDraining
+  }
+
+  #noteDraining (upstream: string): void {
+    this.#drainingRevision++
+    this.#opts.log.info(LogEvent.UpstreamDraining, { upstream })
+    this.#opts.onDraining?.()
   }
 
   #forget (upstream: string): void {
-    this.#digest ^= digestOf(upstream, this.perSecond(upstream))
+    const state = this.#states.get(upstream)
+    this.#digest ^= digestOf(upstream, state)
+    if (state?.draining) this.#drainingRevision++
     this.#states.delete(upstream)
     this.#broadcastRate.forget(upstream)
   }
-
-  #noteDraining (upstream: string): void {
-    if (this.isDraining(upstream)) return
-    this.#states.set(upstream, { perSecond: this.perSecond(upstream), draining: true, observedAtMs: this.#opts.clock.nowMs() })
-    this.#opts.log.info(LogEvent.UpstreamDraining, { upstream })
-  }
 }
 
 /** An upstream's part of the digest. */
-function digestOf (upstream: string, perSecond?: number): number {
-  return perSecond === undefined ? 0 : hash32(`${upstream} ${perSecond}`)
+function digestOf (upstream: string, state?: AdvertisedState): number {
+  if (!state || (state.perSecond === undefined && !state.draining)) return 0
+  return hash32(`${upstream} ${state.perSecond} ${state.draining}`)
 }
--- a/upstream/signals/test/upstreamStates.ts
+++ b/upstream/signals/test/upstreamStates.ts
@@ -48,3 +48,51 @@
   t.is(limits.count, 0)
   t.is(limits.digest, 0)
 })
+
+test('draining that another box observed is taken in, whichever limit is the later one, and is told on once', async (t) => {
+  const { clock, limits, log } = create()
+  limits.observe('a', named(3), clock.nowMs())
+  t.true(limits.add({ upstream: 'a', draining: true, ageMs: 5000 }))
+  t.true(limits.isDraining('a'))
+  t.is(limits.perSecond('a'), 3)
+  t.false(limits.add({ upstream: 'a', draining: true, ageMs: 4000 }))
+  await clock.advance(100)
+  t.true(limits.add({ upstream: 'a', perSecond: 5, ageMs: 0 }))
+  t.true(limits.isDraining('a'))
+  t.is(log.count(LogEvent.UpstreamDraining), 1)
+  t.like(limits.updateOf('a'), { perSecond: 5, draining: true })
+})
+
+test('boxes that know the same of draining and limits have the same digest, whichever they heard first', (t) => {
+  const [a, b] = [create(), create()]
+  a.limits.add({ upstream: 'a', perSecond: 3, ageMs: 10 })
+  t.not(a.limits.digest, 0)
+  const limitedOnly = a.limits.digest
+  a.limits.add({ upstream: 'a', draining: true, ageMs: 20 })
+  t.not(a.limits.digest, limitedOnly)
+  b.limits.observe('a', { succeeded: false, draining: { draining: true, text: '1' } }, 0)
+  t.not(b.limits.digest, 0)
+  b.limits.observe('a', named(3), 0)
+  t.is(a.limits.digest, b.limits.digest)
+})
+
+test('a draining upstream is forgotten a minute after it is unlisted, and changes the revision of what drains both times', async (t) => {
+  const { clock, limits } = create()
+  const revisions = [limits.drainingRevision]
+  limits.observe('gone', { succeeded: true, draining: { draining: true, text: '1' } }, 0)
+  limits.observe('a', { succeeded: true, draining: { draining: true, text: '1' } }, 0)
+  revisions.push(limits.drainingRevision)
+  await clock.advance(61_000)
+  limits.expire()
+  revisions.push(limits.drainingRevision)
+  t.deepEqual([limits.isDraining('gone'), limits.isDraining('a')], [false, true])
+  t.true(revisions[0] < revisions[1] && revisions[1] < revisions[2])
+})
+
+test('a later limit that another box observed does not end draining', async (t) => {
+  const { clock, limits } = create()
+  limits.observe('a', { succeeded: true, draining: { draining: true, text: '1' } }, clock.nowMs())
+  await clock.advance(10)
+  t.true(limits.add({ upstream: 'a', perSecond: 2, ageMs: 0 }))
+  t.true(limits.isDraining('a'))
+})
