--- /dev/null
+++ b/request/relay/src/completionPlacer.ts
@@ -0,0 +1,128 @@
+import { hash32 } from '@reelspan/core.hashing'
+import { type HoldLabel, type PlacementRefusal } from '@reelspan/core.messages'
+import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { LogEvent } from '@reelspan/telemetry.log'
+import { type PromptSizes } from '@reelspan/upstream.client'
+import { type EventProgress } from './eventProgress.js'
+import { type PermittedPlacement, refuseUnplaced, takeEnginePermits } from './permittedPlacement.js'
+import { type RelayContext } from './relayContext.js'
+
+/** Callers give a stream up that has not begun after four latency targets; the last of them is for the way, and for what an estimate misses. */
+const PATIENCE_TARGETS = 3
+/** Waits between tries to continue an answer that has begun. */
+const CONTINUE_BACKOFF_MS = 100
+/** A stream that stands still for longer than this is given up by its client. */
+const CONTINUE_WITHIN_MS = 2000
+
+/** What a placement depends on, as the request goes on. */
+export interface PlacingState {
+  /** Engines that failed the request. */
+  failed: ReadonlySet<string>
+  progress: EventProgress
+}
+
+/** Finds places for one request at a model's engines, with permits to send it there. */
+export class CompletionPlacer {
+  readonly #context: RelayContext
+  readonly #model: string
+  readonly #prompt: PromptSizes
+  readonly #state: PlacingState
+  /** Engines that had no permit left when the request was placed there, and how long until they had. */
+  readonly #waitsMs = new Map<string, number>()
+  #placements = 0
+
+  constructor (context: RelayContext, model: string, prompt: PromptSizes, state: PlacingState) {
+    this.#context = context
+    this.#model = model
+    this.#prompt = prompt
+    this.#state = state
+  }
+
+  /** Tokens of the answer that the caller has. */
+  doneTokens (): number {
+    return this.#state.progress.events * (this.#context.opts.configuration().model(this.#model)?.tokensPerEvent ?? 1)
+  }
+
+  /** An engine without a permit is no failure: the request is placed without it, which is no attempt. */
+  async place (attempt: number): Promise<PermittedPlacement> {
+    this.#waitsMs.clear()
+    for (;;) {
+      const placement = await this.#askUntilPlaced(attempt)
+      const permits = await takeEnginePermits(this.#context, placement, this.#waitsMs)
+      if (permits) return { placement, permits }
+    }
+  }
+
+  async #askUntilPlaced (attempt: number): Promise<Placement> {
+    const { opts, run, caller, decided } = this.#context
+    const askedAtMs = run.elapsedMs
+    let outcome = await this.#askPlacer(attempt)
+    while (!('plan' in outcome)) {
+      // An answer that has begun is continued late rather than cut.
+      if (!caller.begun) throw refuseUnplaced(outcome, this.#waitsMs)
+      await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal: run.signal })
+      this.#waitsMs.clear()
+      run.throwIfEnded()
+      outcome = await this.#askPlacer(attempt)
+    }
+    const { plan: { prefillEngine, decodeEngine, expectedTtftMs }, placedBy } = outcome
+    const { promptTokens, maxTokens, expectedTokens } = this.#prompt
+    decided(LogEvent.RequestPlaced, {
+      attempt,
+      promptTokens,
+      maxTokens,
+      expectedTokens,
+      prefillEngine,
+      decodeEngine,
+      scheduler: placedBy,
+      expectedTtftMs: Math.round(expectedTtftMs),
+      waitedMs: Math.round(run.elapsedMs - askedAtMs),
+      atMs: Math.round(run.elapsedMs),
+    })
+    return outcome
+  }
+
+  /** A place that is found for a run that has ended is given back. */
+  async #askPlacer (attempt: number): Promise<Placement | PlacementRefusal> {
+    const { opts, run } = this.#context
+    const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
+    if (run.signal.aborted && 'plan' in outcome) outcome.release()
+    run.throwIfEnded()
+    return outcome
+  }
+
+  #placeRequest (attempt: number): PlaceRequest {
+    const { opts, run, route, request, caller, health, urgency } = this.#context
+    const { promptTokens, maxTokens, prefixes } = this.#prompt
+    const doneTokens = this.doneTokens()
+    // The prompt is not read once more when the answer could not be whole in time. A first try is never refused for an estimate.
+    const usefulMs = attempt > 1 ? run.leftMs - this.#leastRestMs(doneTokens) : run.leftMs
+    const { peerAddress, incarnation, availabilityZone } = opts.standing()
+    const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${++this.#placements}`, maxHoldMs: run.leftMs }
+    return {
+      model: this.#model,
+      client: '',
+      label,
+      // A caller's retry has an id of its own, but its prompt ends in the same part.
+      returnId: prefixes.at(-1)?.digest ?? hash32(request.id).toString(36),
+      priority: -urgency,
+      promptTokens: promptTokens + doneTokens,
+      prefixes: [...prefixes],
+      maxTokens: Math.max(1, maxTokens - doneTokens),
+      ttftLeftMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : route.spec.ttftTargetMs - run.elapsedMs),
+      patienceMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : PATIENCE_TARGETS * route.spec.ttftTargetMs - run.elapsedMs),
+      tbtTargetMs: route.spec.tbtTargetMs,
+      deadlineMs: run.leftMs,
+      allowsOwnPrefill: true,
+      availabilityZone,
+      avoid: [...this.#state.failed, ...health.suspects(), ...this.#waitsMs.keys()],
+    }
+  }
+
+  /** The least time for the tokens that are missing, by the caller's own estimate of the answer. */
+  #leastRestMs (doneTokens: number): number {
+    const stepMs = this.#context.opts.configuration().model(this.#model)?.decodeStepBaseMs ?? 0
+    const { maxTokens, expectedTokens = 0 } = this.#prompt
+    return Math.max(0, Math.min(expectedTokens, maxTokens) - doneTokens) * stepMs
+  }
+}
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -1,16 +1,16 @@
-import { hash32 } from '@reelspan/core.hashing'
-import { type EngineOutcome, type HoldLabel, isOwnPrefill, type PlacementPlan, type PlacementRefusal, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
+import { type EngineOutcome, isOwnPrefill, type PlacementPlan, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
-import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { type Placement } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type PrefillSource, type PromptSizes, type RelayAnswer, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { type SendPermit } from '@reelspan/upstream.limits'
+import { CompletionPlacer } from './completionPlacer.js'
 import { dropAnswer } from './dropAnswer.js'
 import { EventProgress } from './eventProgress.js'
 import { notingBreak, type SendingWork } from './notingBreak.js'
 import { type AnswerTimes } from './passAnswer.js'
 import { passEvents } from './passEvents.js'
-import { type PermittedPlacement, refuseUnplaced, takeEnginePermits } from './permittedPlacement.js'
+import { type PermittedPlacement } from './permittedPlacement.js'
 import { takePermit } from './pickPermitted.js'
 import { type RelayContext } from './relayContext.js'
 import { prefillAtUpstream, sendToUpstream } from './sendToUpstream.js'
@@ -26,13 +26,7 @@
 const PREFILL_PATIENCE_MS = 300
 /** A stream that another engine could go on with is given up after this many targets for the time between events. */
 const DECODE_PATIENCE = 2
-/** Callers give a stream up that has not begun after four latency targets; the last of them is for the way, and for what an estimate misses. */
-const PATIENCE_TARGETS = 3
 const FIRST_SERVER_ERROR = 500
-/** Waits between tries to continue an answer that has begun. */
-const CONTINUE_BACKOFF_MS = 100
-/** A stream that stands still for longer than this is given up by its client. */
-const CONTINUE_WITHIN_MS = 2000
 
 /** Relays a request to a model's engines: place, prefill, decode. */
 export class CompletionRelay {
@@ -40,9 +34,8 @@
   readonly #model: string
   readonly #prompt: PromptSizes
   readonly #failed = new Set<string>()
-  /** Engines that had no permit left when the request was placed there, and how long until they had. */
-  readonly #waitsMs = new Map<string, number>()
   readonly #progress = new EventProgress()
+  readonly #placer: CompletionPlacer
   /** How the engines of the present placement answered. */
   #outcomes: EngineOutcome[] = []
   /** Decode engines that the request was sent to. */
@@ -50,19 +43,19 @@
   /** The last answer broke off, or did not come, while its engine was listened to. */
   #brokeOff = false
   #prefillMs = 0
-  #placements = 0
 
   constructor (context: RelayContext, model: string, prompt: PromptSizes) {
     this.#context = context
     this.#model = model
     this.#prompt = prompt
+    this.#placer = new CompletionPlacer(context, model, prompt, { failed: this.#failed, progress: this.#progress })
   }
 
   async carryOut (times: AnswerTimes): Promise<void> {
     const { run, decided } = this.#context
     for (let attempt = 1; ; attempt++) {
       await run.checkBeforeSend()
-      const placed = await this.#placePermitted(attempt)
+      const placed = await this.#placer.place(attempt)
       try {
         await this.#carryOutPlaced(placed, times)
         return
@@ -83,89 +76,6 @@
     return budget.takeRetry()
   }
 
-  /** An engine without a permit is no failure: the request is placed without it, which is no attempt. */
-  async #placePermitted (attempt: number): Promise<PermittedPlacement> {
-    this.#waitsMs.clear()
-    for (;;) {
-      const placement = await this.#place(attempt)
-      const permits = await takeEnginePermits(this.#context, placement, this.#waitsMs)
-      if (permits) return { placement, permits }
-    }
-  }
-
-  async #place (attempt: number): Promise<Placement> {
-    const { opts, run, caller, decided } = this.#context
-    const askedAtMs = run.elapsedMs
-    let outcome = await this.#askPlacer(attempt)
-    while (!('plan' in outcome)) {
-      // An answer that has begun is continued late rather than cut.
-      if (!caller.begun) throw refuseUnplaced(outcome, this.#waitsMs)
-      await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal: run.signal })
-      this.#waitsMs.clear()
-      run.throwIfEnded()
-      outcome = await this.#askPlacer(attempt)
-    }
-    const { plan: { prefillEngine, decodeEngine, expectedTtftMs }, placedBy } = outcome
-    const { promptTokens, maxTokens, expectedTokens } = this.#prompt
-    decided(LogEvent.RequestPlaced, {
-      attempt,
-      promptTokens,
-      maxTokens,
-      expectedTokens,
-      prefillEngine,
-      decodeEngine,
-      scheduler: placedBy,
-      expectedTtftMs: Math.round(expectedTtftMs),
-      waitedMs: Math.round(run.elapsedMs - askedAtMs),
-      atMs: Math.round(run.elapsedMs),
-    })
-    return outcome
-  }
-
-  /** A place that is found for a run that has ended is given back. */
-  async #askPlacer (attempt: number): Promise<Placement | PlacementRefusal> {
-    const { opts, run } = this.#context
-    const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
-    if (run.signal.aborted && 'plan' in outcome) outcome.release()
-    run.throwIfEnded()
-    return outcome
-  }
-
-  #placeRequest (attempt: number): PlaceRequest {
-    const { opts, run, route, request, caller, health, urgency } = this.#context
-    const { promptTokens, maxTokens, prefixes } = this.#prompt
-    const doneTokens = this.#progress.events * this.#tokensPerEvent()
-    // The prompt is not read once more when the answer could not be whole in time. A first try is never refused for an estimate.
-    const usefulMs = attempt > 1 ? run.leftMs - this.#leastRestMs(doneTokens) : run.leftMs
-    const { peerAddress, incarnation, availabilityZone } = opts.standing()
-    const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${++this.#placements}`, maxHoldMs: run.leftMs }
-    return {
-      model: this.#model,
-      client: '',
-      label,
-      // A caller's retry has an id of its own, but its prompt ends in the same part.
-      returnId: prefixes.at(-1)?.digest ?? hash32(request.id).toString(36),
-      priority: -urgency,
-      promptTokens: promptTokens + doneTokens,
-      prefixes: [...prefixes],
-      maxTokens: Math.max(1, maxTokens - doneTokens),
-      ttftLeftMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : route.spec.ttftTargetMs - run.elapsedMs),
-      patienceMs: Math.min(usefulMs, caller.begun ? CONTINUE_WITHIN_MS : PATIENCE_TARGETS * route.spec.ttftTargetMs - run.elapsedMs),
-      tbtTargetMs: route.spec.tbtTargetMs,
-      deadlineMs: run.leftMs,
-      allowsOwnPrefill: true,
-      availabilityZone,
-      avoid: [...this.#failed, ...health.suspects(), ...this.#waitsMs.keys()],
-    }
-  }
-
-  /** The least time for the tokens that are missing, by the caller's own estimate of the answer. */
-  #leastRestMs (doneTokens: number): number {
-    const stepMs = this.#context.opts.configuration().model(this.#model)?.decodeStepBaseMs ?? 0
-    const { maxTokens, expectedTokens = 0 } = this.#prompt
-    return Math.max(0, Math.min(expectedTokens, maxTokens) - doneTokens) * stepMs
-  }
-
   async #carryOutPlaced ({ placement, permits }: PermittedPlacement, times: AnswerTimes): Promise<void> {
     const { opts, run } = this.#context
     const { plan } = placement
@@ -358,16 +268,12 @@
 
   #report (plan: PlacementPlan, placedAtMs: number, { firstMs = 0, pausesMs }: AnswerTimes): PlacementReport {
     return {
-      completionTokens: this.#progress.events * this.#tokensPerEvent(),
+      completionTokens: this.#placer.doneTokens(),
       ttftErrorMs: firstMs - placedAtMs - plan.expectedTtftMs,
       tbtP50Ms: percentile(pausesMs, 50) ?? 0,
     }
   }
 
-  #tokensPerEvent (): number {
-    return this.#context.opts.configuration().model(this.#model)?.tokensPerEvent ?? 1
-  }
-
   /** Not waited for: what is not freed lapses soon. */
   #free (source: PrefillSource): void {
     const { opts, decided } = this.#context
