--- /dev/null
+++ b/scheduling/scheduler/src/queueForecast.ts
@@ -0,0 +1,38 @@
+import { type ShardLedger } from '@reelspan/scheduling.ledger'
+import { type PlacementChooser, type ReadyEngine } from './placementChooser.js'
+import { type WaitingRequest } from './waitingQueue.js'
+
+export interface QueueForecastOptions {
+  ledger: ShardLedger
+  chooser: PlacementChooser
+}
+
+/** How much prefill work waits at a scheduler, and how soon a request could have its first token. */
+export class QueueForecast {
+  readonly #opts: QueueForecastOptions
+
+  constructor (opts: QueueForecastOptions) {
+    this.#opts = opts
+  }
+
+  /** Least prefill work of all that wait. */
+  waitingWorkMs (waiting: readonly WaitingRequest[], nowMs: number): number {
+    const { chooser } = this.#opts
+    const engines = chooser.readyEngines(nowMs)
+    if (engines.length === 0) return 0
+    return waiting.reduce((sum, one) => sum + Math.min(...engines.map((ready) => chooser.costMs(one, ready, nowMs))), 0)
+  }
+
+  /** Least time to a first token; nothing when no engine takes work. */
+  leastMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number | undefined {
+    const { chooser, ledger } = this.#opts
+    const { request: { avoid }, handoverMs } = waiting
+    const permittedInMs = chooser.decodePermittedInMs(waiting, nowMs) ?? 0
+    const endsMs = engines
+      .filter(({ engine }) => !avoid.includes(engine.name))
+      .map((ready) => Math.max(permittedInMs, ready.freeAtMs - nowMs + chooser.costMs(waiting, ready, nowMs)) + handoverMs)
+    if (endsMs.length > 0) return Math.min(...endsMs)
+    // A shard that was just taken over may have room as soon as its engines report.
+    return chooser.leastOwnPrefillMs(waiting, nowMs) ?? (ledger.awaitsReports ? handoverMs : undefined)
+  }
+}
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -7,14 +7,16 @@
 import { type EngineReport } from '@reelspan/upstream.client'
 import { UpstreamHealth } from '@reelspan/upstream.health'
 import { ClientShares } from './clientShares.js'
-import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, msPerLatePlace } from './decideAdmission.js'
+import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome } from './decideAdmission.js'
 import { decideQueue, type QueueDecision } from './decideQueue.js'
 import { describeEngines } from './describeEngines.js'
 import { EngineLimits } from './engineLimits.js'
-import { HANDOUT_LOOKAHEAD_MS, PlacementChooser, type ReadyEngine } from './placementChooser.js'
+import { HANDOUT_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { type LearntLoad, PlacementLessons } from './placementLessons.js'
 import { PlacementRate } from './placementRate.js'
+import { QueueForecast } from './queueForecast.js'
+import { RefusalBooking } from './refusalBooking.js'
 import { ReturnCalendar } from './returnCalendar.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
 
@@ -47,15 +49,11 @@
 const MAX_WAITING = 2000
 /** Waiting requests are looked at again at least this often. */
 const MAX_SLEEP_MS = 10
-/** Part of the places that is kept for those who return: they are late, so most is left to those who can be in time. */
-const RETURN_SHARE = 0.5
 /** Part of the time in which it is of use that a promised request waits for a place that nobody in time needs. */
 const PROMISE_DUE_SHARE = 0.25
 /** Engines report, and callers connect anew, within about this time: sooner, little has changed. */
 const RETURN_MIN_MS = 500
 const RETURN_MAX_MS = 30_000
-/** Callers honour a time to return for a third of the time that they have left; the refusal takes some of it to reach them. */
-const RETURN_HONOURED_SHARE = 0.3
 
 /** Places requests on one shard: holds them until an engine can begin at once, best use first, and refuses what would be late. */
 export class ShardScheduler {
@@ -69,6 +67,8 @@
   readonly #chooser: PlacementChooser
   readonly #calendar = new ReturnCalendar({ minDelayMs: RETURN_MIN_MS, maxDelayMs: RETURN_MAX_MS })
   readonly #waiting = new WaitingQueue()
+  readonly #forecast: QueueForecast
+  readonly #refusals: RefusalBooking
   readonly #health: UpstreamHealth
   readonly #limits: EngineLimits
   #wake?: AbortController
@@ -84,6 +84,8 @@
     const limits = this.#limits
     this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect, limits })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
+    this.#forecast = new QueueForecast({ ledger: this.ledger, chooser: this.#chooser })
+    this.#refusals = new RefusalBooking({ chooser: this.#chooser, estimator: this.#estimator, rate: this.#rate, calendar: this.#calendar })
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
   }
 
@@ -234,7 +236,7 @@
     this.ledger.expire(nowMs)
     if (this.#waiting.size === 0) return this.#rate.noteIdle(nowMs)
     this.#calendar.expire(nowMs)
-    const waitingMs = this.#waitingWorkMs(nowMs)
+    const waitingMs = this.#forecast.waitingWorkMs(this.#waiting.all(), nowMs)
     const next = () => this.#chooser.choose(this.#waiting.all(), waitingMs, nowMs)
     for (let choice = next(); choice; choice = next()) this.#commit(choice.waiting, choice.estimate, nowMs)
     this.#decideAll(nowMs)
@@ -242,13 +244,6 @@
     this.#sleepUntilNext(nowMs)
   }
 
-  /** Least prefill work of all that wait. */
-  #waitingWorkMs (nowMs: number): number {
-    const engines = this.#chooser.readyEngines(nowMs)
-    if (engines.length === 0) return 0
-    return this.#waiting.all().reduce((sum, waiting) => sum + Math.min(...engines.map((ready) => this.#chooser.costMs(waiting, ready, nowMs))), 0)
-  }
-
   /** Decides anew of each request that waits whether it is kept. */
   #decideAll (nowMs: number): void {
     if (this.#waiting.size === 0) return
@@ -258,25 +253,13 @@
       msPerPlace: this.#rate.msPerPlace(nowMs),
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
-      leastMs: (waiting) => this.#leastMs(waiting, engines, nowMs),
+      leastMs: (waiting) => this.#forecast.leastMs(waiting, engines, nowMs),
       isAhead: (client) => this.#shares.isAhead(client, nowMs),
       promisesDueAtMs: this.#calendar.promisesDueAtMs(nowMs),
     })
     decisions.forEach((decided) => this.#carryOut(decided))
   }
 
-  /** Least time to a first token; nothing when no engine takes work. */
-  #leastMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number | undefined {
-    const { request: { avoid }, handoverMs } = waiting
-    const permittedInMs = this.#chooser.decodePermittedInMs(waiting, nowMs) ?? 0
-    const endsMs = engines
-      .filter(({ engine }) => !avoid.includes(engine.name))
-      .map((ready) => Math.max(permittedInMs, ready.freeAtMs - nowMs + this.#chooser.costMs(waiting, ready, nowMs)) + handoverMs)
-    if (endsMs.length > 0) return Math.min(...endsMs)
-    // A shard that was just taken over may have room as soon as its engines report.
-    return this.#chooser.leastOwnPrefillMs(waiting, nowMs) ?? (this.ledger.awaitsReports ? handoverMs : undefined)
-  }
-
   #carryOut ({ waiting, inputs, decision }: QueueDecision): void {
     if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision)
     waiting.outcome = decision.outcome
@@ -322,29 +305,15 @@
     this.#waiting.all().forEach(({ costsMs }) => { costsMs[slot] = undefined })
   }
 
+  #refusal (waiting: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string): PlacementAnswer {
+    return this.#refusals.refuse(waiting, reason, { waitingCount: this.#waiting.size, nowMs: this.#opts.clock.nowMs() })
+  }
+
   #answer (waiting: WaitingRequest, answer: PlacementAnswer): void {
     this.#waiting.remove(waiting)
     waiting.resolve(answer)
   }
 
-  #refusal ({ request, firstArrivedAtMs }: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string): PlacementAnswer {
-    const nowMs = this.#opts.clock.nowMs()
-    const engines = this.#chooser.readyEngines(nowMs)
-    const costsMs = engines.map(({ engine }) => this.#estimator.prefillCostMs(request, engine.name, nowMs))
-    const prefillShareMs = engines.length > 0 ? Math.min(...costsMs) / engines.length : 0
-    const msPerPlace = this.#rate.msPerPlace(nowMs)
-    const msPerLate = msPerLatePlace({ msPerPlace, msPerArrival: this.#rate.msPerArrival(nowMs) }, 0)
-    const msPerReturn = Math.min(msPerLate, msPerPlace / RETURN_SHARE)
-    const retryAfterMs = this.#calendar.book({
-      returnId: request.returnId,
-      firstArrivedAtMs,
-      placeInMs: this.#waiting.size * msPerLate,
-      costMs: Math.max(prefillShareMs, msPerReturn),
-      honouredMs: RETURN_HONOURED_SHARE * request.deadlineMs,
-    }, nowMs)
-    return { outcome: PlacementOutcome.Refused, reason, retryAfterMs: Math.round(retryAfterMs) }
-  }
-
   #sleepUntilNext (nowMs: number): void {
     this.#wake?.abort(STOPPED)
     if (this.#waiting.size === 0 || this.#tasks.stopped) return
