--- a/scheduling/scheduler/src/queueForecast.ts
+++ b/scheduling/scheduler/src/queueForecast.ts
@@ -27,11 +27,12 @@
   leastMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number | undefined {
     const { chooser, ledger } = this.#opts
     const { request: { avoid }, handoverMs } = waiting
-    const permittedInMs = chooser.decodePermittedInMs(waiting, nowMs) ?? 0
-    const endsMs = engines
-      .filter(({ engine }) => !avoid.includes(engine.name))
-      .map((ready) => Math.max(permittedInMs, ready.freeAtMs - nowMs + chooser.costMs(waiting, ready, nowMs)) + handoverMs)
-    if (endsMs.length > 0) return Math.min(...endsMs)
+    const permittedInMs = chooser.decodePermittedInMs(waiting, nowMs)
+    const usable = engines.filter(({ engine }) => !avoid.includes(engine.name))
+    if (permittedInMs !== undefined && usable.length > 0) {
+      const endsMs = usable.map((ready) => Math.max(permittedInMs, ready.freeAtMs - nowMs + chooser.costMs(waiting, ready, nowMs)))
+      return Math.min(...endsMs) + handoverMs
+    }
     // A shard that was just taken over may have room as soon as its engines report.
     return chooser.leastOwnPrefillMs(waiting, nowMs) ?? (ledger.awaitsReports ? handoverMs : undefined)
   }
--- a/scheduling/scheduler/test/engineLimits.ts
+++ b/scheduling/scheduler/test/engineLimits.ts
@@ -56,3 +56,13 @@
   t.is(answer.outcome, PlacementOutcome.Refused)
   t.is(clock.nowMs(), startedAtMs)
 })
+
+for (const avoid of [['d-1', 'd-2'], ['p-1', 'p-2']]) {
+  test(`a request that avoids ${avoid.join(' and ')}, all engines of one role, is refused at once`, async (t) => {
+    const { clock, scheduler } = createShard({ prefill: 2, decode: 2 })
+    const startedAtMs = clock.nowMs()
+    const answer = await clock.run(scheduler.reserve(requestOf({ avoid })))
+    t.is(answer.outcome, PlacementOutcome.Refused)
+    t.is(clock.nowMs(), startedAtMs)
+  })
+}
