--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -149,7 +149,7 @@
   },
   {
     name: 'a place that is found for a run that has ended is given back',
-    file: 'request/relay/src/completionRelay.ts',
+    file: 'request/relay/src/completionPlacer.ts',
     find: "if (run.signal.aborted && 'plan' in outcome) outcome.release()",
     replace: '',
     tests: [LEFT_CALLER],
