--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -98,6 +98,20 @@
     replace: 'return limitChanged',
     tests: [DRAINING],
   },
+  {
+    name: 'a box backs off from an upstream that asked it to',
+    file: 'upstream/limits/src/sendPermits.ts',
+    find: 'if (backoffMs > 0)',
+    replace: 'if (backoffMs < 0)',
+    tests: ['box/runtime/test.lib/retryAfter.js'],
+  },
+  {
+    name: 'an engine that asked for a wait while the prompt was read gets no decode',
+    file: 'request/relay/src/completionRelay.ts',
+    find: 'if (opts.fleet().takesWork(engine) && backoffMs === 0) return',
+    replace: 'if (opts.fleet().takesWork(engine)) return',
+    tests: ['request/relay/test.lib/upstreamSignals.js'],
+  },
   {
     name: 'a scheduler places no more than engines take',
     file: 'scheduling/scheduler/src/shardScheduler.ts',
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -88,8 +88,8 @@
   refuses?: () => boolean
   /** Decides whether the answer of a run is lost. */
   losesAnswer?: () => boolean
-  /** What it names as its limit in each answer, if it names one. */
-  namesLimit?: () => string | undefined
+  /** Headers about itself that stand on each of its responses. */
+  advertises?: () => Readonly<Record<string, string>>
   /** Called when it begins to run a request. */
   onRun?: (run: UpstreamRun) => void
   /** Status of its answer to an order; nothing when it does not answer one. */
@@ -162,8 +162,7 @@
     const id = String(headers['x-reelspan-request-id'])
     response.setHeader('X-Reelspan-Request-Id', id)
     response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
-    const limit = this.#opts.namesLimit?.()
-    if (limit !== undefined) response.setHeader('Server-Limit', limit)
+    Object.entries(this.#opts.advertises?.() ?? {}).forEach(([name, value]) => response.setHeader(name, value))
     const expected = headers['x-reelspan-expect-instance']
     if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return refuse(response, 421)
     this.arrivals.push({ id, instance: this.#opts.instance ?? '', atMs: performance.now() })
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -204,8 +204,9 @@
     naming.toMs = performance.now()
   }
 
-  #limitOf (instance: string): string | undefined {
-    return this.namings.find((naming) => naming.instance === instance && naming.toMs === Number.POSITIVE_INFINITY)?.perSecond.toString()
+  #headersOf (instance: string): Record<string, string> {
+    const naming = this.namings.find((one) => one.instance === instance && one.toMs === Number.POSITIVE_INFINITY)
+    return naming ? { 'Server-Limit': naming.perSecond.toString() } : {}
   }
 
   /** Resolves when an upstream runs nothing, or has been given long enough for it. */
@@ -376,7 +377,7 @@
       handleLifeMs: HANDLE_LIFE_MS,
       refuses: draws(REFUSED_SHARE),
       losesAnswer: draws(LOST_ANSWER_SHARE),
-      namesLimit: () => this.#limitOf(instance),
+      advertises: () => this.#headersOf(instance),
     })
     await upstream.start()
     return upstream
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -194,7 +194,7 @@
 
   /** The whole state of the process. */
   describe () {
-    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, upstreamStates, proof, settings } = this.#parts
+    const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, upstreamStates, backoffs, proof, settings } = this.#parts
     return {
       self: view.self,
       ready: this.#ready,
@@ -209,7 +209,8 @@
       placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
       shards: keepers.describe(),
       quarantine: { requests: quarantine.countQuarantined(), runsKnown: runHistory.size },
-      upstreamLimits: upstreamStates.all(),
+      upstreamStates: upstreamStates.all(),
+      backingOffFrom: backoffs.all(),
       callersBeingServed: this.#callersBeingServed,
     }
   }
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -232,6 +232,7 @@
     admission: parts.admission,
     upstreamReports: parts.upstreamReports,
     signals: parts.signals,
+    backoffs: parts.backoffs,
     upstreamStates: parts.upstreamStates,
     permits: parts.permits,
     returnTimes: parts.returnTimes,
--- a/box/runtime/src/createLimitParts.ts
+++ b/box/runtime/src/createLimitParts.ts
@@ -28,8 +28,8 @@
   return limiter
 }
 
-export function createPermits ({ clock, metrics, permitLimiter, upstreamStates }: BoxParts): SendPermits {
-  return new SendPermits({ clock, limits: upstreamStates, limiter: permitLimiter, metrics })
+export function createPermits ({ backoffs, clock, metrics, permitLimiter, upstreamStates }: BoxParts): SendPermits {
+  return new SendPermits({ clock, limits: upstreamStates, backoffs, limiter: permitLimiter, metrics })
 }
 
 export function createReturnTimes ({ clock, view }: BoxParts): ReturnTimes {
--- a/box/runtime/test/__utils__/signallingUpstreams.ts
+++ b/box/runtime/test/__utils__/signallingUpstreams.ts
@@ -48,15 +48,17 @@
   durationMs: number
   /** Upstreams refuse until then; for good without it. */
   untilMs?: number
+  /** Only these boxes are refused; all without it. */
+  boxes?: readonly string[]
 }
 
 /** Upstreams refuse every request with 503 and ask the box for nothing more for a time. */
-export function refuseWithBackoff ({ relayed, clock }: FakeFleet, upstreams: readonly string[], { durationMs, untilMs = Number.POSITIVE_INFINITY }: BackoffOptions): Advertisements {
+export function refuseWithBackoff ({ relayed, clock }: FakeFleet, upstreams: readonly string[], { durationMs, untilMs = Number.POSITIVE_INFINITY, boxes }: BackoffOptions): Advertisements {
   const advertised = new Advertisements()
-  const refuses = (upstream: string) => upstreams.includes(upstream) && clock.nowMs() < untilMs
-  relayed.refusalStatusOf = (upstream) => refuses(upstream) ? 503 : undefined
+  const refuses = (upstream: string, box: string) => upstreams.includes(upstream) && clock.nowMs() < untilMs && (boxes?.includes(box) ?? true)
+  relayed.refusalStatusOf = (upstream, box) => refuses(upstream, box) ? 503 : undefined
   relayed.signalsOf = (upstream, box) => {
-    if (!refuses(upstream)) return {}
+    if (!refuses(upstream, box)) return {}
     advertised.note(upstream, box, clock.nowMs())
     return { backoff: { durationMs, text: String(durationMs / 1000) } }
   }
--- a/box/runtime/test/upstreamLimitShared.ts
+++ b/box/runtime/test/upstreamLimitShared.ts
@@ -177,7 +177,7 @@
 
 /** Boxes that believe that an upstream names a limit. */
 function believers (fleet: FakeFleet, upstream: string): string[] {
-  return fleet.liveBoxes().filter(({ box }) => box.describe().upstreamLimits.some((state) => state.upstream === upstream && state.perSecond !== undefined)).map(({ name }) => name)
+  return fleet.liveBoxes().filter(({ box }) => box.describe().upstreamStates.some((state) => state.upstream === upstream && state.perSecond !== undefined)).map(({ name }) => name)
 }
 
 for (const boxCount of [8, 195]) {
--- a/cli/reelspanctl/test/explain.ts
+++ b/cli/reelspanctl/test/explain.ts
@@ -42,6 +42,12 @@
   t.regex(out, /likely cause: each upstream that was left for it names a limit/)
 })
 
+test('a refusal for upstreams that ask for a wait names these', async (t) => {
+  const { out } = await run('explain', 'r-waiting', LOG)
+  t.regex(out, /upstreamsBackingOff {2}upstreams=\["i-5"\] retryAfterMs=1840/)
+  t.regex(out, /likely cause: each upstream that was left for it had refused a request of this box and asked it to wait/)
+})
+
 test('a request without an end is said to have none', async (t) => {
   const { out } = await run('explain', 'r-open', LOG)
   t.regex(out, /the end is missing/)
--- a/core/error/src/errorCode.ts
+++ b/core/error/src/errorCode.ts
@@ -19,6 +19,8 @@
   NoUpstream = 'ERR_REELSPAN_NO_UPSTREAM',
   /** Each upstream that could take the request has got as many as it takes for now. */
   UpstreamLimit = 'ERR_REELSPAN_UPSTREAM_LIMIT',
+  /** Each upstream that could take the request asked this box to wait. */
+  UpstreamBackoff = 'ERR_REELSPAN_UPSTREAM_BACKOFF',
   UpstreamFailed = 'ERR_REELSPAN_UPSTREAM_FAILED',
   DeadlinePassed = 'ERR_REELSPAN_DEADLINE_PASSED',
   Cancelled = 'ERR_REELSPAN_CANCELLED',
--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -1,11 +1,14 @@
+import { type ReelspanError } from '@reelspan/core.error'
 import { hash32 } from '@reelspan/core.hashing'
 import { type HoldLabel, type PlacementRefusal } from '@reelspan/core.messages'
 import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type PromptSizes } from '@reelspan/upstream.client'
+import { WaitReason } from '@reelspan/upstream.limits'
 import { type EventProgress } from './eventProgress.js'
 import { type PermittedPlacement, refuseUnplaced, takeEnginePermits } from './permittedPlacement.js'
 import { type RelayContext } from './relayContext.js'
+import { SendWaits } from './sendWaits.js'
 
 /** Callers give a stream up that has not begun after four latency targets; the last of them is for the way, and for what an estimate misses. */
 const PATIENCE_TARGETS = 3
@@ -27,8 +30,8 @@
   readonly #model: string
   readonly #prompt: PromptSizes
   readonly #state: PlacingState
-  /** Engines that had no permit left when the request was placed there, and how long until they had. */
-  readonly #waitsMs = new Map<string, number>()
+  /** Engines that had no permit when the request was placed there. */
+  readonly #waits = new SendWaits()
   #placements = 0
 
   constructor (context: RelayContext, model: string, prompt: PromptSizes, state: PlacingState) {
@@ -45,10 +48,10 @@
 
   /** An engine without a permit is no failure: the request is placed without it, which is no attempt. */
   async place (attempt: number): Promise<PermittedPlacement> {
-    this.#waitsMs.clear()
+    this.#waits.clear()
     for (;;) {
       const placement = await this.#askUntilPlaced(attempt)
-      const permits = await takeEnginePermits(this.#context, placement, this.#waitsMs)
+      const permits = await takeEnginePermits(this.#context, placement, this.#waits)
       if (permits) return { placement, permits }
     }
   }
@@ -59,9 +62,9 @@
     let outcome = await this.#askPlacer(attempt)
     while (!('plan' in outcome)) {
       // An answer that has begun is continued late rather than cut.
-      if (!caller.begun) throw refuseUnplaced(outcome, this.#waitsMs)
+      if (!caller.begun) throw this.#refusal(outcome)
       await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal: run.signal })
-      this.#waitsMs.clear()
+      this.#waits.clear()
       run.throwIfEnded()
       outcome = await this.#askPlacer(attempt)
     }
@@ -82,6 +85,21 @@
     return outcome
   }
 
+  #refusal (refusal: PlacementRefusal): ReelspanError {
+    const { configuration } = this.#context.opts
+    const model = configuration().model(this.#model)
+    if (model) [model.prefillPool, model.decodePool].forEach((pool) => this.#addBackoffsOf(pool))
+    return refuseUnplaced(this.#context, this.#model, refusal, this.#waits)
+  }
+
+  /** Backoffs are why there is no place where all engines of a pool ask this box to wait. */
+  #addBackoffsOf (pool: string): void {
+    const { fleet, backoffs } = this.#context.opts
+    const engines = fleet().takingWork(pool).map(({ name }) => ({ name, durationMs: backoffs.remainingMs(name) }))
+    if (engines.some(({ durationMs }) => durationMs === 0)) return
+    engines.forEach(({ name, durationMs }) => this.#waits.add(name, { reason: WaitReason.Backoff, durationMs }))
+  }
+
   /** A place that is found for a run that has ended is given back. */
   async #askPlacer (attempt: number): Promise<Placement | PlacementRefusal> {
     const { opts, run } = this.#context
@@ -115,7 +133,7 @@
       deadlineMs: run.leftMs,
       allowsOwnPrefill: true,
       availabilityZone,
-      avoid: [...this.#state.failed, ...health.suspects(), ...this.#waitsMs.keys()],
+      avoid: [...new Set([...this.#state.failed, ...health.suspects(), ...this.#waits.upstreams(), ...opts.backoffs.upstreams()])],
     }
   }
 
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -89,14 +89,14 @@
       await run.checkBeforeSend()
       // Waking late, the place that was kept for the end of this prefill may be another's by now.
       if (opts.clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the placement was not used in time', { mayHaveRun: false })
-      this.#checkTakesWork(plan.prefillEngine)
-      this.#checkTakesWork(plan.decodeEngine)
+      this.#checkMaySend(plan.prefillEngine)
+      this.#checkMaySend(plan.decodeEngine)
       if (!isOwnPrefill(plan)) {
         source = await this.#prefill(plan, permits.prefill)
         this.#prefillMs = opts.clock.nowMs() - placedAtMs
         placement.prefilled()
         await run.checkBeforeSend()
-        this.#checkTakesWork(plan.decodeEngine)
+        this.#checkMaySend(plan.decodeEngine)
       }
       await this.#decode({ placement, permits }, source, times)
       taken = true
@@ -109,12 +109,14 @@
     }
   }
 
-  /** The scheduler may not have heard yet that an engine leaves, or it has begun to since it was chosen. */
-  #checkTakesWork (engine: string): void {
+  /** The scheduler may not have heard yet that an engine leaves, or it has begun to, or asked this box to wait, since it was chosen. */
+  #checkMaySend (engine: string): void {
     const { opts } = this.#context
-    if (opts.fleet().takesWork(engine)) return
+    const backoffMs = opts.backoffs.remainingMs(engine)
+    if (opts.fleet().takesWork(engine) && backoffMs === 0) return
     this.#failed.add(engine)
-    throw new UpstreamError(`${engine} takes no more work, by revision ${opts.fleetRevision()} of the list`, { mayHaveRun: false, refused: true })
+    const reason = backoffMs > 0 ? `asked this box to wait for ${Math.ceil(backoffMs)} ms more` : `takes no more work, by revision ${opts.fleetRevision()} of the list`
+    throw new UpstreamError(`${engine} ${reason}`, { mayHaveRun: false, refused: true })
   }
 
   async #prefill (plan: PlacementPlan, permit: SendPermit): Promise<PrefillSource> {
--- a/request/relay/src/permittedPlacement.ts
+++ b/request/relay/src/permittedPlacement.ts
@@ -1,10 +1,10 @@
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { isOwnPrefill, type PlacementPlan, type PlacementRefusal } from '@reelspan/core.messages'
 import { type Placement } from '@reelspan/scheduling.placer'
-import { LogEvent } from '@reelspan/telemetry.log'
 import { type SendPermit } from '@reelspan/upstream.limits'
 import { takePermit } from './pickPermitted.js'
 import { type RelayContext } from './relayContext.js'
+import { SendWaits } from './sendWaits.js'
 
 /** Permits for the engines of a placement: the same one where one engine does all. */
 export interface EnginePermits {
@@ -19,9 +19,9 @@
 
 /**
  * Takes a permit for each engine of a placement, before any of them works. Gives the placement
- * back and answers nothing when one has none left, which is noted in `waitsMs`.
+ * back and answers nothing when one has none, which is added to `waits`.
  */
-export async function takeEnginePermits (context: RelayContext, placement: Placement, waitsMs: Map<string, number>): Promise<EnginePermits | undefined> {
+export async function takeEnginePermits (context: RelayContext, placement: Placement, waits: SendWaits): Promise<EnginePermits | undefined> {
   const engines = enginesOf(placement.plan)
   const taken: SendPermit[] = []
   try {
@@ -30,24 +30,28 @@
     giveBack(placement, taken)
     throw thrown
   }
-  const full = engines.filter((_, i) => !taken[i].granted)
-  if (full.length === 0) return { prefill: taken[0], decode: taken[taken.length - 1] }
+  const missing = new SendWaits()
+  engines.forEach((engine, i) => {
+    const { wait } = taken[i]
+    if (wait) [missing, waits].forEach((some) => some.add(engine, wait))
+  })
+  if (missing.size === 0) return { prefill: taken[0], decode: taken[taken.length - 1] }
   giveBack(placement, taken)
-  full.forEach((engine) => waitsMs.set(engine, taken[engines.indexOf(engine)].waitMs))
-  context.decided(LogEvent.UpstreamsAtLimit, { upstreams: full })
+  missing.log(context, {})
   return undefined
 }
 
 /**
  * Refuses a request that found no place.
  *
- * @param waitsMs engines that were left out since they had no permit, and how long until they have
+ * @param waits engines that were left out since they had no permit
  */
-export function refuseUnplaced ({ reason, retryAfterMs }: PlacementRefusal, waitsMs: ReadonlyMap<string, number>): ReelspanError {
-  if (waitsMs.size === 0) return new ReelspanError(ErrorCode.Overloaded, reason, { retryAfterMs })
-  const soonestMs = Math.ceil(Math.min(...waitsMs.values()))
-  const engines = [...waitsMs.keys()].join(', ')
-  return new ReelspanError(ErrorCode.UpstreamLimit, `${engines} have got as many requests as they take for now; ${reason}`, { retryAfterMs: Math.max(retryAfterMs, soonestMs) })
+export function refuseUnplaced ({ opts }: RelayContext, model: string, { reason, retryAfterMs }: PlacementRefusal, waits: SendWaits): ReelspanError {
+  if (waits.size === 0) return new ReelspanError(ErrorCode.Overloaded, reason, { retryAfterMs })
+  const returnMs = Math.ceil(opts.returnTimes.bookAfter(model, waits.soonestMs))
+  const engines = waits.upstreams().join(', ')
+  const why = waits.areBackoffs ? 'asked this box to wait' : 'have got as many requests as they take for now'
+  return new ReelspanError(waits.errorCode, `${engines} ${why}; ${reason}`, { retryAfterMs: Math.max(retryAfterMs, returnMs) })
 }
 
 /** The engines that a plan makes work: one where it computes the prompt itself. */
--- a/request/relay/src/pickPermitted.ts
+++ b/request/relay/src/pickPermitted.ts
@@ -1,8 +1,8 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
-import { LogEvent } from '@reelspan/telemetry.log'
-import { type SendPermit } from '@reelspan/upstream.limits'
+import { type SendPermit, WaitReason } from '@reelspan/upstream.limits'
 import { type RelayContext } from './relayContext.js'
+import { SendWaits } from './sendWaits.js'
 
 /** Upstreams enter themselves again within some seconds; callers have few tries. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000
@@ -16,27 +16,27 @@
 export interface PickResult {
   /** Nothing when no upstream is left that the request may be sent to. */
   picked?: PermittedUpstream
-  /** Upstreams that have no permit left, and how long until they have. */
-  waitsMs: ReadonlyMap<string, number>
+  /** Upstreams that were passed over since they have no permit. */
+  waits: SendWaits
 }
 
 /**
- * Picks an upstream of a pool that the request may be sent to. Those that have no permit left are passed over, which is no attempt.
+ * Picks an upstream of a pool that the request may be sent to. Those without a permit are passed over, which is no attempt.
  *
  * @param tried upstreams that the request was sent to before
  */
 export async function pickPermitted (context: RelayContext, pool: string, tried: ReadonlySet<string>): Promise<PickResult> {
-  const { opts, picker, decided } = context
-  const waitsMs = new Map<string, number>()
+  const { opts, picker } = context
+  const waits = new SendWaits()
   for (;;) {
-    const upstream = picker.pick(opts.fleet().takingWork(pool), new Set([...tried, ...waitsMs.keys()]))
-    if (!upstream) return { waitsMs }
+    const upstream = picker.pick(opts.fleet().takingWork(pool), new Set([...tried, ...waits.upstreams()]))
+    if (!upstream) return { waits }
     const permit = await takePermit(context, upstream.name)
-    if (permit.granted) {
-      if (waitsMs.size > 0) decided(LogEvent.UpstreamsAtLimit, { upstreams: [...waitsMs.keys()], instead: upstream.name })
-      return { picked: { upstream, permit }, waitsMs }
+    if (permit.wait === undefined) {
+      waits.log(context, { instead: upstream.name })
+      return { picked: { upstream, permit }, waits }
     }
-    waitsMs.set(upstream.name, permit.waitMs)
+    waits.add(upstream.name, permit.wait)
   }
 }
 
@@ -54,11 +54,16 @@
 }
 
 /** Refuses a request for which a pool has no upstream, with the time to return. */
-export function refuseUnpicked ({ opts, decided }: RelayContext, pool: string, waitsMs: ReadonlyMap<string, number>): ReelspanError {
-  if (waitsMs.size === 0) return new ReelspanError(ErrorCode.NoUpstream, `pool ${pool} has no upstream that takes work`, { retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
-  const upstreams = [...waitsMs.keys()]
-  const perSecond = upstreams.reduce((sum, upstream) => sum + (opts.upstreamStates.perSecond(upstream) ?? 0), 0)
-  const retryAfterMs = Math.ceil(opts.returnTimes.book(pool, perSecond, Math.min(...waitsMs.values())))
-  decided(LogEvent.UpstreamsAtLimit, { upstreams, retryAfterMs })
-  return new ReelspanError(ErrorCode.UpstreamLimit, `upstreams of ${pool} take ${Number(perSecond.toFixed(2))} requests a second and have got them: ${upstreams.join(', ')}`, { retryAfterMs })
+export function refuseUnpicked (context: RelayContext, pool: string, waits: SendWaits): ReelspanError {
+  const { opts } = context
+  if (waits.size === 0) return new ReelspanError(ErrorCode.NoUpstream, `pool ${pool} has no upstream that takes work`, { retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
+  const limited = waits.upstreams(WaitReason.RateLimit)
+  const perSecond = limited.reduce((sum, upstream) => sum + (opts.upstreamStates.perSecond(upstream) ?? 0), 0)
+  const returnMs = waits.areBackoffs ? opts.returnTimes.bookAfter(pool, waits.soonestMs) : opts.returnTimes.book(pool, perSecond, waits.soonestMs)
+  const retryAfterMs = Math.ceil(returnMs)
+  waits.log(context, { retryAfterMs })
+  const reason = waits.areBackoffs
+    ? `upstreams of ${pool} asked this box to wait: ${waits.upstreams().join(', ')}`
+    : `upstreams of ${pool} take ${Number(perSecond.toFixed(2))} requests a second and have got them: ${waits.upstreams().join(', ')}`
+  return new ReelspanError(waits.errorCode, reason, { retryAfterMs })
 }
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -8,7 +8,7 @@
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type UpstreamReports } from '@reelspan/upstream.health'
 import { type ReturnTimes, type SendPermits } from '@reelspan/upstream.limits'
-import { type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
+import { type Backoffs, type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
 import { type RelayClient } from '@reelspan/upstream.client'
 
 export interface RelayOptions {
@@ -32,6 +32,8 @@
   signals: SignalObserver
   /** What upstreams advertised of late, to any box. */
   upstreamStates: UpstreamStates
+  /** Upstreams that asked this box to wait. */
+  backoffs: Backoffs
   /** What it takes to send an upstream a request. */
   permits: SendPermits
   /** When callers come back that no upstream may be sent. */
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -61,7 +61,7 @@
   }
 
   async #tryAt (picked: PermittedUpstream, attempt: number, times: AnswerTimes): Promise<void> {
-    const { opts: { clock }, picker, decided, run, route } = this.#context
+    const { opts: { clock }, picker, decided, run } = this.#context
     const { upstream } = picked
     const startedAtMs = clock.nowMs()
     picker.noteStart(upstream.name)
@@ -76,8 +76,7 @@
       })
     } catch (thrown) {
       if (!run.signal.aborted && thrown instanceof UpstreamError) {
-        // One that is full turns calls away at once. Its next calls would wait about as long as a call may take.
-        if (thrown.refused) picker.noteTime(upstream.name, route.spec.ttftTargetMs)
+        if (thrown.refused) this.#noteRefusal(upstream)
         else this.#note(upstream, outcomeOf(thrown))
         if (thrown.brokeOff && thrown.unreachable) this.#context.opts.onClosedUnanswered(upstream.name)
       }
@@ -99,6 +98,12 @@
     })
   }
 
+  /** One that is full and says no more: its next calls would wait about as long as a call may take. */
+  #noteRefusal ({ name }: ListedUpstream): void {
+    const { opts, picker, route } = this.#context
+    if (opts.backoffs.remainingMs(name) === 0) picker.noteTime(name, route.spec.ttftTargetMs)
+  }
+
   /** While another attempt is left, silence is waited out for a part of the time only. */
   #attemptSignal (upstream: ListedUpstream, attempt: number): AbortSignal {
     const { run, route } = this.#context
@@ -179,8 +184,8 @@
   }
 
   async #pick (): Promise<PermittedUpstream> {
-    const { picked, waitsMs } = await pickPermitted(this.#context, this.#pool, this.#tried)
-    if (!picked) throw refuseUnpicked(this.#context, this.#pool, waitsMs)
+    const { picked, waits } = await pickPermitted(this.#context, this.#pool, this.#tried)
+    if (!picked) throw refuseUnpicked(this.#context, this.#pool, waits)
     return picked
   }
 
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -231,8 +231,9 @@
     admission,
     upstreamReports: reports,
     signals,
+    backoffs,
     upstreamStates,
-    permits: new SendPermits({ clock, limits: upstreamStates, limiter, metrics }),
+    permits: new SendPermits({ clock, limits: upstreamStates, backoffs, limiter, metrics }),
     returnTimes: new ReturnTimes({ clock, boxCount: () => 1 }),
     onClosedUnanswered: (upstream) => { reports.add({ id: `own-${closedUnanswered.push(upstream)}`, upstream, box: 'test', ageMs: 0 }) },
     configuration: () => clock.nowMs() - startedAtMs >= configuredAfterMs ? configuration : new Configuration(0, []),
@@ -249,7 +250,7 @@
     log,
     metrics,
   })
-  return { clock, relay, upstreams, upstreamStates, placer, probe, quarantine, log, engines, reports, closedUnanswered }
+  return { clock, relay, upstreams, upstreamStates, backoffs, signals, placer, probe, quarantine, log, engines, reports, closedUnanswered }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -46,6 +46,8 @@
   UpstreamLimitChanged = 'upstreamLimitChanged',
   /** A request did not go to upstreams that have got as many as they take for now. */
   UpstreamsAtLimit = 'upstreamsAtLimit',
+  /** A request did not go to upstreams that asked this box to wait. */
+  UpstreamsBackingOff = 'upstreamsBackingOff',
   /** An upstream advertises that it is draining. */
   UpstreamDraining = 'upstreamDraining',
   /** An upstream refused a request and asked this box to wait. */
--- a/upstream/limits/src/index.ts
+++ b/upstream/limits/src/index.ts
@@ -1,5 +1,6 @@
 export { permitBucket } from './permitBucket.js'
 export { PermitMessages } from './permitMessages.js'
 export { ReturnTimes } from './returnTimes.js'
-export { SendPermit } from './sendPermit.js'
+export { SendPermit, WaitReason } from './sendPermit.js'
+export type { SendWait } from './sendPermit.js'
 export { SendPermits } from './sendPermits.js'
--- a/upstream/limits/src/sendPermits.ts
+++ b/upstream/limits/src/sendPermits.ts
@@ -1,12 +1,13 @@
 import { type Clock } from '@reelspan/core.env'
 import { type SharedLimiter } from '@reelspan/membership.limits'
 import { type Metrics } from '@reelspan/telemetry.metrics'
-import { type UpstreamStates } from '@reelspan/upstream.signals'
-import { SendPermit } from './sendPermit.js'
+import { type Backoffs, type UpstreamStates } from '@reelspan/upstream.signals'
+import { SendPermit, WaitReason } from './sendPermit.js'
 
 export interface SendPermitsOptions {
   clock: Clock
   limits: UpstreamStates
+  backoffs: Backoffs
   limiter: SharedLimiter
   metrics: Metrics
 }
@@ -24,7 +25,7 @@
   askAgainAtMs: number
 }
 
-/** Permits to send upstreams requests. Upstreams that name no limit need none. */
+/** Permits to send upstreams requests. There is none while this box backs off, and without a limit no other box is asked. */
 export class SendPermits {
   readonly #opts: SendPermitsOptions
   readonly #refusals = new Map<string, Refusal>()
@@ -35,19 +36,21 @@
 
   /** A permit for one request, granted or not. */
   async take (upstream: string): Promise<SendPermit> {
-    const { clock, limits, limiter, metrics } = this.#opts
+    const { clock, limits, backoffs, limiter, metrics } = this.#opts
+    const backoffMs = backoffs.remainingMs(upstream)
+    if (backoffMs > 0) return new SendPermit({ wait: { reason: WaitReason.Backoff, durationMs: backoffMs } })
     const perSecond = limits.perSecond(upstream)
-    if (perSecond === undefined) return new SendPermit(0)
+    if (perSecond === undefined) return new SendPermit()
     this.#forgetOld()
     const refusal = this.#refusals.get(upstream)
-    if (refusal) return new SendPermit(refusal.dueAtMs - clock.nowMs())
+    if (refusal) return atLimit(refusal.dueAtMs - clock.nowMs())
     const taken = { name: upstream, cost: 1 }
     const waitMs = await limiter.take(taken)
     metrics.count('reelspan_limit_permits_total', { outcome: waitMs === 0 ? 'granted' : 'refused' })
-    if (waitMs === 0) return new SendPermit(0, () => limiter.giveBack(taken))
+    if (waitMs === 0) return new SendPermit({ onUnused: () => limiter.giveBack(taken) })
     const nowMs = clock.nowMs()
     this.#refusals.set(upstream, { perSecond, dueAtMs: nowMs + waitMs, askAgainAtMs: nowMs + Math.min(waitMs, LONGEST_REFUSAL_MS) })
-    return new SendPermit(waitMs)
+    return atLimit(waitMs)
   }
 
   /** Refusals that were long enough ago, or under another limit. */
@@ -58,3 +61,7 @@
     [...this.#refusals].filter(isOld).forEach(([upstream]) => this.#refusals.delete(upstream))
   }
 }
+
+function atLimit (durationMs: number): SendPermit {
+  return new SendPermit({ wait: { reason: WaitReason.RateLimit, durationMs } })
+}
--- a/upstream/limits/test/sendPermits.ts
+++ b/upstream/limits/test/sendPermits.ts
@@ -1,7 +1,7 @@
 import { type LimitedCost, SharedLimiter } from '@reelspan/membership.limits'
 import { Metrics } from '@reelspan/telemetry.metrics'
-import { SendPermits } from '@reelspan/upstream.limits'
-import { UpstreamStates } from '@reelspan/upstream.signals'
+import { SendPermits, WaitReason } from '@reelspan/upstream.limits'
+import { Backoffs, UpstreamStates } from '@reelspan/upstream.signals'
 import { SilentLog } from '@reelspan/utils.fake-fleet'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -28,7 +28,8 @@
   const limits = new UpstreamStates({ clock, log: new SilentLog(), isListed: () => true })
   const limiter = new CountingLimiter()
   const name = (perSecond: number) => limits.observe('a', { succeeded: true, rateLimit: { perSecond, text: '' } }, 0)
-  return { clock, limiter, limits, name, permits: new SendPermits({ clock, limits, limiter, metrics: new Metrics() }) }
+  const backoffs = new Backoffs({ clock, log: new SilentLog() })
+  return { clock, limiter, limits, backoffs, name, permits: new SendPermits({ clock, limits, backoffs, limiter, metrics: new Metrics() }) }
 }
 
 test('an upstream that names no limit needs nobody\'s permit', async (t) => {
@@ -55,9 +56,9 @@
   const { clock, limiter, name, permits } = create()
   name(2)
   limiter.left = 0
-  t.is((await permits.take('a')).waitMs, 400)
+  t.is((await permits.take('a')).wait?.durationMs, 400)
   await clock.advance(100)
-  t.is((await permits.take('a')).waitMs, 300)
+  t.is((await permits.take('a')).wait?.durationMs, 300)
   t.is(limiter.asked, 1)
   await clock.advance(300)
   await permits.take('a')
@@ -72,11 +73,24 @@
   name(0.1)
   limiter.left = 0
   limiter.waitMs = 9000
-  t.is((await permits.take('a')).waitMs, 9000)
+  t.is((await permits.take('a')).wait?.durationMs, 9000)
   await clock.advance(500)
-  t.is((await permits.take('a')).waitMs, 8500)
+  t.is((await permits.take('a')).wait?.durationMs, 8500)
   t.is(limiter.asked, 1)
   await clock.advance(501)
   await permits.take('a')
   t.is(limiter.asked, 2)
 })
+
+test('while this box backs off from an upstream there is no permit, limit or not, and no other box is asked', async (t) => {
+  const { clock, limiter, name, permits, backoffs } = create()
+  backoffs.start('a', 3000)
+  t.deepEqual((await permits.take('a')).wait, { reason: WaitReason.Backoff, durationMs: 3000 })
+  name(2)
+  await clock.advance(1000)
+  t.deepEqual((await permits.take('a')).wait, { reason: WaitReason.Backoff, durationMs: 2000 })
+  t.is(limiter.asked, 0)
+  await clock.advance(2000)
+  t.true((await permits.take('a')).granted)
+  t.is(limiter.asked, 1)
+})
--- a/upstream/signals/src/backoffs.ts
+++ b/upstream/signals/src/backoffs.ts
@@ -6,6 +6,9 @@
   log: Log
 }
 
+/** Longer waits are cut, so that a wrong value does not shut an upstream out for good. */
+const MAX_BACKOFF_MS = 300_000
+
 /** The upstreams that asked this box, and no other, to send nothing for a while. */
 export class Backoffs {
   readonly #opts: BackoffsOptions
@@ -26,13 +29,27 @@
     return Math.max(0, (this.#untilMs.get(upstream) ?? 0) - this.#opts.clock.nowMs())
   }
 
+  /** All upstreams that this box backs off from. */
+  upstreams (): string[] {
+    this.#expire()
+    return [...this.#untilMs.keys()]
+  }
+
+  /** State for the dump. */
+  all (): { upstream: string, remainingMs: number }[] {
+    return this.upstreams().map((upstream) => ({ upstream, remainingMs: Math.round(this.remainingMs(upstream)) }))
+  }
+
   /** Records a wait that an upstream asked for. Of several that overlap the last to end counts. */
   start (upstream: string, durationMs: number): void {
     const { clock, log } = this.#opts
-    if (durationMs <= this.remainingMs(upstream)) return
+    const waitMs = Math.min(durationMs, MAX_BACKOFF_MS)
+    if (waitMs <= this.remainingMs(upstream)) return
     this.#expire()
-    this.#untilMs.set(upstream, clock.nowMs() + durationMs)
-    log.info(LogEvent.UpstreamBackoff, { upstream, durationMs: Math.round(durationMs) })
+    this.#untilMs.set(upstream, clock.nowMs() + waitMs)
+    const fields = { upstream, durationMs: Math.round(waitMs) }
+    if (durationMs > MAX_BACKOFF_MS) log.warn(LogEvent.UpstreamBackoff, { ...fields, askedMs: Math.round(durationMs) })
+    else log.info(LogEvent.UpstreamBackoff, fields)
   }
 
   #expire (): void {
--- a/upstream/signals/test/signalObserver.ts
+++ b/upstream/signals/test/signalObserver.ts
@@ -65,3 +65,19 @@
   t.is(backoffs.count, 0)
   t.is(log.count(LogEvent.UpstreamBackoff), 2)
 })
+
+test('an absurdly long wait is cut, so that the upstream is tried again, and logged as such', async (t) => {
+  const { clock, observer, backoffs, log } = create()
+  observer.observe('a', { succeeded: false, backoff: { durationMs: 1e300, text: '' } }, clock.nowMs())
+  t.is(backoffs.remainingMs('a'), 300_000)
+  t.deepEqual(log.entries[0].fields, { upstream: 'a', durationMs: 300_000, askedMs: 1e300 })
+  await clock.advance(300_000)
+  t.is(backoffs.remainingMs('a'), 0)
+})
+
+test('the next start of an upstream owes nothing to a wait that the one before asked for', (t) => {
+  const { clock, observer, backoffs } = create()
+  observer.observe('a@1', { succeeded: false, backoff: { durationMs: 3000, text: '3' } }, clock.nowMs())
+  t.is(backoffs.remainingMs('a@2'), 0)
+  t.deepEqual(backoffs.upstreams(), ['a@1'])
+})
