--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -115,6 +115,19 @@
     })
   }
 
+  /** The same, said by its responses alone: its entry stays as it was until it ends. */
+  async leaveUnlisted (place: UpstreamPlace): Promise<void> {
+    const { fleet } = this.#opts
+    this.#note(`${place.instance} leaves, and its entry does not say so`)
+    fleet.advertiseDraining(place)
+    await sleep(LEAVING_MS + LEAVING_MS)
+    await fleet.waitIdle(place)
+    await this.#harming(place.name, async () => {
+      await fleet.crash(place)
+      await fleet.revive(place)
+    })
+  }
+
   async #cause (kind: FaultKind, durationMs: number): Promise<void> {
     const { fleet, random } = this.#opts
     const { store } = fleet
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -4,6 +4,7 @@
 import { checkBounds, type Probe } from './checkBounds.js'
 import { checkKeys, type KeyProbe } from './checkKeys.js'
 import { checkLimits } from './checkLimits.js'
+import { checkSignals } from './checkSignals.js'
 import { checkHistory } from './checkHistory.js'
 import { SoakClient } from './client.js'
 import { drawOne } from './drawOne.js'
@@ -68,6 +69,9 @@
 /** An upstream names a limit for some seconds after boxes must know it. */
 const LIMITED_MS = 9000
 const LIMITS_PER_SECOND = [0.5, 2, 3, 5]
+/** An upstream refuses for a part of the time for which it asks for nothing. */
+const REFUSING_MS = 1500
+const BACKOFF_MS = 2500
 /** Attempts by which it is judged whether the system serves again. */
 const RECOVERY_ATTEMPTS = 40
 const RECOVERY_SHARE = 0.8
@@ -103,6 +107,8 @@
   readonly #keyRandom: SeededRandom
   /** Apart for the same reason. */
   readonly #limitRandom: SeededRandom
+  /** Apart as well. */
+  readonly #signalRandom: SeededRandom
   readonly #stalls: StallWatch
   readonly #tookMs: Record<string, number> = {}
   #judged: Record<string, number> = {}
@@ -116,6 +122,7 @@
     this.#faultRandom = new SeededRandom(opts.seed)
     this.#keyRandom = new SeededRandom(opts.seed)
     this.#limitRandom = new SeededRandom(opts.seed)
+    this.#signalRandom = new SeededRandom(opts.seed)
     this.#stalls = new StallWatch(fleet.boxes)
     this.#faults = new Faults({ fleet, random: this.#faultRandom, violation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % HOLDERS_AMONG === 0 }))
@@ -163,10 +170,11 @@
     const probes = this.#probes.map((probe): Attempt => ({ ...probe, kind: RouteKind.Repeatable, deadlineMs: PROBE_DEADLINE_MS, body: `done ${probe.id}`, retryAfter: '' }))
     const history = { attempts: [...attempts, ...probes], runs, arrivals, departures, publications, stops, probes: this.#probes, isUnharmed: this.#isUnharmed.bind(this) }
     const bounds = checkBounds(history)
-    this.#judged = { ...bounds.judged, keys: this.#keyProbes.length, limits: fleet.namings.length }
+    const signals = checkSignals({ ...history, draining: fleet.draining, refusing: fleet.refusing })
+    this.#judged = { ...bounds.judged, ...signals.judged, keys: this.#keyProbes.length, limits: fleet.namings.length }
     // Calls with keys that come and go are judged by their keys alone.
     const tried = new Set(this.#keyProbes.map(({ id }) => id))
-    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !tried.has(id))), ...bounds.violations, ...checkLimits(fleet.namings, history), ...this.#keyViolations())
+    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !tried.has(id))), ...bounds.violations, ...checkLimits(fleet.namings, history), ...signals.violations, ...this.#keyViolations())
   }
 
   #keyViolations (): string[] {
@@ -261,6 +269,7 @@
       this.#faults.leave(drawOne(this.#random, this.#fleet.places)),
       this.#stopSome(),
       this.#limitOne(),
+      this.#refuseAndLeaveUnlisted(),
     ])
   }
 
@@ -268,6 +277,14 @@
     await this.#fleet.limit(drawOne(this.#limitRandom, this.#fleet.places), drawOne(this.#limitRandom, LIMITS_PER_SECOND), LIMITED_MS)
   }
 
+  /** One upstream refuses for a while, another one is draining. */
+  async #refuseAndLeaveUnlisted (): Promise<void> {
+    const staying = this.#fleet.places.filter(({ leaving }) => !leaving)
+    const draining = drawOne(this.#signalRandom, staying)
+    const refusing = drawOne(this.#signalRandom, staying.filter((place) => place !== draining))
+    await Promise.all([this.#faults.leaveUnlisted(draining), this.#fleet.refuse(refusing, BACKOFF_MS, REFUSING_MS)])
+  }
+
   async #publishSome (): Promise<void> {
     for (let i = 0; i < PUBLICATIONS; i++) {
       this.#fleet.publish()
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -10,6 +10,7 @@
 import { REVOKE_MS } from './checkKeys.js'
 import { type Departure, type PlannedStop, type Publication } from './checkBounds.js'
 import { type Naming } from './checkLimits.js'
+import { type Draining, type Refusing } from './checkSignals.js'
 import { FaultProxy } from './faultProxy.js'
 import { HarmKind, HarmLog } from './harmLog.js'
 import { PORT_SHIFT } from './listenBehindProxy.js'
@@ -92,6 +93,10 @@
   readonly stops: PlannedStop[] = []
   /** Limits that upstreams named. One that is named now has no end yet. */
   readonly namings: Naming[] = []
+  /** Upstreams that advertise draining, which their entries do not show. */
+  readonly draining: Draining[] = []
+  /** Times in which upstreams refuse everything. One that goes on has no end yet. */
+  readonly refusing: Refusing[] = []
   /** Times throughout which the store's reads were stale. */
   readonly staleReads: Stall[] = []
   /** What boxes did that they may not do, whatever happens to them. */
@@ -204,9 +209,28 @@
     naming.toMs = performance.now()
   }
 
+  /** An upstream says in its responses alone that it is draining. */
+  advertiseDraining ({ instance }: UpstreamPlace): void {
+    this.draining.push({ instance, fromMs: performance.now() })
+  }
+
+  /** An upstream refuses everything for a while, and asks each box that it refuses to wait. */
+  async refuse ({ instance }: UpstreamPlace, waitMs: number, durationMs: number): Promise<void> {
+    const refusing = { instance, waitMs, fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY }
+    this.refusing.push(refusing)
+    await sleep(durationMs)
+    refusing.toMs = performance.now()
+  }
+
   #headersOf (instance: string): Record<string, string> {
-    const naming = this.namings.find((one) => one.instance === instance && one.toMs === Number.POSITIVE_INFINITY)
-    return naming ? { 'Server-Limit': naming.perSecond.toString() } : {}
+    const isNow = (one: Naming | Refusing) => one.instance === instance && one.toMs === Number.POSITIVE_INFINITY
+    const naming = this.namings.find(isNow)
+    const refusing = this.refusing.find(isNow)
+    return {
+      ...naming ? { 'Server-Limit': naming.perSecond.toString() } : {},
+      ...refusing ? { 'Retry-After': (refusing.waitMs / 1000).toString() } : {},
+      ...this.draining.some((one) => one.instance === instance) ? { 'Server-Leaving': '1' } : {},
+    }
   }
 
   /** Resolves when an upstream runs nothing, or has been given long enough for it. */
@@ -369,13 +393,14 @@
 
   async #startUpstream (role: Role, instance: string): Promise<StandInUpstream> {
     const draws = (share: number) => () => this.#random.nextFloat() < share
+    const refusesByChance = draws(REFUSED_SHARE)
     const upstream = new StandInUpstream(role, {
       instance,
       workMs: role === Role.Service ? SERVICE_WORK_MS : EVENT_PAUSE_MS,
       shapeOf: shapeOfId,
       handles: this.handles,
       handleLifeMs: HANDLE_LIFE_MS,
-      refuses: draws(REFUSED_SHARE),
+      refuses: () => refusesByChance() || this.refusing.some((one) => one.instance === instance && one.toMs === Number.POSITIVE_INFINITY),
       losesAnswer: draws(LOST_ANSWER_SHARE),
       advertises: () => this.#headersOf(instance),
     })
