--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -90,6 +90,8 @@
   losesAnswer?: () => boolean
   /** Headers about itself that stand on each of its responses. */
   advertises?: () => Readonly<Record<string, string>>
+  /** What its reports say of its standing. */
+  reportedState?: () => string
   /** Called when it begins to run a request. */
   onRun?: (run: UpstreamRun) => void
   /** Status of its answer to an order; nothing when it does not answer one. */
@@ -152,6 +154,7 @@
 
   async #serve (message: IncomingMessage, response: ServerResponse, text: string): Promise<void> {
     const { url = '', method, headers } = message
+    Object.entries(this.#opts.advertises?.() ?? {}).forEach(([name, value]) => response.setHeader(name, value))
     if (url === '/v1/report') return this.#report(response)
     if (url === '/v1/order') return this.#takeOrder(text, headers, response)
     if (method === 'DELETE') {
@@ -162,7 +165,6 @@
     const id = String(headers['x-reelspan-request-id'])
     response.setHeader('X-Reelspan-Request-Id', id)
     response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
-    Object.entries(this.#opts.advertises?.() ?? {}).forEach(([name, value]) => response.setHeader(name, value))
     const expected = headers['x-reelspan-expect-instance']
     if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return refuse(response, 421)
     this.arrivals.push({ id, instance: this.#opts.instance ?? '', atMs: performance.now() })
@@ -191,7 +193,7 @@
   }
 
   #report (response: ServerResponse): void {
-    response.end(JSON.stringify({ born: this.#opts.bornMs, stage: this.#role, models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
+    response.end(JSON.stringify({ born: this.#opts.bornMs, stage: this.#role, state: this.#opts.reportedState?.(), models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
   }
 
   #takeOrder (text: string, headers: IncomingMessage['headers'], response: ServerResponse): void {
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -5,7 +5,7 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type Settings } from '@reelspan/config.settings'
 import { type RelayCaller } from '@reelspan/request.relay'
-import { type RelayedRequest } from '@reelspan/upstream.client'
+import { type RelayedRequest, type UpstreamSignals } from '@reelspan/upstream.client'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { LogEvent } from '@reelspan/telemetry.log'
@@ -154,6 +154,17 @@
     return this.#parts.upstreams.at(address)?.name
   }
 
+  /**
+   * Records what a response to a call beside requests advertises about the upstream at an address.
+   *
+   * @param startedAtMs when the start of the upstream began that answered, where it tells
+   */
+  observeUpstreamAt (address: string, advertised: UpstreamSignals, startedAtMs?: number): void {
+    const { clock, upstreams, signals } = this.#parts
+    const upstream = upstreams.at(address)
+    if (upstream && (startedAtMs ?? upstream.startedAtMs) === upstream.startedAtMs) signals.observe(upstream.name, advertised, clock.nowMs())
+  }
+
   /** Whether an upstream is in the list by which this box gives out work. */
   listsUpstream (name: string): boolean {
     return this.#parts.fleet.value.upstream(name) !== undefined
--- a/box/runtime/test/drainingUpstream.ts
+++ b/box/runtime/test/drainingUpstream.ts
@@ -98,3 +98,18 @@
   t.true(fleet.relayed.arrivals.some(({ upstream }) => upstream === 'desk-1@2'))
   await fleet.stop()
 })
+
+test('an engine that says only in its reports that it is draining gets nothing more, and one of another start is not meant', async (t) => {
+  const fleet = await startFleet()
+  const { box } = fleet.schedulerBox()
+  const signals = { succeeded: false, draining: { draining: true, text: 'draining' } }
+  box.observeUpstreamAt(fleet.address('decode-1'), signals)
+  box.observeUpstreamAt(fleet.address('decode-2'), signals, 1)
+  box.observeUpstreamAt('10.99.0.1:80', signals)
+  await fleet.clock.advance(CONTACT_MS)
+  const toldAtMs = fleet.clock.nowMs()
+  await load(fleet, { target: '/draft/', perSecond: 25, seconds: 5 })
+  t.deepEqual(arrivalsAt(fleet, 'decode-1', toldAtMs), [])
+  t.true(arrivalsAt(fleet, 'decode-2', toldAtMs).length > 0)
+  await fleet.stop()
+})
