--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -12,38 +12,33 @@
 import { type BoxParts, listedPeers } from './boxParts.js'
 import { changedKeys } from './changedKeys.js'
 import { drawIncarnation } from './drawIncarnation.js'
-import { FleetChanges } from './fleetChanges.js'
 import { MemberNews } from './memberNews.js'
-import { REENTRY_MS } from './platformContactWatch.js'
 import { plannedStop } from './plannedStop.js'
+import { Reconciler } from './reconciler.js'
 import { registerBoxMetrics } from './registerBoxMetrics.js'
 import { type ResourceApi } from './resourceApi.js'
 
 const FIRST_PEERS_ASKED = 3
 const LOOKUP_TIMEOUT_MS = 500
-const RECONCILE_PERIOD_MS = 5000
 
 /** One box: everything that runs in one process, behind a narrow interface for the HTTP front. */
 export class Box {
   readonly #parts: BoxParts
   readonly #tasks: TaskGroup
-  #ready = false
   #stopping = false
-  /** Members have changed, and the pass that acts on it is under way. */
-  #reconciling = false
   #callersBeingServed = 0
   readonly #memberNews = new MemberNews()
-  readonly #fleetChanges: FleetChanges
+  readonly #reconciler: Reconciler
 
   constructor (parts: BoxParts) {
     this.#parts = parts
     this.#tasks = new TaskGroup(parts.clock, (thrown) => parts.failures.noteTask('box', thrown))
-    this.#fleetChanges = new FleetChanges({ fleet: parts.fleet, log: parts.log, platformSilentMs: () => parts.platformContact.silentMs })
+    this.#reconciler = new Reconciler(parts, this.#tasks)
   }
 
   /** Whether this box has a configuration to serve by. */
   get ready (): boolean {
-    return this.#ready
+    return this.#reconciler.ready
   }
 
   /** Takes requests in for client accounts. */
@@ -65,7 +60,7 @@
 
   /** Reads platform and peers, meets the other boxes, and begins to serve. */
   async start (): Promise<void> {
-    const { link, dispatch, followers, prober, view, log, random, platformContact, pauses } = this.#parts
+    const { link, dispatch, followers, prober, view, log, random, pauses } = this.#parts
     pauses.start(this.#tasks)
     link.serve(dispatch)
     view.onChange((member) => this.#onMemberChange(member))
@@ -80,18 +75,13 @@
     Object.values(followers).forEach((follower) => follower.start())
     prober.start()
     this.#parts.proofKeeper?.start()
-    Object.values(Collection).forEach((collection) => this.#tasks.run(() => this.#onRevisions(collection)))
-    platformContact.onBack(() => this.#tasks.run(() => this.#reconcileAfterReentry()))
-    this.#reconcile()
-    // What was left because something ran there still is given up once it is idle.
-    this.#tasks.repeat(async () => this.#reconcile(), { periodMs: RECONCILE_PERIOD_MS })
+    this.#reconciler.start()
     log.info(LogEvent.Started, { incarnation: view.self.incarnation, revision: this.#parts.declarations.revision })
   }
 
   /** Acts on a change of the fleet that the platform's list does not have. */
   onFleetChange (): void {
-    this.#noteFleet(this.#parts.fleetList.revision)
-    this.#reconcileSoon()
+    this.#reconciler.onFleetChange()
   }
 
   /** Runs or joins a request and yields its answer, to the final event. */
@@ -208,7 +198,7 @@
     const { view, declarations, fleetList, fleet, records, owner, relay, keepers, prober, placer, runHistory, quarantine, upstreamStates, backoffs, proof, settings } = this.#parts
     return {
       self: view.self,
-      ready: this.#ready,
+      ready: this.ready,
       proofAgeMs: Number.isFinite(proof.ageMs) ? Math.round(proof.ageMs) : undefined,
       stopping: this.#stopping,
       declarations: { revision: declarations.revision, resources: declarations.value.resources.length, rejected: declarations.rejected },
@@ -275,59 +265,6 @@
     }
     if (!isSelf && this.#memberNews.take(member)) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
     if (member.health === MemberHealth.Gone) keepers.releaseOwner(member.incarnation)
-    this.#reconcileSoon()
-  }
-
-  /**
-   * Acts on changed members once for all that change together: where 195 boxes start
-   * at once, each hears of all others within some hundred ms, often thirty in a
-   * message, and each pass looks at all members.
-   */
-  #reconcileSoon (): void {
-    if (this.#reconciling) return
-    this.#reconciling = true
-    const { clock, placer } = this.#parts
-    this.#tasks.run(async () => {
-      await clock.settle()
-      this.#reconciling = false
-      if (this.#tasks.stopped) return
-      this.#reconcile()
-      if (placer instanceof SchedulerPlacer) await placer.adoptByNewSchedulers()
-    })
-  }
-
-  /** Upstreams whose entries lapsed while the platform was away must be back by then, or are gone. */
-  async #reconcileAfterReentry (): Promise<void> {
-    const { clock, fleet, fleetList, log } = this.#parts
-    await clock.sleep(REENTRY_MS, { signal: this.#tasks.signal })
-    log.info(LogEvent.EntriesKept, { gone: fleet.missing })
-    this.#noteFleet(fleetList.revision)
-    this.#reconcile()
-  }
-
-  #noteFleet (revision: number): void {
-    this.#fleetChanges.note(revision)
-    this.#parts.brokenRuns.noteFleet()
-  }
-
-  #reconcile (): void {
-    const { declarations, keepers, settings } = this.#parts
-    this.#ready = declarations.revision > 0
-    if (settings.scheduling.strategy === 'scheduler') keepers.reconcile()
-  }
-
-  /** Acts on each new revision, and tells the peers of it at once. */
-  async #onRevisions (collection: Collection): Promise<void> {
-    const { log, prober, view, beliefAges } = this.#parts
-    const store = collection === Collection.Declarations ? this.#parts.declarations : this.#parts.fleetList
-    for (let revision = 0; !this.#tasks.stopped; revision = store.revision) {
-      await store.waitAbove(revision, this.#tasks.signal)
-      if (this.#tasks.stopped) return
-      beliefAges.noteAdopted(collection)
-      log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
-      if (collection === Collection.Fleet) this.#noteFleet(store.revision)
-      this.#reconcile()
-      this.#tasks.run(() => prober.tellRevisionsSoon())
-    }
+    this.#reconciler.reconcileSoon()
   }
 }
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,14 +1,11 @@
 import { PauseWatch } from '@reelspan/core.env'
-import { Collection, type Member, MemberHealth, MessageType, type PeerLink, type RunEvent } from '@reelspan/core.messages'
-import { Flood, Gossip, Prober } from '@reelspan/membership.prober'
+import { Collection, type Member, MemberHealth, type PeerLink } from '@reelspan/core.messages'
+import { Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
 import { answerLookup } from '@reelspan/request.lookup'
-import { Owner } from '@reelspan/request.owner'
-import { Relay } from '@reelspan/request.relay'
-import { BrokenRuns, Quarantine, RunHistory, RunMessages } from '@reelspan/request.quarantine'
-import { RecordStore } from '@reelspan/request.records'
+import { RunHistory } from '@reelspan/request.quarantine'
 import { type EngineClient } from '@reelspan/upstream.client'
-import { type UpstreamReport, UpstreamReports } from '@reelspan/upstream.health'
+import { UpstreamReports } from '@reelspan/upstream.health'
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix'
 import { BeliefAges } from './beliefAges.js'
 import { Box } from './box.js'
@@ -19,21 +16,18 @@
 import { createContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
 import { createPermitBook, createPermitLimiter, createPermits, createReturnTimes } from './createLimitParts.js'
 import { createPlacer } from './createPlacer.js'
+import { createBrokenRuns, createOwner, createQuarantine, createRecords, createRelay, createReportFlood, createRunGossip, recordLifeMs } from './createRequestParts.js'
 import { createBackoffs, createSignalObserver, createUpstreamStateGossip, createUpstreamStates } from './createSignalParts.js'
 import { drawIncarnation } from './drawIncarnation.js'
 import { FailureLog } from './failureLog.js'
 import { LoggedEngineClient } from './loggedEngineClient.js'
 import { LoggedPeerLink } from './loggedPeerLink.js'
-import { noteRequestEnd } from './noteRequestEnd.js'
 import { PeerDispatch } from './peerDispatch.js'
 import { RequestRouter } from './requestRouter.js'
 import { ResourceApi } from './resourceApi.js'
 import { ShardKeepers } from './shardKeepers.js'
 import { UpstreamsByAddress } from './upstreamsByAddress.js'
 
-/** As for other calls between boxes. */
-const REPORT_TIMEOUT_MS = 300
-
 /** Composes a box. Nothing runs until it is started. */
 export function createBox (environment: BoxEnvironment): Box {
   const container = createContainer<BoxParts>({ injectionMode: InjectionMode.PROXY, strict: true })
@@ -112,11 +106,6 @@
   return new MembershipView({ self, goneMemoryMs: recordLifeMs(requests) })
 }
 
-/** Records outlive every key that could still ask for them. */
-function recordLifeMs ({ prefixLifeMs, longestRequestMs }: BoxParts['settings']['requests']): number {
-  return prefixLifeMs + 2 * longestRequestMs
-}
-
 function createProber (parts: BoxParts): Prober {
   const { settings, view, declarations, fleetList } = parts
   return new Prober({
@@ -142,77 +131,6 @@
   })
 }
 
-function createRecords ({ clock, settings }: BoxParts): RecordStore {
-  return new RecordStore({ clock, maxBytes: settings.requests.recordBytes, recordLifeMs: recordLifeMs(settings.requests) })
-}
-
-function createBrokenRuns (parts: BoxParts): BrokenRuns {
-  const { clock, probe, log, metrics, fleet } = parts
-  return new BrokenRuns({
-    clock,
-    probe,
-    log,
-    metrics,
-    fleet: () => fleet.value,
-    onUpstreamEnded: ({ identity, upstream, sentAtMs, brokeAtMs }) =>
-      parts.quarantine.noteUpstreamEnded(identity, upstream, { ranMs: brokeAtMs - sentAtMs, ageMs: clock.nowMs() - brokeAtMs }),
-  })
-}
-
-/** A report that is lost on the way is not asked for: it is of use for a second. */
-function createReportFlood (parts: BoxParts): Flood<UpstreamReport> {
-  const { clock, link } = parts
-  return new Flood({
-    clock,
-    watchedAddresses: () => parts.prober.watchedAddresses(),
-    // The link tells of a failure.
-    send: async (address, reports, signal) => {
-      await link.call(address, { type: MessageType.UpstreamsTell, reports: [...reports] }, { timeoutMs: REPORT_TIMEOUT_MS, repeatable: true, signal }).catch(() => {})
-    },
-    onTaskError: (thrown) => parts.failures.noteTask('reportFlood', thrown),
-  })
-}
-
-function createRunGossip (parts: BoxParts): Gossip<RunEvent> {
-  const { clock, link, runHistory } = parts
-  return new Gossip({
-    clock,
-    link,
-    book: runHistory,
-    messages: new RunMessages(),
-    watchedAddresses: () => parts.prober.watchedAddresses(),
-    onAdded: (events) => parts.quarantine.noteAdded(events),
-    onTaskError: (thrown) => parts.failures.noteTask('runGossip', thrown),
-  })
-}
-
-function createQuarantine (parts: BoxParts): Quarantine {
-  const { clock, log, view, runHistory } = parts
-  return new Quarantine({ clock, log, history: runHistory, incarnation: () => view.self.incarnation, onEvent: (event) => parts.runGossip.tell([event]) })
-}
-
-function createOwner (parts: BoxParts): Owner {
-  const { settings, view, declarations, fleet, log, metrics } = parts
-  return new Owner({
-    ...environmentOf(parts),
-    pauses: parts.pauses,
-    placer: parts.placer,
-    brokenRuns: parts.brokenRuns,
-    quarantine: parts.quarantine,
-    records: parts.records,
-    standing: () => view.self,
-    configuration: () => declarations.value,
-    fleet: () => fleet.value,
-    prefixLifeMs: settings.requests.prefixLifeMs,
-    rejoinGraceMs: settings.requests.rejoinGraceMs,
-    upstreamTimeoutMs: settings.requests.upstreamTimeoutMs,
-    lastContactMs: () => parts.prober.lastMajorityContactMs,
-    hasPeers: () => view.all().length > 1,
-    onTaskError: (thrown) => parts.failures.noteTask('owner', thrown),
-    onEnd: (record, request, timings) => noteRequestEnd({ log, metrics, revision: declarations.revision }, record, request, timings),
-  })
-}
-
 function createConnectionShares ({ declarations, upstreams, view }: BoxParts): ConnectionShares {
   return new ConnectionShares({
     configuration: () => declarations.value,
@@ -221,43 +139,6 @@
   })
 }
 
-function createRelay (parts: BoxParts): Relay | undefined {
-  const { clock, random, relayClient, placer, settings, view, declarations, fleetList, fleet, log, metrics } = parts
-  if (!relayClient) return undefined
-  return new Relay({
-    clock,
-    random,
-    upstreams: relayClient,
-    placer,
-    admission: parts.admission,
-    upstreamReports: parts.upstreamReports,
-    signals: parts.signals,
-    backoffs: parts.backoffs,
-    upstreamStates: parts.upstreamStates,
-    permits: parts.permits,
-    returnTimes: parts.returnTimes,
-    onClosedUnanswered: (upstream) => reportUpstream(parts, upstream),
-    brokenRuns: parts.brokenRuns,
-    quarantine: parts.quarantine,
-    configuration: () => declarations.value,
-    configured: (signal) => declarations.waitAbove(0, signal),
-    fleet: () => fleet.value,
-    fleetRevision: () => fleetList.revision,
-    standing: () => view.self,
-    boxCount: () => view.takingWork().length,
-    onTaskError: (thrown) => parts.failures.noteTask('relay', thrown),
-    ...settings.relay,
-    log,
-    metrics,
-  })
-}
-
-/** Tells all boxes that an upstream closed a connection of this one without an answer. */
-function reportUpstream ({ random, reportFlood, upstreamReports, view }: BoxParts, upstream: string): void {
-  const report = { id: random.hex(16), upstream, box: view.self.name, ageMs: 0 }
-  if (upstreamReports.add(report)) reportFlood.tell([report])
-}
-
 function createKeepers (parts: BoxParts): ShardKeepers {
   return new ShardKeepers({
     ...environmentOf(parts),
--- /dev/null
+++ b/box/runtime/src/createRequestParts.ts
@@ -0,0 +1,125 @@
+import { MessageType, type RunEvent } from '@reelspan/core.messages'
+import { Flood, Gossip } from '@reelspan/membership.prober'
+import { Owner } from '@reelspan/request.owner'
+import { BrokenRuns, Quarantine, RunMessages } from '@reelspan/request.quarantine'
+import { RecordStore } from '@reelspan/request.records'
+import { Relay } from '@reelspan/request.relay'
+import { type UpstreamReport } from '@reelspan/upstream.health'
+import { type BoxParts, environmentOf } from './boxParts.js'
+import { noteRequestEnd } from './noteRequestEnd.js'
+
+/** As for other calls between boxes. */
+const REPORT_TIMEOUT_MS = 300
+
+export function createRecords ({ clock, settings }: BoxParts): RecordStore {
+  return new RecordStore({ clock, maxBytes: settings.requests.recordBytes, recordLifeMs: recordLifeMs(settings.requests) })
+}
+
+/** Records outlive every key that could still ask for them. */
+export function recordLifeMs ({ prefixLifeMs, longestRequestMs }: BoxParts['settings']['requests']): number {
+  return prefixLifeMs + 2 * longestRequestMs
+}
+
+export function createBrokenRuns (parts: BoxParts): BrokenRuns {
+  const { clock, probe, log, metrics, fleet } = parts
+  return new BrokenRuns({
+    clock,
+    probe,
+    log,
+    metrics,
+    fleet: () => fleet.value,
+    onUpstreamEnded: ({ identity, upstream, sentAtMs, brokeAtMs }) =>
+      parts.quarantine.noteUpstreamEnded(identity, upstream, { ranMs: brokeAtMs - sentAtMs, ageMs: clock.nowMs() - brokeAtMs }),
+  })
+}
+
+/** A report that is lost on the way is not asked for: it is of use for a second. */
+export function createReportFlood (parts: BoxParts): Flood<UpstreamReport> {
+  const { clock, link } = parts
+  return new Flood({
+    clock,
+    watchedAddresses: () => parts.prober.watchedAddresses(),
+    // The link tells of a failure.
+    send: async (address, reports, signal) => {
+      await link.call(address, { type: MessageType.UpstreamsTell, reports: [...reports] }, { timeoutMs: REPORT_TIMEOUT_MS, repeatable: true, signal }).catch(() => {})
+    },
+    onTaskError: (thrown) => parts.failures.noteTask('reportFlood', thrown),
+  })
+}
+
+export function createRunGossip (parts: BoxParts): Gossip<RunEvent> {
+  const { clock, link, runHistory } = parts
+  return new Gossip({
+    clock,
+    link,
+    book: runHistory,
+    messages: new RunMessages(),
+    watchedAddresses: () => parts.prober.watchedAddresses(),
+    onAdded: (events) => parts.quarantine.noteAdded(events),
+    onTaskError: (thrown) => parts.failures.noteTask('runGossip', thrown),
+  })
+}
+
+export function createQuarantine (parts: BoxParts): Quarantine {
+  const { clock, log, view, runHistory } = parts
+  return new Quarantine({ clock, log, history: runHistory, incarnation: () => view.self.incarnation, onEvent: (event) => parts.runGossip.tell([event]) })
+}
+
+export function createOwner (parts: BoxParts): Owner {
+  const { settings, view, declarations, fleet, log, metrics } = parts
+  return new Owner({
+    ...environmentOf(parts),
+    pauses: parts.pauses,
+    placer: parts.placer,
+    brokenRuns: parts.brokenRuns,
+    quarantine: parts.quarantine,
+    records: parts.records,
+    standing: () => view.self,
+    configuration: () => declarations.value,
+    fleet: () => fleet.value,
+    prefixLifeMs: settings.requests.prefixLifeMs,
+    rejoinGraceMs: settings.requests.rejoinGraceMs,
+    upstreamTimeoutMs: settings.requests.upstreamTimeoutMs,
+    lastContactMs: () => parts.prober.lastMajorityContactMs,
+    hasPeers: () => view.all().length > 1,
+    onTaskError: (thrown) => parts.failures.noteTask('owner', thrown),
+    onEnd: (record, request, timings) => noteRequestEnd({ log, metrics, revision: declarations.revision }, record, request, timings),
+  })
+}
+
+export function createRelay (parts: BoxParts): Relay | undefined {
+  const { clock, random, relayClient, placer, settings, view, declarations, fleetList, fleet, log, metrics } = parts
+  if (!relayClient) return undefined
+  return new Relay({
+    clock,
+    random,
+    upstreams: relayClient,
+    placer,
+    admission: parts.admission,
+    upstreamReports: parts.upstreamReports,
+    signals: parts.signals,
+    backoffs: parts.backoffs,
+    upstreamStates: parts.upstreamStates,
+    permits: parts.permits,
+    returnTimes: parts.returnTimes,
+    onClosedUnanswered: (upstream) => reportUpstream(parts, upstream),
+    brokenRuns: parts.brokenRuns,
+    quarantine: parts.quarantine,
+    configuration: () => declarations.value,
+    configured: (signal) => declarations.waitAbove(0, signal),
+    fleet: () => fleet.value,
+    fleetRevision: () => fleetList.revision,
+    standing: () => view.self,
+    boxCount: () => view.takingWork().length,
+    onTaskError: (thrown) => parts.failures.noteTask('relay', thrown),
+    ...settings.relay,
+    log,
+    metrics,
+  })
+}
+
+/** Tells all boxes that an upstream closed a connection of this one without an answer. */
+function reportUpstream ({ random, reportFlood, upstreamReports, view }: BoxParts, upstream: string): void {
+  const report = { id: random.hex(16), upstream, box: view.self.name, ageMs: 0 }
+  if (upstreamReports.add(report)) reportFlood.tell([report])
+}
