--- a/config/fleet/src/fleetList.ts
+++ b/config/fleet/src/fleetList.ts
@@ -36,6 +36,10 @@
 
 function groupByPool (upstreams: readonly ListedUpstream[]): Map<string, ListedUpstream[]> {
   const groups = new Map<string, ListedUpstream[]>()
-  upstreams.forEach((upstream) => groups.set(upstream.pool, [...groups.get(upstream.pool) ?? [], upstream]))
+  upstreams.forEach((upstream) => {
+    const group = groups.get(upstream.pool)
+    if (group) group.push(upstream)
+    else groups.set(upstream.pool, [upstream])
+  })
   return groups
 }
--- a/scheduling/shards/src/deriveShards.ts
+++ b/scheduling/shards/src/deriveShards.ts
@@ -98,7 +98,9 @@
 }
 
 function inHashOrder (engines: readonly ListedUpstream[]): ListedUpstream[] {
-  return [...engines].sort((a, b) => hash32(instanceOf(a)) - hash32(instanceOf(b)) || (instanceOf(a) < instanceOf(b) ? -1 : 1))
+  const hashed = engines.map((engine) => ({ engine, instance: instanceOf(engine), hash: hash32(instanceOf(engine)) }))
+  hashed.sort((a, b) => a.hash - b.hash || (a.instance < b.instance ? -1 : 1))
+  return hashed.map(({ engine }) => engine)
 }
 
 function slicePart<T> (items: readonly T[], part: number, parts: number): T[] {
