--- a/request/relay/src/permittedPlacement.ts
+++ b/request/relay/src/permittedPlacement.ts
@@ -61,5 +61,5 @@
 
 function giveBack (placement: Placement, permits: readonly SendPermit[]): void {
   placement.release()
-  permits.filter(({ granted }) => granted).forEach((permit) => permit.release())
+  permits.forEach((permit) => permit.release())
 }
