--- a/request/relay/src/permittedPlacement.ts
+++ b/request/relay/src/permittedPlacement.ts
@@ -49,9 +49,8 @@
 export function refuseUnplaced ({ opts }: RelayContext, model: string, { reason, retryAfterMs }: PlacementRefusal, waits: SendWaits): ReelspanError {
   if (waits.size === 0) return new ReelspanError(ErrorCode.Overloaded, reason, { retryAfterMs })
   const returnMs = Math.ceil(opts.returnTimes.bookAfter(model, waits.soonestMs))
-  const engines = waits.upstreams().join(', ')
   const why = waits.areBackoffs ? 'asked this box to wait' : 'have got as many requests as they take for now'
-  return new ReelspanError(waits.errorCode, `${engines} ${why}; ${reason}`, { retryAfterMs: Math.max(retryAfterMs, returnMs) })
+  return new ReelspanError(waits.errorCode, `${waits.describe()} ${why}; ${reason}`, { retryAfterMs: Math.max(retryAfterMs, returnMs) })
 }
 
 /** The engines that a plan makes work: one where it computes the prompt itself. */
--- a/request/relay/src/pickPermitted.ts
+++ b/request/relay/src/pickPermitted.ts
@@ -27,7 +27,7 @@
  */
 export async function pickPermitted (context: RelayContext, pool: string, tried: ReadonlySet<string>): Promise<PickResult> {
   const { opts, picker } = context
-  const waits = new SendWaits()
+  const waits = backoffsOf(context, pool, tried)
   for (;;) {
     const upstream = picker.pick(opts.fleet().takingWork(pool), new Set([...tried, ...waits.upstreams()]))
     if (!upstream) return { waits }
@@ -40,6 +40,18 @@
   }
 }
 
+/** Upstreams of a pool that asked this box to wait. They are left out before one is picked: a large pool may have many. */
+function backoffsOf ({ opts }: RelayContext, pool: string, tried: ReadonlySet<string>): SendWaits {
+  const { backoffs, fleet } = opts
+  const waits = new SendWaits()
+  if (backoffs.count === 0) return waits
+  fleet().takingWork(pool).filter(({ name }) => !tried.has(name)).forEach(({ name }) => {
+    const durationMs = backoffs.remainingMs(name)
+    if (durationMs > 0) waits.add(name, { reason: WaitReason.Backoff, durationMs })
+  })
+  return waits
+}
+
 /** Takes a permit. Where another box was asked for it, the run is looked at again. */
 export async function takePermit ({ opts, run }: RelayContext, upstream: string): Promise<SendPermit> {
   const permit = await opts.permits.take(upstream)
@@ -63,7 +75,7 @@
   const retryAfterMs = Math.ceil(returnMs)
   waits.log(context, { retryAfterMs })
   const reason = waits.areBackoffs
-    ? `upstreams of ${pool} asked this box to wait: ${waits.upstreams().join(', ')}`
-    : `upstreams of ${pool} take ${Number(perSecond.toFixed(2))} requests a second and have got them: ${waits.upstreams().join(', ')}`
+    ? `upstreams of ${pool} asked this box to wait: ${waits.describe()}`
+    : `upstreams of ${pool} take ${Number(perSecond.toFixed(2))} requests a second and have got them: ${waits.describe()}`
   return new ReelspanError(waits.errorCode, reason, { retryAfterMs })
 }
--- a/request/relay/src/sendWaits.ts
+++ b/request/relay/src/sendWaits.ts
@@ -3,6 +3,9 @@
 import { type SendWait, WaitReason } from '@reelspan/upstream.limits'
 import { type RelayContext } from './relayContext.js'
 
+/** Names in one line of the log or one refusal; a large pool has thousands. */
+const MAX_NAMES = 40
+
 /** Upstreams that a request may not be sent to now, and why. */
 export class SendWaits {
   readonly #waits = new Map<string, SendWait>()
@@ -42,11 +45,18 @@
     return [...this.#waits].filter(([, wait]) => reason === undefined || wait.reason === reason).map(([upstream]) => upstream)
   }
 
+  /** Their names, for a refusal. */
+  describe (): string {
+    const names = this.upstreams()
+    const more = names.length - MAX_NAMES
+    return `${names.slice(0, MAX_NAMES).join(', ')}${more > 0 ? ` and ${more} more` : ''}`
+  }
+
   /** Logs that a request did not go to them, a line for each reason. */
   log ({ decided }: Pick<RelayContext, 'decided'>, outcome: { instead?: string, retryAfterMs?: number }): void {
     const atLimit = this.upstreams(WaitReason.RateLimit)
     const backingOff = this.upstreams(WaitReason.Backoff)
-    if (atLimit.length > 0) decided(LogEvent.UpstreamsAtLimit, { upstreams: atLimit, ...outcome })
-    if (backingOff.length > 0) decided(LogEvent.UpstreamsBackingOff, { upstreams: backingOff, ...outcome })
+    if (atLimit.length > 0) decided(LogEvent.UpstreamsAtLimit, { upstreams: atLimit.slice(0, MAX_NAMES), ...outcome })
+    if (backingOff.length > 0) decided(LogEvent.UpstreamsBackingOff, { upstreams: backingOff.slice(0, MAX_NAMES), ...outcome })
   }
 }
--- a/request/relay/test/upstreamSignals.ts
+++ b/request/relay/test/upstreamSignals.ts
@@ -76,3 +76,15 @@
   t.is(upstreams.runs.length, 2)
   t.true(caller.whole)
 })
+
+test('a refusal names no more than some of the upstreams of a large pool', async (t) => {
+  const services = Array.from({ length: 3000 }, (_, i) => `s${i}`)
+  const { clock, relay, backoffs, log } = createRelay([], { services })
+  services.forEach((service) => backoffs.start(service, 2000))
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/fetch/1'), caller))
+  t.is(caller.refused?.code, ErrorCode.UpstreamBackoff)
+  t.regex(caller.refused?.message ?? '', /and 2960 more$/)
+  const line = log.entries.find(({ event }) => event === LogEvent.UpstreamsBackingOff)
+  t.is((line?.fields?.upstreams as string[]).length, 40)
+})
