--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -94,15 +94,15 @@
   {
     name: 'a draining upstream is told to other boxes',
     file: 'upstream/signals/src/upstreamStates.ts',
-    find: 'return limitChanged || startsDraining',
-    replace: 'return limitChanged',
+    find: 'draining: draining || this.isDraining(upstream) })',
+    replace: 'draining: this.isDraining(upstream) })',
     tests: [DRAINING],
   },
   {
     name: 'a box backs off from an upstream that asked it to',
-    file: 'upstream/limits/src/sendPermits.ts',
-    find: 'if (backoffMs > 0)',
-    replace: 'if (backoffMs < 0)',
+    file: 'upstream/signals/src/backoffs.ts',
+    find: 'Math.max(0, (this.#untilMs.get(upstream) ?? 0) - this.#opts.clock.nowMs())',
+    replace: 'Math.min(0, this.#untilMs.get(upstream) ?? 0)',
     tests: ['box/runtime/test.lib/retryAfter.js'],
   },
   {
