refactor(config.store): revisions that peers report, and announcements, in the field's terms

Names alone: hear is observeRevision, RevisionTeller is RevisionAnnouncer, nextTeller is nextSource. Tests are untouched but for names.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -126,7 +126,7 @@
     },
     onTaskError: (thrown) => parts.failures.noteTask('prober', thrown),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
-      parts.followers[collection].hear(address, revisions[collection])
+      parts.followers[collection].observeRevision(address, revisions[collection])
     }),
   })
 }
--- a/box/runtime/src/reconciler.ts
+++ b/box/runtime/src/reconciler.ts
@@ -91,7 +91,7 @@
       log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
       if (collection === Collection.Fleet) this.#noteFleet(store.revision)
       this.#reconcile()
-      this.#tasks.run(() => prober.tellRevisionsSoon())
+      this.#tasks.run(() => prober.announceRevisionsSoon())
     }
   }
 }
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -58,8 +58,8 @@
 export class ConfigFollower {
   readonly #opts: ConfigFollowerOptions
   readonly #tasks: TaskGroup
-  /** Peers that told of a revision which is not in force here, the newest word last. */
-  readonly #heard = new Map<string, number>()
+  /** Newer revisions that peers reported, the latest report last. */
+  readonly #observed = new Map<string, number>()
   /** Peers that are being asked. */
   readonly #asking = new Set<string>()
   #pulling = false
@@ -99,46 +99,45 @@
   }
 
   /**
-   * A peer said which revision it has; gets it from there when it is higher. Waits
-   * a little first: revisions come in series, and a box that watches the platform
-   * will hear of them from there.
+   * Records the revision of a peer and pulls it when it is newer. Waits a little
+   * first: revisions come in series, and a watch may bring them.
    */
-  hear (address: string, revision: number): void {
-    if (!this.#isNews(revision)) return
-    this.#heard.delete(address)
-    this.#heard.set(address, revision)
+  observeRevision (address: string, revision: number): void {
+    if (!this.#isNewer(revision)) return
+    this.#observed.delete(address)
+    this.#observed.set(address, revision)
     if (this.#pulling) return
     this.#pulling = true
     this.#tasks.run(async () => {
-      await this.#pullNews()
+      await this.#pullNewer()
       this.#pulling = false
     })
   }
 
   /** Asks one peer after the other until none is known to have anything newer. */
-  async #pullNews (): Promise<void> {
+  async #pullNewer (): Promise<void> {
     const { clock, isWatcher } = this.#opts
     const signal = this.#tasks.signal
     await clock.sleep(isWatcher() && this.#reachable ? WATCHER_PULL_DELAY_MS : PULL_DELAY_MS, { signal })
-    for (let peer = this.#nextTeller(); peer !== undefined && !this.#tasks.stopped; peer = this.#nextTeller()) {
+    for (let peer = this.#nextSource(); peer !== undefined && !this.#tasks.stopped; peer = this.#nextSource()) {
       const answered = new AbortController()
-      // The link tells of a failed pull; the next teller is asked then.
+      // The link logs a failed pull; the next source is asked then.
       void this.#pull(peer).catch(() => {}).finally(() => answered.abort(STOPPED))
       await clock.sleep(HEDGE_MS, { signal: AbortSignal.any([answered.signal, signal]) })
     }
   }
 
-  /** The peer that told last of something newer, and is not being asked. */
-  #nextTeller (): string | undefined {
-    this.#heard.forEach((revision, address) => {
-      if (!this.#isNews(revision)) this.#heard.delete(address)
+  /** The peer that last reported a newer revision and is not being asked. */
+  #nextSource (): string | undefined {
+    this.#observed.forEach((revision, address) => {
+      if (!this.#isNewer(revision)) this.#observed.delete(address)
     })
-    const peer = [...this.#heard.keys()].findLast((address) => !this.#asking.has(address))
-    if (peer !== undefined) this.#heard.delete(peer)
+    const peer = [...this.#observed.keys()].findLast((address) => !this.#asking.has(address))
+    if (peer !== undefined) this.#observed.delete(peer)
     return peer
   }
 
-  #isNews (revision: number): boolean {
+  #isNewer (revision: number): boolean {
     const { store } = this.#opts
     return revision > Math.max(store.revision, store.rejected?.revision ?? 0)
   }
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -4,7 +4,7 @@
 import { type MembershipView } from '@reelspan/membership.view'
 import { LostTime } from './lostTime.js'
 import { NewsQueue } from './newsQueue.js'
-import { RevisionTeller } from './revisionTeller.js'
+import { RevisionAnnouncer } from './revisionAnnouncer.js'
 import { watchedMembers } from './watchedMembers.js'
 
 /** Digests of the news that a box knows, by kind. Nothing for a kind of which it knows none. */
@@ -23,7 +23,7 @@
   platformAnswering: () => PlatformAnswering | undefined
   /** What a peer knows of it. */
   onPlatformAnswering: (told: PlatformAnswering) => void
-  /** A peer named its revisions. */
+  /** A peer reported its revisions. */
   onPeerRevisions: (address: string, revisions: Record<Collection, number>) => void
   /** Digests of the news that this box knows. */
   newsDigests?: () => NewsDigests
@@ -79,7 +79,7 @@
   readonly #opts: ProberOptions
   readonly #tasks: TaskGroup
   readonly #news: NewsQueue
-  readonly #revisionTeller: RevisionTeller
+  readonly #revisionAnnouncer: RevisionAnnouncer
   readonly #peerLoad = new Map<string, number>()
   #ringOf?: readonly Member[]
   #watchedOfRing: readonly Member[] = []
@@ -94,12 +94,12 @@
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#lostTime = new LostTime(opts.clock)
     this.#news = new NewsQueue(opts.watchCount)
-    this.#revisionTeller = new RevisionTeller({
+    this.#revisionAnnouncer = new RevisionAnnouncer({
       clock: opts.clock,
       probePeriodMs: opts.probePeriodMs,
       revisions: opts.revisions,
       watched: () => this.#watched(),
-      tell: ({ peerAddress }) => this.#greet(peerAddress),
+      announce: ({ peerAddress }) => this.#greet(peerAddress),
       signal: this.#tasks.signal,
     })
     this.#lastMajorityContactMs = opts.clock.nowMs()
@@ -143,8 +143,8 @@
   }
 
   /** Sends the revisions in force here to those watched members that are not known to have them: at once, or together with others that follow soon. */
-  async tellRevisionsSoon (): Promise<void> {
-    await this.#revisionTeller.tellSoon()
+  async announceRevisionsSoon (): Promise<void> {
+    await this.#revisionAnnouncer.announceSoon()
   }
 
   /**
@@ -343,7 +343,7 @@
     if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
     const nowMs = clock.nowMs()
     this.#peerLoad.set(message.self.incarnation, message.inFlight)
-    this.#revisionTeller.noteNamed(message.self.incarnation, message.revisions)
+    this.#revisionAnnouncer.recordReported(message.self.incarnation, message.revisions)
     const tellers = [message.self, ...message.news]
     tellers.forEach((member) => view.merge(member, nowMs))
     onPeerRevisions(message.self.peerAddress, message.revisions)
@@ -375,7 +375,7 @@
   #forget (incarnation: string): void {
     this.#lostTime.forget(incarnation)
     this.#peerLoad.delete(incarnation)
-    this.#revisionTeller.forget(incarnation)
+    this.#revisionAnnouncer.forget(incarnation)
   }
 
   /** Sends news on soon after it came, instead of at the next round. */
--- /dev/null
+++ b/membership/prober/src/revisionAnnouncer.ts
@@ -0,0 +1,58 @@
+import { type Clock } from '@reelspan/core.env'
+import { Collection, type Member } from '@reelspan/core.messages'
+
+export type Revisions = Record<Collection, number>
+
+export interface RevisionAnnouncerOptions {
+  clock: Clock
+  probePeriodMs: number
+  /** Those in force here. */
+  revisions: () => Revisions
+  watched: () => readonly Member[]
+  announce: (member: Member) => Promise<unknown>
+  signal: AbortSignal
+}
+
+/** Least time between two announcements, as a part of a probe period: revisions come in series. */
+const ANNOUNCE_PERIOD_SHARE = 0.5
+
+/** Announces new revisions between the rounds to those watched members that are not known to have them. */
+export class RevisionAnnouncer {
+  readonly #opts: RevisionAnnouncerOptions
+  /** Revisions that members last reported. */
+  readonly #reported = new Map<string, Revisions>()
+  #announcedAtMs = Number.NEGATIVE_INFINITY
+  #announcementPending = false
+
+  constructor (opts: RevisionAnnouncerOptions) {
+    this.#opts = opts
+  }
+
+  recordReported (incarnation: string, revisions: Revisions): void {
+    this.#reported.set(incarnation, revisions)
+  }
+
+  forget (incarnation: string): void {
+    this.#reported.delete(incarnation)
+  }
+
+  /** Announces at once, or together with revisions that follow soon. */
+  async announceSoon (): Promise<void> {
+    if (this.#announcementPending) return
+    const { clock, probePeriodMs, watched, announce, signal } = this.#opts
+    this.#announcementPending = true
+    const waitMs = this.#announcedAtMs + ANNOUNCE_PERIOD_SHARE * probePeriodMs - clock.nowMs()
+    if (waitMs > 0) await clock.sleep(waitMs, { signal })
+    this.#announcementPending = false
+    if (signal.aborted) return
+    this.#announcedAtMs = clock.nowMs()
+    await Promise.all(watched().filter((member) => this.#isBehind(member)).map(announce))
+  }
+
+  /** Whether a member has not reported the revisions that are in force here. */
+  #isBehind ({ incarnation }: Member): boolean {
+    const here = this.#opts.revisions()
+    const there = this.#reported.get(incarnation)
+    return there === undefined || Object.values(Collection).some((collection) => there[collection] < here[collection])
+  }
+}
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -145,13 +145,13 @@
   await clock.advance(PROBE_PERIOD_MS * 1.05)
   const before = heartbeatsSent(link)
   here.fleetRevision = 2
-  void prober.tellRevisionsSoon()
+  void prober.announceRevisionsSoon()
   await clock.advance(1)
   t.is(heartbeatsSent(link) - before, 4)
   link.fleetRevision = 2
   await clock.advance(PROBE_PERIOD_MS * 1.9)
   const informed = heartbeatsSent(link)
-  await prober.tellRevisionsSoon()
+  await prober.announceRevisionsSoon()
   t.is(heartbeatsSent(link), informed, 'all have named it')
   await prober.stop()
 })
@@ -162,7 +162,7 @@
   const before = heartbeatsSent(link)
   for (let i = 0; i < 70; i++) {
     here.fleetRevision++
-    void prober.tellRevisionsSoon()
+    void prober.announceRevisionsSoon()
     await clock.advance(100)
   }
   const told = heartbeatsSent(link) - before
