--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -12,12 +12,19 @@
   value?: string | Uint8Array
 }
 
-/** A small stand-in for the platform's store: one page at a time, watches, and a history that can be forgotten. */
+/** What a store stood at, to restore it from. */
+export interface StoreCopy {
+  items: ReadonlyMap<string, Item>
+  revision: number
+  history: readonly Change[]
+}
+
+/** A small stand-in for the platform's store: one page at a time, watches, a history that can be forgotten, and copies to come back from. */
 export class StandInStore {
   readonly #items = new Map<string, Item>()
   /** What reads are answered from while they are stale. */
   #stale?: { items: Map<string, Item>, revision: number }
-  readonly #history: Change[] = []
+  #history: Change[] = []
   readonly #server: Server
   readonly #waiting = new Set<() => void>()
   #revision = 0
@@ -31,6 +38,10 @@
   /** Every answer is this late. */
   delayMs = 0
   itemsPerPage = 2
+  /** How often the store came back from an older copy. Answers have no such header while it is undefined. */
+  era?: number
+  /** In place of the era in the header of every answer; an empty text leaves it out. */
+  eraText?: string
 
   constructor () {
     this.#server = createServer((message, response) => {
@@ -79,6 +90,22 @@
     [...this.#waiting].forEach((wake) => wake())
   }
 
+  /** What the store stands at now. */
+  copy (): StoreCopy {
+    return { items: new Map(this.#items), revision: this.#revision, history: [...this.#history] }
+  }
+
+  /** Comes back as the copy says: what was written since is gone, its revisions are given out again, and all connections are closed. */
+  restore ({ items, revision, history }: StoreCopy): void {
+    this.#items.clear()
+    items.forEach((item, key) => this.#items.set(key, item))
+    this.#revision = revision
+    this.#history = [...history]
+    this.era = (this.era ?? 0) + 1
+    this.#waiting.clear()
+    this.#server.closeAllConnections()
+  }
+
   #change (change: Change): void {
     if (change.value === undefined) this.#items.delete(change.key)
     else this.#items.set(change.key, { value: change.value, revision: change.revision })
@@ -89,6 +116,8 @@
   #serve (url: URL, response: ServerResponse): void {
     this.calls.push(url.pathname)
     if (this.mute) return
+    const eraText = this.eraText ?? this.era?.toString() ?? ''
+    if (eraText !== '') response.setHeader('Store-Era', eraText)
     if (this.failWith !== undefined) {
       response.writeHead(this.failWith).end()
       return
@@ -124,7 +153,7 @@
     const answer = () => {
       this.#waiting.delete(wake)
       clearTimeout(timer)
-      if (after < this.#forgottenUpTo) {
+      if (after < this.#forgottenUpTo || after > this.#revision) {
         response.writeHead(410).end()
         return
       }
@@ -134,7 +163,7 @@
       json(response, { events, store_revision: this.#revision })
     }
     const wake = () => {
-      if (after < this.#forgottenUpTo || this.#changesAfter(prefix, after).length > 0) answer()
+      if (after < this.#forgottenUpTo || after > this.#revision || this.#changesAfter(prefix, after).length > 0) answer()
     }
     const timer = setTimeout(answer, waitMs)
     this.#waiting.add(wake)
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -26,6 +26,12 @@
   ConnectionsFull = 'connectionsFull',
   /** A server could not take a connection. */
   ListenerFailed = 'listenerFailed',
+  /** The platform's store came back from an older copy. */
+  PlatformRestored = 'platformRestored',
+  /** The header that tells how often the store came back cannot be read, or is missing. */
+  PlatformEraUnreadable = 'platformEraUnreadable',
+  /** An answer of the platform's store was dropped, since it is older than what is known. */
+  PlatformReadDropped = 'platformReadDropped',
   EntriesKept = 'entriesKept',
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
