fix(upstream.orders): fencing numbers rise over the eras of the platform's store

An order's number is made from the list's revision, which goes back when the store comes back from a copy: an engine that checks numbers would refuse all changes of role until the revisions have caught up, one that does not would get a lower number after a higher one. Now made from the order of the list alone (era, then revision), below 2^63. Test: an order numbered after the return is not fenced off by those from before.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -146,7 +146,7 @@
     pauses: parts.pauses,
     declarations: parts.declarations,
     fleet: parts.fleet,
-    fleetRevision: () => parts.fleetList.revision,
+    listOrder: () => parts.fleetList.revision,
     limitPerSecond: (engine) => parts.upstreamStates.perSecond(engine),
     view: parts.view,
     vouchHere: parts.vouchHere,
--- a/box/runtime/src/shardKeeper.ts
+++ b/box/runtime/src/shardKeeper.ts
@@ -16,7 +16,7 @@
   reportPeriodMs: number
   onOrder: OrderControllerOptions['onOrder']
   /** Engines are given the roles that the load needs. Without it they keep those that the list gives them. */
-  roles?: Pick<RoleBalancerOptions, 'holder' | 'revision' | 'onPlan'>
+  roles?: Pick<RoleBalancerOptions, 'holder' | 'listOrder' | 'onPlan'>
   /** Told of a task that a fault of the program ended. */
   onTaskError?: TaskErrorListener
 }
--- a/box/runtime/src/shardKeepers.ts
+++ b/box/runtime/src/shardKeepers.ts
@@ -20,8 +20,8 @@
   declarations: ConfigStore<Configuration>
   /** The list that this box acts by. Its revision counts this box's own changes. */
   fleet: { readonly value: FleetList, readonly revision: number }
-  /** The platform's revision of the list. */
-  fleetRevision: () => number
+  /** The order of the platform's list, by which boxes tell which is the newer. */
+  listOrder: () => number
   /** Requests a second that an engine takes; nothing where it names no limit. */
   limitPerSecond: (engine: string) => number | undefined
   view: MembershipView
@@ -146,10 +146,10 @@
   }
 
   #roleOptions (shard: Shard): ShardKeeperOptions['roles'] {
-    const { settings, declarations, fleetRevision, log } = this.#opts
+    const { settings, listOrder, log } = this.#opts
     return {
       holder: settings.box.name,
-      revision: () => Math.max(declarations.revision, fleetRevision()),
+      listOrder,
       onPlan: (plan, load) => log.info(LogEvent.RolesPlanned, { shard: shard.id, ...rolePlanFields(plan, load) }),
     }
   }
--- a/upstream/orders/src/roleBalancer.ts
+++ b/upstream/orders/src/roleBalancer.ts
@@ -23,8 +23,8 @@
   right: OrderRight
   /** The name of this box, which no other has. */
   holder: string
-  /** The newest revision of the platform that this box knows. It rises over all boxes. */
-  revision: () => number
+  /** The order of the list that this box knows. It rises over all boxes, and all eras of the platform's store. */
+  listOrder: () => number
   orderTimeoutMs: number
   onPlan?: (plan: RolePlan, load: RoleLoad | undefined) => void
   onOrder?: (order: PlannedOrder, outcome: OrderOutcome) => void
@@ -127,13 +127,13 @@
   }
 
   async #send ({ name, address, report }: BalancedEngine): Promise<void> {
-    const { clock, engines, right, holder, revision, orderTimeoutMs, onOrder } = this.#opts
+    const { clock, engines, right, holder, listOrder, orderTimeoutMs, onOrder } = this.#opts
     const move = this.#moves.get(name)
     // After a pause, news that came meanwhile is read before the right is checked.
     await clock.settle()
     if (!move || move.ordered) return
     const ordersTaken = report?.ordersTaken ?? 0
-    const order: EngineOrder = { kind: OrderKind.ChangeRole, role: otherRole(move.from), fence: uniqueFenceOf(revision(), ordersTaken, holder), instance: name, holder, ordersTaken: report?.ordersTaken }
+    const order: EngineOrder = { kind: OrderKind.ChangeRole, role: otherRole(move.from), fence: uniqueFenceOf(listOrder(), ordersTaken, holder), instance: name, holder, ordersTaken: report?.ordersTaken }
     if (!right.holds()) {
       this.#moves.delete(name)
       onOrder?.({ engine: name, address, order }, OrderOutcome.NotSent)
--- a/upstream/orders/test/roleBalancer.ts
+++ b/upstream/orders/test/roleBalancer.ts
@@ -1,3 +1,4 @@
+import { orderOf } from '@reelspan/config.store'
 import { PauseWatch, TaskGroup } from '@reelspan/core.env'
 import { type CacheEventPage, type DecodeEvent, EngineClient, type EngineOrder, type EngineReport, EngineRole, type PrefillResult, UpstreamError } from '@reelspan/upstream.client'
 import { type BalancedEngine, OrderOutcome, OrderRight, RoleBalancer, type RoleLoad, RolePlanOutcome, uniqueFenceOf } from '@reelspan/upstream.orders'
@@ -48,7 +49,7 @@
   await shared.advance(10_000)
   const engines = new OrderTaker()
   const outcomes: OrderOutcome[] = []
-  const balancer = new RoleBalancer({ clock, engines, right, holder: 'box-1', revision: () => 7, orderTimeoutMs: 1000, onOrder: (_order, outcome) => outcomes.push(outcome) })
+  const balancer = new RoleBalancer({ clock, engines, right, holder: 'box-1', listOrder: () => 7, orderTimeoutMs: 1000, onOrder: (_order, outcome) => outcomes.push(outcome) })
   const pass = async (fleet: ReturnType<typeof fleetOf>, load: RoleLoad | null = LOAD) => {
     await shared.run(balancer.pass(fleet, LEAST, load ?? undefined))
     await shared.advance(1000)
@@ -178,6 +179,17 @@
   t.true(Number.isSafeInteger(uniqueFenceOf(2 ** 24, 255, 'box-1')))
 })
 
+test('an order numbered after the platform\'s store came back from a copy is not fenced off by those from before', (t) => {
+  const before = [1, 2 ** 24, 2 ** 31].map((revision) => uniqueFenceOf(orderOf({ era: 0, revision }), 255, 'box-2'))
+  const after = [1, 2, 127].map((era) => uniqueFenceOf(orderOf({ era, revision: 1 }), 0, 'box-1'))
+  const all = [...before, ...after]
+  t.deepEqual(all, all.toSorted((a, b) => a - b))
+  t.is(new Set(all).size, all.length)
+  t.true(uniqueFenceOf(orderOf({ era: 8191, revision: 2 ** 39 }), 255, 'box-1') < 2 ** 63)
+  t.true(uniqueFenceOf(orderOf({ era: 1, revision: 8 }), 0, 'box-1') > uniqueFenceOf(orderOf({ era: 1, revision: 7 }), 200, 'box-2'))
+  t.not(uniqueFenceOf(orderOf({ era: 1, revision: 7 }), 4, 'box-1'), uniqueFenceOf(orderOf({ era: 1, revision: 7 }), 4, 'box-2'))
+})
+
 test('an engine that starts again while it is on its way to another role is free to work, and is not ordered for the start before', async (t) => {
   const { balancer, engines, pass } = await createBalancer()
   const busy = { ...THREE, prefill: THREE.prefill.map((engine) => ({ ...engine, reservations: 1 })) }
