fix(platform.adapter): a configuration or list written after the store came back from a copy is in force at once

What callers saw: requests handled by a configuration that was replaced 2.5 s before, and sent to upstreams that had said 2.0 s before that they leave.

Cause: boxes compare the store's revisions, which go back when the store comes back from a copy. All it says is dropped as older than what is known until the revisions have caught up, and what was written meanwhile is never taken in. Ruled out: a watch that hangs or backs off (two to four answered calls a second and box all the while), a copy that is read (the next write is there at once).

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -234,8 +234,8 @@
   {
     name: 'boxes get revisions from their peers',
     file: 'config/store/src/configFollower.ts',
-    find: 'if (!this.#isNews(revision)) return',
-    replace: 'if (this.#isNews(revision)) return',
+    find: 'if (!this.#isNewer(revision)) return',
+    replace: 'if (this.#isNewer(revision)) return',
     tests: [CONFIGURATION],
   },
   {
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -4,6 +4,7 @@
 import { type AnswerEvent, Collection, type Member, MemberHealth, MessageType, type RoutedRequest } from '@reelspan/core.messages'
 import { type Configuration } from '@reelspan/config.resources'
 import { type Settings } from '@reelspan/config.settings'
+import { storeRevisionOf } from '@reelspan/config.store'
 import { type RelayCaller } from '@reelspan/request.relay'
 import { type RelayedRequest, type UpstreamSignals } from '@reelspan/upstream.client'
 import { type LookupAnswer } from '@reelspan/request.lookup'
@@ -202,7 +203,7 @@
       proofAgeMs: Number.isFinite(proof.ageMs) ? Math.round(proof.ageMs) : undefined,
       stopping: this.#stopping,
       declarations: { revision: declarations.revision, resources: declarations.value.resources.length, rejected: declarations.rejected },
-      fleet: { revision: fleetList.revision, boxes: fleet.value.boxes.length, upstreams: fleet.value.upstreams.length, keptThoughMissing: fleet.missing },
+      fleet: { ...storeRevisionOf(fleetList.revision), boxes: fleet.value.boxes.length, upstreams: fleet.value.upstreams.length, keptThoughMissing: fleet.missing },
       members: view.all().map((member) => ({ ...member, requestsInFlight: prober.loadOf(member.incarnation) })),
       records: { count: records.size, bytes: records.bytes, maxBytes: settings.requests.recordBytes, taken: records.taken() },
       owner: owner.describe(),
--- a/box/runtime/src/fleetChanges.ts
+++ b/box/runtime/src/fleetChanges.ts
@@ -1,4 +1,5 @@
 import { type GuardedFleet } from '@reelspan/config.fleet'
+import { type StoreRevision } from '@reelspan/config.store'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 
 export interface FleetChangesOptions {
@@ -29,7 +30,7 @@
   }
 
   /** Compares the list with what it was at the last call. */
-  note (revision: number): void {
+  note ({ era, revision }: StoreRevision): void {
     const { fleet, log, platformSilentMs } = this.#opts
     const before = this.#known
     const now = standings(fleet)
@@ -40,6 +41,7 @@
     const namesOf = (wanted: Standing) => changed.filter(([, standing]) => standing === wanted).map(([name]) => name).slice(0, MAX_NAMES)
     log.info(LogEvent.UpstreamsChanged, {
       revision,
+      era,
       changes: changed.length + gone.length,
       takingWork: namesOf(Standing.TakesWork),
       leaving: namesOf(Standing.Leaving),
--- a/box/runtime/src/reconciler.ts
+++ b/box/runtime/src/reconciler.ts
@@ -1,3 +1,4 @@
+import { storeRevisionOf } from '@reelspan/config.store'
 import { type TaskGroup } from '@reelspan/core.env'
 import { Collection } from '@reelspan/core.messages'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
@@ -69,8 +70,8 @@
     this.#reconcile()
   }
 
-  #noteFleet (revision: number): void {
-    this.#fleetChanges.note(revision)
+  #noteFleet (listOrder: number): void {
+    this.#fleetChanges.note(storeRevisionOf(listOrder))
     this.#parts.brokenRuns.noteFleet()
   }
 
@@ -88,7 +89,8 @@
       await store.waitAbove(revision, this.#tasks.signal)
       if (this.#tasks.stopped) return
       beliefAges.noteAdopted(collection)
-      log.info(LogEvent.RevisionAdopted, { collection, revision: store.revision, box: view.self.name })
+      const adopted = collection === Collection.Fleet ? storeRevisionOf(store.revision) : { revision: store.revision }
+      log.info(LogEvent.RevisionAdopted, { collection, ...adopted, box: view.self.name })
       if (collection === Collection.Fleet) this.#noteFleet(store.revision)
       this.#reconcile()
       this.#tasks.run(() => prober.announceRevisionsSoon())
--- a/box/runtime/test/fleetChanges.ts
+++ b/box/runtime/test/fleetChanges.ts
@@ -16,7 +16,7 @@
   const changes = new FleetChanges({ fleet, log, platformSilentMs: () => 1234.5 })
   const list = (...upstreams: ListedUpstream[]) => {
     Object.assign(listed, { value: new FleetList([], upstreams), revision: listed.revision + 1 })
-    changes.note(listed.revision)
+    changes.note({ era: 0, revision: listed.revision })
     return log.entries.at(-1)?.fields
   }
   return { log, guard, list }
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -167,7 +167,7 @@
     const { clock, platform, collection, store, onConfirmed } = this.#opts
     const since = store.revision
     const askedAtMs = clock.nowMs()
-    const content = await this.#noting(platform.read(collection, since, { waitMs, fresh, signal: this.#tasks.signal }))
+    const content = await this.#noting(platform.read(collection, since, { waitMs, fresh, position: store.position, signal: this.#tasks.signal }))
     const outcome = this.#adopt(content, since)
     // Content without an entry is that of a platform which has none yet, or has lost it.
     if (fresh && content.revision > 0 && (content.changes.length > 0 || !content.full)) onConfirmed?.(content.revision, askedAtMs)
--- a/config/store/src/configStore.ts
+++ b/config/store/src/configStore.ts
@@ -2,6 +2,7 @@
 import { Notifier } from '@reelspan/core.env'
 import { ContentDigest } from './contentDigest.js'
 import { type ContentChange, type RevisionedContent } from './revisionedContent.js'
+import { type StoreRevision } from './storeRevision.js'
 
 export enum AdoptOutcome {
   Adopted = 'adopted',
@@ -39,6 +40,7 @@
   #entries = new Map<string, ContentChange>()
   #digest?: string
   #revision = 0
+  #position?: StoreRevision
   /** Readers below this revision may lack deletions that were forgotten here. */
   #deltaFloor = 0
   #value: T
@@ -58,6 +60,11 @@
     return this.#digest
   }
 
+  /** Where the platform's feed goes on behind the content in force, if its reader knew. */
+  get position (): StoreRevision | undefined {
+    return this.#position
+  }
+
   get value (): T {
     return this.#value
   }
@@ -86,6 +93,7 @@
     if (content.full && this.#digests.of(liveOf(applyChanges(this.#entries, [...entries.values()]))) !== digest) this.#past.clear()
     this.#entries = this.#forgetOldDeletions(entries)
     this.#revision = content.revision
+    this.#position = content.position
     this.#notePast(digest)
     this.#value = value
     this.#changed.notify()
@@ -97,9 +105,10 @@
     const entries = [...this.#entries.values()]
     const pastRevision = digest === undefined ? undefined : this.#past.get(digest)
     const since = pastRevision ?? sinceRevision
+    const known = { revision: this.#revision, ...this.#position && { position: this.#position } }
     return pastRevision === undefined && (sinceRevision < this.#deltaFloor || sinceRevision === 0)
-      ? { revision: this.#revision, full: true, changes: entries.filter(({ spec }) => spec !== null) }
-      : { revision: this.#revision, full: false, changes: entries.filter(({ revision }) => revision > since), digest: this.#digest }
+      ? { ...known, full: true, changes: entries.filter(({ spec }) => spec !== null) }
+      : { ...known, full: false, changes: entries.filter(({ revision }) => revision > since), digest: this.#digest }
   }
 
   /** All entries there are now. Those that stay the same remain the entries that they were, so that nothing is done for them again. */
--- a/config/store/src/revisionedContent.ts
+++ b/config/store/src/revisionedContent.ts
@@ -1,3 +1,5 @@
+import { type StoreRevision } from './storeRevision.js'
+
 /** A changed entry. A null spec says that it was deleted. */
 export interface ContentChange {
   kind: string
@@ -15,4 +17,6 @@
   changes: ContentChange[]
   /** Of the content that the changes lead to, if the sender knows it. */
   digest?: string
+  /** Where the platform's feed of changes goes on behind this content, whoever reads it. */
+  position?: StoreRevision
 }
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -138,6 +138,8 @@
     changes: z.array(resourceChangeSchema),
     /** Of the content that changes lead to. Whoever has got another one asks for all of it. */
     digest: z.string().optional(),
+    /** Where the platform's feed of changes goes on behind the content. */
+    position: z.object({ era: revision, revision }).optional(),
   }),
   message(MessageType.Reserve, { request: reserveRequestSchema }),
   message(MessageType.ReserveAnswer, { answer: placementAnswerSchema }),
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -1,3 +1,4 @@
+import { storeRevisionOf } from '@reelspan/config.store'
 import { type EngineOutcome, isOwnPrefill, type PlacementPlan, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
 import { type Placement } from '@reelspan/scheduling.placer'
@@ -115,7 +116,7 @@
     const backoffMs = opts.backoffs.remainingMs(engine)
     if (opts.fleet().takesWork(engine) && backoffMs === 0) return
     this.#failed.add(engine)
-    const reason = backoffMs > 0 ? `asked this box to wait for ${Math.ceil(backoffMs)} ms more` : `takes no more work, by revision ${opts.fleetRevision()} of the list`
+    const reason = backoffMs > 0 ? `asked this box to wait for ${Math.ceil(backoffMs)} ms more` : `takes no more work, by revision ${storeRevisionOf(opts.fleetRevision()).revision} of the list`
     throw new UpstreamError(`${engine} ${reason}`, { mayHaveRun: false, refused: true })
   }
 
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -1,5 +1,6 @@
 import { type Admitted } from '@reelspan/accounts.admission'
 import { type Named, type RouteSpec, type RouteTarget } from '@reelspan/config.resources'
+import { storeRevisionOf } from '@reelspan/config.store'
 import { hash32 } from '@reelspan/core.hashing'
 import { Notifier, raceTimeout, STOPPED, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
@@ -254,6 +255,7 @@
       else caller.refuse(final)
     }
     const verdict = final?.verdict ?? 'none'
+    const listed = storeRevisionOf(fleetRevision())
     log.info(LogEvent.RequestEnded, {
       request: request.id,
       route: route?.name,
@@ -266,7 +268,8 @@
       reason: final?.message,
       retryAfterMs: final?.retryAfterMs,
       revision: configuration().revision,
-      fleetRevision: fleetRevision(),
+      fleetRevision: listed.revision,
+      fleetEra: listed.era,
       durationMs: Math.round(run.elapsedMs),
       firstMs: times.firstMs && Math.round(times.firstMs),
       longestPauseMs: Math.round(times.longestPauseMs),
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -22,7 +22,7 @@
   /** Resolves once this box has a configuration, or the signal is aborted. */
   configured: (signal: AbortSignal) => Promise<void>
   fleet: () => FleetList
-  /** The revision of the list that the fleet comes from. */
+  /** The order of the list that the fleet comes from, over all eras of the platform's store. */
   fleetRevision: () => number
   /** This box's present incarnation. */
   standing: () => { peerAddress: string, incarnation: string, availabilityZone: string }
