fix(config.fleet): an upstream that was leaving or gone gets no work because the platform's copy lists it as ready

Callers of upstreams that leave: with the list of a new era taken in at once, what the copy has forgotten would be taken for news. Boxes remember what was leaving or gone (a minute, by start) and tell each other, with the gossip of advertised states, also boxes that start afterwards.

--- a/box/runtime/src/createConfigParts.ts
+++ b/box/runtime/src/createConfigParts.ts
@@ -22,8 +22,9 @@
 
 /** The list that this box acts by. */
 export function createFleet (parts: BoxParts): GuardedFleet {
-  const { fleetList, platformContact } = parts
+  const { clock, fleetList, platformContact } = parts
   return new GuardedFleet({
+    clock,
     listed: fleetList,
     mayHaveLapsed: () => platformContact.mayHaveLapsed,
     draining: {
--- a/box/runtime/src/platformContactWatch.ts
+++ b/box/runtime/src/platformContactWatch.ts
@@ -1,3 +1,4 @@
+import { REENTRY_MS } from '@reelspan/config.fleet'
 import { type PlatformContact } from '@reelspan/config.store'
 import { type Clock } from '@reelspan/core.env'
 import { Collection, type PlatformAnswering } from '@reelspan/core.messages'
@@ -20,8 +21,6 @@
 
 /** Upstreams' entries lapse after some three heartbeats of about a second; a shorter absence takes none away. */
 const SHORTEST_LAPSE_MS = 3000
-/** Upstreams that live enter themselves again within two seconds of the platform's return. */
-export const REENTRY_MS = 2200
 
 /**
  * Follows whether the platform answers anyone: this box by itself, or its peers,
--- a/box/runtime/src/reconciler.ts
+++ b/box/runtime/src/reconciler.ts
@@ -1,13 +1,15 @@
+import { REENTRY_MS } from '@reelspan/config.fleet'
 import { storeRevisionOf } from '@reelspan/config.store'
 import { type TaskGroup } from '@reelspan/core.env'
 import { Collection } from '@reelspan/core.messages'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { LogEvent } from '@reelspan/telemetry.log'
+import { type UpstreamSignals } from '@reelspan/upstream.client'
 import { type BoxParts } from './boxParts.js'
 import { FleetChanges } from './fleetChanges.js'
-import { REENTRY_MS } from './platformContactWatch.js'
 
 const RECONCILE_PERIOD_MS = 5000
+const REMEMBERED_DRAINING: UpstreamSignals = { succeeded: false, draining: { draining: true, text: 'remembered' } }
 
 /** Brings what a box does in line with declarations, fleet and members as they change. */
 export class Reconciler {
@@ -15,6 +17,8 @@
   readonly #tasks: TaskGroup
   readonly #fleetChanges: FleetChanges
   #ready = false
+  /** Era of the platform's store that the list in force is from. */
+  #listEra?: number
   /** A change was noted, and the pass that acts on it is under way. */
   #reconciling = false
 
@@ -70,6 +74,21 @@
     this.#reconcile()
   }
 
+  #noteList (listOrder: number): void {
+    const { era } = storeRevisionOf(listOrder)
+    const isRestored = this.#listEra !== undefined && era > this.#listEra
+    this.#listEra = era
+    this.#noteFleet(listOrder)
+    if (isRestored) this.#onRestored()
+  }
+
+  /** Tells the other boxes, and those that start now, what the platform's copy has forgotten. */
+  #onRestored (): void {
+    const { clock, fleet, upstreamStates } = this.#parts
+    fleet.rememberedDraining.forEach((name) => upstreamStates.observe(name, REMEMBERED_DRAINING, clock.nowMs()))
+    this.#tasks.run(() => this.#reconcileAfterReentry())
+  }
+
   #noteFleet (listOrder: number): void {
     this.#fleetChanges.note(storeRevisionOf(listOrder))
     this.#parts.brokenRuns.noteFleet()
@@ -91,7 +110,7 @@
       beliefAges.noteAdopted(collection)
       const adopted = collection === Collection.Fleet ? storeRevisionOf(store.revision) : { revision: store.revision }
       log.info(LogEvent.RevisionAdopted, { collection, ...adopted, box: view.self.name })
-      if (collection === Collection.Fleet) this.#noteFleet(store.revision)
+      if (collection === Collection.Fleet) this.#noteList(store.revision)
       this.#reconcile()
       this.#tasks.run(() => prober.announceRevisionsSoon())
     }
--- a/box/runtime/test/fleetChanges.ts
+++ b/box/runtime/test/fleetChanges.ts
@@ -2,6 +2,7 @@
 import { FleetList, GuardedFleet, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { SilentLog } from '@reelspan/utils.fake-fleet'
+import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
 function upstream (name: string, leaving = false): ListedUpstream {
@@ -12,7 +13,7 @@
   const listed = { value: new FleetList([], []), revision: 0 }
   const guard = { lapsed: false }
   const log = new SilentLog()
-  const fleet = new GuardedFleet({ listed, mayHaveLapsed: () => guard.lapsed })
+  const fleet = new GuardedFleet({ clock: new VirtualClock(), listed, mayHaveLapsed: () => guard.lapsed })
   const changes = new FleetChanges({ fleet, log, platformSilentMs: () => 1234.5 })
   const list = (...upstreams: ListedUpstream[]) => {
     Object.assign(listed, { value: new FleetList([], upstreams), revision: listed.revision + 1 })
--- a/box/runtime/test/platformContactWatch.ts
+++ b/box/runtime/test/platformContactWatch.ts
@@ -1,4 +1,5 @@
-import { PlatformContactWatch, REENTRY_MS } from '@reelspan/box.runtime'
+import { PlatformContactWatch } from '@reelspan/box.runtime'
+import { REENTRY_MS } from '@reelspan/config.fleet'
 import { Collection } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { VirtualClock } from '@reelspan/utils.fakes'
--- a/config/fleet/test/guardedFleet.ts
+++ b/config/fleet/test/guardedFleet.ts
@@ -1,4 +1,5 @@
 import { FleetList, GuardedFleet, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
+import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
 function upstream (name: string, over: Partial<ListedUpstream> = {}): ListedUpstream {
@@ -8,7 +9,7 @@
 function createFleet () {
   const listed = { value: new FleetList([], []), revision: 0 }
   const guard = { lapsed: false }
-  const fleet = new GuardedFleet({ listed, mayHaveLapsed: () => guard.lapsed })
+  const fleet = new GuardedFleet({ clock: new VirtualClock(), listed, mayHaveLapsed: () => guard.lapsed })
   const list = (...upstreams: ListedUpstream[]) => Object.assign(listed, { value: new FleetList([], upstreams), revision: listed.revision + 1 })
   const names = () => fleet.value.takingWork('desk').map(({ name }) => name)
   return { fleet, guard, list, names }
@@ -59,7 +60,7 @@
   const listed = { value: new FleetList([], []), revision: 0 }
   const draining = { revision: 0, names: new Set<string>(), has: (name: string) => draining.names.has(name) }
   const guard = { lapsed: false }
-  const fleet = new GuardedFleet({ listed, mayHaveLapsed: () => guard.lapsed, draining })
+  const fleet = new GuardedFleet({ clock: new VirtualClock(), listed, mayHaveLapsed: () => guard.lapsed, draining })
   const list = (...upstreams: ListedUpstream[]) => Object.assign(listed, { value: new FleetList([], upstreams), revision: listed.revision + 1 })
   const names = () => fleet.value.takingWork('desk').map(({ name }) => name)
   list(upstream('1'), upstream('2'))
--- a/config/fleet/test/restartedUpstreams.ts
+++ b/config/fleet/test/restartedUpstreams.ts
@@ -1,4 +1,5 @@
 import { FleetList, GuardedFleet, type ListedUpstream, NewestStarts, UpstreamKind } from '@reelspan/config.fleet'
+import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
 function startOf (instance: string, startedAtMs: number, over: Partial<ListedUpstream> = {}): ListedUpstream {
@@ -8,7 +9,7 @@
 function createFleet () {
   const listed = { value: new FleetList([], []), revision: 0 }
   const guard = { lapsed: false }
-  const fleet = new GuardedFleet({ listed, mayHaveLapsed: () => guard.lapsed })
+  const fleet = new GuardedFleet({ clock: new VirtualClock(), listed, mayHaveLapsed: () => guard.lapsed })
   const list = (...upstreams: ListedUpstream[]) => {
     Object.assign(listed, { value: new FleetList([], upstreams), revision: listed.revision + 1 })
     return fleet.value.takingWork('llm').map(({ name }) => name)
--- /dev/null
+++ b/config/fleet/test/restoredList.ts
@@ -0,0 +1,98 @@
+import { FleetList, GuardedFleet, type ListedUpstream, REENTRY_MS, UpstreamKind } from '@reelspan/config.fleet'
+import { orderOf } from '@reelspan/config.store'
+import { VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+/** Longer than an entry outlives its upstream. */
+const ENTRY_LIFE_MS = 5000
+
+function upstream (name: string, over: Partial<ListedUpstream> = {}): ListedUpstream {
+  return { name, kind: UpstreamKind.Service, address: `10.0.0.${name}:1`, availabilityZone: 'a', pool: 'desk', leaving: false, ...over }
+}
+
+function createFleet () {
+  const clock = new VirtualClock()
+  const listed = { value: new FleetList([], []), revision: 0 }
+  const fleet = new GuardedFleet({ clock, listed, mayHaveLapsed: () => false })
+  const names = () => fleet.value.takingWork('desk').map(({ name }) => name)
+  const list = (era: number, revision: number, ...upstreams: ListedUpstream[]) => {
+    Object.assign(listed, { value: new FleetList([], upstreams), revision: orderOf({ era, revision }) })
+    return names()
+  }
+  return { clock, fleet, names, list }
+}
+
+test('an upstream that was leaving gets work again when the platform\'s copy lists it as ready', async (t) => {
+  const { clock, fleet, names, list } = createFleet()
+  list(0, 90, upstream('1'), upstream('2'))
+  list(0, 100, upstream('1', { leaving: true }), upstream('2'))
+  t.deepEqual(list(1, 90, upstream('1'), upstream('2')), ['2'])
+  t.deepEqual(fleet.rememberedDraining, ['1'])
+  await clock.advance(600_000)
+  t.deepEqual(names(), ['2'], 'also long after')
+  t.deepEqual(list(1, 91, upstream('1', { leaving: true }), upstream('2')), ['2'])
+  t.deepEqual(list(1, 92, upstream('2')), ['2'])
+})
+
+test('an upstream that had left and gone gets work again when the platform\'s copy lists it', async (t) => {
+  const { clock, names, list } = createFleet()
+  list(0, 90, upstream('1', { leaving: true }), upstream('2'))
+  list(0, 100, upstream('2'))
+  t.deepEqual(list(1, 90, upstream('1'), upstream('2')), ['2'])
+  await clock.advance(ENTRY_LIFE_MS)
+  t.deepEqual(names(), ['2'])
+})
+
+test('an upstream that was gone is not used again because a copy lists it, until it has stood there for longer than an entry lives', async (t) => {
+  const { clock, fleet, names, list } = createFleet()
+  list(0, 90, upstream('1'), upstream('2'))
+  list(0, 100, upstream('2'))
+  t.deepEqual(list(1, 90, upstream('1'), upstream('2')), ['2'])
+  const { revision } = fleet
+  await clock.advance(ENTRY_LIFE_MS)
+  t.deepEqual(names(), ['1', '2'])
+  t.true(fleet.revision > revision)
+})
+
+test('an upstream that is missing in a copy is taken for gone before it had time to enter itself again', async (t) => {
+  const { clock, fleet, names, list } = createFleet()
+  list(0, 90, upstream('1'))
+  list(0, 100, upstream('1'), upstream('2'))
+  t.deepEqual(list(1, 90, upstream('1')), ['1', '2'])
+  t.deepEqual(fleet.missing, ['2'])
+  t.deepEqual(list(1, 91, upstream('1'), upstream('2'), upstream('3')), ['1', '2', '3'])
+  t.deepEqual(list(2, 90, upstream('1'), upstream('3')), ['1', '3', '2'], 'a second return')
+  await clock.advance(REENTRY_MS)
+  t.deepEqual(names(), ['1', '3'])
+})
+
+test('an upstream that was missing in one copy and is there again is not doubted by the next one', async (t) => {
+  const { clock, list } = createFleet()
+  list(0, 100, upstream('1'), upstream('2'))
+  list(1, 90, upstream('1'))
+  await clock.advance(500)
+  t.deepEqual(list(2, 80, upstream('1'), upstream('2')), ['1', '2'])
+})
+
+test('the next start of an upstream that was leaving before the platform came back from a copy owes nothing', (t) => {
+  const { list } = createFleet()
+  const start = (startedAtMs: number, over: Partial<ListedUpstream> = {}) => upstream(`1@${startedAtMs}`, { instance: '1', startedAtMs, address: '10.0.0.1:1', ...over })
+  list(0, 100, start(1000, { leaving: true }))
+  t.deepEqual(list(1, 90, start(1000)), [])
+  t.deepEqual(list(1, 91, start(2000)), ['1@2000'])
+  t.deepEqual(list(2, 90, start(1000)), ['1@2000'], 'a copy that lists the start before')
+})
+
+test('a list that changes within an era may say that an upstream does not leave any more', (t) => {
+  const { list } = createFleet()
+  list(0, 100, upstream('1', { leaving: true }))
+  t.deepEqual(list(0, 101, upstream('1')), ['1'])
+})
+
+test('what was leaving long before the platform came back from a copy is not remembered', async (t) => {
+  const { clock, list } = createFleet()
+  list(0, 100, upstream('1', { leaving: true }), upstream('2'))
+  list(0, 101, upstream('2'))
+  await clock.advance(60_001)
+  t.deepEqual(list(1, 90, upstream('1'), upstream('2')), ['1', '2'])
+})
