fix(config.store): a fresh read of the platform's older copy proves nothing of the configuration in force

Found by looking for the incident's cause elsewhere: accounts take a fresh read for proof that the configuration is new enough. A copy shows one that was the newest some seconds ago. A read proves nothing for 2.2 s after a return, nor while the store shows a lower version than is known; proofs from before count until they are too old.

--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -51,6 +51,8 @@
 const HEDGE_MS = 200
 /** While the platform does not answer it is asked to wait no longer than this, so that its return shows at once. */
 const RETURN_WAIT_MS = 100
+/** So long after the platform came back from an older copy, what it lost may not have been written again. */
+const REWRITE_MS = 2200
 /** A watch that ends sooner, without news, did not wait as it was asked to. */
 const SHORTEST_WATCH_MS = 1000
 
@@ -169,8 +171,7 @@
     const askedAtMs = clock.nowMs()
     const content = await this.#noting(platform.read(collection, since, { waitMs, fresh, position: store.position, signal: this.#tasks.signal }))
     const outcome = this.#adopt(content, since)
-    // Content without an entry is that of a platform which has none yet, or has lost it.
-    if (fresh && content.revision > 0 && (content.changes.length > 0 || !content.full)) onConfirmed?.(content.revision, askedAtMs)
+    if (fresh && isConfirmation(content)) onConfirmed?.(content.revision, askedAtMs)
     // A watch that brought nothing new and did not wait comes from a stale replica, or from a platform that cannot wait.
     const waitedMs = clock.nowMs() - askedAtMs
     const idle = outcome !== AdoptOutcome.Adopted && (outcome === AdoptOutcome.Invalid || waitedMs < Math.min(waitMs, SHORTEST_WATCH_MS))
@@ -231,3 +232,10 @@
     return outcome
   }
 }
+
+/** Whether content that was read freshly shows which revision is the newest. */
+function isConfirmation ({ revision, shownRevision = revision, sinceRestoredMs = Number.POSITIVE_INFINITY, changes, full }: RevisionedContent): boolean {
+  // Content without an entry is that of a platform which has none yet, or has lost it.
+  const hasEntries = revision > 0 && (changes.length > 0 || !full)
+  return hasEntries && shownRevision >= revision && sinceRestoredMs >= REWRITE_MS
+}
--- a/config/store/src/revisionedContent.ts
+++ b/config/store/src/revisionedContent.ts
@@ -19,4 +19,8 @@
   digest?: string
   /** Where the platform's feed of changes goes on behind this content, whoever reads it. */
   position?: StoreRevision
+  /** The revision that the platform itself shows, where that may be lower: it may have come back from an older copy. */
+  shownRevision?: number
+  /** Since the platform was seen to come back from an older copy. */
+  sinceRestoredMs?: number
 }
