--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -24,10 +24,68 @@
 const ACCOUNTS = 'box/runtime/test.lib/accounts.js'
 const LIMITED = 'box/runtime/test.lib/upstreamLimitShared.js'
 const DRAINING = 'box/runtime/test.lib/drainingUpstream.js'
+const RESTORED = 'box/runtime/test.lib/restoredPlatform.js'
+const RETURNS = 'platform/adapter/test.lib/storeReturns.js'
 const ENGINE_LIMITS = 'scheduling/scheduler/test.lib/engineLimits.js'
 
 /** What the promises rest on. */
 export const MECHANISMS: Mechanism[] = [
+  {
+    name: 'declarations of a restored store are ordered by the operator\'s version',
+    file: 'platform/adapter/src/configurationMirror.ts',
+    find: 'if (configuration.version <= this.#version) return false',
+    replace: '',
+    tests: [RETURNS],
+  },
+  {
+    name: 'lists of a restored store are ordered by era first',
+    file: 'config/store/src/storeRevision.ts',
+    find: 'const REVISIONS_PER_ERA = 2 ** 40',
+    replace: 'const REVISIONS_PER_ERA = 1',
+    tests: [RETURNS],
+  },
+  {
+    name: 'a restored store is read whole before it is watched',
+    file: 'platform/adapter/src/storeMirror.ts',
+    find: 'if (!read || read.readAt.era > this.#cursor.era) return',
+    replace: 'if (!read) return',
+    tests: [RETURNS],
+  },
+  {
+    name: 'answers from before a store was restored are dropped',
+    file: 'platform/adapter/src/storeClient.ts',
+    find: 'if (era < this.#era.current) throw',
+    replace: 'if (era < 0) throw',
+    tests: [RETURNS],
+  },
+  {
+    name: 'upstreams that had left get no work from a restored store\'s list',
+    file: 'config/fleet/src/guardedFleet.ts',
+    find: ' || this.#departures.has(name))',
+    replace: ')',
+    tests: [RESTORED],
+  },
+  {
+    name: 'boxes that start after a store was restored are told which upstreams were draining',
+    file: 'box/runtime/src/reconciler.ts',
+    find: 'upstreamStates.observe(name, REMEMBERED_DRAINING, clock.nowMs())',
+    replace: 'upstreamStates.isDraining(name)',
+    tests: ['platform/adapter/test.lib/restoredStore.js'],
+  },
+  {
+    name: 'upstreams that are missing in a restored store\'s list are kept for a while',
+    file: 'config/fleet/src/guardedFleet.ts',
+    find: 'mayHaveLapsed() || this.#departures.sinceRestoredMs < REENTRY_MS',
+    replace: 'mayHaveLapsed()',
+    tests: ['config/fleet/test.lib/restoredList.js'],
+  },
+  {
+    name: 'a restored store proves nothing of the configuration at first',
+    file: 'config/store/src/configFollower.ts',
+    find: 'shownRevision >= revision && sinceRestoredMs >= REWRITE_MS',
+    replace: 'sinceRestoredMs >= 0',
+    tests: ['config/store/test.lib/restoredPlatform.js'],
+  },
   {
     name: 'keyed requests are taken within the bound of the proof alone',
     file: 'accounts/proof/src/configurationProof.ts',
--- a/__utils__/fakes/src/platformModel.ts
+++ b/__utils__/fakes/src/platformModel.ts
@@ -1,4 +1,4 @@
-import { type ContentChange, type RevisionedContent } from '@reelspan/config.store'
+import { type ContentChange, orderOf, type RevisionedContent, storeRevisionOf } from '@reelspan/config.store'
 import { type Clock, Notifier } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { Collection } from '@reelspan/core.messages'
@@ -9,6 +9,9 @@
   entries: Map<string, ContentChange>
 }
 
+/** What the platform stood at, to come back from. */
+export type PlatformCopy = Record<Collection, Snapshot>
+
 /** A published entry. A spec of null deletes it. */
 export type PublishedEntry = Pick<ContentChange, 'kind' | 'name' | 'spec'>
 
@@ -31,6 +34,9 @@
   readonly #changed = new Notifier()
   readonly #history: Record<Collection, Snapshot[]>
   #recentCalls: number[] = []
+  #era = 0
+  /** Of the declarations: their operator gives none twice, whatever becomes of the platform. */
+  #lastVersion = 0
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -44,12 +50,29 @@
 
   /** What an operator does from version control. Returns the new revision. */
   publish (collection: Collection, entries: readonly PublishedEntry[]): number {
-    const { revision, entries: before } = this.#latest(collection)
-    const next = new Map(before)
-    entries.forEach(({ kind, name, spec }) => next.set(`${kind}/${name}`, { kind, name, spec, revision: revision + 1 }))
-    this.#history[collection].push({ revision: revision + 1, atMs: this.#clock.nowMs(), entries: next })
+    const { revision: before, entries: known } = this.#latest(collection)
+    const revision = collection === Collection.Declarations ? ++this.#lastVersion : before + 1
+    const next = new Map(known)
+    entries.forEach(({ kind, name, spec }) => next.set(`${kind}/${name}`, { kind, name, spec, revision }))
+    this.#history[collection].push({ revision, atMs: this.#clock.nowMs(), entries: next })
+    this.#changed.notify()
+    return revision
+  }
+
+  /** What stands there now. */
+  copy (): PlatformCopy {
+    return { [Collection.Declarations]: this.#latest(Collection.Declarations), [Collection.Fleet]: this.#latest(Collection.Fleet) }
+  }
+
+  /** Comes back from an older copy, in an era of its own: the list's revisions are given out again, the declarations' versions are not. */
+  restore (copy: PlatformCopy): void {
+    const atMs = this.#clock.nowMs()
+    const listed = copy[Collection.Fleet]
+    const revision = orderOf({ era: ++this.#era, revision: storeRevisionOf(listed.revision).revision })
+    const live = [...listed.entries].filter(([, { spec }]) => spec !== null)
+    this.#history[Collection.Fleet].push({ atMs, revision, entries: new Map(live.map(([id, entry]) => [id, { ...entry, revision }])) })
+    this.#history[Collection.Declarations].push({ ...copy[Collection.Declarations], atMs })
     this.#changed.notify()
-    return revision + 1
   }
 
   async read (collection: Collection, sinceRevision: number, waitMs: number, signal?: AbortSignal): Promise<RevisionedContent> {
@@ -93,7 +116,7 @@
 
 function contentOf ({ revision, entries }: Snapshot, sinceRevision: number): RevisionedContent {
   const changes = [...entries.values()]
-  return sinceRevision === 0
+  return sinceRevision === 0 || storeRevisionOf(revision).era !== storeRevisionOf(sinceRevision).era
     ? { revision, full: true, changes: changes.filter(({ spec }) => spec !== null) }
     : { revision, full: false, changes: changes.filter((change) => change.revision > sinceRevision) }
 }
