test(utils.soak): in each round the store comes back from a copy, and its writers write again

After each round's faults, so that the calm behind it judges what is published and who leaves in the new era; draws of faults stay as they were. Reads of the copy, until its loss is written again, count as stale for keys, as those of a lagging replica do.

--- a/__utils__/platform-stand-ins/src/index.ts
+++ b/__utils__/platform-stand-ins/src/index.ts
@@ -1,6 +1,6 @@
 export { askDirectory } from './askDirectory.js'
 export type { DirectoryAnswer } from './askDirectory.js'
-export { enterUpstream, publishRoutes, removeUpstream } from './publish.js'
+export { enterUpstream, listedInstances, publishRoutes, removeUpstream } from './publish.js'
 export type { PublishedAccount } from './publish.js'
 export type { UpstreamEntry } from './publish.js'
 export { CONFIGURATION, entryOf, requestHeaders, SETTINGS_FILE, settingsFileText } from './samples.js'
--- a/__utils__/platform-stand-ins/src/publish.ts
+++ b/__utils__/platform-stand-ins/src/publish.ts
@@ -35,6 +35,11 @@
   store.delete(keyOf(instance))
 }
 
+/** Upstreams that have an entry. */
+export function listedInstances (store: StandInStore): string[] {
+  return store.keys(keyOf('')).map((key) => key.slice(keyOf('').length))
+}
+
 function keyOf (instance: string): string {
   return `servers/${instance}`
 }
--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -78,6 +78,10 @@
     this.#change({ key, revision: ++this.#revision })
   }
 
+  keys (prefix: string): string[] {
+    return [...this.#items.keys()].filter((key) => key.startsWith(prefix))
+  }
+
   /** From now on reads, but not watches, show what stands now. */
   answerStaleReads (): void {
     this.#stale = { items: new Map(this.#items), revision: this.#revision }
--- a/__utils__/soak/src/checkKeys.ts
+++ b/__utils__/soak/src/checkKeys.ts
@@ -14,7 +14,7 @@
   runs: readonly UpstreamRun[]
   publications: readonly Publication[]
   received: readonly ReceivedHead[]
-  /** When the store's reads showed what had stood before, as the users' never do. What a box proves by such a read may be untrue. */
+  /** When the store's reads showed what had stood before: from a replica that lags, or from a copy that it came back from. */
   staleReads: readonly Stall[]
   /** All keys that were ever declared. */
   keys: readonly string[]
--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -263,6 +263,30 @@
     })
   }
 
+  /** The store is away for a moment and comes back from a copy. Its writers write again what it has lost. */
+  async restoreStore (awayMs: number): Promise<void> {
+    const { fleet, fleet: { store } } = this.#opts
+    this.#note(`the store comes back from a copy after ${awayMs} ms`)
+    await this.#harming(EVERYTHING, async () => {
+      const copy = store.copy()
+      fleet.publish()
+      await this.#withFree(fleet.places, async (place) => {
+        await fleet.crash(place)
+        await fleet.revive(place)
+      })
+      await sleep(NEWS_MS)
+      store.mute = true
+      await sleep(awayMs)
+      const stale = { fromMs: performance.now(), toMs: Number.POSITIVE_INFINITY }
+      fleet.staleReads.push(stale)
+      store.restore(copy)
+      store.mute = false
+      await sleep(NEWS_MS)
+      fleet.writeAgain()
+      stale.toMs = performance.now()
+    })
+  }
+
   async #crashUpstream (downMs: number): Promise<void> {
     const { fleet } = this.#opts
     await this.#withFree(fleet.places, (place) => this.#harming(place.name, async () => {
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -44,6 +44,8 @@
 const READY_LIMIT_MS = 40_000
 const TROUBLE_MS = 7000
 const LONGEST_GAP_MS = 700
+/** Longest time for which the store is away before it comes back from a copy. */
+const LONGEST_AWAY_MS = 2500
 /** Kinds of faults in one round. With few, some boxes stay unharmed, and bounds are judged there. */
 const KINDS_A_ROUND = { least: 2, most: 6 }
 /** This long after the last fault, bounds hold. */
@@ -109,6 +111,7 @@
   readonly #limitRandom: SeededRandom
   /** Apart as well. */
   readonly #signalRandom: SeededRandom
+  readonly #restoreRandom: SeededRandom
   readonly #stalls: StallWatch
   readonly #tookMs: Record<string, number> = {}
   #judged: Record<string, number> = {}
@@ -123,6 +126,7 @@
     this.#keyRandom = new SeededRandom(opts.seed)
     this.#limitRandom = new SeededRandom(opts.seed)
     this.#signalRandom = new SeededRandom(opts.seed)
+    this.#restoreRandom = new SeededRandom(opts.seed)
     this.#stalls = new StallWatch(fleet.boxes)
     this.#faults = new Faults({ fleet, random: this.#faultRandom, violation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % HOLDERS_AMONG === 0 }))
@@ -248,6 +252,7 @@
     }
     await this.#faults.over()
     await this.#waitReady()
+    await this.#faults.restoreStore(Math.round(this.#restoreRandom.nextFloat() * LONGEST_AWAY_MS))
   }
 
   async #timed (part: string, work: () => Promise<unknown>): Promise<void> {
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -5,7 +5,7 @@
 import { fileURLToPath } from 'node:url'
 import { FleetProcess } from '@reelspan/utils.bench'
 import { type SeededRandom } from '@reelspan/utils.fakes'
-import { type BoxAddresses, enterUpstream, HandleTable, publishRoutes, type ReceivedHead, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
+import { type BoxAddresses, enterUpstream, HandleTable, listedInstances, publishRoutes, type ReceivedHead, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
 import { REVOKE_MS } from './checkKeys.js'
 import { type Departure, type PlannedStop, type Publication } from './checkBounds.js'
@@ -97,7 +97,7 @@
   readonly draining: Draining[] = []
   /** Times in which upstreams refuse everything. One that goes on has no end yet. */
   readonly refusing: Refusing[] = []
-  /** Times throughout which the store's reads were stale. */
+  /** Times throughout which the store's reads were stale, or those of a copy whose loss was not written again yet. */
   readonly staleReads: Stall[] = []
   /** What boxes did that they may not do, whatever happens to them. */
   readonly problems: string[] = []
@@ -161,10 +161,23 @@
   /** Publishes a configuration whose probe route has a new path. */
   publish (): void {
     const version = this.newestVersion + 1
-    const path = publishRoutes(this.store, version, { name: ACCOUNT, keys: [CALLERS_KEY, keyOf(version)] })
+    const path = this.#write(version)
     this.publications.push({ version, path, atMs: performance.now() })
   }
 
+  /** Operator and upstreams write again what the store lost when it came back from a copy. */
+  writeAgain (): void {
+    this.#write(this.newestVersion)
+    const listed = this.places.filter((place) => place.listed)
+    const instances = new Set(listed.map(({ instance }) => instance))
+    listedInstances(this.store).filter((instance) => !instances.has(instance)).forEach((instance) => removeUpstream(this.store, instance))
+    listed.forEach((place) => this.announce(place))
+  }
+
+  #write (version: number): string {
+    return publishRoutes(this.store, version, { name: ACCOUNT, keys: [CALLERS_KEY, keyOf(version)] })
+  }
+
   /** Heads of everything that upstreams received. */
   get received (): ReceivedHead[] {
     return this.#upstreams.flatMap(({ received }) => received)
@@ -342,6 +355,7 @@
   async #start (boxCount: number): Promise<void> {
     this.#storeAddress = await this.store.start()
     this.store.itemsPerPage = 100
+    this.store.era = 0
     const roles = [Role.Prefill, Role.Prefill, Role.Decode, Role.Decode, Role.Decode, Role.Service, Role.Service, Role.Service]
     await Promise.all(roles.map((role, i) => this.#addPlace(role, `${role}-${i}`)))
     this.publish()
