fix(core.messages): boxes say how they number revisions, and others' numbers are not compared

Heartbeats and contents name their numbering now; without it revisions, contents and proofs of a peer are left alone. Test: content of a box of an earlier release. Fakes of peers name it, too. The soak's copies lack six configurations, of which one is written again, so that the store's revisions stay behind.

--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -50,6 +50,8 @@
 const LEAVING_MS = 3500
 /** News of a change is at the boxes by then. */
 const NEWS_MS = 400
+/** Configurations that a copy lacks. Only the last of them is written again, so that the store's revisions stay behind. */
+const LOST_PUBLICATIONS = 6
 /** Past a watch of a box, after which it acts on what it read. */
 const STALE_MS = 3000
 /** Part of the open connections of a path that go silent. */
@@ -269,7 +271,7 @@
     this.#note(`the store comes back from a copy after ${awayMs} ms`)
     await this.#harming(EVERYTHING, async () => {
       const copy = store.copy()
-      fleet.publish()
+      for (let i = 0; i < LOST_PUBLICATIONS; i++) fleet.publish()
       await this.#withFree(fleet.places, async (place) => {
         await fleet.crash(place)
         await fleet.revive(place)
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -169,9 +169,11 @@
   writeAgain (): void {
     this.#write(this.newestVersion)
     const listed = this.places.filter((place) => place.listed)
-    const instances = new Set(listed.map(({ instance }) => instance))
-    listedInstances(this.store).filter((instance) => !instances.has(instance)).forEach((instance) => removeUpstream(this.store, instance))
-    listed.forEach((place) => this.announce(place))
+    const present = new Set(listed.map(({ instance }) => instance))
+    const inCopy = new Set(listedInstances(this.store))
+    const ended = [...inCopy].filter((instance) => !present.has(instance))
+    ended.forEach((instance) => removeUpstream(this.store, instance))
+    listed.filter(({ instance, leaving }) => leaving || !inCopy.has(instance)).forEach((place) => this.announce(place))
   }
 
   #write (version: number): string {
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -1,6 +1,6 @@
 import { type ConfigStore } from '@reelspan/config.store'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
-import { Collection, MemberHealth, type UpstreamStateUpdate, type MessageOf, MessageType, type PeerHandler, type PeerMessage, type RunEvent } from '@reelspan/core.messages'
+import { Collection, MemberHealth, type UpstreamStateUpdate, type MessageOf, MessageType, type PeerHandler, type PeerMessage, RevisionNumbering, type RunEvent } from '@reelspan/core.messages'
 import { type LimitBook } from '@reelspan/membership.limits'
 import { type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
@@ -45,7 +45,7 @@
     const { prober, stores, keepers, owner, runGossip, limitBook, upstreamStateGossip, permitBook, onUpstreamReports, lookup, vouchHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
-        return { type: MessageType.ConfigContent, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
+        return { type: MessageType.ConfigContent, numbering: RevisionNumbering.ByVersionAndEra, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
       case MessageType.Reserve:
         return this.#reserve(message)
       case MessageType.ReleaseReservation:
--- a/config/store/src/configFollower.ts
+++ b/config/store/src/configFollower.ts
@@ -207,7 +207,7 @@
     this.#asking.add(address)
     try {
       const answer = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: since, digest: store.digest }, { timeoutMs: peerTimeoutMs, repeatable: true })
-      if (answer.type !== MessageType.ConfigContent || this.#adopt(answer, since) !== AdoptOutcome.Mismatch) return
+      if (answer.type !== MessageType.ConfigContent || answer.numbering === undefined || this.#adopt(answer, since) !== AdoptOutcome.Mismatch) return
       const whole = await link.call(address, { type: MessageType.ConfigPull, collection, sinceRevision: 0 }, { timeoutMs: peerTimeoutMs, repeatable: true })
       if (whole.type === MessageType.ConfigContent) this.#adopt(whole, 0)
     } finally {
--- a/config/store/test/configFollower.ts
+++ b/config/store/test/configFollower.ts
@@ -1,6 +1,6 @@
 import { ConfigFollower, ConfigStore, PlatformReader, type RevisionedContent } from '@reelspan/config.store'
 import { type TaskErrorListener } from '@reelspan/core.env'
-import { Collection, MessageType, PeerLink, type PeerMessage } from '@reelspan/core.messages'
+import { Collection, MessageType, PeerLink, type PeerMessage, RevisionNumbering } from '@reelspan/core.messages'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
@@ -115,7 +115,7 @@
   async call (address: string): Promise<PeerMessage> {
     this.asked.push(address)
     if (address === this.#silent) return new Promise(() => {})
-    return { type: MessageType.ConfigContent, revision: 7, full: true, changes: [] }
+    return { type: MessageType.ConfigContent, numbering: RevisionNumbering.ByVersionAndEra, revision: 7, full: true, changes: [] }
   }
 
   stream (): AsyncIterable<PeerMessage> {
@@ -130,8 +130,8 @@
       if (question) asked.push(question)
       const changes = [{ kind: 'Thing', name: 'a', revision: 7, spec: {} }]
       return asked.length === 1
-        ? { type: MessageType.ConfigContent, revision: 7, full: false, changes: [], digest: 'of something else' }
-        : { type: MessageType.ConfigContent, revision: 7, full: true, changes }
+        ? { type: MessageType.ConfigContent, numbering: RevisionNumbering.ByVersionAndEra, revision: 7, full: false, changes: [], digest: 'of something else' }
+        : { type: MessageType.ConfigContent, numbering: RevisionNumbering.ByVersionAndEra, revision: 7, full: true, changes }
     }
   }
   const { clock, store, follower } = createFollower(new ImpatientPlatform(), () => false, new PeerWithOtherChanges(''))
--- a/config/store/test/restoredPlatform.ts
+++ b/config/store/test/restoredPlatform.ts
@@ -1,5 +1,5 @@
 import { AdoptOutcome, ConfigFollower, ConfigStore, orderOf, PlatformReader, type PlatformReadOptions, type RevisionedContent, storeRevisionOf } from '@reelspan/config.store'
-import { Collection, MessageType, PeerLink, type PeerMessage } from '@reelspan/core.messages'
+import { Collection, MessageType, PeerLink, type PeerMessage, RevisionNumbering } from '@reelspan/core.messages'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
@@ -21,6 +21,7 @@
 
 /** A peer that has one content. */
 class OnePeer extends PeerLink {
+  numbering: RevisionNumbering | undefined = RevisionNumbering.ByVersionAndEra
   content: RevisionedContent = { revision: 0, full: true, changes: [] }
 
   serve (): void {}
@@ -28,7 +29,7 @@
   async close (): Promise<void> {}
 
   async call (): Promise<PeerMessage> {
-    return { type: MessageType.ConfigContent, ...this.content }
+    return { type: MessageType.ConfigContent, numbering: this.numbering, ...this.content }
   }
 
   async * stream (): AsyncGenerator<PeerMessage> {}
@@ -102,6 +103,17 @@
   t.deepEqual(store.value, ['r-22'])
 })
 
+test('content of a box of an earlier release, which numbers it by the store\'s revision, keeps out all that follows', async (t) => {
+  const { platform, peer, clock, store, follower } = createFollower()
+  peer.numbering = undefined
+  peer.content = { revision: 100_000, full: true, changes: [entry(19)] }
+  await clock.run(follower.readFirst([PEER]))
+  t.is(store.revision, 19)
+  platform.content = { revision: 21, full: true, changes: [entry(21)] }
+  await clock.run(follower.confirm())
+  t.is(store.revision, 21)
+})
+
 test('a poll asks where the feed goes on behind the content that came from a peer', async (t) => {
   const { platform, peer, clock, follower } = createFollower()
   peer.content = { revision: 21, full: true, changes: [entry(21)], position: { era: 1, revision: 23 } }
--- a/core/messages/src/index.ts
+++ b/core/messages/src/index.ts
@@ -4,7 +4,7 @@
 export type { HoldLabel } from './holdLabel.js'
 export { memberSchema, MemberHealth, memberId } from './member.js'
 export type { Member } from './member.js'
-export { Collection, MessageType, peerMessageSchema, PROTOCOL_VERSION } from './peerMessage.js'
+export { Collection, MessageType, peerMessageSchema, PROTOCOL_VERSION, RevisionNumbering } from './peerMessage.js'
 export type { PeerMessage, MessageOf, PlatformAnswering } from './peerMessage.js'
 export { PeerLink, PeerLinkError } from './peerLink.js'
 export type { PeerHandler, PeerCallOptions } from './peerLink.js'
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -68,7 +68,14 @@
 const message = <T extends MessageType, S extends z.ZodRawShape>(type: T, shape: S) =>
   z.object({ type: z.literal(type), ...shape })
 
+/** How the sender numbers revisions. Boxes of earlier releases, which do not tell, compare the platform store's own, which go back. */
+export enum RevisionNumbering {
+  /** Declarations by their operator's version, the list by the store's era and revision. */
+  ByVersionAndEra = 'byVersionAndEra',
+}
+
 const revision = z.number().int().nonnegative()
+const numbering = z.enum(RevisionNumbering).optional()
 const durationMs = z.number().nonnegative()
 
 const newsShape = {
@@ -79,6 +86,7 @@
   digest: z.number(),
   /** The revisions in force at the sender. */
   revisions: z.object({ [Collection.Declarations]: revision, [Collection.Fleet]: revision }),
+  numbering,
   /** Requests that the sender holds at the moment. */
   inFlight: z.number().int().nonnegative(),
   /** How long ago anyone was in contact with the platform, as far as the sender knows. A wait there counts until it fails. */
@@ -133,6 +141,7 @@
   }),
   message(MessageType.ConfigContent, {
     revision,
+    numbering,
     /** The content is all there is, instead of the changes since the asked revision. */
     full: z.boolean(),
     changes: z.array(resourceChangeSchema),
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -1,10 +1,10 @@
 import { type ToldProof } from '@reelspan/accounts.proof'
 import { type Clock, type Random, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
-import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering } from '@reelspan/core.messages'
+import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering, RevisionNumbering } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { LostTime } from './lostTime.js'
 import { NewsQueue } from './newsQueue.js'
-import { RevisionAnnouncer } from './revisionAnnouncer.js'
+import { RevisionAnnouncer, type Revisions } from './revisionAnnouncer.js'
 import { watchedMembers } from './watchedMembers.js'
 
 /** Digests of the news that a box knows, by kind. Nothing for a kind of which it knows none. */
@@ -309,7 +309,7 @@
     this.#meet(address, answer.self, clock.nowMs())
     this.#takeNews(answer)
     // Known only now, and only as old as it was: what a peer tells unasked may have been under way for long.
-    if (answer.proof) this.#opts.onPeerProof?.(answer.proof, sentAtMs)
+    if (answer.proof && answer.numbering !== undefined) this.#opts.onPeerProof?.(answer.proof, sentAtMs)
     if (answer.digest !== view.digest) await this.#pullMembers(address)
     return answer
   }
@@ -338,25 +338,29 @@
   }
 
   #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
-    const { clock, view, onPeerRevisions, onPeerNewsDigests, onPlatformAnswering } = this.#opts
+    const { clock, view, onPeerNewsDigests, onPlatformAnswering } = this.#opts
     const { platformSilentMs: silentMs, platformAnsweredMs: answeredMs = silentMs, platformAnsweringMs: answeringMs = answeredMs } = message
     if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
     const nowMs = clock.nowMs()
     this.#peerLoad.set(message.self.incarnation, message.inFlight)
-    this.#revisionAnnouncer.recordReported(message.self.incarnation, message.revisions)
     const tellers = [message.self, ...message.news]
     tellers.forEach((member) => view.merge(member, nowMs))
-    onPeerRevisions(message.self.peerAddress, message.revisions)
+    if (message.numbering !== undefined) this.#takeRevisions(message.self, message.revisions)
     onPeerNewsDigests?.(message.self.peerAddress, message)
   }
 
+  #takeRevisions ({ incarnation, peerAddress }: Member, revisions: Revisions): void {
+    this.#revisionAnnouncer.recordReported(incarnation, revisions)
+    this.#opts.onPeerRevisions(peerAddress, revisions)
+  }
+
   /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
   #ownNews (receiver?: Member, told: readonly Member[] = []) {
     const { view, revisions, inFlight, platformAnswering, newsDigests } = this.#opts
     const answering = platformAnswering()
     const belief = receiver && view.get(receiver.incarnation)
     const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
-    return { self: view.self, news: [...doubts, ...this.#drawNews(told)], digest: view.digest, revisions: revisions(), inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, ...newsDigests?.() }
+    return { self: view.self, news: [...doubts, ...this.#drawNews(told)], digest: view.digest, revisions: revisions(), numbering: RevisionNumbering.ByVersionAndEra, inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, ...newsDigests?.() }
   }
 
   /** @param told what the receiver has just told, of which later news is still news */
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -1,4 +1,4 @@
-import { Collection, type Member, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage, MessageType, type PeerCallOptions } from '@reelspan/core.messages'
+import { Collection, type Member, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage, MessageType, type PeerCallOptions, RevisionNumbering } from '@reelspan/core.messages'
 import { Prober } from '@reelspan/membership.prober'
 import { MembershipView } from '@reelspan/membership.view'
 import { SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
@@ -37,7 +37,7 @@
     await this.#clock.sleep(Math.min(this.answersAfterMs, timeoutMs))
     if (this.answersAfterMs > timeoutMs) throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
     const self = memberOf(Number(address.split(':')[1]))
-    return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: this.fleetRevision }, inFlight: 0 }
+    return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: this.fleetRevision }, numbering: RevisionNumbering.ByVersionAndEra, inFlight: 0 }
   }
 
   async * stream (): AsyncGenerator<PeerMessage> {}
