--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -51,7 +51,7 @@
 /** News of a change is at the boxes by then. */
 const NEWS_MS = 400
 /** Configurations that a copy lacks. Only the last of them is written again, so that the store's revisions stay behind. */
-const LOST_PUBLICATIONS = 6
+const LOST_PUBLICATIONS = 30
 /** Past a watch of a box, after which it acts on what it read. */
 const STALE_MS = 3000
 /** Part of the open connections of a path that go silent. */
