--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -19,6 +19,8 @@
   answersAfterMs = 0
   /** The revision of the list that members name. */
   fleetRevision = 1
+  /** How members number revisions; those of an earlier release do not tell. */
+  numbering: RevisionNumbering | undefined = RevisionNumbering.ByVersionAndEra
   readonly #clock: VirtualClock
 
   constructor (clock: VirtualClock) {
@@ -37,7 +39,7 @@
     await this.#clock.sleep(Math.min(this.answersAfterMs, timeoutMs))
     if (this.answersAfterMs > timeoutMs) throw new PeerLinkError(`${address} did not answer in time`, { mayHaveArrived: true })
     const self = memberOf(Number(address.split(':')[1]))
-    return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: this.fleetRevision }, numbering: RevisionNumbering.ByVersionAndEra, inFlight: 0 }
+    return { type: MessageType.HeartbeatAck, self, news: [], digest: 0, revisions: { [Collection.Declarations]: 1, [Collection.Fleet]: this.fleetRevision }, numbering: this.numbering, inFlight: 0 }
   }
 
   async * stream (): AsyncGenerator<PeerMessage> {}
@@ -68,6 +70,7 @@
   const link = new FleetLink(clock)
   link.answersAfterMs = answersAfterMs ?? 0
   const here = { fleetRevision: 1 }
+  const reported: number[] = []
   if (answersAfterMs === undefined) listedAddresses.forEach((address) => link.silent.add(address))
   const prober = new Prober({
     clock,
@@ -79,14 +82,14 @@
     inFlight: () => 0,
     platformAnswering: () => undefined,
     onPlatformAnswering: () => {},
-    onPeerRevisions: () => {},
+    onPeerRevisions: (_address, revisions) => reported.push(revisions[Collection.Fleet]),
     probePeriodMs: PROBE_PERIOD_MS,
     probeTimeoutMs: PROBE_TIMEOUT_MS,
     watchCount: 4,
     silentGoneMs: 600_000,
   })
   prober.start()
-  return { clock, link, prober, here }
+  return { clock, link, prober, here, reported }
 }
 
 test('a member that does not answer is greeted by a few of many boxes in a round, so that it is not flooded when it wakes', async (t) => {
@@ -156,6 +159,19 @@
   await prober.stop()
 })
 
+test('revisions of boxes of an earlier release, which number them otherwise, are taken for newer ones', async (t) => {
+  const { clock, link, prober, reported } = startProber([])
+  link.numbering = undefined
+  link.fleetRevision = 100_000
+  await clock.advance(2 * PROBE_PERIOD_MS)
+  t.deepEqual(reported, [])
+  link.numbering = RevisionNumbering.ByVersionAndEra
+  link.fleetRevision = 7
+  await clock.advance(2 * PROBE_PERIOD_MS)
+  t.true(reported.length > 0 && reported.every((revision) => revision === 7))
+  await prober.stop()
+})
+
 test('revisions in quick succession are told of together', async (t) => {
   const { clock, link, prober, here } = startProber([])
   await clock.advance(PROBE_PERIOD_MS)
