--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -1,10 +1,10 @@
 import { type ToldProof } from '@reelspan/accounts.proof'
 import { type Clock, type Random, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
-import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering, RevisionNumbering } from '@reelspan/core.messages'
+import { Collection, type Member, MemberHealth, type MessageOf, MessageType, type PeerLink, PeerLinkError, type PeerMessage, type PlatformAnswering } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
+import { HeartbeatContent } from './heartbeatContent.js'
 import { LostTime } from './lostTime.js'
-import { NewsQueue } from './newsQueue.js'
-import { RevisionAnnouncer, type Revisions } from './revisionAnnouncer.js'
+import { RevisionAnnouncer } from './revisionAnnouncer.js'
 import { watchedMembers } from './watchedMembers.js'
 
 /** Digests of the news that a box knows, by kind. Nothing for a kind of which it knows none. */
@@ -78,22 +78,23 @@
 export class Prober {
   readonly #opts: ProberOptions
   readonly #tasks: TaskGroup
-  readonly #news: NewsQueue
+  readonly #content: HeartbeatContent
   readonly #revisionAnnouncer: RevisionAnnouncer
-  readonly #peerLoad = new Map<string, number>()
   #ringOf?: readonly Member[]
   #watchedOfRing: readonly Member[] = []
   readonly #lostTime: LostTime
   #round = 0
   #pulledInRound = -1
-  #comparing = false
   #lastMajorityContactMs: number
 
   constructor (opts: ProberOptions) {
     this.#opts = opts
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
     this.#lostTime = new LostTime(opts.clock)
-    this.#news = new NewsQueue(opts.watchCount)
+    this.#content = new HeartbeatContent(opts, {
+      onReported: (incarnation, revisions) => this.#revisionAnnouncer.recordReported(incarnation, revisions),
+      onGone: (incarnation) => this.#forget(incarnation),
+    })
     this.#revisionAnnouncer = new RevisionAnnouncer({
       clock: opts.clock,
       probePeriodMs: opts.probePeriodMs,
@@ -103,12 +104,11 @@
       signal: this.#tasks.signal,
     })
     this.#lastMajorityContactMs = opts.clock.nowMs()
-    opts.view.onChange((member) => this.#queueNews(member))
   }
 
   /** Requests in flight at a member, as it last said. */
   loadOf (incarnation: string): number | undefined {
-    return this.#peerLoad.get(incarnation)
+    return this.#content.loadOf(incarnation)
   }
 
   /**
@@ -173,8 +173,8 @@
   async answer (message: PeerMessage): Promise<PeerMessage | undefined> {
     switch (message.type) {
       case MessageType.Heartbeat:
-        this.#takeNews(message)
-        return { type: MessageType.HeartbeatAck, ...this.#ownNews(message.self, message.news), heardAgoMs: this.#lostTime.noteHeard(message.self.incarnation), proof: this.#opts.proof?.() }
+        this.#content.take(message)
+        return { type: MessageType.HeartbeatAck, ...this.#content.own(message.self, message.news), heardAgoMs: this.#lostTime.noteHeard(message.self.incarnation), proof: this.#opts.proof?.() }
       case MessageType.ProbeFor:
         return { type: MessageType.ProbeResult, member: await this.#probeFor(message) }
       case MessageType.MembersPull:
@@ -301,13 +301,13 @@
 
   async #heartbeat (address: string, { expectedIncarnation, timeoutMs = this.#opts.probeTimeoutMs }: HeartbeatOptions = {}): Promise<MessageOf<MessageType.HeartbeatAck>> {
     const { clock, link, view } = this.#opts
-    const message = { type: MessageType.Heartbeat, ...this.#ownNews(view.atAddress(address)), expectedIncarnation } as const
+    const message = { type: MessageType.Heartbeat, ...this.#content.own(view.atAddress(address)), expectedIncarnation } as const
     const sentAtMs = clock.nowMs()
     const answer = await link.call(address, message, { timeoutMs, repeatable: true })
     if (answer.type !== MessageType.HeartbeatAck) throw new PeerLinkError(`${address} answered a heartbeat with ${answer.type}`, { mayHaveArrived: true })
     this.#lostTime.noteAnswered(answer.self.incarnation, sentAtMs, answer.heardAgoMs)
     this.#meet(address, answer.self, clock.nowMs())
-    this.#takeNews(answer)
+    this.#content.take(answer)
     // Known only now, and only as old as it was: what a peer tells unasked may have been under way for long.
     if (answer.proof && answer.numbering !== undefined) this.#opts.onPeerProof?.(answer.proof, sentAtMs)
     if (answer.digest !== view.digest) await this.#pullMembers(address)
@@ -326,59 +326,17 @@
 
   /** Views that still differ after the news was exchanged are compared part by part, once in a few rounds. */
   async #pullMembers (address: string): Promise<void> {
-    const { clock, link, view, probeTimeoutMs } = this.#opts
+    const { link, view, probeTimeoutMs } = this.#opts
     const isFirst = this.#pulledInRound < 0
     if (!isFirst && this.#round - this.#pulledInRound < COMPARE_EVERY_ROUNDS) return
     this.#pulledInRound = this.#round
     const state = await link.call(address, { type: MessageType.MembersPull, partDigests: [...view.partDigests] }, { timeoutMs: 4 * probeTimeoutMs, repeatable: true })
     if (state.type !== MessageType.MembersState) return
-    this.#comparing = true
-    state.members.forEach((member) => view.merge(member, clock.nowMs()))
-    this.#comparing = false
-  }
-
-  #takeNews (message: MessageOf<MessageType.Heartbeat> | MessageOf<MessageType.HeartbeatAck>): void {
-    const { clock, view, onPeerNewsDigests, onPlatformAnswering } = this.#opts
-    const { platformSilentMs: silentMs, platformAnsweredMs: answeredMs = silentMs, platformAnsweringMs: answeringMs = answeredMs } = message
-    if (silentMs !== undefined && answeredMs !== undefined && answeringMs !== undefined) onPlatformAnswering({ silentMs, answeredMs, answeringMs })
-    const nowMs = clock.nowMs()
-    this.#peerLoad.set(message.self.incarnation, message.inFlight)
-    const tellers = [message.self, ...message.news]
-    tellers.forEach((member) => view.merge(member, nowMs))
-    if (message.numbering !== undefined) this.#takeRevisions(message.self, message.revisions)
-    onPeerNewsDigests?.(message.self.peerAddress, message)
-  }
-
-  #takeRevisions ({ incarnation, peerAddress }: Member, revisions: Revisions): void {
-    this.#revisionAnnouncer.recordReported(incarnation, revisions)
-    this.#opts.onPeerRevisions(peerAddress, revisions)
-  }
-
-  /** Whoever is believed to be suspect or gone is told so at once, so that it can refute it, or draw the consequence. */
-  #ownNews (receiver?: Member, told: readonly Member[] = []) {
-    const { view, revisions, inFlight, platformAnswering, newsDigests } = this.#opts
-    const answering = platformAnswering()
-    const belief = receiver && view.get(receiver.incarnation)
-    const doubts = belief && belief.health !== MemberHealth.Alive ? [belief] : []
-    return { self: view.self, news: [...doubts, ...this.#drawNews(told)], digest: view.digest, revisions: revisions(), numbering: RevisionNumbering.ByVersionAndEra, inFlight: inFlight(), platformSilentMs: answering?.silentMs, platformAnsweredMs: answering?.answeredMs, platformAnsweringMs: answering?.answeringMs, ...newsDigests?.() }
-  }
-
-  /** @param told what the receiver has just told, of which later news is still news */
-  #drawNews (told: readonly Member[]): Member[] {
-    const known = told.filter((member) => isSameNews(member, this.#opts.view.get(member.incarnation)))
-    return this.#news.draw(new Set(known.map(({ incarnation }) => incarnation))).flatMap((incarnation) => this.#opts.view.get(incarnation) ?? [])
-  }
-
-  #queueNews (member: Member): void {
-    // What a comparison brings is known to others already, and they compare too.
-    if (this.#comparing) return
-    if (member.health === MemberHealth.Gone) this.#forget(member.incarnation)
-    this.#news.put(member.incarnation)
+    this.#content.mergeCompared(state.members)
   }
 
   #forget (incarnation: string): void {
     this.#lostTime.forget(incarnation)
-    this.#peerLoad.delete(incarnation)
     this.#revisionAnnouncer.forget(incarnation)
   }
 
@@ -386,7 +344,7 @@
   async #passOnNews (): Promise<void> {
     const { clock, probePeriodMs } = this.#opts
     while (!this.#tasks.stopped) {
-      await this.#news.wait(this.#tasks.signal)
+      await this.#content.waitForNews(this.#tasks.signal)
       await clock.sleep(probePeriodMs / 10, { signal: this.#tasks.signal })
       if (!this.#tasks.stopped) await this.tellNow()
     }
@@ -409,7 +367,3 @@
 function isRefusal (outcome: unknown): boolean {
   return outcome instanceof PeerLinkError && outcome.refused
 }
-
-function isSameNews (told: Member, here?: Member): boolean {
-  return here !== undefined && told.version === here.version && told.health === here.health && told.leaving === here.leaving
-}
