refactor(scheduling.client-shares): a package of its own for the shares of client accounts

Cause: admission of service pools needs the same shares as the scheduler, which kept the class to itself.

--- /dev/null
+++ b/scheduling/client-shares/src/index.ts
@@ -0,0 +1,1 @@
+export { ClientShares } from './clientShares.js'
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -1,7 +1,7 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
-import { type ClientShares } from './clientShares.js'
+import { type ClientShares } from '@reelspan/scheduling.client-shares'
 import { type EngineLimits } from './engineLimits.js'
 import { type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
 import { type SlotLimit } from './slotLimit.js'
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -6,7 +6,7 @@
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
 import { UpstreamHealth } from '@reelspan/upstream.health'
-import { ClientShares } from './clientShares.js'
+import { ClientShares } from '@reelspan/scheduling.client-shares'
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome } from './decideAdmission.js'
 import { decideQueue, type QueueDecision } from './decideQueue.js'
 import { describeEngines } from './describeEngines.js'
