feat(net.byte-budget): a budget for buffered answers, for bodies of requests, and the choice of slow callers

Cause: what upstreams send is buffered without a bound, whether callers read or not. Change: decisions without sockets. An answer may buffer as much as is free, with its sources paused beyond that; a caller that has read nothing for some seconds while its upstream is paused or the budget is short is disconnected; bodies of requests have a budget of their own. Time counts only while the process runs.

--- a/core/error/src/errorCode.ts
+++ b/core/error/src/errorCode.ts
@@ -2,6 +2,10 @@
 export enum ErrorCode {
   BadRequest = 'ERR_REELSPAN_BAD_REQUEST',
   BodyTooLarge = 'ERR_REELSPAN_BODY_TOO_LARGE',
+  /** The caller did not send its whole request in time. */
+  RequestTooSlow = 'ERR_REELSPAN_REQUEST_TOO_SLOW',
+  /** The bodies of requests in flight use the whole request budget of the box. */
+  BodiesFull = 'ERR_REELSPAN_BODIES_FULL',
   NoRoute = 'ERR_REELSPAN_NO_ROUTE',
   NotReady = 'ERR_REELSPAN_NOT_READY',
   KeyRequired = 'ERR_REELSPAN_KEY_REQUIRED',
--- a/net/byte-budget/src/index.ts
+++ b/net/byte-budget/src/index.ts
@@ -1,1 +1,12 @@
-export {}
+export { ByteBudget, READ_BYTES } from './byteBudget.js'
+export type { ByteBudgetOptions } from './byteBudget.js'
+export { ByteAccount } from './byteAccount.js'
+export { CallerReader } from './callerReader.js'
+export { findSlowCallers, SlowCallerReason } from './findSlowCallers.js'
+export type { CallerProgress, FindSlowCallersOptions, SlowCaller } from './findSlowCallers.js'
+export { ObservedCaller } from './observedCaller.js'
+export { BodyAccount, RequestBudget } from './requestBudget.js'
+export type { RequestBudgetOptions } from './requestBudget.js'
+export { RunningTime } from './runningTime.js'
+export { SlowCallers } from './slowCallers.js'
+export type { DisconnectedCaller, SlowCallersOptions } from './slowCallers.js'
--- a/upstream/client/src/index.ts
+++ b/upstream/client/src/index.ts
@@ -1,3 +1,5 @@
+export { AnswerBuffer } from './answerBuffer.js'
+export type { PausableSource } from './answerBuffer.js'
 export { EngineClient } from './engineClient.js'
 export type { DecodeEvent, DecodeRequest, PrefillRequest, PrefillResult, CacheEventPage, UpstreamCallOptions } from './engineClient.js'
 export { EngineRole, HoldKind, OrderKind } from './engineReport.js'
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -1,3 +1,4 @@
+import { type AnswerBuffer } from './answerBuffer.js'
 import { type UpstreamSignals } from './upstreamSignals.js'
 import { type UpstreamCallOptions } from './engineClient.js'
 
@@ -58,6 +59,8 @@
 }
 
 export interface RelayRunOptions extends RelayCallOptions {
+  /** Accounts for the bytes of the answer that are received and not passed on yet. */
+  buffer?: AnswerBuffer
   source?: PrefillSource
   /** Resumes an interrupted answer after the event with this ID. */
   resumeAfter?: string
