feat(net.http-exchange): pause upstreams whose answers exceed the buffer of their caller

Cause: the queue between a connection and its reader was unbounded. Change: queued bytes are charged to the answer's buffer, which pauses and resumes the socket. A paused connection is checked every 250 ms for a reset, which an unread socket does not report, and for an end that Node has read ahead.

--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -1,4 +1,5 @@
 import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
+import { type AnswerBuffer } from '@reelspan/upstream.client'
 import { type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { type AcceptHead, UpstreamConnection } from './upstreamConnection.js'
@@ -21,6 +22,8 @@
   signal: AbortSignal
   /** Whether an answer belongs to this request and not to another one. */
   accept?: AcceptHead
+  /** Accounts for the bytes of the answer that are received and not read yet, and pauses the connection when there are too many. Without it they are not limited. */
+  buffer?: AnswerBuffer
   /** Called just before the request is sent. From then on the upstream may run it. */
   onSend?: () => void
   /** Opens a new connection instead of reusing an idle one. */
@@ -48,7 +51,7 @@
 
   /** Sends a request once and resolves when the head of its answer has arrived. Throws `ExchangeError`. */
   async exchange (address: string, request: ExchangeRequest, opts: ExchangeOptions): Promise<ExchangeAnswer> {
-    const { signal, accept = () => true, onSend, forceNewConnection = false } = opts
+    const { signal, accept = () => true, buffer, onSend, forceNewConnection = false } = opts
     if (signal.aborted) throw new ExchangeError('the exchange was cancelled', { mayHaveRun: false })
     const idleConnection = forceNewConnection ? undefined : this.#acquireIdle(address)
     const connection = idleConnection ?? await this.#connect(address, signal)
@@ -70,7 +73,7 @@
     }
     onSend?.()
     try {
-      const answer = await connection.send(request, accept, token)
+      const answer = await connection.send(request, { token, accept, buffer })
       return { ...answer, body: finishAfterReading(answer.body, finish) }
     } catch (thrown) {
       finish()
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -1,6 +1,8 @@
 import { connect, type Socket } from 'node:net'
-import { AsyncQueue, type Clock } from '@reelspan/core.env'
+import { type Clock, STOPPED } from '@reelspan/core.env'
 import { splitAddress } from '@reelspan/net.system-env'
+import { type AnswerBuffer, type PausableSource } from '@reelspan/upstream.client'
+import { AnswerBody } from './answerBody.js'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { headerValue } from './rawHeaders.js'
@@ -9,15 +11,22 @@
 /** Whether a head belongs to the request that was sent on the connection. */
 export type AcceptHead = (head: AnswerHead) => boolean
 
-interface Exchange {
+/** An exchange that a connection runs. */
+export interface ConnectionExchange {
+  /** Identifies the exchange for `cancel`. */
   token: symbol
+  accept: AcceptHead
+  /** Accounts for the bytes of the answer. Without it they are not limited. */
+  buffer?: AnswerBuffer
+}
+
+interface Exchange extends ConnectionExchange {
   /** The answer has no body, since the request is a HEAD request. */
   headOnly: boolean
-  accept: AcceptHead
   resolve: (answer: ExchangeAnswer) => void
   reject: (error: ExchangeError) => void
   /** Set once the head has arrived. */
-  body?: AsyncQueue<Uint8Array>
+  body?: AnswerBody
   /** The answer being received belongs to another request and is skipped. */
   skipping: boolean
   reusable: boolean
@@ -39,6 +48,8 @@
 const MAX_KEEP_ALIVE_MS = 10_000
 /** The operating system probes an unresponsive upstream from then on. With Node's fixed ten probes, one per second, it closes the connection after 11 s. */
 const TCP_KEEP_ALIVE_DELAY_MS = 1000
+/** How often a paused connection is checked. A reset is thereby noticed within half of the time in which a caller's work must end. */
+const PAUSED_CHECK_MS = 250
 const MS_PER_SECOND = 1000
 const HEAD_METHOD = 'HEAD'
 const EMPTY_BYTES = new Uint8Array()
@@ -52,7 +63,11 @@
   readonly #parser: ResponseParser
   readonly #opened: Promise<void>
   #exchange?: Exchange
+  /** The answer of the last read, which may also have ended in it. */
+  #body?: AnswerBody
   #closed = false
+  /** Aborted when the connection is no longer paused. */
+  #pause?: AbortController
   #keepAliveMs = DEFAULT_KEEP_ALIVE_MS
   /** Set by the pool, on its clock. */
   idleSinceMs = 0
@@ -112,10 +127,10 @@
     return this.#opened
   }
 
-  /** Sends a request and resolves when the head of its answer has arrived. The token identifies the exchange for `cancel`. */
-  send (request: ExchangeRequest, accept: AcceptHead, token: symbol): Promise<ExchangeAnswer> {
+  /** Sends a request and resolves when the head of its answer has arrived. */
+  send (request: ExchangeRequest, exchange: ConnectionExchange): Promise<ExchangeAnswer> {
     return new Promise((resolve, reject) => {
-      this.#exchange = { token, headOnly: request.method === HEAD_METHOD, accept, resolve, reject, skipping: false, reusable: false }
+      this.#exchange = { ...exchange, headOnly: request.method === HEAD_METHOD, resolve, reject, skipping: false, reusable: false }
       this.#lastSentAtMs = this.#opts.clock.nowMs()
       this.#socket.cork()
       this.#socket.write(headText(request), 'latin1')
@@ -142,6 +157,8 @@
     } catch (cause) {
       this.#fail('sent an invalid HTTP answer', cause)
     }
+    this.#body?.endRead(bytes.byteLength)
+    if (!this.#exchange) this.#body = undefined
   }
 
   /** Returns whether no body follows. */
@@ -153,7 +170,8 @@
     if (exchange.skipping) return false
     exchange.reusable = head.reusable && !this.#closed
     this.#readKeepAlive(head.headers)
-    exchange.body = new AsyncQueue()
+    exchange.body = new AnswerBody(this.#pausableSource(), exchange.buffer)
+    this.#body = exchange.body
     exchange.resolve({ status: head.status, headers: head.headers, body: exchange.body })
     return exchange.headOnly
   }
@@ -171,6 +189,7 @@
     }
     this.#exchange = undefined
     exchange.body?.end()
+    this.#resume()
     // If the request has not been sent completely, the upstream would read the next one as the rest of this one.
     const sent = this.#socket.writableLength === 0
     // Bytes after the answer in the same read are parsed before the connection is reused.
@@ -188,6 +207,39 @@
     if (seconds !== undefined) this.#keepAliveMs = Math.min(MAX_KEEP_ALIVE_MS, Number(seconds) * MS_PER_SECOND)
   }
 
+  #pausableSource (): PausableSource {
+    return {
+      pause: () => {
+        if (this.#pause || this.#closed) return
+        this.#pause = new AbortController()
+        this.#socket.pause()
+        void this.#checkWhilePaused(this.#pause.signal)
+      },
+      resume: () => this.#resume(),
+    }
+  }
+
+  #resume (): void {
+    if (!this.#pause) return
+    this.#pause.abort(STOPPED)
+    this.#pause = undefined
+    this.#socket.resume()
+  }
+
+  /**
+   * The operating system does not report that a socket which is not read was reset; an empty write fails then.
+   * Node reads ahead of a paused socket: if that is less than it would take at once, the upstream has sent
+   * no more, and may have ended its answer or the connection.
+   */
+  async #checkWhilePaused (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#opts.clock.sleep(PAUSED_CHECK_MS, { signal })
+      if (signal.aborted || this.#closed) return
+      this.#socket.write(EMPTY_BYTES)
+      if (this.#socket.readableLength < this.#socket.readableHighWaterMark) this.#socket.read()
+    }
+  }
+
   /**
    * The upstream will send no more. Node also emits 'end' if a reset arrives together
    * with the last bytes. Only a write, here an empty one, distinguishes the two: an
@@ -206,6 +258,7 @@
     this.#closed = true
     const exchange = this.#exchange
     this.#exchange = undefined
+    this.#pause?.abort(STOPPED)
     this.#socket.destroy()
     this.#opts.onClosed(this)
     if (!exchange) return
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -231,7 +231,7 @@
 
   /** An answer that has begun can be resumed only behind an event with an id, or if it has no complete event yet. */
   #canResume (): boolean {
-    return !this.#context.caller.begun || this.#progress.lastId !== undefined || this.#progress.events === 0
+    return !this.#context.caller.begun || (!this.#progress.oversized && (this.#progress.lastId !== undefined || this.#progress.events === 0))
   }
 
   async #handleAnswer (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes, idleTimer: IdleTimer): Promise<void> {
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -28,6 +28,7 @@
     for await (const bytes of answer.body) {
       idleTimer.reset()
       const complete = progress.push(bytes)
+      caller.buffer?.hold(progress.incompleteBytes)
       if (complete.byteLength > 0) {
         recordPartTime(times, run.elapsedMs)
         if (first) onFirst?.()
@@ -40,10 +41,12 @@
   } catch (thrown) {
     // A partial event of the interrupted answer is dropped, since the next answer repeats it.
     progress.flush()
+    caller.buffer?.hold(0)
     throw thrown
   }
   run.throwIfEnded()
   const rest = progress.flush()
+  caller.buffer?.hold(0)
   if (completeEventsOnly && rest.byteLength > 0) await caller.write(rest)
   times.parts = progress.events
   caller.finish()
--- a/request/relay/src/relayCaller.ts
+++ b/request/relay/src/relayCaller.ts
@@ -1,10 +1,16 @@
 import { type FinalAnswer } from '@reelspan/core.messages'
+import { type AnswerBuffer } from '@reelspan/upstream.client'
 
 /** The caller side of a relayed request. */
 export abstract class RelayCaller {
   /** Aborted when the caller disconnects. */
   abstract get signal (): AbortSignal
 
+  /** Accounts for the part of the answer that the caller has not taken, if it is limited. */
+  get buffer (): AnswerBuffer | undefined {
+    return undefined
+  }
+
   /** Whether a part of an answer was passed on. */
   abstract get begun (): boolean
 
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -17,14 +17,15 @@
  * upstream reports that it did not. Throws `UpstreamError`.
  */
 export function sendToUpstream (context: RelayContext, to: PermittedTarget, runOptions: RelayRunOptions): Promise<RelayAnswer> {
-  const { opts, run, request } = context
+  const { opts, run, request, caller: { buffer } } = context
   const { target } = to
+  if (request.account !== undefined) buffer?.assignTo(request.account)
   return run.dispatchOnSend(async (sent) => {
     const onSend = () => {
       sent()
       runOptions.onSend?.()
     }
-    const answer = await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, onSend }))
+    const answer = await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, buffer, onSend }))
     if (!answer.notRun) return answer
     void drainAnswer(answer)
     throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true })
