--- /dev/null
+++ b/net/system-env/src/requestTimeGuard.ts
@@ -0,0 +1,150 @@
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type Socket } from 'node:net'
+import { type Clock } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { RunningTime } from '@reelspan/net.byte-budget'
+
+export interface RequestTimeGuardOptions {
+  clock: Clock
+  /** Maximum time from the first byte of a head to its last one. */
+  headReadMs: () => number
+  /** Maximum time for the body, from the end of the head. */
+  bodyReadMs: () => number
+  /** Maximum time without a byte on a new connection. Between requests the server's own limit applies. */
+  idleMs: () => number
+  /** The response to a head that takes too long. */
+  slowHeadResponse: string
+  /** Called when a request took too long to arrive. */
+  onSlowRequest?: (part: RequestPart) => void
+}
+
+export enum RequestPart {
+  Head = 'head',
+  Body = 'body',
+}
+
+/** Short against the limits, which are some seconds, and rare enough for an idle box. */
+const MAX_CHECK_MS = 500
+const MIN_CHECK_MS = 25
+/** The share of the shortest limit after which connections are checked again. */
+const CHECK_SHARE = 0.125
+/** Some callers send an additional line end after a body, which is not the start of a head. */
+const LINE_END_BYTES = 2
+
+/** What is known of a connection. */
+interface Connection {
+  socket: Socket
+  /** What was read up to the end of the last request. */
+  readBytes: number
+  /** How long a head has been arriving, or nothing has arrived on a new connection. */
+  waitedMs: number
+  /** The request whose body is arriving. */
+  request?: ArrivingRequest
+  unfinishedResponses: number
+}
+
+interface ArrivingRequest {
+  message: IncomingMessage
+  response: ServerResponse
+  waitedMs: number
+  slow: AbortController
+}
+
+/**
+ * Limits how long a caller may take to send a request. Node's own limits count from timers, which fire before input
+ * that arrived during a pause of the process is read; these count only the time in which the process ran.
+ */
+export class RequestTimeGuard {
+  readonly #opts: RequestTimeGuardOptions
+  readonly #connections = new Map<Socket, Connection>()
+  readonly #requests = new WeakMap<IncomingMessage, ArrivingRequest>()
+  #checking = false
+
+  constructor (server: Server, opts: RequestTimeGuardOptions) {
+    this.#opts = opts
+    server.requestTimeout = 0
+    server.headersTimeout = 0
+    server.on('connection', (socket) => this.#onConnection(socket))
+    server.prependListener('request', (message, response) => this.#onRequest(message, response))
+  }
+
+  /** Returns the signal that is aborted with `ERR_REELSPAN_REQUEST_TOO_SLOW` when the request's body takes too long. */
+  signalOf (message: IncomingMessage): AbortSignal {
+    return this.#requests.get(message)?.slow.signal ?? new AbortController().signal
+  }
+
+  #onConnection (socket: Socket): void {
+    this.#connections.set(socket, { socket, readBytes: 0, waitedMs: 0, unfinishedResponses: 0 })
+    socket.once('close', () => this.#connections.delete(socket))
+    if (!this.#checking) void this.#checkRegularly()
+  }
+
+  #onRequest (message: IncomingMessage, response: ServerResponse): void {
+    const connection = this.#connections.get(message.socket)
+    if (!connection) return
+    const request: ArrivingRequest = { message, response, waitedMs: 0, slow: new AbortController() }
+    this.#requests.set(message, request)
+    connection.request = request
+    connection.waitedMs = 0
+    connection.unfinishedResponses++
+    response.once('close', () => { connection.unfinishedResponses-- })
+    message.once('close', () => this.#onRequestRead(connection, request))
+  }
+
+  #onRequestRead (connection: Connection, request: ArrivingRequest): void {
+    if (connection.request !== request) return
+    connection.request = undefined
+    connection.readBytes = connection.socket.bytesRead
+  }
+
+  /** Ends when there is no connection. */
+  async #checkRegularly (): Promise<void> {
+    const { clock, headReadMs, bodyReadMs, idleMs } = this.#opts
+    this.#checking = true
+    while (this.#connections.size > 0) {
+      const checkMs = Math.max(MIN_CHECK_MS, Math.min(MAX_CHECK_MS, CHECK_SHARE * Math.min(headReadMs(), bodyReadMs(), idleMs())))
+      const time = new RunningTime(checkMs, clock.nowMs())
+      await clock.sleep(checkMs)
+      await clock.awaitPendingInput()
+      const elapsedMs = time.advance(clock.nowMs());
+      [...this.#connections.values()].forEach((connection) => this.#check(connection, elapsedMs))
+    }
+    this.#checking = false
+  }
+
+  #check (connection: Connection, elapsedMs: number): void {
+    const { socket, request } = connection
+    if (request?.message.complete) this.#onRequestRead(connection, request)
+    if (connection.request) return this.#checkBody(connection.request, elapsedMs)
+    // A head that arrives while an earlier response is being sent waits for it.
+    if (connection.unfinishedResponses > 0) return
+    const newBytes = socket.bytesRead - connection.readBytes
+    const isNew = socket.bytesRead === 0
+    if (!isNew && newBytes <= LINE_END_BYTES) {
+      connection.waitedMs = 0
+      return
+    }
+    connection.waitedMs += elapsedMs
+    if (isNew && connection.waitedMs >= this.#opts.idleMs()) socket.destroy()
+    if (!isNew && connection.waitedMs >= this.#opts.headReadMs()) this.#refuseHead(socket)
+  }
+
+  #checkBody (request: ArrivingRequest, elapsedMs: number): void {
+    const { message, response, slow } = request
+    request.waitedMs += elapsedMs
+    if (request.waitedMs < this.#opts.bodyReadMs()) return
+    // Without an unfinished response the rest of the body is being dropped, and nobody waits for it.
+    if (response.writableFinished) message.socket.destroy()
+    else if (!slow.signal.aborted) {
+      this.#opts.onSlowRequest?.(RequestPart.Body)
+      slow.abort(new ReelspanError(ErrorCode.RequestTooSlow, 'the request took too long to arrive'))
+    }
+  }
+
+  #refuseHead (socket: Socket): void {
+    this.#connections.delete(socket)
+    this.#opts.onSlowRequest?.(RequestPart.Head)
+    socket.end(this.#opts.slowHeadResponse)
+    socket.destroySoon()
+  }
+}
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -70,6 +70,12 @@
   /** The wall clock jumped ahead of the monotonic clock: the machine was suspended, or the time was set. */
   ClockLeapt = 'clockLeapt',
   LinesDropped = 'linesDropped',
+  /** A caller was disconnected since it took too little of its answer. */
+  SlowCallerDisconnected = 'slowCallerDisconnected',
+  /** The budget for buffered answers became short, or is no longer. */
+  AnswerBudgetShort = 'answerBudgetShort',
+  /** A request was refused for the memory that the bodies of requests in flight use, or for the time that its own took to arrive. */
+  RequestBodyRefused = 'requestBodyRefused',
 }
 
 export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
