--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -58,9 +58,13 @@
   limits: z.strictObject({
     headerBytes: bytes.default(16_384),
     bodyBytes: bytes.default(4_000_000),
+    /** What the box buffers of all answers that callers have not read yet. Beyond it, upstreams are read no faster than callers read. */
+    answerBytes: bytes.default(32_000_000),
+    /** What the bodies of all requests in flight may take. */
+    requestBytes: bytes.default(32_000_000),
     /** A caller that reads nothing of its answer for this long is disconnected. */
     slowCallerMs: durationMs.default(10_000),
-    /** A caller must have sent its whole request within this time. */
+    /** A caller must have sent the body of its request within this time from the end of its head. */
     requestReadMs: durationMs.default(10_000),
     /** Maximum number of callers' connections. */
     connections: z.number().int().positive().default(5000),
