--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -5,7 +5,7 @@
 import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
-import { closeServers, listenAt, LoopDelay, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { closeServers, createMemoryLimits, listenAt, LoopDelay, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
 import { BunyanLog, LogEvent } from '@reelspan/telemetry.log'
@@ -63,7 +63,8 @@
   await listenAt(operators, listen.operatorAddress)
   // The caller port opens only once the box has a configuration to route by.
   while (!box.ready) await clock.sleep(NOT_READY_POLL_MS)
-  const callers = createCallerServer({ clock, box, ...limits, onAcceptError: ({ message }) => boxLog.warn(LogEvent.ListenerFailed, { server: 'callers', reason: message }) })
+  const memory = createMemoryLimits({ clock, log: boxLog, metrics, ...limits })
+  const callers = createCallerServer({ clock, box, memory, ...limits, onAcceptError: ({ message }) => boxLog.warn(LogEvent.ListenerFailed, { server: 'callers', reason: message }) })
   await listenAt(callers, listen.callerAddress)
   return { box, stopListening: () => closeServers([callers, operators]) }
 }
--- a/net/http-front/src/answerCompletion.ts
+++ b/net/http-front/src/answerCompletion.ts
@@ -1,14 +1,10 @@
 import { Readable } from 'node:stream'
-import { type Clock } from '@reelspan/core.env'
 import { Verdict } from '@reelspan/core.error'
 import { type AnswerEvent, AnswerEventKind, type FinalAnswer } from '@reelspan/core.messages'
 import { type Context } from 'koa'
-import { disconnectSlowCaller } from './disconnectSlowCaller.js'
 import { setVerdict } from './setVerdict.js'
 
 export interface AnswerOptions {
-  clock: Clock
-  slowCallerMs: number
   model: string
   key: string
 }
@@ -35,8 +31,7 @@
   ctx.status = 200
   ctx.set('content-type', 'text/event-stream')
   ctx.set('cache-control', 'no-store')
-  const parts = serverSentEvents(first.value, events, opts)
-  ctx.body = Readable.from(disconnectSlowCaller(ctx, parts, opts), { objectMode: true, highWaterMark: 1 })
+  ctx.body = Readable.from(serverSentEvents(first.value, events, opts), { objectMode: true, highWaterMark: 1 })
 }
 
 async function * serverSentEvents (first: AnswerEvent, rest: Events, { model, key }: AnswerOptions): AsyncGenerator<string> {
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -1,16 +1,15 @@
 import { createServer, type Server } from 'node:http'
 import { type Box } from '@reelspan/box.runtime'
 import { type Clock, STOPPED } from '@reelspan/core.env'
-import { ErrorCode, ReelspanError, toReelspanError } from '@reelspan/core.error'
+import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { tokensOfText } from '@reelspan/core.hashing'
 import { type AnswerEvent, AnswerEventKind, type CompletionRequest, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
-import { ConnectionGuard } from '@reelspan/net.system-env'
+import { ConnectionGuard, createMemoryLimits, type MemoryLimits, onResponseEnded, readRequestBody, RequestTimeGuard, ResponseReader } from '@reelspan/net.system-env'
 import Koa, { type Context } from 'koa'
 import { answerStreamed, answerNonStreamed } from './answerCompletion.js'
 import { Header } from './headers.js'
 import { readOrCreateKey } from './readOrCreateKey.js'
 import { parseCompletion } from './parseCompletion.js'
-import { readBody } from './readBody.js'
 import { type CallOptions, DEFAULT_CLIENT, readCallOptions } from './readCallOptions.js'
 import { setVerdict } from './setVerdict.js'
 
@@ -23,7 +22,10 @@
   headerBytes: number
   bodyBytes: number
   slowCallerMs: number
+  /** Maximum time for the body of a request, and for its head if no other is declared. */
   requestReadMs: number
+  /** Bounds the memory for answers and bodies. Created from the defaults of the settings if omitted. */
+  memory?: MemoryLimits
   connections: number
   /** Called when the server failed to accept a connection. */
   onAcceptError?: (error: Error) => void
@@ -31,26 +33,39 @@
 
 const REQUEST_PATH = /^\/v1\/requests\/([^/]+)$/
 const NOT_READY_RETRY_AFTER_MS = 1000
+/** As in the settings. */
+const DEFAULT_MEMORY = { answerBytes: 32_000_000, requestBytes: 32_000_000 }
+const DEFAULT_IDLE_MS = 15_000
+const SLOW_HEAD_RESPONSE = `HTTP/1.1 408 Request Timeout\r\n${Header.Verdict}: ${Verdict.NotRun}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
+
+type ServeOptions = CallerServerOptions & { memory: MemoryLimits, guard: RequestTimeGuard }
 
 /** Creates the HTTP server for callers, which serves lookups, completions, calls to plain services and cancellations. */
 export function createCallerServer (opts: CallerServerOptions): Server {
+  const { clock, box, requestReadMs, slowCallerMs, memory = createMemoryLimits({ clock, slowCallerMs, ...DEFAULT_MEMORY }) } = opts
   const app = new Koa()
   app.silent = true
   app.use(async (ctx) => {
+    ResponseReader.observe(memory.callers, ctx.res, ctx.get(Header.IdempotencyKey) || undefined)
     try {
-      if (ctx.method === 'GET' && ctx.path === '/healthz') answerHealth(ctx, opts.box.ready && opts.box.admission.hasFreshProof && guard.acceptsConnections)
-      else await serve(ctx, opts)
+      if (ctx.method === 'GET' && ctx.path === '/healthz') answerHealth(ctx, box.ready && box.admission.hasFreshProof && connectionGuard.acceptsConnections)
+      else await serve(ctx, { ...opts, memory, guard })
     } catch (thrown) {
       answerError(ctx, toReelspanError(thrown))
     }
   })
   const server = createServer({
     maxHeaderSize: opts.headerBytes,
-    headersTimeout: opts.requestReadMs,
-    requestTimeout: opts.requestReadMs,
-    connectionsCheckingInterval: Math.max(100, opts.requestReadMs / 4),
   }, app.callback())
-  const guard = new ConnectionGuard(server, { maxConnections: opts.connections, onAcceptError: opts.onAcceptError })
+  const guard = new RequestTimeGuard(server, {
+    clock,
+    headReadMs: () => box.configuration.callerLimits?.headerReadMs ?? requestReadMs,
+    bodyReadMs: () => requestReadMs,
+    idleMs: () => box.configuration.callerLimits?.idleMs ?? DEFAULT_IDLE_MS,
+    slowHeadResponse: SLOW_HEAD_RESPONSE,
+    onSlowRequest: memory.recordSlowRequest,
+  })
+  const connectionGuard = new ConnectionGuard(server, { maxConnections: opts.connections, onAcceptError: opts.onAcceptError })
   return server
 }
 
@@ -59,7 +74,7 @@
   ctx.body = { ready }
 }
 
-async function serve (ctx: Context, opts: CallerServerOptions): Promise<void> {
+async function serve (ctx: Context, opts: ServeOptions): Promise<void> {
   const { box } = opts
   if (!box.ready) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
   const [, key] = REQUEST_PATH.exec(ctx.path) ?? []
@@ -81,19 +96,20 @@
   ctx.status = 204
 }
 
-async function serveCompletion (ctx: Context, opts: CallerServerOptions): Promise<void> {
-  const { box, clock, bodyBytes, slowCallerMs } = opts
+async function serveCompletion (ctx: Context, opts: ServeOptions): Promise<void> {
+  const { box } = opts
   const call = readCallOptions(ctx)
-  const { request, stream } = parseCompletion(await readBody(ctx.req, bodyBytes), call, { configuration: box.configuration, createKey: () => box.createKey() })
+  const { request, stream } = parseCompletion(await readBody(ctx, opts), call, { configuration: box.configuration, createKey: () => box.createKey() })
   ctx.set(Header.IdempotencyKey, request.key)
   const sizeTokens = tokensOfText(request.prompt) + request.maxTokens
   const events = box.submit(await admitRequest(request, { box, call, sizeTokens }), callerDisconnected(ctx))
-  const answerOpts = { clock, slowCallerMs, model: request.model, key: request.key }
+  const answerOpts = { model: request.model, key: request.key }
   if (stream) await answerStreamed(ctx, events, answerOpts)
   else await answerNonStreamed(ctx, events, answerOpts)
 }
 
-async function serveCall (ctx: Context, { box, bodyBytes }: CallerServerOptions): Promise<void> {
+async function serveCall (ctx: Context, opts: ServeOptions): Promise<void> {
+  const { box } = opts
   const call = readCallOptions(ctx)
   const route = box.configuration.routeOfCall(ctx.method, ctx.path)
   if (!route) throw new ReelspanError(ErrorCode.NoRoute, `no route matches ${ctx.method} ${ctx.path}`)
@@ -109,12 +125,19 @@
     method: ctx.method,
     path: ctx.url,
     contentType: ctx.get('content-type') || undefined,
-    body: await readBody(ctx.req, bodyBytes),
+    body: await readBody(ctx, opts),
   }
   ctx.set(Header.IdempotencyKey, request.key)
   await answerCall(ctx, box.submit(await admitRequest(request, { box, call }), callerDisconnected(ctx)))
 }
 
+/** Reads the body of a request, which counts against the budget until the response has ended. */
+function readBody (ctx: Context, { bodyBytes, memory, guard }: ServeOptions): Promise<Uint8Array> {
+  const account = memory.requests.open()
+  onResponseEnded(ctx.res, () => account.release())
+  return readRequestBody(ctx.req, { maxBytes: bodyBytes, account, signal: guard.signalOf(ctx.req) })
+}
+
 interface AdmitOptions {
   box: CallerBox
   call: CallOptions
@@ -159,7 +182,7 @@
   const final: FinalAnswer = { kind: AnswerEventKind.Final, verdict, code, message: hint ? `${message}. ${hint}` : message, retryAfterMs, eventCount: 0 }
   setVerdict(ctx, final)
   // The rest of an unread body would be parsed as the next request.
-  if (code === ErrorCode.BodyTooLarge) ctx.set('connection', 'close')
+  if (code === ErrorCode.BodyTooLarge || code === ErrorCode.RequestTooSlow) ctx.set('connection', 'close')
   ctx.body = errorBody(final)
 }
 
--- a/net/http-front/src/statusOf.ts
+++ b/net/http-front/src/statusOf.ts
@@ -6,6 +6,7 @@
   [ErrorCode.Unauthorized]: 401,
   [ErrorCode.AccountKey]: 401,
   [ErrorCode.NoRoute]: 404,
+  [ErrorCode.RequestTooSlow]: 408,
   [ErrorCode.KeyExpired]: 410,
   [ErrorCode.OwnerReplaced]: 409,
   [ErrorCode.BodyTooLarge]: 413,
