fix(net.system-env): start to count a head, a body and a stall at the check that notices it

A check that comes shortly after the start counted a whole period, so that a limit could fire a period early; a new connection's idle time counted as time of its first head.

--- a/config/settings/src/parseSettings.ts
+++ b/config/settings/src/parseSettings.ts
@@ -30,13 +30,12 @@
 }
 
 /** Finds values that are valid individually but not in combination. */
-function findConflicts ({ listen, membership, requests, limits }: Settings): string[] {
+function findConflicts ({ listen, membership, requests }: Settings): string[] {
   const onLoopback = /^(127\.|\[::1\])/.test(listen.operatorAddress)
   const hasToken = listen.operatorTokenFile !== undefined || listen.operatorTokenVariable !== undefined
   return [
     ...(!onLoopback && !hasToken ? ['listen.operatorAddress: not on loopback, so listen.operatorTokenFile or listen.operatorTokenVariable is needed'] : []),
     ...(membership.probeTimeoutMs >= membership.probePeriodMs ? ['membership.probeTimeoutMs: expected less than membership.probePeriodMs'] : []),
-    ...(limits.requestBytes < limits.bodyBytes ? ['limits.requestBytes: expected at least limits.bodyBytes'] : []),
     ...(requests.lookupKeepMs >= requests.prefixLifeMs ? ['requests.prefixLifeMs: expected more than requests.lookupKeepMs'] : []),
   ]
 }
--- a/net/byte-budget/src/observedCaller.ts
+++ b/net/byte-budget/src/observedCaller.ts
@@ -21,6 +21,8 @@
   #undeliveredBytes?: number
   #undeliveredAgeMs = Number.POSITIVE_INFINITY
   #stalledMs = 0
+  /** Whether nothing that the caller could take was buffered at the last check. */
+  #idle = true
   #window: RateWindow = { bytes: 0, durationMs: 0 }
   #previousWindow?: RateWindow
 
@@ -62,12 +64,13 @@
     const newBytes = takenBytes === undefined ? 0 : takenBytes - (this.#takenBytes ?? takenBytes)
     this.#takenBytes = takenBytes
     this.#undeliveredAgeMs += elapsedMs
-    // Nothing that could be taken is buffered: the upstream's own pace is not the caller's.
-    const idle = takenBytes === undefined || account.pausableBytes === 0
+    const wasIdle = this.#idle
+    // An upstream's own pace is not the caller's.
+    this.#idle = takenBytes === undefined || account.pausableBytes === 0
     if (newBytes > 0) this.#undeliveredBytes = undefined
-    if (idle || newBytes > 0) this.#stalledMs = 0
+    if (this.#idle || wasIdle || newBytes > 0) this.#stalledMs = 0
     else this.#stalledMs += elapsedMs
-    if (idle) this.#restartRate()
+    if (this.#idle) this.#restartRate()
     else this.#recordRate(newBytes, elapsedMs)
   }
 
--- a/net/system-env/src/requestTimeGuard.ts
+++ b/net/system-env/src/requestTimeGuard.ts
@@ -31,12 +31,20 @@
 /** Some callers send an additional line end after a body, which is not the start of a head. */
 const LINE_END_BYTES = 2
 
+/** What a connection without a request waits for. */
+enum Awaited {
+  FirstByte = 'firstByte',
+  RestOfHead = 'restOfHead',
+  NextRequest = 'nextRequest',
+}
+
 /** What is known of a connection. */
 interface Connection {
   socket: Socket
   /** What was read up to the end of the last request. */
   readBytes: number
-  /** How long a head has been arriving, or nothing has arrived on a new connection. */
+  awaited: Awaited
+  /** For how long, since the check that noticed it. */
   waitedMs: number
   /** The request whose body is arriving. */
   request?: ArrivingRequest
@@ -46,7 +54,8 @@
 interface ArrivingRequest {
   message: IncomingMessage
   response: ServerResponse
-  waitedMs: number
+  /** How long its body has been arriving, since the first check. */
+  waitedMs?: number
   slow: AbortController
 }
 
@@ -74,7 +83,7 @@
   }
 
   #onConnection (socket: Socket): void {
-    this.#connections.set(socket, { socket, readBytes: 0, waitedMs: 0, unfinishedResponses: 0 })
+    this.#connections.set(socket, { socket, readBytes: 0, awaited: Awaited.NextRequest, waitedMs: 0, unfinishedResponses: 0 })
     socket.once('close', () => this.#connections.delete(socket))
     if (!this.#checking) void this.#checkRegularly()
   }
@@ -82,10 +91,10 @@
   #onRequest (message: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(message.socket)
     if (!connection) return
-    const request: ArrivingRequest = { message, response, waitedMs: 0, slow: new AbortController() }
+    const request: ArrivingRequest = { message, response, slow: new AbortController() }
     this.#requests.set(message, request)
     connection.request = request
-    connection.waitedMs = 0
+    connection.awaited = Awaited.NextRequest
     connection.unfinishedResponses++
     response.once('close', () => { connection.unfinishedResponses-- })
     message.once('close', () => this.#onRequestRead(connection, request))
@@ -118,20 +127,16 @@
     if (connection.request) return this.#checkBody(connection.request, elapsedMs)
     // A head that arrives while an earlier response is being sent waits for it.
     if (connection.unfinishedResponses > 0) return
-    const newBytes = socket.bytesRead - connection.readBytes
-    const isNew = socket.bytesRead === 0
-    if (!isNew && newBytes <= LINE_END_BYTES) {
-      connection.waitedMs = 0
-      return
-    }
-    connection.waitedMs += elapsedMs
-    if (isNew && connection.waitedMs >= this.#opts.idleMs()) socket.destroy()
-    if (!isNew && connection.waitedMs >= this.#opts.headReadMs()) this.#refuseHead(socket)
+    const awaited = awaitedBy(connection)
+    connection.waitedMs = awaited === connection.awaited ? connection.waitedMs + elapsedMs : 0
+    connection.awaited = awaited
+    if (awaited === Awaited.FirstByte && connection.waitedMs >= this.#opts.idleMs()) socket.destroy()
+    if (awaited === Awaited.RestOfHead && connection.waitedMs >= this.#opts.headReadMs()) this.#refuseHead(socket)
   }
 
   #checkBody (request: ArrivingRequest, elapsedMs: number): void {
     const { message, response, slow } = request
-    request.waitedMs += elapsedMs
+    request.waitedMs = request.waitedMs === undefined ? 0 : request.waitedMs + elapsedMs
     if (request.waitedMs < this.#opts.bodyReadMs()) return
     // Without an unfinished response the rest of the body is being dropped, and nobody waits for it.
     if (response.writableFinished) message.socket.destroy()
@@ -148,3 +153,8 @@
     socket.destroySoon()
   }
 }
+
+function awaitedBy ({ socket: { bytesRead }, readBytes }: Connection): Awaited {
+  if (bytesRead === 0) return Awaited.FirstByte
+  return bytesRead - readBytes > LINE_END_BYTES ? Awaited.RestOfHead : Awaited.NextRequest
+}
