--- a/net/byte-budget/src/byteBudget.ts
+++ b/net/byte-budget/src/byteBudget.ts
@@ -30,7 +30,7 @@
   readonly #bytesByClient = new Map<string, number>()
   #usedBytes = NO_BYTES
   #short = false
-  /** The free bytes when paused answers were last checked. */
+  /** The fewest free bytes since paused answers were last checked. */
   #checkedFreeBytes: number
 
   constructor (opts: ByteBudgetOptions) {
@@ -65,12 +65,16 @@
 
   /** How many bytes of an answer may be buffered before its sources are paused. One read is always allowed, so that every answer proceeds at the pace of its caller. */
   allowanceOf (account: ByteAccount): number {
-    const freeBytes = this.totalBytes - this.#usedBytes
+    const freeBytes = this.#freeBytes
     const { clientAccount, usedBytes } = account
     const othersBytes = clientAccount === undefined ? NO_BYTES : this.#bytesOf(clientAccount) - usedBytes
     return Math.max(READ_BYTES, Math.min(freeBytes, ACCOUNT_FACTOR * freeBytes - othersBytes))
   }
 
+  get #freeBytes (): number {
+    return this.totalBytes - this.#usedBytes
+  }
+
   #bytesOf (clientAccount: string): number {
     return this.#bytesByClient.get(clientAccount) ?? NO_BYTES
   }
@@ -80,6 +84,7 @@
     this.#adjustClient(account.clientAccount, deltaBytes)
     if (deltaBytes > 0) this.#pauseIfOver(account)
     else this.#resumeWithinAllowance(account)
+    this.#checkedFreeBytes = Math.min(this.#checkedFreeBytes, this.#freeBytes)
     this.#updateShort()
   }
 
@@ -105,10 +110,8 @@
   /** Checks the other paused answers only after a read's worth of bytes has become free, since each check visits all of them. */
   #resumeWithinAllowance (account: ByteAccount): void {
     this.#resumeIfWithin(account)
-    const freeBytes = this.totalBytes - this.#usedBytes
-    this.#checkedFreeBytes = Math.min(this.#checkedFreeBytes, freeBytes)
-    if (freeBytes < this.#checkedFreeBytes + READ_BYTES) return
-    this.#checkedFreeBytes = freeBytes;
+    if (this.#freeBytes < this.#checkedFreeBytes + READ_BYTES) return
+    this.#checkedFreeBytes = this.#freeBytes;
     [...this.#paused].forEach((paused) => this.#resumeIfWithin(paused))
   }
 
