--- a/net/http-front/test/callerServer.ts
+++ b/net/http-front/test/callerServer.ts
@@ -7,7 +7,7 @@
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 import { type AnswerEvent, AnswerEventKind, type RoutedRequest } from '@reelspan/core.messages'
 import { type CallerBox, createCallerServer, createOperatorServer, type OperatorBox } from '@reelspan/net.http-front'
-import { SystemClock } from '@reelspan/net.system-env'
+import { createMemoryLimits, type MemoryLimits, SystemClock } from '@reelspan/net.system-env'
 import { NO_ACCOUNTS, sampleDeclarations } from '@reelspan/utils.fakes'
 import test, { type ExecutionContext } from 'ava'
 
@@ -22,6 +22,7 @@
   bodyBytes?: number
   requestReadMs?: number
   connections?: number
+  memory?: MemoryLimits
 }
 
 async function startServer (t: ExecutionContext, { events = [...TOKENS, FINISHED], boxOverrides, ...limits }: ServerOptions = {}) {
@@ -184,6 +185,17 @@
   t.regex(answer, /408/)
 })
 
+test('a request whose body exceeds the request budget is refused with 503 as not run', async (t) => {
+  const memory = createMemoryLimits({ clock: new SystemClock(), answerBytes: 1_000_000, requestBytes: 100, slowCallerMs: 10_000 })
+  memory.requests.open().add(80)
+  const { url, requests } = await startServer(t, { memory })
+  const response = await complete(url, { model: 'draft', prompt: 'hi' })
+  t.is(response.status, 503)
+  t.is(response.headers.get('reelspan-verdict'), Verdict.NotRun)
+  t.is(response.headers.get('reelspan-code'), ErrorCode.BodiesFull)
+  t.deepEqual(requests, [])
+})
+
 test('operators must send the configured token', async (t) => {
   const box = { describe: () => ({ self: 'x' }) } as unknown as OperatorBox
   const server = createOperatorServer({ clock: new SystemClock(), box, token: 'secret', bodyBytes: 1000 })
--- a/net/system-env/src/requestTimeGuard.ts
+++ b/net/system-env/src/requestTimeGuard.ts
@@ -48,7 +48,8 @@
   waitedMs: number
   /** The request whose body is arriving. */
   request?: ArrivingRequest
-  unfinishedResponses: number
+  /** Responses that have not ended, as far as the last check knows. */
+  responses: ServerResponse[]
 }
 
 interface ArrivingRequest {
@@ -83,7 +84,7 @@
   }
 
   #onConnection (socket: Socket): void {
-    this.#connections.set(socket, { socket, readBytes: 0, awaited: Awaited.NextRequest, waitedMs: 0, unfinishedResponses: 0 })
+    this.#connections.set(socket, { socket, readBytes: 0, awaited: Awaited.NextRequest, waitedMs: 0, responses: [] })
     socket.once('close', () => this.#connections.delete(socket))
     if (!this.#checking) void this.#checkRegularly()
   }
@@ -95,8 +96,7 @@
     this.#requests.set(message, request)
     connection.request = request
     connection.awaited = Awaited.NextRequest
-    connection.unfinishedResponses++
-    response.once('close', () => { connection.unfinishedResponses-- })
+    connection.responses.push(response)
     message.once('close', () => this.#onRequestRead(connection, request))
   }
 
@@ -123,10 +123,11 @@
 
   #check (connection: Connection, elapsedMs: number): void {
     const { socket, request } = connection
+    connection.responses = connection.responses.filter(({ closed }) => !closed)
     if (request?.message.complete) this.#onRequestRead(connection, request)
     if (connection.request) return this.#checkBody(connection.request, elapsedMs)
     // A head that arrives while an earlier response is being sent waits for it.
-    if (connection.unfinishedResponses > 0) return
+    if (connection.responses.length > 0) return
     const awaited = awaitedBy(connection)
     connection.waitedMs = awaited === connection.awaited ? connection.waitedMs + elapsedMs : 0
     connection.awaited = awaited
--- a/request/relay/test/eventProgress.ts
+++ b/request/relay/test/eventProgress.ts
@@ -22,3 +22,13 @@
   t.is(Buffer.from(progress.flush()).toString(), 'id: 1\nda')
   t.is(progress.flush().byteLength, 0)
 })
+
+test('an event too large to be buffered is passed on as it arrives, and the stream cannot be resumed any more', (t) => {
+  const progress = new EventProgress()
+  progress.push(Buffer.from('id: 0\ndata: a\n\n'))
+  const parts = Array.from({ length: 20 }, () => progress.push(Buffer.alloc(100_000, 'x')))
+  t.is(parts.slice(0, 10).reduce((sum, { byteLength }) => sum + byteLength, 0), 0)
+  t.is(progress.incompleteBytes, 0)
+  t.true(progress.oversized)
+  t.is(parts.reduce((sum, { byteLength }) => sum + byteLength, 0), 2_000_000)
+})
