fix(net.byte-budget): callers that read slowly but steadily are not disconnected in a shortage

Cause: the rule by how long a caller needs for what is buffered took a caller of the own interface that read 500 KB/s of 30 MB for a slow one, though nobody else needed the memory. Change: only callers below 16 KB/s. Bytes that the operating system takes of an incomplete write count as read, too.

--- a/net/byte-budget/src/findSlowCallers.ts
+++ b/net/byte-budget/src/findSlowCallers.ts
@@ -27,7 +27,11 @@
 
 /** Below the time after which upstreams cut off unread answers. A caller that reads steadily shows progress within it: its system acknowledges at least each 16th of its buffer. */
 const STALLED_MS = 3000
-/** A caller that needs longer for what is buffered is disconnected in a shortage: its answer will be late anyway. */
+/**
+ * 16 KB/s, far below what networks transfer. A caller that takes less, and needs this long for what is buffered, is
+ * disconnected in a shortage. Faster ones keep their bytes: others need no more than one read each to proceed.
+ */
+const MIN_BYTES_PER_MS = 16
 const MAX_DRAIN_MS = 30_000
 
 export interface SlowCaller<C extends CallerProgress> {
@@ -43,12 +47,17 @@
 export function findSlowCallers<C extends CallerProgress> (callers: readonly C[], { short, slowCallerMs }: FindSlowCallersOptions): SlowCaller<C>[] {
   const silent = callers.filter(({ stalledMs }) => stalledMs >= slowCallerMs)
   if (silent.length > 0) return silent.map((caller) => ({ caller, reason: SlowCallerReason.ReadNothing }))
-  const slow = callers.filter((caller) => caller.stalledMs >= STALLED_MS ? short || caller.paused : short && drainMs(caller) >= MAX_DRAIN_MS)
+  const slow = callers.filter((caller) => caller.stalledMs >= STALLED_MS ? short || caller.paused : short && isTrickling(caller))
   if (slow.length === 0) return []
   const slowest = slow.reduce((worst, caller) => isSlower(caller, worst) ? caller : worst)
   return [{ caller: slowest, reason: short ? SlowCallerReason.BudgetShort : SlowCallerReason.UpstreamPaused }]
 }
 
+function isTrickling (caller: CallerProgress): boolean {
+  const { bytesPerMs = Number.POSITIVE_INFINITY } = caller
+  return bytesPerMs < MIN_BYTES_PER_MS && drainMs(caller) >= MAX_DRAIN_MS
+}
+
 /** How long the caller needs for what is buffered. */
 function drainMs ({ bufferedBytes, stalledMs, bytesPerMs }: CallerProgress): number {
   if (stalledMs >= STALLED_MS) return Number.POSITIVE_INFINITY
--- a/net/byte-budget/src/observedCaller.ts
+++ b/net/byte-budget/src/observedCaller.ts
@@ -74,14 +74,18 @@
     else this.#recordRate(newBytes, elapsedMs)
   }
 
-  /** Records what the operating system has not delivered to the caller. If it is less than before, the caller has read. */
+  /**
+   * Records what the operating system has not delivered to the caller. If it is less than before, the caller has read.
+   * If it is more, the operating system has taken a part of a write that is not complete, for which it had space
+   * only because the caller has read.
+   */
   recordUndelivered (bytes: number): void {
-    const readBytes = (this.#undeliveredBytes ?? bytes) - bytes
+    const changedBytes = Math.abs((this.#undeliveredBytes ?? bytes) - bytes)
     this.#undeliveredBytes = bytes
     this.#undeliveredAgeMs = 0
-    if (readBytes <= 0) return
+    if (changedBytes === 0) return
     this.#stalledMs = 0
-    this.#window.bytes += readBytes
+    this.#window.bytes += changedBytes
   }
 
   #recordRate (bytes: number, elapsedMs: number): void {
