feat(membership.limits): stand-ins for a coordinator that is unknown or does not answer

Cause: a box that did not reach the coordinator of an account's limit within 50 ms kept an even share of the token bucket, which with 82 boxes never holds one stream, and skipped the coordinator for 1.5 s. TokenBucketStore can keep the level of a bucket that another box coordinates by now, and bound the cost that it grants; both are off by default. CoordinatedLimiter, used for the permits of upstreams, decides as before.

--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -200,13 +200,25 @@
   /** Reports of upstreams that closed connections without an answer, which the receiver may not know yet. */
   message(MessageType.UpstreamsTell, { reports: z.array(z.object({ id: z.string(), upstream: z.string(), box: z.string(), ageMs: durationMs })) }),
   /** Acquires a cost from the token bucket of an account that the receiver coordinates. */
-  message(MessageType.AccountTake, { account: z.string(), cost: z.number().positive() }),
+  message(MessageType.AccountTake, {
+    account: z.string(),
+    cost: z.number().positive(),
+    /** Whether the receiver is asked as stand-in, because the coordinator is unknown or does not answer. Boxes of earlier builds answer as coordinator. */
+    standIn: z.boolean().optional(),
+  }),
   message(MessageType.AccountTaken, {
     /** 0 if the cost was acquired, otherwise the time until it can be. */
     waitMs: durationMs,
+    /** Share of the limit that the answering box grants as coordinator; 0 if it does not know the members yet. Boxes of earlier builds omit it. */
+    share: z.number().nonnegative().optional(),
   }),
   /** Releases an acquired cost that was not used. */
-  message(MessageType.AccountGiveBack, { account: z.string(), cost: z.number().positive() }),
+  message(MessageType.AccountGiveBack, {
+    account: z.string(),
+    cost: z.number().positive(),
+    /** Whether it was acquired from the receiver as stand-in. */
+    standIn: z.boolean().optional(),
+  }),
   /** Advertised states of upstreams that the receiver may not know yet. */
   message(MessageType.UpstreamStatesTell, { updates: z.array(upstreamStateUpdateSchema) }),
   /** Requests all advertised states that the receiver knows, and includes those of the sender. */
--- a/membership/limits/src/coordinatedLimiter.ts
+++ b/membership/limits/src/coordinatedLimiter.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '@reelspan/core.env'
-import { rankByRendezvous } from '@reelspan/core.hashing'
 import { type Member, type PeerLink, PeerLinkError } from '@reelspan/core.messages'
+import { rankCoordinators, type RankedBoxes } from './rankedBoxes.js'
 import { type TokenBucketStore } from './tokenBucketStore.js'
 import { type LimitMessages } from './limitMessages.js'
 import { type LimitedCost, SharedLimiter } from './sharedLimiter.js'
@@ -24,8 +24,6 @@
 const COORDINATOR_TIMEOUT_MS = 50
 /** A coordinator that did not answer is skipped for about as long as it takes to become suspect. */
 const SKIP_UNANSWERED_MS = 1500
-/** The coordinator, and the box that follows it once its process has exited. */
-const COORDINATOR_CANDIDATES = 2
 
 /** A failed call to a coordinator. */
 interface UnansweredCall {
@@ -38,9 +36,7 @@
 /** Keeps the token bucket of each limit at one box, its coordinator, which others ask for each request. A box that cannot reach the coordinator falls back to a local limiter. */
 export class CoordinatedLimiter extends SharedLimiter {
   readonly #opts: CoordinatedLimiterOptions
-  /** Coordinators by the limits' names; cleared when the members change. */
-  readonly #coordinators = new Map<string, readonly Member[]>()
-  #coordinatorsAmong?: readonly Member[]
+  readonly #coordinators: RankedBoxes<Member>
   /** Failed calls by the incarnation of the coordinator. */
   readonly #unanswered = new Map<string, UnansweredCall>()
   /** Where each cost was acquired, so that it can be released there. */
@@ -49,11 +45,12 @@
   constructor (opts: CoordinatedLimiterOptions) {
     super()
     this.#opts = opts
+    this.#coordinators = rankCoordinators(opts.members)
   }
 
   async acquire (charge: LimitedCost): Promise<number> {
     const { local } = this.#opts
-    const answer = await this.#askCoordinators(charge, this.#coordinatorsOf(charge.name))
+    const answer = await this.#askCoordinators(charge, this.#coordinators.of(charge.name))
     if (answer !== undefined) return answer
     this.#acquiredFrom.set(charge, local)
     // By then the coordinator is asked again, or has been replaced.
@@ -73,7 +70,7 @@
 
   /** Whether this box is the coordinator of a limit, according to its own view of the members. */
   isCoordinator (name: string): boolean {
-    return this.#coordinatorsOf(name)[0]?.incarnation === this.#opts.self().incarnation
+    return this.#coordinators.of(name)[0]?.incarnation === this.#opts.self().incarnation
   }
 
   async #askCoordinators (charge: LimitedCost, [coordinator, ...others]: readonly Member[]): Promise<number | undefined> {
@@ -105,17 +102,4 @@
     this.#unanswered.delete(incarnation)
     return undefined
   }
-
-  #coordinatorsOf (name: string): readonly Member[] {
-    const members = this.#opts.members()
-    if (members !== this.#coordinatorsAmong) {
-      this.#coordinatorsAmong = members
-      this.#coordinators.clear()
-    }
-    const known = this.#coordinators.get(name)
-    if (known) return known
-    const coordinators = rankByRendezvous(`limit|${name}`, [...members], ({ incarnation }) => incarnation).slice(0, COORDINATOR_CANDIDATES)
-    this.#coordinators.set(name, coordinators)
-    return coordinators
-  }
 }
--- a/membership/limits/src/tokenBucket.ts
+++ b/membership/limits/src/tokenBucket.ts
@@ -38,6 +38,11 @@
     this.#level -= cost
   }
 
+  /** Resumes a bucket that was not in use: the time in between refills nothing. */
+  resume (nowMs: number): void {
+    this.#refilledAtMs = nowMs
+  }
+
   #refill ({ perSecond, burst }: BucketSize, nowMs: number): void {
     const filled = this.#level + (nowMs - this.#refilledAtMs) / MS_PER_SECOND * perSecond
     this.#level = Math.min(burst, filled)
--- a/membership/limits/src/tokenBucketStore.ts
+++ b/membership/limits/src/tokenBucketStore.ts
@@ -5,18 +5,24 @@
 export interface BucketConfig extends BucketSize {
   /** Level of a bucket that is created here, when earlier usage is unknown. */
   initialLevel: number
+  /** Costs above this are not granted here. By default any cost is granted from a full bucket. */
+  maxCost?: number
 }
 
 export interface TokenBucketStoreOptions {
   clock: Clock
   /** Returns the current configuration for a name, or undefined if it has no limit. */
   configOf: (name: string) => BucketConfig | undefined
+  /** How long the level of a bucket that another box coordinates by now is kept. By default it is not kept. */
+  keepUnusedMs?: number
 }
 
 /** The token buckets kept at one box, by the name of their limit. */
 export class TokenBucketStore {
   readonly #opts: TokenBucketStoreOptions
   readonly #buckets = new Map<string, TokenBucket>()
+  /** Buckets that another box coordinates by now. */
+  readonly #unused = new Map<string, { bucket: TokenBucket, untilMs: number }>()
 
   constructor (opts: TokenBucketStoreOptions) {
     this.#opts = opts
@@ -37,18 +43,26 @@
       this.#buckets.delete(name)
       return 0
     }
+    if (cost > (config.maxCost ?? cost)) return Number.POSITIVE_INFINITY
     const nowMs = clock.nowMs()
-    const bucket = this.#buckets.get(name) ?? new TokenBucket(config.initialLevel, nowMs)
+    const bucket = this.#buckets.get(name) ?? this.#resume(name, nowMs) ?? new TokenBucket(config.initialLevel, nowMs)
     this.#buckets.set(name, bucket)
     return bucket.waitMs(cost, config, nowMs)
   }
 
   /**
    * Removes the buckets that another box coordinates by now. A bucket retained meanwhile would have refilled when
-   * this box coordinates it again, so that each transient partition would allow an additional full burst.
+   * this box coordinates it again, so that each transient partition would allow an additional full burst. With
+   * `keepUnusedMs`, its level is kept without refilling, so that it is not created anew either.
    */
   retain (isCoordinator: (name: string) => boolean): void {
-    [...this.#buckets.keys()].filter((name) => !isCoordinator(name)).forEach((name) => this.forget(name))
+    const { clock, keepUnusedMs = 0 } = this.#opts
+    const nowMs = clock.nowMs();
+    [...this.#unused].filter(([, { untilMs }]) => nowMs >= untilMs).forEach(([name]) => this.#unused.delete(name));
+    [...this.#buckets].filter(([name]) => !isCoordinator(name)).forEach(([name, bucket]) => {
+      this.forget(name)
+      if (keepUnusedMs > 0) this.#unused.set(name, { bucket, untilMs: nowMs + keepUnusedMs })
+    })
   }
 
   forget (name: string): void {
@@ -59,4 +73,12 @@
   release (name: string, cost: number): void {
     this.#buckets.get(name)?.charge(-cost)
   }
+
+  #resume (name: string, nowMs: number): TokenBucket | undefined {
+    const unused = this.#unused.get(name)
+    this.#unused.delete(name)
+    if (!unused || nowMs >= unused.untilMs) return undefined
+    unused.bucket.resume(nowMs)
+    return unused.bucket
+  }
 }
