--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -39,6 +39,8 @@
   watchCount: number
   /** A member that has been suspect for longer than this is declared gone. Long, because a network partition between regions looks the same. */
   silentGoneMs: number
+  /** Called when a contacted box's address refused the connection, so that no process listens there. */
+  onRefused?: (address: string) => void
   /** Called when a task fails with an unexpected error. */
   onTaskError?: TaskErrorListener
 }
@@ -293,7 +295,8 @@
     try {
       await this.#heartbeat(address, { timeoutMs })
       return true
-    } catch {
+    } catch (thrown) {
+      if (isRefusal(thrown)) this.#opts.onRefused?.(address)
       // The link logs a failure. The state of a member that does not answer stays as it is.
       return false
     }
