feat(accounts.limits): parts of the tolerance for new coordinators, stand-ins and own shares

Cause: a new bucket held half of the burst, whatever the tolerance. For an account of 3,600 tokens per second that is 1,800 to 3,600 tokens, and a stream costs 10,000 to 16,600. A box alone granted any cost from a full bucket, so that 88 boxes could grant 88 streams of a small account. The test fleet uses the limiter that boxes use.

--- a/accounts/limits/src/accountMessages.ts
+++ b/accounts/limits/src/accountMessages.ts
@@ -1,8 +1,8 @@
 import { MessageType, type PeerMessage } from '@reelspan/core.messages'
-import { type LimitedCost, LimitMessages } from '@reelspan/membership.limits'
+import { type LimitedCost, StandInMessages } from '@reelspan/membership.limits'
 
 /** Messages between boxes about the limits of client accounts. */
-export class AccountMessages extends LimitMessages {
+export class AccountMessages extends StandInMessages {
   acquire ({ name: account, cost }: LimitedCost): PeerMessage {
     return { type: MessageType.AccountTake, account, cost }
   }
@@ -14,4 +14,16 @@
   release ({ name: account, cost }: LimitedCost): PeerMessage {
     return { type: MessageType.AccountGiveBack, account, cost }
   }
+
+  acquireFromStandIn ({ name: account, cost }: LimitedCost): PeerMessage {
+    return { type: MessageType.AccountTake, account, cost, standIn: true }
+  }
+
+  releaseToStandIn ({ name: account, cost }: LimitedCost): PeerMessage {
+    return { type: MessageType.AccountGiveBack, account, cost, standIn: true }
+  }
+
+  shareIn (answer: PeerMessage): number | undefined {
+    return answer.type === MessageType.AccountTaken ? answer.share : undefined
+  }
 }
--- a/accounts/limits/test/__utils__/limitFleet.ts
+++ b/accounts/limits/test/__utils__/limitFleet.ts
@@ -1,8 +1,8 @@
-import { planAccountBucket, AccountMessages, type LimitTolerance } from '@reelspan/accounts.limits'
+import { planAccountBucket, planOwnShareBucket, planStandInBucket, AccountMessages, type LimitTolerance } from '@reelspan/accounts.limits'
 import { type AccountLimit, LimitUnit } from '@reelspan/config.resources'
 import { type Clock } from '@reelspan/core.env'
 import { type Member, MemberHealth, MessageType, type PeerLink, type PeerMessage } from '@reelspan/core.messages'
-import { EvenShareLimiter, CoordinatedLimiter, TokenBucketStore, TokenBucket, type LimitedCost, SharedLimiter } from '@reelspan/membership.limits'
+import { EvenShareLimiter, StandInLimiter, TokenBucketStore, TokenBucket, type LimitedCost, SharedLimiter } from '@reelspan/membership.limits'
 import { type CountedRun, FakeNetwork, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 
 export enum Strategy {
@@ -51,6 +51,7 @@
   readonly #strategy: Strategy
   readonly #network: FakeNetwork
   readonly #boxes: Box[] = []
+  readonly #addresses: readonly string[]
   #reference = new TokenBucket(LIMIT.burst, 1000)
   #starts = 0
 
@@ -58,6 +59,7 @@
     this.#strategy = strategy
     this.random = new SeededRandom(seed)
     this.#network = new FakeNetwork({ clock: this.clock, random: this.random })
+    this.#addresses = Array.from({ length: boxes }, (_, i) => addressOf(i))
     this.#boxes.push(...Array.from({ length: boxes }, (_, i) => this.#start(i)))
     this.#updateMembers()
     if (strategy === Strategy.BroadcastTotals) void this.#broadcastTotals()
@@ -103,7 +105,7 @@
   }
 
   #start (i: number): Box {
-    const peerAddress = `10.0.${i >> 8}.${i & 255}:1`
+    const peerAddress = addressOf(i)
     const { clock, link } = this.#network.addNode(peerAddress)
     const member: Member = { name: `b${i}`, availabilityZone: 'z', peerAddress, callerAddress: '', incarnation: `${this.#starts++}`.padStart(16, '0'), version: 0, health: MemberHealth.Alive, leaving: false }
     const box: Box = { member, side: 0, visible: [member], missing: 0, unsent: 0, limiter: undefined as unknown as SharedLimiter, bucket: new TokenBucket(this.limit.burst, clock.nowMs()) }
@@ -113,12 +115,14 @@
 
   #createLimiter (box: Box, clock: Clock, link: PeerLink): SharedLimiter {
     const knownBoxes = () => box.visible.length + box.missing
-    const localLimiter = new EvenShareLimiter({ clock, configOf: () => planAccountBucket(this.limit, TOLERANCE, 1 / knownBoxes()) })
-    if (this.#strategy === Strategy.EvenShares) return localLimiter
+    if (this.#strategy === Strategy.EvenShares) return new EvenShareLimiter({ clock, configOf: () => planAccountBucket(this.limit, TOLERANCE, 1 / knownBoxes()) })
     if (this.#strategy === Strategy.BroadcastTotals) return new BroadcastTotalsLimiter(box, clock, () => this.limit)
-    const buckets = new TokenBucketStore({ clock, configOf: () => planAccountBucket(this.limit, TOLERANCE, box.visible.length / knownBoxes()) })
-    link.serve({ onCall: async (message) => answer(buckets, message), onStream: async function * () {} })
-    const limiter = new CoordinatedLimiter({ clock, link, messages: new AccountMessages(), buckets, local: localLimiter, members: () => box.visible, self: () => box.member })
+    const ownShare = () => box.visible.length / knownBoxes()
+    const buckets = new TokenBucketStore({ clock, configOf: () => planAccountBucket(this.limit, TOLERANCE, ownShare()), keepUnusedMs: TOLERANCE.windowMs })
+    const standInBuckets = new TokenBucketStore({ clock, configOf: () => planStandInBucket(this.limit, TOLERANCE) })
+    const local = new TokenBucketStore({ clock, configOf: () => planOwnShareBucket(this.limit, TOLERANCE, 1 / knownBoxes()) })
+    const limiter = new StandInLimiter({ clock, link, messages: new AccountMessages(), buckets, standInBuckets, local, coordinatorShare: ownShare, localShare: () => 1 / knownBoxes(), members: () => box.visible, self: () => box.member, listedAddresses: () => this.#addresses, isSettled: () => true })
+    link.serve({ onCall: async (message) => answer(limiter, buckets, standInBuckets, message), onStream: async function * () {} })
     box.onMembers = () => buckets.retain((account) => limiter.isCoordinator(account))
     return limiter
   }
@@ -177,8 +181,15 @@
   release (): void {}
 }
 
-function answer (buckets: TokenBucketStore, message: PeerMessage): PeerMessage {
-  if (message.type === MessageType.AccountTake) return { type: MessageType.AccountTaken, waitMs: buckets.acquire(message.account, message.cost) }
-  if (message.type === MessageType.AccountGiveBack) buckets.release(message.account, message.cost)
+function answer (limiter: StandInLimiter, buckets: TokenBucketStore, standInBuckets: TokenBucketStore, message: PeerMessage): PeerMessage {
+  if (message.type === MessageType.AccountTake) {
+    const { account: name, cost, standIn } = message
+    return { type: MessageType.AccountTaken, waitMs: Math.min(TOLERANCE.windowMs, standIn ? limiter.decideAsStandIn({ name, cost }) : buckets.acquire(name, cost)) }
+  }
+  if (message.type === MessageType.AccountGiveBack) (message.standIn ? standInBuckets : buckets).release(message.account, message.cost)
   return { type: MessageType.Done }
 }
+
+function addressOf (i: number): string {
+  return `10.0.${i >> 8}.${i & 255}:1`
+}
