--- a/membership/limits/src/expectedBoxes.ts
+++ b/membership/limits/src/expectedBoxes.ts
@@ -9,6 +9,7 @@
 
 export interface ExpectedBoxesOptions {
   startedAtMs: number
+  /** Returns the same addresses until the list changes. */
   list: () => BoxList
   /** All known members, with those that are gone. Returns the same array until a member changes. */
   members: () => readonly Member[]
@@ -16,12 +17,23 @@
   silentGoneMs: number
 }
 
+interface Counts {
+  addresses: readonly string[]
+  members: readonly Member[]
+  /** Members that are not gone. */
+  present: number
+  /** Listed boxes that are no members. */
+  unseen: number
+}
+
 /** Share of the expected boxes that have to be known. The others may be starting or down. */
 const SETTLED_SHARE = 0.9
 /** Boxes that start together and have seed addresses only know all others after 0.3 to 2 s, with less than this time between two new ones. */
 const QUIET_MS = 500
 /** Minimum time after the start before the absence of new members means that all are known. */
 const MIN_DISCOVERY_MS = 1000
+/** The same for a box that has reached no other one: the boxes that it contacts may be slow to start. */
+const MIN_ALONE_MS = 5000
 /** Connections are refused by boxes that are about to start, within this time of this box's start. */
 const START_GRACE_MS = 5000
 
@@ -30,7 +42,8 @@
   readonly #opts: ExpectedBoxesOptions
   /** Listed addresses at which no process listens. */
   readonly #unused = new Set<string>()
-  #unseen: { addresses: readonly string[], members: readonly Member[], count: number } = { addresses: [], members: [], count: 0 }
+  /** Counts for the arrays that they were made from, since each decision on a limit needs them. */
+  #counts: Counts = { addresses: [], members: [], present: 0, unseen: 0 }
   #newMemberAtMs: number
   #memberCount = 1
   #hasSettled = false
@@ -51,13 +64,13 @@
   recordRefused (address: string, nowMs: number): void {
     if (nowMs - this.#opts.startedAtMs < START_GRACE_MS) return
     this.#unused.add(address)
-    this.#unseen = { addresses: [], members: [], count: 0 }
+    this.#counts = { addresses: [], members: [], present: 0, unseen: 0 }
   }
 
   /** Members that are not gone, and listed boxes that may run unseen, for example beyond a network partition. */
   count (nowMs: number): number {
-    const members = this.#opts.members().filter(({ health }) => health !== MemberHealth.Gone)
-    return members.length + this.#unseenCount(nowMs)
+    const { present, unseen } = this.#currentCounts()
+    return nowMs - this.#opts.startedAtMs > this.#opts.silentGoneMs ? present : present + unseen
   }
 
   /** Whether this box knows the members well enough to agree with the others on the coordinators. Once true, it remains true. */
@@ -74,19 +87,18 @@
   }
 
   #isQuiet (nowMs: number): boolean {
-    return nowMs - this.#opts.startedAtMs >= MIN_DISCOVERY_MS && nowMs - this.#newMemberAtMs >= QUIET_MS
+    const minMs = this.#opts.members().length > 1 ? MIN_DISCOVERY_MS : MIN_ALONE_MS
+    return nowMs - this.#opts.startedAtMs >= minMs && nowMs - this.#newMemberAtMs >= QUIET_MS
   }
 
-  #unseenCount (nowMs: number): number {
-    const { list, members: membersOf, silentGoneMs, startedAtMs } = this.#opts
-    if (nowMs - startedAtMs > silentGoneMs) return 0
-    const { addresses } = list()
-    const members = membersOf()
-    // Seed addresses are a new array in each call, but only a few.
-    if (addresses !== this.#unseen.addresses || members !== this.#unseen.members) {
-      const seen = new Set(members.map(({ peerAddress }) => peerAddress))
-      this.#unseen = { addresses, members, count: addresses.filter((address) => !seen.has(address) && !this.#unused.has(address)).length }
-    }
-    return this.#unseen.count
+  #currentCounts (): Counts {
+    const { addresses } = this.#opts.list()
+    const members = this.#opts.members()
+    if (addresses === this.#counts.addresses && members === this.#counts.members) return this.#counts
+    const seen = new Set(members.map(({ peerAddress }) => peerAddress))
+    const present = members.filter(({ health }) => health !== MemberHealth.Gone).length
+    const unseen = addresses.filter((address) => !seen.has(address) && !this.#unused.has(address)).length
+    this.#counts = { addresses, members, present, unseen }
+    return this.#counts
   }
 }
