feat(box.runtime): limits of accounts are served while boxes start and coordinators do not answer

Change: accounts use StandInLimiter. A box that does not know the members yet grants nothing as coordinator; the expected boxes include the listed ones, so that a box that starts behind a partition grants its share only. accountRefused says who decided and with which share of the limit; reelspan_account_decisions_total counts decisions.

--- a/accounts/admission/src/admission.ts
+++ b/accounts/admission/src/admission.ts
@@ -3,7 +3,7 @@
 import { type FreshnessProof } from '@reelspan/accounts.proof'
 import { type AccountSpec, type Configuration, type Named } from '@reelspan/config.resources'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
-import { type SharedLimiter } from '@reelspan/membership.limits'
+import { type LimitDecision, type StandInLimiter } from '@reelspan/membership.limits'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type UnknownKeyWaiter } from './unknownKeyWaiter.js'
@@ -13,7 +13,7 @@
   /** Requests need a key even if no account is declared. */
   required: boolean
   proof: FreshnessProof
-  limiter: SharedLimiter
+  limiter: Pick<StandInLimiter, 'decide' | 'release'>
   /** Waits for an update that declares an unknown key. */
   unknownKeyWaiter: UnknownKeyWaiter
   log: Log
@@ -45,6 +45,15 @@
 /** The part of `Admission` that listeners need. */
 export type BoxAdmission = Pick<Admission, 'admit' | 'usesAccounts' | 'hasFreshProof'>
 
+/** What the log says of a refusal, where it is known. */
+interface RefusalFields {
+  account?: string
+  cost?: number
+  decidedBy?: LimitDecision['decider']
+  /** Share of the limit with which it was decided. */
+  limitShare?: number
+}
+
 /** A box without a fresh proof is usually partitioned. Callers should try another box at once; this one has a proof again within about a second after it reconnects. */
 const STALE_RETRY_AFTER_MS = 1000
 const ANONYMOUS: Admitted = { releaseCost: () => {} }
@@ -97,12 +106,14 @@
     metrics.count('reelspan_account_requests_total', { account: name })
     if (!limit) return { account: name, urgency, releaseCost: ANONYMOUS.releaseCost }
     const limitedCost = { name, cost: limitCost(limit, request.sizeTokens) }
-    const waitMs = await limiter.acquire(limitedCost)
+    const decision = await limiter.decide(limitedCost)
+    const { waitMs } = decision
+    metrics.count('reelspan_account_decisions_total', { by: decision.decider, outcome: waitMs === 0 ? 'granted' : 'refused' })
     if (waitMs === 0) return { account: name, urgency, releaseCost: () => limiter.release(limitedCost) }
-    throw this.#recordRefusal(request, 'limit', new ReelspanError(ErrorCode.AccountLimit, `account «${name}» exceeds its limit`, { retryAfterMs: Math.ceil(waitMs) }), { account: name, cost: limitedCost.cost })
+    throw this.#recordRefusal(request, 'limit', new ReelspanError(ErrorCode.AccountLimit, `account «${name}» exceeds its limit`, { retryAfterMs: Math.ceil(waitMs) }), { account: name, cost: limitedCost.cost, decidedBy: decision.decider, limitShare: decision.share })
   }
 
-  #recordRefusal ({ id }: AdmissionRequest, reason: string, error: ReelspanError, fields: { account?: string, cost?: number } = {}): ReelspanError {
+  #recordRefusal ({ id }: AdmissionRequest, reason: string, error: ReelspanError, fields: RefusalFields = {}): ReelspanError {
     const { log, metrics, configuration, proof } = this.#opts
     metrics.count('reelspan_account_refusals_total', { why: reason, account: fields.account ?? '' })
     log.info(LogEvent.AccountRefused, {
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -5,7 +5,7 @@
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseDetector } from '@reelspan/core.env'
 import { type Collection, type UpstreamStateUpdate, type RunEvent } from '@reelspan/core.messages'
-import { type CoordinatedLimiter, type TokenBucketStore, type SharedLimiter } from '@reelspan/membership.limits'
+import { type BoxList, type CoordinatedLimiter, type ExpectedBoxes, type StandInLimiter, type TokenBucketStore } from '@reelspan/membership.limits'
 import { type Broadcaster, type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
 import { type LookupAnswer } from '@reelspan/request.lookup'
@@ -54,7 +54,10 @@
   proofRenewer?: ProofRenewer
   /** Token buckets of the client accounts that this box coordinates. */
   accountBuckets: TokenBucketStore
-  limiter: SharedLimiter
+  /** Allowances of the client accounts for which this box stands in. */
+  standInBuckets: TokenBucketStore
+  expectedBoxes: ExpectedBoxes
+  limiter: StandInLimiter
   admission: Admission
   prober: Prober
   interruptedRuns: InterruptedRuns
@@ -98,3 +101,15 @@
   const addresses = new Set([...fleet.value.boxes.map(({ peerAddress }) => peerAddress), ...settings.membership.seedAddresses])
   return [...addresses].filter((address) => address !== view.self.peerAddress)
 }
+
+/** Peer addresses of all boxes in the fleet list, including this one; the seed addresses while there is no list. */
+export function listedBoxes ({ fleet, settings }: Pick<BoxParts, 'fleet' | 'settings'>): BoxList {
+  const { boxes } = fleet.value
+  if (boxes.length === 0) return { addresses: settings.membership.seedAddresses, isComplete: false }
+  const listed = listsOfBoxes.get(boxes) ?? { addresses: boxes.map(({ peerAddress }) => peerAddress), isComplete: true }
+  listsOfBoxes.set(boxes, listed)
+  return listed
+}
+
+/** By the array in the fleet list, so that the same array is returned until the list changes. */
+const listsOfBoxes = new WeakMap<FleetList['boxes'], BoxList>()
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -12,7 +12,7 @@
 import { type BoxEnvironment } from './boxEnvironment.js'
 import { type BoxParts, environmentOf, listedPeerAddresses } from './boxParts.js'
 import { ConnectionShares } from './connectionShares.js'
-import { createAdmission, createAccountBuckets, createLimiter, createFreshnessProof, createProofRenewer } from './createAccountParts.js'
+import { acquireAccountCost, createAdmission, createAccountBuckets, createExpectedBoxes, createLimiter, createStandInBuckets, createFreshnessProof, createProofRenewer, releaseAccountCost } from './createAccountParts.js'
 import { createPlatformContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
 import { createPermitBuckets, createPermitLimiter, createPermits, createRetryTimes } from './createLimitParts.js'
 import { createPlacer } from './createPlacer.js'
@@ -49,6 +49,8 @@
     freshnessProof: asFunction(createFreshnessProof).singleton(),
     proofRenewer: asFunction(createProofRenewer).singleton(),
     accountBuckets: asFunction(createAccountBuckets).singleton(),
+    standInBuckets: asFunction(createStandInBuckets).singleton(),
+    expectedBoxes: asFunction(createExpectedBoxes).singleton(),
     limiter: asFunction(createLimiter).singleton(),
     admission: asFunction(createAdmission).singleton(),
     prober: asFunction(createProber).singleton(),
@@ -124,6 +126,7 @@
       parts.runGossip.receiveDigest(address, runsDigest)
       parts.upstreamStateGossip.receiveDigest(address, upstreamStatesDigest)
     },
+    onRefused: (address) => parts.expectedBoxes.recordRefused(address, parts.clock.nowMs()),
     onTaskError: (thrown) => parts.failures.recordTask('prober', thrown),
     onPeerRevisions: (address, revisions) => Object.values(Collection).forEach((collection) => {
       parts.followers[collection].observeRevision(address, revisions[collection])
@@ -168,7 +171,8 @@
     owner: parts.owner,
     records: parts.records,
     runGossip: parts.runGossip,
-    accountBuckets: parts.accountBuckets,
+    acquireAccountCost: (message) => acquireAccountCost(parts, message),
+    releaseAccountCost: (message) => releaseAccountCost(parts, message),
     upstreamStateGossip: parts.upstreamStateGossip,
     permitBuckets: parts.permitBuckets,
     upstreamStates: parts.upstreamStates,
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -22,7 +22,9 @@
   owner: Owner
   records: RecordStore
   runGossip: Gossip<RunEvent>
-  accountBuckets: TokenBucketStore
+  /** Answers a box that asks this one as coordinator or stand-in of an account. */
+  acquireAccountCost: (message: MessageOf<MessageType.AccountTake>) => PeerMessage
+  releaseAccountCost: (message: MessageOf<MessageType.AccountGiveBack>) => void
   upstreamStateGossip: Gossip<UpstreamStateUpdate>
   permitBuckets: TokenBucketStore
   upstreamStates: UpstreamStates
@@ -42,7 +44,7 @@
   }
 
   async onCall (message: PeerMessage): Promise<PeerMessage> {
-    const { prober, stores, shardManagers, owner, runGossip, accountBuckets, upstreamStateGossip, permitBuckets, onUpstreamReports, lookup, confirmRunningHere, describeForStatus } = this.#opts
+    const { prober, stores, shardManagers, owner, runGossip, acquireAccountCost, releaseAccountCost, upstreamStateGossip, permitBuckets, onUpstreamReports, lookup, confirmRunningHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
         return { type: MessageType.ConfigContent, numbering: RevisionNumbering.ByVersionAndEra, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
@@ -75,9 +77,9 @@
         onUpstreamReports(message.reports)
         return DONE
       case MessageType.AccountTake:
-        return { type: MessageType.AccountTaken, waitMs: accountBuckets.acquire(message.account, message.cost) }
+        return acquireAccountCost(message)
       case MessageType.AccountGiveBack:
-        accountBuckets.release(message.account, message.cost)
+        releaseAccountCost(message)
         return DONE
       case MessageType.UpstreamStatesTell:
         upstreamStateGossip.receive(message.updates)
--- a/box/runtime/test/accounts.ts
+++ b/box/runtime/test/accounts.ts
@@ -2,6 +2,8 @@
 import { LimitUnit, ResourceKind } from '@reelspan/config.resources'
 import { ErrorCode, Verdict } from '@reelspan/core.error'
 import { Collection } from '@reelspan/core.messages'
+import { LimitDecider } from '@reelspan/membership.limits'
+import { LogEvent } from '@reelspan/telemetry.log'
 import { FakeFleet, type FakeFleetOptions } from '@reelspan/utils.fake-fleet'
 import { maxWindowUsage, type PublishedEntry, sampleDeclarations } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -148,3 +150,13 @@
   t.true(runs.length > 0.9 * 10 * PER_SECOND)
   await fleet.stop()
 })
+
+test('a refusal for a limit says who decided it and with which share of the limit', async (t) => {
+  const fleet = await startFleet({}, accountWith(['k1'], true))
+  const { name, log, metrics } = fleet.boxes[0]
+  await fleet.clock.run(Promise.all(Array.from({ length: 2 * BURST }, () => sendRequest(fleet, name, 'k1'))))
+  const refused = log.entries.find(({ event }) => event === LogEvent.AccountRefused)
+  t.like(refused?.fields, { why: 'limit', account: 'bank', cost: 1, decidedBy: LimitDecider.Coordinator, limitShare: 1 })
+  t.regex(metrics.exposition(), /reelspan_account_decisions_total\{.*by="coordinator".*outcome="refused".*\}/)
+  await fleet.stop()
+})
