--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -124,11 +124,18 @@
   },
   {
     name: 'an account\'s limit is enforced for all boxes by its coordinator',
-    file: 'membership/limits/src/coordinatedLimiter.ts',
-    find: 'if (answer !== undefined) return answer',
-    replace: 'if (answer !== undefined) return 0',
+    file: 'membership/limits/src/standInLimiter.ts',
+    find: 'const waitMs = messages.waitMsIn(answer)',
+    replace: 'const waitMs = messages.waitMsIn(answer) && 0',
     tests: [ACCOUNTS],
   },
+  {
+    name: 'a box that has just started and does not know the members grants no limit as coordinator',
+    file: 'box/runtime/src/limitShares.ts',
+    find: 'return expectedBoxes.isSettled(nowMs) ?',
+    replace: 'return expectedBoxes.isSettled(nowMs) || nowMs > 0 ?',
+    tests: ['box/runtime/test.lib/accountRestart.js'],
+  },
   {
     name: 'an upstream\'s permits are granted for all boxes by its coordinator',
     file: 'box/runtime/src/createLimitParts.ts',
