fix(membership.limits): shares from seed addresses, and stand-ins that are about to start

Cause: where the platform lists no boxes, boxes that start beyond a partition are only known from the seed addresses, so that each side would grant whole limits. A box whose only seed is itself waited for others. A cost that a box never grants got an infinite retry delay. Change: the share is at most the part of the seeds at which a member was seen; a box that is not settled holds a request for up to 0.3 s until a stand-in answers; a box without seeds of others is settled; a retry delay is finite.

--- a/box/runtime/src/createAccountParts.ts
+++ b/box/runtime/src/createAccountParts.ts
@@ -3,7 +3,7 @@
 import { FreshnessProof, ProofRenewer } from '@reelspan/accounts.proof'
 import { type AccountLimit } from '@reelspan/config.resources'
 import { Collection, type MessageOf, MessageType, type PeerMessage } from '@reelspan/core.messages'
-import { type BucketConfig, ExpectedBoxes, StandInLimiter, TokenBucketStore } from '@reelspan/membership.limits'
+import { type BucketConfig, ExpectedBoxes, StandInLimiter, TokenBucketStore, UNDECIDED_WAIT_MS } from '@reelspan/membership.limits'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts, listedBoxes } from './boxParts.js'
 import { coordinatorShare, ownShare } from './limitShares.js'
@@ -49,7 +49,7 @@
 /** Tells a box that has just started from a small fleet. */
 export function createExpectedBoxes (parts: BoxParts): ExpectedBoxes {
   const { clock, settings, view } = parts
-  const expectedBoxes = new ExpectedBoxes({ startedAtMs: clock.nowMs(), list: () => listedBoxes(parts), members: () => view.all(), silentGoneMs: settings.membership.silentGoneMs })
+  const expectedBoxes = new ExpectedBoxes({ startedAtMs: clock.nowMs(), selfAddress: view.self.peerAddress, list: () => listedBoxes(parts), members: () => view.all(), silentGoneMs: settings.membership.silentGoneMs })
   view.onChange(() => expectedBoxes.observeMembers(clock.nowMs()))
   return expectedBoxes
 }
@@ -86,11 +86,8 @@
   return limiter
 }
 
-/** Wait that a box answers which cannot decide: about the time until another box can. */
-const UNDECIDED_WAIT_MS = 500
-
 /** Answers a box that asks this one as coordinator or stand-in of an account. */
-export function acquireAccountCost (parts: Pick<BoxParts, 'accountBuckets' | 'clock' | 'expectedBoxes' | 'limiter' | 'view'>, { account: name, cost, standIn }: MessageOf<MessageType.AccountTake>): PeerMessage {
+export function acquireAccountCost (parts: Pick<BoxParts, 'accountBuckets' | 'clock' | 'expectedBoxes' | 'limiter'>, { account: name, cost, standIn }: MessageOf<MessageType.AccountTake>): PeerMessage {
   const waitMs = standIn ? parts.limiter.decideAsStandIn({ name, cost }) : parts.accountBuckets.acquire(name, cost)
   return { type: MessageType.AccountTaken, waitMs: Number.isFinite(waitMs) ? waitMs : UNDECIDED_WAIT_MS, share: standIn ? undefined : coordinatorShare(parts) }
 }
--- a/membership/limits/src/expectedBoxes.ts
+++ b/membership/limits/src/expectedBoxes.ts
@@ -9,6 +9,7 @@
 
 export interface ExpectedBoxesOptions {
   startedAtMs: number
+  selfAddress: string
   /** Returns the same addresses until the list changes. */
   list: () => BoxList
   /** All known members, with those that are gone. Returns the same array until a member changes. */
@@ -20,9 +21,13 @@
 interface Counts {
   addresses: readonly string[]
   members: readonly Member[]
+  countsUnseen: boolean
+  alive: number
   /** Members that are not gone. */
   present: number
-  /** Listed boxes that are no members. */
+  /** Listed addresses, without those that refuse connections. */
+  listed: number
+  /** Of these, those at which no member was seen. */
   unseen: number
 }
 
@@ -43,7 +48,7 @@
   /** Listed addresses at which no process listens. */
   readonly #unused = new Set<string>()
   /** Counts for the arrays that they were made from, since each decision on a limit needs them. */
-  #counts: Counts = { addresses: [], members: [], present: 0, unseen: 0 }
+  #counts = NO_COUNTS
   #newMemberAtMs: number
   #memberCount = 1
   #hasSettled = false
@@ -64,13 +69,22 @@
   recordRefused (address: string, nowMs: number): void {
     if (nowMs - this.#opts.startedAtMs < START_GRACE_MS) return
     this.#unused.add(address)
-    this.#counts = { addresses: [], members: [], present: 0, unseen: 0 }
+    this.#counts = NO_COUNTS
   }
 
-  /** Members that are not gone, and listed boxes that may run unseen, for example beyond a network partition. */
-  count (nowMs: number): number {
-    const { present, unseen } = this.#currentCounts()
-    return nowMs - this.#opts.startedAtMs > this.#opts.silentGoneMs ? present : present + unseen
+  /**
+   * Share of the limits for the boxes that this box reaches. Boxes that start beyond a network partition are not members,
+   * but listed. Seed addresses are only some of them, so each side has the share of the seeds that it has seen.
+   */
+  reachableShare (nowMs: number): number {
+    const { alive, listed, unseen } = this.#currentCounts(nowMs)
+    const share = alive / this.#expected(nowMs)
+    return unseen === 0 || this.#opts.list().isComplete ? share : Math.min(share, (listed - unseen) / listed)
+  }
+
+  /** Share of the limits for this box alone. */
+  ownShare (nowMs: number): number {
+    return this.reachableShare(nowMs) / this.#currentCounts(nowMs).alive
   }
 
   /** Whether this box knows the members well enough to agree with the others on the coordinators. Once true, it remains true. */
@@ -80,10 +94,10 @@
   }
 
   #isComplete (nowMs: number): boolean {
-    const { list, members } = this.#opts
+    const { list, selfAddress } = this.#opts
     const { addresses, isComplete } = list()
-    if (!isComplete && addresses.length > 0) return false
-    return members().filter(({ health }) => health === MemberHealth.Alive).length >= SETTLED_SHARE * this.count(nowMs)
+    if (!isComplete && addresses.some((address) => address !== selfAddress)) return false
+    return this.#currentCounts(nowMs).alive >= SETTLED_SHARE * this.#expected(nowMs)
   }
 
   #isQuiet (nowMs: number): boolean {
@@ -91,14 +105,30 @@
     return nowMs - this.#opts.startedAtMs >= minMs && nowMs - this.#newMemberAtMs >= QUIET_MS
   }
 
-  #currentCounts (): Counts {
-    const { addresses } = this.#opts.list()
-    const members = this.#opts.members()
-    if (addresses === this.#counts.addresses && members === this.#counts.members) return this.#counts
+  #expected (nowMs: number): number {
+    const { present, unseen } = this.#currentCounts(nowMs)
+    return present + unseen
+  }
+
+  #currentCounts (nowMs: number): Counts {
+    const { list, members: membersOf, startedAtMs, silentGoneMs } = this.#opts
+    const { addresses } = list()
+    const members = membersOf()
+    const countsUnseen = nowMs - startedAtMs <= silentGoneMs
+    if (addresses === this.#counts.addresses && members === this.#counts.members && countsUnseen === this.#counts.countsUnseen) return this.#counts
     const seen = new Set(members.map(({ peerAddress }) => peerAddress))
-    const present = members.filter(({ health }) => health !== MemberHealth.Gone).length
-    const unseen = addresses.filter((address) => !seen.has(address) && !this.#unused.has(address)).length
-    this.#counts = { addresses, members, present, unseen }
+    const used = addresses.filter((address) => !this.#unused.has(address))
+    this.#counts = {
+      addresses,
+      members,
+      countsUnseen,
+      alive: members.filter(({ health }) => health === MemberHealth.Alive).length,
+      present: members.filter(({ health }) => health !== MemberHealth.Gone).length,
+      listed: used.length,
+      unseen: countsUnseen ? used.filter((address) => !seen.has(address)).length : 0,
+    }
     return this.#counts
   }
 }
+
+const NO_COUNTS: Counts = { addresses: [], members: [], countsUnseen: true, alive: 0, present: 0, listed: 0, unseen: 0 }
--- a/membership/limits/src/standInLimiter.ts
+++ b/membership/limits/src/standInLimiter.ts
@@ -48,12 +48,18 @@
 /** A box that did not answer is skipped for about as long as it takes to become suspect. */
 const SKIP_UNANSWERED_MS = 1500
 /** A box whose process does not run is skipped for a shorter time, since it may be starting. */
-const SKIP_REFUSED_MS = 300
+const SKIP_REFUSED_MS = 100
+/** A box that has just started waits up to this time for a stand-in to start: boxes that start together are up within some 100 ms. */
+const STARTING_WAIT_MS = 300
+const STARTING_RETRY_MS = 100
 /** Number of stand-ins of a limit. Their allowances are parts of the tolerance, so that each further one makes all of them smaller. */
 const STAND_IN_COUNT = 2
 /** Time in which a box that has just started usually gets to know the members. */
 const SETTLING_MS = 500
 
+/** Wait where no time is known, since a cost is above what the deciding box ever grants: about the time in which members become known or are found to be unreachable. */
+export const UNDECIDED_WAIT_MS = 1000
+
 /** A box that can decide on a limit. */
 interface Candidate {
   decider: LimitDecider.Coordinator | LimitDecider.StandIn
@@ -101,13 +107,22 @@
 
   /** Acquires a cost, or returns when a decision can be better. */
   async decide (charge: LimitedCost): Promise<LimitDecision> {
+    return this.#decideWithin(charge, STARTING_WAIT_MS)
+  }
+
+  async #decideWithin (charge: LimitedCost, waitMs: number): Promise<LimitDecision> {
+    const { clock } = this.#opts
     const replies: Reply[] = []
+    const startedMs = clock.nowMs()
     const conclusive = await this.#askInTurn(charge, this.#candidates(charge.name), [], replies)
     if (conclusive) {
       if (conclusive.waitMs > 0) this.#decided.set(charge, undefined)
       return conclusive
     }
-    return this.#decideHere(charge, replies)
+    const leftMs = waitMs - STARTING_RETRY_MS - (clock.nowMs() - startedMs)
+    if (!this.#mayBeStarting(charge.name, replies) || leftMs < 0) return this.#decideHere(charge, replies)
+    await clock.sleep(STARTING_RETRY_MS)
+    return this.#decideWithin(charge, leftMs)
   }
 
   release (charge: LimitedCost): void {
@@ -128,6 +143,11 @@
     return this.#standIns.of(name).includes(self().peerAddress) ? standInBuckets.acquire(name, cost) : Number.POSITIVE_INFINITY
   }
 
+  /** Whether stand-ins have not answered because they are about to start. */
+  #mayBeStarting (name: string, replies: readonly Reply[]): boolean {
+    return !this.#opts.isSettled() && this.#standIns.of(name).length > 0 && replies.every(({ decider }) => decider !== LimitDecider.StandIn)
+  }
+
   #candidates (name: string): Candidate[] {
     const standIns = this.#standIns.of(name)
       .filter((address) => !this.#unansweredBy(address))
@@ -204,8 +224,10 @@
   }
 
   #toReply (decider: Candidate['decider'], waitMs: number, share?: number): Reply {
+    // With a small share of the limit, as in a small part of a partitioned network, large costs are never granted.
+    const finiteWaitMs = Number.isFinite(waitMs) ? waitMs : UNDECIDED_WAIT_MS
     const knowsUsage = decider === LimitDecider.Coordinator && share !== 0 && this.#opts.isSettled()
-    return { decider, waitMs, share, conclusive: waitMs === 0 || knowsUsage }
+    return { decider, waitMs: finiteWaitMs, share, conclusive: waitMs === 0 || knowsUsage }
   }
 
   #decideHere (charge: LimitedCost, replies: readonly Reply[]): LimitDecision {
