feat(scheduling.pool-admission): admission of calls to service pools that are short of capacity

Each box chose upstreams by its own calls in flight, which say nothing about an upstream that 82 boxes share; a pool over its capacity refused whoever came last. Now one box per pool, chosen by rendezvous hashing, grants slots at its upstreams while the pool is short of capacity: by urgency, share and time limit, with a concurrency limit per upstream that is estimated from the durations of calls and from refusals. Not measured yet.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -175,6 +175,11 @@
     return this.#parts.permitLimiter.isCoordinator(upstream)
   }
 
+  /** Whether this box, as it sees the members, is the coordinator of a service pool. */
+  coordinatesPool (pool: string): boolean {
+    return this.#parts.pools.isCoordinator(pool)
+  }
+
   /** How many connections this box may open to the upstream at an address, or undefined if its pool declares no maximum. */
   connectionShareAt (address: string): number | undefined {
     return this.#parts.connectionShares.at(address)
@@ -205,7 +210,7 @@
 
   /** State of the whole process, for the debug endpoint. */
   describe () {
-    const { view, declarations, fleetList, fleet, records, owner, relay, shardManagers, prober, placer, runHistory, quarantine, upstreamStates, backoffs, freshnessProof, settings } = this.#parts
+    const { view, declarations, fleetList, fleet, records, owner, relay, shardManagers, prober, placer, runHistory, quarantine, upstreamStates, backoffs, poolCoordinator, freshnessProof, settings } = this.#parts
     return {
       self: view.self,
       ready: this.ready,
@@ -222,6 +227,7 @@
       quarantine: { requests: quarantine.countQuarantined(), runsKnown: runHistory.size },
       upstreamStates: upstreamStates.all(),
       backingOffFrom: backoffs.all(),
+      poolsCoordinated: poolCoordinator.describe(),
       callersBeingServed: this.#callersBeingServed,
     }
   }
@@ -239,11 +245,11 @@
 
   /** Stops immediately. Each running request ends with its verdict. */
   async stop (): Promise<void> {
-    const { prober, proofRenewer, reportBroadcaster, followers, shardManagers, owner, relay, runGossip, upstreamStateGossip, link, log } = this.#parts
+    const { prober, proofRenewer, reportBroadcaster, pools, poolCoordinator, poolBroadcaster, followers, shardManagers, owner, relay, runGossip, upstreamStateGossip, link, log } = this.#parts
     this.#stopping = true
     const requestsCut = this.#callersBeingServed
     await Promise.all([owner.stop(), relay?.stop()])
-    await Promise.all([this.#tasks.stop(), prober.stop(), proofRenewer?.stop(), reportBroadcaster.stop(), runGossip.stop(), upstreamStateGossip.stop(), shardManagers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
+    await Promise.all([this.#tasks.stop(), prober.stop(), proofRenewer?.stop(), reportBroadcaster.stop(), pools.stop(), poolCoordinator.stop(), poolBroadcaster.stop(), runGossip.stop(), upstreamStateGossip.stop(), shardManagers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
     log.info(LogEvent.Stopped, { requestsCut })
   }
 
@@ -270,14 +276,17 @@
   }
 
   #onMemberChange (member: Member): void {
-    const { view, shardManagers, log } = this.#parts
+    const { view, shardManagers, poolCoordinator, log } = this.#parts
     const isSelf = member.incarnation === view.self.incarnation
     if (isSelf && member.health === MemberHealth.Gone && !this.#stopping) {
       this.#renewIncarnation()
       return
     }
     if (!isSelf && this.#memberChanges.recordIfChanged(member)) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
-    if (member.health === MemberHealth.Gone) shardManagers.releaseOwner(member.incarnation)
+    if (member.health === MemberHealth.Gone) {
+      shardManagers.releaseOwner(member.incarnation)
+      poolCoordinator.dropOwner(member.incarnation)
+    }
     this.#reconciler.reconcileSoon()
   }
 }
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -4,7 +4,7 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseDetector } from '@reelspan/core.env'
-import { type Collection, type UpstreamStateUpdate, type RunEvent } from '@reelspan/core.messages'
+import { type Collection, type PoolShortage, type UpstreamStateUpdate, type RunEvent } from '@reelspan/core.messages'
 import { type CoordinatedLimiter, type TokenBucketStore, type SharedLimiter } from '@reelspan/membership.limits'
 import { type Broadcaster, type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
@@ -14,6 +14,7 @@
 import { type RecordStore } from '@reelspan/request.records'
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
+import { type CoordinatedPools, type PoolCoordinator } from '@reelspan/scheduling.pool-admission'
 import { type UpstreamFailureReport, type UpstreamFailureReports } from '@reelspan/upstream.health'
 import { type RetryTimes, type SendPermits } from '@reelspan/upstream.limits'
 import { type Backoffs, type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
@@ -70,6 +71,11 @@
   permitLimiter: CoordinatedLimiter
   permits: SendPermits
   retryTimes: RetryTimes
+  /** Grants slots at the upstreams of service pools that are short of capacity. */
+  pools: CoordinatedPools
+  /** State of the pools that this box coordinates. */
+  poolCoordinator: PoolCoordinator
+  poolBroadcaster: Broadcaster<PoolShortage>
   /** Attempts during which an upstream process ended, at any box. */
   runHistory: RunHistory
   runGossip: Gossip<RunEvent>
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -16,6 +16,7 @@
 import { createPlatformContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
 import { createPermitBuckets, createPermitLimiter, createPermits, createRetryTimes } from './createLimitParts.js'
 import { createPlacer } from './createPlacer.js'
+import { createPoolBroadcaster, createPoolCoordinator, createPools } from './createPoolAdmissionParts.js'
 import { createInterruptedRuns, createOwner, createQuarantine, createRecords, createRelay, createReportBroadcast, createRunGossip, recordTtlMs } from './createRequestParts.js'
 import { createBackoffs, createSignalObserver, createUpstreamStateGossip, createUpstreamStates } from './createSignalParts.js'
 import { generateIncarnation } from './generateIncarnation.js'
@@ -63,6 +64,9 @@
     permitLimiter: asFunction(createPermitLimiter).singleton(),
     permits: asFunction(createPermits).singleton(),
     retryTimes: asFunction(createRetryTimes).singleton(),
+    pools: asFunction(createPools).singleton(),
+    poolCoordinator: asFunction(createPoolCoordinator).singleton(),
+    poolBroadcaster: asFunction(createPoolBroadcaster).singleton(),
     runHistory: asFunction((parts: BoxParts) => new RunHistory(parts)).singleton(),
     runGossip: asFunction(createRunGossip).singleton(),
     quarantine: asFunction(createQuarantine).singleton(),
@@ -172,6 +176,8 @@
     upstreamStateGossip: parts.upstreamStateGossip,
     permitBuckets: parts.permitBuckets,
     upstreamStates: parts.upstreamStates,
+    pools: parts.pools,
+    poolCoordinator: parts.poolCoordinator,
     onUpstreamReports: (reports) => parts.reportBroadcaster.broadcast(reports.filter((report) => parts.upstreamReports.add(report))),
     lookup: parts.lookup,
     confirmRunningHere: parts.confirmRunningHere,
--- a/box/runtime/src/createRequestParts.ts
+++ b/box/runtime/src/createRequestParts.ts
@@ -101,6 +101,7 @@
     backoffs: parts.backoffs,
     upstreamStates: parts.upstreamStates,
     permits: parts.permits,
+    pools: parts.pools,
     retryTimes: parts.retryTimes,
     onClosedUnanswered: (upstream) => broadcastReport(parts, upstream),
     interruptedRuns: parts.interruptedRuns,
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -8,6 +8,7 @@
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
 import { type RecordStore } from '@reelspan/request.records'
+import { type CoordinatedPools, type PoolCoordinator } from '@reelspan/scheduling.pool-admission'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { type ShardManagers } from './shardManagers.js'
 import { type UpstreamFailureReport } from '@reelspan/upstream.health'
@@ -26,6 +27,8 @@
   upstreamStateGossip: Gossip<UpstreamStateUpdate>
   permitBuckets: TokenBucketStore
   upstreamStates: UpstreamStates
+  pools: CoordinatedPools
+  poolCoordinator: PoolCoordinator
   onUpstreamReports: (reports: readonly UpstreamFailureReport[]) => void
   lookup: (availabilityZone?: string) => LookupAnswer
   confirmRunningHere: (incarnation: string, requestIds: readonly string[]) => string[] | undefined
@@ -42,7 +45,7 @@
   }
 
   async onCall (message: PeerMessage): Promise<PeerMessage> {
-    const { prober, stores, shardManagers, owner, runGossip, accountBuckets, upstreamStateGossip, permitBuckets, onUpstreamReports, lookup, confirmRunningHere, describeForStatus } = this.#opts
+    const { prober, stores, shardManagers, owner, runGossip, accountBuckets, upstreamStateGossip, permitBuckets, pools, poolCoordinator, onUpstreamReports, lookup, confirmRunningHere, describeForStatus } = this.#opts
     switch (message.type) {
       case MessageType.ConfigPull:
         return { type: MessageType.ConfigContent, numbering: RevisionNumbering.ByVersionAndEra, ...stores[message.collection].changesSince(message.sinceRevision, message.digest) }
@@ -90,6 +93,15 @@
       case MessageType.UpstreamGiveBack:
         permitBuckets.release(message.upstream, message.cost)
         return DONE
+      case MessageType.PoolAcquire:
+        pools.recordAsked(message.pool)
+        return { type: MessageType.PoolAcquired, answer: await poolCoordinator.acquire(message.pool, message.call, message.running) }
+      case MessageType.PoolRelease:
+        poolCoordinator.release(message.pool, message.label, message.outcome, message.durationMs)
+        return DONE
+      case MessageType.PoolsTell:
+        pools.receive(message.shortages)
+        return DONE
       case MessageType.StatusPull:
         return { type: MessageType.StatusContent, status: describeForStatus() }
       default:
--- a/box/runtime/src/registerBoxMetrics.ts
+++ b/box/runtime/src/registerBoxMetrics.ts
@@ -3,7 +3,7 @@
 
 /** Registers the gauges for a box's own state. */
 export function registerBoxMetrics (parts: BoxParts): void {
-  const { metrics, owner, log, cachedStateAges, quarantine, runHistory, freshnessProof, upstreamStates, backoffs } = parts
+  const { metrics, owner, log, cachedStateAges, quarantine, runHistory, freshnessProof, upstreamStates, backoffs, poolCoordinator } = parts
   metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
   metrics.gauge('reelspan_log_lines_dropped_total', () => log.droppedLines)
   metrics.gauge('reelspan_requests_quarantined', () => quarantine.countQuarantined())
@@ -13,6 +13,9 @@
   metrics.gauge('reelspan_upstreams_backing_off', () => backoffs.count)
   if (freshnessProof.isRequired) metrics.gauge('reelspan_accounts_proof_age_ms', () => freshnessProof.ageMs)
   metrics.gauges('reelspan_belief_age_ms', () => cachedStateAges.values())
+  metrics.gauges('reelspan_pool_calls_waiting', () => poolCoordinator.describe().map(({ pool, waiting }) => ({ labels: { pool }, value: waiting })))
+  metrics.gauges('reelspan_pool_calls_in_flight', () => poolUpstreams(parts).map(({ labels, inFlight }) => ({ labels, value: inFlight })))
+  metrics.gauges('reelspan_pool_calls_limit', () => poolUpstreams(parts).map(({ labels, limit }) => ({ labels, value: limit })))
   metrics.gauges('reelspan_retry_budget_left', () => retryBudgets(parts))
 }
 
@@ -24,3 +27,8 @@
     ...relayed.map(({ pool, left }) => ({ labels: { requests: 'relayed', pool }, value: left })),
   ]
 }
+
+/** The upstreams of the pools that this box coordinates. */
+function poolUpstreams ({ poolCoordinator }: BoxParts) {
+  return poolCoordinator.describe().flatMap(({ pool, upstreams }) => upstreams.map(({ upstream, inFlight, limit }) => ({ labels: { pool, upstream }, inFlight, limit })))
+}
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -5,6 +5,7 @@
 import { upstreamStateUpdateSchema } from './upstreamStateUpdate.js'
 import { memberSchema } from './member.js'
 import { placementAnswerSchema, placementPlanSchema, placementReportSchema, reserveRequestSchema } from './placement.js'
+import { PoolCallOutcome, poolAnswerSchema, poolCallSchema, poolShortageSchema, runningPoolCallSchema } from './poolAdmission.js'
 import { requestSchema } from './request.js'
 import { runEventSchema } from './runEvent.js'
 import { engineOutcomeSchema } from './upstreamOutcome.js'
@@ -59,6 +60,10 @@
   UpstreamTake = 'upstreamTake',
   UpstreamTaken = 'upstreamTaken',
   UpstreamGiveBack = 'upstreamGiveBack',
+  PoolAcquire = 'poolAcquire',
+  PoolAcquired = 'poolAcquired',
+  PoolRelease = 'poolRelease',
+  PoolsTell = 'poolsTell',
   StatusPull = 'statusPull',
   StatusContent = 'statusContent',
   Done = 'done',
@@ -225,6 +230,24 @@
   }),
   /** Releases acquired permits that were not used. */
   message(MessageType.UpstreamGiveBack, { upstream: z.string(), cost: z.number().positive() }),
+  /** Asks the receiver, as the coordinator of a pool, which upstream may take a call. */
+  message(MessageType.PoolAcquire, {
+    pool: z.string(),
+    call: poolCallSchema,
+    /** The sender's calls in flight in the pool. Only in its first message to this coordinator. */
+    running: z.array(runningPoolCallSchema).optional(),
+  }),
+  message(MessageType.PoolAcquired, { answer: poolAnswerSchema }),
+  /** Reports the end of a call to the coordinator that counts it, or withdraws it from the queue. */
+  message(MessageType.PoolRelease, {
+    pool: z.string(),
+    label: holdLabelSchema,
+    outcome: z.enum(PoolCallOutcome),
+    /** Time from sending the call to the head of its answer. Omitted if it was not answered. */
+    durationMs: durationMs.optional(),
+  }),
+  /** Pools that are short of capacity, which the receiver may not know yet. */
+  message(MessageType.PoolsTell, { shortages: z.array(poolShortageSchema) }),
   message(MessageType.StatusPull, {}),
   message(MessageType.StatusContent, { status: z.unknown() }),
   message(MessageType.Done, {}),
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -4,6 +4,7 @@
 import { type Clock, type Random, type TaskErrorListener } from '@reelspan/core.env'
 import { type InterruptedRuns, type Quarantine } from '@reelspan/request.quarantine'
 import { type Placer } from '@reelspan/scheduling.placer'
+import { type PoolSlots } from '@reelspan/scheduling.pool-admission'
 import { type Log } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type UpstreamFailureReports } from '@reelspan/upstream.health'
@@ -36,6 +37,8 @@
   backoffs: Backoffs
   /** Grants the permits that are required to send requests to upstreams. */
   permits: SendPermits
+  /** Grants slots at the upstreams of service pools that are short of capacity. */
+  pools: PoolSlots
   /** Assigns retry times to callers whose requests are refused because of upstream limits. */
   retryTimes: RetryTimes
   /** Called when an upstream closes a connection without an answer. */
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -1,5 +1,5 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
-import { UpstreamOutcome } from '@reelspan/core.messages'
+import { PoolCallOutcome, UpstreamOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
 import { type AnswerTimes, passAnswer } from './passAnswer.js'
@@ -56,6 +56,7 @@
         this.#context.logDecision(LogEvent.RequestRetried, { upstream: upstream.name, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
       } finally {
         picked.permit.release()
+        picked.slot.release(PoolCallOutcome.NotSent)
       }
     }
   }
@@ -69,14 +70,18 @@
     try {
       await withInterruptionReport(this.#context, target, async (onSend) => {
         const answer = await this.#send(picked, attempt, onSend)
-        picker.recordLatency(upstream.name, clock.nowMs() - startedAtMs)
+        const durationMs = clock.nowMs() - startedAtMs
+        const failed = answer.status >= FIRST_SERVER_ERROR
+        picker.recordLatency(upstream.name, durationMs)
+        if (!failed) this.#recordDuration(upstream, durationMs)
         logDecision(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, atMs: Math.round(run.elapsedMs) })
         await this.#handleAnswer(upstream, answer, attempt, times)
-        this.#recordOutcome(upstream, answer.status >= FIRST_SERVER_ERROR ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
+        this.#recordOutcome(upstream, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
+        picked.slot.release(failed ? PoolCallOutcome.Failed : PoolCallOutcome.Answered, durationMs)
       })
     } catch (thrown) {
       if (!run.signal.aborted && thrown instanceof UpstreamError) {
-        if (thrown.refused) this.#recordRefusal(upstream)
+        if (thrown.refused) this.#recordRefusal(picked)
         else this.#recordOutcome(upstream, outcomeOf(thrown))
         if (thrown.interrupted && thrown.unreachable) this.#context.opts.onClosedUnanswered(upstream.name)
       }
@@ -99,9 +104,17 @@
   }
 
   /** A refusal without a backoff means that the upstream is full: counts it as a call that took the whole latency target. */
-  #recordRefusal ({ name }: ListedUpstream): void {
+  #recordRefusal ({ upstream: { name }, slot }: PermittedUpstream): void {
     const { opts, picker, route } = this.#context
-    if (opts.backoffs.remainingMs(name) === 0) picker.recordLatency(name, route.spec.ttftTargetMs)
+    if (opts.backoffs.remainingMs(name) > 0) return
+    picker.recordLatency(name, route.spec.ttftTargetMs)
+    opts.pools.recordFull(this.#pool)
+    slot.release(PoolCallOutcome.Full)
+  }
+
+  #recordDuration ({ name }: ListedUpstream, durationMs: number): void {
+    const { opts: { pools }, route } = this.#context
+    pools.recordAnswer(this.#pool, name, { durationMs, targetMs: route.spec.ttftTargetMs, upstreamCount: this.#candidates().length })
   }
 
   /** Signal of an attempt. Includes a timeout if another attempt may follow. */
@@ -171,6 +184,7 @@
 
   #releaseNext (): void {
     this.#next?.permit.release()
+    this.#next?.slot.release(PoolCallOutcome.NotSent)
     this.#next = undefined
   }
 
@@ -184,7 +198,8 @@
   }
 
   async #pick (): Promise<PermittedUpstream> {
-    const { picked, blocked } = await pickPermittedUpstream(this.#context, this.#pool, this.#tried)
+    const { picked, refusal, blocked } = await pickPermittedUpstream(this.#context, this.#pool, this.#tried)
+    if (refusal) throw refusal
     if (!picked) throw noUpstreamError(this.#context, this.#pool, blocked)
     return picked
   }
--- /dev/null
+++ b/scheduling/pool-admission/src/callQueue.ts
@@ -0,0 +1,26 @@
+/** A call that waits for a slot at an upstream. */
+export interface WaitingCall {
+  key: string
+  account: string
+  /** 0 is the most urgent. */
+  urgency: number
+  avoid: ReadonlySet<string>
+  arrivedAtMs: number
+  /** An answer until then is in time. */
+  inTimeUntilMs: number
+  /** An answer until then is useful. */
+  usefulUntilMs: number
+  /** The caller returns when it was told to. */
+  promised: boolean
+  returnId?: string
+}
+
+/**
+ * Order of waiting calls: more urgent ones first; among these, calls of accounts within their share before
+ * calls of accounts over it; then promised retries; then the earliest time limit.
+ */
+export function queueOrder (calls: readonly WaitingCall[], isOverShare: (account: string) => boolean): WaitingCall[] {
+  const over = new Map([...new Set(calls.map(({ account }) => account))].map((account) => [account, isOverShare(account)]))
+  const rank = ({ account }: WaitingCall) => Number(over.get(account))
+  return [...calls].sort((a, b) => a.urgency - b.urgency || rank(a) - rank(b) || Number(b.promised) - Number(a.promised) || a.inTimeUntilMs - b.inTimeUntilMs)
+}
--- /dev/null
+++ b/scheduling/pool-admission/src/coordinatedPools.ts
@@ -0,0 +1,276 @@
+import { type Clock, TaskGroup } from '@reelspan/core.env'
+import { rankByRendezvous } from '@reelspan/core.hashing'
+import { type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, PeerLinkError, type PoolAnswer, type PoolCall, PoolCallOutcome, PoolOutcome, type PoolShortage } from '@reelspan/core.messages'
+import { type PoolCoordinator } from './poolCoordinator.js'
+import { PoolShortages } from './poolShortages.js'
+import { type CallDuration, type PoolRequest, type PoolSlot, PoolSlots, type SlotAnswer, SlotDecision } from './poolSlots.js'
+import { ShortageDetector } from './shortageDetector.js'
+
+export interface CoordinatedPoolsOptions {
+  clock: Clock
+  link: PeerLink
+  /** Pools that this box coordinates. */
+  coordinator: PoolCoordinator
+  /** Boxes that can be coordinators, including this one. Returns the same array until a member changes. */
+  members: () => readonly Member[]
+  self: () => Member
+  /** Sends reports to all boxes. */
+  broadcast: (shortages: readonly PoolShortage[]) => void
+  onShort?: (pool: string) => void
+  /** @param shortMs how long the pool was short of capacity */
+  onEnough?: (pool: string, shortMs: number) => void
+  onTaskError?: (thrown: unknown) => void
+}
+
+/** Many times the round trip to a coordinator, which answers within 30 ms even if the call still waits. */
+const COORDINATOR_TIMEOUT_MS = 50
+/** A coordinator that did not answer is skipped for about as long as it takes to become suspect. */
+const SKIP_UNANSWERED_MS = 1500
+/** The coordinator, and the box that follows it once its process has exited. */
+const COORDINATOR_CANDIDATES = 2
+/** A pool counts as short for this long after the last sign: longer than the waves within a burst of some seconds. */
+const SHORT_FOR_MS = 5000
+/** Interval at which a coordinator extends a shortage that lasts. */
+const EXTEND_INTERVAL_MS = 1000
+/**
+ * A box without a coordinator may use this multiple of an even share of the pool's limit: callers are not spread evenly over
+ * boxes, and the queues inside the upstreams hold what exceeds their slots.
+ */
+const SHARE_FACTOR = 2
+/** Retry delay of a call beyond this box's share; about as long as a call to a service takes. */
+const OWN_REFUSAL_RETRY_MS = 100
+/** A message about the end of a call may be sent again, since it is idempotent. */
+const RELEASE_TIMEOUT_MS = 300
+
+interface TrackedCall {
+  label: HoldLabel
+  upstream: string
+  startedAtMs: number
+  /** The coordinator that counts the call. */
+  countedBy?: Member
+}
+
+interface UnansweredCall {
+  untilMs: number
+  /** Its process has exited. Otherwise it may be partitioned and still serve the boxes that reach it. */
+  exited: boolean
+}
+
+/**
+ * Asks the coordinator of a pool for each call while the pool is short of capacity. While it is not, no message is sent.
+ * A box that cannot reach the coordinator chooses upstreams itself, within an even share of the pool's limit.
+ */
+export class CoordinatedPools extends PoolSlots {
+  readonly #opts: CoordinatedPoolsOptions
+  readonly #tasks: TaskGroup
+  readonly #shortages = new PoolShortages()
+  readonly #detectors = new Map<string, ShortageDetector>()
+  readonly #watched = new Set<string>()
+  readonly #running = new Map<string, Map<string, TrackedCall>>()
+  /** Coordinators to which this box has reported its calls in flight, by pool. */
+  readonly #reportedTo = new Map<string, string>()
+  readonly #coordinators = new Map<string, readonly Member[]>()
+  #coordinatorsAmong?: readonly Member[]
+  readonly #unanswered = new Map<string, UnansweredCall>()
+  #sequence = 0
+
+  constructor (opts: CoordinatedPoolsOptions) {
+    super()
+    this.#opts = opts
+    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
+  }
+
+  isShort (pool: string): boolean {
+    return this.#shortages.isShort(pool, this.#opts.clock.nowMs())
+  }
+
+  /** Concurrent calls that a pool can take, as last announced. */
+  limitOf (pool: string): number | undefined {
+    return this.#shortages.limitOf(pool)
+  }
+
+  /** Whether this box is the coordinator of a pool, according to its own view of the members. */
+  isCoordinator (pool: string): boolean {
+    return this.#coordinatorsOf(pool)[0]?.incarnation === this.#opts.self().incarnation
+  }
+
+  async acquire (request: PoolRequest, avoid: readonly string[], signal: AbortSignal): Promise<SlotAnswer> {
+    const { pool, account, urgency, inTimeMs, usefulMs, returnId } = request
+    const label = this.#createLabel(usefulMs)
+    const call: PoolCall = { label, account, urgency, inTimeMs, usefulMs: Math.max(0, usefulMs), avoid: [...avoid], returnId: returnId() }
+    const answered = await this.#askCoordinators(pool, call, this.#coordinatorsOf(pool), signal)
+    if (!answered) return this.#decideAlone(pool)
+    const { answer, coordinator } = answered
+    if (answer.outcome === PoolOutcome.Refused) return { decision: SlotDecision.Refused, retryAfterMs: answer.retryAfterMs ?? OWN_REFUSAL_RETRY_MS, overShare: answer.overShare, decidedBy: coordinator.name }
+    if (answer.outcome !== PoolOutcome.Granted || answer.upstream === undefined) return { decision: SlotDecision.OwnChoice }
+    return { decision: SlotDecision.Granted, slot: this.#createSlot(pool, { label, upstream: answer.upstream, startedAtMs: this.#opts.clock.nowMs(), countedBy: coordinator }) }
+  }
+
+  track ({ pool, usefulMs }: PoolRequest, upstream: string): PoolSlot {
+    return this.#createSlot(pool, { label: this.#createLabel(usefulMs), upstream, startedAtMs: this.#opts.clock.nowMs() })
+  }
+
+  recordAnswer (pool: string, upstream: string, call: CallDuration): void {
+    const detector = this.#detectors.get(pool) ?? new ShortageDetector()
+    this.#detectors.set(pool, detector)
+    if (detector.record(upstream, call, this.#opts.clock.nowMs())) this.#reportShortage(pool)
+  }
+
+  recordFull (pool: string): void {
+    this.#reportShortage(pool)
+  }
+
+  /** Adds reports of other boxes and passes news on. */
+  receive (shortages: readonly PoolShortage[]): void {
+    this.#opts.broadcast(shortages.filter((shortage) => this.#add(shortage)))
+  }
+
+  /** Another box asks this one as the coordinator of a pool, so the pool is short. */
+  recordAsked (pool: string): void {
+    if (!this.isShort(pool)) this.#add({ pool, forMs: SHORT_FOR_MS, ageMs: 0 })
+  }
+
+  /** Drops the statistics of all other pools. */
+  retain (pools: ReadonlySet<string>): void {
+    [...this.#detectors.keys()].filter((pool) => !pools.has(pool)).forEach((pool) => this.#detectors.delete(pool))
+  }
+
+  async stop (): Promise<void> {
+    await this.#tasks.stop()
+  }
+
+  #reportShortage (pool: string, limit?: number): void {
+    const shortage = { pool, limit, forMs: SHORT_FOR_MS, ageMs: 0 }
+    if (this.#add(shortage)) this.#opts.broadcast([shortage])
+  }
+
+  #add (shortage: PoolShortage): boolean {
+    const { clock, onShort } = this.#opts
+    const wasShort = this.isShort(shortage.pool)
+    const added = this.#shortages.add(shortage, clock.nowMs())
+    if (added && !wasShort) onShort?.(shortage.pool)
+    if (added) this.#watchEnd(shortage.pool)
+    return added
+  }
+
+  /** Extends the shortage of a pool that this box coordinates while it lasts, and cleans up after its end. */
+  #watchEnd (pool: string): void {
+    if (this.#watched.has(pool)) return
+    this.#watched.add(pool)
+    this.#tasks.run(async () => {
+      const { clock, coordinator, onEnough } = this.#opts
+      while (this.isShort(pool) && !this.#tasks.stopped) {
+        await clock.sleep(Math.min(EXTEND_INTERVAL_MS, this.#shortages.remainingMs(pool, clock.nowMs())), { signal: this.#tasks.signal })
+        if (coordinator.isShort(pool)) this.#reportShortage(pool, coordinator.limitOf(pool))
+      }
+      if (this.#tasks.stopped) return
+      this.#watched.delete(pool)
+      this.#reportedTo.delete(pool)
+      coordinator.forget(pool)
+      onEnough?.(pool, this.#shortages.remove(pool, clock.nowMs()))
+    })
+  }
+
+  /** Acts within an even share of what the pool can take. Without an announced limit, as if the pool were not short. */
+  #decideAlone (pool: string): SlotAnswer {
+    const { members, self } = this.#opts
+    const limit = this.#shortages.limitOf(pool)
+    const share = limit === undefined ? Number.POSITIVE_INFINITY : Math.max(1, SHARE_FACTOR * limit / Math.max(1, members().length))
+    if ((this.#running.get(pool)?.size ?? 0) < share) return { decision: SlotDecision.OwnChoice }
+    return { decision: SlotDecision.Refused, retryAfterMs: OWN_REFUSAL_RETRY_MS, decidedBy: self().name }
+  }
+
+  async #askCoordinators (pool: string, call: PoolCall, [coordinator, ...others]: readonly Member[], signal: AbortSignal): Promise<{ answer: PoolAnswer, coordinator: Member } | undefined> {
+    if (!coordinator) return undefined
+    const answer = this.#unansweredBy(coordinator) ? undefined : await this.#askUntilDecided(pool, call, coordinator, signal)
+    if (answer) return { answer, coordinator }
+    return this.#unansweredBy(coordinator)?.exited && !signal.aborted ? this.#askCoordinators(pool, call, others, signal) : undefined
+  }
+
+  /** Asks again under the same label while the call waits. Withdraws it if the caller disconnects. */
+  async #askUntilDecided (pool: string, call: PoolCall, coordinator: Member, signal: AbortSignal): Promise<PoolAnswer | undefined> {
+    const startedAtMs = this.#opts.clock.nowMs()
+    for (;;) {
+      const answer = await this.#ask(pool, agedCall(call, this.#opts.clock.nowMs() - startedAtMs), coordinator)
+      if (signal.aborted || answer === undefined) this.#sendRelease(pool, { label: call.label, countedBy: coordinator }, PoolCallOutcome.NotSent)
+      if (signal.aborted) return undefined
+      if (answer?.outcome !== PoolOutcome.Waiting) return answer
+    }
+  }
+
+  async #ask (pool: string, call: PoolCall, coordinator: Member): Promise<PoolAnswer | undefined> {
+    const { clock, coordinator: own, link, self } = this.#opts
+    const running = this.#unreportedCalls(pool, coordinator)
+    if (coordinator.incarnation === self().incarnation) return own.acquire(pool, call, running)
+    try {
+      const message = await link.call(coordinator.peerAddress, { type: MessageType.PoolAcquire, pool, call, running }, { timeoutMs: COORDINATOR_TIMEOUT_MS, repeatable: false })
+      return message.type === MessageType.PoolAcquired ? message.answer : undefined
+    } catch (thrown) {
+      // The link logs the failure.
+      const exited = thrown instanceof PeerLinkError && thrown.refused
+      this.#unanswered.set(coordinator.incarnation, { untilMs: clock.nowMs() + SKIP_UNANSWERED_MS, exited })
+      this.#reportedTo.delete(pool)
+      return undefined
+    }
+  }
+
+  /** This box's calls in flight, for a coordinator that does not know them. */
+  #unreportedCalls (pool: string, coordinator: Member) {
+    if (this.#reportedTo.get(pool) === coordinator.incarnation) return undefined
+    this.#reportedTo.set(pool, coordinator.incarnation)
+    const nowMs = this.#opts.clock.nowMs()
+    const calls = [...this.#running.get(pool)?.values() ?? []]
+    calls.forEach((tracked) => { tracked.countedBy = coordinator })
+    return calls.map(({ label, upstream, startedAtMs }) => ({ label, upstream, ageMs: nowMs - startedAtMs }))
+  }
+
+  #createSlot (pool: string, tracked: TrackedCall): PoolSlot {
+    const calls = this.#running.get(pool) ?? new Map<string, TrackedCall>()
+    const key = holdLabelKey(tracked.label)
+    this.#running.set(pool, calls)
+    calls.set(key, tracked)
+    return {
+      upstream: tracked.upstream,
+      release: (outcome, durationMs) => {
+        if (calls.delete(key)) this.#sendRelease(pool, tracked, outcome, durationMs)
+      },
+    }
+  }
+
+  #sendRelease (pool: string, { label, countedBy }: Pick<TrackedCall, 'label' | 'countedBy'>, outcome: PoolCallOutcome, durationMs?: number): void {
+    const { coordinator, link, self } = this.#opts
+    if (!countedBy) return
+    if (countedBy.incarnation === self().incarnation) return coordinator.release(pool, label, outcome, durationMs)
+    // The link logs a failure. The coordinator drops the call at its deadline.
+    link.call(countedBy.peerAddress, { type: MessageType.PoolRelease, pool, label, outcome, durationMs }, { timeoutMs: RELEASE_TIMEOUT_MS, repeatable: true }).catch(() => {})
+  }
+
+  #createLabel (usefulMs: number): HoldLabel {
+    const { peerAddress, incarnation } = this.#opts.self()
+    return { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: String(this.#sequence++), maxHoldMs: Math.max(0, usefulMs) }
+  }
+
+  #unansweredBy ({ incarnation }: Member): UnansweredCall | undefined {
+    const unanswered = this.#unanswered.get(incarnation)
+    if (!unanswered || unanswered.untilMs > this.#opts.clock.nowMs()) return unanswered
+    this.#unanswered.delete(incarnation)
+    return undefined
+  }
+
+  #coordinatorsOf (pool: string): readonly Member[] {
+    const members = this.#opts.members()
+    if (members !== this.#coordinatorsAmong) {
+      this.#coordinatorsAmong = members
+      this.#coordinators.clear()
+    }
+    const known = this.#coordinators.get(pool)
+    if (known) return known
+    const coordinators = rankByRendezvous(`pool|${pool}`, [...members], ({ incarnation }) => incarnation).slice(0, COORDINATOR_CANDIDATES)
+    this.#coordinators.set(pool, coordinators)
+    return coordinators
+  }
+}
+
+function agedCall (call: PoolCall, ageMs: number): PoolCall {
+  return { ...call, inTimeMs: call.inTimeMs - ageMs, usefulMs: Math.max(0, call.usefulMs - ageMs) }
+}
--- a/scheduling/pool-admission/src/index.ts
+++ b/scheduling/pool-admission/src/index.ts
@@ -1,1 +1,10 @@
-export {}
+export { CoordinatedPools } from './coordinatedPools.js'
+export type { CoordinatedPoolsOptions } from './coordinatedPools.js'
+export { ConcurrencyEstimate } from './concurrencyEstimate.js'
+export { PoolAdmission } from './poolAdmission.js'
+export type { PoolAdmissionOptions, UpstreamLoad } from './poolAdmission.js'
+export { PoolCoordinator } from './poolCoordinator.js'
+export type { PoolCoordinatorOptions } from './poolCoordinator.js'
+export { PoolSlots, SlotDecision } from './poolSlots.js'
+export type { CallDuration, PoolRequest, PoolSlot, SlotAnswer } from './poolSlots.js'
+export { ShortageDetector } from './shortageDetector.js'
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -62,6 +62,10 @@
   UpstreamSignalUnreadable = 'upstreamSignalUnreadable',
   /** An upstream sends a header that this version does not know. */
   UpstreamHeaderUnknown = 'upstreamHeaderUnknown',
+  /** A service pool has become short of capacity, or is no longer. */
+  PoolShortageChanged = 'poolShortageChanged',
+  /** A call was refused since its pool is short of capacity and cannot serve it in time. */
+  PoolCallRefused = 'poolCallRefused',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
   EngineCallFailed = 'engineCallFailed',
