feat(scheduling.pool-admission): limits that start high, rise through a short queue and are probed one upstream at a time

Limits that started at 4 and were cut at a quarter more than the unloaded duration refused 1 to 3 of 100 calls at 0.85 and 0.9 of the capacity, where all were served without them; probes of all upstreams coincided.

--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '@reelspan/core.env'
 import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, type UpstreamSignals } from '@reelspan/upstream.client'
 import { type FakeNetwork } from './fakeNetwork.js'
+import { type SlottedUpstream } from './slottedUpstream.js'
 import { type NodeClock } from './nodeClock.js'
 
 /** A relayed request that has reached an upstream. */
@@ -43,6 +44,8 @@
   signalsOf: (upstream: string, boxAddress: string) => Partial<UpstreamSignals> = () => ({})
   /** Status with which an upstream refuses requests of a box without running them; undefined if it runs them. */
   refusalStatusOf: (upstream: string, boxAddress: string) => number | undefined = () => undefined
+  /** Upstreams that run a limited number of requests at once, by name. Others run all that they get. */
+  readonly slotted = new Map<string, SlottedUpstream>()
   readonly #opts: RelayedUpstreamsOptions
   /** By address; aborted when the process there exits. */
   readonly #processes = new Map<string, AbortController>()
@@ -116,6 +119,8 @@
     await this.#deliver(target, request, opts, false)
     const status = this.#refusalStatusOf(target)
     if (status !== undefined) return this.#refuse(target, opts, status)
+    const slotted = this.#opts.upstreams.slotted.get(target.instance)
+    if (slotted) return this.#runSlotted(slotted, target, opts)
     const answer = this.#opts.upstreams.run(target, request, opts)
     this.#advertise(target, opts, true)
     return answer
@@ -135,6 +140,13 @@
 
   async free (_source: PrefillSource): Promise<void> {}
 
+  async #runSlotted (slotted: SlottedUpstream, target: RelayTarget, opts: RelayRunOptions): Promise<RelayAnswer> {
+    if (slotted.isFull) return this.#refuse(target, opts, 503)
+    await slotted.run(opts.signal)
+    if (opts.signal.aborted) throw connectionClosed(target.address)
+    return { status: 200, notRun: false, headers: [], body: oneChunk() }
+  }
+
   #refusalStatusOf ({ instance }: RelayTarget): number | undefined {
     const { upstreams, address } = this.#opts
     return upstreams.refusalStatusOf(instance, address)
@@ -169,6 +181,10 @@
   })
 }
 
+async function * oneChunk (): AsyncGenerator<Uint8Array> {
+  yield Buffer.from('done')
+}
+
 async function * emptyBody (): AsyncGenerator<Uint8Array> {}
 
 function connectionClosed (address: string): UpstreamError {
--- a/request/relay/src/pickPermittedUpstream.ts
+++ b/request/relay/src/pickPermittedUpstream.ts
@@ -56,6 +56,7 @@
 async function acquireSlot (context: RelayContext, pool: string, excluded: ReadonlySet<string>): Promise<SlotAnswer> {
   const { opts, run } = context
   const answer = await opts.pools.acquire(poolRequest(context, pool), [...excluded, ...suspectsOf(context, pool, excluded)], run.signal)
+  opts.metrics.count('reelspan_pool_slots_total', { pool, decision: answer.decision })
   try {
     await run.checkBeforeSend()
     return answer
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -1,10 +1,11 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, Configuration, ResourceKind } from '@reelspan/config.resources'
-import { type EngineOutcome, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
+import { type EngineOutcome, PlacementOutcome, type PlacementRefusal, type PoolCallOutcome } from '@reelspan/core.messages'
 import { EvenShareLimiter } from '@reelspan/membership.limits'
 import { InterruptedRuns, type InterruptedRunsOptions, Quarantine, RunHistory } from '@reelspan/request.quarantine'
 import { Relay, type RelayOptions } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
+import { type PoolRequest, type PoolSlot, PoolSlots, type SlotAnswer } from '@reelspan/scheduling.pool-admission'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamProbeResult, UpstreamProbe } from '@reelspan/upstream.client'
@@ -155,6 +156,45 @@
   }
 }
 
+/** Answers acquisitions of slots as scripted, and records how slots were released. A pool is short of capacity while answers are left. */
+export class ScriptedPools extends PoolSlots {
+  answers: ((request: PoolRequest, avoid: readonly string[], signal: AbortSignal) => SlotAnswer | Promise<SlotAnswer>)[] = []
+  readonly released: { upstream: string, outcome: PoolCallOutcome }[] = []
+  tracked = 0
+  full = 0
+
+  isShort (): boolean {
+    return this.answers.length > 0
+  }
+
+  async acquire (request: PoolRequest, avoid: readonly string[], signal: AbortSignal): Promise<SlotAnswer> {
+    const [answer] = this.answers.splice(0, 1)
+    return answer(request, avoid, signal)
+  }
+
+  track (_request: PoolRequest, upstream: string): PoolSlot {
+    this.tracked++
+    return this.slot(upstream)
+  }
+
+  slot (upstream: string): PoolSlot {
+    let held = true
+    return {
+      upstream,
+      release: (outcome) => {
+        if (held) this.released.push({ upstream, outcome })
+        held = false
+      },
+    }
+  }
+
+  recordAnswer (): void {}
+
+  recordFull (): void {
+    this.full++
+  }
+}
+
 class RecordingLog extends Log {
   readonly entries: { event: LogEvent, fields?: LogFields }[] = []
 
@@ -216,6 +256,7 @@
   const upstreamStates = new UpstreamStates({ clock, log, isListed: () => true })
   const backoffs = new Backoffs({ clock, log })
   const signals = new SignalObserver({ clock, log, states: upstreamStates, backoffs })
+  const pools = new ScriptedPools()
   const limiter = new EvenShareLimiter({
     clock,
     configOf: (upstream) => {
@@ -234,6 +275,7 @@
     backoffs,
     upstreamStates,
     permits: new SendPermits({ clock, states: upstreamStates, backoffs, limiter, metrics }),
+    pools,
     retryTimes: new RetryTimes({ clock, boxCount: () => 1 }),
     onClosedUnanswered: (upstream) => { reports.add({ id: `own-${closedUnanswered.push(upstream)}`, upstream, box: 'test', ageMs: 0 }) },
     configuration: () => clock.nowMs() - startedAtMs >= configuredAfterMs ? configuration : new Configuration(0, []),
@@ -250,7 +292,7 @@
     log,
     metrics,
   })
-  return { clock, relay, upstreams, upstreamStates, backoffs, signals, placer, probe, quarantine, log, engines, reports, closedUnanswered }
+  return { clock, relay, upstreams, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, engines, reports, closedUnanswered }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
--- a/scheduling/pool-admission/src/concurrencyEstimate.ts
+++ b/scheduling/pool-admission/src/concurrencyEstimate.ts
@@ -1,17 +1,17 @@
 /** Calls over which the expected duration is the median. */
 const RECENT_CALLS = 12
-/** Fewer than most upstreams take, so that a queue that formed in the upstream drains while its limit is learned. */
-const INITIAL_LIMIT = 4
+/** Too low a limit refuses calls that could be served; too high a limit only delays calls until it is learned. */
+const INITIAL_LIMIT = 8
 /** Calls by which a limit is judged, at least; a third of them may be affected by a stall. */
 const MIN_WINDOW_CALLS = 12
 /** Windows grow with the limit, so that each covers about two calls per slot. */
 const WINDOW_CALLS_PER_SLOT = 2
 /** Durations are judged by this quantile: a stall delays up to one call per slot, which is half of a window. */
 const JUDGED_QUANTILE = 0.3
-/** Below this ratio to the unloaded duration no call waits inside the upstream. */
-const UNLOADED_RATIO = 1.1
-/** Above this ratio calls wait inside the upstream. One call more than an upstream of 6 slots runs gives 1.17. */
-const QUEUED_RATIO = 1.25
+/** Below this ratio to the unloaded duration the limit rises. One call more than an upstream of 6 slots runs gives 1.17: a short queue keeps all slots busy. */
+const UNLOADED_RATIO = 1.25
+/** Above this ratio the limit falls. Three calls more than an upstream of 6 slots runs give 1.5; narrower thresholds cut the limit below the slots when durations vary by a fifth. */
+const QUEUED_RATIO = 1.5
 /** Growth per window until the first sign of a queue. */
 const START_GROWTH = 1.5
 /** A limit is cut to no less than this share at once. */
@@ -35,9 +35,10 @@
  * the upstream. If calls take as long after a cut as before, the upstream has become slower and the cut is undone.
  */
 export class ConcurrencyEstimate {
+  readonly #mayProbe: () => boolean
   #limit: number
   #changedAtMs: number
-  #probedAtMs: number
+  #probedAtMs = Number.NEGATIVE_INFINITY
   #unloadedMs?: number
   #recentMs: number[] = []
   #durationMs?: number
@@ -46,10 +47,16 @@
   #cut?: Cut
   #window: number[] = []
 
-  constructor (nowMs: number, initialLimit = INITIAL_LIMIT) {
+  /** @param mayProbe whether no other upstream is being measured at a lower limit */
+  constructor (nowMs: number, mayProbe: () => boolean, initialLimit = INITIAL_LIMIT) {
+    this.#mayProbe = mayProbe
     this.#limit = Math.max(1, initialLimit)
     this.#changedAtMs = nowMs
-    this.#probedAtMs = nowMs
+  }
+
+  /** Whether the unloaded duration is being measured at a lower limit. */
+  get isProbing (): boolean {
+    return this.#probing
   }
 
   /** Concurrent calls that the upstream may have. */
@@ -97,7 +104,7 @@
     this.#unloadedMs = Math.min(judgedMs, this.#unloadedMs ?? judgedMs)
     const ratio = judgedMs / this.#unloadedMs
     if (ratio > QUEUED_RATIO) return this.#cutBy(Math.max(MIN_CUT, 1 / ratio), judgedMs, nowMs)
-    if (!this.#starting && nowMs - this.#probedAtMs >= PROBE_INTERVAL_MS) return this.#startProbe(nowMs)
+    if (!this.#starting && nowMs - this.#probedAtMs >= PROBE_INTERVAL_MS && this.#mayProbe()) return this.#startProbe(nowMs)
     if (ratio <= UNLOADED_RATIO) this.#setLimit(this.#starting ? START_GROWTH * this.#limit : this.#limit + 1, nowMs)
   }
 
--- a/scheduling/pool-admission/src/poolAdmission.ts
+++ b/scheduling/pool-admission/src/poolAdmission.ts
@@ -263,10 +263,15 @@
 
   #trackUpstreams (nowMs: number): void {
     const listed = this.#opts.upstreams()
-    listed.filter((name) => !this.#estimates.has(name)).forEach((name) => this.#estimates.set(name, new ConcurrencyEstimate(nowMs, this.#opts.initialLimit)))
+    listed.filter((name) => !this.#estimates.has(name)).forEach((name) => this.#estimates.set(name, new ConcurrencyEstimate(nowMs, () => this.#mayProbe(), this.#opts.initialLimit)))
     if (this.#estimates.size > listed.length) [...this.#estimates.keys()].filter((name) => !listed.includes(name)).forEach((name) => this.#estimates.delete(name))
   }
 
+  /** Probes of several upstreams at once would take too much of the pool's capacity. */
+  #mayProbe (): boolean {
+    return ![...this.#estimates.values()].some(({ isProbing }) => isProbing)
+  }
+
   #estimateOf (upstream: string): ConcurrencyEstimate {
     return this.#estimates.get(upstream) as ConcurrencyEstimate
   }
--- a/scheduling/pool-admission/src/retryPromises.ts
+++ b/scheduling/pool-admission/src/retryPromises.ts
@@ -1,5 +1,5 @@
 /** Share of the pool's rate that is promised to callers that return. The rest serves first attempts. */
-const PROMISED_SHARE = 0.25
+const PROMISED_SHARE = 0.1
 /** Callers are never told to wait longer. */
 const MAX_DELAY_MS = 5000
 /** Callers honour a delay of up to this share of their remaining time; a longer one is not remembered. */
