--- a/scheduling/pool-admission/src/concurrencyEstimate.ts
+++ b/scheduling/pool-admission/src/concurrencyEstimate.ts
@@ -18,10 +18,10 @@
 const MIN_CUT = 0.5
 /** Cut when an upstream refuses a call as full. */
 const FULL_CUT = 0.85
-/** The unloaded duration is measured again at a lower limit at this interval, since it may have changed. Costs some 0.5 % of the capacity. */
-const PROBE_INTERVAL_MS = 5000
-/** Low enough that an upstream at its limit has no queue during a probe. */
-const PROBE_SHARE = 0.75
+/** The unloaded duration is measured again at a lower limit at this interval, since it may have changed. Costs some 1 % of an upstream's capacity. */
+const PROBE_INTERVAL_MS = 8000
+/** Low enough that an upstream at its limit has no queue during a probe: limits reach 1.5 times the slots. */
+const PROBE_SHARE = 0.6
 
 interface Cut {
   limitBefore: number
