--- a/scheduling/pool-admission/src/coordinatedPools.ts
+++ b/scheduling/pool-admission/src/coordinatedPools.ts
@@ -130,11 +130,6 @@
     if (!this.isShort(pool)) this.#add({ pool, forMs: SHORT_FOR_MS, ageMs: 0 })
   }
 
-  /** Drops the statistics of all other pools. */
-  retain (pools: ReadonlySet<string>): void {
-    [...this.#detectors.keys()].filter((pool) => !pools.has(pool)).forEach((pool) => this.#detectors.delete(pool))
-  }
-
   async stop (): Promise<void> {
     await this.#tasks.stop()
   }
@@ -192,7 +187,7 @@
     const startedAtMs = this.#opts.clock.nowMs()
     for (;;) {
       const answer = await this.#ask(pool, agedCall(call, this.#opts.clock.nowMs() - startedAtMs), coordinator)
-      if (signal.aborted || answer === undefined) this.#sendRelease(pool, { label: call.label, countedBy: coordinator }, PoolCallOutcome.NotSent)
+      if (signal.aborted && answer) this.#withdraw(pool, call, coordinator)
       if (signal.aborted) return undefined
       if (answer?.outcome !== PoolOutcome.Waiting) return answer
     }
@@ -210,10 +205,16 @@
       const exited = thrown instanceof PeerLinkError && thrown.refused
       this.#unanswered.set(coordinator.incarnation, { untilMs: clock.nowMs() + SKIP_UNANSWERED_MS, exited })
       this.#reportedTo.delete(pool)
+      if (thrown instanceof PeerLinkError && thrown.mayHaveArrived) this.#withdraw(pool, call, coordinator)
       return undefined
     }
   }
 
+  /** Ends a call at the coordinator that was not sent. */
+  #withdraw (pool: string, { label }: PoolCall, countedBy: Member): void {
+    this.#sendRelease(pool, { label, countedBy }, PoolCallOutcome.NotSent)
+  }
+
   /** This box's calls in flight, for a coordinator that does not know them. */
   #unreportedCalls (pool: string, coordinator: Member) {
     if (this.#reportedTo.get(pool) === coordinator.incarnation) return undefined
--- a/scheduling/pool-admission/src/poolAdmission.ts
+++ b/scheduling/pool-admission/src/poolAdmission.ts
@@ -72,10 +72,6 @@
     return this.#waiting.size
   }
 
-  get isIdle (): boolean {
-    return this.#waiting.size === 0 && this.#running.size === 0
-  }
-
   /** Concurrent calls that all upstreams can take together. */
   get limit (): number {
     return this.#opts.upstreams().reduce((sum, name) => sum + (this.#estimates.get(name)?.limit ?? 0), 0)
--- a/scheduling/pool-admission/src/poolShortages.ts
+++ b/scheduling/pool-admission/src/poolShortages.ts
@@ -13,10 +13,6 @@
 export class PoolShortages {
   readonly #known = new Map<string, KnownShortage>()
 
-  get pools (): string[] {
-    return [...this.#known.keys()]
-  }
-
   isShort (pool: string, nowMs: number): boolean {
     const known = this.#known.get(pool)
     return known !== undefined && nowMs < known.untilMs
