fix(scheduling.pool-admission): robust where upstreams are full of calls that were sent without the coordinator

Now a silent coordinator is skipped for 300 ms, boxes alone keep shares of their own calls, an upstream that refuses as full gets no call for half a duration, calls within their share wait as long as they are useful if another account is over its share, and a 421 is no sign of shortage.

--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -21,6 +21,7 @@
 import { type CachedStateAges } from './cachedStateAges.js'
 import { type Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
+import { type AccountWeights } from './createPoolAdmissionParts.js'
 import { type FailureLog } from './failureLog.js'
 import { type PeerDispatch } from './peerDispatch.js'
 import { type ConnectionShares } from './connectionShares.js'
@@ -76,6 +77,8 @@
   /** State of the pools that this box coordinates. */
   poolCoordinator: PoolCoordinator
   poolBroadcaster: Broadcaster<PoolShortage>
+  /** Weights of client accounts in the shares of service pools. */
+  poolWeights: AccountWeights
   /** Attempts during which an upstream process ended, at any box. */
   runHistory: RunHistory
   runGossip: Gossip<RunEvent>
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -16,7 +16,7 @@
 import { createPlatformContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
 import { createPermitBuckets, createPermitLimiter, createPermits, createRetryTimes } from './createLimitParts.js'
 import { createPlacer } from './createPlacer.js'
-import { createPoolBroadcaster, createPoolCoordinator, createPools } from './createPoolAdmissionParts.js'
+import { createPoolBroadcaster, createPoolCoordinator, createPools, createPoolWeights } from './createPoolAdmissionParts.js'
 import { createInterruptedRuns, createOwner, createQuarantine, createRecords, createRelay, createReportBroadcast, createRunGossip, recordTtlMs } from './createRequestParts.js'
 import { createBackoffs, createSignalObserver, createUpstreamStateGossip, createUpstreamStates } from './createSignalParts.js'
 import { generateIncarnation } from './generateIncarnation.js'
@@ -66,6 +66,7 @@
     retryTimes: asFunction(createRetryTimes).singleton(),
     pools: asFunction(createPools).singleton(),
     poolCoordinator: asFunction(createPoolCoordinator).singleton(),
+    poolWeights: asFunction(createPoolWeights).singleton(),
     poolBroadcaster: asFunction(createPoolBroadcaster).singleton(),
     runHistory: asFunction((parts: BoxParts) => new RunHistory(parts)).singleton(),
     runGossip: asFunction(createRunGossip).singleton(),
--- a/box/runtime/src/createPoolAdmissionParts.ts
+++ b/box/runtime/src/createPoolAdmissionParts.ts
@@ -10,26 +10,30 @@
 
 /** State of the service pools that this box coordinates. */
 export function createPoolCoordinator (parts: BoxParts): PoolCoordinator {
-  const { clock, declarations, fleet, upstreamReports } = parts
-  const weights = new AccountWeights(() => declarations.value)
+  const { clock, fleet, poolWeights, upstreamReports } = parts
   return new PoolCoordinator({
     clock,
     upstreamsOf: (pool) => fleet.value.takingWork(pool).map(({ name }) => name),
     isFailing: (upstream) => upstreamReports.isFailing(upstream),
-    weightOf: (account) => weights.of(account),
+    weightOf: (account) => poolWeights.of(account),
     announcedLimitOf: (pool) => parts.pools.limitOf(pool),
     onTaskError: (thrown) => parts.failures.recordTask('poolCoordinator', thrown),
   })
 }
 
+export function createPoolWeights ({ declarations }: BoxParts): AccountWeights {
+  return new AccountWeights(() => declarations.value)
+}
+
 export function createPools (parts: BoxParts): CoordinatedPools {
-  const { clock, link, log, metrics, poolBroadcaster, poolCoordinator, view } = parts
+  const { clock, link, log, metrics, poolBroadcaster, poolCoordinator, poolWeights, view } = parts
   return new CoordinatedPools({
     clock,
     link,
     coordinator: poolCoordinator,
     members: () => view.takingWork(),
     self: () => view.self,
+    weightOf: (account) => poolWeights.of(account),
     broadcast: (shortages) => poolBroadcaster.broadcast(shortages),
     onShort: (pool) => {
       metrics.count('reelspan_pool_shortages_total', { pool })
@@ -55,7 +59,7 @@
 }
 
 /** Weights of client accounts, relative to their mean. The weight of an account is the rate of its limit if that counts tokens; others have the mean. */
-class AccountWeights {
+export class AccountWeights {
   readonly #configuration: () => Configuration
   #of?: Configuration
   #weights = new Map<string, number>()
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -3,6 +3,9 @@
 import { drainAnswer } from './drainAnswer.js'
 import { type RelayContext } from './relayContext.js'
 
+/** Status of an upstream that is not the one that the request was sent to, such as a later start at the same address. */
+const MISDIRECTED_STATUS = 421
+
 /**
  * An upstream with the permit to send it one request. Every request needs a permit: an upstream's limit is shared
  * by all boxes, and no box sees what the others send.
@@ -27,7 +30,7 @@
     const answer = await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, onSend }))
     if (!answer.notRun) return answer
     void drainAnswer(answer)
-    throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true })
+    throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: answer.status !== MISDIRECTED_STATUS })
   })
 }
 
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -81,7 +81,7 @@
       })
     } catch (thrown) {
       if (!run.signal.aborted && thrown instanceof UpstreamError) {
-        if (thrown.refused) this.#recordRefusal(picked)
+        if (thrown.refused) this.#recordRefusal(picked, thrown)
         else this.#recordOutcome(upstream, outcomeOf(thrown))
         if (thrown.interrupted && thrown.unreachable) this.#context.opts.onClosedUnanswered(upstream.name)
       }
@@ -104,10 +104,12 @@
   }
 
   /** A refusal without a backoff means that the upstream is full: counts it as a call that took the whole latency target. */
-  #recordRefusal ({ upstream: { name }, slot }: PermittedUpstream): void {
+  #recordRefusal ({ upstream: { name }, slot }: PermittedUpstream, { full }: UpstreamError): void {
     const { opts, picker, route } = this.#context
     if (opts.backoffs.remainingMs(name) > 0) return
     picker.recordLatency(name, route.spec.ttftTargetMs)
+    // An upstream that starts to drain refuses requests as well, and is then no longer a candidate.
+    if (!full || !this.#candidates().some((candidate) => candidate.name === name)) return
     opts.pools.recordFull(this.#pool)
     slot.release(PoolCallOutcome.Full)
   }
--- a/request/relay/test/poolSlots.ts
+++ b/request/relay/test/poolSlots.ts
@@ -11,6 +11,7 @@
 
 const done = async (): Promise<RelayAnswer> => ({ status: 200, notRun: false, headers: [], body: body() })
 const full = async (): Promise<RelayAnswer> => ({ status: 503, notRun: true, headers: [], body: body() })
+const misdirected = async (): Promise<RelayAnswer> => ({ status: 421, notRun: true, headers: [], body: body() })
 const granted = (pools: ScriptedPools, upstream: string) => ({ decision: SlotDecision.Granted as const, slot: pools.slot(upstream) })
 
 test('a call to a pool that is short of capacity goes to the granted upstream, and its slot is released with the outcome', async (t) => {
@@ -48,6 +49,12 @@
   t.deepEqual(pools.released, [{ upstream: 's1', outcome: PoolCallOutcome.Full }, { upstream: 's3', outcome: PoolCallOutcome.Answered }])
 })
 
+test('a request that reached another start of an upstream is no sign of shortage', async (t) => {
+  const { clock, relay, pools } = createRelay([misdirected, done])
+  await clock.run(relay.relay(requestTo('/fetch/1', { prompt: undefined }), new RecordingCaller()))
+  t.is(pools.full, 0)
+})
+
 test('a granted upstream that this box does not list is given back, and this box chooses one itself', async (t) => {
   const { clock, relay, pools } = createRelay([done])
   pools.answers = [() => granted(pools, 'unknown')]
--- a/scheduling/pool-admission/src/concurrencyEstimate.ts
+++ b/scheduling/pool-admission/src/concurrencyEstimate.ts
@@ -18,6 +18,11 @@
 const MIN_CUT = 0.5
 /** Cut when an upstream refuses a call as full. */
 const FULL_CUT = 0.85
+/** After a refusal as full no call is sent for this share of a duration, in which an upstream of some slots ends some calls. Otherwise each slot that a refused call frees leads to the next refusal and cut within 2 ms. */
+const FULL_PAUSE_DURATIONS = 0.5
+/** Used before a call has ended. */
+const DEFAULT_PAUSE_MS = 30
+const MAX_PAUSE_MS = 100
 /** The unloaded duration is measured again at a lower limit at this interval, since it may have changed. Costs some 1 % of an upstream's capacity. */
 const PROBE_INTERVAL_MS = 8000
 /** Low enough that an upstream at its limit has no queue during a probe: limits reach 1.5 times the slots. */
@@ -42,6 +47,7 @@
   #unloadedMs?: number
   #recentMs: number[] = []
   #durationMs?: number
+  #pausedUntilMs = Number.NEGATIVE_INFINITY
   #starting = true
   #probing = false
   #cut?: Cut
@@ -64,6 +70,11 @@
     return Math.max(1, Math.floor(this.#probing ? PROBE_SHARE * this.#limit : this.#limit))
   }
 
+  /** Whether the upstream has just refused a call as full. */
+  isPaused (nowMs: number): boolean {
+    return nowMs < this.#pausedUntilMs
+  }
+
   /** Expected duration of a call. Undefined until a call has ended. */
   get durationMs (): number | undefined {
     return this.#durationMs
@@ -86,6 +97,7 @@
   /** Records that the upstream refused a call as full. */
   recordFull (startedAtMs: number, nowMs: number): void {
     if (startedAtMs < this.#changedAtMs) return
+    this.#pausedUntilMs = nowMs + Math.min(MAX_PAUSE_MS, this.#durationMs === undefined ? DEFAULT_PAUSE_MS : FULL_PAUSE_DURATIONS * this.#durationMs)
     this.#starting = false
     this.#cut = undefined
     this.#setLimit(FULL_CUT * this.#limit, nowMs)
--- a/scheduling/pool-admission/src/coordinatedPools.ts
+++ b/scheduling/pool-admission/src/coordinatedPools.ts
@@ -1,6 +1,7 @@
 import { type Clock, TaskGroup } from '@reelspan/core.env'
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, PeerLinkError, type PoolAnswer, type PoolCall, PoolCallOutcome, PoolOutcome, type PoolShortage } from '@reelspan/core.messages'
+import { ClientShares } from '@reelspan/scheduling.client-shares'
 import { type PoolCoordinator } from './poolCoordinator.js'
 import { PoolShortages } from './poolShortages.js'
 import { type CallDuration, type PoolRequest, type PoolSlot, PoolSlots, type SlotAnswer, SlotDecision } from './poolSlots.js'
@@ -14,6 +15,8 @@
   /** Boxes that can be coordinators, including this one. Returns the same array until a member changes. */
   members: () => readonly Member[]
   self: () => Member
+  /** Weight of an account; the mean of all is about 1. */
+  weightOf: (account: string) => number
   /** Sends reports to all boxes. */
   broadcast: (shortages: readonly PoolShortage[]) => void
   onShort?: (pool: string) => void
@@ -24,8 +27,8 @@
 
 /** Many times the round trip to a coordinator, which answers within 30 ms even if the call still waits. */
 const COORDINATOR_TIMEOUT_MS = 50
-/** A coordinator that did not answer is skipped for about as long as it takes to become suspect. */
-const SKIP_UNANSWERED_MS = 1500
+/** A coordinator that did not answer is skipped for this time. It may only have been busy, and what boxes send without it displaces what it grants: 1.5 s filled the upstreams' queues. */
+const SKIP_UNANSWERED_MS = 300
 /** The coordinator, and the box that follows it once its process has exited. */
 const COORDINATOR_CANDIDATES = 2
 /** A pool counts as short for this long after the last sign: longer than the waves within a burst of some seconds. */
@@ -37,6 +40,8 @@
  * boxes, and the queues inside the upstreams hold what exceeds their slots.
  */
 const SHARE_FACTOR = 2
+/** Accounts over their share may use this part of what a box may use without a coordinator. */
+const OVER_SHARE_PART = 0.75
 /** Retry delay of a call beyond this box's share; about as long as a call to a service takes. */
 const OWN_REFUSAL_RETRY_MS = 100
 /** A message about the end of a call may be sent again, since it is idempotent. */
@@ -66,6 +71,8 @@
   readonly #shortages = new PoolShortages()
   readonly #detectors = new Map<string, ShortageDetector>()
   readonly #watched = new Set<string>()
+  /** Shares of accounts in this box's own calls, by pool, for when no coordinator answers. */
+  readonly #shares = new Map<string, ClientShares>()
   readonly #running = new Map<string, Map<string, TrackedCall>>()
   /** Coordinators to which this box has reported its calls in flight, by pool. */
   readonly #reportedTo = new Map<string, string>()
@@ -99,15 +106,15 @@
     const label = this.#createLabel(usefulMs)
     const call: PoolCall = { label, account, urgency, inTimeMs, usefulMs: Math.max(0, usefulMs), avoid: [...avoid], returnId: returnId() }
     const answered = await this.#askCoordinators(pool, call, this.#coordinatorsOf(pool), signal)
-    if (!answered) return this.#decideAlone(pool)
+    if (!answered) return this.#decideAlone(request)
     const { answer, coordinator } = answered
     if (answer.outcome === PoolOutcome.Refused) return { decision: SlotDecision.Refused, retryAfterMs: answer.retryAfterMs ?? OWN_REFUSAL_RETRY_MS, overShare: answer.overShare, decidedBy: coordinator.name }
     if (answer.outcome !== PoolOutcome.Granted || answer.upstream === undefined) return { decision: SlotDecision.OwnChoice }
-    return { decision: SlotDecision.Granted, slot: this.#createSlot(pool, { label, upstream: answer.upstream, startedAtMs: this.#opts.clock.nowMs(), countedBy: coordinator }) }
+    return { decision: SlotDecision.Granted, slot: this.#createSlot(pool, { label, upstream: answer.upstream, startedAtMs: this.#opts.clock.nowMs(), countedBy: coordinator }, account) }
   }
 
-  track ({ pool, usefulMs }: PoolRequest, upstream: string): PoolSlot {
-    return this.#createSlot(pool, { label: this.#createLabel(usefulMs), upstream, startedAtMs: this.#opts.clock.nowMs() })
+  track ({ pool, account, usefulMs }: PoolRequest, upstream: string): PoolSlot {
+    return this.#createSlot(pool, { label: this.#createLabel(usefulMs), upstream, startedAtMs: this.#opts.clock.nowMs() }, account)
   }
 
   recordAnswer (pool: string, upstream: string, call: CallDuration): void {
@@ -161,18 +168,20 @@
       if (this.#tasks.stopped) return
       this.#watched.delete(pool)
       this.#reportedTo.delete(pool)
+      this.#shares.delete(pool)
       coordinator.forget(pool)
       onEnough?.(pool, this.#shortages.remove(pool, clock.nowMs()))
     })
   }
 
   /** Acts within an even share of what the pool can take. Without an announced limit, as if the pool were not short. */
-  #decideAlone (pool: string): SlotAnswer {
-    const { members, self } = this.#opts
+  #decideAlone ({ pool, account }: PoolRequest): SlotAnswer {
+    const { clock, members, self } = this.#opts
     const limit = this.#shortages.limitOf(pool)
-    const share = limit === undefined ? Number.POSITIVE_INFINITY : Math.max(1, SHARE_FACTOR * limit / Math.max(1, members().length))
-    if ((this.#running.get(pool)?.size ?? 0) < share) return { decision: SlotDecision.OwnChoice }
-    return { decision: SlotDecision.Refused, retryAfterMs: OWN_REFUSAL_RETRY_MS, decidedBy: self().name }
+    const overShare = this.#shares.get(pool)?.isOverShare(account, clock.nowMs()) ?? false
+    const evenShare = limit === undefined ? Number.POSITIVE_INFINITY : SHARE_FACTOR * limit / Math.max(1, members().length)
+    if ((this.#running.get(pool)?.size ?? 0) < Math.max(1, overShare ? OVER_SHARE_PART * evenShare : evenShare)) return { decision: SlotDecision.OwnChoice }
+    return { decision: SlotDecision.Refused, retryAfterMs: OWN_REFUSAL_RETRY_MS, overShare, decidedBy: self().name }
   }
 
   async #askCoordinators (pool: string, call: PoolCall, [coordinator, ...others]: readonly Member[], signal: AbortSignal): Promise<{ answer: PoolAnswer, coordinator: Member } | undefined> {
@@ -225,7 +234,7 @@
     return calls.map(({ label, upstream, startedAtMs }) => ({ label, upstream, ageMs: nowMs - startedAtMs }))
   }
 
-  #createSlot (pool: string, tracked: TrackedCall): PoolSlot {
+  #createSlot (pool: string, tracked: TrackedCall, account: string): PoolSlot {
     const calls = this.#running.get(pool) ?? new Map<string, TrackedCall>()
     const key = holdLabelKey(tracked.label)
     this.#running.set(pool, calls)
@@ -233,11 +242,20 @@
     return {
       upstream: tracked.upstream,
       release: (outcome, durationMs) => {
-        if (calls.delete(key)) this.#sendRelease(pool, tracked, outcome, durationMs)
+        if (!calls.delete(key)) return
+        if (durationMs !== undefined && this.isShort(pool)) this.#charge(pool, account, durationMs)
+        this.#sendRelease(pool, tracked, outcome, durationMs)
       },
     }
   }
 
+  #charge (pool: string, account: string, durationMs: number): void {
+    const { clock, weightOf } = this.#opts
+    const shares = this.#shares.get(pool) ?? new ClientShares()
+    this.#shares.set(pool, shares)
+    shares.charge(account, durationMs, weightOf(account), clock.nowMs())
+  }
+
   #sendRelease (pool: string, { label, countedBy }: Pick<TrackedCall, 'label' | 'countedBy'>, outcome: PoolCallOutcome, durationMs?: number): void {
     const { coordinator, link, self } = this.#opts
     if (!countedBy) return
--- a/scheduling/pool-admission/src/poolAdmission.ts
+++ b/scheduling/pool-admission/src/poolAdmission.ts
@@ -23,6 +23,10 @@
 const IN_TIME_DURATIONS = 1.25
 /** A call that cannot be in time still waits for this share of a duration: among calls that are all late, the order decides who is served. */
 const LATE_WAIT_DURATIONS = 0.5
+/** Accounts are checked for excess at this interval; their shares change over seconds. */
+const EXCESS_CHECK_MS = 100
+/** The use of an account has decayed after this time. */
+const USE_RETENTION_MS = 20_000
 /** A sign of shortage holds for this long. */
 const SIGN_HOLD_MS = 1000
 /** A coordinator stops to wait for the end of a call after its deadline and this time, for the way of the message. */
@@ -34,6 +38,8 @@
 interface UpstreamView {
   name: string
   limit: number
+  /** It has just refused a call as full. */
+  paused: boolean
   /** Expected duration of a call, if one has ended. */
   durationMs?: number
 }
@@ -44,6 +50,8 @@
   /** Upstreams that do not fail, or all if there is no other. */
   working: readonly UpstreamView[]
   ratePerMs: number
+  /** Some account is over its share, so that calls of the others go first. */
+  anyOverShare: boolean
   isOverShare: (account: string) => boolean
 }
 
@@ -79,6 +87,10 @@
   readonly #waiting = new Map<string, WaitingCall>()
   /** Calls that were not granted, in the order of the decisions. */
   readonly #refused = new Map<string, { answer: PoolAnswer, atMs: number }>()
+  /** When accounts last used the pool. */
+  readonly #usedAtMs = new Map<string, number>()
+  #anyOverShare = false
+  #excessCheckedAtMs = Number.NEGATIVE_INFINITY
   #shortSignAtMs = Number.NEGATIVE_INFINITY
 
   constructor (opts: PoolAdmissionOptions) {
@@ -212,7 +224,7 @@
 
   /** The upstream with a free slot that likely answers first. One that would answer late is used only if waiting for another one is in vain. */
   #upstreamFor (call: WaitingCall, candidates: readonly UpstreamView[], ahead: number, view: PoolView, nowMs: number): UpstreamView | undefined {
-    const free = candidates.filter(({ name, limit }) => this.#inFlightAt(name) < limit)
+    const free = candidates.filter(({ name, limit, paused }) => !paused && this.#inFlightAt(name) < limit)
     if (free.length === 0) return undefined
     const expectedMs = (upstream: UpstreamView) => durationOf(upstream, call) * (1 + this.#inFlightAt(upstream.name) / upstream.limit)
     const best = free.reduce((one, other) => expectedMs(other) < expectedMs(one) ? other : one)
@@ -226,6 +238,7 @@
     const { name, limit } = upstream
     this.#start(call.key, { upstream: name, owner: ownerOf(call.key), startedAtMs: nowMs, dropAtMs: call.usefulUntilMs + RELEASE_GRACE_MS, atLimit: this.#inFlightAt(name) + 1 >= limit })
     this.#shares.charge(call.account, durationOf(upstream, call), this.#opts.weightOf(call.account), nowMs)
+    this.#usedAtMs.set(call.account, nowMs)
     this.#waiting.delete(call.key)
     this.#opts.onDecided(call.key)
   }
@@ -258,16 +271,21 @@
     if (outcome === PoolCallOutcome.Answered && durationMs !== undefined) estimate?.recordAnswer(durationMs, { startedAtMs, atLimit }, nowMs)
   }
 
-  /** Latest start at which a call is in time at the fastest upstream, or may still be of use if it cannot be in time. */
+  /**
+   * Latest start at which a call is in time at the fastest upstream, or may still be of use if it cannot be in time. Where
+   * another account is over its share, a call of an account within it may wait as long as it is useful: it goes before
+   * the other's calls, so it waits long only until the upstreams have worked off what was sent before.
+   */
   #latestStartMs (call: WaitingCall, view: PoolView): number {
     const durationMs = fastestMs(call, candidatesOf(call, view))
+    if (view.anyOverShare && !view.isOverShare(call.account)) return call.usefulUntilMs - IN_TIME_DURATIONS * durationMs
     const lateMs = call.arrivedAtMs + LATE_WAIT_DURATIONS * durationMs
     return Math.min(call.usefulUntilMs - durationMs, Math.max(lateMs, call.inTimeUntilMs - IN_TIME_DURATIONS * durationMs))
   }
 
   #view (nowMs: number): PoolView {
     this.#trackUpstreams(nowMs)
-    const upstreams = [...this.#estimates].map(([name, { limit, durationMs }]): UpstreamView => ({ name, limit, durationMs }))
+    const upstreams = [...this.#estimates].map(([name, estimate]): UpstreamView => ({ name, limit: estimate.limit, paused: estimate.isPaused(nowMs), durationMs: estimate.durationMs }))
     const working = upstreams.filter(({ name }) => !this.#opts.isFailing(name))
     const rates = upstreams.flatMap(({ limit, durationMs }) => durationMs === undefined ? [] : [limit / durationMs])
     const over = new Map<string, boolean>()
@@ -276,6 +294,7 @@
       working: working.length > 0 ? working : upstreams,
       // Nothing is refused by a forecast before a call has ended.
       ratePerMs: rates.length > 0 ? rates.reduce((sum, rate) => sum + rate, 0) : Number.POSITIVE_INFINITY,
+      anyOverShare: this.#checkExcess(nowMs),
       isOverShare: (account) => {
         const known = over.get(account) ?? this.#shares.isOverShare(account, nowMs)
         over.set(account, known)
@@ -284,6 +303,14 @@
     }
   }
 
+  #checkExcess (nowMs: number): boolean {
+    if (nowMs - this.#excessCheckedAtMs < EXCESS_CHECK_MS) return this.#anyOverShare
+    this.#excessCheckedAtMs = nowMs
+    this.#usedAtMs.forEach((atMs, account) => { if (nowMs - atMs > USE_RETENTION_MS) this.#usedAtMs.delete(account) })
+    this.#anyOverShare = [...this.#usedAtMs.keys()].some((account) => this.#shares.isOverShare(account, nowMs))
+    return this.#anyOverShare
+  }
+
   #trackUpstreams (nowMs: number): void {
     const listed = this.#opts.upstreams()
     listed.filter((name) => !this.#estimates.has(name)).forEach((name) => this.#estimates.set(name, new ConcurrencyEstimate(nowMs, () => this.#mayProbe(), this.#opts.initialLimit)))
--- a/scheduling/pool-admission/test/concurrencyEstimate.ts
+++ b/scheduling/pool-admission/test/concurrencyEstimate.ts
@@ -64,6 +64,8 @@
   t.true(limit < 20)
   estimate.recordFull(5, 11)
   t.is(estimate.limit, limit)
+  t.true(estimate.isPaused(11))
+  t.false(estimate.isPaused(111))
 })
 
 test('slow calls at several upstreams are a sign of shortage; a stall, one slow upstream or calls that are always slow are not', (t) => {
--- a/scheduling/pool-admission/test/coordinatedPools.ts
+++ b/scheduling/pool-admission/test/coordinatedPools.ts
@@ -32,7 +32,7 @@
     const spread = (shortages: readonly PoolShortage[]) => {
       if (shortages.length > 0) void clock.sleep(SPREAD_MS).then(() => boxes.forEach((box) => box.pools.receive(shortages)))
     }
-    const pools: CoordinatedPools = new CoordinatedPools({ clock: nodeClock, link, coordinator, members: () => state.members, self: () => member, broadcast: spread })
+    const pools: CoordinatedPools = new CoordinatedPools({ clock: nodeClock, link, coordinator, members: () => state.members, self: () => member, weightOf: () => 1, broadcast: spread })
     link.serve({
       onCall: async (message) => {
         state.messages++
--- a/upstream/client/src/upstreamError.ts
+++ b/upstream/client/src/upstreamError.ts
@@ -3,6 +3,7 @@
 export interface UpstreamErrorOptions {
   mayHaveRun: boolean
   refused?: boolean
+  full?: boolean
   unreachable?: boolean
   failed?: boolean
   cause?: unknown
@@ -12,6 +13,8 @@
 export class UpstreamError extends ReelspanError {
   /** The upstream answered with a refusal. */
   readonly refused: boolean
+  /** It refused because it has no capacity, as opposed to requests for another start of it. */
+  readonly full: boolean
   /** The upstream could not be reached or became unresponsive, as opposed to sending an invalid answer. */
   readonly unreachable: boolean
 
@@ -23,12 +26,13 @@
     return this.verdict === Verdict.MayHaveRun && !this.refused && !this.failed
   }
 
-  constructor (message: string, { mayHaveRun, refused, unreachable, failed, cause }: UpstreamErrorOptions) {
+  constructor (message: string, { mayHaveRun, refused, full, unreachable, failed, cause }: UpstreamErrorOptions) {
     super(ErrorCode.UpstreamFailed, message, {
       verdict: mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun,
       cause,
     })
     this.refused = refused ?? false
+    this.full = full ?? false
     this.unreachable = unreachable ?? false
     this.failed = failed ?? false
   }
