feat(scheduling.pool-admission): the account with the fewest calls in flight for its weight goes first

Calls in flight now order accounts within one group, calls wait no longer than they can be in time, and limits recover by a quarter per window instead of by one call.

--- a/scheduling/pool-admission/src/callQueue.ts
+++ b/scheduling/pool-admission/src/callQueue.ts
@@ -15,10 +15,19 @@
   returnId?: string
 }
 
+/** How much of the pool accounts use. */
+export interface AccountStandings {
+  isOverShare: (account: string) => boolean
+  /** Calls in flight per unit of weight. */
+  heldPerWeight: (account: string) => number
+}
+
 /**
- * Compares waiting calls: more urgent ones first; among these, calls of accounts within their share before
- * calls of accounts over it; then promised retries; then the earliest time limit.
+ * Compares waiting calls: more urgent ones first; among these, calls of accounts within their share before calls of
+ * accounts over it; then those of the account that has the fewest calls in flight for its weight, since an account
+ * that gets little because the pool is slow is within its share for that time, and must not displace the others;
+ * then promised retries; then the earliest time limit.
  */
-export function compareCalls (a: WaitingCall, b: WaitingCall, isOverShare: (account: string) => boolean): number {
-  return a.urgency - b.urgency || Number(isOverShare(a.account)) - Number(isOverShare(b.account)) || Number(b.promised) - Number(a.promised) || a.inTimeUntilMs - b.inTimeUntilMs
+export function compareCalls (a: WaitingCall, b: WaitingCall, { isOverShare, heldPerWeight }: AccountStandings): number {
+  return a.urgency - b.urgency || Number(isOverShare(a.account)) - Number(isOverShare(b.account)) || heldPerWeight(a.account) - heldPerWeight(b.account) || Number(b.promised) - Number(a.promised) || a.inTimeUntilMs - b.inTimeUntilMs
 }
--- a/scheduling/pool-admission/src/concurrencyEstimate.ts
+++ b/scheduling/pool-admission/src/concurrencyEstimate.ts
@@ -14,6 +14,8 @@
 const QUEUED_RATIO = 1.5
 /** Growth per window until the first sign of a queue. */
 const START_GROWTH = 1.5
+/** Growth per window after it, at least one call: a limit that was cut because of calls that this coordinator did not grant recovers within a second. */
+const GROWTH = 1.25
 /** A limit is cut to no less than this share at once. */
 const MIN_CUT = 0.5
 /** Cut when an upstream refuses a call as full. */
@@ -117,7 +119,7 @@
     const ratio = judgedMs / this.#unloadedMs
     if (ratio > QUEUED_RATIO) return this.#cutBy(Math.max(MIN_CUT, 1 / ratio), judgedMs, nowMs)
     if (!this.#starting && nowMs - this.#probedAtMs >= PROBE_INTERVAL_MS && this.#mayProbe()) return this.#startProbe(nowMs)
-    if (ratio <= UNLOADED_RATIO) this.#setLimit(this.#starting ? START_GROWTH * this.#limit : this.#limit + 1, nowMs)
+    if (ratio <= UNLOADED_RATIO) this.#setLimit(this.#starting ? START_GROWTH * this.#limit : Math.max(this.#limit + 1, GROWTH * this.#limit), nowMs)
   }
 
   #cutBy (ratio: number, durationMs: number, nowMs: number): void {
--- a/scheduling/pool-admission/src/poolAdmission.ts
+++ b/scheduling/pool-admission/src/poolAdmission.ts
@@ -1,6 +1,6 @@
 import { holdLabelKey, type PoolAnswer, type PoolCall, PoolCallOutcome, PoolOutcome, type RunningPoolCall } from '@reelspan/core.messages'
 import { ClientShares } from '@reelspan/scheduling.client-shares'
-import { compareCalls, type WaitingCall } from './callQueue.js'
+import { type AccountStandings, compareCalls, type WaitingCall } from './callQueue.js'
 import { ConcurrencyEstimate } from './concurrencyEstimate.js'
 import { RetryPromises } from './retryPromises.js'
 
@@ -23,10 +23,6 @@
 const IN_TIME_DURATIONS = 1.25
 /** A call that cannot be in time still waits for this share of a duration: among calls that are all late, the order decides who is served. */
 const LATE_WAIT_DURATIONS = 0.5
-/** Accounts are checked for excess at this interval; their shares change over seconds. */
-const EXCESS_CHECK_MS = 100
-/** The use of an account has decayed after this time. */
-const USE_RETENTION_MS = 20_000
 /** A sign of shortage holds for this long. */
 const SIGN_HOLD_MS = 1000
 /** A coordinator stops to wait for the end of a call after its deadline and this time, for the way of the message. */
@@ -50,9 +46,7 @@
   /** Upstreams that do not fail, or all if there is no other. */
   working: readonly UpstreamView[]
   ratePerMs: number
-  /** Some account is over its share, so that calls of the others go first. */
-  anyOverShare: boolean
-  isOverShare: (account: string) => boolean
+  standings: AccountStandings
 }
 
 interface RunningCall {
@@ -62,6 +56,8 @@
   dropAtMs: number
   /** It took the last slot of its upstream. */
   atLimit: boolean
+  /** Unknown for calls that were sent without this coordinator. */
+  account?: string
 }
 
 /** State of an upstream, for metrics. */
@@ -87,10 +83,8 @@
   readonly #waiting = new Map<string, WaitingCall>()
   /** Calls that were not granted, in the order of the decisions. */
   readonly #refused = new Map<string, { answer: PoolAnswer, atMs: number }>()
-  /** When accounts last used the pool. */
-  readonly #usedAtMs = new Map<string, number>()
-  #anyOverShare = false
-  #excessCheckedAtMs = Number.NEGATIVE_INFINITY
+  /** Calls in flight that were granted, by account. */
+  readonly #heldBy = new Map<string, number>()
   #shortSignAtMs = Number.NEGATIVE_INFINITY
 
   constructor (opts: PoolAdmissionOptions) {
@@ -130,7 +124,7 @@
     if (early) return early
     const waiting = this.#waitingCall(key, call, nowMs)
     const view = this.#view(nowMs)
-    const ahead = [...this.#waiting.values()].filter((other) => compareCalls(other, waiting, view.isOverShare) <= 0).length
+    const ahead = [...this.#waiting.values()].filter((other) => compareCalls(other, waiting, view.standings) <= 0).length
     this.#waiting.set(key, waiting)
     this.#place(waiting, ahead, view, nowMs)
     return this.answerTo(key) as PoolAnswer
@@ -167,7 +161,7 @@
     this.#expireRefusals(nowMs)
     const view = this.#view(nowMs)
     let ahead = 0
-    const ordered = [...this.#waiting.values()].sort((a, b) => compareCalls(a, b, view.isOverShare))
+    const ordered = [...this.#waiting.values()].sort((a, b) => compareCalls(a, b, view.standings))
     ordered.forEach((call) => { if (!this.#place(call, ahead, view, nowMs)) ahead++ })
   }
 
@@ -205,7 +199,7 @@
     for (;;) {
       const calls = [...this.#waiting.values()]
       if (calls.length === 0) return
-      const first = calls.reduce((best, call) => compareCalls(call, best, view.isOverShare) < 0 ? call : best)
+      const first = calls.reduce((best, call) => compareCalls(call, best, view.standings) < 0 ? call : best)
       if (!this.#place(first, 0, view, nowMs)) return
     }
   }
@@ -236,9 +230,8 @@
 
   #grant (call: WaitingCall, upstream: UpstreamView, nowMs: number): void {
     const { name, limit } = upstream
-    this.#start(call.key, { upstream: name, owner: ownerOf(call.key), startedAtMs: nowMs, dropAtMs: call.usefulUntilMs + RELEASE_GRACE_MS, atLimit: this.#inFlightAt(name) + 1 >= limit })
+    this.#start(call.key, { upstream: name, owner: ownerOf(call.key), startedAtMs: nowMs, dropAtMs: call.usefulUntilMs + RELEASE_GRACE_MS, atLimit: this.#inFlightAt(name) + 1 >= limit, account: call.account })
     this.#shares.charge(call.account, durationOf(upstream, call), this.#opts.weightOf(call.account), nowMs)
-    this.#usedAtMs.set(call.account, nowMs)
     this.#waiting.delete(call.key)
     this.#opts.onDecided(call.key)
   }
@@ -271,14 +264,9 @@
     if (outcome === PoolCallOutcome.Answered && durationMs !== undefined) estimate?.recordAnswer(durationMs, { startedAtMs, atLimit }, nowMs)
   }
 
-  /**
-   * Latest start at which a call is in time at the fastest upstream, or may still be of use if it cannot be in time. Where
-   * another account is over its share, a call of an account within it may wait as long as it is useful: it goes before
-   * the other's calls, so it waits long only until the upstreams have worked off what was sent before.
-   */
+  /** Latest start at which a call is in time at the fastest upstream, or may still be of use if it cannot be in time. */
   #latestStartMs (call: WaitingCall, view: PoolView): number {
     const durationMs = fastestMs(call, candidatesOf(call, view))
-    if (view.anyOverShare && !view.isOverShare(call.account)) return call.usefulUntilMs - IN_TIME_DURATIONS * durationMs
     const lateMs = call.arrivedAtMs + LATE_WAIT_DURATIONS * durationMs
     return Math.min(call.usefulUntilMs - durationMs, Math.max(lateMs, call.inTimeUntilMs - IN_TIME_DURATIONS * durationMs))
   }
@@ -294,23 +282,17 @@
       working: working.length > 0 ? working : upstreams,
       // Nothing is refused by a forecast before a call has ended.
       ratePerMs: rates.length > 0 ? rates.reduce((sum, rate) => sum + rate, 0) : Number.POSITIVE_INFINITY,
-      anyOverShare: this.#checkExcess(nowMs),
-      isOverShare: (account) => {
-        const known = over.get(account) ?? this.#shares.isOverShare(account, nowMs)
-        over.set(account, known)
-        return known
+      standings: {
+        isOverShare: (account) => {
+          const known = over.get(account) ?? this.#shares.isOverShare(account, nowMs)
+          over.set(account, known)
+          return known
+        },
+        heldPerWeight: (account) => (this.#heldBy.get(account) ?? 0) / this.#opts.weightOf(account),
       },
     }
   }
 
-  #checkExcess (nowMs: number): boolean {
-    if (nowMs - this.#excessCheckedAtMs < EXCESS_CHECK_MS) return this.#anyOverShare
-    this.#excessCheckedAtMs = nowMs
-    this.#usedAtMs.forEach((atMs, account) => { if (nowMs - atMs > USE_RETENTION_MS) this.#usedAtMs.delete(account) })
-    this.#anyOverShare = [...this.#usedAtMs.keys()].some((account) => this.#shares.isOverShare(account, nowMs))
-    return this.#anyOverShare
-  }
-
   #trackUpstreams (nowMs: number): void {
     const listed = this.#opts.upstreams()
     listed.filter((name) => !this.#estimates.has(name)).forEach((name) => this.#estimates.set(name, new ConcurrencyEstimate(nowMs, () => this.#mayProbe(), this.#opts.initialLimit)))
@@ -328,14 +310,14 @@
 
   #start (key: string, call: RunningCall): void {
     this.#running.set(key, call)
-    this.#inFlight.set(call.upstream, this.#inFlightAt(call.upstream) + 1)
+    addTo(this.#inFlight, call.upstream, 1)
+    if (call.account !== undefined) addTo(this.#heldBy, call.account, 1)
   }
 
-  #end (key: string, { upstream }: RunningCall): void {
+  #end (key: string, { upstream, account }: RunningCall): void {
     this.#running.delete(key)
-    const remaining = this.#inFlightAt(upstream) - 1
-    if (remaining > 0) this.#inFlight.set(upstream, remaining)
-    else this.#inFlight.delete(upstream)
+    addTo(this.#inFlight, upstream, -1)
+    if (account !== undefined) addTo(this.#heldBy, account, -1)
   }
 }
 
@@ -344,6 +326,12 @@
   return key.slice(0, key.indexOf('/'))
 }
 
+function addTo (counts: Map<string, number>, name: string, change: number): void {
+  const count = (counts.get(name) ?? 0) + change
+  if (count > 0) counts.set(name, count)
+  else counts.delete(name)
+}
+
 function candidatesOf ({ avoid }: WaitingCall, { upstreams, working }: PoolView): readonly UpstreamView[] {
   if (avoid.size === 0) return working
   const allowed = working.filter(({ name }) => !avoid.has(name))
