refactor(scheduling.scheduler): one module each for entries, the cycle timer, admission of the queue and the record of a placement

Ledger entries and plans are built in placementEntries.ts, the next cycle is timed in cycleTimer.ts, all calls to the rate, the forecast, the retry schedule and the refusal builder are in queueAdmission.ts, and a placement is recorded in placementRecorder.ts.

--- a/scheduling/scheduler/src/index.ts
+++ b/scheduling/scheduler/src/index.ts
@@ -1,5 +1,6 @@
 export { ShardScheduler } from './shardScheduler.js'
-export type { AdoptedReservation, ShardSchedulerOptions } from './shardScheduler.js'
+export type { ShardSchedulerOptions } from './shardScheduler.js'
+export type { AdoptedReservation } from './placementEntries.js'
 export { AdmissionOutcome, decideAdmission } from './decideAdmission.js'
 export type { AdmissionDecision, AdmissionInputs } from './decideAdmission.js'
 export { decideQueue } from './decideQueue.js'
--- /dev/null
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -0,0 +1,91 @@
+import { type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
+import { type ClientShares } from '@reelspan/scheduling.client-shares'
+import { type ShardLedger } from '@reelspan/scheduling.ledger'
+import { decideQueue, type QueueDecision } from './decideQueue.js'
+import { type PlacementChooser } from './placementChooser.js'
+import { type PlacementEstimator } from './placementEstimator.js'
+import { PlacementRate } from './placementRate.js'
+import { QueueForecast } from './queueForecast.js'
+import { RefusalBuilder } from './refusalBuilder.js'
+import { RetrySchedule, type ScheduledRetry } from './retrySchedule.js'
+import { type WaitingRequest } from './waitingQueue.js'
+
+export interface QueueAdmissionOptions {
+  ledger: ShardLedger
+  chooser: PlacementChooser
+  estimator: PlacementEstimator
+  shares: ClientShares
+}
+
+/** Engines report and callers reconnect within about this time, so little changes for a retry before it. */
+const MIN_RETRY_DELAY_MS = 500
+const MAX_RETRY_DELAY_MS = 30_000
+
+/** Decides which requests of a scheduler's queue are kept waiting, and when refused ones should be retried. */
+export class QueueAdmission {
+  readonly #opts: QueueAdmissionOptions
+  readonly #rate = new PlacementRate()
+  readonly #retrySchedule = new RetrySchedule({ minDelayMs: MIN_RETRY_DELAY_MS, maxDelayMs: MAX_RETRY_DELAY_MS })
+  readonly #forecast: QueueForecast
+  readonly #refusals: RefusalBuilder
+
+  constructor (opts: QueueAdmissionOptions) {
+    this.#opts = opts
+    const { ledger, chooser, estimator } = opts
+    this.#forecast = new QueueForecast({ ledger, chooser })
+    this.#refusals = new RefusalBuilder({ chooser, estimator, rate: this.#rate, retrySchedule: this.#retrySchedule })
+  }
+
+  get scheduledRetries (): number {
+    return this.#retrySchedule.size
+  }
+
+  /** Returns the scheduled retry that a request is, if it is one at about the assigned time. */
+  findRetry ({ returnId }: ReserveRequest, nowMs: number): ScheduledRetry | undefined {
+    return this.#retrySchedule.findDue(returnId, nowMs)
+  }
+
+  /** Records a first attempt; retries are not counted. */
+  recordArrival (nowMs: number): void {
+    this.#rate.recordArrival(nowMs)
+  }
+
+  recordPlacement ({ returnId }: ReserveRequest, nowMs: number): void {
+    this.#retrySchedule.remove(returnId)
+    this.#rate.recordPlacement(nowMs)
+  }
+
+  /** Records that no request waits. */
+  recordIdle (nowMs: number): void {
+    this.#rate.recordIdle(nowMs)
+  }
+
+  expire (nowMs: number): void {
+    this.#retrySchedule.expire(nowMs)
+  }
+
+  /** Total prefill work of all waiting requests. */
+  queuedPrefillMs (waiting: readonly WaitingRequest[], nowMs: number): number {
+    return this.#forecast.queuedPrefillMs(waiting, nowMs)
+  }
+
+  /** Decides for each waiting request whether it is kept. */
+  decide (waiting: readonly WaitingRequest[], nowMs: number): QueueDecision[] {
+    const { chooser, shares } = this.#opts
+    const engines = chooser.readyEngines(nowMs)
+    return decideQueue(waiting, {
+      nowMs,
+      msPerPlace: this.#rate.msPerPlace(nowMs),
+      msPerArrival: this.#rate.msPerArrival(nowMs),
+      rateError: this.#rate.error(nowMs),
+      minTtftMs: (one) => this.#forecast.minTtftMs(one, engines, nowMs),
+      isOverShare: (client) => shares.isOverShare(client, nowMs),
+      promisesDueAtMs: this.#retrySchedule.promisesDueAtMs(nowMs),
+    })
+  }
+
+  /** @param waitingCount number of requests waiting at the scheduler */
+  refuse (refused: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string, { waitingCount, nowMs }: { waitingCount: number, nowMs: number }): PlacementRefusal {
+    return this.#refusals.refuse(refused, reason, { waitingCount, nowMs })
+  }
+}
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,23 +1,23 @@
 import { type RouteSpec } from '@reelspan/config.resources'
-import { type Clock, STOPPED, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
-import { type EngineOutcome, type HoldLabel, isOwnPrefill, type MessageOf, type MessageType, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
-import { type LedgerEntry, ShardLedger } from '@reelspan/scheduling.ledger'
+import { type Clock, type TaskErrorListener } from '@reelspan/core.env'
+import { type EngineOutcome, type HoldLabel, type PlacementAnswer, PlacementOutcome, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
+import { ClientShares } from '@reelspan/scheduling.client-shares'
+import { ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
 import { UpstreamHealth } from '@reelspan/upstream.health'
-import { ClientShares } from '@reelspan/scheduling.client-shares'
+import { CycleTimer } from './cycleTimer.js'
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome } from './decideAdmission.js'
-import { decideQueue, type QueueDecision } from './decideQueue.js'
+import { type QueueDecision } from './decideQueue.js'
 import { describeEngines } from './describeEngines.js'
 import { EngineLimits } from './engineLimits.js'
 import { DISPATCH_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
+import { type AdoptedReservation, entryOfAdopted, planOfEstimate } from './placementEntries.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
 import { type ShardLoadEstimate, PlacementObservations } from './placementObservations.js'
-import { PlacementRate } from './placementRate.js'
-import { QueueForecast } from './queueForecast.js'
-import { RefusalBuilder } from './refusalBuilder.js'
-import { RetrySchedule } from './retrySchedule.js'
+import { PlacementRecorder } from './placementRecorder.js'
+import { QueueAdmission } from './queueAdmission.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
 
 export interface ShardSchedulerOptions {
@@ -40,38 +40,25 @@
   onTaskError?: TaskErrorListener
 }
 
-export type AdoptedReservation = MessageOf<MessageType.AdoptReservations>['reservations'][number]
-
-/** An owner must start the prefill within this time after it gets a plan. */
-const START_WITHIN_MS = 300
-/** A reservation expires this long after its request's deadline. */
-const RESERVATION_GRACE_MS = 1000
 const MAX_WAITING = 2000
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
 /** Share of its useful time for which a retry with a promised slot waits for a slot that no request in time needs. */
 const PROMISE_DUE_SHARE = 0.25
-/** Engines report and callers reconnect within about this time, so little changes for a retry before it. */
-const MIN_RETRY_DELAY_MS = 500
-const MAX_RETRY_DELAY_MS = 30_000
-
 /** Places requests on one shard. Requests wait here until an engine can start them at once, in the order that uses the engines best; requests that would be late are refused. */
 export class ShardScheduler {
   readonly ledger: ShardLedger
   readonly #opts: ShardSchedulerOptions
-  readonly #tasks: TaskGroup
   readonly #estimator: PlacementEstimator
   readonly #shares = new ClientShares()
   readonly #observations: PlacementObservations
-  readonly #rate = new PlacementRate()
   readonly #chooser: PlacementChooser
-  readonly #retrySchedule = new RetrySchedule({ minDelayMs: MIN_RETRY_DELAY_MS, maxDelayMs: MAX_RETRY_DELAY_MS })
   readonly #waiting = new WaitingQueue()
-  readonly #forecast: QueueForecast
-  readonly #refusals: RefusalBuilder
+  readonly #admission: QueueAdmission
+  readonly #recorder: PlacementRecorder
   readonly #health: UpstreamHealth
   readonly #limits: EngineLimits
-  #nextCycle?: AbortController
+  readonly #timer: CycleTimer
 
   constructor (opts: ShardSchedulerOptions) {
     this.#opts = opts
@@ -84,9 +71,18 @@
     const limits = this.#limits
     this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect, limits })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
-    this.#forecast = new QueueForecast({ ledger: this.ledger, chooser: this.#chooser })
-    this.#refusals = new RefusalBuilder({ chooser: this.#chooser, estimator: this.#estimator, rate: this.#rate, retrySchedule: this.#retrySchedule })
-    this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
+    this.#admission = new QueueAdmission({ ledger: this.ledger, chooser: this.#chooser, estimator: this.#estimator, shares: this.#shares })
+    this.#recorder = new PlacementRecorder({
+      ledger: this.ledger,
+      estimator: this.#estimator,
+      index: opts.index,
+      limits,
+      observations: this.#observations,
+      shares: this.#shares,
+      route: opts.route,
+      onPrefixesChanged: (engine) => this.#invalidateCosts(engine),
+    })
+    this.#timer = new CycleTimer({ clock: opts.clock, runCycle: () => this.#runCycle(), onTaskError: opts.onTaskError })
   }
 
   /** Whether no request is waiting and nothing is reserved. */
@@ -107,17 +103,17 @@
 
   async stop (): Promise<void> {
     this.#waiting.all().forEach((waiting) => this.#answer(waiting, { outcome: PlacementOutcome.Refused, reason: 'the scheduler is stopping', retryAfterMs: 0 }))
-    await this.#tasks.stop()
+    await this.#timer.stop()
   }
 
   /** Resolves when the request is placed, or as soon as it is known that it would be placed too late. */
   reserve (request: ReserveRequest): Promise<PlacementAnswer> {
     const nowMs = this.#opts.clock.nowMs()
-    const retry = this.#retrySchedule.findDue(request.returnId, nowMs)
+    const retry = this.#admission.findRetry(request, nowMs)
     const firstArrivedAtMs = retry?.firstArrivedAtMs ?? nowMs
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, 'too many requests are waiting'))
     if (!retry) this.#recordArrival(nowMs)
-    if (this.#waiting.size === 0) this.#rate.recordIdle(nowMs)
+    if (this.#waiting.size === 0) this.#admission.recordIdle(nowMs)
     const leftMs = request.ttftLeftMs - this.#observations.ttftErrorMs
     const usefulMs = Math.min(Math.max(leftMs, request.patienceMs ?? 0), request.deadlineMs)
     return new Promise((resolve) => {
@@ -156,23 +152,7 @@
     const nowMs = this.#opts.clock.nowMs()
     reservations
       .filter(({ request }) => !this.ledger.has(request.label))
-      .forEach(({ request, plan, ageMs, decoding, tokensDone }) => {
-        const { spec } = this.ledger.shard
-        const stepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * this.ledger.shard.decodePool.placesPerEngine
-        const prefillEndMs = decoding ? nowMs : nowMs - ageMs + plan.expectedTtftMs
-        this.ledger.reserve({
-          label: request.label,
-          maxTokens: request.maxTokens,
-          tbtTargetMs: request.tbtTargetMs,
-          prefillEngine: plan.prefillEngine,
-          decodeEngine: plan.decodeEngine,
-          kvBytes: plan.kvBytes,
-          prefillCostMs: decoding ? 0 : Math.max(0, prefillEndMs - nowMs),
-          importEndMs: prefillEndMs,
-          latestEndMs: prefillEndMs + (request.maxTokens - tokensDone) * stepMs,
-          expiresAtMs: nowMs - ageMs + request.deadlineMs + RESERVATION_GRACE_MS,
-        }, nowMs)
-      })
+      .forEach((adopted) => this.ledger.reserve(entryOfAdopted(this.ledger.shard, adopted, nowMs), nowMs))
   }
 
   releaseOwner (ownerIncarnation: string): void {
@@ -209,7 +189,7 @@
       shard: this.ledger.shard.id,
       waiting: this.#waiting.size,
       reservations: this.ledger.reservationCount,
-      returnsBooked: this.#retrySchedule.size,
+      returnsBooked: this.#admission.scheduledRetries,
       ...this.#observations.describe(),
       prefixEntries: this.#opts.index.size,
       suspects: this.#health.suspects(),
@@ -226,7 +206,7 @@
   }
 
   #recordArrival (nowMs: number): void {
-    this.#rate.recordArrival(nowMs)
+    this.#admission.recordArrival(nowMs)
     this.#observations.recordArrival(nowMs)
   }
 
@@ -234,30 +214,20 @@
   #runCycle (): void {
     const nowMs = this.#opts.clock.nowMs()
     this.ledger.expire(nowMs)
-    if (this.#waiting.size === 0) return this.#rate.recordIdle(nowMs)
-    this.#retrySchedule.expire(nowMs)
-    const queuedPrefillMs = this.#forecast.queuedPrefillMs(this.#waiting.all(), nowMs)
+    if (this.#waiting.size === 0) return this.#admission.recordIdle(nowMs)
+    this.#admission.expire(nowMs)
+    const queuedPrefillMs = this.#admission.queuedPrefillMs(this.#waiting.all(), nowMs)
     const next = () => this.#chooser.choose(this.#waiting.all(), queuedPrefillMs, nowMs)
     for (let choice = next(); choice; choice = next()) this.#place(choice.waiting, choice.estimate, nowMs)
     this.#decideWaiting(nowMs)
-    if (this.#waiting.size === 0) this.#rate.recordIdle(nowMs)
+    if (this.#waiting.size === 0) this.#admission.recordIdle(nowMs)
     this.#scheduleNextCycle(nowMs)
   }
 
   /** Decides again for each waiting request whether it is kept. */
   #decideWaiting (nowMs: number): void {
     if (this.#waiting.size === 0) return
-    const engines = this.#chooser.readyEngines(nowMs)
-    const decisions = decideQueue(this.#waiting.all(), {
-      nowMs,
-      msPerPlace: this.#rate.msPerPlace(nowMs),
-      msPerArrival: this.#rate.msPerArrival(nowMs),
-      rateError: this.#rate.error(nowMs),
-      minTtftMs: (waiting) => this.#forecast.minTtftMs(waiting, engines, nowMs),
-      isOverShare: (client) => this.#shares.isOverShare(client, nowMs),
-      promisesDueAtMs: this.#retrySchedule.promisesDueAtMs(nowMs),
-    })
-    decisions.forEach((decided) => this.#applyDecision(decided))
+    this.#admission.decide(this.#waiting.all(), nowMs).forEach((decided) => this.#applyDecision(decided))
   }
 
   #applyDecision ({ waiting, inputs, decision }: QueueDecision): void {
@@ -267,36 +237,9 @@
   }
 
   #place (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
-    const { request } = waiting
-    const { prefill, decode } = estimate
-    const entry: LedgerEntry = {
-      label: request.label,
-      maxTokens: request.maxTokens,
-      tbtTargetMs: request.tbtTargetMs,
-      prefillEngine: prefill.name,
-      decodeEngine: decode.name,
-      kvBytes: estimate.kvBytes,
-      prefillCostMs: estimate.costMs,
-      importEndMs: estimate.importEndMs,
-      latestEndMs: estimate.latestEndMs,
-      expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
-    }
-    this.ledger.reserve(entry, nowMs)
-    this.#limits.recordPlacement([prefill.name, decode.name])
-    if (!isOwnPrefill(entry)) {
-      this.#opts.index.recordSent(prefill.name, request.prefixes, nowMs)
-      this.#invalidateCosts(prefill.name)
-    }
-    const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
-    this.#shares.charge(request.client, estimate.costMs, weight, nowMs)
-    this.#retrySchedule.remove(request.returnId)
-    this.#rate.recordPlacement(nowMs)
-    this.#observations.recordPlacement({
-      prefillMs: isOwnPrefill(entry) ? this.#estimator.prefillCostMs(request, prefill.name, nowMs) : estimate.costMs,
-      typicalAnswerMs: this.#estimator.typicalAnswerMs(request),
-      kvBytes: estimate.kvBytes,
-    })
-    this.#answer(waiting, planOf(estimate, nowMs))
+    this.#recorder.record(waiting, estimate, nowMs)
+    this.#admission.recordPlacement(waiting.request, nowMs)
+    this.#answer(waiting, planOfEstimate(estimate, nowMs))
   }
 
   /** Drops cached prefill durations for an engine whose cached prefixes changed. */
@@ -306,7 +249,7 @@
   }
 
   #refusal (waiting: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string): PlacementAnswer {
-    return this.#refusals.refuse(waiting, reason, { waitingCount: this.#waiting.size, nowMs: this.#opts.clock.nowMs() })
+    return this.#admission.refuse(waiting, reason, { waitingCount: this.#waiting.size, nowMs: this.#opts.clock.nowMs() })
   }
 
   #answer (waiting: WaitingRequest, answer: PlacementAnswer): void {
@@ -315,29 +258,9 @@
   }
 
   #scheduleNextCycle (nowMs: number): void {
-    this.#nextCycle?.abort(STOPPED)
-    if (this.#waiting.size === 0 || this.#tasks.stopped) return
-    const nextCycle = new AbortController()
-    this.#nextCycle = nextCycle
+    if (this.#waiting.size === 0) return this.#timer.cancel()
     const dispatchesMs = this.ledger.prefillEngines().map(({ account }) => account.freeAtMs(nowMs) - DISPATCH_LOOKAHEAD_MS)
     const nextMs = Math.min(...dispatchesMs.filter((atMs) => atMs > nowMs), nowMs + MAX_CYCLE_INTERVAL_MS)
-    this.#tasks.run(async () => {
-      await this.#opts.clock.sleep(Math.max(1, nextMs - nowMs), { signal: nextCycle.signal })
-      if (!nextCycle.signal.aborted && !this.#tasks.stopped) this.#runCycle()
-    })
-  }
-}
-
-function planOf (estimate: PlacementEstimate, nowMs: number): PlacementPlan {
-  return {
-    outcome: PlacementOutcome.Placed,
-    prefillEngine: estimate.prefill.name,
-    prefillAddress: estimate.prefill.address,
-    decodeEngine: estimate.decode.name,
-    decodeAddress: estimate.decode.address,
-    kvBytes: estimate.kvBytes,
-    startInMs: 0,
-    startWithinMs: START_WITHIN_MS,
-    expectedTtftMs: Math.max(0, estimate.firstTokenMs - nowMs),
+    this.#timer.schedule(nextMs, nowMs)
   }
 }
