feat(scheduling.scheduler): weighted shares of client accounts before the order of waiting requests

A client over its share went behind others only within requests that can be in time, its usage was prefill time over 5 s, and promised retries of any client counted ahead of everyone. Usage is now what a request holds (part of a decode engine times the time, or prefill time where that is scarcer), shares are weighted max-min shares of what is requested, requests within them go first and are decided without counting others, and over-share requests are expected when their client's share allows.

--- a/scheduling/client-shares/src/clientShares.ts
+++ b/scheduling/client-shares/src/clientShares.ts
@@ -1,57 +1,202 @@
-/** Time constant with which usage decays. */
-const USAGE_DECAY_MS = 5000
-/** A client may exceed its share by this factor before others go first: usage is uneven in the short run. */
-const TOLERANCE = 1.5
-/** Usage below this (engine time in ms) counts as none. */
-const NEGLIGIBLE_USAGE_MS = 50
-/** Interval at which the fair share is recomputed. */
-const FAIR_SHARE_REFRESH_MS = 100
+import { fairLevel } from './fairLevel.js'
+
+export interface ClientSharesOptions {
+  /** Time constant with which usage decays. */
+  decayMs?: number
+}
+
+/** A few answers of 400 ms to 3 s each, so that an account that exceeded its share is served again within seconds. */
+const DEFAULT_DECAY_MS = 2000
+/** A client with less than this, relative to the total, neither uses nor requests anything: decayed amounts never become 0. */
+const NEGLIGIBLE = 1e-3
+/** Idle clients are removed at this interval. */
+const PRUNE_INTERVAL_MS = 10_000
+
+/** A client with a request that waits, and what the request will cost. */
+export interface WaitingDemand {
+  client: string
+  cost: number
+  weight: number
+}
 
 interface ClientUsage {
-  usedMs: number
   weight: number
+  /** Cost of running requests. It does not decay. */
+  held: number
+  /** Cost of ended requests and of those charged without being held, at `atMs`. */
+  spent: number
+  /** Cost of requests that were refused, at `atMs`. */
+  refused: number
+  /** Cost of requests that wait. */
+  waiting: number
   atMs: number
 }
 
+/** Usage and demand of a client at one time. */
+interface ClientLoad {
+  weight: number
+  used: number
+  demand: number
+}
+
+/** The level up to which clients are served, per unit of weight, and what it was computed from. */
+interface Level {
+  perWeight: number
+  total: number
+  demand: number
+  /** Demand up to each client's share. */
+  demandWithin: number
+}
+
 /**
- * Weighted fair shares of client accounts, by the engine time that each has used
- * recently. Clients over their share are placed after all others, so that a client
- * that sends too much only gets the capacity that the others leave.
+ * Weighted max-min fair shares of client accounts. Costs are in units of a resource
+ * times milliseconds. A client is over its share if it used more of the recent total
+ * than its share, where clients that request less than theirs leave the rest to the
+ * others. So nobody is over its share while all get what they request.
+ *
+ * Where demand is not recorded (`setWaiting`, `recordRefusal`), all clients with recent
+ * usage are assumed to request more than their share.
  */
 export class ClientShares {
-  readonly #usages = new Map<string, ClientUsage>()
-  #fairMsPerWeight = 0
-  #refreshedAtMs = Number.NEGATIVE_INFINITY
-
-  /** Whether a client's recent usage exceeds its share. */
-  isOverShare (client: string, nowMs: number): boolean {
-    const use = this.#usages.get(client)
-    if (!use) return false
-    return decayedUsageMs(use, nowMs) / use.weight > TOLERANCE * this.#fairShareMs(nowMs) + NEGLIGIBLE_USAGE_MS
-  }
-
-  charge (client: string, costMs: number, weight: number, nowMs: number): void {
-    const use = this.#usages.get(client)
-    this.#usages.set(client, { usedMs: (use ? decayedUsageMs(use, nowMs) : 0) + costMs, weight, atMs: nowMs })
-  }
-
-  /** Usage per unit of weight if the total were split evenly over the active clients. */
-  #fairShareMs (nowMs: number): number {
-    if (nowMs - this.#refreshedAtMs < FAIR_SHARE_REFRESH_MS) return this.#fairMsPerWeight
-    this.#refreshedAtMs = nowMs
-    let totalMs = 0
-    let totalWeight = 0
-    this.#usages.forEach((use, client) => {
-      const nowUsedMs = decayedUsageMs(use, nowMs)
-      totalMs += nowUsedMs
-      if (nowUsedMs >= NEGLIGIBLE_USAGE_MS) totalWeight += use.weight
-      else if (nowMs - use.atMs > USAGE_DECAY_MS) this.#usages.delete(client)
-    })
-    this.#fairMsPerWeight = totalWeight > 0 ? totalMs / totalWeight : 0
-    return this.#fairMsPerWeight
+  /** Time constant with which usage decays. */
+  readonly decayMs: number
+  readonly #clients = new Map<string, ClientUsage>()
+  #capacity = 0
+  #recordsDemand = false
+  #level?: Level & { atMs: number }
+  #prunedAtMs = 0
+
+  constructor ({ decayMs = DEFAULT_DECAY_MS }: ClientSharesOptions = {}) {
+    this.decayMs = decayMs
+  }
+
+  /**
+   * The cost of holding a part of a resource for some time, in the same decaying terms as
+   * other usage: a client that constantly holds a part reaches the cost for an infinite time.
+   */
+  costOfHolding (part: number, durationMs: number): number {
+    return part * this.decayMs * (1 - Math.exp(-durationMs / this.decayMs))
+  }
+
+  /**
+   * Whether a client's recent usage exceeds its share.
+   *
+   * @param ahead cost of requests of the client that go first
+   */
+  isOverShare (client: string, nowMs: number, ahead = 0): boolean {
+    return this.excessOf(client, nowMs, ahead) > 0
+  }
+
+  /** The cost by which a client's recent usage, and that of its requests that go first, exceeds its share; 0 if it does not. */
+  excessOf (client: string, nowMs: number, ahead = 0): number {
+    const usage = this.#clients.get(client)
+    if (!usage) return 0
+    const { perWeight, total } = this.#levelAt(nowMs)
+    const excess = this.#loadAt(usage, nowMs).used + ahead - usage.weight * perWeight
+    return excess > NEGLIGIBLE * total ? excess : 0
+  }
+
+  /** The part of the capacity that a client may use, from 0 to 1. */
+  shareOf (client: string, nowMs: number): number {
+    const { perWeight, total } = this.#levelAt(nowMs)
+    const usage = this.#clients.get(client)
+    return usage && total > 0 ? Math.min(1, usage.weight * perWeight / total) : 1
+  }
+
+  /** The part of the total demand that is within the shares of its clients, from 0 to 1. */
+  demandWithinShares (nowMs: number): number {
+    const { demand, demandWithin } = this.#levelAt(nowMs)
+    return demand > 0 ? demandWithin / demand : 1
   }
-}
 
-function decayedUsageMs ({ usedMs: thenMs, atMs }: ClientUsage, nowMs: number): number {
-  return thenMs * Math.exp((atMs - nowMs) / USAGE_DECAY_MS)
+  /** The part of the total demand that a client has, from 0 to 1. */
+  demandOf (client: string, nowMs: number): number {
+    const { demand } = this.#levelAt(nowMs)
+    const usage = this.#clients.get(client)
+    return usage && demand > 0 ? this.#loadAt(usage, nowMs).demand / demand : 1
+  }
+
+  /** Charges a cost that decays from now on. */
+  charge (client: string, cost: number, weight: number, nowMs: number): void {
+    this.#update(client, weight, nowMs).spent += cost
+  }
+
+  /** Charges the expected cost of a request that starts. It counts in full until `end`. */
+  start (client: string, cost: number, weight: number, nowMs: number): void {
+    this.#update(client, weight, nowMs).held += cost
+  }
+
+  /** Replaces the expected cost of a request by the actual one, which decays from now on. */
+  end (client: string, { expected, actual }: { expected: number, actual: number }, nowMs: number): void {
+    const known = this.#clients.get(client)
+    if (!known) return
+    const usage = this.#update(client, known.weight, nowMs)
+    usage.held = Math.max(0, usage.held - expected)
+    usage.spent += actual
+  }
+
+  /** Records the demand of all requests that wait now, in place of what was recorded before. */
+  setWaiting (waiting: readonly WaitingDemand[], nowMs: number): void {
+    this.#recordsDemand = true
+    this.#clients.forEach((usage) => { usage.waiting = 0 })
+    waiting.forEach(({ client, cost, weight }) => { this.#update(client, weight, nowMs).waiting += cost })
+    this.#level = undefined
+  }
+
+  /** Records the demand of a request that was refused. */
+  recordRefusal ({ client, cost, weight }: WaitingDemand, nowMs: number): void {
+    this.#recordsDemand = true
+    this.#update(client, weight, nowMs).refused += cost
+  }
+
+  /** Sets the usage that clients together would reach in the long run with what they hold now. */
+  setCapacity (capacity: number): void {
+    this.#capacity = capacity
+    this.#level = undefined
+  }
+
+  #update (client: string, weight: number, nowMs: number): ClientUsage {
+    this.#level = undefined
+    const usage = this.#clients.get(client) ?? { weight, held: 0, spent: 0, refused: 0, waiting: 0, atMs: nowMs }
+    const kept = this.#keptSince(usage, nowMs)
+    usage.spent *= kept
+    usage.refused *= kept
+    usage.atMs = nowMs
+    usage.weight = weight
+    this.#clients.set(client, usage)
+    return usage
+  }
+
+  #levelAt (nowMs: number): Level {
+    if (this.#level?.atMs === nowMs) return this.#level
+    this.#prune(nowMs)
+    const loads = [...this.#clients.values()].map((usage) => this.#loadAt(usage, nowMs))
+    const used = loads.reduce((sum, load) => sum + load.used, 0)
+    const total = Math.max(used, this.#capacity)
+    const active = loads.filter(({ demand }) => demand > NEGLIGIBLE * total)
+    const demanded = this.#recordsDemand ? active : active.map((load) => ({ ...load, demand: Number.POSITIVE_INFINITY }))
+    const perWeight = active.length > 1 ? fairLevel(demanded, total) : Number.POSITIVE_INFINITY
+    const demand = loads.reduce((sum, load) => sum + load.demand, 0)
+    const demandWithin = loads.reduce((sum, load) => sum + Math.min(load.demand, load.weight * perWeight), 0)
+    this.#level = { perWeight, total, demand, demandWithin, atMs: nowMs }
+    return this.#level
+  }
+
+  #loadAt (usage: ClientUsage, nowMs: number): ClientLoad {
+    const kept = this.#keptSince(usage, nowMs)
+    const used = usage.held + usage.spent * kept
+    return { weight: usage.weight, used, demand: used + usage.waiting + usage.refused * kept }
+  }
+
+  #keptSince ({ atMs }: ClientUsage, nowMs: number): number {
+    return Math.exp((atMs - nowMs) / this.decayMs)
+  }
+
+  #prune (nowMs: number): void {
+    if (nowMs - this.#prunedAtMs < PRUNE_INTERVAL_MS) return
+    this.#prunedAtMs = nowMs
+    this.#clients.forEach(({ held, waiting, atMs }, client) => {
+      if (held === 0 && waiting === 0 && nowMs - atMs > PRUNE_INTERVAL_MS) this.#clients.delete(client)
+    })
+  }
 }
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -43,6 +43,8 @@
 export interface ShardLedgerOptions {
   /** An engine whose last report is older than this gets no work. */
   maxReportAgeMs: number
+  /** Called when a reservation has ended for any reason. */
+  onReleased?: (label: HoldLabel) => void
 }
 
 /** Accounts for all reservations of one shard. A reservation is a plan, not a guarantee: the engine itself may still refuse. */
@@ -148,6 +150,7 @@
     this.#entries.delete(key)
     this.#prefillAccountOf(entry)?.remove(key)
     this.#decode.get(entry.decodeEngine)?.account.release(key)
+    this.#opts.onReleased?.(label)
     return entry
   }
 
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -1,4 +1,5 @@
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, decideAdmission } from './decideAdmission.js'
+import { ShareRank } from './queueShares.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 /** State of a shard at the time of the decision, common to all waiting requests. */
@@ -6,10 +7,17 @@
   nowMs: number
   /** Minimum time to a request's first token if it were placed at once; undefined if no engine takes work. */
   minTtftMs: (waiting: WaitingRequest) => number | undefined
-  /** Whether a client's recent usage exceeds its share. */
-  isOverShare: (client: string) => boolean
-  /** Due times of outstanding retries with a promised slot, sorted. */
-  promisesDueAtMs: readonly number[]
+  shareRankOf: (waiting: WaitingRequest) => ShareRank
+  /** Slots of the shard until a request is within its client's share; 0 if it is. */
+  slotsUntilShare: (waiting: WaitingRequest) => number
+  /** The part of the shard's capacity that a client may use, above 0 and up to 1. */
+  shareOf: (client: string) => number
+  /** The part of new requests that a client sends, from 0 to 1. */
+  arrivalsOf: (client: string) => number
+  /** The part of new requests that is within the clients' shares, from 0 to 1. */
+  arrivalsWithinShares: number
+  /** Due times of outstanding retries with a promised slot, sorted: of one client, or of those within their shares. */
+  promisesDueAtMs: (client?: string) => readonly number[]
 }
 
 /** An admission decision and its inputs. */
@@ -17,44 +25,81 @@
   waiting: WaitingRequest
   inputs: AdmissionInputs
   decision: AdmissionDecision
+  /** Whether the request exceeds its client's share. */
+  overShare: boolean
 }
 
-/** Decides for each waiting request whether it is kept: by descending priority, and within one priority in placement order. */
+/** What is ahead of a request. All numbers and rates are in slots of the whole shard. */
+interface Ahead extends Pick<AdmissionInputs, 'aheadInTime' | 'aheadLate' | 'msPerArrival'> {
+  promisesDue: readonly number[]
+  /** Slots for each promised retry: a client with a quarter of the capacity gets every fourth. */
+  slotsPerPromise: number
+}
+
+/**
+ * Decides for each waiting request whether it is kept: by descending priority, and
+ * within one priority in placement order. Requests within their clients' shares are
+ * decided first and only count each other. Those over their share get slots as their
+ * client's share allows, whatever others have waiting.
+ */
 export function decideQueue (waiting: readonly WaitingRequest[], queueInputs: QueueInputs): QueueDecision[] {
   const priorities = [...new Set(waiting.map(({ request }) => request.priority))].sort((a, b) => b - a)
   return priorities.reduce<QueueDecision[]>((decided, priority) => {
     const samePriority = waiting.filter(({ request }) => request.priority === priority)
-    return [...decided, ...decideSamePriority(inOrder(samePriority, queueInputs), decided.filter(isKept).length, queueInputs)]
+    return [...decided, ...decideSamePriority(samePriority, decided.filter(isKept).length, queueInputs)]
   }, [])
 }
 
-/** Decides for requests of one priority. Late requests go behind all requests that can be in time or have a promised slot. */
 function decideSamePriority (samePriority: readonly WaitingRequest[], before: number, queueInputs: QueueInputs): QueueDecision[] {
+  const over = samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) === ShareRank.Over)
+  const within = samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) !== ShareRank.Over)
+  const decidedWithin = decideWithinShares(within, before, queueInputs)
+  const keptWithin = decidedWithin.filter(isKept).length
+  return [...decidedWithin, ...inOrder(over, queueInputs).map((waiting) => decideOverShare(waiting, { before, keptWithin }, queueInputs))]
+}
+
+/** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
+function decideWithinShares (within: readonly WaitingRequest[], before: number, queueInputs: QueueInputs): QueueDecision[] {
+  const { msPerArrival, arrivalsWithinShares, promisesDueAtMs } = queueInputs
+  const common = { msPerArrival: msPerArrival === undefined ? undefined : msPerArrival / arrivalsWithinShares, promisesDue: promisesDueAtMs(), slotsPerPromise: 1 }
   const first: QueueDecision[] = []
-  const late = samePriority.filter((waiting) => {
-    const decided = decide(waiting, before + first.length, 0, queueInputs)
+  const late = inOrder(within, queueInputs).filter((waiting) => {
+    const decided = decide(waiting, { ...common, aheadInTime: before + first.length, aheadLate: 0 }, queueInputs)
     const goesBefore = decided.decision.outcome === AdmissionOutcome.InTime || (decided.inputs.promised && isKept(decided))
     if (goesBefore) first.push(decided)
     return !goesBefore
   })
   let aheadLate = 0
   const others = late.map((waiting) => {
-    const decided = decide(waiting, before + first.length, aheadLate, queueInputs)
+    const decided = decide(waiting, { ...common, aheadInTime: before + first.length, aheadLate }, queueInputs)
     if (isKept(decided)) aheadLate++
     return decided
   })
   return [...first, ...others]
 }
 
-function decide (waiting: WaitingRequest, aheadInTime: number, aheadLate: number, queueInputs: QueueInputs): QueueDecision {
+/** Decides for a request over its client's share. It gets a slot when its client's share allows it, after those within their shares that wait now. */
+function decideOverShare (waiting: WaitingRequest, { before, keptWithin }: { before: number, keptWithin: number }, queueInputs: QueueInputs): QueueDecision {
+  const { msPerArrival, shareOf, arrivalsOf, promisesDueAtMs, slotsUntilShare } = queueInputs
+  const { client } = waiting.request
+  return decide(waiting, {
+    aheadInTime: before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))),
+    aheadLate: 0,
+    msPerArrival: msPerArrival === undefined ? undefined : msPerArrival * shareOf(client) / arrivalsOf(client),
+    promisesDue: promisesDueAtMs(client),
+    slotsPerPromise: 1 / shareOf(client),
+  }, queueInputs)
+}
+
+function decide (waiting: WaitingRequest, { aheadInTime, aheadLate, msPerArrival, promisesDue, slotsPerPromise }: Ahead, queueInputs: QueueInputs): QueueDecision {
   const { handoverMs, inTimeUntilMs, usefulUntilMs, returned, promiseDueAtMs, outcome } = waiting
-  const { nowMs, msPerPlace, msPerArrival, rateError, minTtftMs, promisesDueAtMs } = queueInputs
+  const { nowMs, msPerPlace, rateError, minTtftMs, shareRankOf } = queueInputs
   const promised = promiseDueAtMs !== undefined
   const inputs: AdmissionInputs = {
     minTtftMs: minTtftMs(waiting),
     aheadInTime,
     aheadLate,
-    aheadDue: promised ? 0 : countUpTo(promisesDueAtMs, inTimeUntilMs),
+    aheadDue: promised ? 0 : Math.ceil(countUpTo(promisesDue, inTimeUntilMs) * slotsPerPromise),
     msPerPlace,
     msPerArrival,
     rateError,
@@ -65,14 +110,13 @@
     promised,
     kept: outcome !== undefined,
   }
-  return { waiting, inputs, decision: decideAdmission(inputs) }
+  return { waiting, inputs, decision: decideAdmission(inputs), overShare: shareRankOf(waiting) === ShareRank.Over }
 }
 
-/** Orders requests with a promised slot first, then those of clients within their share, then by first arrival. */
-function inOrder (samePriority: readonly WaitingRequest[], { isOverShare }: QueueInputs): WaitingRequest[] {
-  const rankOf = ({ promiseDueAtMs, request: { client } }: WaitingRequest) => (promiseDueAtMs !== undefined ? 0 : 2) + (isOverShare(client) ? 1 : 0)
-  return samePriority
-    .map((waiting) => ({ waiting, rank: rankOf(waiting) }))
+/** Orders by share, then requests with a promised slot first, then by first arrival. */
+function inOrder (group: readonly WaitingRequest[], { shareRankOf }: QueueInputs): WaitingRequest[] {
+  return group
+    .map((waiting) => ({ waiting, rank: 2 * shareRankOf(waiting) + (waiting.promiseDueAtMs !== undefined ? 0 : 1) }))
     .sort((a, b) => a.rank - b.rank || a.waiting.firstArrivedAtMs - b.waiting.firstArrivedAtMs)
     .map(({ waiting }) => waiting)
 }
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -1,16 +1,16 @@
 import { type RouteSpec } from '@reelspan/config.resources'
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
-import { type ClientShares } from '@reelspan/scheduling.client-shares'
 import { type EngineLimits } from './engineLimits.js'
-import { type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
+import { type KeptCapacity, type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
+import { type QueueShares } from './queueShares.js'
 import { type SlotLimit } from './slotLimit.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 export interface PlacementChooserOptions {
   ledger: ShardLedger
   estimator: PlacementEstimator
-  shares: ClientShares
+  shares: QueueShares
   placesLimit: SlotLimit
   /** The route of the shard's model. */
   route: () => RouteSpec | undefined
@@ -44,6 +44,8 @@
 /** A prefill is dispatched to an engine this long before the engine's current work ends. */
 export const DISPATCH_LOOKAHEAD_MS = 25
 const MAX_CANDIDATES_TRIED = 3
+/** Requests within their share that capacity is kept for. More rarely start before the next slot is free, and each costs a pass over the engines. */
+const MAX_KEPT_FOR = 16
 /** Approximate prefill work that an engine completes while a request can wait. */
 const BACKLOG_PER_ENGINE_MS = 150
 /** Approximate time lost when a prefill fails and is repeated on another engine. */
@@ -55,7 +57,7 @@
 export class PlacementChooser {
   readonly #ledger: ShardLedger
   readonly #estimator: PlacementEstimator
-  readonly #shares: ClientShares
+  readonly #shares: QueueShares
   readonly #placesLimit: SlotLimit
   readonly #route: () => RouteSpec | undefined
   readonly #isSuspect: (engine: string) => boolean
@@ -110,25 +112,25 @@
       const ready = this.#bestEngine(waiting, engines, { pressure, nowMs })
       return ready && ready.freeAtMs <= dispatchUntilMs ? [{ waiting, ready, costMs: this.costMs(waiting, ready, nowMs) }] : []
     })
-    return this.#firstThatFits(this.#inOrder(candidates, nowMs), nowMs) ?? this.#chooseOwnPrefill(queue, engines, nowMs)
+    return this.#firstThatFits(this.#inOrder(candidates, nowMs), queue, nowMs) ?? this.#chooseOwnPrefill(queue, engines, nowMs)
   }
 
   /**
-   * Chooses the first request, by priority and then order of arrival, that a decode engine would prefill sooner
+   * Chooses the first request, by priority, then share, then order of arrival, that a decode engine would prefill sooner
    * than the prefill engines, which would first do the work of the requests ahead of it. A decode engine takes longer
    * and delays its streams meanwhile (each by about 190 ms for a prompt of 3,200 tokens), so free prefill engines are used first.
    */
   #chooseOwnPrefill (waitingRequests: readonly WaitingRequest[], engines: readonly ReadyEngine[], nowMs: number): Choice | undefined {
-    const queue = [...waitingRequests].sort((a, b) => b.request.priority - a.request.priority)
+    const queue = [...waitingRequests].sort((a, b) => b.request.priority - a.request.priority || this.#shares.rankOf(a) - this.#shares.rankOf(b))
     // If no engine fits the first request, the next ones rarely find one.
     const first = queue.find(({ request }) => request.allowsOwnPrefill)
-    const soonest = first && this.#estimateOwnPrefill(first, nowMs)
+    const soonest = first && this.#estimateOwnPrefill(first, queue, nowMs)
     if (!soonest) return undefined
     const pooledAtMs = this.#pooledFirstTokensMs(queue, engines, nowMs)
     const gaining = queue.findIndex(({ request }, i) => request.allowsOwnPrefill && pooledAtMs[i] > soonest.firstTokenMs)
     if (gaining < 0) return undefined
     const waiting = queue[gaining]
-    const estimate = this.#estimateOwnPrefill(waiting, nowMs)
+    const estimate = this.#estimateOwnPrefill(waiting, queue, nowMs)
     return estimate && estimate.firstTokenMs < pooledAtMs[gaining] && estimate.firstTokenMs <= waiting.usefulUntilMs ? { waiting, estimate } : undefined
   }
 
@@ -144,8 +146,17 @@
     })
   }
 
-  #estimateOwnPrefill ({ request }: WaitingRequest, nowMs: number): PlacementEstimate | undefined {
-    return this.#estimator.estimateOwnPrefill(request, { usableSlots: this.#usableSlots(request), nowMs })
+  #estimateOwnPrefill (waiting: WaitingRequest, queue: readonly WaitingRequest[], nowMs: number): PlacementEstimate | undefined {
+    const { request } = waiting
+    return this.#estimator.estimateOwnPrefill(request, { usableSlots: this.#usableSlots(request), kept: this.#capacityKeptFrom(waiting, queue, nowMs), nowMs })
+  }
+
+  /** Capacity that a request over its client's share leaves to those within theirs, which may wait for a prefill engine or for more memory. */
+  #capacityKeptFrom (waiting: WaitingRequest, queue: readonly WaitingRequest[], nowMs: number): KeptCapacity | undefined {
+    if (!this.#shares.isOverShare(waiting)) return undefined
+    const ahead = queue.filter((other) => other.request.priority >= waiting.request.priority && !this.#shares.isOverShare(other))
+    if (ahead.length === 0) return undefined
+    return this.#estimator.keepCapacity(ahead.slice(0, MAX_KEPT_FOR).map(({ request }) => request), (request) => this.#usableSlots(request), nowMs)
   }
 
   /** Minimum time until a decode engine has computed the prompt itself, even if all are full now; undefined if none takes work. */
@@ -191,19 +202,19 @@
   }
 
   /**
-   * Orders by priority; then requests whose promised slot is due; then those that can
-   * still be in time; then others with a promised slot; then those of clients within
-   * their share; then by first arrival plus prefill duration, so that less work makes
+   * Orders by priority; then requests within their client's share; then those whose
+   * promised slot is due; then those that can still be in time; then others with a
+   * promised slot; then by first arrival plus prefill duration, so that less work makes
    * up for a later arrival.
    */
   #inOrder (candidates: Candidate[], nowMs: number): Candidate[] {
     if (candidates.length <= 1) return candidates
     const rank = ({ waiting, ready, costMs }: Candidate) => [
       -waiting.request.priority,
+      this.#shares.rankOf(waiting),
       waiting.promiseDueAtMs !== undefined && nowMs >= waiting.promiseDueAtMs ? 0 : 1,
       ready.freeAtMs + costMs + waiting.handoverMs <= waiting.inTimeUntilMs ? 0 : 1,
       waiting.promiseDueAtMs !== undefined ? 0 : 1,
-      this.#shares.isOverShare(waiting.request.client, nowMs) ? 1 : 0,
       waiting.firstArrivedAtMs + costMs,
     ]
     return candidates
@@ -213,11 +224,11 @@
   }
 
   /** The first candidate that fits on a decode engine. Only a few are tried: if none fits one candidate, the next rarely fits either. */
-  #firstThatFits (candidates: readonly Candidate[], nowMs: number): Choice | undefined {
+  #firstThatFits (candidates: readonly Candidate[], queue: readonly WaitingRequest[], nowMs: number): Choice | undefined {
     for (const { waiting, ready, costMs } of candidates.slice(0, MAX_CANDIDATES_TRIED)) {
       const { request, usefulUntilMs } = waiting
       const part = { prefill: ready.engine, endMs: ready.freeAtMs + costMs, costMs }
-      const estimate = this.#estimator.estimateDecode(request, part, { usableSlots: this.#usableSlots(request), objective: this.#route()?.objective, nowMs })
+      const estimate = this.#estimator.estimateDecode(request, part, { usableSlots: this.#usableSlots(request), kept: this.#capacityKeptFrom(waiting, queue, nowMs), objective: this.#route()?.objective, nowMs })
       if (estimate && estimate.firstTokenMs <= usefulUntilMs) return { waiting, estimate }
     }
     return undefined
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -26,8 +26,12 @@
   costMs: number
 }
 
+/** Capacity of decode engines that is kept for other requests, by engine. */
+export type KeptCapacity = ReadonlyMap<string, DecodeCapacity>
+
 export interface DecodeOptions {
   usableSlots: number
+  kept?: KeptCapacity
   objective?: RouteObjective
   nowMs: number
 }
@@ -95,16 +99,21 @@
     return shard.spec.prefillLatencyMs + transferMs(shard, request.promptTokens) + shard.spec.decodeStepBaseMs
   }
 
+  /** KV cache memory to reserve for a request. */
+  kvBytes (request: ReserveRequest): number {
+    return requestKvBytes(this.#ledger.shard, request, this.#lengths.typicalShare)
+  }
+
   /** Duration of an answer of typical length on a lightly loaded engine. */
   typicalAnswerMs ({ maxTokens }: ReserveRequest): number {
     return this.#lengths.typicalShare * maxTokens * this.#ledger.shard.spec.decodeStepBaseMs
   }
 
   /** Completes an estimate with the decode engine that has the most free capacity, or returns undefined if none has enough. Suspected engines are tried last. */
-  estimateDecode (request: ReserveRequest, part: PrefillEstimate, { usableSlots, objective, nowMs }: DecodeOptions): PlacementEstimate | undefined {
+  estimateDecode (request: ReserveRequest, part: PrefillEstimate, { usableSlots, kept, objective, nowMs }: DecodeOptions): PlacementEstimate | undefined {
     const { shard } = this.#ledger
     const { spec, decodePool } = shard
-    const kvBytes = requestKvBytes(shard, request, this.#lengths.typicalShare)
+    const kvBytes = this.kvBytes(request)
     const capacity = { slots: usableSlots, kvBytes: decodePool.kvBytesPerEngine }
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
     // The KV cache of one model version is not usable by another.
@@ -113,8 +122,8 @@
     const countsEndingStreams = objective !== RouteObjective.WastedPrefill
     const zones = [part.prefill.availabilityZone, request.availabilityZone]
     const mostFreeOf = (candidates: readonly EngineAccount<DecodeAccount>[]) =>
-      findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ account }) => account.freeNow(capacity) }) ??
-      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ account }) => account.freeAt(part.endMs, capacity) }) : undefined)
+      findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeNow(capacity), kept?.get(name)) }) ??
+      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeAt(part.endMs, capacity), kept?.get(name)) }) : undefined)
     const mostFree = mostFreeOf(engines.filter(({ name }) => !this.#isSuspect(name))) ?? mostFreeOf(engines)
     if (!mostFree) return undefined
     const { decode, free } = mostFree
@@ -125,16 +134,16 @@
   }
 
   /** Returns the estimate for the decode engine that would finish the prompt first, among those with free capacity now. */
-  estimateOwnPrefill (request: ReserveRequest, { usableSlots, nowMs }: DecodeOptions): PlacementEstimate | undefined {
+  estimateOwnPrefill (request: ReserveRequest, { usableSlots, kept, nowMs }: DecodeOptions): PlacementEstimate | undefined {
     const { shard } = this.#ledger
-    const kvBytes = requestKvBytes(shard, request, this.#lengths.typicalShare)
+    const kvBytes = this.kvBytes(request)
     const capacity = { slots: usableSlots, kvBytes: shard.decodePool.kvBytesPerEngine }
     const estimates = this.#ledger.decodeEngines()
       .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && this.#accepts(decode, request) && !this.#isSuspect(decode.name))
       .flatMap((decode): PlacementEstimate[] => {
         const costMs = this.ownPrefillMs(request, decode)
         const free = decode.account.freeNow(capacity)
-        if (costMs === undefined || !fits(free, kvBytes)) return []
+        if (costMs === undefined || !fits(without(free, kept?.get(decode.name)), kvBytes)) return []
         const endMs = decode.account.ownPrefills.freeAtMs(nowMs) + costMs
         return [{ prefill: decode, decode, ...this.#streamTimes(request, endMs, usableSlots, usableSlots - free.slots + 1), costMs, kvBytes }]
       })
@@ -142,6 +151,27 @@
     return estimates.sort((a, b) => penalizedFirstTokenMs(a) - penalizedFirstTokenMs(b))[0]
   }
 
+  /**
+   * Capacity that requests need once they can start: each takes it on the decode engine with the most
+   * free capacity, whether or not it fits there now, so that a large request is not overtaken for ever.
+   */
+  keepCapacity (requests: readonly ReserveRequest[], usableSlotsOf: (request: ReserveRequest) => number, nowMs: number): KeptCapacity {
+    const kept = new Map<string, DecodeCapacity>()
+    const takingWork = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined)
+    requests.forEach((request) => {
+      const capacity = { slots: usableSlotsOf(request), kvBytes: this.#ledger.shard.decodePool.kvBytesPerEngine }
+      const kvBytes = this.kvBytes(request)
+      const options = takingWork
+        .filter((decode) => kvBytes <= capacity.kvBytes && this.#accepts(decode, request))
+        .map(({ name, account }) => ({ name, headroom: headroomOf(without(account.freeNow(capacity), kept.get(name)), capacity) }))
+      if (options.length === 0) return
+      const { name } = options.reduce((best, option) => option.headroom > best.headroom ? option : best)
+      const { slots, kvBytes: keptKvBytes } = kept.get(name) ?? { slots: 0, kvBytes: 0 }
+      kept.set(name, { slots: slots + 1, kvBytes: keptKvBytes + kvBytes })
+    })
+    return kept
+  }
+
   /** Whether an engine may get the request, capacity aside. */
   #accepts ({ name }: EngineAccount<unknown>, { avoid }: ReserveRequest): boolean {
     return !avoid.includes(name) && this.#limits.waitMs(name) === 0
@@ -174,7 +204,7 @@
   engines.forEach((decode) => {
     const free = freeOf(decode)
     if (!fits(free, kvBytes)) return
-    const headroom = Math.min(free.slots / capacity.slots, free.kvBytes / capacity.kvBytes) - REMOTE_ZONE_CAPACITY_PENALTY * countRemoteZones(decode, zones)
+    const headroom = headroomOf(free, capacity) - REMOTE_ZONE_CAPACITY_PENALTY * countRemoteZones(decode, zones)
     if (headroom <= bestHeadroom) return
     best = { decode, free }
     bestHeadroom = headroom
@@ -182,6 +212,14 @@
   return best
 }
 
+function headroomOf (free: DecodeCapacity, capacity: DecodeCapacity): number {
+  return Math.min(free.slots / capacity.slots, free.kvBytes / capacity.kvBytes)
+}
+
+function without (free: DecodeCapacity, kept?: DecodeCapacity): DecodeCapacity {
+  return kept ? { slots: free.slots - kept.slots, kvBytes: free.kvBytes - kept.kvBytes } : free
+}
+
 function fits (free: DecodeCapacity, kvBytes: number): boolean {
   return free.slots >= 1 && free.kvBytes >= kvBytes
 }
--- a/scheduling/scheduler/src/placementObservations.ts
+++ b/scheduling/scheduler/src/placementObservations.ts
@@ -44,12 +44,12 @@
    * @param typicalAnswerMs duration of its answer at the typical answer length
    */
   recordPlacement ({ prefillMs, typicalAnswerMs, kvBytes }: { prefillMs: number, typicalAnswerMs: number, kvBytes: number }): void {
-    this.#load.recordPlacement(prefillMs, this.#engineShareOf(kvBytes) * typicalAnswerMs)
+    this.#load.recordPlacement(prefillMs, this.engineShareOf(kvBytes) * typicalAnswerMs)
   }
 
   /** Records that a request has finished. */
   recordCompletion (entry: LedgerEntry, report: PlacementReport, nowMs: number): void {
-    this.#load.recordCompletion(this.#engineShareOf(entry.kvBytes) * Math.max(0, nowMs - entry.importEndMs))
+    this.#load.recordCompletion(this.engineShareOf(entry.kvBytes) * Math.max(0, nowMs - entry.importEndMs))
     // Prefills on decode engines have a different speed.
     if (!isOwnPrefill(entry)) this.#ttftError.observe(report.ttftErrorMs)
     this.lengths.observe(report.completionTokens, entry.maxTokens)
@@ -63,6 +63,12 @@
     return load && { ...load, ownPrefillMs: decodePrefillTokensPerSecond && load.prefillMs * prefillTokensPerSecond / decodePrefillTokensPerSecond }
   }
 
+  /** The share of a decode engine that a request occupies: of its memory or of its slots, whichever is larger. */
+  engineShareOf (kvBytes: number): number {
+    const { kvBytesPerEngine, placesPerEngine } = this.#ledger.shard.decodePool
+    return Math.max(kvBytes / kvBytesPerEngine, 1 / placesPerEngine)
+  }
+
   describe () {
     return {
       ttftErrorMs: Math.round(this.ttftErrorMs),
@@ -70,10 +76,4 @@
       usualAnswerShare: Number(this.lengths.typicalShare.toFixed(2)),
     }
   }
-
-  /** The share of a decode engine that a request occupies: of its memory or of its slots, whichever is larger. */
-  #engineShareOf (kvBytes: number): number {
-    const { kvBytesPerEngine, placesPerEngine } = this.#ledger.shard.decodePool
-    return Math.max(kvBytes / kvBytesPerEngine, 1 / placesPerEngine)
-  }
 }
--- a/scheduling/scheduler/src/placementRecorder.ts
+++ b/scheduling/scheduler/src/placementRecorder.ts
@@ -1,12 +1,11 @@
-import { type RouteSpec } from '@reelspan/config.resources'
 import { isOwnPrefill } from '@reelspan/core.messages'
-import { type ClientShares } from '@reelspan/scheduling.client-shares'
 import { type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { type EngineLimits } from './engineLimits.js'
 import { entryOfEstimate } from './placementEntries.js'
 import { type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
 import { type PlacementObservations } from './placementObservations.js'
+import { type QueueShares } from './queueShares.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 export interface PlacementRecorderOptions {
@@ -15,9 +14,7 @@
   index: PrefixIndex
   limits: EngineLimits
   observations: PlacementObservations
-  shares: ClientShares
-  /** The route of the shard's model. */
-  route: () => RouteSpec | undefined
+  shares: QueueShares
   /** Called when the prefixes cached at an engine have changed. */
   onPrefixesChanged: (engine: string) => void
 }
@@ -31,7 +28,7 @@
   }
 
   record ({ request }: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
-    const { ledger, estimator, index, limits, observations, shares, route, onPrefixesChanged } = this.#opts
+    const { ledger, estimator, index, limits, observations, shares, onPrefixesChanged } = this.#opts
     const { prefill, decode, costMs, kvBytes } = estimate
     const entry = entryOfEstimate(request, estimate, nowMs)
     ledger.reserve(entry, nowMs)
@@ -40,8 +37,7 @@
       index.recordSent(prefill.name, request.prefixes, nowMs)
       onPrefixesChanged(prefill.name)
     }
-    const weight = route()?.clientWeights[request.client] ?? 1
-    shares.charge(request.client, costMs, weight, nowMs)
+    shares.recordReservation(request, entry, { ageMs: 0, expectedMs: shares.expectedHoldMs(request) }, nowMs)
     observations.recordPlacement({
       prefillMs: isOwnPrefill(entry) ? estimator.prefillCostMs(request, prefill.name, nowMs) : costMs,
       typicalAnswerMs: estimator.typicalAnswerMs(request),
--- /dev/null
+++ b/scheduling/scheduler/src/promisedRetries.ts
@@ -0,0 +1,31 @@
+interface PromisedRetry {
+  client: string
+  dueAtMs: number
+}
+
+/** Due times of the retries that were promised a slot, by client: a client is not delayed by promises to one over its share. */
+export class PromisedRetries {
+  readonly #retries = new Map<string, PromisedRetry>()
+
+  record (returnId: string, retry: PromisedRetry): void {
+    this.#retries.set(returnId, retry)
+  }
+
+  remove (returnId: string): void {
+    this.#retries.delete(returnId)
+  }
+
+  /** Due times of the outstanding retries of some clients, sorted. */
+  dueAtMs (isCounted: (client: string) => boolean, nowMs: number): number[] {
+    return [...this.#retries.values()]
+      .filter(({ client, dueAtMs }) => dueAtMs > nowMs && isCounted(client))
+      .map(({ dueAtMs }) => dueAtMs)
+      .sort((a, b) => a - b)
+  }
+
+  expire (nowMs: number): void {
+    this.#retries.forEach(({ dueAtMs }, returnId) => {
+      if (dueAtMs <= nowMs) this.#retries.delete(returnId)
+    })
+  }
+}
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -1,11 +1,12 @@
 import { type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
-import { type ClientShares } from '@reelspan/scheduling.client-shares'
 import { type ShardLedger } from '@reelspan/scheduling.ledger'
 import { decideQueue, type QueueDecision } from './decideQueue.js'
 import { type PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimator } from './placementEstimator.js'
 import { PlacementRate } from './placementRate.js'
+import { PromisedRetries } from './promisedRetries.js'
 import { QueueForecast } from './queueForecast.js'
+import { type QueueShares } from './queueShares.js'
 import { RefusalBuilder } from './refusalBuilder.js'
 import { RetrySchedule, type ScheduledRetry } from './retrySchedule.js'
 import { type WaitingRequest } from './waitingQueue.js'
@@ -14,7 +15,7 @@
   ledger: ShardLedger
   chooser: PlacementChooser
   estimator: PlacementEstimator
-  shares: ClientShares
+  shares: QueueShares
 }
 
 /** Engines report and callers reconnect within about this time, so little changes for a retry before it. */
@@ -26,6 +27,7 @@
   readonly #opts: QueueAdmissionOptions
   readonly #rate = new PlacementRate()
   readonly #retrySchedule = new RetrySchedule({ minDelayMs: MIN_RETRY_DELAY_MS, maxDelayMs: MAX_RETRY_DELAY_MS })
+  readonly #promised = new PromisedRetries()
   readonly #forecast: QueueForecast
   readonly #refusals: RefusalBuilder
 
@@ -52,6 +54,7 @@
 
   recordPlacement ({ returnId }: ReserveRequest, nowMs: number): void {
     this.#retrySchedule.remove(returnId)
+    this.#promised.remove(returnId)
     this.#rate.recordPlacement(nowMs)
   }
 
@@ -62,6 +65,7 @@
 
   expire (nowMs: number): void {
     this.#retrySchedule.expire(nowMs)
+    this.#promised.expire(nowMs)
   }
 
   /** Total prefill work of all waiting requests. */
@@ -79,13 +83,22 @@
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
       minTtftMs: (one) => this.#forecast.minTtftMs(one, engines, nowMs),
-      isOverShare: (client) => shares.isOverShare(client, nowMs),
-      promisesDueAtMs: this.#retrySchedule.promisesDueAtMs(nowMs),
+      shareRankOf: (one) => shares.rankOf(one),
+      slotsUntilShare: (one) => shares.slotsUntilShare(one),
+      shareOf: (client) => shares.shareOf(client, nowMs),
+      arrivalsOf: (client) => shares.demandOf(client, nowMs),
+      arrivalsWithinShares: shares.demandWithinShares(nowMs),
+      promisesDueAtMs: (client) => this.#promised.dueAtMs(client === undefined ? (one) => !shares.wouldExceed(one, nowMs) : (one) => one === client, nowMs),
     })
   }
 
   /** @param waitingCount number of requests waiting at the scheduler */
   refuse (refused: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string, { waitingCount, nowMs }: { waitingCount: number, nowMs: number }): PlacementRefusal {
-    return this.#refusals.refuse(refused, reason, { waitingCount, nowMs })
+    const { request } = refused
+    const refusal = this.#refusals.refuse(refused, reason, { waitingCount, nowMs })
+    const dueAtMs = nowMs + refusal.retryAfterMs
+    if (this.#retrySchedule.findDue(request.returnId, dueAtMs)?.promised) this.#promised.record(request.returnId, { client: request.client, dueAtMs })
+    this.#opts.shares.recordRefusal(request, nowMs)
+    return refusal
   }
 }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,12 +1,12 @@
-import { type RouteSpec } from '@reelspan/config.resources'
+import { type AccountSpec, type Named, type RouteSpec } from '@reelspan/config.resources'
 import { type Clock, type TaskErrorListener } from '@reelspan/core.env'
 import { type EngineOutcome, type HoldLabel, type PlacementAnswer, PlacementOutcome, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
-import { ClientShares } from '@reelspan/scheduling.client-shares'
 import { ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
 import { UpstreamHealth } from '@reelspan/upstream.health'
+import { AccountWeights } from './accountWeights.js'
 import { CycleTimer } from './cycleTimer.js'
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome } from './decideAdmission.js'
 import { type QueueDecision } from './decideQueue.js'
@@ -18,6 +18,7 @@
 import { type ShardLoadEstimate, PlacementObservations } from './placementObservations.js'
 import { PlacementRecorder } from './placementRecorder.js'
 import { QueueAdmission } from './queueAdmission.js'
+import { QueueShares } from './queueShares.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
 
 export interface ShardSchedulerOptions {
@@ -25,6 +26,8 @@
   shard: Shard
   /** The route of the shard's model, for client weights and shares. */
   route: () => RouteSpec | undefined
+  /** The declared client accounts, for their weights. */
+  accounts?: () => readonly Named<AccountSpec>[]
   index: PrefixIndex
   maxReportAgeMs: number
   /** Requests per second that an engine accepts; undefined if it advertises no limit. */
@@ -35,11 +38,20 @@
   onSuspected?: (engine: string, forMs: number, failureShare: number) => void
   onTrusted?: (engine: string) => void
   /** Called when the admission decision for a waiting request is made or changes. */
-  onAdmission?: (requestId: string, inputs: AdmissionInputs, decision: AdmissionDecision) => void
+  onAdmission?: (requestId: string, inputs: AdmissionInputs, decision: AdmissionDecision, share: ShareUse) => void
+  /** Called when a request was placed or refused. */
+  onAnswered?: (outcome: PlacementOutcome, share: ShareUse) => void
   /** Called when a task ends with an unexpected error. */
   onTaskError?: TaskErrorListener
 }
 
+/** The client of a request, and whether the request exceeded its share. */
+export interface ShareUse {
+  client: string
+  overShare: boolean
+}
+
+const NO_ACCOUNTS: readonly Named<AccountSpec>[] = []
 const MAX_WAITING = 2000
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
@@ -50,7 +62,7 @@
   readonly ledger: ShardLedger
   readonly #opts: ShardSchedulerOptions
   readonly #estimator: PlacementEstimator
-  readonly #shares = new ClientShares()
+  readonly #shares: QueueShares
   readonly #observations: PlacementObservations
   readonly #chooser: PlacementChooser
   readonly #waiting = new WaitingQueue()
@@ -62,7 +74,7 @@
 
   constructor (opts: ShardSchedulerOptions) {
     this.#opts = opts
-    this.ledger = new ShardLedger(opts.shard, { maxReportAgeMs: opts.maxReportAgeMs })
+    this.ledger = new ShardLedger(opts.shard, { maxReportAgeMs: opts.maxReportAgeMs, onReleased: (label) => this.#shares.recordRelease(label, opts.clock.nowMs()) })
     this.#observations = new PlacementObservations(this.ledger)
     const { lengths, placesLimit } = this.#observations
     this.#health = new UpstreamHealth(opts)
@@ -70,6 +82,8 @@
     const isSuspect = (engine: string) => this.#health.isSuspect(engine)
     const limits = this.#limits
     this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect, limits })
+    const weights = new AccountWeights({ route: opts.route, accounts: opts.accounts ?? (() => NO_ACCOUNTS) })
+    this.#shares = new QueueShares({ ledger: this.ledger, estimator: this.#estimator, observations: this.#observations, weights })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
     this.#admission = new QueueAdmission({ ledger: this.ledger, chooser: this.#chooser, estimator: this.#estimator, shares: this.#shares })
     this.#recorder = new PlacementRecorder({
@@ -79,7 +93,6 @@
       limits,
       observations: this.#observations,
       shares: this.#shares,
-      route: opts.route,
       onPrefixesChanged: (engine) => this.#invalidateCosts(engine),
     })
     this.#timer = new CycleTimer({ clock: opts.clock, runCycle: () => this.#runCycle(), onTaskError: opts.onTaskError })
@@ -152,7 +165,12 @@
     const nowMs = this.#opts.clock.nowMs()
     reservations
       .filter(({ request }) => !this.ledger.has(request.label))
-      .forEach((adopted) => this.ledger.reserve(entryOfAdopted(this.ledger.shard, adopted, nowMs), nowMs))
+      .forEach((adopted) => {
+        const { request, ageMs } = adopted
+        const entry = entryOfAdopted(this.ledger.shard, adopted, nowMs)
+        this.ledger.reserve(entry, nowMs)
+        this.#shares.recordReservation(request, entry, { ageMs, expectedMs: this.#shares.expectedHoldMs(request) }, nowMs)
+      })
   }
 
   releaseOwner (ownerIncarnation: string): void {
@@ -217,7 +235,10 @@
     if (this.#waiting.size === 0) return this.#admission.recordIdle(nowMs)
     this.#admission.expire(nowMs)
     const queuedPrefillMs = this.#admission.queuedPrefillMs(this.#waiting.all(), nowMs)
-    const next = () => this.#chooser.choose(this.#waiting.all(), queuedPrefillMs, nowMs)
+    const next = () => {
+      this.#shares.refresh(this.#waiting.all(), nowMs)
+      return this.#chooser.choose(this.#waiting.all(), queuedPrefillMs, nowMs)
+    }
     for (let choice = next(); choice; choice = next()) this.#place(choice.waiting, choice.estimate, nowMs)
     this.#decideWaiting(nowMs)
     if (this.#waiting.size === 0) this.#admission.recordIdle(nowMs)
@@ -230,16 +251,20 @@
     this.#admission.decide(this.#waiting.all(), nowMs).forEach((decided) => this.#applyDecision(decided))
   }
 
-  #applyDecision ({ waiting, inputs, decision }: QueueDecision): void {
-    if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision)
+  #applyDecision ({ waiting, inputs, decision, overShare }: QueueDecision): void {
+    const share = { client: waiting.request.client, overShare }
+    if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision, share)
     waiting.outcome = decision.outcome
-    if (decision.outcome === AdmissionOutcome.Refused) this.#answer(waiting, this.#refusal(waiting, decision.reason))
+    if (decision.outcome !== AdmissionOutcome.Refused) return
+    this.#answer(waiting, this.#refusal(waiting, decision.reason))
+    this.#opts.onAnswered?.(PlacementOutcome.Refused, share)
   }
 
   #place (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
     this.#recorder.record(waiting, estimate, nowMs)
     this.#admission.recordPlacement(waiting.request, nowMs)
     this.#answer(waiting, planOfEstimate(estimate, nowMs))
+    this.#opts.onAnswered?.(PlacementOutcome.Placed, { client: waiting.request.client, overShare: this.#shares.isOverShare(waiting) })
   }
 
   /** Drops cached prefill durations for an engine whose cached prefixes changed. */
--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -1,9 +1,9 @@
-import { AdmissionOutcome, decideQueue, type QueueInputs, type WaitingRequest } from '@reelspan/scheduling.scheduler'
+import { AdmissionOutcome, decideQueue, type QueueInputs, ShareRank, type WaitingRequest } from '@reelspan/scheduling.scheduler'
 import test from 'ava'
 import { requestOf } from './__utils__/createShard.js'
 
 /** A slot becomes free every 100 ms, and new requests arrive at a quarter of that rate. */
-const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, isOverShare: () => false, promisesDueAtMs: [] }
+const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, shareOf: () => 1, arrivalsOf: () => 1, arrivalsWithinShares: 1, promisesDueAtMs: () => [] }
 
 function waitingSince (ms: number, over: Partial<WaitingRequest> = {}, request = {}): WaitingRequest {
   const arrivedAtMs = FACTS.nowMs - ms
@@ -31,11 +31,11 @@
   const others = Array.from({ length: 7 }, () => waitingSince(0))
   t.is(outcomesOf([...others, waitingSince(0)])[7], AdmissionOutcome.InTime)
   t.is(outcomesOf([promised, ...others, waitingSince(0)])[8], AdmissionOutcome.Late)
-  t.is(outcomesOf([...others, waitingSince(0)], { promisesDueAtMs: [FACTS.nowMs + 500, FACTS.nowMs + 5000] })[7], AdmissionOutcome.Late)
+  t.is(outcomesOf([...others, waitingSince(0)], { promisesDueAtMs: () => [FACTS.nowMs + 500, FACTS.nowMs + 5000] })[7], AdmissionOutcome.Late)
 })
 
 test('requests of clients over their share count as behind the others', (t) => {
   const flood = Array.from({ length: 9 }, () => waitingSince(0, {}, { client: 'flood' }))
-  t.is(outcomesOf([...flood, waitingSince(0)], { isOverShare: (client) => client === 'flood' })[9], AdmissionOutcome.InTime)
+  t.is(outcomesOf([...flood, waitingSince(0)], { shareRankOf: ({ request }) => request.client === 'flood' ? ShareRank.Over : ShareRank.Within })[9], AdmissionOutcome.InTime)
   t.is(outcomesOf([...flood, waitingSince(0)])[9], AdmissionOutcome.Late)
 })
