feat(scheduling.scheduler): late requests within their share count only arrivals of clients below theirs

Arrivals of an account that exceeds its share were counted up to the share, so they used up all slots in the forecast and requests within their share were refused while they waited.

--- a/scheduling/client-shares/src/clientShares.ts
+++ b/scheduling/client-shares/src/clientShares.ts
@@ -44,8 +44,8 @@
   perWeight: number
   total: number
   demand: number
-  /** Demand up to each client's share. */
-  demandWithin: number
+  /** Demand of the clients that request no more than their shares. */
+  modestDemand: number
 }
 
 /**
@@ -103,10 +103,10 @@
     return usage && total > 0 ? Math.min(1, usage.weight * perWeight / total) : 1
   }
 
-  /** The part of the total demand that is within the shares of its clients, from 0 to 1. */
-  demandWithinShares (nowMs: number): number {
-    const { demand, demandWithin } = this.#levelAt(nowMs)
-    return demand > 0 ? demandWithin / demand : 1
+  /** The part of the total demand that comes from clients that request no more than their shares, from 0 to 1. */
+  modestDemand (nowMs: number): number {
+    const { demand, modestDemand } = this.#levelAt(nowMs)
+    return demand > 0 ? modestDemand / demand : 1
   }
 
   /** The part of the total demand that a client has, from 0 to 1. */
@@ -177,8 +177,8 @@
     const demanded = this.#recordsDemand ? active : active.map((load) => ({ ...load, demand: Number.POSITIVE_INFINITY }))
     const perWeight = active.length > 1 ? fairLevel(demanded, total) : Number.POSITIVE_INFINITY
     const demand = loads.reduce((sum, load) => sum + load.demand, 0)
-    const demandWithin = loads.reduce((sum, load) => sum + Math.min(load.demand, load.weight * perWeight), 0)
-    this.#level = { perWeight, total, demand, demandWithin, atMs: nowMs }
+    const modestDemand = loads.filter((load) => load.demand <= load.weight * perWeight).reduce((sum, load) => sum + load.demand, 0)
+    this.#level = { perWeight, total, demand, modestDemand, atMs: nowMs }
     return this.#level
   }
 
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -14,8 +14,8 @@
   shareOf: (client: string) => number
   /** The part of new requests that a client sends, from 0 to 1. */
   arrivalsOf: (client: string) => number
-  /** The part of new requests that is within the clients' shares, from 0 to 1. */
-  arrivalsWithinShares: number
+  /** The part of new requests that comes from clients that request no more than their shares, from 0 to 1. Others get what these leave. */
+  modestArrivals: number
   /** Due times of outstanding retries with a promised slot, sorted: of one client, or of those within their shares. */
   promisesDueAtMs: (client?: string) => readonly number[]
 }
@@ -60,8 +60,8 @@
 
 /** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
 function decideWithinShares (within: readonly WaitingRequest[], before: number, queueInputs: QueueInputs): QueueDecision[] {
-  const { msPerArrival, arrivalsWithinShares, promisesDueAtMs } = queueInputs
-  const common = { msPerArrival: msPerArrival === undefined ? undefined : msPerArrival / arrivalsWithinShares, promisesDue: promisesDueAtMs(), slotsPerPromise: 1 }
+  const { msPerArrival, modestArrivals, promisesDueAtMs } = queueInputs
+  const common = { msPerArrival: msPerArrival === undefined || modestArrivals === 0 ? undefined : msPerArrival / modestArrivals, promisesDue: promisesDueAtMs(), slotsPerPromise: 1 }
   const first: QueueDecision[] = []
   const late = inOrder(within, queueInputs).filter((waiting) => {
     const decided = decide(waiting, { ...common, aheadInTime: before + first.length, aheadLate: 0 }, queueInputs)
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -87,7 +87,7 @@
       slotsUntilShare: (one) => shares.slotsUntilShare(one),
       shareOf: (client) => shares.shareOf(client, nowMs),
       arrivalsOf: (client) => shares.demandOf(client, nowMs),
-      arrivalsWithinShares: shares.demandWithinShares(nowMs),
+      modestArrivals: shares.modestDemand(nowMs),
       promisesDueAtMs: (client) => this.#promised.dueAtMs(client === undefined ? (one) => !shares.wouldExceed(one, nowMs) : (one) => one === client, nowMs),
     })
   }
--- a/scheduling/scheduler/src/queueShares.ts
+++ b/scheduling/scheduler/src/queueShares.ts
@@ -123,9 +123,9 @@
     return Math.max(MIN_SHARE, this.#shares.shareOf(client, nowMs))
   }
 
-  /** The part of the demand that is within the clients' shares, from 0 to 1. */
-  demandWithinShares (nowMs: number): number {
-    return this.#shares.demandWithinShares(nowMs)
+  /** The part of the demand that comes from clients that request no more than their shares, from 0 to 1. */
+  modestDemand (nowMs: number): number {
+    return this.#shares.modestDemand(nowMs)
   }
 
   /** The part of the demand that a client has, from 0 to 1. */
--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -3,7 +3,7 @@
 import { requestOf } from './__utils__/createShard.js'
 
 /** A slot becomes free every 100 ms, and new requests arrive at a quarter of that rate. */
-const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, shareOf: () => 1, arrivalsOf: () => 1, arrivalsWithinShares: 1, promisesDueAtMs: () => [] }
+const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, shareOf: () => 1, arrivalsOf: () => 1, modestArrivals: 1, promisesDueAtMs: () => [] }
 
 function waitingSince (ms: number, over: Partial<WaitingRequest> = {}, request = {}): WaitingRequest {
   const arrivedAtMs = FACTS.nowMs - ms
