feat(request.relay, scheduling.owner-alone): the account of a relayed request at its scheduler, in logs, metrics and at owners alone

Relayed requests reached the scheduler with an empty client, so all accounts were one. They now carry the account's name. admissionDecided has the account and whether the request exceeds its share, and reelspan_share_requests_total counts placed and refused requests by account and share; only declared accounts are labels, since callers name clients freely where none is declared. An owner that places alone keeps shares of its own requests and leaves half of the slots that it may use to accounts within theirs. A queue that is full of requests over their share gives way to one within its share.

--- a/box/runtime/src/createPlacer.ts
+++ b/box/runtime/src/createPlacer.ts
@@ -1,6 +1,7 @@
 import { createEnginePicker, OnDemandReports, LocalPlacer, PickerKind, PolledReports } from '@reelspan/scheduling.owner-alone'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { createPrefixIndex, type PrefixIndex } from '@reelspan/scheduling.prefix-index'
+import { AccountWeights } from '@reelspan/scheduling.scheduler'
 import { SchedulerPlacer } from '@reelspan/scheduling.scheduler-placer'
 import { enginesOf } from '@reelspan/scheduling.shards'
 import { type BoxParts } from './boxParts.js'
@@ -50,8 +51,10 @@
 
 /** Places requests at the owner while no scheduler can be reached. */
 function createFallback (parts: BoxParts, index: PrefixIndex): LocalPlacer {
-  const { clock, random, engines, settings } = parts
+  const { clock, random, engines, settings, declarations } = parts
   const { reportPeriodMs, fallbackPlacesPercent } = settings.scheduling
+  // Weights that a route lists apply at its schedulers only: the placer serves all models.
+  const weights = new AccountWeights({ route: () => undefined, accounts: () => declarations.value.accounts() })
   return new LocalPlacer({
     clock,
     picker: createEnginePicker(PickerKind.TwoChoices, random),
@@ -62,5 +65,6 @@
     admission: true,
     assumedOwners: () => 1,
     slotPercent: fallbackPlacesPercent,
+    weightOf: (client) => weights.weightOf(client),
   })
 }
--- a/box/runtime/src/shardManagers.ts
+++ b/box/runtime/src/shardManagers.ts
@@ -5,7 +5,7 @@
 import { type HoldLabel } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
-import { type AdmissionDecision, type AdmissionInputs, ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { type AdmissionDecision, type AdmissionInputs, ShardScheduler, type ShareUse } from '@reelspan/scheduling.scheduler'
 import { deriveShards, schedulerOf, type Shard } from '@reelspan/scheduling.shards'
 import { LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { HoldSweeper } from '@reelspan/upstream.holds'
@@ -155,23 +155,33 @@
   }
 
   #createScheduler (shard: Shard, onUnreachable: (engineName: string) => void): ShardScheduler {
-    const { clock, declarations, limitPerSecond, settings, failures, log } = this.#opts
+    const { clock, declarations, limitPerSecond, settings, failures, log, metrics } = this.#opts
     const { reportPeriodMs, prefixIndex } = settings.scheduling
     return new ShardScheduler({
       clock,
       shard,
       route: () => declarations.value.routeOfModel(shard.model)?.spec,
+      accounts: () => declarations.value.accounts(),
       index: createPrefixIndex(prefixIndex),
       maxReportAgeMs: reportPeriodMs * REPORT_TTL_PERIODS,
       limitPerSecond,
       onUnreachable,
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
-      onAdmission: (attempt, inputs, decision) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...admissionFields(inputs, decision) }),
+      onAdmission: (attempt, inputs, decision, share) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...this.#shareFields(share), ...admissionFields(inputs, decision) }),
+      onAnswered: (outcome, share) => {
+        const { account = '', overShare } = this.#shareFields(share)
+        metrics.count('reelspan_share_requests_total', { account, outcome, share: overShare ? 'over' : 'within' })
+      },
       onTaskError: (thrown) => failures.recordTask('shardScheduler', thrown),
     })
   }
 
+  /** The client as its account. Without accounts, callers name clients freely, so these are neither logged nor counted apart. */
+  #shareFields ({ client, overShare }: ShareUse): { account?: string, overShare: boolean } {
+    return { account: this.#opts.declarations.value.account(client) && client, overShare }
+  }
+
   #createSweeper (scheduler: ShardScheduler): HoldSweeper {
     const { clock, link, engines, settings, isGone, confirmRunningHere, log, metrics } = this.#opts
     const { reportPeriodMs } = settings.scheduling
--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -119,7 +119,8 @@
     const label: HoldLabel = { ownerAddress: peerAddress, ownerIncarnation: incarnation, requestId: `${request.id}.${++this.#placements}`, maxHoldMs: run.remainingMs }
     return {
       model: this.#model,
-      client: '',
+      // Requests without an account count together as one client.
+      client: request.account ?? '',
       label,
       // A caller's retry has a different id, but the same last prompt prefix.
       returnId: prefixes.at(-1)?.digest ?? hash32(request.id).toString(36),
--- a/request/relay/test/accounts.ts
+++ b/request/relay/test/accounts.ts
@@ -32,7 +32,7 @@
   const { clock, relay, upstreams, placer } = createRelay([aborts(200, ['id: 0\ndata: a\n\n']), answers(200, 'id: 1\ndata: b\n\n')], { admission })
   await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
   t.deepEqual(upstreams.runs.map(({ request, opts }) => [request.account, opts.urgency]), [['bank', 0], ['bank', 0]])
-  t.true(placer.requests.every(({ priority }) => priority === 0))
+  t.true(placer.requests.every(({ priority, client }) => priority === 0 && client === 'bank'))
 })
 
 test('admission is decided before a request is placed or sent', async (t) => {
--- a/scheduling/owner-alone/src/localPlacer.ts
+++ b/scheduling/owner-alone/src/localPlacer.ts
@@ -1,5 +1,6 @@
 import { type Clock } from '@reelspan/core.env'
 import { type PlacementPlan, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
+import { ClientShares } from '@reelspan/scheduling.client-shares'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { slotsWithinTarget, prefillMs, requestKvBytes, type Shard, transferMs } from '@reelspan/scheduling.shards'
@@ -24,6 +25,8 @@
   assumedOwners: () => number
   /** Percentage of each decode engine's slots that may be used. */
   slotPercent: number
+  /** Weight of a client in overload; 1 if omitted. */
+  weightOf?: (client: string) => number
 }
 
 interface Candidate {
@@ -65,9 +68,16 @@
 /** Own placements are kept until reports must include them. */
 const OWN_PLACEMENT_TTL_MS = 2000
 
+/**
+ * Share of the usable slots of an engine for clients over their share at this box, so that the others find
+ * a slot. The box knows its own requests only; asking other boxes would need the messages that are missing here.
+ */
+const OVER_SHARE_SLOTS = 0.5
+
 /** Places requests without a scheduler, from engine reports and this owner's own recent placements. */
 export class LocalPlacer extends Placer {
   readonly #opts: LocalPlacerOptions
+  readonly #shares = new ClientShares()
   #ownPlacements: OwnPlacement[] = []
 
   constructor (opts: LocalPlacerOptions) {
@@ -89,7 +99,10 @@
     const decode = this.#opts.decodePicker.pick(decodes, ({ load }) => load, '')
     const shard = shards.find(({ prefillEngines }) => prefillEngines.includes(prefill.engine)) as Shard
     if (admission && !this.#isInTime(request, prefill, shard)) return refusal('the first token would be late')
-    if (admission && !this.#hasCapacity(request, decode, shard)) return refusal('the decode engine is full')
+    if (admission && !this.#hasCapacity(request, decode, shard)) {
+      this.#shares.recordRefusal(this.#demandOf(request, shard), this.#opts.clock.nowMs())
+      return refusal('the decode engine is full')
+    }
     return this.#createPlacement(request, prefill, decode, shard)
   }
 
@@ -139,11 +152,18 @@
   }
 
   #hasCapacity (request: PlaceRequest, decode: Candidate, shard: Shard): boolean {
-    const slots = slotsWithinTarget(shard, request.tbtTargetMs) * this.#opts.slotPercent / 100
+    const overShare = this.#shares.isOverShare(request.client, this.#opts.clock.nowMs())
+    const slots = slotsWithinTarget(shard, request.tbtTargetMs) * this.#opts.slotPercent / 100 * (overShare ? OVER_SHARE_SLOTS : 1)
     const { kvBytesTotal, kvBytesUsed } = decode.dated.report
     return decode.load + 1 <= Math.max(1, slots) && kvBytesUsed + requestKvBytes(shard, request, TYPICAL_ANSWER_SHARE) <= kvBytesTotal
   }
 
+  /** What a request costs of a slot, by the expected duration of its answer. */
+  #demandOf ({ client, maxTokens }: PlaceRequest, { spec }: Shard) {
+    const cost = this.#shares.costOfHolding(1, TYPICAL_ANSWER_SHARE * maxTokens * spec.decodeStepBaseMs)
+    return { client, cost, weight: this.#opts.weightOf?.(client) ?? 1 }
+  }
+
   #createPlacement (request: PlaceRequest, prefill: Candidate, decode: Candidate, shard: Shard): Placement {
     const nowMs = this.#opts.clock.nowMs()
     const costMs = this.#prefillMs(request, prefill.engine, shard)
@@ -161,7 +181,13 @@
       startWithinMs: START_WITHIN_MS,
       expectedTtftMs: prefill.load + costMs,
     }
-    return { plan, placedBy: 'owner alone', recordPrefillEnd: () => {}, release: () => {}, recordProgress: () => {} }
+    const { client, cost, weight } = this.#demandOf(request, shard)
+    this.#shares.start(client, cost, weight, nowMs)
+    const release = () => {
+      const releasedAtMs = this.#opts.clock.nowMs()
+      this.#shares.end(client, { expected: cost, actual: this.#shares.costOfHolding(1, releasedAtMs - nowMs) }, releasedAtMs)
+    }
+    return { plan, placedBy: 'owner alone', recordPrefillEnd: () => {}, release, recordProgress: () => {} }
   }
 }
 
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -25,8 +25,6 @@
   waiting: WaitingRequest
   inputs: AdmissionInputs
   decision: AdmissionDecision
-  /** Whether the request exceeds its client's share. */
-  overShare: boolean
 }
 
 /** What is ahead of a request. All numbers and rates are in slots of the whole shard. */
@@ -93,7 +91,7 @@
 
 function decide (waiting: WaitingRequest, { aheadInTime, aheadLate, msPerArrival, promisesDue, slotsPerPromise }: Ahead, queueInputs: QueueInputs): QueueDecision {
   const { handoverMs, inTimeUntilMs, usefulUntilMs, returned, promiseDueAtMs, outcome } = waiting
-  const { nowMs, msPerPlace, rateError, minTtftMs, shareRankOf } = queueInputs
+  const { nowMs, msPerPlace, rateError, minTtftMs } = queueInputs
   const promised = promiseDueAtMs !== undefined
   const inputs: AdmissionInputs = {
     minTtftMs: minTtftMs(waiting),
@@ -110,7 +108,7 @@
     promised,
     kept: outcome !== undefined,
   }
-  return { waiting, inputs, decision: decideAdmission(inputs), overShare: shareRankOf(waiting) === ShareRank.Over }
+  return { waiting, inputs, decision: decideAdmission(inputs) }
 }
 
 /** Orders by share, then requests with a promised slot first, then by first arrival. */
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -53,6 +53,7 @@
 
 const NO_ACCOUNTS: readonly Named<AccountSpec>[] = []
 const MAX_WAITING = 2000
+const TOO_MANY_WAITING = 'too many requests are waiting'
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
 /** Share of its useful time for which a retry with a promised slot waits for a slot that no request in time needs. */
@@ -124,7 +125,10 @@
     const nowMs = this.#opts.clock.nowMs()
     const retry = this.#admission.findRetry(request, nowMs)
     const firstArrivedAtMs = retry?.firstArrivedAtMs ?? nowMs
-    if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, 'too many requests are waiting'))
+    if (this.#waiting.size >= MAX_WAITING && !this.#displaceFor(request, nowMs)) {
+      this.#opts.onAnswered?.(PlacementOutcome.Refused, { client: request.client, overShare: this.#shares.wouldExceed(request.client, nowMs) })
+      return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, TOO_MANY_WAITING))
+    }
     if (!retry) this.#recordArrival(nowMs)
     if (this.#waiting.size === 0) this.#admission.recordIdle(nowMs)
     const leftMs = request.ttftLeftMs - this.#observations.ttftErrorMs
@@ -223,6 +227,15 @@
     if (outcome === UpstreamOutcome.Unreachable) this.#opts.onUnreachable?.(engine)
   }
 
+  /** Refuses the last waiting request over its client's share in favour of one within its own share. Returns false if there is none. */
+  #displaceFor ({ client, priority }: ReserveRequest, nowMs: number): boolean {
+    const displaced = this.#shares.wouldExceed(client, nowMs)
+      ? undefined
+      : this.#waiting.all().findLast((waiting) => waiting.request.priority <= priority && this.#shares.isOverShare(waiting))
+    if (displaced) this.#refuse(displaced, TOO_MANY_WAITING)
+    return displaced !== undefined
+  }
+
   #recordArrival (nowMs: number): void {
     this.#admission.recordArrival(nowMs)
     this.#observations.recordArrival(nowMs)
@@ -251,20 +264,17 @@
     this.#admission.decide(this.#waiting.all(), nowMs).forEach((decided) => this.#applyDecision(decided))
   }
 
-  #applyDecision ({ waiting, inputs, decision, overShare }: QueueDecision): void {
-    const share = { client: waiting.request.client, overShare }
-    if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision, share)
+  #applyDecision ({ waiting, inputs, decision }: QueueDecision): void {
+    if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision, this.#shareUseOf(waiting))
     waiting.outcome = decision.outcome
-    if (decision.outcome !== AdmissionOutcome.Refused) return
-    this.#answer(waiting, this.#refusal(waiting, decision.reason))
-    this.#opts.onAnswered?.(PlacementOutcome.Refused, share)
+    if (decision.outcome === AdmissionOutcome.Refused) this.#refuse(waiting, decision.reason)
   }
 
   #place (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
     this.#recorder.record(waiting, estimate, nowMs)
     this.#admission.recordPlacement(waiting.request, nowMs)
+    this.#opts.onAnswered?.(PlacementOutcome.Placed, this.#shareUseOf(waiting))
     this.#answer(waiting, planOfEstimate(estimate, nowMs))
-    this.#opts.onAnswered?.(PlacementOutcome.Placed, { client: waiting.request.client, overShare: this.#shares.isOverShare(waiting) })
   }
 
   /** Drops cached prefill durations for an engine whose cached prefixes changed. */
@@ -277,6 +287,15 @@
     return this.#admission.refuse(waiting, reason, { waitingCount: this.#waiting.size, nowMs: this.#opts.clock.nowMs() })
   }
 
+  #refuse (waiting: WaitingRequest, reason: string): void {
+    this.#opts.onAnswered?.(PlacementOutcome.Refused, this.#shareUseOf(waiting))
+    this.#answer(waiting, this.#refusal(waiting, reason))
+  }
+
+  #shareUseOf (waiting: WaitingRequest): ShareUse {
+    return { client: waiting.request.client, overShare: this.#shares.isOverShare(waiting) }
+  }
+
   #answer (waiting: WaitingRequest, answer: PlacementAnswer): void {
     this.#waiting.remove(waiting)
     waiting.resolve(answer)
