--- a/scheduling/client-shares/src/clientShares.ts
+++ b/scheduling/client-shares/src/clientShares.ts
@@ -103,17 +103,25 @@
     return usage && total > 0 ? Math.min(1, usage.weight * perWeight / total) : 1
   }
 
-  /** The part of the total demand that comes from clients that request no more than their shares, from 0 to 1. */
+  /** Whether a client requests more than its share, so that shares limit someone. */
+  isContended (nowMs: number): boolean {
+    return Number.isFinite(this.#levelAt(nowMs).perWeight)
+  }
+
+  /** Recent usage and demand of all clients. */
+  totalDemand (nowMs: number): number {
+    return this.#levelAt(nowMs).demand
+  }
+
+  /** Recent usage and demand of the clients that request no more than their shares. */
   modestDemand (nowMs: number): number {
-    const { demand, modestDemand } = this.#levelAt(nowMs)
-    return demand > 0 ? modestDemand / demand : 1
+    return this.#levelAt(nowMs).modestDemand
   }
 
-  /** The part of the total demand that a client has, from 0 to 1. */
+  /** Recent usage and demand of a client. */
   demandOf (client: string, nowMs: number): number {
-    const { demand } = this.#levelAt(nowMs)
     const usage = this.#clients.get(client)
-    return usage && demand > 0 ? this.#loadAt(usage, nowMs).demand / demand : 1
+    return usage ? this.#loadAt(usage, nowMs).demand : 0
   }
 
   /** Charges a cost that decays from now on. */
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -1,5 +1,5 @@
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, decideAdmission } from './decideAdmission.js'
-import { ShareRank } from './queueShares.js'
+import { ShareRank } from './shareRank.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 /** State of a shard at the time of the decision, common to all waiting requests. */
@@ -10,6 +10,12 @@
   shareRankOf: (waiting: WaitingRequest) => ShareRank
   /** Slots of the shard until a request is within its client's share; 0 if it is. */
   slotsUntilShare: (waiting: WaitingRequest) => number
+  /** Shares among requests of at least a priority. */
+  sharesOf: (priority: number) => PriorityShares
+}
+
+/** What clients may use and request, among requests of at least one priority. */
+export interface PriorityShares {
   /** The part of the shard's capacity that a client may use, above 0 and up to 1. */
   shareOf: (client: string) => number
   /** The part of new requests that a client sends, from 0 to 1. */
@@ -27,6 +33,10 @@
   decision: AdmissionDecision
 }
 
+interface PriorityInputs extends QueueInputs {
+  shares: PriorityShares
+}
+
 /** What is ahead of a request. All numbers and rates are in slots of the whole shard. */
 interface Ahead extends Pick<AdmissionInputs, 'aheadInTime' | 'aheadLate' | 'msPerArrival'> {
   promisesDue: readonly number[]
@@ -44,11 +54,11 @@
   const priorities = [...new Set(waiting.map(({ request }) => request.priority))].sort((a, b) => b - a)
   return priorities.reduce<QueueDecision[]>((decided, priority) => {
     const samePriority = waiting.filter(({ request }) => request.priority === priority)
-    return [...decided, ...decideSamePriority(samePriority, decided.filter(isKept).length, queueInputs)]
+    return [...decided, ...decideSamePriority(samePriority, decided.filter(isKept).length, { ...queueInputs, shares: queueInputs.sharesOf(priority) })]
   }, [])
 }
 
-function decideSamePriority (samePriority: readonly WaitingRequest[], before: number, queueInputs: QueueInputs): QueueDecision[] {
+function decideSamePriority (samePriority: readonly WaitingRequest[], before: number, queueInputs: PriorityInputs): QueueDecision[] {
   const over = samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) === ShareRank.Over)
   const within = samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) !== ShareRank.Over)
   const decidedWithin = decideWithinShares(within, before, queueInputs)
@@ -57,8 +67,8 @@
 }
 
 /** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
-function decideWithinShares (within: readonly WaitingRequest[], before: number, queueInputs: QueueInputs): QueueDecision[] {
-  const { msPerArrival, modestArrivals, promisesDueAtMs } = queueInputs
+function decideWithinShares (within: readonly WaitingRequest[], before: number, queueInputs: PriorityInputs): QueueDecision[] {
+  const { msPerArrival, shares: { modestArrivals, promisesDueAtMs } } = queueInputs
   const common = { msPerArrival: msPerArrival === undefined || modestArrivals === 0 ? undefined : msPerArrival / modestArrivals, promisesDue: promisesDueAtMs(), slotsPerPromise: 1 }
   const first: QueueDecision[] = []
   const late = inOrder(within, queueInputs).filter((waiting) => {
@@ -77,8 +87,8 @@
 }
 
 /** Decides for a request over its client's share. It gets a slot when its client's share allows it, after those within their shares that wait now. */
-function decideOverShare (waiting: WaitingRequest, { before, keptWithin }: { before: number, keptWithin: number }, queueInputs: QueueInputs): QueueDecision {
-  const { msPerArrival, shareOf, arrivalsOf, promisesDueAtMs, slotsUntilShare } = queueInputs
+function decideOverShare (waiting: WaitingRequest, { before, keptWithin }: { before: number, keptWithin: number }, queueInputs: PriorityInputs): QueueDecision {
+  const { msPerArrival, shares: { shareOf, arrivalsOf, promisesDueAtMs }, slotsUntilShare } = queueInputs
   const { client } = waiting.request
   return decide(waiting, {
     aheadInTime: before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))),
--- a/scheduling/scheduler/src/placementRecorder.ts
+++ b/scheduling/scheduler/src/placementRecorder.ts
@@ -37,7 +37,7 @@
       index.recordSent(prefill.name, request.prefixes, nowMs)
       onPrefixesChanged(prefill.name)
     }
-    shares.recordReservation(request, entry, { ageMs: 0, expectedMs: shares.expectedHoldMs(request) }, nowMs)
+    shares.recordReservation(request, entry, { ageMs: 0 }, nowMs)
     observations.recordPlacement({
       prefillMs: isOwnPrefill(entry) ? estimator.prefillCostMs(request, prefill.name, nowMs) : costMs,
       typicalAnswerMs: estimator.typicalAnswerMs(request),
--- a/scheduling/scheduler/src/promisedRetries.ts
+++ b/scheduling/scheduler/src/promisedRetries.ts
@@ -1,5 +1,6 @@
-interface PromisedRetry {
+export interface PromisedRetry {
   client: string
+  priority: number
   dueAtMs: number
 }
 
@@ -15,10 +16,10 @@
     this.#retries.delete(returnId)
   }
 
-  /** Due times of the outstanding retries of some clients, sorted. */
-  dueAtMs (isCounted: (client: string) => boolean, nowMs: number): number[] {
+  /** Due times of some of the outstanding retries, sorted. */
+  dueAtMs (isCounted: (retry: PromisedRetry) => boolean, nowMs: number): number[] {
     return [...this.#retries.values()]
-      .filter(({ client, dueAtMs }) => dueAtMs > nowMs && isCounted(client))
+      .filter((retry) => retry.dueAtMs > nowMs && isCounted(retry))
       .map(({ dueAtMs }) => dueAtMs)
       .sort((a, b) => a - b)
   }
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -1,6 +1,6 @@
 import { type PlacementRefusal, type ReserveRequest } from '@reelspan/core.messages'
 import { type ShardLedger } from '@reelspan/scheduling.ledger'
-import { decideQueue, type QueueDecision } from './decideQueue.js'
+import { decideQueue, type PriorityShares, type QueueDecision } from './decideQueue.js'
 import { type PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimator } from './placementEstimator.js'
 import { PlacementRate } from './placementRate.js'
@@ -85,19 +85,33 @@
       minTtftMs: (one) => this.#forecast.minTtftMs(one, engines, nowMs),
       shareRankOf: (one) => shares.rankOf(one),
       slotsUntilShare: (one) => shares.slotsUntilShare(one),
-      shareOf: (client) => shares.shareOf(client, nowMs),
-      arrivalsOf: (client) => shares.demandOf(client, nowMs),
-      modestArrivals: shares.modestDemand(nowMs),
-      promisesDueAtMs: (client) => this.#promised.dueAtMs(client === undefined ? (one) => !shares.wouldExceed(one, nowMs) : (one) => one === client, nowMs),
+      sharesOf: (priority) => this.#sharesOf(priority, nowMs),
     })
   }
 
+  #sharesOf (priority: number, nowMs: number): PriorityShares {
+    const { shares } = this.#opts
+    const { lastSeconds } = shares.ofPriority(priority)
+    const all = shares.ofAll().lastSeconds
+    // Without contention all arrivals and promises count, as without accounts.
+    const isContended = all.isContended(nowMs)
+    const partOf = (demand: number) => isContended ? demand / all.totalDemand(nowMs) : 1
+    const isWithinShare = (client: string) => !shares.ofPriority(priority).wouldExceed(client, nowMs)
+    return {
+      shareOf: (client) => shares.ofPriority(priority).shareOf(client, nowMs),
+      arrivalsOf: (client) => partOf(lastSeconds.demandOf(client, nowMs)),
+      modestArrivals: partOf(lastSeconds.modestDemand(nowMs)),
+      promisesDueAtMs: (client) => this.#promised.dueAtMs((promised) =>
+        (!isContended || promised.priority >= priority) && (client === undefined ? isWithinShare(promised.client) : client === promised.client), nowMs),
+    }
+  }
+
   /** @param waitingCount number of requests waiting at the scheduler */
   refuse (refused: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string, { waitingCount, nowMs }: { waitingCount: number, nowMs: number }): PlacementRefusal {
     const { request } = refused
     const refusal = this.#refusals.refuse(refused, reason, { waitingCount, nowMs })
     const dueAtMs = nowMs + refusal.retryAfterMs
-    if (this.#retrySchedule.findDue(request.returnId, dueAtMs)?.promised) this.#promised.record(request.returnId, { client: request.client, dueAtMs })
+    if (this.#retrySchedule.findDue(request.returnId, dueAtMs)?.promised) this.#promised.record(request.returnId, { client: request.client, priority: request.priority, dueAtMs })
     this.#opts.shares.recordRefusal(request, nowMs)
     return refusal
   }
--- a/scheduling/scheduler/src/queueShares.ts
+++ b/scheduling/scheduler/src/queueShares.ts
@@ -1,10 +1,11 @@
 import { type HoldLabel, holdLabelKey, type ReserveRequest } from '@reelspan/core.messages'
-import { ClientShares } from '@reelspan/scheduling.client-shares'
 import { type LedgerEntry, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { prefillMs } from '@reelspan/scheduling.shards'
 import { type AccountWeights } from './accountWeights.js'
 import { type PlacementEstimator } from './placementEstimator.js'
 import { type PlacementObservations } from './placementObservations.js'
+import { ShareRank } from './shareRank.js'
+import { type CapacityInUse, type ShareDemand, type ShareStanding, ShareWindows } from './shareWindows.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 export interface QueueSharesOptions {
@@ -14,91 +15,53 @@
   weights: AccountWeights
 }
 
-/** What a placed request is charged, from its reservation on. */
-interface Holding extends Demand {
-  expectedMs: number
-  /** Expected cost in each window. */
-  expectedCosts: readonly number[]
+/** A placed request, and what it was charged. */
+interface Holding {
+  demand: ShareDemand
+  /** Expected time for which it occupies its slot, at the declared speed. */
+  declaredMs: number
   startedAtMs: number
+  charges: readonly { windows: ShareWindows, expected: readonly number[] }[]
 }
 
-/** What a waiting request needs. */
-interface Demand {
-  client: string
-  /** Part of a decode engine that it occupies. */
-  part: number
-  prefillMs: number
-  /** Expected time for which it occupies it. */
-  heldMs: number
-}
-
-/** How a waiting request relates to its client's share. Lower values go first. */
-export enum ShareRank {
-  /** Within the share, also of the slots that are in use now. */
-  Within = 0,
-  /** The client holds or waits for more than its share of the slots in use now, but used less in the last seconds. */
-  Ahead = 1,
-  /** Over the share of the last seconds. */
-  Over = 2,
-}
-
-/**
- * Window for the share of the slots in use now, below first-token targets. With the window of seconds alone, a client
- * that starts a flood may fill the queue with what it has not used before, and others within their shares wait behind it.
- */
-const SHORT_DECAY_MS = 250
 const HOLD_FACTOR_EWMA_WEIGHT = 0.05
 const MAX_HOLD_FACTOR = 4
-/** Bounds the expected wait of a client with a negligible share. */
-const MIN_SHARE = 0.001
+/** Callers of the own interface name priorities freely; further ones share the shares of the next lower one. */
+const MAX_PRIORITIES = 8
 
 /**
  * Shares of the client accounts of one shard, and which waiting requests exceed them.
- * A request costs the part of a decode engine that it occupies times the time, or its
- * prefill time if prefill engines are scarcer. Without competing accounts nothing
+ * Requests of one priority only compete with those of at least the same, so there are
+ * shares for each priority that count these. Without competing accounts nothing
  * exceeds a share.
  */
 export class QueueShares {
   readonly #opts: QueueSharesOptions
-  readonly #shares = new ClientShares()
-  readonly #windows: readonly ClientShares[] = [this.#shares, new ClientShares({ decayMs: SHORT_DECAY_MS })]
+  readonly #byPriority = new Map<number, ShareWindows>()
   readonly #holdings = new Map<string, Holding>()
   #heldParts = 0
-  /** EWMA of the actual time for which requests hold their slots divided by the estimated one. */
+  /** EWMA of the actual time for which requests hold their slots divided by the declared one. */
   #holdFactor = 1
-  #ranks: ReadonlyMap<WaitingRequest, ShareRank> = new Map()
-  /** Slots until each request that exceeds its client's share is within it. */
-  #slotsUntilShare: ReadonlyMap<WaitingRequest, number> = new Map()
-  /** Cost of the waiting requests of each client. */
-  #waitingCost: ReadonlyMap<string, number> = new Map()
+  #standings: ReadonlyMap<WaitingRequest, ShareStanding> = new Map()
 
   constructor (opts: QueueSharesOptions) {
     this.#opts = opts
   }
 
-  /** Determines which waiting requests exceed their clients' shares. The requests of a client count one after another. */
-  refresh (waiting: readonly WaitingRequest[], nowMs: number): void {
-    const demands = [...waiting].sort(compareOfOneClient).map((one) => ({ one, demand: this.#demandOf(one.request) }))
-    const [excess, shortExcess] = this.#windows.map((shares) => {
-      const costs = demands.map(({ demand }) => this.#costOf(shares, demand))
-      shares.setCapacity(this.#capacityInUse(shares, nowMs))
-      shares.setWaiting(demands.map(({ demand: { client } }, i) => ({ client, cost: costs[i], weight: this.#opts.weights.weightOf(client) })), nowMs)
-      const ahead = new Map<string, number>()
-      const requests = demands.map(({ one, demand: { client } }, i) => {
-        const aheadCost = ahead.get(client) ?? 0
-        ahead.set(client, aheadCost + costs[i])
-        return { one, requests: shares.excessOf(client, nowMs, aheadCost) / costs[i] }
-      })
-      return { requests, ahead }
-    })
-    this.#waitingCost = excess.ahead
-    this.#slotsUntilShare = new Map(excess.requests.filter(({ requests }) => requests > 0).map(({ one, requests }) => [one, requests / this.shareOf(one.request.client, nowMs)]))
-    this.#ranks = new Map(shortExcess.requests.map(({ one, requests }) => [one, this.#slotsUntilShare.has(one) ? ShareRank.Over : requests > 0 ? ShareRank.Ahead : ShareRank.Within]))
+  /** Determines which waiting requests exceed their clients' shares. */
+  refresh (waitingRequests: readonly WaitingRequest[], nowMs: number): void {
+    const inUse = this.#capacityInUse(nowMs)
+    const demands = [...waitingRequests].sort(compareOfOneClient).map((waiting) => ({ waiting, demand: this.#demandOf(waiting.request) }))
+    demands.forEach(({ waiting }) => this.#windowsOf(waiting.request.priority))
+    this.#standings = new Map([...this.#byPriority].flatMap(([priority, windows]) => {
+      const ranked = windows.rank(demands.filter(({ waiting }) => waiting.request.priority >= priority), inUse, nowMs)
+      return [...ranked].filter(([{ request }]) => this.#windowsOf(request.priority) === windows)
+    }))
   }
 
   /** How a waiting request relates to its client's share, as of the last refresh. */
   rankOf (waiting: WaitingRequest): ShareRank {
-    return this.#ranks.get(waiting) ?? ShareRank.Within
+    return this.#standings.get(waiting)?.rank ?? ShareRank.Within
   }
 
   isOverShare (waiting: WaitingRequest): boolean {
@@ -110,37 +73,31 @@
    * quarter of the capacity approaches by one request with every fourth slot; 0 if the request is within the share.
    */
   slotsUntilShare (waiting: WaitingRequest): number {
-    return this.#slotsUntilShare.get(waiting) ?? 0
-  }
-
-  /** Whether another request of a client would exceed its share. */
-  wouldExceed (client: string, nowMs: number): boolean {
-    return this.#shares.isOverShare(client, nowMs, this.#waitingCost.get(client) ?? 0)
+    return this.#standings.get(waiting)?.slotsUntilShare ?? 0
   }
 
-  /** The part of the shard's capacity that a client may use, up to 1. */
-  shareOf (client: string, nowMs: number): number {
-    return Math.max(MIN_SHARE, this.#shares.shareOf(client, nowMs))
+  /** Shares among requests of at least a priority. */
+  ofPriority (priority: number): ShareWindows {
+    return this.#windowsOf(priority)
   }
 
-  /** The part of the demand that comes from clients that request no more than their shares, from 0 to 1. */
-  modestDemand (nowMs: number): number {
-    return this.#shares.modestDemand(nowMs)
-  }
-
-  /** The part of the demand that a client has, from 0 to 1. */
-  demandOf (client: string, nowMs: number): number {
-    return this.#shares.demandOf(client, nowMs)
+  /** Shares among all requests. */
+  ofAll (): ShareWindows {
+    return this.#windowsOf(Math.min(...this.#byPriority.keys()))
   }
 
   /** Charges a request from its reservation on. */
-  recordReservation ({ client, label }: ReserveRequest, { kvBytes, prefillCostMs }: LedgerEntry, { ageMs, expectedMs }: { ageMs: number, expectedMs: number }, nowMs: number): void {
-    const demand = { client, part: this.#opts.observations.engineShareOf(kvBytes), prefillMs: prefillCostMs, heldMs: this.#holdFactor * expectedMs }
-    const expectedCosts = this.#windows.map((shares) => this.#costOf(shares, demand))
+  recordReservation (request: ReserveRequest, { kvBytes, prefillCostMs }: LedgerEntry, { ageMs }: { ageMs: number }, nowMs: number): void {
+    const { label, priority, client } = request
     this.recordRelease(label, nowMs)
-    this.#holdings.set(holdLabelKey(label), { ...demand, expectedMs, expectedCosts, startedAtMs: nowMs - ageMs })
+    this.#windowsOf(priority)
+    const declaredMs = this.#declaredHoldMs(request)
+    const demand = { client, weight: this.#opts.weights.weightOf(client), part: this.#opts.observations.engineShareOf(kvBytes), prefillMs: prefillCostMs, heldMs: this.#holdFactor * declaredMs }
+    const inUse = this.#capacityInUse(nowMs)
+    const charges = this.#competedFor(priority).map((windows) => ({ windows, expected: windows.costsOf(demand, inUse) }))
+    charges.forEach(({ windows, expected }) => windows.start(demand, expected, nowMs))
+    this.#holdings.set(holdLabelKey(label), { demand, declaredMs, startedAtMs: nowMs - ageMs, charges })
     this.#heldParts += demand.part
-    this.#windows.forEach((shares, i) => shares.start(client, expectedCosts[i], this.#opts.weights.weightOf(client), nowMs))
   }
 
   /** Corrects the charge of a request whose reservation has ended. */
@@ -148,52 +105,64 @@
     const key = holdLabelKey(label)
     const holding = this.#holdings.get(key)
     if (!holding) return
-    const { client, part, expectedMs, expectedCosts, startedAtMs } = holding
+    const { demand, declaredMs, startedAtMs, charges } = holding
     const heldMs = Math.max(0, nowMs - startedAtMs)
     this.#holdings.delete(key)
-    this.#heldParts = this.#holdings.size === 0 ? 0 : this.#heldParts - part
-    if (expectedMs > 0) this.#holdFactor += HOLD_FACTOR_EWMA_WEIGHT * (Math.min(MAX_HOLD_FACTOR, heldMs / expectedMs) - this.#holdFactor)
-    this.#windows.forEach((shares, i) => shares.end(client, { expected: expectedCosts[i], actual: this.#costOf(shares, { ...holding, heldMs }) }, nowMs))
+    this.#heldParts = this.#holdings.size === 0 ? 0 : this.#heldParts - demand.part
+    this.#holdFactor += HOLD_FACTOR_EWMA_WEIGHT * (Math.min(MAX_HOLD_FACTOR, heldMs / Math.max(1, declaredMs)) - this.#holdFactor)
+    const inUse = this.#capacityInUse(nowMs)
+    charges.forEach(({ windows, expected }) => windows.end(demand, { expected, actual: windows.costsOf({ ...demand, heldMs }, inUse) }, nowMs))
   }
 
   /** Counts a refused request as demand for a while. */
   recordRefusal (request: ReserveRequest, nowMs: number): void {
     const demand = this.#demandOf(request)
-    const weight = this.#opts.weights.weightOf(request.client)
-    this.#windows.forEach((shares) => shares.recordRefusal({ client: request.client, cost: this.#costOf(shares, demand), weight }, nowMs))
+    const inUse = this.#capacityInUse(nowMs)
+    this.#windowsOf(request.priority)
+    this.#competedFor(request.priority).forEach((windows) => windows.recordRefusal(demand, windows.costsOf(demand, inUse), nowMs))
+  }
+
+  /** The shares of a priority, created on demand. */
+  #windowsOf (priority: number): ShareWindows {
+    const known = this.#byPriority.get(priority)
+    if (known) return known
+    if (this.#byPriority.size >= MAX_PRIORITIES) {
+      const ascending = [...this.#byPriority.keys()].sort((a, b) => a - b)
+      return this.#byPriority.get(ascending.findLast((other) => other <= priority) ?? ascending[0]) as ShareWindows
+    }
+    const windows = new ShareWindows()
+    this.#byPriority.set(priority, windows)
+    return windows
   }
 
-  /** Estimated time from a request's reservation to its end, at the declared speed. */
-  expectedHoldMs (request: ReserveRequest): number {
-    const { ledger, estimator } = this.#opts
-    return prefillMs(ledger.shard, request.promptTokens) + estimator.handoverMs(request) + estimator.typicalAnswerMs(request)
+  /** The shares that a request of a priority counts for: those of its priority and of lower ones. */
+  #competedFor (priority: number): ShareWindows[] {
+    return [...this.#byPriority].filter(([other]) => other <= priority).map(([, windows]) => windows)
   }
 
-  #demandOf (request: ReserveRequest): Demand {
-    const { ledger, estimator, observations } = this.#opts
+  #demandOf (request: ReserveRequest): ShareDemand {
+    const { ledger, estimator, observations, weights } = this.#opts
     return {
       client: request.client,
+      weight: weights.weightOf(request.client),
       part: observations.engineShareOf(estimator.kvBytes(request)),
       prefillMs: prefillMs(ledger.shard, request.promptTokens),
-      heldMs: this.#holdFactor * this.expectedHoldMs(request),
+      heldMs: this.#holdFactor * this.#declaredHoldMs(request),
     }
   }
 
-  #costOf (shares: ClientShares, { part, prefillMs: prefilledMs, heldMs }: Omit<Demand, 'client'>): number {
-    return Math.max(shares.costOfHolding(part, heldMs), this.#decodePerPrefillEngine() * shares.costOfHolding(1, prefilledMs))
+  /** Time from a request's reservation to its end, at the declared speed. */
+  #declaredHoldMs (request: ReserveRequest): number {
+    const { ledger, estimator } = this.#opts
+    return prefillMs(ledger.shard, request.promptTokens) + estimator.handoverMs(request) + estimator.typicalAnswerMs(request)
   }
 
-  /** A prefill engine is worth this many decode engines, since both pools are needed in full. */
-  #decodePerPrefillEngine (): number {
+  #capacityInUse (nowMs: number): CapacityInUse {
     const { ledger } = this.#opts
-    const prefillCount = ledger.prefillEngines().length
-    return prefillCount > 0 ? ledger.decodeEngines().length / prefillCount : 0
-  }
-
-  /** Usage that would result in the long run if all that is in use now were held on. */
-  #capacityInUse (shares: ClientShares, nowMs: number): number {
-    const busyPrefills = this.#opts.ledger.prefillEngines().filter(({ account }) => account.freeAtMs(nowMs) > nowMs).length
-    return shares.costOfHolding(Math.max(this.#heldParts, busyPrefills * this.#decodePerPrefillEngine()), Number.POSITIVE_INFINITY)
+    const prefillEngines = ledger.prefillEngines()
+    const decodePerPrefillEngine = prefillEngines.length > 0 ? ledger.decodeEngines().length / prefillEngines.length : 0
+    const busy = prefillEngines.filter(({ account }) => account.freeAtMs(nowMs) > nowMs).length
+    return { decodeEngines: this.#heldParts, prefillEngines: busy * decodePerPrefillEngine, decodePerPrefillEngine }
   }
 }
 
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -126,7 +126,7 @@
     const retry = this.#admission.findRetry(request, nowMs)
     const firstArrivedAtMs = retry?.firstArrivedAtMs ?? nowMs
     if (this.#waiting.size >= MAX_WAITING && !this.#displaceFor(request, nowMs)) {
-      this.#opts.onAnswered?.(PlacementOutcome.Refused, { client: request.client, overShare: this.#shares.wouldExceed(request.client, nowMs) })
+      this.#opts.onAnswered?.(PlacementOutcome.Refused, { client: request.client, overShare: this.#shares.ofPriority(request.priority).wouldExceed(request.client, nowMs) })
       return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, TOO_MANY_WAITING))
     }
     if (!retry) this.#recordArrival(nowMs)
@@ -173,7 +173,7 @@
         const { request, ageMs } = adopted
         const entry = entryOfAdopted(this.ledger.shard, adopted, nowMs)
         this.ledger.reserve(entry, nowMs)
-        this.#shares.recordReservation(request, entry, { ageMs, expectedMs: this.#shares.expectedHoldMs(request) }, nowMs)
+        this.#shares.recordReservation(request, entry, { ageMs }, nowMs)
       })
   }
 
@@ -229,7 +229,7 @@
 
   /** Refuses the last waiting request over its client's share in favour of one within its own share. Returns false if there is none. */
   #displaceFor ({ client, priority }: ReserveRequest, nowMs: number): boolean {
-    const displaced = this.#shares.wouldExceed(client, nowMs)
+    const displaced = this.#shares.ofPriority(priority).wouldExceed(client, nowMs)
       ? undefined
       : this.#waiting.all().findLast((waiting) => waiting.request.priority <= priority && this.#shares.isOverShare(waiting))
     if (displaced) this.#refuse(displaced, TOO_MANY_WAITING)
--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -1,9 +1,10 @@
-import { AdmissionOutcome, decideQueue, type QueueInputs, ShareRank, type WaitingRequest } from '@reelspan/scheduling.scheduler'
+import { AdmissionOutcome, decideQueue, type PriorityShares, type QueueInputs, ShareRank, type WaitingRequest } from '@reelspan/scheduling.scheduler'
 import test from 'ava'
 import { requestOf } from './__utils__/createShard.js'
 
+const SHARES: PriorityShares = { shareOf: () => 1, arrivalsOf: () => 1, modestArrivals: 1, promisesDueAtMs: () => [] }
 /** A slot becomes free every 100 ms, and new requests arrive at a quarter of that rate. */
-const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, shareOf: () => 1, arrivalsOf: () => 1, modestArrivals: 1, promisesDueAtMs: () => [] }
+const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, sharesOf: () => SHARES }
 
 function waitingSince (ms: number, over: Partial<WaitingRequest> = {}, request = {}): WaitingRequest {
   const arrivedAtMs = FACTS.nowMs - ms
@@ -31,7 +32,7 @@
   const others = Array.from({ length: 7 }, () => waitingSince(0))
   t.is(outcomesOf([...others, waitingSince(0)])[7], AdmissionOutcome.InTime)
   t.is(outcomesOf([promised, ...others, waitingSince(0)])[8], AdmissionOutcome.Late)
-  t.is(outcomesOf([...others, waitingSince(0)], { promisesDueAtMs: () => [FACTS.nowMs + 500, FACTS.nowMs + 5000] })[7], AdmissionOutcome.Late)
+  t.is(outcomesOf([...others, waitingSince(0)], { sharesOf: () => ({ ...SHARES, promisesDueAtMs: () => [FACTS.nowMs + 500, FACTS.nowMs + 5000] }) })[7], AdmissionOutcome.Late)
 })
 
 test('requests of clients over their share count as behind the others', (t) => {
