perf(scheduling.client-shares): levels without sorting, and nothing to compare for a single client

Computing the level sorted all clients for each decision. It now removes satisfied clients in passes, idle clients are dropped after five decays, and a scheduler that has seen one client only compares nothing.

--- a/scheduling/client-shares/src/clientShares.ts
+++ b/scheduling/client-shares/src/clientShares.ts
@@ -9,8 +9,8 @@
 const DEFAULT_DECAY_MS = 2000
 /** A client with less than this, relative to the total, neither uses nor requests anything: decayed amounts never become 0. */
 const NEGLIGIBLE = 1e-3
-/** Idle clients are removed at this interval. */
-const PRUNE_INTERVAL_MS = 10_000
+/** Clients without requests are removed after this many times the decay: less than a hundredth of their usage is left. */
+const PRUNE_AFTER_DECAYS = 5
 
 /** A client with a request that waits, and what the request will cost. */
 export interface WaitingDemand {
@@ -178,14 +178,22 @@
   #levelAt (nowMs: number): Level {
     if (this.#level?.atMs === nowMs) return this.#level
     this.#prune(nowMs)
-    const loads = [...this.#clients.values()].map((usage) => this.#loadAt(usage, nowMs))
-    const used = loads.reduce((sum, load) => sum + load.used, 0)
+    const loads: ClientLoad[] = []
+    let used = 0
+    let demand = 0
+    this.#clients.forEach((usage) => {
+      const load = this.#loadAt(usage, nowMs)
+      used += load.used
+      demand += load.demand
+      loads.push(load)
+    })
     const total = Math.max(used, this.#capacity)
-    const active = loads.filter(({ demand }) => demand > NEGLIGIBLE * total)
+    const active = loads.filter((load) => load.demand > NEGLIGIBLE * total)
     const demanded = this.#recordsDemand ? active : active.map((load) => ({ ...load, demand: Number.POSITIVE_INFINITY }))
-    const perWeight = active.length > 1 ? fairLevel(demanded, total) : Number.POSITIVE_INFINITY
-    const demand = loads.reduce((sum, load) => sum + load.demand, 0)
-    const modestDemand = loads.filter((load) => load.demand <= load.weight * perWeight).reduce((sum, load) => sum + load.demand, 0)
+    // Shares limit nobody if there is enough for all, or only one client.
+    const isEnough = active.length <= 1 || (this.#recordsDemand && demand <= total)
+    const perWeight = isEnough ? Number.POSITIVE_INFINITY : fairLevel(demanded, total)
+    const modestDemand = isEnough ? demand : loads.reduce((sum, load) => load.demand <= load.weight * perWeight ? sum + load.demand : sum, 0)
     this.#level = { perWeight, total, demand, modestDemand, atMs: nowMs }
     return this.#level
   }
@@ -201,10 +209,11 @@
   }
 
   #prune (nowMs: number): void {
-    if (nowMs - this.#prunedAtMs < PRUNE_INTERVAL_MS) return
+    const pruneAfterMs = PRUNE_AFTER_DECAYS * this.decayMs
+    if (nowMs - this.#prunedAtMs < pruneAfterMs) return
     this.#prunedAtMs = nowMs
     this.#clients.forEach(({ held, waiting, atMs }, client) => {
-      if (held === 0 && waiting === 0 && nowMs - atMs > PRUNE_INTERVAL_MS) this.#clients.delete(client)
+      if (held === 0 && waiting === 0 && nowMs - atMs > pruneAfterMs) this.#clients.delete(client)
     })
   }
 }
--- a/scheduling/client-shares/src/fairLevel.ts
+++ b/scheduling/client-shares/src/fairLevel.ts
@@ -9,14 +9,16 @@
  * covers all demands.
  */
 export function fairLevel (demands: readonly WeightedDemand[], total: number): number {
-  const ascending = [...demands].sort((a, b) => a.demand / a.weight - b.demand / b.weight)
   let left = total
-  let weightLeft = ascending.reduce((sum, { weight }) => sum + weight, 0)
-  const limited = ascending.find(({ weight, demand }) => {
-    if (demand * weightLeft > left * weight) return true
-    left -= demand
-    weightLeft -= weight
-    return false
-  })
-  return limited ? Math.max(0, left) / weightLeft : Number.POSITIVE_INFINITY
+  let weightLeft = demands.reduce((sum, { weight }) => sum + weight, 0)
+  // Each pass serves in full the clients that request less than the level. Few passes are needed, so this is cheaper than sorting.
+  for (let open = demands; open.length > 0;) {
+    const level = Math.max(0, left) / weightLeft
+    const above = open.filter(({ weight, demand }) => demand > weight * level)
+    if (above.length === open.length) return level
+    open.forEach(({ weight, demand }) => { if (demand <= weight * level) left -= demand })
+    weightLeft = above.reduce((sum, { weight }) => sum + weight, 0)
+    open = above
+  }
+  return Number.POSITIVE_INFINITY
 }
--- a/scheduling/scheduler/src/queueShares.ts
+++ b/scheduling/scheduler/src/queueShares.ts
@@ -42,6 +42,9 @@
   #heldParts = 0
   /** EWMA of the actual time for which requests hold their slots divided by the declared one. */
   #holdFactor = 1
+  #firstClient?: string
+  /** Whether requests of more than one client were seen. Until then there is nothing to compare. */
+  #isShared = false
   #standings: ReadonlyMap<WaitingRequest, ShareStanding> = new Map()
 
   constructor (opts: QueueSharesOptions) {
@@ -50,6 +53,8 @@
 
   /** Determines which waiting requests exceed their clients' shares. */
   refresh (waitingRequests: readonly WaitingRequest[], nowMs: number): void {
+    waitingRequests.forEach(({ request }) => this.#noteClient(request))
+    if (!this.#isShared) return
     const inUse = this.#capacityInUse(nowMs)
     const demands = [...waitingRequests].sort(compareOfOneClient).map((waiting) => ({ waiting, demand: this.#demandOf(waiting.request) }))
     demands.forEach(({ waiting }) => this.#windowsOf(waiting.request.priority))
@@ -83,12 +88,13 @@
 
   /** Shares among all requests. */
   ofAll (): ShareWindows {
-    return this.#windowsOf(Math.min(...this.#byPriority.keys()))
+    return this.#windowsOf([...this.#byPriority.keys()].reduce((lowest, priority) => Math.min(lowest, priority)))
   }
 
   /** Charges a request from its reservation on. */
   recordReservation (request: ReserveRequest, { kvBytes, prefillCostMs }: LedgerEntry, { ageMs }: { ageMs: number }, nowMs: number): void {
     const { label, priority, client } = request
+    this.#noteClient(request)
     this.recordRelease(label, nowMs)
     this.#windowsOf(priority)
     const declaredMs = this.#declaredHoldMs(request)
@@ -122,6 +128,11 @@
     this.#competedFor(request.priority).forEach((windows) => windows.recordRefusal(demand, windows.costsOf(demand, inUse), nowMs))
   }
 
+  #noteClient ({ client }: ReserveRequest): void {
+    this.#firstClient ??= client
+    this.#isShared ||= client !== this.#firstClient
+  }
+
   /** The shares of a priority, created on demand. */
   #windowsOf (priority: number): ShareWindows {
     const known = this.#byPriority.get(priority)
