--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -33,14 +33,11 @@
   decision: AdmissionDecision
 }
 
-interface PriorityInputs extends QueueInputs {
-  shares: PriorityShares
-}
-
-/** What is ahead of a request. All numbers and rates are in slots of the whole shard. */
-interface Ahead extends Pick<AdmissionInputs, 'aheadInTime' | 'aheadLate' | 'msPerArrival'> {
+/** What is ahead of the requests of a group apart from each other. */
+interface GroupInputs extends Pick<AdmissionInputs, 'msPerArrival'> {
+  queueInputs: QueueInputs
   promisesDue: readonly number[]
-  /** Slots for each promised retry: a client with a quarter of the capacity gets every fourth. */
+  /** Slots of the shard for each promised retry: a client with a quarter of the capacity gets every fourth. */
   slotsPerPromise: number
 }
 
@@ -54,32 +51,37 @@
   const priorities = [...new Set(waiting.map(({ request }) => request.priority))].sort((a, b) => b - a)
   return priorities.reduce<QueueDecision[]>((decided, priority) => {
     const samePriority = waiting.filter(({ request }) => request.priority === priority)
-    return [...decided, ...decideSamePriority(samePriority, decided.filter(isKept).length, { ...queueInputs, shares: queueInputs.sharesOf(priority) })]
+    return [...decided, ...decideSamePriority(samePriority, decided.filter(isKept).length, queueInputs.sharesOf(priority), queueInputs)]
   }, [])
 }
 
-function decideSamePriority (samePriority: readonly WaitingRequest[], before: number, queueInputs: PriorityInputs): QueueDecision[] {
+function decideSamePriority (samePriority: readonly WaitingRequest[], before: number, shares: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
   const over = samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) === ShareRank.Over)
-  const within = samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) !== ShareRank.Over)
-  const decidedWithin = decideWithinShares(within, before, queueInputs)
+  const within = over.length > 0 ? samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) !== ShareRank.Over) : samePriority
+  const decidedWithin = decideWithinShares(inOrder(within, queueInputs), before, shares, queueInputs)
   const keptWithin = decidedWithin.filter(isKept).length
-  return [...decidedWithin, ...inOrder(over, queueInputs).map((waiting) => decideOverShare(waiting, { before, keptWithin }, queueInputs))]
+  return [...decidedWithin, ...inOrder(over, queueInputs).map((waiting) => decideOverShare(waiting, { before, keptWithin }, shares, queueInputs))]
 }
 
 /** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
-function decideWithinShares (within: readonly WaitingRequest[], before: number, queueInputs: PriorityInputs): QueueDecision[] {
-  const { msPerArrival, shares: { modestArrivals, promisesDueAtMs } } = queueInputs
-  const common = { msPerArrival: msPerArrival === undefined || modestArrivals === 0 ? undefined : msPerArrival / modestArrivals, promisesDue: promisesDueAtMs(), slotsPerPromise: 1 }
+function decideWithinShares (within: readonly WaitingRequest[], before: number, { modestArrivals, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
+  const { msPerArrival } = queueInputs
+  const group = {
+    queueInputs,
+    msPerArrival: msPerArrival === undefined || modestArrivals === 0 ? undefined : msPerArrival / modestArrivals,
+    promisesDue: promisesDueAtMs(),
+    slotsPerPromise: 1,
+  }
   const first: QueueDecision[] = []
-  const late = inOrder(within, queueInputs).filter((waiting) => {
-    const decided = decide(waiting, { ...common, aheadInTime: before + first.length, aheadLate: 0 }, queueInputs)
+  const late = within.filter((waiting) => {
+    const decided = decide(waiting, before + first.length, 0, group)
     const goesBefore = decided.decision.outcome === AdmissionOutcome.InTime || (decided.inputs.promised && isKept(decided))
     if (goesBefore) first.push(decided)
     return !goesBefore
   })
   let aheadLate = 0
   const others = late.map((waiting) => {
-    const decided = decide(waiting, { ...common, aheadInTime: before + first.length, aheadLate }, queueInputs)
+    const decided = decide(waiting, before + first.length, aheadLate, group)
     if (isKept(decided)) aheadLate++
     return decided
   })
@@ -87,19 +89,19 @@
 }
 
 /** Decides for a request over its client's share. It gets a slot when its client's share allows it, after those within their shares that wait now. */
-function decideOverShare (waiting: WaitingRequest, { before, keptWithin }: { before: number, keptWithin: number }, queueInputs: PriorityInputs): QueueDecision {
-  const { msPerArrival, shares: { shareOf, arrivalsOf, promisesDueAtMs }, slotsUntilShare } = queueInputs
+function decideOverShare (waiting: WaitingRequest, { before, keptWithin }: { before: number, keptWithin: number }, { shareOf, arrivalsOf, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision {
+  const { msPerArrival, slotsUntilShare } = queueInputs
   const { client } = waiting.request
-  return decide(waiting, {
-    aheadInTime: before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))),
-    aheadLate: 0,
+  return decide(waiting, before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))), 0, {
+    queueInputs,
     msPerArrival: msPerArrival === undefined ? undefined : msPerArrival * shareOf(client) / arrivalsOf(client),
     promisesDue: promisesDueAtMs(client),
     slotsPerPromise: 1 / shareOf(client),
-  }, queueInputs)
+  })
 }
 
-function decide (waiting: WaitingRequest, { aheadInTime, aheadLate, msPerArrival, promisesDue, slotsPerPromise }: Ahead, queueInputs: QueueInputs): QueueDecision {
+/** All numbers and rates are in slots of the whole shard. */
+function decide (waiting: WaitingRequest, aheadInTime: number, aheadLate: number, { queueInputs, msPerArrival, promisesDue, slotsPerPromise }: GroupInputs): QueueDecision {
   const { handoverMs, inTimeUntilMs, usefulUntilMs, returned, promiseDueAtMs, outcome } = waiting
   const { nowMs, msPerPlace, rateError, minTtftMs } = queueInputs
   const promised = promiseDueAtMs !== undefined
