--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -40,3 +40,12 @@
   t.is(outcomesOf([...flood, waitingSince(0)], { shareRankOf: ({ request }) => request.client === 'flood' ? ShareRank.Over : ShareRank.Within })[9], AdmissionOutcome.InTime)
   t.is(outcomesOf([...flood, waitingSince(0)])[9], AdmissionOutcome.Late)
 })
+
+test('a request over its share is expected after the slots that its client\'s share lacks and after those within their shares', (t) => {
+  const over = (slots: number) => ({ shareRankOf: ({ request }: WaitingRequest) => request.client === 'flood' ? ShareRank.Over : ShareRank.Within, slotsUntilShare: ({ request }: WaitingRequest) => request.client === 'flood' ? slots : 0 })
+  const flood = waitingSince(0, {}, { client: 'flood' })
+  const within = Array.from({ length: 9 }, () => waitingSince(0, {}, { client: 'small' }))
+  t.is(outcomesOf([flood], over(3.5))[0], AdmissionOutcome.InTime)
+  t.not(outcomesOf([flood], over(9.5))[0], AdmissionOutcome.InTime)
+  t.not(outcomesOf([flood, ...within], over(0.5))[0], AdmissionOutcome.InTime)
+})
