feat(scheduling.scheduler): a bound on the time between slots while accounts compete

Streams that started together end together. The counted rate took the gap before for a stall and refused requests within their shares, with 16 slots held and at most 3 ahead. While accounts compete, the rate that follows from the slots held now is the lower bound, unless no slot became free for as long as slots are held.

--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -79,7 +79,7 @@
     const engines = chooser.readyEngines(nowMs)
     return decideQueue(waiting, {
       nowMs,
-      msPerPlace: this.#rate.msPerPlace(nowMs),
+      msPerPlace: this.#msPerSlot(nowMs),
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
       minTtftMs: (one) => this.#forecast.minTtftMs(one, engines, nowMs),
@@ -89,12 +89,24 @@
     })
   }
 
+  /**
+   * Mean time between free slots. Slots that were taken together become free together, so for a while none does, and
+   * the counted rate would refuse requests of accounts within their shares. While accounts compete, the rate that
+   * follows from the slots held now is the lower bound, unless none became free for as long as slots are held.
+   */
+  #msPerSlot (nowMs: number): number {
+    const { shares } = this.#opts
+    const countedMs = this.#rate.msPerPlace(nowMs)
+    const held = shares.isContended(nowMs) ? shares.heldSlots() : undefined
+    return held && countedMs < held.meanHoldMs ? Math.min(countedMs, held.msPerSlot) : countedMs
+  }
+
   #sharesOf (priority: number, nowMs: number): PriorityShares {
     const { shares } = this.#opts
     const { lastSeconds } = shares.ofPriority(priority)
     const all = shares.ofAll().lastSeconds
     // Without contention all arrivals and promises count, as without accounts.
-    const isContended = all.isContended(nowMs)
+    const isContended = shares.isContended(nowMs)
     const partOf = (demand: number) => isContended ? demand / all.totalDemand(nowMs) : 1
     const isWithinShare = (client: string) => !shares.ofPriority(priority).wouldExceed(client, nowMs)
     return {
--- a/scheduling/scheduler/src/queueShares.ts
+++ b/scheduling/scheduler/src/queueShares.ts
@@ -40,6 +40,8 @@
   readonly #byPriority = new Map<number, ShareWindows>()
   readonly #holdings = new Map<string, Holding>()
   #heldParts = 0
+  /** Sum of the expected times for which the placed requests hold their slots. */
+  #heldMs = 0
   /** EWMA of the actual time for which requests hold their slots divided by the declared one. */
   #holdFactor = 1
   #firstClient?: string
@@ -91,6 +93,17 @@
     return this.#windowsOf([...this.#byPriority.keys()].reduce((lowest, priority) => Math.min(lowest, priority)))
   }
 
+  /** Whether accounts compete: a client requests more than its share. */
+  isContended (nowMs: number): boolean {
+    return this.#isShared && this.#byPriority.size > 0 && this.ofAll().lastSeconds.isContended(nowMs)
+  }
+
+  /** Mean time for which the placed requests hold their slots, and the mean time from one end to the next; undefined if none is placed. */
+  heldSlots (): { meanHoldMs: number, msPerSlot: number } | undefined {
+    const count = this.#holdings.size
+    return count === 0 ? undefined : { meanHoldMs: this.#heldMs / count, msPerSlot: this.#heldMs / count / count }
+  }
+
   /** Charges a request from its reservation on. */
   recordReservation (request: ReserveRequest, { kvBytes, prefillCostMs }: LedgerEntry, { ageMs }: { ageMs: number }, nowMs: number): void {
     const { label, priority, client } = request
@@ -104,6 +117,7 @@
     charges.forEach(({ windows, expected }) => windows.start(demand, expected, nowMs))
     this.#holdings.set(holdLabelKey(label), { demand, declaredMs, startedAtMs: nowMs - ageMs, charges })
     this.#heldParts += demand.part
+    this.#heldMs += demand.heldMs
   }
 
   /** Corrects the charge of a request whose reservation has ended. */
@@ -115,6 +129,7 @@
     const heldMs = Math.max(0, nowMs - startedAtMs)
     this.#holdings.delete(key)
     this.#heldParts = this.#holdings.size === 0 ? 0 : this.#heldParts - demand.part
+    this.#heldMs = this.#holdings.size === 0 ? 0 : this.#heldMs - demand.heldMs
     this.#holdFactor += HOLD_FACTOR_EWMA_WEIGHT * (Math.min(MAX_HOLD_FACTOR, heldMs / Math.max(1, declaredMs)) - this.#holdFactor)
     const inUse = this.#capacityInUse(nowMs)
     charges.forEach(({ windows, expected }) => windows.end(demand, { expected, actual: windows.costsOf({ ...demand, heldMs }, inUse) }, nowMs))
