test(bench): mechanisms of the shares of client accounts

The mechanism 'a client over its share' moved to the rank of a request, and the limits of engines to the record of a placement. Five more are proved by failing tests when disabled: room kept for requests within their shares, admission by share, adopted reservations, shares for each priority, and the account of a relayed request.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -26,6 +26,7 @@
 const DRAINING_UPSTREAM = 'box/runtime/test.lib/drainingUpstream.js'
 const RESTORED_PLATFORM = 'box/runtime/test.lib/restoredPlatform.js'
 const RESTORED_STORE = 'platform/adapter/test.lib/restoredStoreReader.js'
+const ACCOUNT_SHARES = 'scheduling/scheduler/test.lib/accountShares.js'
 const ENGINE_LIMITS = 'scheduling/scheduler/test.lib/engineLimits.js'
 
 /** Mechanisms that the documented guarantees depend on. */
@@ -173,8 +174,8 @@
   },
   {
     name: 'a scheduler respects the rate limits of engines',
-    file: 'scheduling/scheduler/src/shardScheduler.ts',
-    find: 'this.#limits.recordPlacement([prefill.name, decode.name])',
+    file: 'scheduling/scheduler/src/placementRecorder.ts',
+    find: 'limits.recordPlacement([prefill.name, decode.name])',
     replace: '',
     tests: [ENGINE_LIMITS],
   },
@@ -497,8 +498,43 @@
   {
     name: 'a client over its share is placed after the others',
     file: 'scheduling/scheduler/src/placementChooser.ts',
-    find: 'this.#shares.isOverShare(waiting.request.client, nowMs) ? 1 : 0',
+    find: 'this.#shares.rankOf(waiting),',
+    replace: '0,',
+    tests: [ACCOUNT_SHARES],
+  },
+  {
+    name: 'requests over their share leave room to those within theirs',
+    file: 'scheduling/scheduler/src/placementChooser.ts',
+    find: 'if (!this.#shares.isOverShare(waiting)) return undefined',
+    replace: 'if (this.#shares.isOverShare(waiting) !== undefined) return undefined',
+    tests: [ACCOUNT_SHARES],
+  },
+  {
+    name: 'a request over its share is admitted only as its share allows',
+    file: 'scheduling/scheduler/src/decideQueue.ts',
+    find: 'Math.ceil(slotsUntilShare(waiting))',
     replace: '0',
-    tests: [SCHEDULER],
+    tests: ['scheduling/scheduler/test.lib/decideQueue.js', ACCOUNT_SHARES],
+  },
+  {
+    name: 'a new scheduler charges the reservations that it adopts',
+    file: 'scheduling/scheduler/src/shardScheduler.ts',
+    find: 'this.#shares.recordReservation(request, entry, { ageMs }, nowMs)',
+    replace: '',
+    tests: [ACCOUNT_SHARES],
+  },
+  {
+    name: 'less urgent requests do not lower the share of a more urgent account',
+    file: 'scheduling/scheduler/src/queueShares.ts',
+    find: '.filter(([other]) => other <= priority)',
+    replace: '',
+    tests: [ACCOUNT_SHARES],
+  },
+  {
+    name: 'a relayed request is placed under its account',
+    file: 'request/relay/src/completionPlacer.ts',
+    find: "client: request.account ?? ''",
+    replace: "client: ''",
+    tests: ['request/relay/test.lib/accounts.js', 'box/runtime/test.lib/accountShares.js'],
   },
 ]
--- a/scheduling/scheduler/test/accountShares.ts
+++ b/scheduling/scheduler/test/accountShares.ts
@@ -1,5 +1,5 @@
 import { PlacementOutcome } from '@reelspan/core.messages'
-import { AccountWeights } from '@reelspan/scheduling.scheduler'
+import { AccountWeights, type ShardSchedulerOptions } from '@reelspan/scheduling.scheduler'
 import test from 'ava'
 import fc from 'fast-check'
 import { createShard, requestOf } from './__utils__/createShard.js'
@@ -12,8 +12,8 @@
 /** Two engines of 4 slots then serve 20 streams per second. */
 const STREAM_MS = 400
 
-function playOnTwoEngines (accounts: readonly PlayedAccount[], { engines = 2, seed = 7, lostAtMs }: { engines?: number, seed?: number, lostAtMs?: number } = {}) {
-  const { clock, scheduler } = createShard({ prefill: 2, decode: engines, slots: 4 })
+function playOnTwoEngines (accounts: readonly PlayedAccount[], { seed = 7, lostAtMs, onAnswered }: { seed?: number, lostAtMs?: number, onAnswered?: ShardSchedulerOptions['onAnswered'] } = {}) {
+  const { clock, scheduler } = createShard({ prefill: 2, decode: 2, slots: 4, onAnswered })
   const event = lostAtMs === undefined ? undefined : { atMs: lostAtMs, run: () => scheduler.markUnresponsive('d-2') }
   return playAccounts({ clock, scheduler, accounts, durationMs: DURATION_MS, streamMs: STREAM_MS, seed, event })
 }
@@ -39,7 +39,9 @@
 
 test('a burst of an urgent kind does not take from accounts below their share more than it needs, and is served first', async (t) => {
   const urgent = { client: 'a', perSecond: 1, burst: { fromMs: 4000, untilMs: 7000, perSecond: 10 }, request: { priority: 2 } }
-  const tallies = await playOnTwoEngines([FLOOD, urgent, ...FIVE_ACCOUNTS.slice(2)])
+  let urgentOverShare = 0
+  const tallies = await playOnTwoEngines([FLOOD, urgent, ...FIVE_ACCOUNTS.slice(2)], { onAnswered: (_, { client, overShare }) => { if (client === 'a' && overShare) urgentOverShare++ } })
+  t.is(urgentOverShare, 0, 'no other account has urgent requests')
   const [burst, others] = [sumOf(tallies, (client) => client === 'a'), sumOf(tallies, (client) => ['b', 'c', 'd'].includes(client))]
   t.true(burst.served >= 0.98 * burst.sent && burst.firstServed >= 0.9 * burst.sent, `${burst.served}, first attempts ${burst.firstServed} of ${burst.sent}`)
   t.true(others.served >= 0.95 * others.sent, `${others.served} of ${others.sent}`)
