feat(scheduling.scheduler): a request over its share may use what requests within their shares leave

With many small accounts a request was over its share by chance, was expected only when that share allowed it, and was refused though slots were left. It is now also expected after those that wait, at the rate that arrivals within their shares leave.

--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -10,6 +10,8 @@
   shareRankOf: (waiting: WaitingRequest) => ShareRank
   /** Slots of the shard until a request is within its client's share; 0 if it is. */
   slotsUntilShare: (waiting: WaitingRequest) => number
+  /** The part of the slots that requests arriving within their clients' shares leave to others, from 0 to 1. */
+  leftByWithin: number
   /** Shares among requests of at least a priority. */
   sharesOf: (priority: number) => PriorityShares
 }
@@ -60,7 +62,13 @@
   const within = over.length > 0 ? samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) !== ShareRank.Over) : samePriority
   const decidedWithin = decideWithinShares(inOrder(within, queueInputs), before, shares, queueInputs)
   const keptWithin = decidedWithin.filter(isKept).length
-  return [...decidedWithin, ...inOrder(over, queueInputs).map((waiting) => decideOverShare(waiting, { before, keptWithin }, shares, queueInputs))]
+  let keptOver = 0
+  const decidedOver = inOrder(over, queueInputs).map((waiting) => {
+    const decided = decideOverShare(waiting, { before, keptWithin, keptOver }, shares, queueInputs)
+    if (isKept(decided)) keptOver++
+    return decided
+  })
+  return [...decidedWithin, ...decidedOver]
 }
 
 /** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
@@ -88,16 +96,23 @@
   return [...first, ...others]
 }
 
-/** Decides for a request over its client's share. It gets a slot when its client's share allows it, after those within their shares that wait now. */
-function decideOverShare (waiting: WaitingRequest, { before, keptWithin }: { before: number, keptWithin: number }, { shareOf, arrivalsOf, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision {
-  const { msPerArrival, slotsUntilShare } = queueInputs
+/**
+ * Decides for a request over its client's share. It gets a slot when its client's share allows it, after those within
+ * their shares that wait now, or earlier if requests within their shares leave enough slots to all others.
+ */
+function decideOverShare (waiting: WaitingRequest, { before, keptWithin, keptOver }: { before: number, keptWithin: number, keptOver: number }, { shareOf, arrivalsOf, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision {
+  const { msPerArrival, slotsUntilShare, leftByWithin } = queueInputs
   const { client } = waiting.request
-  return decide(waiting, before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))), 0, {
+  const promisesDue = promisesDueAtMs(client)
+  const byShare = decide(waiting, before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))), 0, {
     queueInputs,
     msPerArrival: msPerArrival === undefined ? undefined : msPerArrival * shareOf(client) / arrivalsOf(client),
-    promisesDue: promisesDueAtMs(client),
+    promisesDue,
     slotsPerPromise: 1 / shareOf(client),
   })
+  if (byShare.decision.outcome === AdmissionOutcome.InTime || leftByWithin === 0) return byShare
+  const byRest = decide(waiting, before + Math.ceil((keptWithin + keptOver + 1) / leftByWithin) - 1, 0, { queueInputs, promisesDue, slotsPerPromise: 1 / leftByWithin })
+  return byRest.decision.outcome === AdmissionOutcome.InTime || !isKept(byShare) ? byRest : byShare
 }
 
 /** All numbers and rates are in slots of the whole shard. */
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -7,6 +7,7 @@
 import { PromisedRetries } from './promisedRetries.js'
 import { QueueForecast } from './queueForecast.js'
 import { type QueueShares } from './queueShares.js'
+import { RecentEvents } from './recentEvents.js'
 import { RefusalBuilder } from './refusalBuilder.js'
 import { RetrySchedule, type ScheduledRetry } from './retrySchedule.js'
 import { type WaitingRequest } from './waitingQueue.js'
@@ -21,11 +22,15 @@
 /** Engines report and callers reconnect within about this time, so little changes for a retry before it. */
 const MIN_RETRY_DELAY_MS = 500
 const MAX_RETRY_DELAY_MS = 30_000
+/** Window for counting arrivals: tens of them on a busy shard, and short enough to show a burst. */
+const ARRIVALS_WINDOW_MS = 2000
 
 /** Decides which requests of a scheduler's queue are kept waiting, and when refused ones should be retried. */
 export class QueueAdmission {
   readonly #opts: QueueAdmissionOptions
   readonly #rate = new PlacementRate()
+  /** Requests that were within their clients' shares when they arrived. */
+  readonly #arrivedWithin = new RecentEvents(ARRIVALS_WINDOW_MS)
   readonly #retrySchedule = new RetrySchedule({ minDelayMs: MIN_RETRY_DELAY_MS, maxDelayMs: MAX_RETRY_DELAY_MS })
   readonly #promised = new PromisedRetries()
   readonly #forecast: QueueForecast
@@ -68,6 +73,11 @@
     this.#promised.expire(nowMs)
   }
 
+  /** Records whether a request was within its client's share when it arrived. */
+  recordShare (waiting: WaitingRequest, nowMs: number): void {
+    if (!this.#opts.shares.isOverShare(waiting)) this.#arrivedWithin.record(nowMs)
+  }
+
   /** Total prefill work of all waiting requests. */
   queuedPrefillMs (waiting: readonly WaitingRequest[], nowMs: number): number {
     return this.#forecast.queuedPrefillMs(waiting, nowMs)
@@ -77,14 +87,17 @@
   decide (waiting: readonly WaitingRequest[], nowMs: number): QueueDecision[] {
     const { chooser, shares } = this.#opts
     const engines = chooser.readyEngines(nowMs)
+    const msPerPlace = this.#msPerSlot(nowMs)
+    const withinPerMs = this.#arrivedWithin.countSince(nowMs - ARRIVALS_WINDOW_MS, nowMs) / ARRIVALS_WINDOW_MS
     return decideQueue(waiting, {
       nowMs,
-      msPerPlace: this.#msPerSlot(nowMs),
+      msPerPlace,
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
       minTtftMs: (one) => this.#forecast.minTtftMs(one, engines, nowMs),
       shareRankOf: (one) => shares.rankOf(one),
       slotsUntilShare: (one) => shares.slotsUntilShare(one),
+      leftByWithin: Math.max(0, 1 - withinPerMs * msPerPlace),
       sharesOf: (priority) => this.#sharesOf(priority, nowMs),
     })
   }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -265,12 +265,14 @@
   }
 
   #applyDecision ({ waiting, inputs, decision }: QueueDecision): void {
+    if (waiting.outcome === undefined) this.#admission.recordShare(waiting, this.#opts.clock.nowMs())
     if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision, this.#shareUseOf(waiting))
     waiting.outcome = decision.outcome
     if (decision.outcome === AdmissionOutcome.Refused) this.#refuse(waiting, decision.reason)
   }
 
   #place (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
+    if (waiting.outcome === undefined) this.#admission.recordShare(waiting, nowMs)
     this.#recorder.record(waiting, estimate, nowMs)
     this.#admission.recordPlacement(waiting.request, nowMs)
     this.#opts.onAnswered?.(PlacementOutcome.Placed, this.#shareUseOf(waiting))
