--- a/scheduling/scheduler/src/shareWindows.ts
+++ b/scheduling/scheduler/src/shareWindows.ts
@@ -32,7 +32,7 @@
 /** A waiting request's place relative to its client's share. */
 export interface ShareStanding {
   rank: ShareRank
-  /** Slots of the shard that become free until the request is within the share; 0 if it is. */
+  /** Slots of the shard that become free until the request is within the share, or over it by one request at most. */
   slotsUntilShare: number
 }
 
@@ -41,6 +41,8 @@
  * that starts a flood may fill the queue with what it has not used before, and others within their shares wait behind it.
  */
 const SHORT_DECAY_MS = 250
+/** A client with few requests exceeds its share by parts of a request by chance, so admission allows one. Otherwise 773 instead of 793 requests of 12 equal clients were served at twice the capacity. */
+const TOLERANCE_REQUESTS = 1
 /** Bounds the expected wait of a client with a negligible share. */
 const MIN_SHARE = 0.001
 
@@ -85,7 +87,7 @@
     this.#waitingCost = excess.ahead
     return new Map(demands.map(({ waiting, demand: { client } }, i) => {
       const rank = excess.requests[i] > 0 ? ShareRank.Over : shortExcess.requests[i] > 0 ? ShareRank.Ahead : ShareRank.Within
-      return [waiting, { rank, slotsUntilShare: rank === ShareRank.Over ? excess.requests[i] / this.shareOf(client, nowMs) : 0 }]
+      return [waiting, { rank, slotsUntilShare: Math.max(0, excess.requests[i] - TOLERANCE_REQUESTS) / this.shareOf(client, nowMs) }]
     }))
   }
 
