--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -112,7 +112,7 @@
   })
   if (byShare.decision.outcome === AdmissionOutcome.InTime || leftByWithin === 0) return byShare
   const byRest = decide(waiting, before + Math.ceil((keptWithin + keptOver + 1) / leftByWithin) - 1, 0, { queueInputs, promisesDue, slotsPerPromise: 1 / leftByWithin })
-  return byRest.decision.outcome === AdmissionOutcome.InTime || !isKept(byShare) ? byRest : byShare
+  return byRest.decision.outcome === AdmissionOutcome.InTime ? byRest : byShare
 }
 
 /** All numbers and rates are in slots of the whole shard. */
--- a/scheduling/scheduler/src/shareWindows.ts
+++ b/scheduling/scheduler/src/shareWindows.ts
@@ -41,7 +41,7 @@
  * that starts a flood may fill the queue with what it has not used before, and others within their shares wait behind it.
  */
 const SHORT_DECAY_MS = 250
-/** A client with few requests exceeds its share by parts of a request by chance, so admission allows one. Otherwise 773 instead of 793 requests of 12 equal clients were served at twice the capacity. */
+/** A client with few requests exceeds its share by parts of a request by chance, so admission allows one. Otherwise 12 equal clients at twice the capacity lose 2 to 3 in 100 of the requests served. */
 const TOLERANCE_REQUESTS = 1
 /** Bounds the expected wait of a client with a negligible share. */
 const MIN_SHARE = 0.001
--- a/scheduling/scheduler/test/accountShares.ts
+++ b/scheduling/scheduler/test/accountShares.ts
@@ -135,6 +135,6 @@
     }
     await clock.run(Promise.all(running))
     return violations === 0
-  }), { seed: 31, numRuns: 60, endOnFailure: true })
+  }), { seed: 31, numRuns: 120, endOnFailure: true })
   t.true(overSharePlaced >= 20, `${overSharePlaced} placements over a share`)
 })
