--- /dev/null
+++ b/__utils__/bench/bin/overload.js
@@ -0,0 +1,3 @@
+import { measureOverload } from '../lib/measureOverload.js'
+
+await measureOverload()
