feat(scheduling.scheduler): slots are forecast from reservations, and early retries take no slot

The rate of placements over 2 s says nothing at the start of a burst: all first requests counted as in time and were refused after waiting. The wait of waiting requests and retry delays now follow capacityForecast, from the expected ends of reservations, free memory and slots, and free prefill engines. The rate stays until answers have ended, while nothing is reserved or reports are outstanding. A retry before its delay has passed is refused at once with the remaining delay while requests wait, is no arrival, and gets no second position in the queue. For at most 250 ms a box refuses early retries of its callers itself (busyForMs of the refusal, optional). Log fields and metrics of both.

--- a/__utils__/bench/src/measureOverload.ts
+++ b/__utils__/bench/src/measureOverload.ts
@@ -1,6 +1,6 @@
 import { BURST_SHAPES, type BurstPhase, type PhaseOutcome, playBurst } from './playBurst.js'
 
-const SEEDS = [1, 2, 3, 4, 5, 6]
+const SEEDS = Array.from({ length: 12 }, (_, i) => i + 1)
 const LOST_SHARES = [0, 0.25]
 
 /** Prints what callers get before, in and after a burst of twice the capacity, with and without a quarter of the decode engines lost in it. */
--- a/box/runtime/src/createPlacer.ts
+++ b/box/runtime/src/createPlacer.ts
@@ -10,7 +10,7 @@
 
 /** Chooses engines for the requests of this box. */
 export function createPlacer (parts: BoxParts): Placer {
-  const { clock, link, settings, view } = parts
+  const { clock, link, metrics, settings, view } = parts
   const index = createPrefixIndex(settings.scheduling.prefixIndex)
   if (settings.scheduling.strategy !== 'scheduler') return createBaseline(parts, settings.scheduling.strategy, index)
   return new SchedulerPlacer({
@@ -21,6 +21,7 @@
     shardsOfModel: (model) => parts.shardManagers.shardsOfModel(model),
     localScheduler: (shardId) => parts.shardManagers.scheduler(shardId),
     fallback: createFallback(parts, index),
+    onEarlyRetry: () => metrics.count('reelspan_early_retries_total', { refusedBy: 'owner' }),
   })
 }
 
--- a/box/runtime/src/shardManagers.ts
+++ b/box/runtime/src/shardManagers.ts
@@ -155,7 +155,7 @@
   }
 
   #createScheduler (shard: Shard, onUnreachable: (engineName: string) => void): ShardScheduler {
-    const { clock, declarations, limitPerSecond, settings, failures, log } = this.#opts
+    const { clock, declarations, limitPerSecond, settings, failures, log, metrics } = this.#opts
     const { reportPeriodMs, prefixIndex } = settings.scheduling
     return new ShardScheduler({
       clock,
@@ -168,6 +168,8 @@
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
       onAdmission: (attempt, inputs, decision) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...admissionFields(inputs, decision) }),
+      onForecastError: (errorMs) => metrics.recordMs('reelspan_forecast_error_ms', Math.abs(errorMs), { firstToken: errorMs > 0 ? 'later' : 'earlier' }),
+      onEarlyRetry: () => metrics.count('reelspan_early_retries_total', { refusedBy: 'scheduler' }),
       onTaskError: (thrown) => failures.recordTask('shardScheduler', thrown),
     })
   }
@@ -194,12 +196,16 @@
 }
 
 /** Log fields of an admission decision and its inputs. */
-function admissionFields (inputs: AdmissionInputs, { outcome, estimateMs, errorMs }: AdmissionDecision): LogFields {
-  const { aheadInTime, aheadLate, aheadDue, msPerPlace, msPerArrival, inTimeLeftMs, usefulLeftMs, returned, promised, kept } = inputs
+function admissionFields (inputs: AdmissionInputs, { outcome, estimateMs, errorMs, slotMs, lateSlotMs }: AdmissionDecision): LogFields {
+  const { aheadInTime, aheadLate, aheadDue, msPerPlace, msPerArrival, inTimeLeftMs, usefulLeftMs, returned, promised, kept, forecast, newcomerError } = inputs
   return {
     outcome,
-    estimateMs: Number.isFinite(estimateMs) ? Math.round(estimateMs) : undefined,
+    estimateMs: roundedMs(estimateMs),
     errorMs: Math.round(errorMs),
+    slotMs: roundedMs(slotMs),
+    lateSlotMs: roundedMs(lateSlotMs),
+    forecastFrom: forecast ? 'reservations' : 'rate',
+    newcomerError: newcomerError && Number(newcomerError.toFixed(2)),
     aheadInTime,
     aheadLate,
     aheadDue,
@@ -213,6 +219,11 @@
   }
 }
 
+/** Undefined for an unknown or infinite time. */
+function roundedMs (timeMs = Number.POSITIVE_INFINITY): number | undefined {
+  return Number.isFinite(timeMs) ? Math.round(timeMs) : undefined
+}
+
 /** Log fields of a role plan and the load that it is based on. */
 function rolePlanFields ({ outcome, target, from, count, servesPerSecond, targetServesPerSecond }: RolePlan, load?: RoleLoad): LogFields {
   const rounded = (value: number | undefined) => value && Number(value.toFixed(1))
--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -50,6 +50,8 @@
   outcome: z.literal(PlacementOutcome.Refused),
   reason: z.string(),
   retryAfterMs: z.number().nonnegative(),
+  /** Time for which requests are expected to wait at the scheduler, so that a box refuses an early retry without asking. */
+  busyForMs: z.number().nonnegative().optional(),
 })
 
 export const placementAnswerSchema = z.discriminatedUnion('outcome', [placementPlanSchema, placementRefusalSchema])
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -69,6 +69,11 @@
     return this.#entries.size
   }
 
+  /** All reservations. */
+  entries (): LedgerEntry[] {
+    return [...this.#entries.values()]
+  }
+
   /** Updates the engines of the shard. Reservations on engines that remain are kept. */
   update (shard: Shard): void {
     this.#shard = shard
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -3,8 +3,9 @@
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { type EngineOutcome, type HoldLabel, holdLabelKey, type Member, MessageType, type PeerLink, PeerLinkError, type PlacementAnswer, PlacementOutcome, type PlacementPlan, type PlacementRefusal, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
 import { type Placement, type PlaceOptions, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
-import { type AdoptedReservation, type ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { type AdoptedReservation, returnKeyOf, type ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { schedulerOf, type Shard } from '@reelspan/scheduling.shards'
+import { EarlyRefusals } from './earlyRefusals.js'
 
 export interface SchedulerPlacerOptions {
   clock: Clock
@@ -18,6 +19,8 @@
   localScheduler: (shardId: string) => ShardScheduler | undefined
   /** Places requests without a scheduler while none can be reached. */
   fallback: Placer
+  /** Called when an early retry is refused without asking the scheduler. */
+  onEarlyRetry?: () => void
 }
 
 /** Number of shards that are tried in turn for a request. */
@@ -46,6 +49,7 @@
 export class SchedulerPlacer extends Placer {
   readonly #opts: SchedulerPlacerOptions
   readonly #live = new Map<string, LivePlacement>()
+  readonly #earlyRefusals = new EarlyRefusals()
 
   constructor (opts: SchedulerPlacerOptions) {
     super()
@@ -100,12 +104,16 @@
   async #reserveOnShard (shard: Shard, request: ReserveRequest & PlaceRequest, signal: AbortSignal): Promise<Placement | PlacementRefusal | undefined> {
     const scheduler = schedulerOf(shard, this.#opts.schedulers())
     if (!scheduler) return undefined
+    const earlyRefusal = this.#findEarlyRefusal(scheduler, request)
+    if (earlyRefusal) return earlyRefusal
     const withdraw = () => this.#release(scheduler, request)
     signal.addEventListener('abort', withdraw, { once: true })
     try {
       const answer = await this.#reserveWithReconnect(scheduler, request, signal)
       if (signal.aborted) return WITHDRAWN
-      return answer.outcome === PlacementOutcome.Refused ? answer : this.#track(request, answer, scheduler)
+      if (answer.outcome === PlacementOutcome.Placed) return this.#track(request, answer, scheduler)
+      this.#earlyRefusals.record(earlyKeyOf(request), scheduler.incarnation, answer, this.#opts.clock.nowMs())
+      return answer
     } catch (thrown) {
       if (!(thrown instanceof ReelspanError)) throw thrown
       if (signal.aborted) return WITHDRAWN
@@ -116,6 +124,12 @@
     }
   }
 
+  #findEarlyRefusal (scheduler: Member, request: ReserveRequest): PlacementRefusal | undefined {
+    const refusal = this.#earlyRefusals.find(earlyKeyOf(request), scheduler.incarnation, this.#opts.clock.nowMs())
+    if (refusal) this.#opts.onEarlyRetry?.()
+    return refusal
+  }
+
   /** If the connection is unresponsive, releases any reservation made over it and retries on a new connection. */
   async #reserveWithReconnect (scheduler: Member, request: ReserveRequest, signal: AbortSignal): Promise<PlacementAnswer> {
     const { clock } = this.#opts
@@ -212,6 +226,11 @@
   }
 }
 
+/** Each shard has its own queue. */
+function earlyKeyOf (request: ReserveRequest): string {
+  return `${request.shardId} ${returnKeyOf(request)}`
+}
+
 function earliestRetry (refusals: PlacementRefusal[]): PlacementRefusal {
   const [earliest] = [...refusals].sort((a, b) => a.retryAfterMs - b.retryAfterMs)
   return earliest ?? { outcome: PlacementOutcome.Refused, reason: 'the model has no engines', retryAfterMs: 1000 }
--- a/scheduling/scheduler/src/decideAdmission.ts
+++ b/scheduling/scheduler/src/decideAdmission.ts
@@ -1,3 +1,5 @@
+import { RateForecast, type SlotForecast } from './slotForecast.js'
+
 /** Admission decision for a request that is not placed at once. */
 export enum AdmissionOutcome {
   /** The request waits, and its first token will probably be in time. */
@@ -23,7 +25,11 @@
   msPerArrival?: number
   /** Relative standard error of the rates. */
   rateError: number
-  /** Minimum time from the end of its prefill to its first token. */
+  /** When slots become free; from the rates if omitted. */
+  forecast?: SlotForecast
+  /** Relative correction of the forecast for new requests, from what was forecast and observed before. */
+  newcomerError?: number
+  /** Minimum time from a free slot to its first token that the forecast does not include. */
   handoverMs: number
   /** Time left until the first token is late, counted from the caller's first attempt. */
   inTimeLeftMs: number
@@ -42,6 +48,10 @@
   /** Expected time to the first token; infinite if no slot is expected. */
   estimateMs: number
   errorMs: number
+  /** Time until the slot that the request would get if it went before late ones; infinite if none is expected. */
+  slotMs?: number
+  /** Time until the slot that it would get as a late one, if that was evaluated. */
+  lateSlotMs?: number
   reason: string
 }
 
@@ -53,38 +63,31 @@
  * their callers time.
  */
 export function decideAdmission (inputs: AdmissionInputs): AdmissionDecision {
-  const { minTtftMs, inTimeLeftMs, usefulLeftMs, msPerPlace, rateError, handoverMs, returned, promised, kept } = inputs
+  const { minTtftMs, inTimeLeftMs, usefulLeftMs, rateError, handoverMs, returned, promised, kept } = inputs
+  const forecast = inputs.forecast ?? new RateForecast(inputs)
   if (minTtftMs === undefined) return refuse(Number.POSITIVE_INFINITY, 0, 'no engine of the model takes work')
   if (minTtftMs > usefulLeftMs) return refuse(minTtftMs, 0, 'the first token would be late')
-  const waitForMs = (slots: number, msPerSlot: number) => Math.max(minTtftMs, slots * msPerSlot + handoverMs)
-  const estimateMs = waitForMs(inputs.aheadInTime + inputs.aheadDue + 1, msPerPlace)
-  if (estimateMs <= inTimeLeftMs) return { outcome: AdmissionOutcome.InTime, estimateMs, errorMs: rateError * estimateMs, reason: 'a slot is expected in time' }
+  const firstTokenMs = (slotMs: number) => Math.max(minTtftMs, slotMs + handoverMs)
   // Refusing a request that has waited loses the time it waited, and a second refusal costs its caller as much as
   // waiting in vain: for these requests the error counts in their favour.
   const favoured = kept || returned
-  const lateEstimateMs = waitForMs(inputs.aheadInTime + inputs.aheadDue + inputs.aheadLate + 1, msPerLatePlace(inputs, 0))
-  const boundMs = waitForMs(inputs.aheadInTime + inputs.aheadDue + inputs.aheadLate + 1, msPerLatePlace(inputs, favoured ? rateError : -rateError))
+  const aheadFirst = inputs.aheadInTime + inputs.aheadDue
+  const slotMs = forecast.slotMs(aheadFirst + 1, favoured ? 0 : inputs.newcomerError)
+  const estimateMs = firstTokenMs(slotMs)
+  if (estimateMs <= inTimeLeftMs) return { outcome: AdmissionOutcome.InTime, estimateMs, errorMs: rateError * estimateMs, slotMs, reason: 'a slot is expected in time' }
+  const lateSlotMs = forecast.lateSlotMs(aheadFirst + inputs.aheadLate + 1)
+  const lateEstimateMs = firstTokenMs(lateSlotMs)
+  const boundMs = firstTokenMs(forecast.lateSlotMs(aheadFirst + inputs.aheadLate + 1, favoured ? rateError : -rateError))
   const errorMs = Number.isFinite(lateEstimateMs) && Number.isFinite(boundMs) ? Math.abs(boundMs - lateEstimateMs) : 0
-  if (promised || boundMs <= usefulLeftMs) return { outcome: AdmissionOutcome.Late, estimateMs: lateEstimateMs, errorMs, reason: 'a slot is expected, but late' }
-  return refuse(lateEstimateMs, errorMs, reasonOf(inputs))
-}
-
-/**
- * Mean time between the free slots that are left for late requests, after new requests
- * that can be in time have taken theirs.
- *
- * @param error relative correction: slots are assumed to become free faster, and new requests to arrive more slowly, than counted
- */
-export function msPerLatePlace ({ msPerPlace, msPerArrival }: Pick<AdmissionInputs, 'msPerPlace' | 'msPerArrival'>, error: number): number {
-  if (msPerPlace === 0) return 0
-  const slotsPerMs = (1 + error) / msPerPlace
-  const lateSlotsPerMs = msPerArrival === undefined ? slotsPerMs : slotsPerMs - (1 - error) / msPerArrival
-  return lateSlotsPerMs > 0 ? 1 / lateSlotsPerMs : Number.POSITIVE_INFINITY
+  if (promised || boundMs <= usefulLeftMs) return { outcome: AdmissionOutcome.Late, estimateMs: lateEstimateMs, errorMs, slotMs, lateSlotMs, reason: 'a slot is expected, but late' }
+  return { ...refuse(lateEstimateMs, errorMs, reasonOf(inputs, lateSlotMs)), slotMs, lateSlotMs }
 }
 
-function reasonOf ({ aheadInTime, aheadLate, msPerPlace, msPerArrival }: AdmissionInputs): string {
+function reasonOf ({ aheadInTime, aheadLate, msPerPlace, msPerArrival, forecast }: AdmissionInputs, lateSlotMs: number): string {
+  const ahead = `${aheadInTime + aheadLate} requests are queued ahead`
+  if (forecast) return `${ahead}, and ${Number.isFinite(lateSlotMs) ? `a slot is expected in ${Math.round(lateSlotMs)} ms` : 'new requests take the slots that become free'}`
   const arrivals = msPerArrival === undefined ? '' : `, and a request arrives every ${Math.round(msPerArrival)} ms`
-  return `${aheadInTime + aheadLate} requests are queued ahead, a slot becomes free every ${Math.round(msPerPlace)} ms${arrivals}`
+  return `${ahead}, a slot becomes free every ${Math.round(msPerPlace)} ms${arrivals}`
 }
 
 function refuse (estimateMs: number, errorMs: number, reason: string): AdmissionDecision {
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -6,6 +6,8 @@
   nowMs: number
   /** Minimum time to a request's first token if it were placed at once; undefined if no engine takes work. */
   minTtftMs: (waiting: WaitingRequest) => number | undefined
+  /** When slots become free for a request, and the time from its slot to its first token; from the rates if omitted. */
+  forecastOf?: (waiting: WaitingRequest) => Pick<AdmissionInputs, 'forecast' | 'handoverMs' | 'newcomerError'>
   /** Whether a client's recent usage exceeds its share. */
   isOverShare: (client: string) => boolean
   /** Due times of outstanding retries with a promised slot, sorted. */
@@ -48,7 +50,7 @@
 
 function decide (waiting: WaitingRequest, aheadInTime: number, aheadLate: number, queueInputs: QueueInputs): QueueDecision {
   const { handoverMs, inTimeUntilMs, usefulUntilMs, returned, promiseDueAtMs, outcome } = waiting
-  const { nowMs, msPerPlace, msPerArrival, rateError, minTtftMs, promisesDueAtMs } = queueInputs
+  const { nowMs, msPerPlace, msPerArrival, rateError, minTtftMs, forecastOf, promisesDueAtMs } = queueInputs
   const promised = promiseDueAtMs !== undefined
   const inputs: AdmissionInputs = {
     minTtftMs: minTtftMs(waiting),
@@ -64,6 +66,7 @@
     returned,
     promised,
     kept: outcome !== undefined,
+    ...forecastOf?.(waiting),
   }
   return { waiting, inputs, decision: decideAdmission(inputs) }
 }
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -145,7 +145,7 @@
   }
 
   #estimateOwnPrefill ({ request }: WaitingRequest, nowMs: number): PlacementEstimate | undefined {
-    return this.#estimator.estimateOwnPrefill(request, { usableSlots: this.#usableSlots(request), nowMs })
+    return this.#estimator.estimateOwnPrefill(request, { usableSlots: this.usableSlots(request), nowMs })
   }
 
   /** Minimum time until a decode engine has computed the prompt itself, even if all are full now; undefined if none takes work. */
@@ -158,7 +158,8 @@
     return timesMs.length > 0 ? Math.min(...timesMs) : undefined
   }
 
-  #usableSlots ({ tbtTargetMs }: ReserveRequest): number {
+  /** Number of slots of a decode engine that a request may use. */
+  usableSlots ({ tbtTargetMs }: ReserveRequest): number {
     return Math.min(this.#placesLimit.slots, this.#estimator.usableSlots(tbtTargetMs, this.#route()))
   }
 
@@ -217,7 +218,7 @@
     for (const { waiting, ready, costMs } of candidates.slice(0, MAX_CANDIDATES_TRIED)) {
       const { request, usefulUntilMs } = waiting
       const part = { prefill: ready.engine, endMs: ready.freeAtMs + costMs, costMs }
-      const estimate = this.#estimator.estimateDecode(request, part, { usableSlots: this.#usableSlots(request), objective: this.#route()?.objective, nowMs })
+      const estimate = this.#estimator.estimateDecode(request, part, { usableSlots: this.usableSlots(request), objective: this.#route()?.objective, nowMs })
       if (estimate && estimate.firstTokenMs <= usefulUntilMs) return { waiting, estimate }
     }
     return undefined
--- a/scheduling/scheduler/src/placementObservations.ts
+++ b/scheduling/scheduler/src/placementObservations.ts
@@ -4,6 +4,7 @@
 import { SlotLimit } from './slotLimit.js'
 import { QuantileEstimator } from './quantileEstimator.js'
 import { type ObservedLoad, ShardLoad } from './shardLoad.js'
+import { TokenPaceEstimator } from './tokenPaceEstimator.js'
 
 /** Initial estimate of how much later than estimated first tokens arrive. */
 const INITIAL_TTFT_ERROR_MS = 10
@@ -17,6 +18,7 @@
 /** Estimates from the placements of one shard, updated when requests arrive, are placed and end. */
 export class PlacementObservations {
   readonly lengths = new AnswerLengthEstimator()
+  readonly pace = new TokenPaceEstimator()
   readonly placesLimit: SlotLimit
   readonly #ledger: ShardLedger
   readonly #load = new ShardLoad()
@@ -53,6 +55,7 @@
     // Prefills on decode engines have a different speed.
     if (!isOwnPrefill(entry)) this.#ttftError.observe(report.ttftErrorMs)
     this.lengths.observe(report.completionTokens, entry.maxTokens)
+    this.pace.observe(entry.decodeEngine, report.tbtP50Ms)
     this.placesLimit.observe(report.tbtP50Ms, entry.tbtTargetMs)
   }
 
--- a/scheduling/scheduler/src/queueForecast.ts
+++ b/scheduling/scheduler/src/queueForecast.ts
@@ -23,6 +23,13 @@
     return waiting.reduce((sum, one) => sum + Math.min(...engines.map((ready) => chooser.costMs(one, ready, nowMs))), 0)
   }
 
+  /** Minimum time from a free slot to the first token. */
+  fromSlotMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number {
+    const { chooser } = this.#opts
+    const prefillMs = engines.length > 0 ? Math.min(...engines.map((ready) => chooser.costMs(waiting, ready, nowMs))) : chooser.minOwnPrefillMs(waiting, nowMs) ?? 0
+    return prefillMs + waiting.handoverMs
+  }
+
   /** Minimum time to the first token; undefined if no engine takes work. */
   minTtftMs (waiting: WaitingRequest, engines: readonly ReadyEngine[], nowMs: number): number | undefined {
     const { chooser, ledger } = this.#opts
--- a/scheduling/scheduler/src/retrySchedule.ts
+++ b/scheduling/scheduler/src/retrySchedule.ts
@@ -1,5 +1,5 @@
 export interface RetryScheduleOptions {
-  /** Lower bound of the retry delay. */
+  /** Lower bound of the retry delay, unless a refused request has its own. */
   minDelayMs: number
   /** Upper bound of the retry delay. */
   maxDelayMs: number
@@ -10,10 +10,14 @@
   returnId: string
   /** Time of the caller's first attempt. */
   firstArrivedAtMs: number
-  /** Expected time until a slot is free after all requests that wait now. */
-  expectedWaitMs: number
-  /** Time from its slot to the next one that can be promised. */
-  intervalMs: number
+  /** Expected time until a slot is free after all requests that wait now and this many outstanding retries with a promised slot; infinite if none is expected. */
+  slotMs: (promisedCount: number) => number
+  /** The same if a share of the slots is reserved for retries: new requests leave no slot for them if they arrive as fast as slots become free. */
+  reservedSlotMs: (promisedCount: number) => number
+  /** Lower bound of the retry delay. */
+  minDelayMs?: number
+  /** Time after the assigned one for which the retry waits for a slot that no request in time needs. */
+  graceMs: number
   /** The longest retry delay that its caller honours. */
   maxHonouredDelayMs: number
 }
@@ -22,23 +26,26 @@
 export interface ScheduledRetry {
   firstArrivedAtMs: number
   dueAtMs: number
+  /** From this time on it precedes requests that can be in time, if a slot was promised. */
+  precedesAtMs: number
   /** Whether a slot is reserved for the retry. */
   promised: boolean
 }
 
+/** Share of its useful time for which a retry with a promised slot waits for a slot that no request in time needs. */
+export const PROMISE_DUE_SHARE = 0.25
 /** Tolerance for early and late retries: network delay, the time for a new connection, and callers that round the delay up to full seconds. */
 const EARLY_TOLERANCE_MS = 50
 const LATE_TOLERANCE_MS = 1500
 
 /**
- * Assigns retry times to refused requests, one after another in order of arrival, and
- * reserves capacity for them. If the retry time would be later than the caller honours,
+ * Assigns retry times to refused requests, each after the slots of those promised before,
+ * and counts them as promised. If the retry time would be later than the caller honours,
  * nothing is promised, and the caller gets the longest delay that it honours.
  */
 export class RetrySchedule {
   readonly #opts: RetryScheduleOptions
   readonly #retries = new Map<string, ScheduledRetry>()
-  #reservedUntilMs = 0
   #nextExpiryMs = Number.POSITIVE_INFINITY
 
   constructor (opts: RetryScheduleOptions) {
@@ -50,14 +57,12 @@
   }
 
   /** Assigns the next free retry time. Returns the delay until then. */
-  schedule ({ returnId, firstArrivedAtMs, expectedWaitMs, intervalMs, maxHonouredDelayMs }: RefusedRequest, nowMs: number): number {
-    const { minDelayMs, maxDelayMs } = this.#opts
-    const longestDelayMs = Math.min(maxDelayMs, maxHonouredDelayMs)
-    const slotAtMs = Math.max(this.#reservedUntilMs, nowMs + Math.max(minDelayMs, Math.min(expectedWaitMs, longestDelayMs)))
-    const promised = slotAtMs - nowMs <= longestDelayMs
-    if (promised) this.#reservedUntilMs = slotAtMs + intervalMs
-    const dueAtMs = promised ? slotAtMs : nowMs + longestDelayMs
-    this.#retries.set(returnId, { firstArrivedAtMs, dueAtMs, promised })
+  schedule ({ returnId, firstArrivedAtMs, slotMs, reservedSlotMs, graceMs, maxHonouredDelayMs, minDelayMs = this.#opts.minDelayMs }: RefusedRequest, nowMs: number): number {
+    const longestDelayMs = Math.min(this.#opts.maxDelayMs, maxHonouredDelayMs)
+    const promisedCount = this.promisesDueAtMs(nowMs).length
+    const dueAtMs = nowMs + Math.min(longestDelayMs, Math.max(minDelayMs, slotMs(promisedCount)))
+    const promised = Math.min(slotMs(promisedCount), reservedSlotMs(promisedCount)) <= longestDelayMs
+    this.#retries.set(returnId, { firstArrivedAtMs, dueAtMs, precedesAtMs: dueAtMs + graceMs, promised })
     this.#nextExpiryMs = Math.min(this.#nextExpiryMs, dueAtMs + LATE_TOLERANCE_MS)
     return dueAtMs - nowMs
   }
@@ -68,11 +73,17 @@
     return retry && nowMs >= retry.dueAtMs - EARLY_TOLERANCE_MS && nowMs <= retry.dueAtMs + LATE_TOLERANCE_MS ? retry : undefined
   }
 
-  /** Due times of outstanding retries with a promised slot, sorted. */
+  /** Time until the retry delay of a refused request has passed; undefined if it was not refused or the delay has passed. */
+  remainingMs (returnId: string, nowMs: number): number | undefined {
+    const retry = this.#retries.get(returnId)
+    return retry && nowMs < retry.dueAtMs - EARLY_TOLERANCE_MS ? retry.dueAtMs - nowMs : undefined
+  }
+
+  /** Times at which outstanding retries with a promised slot precede requests that can be in time, sorted. */
   promisesDueAtMs (nowMs: number): number[] {
     return [...this.#retries.values()]
       .filter(({ promised, dueAtMs }) => promised && dueAtMs > nowMs)
-      .map(({ dueAtMs }) => dueAtMs)
+      .map(({ precedesAtMs }) => precedesAtMs)
       .sort((a, b) => a - b)
   }
 
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -10,6 +10,7 @@
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome } from './decideAdmission.js'
 import { decideQueue, type QueueDecision } from './decideQueue.js'
 import { describeEngines } from './describeEngines.js'
+import { decideRepeat, RepeatOutcome, returnKeyOf } from './earlyRetry.js'
 import { EngineLimits } from './engineLimits.js'
 import { DISPATCH_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
@@ -17,7 +18,8 @@
 import { PlacementRate } from './placementRate.js'
 import { QueueForecast } from './queueForecast.js'
 import { RefusalBuilder } from './refusalBuilder.js'
-import { RetrySchedule } from './retrySchedule.js'
+import { PROMISE_DUE_SHARE, RetrySchedule } from './retrySchedule.js'
+import { ShardForecast } from './shardForecast.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
 
 export interface ShardSchedulerOptions {
@@ -36,6 +38,10 @@
   onTrusted?: (engine: string) => void
   /** Called when the admission decision for a waiting request is made or changes. */
   onAdmission?: (requestId: string, inputs: AdmissionInputs, decision: AdmissionDecision) => void
+  /** Called when a request that waited is placed: how much later its first token is expected than its first admission decision expected. */
+  onForecastError?: (errorMs: number) => void
+  /** Called when a retry that arrived before its retry delay has passed is refused without being queued. */
+  onEarlyRetry?: () => void
   /** Called when a task ends with an unexpected error. */
   onTaskError?: TaskErrorListener
 }
@@ -49,10 +55,8 @@
 const MAX_WAITING = 2000
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
-/** Share of its useful time for which a retry with a promised slot waits for a slot that no request in time needs. */
-const PROMISE_DUE_SHARE = 0.25
 /** Engines report and callers reconnect within about this time, so little changes for a retry before it. */
-const MIN_RETRY_DELAY_MS = 500
+const MIN_RETRY_DELAY_MS = 150
 const MAX_RETRY_DELAY_MS = 30_000
 
 /** Places requests on one shard. Requests wait here until an engine can start them at once, in the order that uses the engines best; requests that would be late are refused. */
@@ -68,6 +72,7 @@
   readonly #retrySchedule = new RetrySchedule({ minDelayMs: MIN_RETRY_DELAY_MS, maxDelayMs: MAX_RETRY_DELAY_MS })
   readonly #waiting = new WaitingQueue()
   readonly #forecast: QueueForecast
+  readonly #slotForecast: ShardForecast
   readonly #refusals: RefusalBuilder
   readonly #health: UpstreamHealth
   readonly #limits: EngineLimits
@@ -77,7 +82,7 @@
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { maxReportAgeMs: opts.maxReportAgeMs })
     this.#observations = new PlacementObservations(this.ledger)
-    const { lengths, placesLimit } = this.#observations
+    const { lengths, pace, placesLimit } = this.#observations
     this.#health = new UpstreamHealth(opts)
     this.#limits = new EngineLimits({ clock: opts.clock, perSecond: opts.limitPerSecond })
     const isSuspect = (engine: string) => this.#health.isSuspect(engine)
@@ -85,7 +90,8 @@
     this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect, limits })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
     this.#forecast = new QueueForecast({ ledger: this.ledger, chooser: this.#chooser })
-    this.#refusals = new RefusalBuilder({ chooser: this.#chooser, estimator: this.#estimator, rate: this.#rate, retrySchedule: this.#retrySchedule })
+    this.#slotForecast = new ShardForecast({ ledger: this.ledger, chooser: this.#chooser, estimator: this.#estimator, lengths, pace, rate: this.#rate, waiting: () => this.#waiting.all() })
+    this.#refusals = new RefusalBuilder({ forecast: this.#slotForecast, retrySchedule: this.#retrySchedule })
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
   }
 
@@ -113,26 +119,31 @@
   /** Resolves when the request is placed, or as soon as it is known that it would be placed too late. */
   reserve (request: ReserveRequest): Promise<PlacementAnswer> {
     const nowMs = this.#opts.clock.nowMs()
-    const retry = this.#retrySchedule.findDue(request.returnId, nowMs)
+    const retry = this.#retrySchedule.findDue(returnKeyOf(request), nowMs)
+    const remainingMs = this.#retrySchedule.remainingMs(returnKeyOf(request), nowMs)
+    const repeat = decideRepeat({ remainingMs, isAttemptWaiting: this.#waiting.hasAttemptOf(request), priority: request.priority, highestWaiting: this.#waiting.highestPriority })
+    if (repeat === RepeatOutcome.Refuse) return Promise.resolve(this.#refuseEarly(request, remainingMs, nowMs))
     const firstArrivedAtMs = retry?.firstArrivedAtMs ?? nowMs
     if (this.#waiting.size >= MAX_WAITING) return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, 'too many requests are waiting'))
-    if (!retry) this.#recordArrival(nowMs)
+    if (!retry && !repeat) this.#recordArrival(nowMs)
     if (this.#waiting.size === 0) this.#rate.recordIdle(nowMs)
     const leftMs = request.ttftLeftMs - this.#observations.ttftErrorMs
     const usefulMs = Math.min(Math.max(leftMs, request.patienceMs ?? 0), request.deadlineMs)
     return new Promise((resolve) => {
-      this.#waiting.add({
+      const waiting: WaitingRequest = {
         request,
         resolve,
-        firstArrivedAtMs,
-        inTimeUntilMs: firstArrivedAtMs + leftMs,
+        firstArrivedAtMs: repeat ? nowMs + usefulMs : firstArrivedAtMs,
+        inTimeUntilMs: repeat ? nowMs : firstArrivedAtMs + leftMs,
         usefulUntilMs: nowMs + usefulMs,
         returned: retry !== undefined,
         promiseDueAtMs: retry?.promised ? nowMs + PROMISE_DUE_SHARE * usefulMs : undefined,
         handoverMs: this.#estimator.handoverMs(request),
         prefillCostsMs: [],
-      })
+      }
+      this.#waiting.add(waiting)
       this.#runCycle()
+      if (repeat === RepeatOutcome.PlaceNow && this.#waiting.hasAttemptOf(request)) this.#answer(waiting, this.#refuseEarly(request, remainingMs, nowMs))
     })
   }
 
@@ -234,6 +245,7 @@
   #runCycle (): void {
     const nowMs = this.#opts.clock.nowMs()
     this.ledger.expire(nowMs)
+    this.#slotForecast.invalidate()
     if (this.#waiting.size === 0) return this.#rate.recordIdle(nowMs)
     this.#retrySchedule.expire(nowMs)
     const queuedPrefillMs = this.#forecast.queuedPrefillMs(this.#waiting.all(), nowMs)
@@ -248,19 +260,24 @@
   #decideWaiting (nowMs: number): void {
     if (this.#waiting.size === 0) return
     const engines = this.#chooser.readyEngines(nowMs)
+    this.#slotForecast.invalidate()
     const decisions = decideQueue(this.#waiting.all(), {
       nowMs,
       msPerPlace: this.#rate.msPerPlace(nowMs),
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
       minTtftMs: (waiting) => this.#forecast.minTtftMs(waiting, engines, nowMs),
+      forecastOf: this.#slotForecast.isKnown
+        ? (waiting) => ({ forecast: this.#slotForecast.forRequest(waiting.request, nowMs), handoverMs: this.#forecast.fromSlotMs(waiting, engines, nowMs), newcomerError: this.#slotForecast.correction.error })
+        : undefined,
       isOverShare: (client) => this.#shares.isOverShare(client, nowMs),
       promisesDueAtMs: this.#retrySchedule.promisesDueAtMs(nowMs),
     })
-    decisions.forEach((decided) => this.#applyDecision(decided))
+    decisions.forEach((decided) => this.#applyDecision(decided, nowMs))
   }
 
-  #applyDecision ({ waiting, inputs, decision }: QueueDecision): void {
+  #applyDecision ({ waiting, inputs, decision }: QueueDecision, nowMs: number): void {
+    this.#slotForecast.recordDecision(waiting, decision, nowMs)
     if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision)
     waiting.outcome = decision.outcome
     if (decision.outcome === AdmissionOutcome.Refused) this.#answer(waiting, this.#refusal(waiting, decision.reason))
@@ -289,7 +306,9 @@
     }
     const weight = this.#opts.route()?.clientWeights[request.client] ?? 1
     this.#shares.charge(request.client, estimate.costMs, weight, nowMs)
-    this.#retrySchedule.remove(request.returnId)
+    this.#retrySchedule.remove(returnKeyOf(request))
+    const errorMs = this.#slotForecast.recordPlacement(waiting, estimate.firstTokenMs)
+    if (errorMs !== undefined) this.#opts.onForecastError?.(errorMs)
     this.#rate.recordPlacement(nowMs)
     this.#observations.recordPlacement({
       prefillMs: isOwnPrefill(entry) ? this.#estimator.prefillCostMs(request, prefill.name, nowMs) : estimate.costMs,
@@ -309,6 +328,12 @@
     return this.#refusals.refuse(waiting, reason, { waitingCount: this.#waiting.size, nowMs: this.#opts.clock.nowMs() })
   }
 
+  /** Answers a retry that arrived too early. Its retry time stays. */
+  #refuseEarly (request: ReserveRequest, remainingMs = 0, nowMs: number): PlacementAnswer {
+    this.#opts.onEarlyRetry?.()
+    return this.#refusals.refuseEarly(request, remainingMs, { waitingCount: this.#waiting.size, nowMs })
+  }
+
   #answer (waiting: WaitingRequest, answer: PlacementAnswer): void {
     this.#waiting.remove(waiting)
     waiting.resolve(answer)
--- a/scheduling/scheduler/src/waitingQueue.ts
+++ b/scheduling/scheduler/src/waitingQueue.ts
@@ -1,11 +1,12 @@
 import { type HoldLabel, holdLabelKey, type PlacementAnswer, PlacementOutcome, type ReserveRequest } from '@reelspan/core.messages'
 import { type AdmissionOutcome } from './decideAdmission.js'
+import { returnKeyOf } from './earlyRetry.js'
 
 /** A request waiting to be placed. */
 export interface WaitingRequest {
   request: ReserveRequest
   resolve: (answer: PlacementAnswer) => void
-  /** Time of the first attempt, which is earlier if this is a retry at the assigned time. */
+  /** Time of the first attempt, which is earlier if this is a retry at the assigned time. For a repeated attempt, the end of its useful time, so that it is behind first attempts. */
   firstArrivedAtMs: number
   /** The first token is in time until then, and late afterwards. */
   inTimeUntilMs: number
@@ -21,11 +22,17 @@
   promiseDueAtMs?: number
   /** The last admission decision. */
   outcome?: AdmissionOutcome
+  /** Time of the first token as expected by the first admission decision, if that was to keep it. */
+  expectedFirstTokenAtMs?: number
+  /** When that decision was made. */
+  keptSinceMs?: number
 }
 
 /** The waiting requests of a scheduler, in order of arrival. */
 export class WaitingQueue {
   readonly #waiting = new Map<string, WaitingRequest>()
+  /** Number of waiting attempts of each request. */
+  readonly #attempts = new Map<string, number>()
 
   get size (): number {
     return this.#waiting.size
@@ -35,13 +42,29 @@
     return [...this.#waiting.values()]
   }
 
+  /** Whether an attempt of the same request waits. */
+  hasAttemptOf (request: ReserveRequest): boolean {
+    return this.#attempts.has(returnKeyOf(request))
+  }
+
+  /** Highest priority of the waiting requests; undefined if none waits. */
+  get highestPriority (): number | undefined {
+    return this.size === 0 ? undefined : Math.max(...this.all().map(({ request }) => request.priority))
+  }
+
   add (waiting: WaitingRequest): void {
     this.withdraw(waiting.request.label)
     this.#waiting.set(holdLabelKey(waiting.request.label), waiting)
+    const returnKey = returnKeyOf(waiting.request)
+    this.#attempts.set(returnKey, (this.#attempts.get(returnKey) ?? 0) + 1)
   }
 
   remove (waiting: WaitingRequest): void {
-    this.#waiting.delete(holdLabelKey(waiting.request.label))
+    if (!this.#waiting.delete(holdLabelKey(waiting.request.label))) return
+    const returnKey = returnKeyOf(waiting.request)
+    const others = (this.#attempts.get(returnKey) ?? 1) - 1
+    if (others > 0) this.#attempts.set(returnKey, others)
+    else this.#attempts.delete(returnKey)
   }
 
   /** Removes a request whose owner no longer needs it placed. */
