--- a/__utils__/bench/bin/overload.js
+++ b/__utils__/bench/bin/overload.js
@@ -1,3 +1,3 @@
-import { measureOverload } from '../lib/measureOverload.js'
+import { measureOverload } from '../lib/index.js'
 
 await measureOverload()
--- a/scheduling/scheduler-placer/test/__utils__/createPlacer.ts
+++ b/scheduling/scheduler-placer/test/__utils__/createPlacer.ts
@@ -49,10 +49,11 @@
   shards?: number
   /** The scheduler runs on another box. */
   remote?: boolean
+  onEarlyRetry?: () => void
 }
 
 /** Creates a placer on a box that runs the scheduler itself, or calls another box's scheduler. */
-export function createPlacer ({ shards = 1, remote = false }: TestPlacerOptions = {}) {
+export function createPlacer ({ shards = 1, remote = false, onEarlyRetry }: TestPlacerOptions = {}) {
   const clock = new VirtualClock()
   const link = new ManualLink()
   const fallback = new RecordingPlacer()
@@ -69,6 +70,7 @@
     shardsOfModel: () => listed,
     localScheduler: (id) => schedulers.get(id),
     fallback,
+    onEarlyRetry,
   })
   /** Another box takes over the shards; the previous scheduler stays alive. */
   const replaceScheduler = () => {
--- a/scheduling/scheduler/src/capacityForecast.ts
+++ b/scheduling/scheduler/src/capacityForecast.ts
@@ -106,7 +106,7 @@
   return [...atOnce, ...later]
 }
 
-/** Start times of prompts on engines that compute one prompt after another. */
+/** Start times of prompts on engines that compute one prompt after another. The part of a prompt that is done counts as a part of a start, so that a time is up to one prompt too early. */
 class PrefillStarts {
   /** The engines in the order in which they are free, with sums over each one and those before it. */
   readonly #engines: { freeInMs: number, perMs: number, offset: number, startsBefore: number }[] = []
--- a/scheduling/scheduler/src/shardForecast.ts
+++ b/scheduling/scheduler/src/shardForecast.ts
@@ -70,14 +70,14 @@
   }
 
   /** Compares the decision to refuse a request that was kept in time with what was forecast when it was kept. */
-  recordDecision (waiting: WaitingRequest, { outcome, estimateMs }: AdmissionDecision, nowMs: number): void {
+  recordDecision (waiting: WaitingRequest, { outcome, estimateMs, slotMs = MAX_OBSERVED_MS }: AdmissionDecision, nowMs: number): void {
     if (!this.isKnown) return
     const { expectedFirstTokenAtMs, keptSinceMs } = waiting
     if (keptSinceMs === undefined && outcome === AdmissionOutcome.InTime) {
       waiting.keptSinceMs = nowMs
       waiting.expectedFirstTokenAtMs = nowMs + estimateMs
     } else if (keptSinceMs !== undefined && expectedFirstTokenAtMs !== undefined && outcome === AdmissionOutcome.Refused) {
-      this.correction.observe(expectedFirstTokenAtMs - keptSinceMs, nowMs + Math.min(estimateMs, MAX_OBSERVED_MS) - keptSinceMs)
+      this.correction.observe(expectedFirstTokenAtMs - keptSinceMs, nowMs + Math.min(slotMs + waiting.handoverMs, MAX_OBSERVED_MS) - keptSinceMs)
     }
   }
 
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -56,7 +56,7 @@
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
 /** Engines report and callers reconnect within about this time, so little changes for a retry before it. */
-const MIN_RETRY_DELAY_MS = 150
+const MIN_RETRY_DELAY_MS = 500
 const MAX_RETRY_DELAY_MS = 30_000
 
 /** Places requests on one shard. Requests wait here until an engine can start them at once, in the order that uses the engines best; requests that would be late are refused. */
--- a/scheduling/scheduler/test/__utils__/createShard.ts
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -22,15 +22,16 @@
   limitPerSecond?: ShardSchedulerOptions['limitPerSecond']
   onUnreachable?: (engine: string) => void
   onAdmission?: ShardSchedulerOptions['onAdmission']
+  onEarlyRetry?: () => void
   onTaskError?: ShardSchedulerOptions['onTaskError']
 }
 
 /** Creates a scheduler of a small shard whose engines have reported. Prefill of 1,000 uncached tokens takes 130 ms. */
-export function createShard ({ prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, decodePrefillTokensPerSecond, limitPerSecond, onUnreachable, onAdmission, onTaskError }: TestShardOptions = {}) {
+export function createShard ({ prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, decodePrefillTokensPerSecond, limitPerSecond, onUnreachable, onAdmission, onEarlyRetry, onTaskError }: TestShardOptions = {}) {
   const clock = new VirtualClock()
   const derived = shardOf({ prefill, decode, slots, zones })
   const shard = { ...derived, spec: { ...derived.spec, decodePrefillTokensPerSecond } }
-  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), maxReportAgeMs: 1_000_000, limitPerSecond, onUnreachable, onAdmission, onTaskError })
+  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, index: createPrefixIndex(PrefixIndexKind.Events), maxReportAgeMs: 1_000_000, limitPerSecond, onUnreachable, onAdmission, onEarlyRetry, onTaskError })
   if (!reported) return { clock, scheduler, shard }
   shard.prefillEngines.forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Prefill)))
   shard.decodeEngines.forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Decode)))
