fix(scheduling.scheduler): requests about to be useless do not keep others from free engines

Only the first three requests in order were tried. Those that fit but are too late are no longer counted as tried.

--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -213,13 +213,18 @@
       .map(({ candidate }) => candidate)
   }
 
-  /** The first candidate that fits on a decode engine. Only a few are tried: if none fits one candidate, the next rarely fits either. */
+  /**
+   * The first candidate that fits on a decode engine. Only a few are tried: if none fits one candidate, the next rarely fits either.
+   * Those that fit but would be useless are not counted: at 768 requests per second, more than a few of them wait at any time, and kept all others from free engines.
+   */
   #firstThatFits (candidates: readonly Candidate[], nowMs: number): Choice | undefined {
-    for (const { waiting, ready, costMs } of candidates.slice(0, MAX_CANDIDATES_TRIED)) {
+    let misfits = 0
+    for (const { waiting, ready, costMs } of candidates) {
       const { request, usefulUntilMs } = waiting
       const part = { prefill: ready.engine, endMs: ready.freeAtMs + costMs, costMs }
       const estimate = this.#estimator.estimateDecode(request, part, { usableSlots: this.usableSlots(request), objective: this.#route()?.objective, nowMs })
       if (estimate && estimate.firstTokenMs <= usefulUntilMs) return { waiting, estimate }
+      if (!estimate && ++misfits === MAX_CANDIDATES_TRIED) return undefined
     }
     return undefined
   }
