--- a/__utils__/bench/src/playBurst.ts
+++ b/__utils__/bench/src/playBurst.ts
@@ -48,6 +48,8 @@
   refusedFirst: number
   /** First attempts that were refused though a slot was free, with nothing waiting, early enough to serve them in time. */
   refusedWithRoom: number
+  /** Attempts that were refused while a slot was free and nothing waited. */
+  refusedFree: number
   /** Attempts that were refused while less than half of the slots were taken and nothing waited. */
   refusedIdle: number
   /** Time that attempts waited before they were refused or given up. */
@@ -179,6 +181,7 @@
         outcome.refusedFirst++
         this.#refusedFirst.push({ phase, atMs: nowMs, untilMs: firstAtMs + ttftTargetMs - this.#minTtftMs() })
       }
+      if (this.#scheduler.describe().waiting === 0 && this.#freeSlots() > 0) outcome.refusedFree++
       if (this.#isIdle()) outcome.refusedIdle++
       const isHonoured = answer.retryAfterMs <= HONOURED_SHARE * (firstAtMs + DEADLINE_MS - nowMs)
       if (impatient ? attempt >= IMPATIENT_RETRIES : !isHonoured) {
@@ -279,7 +282,7 @@
 }
 
 function emptyOutcome (): PhaseOutcome {
-  return { callers: 0, inTime: 0, late: 0, unserved: 0, refusedFirst: 0, refusedWithRoom: 0, refusedIdle: 0, heldInVainMs: 0, dueRetries: 0, dueRetriesPlaced: 0, promisesBroken: 0, idleSlotMs: 0 }
+  return { callers: 0, inTime: 0, late: 0, unserved: 0, refusedFirst: 0, refusedWithRoom: 0, refusedFree: 0, refusedIdle: 0, heldInVainMs: 0, dueRetries: 0, dueRetriesPlaced: 0, promisesBroken: 0, idleSlotMs: 0 }
 }
 
 function phaseAt (elapsedMs: number): BurstPhase {
--- a/__utils__/bench/test/overload.ts
+++ b/__utils__/bench/test/overload.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { BURST_SHAPES, BurstPhase, type PhaseOutcome, playBurst } from '@reelspan/utils.bench'
+import { BURST_SHAPES, BurstPhase, type PhaseOutcome, measureScheduler, playBurst } from '@reelspan/utils.bench'
 
 const SEEDS = [1, 2, 3]
 
@@ -18,8 +18,9 @@
     const runs = await playAll(shape, 0)
     t.is(sum(runs, 'promisesBroken'), 0)
     t.is(sum(runs, 'refusedIdle'), 0)
-    t.true(sum(runs, 'refusedWithRoom', [BurstPhase.Ramp, BurstPhase.Peak]) <= 3, 'refused though a slot was free in time')
-    t.is(sum(runs, 'refusedWithRoom', [BurstPhase.End]), 0, 'refused at the end of the burst with a slot free')
+    t.is(sum(runs, 'refusedFree'), 0, 'refused while a slot was free')
+    // A slot can become free sooner than forecast: 2 of 3,797 first refusals in 12 seeds of all pools.
+    t.true(sum(runs, 'refusedWithRoom') <= 2, 'refused though a slot was free in time')
     t.true(sum(runs, 'inTime', [BurstPhase.Before]) >= 0.99 * sum(runs, 'callers', [BurstPhase.Before]))
     const meanHeldMs = sum(runs, 'heldInVainMs') / sum(runs, 'refusedFirst')
     t.true(meanHeldMs < 250, `${meanHeldMs.toFixed(0)} ms held in vain for each refused caller`)
@@ -32,3 +33,9 @@
     t.true(sum(runs, 'inTime', [BurstPhase.End]) >= 0.8 * sum(runs, 'callers', [BurstPhase.End]))
   })
 })
+
+test('requests about to be useless do not keep the others from free engines: 32 engines per pool, 384 requests per second', async (t) => {
+  // 0.50 when only the first three requests in order were tried, because these were always about to be useless.
+  const { placedShare } = await measureScheduler(32)
+  t.true(placedShare > 0.7, `${placedShare} placed`)
+})
