--- a/box/runtime/src/createPlacer.ts
+++ b/box/runtime/src/createPlacer.ts
@@ -11,7 +11,7 @@
 
 /** Chooses engines for the requests of this box. */
 export function createPlacer (parts: BoxParts): Placer {
-  const { clock, link, settings, view } = parts
+  const { clock, link, metrics, settings, view } = parts
   const index = createPrefixIndex(settings.scheduling.prefixIndex)
   if (settings.scheduling.strategy !== 'scheduler') return createBaseline(parts, settings.scheduling.strategy, index)
   return new SchedulerPlacer({
@@ -22,6 +22,7 @@
     shardsOfModel: (model) => parts.shardManagers.shardsOfModel(model),
     localScheduler: (shardId) => parts.shardManagers.scheduler(shardId),
     fallback: createFallback(parts, index),
+    onEarlyRetry: () => metrics.count('reelspan_early_retries_total', { refusedBy: 'owner' }),
   })
 }
 
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -7,6 +7,8 @@
   nowMs: number
   /** Minimum time to a request's first token if it were placed at once; undefined if no engine takes work. */
   minTtftMs: (waiting: WaitingRequest) => number | undefined
+  /** When slots become free for a request, and the time from its slot to its first token; from the rates if omitted. */
+  forecastOf?: (waiting: WaitingRequest) => Pick<AdmissionInputs, 'forecast' | 'handoverMs' | 'newcomerError'>
   shareRankOf: (waiting: WaitingRequest) => ShareRank
   /** Slots of the shard until a request is within its client's share; 0 if it is. */
   slotsUntilShare: (waiting: WaitingRequest) => number
@@ -118,7 +120,7 @@
 /** All numbers and rates are in slots of the whole shard. */
 function decide (waiting: WaitingRequest, aheadInTime: number, aheadLate: number, { queueInputs, msPerArrival, promisesDue, slotsPerPromise }: GroupInputs): QueueDecision {
   const { handoverMs, inTimeUntilMs, usefulUntilMs, returned, promiseDueAtMs, outcome } = waiting
-  const { nowMs, msPerPlace, rateError, minTtftMs } = queueInputs
+  const { nowMs, msPerPlace, rateError, minTtftMs, forecastOf } = queueInputs
   const promised = promiseDueAtMs !== undefined
   const inputs: AdmissionInputs = {
     minTtftMs: minTtftMs(waiting),
@@ -134,6 +136,7 @@
     returned,
     promised,
     kept: outcome !== undefined,
+    ...forecastOf?.(waiting),
   }
   return { waiting, inputs, decision: decideAdmission(inputs) }
 }
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -148,7 +148,7 @@
 
   #estimateOwnPrefill (waiting: WaitingRequest, queue: readonly WaitingRequest[], nowMs: number): PlacementEstimate | undefined {
     const { request } = waiting
-    return this.#estimator.estimateOwnPrefill(request, { usableSlots: this.#usableSlots(request), kept: this.#capacityKeptFrom(waiting, queue, nowMs), nowMs })
+    return this.#estimator.estimateOwnPrefill(request, { usableSlots: this.usableSlots(request), kept: this.#capacityKeptFrom(waiting, queue, nowMs), nowMs })
   }
 
   /** Capacity that a request over its client's share leaves to those within theirs, which may wait for a prefill engine or for more memory. */
@@ -156,7 +156,7 @@
     if (!this.#shares.isOverShare(waiting)) return undefined
     const ahead = queue.filter((other) => other.request.priority >= waiting.request.priority && !this.#shares.isOverShare(other))
     if (ahead.length === 0) return undefined
-    return this.#estimator.keepCapacity(ahead.slice(0, MAX_KEPT_FOR).map(({ request }) => request), (request) => this.#usableSlots(request), nowMs)
+    return this.#estimator.keepCapacity(ahead.slice(0, MAX_KEPT_FOR).map(({ request }) => request), (request) => this.usableSlots(request), nowMs)
   }
 
   /** Minimum time until a decode engine has computed the prompt itself, even if all are full now; undefined if none takes work. */
@@ -169,7 +169,8 @@
     return timesMs.length > 0 ? Math.min(...timesMs) : undefined
   }
 
-  #usableSlots ({ tbtTargetMs }: ReserveRequest): number {
+  /** Number of slots of a decode engine that a request may use. */
+  usableSlots ({ tbtTargetMs }: ReserveRequest): number {
     return Math.min(this.#placesLimit.slots, this.#estimator.usableSlots(tbtTargetMs, this.#route()))
   }
 
@@ -223,13 +224,18 @@
       .map(({ candidate }) => candidate)
   }
 
-  /** The first candidate that fits on a decode engine. Only a few are tried: if none fits one candidate, the next rarely fits either. */
+  /**
+   * The first candidate that fits on a decode engine. Only a few are tried: if none fits one candidate, the next rarely fits either.
+   * Those that fit but would be useless are not counted: at 768 requests per second, more than a few of them wait at any time, and kept all others from free engines.
+   */
   #firstThatFits (candidates: readonly Candidate[], queue: readonly WaitingRequest[], nowMs: number): Choice | undefined {
-    for (const { waiting, ready, costMs } of candidates.slice(0, MAX_CANDIDATES_TRIED)) {
+    let misfits = 0
+    for (const { waiting, ready, costMs } of candidates) {
       const { request, usefulUntilMs } = waiting
       const part = { prefill: ready.engine, endMs: ready.freeAtMs + costMs, costMs }
-      const estimate = this.#estimator.estimateDecode(request, part, { usableSlots: this.#usableSlots(request), kept: this.#capacityKeptFrom(waiting, queue, nowMs), objective: this.#route()?.objective, nowMs })
+      const estimate = this.#estimator.estimateDecode(request, part, { usableSlots: this.usableSlots(request), kept: this.#capacityKeptFrom(waiting, queue, nowMs), objective: this.#route()?.objective, nowMs })
       if (estimate && estimate.firstTokenMs <= usefulUntilMs) return { waiting, estimate }
+      if (!estimate && ++misfits === MAX_CANDIDATES_TRIED) return undefined
     }
     return undefined
   }
--- a/scheduling/scheduler/src/promisedRetries.ts
+++ b/scheduling/scheduler/src/promisedRetries.ts
@@ -8,12 +8,12 @@
 export class PromisedRetries {
   readonly #retries = new Map<string, PromisedRetry>()
 
-  record (returnId: string, retry: PromisedRetry): void {
-    this.#retries.set(returnId, retry)
+  record (returnKey: string, retry: PromisedRetry): void {
+    this.#retries.set(returnKey, retry)
   }
 
-  remove (returnId: string): void {
-    this.#retries.delete(returnId)
+  remove (returnKey: string): void {
+    this.#retries.delete(returnKey)
   }
 
   /** Due times of some of the outstanding retries, sorted. */
@@ -25,8 +25,8 @@
   }
 
   expire (nowMs: number): void {
-    this.#retries.forEach(({ dueAtMs }, returnId) => {
-      if (dueAtMs <= nowMs) this.#retries.delete(returnId)
+    this.#retries.forEach(({ dueAtMs }, returnKey) => {
+      if (dueAtMs <= nowMs) this.#retries.delete(returnKey)
     })
   }
 }
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -5,11 +5,15 @@
 import { type PlacementEstimator } from './placementEstimator.js'
 import { PlacementRate } from './placementRate.js'
 import { PromisedRetries } from './promisedRetries.js'
+import { type AnswerLengthEstimator } from './answerLengthEstimator.js'
+import { returnKeyOf } from './earlyRetry.js'
 import { QueueForecast } from './queueForecast.js'
 import { type QueueShares } from './queueShares.js'
 import { RecentEvents } from './recentEvents.js'
-import { RefusalBuilder } from './refusalBuilder.js'
+import { type QueueState, RefusalBuilder } from './refusalBuilder.js'
 import { RetrySchedule, type ScheduledRetry } from './retrySchedule.js'
+import { ShardForecast } from './shardForecast.js'
+import { type TokenPaceEstimator } from './tokenPaceEstimator.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 export interface QueueAdmissionOptions {
@@ -17,6 +21,9 @@
   chooser: PlacementChooser
   estimator: PlacementEstimator
   shares: QueueShares
+  lengths: AnswerLengthEstimator
+  pace: TokenPaceEstimator
+  waiting: () => readonly WaitingRequest[]
 }
 
 /** Engines report and callers reconnect within about this time, so little changes for a retry before it. */
@@ -34,13 +41,15 @@
   readonly #retrySchedule = new RetrySchedule({ minDelayMs: MIN_RETRY_DELAY_MS, maxDelayMs: MAX_RETRY_DELAY_MS })
   readonly #promised = new PromisedRetries()
   readonly #forecast: QueueForecast
+  readonly #slotForecast: ShardForecast
   readonly #refusals: RefusalBuilder
 
   constructor (opts: QueueAdmissionOptions) {
     this.#opts = opts
-    const { ledger, chooser, estimator } = opts
+    const { ledger, chooser, estimator, lengths, pace, waiting } = opts
     this.#forecast = new QueueForecast({ ledger, chooser })
-    this.#refusals = new RefusalBuilder({ chooser, estimator, rate: this.#rate, retrySchedule: this.#retrySchedule })
+    this.#slotForecast = new ShardForecast({ ledger, chooser, estimator, lengths, pace, rate: this.#rate, waiting })
+    this.#refusals = new RefusalBuilder({ forecast: this.#slotForecast, retrySchedule: this.#retrySchedule })
   }
 
   get scheduledRetries (): number {
@@ -48,8 +57,18 @@
   }
 
   /** Returns the scheduled retry that a request is, if it is one at about the assigned time. */
-  findRetry ({ returnId }: ReserveRequest, nowMs: number): ScheduledRetry | undefined {
-    return this.#retrySchedule.findDue(returnId, nowMs)
+  findRetry (request: ReserveRequest, nowMs: number): ScheduledRetry | undefined {
+    return this.#retrySchedule.findDue(returnKeyOf(request), nowMs)
+  }
+
+  /** Time until the retry delay of a refused request has passed; undefined if it was not refused, or the delay has passed. */
+  remainingRetryMs (request: ReserveRequest, nowMs: number): number | undefined {
+    return this.#retrySchedule.remainingMs(returnKeyOf(request), nowMs)
+  }
+
+  /** Called when a reservation, an engine or a waiting request has changed. */
+  recordChange (): void {
+    this.#slotForecast.recordChange()
   }
 
   /** Records a first attempt; retries are not counted. */
@@ -57,10 +76,19 @@
     this.#rate.recordArrival(nowMs)
   }
 
-  recordPlacement ({ returnId }: ReserveRequest, nowMs: number): void {
-    this.#retrySchedule.remove(returnId)
-    this.#promised.remove(returnId)
+  /** Returns how much later the first token is expected than it was forecast when the request was kept; undefined if it did not wait. */
+  recordPlacement (waiting: WaitingRequest, firstTokenAtMs: number, nowMs: number): number | undefined {
+    const returnKey = returnKeyOf(waiting.request)
+    this.#retrySchedule.remove(returnKey)
+    this.#promised.remove(returnKey)
     this.#rate.recordPlacement(nowMs)
+    this.#slotForecast.recordChange()
+    return this.#slotForecast.recordPlacement(waiting, firstTokenAtMs)
+  }
+
+  /** Compares a decision with what was forecast when the request was kept. */
+  recordDecision ({ waiting, decision }: QueueDecision, nowMs: number): void {
+    this.#slotForecast.recordDecision(waiting, decision, nowMs)
   }
 
   /** Records that no request waits. */
@@ -95,6 +123,9 @@
       msPerArrival: this.#rate.msPerArrival(nowMs),
       rateError: this.#rate.error(nowMs),
       minTtftMs: (one) => this.#forecast.minTtftMs(one, engines, nowMs),
+      forecastOf: this.#slotForecast.isKnown(nowMs)
+        ? (one) => ({ forecast: this.#slotForecast.forRequest(one.request, nowMs), handoverMs: this.#forecast.fromSlotMs(one, engines, nowMs), newcomerError: this.#slotForecast.correction.error })
+        : undefined,
       shareRankOf: (one) => shares.rankOf(one),
       slotsUntilShare: (one) => shares.slotsUntilShare(one),
       leftByWithin: Math.max(0, 1 - withinPerMs * msPerPlace),
@@ -131,13 +162,19 @@
     }
   }
 
-  /** @param waitingCount number of requests waiting at the scheduler */
-  refuse (refused: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string, { waitingCount, nowMs }: { waitingCount: number, nowMs: number }): PlacementRefusal {
+  refuse (refused: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string, state: QueueState): PlacementRefusal {
     const { request } = refused
-    const refusal = this.#refusals.refuse(refused, reason, { waitingCount, nowMs })
+    const { nowMs } = state
+    const refusal = this.#refusals.refuse(refused, reason, state)
     const dueAtMs = nowMs + refusal.retryAfterMs
-    if (this.#retrySchedule.findDue(request.returnId, dueAtMs)?.promised) this.#promised.record(request.returnId, { client: request.client, priority: request.priority, dueAtMs })
+    const returnKey = returnKeyOf(request)
+    if (this.#retrySchedule.findDue(returnKey, dueAtMs)?.promised) this.#promised.record(returnKey, { client: request.client, priority: request.priority, dueAtMs })
     this.#opts.shares.recordRefusal(request, nowMs)
     return refusal
   }
+
+  /** Answers a retry that arrived before its retry delay has passed. Its retry time stays. */
+  refuseEarly (request: ReserveRequest, remainingMs: number, state: QueueState): PlacementRefusal {
+    return this.#refusals.refuseEarly(request, remainingMs, state)
+  }
 }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -11,6 +11,7 @@
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome } from './decideAdmission.js'
 import { type QueueDecision } from './decideQueue.js'
 import { describeEngines } from './describeEngines.js'
+import { decideRepeat, RepeatOutcome } from './earlyRetry.js'
 import { EngineLimits } from './engineLimits.js'
 import { DISPATCH_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type AdoptedReservation, entryOfAdopted, planOfEstimate } from './placementEntries.js'
@@ -19,6 +20,7 @@
 import { PlacementRecorder } from './placementRecorder.js'
 import { QueueAdmission } from './queueAdmission.js'
 import { QueueShares } from './queueShares.js'
+import { PROMISE_DUE_SHARE } from './retrySchedule.js'
 import { WaitingQueue, type WaitingRequest } from './waitingQueue.js'
 
 export interface ShardSchedulerOptions {
@@ -41,6 +43,10 @@
   onAdmission?: (requestId: string, inputs: AdmissionInputs, decision: AdmissionDecision, share: ShareUse) => void
   /** Called when a request was placed or refused. */
   onAnswered?: (outcome: PlacementOutcome, share: ShareUse) => void
+  /** Called when a request that waited is placed: how much later its first token is expected than its first admission decision expected. */
+  onForecastError?: (errorMs: number) => void
+  /** Called when a retry that arrived before its retry delay has passed is refused without being queued. */
+  onEarlyRetry?: () => void
   /** Called when a task ends with an unexpected error. */
   onTaskError?: TaskErrorListener
 }
@@ -56,8 +62,7 @@
 const TOO_MANY_WAITING = 'too many requests are waiting'
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
-/** Share of its useful time for which a retry with a promised slot waits for a slot that no request in time needs. */
-const PROMISE_DUE_SHARE = 0.25
+
 /** Places requests on one shard. Requests wait here until an engine can start them at once, in the order that uses the engines best; requests that would be late are refused. */
 export class ShardScheduler {
   readonly ledger: ShardLedger
@@ -77,7 +82,7 @@
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { maxReportAgeMs: opts.maxReportAgeMs, onReleased: (label) => this.#shares.recordRelease(label, opts.clock.nowMs()) })
     this.#observations = new PlacementObservations(this.ledger)
-    const { lengths, placesLimit } = this.#observations
+    const { lengths, pace, placesLimit } = this.#observations
     this.#health = new UpstreamHealth(opts)
     this.#limits = new EngineLimits({ clock: opts.clock, perSecond: opts.limitPerSecond })
     const isSuspect = (engine: string) => this.#health.isSuspect(engine)
@@ -86,7 +91,7 @@
     const weights = new AccountWeights({ route: opts.route, accounts: opts.accounts ?? (() => NO_ACCOUNTS) })
     this.#shares = new QueueShares({ ledger: this.ledger, estimator: this.#estimator, observations: this.#observations, weights })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
-    this.#admission = new QueueAdmission({ ledger: this.ledger, chooser: this.#chooser, estimator: this.#estimator, shares: this.#shares })
+    this.#admission = new QueueAdmission({ ledger: this.ledger, chooser: this.#chooser, estimator: this.#estimator, shares: this.#shares, lengths, pace, waiting: () => this.#waiting.all() })
     this.#recorder = new PlacementRecorder({
       ledger: this.ledger,
       estimator: this.#estimator,
@@ -124,28 +129,33 @@
   reserve (request: ReserveRequest): Promise<PlacementAnswer> {
     const nowMs = this.#opts.clock.nowMs()
     const retry = this.#admission.findRetry(request, nowMs)
+    const remainingMs = this.#admission.remainingRetryMs(request, nowMs)
+    const repeat = decideRepeat({ remainingMs, isAttemptWaiting: this.#waiting.hasAttemptOf(request), priority: request.priority, highestWaiting: this.#waiting.highestPriority })
+    if (repeat === RepeatOutcome.Refuse) return Promise.resolve(this.#refuseEarly(request, remainingMs, nowMs))
     const firstArrivedAtMs = retry?.firstArrivedAtMs ?? nowMs
     if (this.#waiting.size >= MAX_WAITING && !this.#displaceFor(request, nowMs)) {
       this.#opts.onAnswered?.(PlacementOutcome.Refused, { client: request.client, overShare: this.#shares.ofPriority(request.priority).wouldExceed(request.client, nowMs) })
       return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, TOO_MANY_WAITING))
     }
-    if (!retry) this.#recordArrival(nowMs)
+    if (!retry && !repeat) this.#recordArrival(nowMs)
     if (this.#waiting.size === 0) this.#admission.recordIdle(nowMs)
     const leftMs = request.ttftLeftMs - this.#observations.ttftErrorMs
     const usefulMs = Math.min(Math.max(leftMs, request.patienceMs ?? 0), request.deadlineMs)
     return new Promise((resolve) => {
-      this.#waiting.add({
+      const waiting: WaitingRequest = {
         request,
         resolve,
-        firstArrivedAtMs,
-        inTimeUntilMs: firstArrivedAtMs + leftMs,
+        firstArrivedAtMs: repeat ? nowMs + usefulMs : firstArrivedAtMs,
+        inTimeUntilMs: repeat ? nowMs : firstArrivedAtMs + leftMs,
         usefulUntilMs: nowMs + usefulMs,
         returned: retry !== undefined,
         promiseDueAtMs: retry?.promised ? nowMs + PROMISE_DUE_SHARE * usefulMs : undefined,
         handoverMs: this.#estimator.handoverMs(request),
         prefillCostsMs: [],
-      })
+      }
+      this.#waiting.add(waiting)
       this.#runCycle()
+      if (repeat === RepeatOutcome.PlaceNow && this.#waiting.hasAttemptOf(request)) this.#answer(waiting, this.#refuseEarly(request, remainingMs, nowMs))
     })
   }
 
@@ -245,6 +255,7 @@
   #runCycle (): void {
     const nowMs = this.#opts.clock.nowMs()
     this.ledger.expire(nowMs)
+    this.#admission.recordChange()
     if (this.#waiting.size === 0) return this.#admission.recordIdle(nowMs)
     this.#admission.expire(nowMs)
     const queuedPrefillMs = this.#admission.queuedPrefillMs(this.#waiting.all(), nowMs)
@@ -261,11 +272,13 @@
   /** Decides again for each waiting request whether it is kept. */
   #decideWaiting (nowMs: number): void {
     if (this.#waiting.size === 0) return
-    this.#admission.decide(this.#waiting.all(), nowMs).forEach((decided) => this.#applyDecision(decided))
+    this.#admission.decide(this.#waiting.all(), nowMs).forEach((decided) => this.#applyDecision(decided, nowMs))
   }
 
-  #applyDecision ({ waiting, inputs, decision }: QueueDecision): void {
-    if (waiting.outcome === undefined) this.#admission.recordShare(waiting, this.#opts.clock.nowMs())
+  #applyDecision (decided: QueueDecision, nowMs: number): void {
+    const { waiting, inputs, decision } = decided
+    if (waiting.outcome === undefined) this.#admission.recordShare(waiting, nowMs)
+    this.#admission.recordDecision(decided, nowMs)
     if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision, this.#shareUseOf(waiting))
     waiting.outcome = decision.outcome
     if (decision.outcome === AdmissionOutcome.Refused) this.#refuse(waiting, decision.reason)
@@ -274,7 +287,8 @@
   #place (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
     if (waiting.outcome === undefined) this.#admission.recordShare(waiting, nowMs)
     this.#recorder.record(waiting, estimate, nowMs)
-    this.#admission.recordPlacement(waiting.request, nowMs)
+    const errorMs = this.#admission.recordPlacement(waiting, estimate.firstTokenMs, nowMs)
+    if (errorMs !== undefined) this.#opts.onForecastError?.(errorMs)
     this.#opts.onAnswered?.(PlacementOutcome.Placed, this.#shareUseOf(waiting))
     this.#answer(waiting, planOfEstimate(estimate, nowMs))
   }
@@ -298,6 +312,12 @@
     return { client: waiting.request.client, overShare: this.#shares.isOverShare(waiting) }
   }
 
+  /** Answers a retry that arrived too early. Its retry time stays. */
+  #refuseEarly (request: ReserveRequest, remainingMs = 0, nowMs: number): PlacementAnswer {
+    this.#opts.onEarlyRetry?.()
+    return this.#admission.refuseEarly(request, remainingMs, { waitingCount: this.#waiting.size, nowMs })
+  }
+
   #answer (waiting: WaitingRequest, answer: PlacementAnswer): void {
     this.#waiting.remove(waiting)
     waiting.resolve(answer)
