fix(scheduling.scheduler): the error of a forecast is its own, not that of the rate of placements

Cause: a forecast from reservations was corrected by the standard error of the rate of placements, up to 0.5 while few were counted. An urgent request with a slot expected in 367 ms was refused, though its answer was useful for 1,170 ms. Change: while slots are forecast from reservations, the error is that of earlier forecasts. Result: the test of an urgent burst passes.

--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -8,7 +8,7 @@
   /** Minimum time to a request's first token if it were placed at once; undefined if no engine takes work. */
   minTtftMs: (waiting: WaitingRequest) => number | undefined
   /** When slots become free for a request, and the time from its slot to its first token; from the rates if omitted. */
-  forecastOf?: (waiting: WaitingRequest) => Pick<AdmissionInputs, 'forecast' | 'handoverMs' | 'newcomerError'>
+  forecastOf?: (waiting: WaitingRequest) => Pick<AdmissionInputs, 'forecast' | 'handoverMs' | 'newcomerError' | 'rateError'>
   shareRankOf: (waiting: WaitingRequest) => ShareRank
   /** Slots of the shard until a request is within its client's share; 0 if it is. */
   slotsUntilShare: (waiting: WaitingRequest) => number
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -124,7 +124,13 @@
       rateError: this.#rate.error(nowMs),
       minTtftMs: (one) => this.#forecast.minTtftMs(one, engines, nowMs),
       forecastOf: this.#slotForecast.isKnown(nowMs)
-        ? (one) => ({ forecast: this.#slotForecast.forRequest(one.request, nowMs), handoverMs: this.#forecast.fromSlotMs(one, engines, nowMs), newcomerError: this.#slotForecast.correction.error })
+        ? (one) => ({
+            forecast: this.#slotForecast.forRequest(one.request, nowMs),
+            handoverMs: this.#forecast.fromSlotMs(one, engines, nowMs),
+            newcomerError: this.#slotForecast.correction.error,
+            // The rates are counted over few requests at the start of a queue; the forecast does not depend on them.
+            rateError: Math.abs(this.#slotForecast.correction.error),
+          })
         : undefined,
       shareRankOf: (one) => shares.rankOf(one),
       slotsUntilShare: (one) => shares.slotsUntilShare(one),
