--- /dev/null
+++ b/__utils__/bench/bin/overload.js
@@ -0,0 +1,3 @@
+import { measureOverload } from '../lib/index.js'
+
+await measureOverload()
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -4,7 +4,7 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseDetector } from '@reelspan/core.env'
-import { type Collection, type UpstreamStateUpdate, type RunEvent } from '@reelspan/core.messages'
+import { type Collection, type PoolShortage, type UpstreamStateUpdate, type RunEvent } from '@reelspan/core.messages'
 import { type BoxList, type CoordinatedLimiter, type ExpectedBoxes, type StandInLimiter, type TokenBucketStore } from '@reelspan/membership.limits'
 import { type Broadcaster, type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
@@ -14,12 +14,14 @@
 import { type RecordStore } from '@reelspan/request.records'
 import { type Relay } from '@reelspan/request.relay'
 import { type Placer } from '@reelspan/scheduling.placer'
+import { type CoordinatedPools, type PoolCoordinator } from '@reelspan/scheduling.pool-admission'
 import { type UpstreamFailureReport, type UpstreamFailureReports } from '@reelspan/upstream.health'
 import { type RetryTimes, type SendPermits } from '@reelspan/upstream.limits'
 import { type Backoffs, type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
 import { type CachedStateAges } from './cachedStateAges.js'
 import { type Box } from './box.js'
 import { type BoxEnvironment } from './boxEnvironment.js'
+import { type AccountWeights } from './createPoolAdmissionParts.js'
 import { type FailureLog } from './failureLog.js'
 import { type PeerDispatch } from './peerDispatch.js'
 import { type ConnectionShares } from './connectionShares.js'
@@ -73,6 +75,13 @@
   permitLimiter: CoordinatedLimiter
   permits: SendPermits
   retryTimes: RetryTimes
+  /** Grants slots at the upstreams of service pools that are short of capacity. */
+  pools: CoordinatedPools
+  /** State of the pools that this box coordinates. */
+  poolCoordinator: PoolCoordinator
+  poolBroadcaster: Broadcaster<PoolShortage>
+  /** Weights of client accounts in the shares of service pools. */
+  poolWeights: AccountWeights
   /** Attempts during which an upstream process ended, at any box. */
   runHistory: RunHistory
   runGossip: Gossip<RunEvent>
--- a/box/runtime/src/shardManagers.ts
+++ b/box/runtime/src/shardManagers.ts
@@ -5,7 +5,7 @@
 import { type HoldLabel } from '@reelspan/core.messages'
 import { type MembershipView } from '@reelspan/membership.view'
 import { createPrefixIndex } from '@reelspan/scheduling.prefix-index'
-import { type AdmissionDecision, type AdmissionInputs, ShardScheduler } from '@reelspan/scheduling.scheduler'
+import { type AdmissionDecision, type AdmissionInputs, ShardScheduler, type ShareUse } from '@reelspan/scheduling.scheduler'
 import { deriveShards, schedulerOf, type Shard } from '@reelspan/scheduling.shards'
 import { LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { HoldSweeper } from '@reelspan/upstream.holds'
@@ -155,23 +155,35 @@
   }
 
   #createScheduler (shard: Shard, onUnreachable: (engineName: string) => void): ShardScheduler {
-    const { clock, declarations, limitPerSecond, settings, failures, log } = this.#opts
+    const { clock, declarations, limitPerSecond, settings, failures, log, metrics } = this.#opts
     const { reportPeriodMs, prefixIndex } = settings.scheduling
     return new ShardScheduler({
       clock,
       shard,
       route: () => declarations.value.routeOfModel(shard.model)?.spec,
+      accounts: () => declarations.value.accounts(),
       index: createPrefixIndex(prefixIndex),
       maxReportAgeMs: reportPeriodMs * REPORT_TTL_PERIODS,
       limitPerSecond,
       onUnreachable,
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
-      onAdmission: (attempt, inputs, decision) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...admissionFields(inputs, decision) }),
+      onAdmission: (attempt, inputs, decision, share) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...this.#shareFields(share), ...admissionFields(inputs, decision) }),
+      onAnswered: (outcome, share) => {
+        const { account = '', overShare } = this.#shareFields(share)
+        metrics.count('reelspan_share_requests_total', { account, outcome, share: overShare ? 'over' : 'within' })
+      },
+      onForecastError: (errorMs) => metrics.recordMs('reelspan_forecast_error_ms', Math.abs(errorMs), { firstToken: errorMs > 0 ? 'later' : 'earlier' }),
+      onEarlyRetry: () => metrics.count('reelspan_early_retries_total', { refusedBy: 'scheduler' }),
       onTaskError: (thrown) => failures.recordTask('shardScheduler', thrown),
     })
   }
 
+  /** The client as its account. Without accounts, callers name clients freely, so these are neither logged nor counted apart. */
+  #shareFields ({ client, overShare }: ShareUse): { account?: string, overShare: boolean } {
+    return { account: this.#opts.declarations.value.account(client) && client, overShare }
+  }
+
   #createSweeper (scheduler: ShardScheduler): HoldSweeper {
     const { clock, link, engines, settings, isGone, confirmRunningHere, log, metrics } = this.#opts
     const { reportPeriodMs } = settings.scheduling
@@ -194,12 +206,16 @@
 }
 
 /** Log fields of an admission decision and its inputs. */
-function admissionFields (inputs: AdmissionInputs, { outcome, estimateMs, errorMs }: AdmissionDecision): LogFields {
-  const { aheadInTime, aheadLate, aheadDue, msPerPlace, msPerArrival, inTimeLeftMs, usefulLeftMs, returned, promised, kept } = inputs
+function admissionFields (inputs: AdmissionInputs, { outcome, estimateMs, errorMs, slotMs, lateSlotMs }: AdmissionDecision): LogFields {
+  const { aheadInTime, aheadLate, aheadDue, msPerPlace, msPerArrival, inTimeLeftMs, usefulLeftMs, returned, promised, kept, forecast, newcomerError } = inputs
   return {
     outcome,
-    estimateMs: Number.isFinite(estimateMs) ? Math.round(estimateMs) : undefined,
+    estimateMs: roundedMs(estimateMs),
     errorMs: Math.round(errorMs),
+    slotMs: roundedMs(slotMs),
+    lateSlotMs: roundedMs(lateSlotMs),
+    forecastFrom: forecast ? 'reservations' : 'rate',
+    newcomerError: newcomerError && Number(newcomerError.toFixed(2)),
     aheadInTime,
     aheadLate,
     aheadDue,
@@ -213,6 +229,11 @@
   }
 }
 
+/** Undefined for an unknown or infinite time. */
+function roundedMs (timeMs = Number.POSITIVE_INFINITY): number | undefined {
+  return Number.isFinite(timeMs) ? Math.round(timeMs) : undefined
+}
+
 /** Log fields of a role plan and the load that it is based on. */
 function rolePlanFields ({ outcome, target, from, count, servesPerSecond, targetServesPerSecond }: RolePlan, load?: RoleLoad): LogFields {
   const rounded = (value: number | undefined) => value && Number(value.toFixed(1))
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -1,4 +1,5 @@
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome, decideAdmission } from './decideAdmission.js'
+import { ShareRank } from './shareRank.js'
 import { type WaitingRequest } from './waitingQueue.js'
 
 /** State of a shard at the time of the decision, common to all waiting requests. */
@@ -6,10 +7,27 @@
   nowMs: number
   /** Minimum time to a request's first token if it were placed at once; undefined if no engine takes work. */
   minTtftMs: (waiting: WaitingRequest) => number | undefined
-  /** Whether a client's recent usage exceeds its share. */
-  isOverShare: (client: string) => boolean
-  /** Due times of outstanding retries with a promised slot, sorted. */
-  promisesDueAtMs: readonly number[]
+  /** When slots become free for a request, and the time from its slot to its first token; from the rates if omitted. */
+  forecastOf?: (waiting: WaitingRequest) => Pick<AdmissionInputs, 'forecast' | 'handoverMs' | 'newcomerError' | 'rateError'>
+  shareRankOf: (waiting: WaitingRequest) => ShareRank
+  /** Slots of the shard until a request is within its client's share; 0 if it is. */
+  slotsUntilShare: (waiting: WaitingRequest) => number
+  /** The part of the slots that requests arriving within their clients' shares leave to others, from 0 to 1. */
+  leftByWithin: number
+  /** Shares among requests of at least a priority. */
+  sharesOf: (priority: number) => PriorityShares
+}
+
+/** What clients may use and request, among requests of at least one priority. */
+export interface PriorityShares {
+  /** The part of the shard's capacity that a client may use, above 0 and up to 1. */
+  shareOf: (client: string) => number
+  /** The part of new requests that a client sends, from 0 to 1. */
+  arrivalsOf: (client: string) => number
+  /** The part of new requests that comes from clients that request no more than their shares, from 0 to 1. Others get what these leave. */
+  modestArrivals: number
+  /** Due times of outstanding retries with a promised slot, sorted: of one client, or of those within their shares. */
+  promisesDueAtMs: (client?: string) => readonly number[]
 }
 
 /** An admission decision and its inputs. */
@@ -19,42 +37,96 @@
   decision: AdmissionDecision
 }
 
-/** Decides for each waiting request whether it is kept: by descending priority, and within one priority in placement order. */
+/** What is ahead of the requests of a group apart from each other. */
+interface GroupInputs extends Pick<AdmissionInputs, 'msPerArrival'> {
+  queueInputs: QueueInputs
+  promisesDue: readonly number[]
+  /** Slots of the shard for each promised retry: a client with a quarter of the capacity gets every fourth. */
+  slotsPerPromise: number
+}
+
+/**
+ * Decides for each waiting request whether it is kept: by descending priority, and
+ * within one priority in placement order. Requests within their clients' shares are
+ * decided first and only count each other. Those over their share get slots as their
+ * client's share allows, whatever others have waiting.
+ */
 export function decideQueue (waiting: readonly WaitingRequest[], queueInputs: QueueInputs): QueueDecision[] {
   const priorities = [...new Set(waiting.map(({ request }) => request.priority))].sort((a, b) => b - a)
   return priorities.reduce<QueueDecision[]>((decided, priority) => {
     const samePriority = waiting.filter(({ request }) => request.priority === priority)
-    return [...decided, ...decideSamePriority(inOrder(samePriority, queueInputs), decided.filter(isKept).length, queueInputs)]
+    return [...decided, ...decideSamePriority(samePriority, decided.filter(isKept).length, queueInputs.sharesOf(priority), queueInputs)]
   }, [])
 }
 
-/** Decides for requests of one priority. Late requests go behind all requests that can be in time or have a promised slot. */
-function decideSamePriority (samePriority: readonly WaitingRequest[], before: number, queueInputs: QueueInputs): QueueDecision[] {
+function decideSamePriority (samePriority: readonly WaitingRequest[], before: number, shares: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
+  const over = samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) === ShareRank.Over)
+  const within = over.length > 0 ? samePriority.filter((waiting) => queueInputs.shareRankOf(waiting) !== ShareRank.Over) : samePriority
+  const decidedWithin = decideWithinShares(inOrder(within, queueInputs), before, shares, queueInputs)
+  const keptWithin = decidedWithin.filter(isKept).length
+  let keptOver = 0
+  const decidedOver = inOrder(over, queueInputs).map((waiting) => {
+    const decided = decideOverShare(waiting, { before, keptWithin, keptOver }, shares, queueInputs)
+    if (isKept(decided)) keptOver++
+    return decided
+  })
+  return [...decidedWithin, ...decidedOver]
+}
+
+/** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
+function decideWithinShares (within: readonly WaitingRequest[], before: number, { modestArrivals, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
+  const { msPerArrival } = queueInputs
+  const group = {
+    queueInputs,
+    msPerArrival: msPerArrival === undefined || modestArrivals === 0 ? undefined : msPerArrival / modestArrivals,
+    promisesDue: promisesDueAtMs(),
+    slotsPerPromise: 1,
+  }
   const first: QueueDecision[] = []
-  const late = samePriority.filter((waiting) => {
-    const decided = decide(waiting, before + first.length, 0, queueInputs)
+  const late = within.filter((waiting) => {
+    const decided = decide(waiting, before + first.length, 0, group)
     const goesBefore = decided.decision.outcome === AdmissionOutcome.InTime || (decided.inputs.promised && isKept(decided))
     if (goesBefore) first.push(decided)
     return !goesBefore
   })
   let aheadLate = 0
   const others = late.map((waiting) => {
-    const decided = decide(waiting, before + first.length, aheadLate, queueInputs)
+    const decided = decide(waiting, before + first.length, aheadLate, group)
     if (isKept(decided)) aheadLate++
     return decided
   })
   return [...first, ...others]
 }
 
-function decide (waiting: WaitingRequest, aheadInTime: number, aheadLate: number, queueInputs: QueueInputs): QueueDecision {
+/**
+ * Decides for a request over its client's share. It gets a slot when its client's share allows it, after those within
+ * their shares that wait now, or earlier if requests within their shares leave enough slots to all others.
+ */
+function decideOverShare (waiting: WaitingRequest, { before, keptWithin, keptOver }: { before: number, keptWithin: number, keptOver: number }, { shareOf, arrivalsOf, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision {
+  const { msPerArrival, slotsUntilShare, leftByWithin } = queueInputs
+  const { client } = waiting.request
+  const promisesDue = promisesDueAtMs(client)
+  const byShare = decide(waiting, before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))), 0, {
+    queueInputs,
+    msPerArrival: msPerArrival === undefined ? undefined : msPerArrival * shareOf(client) / arrivalsOf(client),
+    promisesDue,
+    slotsPerPromise: 1 / shareOf(client),
+  })
+  if (byShare.decision.outcome === AdmissionOutcome.InTime || leftByWithin === 0) return byShare
+  const byRest = decide(waiting, before + Math.ceil((keptWithin + keptOver + 1) / leftByWithin) - 1, 0, { queueInputs, promisesDue, slotsPerPromise: 1 / leftByWithin })
+  return byRest.decision.outcome === AdmissionOutcome.InTime ? byRest : byShare
+}
+
+/** All numbers and rates are in slots of the whole shard. */
+function decide (waiting: WaitingRequest, aheadInTime: number, aheadLate: number, { queueInputs, msPerArrival, promisesDue, slotsPerPromise }: GroupInputs): QueueDecision {
   const { handoverMs, inTimeUntilMs, usefulUntilMs, returned, promiseDueAtMs, outcome } = waiting
-  const { nowMs, msPerPlace, msPerArrival, rateError, minTtftMs, promisesDueAtMs } = queueInputs
+  const { nowMs, msPerPlace, rateError, minTtftMs, forecastOf } = queueInputs
   const promised = promiseDueAtMs !== undefined
   const inputs: AdmissionInputs = {
     minTtftMs: minTtftMs(waiting),
     aheadInTime,
     aheadLate,
-    aheadDue: promised ? 0 : countUpTo(promisesDueAtMs, inTimeUntilMs),
+    aheadDue: promised ? 0 : Math.ceil(countUpTo(promisesDue, inTimeUntilMs) * slotsPerPromise),
     msPerPlace,
     msPerArrival,
     rateError,
@@ -64,15 +136,15 @@
     returned,
     promised,
     kept: outcome !== undefined,
+    ...forecastOf?.(waiting),
   }
   return { waiting, inputs, decision: decideAdmission(inputs) }
 }
 
-/** Orders requests with a promised slot first, then those of clients within their share, then by first arrival. */
-function inOrder (samePriority: readonly WaitingRequest[], { isOverShare }: QueueInputs): WaitingRequest[] {
-  const rankOf = ({ promiseDueAtMs, request: { client } }: WaitingRequest) => (promiseDueAtMs !== undefined ? 0 : 2) + (isOverShare(client) ? 1 : 0)
-  return samePriority
-    .map((waiting) => ({ waiting, rank: rankOf(waiting) }))
+/** Orders by share, then requests with a promised slot first, then by first arrival. */
+function inOrder (group: readonly WaitingRequest[], { shareRankOf }: QueueInputs): WaitingRequest[] {
+  return group
+    .map((waiting) => ({ waiting, rank: 2 * shareRankOf(waiting) + (waiting.promiseDueAtMs !== undefined ? 0 : 1) }))
     .sort((a, b) => a.rank - b.rank || a.waiting.firstArrivedAtMs - b.waiting.firstArrivedAtMs)
     .map(({ waiting }) => waiting)
 }
--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -1,9 +1,10 @@
-import { AdmissionOutcome, decideQueue, type QueueInputs, type WaitingRequest } from '@reelspan/scheduling.scheduler'
+import { AdmissionOutcome, decideQueue, type PriorityShares, type QueueInputs, ShareRank, type WaitingRequest } from '@reelspan/scheduling.scheduler'
 import test from 'ava'
 import { requestOf } from './__utils__/createShard.js'
 
+const SHARES: PriorityShares = { shareOf: () => 1, arrivalsOf: () => 1, modestArrivals: 1, promisesDueAtMs: () => [] }
 /** A slot becomes free every 100 ms, and new requests arrive at a quarter of that rate. */
-const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, isOverShare: () => false, promisesDueAtMs: [] }
+const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, leftByWithin: 0, sharesOf: () => SHARES }
 
 function waitingSince (ms: number, over: Partial<WaitingRequest> = {}, request = {}): WaitingRequest {
   const arrivedAtMs = FACTS.nowMs - ms
@@ -31,11 +32,20 @@
   const others = Array.from({ length: 7 }, () => waitingSince(0))
   t.is(outcomesOf([...others, waitingSince(0)])[7], AdmissionOutcome.InTime)
   t.is(outcomesOf([promised, ...others, waitingSince(0)])[8], AdmissionOutcome.Late)
-  t.is(outcomesOf([...others, waitingSince(0)], { promisesDueAtMs: [FACTS.nowMs + 500, FACTS.nowMs + 5000] })[7], AdmissionOutcome.Late)
+  t.is(outcomesOf([...others, waitingSince(0)], { sharesOf: () => ({ ...SHARES, promisesDueAtMs: () => [FACTS.nowMs + 500, FACTS.nowMs + 5000] }) })[7], AdmissionOutcome.Late)
 })
 
 test('requests of clients over their share count as behind the others', (t) => {
   const flood = Array.from({ length: 9 }, () => waitingSince(0, {}, { client: 'flood' }))
-  t.is(outcomesOf([...flood, waitingSince(0)], { isOverShare: (client) => client === 'flood' })[9], AdmissionOutcome.InTime)
+  t.is(outcomesOf([...flood, waitingSince(0)], { shareRankOf: ({ request }) => request.client === 'flood' ? ShareRank.Over : ShareRank.Within })[9], AdmissionOutcome.InTime)
   t.is(outcomesOf([...flood, waitingSince(0)])[9], AdmissionOutcome.Late)
 })
+
+test('a request over its share is expected after the slots that its client\'s share lacks and after those within their shares', (t) => {
+  const over = (slots: number) => ({ shareRankOf: ({ request }: WaitingRequest) => request.client === 'flood' ? ShareRank.Over : ShareRank.Within, slotsUntilShare: ({ request }: WaitingRequest) => request.client === 'flood' ? slots : 0 })
+  const flood = waitingSince(0, {}, { client: 'flood' })
+  const within = Array.from({ length: 9 }, () => waitingSince(0, {}, { client: 'small' }))
+  t.is(outcomesOf([flood], over(3.5))[0], AdmissionOutcome.InTime)
+  t.not(outcomesOf([flood], over(9.5))[0], AdmissionOutcome.InTime)
+  t.not(outcomesOf([flood, ...within], over(0.5))[0], AdmissionOutcome.InTime)
+})
