fix(scheduling.scheduler): promised retries go ahead of first attempts only once they are due

Cause: found in review. A repeated attempt could use the promise of the attempt that already waited, and displace a first attempt from a full queue. Names: demandWithinShares, arrivalsWithinShares, slotShareForOthers.

--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -13,7 +13,7 @@
   /** Slots of the shard until a request is within its client's share; 0 if it is. */
   slotsUntilShare: (waiting: WaitingRequest) => number
   /** The part of the slots that requests arriving within their clients' shares leave to others, from 0 to 1. */
-  leftByWithin: number
+  slotShareForOthers: number
   /** Shares among requests of at least a priority. */
   sharesOf: (priority: number) => PriorityShares
 }
@@ -25,7 +25,7 @@
   /** The part of new requests that a client sends, from 0 to 1. */
   arrivalsOf: (client: string) => number
   /** The part of new requests that comes from clients that request no more than their shares, from 0 to 1. Others get what these leave. */
-  modestArrivals: number
+  arrivalsWithinShares: number
   /** Due times of outstanding retries with a promised slot, sorted: of one client, or of those within their shares. */
   promisesDueAtMs: (client?: string) => readonly number[]
 }
@@ -74,11 +74,11 @@
 }
 
 /** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
-function decideWithinShares (within: readonly WaitingRequest[], before: number, { modestArrivals, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
+function decideWithinShares (within: readonly WaitingRequest[], before: number, { arrivalsWithinShares, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
   const { msPerArrival } = queueInputs
   const group = {
     queueInputs,
-    msPerArrival: msPerArrival === undefined || modestArrivals === 0 ? undefined : msPerArrival / modestArrivals,
+    msPerArrival: msPerArrival === undefined || arrivalsWithinShares === 0 ? undefined : msPerArrival / arrivalsWithinShares,
     promisesDue: promisesDueAtMs(),
     slotsPerPromise: 1,
   }
@@ -103,7 +103,7 @@
  * their shares that wait now, or earlier if requests within their shares leave enough slots to all others.
  */
 function decideOverShare (waiting: WaitingRequest, { before, keptWithin, keptOver }: { before: number, keptWithin: number, keptOver: number }, { shareOf, arrivalsOf, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision {
-  const { msPerArrival, slotsUntilShare, leftByWithin } = queueInputs
+  const { msPerArrival, slotsUntilShare, slotShareForOthers } = queueInputs
   const { client } = waiting.request
   const promisesDue = promisesDueAtMs(client)
   const byShare = decide(waiting, before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))), 0, {
@@ -112,8 +112,8 @@
     promisesDue,
     slotsPerPromise: 1 / shareOf(client),
   })
-  if (byShare.decision.outcome === AdmissionOutcome.InTime || leftByWithin === 0) return byShare
-  const byRest = decide(waiting, before + Math.ceil((keptWithin + keptOver + 1) / leftByWithin) - 1, 0, { queueInputs, promisesDue, slotsPerPromise: 1 / leftByWithin })
+  if (byShare.decision.outcome === AdmissionOutcome.InTime || slotShareForOthers === 0) return byShare
+  const byRest = decide(waiting, before + Math.ceil((keptWithin + keptOver + 1) / slotShareForOthers) - 1, 0, { queueInputs, promisesDue, slotsPerPromise: 1 / slotShareForOthers })
   return byRest.decision.outcome === AdmissionOutcome.InTime ? byRest : byShare
 }
 
--- a/scheduling/scheduler/src/promisedRetries.ts
+++ b/scheduling/scheduler/src/promisedRetries.ts
@@ -2,9 +2,11 @@
   client: string
   priority: number
   dueAtMs: number
+  /** From this time on it precedes requests that can be in time. */
+  precedesAtMs: number
 }
 
-/** Due times of the retries that were promised a slot, by client: a client is not delayed by promises to one over its share. */
+/** Retries that were promised a slot, by client: a client is not delayed by promises to one over its share. */
 export class PromisedRetries {
   readonly #retries = new Map<string, PromisedRetry>()
 
@@ -16,11 +18,11 @@
     this.#retries.delete(returnKey)
   }
 
-  /** Due times of some of the outstanding retries, sorted. */
-  dueAtMs (isCounted: (retry: PromisedRetry) => boolean, nowMs: number): number[] {
+  /** Times at which some of the outstanding retries precede requests that can be in time, sorted. */
+  precedeAtMs (isCounted: (retry: PromisedRetry) => boolean, nowMs: number): number[] {
     return [...this.#retries.values()]
       .filter((retry) => retry.dueAtMs > nowMs && isCounted(retry))
-      .map(({ dueAtMs }) => dueAtMs)
+      .map(({ precedesAtMs }) => precedesAtMs)
       .sort((a, b) => a - b)
   }
 
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -134,7 +134,7 @@
         : undefined,
       shareRankOf: (one) => shares.rankOf(one),
       slotsUntilShare: (one) => shares.slotsUntilShare(one),
-      leftByWithin: Math.max(0, 1 - withinPerMs * msPerPlace),
+      slotShareForOthers: Math.max(0, 1 - withinPerMs * msPerPlace),
       sharesOf: (priority) => this.#sharesOf(priority, nowMs),
     })
   }
@@ -162,8 +162,8 @@
     return {
       shareOf: (client) => shares.ofPriority(priority).shareOf(client, nowMs),
       arrivalsOf: (client) => partOf(lastSeconds.demandOf(client, nowMs)),
-      modestArrivals: partOf(lastSeconds.modestDemand(nowMs)),
-      promisesDueAtMs: (client) => this.#promised.dueAtMs((promised) =>
+      arrivalsWithinShares: partOf(lastSeconds.demandWithinShares(nowMs)),
+      promisesDueAtMs: (client) => this.#promised.precedeAtMs((promised) =>
         (!isContended || promised.priority >= priority) && (client === undefined ? isWithinShare(promised.client) : client === promised.client), nowMs),
     }
   }
@@ -172,9 +172,9 @@
     const { request } = refused
     const { nowMs } = state
     const refusal = this.#refusals.refuse(refused, reason, state)
-    const dueAtMs = nowMs + refusal.retryAfterMs
     const returnKey = returnKeyOf(request)
-    if (this.#retrySchedule.findDue(returnKey, dueAtMs)?.promised) this.#promised.record(returnKey, { client: request.client, priority: request.priority, dueAtMs })
+    const retry = this.#retrySchedule.findDue(returnKey, nowMs + refusal.retryAfterMs)
+    if (retry?.promised) this.#promised.record(returnKey, { client: request.client, priority: request.priority, dueAtMs: retry.dueAtMs, precedesAtMs: retry.precedesAtMs })
     this.#opts.shares.recordRefusal(request, nowMs)
     return refusal
   }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -128,12 +128,13 @@
   /** Resolves when the request is placed, or as soon as it is known that it would be placed too late. */
   reserve (request: ReserveRequest): Promise<PlacementAnswer> {
     const nowMs = this.#opts.clock.nowMs()
-    const retry = this.#admission.findRetry(request, nowMs)
     const remainingMs = this.#admission.remainingRetryMs(request, nowMs)
     const repeat = decideRepeat({ remainingMs, isAttemptWaiting: this.#waiting.hasAttemptOf(request), priority: request.priority, highestWaiting: this.#waiting.highestPriority })
     if (repeat === RepeatOutcome.Refuse) return Promise.resolve(this.#refuseEarly(request, remainingMs, nowMs))
+    // A promise holds for one attempt.
+    const retry = repeat ? undefined : this.#admission.findRetry(request, nowMs)
     const firstArrivedAtMs = retry?.firstArrivedAtMs ?? nowMs
-    if (this.#waiting.size >= MAX_WAITING && !this.#displaceFor(request, nowMs)) {
+    if (this.#waiting.size >= MAX_WAITING && (repeat || !this.#displaceFor(request, nowMs))) {
       this.#opts.onAnswered?.(PlacementOutcome.Refused, { client: request.client, overShare: this.#shares.ofPriority(request.priority).wouldExceed(request.client, nowMs) })
       return Promise.resolve(this.#refusal({ request, firstArrivedAtMs }, TOO_MANY_WAITING))
     }
@@ -277,7 +278,7 @@
 
   #applyDecision (decided: QueueDecision, nowMs: number): void {
     const { waiting, inputs, decision } = decided
-    if (waiting.outcome === undefined) this.#admission.recordShare(waiting, nowMs)
+    if (waiting.outcome === undefined && !waiting.returned) this.#admission.recordShare(waiting, nowMs)
     this.#admission.recordDecision(decided, nowMs)
     if (waiting.outcome !== decision.outcome) this.#opts.onAdmission?.(waiting.request.label.requestId, inputs, decision, this.#shareUseOf(waiting))
     waiting.outcome = decision.outcome
@@ -285,7 +286,7 @@
   }
 
   #place (waiting: WaitingRequest, estimate: PlacementEstimate, nowMs: number): void {
-    if (waiting.outcome === undefined) this.#admission.recordShare(waiting, nowMs)
+    if (waiting.outcome === undefined && !waiting.returned) this.#admission.recordShare(waiting, nowMs)
     this.#recorder.record(waiting, estimate, nowMs)
     const errorMs = this.#admission.recordPlacement(waiting, estimate.firstTokenMs, nowMs)
     if (errorMs !== undefined) this.#opts.onForecastError?.(errorMs)
--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -2,9 +2,9 @@
 import test from 'ava'
 import { requestOf } from './__utils__/createShard.js'
 
-const SHARES: PriorityShares = { shareOf: () => 1, arrivalsOf: () => 1, modestArrivals: 1, promisesDueAtMs: () => [] }
+const SHARES: PriorityShares = { shareOf: () => 1, arrivalsOf: () => 1, arrivalsWithinShares: 1, promisesDueAtMs: () => [] }
 /** A slot becomes free every 100 ms, and new requests arrive at a quarter of that rate. */
-const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, leftByWithin: 0, sharesOf: () => SHARES }
+const FACTS: QueueInputs = { nowMs: 10_000, msPerPlace: 100, msPerArrival: 400, rateError: 0.2, minTtftMs: () => 200, shareRankOf: () => ShareRank.Within, slotsUntilShare: () => 0, slotShareForOthers: 0, sharesOf: () => SHARES }
 
 function waitingSince (ms: number, over: Partial<WaitingRequest> = {}, request = {}): WaitingRequest {
   const arrivedAtMs = FACTS.nowMs - ms
