fix(scheduling.owner-alone,client-shares): no account is over its share before a request was refused

Cause: found in review. An owner that places alone took all active accounts to request more than their share, so that one was refused at a quarter of an engine's slots; after a refusal the residue of decayed demand kept the contention up. Change: demand is recorded from the start, and equal within the tolerance of the shares. Result: the tests of scheduling pass.

--- a/scheduling/client-shares/src/clientShares.ts
+++ b/scheduling/client-shares/src/clientShares.ts
@@ -45,7 +45,7 @@
   total: number
   demand: number
   /** Demand of the clients that request no more than their shares. */
-  modestDemand: number
+  demandWithinShares: number
 }
 
 /**
@@ -114,8 +114,8 @@
   }
 
   /** Recent usage and demand of the clients that request no more than their shares. */
-  modestDemand (nowMs: number): number {
-    return this.#levelAt(nowMs).modestDemand
+  demandWithinShares (nowMs: number): number {
+    return this.#levelAt(nowMs).demandWithinShares
   }
 
   /** Recent usage and demand of a client. */
@@ -191,10 +191,10 @@
     const active = loads.filter((load) => load.demand > NEGLIGIBLE * total)
     const demanded = this.#recordsDemand ? active : active.map((load) => ({ ...load, demand: Number.POSITIVE_INFINITY }))
     // Shares limit nobody if there is enough for all, or only one client.
-    const isEnough = active.length <= 1 || (this.#recordsDemand && demand <= total)
+    const isEnough = active.length <= 1 || (this.#recordsDemand && demand <= (1 + NEGLIGIBLE) * total)
     const perWeight = isEnough ? Number.POSITIVE_INFINITY : fairLevel(demanded, total)
-    const modestDemand = isEnough ? demand : loads.reduce((sum, load) => load.demand <= load.weight * perWeight ? sum + load.demand : sum, 0)
-    this.#level = { perWeight, total, demand, modestDemand, atMs: nowMs }
+    const demandWithinShares = isEnough ? demand : loads.reduce((sum, load) => load.demand <= load.weight * perWeight ? sum + load.demand : sum, 0)
+    this.#level = { perWeight, total, demand, demandWithinShares, atMs: nowMs }
     return this.#level
   }
 
--- a/scheduling/owner-alone/src/localPlacer.ts
+++ b/scheduling/owner-alone/src/localPlacer.ts
@@ -83,6 +83,8 @@
   constructor (opts: LocalPlacerOptions) {
     super()
     this.#opts = opts
+    // Until a request is refused, all clients get what they request, and none is over its share.
+    this.#shares.setWaiting([], opts.clock.nowMs())
   }
 
   async place (request: PlaceRequest): Promise<Placement | PlacementRefusal> {
