fix(request.relay): one pick of the next upstream at a time, and only full upstreams count as short of capacity

Cause: found in review. The timeout of an attempt and its end could both pick the next upstream; the slot and the permit of the first pick were never released. Any refusal but 421 made a pool short on all boxes. Change: a pick that runs is shared, and released if the request has ended; 429 and 503 alone mean that an upstream is full.

--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -3,8 +3,8 @@
 import { drainAnswer } from './drainAnswer.js'
 import { type RelayContext } from './relayContext.js'
 
-/** Status of an upstream that is not the one that the request was sent to, such as a later start at the same address. */
-const MISDIRECTED_STATUS = 421
+/** How upstreams refuse requests that exceed their capacity. Other refusals, such as that of a later start at the same address, say nothing about it. */
+const FULL_STATUSES: readonly number[] = [429, 503]
 
 /**
  * An upstream with the permit to send it one request. Every request needs a permit: an upstream's limit is shared
@@ -31,7 +31,7 @@
     const answer = await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, buffer, onSend }))
     if (!answer.notRun) return answer
     void drainAnswer(answer)
-    throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: answer.status !== MISDIRECTED_STATUS })
+    throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: FULL_STATUSES.includes(answer.status) })
   })
 }
 
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -22,6 +22,9 @@
   readonly #tried = new Set<string>()
   /** Upstream of the next attempt, if already picked. */
   #next?: PermittedUpstream
+  /** The pick of the next upstream while it runs. */
+  #pending?: Promise<boolean>
+  #ended = false
   /** Aborts the present attempt on timeout. Undefined if it must not be aborted. */
   #attemptTimeout?: AbortController
   #sent = 0
@@ -35,6 +38,7 @@
     try {
       await this.#runAttempts(times)
     } finally {
+      this.#ended = true
       this.#releaseNext()
     }
   }
@@ -170,8 +174,15 @@
    */
   async #findNext (failed?: ListedUpstream): Promise<boolean> {
     if (this.#next) return true
+    // The timeout of an attempt and its end can both look for the next upstream. A second pick would leave the slot and the permit of the first one unreleased.
+    this.#pending ??= this.#pickNext(failed).finally(() => { this.#pending = undefined })
+    return this.#pending
+  }
+
+  async #pickNext (failed?: ListedUpstream): Promise<boolean> {
     const { picked } = await pickPermittedUpstream(this.#context, this.#pool, new Set([...this.#tried, ...failed ? [failed.name] : []]))
     this.#next = picked
+    if (this.#ended) this.#releaseNext()
     return picked !== undefined
   }
 
