fix(scheduling.pool-admission): free slots go to waiting calls before new ones, and messages only to boxes that understand them

A new call took a slot that had become free without an event ahead of calls that rank before it; a call adopted by a coordinator was kept past its deadline by its age; the forecast counted the rate of failing upstreams. A box of an earlier build closes a connection on which an unknown message arrives, so that a rolling update cut the links between boxes. Change: each of these; members say in their state that they understand the messages about pools, and others are neither asked nor told.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -109,6 +109,7 @@
     health: MemberHealth.Alive,
     leaving: false,
     room: box.room,
+    admitsPoolCalls: true,
   }
   return new MembershipView({ self, goneRetentionMs: recordTtlMs(requests) })
 }
--- a/box/runtime/src/createPoolAdmissionParts.ts
+++ b/box/runtime/src/createPoolAdmissionParts.ts
@@ -1,5 +1,5 @@
 import { type Configuration, LimitUnit } from '@reelspan/config.resources'
-import { MessageType, type PoolShortage } from '@reelspan/core.messages'
+import { type Member, MessageType, type PoolShortage } from '@reelspan/core.messages'
 import { Broadcaster } from '@reelspan/membership.prober'
 import { CoordinatedPools, PoolCoordinator } from '@reelspan/scheduling.pool-admission'
 import { LogEvent } from '@reelspan/telemetry.log'
@@ -21,6 +21,15 @@
   })
 }
 
+/** Returns the same array for the same members. */
+function membersAdmittingPoolCalls (members: readonly Member[]): readonly Member[] {
+  const known = admitting.get(members) ?? members.filter(({ admitsPoolCalls }) => admitsPoolCalls)
+  admitting.set(members, known)
+  return known
+}
+
+const admitting = new WeakMap<readonly Member[], readonly Member[]>()
+
 export function createPoolWeights ({ declarations }: BoxParts): AccountWeights {
   return new AccountWeights(() => declarations.value)
 }
@@ -31,25 +40,28 @@
     clock,
     link,
     coordinator: poolCoordinator,
-    members: () => view.takingWork(),
+    members: () => membersAdmittingPoolCalls(view.takingWork()),
     self: () => view.self,
     weightOf: (account) => poolWeights.of(account),
     broadcast: (shortages) => poolBroadcaster.broadcast(shortages),
-    onShort: (pool) => {
+    onShortageStarted: (pool) => {
       metrics.count('reelspan_pool_shortages_total', { pool })
       log.warn(LogEvent.PoolShortageChanged, { pool, short: true, coordinates: parts.pools.isCoordinator(pool) })
     },
-    onEnough: (pool, shortMs) => log.info(LogEvent.PoolShortageChanged, { pool, short: false, shortMs: Math.round(shortMs) }),
+    onShortageEnded: (pool, shortMs) => log.info(LogEvent.PoolShortageChanged, { pool, short: false, shortMs: Math.round(shortMs) }),
     onTaskError: (thrown) => parts.failures.recordTask('pools', thrown),
   })
 }
 
 /** Lost reports are not sent again, since a shortage that lasts is reported again. */
 export function createPoolBroadcaster (parts: BoxParts): Broadcaster<PoolShortage> {
-  const { clock, link } = parts
+  const { clock, link, prober, view } = parts
   return new Broadcaster({
     clock,
-    watchedAddresses: () => parts.prober.watchedAddresses(),
+    watchedAddresses: () => {
+      const addresses = new Set(membersAdmittingPoolCalls(view.takingWork()).map(({ peerAddress }) => peerAddress))
+      return prober.watchedAddresses().filter((address) => addresses.has(address))
+    },
     // The link logs a failure.
     send: async (address, shortages, signal) => {
       await link.call(address, { type: MessageType.PoolsTell, shortages: [...shortages] }, { timeoutMs: REPORT_TIMEOUT_MS, repeatable: true, signal }).catch(() => {})
--- a/core/messages/src/member.ts
+++ b/core/messages/src/member.ts
@@ -22,6 +22,8 @@
   leaving: z.boolean(),
   /** Capacity for work besides callers' requests, relative to other boxes; about the number of cores. */
   room: z.number().positive().optional(),
+  /** Whether the member understands the messages about service pools, which earlier builds do not: they close a connection on which such a message arrives. */
+  admitsPoolCalls: z.boolean().optional(),
   /** The member that took over the records after a planned stop. */
   successor: z.object({ peerAddress: z.string(), incarnation: z.string() }).optional(),
 })
--- a/scheduling/pool-admission/src/coordinatedPools.ts
+++ b/scheduling/pool-admission/src/coordinatedPools.ts
@@ -19,9 +19,9 @@
   weightOf: (account: string) => number
   /** Sends reports to all boxes. */
   broadcast: (shortages: readonly PoolShortage[]) => void
-  onShort?: (pool: string) => void
+  onShortageStarted?: (pool: string) => void
   /** @param shortMs how long the pool was short of capacity */
-  onEnough?: (pool: string, shortMs: number) => void
+  onShortageEnded?: (pool: string, shortMs: number) => void
   onTaskError?: (thrown: unknown) => void
 }
 
@@ -147,10 +147,10 @@
   }
 
   #add (shortage: PoolShortage): boolean {
-    const { clock, onShort } = this.#opts
+    const { clock, onShortageStarted } = this.#opts
     const wasShort = this.isShort(shortage.pool)
     const added = this.#shortages.add(shortage, clock.nowMs())
-    if (added && !wasShort) onShort?.(shortage.pool)
+    if (added && !wasShort) onShortageStarted?.(shortage.pool)
     if (added) this.#watchEnd(shortage.pool)
     return added
   }
@@ -160,7 +160,7 @@
     if (this.#watched.has(pool)) return
     this.#watched.add(pool)
     this.#tasks.run(async () => {
-      const { clock, coordinator, onEnough } = this.#opts
+      const { clock, coordinator, onShortageEnded } = this.#opts
       while (this.isShort(pool) && !this.#tasks.stopped) {
         await clock.sleep(Math.min(EXTEND_INTERVAL_MS, this.#shortages.remainingMs(pool, clock.nowMs())), { signal: this.#tasks.signal })
         if (coordinator.isShort(pool)) this.#reportShortage(pool, coordinator.limitOf(pool))
@@ -170,7 +170,7 @@
       this.#reportedTo.delete(pool)
       this.#shares.delete(pool)
       coordinator.forget(pool)
-      onEnough?.(pool, this.#shortages.remove(pool, clock.nowMs()))
+      onShortageEnded?.(pool, this.#shortages.remove(pool, clock.nowMs()))
     })
   }
 
--- a/scheduling/pool-admission/src/poolAdmission.ts
+++ b/scheduling/pool-admission/src/poolAdmission.ts
@@ -112,7 +112,7 @@
   /** Counts a call that was sent without this coordinator. */
   adopt ({ label, upstream, ageMs }: RunningPoolCall, nowMs: number): void {
     const key = holdLabelKey(label)
-    if (!this.#running.has(key)) this.#start(key, { upstream, owner: label.ownerIncarnation, startedAtMs: nowMs - ageMs, dropAtMs: nowMs + label.maxHoldMs + RELEASE_GRACE_MS, atLimit: false })
+    if (!this.#running.has(key)) this.#start(key, { upstream, owner: label.ownerIncarnation, startedAtMs: nowMs - ageMs, dropAtMs: nowMs + label.maxHoldMs - ageMs + RELEASE_GRACE_MS, atLimit: false })
   }
 
   /** Answers a call. One that waits is asked for again under the same label. */
@@ -126,7 +126,9 @@
     const view = this.#view(nowMs)
     const ahead = [...this.#waiting.values()].filter((other) => compareCalls(other, waiting, view.standings) <= 0).length
     this.#waiting.set(key, waiting)
-    this.#place(waiting, ahead, view, nowMs)
+    // Slots may have become free without an event, and go to the calls ahead first.
+    if (ahead > 0) this.#placeFirst(nowMs)
+    if (this.#waiting.has(key)) this.#place(waiting, ahead, view, nowMs)
     return this.answerTo(key) as PoolAnswer
   }
 
@@ -275,11 +277,12 @@
     this.#trackUpstreams(nowMs)
     const upstreams = [...this.#estimates].map(([name, estimate]): UpstreamView => ({ name, limit: estimate.limit, paused: estimate.isPaused(nowMs), durationMs: estimate.durationMs }))
     const working = upstreams.filter(({ name }) => !this.#opts.isFailing(name))
-    const rates = upstreams.flatMap(({ limit, durationMs }) => durationMs === undefined ? [] : [limit / durationMs])
+    const usable = working.length > 0 ? working : upstreams
+    const rates = usable.flatMap(({ limit, durationMs }) => durationMs === undefined ? [] : [limit / durationMs])
     const over = new Map<string, boolean>()
     return {
       upstreams,
-      working: working.length > 0 ? working : upstreams,
+      working: usable,
       // Nothing is refused by a forecast before a call has ended.
       ratePerMs: rates.length > 0 ? rates.reduce((sum, rate) => sum + rate, 0) : Number.POSITIVE_INFINITY,
       standings: {
