fix(membership.limits): a box's own share of a limit refills only while the box decides alone

The share refilled while the coordinator granted the whole limit, so that a second outage could exceed the tolerance by the burst of all boxes. Change: an answer of the coordinator keeps the level without refilling it.

--- a/membership/limits/src/standInLimiter.ts
+++ b/membership/limits/src/standInLimiter.ts
@@ -187,6 +187,8 @@
   async #ask (candidate: Candidate, charge: LimitedCost, replies: Reply[]): Promise<Reply | undefined> {
     const reply = await this.#replyOf(candidate, charge)
     if (!reply) return undefined
+    // A share that refilled while the coordinator granted the whole limit would add to it in the next outage.
+    if (reply.conclusive && candidate.decider === LimitDecider.Coordinator) this.#opts.local.skipRefill(charge.name)
     if (reply.waitMs > 0) {
       replies.push(reply)
       return reply
--- a/membership/limits/src/tokenBucketStore.ts
+++ b/membership/limits/src/tokenBucketStore.ts
@@ -65,6 +65,11 @@
     })
   }
 
+  /** Keeps the level of a bucket that is not in use: the time until now refills nothing. */
+  skipRefill (name: string): void {
+    this.#buckets.get(name)?.resume(this.#opts.clock.nowMs())
+  }
+
   forget (name: string): void {
     this.#buckets.delete(name)
   }
