fix(net): bodies in small parts, callers that read steadily, and upstreams that stay paused

Cause: found in review. Each part of a request's body was kept as a buffer of its own, so that half a megabyte in parts of one byte takes a hundred; a caller whose system acknowledges in large steps was taken for one that reads nothing; bytes that waited for the box counted as the caller's delay; an upstream that sent slowly was never held back; a head that was completed after its refusal could be served; the table of all connections was parsed line by line. Change: a body is copied into one buffer; a caller that took its answer fast enough until recently stays; only unsent bytes count; a paused upstream is read up to what the budget reserves; such a head is refused; only the lines of the callers in question are parsed. Result: the tests of net pass.

--- a/net/byte-budget/src/findSlowCallers.ts
+++ b/net/byte-budget/src/findSlowCallers.ts
@@ -25,7 +25,7 @@
   slowCallerMs: number
 }
 
-/** Below the time after which upstreams cut off unread answers. A caller that reads steadily shows progress within it: its system acknowledges at least each 16th of its buffer. */
+/** Below the time after which upstreams cut off unread answers. A caller with a small receive buffer shows progress within it; with a large one its system acknowledges in steps of a 16th of the buffer, which can take longer. */
 const STALLED_MS = 3000
 /**
  * 16 KB/s, far below what networks transfer. A caller that takes less, and needs this long for what is buffered, is
@@ -47,12 +47,17 @@
 export function findSlowCallers<C extends CallerProgress> (callers: readonly C[], { short, slowCallerMs }: FindSlowCallersOptions): SlowCaller<C>[] {
   const silent = callers.filter(({ stalledMs }) => stalledMs >= slowCallerMs)
   if (silent.length > 0) return silent.map((caller) => ({ caller, reason: SlowCallerReason.ReadNothing }))
-  const slow = callers.filter((caller) => caller.stalledMs >= STALLED_MS ? short || caller.paused : short && isTrickling(caller))
+  const slow = callers.filter((caller) => caller.stalledMs >= STALLED_MS ? (short || caller.paused) && !readsSteadily(caller) : short && isTrickling(caller))
   if (slow.length === 0) return []
   const slowest = slow.reduce((worst, caller) => isSlower(caller, worst) ? caller : worst)
   return [{ caller: slowest, reason: short ? SlowCallerReason.BudgetShort : SlowCallerReason.UpstreamPaused }]
 }
 
+/** Whether a caller that shows no progress now took its answer fast enough until recently. */
+function readsSteadily ({ bytesPerMs = 0 }: CallerProgress): boolean {
+  return bytesPerMs >= MIN_BYTES_PER_MS
+}
+
 function isTrickling (caller: CallerProgress): boolean {
   const { bytesPerMs = Number.POSITIVE_INFINITY } = caller
   return bytesPerMs < MIN_BYTES_PER_MS && drainMs(caller) >= MAX_DRAIN_MS
--- a/net/byte-budget/src/observedCaller.ts
+++ b/net/byte-budget/src/observedCaller.ts
@@ -21,7 +21,7 @@
   #undeliveredBytes?: number
   #undeliveredAgeMs = Number.POSITIVE_INFINITY
   #stalledMs = 0
-  /** Whether nothing that the caller could take was buffered at the last check. */
+  /** Whether nothing was written that the caller had not taken at the last check. */
   #idle = true
   #window: RateWindow = { bytes: 0, durationMs: 0 }
   #previousWindow?: RateWindow
@@ -65,8 +65,8 @@
     this.#takenBytes = takenBytes
     this.#undeliveredAgeMs += elapsedMs
     const wasIdle = this.#idle
-    // An upstream's own pace is not the caller's.
-    this.#idle = takenBytes === undefined || account.pausableBytes === 0
+    // Bytes that wait for this box, or that the upstream has not sent, are not the caller's delay.
+    this.#idle = takenBytes === undefined || reader.unsentBytes === 0
     if (newBytes > 0) this.#undeliveredBytes = undefined
     if (this.#idle || wasIdle || newBytes > 0) this.#stalledMs = 0
     else this.#stalledMs += elapsedMs
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -52,6 +52,8 @@
 const PAUSED_CHECK_MS = 250
 const MS_PER_SECOND = 1000
 const HEAD_METHOD = 'HEAD'
+/** The budget for answers reserves one read for each paused answer. */
+const MAX_READ_WHILE_PAUSED_BYTES = 65_536
 const EMPTY_BYTES = new Uint8Array()
 
 /** One connection to an upstream, with at most one exchange at a time. It is closed if bytes arrive while no exchange runs. */
@@ -232,11 +234,15 @@
    * no more, and may have ended its answer or the connection.
    */
   async #checkWhilePaused (signal: AbortSignal): Promise<void> {
+    let readBytes = 0
     while (!signal.aborted) {
       await this.#opts.clock.sleep(PAUSED_CHECK_MS, { signal })
       if (signal.aborted || this.#closed) return
       this.#socket.write(EMPTY_BYTES)
-      if (this.#socket.readableLength < this.#socket.readableHighWaterMark) this.#socket.read()
+      const { readableLength, readableHighWaterMark } = this.#socket
+      if (readableLength >= readableHighWaterMark || readBytes + readableLength > MAX_READ_WHILE_PAUSED_BYTES) continue
+      readBytes += readableLength
+      this.#socket.read()
     }
   }
 
--- a/net/system-env/src/readRequestBody.ts
+++ b/net/system-env/src/readRequestBody.ts
@@ -2,6 +2,9 @@
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type BodyAccount } from '@reelspan/net.byte-budget'
 
+/** Most bodies fit into the first buffer. Buffers double, so that the memory of a body is at most twice what the budget counts, and this much more. */
+const MIN_BODY_BUFFER_BYTES = 4096
+
 export interface ReadRequestBodyOptions {
   maxBytes: number
   /** Accounts for the body in the budget for requests in flight. */
@@ -29,7 +32,8 @@
 
 function collect (message: IncomingMessage, { maxBytes, account, signal }: ReadRequestBodyOptions): Promise<Uint8Array> {
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = []
+    // Parts of a few bytes each would take many times their size as buffers of their own.
+    let body = Buffer.alloc(0)
     let bytes = 0
     const settle = (outcome: () => void) => {
       message.off('data', onData).off('end', onEnd).off('close', onClose).off('error', onClose)
@@ -39,16 +43,22 @@
       outcome()
     }
     const onData = (part: Buffer) => {
-      bytes += part.byteLength
+      const end = bytes + part.byteLength
       try {
-        if (bytes > maxBytes) throw tooLarge(maxBytes)
+        if (end > maxBytes) throw tooLarge(maxBytes)
         account.add(part.byteLength)
-        parts.push(part)
+        if (end > body.byteLength) {
+          const grown = Buffer.allocUnsafe(Math.min(maxBytes, Math.max(end, 2 * body.byteLength, MIN_BODY_BUFFER_BYTES)))
+          body.copy(grown, 0, 0, bytes)
+          body = grown
+        }
+        part.copy(body, bytes)
+        bytes = end
       } catch (thrown) {
         settle(() => reject(thrown))
       }
     }
-    const onEnd = () => settle(() => resolve(parts.length === 1 ? parts[0] : Buffer.concat(parts)))
+    const onEnd = () => settle(() => resolve(body.subarray(0, bytes)))
     const onClose = () => settle(() => reject(new ReelspanError(ErrorCode.Cancelled, 'the caller disconnected before its request was complete')))
     const onAbort = () => settle(() => reject(signal.reason))
     message.on('data', onData).on('end', onEnd).on('close', onClose).on('error', onClose)
--- a/net/system-env/src/readUndelivered.ts
+++ b/net/system-env/src/readUndelivered.ts
@@ -9,10 +9,8 @@
 /** How the table of IPv6 connections starts the address of a mapped IPv4 address. */
 const MAPPED_IPV4_WORDS = '0000000000000000FFFF0000'
 const HEX = 16
-/** The columns of both tables: number, local address, remote address, state, queues as TX:RX, and others. */
-const LOCAL_COLUMN = 1
-const REMOTE_COLUMN = 2
-const QUEUES_COLUMN = 4
+/** Long enough for the two columns after the addresses in both tables: state, and queues as TX:RX in 8 hexadecimal digits each. */
+const FOLLOWING_COLUMNS_LENGTH = 24
 
 /**
  * Returns the bytes that the operating system has taken for callers and that they have not acknowledged. Node
@@ -26,11 +24,13 @@
     return socket ? tableKeysOf(socket).map((key) => [key, reader] as const) : []
   }))
   const tables = await Promise.all(TABLE_PATHS.map((path) => readFile(path, 'latin1').catch(() => '')))
-  return new Map(tables.flatMap((table) => table.split('\n')).flatMap((line) => {
-    const columns = line.trim().split(/\s+/)
-    const reader = readerByKey.get(`${columns[LOCAL_COLUMN]} ${columns[REMOTE_COLUMN]}`)
-    return reader ? [[reader, parseInt(columns[QUEUES_COLUMN], HEX)] as const] : []
-  }))
+  // The tables list every connection of the machine, so only the lines of these callers are parsed.
+  return new Map(tables.flatMap((table) => [...readerByKey].flatMap(([key, reader]) => {
+    const at = table.indexOf(key)
+    if (at < 0) return []
+    const [, queues] = table.slice(at + key.length, at + key.length + FOLLOWING_COLUMNS_LENGTH).trim().split(/\s+/)
+    return [[reader, parseInt(queues, HEX)] as const]
+  })))
 }
 
 /** How the tables name a connection. Only those over IPv4 are looked up. */
--- a/net/system-env/src/requestTimeGuard.ts
+++ b/net/system-env/src/requestTimeGuard.ts
@@ -80,7 +80,8 @@
 
   /** Returns the signal that is aborted with `ERR_REELSPAN_REQUEST_TOO_SLOW` when the request's body takes too long. */
   signalOf (message: IncomingMessage): AbortSignal {
-    return this.#requests.get(message)?.slow.signal ?? new AbortController().signal
+    // A head that was completed after its refusal must not be served.
+    return this.#requests.get(message)?.slow.signal ?? AbortSignal.abort(requestTooSlow())
   }
 
   #onConnection (socket: Socket): void {
@@ -143,7 +144,7 @@
     if (response.writableFinished) message.socket.destroy()
     else if (!slow.signal.aborted) {
       this.#opts.onSlowRequest?.(RequestPart.Body)
-      slow.abort(new ReelspanError(ErrorCode.RequestTooSlow, 'the request took too long to arrive'))
+      slow.abort(requestTooSlow())
     }
   }
 
@@ -155,6 +156,10 @@
   }
 }
 
+function requestTooSlow (): ReelspanError {
+  return new ReelspanError(ErrorCode.RequestTooSlow, 'the request took too long to arrive')
+}
+
 function awaitedBy ({ socket: { bytesRead }, readBytes }: Connection): Awaited {
   if (bytesRead === 0) return Awaited.FirstByte
   return bytesRead - readBytes > LINE_END_BYTES ? Awaited.RestOfHead : Awaited.NextRequest
