--- a/net/byte-budget/test/slowCallers.ts
+++ b/net/byte-budget/test/slowCallers.ts
@@ -1,4 +1,4 @@
-import { CallerReader, type DisconnectedCaller, RequestBudget, RunningTime, SlowCallerReason, SlowCallers } from '@reelspan/net.byte-budget'
+import { CallerReader, type DisconnectedCaller, findSlowCallers, RequestBudget, RunningTime, SlowCallerReason, SlowCallers } from '@reelspan/net.byte-budget'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -111,3 +111,11 @@
   alone.release()
   t.is(budget.usedBytes, 0)
 })
+
+test('a caller that took its answer fast until recently is not disconnected while its system acknowledges in large steps', (t) => {
+  const stalled = { bufferedBytes: 500_000, paused: true, stalledMs: 4000 }
+  const found = (bytesPerMs?: number) => findSlowCallers([{ ...stalled, bytesPerMs }], { short: true, slowCallerMs: SLOW_CALLER_MS }).length
+  t.is(found(100), 0)
+  t.is(found(1), 1)
+  t.is(found(), 1, 'nothing is known of its pace')
+})
--- a/scheduling/pool-admission/test/poolAdmission.ts
+++ b/scheduling/pool-admission/test/poolAdmission.ts
@@ -6,9 +6,9 @@
 const SLOTS = 8
 let nextLabel = 0
 
-function createAdmission (upstreams = ['a']) {
+function createAdmission (upstreams = ['a'], isFailing = (_upstream: string) => false) {
   const decided: string[] = []
-  const admission = new PoolAdmission({ upstreams: () => upstreams, isFailing: () => false, weightOf: () => 1, initialLimit: SLOTS, onDecided: (key) => decided.push(key) })
+  const admission = new PoolAdmission({ upstreams: () => upstreams, isFailing, weightOf: () => 1, initialLimit: SLOTS, onDecided: (key) => decided.push(key) })
   return { admission, decided }
 }
 
@@ -137,3 +137,17 @@
   t.deepEqual(admission.loads().map(({ inFlight }) => inFlight), [SLOTS, 1])
   t.is(admission.request(callOf({ avoid: ['fast', 'slow'] }), 1).outcome, PoolOutcome.NoUpstream)
 })
+
+test('calls are refused at once when the upstreams that work cannot serve them in time, whatever failing ones could take', (t) => {
+  const failing = new Set<string>()
+  const { admission } = createAdmission(['a', 'b', 'c', 'd'], (upstream) => failing.has(upstream))
+  Array.from({ length: 40 }, () => callOf()).map((call) => {
+    admission.request(call, 0)
+    return holdLabelKey(call.label)
+  }).forEach((key) => admission.release(key, PoolCallOutcome.Answered, WORK_MS, 0));
+  ['b', 'c', 'd'].forEach((upstream) => failing.add(upstream))
+  fill(admission, 0)
+  const outcomes = Array.from({ length: 4 * SLOTS }, () => admission.request(callOf({ usefulMs: 145 }), 0).outcome)
+  t.true(outcomes.filter((outcome) => outcome === PoolOutcome.Waiting).length <= 2 * SLOTS)
+  t.true(outcomes.includes(PoolOutcome.Refused))
+})
