test(utils.soak): an account that floods the engines and callers that read nothing

Cause: the soak did not load the system beyond its capacity, nor read slowly. Change: after the planned work of a round, one account sends several times what the engines have room for and retries at once, and callers leave answers of 30 MB unread, while the other clients go on; their served share and the memory of boxes are checked.

--- a/__utils__/platform-stand-ins/src/publish.ts
+++ b/__utils__/platform-stand-ins/src/publish.ts
@@ -15,17 +15,23 @@
 export interface PublishedAccount {
   name: string
   keys: readonly string[]
+  /** Limit in tokens per second, which is also its burst. */
+  tokensPerSecond?: number
 }
 
 /** Publishes the sample routes without their traffic split, and an additional service route whose path it returns. */
-export function publishRoutes (store: StandInStore, version: number, account?: PublishedAccount): string {
+export function publishRoutes (store: StandInStore, version: number, accounts: readonly PublishedAccount[] = []): string {
   const path = `/probe-${version}/`
   const probe = { name: 'r-probe', host: 'scripts.example', path_prefix: path, kind: 'safe', timeout_ms: 1200, service: 'desk', max_attempts: 2 }
   const routes = SAMPLE_CONFIGURATION.routes.map((route) => ({ ...route, traffic_split: undefined, service: route.service ?? 'llm' }))
-  store.put('op/config', { ...SAMPLE_CONFIGURATION, version, routes: [...routes, probe], ...account ? { tenants: [{ name: account.name, api_keys: account.keys }] } : {} })
+  store.put('op/config', { ...SAMPLE_CONFIGURATION, version, routes: [...routes, probe], ...accounts.length > 0 ? { tenants: accounts.map(toTenant) } : {} })
   return path
 }
 
+function toTenant ({ name, keys, tokensPerSecond }: PublishedAccount) {
+  return { name, api_keys: keys, ...tokensPerSecond === undefined ? {} : { unit: 'token_stream', plain_tokens: 1, rate_per_s: tokensPerSecond, burst: tokensPerSecond } }
+}
+
 export function registerUpstream (store: StandInStore, { instance, role, address, leaving, sequence }: UpstreamEntry): void {
   const assignment = role === Role.Service ? { service: 'desk' } : { service: 'llm', stage: role }
   store.put(keyOf(instance), sampleUpstreamEntry({ ...assignment, address, state: leaving ? 'draining' : 'ready', sequence }))
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -39,6 +39,8 @@
   events: number
   /** Duration of a call, or the interval between two events of a stream. */
   workMs: number
+  /** Minimum size of the answer to a call. */
+  answerBytes?: number
 }
 
 /** Headers and trailers that an upstream received with a call. */
@@ -212,10 +214,10 @@
   }
 
   async #call (id: string, response: ServerResponse, losesAnswer: boolean): Promise<void> {
-    const { workMs } = this.#shapeOf(id)
+    const { workMs, answerBytes = 0 } = this.#shapeOf(id)
     if (workMs > 0) await sleep(workMs)
     if (losesAnswer) response.destroy()
-    else response.end(`done ${id}`)
+    else response.end(`done ${id}`.padEnd(answerBytes))
   }
 
   async #stream (id: string, response: ServerResponse, { from, losesAnswer }: { from: number, losesAnswer: boolean }): Promise<void> {
--- a/__utils__/soak/src/requestShape.ts
+++ b/__utils__/soak/src/requestShape.ts
@@ -9,7 +9,7 @@
 /** Intervals between the events of long streams. The longest exceeds the gap that the route sets as its target. */
 const LONG_EVENT_INTERVALS_MS = [100, 150, 500]
 const LONG_STREAM_DURATION_MS = { least: 2000, most: 6000 }
-const SHAPE_SUFFIX = /-e(\d+)-p(\d+)$/
+const SHAPE_SUFFIX = /-e(\d+)-p(\d+)(?:-b(\d+))?$/
 
 /** Draws the amount of work that a request causes at its upstream, or undefined for the default amount. */
 export function drawShape (random: SeededRandom, kind: RouteKind): RequestShape | undefined {
@@ -22,10 +22,10 @@
 
 /** Appends the shape to a request's id, so that the upstream can read it whichever box forwards the request. */
 export function appendShape (id: string, shape?: RequestShape): string {
-  return shape ? `${id}-e${shape.events}-p${shape.workMs}` : id
+  return shape ? `${id}-e${shape.events}-p${shape.workMs}${shape.answerBytes === undefined ? '' : `-b${shape.answerBytes}`}` : id
 }
 
 export function parseShape (id: string): RequestShape | undefined {
-  const [, events, workMs] = SHAPE_SUFFIX.exec(id) ?? []
-  return events === undefined ? undefined : { events: Number(events), workMs: Number(workMs) }
+  const [, events, workMs, answerBytes] = SHAPE_SUFFIX.exec(id) ?? []
+  return events === undefined ? undefined : { events: Number(events), workMs: Number(workMs), answerBytes: answerBytes === undefined ? undefined : Number(answerBytes) }
 }
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -10,9 +10,10 @@
 import { drawOne } from './drawOne.js'
 import { FaultKind, FaultInjector } from './faults.js'
 import { groupBy } from './groupBy.js'
+import { isOfLoadPhase, LoadPhase } from './loadPhase.js'
 import { type DisruptionKind } from './disruptionLog.js'
 import { measureMemory } from './measureMemory.js'
-import { ACCOUNT, DEFAULT_KEY, keyOf, type SoakBox, SoakFleet } from './soakFleet.js'
+import { ACCOUNT, CROWD_ACCOUNT, CROWD_KEY, DEFAULT_KEY, keyOf, type SoakBox, SoakFleet } from './soakFleet.js'
 import { overlaps, type TimeInterval, StallDetector } from './stallDetector.js'
 
 export interface SoakOptions {
@@ -35,7 +36,8 @@
   checkCounts: Record<string, number>
   /** Duration of each phase. */
   durationsMs: Record<string, number>
-  memory: { processes: number, pssMb: number }
+  /** `maxBoxMb` is the largest box while callers read nothing of large answers. */
+  memory: { processes: number, pssMb: number, maxBoxMb: number }
   /** Output of each box. */
   logs: Record<string, string>
 }
@@ -77,6 +79,10 @@
 /** Number of attempts that decide whether the system has recovered. */
 const RECOVERY_ATTEMPTS = 40
 const MIN_RECOVERY_SHARE = 0.8
+/** Served share of the clients' attempts while another account floods the engines. Upstreams refuse or lose some 2 of 100, and a client's attempt may arrive while all engines are full. */
+const MIN_LOAD_SHARE = 0.8
+/** The heap limit of a box is not set here. An idle box has some 90 MB; the default budget for answers is 32 MB, and 40 MB are allowed for what is in use besides. */
+const MAX_BOX_MB = 162
 
 /** Runs one seed of the soak test. Reports failures as `violations` instead of throwing. */
 export async function soak (opts: SoakOptions): Promise<SoakResult> {
@@ -110,10 +116,11 @@
   readonly #limitRandom: SeededRandom
   readonly #signalRandom: SeededRandom
   readonly #restoreRandom: SeededRandom
+  readonly #loadRandom: SeededRandom
   readonly #stallDetector: StallDetector
   readonly #durationsMs: Record<string, number> = {}
   #checkCounts: Record<string, number> = {}
-  #memory = { processes: 0, pssMb: 0 }
+  #memory = { processes: 0, pssMb: 0, maxBoxMb: 0 }
   #isSending = true
 
   constructor (fleet: SoakFleet, random: SeededRandom, opts: SoakOptions) {
@@ -125,6 +132,7 @@
     this.#limitRandom = new SeededRandom(opts.seed)
     this.#signalRandom = new SeededRandom(opts.seed)
     this.#restoreRandom = new SeededRandom(opts.seed)
+    this.#loadRandom = new SeededRandom(opts.seed)
     this.#stallDetector = new StallDetector(fleet.boxes)
     this.#faults = new FaultInjector({ fleet, random: this.#faultRandom, onViolation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % STALE_CLIENT_STRIDE === 0 }))
@@ -136,11 +144,12 @@
       for (let round = 0; round < this.#opts.rounds; round++) {
         await this.#measure('trouble', () => this.#injectFaults())
         await this.#measure('calm', () => this.#runPlannedWork())
+        await this.#measure('load', () => this.#runLoadPhase())
       }
       await this.#measure('recovery', () => this.#checkRecovery())
     } finally {
       this.#stallDetector.stop()
-      this.#memory = measureMemory([process.pid, ...this.#fleet.boxes.filter(({ process }) => process.running).map(({ process }) => process.pid)])
+      this.#memory = { ...this.#memory, ...measureMemory([process.pid, ...this.#fleet.boxes.filter(({ process }) => process.running).map(({ process }) => process.pid)]) }
       this.#isSending = false
       await this.#measure('ends', () => Promise.all(loops))
       await Promise.all(this.#clients.map((client) => client.close()))
@@ -176,13 +185,13 @@
     this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length }
     // Calls with keys that expire are checked by checkKeys only.
     const keyProbeIds = new Set(this.#keyProbes.map(({ id }) => id))
-    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...this.#checkKeys())
+    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...this.#checkKeys())
   }
 
   #checkKeys (): string[] {
     const { runs, publications, received, staleReads } = this.#fleet
-    const keys = [DEFAULT_KEY, ...publications.map(({ version }) => keyOf(version))]
-    return checkKeys({ probes: this.#keyProbes, runs, publications, received, staleReads, keys, account: ACCOUNT })
+    const keys = [DEFAULT_KEY, CROWD_KEY, ...publications.map(({ version }) => keyOf(version))]
+    return checkKeys({ probes: this.#keyProbes, runs, publications, received, staleReads, keys, accounts: [ACCOUNT, CROWD_ACCOUNT] })
   }
 
   #attempts (): Attempt[] {
@@ -318,11 +327,25 @@
     this.violations.push(`${box.name} received no request for ${BUSY_TIMEOUT_MS} ms`)
   }
 
+  async #runLoadPhase (): Promise<void> {
+    const from = this.#endedAttempts.length
+    const phase = new LoadPhase({ random: this.#loadRandom, boxes: this.#fleet.boxes })
+    await phase.run()
+    this.#memory.maxBoxMb = Math.max(this.#memory.maxBoxMb, phase.maxBoxMb)
+    if (phase.maxBoxMb > MAX_BOX_MB) this.violations.push(`a box had ${phase.maxBoxMb} MB while callers read nothing of large answers`)
+    this.#checkServedShare(from, MIN_LOAD_SHARE, 'while another account flooded the engines')
+  }
+
   async #checkRecovery (): Promise<void> {
     const from = this.#endedAttempts.length
     while (this.#endedAttempts.length < from + RECOVERY_ATTEMPTS) await sleep(MAX_SEND_PAUSE_MS)
+    this.#checkServedShare(from, MIN_RECOVERY_SHARE, 'after the last fault')
+  }
+
+  /** @param from number of attempts that had ended before the first one that is checked */
+  #checkServedShare (from: number, minShare: number, when: string): void {
     const completed = this.#endedAttempts.slice(from).filter(({ abortedAtMs }) => abortedAtMs === undefined)
     const served = completed.filter(({ status, error }) => status === 200 && error === undefined).length
-    if (served < MIN_RECOVERY_SHARE * completed.length) this.violations.push(`after the last fault only ${served} of ${completed.length} attempts were served`)
+    if (served < minShare * completed.length) this.violations.push(`${when} only ${served} of ${completed.length} attempts were served`)
   }
 }
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -23,6 +23,9 @@
 /** The account of all clients, and the key that they send. */
 export const ACCOUNT = 'callers'
 export const DEFAULT_KEY = 'key-of-all-callers'
+/** An account that sends more than its share, and its key. */
+export const CROWD_ACCOUNT = 'crowd'
+export const CROWD_KEY = 'key-of-the-crowd'
 const ACCOUNT_SETTINGS = ['contracts=tenants', 'bounds.strict_revoke=true', `bounds.revoke_ms=${REVOCATION_BOUND_MS}`]
 const PORTS = { front: 8149, ready: 8141, control: 8144, directory: 8143 }
 const SEED_ADDRESS_COUNT = 3
@@ -177,7 +180,7 @@
   }
 
   #publishVersion (version: number): string {
-    return publishRoutes(this.store, version, { name: ACCOUNT, keys: [DEFAULT_KEY, keyOf(version)] })
+    return publishRoutes(this.store, version, [{ name: ACCOUNT, keys: [DEFAULT_KEY, keyOf(version)] }, { name: CROWD_ACCOUNT, keys: [CROWD_KEY] }])
   }
 
   /** Headers of everything that upstreams received. */
--- a/__utils__/soak/test/checkKeys.ts
+++ b/__utils__/soak/test/checkKeys.ts
@@ -5,7 +5,7 @@
 const RUN = { id: 'key-0', instance: 'i', path: '/fetch/status/x', startedAtMs: 0, complete: true, answerLost: false }
 
 function historyOf (overrides: Partial<KeyHistory>): KeyHistory {
-  return { probes: [], runs: [], publications: PUBLICATIONS, received: [], staleReads: [], keys: ['secret'], account: 'callers', ...overrides }
+  return { probes: [], runs: [], publications: PUBLICATIONS, received: [], staleReads: [], keys: ['secret'], accounts: ['callers'], ...overrides }
 }
 
 test('reports a run with a key that was revoked longer ago than the bound', (t) => {
