fix(box.runtime): pool admission acts only where two client accounts or more are declared

Change: without accounts that compete no pool counts as short, and boxes choose by themselves as before.

--- a/box/runtime/src/createPoolAdmissionParts.ts
+++ b/box/runtime/src/createPoolAdmissionParts.ts
@@ -5,6 +5,11 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts } from './boxParts.js'
 
+/**
+ * Admission shares a pool that is short among accounts. With none to share it, the queues inside the upstreams serve more:
+ * with calls of very uneven duration, estimated limits were below what upstreams can take.
+ */
+const MIN_ACCOUNTS = 2
 /** Same timeout as for other calls between boxes. */
 const REPORT_TIMEOUT_MS = 300
 
@@ -35,7 +40,7 @@
 }
 
 export function createPools (parts: BoxParts): CoordinatedPools {
-  const { clock, link, log, metrics, poolBroadcaster, poolCoordinator, poolWeights, view } = parts
+  const { clock, declarations, link, log, metrics, poolBroadcaster, poolCoordinator, poolWeights, view } = parts
   return new CoordinatedPools({
     clock,
     link,
@@ -43,6 +48,7 @@
     members: () => membersAdmittingPoolCalls(view.takingWork()),
     self: () => view.self,
     weightOf: (account) => poolWeights.of(account),
+    isEnabled: () => declarations.value.accounts().length >= MIN_ACCOUNTS,
     broadcast: (shortages) => poolBroadcaster.broadcast(shortages),
     onShortageStarted: (pool) => {
       metrics.count('reelspan_pool_shortages_total', { pool })
--- a/scheduling/pool-admission/src/coordinatedPools.ts
+++ b/scheduling/pool-admission/src/coordinatedPools.ts
@@ -17,6 +17,8 @@
   self: () => Member
   /** Weight of an account; the mean of all is about 1. */
   weightOf: (account: string) => number
+  /** Whether calls of service pools are admitted at all. Otherwise no pool counts as short, and boxes choose by themselves. By default they are. */
+  isEnabled?: () => boolean
   /** Sends reports to all boxes. */
   broadcast: (shortages: readonly PoolShortage[]) => void
   onShortageStarted?: (pool: string) => void
@@ -147,7 +149,8 @@
   }
 
   #add (shortage: PoolShortage): boolean {
-    const { clock, onShortageStarted } = this.#opts
+    const { clock, isEnabled, onShortageStarted } = this.#opts
+    if (isEnabled?.() === false) return false
     const wasShort = this.isShort(shortage.pool)
     const added = this.#shortages.add(shortage, clock.nowMs())
     if (added && !wasShort) onShortageStarted?.(shortage.pool)
