--- a/box/runtime/src/createPoolAdmissionParts.ts
+++ b/box/runtime/src/createPoolAdmissionParts.ts
@@ -1,10 +1,15 @@
 import { type Configuration, LimitUnit } from '@reelspan/config.resources'
-import { MessageType, type PoolShortage } from '@reelspan/core.messages'
+import { type Member, MessageType, type PoolShortage } from '@reelspan/core.messages'
 import { Broadcaster } from '@reelspan/membership.prober'
 import { CoordinatedPools, PoolCoordinator } from '@reelspan/scheduling.pool-admission'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type BoxParts } from './boxParts.js'
 
+/**
+ * Admission shares a pool that is short among accounts. With none to share it, the queues inside the upstreams serve more:
+ * with calls of very uneven duration, estimated limits were below what upstreams can take.
+ */
+const MIN_ACCOUNTS = 2
 /** Same timeout as for other calls between boxes. */
 const REPORT_TIMEOUT_MS = 300
 
@@ -21,35 +26,48 @@
   })
 }
 
+/** Returns the same array for the same members. */
+function membersAdmittingPoolCalls (members: readonly Member[]): readonly Member[] {
+  const known = admitting.get(members) ?? members.filter(({ admitsPoolCalls }) => admitsPoolCalls)
+  admitting.set(members, known)
+  return known
+}
+
+const admitting = new WeakMap<readonly Member[], readonly Member[]>()
+
 export function createPoolWeights ({ declarations }: BoxParts): AccountWeights {
   return new AccountWeights(() => declarations.value)
 }
 
 export function createPools (parts: BoxParts): CoordinatedPools {
-  const { clock, link, log, metrics, poolBroadcaster, poolCoordinator, poolWeights, view } = parts
+  const { clock, declarations, link, log, metrics, poolBroadcaster, poolCoordinator, poolWeights, view } = parts
   return new CoordinatedPools({
     clock,
     link,
     coordinator: poolCoordinator,
-    members: () => view.takingWork(),
+    members: () => membersAdmittingPoolCalls(view.takingWork()),
     self: () => view.self,
     weightOf: (account) => poolWeights.of(account),
+    isEnabled: () => declarations.value.accounts().length >= MIN_ACCOUNTS,
     broadcast: (shortages) => poolBroadcaster.broadcast(shortages),
-    onShort: (pool) => {
+    onShortageStarted: (pool) => {
       metrics.count('reelspan_pool_shortages_total', { pool })
       log.warn(LogEvent.PoolShortageChanged, { pool, short: true, coordinates: parts.pools.isCoordinator(pool) })
     },
-    onEnough: (pool, shortMs) => log.info(LogEvent.PoolShortageChanged, { pool, short: false, shortMs: Math.round(shortMs) }),
+    onShortageEnded: (pool, shortMs) => log.info(LogEvent.PoolShortageChanged, { pool, short: false, shortMs: Math.round(shortMs) }),
     onTaskError: (thrown) => parts.failures.recordTask('pools', thrown),
   })
 }
 
 /** Lost reports are not sent again, since a shortage that lasts is reported again. */
 export function createPoolBroadcaster (parts: BoxParts): Broadcaster<PoolShortage> {
-  const { clock, link } = parts
+  const { clock, link, prober, view } = parts
   return new Broadcaster({
     clock,
-    watchedAddresses: () => parts.prober.watchedAddresses(),
+    watchedAddresses: () => {
+      const addresses = new Set(membersAdmittingPoolCalls(view.takingWork()).map(({ peerAddress }) => peerAddress))
+      return prober.watchedAddresses().filter((address) => addresses.has(address))
+    },
     // The link logs a failure.
     send: async (address, shortages, signal) => {
       await link.call(address, { type: MessageType.PoolsTell, shortages: [...shortages] }, { timeoutMs: REPORT_TIMEOUT_MS, repeatable: true, signal }).catch(() => {})
