test(utils.soak): load beyond capacity as an option, on boxes as large as the smallest machines

Cause: the load phase changed what known seeds play, and its bound on memory did not follow from a machine. Boxes have the heap limits and the memory of the smallest machine, 178 MB, which is the bound.

--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -17,6 +17,7 @@
     --rounds N    Rounds of faults per seed (default 1)
     --boxes N     Number of boxes (default 6)
     --clients N   Number of clients (default 12)
+    --load        End each round with more load than capacity
     --kinds A,B   Fault kinds to use instead of random ones (see faults.ts)
     --logs DIR    Where to save the logs of failed seeds (default: the folder for temporary files)
 `
@@ -37,6 +38,7 @@
       rounds: { type: 'number', default: 1 },
       boxes: { type: 'number', default: 6 },
       clients: { type: 'number', default: 12 },
+      load: { type: 'boolean', default: false },
       kinds: { type: 'string' },
       logs: { type: 'string' },
     },
@@ -51,7 +53,7 @@
   const seeds: KnownSeed[] = flags.known ? await readKnownSeeds() : Array.from({ length: flags.seeds }, (_, i) => ({ seed: firstSeed + i }))
   for (let i = 0; i < seeds.length || performance.now() < untilMs; i++) {
     const { seed, kinds: knownKinds } = seeds[i] ?? { seed: firstSeed + i }
-    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, kinds: kinds ?? knownKinds })
+    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, load: flags.load, kinds: kinds ?? knownKinds })
     if (result.violations.length > 0) failedSeeds.push(seed)
     await reportResult(seed, result, flags.logs)
   }
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -24,6 +24,8 @@
   rounds: number
   /** Fault kinds to use instead of random ones. */
   kinds?: readonly FaultKind[]
+  /** Whether each round ends with a phase of more load than capacity. */
+  load?: boolean
 }
 
 export interface SoakResult {
@@ -81,8 +83,8 @@
 const MIN_RECOVERY_SHARE = 0.8
 /** Served share of the clients' attempts while another account floods the engines. Upstreams refuse or lose some 2 of 100, and a client's attempt may arrive while all engines are full. */
 const MIN_LOAD_SHARE = 0.8
-/** The heap limit of a box is not set here. An idle box has some 90 MB; the default budget for answers is 32 MB, and 40 MB are allowed for what is in use besides. */
-const MAX_BOX_MB = 162
+/** The memory of the smallest machines that boxes run on, which kill a process that exceeds it. */
+const MAX_BOX_MB = 178
 
 /** Runs one seed of the soak test. Reports failures as `violations` instead of throwing. */
 export async function soak (opts: SoakOptions): Promise<SoakResult> {
@@ -144,7 +146,7 @@
       for (let round = 0; round < this.#opts.rounds; round++) {
         await this.#measure('trouble', () => this.#injectFaults())
         await this.#measure('calm', () => this.#runPlannedWork())
-        await this.#measure('load', () => this.#runLoadPhase())
+        if (this.#opts.load) await this.#measure('load', () => this.#runLoadPhase())
       }
       await this.#measure('recovery', () => this.#checkRecovery())
     } finally {
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -26,6 +26,9 @@
 /** An account that sends more than its share, and its key. */
 export const CROWD_ACCOUNT = 'crowd'
 export const CROWD_KEY = 'key-of-the-crowd'
+/** The smallest machines that boxes run on, and the limits of the heap with which the platform starts them. */
+const MACHINE_SETTINGS = ['limits.memory_mb=178']
+const HEAP_LIMITS = '--max-old-space-size=96 --max-semi-space-size=2'
 const ACCOUNT_SETTINGS = ['contracts=tenants', 'bounds.strict_revoke=true', `bounds.revoke_ms=${REVOCATION_BOUND_MS}`]
 const PORTS = { front: 8149, ready: 8141, control: 8144, directory: 8143 }
 const SEED_ADDRESS_COUNT = 3
@@ -284,7 +287,7 @@
     if (box.process) box.earlierOutput += box.process.output
     const boxProcess = new FleetProcess(box.name, REELSPAN, ['serve', '--platform'], {
       REELSPAN_BOOT: this.#settingsPath(box.name),
-      NODE_OPTIONS: `${process.env.NODE_OPTIONS ?? ''} --import=${LISTEN_BEHIND_PROXY}`,
+      NODE_OPTIONS: `${process.env.NODE_OPTIONS ?? ''} ${HEAP_LIMITS} --import=${LISTEN_BEHIND_PROXY}`,
       SOAK_PROXIED_PORT: String(PORTS.control),
     })
     box.process = boxProcess
@@ -317,7 +320,7 @@
   /** Rewrites the settings file with other seed addresses. */
   async changeSettings (box: SoakBox): Promise<void> {
     const seeds = this.#random.sample(this.boxes, SEED_ADDRESS_COUNT).map(({ addresses }) => addresses.control)
-    await writeFile(this.#settingsPath(box.name), settingsFileText({ ...box, seeds, store: box.storeProxy.address }, ACCOUNT_SETTINGS))
+    await writeFile(this.#settingsPath(box.name), settingsFileText({ ...box, seeds, store: box.storeProxy.address }, [...ACCOUNT_SETTINGS, ...MACHINE_SETTINGS]))
   }
 
   async isReady ({ addresses }: SoakBox): Promise<boolean> {
