--- a/__utils__/soak/src/loadPhase.ts
+++ b/__utils__/soak/src/loadPhase.ts
@@ -6,7 +6,7 @@
 import { drawOne } from './drawOne.js'
 import { measureMemory } from './measureMemory.js'
 import { appendShape } from './requestShape.js'
-import { CROWD_KEY, DEFAULT_KEY, type SoakBox } from './soakFleet.js'
+import { OVERLOAD_KEY, DEFAULT_KEY, type SoakBox } from './soakFleet.js'
 
 export interface LoadPhaseOptions {
   random: SeededRandom
@@ -14,22 +14,22 @@
 }
 
 const DURATION_MS = 4000
-const CROWD_PREFIX = 'crowd-'
+const OVERLOAD_PREFIX = 'overload-'
 const SLOW_PREFIX = 'slow-'
 /** Each holds a stream of a fifth of an engine's memory for a second, several times what three engines have room for. */
-const CROWD_CALLERS = 30
-const CROWD_STREAM = { events: 10, workMs: 100 }
-const CROWD_TOKEN_COUNT = '100,200'
-/** Callers of the crowd retry at once, whatever delay they are given. */
-const CROWD_RETRIES = 3
-const CROWD_DEADLINE_MS = 5000
+const OVERLOAD_CALLERS = 30
+const OVERLOAD_STREAM = { events: 10, workMs: 100 }
+const OVERLOAD_TOKEN_COUNT = '100,200'
+/** Callers of the overloading account retry at once, whatever delay they are given. */
+const OVERLOAD_RETRIES = 3
+const OVERLOAD_DEADLINE_MS = 5000
 const SLOW_READERS = 4
 const LARGE_ANSWER_BYTES = 30_000_000
 const MEMORY_POLL_INTERVAL_MS = 250
 
 /** Whether a request was sent by the load phase, whose attempts are not recorded one by one. */
 export function isOfLoadPhase (id: string): boolean {
-  return id.startsWith(CROWD_PREFIX) || id.startsWith(SLOW_PREFIX)
+  return id.startsWith(OVERLOAD_PREFIX) || id.startsWith(SLOW_PREFIX)
 }
 
 /** One account floods the engines with streams and retries, and some callers read nothing of large answers, while the other clients go on. */
@@ -37,7 +37,7 @@
   /** Memory of the largest box during the phase. */
   maxBoxMb = 0
   readonly #opts: LoadPhaseOptions
-  readonly #agent = new Agent({ connections: CROWD_CALLERS, pipelining: 1 })
+  readonly #agent = new Agent({ connections: OVERLOAD_CALLERS, pipelining: 1 })
   #attempts = 0
   #untilMs = 0
 
@@ -49,30 +49,30 @@
     this.#untilMs = performance.now() + DURATION_MS
     const readers = Array.from({ length: SLOW_READERS }, (_, i) => this.#openSlowReader(i))
     try {
-      await Promise.all([...Array.from({ length: CROWD_CALLERS }, () => this.#crowd()), this.#sampleMemory()])
+      await Promise.all([...Array.from({ length: OVERLOAD_CALLERS }, () => this.#sendContinuously()), this.#sampleMemory()])
     } finally {
       readers.forEach((reader) => reader.destroy())
       await this.#agent.destroy()
     }
   }
 
-  async #crowd (): Promise<void> {
+  async #sendContinuously (): Promise<void> {
     while (performance.now() < this.#untilMs) {
-      for (let retries = 0; retries <= CROWD_RETRIES && !await this.#sendStream(); retries++);
+      for (let retries = 0; retries <= OVERLOAD_RETRIES && !await this.#sendStream(); retries++);
     }
   }
 
   /** Returns whether the stream was served. */
   async #sendStream (): Promise<boolean> {
-    const id = appendShape(`${CROWD_PREFIX}${this.#attempts++}`, CROWD_STREAM)
+    const id = appendShape(`${OVERLOAD_PREFIX}${this.#attempts++}`, OVERLOAD_STREAM)
     const { addresses } = drawOne(this.#opts.random, this.#opts.boxes)
     try {
       const { statusCode, body } = await request(`http://${addresses.front}/draft/1`, {
         method: 'POST',
-        headers: requestHeaders(id, { key: CROWD_KEY, deadlineMs: CROWD_DEADLINE_MS, prompt: Buffer.from(id).toString('hex'), tokenCount: CROWD_TOKEN_COUNT }),
+        headers: requestHeaders(id, { key: OVERLOAD_KEY, deadlineMs: OVERLOAD_DEADLINE_MS, prompt: Buffer.from(id).toString('hex'), tokenCount: OVERLOAD_TOKEN_COUNT }),
         body: 'brief',
         dispatcher: this.#agent,
-        signal: AbortSignal.timeout(CROWD_DEADLINE_MS),
+        signal: AbortSignal.timeout(OVERLOAD_DEADLINE_MS),
       })
       await body.dump()
       return statusCode === 200
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -13,7 +13,7 @@
 import { isOfLoadPhase, LoadPhase } from './loadPhase.js'
 import { type DisruptionKind } from './disruptionLog.js'
 import { measureMemory } from './measureMemory.js'
-import { ACCOUNT, CROWD_ACCOUNT, CROWD_KEY, DEFAULT_KEY, keyOf, type SoakBox, SoakFleet } from './soakFleet.js'
+import { ACCOUNT, OVERLOAD_ACCOUNT, OVERLOAD_KEY, DEFAULT_KEY, keyOf, type SoakBox, SoakFleet } from './soakFleet.js'
 import { overlaps, type TimeInterval, StallDetector } from './stallDetector.js'
 
 export interface SoakOptions {
@@ -192,8 +192,8 @@
 
   #checkKeys (): string[] {
     const { runs, publications, received, staleReads } = this.#fleet
-    const keys = [DEFAULT_KEY, CROWD_KEY, ...publications.map(({ version }) => keyOf(version))]
-    return checkKeys({ probes: this.#keyProbes, runs, publications, received, staleReads, keys, accounts: [ACCOUNT, CROWD_ACCOUNT] })
+    const keys = [DEFAULT_KEY, OVERLOAD_KEY, ...publications.map(({ version }) => keyOf(version))]
+    return checkKeys({ probes: this.#keyProbes, runs, publications, received, staleReads, keys, accounts: [ACCOUNT, OVERLOAD_ACCOUNT] })
   }
 
   #attempts (): Attempt[] {
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -24,8 +24,8 @@
 export const ACCOUNT = 'callers'
 export const DEFAULT_KEY = 'key-of-all-callers'
 /** An account that sends more than its share, and its key. */
-export const CROWD_ACCOUNT = 'crowd'
-export const CROWD_KEY = 'key-of-the-crowd'
+export const OVERLOAD_ACCOUNT = 'overloading'
+export const OVERLOAD_KEY = 'key-of-the-overloading-account'
 /** The smallest machines that boxes run on, and the limits of the heap with which the platform starts them. */
 const MACHINE_SETTINGS = ['limits.memory_mb=178']
 const HEAP_LIMITS = '--max-old-space-size=96 --max-semi-space-size=2'
@@ -183,7 +183,7 @@
   }
 
   #publishVersion (version: number): string {
-    return publishRoutes(this.store, version, [{ name: ACCOUNT, keys: [DEFAULT_KEY, keyOf(version)] }, { name: CROWD_ACCOUNT, keys: [CROWD_KEY] }])
+    return publishRoutes(this.store, version, [{ name: ACCOUNT, keys: [DEFAULT_KEY, keyOf(version)] }, { name: OVERLOAD_ACCOUNT, keys: [OVERLOAD_KEY] }])
   }
 
   /** Headers of everything that upstreams received. */
--- a/scheduling/pool-admission/src/coordinatedPools.ts
+++ b/scheduling/pool-admission/src/coordinatedPools.ts
@@ -129,7 +129,7 @@
     this.#reportShortage(pool)
   }
 
-  /** Adds reports of other boxes and passes news on. */
+  /** Adds reports of other boxes and forwards those that are new. */
   receive (shortages: readonly PoolShortage[]): void {
     this.#opts.broadcast(shortages.filter((shortage) => this.#add(shortage)))
   }
--- a/scheduling/pool-admission/src/poolShortages.ts
+++ b/scheduling/pool-admission/src/poolShortages.ts
@@ -27,7 +27,7 @@
     return Math.max(0, (this.#known.get(pool)?.untilMs ?? nowMs) - nowMs)
   }
 
-  /** Adds a report. Returns whether it is news that other boxes should get. */
+  /** Adds a report. Returns whether it must be forwarded to other boxes. */
   add ({ pool, limit, forMs, ageMs }: PoolShortage, nowMs: number): boolean {
     const untilMs = nowMs - ageMs + forMs
     const known = this.#known.get(pool)
--- a/scheduling/pool-admission/test/coordinatedPools.ts
+++ b/scheduling/pool-admission/test/coordinatedPools.ts
@@ -18,7 +18,7 @@
 }
 
 /** Boxes without relays: each sends calls to the upstreams that it is granted, or to a random one. */
-function createBoxes (boxCount: number, { old = false } = {}) {
+function createBoxes (boxCount: number, { old = false, isEnabled = true } = {}) {
   const clock = new VirtualClock()
   const random = new SeededRandom(5)
   const network = new FakeNetwork({ clock, random })
@@ -32,7 +32,7 @@
     const spread = (shortages: readonly PoolShortage[]) => {
       if (shortages.length > 0) void clock.sleep(SPREAD_MS).then(() => boxes.forEach((box) => box.pools.receive(shortages)))
     }
-    const pools: CoordinatedPools = new CoordinatedPools({ clock: nodeClock, link, coordinator, members: () => state.members, self: () => member, weightOf: () => 1, broadcast: spread })
+    const pools: CoordinatedPools = new CoordinatedPools({ clock: nodeClock, link, coordinator, members: () => state.members, self: () => member, weightOf: () => 1, isEnabled: () => isEnabled, broadcast: spread })
     link.serve({
       onCall: async (message) => {
         state.messages++
@@ -99,6 +99,14 @@
   t.false(fleet.boxes.some(({ pools }) => pools.isShort(POOL)))
 })
 
+test('boxes without accounts that compete send no message, however short the pool is', async (t) => {
+  const fleet = createBoxes(8, { isEnabled: false })
+  const { all } = await load(fleet, 1.5, 3)
+  t.log(all)
+  t.is(fleet.state.messages, 0)
+  t.false(fleet.boxes.some(({ pools }) => pools.isShort(POOL)))
+})
+
 test('when the coordinator is killed or does not answer, the next one by rank or the boxes themselves continue', async (t) => {
   for (const lose of [({ network }: Boxes, address: string) => network.kill(address), ({ network, boxes }: Boxes, address: string) => boxes.forEach(({ member }) => network.blockBoth(member.peerAddress, address))]) {
     const fleet = createBoxes(8)
