fix(scheduling.scheduler): a late request within its account's share is not refused because others request every slot

Callers saw: with one of two engines lost and five accounts that request more than the other one serves, calls of an account below its share got 503 at once or after some hundred ms (14 of 23 served, its share is 18.8). Cause: the forecast for a late request counted all new requests of accounts within their shares as going before it. If they come faster than slots become free, no slot is expected. But other accounts cannot take more than their shares. Admission also counted requests of accounts that hold more than their share of the slots in use as ahead, which are placed later. Change: the n-th request of an account with a share of s is expected after n / s slots at the latest, and requests are decided by rank, as they are placed. admissionDecided has slotsUntilOwn.

--- a/box/runtime/src/shardManagers.ts
+++ b/box/runtime/src/shardManagers.ts
@@ -207,7 +207,7 @@
 
 /** Log fields of an admission decision and its inputs. */
 function admissionFields (inputs: AdmissionInputs, { outcome, estimateMs, errorMs, slotMs, lateSlotMs }: AdmissionDecision): LogFields {
-  const { aheadInTime, aheadLate, aheadDue, msPerPlace, msPerArrival, inTimeLeftMs, usefulLeftMs, returned, promised, kept, forecast, newcomerError } = inputs
+  const { aheadInTime, aheadLate, aheadDue, slotsUntilOwn, msPerPlace, msPerArrival, inTimeLeftMs, usefulLeftMs, returned, promised, kept, forecast, newcomerError } = inputs
   return {
     outcome,
     estimateMs: roundedMs(estimateMs),
@@ -219,6 +219,7 @@
     aheadInTime,
     aheadLate,
     aheadDue,
+    slotsUntilOwn: slotsUntilOwn && Math.ceil(slotsUntilOwn),
     msPerPlace: Math.round(msPerPlace),
     msPerArrival: msPerArrival && Math.round(msPerArrival),
     inTimeLeftMs: Math.round(inTimeLeftMs),
--- a/box/runtime/test/accountShares.ts
+++ b/box/runtime/test/accountShares.ts
@@ -30,8 +30,8 @@
 }
 
 /** Plays the load at random boxes. Returns the part of each account's calls that were answered, without retries. */
-async function play (limited: boolean, disturb: (fleet: FakeFleet) => void = () => {}) {
-  const fleet = await new FakeFleet({ settings: SETTINGS, declarations: declarations(limited), deployment: deployment(), seed: 5 }).start()
+async function play (limited: boolean, disturb: (fleet: FakeFleet) => void = () => {}, seed = 5) {
+  const fleet = await new FakeFleet({ settings: SETTINGS, declarations: declarations(limited), deployment: deployment(), seed }).start()
   disturb(fleet)
   await fleet.clock.advance(500)
   const { clock, random } = fleet
@@ -75,3 +75,12 @@
   const share = 0.1 * CAPACITY_PER_SECOND * SECONDS
   t.true(SMALL.every((account) => { const { sent, served } = tallies.get(account) ?? { sent: 1, served: 0 }; return served >= 0.75 * Math.min(sent, share) }))
 })
+
+test('with one of two engines lost, no account misses its share since others request more than theirs, in ten loads', async (t) => {
+  const share = 0.1 * CAPACITY_PER_SECOND * SECONDS
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]) {
+    const { tallies } = await play(false, (fleet) => fleet.killEngine('draft-decode-2'), seed)
+    const missed = SMALL.filter((account) => { const { sent, served } = tallies.get(account) ?? { sent: 1, served: 0 }; return served < 0.75 * Math.min(sent, share) })
+    t.deepEqual(missed, [], `seed ${seed}: ${[...tallies].map(([account, { sent, served }]) => `${account} ${served} of ${sent}`).join(', ')}`)
+  }
+})
--- a/scheduling/scheduler/src/decideAdmission.ts
+++ b/scheduling/scheduler/src/decideAdmission.ts
@@ -23,6 +23,8 @@
   msPerPlace: number
   /** Mean time between new requests; undefined if unknown. */
   msPerArrival?: number
+  /** Slots after which its client's share of them covers this request, whatever others request; omitted if others are not limited by shares. */
+  slotsUntilOwn?: number
   /** Relative standard error of the rates. */
   rateError: number
   /** When slots become free; from the rates if omitted. */
@@ -77,14 +79,21 @@
   if (estimateMs <= inTimeLeftMs) return { outcome: AdmissionOutcome.InTime, estimateMs, errorMs: rateError * estimateMs, slotMs, reason: 'a slot is expected in time' }
   // Requests that this one does not wait for, such as those of clients over their shares, are not in this rate.
   const msPerArrival = inputs.msPerArrival ?? Number.POSITIVE_INFINITY
-  const lateSlotMs = forecast.lateSlotMs(aheadFirst + inputs.aheadLate + 1, 0, msPerArrival)
+  const lateSlot = (error: number) => lateSlotOfShareMs(forecast, { slots: aheadFirst + inputs.aheadLate + 1, slotsUntilOwn: inputs.slotsUntilOwn, msPerArrival, error })
+  const lateSlotMs = lateSlot(0)
   const lateEstimateMs = firstTokenMs(lateSlotMs)
-  const boundMs = firstTokenMs(forecast.lateSlotMs(aheadFirst + inputs.aheadLate + 1, favoured ? rateError : -rateError, msPerArrival))
+  const boundMs = firstTokenMs(lateSlot(favoured ? rateError : -rateError))
   const errorMs = Number.isFinite(lateEstimateMs) && Number.isFinite(boundMs) ? Math.abs(boundMs - lateEstimateMs) : 0
   if (promised || boundMs <= usefulLeftMs) return { outcome: AdmissionOutcome.Late, estimateMs: lateEstimateMs, errorMs, slotMs, lateSlotMs, reason: 'a slot is expected, but late' }
   return { ...refuse(lateEstimateMs, errorMs, reasonOf(inputs, lateSlotMs)), slotMs, lateSlotMs }
 }
 
+/** Time until the slot of a late request. New requests that can be in time go before it, those of other clients within their shares only. */
+function lateSlotOfShareMs (forecast: SlotForecast, { slots, slotsUntilOwn, msPerArrival, error }: { slots: number, slotsUntilOwn?: number, msPerArrival: number, error: number }): number {
+  const lateSlotMs = forecast.lateSlotMs(slots, error, msPerArrival)
+  return slotsUntilOwn === undefined ? lateSlotMs : Math.min(lateSlotMs, forecast.slotMs(Math.max(slots, slotsUntilOwn), error))
+}
+
 function reasonOf ({ aheadInTime, aheadLate, msPerPlace, msPerArrival, forecast }: AdmissionInputs, lateSlotMs: number): string {
   const ahead = `${aheadInTime + aheadLate} requests are queued ahead`
   if (forecast) return `${ahead}, and ${Number.isFinite(lateSlotMs) ? `a slot is expected in ${Math.round(lateSlotMs)} ms` : 'new requests take the slots that become free'}`
--- a/scheduling/scheduler/src/decideQueue.ts
+++ b/scheduling/scheduler/src/decideQueue.ts
@@ -43,6 +43,8 @@
   promisesDue: readonly number[]
   /** Slots of the shard for each promised retry: a client with a quarter of the capacity gets every fourth. */
   slotsPerPromise: number
+  /** The part of the slots that a client gets whatever others request; omitted if its requests are over its share. */
+  shareOf?: (client: string) => number
 }
 
 /**
@@ -73,31 +75,62 @@
   return [...decidedWithin, ...decidedOver]
 }
 
-/** Decides for requests within their clients' shares. Late requests go behind all requests that can be in time or have a promised slot. */
-function decideWithinShares (within: readonly WaitingRequest[], before: number, { arrivalsWithinShares, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
-  const { msPerArrival } = queueInputs
+/**
+ * Decides for requests within their clients' shares, by rank as they are placed. Late requests go behind all requests of
+ * their rank that can be in time or have a promised slot.
+ */
+function decideWithinShares (within: readonly WaitingRequest[], before: number, { shareOf, arrivalsWithinShares, promisesDueAtMs }: PriorityShares, queueInputs: QueueInputs): QueueDecision[] {
+  const { msPerArrival, shareRankOf } = queueInputs
   const group = {
     queueInputs,
     msPerArrival: msPerArrival === undefined || arrivalsWithinShares === 0 ? undefined : msPerArrival / arrivalsWithinShares,
     promisesDue: promisesDueAtMs(),
     slotsPerPromise: 1,
+    shareOf,
   }
+  const ahead = new RequestsAhead(before)
+  return [ShareRank.Within, ShareRank.Ahead].flatMap((rank) => decideSameRank(within.filter((waiting) => shareRankOf(waiting) === rank), ahead, group))
+}
+
+function decideSameRank (ofRank: readonly WaitingRequest[], ahead: RequestsAhead, group: GroupInputs): QueueDecision[] {
+  const decideNext = (waiting: WaitingRequest, aheadLate: number) => decide(waiting, { inTime: ahead.count - aheadLate, late: aheadLate, ofClient: ahead.countOf(waiting) }, group)
   const first: QueueDecision[] = []
-  const late = within.filter((waiting) => {
-    const decided = decide(waiting, before + first.length, 0, group)
+  const late = ofRank.filter((waiting) => {
+    const decided = decideNext(waiting, 0)
     const goesBefore = decided.decision.outcome === AdmissionOutcome.InTime || (decided.inputs.promised && isKept(decided))
-    if (goesBefore) first.push(decided)
-    return !goesBefore
+    if (!goesBefore) return true
+    ahead.add(waiting)
+    first.push(decided)
+    return false
   })
-  let aheadLate = 0
+  const firstCount = ahead.count
   const others = late.map((waiting) => {
-    const decided = decide(waiting, before + first.length, aheadLate, group)
-    if (isKept(decided)) aheadLate++
+    const decided = decideNext(waiting, ahead.count - firstCount)
+    if (isKept(decided)) ahead.add(waiting)
     return decided
   })
   return [...first, ...others]
 }
 
+/** Counts the requests that are kept and go before the next one that is decided. */
+class RequestsAhead {
+  count: number
+  readonly #byClient = new Map<string, number>()
+
+  constructor (count: number) {
+    this.count = count
+  }
+
+  countOf ({ request: { client } }: WaitingRequest): number {
+    return this.#byClient.get(client) ?? 0
+  }
+
+  add (waiting: WaitingRequest): void {
+    this.count++
+    this.#byClient.set(waiting.request.client, this.countOf(waiting) + 1)
+  }
+}
+
 /**
  * Decides for a request over its client's share. It gets a slot when its client's share allows it, after those within
  * their shares that wait now, or earlier if requests within their shares leave enough slots to all others.
@@ -106,29 +139,30 @@
   const { msPerArrival, slotsUntilShare, slotShareForOthers } = queueInputs
   const { client } = waiting.request
   const promisesDue = promisesDueAtMs(client)
-  const byShare = decide(waiting, before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))), 0, {
+  const byShare = decide(waiting, { inTime: before + Math.max(keptWithin, Math.ceil(slotsUntilShare(waiting))) }, {
     queueInputs,
     msPerArrival: msPerArrival === undefined ? undefined : msPerArrival * shareOf(client) / arrivalsOf(client),
     promisesDue,
     slotsPerPromise: 1 / shareOf(client),
   })
   if (byShare.decision.outcome === AdmissionOutcome.InTime || slotShareForOthers === 0) return byShare
-  const byRest = decide(waiting, before + Math.ceil((keptWithin + keptOver + 1) / slotShareForOthers) - 1, 0, { queueInputs, promisesDue, slotsPerPromise: 1 / slotShareForOthers })
+  const byRest = decide(waiting, { inTime: before + Math.ceil((keptWithin + keptOver + 1) / slotShareForOthers) - 1 }, { queueInputs, promisesDue, slotsPerPromise: 1 / slotShareForOthers })
   return byRest.decision.outcome === AdmissionOutcome.InTime ? byRest : byShare
 }
 
 /** All numbers and rates are in slots of the whole shard. */
-function decide (waiting: WaitingRequest, aheadInTime: number, aheadLate: number, { queueInputs, msPerArrival, promisesDue, slotsPerPromise }: GroupInputs): QueueDecision {
+function decide (waiting: WaitingRequest, ahead: { inTime: number, late?: number, ofClient?: number }, { queueInputs, msPerArrival, promisesDue, slotsPerPromise, shareOf }: GroupInputs): QueueDecision {
   const { handoverMs, inTimeUntilMs, usefulUntilMs, returned, promiseDueAtMs, outcome } = waiting
   const { nowMs, msPerPlace, rateError, minTtftMs, forecastOf } = queueInputs
   const promised = promiseDueAtMs !== undefined
   const inputs: AdmissionInputs = {
     minTtftMs: minTtftMs(waiting),
-    aheadInTime,
-    aheadLate,
+    aheadInTime: ahead.inTime,
+    aheadLate: ahead.late ?? 0,
     aheadDue: promised ? 0 : Math.ceil(countUpTo(promisesDue, inTimeUntilMs) * slotsPerPromise),
     msPerPlace,
     msPerArrival,
+    slotsUntilOwn: slotsUntilOwn(ahead.ofClient ?? 0, shareOf?.(waiting.request.client)),
     rateError,
     handoverMs,
     inTimeLeftMs: inTimeUntilMs - nowMs,
@@ -141,6 +175,11 @@
   return { waiting, inputs, decision: decideAdmission(inputs) }
 }
 
+/** Slots of the shard until a client with this share has got one more than it has requests ahead; undefined if others are not limited by shares. */
+function slotsUntilOwn (aheadOfClient: number, share = 1): number | undefined {
+  return share < 1 ? (aheadOfClient + 1) / share : undefined
+}
+
 /** Orders by share, then requests with a promised slot first, then by first arrival. */
 function inOrder (group: readonly WaitingRequest[], { shareRankOf }: QueueInputs): WaitingRequest[] {
   return group
--- a/scheduling/scheduler/test/decideQueue.ts
+++ b/scheduling/scheduler/test/decideQueue.ts
@@ -49,3 +49,22 @@
   t.not(outcomesOf([flood], over(9.5))[0], AdmissionOutcome.InTime)
   t.not(outcomesOf([flood, ...within], over(0.5))[0], AdmissionOutcome.InTime)
 })
+
+test('a late request within its share is not refused because new requests of other accounts would take every slot', (t) => {
+  const contended = { msPerArrival: 50, sharesOf: () => ({ ...SHARES, shareOf: () => 0.2 }) }
+  const others = Array.from({ length: 3 }, () => waitingSince(0, {}, { client: 'other' }))
+  const late = () => waitingSince(1000, {}, { client: 'small' })
+  t.is(outcomesOf([...others, late()], { msPerArrival: 50 })[3], AdmissionOutcome.Refused, 'without shares, all new requests go before it')
+  t.is(outcomesOf([...others, late()], contended)[3], AdmissionOutcome.Late)
+  // Its account gets every fifth slot, so a third request is expected after 1,500 ms, and is useful for 1,700 ms.
+  t.deepEqual(outcomesOf([late(), late(), late()], contended), [AdmissionOutcome.Late, AdmissionOutcome.Late, AdmissionOutcome.Refused])
+})
+
+test('requests whose accounts hold more than their share of the slots in use count as behind those whose accounts hold less, also if these are late', (t) => {
+  const ahead = Array.from({ length: 9 }, () => waitingSince(0, {}, { client: 'ahead' }))
+  const shareRankOf = ({ request }: WaitingRequest) => request.client === 'ahead' ? ShareRank.Ahead : ShareRank.Within
+  const late = waitingSince(1000, {}, { client: 'small' })
+  const [decided] = decideQueue([...ahead, late], { ...FACTS, shareRankOf }).filter(({ waiting }) => waiting === late)
+  t.is(decided.inputs.aheadInTime, 0)
+  t.is(decided.decision.outcome, AdmissionOutcome.Late)
+})
