fix(scheduling.scheduler): the time between events of an answer is not the time between its tokens

Callers saw: under load, requests within their account's share got 503 though slots became free every 59 to 86 ms. Cause: owners report the median pause between events, and the forecast multiplied it by lengths in tokens. An event holds 12 tokens in the soak and 9 to 76 on the users' deployments, so streams were expected to last that many times as long. Change: the reported time is divided by the tokens of an event where the pace is learnt.

--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -61,7 +61,7 @@
   completionTokens: z.number().int().nonnegative(),
   /** Time from the plan to the first token, minus the expected time. */
   ttftErrorMs: z.number(),
-  /** Median time between tokens. */
+  /** Median time between events of the answer. An event can hold several tokens. */
   tbtP50Ms: z.number().nonnegative(),
 })
 
--- a/scheduling/scheduler/src/placementObservations.ts
+++ b/scheduling/scheduler/src/placementObservations.ts
@@ -55,7 +55,8 @@
     // Prefills on decode engines have a different speed.
     if (!isOwnPrefill(entry)) this.#ttftError.observe(report.ttftErrorMs)
     this.lengths.observe(report.completionTokens, entry.maxTokens)
-    this.pace.observe(entry.decodeEngine, report.tbtP50Ms)
+    // Owners report the time between events, and an event can hold several tokens.
+    this.pace.observe(entry.decodeEngine, report.tbtP50Ms / this.#ledger.shard.spec.tokensPerEvent)
     this.placesLimit.observe(report.tbtP50Ms, entry.tbtTargetMs)
   }
 
--- a/scheduling/scheduler/src/tokenPaceEstimator.ts
+++ b/scheduling/scheduler/src/tokenPaceEstimator.ts
@@ -1,17 +1,17 @@
 /** The median covers this many answers, which end at an engine within some seconds. Single answers that stalled, or that come in larger parts than others, do not change it. */
 const SAMPLES = 15
 
-/** Estimates the time between tokens from the medians that owners report, by decode engine. */
+/** Estimates the time between tokens from the medians of answers, by decode engine. */
 export class TokenPaceEstimator {
   readonly #byEngine = new Map<string, RecentMedian>()
   readonly #overall = new RecentMedian()
 
-  observe (engine: string, tbtP50Ms: number): void {
-    if (tbtP50Ms <= 0) return
+  observe (engine: string, tokenMs: number): void {
+    if (tokenMs <= 0) return
     const ofEngine = this.#byEngine.get(engine) ?? new RecentMedian()
     this.#byEngine.set(engine, ofEngine)
-    ofEngine.observe(tbtP50Ms)
-    this.#overall.observe(tbtP50Ms)
+    ofEngine.observe(tokenMs)
+    this.#overall.observe(tokenMs)
   }
 
   /** Time between tokens on an engine; that of all engines if none of its answers has ended, and undefined before the first. */
--- a/scheduling/scheduler/test/__utils__/createShard.ts
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -20,6 +20,7 @@
   accounts?: ShardSchedulerOptions['accounts']
   /** Prefill speed of decode engines; undefined if they cannot prefill. */
   decodePrefillTokensPerSecond?: number
+  tokensPerEvent?: number
   limitPerSecond?: ShardSchedulerOptions['limitPerSecond']
   onUnreachable?: (engine: string) => void
   onAdmission?: ShardSchedulerOptions['onAdmission']
@@ -29,10 +30,10 @@
 }
 
 /** Creates a scheduler of a small shard whose engines have reported. Prefill of 1,000 uncached tokens takes 130 ms. */
-export function createShard ({ prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, accounts, decodePrefillTokensPerSecond, limitPerSecond, onUnreachable, onAdmission, onAnswered, onEarlyRetry, onTaskError }: TestShardOptions = {}) {
+export function createShard ({ prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, accounts, decodePrefillTokensPerSecond, tokensPerEvent = 1, limitPerSecond, onUnreachable, onAdmission, onAnswered, onEarlyRetry, onTaskError }: TestShardOptions = {}) {
   const clock = new VirtualClock()
   const derived = shardOf({ prefill, decode, slots, zones })
-  const shard = { ...derived, spec: { ...derived.spec, decodePrefillTokensPerSecond } }
+  const shard = { ...derived, spec: { ...derived.spec, decodePrefillTokensPerSecond, tokensPerEvent } }
   const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, accounts, index: createPrefixIndex(PrefixIndexKind.Events), maxReportAgeMs: 1_000_000, limitPerSecond, onUnreachable, onAdmission, onAnswered, onEarlyRetry, onTaskError })
   if (!reported) return { clock, scheduler, shard }
   shard.prefillEngines.forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Prefill)))
