fix(scheduling.ledger,scheduler): no estimate frees a slot that its owner has not released

Callers saw: engines slower than declared were filled beyond their slots. Cause: DecodeAccount.freeAt counted a reservation as free once its end at the declared step had passed, also when nobody had released it. Change: slots are counted on before they are released only by the time between tokens seen on the engine and the largest delay there; an overdue stream stops that for its engine. The declared step is a first guess until three streams have ended.

--- a/scheduling/ledger/src/decodeAccount.ts
+++ b/scheduling/ledger/src/decodeAccount.ts
@@ -5,8 +5,9 @@
 /** The slot and memory reserved for one request on a decode engine. */
 export interface SlotReservation {
   kvBytes: number
-  /** The request has certainly ended by this time. */
-  latestEndMs: number
+  maxTokens: number
+  /** Expected start of its stream. */
+  importEndMs: number
 }
 
 export interface DecodeCapacity {
@@ -14,9 +15,6 @@
   kvBytes: number
 }
 
-/** Extends the latest end of a stream that a report still shows after it. */
-const OVERRUN_STEP_MS = 500
-
 /** Slots and KV bytes in use on one decode engine: reservations made here, and holds of other schedulers. */
 export class DecodeAccount {
   readonly #reserved = new Map<string, SlotReservation>()
@@ -47,11 +45,15 @@
     }
   }
 
-  /** Returns what is certainly free at a future time. Iterates over all reservations. */
-  freeAt (atMs: number, capacity: DecodeCapacity): DecodeCapacity {
+  /**
+   * Returns what is free at a future time if each stream has ended by its predicted time. A stream that outlasts its
+   * own shows that the engine is slower than predicted, so only what is free now counts then. Iterates over all reservations.
+   */
+  freeAt (atMs: number, capacity: DecodeCapacity, predictedEndMs: (reservation: SlotReservation) => number, nowMs: number): DecodeCapacity {
     const free = this.freeNow(capacity)
-    this.#reserved.forEach(({ latestEndMs, kvBytes }) => {
-      if (latestEndMs > atMs) return
+    const ends = [...this.#reserved.values()].map((reservation) => ({ kvBytes: reservation.kvBytes, endMs: predictedEndMs(reservation) }))
+    if (ends.some(({ endMs }) => endMs <= nowMs)) return free
+    ends.filter(({ endMs }) => endMs <= atMs).forEach(({ kvBytes }) => {
       free.slots++
       free.kvBytes += kvBytes
     })
@@ -69,14 +71,9 @@
     this.#reserved.delete(labelKey)
   }
 
-  /** Counts the engine's holds that are not reserved here. A reservation whose hold outlasts the estimate is extended. */
-  recordReport (report: EngineReport, nowMs: number): void {
-    const held = report.holds.filter(({ kind }) => kind === HoldKind.Decode || kind === HoldKind.Import)
-    const external = held.filter(({ label }) => !this.#reserved.has(holdLabelKey(label)))
+  /** Counts the engine's holds that are not reserved here. */
+  recordReport (report: EngineReport): void {
+    const external = report.holds.filter(({ kind, label }) => (kind === HoldKind.Decode || kind === HoldKind.Import) && !this.#reserved.has(holdLabelKey(label)))
     this.#external = { slots: external.length, kvBytes: external.reduce((sum, { kvBytes }) => sum + kvBytes, 0) }
-    held.forEach(({ label }) => {
-      const reservation = this.#reserved.get(holdLabelKey(label))
-      if (reservation && reservation.latestEndMs <= nowMs) reservation.latestEndMs = nowMs + OVERRUN_STEP_MS
-    })
   }
 }
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -15,7 +15,8 @@
   kvBytes: number
   prefillCostMs: number
   importEndMs: number
-  latestEndMs: number
+  /** Expected end at the declared speed. Nothing is released by it: it only decides from when on the owner is asked about holds of the request. */
+  expectedEndMs: number
   /** The reservation expires at this time even if its owner never releases it. */
   expiresAtMs: number
 }
@@ -121,7 +122,7 @@
     const prefill = this.#prefill.get(entry.prefillEngine)
     const decode = this.#decode.get(entry.decodeEngine)
     this.#prefillAccountOf(entry)?.plan(key, entry.prefillCostMs, nowMs)
-    decode?.account.reserve(key, { kvBytes: entry.kvBytes, latestEndMs: entry.latestEndMs })
+    decode?.account.reserve(key, { kvBytes: entry.kvBytes, maxTokens: entry.maxTokens, importEndMs: entry.importEndMs })
     // A prefill on the decode engine itself uses no link.
     if (!prefill) return
     prefill.account.linkFreeAtMs = Math.max(prefill.account.linkFreeAtMs, entry.importEndMs)
@@ -142,10 +143,10 @@
     return this.#entries.has(holdLabelKey(label))
   }
 
-  /** Whether a reservation exists and its request may still be running. */
+  /** Whether a reservation exists and its request is not overdue, so that its owner need not be asked about it. */
   isCurrent (label: HoldLabel, nowMs: number): boolean {
     const entry = this.#entries.get(holdLabelKey(label))
-    return entry !== undefined && entry.latestEndMs > nowMs
+    return entry !== undefined && entry.expectedEndMs > nowMs
   }
 
   release (label: HoldLabel): LedgerEntry | undefined {
--- a/scheduling/scheduler/src/expectedEnd.ts
+++ b/scheduling/scheduler/src/expectedEnd.ts
@@ -3,7 +3,7 @@
   startAtMs: number
   /** Usual duration of such a stream. */
   usualMs: number
-  /** When it has certainly ended, if it runs at the declared speed. */
+  /** When it ends at its maximum length. */
   latestEndMs: number
 }
 
--- a/scheduling/scheduler/src/placementEntries.ts
+++ b/scheduling/scheduler/src/placementEntries.ts
@@ -21,7 +21,7 @@
     kvBytes: estimate.kvBytes,
     prefillCostMs: estimate.costMs,
     importEndMs: estimate.importEndMs,
-    latestEndMs: estimate.latestEndMs,
+    expectedEndMs: estimate.expectedEndMs,
     expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
   }
 }
@@ -39,7 +39,7 @@
     kvBytes: plan.kvBytes,
     prefillCostMs: decoding ? 0 : Math.max(0, prefillEndMs - nowMs),
     importEndMs: prefillEndMs,
-    latestEndMs: prefillEndMs + (request.maxTokens - tokensDone) * stepMs,
+    expectedEndMs: prefillEndMs + (request.maxTokens - tokensDone) * stepMs,
     expiresAtMs: nowMs - ageMs + request.deadlineMs + RESERVATION_GRACE_MS,
   }
 }
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -4,7 +4,8 @@
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { type AnswerLengthEstimator } from './answerLengthEstimator.js'
 import { type EngineLimits } from './engineLimits.js'
-import { ownPrefillMs, slotsWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
+import { type StreamEndPredictor } from './streamEndPredictor.js'
+import { ownPrefillMs, slotsWithinTarget, prefillMs, requestKvBytes, type Shard, transferMs } from '@reelspan/scheduling.shards'
 
 /** Estimated times and costs of a placement on a given pair of engines. Times are on this box's clock. */
 export interface PlacementEstimate {
@@ -13,7 +14,7 @@
   decode: EngineAccount<DecodeAccount>
   importEndMs: number
   firstTokenMs: number
-  latestEndMs: number
+  expectedEndMs: number
   costMs: number
   kvBytes: number
 }
@@ -40,13 +41,12 @@
   ledger: ShardLedger
   index: PrefixIndex
   lengths: AnswerLengthEstimator
+  ends: StreamEndPredictor
   /** Whether an engine is suspected of failing. */
   isSuspect: (engine: string) => boolean
   limits: EngineLimits
 }
 
-/** Steps may take up to this many times their declared duration before a slot is counted as free too early. */
-const STEP_SLACK = 1.15
 /** On average a request joins the batch in the middle of a step and gets its first token at the end of the next step. */
 const STEPS_TO_FIRST_TOKEN = 1.5
 
@@ -63,13 +63,15 @@
   readonly #ledger: ShardLedger
   readonly #index: PrefixIndex
   readonly #lengths: AnswerLengthEstimator
+  readonly #ends: StreamEndPredictor
   readonly #isSuspect: (engine: string) => boolean
   readonly #limits: EngineLimits
 
-  constructor ({ ledger, index, lengths, isSuspect, limits }: PlacementEstimatorOptions) {
+  constructor ({ ledger, index, lengths, ends, isSuspect, limits }: PlacementEstimatorOptions) {
     this.#ledger = ledger
     this.#index = index
     this.#lengths = lengths
+    this.#ends = ends
     this.#isSuspect = isSuspect
     this.#limits = limits
   }
@@ -115,6 +117,7 @@
     const { spec, decodePool } = shard
     const kvBytes = this.kvBytes(request)
     const capacity = { slots: usableSlots, kvBytes: decodePool.kvBytesPerEngine }
+    const fullStepMs = fullStepOf(shard, usableSlots)
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
     // The KV cache of one model version is not usable by another.
     const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && this.#accepts(decode, request))
@@ -123,7 +126,7 @@
     const zones = [part.prefill.availabilityZone, request.availabilityZone]
     const mostFreeOf = (candidates: readonly EngineAccount<DecodeAccount>[]) =>
       findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeNow(capacity), kept?.get(name)) }) ??
-      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeAt(part.endMs, capacity), kept?.get(name)) }) : undefined)
+      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeAt(part.endMs, capacity, (reservation) => this.#ends.latestEndMs(name, reservation, fullStepMs), nowMs), kept?.get(name)) }) : undefined)
     const mostFree = mostFreeOf(engines.filter(({ name }) => !this.#isSuspect(name))) ?? mostFreeOf(engines)
     if (!mostFree) return undefined
     const { decode, free } = mostFree
@@ -177,18 +180,22 @@
     return !avoid.includes(name) && this.#limits.waitMs(name) === 0
   }
 
-  /** Times at which a stream starts and has certainly ended, given the time at which its KV cache is available. */
+  /** Times at which a stream starts and ends at the declared speed, given the time at which its KV cache is available. */
   #streamTimes ({ maxTokens }: ReserveRequest, importEndMs: number, usableSlots: number, batch: number) {
     const { spec } = this.#ledger.shard
-    const fullStepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usableSlots
     return {
       importEndMs,
       firstTokenMs: importEndMs + STEPS_TO_FIRST_TOKEN * (spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * batch),
-      latestEndMs: importEndMs + maxTokens * fullStepMs * STEP_SLACK,
+      expectedEndMs: importEndMs + maxTokens * fullStepOf(this.#ledger.shard, usableSlots),
     }
   }
 }
 
+/** Duration of a decode step of a full batch, at the model's declared speed. */
+function fullStepOf ({ spec }: Shard, usableSlots: number): number {
+  return spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usableSlots
+}
+
 interface CapacitySearch {
   kvBytes: number
   capacity: DecodeCapacity
--- a/scheduling/scheduler/src/placementObservations.ts
+++ b/scheduling/scheduler/src/placementObservations.ts
@@ -2,6 +2,7 @@
 import { type LedgerEntry, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { AnswerLengthEstimator } from './answerLengthEstimator.js'
 import { SlotLimit } from './slotLimit.js'
+import { StreamEndPredictor } from './streamEndPredictor.js'
 import { QuantileEstimator } from './quantileEstimator.js'
 import { type ObservedLoad, ShardLoad } from './shardLoad.js'
 import { TokenPaceEstimator } from './tokenPaceEstimator.js'
@@ -19,6 +20,7 @@
 export class PlacementObservations {
   readonly lengths = new AnswerLengthEstimator()
   readonly pace = new TokenPaceEstimator()
+  readonly ends = new StreamEndPredictor(this.pace)
   readonly placesLimit: SlotLimit
   readonly #ledger: ShardLedger
   readonly #load = new ShardLoad()
@@ -57,9 +59,16 @@
     this.lengths.observe(report.completionTokens, entry.maxTokens)
     // Owners report the time between events, and an event can hold several tokens.
     this.pace.observe(entry.decodeEngine, report.tbtP50Ms / this.#ledger.shard.spec.tokensPerEvent)
+    this.ends.observe(entry.decodeEngine, { tokens: report.completionTokens, durationMs: nowMs - entry.importEndMs })
     this.placesLimit.observe(report.tbtP50Ms, entry.tbtTargetMs)
   }
 
+  /** Removes what was observed of engines that are no longer listed. */
+  retain (listed: ReadonlySet<string>): void {
+    this.pace.retain(listed)
+    this.ends.retain(listed)
+  }
+
   /** Returns undefined until enough requests were observed. */
   observedLoad (nowMs: number): ShardLoadEstimate | undefined {
     const { prefillTokensPerSecond, decodePrefillTokensPerSecond } = this.#ledger.shard.spec
--- a/scheduling/scheduler/src/shardForecast.ts
+++ b/scheduling/scheduler/src/shardForecast.ts
@@ -186,11 +186,11 @@
 
   /** Expected end of a stream: at its quantile of the lengths of answers that were longer than it is now, or after the usual time again if none was. */
   #streamEndMs (entry: LedgerEntry, usableSlots: number, nowMs: number): number {
-    const { decodeEngine, importEndMs, latestEndMs, maxTokens } = entry
+    const { decodeEngine, importEndMs, maxTokens } = entry
     const longestMs = maxTokens * this.#tbtMs(usableSlots, decodeEngine)
     const endShare = this.#opts.lengths.endShare((nowMs - importEndMs) / longestMs, this.#quantiles.quantileOf(entry))
     return endShare === undefined
-      ? expectedEndMs({ startAtMs: importEndMs, usualMs: this.#usualStreamMs(maxTokens, usableSlots, decodeEngine), latestEndMs }, nowMs)
+      ? expectedEndMs({ startAtMs: importEndMs, usualMs: this.#usualStreamMs(maxTokens, usableSlots, decodeEngine), latestEndMs: importEndMs + longestMs }, nowMs)
       : importEndMs + endShare * longestMs
   }
 
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -82,12 +82,12 @@
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { maxReportAgeMs: opts.maxReportAgeMs, onReleased: (label) => this.#shares.recordRelease(label, opts.clock.nowMs()) })
     this.#observations = new PlacementObservations(this.ledger)
-    const { lengths, pace, placesLimit } = this.#observations
+    const { lengths, pace, ends, placesLimit } = this.#observations
     this.#health = new UpstreamHealth(opts)
     this.#limits = new EngineLimits({ clock: opts.clock, perSecond: opts.limitPerSecond })
     const isSuspect = (engine: string) => this.#health.isSuspect(engine)
     const limits = this.#limits
-    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, isSuspect, limits })
+    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, ends, isSuspect, limits })
     const weights = new AccountWeights({ route: opts.route, accounts: opts.accounts ?? (() => NO_ACCOUNTS) })
     this.#shares = new QueueShares({ ledger: this.ledger, estimator: this.#estimator, observations: this.#observations, weights })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
@@ -115,7 +115,7 @@
     const listed = new Set(this.ledger.allEngines().map(({ name }) => name))
     this.#health.retain(listed)
     this.#limits.retain(listed)
-    this.#observations.pace.retain(listed)
+    this.#observations.retain(listed)
     before.filter(({ name }) => !listed.has(name)).forEach(({ name }) => this.#opts.index.removeEngine(name))
     this.#waiting.all().forEach((waiting) => { waiting.prefillCostsMs = [] })
     this.#runCycle()
--- a/scheduling/scheduler/src/tokenPaceEstimator.ts
+++ b/scheduling/scheduler/src/tokenPaceEstimator.ts
@@ -16,7 +16,12 @@
 
   /** Time between tokens on an engine; that of all engines if none of its answers has ended, and undefined before the first. */
   tbtMs (engine?: string): number | undefined {
-    return (engine === undefined ? undefined : this.#byEngine.get(engine)?.value) ?? this.#overall.value
+    return (engine === undefined ? undefined : this.engineTokenMs(engine)) ?? this.#overall.value
+  }
+
+  /** Time between tokens on an engine; undefined if none of its answers has ended. */
+  engineTokenMs (engine: string): number | undefined {
+    return this.#byEngine.get(engine)?.value
   }
 
   retain (listed: ReadonlySet<string>): void {
