fix(scheduling.scheduler,request.relay): a full engine is not a failing one, and gets no more than it has for a while

Cause: each refusal was reported as a failure, and the scheduler's count of the engine's slots stayed as it was. Change: outcomes say whether the engine was full; it is then limited to what it has, for 0.5 to 8 s, and raised slot by slot. It counts as a failure only if less than half of the engine is known to be in use.

--- a/core/messages/src/upstreamOutcome.ts
+++ b/core/messages/src/upstreamOutcome.ts
@@ -13,6 +13,8 @@
 export const engineOutcomeSchema = z.object({
   engine: z.string(),
   outcome: z.enum(UpstreamOutcome),
+  /** Whether the engine refused the request for want of a slot or memory. Earlier builds ignore this. */
+  full: z.boolean().optional(),
 })
 
 export type EngineOutcome = z.infer<typeof engineOutcomeSchema>
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -257,7 +257,7 @@
       if (thrown instanceof UpstreamError && !this.#context.run.signal.aborted) {
         this.#failedEngines.add(engine)
         // An engine that refuses is healthy but was a bad choice, which its scheduler takes into account.
-        if (thrown.refused) this.#outcomes.push({ engine, outcome: UpstreamOutcome.Failed })
+        if (thrown.refused) this.#outcomes.push({ engine, outcome: UpstreamOutcome.Failed, full: thrown.full || undefined })
         else this.#recordOutcome(engine, thrown.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed)
       }
       throw thrown
--- a/scheduling/ledger/src/decodeAccount.ts
+++ b/scheduling/ledger/src/decodeAccount.ts
@@ -15,11 +15,20 @@
   kvBytes: number
 }
 
+/** How long an engine that refused a request as full gets no more than it had then; doubled each time it refuses again soon after. */
+const INITIAL_LIMITED_MS = 500
+const MAX_LIMITED_MS = 8000
+/** A refusal within this many times the last duration repeats the one before: the limit is raised meanwhile. */
+const REPEATED_WITHIN_TIMES = 3
+const RAISE_INTERVAL_MS = 200
+
 /** Slots and KV bytes in use on one decode engine: reservations made here, and holds of other schedulers. */
 export class DecodeAccount {
   readonly #reserved = new Map<string, SlotReservation>()
   #reservedKvBytes = 0
   #external: DecodeCapacity = { slots: 0, kvBytes: 0 }
+  /** Slots that may be used since the engine was found to be full. */
+  #limit = { slots: Number.POSITIVE_INFINITY, refusedAtMs: Number.NEGATIVE_INFINITY, limitedMs: 0, raisedAtMs: Number.POSITIVE_INFINITY }
   /** Prompts that the engine computes itself, between the decode steps of its streams. */
   readonly ownPrefills = new PrefillAccount()
   /** Time at which the engine's link from the prefill pool is free. */
@@ -40,7 +49,7 @@
   /** Returns what is free now, within the given capacity. */
   freeNow (capacity: DecodeCapacity): DecodeCapacity {
     return {
-      slots: capacity.slots - this.#external.slots - this.#reserved.size,
+      slots: Math.min(capacity.slots, this.#limit.slots) - this.#external.slots - this.#reserved.size,
       kvBytes: capacity.kvBytes - this.kvBytesInUse,
     }
   }
@@ -60,6 +69,23 @@
     return free
   }
 
+  /**
+   * Called when the engine has refused a request as full, after the request was released here. Requests that are not reserved
+   * here may hold its slots: for a while it gets no more requests than it has now, longer each time this repeats.
+   */
+  markFull (nowMs: number): void {
+    const { refusedAtMs, limitedMs: lastMs } = this.#limit
+    const limitedMs = nowMs - refusedAtMs < REPEATED_WITHIN_TIMES * lastMs ? Math.min(MAX_LIMITED_MS, 2 * lastMs) : INITIAL_LIMITED_MS
+    this.#limit = { slots: this.#reserved.size + this.#external.slots, refusedAtMs: nowMs, limitedMs, raisedAtMs: nowMs + limitedMs }
+  }
+
+  /** Raises the limit of an engine that was full, slot by slot. */
+  expire (nowMs: number): void {
+    if (nowMs < this.#limit.raisedAtMs) return
+    this.#limit.slots++
+    this.#limit.raisedAtMs = nowMs + RAISE_INTERVAL_MS
+  }
+
   reserve (labelKey: string, reservation: SlotReservation): void {
     this.release(labelKey)
     this.#reserved.set(labelKey, reservation)
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -188,6 +188,20 @@
     engine.awaitsFirstReport = false
   }
 
+  /** Called when a decode engine has refused a request as full. */
+  markFull (engineName: string, nowMs: number): void {
+    this.#decode.get(engineName)?.account.markFull(nowMs)
+  }
+
+  /** The part of a decode engine's slots or memory that is known to be in use, by reservations or by its last report; 0 for other engines. */
+  usedShare (engineName: string): number {
+    const engine = this.#decode.get(engineName)
+    if (!engine) return 0
+    const { placesPerEngine, kvBytesPerEngine } = this.#shard.decodePool
+    const { account: { reservedPlaces, externalPlaces, kvBytesInUse }, report } = engine
+    return Math.max(Math.max(reservedPlaces + externalPlaces, report?.placesUsed ?? 0) / placesPerEngine, Math.max(kvBytesInUse, report?.kvBytesUsed ?? 0) / kvBytesPerEngine)
+  }
+
   /** Whether the first report of any engine is still outstanding, as shortly after a shard was taken over. */
   get awaitsFirstReports (): boolean {
     return this.allEngines().some(({ awaitsFirstReport, leaving }) => awaitsFirstReport && !leaving)
@@ -204,7 +218,10 @@
       if (expiresAtMs <= nowMs) this.release(label)
     })
     this.#prefill.forEach(({ account }) => account.expire(nowMs))
-    this.#decode.forEach(({ account }) => account.ownPrefills.expire(nowMs))
+    this.#decode.forEach(({ account }) => {
+      account.expire(nowMs)
+      account.ownPrefills.expire(nowMs)
+    })
   }
 
   /** The account of the engine that computes a request's prompt: a prefill engine, or the decode engine itself. */
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -59,6 +59,8 @@
 
 const NO_ACCOUNTS: readonly Named<AccountSpec>[] = []
 const MAX_WAITING = 2000
+/** Part of a decode engine that is known to be in use if it can be full: requests of other schedulers, and connections that hold a slot, are not known. */
+const MIN_FULL_SHARE = 0.5
 const TOO_MANY_WAITING = 'too many requests are waiting'
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
@@ -164,8 +166,10 @@
   /** Called when a request has ended or its caller has disconnected. */
   release (label: HoldLabel, report?: PlacementReport, outcomes: readonly EngineOutcome[] = []): void {
     this.#waiting.withdraw(label)
-    outcomes.forEach(({ engine, outcome }) => this.#recordOutcome(engine, outcome))
+    outcomes.forEach((one) => this.#recordOutcome(one))
     const entry = this.ledger.release(label)
+    const last = outcomes.at(-1)
+    if (last?.full) this.ledger.markFull(last.engine, this.#opts.clock.nowMs())
     if (entry && report) this.#observations.recordCompletion(entry, report, this.#opts.clock.nowMs())
     this.#runCycle()
   }
@@ -232,9 +236,11 @@
   }
 
   /** Combines the outcomes of all owners, since each owner sees few answers of an engine. */
-  #recordOutcome (engine: string, outcome: UpstreamOutcome): void {
+  #recordOutcome ({ engine, outcome, full }: EngineOutcome): void {
     const pool = this.ledger.poolOf(engine)
     if (pool.length === 0) return
+    // An engine that refuses requests as full while little of it is in use is failing.
+    if (full && this.ledger.usedShare(engine) >= MIN_FULL_SHARE) return
     this.#health.record(engine, outcome, pool)
     if (outcome === UpstreamOutcome.Unreachable) this.#opts.onUnreachable?.(engine)
   }
--- a/scheduling/scheduler/test/__utils__/createShard.ts
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -25,6 +25,7 @@
   tokensPerEvent?: number
   limitPerSecond?: ShardSchedulerOptions['limitPerSecond']
   onUnreachable?: (engine: string) => void
+  onSuspected?: (engine: string) => void
   onAdmission?: ShardSchedulerOptions['onAdmission']
   onAnswered?: ShardSchedulerOptions['onAnswered']
   onEarlyRetry?: () => void
@@ -32,10 +33,10 @@
 }
 
 /** Creates a scheduler of a small shard whose engines have reported. Prefill of 1,000 uncached tokens takes 130 ms. */
-export function createShard ({ clock = new VirtualClock(), prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, accounts, decodePrefillTokensPerSecond, tokensPerEvent = 1, limitPerSecond, onUnreachable, onAdmission, onAnswered, onEarlyRetry, onTaskError }: TestShardOptions = {}) {
+export function createShard ({ clock = new VirtualClock(), prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, accounts, decodePrefillTokensPerSecond, tokensPerEvent = 1, limitPerSecond, onUnreachable, onSuspected, onAdmission, onAnswered, onEarlyRetry, onTaskError }: TestShardOptions = {}) {
   const derived = shardOf({ prefill, decode, slots, zones })
   const shard = { ...derived, spec: { ...derived.spec, decodePrefillTokensPerSecond, tokensPerEvent } }
-  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, accounts, index: createPrefixIndex(PrefixIndexKind.Events), maxReportAgeMs: 1_000_000, limitPerSecond, onUnreachable, onAdmission, onAnswered, onEarlyRetry, onTaskError })
+  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, accounts, index: createPrefixIndex(PrefixIndexKind.Events), maxReportAgeMs: 1_000_000, limitPerSecond, onUnreachable, onSuspected, onAdmission, onAnswered, onEarlyRetry, onTaskError })
   if (!reported) return { clock, scheduler, shard }
   shard.prefillEngines.forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Prefill)))
   shard.decodeEngines.forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Decode)))
--- a/scheduling/scheduler/test/__utils__/playSlottedEngines.ts
+++ b/scheduling/scheduler/test/__utils__/playSlottedEngines.ts
@@ -11,6 +11,8 @@
   clients: readonly { client: string, perSecond: number }[]
   durationMs: number
   slots: number
+  /** Slots of an engine that others hold all the time. */
+  heldByOthers?: (engine: string) => number
   tokens: number
   promptTokens: number
   /** Time that a prefill engine takes for a prompt. It computes one at a time. */
@@ -38,7 +40,7 @@
 const PATIENT = { ttftLeftMs: 900, patienceMs: 2700, deadlineMs: 60_000 }
 
 /** Plays streams on decode engines that have a number of slots, need their own time for each token, and refuse what has no slot. Their reports list no streams. */
-export async function playSlottedEngines ({ clock, scheduler, clients, durationMs, successor, slots, tokens, promptTokens, prefillMs, transferMs, tokenMsOf, seed = 3, event }: SlottedLoad): Promise<SlottedOutcome> {
+export async function playSlottedEngines ({ clock, scheduler, clients, durationMs, successor, slots, heldByOthers = () => 0, tokens, promptTokens, prefillMs, transferMs, tokenMsOf, seed = 3, event }: SlottedLoad): Promise<SlottedOutcome> {
   const random = new SeededRandom(seed)
   const startedAtMs = clock.nowMs()
   const running = new Map<string, number>(scheduler.ledger.decodeEngines().map(({ name }) => [name, 0]))
@@ -83,7 +85,7 @@
       current.recordPrefillEnd(request.label)
       await clock.sleep(transferMs)
       const engine = answer.decodeEngine
-      const hasSlot = (running.get(engine) ?? 0) < slots
+      const hasSlot = (running.get(engine) ?? 0) < slots - heldByOthers(engine)
       if (hasSlot) {
         reservation.decoding = true
         await run(engine)
@@ -91,7 +93,7 @@
       }
       live.delete(request.label.requestId)
       const report = hasSlot ? { completionTokens: tokens, ttftErrorMs: 0, tbtP50Ms: tokenMsOf(engine) } : undefined
-      current.release(request.label, report, [hasSlot ? { engine, outcome: UpstreamOutcome.Answered } : { engine, outcome: UpstreamOutcome.Failed }])
+      current.release(request.label, report, [hasSlot ? { engine, outcome: UpstreamOutcome.Answered } : { engine, outcome: UpstreamOutcome.Failed, full: true }])
       if (hasSlot) return
       outcome.refusedByEngines++
       avoid.push(engine)
@@ -119,6 +121,7 @@
     current.adopt([...live.values()].map(({ reservation, placedAtMs }) => ({ ...reservation, ageMs: clock.nowMs() - placedAtMs })))
   }
   await clock.run(Promise.all([...clients.map(send), disturb(), handOver()]), 4 * durationMs)
-  outcome.usedShare = usedMs / (running.size * slots * 0.75 * durationMs)
+  const ownSlots = [...running.keys()].reduce((sum, engine) => sum + slots - heldByOthers(engine), 0)
+  outcome.usedShare = usedMs / (ownSlots * 0.75 * durationMs)
   return outcome
 }
--- a/scheduling/scheduler/test/slowEngines.ts
+++ b/scheduling/scheduler/test/slowEngines.ts
@@ -1,5 +1,6 @@
+import { EngineRole } from '@reelspan/upstream.client'
 import test, { type ExecutionContext } from 'ava'
-import { createShard } from './__utils__/createShard.js'
+import { createShard, reportOf } from './__utils__/createShard.js'
 import { playSlottedEngines, type SlottedOutcome } from './__utils__/playSlottedEngines.js'
 
 const SLOTS = 4
@@ -13,6 +14,8 @@
 const MIN_USED_SHARE = 0.9
 
 interface Case {
+  heldByOthers?: (engine: string) => number
+  onSuspected?: () => void
   /** Load of each client relative to the capacity. */
   clients?: readonly { client: string, share: number }[]
   /** Time for a token relative to the declared one, by the number of the engine. */
@@ -25,16 +28,17 @@
   seed?: number
 }
 
-async function playCase ({ clients = [{ client: 'one', share: 1.5 }], factors, prompt = SHORT_PROMPT, handsOver, turnsSlow, seed }: Case): Promise<SlottedOutcome> {
-  const options = { prefill: 2 * factors.length, decode: factors.length, slots: SLOTS }
+async function playCase ({ clients = [{ client: 'one', share: 1.5 }], heldByOthers, onSuspected, factors, prompt = SHORT_PROMPT, handsOver, turnsSlow, seed }: Case): Promise<SlottedOutcome> {
+  const options = { prefill: 2 * factors.length, decode: factors.length, slots: SLOTS, onSuspected }
   const { clock, scheduler } = createShard(options)
+  scheduler.ledger.decodeEngines().forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Decode, { placesUsed: heldByOthers?.(name) ?? 0 })))
   const current = [...factors]
   const tokenMsOf = (engine: string) => DECLARED_TOKEN_MS * current[Number(engine.split('-').at(-1)) - 1]
   const capacityPerSecond = factors.reduce((sum, factor) => sum + SLOTS * 1000 / (TOKENS * DECLARED_TOKEN_MS * factor), 0)
   const durationMs = DURATION_MS * Math.max(1, Math.min(...factors))
   const event = turnsSlow && { atMs: durationMs / 2, run: () => { current[turnsSlow.engine] *= turnsSlow.factor } }
   const successor = handsOver ? { atMs: durationMs / 2, scheduler: createShard({ ...options, clock }).scheduler } : undefined
-  return playSlottedEngines({ clock, scheduler, successor, clients: clients.map(({ client, share }) => ({ client, perSecond: share * capacityPerSecond })), durationMs, slots: SLOTS, tokens: TOKENS, ...prompt, tokenMsOf, seed, event })
+  return playSlottedEngines({ clock, scheduler, successor, clients: clients.map(({ client, share }) => ({ client, perSecond: share * capacityPerSecond })), durationMs, slots: SLOTS, heldByOthers, tokens: TOKENS, ...prompt, tokenMsOf, seed, event })
 }
 
 function checkOutcome (t: ExecutionContext, { placements, refusedByEngines, usedShare }: SlottedOutcome, name: string, minUsedShare = MIN_USED_SHARE): void {
@@ -79,3 +83,11 @@
     t.true(served >= 0.95 * sent, `${served} of ${sent}`)
   }
 })
+
+test('an engine whose slots are held by requests of others is not filled beyond the rest, and not suspected', async (t) => {
+  let suspected = 0
+  for (const held of [1, 2, 4]) {
+    checkOutcome(t, await playCase({ factors: [0.4, 0.4], heldByOthers: (engine) => engine === 'd-1' ? held : 0, onSuspected: () => { suspected++ } }), `${held} of 4 slots held by others`)
+  }
+  t.is(suspected, 0)
+})
