--- a/box/runtime/src/shardManagers.ts
+++ b/box/runtime/src/shardManagers.ts
@@ -167,6 +167,10 @@
       limitPerSecond,
       onUnreachable,
       onSuspected: (upstream, forMs, failureShare) => log.warn(LogEvent.UpstreamSuspected, { upstream, shard: shard.id, forMs, failureShare: Number(failureShare.toFixed(2)) }),
+      onFull: (upstream, { slots, limitedMs }) => {
+        log.info(LogEvent.EngineFull, { upstream, shard: shard.id, slots, limitedMs })
+        metrics.count('reelspan_engines_full_total', { shard: shard.id })
+      },
       onTrusted: (upstream) => log.info(LogEvent.UpstreamTrusted, { upstream, shard: shard.id }),
       onAdmission: (attempt, inputs, decision, share) => log.info(LogEvent.AdmissionDecided, { attempt, shard: shard.id, ...this.#shareFields(share), ...admissionFields(inputs, decision) }),
       onAnswered: (outcome, share) => {
--- a/scheduling/ledger/src/decodeAccount.ts
+++ b/scheduling/ledger/src/decodeAccount.ts
@@ -15,6 +15,12 @@
   kvBytes: number
 }
 
+/** Slots that may be used of an engine that was full, and for how long at least. */
+export interface SlotRestriction {
+  slots: number
+  limitedMs: number
+}
+
 /** How long an engine that refused a request as full gets no more than it had then; doubled each time it refuses again soon after. */
 const INITIAL_LIMITED_MS = 500
 const MAX_LIMITED_MS = 8000
@@ -72,11 +78,15 @@
   /**
    * Called when the engine has refused a request as full, after the request was released here. Requests that are not reserved
    * here may hold its slots: for a while it gets no more requests than it has now, longer each time this repeats.
+   *
+   * @returns the number of slots that may be used, and for how long at least
    */
-  markFull (nowMs: number): void {
+  markFull (nowMs: number): SlotRestriction {
     const { refusedAtMs, limitedMs: lastMs } = this.#limit
     const limitedMs = nowMs - refusedAtMs < REPEATED_WITHIN_TIMES * lastMs ? Math.min(MAX_LIMITED_MS, 2 * lastMs) : INITIAL_LIMITED_MS
-    this.#limit = { slots: this.#reserved.size + this.#external.slots, refusedAtMs: nowMs, limitedMs, raisedAtMs: nowMs + limitedMs }
+    const slots = this.#reserved.size + this.#external.slots
+    this.#limit = { slots, refusedAtMs: nowMs, limitedMs, raisedAtMs: nowMs + limitedMs }
+    return { slots, limitedMs }
   }
 
   /** Raises the limit of an engine that was full, slot by slot. */
--- a/scheduling/ledger/src/index.ts
+++ b/scheduling/ledger/src/index.ts
@@ -1,5 +1,5 @@
 export { ShardLedger } from './shardLedger.js'
 export type { LedgerEntry, EngineAccount } from './shardLedger.js'
 export { DecodeAccount } from './decodeAccount.js'
-export type { DecodeCapacity, SlotReservation } from './decodeAccount.js'
+export type { DecodeCapacity, SlotReservation, SlotRestriction } from './decodeAccount.js'
 export { PrefillAccount } from './prefillAccount.js'
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -2,7 +2,7 @@
 import { type HoldLabel, holdLabelKey, isOwnPrefill } from '@reelspan/core.messages'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport, EngineRole, ReportedStart, compareReportedStart } from '@reelspan/upstream.client'
-import { DecodeAccount } from './decodeAccount.js'
+import { DecodeAccount, type SlotRestriction } from './decodeAccount.js'
 import { PrefillAccount } from './prefillAccount.js'
 
 /** The reservation of one placed request. */
@@ -188,9 +188,9 @@
     engine.awaitsFirstReport = false
   }
 
-  /** Called when a decode engine has refused a request as full. */
-  markFull (engineName: string, nowMs: number): void {
-    this.#decode.get(engineName)?.account.markFull(nowMs)
+  /** Called when a decode engine has refused a request as full. Returns undefined for other engines. */
+  markFull (engineName: string, nowMs: number): SlotRestriction | undefined {
+    return this.#decode.get(engineName)?.account.markFull(nowMs)
   }
 
   /** The part of a decode engine's slots or memory that is known to be in use, by reservations or by its last report; 0 for other engines. */
--- /dev/null
+++ b/scheduling/scheduler/src/engineOutcomes.ts
@@ -0,0 +1,64 @@
+import { type Clock } from '@reelspan/core.env'
+import { type EngineOutcome, UpstreamOutcome } from '@reelspan/core.messages'
+import { type ShardLedger, type SlotRestriction } from '@reelspan/scheduling.ledger'
+import { UpstreamHealth } from '@reelspan/upstream.health'
+
+export interface EngineOutcomesOptions {
+  clock: Clock
+  ledger: ShardLedger
+  /** Called when an owner could not reach an engine, so that the engine is probed. */
+  onUnreachable?: (engine: string) => void
+  /** Called when an engine is avoided for a while because owners reported failures. */
+  onSuspected?: (engine: string, forMs: number, failureShare: number) => void
+  onTrusted?: (engine: string) => void
+  /** Called when a decode engine refused a request as full and is limited to the slots that it has in use. */
+  onFull?: (engine: string, restriction: SlotRestriction) => void
+}
+
+/** Part of a decode engine that is known to be in use if it can be full: requests of other schedulers, and connections that hold a slot, are not known. */
+const MIN_FULL_SHARE = 0.5
+
+/** Combines what all owners report of their calls to the engines of a shard, since each owner sees few answers of an engine. */
+export class EngineOutcomes {
+  readonly #opts: EngineOutcomesOptions
+  readonly #health: UpstreamHealth
+
+  constructor (opts: EngineOutcomesOptions) {
+    this.#opts = opts
+    this.#health = new UpstreamHealth(opts)
+  }
+
+  /** Records the calls of one placement. */
+  record (outcomes: readonly EngineOutcome[]): void {
+    const { ledger, onUnreachable } = this.#opts
+    outcomes.forEach(({ engine, outcome, full }) => {
+      const pool = ledger.poolOf(engine)
+      // An engine that refuses requests as full while little of it is in use is failing.
+      if (pool.length === 0 || (full && ledger.usedShare(engine) >= MIN_FULL_SHARE)) return
+      this.#health.record(engine, outcome, pool)
+      if (outcome === UpstreamOutcome.Unreachable) onUnreachable?.(engine)
+    })
+  }
+
+  /** Limits the engine that refused a placement as full. Called after the placement's reservation was released. */
+  limitFull (outcomes: readonly EngineOutcome[]): void {
+    const { clock, ledger, onFull } = this.#opts
+    const last = outcomes.at(-1)
+    const restriction = last?.full ? ledger.markFull(last.engine, clock.nowMs()) : undefined
+    if (last && restriction) onFull?.(last.engine, restriction)
+  }
+
+  isSuspect (engine: string): boolean {
+    return this.#health.isSuspect(engine)
+  }
+
+  /** Engines that are suspected of failing now. */
+  suspects (): string[] {
+    return this.#health.suspects()
+  }
+
+  /** Removes engines that are no longer listed. */
+  retain (listed: ReadonlySet<string>): void {
+    this.#health.retain(listed)
+  }
+}
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -1,11 +1,10 @@
 import { type AccountSpec, type Named, type RouteSpec } from '@reelspan/config.resources'
 import { type Clock, type TaskErrorListener } from '@reelspan/core.env'
-import { type EngineOutcome, type HoldLabel, type PlacementAnswer, PlacementOutcome, type PlacementReport, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
-import { ShardLedger } from '@reelspan/scheduling.ledger'
+import { type EngineOutcome, type HoldLabel, type PlacementAnswer, PlacementOutcome, type PlacementReport, type ReserveRequest } from '@reelspan/core.messages'
+import { ShardLedger, type SlotRestriction } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex, type RemovalPage } from '@reelspan/scheduling.prefix-index'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport } from '@reelspan/upstream.client'
-import { UpstreamHealth } from '@reelspan/upstream.health'
 import { AccountWeights } from './accountWeights.js'
 import { CycleTimer } from './cycleTimer.js'
 import { type AdmissionDecision, type AdmissionInputs, AdmissionOutcome } from './decideAdmission.js'
@@ -13,6 +12,7 @@
 import { describeEngines } from './describeEngines.js'
 import { decideRepeat, RepeatOutcome } from './earlyRetry.js'
 import { EngineLimits } from './engineLimits.js'
+import { EngineOutcomes } from './engineOutcomes.js'
 import { DISPATCH_LOOKAHEAD_MS, PlacementChooser } from './placementChooser.js'
 import { type AdoptedReservation, entryOfAdopted, planOfEstimate } from './placementEntries.js'
 import { type PlacementEstimate, PlacementEstimator } from './placementEstimator.js'
@@ -39,6 +39,8 @@
   /** Called when an engine is avoided for a while because owners reported failures. */
   onSuspected?: (engine: string, forMs: number, failureShare: number) => void
   onTrusted?: (engine: string) => void
+  /** Called when a decode engine refused a request as full and is limited to the slots that it has in use. */
+  onFull?: (engine: string, restriction: SlotRestriction) => void
   /** Called when the admission decision for a waiting request is made or changes. */
   onAdmission?: (requestId: string, inputs: AdmissionInputs, decision: AdmissionDecision, share: ShareUse) => void
   /** Called when a request was placed or refused. */
@@ -59,8 +61,6 @@
 
 const NO_ACCOUNTS: readonly Named<AccountSpec>[] = []
 const MAX_WAITING = 2000
-/** Part of a decode engine that is known to be in use if it can be full: requests of other schedulers, and connections that hold a slot, are not known. */
-const MIN_FULL_SHARE = 0.5
 const TOO_MANY_WAITING = 'too many requests are waiting'
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
@@ -76,7 +76,7 @@
   readonly #waiting = new WaitingQueue()
   readonly #admission: QueueAdmission
   readonly #recorder: PlacementRecorder
-  readonly #health: UpstreamHealth
+  readonly #engineOutcomes: EngineOutcomes
   readonly #limits: EngineLimits
   readonly #timer: CycleTimer
 
@@ -85,9 +85,9 @@
     this.ledger = new ShardLedger(opts.shard, { maxReportAgeMs: opts.maxReportAgeMs, onReleased: (label) => this.#shares.recordRelease(label, opts.clock.nowMs()) })
     this.#observations = new PlacementObservations(this.ledger)
     const { lengths, pace, ends, placesLimit } = this.#observations
-    this.#health = new UpstreamHealth(opts)
+    this.#engineOutcomes = new EngineOutcomes({ ...opts, ledger: this.ledger })
     this.#limits = new EngineLimits({ clock: opts.clock, perSecond: opts.limitPerSecond })
-    const isSuspect = (engine: string) => this.#health.isSuspect(engine)
+    const isSuspect = (engine: string) => this.#engineOutcomes.isSuspect(engine)
     const limits = this.#limits
     this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, ends, isSuspect, limits })
     const weights = new AccountWeights({ route: opts.route, accounts: opts.accounts ?? (() => NO_ACCOUNTS) })
@@ -115,7 +115,7 @@
     const before = this.ledger.allEngines()
     this.ledger.update(shard)
     const listed = new Set(this.ledger.allEngines().map(({ name }) => name))
-    this.#health.retain(listed)
+    this.#engineOutcomes.retain(listed)
     this.#limits.retain(listed)
     this.#observations.retain(listed)
     before.filter(({ name }) => !listed.has(name)).forEach(({ name }) => this.#opts.index.removeEngine(name))
@@ -166,10 +166,9 @@
   /** Called when a request has ended or its caller has disconnected. */
   release (label: HoldLabel, report?: PlacementReport, outcomes: readonly EngineOutcome[] = []): void {
     this.#waiting.withdraw(label)
-    outcomes.forEach((one) => this.#recordOutcome(one))
+    this.#engineOutcomes.record(outcomes)
     const entry = this.ledger.release(label)
-    const last = outcomes.at(-1)
-    if (last?.full) this.ledger.markFull(last.engine, this.#opts.clock.nowMs())
+    this.#engineOutcomes.limitFull(outcomes)
     if (entry && report) this.#observations.recordCompletion(entry, report, this.#opts.clock.nowMs())
     this.#runCycle()
   }
@@ -230,21 +229,11 @@
       returnsBooked: this.#admission.scheduledRetries,
       ...this.#observations.describe(),
       prefixEntries: this.#opts.index.size,
-      suspects: this.#health.suspects(),
+      suspects: this.#engineOutcomes.suspects(),
       ...describeEngines(this.ledger, nowMs),
     }
   }
 
-  /** Combines the outcomes of all owners, since each owner sees few answers of an engine. */
-  #recordOutcome ({ engine, outcome, full }: EngineOutcome): void {
-    const pool = this.ledger.poolOf(engine)
-    if (pool.length === 0) return
-    // An engine that refuses requests as full while little of it is in use is failing.
-    if (full && this.ledger.usedShare(engine) >= MIN_FULL_SHARE) return
-    this.#health.record(engine, outcome, pool)
-    if (outcome === UpstreamOutcome.Unreachable) this.#opts.onUnreachable?.(engine)
-  }
-
   /** Refuses the last waiting request over its client's share in favour of one within its own share. Returns false if there is none. */
   #displaceFor ({ client, priority }: ReserveRequest, nowMs: number): boolean {
     const displaced = this.#shares.ofPriority(priority).wouldExceed(client, nowMs)
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -66,6 +66,8 @@
   PoolShortageChanged = 'poolShortageChanged',
   /** A call was refused since its pool is short of capacity and cannot serve it in time. */
   PoolCallRefused = 'poolCallRefused',
+  /** A decode engine refused a request as full and is limited for a while to the slots that it has in use. */
+  EngineFull = 'engineFull',
   UpstreamSuspected = 'upstreamSuspected',
   UpstreamTrusted = 'upstreamTrusted',
   EngineCallFailed = 'engineCallFailed',
