fix(request.relay): whether an interrupted answer can end in time is judged by the speed that was seen

Callers saw: answers whose engine was lost were not continued on engines faster than declared, since they seemed to take longer than their deadline. Evidence: the test, in which engines need 1 ms in place of 4. Change: the shortest time between tokens of the model's last answers at this box; the declared step until one has ended.

Before, the test fails: -1996 ms left for the first token. Result: it passes; 129 tests of request/relay pass.

--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -43,7 +43,16 @@
 
   /** Answer tokens that were delivered to the caller. */
   deliveredTokens (): number {
-    return this.#state.progress.events * (this.#context.opts.configuration().model(this.#model)?.tokensPerEvent ?? 1)
+    return this.#state.progress.events * this.#tokensPerEvent
+  }
+
+  /** Records the time between events of a complete answer. */
+  recordEventTime (eventMs: number): void {
+    this.#context.tokenTimes.record(this.#model, eventMs / this.#tokensPerEvent)
+  }
+
+  get #tokensPerEvent (): number {
+    return this.#context.opts.configuration().model(this.#model)?.tokensPerEvent ?? 1
   }
 
   /** Places the request again without an engine that refuses a permit. This counts neither as a failure nor as an attempt. */
@@ -138,10 +147,11 @@
     }
   }
 
-  /** Minimum decode time of the missing tokens, from the caller's estimate of the answer length. */
+  /** Minimum decode time of the missing tokens, from the caller's estimate of the answer length, at the declared speed until an answer has ended. */
   #minRemainingDecodeMs (deliveredTokens: number): number {
-    const stepMs = this.#context.opts.configuration().model(this.#model)?.decodeStepBaseMs ?? 0
+    const { opts, tokenTimes } = this.#context
+    const tokenMs = tokenTimes.shortestMs(this.#model) ?? opts.configuration().model(this.#model)?.decodeStepBaseMs ?? 0
     const { maxTokens, expectedTokens = 0 } = this.#prompt
-    return Math.max(0, Math.min(expectedTokens, maxTokens) - deliveredTokens) * stepMs
+    return Math.max(0, Math.min(expectedTokens, maxTokens) - deliveredTokens) * tokenMs
   }
 }
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -270,10 +270,12 @@
   }
 
   #report (plan: PlacementPlan, placedAtMs: number, { firstMs = 0, pausesMs }: AnswerTimes): PlacementReport {
+    const tbtP50Ms = percentile(pausesMs, 50) ?? 0
+    this.#placer.recordEventTime(tbtP50Ms)
     return {
       completionTokens: this.#placer.deliveredTokens(),
       ttftErrorMs: firstMs - placedAtMs - plan.expectedTtftMs,
-      tbtP50Ms: percentile(pausesMs, 50) ?? 0,
+      tbtP50Ms,
     }
   }
 
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -17,7 +17,9 @@
 import { relayedKind } from './relayedKind.js'
 import { type RelayOptions } from './relayOptions.js'
 import { RunDurations } from './runDurations.js'
+import { runEnded } from './runEnded.js'
 import { ServiceRelay } from './serviceRelay.js'
+import { TokenTimes } from './tokenTimes.js'
 import { UpstreamPicker } from './upstreamPicker.js'
 
 /**
@@ -51,6 +53,7 @@
   readonly #ended = new Notifier()
   readonly #running = new Map<string, RunContext>()
   readonly #runDurations = new RunDurations()
+  readonly #tokenTimes = new TokenTimes()
   #fleetRevision = 0
   #sequence = 0
   #acceptingStopped = false
@@ -201,6 +204,7 @@
       budget,
       health: this.#health,
       picker: this.#picker,
+      tokenTimes: this.#tokenTimes,
       logDecision: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, account, ...fields }),
     }
   }
@@ -228,6 +232,7 @@
     const names = new Set(fleet().upstreams.map(({ name }) => name))
     this.#health.retain(names)
     this.#picker.retain(names)
+    this.#tokenTimes.retain((model) => this.#opts.configuration().model(model) !== undefined)
   }
 
   #pickTarget ({ targets, model, pool }: RouteSpec): Target {
@@ -292,8 +297,3 @@
   const at = target.indexOf('?')
   return at < 0 ? target : target.slice(0, at)
 }
-
-function runEnded ({ signal }: RunContext): Promise<void> {
-  if (signal.aborted) return Promise.resolve()
-  return new Promise((resolve) => signal.addEventListener('abort', () => resolve(), { once: true }))
-}
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -6,6 +6,7 @@
 import { type UpstreamHealth } from '@reelspan/upstream.health'
 import { type RelayCaller } from './relayCaller.js'
 import { type RelayOptions } from './relayOptions.js'
+import { type TokenTimes } from './tokenTimes.js'
 import { type UpstreamPicker } from './upstreamPicker.js'
 
 /** Dependencies and state of one relayed request. */
@@ -22,6 +23,7 @@
   budget: RetryBudget
   health: UpstreamHealth
   picker: UpstreamPicker
+  tokenTimes: TokenTimes
   /** Logs a decision about this request. */
   logDecision: (event: LogEvent, fields: LogFields) => void
 }
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -415,6 +415,18 @@
   t.true(again.patienceMs !== undefined && again.patienceMs <= 400 + 4, `${again.patienceMs} ms`)
 })
 
+test('an interrupted answer of engines that are faster than declared is continued, though it could not be at the declared speed', async (t) => {
+  const parts = ['id: 0\ndata: a\n\n', 'id: 1\ndata: b\n\n', 'id: 2\ndata: c\n\n']
+  const { clock, relay, placer } = createRelay([pauses(200, parts, 1), aborts(200, ['id: 0\ndata: a\n\n']), answers(200, 'id: 1\ndata: b\n\n')])
+  const request = requestTo('/reply/1')
+  // 3,000 tokens take 12 s at the declared 4 ms per token, and the deadline of the route is 10 s.
+  const prompt = { ...request.prompt, model: 'm', promptTokens: 1000, maxTokens: 4000, prefixes: [], expectedTokens: 3000 }
+  await clock.run(relay.relay({ ...request, prompt }, new RecordingCaller()))
+  await clock.run(relay.relay({ ...request, id: 'second', prompt }, new RecordingCaller()))
+  t.is(placer.requests.length, 3)
+  t.true(placer.requests[2].ttftLeftMs > 1000, `${placer.requests[2].ttftLeftMs} ms left for the first token`)
+})
+
 test('a non-resumable answer is aborted where it was interrupted', async (t) => {
   const { clock, relay, upstreams } = createRelay([aborts(200, ['id: 0\ndata: a\n\nid: 1\nda'])])
   const caller = new RecordingCaller()
