fix(scheduling.scheduler): neither the declared step nor the expected prefill time frees a slot before it is released

Cause: until three streams had ended on an engine the declared step was its first guess, and a prompt that is computed sooner than expected arrives before the slot that was counted on is free. Change: nothing is counted on before three streams have ended, and slots count up to the earliest arrival by recent prefills.

Test changed: "a slot that will certainly be free …" took the declared step for certain. Three streams end on its engine first; the outcomes that it asserts are the same.

--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -14,6 +14,8 @@
   decodeEngine: string
   kvBytes: number
   prefillCostMs: number
+  /** When it was placed and when its prefill was expected to end; unknown if another scheduler placed it. */
+  prefill?: { placedAtMs: number, endMs: number }
   importEndMs: number
   /** Expected end at the declared speed. Nothing is released by it: it only decides from when on the owner is asked about holds of the request. */
   expectedEndMs: number
@@ -129,9 +131,10 @@
     if (decode) decode.account.linkFreeAtMs = Math.max(decode.account.linkFreeAtMs, entry.importEndMs)
   }
 
-  recordPrefillEnd (label: HoldLabel, nowMs: number): void {
+  recordPrefillEnd (label: HoldLabel, nowMs: number): LedgerEntry | undefined {
     const entry = this.#entries.get(holdLabelKey(label))
     if (entry) this.#prefillAccountOf(entry)?.finish(holdLabelKey(label), nowMs - this.#shard.spec.prefillLatencyMs)
+    return entry
   }
 
   /** Number of requests placed on an engine. */
--- a/scheduling/scheduler/src/placementEntries.ts
+++ b/scheduling/scheduler/src/placementEntries.ts
@@ -20,6 +20,7 @@
     decodeEngine: estimate.decode.name,
     kvBytes: estimate.kvBytes,
     prefillCostMs: estimate.costMs,
+    prefill: { placedAtMs: nowMs, endMs: estimate.prefillEndMs },
     importEndMs: estimate.importEndMs,
     expectedEndMs: estimate.expectedEndMs,
     expiresAtMs: nowMs + request.deadlineMs + RESERVATION_GRACE_MS,
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -3,15 +3,17 @@
 import { type DecodeAccount, type DecodeCapacity, type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { type AnswerLengthEstimator } from './answerLengthEstimator.js'
+import { type ArrivalPredictor } from './arrivalPredictor.js'
 import { type EngineLimits } from './engineLimits.js'
 import { type StreamEndPredictor } from './streamEndPredictor.js'
-import { ownPrefillMs, slotsWithinTarget, prefillMs, requestKvBytes, type Shard, transferMs } from '@reelspan/scheduling.shards'
+import { ownPrefillMs, slotsWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
 
 /** Estimated times and costs of a placement on a given pair of engines. Times are on this box's clock. */
 export interface PlacementEstimate {
   /** The decode engine if it computes the prompt itself. */
   prefill: EngineAccount<unknown>
   decode: EngineAccount<DecodeAccount>
+  prefillEndMs: number
   importEndMs: number
   firstTokenMs: number
   expectedEndMs: number
@@ -42,6 +44,7 @@
   index: PrefixIndex
   lengths: AnswerLengthEstimator
   ends: StreamEndPredictor
+  arrivals: ArrivalPredictor
   /** Whether an engine is suspected of failing. */
   isSuspect: (engine: string) => boolean
   limits: EngineLimits
@@ -64,14 +67,16 @@
   readonly #index: PrefixIndex
   readonly #lengths: AnswerLengthEstimator
   readonly #ends: StreamEndPredictor
+  readonly #arrivals: ArrivalPredictor
   readonly #isSuspect: (engine: string) => boolean
   readonly #limits: EngineLimits
 
-  constructor ({ ledger, index, lengths, ends, isSuspect, limits }: PlacementEstimatorOptions) {
+  constructor ({ ledger, index, lengths, ends, arrivals, isSuspect, limits }: PlacementEstimatorOptions) {
     this.#ledger = ledger
     this.#index = index
     this.#lengths = lengths
     this.#ends = ends
+    this.#arrivals = arrivals
     this.#isSuspect = isSuspect
     this.#limits = limits
   }
@@ -117,7 +122,7 @@
     const { spec, decodePool } = shard
     const kvBytes = this.kvBytes(request)
     const capacity = { slots: usableSlots, kvBytes: decodePool.kvBytesPerEngine }
-    const fullStepMs = fullStepOf(shard, usableSlots)
+    const arrivalMs = this.#arrivals.earliestMs(part.endMs, nowMs)
     const version = this.#ledger.servedVersion(part.prefill, nowMs)
     // The KV cache of one model version is not usable by another.
     const engines = this.#ledger.decodeEngines().filter((decode) => this.#ledger.servedVersion(decode, nowMs) === version && this.#accepts(decode, request))
@@ -126,14 +131,14 @@
     const zones = [part.prefill.availabilityZone, request.availabilityZone]
     const mostFreeOf = (candidates: readonly EngineAccount<DecodeAccount>[]) =>
       findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeNow(capacity), kept?.get(name)) }) ??
-      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeAt(part.endMs, capacity, (reservation) => this.#ends.latestEndMs(name, reservation, fullStepMs), nowMs), kept?.get(name)) }) : undefined)
+      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeAt(arrivalMs, capacity, (reservation) => this.#ends.latestEndMs(name, reservation), nowMs), kept?.get(name)) }) : undefined)
     const mostFree = mostFreeOf(engines.filter(({ name }) => !this.#isSuspect(name))) ?? mostFreeOf(engines)
     if (!mostFree) return undefined
     const { decode, free } = mostFree
     const linkFreeMs = Math.max(part.endMs + spec.prefillLatencyMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
     const importEndMs = linkFreeMs + transferMs(shard, request.promptTokens)
     const times = this.#streamTimes(request, importEndMs, usableSlots, usableSlots - free.slots + 1)
-    return { prefill: part.prefill, decode, ...times, costMs: part.costMs, kvBytes }
+    return { prefill: part.prefill, decode, prefillEndMs: part.endMs, ...times, costMs: part.costMs, kvBytes }
   }
 
   /** Returns the estimate for the decode engine that would finish the prompt first, among those with free capacity now. */
@@ -148,7 +153,7 @@
         const free = decode.account.freeNow(capacity)
         if (costMs === undefined || !fits(without(free, kept?.get(decode.name)), kvBytes)) return []
         const endMs = decode.account.ownPrefills.freeAtMs(nowMs) + costMs
-        return [{ prefill: decode, decode, ...this.#streamTimes(request, endMs, usableSlots, usableSlots - free.slots + 1), costMs, kvBytes }]
+        return [{ prefill: decode, decode, prefillEndMs: endMs, ...this.#streamTimes(request, endMs, usableSlots, usableSlots - free.slots + 1), costMs, kvBytes }]
       })
     const penalizedFirstTokenMs = ({ decode, firstTokenMs }: PlacementEstimate) => firstTokenMs + REMOTE_ZONE_PENALTY_MS * countRemoteZones(decode, [request.availabilityZone])
     return estimates.sort((a, b) => penalizedFirstTokenMs(a) - penalizedFirstTokenMs(b))[0]
@@ -183,19 +188,15 @@
   /** Times at which a stream starts and ends at the declared speed, given the time at which its KV cache is available. */
   #streamTimes ({ maxTokens }: ReserveRequest, importEndMs: number, usableSlots: number, batch: number) {
     const { spec } = this.#ledger.shard
+    const fullStepMs = spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usableSlots
     return {
       importEndMs,
       firstTokenMs: importEndMs + STEPS_TO_FIRST_TOKEN * (spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * batch),
-      expectedEndMs: importEndMs + maxTokens * fullStepOf(this.#ledger.shard, usableSlots),
+      expectedEndMs: importEndMs + maxTokens * fullStepMs,
     }
   }
 }
 
-/** Duration of a decode step of a full batch, at the model's declared speed. */
-function fullStepOf ({ spec }: Shard, usableSlots: number): number {
-  return spec.decodeStepBaseMs + spec.decodeStepPerRequestMs * usableSlots
-}
-
 interface CapacitySearch {
   kvBytes: number
   capacity: DecodeCapacity
--- a/scheduling/scheduler/src/placementObservations.ts
+++ b/scheduling/scheduler/src/placementObservations.ts
@@ -1,6 +1,7 @@
 import { isOwnPrefill, type PlacementReport } from '@reelspan/core.messages'
 import { type LedgerEntry, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { AnswerLengthEstimator } from './answerLengthEstimator.js'
+import { ArrivalPredictor } from './arrivalPredictor.js'
 import { SlotLimit } from './slotLimit.js'
 import { StreamEndPredictor } from './streamEndPredictor.js'
 import { QuantileEstimator } from './quantileEstimator.js'
@@ -21,6 +22,7 @@
   readonly lengths = new AnswerLengthEstimator()
   readonly pace = new TokenPaceEstimator()
   readonly ends = new StreamEndPredictor(this.pace)
+  readonly arrivals = new ArrivalPredictor()
   readonly placesLimit: SlotLimit
   readonly #ledger: ShardLedger
   readonly #load = new ShardLoad()
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -84,12 +84,12 @@
     this.#opts = opts
     this.ledger = new ShardLedger(opts.shard, { maxReportAgeMs: opts.maxReportAgeMs, onReleased: (label) => this.#shares.recordRelease(label, opts.clock.nowMs()) })
     this.#observations = new PlacementObservations(this.ledger)
-    const { lengths, pace, ends, placesLimit } = this.#observations
+    const { lengths, pace, ends, arrivals, placesLimit } = this.#observations
     this.#engineOutcomes = new EngineOutcomes({ ...opts, ledger: this.ledger })
     this.#limits = new EngineLimits({ clock: opts.clock, perSecond: opts.limitPerSecond })
     const isSuspect = (engine: string) => this.#engineOutcomes.isSuspect(engine)
     const limits = this.#limits
-    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, ends, isSuspect, limits })
+    this.#estimator = new PlacementEstimator({ ledger: this.ledger, index: opts.index, lengths, ends, arrivals, isSuspect, limits })
     const weights = new AccountWeights({ route: opts.route, accounts: opts.accounts ?? (() => NO_ACCOUNTS) })
     this.#shares = new QueueShares({ ledger: this.ledger, estimator: this.#estimator, observations: this.#observations, weights })
     this.#chooser = new PlacementChooser({ ledger: this.ledger, estimator: this.#estimator, shares: this.#shares, placesLimit, route: opts.route, isSuspect, limits })
@@ -175,7 +175,9 @@
 
   /** Called when the owner reports the end of a prefill. */
   recordPrefillEnd (label: HoldLabel): void {
-    this.ledger.recordPrefillEnd(label, this.#opts.clock.nowMs())
+    const nowMs = this.#opts.clock.nowMs()
+    const entry = this.ledger.recordPrefillEnd(label, nowMs)
+    if (entry?.prefill) this.#observations.arrivals.observe(entry.prefill, nowMs)
     this.#runCycle()
   }
 
--- a/scheduling/scheduler/src/streamEndPredictor.ts
+++ b/scheduling/scheduler/src/streamEndPredictor.ts
@@ -13,12 +13,9 @@
 /** Fewer streams say too little about how late streams of an engine end. */
 const MIN_SAMPLES = 3
 
-/** Steps may take up to this many times their declared duration before the engine counts as slower than declared. */
-const DECLARED_STEP_SLACK = 1.15
-
 /**
  * Predicts by when a stream has ended even if it has its maximum length: by the time between tokens on its engine, and the
- * largest delay of recent streams there. The declared step is used until a few streams have ended on the engine.
+ * largest delay of recent streams there. Nothing is predicted before a few streams have ended on the engine.
  */
 export class StreamEndPredictor {
   readonly #pace: TokenPaceEstimator
@@ -36,11 +33,11 @@
     this.#delaysMs.set(engine, [...this.#delaysMs.get(engine) ?? [], delayMs].slice(-SAMPLES))
   }
 
-  /** @param declaredStepMs duration of a decode step of a full batch, as declared */
-  latestEndMs (engine: string, { importEndMs, maxTokens }: SlotReservation, declaredStepMs: number): number {
+  /** Infinite if nothing is predicted. */
+  latestEndMs (engine: string, { importEndMs, maxTokens }: SlotReservation): number {
     const tokenMs = this.#pace.engineTokenMs(engine)
     const delaysMs = this.#delaysMs.get(engine) ?? []
-    if (tokenMs === undefined || delaysMs.length < MIN_SAMPLES) return importEndMs + maxTokens * declaredStepMs * DECLARED_STEP_SLACK
+    if (tokenMs === undefined || delaysMs.length < MIN_SAMPLES) return Number.POSITIVE_INFINITY
     return importEndMs + maxTokens * tokenMs + Math.max(...delaysMs)
   }
 
--- a/scheduling/scheduler/test/shardScheduler.ts
+++ b/scheduling/scheduler/test/shardScheduler.ts
@@ -99,9 +99,15 @@
   t.is(placedCount(answers), 2, 'two of 2 GB fit into 4 GB')
 })
 
-test('a slot that will certainly be free when the prefill ends is used, unless the route avoids wasted prefill', async (t) => {
+test('a slot that will be free when the prefill ends by the speed of earlier streams is used, unless the route avoids wasted prefill', async (t) => {
   const outcomes = await Promise.all([RouteObjective.Goodput, RouteObjective.WastedPrefill].map(async (objective) => {
     const { clock, scheduler } = createShard({ prefill: 2, decode: 1, slots: 1, route: { objective, poolSharePercent: 100, clientWeights: {} } })
+    for (let i = 0; i < 3; i++) {
+      const ended = requestOf({ promptTokens: 64, maxTokens: 1 })
+      const answer = await clock.run(scheduler.reserve(ended))
+      await clock.advance(answer.outcome === PlacementOutcome.Placed ? answer.expectedTtftMs : 0)
+      scheduler.release(ended.label, { completionTokens: 1, ttftErrorMs: 0, tbtP50Ms: 27 })
+    }
     // This request ends after at most one step of 27 ms; a prefill of 1,000 tokens takes 130 ms.
     await clock.run(scheduler.reserve(requestOf({ promptTokens: 64, maxTokens: 1 })))
     await clock.advance(5)
