fix(scheduling.scheduler): an idle engine's refusal does not limit it

Callers saw: nothing yet. Cause: the limit of a full engine did not ask, as the suspicion does, whether much of the engine is known to be in use. Change: both ask it, while the refused placement still counts.

--- a/scheduling/scheduler/src/engineOutcomes.ts
+++ b/scheduling/scheduler/src/engineOutcomes.ts
@@ -33,19 +33,23 @@
     const { ledger, onUnreachable } = this.#opts
     outcomes.forEach(({ engine, outcome, full }) => {
       const pool = ledger.poolOf(engine)
-      // An engine that refuses requests as full while little of it is in use is failing.
-      if (pool.length === 0 || (full && ledger.usedShare(engine) >= MIN_FULL_SHARE)) return
+      if (pool.length === 0 || (full && this.#canBeFull(engine))) return
       this.#health.record(engine, outcome, pool)
       if (outcome === UpstreamOutcome.Unreachable) onUnreachable?.(engine)
     })
   }
 
-  /** Limits the engine that refused a placement as full. Called after the placement's reservation was released. */
-  limitFull (outcomes: readonly EngineOutcome[]): void {
-    const { clock, ledger, onFull } = this.#opts
+  /** Returns the engine that refused a placement as full, if it was the last one to be asked. Called while the placement is reserved. */
+  fullEngine (outcomes: readonly EngineOutcome[]): string | undefined {
     const last = outcomes.at(-1)
-    const restriction = last?.full ? ledger.markFull(last.engine, clock.nowMs()) : undefined
-    if (last && restriction) onFull?.(last.engine, restriction)
+    return last?.full && this.#canBeFull(last.engine) ? last.engine : undefined
+  }
+
+  /** Limits an engine that refused a placement as full to what is reserved there. Called after the placement was released. */
+  limit (engine: string): void {
+    const { clock, ledger, onFull } = this.#opts
+    const restriction = ledger.markFull(engine, clock.nowMs())
+    if (restriction) onFull?.(engine, restriction)
   }
 
   isSuspect (engine: string): boolean {
@@ -61,4 +65,9 @@
   retain (listed: ReadonlySet<string>): void {
     this.#health.retain(listed)
   }
+
+  /** An engine that refuses requests as full while little of it is in use is failing. */
+  #canBeFull (engine: string): boolean {
+    return this.#opts.ledger.usedShare(engine) >= MIN_FULL_SHARE
+  }
 }
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -167,8 +167,9 @@
   release (label: HoldLabel, report?: PlacementReport, outcomes: readonly EngineOutcome[] = []): void {
     this.#waiting.withdraw(label)
     this.#engineOutcomes.record(outcomes)
+    const fullEngine = this.#engineOutcomes.fullEngine(outcomes)
     const entry = this.ledger.release(label)
-    this.#engineOutcomes.limitFull(outcomes)
+    if (fullEngine !== undefined) this.#engineOutcomes.limit(fullEngine)
     if (entry && report) this.#observations.recordCompletion(entry, report, this.#opts.clock.nowMs())
     this.#runCycle()
   }
