fix(request.relay): a call is not given up for an attempt that could not end before its deadline

Cause: half of the time without an answer was taken for a stalled upstream, whatever calls of the route usually take. Change: the times of the last 64 answered calls by route and pool; a call is kept if at least two took longer than it has, and their median is more than what is left.

Before, the test fails: no answer in place of 'status'.

--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -1,7 +1,6 @@
 import { type Admitted } from '@reelspan/accounts.admission'
 import { type Named, type RouteSpec, type RouteTarget } from '@reelspan/config.resources'
 import { storeRevisionOf } from '@reelspan/config.store'
-import { hash32 } from '@reelspan/core.hashing'
 import { Notifier, raceTimeout, STOPPED, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { identityOfRelayed, once, type RequestIdentity } from '@reelspan/request.identity'
@@ -16,6 +15,7 @@
 import { type RelayContext } from './relayContext.js'
 import { relayedKind } from './relayedKind.js'
 import { type RelayOptions } from './relayOptions.js'
+import { promptHash } from './promptHash.js'
 import { RunDurations } from './runDurations.js'
 import { runEnded } from './runEnded.js'
 import { ServiceRelay } from './serviceRelay.js'
@@ -54,6 +54,7 @@
   readonly #running = new Map<string, RunContext>()
   readonly #runDurations = new RunDurations()
   readonly #tokenTimes = new TokenTimes()
+  readonly #callDurations = new RunDurations()
   #fleetRevision = 0
   #sequence = 0
   #acceptingStopped = false
@@ -205,6 +206,7 @@
       health: this.#health,
       picker: this.#picker,
       tokenTimes: this.#tokenTimes,
+      callDurations: this.#callDurations,
       logDecision: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, account, ...fields }),
     }
   }
@@ -287,12 +289,6 @@
   }
 }
 
-/** Hash that correlates a caller's attempts, which have different ids. */
-function promptHash ({ prompt }: RelayedRequest): string | undefined {
-  const fullPrompt = prompt?.prefixes.at(-1)
-  return fullPrompt && hash32(fullPrompt.digest).toString(36)
-}
-
 function pathOf (target: string): string {
   const at = target.indexOf('?')
   return at < 0 ? target : target.slice(0, at)
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -6,6 +6,7 @@
 import { type UpstreamHealth } from '@reelspan/upstream.health'
 import { type RelayCaller } from './relayCaller.js'
 import { type RelayOptions } from './relayOptions.js'
+import { type RunDurations } from './runDurations.js'
 import { type TokenTimes } from './tokenTimes.js'
 import { type UpstreamPicker } from './upstreamPicker.js'
 
@@ -24,6 +25,8 @@
   health: UpstreamHealth
   picker: UpstreamPicker
   tokenTimes: TokenTimes
+  /** Durations of answered calls to services, by route and pool. */
+  callDurations: RunDurations
   /** Logs a decision about this request. */
   logDecision: (event: LogEvent, fields: LogFields) => void
 }
--- a/request/relay/src/runDurations.ts
+++ b/request/relay/src/runDurations.ts
@@ -7,6 +7,9 @@
 /** Factor on the longest kept run, since engines slow down while others are lost. */
 const SAFETY_FACTOR = 1.25
 
+/** Fewer runs above a duration are taken for stalls. */
+const MIN_LONG_RUNS = 2
+
 /** Durations of recent runs by kind. */
 export class RunDurations {
   readonly #durationsMs = new Map<string, number[]>()
@@ -18,6 +21,12 @@
     if (this.#durationsMs.size > MAX_KINDS) this.#durationsMs.delete(this.#durationsMs.keys().next().value as string)
   }
 
+  /** Median of the recent runs that took longer than a duration; undefined if hardly any did. */
+  medianAboveMs (kind: string, durationMs: number): number | undefined {
+    const longer = (this.#durationsMs.get(kind) ?? []).filter((known) => known > durationMs).sort((a, b) => a - b)
+    return longer.length < MIN_LONG_RUNS ? undefined : longer[Math.floor(longer.length / 2)]
+  }
+
   /** Expected maximum duration of a run that begins now, or undefined if too few runs have ended. */
   expectedMaxMs (kind: string): number | undefined {
     const known = this.#durationsMs.get(kind) ?? []
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -119,7 +119,8 @@
   }
 
   #recordDuration ({ name }: ListedUpstream, durationMs: number): void {
-    const { opts: { pools }, route } = this.#context
+    const { opts: { pools }, route, callDurations } = this.#context
+    callDurations.record(this.#kind, durationMs)
     pools.recordAnswer(this.#pool, name, { durationMs, targetMs: route.spec.ttftTargetMs, upstreamCount: this.#candidates().length })
   }
 
@@ -136,11 +137,14 @@
 
   /** Aborts an unresponsive attempt once another upstream is available. Otherwise keeps waiting, since the answer is useful as long as the caller is connected. */
   async #abortOnTimeout (upstream: ListedUpstream, timeout: AbortController): Promise<void> {
-    const { opts, run, route, caller, budget } = this.#context
+    const { opts, run, route, caller, budget, callDurations } = this.#context
     const timeoutMs = Math.min(run.remainingMs / 2, TIMEOUT_TARGETS * route.spec.ttftTargetMs)
+    const startedAtMs = opts.clock.nowMs()
     while (!timeout.signal.aborted) {
       await opts.clock.sleep(timeoutMs, { signal: run.signal })
       if (run.signal.aborted || caller.begun || this.#attemptTimeout !== timeout) return
+      // The call is probably a long one, which another upstream would not complete before the deadline either.
+      if ((callDurations.medianAboveMs(this.#kind, opts.clock.nowMs() - startedAtMs) ?? 0) > run.remainingMs) continue
       if (budget.left >= 1 && await this.#findNextWhileRunning(upstream) && !caller.begun) timeout.abort()
     }
   }
@@ -201,6 +205,11 @@
     this.#next = undefined
   }
 
+  /** Calls of different routes to one pool differ in duration. */
+  get #kind (): string {
+    return `${this.#context.route.name}|${this.#pool}`
+  }
+
   #hasOther (upstream: ListedUpstream): boolean {
     const { health } = this.#context
     return this.#untriedOthers(upstream).some(({ name }) => !health.isSuspect(name))
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -87,6 +87,18 @@
   t.is(caller.body, 'status')
 })
 
+test('a call that takes as long as others of its route is not given up for an upstream that could not answer before the deadline', async (t) => {
+  const durationMs = 700
+  const { clock, relay, upstreams } = createRelay(Array.from({ length: 6 }, () => answersAfter(durationMs, 200, 'status')))
+  // After 300 ms these are sent to another upstream, since their deadline of 2,000 ms leaves enough time.
+  for (const id of ['a', 'b']) await clock.run(relay.relay(requestTo(`/status/${id}`), new RecordingCaller()))
+  t.is(upstreams.runs.length, 4)
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/status/c'), caller, 950))
+  t.is(caller.body, 'status')
+  t.is(upstreams.runs.length, 5)
+})
+
 test('a late answer is passed on if there is no other upstream', async (t) => {
   const { clock, relay, upstreams } = createRelay([answersAfter(1500, 200, 'status')], { services: ['s1'] })
   const caller = new RecordingCaller()
