--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -1,4 +1,5 @@
 import { type ListedUpstream } from '@reelspan/config.fleet'
+import { ErrorCode } from '@reelspan/core.error'
 import { PoolCallOutcome, UpstreamOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
@@ -12,6 +13,8 @@
 /** Bound on attempts including failed connections, which do not count toward the attempts of a route. */
 const MAX_ATTEMPTS = 6
 const FIRST_SERVER_ERROR = 500
+/** A last attempt that took less than this share of the one before says little about the call. */
+const MIN_UNANSWERED_SHARE = 0.5
 /** Latency targets after which an unresponsive upstream is abandoned for another one; a later answer has little value. */
 const TIMEOUT_TARGETS = 1.5
 
@@ -28,6 +31,10 @@
   /** Aborts the present attempt on timeout. Undefined if it must not be aborted. */
   #attemptTimeout?: AbortController
   #sent = 0
+  #answered = false
+  #attemptStartedAtMs = 0
+  /** How long the longest attempt took that was given up for another upstream. */
+  #givenUpAfterMs?: number
 
   constructor (context: RelayContext, pool: string) {
     this.#context = context
@@ -40,6 +47,7 @@
     } finally {
       this.#ended = true
       this.#releaseNext()
+      this.#recordUnanswered()
     }
   }
 
@@ -69,11 +77,13 @@
     const { opts: { clock }, picker, logDecision, run } = this.#context
     const { upstream } = picked
     const startedAtMs = clock.nowMs()
+    this.#attemptStartedAtMs = startedAtMs
     picker.recordStart(upstream.name)
     const target = { instance: upstream.name, address: upstream.address }
     try {
       await withInterruptionReport(this.#context, target, async (onSend) => {
         const answer = await this.#send(picked, attempt, onSend)
+        this.#answered = true
         const durationMs = clock.nowMs() - startedAtMs
         const failed = answer.status >= FIRST_SERVER_ERROR
         picker.recordLatency(upstream.name, durationMs)
@@ -124,6 +134,14 @@
     pools.recordAnswer(this.#pool, name, { durationMs, targetMs: route.spec.ttftTargetMs, upstreamCount: this.#candidates().length })
   }
 
+  /** Records a call that two upstreams did not answer until its deadline: it is probably a long one, of which no duration is ever known otherwise. */
+  #recordUnanswered (): void {
+    const { opts: { clock }, run, callDurations } = this.#context
+    if (this.#givenUpAfterMs === undefined || this.#answered || run.record.final?.code !== ErrorCode.DeadlinePassed) return
+    const lastAttemptMs = clock.nowMs() - this.#attemptStartedAtMs
+    if (lastAttemptMs >= MIN_UNANSWERED_SHARE * this.#givenUpAfterMs) callDurations.record(this.#kind, run.elapsedMs)
+  }
+
   /** Signal of an attempt. Includes a timeout if another attempt may follow. */
   #attemptSignal (upstream: ListedUpstream, attempt: number): AbortSignal {
     const { run, route } = this.#context
@@ -139,13 +157,16 @@
   async #abortOnTimeout (upstream: ListedUpstream, timeout: AbortController): Promise<void> {
     const { opts, run, route, caller, budget, callDurations } = this.#context
     const timeoutMs = Math.min(run.remainingMs / 2, TIMEOUT_TARGETS * route.spec.ttftTargetMs)
-    const startedAtMs = opts.clock.nowMs()
+    const startedAtMs = this.#attemptStartedAtMs
     while (!timeout.signal.aborted) {
       await opts.clock.sleep(timeoutMs, { signal: run.signal })
       if (run.signal.aborted || caller.begun || this.#attemptTimeout !== timeout) return
       // The call is probably a long one, which another upstream would not complete before the deadline either.
-      if ((callDurations.medianAboveMs(this.#kind, opts.clock.nowMs() - startedAtMs) ?? 0) > run.remainingMs) continue
-      if (budget.left >= 1 && await this.#findNextWhileRunning(upstream) && !caller.begun) timeout.abort()
+      const elapsedMs = opts.clock.nowMs() - startedAtMs
+      if ((callDurations.medianAboveMs(this.#kind, elapsedMs) ?? 0) > run.remainingMs) continue
+      if (budget.left < 1 || !await this.#findNextWhileRunning(upstream) || caller.begun) continue
+      this.#givenUpAfterMs = Math.max(this.#givenUpAfterMs ?? 0, elapsedMs)
+      timeout.abort()
     }
   }
 
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -99,6 +99,14 @@
   t.is(upstreams.runs.length, 5)
 })
 
+test('a call that takes longer than half of its deadline is answered once two calls of its route were lost at two upstreams each', async (t) => {
+  const { clock, relay, upstreams } = createRelay(Array.from({ length: 5 }, () => answersAfter(700, 200, 'status')))
+  const callers = Array.from({ length: 3 }, () => new RecordingCaller())
+  for (const [i, caller] of callers.entries()) await clock.run(relay.relay(requestTo(`/status/${i}`), caller, 950))
+  t.deepEqual(callers.map(({ body }) => body), ['', '', 'status'])
+  t.is(upstreams.runs.length, 5)
+})
+
 test('a late answer is passed on if there is no other upstream', async (t) => {
   const { clock, relay, upstreams } = createRelay([answersAfter(1500, 200, 'status')], { services: ['s1'] })
   const caller = new RecordingCaller()
