feat(request.relay,net.http-exchange): logs say how an answer was framed and what a stream had behind its last event

Change: `requestSent` has `framing`, which the parser of answers reads from their heads; `requestEnded` has `restBytes`, the bytes behind the last complete event. Result: an end that is taken for complete shows as `verdict` finished with `restBytes` above 0; a missed reset as finished without; a failure on the caller's side as mayHaveRun. No logic changed.

--- a/net/http-exchange/src/exchange.ts
+++ b/net/http-exchange/src/exchange.ts
@@ -1,3 +1,5 @@
+import { type AnswerFraming } from '@reelspan/upstream.client'
+
 /** A request to an upstream, as it is sent. */
 export interface ExchangeRequest {
   method: string
@@ -17,6 +19,7 @@
 
 /** An answer whose head has arrived. */
 export interface ExchangeAnswer extends AnswerHead {
+  framing: AnswerFraming
   /** Ends once the answer is complete. Throws `ExchangeError` if the answer is interrupted. */
   body: AsyncIterable<Uint8Array>
 }
--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -1,9 +1,20 @@
+import { AnswerFraming } from '@reelspan/upstream.client'
 import { HTTPParser } from 'http-parser-js'
+import { headerValue } from './rawHeaders.js'
+
+export interface ParsedHead {
+  status: number
+  /** Alternating names and values, as received. */
+  headers: readonly string[]
+  framing: AnswerFraming
+  /** Whether the connection stays open after the answer. */
+  reusable: boolean
+}
 
 /** Events of the answers on one connection. */
 export interface ParserEvents {
   /** Returns true if no body follows, even if the head gives a length. */
-  onHead: (head: { status: number, headers: readonly string[], reusable: boolean }) => boolean
+  onHead: (head: ParsedHead) => boolean
   onBody: (bytes: Uint8Array) => void
   onComplete: () => void
 }
@@ -39,7 +50,7 @@
       checkFraming(headers)
       // Interim (1xx) answers precede the final one.
       interim = status < FIRST_FINAL_STATUS
-      const bodyless = !interim && events.onHead({ status, headers, reusable: shouldKeepAlive })
+      const bodyless = !interim && events.onHead({ status, headers, framing: framingOf(status, headers), reusable: shouldKeepAlive })
       return bodyless ? SKIP_BODY : undefined
     }
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => events.onBody(chunk.subarray(offset, offset + length))
@@ -61,6 +72,15 @@
   }
 }
 
+/** Statuses whose answers have no body. */
+const BODYLESS_STATUSES: readonly number[] = [204, 304]
+
+function framingOf (status: number, headers: readonly string[]): AnswerFraming {
+  if (headerValue(headers, 'transfer-encoding') !== undefined) return AnswerFraming.Chunked
+  const hasLength = headerValue(headers, 'content-length') !== undefined || BODYLESS_STATUSES.includes(status)
+  return hasLength ? AnswerFraming.Length : AnswerFraming.Connection
+}
+
 function checkFraming (headers: readonly string[]): void {
   headers.forEach((name, i) => {
     if (i % 2 !== 0) return
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -6,7 +6,7 @@
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { headerValue } from './rawHeaders.js'
-import { ResponseParser } from './responseParser.js'
+import { type ParsedHead, ResponseParser } from './responseParser.js'
 
 /** Whether a head belongs to the request that was sent on the connection. */
 export type AcceptHead = (head: AnswerHead) => boolean
@@ -167,7 +167,7 @@
   }
 
   /** Returns whether no body follows. */
-  #receiveHead (head: { status: number, headers: readonly string[], reusable: boolean }): boolean {
+  #receiveHead (head: ParsedHead): boolean {
     const exchange = this.#exchange
     // A second answer follows a complete one, so the connection cannot be reused.
     if (!exchange || exchange.body) throw new Error('an answer without a request')
@@ -177,7 +177,7 @@
     this.#readKeepAlive(head.headers)
     exchange.body = new AnswerBody(this.#pausableSource(), exchange.buffer)
     this.#body = exchange.body
-    exchange.resolve({ status: head.status, headers: head.headers, body: exchange.body })
+    exchange.resolve({ status: head.status, headers: head.headers, framing: head.framing, body: exchange.body })
     return exchange.headOnly
   }
 
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -242,7 +242,7 @@
 
   async #handleAnswer (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes, idleTimer: IdleTimer): Promise<void> {
     const { run, route, caller, logDecision } = this.#context
-    logDecision(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
+    logDecision(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, framing: answer.framing, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     const failed = answer.status >= FIRST_SERVER_ERROR
     if (caller.begun ? answer.status !== OK : failed && this.#mayRetryElsewhere()) {
       void drainAnswer(answer)
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -73,6 +73,7 @@
     }))
     run.throwIfEnded()
     const rest = this.#progress.flush()
+    if (route.spec.streaming) times.restBytes = rest.byteLength
     if (route.spec.resumable && rest.byteLength > 0) await caller.write(rest)
     if (route.spec.streaming) times.parts = this.#progress.events
     caller.finish()
--- a/request/relay/src/passAnswer.ts
+++ b/request/relay/src/passAnswer.ts
@@ -10,6 +10,8 @@
   longestPauseMs: number
   pausesMs: number[]
   parts: number
+  /** Bytes behind the last complete event when a stream ended. */
+  restBytes?: number
 }
 
 /** Streams an upstream's answer to the caller. Throws `UpstreamError` if it is interrupted. */
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -40,12 +40,13 @@
     }
   } catch (thrown) {
     // A partial event of the interrupted answer is dropped, since the next answer repeats it.
-    progress.flush()
+    times.restBytes = progress.flush().byteLength
     caller.buffer?.hold(0)
     throw thrown
   }
   run.throwIfEnded()
   const rest = progress.flush()
+  times.restBytes = rest.byteLength
   caller.buffer?.hold(0)
   if (completeEventsOnly && rest.byteLength > 0) await caller.write(rest)
   times.parts = progress.events
--- a/request/relay/src/recordRelayedEnd.ts
+++ b/request/relay/src/recordRelayedEnd.ts
@@ -44,6 +44,7 @@
     lastSentMs: run.lastSentMs && Math.round(run.lastSentMs),
     status: times.status,
     parts: times.parts,
+    restBytes: times.restBytes || undefined,
   })
   metrics.count('reelspan_relayed_total', { verdict, code: final?.code ?? '' })
   if (times.firstMs !== undefined) metrics.recordMs('reelspan_ttft_ms', times.firstMs)
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -93,7 +93,7 @@
         const failed = answer.status >= FIRST_SERVER_ERROR
         picker.recordLatency(upstream.name, durationMs)
         if (!failed) this.#recordDuration(upstream, durationMs)
-        logDecision(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, atMs: Math.round(run.elapsedMs) })
+        logDecision(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, framing: answer.framing, atMs: Math.round(run.elapsedMs) })
         await this.#handleAnswer(upstream, answer, attempt, times)
         this.#recordOutcome(upstream, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
         picked.slot.release(failed ? PoolCallOutcome.Failed : PoolCallOutcome.Answered, durationMs)
--- a/upstream/client/src/index.ts
+++ b/upstream/client/src/index.ts
@@ -1,4 +1,5 @@
 export { AnswerBuffer } from './answerBuffer.js'
+export { AnswerFraming } from './answerFraming.js'
 export type { PausableSource } from './answerBuffer.js'
 export { EngineClient } from './engineClient.js'
 export type { DecodeEvent, DecodeRequest, PrefillRequest, PrefillResult, CacheEventPage, UpstreamCallOptions } from './engineClient.js'
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -1,4 +1,5 @@
 import { type AnswerBuffer } from './answerBuffer.js'
+import { type AnswerFraming } from './answerFraming.js'
 import { type UpstreamSignals } from './upstreamSignals.js'
 import { type UpstreamCallOptions } from './engineClient.js'
 
@@ -74,6 +75,8 @@
   /** The upstream reports that it did not run the request and will not run it. */
   notRun: boolean
   headers: readonly string[]
+  /** What ends the body, if the transport knows it. */
+  framing?: AnswerFraming
   body: AsyncIterable<Uint8Array>
 }
 
