--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -43,6 +43,16 @@
   answerBytes?: number
 }
 
+/** How an upstream ends an answer. */
+export interface AnswerEnd {
+  /** The answer has neither a length nor chunks, and ends with its connection. */
+  withConnection?: boolean
+  /** The answer breaks off behind this many bytes of its body, and ends as if it were complete. */
+  cutAtBytes?: number
+  /** Ends the lines of events. */
+  lineEnd?: string
+}
+
 /** Headers and trailers that an upstream received with a call. */
 export interface ReceivedHeaders {
   path: string
@@ -90,6 +100,8 @@
   refuses?: () => boolean
   /** Decides whether the answer of a run is lost. */
   losesAnswer?: () => boolean
+  /** How answers end, by the id of their request; undefined for a chunked or a sized one. */
+  endOf?: (id: string) => AnswerEnd | undefined
   /** Headers with the upstream's signals, added to each response. */
   advertises?: () => Readonly<Record<string, string>>
   /** State given in its reports. */
@@ -216,13 +228,26 @@
   async #call (id: string, response: ServerResponse, losesAnswer: boolean): Promise<void> {
     const { workMs, answerBytes = 0 } = this.#shapeOf(id)
     if (workMs > 0) await sleep(workMs)
-    if (losesAnswer) response.destroy()
-    else response.end(`done ${id}`.padEnd(answerBytes))
+    if (losesAnswer) {
+      response.destroy()
+      return
+    }
+    const body = `done ${id}`.padEnd(answerBytes)
+    if (!this.#opts.endOf?.(id)?.withConnection) {
+      response.end(body)
+      return
+    }
+    endWithConnection(response)
+    response.write(body)
+    response.end()
   }
 
   async #stream (id: string, response: ServerResponse, { from, losesAnswer }: { from: number, losesAnswer: boolean }): Promise<void> {
+    const { withConnection = false, cutAtBytes = Number.POSITIVE_INFINITY, lineEnd = '\n' } = this.#opts.endOf?.(id) ?? {}
+    if (withConnection) endWithConnection(response)
     response.writeHead(200, { 'Content-Type': 'text/event-stream' })
     const { events, workMs } = this.#shapeOf(id)
+    let sentBytes = 0
     for (let i = from; i < events; i++) {
       if (workMs > 0) await sleep(workMs)
       if (response.destroyed) return
@@ -230,12 +255,21 @@
         response.destroy()
         return
       }
-      response.write(`id: ${i}\ndata: ${id} ${i}\n\n`)
+      const event = `id: ${i}${lineEnd}data: ${id} ${i}${lineEnd}${lineEnd}`
+      response.write(event.slice(0, cutAtBytes - sentBytes))
+      sentBytes += event.length
+      if (sentBytes > cutAtBytes) break
     }
     response.end()
   }
 }
 
+/** Must be called before the head is written. */
+function endWithConnection (response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false
+  response.shouldKeepAlive = false
+}
+
 function receivedHeadersOf ({ url = '', rawHeaders, rawTrailers }: IncomingMessage): ReceivedHeaders {
   const lines = [...rawHeaders, ...rawTrailers]
   const valuesOf = (header: string) => lines.filter((_, i) => i % 2 === 1 && lines[i - 1].toLowerCase() === header)
