fix(request.relay): a stream that ends inside an event is not whole, however it is framed

What callers saw: streams that an engine had broken off were framed as complete, with the engine's signature and a short body.

Cause: the end of an answer's framing was taken for the end of its stream. An answer without length and chunks ends with its connection, and a process that exits closes its connections as one does that has sent everything. The relay then passed on the incomplete event that it held and completed the caller's answer. The same end went unnoticed behind a last chunk, in streams of services, and in the answers of delegates.

Change: `AnswerEnd` decides whether an answer is whole, for engines, services and delegates. A stream of events must end outside an event, as a scanner of the format sees it: all three line ends, split anywhere, byte order marks, comments. Otherwise its body fails as a reset does: retried behind the last complete event where the route allows it, aborted elsewhere, recorded as a failed run. `EventProgress` uses the same scanner, so that it also finds events whose lines end with CR, and no longer reads buffered bytes again.

The test: one deployment a case, since a box avoids an engine that has failed, and most of the first form's requests would be refused with the fix; it tells a short answer from one that went on and is whole.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -30,10 +30,25 @@
 const CUT_FROM_UPSTREAMS = 'box/runtime/test.lib/cutFromUpstreams.js'
 const DELEGATION = 'request/delegation/test.lib/delegation.js'
 const UPSTREAM_PATHS = 'upstream/paths/test.lib/upstreamPaths.js'
+const ANSWER_END = 'request/relay/test.lib/answerEnd.js'
 const ENGINE_LIMITS = 'scheduling/scheduler/test.lib/engineLimits.js'
 
 /** Mechanisms that the documented guarantees depend on. */
 export const MECHANISMS: Mechanism[] = [
+  {
+    name: 'answer end: a stream that ends inside an event is not whole',
+    file: 'request/relay/src/answerEnd.ts',
+    find: 'if (!this.#scanner?.insideEvent) return',
+    replace: 'if (!this.#scanner?.insideEvent || true) return',
+    tests: [ANSWER_END, 'platform/adapter/test.lib/brokenOffStreams.js'],
+  },
+  {
+    name: 'answer end: lines may end with CR',
+    file: 'request/relay/src/eventScanner.ts',
+    find: 'if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {',
+    replace: 'if (byte !== LINE_FEED) {',
+    tests: [ANSWER_END],
+  },
   {
     name: 'lost paths: requests are run by boxes that have paths',
     file: 'box/runtime/src/createDelegationParts.ts',
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -1,6 +1,7 @@
 import { type ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { UpstreamError } from '@reelspan/upstream.client'
+import { AnswerEnd } from './answerEnd.js'
 import { EventProgress } from './eventProgress.js'
 import { type AnswerTimes, recordPartTime } from './passAnswer.js'
 import { type RelayContext } from './relayContext.js'
@@ -19,6 +20,8 @@
   readonly #context: RelayContext
   readonly #progress: EventProgress
   #attemptsUsed: number
+  /** The end of the present delegate's answer. */
+  #answerEnd?: AnswerEnd
 
   constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress() }: DelegatedRelayOptions) {
     this.#context = context
@@ -36,6 +39,7 @@
         return
       } catch (thrown) {
         run.throwIfEnded()
+        this.#progress.flush()
         const error = toReelspanError(thrown)
         // A delegate that fell silent may have sent the request without being able to say so.
         if (error.verdict === Verdict.MayHaveRun) this.#attemptsUsed = Math.max(this.#attemptsUsed, usedBefore + 1)
@@ -72,6 +76,7 @@
       onData: (bytes) => this.#passData(bytes, times),
     }))
     run.throwIfEnded()
+    this.#answerEnd?.check()
     const rest = this.#progress.flush()
     if (route.spec.streaming) times.restBytes = rest.byteLength
     if (route.spec.resumable && rest.byteLength > 0) await caller.write(rest)
@@ -82,7 +87,8 @@
 
   /** An answer that continues an interrupted one keeps the head of the first. */
   #passHead (status: number, headers: readonly string[], times: AnswerTimes): void {
-    const { caller } = this.#context
+    const { caller, opts: { metrics } } = this.#context
+    this.#answerEnd = new AnswerEnd({ status, headers }, { sender: 'the delegate', metrics })
     if (caller.begun && status !== OK) throw new UpstreamError(`the continued answer has status ${status}`, { mayHaveRun: true, failed: true })
     if (!caller.begun) caller.begin(status, headers)
     times.status = status
@@ -91,6 +97,7 @@
   /** Of a stream that another delegate could continue, only complete events are passed on. */
   async #passData (bytes: Uint8Array, times: AnswerTimes): Promise<void> {
     const { run, caller, route: { spec } } = this.#context
+    this.#answerEnd?.push(bytes)
     const complete = spec.streaming ? this.#progress.push(bytes) : bytes
     const passed = spec.resumable ? complete : bytes
     if (complete.byteLength > 0) recordPartTime(times, run.elapsedMs)
--- a/request/relay/src/eventProgress.ts
+++ b/request/relay/src/eventProgress.ts
@@ -1,13 +1,13 @@
-const ID_FIELD = /^id:[ ]?(.*)$/
+import { EventScanner } from './eventScanner.js'
 
-/** Line terminators. A blank line ends each event. */
-const LINE_FEED = 0x0a
-const CARRIAGE_RETURN = 0x0d
+const ID_FIELD = /^id:[ ]?(.*)$/
+const LINE_END = /\r\n|\r|\n/
 /** Far more than a token's event. Larger ones are passed on as they arrive, since nothing else bounds what would be buffered of them. */
 const MAX_EVENT_BYTES = 1_048_576
 
 /** Tracks the progress of a server-sent event stream and splits its bytes at the ends of events. */
 export class EventProgress {
+  #scanner = new EventScanner()
   #incomplete: Uint8Array = new Uint8Array()
   #events = 0
   #lastId?: string
@@ -36,12 +36,14 @@
   /** Adds received bytes and returns those of complete events. Buffers the bytes of an incomplete event. */
   push (bytes: Uint8Array): Uint8Array {
     if (this.#oversized) return bytes
-    const all = this.#incomplete.byteLength === 0 ? bytes : Buffer.concat([this.#incomplete, bytes])
-    let from = 0
-    for (let end = endOfEvent(all, from); end > 0; end = endOfEvent(all, from)) {
-      this.#recordEvent(Buffer.from(all.subarray(from, end)).toString())
-      from = end
-    }
+    const { eventEnds, boundary } = this.#scanner.scan(bytes)
+    const bufferedBytes = this.#incomplete.byteLength
+    const all = bufferedBytes === 0 ? bytes : Buffer.concat([this.#incomplete, bytes])
+    eventEnds.forEach((end, i) => {
+      const start = i === 0 ? 0 : bufferedBytes + eventEnds[i - 1]
+      this.#recordEvent(Buffer.from(all.subarray(start, bufferedBytes + end)).toString())
+    })
+    const from = boundary === 0 ? 0 : bufferedBytes + boundary
     this.#oversized = all.byteLength - from > MAX_EVENT_BYTES
     if (this.#oversized) {
       this.#incomplete = new Uint8Array()
@@ -51,25 +53,17 @@
     return all.subarray(0, from)
   }
 
-  /** Returns the buffered bytes behind the last complete event and clears the buffer. */
+  /** Ends an answer. Returns the bytes that are buffered behind its last complete event, and clears the buffer. */
   flush (): Uint8Array {
     const rest = this.#incomplete
+    this.#scanner = new EventScanner()
     this.#incomplete = new Uint8Array()
     return rest
   }
 
   #recordEvent (event: string): void {
     this.#events++
-    const ids = event.split(/\r?\n/).flatMap((line) => ID_FIELD.exec(line)?.[1] ?? [])
+    const ids = event.split(LINE_END).flatMap((line) => ID_FIELD.exec(line)?.[1] ?? [])
     this.#lastId = ids.at(-1) ?? this.#lastId
   }
 }
-
-/** Position behind the next blank line, or 0 if there is none. */
-function endOfEvent (bytes: Uint8Array, from: number): number {
-  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
-    const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1
-    if (bytes[next] === LINE_FEED) return next + 1
-  }
-  return 0
-}
--- a/request/relay/src/index.ts
+++ b/request/relay/src/index.ts
@@ -1,6 +1,7 @@
 export { Relay } from './relay.js'
 export type { RelayOptions } from './relayOptions.js'
 export { RelayCaller } from '@reelspan/request.caller'
+export { AnswerEnd } from './answerEnd.js'
 export { EventProgress } from './eventProgress.js'
 export { UpstreamPicker } from './upstreamPicker.js'
 export { RunDurations } from './runDurations.js'
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -1,5 +1,6 @@
 import { type PrefilledPrompt, type RelayAnswer, type RelayCallOptions, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { type SendPermit } from '@reelspan/upstream.limits'
+import { withCheckedEnd } from './answerEnd.js'
 import { drainAnswer } from './drainAnswer.js'
 import { type RelayContext } from './relayContext.js'
 
@@ -17,7 +18,7 @@
 
 /**
  * Sends a request to the upstream that runs it. From then on it may have run, unless the
- * upstream reports that it did not. Throws `UpstreamError`.
+ * upstream reports that it did not. Throws `UpstreamError`, as does the answer's body if it is not whole.
  */
 export function sendToUpstream (context: RelayContext, to: PermittedTarget, runOptions: RelayRunOptions): Promise<RelayAnswer> {
   const { opts, run, request, caller: { buffer } } = context
@@ -30,7 +31,7 @@
       runOptions.onSend?.()
     }
     const answer = await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, buffer, onSend }))
-    if (!answer.notRun) return answer
+    if (!answer.notRun) return withCheckedEnd(answer, { sender: target.instance, metrics: opts.metrics })
     void drainAnswer(answer)
     throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: FULL_STATUSES.includes(answer.status) })
   })
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -9,7 +9,7 @@
 import { type PoolRequest, type PoolSlot, PoolSlots, type SlotAnswer } from '@reelspan/scheduling.pool-admission'
 import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { Metrics } from '@reelspan/telemetry.metrics'
-import { type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamProbeResult, UpstreamProbe } from '@reelspan/upstream.client'
+import { AnswerFraming, type PrefilledPrompt, type PrefillSource, type RelayAnswer, type RelayCallOptions, RelayClient, type RelayedRequest, type RelayRunOptions, type RelayTarget, UpstreamError, UpstreamProbeResult, UpstreamProbe } from '@reelspan/upstream.client'
 import { UpstreamFailureReports } from '@reelspan/upstream.health'
 import { planPermitBucket, RetryTimes, SendPermits } from '@reelspan/upstream.limits'
 import { UpstreamPaths } from '@reelspan/upstream.paths'
@@ -317,6 +317,11 @@
   return async () => ({ status, notRun: false, headers: [], body: bodyOf([text]) })
 }
 
+/** Sends a stream of events that ends with its connection. */
+export function streams (text: string): Script {
+  return async () => ({ status: 200, notRun: false, headers: ['Content-Type', 'text/event-stream'], framing: AnswerFraming.Connection, body: bodyOf([text]) })
+}
+
 /** Answers after a delay, unless aborted before. */
 export function answersAfter (waitMs: number, status: number, text: string): Script {
   return async ({ clock, signal }) => {
