fix(net.upstream-http): an answer of a service that was reset is not whole

What callers saw: a call to a service by the JSON interface is answered with a part of its answer, as complete, if the service's answer has neither a length nor chunks and its connection is reset.

Cause: the same class as streams that end inside an event: the end of the connection is taken for the end of the answer. The HTTP client of the library also completes such an answer on ECONNRESET.

Change: services are called over `net/http-exchange`, which tells a reset from a close, as calls of the relay are.

--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -50,7 +50,7 @@
     link,
     platform: new HttpPlatformReader({ clock, addresses: platform.addresses, timeoutMs: PLATFORM_TIMEOUT_MS }),
     engines: new HttpEngineClient(),
-    services: new HttpServiceClient(),
+    services: new HttpServiceClient({ clock }),
     probe: new TcpUpstreamProbe({ clock }),
     log: boxLog,
     metrics,
--- a/net/upstream-http/src/httpServiceClient.ts
+++ b/net/upstream-http/src/httpServiceClient.ts
@@ -1,5 +1,6 @@
+import { type Clock, withDeadline } from '@reelspan/core.env'
+import { ConnectionPool, headerValue } from '@reelspan/net.http-exchange'
 import { ServiceClient, type ServiceCall, type ServiceReply, type UpstreamCallOptions } from '@reelspan/upstream.client'
-import { Agent, request, type Dispatcher } from 'undici'
 import { toUpstreamError } from './toUpstreamError.js'
 
 /** Carries the request's key. A service may return it with the answer. */
@@ -7,35 +8,47 @@
 
 const CONNECT_TIMEOUT_MS = 1000
 
-/** Calls plain services over HTTP. */
+export interface HttpServiceClientOptions {
+  clock: Clock
+}
+
+/** Calls plain services over HTTP. Unlike common clients, it does not take an answer whose connection was reset for a whole one. */
 export class HttpServiceClient extends ServiceClient {
-  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } })
+  readonly #clock: Clock
+  readonly #pool: ConnectionPool
+
+  constructor ({ clock }: HttpServiceClientOptions) {
+    super()
+    this.#clock = clock
+    this.#pool = new ConnectionPool({ clock, connectTimeoutMs: CONNECT_TIMEOUT_MS })
+  }
 
-  async call (address: string, call: ServiceCall, { timeoutMs, signal }: UpstreamCallOptions): Promise<ServiceReply> {
+  async call (address: string, call: ServiceCall, opts: UpstreamCallOptions): Promise<ServiceReply> {
     const { requestKey, method, path, contentType, body } = call
+    const headers = ['Host', address, REQUEST_KEY_HEADER, requestKey, ...contentType ? ['content-type', contentType] : []]
     try {
-      const response = await request(`http://${address}${path}`, {
-        dispatcher: this.#agent,
-        method: method as Dispatcher.HttpMethod,
-        signal,
-        headers: { [REQUEST_KEY_HEADER]: requestKey, ...contentType && { 'content-type': contentType } },
-        body: body.byteLength > 0 ? body : undefined,
-        headersTimeout: timeoutMs,
-        bodyTimeout: timeoutMs,
+      return await withDeadline(this.#clock, opts, async (signal) => {
+        const answer = await this.#pool.exchange(address, { method, target: path, headers, body }, { signal })
+        return {
+          // Without a returned key, the answer belongs to the call that HTTP paired it with.
+          requestKey: headerValue(answer.headers, REQUEST_KEY_HEADER) ?? requestKey,
+          status: answer.status,
+          contentType: headerValue(answer.headers, 'content-type') ?? 'application/octet-stream',
+          body: await readBytes(answer.body),
+        }
       })
-      return {
-        // Without a returned key, the answer belongs to the call that HTTP paired it with.
-        requestKey: String(response.headers[REQUEST_KEY_HEADER] ?? requestKey),
-        status: response.statusCode,
-        contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
-        body: new Uint8Array(await response.body.arrayBuffer()),
-      }
     } catch (thrown) {
       throw toUpstreamError(thrown, address)
     }
   }
 
   async close (): Promise<void> {
-    await this.#agent.destroy()
+    this.#pool.close()
   }
 }
+
+async function readBytes (body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+  const parts: Uint8Array[] = []
+  for await (const bytes of body) parts.push(bytes)
+  return Buffer.concat(parts)
+}
--- a/net/upstream-http/test/httpEngineClient.ts
+++ b/net/upstream-http/test/httpEngineClient.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events'
+import { type AddressInfo, createServer } from 'node:net'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { SystemClock } from '@reelspan/net.system-env'
 import { Verdict } from '@reelspan/core.error'
@@ -56,7 +58,7 @@
   const service = new ServiceModel({ clock: new SystemClock(), name: 's', workMs: 5000 })
   const server = createServiceServer(service)
   const address = await listenOn(server)
-  const services = new HttpServiceClient()
+  const services = new HttpServiceClient({ clock: new SystemClock() })
   t.teardown(() => services.close())
   const call = services.call(address, { requestKey: 'k', method: 'POST', path: '/', body: Buffer.from('x') }, OPTS)
   server.on('request', () => setImmediate(() => server.closeAllConnections()))
@@ -64,3 +66,18 @@
   t.is(error?.verdict, Verdict.MayHaveRun)
   server.close()
 })
+
+test('an answer of a service without a length whose connection is reset is not whole', async (t) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => socket.resetAndDestroy()))
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const services = new HttpServiceClient({ clock: new SystemClock() })
+  t.teardown(() => server.close())
+  t.teardown(() => services.close())
+  const call = { requestKey: 'k', method: 'GET', path: '/', body: new Uint8Array() }
+  const error = await t.throwsAsync(services.call(`127.0.0.1:${(server.address() as AddressInfo).port}`, call, OPTS), { instanceOf: UpstreamError })
+  t.is(error?.verdict, Verdict.MayHaveRun)
+})
