test(box.runtime,utils.fakes): streams that break off inside an event, over a hop

Cause: a box without paths has its streams run by another one; neither may complete a stream that was broken off. Change: the fake upstreams send event streams as such, and break runs off inside an event.

--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -32,6 +32,7 @@
 /** Timeout of a connection attempt, as at real boxes. */
 const CONNECT_TIMEOUT_MS = 400
 const EVENTS = 20
+const BROKEN_OFF_AT_EVENT = 5
 const MS_PER_EVENT = 40
 const PREFILL_MS = 50
 
@@ -42,6 +43,8 @@
   readonly crashes: { id: string, target: string, address: string, atMs: number }[] = []
   /** Decides whether the request crashes the upstream that runs it. */
   crashesUpstream: (request: RelayedRequest) => boolean = () => false
+  /** Decides whether a run ends inside an event, with its framing complete. */
+  breaksOffInsideEvent: (request: RelayedRequest) => boolean = () => false
   /** Signals that an upstream advertises in its responses to a box. */
   signalsOf: (upstream: string, boxAddress: string) => Partial<UpstreamSignals> = () => ({})
   /** Status with which an upstream refuses requests of a box without running them; undefined if it runs them. */
@@ -73,13 +76,18 @@
     const process = this.#processAt(target.address)
     if (this.crashesUpstream(request)) void this.#crashDuring(target.address, request)
     const from = resumeAfter === undefined ? 0 : Number(resumeAfter) + 1
-    return { status: 200, notRun: false, headers: [], body: this.#body(target.address, from, signal, process) }
+    const brokenOffAt = this.breaksOffInsideEvent(request) ? BROKEN_OFF_AT_EVENT : EVENTS
+    return { status: 200, notRun: false, headers: ['Content-Type', 'text/event-stream'], body: this.#body(target.address, { from, brokenOffAt }, signal, process) }
   }
 
-  async * #body (address: string, from: number, signal: AbortSignal, process: AbortSignal): AsyncGenerator<Uint8Array> {
+  async * #body (address: string, { from, brokenOffAt }: { from: number, brokenOffAt: number }, signal: AbortSignal, process: AbortSignal): AsyncGenerator<Uint8Array> {
     for (let i = from; i < EVENTS; i++) {
       await this.#opts.clock.sleep(MS_PER_EVENT, { signal: AbortSignal.any([signal, process]) })
       if (process.aborted || signal.aborted) throw connectionClosed(address)
+      if (i === brokenOffAt) {
+        yield Buffer.from(`id: ${i}\n`)
+        return
+      }
       yield Buffer.from(`id: ${i}\ndata: ${i}\n\n`)
     }
   }
--- a/box/runtime/test/cutFromUpstreams.ts
+++ b/box/runtime/test/cutFromUpstreams.ts
@@ -213,3 +213,20 @@
   t.true(servedShare(atCut) >= MIN_SHARE_OF_OTHERS * servedShare(atOthers), 'at the boxes that are cut off')
   await fleet.stop()
 })
+
+test('a stream that an engine breaks off inside an event does not reach the caller of a box without paths as complete', async (t) => {
+  const fleet = await startFleet()
+  const cut = chooseBoxes(fleet, 3)
+  // The first run of each stream is broken off.
+  const brokenOff = new Set<string>()
+  fleet.relayedUpstreams.breaksOffInsideEvent = ({ id }) => !brokenOff.has(id) && !!brokenOff.add(id)
+  await loadAll(fleet, 'before', 1)
+  fleet.cutFromUpstreams(cut, LinkFault.Reset)
+  await fleet.clock.advance(DETECTION_MS)
+  const outcomes = await loadAll(fleet, 'during', 2)
+  const atCut = outcomes.filter(({ box, id }) => cut.includes(box) && brokenOff.has(id))
+  t.true(atCut.length >= 10)
+  t.deepEqual(damaged(outcomes), [])
+  t.true(atCut.some(({ caller }) => caller.wasAborted))
+  t.true(atCut.some(({ caller }) => caller.complete))
+})
