feat(config.fleet,request.relay): logs say which software version a stream is placed at, and which attempt it takes up

Change: the list's entry of an upstream has its software version; `requestPlaced` names that of the decode engine, `requestEnded` has `resumesAttempt` and `resumeAfter`. No logic changed.

--- a/config/fleet/src/entries.ts
+++ b/config/fleet/src/entries.ts
@@ -26,6 +26,8 @@
   /** The declared pool that it belongs to. */
   pool: z.string(),
   leaving: z.boolean().default(false),
+  /** Version of the upstream's software, not of a model's weights. What two of them write does not fit into one stream. */
+  softwareVersion: z.string().optional(),
   /** Name of the upstream over all its starts, if `name` identifies a single start. */
   instance: z.string().optional(),
   /** Start time in Unix milliseconds, by the upstream's own clock. Comparable only between starts of one instance. */
--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -79,6 +79,7 @@
     }
     const { plan: { prefillEngine, decodeEngine, expectedTtftMs }, placedBy } = outcome
     const { promptTokens, maxTokens, expectedTokens } = this.#prompt
+    const softwareVersion = opts.fleet().upstream(decodeEngine)?.softwareVersion
     logDecision(LogEvent.RequestPlaced, {
       attempt,
       promptTokens,
@@ -86,6 +87,7 @@
       expectedTokens,
       prefillEngine,
       decodeEngine,
+      softwareVersion,
       scheduler: placedBy,
       expectedTtftMs: Math.round(expectedTtftMs),
       waitedMs: Math.round(run.elapsedMs - askedAtMs),
--- a/request/relay/src/recordRelayedEnd.ts
+++ b/request/relay/src/recordRelayedEnd.ts
@@ -28,6 +28,8 @@
     route: route?.name,
     delegatedBy,
     promptHash: promptHash(request),
+    resumesAttempt: request.resumesAttempt,
+    resumeAfter: request.resumeAfter,
     kind: route && relayedKind(route.spec),
     ttftTargetMs: route?.spec.ttftTargetMs,
     tbtTargetMs: route?.spec.streaming ? route.spec.tbtTargetMs : undefined,
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -29,6 +29,8 @@
   prompt?: PromptSizes
   /** ID of the last event that the caller received of an earlier attempt's answer. */
   resumeAfter?: string
+  /** ID of the earlier attempt that brought the first event of the stream that is taken up. */
+  resumesAttempt?: string
   /** The caller's IP address. */
   callerAddress: string
   /** Digest of the client account key sent with the request, if any. The key itself is not kept. */
