fix(request.relay,request.stream-origins): a stream goes on only at the software version that began it

What callers saw: streams held events of two software versions, over a client's tries and within one answer.

Cause: nobody knew an engine's software version. The list's entry had it and the box did not read it; `Resumes` was not read; placement, the second attempt, delegation and the client's take-up chose engines by room alone. Whatever a box knows ends with it, and a client's next try comes to any box.

Change: `StreamOrigins` remembers which version began each stream, tells three holders while more than one version is known, and asks them, then all others, when a client takes a stream up. It concludes from the list alone only if most of those asked confirm that there was one version for as long as clients may return. `StreamVersion` fixes the version with the first event that is passed on: for schedulers, shards, the owner's last check before it sends, the same engine once more, and delegates. A version without an engine that takes work is refused at once without a delay. Streams that may be resumed begin, as far as room allows, where a second engine could go on.

With one version nothing is sent when a stream begins.

--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -8,6 +8,7 @@
 import { type BoxList, type CoordinatedLimiter, type ExpectedBoxes, type StandInLimiter, type TokenBucketStore } from '@reelspan/membership.limits'
 import { type Broadcaster, type Gossip, type Prober } from '@reelspan/membership.prober'
 import { type MembershipView } from '@reelspan/membership.view'
+import { type StreamOrigins } from '@reelspan/request.stream-origins'
 import { type DelegatedRuns, type Delegator } from '@reelspan/request.delegation'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
@@ -68,6 +69,8 @@
   upstreamPaths: UpstreamPaths
   /** Has requests run by other boxes while this one cannot reach any upstream. */
   delegator: Delegator
+  /** Knows or finds out which software version began a stream. */
+  streamOrigins: StreamOrigins
   /** Requests that this box runs for others. */
   delegatedRuns: DelegatedRuns
   interruptedRuns: InterruptedRuns
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -19,7 +19,7 @@
 import { createUpstreamPaths, hasLostPaths } from './createPathParts.js'
 import { createPlacer } from './createPlacer.js'
 import { createPoolBroadcaster, createPoolCoordinator, createPools, createPoolWeights } from './createPoolAdmissionParts.js'
-import { createInterruptedRuns, createOwner, createQuarantine, createRecords, createRelay, createReportBroadcast, createRunGossip, recordTtlMs } from './createRequestParts.js'
+import { createInterruptedRuns, createOwner, createQuarantine, createRecords, createRelay, createReportBroadcast, createRunGossip, createStreamOrigins, recordTtlMs } from './createRequestParts.js'
 import { createBackoffs, createSignalObserver, createUpstreamStateGossip, createUpstreamStates } from './createSignalParts.js'
 import { generateIncarnation } from './generateIncarnation.js'
 import { FailureLog } from './failureLog.js'
@@ -43,6 +43,7 @@
     upstreamPaths: asFunction(createUpstreamPaths).singleton(),
     delegator: asFunction(createDelegator).singleton(),
     delegatedRuns: asFunction(createDelegatedRuns).singleton(),
+    streamOrigins: asFunction(createStreamOrigins).singleton(),
     view: asFunction(createView).singleton(),
     declarations: asFunction(createDeclarations).singleton(),
     fleetList: asFunction(createFleetList).singleton(),
@@ -116,6 +117,7 @@
     room: box.room,
     admitsPoolCalls: true,
     runsForOthers: relayClient !== undefined || undefined,
+    knowsStreamOrigins: relayClient !== undefined || undefined,
   }
   return new MembershipView({ self, goneRetentionMs: recordTtlMs(requests) })
 }
@@ -184,6 +186,7 @@
     owner: parts.owner,
     records: parts.records,
     delegatedRuns: parts.delegatedRuns,
+    streamOrigins: parts.streamOrigins,
     runGossip: parts.runGossip,
     acquireAccountCost: (message) => acquireAccountCost(parts, message),
     releaseAccountCost: (message) => releaseAccountCost(parts, message),
--- a/box/runtime/src/createDelegationParts.ts
+++ b/box/runtime/src/createDelegationParts.ts
@@ -34,14 +34,14 @@
   })
 }
 
-async function runDelegated ({ clock, declarations, relay }: BoxParts, { account, ...request }: DelegatedRequest, { revision, ...terms }: DelegationTerms, caller: RelayCaller & { recordSent: (upstream: string) => void }): Promise<void> {
+async function runDelegated ({ clock, declarations, relay }: BoxParts, { account, ...request }: DelegatedRequest, { revision, ...terms }: DelegationTerms, caller: RelayCaller & { recordSent: (upstream: string, softwareVersion: string) => void }): Promise<void> {
   if (declarations.revision < revision) {
     const stop = new AbortController()
     await raceTimeout(clock, declarations.waitAbove(revision - 1, AbortSignal.any([stop.signal, caller.signal])), CONFIGURATION_WAIT_MS)
     stop.abort(STOPPED)
     if (declarations.revision < revision) throw unavailable('has not adopted the configuration by which the request was admitted yet')
   }
-  await relay?.relayDelegated(request, caller, { ...terms, account, onSent: (upstream) => caller.recordSent(upstream) })
+  await relay?.relayDelegated(request, caller, { ...terms, account, onSent: (upstream, softwareVersion) => caller.recordSent(upstream, softwareVersion) })
 }
 
 function unavailableReason ({ relay, upstreamPaths, view }: BoxParts): ReelspanError | undefined {
--- a/box/runtime/src/createRequestParts.ts
+++ b/box/runtime/src/createRequestParts.ts
@@ -4,6 +4,7 @@
 import { InterruptedRuns, Quarantine, RunMessages } from '@reelspan/request.quarantine'
 import { RecordStore } from '@reelspan/request.records'
 import { Relay } from '@reelspan/request.relay'
+import { StreamOrigins } from '@reelspan/request.stream-origins'
 import { type UpstreamFailureReport } from '@reelspan/upstream.health'
 import { type BoxParts, environmentOf } from './boxParts.js'
 import { hasLostPaths } from './createPathParts.js'
@@ -67,6 +68,25 @@
   return new Quarantine({ clock, log, history: runHistory, incarnation: () => view.self.incarnation, onEvent: (event) => parts.runGossip.announce([event]) })
 }
 
+export function createStreamOrigins (parts: BoxParts): StreamOrigins {
+  const { clock, link, metrics, view, fleet, declarations, platformContact } = parts
+  return new StreamOrigins({
+    clock,
+    link,
+    metrics,
+    selfIncarnation: () => view.self.incarnation,
+    members: () => [...view.live(), ...view.suspected()],
+    takingWork: () => view.takingWork(),
+    fleet: () => fleet.value,
+    poolsOfModels: () => new Map(declarations.value.modelNames().flatMap((name) => {
+      const model = declarations.value.model(name)
+      return model ? [[name, [model.prefillPool, model.decodePool]]] : []
+    })),
+    sinceContactMs: () => platformContact.sinceContactMs,
+    onTaskError: (thrown) => parts.failures.recordTask('streamOrigins', thrown),
+  })
+}
+
 export function createOwner (parts: BoxParts): Owner {
   const { settings, view, declarations, fleet, log, metrics } = parts
   return new Owner({
@@ -101,6 +121,7 @@
     upstreamReports: parts.upstreamReports,
     paths: parts.upstreamPaths,
     delegator: parts.delegator,
+    origins: parts.streamOrigins,
     signals: parts.signals,
     backoffs: parts.backoffs,
     upstreamStates: parts.upstreamStates,
--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -6,6 +6,7 @@
 import { type MembershipView } from '@reelspan/membership.view'
 import { parseRequestKey } from '@reelspan/request.key'
 import { type DelegatedRuns } from '@reelspan/request.delegation'
+import { type StreamOrigins } from '@reelspan/request.stream-origins'
 import { type LookupAnswer } from '@reelspan/request.lookup'
 import { type Owner } from '@reelspan/request.owner'
 import { type RecordStore } from '@reelspan/request.records'
@@ -25,6 +26,7 @@
   owner: Owner
   records: RecordStore
   delegatedRuns: DelegatedRuns
+  streamOrigins: StreamOrigins
   runGossip: Gossip<RunEvent>
   /** Answers a box that asks this one as coordinator or stand-in of an account. */
   acquireAccountCost: (message: MessageOf<MessageType.AccountTake>) => PeerMessage
@@ -112,6 +114,11 @@
       case MessageType.DelegatedRead:
         this.#opts.delegatedRuns.recordRead(message.runId, message.totalBytes)
         return DONE
+      case MessageType.StreamOriginsTell:
+        this.#opts.streamOrigins.receive(message.origins)
+        return DONE
+      case MessageType.StreamOriginPull:
+        return this.#opts.streamOrigins.answer(message)
       case MessageType.StatusPull:
         return { type: MessageType.StatusContent, status: describeForStatus() }
       default:
--- a/box/runtime/src/reconciler.ts
+++ b/box/runtime/src/reconciler.ts
@@ -91,6 +91,7 @@
   #onFleetRevision (listRevision: number): void {
     this.#fleetChangeLogger.logChanges(storeRevisionOf(listRevision))
     this.#parts.interruptedRuns.onFleetChanged()
+    this.#parts.streamOrigins.onFleetChanged()
   }
 
   #reconcile (): void {
--- a/config/fleet/src/entries.ts
+++ b/config/fleet/src/entries.ts
@@ -39,3 +39,8 @@
 
 /** An upstream in the platform's list. */
 export type ListedUpstream = z.infer<typeof upstreamSpecSchema> & { name: string }
+
+/** The software version of an upstream. Those without one count as one version. */
+export function softwareVersionOf ({ softwareVersion = '' }: Pick<ListedUpstream, 'softwareVersion'>): string {
+  return softwareVersion
+}
--- a/config/fleet/src/index.ts
+++ b/config/fleet/src/index.ts
@@ -1,6 +1,6 @@
 export { FleetList } from './fleetList.js'
 export { parseFleetList } from './parseFleetList.js'
-export { boxSpecSchema, FleetEntryKind, upstreamSpecSchema, UpstreamKind } from './entries.js'
+export { boxSpecSchema, FleetEntryKind, softwareVersionOf, upstreamSpecSchema, UpstreamKind } from './entries.js'
 export type { ListedBox, ListedUpstream } from './entries.js'
 export { ReconciledFleet, REREGISTRATION_MS } from './reconciledFleet.js'
 export { instanceOf, NewestStarts } from './newestStarts.js'
--- a/core/error/src/errorCode.ts
+++ b/core/error/src/errorCode.ts
@@ -21,6 +21,10 @@
   RequestQuarantined = 'ERR_REELSPAN_REQUEST_QUARANTINED',
   RecordsFull = 'ERR_REELSPAN_RECORDS_FULL',
   NoUpstream = 'ERR_REELSPAN_NO_UPSTREAM',
+  /** A stream is taken up, and it cannot be found out which software version began it. */
+  StreamOriginUnknown = 'ERR_REELSPAN_STREAM_ORIGIN_UNKNOWN',
+  /** A stream goes on, and no engine of the software version that began it takes work. */
+  StreamVersionGone = 'ERR_REELSPAN_STREAM_VERSION_GONE',
   /** Every upstream that could serve the request is at its advertised limit. */
   UpstreamLimit = 'ERR_REELSPAN_UPSTREAM_LIMIT',
   /** Every upstream that could serve the request asked this box to back off. */
--- a/core/error/src/reelspanError.ts
+++ b/core/error/src/reelspanError.ts
@@ -8,6 +8,8 @@
   verdict?: Verdict
   /** When the caller should retry, in milliseconds from now. */
   retryAfterMs?: number
+  /** No later attempt will succeed, so that the caller gets no retry delay. */
+  retryFutile?: boolean
   cause?: unknown
 }
 
@@ -17,6 +19,7 @@
   readonly verdict: Verdict
   readonly hint?: string
   readonly retryAfterMs?: number
+  readonly retryFutile: boolean
 
   constructor (code: ErrorCode, message: string, opts: ReelspanErrorOptions = {}) {
     super(message, opts.cause === undefined ? undefined : { cause: opts.cause })
@@ -25,6 +28,7 @@
     this.verdict = opts.verdict ?? Verdict.NotRun
     this.hint = opts.hint
     this.retryAfterMs = opts.retryAfterMs
+    this.retryFutile = opts.retryFutile ?? false
   }
 }
 
--- a/core/messages/src/delegatedRun.ts
+++ b/core/messages/src/delegatedRun.ts
@@ -21,6 +21,8 @@
   }).optional(),
   /** The caller has received the answer up to the event with this ID. */
   resumeAfter: z.string().optional(),
+  /** The software version that must go on with the stream. */
+  softwareVersion: z.string().optional(),
   callerAddress: z.string(),
   account: z.string().optional(),
 })
@@ -61,7 +63,12 @@
 
 /** One event of a delegated run: any number of `sent`, one `head`, any number of `data`, and one of the last three. */
 export const delegatedEventSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal(DelegatedEventKind.Sent), upstream: z.string() }),
+  z.object({
+    kind: z.literal(DelegatedEventKind.Sent),
+    upstream: z.string(),
+    /** Software version of the upstream; empty if it has none. Earlier builds omit it. */
+    softwareVersion: z.string().optional(),
+  }),
   z.object({ kind: z.literal(DelegatedEventKind.Head), status: z.number().int(), headers: z.array(z.string()) }),
   z.object({ kind: z.literal(DelegatedEventKind.Data), bytes: bytesSchema }),
   z.object({ kind: z.literal(DelegatedEventKind.Finished) }),
--- a/core/messages/src/member.ts
+++ b/core/messages/src/member.ts
@@ -28,6 +28,8 @@
   upstreamsUnreachable: z.boolean().optional(),
   /** Whether the member runs relayed requests for others that cannot reach any upstream. Earlier builds do not. */
   runsForOthers: z.boolean().optional(),
+  /** Whether the member understands the messages about the origins of streams. Earlier builds do not. */
+  knowsStreamOrigins: z.boolean().optional(),
   /** The member that took over the records after a planned stop. */
   successor: z.object({ peerAddress: z.string(), incarnation: z.string() }).optional(),
 })
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -9,6 +9,7 @@
 import { PoolCallOutcome, poolAnswerSchema, poolCallSchema, poolShortageSchema, runningPoolCallSchema } from './poolAdmission.js'
 import { requestSchema } from './request.js'
 import { runEventSchema } from './runEvent.js'
+import { streamOriginSchema } from './streamOrigin.js'
 import { engineOutcomeSchema } from './upstreamOutcome.js'
 
 /**
@@ -68,6 +69,9 @@
   Delegate = 'delegate',
   DelegatedEvent = 'delegatedEvent',
   DelegatedRead = 'delegatedRead',
+  StreamOriginsTell = 'streamOriginsTell',
+  StreamOriginPull = 'streamOriginPull',
+  StreamOriginContent = 'streamOriginContent',
   StatusPull = 'statusPull',
   StatusContent = 'statusContent',
   Done = 'done',
@@ -269,6 +273,24 @@
   message(MessageType.DelegatedEvent, { event: delegatedEventSchema }),
   /** Tells how many bytes of a delegated run's answer were passed on so far. */
   message(MessageType.DelegatedRead, { runId: z.string(), totalBytes: z.number().int().nonnegative() }),
+  /** Streams that began lately, for the receiver to remember. */
+  message(MessageType.StreamOriginsTell, { origins: z.array(streamOriginSchema) }),
+  /** Asks what the receiver knows of a stream that a client takes up. */
+  message(MessageType.StreamOriginPull, {
+    /** The attempt that brought its first event, if the client named it. */
+    attempt: z.string().optional(),
+    model: z.string(),
+    /** How far back versions of the model's engines count. */
+    withinMs: durationMs,
+  }),
+  message(MessageType.StreamOriginContent, {
+    /** The version that began the stream. Omitted if the sender does not know it. */
+    version: z.string().optional(),
+    /** All versions of the model's engines that the sender has known in that time. */
+    versions: z.array(z.string()),
+    /** Time for which the sender has had lists that were up to date; 0 if its own is not. */
+    coveredMs: durationMs,
+  }),
   message(MessageType.StatusPull, {}),
   message(MessageType.StatusContent, { status: z.unknown() }),
   message(MessageType.Done, {}),
--- a/core/messages/src/placement.ts
+++ b/core/messages/src/placement.ts
@@ -29,6 +29,10 @@
   availabilityZone: z.string().optional(),
   /** Engines at which this request has just failed. */
   avoid: z.array(z.string()),
+  /** The software version that began the stream, which must go on with it. */
+  softwareVersion: z.string().optional(),
+  /** Whether the stream may be taken up at another engine of its version. */
+  resumable: z.boolean().optional(),
 })
 
 /** The engines that run a request. They stay reserved until the reservation is released, or until the request's deadline plus a grace period. */
--- a/request/delegation/src/delegatedCaller.ts
+++ b/request/delegation/src/delegatedCaller.ts
@@ -53,8 +53,8 @@
   }
 
   /** Tells the delegating box that the request was sent to an upstream. */
-  recordSent (upstream: string): void {
-    this.events.push({ kind: DelegatedEventKind.Sent, upstream })
+  recordSent (upstream: string, softwareVersion: string): void {
+    this.events.push({ kind: DelegatedEventKind.Sent, upstream, softwareVersion })
   }
 
   /** Called when the delegating box has passed on so many bytes in total. */
--- a/request/delegation/src/delegator.ts
+++ b/request/delegation/src/delegator.ts
@@ -27,7 +27,8 @@
 
 /** Receives the answer of a delegated request. */
 export interface DelegatedAnswer {
-  onSent: (upstream: string) => void
+  /** Called with the upstream that may run the request from then on, and its software version if the delegate tells it. May throw. */
+  onSent: (upstream: string, softwareVersion?: string) => void
   onHead: (status: number, headers: readonly string[]) => void
   /** Resolves when the caller can take more. */
   onData: (bytes: Uint8Array) => Promise<void>
@@ -137,7 +138,7 @@
 async function handleEvent (event: DelegatedEvent, { onSent, onHead, onData }: DelegatedAnswer): Promise<boolean> {
   switch (event.kind) {
     case DelegatedEventKind.Sent:
-      onSent(event.upstream)
+      onSent(event.upstream, event.softwareVersion)
       return false
     case DelegatedEventKind.Head:
       onHead(event.status, event.headers)
@@ -160,7 +161,7 @@
   readonly dependsOnDelegate: boolean
 
   constructor ({ code = ErrorCode.Internal, message = 'the request was not answered', verdict, retryAfterMs }: FinalAnswer) {
-    super(code, message, { verdict, retryAfterMs })
+    super(code, message, { verdict, retryAfterMs, retryFutile: verdict === Verdict.NotRun && retryAfterMs === undefined })
     this.dependsOnDelegate = DELEGATE_DEPENDENT_CODES.includes(code)
   }
 }
--- a/request/delegation/test/delegation.ts
+++ b/request/delegation/test/delegation.ts
@@ -71,7 +71,7 @@
 }
 
 const answer: DelegatedRunner = async (_request, _terms, caller) => {
-  caller.recordSent('i-1')
+  caller.recordSent('i-1', '')
   caller.begin(200, [])
   await caller.write(Buffer.from('answer'))
   caller.finish()
@@ -193,7 +193,7 @@
 test('a delegate whose process exits leaves a request that may have run', async (t) => {
   const { clock, run, network } = createBoxes({
     runners: [async (_request, _terms, caller) => {
-      caller.recordSent('i-1')
+      caller.recordSent('i-1', '')
       await new Promise(() => {})
     }]
   })
--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -162,7 +162,7 @@
       verdict,
       code: error?.code,
       message: error?.message,
-      retryAfterMs: error?.retryAfterMs ?? (verdict === Verdict.NotRun ? DEFAULT_RETRY_AFTER_MS : undefined),
+      retryAfterMs: error?.retryAfterMs ?? (verdict === Verdict.NotRun && !error?.retryFutile ? DEFAULT_RETRY_AFTER_MS : undefined),
       eventCount: this.record.events.length,
       promptTokens,
     }, this.#opts.clock.nowMs())
--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -9,6 +9,7 @@
 import { type PermittedPlacement, noPlacementError, acquireEnginePermits } from './permittedPlacement.js'
 import { type RelayContext } from './relayContext.js'
 import { BlockedUpstreams } from './blockedUpstreams.js'
+import { type StreamVersion } from './streamVersion.js'
 
 /** Latency targets that a request may wait for its first token. Callers abandon a stream after four; the fourth covers round trips and estimation errors. */
 const MAX_WAIT_TARGETS = 3
@@ -22,6 +23,7 @@
   /** Engines that failed the request. */
   failed: ReadonlySet<string>
   progress: EventProgress
+  version: StreamVersion
 }
 
 /** Obtains placements for one request at a model's engines, with the permits to send it there. */
@@ -114,6 +116,7 @@
   /** Calls the placer. Releases the placement if the run has ended in the meantime. */
   async #callPlacer (attempt: number): Promise<Placement | PlacementRefusal> {
     const { opts, run } = this.#context
+    this.#state.version.checkServed()
     const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
     if (run.signal.aborted && 'plan' in outcome) outcome.release()
     run.throwIfEnded()
@@ -145,6 +148,8 @@
       deadlineMs: run.remainingMs,
       allowsOwnPrefill: true,
       availabilityZone,
+      softwareVersion: this.#state.version.fixed,
+      resumable: route.spec.resumable || undefined,
       avoid: [...new Set([...this.#state.failed, ...health.suspects(), ...this.#blocked.names(), ...opts.backoffs.upstreams()])],
     }
   }
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -18,6 +18,8 @@
 import { prefillAtUpstream, sendToUpstream } from './sendToUpstream.js'
 import { IdleTimer } from './idleTimer.js'
 import { mustDelegate } from './mustDelegate.js'
+import { listedVersion } from './listedVersion.js'
+import { StreamVersion } from './streamVersion.js'
 import { untilLost } from './untilLost.js'
 
 /** Bound on placements of one request, including those that did not reach an engine. */
@@ -32,6 +34,15 @@
 const DECODE_IDLE_TIMEOUT_TARGETS = 2
 const FIRST_SERVER_ERROR = 500
 
+/** What the answer of a decode engine is handled with. */
+interface AnswerContext {
+  placement: Placement
+  times: AnswerTimes
+  idleTimer: IdleTimer
+  /** Software version of the engine when the request was sent. */
+  version: string
+}
+
 /** Relays a request to a model's engines: placement, prefill, decode. */
 export class CompletionRelay {
   readonly #context: RelayContext
@@ -39,6 +50,7 @@
   readonly #prompt: PromptSizes
   readonly #failedEngines = new Set<string>()
   readonly #progress = new EventProgress()
+  readonly #version: StreamVersion
   readonly #placer: CompletionPlacer
   /** Outcomes at the engines of the present placement. */
   #outcomes: EngineOutcome[] = []
@@ -52,14 +64,16 @@
     this.#context = context
     this.#model = model
     this.#prompt = prompt
-    this.#placer = new CompletionPlacer(context, model, prompt, { failed: this.#failedEngines, progress: this.#progress })
+    this.#version = new StreamVersion(context, model)
+    this.#placer = new CompletionPlacer(context, model, prompt, { failed: this.#failedEngines, progress: this.#progress, version: this.#version })
   }
 
   async execute (times: AnswerTimes): Promise<void> {
     const { run, logDecision } = this.#context
+    await this.#version.find()
     for (let attempt = 1; ; attempt++) {
       await run.checkBeforeSend()
-      if (mustDelegate(this.#context)) return new DelegatedRelay(this.#context, { attemptsUsed: this.#decodeEngines.size, progress: this.#progress }).execute(times)
+      if (mustDelegate(this.#context)) return new DelegatedRelay(this.#context, { attemptsUsed: this.#decodeEngines.size, progress: this.#progress, version: this.#version }).execute(times)
       try {
         await this.#executePlacement(await this.#placer.place(attempt), times)
         return
@@ -97,13 +111,13 @@
       if (opts.clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the reserved start time of the placement has passed', { mayHaveRun: false })
       if (mustDelegate(this.#context)) throw new UpstreamError('this box has lost its paths to the upstreams', { mayHaveRun: false })
       this.#checkMaySend(plan.prefillEngine)
-      this.#checkMaySend(plan.decodeEngine)
+      this.#checkMayDecode(plan.decodeEngine)
       if (!isOwnPrefill(plan)) {
         source = await this.#prefill(plan, permits.prefill)
         this.#prefillMs = opts.clock.nowMs() - placedAtMs
         placement.recordPrefillEnd()
         await run.checkBeforeSend()
-        this.#checkMaySend(plan.decodeEngine)
+        this.#checkMayDecode(plan.decodeEngine)
       }
       await this.#decode({ placement, permits }, source, times)
       handleConsumed = true
@@ -126,6 +140,14 @@
     throw new UpstreamError(`${engine} ${reason}`, { mayHaveRun: false, refused: true })
   }
 
+  /** A scheduler of an earlier build does not know which software version began the stream, and an engine's entry may have changed since it placed it. */
+  #checkMayDecode (engine: string): void {
+    this.#checkMaySend(engine)
+    if (this.#version.allows(engine)) return
+    this.#failedEngines.add(engine)
+    throw new UpstreamError(`${engine} is not of the software version «${this.#version.fixed}» that began the stream`, { mayHaveRun: false, refused: true })
+  }
+
   async #prefill (plan: PlacementPlan, permit: SendPermit): Promise<PrefillSource> {
     const { run } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
@@ -177,7 +199,7 @@
   #mayRetryAtEngine (plan: PlacementPlan, thrown: unknown, source: PrefillSource | undefined): boolean {
     const { opts, run, route } = this.#context
     const computesPrompts = opts.configuration().model(this.#model)?.decodePrefillTokensPerSecond !== undefined
-    if (!(thrown instanceof UpstreamError) || !computesPrompts || !opts.fleet().takesWork(plan.decodeEngine)) return false
+    if (!(thrown instanceof UpstreamError) || !computesPrompts || !opts.fleet().takesWork(plan.decodeEngine) || !this.#version.allows(plan.decodeEngine)) return false
     if (thrown.refused) return source !== undefined
     return this.#interrupted && (route.spec.resumable || !run.mayHaveRun) && this.#canResume()
   }
@@ -193,6 +215,7 @@
     const promptMs = source === undefined ? PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs : 0
     const timeoutMs = this.#hasAttemptsLeft() ? DECODE_IDLE_TIMEOUT_TARGETS * route.spec.tbtTargetMs + promptMs : Number.POSITIVE_INFINITY
     const target = { instance: plan.decodeEngine, address: plan.decodeAddress }
+    const version = listedVersion(this.#context.opts, plan.decodeEngine) ?? ''
     await this.#trackFailure(target, (onSend) => this.#withIdleTimer(timeoutMs, (idleTimer) => this.#trackInterruption(idleTimer, async () => {
       const answer = await untilLost(this.#context, idleTimer.signal, () => !sent, (signal) => sendToUpstream(this.#context, { target, permit }, {
         signal,
@@ -206,7 +229,7 @@
         },
       }))
       idleTimer.reset()
-      await this.#handleAnswer(plan, answer, placement, times, idleTimer)
+      await this.#handleAnswer(plan, answer, { placement, times, idleTimer, version })
     }), () => this.#mayRetryElsewhere())).catch((thrown: unknown) => {
       // An engine that accepted no connection has received nothing, so it does not count as one of the attempts.
       if (!sent && !wasSentBefore) this.#decodeEngines.delete(plan.decodeEngine)
@@ -240,7 +263,7 @@
     return !this.#context.caller.begun || (!this.#progress.oversized && (this.#progress.lastId !== undefined || this.#progress.events === 0))
   }
 
-  async #handleAnswer (plan: PlacementPlan, answer: RelayAnswer, placement: Placement, times: AnswerTimes, idleTimer: IdleTimer): Promise<void> {
+  async #handleAnswer (plan: PlacementPlan, answer: RelayAnswer, { placement, times, idleTimer, version }: AnswerContext): Promise<void> {
     const { run, route, caller, logDecision } = this.#context
     logDecision(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, framing: answer.framing, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     const failed = answer.status >= FIRST_SERVER_ERROR
@@ -249,7 +272,10 @@
       throw new UpstreamError(`${plan.decodeEngine} responded with ${answer.status}`, { mayHaveRun: true, failed: true })
     }
     placement.recordProgress(1)
-    const onFirst = isOwnPrefill(plan) ? () => placement.recordPrefillEnd() : undefined
+    const onFirst = () => {
+      if (isOwnPrefill(plan)) placement.recordPrefillEnd()
+      if (answer.status === OK) this.#version.begin(version)
+    }
     await passEvents(this.#context, answer, times, { progress: this.#progress, completeEventsOnly: route.spec.resumable, idleTimer, onFirst })
     this.#recordOutcome(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -4,13 +4,17 @@
 import { AnswerEnd } from './answerEnd.js'
 import { EventProgress } from './eventProgress.js'
 import { type AnswerTimes, recordPartTime } from './passAnswer.js'
+import { listedVersion } from './listedVersion.js'
 import { type RelayContext } from './relayContext.js'
+import { type StreamVersion } from './streamVersion.js'
 
 export interface DelegatedRelayOptions {
   /** Upstreams to which this box has sent the request. */
   attemptsUsed: number
   /** The events of a stream that were passed on already. */
   progress?: EventProgress
+  /** The software version that goes on with a stream of a model. */
+  version?: StreamVersion
 }
 
 const OK = 200
@@ -19,12 +23,18 @@
 export class DelegatedRelay {
   readonly #context: RelayContext
   readonly #progress: EventProgress
+  readonly #version?: StreamVersion
+  /** Software version of the upstream that runs the request; undefined if neither the delegate nor this box's list tells it. */
+  #upstreamVersion?: string
   #attemptsUsed: number
+  /** Whether the present answer is a success without a complete event yet. */
+  #isFirst = false
   /** The end of the present delegate's answer. */
   #answerEnd?: AnswerEnd
 
-  constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress() }: DelegatedRelayOptions) {
+  constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress(), version }: DelegatedRelayOptions) {
     this.#context = context
+    this.#version = version
     this.#attemptsUsed = attemptsUsed
     this.#progress = progress
   }
@@ -54,7 +64,7 @@
     const { route: { spec }, budget, caller } = this.#context
     const isRepeatable = spec.streaming ? spec.resumable === true : !spec.notRepeatable
     if (verdict === Verdict.NotRun || !isRepeatable || this.#attemptsUsed >= spec.maxAttempts) return false
-    const canResume = !caller.begun || (spec.streaming === true && !this.#progress.oversized && this.#progress.lastId !== undefined)
+    const canResume = !caller.begun || (this.#version?.fixed !== undefined && spec.streaming === true && !this.#progress.oversized && this.#progress.lastId !== undefined)
     return canResume && budget.tryAcquireRetry()
   }
 
@@ -63,7 +73,8 @@
     const { opts, run, request, urgency, caller, route, logDecision } = this.#context
     const { id, method, host, target, headers, body, prompt, callerAddress, account } = request
     const resumeAfter = this.#progress.lastId ?? request.resumeAfter
-    const delegated = { id, method, host, target, headers: [...headers], body, prompt: prompt && { ...prompt, prefixes: [...prompt.prefixes] }, resumeAfter, callerAddress, account }
+    this.#version?.checkServed()
+    const delegated = { id, method, host, target, headers: [...headers], body, prompt: prompt && { ...prompt, prefixes: [...prompt.prefixes] }, resumeAfter, softwareVersion: this.#version?.fixed, callerAddress, account }
     const terms = { deadlineMs: run.remainingMs, elapsedMs: run.elapsedMs, urgency, attemptsUsed: this.#attemptsUsed, revision: opts.configuration().revision }
     await run.dispatch(() => opts.delegator.run({
       request: delegated,
@@ -71,7 +82,7 @@
       signal: run.signal,
       onAsked: ({ name }) => logDecision(LogEvent.RequestDelegated, { delegate: name, attemptsUsed: this.#attemptsUsed, atMs: Math.round(run.elapsedMs) }),
     }, {
-      onSent: () => { this.#attemptsUsed++ },
+      onSent: (upstream, softwareVersion) => this.#recordSent(upstream, softwareVersion),
       onHead: (status, answerHeaders) => this.#passHead(status, answerHeaders, times),
       onData: (bytes) => this.#passData(bytes, times),
     }))
@@ -85,12 +96,21 @@
     run.finish()
   }
 
+  /** A delegate of an earlier build does not know which software version began the stream. */
+  #recordSent (upstream: string, softwareVersion = listedVersion(this.#context.opts, upstream)): void {
+    this.#attemptsUsed++
+    this.#upstreamVersion = softwareVersion
+    const fixed = this.#version?.fixed
+    if (fixed !== undefined && softwareVersion !== fixed) throw new UpstreamError(`${upstream} is not of the software version «${fixed}» that began the stream`, { mayHaveRun: true })
+  }
+
   /** An answer that continues an interrupted one keeps the head of the first. */
   #passHead (status: number, headers: readonly string[], times: AnswerTimes): void {
     const { caller, opts: { metrics } } = this.#context
     this.#answerEnd = new AnswerEnd({ status, headers }, { sender: 'the delegate', metrics })
     if (caller.begun && status !== OK) throw new UpstreamError(`the continued answer has status ${status}`, { mayHaveRun: true, failed: true })
     if (!caller.begun) caller.begin(status, headers)
+    this.#isFirst = status === OK
     times.status = status
   }
 
@@ -100,7 +120,11 @@
     this.#answerEnd?.push(bytes)
     const complete = spec.streaming ? this.#progress.push(bytes) : bytes
     const passed = spec.resumable ? complete : bytes
-    if (complete.byteLength > 0) recordPartTime(times, run.elapsedMs)
+    if (complete.byteLength > 0) {
+      recordPartTime(times, run.elapsedMs)
+      if (this.#upstreamVersion !== undefined && this.#isFirst) this.#version?.begin(this.#upstreamVersion)
+      this.#isFirst = false
+    }
     times.parts++
     if (passed.byteLength > 0) await caller.write(passed)
   }
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -10,7 +10,7 @@
   completeEventsOnly: boolean
   /** Aborts the exchange when the upstream sends nothing for too long. */
   idleTimer: IdleTimer
-  /** Called when the first event of this answer is complete. */
+  /** Called when the first event of this answer is complete, before it is passed on. */
   onFirst?: () => void
 }
 
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -40,7 +40,7 @@
 export interface DelegatedTerms extends Pick<DelegationTerms, 'box' | 'elapsedMs' | 'deadlineMs' | 'urgency' | 'attemptsUsed'> {
   account?: string
   /** Called when the request is sent to an upstream that may run it. */
-  onSent: (upstream: string) => void
+  onSent: (upstream: string, softwareVersion: string) => void
 }
 
 /** An admitted request and its target. */
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -30,7 +30,7 @@
   /** Whether another box may run the request. False for one that this box runs for another. */
   mayDelegate: boolean
   /** Called when the request is sent to an upstream that may run it. */
-  onSent?: (upstream: string) => void
+  onSent?: (upstream: string, softwareVersion: string) => void
   /** Logs a decision about this request. */
   logDecision: (event: LogEvent, fields: LogFields) => void
 }
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -3,6 +3,7 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type Clock, type Random, type TaskErrorListener } from '@reelspan/core.env'
 import { type Delegator } from '@reelspan/request.delegation'
+import { type StreamOrigins } from '@reelspan/request.stream-origins'
 import { type InterruptedRuns, type Quarantine } from '@reelspan/request.quarantine'
 import { type Placer } from '@reelspan/scheduling.placer'
 import { type PoolSlots } from '@reelspan/scheduling.pool-admission'
@@ -33,6 +34,8 @@
   upstreamReports: Pick<UpstreamFailureReports, 'isFailing'>
   /** Whether this box has network paths to the upstreams. */
   paths: Pick<UpstreamPaths, 'lost' | 'lastReceivedMs' | 'trackRequest' | 'recordFailure' | 'waitUntilLost'>
+  /** Knows or finds out which software version began a stream. */
+  origins: Pick<StreamOrigins, 'record' | 'find'>
   /** Has requests run by other boxes while this one cannot reach any upstream. */
   delegator: Delegator
   /** Processes the rate limits and backoffs that responses advertise. */
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -1,5 +1,6 @@
 import { type PrefilledPrompt, type RelayAnswer, type RelayCallOptions, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { type SendPermit } from '@reelspan/upstream.limits'
+import { listedVersion } from './listedVersion.js'
 import { withCheckedEnd } from './answerEnd.js'
 import { drainAnswer } from './drainAnswer.js'
 import { type RelayContext } from './relayContext.js'
@@ -27,7 +28,7 @@
   return run.dispatchOnSend(async (sent) => {
     const onSend = () => {
       sent()
-      context.onSent?.(target.instance)
+      context.onSent?.(target.instance, listedVersion(opts, target.instance) ?? '')
       runOptions.onSend?.()
     }
     const answer = await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, buffer, onSend }))
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -1,8 +1,9 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { checkResources, Configuration, ResourceKind } from '@reelspan/config.resources'
-import { type EngineOutcome, PlacementOutcome, type PlacementRefusal, type PoolCallOutcome } from '@reelspan/core.messages'
+import { type EngineOutcome, PlacementOutcome, type PlacementRefusal, type PoolCallOutcome, type StreamOrigin } from '@reelspan/core.messages'
 import { EvenShareLimiter } from '@reelspan/membership.limits'
 import { Delegator } from '@reelspan/request.delegation'
+import { type FoundOrigin, type OriginQuery, OriginSource, type UnknownOrigin } from '@reelspan/request.stream-origins'
 import { InterruptedRuns, type InterruptedRunsOptions, Quarantine, RunHistory } from '@reelspan/request.quarantine'
 import { Relay, type RelayOptions } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
@@ -197,6 +198,22 @@
   }
 }
 
+/** Answers as scripted which software version began a stream, and records the streams that begin. */
+export class ScriptedOrigins {
+  readonly recorded: StreamOrigin[] = []
+  readonly queries: OriginQuery[] = []
+  found: FoundOrigin | UnknownOrigin = { version: '', source: OriginSource.List, knownBy: [] }
+
+  record (origin: StreamOrigin): void {
+    this.recorded.push(origin)
+  }
+
+  async find (query: OriginQuery): Promise<FoundOrigin | UnknownOrigin> {
+    this.queries.push(query)
+    return this.found
+  }
+}
+
 class RecordingLog extends Log {
   readonly entries: { event: LogEvent, fields?: LogFields }[] = []
 
@@ -266,8 +283,10 @@
       return perSecond === undefined ? undefined : planPermitBucket(perSecond, 1, 1)
     },
   })
+  const origins = new ScriptedOrigins()
   const relay = new Relay({
     clock,
+    origins,
     random: new SeededRandom(7),
     upstreams,
     placer,
@@ -296,7 +315,7 @@
     log,
     metrics,
   })
-  return { clock, relay, upstreams, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, engines, reports, closedUnanswered }
+  return { clock, relay, upstreams, origins, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, engines, reports, closedUnanswered }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -1,4 +1,4 @@
-import { type ListedUpstream } from '@reelspan/config.fleet'
+import { type ListedUpstream, softwareVersionOf } from '@reelspan/config.fleet'
 import { type HoldLabel, holdLabelKey, isOwnPrefill } from '@reelspan/core.messages'
 import { type Shard } from '@reelspan/scheduling.shards'
 import { type EngineReport, EngineRole, ReportedStart, compareReportedStart } from '@reelspan/upstream.client'
@@ -31,6 +31,8 @@
   /** The role in the fleet list. */
   role: EngineRole
   leaving: boolean
+  /** Version of its software; empty if it has none. */
+  softwareVersion: string
   /** When the listed process of the engine started, on the engine's clock, if known. */
   startedAtMs?: number
   account: A
@@ -59,6 +61,8 @@
   #shard: Shard
   #prefillList: EngineAccount<PrefillAccount>[] = []
   #decodeList: EngineAccount<DecodeAccount>[] = []
+  /** Software versions of two or more decode engines that take work. */
+  #continuableVersions: ReadonlySet<string> = new Set()
 
   constructor (shard: Shard, opts: ShardLedgerOptions) {
     this.#opts = opts
@@ -86,6 +90,8 @@
     updateAccounts(this.#decode, EngineRole.Decode, shard.decodeEngines, () => new DecodeAccount())
     this.#prefillList = [...this.#prefill.values()]
     this.#decodeList = [...this.#decode.values()]
+    const versions = this.#decodeList.flatMap(({ leaving, softwareVersion }) => leaving ? [] : [softwareVersion])
+    this.#continuableVersions = new Set(versions.filter((version, i) => versions.indexOf(version) !== i))
   }
 
   /** Prefill engines, in an order that changes only in `update`. */
@@ -97,6 +103,11 @@
     return this.#decodeList
   }
 
+  /** Whether another decode engine could go on with a stream of this one. */
+  isContinuable ({ softwareVersion }: EngineAccount<DecodeAccount>): boolean {
+    return this.#continuableVersions.has(softwareVersion)
+  }
+
   /** Engines of both pools. */
   allEngines (): readonly EngineAccount<PrefillAccount | DecodeAccount>[] {
     return [...this.#prefillList, ...this.#decodeList]
@@ -246,9 +257,11 @@
 ): void {
   const names = new Set(listed.map(({ name }) => name));
   [...accounts.keys()].filter((name) => !names.has(name)).forEach((name) => accounts.delete(name))
-  listed.forEach(({ name, address, availabilityZone, leaving, startedAtMs }) => {
+  listed.forEach((engine) => {
+    const { name, address, availabilityZone, leaving, startedAtMs } = engine
+    const softwareVersion = softwareVersionOf(engine)
     const known = accounts.get(name)
-    if (known && known.address === address) known.leaving = leaving
-    else accounts.set(name, { name, address, availabilityZone, role, leaving, startedAtMs, account: createAccount(), reportAtMs: 0, awaitsFirstReport: true, retiring: false })
+    if (known && known.address === address) Object.assign(known, { leaving, softwareVersion })
+    else accounts.set(name, { name, address, availabilityZone, role, leaving, softwareVersion, startedAtMs, account: createAccount(), reportAtMs: 0, awaitsFirstReport: true, retiring: false })
   })
 }
--- a/scheduling/owner-alone/src/localPlacer.ts
+++ b/scheduling/owner-alone/src/localPlacer.ts
@@ -4,7 +4,7 @@
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { type PrefixIndex } from '@reelspan/scheduling.prefix-index'
 import { slotsWithinTarget, prefillMs, requestKvBytes, type Shard, transferMs } from '@reelspan/scheduling.shards'
-import { type ListedUpstream } from '@reelspan/config.fleet'
+import { type ListedUpstream, softwareVersionOf } from '@reelspan/config.fleet'
 import { type EnginePicker } from './enginePicker.js'
 import { type DatedReport, type ReportSource } from './reportSource.js'
 
@@ -96,7 +96,7 @@
     const prefill = this.#pickPrefill(request, this.#candidates(prefillListed, prefillReports, request, prefillLoad))
     if (!prefill) return refusal('no prefill engine has a usable report')
     const decodes = this.#candidates(decodeListed, decodeReports, request, decodeLoad)
-      .filter(({ version }) => version === prefill.version)
+      .filter(({ version, engine }) => version === prefill.version && (request.softwareVersion === undefined || softwareVersionOf(engine) === request.softwareVersion))
     if (decodes.length === 0) return refusal('no decode engine has a usable report')
     const decode = this.#opts.decodePicker.pick(decodes, ({ load }) => load, '')
     const shard = shards.find(({ prefillEngines }) => prefillEngines.includes(prefill.engine)) as Shard
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -1,3 +1,4 @@
+import { softwareVersionOf } from '@reelspan/config.fleet'
 import { type Clock } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { rankByRendezvous } from '@reelspan/core.hashing'
@@ -89,8 +90,8 @@
 
   /** The shard preferred for the request's prefix, and one more to spill to. */
   #shardsFor (request: PlaceRequest): Shard[] {
-    const shards = this.#opts.shardsOfModel(request.model)
-    if (shards.length <= 1) return [...shards]
+    const shards = this.#opts.shardsOfModel(request.model).filter((shard) => mayGoOnAt(shard, request))
+    if (shards.length <= 1) return shards
     const prefix = request.prefixes.findLast(({ tokens }) => tokens <= AFFINITY_TOKENS)
     const affinity = prefix?.digest ?? holdLabelKey(request.label)
     return rankByRendezvous(affinity, shards, ({ id }) => id).slice(0, MAX_SHARDS_TRIED)
@@ -235,3 +236,8 @@
   const [earliest] = [...refusals].sort((a, b) => a.retryAfterMs - b.retryAfterMs)
   return earliest ?? { outcome: PlacementOutcome.Refused, reason: 'the model has no engines', retryAfterMs: 1000 }
 }
+
+/** Whether a shard has an engine of the software version that began the request's stream. */
+function mayGoOnAt ({ decodeEngines }: Shard, { softwareVersion }: PlaceRequest): boolean {
+  return softwareVersion === undefined || decodeEngines.some((engine) => !engine.leaving && softwareVersionOf(engine) === softwareVersion)
+}
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -2,6 +2,7 @@
 import { type ReserveRequest } from '@reelspan/core.messages'
 import { type EngineAccount, type PrefillAccount, type ShardLedger } from '@reelspan/scheduling.ledger'
 import { type EngineLimits } from './engineLimits.js'
+import { mayDecode } from './mayDecode.js'
 import { type KeptCapacity, type PlacementEstimate, type PlacementEstimator } from './placementEstimator.js'
 import { type QueueShares } from './queueShares.js'
 import { type SlotLimit } from './slotLimit.js'
@@ -92,7 +93,7 @@
   /** Time until the rate limit of any decode engine permits another request; undefined if none takes work. */
   decodePermitWaitMs ({ request }: WaitingRequest, nowMs: number): number | undefined {
     const waitsMs = this.#ledger.decodeEngines()
-      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && !request.avoid.includes(decode.name))
+      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && mayDecode(decode, request))
       .map(({ name }) => this.#limits.waitMs(name))
     return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined
   }
@@ -162,7 +163,7 @@
   /** Minimum time until a decode engine has computed the prompt itself, even if all are full now; undefined if none takes work. */
   minOwnPrefillMs ({ request }: WaitingRequest, nowMs: number): number | undefined {
     const timesMs = this.#ledger.decodeEngines().flatMap((decode) => {
-      const takesWork = this.#ledger.servedVersion(decode, nowMs) !== undefined && !request.avoid.includes(decode.name)
+      const takesWork = this.#ledger.servedVersion(decode, nowMs) !== undefined && mayDecode(decode, request)
       const ownMs = takesWork ? this.#estimator.ownPrefillMs(request, decode) : undefined
       return ownMs === undefined ? [] : [ownMs + this.#limits.waitMs(decode.name)]
     })
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -7,6 +7,7 @@
 import { type EngineLimits } from './engineLimits.js'
 import { type StreamEndPredictor } from './streamEndPredictor.js'
 import { ownPrefillMs, slotsWithinTarget, prefillMs, requestKvBytes, transferMs } from '@reelspan/scheduling.shards'
+import { mayDecode } from './mayDecode.js'
 
 /** Estimated times and costs of a placement on a given pair of engines. Times are on this box's clock. */
 export interface PlacementEstimate {
@@ -132,7 +133,9 @@
     const mostFreeOf = (candidates: readonly EngineAccount<DecodeAccount>[]) =>
       findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeNow(capacity), kept?.get(name)) }) ??
       (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeAt(arrivalMs, capacity, (reservation) => this.#ends.latestEndMs(name, reservation), nowMs), kept?.get(name)) }) : undefined)
-    const mostFree = mostFreeOf(engines.filter(({ name }) => !this.#isSuspect(name))) ?? mostFreeOf(engines)
+    const trusted = engines.filter(({ name }) => !this.#isSuspect(name))
+    const continuable = request.resumable ? trusted.filter((decode) => this.#ledger.isContinuable(decode)) : trusted
+    const mostFree = mostFreeOf(continuable) ?? (continuable.length < trusted.length ? mostFreeOf(trusted) : undefined) ?? mostFreeOf(engines)
     if (!mostFree) return undefined
     const { decode, free } = mostFree
     const linkFreeMs = Math.max(part.endMs + spec.prefillLatencyMs, part.prefill.account.linkFreeAtMs, decode.account.linkFreeAtMs)
@@ -180,9 +183,9 @@
     return kept
   }
 
-  /** Whether an engine may get the request, capacity aside. */
-  #accepts ({ name }: EngineAccount<unknown>, { avoid }: ReserveRequest): boolean {
-    return !avoid.includes(name) && this.#limits.waitMs(name) === 0
+  /** Whether a decode engine may get the request, capacity aside. */
+  #accepts (decode: EngineAccount<DecodeAccount>, request: ReserveRequest): boolean {
+    return mayDecode(decode, request) && this.#limits.waitMs(decode.name) === 0
   }
 
   /** Times at which a stream starts and ends at the declared speed, given the time at which its KV cache is available. */
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -45,6 +45,8 @@
   RequestRetried = 'requestRetried',
   /** A request is run by another box, since this one cannot reach any upstream. */
   RequestDelegated = 'requestDelegated',
+  /** A client takes up a stream that an earlier attempt began. */
+  StreamTakenUp = 'streamTakenUp',
   HandleLeft = 'handleLeft',
   /** An upstream's answer to a request was interrupted. Includes the result of probing its address. */
   RunBrokeOff = 'runBrokeOff',
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -31,6 +31,8 @@
   resumeAfter?: string
   /** ID of the earlier attempt that brought the first event of the stream that is taken up. */
   resumesAttempt?: string
+  /** The software version that must go on with the stream, found out by the box that delegates the request. */
+  softwareVersion?: string
   /** The caller's IP address. */
   callerAddress: string
   /** Digest of the client account key sent with the request, if any. The key itself is not kept. */
