--- /dev/null
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -0,0 +1,182 @@
+import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
+import { type Member, MemberHealth, MessageType, type StreamOrigin } from '@reelspan/core.messages'
+import { OriginRecords, OriginSource, StreamOrigins, VersionHistory } from '@reelspan/request.stream-origins'
+import { Metrics } from '@reelspan/telemetry.metrics'
+import { FakeNetwork, LinkFault, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
+import test from 'ava'
+
+const MODEL = 'm'
+const KEEP_MS = 15_000
+const QUERY = { attempt: 'a1', model: MODEL, keepMs: KEEP_MS }
+const ORIGIN: StreamOrigin = { attempt: 'a1', model: MODEL, version: 'v1', keepMs: KEEP_MS }
+/** Longer than beginnings are collected and on their way. */
+const TOLD_MS = 100
+
+function fleetOf (versions: readonly string[]): FleetList {
+  return new FleetList([], versions.map((softwareVersion, i): ListedUpstream => ({ name: `d${i}`, kind: UpstreamKind.Engine, address: `10.1.0.${i}:1`, availabilityZone: 'a', pool: 'd', leaving: false, softwareVersion })))
+}
+
+function memberOf (i: number, zone: string): Member {
+  return { name: `box-${i}`, availabilityZone: zone, peerAddress: `10.0.0.${i}:1`, callerAddress: '', incarnation: `incarnation-${i}`, version: 0, health: MemberHealth.Alive, leaving: false, knowsStreamOrigins: true }
+}
+
+interface BoxesOptions {
+  count?: number
+  versions?: readonly string[]
+  /** Time since the boxes got their first list. */
+  coveredMs?: number
+}
+
+/** Boxes in three zones on a fake network, each with an own list. */
+async function createBoxes ({ count = 8, versions = ['v1', 'v2'], coveredMs = 0 }: BoxesOptions = {}) {
+  const clock = new VirtualClock()
+  const network = new FakeNetwork({ clock, random: new SeededRandom(1) })
+  const members = Array.from({ length: count }, (_, i) => memberOf(i, 'abc'[i % 3]))
+  const boxes = members.map((member) => {
+    const state = { fleet: fleetOf(versions), sinceContactMs: 0 as number | undefined, told: 0, asked: 0 }
+    const { link } = network.addNode(member.peerAddress)
+    const origins = new StreamOrigins({
+      clock,
+      link,
+      metrics: new Metrics(),
+      selfIncarnation: () => member.incarnation,
+      members: () => members,
+      takingWork: () => members,
+      fleet: () => state.fleet,
+      poolsOfModels: () => new Map([[MODEL, ['p', 'd']]]),
+      sinceContactMs: () => state.sinceContactMs,
+    })
+    link.serve({
+      onCall: async (message) => {
+        if (message.type === MessageType.StreamOriginPull) {
+          state.asked++
+          return origins.answer(message)
+        }
+        if (message.type === MessageType.StreamOriginsTell) {
+          state.told++
+          origins.receive(message.origins)
+        }
+        return { type: MessageType.Done }
+      },
+      onStream: async function * () {}, // eslint-disable-line require-yield
+    })
+    origins.onFleetChanged()
+    const list = (listed: readonly string[]) => {
+      state.fleet = fleetOf(listed)
+      origins.onFleetChanged()
+    }
+    return { state, origins, address: member.peerAddress, list }
+  })
+  await clock.advance(coveredMs)
+  const find = (box: number, query = QUERY) => clock.run(boxes[box].origins.find(query, new AbortController().signal))
+  return { clock, network, boxes, find }
+}
+
+test('another box finds out which version began a stream, also after the box that served it has gone', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes()
+  boxes[0].origins.record(ORIGIN)
+  await clock.advance(TOLD_MS)
+  network.kill(boxes[0].address)
+  for (const box of [1, 2, 3, 4, 5, 6, 7]) t.like(await find(box), { version: 'v1' }, `at box ${box}`)
+})
+
+test('a box that cannot reach the others does not conclude anything from its own list', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes({ versions: ['v1'], coveredMs: 2 * KEEP_MS })
+  boxes.slice(1).forEach(({ address }) => network.blockBoth(boxes[0].address, address))
+  boxes[1].list(['v1', 'v2'])
+  boxes[1].origins.record({ ...ORIGIN, version: 'v2' })
+  await clock.advance(TOLD_MS)
+  const found = await find(0)
+  t.false('version' in found)
+  t.true('retryAfterMs' in found && found.retryAfterMs !== undefined)
+})
+
+test('a box whose list is not confirmed does not conclude anything from it', async (t) => {
+  const { boxes, find } = await createBoxes({ versions: ['v1'], coveredMs: 2 * KEEP_MS })
+  boxes[0].state.sinceContactMs = 60_000
+  t.false('version' in await find(0))
+})
+
+test('with one version for as long as clients return, streams whose box has gone go on, and nothing was sent when they began', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes({ versions: ['v1', 'v1'], coveredMs: 2 * KEEP_MS })
+  boxes[0].origins.record(ORIGIN)
+  await clock.advance(TOLD_MS)
+  t.deepEqual(boxes.map(({ state: { told } }) => told), boxes.map(() => 0))
+  network.kill(boxes[0].address)
+  t.like(await find(1), { version: 'v1', source: OriginSource.List })
+})
+
+test('boxes that have just started do not take the only version that they know for the one that began a stream', async (t) => {
+  const { network, boxes, find } = await createBoxes({ versions: ['v2'], coveredMs: 1000 })
+  network.kill(boxes[0].address)
+  const found = await find(1)
+  t.false('version' in found)
+})
+
+test('a version that has left the list counts for as long as clients return', async (t) => {
+  const { clock, boxes, find } = await createBoxes({ versions: ['v1', 'v2'], coveredMs: 2 * KEEP_MS })
+  boxes.forEach(({ list }) => list(['v2']))
+  t.false('version' in await find(0))
+  await clock.advance(KEEP_MS + 1000)
+  t.like(await find(0), { version: 'v2', source: OriginSource.List })
+})
+
+test('others are told of the streams that began before the second version was listed', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes({ versions: ['v1'] })
+  boxes[0].origins.record(ORIGIN)
+  await clock.advance(1000)
+  boxes.forEach(({ list }) => list(['v1', 'v2']))
+  await clock.advance(TOLD_MS)
+  network.kill(boxes[0].address)
+  t.like(await find(3), { version: 'v1' })
+})
+
+test('a stream that nobody knows is refused without a delay, one of which some were not asked with one', async (t) => {
+  const { network, boxes, find } = await createBoxes()
+  t.like(await find(0), { retryAfterMs: undefined })
+  network.blockBoth(boxes[0].address, boxes[1].address)
+  const found = await find(0)
+  t.true('retryAfterMs' in found && (found.retryAfterMs ?? 0) > 0)
+})
+
+test('boxes that differ on a version are not believed', async (t) => {
+  const { boxes, find } = await createBoxes()
+  boxes.slice(1).forEach(({ origins }, i) => origins.receive([{ ...ORIGIN, version: i % 2 === 0 ? 'v1' : 'v2' }]))
+  const found = await find(0)
+  t.false('version' in found)
+})
+
+test('an unresponsive box delays a stream that is taken up by no more than two time-outs', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes()
+  boxes.slice(1, 4).forEach(({ address }) => network.failBoth(boxes[0].address, address, LinkFault.Blocked))
+  const fromMs = clock.nowMs()
+  await find(0)
+  t.true(clock.nowMs() - fromMs <= 250, `${clock.nowMs() - fromMs} ms`)
+})
+
+test('origins are kept for as long as clients return, the version recorded first stands, and their number is bounded', async (t) => {
+  const clock = new VirtualClock()
+  const records = new OriginRecords({ clock })
+  records.add(ORIGIN)
+  records.add({ ...ORIGIN, version: 'v2' })
+  t.is(records.versionOf('a1', MODEL), 'v1')
+  t.is(records.versionOf('a1', 'other'), undefined)
+  await clock.advance(KEEP_MS + 1)
+  t.is(records.versionOf('a1', MODEL), undefined)
+  records.add({ ...ORIGIN, version: 'v2' })
+  t.is(records.versionOf('a1', MODEL), 'v2')
+  Array.from({ length: 30_000 }, (_, i) => records.add({ ...ORIGIN, attempt: `b${i}` }))
+  t.is(records.size, 20_000)
+  t.is(records.versionOf('b29999', MODEL), 'v1')
+})
+
+test('an entry that comes back with another version counts with both', async (t) => {
+  const clock = new VirtualClock()
+  const history = new VersionHistory({ clock })
+  t.is(history.coveredMs, 0)
+  history.observe(fleetOf(['v1']))
+  history.observe(fleetOf(['v2']))
+  t.deepEqual(history.versions(['d'], KEEP_MS).sort(), ['v1', 'v2'])
+  await clock.advance(KEEP_MS + 1)
+  t.deepEqual(history.versions(['d'], KEEP_MS), ['v2'])
+})
