feat(cli.reelspanctl): explain follows a stream that is taken up to the attempt that began it

Cause: a client's next try has another id and comes to another box, so an operator had to find the first attempt by hand. Change: the attempt named in `streamTakenUp` is shown with its placement and version; causes of the two new codes.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -31,10 +31,47 @@
 const DELEGATION = 'request/delegation/test.lib/delegation.js'
 const UPSTREAM_PATHS = 'upstream/paths/test.lib/upstreamPaths.js'
 const ANSWER_END = 'request/relay/test.lib/answerEnd.js'
+const STREAM_ORIGINS = 'request/stream-origins/test.lib/streamOrigins.js'
+const STREAM_VERSION = 'request/relay/test.lib/streamVersion.js'
 const ENGINE_LIMITS = 'scheduling/scheduler/test.lib/engineLimits.js'
 
 /** Mechanisms that the documented guarantees depend on. */
 export const MECHANISMS: Mechanism[] = [
+  {
+    name: 'stream versions: a stream that is taken up goes on at the version that began it',
+    file: 'request/relay/src/streamVersion.ts',
+    find: 'this.#fixed = found.version',
+    replace: 'this.#fixed = undefined',
+    tests: [STREAM_VERSION, 'platform/adapter/test.lib/softwareVersions.js'],
+  },
+  {
+    name: 'stream versions: the first event fixes the version of an answer',
+    file: 'request/relay/src/streamVersion.ts',
+    find: 'this.#fixed ??= version',
+    replace: 'void version',
+    tests: [STREAM_VERSION],
+  },
+  {
+    name: 'stream versions: other boxes are told of streams while there are two versions',
+    file: 'request/stream-origins/src/streamOrigins.ts',
+    find: 'if (this.#isMixed(origin.model)) this.#tell([origin])',
+    replace: '',
+    tests: [STREAM_ORIGINS],
+  },
+  {
+    name: 'stream versions: nothing is concluded from an own list that others do not confirm',
+    file: 'request/stream-origins/src/streamOrigins.ts',
+    find: 'own.coveredMs > 0 && (askedCount === 0 || 2 * known.length > askedCount)',
+    replace: 'true',
+    tests: [STREAM_ORIGINS],
+  },
+  {
+    name: 'stream versions: nothing is concluded from lists younger than clients that return',
+    file: 'request/stream-origins/src/streamOrigins.ts',
+    find: '!all.some(({ coveredMs }) => coveredMs >= query.keepMs)',
+    replace: 'false',
+    tests: [STREAM_ORIGINS],
+  },
   {
     name: 'answer end: a stream that ends inside an event is not whole',
     file: 'request/relay/src/answerEnd.ts',
--- a/cli/reelspanctl/src/explainRequest.ts
+++ b/cli/reelspanctl/src/explainRequest.ts
@@ -6,6 +6,8 @@
 export interface Explanation {
   /** Log lines of the request, in the order in which its box wrote them. */
   trail: LogLine[]
+  /** Log lines of the attempt that began its stream, if it takes one up. */
+  origin: LogLine[]
   /** Cached state of its box and of its scheduler's box at the time: the last state change of each kind before the request's last line. */
   beliefs: LogLine[]
   /** Suspicions by any box of the request's upstreams at about the same time. */
@@ -28,8 +30,10 @@
   const before = lines.slice(0, lines.indexOf(last)).filter(({ box }) => boxes.has(box))
   const upstreams = new Set<unknown>(trace.flatMap(({ upstream, prefillEngine, decodeEngine }) => [upstream, prefillEngine, decodeEngine]).filter((name) => name !== undefined))
   const suspicions = lines.filter((line) => line.event === LogEvent.UpstreamSuspected && upstreams.has(line.upstream) && isWithinWindow(line, last))
+  const began = trace.find(({ resumesAttempt }) => resumesAttempt !== undefined)?.resumesAttempt
   return {
     trail: trace,
+    origin: began === undefined ? [] : lines.filter(({ request }) => request === began),
     beliefs: lastOfEachKind(before.filter(isStateChange)),
     suspicions,
     droppedLines: droppedLines(lines.filter(({ box }) => box === undefined || boxes.has(box))),
@@ -38,10 +42,11 @@
 }
 
 /** Formats the explanation as lines of text. */
-export function explanationLines (requestId: string, { trail, beliefs, suspicions, droppedLines, cause }: Explanation): string[] {
+export function explanationLines (requestId: string, { trail, origin, beliefs, suspicions, droppedLines, cause }: Explanation): string[] {
   return [
     `request ${requestId}, run by ${trail[0].box ?? 'an unknown box'}`,
     ...trail.map(lineText),
+    ...origin.length > 0 ? [`the attempt that began its stream, ${origin[0].request}`, ...origin.map(lineText)] : [],
     ...beliefs.length > 0 ? ['state known to its boxes at the time', ...beliefs.map(lineText)] : [],
     ...suspicions.length > 0 ? ['suspicions of its upstreams', ...suspicions.map(lineText)] : [],
     ...droppedLines > 0 ? [`${droppedLines} lines were dropped under load: parts of the trace may be missing`] : [],
--- a/cli/reelspanctl/src/likelyCause.ts
+++ b/cli/reelspanctl/src/likelyCause.ts
@@ -9,6 +9,8 @@
   [ErrorCode.RequestQuarantined]: 'upstreams that ran the same request before exited while they ran it: `reason` names them, `quarantineChanged` and `runBrokeOff` have its `contentHash`',
   [ErrorCode.UpstreamLimit]: 'every remaining upstream advertises a rate limit that was used up: `upstreamsAtLimit` names the upstreams, `upstreamLimitChanged` has the limits',
   [ErrorCode.UpstreamBackoff]: 'every remaining upstream had refused a request of this box and asked it to back off: `upstreamBackoff` says since when and for how long',
+  [ErrorCode.StreamOriginUnknown]: 'no box that could be asked knew which software version began its stream: `streamTakenUp` says who was asked, and the attempt that began it was lost with its box, or is older than clients may return',
+  [ErrorCode.StreamVersionGone]: 'the software version that began its stream has no engine left that takes work: `upstreamsChanged` names those that left',
   [ErrorCode.NotReady]: 'the box had no declarations yet: it had just started, or neither the platform nor its peers were reachable',
   [ErrorCode.Draining]: 'the box was about to stop',
   [ErrorCode.NoRoute]: 'no route of the declarations in force (`revision`) matches the path',
--- a/cli/reelspanctl/test/explain.ts
+++ b/cli/reelspanctl/test/explain.ts
@@ -69,3 +69,10 @@
   const { out } = await run('explain', 'r-failed', LOG, '--json')
   t.is(JSON.parse(out).trail.length, 3)
 })
+
+test('a stream that is taken up is explained from the attempt that began it on, with its version and who knew it', async (t) => {
+  const { out } = await run('explain', 'r-taken-up', LOG)
+  t.regex(out, /streamTakenUp {2}resumesAttempt=r-began resumeAfter=4 version=v1 source=peers knownBy=\["box-1"\]/)
+  t.regex(out, /the attempt that began its stream, r-began\n.*requestPlaced {2}attempt=1 decodeEngine=i-8 softwareVersion=v1/)
+  t.regex(out, /likely cause: the software version that began its stream has no engine left/)
+})
