test(utils.soak,utils.platform-stand-ins): the soak ends answers in all ways, raises software versions and has clients take streams up

Change: upstreams end a fifth of their answers with their connection and break 2 in 100 streams off as if they were complete, at any byte of their first events; each restart raises an upstream's version; clients take streams that broke off up at another box, up to twice. The check of versions compares each run that goes on behind an event with the runs that sent it. A refusal of an attempt that takes a stream up may have no Retry-After; take-ups do not count in the served shares, which are those of first attempts, as before.

--- a/__utils__/platform-stand-ins/src/publish.ts
+++ b/__utils__/platform-stand-ins/src/publish.ts
@@ -9,6 +9,7 @@
   address: string
   leaving: boolean
   sequence: number
+  softwareVersion?: string
 }
 
 /** A client account in the published configuration. */
@@ -32,9 +33,9 @@
   return { name, api_keys: keys, ...tokensPerSecond === undefined ? {} : { unit: 'token_stream', plain_tokens: 1, rate_per_s: tokensPerSecond, burst: tokensPerSecond } }
 }
 
-export function registerUpstream (store: StandInStore, { instance, role, address, leaving, sequence }: UpstreamEntry): void {
+export function registerUpstream (store: StandInStore, { instance, role, address, leaving, sequence, softwareVersion = 'v1' }: UpstreamEntry): void {
   const assignment = role === Role.Service ? { service: 'desk' } : { service: 'llm', stage: role }
-  store.put(keyOf(instance), sampleUpstreamEntry({ ...assignment, address, state: leaving ? 'draining' : 'ready', sequence }))
+  store.put(keyOf(instance), sampleUpstreamEntry({ ...assignment, address, state: leaving ? 'draining' : 'ready', sequence, version: softwareVersion }))
 }
 
 export function removeUpstream (store: StandInStore, instance: string): void {
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -23,6 +23,10 @@
   answerLost: boolean
   /** Last event id of the caller, if a stream was resumed. */
   resumedAfter?: number
+  /** Complete events of a stream that were sent. */
+  sentEvents: number
+  /** Software version of the upstream. */
+  softwareVersion?: string
 }
 
 /** A request that reached the instance it was sent to, whether it ran or not. */
@@ -87,6 +91,7 @@
 export interface StandInUpstreamOptions {
   /** Id of the instance; requests that expect another instance are refused. */
   instance?: string
+  softwareVersion?: string
   /** Reported start time; reports have none if it is undefined. */
   startTimeMs?: number
   /** Duration of a call, or the interval between two events of a stream. */
@@ -121,6 +126,8 @@
   readonly #opts: StandInUpstreamOptions
   readonly #server: Server
   readonly #handles: HandleTable
+  /** Running answers that end with their connection. */
+  readonly #endingWithConnection = new Set<ServerResponse>()
   #nextHandle = 0
   readonly runs: UpstreamRun[] = []
   readonly arrivals: UpstreamArrival[] = []
@@ -162,6 +169,8 @@
   /** Stops at once and interrupts the requests that are running. */
   stop (): void {
     this.runs.filter(({ endedAtMs }) => endedAtMs === undefined).forEach((run) => { run.answerLost = true })
+    // If it were closed between two events, such an answer would look complete.
+    this.#endingWithConnection.forEach((response) => { response.socket?.resetAndDestroy() })
     this.#server.closeAllConnections()
     this.#server.close()
   }
@@ -192,13 +201,13 @@
   async #run (id: string, { url = '', headers }: IncomingMessage, response: ServerResponse): Promise<void> {
     const after = headers['last-event-id']
     const losesAnswer = this.#opts.losesAnswer?.() ?? false
-    const run: UpstreamRun = { id, instance: this.#opts.instance ?? '', path: url, startedAtMs: performance.now(), complete: false, answerLost: losesAnswer, resumedAfter: after === undefined ? undefined : Number(after) }
+    const run: UpstreamRun = { id, instance: this.#opts.instance ?? '', path: url, startedAtMs: performance.now(), complete: false, answerLost: losesAnswer, resumedAfter: after === undefined ? undefined : Number(after), sentEvents: 0, softwareVersion: this.#opts.softwareVersion }
     this.runs.push(run)
     this.#opts.onRunStarted?.(run)
     response.on('close', () => { run.endedAtMs ??= performance.now() })
     if (this.#role === Role.Service) await this.#call(id, response, losesAnswer)
-    else await this.#stream(id, response, { from: run.resumedAfter === undefined ? 0 : run.resumedAfter + 1, losesAnswer })
-    run.complete = response.writableEnded && !response.destroyed
+    else await this.#stream(run, response)
+    run.complete = response.writableEnded && !response.destroyed && !run.answerLost
     run.endedAtMs ??= performance.now()
   }
 
@@ -237,39 +246,47 @@
       response.end(body)
       return
     }
-    endWithConnection(response)
+    this.#endWithConnection(response)
     response.write(body)
     response.end()
   }
 
-  async #stream (id: string, response: ServerResponse, { from, losesAnswer }: { from: number, losesAnswer: boolean }): Promise<void> {
+  /** Must be called before the head is written. */
+  #endWithConnection (response: ServerResponse): void {
+    response.useChunkedEncodingByDefault = false
+    response.shouldKeepAlive = false
+    this.#endingWithConnection.add(response)
+    response.once('close', () => this.#endingWithConnection.delete(response))
+  }
+
+  async #stream (run: UpstreamRun, response: ServerResponse): Promise<void> {
+    const { id, resumedAfter = -1, answerLost: losesAnswer } = run
     const { withConnection = false, cutAtBytes = Number.POSITIVE_INFINITY, lineEnd = '\n' } = this.#opts.endOf?.(id) ?? {}
-    if (withConnection) endWithConnection(response)
+    if (withConnection) this.#endWithConnection(response)
     response.writeHead(200, { 'Content-Type': 'text/event-stream' })
     const { events, workMs } = this.#shapeOf(id)
     let sentBytes = 0
-    for (let i = from; i < events; i++) {
+    for (let i = resumedAfter + 1; i < events; i++) {
       if (workMs > 0) await sleep(workMs)
       if (response.destroyed) return
       if (losesAnswer && i === events - 1) {
+        if (withConnection) response.socket?.resetAndDestroy()
         response.destroy()
         return
       }
       const event = `id: ${i}${lineEnd}data: ${id} ${i}${lineEnd}${lineEnd}`
       response.write(event.slice(0, cutAtBytes - sentBytes))
       sentBytes += event.length
-      if (sentBytes > cutAtBytes) break
+      if (sentBytes > cutAtBytes) {
+        run.answerLost = true
+        break
+      }
+      run.sentEvents++
     }
     response.end()
   }
 }
 
-/** Must be called before the head is written. */
-function endWithConnection (response: ServerResponse): void {
-  response.useChunkedEncodingByDefault = false
-  response.shouldKeepAlive = false
-}
-
 function receivedHeadersOf ({ url = '', rawHeaders, rawTrailers }: IncomingMessage): ReceivedHeaders {
   const lines = [...rawHeaders, ...rawTrailers]
   const valuesOf = (header: string) => lines.filter((_, i) => i % 2 === 1 && lines[i - 1].toLowerCase() === header)
--- a/__utils__/soak/src/attempt.ts
+++ b/__utils__/soak/src/attempt.ts
@@ -20,6 +20,8 @@
   deadlineMs: number
   /** Number of events of the expected answer, if it is a stream of other than the default size. */
   events?: number
+  /** The stream that the attempt takes up: the attempt that began it, and the last event received. */
+  resumes?: { attempt: string, after: number }
   endedAtMs?: number
   status?: number
   body?: string
--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -1,9 +1,9 @@
-import { type SeededRandom } from '@reelspan/utils.fakes'
+import { SeededRandom } from '@reelspan/utils.fakes'
 import { queryDirectory, requestHeaders } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
 import { type Attempt, isStream, RouteKind } from './attempt.js'
 import { drawOne } from './drawOne.js'
-import { drawShape, appendShape } from './requestShape.js'
+import { drawShape, appendShape, parseShape } from './requestShape.js'
 import { DEFAULT_KEY, type SoakBox } from './soakFleet.js'
 
 const PATHS: Record<RouteKind, string> = {
@@ -12,6 +12,7 @@
   [RouteKind.Stream]: '/draft/1',
   [RouteKind.Resumable]: '/reply/1',
 }
+const OK = 200
 const CALL_DEADLINE_MS = 1200
 const STREAM_DEADLINE_MS = 5000
 /** Longer than the longest stream, including one that is resumed. */
@@ -21,6 +22,9 @@
 /** Share of the requests that the client aborts before their end. */
 const ABORTED_SHARE = 0.12
 const MAX_ABORT_DELAY_MS = 1500
+const MAX_TAKE_UPS = 2
+/** Take-ups have a sequence of their own, so that the requests of a seed stay the same. */
+const TAKE_UP_SEED = 56
 /** How long clients that ignore the TTL of addresses use them, and how long all clients keep idle connections. */
 const LONG_RETENTION_MS = 30_000
 
@@ -36,6 +40,7 @@
   readonly attempts: Attempt[] = []
   readonly #name: string
   readonly #opts: SoakClientOptions
+  readonly #takeUpRandom = new SeededRandom(TAKE_UP_SEED)
   readonly #agent = new Agent({ connections: 4, pipelining: 1, keepAliveTimeout: LONG_RETENTION_MS, connect: { timeout: 1000 } })
   #addresses: string[] = []
   #addressesExpireAtMs = 0
@@ -64,18 +69,38 @@
     const attempt: Attempt = { id, kind, box, events: shape?.events, sentAtMs: performance.now(), deadlineMs }
     this.attempts.push(attempt)
     await this.#exchange(attempt, abortAfterMs)
-    attempt.endedAtMs = performance.now()
+    await this.#takeUp(attempt)
     return attempt
   }
 
+  /** Takes a stream up that has broken off, at most twice, each time at a box drawn anew. */
+  async #takeUp (first: Attempt): Promise<void> {
+    let last = first
+    let after = lastEventOf(first)
+    for (let tries = 0; tries < MAX_TAKE_UPS && last.kind === RouteKind.Resumable && last.error !== undefined && after !== undefined; tries++) {
+      await this.#refreshAddresses()
+      if (this.#addresses.length === 0) return
+      const { kind, deadlineMs, events } = first
+      const shape = parseShape(first.id)
+      const id = appendShape(`${this.#name}-${this.attempts.length}`, shape)
+      last = { id, kind, deadlineMs, events, box: drawOne(this.#takeUpRandom, this.#addresses), sentAtMs: performance.now(), resumes: { attempt: first.id, after } }
+      this.attempts.push(last)
+      await this.#exchange(last)
+      after = lastEventOf(last) ?? after
+    }
+  }
+
   async #exchange (attempt: Attempt, abortAfterMs?: number): Promise<void> {
-    const { id, kind, box, deadlineMs } = attempt
+    const { id, kind, box, deadlineMs, resumes } = attempt
     const abortController = new AbortController()
     const abortTimer = abortAfterMs === undefined ? undefined : setTimeout(() => abortAttempt(attempt, abortController), abortAfterMs)
     try {
       const response = await request(`http://${box}${PATHS[kind]}`, {
         method: kind === RouteKind.Repeatable ? 'GET' : 'POST',
-        headers: requestHeaders(id, { key: DEFAULT_KEY, deadlineMs, prompt: isStream(kind) ? Buffer.from(id).toString('hex') : undefined }),
+        headers: {
+          ...requestHeaders(id, { key: DEFAULT_KEY, deadlineMs, prompt: isStream(kind) ? Buffer.from(id).toString('hex') : undefined }),
+          ...resumes === undefined ? {} : { 'Last-Event-Id': String(resumes.after), Resumes: resumes.attempt },
+        },
         body: kind === RouteKind.Repeatable ? undefined : 'brief',
         dispatcher: this.#agent,
         signal: AbortSignal.any([abortController.signal, AbortSignal.timeout(deadlineMs + CLIENT_TIMEOUT_SLACK_MS)]),
@@ -88,6 +113,7 @@
       attempt.error = thrown instanceof Error ? `${thrown.name}: ${thrown.message}` : String(thrown)
     } finally {
       clearTimeout(abortTimer)
+      attempt.endedAtMs = performance.now()
     }
   }
 
@@ -101,6 +127,12 @@
   }
 }
 
+/** Id of the last complete event that a client received of a stream. */
+function lastEventOf ({ status, body = '' }: Attempt): number | undefined {
+  const ids = status === OK ? body.split('\n\n').slice(0, -1).map((event) => Number(/^id: (\d+)/.exec(event)?.[1])) : []
+  return ids.at(-1)
+}
+
 function abortAttempt (attempt: Attempt, abortController: AbortController): void {
   attempt.abortedAtMs = performance.now()
   abortController.abort()
--- a/__utils__/soak/src/faultProxy.ts
+++ b/__utils__/soak/src/faultProxy.ts
@@ -98,6 +98,8 @@
   }
 }
 
+const EMPTY_BYTES = new Uint8Array()
+
 /** One connection through the proxy. */
 class ProxiedConnection {
   readonly clientAddress: string
@@ -160,7 +162,11 @@
       else this.flush()
     }
     source.on('data', receive)
-    source.on('end', () => receive())
+    // Node emits 'end' as well if a reset arrives with the last bytes; a write shows it then, and the connection is reset.
+    source.on('end', () => {
+      if (source.writableEnded) receive()
+      else source.write(EMPTY_BYTES, (error) => { if (!error) receive() })
+    })
   }
 
   flush (): void {
--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -80,8 +80,8 @@
 }
 
 async function reportResult (seed: number, result: SoakResult, logs?: string): Promise<void> {
-  const { attempts, outcomes, faults, violations, durationsMs, checkCounts, memory } = result
-  console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, ${faults.length} faults, ${violations.length} violations, checked ${JSON.stringify(checkCounts)}, ${memory.processes} processes with ${memory.pssMb} MB, took ${JSON.stringify(durationsMs)} ms`)
+  const { attempts, outcomes, takeUps, faults, violations, durationsMs, checkCounts, memory } = result
+  console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, streams taken up ${JSON.stringify(takeUps)}, ${faults.length} faults, ${violations.length} violations, checked ${JSON.stringify(checkCounts)}, ${memory.processes} processes with ${memory.pssMb} MB, took ${JSON.stringify(durationsMs)} ms`)
   result.pathLosses.forEach((line) => console.log(`  ${line}`))
   if (violations.length === 0) return
   const shownViolations = violations.length > MAX_VIOLATIONS_SHOWN ? [...violations.slice(0, MAX_VIOLATIONS_SHOWN), `and ${violations.length - MAX_VIOLATIONS_SHOWN} more`] : violations
--- a/__utils__/soak/src/pathLossPhase.ts
+++ b/__utils__/soak/src/pathLossPhase.ts
@@ -103,8 +103,8 @@
   }
 
   #servedIn ({ fromMs, toMs }: Window, isOfBox: (box: string) => boolean): { served: number, count: number } {
-    const ended = this.#opts.attempts().filter(({ box, sentAtMs, endedAtMs, abortedAtMs, wasStalled }) =>
-      isOfBox(box) && sentAtMs >= fromMs && sentAtMs < toMs && endedAtMs !== undefined && abortedAtMs === undefined && !wasStalled)
+    const ended = this.#opts.attempts().filter(({ box, sentAtMs, endedAtMs, abortedAtMs, wasStalled, resumes }) =>
+      isOfBox(box) && resumes === undefined && sentAtMs >= fromMs && sentAtMs < toMs && endedAtMs !== undefined && abortedAtMs === undefined && !wasStalled)
     return { served: ended.filter(({ status, error }) => status === 200 && error === undefined).length, count: ended.length }
   }
 
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -35,6 +35,8 @@
   attempts: number
   /** Number of attempts by HTTP status, `broken` for those that ended with an error, or `left` for those that the client aborted. */
   outcomes: Record<string, number>
+  /** The same of those that took a stream up. */
+  takeUps: Record<string, number>
   faults: string[]
   /** Served shares during each loss of paths. */
   pathLosses: string[]
@@ -171,10 +173,10 @@
 
   result (): SoakResult {
     const attempts = this.#attempts()
-    const outcomes = groupBy(attempts, ({ status, error, abortedAtMs }) => abortedAtMs !== undefined ? 'left' : error === undefined ? String(status) : 'broken')
     return {
       attempts: attempts.length,
-      outcomes: Object.fromEntries([...outcomes].map(([outcome, group]) => [outcome, group.length])),
+      outcomes: countOutcomes(attempts),
+      takeUps: countOutcomes(attempts.filter(({ resumes }) => resumes !== undefined)),
       faults: this.#faults.log,
       pathLosses: this.#pathLosses,
       durationsMs: this.#durationsMs,
@@ -368,3 +370,8 @@
     if (served < minShare * completed.length) this.violations.push(`${when} only ${served} of ${completed.length} attempts were served`)
   }
 }
+
+function countOutcomes (attempts: readonly Attempt[]): Record<string, number> {
+  const outcomes = groupBy(attempts, ({ status, error, abortedAtMs }) => abortedAtMs !== undefined ? 'left' : error === undefined ? String(status) : 'broken')
+  return Object.fromEntries([...outcomes].map(([outcome, group]) => [outcome, group.length]))
+}
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -4,8 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { FleetProcess } from '@reelspan/utils.bench'
-import { type SeededRandom } from '@reelspan/utils.fakes'
-import { type BoxAddresses, registerUpstream, HandleTable, registeredInstances, publishRoutes, type ReceivedHeaders, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
+import { SeededRandom } from '@reelspan/utils.fakes'
+import { type AnswerEnd, type BoxAddresses, registerUpstream, HandleTable, registeredInstances, publishRoutes, type ReceivedHeaders, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
 import { REVOCATION_BOUND_MS } from './checkKeys.js'
 import { type Departure, type PlannedStop, type Publication } from './checkBounds.js'
@@ -44,6 +44,14 @@
 const HANDLE_TTL_MS = 500
 const REFUSED_SHARE = 0.01
 const LOST_ANSWER_SHARE = 0.01
+/** Shares of the answers that have neither a length nor chunks, and of the streams that end too early as if they were complete. */
+const ENDED_BY_CONNECTION_SHARE = 0.2
+const BROKEN_OFF_SHARE = 0.02
+/** About the size of the first events of a stream. */
+const MAX_CUT_BYTES = 120
+/** Draws of answers have a sequence of their own, so that the faults of a seed stay the same. */
+const ANSWER_SEED = 57
+const FIRST_VERSION = 'v1'
 /** The platform restarts a process that has exited by itself after this delay. */
 const RESTART_DELAY_MS = 200
 /** The platform kills a process that has not stopped within this time after SIGTERM. */
@@ -103,6 +111,8 @@
   listed: boolean
   leaving: boolean
   sequence: number
+  /** Raised with each restart, so that several versions serve side by side. */
+  softwareVersion: string
 }
 
 /** Runs boxes as processes, and stand-ins for the platform's store and upstreams behind proxies. */
@@ -131,6 +141,7 @@
   readonly #stopRequested = new WeakSet<FleetProcess>()
   readonly #agent = new Agent()
   readonly #random: SeededRandom
+  readonly #answerRandom = new SeededRandom(ANSWER_SEED)
   readonly #settingsFolder: string
   readonly #subnet: string
   /** Upstreams are on machines of their own. */
@@ -293,7 +304,8 @@
   async restartUpstream (replica: UpstreamReplica): Promise<void> {
     removeUpstream(this.store, replica.instance)
     replica.instance = this.#createInstanceName(replica.name)
-    replica.upstream = await this.#startUpstream(replica.role, replica.instance)
+    replica.softwareVersion = nextVersion(replica.softwareVersion)
+    replica.upstream = await this.#startUpstream(replica.role, replica.instance, replica.softwareVersion)
     replica.listed = true
     replica.leaving = false
     this.writeEntry(replica)
@@ -435,7 +447,7 @@
   async #addReplica (role: Role, index: number): Promise<void> {
     const name = `${role}-${index}`
     const instance = this.#createInstanceName(name)
-    const replica: UpstreamReplica = { name, role, proxy: new FaultProxy(() => replica.upstream.address), upstream: await this.#startUpstream(role, instance), instance, listed: true, leaving: false, sequence: 0 }
+    const replica: UpstreamReplica = { name, role, proxy: new FaultProxy(() => replica.upstream.address), upstream: await this.#startUpstream(role, instance, FIRST_VERSION), instance, listed: true, leaving: false, sequence: 0, softwareVersion: FIRST_VERSION }
     await replica.proxy.start(`${this.#upstreamSubnet}${index + 1}:0`)
     this.replicas.push(replica)
     this.writeEntry(replica)
@@ -447,11 +459,13 @@
     return instance
   }
 
-  async #startUpstream (role: Role, instance: string): Promise<StandInUpstream> {
+  async #startUpstream (role: Role, instance: string, softwareVersion: string): Promise<StandInUpstream> {
     const withProbability = (share: number) => () => this.#random.nextFloat() < share
     const refusesRandomly = withProbability(REFUSED_SHARE)
     const upstream = new StandInUpstream(role, {
       instance,
+      softwareVersion,
+      endOf: () => this.#drawAnswerEnd(),
       workMs: role === Role.Service ? SERVICE_WORK_MS : EVENT_INTERVAL_MS,
       shapeOf: parseShape,
       handles: this.handles,
@@ -464,6 +478,13 @@
     return upstream
   }
 
+  #drawAnswerEnd (): AnswerEnd {
+    return {
+      withConnection: this.#answerRandom.nextFloat() < ENDED_BY_CONNECTION_SHARE,
+      cutAtBytes: this.#answerRandom.nextFloat() < BROKEN_OFF_SHARE ? 1 + Math.floor(this.#answerRandom.nextFloat() * MAX_CUT_BYTES) : undefined,
+    }
+  }
+
   /** Rewrites the entries of all listed upstreams with the next sequence number, as a heartbeat. */
   #sendHeartbeats (): void {
     this.replicas.filter(({ listed }) => listed).forEach((replica) => {
@@ -485,3 +506,7 @@
 export function keyOf (version: number): string {
   return `key-of-version-${version}`
 }
+
+function nextVersion (version: string): string {
+  return `v${Number(version.slice(1)) + 1}`
+}
--- a/__utils__/soak/test/checkBounds.ts
+++ b/__utils__/soak/test/checkBounds.ts
@@ -14,7 +14,7 @@
 }
 
 function runOf (overrides: Partial<UpstreamRun> = {}): UpstreamRun {
-  return { id: 'a', instance: INSTANCE, path: '/draft/1', startedAtMs: 10_010, endedAtMs: 11_000, complete: false, answerLost: false, ...overrides }
+  return { id: 'a', instance: INSTANCE, path: '/draft/1', startedAtMs: 10_010, endedAtMs: 11_000, complete: false, answerLost: false, sentEvents: 0, ...overrides }
 }
 
 function arrivalAt (atMs: number) {
@@ -49,7 +49,7 @@
   const interruptedAttempt = attemptOf({ error: 'reset' })
   const violationsWith = (overrides: Partial<CheckedHistory>) => checkBounds(historyOf({ attempts: [interruptedAttempt], arrivals: [arrivalAt(10_010)], runs: [runOf()], ...overrides })).violations
   t.regex(violationsWith({})[0], /was interrupted after 1000 ms though/)
-  t.deepEqual(violationsWith({ runs: [runOf({ answerLost: true })] }), [])
+  t.deepEqual(violationsWith({ runs: [runOf({ answerLost: true, sentEvents: 0 })] }), [])
   t.deepEqual(violationsWith({ attempts: [attemptOf({ error: 'reset', deadlineMs: 1000 })] }), [])
   t.regex(violationsWith({ arrivals: [], runs: [] })[0], /was interrupted/, 'the box had read the request by then')
   t.deepEqual(violationsWith({ arrivals: [], runs: [], attempts: [attemptOf({ error: 'reset', endedAtMs: 10_020 })] }), [], 'the connection may have closed before the request was read')
--- a/__utils__/soak/test/checkHistory.ts
+++ b/__utils__/soak/test/checkHistory.ts
@@ -7,7 +7,7 @@
 }
 
 function runOf (overrides: Partial<UpstreamRun> = {}): UpstreamRun {
-  return { id: 'a', instance: 'i-1', path: '/fetch/1', startedAtMs: 10, endedAtMs: 90, complete: true, answerLost: false, ...overrides }
+  return { id: 'a', instance: 'i-1', path: '/fetch/1', startedAtMs: 10, endedAtMs: 90, complete: true, answerLost: false, sentEvents: 0, ...overrides }
 }
 
 test('reports nothing for a request that ran once and was answered completely', (t) => {
@@ -57,3 +57,16 @@
   t.deepEqual(checkHistory([attemptOf({ endedAtMs: 1600, wasStalled: true })], [runOf()]), [])
   t.regex(checkHistory([attemptOf({ endedAtMs: undefined, status: undefined, error: 'none' })], [])[0], /never ended/)
 })
+
+test('reports a stream that went on at another software version, within one answer and over the client\'s tries', (t) => {
+  const first = attemptOf({ kind: RouteKind.Resumable, body: 'id: 0\ndata: a 0\n\n', error: 'reset' })
+  const takenUp = attemptOf({ id: 'b', kind: RouteKind.Resumable, resumes: { attempt: 'a', after: 0 }, body: [1, 2, 3].map((i) => `id: ${i}\ndata: b ${i}\n\n`).join('') })
+  const began = runOf({ sentEvents: 1, softwareVersion: 'v1', complete: false })
+  t.deepEqual(checkHistory([first, takenUp], [began, runOf({ id: 'b', resumedAfter: 0, sentEvents: 3, softwareVersion: 'v1' })]), [])
+  t.regex(checkHistory([first, takenUp], [began, runOf({ id: 'b', resumedAfter: 0, sentEvents: 3, softwareVersion: 'v2' })])[0], /went on at i-1, version v2, behind an event of version v1/)
+  t.regex(checkHistory([first], [began, runOf({ resumedAfter: 0, softwareVersion: 'v2' })])[0], /version v2/)
+})
+
+test('a stream that is taken up may be refused without a time to come back', (t) => {
+  t.deepEqual(checkHistory([attemptOf({ kind: RouteKind.Resumable, resumes: { attempt: 'z', after: 0 }, status: 503, body: '{}' })], []), [])
+})
--- a/__utils__/soak/test/checkKeys.ts
+++ b/__utils__/soak/test/checkKeys.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 
 const PUBLICATIONS = [{ version: 1, path: '/1/', atMs: 1000 }, { version: 2, path: '/2/', atMs: 10_000 }]
-const RUN = { id: 'key-0', instance: 'i', path: '/fetch/status/x', startedAtMs: 0, complete: true, answerLost: false }
+const RUN = { id: 'key-0', instance: 'i', path: '/fetch/status/x', startedAtMs: 0, complete: true, answerLost: false, sentEvents: 0 }
 
 function historyOf (overrides: Partial<KeyHistory>): KeyHistory {
   return { probes: [], runs: [], publications: PUBLICATIONS, received: [], staleReads: [], keys: ['secret'], accounts: ['callers'], ...overrides }
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -58,7 +58,7 @@
         }
         return { type: MessageType.Done }
       },
-      onStream: async function * () {}, // eslint-disable-line require-yield
+      onStream: async function * () {},
     })
     origins.onFleetChanged()
     const list = (listed: readonly string[]) => {
