test(box.runtime,utils.fake-fleet): a rolling change of the engines' software while boxes are killed and a zone is cut off

Cause: whole boxes on a virtual clock had engines of one version only, and no client took a stream up. Change: engines are replaced one after the other by a second version under load, one client in five leaves and takes its stream up at another box, boxes are killed in series, a zone is cut off.

--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -4,7 +4,7 @@
 import { Verdict } from '@reelspan/core.error'
 import { Collection, type CompletionRequest, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
 import { FleetEntryKind, UpstreamKind } from '@reelspan/config.fleet'
-import { EngineModel, type EngineModelOptions, FakeEngineClient, FakeNetwork, FakePlatformReader, FakeRelayClient, FakeServiceClient, FakeUpstreamProbe, type LinkFault, type NodeClock, PlatformModel, publishFleet, type PublishedEntry, RelayedUpstreams, SeededRandom, ServiceModel, sampleDeclarations, sampleFleet, VirtualClock } from '@reelspan/utils.fakes'
+import { type DeployedUpstream, EngineModel, type EngineModelOptions, FakeEngineClient, FakeNetwork, FakePlatformReader, FakeRelayClient, FakeServiceClient, FakeUpstreamProbe, type LinkFault, type NodeClock, PlatformModel, publishFleet, type PublishedEntry, RelayedUpstreams, SeededRandom, ServiceModel, sampleDeclarations, sampleFleet, VirtualClock } from '@reelspan/utils.fakes'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { EngineRole, type RelayedRequest } from '@reelspan/upstream.client'
 import { collectAnswer, type Outcome } from './collectAnswer.js'
@@ -50,6 +50,8 @@
   readonly relayedUpstreams: RelayedUpstreams
   readonly boxes: FakeBox[] = []
   readonly #opts: FakeFleetOptions
+  /** What was published of upstreams beyond their deployment. */
+  readonly #published = new Map<string, { softwareVersion?: string, leaving?: boolean }>()
   readonly #stoppedEngines: EngineModel[] = []
   readonly #deployment: ReturnType<typeof sampleFleet>
   /** Addresses of boxes and upstreams by name. Upstreams have them too, so that traffic to them can be blocked. */
@@ -261,13 +263,15 @@
     await this.clock.run(Promise.all(this.liveBoxes().map(({ box }) => box.stop())))
   }
 
-  /** Relays a request through a box, and resolves with what its caller received. */
-  async relay (boxName: string, request: Partial<RelayedRequest> & Pick<RelayedRequest, 'id' | 'host' | 'target'>, deadlineMs?: number): Promise<FakeRelayCaller> {
-    const caller = new FakeRelayCaller()
+  /** Relays a request through a box, and resolves with what its caller received, also if the box is killed. */
+  async relay (boxName: string, request: Partial<RelayedRequest> & Pick<RelayedRequest, 'id' | 'host' | 'target'>, deadlineMs?: number, caller = new FakeRelayCaller()): Promise<FakeRelayCaller> {
     const { box, killed } = this.box(boxName)
-    killed.signal.addEventListener('abort', () => caller.abort(), { once: true })
+    const lost = new Promise<void>((resolve) => killed.signal.addEventListener('abort', () => {
+      caller.abort()
+      resolve()
+    }, { once: true }))
     const prompt = { model: 'draft', promptTokens: 500, maxTokens: 40, prefixes: [{ digest: request.target, tokens: 500 }] }
-    await box.relay({ method: 'POST', headers: [], body: Buffer.from('body'), callerAddress: '10.9.0.1', prompt, ...request }, caller, deadlineMs)
+    await Promise.race([lost, box.relay({ method: 'POST', headers: [], body: Buffer.from('body'), callerAddress: '10.9.0.1', prompt, ...request }, caller, deadlineMs)])
     return caller
   }
 
@@ -321,13 +325,25 @@
     }))
   }
 
+  /** Publishes an upstream with a software version, or as leaving, from now on. */
+  publishUpstream (name: string, entry: { softwareVersion?: string, leaving?: boolean }): void {
+    const known = this.#published.get(name) ?? {}
+    this.#published.set(name, { ...known, ...entry })
+    const upstream = this.#deployment.upstreams.find((one) => one.name === name)
+    if (!upstream) throw new Error(`unknown upstream ${name}`)
+    this.#publishUpstream(upstream, upstream.pool)
+  }
+
   /** Publishes an engine in the pool of its new role. */
   #publishRole (name: string, role: EngineRole): void {
     const upstream = this.#deployment.upstreams.find((one) => one.name === name)
     const pool = this.#deployment.upstreams.map((one) => one.pool).find((one) => one.endsWith(role))
     if (!upstream || !pool) return
-    const { kind, availabilityZone } = upstream
-    this.platform.publish(Collection.Fleet, [{ kind: FleetEntryKind.Upstream, name, spec: { kind, pool, availabilityZone, address: this.address(name) } }])
+    this.#publishUpstream(upstream, pool)
+  }
+
+  #publishUpstream ({ name, kind, availabilityZone }: DeployedUpstream, pool: string): void {
+    this.platform.publish(Collection.Fleet, [{ kind: FleetEntryKind.Upstream, name, spec: { kind, pool, availabilityZone, address: this.address(name), ...this.#published.get(name) } }])
   }
 }
 
--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -17,6 +17,8 @@
   atMs: number
   /** Whether it was sent for its prefill only. */
   prefill: boolean
+  /** The event behind which a stream goes on. */
+  resumeAfter?: string
 }
 
 export interface RelayedUpstreamsOptions {
@@ -130,7 +132,7 @@
   }
 
   async run (target: RelayTarget, request: RelayedRequest, opts: RelayRunOptions): Promise<RelayAnswer> {
-    await this.#deliver(target, request, opts, false)
+    await this.#deliver(target, request, opts, { prefill: false, resumeAfter: opts.resumeAfter })
     const status = this.#refusalStatusOf(target)
     if (status !== undefined) return this.#refuse(target, opts, status)
     const slotted = this.#opts.upstreams.slotted.get(target.instance)
@@ -141,7 +143,7 @@
   }
 
   async prefill (target: RelayTarget, request: RelayedRequest, opts: RelayCallOptions): Promise<PrefilledPrompt> {
-    await this.#deliver(target, request, opts, true)
+    await this.#deliver(target, request, opts, { prefill: true })
     const status = this.#refusalStatusOf(target)
     if (status !== undefined) {
       this.#refuse(target, opts, status)
@@ -178,7 +180,7 @@
     onSignals?.({ succeeded, ...upstreams.signalsOf(instance, address) })
   }
 
-  async #deliver (target: RelayTarget, { id, target: path }: RelayedRequest, { onSend, signal }: RelayCallOptions, prefill: boolean): Promise<void> {
+  async #deliver (target: RelayTarget, { id, target: path }: RelayedRequest, { onSend, signal }: RelayCallOptions, work: Pick<RelayedArrival, 'prefill' | 'resumeAfter'>): Promise<void> {
     const { clock, network, address, upstreams } = this.#opts
     const sentAtMs = clock.nowMs()
     await clock.waitUntilRunning()
@@ -190,7 +192,7 @@
       return isConnected ? rejectOnceAborted(signal, target.address) : this.#failToConnect(signal, target.address)
     }
     onSend?.()
-    upstreams.arrivals.push({ id, target: path, upstream: target.instance, from: address, sentAtMs, atMs: clock.nowMs(), prefill })
+    upstreams.arrivals.push({ id, target: path, upstream: target.instance, from: address, sentAtMs, atMs: clock.nowMs(), ...work })
   }
 
   async #failToConnect (signal: AbortSignal, address: string): Promise<never> {
