--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -51,7 +51,7 @@
 export interface AnswerEnd {
   /** The answer has neither a length nor chunks, and ends with its connection. */
   withConnection?: boolean
-  /** The answer breaks off behind this many bytes of its body, and ends as if it were complete. */
+  /** A stream breaks off behind this many bytes, or one more so that it ends inside an event, and ends as if it were complete. */
   cutAtBytes?: number
   /** Ends the lines of events. */
   lineEnd?: string
@@ -275,7 +275,7 @@
         return
       }
       const event = `id: ${i}${lineEnd}data: ${id} ${i}${lineEnd}${lineEnd}`
-      response.write(event.slice(0, cutAtBytes - sentBytes))
+      response.write(event.slice(0, Math.max(1, cutAtBytes - sentBytes)))
       sentBytes += event.length
       if (sentBytes > cutAtBytes) {
         run.answerLost = true
