--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -52,9 +52,9 @@
     tests: [STREAM_VERSION],
   },
   {
-    name: 'stream versions: other boxes are told of streams while there are two versions',
+    name: 'stream versions: other boxes get the origins of streams while there are two versions',
     file: 'request/stream-origins/src/streamOrigins.ts',
-    find: 'if (this.#isMixed(origin.model)) this.#tell([origin])',
+    find: 'if (this.#isMixed(origin.model)) this.#announce([origin])',
     replace: '',
     tests: [STREAM_ORIGINS],
   },
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -8,6 +8,7 @@
 import { CompletionPlacer } from './completionPlacer.js'
 import { DelegatedRelay } from './delegatedRelay.js'
 import { drainAnswer } from './drainAnswer.js'
+import { freeHandle } from './freeHandle.js'
 import { EventProgress } from './eventProgress.js'
 import { withInterruptionReport, type SendingWork } from './withInterruptionReport.js'
 import { type AnswerTimes } from './passAnswer.js'
@@ -24,8 +25,6 @@
 
 /** Bound on placements of one request, including those that did not reach an engine. */
 const MAX_ATTEMPTS = 4
-/** Timeout of the single attempt to free a handle. The engine frees it by itself soon after. */
-const FREE_TIMEOUT_MS = 500
 const OK = 200
 /** A prefill is aborted after this multiple of its estimate plus the margin below: its answer is lost, or its engine hangs. */
 const PREFILL_TIMEOUT_FACTOR = 2
@@ -126,7 +125,7 @@
       placement.release(report, this.#outcomes)
       permits.prefill.release()
       permits.decode.release()
-      if (source && !handleConsumed) this.#freeHandle(source)
+      if (source && !handleConsumed) freeHandle(this.#context, source, this.#prompt)
     }
   }
 
@@ -311,12 +310,4 @@
       tbtP50Ms,
     }
   }
-
-  /** Frees a handle without waiting. A handle that is not freed expires soon. */
-  #freeHandle (source: PrefillSource): void {
-    const { opts, logDecision } = this.#context
-    opts.metrics.count('reelspan_wasted_prefill_tokens_total', {}, this.#prompt.promptTokens)
-    opts.upstreams.free(source, { timeoutMs: FREE_TIMEOUT_MS }).catch((thrown: unknown) =>
-      logDecision(LogEvent.HandleLeft, { upstream: source.address, reason: String(thrown) }))
-  }
 }
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -62,10 +62,10 @@
 const MAX_ASKED = 128
 const ASK_TIMEOUT_MS = 100
 /** Beginnings of streams are collected for this long. */
-const TELL_DELAY_MS = 20
-const TELL_TIMEOUT_MS = 300
-const MAX_TOLD_AT_ONCE = 500
-/** News of the list spreads with heartbeats, within about a second. */
+const SEND_DELAY_MS = 20
+const SEND_TIMEOUT_MS = 300
+const MAX_ORIGINS_PER_MESSAGE = 500
+/** Changes of the list spread with heartbeats, within about a second. */
 const MAX_CONTACT_AGE_MS = 3000
 const RETRY_AFTER_MS = 500
 
@@ -77,8 +77,8 @@
   readonly #tasks: TaskGroup
   /** Models of which more than one version was known at the last list. */
   #mixedModels: ReadonlySet<string> = new Set()
-  /** What is to be told to other boxes, by address. */
-  readonly #untold = new Map<string, StreamOrigin[]>()
+  /** Origins to be sent to other boxes, by address. */
+  readonly #unsent = new Map<string, StreamOrigin[]>()
   /** The longest time for which a stream was to be kept. */
   #keepMs = 0
 
@@ -97,20 +97,20 @@
   record (origin: StreamOrigin): void {
     this.#keepMs = Math.max(this.#keepMs, origin.keepMs)
     this.#records.add(origin)
-    if (this.#isMixed(origin.model)) this.#tell([origin])
+    if (this.#isMixed(origin.model)) this.#announce([origin])
   }
 
-  /** Must be called with each change of the list. Tells others of all streams when a second version is listed. */
+  /** Must be called with each change of the list. Sends the origins of all streams to other boxes when a second version is listed. */
   onFleetChanged (): void {
     const { fleet, poolsOfModels } = this.#opts
     this.#history.observe(fleet())
     const mixed = new Set([...poolsOfModels().keys()].filter((model) => this.#isMixed(model)))
     const newlyMixed = [...mixed].filter((model) => !this.#mixedModels.has(model))
     this.#mixedModels = mixed
-    newlyMixed.forEach((model) => this.#tell(this.#records.ofModel(model)))
+    newlyMixed.forEach((model) => this.#announce(this.#records.ofModel(model)))
   }
 
-  /** Origins that another box tells. */
+  /** Origins that another box has sent. */
   receive (origins: readonly StreamOrigin[]): void {
     origins.forEach((origin) => this.#records.add(origin))
   }
@@ -202,26 +202,26 @@
     return [...firstOfZones, ...ranked.filter((member) => !firstOfZones.includes(member))]
   }
 
-  #tell (origins: readonly StreamOrigin[]): void {
-    const wasEmpty = this.#untold.size === 0
+  #announce (origins: readonly StreamOrigin[]): void {
+    const wasEmpty = this.#unsent.size === 0
     origins.forEach((origin) => this.#ranked(origin.attempt, this.#opts.takingWork()).slice(0, HOLDERS).forEach(({ peerAddress }) => {
-      const untold = this.#untold.get(peerAddress)
-      if (untold) untold.push(origin)
-      else this.#untold.set(peerAddress, [origin])
+      const unsent = this.#unsent.get(peerAddress)
+      if (unsent) unsent.push(origin)
+      else this.#unsent.set(peerAddress, [origin])
     }))
-    if (wasEmpty && this.#untold.size > 0) this.#tasks.run(() => this.#flush())
+    if (wasEmpty && this.#unsent.size > 0) this.#tasks.run(() => this.#flush())
   }
 
   async #flush (): Promise<void> {
-    await this.#opts.clock.sleep(TELL_DELAY_MS, { signal: this.#tasks.signal })
-    const untold = [...this.#untold]
-    this.#untold.clear()
-    await Promise.all(untold.flatMap(([address, origins]) => batches(origins).map((batch) => this.#send(address, batch))))
+    await this.#opts.clock.sleep(SEND_DELAY_MS, { signal: this.#tasks.signal })
+    const unsent = [...this.#unsent]
+    this.#unsent.clear()
+    await Promise.all(unsent.flatMap(([address, origins]) => batches(origins).map((batch) => this.#send(address, batch))))
   }
 
   async #send (address: string, origins: StreamOrigin[]): Promise<void> {
     // The link logs a failure.
-    await this.#opts.link.call(address, { type: MessageType.StreamOriginsTell, origins }, { timeoutMs: TELL_TIMEOUT_MS, repeatable: true, signal: this.#tasks.signal }).catch(() => {})
+    await this.#opts.link.call(address, { type: MessageType.StreamOriginsTell, origins }, { timeoutMs: SEND_TIMEOUT_MS, repeatable: true, signal: this.#tasks.signal }).catch(() => {})
   }
 }
 
@@ -232,5 +232,5 @@
 }
 
 function batches (origins: readonly StreamOrigin[]): StreamOrigin[][] {
-  return Array.from({ length: Math.ceil(origins.length / MAX_TOLD_AT_ONCE) }, (_, i) => origins.slice(i * MAX_TOLD_AT_ONCE, (i + 1) * MAX_TOLD_AT_ONCE))
+  return Array.from({ length: Math.ceil(origins.length / MAX_ORIGINS_PER_MESSAGE) }, (_, i) => origins.slice(i * MAX_ORIGINS_PER_MESSAGE, (i + 1) * MAX_ORIGINS_PER_MESSAGE))
 }
