perf(request.relay,request.stream-origins): events are scanned by line, and fewer origins are kept

Cause: scanning each byte took 1.9 µs for an event of 75 bytes, and an origin takes up to 500 bytes, more than assumed. Change: within a line the next line end is searched for; at most 10,000 origins are kept. Result: 0.5 µs for the event; property tests as before.

--- a/request/relay/src/eventScanner.ts
+++ b/request/relay/src/eventScanner.ts
@@ -28,7 +28,9 @@
   scan (bytes: Uint8Array): ScannedEvents {
     const eventEnds: number[] = []
     let boundary = 0
-    for (let at = 0; at < bytes.byteLength; at++) {
+    const lineEnds = new LineEnds(bytes)
+    // What follows the first byte of a line does not matter until its end.
+    for (let at = this.#lineBegun ? lineEnds.next(0) : 0; at < bytes.byteLength; at = this.#lineBegun ? lineEnds.next(at + 1) : at + 1) {
       const byte = bytes[at]
       if (!this.#markPassed && this.#isMark(byte)) continue
       const endsCarriageReturn = byte === LINE_FEED && this.#afterCarriageReturn
@@ -63,3 +65,27 @@
     return belongs
   }
 }
+
+/** Finds the line ends of a chunk from its start to its end. */
+class LineEnds {
+  readonly #bytes: Uint8Array
+  readonly #carriageReturnAt: number
+
+  constructor (bytes: Uint8Array) {
+    this.#bytes = bytes
+    this.#carriageReturnAt = positionOf(bytes, CARRIAGE_RETURN, 0)
+  }
+
+  /** Position of the first line end from `from` on, or the chunk's length without one. */
+  next (from: number): number {
+    const lineFeedAt = positionOf(this.#bytes, LINE_FEED, from)
+    // Most streams have no carriage returns.
+    if (this.#carriageReturnAt >= lineFeedAt) return lineFeedAt
+    return Math.min(lineFeedAt, positionOf(this.#bytes, CARRIAGE_RETURN, from))
+  }
+}
+
+function positionOf (bytes: Uint8Array, byte: number, from: number): number {
+  const at = bytes.indexOf(byte, from)
+  return at < 0 ? bytes.byteLength : at
+}
--- a/request/stream-origins/src/originRecords.ts
+++ b/request/stream-origins/src/originRecords.ts
@@ -5,8 +5,8 @@
   expiresAtMs: number
 }
 
-/** Some 200 bytes each. */
-const MAX_RECORDS = 20_000
+/** Some 500 bytes each. */
+const MAX_RECORDS = 10_000
 
 /** The streams that this box knows the origins of, each until its client no longer takes it up. */
 export class OriginRecords {
