feat(request.relay,request.quarantine): logs name the prompt parts of interrupted runs and how far they had written

Cause: the logs of the incident tell the content of an interrupted run as one hash, so that a part which all of them share cannot be seen. Change: runBrokeOff has partHashes, writtenMs and targetVersion. No decision depends on them. Measured: tests of request.relay, request.quarantine and box/runtime/test/crashingRequest.ts pass.

--- a/request/identity/src/requestIdentity.ts
+++ b/request/identity/src/requestIdentity.ts
@@ -11,17 +11,37 @@
   content: string
   /** Hash of the caller. */
   caller: string
+  /** Hashes of the prompt parts that other requests may share, in order. Absent if the prompt declares none. */
+  parts?: readonly string[]
 }
 
 /** Base64url characters of a hash: 96 bits make collisions within a fleet negligible. */
 const HASH_LENGTH = 16
 
+/** Bounds what a request makes boxes store and exchange about its prompt. */
+const MAX_SHARED_PARTS = 32
+
 /** Identity of a request that is relayed unchanged. Leaves out what may differ between attempts, such as estimates. */
 export function identityOfRelayed ({ method, host, target, prompt, body, callerAddress }: RelayedRequest): RequestIdentity {
   const hash = createHash('sha256')
   hashParts(hash, [method, host, target])
   if (prompt) hashParts(hash, [prompt.model, ...prompt.prefixes.map(({ digest }) => digest)])
-  return { content: truncatedDigest(hash.update(body)), caller: hashOf(callerAddress) }
+  const parts = sharedPartsOf(prompt).map((part) => hashOfPart(prompt?.model as string, part))
+  return { content: truncatedDigest(hash.update(body)), caller: hashOfCaller(callerAddress), parts: parts.length > 0 ? parts : undefined }
+}
+
+/** The prompt parts that other requests may share, each once. The last part belongs to the request itself or to its session. */
+export function sharedPartsOf (prompt: RelayedRequest['prompt']): readonly string[] {
+  return [...new Set(prompt?.prefixes.slice(0, -1).map(({ digest }) => digest))].slice(0, MAX_SHARED_PARTS)
+}
+
+/** A part means the same to all engines of a model. */
+export function hashOfPart (model: string, part: string): string {
+  return truncatedDigest(hashParts(createHash('sha256'), [model, part]))
+}
+
+export function hashOfCaller (callerAddress: string): string {
+  return hashOf(callerAddress)
 }
 
 /** Identity of a request that came through the native API. */
--- a/request/quarantine/src/interruptedRuns.ts
+++ b/request/quarantine/src/interruptedRuns.ts
@@ -15,6 +15,10 @@
   address: string
   /** When the request was sent to the upstream. */
   sentAtMs: number
+  /** Time between the first and the last complete event of its answer. Absent if there was none. */
+  writtenMs?: number
+  /** Model or pool that the request was sent to, and the software version of the upstream. */
+  targetVersion?: string
   reason: string
 }
 
@@ -76,10 +80,22 @@
     recent.filter(({ upstream }) => list.upstream(upstream) === undefined).forEach((run) => onUpstreamExited(run))
   }
 
-  #report ({ request, route, identity, upstream, reason, sentAtMs, interruptedAtMs }: UpstreamExitRun, presence: UpstreamProbeResult): void {
+  #report ({ request, route, identity, upstream, reason, sentAtMs, interruptedAtMs, writtenMs, targetVersion }: UpstreamExitRun, presence: UpstreamProbeResult): void {
     const { log, metrics } = this.#opts
     metrics.count('reelspan_runs_broken_off_total', { presence })
-    log.info(LogEvent.RunBrokeOff, { request, route, upstream, presence, ranMs: Math.round(interruptedAtMs - sentAtMs), contentHash: identity.content, callerHash: identity.caller, reason })
+    log.info(LogEvent.RunBrokeOff, {
+      request,
+      route,
+      upstream,
+      targetVersion,
+      presence,
+      ranMs: Math.round(interruptedAtMs - sentAtMs),
+      writtenMs: writtenMs === undefined ? undefined : Math.round(writtenMs),
+      contentHash: identity.content,
+      callerHash: identity.caller,
+      partHashes: identity.parts,
+      reason,
+    })
   }
 
   /** A refusal proves that the process has exited only if this box reaches other upstreams. */
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -10,6 +10,7 @@
 import { drainAnswer } from './drainAnswer.js'
 import { freeHandle } from './freeHandle.js'
 import { EventProgress } from './eventProgress.js'
+import { type ExchangeProgress } from './exchangeProgress.js'
 import { withInterruptionReport, type SendingWork } from './withInterruptionReport.js'
 import { type AnswerTimes } from './passAnswer.js'
 import { passEvents } from './passEvents.js'
@@ -40,6 +41,7 @@
   idleTimer: IdleTimer
   /** Software version of the engine when the request was sent. */
   version: string
+  exchange: ExchangeProgress
 }
 
 /** Relays a request to a model's engines: placement, prefill, decode. */
@@ -151,8 +153,8 @@
     const { run } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const timeoutMs = PREFILL_TIMEOUT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs
-    const { handle } = await this.#trackFailure(target, (onSend) => this.#withIdleTimer(timeoutMs, ({ signal }) => untilLost(this.#context, signal, () => true, (lostSignal) =>
-      prefillAtUpstream(this.#context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend }))))
+    const { handle } = await this.#trackFailure(target, (progress) => this.#withIdleTimer(timeoutMs, ({ signal }) => untilLost(this.#context, signal, () => true, (lostSignal) =>
+      prefillAtUpstream(this.#context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent() }))))
     this.#recordOutcome(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
   }
@@ -215,7 +217,7 @@
     const timeoutMs = this.#hasAttemptsLeft() ? DECODE_IDLE_TIMEOUT_TARGETS * route.spec.tbtTargetMs + promptMs : Number.POSITIVE_INFINITY
     const target = { instance: plan.decodeEngine, address: plan.decodeAddress }
     const version = listedVersion(this.#context.opts, plan.decodeEngine) ?? ''
-    await this.#trackFailure(target, (onSend) => this.#withIdleTimer(timeoutMs, (idleTimer) => this.#trackInterruption(idleTimer, async () => {
+    await this.#trackFailure(target, (exchange) => this.#withIdleTimer(timeoutMs, (idleTimer) => this.#trackInterruption(idleTimer, async () => {
       const answer = await untilLost(this.#context, idleTimer.signal, () => !sent, (signal) => sendToUpstream(this.#context, { target, permit }, {
         signal,
         deadlineMs: run.remainingMs,
@@ -224,11 +226,11 @@
         resumeAfter: this.#progress.lastId ?? request.resumeAfter,
         onSend: () => {
           sent = true
-          onSend()
+          exchange.recordSent()
         },
       }))
       idleTimer.reset()
-      await this.#handleAnswer(plan, answer, { placement, times, idleTimer, version })
+      await this.#handleAnswer(plan, answer, { placement, times, idleTimer, version, exchange })
     }), () => this.#mayRetryElsewhere())).catch((thrown: unknown) => {
       // An engine that accepted no connection has received nothing, so it does not count as one of the attempts.
       if (!sent && !wasSentBefore) this.#decodeEngines.delete(plan.decodeEngine)
@@ -262,7 +264,7 @@
     return !this.#context.caller.begun || (!this.#progress.oversized && (this.#progress.lastId !== undefined || this.#progress.events === 0))
   }
 
-  async #handleAnswer (plan: PlacementPlan, answer: RelayAnswer, { placement, times, idleTimer, version }: AnswerContext): Promise<void> {
+  async #handleAnswer (plan: PlacementPlan, answer: RelayAnswer, { placement, times, idleTimer, version, exchange }: AnswerContext): Promise<void> {
     const { run, route, caller, logDecision } = this.#context
     logDecision(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, framing: answer.framing, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     const failed = answer.status >= FIRST_SERVER_ERROR
@@ -275,7 +277,7 @@
       if (isOwnPrefill(plan)) placement.recordPrefillEnd()
       if (answer.status === OK) this.#version.begin(version)
     }
-    await passEvents(this.#context, answer, times, { progress: this.#progress, completeEventsOnly: route.spec.resumable, idleTimer, onFirst })
+    await passEvents(this.#context, answer, times, { progress: this.#progress, completeEventsOnly: route.spec.resumable, idleTimer, onFirst, onEvents: () => exchange.recordWritten() })
     this.#recordOutcome(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
 
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -12,6 +12,8 @@
   idleTimer: IdleTimer
   /** Called when the first event of this answer is complete, before it is passed on. */
   onFirst?: () => void
+  /** Called whenever further events of this answer are complete, before they are passed on. */
+  onEvents?: () => void
 }
 
 /**
@@ -20,7 +22,7 @@
  */
 export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
   const { run, caller } = context
-  const { progress, completeEventsOnly, idleTimer, onFirst } = opts
+  const { progress, completeEventsOnly, idleTimer, onFirst, onEvents } = opts
   let first = true
   if (!caller.begun) caller.begin(answer.status, answer.headers)
   times.status = answer.status
@@ -32,6 +34,7 @@
       if (complete.byteLength > 0) {
         recordPartTime(times, run.elapsedMs)
         if (first) onFirst?.()
+        onEvents?.()
         first = false
       }
       const passed = completeEventsOnly ? complete : bytes
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -220,6 +220,7 @@
       identity,
       caller,
       route: terms ? withAttemptsUsed(route, terms.attemptsUsed) : route,
+      target: target.model ?? target.pool as string,
       mayDelegate: terms === undefined,
       onSent: terms?.onSent,
       urgency: urgency ?? route.spec.urgency,
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -19,6 +19,8 @@
   identity: () => RequestIdentity
   caller: RelayCaller
   route: Named<RouteSpec>
+  /** Model or pool that the request was assigned to. */
+  target: string
   /** Urgency class; 0 is the most urgent. */
   urgency: number
   budget: RetryBudget
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -86,8 +86,8 @@
     picker.recordStart(upstream.name)
     const target = { instance: upstream.name, address: upstream.address }
     try {
-      await withInterruptionReport(this.#context, target, async (onSend) => {
-        const answer = await this.#send(picked, attempt, onSend)
+      await withInterruptionReport(this.#context, target, async (progress) => {
+        const answer = await this.#send(picked, attempt, () => progress.recordSent())
         this.#answered = true
         const durationMs = clock.nowMs() - startedAtMs
         const failed = answer.status >= FIRST_SERVER_ERROR
