fix(request.quarantine): a run that was sent to an upstream right after its exit does not count as another exit

What callers saw: a stream that was not the cause was quarantined for ten minutes; its refusal named the same engine twice. Cause: when a stream breaks off, the box asks the same engine once more. On a connection that is still open that run breaks off too, and since it began after the first one had ended, one exit counted as two. Change: a run that began within 250 ms after an exit of the same upstream does not count. Exits of a name that restarts later still count each.

--- /dev/null
+++ b/request/quarantine/src/sequentialRuns.ts
@@ -0,0 +1,21 @@
+import { type PastRun } from './runHistory.js'
+
+/** An upstream does not run again under the same name sooner than this after its exit. */
+const MIN_RESTART_MS = 250
+
+/**
+ * The longest chain of runs, ordered by their end, in which each began after the previous one ended. A run that was
+ * sent to an upstream right after its exit reached no process, and does not count.
+ */
+export function sequentialRuns (runs: readonly PastRun[]): PastRun[] {
+  return runs.reduce<PastRun[]>((chain, run) => {
+    const previous = chain.at(-1)
+    const follows = previous === undefined || run.beganAtMs >= previous.endedAtMs
+    return follows && !isLateForExit(run, chain) ? [...chain, run] : chain
+  }, [])
+}
+
+function isLateForExit ({ upstream, beganAtMs }: PastRun, chain: readonly PastRun[]): boolean {
+  const exit = chain.findLast((run) => run.upstream !== undefined && run.upstream === upstream)
+  return exit !== undefined && beganAtMs < exit.endedAtMs + MIN_RESTART_MS
+}
--- a/request/quarantine/test/judgeRequest.ts
+++ b/request/quarantine/test/judgeRequest.ts
@@ -39,6 +39,12 @@
   t.true(isQuarantined(series('a', [1, 2, 3], { upstream: 'u' }), 'a'))
 })
 
+test('an upstream exit counts once, also if the same upstream was asked again before it was known to be gone', (t) => {
+  const retried = (nth: number) => [end('a', nth), end('a', nth, { ageMs: (20 - nth) * INTERVAL_MS - 3, ranMs: 1 })]
+  t.false(isQuarantined([...retried(1), ...retried(2)], 'a'))
+  t.true(isQuarantined([...retried(1), ...retried(2), ...retried(3)], 'a'))
+})
+
 test('simultaneous upstream exits count once, however many copies ran', (t) => {
   const simultaneous = Array.from({ length: 8 }, (_, i) => end('a', 3, { upstream: `u${i}`, ageMs: 1000 + i, ranMs: 200 }))
   t.false(isQuarantined(simultaneous, 'a'))
