test(utils.bench): the mechanism of runs that overlap is where it is now

Cause: the fix of exits that counted twice moved its code to sequentialRuns.ts, and the list of mechanisms did not follow. Change: the entry names the new file.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -587,9 +587,9 @@
   },
   {
     name: 'upstream crashes that end overlapping runs of a request count once',
-    file: 'request/quarantine/src/judgeRequest.ts',
-    find: 'run.beganAtMs >= (chain.at(-1)?.endedAtMs ?? Number.NEGATIVE_INFINITY) ?',
-    replace: 'run.beganAtMs >= 0 ?',
+    file: 'request/quarantine/src/sequentialRuns.ts',
+    find: 'previous === undefined || run.beganAtMs >= previous.endedAtMs',
+    replace: 'true',
     tests: [CRASHING_REQUEST, QUARANTINE_DECISION],
   },
   {
