fix(request.quarantine,request.relay): prompt parts that crash engines are found and refused

What callers saw: engines exited one after the other, 26 to 28 of them, each with the streams of others, under requests that share one part of their prompts. Cause: a request is known by one hash of all of it, last part and body included, so that each of these requests was a first one (hypothesis 1). Class: an identity that is taken too narrowly. Evidence: 69 runs at 18 exits have 60 contents; at each exit stands one stream of the route that had been sent 23 to 143 ms before. Change: boxes tell each other the hashes of the shared parts with each exit. The part with the most successive exits that no run has cleared is the cause; runs that end or have written for a second clear their parts, by gossip only while something is suspected. Refused is what all of the crashing requests have in common, at the models and versions that crashed. Ten minutes later one request in the fleet may try. Why it works: an innocent part is cleared by any run that goes on, at any box; one that never was seen without the culprit is refused only with it.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -230,7 +230,7 @@
       upstreamPaths: upstreamPaths.describe(),
       placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
       shards: shardManagers.describe(),
-      quarantine: { requests: quarantine.countQuarantined(), runsKnown: runHistory.size },
+      quarantine: { requests: quarantine.countQuarantined(), parts: quarantine.countParts(), runsKnown: runHistory.size },
       upstreamStates: upstreamStates.all(),
       backingOffFrom: backoffs.all(),
       poolsCoordinated: poolCoordinator.describe(),
--- a/box/runtime/src/createRequestParts.ts
+++ b/box/runtime/src/createRequestParts.ts
@@ -1,3 +1,4 @@
+import { rankByRendezvous } from '@reelspan/core.hashing'
 import { MessageType, type RunEvent } from '@reelspan/core.messages'
 import { Broadcaster, Gossip } from '@reelspan/membership.prober'
 import { Owner } from '@reelspan/request.owner'
@@ -10,6 +11,8 @@
 import { hasLostPaths } from './createPathParts.js'
 import { recordRequestEnd } from './recordRequestEnd.js'
 
+/** Twice as many boxes may let a quarantined request try each time that this passes without an outcome, since few such requests may come. */
+const TRIAL_SPREAD_MS = 10_000
 /** Same timeout as for other calls between boxes. */
 const REPORT_TIMEOUT_MS = 300
 
@@ -31,8 +34,8 @@
     metrics,
     fleet: () => fleet.value,
     hasLostPaths: () => hasLostPaths(parts),
-    onUpstreamExited: ({ identity, upstream, sentAtMs, interruptedAtMs }) =>
-      parts.quarantine.recordUpstreamExit(identity, upstream, { ranMs: interruptedAtMs - sentAtMs, ageMs: clock.nowMs() - interruptedAtMs }),
+    onUpstreamExited: ({ identity, upstream, sentAtMs, interruptedAtMs, writtenMs, targetVersion }) =>
+      parts.quarantine.recordUpstreamExit(identity, upstream, { ranMs: interruptedAtMs - sentAtMs, ageMs: clock.nowMs() - interruptedAtMs, writtenMs, targetVersion }),
   })
 }
 
@@ -65,7 +68,16 @@
 
 export function createQuarantine (parts: BoxParts): Quarantine {
   const { clock, log, view, runHistory } = parts
-  return new Quarantine({ clock, log, history: runHistory, incarnation: () => view.self.incarnation, onEvent: (event) => parts.runGossip.announce([event]) })
+  return new Quarantine({
+    clock,
+    log,
+    history: runHistory,
+    incarnation: () => view.self.incarnation,
+    onEvent: (event) => parts.runGossip.announce([event]),
+    mayTry: (key, lapsedMs) => rankByRendezvous(key, view.takingWork(), ({ incarnation }) => incarnation)
+      .slice(0, 2 ** Math.floor(lapsedMs / TRIAL_SPREAD_MS))
+      .some(({ incarnation }) => incarnation === view.self.incarnation),
+  })
 }
 
 export function createStreamOrigins (parts: BoxParts): StreamOrigins {
--- a/core/messages/src/runEvent.ts
+++ b/core/messages/src/runEvent.ts
@@ -8,7 +8,10 @@
   Finished = 'finished',
 }
 
-/** The end of a request's run at an upstream, as announced between boxes. */
+/**
+ * The end of a request's run at an upstream, as announced between boxes. A finished run with `parts` and without
+ * `content` is a clearance: runs of any requests with these prompt parts did not crash their upstreams.
+ */
 export const runEventSchema = z.object({
   /** Identifies the event at all boxes. */
   id: z.string(),
@@ -23,6 +26,12 @@
   ageMs: z.number().nonnegative(),
   /** Time between sending the request to the upstream and the end of the run. */
   ranMs: z.number().nonnegative(),
+  /** Hashes of the prompt parts that other requests may share. Earlier builds drop this field and the following ones. */
+  parts: z.array(z.string()).optional(),
+  /** Time between the first and the last event of the answer, if there was one. */
+  writtenMs: z.number().nonnegative().optional(),
+  /** Model or pool that the request was sent to, and the software version of the upstream. */
+  targetVersion: z.string().optional(),
 })
 
 export type RunEvent = z.infer<typeof runEventSchema>
--- /dev/null
+++ b/request/quarantine/src/judgeParts.ts
@@ -0,0 +1,136 @@
+import { MAX_UPSTREAM_EXITS, MAX_UPSTREAM_EXITS_IF_AMBIGUOUS } from './judgeRequest.js'
+import { type PastRun, type RunHistory } from './runHistory.js'
+import { sequentialRuns } from './sequentialRuns.js'
+
+/**
+ * A run clears its prompt parts if its answer has been written for this long, and a shorter one makes them suspects
+ * if its upstream exits: a part that crashes upstreams does so when they begin to write.
+ */
+export const SOUND_AFTER_MS = 1000
+
+/** Requests that have all of these in common crashed upstreams one after another. */
+export interface PartBan {
+  /** Identifies the ban as long as what it is based on does not change. */
+  key: string
+  /** Hashes of prompt parts, sorted. */
+  parts: readonly string[]
+  /** Set if all runs were of one caller. */
+  caller?: string
+  /** Set if all runs were of one request. */
+  content?: string
+  /** Models or pools with the software versions at which upstreams exited. */
+  targetVersions: readonly string[]
+  /** Successive runs whose exits led to the ban. */
+  runs: readonly PastRun[]
+  lastEndedAtMs: number
+}
+
+export interface PartVerdicts {
+  bans: readonly PartBan[]
+  /** The last run at exits of which no run has cleared a part, by part and version (`suspectKey`). */
+  suspects: ReadonlyMap<string, PastRun>
+  /** Number of successive exits of the most suspicious part at the exit at which a run ended. */
+  exitsOfStrongest: (run: PastRun) => number
+}
+
+/** Key of a part that is a suspect at the upstreams of one version. */
+export function suspectKey (part: string, targetVersion: string): string {
+  return `${part} ${targetVersion}`
+}
+
+/** Finds the prompt parts because of which upstreams exit. Depends only on which events are known. */
+export function judgeParts (history: RunHistory): PartVerdicts {
+  return new PartJudgement(history).verdicts()
+}
+
+class PartJudgement {
+  readonly #history: RunHistory
+  /** Parts of each run for which its exit makes them suspects, by run. */
+  readonly #partsOf: ReadonlyMap<string, readonly string[]>
+  /** Runs at exits for which a part is a suspect, by part, ordered by their end. */
+  readonly #runsOf = new Map<string, PastRun[]>()
+  readonly #exitCounts: ReadonlyMap<string, number>
+  /** Suspected parts of each exit, by run. */
+  readonly #suspectsAt = new Map<string, ReadonlySet<string>>()
+  readonly #strongestAt = new Map<string, number>()
+
+  constructor (history: RunHistory) {
+    this.#history = history
+    const exits = history.exits()
+    const runs = exits.flat().toSorted((a, b) => a.endedAtMs - b.endedAtMs || (a.id < b.id ? -1 : 1))
+    this.#partsOf = new Map(runs.map((run) => [run.id, this.#suspectedParts(run)]))
+    runs.forEach((run) => this.#indexRun(run))
+    this.#exitCounts = new Map([...this.#runsOf].map(([part, ofPart]) => [part, sequentialRuns(ofPart).length]))
+    exits.forEach((exit) => this.#indexExit(exit))
+  }
+
+  verdicts (): PartVerdicts {
+    const candidates = [...this.#exitCounts].filter(([, count]) => count >= MAX_UPSTREAM_EXITS).map(([part]) => part)
+    const bans = new Map(candidates.flatMap((part) => this.#banOf(part)).map((ban) => [ban.key, ban]))
+    return {
+      bans: [...bans.values()].filter((ban) => ![...bans.values()].some((other) => other !== ban && covers(other, ban))),
+      suspects: new Map([...this.#runsOf].flatMap(([part, runs]) => runs.map((run) => [suspectKey(part, run.targetVersion), run]))),
+      exitsOfStrongest: ({ id }) => this.#strongestAt.get(id) ?? 0,
+    }
+  }
+
+  #suspectedParts (run: PastRun): string[] {
+    return run.writtenMs >= SOUND_AFTER_MS ? [] : run.parts.filter((part) => !this.#history.isCleared(part, run))
+  }
+
+  #indexRun (run: PastRun): void {
+    this.#partsOf.get(run.id)?.forEach((part) => {
+      const runs = this.#runsOf.get(part)
+      if (runs) runs.push(run)
+      else this.#runsOf.set(part, [run])
+    })
+  }
+
+  #indexExit (exit: readonly PastRun[]): void {
+    const parts = new Set(exit.flatMap(({ id }) => this.#partsOf.get(id) ?? []))
+    const strongest = Math.max(0, ...[...parts].map((part) => this.#exitCounts.get(part) as number))
+    exit.forEach(({ id }) => {
+      this.#suspectsAt.set(id, parts)
+      this.#strongestAt.set(id, strongest)
+    })
+  }
+
+  #banOf (part: string): PartBan[] {
+    const runs = this.#runsOf.get(part) as PastRun[]
+    const exitCount = this.#exitCounts.get(part) as number
+    const attributed = sequentialRuns(runs.filter(({ id }) => (this.#strongestAt.get(id) as number) <= exitCount))
+    if (attributed.length < (this.#isAmbiguous(part, runs) ? MAX_UPSTREAM_EXITS_IF_AMBIGUOUS : MAX_UPSTREAM_EXITS)) return []
+    const parts = this.#commonParts(runs).toSorted()
+    const [{ caller, content }] = runs
+    const isOneCaller = runs.every((run) => run.caller === caller)
+    const isOneContent = runs.every((run) => run.content === content)
+    const condition = { parts, ...isOneCaller && { caller }, ...isOneContent && { content } }
+    return [{
+      ...condition,
+      key: JSON.stringify(condition),
+      targetVersions: [...new Set(runs.map(({ targetVersion }) => targetVersion))],
+      runs: attributed,
+      lastEndedAtMs: (runs.at(-1) as PastRun).endedAtMs,
+    }]
+  }
+
+  /** Whether a part of other runs was at all of the same exits as well. */
+  #isAmbiguous (part: string, runs: readonly PastRun[]): boolean {
+    const common = this.#commonParts(runs)
+    const [first, ...rest] = runs.map(({ id }) => this.#suspectsAt.get(id) as ReadonlySet<string>)
+    return [...first].some((other) => other !== part && !common.includes(other) && rest.every((suspects) => suspects.has(other)))
+  }
+
+  /** Suspected parts that all of the runs have. */
+  #commonParts ([first, ...rest]: readonly PastRun[]): string[] {
+    return (this.#partsOf.get(first.id) ?? []).filter((part) => rest.every(({ id }) => this.#partsOf.get(id)?.includes(part)))
+  }
+}
+
+/** Whether every request that the second ban refuses is refused by the first one as well. */
+function covers (a: PartBan, b: PartBan): boolean {
+  return a.parts.every((part) => b.parts.includes(part)) &&
+    (a.caller === undefined || a.caller === b.caller) &&
+    (a.content === undefined || a.content === b.content) &&
+    b.targetVersions.every((version) => a.targetVersions.includes(version))
+}
--- /dev/null
+++ b/request/quarantine/src/partQuarantine.ts
@@ -0,0 +1,177 @@
+import { type Clock } from '@reelspan/core.env'
+import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { RunEnd, type RunEvent } from '@reelspan/core.messages'
+import { type RequestIdentity } from '@reelspan/request.identity'
+import { type Log, LogEvent } from '@reelspan/telemetry.log'
+import { CLEARANCE_MS } from './clearanceStore.js'
+import { judgeParts, type PartBan, type PartVerdicts, suspectKey } from './judgeParts.js'
+import { type PastRun, type RunHistory } from './runHistory.js'
+import { type RunParts, type SoundPart, SoundParts } from './soundParts.js'
+
+/** Time from the last upstream exit until one request with the parts may try again. */
+export const PART_QUARANTINE_MS = 10 * 60_000
+/** The same after a trial that crashed its upstream. Both together are shorter than runs are kept, so that one exit is enough for the next. */
+const RENEWED_PART_QUARANTINE_MS = 15 * 60_000
+/** A trial without an outcome after this time makes way for another one. */
+const TRIAL_TIMEOUT_MS = 10_000
+const TRIAL_RETRY_AFTER_MS = 5000
+
+export interface PartQuarantineOptions {
+  clock: Clock
+  log: Log
+  history: RunHistory
+  /** Sends an event that this box has added to the history to other boxes. */
+  onEvent: (event: RunEvent) => void
+  /** Whether this box may let one request try that all boxes have refused so far, by the time since then. */
+  mayTry: (key: string, lapsedMs: number) => boolean
+}
+
+/** Model or pool with the software versions at which a request can be served. */
+export type TargetVersions = () => readonly string[]
+
+/** Refuses requests with the prompt parts that crash upstreams, and clears the parts of runs that do not. */
+export class PartQuarantine {
+  readonly #opts: PartQuarantineOptions
+  readonly #soundParts = new SoundParts()
+  /** Bans whose beginning was logged, and whose end was not. */
+  readonly #logged = new Map<string, PartBan>()
+  /** The request that tries, by ban. */
+  readonly #trials = new Map<string, { content: string, startedAtMs: number }>()
+  #verdicts?: PartVerdicts
+  #revision = -1
+
+  constructor (opts: PartQuarantineOptions) {
+    this.#opts = opts
+  }
+
+  /** Number of suspects, of combinations of parts that are refused, and of parts that were cleared. */
+  counts (): { suspected: number, banned: number, cleared: number } {
+    const { suspects, bans } = this.verdicts()
+    return { suspected: suspects.size, banned: bans.length, cleared: this.#opts.history.clearedCount }
+  }
+
+  /** What follows from the events that are known now. */
+  verdicts (): PartVerdicts {
+    const { history } = this.#opts
+    if (this.#verdicts && this.#revision === history.revision) return this.#verdicts
+    this.#revision = history.revision
+    this.#verdicts = judgeParts(history)
+    history.protect(new Set(this.#verdicts.bans.flatMap(({ runs }) => runs.map(({ id }) => id))))
+    this.#logChanges(this.#verdicts.bans)
+    return this.#verdicts
+  }
+
+  /** Why a request must not be sent to any upstream that could serve it, or undefined if it may be. */
+  refusalOf (request: RequestIdentity, targetVersions: TargetVersions): ReelspanError | undefined {
+    const bans = this.#bansOn(request)
+    if (bans.length === 0) return undefined
+    const versions = targetVersions()
+    if (!versions.every((version) => bans.some((ban) => ban.targetVersions.includes(version)))) return undefined
+    return this.#refusal(bans.reduce((a, b) => this.#untilMs(b) > this.#untilMs(a) ? b : a))
+  }
+
+  /** Models or pools with the software versions to which a request must not be sent. */
+  bannedVersions (request: RequestIdentity): readonly string[] {
+    return [...new Set(this.#bansOn(request).flatMap(({ targetVersions }) => targetVersions))]
+  }
+
+  /** Called when events were added to the history. Returns whether more is refused than before. */
+  onEventsAdded (): boolean {
+    return this.#refusesMoreAfter(() => this.#clearSuspects(this.#suspectedSoundParts()))
+  }
+
+  /**
+   * Records that the answer of a run was complete, or has been written for so long that its parts do not crash upstreams.
+   * Returns whether more is refused than before, since what quarantined requests have in common may have become less.
+   */
+  recordSound (run: RunParts): boolean {
+    const { clock, history } = this.#opts
+    const entries = this.#soundParts.record(run, clock.nowMs())
+    if (history.size === 0 || this.verdicts().suspects.size === 0) return false
+    return this.#refusesMoreAfter(() => this.#clearSuspects(this.#soundParts.toSoundParts(entries)))
+  }
+
+  #refusesMoreAfter (change: () => void): boolean {
+    const before = new Set(this.#logged.keys())
+    change()
+    return this.verdicts().bans.some(({ key }) => !before.has(key))
+  }
+
+  /** The parts of this box's sound runs that can clear a suspect. */
+  #suspectedSoundParts (): SoundPart[] {
+    const { suspects } = this.verdicts()
+    if (suspects.size === 0) return []
+    const firstExitMs = Math.min(...[...suspects.values()].map(({ endedAtMs }) => endedAtMs))
+    return this.#soundParts.since(firstExitMs - CLEARANCE_MS)
+  }
+
+  #clearSuspects (soundParts: readonly SoundPart[]): void {
+    const { suspects } = this.verdicts()
+    soundParts.forEach((sound) => {
+      const exit = suspects.get(suspectKey(sound.part, sound.targetVersion))
+      if (exit && sound.lastMs >= exit.endedAtMs - CLEARANCE_MS) this.#clear(sound, exit)
+    })
+  }
+
+  /** The id is the same at all boxes that clear the part of this exit. */
+  #clear ({ part, targetVersion, lastMs }: SoundPart, exit: PastRun): void {
+    const { clock, log, history, onEvent } = this.#opts
+    const ageMs = Math.max(0, clock.nowMs() - lastMs)
+    const clearance: RunEvent = { id: `${part}/${exit.id}`, end: RunEnd.Finished, content: '', caller: '', parts: [part], targetVersion, ageMs, ranMs: 0 }
+    if (!history.add(clearance)) return
+    log.info(LogEvent.PromptPartCleared, { partHash: part, targetVersion, ageMs: Math.round(ageMs), upstream: exit.upstream })
+    onEvent(clearance)
+  }
+
+  /** Bans that apply to a request now. */
+  #bansOn ({ content, caller, parts = [] }: RequestIdentity): PartBan[] {
+    if (parts.length === 0) return []
+    return this.verdicts().bans.filter((ban) =>
+      ban.parts.every((part) => parts.includes(part)) &&
+      (ban.caller === undefined || ban.caller === caller) &&
+      (ban.content === undefined || ban.content === content) &&
+      !this.#mayTry(ban, content))
+  }
+
+  /** Whether a request may try after its quarantine, one at a time. */
+  #mayTry (ban: PartBan, content: string): boolean {
+    const { clock, mayTry } = this.#opts
+    const lapsedMs = clock.nowMs() - this.#untilMs(ban)
+    if (lapsedMs < 0) return false
+    const trial = this.#trials.get(ban.key)
+    if (trial && clock.nowMs() < trial.startedAtMs + TRIAL_TIMEOUT_MS) return trial.content === content
+    if (!mayTry(ban.key, lapsedMs)) return false
+    this.#trials.set(ban.key, { content, startedAtMs: clock.nowMs() })
+    return true
+  }
+
+  #untilMs ({ runs, lastEndedAtMs }: PartBan): number {
+    return lastEndedAtMs + (lastEndedAtMs - runs[0].endedAtMs >= PART_QUARANTINE_MS ? RENEWED_PART_QUARANTINE_MS : PART_QUARANTINE_MS)
+  }
+
+  #refusal (ban: PartBan): ReelspanError {
+    const upstreams = [...new Set(ban.runs.flatMap(({ upstream }) => upstream ?? []))]
+    const remainingMs = this.#untilMs(ban) - this.#opts.clock.nowMs()
+    return new ReelspanError(ErrorCode.RequestQuarantined, `${upstreams.length} upstreams exited one after another while running requests with the prompt part ${ban.parts.join(' and ')} (hash): ${upstreams.join(', ')}`, {
+      retryAfterMs: remainingMs > 0 ? remainingMs : TRIAL_RETRY_AFTER_MS,
+    })
+  }
+
+  #logChanges (bans: readonly PartBan[]): void {
+    const keys = new Set(bans.map(({ key }) => key))
+    const ended = [...this.#logged].filter(([key]) => !keys.has(key))
+    ended.forEach(([key, ban]) => {
+      this.#logged.delete(key)
+      this.#trials.delete(key)
+      this.#logChange(ban, false)
+    })
+    bans.filter(({ key }) => !this.#logged.has(key)).forEach((ban) => {
+      this.#logged.set(ban.key, ban)
+      this.#logChange(ban, true)
+    })
+  }
+
+  #logChange ({ parts, caller, content, targetVersions, runs }: PartBan, quarantined: boolean): void {
+    this.#opts.log.warn(LogEvent.QuarantineChanged, { quarantined, partHashes: parts, callerHash: caller, contentHash: content, targetVersions, upstreams: runs.flatMap(({ upstream }) => upstream ?? []) })
+  }
+}
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -4,7 +4,9 @@
 import { type RequestIdentity } from '@reelspan/request.identity'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { judgeRequest } from './judgeRequest.js'
+import { PartQuarantine, type TargetVersions } from './partQuarantine.js'
 import { type PastRun, type RunHistory } from './runHistory.js'
+import { type RunParts } from './soundParts.js'
 
 /**
  * Duration of a quarantine, counted from the last upstream exit. The request may then run once more
@@ -21,21 +23,30 @@
   incarnation: () => string
   /** Sends an event that this box recorded to other boxes. */
   onEvent: (event: RunEvent) => void
+  /** Whether this box may let one request with quarantined prompt parts try, by the time since their quarantine has lapsed. */
+  mayTry: (key: string, lapsedMs: number) => boolean
 }
 
 /** Called when a request has been quarantined. */
 export type QuarantineListener = () => void
 
-/** Blocks requests that have repeatedly made upstreams exit, at any box. */
+/** Blocks requests that have repeatedly made upstreams exit, at any box, alone or together with others that share a part of their prompts. */
 export class Quarantine {
   readonly #opts: QuarantineOptions
   readonly #listeners = new Set<QuarantineListener>()
   /** Requests whose quarantine was logged and whose release was not logged yet. */
   readonly #logged = new Map<string, RequestIdentity>()
+  readonly #parts: PartQuarantine
   #sequence = 0
 
   constructor (opts: QuarantineOptions) {
     this.#opts = opts
+    this.#parts = new PartQuarantine(opts)
+  }
+
+  /** Number of prompt parts that are suspects, of combinations of parts that are refused, and of parts that were cleared. */
+  countParts (): ReturnType<PartQuarantine['counts']> {
+    return this.#parts.counts()
   }
 
   /** Counts the quarantined requests. Logs those whose quarantine has ended. */
@@ -48,18 +59,33 @@
     this.#listeners.add(listener)
   }
 
-  /** Why a request must not be sent to an upstream now, or undefined if it may be. Computes the identity only if the history is not empty. */
-  refusalOf (identity: () => RequestIdentity): ReelspanError | undefined {
+  /**
+   * Why a request must not be sent to an upstream now, or undefined if it may be. Computes the identity only if the history is not empty.
+   *
+   * @param targetVersions where the request can be served; by default anywhere
+   */
+  refusalOf (identity: () => RequestIdentity, targetVersions: TargetVersions = () => []): ReelspanError | undefined {
     if (this.#opts.history.size === 0) return undefined
     const request = identity()
     const runs = this.#quarantiningRuns(request)
     this.#logChange(request, runs)
-    return runs.length > 0 ? this.#refusal(runs) : undefined
+    return runs.length > 0 ? this.#refusal(runs) : this.#parts.refusalOf(request, targetVersions)
+  }
+
+  /** Models or pools with the software versions to which a request must not be sent because of its prompt parts. */
+  bannedVersions (identity: () => RequestIdentity): readonly string[] {
+    return this.#opts.history.size === 0 ? [] : this.#parts.bannedVersions(identity())
+  }
+
+  /** Records that the answer of a run was complete, or has been written for so long that its prompt parts do not crash upstreams. */
+  recordSound (run: RunParts): void {
+    if (run.parts.length > 0 && this.#parts.recordSound(run)) this.#notifyListeners()
   }
 
   /** Records that the upstream's process exited while it ran the request. */
-  recordUpstreamExit (identity: RequestIdentity, upstream: string, { ranMs, ageMs }: Pick<RunEvent, 'ranMs' | 'ageMs'>): void {
-    this.#recordEvent({ ...identity, end: RunEnd.UpstreamEnded, upstream, ranMs, ageMs })
+  recordUpstreamExit ({ content, caller, parts = [] }: RequestIdentity, upstream: string, { ranMs, ageMs, writtenMs, targetVersion }: Pick<RunEvent, 'ranMs' | 'ageMs' | 'writtenMs' | 'targetVersion'>): void {
+    const partFields = parts.length > 0 ? { parts: [...parts], writtenMs, targetVersion } : {}
+    this.#recordEvent({ content, caller, end: RunEnd.UpstreamEnded, upstream, ranMs, ageMs, ...partFields })
   }
 
   /** Records that the request finished, so it does not make every upstream exit. Only needed if its last recorded run ended with an upstream exit. */
@@ -68,14 +94,19 @@
     if (history.size === 0) return
     const request = identity()
     const last = history.runsOf(request.content).at(-1)
-    if (last?.end === RunEnd.UpstreamEnded) this.#recordEvent({ ...request, end: RunEnd.Finished, ranMs: 0, ageMs: 0 })
+    if (last?.end === RunEnd.UpstreamEnded) this.#recordEvent({ content: request.content, caller: request.caller, end: RunEnd.Finished, ranMs: 0, ageMs: 0 })
   }
 
   /** Called when events of this or another box were added to the history. */
   onEventsAdded (events: readonly RunEvent[]): void {
     const countBefore = this.#logged.size
-    events.forEach((event) => this.#logChange(event, this.#quarantiningRuns(event)))
-    if (this.#logged.size > countBefore) this.#listeners.forEach((listener) => listener())
+    const refusesMoreParts = this.#parts.onEventsAdded()
+    events.filter(({ content }) => content !== '').forEach((event) => this.#logChange(event, this.#quarantiningRuns(event)))
+    if (refusesMoreParts || this.#logged.size > countBefore) this.#notifyListeners()
+  }
+
+  #notifyListeners (): void {
+    this.#listeners.forEach((listener) => listener())
   }
 
   #recordEvent (event: Omit<RunEvent, 'id'>): void {
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -2,6 +2,7 @@
 import { hash32 } from '@reelspan/core.hashing'
 import { RunEnd, type RunEvent } from '@reelspan/core.messages'
 import { UpdateStore } from '@reelspan/membership.prober'
+import { ClearanceStore } from './clearanceStore.js'
 
 /** A past run of a request. Times are on this box's clock. */
 export interface PastRun {
@@ -13,6 +14,12 @@
   upstream?: string
   beganAtMs: number
   endedAtMs: number
+  /** Hashes of the prompt parts that other requests may share. */
+  parts: readonly string[]
+  /** Time between the first and the last event of the answer; 0 without one. */
+  writtenMs: number
+  /** Model or pool that the request was sent to, and the software version of the upstream. */
+  targetVersion: string
 }
 
 /** How long runs are kept: several quarantine durations, so that a request that returns after its quarantine is recognized at once. */
@@ -22,52 +29,59 @@
 /** Bound per request. More runs add no information. */
 const MAX_RUNS_PER_CONTENT = 16
 /** Boxes record the runs of an upstream that exited within this time of each other. Upstreams take longer than this to restart. */
-const SAME_EXIT_WINDOW_MS = 2000
+export const SAME_EXIT_WINDOW_MS = 2000
 
 /**
- * Stores the runs whose upstreams exited, at any box, and the finished runs of the same
- * requests. Boxes that received the same events in any order have the same state. Only
- * hashes of requests are stored.
+ * Stores the runs whose upstreams exited, at any box, the finished runs of the same
+ * requests, and the clearances of prompt parts. Boxes that received the same events in any
+ * order have the same state. Only hashes of requests are stored.
  */
 export class RunHistory extends UpdateStore<RunEvent> {
   readonly #clock: Clock
   /** Runs by content, in the order in which the contents were last updated. */
   readonly #byContent = new Map<string, PastRun[]>()
   readonly #byUpstream = new Map<string, PastRun[]>()
-  readonly #ids = new Set<string>()
+  readonly #byId = new Map<string, PastRun>()
+  readonly #clearances: ClearanceStore
+  /** Ids of runs that are dropped only when nothing else is left. */
+  #protected: ReadonlySet<string> = new Set()
   #digest = 0
+  #revision = 0
 
   constructor ({ clock }: { clock: Clock }) {
     super()
     this.#clock = clock
+    this.#clearances = new ClearanceStore({ clock, retentionMs: RUN_RETENTION_MS })
   }
 
   get size (): number {
-    return this.#ids.size
+    return this.#byId.size + this.#clearances.size
   }
 
   get comparable (): boolean {
-    return this.size < MAX_RUNS
+    return this.#byId.size < MAX_RUNS && !this.#clearances.full
   }
 
   get digest (): number {
-    return this.#digest
+    return (this.#digest ^ this.#clearances.digest) >>> 0
+  }
+
+  /** Rises with each change. */
+  get revision (): number {
+    return this.#revision
   }
 
   /** Adds an event. Returns whether it was new. */
-  add ({ id, end, content, caller, upstream, ageMs, ranMs }: RunEvent): boolean {
-    if (this.#ids.has(id) || ageMs >= RUN_RETENTION_MS) return false
-    const endedAtMs = this.#clock.nowMs() - ageMs
-    const run: PastRun = { id, end, content, caller, upstream, beganAtMs: endedAtMs - ranMs, endedAtMs }
-    const runs = this.#byContent.get(content) ?? []
-    this.#byContent.delete(content)
-    this.#byContent.set(content, [...runs, run].toSorted((a, b) => a.endedAtMs - b.endedAtMs))
-    if (upstream !== undefined) this.#byUpstream.set(upstream, [...this.#byUpstream.get(upstream) ?? [], run])
-    this.#ids.add(id)
-    this.#digest ^= hash32(id)
-    if (runs.length >= MAX_RUNS_PER_CONTENT) this.#remove((this.#byContent.get(content) as PastRun[])[0])
-    if (this.size > MAX_RUNS) this.#evictOne()
-    return true
+  add (event: RunEvent): boolean {
+    const { id, parts = [], ageMs } = event
+    if (ageMs >= RUN_RETENTION_MS) return false
+    const added = isClearance(event) ? this.#clearances.add(event) : this.#addRun(event)
+    // Boxes of an earlier build pass events on without their parts.
+    const completed = !added && parts.length > 0 && this.#byId.get(id)?.parts.length === 0
+    if (completed) this.#remove(this.#byId.get(id) as PastRun)
+    if (completed) this.#addRun(event)
+    if (added || completed) this.#revision++
+    return added || completed
   }
 
   /** Runs of a request, ordered by their end. */
@@ -81,33 +95,88 @@
     return [...new Set(exitedTogether.map((run) => run.content))].filter((other) => other !== content)
   }
 
+  /** Runs whose upstreams exited, grouped by exit, each group ordered by the end of its runs. */
+  exits (): PastRun[][] {
+    return [...this.#byUpstream.values()].flatMap((runs) => splitByExit(runs.toSorted((a, b) => a.endedAtMs - b.endedAtMs)))
+  }
+
+  /** Whether a run with the part is known that clears it of the exit at which another run ended. */
+  isCleared (part: string, { targetVersion, endedAtMs }: PastRun): boolean {
+    return this.#clearances.isCleared(part, targetVersion, endedAtMs)
+  }
+
+  /** Number of parts that were cleared. */
+  get clearedCount (): number {
+    return this.#clearances.clearedCount
+  }
+
+  /** Sets the runs that are dropped last when there are too many. */
+  protect (ids: ReadonlySet<string>): void {
+    this.#protected = ids
+  }
+
   all (): RunEvent[] {
     const nowMs = this.#clock.nowMs()
-    return [...this.#byContent.values()].flat().map((run) => eventOf(run, nowMs))
+    return [...[...this.#byId.values()].map((run) => eventOf(run, nowMs)), ...this.#clearances.all()]
   }
 
   expire (): void {
-    const lastMs = this.#clock.nowMs() - RUN_RETENTION_MS;
-    [...this.#byContent.values()].flat().filter(({ endedAtMs }) => endedAtMs <= lastMs).forEach((run) => this.#remove(run))
+    const lastMs = this.#clock.nowMs() - RUN_RETENTION_MS
+    const expired = [...this.#byId.values()].filter(({ endedAtMs }) => endedAtMs <= lastMs)
+    expired.forEach((run) => this.#remove(run))
+    const clearancesExpired = this.#clearances.expire()
+    if (expired.length > 0 || clearancesExpired) this.#revision++
+  }
+
+  #addRun ({ id, end, content, caller, upstream, ageMs, ranMs, parts = [], writtenMs = 0, targetVersion = '' }: RunEvent): boolean {
+    if (this.#byId.has(id)) return false
+    const endedAtMs = this.#clock.nowMs() - ageMs
+    const run: PastRun = { id, end, content, caller, upstream, beganAtMs: endedAtMs - ranMs, endedAtMs, parts, writtenMs, targetVersion }
+    const runs = this.#byContent.get(content) ?? []
+    this.#byContent.delete(content)
+    this.#byContent.set(content, [...runs, run].toSorted((a, b) => a.endedAtMs - b.endedAtMs))
+    if (upstream !== undefined) this.#byUpstream.set(upstream, [...this.#byUpstream.get(upstream) ?? [], run])
+    this.#byId.set(id, run)
+    this.#digest ^= hash32(id)
+    if (runs.length >= MAX_RUNS_PER_CONTENT) this.#remove((this.#byContent.get(content) as PastRun[])[0])
+    if (this.#byId.size > MAX_RUNS) this.#evictOne()
+    return true
   }
 
-  /** Evicts a run of the content with the fewest runs; among equals, of the one updated least recently. */
+  /** Evicts a run of the content with the fewest runs that is not protected; among equals, of the one updated least recently. */
   #evictOne (): void {
-    const minRuns = Math.min(...[...this.#byContent.values()].map(({ length }) => length))
-    const [runs] = [...this.#byContent.values()].filter(({ length }) => length === minRuns)
+    const contents = [...this.#byContent.values()]
+    const unprotected = contents.filter(([first]) => !this.#protected.has(first.id))
+    const candidates = unprotected.length > 0 ? unprotected : contents
+    const minRuns = Math.min(...candidates.map(({ length }) => length))
+    const [runs] = candidates.filter(({ length }) => length === minRuns)
     this.#remove(runs[0])
   }
 
   #remove (run: PastRun): void {
     removeFrom(this.#byContent, run.content, run)
     if (run.upstream !== undefined) removeFrom(this.#byUpstream, run.upstream, run)
-    this.#ids.delete(run.id)
+    this.#byId.delete(run.id)
     this.#digest ^= hash32(run.id)
   }
 }
 
-function eventOf ({ id, end, content, caller, upstream, beganAtMs, endedAtMs }: PastRun, nowMs: number): RunEvent {
-  return { id, end, content, caller, upstream, ageMs: Math.max(0, nowMs - endedAtMs), ranMs: endedAtMs - beganAtMs }
+function isClearance ({ end, content, parts = [] }: RunEvent): boolean {
+  return end === RunEnd.Finished && content === '' && parts.length > 0
+}
+
+function eventOf ({ id, end, content, caller, upstream, beganAtMs, endedAtMs, parts, writtenMs, targetVersion }: PastRun, nowMs: number): RunEvent {
+  return { id, end, content, caller, upstream, ageMs: Math.max(0, nowMs - endedAtMs), ranMs: endedAtMs - beganAtMs, ...parts.length > 0 ? { parts: [...parts], writtenMs, targetVersion } : {} }
+}
+
+/** Splits the runs of an upstream, ordered by their end, where it can have restarted under the same name. */
+function splitByExit (runs: readonly PastRun[]): PastRun[][] {
+  return runs.reduce<PastRun[][]>((exits, run) => {
+    const exit = exits.at(-1)
+    if (exit && run.endedAtMs - exit[0].endedAtMs <= SAME_EXIT_WINDOW_MS) exit.push(run)
+    else exits.push([run])
+    return exits
+  }, [])
 }
 
 function removeFrom (groups: Map<string, PastRun[]>, key: string, run: PastRun): void {
--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -10,6 +10,7 @@
 import { type RelayContext } from './relayContext.js'
 import { BlockedUpstreams } from './blockedUpstreams.js'
 import { type StreamVersion } from './streamVersion.js'
+import { targetVersionOf } from './targetVersionOf.js'
 
 /** Latency targets that a request may wait for its first token. Callers abandon a stream after four; the fourth covers round trips and estimation errors. */
 const MAX_WAIT_TARGETS = 3
@@ -150,10 +151,19 @@
       availabilityZone,
       softwareVersion: this.#state.version.fixed,
       resumable: route.spec.resumable || undefined,
-      avoid: [...new Set([...this.#state.failed, ...health.suspects(), ...this.#blocked.names(), ...opts.backoffs.upstreams()])],
+      avoid: [...new Set([...this.#state.failed, ...health.suspects(), ...this.#blocked.names(), ...opts.backoffs.upstreams(), ...this.#bannedEngines()])],
     }
   }
 
+  /** Engines whose software version the prompt's parts have crashed. */
+  #bannedEngines (): string[] {
+    const { opts, identity } = this.#context
+    const versions = opts.quarantine.bannedVersions(identity)
+    if (versions.length === 0) return []
+    const pool = opts.configuration().model(this.#model)?.decodePool ?? ''
+    return opts.fleet().takingWork(pool).map(({ name }) => name).filter((name) => versions.includes(targetVersionOf(this.#context, name)))
+  }
+
   /** Minimum decode time of the missing tokens, from the caller's estimate of the answer length, at the declared speed until an answer has ended. */
   #minRemainingDecodeMs (deliveredTokens: number): number {
     const { opts, tokenTimes } = this.#context
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -11,6 +11,7 @@
 import { freeHandle } from './freeHandle.js'
 import { EventProgress } from './eventProgress.js'
 import { type ExchangeProgress } from './exchangeProgress.js'
+import { endsVisibly } from './endsVisibly.js'
 import { withInterruptionReport, type SendingWork } from './withInterruptionReport.js'
 import { type AnswerTimes } from './passAnswer.js'
 import { passEvents } from './passEvents.js'
@@ -22,6 +23,7 @@
 import { mustDelegate } from './mustDelegate.js'
 import { listedVersion } from './listedVersion.js'
 import { StreamVersion } from './streamVersion.js'
+import { targetVersionOf } from './targetVersionOf.js'
 import { untilLost } from './untilLost.js'
 
 /** Bound on placements of one request, including those that did not reach an engine. */
@@ -144,6 +146,11 @@
   /** A scheduler of an earlier build does not know which software version began the stream, and an engine's entry may have changed since it placed it. */
   #checkMayDecode (engine: string): void {
     this.#checkMaySend(engine)
+    const { opts, identity } = this.#context
+    if (opts.quarantine.bannedVersions(identity).includes(targetVersionOf(this.#context, engine))) {
+      this.#failedEngines.add(engine)
+      throw new UpstreamError(`parts of the prompt crash engines of the software version of ${engine}`, { mayHaveRun: false, refused: true })
+    }
     if (this.#version.allows(engine)) return
     this.#failedEngines.add(engine)
     throw new UpstreamError(`${engine} is not of the software version «${this.#version.fixed}» that began the stream`, { mayHaveRun: false, refused: true })
@@ -278,6 +285,7 @@
       if (answer.status === OK) this.#version.begin(version)
     }
     await passEvents(this.#context, answer, times, { progress: this.#progress, completeEventsOnly: route.spec.resumable, idleTimer, onFirst, onEvents: () => exchange.recordWritten() })
+    if (answer.status === OK && endsVisibly(answer)) exchange.recordFinished()
     this.#recordOutcome(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
 
--- a/request/relay/src/exchangeProgress.ts
+++ b/request/relay/src/exchangeProgress.ts
@@ -1,14 +1,24 @@
 import { type Clock } from '@reelspan/core.env'
+import { SOUND_AFTER_MS } from '@reelspan/request.quarantine'
+
+export interface ExchangeProgressOptions {
+  clock: Clock
+  /** Called when the answer is complete, and again and again while it is written, once the upstream has stood it for long enough. */
+  onSound?: () => void
+}
+
+const SOUND_INTERVAL_MS = 1000
 
 /** Progress of one exchange with an upstream. */
 export class ExchangeProgress {
-  readonly #clock: Clock
+  readonly #opts: ExchangeProgressOptions
   #sentAtMs?: number
   #firstWrittenAtMs?: number
   #lastWrittenAtMs?: number
+  #lastSoundAtMs = Number.NEGATIVE_INFINITY
 
-  constructor (clock: Clock) {
-    this.#clock = clock
+  constructor (opts: ExchangeProgressOptions) {
+    this.#opts = opts
   }
 
   /** When the request was sent, if it was. */
@@ -22,12 +32,21 @@
   }
 
   recordSent (): void {
-    this.#sentAtMs = this.#clock.nowMs()
+    this.#sentAtMs = this.#opts.clock.nowMs()
   }
 
   /** Records that a complete event has arrived. */
   recordWritten (): void {
-    this.#lastWrittenAtMs = this.#clock.nowMs()
-    this.#firstWrittenAtMs ??= this.#lastWrittenAtMs
+    const nowMs = this.#opts.clock.nowMs()
+    this.#lastWrittenAtMs = nowMs
+    this.#firstWrittenAtMs ??= nowMs
+    if (nowMs - this.#firstWrittenAtMs < SOUND_AFTER_MS || nowMs - this.#lastSoundAtMs < SOUND_INTERVAL_MS) return
+    this.#lastSoundAtMs = nowMs
+    this.#opts.onSound?.()
+  }
+
+  /** Records that the answer is complete. */
+  recordFinished (): void {
+    this.#opts.onSound?.()
   }
 }
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -18,6 +18,7 @@
 import { RunDurations } from './runDurations.js'
 import { runEnded } from './runEnded.js'
 import { ServiceRelay } from './serviceRelay.js'
+import { servingVersions } from './servingVersions.js'
 import { TokenTimes } from './tokenTimes.js'
 import { UpstreamPicker } from './upstreamPicker.js'
 
@@ -132,7 +133,7 @@
     if (this.#opts.configuration().revision === 0) await this.#waitForConfiguration(caller.signal, deadlineMs)
     const route = this.#opts.configuration().routeOfHost(request.host, pathOf(request.target))
     const identity = once(() => identityOfRelayed(request))
-    const run = this.#createRun(request, identity, Math.min(deadlineMs ?? Number.POSITIVE_INFINITY, route?.spec.deadlineMs ?? Number.POSITIVE_INFINITY), arrivedAtMs)
+    const run = this.#createRun(request, { identity, route }, Math.min(deadlineMs ?? Number.POSITIVE_INFINITY, route?.spec.deadlineMs ?? Number.POSITIVE_INFINITY), arrivedAtMs)
     const key = `${request.id}#${this.#sequence++}`
     const times: AnswerTimes = { longestPauseMs: 0, pausesMs: [], parts: 0 }
     const cancel = () => run.end(new ReelspanError(ErrorCode.Cancelled, 'the caller disconnected'))
@@ -165,8 +166,8 @@
     waitEnded.abort(STOPPED)
   }
 
-  #createRun (request: RelayedRequest, identity: () => RequestIdentity, deadlineMs: number, arrivedAtMs: number): RunContext {
-    const { clock } = this.#opts
+  #createRun (request: RelayedRequest, { identity, route }: { identity: () => RequestIdentity, route?: Named<RouteSpec> }, deadlineMs: number, arrivedAtMs: number): RunContext {
+    const { clock, quarantine } = this.#opts
     return new RunContext({
       clock,
       record: new RequestRecord(request.id, '', clock.nowMs()),
@@ -177,7 +178,7 @@
       isCurrentIncarnation: () => true,
       isExclusive: () => true,
       tryAcquireRetry: () => false,
-      refusal: () => this.#opts.quarantine.refusalOf(identity),
+      refusal: () => quarantine.refusalOf(identity, () => route ? servingVersions(this.#opts, route.spec) : []),
     })
   }
 
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -7,6 +7,7 @@
 import { DelegatedRelay } from './delegatedRelay.js'
 import { drainAnswer } from './drainAnswer.js'
 import { mustDelegate } from './mustDelegate.js'
+import { endsVisibly } from './endsVisibly.js'
 import { withInterruptionReport } from './withInterruptionReport.js'
 import { type PermittedUpstream, pickPermittedUpstream, noUpstreamError } from './pickPermittedUpstream.js'
 import { type RelayContext } from './relayContext.js'
@@ -95,6 +96,7 @@
         if (!failed) this.#recordDuration(upstream, durationMs)
         logDecision(LogEvent.RequestSent, { upstream: upstream.name, attempt, status: answer.status, framing: answer.framing, atMs: Math.round(run.elapsedMs) })
         await this.#handleAnswer(upstream, answer, attempt, times)
+        if (!failed && endsVisibly(answer)) progress.recordFinished()
         this.#recordOutcome(upstream, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
         picked.slot.release(failed ? PoolCallOutcome.Failed : PoolCallOutcome.Answered, durationMs)
       })
--- a/request/relay/src/withInterruptionReport.ts
+++ b/request/relay/src/withInterruptionReport.ts
@@ -1,3 +1,4 @@
+import { sharedPartsOf } from '@reelspan/request.identity'
 import { type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { ExchangeProgress } from './exchangeProgress.js'
 import { type RelayContext } from './relayContext.js'
@@ -9,9 +10,12 @@
 /** Runs `work` as an outstanding request. If its answer is interrupted, records the run, so that the upstream is checked. */
 export async function withInterruptionReport<T> (context: RelayContext, target: RelayTarget, work: SendingWork<T>): Promise<T> {
   const { opts, run, route, request, identity } = context
-  const progress = new ExchangeProgress(opts.clock)
   // The upstream may have left the list when its answer is interrupted.
   const targetVersion = targetVersionOf(context, target.instance)
+  const progress = new ExchangeProgress({
+    clock: opts.clock,
+    onSound: () => opts.quarantine.recordSound({ model: request.prompt?.model ?? '', parts: sharedPartsOf(request.prompt), targetVersion }),
+  })
   const end = opts.paths.trackRequest()
   try {
     return await work(progress)
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -52,6 +52,8 @@
   RunBrokeOff = 'runBrokeOff',
   /** A request was quarantined because the upstreams that ran it exited, or was released from quarantine. */
   QuarantineChanged = 'quarantineChanged',
+  /** A run of this box shows that a prompt part did not crash an upstream that exited. */
+  PromptPartCleared = 'promptPartCleared',
   /** The rate limit that an upstream advertises has been set, changed or removed. */
   UpstreamLimitChanged = 'upstreamLimitChanged',
   /** A request skipped upstreams whose rate limit is exhausted. */
