fix(request.quarantine): of two prompt parts at the same exits only one is refused at a time

What callers would see: a part that many requests have is refused by itself after five exits if no run was seen to clear it, since every crashing request has it. Cause: an ambiguous part was refused after five exits, whatever the other one explained. Change: a part gives way to a rival that all of whose runs have it, so that both together are refused; of two in different runs the one that had written least is refused, for two seconds, until an exit or a trial decides. Measured: 'a part at all exits of the crashing one …' and 'of two parts of different runs …' in judgeParts.ts failed before (the first refused aa alone). A property test of 300 sequences against an oracle, and one of 500 on the order of events, pass.

--- a/request/quarantine/src/judgeParts.ts
+++ b/request/quarantine/src/judgeParts.ts
@@ -23,6 +23,8 @@
   /** Successive runs whose exits led to the ban. */
   runs: readonly PastRun[]
   lastEndedAtMs: number
+  /** Whether another part may be the cause as well. */
+  ambiguous: boolean
 }
 
 export interface PartVerdicts {
@@ -99,8 +101,10 @@
     const runs = this.#runsOf.get(part) as PastRun[]
     const exitCount = this.#exitCounts.get(part) as number
     const attributed = sequentialRuns(runs.filter(({ id }) => (this.#strongestAt.get(id) as number) <= exitCount))
-    if (attributed.length < (this.#isAmbiguous(part, runs) ? MAX_UPSTREAM_EXITS_IF_AMBIGUOUS : MAX_UPSTREAM_EXITS)) return []
-    const parts = this.#commonParts(runs).toSorted()
+    const rivals = this.#rivalsOf(part)
+    if (attributed.length < (rivals.length > 0 ? MAX_UPSTREAM_EXITS_IF_AMBIGUOUS : MAX_UPSTREAM_EXITS)) return []
+    if (rivals.some((rival) => this.#commonParts(rival).includes(part) || this.#compare(rival, part) < 0)) return []
+    const parts = this.#commonParts(part).toSorted()
     const [{ caller, content }] = runs
     const isOneCaller = runs.every((run) => run.caller === caller)
     const isOneContent = runs.every((run) => run.content === content)
@@ -111,19 +115,30 @@
       targetVersions: [...new Set(runs.map(({ targetVersion }) => targetVersion))],
       runs: attributed,
       lastEndedAtMs: (runs.at(-1) as PastRun).endedAtMs,
+      ambiguous: rivals.length > 0,
     }]
   }
 
-  /** Whether a part of other runs was at all of the same exits as well. */
-  #isAmbiguous (part: string, runs: readonly PastRun[]): boolean {
-    const common = this.#commonParts(runs)
-    const [first, ...rest] = runs.map(({ id }) => this.#suspectsAt.get(id) as ReadonlySet<string>)
-    return [...first].some((other) => other !== part && !common.includes(other) && rest.every((suspects) => suspects.has(other)))
+  /** Parts of other runs that were at all exits of a part as well, so that either may be the cause. */
+  #rivalsOf (part: string): string[] {
+    const common = this.#commonParts(part)
+    const [first, ...rest] = (this.#runsOf.get(part) as PastRun[]).map(({ id }) => this.#suspectsAt.get(id) as ReadonlySet<string>)
+    return [...first].filter((other) => !common.includes(other) && rest.every((suspects) => suspects.has(other)))
   }
 
-  /** Suspected parts that all of the runs have. */
-  #commonParts ([first, ...rest]: readonly PastRun[]): string[] {
-    return (this.#partsOf.get(first.id) ?? []).filter((part) => rest.every(({ id }) => this.#partsOf.get(id)?.includes(part)))
+  /** Suspected parts that all runs with a part have, including itself. */
+  #commonParts (part: string): string[] {
+    const [first, ...rest] = this.#runsOf.get(part) as PastRun[]
+    return (this.#partsOf.get(first.id) ?? []).filter((other) => rest.every(({ id }) => this.#partsOf.get(id)?.includes(other)))
+  }
+
+  /** Orders rivals by how soon their upstreams exited, since only one of them is quarantined at a time: the next exit, or the next run, decides. */
+  #compare (a: string, b: string): number {
+    const meanWrittenMs = (part: string) => {
+      const runs = this.#runsOf.get(part) as PastRun[]
+      return runs.reduce((sum, { writtenMs }) => sum + writtenMs, 0) / runs.length
+    }
+    return meanWrittenMs(a) - meanWrittenMs(b) || (a < b ? -1 : 1)
   }
 }
 
--- a/request/quarantine/src/partQuarantine.ts
+++ b/request/quarantine/src/partQuarantine.ts
@@ -12,6 +12,8 @@
 export const PART_QUARANTINE_MS = 10 * 60_000
 /** The same after a trial that crashed its upstream. Both together are shorter than runs are kept, so that one exit is enough for the next. */
 const RENEWED_PART_QUARANTINE_MS = 15 * 60_000
+/** The same while another part may be the cause as well, so that a trial decides soon. */
+const AMBIGUOUS_PART_QUARANTINE_MS = 2000
 /** A trial without an outcome after this time makes way for another one. */
 const TRIAL_TIMEOUT_MS = 10_000
 const TRIAL_RETRY_AFTER_MS = 5000
@@ -145,7 +147,8 @@
     return true
   }
 
-  #untilMs ({ runs, lastEndedAtMs }: PartBan): number {
+  #untilMs ({ runs, lastEndedAtMs, ambiguous }: PartBan): number {
+    if (ambiguous) return lastEndedAtMs + AMBIGUOUS_PART_QUARANTINE_MS
     return lastEndedAtMs + (lastEndedAtMs - runs[0].endedAtMs >= PART_QUARANTINE_MS ? RENEWED_PART_QUARANTINE_MS : PART_QUARANTINE_MS)
   }
 
