fix(request.quarantine): a request that only ran beside a crashing prompt part is not quarantined

What callers saw: two attempts refused for ten minutes that had nothing to do with the crashes; three contents were quarantined at all boxes. Cause: an exit is attributed to the content with the most exits there, and each request with the crashing part has a content of its own, with one exit. A caller's repeats of an innocent request counted more. Change: an exit at which a suspected part with more exits ran counts no more against a content.

--- a/request/quarantine/src/judgeRequest.ts
+++ b/request/quarantine/src/judgeRequest.ts
@@ -18,22 +18,26 @@
  * - Counts the runs whose upstream exited since the request last finished.
  * - Each run must have begun after the previous one ended: when a zone loses power, all
  *   upstreams that run copies of one request exit, and the request is not the cause.
- * - An exit is not attributed to a request if another request with more exits ran there.
+ * - An exit is not attributed to a request if another request, or a prompt part, with more exits ran there.
  *
  * Runs of one caller are judged separately, since the cause may be something that only
  * that caller sends. If copies from several callers make upstreams exit, the content is judged.
  */
-export function judgeRequest (history: RunHistory, { content, caller }: RequestIdentity): readonly PastRun[] {
-  const callerRuns = attributedExits(history, content, sinceLastFinished(history.runsOf(content).filter((run) => run.caller === caller)))
+export function judgeRequest (history: RunHistory, { content, caller }: RequestIdentity, exitsOfStrongestPart: ExitCounter = () => 0): readonly PastRun[] {
+  const callerRuns = attributedExits(history, content, sinceLastFinished(history.runsOf(content).filter((run) => run.caller === caller)), exitsOfStrongestPart)
   if (callerRuns.length > 0) return callerRuns
   const allRuns = sinceLastFinished(history.runsOf(content))
-  return new Set(allRuns.map((run) => run.caller)).size > 1 ? attributedExits(history, content, allRuns) : []
+  return new Set(allRuns.map((run) => run.caller)).size > 1 ? attributedExits(history, content, allRuns, exitsOfStrongestPart) : []
 }
 
-function attributedExits (history: RunHistory, content: string, exits: readonly PastRun[]): readonly PastRun[] {
+/** Number of successive exits of the most suspicious prompt part at the exit at which a run ended. */
+type ExitCounter = (run: PastRun) => number
+
+function attributedExits (history: RunHistory, content: string, exits: readonly PastRun[], exitsOfStrongestPart: ExitCounter): readonly PastRun[] {
   const ownExitCount = sequentialRuns(exits).length
   if (ownExitCount < MAX_UPSTREAM_EXITS) return []
-  const attributed = sequentialRuns(exits.filter((run) => !history.concurrentContents(run).some((other) => exitCount(history, other) > ownExitCount)))
+  const isExplained = (run: PastRun) => exitsOfStrongestPart(run) > ownExitCount || history.concurrentContents(run).some((other) => exitCount(history, other) > ownExitCount)
+  const attributed = sequentialRuns(exits.filter((run) => !isExplained(run)))
   return attributed.length >= (isAmbiguous(history, attributed, ownExitCount) ? MAX_UPSTREAM_EXITS_IF_AMBIGUOUS : MAX_UPSTREAM_EXITS) ? attributed : []
 }
 
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -118,7 +118,7 @@
   }
 
   #quarantiningRuns (request: RequestIdentity): readonly PastRun[] {
-    const runs = judgeRequest(this.#opts.history, request)
+    const runs = judgeRequest(this.#opts.history, request, this.#parts.verdicts().exitsOfStrongest)
     const last = runs.at(-1)
     return last && this.#remainingMs(last) > 0 ? runs : []
   }
