fix(request.quarantine,request.relay): a run clears its prompt parts as soon as it has outlasted the runs at the exits

What callers would see: requests with the most popular part refused for ten minutes, when engines exit by themselves before the first streams have ended. Cause: only the end of a stream or one second of writing cleared a part, so that three exits within the first second were taken for its doing: a conclusion from not knowing. Change: a run clears its parts when it has written for more than twice as long as the longest of the runs at the exits, the youngest at each, and 100 ms. The point follows from the exits that are known, so that a clearance counts anew when a later exit moves it.

--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -19,6 +19,8 @@
   engine?: Partial<EngineModelOptions>
   declarations?: readonly PublishedEntry[]
   deployment?: ReturnType<typeof sampleFleet>
+  /** How long a crashed upstream takes to restart. */
+  restartDelayMs?: number
 }
 
 /** One process of a box. A restart adds another one at the same address. */
@@ -35,7 +37,7 @@
   killed: AbortController
 }
 
-/** How long a crashed upstream takes to restart, as in the users' deployments. */
+/** As in the users' deployments. */
 const RESTART_DELAY_MS = 3500
 
 /** Simulates a fleet in one program: real boxes with a fake platform, upstreams, network and clock. */
@@ -286,7 +288,7 @@
     this.services.delete(address)
     engine?.crash()
     this.relayedUpstreams.abortRuns(address)
-    await this.clock.sleep(RESTART_DELAY_MS)
+    await this.clock.sleep(this.#opts.restartDelayMs ?? RESTART_DELAY_MS)
     if (engine) this.#addEngine(engine.name, engine.role, address)
     if (service) this.services.set(address, new ServiceModel({ clock: this.clock, name: service.name }))
   }
--- a/__utils__/fakes/src/index.ts
+++ b/__utils__/fakes/src/index.ts
@@ -12,7 +12,7 @@
 export { publishFleet, sampleDeclarations, sampleFleet } from './deployments.js'
 export type { DeployedBox, DeployedUpstream } from './deployments.js'
 export { FakeRelayClient, RelayedUpstreams } from './relayedUpstreams.js'
-export type { RelayedArrival } from './relayedUpstreams.js'
+export type { RelayedArrival, RunTiming } from './relayedUpstreams.js'
 export { NO_ACCOUNTS } from './noAccounts.js'
 export { maxWindowUsage } from './maxWindowUsage.js'
 export type { CountedRun, LimitRule } from './maxWindowUsage.js'
--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -29,20 +29,25 @@
   end: (address: string) => void
 }
 
-/** How long a request runs before it crashes its upstream. */
-const CRASH_DELAY_MS = 60
 /** Timeout of a connection attempt, as at real boxes. */
 const CONNECT_TIMEOUT_MS = 400
-const EVENTS = 20
 const BROKEN_OFF_AT_EVENT = 5
-const MS_PER_EVENT = 40
 const PREFILL_MS = 50
 
+/** How long requests run at upstreams. */
+export interface RunTiming {
+  events: number
+  eventMs: number
+  /** How long a request runs before it crashes its upstream. */
+  crashDelayMs: number
+}
+
 /** Simulates how the upstreams of a deployment run relayed requests, and records which requests reach them. */
 export class RelayedUpstreams {
   readonly arrivals: RelayedArrival[] = []
   /** Crashes of upstreams caused by requests, in order. */
   readonly crashes: { id: string, target: string, address: string, atMs: number }[] = []
+  readonly timing: RunTiming = { events: 20, eventMs: 40, crashDelayMs: 60 }
   /** Decides whether the request crashes the upstream that runs it. */
   crashesUpstream: (request: RelayedRequest) => boolean = () => false
   /** Decides whether a run ends inside an event, with its framing complete. */
@@ -78,13 +83,13 @@
     const process = this.#processAt(target.address)
     if (this.crashesUpstream(request)) void this.#crashDuring(target.address, request)
     const from = resumeAfter === undefined ? 0 : Number(resumeAfter) + 1
-    const brokenOffAt = this.breaksOffInsideEvent(request) ? BROKEN_OFF_AT_EVENT : EVENTS
+    const brokenOffAt = this.breaksOffInsideEvent(request) ? BROKEN_OFF_AT_EVENT : this.timing.events
     return { status: 200, notRun: false, headers: ['Content-Type', 'text/event-stream'], body: this.#body(target.address, { from, brokenOffAt }, signal, process) }
   }
 
   async * #body (address: string, { from, brokenOffAt }: { from: number, brokenOffAt: number }, signal: AbortSignal, process: AbortSignal): AsyncGenerator<Uint8Array> {
-    for (let i = from; i < EVENTS; i++) {
-      await this.#opts.clock.sleep(MS_PER_EVENT, { signal: AbortSignal.any([signal, process]) })
+    for (let i = from; i < this.timing.events; i++) {
+      await this.#opts.clock.sleep(this.timing.eventMs, { signal: AbortSignal.any([signal, process]) })
       if (process.aborted || signal.aborted) throw connectionClosed(address)
       if (i === brokenOffAt) {
         yield Buffer.from(`id: ${i}\n`)
@@ -95,7 +100,7 @@
   }
 
   async #crashDuring (address: string, { id, target }: RelayedRequest): Promise<void> {
-    await this.#opts.clock.sleep(CRASH_DELAY_MS)
+    await this.#opts.clock.sleep(this.timing.crashDelayMs)
     if (!this.#opts.isRunning(address)) return
     this.crashes.push({ id, target, address, atMs: this.#opts.clock.nowMs() })
     this.#opts.end(address)
--- a/box/runtime/test/__utils__/crashingParts.ts
+++ b/box/runtime/test/__utils__/crashingParts.ts
@@ -1,5 +1,6 @@
 import { ErrorCode } from '@reelspan/core.error'
 import { type FakeFleet, type FakeRelayCaller } from '@reelspan/utils.fake-fleet'
+import { type RunTiming } from '@reelspan/utils.fakes'
 import { HOST, startFleet } from './crashingRequests.js'
 
 /** Time for which a box is without disruption before time bounds hold for it. */
@@ -34,9 +35,18 @@
   caller?: FakeRelayCaller
 }
 
+export interface PartFleetOptions {
+  seed?: number
+  boxCount?: number
+  restartDelayMs?: number
+  crashingParts?: readonly string[]
+  timing?: Partial<RunTiming>
+}
+
 /** Starts a fleet whose engines crash when they begin to write an answer to a prompt with one of the parts. */
-export async function startPartFleet ({ seed = 1, boxCount = 8, crashingParts = [CRASHING_PART] as readonly string[] } = {}): Promise<FakeFleet> {
-  const fleet = await startFleet({ seed, boxCount })
+export async function startPartFleet ({ seed = 1, boxCount = 8, restartDelayMs, crashingParts = [CRASHING_PART], timing = {} }: PartFleetOptions = {}): Promise<FakeFleet> {
+  const fleet = await startFleet({ seed, boxCount, restartDelayMs })
+  Object.assign(fleet.relayedUpstreams.timing, timing)
   fleet.relayedUpstreams.crashesUpstream = ({ prompt }) => prompt !== undefined && prompt.prefixes.slice(0, -1).some(({ digest }) => crashingParts.includes(digest))
   return fleet
 }
--- a/box/runtime/test/crashingPromptPart.ts
+++ b/box/runtime/test/crashingPromptPart.ts
@@ -2,7 +2,7 @@
 import { Verdict } from '@reelspan/core.error'
 import { type FakeFleet } from '@reelspan/utils.fake-fleet'
 import test, { type ExecutionContext } from 'ava'
-import { CRASHING_PART, crashingTraffic, crashTimes, lateRequests, MAX_LATE_REQUESTS, play, type PromptTraffic, quarantinedPrompts, sendPrompts, soundShare, soundTraffic, startPartFleet } from './__utils__/crashingParts.js'
+import { CRASHING_PART, crashingTraffic, crashTimes, lateRequests, MAX_LATE_REQUESTS, type PartFleetOptions, play, type PromptTraffic, quarantinedPrompts, sendPrompts, soundShare, soundTraffic, startPartFleet } from './__utils__/crashingParts.js'
 import { DECODE_ENGINES } from './__utils__/crashingRequests.js'
 
 const SEEDS = [1, 2, 3]
@@ -116,6 +116,37 @@
   }
 })
 
+test('no prompt part is quarantined when engines exit by themselves while the first streams have not ended yet', async (t) => {
+  for (let seed = 1; seed <= 8; seed++) {
+    const fleet = await startPartFleet({ seed, restartDelayMs: 1500, crashingParts: [] })
+    const crashAny = async () => {
+      for (let i = 0; i < 30; i++) {
+        fleet.random.sample(DECODE_ENGINES, 1).forEach((name) => { void fleet.crash(name) })
+        await fleet.clock.sleep(250)
+      }
+    }
+    const crashing = fleet.clock.sleep(0).then(crashAny)
+    const { sound } = await play(fleet, { sound: soundTraffic({ partsOf: (nth) => ['aa', `s${nth % 40}`] }), crashing: [], leadMs: 0 })
+    await crashing
+    t.deepEqual(quarantinedPrompts(sound).map(({ id }) => id), [], `seed ${seed}`)
+    await fleet.stop()
+  }
+})
+
+test('a prompt part that crashes engines is found whatever the length of streams, the delay of exits and the share of sound requests', async (t) => {
+  const cases: { options: PartFleetOptions, crashing?: Partial<PromptTraffic>, sound?: PromptTraffic }[] = [
+    { options: { timing: { events: 6 }, restartDelayMs: 300 }, crashing: { everyMs: 200 } },
+    { options: { timing: { events: 38 }, restartDelayMs: 1500 }, crashing: { everyMs: 200 } },
+    { options: { timing: { events: 6, crashDelayMs: 175 } }, crashing: { everyMs: 200 } },
+    { options: { timing: { events: 6 } }, crashing: { everyMs: 200 }, sound: soundTraffic({ everyMs: 800 }) },
+  ]
+  for (const { options, crashing, sound } of cases) {
+    const fleet = await startPartFleet(options)
+    checkOutcome(t, fleet, await play(fleet, { sound, crashing: [crashingTraffic(crashing)] }))
+    await fleet.stop()
+  }
+})
+
 /** Cuts a zone off for some seconds. */
 async function cutZone (fleet: FakeFleet): Promise<void> {
   fleet.isolateZone('hall-a')
--- a/core/messages/src/runEvent.ts
+++ b/core/messages/src/runEvent.ts
@@ -28,7 +28,7 @@
   ranMs: z.number().nonnegative(),
   /** Hashes of the prompt parts that other requests may share. Earlier builds drop this field and the following ones. */
   parts: z.array(z.string()).optional(),
-  /** Time between the first and the last event of the answer, if there was one. */
+  /** Time between the first and the last event of the answer, if there was one. A clearance has it unless the answer was complete. */
   writtenMs: z.number().nonnegative().optional(),
   /** Model or pool that the request was sent to, and the software version of the upstream. */
   targetVersion: z.string().optional(),
--- a/request/quarantine/src/clearanceStore.ts
+++ b/request/quarantine/src/clearanceStore.ts
@@ -10,6 +10,13 @@
 /** Some hundred bytes each. */
 const MAX_CLEARANCES = 1000
 
+/** An exit of an upstream at which a part was. */
+export interface ExitToClear {
+  targetVersion: string
+  endedAtMs: number
+  minWrittenMs: number
+}
+
 interface Clearance {
   event: RunEvent
   atMs: number
@@ -20,8 +27,8 @@
   readonly #clock: Clock
   readonly #retentionMs: number
   readonly #byId = new Map<string, Clearance>()
-  /** When a part was last cleared, by its hash and the version of the upstreams. */
-  readonly #lastMs = new Map<string, number>()
+  /** When a part was last cleared, by its hash and the version of the upstreams, and by how far the run had written. */
+  readonly #lastMs = new Map<string, Map<number, number>>()
   #digest = 0
 
   constructor ({ clock, retentionMs }: { clock: Clock, retentionMs: number }) {
@@ -50,13 +57,18 @@
     const clearance = { event, atMs: this.#clock.nowMs() - event.ageMs }
     this.#byId.set(event.id, clearance)
     this.#digest ^= hash32(event.id)
-    keysOf(event).forEach((key) => this.#lastMs.set(key, Math.max(clearance.atMs, this.#lastMs.get(key) ?? Number.NEGATIVE_INFINITY)))
+    keysOf(event).forEach((key) => {
+      const lastMs = this.#lastMs.get(key) ?? new Map<number, number>()
+      lastMs.set(writtenMsOf(event), Math.max(clearance.atMs, lastMs.get(writtenMsOf(event)) ?? Number.NEGATIVE_INFINITY))
+      this.#lastMs.set(key, lastMs)
+    })
     if (this.size > MAX_CLEARANCES) this.#removeOldest()
     return true
   }
 
-  isCleared (part: string, targetVersion: string, exitAtMs: number): boolean {
-    return (this.#lastMs.get(keyOf(part, targetVersion)) ?? Number.NEGATIVE_INFINITY) >= exitAtMs - CLEARANCE_MS
+  /** Whether a run with the part that had written for at least `minWrittenMs` clears it of an exit. */
+  isCleared (part: string, { targetVersion, endedAtMs, minWrittenMs }: ExitToClear): boolean {
+    return [...this.#lastMs.get(keyOf(part, targetVersion)) ?? []].some(([writtenMs, atMs]) => writtenMs >= minWrittenMs && atMs >= endedAtMs - CLEARANCE_MS)
   }
 
   all (): RunEvent[] {
@@ -81,15 +93,27 @@
     removed.forEach(({ event, atMs }) => {
       this.#byId.delete(event.id)
       this.#digest ^= hash32(event.id)
-      keysOf(event).filter((key) => this.#lastMs.get(key) === atMs).forEach((key) => this.#lastMs.delete(key))
+      keysOf(event).forEach((key) => this.#forget(key, writtenMsOf(event), atMs))
     })
   }
+
+  #forget (key: string, writtenMs: number, atMs: number): void {
+    const lastMs = this.#lastMs.get(key)
+    if (lastMs?.get(writtenMs) !== atMs) return
+    lastMs.delete(writtenMs)
+    if (lastMs.size === 0) this.#lastMs.delete(key)
+  }
 }
 
 function keysOf ({ parts = [], targetVersion = '' }: RunEvent): string[] {
   return parts.map((part) => keyOf(part, targetVersion))
 }
 
+/** The answer of a clearance without it was complete. */
+function writtenMsOf ({ writtenMs = Number.POSITIVE_INFINITY }: RunEvent): number {
+  return writtenMs
+}
+
 function keyOf (part: string, targetVersion: string): string {
   return `${part} ${targetVersion}`
 }
--- a/request/quarantine/src/judgeParts.ts
+++ b/request/quarantine/src/judgeParts.ts
@@ -8,6 +8,11 @@
  */
 export const SOUND_AFTER_MS = 1000
 
+/** A run clears a part before `SOUND_AFTER_MS` if it has written for longer than the runs with the part at all exits: by this factor, */
+const MIN_WRITTEN_FACTOR = 2
+/** and by this time, since events and exits are seen late. */
+const MIN_WRITTEN_MARGIN_MS = 100
+
 /** Requests that have all of these in common crashed upstreams one after another. */
 export interface PartBan {
   /** Identifies the ban as long as what it is based on does not change. */
@@ -27,10 +32,17 @@
   ambiguous: boolean
 }
 
+export interface SuspectedPart {
+  /** The last run with the part at an exit. */
+  lastRun: PastRun
+  /** How long a run must have written that clears the part. */
+  minWrittenMs: number
+}
+
 export interface PartVerdicts {
   bans: readonly PartBan[]
-  /** The last run at exits of which no run has cleared a part, by part and version (`suspectKey`). */
-  suspects: ReadonlyMap<string, PastRun>
+  /** Parts that no run has cleared of an exit, by part and version (`suspectKey`). */
+  suspects: ReadonlyMap<string, SuspectedPart>
   /** Number of successive exits of the most suspicious part at the exit at which a run ended. */
   exitsOfStrongest: (run: PastRun) => number
 }
@@ -47,6 +59,7 @@
 
 class PartJudgement {
   readonly #history: RunHistory
+  readonly #minWrittenMs = new Map<string, number>()
   /** Parts of each run for which its exit makes them suspects, by run. */
   readonly #partsOf: ReadonlyMap<string, readonly string[]>
   /** Runs at exits for which a part is a suspect, by part, ordered by their end. */
@@ -60,6 +73,7 @@
     this.#history = history
     const exits = history.exits()
     const runs = exits.flat().toSorted((a, b) => a.endedAtMs - b.endedAtMs || (a.id < b.id ? -1 : 1))
+    exits.forEach((exit) => this.#raiseMinWrittenMs(exit))
     this.#partsOf = new Map(runs.map((run) => [run.id, this.#suspectedParts(run)]))
     runs.forEach((run) => this.#indexRun(run))
     this.#exitCounts = new Map([...this.#runsOf].map(([part, ofPart]) => [part, sequentialRuns(ofPart).length]))
@@ -71,13 +85,23 @@
     const bans = new Map(candidates.flatMap((part) => this.#banOf(part)).map((ban) => [ban.key, ban]))
     return {
       bans: [...bans.values()].filter((ban) => ![...bans.values()].some((other) => other !== ban && covers(other, ban))),
-      suspects: new Map([...this.#runsOf].flatMap(([part, runs]) => runs.map((run) => [suspectKey(part, run.targetVersion), run]))),
+      suspects: new Map([...this.#runsOf].flatMap(([part, runs]) => runs.map((lastRun) => [suspectKey(part, lastRun.targetVersion), { lastRun, minWrittenMs: this.#minWrittenMs.get(part) as number }]))),
       exitsOfStrongest: ({ id }) => this.#strongestAt.get(id) ?? 0,
     }
   }
 
+  /** What counts at an exit is the run with the part that had written least. */
+  #raiseMinWrittenMs (exit: readonly PastRun[]): void {
+    const youngestLast = exit.filter(isYoung).toSorted((a, b) => b.writtenMs - a.writtenMs)
+    const youngestOf = new Map(youngestLast.flatMap(({ parts, writtenMs }) => parts.map((part) => [part, writtenMs])))
+    youngestOf.forEach((writtenMs, part) => {
+      const minWrittenMs = Math.min(SOUND_AFTER_MS, MIN_WRITTEN_FACTOR * writtenMs + MIN_WRITTEN_MARGIN_MS)
+      this.#minWrittenMs.set(part, Math.max(minWrittenMs, this.#minWrittenMs.get(part) ?? 0))
+    })
+  }
+
   #suspectedParts (run: PastRun): string[] {
-    return run.writtenMs >= SOUND_AFTER_MS ? [] : run.parts.filter((part) => !this.#history.isCleared(part, run))
+    return isYoung(run) ? run.parts.filter((part) => !this.#history.isCleared(part, run, this.#minWrittenMs.get(part) as number)) : []
   }
 
   #indexRun (run: PastRun): void {
@@ -142,6 +166,10 @@
   }
 }
 
+function isYoung ({ writtenMs }: PastRun): boolean {
+  return writtenMs < SOUND_AFTER_MS
+}
+
 /** Whether every request that the second ban refuses is refused by the first one as well. */
 function covers (a: PartBan, b: PartBan): boolean {
   return a.parts.every((part) => b.parts.includes(part)) &&
--- a/request/quarantine/src/partQuarantine.ts
+++ b/request/quarantine/src/partQuarantine.ts
@@ -4,8 +4,8 @@
 import { type RequestIdentity } from '@reelspan/request.identity'
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { CLEARANCE_MS } from './clearanceStore.js'
-import { judgeParts, type PartBan, type PartVerdicts, suspectKey } from './judgeParts.js'
-import { type PastRun, type RunHistory } from './runHistory.js'
+import { judgeParts, type PartBan, type PartVerdicts, type SuspectedPart, suspectKey } from './judgeParts.js'
+import { type RunHistory } from './runHistory.js'
 import { type RunParts, type SoundPart, SoundParts } from './soundParts.js'
 
 /** Time from the last upstream exit until one request with the parts may try again. */
@@ -79,18 +79,19 @@
 
   /** Called when events were added to the history. Returns whether more is refused than before. */
   onEventsAdded (): boolean {
-    return this.#refusesMoreAfter(() => this.#clearSuspects(this.#suspectedSoundParts()))
+    return this.#refusesMoreAfter(() => {
+      if (this.verdicts().suspects.size > 0) this.#clearSuspects(this.#soundParts.all())
+    })
   }
 
   /**
-   * Records that the answer of a run was complete, or has been written for so long that its parts do not crash upstreams.
-   * Returns whether more is refused than before, since what quarantined requests have in common may have become less.
+   * Records that a run has written for `writtenMs`, infinite if its answer was complete. Returns whether more is refused than before, since what quarantined requests have in common may have become less.
    */
-  recordSound (run: RunParts): boolean {
+  recordSound (run: RunParts, writtenMs: number): boolean {
     const { clock, history } = this.#opts
-    const entries = this.#soundParts.record(run, clock.nowMs())
+    const soundParts = this.#soundParts.record(run, writtenMs, clock.nowMs())
     if (history.size === 0 || this.verdicts().suspects.size === 0) return false
-    return this.#refusesMoreAfter(() => this.#clearSuspects(this.#soundParts.toSoundParts(entries)))
+    return this.#refusesMoreAfter(() => this.#clearSuspects(soundParts()))
   }
 
   #refusesMoreAfter (change: () => void): boolean {
@@ -99,29 +100,34 @@
     return this.verdicts().bans.some(({ key }) => !before.has(key))
   }
 
-  /** The parts of this box's sound runs that can clear a suspect. */
-  #suspectedSoundParts (): SoundPart[] {
-    const { suspects } = this.verdicts()
-    if (suspects.size === 0) return []
-    const firstExitMs = Math.min(...[...suspects.values()].map(({ endedAtMs }) => endedAtMs))
-    return this.#soundParts.since(firstExitMs - CLEARANCE_MS)
-  }
-
   #clearSuspects (soundParts: readonly SoundPart[]): void {
     const { suspects } = this.verdicts()
     soundParts.forEach((sound) => {
-      const exit = suspects.get(suspectKey(sound.part, sound.targetVersion))
-      if (exit && sound.lastMs >= exit.endedAtMs - CLEARANCE_MS) this.#clear(sound, exit)
+      const suspect = suspects.get(suspectKey(sound.part, sound.targetVersion))
+      if (suspect) this.#clear(sound, suspect)
     })
   }
 
-  /** The id is the same at all boxes that clear the part of this exit. */
-  #clear ({ part, targetVersion, lastMs }: SoundPart, exit: PastRun): void {
+  /** Announces the longest of the runs that clear the part. The id is the same at all boxes that have such a run. */
+  #clear ({ part, targetVersion, lastMs }: SoundPart, { lastRun, minWrittenMs }: SuspectedPart): void {
     const { clock, log, history, onEvent } = this.#opts
-    const ageMs = Math.max(0, clock.nowMs() - lastMs)
-    const clearance: RunEvent = { id: `${part}/${exit.id}`, end: RunEnd.Finished, content: '', caller: '', parts: [part], targetVersion, ageMs, ranMs: 0 }
+    const clearing = [...lastMs].filter(([writtenMs, atMs]) => writtenMs >= minWrittenMs && atMs >= lastRun.endedAtMs - CLEARANCE_MS)
+    if (clearing.length === 0) return
+    const [writtenMs, atMs] = clearing.reduce((a, b) => b[0] > a[0] ? b : a)
+    const ageMs = Math.max(0, clock.nowMs() - atMs)
+    const clearance: RunEvent = {
+      id: `${part}/${lastRun.id}/${writtenMs}`,
+      end: RunEnd.Finished,
+      content: '',
+      caller: '',
+      parts: [part],
+      targetVersion,
+      ageMs,
+      ranMs: 0,
+      writtenMs: Number.isFinite(writtenMs) ? writtenMs : undefined,
+    }
     if (!history.add(clearance)) return
-    log.info(LogEvent.PromptPartCleared, { partHash: part, targetVersion, ageMs: Math.round(ageMs), upstream: exit.upstream })
+    log.info(LogEvent.PromptPartCleared, { partHash: part, targetVersion, writtenMs: clearance.writtenMs, ageMs: Math.round(ageMs), upstream: lastRun.upstream })
     onEvent(clearance)
   }
 
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -77,9 +77,9 @@
     return this.#opts.history.size === 0 ? [] : this.#parts.bannedVersions(identity())
   }
 
-  /** Records that the answer of a run was complete, or has been written for so long that its prompt parts do not crash upstreams. */
-  recordSound (run: RunParts): void {
-    if (run.parts.length > 0 && this.#parts.recordSound(run)) this.#notifyListeners()
+  /** Records that the upstream of a run has written for `writtenMs`, infinite if the answer was complete, and has not exited. */
+  recordSound (run: RunParts, writtenMs: number): void {
+    if (run.parts.length > 0 && this.#parts.recordSound(run, writtenMs)) this.#notifyListeners()
   }
 
   /** Records that the upstream's process exited while it ran the request. */
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -100,9 +100,9 @@
     return [...this.#byUpstream.values()].flatMap((runs) => splitByExit(runs.toSorted((a, b) => a.endedAtMs - b.endedAtMs)))
   }
 
-  /** Whether a run with the part is known that clears it of the exit at which another run ended. */
-  isCleared (part: string, { targetVersion, endedAtMs }: PastRun): boolean {
-    return this.#clearances.isCleared(part, targetVersion, endedAtMs)
+  /** Whether a run with the part is known that had written for at least `minWrittenMs` and clears it of the exit at which another run ended. */
+  isCleared (part: string, { targetVersion, endedAtMs }: PastRun, minWrittenMs: number): boolean {
+    return this.#clearances.isCleared(part, { targetVersion, endedAtMs, minWrittenMs })
   }
 
   /** Number of parts that were cleared. */
--- a/request/quarantine/src/soundParts.ts
+++ b/request/quarantine/src/soundParts.ts
@@ -9,22 +9,24 @@
   targetVersion: string
 }
 
-/** A prompt part that was in a run of this box that did not crash its upstream. */
+/** A prompt part of runs of this box that did not crash their upstreams. */
 export interface SoundPart {
   /** Hash of the part. */
   part: string
   targetVersion: string
-  lastMs: number
+  /** When a run with the part had last written for so long, by time written. Complete answers count as infinite. */
+  lastMs: ReadonlyMap<number, number>
 }
 
 interface Entry extends Omit<SoundPart, 'part'> {
   model: string
   rawPart: string
+  lastMs: Map<number, number>
   /** Computed when it is needed for the first time. */
   hash?: string
 }
 
-/** Some 200 bytes each. */
+/** Some 300 bytes each. */
 const MAX_PARTS = 2048
 
 /** Remembers the prompt parts of this box's runs that did not crash their upstreams, without a hash or a message as long as nothing crashes. */
@@ -32,26 +34,22 @@
   /** Ordered by the time of the last run. */
   readonly #entries = new Map<string, Entry>()
 
-  /** Returns the entries of the run's parts. */
-  record ({ model, parts, targetVersion }: RunParts, nowMs: number): Entry[] {
-    return parts.map((rawPart) => {
+  /** Records that a run has written for `writtenMs`, or that its answer was complete. Returns a function that gives its parts. */
+  record ({ model, parts, targetVersion }: RunParts, writtenMs: number, nowMs: number): () => SoundPart[] {
+    const recorded = parts.map((rawPart) => {
       const key = `${targetVersion} ${model} ${rawPart}`
-      const entry: Entry = this.#entries.get(key) ?? { model, rawPart, targetVersion, lastMs: nowMs }
-      entry.lastMs = nowMs
+      const entry: Entry = this.#entries.get(key) ?? { model, rawPart, targetVersion, lastMs: new Map() }
+      entry.lastMs.set(writtenMs, nowMs)
       this.#entries.delete(key)
       this.#entries.set(key, entry)
       if (this.#entries.size > MAX_PARTS) this.#entries.delete(this.#entries.keys().next().value as string)
       return entry
     })
+    return () => recorded.map(toSoundPart)
   }
 
-  /** Parts with a run since `sinceMs`. */
-  since (sinceMs: number): SoundPart[] {
-    return [...this.#entries.values()].filter(({ lastMs }) => lastMs >= sinceMs).map(toSoundPart)
-  }
-
-  toSoundParts (entries: readonly Entry[]): SoundPart[] {
-    return entries.map(toSoundPart)
+  all (): SoundPart[] {
+    return [...this.#entries.values()].map(toSoundPart)
   }
 }
 
--- a/request/relay/src/exchangeProgress.ts
+++ b/request/relay/src/exchangeProgress.ts
@@ -3,10 +3,12 @@
 
 export interface ExchangeProgressOptions {
   clock: Clock
-  /** Called when the answer is complete, and again and again while it is written, once the upstream has stood it for long enough. */
-  onSound?: () => void
+  /** Called while the answer is written, each time that a further level is reached and then at regular intervals, and when it is complete, which counts as infinite. */
+  onSound?: (writtenMs: number) => void
 }
 
+/** Few, since each is remembered for each prompt part. */
+const SOUND_LEVELS_MS = [100, 250, 500, SOUND_AFTER_MS]
 const SOUND_INTERVAL_MS = 1000
 
 /** Progress of one exchange with an upstream. */
@@ -15,6 +17,7 @@
   #sentAtMs?: number
   #firstWrittenAtMs?: number
   #lastWrittenAtMs?: number
+  #lastLevelMs?: number
   #lastSoundAtMs = Number.NEGATIVE_INFINITY
 
   constructor (opts: ExchangeProgressOptions) {
@@ -40,13 +43,16 @@
     const nowMs = this.#opts.clock.nowMs()
     this.#lastWrittenAtMs = nowMs
     this.#firstWrittenAtMs ??= nowMs
-    if (nowMs - this.#firstWrittenAtMs < SOUND_AFTER_MS || nowMs - this.#lastSoundAtMs < SOUND_INTERVAL_MS) return
+    const writtenMs = nowMs - this.#firstWrittenAtMs
+    const level = SOUND_LEVELS_MS.findLast((levelMs) => levelMs <= writtenMs)
+    if (level === undefined || (level === this.#lastLevelMs && nowMs - this.#lastSoundAtMs < SOUND_INTERVAL_MS)) return
+    this.#lastLevelMs = level
     this.#lastSoundAtMs = nowMs
-    this.#opts.onSound?.()
+    this.#opts.onSound?.(level)
   }
 
   /** Records that the answer is complete. */
   recordFinished (): void {
-    this.#opts.onSound?.()
+    this.#opts.onSound?.(Number.POSITIVE_INFINITY)
   }
 }
--- a/request/relay/src/withInterruptionReport.ts
+++ b/request/relay/src/withInterruptionReport.ts
@@ -14,7 +14,7 @@
   const targetVersion = targetVersionOf(context, target.instance)
   const progress = new ExchangeProgress({
     clock: opts.clock,
-    onSound: () => opts.quarantine.recordSound({ model: request.prompt?.model ?? '', parts: sharedPartsOf(request.prompt), targetVersion }),
+    onSound: (writtenMs) => opts.quarantine.recordSound({ model: request.prompt?.model ?? '', parts: sharedPartsOf(request.prompt), targetVersion }, writtenMs),
   })
   const end = opts.paths.trackRequest()
   try {
