fix(request.quarantine): an exit that the list shows counts once for all runs sent to that upstream before

Cause: a proxy before an upstream accepts calls while the upstream is gone. Each call is interrupted after the one before, and when the list showed the exit, each counted as one. A part of prompts gathers such exits faster than a request. Change: events say how long after a run its upstream was known to have exited (exitKnownAfterMs); a run that was sent before that moment counts no further exit of the same upstream. Why it works: the upstream was listed without a break, so it was one start. An upstream that restarts under its name counts each time as before.

--- a/box/runtime/src/createRequestParts.ts
+++ b/box/runtime/src/createRequestParts.ts
@@ -34,8 +34,14 @@
     metrics,
     fleet: () => fleet.value,
     hasLostPaths: () => hasLostPaths(parts),
-    onUpstreamExited: ({ identity, upstream, sentAtMs, interruptedAtMs, writtenMs, targetVersion }) =>
-      parts.quarantine.recordUpstreamExit(identity, upstream, { ranMs: interruptedAtMs - sentAtMs, ageMs: clock.nowMs() - interruptedAtMs, writtenMs, targetVersion }),
+    onUpstreamExited: ({ identity, upstream, sentAtMs, interruptedAtMs, exitKnownAtMs, writtenMs, targetVersion }) =>
+      parts.quarantine.recordUpstreamExit(identity, upstream, {
+        ranMs: interruptedAtMs - sentAtMs,
+        ageMs: clock.nowMs() - interruptedAtMs,
+        exitKnownAfterMs: exitKnownAtMs - interruptedAtMs,
+        writtenMs,
+        targetVersion,
+      }),
   })
 }
 
--- a/core/messages/src/runEvent.ts
+++ b/core/messages/src/runEvent.ts
@@ -24,6 +24,8 @@
   upstream: z.string().optional(),
   /** Time since the run ended. */
   ageMs: z.number().nonnegative(),
+  /** Time between the end of the run and the moment at which its upstream was known to have exited; 0 if that was found out by a probe. */
+  exitKnownAfterMs: z.number().nonnegative().optional(),
   /** Time between sending the request to the upstream and the end of the run. */
   ranMs: z.number().nonnegative(),
   /** Hashes of the prompt parts that other requests may share. Earlier builds drop this field and the following ones. */
--- a/request/quarantine/src/interruptedRuns.ts
+++ b/request/quarantine/src/interruptedRuns.ts
@@ -26,8 +26,12 @@
 export interface UpstreamExitRun extends InterruptedRun {
   /** When the run was interrupted. */
   interruptedAtMs: number
+  /** When the upstream's process was found to have exited. */
+  exitKnownAtMs: number
 }
 
+type UndeterminedRun = Omit<UpstreamExitRun, 'exitKnownAtMs'>
+
 export interface InterruptedRunsOptions {
   clock: Clock
   probe: UpstreamProbe
@@ -56,7 +60,7 @@
   readonly #opts: InterruptedRunsOptions
   /** Checks in flight by address, since all runs of an upstream are interrupted at the same time. */
   readonly #pendingChecks = new Map<string, Promise<UpstreamProbeResult>>()
-  #undetermined: UpstreamExitRun[] = []
+  #undetermined: UndeterminedRun[] = []
 
   constructor (opts: InterruptedRunsOptions) {
     this.#opts = opts
@@ -64,10 +68,10 @@
 
   /** Checks the upstream and logs the result. Never rejects. */
   async record (run: InterruptedRun): Promise<void> {
-    const interrupted: UpstreamExitRun = { ...run, interruptedAtMs: this.#opts.clock.nowMs() }
+    const interrupted: UndeterminedRun = { ...run, interruptedAtMs: this.#opts.clock.nowMs() }
     const presence = await this.#presenceOf(run.address)
     this.#report(interrupted, presence)
-    if (presence === UpstreamProbeResult.Refused) this.#opts.onUpstreamExited(interrupted)
+    if (presence === UpstreamProbeResult.Refused) this.#opts.onUpstreamExited({ ...interrupted, exitKnownAtMs: interrupted.interruptedAtMs })
     if (presence === UpstreamProbeResult.Unresponsive) this.#undetermined = [...this.#undetermined, interrupted].slice(-MAX_UNDETERMINED)
   }
 
@@ -77,10 +81,10 @@
     const list = fleet()
     const recent = this.#undetermined.filter(({ interruptedAtMs }) => interruptedAtMs > clock.nowMs() - UNDETERMINED_TTL_MS)
     this.#undetermined = recent.filter(({ upstream }) => list.takesWork(upstream))
-    recent.filter(({ upstream }) => list.upstream(upstream) === undefined).forEach((run) => onUpstreamExited(run))
+    recent.filter(({ upstream }) => list.upstream(upstream) === undefined).forEach((run) => onUpstreamExited({ ...run, exitKnownAtMs: clock.nowMs() }))
   }
 
-  #report ({ request, route, identity, upstream, reason, sentAtMs, interruptedAtMs, writtenMs, targetVersion }: UpstreamExitRun, presence: UpstreamProbeResult): void {
+  #report ({ request, route, identity, upstream, reason, sentAtMs, interruptedAtMs, writtenMs, targetVersion }: UndeterminedRun, presence: UpstreamProbeResult): void {
     const { log, metrics } = this.#opts
     metrics.count('reelspan_runs_broken_off_total', { presence })
     log.info(LogEvent.RunBrokeOff, {
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -27,6 +27,9 @@
   mayTry: (key: string, lapsedMs: number) => boolean
 }
 
+/** When a run whose upstream exited began, wrote and ended, and where it ran. */
+export type UpstreamExitTimes = Pick<RunEvent, 'ranMs' | 'ageMs' | 'exitKnownAfterMs' | 'writtenMs' | 'targetVersion'>
+
 /** Called when a request has been quarantined. */
 export type QuarantineListener = () => void
 
@@ -83,9 +86,9 @@
   }
 
   /** Records that the upstream's process exited while it ran the request. */
-  recordUpstreamExit ({ content, caller, parts = [] }: RequestIdentity, upstream: string, { ranMs, ageMs, writtenMs, targetVersion }: Pick<RunEvent, 'ranMs' | 'ageMs' | 'writtenMs' | 'targetVersion'>): void {
+  recordUpstreamExit ({ content, caller, parts = [] }: RequestIdentity, upstream: string, { writtenMs, targetVersion, ...times }: UpstreamExitTimes): void {
     const partFields = parts.length > 0 ? { parts: [...parts], writtenMs, targetVersion } : {}
-    this.#recordEvent({ content, caller, end: RunEnd.UpstreamEnded, upstream, ranMs, ageMs, ...partFields })
+    this.#recordEvent({ content, caller, end: RunEnd.UpstreamEnded, upstream, ...times, ...partFields })
   }
 
   /** Records that the request finished, so it does not make every upstream exit. Only needed if its last recorded run ended with an upstream exit. */
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -14,6 +14,8 @@
   upstream?: string
   beganAtMs: number
   endedAtMs: number
+  /** When the upstream was found to have exited. It may have done so at any time since the run began. */
+  exitKnownAtMs: number
   /** Hashes of the prompt parts that other requests may share. */
   parts: readonly string[]
   /** Time between the first and the last event of the answer; 0 without one. */
@@ -128,10 +130,10 @@
     if (expired.length > 0 || clearancesExpired) this.#revision++
   }
 
-  #addRun ({ id, end, content, caller, upstream, ageMs, ranMs, parts = [], writtenMs = 0, targetVersion = '' }: RunEvent): boolean {
+  #addRun ({ id, end, content, caller, upstream, ageMs, ranMs, exitKnownAfterMs = 0, parts = [], writtenMs = 0, targetVersion = '' }: RunEvent): boolean {
     if (this.#byId.has(id)) return false
     const endedAtMs = this.#clock.nowMs() - ageMs
-    const run: PastRun = { id, end, content, caller, upstream, beganAtMs: endedAtMs - ranMs, endedAtMs, parts, writtenMs, targetVersion }
+    const run: PastRun = { id, end, content, caller, upstream, beganAtMs: endedAtMs - ranMs, endedAtMs, exitKnownAtMs: endedAtMs + exitKnownAfterMs, parts, writtenMs, targetVersion }
     const runs = this.#byContent.get(content) ?? []
     this.#byContent.delete(content)
     this.#byContent.set(content, [...runs, run].toSorted((a, b) => a.endedAtMs - b.endedAtMs))
@@ -165,8 +167,18 @@
   return end === RunEnd.Finished && content === '' && parts.length > 0
 }
 
-function eventOf ({ id, end, content, caller, upstream, beganAtMs, endedAtMs, parts, writtenMs, targetVersion }: PastRun, nowMs: number): RunEvent {
-  return { id, end, content, caller, upstream, ageMs: Math.max(0, nowMs - endedAtMs), ranMs: endedAtMs - beganAtMs, ...parts.length > 0 ? { parts: [...parts], writtenMs, targetVersion } : {} }
+function eventOf ({ id, end, content, caller, upstream, beganAtMs, endedAtMs, exitKnownAtMs, parts, writtenMs, targetVersion }: PastRun, nowMs: number): RunEvent {
+  return {
+    id,
+    end,
+    content,
+    caller,
+    upstream,
+    ageMs: Math.max(0, nowMs - endedAtMs),
+    ranMs: endedAtMs - beganAtMs,
+    ...exitKnownAtMs > endedAtMs && { exitKnownAfterMs: exitKnownAtMs - endedAtMs },
+    ...parts.length > 0 && { parts: [...parts], writtenMs, targetVersion },
+  }
 }
 
 /** Splits the runs of an upstream, ordered by their end, where it can have restarted under the same name. */
--- a/request/quarantine/src/sequentialRuns.ts
+++ b/request/quarantine/src/sequentialRuns.ts
@@ -5,7 +5,7 @@
 
 /**
  * The longest chain of runs, ordered by their end, in which each began after the previous one ended. A run that was
- * sent to an upstream right after its exit reached no process, and does not count.
+ * sent to an upstream before its last exit was known, or right after it, reached no other process, and does not count.
  */
 export function sequentialRuns (runs: readonly PastRun[]): PastRun[] {
   return runs.reduce<PastRun[]>((chain, run) => {
@@ -17,5 +17,5 @@
 
 function isLateForExit ({ upstream, beganAtMs }: PastRun, chain: readonly PastRun[]): boolean {
   const exit = chain.findLast((run) => run.upstream !== undefined && run.upstream === upstream)
-  return exit !== undefined && beganAtMs < exit.endedAtMs + MIN_RESTART_MS
+  return exit !== undefined && beganAtMs < Math.max(exit.exitKnownAtMs, exit.endedAtMs + MIN_RESTART_MS)
 }
--- a/request/quarantine/test/quarantine.ts
+++ b/request/quarantine/test/quarantine.ts
@@ -50,3 +50,17 @@
   t.is(quarantine.refusalOf(() => repeated), undefined)
   t.truthy(quarantine.refusalOf(() => requestWith(['aa', 'cc'])))
 })
+
+test('calls that a proxy accepts for an upstream that has exited count as one exit, at whichever boxes', async (t) => {
+  const { clock, quarantine, exit } = startQuarantine()
+  const equal = requestWith([], { content: 'equal' })
+  // The list shows only now that the upstream has gone, while each of the calls was interrupted at once.
+  for (let nth = 0; nth < 6; nth++) exit(equal, 'u1', { ageMs: 6000 - 900 * nth, exitKnownAfterMs: 6000 - 900 * nth, ranMs: 5 })
+  t.is(quarantine.refusalOf(() => equal), undefined)
+  await clock.advance(INTERVAL_MS)
+  exit(equal, 'u2')
+  await clock.advance(INTERVAL_MS)
+  t.is(quarantine.refusalOf(() => equal), undefined)
+  exit(equal, 'u3')
+  t.truthy(quarantine.refusalOf(() => equal))
+})
