test(request.quarantine,utils.bench): what is refused, clearances between boxes, trials; mechanisms of the quarantine in a file of their own

Cause: judgeParts had tests, what boxes do with it had those of whole fleets alone. Change: tests of refusals, callers, versions, trials and of what boxes announce; quarantineMechanisms.ts with the four entries there were and seven new ones.

--- a/__utils__/bench/src/checkMechanisms.ts
+++ b/__utils__/bench/src/checkMechanisms.ts
@@ -2,7 +2,8 @@
 import { cp, mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { type Mechanism, MECHANISMS } from './mechanisms.js'
+import { type Mechanism } from './mechanism.js'
+import { MECHANISMS } from './mechanisms.js'
 
 const MAX_OUTPUT_BYTES = 64_000_000
 
--- a/__utils__/bench/src/index.ts
+++ b/__utils__/bench/src/index.ts
@@ -1,7 +1,7 @@
 export { bench } from './bench.js'
 export { checkMechanisms } from './checkMechanisms.js'
 export { MECHANISMS } from './mechanisms.js'
-export type { Mechanism } from './mechanisms.js'
+export type { Mechanism } from './mechanism.js'
 export { demo } from './demo.js'
 export { generateLoad, readShape } from './loadShape.js'
 export { FleetProcess } from './fleetProcess.js'
--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -1,12 +1,5 @@
-/** A mechanism, the source change that disables it, and the tests that must then fail. */
-export interface Mechanism {
-  name: string
-  file: string
-  find: string
-  replace: string
-  /** Compiled test files. */
-  tests: string[]
-}
+import { type Mechanism } from './mechanism.js'
+import { QUARANTINE_MECHANISMS } from './quarantineMechanisms.js'
 
 const HOLDS = 'box/runtime/test.lib/holds.js'
 const AT_MOST_ONCE = 'box/runtime/test.lib/notRepeatableRequests.js'
@@ -19,8 +12,6 @@
 const SCHEDULER = 'scheduling/scheduler/test.lib/shardScheduler.js'
 const ROLES = 'upstream/orders/test.lib/roleBalancer.js'
 const CONFIG_STORE = 'config/store/test.lib/configStore.js'
-const CRASHING_REQUEST = 'box/runtime/test.lib/crashingRequest.js'
-const QUARANTINE_DECISION = 'request/quarantine/test.lib/judgeRequest.js'
 const ACCOUNTS = 'box/runtime/test.lib/accounts.js'
 const SHARED_UPSTREAM_LIMIT = 'box/runtime/test.lib/upstreamLimitShared.js'
 const DRAINING_UPSTREAM = 'box/runtime/test.lib/drainingUpstream.js'
@@ -36,7 +27,8 @@
 const ENGINE_LIMITS = 'scheduling/scheduler/test.lib/engineLimits.js'
 
 /** Mechanisms that the documented guarantees depend on. */
-export const MECHANISMS: Mechanism[] = [
+export const MECHANISMS: readonly Mechanism[] = [
+  ...QUARANTINE_MECHANISMS,
   {
     name: 'stream versions: a stream that is taken up goes on at the version that began it',
     file: 'request/relay/src/streamVersion.ts',
@@ -563,35 +555,6 @@
     replace: 'return free.slots > -1000 && kvBytes > -1',
     tests: [SCHEDULER],
   },
-  {
-    name: 'a request that crashes upstreams is quarantined',
-    file: 'request/owner/src/runContext.ts',
-    find: `if (refusal) this.end(refusal)
-    if (this.remainingMs <= 0)`,
-    replace: 'if (this.remainingMs <= 0)',
-    tests: [CRASHING_REQUEST],
-  },
-  {
-    name: 'crashes of upstreams are broadcast to other boxes immediately',
-    file: 'membership/prober/src/broadcaster.ts',
-    find: 'await Promise.all(watchedAddresses().map(',
-    replace: 'await Promise.all([].map(',
-    tests: [CRASHING_REQUEST],
-  },
-  {
-    name: 'boxes whose update digests differ pull the missing updates',
-    file: 'membership/prober/src/gossip.ts',
-    find: 'this.#tasks.run(() => this.#pull(address))',
-    replace: '',
-    tests: [CRASHING_REQUEST, SHARED_UPSTREAM_LIMIT],
-  },
-  {
-    name: 'upstream crashes that end overlapping runs of a request count once',
-    file: 'request/quarantine/src/sequentialRuns.ts',
-    find: 'previous === undefined || run.beganAtMs >= previous.endedAtMs',
-    replace: 'true',
-    tests: [CRASHING_REQUEST, QUARANTINE_DECISION],
-  },
   {
     name: 'a box that was paused waits before it gives orders again',
     file: 'upstream/orders/src/orderLease.ts',
--- /dev/null
+++ b/__utils__/bench/src/quarantineMechanisms.ts
@@ -0,0 +1,90 @@
+import { type Mechanism } from './mechanism.js'
+
+const CRASHING_REQUEST = 'box/runtime/test.lib/crashingRequest.js'
+const CRASHING_PROMPT_PART = 'box/runtime/test.lib/crashingPromptPart.js'
+const SHARED_UPSTREAM_LIMIT = 'box/runtime/test.lib/upstreamLimitShared.js'
+const REQUEST_DECISION = 'request/quarantine/test.lib/judgeRequest.js'
+const PART_DECISION = 'request/quarantine/test.lib/judgeParts.js'
+const QUARANTINE = 'request/quarantine/test.lib/quarantine.js'
+
+/** Mechanisms by which requests that crash upstreams are found and refused. */
+export const QUARANTINE_MECHANISMS: readonly Mechanism[] = [
+  {
+    name: 'a request that crashes upstreams is quarantined',
+    file: 'request/owner/src/runContext.ts',
+    find: `if (refusal) this.end(refusal)
+    if (this.remainingMs <= 0)`,
+    replace: 'if (this.remainingMs <= 0)',
+    tests: [CRASHING_REQUEST],
+  },
+  {
+    name: 'crashes of upstreams are broadcast to other boxes immediately',
+    file: 'membership/prober/src/broadcaster.ts',
+    find: 'await Promise.all(watchedAddresses().map(',
+    replace: 'await Promise.all([].map(',
+    tests: [CRASHING_REQUEST],
+  },
+  {
+    name: 'boxes whose update digests differ pull the missing updates',
+    file: 'membership/prober/src/gossip.ts',
+    find: 'this.#tasks.run(() => this.#pull(address))',
+    replace: '',
+    tests: [CRASHING_REQUEST, SHARED_UPSTREAM_LIMIT],
+  },
+  {
+    name: 'upstream crashes that end overlapping runs of a request count once',
+    file: 'request/quarantine/src/sequentialRuns.ts',
+    find: 'previous === undefined || run.beganAtMs >= previous.endedAtMs',
+    replace: 'true',
+    tests: [CRASHING_REQUEST, REQUEST_DECISION],
+  },
+  {
+    name: 'quarantine: an upstream exit counts once, also if runs were sent there before it was known',
+    file: 'request/quarantine/src/sequentialRuns.ts',
+    find: 'return follows && !isLateForExit(run, chain)',
+    replace: 'return follows && (!isLateForExit(run, chain) || true)',
+    tests: [REQUEST_DECISION, QUARANTINE],
+  },
+  {
+    name: 'quarantine: a prompt part is refused after several exits',
+    file: 'request/quarantine/src/quarantine.ts',
+    find: ': this.#parts.refusalOf(request, targetVersions)',
+    replace: ': undefined',
+    tests: [CRASHING_PROMPT_PART, QUARANTINE],
+  },
+  {
+    name: 'quarantine: runs that go on clear their prompt parts',
+    file: 'request/quarantine/src/clearanceStore.ts',
+    find: 'writtenMs >= minWrittenMs && atMs >= endedAtMs - CLEARANCE_MS',
+    replace: 'writtenMs < 0 && minWrittenMs < atMs - endedAtMs',
+    tests: [PART_DECISION],
+  },
+  {
+    name: 'quarantine: clearances reach other boxes',
+    file: 'request/quarantine/src/partQuarantine.ts',
+    find: '    onEvent(clearance)\n',
+    replace: '    void onEvent\n',
+    tests: [QUARANTINE],
+  },
+  {
+    name: 'quarantine: what is refused has everything in common that the crashing requests have',
+    file: 'request/quarantine/src/judgeParts.ts',
+    find: 'const parts = this.#commonParts(part).toSorted()',
+    replace: 'const parts = [part]',
+    tests: [PART_DECISION],
+  },
+  {
+    name: 'quarantine: an exit at which a crashing prompt part was does not count against other requests',
+    file: 'request/quarantine/src/judgeRequest.ts',
+    find: 'exitsOfStrongestPart(run) > ownExitCount || ',
+    replace: '',
+    tests: [QUARANTINE],
+  },
+  {
+    name: 'quarantine: one request at a time may try after a quarantine',
+    file: 'request/quarantine/src/partQuarantine.ts',
+    find: 'return trial.content === content',
+    replace: 'return true',
+    tests: [QUARANTINE],
+  },
+]
--- a/request/quarantine/test/quarantine.ts
+++ b/request/quarantine/test/quarantine.ts
@@ -1,7 +1,8 @@
+import { ErrorCode, Verdict } from '@reelspan/core.error'
 import { type RunEvent } from '@reelspan/core.messages'
-import { type RequestIdentity } from '@reelspan/request.identity'
-import { Quarantine, RunHistory } from '@reelspan/request.quarantine'
-import { Log, type LogEvent, type LogFields } from '@reelspan/telemetry.log'
+import { hashOfPart, type RequestIdentity } from '@reelspan/request.identity'
+import { PART_QUARANTINE_MS, Quarantine, RunHistory } from '@reelspan/request.quarantine'
+import { Log, LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
@@ -23,12 +24,14 @@
 function startQuarantine ({ clock = new VirtualClock(), mayTry = () => true, incarnation = 'a' }: { clock?: VirtualClock, mayTry?: (key: string, lapsedMs: number) => boolean, incarnation?: string } = {}) {
   const history = new RunHistory({ clock })
   const log = new RecordingLog()
-  const events: RunEvent[] = []
-  const quarantine = new Quarantine({ clock, log, history, incarnation: () => incarnation, onEvent: (event) => events.push(event), mayTry })
+  const announced: { event: RunEvent, atMs: number }[] = []
+  const quarantine = new Quarantine({ clock, log, history, incarnation: () => incarnation, onEvent: (event) => announced.push({ event, atMs: clock.nowMs() }), mayTry })
   const exit = (identity: RequestIdentity, upstream: string, over: Partial<RunEvent> = {}) =>
     quarantine.recordUpstreamExit(identity, upstream, { ranMs: RAN_MS, ageMs: 0, writtenMs: 0, targetVersion: 'm@1', ...over })
   /** Adds what another box has announced. */
   const receive = (received: readonly RunEvent[]) => quarantine.onEventsAdded(received.filter((event) => history.add(event)))
+  /** What this box has announced, with the ages that it has now. */
+  const events = () => announced.map(({ event, atMs }) => ({ ...event, ageMs: event.ageMs + clock.nowMs() - atMs }))
   return { clock, history, log, events, quarantine, exit, receive }
 }
 
@@ -64,3 +67,127 @@
   exit(equal, 'u3')
   t.truthy(quarantine.refusalOf(() => equal))
 })
+
+const CRASHING = ['aa', 'cc']
+
+/** Three exits with the crashing part, of requests of different callers. */
+async function crashThree ({ clock, exit }: ReturnType<typeof startQuarantine>): Promise<void> {
+  for (let nth = 0; nth < 3; nth++) {
+    exit(requestWith(CRASHING, { caller: `w${nth}` }), `u${nth}`)
+    await clock.advance(INTERVAL_MS)
+  }
+}
+
+test('requests that have all in common with those that crashed upstreams are refused as not run, those with less are not', async (t) => {
+  const started = startQuarantine()
+  await crashThree(started)
+  const { quarantine } = started
+  const refusal = quarantine.refusalOf(() => requestWith(['b1', ...CRASHING]))
+  t.like(refusal, { code: ErrorCode.RequestQuarantined, verdict: Verdict.NotRun })
+  t.is(refusal?.retryAfterMs, PART_QUARANTINE_MS - INTERVAL_MS)
+  t.is(quarantine.refusalOf(() => requestWith(['aa', 'b1'])), undefined)
+  t.is(quarantine.refusalOf(() => requestWith(['cc'])), undefined, 'it may not be the one that crashes them')
+  t.is(quarantine.refusalOf(() => requestWith([])), undefined)
+  t.deepEqual(quarantine.countParts(), { suspected: 2, banned: 1, cleared: 0 })
+})
+
+test('a caller cannot get a part of others refused by sending it with content of its own', async (t) => {
+  const { clock, quarantine, exit } = startQuarantine()
+  for (let nth = 0; nth < 6; nth++) {
+    exit(requestWith(['aa'], { caller: 'attacker' }), `u${nth}`)
+    await clock.advance(INTERVAL_MS)
+  }
+  t.truthy(quarantine.refusalOf(() => requestWith(['aa'], { caller: 'attacker' })))
+  t.is(quarantine.refusalOf(() => requestWith(['aa'], { caller: 'other' })), undefined)
+})
+
+test('a run of any box clears a part at all boxes, also if it was before the exits, and nothing is announced without an exit', async (t) => {
+  const clock = new VirtualClock()
+  const [one, other] = [startQuarantine({ clock, incarnation: 'a' }), startQuarantine({ clock, incarnation: 'b' })]
+  const aa = hashOfPart('m', 'aa')
+  other.quarantine.recordSound({ model: 'm', parts: ['aa'], targetVersion: 'm@1' }, Number.POSITIVE_INFINITY)
+  t.deepEqual(other.events(), [])
+  for (let nth = 0; nth < 3; nth++) {
+    one.exit(requestWith([aa, 'cc'], { caller: `w${nth}` }), `u${nth}`)
+    await clock.advance(INTERVAL_MS)
+  }
+  other.receive(one.events())
+  t.is(other.events().length, 1)
+  t.like(other.log.lines.find(({ event }) => event === LogEvent.PromptPartCleared), { partHash: aa, targetVersion: 'm@1' })
+  t.is(one.quarantine.refusalOf(() => requestWith(['cc'])), undefined, 'aa may be the cause')
+  one.receive(other.events())
+  ;[one, other].forEach(({ quarantine }) => {
+    t.truthy(quarantine.refusalOf(() => requestWith(['cc'])))
+    t.is(quarantine.refusalOf(() => requestWith([aa])), undefined)
+  })
+  t.is(one.history.digest, other.history.digest)
+})
+
+test('boxes that clear a part of the same exit announce the same event', (t) => {
+  const clock = new VirtualClock()
+  const [first, second, third] = ['a', 'b', 'c'].map((incarnation) => startQuarantine({ clock, incarnation }))
+  const sound = { model: 'm', parts: ['aa'], targetVersion: 'm@1' }
+  ;[second, third].forEach(({ quarantine }) => quarantine.recordSound(sound, 250))
+  first.exit(requestWith([hashOfPart('m', 'aa')]), 'u1')
+  ;[second, third].forEach(({ receive }) => receive(first.events()))
+  t.is(second.events().length, 1)
+  t.deepEqual(second.events().map(({ id }) => id), third.events().map(({ id }) => id))
+})
+
+test('a part that crashed upstreams of one version is refused only where no other version serves the request', async (t) => {
+  const started = startQuarantine()
+  await crashThree(started)
+  const request = () => requestWith(CRASHING)
+  const { quarantine, clock, exit } = started
+  t.truthy(quarantine.refusalOf(request, () => ['m@1']))
+  t.is(quarantine.refusalOf(request, () => ['m@1', 'm@2']), undefined)
+  t.deepEqual(quarantine.bannedVersions(request), ['m@1'])
+  await clock.advance(INTERVAL_MS)
+  exit(request(), 'u9', { targetVersion: 'm@2' })
+  t.truthy(quarantine.refusalOf(request, () => ['m@1', 'm@2']))
+  t.is(quarantine.refusalOf(request, () => ['m@3']), undefined)
+})
+
+test('after its quarantine one request at a time may try, at one box, and its outcome decides for all', async (t) => {
+  for (const finishes of [true, false]) {
+    const asked: number[] = []
+    const trialBox = startQuarantine({ mayTry: (_key, lapsedMs) => { asked.push(lapsedMs); return true } })
+    const { clock, quarantine, exit, history } = trialBox
+    const otherBox = startQuarantine({ clock, mayTry: () => false, incarnation: 'b' })
+    const cc = hashOfPart('m', 'cc')
+    for (let nth = 0; nth < 3; nth++) {
+      exit(requestWith([cc], { caller: `w${nth}` }), `u${nth}`)
+      await clock.advance(INTERVAL_MS)
+    }
+    otherBox.receive(trialBox.events())
+    const [tries, waits] = [requestWith([cc]), requestWith([cc])]
+    t.truthy(quarantine.refusalOf(() => tries))
+    t.deepEqual(asked, [])
+    await clock.advance(PART_QUARANTINE_MS)
+    t.truthy(otherBox.quarantine.refusalOf(() => waits))
+    t.is(quarantine.refusalOf(() => tries), undefined)
+    t.truthy(quarantine.refusalOf(() => waits))
+    t.is(quarantine.refusalOf(() => tries), undefined, 'checked again before each send')
+    const announcedBefore = trialBox.events().length
+    if (finishes) quarantine.recordSound({ model: 'm', parts: ['cc'], targetVersion: 'm@1' }, Number.POSITIVE_INFINITY)
+    else exit(tries, 'u9')
+    otherBox.receive(trialBox.events().slice(announcedBefore))
+    ;[quarantine, otherBox.quarantine].forEach((one) => t.is(one.refusalOf(() => waits) === undefined, finishes))
+    await clock.advance(PART_QUARANTINE_MS)
+    t.is(quarantine.refusalOf(() => waits) === undefined, finishes, 'the next trial is later')
+    t.true(history.size > 0)
+  }
+})
+
+test('a trial without an outcome makes way for another request', async (t) => {
+  const started = startQuarantine()
+  await crashThree(started)
+  const { clock, quarantine } = started
+  await clock.advance(PART_QUARANTINE_MS)
+  const [first, second] = [requestWith(CRASHING), requestWith(CRASHING)]
+  t.is(quarantine.refusalOf(() => first), undefined)
+  t.truthy(quarantine.refusalOf(() => second))
+  await clock.advance(10_000)
+  t.is(quarantine.refusalOf(() => second), undefined)
+  t.truthy(quarantine.refusalOf(() => first))
+})
