test(utils.soak,utils.platform-stand-ins): the soak has a prompt part that crashes engines

An engine that crashed comes back with its software version; its address refuses connections meanwhile.

--- a/__utils__/platform-stand-ins/src/samples.ts
+++ b/__utils__/platform-stand-ins/src/samples.ts
@@ -62,13 +62,14 @@
   ].join('\n')
 }
 
-/** Headers of a client's attempt. With a prompt, it is an attempt for a model route. */
-export function requestHeaders (id: string, opts: { deadlineMs?: number, prompt?: string, tokenCount?: string, key?: string }): Record<string, string> {
+/** Headers of a client's attempt. With a prompt, its own last part, it is an attempt for a model route; `sharedParts` are the parts before. */
+export function requestHeaders (id: string, opts: { deadlineMs?: number, prompt?: string, sharedParts?: readonly string[], tokenCount?: string, key?: string }): Record<string, string> {
+  const { sharedParts = ['aa'] } = opts
   return {
     host: 'scripts.example',
     'X-Reelspan-Request-Id': id,
     ...opts.key === undefined ? {} : { Authorization: `Bearer ${opts.key}` },
     ...opts.deadlineMs === undefined ? {} : { 'X-Reelspan-Deadline-Ms': String(opts.deadlineMs) },
-    ...opts.prompt === undefined ? {} : { 'X-Reelspan-Model': 'm', 'X-Reelspan-Token-Count': opts.tokenCount ?? '50,24', 'X-Reelspan-Prompt-Prefix': `aa:20,${opts.prompt}:30` },
+    ...opts.prompt === undefined ? {} : { 'X-Reelspan-Model': 'm', 'X-Reelspan-Token-Count': opts.tokenCount ?? '50,24', 'X-Reelspan-Prompt-Prefix': [...sharedParts.map((part) => `${part}:20`), `${opts.prompt}:30`].join(',') },
   }
 }
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -111,6 +111,10 @@
   advertises?: () => Readonly<Record<string, string>>
   /** State given in its reports. */
   reportedState?: () => string
+  /** Decides by the parts of a prompt but for the last one whether the upstream crashes after the first event of its answer. */
+  crashesOn?: (parts: readonly string[]) => boolean
+  /** Called when a run has crashed the upstream, which has stopped. */
+  onCrashed?: (run: UpstreamRun) => void
   /** Called when a request starts to run. */
   onRunStarted?: (run: UpstreamRun) => void
   /** Status of the response to an order; undefined if orders get no response. */
@@ -119,6 +123,7 @@
 }
 
 const EVENTS = 4
+const CRASH_DELAY_MS = 15
 
 /** A small stand-in for an upstream of the platform, which prefills prompts, streams tokens or answers calls. */
 export class StandInUpstream {
@@ -206,11 +211,19 @@
     this.#opts.onRunStarted?.(run)
     response.on('close', () => { run.endedAtMs ??= performance.now() })
     if (this.#role === Role.Service) await this.#call(id, response, losesAnswer)
-    else await this.#stream(run, response)
+    else await this.#stream(run, response, this.#opts.crashesOn?.(sharedParts(headers)) ?? false)
     run.complete = response.writableEnded && !response.destroyed && !run.answerLost
     run.endedAtMs ??= performance.now()
   }
 
+  /** Exits soon after the first event, as an engine that begins to write does. */
+  async #crash (run: UpstreamRun): Promise<void> {
+    await sleep(CRASH_DELAY_MS)
+    if (!this.#server.listening) return
+    this.stop()
+    this.#opts.onCrashed?.(run)
+  }
+
   #shapeOf (id: string): RequestShape {
     return this.#opts.shapeOf?.(id) ?? { events: EVENTS, workMs: this.#opts.workMs ?? 0 }
   }
@@ -259,7 +272,7 @@
     response.once('close', () => this.#endingWithConnection.delete(response))
   }
 
-  async #stream (run: UpstreamRun, response: ServerResponse): Promise<void> {
+  async #stream (run: UpstreamRun, response: ServerResponse, crashes: boolean): Promise<void> {
     const { id, resumedAfter = -1, answerLost: losesAnswer } = run
     const { withConnection = false, cutAtBytes = Number.POSITIVE_INFINITY, lineEnd = '\n' } = this.#opts.endOf?.(id) ?? {}
     if (withConnection) this.#endWithConnection(response)
@@ -282,11 +295,17 @@
         break
       }
       run.sentEvents++
+      if (crashes) return this.#crash(run)
     }
     response.end()
   }
 }
 
+/** The parts of a prompt that other requests may share. */
+function sharedParts (headers: IncomingMessage['headers']): string[] {
+  return String(headers['x-reelspan-prompt-prefix'] ?? '').split(',').slice(0, -1).map((part) => part.split(':')[0])
+}
+
 function receivedHeadersOf ({ url = '', rawHeaders, rawTrailers }: IncomingMessage): ReceivedHeaders {
   const lines = [...rawHeaders, ...rawTrailers]
   const valuesOf = (header: string) => lines.filter((_, i) => i % 2 === 1 && lines[i - 1].toLowerCase() === header)
--- a/__utils__/soak/src/faultProxy.ts
+++ b/__utils__/soak/src/faultProxy.ts
@@ -78,6 +78,7 @@
     return chosen.length
   }
 
+  /** Refuses connections, as the address of a process that has exited, until `start` is called again. */
   stop (): void {
     this.#connections.forEach((connection) => connection.reset())
     this.#server.close()
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -7,6 +7,7 @@
 import { checkSignals } from './checkSignals.js'
 import { checkHistory } from './checkHistory.js'
 import { SoakClient } from './client.js'
+import { CrashPhase, isOfCrashPhase } from './crashPhase.js'
 import { drawOne } from './drawOne.js'
 import { FaultKind, FaultInjector } from './faults.js'
 import { groupBy } from './groupBy.js'
@@ -27,6 +28,8 @@
   kinds?: readonly FaultKind[]
   /** Whether each round ends with a phase of more load than capacity. */
   load?: boolean
+  /** Whether each round ends with a phase in which a prompt part crashes engines. */
+  crashes?: boolean
   /** Whether each round ends with a phase in which boxes lose their paths to all upstreams. */
   pathLoss?: boolean
 }
@@ -40,6 +43,8 @@
   faults: string[]
   /** Served shares during each loss of paths. */
   pathLosses: string[]
+  /** What each phase of a crashing prompt part saw. */
+  crashPhases: string[]
   violations: string[]
   /** Number of cases that each check examined. */
   checkCounts: Record<string, number>
@@ -127,10 +132,12 @@
   readonly #restoreRandom: SeededRandom
   readonly #loadRandom: SeededRandom
   readonly #pathLossRandom: SeededRandom
+  readonly #crashRandom: SeededRandom
   readonly #stallDetector: StallDetector
   readonly #durationsMs: Record<string, number> = {}
   #checkCounts: Record<string, number> = {}
   readonly #pathLosses: string[] = []
+  readonly #crashPhases: string[] = []
   #memory = { processes: 0, pssMb: 0, maxBoxMb: 0 }
   #isSending = true
 
@@ -145,6 +152,7 @@
     this.#restoreRandom = new SeededRandom(opts.seed)
     this.#loadRandom = new SeededRandom(opts.seed)
     this.#pathLossRandom = new SeededRandom(opts.seed)
+    this.#crashRandom = new SeededRandom(opts.seed)
     this.#stallDetector = new StallDetector(fleet.boxes)
     this.#faults = new FaultInjector({ fleet, random: this.#faultRandom, onViolation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % STALE_CLIENT_STRIDE === 0 }))
@@ -157,6 +165,7 @@
         await this.#measure('trouble', () => this.#injectFaults())
         await this.#measure('calm', () => this.#runPlannedWork())
         if (this.#opts.load) await this.#measure('load', () => this.#runLoadPhase())
+        if (this.#opts.crashes) await this.#measure('crashes', () => this.#runCrashPhase())
         if (this.#opts.pathLoss) await this.#measure('pathLoss', () => this.#runPathLossPhase())
       }
       await this.#measure('recovery', () => this.#checkRecovery())
@@ -179,6 +188,7 @@
       takeUps: countOutcomes(attempts.filter(({ resumes }) => resumes !== undefined)),
       faults: this.#faults.log,
       pathLosses: this.#pathLosses,
+      crashPhases: this.#crashPhases,
       durationsMs: this.#durationsMs,
       checkCounts: this.#checkCounts,
       memory: this.#memory,
@@ -199,7 +209,7 @@
     this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length }
     // Calls with keys that expire are checked by checkKeys only.
     const keyProbeIds = new Set(this.#keyProbes.map(({ id }) => id))
-    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...this.#checkKeys())
+    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id) && !isOfCrashPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...this.#checkKeys())
   }
 
   #checkKeys (): string[] {
@@ -357,6 +367,13 @@
     this.violations.push(...phase.violations)
   }
 
+  async #runCrashPhase (): Promise<void> {
+    const phase = new CrashPhase({ fleet: this.#fleet, random: this.#crashRandom, attempts: () => this.#attempts().map((attempt) => ({ ...attempt, wasStalled: this.#wasStalled(attempt) })) })
+    await phase.run()
+    this.#crashPhases.push(...phase.log)
+    this.violations.push(...phase.violations)
+  }
+
   async #checkRecovery (): Promise<void> {
     const from = this.#endedAttempts.length
     while (this.#endedAttempts.length < from + RECOVERY_ATTEMPTS) await sleep(MAX_SEND_PAUSE_MS)
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -42,6 +42,8 @@
 const SERVICE_WORK_MS = 20
 const EVENT_INTERVAL_MS = 15
 const HANDLE_TTL_MS = 500
+/** How long an engine is gone after a prompt part has crashed it. */
+const CRASH_DOWN_MS = 1500
 const REFUSED_SHARE = 0.01
 const LOST_ANSWER_SHARE = 0.01
 /** Shares of the answers that have neither a length nor chunks, and of the streams that end too early as if they were complete. */
@@ -133,6 +135,10 @@
   readonly refusals: RefusalPeriod[] = []
   /** Intervals in which the store served stale reads, or a restored backup whose lost writes had not been repeated yet. */
   readonly staleReads: TimeInterval[] = []
+  /** Crashes of engines because of a prompt part, with the request that caused each. */
+  readonly crashes: { id: string, atMs: number }[] = []
+  /** A prompt part that crashes the engines that begin to write an answer to it. */
+  crashingPart?: string
   /** Violations that no fault excuses. */
   readonly problems: string[] = []
   readonly #stoppedUpstreams: StandInUpstream[] = []
@@ -300,11 +306,23 @@
     this.#stoppedUpstreams.push(replica.upstream)
   }
 
-  /** Starts a new instance of an upstream at the same address. */
-  async restartUpstream (replica: UpstreamReplica): Promise<void> {
+  /** Stops an upstream at once, so that its address refuses connections, and starts it again after a while. */
+  async crashUpstream (replica: UpstreamReplica, downMs: number): Promise<void> {
+    const { address } = replica.proxy
+    const endDisruption = this.disruptions.begin(replica.name)
+    replica.proxy.stop()
+    await this.stopUpstream(replica)
+    await sleep(downMs)
+    await this.restartUpstream(replica, { softwareVersion: replica.softwareVersion })
+    await replica.proxy.start(address)
+    endDisruption()
+  }
+
+  /** Starts a new instance of an upstream at the same address, by default with the next software version. */
+  async restartUpstream (replica: UpstreamReplica, { softwareVersion = nextVersion(replica.softwareVersion) } = {}): Promise<void> {
     removeUpstream(this.store, replica.instance)
     replica.instance = this.#createInstanceName(replica.name)
-    replica.softwareVersion = nextVersion(replica.softwareVersion)
+    replica.softwareVersion = softwareVersion
     replica.upstream = await this.#startUpstream(replica.role, replica.instance, replica.softwareVersion)
     replica.listed = true
     replica.leaving = false
@@ -473,11 +491,19 @@
       refuses: () => refusesRandomly() || this.refusals.some((refusal) => refusal.instance === instance && refusal.toMs === Number.POSITIVE_INFINITY),
       losesAnswer: withProbability(LOST_ANSWER_SHARE),
       advertises: () => this.#headersOf(instance),
+      crashesOn: (parts) => this.crashingPart !== undefined && parts.includes(this.crashingPart),
+      onCrashed: ({ id }) => this.#onCrashed(instance, id),
     })
     await upstream.start()
     return upstream
   }
 
+  #onCrashed (instance: string, id: string): void {
+    this.crashes.push({ id, atMs: performance.now() })
+    const replica = this.replicas.find((one) => one.instance === instance)
+    if (replica && !this.#isStopping) void this.crashUpstream(replica, CRASH_DOWN_MS)
+  }
+
   #drawAnswerEnd (): AnswerEnd {
     return {
       withConnection: this.#answerRandom.nextFloat() < ENDED_BY_CONNECTION_SHARE,
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -6,6 +6,7 @@
 const FLEET_SIZE = { boxes: 3, clients: 6, rounds: 1 }
 const TIMEOUT_MS = 180_000
 const PATH_LOSS_SEED = 520001
+const CRASH_SEED = 600001
 /** Number of runs that share the machine, so that all seeds take a minute or two. */
 const CONCURRENT_RUNS = 3
 
@@ -28,6 +29,13 @@
   t.is(result.pathLosses.length, 3)
 })
 
+test.serial(`real boxes find a prompt part that crashes engines, and serve other requests, of seed ${CRASH_SEED}`, async (t) => {
+  t.timeout(TIMEOUT_MS)
+  const result = await soak({ seed: CRASH_SEED, kinds: [FaultKind.ChangeConfiguration], ...FLEET_SIZE, boxes: 4, clients: 8, crashes: true })
+  t.log(result.crashPhases)
+  t.deepEqual(result.violations, [])
+})
+
 async function runSeed (t: ExecutionContext, { seed, kinds }: KnownSeed): Promise<string[]> {
   const result = await soak({ seed, kinds, ...FLEET_SIZE })
   const { attempts, faults, violations, checkCounts } = result
