perf(request.quarantine): the processor time of judging prompt parts is bounded

Cause: prompt parts are judged anew after each change of what is known of exits. Change: sequentialRuns goes over the runs once; suspects are built without an entry for each run; above 500 events a verdict may be 250 ms old. The slopes measure judging and what an answered request costs.

--- a/__utils__/bench/src/quarantineMechanisms.ts
+++ b/__utils__/bench/src/quarantineMechanisms.ts
@@ -41,8 +41,8 @@
   {
     name: 'quarantine: an upstream exit counts once, also if runs were sent there before it was known',
     file: 'request/quarantine/src/sequentialRuns.ts',
-    find: 'return follows && !isLateForExit(run, chain)',
-    replace: 'return follows && (!isLateForExit(run, chain) || true)',
+    find: "if (!follows || isLateForExit(run, lastExits.get(run.upstream ?? ''))) return",
+    replace: "if (!follows || (isLateForExit(run, lastExits.get(run.upstream ?? '')) && false)) return",
     tests: [REQUEST_DECISION, QUARANTINE],
   },
   {
--- a/__utils__/bench/src/slopes.ts
+++ b/__utils__/bench/src/slopes.ts
@@ -66,7 +66,7 @@
 
 async function printRunCosts (): Promise<void> {
   RUN_COUNTS.map(measureRuns).forEach((cost) =>
-    console.log(`${cost.runs} recorded runs: ${cost.heapBytesPerRun.toFixed(0)} bytes of heap and ${cost.microsecondsPerRun.toFixed(1)} µs each, ${cost.microsecondsPerDecision.toFixed(1)} µs per quarantine decision`))
+    console.log(`${cost.runs} recorded runs: ${cost.heapBytesPerRun.toFixed(0)} bytes of heap and ${cost.microsecondsPerRun.toFixed(1)} µs each, ${cost.microsecondsPerDecision.toFixed(1)} µs per quarantine decision, ${(cost.microsecondsPerJudgement / 1000).toFixed(1)} ms to judge prompt parts, ${cost.microsecondsPerSoundRun.toFixed(1)} µs per answered request while nothing is known`))
 }
 
 async function printBoxCosts (): Promise<void> {
--- a/request/quarantine/src/clearanceStore.ts
+++ b/request/quarantine/src/clearanceStore.ts
@@ -68,7 +68,8 @@
 
   /** Whether a run with the part that had written for at least `minWrittenMs` clears it of an exit. */
   isCleared (part: string, { targetVersion, endedAtMs, minWrittenMs }: ExitToClear): boolean {
-    return [...this.#lastMs.get(keyOf(part, targetVersion)) ?? []].some(([writtenMs, atMs]) => writtenMs >= minWrittenMs && atMs >= endedAtMs - CLEARANCE_MS)
+    const lastMs = this.#lastMs.get(keyOf(part, targetVersion))
+    return lastMs !== undefined && [...lastMs].some(([writtenMs, atMs]) => writtenMs >= minWrittenMs && atMs >= endedAtMs - CLEARANCE_MS)
   }
 
   all (): RunEvent[] {
--- a/request/quarantine/src/judgeParts.ts
+++ b/request/quarantine/src/judgeParts.ts
@@ -85,7 +85,7 @@
     const bans = new Map(candidates.flatMap((part) => this.#banOf(part)).map((ban) => [ban.key, ban]))
     return {
       bans: [...bans.values()].filter((ban) => ![...bans.values()].some((other) => other !== ban && covers(other, ban))),
-      suspects: new Map([...this.#runsOf].flatMap(([part, runs]) => runs.map((lastRun) => [suspectKey(part, lastRun.targetVersion), { lastRun, minWrittenMs: this.#minWrittenMs.get(part) as number }]))),
+      suspects: this.#suspects(),
       exitsOfStrongest: ({ id }) => this.#strongestAt.get(id) ?? 0,
     }
   }
@@ -143,6 +143,16 @@
     }]
   }
 
+  #suspects (): Map<string, SuspectedPart> {
+    const suspects = new Map<string, SuspectedPart>()
+    this.#runsOf.forEach((runs, part) => {
+      const minWrittenMs = this.#minWrittenMs.get(part) as number
+      const lastRuns = new Map(runs.map((run) => [run.targetVersion, run]))
+      lastRuns.forEach((lastRun, targetVersion) => suspects.set(suspectKey(part, targetVersion), { lastRun, minWrittenMs }))
+    })
+    return suspects
+  }
+
   /** Parts of other runs that were at all exits of a part as well, so that either may be the cause. */
   #rivalsOf (part: string): string[] {
     const common = this.#commonParts(part)
--- a/request/quarantine/src/partQuarantine.ts
+++ b/request/quarantine/src/partQuarantine.ts
@@ -17,6 +17,9 @@
 /** A trial without an outcome after this time makes way for another one. */
 const TRIAL_TIMEOUT_MS = 10_000
 const TRIAL_RETRY_AFTER_MS = 5000
+/** Above this number of events, verdicts may lag behind them by the interval, which bounds their processor time. */
+const MANY_EVENTS = 500
+const JUDGEMENT_INTERVAL_MS = 250
 
 export interface PartQuarantineOptions {
   clock: Clock
@@ -41,6 +44,7 @@
   readonly #trials = new Map<string, { content: string, startedAtMs: number }>()
   #verdicts?: PartVerdicts
   #revision = -1
+  #judgedAtMs = Number.NEGATIVE_INFINITY
 
   constructor (opts: PartQuarantineOptions) {
     this.#opts = opts
@@ -54,9 +58,12 @@
 
   /** What follows from the events that are known now. */
   verdicts (): PartVerdicts {
-    const { history } = this.#opts
-    if (this.#verdicts && this.#revision === history.revision) return this.#verdicts
+    const { clock, history } = this.#opts
+    const nowMs = clock.nowMs()
+    const mayLag = history.size > MANY_EVENTS && nowMs - this.#judgedAtMs < JUDGEMENT_INTERVAL_MS
+    if (this.#verdicts && (mayLag || this.#revision === history.revision)) return this.#verdicts
     this.#revision = history.revision
+    this.#judgedAtMs = nowMs
     this.#verdicts = judgeParts(history)
     history.protect(new Set(this.#verdicts.bans.flatMap(({ runs }) => runs.map(({ id }) => id))))
     this.#logChanges(this.#verdicts.bans)
--- a/request/quarantine/src/sequentialRuns.ts
+++ b/request/quarantine/src/sequentialRuns.ts
@@ -8,14 +8,18 @@
  * sent to an upstream before its last exit was known, or right after it, reached no other process, and does not count.
  */
 export function sequentialRuns (runs: readonly PastRun[]): PastRun[] {
-  return runs.reduce<PastRun[]>((chain, run) => {
+  const chain: PastRun[] = []
+  const lastExits = new Map<string, PastRun>()
+  runs.forEach((run) => {
     const previous = chain.at(-1)
     const follows = previous === undefined || run.beganAtMs >= previous.endedAtMs
-    return follows && !isLateForExit(run, chain) ? [...chain, run] : chain
-  }, [])
+    if (!follows || isLateForExit(run, lastExits.get(run.upstream ?? ''))) return
+    chain.push(run)
+    if (run.upstream !== undefined) lastExits.set(run.upstream, run)
+  })
+  return chain
 }
 
-function isLateForExit ({ upstream, beganAtMs }: PastRun, chain: readonly PastRun[]): boolean {
-  const exit = chain.findLast((run) => run.upstream !== undefined && run.upstream === upstream)
+function isLateForExit ({ beganAtMs }: PastRun, exit?: PastRun): boolean {
   return exit !== undefined && beganAtMs < Math.max(exit.exitKnownAtMs, exit.endedAtMs + MIN_RESTART_MS)
 }
