--- a/cli/reelspanctl/src/likelyCause.ts
+++ b/cli/reelspanctl/src/likelyCause.ts
@@ -6,7 +6,7 @@
 /** Causes that follow from the error code alone. */
 const CAUSE_BY_CODE: Partial<Record<string, string>> = {
   [ErrorCode.Overloaded]: 'not enough engine capacity: `reason` says how many requests were queued before it',
-  [ErrorCode.RequestQuarantined]: 'upstreams that ran the same request before exited while they ran it: `reason` names them, `quarantineChanged` and `runBrokeOff` have its `contentHash`',
+  [ErrorCode.RequestQuarantined]: 'upstreams exited one after another while they ran the same request, or requests with the same prompt part: `reason` names them, `quarantineChanged` and `runBrokeOff` have its `contentHash` or `partHashes`',
   [ErrorCode.UpstreamLimit]: 'every remaining upstream advertises a rate limit that was used up: `upstreamsAtLimit` names the upstreams, `upstreamLimitChanged` has the limits',
   [ErrorCode.UpstreamBackoff]: 'every remaining upstream had refused a request of this box and asked it to back off: `upstreamBackoff` says since when and for how long',
   [ErrorCode.StreamOriginUnknown]: 'no box that could be asked knew which software version began its stream: `streamTakenUp` says who was asked, and the attempt that began it was lost with its box, or is older than clients may return',
--- a/request/quarantine/src/judgeParts.ts
+++ b/request/quarantine/src/judgeParts.ts
@@ -8,9 +8,9 @@
  */
 export const SOUND_AFTER_MS = 1000
 
-/** A run clears a part before `SOUND_AFTER_MS` if it has written for longer than the runs with the part at all exits: by this factor, */
+/** A run clears a part earlier if it has written for longer than the runs with the part had at their exits, by this factor and the margin. */
 const MIN_WRITTEN_FACTOR = 2
-/** and by this time, since events and exits are seen late. */
+/** Events and exits are seen late. */
 const MIN_WRITTEN_MARGIN_MS = 100
 
 /** Requests that have all of these in common crashed upstreams one after another. */
@@ -90,7 +90,7 @@
     }
   }
 
-  /** What counts at an exit is the run with the part that had written least. */
+  /** At each exit the run with the part that had written least counts. */
   #raiseMinWrittenMs (exit: readonly PastRun[]): void {
     const youngestLast = exit.filter(isYoung).toSorted((a, b) => b.writtenMs - a.writtenMs)
     const youngestOf = new Map(youngestLast.flatMap(({ parts, writtenMs }) => parts.map((part) => [part, writtenMs])))
@@ -166,7 +166,7 @@
     return (this.#partsOf.get(first.id) ?? []).filter((other) => rest.every(({ id }) => this.#partsOf.get(id)?.includes(other)))
   }
 
-  /** Orders rivals by how soon their upstreams exited, since only one of them is quarantined at a time: the next exit, or the next run, decides. */
+  /** Orders rivals by how little their runs had written. Only the first one is quarantined; the next exit or a trial decides. */
   #compare (a: string, b: string): number {
     const meanWrittenMs = (part: string) => {
       const runs = this.#runsOf.get(part) as PastRun[]
--- a/request/quarantine/src/partQuarantine.ts
+++ b/request/quarantine/src/partQuarantine.ts
@@ -10,7 +10,7 @@
 
 /** Time from the last upstream exit until one request with the parts may try again. */
 export const PART_QUARANTINE_MS = 10 * 60_000
-/** The same after a trial that crashed its upstream. Both together are shorter than runs are kept, so that one exit is enough for the next. */
+/** The same after a trial that crashed its upstream. Both together are shorter than runs are kept, so that one more exit is enough. */
 const RENEWED_PART_QUARANTINE_MS = 15 * 60_000
 /** The same while another part may be the cause as well, so that a trial decides soon. */
 const AMBIGUOUS_PART_QUARANTINE_MS = 2000
@@ -92,7 +92,8 @@
   }
 
   /**
-   * Records that a run has written for `writtenMs`, infinite if its answer was complete. Returns whether more is refused than before, since what quarantined requests have in common may have become less.
+   * Records that a run has written for `writtenMs`, infinite if its answer was complete. Returns whether more is
+   * refused than before, since what quarantined requests have in common may have become less.
    */
   recordSound (run: RunParts, writtenMs: number): boolean {
     const { clock, history } = this.#opts
