fix(core.messages,request.quarantine): clearances do not make boxes of an earlier build differ in what they keep

What would happen: in a fleet of two builds boxes pull all events from each other twice a second while clearances are kept. Cause: boxes of an earlier build keep 16 events of one content, and all clearances had the same empty one, so that digests differ from the 17th on. Change: a clearance has its part's hash as content; it is told from other events by its parts. Not run with two builds.

--- a/core/messages/src/runEvent.ts
+++ b/core/messages/src/runEvent.ts
@@ -9,8 +9,8 @@
 }
 
 /**
- * The end of a request's run at an upstream, as announced between boxes. A finished run with `parts` and without
- * `content` is a clearance: runs of any requests with these prompt parts did not crash their upstreams.
+ * The end of a request's run at an upstream, as announced between boxes. A finished run with `parts` is a clearance:
+ * runs of any requests with these prompt parts did not crash their upstreams.
  */
 export const runEventSchema = z.object({
   /** Identifies the event at all boxes. */
--- a/request/quarantine/src/partQuarantine.ts
+++ b/request/quarantine/src/partQuarantine.ts
@@ -126,7 +126,8 @@
     const clearance: RunEvent = {
       id: `${part}/${lastRun.id}/${writtenMs}`,
       end: RunEnd.Finished,
-      content: '',
+      // Boxes of an earlier build keep a limited number of events for each content.
+      content: part,
       caller: '',
       parts: [part],
       targetVersion,
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -5,7 +5,7 @@
 import { type Log, LogEvent } from '@reelspan/telemetry.log'
 import { judgeRequest } from './judgeRequest.js'
 import { PartQuarantine, type TargetVersions } from './partQuarantine.js'
-import { type PastRun, type RunHistory } from './runHistory.js'
+import { isClearance, type PastRun, type RunHistory } from './runHistory.js'
 import { type RunParts } from './soundParts.js'
 
 /**
@@ -104,7 +104,7 @@
   onEventsAdded (events: readonly RunEvent[]): void {
     const countBefore = this.#logged.size
     const refusesMoreParts = this.#parts.onEventsAdded()
-    events.filter(({ content }) => content !== '').forEach((event) => this.#logChange(event, this.#quarantiningRuns(event)))
+    events.filter((event) => !isClearance(event)).forEach((event) => this.#logChange(event, this.#quarantiningRuns(event)))
     if (refusesMoreParts || this.#logged.size > countBefore) this.#notifyListeners()
   }
 
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -163,8 +163,9 @@
   }
 }
 
-function isClearance ({ end, content, parts = [] }: RunEvent): boolean {
-  return end === RunEnd.Finished && content === '' && parts.length > 0
+/** Whether an event clears prompt parts. Other finished runs are told without their parts. */
+export function isClearance ({ end, parts = [] }: RunEvent): boolean {
+  return end === RunEnd.Finished && parts.length > 0
 }
 
 function eventOf ({ id, end, content, caller, upstream, beganAtMs, endedAtMs, exitKnownAtMs, parts, writtenMs, targetVersion }: PastRun, nowMs: number): RunEvent {
