fix(utils.soak): an engine that crashed registers again only when its address accepts connections

The logs show all three decode engines gone for 1.5 s, and then 0.9 s more in which no stream was placed: their entries came back before their proxies listened, so that schedulers found them unresponsive again. Change: the entry is written after the proxy has started.

--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -313,17 +313,18 @@
     replica.proxy.stop()
     await this.stopUpstream(replica)
     await sleep(downMs)
-    await this.restartUpstream(replica, { softwareVersion: replica.softwareVersion })
-    await replica.proxy.start(address)
+    // An upstream registers only when it accepts connections.
+    await this.restartUpstream(replica, { softwareVersion: replica.softwareVersion, onStarted: () => replica.proxy.start(address) })
     endDisruption()
   }
 
   /** Starts a new instance of an upstream at the same address, by default with the next software version. */
-  async restartUpstream (replica: UpstreamReplica, { softwareVersion = nextVersion(replica.softwareVersion) } = {}): Promise<void> {
+  async restartUpstream (replica: UpstreamReplica, { softwareVersion = nextVersion(replica.softwareVersion), onStarted }: { softwareVersion?: string, onStarted?: () => Promise<void> } = {}): Promise<void> {
     removeUpstream(this.store, replica.instance)
     replica.instance = this.#createInstanceName(replica.name)
     replica.softwareVersion = softwareVersion
     replica.upstream = await this.#startUpstream(replica.role, replica.instance, replica.softwareVersion)
+    await onStarted?.()
     replica.listed = true
     replica.leaving = false
     this.writeEntry(replica)
