test(request.quarantine): a box that heard of exits and not of what cleared a part, failing

Cause: found when the landing was checked: a box refuses a part as soon as it has heard of three exits, also if the message of a box that clears it was lost or is on its way. A conclusion from not knowing.

--- a/request/quarantine/test/quarantine.ts
+++ b/request/quarantine/test/quarantine.ts
@@ -191,3 +191,19 @@
   t.is(quarantine.refusalOf(() => second), undefined)
   t.truthy(quarantine.refusalOf(() => first))
 })
+
+test('a box that heard of exits, and not yet of what cleared a part of them, does not refuse the part', async (t) => {
+  const clock = new VirtualClock()
+  const [reporting, clearing, unaware] = ['a', 'b', 'c'].map((incarnation) => startQuarantine({ clock, incarnation }))
+  const aa = hashOfPart('m', 'aa')
+  clearing.quarantine.recordSound({ model: 'm', parts: ['aa'], targetVersion: 'm@1' }, Number.POSITIVE_INFINITY)
+  for (let nth = 0; nth < 3; nth++) {
+    await clock.advance(INTERVAL_MS)
+    reporting.exit(requestWith([aa], { caller: `w${nth}` }), `u${nth}`)
+  }
+  clearing.receive(reporting.events())
+  unaware.receive(reporting.events())
+  t.is(unaware.quarantine.refusalOf(() => requestWith([aa])), undefined)
+  unaware.receive(clearing.events())
+  t.is(unaware.quarantine.refusalOf(() => requestWith([aa])), undefined)
+})
