fix(request.quarantine): a part is not refused before what clears it can have arrived

What callers would see: requests with a popular part refused at a box that heard of three exits, while the message of the box that clears the part was lost or on its way. Cause: a conclusion from not knowing: three exits without a clearance were taken for three exits that nothing clears. Change: while a box knows of no clearance of any part of the runs at the exits, it refuses the part only 800 ms after it has found it; a heartbeat pulls what was lost in that time. Where other parts of the runs were cleared, it refuses at once as before.

--- a/request/quarantine/src/judgeParts.ts
+++ b/request/quarantine/src/judgeParts.ts
@@ -30,6 +30,8 @@
   lastEndedAtMs: number
   /** Whether another part may be the cause as well. */
   ambiguous: boolean
+  /** Whether no part of the runs is known to be cleared, as if clearances had not arrived. */
+  unconfirmed: boolean
 }
 
 export interface SuspectedPart {
@@ -140,6 +142,7 @@
       runs: attributed,
       lastEndedAtMs: (runs.at(-1) as PastRun).endedAtMs,
       ambiguous: rivals.length > 0,
+      unconfirmed: runs.every((run) => this.#partsOf.get(run.id)?.length === run.parts.length),
     }]
   }
 
--- a/request/quarantine/src/partQuarantine.ts
+++ b/request/quarantine/src/partQuarantine.ts
@@ -14,6 +14,8 @@
 const RENEWED_PART_QUARANTINE_MS = 15 * 60_000
 /** The same while another part may be the cause as well, so that a trial decides soon. */
 const AMBIGUOUS_PART_QUARANTINE_MS = 2000
+/** Clearances that were lost on their way are pulled with the next heartbeat. */
+const CLEARANCE_ARRIVAL_MS = 800
 /** A trial without an outcome after this time makes way for another one. */
 const TRIAL_TIMEOUT_MS = 10_000
 const TRIAL_RETRY_AFTER_MS = 5000
@@ -40,6 +42,8 @@
   readonly #soundParts = new SoundParts()
   /** Bans whose beginning was logged, and whose end was not. */
   readonly #logged = new Map<string, PartBan>()
+  /** When this box first came to each ban. */
+  readonly #foundAtMs = new Map<string, number>()
   /** The request that tries, by ban. */
   readonly #trials = new Map<string, { content: string, startedAtMs: number }>()
   #verdicts?: PartVerdicts
@@ -147,9 +151,16 @@
       ban.parts.every((part) => parts.includes(part)) &&
       (ban.caller === undefined || ban.caller === caller) &&
       (ban.content === undefined || ban.content === content) &&
+      this.#isSettled(ban) &&
       !this.#mayTry(ban, content))
   }
 
+  /** Whether clearances of the exits can have arrived here, unless some have. */
+  #isSettled ({ key, unconfirmed }: PartBan): boolean {
+    const foundAtMs = this.#foundAtMs.get(key) ?? Number.NEGATIVE_INFINITY
+    return !unconfirmed || this.#opts.clock.nowMs() - foundAtMs >= CLEARANCE_ARRIVAL_MS
+  }
+
   /** Whether a request may try after its quarantine, one at a time. */
   #mayTry (ban: PartBan, content: string): boolean {
     const { clock, mayTry } = this.#opts
@@ -177,10 +188,12 @@
 
   #logChanges (bans: readonly PartBan[]): void {
     const keys = new Set(bans.map(({ key }) => key))
+    bans.filter(({ key }) => !this.#logged.has(key)).forEach((ban) => this.#foundAtMs.set(ban.key, this.#firstFoundAtMs(ban)))
     const ended = [...this.#logged].filter(([key]) => !keys.has(key))
     ended.forEach(([key, ban]) => {
       this.#logged.delete(key)
       this.#trials.delete(key)
+      this.#foundAtMs.delete(key)
       this.#logChange(ban, false)
     })
     bans.filter(({ key }) => !this.#logged.has(key)).forEach((ban) => {
@@ -189,6 +202,12 @@
     })
   }
 
+  /** A ban that takes the place of narrower ones was found with the first of them. */
+  #firstFoundAtMs ({ parts }: PartBan): number {
+    const narrower = [...this.#logged].filter(([, ban]) => parts.every((part) => ban.parts.includes(part)))
+    return Math.min(this.#opts.clock.nowMs(), ...narrower.map(([key]) => this.#foundAtMs.get(key) ?? Number.POSITIVE_INFINITY))
+  }
+
   #logChange ({ parts, caller, content, targetVersions, runs }: PartBan, quarantined: boolean): void {
     this.#opts.log.warn(LogEvent.QuarantineChanged, { quarantined, partHashes: parts, callerHash: caller, contentHash: content, targetVersions, upstreams: runs.flatMap(({ upstream }) => upstream ?? []) })
   }
