fix(request.quarantine,request.relay): a request that tries after a quarantine reaches one engine

What callers would see: when a quarantine lapses, two engines exit in place of one. Cause: a stream of a resumable route is sent to a second engine some 50 ms after the first has exited, before a probe and the check of the box's own paths have shown the exit; until then the request counts as the one that tries. Change: an interrupted run ends the trial of its request; nothing with the part is sent until the outcome is known.

--- a/__utils__/bench/src/quarantineMechanisms.ts
+++ b/__utils__/bench/src/quarantineMechanisms.ts
@@ -83,7 +83,7 @@
   {
     name: 'quarantine: one request at a time may try after a quarantine',
     file: 'request/quarantine/src/partQuarantine.ts',
-    find: 'return trial.content === content',
+    find: 'return trial.content === content && !trial.interrupted',
     replace: 'return true',
     tests: [QUARANTINE],
   },
--- a/box/runtime/test/crashingPromptPart.ts
+++ b/box/runtime/test/crashingPromptPart.ts
@@ -1,5 +1,6 @@
 // Guards against a prompt part that crashes every engine, in requests that are never alike.
 import { Verdict } from '@reelspan/core.error'
+import { PART_QUARANTINE_MS } from '@reelspan/request.quarantine'
 import { type FakeFleet } from '@reelspan/utils.fake-fleet'
 import test, { type ExecutionContext } from 'ava'
 import { CRASHING_PART, crashingTraffic, crashTimes, lateRequests, MAX_LATE_REQUESTS, type PartFleetOptions, play, type PromptTraffic, quarantinedPrompts, sendPrompts, soundShare, soundTraffic, startPartFleet } from './__utils__/crashingParts.js'
@@ -147,6 +148,20 @@
   }
 })
 
+test('after a quarantine one request in the whole fleet tries, at one engine', async (t) => {
+  for (const path of ['/draft/', '/reply/']) {
+    const fleet = await startPartFleet()
+    await play(fleet, { crashing: [crashingTraffic({ path })] })
+    const before = crashTimes(fleet).length
+    await fleet.clock.advance(PART_QUARANTINE_MS - 30_000)
+    const sending = sendPrompts(fleet, crashingTraffic({ path, everyMs: 100, durationMs: 60_000 }))
+    await fleet.clock.advance(61_000)
+    await sending
+    t.is(crashTimes(fleet).length - before, 1, path)
+    await fleet.stop()
+  }
+})
+
 /** Cuts a zone off for some seconds. */
 async function cutZone (fleet: FakeFleet): Promise<void> {
   fleet.isolateZone('hall-a')
--- a/request/quarantine/src/partQuarantine.ts
+++ b/request/quarantine/src/partQuarantine.ts
@@ -45,7 +45,7 @@
   /** When this box first came to each ban. */
   readonly #foundAtMs = new Map<string, number>()
   /** The request that tries, by ban. */
-  readonly #trials = new Map<string, { content: string, startedAtMs: number }>()
+  readonly #trials = new Map<string, { content: string, startedAtMs: number, interrupted?: boolean }>()
   #verdicts?: PartVerdicts
   #revision = -1
   #judgedAtMs = Number.NEGATIVE_INFINITY
@@ -106,6 +106,11 @@
     return this.#refusesMoreAfter(() => this.#clearSuspects(soundParts()))
   }
 
+  /** Records that a run was interrupted. If its request tries after a quarantine, it is not sent again before it is known whether the upstream exited. */
+  recordInterruption ({ content }: RequestIdentity): void {
+    this.#trials.forEach((trial) => { trial.interrupted ||= trial.content === content })
+  }
+
   #refusesMoreAfter (change: () => void): boolean {
     const before = new Set(this.#logged.keys())
     change()
@@ -167,7 +172,7 @@
     const lapsedMs = clock.nowMs() - this.#untilMs(ban)
     if (lapsedMs < 0) return false
     const trial = this.#trials.get(ban.key)
-    if (trial && clock.nowMs() < trial.startedAtMs + TRIAL_TIMEOUT_MS) return trial.content === content
+    if (trial && clock.nowMs() < trial.startedAtMs + TRIAL_TIMEOUT_MS) return trial.content === content && !trial.interrupted
     if (!mayTry(ban.key, lapsedMs)) return false
     this.#trials.set(ban.key, { content, startedAtMs: clock.nowMs() })
     return true
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -85,6 +85,11 @@
     if (run.parts.length > 0 && this.#parts.recordSound(run, writtenMs)) this.#notifyListeners()
   }
 
+  /** Records that a run was interrupted, before it is known whether its upstream exited. */
+  recordInterruption (identity: () => RequestIdentity): void {
+    if (this.#opts.history.size > 0) this.#parts.recordInterruption(identity())
+  }
+
   /** Records that the upstream's process exited while it ran the request. */
   recordUpstreamExit ({ content, caller, parts = [] }: RequestIdentity, upstream: string, { writtenMs, targetVersion, ...times }: UpstreamExitTimes): void {
     const partFields = parts.length > 0 ? { parts: [...parts], writtenMs, targetVersion } : {}
