refactor(request.relay,utils.soak): checks of engines before a send, members and path losses of the soak have files of their own

Change: EngineChecks, pathLoss.ts and soakMembers.ts; nothing else changes. One comment says announced in place of told.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -270,7 +270,7 @@
   },
   {
     name: 'an engine that requested a backoff during prefill gets no decode',
-    file: 'request/relay/src/completionRelay.ts',
+    file: 'request/relay/src/engineChecks.ts',
     find: 'if (opts.fleet().takesWork(engine) && backoffMs === 0) return',
     replace: 'if (opts.fleet().takesWork(engine)) return',
     tests: ['request/relay/test.lib/upstreamSignals.js'],
--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -4,7 +4,8 @@
 import { type Attempt, isStream, RouteKind } from './attempt.js'
 import { drawOne } from './drawOne.js'
 import { drawShape, appendShape, parseShape } from './requestShape.js'
-import { DEFAULT_KEY, type SoakBox } from './soakFleet.js'
+import { DEFAULT_KEY } from './soakFleet.js'
+import { type SoakBox } from './soakMembers.js'
 
 const PATHS: Record<RouteKind, string> = {
   [RouteKind.Once]: '/fetch/1',
--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -3,7 +3,8 @@
 import { drawOne } from './drawOne.js'
 import { type FaultProxy, NetworkFault, BlackholeDirection } from './faultProxy.js'
 import { ALL_SUBJECTS } from './disruptionLog.js'
-import { type SoakBox, type SoakFleet, type UpstreamReplica } from './soakFleet.js'
+import { type SoakFleet } from './soakFleet.js'
+import { type SoakBox, type UpstreamReplica } from './soakMembers.js'
 
 /** Kinds of faults that are injected from outside. */
 export enum FaultKind {
--- a/__utils__/soak/src/loadPhase.ts
+++ b/__utils__/soak/src/loadPhase.ts
@@ -6,7 +6,8 @@
 import { drawOne } from './drawOne.js'
 import { measureMemory } from './measureMemory.js'
 import { appendShape } from './requestShape.js'
-import { OVERLOAD_KEY, DEFAULT_KEY, type SoakBox } from './soakFleet.js'
+import { OVERLOAD_KEY, DEFAULT_KEY } from './soakFleet.js'
+import { type SoakBox } from './soakMembers.js'
 
 export interface LoadPhaseOptions {
   random: SeededRandom
--- a/__utils__/soak/src/pathLossPhase.ts
+++ b/__utils__/soak/src/pathLossPhase.ts
@@ -2,7 +2,9 @@
 import { type SeededRandom } from '@reelspan/utils.fakes'
 import { type Attempt } from './attempt.js'
 import { drawOne } from './drawOne.js'
-import { PathLoss, type SoakBox, type SoakFleet } from './soakFleet.js'
+import { PathLoss } from './pathLoss.js'
+import { type SoakFleet } from './soakFleet.js'
+import { type SoakBox } from './soakMembers.js'
 
 export interface PathLossPhaseOptions {
   fleet: SoakFleet
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -15,7 +15,8 @@
 import { type DisruptionKind } from './disruptionLog.js'
 import { measureMemory } from './measureMemory.js'
 import { PathLossPhase } from './pathLossPhase.js'
-import { ACCOUNT, OVERLOAD_ACCOUNT, OVERLOAD_KEY, DEFAULT_KEY, keyOf, type SoakBox, SoakFleet } from './soakFleet.js'
+import { ACCOUNT, OVERLOAD_ACCOUNT, OVERLOAD_KEY, DEFAULT_KEY, keyOf, SoakFleet } from './soakFleet.js'
+import { type SoakBox } from './soakMembers.js'
 import { overlaps, type TimeInterval, StallDetector } from './stallDetector.js'
 
 export interface SoakOptions {
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -5,7 +5,7 @@
 import { fileURLToPath } from 'node:url'
 import { FleetProcess } from '@reelspan/utils.bench'
 import { SeededRandom } from '@reelspan/utils.fakes'
-import { type AnswerEnd, type BoxAddresses, registerUpstream, HandleTable, registeredInstances, publishRoutes, type ReceivedHeaders, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
+import { type AnswerEnd, registerUpstream, HandleTable, registeredInstances, publishRoutes, type ReceivedHeaders, removeUpstream, requestHeaders, Role, settingsFileText, StandInStore, StandInUpstream, type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
 import { REVOCATION_BOUND_MS } from './checkKeys.js'
 import { type Departure, type PlannedStop, type Publication } from './checkBounds.js'
@@ -15,7 +15,9 @@
 import { DisruptionKind, DisruptionLog } from './disruptionLog.js'
 import { PORT_OFFSET } from './listenBehindProxy.js'
 import { ConnectFault } from './outgoingConnections.js'
+import { PATH_FAULTS, type PathLoss } from './pathLoss.js'
 import { parseShape } from './requestShape.js'
+import { type SoakBox, type UpstreamReplica } from './soakMembers.js'
 import { type TimeInterval } from './stallDetector.js'
 
 const REELSPAN = fileURLToPath(import.meta.resolve('reelspan').replace('lib/index.js', 'bin/reelspan.js'))
@@ -64,22 +66,6 @@
 /** Distance between the subnets of one process, so that they do not collide with those of processes with nearby ids. */
 const SUBNET_STEP = 97
 
-/** How the paths of a box to all upstreams are lost. */
-export enum PathLoss {
-  /** Open connections bring nothing, and new ones are never accepted. */
-  Silent = 'silent',
-  /** Open connections are reset, and new ones are refused. */
-  Reset = 'reset',
-  /** Open connections work, and new ones are refused. */
-  RefusesNew = 'refusesNew',
-}
-
-const PATH_FAULTS: Record<PathLoss, { open: NetworkFault, connect: ConnectFault }> = {
-  [PathLoss.Silent]: { open: NetworkFault.Silent, connect: ConnectFault.Hang },
-  [PathLoss.Reset]: { open: NetworkFault.Reset, connect: ConnectFault.Refuse },
-  [PathLoss.RefusesNew]: { open: NetworkFault.None, connect: ConnectFault.Refuse },
-}
-
 let fleetCount = 0
 const runningFleets = new Set<SoakFleet>()
 
@@ -88,35 +74,6 @@
   await Promise.all([...runningFleets].map((fleet) => fleet.stop()))
 }
 
-export interface SoakBox {
-  name: string
-  zone: string
-  addresses: BoxAddresses
-  process: FleetProcess
-  /** Proxy between the box and the store. */
-  storeProxy: FaultProxy
-  /** Proxy between the other boxes and this one. */
-  peerProxy: FaultProxy
-  /** Intervals in which its process was suspended or got no processor time, on `performance.now()`. */
-  pauses: TimeInterval[]
-  /** Output of its earlier processes. */
-  earlierOutput: string
-}
-
-/** An upstream that is restarted under new instance names. Its proxy keeps the address across restarts. */
-export interface UpstreamReplica {
-  name: string
-  role: Role
-  proxy: FaultProxy
-  upstream: StandInUpstream
-  instance: string
-  listed: boolean
-  leaving: boolean
-  sequence: number
-  /** Raised with each restart, so that several versions serve side by side. */
-  softwareVersion: string
-}
-
 /** Runs boxes as processes, and stand-ins for the platform's store and upstreams behind proxies. */
 export class SoakFleet {
   readonly boxes: SoakBox[] = []
--- a/__utils__/soak/src/stallDetector.ts
+++ b/__utils__/soak/src/stallDetector.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs'
-import { type SoakBox } from './soakFleet.js'
+import { type SoakBox } from './soakMembers.js'
 
 /** A time interval on `performance.now()`. */
 export interface TimeInterval {
--- a/request/quarantine/src/runHistory.ts
+++ b/request/quarantine/src/runHistory.ts
@@ -163,7 +163,7 @@
   }
 }
 
-/** Whether an event clears prompt parts. Other finished runs are told without their parts. */
+/** Whether an event clears prompt parts. Other finished runs are announced without their parts. */
 export function isClearance ({ end, parts = [] }: RunEvent): boolean {
   return end === RunEnd.Finished && parts.length > 0
 }
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -1,4 +1,3 @@
-import { storeRevisionOf } from '@reelspan/config.store'
 import { type EngineOutcome, isOwnPrefill, type PlacementPlan, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
 import { type Placement } from '@reelspan/scheduling.placer'
@@ -12,6 +11,7 @@
 import { EventProgress } from './eventProgress.js'
 import { type ExchangeProgress } from './exchangeProgress.js'
 import { endsVisibly } from './endsVisibly.js'
+import { EngineChecks } from './engineChecks.js'
 import { withInterruptionReport, type SendingWork } from './withInterruptionReport.js'
 import { type AnswerTimes } from './passAnswer.js'
 import { passEvents } from './passEvents.js'
@@ -23,7 +23,6 @@
 import { mustDelegate } from './mustDelegate.js'
 import { listedVersion } from './listedVersion.js'
 import { StreamVersion } from './streamVersion.js'
-import { targetVersionOf } from './targetVersionOf.js'
 import { untilLost } from './untilLost.js'
 
 /** Bound on placements of one request, including those that did not reach an engine. */
@@ -54,6 +53,7 @@
   readonly #failedEngines = new Set<string>()
   readonly #progress = new EventProgress()
   readonly #version: StreamVersion
+  readonly #checks: EngineChecks
   readonly #placer: CompletionPlacer
   /** Outcomes at the engines of the present placement. */
   #outcomes: EngineOutcome[] = []
@@ -68,6 +68,7 @@
     this.#model = model
     this.#prompt = prompt
     this.#version = new StreamVersion(context, model)
+    this.#checks = new EngineChecks(context, this.#version, this.#failedEngines)
     this.#placer = new CompletionPlacer(context, model, prompt, { failed: this.#failedEngines, progress: this.#progress, version: this.#version })
   }
 
@@ -113,14 +114,14 @@
       // After a late wake-up, the slot that was reserved for the end of this prefill may have been given to another request.
       if (opts.clock.nowMs() - placedAtMs > plan.startWithinMs) throw new UpstreamError('the reserved start time of the placement has passed', { mayHaveRun: false })
       if (mustDelegate(this.#context)) throw new UpstreamError('this box has lost its paths to the upstreams', { mayHaveRun: false })
-      this.#checkMaySend(plan.prefillEngine)
-      this.#checkMayDecode(plan.decodeEngine)
+      this.#checks.checkMaySend(plan.prefillEngine)
+      this.#checks.checkMayDecode(plan.decodeEngine)
       if (!isOwnPrefill(plan)) {
         source = await this.#prefill(plan, permits.prefill)
         this.#prefillMs = opts.clock.nowMs() - placedAtMs
         placement.recordPrefillEnd()
         await run.checkBeforeSend()
-        this.#checkMayDecode(plan.decodeEngine)
+        this.#checks.checkMayDecode(plan.decodeEngine)
       }
       await this.#decode({ placement, permits }, source, times)
       handleConsumed = true
@@ -133,29 +134,6 @@
     }
   }
 
-  /** The engine may have begun to drain or asked this box to back off after the scheduler's last update. */
-  #checkMaySend (engine: string): void {
-    const { opts } = this.#context
-    const backoffMs = opts.backoffs.remainingMs(engine)
-    if (opts.fleet().takesWork(engine) && backoffMs === 0) return
-    this.#failedEngines.add(engine)
-    const reason = backoffMs > 0 ? `asked this box to back off for another ${Math.ceil(backoffMs)} ms` : `does not accept new work according to revision ${storeRevisionOf(opts.fleetRevision()).revision} of the upstream list`
-    throw new UpstreamError(`${engine} ${reason}`, { mayHaveRun: false, refused: true })
-  }
-
-  /** A scheduler of an earlier build does not know which software version began the stream, and an engine's entry may have changed since it placed it. */
-  #checkMayDecode (engine: string): void {
-    this.#checkMaySend(engine)
-    const { opts, identity } = this.#context
-    if (opts.quarantine.bannedVersions(identity).includes(targetVersionOf(this.#context, engine))) {
-      this.#failedEngines.add(engine)
-      throw new UpstreamError(`parts of the prompt crash engines of the software version of ${engine}`, { mayHaveRun: false, refused: true })
-    }
-    if (this.#version.allows(engine)) return
-    this.#failedEngines.add(engine)
-    throw new UpstreamError(`${engine} is not of the software version «${this.#version.fixed}» that began the stream`, { mayHaveRun: false, refused: true })
-  }
-
   async #prefill (plan: PlacementPlan, permit: SendPermit): Promise<PrefillSource> {
     const { run } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
