feat(request.relay): logs say which silent exchange was given up, and why nothing was tried after it

Cause: a stream that was given up because its engine was silent ended with the failure of its next attempt; no line told an exhausted retry budget from a used-up attempt, nor how long the exchange had been silent. Change: exchangeGivenUp and requestNotRetried. Result: no decision changes.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -34,6 +34,19 @@
 const DECODE_IDLE_TIMEOUT_TARGETS = 2
 const FIRST_SERVER_ERROR = 500
 
+enum ExchangeStage {
+  Prefill = 'prefill',
+  Decode = 'decode',
+}
+
+/** An exchange that ends if its upstream is silent for too long. */
+interface TimedExchange {
+  upstream: string
+  stage: ExchangeStage
+  timeoutMs: number
+  mayExpire?: () => boolean
+}
+
 /** What the answer of a decode engine is handled with. */
 interface AnswerContext {
   placement: Placement
@@ -72,7 +85,7 @@
   }
 
   async execute (times: AnswerTimes): Promise<void> {
-    const { run, logDecision } = this.#context
+    const { run, route, budget, caller, logDecision } = this.#context
     await this.#version.find()
     for (let attempt = 1; ; attempt++) {
       await run.checkBeforeSend()
@@ -84,7 +97,10 @@
         run.throwIfEnded()
         // A placement may have been refused only since this box avoids the engines that it cannot reach.
         if (mustDelegate(this.#context) && this.#decodeEngines.size === 0 && !this.#context.caller.begun) continue
-        if (!this.#mayRetry(thrown, attempt)) throw thrown
+        if (!this.#mayRetry(thrown, attempt)) {
+          logDecision(LogEvent.RequestNotRetried, { attempt, reason: (thrown as Error).message, attemptsLeft: route.spec.maxAttempts - this.#decodeEngines.size, retriesLeft: Math.floor(budget.left), begun: caller.begun })
+          throw thrown
+        }
         logDecision(LogEvent.RequestRetried, { attempt, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
       }
     }
@@ -137,18 +153,21 @@
     const { run } = this.#context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const timeoutMs = PREFILL_TIMEOUT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs
-    const { handle } = await this.#trackFailure(target, (progress) => this.#withIdleTimer(timeoutMs, ({ signal }) => untilLost(this.#context, signal, () => true, (lostSignal) =>
+    const { handle } = await this.#trackFailure(target, (progress) => this.#withIdleTimer({ upstream: plan.prefillEngine, stage: ExchangeStage.Prefill, timeoutMs }, ({ signal }) => untilLost(this.#context, signal, () => true, (lostSignal) =>
       prefillAtUpstream(this.#context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent(lostSignal) }))))
     this.#recordOutcome(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
   }
 
   /** Runs `work` with a timer that aborts it when no data arrives for `timeoutMs`. */
-  async #withIdleTimer<T> (timeoutMs: number, work: (idleTimer: IdleTimer) => Promise<T>, mayExpire?: () => boolean): Promise<T> {
-    const { opts, run } = this.#context
+  async #withIdleTimer<T> ({ upstream, stage, timeoutMs, mayExpire }: TimedExchange, work: (idleTimer: IdleTimer) => Promise<T>): Promise<T> {
+    const { opts, run, caller, budget, logDecision } = this.#context
     const idleTimer = new IdleTimer(opts.clock, timeoutMs, run.signal, mayExpire)
     try {
       return await work(idleTimer)
+    } catch (thrown) {
+      if (idleTimer.signal.aborted && !run.signal.aborted) logDecision(LogEvent.ExchangeGivenUp, { upstream, stage, silentMs: Math.round(idleTimer.silentMs), begun: caller.begun, retriesLeft: Math.floor(budget.left) })
+      throw thrown
     } finally {
       idleTimer.stop()
     }
@@ -201,7 +220,7 @@
     const timeoutMs = this.#hasAttemptsLeft() ? DECODE_IDLE_TIMEOUT_TARGETS * route.spec.tbtTargetMs + promptMs : Number.POSITIVE_INFINITY
     const target = { instance: plan.decodeEngine, address: plan.decodeAddress }
     const version = listedVersion(this.#context.opts, plan.decodeEngine) ?? ''
-    await this.#trackFailure(target, (exchange) => this.#withIdleTimer(timeoutMs, (idleTimer) => this.#trackInterruption(idleTimer, async () => {
+    await this.#trackFailure(target, (exchange) => this.#withIdleTimer({ upstream: plan.decodeEngine, stage: ExchangeStage.Decode, timeoutMs, mayExpire: () => this.#mayRetryElsewhere() }, (idleTimer) => this.#trackInterruption(idleTimer, async () => {
       const answer = await untilLost(this.#context, idleTimer.signal, () => !sent, (signal) => sendToUpstream(this.#context, { target, permit }, {
         signal,
         deadlineMs: run.remainingMs,
@@ -215,7 +234,7 @@
       }))
       idleTimer.reset()
       await this.#handleAnswer(plan, answer, { placement, times, idleTimer, version, exchange })
-    }), () => this.#mayRetryElsewhere())).catch((thrown: unknown) => {
+    }))).catch((thrown: unknown) => {
       // An engine that accepted no connection has received nothing, so it does not count as one of the attempts.
       if (!sent && !wasSentBefore) this.#decodeEngines.delete(plan.decodeEngine)
       throw thrown
--- a/request/relay/src/idleTimer.ts
+++ b/request/relay/src/idleTimer.ts
@@ -30,6 +30,11 @@
     return this.#expired.signal
   }
 
+  /** Time since something was last received, or since the timer was created. */
+  get silentMs (): number {
+    return this.#clock.nowMs() - this.#lastActivityMs
+  }
+
   reset (): void {
     this.#lastActivityMs = this.#clock.nowMs()
   }
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -43,6 +43,10 @@
   RequestPlaced = 'requestPlaced',
   RequestSent = 'requestSent',
   RequestRetried = 'requestRetried',
+  /** An attempt failed, and no other one is made. */
+  RequestNotRetried = 'requestNotRetried',
+  /** This box ended an exchange with an upstream that was silent. */
+  ExchangeGivenUp = 'exchangeGivenUp',
   /** A request is run by another box, since this one cannot reach any upstream. */
   RequestDelegated = 'requestDelegated',
   /** A client takes up a stream that an earlier attempt began. */
