--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -33,6 +33,8 @@
   prefillHangs = false
   /** The prefill ends when this resolves, even if it was aborted. */
   prefillEnds?: Promise<void>
+  /** How long a prefill takes, unless it is aborted. */
+  prefillMs = 0
   onPrefill?: () => void
   /** Instances that accept no connection. */
   readonly unreachable = new Set<string>()
@@ -65,6 +67,7 @@
     onSend?.()
     this.onPrefill?.()
     if (this.prefillEnds) await this.#trackWork(signal, this.prefillEnds)
+    if (this.prefillMs > 0) await this.#trackWork(signal, Promise.race([this.#clock.sleep(this.prefillMs), rejectOnAbort(signal)]))
     if (this.prefillHangs) await this.#trackWork(signal, rejectOnAbort(signal))
     if (this.prefillFailure) throw this.prefillFailure
     return { handle: `handle-${this.prefills.length}`, promptTokens: 1000 }
--- /dev/null
+++ b/request/relay/test/silentEngine.ts
@@ -0,0 +1,106 @@
+import { Verdict } from '@reelspan/core.error'
+import { PlacementOutcome } from '@reelspan/core.messages'
+import test, { type ExecutionContext } from 'ava'
+import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script, stalls } from './__utils__/createRelay.js'
+
+const FIRST = 'id: 0\ndata: a\n\n'
+const SECOND = 'id: 1\ndata: b\n\n'
+/** Longer than a stream may be silent before another engine is tried, shorter than callers wait. */
+const SILENCE_MS = 1200
+const NO_ROOM = { outcome: PlacementOutcome.Refused as const, reason: 'full', retryAfterMs: 500 }
+
+type TestRelay = ReturnType<typeof createRelay>
+
+/** Plays a stream whose engine is silent between its two events. `onSilence` is called when its first event has been passed on. */
+async function playSilence (others: Script[], onSilence: (relay: TestRelay) => void = () => {}, opts: Parameters<typeof createRelay>[1] = {}): Promise<{ caller: RecordingCaller, played: TestRelay }> {
+  const played = createRelay([pauses(200, [FIRST, SECOND], SILENCE_MS), ...others], opts)
+  const caller = new RecordingCaller()
+  const work = played.relay.relay(requestTo('/reply/1'), caller)
+  await played.clock.advance(10)
+  onSilence(played)
+  await played.clock.run(work)
+  return { caller, played }
+}
+
+function assertWhole (t: ExecutionContext, caller: RecordingCaller): void {
+  t.is(caller.body, FIRST + SECOND)
+  t.true(caller.complete)
+}
+
+test('a begun stream is not cut when its engine is silent and the prefill for another engine does not come', async (t) => {
+  const { caller } = await playSilence([], ({ upstreams }) => { upstreams.prefillHangs = true })
+  assertWhole(t, caller)
+})
+
+test('a begun stream is not cut when its engine is silent and no other one has room', async (t) => {
+  const { caller } = await playSilence([], ({ placer }) => { placer.refusal = NO_ROOM })
+  assertWhole(t, caller)
+})
+
+const UNHELPFUL: Record<string, Script> = {
+  'refuses the request': refuses(),
+  'cannot be reached': fails({ mayHaveRun: false, unreachable: true }),
+  'breaks off': fails({ mayHaveRun: true }),
+  'responds with a failure': answers(500, 'oops'),
+  'is silent too': hangs(),
+}
+
+Object.entries(UNHELPFUL).forEach(([what, script]) => {
+  test(`a begun stream is not cut when its engine is silent and the other one ${what}`, async (t) => {
+    const { caller } = await playSilence([script, script, script])
+    assertWhole(t, caller)
+  })
+})
+
+test('a request is not failed when its engine has not answered yet and the other one is silent', async (t) => {
+  const { clock, relay } = createRelay([answersAfter(SILENCE_MS, 200, FIRST), hangs()])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(caller.body, FIRST)
+  t.true(caller.complete)
+})
+
+/** A relay whose single retry has been used by another request. */
+async function createWithoutRetry (scripts: Script[]): Promise<TestRelay> {
+  const created = createRelay([answers(500, 'oops'), answers(200, 'other'), ...scripts], { retryBurst: 1 })
+  await created.clock.run(created.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  return created
+}
+
+test('a request is not refused when its prefill is late and no retry is left', async (t) => {
+  const { clock, relay, upstreams } = await createWithoutRetry([answers(200, FIRST)])
+  upstreams.prefillMs = SILENCE_MS
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(caller.body, FIRST)
+  t.true(caller.complete)
+})
+
+test('a prefill that never ends is refused as not run before its caller leaves', async (t) => {
+  const { clock, relay, upstreams } = await createWithoutRetry([])
+  upstreams.prefillHangs = true
+  const caller = new RecordingCaller()
+  const startedAtMs = clock.nowMs()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(caller.refused?.verdict, Verdict.NotRun)
+  t.is(clock.nowMs() - startedAtMs, 3 * 900)
+})
+
+test('a stream goes on at the other engine if that one writes first, and the silent one is cancelled then', async (t) => {
+  const { clock, relay, upstreams } = createRelay([stalls(200, FIRST), answersAfter(100, 200, SECOND)])
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/reply/1'), caller)
+  await clock.advance(650)
+  t.is(upstreams.runs.length, 2)
+  t.false(upstreams.runs[0].opts.signal.aborted)
+  await clock.run(work)
+  assertWhole(t, caller)
+  t.true(upstreams.runs[0].opts.signal.aborted)
+})
+
+test('the attempt at the other engine is cancelled when the silent one goes on', async (t) => {
+  const { caller, played: { upstreams, placer } } = await playSilence([hangs()])
+  assertWhole(t, caller)
+  t.true(upstreams.runs[1].opts.signal.aborted)
+  t.is(placer.released, placer.placed)
+})
