refactor(request.owner): sends of one run may overlap

Cause: dispatchOnSend restored what was known before a send that an upstream refused, so that a refusal of one of two overlapping sends would have hidden that the other one may have run. Change: each send counts by itself. Result: no decision of sequential sends changes.

--- a/request/owner/src/runContext.ts
+++ b/request/owner/src/runContext.ts
@@ -30,7 +30,8 @@
   readonly #opts: RunContextOptions
   readonly #abort = new AbortController()
   readonly #startedAtMs: number
-  #mayHaveRun = false
+  /** Sends of which it is not known that their upstream has not begun the request. */
+  readonly #possibleRuns = new Set<symbol>()
   #lastSentMs?: number
   #attempt = 0
 
@@ -47,7 +48,7 @@
   }
 
   get mayHaveRun (): boolean {
-    return this.#mayHaveRun
+    return this.#possibleRuns.size > 0
   }
 
   get elapsedMs (): number {
@@ -100,7 +101,7 @@
 
   /**
    * Sends a message that makes an upstream begin the request. From then on the request may have run,
-   * unless the upstream is known not to have begun it and no earlier attempt may have run.
+   * unless the upstream is known not to have begun it and no other attempt may have run.
    */
   dispatch<T> (send: () => Promise<T>): Promise<T> {
     return this.dispatchOnSend((markSent) => {
@@ -111,15 +112,15 @@
 
   /** Like `dispatch`, but the request counts as possibly run only from the moment at which `send` calls its argument. */
   async dispatchOnSend<T> (send: (sent: () => void) => Promise<T>): Promise<T> {
-    const mayHaveRunBefore = this.#mayHaveRun
+    const id = Symbol('send')
     const markSent = () => {
-      this.#mayHaveRun = true
+      this.#possibleRuns.add(id)
       this.#lastSentMs = this.elapsedMs
     }
     try {
       return await send(markSent)
     } catch (thrown) {
-      if (toReelspanError(thrown).verdict === Verdict.NotRun) this.#mayHaveRun = mayHaveRunBefore
+      if (toReelspanError(thrown).verdict === Verdict.NotRun) this.#possibleRuns.delete(id)
       else markSent()
       throw thrown
     }
@@ -128,7 +129,7 @@
   /** Ends the request with an error as its final answer. Later calls have no effect. */
   end (error: ReelspanError): void {
     if (error instanceof RunEnded) return
-    const verdict = this.#mayHaveRun || !this.#opts.isExclusive() ? Verdict.MayHaveRun : Verdict.NotRun
+    const verdict = this.mayHaveRun || !this.#opts.isExclusive() ? Verdict.MayHaveRun : Verdict.NotRun
     this.#append(verdict, error)
     this.#abort.abort(STOPPED)
   }
