fix(request.relay): an attempt that has sent the request is given up only for one that has written the next part

Callers saw streams end with a closed connection while their engine was sound and silent for about a second (LOST). Cause: after two targets of silence the box aborted the exchange because an attempt and a retry were left, and only then looked for another engine. The placement, the prefill or the other engine failed as well, or no retry was left for what came after, and the answer was lost. A silent prefill was aborted in the same way though no retry was left. Change: attempts at one request run in a race. A silent one stays open while another one is made beside it; the first to write the next event goes on and the other one is cancelled. Silent engines are known to the box until their first byte, and are left out of placements as long as others are there. A superseded run keeps its reservation until its engine is heard.

--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -3,7 +3,7 @@
 import { type HoldLabel, type PlacementRefusal } from '@reelspan/core.messages'
 import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type PromptSizes } from '@reelspan/upstream.client'
+import { type PromptSizes, UpstreamError } from '@reelspan/upstream.client'
 import { WaitReason } from '@reelspan/upstream.limits'
 import { type EventProgress } from './eventProgress.js'
 import { type PermittedPlacement, noPlacementError, acquireEnginePermits } from './permittedPlacement.js'
@@ -13,7 +13,7 @@
 import { targetVersionOf } from './targetVersionOf.js'
 
 /** Latency targets that a request may wait for its first token. Callers abandon a stream after four; the fourth covers round trips and estimation errors. */
-const MAX_WAIT_TARGETS = 3
+export const MAX_WAIT_TARGETS = 3
 /** Delay between attempts to continue an answer that has begun. */
 const CONTINUE_BACKOFF_MS = 100
 /** Clients abandon a stream that stalls for longer than this. */
@@ -23,7 +23,8 @@
 export interface PlacementState {
   /** Engines that failed the request. */
   failed: ReadonlySet<string>
-  progress: EventProgress
+  /** The part of the stream that the caller has. */
+  progress: () => EventProgress
   version: StreamVersion
 }
 
@@ -46,7 +47,7 @@
 
   /** Answer tokens that were delivered to the caller. */
   deliveredTokens (): number {
-    return this.#state.progress.events * this.#tokensPerEvent
+    return this.#state.progress().events * this.#tokensPerEvent
   }
 
   /** Records the time between events of a complete answer. */
@@ -59,26 +60,26 @@
   }
 
   /** Places the request again without an engine that refuses a permit. This counts neither as a failure nor as an attempt. */
-  async place (attempt: number): Promise<PermittedPlacement> {
+  async place (attempt: number, signal: AbortSignal): Promise<PermittedPlacement> {
     this.#blocked.clear()
     for (;;) {
-      const placement = await this.#obtainPlacement(attempt)
+      const placement = await this.#obtainPlacement(attempt, signal)
       const permits = await acquireEnginePermits(this.#context, placement, this.#blocked)
       if (permits) return { placement, permits }
     }
   }
 
-  async #obtainPlacement (attempt: number): Promise<Placement> {
+  async #obtainPlacement (attempt: number, signal: AbortSignal): Promise<Placement> {
     const { opts, run, caller, logDecision } = this.#context
     const askedAtMs = run.elapsedMs
-    let outcome = await this.#callPlacer(attempt)
+    let outcome = await this.#callPlacer(attempt, signal)
     while (!('plan' in outcome)) {
       // An answer that has begun is continued late rather than aborted.
       if (!caller.begun) throw this.#refusal(outcome)
-      await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal: run.signal })
+      await opts.clock.sleep(CONTINUE_BACKOFF_MS, { signal })
       this.#blocked.clear()
       run.throwIfEnded()
-      outcome = await this.#callPlacer(attempt)
+      outcome = await this.#callPlacer(attempt, signal)
     }
     const { plan: { prefillEngine, decodeEngine, expectedTtftMs }, placedBy } = outcome
     const { promptTokens, maxTokens, expectedTokens } = this.#prompt
@@ -114,18 +115,19 @@
     engines.forEach(({ name, durationMs }) => this.#blocked.add(name, { reason: WaitReason.Backoff, durationMs }))
   }
 
-  /** Calls the placer. Releases the placement if the run has ended in the meantime. */
-  async #callPlacer (attempt: number): Promise<Placement | PlacementRefusal> {
+  /** Calls the placer. Releases the placement if the attempt has ended in the meantime. */
+  async #callPlacer (attempt: number, signal: AbortSignal): Promise<Placement | PlacementRefusal> {
     const { opts, run } = this.#context
     this.#state.version.checkServed()
-    const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal: run.signal })
-    if (run.signal.aborted && 'plan' in outcome) outcome.release()
+    const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal })
+    if (signal.aborted && 'plan' in outcome) outcome.release()
     run.throwIfEnded()
+    if (signal.aborted) throw new UpstreamError('the attempt was cancelled while it waited for a place', { mayHaveRun: false })
     return outcome
   }
 
   #placeRequest (attempt: number): PlaceRequest {
-    const { opts, run, route, request, caller, health, urgency } = this.#context
+    const { opts, run, route, request, caller, urgency } = this.#context
     const { promptTokens, maxTokens, prefixes } = this.#prompt
     const deliveredTokens = this.deliveredTokens()
     // The prompt is not computed again if the answer could not be complete in time. A first attempt is never refused because of an estimate.
@@ -151,10 +153,21 @@
       availabilityZone,
       softwareVersion: this.#state.version.fixed,
       resumable: route.spec.resumable || undefined,
-      avoid: [...new Set([...this.#state.failed, ...health.suspects(), ...this.#blocked.names(), ...opts.backoffs.upstreams(), ...this.#bannedEngines()])],
+      avoid: [...new Set([...this.#state.failed, ...this.#failingEngines(attempt), ...this.#blocked.names(), ...opts.backoffs.upstreams(), ...this.#bannedEngines()])],
     }
   }
 
+  /** Suspected and silent engines. A first attempt rather waits at one of these than be refused when all engines of a pool are. */
+  #failingEngines (attempt: number): string[] {
+    const { opts, health, silence } = this.#context
+    const failing = new Set([...health.suspects(), ...silence.upstreams()])
+    const model = opts.configuration().model(this.#model)
+    if (attempt > 1 || !model) return [...failing]
+    const isWholePool = (pool: string) => opts.fleet().takingWork(pool).every(({ name }) => failing.has(name))
+    const spared = new Set([model.prefillPool, model.decodePool].filter(isWholePool).flatMap((pool) => opts.fleet().takingWork(pool).map(({ name }) => name)))
+    return [...failing].filter((name) => !spared.has(name))
+  }
+
   /** Engines whose software version the prompt's parts have crashed. */
   #bannedEngines (): string[] {
     const { opts, identity } = this.#context
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -15,6 +15,12 @@
   progress?: EventProgress
   /** The software version that goes on with a stream of a model. */
   version?: StreamVersion
+  /** Ends the relay before the run ends. */
+  signal?: AbortSignal
+  /** Called when a delegate has sent the request to an upstream. Throws if another attempt has. */
+  onSent?: () => void
+  /** Called before a part of the answer is passed on. Throws if another attempt has gone on with the answer. */
+  claim?: () => void
 }
 
 const OK = 200
@@ -24,6 +30,9 @@
   readonly #context: RelayContext
   readonly #progress: EventProgress
   readonly #version?: StreamVersion
+  readonly #signal: AbortSignal
+  readonly #onSent: () => void
+  readonly #claim: () => void
   /** Software version of the upstream that runs the request; undefined if neither the delegate nor this box's list tells it. */
   #upstreamVersion?: string
   #attemptsUsed: number
@@ -32,8 +41,11 @@
   /** The end of the present delegate's answer. */
   #answerEnd?: AnswerEnd
 
-  constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress(), version }: DelegatedRelayOptions) {
+  constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress(), version, signal = context.run.signal, onSent = () => {}, claim = () => {} }: DelegatedRelayOptions) {
     this.#context = context
+    this.#signal = signal
+    this.#onSent = onSent
+    this.#claim = claim
     this.#version = version
     this.#attemptsUsed = attemptsUsed
     this.#progress = progress
@@ -49,6 +61,7 @@
         return
       } catch (thrown) {
         run.throwIfEnded()
+        if (this.#signal.aborted) throw thrown
         this.#progress.flush()
         const error = toReelspanError(thrown)
         // A delegate that fell silent may have sent the request without being able to say so.
@@ -79,7 +92,7 @@
     await run.dispatch(() => opts.delegator.run({
       request: delegated,
       terms,
-      signal: run.signal,
+      signal: this.#signal,
       onAsked: ({ name }) => logDecision(LogEvent.RequestDelegated, { delegate: name, attemptsUsed: this.#attemptsUsed, atMs: Math.round(run.elapsedMs) }),
     }, {
       onSent: (upstream, softwareVersion) => this.#recordSent(upstream, softwareVersion),
@@ -87,6 +100,7 @@
       onData: (bytes) => this.#passData(bytes, times),
     }))
     run.throwIfEnded()
+    this.#claim()
     this.#answerEnd?.check()
     const rest = this.#progress.flush()
     if (route.spec.streaming) times.restBytes = rest.byteLength
@@ -98,6 +112,7 @@
 
   /** A delegate of an earlier build does not know which software version began the stream. */
   #recordSent (upstream: string, softwareVersion = listedVersion(this.#context.opts, upstream)): void {
+    this.#onSent()
     this.#attemptsUsed++
     this.#upstreamVersion = softwareVersion
     const fixed = this.#version?.fixed
@@ -109,7 +124,10 @@
     const { caller, opts: { metrics } } = this.#context
     this.#answerEnd = new AnswerEnd({ status, headers }, { sender: 'the delegate', metrics })
     if (caller.begun && status !== OK) throw new UpstreamError(`the continued answer has status ${status}`, { mayHaveRun: true, failed: true })
-    if (!caller.begun) caller.begin(status, headers)
+    if (!caller.begun) {
+      this.#claim()
+      caller.begin(status, headers)
+    }
     this.#isFirst = status === OK
     times.status = status
   }
@@ -121,6 +139,7 @@
     const complete = spec.streaming ? this.#progress.push(bytes) : bytes
     const passed = spec.resumable ? complete : bytes
     if (complete.byteLength > 0) {
+      this.#claim()
       recordPartTime(times, run.elapsedMs)
       if (this.#upstreamVersion !== undefined && this.#isFirst) this.#version?.begin(this.#upstreamVersion)
       this.#isFirst = false
--- a/request/relay/src/eventProgress.ts
+++ b/request/relay/src/eventProgress.ts
@@ -13,6 +13,15 @@
   #lastId?: string
   #oversized = false
 
+  /** The progress of another answer that begins behind the last complete event of this one. */
+  fork (): EventProgress {
+    const fork = new EventProgress()
+    fork.#events = this.#events
+    fork.#lastId = this.#lastId
+    fork.#oversized = this.#oversized
+    return fork
+  }
+
   /** Number of complete events. */
   get events (): number {
     return this.#events
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -2,14 +2,15 @@
 import { type EventProgress } from './eventProgress.js'
 import { type AnswerTimes, recordPartTime } from './passAnswer.js'
 import { type RelayContext } from './relayContext.js'
-import { type IdleTimer } from './idleTimer.js'
+import { type WatchedExchange } from './watchedExchange.js'
 
 export interface PassEventsOptions {
   progress: EventProgress
   /** Pass on complete events only, so that another upstream can continue behind the last of them. */
   completeEventsOnly: boolean
-  /** Aborts the exchange when the upstream sends nothing for too long. */
-  idleTimer: IdleTimer
+  watched: WatchedExchange
+  /** Called before a part of this answer is passed on. Throws if another attempt has gone on with the answer. */
+  claim: () => void
   /** Called when the first event of this answer is complete, before it is passed on. */
   onFirst?: () => void
   /** Called whenever further events of this answer are complete, before they are passed on. */
@@ -22,16 +23,20 @@
  */
 export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
   const { run, caller } = context
-  const { progress, completeEventsOnly, idleTimer, onFirst, onEvents } = opts
+  const { progress, completeEventsOnly, watched, claim, onFirst, onEvents } = opts
   let first = true
-  if (!caller.begun) caller.begin(answer.status, answer.headers)
+  if (!caller.begun) {
+    claim()
+    caller.begin(answer.status, answer.headers)
+  }
   times.status = answer.status
   try {
     for await (const bytes of answer.body) {
-      idleTimer.reset()
+      watched.recordReceived()
       const complete = progress.push(bytes)
       caller.buffer?.hold(progress.incompleteBytes)
       if (complete.byteLength > 0) {
+        claim()
         recordPartTime(times, run.elapsedMs)
         if (first) onFirst?.()
         onEvents?.()
@@ -39,7 +44,7 @@
       }
       const passed = completeEventsOnly ? complete : bytes
       // Time that a slow caller takes to read does not count as idle time of the upstream.
-      if (passed.byteLength > 0) await idleTimer.pauseDuring(caller.write(passed))
+      if (passed.byteLength > 0) await watched.pauseDuring(caller.write(passed))
     }
   } catch (thrown) {
     // A partial event of the interrupted answer is dropped, since the next answer repeats it.
@@ -48,6 +53,7 @@
     throw thrown
   }
   run.throwIfEnded()
+  claim()
   const rest = progress.flush()
   times.restBytes = rest.byteLength
   caller.buffer?.hold(0)
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -21,6 +21,7 @@
 import { servingVersions } from './servingVersions.js'
 import { TokenTimes } from './tokenTimes.js'
 import { UpstreamPicker } from './upstreamPicker.js'
+import { UpstreamSilence } from './upstreamSilence.js'
 
 /**
  * How long after its start a box holds requests until its first configuration arrives. It usually takes some
@@ -60,6 +61,7 @@
   readonly #ended = new Notifier()
   readonly #running = new Map<string, RunContext>()
   readonly #runDurations = new RunDurations()
+  readonly #silence: UpstreamSilence
   readonly #tokenTimes = new TokenTimes()
   readonly #callDurations = new RunDurations()
   #fleetRevision = 0
@@ -74,6 +76,7 @@
     const { clock, random, log } = opts
     this.#tasks = new TaskGroup(clock, opts.onTaskError)
     this.#startedAtMs = clock.nowMs()
+    this.#silence = new UpstreamSilence(clock)
     opts.quarantine.onQuarantined(() => this.#running.forEach((run) => run.endIfRefused()))
     this.#health = new UpstreamHealth({
       clock,
@@ -116,6 +119,7 @@
     return {
       running: [...this.#running].map(([key, run]) => ({ key, ageMs: Math.round(run.elapsedMs), mayHaveRun: run.mayHaveRun })),
       upstreams: this.#health.describe(),
+      silentUpstreams: this.#silence.upstreams(),
       retryBudgets: [...this.#budgets].map(([pool, { left }]) => ({ pool, left: Math.floor(left) })),
     }
   }
@@ -226,6 +230,8 @@
       budget,
       health: this.#health,
       picker: this.#picker,
+      silence: this.#silence,
+      stopSignal: this.#tasks.signal,
       tokenTimes: this.#tokenTimes,
       callDurations: this.#callDurations,
       logDecision: (event, fields) => opts.log.info(event, { request: request.id, route: route.name, account, ...fields }),
@@ -255,6 +261,7 @@
     const names = new Set(fleet().upstreams.map(({ name }) => name))
     this.#health.retain(names)
     this.#picker.retain(names)
+    this.#silence.retain(names)
     this.#tokenTimes.retain((model) => this.#opts.configuration().model(model) !== undefined)
   }
 
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -9,6 +9,7 @@
 import { type RunDurations } from './runDurations.js'
 import { type TokenTimes } from './tokenTimes.js'
 import { type UpstreamPicker } from './upstreamPicker.js'
+import { type UpstreamSilence } from './upstreamSilence.js'
 
 /** Dependencies and state of one relayed request. */
 export interface RelayContext {
@@ -26,6 +27,10 @@
   budget: RetryBudget
   health: UpstreamHealth
   picker: UpstreamPicker
+  /** Upstreams that owe answers and send nothing. */
+  silence: UpstreamSilence
+  /** Aborted when the box stops. */
+  stopSignal: AbortSignal
   tokenTimes: TokenTimes
   /** Durations of answered calls to services, by route and pool. */
   callDurations: RunDurations
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -99,7 +99,7 @@
         if (answer.status < FIRST_CLIENT_ERROR) progress.recordFinished(answer)
         this.#recordOutcome(upstream, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
         picked.slot.release(failed ? PoolCallOutcome.Failed : PoolCallOutcome.Answered, durationMs)
-      })
+      }, run.signal)
     } catch (thrown) {
       if (!run.signal.aborted && thrown instanceof UpstreamError) {
         if (thrown.refused) this.#recordRefusal(picked, thrown)
--- a/request/relay/src/withEndReport.ts
+++ b/request/relay/src/withEndReport.ts
@@ -10,9 +10,13 @@
 /** Work that sends the request to an upstream. Records right before that it is sent, and the events of its answer. */
 export type SendingWork<T> = (progress: ExchangeProgress) => Promise<T>
 
-/** Runs `work` as an outstanding request, and records how it ended unless its upstream is known to have refused or failed it. */
-export async function withEndReport<T> (context: RelayContext, target: RelayTarget, work: SendingWork<T>): Promise<T> {
-  const { opts, run } = context
+/**
+ * Runs `work` as an outstanding request, and records how it ended unless its upstream is known to have refused or failed it.
+ *
+ * @param signal aborted when the work is not needed any more
+ */
+export async function withEndReport<T> (context: RelayContext, target: RelayTarget, work: SendingWork<T>, signal: AbortSignal): Promise<T> {
+  const { opts } = context
   const { runEnds, quarantine } = opts
   const record = new RunRecord(context, target)
   const { progress } = record
@@ -23,7 +27,7 @@
     if (progress.finish === AnswerFinish.WithConnection) runEnds.recordUnconfirmed(record.ended('its answer ended with the connection'), (endedAgoMs) => record.recordSound(endedAgoMs))
     return result
   } catch (thrown) {
-    if (thrown instanceof UpstreamError && thrown.unreachable && !run.signal.aborted) opts.paths.recordFailure()
+    if (thrown instanceof UpstreamError && thrown.unreachable && !signal.aborted) opts.paths.recordFailure()
     if (progress.sentAtMs === undefined) {
       if (thrown instanceof UpstreamError && thrown.unreachable) runEnds.onUnreachable(target.instance)
       throw thrown
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -45,8 +45,12 @@
   RequestRetried = 'requestRetried',
   /** An attempt failed, and no other one is made. */
   RequestNotRetried = 'requestNotRetried',
-  /** This box ended an exchange with an upstream that was silent. */
+  /** An exchange with an upstream has brought nothing for its time. */
+  ExchangeSilent = 'exchangeSilent',
+  /** A silent exchange was ended, since another attempt goes on with its request. */
   ExchangeGivenUp = 'exchangeGivenUp',
+  /** An attempt failed while another one of its request is open. */
+  AttemptFailed = 'attemptFailed',
   /** A request is run by another box, since this one cannot reach any upstream. */
   RequestDelegated = 'requestDelegated',
   /** A client takes up a stream that an earlier attempt began. */
