fix(request.relay): another attempt of a box does not count as its caller's early retry

Callers saw a request wait longer than needed: an attempt beside a silent one that had been refused once was refused again as «retried before its retry delay has passed», which is meant for callers. Cause: a retry of the caller is recognized by its last prompt prefix, and all attempts of a box named it. Change: only the first attempt of a request names it.

--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -139,8 +139,8 @@
       // Requests without an account count together as one client.
       client: request.account ?? '',
       label,
-      // A caller's retry has a different id, but the same last prompt prefix. Placing an answer again that has begun is not a retry of the caller.
-      returnId: (caller.begun ? undefined : prefixes.at(-1)?.digest) ?? hash32(label.requestId).toString(36),
+      // A caller's retry has a different id, but the same last prompt prefix. Another attempt of this box is not a retry of the caller.
+      returnId: (caller.begun || attempt > 1 ? undefined : prefixes.at(-1)?.digest) ?? hash32(label.requestId).toString(36),
       priority: -urgency,
       promptTokens: promptTokens + deliveredTokens,
       prefixes: [...prefixes],
