fix(request.relay): a delegated attempt beside a silent one counts, and excludes the other where it may run once

Cause: a box without paths could delegate a request again and again while its own attempt is silent, and send a request that may run once itself after a delegate may have run it; a prefill that answered late counted as broken off, and its engine as silent. Change: sends of delegates count as attempts of the route, are paid from the retry budget, and cancel an attempt that was not sent before the delegate is asked where the stream may not be resumed; an answered prefill counts as heard.

--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -144,14 +144,16 @@
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const timeoutMs = PREFILL_TIMEOUT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs
     const patience = new AbortController()
-    const { handle } = await this.#trackFailure(target, (progress) => this.#watch({ upstream: plan.prefillEngine, stage: ExchangeStage.Prefill, timeoutMs }, (watched) => {
+    const { handle } = await this.#trackFailure(target, (progress) => this.#watch({ upstream: plan.prefillEngine, stage: ExchangeStage.Prefill, timeoutMs }, async (watched) => {
       const signal = AbortSignal.any([this.signal, patience.signal])
       void this.#limitPrefill(patience, timeoutMs, watched.ended)
       void opts.paths.waitUntilLost(watched.ended).then(() => {
         if (opts.paths.lost && !watched.ended.aborted) this.#opts.onSilent(this)
       })
-      return untilLost(context, signal, () => progress.sentAtMs === undefined, (lostSignal) =>
+      const prefilled = await untilLost(context, signal, () => progress.sentAtMs === undefined, (lostSignal) =>
         prefillAtUpstream(context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent(lostSignal) }))
+      watched.recordReceived()
+      return prefilled
     }))
     this.#recordOutcome(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -58,7 +58,7 @@
       logDecision(LogEvent.RequestRetried, { attempt: this.#state.placements, reason, mayHaveRun: run.mayHaveRun })
       return
     }
-    logDecision(LogEvent.RequestNotRetried, { attempt: this.#state.placements, reason, attemptsLeft: route.spec.maxAttempts - this.#state.decodeEngines.size, retriesLeft: Math.floor(budget.left), begun: caller.begun })
+    logDecision(LogEvent.RequestNotRetried, { attempt: this.#state.placements, reason, attemptsLeft: route.spec.maxAttempts - this.#state.attemptsUsed, retriesLeft: Math.floor(budget.left), begun: caller.begun })
     throw error
   }
 
@@ -79,8 +79,10 @@
   #attemptBeside (): void {
     const { run, budget } = this.#context
     const { race } = this.#state
-    if (run.signal.aborted || race.open.length !== 1 || race.open[0] instanceof DelegatedAttempt) return
-    if (mustDelegate(this.#context) || (this.#mayAttemptAgain && budget.left >= 1)) race.join(this.#createAttempt({ beside: true }))
+    if (run.signal.aborted || race.open.length !== 1 || race.open[0] instanceof DelegatedAttempt || !this.#mayAttemptAgain) return
+    // A box that is asked to run a request that no upstream has got does not repeat anything.
+    const mayJoin = mustDelegate(this.#context) ? !run.mayHaveRun || budget.tryAcquireRetry() : budget.left >= 1
+    if (mayJoin) race.join(this.#createAttempt({ beside: true }))
   }
 
   #onFailedBeside ({ attempt, error }: AttemptFailure): void {
--- a/request/relay/src/completionState.ts
+++ b/request/relay/src/completionState.ts
@@ -19,6 +19,8 @@
   readonly checks: EngineChecks
   readonly placer: CompletionPlacer
   readonly race: AttemptRace
+  /** Upstreams to which other boxes have sent the request. */
+  delegatedSends = 0
   /** Attempts that got a place. */
   placements = 0
   /** The part of the stream that the caller has. */
@@ -34,10 +36,15 @@
     this.race = new AttemptRace(onFailedBeside)
   }
 
+  /** Upstreams that run the request, here or for another box. */
+  get attemptsUsed (): number {
+    return this.decodeEngines.size + this.delegatedSends
+  }
+
   /** Whether the request may be sent to one more decode engine, apart from the retry budget. */
   get hasAttemptsLeft (): boolean {
     const { resumable, maxAttempts } = this.context.route.spec
-    return resumable === true && this.decodeEngines.size < maxAttempts
+    return resumable === true && this.attemptsUsed < maxAttempts
   }
 
   /** An answer that has begun can be resumed only behind an event with an id, or if it has no complete event yet. */
@@ -53,6 +60,6 @@
   /** Whether another attempt may be made, apart from the retry budget. */
   get mayAttemptAgain (): boolean {
     const { run, route: { spec } } = this.context
-    return this.canResume && !(run.mayHaveRun && !spec.resumable) && this.decodeEngines.size < spec.maxAttempts
+    return this.canResume && !(run.mayHaveRun && !spec.resumable) && this.attemptsUsed < spec.maxAttempts
   }
 }
--- a/request/relay/src/delegatedAttempt.ts
+++ b/request/relay/src/delegatedAttempt.ts
@@ -24,14 +24,19 @@
   }
 
   async run (): Promise<void> {
-    const { context, decodeEngines, progress, version, race } = this.#state
+    const { context, attemptsUsed, progress, version, race } = this.#state
     const own = progress.fork()
+    // The box that is asked may run the request before it can say so.
+    if (!context.route.spec.resumable) race.recordSent(this)
     await new DelegatedRelay(context, {
-      attemptsUsed: decodeEngines.size,
+      attemptsUsed,
       progress: own,
       version,
       signal: this.signal,
-      onSent: () => race.recordSent(this),
+      onSent: () => {
+        this.#state.delegatedSends++
+        race.recordSent(this)
+      },
       claim: () => {
         race.claim(this)
         this.#state.progress = own
