--- a/request/relay/test/attemptRace.ts
+++ b/request/relay/test/attemptRace.ts
@@ -30,19 +30,19 @@
   }
 }
 
-function startRace () {
+function startRace ({ firstSent = false } = {}) {
   const failures: AttemptFailure[] = []
   const race = new AttemptRace((failure) => failures.push(failure))
   const first = new ScriptedAttempt('first')
   const second = new ScriptedAttempt('second')
   const outcome = race.run(first)
+  if (firstSent) race.recordSent(first)
   race.join(second)
   return { race, first, second, outcome, failures }
 }
 
 test('an attempt that was sent is not cancelled when the other one is sent', (t) => {
-  const { race, first, second } = startRace()
-  race.recordSent(first)
+  const { race, first, second } = startRace({ firstSent: true })
   race.recordSent(second)
   t.deepEqual(race.open, [first, second])
 })
@@ -55,8 +55,7 @@
 })
 
 test('only the attempt that writes first goes on', (t) => {
-  const { race, first, second } = startRace()
-  race.recordSent(first)
+  const { race, first, second } = startRace({ firstSent: true })
   race.recordSent(second)
   race.claim(second)
   t.true(first.signal.aborted)
