fix(request.relay): a silent exchange that another attempt superseded counts as given up, though the answer ended with it

Cause: whether a silent exchange was given up or broke off was told by whether its request had ended. An answer that ends with the event by which the other attempt superseded it had ended by then, so that nothing was logged and reelspan_upstream_silences_total counted it as brokeOff. Change: the cause of the cancellation decides.

--- a/request/relay/src/watchedExchange.ts
+++ b/request/relay/src/watchedExchange.ts
@@ -1,6 +1,6 @@
 import { STOPPED } from '@reelspan/core.env'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type CancelCause } from './attempt.js'
+import { CancelCause } from './attempt.js'
 import { type RelayContext } from './relayContext.js'
 import { SilenceWatch } from './silenceWatch.js'
 
@@ -69,15 +69,15 @@
 
   /** @param cancelCause why its attempt was cancelled, if it was */
   end (cancelCause?: CancelCause): void {
-    const { silence, logDecision, caller, run } = this.#context
+    const { silence, logDecision, caller } = this.#context
     this.#ended.abort(STOPPED)
     this.#watch.stop()
     silence.recordEnd(this.upstream, this.#id)
     if (!this.silent) return
     const { silentMs } = this.#watch
-    this.#recordSilenceEnd(cancelCause === undefined || run.signal.aborted ? SilenceEnd.BrokeOff : SilenceEnd.GivenUp, silentMs)
-    if (cancelCause === undefined || run.signal.aborted) return
-    logDecision(LogEvent.ExchangeGivenUp, { upstream: this.upstream, stage: this.#opts.stage, cause: cancelCause, silentMs: Math.round(silentMs), begun: caller.begun })
+    const givenUp = cancelCause !== undefined && cancelCause !== CancelCause.Ended
+    this.#recordSilenceEnd(givenUp ? SilenceEnd.GivenUp : SilenceEnd.BrokeOff, silentMs)
+    if (givenUp) logDecision(LogEvent.ExchangeGivenUp, { upstream: this.upstream, stage: this.#opts.stage, cause: cancelCause, silentMs: Math.round(silentMs), begun: caller.begun })
   }
 
   #onSilent (silentMs: number): void {
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -1,5 +1,6 @@
 import { Verdict } from '@reelspan/core.error'
 import { PlacementOutcome } from '@reelspan/core.messages'
+import { LogEvent } from '@reelspan/telemetry.log'
 import test, { type ExecutionContext } from 'ava'
 import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script, stalls } from './__utils__/createRelay.js'
 
@@ -111,3 +112,19 @@
   await clock.advance(10_000)
   t.is(placer.released, 2)
 })
+
+function givenUpExchanges ({ log }: TestRelay): unknown[] {
+  return log.entries.filter(({ event }) => event === LogEvent.ExchangeGivenUp).map(({ fields: { upstream, stage, cause, begun } = {} }) => ({ upstream, stage, cause, begun }))
+}
+
+test('a silent exchange counts as given up when the answer ends with the event for which it was given up', async (t) => {
+  const created = createRelay([stalls(200, FIRST), answersAfter(1000, 200, SECOND)])
+  await created.clock.run(created.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  t.deepEqual(givenUpExchanges(created), [{ upstream: 'd1', stage: 'decode', cause: 'superseded', begun: true }])
+})
+
+test('each silent prefill beside a silent attempt counts as given up', async (t) => {
+  const { played } = await playSilence([], ({ upstreams }) => { upstreams.prefillHangs = true })
+  const givenUp = { upstream: 'p1', stage: 'prefill', cause: 'silentToo', begun: true }
+  t.deepEqual(givenUpExchanges(played), [givenUp, givenUp])
+})
