feat(request.relay): the log says for which attempt a silent exchange was given up, and how long both were open

exchangeGivenUp has `by`, the upstream of the attempt that goes on, and `bothOpenMs`, the time since the later of the two was started.

--- a/request/relay/src/attempt.ts
+++ b/request/relay/src/attempt.ts
@@ -1,4 +1,5 @@
 import { STOPPED } from '@reelspan/core.env'
+import { type RunContext } from '@reelspan/request.owner'
 import { UpstreamError } from '@reelspan/upstream.client'
 
 /** Why an attempt was cancelled while another one of its request goes on. */
@@ -11,16 +12,29 @@
   Ended = 'ended',
 }
 
+/** How an attempt was cancelled. */
+export interface Cancellation {
+  cause: CancelCause
+  /** Name of the attempt that goes on. */
+  by?: string
+  /** For how long both were open. */
+  bothOpenMs?: number
+}
+
 /** One attempt to answer a request. Several may be open at once; which of them writes the answer is decided by their `AttemptRace`. */
 export abstract class Attempt {
   readonly #cancelled = new AbortController()
-  #cancelCause?: CancelCause
+  readonly #run: RunContext
+  readonly #startedAtMs: number
+  #cancellation?: Cancellation
   #sent = false
   /** Aborted when this attempt or the run ends. */
   readonly signal: AbortSignal
 
-  constructor (runSignal: AbortSignal) {
-    this.signal = AbortSignal.any([runSignal, this.#cancelled.signal])
+  constructor (run: RunContext) {
+    this.#run = run
+    this.#startedAtMs = run.elapsedMs
+    this.signal = AbortSignal.any([run.signal, this.#cancelled.signal])
   }
 
   /** Whether the request was sent to an upstream that runs it. */
@@ -28,8 +42,12 @@
     return this.#sent
   }
 
+  get cancellation (): Cancellation | undefined {
+    return this.#cancellation
+  }
+
   get cancelCause (): CancelCause | undefined {
-    return this.#cancelCause
+    return this.#cancellation?.cause
   }
 
   /** Names what runs the attempt, for logs. */
@@ -45,12 +63,13 @@
     this.#sent = true
   }
 
-  cancel (cause: CancelCause): void {
-    this.#cancelCause ??= cause
+  /** @param by the attempt that goes on, if one does */
+  cancel (cause: CancelCause, by?: Attempt): void {
+    this.#cancellation ??= { cause, by: by?.name, bothOpenMs: by && Math.round(this.#run.elapsedMs - Math.max(this.#startedAtMs, by.#startedAtMs)) }
     this.#cancelled.abort(STOPPED)
   }
 
   throwIfCancelled (): void {
-    if (this.#cancelCause !== undefined) throw new UpstreamError(`the attempt was cancelled (${this.#cancelCause})`, { mayHaveRun: this.#sent })
+    if (this.cancelCause !== undefined) throw new UpstreamError(`the attempt was cancelled (${this.cancelCause})`, { mayHaveRun: this.#sent })
   }
 }
--- a/request/relay/src/attemptRace.ts
+++ b/request/relay/src/attemptRace.ts
@@ -59,13 +59,13 @@
   recordSent (attempt: Attempt): void {
     attempt.throwIfCancelled()
     attempt.recordSent()
-    this.othersOf(attempt).filter(({ sent }) => !sent).forEach((other) => other.cancel(CancelCause.Superseded))
+    this.othersOf(attempt).filter(({ sent }) => !sent).forEach((other) => other.cancel(CancelCause.Superseded, attempt))
   }
 
   /** Called before an attempt passes on a part of the answer. Throws if another one has done so first. */
   claim (attempt: Attempt): void {
     attempt.throwIfCancelled()
-    this.othersOf(attempt).forEach((other) => other.cancel(CancelCause.Superseded))
+    this.othersOf(attempt).forEach((other) => other.cancel(CancelCause.Superseded, attempt))
   }
 
   /** Cancels what is still open when the request has ended. */
--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -62,7 +62,7 @@
   #watched?: WatchedExchange
 
   constructor (state: CompletionState, opts: CompletionAttemptOptions) {
-    super(state.context.run.signal)
+    super(state.context.run)
     this.#state = state
     this.#opts = opts
   }
@@ -171,7 +171,7 @@
     try {
       return await work(watched)
     } finally {
-      watched.end(this.cancelCause)
+      watched.end(this.cancellation)
     }
   }
 
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -71,7 +71,7 @@
     const { race } = this.#state
     if (race.open.length > 1) {
       if (attempt.sent || race.open[0] === attempt) return
-      attempt.cancel(CancelCause.SilentToo)
+      attempt.cancel(CancelCause.SilentToo, race.open[0])
     }
     this.#attemptBeside()
   }
--- a/request/relay/src/delegatedAttempt.ts
+++ b/request/relay/src/delegatedAttempt.ts
@@ -9,7 +9,7 @@
   readonly #times: AnswerTimes
 
   constructor (state: CompletionState, times: AnswerTimes) {
-    super(state.context.run.signal)
+    super(state.context.run)
     this.#state = state
     this.#times = times
   }
--- a/request/relay/src/watchedExchange.ts
+++ b/request/relay/src/watchedExchange.ts
@@ -1,6 +1,6 @@
 import { STOPPED } from '@reelspan/core.env'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { CancelCause } from './attempt.js'
+import { CancelCause, type Cancellation } from './attempt.js'
 import { type RelayContext } from './relayContext.js'
 import { SilenceWatch } from './silenceWatch.js'
 
@@ -67,17 +67,17 @@
     return this.#watch.pauseDuring(work)
   }
 
-  /** @param cancelCause why its attempt was cancelled, if it was */
-  end (cancelCause?: CancelCause): void {
+  /** @param cancellation how its attempt was cancelled, if it was */
+  end (cancellation?: Cancellation): void {
     const { silence, logDecision, caller } = this.#context
     this.#ended.abort(STOPPED)
     this.#watch.stop()
     silence.recordEnd(this.upstream, this.#id)
     if (!this.silent) return
     const { silentMs } = this.#watch
-    const givenUp = cancelCause !== undefined && cancelCause !== CancelCause.Ended
+    const givenUp = cancellation !== undefined && cancellation.cause !== CancelCause.Ended
     this.#recordSilenceEnd(givenUp ? SilenceEnd.GivenUp : SilenceEnd.BrokeOff, silentMs)
-    if (givenUp) logDecision(LogEvent.ExchangeGivenUp, { upstream: this.upstream, stage: this.#opts.stage, cause: cancelCause, silentMs: Math.round(silentMs), begun: caller.begun })
+    if (givenUp) logDecision(LogEvent.ExchangeGivenUp, { upstream: this.upstream, stage: this.#opts.stage, ...cancellation, silentMs: Math.round(silentMs), begun: caller.begun })
   }
 
   #onSilent (silentMs: number): void {
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -114,17 +114,17 @@
 })
 
 function givenUpExchanges ({ log }: TestRelay): unknown[] {
-  return log.entries.filter(({ event }) => event === LogEvent.ExchangeGivenUp).map(({ fields: { upstream, stage, cause, begun } = {} }) => ({ upstream, stage, cause, begun }))
+  return log.entries.filter(({ event }) => event === LogEvent.ExchangeGivenUp).map(({ fields: { upstream, stage, cause, by, bothOpenMs, begun } = {} }) => ({ upstream, stage, cause, by, bothOpenMs, begun }))
 }
 
-test('a silent exchange counts as given up when the answer ends with the event for which it was given up', async (t) => {
+test('the log names the attempt for which a silent exchange was given up, and how long both were open', async (t) => {
   const created = createRelay([stalls(200, FIRST), answersAfter(1000, 200, SECOND)])
   await created.clock.run(created.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
-  t.deepEqual(givenUpExchanges(created), [{ upstream: 'd1', stage: 'decode', cause: 'superseded', begun: true }])
+  t.deepEqual(givenUpExchanges(created), [{ upstream: 'd1', stage: 'decode', cause: 'superseded', by: 'd2', bothOpenMs: 1000, begun: true }])
 })
 
-test('each silent prefill beside a silent attempt counts as given up', async (t) => {
+test('the log names the silent attempt that stays when each prefill beside it is silent too', async (t) => {
   const { played } = await playSilence([], ({ upstreams }) => { upstreams.prefillHangs = true })
-  const givenUp = { upstream: 'p1', stage: 'prefill', cause: 'silentToo', begun: true }
+  const givenUp = { upstream: 'p1', stage: 'prefill', cause: 'silentToo', by: 'd1', bothOpenMs: 500, begun: true }
   t.deepEqual(givenUpExchanges(played), [givenUp, givenUp])
 })
