feat(reelspanctl): explain says why exchanges were given up and why nothing was tried after them

The trace of a request has exchangeSilent, exchangeGivenUp, attemptFailed and requestNotRetried. explain says in a sentence for each why the exchange was given up or the attempt failed, what goes on instead and for how long both were open, and names a silent upstream or the spent budget in the likely cause.

--- a/cli/reelspanctl/src/explainRequest.ts
+++ b/cli/reelspanctl/src/explainRequest.ts
@@ -1,4 +1,5 @@
 import { LogEvent } from '@reelspan/telemetry.log'
+import { describeSilences } from './describeSilences.js'
 import { type Explanation } from './explanation.js'
 import { likelyCause } from './likelyCause.js'
 import { droppedLines, type LogLine } from './readLogLines.js'
@@ -20,6 +21,7 @@
   return {
     trail: trace,
     origin: began === undefined ? [] : lines.filter(({ request }) => request === began),
+    silences: describeSilences(trace),
     beliefs: lastOfEachKind(before.filter(isStateChange)),
     suspicions,
     droppedLines: droppedLines(lines.filter(({ box }) => box === undefined || boxes.has(box))),
@@ -28,11 +30,12 @@
 }
 
 /** Formats the explanation as lines of text. */
-export function explanationLines (requestId: string, { trail, origin, beliefs, suspicions, droppedLines, cause }: Explanation): string[] {
+export function explanationLines (requestId: string, { trail, origin, silences, beliefs, suspicions, droppedLines, cause }: Explanation): string[] {
   return [
     `request ${requestId}, run by ${trail[0].box ?? 'an unknown box'}`,
     ...trail.map(lineText),
     ...origin.length > 0 ? [`the attempt that began its stream, ${origin[0].request}`, ...origin.map(lineText)] : [],
+    ...silences.length > 0 ? ['silent exchanges and failed attempts', ...silences.map((text) => `  ${text}`)] : [],
     ...beliefs.length > 0 ? ['state known to its boxes at the time', ...beliefs.map(lineText)] : [],
     ...suspicions.length > 0 ? ['suspicions of its upstreams', ...suspicions.map(lineText)] : [],
     ...droppedLines > 0 ? [`${droppedLines} lines were dropped under load: parts of the trace may be missing`] : [],
--- a/cli/reelspanctl/src/explanation.ts
+++ b/cli/reelspanctl/src/explanation.ts
@@ -6,6 +6,8 @@
   trail: LogLine[]
   /** Log lines of the attempt that began its stream, if it takes one up. */
   origin: LogLine[]
+  /** What became of its silent exchanges, and why no other attempt was made. */
+  silences: string[]
   /** Cached state of its box and of its scheduler's box at the time: the last state change of each kind before the request's last line. */
   beliefs: LogLine[]
   /** Suspicions by any box of the request's upstreams at about the same time. */
--- a/cli/reelspanctl/src/likelyCause.ts
+++ b/cli/reelspanctl/src/likelyCause.ts
@@ -1,5 +1,6 @@
 import { ErrorCode, Verdict } from '@reelspan/core.error'
 import { LogEvent } from '@reelspan/telemetry.log'
+import { notRetriedCause } from './describeSilences.js'
 import { type Explanation } from './explanation.js'
 import { type LogLine } from './readLogLines.js'
 
@@ -49,15 +50,17 @@
 
 function failureCause (trace: readonly LogLine[], suspicions: readonly LogLine[]): string {
   const retries = trace.filter(({ event }) => event === LogEvent.RequestRetried).length
+  const notRetried = trace.findLast(({ event }) => event === LogEvent.RequestNotRetried)
   const boxes = new Set(suspicions.map(({ box }) => box)).size
   const where = boxes > 1 ? `: ${boxes} boxes suspected it, so the fault is at the upstream` : ', or the network path to it from this box failed'
-  return `an upstream failed${retries > 0 ? `, as in ${retries} earlier attempts` : ''}${where}`
+  return `an upstream failed${retries > 0 ? `, as in ${retries} earlier attempts` : ''}${where}${notRetried ? `; no other attempt was made, since ${notRetriedCause(notRetried)}` : ''}`
 }
 
 function lastStage (trace: readonly LogLine[]): string {
   const last = trace.findLast(({ event }) => event !== LogEvent.RequestEnded)
   if (last?.event === LogEvent.RequestPlaced) return 'a prefill, or its decode engine, did not answer'
   if (last?.event === LogEvent.RequestSent) return 'an upstream had begun to answer and did not finish'
+  if (last?.event === LogEvent.ExchangeSilent) return `${String(last.upstream)} was silent`
   return last ? 'its last attempt got no answer' : 'it waited for a slot, or for its upstream'
 }
 
--- a/cli/reelspanctl/test/explain.ts
+++ b/cli/reelspanctl/test/explain.ts
@@ -76,3 +76,31 @@
   t.regex(out, /the attempt that began its stream, r-began\n.*requestPlaced {2}attempt=1 decodeEngine=i-8 softwareVersion=v1/)
   t.regex(out, /likely cause: the software version that began its stream has no engine left/)
 })
+
+function silencesIn (out: string): string[] {
+  const [, ...lines] = out.slice(out.indexOf('silent exchanges and failed attempts')).split('\n')
+  return lines.filter((line) => line.startsWith('  ')).map((line) => line.trim())
+}
+
+test('explain says why a silent exchange was given up, what went on instead, and how long both were open', async (t) => {
+  const { out } = await run('explain', 'r-moved', LOG)
+  t.deepEqual(silencesIn(out), [
+    'the prefill at p-2, silent for 455 ms, was given up since it was silent too while i-11 stayed open; both were open for 460 ms',
+    'the attempt at i-12 failed (i-12 responded with 500); i-11 stayed open',
+    'the decode at i-11, silent for 1540 ms, was given up since i-13 went on; both were open for 240 ms',
+  ])
+  t.regex(out, /likely cause: it was served/)
+})
+
+test('explain says why nothing was tried after a silent exchange had failed', async (t) => {
+  const { out } = await run('explain', 'r-cut', LOG)
+  t.deepEqual(silencesIn(out), [
+    'the decode at i-14 was silent and stayed open',
+    'the last attempt failed (i-14 closed the connection), and no other one was made: no retry was left in the budget of its box',
+  ])
+  t.regex(out, /likely cause: an upstream failed.*; no other attempt was made, since no retry was left in the budget of its box/)
+})
+
+test('explain names the upstream that was silent until the deadline', async (t) => {
+  t.regex((await run('explain', 'r-silent', LOG)).out, /likely cause: i-15 was silent until the deadline/)
+})
