test(soak): engines that are silent while their connections stay open

Cause: the soak had no engine that stands still: its faults ended connections, held a path back or suspended boxes, so that no run had streams whose own engine would have gone on.

--- a/__utils__/platform-stand-ins/src/index.ts
+++ b/__utils__/platform-stand-ins/src/index.ts
@@ -1,5 +1,6 @@
 export { queryDirectory } from './queryDirectory.js'
 export type { DirectoryAnswer } from './queryDirectory.js'
+export type { Pause } from './pausing.js'
 export { registerUpstream, registeredInstances, publishRoutes, removeUpstream } from './publish.js'
 export type { PublishedAccount } from './publish.js'
 export type { UpstreamEntry } from './publish.js'
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { type Pause, Pausing } from './pausing.js'
 
 export enum Role {
   Prefill = 'prefill',
@@ -27,6 +28,8 @@
   sentEvents: number
   /** Software version of the upstream. */
   softwareVersion?: string
+  /** When each event was sent, as of `performance.now()`. */
+  eventsAtMs?: number[]
 }
 
 /** A request that reached the instance it was sent to, whether it ran or not. */
@@ -142,6 +145,7 @@
   readonly #handles: HandleTable
   /** Running answers that end with their connection. */
   readonly #endingWithConnection = new Set<ServerResponse>()
+  readonly #pausing = new Pausing()
   #nextHandle = 0
   /** Set once it has crashed, although its address may still accept connections. */
   #crashed = false
@@ -177,6 +181,23 @@
     return this.#handles.size
   }
 
+  /** Reads and writes nothing until it is resumed. Its connections stay, and new ones are accepted. */
+  pause (): void {
+    this.#pausing.pause()
+  }
+
+  resume (): void {
+    this.#pausing.resume()
+  }
+
+  get pauses (): readonly Pause[] {
+    return this.#pausing.pauses
+  }
+
+  get paused (): boolean {
+    return this.#pausing.paused
+  }
+
   async start (): Promise<void> {
     this.#server.listen(this.#opts.port ?? 0, '127.0.0.1')
     await once(this.#server, 'listening')
@@ -186,6 +207,7 @@
   /** Stops at once and interrupts the requests that are running. */
   stop (): void {
     this.#interruptRuns()
+    this.runs.forEach((run) => { run.endedAtMs ??= performance.now() })
     this.#server.close()
   }
 
@@ -200,6 +222,9 @@
   }
 
   async #serve (message: IncomingMessage, response: ServerResponse, text: string): Promise<void> {
+    await this.#pausing.untilResumed()
+    // What it had not read when it stopped is lost.
+    if (!this.#server.listening) return
     const { url = '', method, headers } = message
     Object.entries(this.#opts.advertises?.() ?? {}).forEach(([name, value]) => response.setHeader(name, value))
     if (url === '/v1/report') return this.#report(response)
@@ -225,10 +250,10 @@
   async #run (id: string, { url = '', headers }: IncomingMessage, response: ServerResponse): Promise<void> {
     const after = headers['last-event-id']
     const losesAnswer = this.#opts.losesAnswer?.() ?? false
-    const run: UpstreamRun = { id, instance: this.#opts.instance ?? '', path: url, startedAtMs: performance.now(), complete: false, answerLost: losesAnswer, resumedAfter: after === undefined ? undefined : Number(after), sentEvents: 0, softwareVersion: this.#opts.softwareVersion }
+    const run: UpstreamRun = { id, instance: this.#opts.instance ?? '', path: url, startedAtMs: performance.now(), complete: false, answerLost: losesAnswer, resumedAfter: after === undefined ? undefined : Number(after), sentEvents: 0, eventsAtMs: [], softwareVersion: this.#opts.softwareVersion }
     this.runs.push(run)
     this.#opts.onRunStarted?.(run)
-    response.on('close', () => { run.endedAtMs ??= performance.now() })
+    response.on('close', () => { void this.#recordClosed(run) })
     const crashes = this.#opts.crashesOn?.(sharedParts(headers), id) ?? false
     if (this.#role === Role.Service) await this.#call(run, response, crashes)
     else await this.#stream(run, response, crashes)
@@ -236,6 +261,12 @@
     run.endedAtMs ??= performance.now()
   }
 
+  /** While it is paused, it does not notice that a connection was closed. */
+  async #recordClosed (run: UpstreamRun): Promise<void> {
+    await this.#pausing.untilResumed()
+    run.endedAtMs ??= performance.now()
+  }
+
   /** Exits soon after the first event, as an engine that begins to write does. */
   async #crash (run: UpstreamRun, response: ServerResponse): Promise<void> {
     await sleep(CRASH_DELAY_MS)
@@ -275,6 +306,7 @@
     const { id, answerLost: losesAnswer } = run
     const { workMs, answerBytes = 0 } = this.#shapeOf(id)
     if (workMs > 0) await sleep(workMs)
+    await this.#pausing.untilResumed()
     if (crashes) {
       if (this.#opts.endOf?.(id)?.withConnection) this.#endWithConnection(response)
       response.write('done')
@@ -311,6 +343,7 @@
     let sentBytes = 0
     for (let i = resumedAfter + 1; i < events; i++) {
       if (workMs > 0) await sleep(workMs)
+      await this.#pausing.untilResumed()
       if (response.destroyed) return
       if (losesAnswer && i === events - 1) {
         if (withConnection) response.socket?.resetAndDestroy()
@@ -325,6 +358,7 @@
         break
       }
       run.sentEvents++
+      run.eventsAtMs?.push(performance.now())
       if (crashes) return this.#crash(run, response)
     }
     response.end()
--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -3,7 +3,7 @@
 import { Agent, request } from 'undici'
 import { type Attempt, isStream, RouteKind } from './attempt.js'
 import { drawOne } from './drawOne.js'
-import { drawShape, appendShape, parseShape } from './requestShape.js'
+import { drawLongShape, drawShape, appendShape, parseShape } from './requestShape.js'
 import { DEFAULT_KEY } from './soakFleet.js'
 import { type SoakBox } from './soakMembers.js'
 
@@ -13,6 +13,7 @@
   [RouteKind.Stream]: '/draft/1',
   [RouteKind.Resumable]: '/reply/1',
 }
+const STREAM_KINDS = Object.values(RouteKind).filter(isStream)
 const OK = 200
 const CALL_DEADLINE_MS = 1200
 const STREAM_DEADLINE_MS = 5000
@@ -34,6 +35,8 @@
   boxes: readonly SoakBox[]
   /** Whether the client uses addresses long past their TTL. */
   holds: boolean
+  /** Whether it requests long streams alone. */
+  longStreams?: boolean
 }
 
 /** Sends requests as the platform's clients do: asks a box which addresses to use, caches the answer, and reuses open connections until they close. */
@@ -57,9 +60,9 @@
 
   /** Sends one request of a random kind. Resolves with the attempt when it has ended, or with nothing while no box address is known. */
   async send (): Promise<Attempt | undefined> {
-    const { random } = this.#opts
-    const kind = drawOne(random, Object.values(RouteKind))
-    const shape = drawShape(random, kind)
+    const { random, longStreams } = this.#opts
+    const kind = drawOne(random, longStreams ? STREAM_KINDS : Object.values(RouteKind))
+    const shape = longStreams ? drawLongShape(random, kind) : drawShape(random, kind)
     const abortAfterMs = random.nextFloat() < ABORTED_SHARE ? random.nextFloat() * MAX_ABORT_DELAY_MS : undefined
     await this.#refreshAddresses()
     if (this.#addresses.length === 0) return undefined
--- a/__utils__/soak/src/disruptionLog.ts
+++ b/__utils__/soak/src/disruptionLog.ts
@@ -5,6 +5,8 @@
   /** A stop by SIGTERM. */
   Planned = 'planned',
   Unplanned = 'unplanned',
+  /** An engine is silent. */
+  Silence = 'silence',
 }
 
 interface Disruption extends TimeInterval {
@@ -31,8 +33,13 @@
   }
 
   /** Whether no disruption of the given kinds affected the subjects within an interval. */
-  isUndisrupted (subjects: readonly string[], { fromMs, toMs }: TimeInterval, kinds: readonly DisruptionKind[] = Object.values(DisruptionKind)): boolean {
-    return [ALL_SUBJECTS, ...subjects].every((subject) => !this.#disruptionsOf(subject).some((disruption) => kinds.includes(disruption.kind) && disruption.fromMs <= toMs && disruption.toMs >= fromMs))
+  isUndisrupted (subjects: readonly string[], within: TimeInterval, kinds: readonly DisruptionKind[] = Object.values(DisruptionKind)): boolean {
+    return [ALL_SUBJECTS, ...subjects].every((subject) => !this.wasDisrupted(subject, within, kinds))
+  }
+
+  /** Whether a disruption of the given kinds affected the subject itself within an interval. */
+  wasDisrupted (subject: string, { fromMs, toMs }: TimeInterval, kinds: readonly DisruptionKind[]): boolean {
+    return this.#disruptionsOf(subject).some((disruption) => kinds.includes(disruption.kind) && disruption.fromMs <= toMs && disruption.toMs >= fromMs)
   }
 
   #disruptionsOf (subject: string): Disruption[] {
--- a/__utils__/soak/src/requestShape.ts
+++ b/__utils__/soak/src/requestShape.ts
@@ -13,7 +13,10 @@
 
 /** Draws the amount of work that a request causes at its upstream, or undefined for the default amount. */
 export function drawShape (random: SeededRandom, kind: RouteKind): RequestShape | undefined {
-  if (random.nextFloat() >= LONG_REQUEST_SHARE) return undefined
+  return random.nextFloat() < LONG_REQUEST_SHARE ? drawLongShape(random, kind) : undefined
+}
+
+export function drawLongShape (random: SeededRandom, kind: RouteKind): RequestShape {
   if (!isStream(kind)) return { events: 1, workMs: LONG_CALL_DURATION_MS }
   const workMs = drawOne(random, LONG_EVENT_INTERVALS_MS)
   const durationMs = LONG_STREAM_DURATION_MS.least + random.nextFloat() * (LONG_STREAM_DURATION_MS.most - LONG_STREAM_DURATION_MS.least)
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -5,6 +5,7 @@
 import { checkKeys, type KeyProbe } from './checkKeys.js'
 import { checkLimits } from './checkLimits.js'
 import { checkSignals } from './checkSignals.js'
+import { checkSilences } from './checkSilences.js'
 import { checkHistory } from './checkHistory.js'
 import { SoakClient } from './client.js'
 import { CrashPhase } from './crashPhase.js'
@@ -13,9 +14,11 @@
 import { FaultKind, FaultInjector } from './faults.js'
 import { groupBy } from './groupBy.js'
 import { isOfLoadPhase, LoadPhase } from './loadPhase.js'
-import { type DisruptionKind } from './disruptionLog.js'
+import { DisruptionKind } from './disruptionLog.js'
 import { measureMemory } from './measureMemory.js'
 import { PathLossPhase } from './pathLossPhase.js'
+import { runSilencePhase } from './runSilencePhase.js'
+import { SilenceInjector } from './silenceInjector.js'
 import { ACCOUNT, OVERLOAD_ACCOUNT, OVERLOAD_KEY, DEFAULT_KEY, keyOf, SoakFleet } from './soakFleet.js'
 import { type SoakBox } from './soakMembers.js'
 import { overlaps, StallDetector } from './stallDetector.js'
@@ -35,6 +38,8 @@
   crashes?: boolean
   /** Whether each round ends with a phase in which boxes lose their paths to all upstreams. */
   pathLoss?: boolean
+  /** Whether engines are silent beside the faults of each round, and in a phase of their own at its end. */
+  silence?: boolean
 }
 
 export interface SoakResult {
@@ -48,6 +53,8 @@
   pathLosses: string[]
   /** What each phase of a crashing prompt part saw. */
   crashPhases: string[]
+  /** Silences of engines. */
+  silences: string[]
   violations: string[]
   /** Number of cases that each check examined. */
   checkCounts: Record<string, number>
@@ -63,6 +70,9 @@
 const READY_TIMEOUT_MS = 40_000
 const FAULT_PHASE_MS = 7000
 const MAX_FAULT_GAP_MS = 700
+/** Share of the rounds with a silence of engines if none is asked for. */
+const SILENCE_SHARE = 0.05
+const MAX_SILENCE_GAP_MS = 1500
 /** Maximum outage of the store before it is restored from a backup. */
 const MAX_STORE_OUTAGE_MS = 2500
 /** Number of fault kinds per round. With few kinds, some boxes stay undisrupted, and time bounds can be checked there. */
@@ -136,6 +146,9 @@
   readonly #loadRandom: SeededRandom
   readonly #pathLossRandom: SeededRandom
   readonly #crashRandom: SeededRandom
+  readonly #silenceRandom: SeededRandom
+  readonly #silences: SilenceInjector
+  readonly #streamRandom: SeededRandom
   readonly #stallDetector: StallDetector
   readonly #durationsMs: Record<string, number> = {}
   #checkCounts: Record<string, number> = {}
@@ -156,9 +169,13 @@
     this.#loadRandom = new SeededRandom(opts.seed)
     this.#pathLossRandom = new SeededRandom(opts.seed)
     this.#crashRandom = new SeededRandom(opts.seed)
+    this.#silenceRandom = new SeededRandom(opts.seed)
+    this.#streamRandom = new SeededRandom(opts.seed)
+    this.#silences = new SilenceInjector({ fleet, random: this.#silenceRandom })
     this.#stallDetector = new StallDetector(fleet.boxes)
     this.#faults = new FaultInjector({ fleet, random: this.#faultRandom, onViolation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % STALE_CLIENT_STRIDE === 0 }))
+    if (opts.silence) this.#clients.push(...Array.from({ length: opts.clients / 2 }, (_, i) => new SoakClient(`s${i}`, { random: this.#streamRandom, boxes: fleet.boxes, holds: false, longStreams: true })))
   }
 
   async run (): Promise<void> {
@@ -170,6 +187,7 @@
         if (this.#opts.load) await this.#measure('load', () => this.#runLoadPhase())
         if (this.#opts.crashes) await this.#measure('crashes', () => this.#runCrashPhase())
         if (this.#opts.pathLoss) await this.#measure('pathLoss', () => this.#runPathLossPhase())
+        if (this.#opts.silence) await this.#measure('silence', () => runSilencePhase({ silences: this.#silences, random: this.#silenceRandom }))
       }
       await this.#measure('recovery', () => this.#checkRecovery())
     } finally {
@@ -192,6 +210,7 @@
       faults: this.#faults.log,
       pathLosses: this.#pathLosses,
       crashPhases: this.#crashPhases,
+      silences: this.#silences.log,
       durationsMs: this.#durationsMs,
       checkCounts: this.#checkCounts,
       memory: this.#memory,
@@ -209,10 +228,11 @@
     const history = { attempts: [...attempts, ...probes], runs, arrivals, departures, publications, stops, probes: this.#probes, isUndisrupted: this.#isUndisrupted.bind(this) }
     const bounds = checkBounds(history)
     const signals = checkSignals({ ...history, draining: fleet.draining, refusals: fleet.refusals })
-    this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length }
+    const silences = checkSilences({ ...history, silences: this.#silences.silences, wasInterrupted: this.#wasInterrupted.bind(this) })
+    this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, ...silences.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length }
     // Calls with keys that expire are checked by checkKeys only.
     const keyProbeIds = new Set(this.#keyProbes.map(({ id }) => id))
-    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id) && !isOfCrashPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...this.#checkKeys())
+    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id) && !isOfCrashPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...silences.violations, ...this.#checkKeys())
   }
 
   #checkKeys (): string[] {
@@ -239,6 +259,11 @@
     return this.#fleet.disruptions.isUndisrupted(subjects, within, kinds) && !overlaps(this.#stallsOf(box), within.fromMs, within.toMs)
   }
 
+  #wasInterrupted (box: string, instances: readonly string[], within: TimeInterval): boolean {
+    const subjects = [box, ...instances.map((instance) => this.#fleet.replicaNameOf(instance))]
+    return subjects.some((subject) => this.#fleet.disruptions.wasDisrupted(subject, within, [DisruptionKind.Unplanned]))
+  }
+
   async #sendContinuously (client: SoakClient): Promise<void> {
     while (this.#isSending) {
       const attempt = await client.send()
@@ -280,15 +305,27 @@
     const count = FAULT_KINDS_PER_ROUND.least + Math.floor(this.#faultRandom.nextFloat() * (FAULT_KINDS_PER_ROUND.most - FAULT_KINDS_PER_ROUND.least + 1))
     const drawn = this.#faultRandom.sample(Object.values(FaultKind), count)
     const kinds = this.#opts.kinds ?? drawn
+    const silences = this.#injectSilences(untilMs)
     while (performance.now() < untilMs) {
       this.#faults.injectRandom(kinds)
       await sleep(this.#faultRandom.nextFloat() * MAX_FAULT_GAP_MS)
     }
+    await silences
     await this.#faults.waitUntilOver()
     await this.#waitUntilReady()
     await this.#faults.restoreStore(Math.round(this.#restoreRandom.nextFloat() * MAX_STORE_OUTAGE_MS))
   }
 
+  async #injectSilences (untilMs: number): Promise<void> {
+    // The recorded seeds draw none.
+    const once = this.#silenceRandom.nextFloat() >= 1 - SILENCE_SHARE
+    if (!this.#opts.silence && !once) return
+    do {
+      await sleep(this.#silenceRandom.nextFloat() * MAX_SILENCE_GAP_MS)
+      await this.#silences.injectRandom()
+    } while (this.#opts.silence && performance.now() < untilMs)
+  }
+
   async #measure (phase: string, work: () => Promise<unknown>): Promise<void> {
     const fromMs = performance.now()
     await work()
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -460,9 +460,9 @@
     if (replica && !this.#isStopping) void this.crashUpstream(replica, CRASH_DOWN_MS, this.crashing?.addressStays)
   }
 
-  /** Rewrites the entries of all listed upstreams with the next sequence number, as a heartbeat. */
+  /** Rewrites the entries of all listed upstreams with the next sequence number, as a heartbeat. Paused ones send none. */
   #sendHeartbeats (): void {
-    this.replicas.filter(({ listed }) => listed).forEach((replica) => {
+    this.replicas.filter(({ listed, upstream }) => listed && !upstream.paused).forEach((replica) => {
       replica.sequence++
       this.writeEntry(replica)
     })
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -7,6 +7,7 @@
 const TIMEOUT_MS = 180_000
 const PATH_LOSS_SEED = 520001
 const CRASH_SEED = 600001
+const SILENCE_SEED = 690002
 /** Number of runs that share the machine, so that all seeds take a minute or two. */
 const CONCURRENT_RUNS = 3
 
@@ -36,6 +37,15 @@
   t.deepEqual(result.violations, [])
 })
 
+test.serial(`real boxes cut no answer of engines that are silent for a while, of seed ${SILENCE_SEED}`, async (t) => {
+  t.timeout(TIMEOUT_MS)
+  const result = await soak({ seed: SILENCE_SEED, kinds: [FaultKind.ChangeConfiguration], ...FLEET_SIZE, boxes: 4, clients: 8, silence: true })
+  t.log(result.silences, result.checkCounts)
+  if (result.violations.length > 0) t.log(`logs of the boxes: ${await saveLogs(SILENCE_SEED, result)}`)
+  t.deepEqual(result.violations, [])
+  t.true(result.checkCounts.begun > 0)
+})
+
 async function runSeed (t: ExecutionContext, { seed, kinds }: KnownSeed): Promise<string[]> {
   const result = await soak({ seed, kinds, ...FLEET_SIZE })
   const { attempts, faults, violations, checkCounts } = result
