--- a/request/relay/src/attempt.ts
+++ b/request/relay/src/attempt.ts
@@ -21,17 +21,20 @@
   bothOpenMs?: number
 }
 
+/** What an attempt needs of the run that it belongs to. */
+type AttemptRun = Pick<RunContext, 'signal' | 'elapsedMs'>
+
 /** One attempt to answer a request. Several may be open at once; which of them writes the answer is decided by their `AttemptRace`. */
 export abstract class Attempt {
   readonly #cancelled = new AbortController()
-  readonly #run: RunContext
+  readonly #run: AttemptRun
   readonly #startedAtMs: number
   #cancellation?: Cancellation
   #sent = false
   /** Aborted when this attempt or the run ends. */
   readonly signal: AbortSignal
 
-  constructor (run: RunContext) {
+  constructor (run: AttemptRun) {
     this.#run = run
     this.#startedAtMs = run.elapsedMs
     this.signal = AbortSignal.any([run.signal, this.#cancelled.signal])
