--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -1,5 +1,6 @@
 import { Verdict } from '@reelspan/core.error'
 import { PlacementOutcome } from '@reelspan/core.messages'
+import { LogEvent } from '@reelspan/telemetry.log'
 import test, { type ExecutionContext } from 'ava'
 import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script, stalls } from './__utils__/createRelay.js'
 
@@ -111,3 +112,19 @@
   await clock.advance(10_000)
   t.is(placer.released, 2)
 })
+
+function givenUpExchanges ({ log }: TestRelay): unknown[] {
+  return log.entries.filter(({ event }) => event === LogEvent.ExchangeGivenUp).map(({ fields: { upstream, stage, cause, by, bothOpenMs, begun } = {} }) => ({ upstream, stage, cause, by, bothOpenMs, begun }))
+}
+
+test('the log names the attempt for which a silent exchange was given up, and how long both were open', async (t) => {
+  const created = createRelay([stalls(200, FIRST), answersAfter(1000, 200, SECOND)])
+  await created.clock.run(created.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  t.deepEqual(givenUpExchanges(created), [{ upstream: 'd1', stage: 'decode', cause: 'superseded', by: 'd2', bothOpenMs: 1000, begun: true }])
+})
+
+test('the log names the silent attempt that stays when each prefill beside it is silent too', async (t) => {
+  const { played } = await playSilence([], ({ upstreams }) => { upstreams.prefillHangs = true })
+  const givenUp = { upstream: 'p1', stage: 'prefill', cause: 'silentToo', by: 'd1', bothOpenMs: 500, begun: true }
+  t.deepEqual(givenUpExchanges(played), [givenUp, givenUp])
+})
