test(request.relay): calls that are lost because their service is silent, failing

Cause: a repeatable call is given up after 1.5 latency targets, or when the box loses its paths, once another upstream is only picked.

--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -2,7 +2,7 @@
 import { checkResources, Configuration, ResourceKind } from '@reelspan/config.resources'
 import { type EngineOutcome, PlacementOutcome, type PlacementRefusal, type PoolCallOutcome, type StreamOrigin } from '@reelspan/core.messages'
 import { EvenShareLimiter } from '@reelspan/membership.limits'
-import { Delegator } from '@reelspan/request.delegation'
+import { type DelegatedAnswer, type DelegateRequest, Delegator, type DelegatorOptions } from '@reelspan/request.delegation'
 import { type FoundOrigin, type OriginQuery, OriginSource, type UnknownOrigin } from '@reelspan/request.stream-origins'
 import { RunEnds, type RunEndsOptions, Quarantine, RunHistory } from '@reelspan/request.quarantine'
 import { Relay, type RelayOptions } from '@reelspan/request.relay'
@@ -217,6 +217,22 @@
   }
 }
 
+/** Has another box run requests as scripted. */
+class ScriptedDelegator extends Delegator {
+  readonly requests: DelegateRequest[] = []
+  readonly #script: TestRelayOptions['delegate']
+
+  constructor (opts: DelegatorOptions, script: TestRelayOptions['delegate']) {
+    super(opts)
+    this.#script = script
+  }
+
+  override async run (request: DelegateRequest, answer: DelegatedAnswer): Promise<void> {
+    this.requests.push(request)
+    return this.#script ? this.#script(request, answer) : super.run(request, answer)
+  }
+}
+
 class RecordingLog extends Log {
   readonly entries: { event: LogEvent, fields?: LogFields }[] = []
 
@@ -253,10 +269,14 @@
   computesPrompts?: boolean
   onTaskError?: RelayOptions['onTaskError']
   admission?: RelayOptions['admission']
+  /** Addresses by which the box judges its paths. */
+  probedAddresses?: readonly string[]
+  /** How another box runs a request while this one has lost its paths; by default none does. */
+  delegate?: (request: DelegateRequest, answer: DelegatedAnswer) => Promise<void>
 }
 
 /** Creates a relay with scripted upstreams and one route of each of the four kinds. */
-export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError, admission = NO_ACCOUNTS }: TestRelayOptions = {}) {
+export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError, admission = NO_ACCOUNTS, probedAddresses = [], delegate }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const startedAtMs = clock.nowMs()
   const upstreams = new ScriptedUpstreams(clock, scripts)
@@ -287,6 +307,9 @@
     },
   })
   const origins = new ScriptedOrigins()
+  const paths = new UpstreamPaths({ clock, random: new SeededRandom(8), probe, addresses: () => probedAddresses, onLost: () => {}, onRegained: () => {} })
+  const { link } = new FakeNetwork({ clock, random: new SeededRandom(9) }).addNode('10.0.0.9:1')
+  const delegator = new ScriptedDelegator({ random: new SeededRandom(9), link, metrics, self: () => ({ name: 'test', incarnation: 'a'.repeat(16), availabilityZone: 'a' }), isNeeded: () => paths.lost, delegates: () => [] }, delegate)
   const relay = new Relay({
     clock,
     origins,
@@ -295,8 +318,8 @@
     placer,
     admission,
     upstreamReports: reports,
-    delegator: new Delegator({ random: new SeededRandom(9), link: new FakeNetwork({ clock, random: new SeededRandom(9) }).addNode('10.0.0.9:1').link, metrics, self: () => ({ name: 'test', incarnation: 'a'.repeat(16), availabilityZone: 'a' }), isNeeded: () => false, delegates: () => [] }),
-    paths: new UpstreamPaths({ clock, random: new SeededRandom(8), probe, addresses: () => [], onLost: () => {}, onRegained: () => {} }),
+    delegator,
+    paths,
     signals,
     backoffs,
     upstreamStates,
@@ -318,7 +341,7 @@
     log,
     metrics,
   })
-  return { clock, relay, upstreams, origins, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, engines, reports, closedUnanswered }
+  return { clock, relay, upstreams, delegator, origins, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, engines, reports, closedUnanswered }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
