fix(request.relay): a silent call to a service stays open until another upstream has answered

Callers lost repeatable calls whose service would have answered late. Cause: after 1.5 latency targets, or half of its time, a call was aborted once another upstream was picked. If that one was silent, refused, failed or could not be reached, nothing was left. Change: attempts at a call run in a race. The silent one stays open while another is made, the first head of an answer goes on and the rest is cancelled then; a failure response waits until no other attempt is open. The retry is taken right before the second send, as before. A slot of a pool that a superseded silent call holds is released when its upstream is heard or at the deadline. A claimed answer releases a pick that is no longer needed. The test of a long call expected that two of three calls are lost, which they no longer are; it now expects all three to be answered with as many sends, and a second one has calls that are longer than their deadline.

--- a/request/relay/src/attemptRace.ts
+++ b/request/relay/src/attemptRace.ts
@@ -20,6 +20,7 @@
   readonly #onFailedBeside: (failure: AttemptFailure) => void
   readonly #running = new Map<Attempt, Promise<AttemptEnd>>()
   readonly #joined = new Notifier()
+  readonly #ended = new Notifier()
 
   /** @param onFailedBeside called with an attempt that failed while another one is open */
   constructor (onFailedBeside: (failure: AttemptFailure) => void) {
@@ -49,12 +50,18 @@
       if (!end) continue
       const { attempt, failed, error } = end
       this.#running.delete(attempt)
+      this.#ended.notify()
       if (!failed) return undefined
       if (this.open.length === 0 && attempt.cancelCause === undefined) return { attempt, error }
       if (attempt.cancelCause === undefined) this.#onFailedBeside({ attempt, error })
     }
   }
 
+  /** Resolves once no other attempt is open, or this one is cancelled. */
+  async waitUntilAlone (attempt: Attempt): Promise<void> {
+    while (this.othersOf(attempt).length > 0 && !attempt.signal.aborted) await this.#ended.wait(attempt.signal)
+  }
+
   /** Called right before an attempt sends the request to an upstream that runs it: those that have not done so are cancelled. */
   recordSent (attempt: Attempt): void {
     attempt.throwIfCancelled()
--- /dev/null
+++ b/request/relay/src/delegatedCall.ts
@@ -0,0 +1,38 @@
+import { Attempt } from './attempt.js'
+import { DelegatedRelay } from './delegatedRelay.js'
+import { type AnswerTimes } from './passAnswer.js'
+import { type ServiceState } from './serviceState.js'
+
+/** Has a call to a service run by another box. */
+export class DelegatedCall extends Attempt {
+  readonly #state: ServiceState
+  readonly #times: AnswerTimes
+
+  constructor (state: ServiceState, times: AnswerTimes) {
+    super(state.context.run.signal)
+    this.#state = state
+    this.#times = times
+  }
+
+  get name (): string {
+    return 'delegate'
+  }
+
+  /** The delegates have retried it. */
+  get retryable (): boolean {
+    return false
+  }
+
+  async run (): Promise<void> {
+    const { context, race, sent } = this.#state
+    await new DelegatedRelay(context, {
+      attemptsUsed: sent,
+      signal: this.signal,
+      onSent: () => {
+        race.recordSent(this)
+        this.#state.sent++
+      },
+      claim: () => this.#state.claim(this),
+    }).execute(this.#times)
+  }
+}
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -239,7 +239,7 @@
   }
 
   async #executeAt (context: RelayContext, { model, pool }: Target, times: AnswerTimes): Promise<void> {
-    if (model === undefined) return new ServiceRelay(context, pool as string).execute(times)
+    if (model === undefined) return new ServiceRelay(context, pool as string, times).execute()
     const { prompt } = context.request
     if (!prompt) throw new ReelspanError(ErrorCode.BadRequest, 'a request to a model must declare its prompt sizes')
     return new CompletionRelay(context, model, prompt).execute(times)
--- a/request/relay/src/watchedExchange.ts
+++ b/request/relay/src/watchedExchange.ts
@@ -7,6 +7,8 @@
 export enum ExchangeStage {
   Prefill = 'prefill',
   Decode = 'decode',
+  /** A call to a service, until the head of its answer. */
+  Call = 'call',
 }
 
 /** How the silence of an exchange ended. */
