fix(request.relay): a call that was sent is not aborted when the box loses its paths

Cause: a repeatable call was aborted as soon as the box took its paths for lost, before another box had room for it. If none had, the call was lost, though open connections may still work. Change: another box runs the call beside the open exchange, at most once; only an attempt that was not sent is given up.

--- a/request/relay/src/serviceAttempt.ts
+++ b/request/relay/src/serviceAttempt.ts
@@ -96,7 +96,7 @@
     const { permit } = this.#opts.picked
     const watched = this.#watch()
     try {
-      const answer = await untilLost(context, this.signal, () => this.#isLost, (signal) => sendToUpstream(context, { target: this.#target, permit }, {
+      const answer = await untilLost(context, this.signal, () => !this.sent, (signal) => sendToUpstream(context, { target: this.#target, permit }, {
         signal,
         deadlineMs: run.remainingMs,
         onSend: () => {
@@ -114,10 +114,13 @@
 
   #watch (): WatchedExchange {
     const { context } = this.#state
-    const { run, route } = context
+    const { opts: { paths }, run, route } = context
     const timeoutMs = Math.min(run.remainingMs / 2, SILENCE_TARGETS * route.spec.ttftTargetMs)
     const watched = new WatchedExchange(context, { upstream: this.name, stage: ExchangeStage.Call, timeoutMs, onSilent: () => this.#opts.onSilent(this) })
     this.#watched = watched
+    void paths.waitUntilLost(watched.ended).then(() => {
+      if (paths.lost && !watched.ended.aborted && this.sent && paths.lastReceivedMs < this.startedAtMs) this.#opts.onSilent(this)
+    })
     return watched
   }
 
@@ -163,12 +166,6 @@
     health.record(this.name, outcome, candidates.map(({ name }) => name))
   }
 
-  /** Whether the attempt has no connection, or may be repeated and its connection has gone silent like all others. */
-  get #isLost (): boolean {
-    const { context: { opts: { paths }, budget }, mayRepeat } = this.#state
-    return !this.sent || (mayRepeat && budget.left >= 1 && paths.lastReceivedMs < this.startedAtMs)
-  }
-
   /** An upstream that stands still has not read that its call was cancelled. */
   get #heldWhileSilent (): boolean {
     return this.sent && this.silent && this.cancelCause === CancelCause.Superseded
