fix(request.relay): another box runs a request beside a silent exchange only if it may be repeated

Cause: when a box had lost its paths, a request was given to another box beside its open exchange without a look at the route, its attempts or the retry budget: a stream that may run once ran twice, and each silence of the exchange asked again. Change: a request that was sent is given to another box at most once, only if its route allows another attempt, and with a retry of the budget. Where a delegate has sent it counts as an attempt.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -18,6 +18,8 @@
   readonly #context: RelayContext
   readonly #state: CompletionState
   #times?: AnswerTimes
+  /** Whether another box was asked beside an attempt that was sent. */
+  #delegatedBeside = false
 
   constructor (context: RelayContext, model: string, prompt: PromptSizes) {
     this.#context = context
@@ -80,7 +82,16 @@
     const { run, budget } = this.#context
     const { race } = this.#state
     if (run.signal.aborted || race.open.length !== 1 || race.open[0] instanceof DelegatedAttempt) return
-    if (mustDelegate(this.#context) || (this.#mayAttemptAgain && budget.left >= 1)) race.join(this.#createAttempt({ beside: true }))
+    const mayJoin = mustDelegate(this.#context) ? this.#mayDelegateBeside(race.open[0]) : this.#mayAttemptAgain && budget.left >= 1
+    if (mayJoin) race.join(this.#createAttempt({ beside: true }))
+  }
+
+  /** Another box is asked once to run a request that was sent, and a retry is taken for it. */
+  #mayDelegateBeside ({ sent }: Attempt): boolean {
+    if (!sent) return true
+    if (this.#delegatedBeside || !this.#state.mayAttemptAgain || !this.#context.budget.tryAcquireRetry()) return false
+    this.#delegatedBeside = true
+    return true
   }
 
   #onFailedBeside ({ attempt, error }: AttemptFailure): void {
--- a/request/relay/src/delegatedAttempt.ts
+++ b/request/relay/src/delegatedAttempt.ts
@@ -31,7 +31,10 @@
       progress: own,
       version,
       signal: this.signal,
-      onSent: () => race.recordSent(this),
+      onSent: (upstream) => {
+        race.recordSent(this)
+        decodeEngines.add(upstream)
+      },
       claim: () => {
         race.claim(this)
         this.#state.progress = own
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -18,7 +18,7 @@
   /** Ends the relay before the run ends. */
   signal?: AbortSignal
   /** Called when a delegate has sent the request to an upstream. Throws if another attempt has. */
-  onSent?: () => void
+  onSent?: (upstream: string) => void
   /** Called before a part of the answer is passed on. Throws if another attempt has gone on with the answer. */
   claim?: () => void
 }
@@ -31,7 +31,7 @@
   readonly #progress: EventProgress
   readonly #version?: StreamVersion
   readonly #signal: AbortSignal
-  readonly #onSent: () => void
+  readonly #onSent: (upstream: string) => void
   readonly #claim: () => void
   /** Software version of the upstream that runs the request; undefined if neither the delegate nor this box's list tells it. */
   #upstreamVersion?: string
@@ -112,7 +112,7 @@
 
   /** A delegate of an earlier build does not know which software version began the stream. */
   #recordSent (upstream: string, softwareVersion = listedVersion(this.#context.opts, upstream)): void {
-    this.#onSent()
+    this.#onSent(upstream)
     this.#attemptsUsed++
     this.#upstreamVersion = softwareVersion
     const fixed = this.#version?.fixed
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -61,8 +61,8 @@
 })
 
 /** A relay whose single retry has been used by another request. */
-async function createWithoutRetry (scripts: Script[]): Promise<TestRelay> {
-  const created = createRelay([answers(500, 'oops'), answers(200, 'other'), ...scripts], { retryBurst: 1 })
+async function createWithoutRetry (scripts: Script[], opts: Parameters<typeof createRelay>[1] = {}): Promise<TestRelay> {
+  const created = createRelay([answers(500, 'oops'), answers(200, 'other'), ...scripts], { ...opts, retryBurst: 1 })
   await created.clock.run(created.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
   return created
 }
@@ -111,3 +111,29 @@
   await clock.advance(10_000)
   t.is(placer.released, 2)
 })
+
+const PROBED_ADDRESSES = ['10.0.4.1:1', '10.0.5.1:1', '10.0.6.1:1']
+
+/** Plays a stream whose engine is silent while the box loses its paths to all machines. Returns how often other boxes were asked to run it. */
+async function playLostPaths (t: ExecutionContext, { clock, relay, upstreams, probe, delegator }: TestRelay, path: string): Promise<number> {
+  PROBED_ADDRESSES.forEach((address) => probe.ended.add(address))
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo(path), caller)
+  await clock.advance(10)
+  upstreams.prefillHangs = true
+  await clock.run(work)
+  assertWhole(t, caller)
+  return delegator.requests.length
+}
+
+test('a stream that may run once is not run by another box as well while its engine is silent', async (t) => {
+  const played = createRelay([pauses(200, [FIRST, SECOND], SILENCE_MS)], { probedAddresses: PROBED_ADDRESSES })
+  t.is(await playLostPaths(t, played, '/draft/1'), 0)
+})
+
+test('a stream that was sent is run by another box as well only if a retry is left, and once', async (t) => {
+  const played = createRelay([pauses(200, [FIRST, SECOND], SILENCE_MS)], { probedAddresses: PROBED_ADDRESSES })
+  t.is(await playLostPaths(t, played, '/reply/1'), 1)
+  const withoutRetry = await createWithoutRetry([pauses(200, [FIRST, SECOND], SILENCE_MS)], { probedAddresses: PROBED_ADDRESSES })
+  t.is(await playLostPaths(t, withoutRetry, '/reply/1'), 0)
+})
