--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -18,6 +18,8 @@
   readonly #context: RelayContext
   readonly #state: CompletionState
   #times?: AnswerTimes
+  /** Whether another box was asked beside an attempt that was sent. */
+  #delegatedBeside = false
 
   constructor (context: RelayContext, model: string, prompt: PromptSizes) {
     this.#context = context
@@ -58,7 +60,7 @@
       logDecision(LogEvent.RequestRetried, { attempt: this.#state.placements, reason, mayHaveRun: run.mayHaveRun })
       return
     }
-    logDecision(LogEvent.RequestNotRetried, { attempt: this.#state.placements, reason, attemptsLeft: route.spec.maxAttempts - this.#state.attemptsUsed, retriesLeft: Math.floor(budget.left), begun: caller.begun })
+    logDecision(LogEvent.RequestNotRetried, { attempt: this.#state.placements, reason, attemptsLeft: route.spec.maxAttempts - this.#state.decodeEngines.size, retriesLeft: Math.floor(budget.left), begun: caller.begun })
     throw error
   }
 
@@ -80,11 +82,19 @@
     const { run, budget } = this.#context
     const { race } = this.#state
     if (run.signal.aborted || race.open.length !== 1 || race.open[0] instanceof DelegatedAttempt || !this.#mayAttemptAgain) return
-    // A box that is asked to run a request that no upstream has got does not repeat anything.
-    const mayJoin = mustDelegate(this.#context) ? !run.mayHaveRun || budget.tryAcquireRetry() : budget.left >= 1
+    const mayJoin = mustDelegate(this.#context) ? this.#mayDelegateBeside(race.open[0]) : budget.left >= 1
     if (mayJoin) race.join(this.#createAttempt({ beside: true }))
   }
 
+  /** Another box is asked once to run a request that may have run, and a retry is taken for it. */
+  #mayDelegateBeside ({ sent }: Attempt): boolean {
+    const { run, budget } = this.#context
+    if (!sent && !run.mayHaveRun) return true
+    if (this.#delegatedBeside || !budget.tryAcquireRetry()) return false
+    this.#delegatedBeside = true
+    return true
+  }
+
   #onFailedBeside ({ attempt, error }: AttemptFailure): void {
     const { run, logDecision } = this.#context
     const { race } = this.#state
--- a/request/relay/src/delegatedAttempt.ts
+++ b/request/relay/src/delegatedAttempt.ts
@@ -24,17 +24,17 @@
   }
 
   async run (): Promise<void> {
-    const { context, attemptsUsed, progress, version, race } = this.#state
+    const { context, decodeEngines, progress, version, race } = this.#state
     const own = progress.fork()
     // The box that is asked may run the request before it can say so.
     if (!context.route.spec.resumable) race.recordSent(this)
     await new DelegatedRelay(context, {
-      attemptsUsed,
+      attemptsUsed: decodeEngines.size,
       progress: own,
       version,
       signal: this.signal,
-      onSent: () => {
-        this.#state.delegatedSends++
+      onSent: (upstream) => {
+        decodeEngines.add(upstream)
         race.recordSent(this)
       },
       claim: () => {
--- a/request/relay/test/attemptRace.ts
+++ b/request/relay/test/attemptRace.ts
@@ -9,7 +9,7 @@
   #fail = (_error: Error) => {}
 
   constructor (name: string) {
-    super(new AbortController().signal)
+    super({ signal: new AbortController().signal, elapsedMs: 0 })
     this.name = name
   }
 
