fix(upstream.paths): a box that has had nothing to do is not taken for silent while machines refuse its connections

Cause: while no box accepts new connections to upstreams, a box uses its open ones unless nothing was received from any upstream for 400 ms. A box with few requests receives nothing for as long when none is running, refuses the next one, and so receives nothing either.

Change: if a machine refused a connection in the last check, packets reach it, and silence counts only while an answer is outstanding. If connections hang, as before.

Result: the new test of upstreamPaths fails on the code before it (silent after 1 s without a request). «requests are refused at once, as not run, while no box reaches an upstream» passes for links that hang and that are reset.

--- a/upstream/paths/src/upstreamPaths.ts
+++ b/upstream/paths/src/upstreamPaths.ts
@@ -80,6 +80,8 @@
   #pendingCheck?: Promise<CheckResult>
   /** When each outstanding request was sent. */
   readonly #outstanding = new Map<symbol, number>()
+  /** Whether a machine refused a connection in the last check. */
+  #machinesRefuse = false
   #watchingSilence = false
   /** When a silence was last found to be the upstreams' own, and when it is checked again. */
   #silenceCheckedMs = Number.NEGATIVE_INFINITY
@@ -96,9 +98,10 @@
     return this.#lostSinceMs !== undefined
   }
 
-  /** Whether nothing was received from any upstream for a while. */
+  /** Whether nothing was received from any upstream for a while. If machines refuse connections, packets reach them, so this counts only while an answer is outstanding. */
   get silent (): boolean {
-    return this.#opts.clock.nowMs() - this.#lastReceivedMs >= SILENT_AFTER_MS
+    const sinceMs = this.#machinesRefuse ? Math.max(this.#lastReceivedMs, this.#oldestSentMs) : this.#lastReceivedMs
+    return this.#opts.clock.nowMs() - sinceMs >= SILENT_AFTER_MS
   }
 
   /** When anything was last received from an upstream. */
@@ -130,6 +133,12 @@
     return () => this.#outstanding.delete(key)
   }
 
+  /** When the oldest outstanding request was sent. */
+  get #oldestSentMs (): number {
+    const [oldestSentMs = Number.POSITIVE_INFINITY] = this.#outstanding.values()
+    return oldestSentMs
+  }
+
   /** Checks now why a call has failed. */
   async judge (): Promise<FailureCause> {
     if (this.lost) return FailureCause.OwnPaths
@@ -172,6 +181,7 @@
     await clock.awaitPendingInput()
     this.#lastCheckMs = clock.nowMs()
     const refused = results.filter((result) => result === UpstreamProbeResult.Refused).length
+    this.#machinesRefuse = refused > 0
     if (!reached && this.#lastCheckMs - startedAtMs > MAX_CHECK_MS) return { cause: FailureCause.Unknown, probed: addresses.length, refused }
     return { cause: reached ? FailureCause.Upstream : FailureCause.OwnPaths, probed: addresses.length, refused }
   }
@@ -219,8 +229,7 @@
     while (this.#outstanding.size > 0 && !this.#tasks.stopped) {
       await clock.sleep(SILENCE_CHECK_MS, { signal: this.#tasks.signal })
       await clock.awaitPendingInput()
-      const [oldestSentMs = Number.POSITIVE_INFINITY] = this.#outstanding.values()
-      if (this.lost || clock.nowMs() - Math.max(oldestSentMs, this.#lastReceivedMs, this.#silenceCheckedMs) < this.#silenceIntervalMs) continue
+      if (this.lost || clock.nowMs() - Math.max(this.#oldestSentMs, this.#lastReceivedMs, this.#silenceCheckedMs) < this.#silenceIntervalMs) continue
       if (await this.judge() !== FailureCause.Upstream) continue
       this.#silenceCheckedMs = clock.nowMs()
       this.#silenceIntervalMs = Math.min(MAX_SILENCE_INTERVAL_MS, 2 * this.#silenceIntervalMs)
--- a/upstream/paths/test/upstreamPaths.ts
+++ b/upstream/paths/test/upstreamPaths.ts
@@ -74,6 +74,34 @@
   await clock.run(paths.stop())
 })
 
+test('a box that has had nothing to do is not taken for silent while machines refuse its connections', async (t) => {
+  const { clock, probe, paths } = createPaths()
+  probe.resultAt = () => UpstreamProbeResult.Refused
+  paths.recordFailure()
+  await clock.advance(1000)
+  t.true(paths.lost)
+  t.false(paths.silent)
+  const end = paths.trackRequest()
+  await clock.advance(300)
+  t.false(paths.silent)
+  await clock.advance(200)
+  t.true(paths.silent)
+  paths.recordReceived()
+  t.false(paths.silent)
+  end()
+  await clock.run(paths.stop())
+})
+
+test('a box whose connections hang is taken for silent even if no answer is outstanding', async (t) => {
+  const { clock, probe, paths } = createPaths()
+  probe.resultAt = () => UpstreamProbeResult.Unresponsive
+  paths.recordFailure()
+  await clock.advance(1000)
+  t.true(paths.lost)
+  t.true(paths.silent)
+  await clock.run(paths.stop())
+})
+
 test('an upstream that is down or silent for a second does not mean that paths are lost', async (t) => {
   for (const result of [UpstreamProbeResult.Refused, UpstreamProbeResult.Unresponsive]) {
     const { clock, probe, paths, losses } = createPaths()
