fix(request.relay): no request is placed at an upstream without an open connection while none accepts a new one

Cause: a box that uses its open connections since no upstream accepts new ones placed requests at all upstreams alike. At most of them it had no connection; each such attempt failed and took a retry from the budget, until requests ended with «cannot be reached» or «no upstream that takes work».

Change: while the paths are lost, upstreams without an idle connection are left out of placements and picks. Relay clients tell whether a connection to an address is idle.

--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -175,6 +175,11 @@
     return prefilled
   }
 
+  hasIdleConnection (address: string): boolean {
+    this.#closeIfReset(address)
+    return (this.#idleConnections.get(address) ?? 0) > 0
+  }
+
   async free (_source: PrefillSource): Promise<void> {}
 
   async #runSlotted (slotted: SlottedUpstream, target: RelayTarget, opts: RelayRunOptions): Promise<RelayAnswer> {
@@ -203,6 +208,7 @@
     const { clock, network, address, upstreams } = this.#opts
     const sentAtMs = clock.nowMs()
     await clock.waitUntilRunning()
+    this.#closeIfReset(target.address)
     const isConnected = this.#acquireIdle(target.address)
     const fault = network.faultOf(address, target.address)
     if (fault === LinkFault.Reset || (fault === LinkFault.RefusesNew && !isConnected)) throw unreachable(target.address)
@@ -236,6 +242,10 @@
     this.#opts.onReceived?.()
   }
 
+  #closeIfReset (address: string): void {
+    if (this.#opts.network.faultOf(this.#opts.address, address) === LinkFault.Reset) this.#idleConnections.delete(address)
+  }
+
   #acquireIdle (address: string): boolean {
     const idle = this.#idleConnections.get(address) ?? 0
     if (idle > 0) this.#idleConnections.set(address, idle - 1)
--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -10,6 +10,7 @@
 import { type RelayContext } from './relayContext.js'
 import { BlockedUpstreams } from './blockedUpstreams.js'
 import { type StreamVersion } from './streamVersion.js'
+import { unconnectedUpstreams } from './unconnectedUpstreams.js'
 import { targetVersionOf } from './targetVersionOf.js'
 
 /** Latency targets that a request may wait for its first token. Callers abandon a stream after four; the fourth covers round trips and estimation errors. */
@@ -153,7 +154,7 @@
       availabilityZone,
       softwareVersion: this.#state.version.fixed,
       resumable: route.spec.resumable || undefined,
-      avoid: [...new Set([...this.#state.failed, ...this.#failingEngines(attempt), ...this.#blocked.names(), ...opts.backoffs.upstreams(), ...this.#bannedEngines()])],
+      avoid: [...new Set([...this.#state.failed, ...this.#failingEngines(attempt), ...this.#blocked.names(), ...opts.backoffs.upstreams(), ...this.#bannedEngines(), ...this.#unconnectedEngines()])],
     }
   }
 
@@ -168,6 +169,11 @@
     return [...failing].filter((name) => !spared.has(name))
   }
 
+  #unconnectedEngines (): string[] {
+    const model = this.#context.opts.configuration().model(this.#model)
+    return model ? [model.prefillPool, model.decodePool].flatMap((pool) => unconnectedUpstreams(this.#context, pool)) : []
+  }
+
   /** Engines whose software version the prompt's parts have crashed. */
   #bannedEngines (): string[] {
     const { opts, identity } = this.#context
--- a/request/relay/src/pickPermittedUpstream.ts
+++ b/request/relay/src/pickPermittedUpstream.ts
@@ -6,6 +6,7 @@
 import { type SendPermit, WaitReason } from '@reelspan/upstream.limits'
 import { type RelayContext } from './relayContext.js'
 import { BlockedUpstreams } from './blockedUpstreams.js'
+import { unconnectedUpstreams } from './unconnectedUpstreams.js'
 
 /** Upstreams register again within some seconds, and callers make few retries. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000
@@ -35,7 +36,7 @@
   const { opts, picker } = context
   const blocked = backoffsOf(context, pool, tried)
   for (;;) {
-    const excluded = new Set([...tried, ...blocked.names()])
+    const excluded = new Set([...tried, ...blocked.names(), ...unconnectedUpstreams(context, pool)])
     const answer: SlotAnswer = opts.pools.isShort(pool) ? await acquireSlot(context, pool, excluded) : { decision: SlotDecision.OwnChoice }
     if (answer.decision === SlotDecision.Refused) return { refusal: createRefusal(context, pool, answer), blocked }
     const granted = answer.decision === SlotDecision.Granted ? answer.slot : undefined
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -73,6 +73,10 @@
     return { handle: `handle-${this.prefills.length}`, promptTokens: 1000 }
   }
 
+  hasIdleConnection (): boolean {
+    return true
+  }
+
   async free (source: PrefillSource): Promise<void> {
     this.freed.push(source)
   }
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -98,6 +98,9 @@
   /** Computes the KV cache of the prompt without generating tokens. */
   abstract prefill (target: RelayTarget, request: RelayedRequest, opts: RelayCallOptions): Promise<PrefilledPrompt>
 
+  /** Whether the next request to an address is sent on a connection that is open already. */
+  abstract hasIdleConnection (address: string): boolean
+
   /** Frees the KV cache that an engine keeps for a prompt. */
   abstract free (source: PrefillSource, opts: UpstreamCallOptions): Promise<void>
 }
