fix(request.relay): a connection that failed before its box knew of its lost paths is not reported as its engine's failure

Cause: what an attempt found at its engines is reported to their scheduler when the placement is released, unless the paths are known to be lost. The first failures of a cut are what the check of the paths begins with, so they were reported: the scheduler's own report turned one into a failure among many, enough to avoid an engine that few boxes had used.

Change: if an engine could not be reached, the release waits for the check of the paths, which takes some milliseconds when connections are refused.

--- a/box/runtime/test/cutFromUpstreams.ts
+++ b/box/runtime/test/cutFromUpstreams.ts
@@ -130,6 +130,14 @@
   })
 }
 
+test('an engine is not avoided for a connection that failed right before its box knew of the lost paths', async (t) => {
+  const fleet = await startFleet({ seed: 6 })
+  const cut = chooseBoxes(fleet, 6).slice(1)
+  await loadDuringCut(t, fleet, cut, LinkFault.RefusesNew)
+  t.deepEqual(linesOf(fleet, LogEvent.UpstreamSuspected).filter(({ box }) => !cut.includes(box)), [])
+  await fleet.stop()
+})
+
 test('an engine that is really down is avoided as soon as before, by its scheduler and by all boxes', async (t) => {
   const fleet = await startFleet()
   await loadAll(fleet, 'before', 1)
--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -4,6 +4,7 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type PrefillSource, type RelayAnswer, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { type SendPermit } from '@reelspan/upstream.limits'
+import { FailureCause } from '@reelspan/upstream.paths'
 import { Attempt, CancelCause } from './attempt.js'
 import { type CompletionState } from './completionState.js'
 import { MAX_WAIT_TARGETS } from './completionPlacer.js'
@@ -130,7 +131,14 @@
   async #release (placement: Placement, report?: PlacementReport): Promise<void> {
     const { run, silence, stopSignal } = this.#state.context
     if (this.sent && this.silent && this.cancelCause === CancelCause.Superseded) await silence.waitUntilHeard(placement.plan.decodeEngine, run.remainingMs, stopSignal)
-    placement.release(report, this.#outcomes)
+    placement.release(report, await this.#outcomesOfEngines())
+  }
+
+  /** Failures caused by lost paths of this box say nothing about the engines. The first of them come before the loss is known. */
+  async #outcomesOfEngines (): Promise<EngineOutcome[]> {
+    if (!this.#outcomes.some(({ outcome }) => outcome === UpstreamOutcome.Unreachable)) return this.#outcomes
+    const cause = await this.#state.context.opts.paths.judge()
+    return cause === FailureCause.OwnPaths ? this.#outcomes.filter(({ outcome }) => outcome === UpstreamOutcome.Answered) : this.#outcomes
   }
 
   async #checkBeforeSend (): Promise<void> {
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -33,7 +33,7 @@
   /** Reports of all boxes about upstreams that close connections without an answer. */
   upstreamReports: Pick<UpstreamFailureReports, 'isFailing'>
   /** Whether this box has network paths to the upstreams. */
-  paths: Pick<UpstreamPaths, 'lost' | 'lastReceivedMs' | 'trackRequest' | 'recordFailure' | 'waitUntilLost'>
+  paths: Pick<UpstreamPaths, 'lost' | 'lastReceivedMs' | 'trackRequest' | 'recordFailure' | 'judge' | 'waitUntilLost'>
   /** Knows or finds out which software version began a stream. */
   origins: Pick<StreamOrigins, 'record' | 'find'>
   /** Has requests run by other boxes while this one cannot reach any upstream. */
