test(utils.fakes): processes of the fake network may stand still

Cause: links could lose messages, refuse connections or reset them, but no process could be silent and go on with its connections. Change: FakeNetwork.pause and resume, also for relayed upstreams.

--- a/__utils__/fakes/src/fakeNetwork.ts
+++ b/__utils__/fakes/src/fakeNetwork.ts
@@ -36,6 +36,8 @@
   readonly #nodes = new Map<string, Node>()
   readonly #faults = new Map<string, LinkFault>()
   readonly #healed = new Notifier()
+  readonly #paused = new Set<string>()
+  readonly #resumed = new Notifier()
   /** Share of the calls that are delivered twice. */
   duplicateShare = 0
 
@@ -91,11 +93,31 @@
     this.#healed.notify()
   }
 
+  /** Makes a process stand still: it reads and writes nothing until it is resumed, and its connections stay. */
+  pause (address: string): void {
+    this.#paused.add(address)
+  }
+
+  resume (address: string): void {
+    this.#paused.delete(address)
+    this.#resumed.notify()
+  }
+
+  isPaused (address: string): boolean {
+    return this.#paused.has(address)
+  }
+
+  async waitUntilRunning (address: string): Promise<void> {
+    while (this.isPaused(address)) await this.#resumed.wait()
+  }
+
   /** Simulates the delivery of a message. Resolves with false if the link lost it when it was sent or when it would have arrived. */
   async deliver (from: string, to: string): Promise<boolean> {
     const { clock, random, latencyMs, jitterMs } = this.#opts
     if (this.#losesMessages(from, to)) return false
     await clock.sleep(latencyMs + random.nextFloat() * jitterMs)
+    await this.waitUntilRunning(from)
+    await this.waitUntilRunning(to)
     return !this.#losesMessages(from, to)
   }
 
--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -230,6 +230,7 @@
   /** Fails like an exchange whose link failed after its request was sent. */
   async #checkReceives (from: string, signal: AbortSignal): Promise<void> {
     const { network, address } = this.#opts
+    if (network.isPaused(from)) await Promise.race([network.waitUntilRunning(from), rejectOnceAborted(signal, from)])
     const fault = network.faultOf(from, address)
     if (fault === LinkFault.Reset) throw connectionClosed(from)
     if (fault === LinkFault.Blocked) await rejectOnceAborted(signal, from)
