fix(scheduling.scheduler): a pause of a whole pool is no refusal of all callers

Callers were refused at once with «no engine of the model takes work» while all engines of a pool stood still for a second, and for longer than that. Cause: a scheduler took each engine that did not answer a request for its report for lost, until its next report. The reports were requested again only after a period of 1 s, and one silent engine delayed those of all. Change: an engine that does not answer in time is silent; one whose connections fail is lost, as before. Neither gets work. If more than half of a pool is silent at once, admission and the forecast of slots expect its engines back: requests wait within their callers' patience, others are refused with a time that counts the pause. Silent engines always have one request for their report, apart from the poll of the others.

--- a/box/runtime/src/shardManager.ts
+++ b/box/runtime/src/shardManager.ts
@@ -1,7 +1,7 @@
 import { type Configuration } from '@reelspan/config.resources'
 import { type Clock, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
-import { type EngineAccount } from '@reelspan/scheduling.ledger'
+import { type DecodeAccount, type EngineAccount, type PrefillAccount } from '@reelspan/scheduling.ledger'
 import { type ShardScheduler } from '@reelspan/scheduling.scheduler'
 import { type EngineClient, type EngineReport, EngineRole, ReportedStart, compareReportedStart } from '@reelspan/upstream.client'
 import { type HoldSweeper } from '@reelspan/upstream.holds'
@@ -24,6 +24,16 @@
   onTaskError?: TaskErrorListener
 }
 
+type AnyEngine = EngineAccount<PrefillAccount | DecodeAccount>
+
+/** The outcome of a request for an engine's report. */
+interface FetchedReport {
+  engine: AnyEngine
+  report?: EngineReport
+  /** When it was sent, if the engine has not answered it. */
+  silentSinceMs?: number
+}
+
 /** Timeout of a reachability check. Engines answer a report within a few milliseconds. */
 const CHECK_TIMEOUT_MS = 300
 /** Cache events are read on every nth polling pass. */
@@ -43,6 +53,8 @@
   readonly #orders: OrderController
   readonly #balancer?: RoleBalancer
   readonly #checksInFlight = new Set<string>()
+  /** Silent engines with an outstanding request for their report. */
+  readonly #awaited = new Set<string>()
   readonly #cacheSequences = new Map<string, number>()
   #passCount = 0
 
@@ -73,43 +85,89 @@
   /** Checks whether an engine that an owner could not reach answers this box. If not, it gets no work until it reports again. */
   async checkReachable (engineName: string): Promise<void> {
     const engine = this.scheduler.ledger.allEngines().find(({ name }) => name === engineName)
-    if (!engine || this.#checksInFlight.has(engineName)) return
+    if (!engine || this.#checksInFlight.has(engineName) || this.#awaited.has(engineName)) return
     this.#checksInFlight.add(engineName)
-    await this.#fetchReport(engine, CHECK_TIMEOUT_MS)
+    const { silentSinceMs } = await this.#fetchReport(engine, CHECK_TIMEOUT_MS)
     this.#checksInFlight.delete(engineName)
+    if (silentSinceMs === undefined) return
+    this.#recordSilent([{ engine, silentSinceMs }])
+    await this.#checkPoolOf(engine)
+  }
+
+  /** Finds out whether an engine is silent alone or with its pool. */
+  async #checkPoolOf ({ name, role }: AnyEngine): Promise<void> {
+    await this.#fetchReports(this.#heardEngines().filter((other) => other.role === role && other.name !== name), CHECK_TIMEOUT_MS)
+  }
+
+  /** Engines other than those that are known to be silent, of which a report is requested all the time. */
+  #heardEngines (): AnyEngine[] {
+    return this.scheduler.ledger.allEngines().filter(({ name }) => !this.#awaited.has(name))
   }
 
   /** Requests the reports of all engines, in addition to the regular ones. */
   async refreshReports (): Promise<void> {
-    await Promise.all(this.scheduler.ledger.allEngines().map((engine) => this.#fetchReport(engine, CHECK_TIMEOUT_MS)))
+    await this.#fetchReports(this.#heardEngines(), CHECK_TIMEOUT_MS)
   }
 
   async #poll (): Promise<void> {
     this.#passCount++
-    await Promise.all(this.scheduler.ledger.allEngines().map((engine) => this.#pollEngine(engine)))
+    this.#recordSilent(await Promise.all(this.#heardEngines().map((engine) => this.#pollEngine(engine))))
     if (this.lease.isValid()) await this.#sendOrders()
     else this.#balancer?.cancelUnorderedMoves()
   }
 
-  async #pollEngine (engine: EngineAccount<unknown>): Promise<void> {
-    const report = await this.#fetchReport(engine, this.#opts.reportPeriodMs)
-    if (!report) return
+  async #pollEngine (engine: AnyEngine): Promise<FetchedReport> {
+    const fetched = await this.#fetchReport(engine, this.#opts.reportPeriodMs)
+    const { report } = fetched
+    if (!report) return fetched
     this.#tasks.run(() => this.#opts.sweeper.sweep(engine, report.holds))
     if (report.role === EngineRole.Prefill && this.#passCount % CACHE_EVENTS_EVERY_PASSES === 0) await this.#readCacheEvents(engine)
+    return fetched
   }
 
-  /** Fetches an engine's report and passes it, or the failure to get it, to the scheduler. */
-  async #fetchReport (engine: EngineAccount<unknown>, timeoutMs: number): Promise<EngineReport | undefined> {
+  async #fetchReports (engines: readonly AnyEngine[], timeoutMs: number): Promise<void> {
+    this.#recordSilent(await Promise.all(engines.map((engine) => this.#fetchReport(engine, timeoutMs))))
+  }
+
+  /** Fetches an engine's report and passes it, or a failure other than silence, to the scheduler. */
+  async #fetchReport (engine: AnyEngine, timeoutMs: number): Promise<FetchedReport> {
     const { engines } = this.#opts
     const { name, address } = engine
+    const askedAtMs = this.#opts.clock.nowMs()
     // The client logs a failure.
     const report = await engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
-    if (this.#tasks.stopped) return
+    if (this.#tasks.stopped) return { engine }
+    const isSilent = !report && this.#opts.clock.nowMs() - askedAtMs >= timeoutMs
     if (report) this.scheduler.recordReport(name, report)
     // A scheduler without network paths places by the last reports until another box takes over.
     else if (await this.#opts.hasLostPaths()) this.#onPathsLost(name)
+    else if (isSilent) return { engine, silentSinceMs: askedAtMs }
     else this.scheduler.markUnresponsive(name)
-    return report && compareReportedStart(engine, report) === ReportedStart.Same ? report : undefined
+    return { engine, report: report && compareReportedStart(engine, report) === ReportedStart.Same ? report : undefined }
+  }
+
+  #recordSilent (fetched: readonly FetchedReport[]): void {
+    const silent = fetched.flatMap(({ engine, silentSinceMs: sinceMs }) => sinceMs === undefined || this.#hasReportedSince(engine, sinceMs) ? [] : [{ engine, sinceMs }])
+    if (silent.length === 0 || this.#tasks.stopped) return
+    this.scheduler.markSilent(silent.map(({ engine: { name }, sinceMs }) => ({ name, sinceMs })))
+    silent.filter(({ engine: { name } }) => !this.#awaited.has(name)).forEach(({ engine }) => this.#tasks.run(() => this.#awaitReport(engine)))
+  }
+
+  /** Another request for the report may have been answered. */
+  #hasReportedSince ({ report, reportAtMs }: AnyEngine, sinceMs: number): boolean {
+    return report !== undefined && reportAtMs >= sinceMs
+  }
+
+  /** Keeps a request with a silent engine until it answers, so that a pause is known to be over when it is. */
+  async #awaitReport (engine: AnyEngine): Promise<void> {
+    const { name } = engine
+    this.#awaited.add(name)
+    for (let silent = true; silent;) {
+      const fetched = await this.#fetchReport(engine, this.#opts.reportPeriodMs)
+      this.#recordSilent([fetched])
+      silent = fetched.silentSinceMs !== undefined && this.scheduler.ledger.allEngines().includes(engine)
+    }
+    this.#awaited.delete(name)
   }
 
   #onPathsLost (engineName: string): void {
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -23,6 +23,15 @@
   expiresAtMs: number
 }
 
+/** An engine that does not answer requests for its report, as opposed to one whose connections fail. */
+export interface EngineSilence {
+  sinceMs: number
+  /** Its last report before; undefined if it had not reported. */
+  lastReport?: EngineReport
+  /** Whether most engines of its pool fell silent at about the same time. */
+  shared: boolean
+}
+
 /** An engine of the shard with its account and last report. */
 export interface EngineAccount<A> {
   name: string
@@ -39,6 +48,8 @@
   /** The last report; `reportAtMs` is the time at which it was received. */
   report?: EngineReport
   reportAtMs: number
+  /** Set from an unanswered request for its report until it answers, or is found to be lost. */
+  silence?: EngineSilence
   /** No report was received and no attempt to get one has failed yet. */
   awaitsFirstReport: boolean
   /** Set while an order is being carried out: the engine gets no new work, so that it drains. */
@@ -52,6 +63,9 @@
   onReleased?: (label: HoldLabel) => void
 }
 
+/** A pool with a larger share of engines that are silent at once is paused. With a smaller one, the silent engines are taken for lost. */
+const PAUSED_POOL_SHARE = 0.5
+
 /** Accounts for all reservations of one shard. A reservation is a plan, not a guarantee: the engine itself may still refuse. */
 export class ShardLedger {
   readonly #opts: ShardLedgerOptions
@@ -121,7 +135,24 @@
 
   /** The version of the shard's model that an engine serves now; undefined if it takes no new work. */
   servedVersion (engine: EngineAccount<unknown>, nowMs: number): string | undefined {
-    const { report } = engine
+    return this.#versionIn(engine.report, engine, nowMs)
+  }
+
+  /** The version that an engine serves now, or will serve when its pool's pause is over. */
+  expectedVersion (engine: EngineAccount<unknown>, nowMs: number): string | undefined {
+    return this.#versionIn(engine.report ?? (this.#isPaused(engine, nowMs) ? engine.silence?.lastReport : undefined), engine, nowMs)
+  }
+
+  /** For how long engines of pools that are paused have been silent; 0 if none is. */
+  pausedForMs (nowMs: number): number {
+    return Math.max(0, ...this.allEngines().flatMap((engine) => engine.silence && this.#isPaused(engine, nowMs) ? [nowMs - engine.silence.sinceMs] : []))
+  }
+
+  #isPaused ({ silence }: EngineAccount<unknown>, nowMs: number): boolean {
+    return silence !== undefined && silence.shared && nowMs - silence.sinceMs <= this.#opts.maxReportAgeMs
+  }
+
+  #versionIn (report: EngineReport | undefined, engine: EngineAccount<unknown>, nowMs: number): string | undefined {
     // While an engine changes its role, the fleet list and its report disagree for a while; it gets no work of either role then.
     const usable = report && report.role === engine.role && !engine.leaving && !engine.retiring && !report.changing && nowMs - engine.reportAtMs <= this.#opts.maxReportAgeMs
     const servedName = this.#shard.spec.servedName ?? this.#shard.model
@@ -193,16 +224,36 @@
     }
     engine.report = report
     engine.reportAtMs = nowMs
+    engine.silence = undefined
     engine.awaitsFirstReport = false
     engine.account.recordReport(report, nowMs)
   }
 
-  /** Called when an engine did not answer. It gets no work until it reports again. Returns whether it had reported before. */
+  /** Called when an engine cannot be reached. It gets no work until it reports again. Returns whether it had reported before. */
   markUnresponsive (engineName: string): boolean {
+    return this.#discardReport(engineName)
+  }
+
+  /** Called when an engine has not answered a request for its report that was sent at `sinceMs`. It gets no work until it reports again. Returns whether it had reported before. */
+  markSilent (engineName: string, sinceMs: number): boolean {
+    const engine = this.#prefill.get(engineName) ?? this.#decode.get(engineName)
+    const hadReport = this.#discardReport(engineName, engine?.silence ?? { sinceMs, lastReport: engine?.report, shared: false })
+    if (engine) this.#detectPause(engine.role, sinceMs)
+    return hadReport
+  }
+
+  #detectPause (role: EngineRole, sinceMs: number): void {
+    const engines = (role === EngineRole.Prefill ? this.#prefillList : this.#decodeList).filter(({ leaving }) => !leaving)
+    const silences = engines.flatMap(({ silence }) => silence && sinceMs - silence.sinceMs <= this.#opts.maxReportAgeMs ? [silence] : [])
+    if (silences.length > PAUSED_POOL_SHARE * engines.length) silences.forEach((silence) => { silence.shared = true })
+  }
+
+  #discardReport (engineName: string, silence?: EngineSilence): boolean {
     const engine = this.#prefill.get(engineName) ?? this.#decode.get(engineName)
     if (!engine) return false
     const hadReport = engine.report !== undefined
     engine.report = undefined
+    engine.silence = silence
     engine.awaitsFirstReport = false
     return hadReport
   }
@@ -222,8 +273,8 @@
   }
 
   /** Whether the first report of any engine is still outstanding, as shortly after a shard was taken over. */
-  get awaitsFirstReports (): boolean {
-    return this.allEngines().some(({ awaitsFirstReport, leaving }) => awaitsFirstReport && !leaving)
+  awaitsFirstReports (nowMs: number): boolean {
+    return this.allEngines().some((engine) => !engine.leaving && (engine.awaitsFirstReport || (this.#isPaused(engine, nowMs) && engine.silence?.lastReport === undefined)))
   }
 
   /** The oldest of the engines' last report times, among engines that have reported. */
--- a/scheduling/scheduler/src/placementChooser.ts
+++ b/scheduling/scheduler/src/placementChooser.ts
@@ -76,9 +76,18 @@
 
   /** The prefill engines that take work and whose version is also served by a decode engine, with the time at which each can start another prefill. */
   readyEngines (nowMs: number): ReadyEngine[] {
-    const decodable = new Set(this.#ledger.decodeEngines().map((decode) => this.#ledger.servedVersion(decode, nowMs)))
+    return this.#pairedEngines((engine) => this.#ledger.servedVersion(engine, nowMs), nowMs)
+  }
+
+  /** The same, with the silent engines of a paused pool, which are expected to take work soon. */
+  expectedEngines (nowMs: number): ReadyEngine[] {
+    return this.#pairedEngines((engine) => this.#ledger.expectedVersion(engine, nowMs), nowMs)
+  }
+
+  #pairedEngines (versionOf: (engine: EngineAccount<unknown>) => string | undefined, nowMs: number): ReadyEngine[] {
+    const decodable = new Set(this.#ledger.decodeEngines().map(versionOf))
     return this.#ledger.prefillEngines().flatMap((engine, poolIndex) => {
-      const version = this.#ledger.servedVersion(engine, nowMs)
+      const version = versionOf(engine)
       if (version === undefined || !decodable.has(version)) return []
       return [{ engine, poolIndex, freeAtMs: Math.max(engine.account.freeAtMs(nowMs), this.#permittedAtMs(engine.name, nowMs)), speedFactor: engine.account.speedFactor }]
     })
@@ -93,7 +102,7 @@
   /** Time until the rate limit of any decode engine permits another request; undefined if none takes work. */
   decodePermitWaitMs ({ request }: WaitingRequest, nowMs: number): number | undefined {
     const waitsMs = this.#ledger.decodeEngines()
-      .filter((decode) => this.#ledger.servedVersion(decode, nowMs) !== undefined && mayDecode(decode, request))
+      .filter((decode) => this.#ledger.expectedVersion(decode, nowMs) !== undefined && mayDecode(decode, request))
       .map(({ name }) => this.#limits.waitMs(name))
     return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined
   }
@@ -163,7 +172,7 @@
   /** Minimum time until a decode engine has computed the prompt itself, even if all are full now; undefined if none takes work. */
   minOwnPrefillMs ({ request }: WaitingRequest, nowMs: number): number | undefined {
     const timesMs = this.#ledger.decodeEngines().flatMap((decode) => {
-      const takesWork = this.#ledger.servedVersion(decode, nowMs) !== undefined && mayDecode(decode, request)
+      const takesWork = this.#ledger.expectedVersion(decode, nowMs) !== undefined && mayDecode(decode, request)
       const ownMs = takesWork ? this.#estimator.ownPrefillMs(request, decode) : undefined
       return ownMs === undefined ? [] : [ownMs + this.#limits.waitMs(decode.name)]
     })
--- a/scheduling/scheduler/src/queueAdmission.ts
+++ b/scheduling/scheduler/src/queueAdmission.ts
@@ -49,7 +49,7 @@
     const { ledger, chooser, estimator, lengths, pace, waiting } = opts
     this.#forecast = new QueueForecast({ ledger, chooser })
     this.#slotForecast = new ShardForecast({ ledger, chooser, estimator, lengths, pace, rate: this.#rate, waiting })
-    this.#refusals = new RefusalBuilder({ forecast: this.#slotForecast, retrySchedule: this.#retrySchedule })
+    this.#refusals = new RefusalBuilder({ forecast: this.#slotForecast, retrySchedule: this.#retrySchedule, pausedForMs: (nowMs) => ledger.pausedForMs(nowMs) })
   }
 
   get scheduledRetries (): number {
@@ -114,7 +114,7 @@
   /** Decides for each waiting request whether it is kept. */
   decide (waiting: readonly WaitingRequest[], nowMs: number): QueueDecision[] {
     const { chooser, shares } = this.#opts
-    const engines = chooser.readyEngines(nowMs)
+    const engines = chooser.expectedEngines(nowMs)
     const msPerPlace = this.#msPerSlot(nowMs)
     const withinPerMs = this.#arrivedWithin.countSince(nowMs - ARRIVALS_WINDOW_MS, nowMs) / ARRIVALS_WINDOW_MS
     return decideQueue(waiting, {
--- a/scheduling/scheduler/src/queueForecast.ts
+++ b/scheduling/scheduler/src/queueForecast.ts
@@ -41,6 +41,6 @@
       return Math.min(...endsMs) + handoverMs
     }
     // A shard that was just taken over may have capacity as soon as its engines report.
-    return chooser.minOwnPrefillMs(waiting, nowMs) ?? (ledger.awaitsFirstReports ? handoverMs : undefined)
+    return chooser.minOwnPrefillMs(waiting, nowMs) ?? (ledger.awaitsFirstReports(nowMs) ? handoverMs : undefined)
   }
 }
--- a/scheduling/scheduler/src/refusalBuilder.ts
+++ b/scheduling/scheduler/src/refusalBuilder.ts
@@ -7,6 +7,8 @@
 export interface RefusalBuilderOptions {
   forecast: ShardForecast
   retrySchedule: RetrySchedule
+  /** For how long the shard's engines have been silent. */
+  pausedForMs: (nowMs: number) => number
 }
 
 export interface QueueState {
@@ -33,20 +35,22 @@
   }
 
   refuse ({ request, firstArrivedAtMs }: Pick<WaitingRequest, 'request' | 'firstArrivedAtMs'>, reason: string, { waitingCount, nowMs }: QueueState): PlacementRefusal {
-    const { forecast, retrySchedule } = this.#opts
+    const { forecast, retrySchedule, pausedForMs } = this.#opts
     const returnKey = returnKeyOf(request)
     // Another attempt of the request may have been refused while this one waited.
     const remainingMs = retrySchedule.remainingMs(returnKey, nowMs)
     if (remainingMs !== undefined) return this.#refusal(request, reason, remainingMs, { waitingCount, nowMs })
     const slots = forecast.forRequest(request, nowMs)
-    const slotMs = (promised: number) => slots.lateSlotMs(waitingCount + promised)
+    // A pause is expected to last for as long again.
+    const pauseLeftMs = pausedForMs(nowMs)
+    const slotMs = (promised: number) => pauseLeftMs + slots.lateSlotMs(waitingCount + promised)
     const retryAfterMs = retrySchedule.schedule({
       returnId: returnKey,
       firstArrivedAtMs: Math.min(firstArrivedAtMs, nowMs),
       slotMs,
       // A request that is refused though a slot is free gains nothing from an early retry.
       minDelayMs: forecast.isKnown(nowMs) && slotMs(0) > 0 ? MIN_FORECAST_DELAY_MS : undefined,
-      reservedSlotMs: (promised) => slots.slotMs(waitingCount - 1 + (promised + 1) / RETRY_CAPACITY_SHARE),
+      reservedSlotMs: (promised) => pauseLeftMs + slots.slotMs(waitingCount - 1 + (promised + 1) / RETRY_CAPACITY_SHARE),
       graceMs: PROMISE_DUE_SHARE * Math.max(request.ttftLeftMs, request.patienceMs ?? 0),
       maxHonouredDelayMs: MAX_RETRY_DELAY_SHARE * request.deadlineMs,
     }, nowMs)
--- a/scheduling/scheduler/src/shardForecast.ts
+++ b/scheduling/scheduler/src/shardForecast.ts
@@ -132,10 +132,10 @@
     const queued = waiting()
     this.#snapshot = {
       atMs: nowMs,
-      isKnown: ledger.reservationCount > 0 && !ledger.awaitsFirstReports && lengths.isKnown,
+      isKnown: ledger.reservationCount > 0 && !ledger.awaitsFirstReports(nowMs) && lengths.isKnown,
       rates,
       byRate: new RateForecast(rates),
-      ready: chooser.readyEngines(nowMs),
+      ready: chooser.expectedEngines(nowMs),
       entries,
       forecasts: new Map(),
       meanShare: meanOf(queued.map(({ request }) => this.#shareOf(this.#kvBytes(request)))),
@@ -156,7 +156,7 @@
     const { ledger } = this.#opts
     const capacity = { slots: usableSlots, kvBytes: ledger.shard.decodePool.kvBytesPerEngine }
     return ledger.decodeEngines()
-      .filter((decode) => ledger.servedVersion(decode, nowMs) !== undefined)
+      .filter((decode) => ledger.expectedVersion(decode, nowMs) !== undefined)
       .map(({ name, account }): EngineCapacity => {
         const held = (entries.get(name) ?? []).map((entry): HeldCapacity => ({
           kvBytes: entry.kvBytes,
@@ -173,7 +173,7 @@
       costMs: this.#prefillMs(request, snapshot) * speedFactor,
     }))
     const own = ledger.decodeEngines().flatMap((decode): PrefillCapacity[] => {
-      const costMs = ledger.servedVersion(decode, nowMs) === undefined ? undefined : estimator.ownPrefillMs(request, decode)
+      const costMs = ledger.expectedVersion(decode, nowMs) === undefined ? undefined : estimator.ownPrefillMs(request, decode)
       return costMs === undefined ? [] : [{ freeInMs: decode.account.ownPrefills.freeAtMs(nowMs) - nowMs, costMs }]
     })
     return [...pooled, ...own]
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -30,6 +30,13 @@
 /** Waiting requests are checked again at least this often. */
 const MAX_CYCLE_INTERVAL_MS = 10
 
+/** An engine that has not answered a request for its report. */
+export interface SilentEngine {
+  name: string
+  /** When the request was sent. */
+  sinceMs: number
+}
+
 /** Places requests on one shard. Requests wait here until an engine can start them at once, in the order that uses the engines best; requests that would be late are refused. */
 export class ShardScheduler {
   readonly ledger: ShardLedger
@@ -191,10 +198,16 @@
     this.#engineOutcomes.ignoreUnreachable(engine)
   }
 
+  /** Called when an engine cannot be reached. */
   markUnresponsive (engine: string): void {
-    this.#engineOutcomes.recordNoReport(engine)
-    if (this.ledger.markUnresponsive(engine)) this.#opts.onUnresponsive?.(engine)
-    this.#opts.index.removeEngine(engine)
+    this.#recordNoReport(engine, this.ledger.markUnresponsive(engine))
+    this.#runCycle()
+  }
+
+  /** Called when engines have not answered requests for their reports. Those that were asked at the same time are passed together, since a pause of their pool is no reason to refuse. */
+  markSilent (engines: readonly SilentEngine[]): void {
+    const hadReport = engines.map(({ name, sinceMs }) => this.ledger.markSilent(name, sinceMs))
+    engines.forEach(({ name }, i) => this.#recordNoReport(name, hadReport[i]))
     this.#runCycle()
   }
 
@@ -223,6 +236,12 @@
     }
   }
 
+  #recordNoReport (engine: string, hadReport: boolean): void {
+    this.#engineOutcomes.recordNoReport(engine)
+    if (hadReport) this.#opts.onUnresponsive?.(engine)
+    this.#opts.index.removeEngine(engine)
+  }
+
   /** Refuses the last waiting request over its client's share in favour of one within its own share. Returns false if there is none. */
   #displaceFor ({ client, priority }: ReserveRequest, nowMs: number): boolean {
     const displaced = this.#shares.ofPriority(priority).wouldExceed(client, nowMs)
@@ -244,6 +263,8 @@
     this.#admission.recordChange()
     if (this.#waiting.size === 0) return this.#admission.recordIdle(nowMs)
     this.#admission.expire(nowMs)
+    // No slot becomes free during a pause, so its time is not counted in the rate at which they do.
+    if (this.ledger.pausedForMs(nowMs) > 0) this.#admission.recordIdle(nowMs)
     const queuedPrefillMs = this.#admission.queuedPrefillMs(this.#waiting.all(), nowMs)
     const next = () => {
       this.#shares.refresh(this.#waiting.all(), nowMs)
--- a/scheduling/scheduler/test/__utils__/createShard.ts
+++ b/scheduling/scheduler/test/__utils__/createShard.ts
@@ -24,6 +24,7 @@
   decodePrefillTokensPerSecond?: number
   tokensPerEvent?: number
   limitPerSecond?: ShardSchedulerOptions['limitPerSecond']
+  maxReportAgeMs?: number
   onUnreachable?: (engine: string) => void
   onSuspected?: (engine: string) => void
   onAdmission?: ShardSchedulerOptions['onAdmission']
@@ -33,10 +34,10 @@
 }
 
 /** Creates a scheduler of a small shard whose engines have reported. Prefill of 1,000 uncached tokens takes 130 ms. */
-export function createShard ({ clock = new VirtualClock(), prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, accounts, decodePrefillTokensPerSecond, tokensPerEvent = 1, limitPerSecond, onUnreachable, onSuspected, onAdmission, onAnswered, onEarlyRetry, onTaskError }: TestShardOptions = {}) {
+export function createShard ({ clock = new VirtualClock(), prefill = 2, decode = 2, slots = 20, zones = ['z'], reported = true, route, accounts, decodePrefillTokensPerSecond, tokensPerEvent = 1, limitPerSecond, maxReportAgeMs = 1_000_000, onUnreachable, onSuspected, onAdmission, onAnswered, onEarlyRetry, onTaskError }: TestShardOptions = {}) {
   const derived = shardOf({ prefill, decode, slots, zones })
   const shard = { ...derived, spec: { ...derived.spec, decodePrefillTokensPerSecond, tokensPerEvent } }
-  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, accounts, index: createPrefixIndex(PrefixIndexKind.Events), maxReportAgeMs: 1_000_000, limitPerSecond, onUnreachable, onSuspected, onAdmission, onAnswered, onEarlyRetry, onTaskError })
+  const scheduler = new ShardScheduler({ clock, shard, route: () => route as RouteSpec | undefined, accounts, index: createPrefixIndex(PrefixIndexKind.Events), maxReportAgeMs, limitPerSecond, onUnreachable, onSuspected, onAdmission, onAnswered, onEarlyRetry, onTaskError })
   if (!reported) return { clock, scheduler, shard }
   shard.prefillEngines.forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Prefill)))
   shard.decodeEngines.forEach(({ name }) => scheduler.recordReport(name, reportOf(EngineRole.Decode)))
