fix(upstream.health): a suspicion that came from silence ends with the first byte

Engines that had been silent were avoided for 1 s, then 2 to 8 s, though they had gone on, by boxes and by schedulers. Cause: an exchange that was given up because it was silent was recorded like a refused connection, and nothing but time ended the suspicion. A scheduler that was told of it after the pause counted one failure for each owner's call, and suspected the engine for these. Change: outcomes say whether they came from silence. Such a suspicion ends with the first byte at the box, a prefill's answer included, and with the next report at the scheduler, which counts silent calls of one second as one failure if the engine answers it. A suspicion that has another cause stays. An exchange that was given up while its engine sent something on another connection counts as a failure of the call. Result: tests in upstream/health, scheduling/scheduler and request/relay; the one of the relay fails if the first byte is not passed on.

--- a/core/messages/src/upstreamOutcome.ts
+++ b/core/messages/src/upstreamOutcome.ts
@@ -15,6 +15,8 @@
   outcome: z.enum(UpstreamOutcome),
   /** Whether the engine refused the request for want of a slot or memory. Earlier builds ignore this. */
   full: z.boolean().optional(),
+  /** Whether it is unreachable because it sent nothing on any connection, though none failed. Earlier builds ignore this. */
+  silent: z.boolean().optional(),
 })
 
 export type EngineOutcome = z.infer<typeof engineOutcomeSchema>
--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -60,6 +60,8 @@
   #interrupted = false
   #prefillMs = 0
   #watched?: WatchedExchange
+  /** Aborted when its prefill is not waited for any longer. */
+  readonly #prefillPatience = new AbortController()
 
   constructor (state: CompletionState, opts: CompletionAttemptOptions) {
     super(state.context.run.signal)
@@ -143,15 +145,18 @@
     const { run, opts } = context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const timeoutMs = PREFILL_TIMEOUT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs
-    const patience = new AbortController()
+    const patience = this.#prefillPatience
     const { handle } = await this.#trackFailure(target, (progress) => this.#watch({ upstream: plan.prefillEngine, stage: ExchangeStage.Prefill, timeoutMs }, (watched) => {
       const signal = AbortSignal.any([this.signal, patience.signal])
       void this.#limitPrefill(patience, timeoutMs, watched.ended)
       void opts.paths.waitUntilLost(watched.ended).then(() => {
         if (opts.paths.lost && !watched.ended.aborted) this.#opts.onSilent(this)
       })
-      return untilLost(context, signal, () => progress.sentAtMs === undefined, (lostSignal) =>
-        prefillAtUpstream(context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent(lostSignal) }))
+      return untilLost(context, signal, () => progress.sentAtMs === undefined, async (lostSignal) => {
+        const prefilled = await prefillAtUpstream(context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent(lostSignal) })
+        watched.recordReceived()
+        return prefilled
+      })
     }))
     this.#recordOutcome(plan.prefillEngine, UpstreamOutcome.Answered)
     return { address: plan.prefillAddress, handle }
@@ -290,17 +295,25 @@
         this.#state.failedEngines.add(engine)
         // An engine that refuses is healthy but was a bad choice, which its scheduler takes into account.
         if (thrown.refused) this.#outcomes.push({ engine, outcome: UpstreamOutcome.Failed, full: thrown.full || undefined })
-        else this.#recordOutcome(engine, thrown.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed)
+        else this.#recordFailure(engine, thrown)
       }
       throw thrown
     }
   }
 
+  /** An exchange that was given up because it was silent proves nothing against an engine that has sent something on another connection since. */
+  #recordFailure (engine: string, { unreachable }: UpstreamError): void {
+    const givenUpSilent = this.silent && (this.cancelCause !== undefined || this.#prefillPatience.signal.aborted)
+    const silent = givenUpSilent && this.#watched?.upstreamSilent === true
+    const outcome = unreachable && (silent || !givenUpSilent) ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed
+    this.#recordOutcome(engine, outcome, silent)
+  }
+
   /** Failures caused by lost paths of this box are not reported to the scheduler. */
-  #recordOutcome (engine: string, outcome: UpstreamOutcome): void {
+  #recordOutcome (engine: string, outcome: UpstreamOutcome, silent = false): void {
     const { opts, health } = this.#state.context
-    if (outcome === UpstreamOutcome.Answered || !opts.paths.lost) this.#outcomes.push({ engine, outcome })
-    health.record(engine, outcome, [])
+    if (outcome === UpstreamOutcome.Answered || !opts.paths.lost) this.#outcomes.push({ engine, outcome, ...silent ? { silent } : {} })
+    health.record(engine, outcome, [], { silent })
   }
 
   #report (plan: PlacementPlan, placedAtMs: number): PlacementReport {
--- a/request/relay/src/upstreamSilence.ts
+++ b/request/relay/src/upstreamSilence.ts
@@ -44,9 +44,13 @@
     this.#heard.notify()
   }
 
+  isSilent (upstream: string): boolean {
+    return (this.#silences.get(upstream)?.exchanges.size ?? 0) > 0
+  }
+
   /** The upstreams that are silent now. */
   upstreams (): string[] {
-    return [...this.#silences].filter(([, { exchanges }]) => exchanges.size > 0).map(([upstream]) => upstream)
+    return [...this.#silences.keys()].filter((upstream) => this.isSilent(upstream))
   }
 
   /** Resolves once something is received from an upstream, it is no longer listed, or the time is over. */
--- a/request/relay/src/watchedExchange.ts
+++ b/request/relay/src/watchedExchange.ts
@@ -35,6 +35,7 @@
   readonly #id = Symbol('exchange')
   readonly #ended = new AbortController()
   #silentAtMs = 0
+  #upstreamSilent = false
 
   constructor (context: RelayContext, opts: WatchedExchangeOptions) {
     this.#context = context
@@ -53,6 +54,11 @@
     return this.#watch.silent
   }
 
+  /** Whether its upstream sent nothing on any connection when the exchange ended. */
+  get upstreamSilent (): boolean {
+    return this.#upstreamSilent
+  }
+
   /** Aborted when the exchange has ended. */
   get ended (): AbortSignal {
     return this.#ended.signal
@@ -61,6 +67,7 @@
   recordReceived (): void {
     this.#watch.recordReceived()
     this.#context.silence.recordReceived(this.upstream)
+    this.#context.health.recordReceived(this.upstream)
   }
 
   pauseDuring<T> (work: Promise<T>): Promise<T> {
@@ -72,6 +79,7 @@
     const { silence, logDecision, caller, run } = this.#context
     this.#ended.abort(STOPPED)
     this.#watch.stop()
+    this.#upstreamSilent = this.silent && silence.isSilent(this.upstream)
     silence.recordEnd(this.upstream, this.#id)
     if (!this.silent) return
     const { silentMs } = this.#watch
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -125,6 +125,8 @@
   readonly outcomes: EngineOutcome[] = []
   refusal?: PlacementRefusal
   startInMs = 0
+  /** Decode engines of the first placements. */
+  decodeEngines: string[] = []
   /** Whether decode engines compute the prompts themselves. */
   ownPrefill = false
   prefilled = 0
@@ -137,7 +139,7 @@
     if (this.refusal) return this.refusal
     const nth = this.requests.length
     this.placed++
-    const decode = { decodeEngine: `d${nth}`, decodeAddress: `10.0.1.${nth}:1` }
+    const decode = { decodeEngine: this.decodeEngines[nth - 1] ?? `d${nth}`, decodeAddress: `10.0.1.${nth}:1` }
     const prefill = this.ownPrefill ? { prefillEngine: decode.decodeEngine, prefillAddress: decode.decodeAddress } : { prefillEngine: 'p1', prefillAddress: '10.0.0.1:1' }
     const plan = { outcome: PlacementOutcome.Placed as const, ...prefill, ...decode, kvBytes: 1, startInMs: this.startInMs, startWithinMs: 300, expectedTtftMs: 100 }
     return {
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -111,3 +111,15 @@
   await clock.advance(10_000)
   t.is(placer.released, 2)
 })
+
+test('an engine that was given up while it was silent is not avoided after its first byte', async (t) => {
+  const { clock, relay, placer } = createRelay([stalls(200, FIRST), pauses(200, [FIRST, SECOND], 900), pauses(200, [SECOND, SECOND], 100), hangs(), answers(200, SECOND), answers(200, SECOND)])
+  placer.decodeEngines = ['d1', 'd1']
+  const works = [0, 1].map((i) => relay.relay(requestTo(`/reply/${i}`), new RecordingCaller()))
+  await clock.run(works[0])
+  await clock.run(relay.relay(requestTo('/draft/1'), new RecordingCaller()))
+  t.true(placer.requests.at(-1)?.avoid.includes('d1'), 'while it is silent')
+  await clock.run(works[1])
+  await clock.run(relay.relay(requestTo('/draft/2'), new RecordingCaller()))
+  t.false(placer.requests.at(-1)?.avoid.includes('d1'))
+})
--- a/scheduling/scheduler/src/engineOutcomes.ts
+++ b/scheduling/scheduler/src/engineOutcomes.ts
@@ -18,9 +18,14 @@
 /** A scheduler has the answer of an engine that it checks by then. */
 const CHECK_MS = 500
 
+/** Silent calls to an engine that answers the scheduler count as one failure within this time, since a pause strikes all calls at once. */
+const SAME_SILENCE_MS = 1000
+
 /** An engine that an owner could not reach, until the scheduler's own check of it ends. */
 interface UncheckedEngine {
   reportedBy: string
+  /** Whether it sent nothing, though no connection failed. */
+  silent: boolean
   untilMs: number
 }
 
@@ -32,6 +37,7 @@
   readonly #opts: EngineOutcomesOptions
   readonly #health: UpstreamHealth
   readonly #unchecked = new Map<string, UncheckedEngine>()
+  readonly #silentFailureAtMs = new Map<string, number>()
 
   constructor (opts: EngineOutcomesOptions) {
     this.#opts = opts
@@ -41,23 +47,35 @@
   /** Records the calls that the owner at a peer address made for one placement. */
   record (outcomes: readonly EngineOutcome[], ownerAddress: string): void {
     const { clock, ledger, onUnreachable } = this.#opts
-    outcomes.forEach(({ engine, outcome, full }) => {
+    outcomes.forEach(({ engine, outcome, full, silent = false }) => {
       const pool = ledger.poolOf(engine)
       if (pool.length === 0 || (full && this.#canBeFull(engine))) return
-      if (outcome !== UpstreamOutcome.Unreachable || !onUnreachable) return this.#health.record(engine, outcome, pool, ownerAddress)
-      this.#unchecked.set(engine, { reportedBy: ownerAddress, untilMs: clock.nowMs() + CHECK_MS })
+      if (outcome !== UpstreamOutcome.Unreachable || !onUnreachable) return this.#health.record(engine, outcome, pool, { reportedBy: ownerAddress, silent })
+      this.#unchecked.set(engine, { reportedBy: ownerAddress, silent, untilMs: clock.nowMs() + CHECK_MS })
       onUnreachable(engine)
     })
   }
 
   /** Called when an engine has reported. A failed call of an owner counts as one of many then, since engines may lose answers. */
   recordReport (engine: string): void {
+    this.#health.recordReceived(engine)
+    const nowMs = this.#opts.clock.nowMs()
+    const silent = this.#unchecked.get(engine)?.silent
+    if (silent && nowMs - (this.#silentFailureAtMs.get(engine) ?? Number.NEGATIVE_INFINITY) < SAME_SILENCE_MS) {
+      this.#unchecked.delete(engine)
+      return
+    }
+    if (silent) this.#silentFailureAtMs.set(engine, nowMs)
     this.#recordChecked(engine, UpstreamOutcome.Failed)
   }
 
-  /** Called when an engine has not reported. Confirms the owner that could not reach it. */
-  recordNoReport (engine: string): void {
-    this.#recordChecked(engine, UpstreamOutcome.Unreachable)
+  /**
+   * Called when an engine has not reported. Confirms the owner that could not reach it.
+   *
+   * @param silent whether it has not answered, though no connection failed
+   */
+  recordNoReport (engine: string, silent: boolean): void {
+    this.#recordChecked(engine, UpstreamOutcome.Unreachable, silent)
   }
 
   /** Called when it cannot be checked whether an engine that an owner could not reach has failed. */
@@ -90,14 +108,14 @@
   /** Removes engines that are no longer listed. */
   retain (listed: ReadonlySet<string>): void {
     this.#health.retain(listed);
-    [...this.#unchecked.keys()].filter((engine) => !listed.has(engine)).forEach((engine) => this.#unchecked.delete(engine))
+    [this.#unchecked, this.#silentFailureAtMs].forEach((known) => [...known.keys()].filter((engine) => !listed.has(engine)).forEach((engine) => known.delete(engine)))
   }
 
-  #recordChecked (engine: string, outcome: UpstreamOutcome): void {
+  #recordChecked (engine: string, outcome: UpstreamOutcome, silent = false): void {
     const unchecked = this.#unchecked.get(engine)
     if (!unchecked) return
     this.#unchecked.delete(engine)
-    this.#health.record(engine, outcome, this.#opts.ledger.poolOf(engine), unchecked.reportedBy)
+    this.#health.record(engine, outcome, this.#opts.ledger.poolOf(engine), { reportedBy: unchecked.reportedBy, silent: silent && unchecked.silent })
   }
 
   /** An engine that refuses requests as full while little of it is in use is failing. */
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -200,14 +200,14 @@
 
   /** Called when an engine cannot be reached. */
   markUnresponsive (engine: string): void {
-    this.#recordNoReport(engine, this.ledger.markUnresponsive(engine))
+    this.#recordNoReport(engine, { hadReport: this.ledger.markUnresponsive(engine), silent: false })
     this.#runCycle()
   }
 
   /** Called when engines have not answered requests for their reports. Those that were asked at the same time are passed together, since a pause of their pool is no reason to refuse. */
   markSilent (engines: readonly SilentEngine[]): void {
     const hadReport = engines.map(({ name, sinceMs }) => this.ledger.markSilent(name, sinceMs))
-    engines.forEach(({ name }, i) => this.#recordNoReport(name, hadReport[i]))
+    engines.forEach(({ name }, i) => this.#recordNoReport(name, { hadReport: hadReport[i], silent: true }))
     this.#runCycle()
   }
 
@@ -236,8 +236,8 @@
     }
   }
 
-  #recordNoReport (engine: string, hadReport: boolean): void {
-    this.#engineOutcomes.recordNoReport(engine)
+  #recordNoReport (engine: string, { hadReport, silent }: { hadReport: boolean, silent: boolean }): void {
+    this.#engineOutcomes.recordNoReport(engine, silent)
     if (hadReport) this.#opts.onUnresponsive?.(engine)
     this.#opts.index.removeEngine(engine)
   }
--- a/scheduling/scheduler/test/silentEngines.ts
+++ b/scheduling/scheduler/test/silentEngines.ts
@@ -1,4 +1,4 @@
-import { PlacementOutcome, type ReserveRequest } from '@reelspan/core.messages'
+import { PlacementOutcome, type ReserveRequest, UpstreamOutcome } from '@reelspan/core.messages'
 import { EngineRole } from '@reelspan/upstream.client'
 import test from 'ava'
 import { createShard, reportOf, requestOf } from './__utils__/createShard.js'
@@ -120,3 +120,40 @@
   t.like(await clock.run(scheduler.reserve(patientRequest())), NO_ENGINE)
   t.is(clock.nowMs(), startedAtMs)
 })
+
+/** Owners report that they gave up calls to an engine that was silent, or could not be reached. */
+function reportUnreachable ({ scheduler }: TestShard, engine: string, silent: boolean): void {
+  scheduler.release(requestOf().label, undefined, [{ engine, outcome: UpstreamOutcome.Unreachable, silent }])
+}
+
+test('a suspicion that came from silence ends with the next report of the engine', (t) => {
+  const shard = createPatientShard({ onUnreachable: () => {} })
+  const { scheduler } = shard
+  reportUnreachable(shard, 'd-1', true)
+  markSilent(shard, ['d-1'])
+  t.deepEqual(scheduler.describe().suspects, ['d-1'])
+  scheduler.recordReport('d-1', reportOf(EngineRole.Decode))
+  t.deepEqual(scheduler.describe().suspects, [])
+})
+
+test('a suspicion that came from refused connections does not end with a report', (t) => {
+  const shard = createPatientShard({ onUnreachable: () => {} })
+  const { scheduler } = shard
+  reportUnreachable(shard, 'd-1', false)
+  markSilent(shard, ['d-1'])
+  reportUnreachable(shard, 'd-2', true)
+  scheduler.markUnresponsive('d-2')
+  const engines = ['d-1', 'd-2']
+  engines.forEach((name) => scheduler.recordReport(name, reportOf(EngineRole.Decode)))
+  t.deepEqual(scheduler.describe().suspects, engines)
+})
+
+test('an engine is not suspected because many owners report the same silence after it has ended', (t) => {
+  const shard = createPatientShard({ onUnreachable: () => {} })
+  const { scheduler } = shard
+  for (let i = 0; i < 10; i++) {
+    reportUnreachable(shard, 'd-1', true)
+    scheduler.recordReport('d-1', reportOf(EngineRole.Decode))
+  }
+  t.deepEqual(scheduler.describe().suspects, [])
+})
--- a/upstream/health/src/upstreamHealth.ts
+++ b/upstream/health/src/upstreamHealth.ts
@@ -17,6 +17,13 @@
   onTrusted?: (upstream: string) => void
 }
 
+export interface OutcomeOptions {
+  /** Peer address of the box that reported the outcome; undefined if this box observed it. */
+  reportedBy?: string
+  /** Whether the upstream is unreachable because it sent nothing, though no connection failed. */
+  silent?: boolean
+}
+
 interface OutcomeStats {
   /** Exponentially weighted sum of recent failures. */
   weightedFailures: number
@@ -25,6 +32,8 @@
   outcomes: number
   suspectUntilMs: number
   suspectForMs: number
+  /** Whether the upstream is suspected only because it sent nothing. */
+  fromSilence: boolean
 }
 
 /** EWMA weight of one outcome in the failure share: about the last ten outcomes count. */
@@ -46,15 +55,23 @@
     this.#opts = opts
   }
 
-  /** @param reportedBy peer address of the box that reported the outcome, if it was not observed here */
-  record (upstream: string, outcome: UpstreamOutcome, pool: readonly string[], reportedBy?: string): void {
+  record (upstream: string, outcome: UpstreamOutcome, pool: readonly string[], opts: OutcomeOptions = {}): void {
     const stats = this.#statsOf(upstream)
     const failed = outcome === UpstreamOutcome.Answered ? 0 : 1
     stats.weightedFailures += SMOOTHING * (failed - stats.weightedFailures)
     stats.totalWeight += SMOOTHING * (1 - stats.totalWeight)
     stats.outcomes++
     if (outcome === UpstreamOutcome.Answered) this.#endSuspicion(upstream, stats)
-    else if (outcome === UpstreamOutcome.Unreachable || this.#failsMoreThanPool(upstream, stats, pool)) this.#suspect(upstream, stats, { cause: outcome, reportedBy })
+    else if (outcome === UpstreamOutcome.Unreachable || this.#failsMoreThanPool(upstream, stats, pool)) this.#suspect(upstream, stats, outcome, opts)
+  }
+
+  /** Called when something was received from an upstream. Ends a suspicion that came from its silence. */
+  recordReceived (upstream: string): void {
+    const stats = this.#stats.get(upstream)
+    if (!stats?.fromSilence) return
+    stats.fromSilence = false
+    stats.suspectUntilMs = this.#opts.clock.nowMs()
+    this.#endSuspicion(upstream, stats)
   }
 
   isSuspect (upstream: string): boolean {
@@ -92,12 +109,14 @@
     return stats.outcomes >= MIN_OUTCOMES && failureShare(stats) > FAILURE_MARGIN + Math.min(...others, 1)
   }
 
-  #suspect (upstream: string, stats: OutcomeStats, reason: Pick<Suspicion, 'cause' | 'reportedBy'>): void {
+  #suspect (upstream: string, stats: OutcomeStats, cause: UpstreamOutcome, { reportedBy, silent = false }: OutcomeOptions): void {
     const nowMs = this.#opts.clock.nowMs()
-    if (stats.suspectUntilMs > nowMs) return
+    const isSuspected = stats.suspectUntilMs > nowMs
+    stats.fromSilence = silent && (!isSuspected || stats.fromSilence)
+    if (isSuspected) return
     stats.suspectForMs = Math.min(MAX_SUSPICION_MS, Math.max(INITIAL_SUSPICION_MS, 2 * stats.suspectForMs))
     stats.suspectUntilMs = nowMs + stats.suspectForMs
-    this.#opts.onSuspected?.(upstream, { forMs: stats.suspectForMs, failureShare: failureShare(stats), ...reason })
+    this.#opts.onSuspected?.(upstream, { forMs: stats.suspectForMs, failureShare: failureShare(stats), cause, reportedBy })
   }
 
   #endSuspicion (upstream: string, stats: OutcomeStats): void {
@@ -109,7 +128,7 @@
   #statsOf (upstream: string): OutcomeStats {
     const known = this.#stats.get(upstream)
     if (known) return known
-    const stats = { weightedFailures: 0, totalWeight: 0, outcomes: 0, suspectUntilMs: 0, suspectForMs: 0 }
+    const stats = { weightedFailures: 0, totalWeight: 0, outcomes: 0, suspectUntilMs: 0, suspectForMs: 0, fromSilence: false }
     this.#stats.set(upstream, stats)
     return stats
   }
--- a/upstream/health/test/upstreamHealth.ts
+++ b/upstream/health/test/upstreamHealth.ts
@@ -55,3 +55,26 @@
   health.retain(new Set(['b']))
   t.deepEqual(health.describe().map(({ upstream }) => upstream), ['b'])
 })
+
+test('a suspicion that came from silence ends with the first byte, and the next one is not longer', async (t) => {
+  const { clock, health } = createHealth()
+  health.record('a', UpstreamOutcome.Unreachable, POOL, { silent: true })
+  await clock.advance(1000)
+  health.record('a', UpstreamOutcome.Unreachable, POOL, { silent: true })
+  t.true(health.isSuspect('a'))
+  health.recordReceived('a')
+  t.false(health.isSuspect('a'))
+  health.record('a', UpstreamOutcome.Unreachable, POOL, { silent: true })
+  await clock.advance(1000)
+  t.false(health.isSuspect('a'))
+})
+
+test('a suspicion that came from refused connections or failures does not end with a byte', (t) => {
+  const { health } = createHealth()
+  health.record('a', UpstreamOutcome.Unreachable, POOL)
+  health.record('b', UpstreamOutcome.Unreachable, POOL, { silent: true })
+  health.record('b', UpstreamOutcome.Unreachable, POOL)
+  for (let i = 0; i < 5; i++) health.record('c', UpstreamOutcome.Failed, POOL)
+  POOL.forEach((name) => health.recordReceived(name))
+  t.deepEqual(health.suspects(), POOL)
+})
