--- a/request/relay/src/watchedExchange.ts
+++ b/request/relay/src/watchedExchange.ts
@@ -37,6 +37,7 @@
   readonly #id = Symbol('exchange')
   readonly #ended = new AbortController()
   #silentAtMs = 0
+  #upstreamSilent = false
 
   constructor (context: RelayContext, opts: WatchedExchangeOptions) {
     this.#context = context
@@ -55,6 +56,11 @@
     return this.#watch.silent
   }
 
+  /** Whether its upstream sent nothing on any connection when the exchange ended. */
+  get upstreamSilent (): boolean {
+    return this.#upstreamSilent
+  }
+
   /** Aborted when the exchange has ended. */
   get ended (): AbortSignal {
     return this.#ended.signal
@@ -63,6 +69,7 @@
   recordReceived (): void {
     this.#watch.recordReceived()
     this.#context.silence.recordReceived(this.upstream)
+    this.#context.health.recordReceived(this.upstream)
   }
 
   pauseDuring<T> (work: Promise<T>): Promise<T> {
@@ -74,6 +81,7 @@
     const { silence, logDecision, caller } = this.#context
     this.#ended.abort(STOPPED)
     this.#watch.stop()
+    this.#upstreamSilent = this.silent && silence.isSilent(this.upstream)
     silence.recordEnd(this.upstream, this.#id)
     if (!this.silent) return
     const { silentMs } = this.#watch
