fix(request.delegation): a delegate that is unresponsive is given up only if another one may run the request

Cause: an exchange with the box that runs a request failed some 0.6 s after that box stopped to answer, though the request may run once, no retry or attempt is left, or no other box could run it. A box that stands still goes on, and its answer was lost. Change: the relay says whether the request may be run once more, and the link asks when it finds the peer unresponsive. Connecting to a delegate is still given up at once, since nothing has run then.

--- a/core/messages/src/peerLink.ts
+++ b/core/messages/src/peerLink.ts
@@ -6,8 +6,8 @@
   signal?: AbortSignal
   /** The message is idempotent: if its connection becomes unresponsive, it is sent again on a new one with the full timeout. */
   repeatable?: boolean
-  /** Fails as soon as the peer is found unresponsive on a new connection as well. */
-  failIfUnresponsive?: boolean
+  /** Fails as soon as the peer is found unresponsive on a new connection as well. A function decides once the message was sent. */
+  failIfUnresponsive?: boolean | (() => boolean)
 }
 
 /** Handles the messages of peers. */
--- a/net/peer-link/src/outgoingConnection.ts
+++ b/net/peer-link/src/outgoingConnection.ts
@@ -54,7 +54,7 @@
 
 interface Exchange {
   answers: AsyncQueue<PeerMessage>
-  failIfUnresponsive: boolean
+  failsIfUnresponsive: () => boolean
 }
 
 /**
@@ -138,7 +138,8 @@
   async * #exchange (message: PeerMessage, isStream: boolean, opts: PeerCallOptions): AsyncGenerator<PeerMessage> {
     const { clock, address } = this.#opts
     const { failIfUnresponsive = false } = opts
-    const openTimeoutMs = failIfUnresponsive ? Math.min(opts.timeoutMs, CONNECT_TIMEOUT_MS) : opts.timeoutMs
+    const failsIfUnresponsive = typeof failIfUnresponsive === 'function' ? failIfUnresponsive : () => failIfUnresponsive
+    const openTimeoutMs = failIfUnresponsive !== false ? Math.min(opts.timeoutMs, CONNECT_TIMEOUT_MS) : opts.timeoutMs
     // Most exchanges start on an open connection, so this avoids a timer for them.
     const opened = this.#webSocket.readyState === WebSocket.OPEN ? undefined : await raceTimeout(clock, this.#opened, openTimeoutMs)
     if (opened === TimedOut) {
@@ -151,7 +152,7 @@
     const fail = (reason: string) => answers.fail(new PeerLinkError(reason, { mayHaveArrived: true }))
     const abort = () => fail('the exchange was cancelled')
     const finished = new AbortController()
-    this.#exchanges.set(id, { answers, failIfUnresponsive })
+    this.#exchanges.set(id, { answers, failsIfUnresponsive })
     opts.signal?.addEventListener('abort', abort, { once: true })
     let completed = false
     try {
@@ -275,7 +276,7 @@
   /** Fails the exchanges whose callers do not wait for an unresponsive peer. */
   #onPeerUnresponsive (): void {
     const createError = () => new PeerLinkError(`${this.#opts.address} is unresponsive`, { mayHaveArrived: true });
-    [...this.#exchanges.values()].filter(({ failIfUnresponsive }) => failIfUnresponsive).forEach(({ answers }) => answers.fail(createError()))
+    [...this.#exchanges.values()].filter(({ failsIfUnresponsive }) => failsIfUnresponsive()).forEach(({ answers }) => answers.fail(createError()))
   }
 
   async #closeWhenIdle (): Promise<void> {
--- a/net/peer-link/test/unresponsiveConnections.ts
+++ b/net/peer-link/test/unresponsiveConnections.ts
@@ -112,6 +112,33 @@
   t.true(elapsedSince(startMs) < MAX_DETECTION_MS)
 })
 
+test('a stream that has begun is not cut while its peer is unresponsive and its caller has no other', async (t) => {
+  let resume: () => void = () => {}
+  const resumed = new Promise<void>((resolve) => { resume = resolve })
+  let onAsked: () => void = () => {}
+  const asked = new Promise<void>((resolve) => { onAsked = resolve })
+  const { link, proxy } = await connectThrough(t, {
+    onStream: async function * () {
+      yield DONE
+      await resumed
+      yield DONE
+    },
+  })
+  const failIfUnresponsive = () => {
+    onAsked()
+    return false
+  }
+  const parts = link.stream(proxy.address, REQUEST, { ...LONG_TIMEOUT, failIfUnresponsive })[Symbol.asyncIterator]()
+  await parts.next()
+  proxy.fault = NetworkFault.Silent
+  const next = parts.next()
+  await Promise.race([asked, next])
+  proxy.fault = NetworkFault.None
+  resume()
+  t.deepEqual(await next, { done: false, value: DONE })
+  await parts.return?.()
+})
+
 test('an unresponsive connection is reported with the time since which it received nothing', async (t) => {
   const peer = await connectThrough(t)
   const reported: { address: string, sinceMs: number }[] = []
--- a/request/delegation/src/delegator.ts
+++ b/request/delegation/src/delegator.ts
@@ -21,6 +21,8 @@
   request: DelegatedRequest
   terms: Omit<DelegationTerms, 'runId' | 'box'>
   signal: AbortSignal
+  /** Whether another delegate could run the request once more if the present one falls silent. By default one could. */
+  mayRunElsewhere?: () => boolean
   /** Called with each delegate that is asked. */
   onAsked: (delegate: Member) => void
 }
@@ -102,14 +104,15 @@
     return random.sample(candidates, SAMPLED_DELEGATES).reduce<Member | undefined>((best, member) => best && loadOf(best) <= loadOf(member) ? best : member, undefined)
   }
 
-  async #runAt ({ peerAddress, incarnation }: Member, { request, terms, signal }: DelegateRequest, answer: DelegatedAnswer): Promise<void> {
-    const { link, self } = this.#opts
+  async #runAt ({ peerAddress, incarnation }: Member, { request, terms, signal, mayRunElsewhere = () => true }: DelegateRequest, answer: DelegatedAnswer): Promise<void> {
+    const { link, self, delegates } = this.#opts
     const { name, incarnation: ownIncarnation } = self()
+    const failIfUnresponsive = () => mayRunElsewhere() && delegates().some((other) => other.incarnation !== incarnation)
     const runId = `${ownIncarnation}.${this.#sequence++}`
     const deadlineMs = Math.max(0, terms.deadlineMs - DEADLINE_MARGIN_MS)
     this.#inFlight.set(incarnation, (this.#inFlight.get(incarnation) ?? 0) + 1)
     try {
-      const messages = link.stream(peerAddress, { type: MessageType.Delegate, request, terms: { ...terms, deadlineMs, runId, box: name } }, { timeoutMs: terms.deadlineMs, signal, failIfUnresponsive: true })
+      const messages = link.stream(peerAddress, { type: MessageType.Delegate, request, terms: { ...terms, deadlineMs, runId, box: name } }, { timeoutMs: terms.deadlineMs, signal, failIfUnresponsive })
       let readBytes = 0
       let reportedBytes = 0
       for await (const message of messages) {
--- a/request/delegation/test/delegation.ts
+++ b/request/delegation/test/delegation.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events'
 import { AsyncQueue } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
-import { AnswerEventKind, type DelegatedRequest, type DelegationTerms, type Member, MemberHealth, MessageType, type PeerMessage } from '@reelspan/core.messages'
+import { AnswerEventKind, type DelegatedRequest, type DelegationTerms, type Member, MemberHealth, MessageType, type PeerCallOptions, PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
 import { DelegatedRuns, type DelegatedRunner, Delegator, WINDOW_BYTES } from '@reelspan/request.delegation'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { type PausableSource } from '@reelspan/upstream.client'
@@ -202,3 +202,35 @@
   network.kill('10.0.1.1:1')
   t.is((await clock.run(running))?.verdict, Verdict.MayHaveRun)
 })
+
+/** Records the options of a stream, which fails. */
+class FailingLink extends PeerLink {
+  opts?: PeerCallOptions
+
+  async call (): Promise<PeerMessage> {
+    return { type: MessageType.Done }
+  }
+
+  async * stream (address: string, _message: PeerMessage, opts: PeerCallOptions): AsyncGenerator<PeerMessage> {
+    this.opts = opts
+    throw new PeerLinkError(`${address} is unresponsive`, { mayHaveArrived: true })
+  }
+
+  serve (): void {}
+
+  async close (): Promise<void> {}
+}
+
+test('a delegate that is unresponsive is given up only if another one may run the request', async (t) => {
+  const isGivenUp = async (delegates: Member[], mayRunElsewhere?: () => boolean) => {
+    const link = new FailingLink()
+    const delegator = new Delegator({ random: new SeededRandom(2), link, metrics: new Metrics(), self: () => ({ name: 'own', incarnation: 'own', availabilityZone: 'a' }), isNeeded: () => true, delegates: () => delegates })
+    const request = { request: requestOf(), terms: TERMS, signal: new AbortController().signal, onAsked: () => {}, mayRunElsewhere }
+    await t.throwsAsync(delegator.run(request, { onSent: () => {}, onHead: () => {}, onData: async () => {} }), { instanceOf: PeerLinkError })
+    const failIfUnresponsive = link.opts?.failIfUnresponsive
+    return typeof failIfUnresponsive === 'function' ? failIfUnresponsive() : failIfUnresponsive
+  }
+  const two = [memberOf(1), memberOf(2)]
+  t.deepEqual([await isGivenUp(two), await isGivenUp(two, () => true)], [true, true])
+  t.deepEqual([await isGivenUp(two, () => false), await isGivenUp([memberOf(1)])], [false, false])
+})
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -72,18 +72,22 @@
     }
   }
 
-  /** Whether another delegate may run a request that may have run. */
   #mayRetry ({ verdict }: ReelspanError): boolean {
-    const { route: { spec }, budget, caller } = this.#context
+    return verdict !== Verdict.NotRun && this.#mayRunAgain(this.#attemptsUsed) && this.#context.budget.tryAcquireRetry()
+  }
+
+  /** Whether another delegate may run a request that may have run, apart from the retry budget. */
+  #mayRunAgain (attemptsUsed: number): boolean {
+    const { route: { spec }, caller } = this.#context
     const isRepeatable = spec.streaming ? spec.resumable === true : !spec.notRepeatable
-    if (verdict === Verdict.NotRun || !isRepeatable || this.#attemptsUsed >= spec.maxAttempts) return false
-    const canResume = !caller.begun || (this.#version?.fixed !== undefined && spec.streaming === true && !this.#progress.oversized && this.#progress.lastId !== undefined)
-    return canResume && budget.tryAcquireRetry()
+    if (!isRepeatable || attemptsUsed >= spec.maxAttempts) return false
+    return !caller.begun || (this.#version?.fixed !== undefined && spec.streaming === true && !this.#progress.oversized && this.#progress.lastId !== undefined)
   }
 
   /** The request counts as possibly run from the start, and as not run only on the delegate's word. */
   async #executeOnce (times: AnswerTimes): Promise<void> {
-    const { opts, run, request, urgency, caller, route, logDecision } = this.#context
+    const { opts, run, request, urgency, caller, route, budget, logDecision } = this.#context
+    const usedBefore = this.#attemptsUsed
     const { id, method, host, target, headers, body, prompt, callerAddress, account } = request
     const resumeAfter = this.#progress.lastId ?? request.resumeAfter
     this.#version?.checkServed()
@@ -93,6 +97,7 @@
       request: delegated,
       terms,
       signal: this.#signal,
+      mayRunElsewhere: () => budget.left >= 1 && this.#mayRunAgain(Math.max(this.#attemptsUsed, usedBefore + 1)),
       onAsked: ({ name }) => logDecision(LogEvent.RequestDelegated, { delegate: name, attemptsUsed: this.#attemptsUsed, atMs: Math.round(run.elapsedMs) }),
     }, {
       onSent: (upstream, softwareVersion) => this.#recordSent(upstream, softwareVersion),
--- a/request/relay/test/silentService.ts
+++ b/request/relay/test/silentService.ts
@@ -3,7 +3,7 @@
 import { SlotDecision } from '@reelspan/scheduling.pool-admission'
 import { LogEvent } from '@reelspan/telemetry.log'
 import test, { type ExecutionContext } from 'ava'
-import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script } from './__utils__/createRelay.js'
+import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script, type TestRelayOptions } from './__utils__/createRelay.js'
 
 /** Latency after which a call of the route is sent to another upstream. */
 const SILENT_AFTER_MS = 300
@@ -13,6 +13,7 @@
 const UNREACHABLE = { mayHaveRun: false, unreachable: true }
 
 type TestRelay = ReturnType<typeof createRelay>
+type Delegate = NonNullable<TestRelayOptions['delegate']>
 
 /** Plays a call, and `during` at some time of it. */
 async function playCall (played: TestRelay, during: { atMs: number, act: (caller: RecordingCaller) => void } = { atMs: 0, act: () => {} }, path = '/status/1'): Promise<RecordingCaller> {
@@ -167,7 +168,7 @@
 })
 
 /** A box that loses its paths to all machines while a call is silent, and has no other service to send it to. */
-function createLosingPaths (scripts: Script[], opts: Parameters<typeof createRelay>[1]): TestRelay {
+function createLosingPaths (scripts: Script[], opts: TestRelayOptions): TestRelay {
   const probedAddresses = ['10.0.4.1:1', '10.0.5.1:1', '10.0.6.1:1']
   const played = createRelay(scripts, { services: ['s1'], probedAddresses, ...opts })
   probedAddresses.forEach((address) => played.probe.ended.add(address))
@@ -183,7 +184,7 @@
 })
 
 test('a silent call of a box without paths is cancelled once another box has its answer', async (t) => {
-  const delegate: NonNullable<Parameters<typeof createRelay>[1]>['delegate'] = async (_request, { onSent, onHead, onData }) => {
+  const delegate: Delegate = async (_request, { onSent, onHead, onData }) => {
     onSent('s1', '')
     onHead(200, [])
     await onData(Buffer.from('status'))
@@ -193,6 +194,24 @@
   t.true(played.upstreams.runs[0].opts.signal.aborted)
 })
 
+test('a call that another box runs may be run by a further one only if it may be repeated and a retry is left', async (t) => {
+  const mayRunElsewhere: (boolean | undefined)[] = []
+  const delegate: Delegate = async (request, { onSent, onHead }) => {
+    onSent('s1', '')
+    mayRunElsewhere.push(request.mayRunElsewhere?.())
+    onHead(200, [])
+  }
+  const played = createLosingPaths([hangs()], { delegate, retryBurst: 1 })
+  // The first call loses the paths and takes the only retry.
+  assertAnswered(t, await playCall(played), '')
+  assertAnswered(t, await playCall(played), '')
+  const withRetries = createLosingPaths([hangs()], { delegate })
+  assertAnswered(t, await playCall(withRetries), '')
+  assertAnswered(t, await playCall(withRetries), '')
+  assertAnswered(t, await playCall(withRetries, undefined, '/fetch/1'), '')
+  t.deepEqual(mayRunElsewhere, [false, false, false, true, false])
+})
+
 test('a call that may run once is not sent to another box when the box loses its paths', async (t) => {
   const played = createLosingPaths([answersAfter(SILENCE_MS, 200, 'fetched')], {})
   assertAnswered(t, await playCall(played, undefined, '/fetch/1'), 'fetched')
