fix(request.owner): the prefill of a request that may run once is waited for until its deadline

Cause: a prefill was given up after requests.upstreamTimeoutMs, 3 s, also for a request that must not be sent to another engine. It was lost though its engine was computing the prompt, or would have gone on. Change: such a prefill has the request's remaining time.

--- a/box/runtime/test/notRepeatableRequests.ts
+++ b/box/runtime/test/notRepeatableRequests.ts
@@ -25,6 +25,16 @@
   await fleet.stop()
 })
 
+test('a completion that may run once is not lost when its engine computes the prompt for longer than engines are usually silent', async (t) => {
+  const fleet = await new FakeFleet().start()
+  const prompt = promptFor('a', { shared: 'word '.repeat(28_000), answerTokens: 20 })
+  const outcome = await fleet.clock.run(fleet.send('box-1', fleet.completion('box-1', prompt, { notRepeatable: true, ttftTargetMs: 20_000 })))
+  t.is(outcome.verdict, Verdict.Finished)
+  t.is(outcome.text, expectedAnswer(prompt, 64))
+  t.is([...fleet.engines.values()].flatMap(({ prefillRuns }) => prefillRuns).length, 1)
+  await fleet.stop()
+})
+
 test('no other box runs a booking whose owner died after it was sent', async (t) => {
   const fleet = await new FakeFleet().start()
   const key = fleet.key('box-1')
--- a/request/owner/src/completionRun.ts
+++ b/request/owner/src/completionRun.ts
@@ -167,7 +167,7 @@
     const { engines } = this.#opts
     const request = { label, model: this.#request.model, prompt: this.#promptWithAnswer(), priority: this.#request.priority }
     const result = await this.#trackFailure(plan.prefillEngine, plan.prefillAddress, () =>
-      this.#run.dispatch(() => engines.prefill(plan.prefillAddress, request, this.#callOptions())))
+      this.#run.dispatch(() => engines.prefill(plan.prefillAddress, request, this.#prefillOptions())))
     this.#timings.prefilledTokens += result.promptTokens - result.cachedTokens
     if (!isSameHolder(result.label, label)) throw new UpstreamError(`${plan.prefillEngine} returned the answer of a different request`, { mayHaveRun: true })
     return result
@@ -238,6 +238,11 @@
     if (count !== this.#generated.length) throw new UpstreamError(`${plan.decodeEngine} ended an incomplete stream`, { mayHaveRun: true })
   }
 
+  /** A request that may run once could not be sent to another engine, so its prefill is waited for until the deadline. */
+  #prefillOptions () {
+    return this.#request.notRepeatable ? { ...this.#callOptions(), timeoutMs: Math.max(1, this.#run.remainingMs) } : this.#callOptions()
+  }
+
   #callOptions () {
     return { timeoutMs: Math.min(this.#opts.upstreamTimeoutMs, Math.max(1, this.#run.remainingMs)), signal: this.#run.signal }
   }
