fix(request.relay): a request is refused at once while its box has a connection to no engine

Cause: while no upstream accepts connections, engines without an idle one are left out of placements. If that leaves none, the scheduler takes the request into its queue and refuses it when no engine came free. Seen with the paths to engines and services judged apart, which changes who schedules: with all links reset 14 of 295 requests were held for 160 to 880 ms, where 50 ms are wanted.

Change: such a request is refused before its scheduler is asked, as not run, to come back after 1 s. An answer that has begun waits as before.

--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -1,6 +1,6 @@
 import { type ReelspanError } from '@reelspan/core.error'
 import { hash32 } from '@reelspan/core.hashing'
-import { type HoldLabel, type PlacementRefusal } from '@reelspan/core.messages'
+import { type HoldLabel, PlacementOutcome, type PlacementRefusal } from '@reelspan/core.messages'
 import { type Placement, type PlaceRequest } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type PromptSizes, UpstreamError } from '@reelspan/upstream.client'
@@ -17,6 +17,8 @@
 export const MAX_WAIT_TARGETS = 3
 /** Delay between attempts to continue an answer that has begun. */
 const CONTINUE_BACKOFF_MS = 100
+/** Paths are checked again several times a second. */
+const NO_CONNECTION_RETRY_AFTER_MS = 1000
 /** Clients abandon a stream that stalls for longer than this. */
 const CONTINUE_TIMEOUT_MS = 2000
 
@@ -120,6 +122,7 @@
   async #callPlacer (attempt: number, signal: AbortSignal): Promise<Placement | PlacementRefusal> {
     const { opts, run } = this.#context
     this.#state.version.checkServed()
+    if (this.#hasNoConnection()) return { outcome: PlacementOutcome.Refused, reason: 'no engine accepts connections from this box, and it has no open one', retryAfterMs: NO_CONNECTION_RETRY_AFTER_MS }
     const outcome = await opts.placer.place(this.#placeRequest(attempt), { signal })
     if (signal.aborted && 'plan' in outcome) outcome.release()
     run.throwIfEnded()
@@ -169,6 +172,15 @@
     return [...failing].filter((name) => !spared.has(name))
   }
 
+  /** Whether this box cannot send the request to any engine. A scheduler would have it wait for one. */
+  #hasNoConnection (): boolean {
+    const { opts } = this.#context
+    const model = opts.configuration().model(this.#model)
+    if (!opts.paths.lost || !model) return false
+    const isUnconnected = (pool: string) => unconnectedUpstreams(this.#context, pool).length === opts.fleet().takingWork(pool).length
+    return isUnconnected(model.decodePool) || (model.decodePrefillTokensPerSecond === undefined && isUnconnected(model.prefillPool))
+  }
+
   #unconnectedEngines (): string[] {
     const model = this.#context.opts.configuration().model(this.#model)
     return model ? [model.prefillPool, model.decodePool].flatMap((pool) => unconnectedUpstreams(this.#context, pool)) : []
