fix(box.runtime): a box that loses its paths to the engines or the services alone counts as without them

Cause: paths were judged for all upstreams together. A box that reached the services and no engine counted as having paths: as a scheduler it took all engines for silent, for all boxes, and its own streams had no way.

Change: paths are judged for engines and services apart, besides those to all, each with two machines or more. Those to one kind count as lost while another box is known to reach it; if none is, the kind may be down, and its failures count as before. The member's entry says which are lost; schedulers are chosen among boxes that reach engines, and requests are delegated by the kind of upstream that they need. Whether an upstream has exited is still judged by the paths to all. Members of earlier builds ignore the new fields.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -81,7 +81,7 @@
   {
     name: 'lost paths: requests are run by boxes that have paths',
     file: 'box/runtime/src/createDelegationParts.ts',
-    find: 'isNeeded: () => upstreamPaths.lost && (upstreamPaths.silent || delegates().length > 0)',
+    find: 'isNeeded: () => paths.lost && (paths.silent || delegates().length > 0)',
     replace: 'isNeeded: () => false',
     tests: [CUT_FROM_UPSTREAMS],
   },
--- a/__utils__/fake-fleet/src/fakeFleet.ts
+++ b/__utils__/fake-fleet/src/fakeFleet.ts
@@ -125,7 +125,7 @@
       engines: new FakeEngineClient({ ...channel, models: this.engines }),
       services: new FakeServiceClient({ ...channel, models: this.services }),
       probe: new FakeUpstreamProbe({ ...channel, isListening: (upstream) => this.#isRunning(upstream) }),
-      relayClient: new FakeRelayClient({ ...channel, upstreams: this.relayedUpstreams, onReceived: () => box.recordReceivedFromUpstream() }),
+      relayClient: new FakeRelayClient({ ...channel, upstreams: this.relayedUpstreams, onReceived: (from) => box.recordReceivedFromUpstream(from) }),
       log,
       metrics,
     })
--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -137,7 +137,7 @@
   address: string
   upstreams: RelayedUpstreams
   /** Called when a part of an answer was received. */
-  onReceived?: () => void
+  onReceived?: (address: string) => void
 }
 
 export class FakeRelayClient extends RelayClient {
@@ -239,7 +239,7 @@
     const fault = network.faultOf(from, address)
     if (fault === LinkFault.Reset) throw connectionClosed(from)
     if (fault === LinkFault.Blocked) await rejectOnceAborted(signal, from)
-    this.#opts.onReceived?.()
+    this.#opts.onReceived?.(from)
   }
 
   #closeIfReset (address: string): void {
--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -1,4 +1,5 @@
 import { type BoxAdmission } from '@reelspan/accounts.admission'
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { raceTimeout, TaskGroup } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { type AnswerEvent, Collection, type Member, MemberHealth, MessageType, type RoutedRequest } from '@reelspan/core.messages'
@@ -165,9 +166,12 @@
     if (upstream && (startedAtMs ?? upstream.startedAtMs) === upstream.startedAtMs) signals.observe(upstream.name, advertised, clock.nowMs())
   }
 
-  /** Records that a part of an answer was received from any upstream. */
-  recordReceivedFromUpstream (): void {
-    this.#parts.upstreamPaths.recordReceived()
+  /** Records that a part of an answer was received from the upstream at an address. */
+  recordReceivedFromUpstream (address: string): void {
+    const { upstreams, upstreamPaths, pathsTo } = this.#parts
+    const kind = upstreams.at(address)?.kind
+    if (kind === undefined) upstreamPaths.recordReceived()
+    else pathsTo[kind].recordReceived()
   }
 
   /** Whether an upstream is in the list that this box uses to place work. */
@@ -215,7 +219,7 @@
 
   /** State of the whole process, for the debug endpoint. */
   describe () {
-    const { view, declarations, fleetList, fleet, records, owner, relay, upstreamPaths, shardManagers, prober, placer, runHistory, quarantine, upstreamStates, backoffs, poolCoordinator, freshnessProof, settings } = this.#parts
+    const { view, declarations, fleetList, fleet, records, owner, relay, upstreamPaths, pathsOfKinds, shardManagers, prober, placer, runHistory, quarantine, upstreamStates, backoffs, poolCoordinator, freshnessProof, settings } = this.#parts
     return {
       self: view.self,
       ready: this.ready,
@@ -227,7 +231,7 @@
       records: { count: records.size, bytes: records.bytes, maxBytes: settings.requests.recordBytes, taken: records.predecessors() },
       owner: owner.describe(),
       relay: relay?.describe(),
-      upstreamPaths: upstreamPaths.describe(),
+      upstreamPaths: { ...upstreamPaths.describe(), engines: pathsOfKinds[UpstreamKind.Engine].describe(), services: pathsOfKinds[UpstreamKind.Service].describe() },
       placements: placer instanceof SchedulerPlacer ? placer.liveCount : undefined,
       shards: shardManagers.describe(),
       quarantine: { requests: quarantine.countQuarantined(), parts: quarantine.countParts(), runsKnown: runHistory.size },
@@ -251,11 +255,11 @@
 
   /** Stops immediately. Each running request ends with its verdict. */
   async stop (): Promise<void> {
-    const { prober, proofRenewer, reportBroadcaster, upstreamPaths, streamOrigins, pools, poolCoordinator, poolBroadcaster, followers, shardManagers, owner, relay, runEnds, runGossip, upstreamStateGossip, link, log } = this.#parts
+    const { prober, proofRenewer, reportBroadcaster, upstreamPaths, pathsOfKinds, streamOrigins, pools, poolCoordinator, poolBroadcaster, followers, shardManagers, owner, relay, runEnds, runGossip, upstreamStateGossip, link, log } = this.#parts
     this.#stopping = true
     const requestsCut = this.#callersBeingServed
     await Promise.all([owner.stop(), relay?.stop()])
-    await Promise.all([this.#tasks.stop(), prober.stop(), proofRenewer?.stop(), reportBroadcaster.stop(), upstreamPaths.stop(), streamOrigins.stop(), pools.stop(), runEnds.stop(), poolCoordinator.stop(), poolBroadcaster.stop(), runGossip.stop(), upstreamStateGossip.stop(), shardManagers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
+    await Promise.all([this.#tasks.stop(), prober.stop(), proofRenewer?.stop(), reportBroadcaster.stop(), upstreamPaths.stop(), ...Object.values(pathsOfKinds).map((paths) => paths.stop()), streamOrigins.stop(), pools.stop(), runEnds.stop(), poolCoordinator.stop(), poolBroadcaster.stop(), runGossip.stop(), upstreamStateGossip.stop(), shardManagers.stop(), ...Object.values(followers).map((follower) => follower.stop()), link.close()])
     log.info(LogEvent.Stopped, { requestsCut })
   }
 
@@ -281,6 +285,14 @@
     log.warn(LogEvent.IncarnationRenewed, { incarnation: view.self.incarnation })
   }
 
+  /** Checks the paths that another box says it has lost. */
+  #checkPathsLike ({ upstreamsUnreachable, enginesUnreachable, servicesUnreachable }: Member): void {
+    const { upstreamPaths, pathsOfKinds } = this.#parts
+    if (upstreamsUnreachable) upstreamPaths.recordFailure()
+    if (enginesUnreachable) pathsOfKinds[UpstreamKind.Engine].recordFailure()
+    if (servicesUnreachable) pathsOfKinds[UpstreamKind.Service].recordFailure()
+  }
+
   #onMemberChange (member: Member): void {
     const { view, shardManagers, poolCoordinator, log } = this.#parts
     const isSelf = member.incarnation === view.self.incarnation
@@ -289,7 +301,7 @@
       return
     }
     // Boxes of one availability zone often lose their paths together, and one without traffic would not notice.
-    if (!isSelf && member.upstreamsUnreachable && member.availabilityZone === view.self.availabilityZone) this.#parts.upstreamPaths.recordFailure()
+    if (!isSelf && member.availabilityZone === view.self.availabilityZone) this.#checkPathsLike(member)
     if (!isSelf && this.#memberChanges.recordIfChanged(member)) log.info(LogEvent.MemberChanged, { member: member.name, incarnation: member.incarnation, health: member.health, leaving: member.leaving })
     if (member.health === MemberHealth.Gone) {
       shardManagers.releaseOwner(member.incarnation)
--- a/box/runtime/src/boxParts.ts
+++ b/box/runtime/src/boxParts.ts
@@ -1,6 +1,6 @@
 import { type Admission } from '@reelspan/accounts.admission'
 import { type FreshnessProof, type ProofRenewer } from '@reelspan/accounts.proof'
-import { type FleetList, type ReconciledFleet } from '@reelspan/config.fleet'
+import { type FleetList, type ReconciledFleet, type UpstreamKind } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type ConfigFollower, type ConfigStore } from '@reelspan/config.store'
 import { type PauseDetector } from '@reelspan/core.env'
@@ -19,7 +19,7 @@
 import { type CoordinatedPools, type PoolCoordinator } from '@reelspan/scheduling.pool-admission'
 import { type UpstreamFailureReport, type UpstreamFailureReports } from '@reelspan/upstream.health'
 import { type RetryTimes, type SendPermits } from '@reelspan/upstream.limits'
-import { type UpstreamPaths } from '@reelspan/upstream.paths'
+import { type KindPaths, type UpstreamPaths } from '@reelspan/upstream.paths'
 import { type Backoffs, type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
 import { type CachedStateAges } from './cachedStateAges.js'
 import { type Box } from './box.js'
@@ -67,8 +67,12 @@
   prober: Prober
   /** Whether this box has network paths to the upstreams. */
   upstreamPaths: UpstreamPaths
-  /** Has requests run by other boxes while this one cannot reach any upstream. */
-  delegator: Delegator
+  /** Whether it has paths to the upstreams of each kind alone. */
+  pathsOfKinds: Record<UpstreamKind, UpstreamPaths>
+  /** Paths by which the failures of upstreams of a kind are judged. */
+  pathsTo: Record<UpstreamKind, KindPaths>
+  /** Have requests run by other boxes while this one cannot reach any upstream of the kind that they need. */
+  delegators: Record<UpstreamKind, Delegator>
   /** Knows or finds out which software version began a stream. */
   streamOrigins: StreamOrigins
   /** Requests that this box runs for others. */
--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -1,3 +1,4 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { PauseDetector } from '@reelspan/core.env'
 import { Collection, type Member, MemberHealth, type PeerLink } from '@reelspan/core.messages'
 import { Prober } from '@reelspan/membership.prober'
@@ -15,8 +16,8 @@
 import { acquireAccountCost, createAdmission, createAccountBuckets, createExpectedBoxes, createLimiter, createStandInBuckets, createFreshnessProof, createProofRenewer, releaseAccountCost } from './createAccountParts.js'
 import { createPlatformContact, createDeclarations, createFleet, createFleetList, createFollowers, createWatcherRole } from './createConfigParts.js'
 import { createPermitBuckets, createPermitLimiter, createPermits, createRetryTimes } from './createLimitParts.js'
-import { createDelegatedRuns, createDelegator } from './createDelegationParts.js'
-import { createUpstreamPaths, hasLostPaths } from './createPathParts.js'
+import { createDelegatedRuns, createDelegators } from './createDelegationParts.js'
+import { createKindPaths, createPathsOfKinds, createUpstreamPaths, hasLostPathsTo } from './createPathParts.js'
 import { createPlacer } from './createPlacer.js'
 import { createPoolBroadcaster, createPoolCoordinator, createPools, createPoolWeights } from './createPoolAdmissionParts.js'
 import { createRunEnds, createOwner, createQuarantine, createRecords, createRelay, createReportBroadcast, createRunGossip, createStreamOrigins, recordTtlMs } from './createRequestParts.js'
@@ -41,7 +42,9 @@
     link: asFunction((parts: BoxParts) => createLink(environment.link, parts)).singleton(),
     engines: asFunction((parts: BoxParts) => createEngines(environment.engines, parts)).singleton(),
     upstreamPaths: asFunction(createUpstreamPaths).singleton(),
-    delegator: asFunction(createDelegator).singleton(),
+    pathsOfKinds: asFunction(createPathsOfKinds).singleton(),
+    pathsTo: asFunction(createKindPaths).singleton(),
+    delegators: asFunction(createDelegators).singleton(),
     delegatedRuns: asFunction(createDelegatedRuns).singleton(),
     streamOrigins: asFunction(createStreamOrigins).singleton(),
     view: asFunction(createView).singleton(),
@@ -168,7 +171,7 @@
     view: parts.view,
     confirmRunningHere: parts.confirmRunningHere,
     isGone: (incarnation) => parts.view.get(incarnation)?.health === MemberHealth.Gone,
-    hasLostPaths: () => hasLostPaths(parts),
+    hasLostPaths: () => hasLostPathsTo(UpstreamKind.Engine, parts),
     lastContactMs: () => Math.max(parts.prober.lastMajorityContactMs, parts.platform.lastAnswerMs),
   })
 }
@@ -195,8 +198,8 @@
     upstreamStates: parts.upstreamStates,
     pools: parts.pools,
     poolCoordinator: parts.poolCoordinator,
-    hasLostPaths: () => parts.upstreamPaths.lost,
-    onUpstreamReports: (reports) => parts.reportBroadcaster.broadcast(reports.filter((report) => parts.view.mayReachUpstreams(report.box) && parts.upstreamReports.add(report))),
+    hasLostPaths: () => parts.pathsTo[UpstreamKind.Engine].lost,
+    onUpstreamReports: (reports) => parts.reportBroadcaster.broadcast(reports.filter((report) => parts.view.mayReach(UpstreamKind.Service, report.box) && parts.upstreamReports.add(report))),
     lookup: parts.lookup,
     confirmRunningHere: parts.confirmRunningHere,
     describeForStatus: () => parts.shardManagers.describe(),
--- a/box/runtime/src/createDelegationParts.ts
+++ b/box/runtime/src/createDelegationParts.ts
@@ -1,3 +1,4 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { raceTimeout, STOPPED } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 import { type DelegatedRequest, type DelegationTerms } from '@reelspan/core.messages'
@@ -11,15 +12,20 @@
 const CONFIGURATION_WAIT_MS = 300
 const UNAVAILABLE_RETRY_AFTER_MS = 1000
 
-export function createDelegator ({ random, link, metrics, view, upstreamPaths }: BoxParts): Delegator {
-  const delegates = () => view.reachingUpstreams().filter(({ incarnation, runsForOthers }) => runsForOthers && incarnation !== view.self.incarnation)
+export function createDelegators (parts: BoxParts): Record<UpstreamKind, Delegator> {
+  return { [UpstreamKind.Engine]: createDelegator(parts, UpstreamKind.Engine), [UpstreamKind.Service]: createDelegator(parts, UpstreamKind.Service) }
+}
+
+function createDelegator ({ random, link, metrics, view, pathsTo }: BoxParts, kind: UpstreamKind): Delegator {
+  const paths = pathsTo[kind]
+  const delegates = () => view.reaching(kind).filter(({ incarnation, runsForOthers }) => runsForOthers && incarnation !== view.self.incarnation)
   return new Delegator({
     random,
     link,
     metrics,
     self: () => view.self,
     // While upstreams accept no connections from any box, as in overload, requests still go over the open ones.
-    isNeeded: () => upstreamPaths.lost && (upstreamPaths.silent || delegates().length > 0),
+    isNeeded: () => paths.lost && (paths.silent || delegates().length > 0),
     delegates,
   })
 }
--- a/box/runtime/src/createRequestParts.ts
+++ b/box/runtime/src/createRequestParts.ts
@@ -1,3 +1,4 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { MessageType, RunEnd, type RunEvent } from '@reelspan/core.messages'
 import { Broadcaster, Gossip } from '@reelspan/membership.prober'
@@ -8,7 +9,7 @@
 import { StreamOrigins } from '@reelspan/request.stream-origins'
 import { type UpstreamFailureReport } from '@reelspan/upstream.health'
 import { type BoxParts, environmentOf } from './boxParts.js'
-import { hasLostPaths } from './createPathParts.js'
+import { hasLostPaths, hasLostPathsTo } from './createPathParts.js'
 import { identifyUpstream } from './identifyUpstream.js'
 import { recordRequestEnd } from './recordRequestEnd.js'
 
@@ -151,8 +152,8 @@
     placer,
     admission: parts.admission,
     upstreamReports: parts.upstreamReports,
-    paths: parts.upstreamPaths,
-    delegator: parts.delegator,
+    paths: parts.pathsTo,
+    delegators: parts.delegators,
     origins: parts.streamOrigins,
     signals: parts.signals,
     backoffs: parts.backoffs,
@@ -180,7 +181,7 @@
 async function broadcastReport (parts: BoxParts, upstream: string): Promise<void> {
   const { clock, random, reportBroadcaster, upstreamReports, view } = parts
   const closedAtMs = clock.nowMs()
-  if (await hasLostPaths(parts)) return
+  if (await hasLostPathsTo(UpstreamKind.Service, parts)) return
   const report = { id: random.hex(16), upstream, box: view.self.name, ageMs: clock.nowMs() - closedAtMs }
   if (upstreamReports.add(report)) reportBroadcaster.broadcast([report])
 }
--- a/box/runtime/src/registerBoxMetrics.ts
+++ b/box/runtime/src/registerBoxMetrics.ts
@@ -3,7 +3,7 @@
 
 /** Registers the gauges for a box's own state. */
 export function registerBoxMetrics (parts: BoxParts): void {
-  const { metrics, owner, upstreamPaths, delegator, delegatedRuns, log, cachedStateAges, quarantine, runHistory, freshnessProof, upstreamStates, backoffs, poolCoordinator } = parts
+  const { metrics, owner, upstreamPaths, delegators, delegatedRuns, log, cachedStateAges, quarantine, runHistory, freshnessProof, upstreamStates, backoffs, poolCoordinator } = parts
   metrics.gauge('reelspan_requests_in_flight', () => owner.inFlight)
   metrics.gauge('reelspan_log_lines_dropped_total', () => log.droppedLines)
   metrics.gauge('reelspan_requests_quarantined', () => quarantine.countQuarantined())
@@ -12,7 +12,7 @@
   metrics.gauge('reelspan_prompt_parts_cleared', () => quarantine.countParts().cleared)
   metrics.gauge('reelspan_run_events_known', () => runHistory.size)
   metrics.gauge('reelspan_upstream_paths_lost', () => Number(upstreamPaths.lost))
-  metrics.gauge('reelspan_delegated_in_flight', () => delegator.inFlight)
+  metrics.gauge('reelspan_delegated_in_flight', () => Object.values(delegators).reduce((sum, { inFlight }) => sum + inFlight, 0))
   metrics.gauge('reelspan_delegated_runs', () => delegatedRuns.size)
   metrics.gauge('reelspan_upstreams_limited', () => upstreamStates.count)
   metrics.gauge('reelspan_upstreams_draining', () => upstreamStates.drainingCount)
--- a/box/runtime/test/cutFromUpstreams.ts
+++ b/box/runtime/test/cutFromUpstreams.ts
@@ -108,6 +108,20 @@
   await fleet.stop()
 })
 
+for (const kind of Object.values(UpstreamKind)) {
+  test(`callers are served while most boxes lose their paths to all upstreams of one kind (${kind})`, async (t) => {
+    for (const fault of Object.values(LinkFault)) {
+      const fleet = await startFleet()
+      const { atCut, atOthers } = await loadDuringCut(t, fleet, chooseBoxes(fleet, 5), fault, kind)
+      t.true(servedShare(atOthers) >= MIN_OTHERS, `${fault}, at the others`)
+      t.true(servedShare(atCut) >= MIN_SHARE_OF_OTHERS * servedShare(atOthers), `${fault}, at the boxes that are cut off`)
+      t.deepEqual(repeated(fleet), [])
+      t.deepEqual(damaged([...atCut, ...atOthers]), [])
+      await fleet.stop()
+    }
+  })
+}
+
 test('open connections are used while no box can open new ones', async (t) => {
   const fleet = await startFleet()
   const { atCut } = await loadDuringCut(t, fleet, fleet.boxes.map(({ name }) => name), LinkFault.RefusesNew)
--- a/core/messages/src/member.ts
+++ b/core/messages/src/member.ts
@@ -26,6 +26,10 @@
   admitsPoolCalls: z.boolean().optional(),
   /** Whether no upstream accepts connections from the member, while others reach it. Omitted if that is not so. */
   upstreamsUnreachable: z.boolean().optional(),
+  /** The same for engines alone. Earlier builds do not say so. */
+  enginesUnreachable: z.boolean().optional(),
+  /** The same for services alone. */
+  servicesUnreachable: z.boolean().optional(),
   /** Whether the member runs relayed requests for others that cannot reach any upstream. Earlier builds do not. */
   runsForOthers: z.boolean().optional(),
   /** Whether the member understands the messages about the origins of streams. Earlier builds do not. */
--- a/membership/view/src/membershipView.ts
+++ b/membership/view/src/membershipView.ts
@@ -1,3 +1,4 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { hash32 } from '@reelspan/core.hashing'
 import { type Member, MemberHealth } from '@reelspan/core.messages'
 import { mergeMember } from './mergeMember.js'
@@ -23,6 +24,7 @@
   suspected?: readonly Member[]
   takingWork?: readonly Member[]
   reachingUpstreams?: readonly Member[]
+  reaching?: Record<UpstreamKind, readonly Member[]>
   schedulerCandidates?: readonly Member[]
   /** Members that are not gone, by peer address. */
   byAddress?: ReadonlyMap<string, readonly Member[]>
@@ -106,20 +108,27 @@
     return this.#selections.takingWork
   }
 
-  /** Live members that accept new work and have not lost their network paths to the upstreams. */
+  /** Live members that accept new work and have not lost their network paths to all upstreams. */
   reachingUpstreams (): readonly Member[] {
     this.#selections.reachingUpstreams ??= this.takingWork().filter(({ upstreamsUnreachable }) => !upstreamsUnreachable)
     return this.#selections.reachingUpstreams
   }
 
-  /** Whether a member, by name, is not known to have lost its network paths to the upstreams. */
-  mayReachUpstreams (name: string): boolean {
-    return !this.live().some((member) => member.name === name && member.upstreamsUnreachable)
+  /** Live members that accept new work and have not lost their network paths to the upstreams of a kind. */
+  reaching (kind: UpstreamKind): readonly Member[] {
+    const reachingKind = (oneKind: UpstreamKind) => this.takingWork().filter((member) => !lacksPaths(member, oneKind))
+    this.#selections.reaching ??= { [UpstreamKind.Engine]: reachingKind(UpstreamKind.Engine), [UpstreamKind.Service]: reachingKind(UpstreamKind.Service) }
+    return this.#selections.reaching[kind]
   }
 
-  /** Members that may schedule shards, which takes reports of the engines: those that reach the upstreams, or all if none does. */
+  /** Whether a member, by name, is not known to have lost its network paths to the upstreams of a kind. */
+  mayReach (kind: UpstreamKind, name: string): boolean {
+    return !this.live().some((member) => member.name === name && lacksPaths(member, kind))
+  }
+
+  /** Members that may schedule shards, which takes reports of the engines: those that reach engines, or all if none does. */
   schedulerCandidates (): readonly Member[] {
-    const reaching = this.reachingUpstreams()
+    const reaching = this.reaching(UpstreamKind.Engine)
     this.#selections.schedulerCandidates ??= reaching.length > 0 ? reaching : this.takingWork()
     return this.#selections.schedulerCandidates
   }
@@ -162,7 +171,7 @@
   }
 
   /** Changes this box's own entry and raises its version. */
-  announce (change: Partial<Pick<Member, 'leaving' | 'health' | 'successor' | 'upstreamsUnreachable'>>, nowMs: number): void {
+  announce (change: Partial<Pick<Member, 'leaving' | 'health' | 'successor' | 'upstreamsUnreachable' | 'enginesUnreachable' | 'servicesUnreachable'>>, nowMs: number): void {
     this.#put({ ...this.#self, ...change, version: this.#self.version + 1 }, nowMs)
   }
 
@@ -236,3 +245,7 @@
 function digestOf (member: Member): number {
   return hash32([member.incarnation, member.version, member.health, member.leaving, member.successor?.incarnation ?? ''].join('|'))
 }
+
+function lacksPaths ({ upstreamsUnreachable, enginesUnreachable, servicesUnreachable }: Member, kind: UpstreamKind): boolean {
+  return upstreamsUnreachable === true || (kind === UpstreamKind.Engine ? enginesUnreachable : servicesUnreachable) === true
+}
--- a/membership/view/test/membershipView.ts
+++ b/membership/view/test/membershipView.ts
@@ -1,3 +1,4 @@
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { type Member, MemberHealth } from '@reelspan/core.messages'
 import { mergeMember, MembershipView } from '@reelspan/membership.view'
 import test from 'ava'
@@ -63,3 +64,15 @@
   view.merge(member('b', { version: 1, leaving: true }), 0)
   t.deepEqual(view.takingWork().map(({ incarnation }) => incarnation), ['a'])
 })
+
+test('a member without paths to the engines alone does not schedule, and runs calls to services', (t) => {
+  const view = new MembershipView({ self: member('a', { enginesUnreachable: true }), goneRetentionMs: 1000 })
+  view.merge(member('b', { name: 'other', upstreamsUnreachable: true }), 0)
+  t.deepEqual(view.schedulerCandidates().map(({ incarnation }) => incarnation), ['a', 'b'])
+  view.merge(member('c', { name: 'third', servicesUnreachable: true }), 0)
+  t.deepEqual(view.schedulerCandidates().map(({ incarnation }) => incarnation), ['c'])
+  t.deepEqual(view.reaching(UpstreamKind.Service).map(({ incarnation }) => incarnation), ['a'])
+  t.false(view.mayReach(UpstreamKind.Service, 'other'))
+  t.false(view.mayReach(UpstreamKind.Engine, 'box'))
+  t.true(view.mayReach(UpstreamKind.Service, 'box'))
+})
--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -16,7 +16,7 @@
   startIdAt?: (address: string) => string | undefined
   onOpened?: (address: string) => void
   /** Called when an upstream has sent something. */
-  onReceived?: () => void
+  onReceived?: (address: string) => void
   /** Called when an upstream has refused a connection, or has not accepted it in time. */
   onConnectFailed?: (address: string) => void
 }
@@ -133,7 +133,7 @@
       address,
       upstreamStartId: this.#opts.startIdAt?.(address),
       clock,
-      onReceived,
+      onReceived: () => onReceived?.(address),
       onIdle: (idle) => this.#keepIdleOrClose(idle),
       onClosed: (closed) => this.#remove(closed),
     })
--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -137,7 +137,7 @@
   /** Failures caused by lost paths of this box say nothing about the engines. The first of them come before the loss is known. */
   async #outcomesOfEngines (): Promise<EngineOutcome[]> {
     if (!this.#outcomes.some(({ outcome }) => outcome === UpstreamOutcome.Unreachable)) return this.#outcomes
-    const cause = await this.#state.context.opts.paths.judge()
+    const cause = await this.#state.context.paths.judge()
     return cause === FailureCause.OwnPaths ? this.#outcomes.filter(({ outcome }) => outcome === UpstreamOutcome.Answered) : this.#outcomes
   }
 
@@ -148,15 +148,15 @@
 
   async #prefill (plan: PlacementPlan, permit: SendPermit): Promise<PrefillSource> {
     const { context } = this.#state
-    const { run, opts } = context
+    const { run } = context
     const target = { instance: plan.prefillEngine, address: plan.prefillAddress }
     const timeoutMs = PREFILL_TIMEOUT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs
     const patience = new AbortController()
     const { handle } = await this.#trackFailure(target, (progress) => this.#watch({ upstream: plan.prefillEngine, stage: ExchangeStage.Prefill, timeoutMs }, (watched) => {
       const signal = AbortSignal.any([this.signal, patience.signal])
       void this.#limitPrefill(patience, timeoutMs, watched.ended)
-      void opts.paths.waitUntilLost(watched.ended).then(() => {
-        if (opts.paths.lost && !watched.ended.aborted) this.#opts.onSilent(this)
+      void context.paths.waitUntilLost(watched.ended).then(() => {
+        if (context.paths.lost && !watched.ended.aborted) this.#opts.onSilent(this)
       })
       return untilLost(context, signal, () => progress.sentAtMs === undefined, (lostSignal) =>
         prefillAtUpstream(context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent(lostSignal) }))
@@ -306,8 +306,8 @@
 
   /** Failures caused by lost paths of this box are not reported to the scheduler. */
   #recordOutcome (engine: string, outcome: UpstreamOutcome): void {
-    const { opts, health } = this.#state.context
-    if (outcome === UpstreamOutcome.Answered || !opts.paths.lost) this.#outcomes.push({ engine, outcome })
+    const { paths, health } = this.#state.context
+    if (outcome === UpstreamOutcome.Answered || !paths.lost) this.#outcomes.push({ engine, outcome })
     health.record(engine, outcome, [])
   }
 
--- a/request/relay/src/completionPlacer.ts
+++ b/request/relay/src/completionPlacer.ts
@@ -174,9 +174,9 @@
 
   /** Whether this box cannot send the request to any engine. A scheduler would have it wait for one. */
   #hasNoConnection (): boolean {
-    const { opts } = this.#context
+    const { opts, paths } = this.#context
     const model = opts.configuration().model(this.#model)
-    if (!opts.paths.lost || !model) return false
+    if (!paths.lost || !model) return false
     const isUnconnected = (pool: string) => unconnectedUpstreams(this.#context, pool).length === opts.fleet().takingWork(pool).length
     return isUnconnected(model.decodePool) || (model.decodePrefillTokensPerSecond === undefined && isUnconnected(model.prefillPool))
   }
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -83,13 +83,13 @@
 
   /** The request counts as possibly run from the start, and as not run only on the delegate's word. */
   async #executeOnce (times: AnswerTimes): Promise<void> {
-    const { opts, run, request, urgency, caller, route, logDecision } = this.#context
+    const { opts, delegator, run, request, urgency, caller, route, logDecision } = this.#context
     const { id, method, host, target, headers, body, prompt, callerAddress, account } = request
     const resumeAfter = this.#progress.lastId ?? request.resumeAfter
     this.#version?.checkServed()
     const delegated = { id, method, host, target, headers: [...headers], body, prompt: prompt && { ...prompt, prefixes: [...prompt.prefixes] }, resumeAfter, softwareVersion: this.#version?.fixed, callerAddress, account }
     const terms = { deadlineMs: run.remainingMs, elapsedMs: run.elapsedMs, urgency, attemptsUsed: this.#attemptsUsed, revision: opts.configuration().revision }
-    await run.dispatch(() => opts.delegator.run({
+    await run.dispatch(() => delegator.run({
       request: delegated,
       terms,
       signal: this.#signal,
--- a/request/relay/src/mustDelegate.ts
+++ b/request/relay/src/mustDelegate.ts
@@ -1,6 +1,6 @@
 import { type RelayContext } from './relayContext.js'
 
 /** Whether the request can only be run by another box, since this one has lost its paths to the upstreams. */
-export function mustDelegate ({ opts: { delegator }, mayDelegate }: RelayContext): boolean {
+export function mustDelegate ({ delegator, mayDelegate }: RelayContext): boolean {
   return mayDelegate && delegator.isNeeded
 }
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -1,4 +1,5 @@
 import { type Admitted } from '@reelspan/accounts.admission'
+import { UpstreamKind } from '@reelspan/config.fleet'
 import { type Named, type RouteSpec, type RouteTarget } from '@reelspan/config.resources'
 import { type DelegationTerms } from '@reelspan/core.messages'
 import { Notifier, raceTimeout, STOPPED, TaskGroup } from '@reelspan/core.env'
@@ -110,9 +111,10 @@
     await this.#tasks.stop()
   }
 
-  /** Drops the suspicions of upstreams, which were due to this box's own network paths. */
-  onPathsRegained (): void {
-    this.#health.clear()
+  /** Drops the suspicions of upstreams, of one kind or all, which were due to this box's own network paths. */
+  onPathsRegained (kind?: UpstreamKind): void {
+    const others = this.#opts.fleet().upstreams.filter((upstream) => kind !== undefined && upstream.kind !== kind)
+    this.#health.retain(new Set(others.map(({ name }) => name)))
   }
 
   describe () {
@@ -214,6 +216,7 @@
   #contextOf ({ run, route, request, identity, caller, admitted: { account, urgency }, target, terms }: AdmittedRequest): RelayContext {
     const opts = this.#opts
     const budget = this.#budgetOf(target.model ?? target.pool as string)
+    const kind = target.model === undefined ? UpstreamKind.Service : UpstreamKind.Engine
     // The delegating box has counted the request.
     if (!terms) budget.recordRequest()
     return {
@@ -224,6 +227,8 @@
       caller,
       route: terms ? withAttemptsUsed(route, terms.attemptsUsed) : route,
       target: target.model ?? target.pool as string,
+      paths: opts.paths[kind],
+      delegator: opts.delegators[kind],
       mayDelegate: terms === undefined,
       onSent: terms?.onSent,
       urgency: urgency ?? route.spec.urgency,
@@ -239,6 +244,7 @@
   }
 
   async #executeAt (context: RelayContext, { model, pool }: Target, times: AnswerTimes): Promise<void> {
+    if (!context.mayDelegate && context.paths.lost) throw new ReelspanError(ErrorCode.NotReady, 'this box cannot reach the upstreams either', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     if (model === undefined) return new ServiceRelay(context, pool as string).execute(times)
     const { prompt } = context.request
     if (!prompt) throw new ReelspanError(ErrorCode.BadRequest, 'a request to a model must declare its prompt sizes')
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -1,11 +1,12 @@
 import { type Named, type RouteSpec } from '@reelspan/config.resources'
 import { type RelayCaller } from '@reelspan/request.caller'
+import { type Delegator } from '@reelspan/request.delegation'
 import { type RequestIdentity } from '@reelspan/request.identity'
 import { type RetryBudget, type RunContext } from '@reelspan/request.owner'
 import { type LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { type RelayedRequest } from '@reelspan/upstream.client'
 import { type UpstreamHealth } from '@reelspan/upstream.health'
-import { type RelayOptions } from './relayOptions.js'
+import { type RelayOptions, type RelayPaths } from './relayOptions.js'
 import { type RunDurations } from './runDurations.js'
 import { type TokenTimes } from './tokenTimes.js'
 import { type UpstreamPicker } from './upstreamPicker.js'
@@ -25,6 +26,9 @@
   /** Urgency class; 0 is the most urgent. */
   urgency: number
   budget: RetryBudget
+  /** Network paths to the kind of upstream that runs the request. */
+  paths: RelayPaths
+  delegator: Delegator
   health: UpstreamHealth
   picker: UpstreamPicker
   /** Upstreams that owe answers and send nothing. */
--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -1,5 +1,5 @@
 import { type BoxAdmission } from '@reelspan/accounts.admission'
-import { type FleetList } from '@reelspan/config.fleet'
+import { type FleetList, type UpstreamKind } from '@reelspan/config.fleet'
 import { type Configuration } from '@reelspan/config.resources'
 import { type Clock, type Random, type TaskErrorListener } from '@reelspan/core.env'
 import { type Delegator } from '@reelspan/request.delegation'
@@ -15,6 +15,8 @@
 import { type Backoffs, type SignalObserver, type UpstreamStates } from '@reelspan/upstream.signals'
 import { type RelayClient } from '@reelspan/upstream.client'
 
+export type RelayPaths = Pick<UpstreamPaths, 'lost' | 'lastReceivedMs' | 'trackRequest' | 'recordFailure' | 'judge' | 'waitUntilLost'>
+
 export interface RelayOptions {
   clock: Clock
   random: Random
@@ -32,12 +34,12 @@
   self: () => { peerAddress: string, incarnation: string, availabilityZone: string }
   /** Reports of all boxes about upstreams that close connections without an answer. */
   upstreamReports: Pick<UpstreamFailureReports, 'isFailing'>
-  /** Whether this box has network paths to the upstreams. */
-  paths: Pick<UpstreamPaths, 'lost' | 'lastReceivedMs' | 'trackRequest' | 'recordFailure' | 'judge' | 'waitUntilLost'>
+  /** Whether this box has network paths to the upstreams of a kind. */
+  paths: Record<UpstreamKind, RelayPaths>
   /** Knows or finds out which software version began a stream. */
   origins: Pick<StreamOrigins, 'record' | 'find'>
-  /** Has requests run by other boxes while this one cannot reach any upstream. */
-  delegator: Delegator
+  /** Have requests run by other boxes while this one cannot reach any upstream of the kind that they need. */
+  delegators: Record<UpstreamKind, Delegator>
   /** Processes the rate limits and backoffs that responses advertise. */
   signals: SignalObserver
   /** Latest state that upstreams advertised to any box. */
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -129,7 +129,7 @@
 
   /** Whether the attempt has no connection, or may be repeated and its connection has gone silent like all others. */
   #isAttemptLost (): boolean {
-    const { opts: { paths }, route: { spec }, budget } = this.#context
+    const { paths, route: { spec }, budget } = this.#context
     if (!this.#sentThisAttempt) return true
     return !spec.notRepeatable && this.#sent < spec.maxAttempts && budget.left >= 1 && paths.lastReceivedMs < this.#attemptStartedAtMs
   }
--- a/request/relay/src/untilLost.ts
+++ b/request/relay/src/untilLost.ts
@@ -8,7 +8,7 @@
  * @param isLost whether the attempt cannot succeed any more once the paths are lost
  */
 export async function untilLost<T> (context: RelayContext, signal: AbortSignal, isLost: () => boolean, work: (signal: AbortSignal) => Promise<T>): Promise<T> {
-  const { paths } = context.opts
+  const { paths } = context
   const lost = new AbortController()
   const ended = new AbortController()
   void paths.waitUntilLost(ended.signal).then(() => {
--- a/request/relay/src/withEndReport.ts
+++ b/request/relay/src/withEndReport.ts
@@ -20,14 +20,14 @@
   const { runEnds, quarantine } = opts
   const record = new RunRecord(context, target)
   const { progress } = record
-  const end = opts.paths.trackRequest()
+  const end = context.paths.trackRequest()
   try {
     const result = await work(progress)
     if (progress.finish === AnswerFinish.Whole) record.recordSound()
     if (progress.finish === AnswerFinish.WithConnection) runEnds.recordUnconfirmed(record.ended('its answer ended with the connection'), (endedAgoMs) => record.recordSound(endedAgoMs))
     return result
   } catch (thrown) {
-    if (thrown instanceof UpstreamError && thrown.unreachable && !signal.aborted) opts.paths.recordFailure()
+    if (thrown instanceof UpstreamError && thrown.unreachable && !signal.aborted) context.paths.recordFailure()
     if (progress.sentAtMs === undefined) {
       if (thrown instanceof UpstreamError && thrown.unreachable) runEnds.onUnreachable(target.instance)
       throw thrown
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -291,6 +291,8 @@
     },
   })
   const origins = new ScriptedOrigins()
+  const delegator = new Delegator({ random: new SeededRandom(9), link: new FakeNetwork({ clock, random: new SeededRandom(9) }).addNode('10.0.0.9:1').link, metrics, self: () => ({ name: 'test', incarnation: 'a'.repeat(16), availabilityZone: 'a' }), isNeeded: () => false, delegates: () => [] })
+  const paths = new UpstreamPaths({ clock, random: new SeededRandom(8), probe, addresses: () => [], onLost: () => {}, onRegained: () => {} })
   const relay = new Relay({
     clock,
     origins,
@@ -299,8 +301,8 @@
     placer,
     admission,
     upstreamReports: reports,
-    delegator: new Delegator({ random: new SeededRandom(9), link: new FakeNetwork({ clock, random: new SeededRandom(9) }).addNode('10.0.0.9:1').link, metrics, self: () => ({ name: 'test', incarnation: 'a'.repeat(16), availabilityZone: 'a' }), isNeeded: () => false, delegates: () => [] }),
-    paths: new UpstreamPaths({ clock, random: new SeededRandom(8), probe, addresses: () => [], onLost: () => {}, onRegained: () => {} }),
+    delegators: { [UpstreamKind.Engine]: delegator, [UpstreamKind.Service]: delegator },
+    paths: { [UpstreamKind.Engine]: paths, [UpstreamKind.Service]: paths },
     signals,
     backoffs,
     upstreamStates,
--- a/upstream/health/src/upstreamHealth.ts
+++ b/upstream/health/src/upstreamHealth.ts
@@ -67,14 +67,9 @@
     return [...this.#stats.keys()].filter((upstream) => this.isSuspect(upstream))
   }
 
-  /** Forgets all outcomes. */
-  clear (): void {
-    this.#stats.clear()
-  }
-
-  /** Removes upstreams that are no longer listed. */
-  retain (listed: ReadonlySet<string>): void {
-    [...this.#stats.keys()].filter((upstream) => !listed.has(upstream)).forEach((upstream) => this.#stats.delete(upstream))
+  /** Forgets the outcomes of all others. */
+  retain (upstreams: ReadonlySet<string>): void {
+    [...this.#stats.keys()].filter((upstream) => !upstreams.has(upstream)).forEach((upstream) => this.#stats.delete(upstream))
   }
 
   /** State for the dump. */
--- a/upstream/paths/src/index.ts
+++ b/upstream/paths/src/index.ts
@@ -1,2 +1,4 @@
+export { KindPaths } from './kindPaths.js'
+export type { KindPathsOptions } from './kindPaths.js'
 export { FailureCause, UpstreamPaths } from './upstreamPaths.js'
-export type { UpstreamPathsOptions } from './upstreamPaths.js'
+export type { LossEvidence, UpstreamPathsOptions } from './upstreamPaths.js'
