--- a/request/relay/src/serviceAttempt.ts
+++ b/request/relay/src/serviceAttempt.ts
@@ -114,7 +114,7 @@
 
   #watch (): WatchedExchange {
     const { context } = this.#state
-    const { opts: { paths }, run, route } = context
+    const { paths, run, route } = context
     const timeoutMs = Math.min(run.remainingMs / 2, SILENCE_TARGETS * route.spec.ttftTargetMs)
     const watched = new WatchedExchange(context, { upstream: this.name, stage: ExchangeStage.Call, timeoutMs, onSilent: () => this.#opts.onSilent(this) })
     this.#watched = watched
