fix(request.relay): failure responses of two services do not wait for each other

A call that two services answered with a failure was held until its deadline, and ended without an answer. Cause: a failure response waits until no other attempt is open, and an attempt that waits so is still open. With one in each, both waited. Change: attempts that wait do not count for each other. The one that was begun first goes on once all open ones wait.

--- a/request/relay/src/attemptRace.ts
+++ b/request/relay/src/attemptRace.ts
@@ -20,7 +20,10 @@
   readonly #onFailedBeside: (failure: AttemptFailure) => void
   readonly #running = new Map<Attempt, Promise<AttemptEnd>>()
   readonly #joined = new Notifier()
-  readonly #ended = new Notifier()
+  /** Attempts that go on only if no other one may. */
+  readonly #waiting = new Set<Attempt>()
+  /** Notified when an attempt ends or begins to wait. */
+  readonly #changed = new Notifier()
 
   /** @param onFailedBeside called with an attempt that failed while another one is open */
   constructor (onFailedBeside: (failure: AttemptFailure) => void) {
@@ -50,16 +53,19 @@
       if (!end) continue
       const { attempt, failed, error } = end
       this.#running.delete(attempt)
-      this.#ended.notify()
+      this.#changed.notify()
       if (!failed) return undefined
       if (this.open.length === 0 && attempt.cancelCause === undefined) return { attempt, error }
       if (attempt.cancelCause === undefined) this.#onFailedBeside({ attempt, error })
     }
   }
 
-  /** Resolves once no other attempt is open, or this one is cancelled. */
+  /** Resolves once all other open attempts wait for this as well and were begun later, or this one is cancelled. */
   async waitUntilAlone (attempt: Attempt): Promise<void> {
-    while (this.othersOf(attempt).length > 0 && !attempt.signal.aborted) await this.#ended.wait(attempt.signal)
+    this.#waiting.add(attempt)
+    this.#changed.notify()
+    const isNext = () => this.open[0] === attempt && this.open.every((other) => this.#waiting.has(other))
+    while (!isNext() && !attempt.signal.aborted) await this.#changed.wait(attempt.signal)
   }
 
   /** Called right before an attempt sends the request to an upstream that runs it: those that have not done so are cancelled. */
--- a/request/relay/test/silentService.ts
+++ b/request/relay/test/silentService.ts
@@ -86,6 +86,14 @@
   assertAnswered(t, await playCall(played), 'status')
 })
 
+test('a failure response is passed on when both services respond with one, and does not wait for the deadline', async (t) => {
+  const played = createRelay([answersAfter(500, 500, 'first'), answersAfter(400, 500, 'second')])
+  const startedAtMs = played.clock.nowMs()
+  const caller = await playCall(played)
+  t.like(caller, { status: 500, body: 'first', complete: true })
+  t.is(played.clock.nowMs() - startedAtMs, SILENT_AFTER_MS + 400)
+})
+
 test('a failure response is passed on once no other service may answer', async (t) => {
   const breaksOff: Script = async (opts) => {
     await answersAfter(SILENCE_MS, 200, '')(opts)
