fix(request.relay): a failure response of another box does not end a request that is open elsewhere

A caller got the 500 of another box although its own silent engine or service answered later. Cause: the head of a delegated answer was passed on whatever its status, and cancelled the silent attempt that it was made beside. Change: a failure response of a delegate counts as a failure of that attempt while another one is open, as those of engines and services do.

--- a/request/relay/src/delegatedAttempt.ts
+++ b/request/relay/src/delegatedAttempt.ts
@@ -41,6 +41,7 @@
         race.claim(this)
         this.#state.progress = own
       },
+      hasOther: () => race.othersOf(this).length > 0,
     }).execute(this.#times)
   }
 }
--- a/request/relay/src/delegatedCall.ts
+++ b/request/relay/src/delegatedCall.ts
@@ -33,6 +33,7 @@
         this.#state.sent++
       },
       claim: () => this.#state.claim(this),
+      hasOther: () => race.othersOf(this).length > 0,
     }).execute(this.#times)
   }
 }
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -21,9 +21,12 @@
   onSent?: (upstream: string) => void
   /** Called before a part of the answer is passed on. Throws if another attempt has gone on with the answer. */
   claim?: () => void
+  /** Whether another attempt may still answer the request. */
+  hasOther?: () => boolean
 }
 
 const OK = 200
+const FIRST_SERVER_ERROR = 500
 
 /** Has a request run by another box, since this one cannot reach any upstream, and passes its answer on. */
 export class DelegatedRelay {
@@ -33,6 +36,7 @@
   readonly #signal: AbortSignal
   readonly #onSent: (upstream: string) => void
   readonly #claim: () => void
+  readonly #hasOther: () => boolean
   /** Software version of the upstream that runs the request; undefined if neither the delegate nor this box's list tells it. */
   #upstreamVersion?: string
   #attemptsUsed: number
@@ -41,11 +45,12 @@
   /** The end of the present delegate's answer. */
   #answerEnd?: AnswerEnd
 
-  constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress(), version, signal = context.run.signal, onSent = () => {}, claim = () => {} }: DelegatedRelayOptions) {
+  constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress(), version, signal = context.run.signal, onSent = () => {}, claim = () => {}, hasOther = () => false }: DelegatedRelayOptions) {
     this.#context = context
     this.#signal = signal
     this.#onSent = onSent
     this.#claim = claim
+    this.#hasOther = hasOther
     this.#version = version
     this.#attemptsUsed = attemptsUsed
     this.#progress = progress
@@ -119,11 +124,12 @@
     if (fixed !== undefined && softwareVersion !== fixed) throw new UpstreamError(`${upstream} is not of the software version «${fixed}» that began the stream`, { mayHaveRun: true })
   }
 
-  /** An answer that continues an interrupted one keeps the head of the first. */
+  /** An answer that continues an interrupted one keeps the head of the first. A failure response is passed on only if no other attempt may answer. */
   #passHead (status: number, headers: readonly string[], times: AnswerTimes): void {
     const { caller, opts: { metrics } } = this.#context
     this.#answerEnd = new AnswerEnd({ status, headers }, { sender: 'the delegate', metrics })
     if (caller.begun && status !== OK) throw new UpstreamError(`the continued answer has status ${status}`, { mayHaveRun: true, failed: true })
+    if (!caller.begun && status >= FIRST_SERVER_ERROR && this.#hasOther()) throw new UpstreamError(`the delegate's answer has status ${status}`, { mayHaveRun: true, failed: true })
     if (!caller.begun) {
       this.#claim()
       caller.begin(status, headers)
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -154,3 +154,21 @@
   const withoutRetry = await createWithoutRetry([pauses(200, [FIRST, SECOND], SILENCE_MS)], { probedAddresses: PROBED_ADDRESSES })
   t.is(await playLostPaths(t, withoutRetry, '/reply/1'), 0)
 })
+
+test('a failure response of another box does not end a request whose silent engine may still answer', async (t) => {
+  const { clock, relay, upstreams, probe, delegator } = createRelay([answersAfter(SILENCE_MS, 200, FIRST)], {
+    probedAddresses: PROBED_ADDRESSES,
+    delegate: async (_request, answer) => {
+      answer.onSent('d2', '')
+      answer.onHead(500, [])
+    },
+  })
+  PROBED_ADDRESSES.forEach((address) => probe.ended.add(address))
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/reply/1'), caller)
+  await clock.advance(10)
+  upstreams.prefillHangs = true
+  await clock.run(work)
+  t.is(delegator.requests.length, 1)
+  t.like(caller, { status: 200, body: FIRST, complete: true })
+})
