fix(request.relay): a request that another box has sent is not refused as not run

Cause: an attempt that was cancelled throws «not run» unless it has sent the request. One that another box runs counted as sent only after the check for the cancellation, so a report of a send that crossed the cancellation was taken for none. Change: the send is recorded before the check. Result: the new test in silentEngine.ts passes, which failed before (notRun instead of mayHaveRun); request/relay and request/delegation: silentEngine.ts, silentService.ts, relay.ts and delegation.ts pass.

--- a/request/relay/src/delegatedAttempt.ts
+++ b/request/relay/src/delegatedAttempt.ts
@@ -35,6 +35,8 @@
       signal: this.signal,
       onSent: (upstream) => {
         decodeEngines.add(upstream)
+        // The delegate has sent it, even if this attempt was cancelled in the meantime.
+        this.recordSent()
         race.recordSent(this)
       },
       claim: () => {
--- a/request/relay/src/delegatedCall.ts
+++ b/request/relay/src/delegatedCall.ts
@@ -29,8 +29,10 @@
       attemptsUsed: sent,
       signal: this.signal,
       onSent: () => {
-        race.recordSent(this)
         this.#state.sent++
+        // The delegate has sent it, even if this attempt was cancelled in the meantime.
+        this.recordSent()
+        race.recordSent(this)
       },
       claim: () => this.#state.claim(this),
       hasOther: () => race.othersOf(this).length > 0,
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -172,3 +172,23 @@
   t.is(delegator.requests.length, 1)
   t.like(caller, { status: 200, body: FIRST, complete: true })
 })
+
+test('a request is not refused as not run when another box has sent it after its own engine was asked', async (t) => {
+  const refusesLate: Script = async (opts) => {
+    await opts.clock.sleep(300)
+    return refuses()(opts)
+  }
+  const { clock, relay, upstreams, probe, delegator } = createRelay([refusesLate], {
+    probedAddresses: PROBED_ADDRESSES,
+    delegate: async (_request, answer) => {
+      await clock.sleep(600)
+      answer.onSent('d2', '')
+    },
+  })
+  PROBED_ADDRESSES.forEach((address) => probe.ended.add(address))
+  upstreams.prefillMs = 900
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(delegator.requests.length, 1)
+  t.is(caller.refused?.verdict, Verdict.MayHaveRun)
+})
