fix(request.relay): two silent attempts do not keep a third one from being made

A stream whose first two engines are silent for good stood still until its deadline on a route with three attempts. Cause: another attempt was made only while a single one was open, and a silent one that was sent stays open. Change: another attempt is also made once all open ones were sent and are silent, within the attempts of the route and the retry budget. Result: the new test in silentEngine.ts passes, which failed before (the deadline of 10 s with two sends; now under 1 s with three); silentEngine.ts, attemptRace.ts, callerDisconnects.ts, streamVersion.ts, requestEnded.ts and quarantine.ts pass, relay.ts and delegation.ts as well.

--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -68,24 +68,28 @@
     return this.#state.placements < MAX_ATTEMPTS && this.#state.mayAttemptAgain
   }
 
-  /** Makes another attempt beside a silent one, which stays open. Of two silent attempts, a later one that was not sent yet is replaced. */
+  /** Makes another attempt beside silent ones, which stay open. A later one that was not sent yet is replaced. */
   #onSilent (attempt: CompletionAttempt): void {
-    const { race } = this.#state
-    if (race.open.length > 1) {
-      if (attempt.sent || race.open[0] === attempt) return
-      attempt.cancel(CancelCause.SilentToo, race.open[0])
-    }
+    const [first] = this.#state.race.open
+    if (first !== attempt && !attempt.sent) attempt.cancel(CancelCause.SilentToo, first)
     this.#attemptBeside()
   }
 
   #attemptBeside (): void {
     const { run, budget } = this.#context
     const { race } = this.#state
-    if (run.signal.aborted || race.open.length !== 1 || race.open[0] instanceof DelegatedAttempt || !this.#mayAttemptAgain) return
+    if (run.signal.aborted || !this.#mayJoin || !this.#mayAttemptAgain) return
     const mayJoin = mustDelegate(this.#context) ? this.#mayDelegateBeside(race.open[0]) : budget.left >= 1
     if (mayJoin) race.join(this.#createAttempt({ beside: true }))
   }
 
+  /** Whether a single attempt is open, or several of which none can be expected to go on soon. */
+  get #mayJoin (): boolean {
+    const { open } = this.#state.race
+    const isStuck = (attempt: Attempt) => attempt instanceof CompletionAttempt && attempt.sent && attempt.silent
+    return open.length === 1 ? open[0] instanceof CompletionAttempt : open.length > 1 && open.every(isStuck)
+  }
+
   /** Another box is asked once to run a request that may have run, and a retry is taken for it. */
   #mayDelegateBeside ({ sent }: Attempt): boolean {
     const { run, budget } = this.#context
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -254,6 +254,7 @@
   { kind: ResourceKind.Route, name: 'status', spec: { host: 'desk.example', pathPrefix: '/status/', targets: [{ pool: 'desk' }], maxAttempts: 2, deadlineMs: 2000, ttftTargetMs: 200 } },
   { kind: ResourceKind.Route, name: 'draft', spec: { host: 'desk.example', pathPrefix: '/draft/', targets: [{ model: 'm' }], streaming: true, notRepeatable: true, maxAttempts: 1, deadlineMs: 10_000, ttftTargetMs: 900 } },
   { kind: ResourceKind.Route, name: 'reply', spec: { host: 'desk.example', pathPrefix: '/reply/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 10_000, ttftTargetMs: 900 } },
+  { kind: ResourceKind.Route, name: 'outline', spec: { host: 'desk.example', pathPrefix: '/outline/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 3, deadlineMs: 10_000, ttftTargetMs: 900 } },
 ]
 
 function declared (computesPrompts: boolean) {
@@ -275,7 +276,7 @@
   delegate?: (request: DelegateRequest, answer: DelegatedAnswer) => Promise<void>
 }
 
-/** Creates a relay with scripted upstreams and one route of each of the four kinds. */
+/** Creates a relay with scripted upstreams and one route of each of the four kinds, and one with a third attempt. */
 export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError, admission = NO_ACCOUNTS, probedAddresses = [], delegate }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const startedAtMs = clock.nowMs()
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -192,3 +192,13 @@
   t.is(delegator.requests.length, 1)
   t.is(caller.refused?.verdict, Verdict.MayHaveRun)
 })
+
+test('a stream is not stuck until its deadline when two engines are silent for good and its route allows a third', async (t) => {
+  const { clock, relay, upstreams } = createRelay([hangs(), hangs(), answers(200, FIRST)])
+  const startedAtMs = clock.nowMs()
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/outline/1'), caller))
+  t.like(caller, { status: 200, body: FIRST, complete: true })
+  t.true(clock.nowMs() - startedAtMs < 1000)
+  t.is(upstreams.runs.length, 3)
+})
