fix(request.relay): the end of a stream is not sent twice to a caller that reads slowly

Cause: bytes behind the last complete event were written without suspending the watch of their exchange, whose answer had ended. A caller that took longer than a silence made the box try another engine, which wrote the same event again. Change: the watch is suspended for that write as for all others. Result: the new test in silentEngine.ts passes, which failed before (two sends, the last event twice); silentEngine.ts, relay.ts, callerDisconnects.ts and answerEnd.ts pass.

--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -57,7 +57,7 @@
   const rest = progress.flush()
   times.restBytes = rest.byteLength
   caller.buffer?.hold(0)
-  if (completeEventsOnly && rest.byteLength > 0) await caller.write(rest)
+  if (completeEventsOnly && rest.byteLength > 0) await watched.pauseDuring(caller.write(rest))
   times.parts = progress.events
   caller.finish()
   run.finish()
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -202,3 +202,18 @@
   t.true(clock.nowMs() - startedAtMs < 1000)
   t.is(upstreams.runs.length, 3)
 })
+
+test('the end of a stream is not sent twice when its caller reads it slowly', async (t) => {
+  const end = 'id: 1\ndata: b\n'
+  const { clock, relay, upstreams } = createRelay([answers(200, FIRST + end), answers(200, SECOND)])
+  class SlowAtEnd extends RecordingCaller {
+    override async write (bytes: Uint8Array): Promise<void> {
+      await super.write(bytes)
+      if (Buffer.from(bytes).toString() === end) await clock.sleep(SILENCE_MS)
+    }
+  }
+  const caller = new SlowAtEnd()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.like(caller, { body: FIRST + end, complete: true })
+  t.is(upstreams.runs.length, 1)
+})
