fix(request.relay): the slot of a superseded run ends with any sign of life of its engine

An engine whose streams had all moved elsewhere kept their slots until the deadlines of the requests, also after it went on. Cause: such a slot is released when the box receives something from the engine in another request, and the engine gets none while its slots are taken. Change: the box asks an engine whose run it ended whether it lives, to find out about exits. That answer counts as well. Result: the new test in silentEngine.ts passes, which failed before (held for the 10 s of the request); silentEngine.ts, silentService.ts, quarantine.ts, relay.ts and the tests of request/quarantine pass.

--- a/request/quarantine/src/runEnds.ts
+++ b/request/quarantine/src/runEnds.ts
@@ -99,9 +99,9 @@
     this.#recordUndecided({ ...this.#undecidedRun(run, RunEndKind.Unconfirmed, endedAtMs), onAlive: () => onAlive(clock.nowMs() - endedAtMs) })
   }
 
-  /** Records a run that this box ended. */
-  recordAbandoned (run: EndedRun): void {
-    this.#recordUndecided(this.#undecidedRun(run, RunEndKind.Abandoned, this.#opts.clock.nowMs()))
+  /** Records a run that this box ended. `onAlive` is called once the upstream is known to have lived on. */
+  recordAbandoned (run: EndedRun, onAlive?: () => void): void {
+    this.#recordUndecided({ ...this.#undecidedRun(run, RunEndKind.Abandoned, this.#opts.clock.nowMs()), onAlive })
   }
 
   /** Called when an upstream has answered something that was sent to it, at its start of this name, at `aliveAtMs`. */
--- a/request/relay/src/withEndReport.ts
+++ b/request/relay/src/withEndReport.ts
@@ -35,7 +35,7 @@
     const answered = thrown instanceof UpstreamError && (thrown.refused || thrown.failed)
     if (answered) throw thrown
     quarantine.recordInterruption(context.identity)
-    if (progress.abandoned) runEnds.recordAbandoned(record.ended(errorMessage(thrown)))
+    if (progress.abandoned) runEnds.recordAbandoned(record.ended(errorMessage(thrown)), () => context.silence.recordReceived(target.instance))
     else if (thrown instanceof UpstreamError && thrown.interrupted) void runEnds.recordInterrupted(record.ended(thrown.message))
     throw thrown
   } finally {
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -274,10 +274,12 @@
   probedAddresses?: readonly string[]
   /** How another box runs a request while this one has lost its paths; by default none does. */
   delegate?: (request: DelegateRequest, answer: DelegatedAnswer) => Promise<void>
+  /** How upstreams answer the question which start they are; by default they do not. */
+  identify?: RunEndsOptions['identify']
 }
 
 /** Creates a relay with scripted upstreams and one route of each of the four kinds, and one with a third attempt. */
-export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError, admission = NO_ACCOUNTS, probedAddresses = [], delegate }: TestRelayOptions = {}) {
+export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError, admission = NO_ACCOUNTS, probedAddresses = [], delegate, identify }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const startedAtMs = clock.nowMs()
   const upstreams = new ScriptedUpstreams(clock, scripts)
@@ -335,7 +337,7 @@
     self: () => ({ peerAddress: '10.0.0.9:1', incarnation: 'a'.repeat(16), availabilityZone: 'a' }),
     boxCount: () => 1,
     onTaskError,
-    runEnds: new RunEnds({ clock, probe, log, metrics, fleet, onUpstreamExited }),
+    runEnds: new RunEnds({ clock, probe, log, metrics, fleet, identify, onUpstreamExited }),
     quarantine,
     retriesPerRequest: 0,
     retryBurst,
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -1,6 +1,7 @@
 import { Verdict } from '@reelspan/core.error'
 import { PlacementOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
+import { UpstreamIdentity } from '@reelspan/upstream.client'
 import test, { type ExecutionContext } from 'ava'
 import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script, stalls } from './__utils__/createRelay.js'
 
@@ -217,3 +218,15 @@
   t.like(caller, { body: FIRST + end, complete: true })
   t.is(upstreams.runs.length, 1)
 })
+
+test('the slot of a superseded run is not held until the deadline when its engine goes on without other requests of the box', async (t) => {
+  let stands = true
+  const identify = async () => stands ? UpstreamIdentity.Unknown : UpstreamIdentity.Same
+  const { clock, relay, placer } = createRelay([stalls(200, FIRST), answers(200, SECOND)], { identify })
+  await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  await clock.advance(SILENCE_MS)
+  t.is(placer.released, 1)
+  stands = false
+  await clock.advance(4000)
+  t.is(placer.released, 2)
+})
