--- a/request/relay/src/delegatedAttempt.ts
+++ b/request/relay/src/delegatedAttempt.ts
@@ -35,12 +35,15 @@
       signal: this.signal,
       onSent: (upstream) => {
         decodeEngines.add(upstream)
+        // The delegate has sent it, even if this attempt was cancelled in the meantime.
+        this.recordSent()
         race.recordSent(this)
       },
       claim: () => {
         race.claim(this)
         this.#state.progress = own
       },
+      hasOther: () => race.othersOf(this).length > 0,
     }).execute(this.#times)
   }
 }
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -1,6 +1,7 @@
 import { Verdict } from '@reelspan/core.error'
 import { PlacementOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
+import { UpstreamIdentity } from '@reelspan/upstream.client'
 import test, { type ExecutionContext } from 'ava'
 import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script, stalls } from './__utils__/createRelay.js'
 
@@ -166,3 +167,78 @@
   await clock.run(relay.relay(requestTo('/draft/2'), new RecordingCaller()))
   t.false(placer.requests.at(-1)?.avoid.includes('d1'))
 })
+
+test('a failure response of another box does not end a request whose silent engine may still answer', async (t) => {
+  const { clock, relay, upstreams, probe, delegator } = createRelay([answersAfter(SILENCE_MS, 200, FIRST)], {
+    probedAddresses: PROBED_ADDRESSES,
+    delegate: async (_request, answer) => {
+      answer.onSent('d2', '')
+      answer.onHead(500, [])
+    },
+  })
+  PROBED_ADDRESSES.forEach((address) => probe.ended.add(address))
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/reply/1'), caller)
+  await clock.advance(10)
+  upstreams.prefillHangs = true
+  await clock.run(work)
+  t.is(delegator.requests.length, 1)
+  t.like(caller, { status: 200, body: FIRST, complete: true })
+})
+
+test('a request is not refused as not run when another box has sent it after its own engine was asked', async (t) => {
+  const refusesLate: Script = async (opts) => {
+    await opts.clock.sleep(300)
+    return refuses()(opts)
+  }
+  const { clock, relay, upstreams, probe, delegator } = createRelay([refusesLate], {
+    probedAddresses: PROBED_ADDRESSES,
+    delegate: async (_request, answer) => {
+      await clock.sleep(600)
+      answer.onSent('d2', '')
+    },
+  })
+  PROBED_ADDRESSES.forEach((address) => probe.ended.add(address))
+  upstreams.prefillMs = 900
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(delegator.requests.length, 1)
+  t.is(caller.refused?.verdict, Verdict.MayHaveRun)
+})
+
+test('a stream is not stuck until its deadline when two engines are silent for good and its route allows a third', async (t) => {
+  const { clock, relay, upstreams } = createRelay([hangs(), hangs(), answers(200, FIRST)])
+  const startedAtMs = clock.nowMs()
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/outline/1'), caller))
+  t.like(caller, { status: 200, body: FIRST, complete: true })
+  t.true(clock.nowMs() - startedAtMs < 1000)
+  t.is(upstreams.runs.length, 3)
+})
+
+test('the end of a stream is not sent twice when its caller reads it slowly', async (t) => {
+  const end = 'id: 1\ndata: b\n'
+  const { clock, relay, upstreams } = createRelay([answers(200, FIRST + end), answers(200, SECOND)])
+  class SlowAtEnd extends RecordingCaller {
+    override async write (bytes: Uint8Array): Promise<void> {
+      await super.write(bytes)
+      if (Buffer.from(bytes).toString() === end) await clock.sleep(SILENCE_MS)
+    }
+  }
+  const caller = new SlowAtEnd()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.like(caller, { body: FIRST + end, complete: true })
+  t.is(upstreams.runs.length, 1)
+})
+
+test('the slot of a superseded run is not held until the deadline when its engine goes on without other requests of the box', async (t) => {
+  let stands = true
+  const identify = async () => stands ? UpstreamIdentity.Unknown : UpstreamIdentity.Same
+  const { clock, relay, placer } = createRelay([stalls(200, FIRST), answers(200, SECOND)], { identify })
+  await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  await clock.advance(SILENCE_MS)
+  t.is(placer.released, 1)
+  stands = false
+  await clock.advance(4000)
+  t.is(placer.released, 2)
+})
