test(box.runtime): engines are not filled beyond their slots because some are silent

Cause: a superseded run keeps its reservation until its engine is heard, but no test covered what the scheduler, or one that takes over, does with it. Change: the relayed upstreams of the fakes count the runs at each, where a cancelled run lasts until its upstream reads that. 8 boxes, 14 decode engines of 3 slots, 6 of them silent for 1.2 s, with the same scheduler and with one that takes over meanwhile.

--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -48,6 +48,9 @@
   readonly arrivals: RelayedArrival[] = []
   /** Crashes of upstreams caused by requests, in order. */
   readonly crashes: { id: string, target: string, address: string, atMs: number }[] = []
+  /** Most requests that ran at an upstream at once, prefills not counted. One that is cancelled runs until its upstream reads that. */
+  readonly peakRuns = new Map<string, number>()
+  readonly #runs = new Map<string, number>()
   readonly timing: RunTiming = { events: 20, eventMs: 40, crashDelayMs: 60 }
   /** Decides whether the request crashes the upstream that runs it. */
   crashesUpstream: (request: RelayedRequest) => boolean = () => false
@@ -73,6 +76,16 @@
     this.#opts = opts
   }
 
+  recordRunStart (upstream: string): void {
+    const runs = (this.#runs.get(upstream) ?? 0) + 1
+    this.#runs.set(upstream, runs)
+    this.peakRuns.set(upstream, Math.max(runs, this.peakRuns.get(upstream) ?? 0))
+  }
+
+  recordRunEnd (upstream: string): void {
+    this.#runs.set(upstream, (this.#runs.get(upstream) ?? 0) - 1)
+  }
+
   /** Interrupts all requests that run at an address, whose process has exited. */
   abortRuns (address: string): void {
     this.#processes.get(address)?.abort()
@@ -156,9 +169,11 @@
     if (status !== undefined) return this.#refuse(target, opts, status)
     const slotted = this.#opts.upstreams.slotted.get(target.instance)
     if (slotted) return this.#runSlotted(slotted, target, opts)
-    const answer = this.#opts.upstreams.run(target, request, opts)
+    const { upstreams } = this.#opts
+    const answer = upstreams.run(target, request, opts)
     this.#advertise(target, opts, true)
-    return { ...answer, body: this.#receive(target.address, answer.body, opts.signal) }
+    upstreams.recordRunStart(target.instance)
+    return { ...answer, body: this.#receiveRun(target, answer.body, opts.signal) }
   }
 
   async prefill (target: RelayTarget, request: RelayedRequest, opts: RelayCallOptions): Promise<PrefilledPrompt> {
@@ -219,6 +234,15 @@
     throw unreachable(address)
   }
 
+  async * #receiveRun ({ instance, address }: RelayTarget, body: AsyncIterable<Uint8Array>, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+    const { network, upstreams } = this.#opts
+    try {
+      yield * this.#receive(address, body, signal)
+    } finally {
+      void network.waitUntilRunning(address).then(() => upstreams.recordRunEnd(instance))
+    }
+  }
+
   async * #receive (address: string, body: AsyncIterable<Uint8Array>, signal: AbortSignal): AsyncGenerator<Uint8Array> {
     for await (const bytes of body) {
       await this.#checkReceives(address, signal)
--- a/box/runtime/test/__utils__/crashingRequests.ts
+++ b/box/runtime/test/__utils__/crashingRequests.ts
@@ -43,12 +43,17 @@
   }
 }
 
+/** @param slots slots of each decode engine */
+function declarationsOf (slots?: number) {
+  return sampleDeclarations().map((declared) => slots !== undefined && declared.name === 'draft-decode' ? { ...declared, spec: { ...declared.spec as object, placesPerEngine: slots } } : declared)
+}
+
 /**
  * Starts a fleet with routes for a resumable stream, a stream that is not resumable, a call that is not repeatable and a
  * repeatable call. Targets that contain `ends` crash the upstreams that run them.
  */
-export async function startFleet ({ seed = 1, boxCount = 8, restartDelayMs }: { seed?: number, boxCount?: number, restartDelayMs?: number } = {}): Promise<FakeFleet> {
-  const fleet = new FakeFleet({ seed, restartDelayMs, deployment: deploymentOf(boxCount), declarations: [...sampleDeclarations(), ...ROUTES], settings: SETTINGS })
+export async function startFleet ({ seed = 1, boxCount = 8, restartDelayMs, slots }: { seed?: number, boxCount?: number, restartDelayMs?: number, slots?: number } = {}): Promise<FakeFleet> {
+  const fleet = new FakeFleet({ seed, restartDelayMs, deployment: deploymentOf(boxCount), declarations: [...declarationsOf(slots), ...ROUTES], settings: SETTINGS })
   fleet.relayedUpstreams.crashesUpstream = ({ target }) => target.includes('ends')
   await fleet.start()
   await fleet.clock.advance(2000)
--- a/box/runtime/test/silentEngines.ts
+++ b/box/runtime/test/silentEngines.ts
@@ -1,8 +1,8 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type FakeFleet } from '@reelspan/utils.fake-fleet'
-import test from 'ava'
+import test, { type ExecutionContext } from 'ava'
 import { DECODE_ENGINES, PREFILL_ENGINES, startFleet } from './__utils__/crashingRequests.js'
-import { load, type Outcome } from './__utils__/limitedUpstreams.js'
+import { load, type LoadOptions, type Outcome } from './__utils__/limitedUpstreams.js'
 
 const PAUSE_MS = 1200
 /** Answers have ended by then, so that the scheduler knows their lengths. */
@@ -15,14 +15,14 @@
 const POOLS = { prefill: PREFILL_ENGINES, decode: DECODE_ENGINES, both: [...PREFILL_ENGINES, ...DECODE_ENGINES] }
 
 /** Pauses engines while callers send requests. Resolves with their outcomes. */
-async function loadDuringPause (fleet: FakeFleet, engines: readonly string[], pause: () => Promise<void>): Promise<Outcome[]> {
+async function loadDuringPause (fleet: FakeFleet, engines: readonly string[], pause: () => Promise<void>, over: Partial<LoadOptions> = {}): Promise<Outcome[]> {
   const { clock, network } = fleet
   void clock.sleep(PAUSE_AFTER_MS).then(async () => {
     engines.forEach((name) => network.pause(fleet.address(name)))
     await pause()
     engines.forEach((name) => network.resume(fleet.address(name)))
   })
-  return load(fleet, { target: '/draft/', perSecond: PER_SECOND, seconds: LOAD_SECONDS })
+  return load(fleet, { target: '/draft/', perSecond: PER_SECOND, seconds: LOAD_SECONDS, ...over })
 }
 
 /** Requests without a whole answer, and why. */
@@ -53,3 +53,36 @@
   t.log(`left out after ${Math.round(leftOutAfterMs)} ms`)
   await fleet.stop()
 })
+
+const SLOTS = 3
+const HANDED_OVER_AFTER_MS = 700
+const SILENT = DECODE_ENGINES.slice(0, 6)
+
+/** Pauses some decode engines while streams run that may go on elsewhere. Resolves with the most runs at once at each decode engine. */
+async function peakRunsDuringPause (t: ExecutionContext, fleet: FakeFleet, onPause: () => void, boxes?: readonly string[]): Promise<[string, number][]> {
+  const { clock, relayedUpstreams } = fleet
+  const outcomes = await loadDuringPause(fleet, SILENT, async () => {
+    await clock.sleep(HANDED_OVER_AFTER_MS)
+    onPause()
+    await clock.sleep(PAUSE_MS - HANDED_OVER_AFTER_MS)
+  }, { target: '/reply/', boxes })
+  t.true(relayedUpstreams.arrivals.some(({ resumeAfter }) => resumeAfter !== undefined), 'streams have gone on elsewhere')
+  t.log(`${unserved(outcomes).length} of ${outcomes.length} not served`)
+  return [...relayedUpstreams.peakRuns].filter(([name]) => DECODE_ENGINES.includes(name))
+}
+
+test('no engine is filled beyond its slots because some are silent', async (t) => {
+  const fleet = await startFleet({ slots: SLOTS })
+  const peaks = await peakRunsDuringPause(t, fleet, () => {})
+  t.deepEqual(peaks.filter(([, runs]) => runs > SLOTS), [])
+  await fleet.stop()
+})
+
+test('a scheduler that takes over while engines are silent does not fill them beyond their slots', async (t) => {
+  const fleet = await startFleet({ slots: SLOTS })
+  const scheduler = fleet.schedulerBox().name
+  const others = fleet.boxes.map(({ name }) => name).filter((name) => name !== scheduler)
+  const peaks = await peakRunsDuringPause(t, fleet, () => fleet.kill(scheduler), others)
+  t.deepEqual(peaks.filter(([name, runs]) => SILENT.includes(name) && runs > SLOTS), [])
+  await fleet.stop()
+})
