fix(request.relay): a scheduler is told of a silent engine before the superseded run is released

Schedulers heard from owners that an engine is silent only when the engine was heard again or the request's deadline had passed. Cause: outcomes are reported with the release, which waits since superseded runs keep their reservation. Change: an owner reports the outcomes at once, with the reservation kept. The message is the one that releases, with a field that earlier builds ignore: they release, as before. Result: tests of the relay and the scheduler; the relay's fails without the report.

--- a/box/runtime/src/peerDispatch.ts
+++ b/box/runtime/src/peerDispatch.ts
@@ -61,7 +61,8 @@
       case MessageType.Reserve:
         return this.#reserve(message)
       case MessageType.ReleaseReservation:
-        shardManagers.existing(message.shardId)?.release(message.label, message.report, message.outcomes)
+        if (message.stillReserved) shardManagers.existing(message.shardId)?.recordOutcomes(message.label, message.outcomes)
+        else shardManagers.existing(message.shardId)?.release(message.label, message.report, message.outcomes)
         return DONE
       case MessageType.PrefillDone:
         shardManagers.existing(message.shardId)?.recordPrefillEnd(message.label)
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -172,6 +172,8 @@
     report: placementReportSchema.optional(),
     /** Outcomes of the calls to the request's engines. */
     outcomes: z.array(engineOutcomeSchema).optional(),
+    /** Whether only the outcomes are reported, and the reservation is kept. Earlier builds release it. */
+    stillReserved: z.boolean().optional(),
   }),
   message(MessageType.PrefillDone, { shardId: z.string(), label: holdLabelSchema }),
   message(MessageType.AdoptReservations, {
--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -131,8 +131,10 @@
   /** An engine that stands still has not read that its run was cancelled, so its slot stays reserved until it is heard. */
   async #release (placement: Placement, report?: PlacementReport): Promise<void> {
     const { run, silence, stopSignal } = this.#state.context
-    if (this.sent && this.silent && this.cancelCause === CancelCause.Superseded) await silence.waitUntilHeard(placement.plan.decodeEngine, run.remainingMs, stopSignal)
-    placement.release(report, this.#outcomes)
+    if (!this.sent || !this.silent || this.cancelCause !== CancelCause.Superseded) return placement.release(report, this.#outcomes)
+    placement.recordOutcomes(this.#outcomes)
+    await silence.waitUntilHeard(placement.plan.decodeEngine, run.remainingMs, stopSignal)
+    placement.release(report)
   }
 
   async #checkBeforeSend (): Promise<void> {
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -146,6 +146,7 @@
       plan,
       placedBy: 'test',
       recordPrefillEnd: () => { this.prefilled++ },
+      recordOutcomes: (outcomes) => { this.outcomes.push(...outcomes) },
       release: (_report, outcomes) => {
         this.released++
         this.outcomes.push(...outcomes ?? [])
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -1,5 +1,5 @@
 import { Verdict } from '@reelspan/core.error'
-import { PlacementOutcome } from '@reelspan/core.messages'
+import { PlacementOutcome, UpstreamOutcome } from '@reelspan/core.messages'
 import test, { type ExecutionContext } from 'ava'
 import { answers, answersAfter, createRelay, fails, hangs, pauses, RecordingCaller, refuses, requestTo, type Script, stalls } from './__utils__/createRelay.js'
 
@@ -123,3 +123,10 @@
   await clock.run(relay.relay(requestTo('/draft/2'), new RecordingCaller()))
   t.false(placer.requests.at(-1)?.avoid.includes('d1'))
 })
+
+test('a scheduler is told that an engine is silent while the superseded run keeps its slot', async (t) => {
+  const { clock, relay, placer } = createRelay([stalls(200, FIRST), pauses(200, [SECOND, SECOND], 100)])
+  await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  t.is(placer.released, 1)
+  t.like(placer.outcomes.find(({ engine }) => engine === 'd1'), { outcome: UpstreamOutcome.Unreachable, silent: true })
+})
--- a/scheduling/owner-alone/src/localPlacer.ts
+++ b/scheduling/owner-alone/src/localPlacer.ts
@@ -189,7 +189,7 @@
       const releasedAtMs = this.#opts.clock.nowMs()
       this.#shares.end(client, { expected: cost, actual: this.#shares.costOfHolding(1, releasedAtMs - nowMs) }, releasedAtMs)
     }
-    return { plan, placedBy: 'owner alone', recordPrefillEnd: () => {}, release, recordProgress: () => {} }
+    return { plan, placedBy: 'owner alone', recordPrefillEnd: () => {}, recordOutcomes: () => {}, release, recordProgress: () => {} }
   }
 }
 
--- a/scheduling/placer/src/placer.ts
+++ b/scheduling/placer/src/placer.ts
@@ -14,6 +14,8 @@
   placedBy: string
   /** Reports that the prefill has ended, so that its engine can start another one. */
   recordPrefillEnd: () => void
+  /** Reports outcomes at the engines of a placement that stays reserved. */
+  recordOutcomes: (outcomes: readonly EngineOutcome[]) => void
   /** Releases the reservation. Called exactly once however the request ends, with the outcomes of its engines and, if it finished, a report. */
   release: (report?: PlacementReport, outcomes?: readonly EngineOutcome[]) => void
   /** Reports that `tokensDone` tokens of the decode stream were received so far. */
--- a/scheduling/scheduler-placer/src/schedulerPlacer.ts
+++ b/scheduling/scheduler-placer/src/schedulerPlacer.ts
@@ -168,6 +168,7 @@
       plan,
       placedBy: scheduler.name,
       recordPrefillEnd: () => this.#sendPrefillEnd(live),
+      recordOutcomes: (outcomes) => this.#sendOutcomes(live, outcomes),
       release: (report, outcomes) => {
         this.#live.delete(key)
         this.#release(live.scheduler, request, report, outcomes)
@@ -184,6 +185,13 @@
     link.call(scheduler.peerAddress, { type: MessageType.PrefillDone, shardId, label }, { timeoutMs: RELEASE_TIMEOUT_MS, repeatable: true }).catch(() => {})
   }
 
+  #sendOutcomes ({ scheduler, request: { shardId, label } }: LivePlacement, outcomes: readonly EngineOutcome[]): void {
+    const { link, localScheduler, selfIncarnation } = this.#opts
+    if (scheduler.incarnation === selfIncarnation()) return localScheduler(shardId)?.recordOutcomes(label, outcomes)
+    // The link reports a failure; the scheduler then learns of the engine from its own requests for reports.
+    link.call(scheduler.peerAddress, { type: MessageType.ReleaseReservation, shardId, label, outcomes: [...outcomes], stillReserved: true }, { timeoutMs: RELEASE_TIMEOUT_MS, repeatable: true }).catch(() => {})
+  }
+
   /** Does not wait for the answer: a reservation that is not released expires. */
   #release (scheduler: Member, request: { shardId: string, label: HoldLabel }, report?: PlacementReport, outcomes: readonly EngineOutcome[] = []): void {
     const { link, localScheduler, selfIncarnation } = this.#opts
--- a/scheduling/scheduler-placer/test/unresponsiveConnection.ts
+++ b/scheduling/scheduler-placer/test/unresponsiveConnection.ts
@@ -53,7 +53,7 @@
 
 class FallbackPlacer extends Placer {
   async place (): Promise<Placement> {
-    return { plan: PLAN, placedBy: 'alone', recordPrefillEnd: () => {}, release: () => {}, recordProgress: () => {} }
+    return { plan: PLAN, placedBy: 'alone', recordPrefillEnd: () => {}, recordOutcomes: () => {}, release: () => {}, recordProgress: () => {} }
   }
 }
 
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -160,6 +160,12 @@
     this.#runCycle()
   }
 
+  /** Called when an owner reports outcomes at the engines of a placement that it has not released. */
+  recordOutcomes (label: HoldLabel, outcomes: readonly EngineOutcome[] = []): void {
+    this.#engineOutcomes.record(outcomes, label.ownerAddress)
+    this.#runCycle()
+  }
+
   /** Called when the owner reports the end of a prefill. */
   recordPrefillEnd (label: HoldLabel): void {
     const nowMs = this.#opts.clock.nowMs()
--- a/scheduling/scheduler/test/silentEngines.ts
+++ b/scheduling/scheduler/test/silentEngines.ts
@@ -157,3 +157,13 @@
   }
   t.deepEqual(scheduler.describe().suspects, [])
 })
+
+test('an engine that an owner finds silent is checked, and the slot of the run that was given up stays taken', async (t) => {
+  const checked: string[] = []
+  const { clock, scheduler } = createPatientShard({ decode: 1, slots: 1, onUnreachable: (engine) => { checked.push(engine) } })
+  const request = patientRequest()
+  await clock.run(scheduler.reserve(request))
+  scheduler.recordOutcomes(request.label, [{ engine: 'd-1', outcome: UpstreamOutcome.Unreachable, silent: true }])
+  t.deepEqual(checked, ['d-1'])
+  t.is(scheduler.ledger.reservationsOn('d-1'), 1)
+})
