--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -132,8 +132,11 @@
   /** An engine that stands still has not read that its run was cancelled, so its slot stays reserved until it is heard. */
   async #release (placement: Placement, report?: PlacementReport): Promise<void> {
     const { run, silence, stopSignal } = this.#state.context
-    if (this.sent && this.silent && this.cancelCause === CancelCause.Superseded) await silence.waitUntilHeard(placement.plan.decodeEngine, run.remainingMs, stopSignal)
-    placement.release(report, await this.#outcomesOfEngines())
+    const outcomes = await this.#outcomesOfEngines()
+    if (!this.sent || !this.silent || this.cancelCause !== CancelCause.Superseded) return placement.release(report, outcomes)
+    placement.recordOutcomes(outcomes)
+    await silence.waitUntilHeard(placement.plan.decodeEngine, run.remainingMs, stopSignal)
+    placement.release(report)
   }
 
   /** Failures caused by lost paths of this box say nothing about the engines. The first of them come before the loss is known. */
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -1,5 +1,5 @@
 import { Verdict } from '@reelspan/core.error'
-import { PlacementOutcome } from '@reelspan/core.messages'
+import { PlacementOutcome, UpstreamOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { UpstreamIdentity } from '@reelspan/upstream.client'
 import test, { type ExecutionContext } from 'ava'
@@ -242,3 +242,10 @@
   await clock.advance(4000)
   t.is(placer.released, 2)
 })
+
+test('a scheduler is told that an engine is silent while the superseded run keeps its slot', async (t) => {
+  const { clock, relay, placer } = createRelay([stalls(200, FIRST), pauses(200, [SECOND, SECOND], 100)])
+  await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  t.is(placer.released, 1)
+  t.like(placer.outcomes.find(({ engine }) => engine === 'd1'), { outcome: UpstreamOutcome.Unreachable, silent: true })
+})
