fix(utils.platform-stand-ins): a decode engine runs a request that names no source of its prompt

Cause: a stand-in with a table of handles refused such requests as not run. A decode engine of the platform computes the prompt itself then, and boxes ask it to when prefill engines are silent.

Change: only a source that is named and not known is refused. Prefills may take time, and one whose connection was closed keeps no handle.

--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -107,6 +107,8 @@
   startTimeMs?: number
   /** Duration of a call, or the interval between two events of a stream. */
   workMs?: number
+  /** Duration of a prefill at a prefill engine. */
+  prefillMs?: number
   /** Returns the amount of work of a request by its id; undefined selects the default. */
   shapeOf?: (id: string) => RequestShape | undefined
   handles?: HandleTable
@@ -171,6 +173,10 @@
     this.#server.on('connection', (socket) => { if (this.#crashed) socket.destroy() })
   }
 
+  get instance (): string {
+    return this.#opts.instance ?? ''
+  }
+
   /** Ids of the requests that it ran. */
   get runIds (): string[] {
     return this.runs.map(({ id }) => id)
@@ -239,18 +245,18 @@
     response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
     const expected = headers['x-reelspan-expect-instance']
     if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return refuse(response, 421)
-    this.arrivals.push({ id, instance: this.#opts.instance ?? '', atMs: performance.now() })
+    this.arrivals.push({ id, instance: this.instance, atMs: performance.now() })
     if (this.#opts.refuses?.()) return refuse(response, 503)
     if (this.#role === Role.Prefill) return this.#prefill(headers, response)
-    const source = String(headers['x-reelspan-kv-source'] ?? '').split('/').at(-1) ?? ''
-    if (this.#role === Role.Decode && this.#opts.handles && !this.#handles.consume(source)) return refuse(response, 503)
+    const source = headers['x-reelspan-kv-source']
+    if (source !== undefined && this.#opts.handles && !this.#handles.consume(String(source).split('/').at(-1) ?? '')) return refuse(response, 503)
     await this.#run(id, message, response)
   }
 
   async #run (id: string, { url = '', headers }: IncomingMessage, response: ServerResponse): Promise<void> {
     const after = headers['last-event-id']
     const losesAnswer = this.#opts.losesAnswer?.() ?? false
-    const run: UpstreamRun = { id, instance: this.#opts.instance ?? '', path: url, startedAtMs: performance.now(), complete: false, answerLost: losesAnswer, resumedAfter: after === undefined ? undefined : Number(after), sentEvents: 0, eventsAtMs: [], softwareVersion: this.#opts.softwareVersion }
+    const run: UpstreamRun = { id, instance: this.instance, path: url, startedAtMs: performance.now(), complete: false, answerLost: losesAnswer, resumedAfter: after === undefined ? undefined : Number(after), sentEvents: 0, eventsAtMs: [], softwareVersion: this.#opts.softwareVersion }
     this.runs.push(run)
     this.#opts.onRunStarted?.(run)
     response.on('close', () => { void this.#recordClosed(run) })
@@ -294,8 +300,12 @@
     if (status !== undefined) response.writeHead(status).end()
   }
 
-  #prefill (headers: IncomingMessage['headers'], response: ServerResponse): void {
+  async #prefill (headers: IncomingMessage['headers'], response: ServerResponse): Promise<void> {
     if (headers['x-reelspan-serving-stage'] !== 'prefill') return refuse(response, 421)
+    const { prefillMs = 0 } = this.#opts
+    if (prefillMs > 0) await sleep(prefillMs)
+    await this.#pausing.untilResumed()
+    if (response.destroyed) return
     const handle = `${this.#opts.instance ?? 'h'}${this.#nextHandle++}`
     this.#handles.add(handle)
     if (this.#opts.handleTtlMs !== undefined) setTimeout(() => this.#handles.consume(handle), this.#opts.handleTtlMs).unref()
