fix(request.relay): a prefill that was superseded comes to its end, and its handle is freed

Cause: a prefill beside a silent attempt was aborted as soon as that attempt went on. If its engine had answered by then, the handle was in no answer that anybody read, and the prompt's memory stayed until the engine dropped it. After a pause of a pool the two coincide: streams are placed and the old engines write within one event of each other.

Change: only a prefill that is silent, or was not sent yet, is aborted. Another one ends by itself, and its handle is freed. If it falls silent after that, it is aborted.

Result: the new test fails before. A prefill that is aborted while its engine resumes can still lose its handle.

--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -1,3 +1,4 @@
+import { STOPPED } from '@reelspan/core.env'
 import { type EngineOutcome, isOwnPrefill, type PlacementPlan, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
 import { type Placement } from '@reelspan/scheduling.placer'
@@ -59,6 +60,7 @@
   /** Whether the last exchange ended before its answer was complete, other than by a cancellation here. */
   #interrupted = false
   #prefillMs = 0
+  readonly #prefillAborted = new AbortController()
   #watched?: WatchedExchange
 
   constructor (state: CompletionState, opts: CompletionAttemptOptions) {
@@ -145,10 +147,12 @@
     const timeoutMs = PREFILL_TIMEOUT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs
     const patience = new AbortController()
     const { handle } = await this.#trackFailure(target, (progress) => this.#watch({ upstream: plan.prefillEngine, stage: ExchangeStage.Prefill, timeoutMs }, async (watched) => {
-      const signal = AbortSignal.any([this.signal, patience.signal])
+      const signal = AbortSignal.any([run.signal, this.#prefillAborted.signal, patience.signal])
+      // A prefill that was sent comes to its end unless it is silent, since its handle can only be freed once it is known.
+      this.signal.addEventListener('abort', () => { if (watched.silent || progress.sentAtMs === undefined) this.#prefillAborted.abort(STOPPED) }, { once: true })
       void this.#limitPrefill(patience, timeoutMs, watched.ended)
       void opts.paths.waitUntilLost(watched.ended).then(() => {
-        if (opts.paths.lost && !watched.ended.aborted) this.#opts.onSilent(this)
+        if (opts.paths.lost && !watched.ended.aborted) this.#onSilent()
       })
       const prefilled = await untilLost(context, signal, () => progress.sentAtMs === undefined, (lostSignal) =>
         prefillAtUpstream(context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent(lostSignal) }))
@@ -167,8 +171,13 @@
     if (!ended.aborted && !caller.begun && !run.mayHaveRun) patience.abort()
   }
 
+  #onSilent (): void {
+    if (this.signal.aborted) this.#prefillAborted.abort(STOPPED)
+    else this.#opts.onSilent(this)
+  }
+
   async #watch<T> (exchange: { upstream: string, stage: ExchangeStage, timeoutMs: number }, work: (watched: WatchedExchange) => Promise<T>): Promise<T> {
-    const watched = new WatchedExchange(this.#state.context, { ...exchange, onSilent: () => this.#opts.onSilent(this) })
+    const watched = new WatchedExchange(this.#state.context, { ...exchange, onSilent: () => this.#onSilent() })
     this.#watched = watched
     try {
       return await work(watched)
--- a/request/relay/test/silentEngine.ts
+++ b/request/relay/test/silentEngine.ts
@@ -6,6 +6,7 @@
 
 const FIRST = 'id: 0\ndata: a\n\n'
 const SECOND = 'id: 1\ndata: b\n\n'
+const THIRD = 'id: 2\ndata: c\n\n'
 /** Longer than a stream may be silent before another engine is tried, shorter than callers wait. */
 const SILENCE_MS = 1200
 const NO_ROOM = { outcome: PlacementOutcome.Refused as const, reason: 'full', retryAfterMs: 500 }
@@ -105,6 +106,19 @@
   t.true(upstreams.runs[1].opts.signal.aborted)
 })
 
+test('the handle of a prefill beside a silent attempt is freed when that attempt goes on first', async (t) => {
+  const { clock, relay, upstreams } = createRelay([pauses(200, [FIRST, SECOND, THIRD], 300)])
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/reply/1'), caller)
+  await clock.advance(10)
+  upstreams.prefillMs = 250
+  await clock.advance(400)
+  t.is(caller.body, FIRST + SECOND)
+  t.deepEqual(upstreams.freed.map(({ handle }) => handle), ['handle-2'])
+  await clock.run(work)
+  t.is(caller.body, FIRST + SECOND + THIRD)
+})
+
 test('the slot of a superseded run stays reserved until its engine is heard or the deadline has passed', async (t) => {
   const { clock, relay, placer } = createRelay([stalls(200, FIRST), answers(200, SECOND)])
   await clock.run(relay.relay(requestTo('/reply/1'), new RecordingCaller()))
