fix(request.relay): a prefill result is freed when its engine refuses it and then computes the prompt itself

Cause: after a decode engine has refused a request, it is asked again without the source of its prompt. If it runs the request then, the source counted as fetched, although nobody had fetched it, and stayed at the prefill engine until that dropped it. Full engines refuse that way.

Change: the result is freed before the engine is asked again.

Result: the new test fails before.

--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -60,6 +60,8 @@
   /** Whether the last exchange ended before its answer was complete, other than by a cancellation here. */
   #interrupted = false
   #prefillMs = 0
+  /** Result of the prefill until a decode engine has fetched it. */
+  #unusedSource?: PrefillSource
   readonly #prefillAborted = new AbortController()
   #watched?: WatchedExchange
 
@@ -95,13 +97,11 @@
   }
 
   async #executePlacement ({ placement, permits }: PermittedPlacement): Promise<void> {
-    const { context, checks, prompt } = this.#state
+    const { context, checks } = this.#state
     const { opts, run } = context
     const { plan } = placement
     const placedAtMs = opts.clock.nowMs()
     let report: PlacementReport | undefined
-    let source: PrefillSource | undefined
-    let handleConsumed = false
     try {
       await opts.clock.sleep(plan.startInMs, { signal: this.signal })
       await this.#checkBeforeSend()
@@ -111,23 +111,29 @@
       checks.checkMaySend(plan.prefillEngine)
       checks.checkMayDecode(plan.decodeEngine)
       if (!isOwnPrefill(plan)) {
-        source = await this.#prefill(plan, permits.prefill)
+        this.#unusedSource = await this.#prefill(plan, permits.prefill)
         this.#prefillMs = opts.clock.nowMs() - placedAtMs
         placement.recordPrefillEnd()
         await this.#checkBeforeSend()
         checks.checkMayDecode(plan.decodeEngine)
       }
-      await this.#decode({ placement, permits }, source)
-      handleConsumed = true
+      await this.#decode({ placement, permits }, this.#unusedSource)
+      this.#unusedSource = undefined
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs))
     } finally {
       void this.#release(placement, report)
       permits.prefill.release()
       permits.decode.release()
-      if (source && !handleConsumed) freeHandle(context, source, prompt)
+      this.#freeUnusedSource()
     }
   }
 
+  #freeUnusedSource (): void {
+    const { context, prompt } = this.#state
+    if (this.#unusedSource) freeHandle(context, this.#unusedSource, prompt)
+    this.#unusedSource = undefined
+  }
+
   /** An engine that stands still has not read that its run was cancelled, so its slot stays reserved until it is heard. */
   async #release (placement: Placement, report?: PlacementReport): Promise<void> {
     const { run, silence, stopSignal } = this.#state.context
@@ -205,6 +211,7 @@
         if (!budget.tryAcquireRetry()) throw thrown
         logDecision(LogEvent.RequestRetried, { upstream: plan.decodeEngine, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
         await this.#checkBeforeSend()
+        if ((thrown as UpstreamError).refused) this.#freeUnusedSource()
         await this.#decodeOnce(placement, permit, undefined)
       } finally {
         permit.release()
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -404,6 +404,12 @@
   t.true(caller.complete)
 })
 
+test('the handle of a prefill is freed when its engine refuses the request and then computes the prompt itself', async (t) => {
+  const { clock, relay, upstreams } = createRelay([refuses(), answers(200, 'data: line\n\n')], { computesPrompts: true })
+  await clock.run(relay.relay(requestTo('/draft/1'), new RecordingCaller()))
+  t.deepEqual(upstreams.freed.map(({ handle }) => handle), ['handle-1'])
+})
+
 test('a non-resumable answer is not requested again from the engine that interrupted it', async (t) => {
   const { clock, relay, upstreams } = createRelay([aborts(200, ['id: 0\ndata: a\n\n']), answers(200, 'id: 1\ndata: b\n\n')], { computesPrompts: true })
   const caller = new RecordingCaller()
