test(platform.adapter): engines that stand still, with real sockets

Guards against answers that were given up because their engine was silent. No answer may be cut, come out of order, or run at two engines that both work, and no handle that a box received may be left.

--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type Pause, Pausing } from './pausing.js'
 
@@ -83,14 +84,20 @@
 
 /** Handles of the available prefill results of all engines of a deployment. */
 export class HandleTable {
-  readonly #handles = new Set<string>()
+  /** Handles with the connections that they were sent on. */
+  readonly #handles = new Map<string, Socket | null>()
 
   get size (): number {
     return this.#handles.size
   }
 
-  add (handle: string): void {
-    this.#handles.add(handle)
+  /** Handles whose connection is still open, so that their receiver could have freed them. */
+  get received (): string[] {
+    return [...this.#handles].filter(([, connection]) => connection?.destroyed === false).map(([handle]) => handle)
+  }
+
+  add (handle: string, connection: Socket | null): void {
+    this.#handles.set(handle, connection)
   }
 
   /** Removes a handle and returns whether it existed. */
@@ -307,7 +314,7 @@
     await this.#pausing.untilResumed()
     if (response.destroyed) return
     const handle = `${this.#opts.instance ?? 'h'}${this.#nextHandle++}`
-    this.#handles.add(handle)
+    this.#handles.add(handle, response.socket)
     if (this.#opts.handleTtlMs !== undefined) setTimeout(() => this.#handles.consume(handle), this.#opts.handleTtlMs).unref()
     response.end(JSON.stringify({ kv_handle: handle, tokens: 100, version: 1 }))
   }
