--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -1,3 +1,4 @@
+import { STOPPED } from '@reelspan/core.env'
 import { type EngineOutcome, isOwnPrefill, type PlacementPlan, type PlacementReport, UpstreamOutcome } from '@reelspan/core.messages'
 import { percentile } from '@reelspan/request.owner'
 import { type Placement } from '@reelspan/scheduling.placer'
@@ -60,6 +61,9 @@
   /** Whether the last exchange ended before its answer was complete, other than by a cancellation here. */
   #interrupted = false
   #prefillMs = 0
+  /** Result of the prefill until a decode engine has fetched it. */
+  #unusedSource?: PrefillSource
+  readonly #prefillAborted = new AbortController()
   #watched?: WatchedExchange
   /** Aborted when its prefill is not waited for any longer. */
   readonly #prefillPatience = new AbortController()
@@ -96,13 +100,11 @@
   }
 
   async #executePlacement ({ placement, permits }: PermittedPlacement): Promise<void> {
-    const { context, checks, prompt } = this.#state
+    const { context, checks } = this.#state
     const { opts, run } = context
     const { plan } = placement
     const placedAtMs = opts.clock.nowMs()
     let report: PlacementReport | undefined
-    let source: PrefillSource | undefined
-    let handleConsumed = false
     try {
       await opts.clock.sleep(plan.startInMs, { signal: this.signal })
       await this.#checkBeforeSend()
@@ -112,23 +114,29 @@
       checks.checkMaySend(plan.prefillEngine)
       checks.checkMayDecode(plan.decodeEngine)
       if (!isOwnPrefill(plan)) {
-        source = await this.#prefill(plan, permits.prefill)
+        this.#unusedSource = await this.#prefill(plan, permits.prefill)
         this.#prefillMs = opts.clock.nowMs() - placedAtMs
         placement.recordPrefillEnd()
         await this.#checkBeforeSend()
         checks.checkMayDecode(plan.decodeEngine)
       }
-      await this.#decode({ placement, permits }, source)
-      handleConsumed = true
+      await this.#decode({ placement, permits }, this.#unusedSource)
+      this.#unusedSource = undefined
       report = this.#report(plan, placedAtMs - (opts.clock.nowMs() - run.elapsedMs))
     } finally {
       void this.#release(placement, report)
       permits.prefill.release()
       permits.decode.release()
-      if (source && !handleConsumed) freeHandle(context, source, prompt)
+      this.#freeUnusedSource()
     }
   }
 
+  #freeUnusedSource (): void {
+    const { context, prompt } = this.#state
+    if (this.#unusedSource) freeHandle(context, this.#unusedSource, prompt)
+    this.#unusedSource = undefined
+  }
+
   /** An engine that stands still has not read that its run was cancelled, so its slot stays reserved until it is heard. */
   async #release (placement: Placement, report?: PlacementReport): Promise<void> {
     const { run, silence, stopSignal } = this.#state.context
@@ -158,10 +166,12 @@
     const timeoutMs = PREFILL_TIMEOUT_MARGIN_MS + PREFILL_TIMEOUT_FACTOR * plan.expectedTtftMs
     const patience = this.#prefillPatience
     const { handle } = await this.#trackFailure(target, (progress) => this.#watch({ upstream: plan.prefillEngine, stage: ExchangeStage.Prefill, timeoutMs }, async (watched) => {
-      const signal = AbortSignal.any([this.signal, patience.signal])
+      const signal = AbortSignal.any([run.signal, this.#prefillAborted.signal, patience.signal])
+      // A prefill that was sent comes to its end unless it is silent, since its handle can only be freed once it is known.
+      this.signal.addEventListener('abort', () => { if (watched.silent || progress.sentAtMs === undefined) this.#prefillAborted.abort(STOPPED) }, { once: true })
       void this.#limitPrefill(patience, timeoutMs, watched.ended)
       void context.paths.waitUntilLost(watched.ended).then(() => {
-        if (context.paths.lost && !watched.ended.aborted) this.#opts.onSilent(this)
+        if (context.paths.lost && !watched.ended.aborted) this.#onSilent()
       })
       const prefilled = await untilLost(context, signal, () => progress.sentAtMs === undefined, (lostSignal) =>
         prefillAtUpstream(context, { target, permit }, { signal: lostSignal, deadlineMs: run.remainingMs, onSend: () => progress.recordSent(lostSignal) }))
@@ -180,8 +190,13 @@
     if (!ended.aborted && !caller.begun && !run.mayHaveRun) patience.abort()
   }
 
+  #onSilent (): void {
+    if (this.signal.aborted) this.#prefillAborted.abort(STOPPED)
+    else this.#opts.onSilent(this)
+  }
+
   async #watch<T> (exchange: { upstream: string, stage: ExchangeStage, timeoutMs: number }, work: (watched: WatchedExchange) => Promise<T>): Promise<T> {
-    const watched = new WatchedExchange(this.#state.context, { ...exchange, onSilent: () => this.#opts.onSilent(this) })
+    const watched = new WatchedExchange(this.#state.context, { ...exchange, onSilent: () => this.#onSilent() })
     this.#watched = watched
     try {
       return await work(watched)
@@ -209,6 +224,7 @@
         if (!budget.tryAcquireRetry()) throw thrown
         logDecision(LogEvent.RequestRetried, { upstream: plan.decodeEngine, reason: (thrown as Error).message, mayHaveRun: run.mayHaveRun })
         await this.#checkBeforeSend()
+        if ((thrown as UpstreamError).refused) this.#freeUnusedSource()
         await this.#decodeOnce(placement, permit, undefined)
       } finally {
         permit.release()
