test(bench): mechanisms of silent engines where their code is now

Change: their texts; the mutant that gives silent exchanges up builds again. Result: each text occurs once.

--- a/__utils__/bench/src/quarantineMechanisms.ts
+++ b/__utils__/bench/src/quarantineMechanisms.ts
@@ -106,8 +106,8 @@
   {
     name: 'runs at exits: a run that the box ended may have been at an exit',
     file: 'request/relay/src/withEndReport.ts',
-    find: 'if (progress.abandoned) runEnds.recordAbandoned(record.ended(errorMessage(thrown)))',
-    replace: 'if (progress.abandoned) errorMessage(thrown)',
+    find: 'runEnds.recordAbandoned(record.ended(errorMessage(thrown)), () => context.silence.recordReceived(target.instance))',
+    replace: 'errorMessage(thrown)',
     tests: [RUNS_AT_EXITS],
   },
   {
--- a/__utils__/bench/src/streamMechanisms.ts
+++ b/__utils__/bench/src/streamMechanisms.ts
@@ -66,14 +66,11 @@
   {
     name: 'silent engines: an exchange stays open until another one has written the next part',
     file: 'request/relay/src/completionRelay.ts',
-    find: `if (race.open.length > 1) {
-      if (attempt.sent || race.open[0] === attempt) return
-      attempt.cancel(CancelCause.SilentToo, race.open[0])
-    }
+    find: `if (first !== attempt && !attempt.sent) attempt.cancel(CancelCause.SilentToo, first)
     this.#attemptBeside()`,
     replace: `if (!this.#mayAttemptAgain || this.#context.budget.left < 1) return
     attempt.cancel(CancelCause.SilentToo)
-    race.join(this.#createAttempt({ beside: true }))`,
+    this.#state.race.join(this.#createAttempt({ beside: true }))`,
     tests: [SILENT_ENGINE],
   },
   {
