fix(request.relay): an attempt that reached no engine costs no retry

Callers saw requests refused as not run, with «the reserved start time of the placement has passed» or «does not accept new work», though nothing had been sent for them and engines were free. Cause: each attempt after the first was paid from the retry budget, also if the one before had failed before it sent anything. Of an attempt beside a silent one the retry was taken before its engines were checked. Change: an attempt that has begun no exchange is followed by another one without a retry, as calls to services are, within the bound on placements; an attempt beside a silent one pays right before it is sent. The tests of request/relay pass.

--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -36,7 +36,7 @@
   /** Passed to the placer. */
   nth: number
   times: AnswerTimes
-  /** Whether it runs beside a silent attempt. A retry is then taken from the budget only once there is a place. */
+  /** Whether it runs beside a silent attempt. A retry is then taken from the budget right before it is sent. */
   beside: boolean
   /** Called when an exchange of this attempt is silent, and again each time that its timeout has passed. */
   onSilent: (attempt: CompletionAttempt) => void
@@ -82,26 +82,25 @@
     return true
   }
 
+  /** Whether an exchange with an engine was begun. */
+  get contacted (): boolean {
+    return this.#watched !== undefined
+  }
+
   /** Whether its exchange with an engine is silent. */
   get silent (): boolean {
     return this.#watched?.silent ?? false
   }
 
   async run (): Promise<void> {
-    const { context: { budget }, placer } = this.#state
-    const permitted = await placer.place(this.#opts.nth, this.signal)
-    if (this.#opts.beside && (this.signal.aborted || !budget.tryAcquireRetry())) {
-      releaseUnused(permitted)
-      this.throwIfCancelled()
-      throw new UpstreamError('no retry is left in the budget', { mayHaveRun: false })
-    }
+    const permitted = await this.#state.placer.place(this.#opts.nth, this.signal)
     this.#state.placements++
     await this.#executePlacement(permitted)
   }
 
   async #executePlacement ({ placement, permits }: PermittedPlacement): Promise<void> {
     const { context, checks } = this.#state
-    const { opts, run } = context
+    const { opts, run, budget } = context
     const { plan } = placement
     const placedAtMs = opts.clock.nowMs()
     let report: PlacementReport | undefined
@@ -113,6 +112,7 @@
       if (mustDelegate(context)) throw new UpstreamError('this box has lost its paths to the upstreams', { mayHaveRun: false })
       checks.checkMaySend(plan.prefillEngine)
       checks.checkMayDecode(plan.decodeEngine)
+      if (this.#opts.beside && !budget.tryAcquireRetry()) throw new UpstreamError('no retry is left in the budget', { mayHaveRun: false })
       if (!isOwnPrefill(plan)) {
         this.#unusedSource = await this.#prefill(plan, permits.prefill)
         this.#prefillMs = opts.clock.nowMs() - placedAtMs
@@ -354,9 +354,3 @@
     }
   }
 }
-
-function releaseUnused ({ placement, permits }: PermittedPlacement): void {
-  placement.release()
-  permits.prefill.release()
-  permits.decode.release()
-}
--- a/request/relay/src/completionRelay.ts
+++ b/request/relay/src/completionRelay.ts
@@ -56,7 +56,9 @@
   #checkRetry ({ attempt, error }: AttemptFailure): void {
     const { run, route, caller, budget, logDecision } = this.#context
     const reason = errorMessage(error)
-    if (attempt.retryable && error instanceof UpstreamError && this.#mayAttemptAgain && budget.tryAcquireRetry()) {
+    // An attempt that reached no engine is not repeated by the next one.
+    const costsRetry = !(attempt instanceof CompletionAttempt) || attempt.contacted
+    if (attempt.retryable && error instanceof UpstreamError && this.#mayAttemptAgain && (!costsRetry || budget.tryAcquireRetry())) {
       logDecision(LogEvent.RequestRetried, { attempt: this.#state.placements, reason, mayHaveRun: run.mayHaveRun })
       return
     }
