fix(scheduling.scheduler): no slot is promised by the predicted end of a stream that its engine's silence held up

Cause: streams at an engine that stood still end later than predicted, and prompts were computed for their slots meanwhile, so that engines got more runs than slots after a pause. In the trace of one engine a fourth stream arrives 183 ms before three end. Change: an engine that was silent, or took 200 ms or longer for its report, has resumed; nothing is predicted of streams that it had before.

--- a/box/runtime/src/shardManager.ts
+++ b/box/runtime/src/shardManager.ts
@@ -138,7 +138,7 @@
     const report = await engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
     if (this.#tasks.stopped) return { engine }
     const isSilent = !report && this.#opts.clock.nowMs() - askedAtMs >= timeoutMs
-    if (report) this.scheduler.recordReport(name, report)
+    if (report) this.scheduler.recordReport(name, report, askedAtMs)
     // A scheduler without network paths places by the last reports until another box takes over.
     else if (await this.#opts.hasLostPaths()) this.#onPathsLost(name)
     else if (isSilent) return { engine, silentSinceMs: askedAtMs }
--- a/scheduling/ledger/src/shardLedger.ts
+++ b/scheduling/ledger/src/shardLedger.ts
@@ -50,6 +50,8 @@
   reportAtMs: number
   /** Set from an unanswered request for its report until it answers, or is found to be lost. */
   silence?: EngineSilence
+  /** When it last answered after it had been silent. */
+  resumedAtMs?: number
   /** No report was received and no attempt to get one has failed yet. */
   awaitsFirstReport: boolean
   /** Set while an order is being carried out: the engine gets no new work, so that it drains. */
@@ -65,6 +67,8 @@
 
 /** A pool with a larger share of engines that are silent at once is paused. With a smaller one, the silent engines are taken for lost. */
 const PAUSED_POOL_SHARE = 0.5
+/** Engines answer a request for their report within a few milliseconds. One that took this long stood still. */
+const SILENT_REPORT_MS = 200
 
 /** Accounts for all reservations of one shard. A reservation is a plan, not a guarantee: the engine itself may still refuse. */
 export class ShardLedger {
@@ -212,8 +216,12 @@
       .forEach(({ label }) => this.release(label))
   }
 
-  /** Ignores reports of an earlier process of the engine. A report of a later process means that the listed one has ended. */
-  recordReport (engineName: string, report: EngineReport, nowMs: number): void {
+  /**
+   * Ignores reports of an earlier process of the engine. A report of a later process means that the listed one has ended.
+   *
+   * @param askedAtMs when the report was requested
+   */
+  recordReport (engineName: string, report: EngineReport, nowMs: number, askedAtMs = nowMs): void {
     const engine = this.#prefill.get(engineName) ?? this.#decode.get(engineName)
     if (!engine) return
     const start = compareReportedStart(engine, report)
@@ -224,6 +232,7 @@
     }
     engine.report = report
     engine.reportAtMs = nowMs
+    if (engine.silence || nowMs - askedAtMs >= SILENT_REPORT_MS) engine.resumedAtMs = nowMs
     engine.silence = undefined
     engine.awaitsFirstReport = false
     engine.account.recordReport(report, nowMs)
--- a/scheduling/scheduler/src/placementEstimator.ts
+++ b/scheduling/scheduler/src/placementEstimator.ts
@@ -132,7 +132,7 @@
     const zones = [part.prefill.availabilityZone, request.availabilityZone]
     const mostFreeOf = (candidates: readonly EngineAccount<DecodeAccount>[]) =>
       findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeNow(capacity), kept?.get(name)) }) ??
-      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: ({ name, account }) => without(account.freeAt(arrivalMs, capacity, (reservation) => this.#ends.latestEndMs(name, reservation), nowMs), kept?.get(name)) }) : undefined)
+      (countsEndingStreams ? findMostFree(candidates, { kvBytes, capacity, zones, freeOf: (decode) => without(decode.account.freeAt(arrivalMs, capacity, (reservation) => this.#ends.latestEndMs(decode, reservation), nowMs), kept?.get(decode.name)) }) : undefined)
     const trusted = engines.filter(({ name }) => !this.#isSuspect(name))
     const continuable = request.resumable ? trusted.filter((decode) => this.#ledger.isContinuable(decode)) : trusted
     const mostFree = mostFreeOf(continuable) ?? (continuable.length < trusted.length ? mostFreeOf(trusted) : undefined) ?? mostFreeOf(engines)
--- a/scheduling/scheduler/src/shardScheduler.ts
+++ b/scheduling/scheduler/src/shardScheduler.ts
@@ -193,9 +193,9 @@
     this.#runCycle()
   }
 
-  recordReport (engine: string, report: EngineReport): void {
+  recordReport (engine: string, report: EngineReport, askedAtMs?: number): void {
     this.#engineOutcomes.recordReport(engine)
-    this.ledger.recordReport(engine, report, this.#opts.clock.nowMs())
+    this.ledger.recordReport(engine, report, this.#opts.clock.nowMs(), askedAtMs)
     this.#runCycle()
   }
 
--- a/scheduling/scheduler/src/streamEndPredictor.ts
+++ b/scheduling/scheduler/src/streamEndPredictor.ts
@@ -1,4 +1,4 @@
-import { type SlotReservation } from '@reelspan/scheduling.ledger'
+import { type EngineAccount, type SlotReservation } from '@reelspan/scheduling.ledger'
 import { type TokenPaceEstimator } from './tokenPaceEstimator.js'
 
 /** A stream that has ended. */
@@ -33,10 +33,11 @@
     this.#delaysMs.set(engine, [...this.#delaysMs.get(engine) ?? [], delayMs].slice(-SAMPLES))
   }
 
-  /** Infinite if nothing is predicted. */
-  latestEndMs (engine: string, { importEndMs, maxTokens }: SlotReservation): number {
-    const tokenMs = this.#pace.engineTokenMs(engine)
-    const delaysMs = this.#delaysMs.get(engine) ?? []
+  /** Infinite if nothing is predicted, as for a stream that was held up by a silence of its engine. */
+  latestEndMs ({ name, resumedAtMs = Number.NEGATIVE_INFINITY }: Pick<EngineAccount<unknown>, 'name' | 'resumedAtMs'>, { importEndMs, maxTokens }: SlotReservation): number {
+    if (importEndMs <= resumedAtMs) return Number.POSITIVE_INFINITY
+    const tokenMs = this.#pace.engineTokenMs(name)
+    const delaysMs = this.#delaysMs.get(name) ?? []
     if (tokenMs === undefined || delaysMs.length < MIN_SAMPLES) return Number.POSITIVE_INFINITY
     return importEndMs + maxTokens * tokenMs + Math.max(...delaysMs)
   }
