--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -244,9 +244,11 @@
 
   /** Performs a planned stop: waits for running requests, within `stopWithinMs` if it is set. */
   async drain (): Promise<void> {
-    const { clock, log, owner, relay, settings: { requests: { stopWithinMs } } } = this.#parts
+    const { clock, log, metrics, owner, relay, pauseDetector, settings: { requests: { stopWithinMs } } } = this.#parts
     this.#stopping = true
-    log.info(LogEvent.Stopping, { requestsInFlight: this.#callersBeingServed })
+    const signalAgeMs = Math.round(clock.nowMs() - pauseDetector.earliestArrivalMs())
+    log.info(LogEvent.Stopping, { requestsInFlight: this.#callersBeingServed, signalAgeMs, stopsInMs: stopWithinMs })
+    metrics.gauge('reelspan_stop_signal_age_ms', () => signalAgeMs)
     if (stopWithinMs !== undefined) [owner, relay].forEach((part) => part?.scheduleStop(stopWithinMs))
     const stop = plannedStop({ ...this.#stopParts(), waitForCallers: () => this.#waitForCallers() })
     await (stopWithinMs === undefined ? stop : raceTimeout(clock, stop, stopWithinMs))
--- a/core/env/src/pauseDetector.ts
+++ b/core/env/src/pauseDetector.ts
@@ -2,6 +2,8 @@
 import { type TaskGroup } from './taskGroup.js'
 
 const TICK_MS = 100
+/** Normal lateness of two ticks. */
+const MAX_UNNOTICED_MS = 100
 /** Number of recent pauses that are retained; users need only the last one above some length. */
 const MAX_PAUSES = 20
 
@@ -15,14 +17,29 @@
   readonly #clock: Clock
   #pauses: readonly Pause[] = []
   #checkedAtMs: number
+  /** Times of the last two turns of the event loop that fired the detector's timer. */
+  #tickedAtMs: number
+  #previousTickMs: number
 
   constructor ({ clock }: { clock: Clock }) {
     this.#clock = clock
     this.#checkedAtMs = clock.nowMs()
+    this.#tickedAtMs = this.#checkedAtMs
+    this.#previousTickMs = this.#checkedAtMs
   }
 
   start (tasks: TaskGroup): void {
-    tasks.repeat(async () => this.#check(), { periodMs: TICK_MS })
+    tasks.repeat(async () => this.#tick(), { periodMs: TICK_MS })
+  }
+
+  /**
+   * Earliest possible arrival of an event, such as a signal, that this process handles now. After the tick before the
+   * last one the event loop polled for events, so that whatever had arrived by then has been handled before. Delays of
+   * up to `MAX_UNNOTICED_MS` are not told apart from none.
+   */
+  earliestArrivalMs (): number {
+    const nowMs = this.#clock.nowMs()
+    return nowMs - this.#previousTickMs > 2 * TICK_MS + MAX_UNNOTICED_MS ? this.#previousTickMs : nowMs
   }
 
   /** Records a pause of this length that the process's own clock may not show. */
@@ -36,6 +53,12 @@
     return this.#pauses.findLast(({ lengthMs }) => lengthMs > longerThanMs)?.resumedAtMs ?? Number.NEGATIVE_INFINITY
   }
 
+  #tick (): void {
+    this.#check()
+    this.#previousTickMs = this.#tickedAtMs
+    this.#tickedAtMs = this.#checkedAtMs
+  }
+
   #check (): void {
     const nowMs = this.#clock.nowMs()
     const lengthMs = nowMs - this.#checkedAtMs
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -2,6 +2,8 @@
 export enum LogEvent {
   Started = 'started',
   Stopping = 'stopping',
+  /** Whether a stopping box expects to complete a request in its remaining time. */
+  StopChecked = 'stopChecked',
   Stopped = 'stopped',
   RequestEnded = 'requestEnded',
   RevisionAdopted = 'revisionAdopted',
