--- a/__utils__/platform-stand-ins/src/index.ts
+++ b/__utils__/platform-stand-ins/src/index.ts
@@ -1,7 +1,7 @@
 export { queryDirectory } from './queryDirectory.js'
 export type { DirectoryAnswer } from './queryDirectory.js'
 export type { Pause } from './pausing.js'
-export { registerUpstream, registeredInstances, publishRoutes, removeUpstream } from './publish.js'
+export { registerUpstream, registeredInstances, publishRoutes, publishSlowCalls, removeUpstream } from './publish.js'
 export type { PublishedAccount } from './publish.js'
 export type { UpstreamEntry } from './publish.js'
 export { SAMPLE_CONFIGURATION, sampleUpstreamEntry, requestHeaders, SAMPLE_SETTINGS_FILE, settingsFileText } from './samples.js'
--- a/__utils__/platform-stand-ins/src/publish.ts
+++ b/__utils__/platform-stand-ins/src/publish.ts
@@ -29,6 +29,13 @@
   return path
 }
 
+/** Publishes one route whose calls must not be repeated and may take as long as `deadlineMs`, and the service that it leads to. */
+export function publishSlowCalls (store: StandInStore, { pathPrefix, deadlineMs, address }: { pathPrefix: string, deadlineMs: number, address: string }): void {
+  const route = { name: 'r-slow', host: 'scripts.example', path_prefix: pathPrefix, kind: 'unsafe', timeout_ms: deadlineMs, service: 'desk', max_attempts: 1 }
+  store.put('op/config', { ...SAMPLE_CONFIGURATION, routes: [route], services: SAMPLE_CONFIGURATION.services.slice(1) })
+  store.put(keyOf('i-s'), sampleUpstreamEntry({ service: 'desk', address, slots: 1000 }))
+}
+
 function toTenant ({ name, keys, tokensPerSecond }: PublishedAccount) {
   return { name, api_keys: keys, ...tokensPerSecond === undefined ? {} : { unit: 'token_stream', plain_tokens: 1, rate_per_s: tokensPerSecond, burst: tokensPerSecond } }
 }
--- /dev/null
+++ b/cli/reelspan/test/__utils__/platformProcess.ts
@@ -0,0 +1,96 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { Agent, request } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+import { publishSlowCalls, requestHeaders, Role, type StandInStore, StandInUpstream } from '@reelspan/utils.platform-stand-ins'
+import { freePorts } from '@reelspan/utils.stand-ins'
+import { type ExecutionContext } from 'ava'
+
+const BIN = join(import.meta.dirname, '..', '..', 'bin', 'reelspan.js')
+/** The platform kills a process that has not stopped within this time after SIGTERM. */
+export const GRACE_MS = 8000
+const PATH_PREFIX = '/slow/'
+const DEADLINE_MS = 14_000
+
+/** What became of a caller's request. */
+export enum Outcome {
+  Whole = 'whole',
+  /** Refused as not run. */
+  Refused = 'refused',
+  /** Answered with another status. */
+  Failed = 'failed',
+  /** The connection ended without a complete answer. */
+  Cut = 'cut',
+}
+
+export interface SentRequest {
+  id: string
+  sentAtMs: number
+  endedAtMs: number
+  outcome: Outcome
+}
+
+/** A box in a process of its own, with its settings file. */
+export interface PlatformProcess {
+  box: ChildProcess
+  frontAddress: string
+  /** Ids of the log events so far. */
+  events: string[]
+}
+
+/** Starts a box's process. Its IP address must differ from those of other tests, since the metrics port is fixed. */
+export async function startProcess (t: ExecutionContext, { ip, storeAddress, seeds = [] }: { ip: string, storeAddress: string, seeds?: readonly string[] }): Promise<PlatformProcess & { controlAddress: string }> {
+  const [front, ready, control, directory] = await freePorts(4, ip)
+  const folder = await mkdtemp(join(tmpdir(), 'reelspan-test-'))
+  const settingsPath = join(folder, 'settings.conf')
+  await writeFile(settingsPath, [
+    `node=${ip}`, 'zone=hall-a', `listen.front=${ip}:${front}`, `listen.ready=${ip}:${ready}`, `listen.control=${ip}:${control}`, `listen.directory=${ip}:${directory}`,
+    'port_range=7380,7395', `seeds=${seeds.join(',')}`, `platform.address=${storeAddress}`, 'bounds.budget_slack=58',
+  ].join('\n'))
+  const box = spawn(process.execPath, [BIN, 'serve', '--platform'], { env: { ...process.env, REELSPAN_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'inherit'] })
+  t.teardown(async () => {
+    box.kill('SIGCONT')
+    box.kill('SIGKILL')
+    await rm(folder, { recursive: true })
+  })
+  const events: string[] = []
+  createInterface({ input: box.stdout as NodeJS.ReadableStream }).on('line', (line) => events.push(JSON.parse(line).event))
+  return { box, frontAddress: `${ip}:${front}`, controlAddress: `${ip}:${control}`, events }
+}
+
+/** Starts a service whose answers take `workMs`, and publishes a route to it. */
+export async function startService (t: ExecutionContext, store: StandInStore, workMs: number): Promise<StandInUpstream> {
+  const desk = new StandInUpstream(Role.Service, { workMs })
+  await desk.start()
+  t.teardown(() => desk.stop())
+  publishSlowCalls(store, { pathPrefix: PATH_PREFIX, deadlineMs: DEADLINE_MS, address: desk.address })
+  return desk
+}
+
+let sent = 0
+
+/** Sends a request on a connection of its own and waits for its end. */
+export async function sendRequest ({ frontAddress }: PlatformProcess, opts: { agent?: Agent } = {}): Promise<SentRequest> {
+  const id = `r${sent++}`
+  const sentAtMs = performance.now()
+  const outcome = await outcomeOf(frontAddress, id, opts.agent ?? new Agent())
+  return { id, sentAtMs, endedAtMs: performance.now(), outcome }
+}
+
+async function outcomeOf (frontAddress: string, id: string, agent: Agent): Promise<Outcome> {
+  const [host, port] = frontAddress.split(':')
+  const message = request({ host, port, path: `${PATH_PREFIX}x`, method: 'POST', agent, headers: requestHeaders(id, { deadlineMs: DEADLINE_MS }) })
+  try {
+    message.end('ride')
+    const [response] = await once(message, 'response')
+    for await (const part of response) void part
+    if (!response.complete) return Outcome.Cut
+    if (response.statusCode === 200) return Outcome.Whole
+    return response.statusCode === 503 ? Outcome.Refused : Outcome.Failed
+  } catch {
+    return Outcome.Cut
+  }
+}
