fix(box.runtime): a planned stop counts its time from when its signal may have been sent

Callers saw: answers closed in their middle when the process was killed, of requests sent more than 3 s after SIGTERM; no verdict, no records handed over.

Cause: the deadline of a stop is set by whoever sends the signal, and was counted from when the process handled it. A box that was held up accepted requests for that much longer and was killed in the middle of its stop.

Change: the stop's time counts from the tick before the last one of the event loop, if that is longer ago than two ticks take: what had arrived by then has been handled. Acceptance, the wait for running requests, the handoff and the end of the process follow that time. Heartbeats that announce the stop no longer precede it, and a candidate for the records that does not answer leaves time for the others.

Why it works: the signal cannot have been sent before that tick, so the box never believes to have more time than it has, but for delays of up to 0.1 s, which the 0.4 s before the kill cover.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -242,16 +242,22 @@
     }
   }
 
-  /** Performs a planned stop: waits for running requests, within `stopWithinMs` if it is set. */
+  /**
+   * Performs a planned stop: waits for running requests, within `stopWithinMs` if it is set. That time has begun when
+   * the signal was sent, which may have been long before this process handled it.
+   */
   async drain (): Promise<void> {
     const { clock, log, metrics, owner, relay, pauseDetector, settings: { requests: { stopWithinMs } } } = this.#parts
     this.#stopping = true
-    const signalAgeMs = Math.round(clock.nowMs() - pauseDetector.earliestArrivalMs())
-    log.info(LogEvent.Stopping, { requestsInFlight: this.#callersBeingServed, signalAgeMs, stopsInMs: stopWithinMs })
+    const signalledAtMs = pauseDetector.earliestArrivalMs()
+    const signalAgeMs = Math.round(clock.nowMs() - signalledAtMs)
+    const stopsAtMs = stopWithinMs === undefined ? undefined : signalledAtMs + stopWithinMs
+    const stopsInMs = stopsAtMs === undefined ? undefined : Math.round(stopsAtMs - clock.nowMs())
+    log.info(LogEvent.Stopping, { requestsInFlight: this.#callersBeingServed, signalAgeMs, stopsInMs })
     metrics.gauge('reelspan_stop_signal_age_ms', () => signalAgeMs)
-    if (stopWithinMs !== undefined) [owner, relay].forEach((part) => part?.scheduleStop(stopWithinMs))
-    const stop = plannedStop({ ...this.#stopParts(), waitForCallers: () => this.#waitForCallers() })
-    await (stopWithinMs === undefined ? stop : raceTimeout(clock, stop, stopWithinMs))
+    if (stopsAtMs !== undefined) [owner, relay].forEach((part) => part?.scheduleStop(stopsAtMs))
+    const stop = plannedStop({ ...this.#stopParts(), signalledAtMs, stopsAtMs, waitForCallers: () => this.#waitForCallers() })
+    await (stopsAtMs === undefined ? stop : raceTimeout(clock, stop, stopsAtMs - clock.nowMs()))
     await this.stop()
   }
 
--- a/box/runtime/src/plannedStop.ts
+++ b/box/runtime/src/plannedStop.ts
@@ -19,6 +19,10 @@
   owner: Owner
   relay?: Relay
   records: RecordStore
+  /** When the signal may have been sent at the earliest, on this box's clock. */
+  signalledAtMs: number
+  /** When the stop must have ended, on this box's clock. Without it the stop takes as long as it needs. */
+  stopsAtMs?: number
   /** Resolves when no caller is waiting for an answer any more. */
   waitForCallers: () => Promise<void>
   log: Log
@@ -31,18 +35,23 @@
 const GOSSIP_PERIODS = 2
 /** A stop is announced immediately and forwarded within a tenth of a probe period; the rest covers lost messages. */
 const ANNOUNCE_PERIODS = 1
+/** Kept free for the handoff of the records before a stop must have ended. */
+const HANDOFF_RESERVE_MS = 700
 
 /** Stops a box without interrupting a request. Resolves when the process may exit. */
 export async function plannedStop (opts: PlannedStopOptions): Promise<void> {
-  const { clock, settings, view, prober, owner, relay, waitForCallers } = opts
+  const { clock, settings, signalledAtMs, stopsAtMs = Number.POSITIVE_INFINITY, view, prober, owner, relay, waitForCallers } = opts
   const gossipMs = GOSSIP_PERIODS * settings.membership.probePeriodMs
   view.announce({ leaving: true }, clock.nowMs())
-  await prober.sendHeartbeatsNow()
+  const announced = prober.sendHeartbeatsNow()
   // Callers cache lookup answers and still send requests here until these expire.
-  await clock.sleep(settings.requests.lookupKeepMs + ANNOUNCE_PERIODS * settings.membership.probePeriodMs)
+  const lookupsExpireInMs = settings.requests.lookupKeepMs + ANNOUNCE_PERIODS * settings.membership.probePeriodMs
+  const acceptsFromMs = stopsAtMs === Number.POSITIVE_INFINITY ? clock.nowMs() : signalledAtMs
+  await clock.sleep(acceptsFromMs + lookupsExpireInMs - clock.nowMs())
   owner.stopAccepting()
   relay?.stopAccepting()
-  await waitForIdle(opts, settings.requests.longestRequestMs)
+  await announced
+  await waitForIdle(opts, Math.min(settings.requests.longestRequestMs, stopsAtMs - gossipMs - HANDOFF_RESERVE_MS - clock.nowMs()))
   const successor = await handOffRecords(opts)
   view.announce({ health: MemberHealth.Gone, successor }, clock.nowMs())
   await prober.sendHeartbeatsNow()
@@ -58,12 +67,13 @@
 
 /** Hands all records over to one other box. If none accepts them, retries of the old keys are answered with «may have run». */
 async function handOffRecords (opts: PlannedStopOptions): Promise<Member['successor']> {
-  const { view, log } = opts
+  const { clock, stopsAtMs = Number.POSITIVE_INFINITY, view, log } = opts
   const others = view.takingWork().filter(({ incarnation }) => incarnation !== view.self.incarnation)
   const candidates = rankByRendezvous(view.self.incarnation, others, ({ incarnation }) => incarnation).slice(0, HANDOFF_CANDIDATES)
-  for (const { peerAddress, incarnation } of candidates) {
+  for (const [i, { peerAddress, incarnation }] of candidates.entries()) {
     try {
-      await sendRecords(opts, peerAddress)
+      // A candidate that does not answer leaves time for the others.
+      await sendRecords(opts, peerAddress, Math.min(HANDOFF_TIMEOUT_MS, (stopsAtMs - clock.nowMs()) / (candidates.length - i)))
       return { peerAddress, incarnation }
     } catch (thrown) {
       log.warn(LogEvent.HandoffFailed, { peerAddress, reason: errorMessage(thrown) })
@@ -72,12 +82,13 @@
   return undefined
 }
 
-async function sendRecords ({ clock, link, view, records }: PlannedStopOptions, address: string): Promise<void> {
+/** @param timeoutMs for each message */
+async function sendRecords ({ clock, link, view, records }: PlannedStopOptions, address: string, timeoutMs: number): Promise<void> {
   const batches = splitIntoBatches(records.export())
   const taken = [...records.predecessors(), { incarnation: view.self.incarnation, clockMs: clock.nowMs() }]
   for (const [i, batch] of batches.entries()) {
     const isLast = i === batches.length - 1
-    await link.call(address, { type: MessageType.RecordsHandoff, records: batch, taken: isLast ? taken : [] }, { timeoutMs: HANDOFF_TIMEOUT_MS })
+    await link.call(address, { type: MessageType.RecordsHandoff, records: batch, taken: isLast ? taken : [] }, { timeoutMs })
   }
 }
 
--- a/box/runtime/test/plannedStopAndDraining.ts
+++ b/box/runtime/test/plannedStopAndDraining.ts
@@ -149,3 +149,60 @@
   fleet.box('box-1').alive = false
   await fleet.stop()
 })
+
+const STOP_WITHIN_MS = 7600
+/** A hold-up that is shorter may not be noticed. */
+const MAX_UNNOTICED_MS = 200
+
+test('a box that handles SIGTERM late stops in time and hands its records over, also beside boxes that are held up', async (t) => {
+  const heldUpMs = [250, 600, 1500, 3000]
+  for (const [seed, lateMs] of heldUpMs.entries()) {
+    const fleet = await new FakeFleet({ seed, settings: { requests: { stopWithinMs: STOP_WITHIN_MS, longestRequestMs: 2500 } } }).start()
+    const booking = fleet.booking(fleet.key('box-1'))
+    const booked = await fleet.clock.run(fleet.send('box-2', booking))
+    await fleet.clock.advance(1000)
+    const stopping = fleet.box('box-1')
+    const signalledAtMs = fleet.clock.nowMs()
+    stopping.clock.pause()
+    fleet.box('box-3').clock.pause()
+    await fleet.clock.advance(lateMs)
+    stopping.clock.resume()
+    await fleet.clock.run(stopping.box.drain())
+    t.true(fleet.clock.nowMs() - signalledAtMs <= STOP_WITHIN_MS, `${lateMs} ms late: stopped ${Math.round(fleet.clock.nowMs() - signalledAtMs)} ms after the signal`)
+    stopping.alive = false
+    fleet.box('box-3').clock.resume()
+    await fleet.clock.advance(1000)
+    const retry = await fleet.clock.run(fleet.send('box-4', booking))
+    t.is(retry.text, booked.text, `${lateMs} ms late: the record was handed over`)
+    await fleet.stop()
+  }
+})
+
+test('a box that handles SIGTERM late accepts requests for no longer than one that handles it in time', async (t) => {
+  const lastAcceptedAfter = async (lateMs: number) => {
+    const fleet = await new FakeFleet({ settings: { requests: { stopWithinMs: STOP_WITHIN_MS, longestRequestMs: 2500, lookupKeepMs: 2000 } } }).start()
+    const keys = Array.from({ length: 80 }, () => fleet.key('box-1'))
+    const signalledAtMs = fleet.clock.nowMs()
+    const stopping = fleet.box('box-1')
+    stopping.clock.pause()
+    await fleet.clock.advance(lateMs)
+    stopping.clock.resume()
+    const stopped = stopping.box.drain()
+    const accepted: number[] = []
+    for (const key of keys) {
+      const { verdict } = await fleet.clock.run(fleet.send('box-1', { ...fleet.booking(key), deadlineMs: 300 }))
+      if (verdict === Verdict.Finished) accepted.push(fleet.clock.nowMs() - signalledAtMs)
+      await fleet.clock.advance(50)
+    }
+    await fleet.clock.run(stopped)
+    stopping.alive = false
+    await fleet.stop()
+    return Math.max(0, ...accepted)
+  }
+  const inTimeMs = await lastAcceptedAfter(0)
+  t.true(inTimeMs > 0)
+  for (const lateMs of [1000, 2000, 3000]) {
+    const acceptedMs = await lastAcceptedAfter(lateMs)
+    t.true(acceptedMs <= inTimeMs + MAX_UNNOTICED_MS, `${lateMs} ms late: accepted after ${Math.round(acceptedMs)} ms, otherwise ${Math.round(inTimeMs)} ms`)
+  }
+})
--- a/request/owner/src/owner.ts
+++ b/request/owner/src/owner.ts
@@ -127,9 +127,9 @@
     return requestIds.filter((requestId) => runningIds.has(requestId))
   }
 
-  /** Announces that this box stops after `durationMs`. Accepts only new requests whose deadlines end before. */
-  scheduleStop (durationMs: number): void {
-    this.#stopsAtMs = this.#opts.clock.nowMs() + durationMs
+  /** Announces when this box stops, on its own clock. Accepts only new requests whose deadlines end before. */
+  scheduleStop (stopsAtMs: number): void {
+    this.#stopsAtMs = stopsAtMs
   }
 
   /** Refuses new requests from now on. Running requests continue and can be joined. */
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -91,9 +91,9 @@
     return this.#running.size
   }
 
-  /** Announces that this box stops after `durationMs`. Accepts only new requests that are expected to end before. */
-  scheduleStop (durationMs: number): void {
-    this.#stopsAtMs = this.#opts.clock.nowMs() + durationMs
+  /** Announces when this box stops, on its own clock. Accepts only new requests that are expected to end before. */
+  scheduleStop (stopsAtMs: number): void {
+    this.#stopsAtMs = stopsAtMs
   }
 
   /** Refuses new requests from now on without running them. Running requests continue. */
