fix(reelspan): SIGTERM during the start refuses what waits for the first configuration

Callers saw: their connection closed without an answer. A box on the platform listens before it has read from the platform and its peers, and keeps requests until its first configuration; the listener of SIGTERM was installed only after the start, so that the signal ended the process at once.

Change: the listeners are installed before the start. A signal during the start stops a box that listens as planned, and ends a process that does not listen yet. A stopping box no longer waits for its first configuration: such requests are refused as not run.

--- a/cli/reelspan/src/main.ts
+++ b/cli/reelspan/src/main.ts
@@ -95,30 +95,43 @@
 
 async function servePlatform (file: string, fixedRoles: boolean): Promise<ExitCode> {
   const { startPlatformBox } = await import('@reelspan/platform.adapter')
-  // Installed before the start, since a SIGHUP without a listener terminates the process.
-  const started: { box?: RunningPlatformBox } = {}
-  process.on('SIGHUP', () => { void started.box?.reload() })
-  started.box = await startPlatformBox(file, { fixedRoles })
-  return serveUntilStopped(started.box)
+  return serveUntilStopped((onListening: (running: RunningPlatformBox) => void) => {
+    const listening: { box?: RunningPlatformBox } = {}
+    // Installed before the start, since a SIGHUP without a listener terminates the process.
+    process.on('SIGHUP', () => { void listening.box?.reload() })
+    return startPlatformBox(file, {
+      fixedRoles,
+      onListening: (running) => {
+        listening.box = running
+        onListening(running)
+      },
+    })
+  })
 }
 
 async function serve (settings: Settings): Promise<ExitCode> {
   const { startBox } = await import('./startBox.js')
-  return serveUntilStopped(await startBox(settings))
+  return serveUntilStopped((onListening) => startBox(settings, { onListening }))
 }
 
-async function serveUntilStopped ({ box, stopListening }: RunningBox): Promise<ExitCode> {
+/**
+ * Starts a box and serves until a signal stops it. The signals' listeners are installed before the start, in which the
+ * box accepts requests already.
+ */
+async function serveUntilStopped<T extends RunningBox> (start: (onListening: (running: T) => void) => Promise<unknown>): Promise<ExitCode> {
+  const listening: { running?: T } = {}
   const stopped = new Promise<void>((resolve, reject) => {
     const onSignal = () => {
+      if (!listening.running) process.exit(ExitCode.Done)
       process.once('SIGTERM', () => process.exit(ExitCode.Failed))
       process.once('SIGINT', () => process.exit(ExitCode.Failed))
-      box.drain().then(resolve, reject)
+      listening.running.box.drain().then(resolve, reject)
     }
     process.once('SIGTERM', onSignal)
     process.once('SIGINT', onSignal)
   })
-  await stopped
-  await stopListening()
+  await Promise.race([stopped, start((running) => { listening.running = running }).then(() => stopped)])
+  await listening.running?.stopListening()
   process.exit(ExitCode.Done)
 }
 
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -23,8 +23,13 @@
   stopListening: () => Promise<void>
 }
 
+export interface StartBoxOptions {
+  /** Called when the box listens for callers. */
+  onListening?: (running: RunningBox) => void
+}
+
 /** Starts a box from its settings: it reads from the platform and its peers before it listens for callers. */
-export async function startBox (settings: Settings): Promise<RunningBox> {
+export async function startBox (settings: Settings, { onListening }: StartBoxOptions = {}): Promise<RunningBox> {
   const loopDelay = new LoopDelay()
   const { listen, limits, platform, log } = settings
   const boxLog = new BunyanLog({ box: settings.box.name, level: log.level })
@@ -66,7 +71,9 @@
   const memory = createMemoryLimits({ clock, log: boxLog, metrics, ...limits })
   const callers = createCallerServer({ clock, box, memory, ...limits, onAcceptError: ({ message }) => boxLog.warn(LogEvent.ListenerFailed, { server: 'callers', reason: message }) })
   await listenAt(callers, listen.callerAddress)
-  return { box, stopListening: () => closeServers([callers, operators]) }
+  const running = { box, stopListening: () => closeServers([callers, operators]) }
+  onListening?.(running)
+  return running
 }
 
 async function readToken ({ listen }: Settings): Promise<string | undefined> {
--- a/cli/reelspan/test/__utils__/platformProcess.ts
+++ b/cli/reelspan/test/__utils__/platformProcess.ts
@@ -2,9 +2,11 @@
 import { once } from 'node:events'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { Agent, request } from 'node:http'
+import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { publishSlowCalls, requestHeaders, Role, type StandInStore, StandInUpstream } from '@reelspan/utils.platform-stand-ins'
 import { freePorts } from '@reelspan/utils.stand-ins'
 import { type ExecutionContext } from 'ava'
@@ -70,6 +72,18 @@
   return desk
 }
 
+/** Resolves once the box's process accepts connections from callers. */
+export async function waitUntilListening ({ box, frontAddress }: PlatformProcess): Promise<void> {
+  const [host, port] = frontAddress.split(':')
+  while (box.exitCode === null) {
+    const socket = connect(Number(port), host)
+    const accepts = await new Promise((resolve) => socket.once('connect', () => resolve(true)).once('error', () => resolve(false)))
+    socket.destroy()
+    if (accepts) return
+    await sleep(10)
+  }
+}
+
 let sent = 0
 
 /** Sends a request on a connection of its own and waits for its end. */
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -71,6 +71,7 @@
   readonly #startedAtMs: number
   /** When this box aborts running requests, on its own clock. */
   #stopsAtMs = Number.POSITIVE_INFINITY
+  readonly #stopScheduled = new AbortController()
 
   constructor (opts: RelayOptions) {
     this.#opts = opts
@@ -94,6 +95,7 @@
   /** Announces when this box stops, on its own clock. Accepts only new requests that are expected to end before. */
   scheduleStop (stopsAtMs: number): void {
     this.#stopsAtMs = stopsAtMs
+    this.#stopScheduled.abort(STOPPED)
   }
 
   /** Refuses new requests from now on without running them. Running requests continue. */
@@ -165,9 +167,9 @@
   async #waitForConfiguration (callerSignal: AbortSignal, deadlineMs = Number.POSITIVE_INFINITY): Promise<void> {
     const { clock, whenConfigured } = this.#opts
     const timeoutMs = Math.min(this.#startedAtMs + STARTUP_CONFIG_TIMEOUT_MS - clock.nowMs(), deadlineMs)
-    if (timeoutMs <= 0) return
+    if (timeoutMs <= 0 || this.#stopScheduled.signal.aborted) return
     const waitEnded = new AbortController()
-    await raceTimeout(clock, whenConfigured(AbortSignal.any([callerSignal, this.#tasks.signal, waitEnded.signal])), timeoutMs)
+    await raceTimeout(clock, whenConfigured(AbortSignal.any([callerSignal, this.#tasks.signal, this.#stopScheduled.signal, waitEnded.signal])), timeoutMs)
     waitEnded.abort(STOPPED)
   }
 
@@ -189,6 +191,7 @@
 
   async #execute (run: RunContext, route: Named<RouteSpec> | undefined, { request, identity, terms }: Pick<AdmittedRequest, 'request' | 'identity' | 'terms'>, caller: RelayCaller, times: AnswerTimes): Promise<void> {
     const opts = this.#opts
+    if (opts.configuration().revision === 0 && this.#stopScheduled.signal.aborted) throw new ReelspanError(ErrorCode.Draining, 'this box stops before it has a configuration', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
     if (opts.configuration().revision === 0) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     if (!route) throw new ReelspanError(ErrorCode.NoRoute, `no route for ${request.host}${pathOf(request.target)}`)
     if (this.#acceptingStopped) throw new ReelspanError(ErrorCode.Draining, 'this box is draining', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
