test(soak): boxes that are held up around SIGTERM

--held-up-stops stops half of the boxes one after the other, each held up for 0.3 to 3 s around the signal and in part once more during the stop, beside SIGHUP, a change of the configuration or a peer that is held up. Checked: the box stops by itself within its grace period, and interrupts no request that was sent 3 s or later after the signal and that it has passed on.

--- a/__utils__/soak/src/index.ts
+++ b/__utils__/soak/src/index.ts
@@ -5,6 +5,8 @@
 export { ALL_SUBJECTS, DisruptionKind, DisruptionLog } from './disruptionLog.js'
 export { checkSignals } from './checkSignals.js'
 export type { DrainingStart, RefusalPeriod, SignalHistory } from './checkSignals.js'
+export { checkHeldUpStops } from './checkHeldUpStops.js'
+export type { HeldUpStopHistory } from './checkHeldUpStops.js'
 export { checkSilences } from './checkSilences.js'
 export type { SilenceHistory } from './checkSilences.js'
 export { checkHistory } from './checkHistory.js'
--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -20,6 +20,7 @@
     --load        End each round with more load than capacity
     --crashes     End each round with a prompt part that crashes engines
     --path-loss   End each round with losses of all paths to upstreams at some boxes
+    --held-up-stops  Stop boxes whose processes are held up around the signal, after each round
     --silence     Make engines silent beside the faults of each round, and after it
     --kinds A,B   Fault kinds to use instead of random ones (see faults.ts)
     --logs DIR    Where to save the logs of failed seeds (default: the folder for temporary files)
@@ -45,6 +46,7 @@
       crashes: { type: 'boolean', default: false },
       pathLoss: { type: 'boolean', default: false },
       silence: { type: 'boolean', default: false },
+      heldUpStops: { type: 'boolean', default: false },
       kinds: { type: 'string' },
       logs: { type: 'string' },
     },
@@ -59,7 +61,7 @@
   const seeds: KnownSeed[] = flags.known ? await readKnownSeeds() : Array.from({ length: flags.seeds }, (_, i) => ({ seed: firstSeed + i }))
   for (let i = 0; i < seeds.length || performance.now() < untilMs; i++) {
     const { seed, kinds: knownKinds } = seeds[i] ?? { seed: firstSeed + i }
-    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, load: flags.load, crashes: flags.crashes, pathLoss: flags.pathLoss, silence: flags.silence, kinds: kinds ?? knownKinds })
+    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, load: flags.load, crashes: flags.crashes, pathLoss: flags.pathLoss, silence: flags.silence, heldUpStops: flags.heldUpStops, kinds: kinds ?? knownKinds })
     if (result.violations.length > 0) failedSeeds.push(seed)
     await reportResult(seed, result, flags.logs)
   }
@@ -86,7 +88,7 @@
 async function reportResult (seed: number, result: SoakResult, logs?: string): Promise<void> {
   const { attempts, outcomes, takeUps, faults, violations, durationsMs, checkCounts, memory } = result
   console.log(`seed ${seed}: ${attempts} attempts ${JSON.stringify(outcomes)}, streams taken up ${JSON.stringify(takeUps)}, ${faults.length} faults, ${violations.length} violations, checked ${JSON.stringify(checkCounts)}, ${memory.processes} processes with ${memory.pssMb} MB, took ${JSON.stringify(durationsMs)} ms`)
-  ;[...result.pathLosses, ...result.crashPhases, ...result.silences].forEach((line) => console.log(`  ${line}`))
+  ;[...result.pathLosses, ...result.crashPhases, ...result.silences, ...result.heldUpStops].forEach((line) => console.log(`  ${line}`))
   if (violations.length === 0) return
   const shownViolations = violations.length > MAX_VIOLATIONS_SHOWN ? [...violations.slice(0, MAX_VIOLATIONS_SHOWN), `and ${violations.length - MAX_VIOLATIONS_SHOWN} more`] : violations
   console.log([...shownViolations, `faults: ${faults.join('; ')}`, `logs of the boxes: ${await saveLogs(seed, result, logs)}`].map((line) => `  ${line}`).join('\n'))
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -5,6 +5,7 @@
 import { checkKeys, type KeyProbe } from './checkKeys.js'
 import { checkLimits } from './checkLimits.js'
 import { checkSignals } from './checkSignals.js'
+import { checkHeldUpStops } from './checkHeldUpStops.js'
 import { checkSilences } from './checkSilences.js'
 import { checkHistory } from './checkHistory.js'
 import { SoakClient } from './client.js'
@@ -18,6 +19,7 @@
 import { measureMemory } from './measureMemory.js'
 import { PathLossPhase } from './pathLossPhase.js'
 import { runSilencePhase } from './runSilencePhase.js'
+import { HeldUpStops } from './heldUpStops.js'
 import { SilenceInjector } from './silenceInjector.js'
 import { ACCOUNT, OVERLOAD_ACCOUNT, OVERLOAD_KEY, DEFAULT_KEY, keyOf, SoakFleet } from './soakFleet.js'
 import { type SoakBox } from './soakMembers.js'
@@ -40,6 +42,8 @@
   pathLoss?: boolean
   /** Whether engines are silent beside the faults of each round, and in a phase of their own at its end. */
   silence?: boolean
+  /** Whether each round stops boxes whose processes are held up around the signal. */
+  heldUpStops?: boolean
 }
 
 export interface SoakResult {
@@ -55,6 +59,7 @@
   crashPhases: string[]
   /** Silences of engines. */
   silences: string[]
+  heldUpStops: string[]
   violations: string[]
   /** Number of cases that each check examined. */
   checkCounts: Record<string, number>
@@ -148,6 +153,7 @@
   readonly #crashRandom: SeededRandom
   readonly #silenceRandom: SeededRandom
   readonly #silences: SilenceInjector
+  readonly #heldUpStops: HeldUpStops
   readonly #streamRandom: SeededRandom
   readonly #stallDetector: StallDetector
   readonly #durationsMs: Record<string, number> = {}
@@ -173,9 +179,10 @@
     this.#streamRandom = new SeededRandom(opts.seed)
     this.#silences = new SilenceInjector({ fleet, random: this.#silenceRandom })
     this.#stallDetector = new StallDetector(fleet.boxes)
+    this.#heldUpStops = new HeldUpStops({ fleet, random: new SeededRandom(opts.seed), stallDetector: this.#stallDetector, onViolation: (text) => this.violations.push(text) })
     this.#faults = new FaultInjector({ fleet, random: this.#faultRandom, onViolation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % STALE_CLIENT_STRIDE === 0 }))
-    if (opts.silence) this.#clients.push(...Array.from({ length: opts.clients / 2 }, (_, i) => new SoakClient(`s${i}`, { random: this.#streamRandom, boxes: fleet.boxes, holds: false, longStreams: true })))
+    if (opts.silence || opts.heldUpStops) this.#clients.push(...Array.from({ length: opts.clients / 2 }, (_, i) => new SoakClient(`s${i}`, { random: this.#streamRandom, boxes: fleet.boxes, holds: false, longStreams: true })))
   }
 
   async run (): Promise<void> {
@@ -187,6 +194,7 @@
         if (this.#opts.load) await this.#measure('load', () => this.#runLoadPhase())
         if (this.#opts.crashes) await this.#measure('crashes', () => this.#runCrashPhase())
         if (this.#opts.pathLoss) await this.#measure('pathLoss', () => this.#runPathLossPhase())
+        if (this.#opts.heldUpStops) await this.#measure('heldUpStops', () => this.#runHeldUpStops())
         if (this.#opts.silence) await this.#measure('silence', () => runSilencePhase({ silences: this.#silences, random: this.#silenceRandom }))
       }
       await this.#measure('recovery', () => this.#checkRecovery())
@@ -211,6 +219,7 @@
       pathLosses: this.#pathLosses,
       crashPhases: this.#crashPhases,
       silences: this.#silences.log,
+      heldUpStops: this.#heldUpStops.log,
       durationsMs: this.#durationsMs,
       checkCounts: this.#checkCounts,
       memory: this.#memory,
@@ -229,10 +238,11 @@
     const bounds = checkBounds(history)
     const signals = checkSignals({ ...history, draining: fleet.draining, refusals: fleet.refusals })
     const silences = checkSilences({ ...history, silences: this.#silences.silences, wasInterrupted: this.#wasInterrupted.bind(this) })
-    this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, ...silences.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length }
+    const heldUpStops = checkHeldUpStops({ ...history, stops: this.#heldUpStops.stops, wasInterrupted: this.#wasInterrupted.bind(this) })
+    this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, ...silences.checkCounts, ...heldUpStops.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length }
     // Calls with keys that expire are checked by checkKeys only.
     const keyProbeIds = new Set(this.#keyProbes.map(({ id }) => id))
-    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id) && !isOfCrashPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...silences.violations, ...this.#checkKeys())
+    this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id) && !isOfCrashPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...silences.violations, ...heldUpStops.violations, ...this.#checkKeys())
   }
 
   #checkKeys (): string[] {
@@ -264,6 +274,11 @@
     return subjects.some((subject) => this.#fleet.disruptions.wasDisrupted(subject, within, [DisruptionKind.Unplanned]))
   }
 
+  async #runHeldUpStops (): Promise<void> {
+    await this.#heldUpStops.run()
+    await this.#waitUntilReady()
+  }
+
   async #sendContinuously (client: SoakClient): Promise<void> {
     while (this.#isSending) {
       const attempt = await client.send()
