--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -8,6 +8,8 @@
 const ANSWER_INTEGRITY = 'box/runtime/test.lib/answerIntegrity.js'
 const CONFIGURATION = 'box/runtime/test.lib/configuration.js'
 const PLANNED_STOP = 'box/runtime/test.lib/plannedStopAndDraining.js'
+const STOP_SIGNAL = 'cli/reelspan/test.lib/stopSignalHandledLate.js'
+const STOP_DURING_START = 'cli/reelspan/test.lib/stopDuringStart.js'
 const ORDERS = 'box/runtime/test.lib/orders.js'
 const MEMBERSHIP = 'box/runtime/test.lib/membership.js'
 const SCHEDULER = 'scheduling/scheduler/test.lib/shardScheduler.js'
@@ -368,10 +370,24 @@
   {
     name: 'a planned stop waits for requests in flight',
     file: 'box/runtime/src/plannedStop.ts',
-    find: 'await waitForIdle(opts, settings.requests.longestRequestMs)',
+    find: 'await waitForIdle(opts, maxIdleWaitMs)',
     replace: '',
     tests: [PLANNED_STOP],
   },
+  {
+    name: 'a planned stop counts its time from when its signal may have been sent',
+    file: 'box/runtime/src/box.ts',
+    find: 'const signalledAtMs = pauseDetector.earliestArrivalMs()',
+    replace: 'const signalledAtMs = clock.nowMs()',
+    tests: [PLANNED_STOP, STOP_SIGNAL],
+  },
+  {
+    name: 'a stopping box does not wait for its first configuration',
+    file: 'request/relay/src/relay.ts',
+    find: 'this.#stopScheduled.abort(STOPPED)',
+    replace: '',
+    tests: [STOP_DURING_START],
+  },
   {
     name: 'a planned stop hands its records to a successor',
     file: 'box/runtime/src/plannedStop.ts',
--- a/box/runtime/src/plannedStop.ts
+++ b/box/runtime/src/plannedStop.ts
@@ -51,7 +51,8 @@
   owner.stopAccepting()
   relay?.stopAccepting()
   await announced
-  await waitForIdle(opts, Math.min(settings.requests.longestRequestMs, stopsAtMs - gossipMs - HANDOFF_RESERVE_MS - clock.nowMs()))
+  const maxIdleWaitMs = Math.min(settings.requests.longestRequestMs, stopsAtMs - gossipMs - HANDOFF_RESERVE_MS - clock.nowMs())
+  await waitForIdle(opts, maxIdleWaitMs)
   const successor = await handOffRecords(opts)
   view.announce({ health: MemberHealth.Gone, successor }, clock.nowMs())
   await prober.sendHeartbeatsNow()
--- a/core/env/src/pauseDetector.ts
+++ b/core/env/src/pauseDetector.ts
@@ -2,8 +2,8 @@
 import { type TaskGroup } from './taskGroup.js'
 
 const TICK_MS = 100
-/** Normal lateness of two ticks. */
-const MAX_UNNOTICED_MS = 100
+/** How much later than due two ticks usually are. */
+const TICK_SLACK_MS = 100
 /** Number of recent pauses that are retained; users need only the last one above some length. */
 const MAX_PAUSES = 20
 
@@ -35,11 +35,11 @@
   /**
    * Earliest possible arrival of an event, such as a signal, that this process handles now. After the tick before the
    * last one the event loop polled for events, so that whatever had arrived by then has been handled before. Delays of
-   * up to `MAX_UNNOTICED_MS` are not told apart from none.
+   * up to two ticks are not told apart from none.
    */
   earliestArrivalMs (): number {
     const nowMs = this.#clock.nowMs()
-    return nowMs - this.#previousTickMs > 2 * TICK_MS + MAX_UNNOTICED_MS ? this.#previousTickMs : nowMs
+    return nowMs - this.#previousTickMs > 2 * TICK_MS + TICK_SLACK_MS ? this.#previousTickMs : nowMs
   }
 
   /** Records a pause of this length that the process's own clock may not show. */
