fix(request.relay): a stopping box expects larger answers to take longer than the known ones

Callers saw: a stream cut at the end of a planned stop, since it lasted longer than any of the last 64 runs of its route. The estimate took no account of the size of the answer, which requests to models declare.

Change: each known run counts in proportion where the new answer may have more tokens; smaller answers are still expected to take as long as the longest run. Answers whose sizes differ tenfold no longer pass as alike. What stays is an estimate: an answer that is slow for another reason may still be cut, if it was sent before the box stopped accepting.

Measured: the new test of RunDurations; tests of the planned stop pass.

--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -200,13 +200,13 @@
     // Requests of different routes to one target differ in duration.
     const kind = `${route.name}|${model ?? pool as string}`
     // Checked before the first wait, so that a request that arrived before the stop counts as running.
-    this.#checkFinishesBeforeStop(request.id, run, kind)
+    this.#checkFinishesBeforeStop(request, run, kind)
     const admitted = terms ? { account: terms.account, urgency: terms.urgency, releaseCost: () => {} } : await this.#admit(request, route)
     try {
       run.throwIfEnded()
       await this.#executeAt(this.#contextOf({ run, route, request, identity, caller, admitted, target: { model, pool }, terms }), { model, pool }, times)
     } finally {
-      if (run.mayHaveRun) this.#runDurations.record(kind, run.elapsedMs)
+      if (run.mayHaveRun) this.#runDurations.record(kind, run.elapsedMs, request.prompt?.maxTokens)
       else admitted.releaseCost()
     }
   }
@@ -255,11 +255,11 @@
   }
 
   /** Throws if the request is likely to be still running when this box stops. */
-  #checkFinishesBeforeStop (requestId: string, run: RunContext, kind: string): void {
+  #checkFinishesBeforeStop ({ id, prompt }: RelayedRequest, run: RunContext, kind: string): void {
     if (this.#stopsAtMs === Number.POSITIVE_INFINITY) return
     const remainingMs = this.#stopsAtMs - this.#opts.clock.nowMs()
-    const expectedMs = Math.min(run.remainingMs, this.#runDurations.expectedMaxMs(kind) ?? run.remainingMs)
-    this.#opts.log.info(LogEvent.StopChecked, { request: requestId, fits: expectedMs <= remainingMs, remainingMs: Math.round(remainingMs), expectedMs: Math.round(expectedMs) })
+    const expectedMs = Math.min(run.remainingMs, this.#runDurations.expectedMaxMs(kind, prompt?.maxTokens) ?? run.remainingMs)
+    this.#opts.log.info(LogEvent.StopChecked, { request: id, fits: expectedMs <= remainingMs, remainingMs: Math.round(remainingMs), expectedMs: Math.round(expectedMs) })
     if (expectedMs <= remainingMs) return
     throw new ReelspanError(ErrorCode.Draining, `this box stops within ${Math.round(remainingMs)} ms, and the request may take ${Math.round(expectedMs)} ms`, { retryAfterMs: DRAINING_RETRY_AFTER_MS })
   }
--- a/request/relay/src/runDurations.ts
+++ b/request/relay/src/runDurations.ts
@@ -10,26 +10,36 @@
 /** Fewer runs above a duration are taken for stalls. */
 const MIN_LONG_RUNS = 2
 
+interface KnownRun {
+  durationMs: number
+  /** Maximum number of tokens of the answer; 0 if the request declares none. */
+  maxTokens: number
+}
+
 /** Durations of recent runs by kind. */
 export class RunDurations {
-  readonly #durationsMs = new Map<string, number[]>()
+  readonly #runs = new Map<string, KnownRun[]>()
 
-  record (kind: string, durationMs: number): void {
-    const known = this.#durationsMs.get(kind) ?? []
-    this.#durationsMs.delete(kind)
-    this.#durationsMs.set(kind, [...known, durationMs].slice(-MAX_RUNS_PER_KIND))
-    if (this.#durationsMs.size > MAX_KINDS) this.#durationsMs.delete(this.#durationsMs.keys().next().value as string)
+  record (kind: string, durationMs: number, maxTokens = 0): void {
+    const known = this.#runs.get(kind) ?? []
+    this.#runs.delete(kind)
+    this.#runs.set(kind, [...known, { durationMs, maxTokens }].slice(-MAX_RUNS_PER_KIND))
+    if (this.#runs.size > MAX_KINDS) this.#runs.delete(this.#runs.keys().next().value as string)
   }
 
   /** Median of the recent runs that took longer than a duration; undefined if hardly any did. */
   medianAboveMs (kind: string, durationMs: number): number | undefined {
-    const longer = (this.#durationsMs.get(kind) ?? []).filter((known) => known > durationMs).sort((a, b) => a - b)
+    const longer = (this.#runs.get(kind) ?? []).map((known) => known.durationMs).filter((knownMs) => knownMs > durationMs).sort((a, b) => a - b)
     return longer.length < MIN_LONG_RUNS ? undefined : longer[Math.floor(longer.length / 2)]
   }
 
-  /** Expected maximum duration of a run that begins now, or undefined if too few runs have ended. */
-  expectedMaxMs (kind: string): number | undefined {
-    const known = this.#durationsMs.get(kind) ?? []
-    return known.length < MIN_RUNS ? undefined : SAFETY_FACTOR * Math.max(...known)
+  /**
+   * Expected maximum duration of a run that begins now, or undefined if too few runs have ended. An answer that may
+   * have more tokens than the answers of known runs is expected to take longer in proportion.
+   */
+  expectedMaxMs (kind: string, maxTokens = 0): number | undefined {
+    const known = this.#runs.get(kind) ?? []
+    if (known.length < MIN_RUNS) return undefined
+    return SAFETY_FACTOR * Math.max(...known.map((run) => run.durationMs * Math.max(1, run.maxTokens > 0 ? maxTokens / run.maxTokens : 1)))
   }
 }
--- a/request/relay/test/runDurations.ts
+++ b/request/relay/test/runDurations.ts
@@ -11,6 +11,16 @@
   t.is(durations.expectedMaxMs('a'), 250)
 })
 
+test('an answer that may have more tokens than known ones is expected to take longer, a smaller one as long as the longest', (t) => {
+  const durations = new RunDurations()
+  Array.from({ length: 8 }, () => durations.record('a', 1000, 100))
+  t.is(durations.expectedMaxMs('a', 400), 5000)
+  t.is(durations.expectedMaxMs('a', 10), 1250)
+  durations.record('a', 3000, 400)
+  t.is(durations.expectedMaxMs('a', 400), 5000)
+  t.is(durations.expectedMaxMs('a', 100), 3750)
+})
+
 test('kinds that no longer run are evicted', (t) => {
   const durations = new RunDurations()
   Array.from({ length: 8 }, () => durations.record('old', 100))
