fix(box.runtime,request.records): a request that runs at the handoff of a planned stop may have run

Callers saw: the successor of a stopped box answered a retry of a request that had been running when the records were handed over as not run, so that a caller could have it run twice; and the stream itself ended before the stop, since peers released the engine memory of a box that was announced as gone.

Cause: only finished records were handed over, with the claim that a key without a record has never run. Where a stop is bounded, the handoff does not wait for all running requests.

Change: a running request is handed over as one that may have run, and a box that still serves is announced as gone only when it is idle or about to exit.

Found in review.

--- a/box/runtime/src/plannedStop.ts
+++ b/box/runtime/src/plannedStop.ts
@@ -37,6 +37,8 @@
 const ANNOUNCE_PERIODS = 1
 /** Kept free for the handoff of the records before a stop must have ended. */
 const HANDOFF_RESERVE_MS = 700
+/** Kept free to announce that the box is gone. */
+const ANNOUNCE_RESERVE_MS = 100
 
 /** Stops a box without interrupting a request. Resolves when the process may exit. */
 export async function plannedStop (opts: PlannedStopOptions): Promise<void> {
@@ -54,6 +56,8 @@
   const maxIdleWaitMs = Math.min(settings.requests.longestRequestMs, stopsAtMs - gossipMs - HANDOFF_RESERVE_MS - clock.nowMs())
   await waitForIdle(opts, maxIdleWaitMs)
   const successor = await handOffRecords(opts)
+  // Peers release what a box that is gone holds at engines, so one that still serves is not announced as gone.
+  await waitForIdle(opts, Math.min(settings.requests.longestRequestMs, stopsAtMs - ANNOUNCE_RESERVE_MS - clock.nowMs()))
   view.announce({ health: MemberHealth.Gone, successor }, clock.nowMs())
   await prober.sendHeartbeatsNow()
   await clock.sleep(gossipMs)
@@ -61,6 +65,7 @@
 }
 
 async function waitForIdle ({ clock, owner, relay }: PlannedStopOptions, durationMs: number): Promise<void> {
+  if (durationMs <= 0) return
   const stop = new AbortController()
   await Promise.race([Promise.all([owner.waitUntilIdle(stop.signal), relay?.waitUntilIdle(stop.signal)]), clock.sleep(durationMs, { signal: stop.signal })])
   stop.abort()
--- a/box/runtime/test/plannedStopAndDraining.ts
+++ b/box/runtime/test/plannedStopAndDraining.ts
@@ -178,6 +178,23 @@
   }
 })
 
+test('a request that still runs when the records are handed over is not answered as not run by the successor, and goes on', async (t) => {
+  const fleet = await new FakeFleet({ settings: { requests: { stopWithinMs: STOP_WITHIN_MS, lookupKeepMs: 2000 } } }).start()
+  const request = { ...fleet.completion('box-1', promptFor('long', { answerTokens: 800 }), { maxTokens: 800 }), notRepeatable: true }
+  const running = fleet.send('box-2', request)
+  await fleet.clock.advance(500)
+  const signalledAtMs = fleet.clock.nowMs()
+  const stopped = fleet.box('box-1').box.drain()
+  const outcome = await fleet.clock.run(running)
+  t.true(fleet.clock.nowMs() - signalledAtMs >= STOP_WITHIN_MS - 100, `ended ${Math.round(fleet.clock.nowMs() - signalledAtMs)} ms after the signal: ${outcome.code}`)
+  await fleet.clock.run(stopped)
+  fleet.box('box-1').alive = false
+  await fleet.clock.advance(500)
+  const retry = await fleet.clock.run(fleet.send('box-4', request))
+  t.is(retry.verdict, Verdict.MayHaveRun)
+  await fleet.stop()
+})
+
 test('a box that handles SIGTERM late accepts requests for no longer than one that handles it in time', async (t) => {
   const lastAcceptedAfter = async (lateMs: number) => {
     const fleet = await new FakeFleet({ settings: { requests: { stopWithinMs: STOP_WITHIN_MS, longestRequestMs: 2500, lookupKeepMs: 2000 } } }).start()
--- a/request/records/src/recordStore.ts
+++ b/request/records/src/recordStore.ts
@@ -1,6 +1,6 @@
-import { ErrorCode, ReelspanError } from '@reelspan/core.error'
+import { ErrorCode, ReelspanError, Verdict } from '@reelspan/core.error'
 import { type Clock } from '@reelspan/core.env'
-import { type AnswerEvent } from '@reelspan/core.messages'
+import { type AnswerEvent, AnswerEventKind, type FinalAnswer } from '@reelspan/core.messages'
 import { RequestRecord } from './requestRecord.js'
 
 export interface RecordStoreOptions {
@@ -11,7 +11,7 @@
   recordTtlMs: number
 }
 
-/** A finished record in the form in which it is sent to a successor. */
+/** A record in the form in which it is sent to a successor. */
 export interface ExportedRecord {
   key: string
   fingerprint: string
@@ -99,17 +99,18 @@
     this.#records.delete(key)
   }
 
-  /** Exports the finished records for a successor. */
+  /**
+   * Exports all records for a successor, for which a key without a record has never run. The answer to a request that
+   * is still running ends with the verdict that it may have run.
+   */
   export (): ExportedRecord[] {
     const nowMs = this.#opts.clock.nowMs()
-    return this.all()
-      .filter(({ final }) => final)
-      .map((record) => ({
-        key: record.key,
-        fingerprint: record.fingerprint,
-        ageMs: nowMs - (record.finishedAtMs as number),
-        events: [...record.events],
-      }))
+    return this.all().map(({ key, fingerprint, finishedAtMs = nowMs, final, events }) => ({
+      key,
+      fingerprint,
+      ageMs: nowMs - finishedAtMs,
+      events: final ? [...events] : [...events, interruptedByStop(events)],
+    }))
   }
 
   /** Imports some of the records of incarnations that stopped as planned. Throws when the memory is full. */
@@ -156,3 +157,7 @@
     }
   }
 }
+
+function interruptedByStop (events: readonly AnswerEvent[]): FinalAnswer {
+  return { kind: AnswerEventKind.Final, verdict: Verdict.MayHaveRun, code: ErrorCode.Draining, message: 'the owner of this key stopped while the request was running', eventCount: events.length }
+}
