fix(core.env,platform.adapter): a stop signal that was handled up to two ticks late leaves time to exit

A signal that was handled 0.2 to 0.3 s late was taken for new, since the time of two ticks had a slack of 0.1 s, and 0.4 s before the kill did not cover that and the 0.2 s in which connections are closed.

The slack is 25 ms, so that delays of up to 0.23 s are unnoticed, and the stop ends 0.5 s before the kill.

--- a/core/env/src/pauseDetector.ts
+++ b/core/env/src/pauseDetector.ts
@@ -2,8 +2,8 @@
 import { type TaskGroup } from './taskGroup.js'
 
 const TICK_MS = 100
-/** How much later than due two ticks usually are. */
-const TICK_SLACK_MS = 100
+/** How much later than due two ticks usually are, on a process that is not busy. */
+const TICK_SLACK_MS = 25
 /** Number of recent pauses that are retained; users need only the last one above some length. */
 const MAX_PAUSES = 20
 
@@ -33,9 +33,10 @@
   }
 
   /**
-   * Earliest possible arrival of an event, such as a signal, that this process handles now. After the tick before the
-   * last one the event loop polled for events, so that whatever had arrived by then has been handled before. Delays of
-   * up to two ticks are not told apart from none.
+   * Earliest possible arrival of an event, such as a signal, that this process handles now. Between two ticks the event
+   * loop polls for events, and another thread that has taken a signal for the process gets time to pass it on, so
+   * whatever had arrived by the tick before the last one has been handled. Delays of up to two ticks are not told apart
+   * from none. For an event that arrives within two ticks after a pause, this is before the pause.
    */
   earliestArrivalMs (): number {
     const nowMs = this.#clock.nowMs()
