fix(upstream.signals): a limit that is read late no longer counts as the latest

A box that was held up between an upstream's response and its reading took the limit in it for the latest one, and all boxes adopted it: they sent at a limit that the upstream had lowered up to seconds before, until one of them read another response. The same held for updates of other boxes that it read late.

The time of an observation was the time of its reading. It is now the earliest at which it can have arrived, and no earlier than the request was sent, so that what others observed meanwhile is later. A response that is older than what is known no longer replaces it. Where the response did arrive just before the box went on, the limit is taken from the next one.

Eight boxes, one held up for 2.5 s while the limit falls from 50 to 2 a second: 2 s after it went on all eight knew 50, also the seven that had observed 2; now all know 2. The fake client lets a paused box read signals when it goes on.

--- a/__utils__/fakes/src/relayedUpstreams.ts
+++ b/__utils__/fakes/src/relayedUpstreams.ts
@@ -171,8 +171,8 @@
     if (slotted) return this.#runSlotted(slotted, target, opts)
     const { upstreams } = this.#opts
     const answer = upstreams.run(target, request, opts)
-    this.#advertise(target, opts, true)
     upstreams.recordRunStart(target.instance)
+    await this.#advertise(target, opts, true)
     return { ...answer, body: this.#receiveRun(target, answer.body, opts.signal) }
   }
 
@@ -180,13 +180,13 @@
     await this.#deliver(target, request, opts, { prefill: true })
     const status = this.#refusalStatusOf(target)
     if (status !== undefined) {
-      this.#refuse(target, opts, status)
+      await this.#refuse(target, opts, status)
       throw new UpstreamError(`${target.instance} answered a prefill with ${status}`, { mayHaveRun: false, refused: true })
     }
     const prefilled = await this.#opts.upstreams.prefill(target, opts.signal)
     await this.#checkReceives(target.address, opts.signal)
     this.#keepIdle(target.address)
-    this.#advertise(target, opts, true)
+    await this.#advertise(target, opts, true)
     return prefilled
   }
 
@@ -209,14 +209,17 @@
     return upstreams.refusalStatusOf(instance, address)
   }
 
-  #refuse (target: RelayTarget, opts: RelayCallOptions, status: number): RelayAnswer {
-    this.#advertise(target, opts, false)
+  async #refuse (target: RelayTarget, opts: RelayCallOptions, status: number): Promise<RelayAnswer> {
+    await this.#advertise(target, opts, false)
     return { status, notRun: true, headers: [], body: emptyBody() }
   }
 
-  #advertise ({ instance }: RelayTarget, { onSignals }: RelayCallOptions, succeeded: boolean): void {
-    const { upstreams, address } = this.#opts
-    onSignals?.({ succeeded, ...upstreams.signalsOf(instance, address) })
+  /** A box that is held up reads the signals later. */
+  async #advertise ({ instance }: RelayTarget, { onSignals }: RelayCallOptions, succeeded: boolean): Promise<void> {
+    const { clock, upstreams, address } = this.#opts
+    const signals = { succeeded, ...upstreams.signalsOf(instance, address) }
+    if (clock.paused) await clock.waitUntilRunning()
+    onSignals?.(signals)
   }
 
   async #deliver (target: RelayTarget, { id, target: path }: RelayedRequest, { onSend, signal }: RelayCallOptions, work: Pick<RelayedArrival, 'prefill' | 'resumeAfter'>): Promise<void> {
--- a/box/runtime/src/createSignalParts.ts
+++ b/box/runtime/src/createSignalParts.ts
@@ -9,6 +9,7 @@
   return new UpstreamStates({
     clock,
     log,
+    earliestArrivalMs: () => parts.pauseDetector.earliestArrivalMs(),
     isListed: (upstream) => parts.fleet.value.upstream(upstream) !== undefined,
     onChanged: (update) => parts.upstreamStateGossip.announce([update]),
     onDraining: () => parts.box.onFleetChange(),
--- a/box/runtime/test/upstreamLimitShared.ts
+++ b/box/runtime/test/upstreamLimitShared.ts
@@ -102,6 +102,30 @@
   await fleet.stop()
 })
 
+test('a limit that a held-up box reads late does not replace the one that other boxes observed since', async (t) => {
+  const fleet = await startFleet()
+  const { clock, relayedUpstreams } = fleet
+  const knownLimits = () => fleet.boxes.map(({ box }) => box.describe().upstreamStates.find(({ upstream }) => upstream === 'desk-1')?.perSecond)
+  const [heldUp, ...others] = fleet.boxes
+  advertiseLimits(fleet, { 'desk-1': 50 })
+  await load(fleet, { target: '/status/', perSecond: 40, seconds: 3, name: 'first' })
+  t.deepEqual([...new Set(knownLimits())], [50])
+  const { signalsOf } = relayedUpstreams
+  relayedUpstreams.signalsOf = (upstream, from) => {
+    if (upstream === 'desk-1' && from === heldUp.address) heldUp.clock.pause()
+    return signalsOf(upstream, from)
+  }
+  const unread = load(fleet, { target: '/status/', perSecond: 40, seconds: 1, name: 'unread', boxes: [heldUp.name] })
+  while (!heldUp.clock.paused) await clock.advance(10)
+  advertiseLimits(fleet, { 'desk-1': 2 })
+  await load(fleet, { target: '/status/', perSecond: 40, seconds: 2.5, name: 'lowered', boxes: others.map(({ name }) => name) })
+  heldUp.clock.resume()
+  await clock.run(unread)
+  await clock.advance(2000)
+  t.deepEqual([...new Set(knownLimits())], [2])
+  await fleet.stop()
+})
+
 test('an upstream with a limit of zero gets occasional requests, and is used again when the limit is removed', async (t) => {
   const fleet = await startFleet()
   const advertisedAtMs = fleet.clock.nowMs()
--- a/upstream/signals/src/upstreamStates.ts
+++ b/upstream/signals/src/upstreamStates.ts
@@ -8,6 +8,8 @@
 export interface UpstreamStatesOptions {
   clock: Clock
   log: Log
+  /** Earliest possible arrival of what this process reads now, which may have been held up since. By default it has just arrived. */
+  earliestArrivalMs?: () => number
   /** Whether an upstream is in the fleet list. */
   isListed: (upstream: string) => boolean
   /** Called with a change that this box observed itself, for other boxes. */
@@ -110,7 +112,7 @@
     const known = this.#states.get(upstream)
     if (!known && ((perSecond === undefined && !draining) || !this.comparable)) return false
     if (ageMs > UNLISTED_TTL_MS && !this.#opts.isListed(upstream)) return false
-    const observedAtMs = this.#opts.clock.nowMs() - ageMs
+    const observedAtMs = this.#earliestArrivalMs() - ageMs
     const limit = known && observedAtMs <= known.observedAtMs ? known : { perSecond, observedAtMs }
     if (limit === known && (known.draining || !draining)) return false
     return this.#update(upstream, { perSecond: limit.perSecond, observedAtMs: limit.observedAtMs, draining: draining || this.isDraining(upstream) })
@@ -137,7 +139,15 @@
   #observedLimit (upstream: string, { succeeded, rateLimit }: UpstreamSignals, sentAtMs: number): Pick<AdvertisedState, 'perSecond' | 'observedAtMs'> | undefined {
     // Responses may arrive out of order, so only the response to a later request ends a limit.
     const isObserved = rateLimit ? rateLimit.perSecond !== undefined : succeeded && this.#endsLimit(upstream, sentAtMs)
-    return isObserved ? { perSecond: rateLimit?.perSecond, observedAtMs: this.#opts.clock.nowMs() } : undefined
+    const observedAtMs = Math.max(sentAtMs, this.#earliestArrivalMs())
+    // Other boxes may have observed a later limit while this response was unread.
+    const isSuperseded = observedAtMs < (this.#states.get(upstream)?.observedAtMs ?? observedAtMs)
+    return isObserved && !isSuperseded ? { perSecond: rateLimit?.perSecond, observedAtMs } : undefined
+  }
+
+  #earliestArrivalMs (): number {
+    const { clock, earliestArrivalMs = () => clock.nowMs() } = this.#opts
+    return earliestArrivalMs()
   }
 
   #knownLimit (upstream: string): Pick<AdvertisedState, 'perSecond' | 'observedAtMs'> {
--- a/upstream/signals/test/upstreamStates.ts
+++ b/upstream/signals/test/upstreamStates.ts
@@ -63,6 +63,20 @@
   t.like(states.updateOf('a'), { perSecond: 5, draining: true })
 })
 
+test('what is read after a hold-up is not later than what others observed during it', async (t) => {
+  const { clock, log } = create()
+  const heldUpAtMs = clock.nowMs()
+  const states = new UpstreamStates({ clock, log, isListed: () => true, earliestArrivalMs: () => heldUpAtMs })
+  await clock.advance(3000)
+  states.observe('a', withLimit(50), heldUpAtMs - 100)
+  t.is(states.updateOf('a')?.ageMs, 3000)
+  states.add({ upstream: 'b', perSecond: 50, ageMs: 20 })
+  t.is(states.updateOf('b')?.ageMs, 3020)
+  states.observe('a', withLimit(2), clock.nowMs())
+  states.observe('a', withLimit(50), heldUpAtMs - 50)
+  t.is(states.perSecond('a'), 2)
+})
+
 test('boxes with the same draining states and limits have the same digest, whatever the order of updates', (t) => {
   const [a, b] = [create(), create()]
   a.states.add({ upstream: 'a', perSecond: 3, ageMs: 10 })
