--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Socket } from 'node:net'
+import { Readable } from 'node:stream'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type Pause, Pausing } from './pausing.js'
 
@@ -129,6 +130,8 @@
   endOf?: (id: string) => AnswerEnd | undefined
   /** Headers with the upstream's signals, added to each response. */
   advertises?: () => Readonly<Record<string, string>>
+  /** Whether the body of a report has no end. */
+  reportsEndlessly?: () => boolean
   /** State given in its reports. */
   reportedState?: () => string
   /** Decides by the parts of a prompt but for the last one, and by the id of the request, whether the upstream crashes after the first event of its answer, or inside a body. */
@@ -145,6 +148,7 @@
 
 const EVENTS = 4
 const CRASH_DELAY_MS = 15
+const ENDLESS_PART = Buffer.alloc(65_536, 'x')
 
 /** A small stand-in for an upstream of the platform, which prefills prompts, streams tokens or answers calls. */
 export class StandInUpstream {
@@ -297,6 +301,10 @@
   }
 
   #report (response: ServerResponse): void {
+    if (this.#opts.reportsEndlessly?.()) {
+      Readable.from(endlessParts()).pipe(response)
+      return
+    }
     response.end(JSON.stringify({ born: this.#opts.startTimeMs, stage: this.#role, state: this.#opts.reportedState?.(), models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
   }
 
@@ -403,3 +411,7 @@
 function refuse (response: ServerResponse, status: number): void {
   response.writeHead(status, { 'X-Reelspan-Not-Executed': '1' }).end()
 }
+
+function * endlessParts (): Generator<Buffer> {
+  while (true) yield ENDLESS_PART
+}
