--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events'
 import { createServer, type Server, type ServerResponse } from 'node:http'
+import { endlessBody } from '@reelspan/utils.stand-ins'
 
 interface Item {
   value: string | Uint8Array
@@ -42,6 +43,8 @@
   era?: number
   /** Whether all watches are rejected as if their history was compacted. */
   rejectWatches = false
+  /** Paths of calls whose answers have a body without an end. */
+  endlessPaths: readonly string[] = []
   /** Called before a call is answered. */
   onCall?: () => void
   /** Sent instead of the era in the header of each response, if set. */
@@ -131,6 +134,10 @@
       response.writeHead(this.failWithStatus).end()
       return
     }
+    if (this.endlessPaths.includes(url.pathname)) {
+      endlessBody().pipe(response)
+      return
+    }
     const query = url.searchParams
     if (url.pathname === '/v1/kv-key') return this.#sendItem(query.get('private_key') ?? '', response)
     if (url.pathname === '/v1/kv-range') return this.#sendPage(query.get('path_prefix') ?? '', query.get('after') ?? '', response)
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -1,8 +1,8 @@
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Socket } from 'node:net'
-import { Readable } from 'node:stream'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { endlessBody } from '@reelspan/utils.stand-ins'
 import { type Pause, Pausing } from './pausing.js'
 
 export enum Role {
@@ -148,7 +148,6 @@
 
 const EVENTS = 4
 const CRASH_DELAY_MS = 15
-const ENDLESS_PART = Buffer.alloc(65_536, 'x')
 
 /** A small stand-in for an upstream of the platform, which prefills prompts, streams tokens or answers calls. */
 export class StandInUpstream {
@@ -302,7 +301,7 @@
 
   #report (response: ServerResponse): void {
     if (this.#opts.reportsEndlessly?.()) {
-      Readable.from(endlessParts()).pipe(response)
+      endlessBody().pipe(response)
       return
     }
     response.end(JSON.stringify({ born: this.#opts.startTimeMs, stage: this.#role, state: this.#opts.reportedState?.(), models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
@@ -411,7 +410,3 @@
 function refuse (response: ServerResponse, status: number): void {
   response.writeHead(status, { 'X-Reelspan-Not-Executed': '1' }).end()
 }
-
-function * endlessParts (): Generator<Buffer> {
-  while (true) yield ENDLESS_PART
-}
