fix(net.upstream-http,net.platform-http): answers, events and collections without an end are closed at their bounds

The native clients read the JSON of calls, refusals and collections, replies of services and the lines of decode streams to whatever end they had. Their time-outs were those between two chunks, so that an answer that trickled kept its call open for good; so did an engine that repeated one event.

Each has a bound in bytes now, and a call or an event that trickles ends with its timeout. A stream has no more events than its answer may have tokens and one for its end. What follows the end no longer delays or fails a whole answer. The engine client takes a clock for this. A service's reply is kept whole and passes between boxes, so it is bounded by the size of a peer's message.

--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -5,7 +5,7 @@
 import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
-import { closeServers, createMemoryLimits, listenAt, LoopDelay, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { closeServers, createMemoryLimits, listenAt, LoopDelay, oversizedAnswerLog, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
 import { BunyanLog, LogEvent } from '@reelspan/telemetry.log'
@@ -35,6 +35,7 @@
   })
   const token = await readToken(settings)
   const metrics = new Metrics()
+  const onOversized = oversizedAnswerLog({ clock, log: boxLog, metrics })
   const link = new WsPeerLink({
     clock,
     listenAddress: listen.peerAddress,
@@ -48,9 +49,9 @@
     clock,
     random: new SystemRandom(),
     link,
-    platform: new HttpPlatformReader({ clock, addresses: platform.addresses, timeoutMs: PLATFORM_TIMEOUT_MS }),
-    engines: new HttpEngineClient(),
-    services: new HttpServiceClient({ clock }),
+    platform: new HttpPlatformReader({ clock, addresses: platform.addresses, timeoutMs: PLATFORM_TIMEOUT_MS, onOversized }),
+    engines: new HttpEngineClient({ clock, onOversized }),
+    services: new HttpServiceClient({ clock, onOversized }),
     probe: new TcpUpstreamProbe({ clock }),
     log: boxLog,
     metrics,
--- a/net/platform-http/src/httpPlatformReader.ts
+++ b/net/platform-http/src/httpPlatformReader.ts
@@ -2,6 +2,7 @@
 import { ErrorCode, errorMessage, ReelspanError } from '@reelspan/core.error'
 import { PlatformReader, type PlatformReadOptions, type RevisionedContent } from '@reelspan/config.store'
 import { type Collection } from '@reelspan/core.messages'
+import { AnswerKind, type OversizedAnswerListener, readAnswer } from '@reelspan/net.system-env'
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 
@@ -11,6 +12,7 @@
   addresses: readonly string[]
   /** Timeout of a response, from the end of its wait. */
   timeoutMs: number
+  onOversized?: OversizedAnswerListener
 }
 
 const contentSchema = z.object({
@@ -25,6 +27,8 @@
 })
 
 const MAX_CONNECTIONS = 4
+/** A collection also passes between boxes, in one message of at most this size. */
+const MAX_CONTENT_BYTES = 16_000_000
 
 /** Reads the platform's published collections: `GET /v1/<collection>?since=<revision>&waitMs=<ms>`. */
 export class HttpPlatformReader extends PlatformReader {
@@ -59,7 +63,7 @@
   }
 
   async #readFrom (address: string, collection: Collection, sinceRevision: number, { waitMs, signal }: PlatformReadOptions): Promise<RevisionedContent> {
-    const { clock, timeoutMs } = this.#opts
+    const { clock, timeoutMs, onOversized } = this.#opts
     const agent = this.#agent
     return withDeadline(clock, { timeoutMs: waitMs + timeoutMs, signal }, async (deadlineSignal) => {
       try {
@@ -68,7 +72,7 @@
           await response.body.dump()
           throw new ReelspanError(ErrorCode.PlatformUnavailable, `status ${response.statusCode}`)
         }
-        const content = contentSchema.parse(await response.body.json())
+        const content = contentSchema.parse(JSON.parse((await readAnswer(response.body, { kind: AnswerKind.Platform, address, maxBytes: MAX_CONTENT_BYTES, onOversized })).toString()))
         this.#lastAnswerMs = clock.nowMs()
         return content
       } finally {
--- a/net/upstream-http/src/httpEngineClient.ts
+++ b/net/upstream-http/src/httpEngineClient.ts
@@ -1,7 +1,10 @@
+import { type Clock } from '@reelspan/core.env'
 import { type HoldLabel, holdLabelSchema } from '@reelspan/core.messages'
+import { type AnswerBound, AnswerKind, type OversizedAnswerListener, readAnswer } from '@reelspan/net.system-env'
 import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, EngineRole, HoldKind, type PrefillRequest, type PrefillResult, type UpstreamCallOptions, UpstreamError } from '@reelspan/upstream.client'
 import { Agent, request, type Dispatcher } from 'undici'
 import { z } from 'zod'
+import { chunksWithin } from './chunksWithin.js'
 import { parseDecodeEvent } from './parseDecodeEvent.js'
 import { readLines } from './readLines.js'
 import { toUpstreamError } from './toUpstreamError.js'
@@ -41,21 +44,54 @@
 const refusalSchema = z.object({ error: z.string(), begun: z.boolean() })
 
 const CONNECT_TIMEOUT_MS = 1000
+/** A report of ten thousand holds, or a page of as many cache events, of some 400 bytes each. */
+const MAX_CALL_BYTES = 4_000_000
+/** An event holds a token and the label of its request. */
+const MAX_EVENT_BYTES = 65_536
+/** A refusal holds a short text. */
+const MAX_REFUSAL_BYTES = 65_536
+
+export interface HttpEngineClientOptions {
+  clock: Clock
+  onOversized?: OversizedAnswerListener
+}
+
+interface JsonBound extends Pick<AnswerBound, 'kind' | 'maxBytes'> {
+  timeoutMs: number
+}
 
 /** Calls engines over HTTP, with JSON for calls and JSON lines for decode streams. */
 export class HttpEngineClient extends EngineClient {
+  readonly #opts: HttpEngineClientOptions
   readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } })
 
+  constructor (opts: HttpEngineClientOptions) {
+    super()
+    this.#opts = opts
+  }
+
   prefill (address: string, body: PrefillRequest, opts: UpstreamCallOptions): Promise<PrefillResult> {
     return this.#call(address, 'POST', '/v1/prefill', prefillResultSchema, opts, body)
   }
 
   async * decode (address: string, body: DecodeRequest, opts: UpstreamCallOptions): AsyncIterable<DecodeEvent> {
+    // An engine may begin the answer again, but sends no more than the whole of it.
+    const maxEvents = body.firstIndex + body.maxTokens + 1
+    let events = 0
+    let ended = false
     try {
       const response = await this.#send(address, 'POST', '/v1/decode', opts, body)
-      for await (const line of readLines(response.body)) yield parseDecodeEvent(line)
+      const bound = { kind: AnswerKind.Event, address, maxBytes: MAX_EVENT_BYTES, onOversized: this.#opts.onOversized }
+      for await (const line of readLines(response.body, { clock: this.#opts.clock, bound, timeoutMs: opts.timeoutMs })) {
+        // What follows the end belongs to no request.
+        if (ended) return
+        if (++events > maxEvents) throw new Error(`more than ${maxEvents} events`)
+        const event = parseDecodeEvent(line)
+        ended = event.end === true
+        yield event
+      }
     } catch (thrown) {
-      throw toUpstreamError(thrown, address)
+      if (!ended) throw toUpstreamError(thrown, address)
     }
   }
 
@@ -82,7 +118,7 @@
   async #call<T> (address: string, method: 'GET' | 'POST', path: string, schema: z.ZodType<T>, opts: UpstreamCallOptions, body?: object): Promise<T> {
     try {
       const response = await this.#send(address, method, path, opts, body)
-      return schema.parse(await response.body.json())
+      return schema.parse(await this.#readJson(address, response, { kind: AnswerKind.EngineCall, maxBytes: MAX_CALL_BYTES, ...opts }))
     } catch (thrown) {
       throw toUpstreamError(thrown, address)
     }
@@ -100,8 +136,13 @@
     })
     if (response.statusCode === 200) return response
     // If the body is not a refusal, the error gives the status instead.
-    const refusal = refusalSchema.safeParse(await response.body.json().catch(() => undefined))
+    const refusal = refusalSchema.safeParse(await this.#readJson(address, response, { kind: AnswerKind.Error, maxBytes: MAX_REFUSAL_BYTES, timeoutMs }).catch(() => undefined))
     const text = refusal.success ? refusal.data.error : `status ${response.statusCode}`
     throw new UpstreamError(`${address}: ${text}`, { mayHaveRun: !refusal.success || refusal.data.begun, refused: refusal.success })
   }
+
+  async #readJson (address: string, { body }: Dispatcher.ResponseData, { kind, maxBytes, timeoutMs }: JsonBound): Promise<unknown> {
+    const { clock, onOversized } = this.#opts
+    return JSON.parse((await readAnswer(chunksWithin(body, { clock, timeoutMs }), { kind, maxBytes, address, onOversized })).toString())
+  }
 }
--- a/net/upstream-http/test/httpEngineClient.ts
+++ b/net/upstream-http/test/httpEngineClient.ts
@@ -22,7 +22,7 @@
 }
 
 function createClient (t: ExecutionContext): HttpEngineClient {
-  const engines = new HttpEngineClient()
+  const engines = new HttpEngineClient({ clock: new SystemClock() })
   t.teardown(() => engines.close())
   return engines
 }
