--- a/__utils__/platform-stand-ins/src/standInStore.ts
+++ b/__utils__/platform-stand-ins/src/standInStore.ts
@@ -43,8 +43,8 @@
   era?: number
   /** Whether all watches are rejected as if their history was compacted. */
   rejectWatches = false
-  /** Paths of calls whose answers have a body without an end. */
-  endlessPaths: readonly string[] = []
+  /** Decides by the path of a call whether its answer has a body without an end. */
+  answersEndlessly: (path: string) => boolean = () => false
   /** Called before a call is answered. */
   onCall?: () => void
   /** Sent instead of the era in the header of each response, if set. */
@@ -134,7 +134,7 @@
       response.writeHead(this.failWithStatus).end()
       return
     }
-    if (this.endlessPaths.includes(url.pathname)) {
+    if (this.answersEndlessly(url.pathname)) {
       endlessBody().pipe(response)
       return
     }
--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type SeededRandom } from '@reelspan/utils.fakes'
+import { Role } from '@reelspan/utils.platform-stand-ins'
 import { drawOne } from './drawOne.js'
 import { type FaultProxy, NetworkFault, BlackholeDirection } from './faultProxy.js'
 import { ALL_SUBJECTS } from './disruptionLog.js'
@@ -38,8 +39,15 @@
   /** An upstream starts draining while the path between a box and the store is faulty. */
   UpstreamLeavesWhileCut = 'upstreamLeavesWhileCut',
   ChangeConfiguration = 'changeConfiguration',
+  /** The reports of an engine have no end. */
+  EndlessReports = 'endlessReports',
+  /** The answers of the store have no end. */
+  StoreEndless = 'storeEndless',
 }
 
+/** Faults of answers that have no end. */
+export const ENDLESS_KINDS: readonly FaultKind[] = [FaultKind.EndlessReports, FaultKind.StoreEndless]
+
 const MIN_FAULT_MS = 200
 const MAX_FAULT_MS = 3000
 const MAX_STORE_DELAY_MS = 1500
@@ -156,6 +164,8 @@
       case FaultKind.StoreSilent: return this.#disruptStore(durationMs, () => { store.unresponsive = true }, () => { store.unresponsive = false })
       case FaultKind.StoreSlow: return this.#disruptStore(durationMs, () => { store.delayMs = this.#drawMs(0, MAX_STORE_DELAY_MS) }, () => { store.delayMs = 0 })
       case FaultKind.StoreStale: return this.#withUnused([store], () => this.#serveStaleReads())
+      case FaultKind.StoreEndless: return this.#disruptStore(durationMs, () => { store.answersEndlessly = () => true }, () => { store.answersEndlessly = () => false })
+      case FaultKind.EndlessReports: return this.#reportEndlessly(durationMs)
       case FaultKind.StoreForgets: return this.#disruptStore(0, () => store.compactHistory(), () => {})
       case FaultKind.CrashUpstream: return this.#crashUpstream(durationMs)
       case FaultKind.UpstreamLeaves: return this.#withUnused(fleet.replicas, (replica) => this.drainUpstream(replica))
@@ -290,6 +300,16 @@
     })
   }
 
+  async #reportEndlessly (durationMs: number): Promise<void> {
+    const { fleet } = this.#opts
+    await this.#withUnused(fleet.replicas.filter(({ role }) => role !== Role.Service), ({ name, instance }) => this.#withDisruption(name, async () => {
+      this.#record(`${instance} sends reports without an end`)
+      fleet.endlessReports.add(instance)
+      await sleep(durationMs)
+      fleet.endlessReports.delete(instance)
+    }))
+  }
+
   async #crashUpstream (downMs: number): Promise<void> {
     const { fleet } = this.#opts
     await this.#withUnused(fleet.replicas, (replica) => this.#withDisruption(replica.name, async () => {
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -11,7 +11,7 @@
 import { CrashPhase } from './crashPhase.js'
 import { isOfCrashPhase } from './crashVariant.js'
 import { drawOne } from './drawOne.js'
-import { FaultKind, FaultInjector } from './faults.js'
+import { ENDLESS_KINDS, FaultKind, FaultInjector } from './faults.js'
 import { groupBy } from './groupBy.js'
 import { isOfLoadPhase, LoadPhase } from './loadPhase.js'
 import { DisruptionKind } from './disruptionLog.js'
@@ -72,6 +72,8 @@
 const MAX_FAULT_GAP_MS = 700
 /** Share of the rounds with a silence of engines if none is asked for. */
 const SILENCE_SHARE = 0.05
+/** Share of the rounds with an answer that has no end. */
+const ENDLESS_SHARE = 0.2
 const MAX_SILENCE_GAP_MS = 1500
 /** Maximum outage of the store before it is restored from a backup. */
 const MAX_STORE_OUTAGE_MS = 2500
@@ -147,6 +149,8 @@
   readonly #pathLossRandom: SeededRandom
   readonly #crashRandom: SeededRandom
   readonly #silenceRandom: SeededRandom
+  readonly #endlessRandom: SeededRandom
+  readonly #endless: FaultInjector
   readonly #silences: SilenceInjector
   readonly #streamRandom: SeededRandom
   readonly #stallDetector: StallDetector
@@ -170,10 +174,12 @@
     this.#pathLossRandom = new SeededRandom(opts.seed)
     this.#crashRandom = new SeededRandom(opts.seed)
     this.#silenceRandom = new SeededRandom(opts.seed)
+    this.#endlessRandom = new SeededRandom(opts.seed)
     this.#streamRandom = new SeededRandom(opts.seed)
     this.#silences = new SilenceInjector({ fleet, random: this.#silenceRandom })
     this.#stallDetector = new StallDetector(fleet.boxes)
     this.#faults = new FaultInjector({ fleet, random: this.#faultRandom, onViolation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
+    this.#endless = new FaultInjector({ fleet, random: this.#endlessRandom, onViolation: (text) => this.violations.push(text), isBusy: (box) => this.#isBusy(box) })
     this.#clients = Array.from({ length: opts.clients }, (_, i) => new SoakClient(`c${i}`, { random, boxes: fleet.boxes, holds: i % STALE_CLIENT_STRIDE === 0 }))
     if (opts.silence) this.#clients.push(...Array.from({ length: opts.clients / 2 }, (_, i) => new SoakClient(`s${i}`, { random: this.#streamRandom, boxes: fleet.boxes, holds: false, longStreams: true })))
   }
@@ -207,7 +213,7 @@
       attempts: attempts.length,
       outcomes: countOutcomes(attempts),
       takeUps: countOutcomes(attempts.filter(({ resumes }) => resumes !== undefined)),
-      faults: this.#faults.log,
+      faults: [...this.#faults.log, ...this.#endless.log],
       pathLosses: this.#pathLosses,
       crashPhases: this.#crashPhases,
       silences: this.#silences.log,
@@ -303,14 +309,17 @@
   async #injectFaults (): Promise<void> {
     const untilMs = performance.now() + FAULT_PHASE_MS
     const count = FAULT_KINDS_PER_ROUND.least + Math.floor(this.#faultRandom.nextFloat() * (FAULT_KINDS_PER_ROUND.most - FAULT_KINDS_PER_ROUND.least + 1))
-    const drawn = this.#faultRandom.sample(Object.values(FaultKind), count)
+    const drawn = this.#faultRandom.sample(Object.values(FaultKind).filter((kind) => !ENDLESS_KINDS.includes(kind)), count)
     const kinds = this.#opts.kinds ?? drawn
     const silences = this.#injectSilences(untilMs)
+    // Drawn on its own, so that recorded seeds keep their other faults.
+    if (!this.#opts.kinds && this.#endlessRandom.nextFloat() < ENDLESS_SHARE) this.#endless.injectRandom(ENDLESS_KINDS)
     while (performance.now() < untilMs) {
       this.#faults.injectRandom(kinds)
       await sleep(this.#faultRandom.nextFloat() * MAX_FAULT_GAP_MS)
     }
     await silences
+    await this.#endless.waitUntilOver()
     await this.#faults.waitUntilOver()
     await this.#waitUntilReady()
     await this.#faults.restoreStore(Math.round(this.#restoreRandom.nextFloat() * MAX_STORE_OUTAGE_MS))
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -75,6 +75,8 @@
 export class SoakFleet {
   readonly boxes: SoakBox[] = []
   readonly replicas: UpstreamReplica[] = []
+  /** Instances whose reports have no end. */
+  readonly endlessReports = new Set<string>()
   readonly store = new StandInStore()
   readonly handles = new HandleTable()
   readonly disruptions = new DisruptionLog()
@@ -446,6 +448,7 @@
       refuses: () => refusesRandomly() || this.refusals.some((refusal) => refusal.instance === instance && refusal.toMs === Number.POSITIVE_INFINITY),
       losesAnswer: withProbability(LOST_ANSWER_SHARE),
       advertises: () => this.#headersOf(instance),
+      reportsEndlessly: () => this.endlessReports.has(instance),
       crashesOn: (parts) => this.crashing !== undefined && parts.includes(this.crashing.part),
       crash: () => ({ closesQuietly: true }),
       onCrashed: ({ id }) => this.#onCrashed(instance, id),
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -3,6 +3,7 @@
 
 /** Seeds that always run, besides those that once failed. */
 const DEFAULT_SEEDS: KnownSeed[] = [{ seed: 7 }]
+const ENDLESS_SEED: KnownSeed = { seed: 730451, kinds: [FaultKind.EndlessReports, FaultKind.StoreEndless] }
 const FLEET_SIZE = { boxes: 3, clients: 6, rounds: 1 }
 const TIMEOUT_MS = 180_000
 const PATH_LOSS_SEED = 520001
@@ -11,7 +12,7 @@
 /** Number of runs that share the machine, so that all seeds take a minute or two. */
 const CONCURRENT_RUNS = 3
 
-const seeds = [...DEFAULT_SEEDS, ...await readKnownSeeds()]
+const seeds = [...DEFAULT_SEEDS, ...await readKnownSeeds(), ENDLESS_SEED]
 const groups = Array.from({ length: Math.ceil(seeds.length / CONCURRENT_RUNS) }, (_, i) => seeds.slice(i * CONCURRENT_RUNS, (i + 1) * CONCURRENT_RUNS))
 
 groups.forEach((group) => {
