--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { endlessBody } from '@reelspan/utils.stand-ins'
 import { type Pause, Pausing } from './pausing.js'
 
 export enum Role {
@@ -129,6 +130,8 @@
   endOf?: (id: string) => AnswerEnd | undefined
   /** Headers with the upstream's signals, added to each response. */
   advertises?: () => Readonly<Record<string, string>>
+  /** Whether the body of a report has no end. */
+  reportsEndlessly?: () => boolean
   /** State given in its reports. */
   reportedState?: () => string
   /** Decides by the parts of a prompt but for the last one, and by the id of the request, whether the upstream crashes after the first event of its answer, or inside a body. */
@@ -297,6 +300,10 @@
   }
 
   #report (response: ServerResponse): void {
+    if (this.#opts.reportsEndlessly?.()) {
+      endlessBody().pipe(response)
+      return
+    }
     response.end(JSON.stringify({ born: this.#opts.startTimeMs, stage: this.#role, state: this.#opts.reportedState?.(), models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
   }
 
