fix(net.http-exchange): upstreams that send without end around a body are cut off at a bound

Callers saw: with interim responses without end from two of six engines, most requests were refused or broken off, and exchanges stayed open past their deadlines, since parsing took the boxes' whole processor time.

Cause: the parser bounds a head alone, and resets its count with each interim response. Interim responses, empty lines before a status line, trailers, chunk extensions and answers to other requests were read until the upstream ended. An interim response could also have a body, and a change of protocol dropped the rest of each read.

The lines around bodies are now counted, and bytes before the head of the answer to the request are bounded. What exceeds a bound closes the connection and fails the exchange as a broken answer that may have run. `ConnectionPool.exchange` takes `maxBodyBytes` for answers that are read to their end. The bound of a head stays as it was.

--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -2,7 +2,7 @@
 import { type AnswerBuffer } from '@reelspan/upstream.client'
 import { type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
-import { type AcceptHead, UpstreamConnection } from './upstreamConnection.js'
+import { type AcceptHead, type ExceededBound, UpstreamConnection } from './upstreamConnection.js'
 
 export interface ConnectionPoolOptions {
   clock: Clock
@@ -19,6 +19,8 @@
   onReceived?: (address: string) => void
   /** Called when an upstream has refused a connection, or has not accepted it in time. */
   onConnectFailed?: (address: string) => void
+  /** Called when an exchange was ended since its answer exceeds a bound. */
+  onBoundExceeded?: (address: string, exceeded: ExceededBound) => void
 }
 
 export interface ExchangeOptions {
@@ -28,6 +30,8 @@
   accept?: AcceptHead
   /** Accounts for the bytes of the answer that are received and not read yet, and pauses the connection when there are too many. Without it they are not limited. */
   buffer?: AnswerBuffer
+  /** The maximum size of the answer's body, for answers that are read to their end. Without it any is accepted. */
+  maxBodyBytes?: number
   /** Called just before the request is sent. From then on the upstream may run it. */
   onSend?: () => void
   /** Opens a new connection instead of reusing an idle one. */
@@ -55,7 +59,7 @@
 
   /** Sends a request once and resolves when the head of its answer has arrived. Throws `ExchangeError`. */
   async exchange (address: string, request: ExchangeRequest, opts: ExchangeOptions): Promise<ExchangeAnswer> {
-    const { signal, accept = () => true, buffer, onSend, forceNewConnection = false } = opts
+    const { signal, accept = () => true, buffer, maxBodyBytes, onSend, forceNewConnection = false } = opts
     if (signal.aborted) throw new ExchangeError('the exchange was cancelled', { mayHaveRun: false })
     const idleConnection = forceNewConnection ? undefined : this.#acquireIdle(address)
     const connection = idleConnection ?? await this.#connect(address, signal)
@@ -77,7 +81,7 @@
     }
     onSend?.()
     try {
-      const answer = await connection.send(request, { token, accept, buffer })
+      const answer = await connection.send(request, { token, accept, buffer, maxBodyBytes })
       return { ...answer, body: finishAfterReading(answer.body, finish) }
     } catch (thrown) {
       finish()
@@ -127,13 +131,14 @@
   }
 
   async #connect (address: string, signal: AbortSignal): Promise<UpstreamConnection> {
-    const { clock, connectTimeoutMs, onOpened, onReceived } = this.#opts
+    const { clock, connectTimeoutMs, onOpened, onReceived, onBoundExceeded } = this.#opts
     this.#evictIdleIfFull()
     const connection = new UpstreamConnection({
       address,
       upstreamStartId: this.#opts.startIdAt?.(address),
       clock,
       onReceived: () => onReceived?.(address),
+      onBoundExceeded: (exceeded) => onBoundExceeded?.(address, exceeded),
       onIdle: (idle) => this.#keepIdleOrClose(idle),
       onClosed: (closed) => this.#remove(closed),
     })
--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -1,6 +1,7 @@
 import { AnswerFraming } from '@reelspan/upstream.client'
 import { HTTPParser } from 'http-parser-js'
 import { headerValue } from './rawHeaders.js'
+import { LinePart, WireBounds } from './wireBounds.js'
 
 export interface ParsedHead {
   status: number
@@ -26,13 +27,24 @@
 /** The value of `kOnHeadersComplete` that tells the library that no body follows. */
 const SKIP_BODY = 1
 const FIRST_FINAL_STATUS = 200
+const SWITCHING_PROTOCOLS = 101
 const CONTENT_LENGTH = /^\d{1,15}$/
 
-/** Internal fields of the parser that the stricter chunk size check uses. */
+/** Internal fields of the parser that the stricter checks use. */
 interface ParserState {
   consumeLine: () => string | undefined
   body_bytes: number | null
   state: string
+  offset: number
+  maxHeaderSize: number
+}
+
+const LINE_PARTS: Record<string, LinePart> = {
+  RESPONSE_LINE: LinePart.StatusLine,
+  HEADER: LinePart.Field,
+  BODY_CHUNKHEAD: LinePart.Chunk,
+  BODY_CHUNKEMPTYLINE: LinePart.Chunk,
+  BODY_CHUNKTRAILERS: LinePart.Trailer,
 }
 
 /**
@@ -44,20 +56,28 @@
 
   constructor (events: ParserEvents) {
     const parser = this.#parser
+    const bounds = new WireBounds()
     let interim = false
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const { statusCode: status, headers, shouldKeepAlive } = info
       checkFraming(headers)
-      // Interim (1xx) answers precede the final one.
+      // Interim (1xx) answers precede the final one, and have no body.
       interim = status < FIRST_FINAL_STATUS
-      const bodyless = !interim && events.onHead({ status, headers, framing: framingOf(status, headers), reusable: shouldKeepAlive })
-      return bodyless ? SKIP_BODY : undefined
+      if (status === SWITCHING_PROTOCOLS) throw new Error('a change of protocol that was not requested')
+      if (interim) {
+        bounds.recordInterim()
+        return SKIP_BODY
+      }
+      bounds.recordFinal()
+      return events.onHead({ status, headers, framing: framingOf(status, headers), reusable: shouldKeepAlive }) ? SKIP_BODY : undefined
     }
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => events.onBody(chunk.subarray(offset, offset + length))
     parser[HTTPParser.kOnMessageComplete] = () => {
       if (!interim) events.onComplete()
     }
-    rejectMalformedChunkSizes(parser as unknown as ParserState & { BODY_CHUNKHEAD: () => void })
+    const state = parser as unknown as ParserState & { BODY_CHUNKHEAD: () => void }
+    boundLines(state, bounds)
+    rejectMalformedChunkSizes(state)
   }
 
   /** Parses received bytes. Throws if they are not valid HTTP. */
@@ -91,6 +111,18 @@
   })
 }
 
+/** Replaces the library's bound, which covers no interim answers, chunk lines or trailers. */
+function boundLines (parser: ParserState, bounds: WireBounds): void {
+  const consumeLine = parser.consumeLine.bind(parser)
+  parser.maxHeaderSize = Number.POSITIVE_INFINITY
+  parser.consumeLine = () => {
+    const from = parser.offset
+    const line = consumeLine()
+    bounds.recordLine(LINE_PARTS[parser.state], parser.offset - from, line !== undefined)
+    return line
+  }
+}
+
 /** Replaces the library's parsing of chunk sizes, which takes an invalid chunk size for the end of the answer. */
 function rejectMalformedChunkSizes (parser: ParserState & { BODY_CHUNKHEAD: () => void }): void {
   parser.BODY_CHUNKHEAD = () => {
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { splitAddress } from '@reelspan/net.system-env'
-import { type AnswerBuffer, type PausableSource } from '@reelspan/upstream.client'
+import { AnswerBound, AnswerBoundExceeded, type AnswerBuffer, type PausableSource } from '@reelspan/upstream.client'
 import { AnswerBody } from './answerBody.js'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
@@ -18,6 +18,17 @@
   accept: AcceptHead
   /** Accounts for the bytes of the answer. Without it they are not limited. */
   buffer?: AnswerBuffer
+  /** The maximum size of the answer's body. Without it any is accepted. */
+  maxBodyBytes?: number
+}
+
+/** An exchange was ended since its answer exceeds a bound. */
+export interface ExceededBound {
+  bound: AnswerBound
+  /** In bytes, or the maximum number of what is counted. */
+  limit: number
+  /** Bytes that were read of the exchange. */
+  readBytes: number
 }
 
 interface Exchange extends ConnectionExchange {
@@ -30,6 +41,9 @@
   /** The answer being received belongs to another request and is skipped. */
   skipping: boolean
   reusable: boolean
+  /** Bytes received since the request was sent. */
+  readBytes: number
+  bodyBytes: number
 }
 
 export interface UpstreamConnectionOptions {
@@ -41,6 +55,7 @@
   onReceived?: () => void
   /** Called when an exchange has ended and the connection can be reused. */
   onIdle: (connection: UpstreamConnection) => void
+  onBoundExceeded?: (exceeded: ExceededBound) => void
   onClosed: (connection: UpstreamConnection) => void
 }
 
@@ -56,6 +71,8 @@
 const HEAD_METHOD = 'HEAD'
 /** The budget for answers reserves one read for each paused answer. */
 const MAX_READ_WHILE_PAUSED_BYTES = 65_536
+/** Bytes that an upstream may send before the answer to the request. Late answers to other requests are among them. */
+const MAX_FOREIGN_BYTES = 1_048_576
 const EMPTY_BYTES = new Uint8Array()
 
 /** One connection to an upstream, with at most one exchange at a time. It is closed if bytes arrive while no exchange runs. */
@@ -134,7 +151,7 @@
   /** Sends a request and resolves when the head of its answer has arrived. */
   send (request: ExchangeRequest, exchange: ConnectionExchange): Promise<ExchangeAnswer> {
     return new Promise((resolve, reject) => {
-      this.#exchange = { ...exchange, headOnly: request.method === HEAD_METHOD, resolve, reject, skipping: false, reusable: false }
+      this.#exchange = { ...exchange, headOnly: request.method === HEAD_METHOD, resolve, reject, skipping: false, reusable: false, readBytes: 0, bodyBytes: 0 }
       this.#lastSentAtMs = this.#opts.clock.nowMs()
       this.#socket.cork()
       this.#socket.write(headText(request), 'latin1')
@@ -156,11 +173,14 @@
   #receive (bytes: Buffer): void {
     this.#lastReceivedAtMs = this.#opts.clock.nowMs()
     this.#opts.onReceived?.()
-    if (!this.#exchange) return this.#fail('sent data without a request')
+    const exchange = this.#exchange
+    if (!exchange) return this.#fail('sent data without a request')
+    exchange.readBytes += bytes.byteLength
     try {
       this.#parser.push(bytes)
+      if (this.#exchange === exchange && !exchange.body && exchange.readBytes > MAX_FOREIGN_BYTES) throw new AnswerBoundExceeded(AnswerBound.Foreign, MAX_FOREIGN_BYTES)
     } catch (cause) {
-      this.#fail('sent an invalid HTTP answer', cause)
+      this.#failInvalid(exchange, cause)
     }
     this.#body?.endRead(bytes.byteLength)
     if (!this.#exchange) this.#body = undefined
@@ -182,7 +202,12 @@
   }
 
   #receiveBody (bytes: Uint8Array): void {
-    if (!this.#exchange?.skipping) this.#exchange?.body?.push(bytes)
+    const exchange = this.#exchange
+    if (!exchange?.body || exchange.skipping) return
+    const { maxBodyBytes = Number.POSITIVE_INFINITY } = exchange
+    exchange.bodyBytes += bytes.byteLength
+    if (exchange.bodyBytes > maxBodyBytes) throw new AnswerBoundExceeded(AnswerBound.Body, maxBodyBytes)
+    exchange.body.push(bytes)
   }
 
   #complete (): void {
@@ -262,6 +287,12 @@
     })
   }
 
+  #failInvalid ({ readBytes }: Exchange, cause: unknown): void {
+    if (!(cause instanceof AnswerBoundExceeded)) return this.#fail('sent an invalid HTTP answer', cause)
+    if (!this.#closed) this.#opts.onBoundExceeded?.({ bound: cause.bound, limit: cause.limit, readBytes })
+    this.#fail(`sent ${readBytes} bytes: ${cause.message}`, cause)
+  }
+
   #fail (reason: string, cause?: unknown): void {
     if (this.#closed) return
     this.#closed = true
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -34,6 +34,8 @@
   PlatformEraUnreadable = 'platformEraUnreadable',
   /** An answer of the platform's store was dropped, since it is older than the known state. */
   PlatformReadDropped = 'platformReadDropped',
+  /** The rest of an answer was not read, since it is larger than any valid one. */
+  AnswerOversized = 'answerOversized',
   EntriesKept = 'entriesKept',
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
--- a/upstream/client/src/index.ts
+++ b/upstream/client/src/index.ts
@@ -13,3 +13,4 @@
 export { RelayClient } from './relayClient.js'
 export type { PrefilledPrompt, PrefillSource, PromptSizes, RelayAnswer, RelayCallOptions, RelayedRequest, RelayRunOptions, RelayTarget } from './relayClient.js'
 export { UpstreamIdentity, UpstreamProbeResult, UpstreamProbe } from './upstreamProbe.js'
+export { AnswerBound, AnswerBoundExceeded } from './answerBoundExceeded.js'
