fix(request.relay): an event that arrives in tiny parts does not hold its box up

A box keeps the bytes of an incomplete event until it is complete, up to 1 MiB. Each part that arrived copied all that was kept, so an event in parts of a byte cost time quadratic in its size, and the box served nobody else meanwhile.

--- a/request/relay/src/eventProgress.ts
+++ b/request/relay/src/eventProgress.ts
@@ -1,4 +1,5 @@
 import { EventScanner } from './eventScanner.js'
+import { PendingBytes } from './pendingBytes.js'
 
 const ID_FIELD = /^id:[ ]?(.*)$/
 const LINE_END = /\r\n|\r|\n/
@@ -8,7 +9,7 @@
 /** Tracks the progress of a server-sent event stream and splits its bytes at the ends of events. */
 export class EventProgress {
   #scanner = new EventScanner()
-  #incomplete: Uint8Array = new Uint8Array()
+  readonly #incomplete = new PendingBytes()
   #events = 0
   #lastId?: string
   #oversized = false
@@ -46,28 +47,29 @@
   push (bytes: Uint8Array): Uint8Array {
     if (this.#oversized) return bytes
     const { eventEnds, boundary } = this.#scanner.scan(bytes)
-    const bufferedBytes = this.#incomplete.byteLength
-    const all = bufferedBytes === 0 ? bytes : Buffer.concat([this.#incomplete, bytes])
+    const complete = this.#takeComplete(bytes, boundary)
     eventEnds.forEach((end, i) => {
-      const start = i === 0 ? 0 : bufferedBytes + eventEnds[i - 1]
-      this.#recordEvent(Buffer.from(all.subarray(start, bufferedBytes + end)).toString())
+      const offset = complete.byteLength - boundary
+      const start = i === 0 ? 0 : offset + eventEnds[i - 1]
+      this.#recordEvent(Buffer.from(complete.subarray(start, offset + end)).toString())
     })
-    const from = boundary === 0 ? 0 : bufferedBytes + boundary
-    this.#oversized = all.byteLength - from > MAX_EVENT_BYTES
-    if (this.#oversized) {
-      this.#incomplete = new Uint8Array()
-      return all
-    }
-    this.#incomplete = all.subarray(from)
-    return all.subarray(0, from)
+    this.#incomplete.append(bytes.subarray(boundary))
+    this.#oversized = this.#incomplete.byteLength > MAX_EVENT_BYTES
+    return this.#oversized ? Buffer.concat([complete, this.#incomplete.take()]) : complete
   }
 
   /** Ends an answer. Returns the bytes that are buffered behind its last complete event, and clears the buffer. */
   flush (): Uint8Array {
-    const rest = this.#incomplete
     this.#scanner = new EventScanner()
-    this.#incomplete = new Uint8Array()
-    return rest
+    return this.#incomplete.take()
+  }
+
+  /** Returns what is buffered and the bytes up to the boundary, or nothing if there is none. */
+  #takeComplete (bytes: Uint8Array, boundary: number): Uint8Array {
+    const completing = bytes.subarray(0, boundary)
+    if (boundary === 0 || this.#incomplete.byteLength === 0) return completing
+    this.#incomplete.append(completing)
+    return this.#incomplete.take()
   }
 
   #recordEvent (event: string): void {
--- a/request/relay/test/eventProgress.ts
+++ b/request/relay/test/eventProgress.ts
@@ -32,3 +32,12 @@
   t.true(progress.oversized)
   t.is(parts.reduce((sum, { byteLength }) => sum + byteLength, 0), 2_000_000)
 })
+
+test('an event that arrives in tiny parts does not hold the process up', (t) => {
+  const progress = new EventProgress()
+  const part = Buffer.from('x')
+  const startedAtMs = performance.now()
+  for (let i = 0; i < 500_000; i++) progress.push(part)
+  t.is(progress.incompleteBytes, 500_000)
+  t.true(performance.now() - startedAtMs < 3000)
+})
