fix(request.relay): a stream whose engine sends no end of an event goes on elsewhere at a bound

Callers saw: with two of six engines that sent an event or a comment without end, some waited for their whole deadline while engines were free, and one exchange read hundreds of megabytes.

Cause: nothing bounded the bytes between the ends of two events. An event of more than 1 MiB was passed on as it arrived, after which the stream could not be resumed.

Of an answer that is a stream of events, an incomplete event is bounded by the 1 MiB that were buffered of it before, and comments and blank lines between events by 64 KiB. What exceeds a bound is an interrupted answer. Its engine is not asked again, and is suspected by this one outcome, which otherwise takes a share of failures that its pool does not have. Answers that are no streams of events are passed on as before.

--- a/request/relay/src/answerEnd.ts
+++ b/request/relay/src/answerEnd.ts
@@ -1,6 +1,7 @@
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { AnswerFraming, type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
 import { EventScanner } from './eventScanner.js'
+import { isEventStream } from './isEventStream.js'
 
 export interface AnswerEndOptions {
   /** Who sent the answer. */
@@ -8,10 +9,6 @@
   metrics: Metrics
 }
 
-const OK = 200
-const EVENT_STREAM_TYPE = /^\s*text\/event-stream\s*(;|$)/i
-const IDENTITY_ENCODING = 'identity'
-
 /**
  * Decides whether an answer whose framing ended without an error is whole. A stream of events is not if it ends inside an
  * event: a process that exits closes its connections as one does that has sent everything.
@@ -54,13 +51,3 @@
   }
   end.check()
 }
-
-/** Failures have bodies of other types, and an encoded body cannot be read as events. */
-function isEventStream ({ status, headers }: Pick<RelayAnswer, 'status' | 'headers'>): boolean {
-  const contentEncoding = headerOf(headers, 'content-encoding') ?? IDENTITY_ENCODING
-  return status === OK && EVENT_STREAM_TYPE.test(headerOf(headers, 'content-type') ?? '') && contentEncoding.toLowerCase() === IDENTITY_ENCODING
-}
-
-function headerOf (headers: readonly string[], name: string): string | undefined {
-  return headers.find((_, i) => i % 2 === 1 && headers[i - 1].toLowerCase() === name)
-}
--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -4,12 +4,14 @@
 import { type Placement } from '@reelspan/scheduling.placer'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type PrefillSource, type RelayAnswer, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
+import { type OutcomeOptions } from '@reelspan/upstream.health'
 import { type SendPermit } from '@reelspan/upstream.limits'
 import { FailureCause } from '@reelspan/upstream.paths'
 import { Attempt, CancelCause } from './attempt.js'
 import { type CompletionState } from './completionState.js'
 import { MAX_WAIT_TARGETS } from './completionPlacer.js'
 import { drainAnswer } from './drainAnswer.js'
+import { exceedsBound } from './exceedsBound.js'
 import { type EventProgress } from './eventProgress.js'
 import { type ExchangeProgress } from './exchangeProgress.js'
 import { freeHandle } from './freeHandle.js'
@@ -232,11 +234,11 @@
     }
   }
 
-  /** Excludes failure responses, and attempts beside which another one is open. */
+  /** Excludes failure responses, answers without end, and attempts beside which another one is open. */
   #mayRetryAtEngine (plan: PlacementPlan, thrown: unknown, source: PrefillSource | undefined): boolean {
     const { context: { opts, run, route }, model, version, race, canResume } = this.#state
     const computesPrompts = opts.configuration().model(model)?.decodePrefillTokensPerSecond !== undefined
-    if (!(thrown instanceof UpstreamError) || !computesPrompts || this.cancelCause !== undefined || !opts.fleet().takesWork(plan.decodeEngine) || !version.allows(plan.decodeEngine)) return false
+    if (!(thrown instanceof UpstreamError) || exceedsBound(thrown) || !computesPrompts || this.cancelCause !== undefined || !opts.fleet().takesWork(plan.decodeEngine) || !version.allows(plan.decodeEngine)) return false
     if (thrown.refused) return source !== undefined
     return this.#interrupted && race.othersOf(this).length === 0 && (route.spec.resumable === true || !run.mayHaveRun) && canResume
   }
@@ -328,18 +330,20 @@
   }
 
   /** An exchange that was given up because it was silent proves nothing against an engine that has sent something on another connection since. */
-  #recordFailure (engine: string, { unreachable }: UpstreamError): void {
+  #recordFailure (engine: string, error: UpstreamError): void {
+    const { unreachable } = error
+    if (exceedsBound(error)) return this.#recordOutcome(engine, UpstreamOutcome.Failed, { conclusive: true })
     const givenUpSilent = this.silent && (this.cancelCause !== undefined || this.#prefillPatience.signal.aborted)
     const silent = givenUpSilent && this.#watched?.upstreamSilent === true
     const outcome = unreachable && (silent || !givenUpSilent) ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed
-    this.#recordOutcome(engine, outcome, silent)
+    this.#recordOutcome(engine, outcome, { silent })
   }
 
   /** Failures caused by lost paths of this box are not reported to the scheduler. */
-  #recordOutcome (engine: string, outcome: UpstreamOutcome, silent = false): void {
+  #recordOutcome (engine: string, outcome: UpstreamOutcome, { silent = false, conclusive }: Pick<OutcomeOptions, 'silent' | 'conclusive'> = {}): void {
     const { paths, health } = this.#state.context
     if (outcome === UpstreamOutcome.Answered || !paths.lost) this.#outcomes.push({ engine, outcome, ...silent ? { silent } : {} })
-    health.record(engine, outcome, [], { silent })
+    health.record(engine, outcome, [], { silent, conclusive })
   }
 
   #report (plan: PlacementPlan, placedAtMs: number): PlacementReport {
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -2,7 +2,9 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { UpstreamError } from '@reelspan/upstream.client'
 import { AnswerEnd } from './answerEnd.js'
+import { boundError } from './boundError.js'
 import { EventProgress } from './eventProgress.js'
+import { isEventStream } from './isEventStream.js'
 import { type AnswerTimes, recordPartTime } from './passAnswer.js'
 import { listedVersion } from './listedVersion.js'
 import { type RelayContext } from './relayContext.js'
@@ -44,6 +46,9 @@
   #isFirst = false
   /** The end of the present delegate's answer. */
   #answerEnd?: AnswerEnd
+  #isEventStream = false
+  /** Bytes received of the present delegate's answer. */
+  #readBytes = 0
 
   constructor (context: RelayContext, { attemptsUsed, progress = new EventProgress(), version, signal = context.run.signal, onSent = () => {}, claim = () => {}, hasOther = () => false }: DelegatedRelayOptions) {
     this.#context = context
@@ -140,6 +145,8 @@
       caller.begin(status, headers)
     }
     this.#isFirst = status === OK
+    this.#isEventStream = isEventStream({ status, headers })
+    this.#readBytes = 0
     times.status = status
   }
 
@@ -147,7 +154,8 @@
   async #passData (bytes: Uint8Array, times: AnswerTimes): Promise<void> {
     const { run, caller, route: { spec } } = this.#context
     this.#answerEnd?.push(bytes)
-    const complete = spec.streaming ? this.#progress.push(bytes) : bytes
+    this.#readBytes += bytes.byteLength
+    const complete = spec.streaming ? this.#pushEvents(bytes) : bytes
     const passed = spec.resumable ? complete : bytes
     if (complete.byteLength > 0) {
       this.#claim()
@@ -158,4 +166,12 @@
     times.parts++
     if (passed.byteLength > 0) await caller.write(passed)
   }
+
+  #pushEvents (bytes: Uint8Array): Uint8Array {
+    try {
+      return this.#progress.push(bytes, { bounded: this.#isEventStream })
+    } catch (thrown) {
+      throw boundError(this.#context, 'the delegate', this.#readBytes, thrown)
+    }
+  }
 }
--- a/request/relay/src/eventProgress.ts
+++ b/request/relay/src/eventProgress.ts
@@ -1,10 +1,18 @@
+import { AnswerBound, AnswerBoundExceeded } from '@reelspan/upstream.client'
 import { EventScanner } from './eventScanner.js'
 import { PendingBytes } from './pendingBytes.js'
 
 const ID_FIELD = /^id:[ ]?(.*)$/
 const LINE_END = /\r\n|\r|\n/
-/** Far more than a token's event. Larger ones are passed on as they arrive, since nothing else bounds what would be buffered of them. */
+/** Far more than a token's event. In an answer that is no stream of events, more is passed on as it arrives. */
 const MAX_EVENT_BYTES = 1_048_576
+/** Comments and blank lines between two events. A heartbeat of some ten bytes each second fills it in an hour. */
+const MAX_BETWEEN_EVENTS_BYTES = 65_536
+
+export interface PushOptions {
+  /** Whether the answer is known to be a stream of events, which is bounded. */
+  bounded?: boolean
+}
 
 /** Tracks the progress of a server-sent event stream and splits its bytes at the ends of events. */
 export class EventProgress {
@@ -13,6 +21,10 @@
   #events = 0
   #lastId?: string
   #oversized = false
+  /** Bytes behind the last complete event. */
+  #sinceEventBytes = 0
+  /** Of these, bytes behind the last blank line. */
+  #sinceBoundaryBytes = 0
 
   /** The progress of another answer that begins behind the last complete event of this one. */
   fork (): EventProgress {
@@ -43,10 +55,13 @@
     return this.#incomplete.byteLength
   }
 
-  /** Adds received bytes and returns those of complete events. Buffers the bytes of an incomplete event. */
-  push (bytes: Uint8Array): Uint8Array {
+  /** Adds received bytes and returns those of complete events. Buffers the bytes of an incomplete event. Throws `AnswerBoundExceeded`. */
+  push (bytes: Uint8Array, { bounded = false }: PushOptions = {}): Uint8Array {
     if (this.#oversized) return bytes
     const { eventEnds, boundary } = this.#scanner.scan(bytes)
+    this.#sinceEventBytes = bytes.byteLength - (eventEnds.at(-1) ?? -this.#sinceEventBytes)
+    this.#sinceBoundaryBytes = bytes.byteLength - (boundary > 0 ? boundary : -this.#sinceBoundaryBytes)
+    if (bounded) this.#checkBounds()
     const complete = this.#takeComplete(bytes, boundary)
     eventEnds.forEach((end, i) => {
       const offset = complete.byteLength - boundary
@@ -61,9 +76,16 @@
   /** Ends an answer. Returns the bytes that are buffered behind its last complete event, and clears the buffer. */
   flush (): Uint8Array {
     this.#scanner = new EventScanner()
+    this.#sinceEventBytes = this.#sinceBoundaryBytes = 0
     return this.#incomplete.take()
   }
 
+  #checkBounds (): void {
+    const eventBytes = this.#scanner.insideEvent ? this.#sinceBoundaryBytes : 0
+    if (eventBytes > MAX_EVENT_BYTES) throw new AnswerBoundExceeded(AnswerBound.Event, MAX_EVENT_BYTES)
+    if (this.#sinceEventBytes - eventBytes > MAX_BETWEEN_EVENTS_BYTES) throw new AnswerBoundExceeded(AnswerBound.BetweenEvents, MAX_BETWEEN_EVENTS_BYTES)
+  }
+
   /** Returns what is buffered and the bytes up to the boundary, or nothing if there is none. */
   #takeComplete (bytes: Uint8Array, boundary: number): Uint8Array {
     const completing = bytes.subarray(0, boundary)
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -1,5 +1,7 @@
 import { type RelayAnswer } from '@reelspan/upstream.client'
+import { boundError } from './boundError.js'
 import { type EventProgress } from './eventProgress.js'
+import { isEventStream } from './isEventStream.js'
 import { type AnswerTimes, recordPartTime } from './passAnswer.js'
 import { type RelayContext } from './relayContext.js'
 import { type WatchedExchange } from './watchedExchange.js'
@@ -24,7 +26,9 @@
 export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
   const { run, caller } = context
   const { progress, completeEventsOnly, watched, claim, onFirst, onEvents } = opts
+  const bounded = isEventStream(answer)
   let first = true
+  let readBytes = 0
   if (!caller.begun) {
     claim()
     caller.begin(answer.status, answer.headers)
@@ -33,7 +37,8 @@
   try {
     for await (const bytes of answer.body) {
       watched.recordReceived()
-      const complete = progress.push(bytes)
+      readBytes += bytes.byteLength
+      const complete = progress.push(bytes, { bounded })
       caller.buffer?.hold(progress.incompleteBytes)
       if (complete.byteLength > 0) {
         claim()
@@ -50,7 +55,7 @@
     // A partial event of the interrupted answer is dropped, since the next answer repeats it.
     times.restBytes = progress.flush().byteLength
     caller.buffer?.hold(0)
-    throw thrown
+    throw boundError(context, watched.upstream, readBytes, thrown)
   }
   run.throwIfEnded()
   claim()
--- a/request/relay/src/serviceAttempt.ts
+++ b/request/relay/src/serviceAttempt.ts
@@ -1,8 +1,10 @@
 import { PoolCallOutcome, UpstreamOutcome } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
 import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
+import { type OutcomeOptions } from '@reelspan/upstream.health'
 import { Attempt, CancelCause } from './attempt.js'
 import { drainAnswer } from './drainAnswer.js'
+import { exceedsBound } from './exceedsBound.js'
 import { type ExchangeProgress } from './exchangeProgress.js'
 import { type AnswerTimes, passAnswer } from './passAnswer.js'
 import { type PermittedUpstream } from './pickPermittedUpstream.js'
@@ -140,7 +142,7 @@
     const endedHere = run.signal.aborted || (this.cancelCause !== undefined && !this.silent && !error.failed)
     if (endedHere) return
     if (error.refused) this.#recordRefusal(error)
-    else this.#recordOutcome(error.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed)
+    else this.#recordOutcome(error.unreachable ? UpstreamOutcome.Unreachable : UpstreamOutcome.Failed, { conclusive: exceedsBound(error) })
     if (error.interrupted && error.unreachable) opts.onClosedUnanswered(this.name)
   }
 
@@ -161,9 +163,9 @@
     pools.recordAnswer(pool, this.name, { durationMs, targetMs: route.spec.ttftTargetMs, upstreamCount: candidates.length })
   }
 
-  #recordOutcome (outcome: UpstreamOutcome): void {
+  #recordOutcome (outcome: UpstreamOutcome, opts: Pick<OutcomeOptions, 'conclusive'> = {}): void {
     const { context: { health }, candidates } = this.#state
-    health.record(this.name, outcome, candidates.map(({ name }) => name))
+    health.record(this.name, outcome, candidates.map(({ name }) => name), opts)
   }
 
   /** An upstream that stands still has not read that its call was cancelled. */
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -351,7 +351,7 @@
     log,
     metrics,
   })
-  return { clock, relay, upstreams, delegator, origins, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, engines, reports, closedUnanswered }
+  return { clock, relay, upstreams, delegator, origins, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, metrics, engines, reports, closedUnanswered }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
@@ -377,6 +377,11 @@
   return async () => ({ status: 200, notRun: false, headers: ['Content-Type', 'text/event-stream'], framing: AnswerFraming.Connection, body: bodyOf([text]) })
 }
 
+/** Sends `head`, then `piece` as often as given, unless aborted before. */
+export function repeats (head: string, piece: string, times: number, headers = ['Content-Type', 'text/event-stream']): Script {
+  return async ({ signal }) => ({ status: 200, notRun: false, headers, framing: AnswerFraming.Connection, body: bodyUnlessAborted([head, ...Array.from({ length: times }, () => piece)], signal) })
+}
+
 /** Answers after a delay, unless aborted before. */
 export function answersAfter (waitMs: number, status: number, text: string): Script {
   return async ({ clock, signal }) => {
--- /dev/null
+++ b/request/relay/test/answerBounds.ts
@@ -0,0 +1,87 @@
+import { LogEvent } from '@reelspan/telemetry.log'
+import test, { type ExecutionContext } from 'ava'
+import { createRelay, RecordingCaller, repeats, requestTo, type Script, streams } from './__utils__/createRelay.js'
+
+const FIRST = 'id: 0\ndata: a\n\n'
+const SECOND = 'id: 1\ndata: b\n\n'
+const PIECE_BYTES = 65_536
+/** More than any bound, so that an answer that is read to its end shows. */
+const FLOOD_BYTES = 8_388_608
+
+function floods (head: string, piece: string): Script {
+  return repeats(head, piece.repeat(PIECE_BYTES / piece.length), FLOOD_BYTES / PIECE_BYTES)
+}
+
+const FLOODS: Record<string, { piece: string, bound: string, maxBytes: number }> = {
+  'an event': { piece: 'xxxxxxxx', bound: 'event', maxBytes: 1_048_576 },
+  'an event of many lines': { piece: 'data: x\n', bound: 'event', maxBytes: 1_048_576 },
+  'an event with comments': { piece: 'x\n:xxxxx\n', bound: 'event', maxBytes: 1_048_576 },
+  comments: { piece: ':xxxxx\n\n', bound: 'betweenEvents', maxBytes: 65_536 },
+  'empty lines': { piece: '\n', bound: 'betweenEvents', maxBytes: 65_536 },
+}
+
+function assertCutOff (t: ExecutionContext, { log, metrics }: Pick<ReturnType<typeof createRelay>, 'log' | 'metrics'>, { bound, maxBytes }: { bound: string, maxBytes: number }): void {
+  const logged = log.entries.filter(({ event }) => event === LogEvent.AnswerOversized).map(({ fields }) => fields)
+  t.deepEqual(logged.map((fields) => [fields?.answer, fields?.upstream, fields?.limit]), [[bound, 'd1', maxBytes]])
+  t.true((logged[0]?.readBytes as number) <= maxBytes + 3 * PIECE_BYTES)
+  t.true(metrics.exposition().includes(`reelspan_oversized_answers_total{answer="${bound}"} 1`))
+}
+
+Object.entries(FLOODS).forEach(([what, { piece, ...expected }]) => {
+  test(`a stream whose engine sends ${what} without end goes on elsewhere behind its last complete event`, async (t) => {
+    const created = createRelay([floods(FIRST, piece), streams(SECOND)], { computesPrompts: true })
+    const caller = new RecordingCaller()
+    await created.clock.run(created.relay.relay(requestTo('/reply/1'), caller))
+    t.deepEqual(caller.body.split('\n').filter((line) => line !== '' && !line.startsWith(':')), ['id: 0', 'data: a', 'id: 1', 'data: b'])
+    t.true(caller.complete)
+    t.deepEqual(created.upstreams.runs.map(({ instance, opts: { resumeAfter } }) => [instance, resumeAfter]), [['d1', undefined], ['d2', '0']])
+    assertCutOff(t, created, expected)
+  })
+})
+
+test('a stream whose engine sends a first event without end begins elsewhere', async (t) => {
+  const created = createRelay([floods('id: 0\ndata: ', 'x'), streams(FIRST)])
+  const caller = new RecordingCaller()
+  await created.clock.run(created.relay.relay(requestTo('/reply/1'), caller))
+  t.is(caller.body, FIRST)
+  assertCutOff(t, created, { bound: 'event', maxBytes: 1_048_576 })
+})
+
+test('a stream whose engine sends one comment without end begins elsewhere', async (t) => {
+  const created = createRelay([floods(':', 'x'), streams(FIRST)])
+  const caller = new RecordingCaller()
+  await created.clock.run(created.relay.relay(requestTo('/reply/1'), caller))
+  t.is(caller.body, FIRST)
+  assertCutOff(t, created, { bound: 'betweenEvents', maxBytes: 65_536 })
+})
+
+test('a stream that may not be resumed ends visibly when its engine sends an event without end', async (t) => {
+  const created = createRelay([floods(FIRST, 'x')])
+  const caller = new RecordingCaller()
+  await created.clock.run(created.relay.relay(requestTo('/draft/1'), caller))
+  t.true(caller.wasAborted)
+  t.false(caller.complete)
+  assertCutOff(t, created, { bound: 'event', maxBytes: 1_048_576 })
+})
+
+test('an engine that sends without end is suspected at once', async (t) => {
+  const created = createRelay([floods(FIRST, 'x'), streams(SECOND), streams(FIRST)])
+  await created.clock.run(created.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
+  await created.clock.run(created.relay.relay(requestTo('/reply/2'), new RecordingCaller()))
+  t.true(created.log.entries.some(({ event, fields }) => event === LogEvent.UpstreamSuspected && fields?.upstream === 'd1'))
+})
+
+test('heartbeats and a large event of a sound engine, and a long answer that is no stream of events, are whole', async (t) => {
+  const texts = [':\n\n'.repeat(10_000) + FIRST, `data: ${'x'.repeat(1_000_000)}\n\n`]
+  for (const text of texts) {
+    const { clock, relay } = createRelay([streams(text)])
+    const caller = new RecordingCaller()
+    await clock.run(relay.relay(requestTo('/reply/1'), caller))
+    t.is(caller.body, text)
+  }
+  const { clock, relay } = createRelay([repeats('{"text":"', 'x'.repeat(PIECE_BYTES), 64, [])])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(caller.body.length, 9 + 64 * PIECE_BYTES)
+  t.true(caller.complete)
+})
--- a/upstream/health/src/upstreamHealth.ts
+++ b/upstream/health/src/upstreamHealth.ts
@@ -22,6 +22,8 @@
   reportedBy?: string
   /** Whether the upstream is unreachable because it sent nothing, though no connection failed. */
   silent?: boolean
+  /** Whether the outcome alone is a reason to suspect the upstream. */
+  conclusive?: boolean
 }
 
 interface OutcomeStats {
@@ -62,7 +64,7 @@
     stats.totalWeight += SMOOTHING * (1 - stats.totalWeight)
     stats.outcomes++
     if (outcome === UpstreamOutcome.Answered) this.#endSuspicion(upstream, stats)
-    else if (outcome === UpstreamOutcome.Unreachable || this.#failsMoreThanPool(upstream, stats, pool)) this.#suspect(upstream, stats, outcome, opts)
+    else if (outcome === UpstreamOutcome.Unreachable || opts.conclusive || this.#failsMoreThanPool(upstream, stats, pool)) this.#suspect(upstream, stats, outcome, opts)
   }
 
   /** Called when something was received from an upstream. Ends a suspicion that came from its silence. */
