fix(request.relay): bytes that complete no event do not keep a stream from being tried elsewhere

Callers saw: when an engine slowly sent an event or a comment without end, they waited for their whole deadline and got nothing, though other engines were free.

Cause: each part that arrived ended the silence of the exchange, whether it completed an event or not, and so did passing it on to the caller, which restarted the watch. A comment that was passed on also cancelled the attempt at another engine.

Only a complete event, or a complete comment or blank line at a moderate pace, ends a silence now: engines that send heartbeats while they compute are not tried elsewhere. A pause for a slow caller is added to the time instead of restarting it. Comments do not decide which of two attempts goes on.

--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -307,7 +307,7 @@
       race.claim(this)
       this.#state.progress = progress
     }
-    await passEvents(context, answer, this.#opts.times, { progress, completeEventsOnly: route.spec.resumable === true, watched, claim, onFirst, onEvents: () => exchange.recordWritten() })
+    await passEvents(context, answer, this.#opts.times, { progress, completeEventsOnly: route.spec.resumable === true, watched, claim, isAlone: () => race.othersOf(this).length === 0, onFirst, onEvents: () => exchange.recordWritten() })
     if (answer.status === OK) exchange.recordFinished(answer)
     this.#recordOutcome(plan.decodeEngine, failed ? UpstreamOutcome.Failed : UpstreamOutcome.Answered)
   }
--- a/request/relay/src/eventProgress.ts
+++ b/request/relay/src/eventProgress.ts
@@ -8,6 +8,8 @@
 const MAX_EVENT_BYTES = 1_048_576
 /** Comments and blank lines between two events. A heartbeat of some ten bytes each second fills it in an hour. */
 const MAX_BETWEEN_EVENTS_BYTES = 65_536
+/** Of these, the bytes whose lines count as heartbeats of an engine that computes. */
+const MAX_HEARTBEAT_BYTES = 4096
 
 export interface PushOptions {
   /** Whether the answer is known to be a stream of events, which is bounded. */
@@ -25,6 +27,7 @@
   #sinceEventBytes = 0
   /** Of these, bytes behind the last blank line. */
   #sinceBoundaryBytes = 0
+  #isSignOfLife = false
 
   /** The progress of another answer that begins behind the last complete event of this one. */
   fork (): EventProgress {
@@ -50,6 +53,11 @@
     return this.#oversized
   }
 
+  /** Whether the last bytes completed an event, or a heartbeat at a moderate pace. Others may be an event or a comment without end. */
+  get isSignOfLife (): boolean {
+    return this.#isSignOfLife
+  }
+
   /** Bytes that are buffered behind the last complete event. */
   get incompleteBytes (): number {
     return this.#incomplete.byteLength
@@ -58,9 +66,10 @@
   /** Adds received bytes and returns those of complete events. Buffers the bytes of an incomplete event. Throws `AnswerBoundExceeded`. */
   push (bytes: Uint8Array, { bounded = false }: PushOptions = {}): Uint8Array {
     if (this.#oversized) return bytes
-    const { eventEnds, boundary } = this.#scanner.scan(bytes)
+    const { eventEnds, boundary, heartbeat } = this.#scanner.scan(bytes)
     this.#sinceEventBytes = bytes.byteLength - (eventEnds.at(-1) ?? -this.#sinceEventBytes)
     this.#sinceBoundaryBytes = bytes.byteLength - (boundary > 0 ? boundary : -this.#sinceBoundaryBytes)
+    this.#isSignOfLife = eventEnds.length > 0 || (heartbeat && this.#sinceEventBytes <= MAX_HEARTBEAT_BYTES)
     if (bounded) this.#checkBounds()
     const complete = this.#takeComplete(bytes, boundary)
     eventEnds.forEach((end, i) => {
--- a/request/relay/src/eventScanner.ts
+++ b/request/relay/src/eventScanner.ts
@@ -9,6 +9,8 @@
   eventEnds: readonly number[]
   /** Position behind the last blank line, whether it ends an event or not; 0 without one. */
   boundary: number
+  /** Whether a line outside an event, a comment or a blank one, has ended. */
+  heartbeat: boolean
 }
 
 /** Finds the ends of events in the bytes of one server-sent event stream, whose lines end with LF, CR LF or CR. */
@@ -28,6 +30,7 @@
   scan (bytes: Uint8Array): ScannedEvents {
     const eventEnds: number[] = []
     let boundary = 0
+    let heartbeat = false
     const lineEnds = new LineEnds(bytes)
     // What follows the first byte of a line does not matter until its end.
     for (let at = this.#lineBegun ? lineEnds.next(0) : 0; at < bytes.byteLength; at = this.#lineBegun ? lineEnds.next(at + 1) : at + 1) {
@@ -47,12 +50,13 @@
       }
       this.#afterBlankLine = !this.#lineBegun
       this.#lineBegun = false
+      heartbeat ||= !this.#hasField
       if (!this.#afterBlankLine) continue
       boundary = at + 1
       if (this.#hasField) eventEnds.push(boundary)
       this.#hasField = false
     }
-    return { eventEnds, boundary }
+    return { eventEnds, boundary, heartbeat }
   }
 
   /** Whether the byte belongs to a byte order mark, which may only begin a stream. */
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -13,6 +13,8 @@
   watched: WatchedExchange
   /** Called before a part of this answer is passed on. Throws if another attempt has gone on with the answer. */
   claim: () => void
+  /** Whether no other attempt may write the next part of the answer. */
+  isAlone: () => boolean
   /** Called when the first event of this answer is complete, before it is passed on. */
   onFirst?: () => void
   /** Called whenever further events of this answer are complete, before they are passed on. */
@@ -25,7 +27,7 @@
  */
 export async function passEvents (context: RelayContext, answer: RelayAnswer, times: AnswerTimes, opts: PassEventsOptions): Promise<void> {
   const { run, caller } = context
-  const { progress, completeEventsOnly, watched, claim, onFirst, onEvents } = opts
+  const { progress, completeEventsOnly, watched, claim, isAlone, onFirst, onEvents } = opts
   const bounded = isEventStream(answer)
   let first = true
   let readBytes = 0
@@ -36,17 +38,21 @@
   times.status = answer.status
   try {
     for await (const bytes of answer.body) {
-      watched.recordReceived()
       readBytes += bytes.byteLength
+      const { events } = progress
       const complete = progress.push(bytes, { bounded })
+      if (!bounded || progress.isSignOfLife) watched.recordReceived()
       caller.buffer?.hold(progress.incompleteBytes)
-      if (complete.byteLength > 0) {
+      const hasEvents = bounded ? progress.events > events : complete.byteLength > 0
+      if (hasEvents) {
         claim()
         recordPartTime(times, run.elapsedMs)
         if (first) onFirst?.()
         onEvents?.()
         first = false
       }
+      // Comments do not decide which of two attempts goes on.
+      if (completeEventsOnly && !hasEvents && !isAlone()) continue
       const passed = completeEventsOnly ? complete : bytes
       // Time that a slow caller takes to read does not count as idle time of the upstream.
       if (passed.byteLength > 0) await watched.pauseDuring(caller.write(passed))
--- a/request/relay/src/silenceWatch.ts
+++ b/request/relay/src/silenceWatch.ts
@@ -41,14 +41,16 @@
     this.#opts.onHeard(silentMs)
   }
 
-  /** Suspends the watch while `work` runs, since nothing is read from the upstream meanwhile. Restarts it afterwards. */
+  /** Suspends the watch while `work` runs, since nothing is read from the upstream meanwhile. */
   async pauseDuring<T> (work: Promise<T>): Promise<T> {
+    const { clock } = this.#opts
+    const pausedAtMs = clock.nowMs()
     this.#pauses++
     try {
       return await work
     } finally {
       this.#pauses--
-      this.#lastReceivedAtMs = this.#opts.clock.nowMs()
+      this.#lastReceivedAtMs += clock.nowMs() - pausedAtMs
     }
   }
 
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -433,8 +433,8 @@
 }
 
 /** Sends a part, pauses before each further one, and fails if aborted. */
-export function pauses (status: number, parts: string[], pauseMs: number): Script {
-  return async ({ clock, signal }) => ({ status, notRun: false, headers: [], body: pausingBody(parts, () => clock.sleep(pauseMs, { signal }), signal) })
+export function pauses (status: number, parts: string[], pauseMs: number, headers: string[] = []): Script {
+  return async ({ clock, signal }) => ({ status, notRun: false, headers, body: pausingBody(parts, () => clock.sleep(pauseMs, { signal }), signal) })
 }
 
 async function * pausingBody (parts: string[], pause: () => Promise<void>, signal: AbortSignal): AsyncGenerator<Uint8Array> {
--- a/request/relay/test/answerBounds.ts
+++ b/request/relay/test/answerBounds.ts
@@ -1,6 +1,6 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import test, { type ExecutionContext } from 'ava'
-import { createRelay, RecordingCaller, repeats, requestTo, type Script, streams } from './__utils__/createRelay.js'
+import { createRelay, pauses, RecordingCaller, repeats, requestTo, type Script, streams } from './__utils__/createRelay.js'
 
 const FIRST = 'id: 0\ndata: a\n\n'
 const SECOND = 'id: 1\ndata: b\n\n'
@@ -85,3 +85,52 @@
   t.is(caller.body.length, 9 + 64 * PIECE_BYTES)
   t.true(caller.complete)
 })
+
+const EVENT_STREAM = ['Content-Type', 'text/event-stream']
+/** Shorter than a stream may be silent. */
+const PAUSE_MS = 100
+
+const NO_SIGNS_OF_LIFE: Record<string, string> = {
+  'an event': 'x',
+  'a comment': ':x',
+  'large comments': `:${'x'.repeat(200)}\n\n`,
+}
+
+Object.entries(NO_SIGNS_OF_LIFE).forEach(([what, piece]) => {
+  test(`a stream whose engine slowly sends ${what} without end is written by another engine before its deadline`, async (t) => {
+    const { clock, relay, upstreams } = createRelay([pauses(200, [FIRST, ...Array.from({ length: 90 }, () => piece)], PAUSE_MS, EVENT_STREAM), streams(SECOND)])
+    const caller = new RecordingCaller()
+    const startedAtMs = clock.nowMs()
+    await clock.run(relay.relay(requestTo('/reply/1'), caller))
+    t.true(caller.complete)
+    t.is(upstreams.runs.length, 2)
+    t.true(upstreams.runs[0].opts.signal.aborted)
+    t.true(clock.nowMs() - startedAtMs < 4000)
+  })
+})
+
+test('a comment of a silent engine does not cancel the attempt beside it', async (t) => {
+  const silent = pauses(200, [FIRST, ':\n\n', ':\n\n'], 700, EVENT_STREAM)
+  const { clock, relay, upstreams } = createRelay([silent, pauses(200, ['', SECOND], 1000, EVENT_STREAM)])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(upstreams.runs.length, 2)
+  t.is(caller.body, FIRST + SECOND)
+})
+
+test('a stream whose engine sends heartbeats while it computes is not sent to another engine', async (t) => {
+  const heartbeats = Array.from({ length: 80 }, (_, i) => i % 2 === 0 ? ': keep-alive\n\n' : ':\n')
+  const { clock, relay, upstreams } = createRelay([pauses(200, [FIRST, ...heartbeats, SECOND], PAUSE_MS, EVENT_STREAM)])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/reply/1'), caller))
+  t.is(upstreams.runs.length, 1)
+  t.is(caller.body, [FIRST, ...heartbeats, SECOND].join(''))
+})
+
+test('passing on the parts of an event without end does not make them a sign of life', async (t) => {
+  const { clock, relay, log } = createRelay([pauses(200, [FIRST, ...Array.from({ length: 90 }, () => 'x')], PAUSE_MS, EVENT_STREAM)])
+  const work = relay.relay(requestTo('/draft/1'), new RecordingCaller())
+  await clock.advance(3000)
+  t.true(log.entries.some(({ event }) => event === LogEvent.ExchangeSilent))
+  await clock.run(work)
+})
