--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -10,7 +10,7 @@
 import { Attempt, CancelCause } from './attempt.js'
 import { type CompletionState } from './completionState.js'
 import { MAX_WAIT_TARGETS } from './completionPlacer.js'
-import { drainAnswer } from './drainAnswer.js'
+import { discardAnswer } from './discardAnswer.js'
 import { exceedsBound } from './exceedsBound.js'
 import { type EventProgress } from './eventProgress.js'
 import { type ExchangeProgress } from './exchangeProgress.js'
@@ -295,7 +295,7 @@
     logDecision(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, framing: answer.framing, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     const failed = answer.status >= FIRST_SERVER_ERROR
     if (caller.begun ? answer.status !== OK : failed && (mayRetryElsewhere || race.othersOf(this).length > 0)) {
-      void drainAnswer(answer)
+      discardAnswer(context, plan.decodeEngine, answer)
       throw new UpstreamError(`${plan.decodeEngine} responded with ${answer.status}`, { mayHaveRun: true, failed: true })
     }
     placement.recordProgress(1)
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -1,8 +1,9 @@
+import { STOPPED } from '@reelspan/core.env'
 import { type PrefilledPrompt, type RelayAnswer, type RelayCallOptions, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { type SendPermit } from '@reelspan/upstream.limits'
 import { listedVersion } from './listedVersion.js'
 import { withCheckedEnd } from './answerEnd.js'
-import { drainAnswer } from './drainAnswer.js'
+import { discardAnswer } from './discardAnswer.js'
 import { type RelayContext } from './relayContext.js'
 
 /** The answer of another start than the expected one. */
@@ -35,10 +36,12 @@
       context.onSent?.(target.instance, listedVersion(opts, target.instance) ?? '')
       runOptions.onSend?.()
     }
-    const answer = await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, buffer, onSend }))
+    const cancelled = new AbortController()
+    const signal = AbortSignal.any([runOptions.signal, cancelled.signal])
+    const answer = { ...await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, signal, buffer, onSend })), cancel: () => cancelled.abort(STOPPED) }
     if (answer.status !== MISDIRECTED) opts.runEnds.onSignOfLife(target.instance, sentAtMs)
     if (!answer.notRun) return withCheckedEnd(answer, { sender: target.instance, metrics: opts.metrics })
-    void drainAnswer(answer)
+    discardAnswer(context, target.instance, answer)
     throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: FULL_STATUSES.includes(answer.status) })
   })
 }
--- a/request/relay/src/serviceAttempt.ts
+++ b/request/relay/src/serviceAttempt.ts
@@ -3,7 +3,7 @@
 import { type RelayAnswer, UpstreamError } from '@reelspan/upstream.client'
 import { type OutcomeOptions } from '@reelspan/upstream.health'
 import { Attempt, CancelCause } from './attempt.js'
-import { drainAnswer } from './drainAnswer.js'
+import { discardAnswer } from './discardAnswer.js'
 import { exceedsBound } from './exceedsBound.js'
 import { type ExchangeProgress } from './exchangeProgress.js'
 import { type AnswerTimes, passAnswer } from './passAnswer.js'
@@ -132,7 +132,7 @@
     const retried = mayRepeat && budget.left >= 1 && this.#hasOther && await next.find()
     if (!retried) await race.waitUntilAlone(this)
     if (!retried && this.cancelCause === undefined) return
-    void drainAnswer(answer)
+    discardAnswer(this.#state.context, this.name, answer)
     throw new UpstreamError(`${this.name} responded with ${answer.status}`, { mayHaveRun: true, failed: true })
   }
 
--- a/request/relay/test/answerBounds.ts
+++ b/request/relay/test/answerBounds.ts
@@ -1,4 +1,5 @@
 import { LogEvent } from '@reelspan/telemetry.log'
+import { UpstreamError } from '@reelspan/upstream.client'
 import test, { type ExecutionContext } from 'ava'
 import { createRelay, pauses, RecordingCaller, repeats, requestTo, type Script, streams } from './__utils__/createRelay.js'
 
@@ -134,3 +135,36 @@
   t.true(log.entries.some(({ event }) => event === LogEvent.ExchangeSilent))
   await clock.run(work)
 })
+
+/** Answers with a body that has no end, fast or as slow as given. Tells what was read of it. */
+function failsWithoutEnd (status: number, notRun: boolean, pauseMs: number, read: { bytes: number, ended: boolean }): Script {
+  async function * body (signal: AbortSignal, pause: () => Promise<void>) {
+    try {
+      while (!signal.aborted) {
+        if (pauseMs > 0) await pause()
+        if (signal.aborted) throw new UpstreamError('aborted', { mayHaveRun: true })
+        read.bytes += 200
+        yield Buffer.alloc(200, 'x')
+      }
+    } finally {
+      read.ended = true
+    }
+  }
+  return async ({ clock, signal }) => ({ status, notRun, headers: [], body: body(signal, () => clock.sleep(pauseMs, { signal })) })
+}
+
+for (const [path, status, notRun, answer] of [['/reply/1', 500, false, FIRST], ['/reply/1', 421, true, FIRST], ['/status/1', 503, true, 'ok'], ['/status/1', 500, false, 'ok']] as const) {
+  for (const pauseMs of [0, 30]) {
+    test(`a body without end of an unused ${status} is not read on while the request goes on (${path}, ${pauseMs === 0 ? 'fast' : 'slow'})`, async (t) => {
+      const read = { bytes: 0, ended: false }
+      const { clock, relay } = createRelay([failsWithoutEnd(status, notRun, pauseMs, read), pauses(200, [answer, answer], 1500)])
+      const caller = new RecordingCaller()
+      const work = relay.relay(requestTo(path), caller)
+      await clock.advance(1200)
+      t.true(read.ended)
+      t.true(read.bytes <= 2 * 65_536)
+      await clock.run(work)
+      t.is(caller.body, answer + answer)
+    })
+  }
+}
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -82,6 +82,8 @@
   /** What ends the body, if the transport knows it. */
   framing?: AnswerFraming
   body: AsyncIterable<Uint8Array>
+  /** Ends its exchange, if that may go on after the head of the answer has arrived. */
+  cancel?: () => void
 }
 
 /** A prompt whose KV cache an engine keeps for a short time. */
