--- a/__utils__/platform-stand-ins/src/index.ts
+++ b/__utils__/platform-stand-ins/src/index.ts
@@ -1,5 +1,7 @@
 export { queryDirectory } from './queryDirectory.js'
 export type { DirectoryAnswer } from './queryDirectory.js'
+export { FloodPlace } from './flood.js'
+export type { Flood, FloodedAnswer } from './flood.js'
 export type { Pause } from './pausing.js'
 export { registerUpstream, registeredInstances, publishRoutes, publishSlowCalls, removeUpstream } from './publish.js'
 export type { PublishedAccount } from './publish.js'
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { type Flood, type FloodedAnswer, sendFlood } from './flood.js'
 import { type Pause, Pausing } from './pausing.js'
 
 export enum Role {
@@ -123,6 +124,8 @@
   handleTtlMs?: number
   /** Decides whether to refuse a request without running it. */
   refuses?: () => boolean
+  /** What it sends without end instead of an answer, by the id of the request; undefined for a whole answer. */
+  floodOf?: (id: string) => Flood | undefined
   /** Decides whether the answer of a run is lost. */
   losesAnswer?: () => boolean
   /** How answers end, by the id of their request; undefined for a chunked or a sized one. */
@@ -160,6 +163,8 @@
   #crashed = false
   readonly runs: UpstreamRun[] = []
   readonly arrivals: UpstreamArrival[] = []
+  /** Answers that it sent without end. */
+  readonly floods: FloodedAnswer[] = []
   /** Headers of all calls received, not only of requests. */
   readonly received: ReceivedHeaders[] = []
   /** Bodies of the orders received, and the instances that they were addressed to. */
@@ -254,12 +259,22 @@
     if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return refuse(response, 421)
     this.arrivals.push({ id, instance: this.instance, atMs: performance.now() })
     if (this.#opts.refuses?.()) return refuse(response, 503)
+    const flood = this.#opts.floodOf?.(id)
+    if (flood) return this.#flood(id, flood, headers, response)
     if (this.#role === Role.Prefill) return this.#prefill(headers, response)
     const source = headers['x-reelspan-kv-source']
     if (source !== undefined && this.#opts.handles && !this.#handles.consume(String(source).split('/').at(-1) ?? '')) return refuse(response, 503)
     await this.#run(id, message, response)
   }
 
+  async #flood (id: string, flood: Flood, headers: IncomingMessage['headers'], response: ServerResponse): Promise<void> {
+    const answer: FloodedAnswer = { id, startedAtMs: performance.now() }
+    this.floods.push(answer)
+    const after = headers['last-event-id']
+    await sendFlood(response, flood, { id, firstEvent: after === undefined ? 0 : Number(after) + 1 })
+    answer.closedAtMs = performance.now()
+  }
+
   async #run (id: string, { url = '', headers }: IncomingMessage, response: ServerResponse): Promise<void> {
     const after = headers['last-event-id']
     const losesAnswer = this.#opts.losesAnswer?.() ?? false
