--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -3,6 +3,7 @@
 import { splitAddress } from '@reelspan/net.system-env'
 import { AnswerBound, AnswerBoundExceeded, type AnswerBuffer, type PausableSource } from '@reelspan/upstream.client'
 import { AnswerBody } from './answerBody.js'
+import { checkWhilePaused } from './checkWhilePaused.js'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { headerValue } from './rawHeaders.js'
@@ -65,12 +66,8 @@
 const MAX_KEEP_ALIVE_MS = 10_000
 /** The operating system probes an unresponsive upstream from then on. With Node's fixed ten probes, one per second, it closes the connection after 11 s. */
 const TCP_KEEP_ALIVE_DELAY_MS = 1000
-/** How often a paused connection is checked. A reset is thereby noticed within half of the time in which a caller's work must end. */
-const PAUSED_CHECK_MS = 250
 const MS_PER_SECOND = 1000
 const HEAD_METHOD = 'HEAD'
-/** The budget for answers reserves one read for each paused answer. */
-const MAX_READ_WHILE_PAUSED_BYTES = 65_536
 /** Bytes that an upstream may send before the answer to the request. Late answers to other requests are among them. */
 const MAX_FOREIGN_BYTES = 1_048_576
 const EMPTY_BYTES = new Uint8Array()
@@ -243,7 +240,7 @@
         if (this.#pause || this.#closed) return
         this.#pause = new AbortController()
         this.#socket.pause()
-        void this.#checkWhilePaused(this.#pause.signal)
+        void checkWhilePaused(this.#socket, this.#opts.clock, this.#pause.signal)
       },
       resume: () => this.#resume(),
     }
@@ -256,24 +253,6 @@
     this.#socket.resume()
   }
 
-  /**
-   * The operating system does not report that a socket which is not read was reset; an empty write fails then.
-   * Node reads ahead of a paused socket: if that is less than it would take at once, the upstream has sent
-   * no more, and may have ended its answer or the connection.
-   */
-  async #checkWhilePaused (signal: AbortSignal): Promise<void> {
-    let readBytes = 0
-    while (!signal.aborted) {
-      await this.#opts.clock.sleep(PAUSED_CHECK_MS, { signal })
-      if (signal.aborted || this.#closed) return
-      this.#socket.write(EMPTY_BYTES)
-      const { readableLength, readableHighWaterMark } = this.#socket
-      if (readableLength >= readableHighWaterMark || readBytes + readableLength > MAX_READ_WHILE_PAUSED_BYTES) continue
-      readBytes += readableLength
-      this.#socket.read()
-    }
-  }
-
   /**
    * The upstream will send no more. Node also emits 'end' if a reset arrives together
    * with the last bytes. Only a write, here an empty one, distinguishes the two: an
