--- a/request/relay/test/answerBounds.ts
+++ b/request/relay/test/answerBounds.ts
@@ -1,7 +1,7 @@
 import { LogEvent } from '@reelspan/telemetry.log'
 import { UpstreamError } from '@reelspan/upstream.client'
 import test, { type ExecutionContext } from 'ava'
-import { createRelay, pauses, RecordingCaller, repeats, requestTo, type Script, streams } from './__utils__/createRelay.js'
+import { createRelay, hangs, pauses, RecordingCaller, repeats, requestTo, type Script, streams } from './__utils__/createRelay.js'
 
 const FIRST = 'id: 0\ndata: a\n\n'
 const SECOND = 'id: 1\ndata: b\n\n'
@@ -168,3 +168,28 @@
     })
   }
 }
+
+test('a stream whose delegate sends an event without end goes on at another delegate', async (t) => {
+  const addresses = ['10.0.4.1:1', '10.0.5.1:1', '10.0.6.1:1']
+  let calls = 0
+  const { clock, relay, upstreams, probe, delegator, log } = createRelay([hangs()], {
+    probedAddresses: addresses,
+    delegate: async (_request, answer) => {
+      const isFirst = calls++ === 0
+      answer.onSent(isFirst ? 'd2' : 'd3', '')
+      answer.onHead(200, EVENT_STREAM)
+      await answer.onData(Buffer.from(isFirst ? FIRST : SECOND))
+      if (!isFirst) return
+      for (let i = 0; i < FLOOD_BYTES / PIECE_BYTES; i++) await answer.onData(Buffer.alloc(PIECE_BYTES, 'x'))
+    },
+  })
+  addresses.forEach((address) => probe.ended.add(address))
+  const caller = new RecordingCaller()
+  const work = relay.relay(requestTo('/outline/1'), caller)
+  await clock.advance(10)
+  upstreams.prefillHangs = true
+  await clock.run(work)
+  t.is(delegator.requests.length, 2)
+  t.is(caller.body, FIRST + SECOND)
+  t.deepEqual(log.entries.filter(({ event }) => event === LogEvent.AnswerOversized).map(({ fields }) => fields?.upstream), ['the delegate'])
+})
