--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -1,8 +1,9 @@
 import { connect, type Socket } from 'node:net'
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { splitAddress } from '@reelspan/net.system-env'
-import { type AnswerBuffer, type PausableSource } from '@reelspan/upstream.client'
+import { AnswerBound, AnswerBoundExceeded, type AnswerBuffer, type PausableSource } from '@reelspan/upstream.client'
 import { AnswerBody } from './answerBody.js'
+import { checkWhilePaused } from './checkWhilePaused.js'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { headerValue } from './rawHeaders.js'
@@ -18,6 +19,17 @@
   accept: AcceptHead
   /** Accounts for the bytes of the answer. Without it they are not limited. */
   buffer?: AnswerBuffer
+  /** The maximum size of the answer's body. Without it any is accepted. */
+  maxBodyBytes?: number
+}
+
+/** An exchange was ended since its answer exceeds a bound. */
+export interface ExceededBound {
+  bound: AnswerBound
+  /** In bytes, or the maximum number of what is counted. */
+  limit: number
+  /** Bytes that were read of the exchange. */
+  readBytes: number
 }
 
 interface Exchange extends ConnectionExchange {
@@ -30,6 +42,9 @@
   /** The answer being received belongs to another request and is skipped. */
   skipping: boolean
   reusable: boolean
+  /** Bytes received since the request was sent. */
+  readBytes: number
+  bodyBytes: number
 }
 
 export interface UpstreamConnectionOptions {
@@ -41,6 +56,7 @@
   onReceived?: () => void
   /** Called when an exchange has ended and the connection can be reused. */
   onIdle: (connection: UpstreamConnection) => void
+  onBoundExceeded?: (exceeded: ExceededBound) => void
   onClosed: (connection: UpstreamConnection) => void
 }
 
@@ -50,12 +66,10 @@
 const MAX_KEEP_ALIVE_MS = 10_000
 /** The operating system probes an unresponsive upstream from then on. With Node's fixed ten probes, one per second, it closes the connection after 11 s. */
 const TCP_KEEP_ALIVE_DELAY_MS = 1000
-/** How often a paused connection is checked. A reset is thereby noticed within half of the time in which a caller's work must end. */
-const PAUSED_CHECK_MS = 250
 const MS_PER_SECOND = 1000
 const HEAD_METHOD = 'HEAD'
-/** The budget for answers reserves one read for each paused answer. */
-const MAX_READ_WHILE_PAUSED_BYTES = 65_536
+/** Bytes that an upstream may send before the answer to the request. Late answers to other requests are among them. */
+const MAX_FOREIGN_BYTES = 1_048_576
 const EMPTY_BYTES = new Uint8Array()
 
 /** One connection to an upstream, with at most one exchange at a time. It is closed if bytes arrive while no exchange runs. */
@@ -134,7 +148,7 @@
   /** Sends a request and resolves when the head of its answer has arrived. */
   send (request: ExchangeRequest, exchange: ConnectionExchange): Promise<ExchangeAnswer> {
     return new Promise((resolve, reject) => {
-      this.#exchange = { ...exchange, headOnly: request.method === HEAD_METHOD, resolve, reject, skipping: false, reusable: false }
+      this.#exchange = { ...exchange, headOnly: request.method === HEAD_METHOD, resolve, reject, skipping: false, reusable: false, readBytes: 0, bodyBytes: 0 }
       this.#lastSentAtMs = this.#opts.clock.nowMs()
       this.#socket.cork()
       this.#socket.write(headText(request), 'latin1')
@@ -156,11 +170,14 @@
   #receive (bytes: Buffer): void {
     this.#lastReceivedAtMs = this.#opts.clock.nowMs()
     this.#opts.onReceived?.()
-    if (!this.#exchange) return this.#fail('sent data without a request')
+    const exchange = this.#exchange
+    if (!exchange) return this.#fail('sent data without a request')
+    exchange.readBytes += bytes.byteLength
     try {
       this.#parser.push(bytes)
+      if (this.#exchange === exchange && !exchange.body && exchange.readBytes > MAX_FOREIGN_BYTES) throw new AnswerBoundExceeded(AnswerBound.Foreign, MAX_FOREIGN_BYTES)
     } catch (cause) {
-      this.#fail('sent an invalid HTTP answer', cause)
+      this.#failInvalid(exchange, cause)
     }
     this.#body?.endRead(bytes.byteLength)
     if (!this.#exchange) this.#body = undefined
@@ -182,7 +199,12 @@
   }
 
   #receiveBody (bytes: Uint8Array): void {
-    if (!this.#exchange?.skipping) this.#exchange?.body?.push(bytes)
+    const exchange = this.#exchange
+    if (!exchange?.body || exchange.skipping) return
+    const { maxBodyBytes = Number.POSITIVE_INFINITY } = exchange
+    exchange.bodyBytes += bytes.byteLength
+    if (exchange.bodyBytes > maxBodyBytes) throw new AnswerBoundExceeded(AnswerBound.Body, maxBodyBytes)
+    exchange.body.push(bytes)
   }
 
   #complete (): void {
@@ -218,7 +240,7 @@
         if (this.#pause || this.#closed) return
         this.#pause = new AbortController()
         this.#socket.pause()
-        void this.#checkWhilePaused(this.#pause.signal)
+        void checkWhilePaused(this.#socket, this.#opts.clock, this.#pause.signal)
       },
       resume: () => this.#resume(),
     }
@@ -231,24 +253,6 @@
     this.#socket.resume()
   }
 
-  /**
-   * The operating system does not report that a socket which is not read was reset; an empty write fails then.
-   * Node reads ahead of a paused socket: if that is less than it would take at once, the upstream has sent
-   * no more, and may have ended its answer or the connection.
-   */
-  async #checkWhilePaused (signal: AbortSignal): Promise<void> {
-    let readBytes = 0
-    while (!signal.aborted) {
-      await this.#opts.clock.sleep(PAUSED_CHECK_MS, { signal })
-      if (signal.aborted || this.#closed) return
-      this.#socket.write(EMPTY_BYTES)
-      const { readableLength, readableHighWaterMark } = this.#socket
-      if (readableLength >= readableHighWaterMark || readBytes + readableLength > MAX_READ_WHILE_PAUSED_BYTES) continue
-      readBytes += readableLength
-      this.#socket.read()
-    }
-  }
-
   /**
    * The upstream will send no more. Node also emits 'end' if a reset arrives together
    * with the last bytes. Only a write, here an empty one, distinguishes the two: an
@@ -262,6 +266,12 @@
     })
   }
 
+  #failInvalid ({ readBytes }: Exchange, cause: unknown): void {
+    if (!(cause instanceof AnswerBoundExceeded)) return this.#fail('sent an invalid HTTP answer', cause)
+    if (!this.#closed) this.#opts.onBoundExceeded?.({ bound: cause.bound, limit: cause.limit, readBytes })
+    this.#fail(`sent ${readBytes} bytes: ${cause.message}`, cause)
+  }
+
   #fail (reason: string, cause?: unknown): void {
     if (this.#closed) return
     this.#closed = true
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -351,7 +351,7 @@
     log,
     metrics,
   })
-  return { clock, relay, upstreams, delegator, origins, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, engines, reports, closedUnanswered }
+  return { clock, relay, upstreams, delegator, origins, upstreamStates, backoffs, signals, pools, placer, probe, quarantine, log, metrics, engines, reports, closedUnanswered }
 }
 
 export function requestTo (path: string, over: Partial<RelayedRequest> = {}): RelayedRequest {
@@ -377,6 +377,11 @@
   return async () => ({ status: 200, notRun: false, headers: ['Content-Type', 'text/event-stream'], framing: AnswerFraming.Connection, body: bodyOf([text]) })
 }
 
+/** Sends `head`, then `piece` as often as given, unless aborted before. */
+export function repeats (head: string, piece: string, times: number, headers = ['Content-Type', 'text/event-stream']): Script {
+  return async ({ signal }) => ({ status: 200, notRun: false, headers, framing: AnswerFraming.Connection, body: bodyUnlessAborted([head, ...Array.from({ length: times }, () => piece)], signal) })
+}
+
 /** Answers after a delay, unless aborted before. */
 export function answersAfter (waitMs: number, status: number, text: string): Script {
   return async ({ clock, signal }) => {
@@ -428,8 +433,8 @@
 }
 
 /** Sends a part, pauses before each further one, and fails if aborted. */
-export function pauses (status: number, parts: string[], pauseMs: number): Script {
-  return async ({ clock, signal }) => ({ status, notRun: false, headers: [], body: pausingBody(parts, () => clock.sleep(pauseMs, { signal }), signal) })
+export function pauses (status: number, parts: string[], pauseMs: number, headers: string[] = []): Script {
+  return async ({ clock, signal }) => ({ status, notRun: false, headers, body: pausingBody(parts, () => clock.sleep(pauseMs, { signal }), signal) })
 }
 
 async function * pausingBody (parts: string[], pause: () => Promise<void>, signal: AbortSignal): AsyncGenerator<Uint8Array> {
