fix(net.system-env): a held-up process reads a kept connection before it closes it as idle

A caller that sent its next request within the idle time got a closed connection if the process was held up until after that time: the timer fires before the event loop reads the socket.

An idle connection is now closed only if nothing is pending on it. In the test, a process held up for 1.4 s, with an idle time of 0.2 s, closed the connection without an answer; now it answers, and closes the connection once it has been idle for the time.

--- a/net/system-env/src/requestTimeGuard.ts
+++ b/net/system-env/src/requestTimeGuard.ts
@@ -75,6 +75,7 @@
     server.requestTimeout = 0
     server.headersTimeout = 0
     server.on('connection', (socket) => this.#onConnection(socket))
+    server.on('timeout', (socket) => { void this.#closeIfIdle(socket) })
     server.prependListener('request', (message, response) => this.#onRequest(message, response))
   }
 
@@ -90,6 +91,13 @@
     if (!this.#checking) void this.#checkRegularly()
   }
 
+  /** Closes a connection whose idle timeout has passed, unless a request is pending that arrived before. */
+  async #closeIfIdle (socket: Socket): Promise<void> {
+    const { bytesRead } = socket
+    await this.#opts.clock.awaitPendingInput()
+    if (socket.bytesRead === bytesRead) socket.destroy()
+  }
+
   #onRequest (message: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(message.socket)
     if (!connection) return
--- a/net/system-env/test/requestTimeGuard.ts
+++ b/net/system-env/test/requestTimeGuard.ts
@@ -7,11 +7,16 @@
 import test, { type ExecutionContext } from 'ava'
 
 const LIMIT_MS = 400
+const KEEP_ALIVE_MS = 200
+/** Node closes a kept connection so much later than it says. */
+const KEEP_ALIVE_BUFFER_MS = 1000
+/** Of Node's servers. */
+const DEFAULT_KEEP_ALIVE_MS = 5000
 const SLOW_HEAD_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n'
 const HEAD = 'POST / HTTP/1.1\r\nHost: x\r\n'
 
 /** Starts a server that answers each request with the length of its body, or with the code of the error, and connects callers to it. */
-async function startServer (t: ExecutionContext, requestBytes = 1_000_000) {
+async function startServer (t: ExecutionContext, requestBytes = 1_000_000, keepAliveTimeout = DEFAULT_KEEP_ALIVE_MS) {
   const clock = new SystemClock()
   const budget = new RequestBudget({ clock, totalBytes: requestBytes })
   const slowParts: RequestPart[] = []
@@ -25,7 +30,7 @@
       response.end(toReelspanError(thrown).code)
     }
   }
-  const server = createServer((message, response) => { void serve(message, response) })
+  const server = createServer({ keepAliveTimeout }, (message, response) => { void serve(message, response) })
   const guard = new RequestTimeGuard(server, { clock, headReadMs: () => LIMIT_MS, bodyReadMs: () => LIMIT_MS, idleMs: () => 4 * LIMIT_MS, slowHeadResponse: SLOW_HEAD_RESPONSE, onSlowRequest: (part) => slowParts.push(part) })
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
@@ -62,6 +67,20 @@
   t.deepEqual(slowParts, Array.from({ length: 3 }, () => RequestPart.Head))
 })
 
+test('a request that arrived on a kept connection is served though its process was held up past the idle timeout, which still closes the connection', async (t) => {
+  const { open } = await startServer(t, undefined, KEEP_ALIVE_MS)
+  const caller = open()
+  caller.socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`)
+  await caller.waitFor('\r\n\r\n2')
+  // Timers fire after this phase of the event loop, and before it reads sockets.
+  setImmediate(() => {
+    caller.socket.write(`${HEAD}Content-Length: 3\r\n\r\nyes`)
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2 * KEEP_ALIVE_MS + KEEP_ALIVE_BUFFER_MS)
+  })
+  await caller.received.closed
+  t.true(caller.received.text.endsWith('\r\n\r\n3'))
+})
+
 test('a body that arrives too slowly ends with the error, not before its time, and its bytes are released', async (t) => {
   const { clock, budget, open } = await startServer(t)
   const caller = open()
