--- a/net/upstream-probe/test/tcpUpstreamProbe.ts
+++ b/net/upstream-probe/test/tcpUpstreamProbe.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events'
 import { type AddressInfo, createServer } from 'node:net'
+import { Readable } from 'node:stream'
 import { SystemClock } from '@reelspan/net.system-env'
 import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
 import { UpstreamProbeResult } from '@reelspan/upstream.client'
@@ -15,3 +16,15 @@
   await once(server, 'close')
   t.is(await probe.probe(address), UpstreamProbeResult.Refused)
 })
+
+test('an upstream that sends without an end as soon as it is connected is closed', async (t) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    Readable.from((function * () { while (true) yield 'x'.repeat(65_536) })()).pipe(socket)
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  t.teardown(() => server.close())
+  const closed = new Promise((resolve) => server.once('connection', (socket) => socket.once('close', resolve)))
+  t.is(await new TcpUpstreamProbe({ clock: new SystemClock() }).probe(`127.0.0.1:${(server.address() as AddressInfo).port}`), UpstreamProbeResult.Listening)
+  await closed
+})
