refactor(net.system-env,platform.adapter): one log of oversized answers; limits in reports are dated by their arrival

The bounds of what boxes read for themselves and of answers to requests had a log each, with the same event and metric. The bound of a read is ReadBound now, to tell it from the kinds of bounds of an answer. Signals in reports and in answers to control calls are dated by the earliest arrival, as those in responses are.

--- a/box/runtime/src/box.ts
+++ b/box/runtime/src/box.ts
@@ -161,9 +161,9 @@
    * @param startedAtMs start time of the responding upstream, if it reports one; signals of another start are ignored
    */
   observeUpstreamAt (address: string, advertised: UpstreamSignals, startedAtMs?: number): void {
-    const { clock, upstreams, signals } = this.#parts
+    const { pauseDetector, upstreams, signals } = this.#parts
     const upstream = upstreams.at(address)
-    if (upstream && (startedAtMs ?? upstream.startedAtMs) === upstream.startedAtMs) signals.observe(upstream.name, advertised, clock.nowMs())
+    if (upstream && (startedAtMs ?? upstream.startedAtMs) === upstream.startedAtMs) signals.observe(upstream.name, advertised, pauseDetector.earliestArrivalMs())
   }
 
   /** Records that a part of an answer was received from the upstream at an address. */
--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -5,7 +5,7 @@
 import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
-import { closeServers, createMemoryLimits, listenAt, LoopDelay, oversizedAnswerLog, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { closeServers, createMemoryLimits, listenAt, LoopDelay, oversizedAnswerLog, type OversizedAnswerListener, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
 import { BunyanLog, LogEvent } from '@reelspan/telemetry.log'
@@ -40,7 +40,8 @@
   })
   const token = await readToken(settings)
   const metrics = new Metrics()
-  const onOversized = oversizedAnswerLog({ clock, log: boxLog, metrics })
+  const logOversized = oversizedAnswerLog({ clock, log: boxLog, metrics })
+  const onOversized: OversizedAnswerListener = ({ kind, address, maxBytes, readBytes }) => logOversized({ answer: kind, address, limit: maxBytes, readBytes })
   const link = new WsPeerLink({
     clock,
     listenAddress: listen.peerAddress,
--- a/net/system-env/src/oversizedAnswerLog.ts
+++ b/net/system-env/src/oversizedAnswerLog.ts
@@ -1,7 +1,6 @@
 import { type Clock } from '@reelspan/core.env'
 import { type Log, LogEvent, RateLimiter } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
-import { type OversizedAnswerListener } from './readAnswer.js'
 
 export interface OversizedAnswerLogOptions {
   clock: Clock
@@ -9,14 +8,25 @@
   metrics: Metrics
 }
 
+/** An answer, or a part of one, that is larger than any valid one. */
+export interface LoggedOversize {
+  /** What was oversized. */
+  answer: string
+  /** Of the server that sent it. */
+  address: string
+  /** In bytes, or the maximum number of what is counted. */
+  limit: number
+  readBytes: number
+}
+
 /** A small part of a box's log rate limit. */
 const MAX_LINES_PER_SECOND = 5
 
-/** Returns a listener that counts oversized answers and logs them at a limited rate. */
-export function oversizedAnswerLog ({ clock, log, metrics }: OversizedAnswerLogOptions): OversizedAnswerListener {
+/** Returns a function that counts oversized answers and logs them at a limited rate. */
+export function oversizedAnswerLog ({ clock, log, metrics }: OversizedAnswerLogOptions): (oversize: LoggedOversize) => void {
   const rate = new RateLimiter({ nowMs: () => clock.nowMs(), perSecond: MAX_LINES_PER_SECOND })
-  return ({ kind, address, maxBytes, readBytes }) => {
-    metrics.count('reelspan_oversized_answers_total', { answer: kind })
-    if (rate.tryAcquire()) log.warn(LogEvent.AnswerOversized, { answer: kind, address, maxBytes, readBytes })
+  return ({ answer, ...fields }) => {
+    metrics.count('reelspan_oversized_answers_total', { answer })
+    if (rate.tryAcquire()) log.warn(LogEvent.AnswerOversized, { answer, ...fields })
   }
 }
--- a/net/system-env/src/readAnswer.ts
+++ b/net/system-env/src/readAnswer.ts
@@ -25,7 +25,7 @@
 
 export type OversizedAnswerListener = (answer: OversizedAnswer) => void
 
-export interface AnswerBound {
+export interface ReadBound {
   kind: AnswerKind
   address: string
   maxBytes: number
@@ -46,7 +46,7 @@
  * Reads a whole body. Throws `OversizedAnswerError` and closes the exchange as soon as more than its bound is received.
  * Its parts are copied, since small ones would keep the larger reads in memory that they arrived in.
  */
-export async function readAnswer (body: AsyncIterable<Uint8Array>, bound: AnswerBound): Promise<Buffer> {
+export async function readAnswer (body: AsyncIterable<Uint8Array>, bound: ReadBound): Promise<Buffer> {
   let buffer = Buffer.alloc(0)
   let readBytes = 0
   for await (const part of body) {
@@ -67,7 +67,7 @@
 const MAX_ERROR_BYTES = 65_536
 
 /** Reads and drops the body of an answer whose status says all. Never rejects. */
-export async function discardErrorBody (body: AsyncIterable<Uint8Array>, { address, onOversized }: Pick<AnswerBound, 'address' | 'onOversized'>): Promise<void> {
+export async function discardErrorBody (body: AsyncIterable<Uint8Array>, { address, onOversized }: Pick<ReadBound, 'address' | 'onOversized'>): Promise<void> {
   const bound = { kind: AnswerKind.Error, address, maxBytes: MAX_ERROR_BYTES, onOversized }
   let readBytes = 0
   try {
@@ -81,7 +81,7 @@
 }
 
 /** Tells the listener, and returns the error to throw. */
-export function reportOversized ({ onOversized, ...bound }: AnswerBound, readBytes: number): OversizedAnswerError {
+export function reportOversized ({ onOversized, ...bound }: ReadBound, readBytes: number): OversizedAnswerError {
   const answer = { ...bound, readBytes }
   onOversized?.(answer)
   return new OversizedAnswerError(answer)
--- a/net/upstream-http/src/httpEngineClient.ts
+++ b/net/upstream-http/src/httpEngineClient.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '@reelspan/core.env'
 import { type HoldLabel, holdLabelSchema } from '@reelspan/core.messages'
-import { type AnswerBound, AnswerKind, type OversizedAnswerListener, readAnswer } from '@reelspan/net.system-env'
+import { type ReadBound, AnswerKind, type OversizedAnswerListener, readAnswer } from '@reelspan/net.system-env'
 import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, EngineRole, HoldKind, type PrefillRequest, type PrefillResult, type UpstreamCallOptions, UpstreamError } from '@reelspan/upstream.client'
 import { Agent, request, type Dispatcher } from 'undici'
 import { z } from 'zod'
@@ -56,7 +56,7 @@
   onOversized?: OversizedAnswerListener
 }
 
-interface JsonBound extends Pick<AnswerBound, 'kind' | 'maxBytes'> {
+interface JsonBound extends Pick<ReadBound, 'kind' | 'maxBytes'> {
   timeoutMs: number
 }
 
--- a/net/upstream-http/src/readLines.ts
+++ b/net/upstream-http/src/readLines.ts
@@ -1,10 +1,10 @@
 import { type Clock } from '@reelspan/core.env'
-import { type AnswerBound, reportOversized } from '@reelspan/net.system-env'
+import { type ReadBound, reportOversized } from '@reelspan/net.system-env'
 
 export interface ReadLinesOptions {
   clock: Clock
   /** Bound of a line. */
-  bound: AnswerBound
+  bound: ReadBound
   /** Timeout of a line. Bytes that do not complete it in time count like none. */
   timeoutMs: number
 }
