--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -491,8 +491,8 @@
   {
     name: 'a report that does not arrive on a reused connection is requested on a new one',
     file: 'platform/adapter/src/platformEngineClient.ts',
-    find: 'if (signal.aborted) throw thrown\n      return this.#read(address, signal, { fresh: true, instance })',
-    replace: 'throw thrown',
+    find: 'OversizedAnswerError)) throw thrown\n      return this.#read(address, signal, { fresh: true, instance })',
+    replace: 'OversizedAnswerError)) throw thrown\n      throw thrown',
     tests: ['platform/adapter/test.lib/unresponsiveConnections.js'],
   },
   {
--- /dev/null
+++ b/box/runtime/test/accountRestart690Overload.ts
@@ -0,0 +1,3 @@
+import { defineOverloadTest, DISCOVERY_MS, SEEDS_ONLY } from './__utils__/defineRestartTests.js'
+
+defineOverloadTest({ boxes: 690, seeds: [1, 2], isListed: SEEDS_ONLY, discoveryMs: DISCOVERY_MS })
