--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -9,6 +9,7 @@
 const PATH_LOSS_SEED = 520001
 const CRASH_SEED = 600001
 const SILENCE_SEED = 690002
+const HELD_UP_SEED = 722000
 /** Number of runs that share the machine, so that all seeds take a minute or two. */
 const CONCURRENT_RUNS = 3
 
@@ -47,6 +48,15 @@
   t.true(result.checkCounts.begun > 0)
 })
 
+test.serial(`real boxes that are held up around SIGTERM cut no late request and stop by themselves, of seed ${HELD_UP_SEED}`, async (t) => {
+  t.timeout(TIMEOUT_MS)
+  const result = await soak({ seed: HELD_UP_SEED, kinds: [FaultKind.ChangeConfiguration], ...FLEET_SIZE, boxes: 4, clients: 8, heldUpStops: true })
+  t.log(result.heldUpStops, result.checkCounts)
+  if (result.violations.length > 0) t.log(`logs of the boxes: ${await saveLogs(HELD_UP_SEED, result)}`)
+  t.deepEqual(result.violations, [])
+  t.true(result.checkCounts.sentLate > 0)
+})
+
 async function runSeed (t: ExecutionContext, { seed, kinds }: KnownSeed): Promise<string[]> {
   const result = await soak({ seed, kinds, ...FLEET_SIZE })
   const { attempts, faults, violations, checkCounts } = result
