test(review): bytes behind a whole answer become the status of the next one

Cause: a connection to an upstream goes back to the pool although its parser holds the beginning of a second answer. The next answer on that connection is parsed behind it and gets its status.

The stand-in service can fail requests and send bytes behind an answer.

--- a/review/common/check.mjs
+++ b/review/common/check.mjs
@@ -6,7 +6,8 @@
 /** Returns one line for each request with which a rule was broken. */
 export function brokenRules (record) {
   const sent = new Map(record.of('sent').map((event) => [event.id, event]))
-  const runs = Map.groupBy?.(record.of('runs'), ({ id }) => id) ?? groupById(record.of('runs'))
+  const runs = groupById(record.of('runs'))
+  const ends = groupById(record.of('ran'))
   const broken = []
   runs.forEach((ofRequest, id) => {
     const request = sent.get(id)
@@ -17,6 +18,8 @@
     const [run] = runs.get(id) ?? []
     const isOwn = stamp === undefined
     if (!REPEATABLE.includes(kind) && PROMISES.includes(status) && run) broken.push({ rule: 'REFUSED', id, text: `a request that may run once (${kind}) got ${status} at ${atMs} ms, and runs at ${run.server} from ${run.atMs} ms on` })
+    const end = ends.get(id)?.find(({ server }) => stamp === `${server}.${id}`)
+    if (!isOwn && end && end.status !== status) broken.push({ rule: 'MIXED', id, text: `the answer (${kind}) has the signature of ${end.server} and status ${status}; the server gave ${end.status}` })
     if (status >= 200 && status < 300 && !stamp?.endsWith(`.${id}`)) broken.push({ rule: 'MIXED', id, text: `a success has the signature «${stamp}»` })
     if (isOwn && [400, 401, 403, 404].includes(status)) broken.push({ rule: 'DENIED', id, text: `an own ${status}` })
   })
--- a/review/common/client.mjs
+++ b/review/common/client.mjs
@@ -31,7 +31,7 @@
         clearTimeout(timer)
         if (answer.done) return
         answer.done = true
-        this.record.add('answered', { id, kind, status: answer.status, whole: answer.whole, stamp: answer.stamp, why, text: answer.text.slice(0, answer.status === 200 ? 40 : 200), bytes: answer.text.length })
+        this.record.add('answered', { id, kind, status: answer.status, whole: answer.whole, stamp: answer.stamp, why, text: answer.text })
         resolve(answer)
       }
       const call = request({ host, port, path, method, headers, agent }, (response) => {
--- a/review/common/engine.mjs
+++ b/review/common/engine.mjs
@@ -8,6 +8,10 @@
 export const SOUND = {
   /** Whether an answer with this status is sent a second time, at the place of the next answer on its connection. */
   repeatsLate: () => false,
+  /** Bytes that follow a whole answer and belong to no request. */
+  extraBehind: () => '',
+  /** Whether a request runs and fails, with a 500 of the server. */
+  fails: () => false,
   /** Whether the answer of a run is lost: its connection is reset at the end. */
   losesAnswer: () => false,
   /** How long a handle is kept. */
@@ -58,9 +62,12 @@
 
   answer ({ connection }, status, headers, body) {
     const text = answerText(status, headers, body)
-    connection.write(text)
+    const id = headers['X-Reelspan-Request-Id']
+    const extra = this.faults.extraBehind()
+    connection.write(text + extra)
+    if (extra !== '') this.record.add('spoils', { server: this.id, id, status, by: `extra bytes behind it: «${extra.trim()}»` })
     if (!this.faults.repeatsLate(status, headers)) return
-    this.record.add('spoils', { server: this.id, id: headers['X-Reelspan-Request-Id'], status, by: 'an extra answer, late' })
+    this.record.add('spoils', { server: this.id, id, status, by: 'an extra answer, late' })
     connection.extra = text
   }
 
@@ -91,8 +98,9 @@
     this.busy--
     this.#next()
     if (this.faults.losesAnswer()) return request.connection.reset()
-    this.record.add('ran', { id, server: this.id })
-    this.answer(request, 200, { 'X-Reelspan-Request-Id': id, 'X-Reelspan-Server-Stamp': `${this.id}.${id}` }, `done ${id} at ${this.id}`)
+    const status = this.faults.fails(request) ? 500 : 200
+    this.record.add('ran', { id, server: this.id, status })
+    this.answer(request, status, { 'X-Reelspan-Request-Id': id, 'X-Reelspan-Server-Stamp': `${this.id}.${id}` }, status === 200 ? `done ${id} at ${this.id}` : `failed ${id} at ${this.id}`)
   }
 
   #next () {
@@ -186,7 +194,7 @@
         connection.write(`${event.length.toString(16)}\r\n${event}\r\n`)
       }
       connection.write('0\r\n\r\n')
-      this.record.add('ran', { id, server: this.id })
+      this.record.add('ran', { id, server: this.id, status: 200 })
     } finally {
       this.running--
     }
