--- a/review/common/engine.mjs
+++ b/review/common/engine.mjs
@@ -169,6 +169,10 @@
     await this.#decode(request, id, { maxTokens, promptMs: source === undefined ? 2 * promptTokens / this.promptTokensPerMs : 2 })
   }
 
+  pace (ms) {
+    return sleep(ms)
+  }
+
   async #prefill (request, id, tokens) {
     await sleep(60 + tokens / this.promptTokensPerMs)
     if (request.connection.closed) return
@@ -187,7 +191,7 @@
       const head = `HTTP/1.1 200 OK\r\nX-Reelspan-Request-Id: ${id}\r\nX-Reelspan-Server-Stamp: ${this.id}.${id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`
       connection.write(head)
       for (let i = first; i < events; i++) {
-        await sleep(this.tokenMs * this.stride)
+        await this.pace(this.tokenMs * this.stride)
         if (connection.closed) return this.record.add('dropped', { id, server: this.id, after: i })
         if (i === events - 1 && this.faults.losesAnswer()) return connection.reset()
         const event = `id: ${i}\ndata: ${id} ${i}${i === events - 1 ? ' end' : ''}\n\n`
