test(review): bytes behind a whole answer make a stream run twice

Cause: a connection to an upstream goes back to the pool although its parser holds the beginning of a second answer. If that is a refusal with the header that says «not executed», the box takes the next run on the connection for a refusal, and sends the request to the same engine again.

--- a/review/common/engine.mjs
+++ b/review/common/engine.mjs
@@ -63,14 +63,19 @@
   answer ({ connection }, status, headers, body) {
     const text = answerText(status, headers, body)
     const id = headers['X-Reelspan-Request-Id']
-    const extra = this.faults.extraBehind()
-    connection.write(text + extra)
-    if (extra !== '') this.record.add('spoils', { server: this.id, id, status, by: `extra bytes behind it: «${extra.trim()}»` })
+    connection.write(text + this.extraBehind(id, status))
     if (!this.faults.repeatsLate(status, headers)) return
     this.record.add('spoils', { server: this.id, id, status, by: 'an extra answer, late' })
     connection.extra = text
   }
 
+  /** Bytes that a faulty server sends behind an answer. */
+  extraBehind (id, status) {
+    const extra = this.faults.extraBehind()
+    if (extra !== '') this.record.add('spoils', { server: this.id, id, status, by: `extra bytes behind it: «${extra.trim()}»` })
+    return extra
+  }
+
   recordRun (id, more = {}) {
     this.record.add('runs', { id, server: this.id, ...more })
   }
@@ -197,7 +202,7 @@
         const event = `id: ${i}\ndata: ${id} ${i}${i === events - 1 ? ' end' : ''}\n\n`
         connection.write(`${event.length.toString(16)}\r\n${event}\r\n`)
       }
-      connection.write('0\r\n\r\n')
+      connection.write(`0\r\n\r\n${this.extraBehind(id, 200)}`)
       this.record.add('ran', { id, server: this.id, status: 200 })
     } finally {
       this.running--
