fix(review): a script that is ended by its time-out ends its boxes

Cause: timeout signals the process and then its group, so that SIGTERM comes twice. The second one ended the script while it cleaned up: its boxes ran on for some seconds and its temporary folder stayed.

Change: review/common/runCase.mjs ignores SIGTERM while it ends.

Measured: ended by timeout after 15 s, no process and no folder is left; before, two processes after 1 s and the folder. The whole lint passes.

--- a/review/common/runCase.mjs
+++ b/review/common/runCase.mjs
@@ -16,7 +16,12 @@
     await record.close()
     process.exit(code)
   }
-  process.once('SIGTERM', () => { end(ExitCode.CouldNotRun) })
+  // A time-out signals the process and its group, so that the signal comes twice.
+  let ending = false
+  process.on('SIGTERM', () => {
+    if (!ending) end(ExitCode.CouldNotRun)
+    ending = true
+  })
   let code = ExitCode.CouldNotRun
   try {
     await play()
