feat(net.http-exchange): logs name the connection of an answer

An answer's log line did not say on which connection it came, a refusal that led to another send had no line of its own, and answers that belong to another request were skipped without a trace. So a refusal by an engine could not be told from a late copy of an earlier one.

--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -1,6 +1,6 @@
 import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
-import { type AnswerBuffer } from '@reelspan/upstream.client'
-import { type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
+import { type AnswerBuffer, type ConnectionUse } from '@reelspan/upstream.client'
+import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { type AcceptHead, type ExceededBound, UpstreamConnection } from './upstreamConnection.js'
 
@@ -21,6 +21,8 @@
   onConnectFailed?: (address: string) => void
   /** Called when an exchange was ended since its answer exceeds a bound. */
   onBoundExceeded?: (address: string, exceeded: ExceededBound) => void
+  /** Called when an answer that belongs to another request than the one sent is skipped. */
+  onForeignAnswer?: (address: string, use: ConnectionUse, head: AnswerHead) => void
 }
 
 export interface ExchangeOptions {
@@ -52,6 +54,7 @@
   readonly #openConnections = new Set<UpstreamConnection>()
   /** The number of open connections to each upstream. */
   readonly #openCounts = new Map<string, number>()
+  #openedCount = 0
 
   constructor (opts: ConnectionPoolOptions) {
     this.#opts = opts
@@ -131,14 +134,16 @@
   }
 
   async #connect (address: string, signal: AbortSignal): Promise<UpstreamConnection> {
-    const { clock, connectTimeoutMs, onOpened, onReceived, onBoundExceeded } = this.#opts
+    const { clock, connectTimeoutMs, onOpened, onReceived, onBoundExceeded, onForeignAnswer } = this.#opts
     this.#evictIdleIfFull()
     const connection = new UpstreamConnection({
       address,
+      number: ++this.#openedCount,
       upstreamStartId: this.#opts.startIdAt?.(address),
       clock,
       onReceived: () => onReceived?.(address),
       onBoundExceeded: (exceeded) => onBoundExceeded?.(address, exceeded),
+      onForeignAnswer: (use, head) => onForeignAnswer?.(address, use, head),
       onIdle: (idle) => this.#keepIdleOrClose(idle),
       onClosed: (closed) => this.#remove(closed),
     })
--- a/net/http-exchange/src/exchange.ts
+++ b/net/http-exchange/src/exchange.ts
@@ -1,4 +1,4 @@
-import { type AnswerFraming } from '@reelspan/upstream.client'
+import { type AnswerFraming, type ConnectionUse } from '@reelspan/upstream.client'
 
 /** A request to an upstream, as it is sent. */
 export interface ExchangeRequest {
@@ -20,6 +20,7 @@
 /** An answer whose head has arrived. */
 export interface ExchangeAnswer extends AnswerHead {
   framing: AnswerFraming
+  use: ConnectionUse
   /** Ends once the answer is complete. Throws `ExchangeError` if the answer is interrupted. */
   body: AsyncIterable<Uint8Array>
 }
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { splitAddress } from '@reelspan/net.system-env'
-import { AnswerBound, AnswerBoundExceeded, type AnswerBuffer, type PausableSource } from '@reelspan/upstream.client'
+import { AnswerBound, AnswerBoundExceeded, type AnswerBuffer, type ConnectionUse, type PausableSource } from '@reelspan/upstream.client'
 import { AnswerBody } from './answerBody.js'
 import { checkWhilePaused } from './checkWhilePaused.js'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
@@ -49,6 +49,8 @@
 
 export interface UpstreamConnectionOptions {
   address: string
+  /** Number of the connection among those of its pool. */
+  number: number
   /** The start of the upstream's process that was known to be at the address when the connection was opened. */
   upstreamStartId?: string
   clock: Clock
@@ -57,6 +59,8 @@
   /** Called when an exchange has ended and the connection can be reused. */
   onIdle: (connection: UpstreamConnection) => void
   onBoundExceeded?: (exceeded: ExceededBound) => void
+  /** Called when an answer that belongs to another request is skipped. */
+  onForeignAnswer?: (use: ConnectionUse, head: AnswerHead) => void
   onClosed: (connection: UpstreamConnection) => void
 }
 
@@ -81,6 +85,7 @@
   readonly #parser: ResponseParser
   readonly #opened: Promise<void>
   #exchange?: Exchange
+  #exchangeCount = 0
   /** The answer of the last read, which may also have ended in it. */
   #body?: AnswerBody
   #closed = false
@@ -140,6 +145,11 @@
     return isWaiting ? this.#opts.clock.nowMs() - this.#lastSentAtMs : 0
   }
 
+  /** The exchange that runs, or ran last. */
+  get use (): ConnectionUse {
+    return { connection: this.#opts.number, exchange: this.#exchangeCount }
+  }
+
   /** Resolves once the connection is open. */
   opened (): Promise<void> {
     return this.#opened
@@ -149,6 +159,7 @@
   send (request: ExchangeRequest, exchange: ConnectionExchange): Promise<ExchangeAnswer> {
     return new Promise((resolve, reject) => {
       this.#exchange = { ...exchange, headOnly: request.method === HEAD_METHOD, resolve, reject, skipping: false, reusable: false, readBytes: 0, bodyBytes: 0 }
+      this.#exchangeCount++
       this.#lastSentAtMs = this.#opts.clock.nowMs()
       this.#socket.cork()
       this.#socket.write(headText(request), 'latin1')
@@ -189,12 +200,15 @@
     // A second answer follows a complete one, so the connection cannot be reused.
     if (!exchange || exchange.body) throw new Error('an answer without a request')
     exchange.skipping = !exchange.accept(head)
-    if (exchange.skipping) return false
+    if (exchange.skipping) {
+      this.#opts.onForeignAnswer?.(this.use, head)
+      return false
+    }
     exchange.reusable = head.reusable && !this.#closed
     this.#readKeepAlive(head.headers)
     exchange.body = new AnswerBody(this.#pausableSource(), exchange.buffer)
     this.#body = exchange.body
-    exchange.resolve({ status: head.status, headers: head.headers, framing: head.framing, body: exchange.body })
+    exchange.resolve({ status: head.status, headers: head.headers, framing: head.framing, use: this.use, body: exchange.body })
     return exchange.headOnly
   }
 
--- a/request/relay/src/completionAttempt.ts
+++ b/request/relay/src/completionAttempt.ts
@@ -292,7 +292,7 @@
   async #handleAnswer (plan: PlacementPlan, answer: RelayAnswer, { placement, watched, version, exchange, progress }: AnswerContext): Promise<void> {
     const { context, race, mayRetryElsewhere } = this.#state
     const { run, route, caller, logDecision } = context
-    logDecision(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, framing: answer.framing, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
+    logDecision(LogEvent.RequestSent, { upstream: plan.decodeEngine, status: answer.status, framing: answer.framing, ...answer.use, prefillMs: Math.round(this.#prefillMs), atMs: Math.round(run.elapsedMs) })
     const failed = answer.status >= FIRST_SERVER_ERROR
     if (caller.begun ? answer.status !== OK : failed && (mayRetryElsewhere || race.othersOf(this).length > 0)) {
       discardAnswer(context, plan.decodeEngine, answer)
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -1,4 +1,5 @@
 import { STOPPED } from '@reelspan/core.env'
+import { LogEvent } from '@reelspan/telemetry.log'
 import { type PrefilledPrompt, type RelayAnswer, type RelayCallOptions, type RelayRunOptions, type RelayTarget, UpstreamError } from '@reelspan/upstream.client'
 import { type SendPermit } from '@reelspan/upstream.limits'
 import { listedVersion } from './listedVersion.js'
@@ -25,7 +26,7 @@
  * upstream reports that it did not. Throws `UpstreamError`, as does the answer's body if it is not whole.
  */
 export function sendToUpstream (context: RelayContext, to: PermittedTarget, runOptions: RelayRunOptions): Promise<RelayAnswer> {
-  const { opts, run, request, caller: { buffer } } = context
+  const { opts, run, request, logDecision, caller: { buffer } } = context
   const { target } = to
   if (request.account !== undefined) buffer?.assignTo(request.account)
   return run.dispatchOnSend(async (sent) => {
@@ -41,6 +42,7 @@
     const answer = { ...await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, signal, buffer, onSend })), cancel: () => cancelled.abort(STOPPED) }
     if (answer.status !== MISDIRECTED) opts.runEnds.onSignOfLife(target.instance, sentAtMs)
     if (!answer.notRun) return withCheckedEnd(answer, { sender: target.instance, metrics: opts.metrics })
+    logDecision(LogEvent.UpstreamRefused, { upstream: target.instance, status: answer.status, ...answer.use, sentAgoMs: Math.round(opts.clock.nowMs() - sentAtMs), atMs: Math.round(run.elapsedMs) })
     discardAnswer(context, target.instance, answer)
     throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: FULL_STATUSES.includes(answer.status) })
   })
--- a/request/relay/src/serviceAttempt.ts
+++ b/request/relay/src/serviceAttempt.ts
@@ -82,7 +82,7 @@
     const failed = answer.status >= FIRST_SERVER_ERROR
     picker.recordLatency(this.name, durationMs)
     if (!failed) this.#recordDuration(durationMs)
-    logDecision(LogEvent.RequestSent, { upstream: this.name, attempt: this.#nth, status: answer.status, framing: answer.framing, atMs: Math.round(run.elapsedMs) })
+    logDecision(LogEvent.RequestSent, { upstream: this.name, attempt: this.#nth, status: answer.status, framing: answer.framing, ...answer.use, atMs: Math.round(run.elapsedMs) })
     if (failed) await this.#checkIsFinal(answer)
     run.throwIfEnded()
     this.#state.claim(this)
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -36,6 +36,8 @@
   PlatformReadDropped = 'platformReadDropped',
   /** The rest of an answer was not read, since it is larger than any valid one. */
   AnswerOversized = 'answerOversized',
+  /** An answer on a connection to an upstream belonged to another request than the one sent, and was skipped. */
+  AnswerForeign = 'answerForeign',
   EntriesKept = 'entriesKept',
   UpstreamsChanged = 'upstreamsChanged',
   EntryUnreadable = 'entryUnreadable',
@@ -46,6 +48,8 @@
   AccountsProofChanged = 'accountsProofChanged',
   RequestPlaced = 'requestPlaced',
   RequestSent = 'requestSent',
+  /** An upstream refused a request without running it. */
+  UpstreamRefused = 'upstreamRefused',
   RequestRetried = 'requestRetried',
   /** An attempt failed, and no other one is made. */
   RequestNotRetried = 'requestNotRetried',
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -73,6 +73,14 @@
   urgency?: number
 }
 
+/** Where an exchange ran, for logs. */
+export interface ConnectionUse {
+  /** Number of the connection among those that this process has opened. */
+  connection: number
+  /** Number of the exchange among those on the connection. */
+  exchange: number
+}
+
 /** An upstream's answer, unchanged. */
 export interface RelayAnswer {
   status: number
@@ -81,6 +89,8 @@
   headers: readonly string[]
   /** What ends the body, if the transport knows it. */
   framing?: AnswerFraming
+  /** The connection on which it arrived, if the transport knows it. */
+  use?: ConnectionUse
   body: AsyncIterable<Uint8Array>
   /** Ends its exchange, if that may go on after the head of the answer has arrived. */
   cancel?: () => void
