fix(net.http-exchange): a request is sent once on each connection

Cause: an answer carries the id of its request, and a request that is sent again has the same id. The second send to an engine went out on the connection of the first, so a late copy of the first refusal passed for the answer to the second send.

Ruled out: a second refusal by the engine, and a send by another box.

Where nothing is sent twice the pool opens none for this.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -488,6 +488,13 @@
     replace: '',
     tests: ['net/http-exchange/test.lib/unresponsiveConnections.js'],
   },
+  {
+    name: 'a request is not sent twice on one connection',
+    file: 'net/http-exchange/src/connectionPool.ts',
+    find: 'idle.findLast((connection) => connection.canCarry(identity))',
+    replace: 'idle.at(-1)',
+    tests: ['net/http-exchange/test.lib/lateAnswers.js', 'platform/adapter/test.lib/lateRefusals.js'],
+  },
   {
     name: 'a report that does not arrive on a reused connection is requested on a new one',
     file: 'platform/adapter/src/platformEngineClient.ts',
--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -125,6 +125,8 @@
   handleTtlMs?: number
   /** Decides whether to refuse a request without running it. */
   refuses?: () => boolean
+  /** Decides whether a refusal is sent a second time, late: ahead of the next answer on its connection. */
+  repeatsRefusalLate?: () => boolean
   /** What it sends without end instead of an answer, by the id of the request; undefined for a whole answer. */
   floodOf?: (id: string) => Flood | undefined
   /** Decides whether the answer of a run is lost. */
@@ -161,6 +163,8 @@
   /** Running answers that end with their connection. */
   readonly #endingWithConnection = new Set<ServerResponse>()
   readonly #pausing = new Pausing()
+  /** Copies of refusals that are yet to be sent, by connection. */
+  readonly #lateCopies = new WeakMap<Socket, string>()
   #nextHandle = 0
   /** Set once it has crashed, although its address may still accept connections. */
   #crashed = false
@@ -168,6 +172,8 @@
   readonly arrivals: UpstreamArrival[] = []
   /** Answers that it sent without end. */
   readonly floods: FloodedAnswer[] = []
+  /** Ids of the requests whose refusals it sent, or meant to send, a second time. */
+  readonly repeatedRefusals: string[] = []
   /** Headers of all calls received, not only of requests. */
   readonly received: ReceivedHeaders[] = []
   /** Bodies of the orders received, and the instances that they were addressed to. */
@@ -247,6 +253,7 @@
     // What it had not read when it stopped is lost.
     if (!this.#server.listening) return
     const { url = '', method, headers } = message
+    this.#sendLateCopy(message.socket)
     Object.entries(this.#opts.advertises?.() ?? {}).forEach(([name, value]) => response.setHeader(name, value))
     if (url === '/v1/report') return this.#report(response)
     if (url === '/v1/order') return this.#acceptOrder(text, headers, response)
@@ -259,17 +266,33 @@
     response.setHeader('X-Reelspan-Request-Id', id)
     response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
     const expected = headers['x-reelspan-expect-instance']
-    if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return refuse(response, 421)
+    if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return this.#refuse(id, response, 421)
     this.arrivals.push({ id, instance: this.instance, atMs: performance.now() })
-    if (this.#opts.refuses?.()) return refuse(response, 503)
+    if (this.#opts.refuses?.()) return this.#refuse(id, response, 503)
     const flood = this.#opts.floodOf?.(id)
     if (flood) return this.#flood(id, flood, headers, response)
     if (this.#role === Role.Prefill) return this.#prefill(headers, response)
     const source = headers['x-reelspan-kv-source']
-    if (source !== undefined && this.#opts.handles && !this.#handles.consume(String(source).split('/').at(-1) ?? '')) return refuse(response, 503)
+    if (source !== undefined && this.#opts.handles && !this.#handles.consume(String(source).split('/').at(-1) ?? '')) return this.#refuse(id, response, 503)
     await this.#run(id, message, response)
   }
 
+  /** Refuses a request without running it. */
+  #refuse (id: string, response: ServerResponse, status: number): void {
+    const { socket } = response
+    if (socket && this.#opts.repeatsRefusalLate?.()) {
+      this.repeatedRefusals.push(id)
+      this.#lateCopies.set(socket, `HTTP/1.1 ${status} Refused\r\nX-Reelspan-Request-Id: ${id}\r\nX-Reelspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`)
+    }
+    response.writeHead(status, { 'X-Reelspan-Not-Executed': '1' }).end()
+  }
+
+  #sendLateCopy (socket: Socket): void {
+    const copy = this.#lateCopies.get(socket)
+    if (copy !== undefined) socket.write(copy)
+    this.#lateCopies.delete(socket)
+  }
+
   async #flood (id: string, flood: Flood, headers: IncomingMessage['headers'], response: ServerResponse): Promise<void> {
     const answer: FloodedAnswer = { id, startedAtMs: performance.now() }
     this.floods.push(answer)
@@ -330,7 +353,7 @@
   }
 
   async #prefill (headers: IncomingMessage['headers'], response: ServerResponse): Promise<void> {
-    if (headers['x-reelspan-serving-stage'] !== 'prefill') return refuse(response, 421)
+    if (headers['x-reelspan-serving-stage'] !== 'prefill') return this.#refuse(String(headers['x-reelspan-request-id']), response, 421)
     const { prefillMs = 0 } = this.#opts
     if (prefillMs > 0) await sleep(prefillMs)
     await this.#pausing.untilResumed()
@@ -420,8 +443,3 @@
     text: lines.join('\n'),
   }
 }
-
-/** Refuses a request without running it. */
-function refuse (response: ServerResponse, status: number): void {
-  response.writeHead(status, { 'X-Reelspan-Not-Executed': '1' }).end()
-}
--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -1,6 +1,6 @@
 import { type Clock, raceTimeout, TimedOut } from '@reelspan/core.env'
 import { type AnswerBuffer, type ConnectionUse } from '@reelspan/upstream.client'
-import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
+import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest, type RequestIdentity } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { type AcceptHead, type ExceededBound, UpstreamConnection } from './upstreamConnection.js'
 
@@ -28,6 +28,8 @@
 export interface ExchangeOptions {
   /** Cancels the exchange and closes its connection. */
   signal: AbortSignal
+  /** Identifies the request, which may be sent again. The answers to two sends with one id cannot be told apart, so each goes out on a connection of its own. */
+  identity?: RequestIdentity
   /** Whether an answer belongs to this request and not to another one. */
   accept?: AcceptHead
   /** Accounts for the bytes of the answer that are received and not read yet, and pauses the connection when there are too many. Without it they are not limited. */
@@ -47,7 +49,7 @@
 /** The maximum number of idle connections kept to one upstream; more are needed only in bursts. */
 const MAX_IDLE_PER_UPSTREAM = 32
 
-/** Pools connections to upstreams, each used for one exchange at a time. Never sends a request twice. */
+/** Pools connections to upstreams, each used for one exchange at a time. Sends a request once for each call, and never twice on one connection. */
 export class ConnectionPool {
   readonly #opts: ConnectionPoolOptions
   readonly #idleConnections = new Map<string, UpstreamConnection[]>()
@@ -62,9 +64,9 @@
 
   /** Sends a request once and resolves when the head of its answer has arrived. Throws `ExchangeError`. */
   async exchange (address: string, request: ExchangeRequest, opts: ExchangeOptions): Promise<ExchangeAnswer> {
-    const { signal, accept = () => true, buffer, maxBodyBytes, onSend, forceNewConnection = false } = opts
+    const { signal, identity, accept = () => true, buffer, maxBodyBytes, onSend, forceNewConnection = false } = opts
     if (signal.aborted) throw new ExchangeError('the exchange was cancelled', { mayHaveRun: false })
-    const idleConnection = forceNewConnection ? undefined : this.#acquireIdle(address)
+    const idleConnection = forceNewConnection ? undefined : this.#acquireIdle(address, identity)
     const connection = idleConnection ?? await this.#connect(address, signal)
     if (signal.aborted) {
       this.#keepIdleOrClose(connection)
@@ -84,7 +86,7 @@
     }
     onSend?.()
     try {
-      const answer = await connection.send(request, { token, accept, buffer, maxBodyBytes })
+      const answer = await connection.send(request, { token, identity, accept, buffer, maxBodyBytes })
       return { ...answer, body: finishAfterReading(answer.body, finish) }
     } catch (thrown) {
       finish()
@@ -94,7 +96,7 @@
 
   /** Whether the next exchange with an upstream would reuse an idle connection. */
   hasIdle (address: string): boolean {
-    return (this.#idleConnections.get(address) ?? []).some((connection) => this.#isWithinKeepAlive(connection) && this.#isToCurrentStart(connection))
+    return (this.#idleConnections.get(address) ?? []).some((connection) => this.#isReusable(connection))
   }
 
   close (): void {
@@ -110,18 +112,23 @@
   /** Closes idle connections that are close to their keep-alive timeout or lead to an earlier start of their upstream. */
   closeStale (): void {
     this.#idleConnections.forEach((connections, address) => {
-      connections.filter((connection) => !this.#isWithinKeepAlive(connection) || !this.#isToCurrentStart(connection)).forEach((connection) => connection.close())
+      connections.filter((connection) => !this.#isReusable(connection)).forEach((connection) => connection.close())
       if (this.#idleConnections.get(address)?.length === 0) this.#idleConnections.delete(address)
     })
   }
 
-  #acquireIdle (address: string): UpstreamConnection | undefined {
-    const idle = this.#idleConnections.get(address)
-    for (let connection = idle?.pop(); connection; connection = idle?.pop()) {
-      if (!connection.closed && this.#isWithinKeepAlive(connection) && this.#isToCurrentStart(connection)) return connection
-      connection.close()
-    }
-    return undefined
+  /** Returns the connection that became idle last, of those that can carry the request. */
+  #acquireIdle (address: string, identity?: RequestIdentity): UpstreamConnection | undefined {
+    const candidates = this.#idleConnections.get(address) ?? []
+    candidates.filter((connection) => !this.#isReusable(connection)).forEach((connection) => connection.close())
+    const idle = this.#idleConnections.get(address) ?? []
+    const acquired = idle.findLast((connection) => connection.canCarry(identity))
+    if (acquired) this.#idleConnections.set(address, idle.filter((connection) => connection !== acquired))
+    return acquired
+  }
+
+  #isReusable (connection: UpstreamConnection): boolean {
+    return this.#isWithinKeepAlive(connection) && this.#isToCurrentStart(connection)
   }
 
   #isWithinKeepAlive ({ idleSinceMs, keepAliveMs }: UpstreamConnection): boolean {
@@ -182,7 +189,7 @@
     connection.idleSinceMs = this.#opts.clock.nowMs()
     const open = this.#openCounts.get(address) ?? 0
     const withinShare = open <= 1 || open <= (this.#opts.connectionShareOf?.(address) ?? Number.POSITIVE_INFINITY)
-    if (withinShare && idle.length < MAX_IDLE_PER_UPSTREAM) idle.push(connection)
+    if (withinShare && idle.length < MAX_IDLE_PER_UPSTREAM && !connection.isExhausted) idle.push(connection)
     else connection.close()
   }
 
--- a/net/http-exchange/src/exchange.ts
+++ b/net/http-exchange/src/exchange.ts
@@ -10,6 +10,13 @@
   body: Uint8Array
 }
 
+/** What the answers to a request are recognized by. */
+export interface RequestIdentity {
+  id: string
+  /** When the request is sent no more, on the pool's clock. */
+  endsAtMs: number
+}
+
 /** Status and headers of an answer. */
 export interface AnswerHead {
   status: number
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -4,10 +4,11 @@
 import { AnswerBound, AnswerBoundExceeded, type AnswerBuffer, type ConnectionUse, type PausableSource } from '@reelspan/upstream.client'
 import { AnswerBody } from './answerBody.js'
 import { checkWhilePaused } from './checkWhilePaused.js'
-import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest } from './exchange.js'
+import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest, type RequestIdentity } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { headerValue } from './rawHeaders.js'
 import { type ParsedHead, ResponseParser } from './responseParser.js'
+import { SentRequests } from './sentRequests.js'
 
 /** Whether a head belongs to the request that was sent on the connection. */
 export type AcceptHead = (head: AnswerHead) => boolean
@@ -16,6 +17,7 @@
 export interface ConnectionExchange {
   /** Identifies the exchange for `cancel`. */
   token: symbol
+  identity?: RequestIdentity
   accept: AcceptHead
   /** Accounts for the bytes of the answer. Without it they are not limited. */
   buffer?: AnswerBuffer
@@ -86,6 +88,7 @@
   readonly #opened: Promise<void>
   #exchange?: Exchange
   #exchangeCount = 0
+  readonly #sentRequests = new SentRequests()
   /** The answer of the last read, which may also have ended in it. */
   #body?: AnswerBody
   #closed = false
@@ -150,6 +153,23 @@
     return { connection: this.#opts.number, exchange: this.#exchangeCount }
   }
 
+  /**
+   * Whether an answer to the request could be told from the answers to what was sent on the connection before.
+   * An upstream in trouble may send an answer a second time, ahead of a later one; the request's id does not
+   * distinguish it from the answer to another send of the same request.
+   */
+  canCarry (identity?: RequestIdentity): boolean {
+    if (!identity) return true
+    this.#sentRequests.removeEnded(this.#opts.clock.nowMs())
+    return !this.#sentRequests.has(identity.id)
+  }
+
+  /** Whether it cannot remember another request, and so must not carry one. */
+  get isExhausted (): boolean {
+    this.#sentRequests.removeEnded(this.#opts.clock.nowMs())
+    return this.#sentRequests.isFull
+  }
+
   /** Resolves once the connection is open. */
   opened (): Promise<void> {
     return this.#opened
@@ -160,6 +180,7 @@
     return new Promise((resolve, reject) => {
       this.#exchange = { ...exchange, headOnly: request.method === HEAD_METHOD, resolve, reject, skipping: false, reusable: false, readBytes: 0, bodyBytes: 0 }
       this.#exchangeCount++
+      if (exchange.identity) this.#sentRequests.add(exchange.identity)
       this.#lastSentAtMs = this.#opts.clock.nowMs()
       this.#socket.cork()
       this.#socket.write(headText(request), 'latin1')
