fix(platform.adapter): a late answer without an id answers no request

What callers would see: 503, 421 or 404 for a request that runs.

Cause: requests share connections with control calls, whose answers have no id. A failure without an id was taken for the answer to any request, since upstreams may reject one whose id they cannot read. A late copy of the answer to a control call, such as 404 to the release of a handle that has lapsed, was taken for it too.

Change: it is taken for the answer only on a connection that has carried nothing before, and is skipped otherwise, so that the request gets its own answer.

The test failed before for 503, 421 and 404; all pass now.

--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -495,6 +495,13 @@
     replace: 'idle.at(-1)',
     tests: ['net/http-exchange/test.lib/lateAnswers.js', 'platform/adapter/test.lib/lateRefusals.js'],
   },
+  {
+    name: 'a late answer without an id is not taken for the answer to a request',
+    file: 'platform/adapter/src/upstreamRelayClient.ts',
+    find: 'status >= FIRST_ERROR && exchange === 1',
+    replace: 'status >= FIRST_ERROR',
+    tests: ['platform/adapter/test.lib/upstreamRelayClient.js'],
+  },
   {
     name: 'a report that does not arrive on a reused connection is requested on a new one',
     file: 'platform/adapter/src/platformEngineClient.ts',
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -10,8 +10,8 @@
 import { type ParsedHead, ResponseParser } from './responseParser.js'
 import { SentRequests } from './sentRequests.js'
 
-/** Whether a head belongs to the request that was sent on the connection. */
-export type AcceptHead = (head: AnswerHead) => boolean
+/** Whether a head belongs to the request that was sent on the connection, in the given exchange. */
+export type AcceptHead = (head: AnswerHead, use: ConnectionUse) => boolean
 
 /** An exchange that a connection runs. */
 export interface ConnectionExchange {
@@ -220,7 +220,7 @@
     const exchange = this.#exchange
     // A second answer follows a complete one, so the connection cannot be reused.
     if (!exchange || exchange.body) throw new Error('an answer without a request')
-    exchange.skipping = !exchange.accept(head)
+    exchange.skipping = !exchange.accept(head, this.use)
     if (exchange.skipping) {
       this.#opts.onForeignAnswer?.(this.use, head)
       return false
