--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -123,6 +123,8 @@
   handles?: HandleTable
   /** How long a prefill result is kept. */
   handleTtlMs?: number
+  /** Decides whether a prefill result is gone as soon as its handle is sent. */
+  losesHandle?: () => boolean
   /** Decides whether to refuse a request without running it. */
   refuses?: () => boolean
   /** Decides whether a refusal is sent a second time, late: ahead of the next answer on its connection. */
@@ -359,7 +361,7 @@
     await this.#pausing.untilResumed()
     if (response.destroyed) return
     const handle = `${this.#opts.instance ?? 'h'}${this.#nextHandle++}`
-    this.#handles.add(handle, response.socket)
+    if (!this.#opts.losesHandle?.()) this.#handles.add(handle, response.socket)
     if (this.#opts.handleTtlMs !== undefined) setTimeout(() => this.#handles.consume(handle), this.#opts.handleTtlMs).unref()
     response.end(JSON.stringify({ kv_handle: handle, tokens: 100, version: 1 }))
   }
--- a/__utils__/soak/src/main.ts
+++ b/__utils__/soak/src/main.ts
@@ -21,6 +21,7 @@
     --crashes     End each round with a prompt part that crashes engines
     --path-loss   End each round with losses of all paths to upstreams at some boxes
     --held-up-stops  Stop boxes whose processes are held up around the signal, after each round
+    --late-refusals  Send each refusal of an engine a second time, late, and let some handles lapse at once
     --silence     Make engines silent beside the faults of each round, and after it
     --kinds A,B   Fault kinds to use instead of random ones (see faults.ts)
     --logs DIR    Where to save the logs of failed seeds (default: the folder for temporary files)
@@ -47,6 +48,7 @@
       pathLoss: { type: 'boolean', default: false },
       silence: { type: 'boolean', default: false },
       heldUpStops: { type: 'boolean', default: false },
+      lateRefusals: { type: 'boolean', default: false },
       kinds: { type: 'string' },
       logs: { type: 'string' },
     },
@@ -61,7 +63,7 @@
   const seeds: KnownSeed[] = flags.known ? await readKnownSeeds() : Array.from({ length: flags.seeds }, (_, i) => ({ seed: firstSeed + i }))
   for (let i = 0; i < seeds.length || performance.now() < untilMs; i++) {
     const { seed, kinds: knownKinds } = seeds[i] ?? { seed: firstSeed + i }
-    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, load: flags.load, crashes: flags.crashes, pathLoss: flags.pathLoss, silence: flags.silence, heldUpStops: flags.heldUpStops, kinds: kinds ?? knownKinds })
+    const result = await soak({ seed, boxes: flags.boxes, clients: flags.clients, rounds: flags.rounds, load: flags.load, crashes: flags.crashes, pathLoss: flags.pathLoss, silence: flags.silence, heldUpStops: flags.heldUpStops, lateRefusals: flags.lateRefusals, kinds: kinds ?? knownKinds })
     if (result.violations.length > 0) failedSeeds.push(seed)
     await reportResult(seed, result, flags.logs)
   }
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -44,6 +44,8 @@
   silence?: boolean
   /** Whether each round stops boxes whose processes are held up around the signal. */
   heldUpStops?: boolean
+  /** Whether engines send each refusal a second time, late, and a part of the handles lapses at once. */
+  lateRefusals?: boolean
 }
 
 export interface SoakResult {
@@ -121,7 +123,7 @@
 /** Runs one seed of the soak test. Reports failures as `violations` instead of throwing. */
 export async function soak (opts: SoakOptions): Promise<SoakResult> {
   const random = new SeededRandom(opts.seed)
-  const fleet = await SoakFleet.start(random, opts.boxes)
+  const fleet = await SoakFleet.start(random, opts.boxes, opts)
   const run = new SoakRun(fleet, random, opts)
   try {
     await run.run()
@@ -245,7 +247,7 @@
     const signals = checkSignals({ ...history, draining: fleet.draining, refusals: fleet.refusals })
     const silences = checkSilences({ ...history, silences: this.#silences.silences, wasInterrupted: this.#wasInterrupted.bind(this) })
     const heldUpStops = checkHeldUpStops({ ...history, stops: this.#heldUpStops.stops, wasInterrupted: this.#wasInterrupted.bind(this) })
-    this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, ...silences.checkCounts, ...heldUpStops.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length }
+    this.#checkCounts = { ...bounds.checkCounts, ...signals.checkCounts, ...silences.checkCounts, ...heldUpStops.checkCounts, keys: this.#keyProbes.length, limits: fleet.limitPeriods.length, lateRefusals: fleet.lateRefusalCount }
     // Calls with keys that expire are checked by checkKeys only.
     const keyProbeIds = new Set(this.#keyProbes.map(({ id }) => id))
     this.violations.push(...fleet.problems, ...checkHistory([...attempts, ...probes], runs.filter(({ id }) => !keyProbeIds.has(id) && !isOfLoadPhase(id) && !isOfCrashPhase(id))), ...bounds.violations, ...checkLimits(fleet.limitPeriods, history), ...signals.violations, ...silences.violations, ...heldUpStops.violations, ...this.#checkKeys())
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -50,6 +50,8 @@
 const CRASH_DOWN_MS = 1500
 const REFUSED_SHARE = 0.01
 const LOST_ANSWER_SHARE = 0.01
+/** Share of handles that lapse at once, where engines repeat refusals late. A decode engine refuses a lapsed handle, and is then asked once more. */
+const LAPSED_HANDLE_SHARE = 0.05
 /** How long the entry of an engine stays whose address goes on accepting connections. */
 const CRASH_UNLIST_MS = 350
 const FIRST_VERSION = 'v1'
@@ -71,6 +73,11 @@
   await Promise.all([...runningFleets].map((fleet) => fleet.stop()))
 }
 
+export interface SoakFleetOptions {
+  /** Whether engines send each refusal a second time, late, and a part of the handles lapses at once. */
+  lateRefusals?: boolean
+}
+
 /** Runs boxes as processes, and stand-ins for the platform's store and upstreams behind proxies. */
 export class SoakFleet {
   readonly boxes: SoakBox[] = []
@@ -102,6 +109,7 @@
   readonly #stopRequested = new WeakSet<FleetProcess>()
   readonly #agent = new Agent()
   readonly #random: SeededRandom
+  readonly #opts: SoakFleetOptions
   readonly #answerEnds = new AnswerEnds()
   readonly #settingsFolder: string
   readonly #subnet: string
@@ -113,8 +121,9 @@
   #heartbeatTimer?: NodeJS.Timeout
   #isStopping = false
 
-  private constructor (random: SeededRandom, folder: string) {
+  private constructor (random: SeededRandom, folder: string, opts: SoakFleetOptions) {
     this.#random = random
+    this.#opts = opts
     this.#settingsFolder = folder
     // Each run has loopback addresses of its own, so that concurrent runs, in this process or others, do not collide.
     const block = 1 + (Math.floor(process.pid / 200) + SUBNET_STEP * fleetCount++) % 200
@@ -124,8 +133,8 @@
     this.#zones = random.nextFloat() < 0.5 ? ZONES : ZONES.slice(0, 1)
   }
 
-  static async start (random: SeededRandom, boxCount: number): Promise<SoakFleet> {
-    const fleet = new SoakFleet(random, await mkdtemp(join(tmpdir(), 'reelspan-soak-')))
+  static async start (random: SeededRandom, boxCount: number, opts: SoakFleetOptions = {}): Promise<SoakFleet> {
+    const fleet = new SoakFleet(random, await mkdtemp(join(tmpdir(), 'reelspan-soak-')), opts)
     runningFleets.add(fleet)
     try {
       await fleet.#start(boxCount)
@@ -141,6 +150,11 @@
     return this.#upstreams.flatMap(({ runs }) => runs)
   }
 
+  /** Number of refusals that were sent a second time. */
+  get lateRefusalCount (): number {
+    return this.#upstreams.flatMap(({ repeatedRefusals }) => repeatedRefusals).length
+  }
+
   get arrivals (): UpstreamArrival[] {
     return this.#upstreams.flatMap(({ arrivals }) => arrivals)
   }
@@ -436,6 +450,7 @@
 
   async #startUpstream (role: Role, instance: string, softwareVersion: string): Promise<StandInUpstream> {
     const withProbability = (share: number) => () => this.#random.nextFloat() < share
+    const { lateRefusals = false } = this.#opts
     const refusesRandomly = withProbability(REFUSED_SHARE)
     const upstream = new StandInUpstream(role, {
       instance,
@@ -445,6 +460,8 @@
       shapeOf: parseShape,
       handles: this.handles,
       handleTtlMs: HANDLE_TTL_MS,
+      losesHandle: lateRefusals ? withProbability(LAPSED_HANDLE_SHARE) : undefined,
+      repeatsRefusalLate: () => lateRefusals,
       refuses: () => refusesRandomly() || this.refusals.some((refusal) => refusal.instance === instance && refusal.toMs === Number.POSITIVE_INFINITY),
       losesAnswer: withProbability(LOST_ANSWER_SHARE),
       advertises: () => this.#headersOf(instance),
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -10,6 +10,7 @@
 const CRASH_SEED = 600001
 const SILENCE_SEED = 690002
 const HELD_UP_SEED = 722000
+const LATE_REFUSAL_SEED = 790001
 /** Number of runs that share the machine, so that all seeds take a minute or two. */
 const CONCURRENT_RUNS = 3
 
@@ -57,6 +58,15 @@
   t.true(result.checkCounts.sentLate > 0)
 })
 
+test.serial(`real boxes refuse no request that runs while engines repeat refusals late, of seed ${LATE_REFUSAL_SEED}`, async (t) => {
+  t.timeout(TIMEOUT_MS)
+  const result = await soak({ seed: LATE_REFUSAL_SEED, kinds: [FaultKind.ChangeConfiguration], ...FLEET_SIZE, lateRefusals: true })
+  t.log(result.checkCounts)
+  if (result.violations.length > 0) t.log(`logs of the boxes: ${await saveLogs(LATE_REFUSAL_SEED, result)}`)
+  t.deepEqual(result.violations, [])
+  t.true(result.checkCounts.lateRefusals > 0)
+})
+
 async function runSeed (t: ExecutionContext, { seed, kinds }: KnownSeed): Promise<string[]> {
   const result = await soak({ seed, kinds, ...FLEET_SIZE })
   const { attempts, faults, violations, checkCounts } = result
