--- a/net/http-exchange/test/lateAnswers.ts
+++ b/net/http-exchange/test/lateAnswers.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events'
 import { createServer, type Socket } from 'node:net'
 import { ConnectionPool, headerValue } from '@reelspan/net.http-exchange'
+import { type ConnectionUse } from '@reelspan/upstream.client'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test, { type ExecutionContext } from 'ava'
 
@@ -65,7 +66,8 @@
 
 function createClient (t: ExecutionContext, { address }: Upstream) {
   const clock = new VirtualClock()
-  const pool = new ConnectionPool({ clock, connectTimeoutMs: 5000 })
+  const foreign: ConnectionUse[] = []
+  const pool = new ConnectionPool({ clock, connectTimeoutMs: 5000, onForeignAnswer: (_address, use) => foreign.push(use) })
   t.teardown(() => pool.close())
   const send = async (id: string, deadlineMs = DEADLINE_MS) => {
     const { body } = await pool.exchange(address, { method: 'GET', target: '/', headers: ['Host', 'x', 'Id', id], body: new Uint8Array() }, {
@@ -77,7 +79,7 @@
     for await (const bytes of body) parts.push(bytes)
     return Buffer.concat(parts).toString()
   }
-  return { clock, send }
+  return { clock, send, foreign }
 }
 
 for (const others of [0, 1, 40]) {
@@ -90,6 +92,13 @@
   })
 }
 
+test('a late copy ahead of the answer to another request is skipped and reported', async (t) => {
+  const { send, foreign } = createClient(t, await startUpstream(t, repeatingLate(0)))
+  await send('a')
+  t.is(await send('b'), 'b 0')
+  t.deepEqual(foreign, [{ connection: 1, exchange: 2 }])
+})
+
 test('requests that are sent once share a connection, and one that is sent again uses another idle one', async (t) => {
   const upstream = await startUpstream(t, ({ id, repeats }) => answer(id, `${id} ${repeats}`))
   const { send } = createClient(t, upstream)
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -75,7 +75,7 @@
 
 /** Where an exchange ran, for logs. */
 export interface ConnectionUse {
-  /** Number of the connection among those that this process has opened. */
+  /** Number of the connection among those that this box has opened to upstreams. */
   connection: number
   /** Number of the exchange among those on the connection. */
   exchange: number
