fix(net.http-exchange): a head holds one status line

Cause: the bytes of an answer that was cut short became the beginning of the next head on the connection. The parser took the next status line for the end of a reason phrase or for a field.

Change: a head with a status line inside is no answer; its exchange ends as one that may have run, and its connection is closed.

--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -29,6 +29,7 @@
 const FIRST_FINAL_STATUS = 200
 const SWITCHING_PROTOCOLS = 101
 const BLANK = /^[ \t]+$/
+const STATUS_LINE = /HTTP\/1\.[01] \d{3}/
 const CONTENT_LENGTH = /^\d{1,15}$/
 
 /** Internal fields of the parser that the stricter checks use. */
@@ -121,11 +122,19 @@
   parser.consumeLine = () => {
     const from = parser.offset
     const line = consumeLine()
-    bounds.recordLine(LINE_PARTS[parser.state], parser.offset - from, line !== undefined)
+    const part = LINE_PARTS[parser.state]
+    bounds.recordLine(part, parser.offset - from, line !== undefined)
+    if (line !== undefined) rejectSecondStatusLine(part, line)
     return line
   }
 }
 
+/** A status line that follows part of a head belongs to another answer: the part is left of one that was cut short. */
+function rejectSecondStatusLine (part: LinePart, line: string): void {
+  const from = part === LinePart.StatusLine ? 1 : 0
+  if ((part === LinePart.StatusLine || part === LinePart.Field) && STATUS_LINE.test(line.slice(from))) throw new Error('a status line inside a head')
+}
+
 /** The time that the library takes for a line of blanks is quadratic in its length. */
 function skipBlankFields (parser: ParserState): void {
   const parseHeader = parser.parseHeader.bind(parser)
