fix(net.http-exchange): bytes behind a whole answer end its connection

What callers would see: a request that may not be repeated ends as one that may have run, although its engine answered it.

Cause: a connection was kept for reuse while its parser held the beginning of another answer, so that the next answer was not readable.

Change: a connection is kept only if nothing follows the answer in what was read.

The test failed before (cut at byte 1).

--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -38,6 +38,8 @@
   parseHeader: (line: string, headers: string[]) => void
   body_bytes: number | null
   state: string
+  /** The received part of a line. */
+  line: string
   offset: number
   maxHeaderSize: number
 }
@@ -90,6 +92,12 @@
     if (result instanceof Error) throw result
   }
 
+  /** Whether nothing has been received of an answer that is not complete. */
+  get isBetweenAnswers (): boolean {
+    const { state, line } = this.#parser as unknown as ParserState
+    return state === 'RESPONSE_LINE' && line === ''
+  }
+
   /** Signals that the connection was closed without an error, which completes an answer without a length. */
   end (): void {
     this.#parser.finish()
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -255,7 +255,7 @@
     // If the request has not been sent completely, the upstream would read the next one as the rest of this one.
     const sent = this.#socket.writableLength === 0
     // Bytes after the answer in the same read are parsed before the connection is reused.
-    queueMicrotask(() => this.#releaseOrClose(exchange.reusable && sent))
+    queueMicrotask(() => this.#releaseOrClose(exchange.reusable && sent && this.#parser.isBetweenAnswers))
   }
 
   #releaseOrClose (reusable: boolean): void {
--- a/net/http-exchange/test/cutAnswers.ts
+++ b/net/http-exchange/test/cutAnswers.ts
@@ -38,6 +38,8 @@
       }
       t.is(await send('a'), 503)
       const outcome = await send('b').catch((thrown: unknown) => thrown)
+      // Bytes behind the whole answer are read with it, and its connection is not reused.
+      if (behind) t.is(outcome, 200, `cut at ${cutAt}`)
       t.true(outcome === 200 || (outcome instanceof ExchangeError && outcome.verdict === Verdict.MayHaveRun), `cut at ${cutAt}: ${String(outcome)}`)
       pool.close()
       sockets.forEach((socket) => socket.destroy())
