--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -46,7 +46,7 @@
 }
 
 /** An admitted request and its target. */
-interface AdmittedRequest extends Pick<RelayContext, 'run' | 'route' | 'request' | 'identity' | 'caller'> {
+interface AdmittedRequest extends Pick<RelayContext, 'run' | 'route' | 'request' | 'identity' | 'caller' | 'callerDeadlineMs'> {
   admitted: Admitted
   target: Target
   terms?: DelegatedTerms
@@ -155,7 +155,7 @@
     this.#tasks.run(() => run.enforceDeadline())
     try {
       // An ended run is answered at once, even if its work is still cleaning up.
-      await Promise.race([this.#execute(run, route, { request, identity, terms }, caller, times), runEnded(run)])
+      await Promise.race([this.#execute(run, route, { request, identity, terms, callerDeadlineMs: terms ? undefined : deadlineMs }, caller, times), runEnded(run)])
     } catch (thrown) {
       run.end(toReelspanError(thrown))
     } finally {
@@ -194,7 +194,7 @@
     })
   }
 
-  async #execute (run: RunContext, route: Named<RouteSpec> | undefined, { request, identity, terms }: Pick<AdmittedRequest, 'request' | 'identity' | 'terms'>, caller: RelayCaller, times: AnswerTimes): Promise<void> {
+  async #execute (run: RunContext, route: Named<RouteSpec> | undefined, { request, identity, terms, callerDeadlineMs }: Pick<AdmittedRequest, 'request' | 'identity' | 'terms' | 'callerDeadlineMs'>, caller: RelayCaller, times: AnswerTimes): Promise<void> {
     const opts = this.#opts
     if (opts.configuration().revision === 0 && this.#stopScheduled.signal.aborted) throw new ReelspanError(ErrorCode.Draining, 'this box stops before it has a configuration', { retryAfterMs: DRAINING_RETRY_AFTER_MS })
     if (opts.configuration().revision === 0) throw new ReelspanError(ErrorCode.NotReady, 'this box has no configuration yet', { retryAfterMs: NOT_READY_RETRY_AFTER_MS })
@@ -210,7 +210,7 @@
     const admitted = terms ? { account: terms.account, urgency: terms.urgency, releaseCost: () => {} } : await this.#admit(request, route)
     try {
       run.throwIfEnded()
-      await this.#executeAt(this.#contextOf({ run, route, request, identity, caller, admitted, target: { model, pool }, terms }), { model, pool }, times)
+      await this.#executeAt(this.#contextOf({ run, route, request, identity, caller, admitted, target: { model, pool }, terms, callerDeadlineMs }), { model, pool }, times)
     } finally {
       if (run.mayHaveRun) this.#runDurations.record(kind, opts.clock.nowMs() - startedAtMs, request.prompt?.maxTokens)
       else admitted.releaseCost()
@@ -222,7 +222,7 @@
     return this.#opts.admission.admit({ id, open, keyDigest, sizeTokens })
   }
 
-  #contextOf ({ run, route, request, identity, caller, admitted: { account, urgency }, target, terms }: AdmittedRequest): RelayContext {
+  #contextOf ({ run, route, request, identity, caller, callerDeadlineMs, admitted: { account, urgency }, target, terms }: AdmittedRequest): RelayContext {
     const opts = this.#opts
     const budget = this.#budgetOf(target.model ?? target.pool as string)
     const kind = target.model === undefined ? UpstreamKind.Service : UpstreamKind.Engine
@@ -234,6 +234,7 @@
       request: { ...request, account },
       identity,
       caller,
+      callerDeadlineMs,
       route: terms ? withAttemptsUsed(route, terms.attemptsUsed) : route,
       target: target.model ?? target.pool as string,
       paths: opts.paths[kind],
--- a/request/relay/src/relayContext.ts
+++ b/request/relay/src/relayContext.ts
@@ -21,6 +21,8 @@
   identity: () => RequestIdentity
   caller: RelayCaller
   route: Named<RouteSpec>
+  /** How long the caller waits for the answer, counted from the request's arrival; undefined if it did not say, or to another box. Its route may hold it for a shorter time. */
+  callerDeadlineMs?: number
   /** Model or pool that the request was assigned to. */
   target: string
   /** Urgency class; 0 is the most urgent. */
--- a/request/relay/src/streamVersion.ts
+++ b/request/relay/src/streamVersion.ts
@@ -24,12 +24,12 @@
 
   /** Finds out which version began a stream that the client takes up. Throws `ERR_REELSPAN_STREAM_ORIGIN_UNKNOWN` if nobody knows. */
   async find (): Promise<void> {
-    const { opts, run, request, logDecision } = this.#context
+    const { opts, run, request, callerDeadlineMs, logDecision } = this.#context
     this.#fixed = request.softwareVersion
     if (this.#fixed !== undefined || request.resumeAfter === undefined) return
     const found = await opts.origins.find({ attempt: request.resumesAttempt, model: this.#model, keepMs: this.#keepMs }, run.signal)
     run.throwIfEnded()
-    logDecision(LogEvent.StreamTakenUp, { resumesAttempt: request.resumesAttempt, resumeAfter: request.resumeAfter, ...found })
+    logDecision(LogEvent.StreamTakenUp, { resumesAttempt: request.resumesAttempt, resumeAfter: request.resumeAfter, callerDeadlineMs, keepMs: this.#keepMs, ...found })
     if (!('version' in found)) throw new ReelspanError(ErrorCode.StreamOriginUnknown, found.reason, { retryAfterMs: found.retryAfterMs, retryFutile: found.retryAfterMs === undefined })
     this.#fixed = found.version
   }
