--- a/box/runtime/test/__utils__/crashingRequests.ts
+++ b/box/runtime/test/__utils__/crashingRequests.ts
@@ -48,12 +48,22 @@
   return sampleDeclarations().map((declared) => slots !== undefined && declared.name === 'draft-decode' ? { ...declared, spec: { ...declared.spec as object, placesPerEngine: slots } } : declared)
 }
 
+export interface StartFleetOptions {
+  seed?: number
+  boxCount?: number
+  restartDelayMs?: number
+  slots?: number
+  /** How long the route of resumable streams holds a request. */
+  heldMs?: number
+}
+
 /**
  * Starts a fleet with routes for a resumable stream, a stream that is not resumable, a call that is not repeatable and a
  * repeatable call. Targets that contain `ends` crash the upstreams that run them.
  */
-export async function startFleet ({ seed = 1, boxCount = 8, restartDelayMs, slots }: { seed?: number, boxCount?: number, restartDelayMs?: number, slots?: number } = {}): Promise<FakeFleet> {
-  const fleet = new FakeFleet({ seed, restartDelayMs, deployment: deploymentOf(boxCount), declarations: [...declarationsOf(slots), ...ROUTES], settings: SETTINGS })
+export async function startFleet ({ seed = 1, boxCount = 8, restartDelayMs, slots, heldMs }: StartFleetOptions = {}): Promise<FakeFleet> {
+  const routes = ROUTES.map((route) => heldMs !== undefined && route.name === 'reply' ? { ...route, spec: { ...route.spec, deadlineMs: heldMs } } : route)
+  const fleet = new FakeFleet({ seed, restartDelayMs, deployment: deploymentOf(boxCount), declarations: [...declarationsOf(slots), ...routes], settings: SETTINGS })
   fleet.relayedUpstreams.crashesUpstream = ({ target }) => target.includes('ends')
   await fleet.start()
   await fleet.clock.advance(2000)
