fix(request.stream-origins): callers return within their own deadlines

What callers saw: a stream that was taken up later than its route holds a request went on at another software version, answered 200, with no sign of it.

Cause: the time for which a stream is remembered, and for which the list must have had one version, was the time limit of the route. Callers return until their own deadline, which may be longer, and the limit may have been lower when the stream began or be lowered since. A bound of one party was taken for that of another.

Change: a stream is remembered for the time that its caller still waits. The list is believed if it reaches back as far as the longest time that any caller is known to wait, 60 s at least, less what the caller has left; a caller that has more left than any is known to wait proves nothing. Boxes that are asked tell the longest deadline that they have seen. As long as a box's list does not reach back so far, others are told of its streams. A stream known to have begun at another model does not go on at the only version of this one, nor does one of a route that is split over models. No caller is told to come back after its deadline.

One test changes a time: with one version nothing is sent once the list reaches back 60 s (30 s before), since callers may wait that long; another one holds that others are told until then.

--- a/box/runtime/test/callerDeadlines.ts
+++ b/box/runtime/test/callerDeadlines.ts
@@ -54,14 +54,16 @@
   const fleet = await startFleet({ heldMs })
   ENGINES.forEach((engine) => fleet.publishUpstream(engine, { softwareVersion: 'v1' }))
   await fleet.clock.advance(COVERED_MS)
+  const begunAtMs = fleet.clock.nowMs()
   const begun = await beginStreams(fleet)
   t.true(begun.size >= STREAMS / 2, `${begun.size} streams began`)
   await replaceEngines(fleet, 'v2')
   await change(fleet)
   await fleet.clock.advance(TAKEN_UP_AFTER_MS)
+  const remainingMs = CALLER_DEADLINE_MS - (fleet.clock.nowMs() - begunAtMs)
   const takenUp = await fleet.clock.run(Promise.all([...begun].map(async ([attempt, last], i) => {
     const caller = new FakeRelayCaller()
-    await fleet.relay(randomBox(fleet), { id: `taken-up-${i}`, host: HOST, target: `/reply/${attempt}`, resumeAfter: last, resumesAttempt: attempt }, CALLER_DEADLINE_MS - TAKEN_UP_AFTER_MS, caller)
+    await fleet.relay(randomBox(fleet), { id: `taken-up-${i}`, host: HOST, target: `/reply/${attempt}`, resumeAfter: last, resumesAttempt: attempt }, remainingMs, caller)
     return caller
   })))
   const goneOn = fleet.relayedUpstreams.arrivals.filter(({ id, prefill }) => id.startsWith('taken-up') && !prefill)
--- a/request/relay/src/streamVersion.ts
+++ b/request/relay/src/streamVersion.ts
@@ -3,7 +3,7 @@
 import { listedVersion } from './listedVersion.js'
 import { type RelayContext } from './relayContext.js'
 
-/** Added to the time for which a route holds a request, after which its client no longer takes the stream up. */
+/** Added to the deadline of a client, after which it no longer takes its stream up. */
 const KEEP_MARGIN_MS = 1000
 
 /** The software version that goes on with a request's stream: any until its caller has an event, then only that of the event. */
@@ -24,12 +24,19 @@
 
   /** Finds out which version began a stream that the client takes up. Throws `ERR_REELSPAN_STREAM_ORIGIN_UNKNOWN` if nobody knows. */
   async find (): Promise<void> {
-    const { opts, run, request, callerDeadlineMs, logDecision } = this.#context
+    const { opts, run, request, route, callerDeadlineMs, logDecision } = this.#context
+    if (route.spec.resumable && callerDeadlineMs !== undefined && request.resumeAfter === undefined) opts.origins.deadlines.observe(this.#model, callerDeadlineMs)
     this.#fixed = request.softwareVersion
     if (this.#fixed !== undefined || request.resumeAfter === undefined) return
-    const found = await opts.origins.find({ attempt: request.resumesAttempt, model: this.#model, keepMs: this.#keepMs }, run.signal)
+    const found = await opts.origins.find({
+      attempt: request.resumesAttempt,
+      model: this.#model,
+      mayBeOfOtherModel: (route.spec.targets?.length ?? 0) > 1,
+      keepMs: this.#longestKeepMs,
+      remainingMs: this.#callerRemainingMs,
+    }, run.signal)
     run.throwIfEnded()
-    logDecision(LogEvent.StreamTakenUp, { resumesAttempt: request.resumesAttempt, resumeAfter: request.resumeAfter, callerDeadlineMs, keepMs: this.#keepMs, ...found })
+    logDecision(LogEvent.StreamTakenUp, { resumesAttempt: request.resumesAttempt, resumeAfter: request.resumeAfter, callerDeadlineMs, keepMs: this.#longestKeepMs, ...found })
     if (!('version' in found)) throw new ReelspanError(ErrorCode.StreamOriginUnknown, found.reason, { retryAfterMs: found.retryAfterMs, retryFutile: found.retryAfterMs === undefined })
     this.#fixed = found.version
   }
@@ -39,8 +46,9 @@
     const { opts, request, route } = this.#context
     this.#fixed ??= version
     if (!route.spec.resumable) return
+    const keepMs = this.#callerRemainingMs === undefined ? this.#longestKeepMs : Math.max(0, this.#callerRemainingMs) + KEEP_MARGIN_MS
     const attempts = [request.id, ...request.resumesAttempt === undefined ? [] : [request.resumesAttempt]]
-    attempts.forEach((attempt) => opts.origins.record({ attempt, model: this.#model, version, keepMs: this.#keepMs }))
+    attempts.forEach((attempt) => opts.origins.record({ attempt, model: this.#model, version, keepMs }))
   }
 
   /** Whether an upstream, by name, may go on with the stream. */
@@ -56,7 +64,15 @@
     throw new ReelspanError(ErrorCode.StreamVersionGone, `the stream goes on at software version «${this.#fixed}» only, and no engine of it takes work`, { retryFutile: true })
   }
 
-  get #keepMs (): number {
-    return this.#context.route.spec.deadlineMs + KEEP_MARGIN_MS
+  /** How much longer the caller waits, if it said so. The route may end the request before. */
+  get #callerRemainingMs (): number | undefined {
+    const { run, callerDeadlineMs } = this.#context
+    return callerDeadlineMs === undefined ? undefined : callerDeadlineMs - run.elapsedMs
+  }
+
+  /** The longest time for which callers of the model wait. */
+  get #longestKeepMs (): number {
+    const { opts, route } = this.#context
+    return Math.max(route.spec.deadlineMs, opts.origins.deadlines.longestMs(this.#model)) + KEEP_MARGIN_MS
   }
 }
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -3,7 +3,7 @@
 import { type EngineOutcome, PlacementOutcome, type PlacementRefusal, type PoolCallOutcome, type StreamOrigin } from '@reelspan/core.messages'
 import { EvenShareLimiter } from '@reelspan/membership.limits'
 import { type DelegatedAnswer, type DelegateRequest, Delegator, type DelegatorOptions } from '@reelspan/request.delegation'
-import { type FoundOrigin, type OriginQuery, OriginSource, type UnknownOrigin } from '@reelspan/request.stream-origins'
+import { CallerDeadlines, type FoundOrigin, type OriginQuery, OriginSource, type UnknownOrigin } from '@reelspan/request.stream-origins'
 import { RunEnds, type RunEndsOptions, Quarantine, RunHistory } from '@reelspan/request.quarantine'
 import { Relay, type RelayOptions } from '@reelspan/request.relay'
 import { type Placement, Placer, type PlaceRequest } from '@reelspan/scheduling.placer'
@@ -210,6 +210,7 @@
 
 /** Answers as scripted which software version began a stream, and records the streams that begin. */
 export class ScriptedOrigins {
+  readonly deadlines = new CallerDeadlines()
   readonly recorded: StreamOrigin[] = []
   readonly queries: OriginQuery[] = []
   found: FoundOrigin | UnknownOrigin = { version: '', source: OriginSource.List, knownBy: [] }
--- a/request/stream-origins/src/index.ts
+++ b/request/stream-origins/src/index.ts
@@ -1,3 +1,4 @@
+export { CallerDeadlines } from './callerDeadlines.js'
 export { OriginRecords } from './originRecords.js'
 export { OriginSource, StreamOrigins } from './streamOrigins.js'
 export type { FoundOrigin, OriginQuery, StreamOriginsOptions, UnknownOrigin } from './streamOrigins.js'
--- a/request/stream-origins/src/originRecords.ts
+++ b/request/stream-origins/src/originRecords.ts
@@ -38,6 +38,12 @@
     return origin && origin.model === model && origin.expiresAtMs > this.#clock.nowMs() ? origin.version : undefined
   }
 
+  /** Whether a stream began at another model, to which its route may have led then. */
+  isOfOtherModel (attempt: string, model: string): boolean {
+    const origin = this.#origins.get(attempt)
+    return origin !== undefined && origin.model !== model && origin.expiresAtMs > this.#clock.nowMs()
+  }
+
   /** All origins of a model's streams, with the time left for each. */
   ofModel (model: string): StreamOrigin[] {
     const nowMs = this.#clock.nowMs()
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -3,6 +3,7 @@
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { type Member, type MessageOf, MessageType, type PeerLink, type StreamOrigin } from '@reelspan/core.messages'
 import { type Metrics } from '@reelspan/telemetry.metrics'
+import { CallerDeadlines } from './callerDeadlines.js'
 import { OriginRecords } from './originRecords.js'
 import { VersionHistory } from './versionHistory.js'
 
@@ -28,8 +29,12 @@
   /** The attempt that brought its first event, if the client named it. */
   attempt?: string
   model: string
-  /** Clients may take up streams that began this long ago. */
+  /** Whether its route may have led to another model when the stream began. */
+  mayBeOfOtherModel?: boolean
+  /** The longest time for which clients wait, as far as this box knows: none takes up a stream that began longer ago. */
   keepMs: number
+  /** How much longer its client waits, if it said so. It has waited for the rest of `keepMs` at most. */
+  remainingMs?: number
 }
 
 /** Who knew the version of a stream. */
@@ -54,6 +59,11 @@
   retryAfterMs?: number
 }
 
+/** A query whose client has waited for a time of which the upper bound is known. */
+interface BoundedQuery extends OriginQuery {
+  maxAgeMs: number
+}
+
 type Knowledge = Omit<MessageOf<MessageType.StreamOriginContent>, 'type'> & { box: string }
 
 const HOLDERS = 3
@@ -68,9 +78,13 @@
 /** Changes of the list spread with heartbeats, within about a second. */
 const MAX_CONTACT_AGE_MS = 3000
 const RETRY_AFTER_MS = 500
+/** Age of a stream whose client waits longer than any is known to. */
+const UNKNOWN_AGE_MS = Number.MAX_SAFE_INTEGER
 
 /** Knows which software version began a stream, or finds it out at other boxes. Concludes nothing from their not knowing. */
 export class StreamOrigins {
+  /** How long callers wait, as observed by this box and, at take-ups, by those that it asks. */
+  readonly deadlines = new CallerDeadlines()
   readonly #opts: StreamOriginsOptions
   readonly #records: OriginRecords
   readonly #history: VersionHistory
@@ -97,7 +111,7 @@
   record (origin: StreamOrigin): void {
     this.#keepMs = Math.max(this.#keepMs, origin.keepMs)
     this.#records.add(origin)
-    if (this.#isMixed(origin.model)) this.#announce([origin])
+    if (this.#isMixed(origin.model) || !this.#isCovered(origin)) this.#announce([origin])
   }
 
   /** Must be called with each change of the list. Sends the origins of all streams to other boxes when a second version is listed. */
@@ -117,7 +131,7 @@
 
   /** What this box knows of a stream. */
   answer ({ attempt, model, withinMs }: MessageOf<MessageType.StreamOriginPull>): MessageOf<MessageType.StreamOriginContent> {
-    return { type: MessageType.StreamOriginContent, ...this.#know({ attempt, model, keepMs: withinMs }) }
+    return { type: MessageType.StreamOriginContent, ...this.#know({ attempt, model, maxAgeMs: withinMs }) }
   }
 
   /** Finds out which version began a stream. */
@@ -132,56 +146,81 @@
   }
 
   async #find (query: OriginQuery, signal: AbortSignal): Promise<FoundOrigin | UnknownOrigin> {
-    const own = query.attempt === undefined ? undefined : this.#records.versionOf(query.attempt, query.model)
+    const { attempt, model } = query
+    const own = attempt === undefined ? undefined : this.#records.versionOf(attempt, model)
     if (own !== undefined) return { version: own, source: OriginSource.Own, knownBy: [] }
-    const peers = this.#ranked(query.attempt ?? query.model, this.#opts.members()).slice(0, MAX_ASKED)
+    const bounded = { ...query, maxAgeMs: maxAgeOf(query) }
+    const peers = this.#ranked(attempt ?? model, this.#opts.members()).slice(0, MAX_ASKED)
     const asked = peers.slice(0, ASKED_HOLDERS)
-    const known = await this.#ask(asked, query, signal)
-    const fromHolders = agreedVersion(known) ?? this.#concludeFromList(known, asked.length, query)
+    const known = await this.#ask(asked, bounded, signal)
+    const fromHolders = agreedVersion(known) ?? this.#concludeFromList(known, asked.length, bounded)
     if (fromHolders) return fromHolders
     const others = peers.slice(ASKED_HOLDERS)
-    const allKnown = others.length === 0 ? known : [...known, ...await this.#ask(others, query, signal)]
-    return agreedVersion(allKnown) ?? this.#concludeFromList(allKnown, peers.length, query) ?? this.#unknown(allKnown, peers.length, query)
+    const allKnown = others.length === 0 ? known : [...known, ...await this.#ask(others, bounded, signal)]
+    return agreedVersion(allKnown) ?? this.#concludeFromList(allKnown, peers.length, bounded) ?? this.#unknown(allKnown, peers.length, bounded)
   }
 
-  async #ask (peers: readonly Member[], { attempt, model, keepMs }: OriginQuery, signal: AbortSignal): Promise<Knowledge[]> {
+  async #ask (peers: readonly Member[], { attempt, model, maxAgeMs }: BoundedQuery, signal: AbortSignal): Promise<Knowledge[]> {
     const { link } = this.#opts
     const answers = await Promise.all(peers.map(async ({ name, peerAddress }): Promise<Knowledge[]> => {
       // The link logs a failure.
-      const answer = await link.call(peerAddress, { type: MessageType.StreamOriginPull, attempt, model, withinMs: keepMs }, { timeoutMs: ASK_TIMEOUT_MS, repeatable: true, signal }).catch(() => undefined)
+      const answer = await link.call(peerAddress, { type: MessageType.StreamOriginPull, attempt, model, withinMs: maxAgeMs }, { timeoutMs: ASK_TIMEOUT_MS, repeatable: true, signal }).catch(() => undefined)
       return answer?.type === MessageType.StreamOriginContent ? [{ ...answer, box: name }] : []
     }))
     return answers.flat()
   }
 
-  #know ({ attempt, model, keepMs }: OriginQuery): Omit<Knowledge, 'box'> {
+  #know ({ attempt, model, maxAgeMs }: Pick<BoundedQuery, 'attempt' | 'model' | 'maxAgeMs'>): Omit<Knowledge, 'box'> {
     const sinceContactMs = this.#opts.sinceContactMs() ?? Number.POSITIVE_INFINITY
     return {
       version: attempt === undefined ? undefined : this.#records.versionOf(attempt, model),
-      versions: this.#versionsOf(model, keepMs),
+      isOfOtherModel: (attempt !== undefined && this.#records.isOfOtherModel(attempt, model)) || undefined,
+      versions: this.#versionsOf(model, maxAgeMs),
       coveredMs: sinceContactMs <= MAX_CONTACT_AGE_MS ? this.#history.coveredMs : 0,
+      longestDeadlineMs: this.deadlines.observedMs(model),
     }
   }
 
-  /** The only version that there was for as long as clients may return, if this box and most of those asked know that. */
-  #concludeFromList (known: readonly Knowledge[], askedCount: number, query: OriginQuery): FoundOrigin | undefined {
+  /** The only version that there was since the stream began at the earliest, if this box and most of those asked know that. */
+  #concludeFromList (known: readonly Knowledge[], askedCount: number, query: BoundedQuery): FoundOrigin | undefined {
     const own = this.#know(query)
     const all = [own, ...known]
     const versions = new Set(all.flatMap((one) => one.versions))
     const isConfirmed = own.coveredMs > 0 && (askedCount === 0 || 2 * known.length > askedCount)
-    if (!isConfirmed || versions.size !== 1 || !all.some(({ coveredMs }) => coveredMs >= query.keepMs)) return undefined
+    if (query.mayBeOfOtherModel || all.some(({ isOfOtherModel }) => isOfOtherModel) || this.#mayBeOlder(known, query)) return undefined
+    if (!isConfirmed || versions.size !== 1 || !all.some(({ coveredMs }) => coveredMs >= query.maxAgeMs)) return undefined
     return { version: [...versions][0], source: OriginSource.List, knownBy: known.map(({ box }) => box) }
   }
 
-  #unknown (known: readonly Knowledge[], askedCount: number, query: OriginQuery): UnknownOrigin {
+  /** Whether another box has seen a longer deadline than this one knew when it asked. Notes it for the next query. */
+  #mayBeOlder (known: readonly Knowledge[], { model, keepMs }: BoundedQuery): boolean {
+    const longestMs = Math.max(0, ...known.map(({ longestDeadlineMs = 0 }) => longestDeadlineMs))
+    this.deadlines.observe(model, longestMs)
+    return longestMs > keepMs
+  }
+
+  #unknown (known: readonly Knowledge[], askedCount: number, query: BoundedQuery): UnknownOrigin {
     const said = new Set(known.flatMap(({ version }) => version ?? []))
     if (said.size > 1) return { reason: `boxes differ on the version that began the stream: ${[...said].join(', ')}` }
     const own = this.#know(query)
-    const reason = `none of ${known.length} boxes that answered, of ${askedCount} asked, knows which version began the stream`
-    if (known.length < askedCount || own.coveredMs === 0) return { reason, retryAfterMs: RETRY_AFTER_MS }
     const all = [own, ...known]
+    if (all.some(({ isOfOtherModel }) => isOfOtherModel)) return { reason: `the stream did not begin at the model ${query.model}` }
+    const reason = `none of ${known.length} boxes that answered, of ${askedCount} asked, knows which version began the stream`
+    const retryAfterMs = known.length < askedCount || own.coveredMs === 0 ? RETRY_AFTER_MS : this.#conclusiveInMs(all, query)
+    // A client that comes back later than it waits comes back in vain.
+    return { reason, retryAfterMs: retryAfterMs !== undefined && retryAfterMs < (query.remainingMs ?? Number.POSITIVE_INFINITY) ? retryAfterMs : undefined }
+  }
+
+  /** When the list may prove that there was one version since the stream began; undefined if it will not. */
+  #conclusiveInMs (all: readonly Omit<Knowledge, 'box'>[], { mayBeOfOtherModel, maxAgeMs }: BoundedQuery): number | undefined {
     const hasOneVersion = new Set(all.flatMap(({ versions }) => versions)).size === 1
-    return { reason, retryAfterMs: hasOneVersion ? query.keepMs - Math.max(...all.map(({ coveredMs }) => coveredMs)) : undefined }
+    const missingMs = maxAgeMs - Math.max(...all.map(({ coveredMs }) => coveredMs))
+    return hasOneVersion && !mayBeOfOtherModel && maxAgeMs !== UNKNOWN_AGE_MS ? Math.max(missingMs, RETRY_AFTER_MS) : undefined
+  }
+
+  /** Whether the list alone will tell the stream's version for as long as its client may take it up. */
+  #isCovered ({ model, keepMs }: StreamOrigin): boolean {
+    return this.#history.coveredMs + keepMs >= this.deadlines.longestMs(model)
   }
 
   #isMixed (model: string): boolean {
@@ -225,6 +264,11 @@
   }
 }
 
+/** The longest time for which the client of a stream may have waited. A client that waits longer than any is known to may have begun at any time. */
+function maxAgeOf ({ keepMs, remainingMs = 0 }: OriginQuery): number {
+  return remainingMs <= keepMs ? keepMs - remainingMs : UNKNOWN_AGE_MS
+}
+
 function agreedVersion (known: readonly Knowledge[]): FoundOrigin | undefined {
   const knowing = known.filter(({ version }) => version !== undefined)
   const versions = new Set(knowing.map(({ version }) => version as string))
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -1,12 +1,14 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { type Member, MemberHealth, MessageType, type StreamOrigin } from '@reelspan/core.messages'
-import { OriginRecords, OriginSource, StreamOrigins, VersionHistory } from '@reelspan/request.stream-origins'
+import { type OriginQuery, OriginRecords, OriginSource, StreamOrigins, VersionHistory } from '@reelspan/request.stream-origins'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { FakeNetwork, LinkFault, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
 
 const MODEL = 'm'
 const KEEP_MS = 15_000
+/** Clients whose deadlines nobody has seen may wait this long. */
+const ASSUMED_DEADLINE_MS = 60_000
 const QUERY = { attempt: 'a1', model: MODEL, keepMs: KEEP_MS }
 const ORIGIN: StreamOrigin = { attempt: 'a1', model: MODEL, version: 'v1', keepMs: KEEP_MS }
 /** Longer than beginnings are collected and on their way. */
@@ -68,7 +70,7 @@
     return { state, origins, address: member.peerAddress, list }
   })
   await clock.advance(coveredMs)
-  const find = (box: number, query = QUERY) => clock.run(boxes[box].origins.find(query, new AbortController().signal))
+  const find = (box: number, query: OriginQuery = QUERY) => clock.run(boxes[box].origins.find(query, new AbortController().signal))
   return { clock, network, boxes, find }
 }
 
@@ -98,7 +100,7 @@
 })
 
 test('with one version for as long as clients return, streams whose box has gone go on, and nothing was sent when they began', async (t) => {
-  const { clock, network, boxes, find } = await createBoxes({ versions: ['v1', 'v1'], coveredMs: 2 * KEEP_MS })
+  const { clock, network, boxes, find } = await createBoxes({ versions: ['v1', 'v1'], coveredMs: ASSUMED_DEADLINE_MS })
   boxes[0].origins.record(ORIGIN)
   await clock.advance(TOLD_MS)
   t.deepEqual(boxes.map(({ state: { told } }) => told), boxes.map(() => 0))
@@ -180,3 +182,40 @@
   await clock.advance(KEEP_MS + 1)
   t.deepEqual(history.versions(['d'], KEEP_MS), ['v2'])
 })
+
+test('others are told of streams as long as the list does not reach back as far as clients wait', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes({ versions: ['v1'], coveredMs: 1000 })
+  boxes[0].origins.record(ORIGIN)
+  await clock.advance(TOLD_MS)
+  network.kill(boxes[0].address)
+  for (const box of [1, 2, 3, 4, 5, 6, 7]) t.like(await find(box), { version: 'v1' }, `at box ${box}`)
+})
+
+test('a client that has most of its deadline left took its stream up soon, so that a short list is enough', async (t) => {
+  const { find } = await createBoxes({ versions: ['v1'], coveredMs: 2000 })
+  t.false('version' in await find(1, { ...QUERY, remainingMs: 12_000 }))
+  t.like(await find(1, { ...QUERY, remainingMs: 14_000 }), { version: 'v1', source: OriginSource.List })
+})
+
+// Guards against streams of two versions where a client waits longer than the boxes that it comes back to have seen.
+test('nothing is concluded for a client that waits longer than any that was seen', async (t) => {
+  const { boxes, find } = await createBoxes({ versions: ['v2'], coveredMs: 2 * KEEP_MS })
+  t.false('version' in await find(1, { ...QUERY, remainingMs: KEEP_MS + 1 }))
+  boxes.slice(2).forEach(({ origins }) => origins.deadlines.observe(MODEL, 4 * KEEP_MS))
+  t.false('version' in await find(1), 'other boxes have seen a longer deadline')
+  t.is(boxes[1].origins.deadlines.longestMs(MODEL), 4 * KEEP_MS)
+})
+
+// Guards against streams that are joined from two models, when their route leads to another one than before.
+test('a stream that began at another model does not go on at the only version of this one', async (t) => {
+  const { boxes, find } = await createBoxes({ versions: ['v1'], coveredMs: 2 * KEEP_MS })
+  boxes[3].origins.record({ ...ORIGIN, model: 'm-before' })
+  t.like(await find(0), { reason: 'the stream did not begin at the model m', retryAfterMs: undefined })
+  t.false('version' in await find(0, { ...QUERY, attempt: 'a2', mayBeOfOtherModel: true }))
+})
+
+test('a client is not told to come back after its deadline', async (t) => {
+  const { network, boxes, find } = await createBoxes({ versions: ['v2'], coveredMs: 1000 })
+  network.kill(boxes[0].address)
+  t.like(await find(1, { ...QUERY, remainingMs: 400 }), { retryAfterMs: undefined })
+})
