test(platform.adapter): streams that no box knows any more

Stand-in engines list their runs and what their cache holds. Fails: 0 of 24 streams go on after the box that began them was lost with all that it had told, although both versions still serve and their engines list what they ran.

--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -178,6 +178,8 @@
   readonly repeatedRefusals: string[] = []
   /** Headers of all calls received, not only of requests. */
   readonly received: ReceivedHeaders[] = []
+  /** Tokens that its cache holds of each part of a prompt, with what was generated behind it. */
+  readonly #cachedTokens = new Map<string, number>()
   /** Bodies of the orders received, and the instances that they were addressed to. */
   readonly orders: { body: unknown, expected?: string }[] = []
   address = ''
@@ -258,6 +260,7 @@
     this.#sendLateCopy(message.socket)
     Object.entries(this.#opts.advertises?.() ?? {}).forEach(([name, value]) => response.setHeader(name, value))
     if (url === '/v1/report') return this.#report(response)
+    if (url === '/v1/kv-list') return this.#listCache(response)
     if (url === '/v1/order') return this.#acceptOrder(text, headers, response)
     if (method === 'DELETE') {
       this.#handles.consume(url.split('/').at(-1) ?? '')
@@ -311,6 +314,9 @@
     this.#opts.onRunStarted?.(run)
     response.on('close', () => { void this.#recordClosed(run) })
     const crashes = this.#opts.crashesOn?.(sharedParts(headers), id) ?? false
+    const [part, tokens] = ownPart(headers)
+    response.on('close', () => { this.#cachedTokens.set(part, tokens + run.sentEvents) })
+    this.#cachedTokens.set(part, tokens)
     if (this.#role === Role.Service) await this.#call(run, response, crashes)
     else await this.#stream(run, response, crashes)
     run.complete = response.writableEnded && !response.destroyed && !run.answerLost
@@ -344,7 +350,16 @@
       endlessBody().pipe(response)
       return
     }
-    response.end(JSON.stringify({ born: this.#opts.startTimeMs, stage: this.#role, state: this.#opts.reportedState?.(), models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0 }))
+    response.end(JSON.stringify({ born: this.#opts.startTimeMs, stage: this.#role, state: this.#opts.reportedState?.(), models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, queued: 0, running: 0, kv_used: 0, kv_total: 1000, kv_handles: 0, runs: this.#reportedRuns() }))
+  }
+
+  #listCache (response: ServerResponse): void {
+    response.end(JSON.stringify({ epoch: 1, next_token: 0, held: [...this.#cachedTokens].map(([part, tokens]) => ['', part, tokens, 'm']) }))
+  }
+
+  /** Running requests as in reports: id, tokens in memory, events made and priority. */
+  #reportedRuns (): [string, number, number, number][] {
+    return this.#role === Role.Decode ? this.runs.filter(({ endedAtMs }) => endedAtMs === undefined).map(({ id, sentEvents }) => [id, 50 + sentEvents, sentEvents, 5]) : []
   }
 
   #acceptOrder (text: string, headers: IncomingMessage['headers'], response: ServerResponse): void {
@@ -429,6 +444,12 @@
   }
 }
 
+/** The last part of a prompt, which belongs to the request, and its tokens. */
+function ownPart (headers: IncomingMessage['headers']): [string, number] {
+  const [part, tokens] = (String(headers['x-reelspan-prompt-prefix'] ?? '').split(',').at(-1) ?? '').split(':')
+  return [part, Number(tokens)]
+}
+
 /** The parts of a prompt that other requests may share. */
 function sharedParts (headers: IncomingMessage['headers']): string[] {
   return String(headers['x-reelspan-prompt-prefix'] ?? '').split(',').slice(0, -1).map((part) => part.split(':')[0])
