fix(request.stream-origins): engines tell who began a stream that no box knows

Cause: who began a stream was kept by boxes alone, so that nothing was known once all of them were lost. Engines outlive boxes: they go on with a run whose box lost power, list it in their reports, and keep what they generated in their KV cache behind the request's own part of the prompt.

Change: schedulers remember the runs of the reports that they read anyway and tell them when asked. The stream goes on if engines of one version only have generated something for it and no connected engine of another one owes an answer. A computed prompt proves nothing, nor does a run without an event.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -172,6 +172,7 @@
     confirmRunningHere: parts.confirmRunningHere,
     isGone: (incarnation) => parts.view.get(incarnation)?.health === MemberHealth.Gone,
     hasLostPaths: () => hasLostPathsTo(UpstreamKind.Engine, parts),
+    onReport: (engine, { runs }) => { if (runs) parts.streamOrigins.observeRuns(engine, runs) },
     lastContactMs: () => Math.max(parts.prober.lastMajorityContactMs, parts.platform.lastAnswerMs),
   })
 }
--- a/box/runtime/src/createRequestParts.ts
+++ b/box/runtime/src/createRequestParts.ts
@@ -6,7 +6,7 @@
 import { RunEnds, Quarantine, RunMessages } from '@reelspan/request.quarantine'
 import { RecordStore } from '@reelspan/request.records'
 import { Relay } from '@reelspan/request.relay'
-import { StreamOrigins } from '@reelspan/request.stream-origins'
+import { EngineWitnesses, StreamOrigins } from '@reelspan/request.stream-origins'
 import { type UpstreamFailureReport } from '@reelspan/upstream.health'
 import { type BoxParts, environmentOf } from './boxParts.js'
 import { hasLostPaths, hasLostPathsTo } from './createPathParts.js'
@@ -102,7 +102,11 @@
 }
 
 export function createStreamOrigins (parts: BoxParts): StreamOrigins {
-  const { clock, link, metrics, view, fleet, declarations, platformContact } = parts
+  const { clock, link, metrics, view, fleet, declarations, platformContact, engines } = parts
+  const poolsOfModels = () => new Map(declarations.value.modelNames().flatMap((name) => {
+    const model = declarations.value.model(name)
+    return model ? [[name, [model.prefillPool, model.decodePool]]] : []
+  }))
   return new StreamOrigins({
     clock,
     link,
@@ -111,10 +115,13 @@
     members: () => [...view.live(), ...view.suspected()],
     takingWork: () => view.takingWork(),
     fleet: () => fleet.value,
-    poolsOfModels: () => new Map(declarations.value.modelNames().flatMap((name) => {
-      const model = declarations.value.model(name)
-      return model ? [[name, [model.prefillPool, model.decodePool]]] : []
-    })),
+    poolsOfModels,
+    witnesses: new EngineWitnesses({
+      clock,
+      fleet: () => fleet.value,
+      poolsOfModels,
+      readTraces: ({ name, address }, opts) => engines.traces(address, { ...opts, instance: name }),
+    }),
     sinceContactMs: () => platformContact.sinceContactMs,
     onTaskError: (thrown) => parts.failures.recordTask('streamOrigins', thrown),
   })
--- a/box/runtime/src/loggedEngineClient.ts
+++ b/box/runtime/src/loggedEngineClient.ts
@@ -1,6 +1,6 @@
 import { type HoldLabel } from '@reelspan/core.messages'
 import { LogEvent } from '@reelspan/telemetry.log'
-import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type PrefillRequest, type PrefillResult, type ReportOptions, type UpstreamCallOptions } from '@reelspan/upstream.client'
+import { type CacheEventPage, type DecodeEvent, type DecodeRequest, EngineClient, type EngineOrder, type EngineReport, type EngineTraces, type PrefillRequest, type PrefillResult, type ReportOptions, type UpstreamCallOptions } from '@reelspan/upstream.client'
 import { type FailureLog } from './failureLog.js'
 
 export interface LoggedEngineClientOptions {
@@ -23,6 +23,10 @@
     return this.#loggingFailure('report', address, opts, this.#opts.engines.report(address, opts))
   }
 
+  override traces (address: string, opts: ReportOptions): Promise<EngineTraces | undefined> {
+    return this.#loggingFailure('traces', address, opts, this.#opts.engines.traces(address, opts))
+  }
+
   cacheEvents (address: string, sinceSequence: number, opts: UpstreamCallOptions): Promise<CacheEventPage> {
     return this.#loggingFailure('cacheEvents', address, opts, this.#opts.engines.cacheEvents(address, sinceSequence, opts))
   }
--- a/box/runtime/src/shardManager.ts
+++ b/box/runtime/src/shardManager.ts
@@ -16,6 +16,8 @@
   configuration: () => Configuration
   reportPeriodMs: number
   onOrder: OrderControllerOptions['onOrder']
+  /** Called with each report of an engine. */
+  onReport: (engine: string, report: EngineReport) => void
   /** Enables role balancing, which assigns engine roles by load. Without it, engines keep the roles of the fleet list. */
   roles?: Pick<RoleBalancerOptions, 'holder' | 'listRevision' | 'onPlan'>
   /** Whether a call to an engine failed because this box has lost its own network paths. */
@@ -138,6 +140,7 @@
     const report = await engines.report(address, { timeoutMs, signal: this.#tasks.signal }).catch(() => undefined)
     if (this.#tasks.stopped) return { engine }
     const isSilent = !report && this.#opts.clock.nowMs() - askedAtMs >= timeoutMs
+    if (report) this.#opts.onReport(name, report)
     if (report) this.scheduler.recordReport(name, report, askedAtMs)
     // A scheduler without network paths places by the last reports until another box takes over.
     else if (await this.#opts.hasLostPaths()) this.#onPathsLost(name)
--- a/box/runtime/src/shardManagers.ts
+++ b/box/runtime/src/shardManagers.ts
@@ -30,6 +30,7 @@
   isGone: (incarnation: string) => boolean
   /** Whether a call to an engine failed because this box has lost its own network paths. */
   hasLostPaths: () => Promise<boolean>
+  onReport: ShardManagerOptions['onReport']
   /** When the platform or a majority of the watched peers last answered. */
   lastContactMs: () => number
 }
@@ -131,7 +132,7 @@
   }
 
   #createManager (shard: Shard): ShardManager {
-    const { clock, engines, declarations, settings, hasLostPaths, lastContactMs, pauseDetector, failures, log, metrics } = this.#opts
+    const { clock, engines, declarations, settings, hasLostPaths, onReport, lastContactMs, pauseDetector, failures, log, metrics } = this.#opts
     const { reportPeriodMs, orderRightMs } = settings.scheduling
     const scheduler = this.#createScheduler(shard, (engine) => { void manager.checkReachable(engine) })
     const manager: ShardManager = new ShardManager({
@@ -142,6 +143,7 @@
       lease: new OrderLease({ clock, durationMs: orderRightMs, lastContactMs, pauses: pauseDetector }),
       configuration: () => declarations.value,
       hasLostPaths,
+      onReport,
       reportPeriodMs,
       onTaskError: (thrown) => failures.recordTask('shardKeeper', thrown),
       roles: settings.scheduling.rolesFollowLoad ? this.#roleOptions(shard) : undefined,
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -292,6 +292,8 @@
     versions: z.array(z.string()),
     /** Time for which the sender has had lists that were up to date; 0 if its own is not. */
     coveredMs: durationMs,
+    /** Software versions of engines that the sender saw running the attempt. */
+    ranAt: z.array(z.string()).optional(),
     /** Whether the sender knows that the stream began at another model. */
     isOfOtherModel: z.boolean().optional(),
     /** The longest deadline of a caller of the model that the sender has observed. Omitted by earlier builds. */
--- a/request/relay/src/streamVersion.ts
+++ b/request/relay/src/streamVersion.ts
@@ -1,5 +1,6 @@
 import { ErrorCode, ReelspanError } from '@reelspan/core.error'
 import { LogEvent } from '@reelspan/telemetry.log'
+import { type CachedPart, type RelayedRequest } from '@reelspan/upstream.client'
 import { listedVersion } from './listedVersion.js'
 import { type RelayContext } from './relayContext.js'
 
@@ -31,12 +32,15 @@
     const found = await opts.origins.find({
       attempt: request.resumesAttempt,
       model: this.#model,
+      ownPart: ownPartOf(request),
       mayBeOfOtherModel: (route.spec.targets?.length ?? 0) > 1,
       keepMs: this.#longestKeepMs,
       remainingMs: this.#callerRemainingMs,
     }, run.signal)
     run.throwIfEnded()
-    logDecision(LogEvent.StreamTakenUp, { resumesAttempt: request.resumesAttempt, resumeAfter: request.resumeAfter, callerDeadlineMs, keepMs: this.#longestKeepMs, ...found })
+    const { testimony, ...logged } = { testimony: undefined, ...found }
+    const { versions: ranAt, witnesses, unanswered, asked: enginesAsked } = testimony ?? {}
+    logDecision(LogEvent.StreamTakenUp, { resumesAttempt: request.resumesAttempt, resumeAfter: request.resumeAfter, callerDeadlineMs, keepMs: this.#longestKeepMs, ...logged, ranAt, witnesses, unanswered, enginesAsked })
     if (!('version' in found)) throw new ReelspanError(ErrorCode.StreamOriginUnknown, found.reason, { retryAfterMs: found.retryAfterMs, retryFutile: found.retryAfterMs === undefined })
     this.#fixed = found.version
   }
@@ -76,3 +80,9 @@
     return Math.max(route.spec.deadlineMs, opts.origins.deadlines.longestMs(this.#model)) + KEEP_MARGIN_MS
   }
 }
+
+/** The last part of a prompt, without those before it. */
+function ownPartOf ({ prompt }: RelayedRequest): CachedPart | undefined {
+  const [last, before] = prompt?.prefixes.slice(-2).reverse() ?? []
+  return last && { digest: last.digest, tokens: last.tokens - (before?.tokens ?? 0) }
+}
--- a/request/stream-origins/src/index.ts
+++ b/request/stream-origins/src/index.ts
@@ -1,5 +1,8 @@
 export { CallerDeadlines } from './callerDeadlines.js'
+export { EngineWitnesses } from './engineWitnesses.js'
+export type { EngineWitnessesOptions, SoughtRun, Testimony } from './engineWitnesses.js'
 export { OriginRecords } from './originRecords.js'
+export { RunSightings } from './runSightings.js'
 export { OriginSource, StreamOrigins } from './streamOrigins.js'
 export type { FoundOrigin, OriginQuery, StreamOriginsOptions, UnknownOrigin } from './streamOrigins.js'
 export { VersionHistory } from './versionHistory.js'
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -1,10 +1,13 @@
-import { type FleetList } from '@reelspan/config.fleet'
+import { type FleetList, softwareVersionOf } from '@reelspan/config.fleet'
 import { type Clock, type TaskErrorListener, TaskGroup } from '@reelspan/core.env'
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { type Member, type MessageOf, MessageType, type PeerLink, type StreamOrigin } from '@reelspan/core.messages'
 import { type Metrics } from '@reelspan/telemetry.metrics'
+import { type CachedPart, type EngineRun } from '@reelspan/upstream.client'
 import { CallerDeadlines } from './callerDeadlines.js'
+import { type EngineWitnesses, type Testimony } from './engineWitnesses.js'
 import { OriginRecords } from './originRecords.js'
+import { RunSightings } from './runSightings.js'
 import { VersionHistory } from './versionHistory.js'
 
 export interface StreamOriginsOptions {
@@ -21,6 +24,8 @@
   poolsOfModels: () => ReadonlyMap<string, readonly string[]>
   /** Time since any box last had contact with the platform, as far as this box knows. */
   sinceContactMs: () => number | undefined
+  /** Asked about streams that no box knows. */
+  witnesses?: Pick<EngineWitnesses, 'find'>
   onTaskError?: TaskErrorListener
 }
 
@@ -29,6 +34,8 @@
   /** The attempt that brought its first event, if the client named it. */
   attempt?: string
   model: string
+  /** The part of its prompt that no other request shares. */
+  ownPart?: CachedPart
   /** Whether its route may have led to another model when the stream began. */
   mayBeOfOtherModel?: boolean
   /** The longest time for which clients wait, as far as this box knows: none takes up a stream that began longer ago. */
@@ -44,12 +51,14 @@
   Peers = 'peers',
   /** There was only one version. */
   List = 'list',
+  /** Only engines of one version have generated something for it. */
+  Engines = 'engines',
 }
 
 export interface FoundOrigin {
   version: string
   source: OriginSource
-  /** Names of the boxes that knew it. */
+  /** Names of the boxes, or engines, that knew it. */
   knownBy: readonly string[]
 }
 
@@ -57,6 +66,8 @@
   reason: string
   /** When another try may succeed. Undefined if none will. */
   retryAfterMs?: number
+  /** What engines told of it, if they were asked. */
+  testimony?: Testimony
 }
 
 /** A query whose client has waited for a time of which the upper bound is known. */
@@ -87,6 +98,7 @@
   readonly deadlines = new CallerDeadlines()
   readonly #opts: StreamOriginsOptions
   readonly #records: OriginRecords
+  readonly #sightings: RunSightings
   readonly #history: VersionHistory
   readonly #tasks: TaskGroup
   /** Models of which more than one version was known at the last list. */
@@ -99,6 +111,7 @@
   constructor (opts: StreamOriginsOptions) {
     this.#opts = opts
     this.#records = new OriginRecords(opts)
+    this.#sightings = new RunSightings(opts)
     this.#history = new VersionHistory(opts)
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
   }
@@ -129,6 +142,12 @@
     origins.forEach((origin) => this.#records.add(origin))
   }
 
+  /** Records the runs that an engine reports. */
+  observeRuns (engine: string, runs: readonly EngineRun[]): void {
+    const listed = this.#opts.fleet().upstream(engine)
+    if (listed) this.#sightings.add(softwareVersionOf(listed), runs)
+  }
+
   /** What this box knows of a stream. */
   answer ({ attempt, model, withinMs }: MessageOf<MessageType.StreamOriginPull>): MessageOf<MessageType.StreamOriginContent> {
     return { type: MessageType.StreamOriginContent, ...this.#know({ attempt, model, maxAgeMs: withinMs }) }
@@ -155,9 +174,11 @@
     const known = await this.#ask(asked, bounded, signal)
     const fromHolders = agreedVersion(known) ?? this.#concludeFromList(known, asked.length, bounded)
     if (fromHolders) return fromHolders
-    const others = peers.slice(ASKED_HOLDERS)
-    const allKnown = others.length === 0 ? known : [...known, ...await this.#ask(others, bounded, signal)]
-    return agreedVersion(allKnown) ?? this.#concludeFromList(allKnown, peers.length, bounded) ?? this.#unknown(allKnown, peers.length, bounded)
+    const [fromOthers, testimony] = await Promise.all([this.#ask(peers.slice(ASKED_HOLDERS), bounded, signal), this.#opts.witnesses?.find(query)])
+    const allKnown = [...known, ...fromOthers]
+    const foundAtBoxes = agreedVersion(allKnown) ?? this.#concludeFromList(allKnown, peers.length, bounded)
+    if (foundAtBoxes) return foundAtBoxes
+    return this.#concludeFromRuns(allKnown, testimony, bounded) ?? { ...this.#unknown(allKnown, peers.length, bounded), testimony }
   }
 
   async #ask (peers: readonly Member[], { attempt, model, maxAgeMs }: BoundedQuery, signal: AbortSignal): Promise<Knowledge[]> {
@@ -174,6 +195,7 @@
     const sinceContactMs = this.#opts.sinceContactMs() ?? Number.POSITIVE_INFINITY
     return {
       version: attempt === undefined ? undefined : this.#records.versionOf(attempt, model),
+      ranAt: attempt === undefined ? undefined : this.#sightings.versionsOf(attempt, this.deadlines.longestMs(model)),
       isOfOtherModel: (attempt !== undefined && this.#records.isOfOtherModel(attempt, model)) || undefined,
       versions: this.#versionsOf(model, maxAgeMs),
       coveredMs: sinceContactMs <= MAX_CONTACT_AGE_MS ? this.#history.coveredMs : 0,
@@ -192,6 +214,14 @@
     return { version: [...versions][0], source: OriginSource.List, knownBy: known.map(({ box }) => box) }
   }
 
+  /** The only version of which engines have run the stream, as reported before to any box or just now to this one. */
+  #concludeFromRuns (known: readonly Knowledge[], testimony: Testimony | undefined, query: BoundedQuery): FoundOrigin | undefined {
+    const seen = [this.#know(query), ...known].flatMap(({ ranAt = [] }) => ranAt)
+    const versions = new Set([...seen, ...testimony?.versions ?? []])
+    if (versions.size !== 1 || testimony?.isContested || !mayGoOn(known)) return undefined
+    return { version: [...versions][0], source: OriginSource.Engines, knownBy: testimony?.witnesses ?? [] }
+  }
+
   /** Whether another box has seen a longer deadline than this one knew when it asked. Notes it for the next query. */
   #mayBeOlder (known: readonly Knowledge[], { model, keepMs }: BoundedQuery): boolean {
     const longestMs = Math.max(0, ...known.map(({ longestDeadlineMs = 0 }) => longestDeadlineMs))
@@ -269,6 +299,11 @@
   return remainingMs <= keepMs ? keepMs - remainingMs : UNKNOWN_AGE_MS
 }
 
+/** Whether no box knows anything against going on with a stream at all. */
+function mayGoOn (known: readonly Knowledge[]): boolean {
+  return known.every(({ version, isOfOtherModel }) => version === undefined && !isOfOtherModel)
+}
+
 function agreedVersion (known: readonly Knowledge[]): FoundOrigin | undefined {
   const knowing = known.filter(({ version }) => version !== undefined)
   const versions = new Set(knowing.map(({ version }) => version as string))
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -219,3 +219,18 @@
   network.kill(boxes[0].address)
   t.like(await find(1, { ...QUERY, remainingMs: 400 }), { retryAfterMs: undefined })
 })
+
+// Guards against refusing streams whose engines still run them, when no box that knew their beginning is left.
+test('what engines reported to run tells boxes that have just started which version began a stream', async (t) => {
+  const { boxes, find } = await createBoxes({ versions: ['v1', 'v2'] })
+  boxes[5].origins.observeRuns('d1', [{ requestId: 'a1', events: 2 }, { requestId: 'a2', events: 0 }])
+  t.like(await find(1), { version: 'v2', source: OriginSource.Engines })
+  t.false('version' in await find(1, { ...QUERY, attempt: 'a2' }), 'a run without an event may have begun elsewhere')
+})
+
+test('an attempt that engines of two versions ran is not taken up', async (t) => {
+  const { boxes, find } = await createBoxes({ versions: ['v1', 'v2'] })
+  boxes[2].origins.observeRuns('d0', [{ requestId: 'a1', events: 2 }])
+  boxes[5].origins.observeRuns('d1', [{ requestId: 'a1', events: 2 }])
+  t.false('version' in await find(1))
+})
--- a/upstream/client/src/engineClient.ts
+++ b/upstream/client/src/engineClient.ts
@@ -1,5 +1,6 @@
 import { type HoldLabel } from '@reelspan/core.messages'
 import { type EngineOrder, type EngineReport } from './engineReport.js'
+import { type EngineTraces } from './engineTraces.js'
 
 export interface UpstreamCallOptions {
   /** Timeout for the answer; for a stream, the idle timeout between events. */
@@ -66,5 +67,10 @@
 
   abstract cacheEvents (address: string, sinceSequence: number, opts: UpstreamCallOptions): Promise<CacheEventPage>
 
+  /** What the engine still knows of the requests that it has run; undefined if it does not tell. */
+  async traces (_address: string, _opts: ReportOptions): Promise<EngineTraces | undefined> {
+    return undefined
+  }
+
   abstract order (address: string, order: EngineOrder, opts: UpstreamCallOptions): Promise<void>
 }
--- a/upstream/client/src/engineReport.ts
+++ b/upstream/client/src/engineReport.ts
@@ -1,4 +1,5 @@
 import { type HoldLabel } from '@reelspan/core.messages'
+import { type EngineRun } from './engineTraces.js'
 
 export enum EngineRole {
   Prefill = 'prefill',
@@ -46,6 +47,8 @@
   fence: number
   /** Number of orders accepted since the engine started. Only some engines report it. */
   ordersTaken?: number
+  /** Callers' requests that the engine runs. Only some engines report them. */
+  runs?: readonly EngineRun[]
   holds: EngineHold[]
 }
 
