fix(platform.adapter): a request that a handler fails on does not end the box

What callers saw: a box whose process ended, with all its streams, after any caller's GET // to its directory.

Cause: the target was parsed outside of the handler's error handling, and nobody took the handler's failure. Class: a handler whose failure nobody takes.

--- a/cli/reelspan/bin/reelspan.js
+++ b/cli/reelspan/bin/reelspan.js
@@ -1,4 +1,7 @@
 #!/usr/bin/env node
-import { main } from '../lib/index.js'
+// Installed before the program is loaded, since a SIGHUP without a listener terminates the process.
+process.on('SIGHUP', () => {})
 
-process.exitCode = await main(process.argv.slice(2))
+const { main } = await import('../lib/index.js')
+// What a box that failed to start already listens on would keep the process alive.
+process.exit(await main(process.argv.slice(2)))
--- a/cli/reelspan/test/__utils__/platformProcess.ts
+++ b/cli/reelspan/test/__utils__/platformProcess.ts
@@ -42,12 +42,17 @@
 export interface PlatformProcess {
   box: ChildProcess
   frontAddress: string
+  readyAddress: string
+  controlAddress: string
+  directoryAddress: string
+  /** What it has written to standard error. */
+  errors: readonly string[]
   /** Log lines so far. */
   lines: { event: string, [field: string]: unknown }[]
 }
 
 /** Starts a box's process. Its IP address must differ from those of other tests, since the metrics port is fixed. */
-export async function startProcess (t: ExecutionContext, { ip, storeAddress, seeds = [] }: { ip: string, storeAddress: string, seeds?: readonly string[] }): Promise<PlatformProcess & { controlAddress: string }> {
+export async function startProcess (t: ExecutionContext, { ip, storeAddress, seeds = [] }: { ip: string, storeAddress: string, seeds?: readonly string[] }): Promise<PlatformProcess> {
   const [front, ready, control, directory] = await freePorts(4, ip)
   const folder = await mkdtemp(join(tmpdir(), 'reelspan-test-'))
   const settingsPath = join(folder, 'settings.conf')
@@ -55,7 +60,7 @@
     `node=${ip}`, 'zone=hall-a', `listen.front=${ip}:${front}`, `listen.ready=${ip}:${ready}`, `listen.control=${ip}:${control}`, `listen.directory=${ip}:${directory}`,
     'port_range=7380,7395', `seeds=${seeds.join(',')}`, `platform.address=${storeAddress}`, 'bounds.budget_slack=58',
   ].join('\n'))
-  const box = spawn(process.execPath, [BIN, 'serve', '--platform'], { env: { ...process.env, REELSPAN_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'inherit'] })
+  const box = spawn(process.execPath, [BIN, 'serve', '--platform'], { env: { ...process.env, REELSPAN_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
   t.teardown(async () => {
     box.kill('SIGCONT')
     box.kill('SIGKILL')
@@ -63,7 +68,12 @@
   })
   const lines: PlatformProcess['lines'] = []
   createInterface({ input: box.stdout as NodeJS.ReadableStream }).on('line', (line) => lines.push(JSON.parse(line)))
-  return { box, frontAddress: `${ip}:${front}`, controlAddress: `${ip}:${control}`, lines }
+  const errors: string[] = []
+  box.stderr?.on('data', (text: Buffer) => {
+    errors.push(text.toString())
+    process.stderr.write(text)
+  })
+  return { box, frontAddress: `${ip}:${front}`, readyAddress: `${ip}:${ready}`, controlAddress: `${ip}:${control}`, directoryAddress: `${ip}:${directory}`, errors, lines }
 }
 
 /** Starts a service whose answers take `workMs`, or `SHORT_WORK_MS` for short requests, and publishes a route to it. */
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -28,6 +28,8 @@
   ConnectionsFull = 'connectionsFull',
   /** A server failed to accept a connection. */
   ListenerFailed = 'listenerFailed',
+  /** The handler of a request to one of the box's servers threw unexpectedly. */
+  RequestHandlerFailed = 'requestHandlerFailed',
   /** The platform's store was restored from an older backup. */
   PlatformRestored = 'platformRestored',
   /** The header with the store's era, which counts its restores, cannot be parsed or is missing. */
