fix(deploy): a bundle comes into place file by file, its entry last

Cause: the bundle was written in place, so that a box which started meanwhile loaded files of two builds («r is not a function»). Files have the digest of their content in their names, and the entry comes last; files of earlier builds go.

A start that fails ends the process with its code, whatever it already listens on. SIGHUP is ignored before the program's modules are loaded.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,7 +1,7 @@
 // Bundles the box program from its sources into target/. The output is split into a few
 // files, so that the program loads at startup only the files that it needs.
-import { existsSync, realpathSync } from 'node:fs'
-import { join } from 'node:path'
+import { existsSync, mkdirSync, readdirSync, realpathSync, renameSync, rmSync, writeFileSync } from 'node:fs'
+import { basename, join } from 'node:path'
 import { build } from 'esbuild'
 
 const ROOT = join(import.meta.dirname, '..')
@@ -40,9 +40,13 @@
 const __dirname = __fileURLToPath(new URL('.', import.meta.url))
 `
 
-await build({
+const ENTRY = 'reelspan.mjs'
+const TARGET = join(ROOT, 'target')
+
+const { outputFiles } = await build({
   entryPoints: { reelspan: join(ROOT, 'deploy/entry.ts') },
-  outdir: join(ROOT, 'target'),
+  outdir: TARGET,
+  write: false,
   outExtension: { '.js': '.mjs' },
   splitting: true,
   plugins: [workspaceSources, unusedParts],
@@ -55,3 +59,17 @@
   external: ['dtrace-provider', 'bufferutil', 'utf-8-validate', 'mv', 'safe-json-stringify', 'moment', 'source-map-support', 'msgpackr-extract'],
   banner: { js: COMMONJS_NAMES },
 })
+
+// The names of all other files contain a digest of their content. The entry comes last, so that a process that starts meanwhile loads the files of one build.
+mkdirSync(TARGET, { recursive: true })
+const files = outputFiles.map(({ path, contents }) => ({ name: basename(path), contents }))
+const [entry, parts] = [files.filter(({ name }) => name === ENTRY), files.filter(({ name }) => name !== ENTRY)];
+[...parts, ...entry].forEach(({ name, contents }) => replaceFile(join(TARGET, name), contents))
+const names = new Set(files.map(({ name }) => name))
+readdirSync(TARGET).filter((name) => !names.has(name)).forEach((name) => rmSync(join(TARGET, name), { force: true }))
+
+function replaceFile (path, contents) {
+  const temporaryPath = `${path}.${process.pid}`
+  writeFileSync(temporaryPath, contents)
+  renameSync(temporaryPath, path)
+}
--- a/deploy/entry.ts
+++ b/deploy/entry.ts
@@ -1,3 +1,6 @@
-import { main } from '../cli/reelspan/src/main.ts'
+// Installed before the program is loaded, since a SIGHUP without a listener terminates the process.
+process.on('SIGHUP', () => {})
 
-process.exitCode = await main(process.argv.slice(2))
+const { main } = await import('../cli/reelspan/src/main.ts')
+// What a box that failed to start already listens on would keep the process alive.
+process.exit(await main(process.argv.slice(2)))
