fix(request.relay): a promise of a status is passed on only if the upstream made it

What callers would see: 503, 429 or 408, which promise that a request has not run, for one that its upstream may have run.

Cause: a failure was passed on with its status whether or not the upstream said that it had not run the request. Between a box and its caller the status alone is the promise, between an upstream and a box it is not.

The tests failed before, for calls and for streams that may run once.

--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -5,6 +5,7 @@
 import { boundError } from './boundError.js'
 import { EventProgress } from './eventProgress.js'
 import { isEventStream } from './isEventStream.js'
+import { isRepeatable } from './isRepeatable.js'
 import { type AnswerTimes, recordPartTime } from './passAnswer.js'
 import { listedVersion } from './listedVersion.js'
 import { type RelayContext } from './relayContext.js'
@@ -89,8 +90,7 @@
   /** Whether another delegate may run a request that may have run, apart from the retry budget. */
   #mayRunAgain (attemptsUsed: number): boolean {
     const { route: { spec }, caller } = this.#context
-    const isRepeatable = spec.streaming ? spec.resumable === true : !spec.notRepeatable
-    if (!isRepeatable || attemptsUsed >= spec.maxAttempts) return false
+    if (!isRepeatable(spec) || attemptsUsed >= spec.maxAttempts) return false
     return !caller.begun || (this.#version?.fixed !== undefined && spec.streaming === true && !this.#progress.oversized && this.#progress.lastId !== undefined)
   }
 
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -5,6 +5,7 @@
 import { listedVersion } from './listedVersion.js'
 import { withCheckedEnd } from './answerEnd.js'
 import { discardAnswer } from './discardAnswer.js'
+import { isRepeatable } from './isRepeatable.js'
 import { type RelayContext } from './relayContext.js'
 
 /** The answer of another start than the expected one. */
@@ -12,6 +13,9 @@
 /** How upstreams refuse requests that exceed their capacity. Other refusals, such as that of a later start at the same address, say nothing about it. */
 const FULL_STATUSES: readonly number[] = [429, 503]
 
+/** To callers these statuses promise that a request has not run. Upstreams that do not say so themselves may have run it. */
+const PROMISING_STATUSES: readonly number[] = [408, MISDIRECTED, ...FULL_STATUSES]
+
 /**
  * An upstream with the permit to send it one request. Every request needs a permit: an upstream's limit is shared
  * by all boxes, and no box sees what the others send.
@@ -26,7 +30,7 @@
  * upstream reports that it did not. Throws `UpstreamError`, as does the answer's body if it is not whole.
  */
 export function sendToUpstream (context: RelayContext, to: PermittedTarget, runOptions: RelayRunOptions): Promise<RelayAnswer> {
-  const { opts, run, request, logDecision, caller: { buffer } } = context
+  const { opts, run, request, route, logDecision, caller: { buffer } } = context
   const { target } = to
   if (request.account !== undefined) buffer?.assignTo(request.account)
   return run.dispatchOnSend(async (sent) => {
@@ -41,10 +45,16 @@
     const signal = AbortSignal.any([runOptions.signal, cancelled.signal])
     const answer = { ...await opts.upstreams.run(target, request, withAccounting(context, to, { ...runOptions, signal, buffer, onSend })), cancel: () => cancelled.abort(STOPPED) }
     if (answer.status !== MISDIRECTED) opts.runEnds.onSignOfLife(target.instance, sentAtMs)
-    if (!answer.notRun) return withCheckedEnd(answer, { sender: target.instance, metrics: opts.metrics })
-    logDecision(LogEvent.UpstreamRefused, { upstream: target.instance, status: answer.status, ...answer.use, sentAgoMs: Math.round(opts.clock.nowMs() - sentAtMs), atMs: Math.round(run.elapsedMs) })
-    discardAnswer(context, target.instance, answer)
-    throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: FULL_STATUSES.includes(answer.status) })
+    if (answer.notRun) {
+      logDecision(LogEvent.UpstreamRefused, { upstream: target.instance, status: answer.status, ...answer.use, sentAgoMs: Math.round(opts.clock.nowMs() - sentAtMs), atMs: Math.round(run.elapsedMs) })
+      discardAnswer(context, target.instance, answer)
+      throw new UpstreamError(`${target.instance} responded with ${answer.status} without running the request`, { mayHaveRun: false, refused: true, full: FULL_STATUSES.includes(answer.status) })
+    }
+    if (PROMISING_STATUSES.includes(answer.status) && !isRepeatable(route.spec)) {
+      discardAnswer(context, target.instance, answer)
+      throw new UpstreamError(`${target.instance} responded with ${answer.status} and may have run the request`, { mayHaveRun: true, failed: true })
+    }
+    return withCheckedEnd(answer, { sender: target.instance, metrics: opts.metrics })
   })
 }
 
--- a/request/relay/test/relay.ts
+++ b/request/relay/test/relay.ts
@@ -70,6 +70,20 @@
   t.true(caller.complete)
 })
 
+// Guards against a refusal with a promise for a request that its upstream may have run.
+for (const status of [408, 429, 503]) {
+  test(`a ${status} of an upstream that does not say that it has not run a request that may run once is not passed on`, async (t) => {
+    for (const path of ['/fetch/1', '/draft/1']) {
+      const { clock, relay, upstreams } = createRelay([answers(status, 'oops')])
+      const caller = new RecordingCaller()
+      await clock.run(relay.relay(requestTo(path), caller))
+      t.is(upstreams.runs.length, 1)
+      t.is(caller.status, undefined)
+      t.is(caller.refused?.verdict, Verdict.MayHaveRun)
+    }
+  })
+}
+
 test('nothing is retried without retry budget', async (t) => {
   const { clock, relay, upstreams } = createRelay([answers(500, 'oops'), answers(500, 'oops'), answers(500, 'oops')], { retryBurst: 1 })
   const callers = [new RecordingCaller(), new RecordingCaller()]
