--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -66,7 +66,7 @@
 const [entry, parts] = [files.filter(({ name }) => name === ENTRY), files.filter(({ name }) => name !== ENTRY)];
 [...parts, ...entry].forEach(({ name, contents }) => replaceFile(join(TARGET, name), contents))
 const names = new Set(files.map(({ name }) => name))
-readdirSync(TARGET).filter((name) => !names.has(name)).forEach((name) => rmSync(join(TARGET, name), { force: true }))
+readdirSync(TARGET).filter((name) => /\.mjs(\.\d+)?$/.test(name) && !names.has(name)).forEach((name) => rmSync(join(TARGET, name), { force: true }))
 
 function replaceFile (path, contents) {
   const temporaryPath = `${path}.${process.pid}`
