--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -1,4 +1,5 @@
 import { ANSWER_BOUND_MECHANISMS } from './answerBoundMechanisms.js'
+import { ANSWER_MATCH_MECHANISMS } from './answerMatchMechanisms.js'
 import { type Mechanism } from './mechanism.js'
 import { QUARANTINE_MECHANISMS } from './quarantineMechanisms.js'
 import { STREAM_MECHANISMS } from './streamMechanisms.js'
@@ -32,6 +33,7 @@
   ...QUARANTINE_MECHANISMS,
   ...STREAM_MECHANISMS,
   ...ANSWER_BOUND_MECHANISMS,
+  ...ANSWER_MATCH_MECHANISMS,
   {
     name: 'lost paths: requests are run by boxes that have paths',
     file: 'box/runtime/src/createDelegationParts.ts',
@@ -488,20 +490,6 @@
     replace: '',
     tests: ['net/http-exchange/test.lib/unresponsiveConnections.js'],
   },
-  {
-    name: 'a request is not sent twice on one connection',
-    file: 'net/http-exchange/src/connectionPool.ts',
-    find: 'idle.findLast((connection) => connection.canCarry(identity))',
-    replace: 'idle.at(-1)',
-    tests: ['net/http-exchange/test.lib/lateAnswers.js', 'platform/adapter/test.lib/lateRefusals.js'],
-  },
-  {
-    name: 'a late answer without an id is not taken for the answer to a request',
-    file: 'platform/adapter/src/upstreamRelayClient.ts',
-    find: 'status >= FIRST_ERROR && exchange === 1',
-    replace: 'status >= FIRST_ERROR',
-    tests: ['platform/adapter/test.lib/upstreamRelayClient.js'],
-  },
   {
     name: 'a report that does not arrive on a reused connection is requested on a new one',
     file: 'platform/adapter/src/platformEngineClient.ts',
--- a/net/http-exchange/src/connectionPool.ts
+++ b/net/http-exchange/src/connectionPool.ts
@@ -2,7 +2,8 @@
 import { type AnswerBuffer, type ConnectionUse } from '@reelspan/upstream.client'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest, type RequestIdentity } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
-import { type AcceptHead, type ExceededBound, UpstreamConnection } from './upstreamConnection.js'
+import { type AcceptHead, type ExceededBound } from './connectionExchange.js'
+import { UpstreamConnection } from './upstreamConnection.js'
 
 export interface ConnectionPoolOptions {
   clock: Clock
@@ -28,7 +29,7 @@
 export interface ExchangeOptions {
   /** Cancels the exchange and closes its connection. */
   signal: AbortSignal
-  /** Identifies the request, which may be sent again. The answers to two sends with one id cannot be told apart, so each goes out on a connection of its own. */
+  /** Identifies the request, which may be sent again. The answers to two sends with one id cannot be distinguished, so each goes out on a connection of its own. */
   identity?: RequestIdentity
   /** Whether an answer belongs to this request and not to another one. */
   accept?: AcceptHead
--- a/net/http-exchange/src/index.ts
+++ b/net/http-exchange/src/index.ts
@@ -3,4 +3,4 @@
 export { ExchangeError } from './exchangeError.js'
 export type { AnswerHead, ExchangeAnswer, ExchangeRequest } from './exchange.js'
 export { headerValue, withoutHeaders } from './rawHeaders.js'
-export type { ExceededBound } from './upstreamConnection.js'
+export type { ExceededBound } from './connectionExchange.js'
--- a/net/http-exchange/src/sentRequests.ts
+++ b/net/http-exchange/src/sentRequests.ts
@@ -7,8 +7,8 @@
 export class SentRequests {
   readonly #endsAtMs = new Map<string, number>()
 
-  has (id: string): boolean {
-    return this.#endsAtMs.has(id)
+  has (id: string, nowMs: number): boolean {
+    return (this.#endsAtMs.get(id) ?? Number.NEGATIVE_INFINITY) > nowMs
   }
 
   add ({ id, endsAtMs }: RequestIdentity): void {
--- a/net/http-exchange/src/upstreamConnection.ts
+++ b/net/http-exchange/src/upstreamConnection.ts
@@ -1,54 +1,17 @@
 import { connect, type Socket } from 'node:net'
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { splitAddress } from '@reelspan/net.system-env'
-import { AnswerBound, AnswerBoundExceeded, type AnswerBuffer, type ConnectionUse, type PausableSource } from '@reelspan/upstream.client'
+import { AnswerBound, AnswerBoundExceeded, type ConnectionUse, type PausableSource } from '@reelspan/upstream.client'
 import { AnswerBody } from './answerBody.js'
 import { checkWhilePaused } from './checkWhilePaused.js'
+import { type ConnectionExchange, type ExceededBound, type Exchange } from './connectionExchange.js'
 import { type AnswerHead, type ExchangeAnswer, type ExchangeRequest, type RequestIdentity } from './exchange.js'
 import { ExchangeError } from './exchangeError.js'
 import { headerValue } from './rawHeaders.js'
+import { requestHeadText } from './requestHeadText.js'
 import { type ParsedHead, ResponseParser } from './responseParser.js'
 import { SentRequests } from './sentRequests.js'
 
-/** Whether a head belongs to the request that was sent on the connection, in the given exchange. */
-export type AcceptHead = (head: AnswerHead, use: ConnectionUse) => boolean
-
-/** An exchange that a connection runs. */
-export interface ConnectionExchange {
-  /** Identifies the exchange for `cancel`. */
-  token: symbol
-  identity?: RequestIdentity
-  accept: AcceptHead
-  /** Accounts for the bytes of the answer. Without it they are not limited. */
-  buffer?: AnswerBuffer
-  /** The maximum size of the answer's body. Without it any is accepted. */
-  maxBodyBytes?: number
-}
-
-/** An exchange was ended since its answer exceeds a bound. */
-export interface ExceededBound {
-  bound: AnswerBound
-  /** In bytes, or the maximum number of what is counted. */
-  limit: number
-  /** Bytes that were read of the exchange. */
-  readBytes: number
-}
-
-interface Exchange extends ConnectionExchange {
-  /** The answer has no body, since the request is a HEAD request. */
-  headOnly: boolean
-  resolve: (answer: ExchangeAnswer) => void
-  reject: (error: ExchangeError) => void
-  /** Set once the head has arrived. */
-  body?: AnswerBody
-  /** The answer being received belongs to another request and is skipped. */
-  skipping: boolean
-  reusable: boolean
-  /** Bytes received since the request was sent. */
-  readBytes: number
-  bodyBytes: number
-}
-
 export interface UpstreamConnectionOptions {
   address: string
   /** Number of the connection among those of its pool. */
@@ -154,14 +117,11 @@
   }
 
   /**
-   * Whether an answer to the request could be told from the answers to what was sent on the connection before.
-   * An upstream in trouble may send an answer a second time, ahead of a later one; the request's id does not
-   * distinguish it from the answer to another send of the same request.
+   * Whether the connection has not carried the request. An upstream in trouble may send an answer a second time,
+   * ahead of a later one, and the id does not distinguish it from the answer to another send of the same request.
    */
   canCarry (identity?: RequestIdentity): boolean {
-    if (!identity) return true
-    this.#sentRequests.removeEnded(this.#opts.clock.nowMs())
-    return !this.#sentRequests.has(identity.id)
+    return !identity || !this.#sentRequests.has(identity.id, this.#opts.clock.nowMs())
   }
 
   /** Whether it cannot remember another request, and so must not carry one. */
@@ -183,7 +143,7 @@
       if (exchange.identity) this.#sentRequests.add(exchange.identity)
       this.#lastSentAtMs = this.#opts.clock.nowMs()
       this.#socket.cork()
-      this.#socket.write(headText(request), 'latin1')
+      this.#socket.write(requestHeadText(request), 'latin1')
       if (request.body.byteLength > 0) this.#socket.write(request.body)
       this.#socket.uncork()
     })
@@ -321,9 +281,3 @@
     else exchange.reject(error)
   }
 }
-
-function headText ({ method, target, headers, body }: ExchangeRequest): string {
-  const lines = headers.reduce((text, part, i) => text + part + (i % 2 === 0 ? ': ' : '\r\n'), '')
-  const needsLength = body.byteLength > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH'
-  return `${method} ${target} HTTP/1.1\r\n${lines}${needsLength ? `Content-Length: ${body.byteLength}\r\n` : ''}\r\n`
-}
