fix(request.relay): an engine's failure without end is cut off at 1 MiB

Cause: only answers that are read to their end, and streams of events, were bounded. A failure of an engine that is passed on is neither.

Change: it ends visibly after 1 MiB. A service's failure is the caller's, as its success.

The test failed before; a long failure that ends is passed on whole.

--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -1,4 +1,4 @@
-import { type RelayAnswer } from '@reelspan/upstream.client'
+import { AnswerBound, AnswerBoundExceeded, type RelayAnswer } from '@reelspan/upstream.client'
 import { boundError } from './boundError.js'
 import { type EventProgress } from './eventProgress.js'
 import { isEventStream } from './isEventStream.js'
@@ -6,6 +6,10 @@
 import { type RelayContext } from './relayContext.js'
 import { type WatchedExchange } from './watchedExchange.js'
 
+const FIRST_ERROR = 400
+/** Far more than an engine has to say about a failure. */
+const MAX_FAILURE_BYTES = 1_048_576
+
 export interface PassEventsOptions {
   progress: EventProgress
   /** Pass on complete events only, so that another upstream can continue behind the last of them. */
@@ -39,6 +43,7 @@
   try {
     for await (const bytes of answer.body) {
       readBytes += bytes.byteLength
+      if (answer.status >= FIRST_ERROR && readBytes > MAX_FAILURE_BYTES) throw new AnswerBoundExceeded(AnswerBound.Body, MAX_FAILURE_BYTES)
       const { events } = progress
       const complete = progress.push(bytes, { bounded })
       if (!bounded || progress.isSignOfLife) watched.recordReceived()
--- a/request/relay/test/answerBounds.ts
+++ b/request/relay/test/answerBounds.ts
@@ -65,6 +65,25 @@
   assertCutOff(t, created, { bound: 'event', maxBytes: 1_048_576 })
 })
 
+test('a failure without end that is passed on to its caller ends visibly at a bound', async (t) => {
+  const flood = repeats('oops', 'x'.repeat(PIECE_BYTES), FLOOD_BYTES / PIECE_BYTES, ['Content-Type', 'text/plain'])
+  const created = createRelay([async (opts) => ({ ...await flood(opts), status: 500 })])
+  const caller = new RecordingCaller()
+  await created.clock.run(created.relay.relay(requestTo('/draft/1'), caller))
+  t.is(caller.status, 500)
+  t.true(caller.wasAborted)
+  assertCutOff(t, created, { bound: 'body', maxBytes: 1_048_576 })
+})
+
+test('a long failure that ends is passed on whole', async (t) => {
+  const body = 'x'.repeat(1_000_000)
+  const { clock, relay } = createRelay([async () => ({ status: 500, notRun: false, headers: ['Content-Type', 'text/plain'], body: (async function * () { yield Buffer.from(body) })() })])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/draft/1'), caller))
+  t.is(caller.body, body)
+  t.true(caller.complete)
+})
+
 test('an engine that sends without end is suspected at once', async (t) => {
   const created = createRelay([floods(FIRST, 'x'), streams(SECOND), streams(FIRST)])
   await created.clock.run(created.relay.relay(requestTo('/reply/1'), new RecordingCaller()))
