fix(request.stream-origins): what engines told of a stream is remembered

Cause: what engines told was kept only once the stream went on. Their caches forget the prompt within seconds under load.

Change: it is remembered and told to holders as soon as it is known. The soak can kill all boxes at once, and its clients keep their prompt when they take a stream up.

The test failed before.

--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -102,7 +102,7 @@
       const response = await request(`http://${box}${PATHS[kind]}`, {
         method: kind === RouteKind.Repeatable ? 'GET' : 'POST',
         headers: {
-          ...requestHeaders(id, { key: DEFAULT_KEY, deadlineMs, prompt: isStream(kind) ? Buffer.from(id).toString('hex') : undefined }),
+          ...requestHeaders(id, { key: DEFAULT_KEY, deadlineMs, prompt: isStream(kind) ? Buffer.from(resumes?.attempt ?? id).toString('hex') : undefined }),
           ...resumes === undefined ? {} : { 'Last-Event-Id': String(resumes.after), Resumes: resumes.attempt },
         },
         body: kind === RouteKind.Repeatable ? undefined : 'brief',
--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -11,6 +11,8 @@
 export enum FaultKind {
   KillBox = 'killBox',
   KillMost = 'killMost',
+  /** As many boxes as may be killed at once, the first one among them, so that no memory is left in a small fleet. */
+  KillAll = 'killAll',
   PauseBox = 'pauseBox',
   StopBox = 'stopBox',
   ChangeSettings = 'changeSettings',
@@ -47,6 +49,8 @@
 
 /** Faults of answers that have no end. */
 export const ENDLESS_KINDS: readonly FaultKind[] = [FaultKind.EndlessReports, FaultKind.StoreEndless]
+/** Faults that are not drawn with the others. */
+export const UNDRAWN_KINDS: readonly FaultKind[] = [...ENDLESS_KINDS, FaultKind.KillAll]
 
 const MIN_FAULT_MS = 200
 const MAX_FAULT_MS = 3000
@@ -147,6 +151,7 @@
     switch (kind) {
       case FaultKind.KillBox: return this.#kill(box, durationMs)
       case FaultKind.KillMost: return this.#killMost(durationMs)
+      case FaultKind.KillAll: return this.#killBoxes(this.#opts.fleet.boxes, durationMs)
       case FaultKind.PauseBox: return this.#pause(box, durationMs)
       case FaultKind.StopBox: return this.stopBox(box)
       case FaultKind.ChangeSettings: return this.#changeSettings(box)
@@ -185,7 +190,11 @@
 
   async #killMost (downMs: number): Promise<void> {
     const [, ...others] = this.#opts.fleet.boxes
-    await Promise.all(others.slice(0, MAX_KILLED).map((box) => this.#kill(box, downMs)))
+    await this.#killBoxes(others, downMs)
+  }
+
+  async #killBoxes (boxes: readonly SoakBox[], downMs: number): Promise<void> {
+    await Promise.all(boxes.slice(0, MAX_KILLED).map((box) => this.#kill(box, downMs)))
   }
 
   async #pause (box: SoakBox, durationMs: number): Promise<void> {
--- a/__utils__/soak/src/soak.ts
+++ b/__utils__/soak/src/soak.ts
@@ -12,7 +12,7 @@
 import { CrashPhase } from './crashPhase.js'
 import { isOfCrashPhase } from './crashVariant.js'
 import { drawOne } from './drawOne.js'
-import { ENDLESS_KINDS, FaultKind, FaultInjector } from './faults.js'
+import { ENDLESS_KINDS, FaultKind, FaultInjector, UNDRAWN_KINDS } from './faults.js'
 import { groupBy } from './groupBy.js'
 import { isOfLoadPhase, LoadPhase } from './loadPhase.js'
 import { DisruptionKind } from './disruptionLog.js'
@@ -326,7 +326,7 @@
   async #injectFaults (): Promise<void> {
     const untilMs = performance.now() + FAULT_PHASE_MS
     const count = FAULT_KINDS_PER_ROUND.least + Math.floor(this.#faultRandom.nextFloat() * (FAULT_KINDS_PER_ROUND.most - FAULT_KINDS_PER_ROUND.least + 1))
-    const drawn = this.#faultRandom.sample(Object.values(FaultKind).filter((kind) => !ENDLESS_KINDS.includes(kind)), count)
+    const drawn = this.#faultRandom.sample(Object.values(FaultKind).filter((kind) => !UNDRAWN_KINDS.includes(kind)), count)
     const kinds = this.#opts.kinds ?? drawn
     const silences = this.#injectSilences(untilMs)
     // Drawn on its own, so that recorded seeds keep their other faults.
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -11,6 +11,7 @@
 const SILENCE_SEED = 690002
 const HELD_UP_SEED = 722000
 const LATE_REFUSAL_SEED = 790001
+const KILL_ALL_SEED = 830001
 /** Number of runs that share the machine, so that all seeds take a minute or two. */
 const CONCURRENT_RUNS = 3
 
@@ -67,6 +68,14 @@
   t.true(result.checkCounts.lateRefusals > 0)
 })
 
+test.serial(`real boxes that are all killed at once join no stream from two software versions, of seed ${KILL_ALL_SEED}`, async (t) => {
+  t.timeout(TIMEOUT_MS)
+  const result = await soak({ seed: KILL_ALL_SEED, kinds: [FaultKind.KillAll, FaultKind.UpstreamLeaves], ...FLEET_SIZE, boxes: 4, clients: 8 })
+  t.log(result.checkCounts)
+  if (result.violations.length > 0) t.log(`logs of the boxes: ${await saveLogs(KILL_ALL_SEED, result)}`)
+  t.deepEqual(result.violations, [])
+})
+
 async function runSeed (t: ExecutionContext, { seed, kinds }: KnownSeed): Promise<string[]> {
   const result = await soak({ seed, kinds, ...FLEET_SIZE })
   const { attempts, faults, violations, checkCounts } = result
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -156,10 +156,16 @@
   /** Finds out which version began a stream. */
   async find (query: OriginQuery, signal: AbortSignal): Promise<FoundOrigin | UnknownOrigin> {
     const found = await this.#find(query, signal)
+    if ('version' in found && found.source === OriginSource.Engines) this.#keep(found, query)
     this.#opts.metrics.count('reelspan_streams_taken_up_total', { origin: 'version' in found ? found.source : 'unknown' })
     return found
   }
 
+  /** Remembers what engines told, since they forget it soon, and the client may be refused for another reason and come back. */
+  #keep ({ version }: FoundOrigin, { attempt, model, keepMs, remainingMs = keepMs }: OriginQuery): void {
+    if (attempt !== undefined) this.record({ attempt, model, version, keepMs: remainingMs })
+  }
+
   async stop (): Promise<void> {
     await this.#tasks.stop()
   }
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -228,6 +228,17 @@
   t.false('version' in await find(1, { ...QUERY, attempt: 'a2' }), 'a run without an event may have begun elsewhere')
 })
 
+// Guards against losing what engines told when the client is refused for another reason and comes back.
+test('what engines told of a stream is remembered and told to others', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes({ versions: ['v1', 'v2'] })
+  boxes[5].origins.observeRuns('d1', [{ requestId: 'a1', events: 2 }])
+  t.like(await find(1), { source: OriginSource.Engines })
+  await clock.advance(TOLD_MS)
+  network.kill(boxes[5].address)
+  network.kill(boxes[1].address)
+  for (const box of [0, 2, 3, 4, 6, 7]) t.like(await find(box), { version: 'v2' }, `at box ${box}`)
+})
+
 test('an attempt that engines of two versions ran is not taken up', async (t) => {
   const { boxes, find } = await createBoxes({ versions: ['v1', 'v2'] })
   boxes[2].origins.observeRuns('d0', [{ requestId: 'a1', events: 2 }])
