fix(request.stream-origins): clients that gain nothing by coming back are not told to

What callers would see: a refusal that tells them to come back when the list reaches back far enough. By then their stream is older by as much, since their time runs as well, so that they are refused again. Introduced with the bound on a stream's age by what its client has left.

Change: such a delay is given only to a client that does not say how long it waits, or if some boxes have not answered.

--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -161,15 +161,15 @@
     return found
   }
 
+  async stop (): Promise<void> {
+    await this.#tasks.stop()
+  }
+
   /** Remembers what engines told, since they forget it soon, and the client may be refused for another reason and come back. */
   #keep ({ version }: FoundOrigin, { attempt, model, keepMs, remainingMs = keepMs }: OriginQuery): void {
     if (attempt !== undefined) this.record({ attempt, model, version, keepMs: remainingMs })
   }
 
-  async stop (): Promise<void> {
-    await this.#tasks.stop()
-  }
-
   async #find (query: OriginQuery, signal: AbortSignal): Promise<FoundOrigin | UnknownOrigin> {
     const { attempt, model } = query
     const own = attempt === undefined ? undefined : this.#records.versionOf(attempt, model)
@@ -247,11 +247,14 @@
     return { reason, retryAfterMs: retryAfterMs !== undefined && retryAfterMs < (query.remainingMs ?? Number.POSITIVE_INFINITY) ? retryAfterMs : undefined }
   }
 
-  /** When the list may prove that there was one version since the stream began; undefined if it will not. */
-  #conclusiveInMs (all: readonly Omit<Knowledge, 'box'>[], { mayBeOfOtherModel, maxAgeMs }: BoundedQuery): number | undefined {
+  /**
+   * When the list may prove that there was one version since the stream began; undefined if it will not. The
+   * stream of a client that says how much longer it waits grows as much older as the list grows longer.
+   */
+  #conclusiveInMs (all: readonly Omit<Knowledge, 'box'>[], { mayBeOfOtherModel, maxAgeMs, remainingMs }: BoundedQuery): number | undefined {
     const hasOneVersion = new Set(all.flatMap(({ versions }) => versions)).size === 1
     const missingMs = maxAgeMs - Math.max(...all.map(({ coveredMs }) => coveredMs))
-    return hasOneVersion && !mayBeOfOtherModel && maxAgeMs !== UNKNOWN_AGE_MS ? Math.max(missingMs, RETRY_AFTER_MS) : undefined
+    return hasOneVersion && !mayBeOfOtherModel && remainingMs === undefined ? Math.max(missingMs, RETRY_AFTER_MS) : undefined
   }
 
   /** Whether the list alone will tell the stream's version for as long as its client may take it up. */
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -214,10 +214,16 @@
   t.false('version' in await find(0, { ...QUERY, attempt: 'a2', mayBeOfOtherModel: true }))
 })
 
-test('a client is not told to come back after its deadline', async (t) => {
-  const { network, boxes, find } = await createBoxes({ versions: ['v2'], coveredMs: 1000 })
+test('a client is not told to come back after its deadline, nor when the list will not tell more then', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes({ versions: ['v2'], coveredMs: 1000 })
+  t.like(await find(1, { ...QUERY, remainingMs: 10_000 }), { retryAfterMs: undefined })
+  await clock.advance(5000)
+  t.false('version' in await find(1, { ...QUERY, remainingMs: 5000 }))
+  const unbounded = await find(1)
+  t.true('retryAfterMs' in unbounded && unbounded.retryAfterMs !== undefined)
   network.kill(boxes[0].address)
   t.like(await find(1, { ...QUERY, remainingMs: 400 }), { retryAfterMs: undefined })
+  t.like(await find(1, { ...QUERY, remainingMs: 4000 }), { retryAfterMs: 500 })
 })
 
 // Guards against refusing streams whose engines still run them, when no box that knew their beginning is left.
