--- a/__utils__/bench/src/streamMechanisms.ts
+++ b/__utils__/bench/src/streamMechanisms.ts
@@ -50,7 +50,7 @@
     tests: [STREAM_ORIGINS],
   },
   {
-    name: 'stream versions: others are told of streams that the list does not cover',
+    name: 'stream versions: origins are sent to other boxes while the list does not cover their streams',
     file: 'request/stream-origins/src/streamOrigins.ts',
     find: ' || !this.#isCovered(origin)',
     replace: '',
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -66,7 +66,7 @@
   reason: string
   /** When another try may succeed. Undefined if none will. */
   retryAfterMs?: number
-  /** What engines told of it, if they were asked. */
+  /** What engines reported of it, if they were asked. */
   testimony?: Testimony
 }
 
@@ -165,7 +165,7 @@
     await this.#tasks.stop()
   }
 
-  /** Remembers what engines told, since they forget it soon, and the client may be refused for another reason and come back. */
+  /** Records a version that engines reported: they soon evict the evidence, and the client may be refused for another reason and retry. */
   #keep ({ version }: FoundOrigin, { attempt, model, keepMs, remainingMs = keepMs }: OriginQuery): void {
     if (attempt !== undefined) this.record({ attempt, model, version, keepMs: remainingMs })
   }
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -183,7 +183,7 @@
   t.deepEqual(history.versions(['d'], KEEP_MS), ['v2'])
 })
 
-test('others are told of streams as long as the list does not reach back as far as clients wait', async (t) => {
+test('origins are sent to other boxes while the list does not cover the longest deadline', async (t) => {
   const { clock, network, boxes, find } = await createBoxes({ versions: ['v1'], coveredMs: 1000 })
   boxes[0].origins.record(ORIGIN)
   await clock.advance(TOLD_MS)
@@ -214,7 +214,7 @@
   t.false('version' in await find(0, { ...QUERY, attempt: 'a2', mayBeOfOtherModel: true }))
 })
 
-test('a client is not told to come back after its deadline, nor when the list will not tell more then', async (t) => {
+test('a client gets no retry delay beyond its deadline, nor one after which the list would prove no more', async (t) => {
   const { clock, network, boxes, find } = await createBoxes({ versions: ['v2'], coveredMs: 1000 })
   t.like(await find(1, { ...QUERY, remainingMs: 10_000 }), { retryAfterMs: undefined })
   await clock.advance(5000)
@@ -234,8 +234,8 @@
   t.false('version' in await find(1, { ...QUERY, attempt: 'a2' }), 'a run without an event may have begun elsewhere')
 })
 
-// Guards against losing what engines told when the client is refused for another reason and comes back.
-test('what engines told of a stream is remembered and told to others', async (t) => {
+// Guards against losing the engines' evidence when the client is refused for another reason and retries.
+test('a version that engines reported is recorded and sent to other boxes', async (t) => {
   const { clock, network, boxes, find } = await createBoxes({ versions: ['v1', 'v2'] })
   boxes[5].origins.observeRuns('d1', [{ requestId: 'a1', events: 2 }])
   t.like(await find(1), { source: OriginSource.Engines })
