review: cases in the order of their gravity

Cause: two cases that came later are graver than those before them.

Change: the folders are renumbered: 4 was 8, 5 was 4, 6 was 7, 7 was 5, 8 was 6. Their files are the same.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Streams that clients take up go on at another software version than the one that began them. Exits with 1 if rule ORDER broke,
-# 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the crash of the engine out. Needs target/reelspan.mjs.
+# A resumable stream of a plain service is taken up again after its engine crashed. Exits with 1 if rule ORDER broke,
+# 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the crash out. Needs target/reelspan.mjs.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
