--- a/review/7/engine.mjs
+++ b/review/7/engine.mjs
@@ -26,3 +26,5 @@
   }
   response.end()
 }).listen(Number(port), host, () => print({ listens: id }))
+// Ends with the script that started it, however that ends.
+process.stdin.on('end', () => process.exit()).resume()
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -36,6 +36,7 @@
 }
 
 process.on('uncaughtException', (error) => finish(2, `could not run: ${error.stack}`))
+;['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.on(signal, () => finish(2, `stopped by ${signal}`)))
 setTimeout(() => finish(2, 'took too long'), 100_000).unref()
 
 const store = new Store()
@@ -48,7 +49,7 @@
 })
 
 function startEngine (host, id) {
-  const child = spawn(process.execPath, [join(HERE, 'engine.mjs'), host, '8080', id], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const child = spawn(process.execPath, [join(HERE, 'engine.mjs'), host, '8080', id], { stdio: ['pipe', 'pipe', 'inherit'] })
   children.add(child)
   child.once('exit', () => children.delete(child))
   const engine = { child, id, sequence: 0 }
