fix(net.system-env): requests that callers send ahead are bounded over all connections

What callers saw: a box ended for want of memory, with all their requests, while a crowd sent many requests ahead at paths that no route has and read no answers.

Cause: Node parses all requests in a read of 64 KB at once and keeps each, with its response, until its answer is taken. Nothing counted them: the budgets cover bodies and answers, and neither a request without a body nor one whose answer is not written yet has any.

Change: requests in progress besides the first one of each connection count against limits.requestsAhead, by default a quarter of the connections. A connection may take as much as the others leave free and is reset beyond that, and the rest of what was parsed of it is dropped at once. A client with one request in progress on each connection never meets the limit.

--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -5,7 +5,7 @@
 import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
-import { closeServers, createMemoryLimits, listenAt, LoopDelay, oversizedAnswerLog, type OversizedAnswerListener, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { closeServers, connectionLog, createMemoryLimits, listenAt, LoopDelay, oversizedAnswerLog, type OversizedAnswerListener, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
 import { BunyanLog, LogEvent } from '@reelspan/telemetry.log'
@@ -71,7 +71,8 @@
   // The caller port opens only once the box has a configuration to route by.
   while (!box.ready) await clock.sleep(NOT_READY_POLL_MS)
   const memory = createMemoryLimits({ clock, log: boxLog, metrics, ...limits })
-  const callers = createCallerServer({ clock, box, memory, ...limits, onAcceptError: ({ message }) => boxLog.warn(LogEvent.ListenerFailed, { server: 'callers', reason: message }) })
+  const { onAcceptError, onExceeded } = connectionLog({ clock, log: boxLog, metrics })('callers')
+  const callers = createCallerServer({ clock, box, memory, ...limits, pipeline: { maxAhead: limits.requestsAhead, onExceeded }, onAcceptError })
   await listenAt(callers, listen.callerAddress)
   const running = { box, stopListening: () => closeServers([callers, operators]) }
   onListening?.(running)
--- a/cli/reelspan/test/__utils__/platformProcess.ts
+++ b/cli/reelspan/test/__utils__/platformProcess.ts
@@ -11,7 +11,7 @@
 import { freePorts } from '@reelspan/utils.stand-ins'
 import { type ExecutionContext } from 'ava'
 
-const BIN = join(import.meta.dirname, '..', '..', 'bin', 'reelspan.js')
+export const BIN = join(import.meta.dirname, '..', '..', 'bin', 'reelspan.js')
 /** The platform kills a process that has not stopped within this time after SIGTERM. */
 export const GRACE_MS = 8000
 const PATH_PREFIX = '/slow/'
@@ -51,16 +51,26 @@
   lines: { event: string, [field: string]: unknown }[]
 }
 
-/** Starts a box's process. Its IP address must differ from those of other tests, since the metrics port is fixed. */
-export async function startProcess (t: ExecutionContext, { ip, storeAddress, seeds = [] }: { ip: string, storeAddress: string, seeds?: readonly string[] }): Promise<PlatformProcess> {
+export interface StartProcessOptions {
+  /** Must differ from those of other tests, since the metrics port is fixed. */
+  ip: string
+  storeAddress: string
+  seeds?: readonly string[]
+  /** Additional lines of the settings file. */
+  settings?: readonly string[]
+  execArgv?: readonly string[]
+}
+
+/** Starts a box's process. */
+export async function startProcess (t: ExecutionContext, { ip, storeAddress, seeds = [], settings = [], execArgv = [] }: StartProcessOptions): Promise<PlatformProcess> {
   const [front, ready, control, directory] = await freePorts(4, ip)
   const folder = await mkdtemp(join(tmpdir(), 'reelspan-test-'))
   const settingsPath = join(folder, 'settings.conf')
   await writeFile(settingsPath, [
     `node=${ip}`, 'zone=hall-a', `listen.front=${ip}:${front}`, `listen.ready=${ip}:${ready}`, `listen.control=${ip}:${control}`, `listen.directory=${ip}:${directory}`,
-    'port_range=7380,7395', `seeds=${seeds.join(',')}`, `platform.address=${storeAddress}`, 'bounds.budget_slack=58',
+    'port_range=7380,7395', `seeds=${seeds.join(',')}`, `platform.address=${storeAddress}`, 'bounds.budget_slack=58', ...settings,
   ].join('\n'))
-  const box = spawn(process.execPath, [BIN, 'serve', '--platform'], { env: { ...process.env, REELSPAN_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
+  const box = spawn(process.execPath, [...execArgv, BIN, 'serve', '--platform'], { env: { ...process.env, REELSPAN_BOOT: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
   t.teardown(async () => {
     box.kill('SIGCONT')
     box.kill('SIGKILL')
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -10,6 +10,9 @@
 /** How requests are placed. Only `scheduler` is for production; the others are baselines for measurements. */
 export const placementStrategySchema = z.enum(['scheduler', ...Object.values(PickerKind)])
 
+/** Requests ahead for each connection that callers may open. Each of them may take a connection to an upstream. */
+const AHEAD_SHARE = 0.25
+
 export const settingsSchema = z.strictObject({
   box: z.strictObject({
     name,
@@ -68,11 +71,13 @@
     requestReadMs: durationMs.default(10_000),
     /** Maximum number of callers' connections. */
     connections: z.number().int().positive().default(5000),
+    /** Requests that callers may have in progress on all connections together, besides the first one of each connection. A part of `connections` if omitted. */
+    requestsAhead: z.number('expected a number').int('expected a whole number').nonnegative('expected 0 or more').optional(),
     /** Maximum number of connections with other boxes, in both directions. */
     peerConnections: z.number().int().min(2).default(4000),
     /** Maximum number of connections to upstreams for relayed requests. */
     upstreamConnections: z.number().int().positive().default(4000),
-  }).prefault({}),
+  }).transform((limits) => ({ ...limits, requestsAhead: limits.requestsAhead ?? Math.ceil(AHEAD_SHARE * limits.connections) })).prefault({}),
   relay: z.strictObject({
     /** Retries that each relayed request adds to the retry budget of its pool. */
     retriesPerRequest: z.number().nonnegative().default(0.1),
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -4,7 +4,7 @@
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { tokensOfText } from '@reelspan/core.hashing'
 import { type AnswerEvent, AnswerEventKind, type CompletionRequest, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
-import { ConnectionGuard, createMemoryLimits, type MemoryLimits, onResponseEnded, readRequestBody, RequestTimeGuard, ResponseReader } from '@reelspan/net.system-env'
+import { ConnectionGuard, createMemoryLimits, type MemoryLimits, onResponseEnded, PipelineLimit, type PipelineLimitOptions, readRequestBody, RequestTimeGuard, ResponseReader } from '@reelspan/net.system-env'
 import Koa, { type Context } from 'koa'
 import { answerStreamed, answerNonStreamed } from './answerCompletion.js'
 import { Header } from './headers.js'
@@ -27,6 +27,7 @@
   /** Bounds the memory for answers and bodies. Created from the defaults of the settings if omitted. */
   memory?: MemoryLimits
   connections: number
+  pipeline: PipelineLimitOptions
   /** Called when the server failed to accept a connection. */
   onAcceptError?: (error: Error) => void
 }
@@ -54,9 +55,8 @@
       answerError(ctx, toReelspanError(thrown))
     }
   })
-  const server = createServer({
-    maxHeaderSize: opts.headerBytes,
-  }, app.callback())
+  const server = createServer({ maxHeaderSize: opts.headerBytes })
+  new PipelineLimit(opts.pipeline).serve(server, app.callback())
   const guard = new RequestTimeGuard(server, {
     clock,
     headReadMs: () => box.configuration.callerLimits?.headerReadMs ?? requestReadMs,
--- /dev/null
+++ b/net/system-env/src/connectionLog.ts
@@ -0,0 +1,32 @@
+import { type Clock } from '@reelspan/core.env'
+import { type Log, LogEvent, RateLimiter } from '@reelspan/telemetry.log'
+import { type Metrics } from '@reelspan/telemetry.metrics'
+
+export interface ConnectionLogOptions {
+  clock: Clock
+  log: Log
+  metrics: Metrics
+}
+
+/** Reports what happens to the connections of one server. */
+export interface ServerConnectionLog {
+  onFullChanged: (full: boolean, connections: number) => void
+  onAcceptError: (error: Error) => void
+  onExceeded: (requests: number) => void
+}
+
+/** A small part of a box's log rate limit. */
+const MAX_LINES_PER_SECOND = 5
+
+/** Returns a function that creates the listeners of a server by its name. What a crowd of clients may cause is logged at a limited rate. */
+export function connectionLog ({ clock, log, metrics }: ConnectionLogOptions): (server: string) => ServerConnectionLog {
+  const rate = new RateLimiter({ nowMs: () => clock.nowMs(), perSecond: MAX_LINES_PER_SECOND })
+  return (server) => ({
+    onFullChanged: (full, connections) => log.warn(LogEvent.ConnectionsFull, { server, full, connections }),
+    onAcceptError: ({ message }) => log.warn(LogEvent.ListenerFailed, { server, reason: message }),
+    onExceeded: (requests) => {
+      metrics.count('reelspan_pipelines_reset_total', { server })
+      if (rate.tryAcquire()) log.warn(LogEvent.PipelineReset, { server, requests })
+    },
+  })
+}
--- a/net/system-env/src/requestTimeGuard.ts
+++ b/net/system-env/src/requestTimeGuard.ts
@@ -100,7 +100,7 @@
 
   #onRequest (message: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(message.socket)
-    if (!connection) return
+    if (!connection || message.socket.destroyed) return
     const request: ArrivingRequest = { message, response, slow: new AbortController() }
     this.#requests.set(message, request)
     connection.request = request
--- /dev/null
+++ b/net/system-env/test/pipelineLimit.ts
@@ -0,0 +1,80 @@
+import { createServer, type ServerResponse } from 'node:http'
+import { connect } from 'node:net'
+import { listenAt, PipelineLimit } from '@reelspan/net.system-env'
+import test, { type ExecutionContext } from 'ava'
+
+const MAX_AHEAD = 10
+const REQUEST = 'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+
+/** Starts a server whose answers the test sends, and returns a function that connects a client. */
+async function startServer (t: ExecutionContext) {
+  const responses: ServerResponse[] = []
+  const exceeded: number[] = []
+  const server = createServer()
+  const limit = new PipelineLimit({ maxAhead: MAX_AHEAD, onExceeded: (requests) => exceeded.push(requests) })
+  limit.serve(server, (_, response) => { responses.push(response) })
+  await listenAt(server, '127.0.0.1:0')
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  const open = (text: string) => {
+    const socket = connect((server.address() as { port: number }).port, '127.0.0.1')
+    const client: { answers: number, code?: string, closed: Promise<unknown> } = { answers: 0, closed: new Promise((resolve) => socket.on('close', resolve)) }
+    socket.on('data', (bytes) => { client.answers += String(bytes).split('HTTP/1.1 ').length - 1 })
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => { client.code = code })
+    socket.write(text)
+    return client
+  }
+  return { limit, responses, exceeded, open }
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setImmediate(resolve))
+}
+
+test('requests sent ahead are served as long as a connection takes no more of the limit than it leaves free', async (t) => {
+  const { limit, responses, exceeded, open } = await startServer(t)
+  const client = open(REQUEST.repeat(1 + MAX_AHEAD / 2))
+  await until(() => responses.length === 1 + MAX_AHEAD / 2)
+  t.is(limit.ahead, MAX_AHEAD / 2)
+  responses.forEach((response) => response.end())
+  await until(() => client.answers === responses.length)
+  await until(() => limit.ahead === 0)
+  t.deepEqual(exceeded, [])
+})
+
+test('a connection that sends more ahead is reset, the rest of what it sent is not served, and others with one request are', async (t) => {
+  const { limit, responses, exceeded, open } = await startServer(t)
+  const crowd = Array.from({ length: 4 }, () => open(REQUEST.repeat(100)))
+  await Promise.all(crowd.map(({ closed }) => closed))
+  t.deepEqual(crowd.map(({ code }) => code), crowd.map(() => 'ECONNRESET'))
+  t.is(exceeded.length, crowd.length)
+  t.true(responses.length <= crowd.length + MAX_AHEAD * crowd.length)
+  await until(() => limit.ahead === 0)
+  const client = open(REQUEST)
+  const before = responses.length
+  await until(() => responses.length > before)
+  responses[before].end()
+  await until(() => client.answers === 1)
+  t.is(client.answers, 1)
+})
+
+test('while others use the limit up, a connection with one request after the other is served', async (t) => {
+  const { limit, responses, open } = await startServer(t);
+  [6, 4, 2].forEach((requests) => open(REQUEST.repeat(requests)))
+  await until(() => responses.length === 12)
+  t.is(limit.ahead, 9)
+  open(REQUEST)
+  await until(() => responses.length === 13)
+  t.is(limit.ahead, 9)
+})
+
+test('an expectation that is not known is refused within the limit', async (t) => {
+  const { exceeded, open } = await startServer(t)
+  const odd = REQUEST.replace('Host: x', 'Host: x\r\nExpect: odd')
+  const [single, many] = [open(odd), open(odd.repeat(400))]
+  await until(() => single.answers === 1)
+  await many.closed
+  t.deepEqual(exceeded.length, 1)
+})
