fix(net.peer-link): plain requests and connections without a handshake are bounded

What was seen: a box ended for want of memory while a crowd sent plain requests ahead to its port for other boxes, and held up to 623 descriptors of 400 while many connected there and left early or stayed.

Cause: the listener serves WebSocket connections alone and had no listener for requests. A plain request was never answered, so that it and all behind it stayed in memory, and a connection without a handshake counted nowhere: the limit of peerConnections begins with the completed handshake.

Change: plain requests are refused with 426, one of a connection, and connections without a handshake are bounded by what incoming ones leave of peerConnections. The oldest are closed first, since a peer sends its handshake at once.

--- a/cli/reelspan/test/crowds/requestsSentAhead.ts
+++ b/cli/reelspan/test/crowds/requestsSentAhead.ts
@@ -12,8 +12,8 @@
 }
 
 const INTERFACES: readonly Interface[] = [
-  { box: 'of the users\' platform', start: startPlatformMachine, paths: { callers: ['/no/such', '/slow/x'] } },
-  { box: 'with the own interface', start: startOwnMachine, paths: { callers: ['/no/such', '/desk/x', '/v1/lookup'] } },
+  { box: 'of the users\' platform', start: startPlatformMachine, paths: { callers: ['/no/such', '/slow/x'], peers: ['/no/such'] } },
+  { box: 'with the own interface', start: startOwnMachine, paths: { callers: ['/no/such', '/desk/x', '/v1/lookup'], peers: ['/no/such'] } },
 ]
 
 // Guards against clients that end a process with requests whose answers they do not read.
--- /dev/null
+++ b/net/peer-link/src/limitHandshakes.ts
@@ -0,0 +1,32 @@
+import { type Server } from 'node:http'
+import { type Socket } from 'node:net'
+import { PipelineLimit } from '@reelspan/net.system-env'
+
+export interface LimitHandshakesOptions {
+  /** How many connections may be open whose handshake is not complete, if that is more than a few. */
+  maxPending: () => number
+}
+
+const UPGRADE_REQUIRED = 426
+/** Enough for peers that connect while others use the connections up. */
+const MIN_PENDING = 8
+
+/**
+ * Bounds the connections to a listener for WebSocket connections that have not become one. The oldest are closed first,
+ * since a peer sends its handshake at once. Requests without an upgrade are refused.
+ */
+export function limitHandshakes (listener: Server, opts: LimitHandshakesOptions): void {
+  /** In the order in which they were accepted. */
+  const pending = new Set<Socket>()
+  listener.on('connection', (socket) => {
+    pending.add(socket)
+    socket.once('close', () => pending.delete(socket))
+    const excess = pending.size - Math.max(MIN_PENDING, opts.maxPending())
+    if (excess > 0) [...pending].slice(0, excess).forEach((oldest) => oldest.destroy())
+  })
+  listener.on('upgrade', ({ socket }) => pending.delete(socket))
+  new PipelineLimit({ maxAhead: 0 }).serve(listener, (_, response) => {
+    response.writeHead(UPGRADE_REQUIRED, { Connection: 'close', Upgrade: 'websocket', 'Content-Length': 0 })
+    response.end()
+  })
+}
--- a/net/peer-link/src/wsPeerLink.ts
+++ b/net/peer-link/src/wsPeerLink.ts
@@ -5,6 +5,7 @@
 import { MessageType, type PeerCallOptions, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
 import { listenAt } from '@reelspan/net.system-env'
 import { type WebSocket, WebSocketServer } from 'ws'
+import { limitHandshakes } from './limitHandshakes.js'
 import { LinkTraffic } from './linkTraffic.js'
 import { MESSAGE_COMPRESSION } from './messageCompression.js'
 import { OutgoingConnection } from './outgoingConnection.js'
@@ -55,6 +56,7 @@
   async listen (): Promise<void> {
     const listener = createServer()
     this.#listener = listener
+    limitHandshakes(listener, { maxPending: () => this.#maxPerDirection - this.#incoming.size })
     this.#server = new WebSocketServer({ server: listener, maxPayload: this.#opts.maxMessageBytes, perMessageDeflate: MESSAGE_COMPRESSION })
     const server = this.#server
     server.on('connection', (socket, { socket: tcpSocket }) => {
