--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -66,12 +66,13 @@
   registerProcessMetrics(metrics, link, loopDelay)
   await link.listen()
   await box.start()
-  const operators = createOperatorServer({ clock, box, token, bodyBytes: limits.bodyBytes })
+  const logOf = connectionLog({ clock, log: boxLog, metrics })
+  const operators = createOperatorServer({ clock, box, token, bodyBytes: limits.bodyBytes, listeners: logOf('operators') })
   await listenAt(operators, listen.operatorAddress)
   // The caller port opens only once the box has a configuration to route by.
   while (!box.ready) await clock.sleep(NOT_READY_POLL_MS)
   const memory = createMemoryLimits({ clock, log: boxLog, metrics, ...limits })
-  const { onAcceptError, onExceeded } = connectionLog({ clock, log: boxLog, metrics })('callers')
+  const { onAcceptError, onExceeded } = logOf('callers')
   const callers = createCallerServer({ clock, box, memory, ...limits, pipeline: { maxAhead: limits.requestsAhead, onExceeded }, onAcceptError })
   await listenAt(callers, listen.callerAddress)
   const running = { box, stopListening: () => closeServers([callers, operators]) }
--- a/cli/reelspan/test/crowds/connectionsLeavingEarly.ts
+++ b/cli/reelspan/test/crowds/connectionsLeavingEarly.ts
@@ -9,8 +9,8 @@
 const REQUESTS_AHEAD = 200
 
 const INTERFACES = [
-  { box: 'of the users\' platform', start: startPlatformMachine, paths: { callers: '/slow/x', peers: '/no/such' } },
-  { box: 'with the own interface', start: startOwnMachine, paths: { callers: '/desk/x', peers: '/no/such' } },
+  { box: 'of the users\' platform', start: startPlatformMachine, paths: { callers: '/slow/x', lookups: '/v1/resolve', readiness: '/v1/readiness', metrics: '/metrics', peers: '/no/such' } },
+  { box: 'with the own interface', start: startOwnMachine, paths: { callers: '/desk/x', operators: '/debug/state', peers: '/no/such' } },
 ]
 
 /** Clients that send nothing, a part of a head or of a body, a whole request, or many of them. Each of them leaves early or stays. */
--- a/cli/reelspan/test/crowds/requestsSentAhead.ts
+++ b/cli/reelspan/test/crowds/requestsSentAhead.ts
@@ -12,8 +12,8 @@
 }
 
 const INTERFACES: readonly Interface[] = [
-  { box: 'of the users\' platform', start: startPlatformMachine, paths: { callers: ['/no/such', '/slow/x'], peers: ['/no/such'] } },
-  { box: 'with the own interface', start: startOwnMachine, paths: { callers: ['/no/such', '/desk/x', '/v1/lookup'], peers: ['/no/such'] } },
+  { box: 'of the users\' platform', start: startPlatformMachine, paths: { callers: ['/no/such', '/slow/x'], lookups: ['/no/such', '/v1/resolve'], readiness: ['/no/such', '/v1/readiness'], metrics: ['/metrics', '/state'], peers: ['/no/such'] } },
+  { box: 'with the own interface', start: startOwnMachine, paths: { callers: ['/no/such', '/desk/x', '/v1/lookup'], operators: ['/no/such', '/metrics', '/debug/state'], peers: ['/no/such'] } },
 ]
 
 // Guards against clients that end a process with requests whose answers they do not read.
--- a/net/http-front/src/createOperatorServer.ts
+++ b/net/http-front/src/createOperatorServer.ts
@@ -3,6 +3,7 @@
 import { type Box } from '@reelspan/box.runtime'
 import { type Clock } from '@reelspan/core.env'
 import { ErrorCode, ReelspanError, toReelspanError } from '@reelspan/core.error'
+import { limitServer, type LimitServerOptions } from '@reelspan/net.system-env'
 import Koa, { type Context } from 'koa'
 import { z } from 'zod'
 import { readBody } from './readBody.js'
@@ -17,10 +18,14 @@
   /** The bearer token that operators must send; without it no token is required. */
   token?: string
   bodyBytes: number
+  /** What happens to connections. */
+  listeners?: Omit<LimitServerOptions, 'maxConnections' | 'maxAhead'>
 }
 
 const RESOURCE_PATH = /^\/v1\/resources\/([^/]+)\/([^/]+)(\/status)?$/
 const MAX_WATCH_MS = 60_000
+/** Enough for the watches of several operators and for monitors that do not keep their connections. */
+const MAX_CONNECTIONS = 64
 
 const declarationsSchema = z.array(z.object({
   kind: z.string(),
@@ -43,7 +48,9 @@
       ctx.body = { error: { code, message, hint } }
     }
   })
-  return createServer(app.callback())
+  const server = createServer()
+  limitServer(server, app.callback(), { ...opts.listeners, maxConnections: MAX_CONNECTIONS, maxAhead: 0 })
+  return server
 }
 
 function checkToken (ctx: Context, token: string | undefined): void {
