fix(net.system-env): connections without a request make room for others

What callers saw: while a crowd held all of a server's connections, sent nothing on them, or a part of a head or a body, and connected again whenever it was disconnected, others were not accepted until the time limits closed many of the crowd's at once.

Cause: a server at its limit closed idle connections only, which are those that have had an answer. A new one, or one with a part of a request, holds its place for as long as the limits on time allow, 3 to 16 s, and its successor takes the place.

Evidence: three unit tests time out without the change (net/system-env/test connectionGuard.ts, by hand with the call taken out of the compiled file) and pass with it.

Change: from 95 in 100 connections on, each new connection makes the server close the one that has waited longest for a request or for the rest of one. Requests that were received completely are never given up for it. PipelineLimit follows these connections and is named RequestsInProgress for it.

--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -73,7 +73,7 @@
   while (!box.ready) await clock.sleep(NOT_READY_POLL_MS)
   const memory = createMemoryLimits({ clock, log: boxLog, metrics, ...limits })
   const { onAcceptError, onExceeded } = logOf('callers')
-  const callers = createCallerServer({ clock, box, memory, ...limits, pipeline: { maxAhead: limits.requestsAhead, onExceeded }, onAcceptError })
+  const callers = createCallerServer({ clock, box, memory, ...limits, onExceeded, onAcceptError })
   await listenAt(callers, listen.callerAddress)
   const running = { box, stopListening: () => closeServers([callers, operators]) }
   onListening?.(running)
--- a/cli/reelspan/test/__utils__/crowd.ts
+++ b/cli/reelspan/test/__utils__/crowd.ts
@@ -75,6 +75,28 @@
   return open.flat().map(({ socket }) => socket)
 }
 
+/** Keeps connections open that send a text: each is opened again when it is closed. Resolves once all have been opened or closed for the first time. */
+export async function keepConnected (address: string, connections: number, text: string): Promise<{ stop: () => void }> {
+  const open = new Set<Socket>()
+  let stopped = false
+  const reconnect = () => {
+    const { socket, settled } = visit(address, { text, leavesEarly: false })
+    open.add(socket)
+    socket.once('close', () => {
+      open.delete(socket)
+      if (!stopped) setImmediate(reconnect)
+    })
+    return settled
+  }
+  await Promise.all(Array.from({ length: connections }, reconnect))
+  return {
+    stop: () => {
+      stopped = true
+      open.forEach((socket) => socket.destroy())
+    },
+  }
+}
+
 interface Visitor {
   socket: Socket
   /** Resolves once it has sent its text, or its connection is closed. */
--- a/net/http-front/test/callerServer.ts
+++ b/net/http-front/test/callerServer.ts
@@ -43,7 +43,7 @@
     },
     ...boxOverrides,
   }
-  const server = createCallerServer({ clock: new SystemClock(), box, headerBytes: 16_384, bodyBytes: 10_000, slowCallerMs: 10_000, requestReadMs: 10_000, connections: 100, pipeline: { maxAhead: 100 }, ...limits })
+  const server = createCallerServer({ clock: new SystemClock(), box, headerBytes: 16_384, bodyBytes: 10_000, slowCallerMs: 10_000, requestReadMs: 10_000, connections: 100, requestsAhead: 100, ...limits })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   t.teardown(() => server.closeAllConnections())
   t.teardown(() => { server.close() })
--- a/net/peer-link/src/limitHandshakes.ts
+++ b/net/peer-link/src/limitHandshakes.ts
@@ -1,6 +1,6 @@
 import { type Server } from 'node:http'
 import { type Socket } from 'node:net'
-import { PipelineLimit } from '@reelspan/net.system-env'
+import { RequestsInProgress } from '@reelspan/net.system-env'
 
 export interface LimitHandshakesOptions {
   /** How many connections may be open whose handshake is not complete, if that is more than a few. */
@@ -25,7 +25,7 @@
     if (excess > 0) [...pending].slice(0, excess).forEach((oldest) => oldest.destroy())
   })
   listener.on('upgrade', ({ socket }) => pending.delete(socket))
-  new PipelineLimit({ maxAhead: 0 }).serve(listener, (_, response) => {
+  new RequestsInProgress({ maxAhead: 0 }).serve(listener, (_, response) => {
     response.writeHead(UPGRADE_REQUIRED, { Connection: 'close', Upgrade: 'websocket', 'Content-Length': 0 })
     response.end()
   })
--- a/net/system-env/src/connectionGuard.ts
+++ b/net/system-env/src/connectionGuard.ts
@@ -3,6 +3,8 @@
 
 export interface ConnectionGuardOptions {
   maxConnections: number
+  /** Closes the connection that has waited for a request for longest. */
+  closeLongestWaiting?: () => void
   /** Called when the server becomes full or is no longer full, with its number of connections. */
   onFullChanged?: (full: boolean, connections: number) => void
   /** Called when the server fails to accept a connection, once until it accepts one again. */
@@ -11,7 +13,7 @@
 
 /** The share of its maximum connections from which on a server closes idle ones. Below it, a full server is no longer full. */
 const CLOSE_IDLE_SHARE = 0.9
-/** The share from which on the server is full. The rest is for clients that are already connecting. */
+/** The share from which on the server is full, and makes room for each new connection. The rest is for clients that are already connecting. */
 const FULL_SHARE = 0.95
 /** An unresponsive caller's connection is probed after this time, which is longer than idle connections usually last, and closed some ten seconds later. */
 const TCP_KEEP_ALIVE_DELAY_MS = 20_000
@@ -47,6 +49,7 @@
     })
     if (this.#connections >= CLOSE_IDLE_SHARE * this.#opts.maxConnections) this.#server.closeIdleConnections()
     this.#updateFull()
+    if (this.#connections >= FULL_SHARE * this.#opts.maxConnections) this.#opts.closeLongestWaiting?.()
   }
 
   /** Reports only the first failure, since a listener without free descriptors may fail many times a second. */
--- a/net/system-env/test/connectionGuard.ts
+++ b/net/system-env/test/connectionGuard.ts
@@ -1,10 +1,11 @@
 import { once } from 'node:events'
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import { connect, type Socket } from 'node:net'
-import { ConnectionGuard, descriptorShares, listenAt } from '@reelspan/net.system-env'
+import { ConnectionGuard, descriptorShares, limitServer, listenAt } from '@reelspan/net.system-env'
 import test, { type ExecutionContext } from 'ava'
 
 const MAX_CONNECTIONS = 10
+const PARTS = [['nothing', ''], ['a part of a head', 'GET / HTTP/1.1\r\n'], ['a part of a body', 'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf']] as const
 
 /** Starts a server whose answers the test triggers. */
 async function startServer (t: ExecutionContext) {
@@ -73,6 +74,41 @@
   t.true(guard.acceptsConnections)
 })
 
+// Guards against crowds that keep others out with connections on which they request nothing.
+PARTS.forEach(([part, text]) => {
+  test(`a server whose connections are taken by clients that send ${part} serves others, and those with a request in progress`, async (t) => {
+    const server = createServer()
+    const responses: ServerResponse[] = []
+    limitServer(server, (message, response) => {
+      message.resume()
+      if (message.method === 'GET') responses.push(response)
+    }, { maxConnections: MAX_CONNECTIONS, maxAhead: 0 })
+    await listenAt(server, '127.0.0.1:0')
+    const sockets: Socket[] = []
+    t.teardown(() => {
+      sockets.forEach((socket) => socket.destroy())
+      server.close()
+    })
+    const open = async (sent: string) => {
+      const socket = connect((server.address() as { port: number }).port, '127.0.0.1')
+      sockets.push(socket)
+      socket.on('error', () => {})
+      const accepted = once(server, 'connection')
+      socket.write(sent)
+      await accepted
+      return socket
+    }
+    const first = await open('GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    while (responses.length < 1) await once(server, 'request')
+    for (let i = 0; i < 2 * MAX_CONNECTIONS; i++) await open(text)
+    const last = await open('GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    while (responses.length < 2) await once(server, 'request')
+    const answers = [first, last].map((socket) => once(socket, 'data'))
+    responses.forEach((response) => response.end())
+    t.deepEqual((await Promise.all(answers)).map(([bytes]) => String(bytes).slice(0, 12)), ['HTTP/1.1 200', 'HTTP/1.1 200'])
+  })
+})
+
 test('a listener\'s failure does not end the process, and the server counts as not accepting until it accepts a connection again', async (t) => {
   const { server, guard, ask } = await startServer(t)
   const outOfDescriptors = Object.assign(new Error('accept EMFILE'), { code: 'EMFILE' })
--- a/net/system-env/test/pipelineLimit.ts
+++ b/net/system-env/test/requestsInProgress.ts
@@ -1,6 +1,6 @@
 import { createServer, type ServerResponse } from 'node:http'
 import { connect } from 'node:net'
-import { listenAt, PipelineLimit } from '@reelspan/net.system-env'
+import { listenAt, RequestsInProgress } from '@reelspan/net.system-env'
 import test, { type ExecutionContext } from 'ava'
 
 const MAX_AHEAD = 10
@@ -11,7 +11,7 @@
   const responses: ServerResponse[] = []
   const exceeded: number[] = []
   const server = createServer()
-  const limit = new PipelineLimit({ maxAhead: MAX_AHEAD, onExceeded: (requests) => exceeded.push(requests) })
+  const limit = new RequestsInProgress({ maxAhead: MAX_AHEAD, onExceeded: (requests) => exceeded.push(requests) })
   limit.serve(server, (_, response) => { responses.push(response) })
   await listenAt(server, '127.0.0.1:0')
   t.teardown(() => {
