fix(net.system-env): a crowd on all connections of a machine is parsed in parts

What was seen: with the limits of the issue's machine, 4,100 descriptors and 178 MB, a box still ended for want of memory while 1,560 connections sent requests ahead, and while as many sent heads of 53 KB with many fields and no end.

Cause: Node passes a read of 64 KB to its parser whole, and closes a connection that was reset only after all others with input have been read. What was parsed of up to a thousand connections stays in memory until then. Requests that were answered at once stay as well, since their runs wait for the end of the turn (a heap of one such box had 7,776 of them), and the guard of request times kept each until its next check. Heads that are not complete counted nowhere.

Evidence: crowds/largeCrowds on the sources of of this package, alone on the machine: requests ahead ended the process of both interfaces. Trials: 1,560 heads of 53 KB in 1,900 fields ended it too; heads of 58 KB in one field had 199 MB of 178; pausing Node's parser did not help (885 of 2,000 requests parsed with and without).

Change: reads are parsed in parts of 256 bytes, which double while no request begins in them, and nothing more once the connection is reset. A request ahead counts until the end of the turn in which it is answered. Incomplete heads of all connections together may take 2 MB.

--- a/cli/reelspan/test/__utils__/machine.ts
+++ b/cli/reelspan/test/__utils__/machine.ts
@@ -19,11 +19,18 @@
 
 /** Memory of the smallest machine, in units of 1,000,000 bytes. */
 const MEMORY_MB = 178
+/** Descriptors of a machine, and the connections that a box takes with so many. */
+export interface DescriptorLimits {
+  maxDescriptors: number
+  callerConnections: number
+  peerConnections: number
+}
+
 /** Few, so that a small crowd uses up the connections. */
-const MAX_DESCRIPTORS = 400
-/** What the box takes from callers with so many descriptors. */
-export const CALLER_CONNECTIONS = 80
-const PEER_CONNECTIONS = 50
+const FEW_DESCRIPTORS: DescriptorLimits = { maxDescriptors: 400, callerConnections: 80, peerConnections: 50 }
+export const CALLER_CONNECTIONS = FEW_DESCRIPTORS.callerConnections
+/** As many as the users' machines have. */
+export const MANY_DESCRIPTORS: DescriptorLimits = { maxDescriptors: 4100, callerConnections: 1560, peerConnections: 975 }
 /** As in the deploy file. */
 const HEAP_OPTIONS = ['--max-old-space-size=96', '--max-semi-space-size=2']
 const BYTES_PER_MEGABYTE = 1_000_000
@@ -40,24 +47,25 @@
   /** Sends an ordinary request. Resolves with whether it was answered. */
   serves: () => Promise<boolean>
   descriptors: { stop: () => number }
+  maxDescriptors: number
 }
 
 /** Starts a box on the users' platform on a small machine, with a service that answers ordinary requests. Resolves once it serves. */
-export async function startPlatformMachine (t: ExecutionContext): Promise<Machine> {
+export async function startPlatformMachine (t: ExecutionContext, { maxDescriptors } = FEW_DESCRIPTORS): Promise<Machine> {
   const ip = '127.0.0.51'
   const store = new StandInStore()
   const storeAddress = await store.start()
   t.teardown(() => store.stop())
   await startService(t, store, WORK_MS)
-  const started = await startProcess(t, { ip, storeAddress, settings: [`limits.memory_mb=${MEMORY_MB}`, `limits.max_fds=${MAX_DESCRIPTORS}`], execArgv: HEAP_OPTIONS })
+  const started = await startProcess(t, { ip, storeAddress, settings: [`limits.memory_mb=${MEMORY_MB}`, `limits.max_fds=${maxDescriptors}`], execArgv: HEAP_OPTIONS })
   await waitUntilListening(started)
   const { box, frontAddress, directoryAddress, readyAddress, controlAddress } = started
   const addresses = { callers: frontAddress, lookups: directoryAddress, readiness: readyAddress, metrics: `${ip}:${METRICS_PORT}`, peers: controlAddress }
-  return watch(t, { box, addresses, serves: async () => (await sendRequest(started)).outcome === Outcome.Whole })
+  return watch(t, { box, addresses, maxDescriptors, serves: async () => (await sendRequest(started)).outcome === Outcome.Whole })
 }
 
 /** Starts a box with the project's own interface on a small machine, with a service that answers ordinary requests. Resolves once it serves. */
-export async function startOwnMachine (t: ExecutionContext): Promise<Machine> {
+export async function startOwnMachine (t: ExecutionContext, { maxDescriptors, callerConnections, peerConnections } = FEW_DESCRIPTORS): Promise<Machine> {
   const clock = new SystemClock()
   const platform = new PlatformModel(clock)
   const [platformAddress, serviceAddress] = await Promise.all([createPlatformServer(platform), createServiceServer(new ServiceModel({ clock, name: 'desk', workMs: WORK_MS }))].map((server) => startServer(t, server)))
@@ -70,7 +78,7 @@
     box: { name: 'box', availabilityZone: 'hall-a' },
     listen: { callerAddress: callers, peerAddress: peers, operatorAddress: operators },
     platform: { addresses: [platformAddress] },
-    limits: { connections: CALLER_CONNECTIONS, peerConnections: PEER_CONNECTIONS },
+    limits: { connections: callerConnections, peerConnections },
   }))
   const box = spawn(process.execPath, [...HEAP_OPTIONS, BIN, 'serve', '--config', file], { stdio: ['ignore', 'ignore', 'inherit'] })
   t.teardown(async () => {
@@ -81,7 +89,7 @@
     await response.text()
     return response.status === 200
   }, () => false)
-  return watch(t, { box, addresses: { callers, peers, operators }, serves })
+  return watch(t, { box, addresses: { callers, peers, operators }, maxDescriptors, serves })
 }
 
 async function startServer (t: ExecutionContext, server: Server): Promise<string> {
@@ -101,14 +109,14 @@
 
 /** Asserts that the box lives, has stayed within its machine's memory and descriptors, and answers an ordinary request. */
 export async function assertHolds (t: ExecutionContext, machine: Machine): Promise<void> {
-  const { box, descriptors } = machine
+  const { box, descriptors, maxDescriptors } = machine
   const served = await untilServed(machine)
   t.like(box, { exitCode: null, signalCode: null }, 'the process lives')
   t.true(served, 'an ordinary request is answered')
   const measured = { memoryMb: Math.round(highestResidentBytes(box.pid as number) / BYTES_PER_MEGABYTE), descriptors: descriptors.stop() }
   t.log(measured)
   t.true(measured.memoryMb <= MEMORY_MB, `${measured.memoryMb} MB of ${MEMORY_MB}`)
-  t.true(measured.descriptors <= MAX_DESCRIPTORS, `${measured.descriptors} descriptors of ${MAX_DESCRIPTORS}`)
+  t.true(measured.descriptors <= maxDescriptors, `${measured.descriptors} descriptors of ${maxDescriptors}`)
 }
 
 /** Closes the connections of a crowd when the test ends. */
--- a/net/system-env/src/requestTimeGuard.ts
+++ b/net/system-env/src/requestTimeGuard.ts
@@ -48,7 +48,7 @@
   waitedMs: number
   /** The request whose body is arriving. */
   request?: ArrivingRequest
-  /** Responses that have not ended, as far as the last check knows. */
+  /** Responses that have not ended, as far as the last request or check knows. */
   responses: ServerResponse[]
 }
 
@@ -105,7 +105,8 @@
     this.#requests.set(message, request)
     connection.request = request
     connection.awaited = Awaited.NextRequest
-    connection.responses.push(response)
+    // Those that have ended would stay in memory until the next check.
+    connection.responses = [...openResponses(connection), response]
     message.once('close', () => this.#onRequestRead(connection, request))
   }
 
@@ -132,7 +133,7 @@
 
   #check (connection: Connection, elapsedMs: number): void {
     const { socket, request } = connection
-    connection.responses = connection.responses.filter(({ closed }) => !closed)
+    connection.responses = openResponses(connection)
     if (request?.message.complete) this.#onRequestRead(connection, request)
     if (connection.request) return this.#checkBody(connection.request, elapsedMs)
     // A head that arrives while an earlier response is being sent waits for it.
@@ -164,6 +165,10 @@
   }
 }
 
+function openResponses ({ responses }: Connection): ServerResponse[] {
+  return responses.filter(({ closed }) => !closed)
+}
+
 function requestTooSlow (): ReelspanError {
   return new ReelspanError(ErrorCode.RequestTooSlow, 'the request took too long to arrive')
 }
--- a/net/system-env/src/requestsInProgress.ts
+++ b/net/system-env/src/requestsInProgress.ts
@@ -1,6 +1,7 @@
 import { type IncomingMessage, type RequestListener, type Server } from 'node:http'
 import { type Socket } from 'node:net'
 import { onResponseEnded } from './onResponseEnded.js'
+import { parseInParts } from './parseInParts.js'
 
 export interface RequestsInProgressOptions {
   /** Requests that may be in progress on all connections together, besides the first one of each connection. */
@@ -10,6 +11,8 @@
 }
 
 const EXPECTATION_FAILED = 417
+/** Bytes of incomplete heads on all connections together. A head of many short fields takes some ten times as much memory. */
+const MAX_HEAD_BYTES = 2_000_000
 
 /**
  * Follows the requests in progress on a server's connections, and bounds those that clients send before earlier ones on
@@ -23,7 +26,9 @@
   readonly #countBySocket = new WeakMap<Socket, number>()
   /** Connections without a complete request in progress, those first that have been so for longest. */
   readonly #waiting = new Set<Socket>()
+  readonly #headBytesBySocket = new WeakMap<Socket, number>()
   #ahead = 0
+  #headBytes = 0
 
   constructor (opts: RequestsInProgressOptions) {
     this.#opts = opts
@@ -39,6 +44,10 @@
     server.on('connection', (socket) => {
       this.#waiting.add(socket)
       socket.once('close', () => this.#waiting.delete(socket))
+      // What follows an upgrade in a read belongs to another protocol.
+      if (server.listenerCount('upgrade') > 0) return
+      parseInParts(socket, { requestCount: () => this.#countBySocket.get(socket) ?? 0, onRead: (bytes) => this.#recordHead(socket, bytes) })
+      socket.once('close', () => this.#setHeadBytes(socket, 0))
     })
     server.on('request', this.#limit(listener))
     // Without a listener Node answers these itself.
@@ -88,10 +97,29 @@
     if (this.#countBySocket.get(socket)) this.#waiting.delete(socket)
   }
 
+  /** Counts what has been read of a head that is not complete. */
+  #recordHead (socket: Socket, bytes: number): void {
+    const inProgress = (this.#countBySocket.get(socket) ?? 0) > 0
+    this.#setHeadBytes(socket, inProgress ? 0 : this.#headBytesOf(socket) + bytes)
+    if (this.#headBytesOf(socket) <= MAX_HEAD_BYTES - this.#headBytes || socket.destroyed) return
+    this.#opts.onExceeded?.(0)
+    socket.resetAndDestroy()
+  }
+
+  #headBytesOf (socket: Socket): number {
+    return this.#headBytesBySocket.get(socket) ?? 0
+  }
+
+  #setHeadBytes (socket: Socket, bytes: number): void {
+    this.#headBytes += bytes - this.#headBytesOf(socket)
+    this.#headBytesBySocket.set(socket, bytes)
+  }
+
   #end (socket: Socket): void {
     const requests = this.#countBySocket.get(socket) ?? 0
     this.#countBySocket.set(socket, requests - 1)
-    if (requests > 1) this.#ahead--
+    // Requests of one turn of the event loop stay in memory until its end, also those that have been answered.
+    if (requests > 1) setImmediate(() => { this.#ahead-- })
     else if (!socket.destroyed) this.#waiting.add(socket)
   }
 }
--- a/net/system-env/test/requestsInProgress.ts
+++ b/net/system-env/test/requestsInProgress.ts
@@ -1,4 +1,4 @@
-import { createServer, type ServerResponse } from 'node:http'
+import { createServer, type RequestListener, type ServerResponse } from 'node:http'
 import { connect } from 'node:net'
 import { listenAt, RequestsInProgress } from '@reelspan/net.system-env'
 import test, { type ExecutionContext } from 'ava'
@@ -7,12 +7,15 @@
 const REQUEST = 'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 
 /** Starts a server whose answers the test sends, and returns a function that connects a client. */
-async function startServer (t: ExecutionContext) {
+async function startServer (t: ExecutionContext, handle: RequestListener = () => {}) {
   const responses: ServerResponse[] = []
   const exceeded: number[] = []
   const server = createServer()
   const limit = new RequestsInProgress({ maxAhead: MAX_AHEAD, onExceeded: (requests) => exceeded.push(requests) })
-  limit.serve(server, (_, response) => { responses.push(response) })
+  limit.serve(server, (message, response) => {
+    responses.push(response)
+    handle(message, response)
+  })
   await listenAt(server, '127.0.0.1:0')
   t.teardown(() => {
     server.closeAllConnections()
@@ -60,6 +63,31 @@
   t.is(client.answers, 1)
 })
 
+test('requests with large bodies and small ones behind them are read whole, also while answers wait', async (t) => {
+  const { limit, open, responses } = await startServer(t, (message, response) => {
+    let bytes = 0
+    message.on('data', (part: Buffer) => { bytes += part.byteLength })
+    message.on('end', () => { response.setHeader('Body-Bytes', bytes) })
+  })
+  const bodies = [200_000, 3, 70_000].map((bytes) => `POST / HTTP/1.1\r\nHost: x\r\nContent-Length: ${bytes}\r\n\r\n${'x'.repeat(bytes)}`)
+  const client = open(bodies.join(''))
+  await until(() => responses.length === 3 && responses.every((response) => response.hasHeader('Body-Bytes')))
+  responses.forEach((response) => response.end())
+  await until(() => client.answers === 3)
+  t.deepEqual(responses.map((response) => response.getHeader('Body-Bytes')), [200_000, 3, 70_000])
+  await until(() => limit.ahead === 0)
+})
+
+test('connections whose incomplete heads take most of the memory for them are reset, and a whole head is served', async (t) => {
+  const { exceeded, open, responses } = await startServer(t)
+  const crowd = Array.from({ length: 300 }, () => open(`${REQUEST.slice(0, -2)}x: ${'x'.repeat(14_000)}`))
+  await until(() => exceeded.length > 0)
+  open(REQUEST)
+  await until(() => responses.length === 1)
+  t.true(crowd.some(({ code }) => code === undefined))
+  t.true(exceeded.every((requests) => requests === 0))
+})
+
 test('while others use the limit up, a connection with one request after the other is served', async (t) => {
   const { limit, responses, open } = await startServer(t);
   [6, 4, 2].forEach((requests) => open(REQUEST.repeat(requests)))
