fix(net.http-exchange): an answer with a status outside of HTTP's range is broken off

What callers saw: on other systems an answer with status 000 reached clients. Here one below 100 was taken for an interim response: its request waited for the next answer on the connection until its deadline, and an answer that did follow passed for its own. One from 600 to 999 was passed on as an answer.

Cause: the parser takes any three digits, and everything below 200 was interim.

Evidence: net/http-exchange/test/invalidStatus.ts, five statuses with three bodies each. Before: 5 of 5 tests failed, 000, 042 and 099 with «had not completed its answer when the exchange was cancelled», 600 and 999 with answers passed on. Now 71 of 71 tests of the package pass. That the own clients for engines and the platform refuse each status but 200 was read, not run.

Change: such a status line breaks the answer off at once, as any bytes that are no HTTP. The request may have run, and is tried elsewhere where its route allows that.

--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -27,6 +27,9 @@
 /** The value of `kOnHeadersComplete` that tells the library that no body follows. */
 const SKIP_BODY = 1
 const FIRST_FINAL_STATUS = 200
+/** Statuses outside of HTTP's range are left of an answer that is none. */
+const MIN_STATUS = 100
+const MAX_STATUS = 599
 const SWITCHING_PROTOCOLS = 101
 const BLANK = /^[ \t]+$/
 const STATUS_LINE = /HTTP\/1\.[01] \d{3}/
@@ -65,6 +68,7 @@
     let interim = false
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const { statusCode: status, headers, shouldKeepAlive } = info
+      if (status < MIN_STATUS || status > MAX_STATUS) throw new Error(`a status outside of HTTP's range: ${status}`)
       checkFraming(headers)
       // Interim (1xx) answers precede the final one, and have no body.
       interim = status < FIRST_FINAL_STATUS
