--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type SeededRandom } from '@reelspan/utils.fakes'
 import { Role } from '@reelspan/utils.platform-stand-ins'
+import { sendClientCrowd } from './clientCrowd.js'
 import { drawOne } from './drawOne.js'
 import { type FaultProxy, NetworkFault, BlackholeDirection } from './faultProxy.js'
 import { ALL_SUBJECTS } from './disruptionLog.js'
@@ -45,12 +46,14 @@
   EndlessReports = 'endlessReports',
   /** The answers of the store have no end. */
   StoreEndless = 'storeEndless',
+  /** Clients that read no answers, send requests ahead or parts of them, and leave early. */
+  ClientCrowd = 'clientCrowd',
 }
 
 /** Faults of answers that have no end. */
 export const ENDLESS_KINDS: readonly FaultKind[] = [FaultKind.EndlessReports, FaultKind.StoreEndless]
 /** Faults that are not drawn with the others. */
-export const UNDRAWN_KINDS: readonly FaultKind[] = [...ENDLESS_KINDS, FaultKind.KillAll]
+export const UNDRAWN_KINDS: readonly FaultKind[] = [...ENDLESS_KINDS, FaultKind.KillAll, FaultKind.ClientCrowd]
 
 const MIN_FAULT_MS = 200
 const MAX_FAULT_MS = 3000
@@ -175,6 +178,7 @@
       case FaultKind.CrashUpstream: return this.#crashUpstream(durationMs)
       case FaultKind.UpstreamLeaves: return this.#withUnused(fleet.replicas, (replica) => this.drainUpstream(replica))
       case FaultKind.UpstreamLeavesWhileCut: return this.#drainWhileDisconnected(box, durationMs)
+      case FaultKind.ClientCrowd: return this.#withDisruption(front, () => sendClientCrowd(front, { random, durationMs }))
       case FaultKind.ChangeConfiguration: fleet.publish()
     }
   }
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -12,6 +12,7 @@
 const HELD_UP_SEED = 722000
 const LATE_REFUSAL_SEED = 790001
 const KILL_ALL_SEED = 830001
+const CROWD_SEED: KnownSeed = { seed: 900001, kinds: [FaultKind.ClientCrowd] }
 /** Number of runs that share the machine, so that all seeds take a minute or two. */
 const CONCURRENT_RUNS = 3
 
@@ -26,6 +27,11 @@
   })
 })
 
+test.serial(`real boxes keep all guarantees among crowds of clients that read no answers, of seed ${CROWD_SEED.seed}`, async (t) => {
+  t.timeout(TIMEOUT_MS)
+  t.deepEqual(await runSeed(t, CROWD_SEED), [])
+})
+
 test.serial(`real boxes serve callers of boxes that lose all paths to upstreams, of seed ${PATH_LOSS_SEED}`, async (t) => {
   t.timeout(TIMEOUT_MS)
   const result = await soak({ seed: PATH_LOSS_SEED, kinds: [FaultKind.ChangeConfiguration], ...FLEET_SIZE, boxes: 5, clients: 10, pathLoss: true })
