fix(net.system-env): the rest of a refused body does not count as a head

What a caller would see: a request whose body is refused before it was read, such as one that is too large, is answered at once, and the rest of its body is read and dropped. It counted as a head that is not complete, so that a connection could be reset before its caller had read the refusal.

Evidence: a body of 8 MB refused at once.

Change: bytes count as a head only when the latest request of the connection has been received completely.

--- a/net/system-env/src/requestsInProgress.ts
+++ b/net/system-env/src/requestsInProgress.ts
@@ -26,6 +26,7 @@
   readonly #countBySocket = new WeakMap<Socket, number>()
   /** Connections without a complete request in progress, those first that have been so for longest. */
   readonly #waiting = new Set<Socket>()
+  readonly #latestBySocket = new WeakMap<Socket, IncomingMessage>()
   readonly #headBytesBySocket = new WeakMap<Socket, number>()
   #ahead = 0
   #headBytes = 0
@@ -85,6 +86,7 @@
     const { socket } = message
     if (hasBody(message)) message.once('end', () => this.#onRead(socket))
     else this.#waiting.delete(socket)
+    this.#latestBySocket.set(socket, message)
     this.#countBySocket.set(socket, requests + 1)
     if (requests === 0) return
     this.#ahead++
@@ -97,9 +99,9 @@
     if (this.#countBySocket.get(socket)) this.#waiting.delete(socket)
   }
 
-  /** Counts what has been read of a head that is not complete. */
+  /** Counts what has been read of a head that is not complete. The rest of a refused body is none. */
   #recordHead (socket: Socket, bytes: number): void {
-    const inProgress = (this.#countBySocket.get(socket) ?? 0) > 0
+    const inProgress = (this.#countBySocket.get(socket) ?? 0) > 0 || this.#latestBySocket.get(socket)?.complete === false
     this.#setHeadBytes(socket, inProgress ? 0 : this.#headBytesOf(socket) + bytes)
     if (this.#headBytesOf(socket) <= MAX_HEAD_BYTES - this.#headBytes || socket.destroyed) return
     this.#opts.onExceeded?.(0)
--- a/net/system-env/test/requestsInProgress.ts
+++ b/net/system-env/test/requestsInProgress.ts
@@ -78,6 +78,18 @@
   await until(() => limit.ahead === 0)
 })
 
+test('a large body whose request is refused at once is read to its end, and the connection serves the next request', async (t) => {
+  const { exceeded, open, responses } = await startServer(t, (message, response) => {
+    message.resume()
+    if (message.method === 'POST') response.end('refused')
+  })
+  const client = open(`POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 8000000\r\n\r\n${'x'.repeat(8_000_000)}${REQUEST}`)
+  await until(() => responses.length === 2 || client.code !== undefined)
+  responses[1]?.end()
+  await until(() => client.answers === 2 || client.code !== undefined)
+  t.deepEqual({ answers: client.answers, code: client.code, exceeded }, { answers: 2, code: undefined, exceeded: [] })
+})
+
 test('connections whose incomplete heads take most of the memory for them are reset, and a whole head is served', async (t) => {
   const { exceeded, open, responses } = await startServer(t)
   const crowd = Array.from({ length: 300 }, () => open(`${REQUEST.slice(0, -2)}x: ${'x'.repeat(14_000)}`))
