test(utils.soak): an answer that ends at its deadline is not cut a fraction of a millisecond early

Trace: its box's log says ERR_REELSPAN_DEADLINE_PASSED with durationMs 9000, its caller's deadline is 9,000 ms (callerDeadlineMs of its next attempt), and its engines were silent for 1.8 s of its prefill and 5.2 s of its answer. Both checks allow an answer to end at its deadline, but the client measured a fraction of a millisecond less, since timers of Node fire up to a millisecond early.

Change: both checks allow 1 ms. A test holds that 2 ms are still reported.

--- a/__utils__/soak/src/attempt.ts
+++ b/__utils__/soak/src/attempt.ts
@@ -10,6 +10,9 @@
   Resumable = 'resumable',
 }
 
+/** Timers of a box and of a client fire up to this much early, so that an answer may end so much before its deadline as its client sees it. */
+export const TIMER_ROUNDING_MS = 1
+
 /** One attempt of a client to send a request, as the client saw it. Times are on `performance.now()`. */
 export interface Attempt {
   id: string
--- a/__utils__/soak/src/checkBounds.ts
+++ b/__utils__/soak/src/checkBounds.ts
@@ -1,5 +1,5 @@
 import { type UpstreamArrival, type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
-import { type Attempt, RouteKind } from './attempt.js'
+import { type Attempt, RouteKind, TIMER_ROUNDING_MS } from './attempt.js'
 import { groupBy } from './groupBy.js'
 import { DisruptionKind } from './disruptionLog.js'
 import { type TimeInterval } from './timeInterval.js'
@@ -128,7 +128,7 @@
     if (!isUndisrupted(box, instances, { fromMs, toMs: endedAtMs }, [DisruptionKind.Unplanned])) return []
     const tookMs = endedAtMs - sentAtMs
     const wasRead = instances.length > 0 || tookMs > CLOSE_RACE_MS
-    if (error === undefined || !wasRead || tookMs >= deadlineMs) return [undefined]
+    if (error === undefined || !wasRead || tookMs >= deadlineMs - TIMER_ROUNDING_MS) return [undefined]
     const ownRuns = runsOf.get(id) ?? []
     if (ownRuns.some(({ answerLost }) => answerLost)) return [undefined]
     const isExcused = stop && sentAtMs <= stop.atMs + LATE_REQUEST_AFTER_TERM_MS && ownRuns.some(({ endedAtMs: runEndMs = Number.POSITIVE_INFINITY }) => runEndMs >= stop.atMs + EXCUSED_RUN_END_MS)
--- a/__utils__/soak/src/checkSilences.ts
+++ b/__utils__/soak/src/checkSilences.ts
@@ -1,5 +1,5 @@
 import { type UpstreamRun } from '@reelspan/utils.platform-stand-ins'
-import { type Attempt } from './attempt.js'
+import { type Attempt, TIMER_ROUNDING_MS } from './attempt.js'
 import { type PlannedStop, type SoakCheckResult } from './checkBounds.js'
 import { groupBy } from './groupBy.js'
 import { type EngineSilence } from './silenceInjector.js'
@@ -40,7 +40,7 @@
   return attempts.flatMap(({ id, kind, box, status, error, sentAtMs, endedAtMs, abortedAtMs, deadlineMs }) => {
     const ownRuns = runsOf.get(id) ?? []
     if (status !== OK || abortedAtMs !== undefined || endedAtMs === undefined || !ownRuns.some((run) => silencesOf(run, silences).length > 0)) return []
-    if (error === undefined || endedAtMs - sentAtMs >= deadlineMs || ownRuns.some(({ answerLost }) => answerLost)) return [undefined]
+    if (error === undefined || endedAtMs - sentAtMs >= deadlineMs - TIMER_ROUNDING_MS || ownRuns.some(({ answerLost }) => answerLost)) return [undefined]
     if (stops.some((stop) => stop.box === box && endedAtMs >= stop.atMs + STOP_CUTS_AFTER_MS && endedAtMs <= stop.atMs + STOP_GRACE_MS + MAX_TRANSIT_MS)) return [undefined]
     if (wasInterrupted(box, ownRuns.map(({ instance }) => instance), { fromMs: sentAtMs, toMs: endedAtMs })) return [undefined]
     const described = ownRuns.map((run) => `${run.instance} (silent ${silencesOf(run, silences).map(({ fromMs, toMs }) => `from ${Math.round(fromMs - sentAtMs)} to ${Math.round(toMs - sentAtMs)} ms`).join(', ') || 'never'})`)
--- a/__utils__/soak/test/checkSilences.ts
+++ b/__utils__/soak/test/checkSilences.ts
@@ -28,6 +28,8 @@
   t.deepEqual(violationsOf({ stops: [{ box: 'box-1', atMs: -5500 }] }), [])
   t.is(violationsOf({ stops: [{ box: 'box-1', atMs: 0 }] }).length, 1, 'a stopping box finishes what it can')
   t.deepEqual(violationsOf({ attempts: [{ ...CUT, deadlineMs: 2000 }] }), [])
+  t.deepEqual(violationsOf({ attempts: [{ ...CUT, deadlineMs: 2000.6 }] }), [])
+  t.not(violationsOf({ attempts: [{ ...CUT, deadlineMs: 2002 }] }).length, 0)
   t.deepEqual(violationsOf({ attempts: [{ ...CUT, abortedAtMs: 1999 }] }), [])
 })
 
