--- a/cli/reelspan/test/crowds/largeCrowds.ts
+++ b/cli/reelspan/test/crowds/largeCrowds.ts
@@ -23,3 +23,11 @@
     await assertHolds(t, machine)
   })
 }))
+
+INTERFACES.forEach(({ box, start }) => {
+  test.serial(`a box ${box} stays within its machine while as large a crowd sends many requests ahead to its server for peers`, async (t) => {
+    const machine = await start(t, MANY_DESCRIPTORS)
+    closeAtEnd(t, await sendAhead({ ...CROWDS[0], address: machine.addresses.peers, connections: MANY_DESCRIPTORS.callerConnections }))
+    await assertHolds(t, machine)
+  })
+})
