fix(net.http-exchange): a status of more than three digits breaks the answer off

Seen: a check of all clients that read upstreams' answers with twelve statuses found one taken: «HTTP/1.1 2000 OK» passed for 200 on the paths of services, prefills, decodes and relayed requests.

Cause: the parser's pattern takes the first three digits and whatever follows.

--- a/net/http-exchange/src/responseParser.ts
+++ b/net/http-exchange/src/responseParser.ts
@@ -33,6 +33,8 @@
 const SWITCHING_PROTOCOLS = 101
 const BLANK = /^[ \t]+$/
 const STATUS_LINE = /HTTP\/1\.[01] \d{3}/
+/** The library takes the first three digits of a longer status. */
+const LONG_STATUS = /^HTTP\/1\.[01] \d{3}[^ ]/
 const CONTENT_LENGTH = /^\d{1,15}$/
 
 /** Internal fields of the parser that the stricter checks use. */
@@ -136,6 +138,7 @@
     const line = consumeLine()
     const part = LINE_PARTS[parser.state]
     bounds.recordLine(part, parser.offset - from, line !== undefined)
+    if (line !== undefined && part === LinePart.StatusLine && LONG_STATUS.test(line)) throw new Error('a status of more than three digits')
     if (line !== undefined) rejectSecondStatusLine(part, line)
     return line
   }
--- a/net/http-exchange/test/invalidStatus.ts
+++ b/net/http-exchange/test/invalidStatus.ts
@@ -30,7 +30,7 @@
   return status
 }
 
-['000', '042', '099', '600', '999'].forEach((status) => {
+['000', '042', '099', '600', '999', '20', '2000', '200x'].forEach((status) => {
   test(`an answer with status ${status} is broken off, and is neither passed on nor skipped for the next one`, async (t) => {
     const head = `HTTP/1.1 ${status} Unknown\r\n`
     const texts = [`${head}Content-Length: 2\r\n\r\nno`, `${head}Content-Length: 0\r\n\r\n`, `${head}\r\n${WHOLE_ANSWER}`]
