fix(net.peer-link): reads at the port for other boxes are parsed in parts

What was seen: 1,560 connections that send requests ahead to the port for other boxes end the process of both interfaces for want of memory.

Cause: a read of up to 64 KB was parsed whole at this port, since an upgrade may be in it. What was parsed of a connection that was reset stays until all others were read.

Change: an upgrade ends the parsing. A connection on which more than the handshake has arrived by then is closed, since a client sends nothing more until its upgrade is accepted.

--- a/net/peer-link/src/limitHandshakes.ts
+++ b/net/peer-link/src/limitHandshakes.ts
@@ -24,8 +24,12 @@
     const excess = pending.size - Math.max(MIN_PENDING, opts.maxPending())
     if (excess > 0) [...pending].slice(0, excess).forEach((oldest) => oldest.destroy())
   })
-  listener.on('upgrade', ({ socket }) => pending.delete(socket))
-  new RequestsInProgress({ maxAhead: 0 }).serve(listener, (_, response) => {
+  const inProgress = new RequestsInProgress({ maxAhead: 0 })
+  listener.on('upgrade', ({ socket }) => {
+    pending.delete(socket)
+    inProgress.onUpgrade(socket)
+  })
+  inProgress.serve(listener, (_, response) => {
     response.writeHead(UPGRADE_REQUIRED, { Connection: 'close', Upgrade: 'websocket', 'Content-Length': 0 })
     response.end()
   })
--- a/net/peer-link/test/pendingHandshakes.ts
+++ b/net/peer-link/test/pendingHandshakes.ts
@@ -34,6 +34,12 @@
   t.regex(await visit(t, address, 'GET / HTTP/1.1\r\nHost: x\r\n\r\n'), /^HTTP\/1\.1 426 [^]*Connection: close/)
 })
 
+test('a client that sends more than its handshake before the upgrade is accepted is disconnected', async (t) => {
+  const { address } = await createLink(t)
+  const handshake = 'GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n'
+  await t.notThrowsAsync(visit(t, address, handshake + 'x'.repeat(10_000)))
+})
+
 test('peers connect while others hold connections without a handshake, of which the oldest are closed', async (t) => {
   const [{ address }, { link }] = [await createLink(t), await createLink(t)]
   const visitors = Array.from({ length: 2 * MAX_CONNECTIONS }, () => visit(t, address, 'GET / HTTP/1.1\r\n'))
--- a/net/system-env/src/requestsInProgress.ts
+++ b/net/system-env/src/requestsInProgress.ts
@@ -27,6 +27,7 @@
   /** Connections without a complete request in progress, those first that have been so for longest. */
   readonly #waiting = new Set<Socket>()
   readonly #latestBySocket = new WeakMap<Socket, IncomingMessage>()
+  readonly #upgraded = new WeakSet<Socket>()
   readonly #headBytesBySocket = new WeakMap<Socket, number>()
   #ahead = 0
   #headBytes = 0
@@ -45,9 +46,11 @@
     server.on('connection', (socket) => {
       this.#waiting.add(socket)
       socket.once('close', () => this.#waiting.delete(socket))
-      // What follows an upgrade in a read belongs to another protocol.
-      if (server.listenerCount('upgrade') > 0) return
-      parseInParts(socket, { requestCount: () => this.#countBySocket.get(socket) ?? 0, onRead: (bytes) => this.#recordHead(socket, bytes) })
+      parseInParts(socket, {
+        requestCount: () => this.#countBySocket.get(socket) ?? 0,
+        onRead: (bytes) => this.#recordHead(socket, bytes),
+        isUpgraded: () => this.#upgraded.has(socket),
+      })
       socket.once('close', () => this.#setHeadBytes(socket, 0))
     })
     server.on('request', this.#limit(listener))
@@ -58,6 +61,13 @@
     }))
   }
 
+  /** Stops following a connection. Called when its upgrade to another protocol begins. */
+  onUpgrade (socket: Socket): void {
+    this.#upgraded.add(socket)
+    this.#waiting.delete(socket)
+    this.#setHeadBytes(socket, 0)
+  }
+
   /** Closes the connection that has waited for a request, or for the rest of one, for longest. The latest one is left open. */
   closeLongestWaiting (): void {
     const [longest] = this.#waiting
