feat(net.system-env): each limit on clients is counted and logged, and what they hold is measured

Cause: a connection that was closed to make room, an incomplete handshake that was closed and a connection beyond the server's number left neither a counter nor a line, and resets for requests ahead and for incomplete heads were one counter.

Gauges tell callers' connections, requests ahead and bytes of incomplete heads.

--- a/cli/reelspan/src/startBox.ts
+++ b/cli/reelspan/src/startBox.ts
@@ -5,7 +5,7 @@
 import { createCallerServer, createOperatorServer } from '@reelspan/net.http-front'
 import { WsPeerLink } from '@reelspan/net.peer-link'
 import { HttpPlatformReader } from '@reelspan/net.platform-http'
-import { closeServers, connectionLog, createMemoryLimits, listenAt, LoopDelay, oversizedAnswerLog, type OversizedAnswerListener, registerProcessMetrics, SystemClock, SystemRandom } from '@reelspan/net.system-env'
+import { closeServers, type ConnectionGuard, connectionLog, createMemoryLimits, listenAt, LoopDelay, oversizedAnswerLog, type OversizedAnswerListener, registerCallerMetrics, registerProcessMetrics, RequestsInProgress, SystemClock, SystemRandom } from '@reelspan/net.system-env'
 import { HttpEngineClient, HttpServiceClient } from '@reelspan/net.upstream-http'
 import { TcpUpstreamProbe } from '@reelspan/net.upstream-probe'
 import { BunyanLog, LogEvent } from '@reelspan/telemetry.log'
@@ -42,7 +42,9 @@
   const metrics = new Metrics()
   const logOversized = oversizedAnswerLog({ clock, log: boxLog, metrics })
   const onOversized: OversizedAnswerListener = ({ kind, address, maxBytes, readBytes }) => logOversized({ answer: kind, address, limit: maxBytes, readBytes })
+  const logOf = connectionLog({ clock, log: boxLog, metrics })
   const link = new WsPeerLink({
+    onClosed: logOf('peers').onClosed,
     clock,
     listenAddress: listen.peerAddress,
     maxMessageBytes: MAX_PEER_MESSAGE_BYTES,
@@ -66,14 +68,15 @@
   registerProcessMetrics(metrics, link, loopDelay)
   await link.listen()
   await box.start()
-  const logOf = connectionLog({ clock, log: boxLog, metrics })
   const operators = createOperatorServer({ clock, box, token, bodyBytes: limits.bodyBytes, listeners: logOf('operators') })
   await listenAt(operators, listen.operatorAddress)
   // The caller port opens only once the box has a configuration to route by.
   while (!box.ready) await clock.sleep(NOT_READY_POLL_MS)
   const memory = createMemoryLimits({ clock, log: boxLog, metrics, ...limits })
-  const { onAcceptError, onExceeded } = logOf('callers')
-  const callers = createCallerServer({ clock, box, memory, ...limits, onExceeded, onAcceptError })
+  const { onAcceptError, onClosed } = logOf('callers')
+  const inProgress = new RequestsInProgress({ maxAhead: limits.requestsAhead, onClosed })
+  const onGuarded = (guard: ConnectionGuard) => registerCallerMetrics(metrics, { inProgress, guard })
+  const callers = createCallerServer({ clock, box, memory, ...limits, inProgress, onGuarded, onClosed, onAcceptError })
   await listenAt(callers, listen.callerAddress)
   const running = { box, stopListening: () => closeServers([callers, operators]) }
   onListening?.(running)
--- a/crowds.config.js
+++ b/crowds.config.js
@@ -3,5 +3,5 @@
   files: ['*/*/test.lib/crowds/**/*.js'],
   concurrency: 1,
   serial: true,
-  timeout: '150s',
+  timeout: '250s',
 }
--- a/net/http-front/src/createCallerServer.ts
+++ b/net/http-front/src/createCallerServer.ts
@@ -4,7 +4,7 @@
 import { ErrorCode, ReelspanError, toReelspanError, Verdict } from '@reelspan/core.error'
 import { tokensOfText } from '@reelspan/core.hashing'
 import { type AnswerEvent, AnswerEventKind, type CompletionRequest, type FinalAnswer, RequestKind, type ServiceRequest } from '@reelspan/core.messages'
-import { ConnectionGuard, createMemoryLimits, type MemoryLimits, onResponseEnded, readRequestBody, RequestsInProgress, RequestTimeGuard, ResponseReader } from '@reelspan/net.system-env'
+import { type ClientLimitListener, ConnectionGuard, createMemoryLimits, type MemoryLimits, onResponseEnded, readRequestBody, type RequestsInProgress, RequestTimeGuard, ResponseReader } from '@reelspan/net.system-env'
 import Koa, { type Context } from 'koa'
 import { answerStreamed, answerNonStreamed } from './answerCompletion.js'
 import { Header } from './headers.js'
@@ -27,9 +27,10 @@
   /** Bounds the memory for answers and bodies. Created from the defaults of the settings if omitted. */
   memory?: MemoryLimits
   connections: number
-  requestsAhead: number
-  /** Called when a connection was reset, with the number of its requests in progress. */
-  onExceeded?: (requests: number) => void
+  inProgress: RequestsInProgress
+  /** Called with the guard of the server's connections. */
+  onGuarded?: (guard: ConnectionGuard) => void
+  onClosed?: ClientLimitListener
   /** Called when the server failed to accept a connection. */
   onAcceptError?: (error: Error) => void
 }
@@ -58,8 +59,7 @@
     }
   })
   const server = createServer({ maxHeaderSize: opts.headerBytes })
-  const inProgress = new RequestsInProgress({ maxAhead: opts.requestsAhead, onExceeded: opts.onExceeded })
-  inProgress.serve(server, app.callback())
+  opts.inProgress.serve(server, app.callback())
   const guard = new RequestTimeGuard(server, {
     clock,
     headReadMs: () => box.configuration.callerLimits?.headerReadMs ?? requestReadMs,
@@ -68,7 +68,8 @@
     slowHeadResponse: SLOW_HEAD_RESPONSE,
     onSlowRequest: memory.recordSlowRequest,
   })
-  const connectionGuard = new ConnectionGuard(server, { maxConnections: opts.connections, closeLongestWaiting: () => inProgress.closeLongestWaiting(), onAcceptError: opts.onAcceptError })
+  const connectionGuard = new ConnectionGuard(server, { maxConnections: opts.connections, closeLongestWaiting: () => opts.inProgress.closeLongestWaiting(), onClosed: opts.onClosed, onAcceptError: opts.onAcceptError })
+  opts.onGuarded?.(connectionGuard)
   return server
 }
 
--- a/net/peer-link/src/limitHandshakes.ts
+++ b/net/peer-link/src/limitHandshakes.ts
@@ -1,10 +1,11 @@
 import { type Server } from 'node:http'
 import { type Socket } from 'node:net'
-import { RequestsInProgress } from '@reelspan/net.system-env'
+import { ClientLimit, type ClientLimitListener, RequestsInProgress } from '@reelspan/net.system-env'
 
 export interface LimitHandshakesOptions {
   /** How many connections may be open whose handshake is not complete, if that is more than a few. */
   maxPending: () => number
+  onClosed?: ClientLimitListener
 }
 
 const UPGRADE_REQUIRED = 426
@@ -22,9 +23,13 @@
     pending.add(socket)
     socket.once('close', () => pending.delete(socket))
     const excess = pending.size - Math.max(MIN_PENDING, opts.maxPending())
-    if (excess > 0) [...pending].slice(0, excess).forEach((oldest) => oldest.destroy())
+    if (excess <= 0) return
+    [...pending].slice(0, excess).forEach((oldest) => {
+      opts.onClosed?.(ClientLimit.Handshakes, 0)
+      oldest.destroy()
+    })
   })
-  const inProgress = new RequestsInProgress({ maxAhead: 0 })
+  const inProgress = new RequestsInProgress({ maxAhead: 0, onClosed: opts.onClosed })
   listener.on('upgrade', ({ socket }) => {
     pending.delete(socket)
     inProgress.onUpgrade(socket)
--- a/net/peer-link/src/wsPeerLink.ts
+++ b/net/peer-link/src/wsPeerLink.ts
@@ -3,7 +3,7 @@
 import { type Clock, STOPPED } from '@reelspan/core.env'
 import { ReelspanError } from '@reelspan/core.error'
 import { MessageType, type PeerCallOptions, type PeerHandler, PeerLink, PeerLinkError, type PeerMessage } from '@reelspan/core.messages'
-import { listenAt } from '@reelspan/net.system-env'
+import { type ClientLimitListener, listenAt } from '@reelspan/net.system-env'
 import { type WebSocket, WebSocketServer } from 'ws'
 import { limitHandshakes } from './limitHandshakes.js'
 import { LinkTraffic } from './linkTraffic.js'
@@ -23,6 +23,8 @@
   idleCloseMs: number
   /** The maximum number of connections, half of them for each direction. */
   maxConnections?: number
+  /** Called when a connection to the listener is closed because of a limit. */
+  onClosed?: ClientLimitListener
   /** An outgoing connection received nothing since `sinceMs`, while a new one to the same peer works. */
   onUnresponsiveConnection?: (address: string, sinceMs: number) => void
 }
@@ -56,7 +58,7 @@
   async listen (): Promise<void> {
     const listener = createServer()
     this.#listener = listener
-    limitHandshakes(listener, { maxPending: () => this.#maxPerDirection - this.#incoming.size })
+    limitHandshakes(listener, { maxPending: () => this.#maxPerDirection - this.#incoming.size, onClosed: this.#opts.onClosed })
     this.#server = new WebSocketServer({ server: listener, maxPayload: this.#opts.maxMessageBytes, perMessageDeflate: MESSAGE_COMPRESSION })
     const server = this.#server
     server.on('connection', (socket, { socket: tcpSocket }) => {
--- a/net/system-env/src/connectionGuard.ts
+++ b/net/system-env/src/connectionGuard.ts
@@ -1,5 +1,6 @@
 import { type Server } from 'node:http'
 import { type Socket } from 'node:net'
+import { ClientLimit, type ClientLimitListener } from './clientLimit.js'
 
 export interface ConnectionGuardOptions {
   maxConnections: number
@@ -7,6 +8,7 @@
   closeLongestWaiting?: () => void
   /** Called when the server becomes full or is no longer full, with its number of connections. */
   onFullChanged?: (full: boolean, connections: number) => void
+  onClosed?: ClientLimitListener
   /** Called when the server fails to accept a connection, once until it accepts one again. */
   onAcceptError?: (error: Error) => void
 }
@@ -31,9 +33,15 @@
     this.#opts = opts
     server.maxConnections = opts.maxConnections
     server.on('connection', (socket) => this.#onConnection(socket))
+    server.on('drop', () => opts.onClosed?.(ClientLimit.Connections, 0))
     server.on('error', (error) => this.#onError(error))
   }
 
+  /** Open connections. */
+  get connections (): number {
+    return this.#connections
+  }
+
   /** Whether the server would accept a new connection now. */
   get acceptsConnections (): boolean {
     return this.#server.listening && !this.#failed && !this.#full
--- a/net/system-env/src/connectionLog.ts
+++ b/net/system-env/src/connectionLog.ts
@@ -1,6 +1,9 @@
 import { type Clock } from '@reelspan/core.env'
 import { type Log, LogEvent, RateLimiter } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
+import { type ClientLimitListener } from './clientLimit.js'
+import { type ConnectionGuard } from './connectionGuard.js'
+import { type RequestsInProgress } from './requestsInProgress.js'
 
 export interface ConnectionLogOptions {
   clock: Clock
@@ -12,7 +15,7 @@
 export interface ServerConnectionLog {
   onFullChanged: (full: boolean, connections: number) => void
   onAcceptError: (error: Error) => void
-  onExceeded: (requests: number) => void
+  onClosed: ClientLimitListener
 }
 
 /** A small part of a box's log rate limit. */
@@ -24,9 +27,16 @@
   return (server) => ({
     onFullChanged: (full, connections) => log.warn(LogEvent.ConnectionsFull, { server, full, connections }),
     onAcceptError: ({ message }) => log.warn(LogEvent.ListenerFailed, { server, reason: message }),
-    onExceeded: (requests) => {
-      metrics.count('reelspan_pipelines_reset_total', { server })
-      if (rate.tryAcquire()) log.warn(LogEvent.PipelineReset, { server, requests })
+    onClosed: (limit, requests) => {
+      metrics.count('reelspan_connections_closed_total', { server, limit })
+      if (rate.tryAcquire()) log.warn(LogEvent.ConnectionClosed, { server, limit, requests })
     },
   })
 }
+
+/** Registers what callers' connections hold. */
+export function registerCallerMetrics (metrics: Metrics, { inProgress, guard }: { inProgress: RequestsInProgress, guard: Pick<ConnectionGuard, 'connections'> }): void {
+  metrics.gauge('reelspan_caller_connections', () => guard.connections)
+  metrics.gauge('reelspan_caller_requests_ahead', () => inProgress.ahead)
+  metrics.gauge('reelspan_caller_head_bytes', () => inProgress.headBytes)
+}
--- a/net/system-env/src/requestsInProgress.ts
+++ b/net/system-env/src/requestsInProgress.ts
@@ -1,13 +1,13 @@
 import { type IncomingMessage, type RequestListener, type Server } from 'node:http'
 import { type Socket } from 'node:net'
+import { ClientLimit, type ClientLimitListener } from './clientLimit.js'
 import { onResponseEnded } from './onResponseEnded.js'
 import { parseInParts } from './parseInParts.js'
 
 export interface RequestsInProgressOptions {
   /** Requests that may be in progress on all connections together, besides the first one of each connection. */
   maxAhead: number
-  /** Called when a connection is reset, with the number of its requests in progress. */
-  onExceeded?: (requests: number) => void
+  onClosed?: ClientLimitListener
 }
 
 const EXPECTATION_FAILED = 417
@@ -41,6 +41,11 @@
     return this.#ahead
   }
 
+  /** Bytes of heads that are not complete. */
+  get headBytes (): number {
+    return this.#headBytes
+  }
+
   /** Passes requests of a server to a listener within the limit. */
   serve (server: Server, listener: RequestListener): void {
     server.on('connection', (socket) => {
@@ -71,7 +76,9 @@
   /** Closes the connection that has waited for a request, or for the rest of one, for longest. The latest one is left open. */
   closeLongestWaiting (): void {
     const [longest] = this.#waiting
-    if (this.#waiting.size > 1) longest.destroy()
+    if (this.#waiting.size <= 1) return
+    this.#opts.onClosed?.(ClientLimit.Waiting, 0)
+    longest.destroy()
   }
 
   #limit (listener: RequestListener): RequestListener {
@@ -81,7 +88,7 @@
       if (socket.destroyed) return
       const requests = this.#countBySocket.get(socket) ?? 0
       if (requests > 0 && requests > this.#opts.maxAhead - this.#ahead) {
-        this.#opts.onExceeded?.(requests)
+        this.#opts.onClosed?.(ClientLimit.RequestsAhead, requests)
         socket.resetAndDestroy()
         return
       }
@@ -114,7 +121,7 @@
     const inProgress = (this.#countBySocket.get(socket) ?? 0) > 0 || this.#latestBySocket.get(socket)?.complete === false
     this.#setHeadBytes(socket, inProgress ? 0 : this.#headBytesOf(socket) + bytes)
     if (this.#headBytesOf(socket) <= MAX_HEAD_BYTES - this.#headBytes || socket.destroyed) return
-    this.#opts.onExceeded?.(0)
+    this.#opts.onClosed?.(ClientLimit.IncompleteHeads, 0)
     socket.resetAndDestroy()
   }
 
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -26,8 +26,8 @@
   ConnectionSilent = 'connectionSilent',
   /** A server has reached its connection limit, or accepts connections again. */
   ConnectionsFull = 'connectionsFull',
-  /** A connection was reset because its client sent too many requests ahead of their answers. */
-  PipelineReset = 'pipelineReset',
+  /** A server closed a connection because of a limit on what clients may make it hold. */
+  ConnectionClosed = 'connectionClosed',
   /** A server failed to accept a connection. */
   ListenerFailed = 'listenerFailed',
   /** The handler of a request to one of the box's servers threw unexpectedly. */
