fix(request.relay): requests without a route and refused bodies do not use up the log's rate

What operators saw: among clients that flood a box with requests for paths that no route has, the lines of other callers' requests are dropped.

Cause: each such request writes its requestEnded, up to the 500 lines a second of the whole log; each refused body writes a line as well.

Change: at most 5 lines a second of requests without a route, and 5 of refused bodies. The counters go on counting each.

--- a/net/system-env/src/createMemoryLimits.ts
+++ b/net/system-env/src/createMemoryLimits.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '@reelspan/core.env'
 import { RequestBudget, SlowCallers } from '@reelspan/net.byte-budget'
-import { type Log, LogEvent } from '@reelspan/telemetry.log'
+import { type Log, LogEvent, RateLimiter } from '@reelspan/telemetry.log'
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { readUndelivered } from './readUndelivered.js'
 import { type RequestPart } from './requestTimeGuard.js'
@@ -14,6 +14,9 @@
   metrics?: Metrics
 }
 
+/** A small part of a box's log rate limit. */
+const MAX_LINES_PER_SECOND = 5
+
 /** What bounds the memory that callers make a box use, for both of its interfaces. */
 export interface MemoryLimits {
   callers: SlowCallers
@@ -23,6 +26,7 @@
 
 /** Creates the budgets of a box, with their log lines and metrics. */
 export function createMemoryLimits ({ clock, answerBytes, requestBytes, slowCallerMs, log, metrics }: MemoryLimitsOptions): MemoryLimits {
+  const rate = new RateLimiter({ nowMs: () => clock.nowMs(), perSecond: MAX_LINES_PER_SECOND })
   const callers = new SlowCallers({
     clock,
     answerBytes,
@@ -39,7 +43,7 @@
     totalBytes: requestBytes,
     onRefused: (usedBytes) => {
       metrics?.count('reelspan_request_bodies_refused_total', { reason: 'budget' })
-      log?.warn(LogEvent.RequestBodyRefused, { reason: 'budget', usedBytes, budgetBytes: requestBytes })
+      if (rate.tryAcquire()) log?.warn(LogEvent.RequestBodyRefused, { reason: 'budget', usedBytes, budgetBytes: requestBytes })
     },
   })
   metrics?.gauge('reelspan_answer_buffered_bytes', () => callers.budget.usedBytes)
@@ -51,7 +55,7 @@
     requests,
     recordSlowRequest: (part) => {
       metrics?.count('reelspan_request_bodies_refused_total', { reason: part })
-      log?.warn(LogEvent.RequestBodyRefused, { reason: part })
+      if (rate.tryAcquire()) log?.warn(LogEvent.RequestBodyRefused, { reason: part })
     },
   }
 }
--- a/request/relay/src/relay.ts
+++ b/request/relay/src/relay.ts
@@ -15,7 +15,7 @@
 import { type AnswerTimes } from './passAnswer.js'
 import { type RelayContext } from './relayContext.js'
 import { type RelayOptions } from './relayOptions.js'
-import { recordRelayedEnd } from './recordRelayedEnd.js'
+import { RelayedEndLog } from './relayedEndLog.js'
 import { RunDurations } from './runDurations.js'
 import { runEnded } from './runEnded.js'
 import { ServiceRelay } from './serviceRelay.js'
@@ -23,6 +23,7 @@
 import { TokenTimes } from './tokenTimes.js'
 import { UpstreamPicker } from './upstreamPicker.js'
 import { UpstreamSilence } from './upstreamSilence.js'
+import { withAttemptsUsed } from './withAttemptsUsed.js'
 
 /**
  * How long after its start a box holds requests until its first configuration arrives. It usually takes some
@@ -56,6 +57,7 @@
 export class Relay {
   readonly #opts: RelayOptions
   readonly #tasks: TaskGroup
+  readonly #endLog: RelayedEndLog
   readonly #health: UpstreamHealth
   readonly #picker: UpstreamPicker
   readonly #budgets = new Map<string, RetryBudget>()
@@ -77,6 +79,7 @@
   constructor (opts: RelayOptions) {
     this.#opts = opts
     const { clock, random, log } = opts
+    this.#endLog = new RelayedEndLog(opts)
     this.#tasks = new TaskGroup(clock, opts.onTaskError)
     this.#startedAtMs = clock.nowMs()
     this.#silence = new UpstreamSilence(clock)
@@ -164,7 +167,7 @@
       this.#running.delete(key)
       this.#ended.notify()
       this.#answerUnserved(run, caller)
-      recordRelayedEnd(this.#opts, { run, request, route, delegatedBy: terms?.box, times })
+      this.#endLog.record({ run, request, route, delegatedBy: terms?.box, times })
     }
   }
 
@@ -310,11 +313,6 @@
   }
 }
 
-/** The route with as many attempts as are left. */
-function withAttemptsUsed (route: Named<RouteSpec>, attemptsUsed: number): Named<RouteSpec> {
-  return { ...route, spec: { ...route.spec, maxAttempts: Math.max(1, route.spec.maxAttempts - attemptsUsed) } }
-}
-
 function pathOf (target: string): string {
   const at = target.indexOf('?')
   return at < 0 ? target : target.slice(0, at)
