fix(net.system-env): a short answer does not keep a buffer of 4 KB

Seen: a box with the own interface had 531 MB after 40,000 calls with short answers, whose records count 32 MB (799 bytes each).

Cause: readAnswer returns a view of its first buffer of 4,096 bytes, and the record of a call keeps its answer for five minutes.

Change: an answer that takes less than half of its buffer is copied into one of its own.

--- a/net/system-env/src/readAnswer.ts
+++ b/net/system-env/src/readAnswer.ts
@@ -44,7 +44,8 @@
 
 /**
  * Reads a whole body. Throws `OversizedAnswerError` and closes the exchange as soon as more than its bound is received.
- * Its parts are copied, since small ones would keep the larger reads in memory that they arrived in.
+ * Its parts are copied, since small ones would keep the larger reads in memory that they arrived in. The result takes at
+ * most twice its length, since it may be kept for minutes.
  */
 export async function readAnswer (body: AsyncIterable<Uint8Array>, bound: ReadBound): Promise<Buffer> {
   let buffer = Buffer.alloc(0)
@@ -60,7 +61,14 @@
     buffer.set(part, readBytes)
     readBytes = end
   }
-  return buffer.subarray(0, readBytes)
+  return 2 * readBytes < buffer.byteLength ? copyOf(buffer.subarray(0, readBytes)) : buffer.subarray(0, readBytes)
+}
+
+/** Buffers that share memory with others would keep those in memory. */
+function copyOf (bytes: Buffer): Buffer {
+  const copy = Buffer.allocUnsafeSlow(bytes.byteLength)
+  bytes.copy(copy)
+  return copy
 }
 
 /** The body of an error is not used. It is read so that its connection can be reused. */
