fix(request.relay): a stream of a service that a client takes up goes on behind its last event

Callers of a resumable stream that leads to a service without engines got it from its first event on when they took it up with Last-Event-Id: the events that they had, and behind them a whole second run, as a complete answer with status 200.

Cause: the header is reserved, so that a caller's value is not forwarded with the other headers, and travels in resumeAfter. Attempts at engines hand it to their sends, ServiceAttempt did not, neither for its own callers nor for another box's.

Four of the five tests in serviceStreams failed before (sends with undefined where '4' was wanted); the fifth, that a stream that breaks off ends visibly, held.

--- a/request/relay/src/serviceAttempt.ts
+++ b/request/relay/src/serviceAttempt.ts
@@ -94,13 +94,14 @@
 
   async #send (progress: ExchangeProgress): Promise<RelayAnswer> {
     const { context, race } = this.#state
-    const { run } = context
+    const { run, request: { resumeAfter } } = context
     const { permit } = this.#opts.picked
     const watched = this.#watch()
     try {
       const answer = await untilLost(context, this.signal, () => !this.sent, (signal) => sendToUpstream(context, { target: this.#target, permit }, {
         signal,
         deadlineMs: run.remainingMs,
+        resumeAfter,
         onSend: () => {
           race.recordSent(this)
           this.#state.sent++
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -260,6 +260,7 @@
   { kind: ResourceKind.Model, name: 'm', spec: { prefillPool: 'p', decodePool: 'd', kvBytesPerToken: 1000, prefillTokensPerSecond: 1000, decodeStepBaseMs: 4, decodeStepPerRequestMs: 0.1 } },
   { kind: ResourceKind.Route, name: 'fetch', spec: { host: 'desk.example', pathPrefix: '/fetch/', targets: [{ pool: 'desk' }], notRepeatable: true, maxAttempts: 3, deadlineMs: 2000, ttftTargetMs: 200 } },
   { kind: ResourceKind.Route, name: 'status', spec: { host: 'desk.example', pathPrefix: '/status/', targets: [{ pool: 'desk' }], maxAttempts: 2, deadlineMs: 2000, ttftTargetMs: 200 } },
+  { kind: ResourceKind.Route, name: 'notes', spec: { host: 'desk.example', pathPrefix: '/notes/', targets: [{ pool: 'desk' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 2000, ttftTargetMs: 200 } },
   { kind: ResourceKind.Route, name: 'draft', spec: { host: 'desk.example', pathPrefix: '/draft/', targets: [{ model: 'm' }], streaming: true, notRepeatable: true, maxAttempts: 1, deadlineMs: 10_000, ttftTargetMs: 900 } },
   { kind: ResourceKind.Route, name: 'reply', spec: { host: 'desk.example', pathPrefix: '/reply/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 10_000, ttftTargetMs: 900 } },
   { kind: ResourceKind.Route, name: 'outline', spec: { host: 'desk.example', pathPrefix: '/outline/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 3, deadlineMs: 10_000, ttftTargetMs: 900 } },
@@ -286,7 +287,7 @@
   identify?: RunEndsOptions['identify']
 }
 
-/** Creates a relay with scripted upstreams and one route of each of the four kinds, and one with a third attempt. */
+/** Creates a relay with scripted upstreams and one route of each kind, and one with a third attempt. */
 export function createRelay (scripts: Script[], { retryBurst = 20, services = ['s1', 's2', 's3'], computesPrompts = false, configuredAfterMs = 0, onTaskError, admission = NO_ACCOUNTS, probedAddresses = [], delegate, identify }: TestRelayOptions = {}) {
   const clock = new VirtualClock()
   const startedAtMs = clock.nowMs()
--- /dev/null
+++ b/request/relay/test/serviceStreams.ts
@@ -0,0 +1,55 @@
+import test from 'ava'
+import { aborts, createRelay, fails, RecordingCaller, requestTo, streams } from './__utils__/createRelay.js'
+
+const REST = 'id: 5\ndata: f\n\n'
+const TAKEN_UP = { id: 'r2', resumeAfter: '4' }
+
+function resumedAfter ({ upstreams }: ReturnType<typeof createRelay>): (string | undefined)[] {
+  return upstreams.runs.map(({ opts }) => opts.resumeAfter)
+}
+
+// Guards against a stream of a service that begins at its first event again when a client takes it up.
+test('a stream of a service that a client takes up goes on behind the event that the client names', async (t) => {
+  const created = createRelay([streams(REST), streams(REST)])
+  const { clock, relay } = created
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/notes/1', TAKEN_UP), caller))
+  await clock.run(relay.relay(requestTo('/notes/2'), new RecordingCaller()))
+  t.deepEqual(resumedAfter(created), ['4', undefined])
+  t.is(caller.body, REST)
+})
+
+test('a stream of a service that a client takes up goes on behind that event also when it is sent again', async (t) => {
+  const created = createRelay([fails({ mayHaveRun: true }), streams(REST)])
+  const { clock, relay } = created
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/notes/1', TAKEN_UP), caller))
+  t.deepEqual(resumedAfter(created), ['4', '4'])
+  t.is(caller.body, REST)
+})
+
+test('a stream of a service that is run for another box goes on behind the event that the client names', async (t) => {
+  const created = createRelay([streams(REST)])
+  const { clock, relay } = created
+  const caller = new RecordingCaller()
+  await clock.run(relay.relayDelegated(requestTo('/notes/1', TAKEN_UP), caller, { box: 'box-2', elapsedMs: 0, deadlineMs: 2000, urgency: 1, attemptsUsed: 0, onSent: () => {} }))
+  t.deepEqual(resumedAfter(created), ['4'])
+  t.is(caller.body, REST)
+})
+
+test('services receive the last event id of any route as the client sent it', async (t) => {
+  const created = createRelay([streams(REST), streams(REST)])
+  const { clock, relay } = created
+  await clock.run(relay.relay(requestTo('/fetch/1', TAKEN_UP), new RecordingCaller()))
+  await clock.run(relay.relay(requestTo('/status/1', { ...TAKEN_UP, resumeAfter: 'five' }), new RecordingCaller()))
+  t.deepEqual(resumedAfter(created), ['4', 'five'])
+})
+
+test('a stream of a service that breaks off ends visibly for its caller', async (t) => {
+  const { clock, relay, upstreams } = createRelay([aborts(200, [REST, 'id: 6\nda'])])
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/notes/1', TAKEN_UP), caller))
+  t.is(upstreams.runs.length, 1)
+  t.true(caller.body.startsWith(REST))
+  t.false(caller.complete)
+})
