fix(request.relay): incomplete events of many streams no longer fill a box's memory

A report of another operator: an engine sent bytes that were no answer, without end, the machine that had called it kept them and ran out of memory.

Cause: the incomplete event counts in the budget for answers, but the budget could not refuse it. It now says whether so many bytes may be kept (a part in 64 of what is free, and one read of 64 KiB always); without room the bytes are passed on as they arrive, with the same bounds, and the stream can no longer go on elsewhere. Of an answer that is no declared stream 64 KiB are kept. What is kept grows in blocks and not by copying, and counts as allocated. A box that runs a stream for another one keeps a window.

--- a/__utils__/platform-stand-ins/src/flood.ts
+++ b/__utils__/platform-stand-ins/src/flood.ts
@@ -1,4 +1,5 @@
 import { type ServerResponse } from 'node:http'
+import { type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 /** Where an upstream sends bytes that are no answer, without end. */
@@ -24,6 +25,8 @@
   place: FloodPlace
   /** Sends 200 bytes in 30 ms, or else as fast as they are taken. */
   slow?: boolean
+  /** Sends no more than about this many bytes, and leaves the answer open. */
+  stopsAfterBytes?: number
 }
 
 /** An answer without end. */
@@ -40,19 +43,26 @@
 const FAST_BYTES = 65_536
 
 /** Sends an answer without end, past the response's own framing. Resolves once its connection is closed. */
-export async function sendFlood (response: ServerResponse, { place, slow = false }: Flood, { id, firstEvent = 0 }: { id: string, firstEvent?: number }): Promise<void> {
+export async function sendFlood (response: ServerResponse, { place, slow = false, stopsAfterBytes = Number.POSITIVE_INFINITY }: Flood, { id, firstEvent = 0 }: { id: string, firstEvent?: number }): Promise<void> {
   const { socket } = response
   if (!socket) return
   const [head, unit] = textsOf(place, id, firstEvent)
   socket.write(head)
   const piece = unit.repeat(Math.ceil((slow ? SLOW_BYTES : FAST_BYTES) / unit.length))
+  let sentBytes = 0
   while (!socket.destroyed) {
+    if (sentBytes + piece.length > stopsAfterBytes) return closed(socket)
+    sentBytes += piece.length
     const taken = socket.write(piece)
     if (slow) await sleep(SLOW_PAUSE_MS)
     else if (!taken) await drained(response)
   }
 }
 
+async function closed (socket: Socket): Promise<void> {
+  if (!socket.destroyed) await new Promise((resolve) => socket.once('close', resolve))
+}
+
 function drained ({ socket }: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
     const onDone = () => {
--- a/net/byte-budget/src/byteAccount.ts
+++ b/net/byte-budget/src/byteAccount.ts
@@ -4,6 +4,8 @@
 export interface ByteAccountEvents {
   onChanged: (account: ByteAccount, deltaBytes: number) => void
   onAssigned: (account: ByteAccount, clientAccount: string) => void
+  /** Whether the account may hold what it does. */
+  mayHold: (account: ByteAccount) => boolean
   onAttached: (account: ByteAccount) => void
   /** The account has no source any more. */
   onDetached: (account: ByteAccount) => void
@@ -38,6 +40,11 @@
     return this.#queuedBytes + this.#unsentBytes
   }
 
+  /** The bytes of an incomplete event. */
+  get heldBytes (): number {
+    return this.#heldBytes
+  }
+
   get paused (): boolean {
     return this.#paused
   }
@@ -69,11 +76,12 @@
     this.#events.onChanged(this, -bytes)
   }
 
-  hold (bytes: number): void {
-    if (this.#closed || bytes === this.#heldBytes) return
+  hold (bytes: number): boolean {
+    if (this.#closed || bytes === this.#heldBytes) return true
     const deltaBytes = bytes - this.#heldBytes
     this.#heldBytes = bytes
     this.#events.onChanged(this, deltaBytes)
+    return this.#events.mayHold(this)
   }
 
   /** Sets the bytes that were written for the caller and that the operating system has not taken. */
--- a/net/byte-budget/src/byteBudget.ts
+++ b/net/byte-budget/src/byteBudget.ts
@@ -13,6 +13,11 @@
  * at most, so that an account with many slow callers leaves room for the answers of others.
  */
 const ACCOUNT_FACTOR = 2
+/**
+ * Part of the free bytes that one incomplete event may take. Unlike other bytes these do not become fewer when the caller
+ * reads, so that many together must leave room.
+ */
+const HELD_SHARE = 1 / 64
 /** Four equal answers that nobody reads settle at four fifths of the budget. */
 const SHORT_SHARE = 0.75
 /** Well below the other share, so that the state does not alternate with each answer. */
@@ -57,6 +62,7 @@
   open (): ByteAccount {
     return new ByteAccount({
       onChanged: (account, deltaBytes) => this.#adjust(account, deltaBytes),
+      mayHold: ({ heldBytes }) => heldBytes <= Math.max(READ_BYTES, HELD_SHARE * this.#freeBytes),
       onAssigned: (account, clientAccount) => this.#assign(account, clientAccount),
       onAttached: (account) => this.#pauseIfOver(account),
       onDetached: (account) => this.#resume(account),
--- a/net/byte-budget/test/byteBudget.ts
+++ b/net/byte-budget/test/byteBudget.ts
@@ -66,6 +66,18 @@
   t.is(budget.usedBytes, 2 * TOTAL_BYTES)
 })
 
+test('incomplete events together leave room, and one read of each may always be kept', (t) => {
+  const budget = new ByteBudget({ totalBytes: TOTAL_BYTES })
+  const accounts = Array.from({ length: 400 }, () => budget.open())
+  accounts.forEach((account) => {
+    for (let bytes = READ_BYTES; account.hold(bytes) && bytes < TOTAL_BYTES; bytes *= 2);
+    account.hold(account.heldBytes / 2)
+  })
+  t.true(budget.usedBytes < TOTAL_BYTES + accounts.length * READ_BYTES)
+  t.true(budget.open().hold(READ_BYTES))
+  t.false(budget.open().hold(2 * READ_BYTES))
+})
+
 test('in any order of reads and writes, the bytes add up, the budget is exceeded by two reads per answer at most, and an answer whose caller has taken everything is not paused', (t) => {
   const step = fc.record({ answer: fc.nat(7), action: fc.constantFrom('read', 'pass', 'take', 'assign', 'reopen'), bytes: fc.integer({ min: 1, max: READ_BYTES }) })
   fc.assert(fc.property(fc.array(step, { maxLength: 400 }), (steps) => {
--- a/request/delegation/src/windowBuffer.ts
+++ b/request/delegation/src/windowBuffer.ts
@@ -42,7 +42,10 @@
     this.#update()
   }
 
-  hold (): void {}
+  /** What is not kept here is kept, and accounted for, by the delegating box. */
+  hold (bytes: number): boolean {
+    return bytes <= this.#windowBytes
+  }
 
   assignTo (): void {}
 
--- a/request/relay/src/delegatedRelay.ts
+++ b/request/relay/src/delegatedRelay.ts
@@ -10,6 +10,7 @@
 import { listedVersion } from './listedVersion.js'
 import { type RelayContext } from './relayContext.js'
 import { type StreamVersion } from './streamVersion.js'
+import { withinBudget } from './withinBudget.js'
 
 export interface DelegatedRelayOptions {
   /** Upstreams to which this box has sent the request. */
@@ -74,6 +75,7 @@
         run.throwIfEnded()
         if (this.#signal.aborted) throw thrown
         this.#progress.flush()
+        this.#context.caller.buffer?.hold(0)
         const error = toReelspanError(thrown)
         // A delegate that fell silent may have sent the request without being able to say so.
         if (error.verdict === Verdict.MayHaveRun) this.#attemptsUsed = Math.max(this.#attemptsUsed, usedBefore + 1)
@@ -118,6 +120,7 @@
     this.#claim()
     this.#answerEnd?.check()
     const rest = this.#progress.flush()
+    caller.buffer?.hold(0)
     if (route.spec.streaming) times.restBytes = rest.byteLength
     if (route.spec.resumable && rest.byteLength > 0) await caller.write(rest)
     if (route.spec.streaming) times.parts = this.#progress.events
@@ -155,7 +158,7 @@
     const { run, caller, route: { spec } } = this.#context
     this.#answerEnd?.push(bytes)
     this.#readBytes += bytes.byteLength
-    const complete = spec.streaming ? this.#pushEvents(bytes) : bytes
+    const complete = spec.streaming ? withinBudget(caller, this.#progress, this.#pushEvents(bytes), { isEventStream: this.#isEventStream, isAlone: () => !this.#hasOther() }) : bytes
     const passed = spec.resumable ? complete : bytes
     if (complete.byteLength > 0) {
       this.#claim()
--- a/request/relay/src/eventProgress.ts
+++ b/request/relay/src/eventProgress.ts
@@ -48,7 +48,7 @@
     return this.#lastId
   }
 
-  /** Whether an event was too large to be buffered. From then on all bytes are passed on, and the stream can no longer be resumed behind a complete event. */
+  /** Whether an event was too large to be buffered, or was passed on incomplete. From then on all bytes are passed on, and the stream can no longer be resumed behind a complete event. */
   get oversized (): boolean {
     return this.#oversized
   }
@@ -63,14 +63,23 @@
     return this.#incomplete.byteLength
   }
 
+  /** Memory that the buffer takes. */
+  get heldBytes (): number {
+    return this.#incomplete.capacity
+  }
+
   /** Adds received bytes and returns those of complete events. Buffers the bytes of an incomplete event. Throws `AnswerBoundExceeded`. */
   push (bytes: Uint8Array, { bounded = false }: PushOptions = {}): Uint8Array {
-    if (this.#oversized) return bytes
+    if (this.#oversized && !bounded) return bytes
     const { eventEnds, boundary, heartbeat } = this.#scanner.scan(bytes)
     this.#sinceEventBytes = bytes.byteLength - (eventEnds.at(-1) ?? -this.#sinceEventBytes)
     this.#sinceBoundaryBytes = bytes.byteLength - (boundary > 0 ? boundary : -this.#sinceBoundaryBytes)
     this.#isSignOfLife = eventEnds.length > 0 || (heartbeat && this.#sinceEventBytes <= MAX_HEARTBEAT_BYTES)
     if (bounded) this.#checkBounds()
+    if (this.#oversized) {
+      this.#events += eventEnds.length
+      return bytes
+    }
     const complete = this.#takeComplete(bytes, boundary)
     eventEnds.forEach((end, i) => {
       const offset = complete.byteLength - boundary
@@ -82,6 +91,12 @@
     return this.#oversized ? Buffer.concat([complete, this.#incomplete.take()]) : complete
   }
 
+  /** Returns the bytes behind the last complete event, to be passed on although the event is incomplete. */
+  releaseIncomplete (): Uint8Array {
+    this.#oversized = true
+    return this.#incomplete.take()
+  }
+
   /** Ends an answer. Returns the bytes that are buffered behind its last complete event, and clears the buffer. */
   flush (): Uint8Array {
     this.#scanner = new EventScanner()
--- a/request/relay/src/passEvents.ts
+++ b/request/relay/src/passEvents.ts
@@ -4,6 +4,7 @@
 import { isEventStream } from './isEventStream.js'
 import { type AnswerTimes, recordPartTime } from './passAnswer.js'
 import { type RelayContext } from './relayContext.js'
+import { withinBudget } from './withinBudget.js'
 import { type WatchedExchange } from './watchedExchange.js'
 
 const FIRST_ERROR = 400
@@ -45,10 +46,9 @@
       readBytes += bytes.byteLength
       if (answer.status >= FIRST_ERROR && readBytes > MAX_FAILURE_BYTES) throw new AnswerBoundExceeded(AnswerBound.Body, MAX_FAILURE_BYTES)
       const { events } = progress
-      const complete = progress.push(bytes, { bounded })
+      const complete = withinBudget(caller, progress, progress.push(bytes, { bounded }), { isEventStream: bounded, isAlone })
       if (!bounded || progress.isSignOfLife) watched.recordReceived()
-      caller.buffer?.hold(progress.incompleteBytes)
-      const hasEvents = bounded ? progress.events > events : complete.byteLength > 0
+      const hasEvents = bounded ? progress.events > events || progress.oversized : complete.byteLength > 0
       if (hasEvents) {
         claim()
         recordPartTime(times, run.elapsedMs)
--- a/upstream/client/src/answerBuffer.ts
+++ b/upstream/client/src/answerBuffer.ts
@@ -14,8 +14,11 @@
   abstract charge (bytes: number): void
   abstract release (bytes: number): void
 
-  /** Sets the size of the incomplete event that is kept. It never pauses a source, since only further bytes complete the event. */
-  abstract hold (bytes: number): void
+  /**
+   * Sets the size of the incomplete event that is kept. It never pauses a source, since only further bytes complete the
+   * event. Returns whether so many bytes may be kept.
+   */
+  abstract hold (bytes: number): boolean
 
   /** Counts the bytes as those of a client account, which shares the budget with others. */
   abstract assignTo (clientAccount: string): void
