fix(request.stream-origins): a box that is out of step does not believe the engines that it lists

A report of another operator: during a release one machine was cut off from the others, or stood still, for a few seconds while engines of a new software version joined; streams that had begun there through other machines were taken up at it and went on at an engine of another version.

What engines tell does: a box that knew no better asked the engines that it lists, and one of the old version that had run an earlier request of the session counted as one that had run the stream.

Cause: the engines' word was enough, although those that the box does not list were not asked.

--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -184,7 +184,7 @@
     const allKnown = [...known, ...fromOthers]
     const foundAtBoxes = agreedVersion(allKnown) ?? this.#concludeFromList(allKnown, peers.length, bounded)
     if (foundAtBoxes) return foundAtBoxes
-    return this.#concludeFromRuns(allKnown, testimony, bounded) ?? { ...this.#unknown(allKnown, peers.length, bounded), testimony }
+    return this.#concludeFromRuns(allKnown, peers.length, testimony, bounded) ?? { ...this.#unknown(allKnown, peers.length, bounded), testimony }
   }
 
   async #ask (peers: readonly Member[], { attempt, model, maxAgeMs }: BoundedQuery, signal: AbortSignal): Promise<Knowledge[]> {
@@ -214,15 +214,23 @@
     const own = this.#know(query)
     const all = [own, ...known]
     const versions = new Set(all.flatMap((one) => one.versions))
-    const isConfirmed = own.coveredMs > 0 && (askedCount === 0 || 2 * known.length > askedCount)
     if (query.mayBeOfOtherModel || all.some(({ isOfOtherModel }) => isOfOtherModel) || this.#mayBeOlder(known, query)) return undefined
+    const isConfirmed = own.coveredMs > 0 && (askedCount === 0 || 2 * known.length > askedCount)
     if (!isConfirmed || versions.size !== 1 || !all.some(({ coveredMs }) => coveredMs >= query.maxAgeMs)) return undefined
     return { version: [...versions][0], source: OriginSource.List, knownBy: known.map(({ box }) => box) }
   }
 
-  /** The only version of which engines have run the stream, as reported before to any box or just now to this one. */
-  #concludeFromRuns (known: readonly Knowledge[], testimony: Testimony | undefined, query: BoundedQuery): FoundOrigin | undefined {
-    const seen = [this.#know(query), ...known].flatMap(({ ranAt = [] }) => ranAt)
+  /**
+   * The only version of which engines have run the stream, as reported before to any box or just now to this one. Those
+   * that this box does not list were not asked, so its list has to have all versions that others know.
+   */
+  #concludeFromRuns (known: readonly Knowledge[], askedCount: number, testimony: Testimony | undefined, query: BoundedQuery): FoundOrigin | undefined {
+    const own = this.#know(query)
+    const isComplete = known.every(({ versions }) => versions.every((version) => own.versions.includes(version)))
+    // One lost box of three must not hide what engines tell, so this one counts too.
+    const isInTouch = own.coveredMs > 0 && 2 * (known.length + 1) > askedCount + 1
+    if (!isInTouch || !isComplete) return undefined
+    const seen = [own, ...known].flatMap(({ ranAt = [] }) => ranAt)
     const versions = new Set([...seen, ...testimony?.versions ?? []])
     if (versions.size !== 1 || testimony?.isContested || !mayGoOn(known)) return undefined
     return { version: [...versions][0], source: OriginSource.Engines, knownBy: testimony?.witnesses ?? [] }
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -27,10 +27,12 @@
   versions?: readonly string[]
   /** Time since the boxes got their first list. */
   coveredMs?: number
+  /** Versions of the engines that have generated something for the stream. */
+  generatedAt?: string[]
 }
 
 /** Boxes in three zones on a fake network, each with an own list. */
-async function createBoxes ({ count = 8, versions = ['v1', 'v2'], coveredMs = 0 }: BoxesOptions = {}) {
+async function createBoxes ({ count = 8, versions = ['v1', 'v2'], coveredMs = 0, generatedAt }: BoxesOptions = {}) {
   const clock = new VirtualClock()
   const network = new FakeNetwork({ clock, random: new SeededRandom(1) })
   const members = Array.from({ length: count }, (_, i) => memberOf(i, 'abc'[i % 3]))
@@ -47,6 +49,7 @@
       fleet: () => state.fleet,
       poolsOfModels: () => new Map([[MODEL, ['p', 'd']]]),
       sinceContactMs: () => state.sinceContactMs,
+      witnesses: generatedAt && { find: async () => ({ versions: generatedAt, isContested: false, witnesses: ['d0'], unanswered: [], asked: 1 }) },
     })
     link.serve({
       onCall: async (message) => {
@@ -251,3 +254,29 @@
   boxes[5].origins.observeRuns('d1', [{ requestId: 'a1', events: 2 }])
   t.false('version' in await find(1))
 })
+
+// Guards against streams of two versions at a box that was out of step while engines of the second one joined: those that it lists may have run an earlier request of the session.
+test('a box that cannot reach the others does not believe the engines that it lists', async (t) => {
+  const { network, boxes, find } = await createBoxes({ versions: ['v1'], generatedAt: ['v1'] })
+  boxes.slice(1).forEach(({ address, list }) => {
+    network.blockBoth(boxes[0].address, address)
+    list(['v1', 'v2'])
+  })
+  const found = await find(0)
+  t.false('version' in found)
+  t.true('retryAfterMs' in found && found.retryAfterMs !== undefined)
+})
+
+test('a box whose list lacks a version that others know does not believe the engines that it lists', async (t) => {
+  const { boxes, find } = await createBoxes({ versions: ['v1'], generatedAt: ['v1'] })
+  boxes.slice(1).forEach(({ list }) => list(['v1', 'v2']))
+  t.false('version' in await find(0))
+  t.like(await find(1), { version: 'v1', source: OriginSource.Engines })
+})
+
+test('a box whose list is not confirmed does not believe the engines that it lists', async (t) => {
+  const { boxes, find } = await createBoxes({ generatedAt: ['v1'] })
+  boxes[1].state.sinceContactMs = 60_000
+  t.false('version' in await find(1))
+  t.like(await find(0), { version: 'v1', source: OriginSource.Engines })
+})
