fix(request.stream-origins): streams are recognized by their content where clients do not name the attempt

Cause: boxes remember a stream under the id of the attempt that began it. Clients need not name that, so while two versions were listed every such take-up was left to what engines had cached, and an engine that had run an earlier request of the session testified to its own version.

A stream is now also remembered, and told to holders, under the hash of what its upstream receives. Streams of one content share the entry; if they began at different versions none is taken up, whatever engines tell. Most boxes have to have answered, since another one may know a further stream.

--- a/request/relay/src/streamVersion.ts
+++ b/request/relay/src/streamVersion.ts
@@ -25,12 +25,13 @@
 
   /** Finds out which version began a stream that the client takes up. Throws `ERR_REELSPAN_STREAM_ORIGIN_UNKNOWN` if nobody knows. */
   async find (): Promise<void> {
-    const { opts, run, request, route, callerDeadlineMs, logDecision } = this.#context
+    const { opts, run, request, identity, route, callerDeadlineMs, logDecision } = this.#context
     if (route.spec.resumable && callerDeadlineMs !== undefined && request.resumeAfter === undefined) opts.origins.deadlines.observe(this.#model, callerDeadlineMs)
     this.#fixed = request.softwareVersion
     if (this.#fixed !== undefined || request.resumeAfter === undefined) return
     const found = await opts.origins.find({
       attempt: request.resumesAttempt,
+      content: identity().content,
       model: this.#model,
       ownPart: ownPartOf(request),
       mayBeOfOtherModel: (route.spec.targets?.length ?? 0) > 1,
@@ -47,12 +48,13 @@
 
   /** Called before a complete event of an upstream is passed on: its version goes on with the stream from then on. */
   begin (version: string): void {
-    const { opts, request, route } = this.#context
+    const { opts, request, identity, route } = this.#context
     this.#fixed ??= version
     if (!route.spec.resumable) return
     const keepMs = this.#callerRemainingMs === undefined ? this.#longestKeepMs : Math.max(0, this.#callerRemainingMs) + KEEP_MARGIN_MS
-    const attempts = [request.id, ...request.resumesAttempt === undefined ? [] : [request.resumesAttempt]]
-    attempts.forEach((attempt) => opts.origins.record({ attempt, model: this.#model, version, keepMs }))
+    const began = { model: this.#model, version, keepMs }
+    opts.origins.record({ ...began, attempt: request.id, content: identity().content })
+    if (request.resumesAttempt !== undefined) opts.origins.record({ ...began, attempt: request.resumesAttempt })
   }
 
   /** Whether an upstream, by name, may go on with the stream. */
--- a/request/stream-origins/src/originRecords.ts
+++ b/request/stream-origins/src/originRecords.ts
@@ -1,5 +1,6 @@
 import { type Clock } from '@reelspan/core.env'
 import { type StreamOrigin } from '@reelspan/core.messages'
+import { isContentKey } from './contentKey.js'
 
 interface KeptOrigin extends StreamOrigin {
   expiresAtMs: number
@@ -11,8 +12,8 @@
 /** The streams that this box knows the origins of, each until its client no longer takes it up. */
 export class OriginRecords {
   readonly #clock: Clock
-  /** By the attempt that began the stream, the oldest first. */
-  readonly #origins = new Map<string, KeptOrigin>()
+  /** By the attempt that began the stream, the oldest first. Several streams may share the key of their content. */
+  readonly #origins = new Map<string, readonly KeptOrigin[]>()
 
   constructor ({ clock }: { clock: Clock }) {
     this.#clock = clock
@@ -22,39 +23,52 @@
     return this.#origins.size
   }
 
-  /** Adds an origin, or keeps a known one for longer. The version that was recorded first stands. */
+  /** Adds an origin, or keeps a known one for longer. The version that was recorded first stands for an attempt; streams that share a key may have begun at several. */
   add (origin: StreamOrigin): void {
-    const known = this.#origins.get(origin.attempt)
-    this.#origins.delete(origin.attempt)
+    const { attempt, model, version, keepMs } = origin
+    const kept = this.#origins.get(attempt) ?? []
+    const live = this.#liveOf(attempt)
+    const same = isContentKey(attempt) ? live.find((one) => one.model === model && one.version === version) : live[0]
+    const before = isContentKey(attempt) ? same : kept[0]
     const nowMs = this.#clock.nowMs()
-    const expiresAtMs = Math.max(known?.expiresAtMs ?? 0, nowMs + origin.keepMs)
-    this.#origins.set(origin.attempt, { ...known && known.expiresAtMs > nowMs ? known : origin, expiresAtMs })
+    const expiresAtMs = Math.max(before?.expiresAtMs ?? 0, nowMs + keepMs)
+    this.#origins.delete(attempt)
+    this.#origins.set(attempt, [...live.filter((one) => one !== same), { ...same ?? origin, expiresAtMs }])
     this.#dropOldest(nowMs)
   }
 
-  /** The version that began a stream of a model; undefined if it is not known here. */
+  /** The version that began a stream of a model; undefined if it is not known here, or several streams of this key began at different ones. */
   versionOf (attempt: string, model: string): string | undefined {
-    const origin = this.#origins.get(attempt)
-    return origin && origin.model === model && origin.expiresAtMs > this.#clock.nowMs() ? origin.version : undefined
+    const versions = this.versionsOf(attempt, model)
+    return versions.length === 1 && !this.isOfOtherModel(attempt, model) ? versions[0] : undefined
+  }
+
+  /** The versions that began streams of a model with this key. */
+  versionsOf (attempt: string, model: string): string[] {
+    return this.#liveOf(attempt).filter((origin) => origin.model === model).map(({ version }) => version)
   }
 
   /** Whether a stream began at another model, to which its route may have led then. */
   isOfOtherModel (attempt: string, model: string): boolean {
-    const origin = this.#origins.get(attempt)
-    return origin !== undefined && origin.model !== model && origin.expiresAtMs > this.#clock.nowMs()
+    return this.#liveOf(attempt).some((origin) => origin.model !== model)
   }
 
   /** All origins of a model's streams, with the time left for each. */
   ofModel (model: string): StreamOrigin[] {
     const nowMs = this.#clock.nowMs()
-    return [...this.#origins.values()]
+    return [...this.#origins.values()].flat()
       .filter((origin) => origin.model === model && origin.expiresAtMs > nowMs)
       .map(({ expiresAtMs, ...origin }) => ({ ...origin, keepMs: expiresAtMs - nowMs }))
   }
 
+  #liveOf (attempt: string): readonly KeptOrigin[] {
+    const nowMs = this.#clock.nowMs()
+    return (this.#origins.get(attempt) ?? []).filter(({ expiresAtMs }) => expiresAtMs > nowMs)
+  }
+
   #dropOldest (nowMs: number): void {
-    for (const [attempt, { expiresAtMs }] of this.#origins) {
-      if (expiresAtMs > nowMs && this.#origins.size <= MAX_RECORDS) return
+    for (const [attempt, origins] of this.#origins) {
+      if (origins.some(({ expiresAtMs }) => expiresAtMs > nowMs) && this.#origins.size <= MAX_RECORDS) return
       this.#origins.delete(attempt)
     }
   }
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -5,6 +5,7 @@
 import { type Metrics } from '@reelspan/telemetry.metrics'
 import { type CachedPart, type EngineRun } from '@reelspan/upstream.client'
 import { CallerDeadlines } from './callerDeadlines.js'
+import { contentKey, isContentKey } from './contentKey.js'
 import { type EngineWitnesses, type Testimony } from './engineWitnesses.js'
 import { OriginRecords } from './originRecords.js'
 import { RunSightings } from './runSightings.js'
@@ -29,10 +30,18 @@
   onTaskError?: TaskErrorListener
 }
 
+/** A stream that has begun, or gone on, at this box. */
+export interface BegunStream extends StreamOrigin {
+  /** Hash of what its upstream receives, which the request shares with its client's other attempts. */
+  content?: string
+}
+
 /** A stream that a client takes up. */
 export interface OriginQuery {
   /** The attempt that brought its first event, if the client named it. */
   attempt?: string
+  /** Hash of what its upstream receives; tells which stream it is if the client did not name the attempt. */
+  content?: string
   model: string
   /** The part of its prompt that no other request shares. */
   ownPart?: CachedPart
@@ -71,7 +80,7 @@
 }
 
 /** A query whose client has waited for a time of which the upper bound is known. */
-interface BoundedQuery extends OriginQuery {
+interface BoundedQuery extends Omit<OriginQuery, 'content'> {
   maxAgeMs: number
 }
 
@@ -121,10 +130,11 @@
   }
 
   /** Remembers which version began a stream, or went on with it, right before its first event is passed on. */
-  record (origin: StreamOrigin): void {
+  record ({ content, ...origin }: BegunStream): void {
+    const origins = [origin, ...content === undefined ? [] : [{ ...origin, attempt: contentKey(content) }]]
     this.#keepMs = Math.max(this.#keepMs, origin.keepMs)
-    this.#records.add(origin)
-    if (this.#isMixed(origin.model) || !this.#isCovered(origin)) this.#announce([origin])
+    origins.forEach((one) => this.#records.add(one))
+    if (this.#isMixed(origin.model) || !this.#isCovered(origin)) this.#announce(origins)
   }
 
   /** Must be called with each change of the list. Sends the origins of all streams to other boxes when a second version is listed. */
@@ -154,7 +164,8 @@
   }
 
   /** Finds out which version began a stream. */
-  async find (query: OriginQuery, signal: AbortSignal): Promise<FoundOrigin | UnknownOrigin> {
+  async find ({ content, ...named }: OriginQuery, signal: AbortSignal): Promise<FoundOrigin | UnknownOrigin> {
+    const query = { ...named, attempt: named.attempt ?? (content === undefined ? undefined : contentKey(content)) }
     const found = await this.#find(query, signal)
     if ('version' in found && found.source === OriginSource.Engines) this.#keep(found, query)
     this.#opts.metrics.count('reelspan_streams_taken_up_total', { origin: 'version' in found ? found.source : 'unknown' })
@@ -173,16 +184,17 @@
   async #find (query: OriginQuery, signal: AbortSignal): Promise<FoundOrigin | UnknownOrigin> {
     const { attempt, model } = query
     const own = attempt === undefined ? undefined : this.#records.versionOf(attempt, model)
-    if (own !== undefined) return { version: own, source: OriginSource.Own, knownBy: [] }
+    // Another stream of the same content may have begun elsewhere.
+    if (own !== undefined && !isContentKey(attempt as string)) return { version: own, source: OriginSource.Own, knownBy: [] }
     const bounded = { ...query, maxAgeMs: maxAgeOf(query) }
     const peers = this.#ranked(attempt ?? model, this.#opts.members()).slice(0, MAX_ASKED)
     const asked = peers.slice(0, ASKED_HOLDERS)
     const known = await this.#ask(asked, bounded, signal)
-    const fromHolders = agreedVersion(known) ?? this.#concludeFromList(known, asked.length, bounded)
+    const fromHolders = this.#agreedVersion(known, asked.length, bounded) ?? this.#concludeFromList(known, asked.length, bounded)
     if (fromHolders) return fromHolders
     const [fromOthers, testimony] = await Promise.all([this.#ask(peers.slice(ASKED_HOLDERS), bounded, signal), this.#opts.witnesses?.find(query)])
     const allKnown = [...known, ...fromOthers]
-    const foundAtBoxes = agreedVersion(allKnown) ?? this.#concludeFromList(allKnown, peers.length, bounded)
+    const foundAtBoxes = this.#agreedVersion(allKnown, peers.length, bounded) ?? this.#concludeFromList(allKnown, peers.length, bounded)
     if (foundAtBoxes) return foundAtBoxes
     return this.#concludeFromRuns(allKnown, peers.length, testimony, bounded) ?? { ...this.#unknown(allKnown, peers.length, bounded), testimony }
   }
@@ -201,7 +213,7 @@
     const sinceContactMs = this.#opts.sinceContactMs() ?? Number.POSITIVE_INFINITY
     return {
       version: attempt === undefined ? undefined : this.#records.versionOf(attempt, model),
-      ranAt: attempt === undefined ? undefined : this.#sightings.versionsOf(attempt, this.deadlines.longestMs(model)),
+      ranAt: attempt === undefined ? undefined : [...this.#sightings.versionsOf(attempt, this.deadlines.longestMs(model)), ...isContentKey(attempt) ? this.#records.versionsOf(attempt, model) : []],
       isOfOtherModel: (attempt !== undefined && this.#records.isOfOtherModel(attempt, model)) || undefined,
       versions: this.#versionsOf(model, maxAgeMs),
       coveredMs: sinceContactMs <= MAX_CONTACT_AGE_MS ? this.#history.coveredMs : 0,
@@ -209,6 +221,17 @@
     }
   }
 
+  /** The version that boxes remember. Those that know several streams of a content count with all of their versions. */
+  #agreedVersion (known: readonly Knowledge[], askedCount: number, query: BoundedQuery): FoundOrigin | undefined {
+    if (query.attempt === undefined || !isContentKey(query.attempt)) return agreedVersion(known)
+    const own = this.#know(query)
+    const all = [own, ...known]
+    const versions = new Set(all.flatMap(({ ranAt = [] }) => ranAt))
+    if (versions.size !== 1 || !mayGoOnAtModel(all) || !isMajority(known, askedCount)) return undefined
+    const knownBy = known.filter(({ version }) => version !== undefined).map(({ box }) => box)
+    return { version: [...versions][0], source: own.version === undefined ? OriginSource.Peers : OriginSource.Own, knownBy }
+  }
+
   /** The only version that there was since the stream began at the earliest, if this box and most of those asked know that. */
   #concludeFromList (known: readonly Knowledge[], askedCount: number, query: BoundedQuery): FoundOrigin | undefined {
     const own = this.#know(query)
@@ -227,9 +250,7 @@
   #concludeFromRuns (known: readonly Knowledge[], askedCount: number, testimony: Testimony | undefined, query: BoundedQuery): FoundOrigin | undefined {
     const own = this.#know(query)
     const isComplete = known.every(({ versions }) => versions.every((version) => own.versions.includes(version)))
-    // One lost box of three must not hide what engines tell, so this one counts too.
-    const isInTouch = own.coveredMs > 0 && 2 * (known.length + 1) > askedCount + 1
-    if (!isInTouch || !isComplete) return undefined
+    if (own.coveredMs === 0 || !isMajority(known, askedCount) || !isComplete) return undefined
     const seen = [own, ...known].flatMap(({ ranAt = [] }) => ranAt)
     const versions = new Set([...seen, ...testimony?.versions ?? []])
     if (versions.size !== 1 || testimony?.isContested || !mayGoOn(known)) return undefined
@@ -318,7 +339,16 @@
 
 /** Whether no box knows anything against going on with a stream at all. */
 function mayGoOn (known: readonly Knowledge[]): boolean {
-  return known.every(({ version, isOfOtherModel }) => version === undefined && !isOfOtherModel)
+  return mayGoOnAtModel(known) && known.every(({ version }) => version === undefined)
+}
+
+function mayGoOnAtModel (known: readonly Pick<Knowledge, 'isOfOtherModel'>[]): boolean {
+  return known.every(({ isOfOtherModel }) => !isOfOtherModel)
+}
+
+/** Whether most boxes, this one included, have answered. One lost box of three must not hide what is known. */
+function isMajority (known: readonly Knowledge[], askedCount: number): boolean {
+  return 2 * (known.length + 1) > askedCount + 1
 }
 
 function agreedVersion (known: readonly Knowledge[]): FoundOrigin | undefined {
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -280,3 +280,37 @@
   t.false('version' in await find(1))
   t.like(await find(0), { version: 'v1', source: OriginSource.Engines })
 })
+
+const CONTENT = 'Zm9vYmFyYmF6'
+const UNNAMED = { content: CONTENT, model: MODEL, keepMs: KEEP_MS }
+
+test('a stream whose client does not name the attempt is known by its content, also after the box that served it has gone', async (t) => {
+  const { clock, network, boxes, find } = await createBoxes()
+  boxes[0].origins.record({ ...ORIGIN, content: CONTENT })
+  await clock.advance(TOLD_MS)
+  network.kill(boxes[0].address)
+  for (const box of [1, 2, 3, 4, 5, 6, 7]) t.like(await find(box, UNNAMED), { version: 'v1' }, `at box ${box}`)
+  await clock.advance(KEEP_MS)
+  t.false('version' in await find(1, UNNAMED))
+})
+
+// Guards against a stream that goes on at the version of an earlier request of its session, whose engine has gone.
+test('a stream is not taken up while another one of the same content began at another version, whatever engines tell', async (t) => {
+  const { clock, boxes, find } = await createBoxes({ generatedAt: ['v1'] })
+  boxes[0].origins.record({ ...ORIGIN, content: CONTENT })
+  await clock.advance(KEEP_MS / 2)
+  boxes[1].origins.record({ ...ORIGIN, attempt: 'a2', version: 'v2', content: CONTENT })
+  await clock.advance(TOLD_MS)
+  for (const box of [0, 1, 2, 3, 4, 5, 6, 7]) t.false('version' in await find(box, UNNAMED), `at box ${box}`)
+  t.like(await find(3), { version: 'v1' }, 'a named attempt')
+  await clock.advance(KEEP_MS / 2)
+  t.like(await find(3, UNNAMED), { version: 'v2' }, 'the earlier stream is no longer taken up')
+})
+
+test('a box that cannot reach the others does not go on with a stream by its content', async (t) => {
+  const { network, boxes, find } = await createBoxes({ versions: ['v1'] })
+  boxes[0].origins.record({ ...ORIGIN, content: CONTENT })
+  t.like(await find(0, UNNAMED), { version: 'v1', source: OriginSource.Own })
+  boxes.slice(1).forEach(({ address }) => network.blockBoth(boxes[0].address, address))
+  t.false('version' in await find(0, UNNAMED))
+})
