fix(request.stream-origins): a route that was moved is remembered for as long as clients take streams up

Cause: the version that began a stream was concluded from the list of the model to which its route leads now. Only the killed box knew that the stream began at another one, but every box knew that the route had led elsewhere.

Boxes remember where routes of resumable streams led, and say so when they are asked about a stream: nothing is then concluded from the list.

--- a/box/runtime/src/createRequestParts.ts
+++ b/box/runtime/src/createRequestParts.ts
@@ -116,6 +116,8 @@
     takingWork: () => view.takingWork(),
     fleet: () => fleet.value,
     poolsOfModels,
+    routes: () => declarations.value.routes().flatMap(({ spec: { host, pathPrefix, targets, streaming, resumable } }) =>
+      streaming && resumable && host !== undefined && pathPrefix !== undefined ? [{ host: host.toLowerCase(), pathPrefix, targets: (targets ?? []).map(({ model, pool }) => model ?? pool as string) }] : []),
     witnesses: new EngineWitnesses({
       clock,
       fleet: () => fleet.value,
--- a/box/runtime/src/reconciler.ts
+++ b/box/runtime/src/reconciler.ts
@@ -111,6 +111,7 @@
       const adopted = collection === Collection.Fleet ? storeRevisionOf(store.revision) : { revision: store.revision }
       log.info(LogEvent.RevisionAdopted, { collection, ...adopted, box: view.self.name })
       if (collection === Collection.Fleet) this.#onListAdopted(store.revision)
+      else this.#parts.streamOrigins.onDeclarationsChanged()
       this.#reconcile()
       this.#tasks.run(() => prober.announceRevisionsSoon())
     }
--- a/core/messages/src/peerMessage.ts
+++ b/core/messages/src/peerMessage.ts
@@ -282,6 +282,9 @@
     /** The attempt that brought its first event, if the client named it. */
     attempt: z.string().optional(),
     model: z.string(),
+    /** Host and path of the request, which chose its route. Omitted by earlier builds. */
+    host: z.string().optional(),
+    path: z.string().optional(),
     /** How far back versions of the model's engines count. */
     withinMs: durationMs,
   }),
@@ -296,6 +299,8 @@
     ranAt: z.array(z.string()).optional(),
     /** Whether the sender knows that the stream began at another model. */
     isOfOtherModel: z.boolean().optional(),
+    /** Whether the request may have led to another model in that time. */
+    mayHaveLedElsewhere: z.boolean().optional(),
     /** The longest deadline of a caller of the model that the sender has observed. Omitted by earlier builds. */
     longestDeadlineMs: durationMs.optional(),
   }),
--- a/request/relay/src/streamVersion.ts
+++ b/request/relay/src/streamVersion.ts
@@ -3,6 +3,7 @@
 import { type CachedPart, type RelayedRequest } from '@reelspan/upstream.client'
 import { listedVersion } from './listedVersion.js'
 import { type RelayContext } from './relayContext.js'
+import { routedPathOf } from './routedPathOf.js'
 
 /** Added to the deadline of a client, after which it no longer takes its stream up. */
 const KEEP_MARGIN_MS = 1000
@@ -33,6 +34,7 @@
       attempt: request.resumesAttempt,
       content: identity().content,
       model: this.#model,
+      routed: routedPathOf(request),
       ownPart: ownPartOf(request),
       mayBeOfOtherModel: (route.spec.targets?.length ?? 0) > 1,
       keepMs: this.#longestKeepMs,
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -8,6 +8,7 @@
 import { contentKey, isContentKey } from './contentKey.js'
 import { type EngineWitnesses, type Testimony } from './engineWitnesses.js'
 import { OriginRecords } from './originRecords.js'
+import { type RoutedPath, RouteTargets, type StreamRoute } from './routeTargets.js'
 import { RunSightings } from './runSightings.js'
 import { VersionHistory } from './versionHistory.js'
 
@@ -23,6 +24,8 @@
   fleet: () => FleetList
   /** The pools of each model. */
   poolsOfModels: () => ReadonlyMap<string, readonly string[]>
+  /** The routes of streams that may be taken up. */
+  routes?: () => readonly StreamRoute[]
   /** Time since any box last had contact with the platform, as far as this box knows. */
   sinceContactMs: () => number | undefined
   /** Asked about streams that no box knows. */
@@ -43,6 +46,8 @@
   /** Hash of what its upstream receives; tells which stream it is if the client did not name the attempt. */
   content?: string
   model: string
+  /** What chose its route. */
+  routed?: RoutedPath
   /** The part of its prompt that no other request shares. */
   ownPart?: CachedPart
   /** Whether its route may have led to another model when the stream began. */
@@ -109,6 +114,7 @@
   readonly #records: OriginRecords
   readonly #sightings: RunSightings
   readonly #history: VersionHistory
+  readonly #routeTargets: RouteTargets
   readonly #tasks: TaskGroup
   /** Models of which more than one version was known at the last list. */
   #mixedModels: ReadonlySet<string> = new Set()
@@ -122,6 +128,7 @@
     this.#records = new OriginRecords(opts)
     this.#sightings = new RunSightings(opts)
     this.#history = new VersionHistory(opts)
+    this.#routeTargets = new RouteTargets(opts)
     this.#tasks = new TaskGroup(opts.clock, opts.onTaskError)
   }
 
@@ -147,6 +154,16 @@
     newlyMixed.forEach((model) => this.#announce(this.#records.ofModel(model)))
   }
 
+  /** Must be called with each change of the declarations. */
+  onDeclarationsChanged (): void {
+    this.#routeTargets.observe(this.#opts.routes?.() ?? [])
+  }
+
+  /** Whether a request may have led to another model or pool within the given time, as far as this box knows. */
+  mayHaveLedElsewhere (routed: RoutedPath, target: string, withinMs: number): boolean {
+    return this.#routeTargets.mayHaveLedElsewhere(routed, target, withinMs)
+  }
+
   /** Origins that another box has sent. */
   receive (origins: readonly StreamOrigin[]): void {
     origins.forEach((origin) => this.#records.add(origin))
@@ -159,8 +176,9 @@
   }
 
   /** What this box knows of a stream. */
-  answer ({ attempt, model, withinMs }: MessageOf<MessageType.StreamOriginPull>): MessageOf<MessageType.StreamOriginContent> {
-    return { type: MessageType.StreamOriginContent, ...this.#know({ attempt, model, maxAgeMs: withinMs }) }
+  answer ({ attempt, model, host, path, withinMs }: MessageOf<MessageType.StreamOriginPull>): MessageOf<MessageType.StreamOriginContent> {
+    const routed = host === undefined || path === undefined ? undefined : { host, path }
+    return { type: MessageType.StreamOriginContent, ...this.#know({ attempt, model, routed, maxAgeMs: withinMs }) }
   }
 
   /** Finds out which version began a stream. */
@@ -199,22 +217,23 @@
     return this.#concludeFromRuns(allKnown, peers.length, testimony, bounded) ?? { ...this.#unknown(allKnown, peers.length, bounded), testimony }
   }
 
-  async #ask (peers: readonly Member[], { attempt, model, maxAgeMs }: BoundedQuery, signal: AbortSignal): Promise<Knowledge[]> {
+  async #ask (peers: readonly Member[], { attempt, model, routed, maxAgeMs }: BoundedQuery, signal: AbortSignal): Promise<Knowledge[]> {
     const { link } = this.#opts
     const answers = await Promise.all(peers.map(async ({ name, peerAddress }): Promise<Knowledge[]> => {
       // The link logs a failure.
-      const answer = await link.call(peerAddress, { type: MessageType.StreamOriginPull, attempt, model, withinMs: maxAgeMs }, { timeoutMs: ASK_TIMEOUT_MS, repeatable: true, signal }).catch(() => undefined)
+      const answer = await link.call(peerAddress, { type: MessageType.StreamOriginPull, attempt, model, ...routed, withinMs: maxAgeMs }, { timeoutMs: ASK_TIMEOUT_MS, repeatable: true, signal }).catch(() => undefined)
       return answer?.type === MessageType.StreamOriginContent ? [{ ...answer, box: name }] : []
     }))
     return answers.flat()
   }
 
-  #know ({ attempt, model, maxAgeMs }: Pick<BoundedQuery, 'attempt' | 'model' | 'maxAgeMs'>): Omit<Knowledge, 'box'> {
+  #know ({ attempt, model, routed, maxAgeMs }: Pick<BoundedQuery, 'attempt' | 'model' | 'routed' | 'maxAgeMs'>): Omit<Knowledge, 'box'> {
     const sinceContactMs = this.#opts.sinceContactMs() ?? Number.POSITIVE_INFINITY
     return {
       version: attempt === undefined ? undefined : this.#records.versionOf(attempt, model),
       ranAt: attempt === undefined ? undefined : [...this.#sightings.versionsOf(attempt, this.deadlines.longestMs(model)), ...isContentKey(attempt) ? this.#records.versionsOf(attempt, model) : []],
       isOfOtherModel: (attempt !== undefined && this.#records.isOfOtherModel(attempt, model)) || undefined,
+      mayHaveLedElsewhere: (routed && this.mayHaveLedElsewhere(routed, model, maxAgeMs)) || undefined,
       versions: this.#versionsOf(model, maxAgeMs),
       coveredMs: sinceContactMs <= MAX_CONTACT_AGE_MS ? this.#history.coveredMs : 0,
       longestDeadlineMs: this.deadlines.observedMs(model),
@@ -237,7 +256,7 @@
     const own = this.#know(query)
     const all = [own, ...known]
     const versions = new Set(all.flatMap((one) => one.versions))
-    if (query.mayBeOfOtherModel || all.some(({ isOfOtherModel }) => isOfOtherModel) || this.#mayBeOlder(known, query)) return undefined
+    if (query.mayBeOfOtherModel || all.some(({ isOfOtherModel, mayHaveLedElsewhere }) => isOfOtherModel || mayHaveLedElsewhere) || this.#mayBeOlder(known, query)) return undefined
     const isConfirmed = own.coveredMs > 0 && (askedCount === 0 || 2 * known.length > askedCount)
     if (!isConfirmed || versions.size !== 1 || !all.some(({ coveredMs }) => coveredMs >= query.maxAgeMs)) return undefined
     return { version: [...versions][0], source: OriginSource.List, knownBy: known.map(({ box }) => box) }
@@ -281,7 +300,7 @@
    * stream of a client that says how much longer it waits grows as much older as the list grows longer.
    */
   #conclusiveInMs (all: readonly Omit<Knowledge, 'box'>[], { mayBeOfOtherModel, maxAgeMs, remainingMs }: BoundedQuery): number | undefined {
-    const hasOneVersion = new Set(all.flatMap(({ versions }) => versions)).size === 1
+    const hasOneVersion = new Set(all.flatMap(({ versions }) => versions)).size === 1 && !all.some(({ mayHaveLedElsewhere }) => mayHaveLedElsewhere)
     const missingMs = maxAgeMs - Math.max(...all.map(({ coveredMs }) => coveredMs))
     return hasOneVersion && !mayBeOfOtherModel && remainingMs === undefined ? Math.max(missingMs, RETRY_AFTER_MS) : undefined
   }
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -1,6 +1,6 @@
 import { FleetList, type ListedUpstream, UpstreamKind } from '@reelspan/config.fleet'
 import { type Member, MemberHealth, MessageType, type StreamOrigin } from '@reelspan/core.messages'
-import { type OriginQuery, OriginRecords, OriginSource, StreamOrigins, VersionHistory } from '@reelspan/request.stream-origins'
+import { type OriginQuery, OriginRecords, OriginSource, RouteTargets, StreamOrigins, VersionHistory } from '@reelspan/request.stream-origins'
 import { Metrics } from '@reelspan/telemetry.metrics'
 import { FakeNetwork, LinkFault, SeededRandom, VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -11,6 +11,7 @@
 const ASSUMED_DEADLINE_MS = 60_000
 const QUERY = { attempt: 'a1', model: MODEL, keepMs: KEEP_MS }
 const ORIGIN: StreamOrigin = { attempt: 'a1', model: MODEL, version: 'v1', keepMs: KEEP_MS }
+const ROUTED = { host: 'drafts.example', path: '/reply/1' }
 /** Longer than beginnings are collected and on their way. */
 const TOLD_MS = 100
 
@@ -27,17 +28,19 @@
   versions?: readonly string[]
   /** Time since the boxes got their first list. */
   coveredMs?: number
+  /** The model to which the route of the stream leads. */
+  target?: string
   /** Versions of the engines that have generated something for the stream. */
   generatedAt?: string[]
 }
 
 /** Boxes in three zones on a fake network, each with an own list. */
-async function createBoxes ({ count = 8, versions = ['v1', 'v2'], coveredMs = 0, generatedAt }: BoxesOptions = {}) {
+async function createBoxes ({ count = 8, versions = ['v1', 'v2'], coveredMs = 0, target = MODEL, generatedAt }: BoxesOptions = {}) {
   const clock = new VirtualClock()
   const network = new FakeNetwork({ clock, random: new SeededRandom(1) })
   const members = Array.from({ length: count }, (_, i) => memberOf(i, 'abc'[i % 3]))
   const boxes = members.map((member) => {
-    const state = { fleet: fleetOf(versions), sinceContactMs: 0 as number | undefined, told: 0, asked: 0 }
+    const state = { fleet: fleetOf(versions), target, sinceContactMs: 0 as number | undefined, told: 0, asked: 0 }
     const { link } = network.addNode(member.peerAddress)
     const origins = new StreamOrigins({
       clock,
@@ -48,6 +51,7 @@
       takingWork: () => members,
       fleet: () => state.fleet,
       poolsOfModels: () => new Map([[MODEL, ['p', 'd']]]),
+      routes: () => [{ host: ROUTED.host, pathPrefix: '/reply/', targets: [state.target] }],
       sinceContactMs: () => state.sinceContactMs,
       witnesses: generatedAt && { find: async () => ({ versions: generatedAt, isContested: false, witnesses: ['d0'], unanswered: [], asked: 1 }) },
     })
@@ -66,11 +70,16 @@
       onStream: async function * () {},
     })
     origins.onFleetChanged()
+    origins.onDeclarationsChanged()
     const list = (listed: readonly string[]) => {
       state.fleet = fleetOf(listed)
       origins.onFleetChanged()
     }
-    return { state, origins, address: member.peerAddress, list }
+    const move = (to: string) => {
+      state.target = to
+      origins.onDeclarationsChanged()
+    }
+    return { state, origins, address: member.peerAddress, list, move }
   })
   await clock.advance(coveredMs)
   const find = (box: number, query: OriginQuery = QUERY) => clock.run(boxes[box].origins.find(query, new AbortController().signal))
@@ -314,3 +323,29 @@
   boxes.slice(1).forEach(({ address }) => network.blockBoth(boxes[0].address, address))
   t.false('version' in await find(0, UNNAMED))
 })
+
+// Guards against streams that are joined from two models, when their route was moved and only the box that served them knew it.
+test('nothing is concluded from the list for a stream whose route led to another model lately, at this box or at another one', async (t) => {
+  const { clock, boxes, find } = await createBoxes({ versions: ['v1'], coveredMs: 2 * KEEP_MS, target: 'm-before' })
+  const query = { ...QUERY, routed: ROUTED }
+  boxes.slice(0, 4).forEach(({ move }) => move(MODEL))
+  for (const box of [0, 1, 2, 3, 4, 5, 6, 7]) t.false('version' in await find(box, query), `at box ${box}`)
+  boxes.slice(4).forEach(({ move }) => move(MODEL))
+  await clock.advance(KEEP_MS + 1)
+  t.like(await find(0, query), { version: 'v1', source: OriginSource.List })
+})
+
+test('changes of other routes do not count, and too many changes count for all', async (t) => {
+  const clock = new VirtualClock()
+  const targets = new RouteTargets({ clock })
+  const route = { host: ROUTED.host, pathPrefix: '/reply/', targets: [MODEL] }
+  const others = (i: number) => [route, { host: ROUTED.host, pathPrefix: '/rep', targets: [`m${i}`] }, { host: 'other.example', pathPrefix: '/reply/1', targets: [`m${i}`] }]
+  Array.from({ length: 60 }, (_, i) => targets.observe(others(i)))
+  t.false(targets.mayHaveLedElsewhere(ROUTED, MODEL, KEEP_MS))
+  Array.from({ length: 10 }, (_, i) => targets.observe(others(i)))
+  t.true(targets.mayHaveLedElsewhere(ROUTED, MODEL, KEEP_MS))
+  await clock.advance(KEEP_MS + 1)
+  t.false(targets.mayHaveLedElsewhere(ROUTED, MODEL, KEEP_MS))
+  targets.observe([...others(0), { ...route, pathPrefix: '/reply/1', targets: ['m-new'] }])
+  t.true(targets.mayHaveLedElsewhere(ROUTED, MODEL, KEEP_MS), 'a longer prefix')
+})
