fix(request.relay): a stream is not taken up at a service where it may not have begun

A request that begins a stream, and other routes, are not affected. The test in serviceStreams fails without the check (one run at the service).

--- a/request/relay/src/relayOptions.ts
+++ b/request/relay/src/relayOptions.ts
@@ -37,7 +37,7 @@
   /** Whether this box has network paths to the upstreams of a kind. */
   paths: Record<UpstreamKind, RelayPaths>
   /** Knows or finds out which software version began a stream. */
-  origins: Pick<StreamOrigins, 'record' | 'find' | 'deadlines'>
+  origins: Pick<StreamOrigins, 'record' | 'find' | 'deadlines' | 'mayHaveLedElsewhere'>
   /** Have requests run by other boxes while this one cannot reach any upstream of the kind that they need. */
   delegators: Record<UpstreamKind, Delegator>
   /** Processes the rate limits and backoffs that responses advertise. */
--- a/request/relay/src/serviceRelay.ts
+++ b/request/relay/src/serviceRelay.ts
@@ -3,6 +3,7 @@
 import { UpstreamError } from '@reelspan/upstream.client'
 import { type Attempt } from './attempt.js'
 import { type AttemptFailure } from './attemptRace.js'
+import { checkServiceOrigin } from './checkServiceOrigin.js'
 import { DelegatedCall } from './delegatedCall.js'
 import { mustDelegate } from './mustDelegate.js'
 import { type AnswerTimes } from './passAnswer.js'
@@ -34,7 +35,8 @@
 
   async execute (): Promise<void> {
     const { run, logDecision } = this.#context
-    const { race, next } = this.#state
+    const { race, next, pool } = this.#state
+    checkServiceOrigin(this.#context, pool)
     try {
       for (;;) {
         await run.checkBeforeSend()
--- a/request/relay/test/__utils__/createRelay.ts
+++ b/request/relay/test/__utils__/createRelay.ts
@@ -215,6 +215,13 @@
   readonly queries: OriginQuery[] = []
   found: FoundOrigin | UnknownOrigin = { version: '', source: OriginSource.List, knownBy: [] }
 
+  /** Whether the routes of streams were moved. */
+  moved = false
+
+  mayHaveLedElsewhere (): boolean {
+    return this.moved
+  }
+
   record (origin: StreamOrigin): void {
     this.recorded.push(origin)
   }
@@ -261,6 +268,7 @@
   { kind: ResourceKind.Route, name: 'fetch', spec: { host: 'desk.example', pathPrefix: '/fetch/', targets: [{ pool: 'desk' }], notRepeatable: true, maxAttempts: 3, deadlineMs: 2000, ttftTargetMs: 200 } },
   { kind: ResourceKind.Route, name: 'status', spec: { host: 'desk.example', pathPrefix: '/status/', targets: [{ pool: 'desk' }], maxAttempts: 2, deadlineMs: 2000, ttftTargetMs: 200 } },
   { kind: ResourceKind.Route, name: 'notes', spec: { host: 'desk.example', pathPrefix: '/notes/', targets: [{ pool: 'desk' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 2000, ttftTargetMs: 200 } },
+  { kind: ResourceKind.Route, name: 'mixed', spec: { host: 'desk.example', pathPrefix: '/mixed/', targets: [{ pool: 'desk', weight: 99 }, { model: 'm', weight: 1 }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 2000, ttftTargetMs: 200 } },
   { kind: ResourceKind.Route, name: 'draft', spec: { host: 'desk.example', pathPrefix: '/draft/', targets: [{ model: 'm' }], streaming: true, notRepeatable: true, maxAttempts: 1, deadlineMs: 10_000, ttftTargetMs: 900 } },
   { kind: ResourceKind.Route, name: 'reply', spec: { host: 'desk.example', pathPrefix: '/reply/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 2, deadlineMs: 10_000, ttftTargetMs: 900 } },
   { kind: ResourceKind.Route, name: 'outline', spec: { host: 'desk.example', pathPrefix: '/outline/', targets: [{ model: 'm' }], streaming: true, resumable: true, maxAttempts: 3, deadlineMs: 10_000, ttftTargetMs: 900 } },
--- a/request/relay/test/serviceStreams.ts
+++ b/request/relay/test/serviceStreams.ts
@@ -1,3 +1,4 @@
+import { ErrorCode, Verdict } from '@reelspan/core.error'
 import test from 'ava'
 import { aborts, createRelay, fails, RecordingCaller, requestTo, streams } from './__utils__/createRelay.js'
 
@@ -53,3 +54,17 @@
   t.true(caller.body.startsWith(REST))
   t.false(caller.complete)
 })
+
+// Guards against a stream that is joined from two services.
+test('a stream is not taken up at a service while its route leads, or has led lately, to another service or model as well', async (t) => {
+  for (const [path, moved] of [['/mixed/1', false], ['/notes/1', true]] as const) {
+    const { clock, relay, upstreams, origins } = createRelay([streams(REST)])
+    origins.moved = moved
+    const caller = new RecordingCaller()
+    await clock.run(relay.relay(requestTo(path, TAKEN_UP), caller))
+    t.like(caller.refused, { verdict: Verdict.NotRun, code: ErrorCode.StreamOriginUnknown, retryAfterMs: undefined }, path)
+    t.is(upstreams.runs.length, 0)
+    await clock.run(relay.relay(requestTo(path), new RecordingCaller()))
+    t.is(upstreams.runs.length, 1, 'one that begins is sent')
+  }
+})
