refactor(request.stream-origins): what is concluded of a stream's origin is apart from who is asked

No change of behavior: the tests of stream-origins, streamVersion, softwareVersions, boxOutOfStep and callerDeadlines pass, with the same counts.

--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -3,10 +3,11 @@
 import { rankByRendezvous } from '@reelspan/core.hashing'
 import { type Member, type MessageOf, MessageType, type PeerLink, type StreamOrigin } from '@reelspan/core.messages'
 import { type Metrics } from '@reelspan/telemetry.metrics'
-import { type CachedPart, type EngineRun } from '@reelspan/upstream.client'
+import { type EngineRun } from '@reelspan/upstream.client'
 import { CallerDeadlines } from './callerDeadlines.js'
 import { contentKey, isContentKey } from './contentKey.js'
-import { type EngineWitnesses, type Testimony } from './engineWitnesses.js'
+import { type EngineWitnesses } from './engineWitnesses.js'
+import { type BoundedQuery, type Evidence, type FoundOrigin, type Knowledge, type OriginQuery, OriginSource, type OwnKnowledge, type UnknownOrigin, unknownOrigin, versionAtBoxes, versionAtEngines, withMaxAge } from './originEvidence.js'
 import { OriginRecords } from './originRecords.js'
 import { type RoutedPath, RouteTargets, type StreamRoute } from './routeTargets.js'
 import { RunSightings } from './runSightings.js'
@@ -39,58 +40,6 @@
   content?: string
 }
 
-/** A stream that a client takes up. */
-export interface OriginQuery {
-  /** The attempt that brought its first event, if the client named it. */
-  attempt?: string
-  /** Hash of what its upstream receives; tells which stream it is if the client did not name the attempt. */
-  content?: string
-  model: string
-  /** What chose its route. */
-  routed?: RoutedPath
-  /** The part of its prompt that no other request shares. */
-  ownPart?: CachedPart
-  /** Whether its route may have led to another model when the stream began. */
-  mayBeOfOtherModel?: boolean
-  /** The longest time for which clients wait, as far as this box knows: none takes up a stream that began longer ago. */
-  keepMs: number
-  /** How much longer its client waits, if it said so. It has waited for the rest of `keepMs` at most. */
-  remainingMs?: number
-}
-
-/** Who knew the version of a stream. */
-export enum OriginSource {
-  /** This box has served or held the stream. */
-  Own = 'own',
-  Peers = 'peers',
-  /** There was only one version. */
-  List = 'list',
-  /** Only engines of one version have generated something for it. */
-  Engines = 'engines',
-}
-
-export interface FoundOrigin {
-  version: string
-  source: OriginSource
-  /** Names of the boxes, or engines, that knew it. */
-  knownBy: readonly string[]
-}
-
-export interface UnknownOrigin {
-  reason: string
-  /** When another try may succeed. Undefined if none will. */
-  retryAfterMs?: number
-  /** What engines reported of it, if they were asked. */
-  testimony?: Testimony
-}
-
-/** A query whose client has waited for a time of which the upper bound is known. */
-interface BoundedQuery extends Omit<OriginQuery, 'content'> {
-  maxAgeMs: number
-}
-
-type Knowledge = Omit<MessageOf<MessageType.StreamOriginContent>, 'type'> & { box: string }
-
 const HOLDERS = 3
 /** Views of the members may differ, so that one more is asked. */
 const ASKED_HOLDERS = 4
@@ -102,9 +51,6 @@
 const MAX_ORIGINS_PER_MESSAGE = 500
 /** Changes of the list spread with heartbeats, within about a second. */
 const MAX_CONTACT_AGE_MS = 3000
-const RETRY_AFTER_MS = 500
-/** Age of a stream whose client waits longer than any is known to. */
-const UNKNOWN_AGE_MS = Number.MAX_SAFE_INTEGER
 
 /** Knows which software version began a stream, or finds it out at other boxes. Concludes nothing from their not knowing. */
 export class StreamOrigins {
@@ -204,17 +150,20 @@
     const own = attempt === undefined ? undefined : this.#records.versionOf(attempt, model)
     // Another stream of the same content may have begun elsewhere.
     if (own !== undefined && !isContentKey(attempt as string)) return { version: own, source: OriginSource.Own, knownBy: [] }
-    const bounded = { ...query, maxAgeMs: maxAgeOf(query) }
+    const bounded = withMaxAge(query)
     const peers = this.#ranked(attempt ?? model, this.#opts.members()).slice(0, MAX_ASKED)
-    const asked = peers.slice(0, ASKED_HOLDERS)
-    const known = await this.#ask(asked, bounded, signal)
-    const fromHolders = this.#agreedVersion(known, asked.length, bounded) ?? this.#concludeFromList(known, asked.length, bounded)
-    if (fromHolders) return fromHolders
+    const holders = peers.slice(0, ASKED_HOLDERS)
+    const known = await this.#ask(holders, bounded, signal)
+    const foundAtHolders = versionAtBoxes(this.#evidence(bounded, known, holders))
+    if (foundAtHolders) return foundAtHolders
     const [fromOthers, testimony] = await Promise.all([this.#ask(peers.slice(ASKED_HOLDERS), bounded, signal), this.#opts.witnesses?.find(query)])
-    const allKnown = [...known, ...fromOthers]
-    const foundAtBoxes = this.#agreedVersion(allKnown, peers.length, bounded) ?? this.#concludeFromList(allKnown, peers.length, bounded)
-    if (foundAtBoxes) return foundAtBoxes
-    return this.#concludeFromRuns(allKnown, peers.length, testimony, bounded) ?? { ...this.#unknown(allKnown, peers.length, bounded), testimony }
+    const evidence = this.#evidence(bounded, [...known, ...fromOthers], peers)
+    return versionAtBoxes(evidence) ?? versionAtEngines(evidence, testimony) ?? { ...unknownOrigin(evidence), testimony }
+  }
+
+  /** What this box and those that were asked know of a stream. */
+  #evidence (query: BoundedQuery, known: readonly Knowledge[], asked: readonly Member[]): Evidence {
+    return { query, own: this.#know(query), known, askedCount: asked.length, mayBeOlder: this.#mayBeOlder(known, query) }
   }
 
   async #ask (peers: readonly Member[], { attempt, model, routed, maxAgeMs }: BoundedQuery, signal: AbortSignal): Promise<Knowledge[]> {
@@ -227,7 +176,7 @@
     return answers.flat()
   }
 
-  #know ({ attempt, model, routed, maxAgeMs }: Pick<BoundedQuery, 'attempt' | 'model' | 'routed' | 'maxAgeMs'>): Omit<Knowledge, 'box'> {
+  #know ({ attempt, model, routed, maxAgeMs }: Pick<BoundedQuery, 'attempt' | 'model' | 'routed' | 'maxAgeMs'>): OwnKnowledge {
     const sinceContactMs = this.#opts.sinceContactMs() ?? Number.POSITIVE_INFINITY
     return {
       version: attempt === undefined ? undefined : this.#records.versionOf(attempt, model),
@@ -240,42 +189,6 @@
     }
   }
 
-  /** The version that boxes remember. Those that know several streams of a content count with all of their versions. */
-  #agreedVersion (known: readonly Knowledge[], askedCount: number, query: BoundedQuery): FoundOrigin | undefined {
-    if (query.attempt === undefined || !isContentKey(query.attempt)) return agreedVersion(known)
-    const own = this.#know(query)
-    const all = [own, ...known]
-    const versions = new Set(all.flatMap(({ ranAt = [] }) => ranAt))
-    if (versions.size !== 1 || !mayGoOnAtModel(all) || !isMajority(known, askedCount)) return undefined
-    const knownBy = known.filter(({ version }) => version !== undefined).map(({ box }) => box)
-    return { version: [...versions][0], source: own.version === undefined ? OriginSource.Peers : OriginSource.Own, knownBy }
-  }
-
-  /** The only version that there was since the stream began at the earliest, if this box and most of those asked know that. */
-  #concludeFromList (known: readonly Knowledge[], askedCount: number, query: BoundedQuery): FoundOrigin | undefined {
-    const own = this.#know(query)
-    const all = [own, ...known]
-    const versions = new Set(all.flatMap((one) => one.versions))
-    if (query.mayBeOfOtherModel || all.some(({ isOfOtherModel, mayHaveLedElsewhere }) => isOfOtherModel || mayHaveLedElsewhere) || this.#mayBeOlder(known, query)) return undefined
-    const isConfirmed = own.coveredMs > 0 && (askedCount === 0 || 2 * known.length > askedCount)
-    if (!isConfirmed || versions.size !== 1 || !all.some(({ coveredMs }) => coveredMs >= query.maxAgeMs)) return undefined
-    return { version: [...versions][0], source: OriginSource.List, knownBy: known.map(({ box }) => box) }
-  }
-
-  /**
-   * The only version of which engines have run the stream, as reported before to any box or just now to this one. Those
-   * that this box does not list were not asked, so its list has to have all versions that others know.
-   */
-  #concludeFromRuns (known: readonly Knowledge[], askedCount: number, testimony: Testimony | undefined, query: BoundedQuery): FoundOrigin | undefined {
-    const own = this.#know(query)
-    const isComplete = known.every(({ versions }) => versions.every((version) => own.versions.includes(version)))
-    if (own.coveredMs === 0 || !isMajority(known, askedCount) || !isComplete) return undefined
-    const seen = [own, ...known].flatMap(({ ranAt = [] }) => ranAt)
-    const versions = new Set([...seen, ...testimony?.versions ?? []])
-    if (versions.size !== 1 || testimony?.isContested || !mayGoOn(known)) return undefined
-    return { version: [...versions][0], source: OriginSource.Engines, knownBy: testimony?.witnesses ?? [] }
-  }
-
   /** Whether another box has seen a longer deadline than this one knew when it asked. Notes it for the next query. */
   #mayBeOlder (known: readonly Knowledge[], { model, keepMs }: BoundedQuery): boolean {
     const longestMs = Math.max(0, ...known.map(({ longestDeadlineMs = 0 }) => longestDeadlineMs))
@@ -283,28 +196,6 @@
     return longestMs > keepMs
   }
 
-  #unknown (known: readonly Knowledge[], askedCount: number, query: BoundedQuery): UnknownOrigin {
-    const said = new Set(known.flatMap(({ version }) => version ?? []))
-    if (said.size > 1) return { reason: `boxes differ on the version that began the stream: ${[...said].join(', ')}` }
-    const own = this.#know(query)
-    const all = [own, ...known]
-    if (all.some(({ isOfOtherModel }) => isOfOtherModel)) return { reason: `the stream did not begin at the model ${query.model}` }
-    const reason = `none of ${known.length} boxes that answered, of ${askedCount} asked, knows which version began the stream`
-    const retryAfterMs = known.length < askedCount || own.coveredMs === 0 ? RETRY_AFTER_MS : this.#conclusiveInMs(all, query)
-    // A client that comes back later than it waits comes back in vain.
-    return { reason, retryAfterMs: retryAfterMs !== undefined && retryAfterMs < (query.remainingMs ?? Number.POSITIVE_INFINITY) ? retryAfterMs : undefined }
-  }
-
-  /**
-   * When the list may prove that there was one version since the stream began; undefined if it will not. The
-   * stream of a client that says how much longer it waits grows as much older as the list grows longer.
-   */
-  #conclusiveInMs (all: readonly Omit<Knowledge, 'box'>[], { mayBeOfOtherModel, maxAgeMs, remainingMs }: BoundedQuery): number | undefined {
-    const hasOneVersion = new Set(all.flatMap(({ versions }) => versions)).size === 1 && !all.some(({ mayHaveLedElsewhere }) => mayHaveLedElsewhere)
-    const missingMs = maxAgeMs - Math.max(...all.map(({ coveredMs }) => coveredMs))
-    return hasOneVersion && !mayBeOfOtherModel && remainingMs === undefined ? Math.max(missingMs, RETRY_AFTER_MS) : undefined
-  }
-
   /** Whether the list alone will tell the stream's version for as long as its client may take it up. */
   #isCovered ({ model, keepMs }: StreamOrigin): boolean {
     return this.#history.coveredMs + keepMs >= this.deadlines.longestMs(model)
@@ -351,31 +242,6 @@
   }
 }
 
-/** The longest time for which the client of a stream may have waited. A client that waits longer than any is known to may have begun at any time. */
-function maxAgeOf ({ keepMs, remainingMs = 0 }: OriginQuery): number {
-  return remainingMs <= keepMs ? keepMs - remainingMs : UNKNOWN_AGE_MS
-}
-
-/** Whether no box knows anything against going on with a stream at all. */
-function mayGoOn (known: readonly Knowledge[]): boolean {
-  return mayGoOnAtModel(known) && known.every(({ version }) => version === undefined)
-}
-
-function mayGoOnAtModel (known: readonly Pick<Knowledge, 'isOfOtherModel'>[]): boolean {
-  return known.every(({ isOfOtherModel }) => !isOfOtherModel)
-}
-
-/** Whether most boxes, this one included, have answered. One lost box of three must not hide what is known. */
-function isMajority (known: readonly Knowledge[], askedCount: number): boolean {
-  return 2 * (known.length + 1) > askedCount + 1
-}
-
-function agreedVersion (known: readonly Knowledge[]): FoundOrigin | undefined {
-  const knowing = known.filter(({ version }) => version !== undefined)
-  const versions = new Set(knowing.map(({ version }) => version as string))
-  return versions.size === 1 ? { version: [...versions][0], source: OriginSource.Peers, knownBy: knowing.map(({ box }) => box) } : undefined
-}
-
 function batches (origins: readonly StreamOrigin[]): StreamOrigin[][] {
   return Array.from({ length: Math.ceil(origins.length / MAX_ORIGINS_PER_MESSAGE) }, (_, i) => origins.slice(i * MAX_ORIGINS_PER_MESSAGE, (i + 1) * MAX_ORIGINS_PER_MESSAGE))
 }
