test(utils.bench): the mechanisms of streams are found where they stand now, and the new ones are listed

The refactoring of stream-origins moved the code that four mechanisms put out of action, so the test of their places failed; they name the new places, and put the same checks out of action. New: engines believed only in touch, streams of one content, moved routes, Last-Event-Id to services, services where a stream may not have begun, incomplete events without memory.

--- a/__utils__/bench/src/streamMechanisms.ts
+++ b/__utils__/bench/src/streamMechanisms.ts
@@ -2,6 +2,7 @@
 
 const ANSWER_END = 'request/relay/test.lib/answerEnd.js'
 const SILENT_ENGINE = 'request/relay/test.lib/silentEngine.js'
+const SERVICE_STREAMS = 'request/relay/test.lib/serviceStreams.js'
 const STREAM_ORIGINS = 'request/stream-origins/test.lib/streamOrigins.js'
 const STREAM_VERSION = 'request/relay/test.lib/streamVersion.js'
 
@@ -24,27 +25,27 @@
   {
     name: 'stream versions: other boxes get the origins of streams while there are two versions',
     file: 'request/stream-origins/src/streamOrigins.ts',
-    find: 'if (this.#isMixed(origin.model) || !this.#isCovered(origin)) this.#announce([origin])',
+    find: 'if (this.#isMixed(origin.model) || !this.#isCovered(origin)) this.#announce(origins)',
     replace: '',
     tests: [STREAM_ORIGINS],
   },
   {
     name: 'stream versions: nothing is concluded from an own list that others do not confirm',
-    file: 'request/stream-origins/src/streamOrigins.ts',
+    file: 'request/stream-origins/src/originEvidence.ts',
     find: 'own.coveredMs > 0 && (askedCount === 0 || 2 * known.length > askedCount)',
     replace: 'true',
     tests: [STREAM_ORIGINS],
   },
   {
     name: 'stream versions: nothing is concluded from lists younger than clients that return',
-    file: 'request/stream-origins/src/streamOrigins.ts',
-    find: '!all.some(({ coveredMs }) => coveredMs >= query.maxAgeMs)',
+    file: 'request/stream-origins/src/originEvidence.ts',
+    find: '!all(evidence).some(({ coveredMs }) => coveredMs >= query.maxAgeMs)',
     replace: 'false',
     tests: [STREAM_ORIGINS],
   },
   {
     name: 'stream versions: nothing is concluded for a client that waits longer than any that was seen',
-    file: 'request/stream-origins/src/streamOrigins.ts',
+    file: 'request/stream-origins/src/originEvidence.ts',
     find: 'keepMs - remainingMs : UNKNOWN_AGE_MS',
     replace: 'keepMs - remainingMs : 0',
     tests: [STREAM_ORIGINS],
@@ -58,18 +59,60 @@
   },
   {
     name: 'stream versions: a stream that began at another model does not go on',
-    file: 'request/stream-origins/src/streamOrigins.ts',
-    find: 'query.mayBeOfOtherModel || all.some(({ isOfOtherModel }) => isOfOtherModel) || ',
+    file: 'request/stream-origins/src/originEvidence.ts',
+    find: 'query.mayBeOfOtherModel || !mayGoOnAtModel(evidence) || hasLedElsewhere(evidence) || ',
     replace: '',
     tests: [STREAM_ORIGINS],
   },
   {
     name: 'stream versions: engines tell who began a stream that no box knows',
     file: 'request/stream-origins/src/streamOrigins.ts',
-    find: 'this.#concludeFromRuns(allKnown, testimony, bounded) ?? ',
+    find: ' ?? versionAtEngines(evidence, testimony)',
     replace: '',
     tests: [STREAM_ORIGINS, 'platform/adapter/test.lib/softwareVersions.js'],
   },
+  {
+    name: 'stream versions: engines are believed only by a box that is in touch',
+    file: 'request/stream-origins/src/originEvidence.ts',
+    find: 'own.coveredMs === 0 || !isMajority(evidence) || !isComplete',
+    replace: '!isComplete && !isMajority(evidence) && own === undefined',
+    tests: [STREAM_ORIGINS],
+  },
+  {
+    name: 'stream versions: streams of one content that began at different versions are not taken up',
+    file: 'request/stream-origins/src/originRecords.ts',
+    find: 'live.find((one) => one.model === model && one.version === version)',
+    replace: 'live[0]',
+    tests: [STREAM_ORIGINS],
+  },
+  {
+    name: 'stream versions: nothing is concluded from the list for a stream of a route that was moved',
+    file: 'request/stream-origins/src/originEvidence.ts',
+    find: ' || hasLedElsewhere(evidence) || mayBeOlder',
+    replace: ' || mayBeOlder',
+    tests: [STREAM_ORIGINS],
+  },
+  {
+    name: 'service streams: a stream that is taken up goes on behind its last event',
+    file: 'request/relay/src/serviceAttempt.ts',
+    find: '        resumeAfter,\n',
+    replace: '',
+    tests: [SERVICE_STREAMS],
+  },
+  {
+    name: 'service streams: a stream that may have begun at another service is not taken up',
+    file: 'request/relay/src/serviceRelay.ts',
+    find: 'checkServiceOrigin(this.#context, pool)',
+    replace: 'void pool',
+    tests: [SERVICE_STREAMS],
+  },
+  {
+    name: 'incomplete events: their bytes are passed on without memory for them',
+    file: 'request/relay/src/withinBudget.ts',
+    find: 'if (isKept || !isAlone()) return complete',
+    replace: 'if (isKept || !isAlone() || true) return complete',
+    tests: ['request/relay/test.lib/incompleteEvents.js'],
+  },
   {
     name: 'stream versions: an engine that has only computed a prompt is no witness',
     file: 'request/stream-origins/src/engineWitnesses.ts',
