--- a/cli/reelspan/test/__utils__/platformProcess.ts
+++ b/cli/reelspan/test/__utils__/platformProcess.ts
@@ -113,13 +113,14 @@
 export async function sendRequest ({ frontAddress }: PlatformProcess, { short = false }: { short?: boolean } = {}): Promise<SentRequest> {
   const id = `${short ? SHORT_PREFIX : ''}r${sent++}`
   const sentAtMs = performance.now()
-  const outcome = await outcomeOf(frontAddress, id, short ? SHORT_DEADLINE_MS : DEADLINE_MS)
+  const outcome = await outcomeOf(frontAddress, id, { deadlineMs: short ? SHORT_DEADLINE_MS : DEADLINE_MS })
   return { id, sentAtMs, endedAtMs: performance.now(), outcome }
 }
 
-async function outcomeOf (frontAddress: string, id: string, deadlineMs: number): Promise<Outcome> {
+/** Sends a request under an id and tells what became of it. By default it has a connection of its own. */
+export async function outcomeOf (frontAddress: string, id: string, { deadlineMs = DEADLINE_MS, agent = new Agent() } = {}): Promise<Outcome> {
   const [host, port] = frontAddress.split(':')
-  const message = request({ host, port, path: `${PATH_PREFIX}x`, method: 'POST', agent: new Agent(), headers: requestHeaders(id, { deadlineMs }) })
+  const message = request({ host, port, path: `${PATH_PREFIX}x`, method: 'POST', agent, headers: requestHeaders(id, { deadlineMs }) })
   try {
     message.end('ride')
     const [response] = await once(message, 'response')
--- a/cli/reelspan/test/requestsDuringStop.ts
+++ b/cli/reelspan/test/requestsDuringStop.ts
@@ -1,11 +1,10 @@
 import { once } from 'node:events'
-import { Agent, request } from 'node:http'
+import { Agent } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { publishSlowCalls, requestHeaders, Role, StandInStore, StandInUpstream } from '@reelspan/utils.platform-stand-ins'
+import { publishSlowCalls, Role, StandInStore, StandInUpstream } from '@reelspan/utils.platform-stand-ins'
 import test, { type ExecutionContext } from 'ava'
-import { GRACE_MS, Outcome, type PlatformProcess, sendRequest, startProcess } from './__utils__/platformProcess.js'
+import { GRACE_MS, Outcome, outcomeOf, type PlatformProcess, sendRequest, startProcess } from './__utils__/platformProcess.js'
 
-const PATH = '/slow/x'
 const DEADLINE_MS = 14_000
 const KNOWN_WORK_MS = 300
 /** As many earlier requests as an estimate of their duration needs, and more. */
@@ -52,22 +51,9 @@
 }
 
 /** Sends requests on connections that are kept for as long as the box keeps them, or on new ones. */
-function sender (box: PlatformProcess, { keepAlive }: { keepAlive: boolean }) {
+function sender ({ frontAddress }: PlatformProcess, { keepAlive }: { keepAlive: boolean }) {
   const agent = new Agent({ keepAlive })
-  const [host, port] = box.frontAddress.split(':')
-  return async (id: string): Promise<Outcome> => {
-    const message = request({ host, port, path: PATH, method: 'POST', agent, headers: requestHeaders(id, { deadlineMs: DEADLINE_MS }) })
-    try {
-      message.end('ride')
-      const [response] = await once(message, 'response')
-      for await (const part of response) void part
-      if (!response.complete) return Outcome.Cut
-      if (response.statusCode === 200) return Outcome.Whole
-      return response.statusCode === 503 ? Outcome.Refused : Outcome.Failed
-    } catch {
-      return Outcome.Cut
-    }
-  }
+  return (id: string) => outcomeOf(frontAddress, id, { agent })
 }
 
 async function checkStop (t: ExecutionContext, ips: readonly string[], { workMs }: { workMs: number }): Promise<void> {
