fix(request.relay): a stream that its upstream begins anew is not passed on behind what the caller has

The ids of events rise. If the first event of an answer that should go on behind a whole number has one that is not above it, the answer counts as failed before that event is passed on: a request that may go elsewhere does, any other ends visibly. The test in serviceStreams fails without the check, at a service and at an engine; answers that do go on, that have comments or no ids, and other ids, are passed on unchanged however they are split.

--- a/request/relay/src/eventProgress.ts
+++ b/request/relay/src/eventProgress.ts
@@ -22,6 +22,7 @@
   readonly #incomplete = new PendingBytes()
   #events = 0
   #lastId?: string
+  #firstId?: string
   #oversized = false
   /** Bytes behind the last complete event. */
   #sinceEventBytes = 0
@@ -48,6 +49,11 @@
     return this.#lastId
   }
 
+  /** Id of the first complete event with an id, of this answer alone. */
+  get firstId (): string | undefined {
+    return this.#firstId
+  }
+
   /** Whether an event was too large to be buffered, or was passed on incomplete. From then on all bytes are passed on, and the stream can no longer be resumed behind a complete event. */
   get oversized (): boolean {
     return this.#oversized
@@ -122,5 +128,6 @@
     this.#events++
     const ids = event.split(LINE_END).flatMap((line) => ID_FIELD.exec(line)?.[1] ?? [])
     this.#lastId = ids.at(-1) ?? this.#lastId
+    this.#firstId ??= this.#lastId
   }
 }
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -7,6 +7,7 @@
 import { discardAnswer } from './discardAnswer.js'
 import { isRepeatable } from './isRepeatable.js'
 import { type RelayContext } from './relayContext.js'
+import { withCheckedStart } from './withCheckedStart.js'
 
 /** The answer of another start than the expected one. */
 const MISDIRECTED = 421
@@ -54,7 +55,7 @@
       discardAnswer(context, target.instance, answer)
       throw new UpstreamError(`${target.instance} responded with ${answer.status} and may have run the request`, { mayHaveRun: true, failed: true })
     }
-    return withCheckedEnd(answer, { sender: target.instance, metrics: opts.metrics })
+    return withCheckedEnd(withCheckedStart(answer, { sender: target.instance, resumeAfter: runOptions.resumeAfter }), { sender: target.instance, metrics: opts.metrics })
   })
 }
 
--- a/request/relay/test/serviceStreams.ts
+++ b/request/relay/test/serviceStreams.ts
@@ -1,6 +1,6 @@
 import { ErrorCode, Verdict } from '@reelspan/core.error'
 import test from 'ava'
-import { aborts, createRelay, fails, RecordingCaller, requestTo, streams } from './__utils__/createRelay.js'
+import { aborts, createRelay, fails, pauses, RecordingCaller, requestTo, streams } from './__utils__/createRelay.js'
 
 const REST = 'id: 5\ndata: f\n\n'
 const TAKEN_UP = { id: 'r2', resumeAfter: '4' }
@@ -55,6 +55,27 @@
   t.false(caller.complete)
 })
 
+// Guards against events that a caller gets twice, of an upstream that ignores where it should go on.
+test('a stream that its upstream begins anew is not passed on behind events that the caller has', async (t) => {
+  for (const path of ['/notes/1', '/reply/1']) {
+    const { clock, relay, upstreams } = createRelay(Array.from({ length: 4 }, () => pieces(['id: ', '4\ndata: e\n', '\nid: 5\n'])))
+    const caller = new RecordingCaller()
+    await clock.run(relay.relay(requestTo(path, TAKEN_UP), caller))
+    t.true(upstreams.runs.length > 0)
+    t.is(caller.body, '', path)
+    t.false(caller.complete)
+  }
+})
+
+test('a stream that goes on behind the event is passed on unchanged however its parts arrive, with comments and without ids', async (t) => {
+  for (const parts of [['id', ': 5\nda', 'ta: f\n\nid: 6\ndata: g\n', '\n'], [': x\n\n', 'data: f\n\n', 'id: 4\ndata: g\n\n'], ['id: a\ndata: f\n\n'], ['id: 5\nda']]) {
+    const { clock, relay } = createRelay([pieces(parts)])
+    const caller = new RecordingCaller()
+    await clock.run(relay.relay(requestTo('/fetch/1', TAKEN_UP), caller))
+    t.is(caller.body, parts.join(''))
+  }
+})
+
 // Guards against a stream that is joined from two services.
 test('a stream is not taken up at a service while its route leads, or has led lately, to another service or model as well', async (t) => {
   for (const [path, moved] of [['/mixed/1', false], ['/notes/1', true]] as const) {
@@ -68,3 +89,8 @@
     t.is(upstreams.runs.length, 1, 'one that begins is sent')
   }
 })
+
+/** Sends parts of a stream of events. */
+function pieces (parts: string[]) {
+  return pauses(200, parts, 1, ['Content-Type', 'text/event-stream'])
+}
