fix(net.byte-budget): incomplete events share a quarter of the budget

Events now share a quarter of the budget, however large one of them is, and may keep one read each beyond it. floodingUpstreams: 120 of 120 whole in all five rows. crowds/endlessBytes: 16 of 16, 99 to 127 MB of 178, where 240 streams took 343 and 370 MB before either change.

--- a/net/byte-budget/src/byteAccount.ts
+++ b/net/byte-budget/src/byteAccount.ts
@@ -4,6 +4,8 @@
 export interface ByteAccountEvents {
   onChanged: (account: ByteAccount, deltaBytes: number) => void
   onAssigned: (account: ByteAccount, clientAccount: string) => void
+  /** The account holds so many bytes more. */
+  onHeld: (deltaBytes: number) => void
   /** Whether the account may hold what it does. */
   mayHold: (account: ByteAccount) => boolean
   onAttached: (account: ByteAccount) => void
@@ -80,6 +82,7 @@
     if (this.#closed || bytes === this.#heldBytes) return true
     const deltaBytes = bytes - this.#heldBytes
     this.#heldBytes = bytes
+    this.#events.onHeld(deltaBytes)
     this.#events.onChanged(this, deltaBytes)
     return this.#events.mayHold(this)
   }
@@ -102,6 +105,7 @@
   close (): void {
     if (this.#closed) return
     const { usedBytes } = this
+    this.#events.onHeld(-this.#heldBytes)
     this.#queuedBytes = 0
     this.#unsentBytes = 0
     this.#heldBytes = 0
--- a/net/byte-budget/src/byteBudget.ts
+++ b/net/byte-budget/src/byteBudget.ts
@@ -14,10 +14,10 @@
  */
 const ACCOUNT_FACTOR = 2
 /**
- * Part of the free bytes that one incomplete event may take. Unlike other bytes these do not become fewer when the caller
- * reads, so that many together must leave room.
+ * Part of the budget that incomplete events may take together, beyond one read each. Unlike other bytes they do not become
+ * fewer when callers read.
  */
-const HELD_SHARE = 1 / 64
+const HELD_SHARE = 0.25
 /** Four equal answers that nobody reads settle at four fifths of the budget. */
 const SHORT_SHARE = 0.75
 /** Well below the other share, so that the state does not alternate with each answer. */
@@ -34,6 +34,8 @@
   readonly #paused = new Set<ByteAccount>()
   readonly #bytesByClient = new Map<string, number>()
   #usedBytes = NO_BYTES
+  /** Bytes of incomplete events. */
+  #heldBytes = NO_BYTES
   #short = false
   /** The fewest free bytes since paused answers were last checked. */
   #checkedFreeBytes: number
@@ -62,7 +64,8 @@
   open (): ByteAccount {
     return new ByteAccount({
       onChanged: (account, deltaBytes) => this.#adjust(account, deltaBytes),
-      mayHold: ({ heldBytes }) => heldBytes <= Math.max(READ_BYTES, HELD_SHARE * this.#freeBytes),
+      mayHold: ({ heldBytes }) => heldBytes <= READ_BYTES || this.#heldBytes <= HELD_SHARE * this.totalBytes,
+      onHeld: (deltaBytes) => { this.#heldBytes += deltaBytes },
       onAssigned: (account, clientAccount) => this.#assign(account, clientAccount),
       onAttached: (account) => this.#pauseIfOver(account),
       onDetached: (account) => this.#resume(account),
