--- a/__utils__/platform-stand-ins/src/publish.ts
+++ b/__utils__/platform-stand-ins/src/publish.ts
@@ -29,9 +29,9 @@
   return path
 }
 
-/** Publishes one route whose calls must not be repeated and may take as long as `deadlineMs`, and the service that it leads to. */
-export function publishSlowCalls (store: StandInStore, { pathPrefix, deadlineMs, address }: { pathPrefix: string, deadlineMs: number, address: string }): void {
-  const route = { name: 'r-slow', host: 'scripts.example', path_prefix: pathPrefix, kind: 'unsafe', timeout_ms: deadlineMs, service: 'desk', max_attempts: 1 }
+/** Publishes one route whose calls may take as long as `deadlineMs` and by default must not be repeated, and the service that it leads to. */
+export function publishSlowCalls (store: StandInStore, { pathPrefix, deadlineMs, address, kind = 'unsafe' }: { pathPrefix: string, deadlineMs: number, address: string, kind?: string }): void {
+  const route = { name: 'r-slow', host: 'scripts.example', path_prefix: pathPrefix, kind, timeout_ms: deadlineMs, service: 'desk', max_attempts: 1 }
   store.put('op/config', { ...SAMPLE_CONFIGURATION, routes: [route], services: SAMPLE_CONFIGURATION.services.slice(1) })
   store.put(keyOf('i-s'), sampleUpstreamEntry({ service: 'desk', address, slots: 1000 }))
 }
--- a/cli/reelspan/test/requestsDuringStop.ts
+++ b/cli/reelspan/test/requestsDuringStop.ts
@@ -30,7 +30,7 @@
 }
 
 /** Starts boxes and a service whose answers take longer than those before once `slowMs` is set. */
-async function startDeployment (t: ExecutionContext, ips: readonly string[]): Promise<Deployment & { work: { ms: number } }> {
+async function startDeployment (t: ExecutionContext, ips: readonly string[], kind: string): Promise<Deployment & { work: { ms: number } }> {
   const work = { ms: KNOWN_WORK_MS }
   const store = new StandInStore()
   const storeAddress = await store.start()
@@ -40,7 +40,7 @@
     service.stop()
     store.stop()
   })
-  publishSlowCalls(store, { pathPrefix: '/slow/', deadlineMs: DEADLINE_MS, address: service.address })
+  publishSlowCalls(store, { pathPrefix: '/slow/', deadlineMs: DEADLINE_MS, address: service.address, kind })
   const first = await startProcess(t, { ip: ips[0], storeAddress })
   const others = await Promise.all(ips.slice(1).map((ip) => startProcess(t, { ip, storeAddress, seeds: [first.controlAddress] })))
   const boxes = [first, ...others]
@@ -56,8 +56,8 @@
   return (id: string) => outcomeOf(frontAddress, id, { agent })
 }
 
-async function checkStop (t: ExecutionContext, ips: readonly string[], { workMs }: { workMs: number }): Promise<void> {
-  const { boxes, service, work } = await startDeployment(t, ips)
+async function checkStop (t: ExecutionContext, ips: readonly string[], { workMs, kind = 'unsafe' }: { workMs: number, kind?: string }): Promise<void> {
+  const { boxes, service, work } = await startDeployment(t, ips, kind)
   const senders = boxes.flatMap((box) => [sender(box, { keepAlive: true }), sender(box, { keepAlive: false })])
   const earlier = await Promise.all(Array.from({ length: EARLIER_REQUESTS * boxes.length }, (_, i) => senders[i % senders.length](`earlier-${i}`)))
   t.true(earlier.every((outcome) => outcome === Outcome.Whole), 'requests before the stop')
@@ -94,3 +94,5 @@
 test.serial('so are they when the answers take longer than those before', (t) => checkStop(t, ['127.0.0.32'], { workMs: 2500 }))
 test.serial('so are they when the answers take longer than the rest of the grace period', (t) => checkStop(t, ['127.0.0.33'], { workMs: 6000 }))
 test.serial('so are they when several boxes stop together', (t) => checkStop(t, ['127.0.0.34', '127.0.0.35', '127.0.0.36'], { workMs: 2500 }))
+test.serial('so are requests that may be repeated', (t) => checkStop(t, ['127.0.0.37'], { workMs: 2500, kind: 'safe' }))
+test.serial('so are requests that may be repeated when the answers take longer than the rest of the grace period', (t) => checkStop(t, ['127.0.0.38'], { workMs: 6000, kind: 'safe' }))
--- a/request/relay/test/serviceStreams.ts
+++ b/request/relay/test/serviceStreams.ts
@@ -1,8 +1,9 @@
 import { ErrorCode, Verdict } from '@reelspan/core.error'
 import test from 'ava'
-import { aborts, createRelay, fails, pauses, RecordingCaller, requestTo, streams } from './__utils__/createRelay.js'
+import { aborts, createRelay, fails, hangs, pauses, RecordingCaller, requestTo, streams } from './__utils__/createRelay.js'
 
 const REST = 'id: 5\ndata: f\n\n'
+const PROBED_ADDRESSES = ['10.0.4.1:1', '10.0.5.1:1', '10.0.6.1:1']
 const TAKEN_UP = { id: 'r2', resumeAfter: '4' }
 
 function resumedAfter ({ upstreams }: ReturnType<typeof createRelay>): (string | undefined)[] {
@@ -90,6 +91,23 @@
   }
 })
 
+test('a box that loses its paths tells the one that runs a stream of a service behind which event it goes on', async (t) => {
+  const { clock, relay, probe, delegator } = createRelay([hangs()], {
+    services: ['s1'],
+    probedAddresses: PROBED_ADDRESSES,
+    delegate: async (_request, { onSent, onHead, onData }) => {
+      onSent('s1', '')
+      onHead(200, ['Content-Type', 'text/event-stream'])
+      await onData(Buffer.from(REST))
+    },
+  })
+  PROBED_ADDRESSES.forEach((address) => probe.ended.add(address))
+  const caller = new RecordingCaller()
+  await clock.run(relay.relay(requestTo('/notes/1', TAKEN_UP), caller))
+  t.deepEqual(delegator.requests.map(({ request }) => request.resumeAfter), ['4'])
+  t.is(caller.body, REST)
+})
+
 /** Sends parts of a stream of events. */
 function pieces (parts: string[]) {
   return pauses(200, parts, 1, ['Content-Type', 'text/event-stream'])
