fix(request.relay): a success without its upstream's signature is not passed on

Cause: the signature was a header among others. It was passed on where it was there, and nothing looked whether it was. Change: the adapter decodes that it is missing (unsigned), and the relay treats a 2xx without it as a failed answer that may have run: 502 to requests that may run once, another upstream for others within their attempts and the retry budget. Its exchange is ended. Failures need no signature; an answer that continues another one keeps the head of the first, so that its own is not looked at. Counted and logged. The soak learns it as a fault kind and checks each success.

--- a/__utils__/platform-stand-ins/src/standInUpstream.ts
+++ b/__utils__/platform-stand-ins/src/standInUpstream.ts
@@ -133,6 +133,8 @@
   floodOf?: (id: string) => Flood | undefined
   /** Decides whether the answer of a run is lost. */
   losesAnswer?: () => boolean
+  /** Decides whether an answer lacks the signature. */
+  losesSignature?: () => boolean
   /** How answers end, by the id of their request; undefined for a chunked or a sized one. */
   endOf?: (id: string) => AnswerEnd | undefined
   /** Headers with the upstream's signals, added to each response. */
@@ -269,7 +271,7 @@
     }
     const id = String(headers['x-reelspan-request-id'])
     response.setHeader('X-Reelspan-Request-Id', id)
-    response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
+    if (!this.#opts.losesSignature?.()) response.setHeader('X-Reelspan-Server-Stamp', `stamp-of-${id}`)
     const expected = headers['x-reelspan-expect-instance']
     if (this.#opts.instance !== undefined && expected !== undefined && expected !== this.#opts.instance) return this.#refuse(id, response, 421)
     this.arrivals.push({ id, instance: this.instance, atMs: performance.now() })
--- a/__utils__/soak/src/attempt.ts
+++ b/__utils__/soak/src/attempt.ts
@@ -28,6 +28,8 @@
   endedAtMs?: number
   status?: number
   body?: string
+  /** Whether the answer lacked the signature of an upstream, if one was received. */
+  unsigned?: boolean
   retryAfter?: string
   /** Set when the connection failed or the client timed out. */
   error?: string
--- a/__utils__/soak/src/checkHistory.ts
+++ b/__utils__/soak/src/checkHistory.ts
@@ -35,13 +35,14 @@
 }
 
 function violationsOf (attempt: Attempt, runs: readonly UpstreamRun[]): string[] {
-  const { kind, status, body = '', endedAtMs, sentAtMs, deadlineMs, error, retryAfter, wasStalled, resumes } = attempt
+  const { kind, status, body = '', endedAtMs, sentAtMs, deadlineMs, error, retryAfter, wasStalled, resumes, unsigned } = attempt
   const expected = expectedBody(attempt)
   const violations: string[] = []
   if (!mayRunRepeatedly(kind) && runs.length > 1) violations.push(`ran ${runs.length} times`)
   if (!mayRunRepeatedly(kind) && runs.length > 0 && NOT_RUN_STATUSES.includes(status ?? 0)) violations.push('was refused as not run, but ran')
   if (status === OK && error === undefined && body !== expected) violations.push(`received an unexpected body: ${JSON.stringify(body)}`)
   if (status === OK && error !== undefined && !expected.startsWith(body)) violations.push(`received bytes that are not part of its answer: ${JSON.stringify(body)}`)
+  if (status === OK && unsigned === true) violations.push('received a success without the signature of its upstream')
   if (status === OK && runs.length === 0) violations.push('received an answer, but did not run')
   // A stream whose version has gone, or is not known to anyone, cannot be taken up later either.
   if (status === 503 && retryAfter === undefined && resumes === undefined) violations.push('was refused without a Retry-After header')
--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -111,6 +111,7 @@
       })
       attempt.status = response.statusCode
       attempt.retryAfter = response.headers['retry-after'] as string | undefined
+      attempt.unsigned = response.headers['x-reelspan-server-stamp'] === undefined
       attempt.body = ''
       for await (const bytes of response.body) attempt.body += String(bytes)
     } catch (thrown) {
--- a/__utils__/soak/src/faultKind.ts
+++ b/__utils__/soak/src/faultKind.ts
@@ -36,6 +36,8 @@
   EndlessReports = 'endlessReports',
   /** The answers of the store have no end. */
   StoreEndless = 'storeEndless',
+  /** The answers of an upstream lack its signature. */
+  UnsignedAnswers = 'unsignedAnswers',
   /** Clients that read no answers, send requests ahead or parts of them, and leave early. */
   ClientCrowd = 'clientCrowd',
 }
@@ -43,4 +45,4 @@
 /** Faults of answers that have no end. */
 export const ENDLESS_KINDS: readonly FaultKind[] = [FaultKind.EndlessReports, FaultKind.StoreEndless]
 /** Faults that are not drawn with the others. */
-export const UNDRAWN_KINDS: readonly FaultKind[] = [...ENDLESS_KINDS, FaultKind.KillAll, FaultKind.ClientCrowd]
+export const UNDRAWN_KINDS: readonly FaultKind[] = [...ENDLESS_KINDS, FaultKind.KillAll, FaultKind.UnsignedAnswers, FaultKind.ClientCrowd]
--- a/__utils__/soak/src/faults.ts
+++ b/__utils__/soak/src/faults.ts
@@ -128,6 +128,7 @@
       case FaultKind.StoreStale: return this.#withUnused([store], () => this.#serveStaleReads())
       case FaultKind.StoreEndless: return this.#disruptStore(durationMs, () => { store.answersEndlessly = () => true }, () => { store.answersEndlessly = () => false })
       case FaultKind.EndlessReports: return this.#reportEndlessly(durationMs)
+      case FaultKind.UnsignedAnswers: return this.#loseSignatures(durationMs)
       case FaultKind.StoreForgets: return this.#disruptStore(0, () => store.compactHistory(), () => {})
       case FaultKind.CrashUpstream: return this.#crashUpstream(durationMs)
       case FaultKind.UpstreamLeaves: return this.#withUnused(fleet.replicas, (replica) => this.drainUpstream(replica))
@@ -277,6 +278,16 @@
     }))
   }
 
+  async #loseSignatures (durationMs: number): Promise<void> {
+    const { fleet } = this.#opts
+    await this.#withUnused(fleet.replicas.filter(({ role }) => role !== Role.Prefill), ({ name, instance }) => this.#withDisruption(name, async () => {
+      this.#record(`${instance} sends answers without a signature`)
+      fleet.unsigned.add(instance)
+      await sleep(durationMs)
+      fleet.unsigned.delete(instance)
+    }))
+  }
+
   async #crashUpstream (downMs: number): Promise<void> {
     const { fleet } = this.#opts
     await this.#withUnused(fleet.replicas, (replica) => this.#withDisruption(replica.name, async () => {
--- a/__utils__/soak/src/soakFleet.ts
+++ b/__utils__/soak/src/soakFleet.ts
@@ -84,6 +84,8 @@
   readonly replicas: UpstreamReplica[] = []
   /** Instances whose reports have no end. */
   readonly endlessReports = new Set<string>()
+  /** Instances whose answers lack the signature. */
+  readonly unsigned = new Set<string>()
   readonly store = new StandInStore()
   readonly handles = new HandleTable()
   readonly disruptions = new DisruptionLog()
@@ -466,6 +468,7 @@
       losesAnswer: withProbability(LOST_ANSWER_SHARE),
       advertises: () => this.#headersOf(instance),
       reportsEndlessly: () => this.endlessReports.has(instance),
+      losesSignature: () => this.unsigned.has(instance),
       crashesOn: (parts) => this.crashing !== undefined && parts.includes(this.crashing.part),
       crash: () => ({ closesQuietly: true }),
       onCrashed: ({ id }) => this.#onCrashed(instance, id),
--- a/__utils__/soak/test/checkHistory.ts
+++ b/__utils__/soak/test/checkHistory.ts
@@ -37,6 +37,11 @@
   t.regex(checkHistory([attemptOf({ body: 'dxn', error: 'reset' })], [runOf({ complete: false })])[0], /not part of its answer/)
 })
 
+test('reports a success without a signature', (t) => {
+  t.regex(checkHistory([attemptOf({ unsigned: true })], [runOf()])[0], /without the signature/)
+  t.deepEqual(checkHistory([attemptOf({ status: 502, body: '{}', unsigned: true })], [runOf()]), [])
+})
+
 test('reports a stream with a missing event', (t) => {
   const stream = attemptOf({ kind: RouteKind.Stream, body: 'id: 0\ndata: a 0\n\nid: 2\ndata: a 2\n\nid: 3\ndata: a 3\n\n' })
   t.regex(checkHistory([stream], [runOf()])[0], /unexpected body/)
--- a/request/relay/src/sendToUpstream.ts
+++ b/request/relay/src/sendToUpstream.ts
@@ -6,6 +6,7 @@
 import { withCheckedEnd } from './answerEnd.js'
 import { discardAnswer } from './discardAnswer.js'
 import { isRepeatable } from './isRepeatable.js'
+import { isUnsignedSuccess } from './isUnsignedSuccess.js'
 import { type RelayContext } from './relayContext.js'
 import { withCheckedStart } from './withCheckedStart.js'
 
@@ -31,7 +32,8 @@
  * upstream reports that it did not. Throws `UpstreamError`, as does the answer's body if it is not whole.
  */
 export function sendToUpstream (context: RelayContext, to: PermittedTarget, runOptions: RelayRunOptions): Promise<RelayAnswer> {
-  const { opts, run, request, route, logDecision, caller: { buffer } } = context
+  const { opts, run, request, route, logDecision, caller } = context
+  const { buffer } = caller
   const { target } = to
   if (request.account !== undefined) buffer?.assignTo(request.account)
   return run.dispatchOnSend(async (sent) => {
@@ -55,6 +57,14 @@
       discardAnswer(context, target.instance, answer)
       throw new UpstreamError(`${target.instance} responded with ${answer.status} and may have run the request`, { mayHaveRun: true, failed: true })
     }
+    // A continued answer keeps the head of its first upstream.
+    if (isUnsignedSuccess(answer) && !caller.begun) {
+      opts.metrics.count('reelspan_unsigned_answers_total')
+      logDecision(LogEvent.AnswerUnsigned, { upstream: target.instance, status: answer.status, ...answer.use, sentAgoMs: Math.round(opts.clock.nowMs() - sentAtMs), atMs: Math.round(run.elapsedMs) })
+      discardAnswer(context, target.instance, answer)
+      answer.cancel()
+      throw new UpstreamError(`${target.instance} responded with ${answer.status} without its signature`, { mayHaveRun: true, failed: true })
+    }
     return withCheckedEnd(withCheckedStart(answer, { sender: target.instance, resumeAfter: runOptions.resumeAfter }), { sender: target.instance, metrics: opts.metrics })
   })
 }
--- a/telemetry/log/src/log.ts
+++ b/telemetry/log/src/log.ts
@@ -40,6 +40,7 @@
   PlatformReadDropped = 'platformReadDropped',
   /** The rest of an answer was not read, since it is larger than any valid one. */
   AnswerOversized = 'answerOversized',
+  AnswerUnsigned = 'answerUnsigned',
   /** An answer on a connection to an upstream belonged to another request than the one sent, and was skipped. */
   AnswerForeign = 'answerForeign',
   EntriesKept = 'entriesKept',
--- a/upstream/client/src/relayClient.ts
+++ b/upstream/client/src/relayClient.ts
@@ -86,6 +86,8 @@
   status: number
   /** The upstream reports that it did not run the request and will not run it. */
   notRun: boolean
+  /** The upstream's signature is missing, without which a success does not count. */
+  unsigned?: boolean
   headers: readonly string[]
   /** What ends the body, if the transport knows it. */
   framing?: AnswerFraming
