fix(request.stream-origins): engines that miss one reading are asked again

What callers saw: after a loss of all boxes, beside load, streams that could go on were refused, all of one box or of both, without a time to come back. Cause: all refusals name all six engines as unanswered, 35 to 186 ms after they began. The box was held up itself: its timers ended the readings, of 100 ms each, before it had read the answers. One missed reading was taken for the engines' last word, and counted less than a box that does not answer, for which clients come back. Change: an engine that accepts connections and does not answer is asked a second time, for 300 ms. A stream of which an engine may still tell is refused with a delay of 0.5 s. One that accepts no connection is not asked again.

--- a/request/stream-origins/src/engineWitnesses.ts
+++ b/request/stream-origins/src/engineWitnesses.ts
@@ -31,6 +31,8 @@
   witnesses: string[]
   /** Names of the engines that were asked and did not answer. */
   unanswered: string[]
+  /** Whether any of them accepts connections, so that another try may bring more. */
+  isIncomplete: boolean
   asked: number
 }
 
@@ -48,7 +50,8 @@
   Unanswered,
 }
 
-const READ_TIMEOUT_MS = 100
+/** An engine that does not answer is asked again, for longer: this box may have been held up itself. */
+const READ_TIMEOUTS_MS: readonly number[] = [100, 300]
 /** Streams that are taken up together share one reading. */
 const MAX_READING_AGE_MS = 300
 /** With more engines none is asked: each box would ask all of them. */
@@ -67,7 +70,7 @@
   /** Asks all engines of the stream's model. */
   async find (sought: SoughtRun): Promise<Testimony> {
     const engines = this.#enginesOf(sought.model)
-    if (engines.length > MAX_ENGINES) return { versions: [], isContested: false, witnesses: [], unanswered: [], asked: 0 }
+    if (engines.length > MAX_ENGINES) return { versions: [], isContested: false, witnesses: [], unanswered: [], isIncomplete: false, asked: 0 }
     this.#retain(engines)
     const answers = await Promise.all(engines.map(async (engine) => ({ engine, answer: await this.#read(engine) })))
     const witnesses = answers.filter(({ answer }) => typeof answer === 'object' && hasGenerated(answer, sought)).map(({ engine }) => engine)
@@ -77,6 +80,7 @@
       isContested: versions.length > 0 && answers.some(({ engine, answer }) => answer === NoAnswer.Unanswered && !versions.includes(softwareVersionOf(engine))),
       witnesses: witnesses.map(({ name }) => name),
       unanswered: answers.filter(({ answer }) => typeof answer !== 'object').map(({ engine: { name } }) => name),
+      isIncomplete: answers.some(({ answer }) => answer === NoAnswer.Unanswered),
       asked: engines.length,
     }
   }
@@ -96,12 +100,13 @@
     return answer
   }
 
-  async #ask (engine: ListedUpstream): Promise<Answer> {
+  async #ask (engine: ListedUpstream, [timeoutMs, ...laterTimeoutsMs] = READ_TIMEOUTS_MS): Promise<Answer> {
     try {
-      return await this.#opts.readTraces(engine, { timeoutMs: READ_TIMEOUT_MS }) ?? NoAnswer.Unanswered
+      return await this.#opts.readTraces(engine, { timeoutMs }) ?? NoAnswer.Unanswered
     } catch (thrown) {
       // The client logs the failure.
-      return thrown instanceof UpstreamError && thrown.unreachable && thrown.verdict === Verdict.NotRun ? NoAnswer.Unreachable : NoAnswer.Unanswered
+      if (thrown instanceof UpstreamError && thrown.unreachable && thrown.verdict === Verdict.NotRun) return NoAnswer.Unreachable
+      return laterTimeoutsMs.length > 0 ? this.#ask(engine, laterTimeoutsMs) : NoAnswer.Unanswered
     }
   }
 
--- a/request/stream-origins/src/originEvidence.ts
+++ b/request/stream-origins/src/originEvidence.ts
@@ -127,15 +127,16 @@
 }
 
 /** Why nobody knows the version, and when another try may succeed. */
-export function unknownOrigin (evidence: Evidence): UnknownOrigin {
+export function unknownOrigin (evidence: Evidence, testimony?: Testimony): UnknownOrigin {
   const { query, own, known, askedCount } = evidence
   const said = new Set(known.flatMap(({ version }) => version ?? []))
-  if (said.size > 1) return { reason: `boxes differ on the version that began the stream: ${[...said].join(', ')}` }
-  if (!mayGoOnAtModel(evidence)) return { reason: `the stream did not begin at the model ${query.model}` }
+  if (said.size > 1) return { reason: `boxes differ on the version that began the stream: ${[...said].join(', ')}`, testimony }
+  if (!mayGoOnAtModel(evidence)) return { reason: `the stream did not begin at the model ${query.model}`, testimony }
   const reason = `none of ${known.length} boxes that answered, of ${askedCount} asked, knows which version began the stream`
-  const retryAfterMs = known.length < askedCount || own.coveredMs === 0 ? RETRY_AFTER_MS : conclusiveInMs(evidence)
+  const mayBeToldLater = known.length < askedCount || own.coveredMs === 0 || testimony?.isIncomplete
+  const retryAfterMs = mayBeToldLater ? RETRY_AFTER_MS : conclusiveInMs(evidence)
   // A client that comes back later than it waits comes back in vain.
-  return { reason, retryAfterMs: retryAfterMs !== undefined && retryAfterMs < (query.remainingMs ?? Number.POSITIVE_INFINITY) ? retryAfterMs : undefined }
+  return { reason, testimony, retryAfterMs: retryAfterMs !== undefined && retryAfterMs < (query.remainingMs ?? Number.POSITIVE_INFINITY) ? retryAfterMs : undefined }
 }
 
 /**
--- a/request/stream-origins/src/streamOrigins.ts
+++ b/request/stream-origins/src/streamOrigins.ts
@@ -158,7 +158,7 @@
     if (foundAtHolders) return foundAtHolders
     const [fromOthers, testimony] = await Promise.all([this.#ask(peers.slice(ASKED_HOLDERS), bounded, signal), this.#opts.witnesses?.find(query)])
     const evidence = this.#evidence(bounded, [...known, ...fromOthers], peers)
-    return versionAtBoxes(evidence) ?? versionAtEngines(evidence, testimony) ?? { ...unknownOrigin(evidence), testimony }
+    return versionAtBoxes(evidence) ?? versionAtEngines(evidence, testimony) ?? unknownOrigin(evidence, testimony)
   }
 
   /** What this box and those that were asked know of a stream. */
--- a/request/stream-origins/test/engineWitnesses.ts
+++ b/request/stream-origins/test/engineWitnesses.ts
@@ -15,8 +15,11 @@
   return { name, kind: UpstreamKind.Engine, address: `${name}:1`, availabilityZone: 'a', pool, leaving: false, softwareVersion }
 }
 
-/** Engines d1 and d2 of v1, d3 of v2, and p1 of v2, which is of the model's other pool. */
-function createWitnesses (answers: Record<string, EngineTraces | UpstreamError | undefined>) {
+/**
+ * Engines d1 and d2 of v1, d3 of v2, and p1 of v2, which is of the model's other pool.
+ * @param missed how many readings of each engine end by their time-outs first
+ */
+function createWitnesses (answers: Record<string, EngineTraces | UpstreamError | undefined>, missed = 0) {
   const clock = new VirtualClock()
   const asked: string[] = []
   const fleet = new FleetList([], [engineOf('d1', 'v1'), engineOf('d2', 'v1'), engineOf('d3', 'v2'), engineOf('p1', 'v2', 'p'), engineOf('x1', 'v3', 'x')])
@@ -26,6 +29,7 @@
     poolsOfModels: () => new Map([[MODEL, ['p', 'd']]]),
     readTraces: async ({ name }) => {
       asked.push(name)
+      if (asked.filter((one) => one === name).length <= missed) throw new UpstreamError('no answer', { mayHaveRun: true, unreachable: true })
       const answer = name in answers ? answers[name] : NOTHING
       if (answer instanceof UpstreamError) throw answer
       return answer
@@ -60,6 +64,18 @@
   }
 })
 
+// Guards against refusing streams whose engines would tell, since the box itself was held up while it asked them.
+test('an engine that misses one reading is asked again', async (t) => {
+  t.like(await createWitnesses({ d2: RAN }, 1).witnesses.find(SOUGHT), { versions: ['v1'], isContested: false, unanswered: [], isIncomplete: false })
+  t.like(await createWitnesses({ d2: RAN }, 2).witnesses.find(SOUGHT), { versions: [], unanswered: ['d1', 'd2', 'd3', 'p1'], isIncomplete: true })
+})
+
+test('an engine that accepts no connection is not asked again', async (t) => {
+  const { witnesses, asked } = createWitnesses({ d1: new UpstreamError('cannot be reached', { mayHaveRun: false, unreachable: true }) })
+  t.like(await witnesses.find(SOUGHT), { unanswered: ['d1'], isIncomplete: false })
+  t.is(asked.length, 4)
+})
+
 test('streams that are taken up together share a reading', async (t) => {
   const { clock, witnesses, asked } = createWitnesses({})
   await Promise.all([witnesses.find(SOUGHT), witnesses.find({ ...SOUGHT, attempt: 'a2' })])
--- a/request/stream-origins/test/streamOrigins.ts
+++ b/request/stream-origins/test/streamOrigins.ts
@@ -32,10 +32,12 @@
   target?: string
   /** Versions of the engines that have generated something for the stream. */
   generatedAt?: string[]
+  /** Whether an engine that accepts connections did not answer. */
+  isIncomplete?: boolean
 }
 
 /** Boxes in three zones on a fake network, each with an own list. */
-async function createBoxes ({ count = 8, versions = ['v1', 'v2'], coveredMs = 0, target = MODEL, generatedAt }: BoxesOptions = {}) {
+async function createBoxes ({ count = 8, versions = ['v1', 'v2'], coveredMs = 0, target = MODEL, generatedAt, isIncomplete = false }: BoxesOptions = {}) {
   const clock = new VirtualClock()
   const network = new FakeNetwork({ clock, random: new SeededRandom(1) })
   const members = Array.from({ length: count }, (_, i) => memberOf(i, 'abc'[i % 3]))
@@ -53,7 +55,7 @@
       poolsOfModels: () => new Map([[MODEL, ['p', 'd']]]),
       routes: () => [{ host: ROUTED.host, pathPrefix: '/reply/', targets: [state.target] }],
       sinceContactMs: () => state.sinceContactMs,
-      witnesses: generatedAt && { find: async () => ({ versions: generatedAt, isContested: false, witnesses: ['d0'], unanswered: [], asked: 1 }) },
+      witnesses: generatedAt && { find: async () => ({ versions: generatedAt, isContested: false, witnesses: ['d0'], unanswered: [], isIncomplete, asked: 1 }) },
     })
     link.serve({
       onCall: async (message) => {
@@ -153,6 +155,12 @@
   t.true('retryAfterMs' in found && (found.retryAfterMs ?? 0) > 0)
 })
 
+test('a stream that nobody knows is refused with a delay if an engine may still tell', async (t) => {
+  const { find } = await createBoxes({ generatedAt: [], isIncomplete: true })
+  t.like(await find(0), { retryAfterMs: 500 })
+  t.like(await find(0, { ...QUERY, remainingMs: 400 }), { retryAfterMs: undefined })
+})
+
 test('boxes that differ on a version are not believed', async (t) => {
   const { boxes, find } = await createBoxes()
   boxes.slice(1).forEach(({ origins }, i) => origins.receive([{ ...ORIGIN, version: i % 2 === 0 ? 'v1' : 'v2' }]))
