--- a/__utils__/platform-stand-ins/src/samples.ts
+++ b/__utils__/platform-stand-ins/src/samples.ts
@@ -73,3 +73,8 @@
     ...opts.prompt === undefined ? {} : { 'X-Reelspan-Model': 'm', 'X-Reelspan-Token-Count': opts.tokenCount ?? '50,24', 'X-Reelspan-Prompt-Prefix': [...sharedParts.map((part) => `${part}:20`), `${opts.prompt}:30`].join(',') },
   }
 }
+
+/** The signature of the upstream in the headers of an answer. */
+export function signatureOf (headers: Readonly<Record<string, string | string[] | undefined>>): string | undefined {
+  return headers['x-reelspan-server-stamp']?.toString()
+}
--- a/__utils__/soak/src/client.ts
+++ b/__utils__/soak/src/client.ts
@@ -1,5 +1,5 @@
 import { SeededRandom } from '@reelspan/utils.fakes'
-import { queryDirectory, requestHeaders } from '@reelspan/utils.platform-stand-ins'
+import { queryDirectory, requestHeaders, signatureOf } from '@reelspan/utils.platform-stand-ins'
 import { Agent, request } from 'undici'
 import { type Attempt, isStream, RouteKind } from './attempt.js'
 import { drawOne } from './drawOne.js'
@@ -111,7 +111,7 @@
       })
       attempt.status = response.statusCode
       attempt.retryAfter = response.headers['retry-after'] as string | undefined
-      attempt.unsigned = response.headers['x-reelspan-server-stamp'] === undefined
+      attempt.unsigned = signatureOf(response.headers) === undefined
       attempt.body = ''
       for await (const bytes of response.body) attempt.body += String(bytes)
     } catch (thrown) {
