fix(membership.prober,upstream.orders): the right to order needs most of all boxes

Two boxes that are cut off together elect a scheduler, which orders engines beside that of the larger side. Cause: the right is kept by contact with most of the watched members. Suspect members are not watched, so some seconds after the cut the two boxes had contact with all that they still watched. Change: a round counts only while more members are live than suspect (lastQuorumContactMs). A holder whose right has lapsed waits as long as a successor once it has contact again. Which boxes watch the platform goes by the watched members as before.

--- a/box/runtime/src/createBox.ts
+++ b/box/runtime/src/createBox.ts
@@ -173,7 +173,7 @@
     isGone: (incarnation) => parts.view.get(incarnation)?.health === MemberHealth.Gone,
     hasLostPaths: () => hasLostPathsTo(UpstreamKind.Engine, parts),
     onReport: (engine, { runs }) => { if (runs) parts.streamOrigins.observeRuns(engine, runs) },
-    lastContactMs: () => Math.max(parts.prober.lastMajorityContactMs, parts.platform.lastAnswerMs),
+    lastContactMs: () => Math.max(parts.prober.lastQuorumContactMs, parts.platform.lastAnswerMs),
   })
 }
 
--- a/box/runtime/test/orders.ts
+++ b/box/runtime/test/orders.ts
@@ -104,3 +104,38 @@
   t.deepEqual([...fleet.engines.values()].map(({ orders }) => orders.length), ordersBefore)
   await fleet.stop()
 })
+
+/** The shards whose engines each box may order now. */
+function ordering (fleet: FakeFleet): { name: string, shard: string }[] {
+  return fleet.liveBoxes().flatMap(({ name, box }) => box.describe().shards.filter(({ mayOrder }) => mayOrder).map(({ shard }) => ({ name, shard })))
+}
+
+// Guards against orders from two sides of a cut, since boxes that are cut off together have contact with most of those that they still trust.
+for (const withScheduler of [false, true]) {
+  test(`boxes that are cut off together do not get the right to order, ${withScheduler ? 'with' : 'without'} the scheduler among them`, async (t) => {
+    const fleet = await new FakeFleet({ boxCount: 6, engine: { checksFence: false } }).start()
+    await fleet.clock.advance(8000)
+    const scheduler = fleet.schedulerBox()
+    const others = fleet.boxes.filter((box) => box !== scheduler)
+    const inside = withScheduler ? [scheduler, others[0]] : others.slice(0, 2)
+    const outside = fleet.boxes.filter((box) => !inside.includes(box))
+    inside.forEach((a) => outside.forEach((b) => fleet.network.blockBoth(a.address, b.address)))
+    inside.forEach(({ address }) => fleet.platform.unresponsiveTo.add(address))
+    const shared: string[] = []
+    const observe = async (durationMs: number) => {
+      for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+        await fleet.clock.advance(100)
+        const holders = ordering(fleet)
+        shared.push(...holders.filter(({ shard }, i) => holders.findIndex((other) => other.shard === shard) !== i).map(({ shard }) => shard))
+      }
+    }
+    await observe(12_000)
+    t.true(ordering(fleet).some(({ name }) => outside.some((box) => box.name === name)), 'the larger side goes on')
+    fleet.network.healAll()
+    fleet.platform.unresponsiveTo.clear()
+    await observe(12_000)
+    t.deepEqual([...new Set(shared)], [])
+    t.true(ordering(fleet).length > 0)
+    await fleet.stop()
+  })
+}
--- a/membership/prober/src/prober.ts
+++ b/membership/prober/src/prober.ts
@@ -88,6 +88,7 @@
   #round = 0
   #pulledInRound = -1
   #lastMajorityContactMs: number
+  #lastQuorumContactMs: number
 
   constructor (opts: ProberOptions) {
     this.#opts = opts
@@ -106,6 +107,7 @@
       signal: this.#tasks.signal,
     })
     this.#lastMajorityContactMs = opts.clock.nowMs()
+    this.#lastQuorumContactMs = this.#lastMajorityContactMs
   }
 
   /** Requests in flight at a member, as it last reported. */
@@ -121,6 +123,14 @@
     return this.#lastMajorityContactMs
   }
 
+  /**
+   * As above, of the last such round while most of the members that are not known to be gone were live. Suspect members
+   * are not watched, so a few boxes that are cut off together soon have contact with most of those that they watch.
+   */
+  get lastQuorumContactMs (): number {
+    return this.#lastQuorumContactMs
+  }
+
   /** Sends heartbeats to the given boxes and returns once each has answered or failed. */
   async join (addresses: readonly string[]): Promise<void> {
     await Promise.all(addresses.map((address) => this.#contact(address)))
@@ -198,7 +208,10 @@
       ...[...rejoin, ...contested].map((address) => this.#contact(address)),
     ])
     const nowMs = clock.nowMs()
-    if (2 * answers.filter((answered) => answered).length > watched.length) this.#lastMajorityContactMs = askedAtMs
+    if (2 * answers.filter((answered) => answered).length > watched.length) {
+      this.#lastMajorityContactMs = askedAtMs
+      if (view.live().length > view.suspected().length) this.#lastQuorumContactMs = askedAtMs
+    }
     view.suspectedLongerThan(silentGoneMs, nowMs).forEach(({ incarnation }) => view.declareGone(incarnation, nowMs))
     view.removeExpired(nowMs)
   }
--- a/membership/prober/test/prober.ts
+++ b/membership/prober/test/prober.ts
@@ -116,6 +116,18 @@
   void prober.stop()
 })
 
+test('contact with those that are still trusted is none with most of the boxes', async (t) => {
+  for (const [lost, hasQuorum] of [[FLEET / 3, true], [FLEET - 3, false]] as const) {
+    const suspects = Array.from({ length: lost }, (_, i) => memberOf(i + 1))
+    const { clock, link, prober } = startProber(suspects)
+    suspects.forEach(({ peerAddress }) => link.unresponsive.add(peerAddress))
+    await clock.advance(10_000)
+    t.true(clock.nowMs() - prober.lastMajorityContactMs <= 2 * PROBE_PERIOD_MS)
+    t.is(clock.nowMs() - prober.lastQuorumContactMs <= 2 * PROBE_PERIOD_MS, hasQuorum)
+    void prober.stop()
+  }
+})
+
 test('a box that starts before the others contacts them soon after they are up', async (t) => {
   const seeds = [memberOf(1), memberOf(2), memberOf(3)]
   const { clock, link, prober, view } = startIsolated(seeds)
--- a/upstream/orders/src/orderLease.ts
+++ b/upstream/orders/src/orderLease.ts
@@ -4,7 +4,7 @@
   clock: Clock
   /** How long the lease is valid after the last contact. */
   durationMs: number
-  /** When this box last had contact with the platform or with most of the peers it monitors, by its own clock. */
+  /** When this box last had contact with the platform or with most of the boxes, by its own clock. */
   lastContactMs: () => number
   /** Detects pauses of this process. */
   pauses: PauseDetector
@@ -17,8 +17,9 @@
  * The lease under which this box gives orders in a shard, for engines that do not
  * check fencing tokens. It expires by the box's own clock unless contact renews it.
  * A new holder first waits until the lease of the previous holder must have expired.
- * So does a box whose process was paused: another box may hold the lease by now, and
- * the first messages that the paused box reads are from before the pause.
+ * So does a box whose process was paused, or whose lease has expired: another box may
+ * hold the lease by now, and the first messages that a paused box reads are from before
+ * the pause.
  *
  * The lease does not cover a pause between the check and the send. The order is then
  * sent late, by at most the length of the pause. The engine's next report shows its
@@ -27,6 +28,8 @@
 export class OrderLease {
   readonly #opts: OrderLeaseOptions
   #acquiredAtMs?: number
+  /** When the lease was last found to have expired. */
+  #expiredAtMs = Number.NEGATIVE_INFINITY
 
   constructor (opts: OrderLeaseOptions) {
     this.#opts = opts
@@ -47,13 +50,13 @@
     this.#acquiredAtMs = undefined
   }
 
-  /** Whether an order may be sent now. */
+  /** Whether an order may be sent now. Must be called more often than the lease lasts, so that no time without contact is missed. */
   isValid (): boolean {
     const { clock, durationMs, lastContactMs, pauses } = this.#opts
     const nowMs = clock.nowMs()
+    if (nowMs - lastContactMs() >= durationMs) this.#expiredAtMs = nowMs
     if (this.#acquiredAtMs === undefined) return false
-    const heldFromMs = Math.max(this.#acquiredAtMs, pauses.resumedAtMs(MIN_PAUSE_SHARE * durationMs))
-    const previousHasExpired = nowMs - heldFromMs >= 2 * durationMs
-    return previousHasExpired && nowMs - lastContactMs() < durationMs
+    const heldFromMs = Math.max(this.#acquiredAtMs, this.#expiredAtMs, pauses.resumedAtMs(MIN_PAUSE_SHARE * durationMs))
+    return nowMs - heldFromMs >= 2 * durationMs
   }
 }
--- a/upstream/orders/test/orders.ts
+++ b/upstream/orders/test/orders.ts
@@ -116,3 +116,20 @@
   contactMs = clock.nowMs()
   t.false(lease.isValid())
 })
+
+test('a holder whose lease has expired waits for a possible successor once it has contact again', async (t) => {
+  const clock = new VirtualClock()
+  let contactMs: number | undefined
+  const lease = new OrderLease({ clock, durationMs: 1000, lastContactMs: () => contactMs ?? clock.nowMs(), pauses: startPauseWatch(clock) })
+  lease.acquire()
+  await clock.advance(2000)
+  t.true(lease.isValid())
+  contactMs = clock.nowMs()
+  await clock.advance(1000)
+  t.false(lease.isValid())
+  contactMs = undefined
+  await clock.advance(1900)
+  t.false(lease.isValid())
+  await clock.advance(100)
+  t.true(lease.isValid())
+})
