--- a/__utils__/bench/src/answerMatchMechanisms.ts
+++ b/__utils__/bench/src/answerMatchMechanisms.ts
@@ -2,6 +2,13 @@
 
 /** Mechanisms by which a request gets its own answer and no other one. */
 export const ANSWER_MATCH_MECHANISMS: readonly Mechanism[] = [
+  {
+    name: 'a success without a signature is not passed on',
+    file: 'request/relay/src/sendToUpstream.ts',
+    find: 'if (isUnsignedSuccess(answer) && !caller.begun) {',
+    replace: 'if (isUnsignedSuccess(answer) && run.elapsedMs < 0) {',
+    tests: ['request/relay/test.lib/unsignedAnswers.js', 'platform/adapter/test.lib/unsignedAnswers.js'],
+  },
   {
     name: 'a request is not sent twice on one connection',
     file: 'net/http-exchange/src/connectionPool.ts',
--- a/__utils__/bench/src/mechanisms.ts
+++ b/__utils__/bench/src/mechanisms.ts
@@ -402,8 +402,8 @@
   {
     name: 'the lease to give orders expires',
     file: 'upstream/orders/src/orderLease.ts',
-    find: 'return previousHasExpired && nowMs - lastContactMs() < durationMs',
-    replace: 'return previousHasExpired || nowMs - lastContactMs() < durationMs',
+    find: 'if (nowMs - lastContactMs() >= durationMs) this.#expiredAtMs = nowMs',
+    replace: '',
     tests: ['upstream/orders/test.lib/orders.js', ORDERS],
   },
   {
@@ -521,10 +521,31 @@
   {
     name: 'a box that was paused waits before it gives orders again',
     file: 'upstream/orders/src/orderLease.ts',
-    find: 'Math.max(this.#acquiredAtMs, pauses.resumedAtMs(MIN_PAUSE_SHARE * durationMs))',
-    replace: 'this.#acquiredAtMs',
+    find: 'this.#expiredAtMs, pauses.resumedAtMs(MIN_PAUSE_SHARE * durationMs))',
+    replace: 'this.#expiredAtMs)',
+    tests: ['upstream/orders/test.lib/orders.js'],
+  },
+  {
+    name: 'a box whose lease has expired waits before it gives orders again',
+    file: 'upstream/orders/src/orderLease.ts',
+    find: 'Math.max(this.#acquiredAtMs, this.#expiredAtMs, ',
+    replace: 'Math.max(this.#acquiredAtMs, nowMs === this.#expiredAtMs ? nowMs : 0, ',
     tests: ['upstream/orders/test.lib/orders.js'],
   },
+  {
+    name: 'boxes that are cut off together do not keep the right to order',
+    file: 'membership/prober/src/prober.ts',
+    find: 'if (view.live().length > view.suspected().length) ',
+    replace: '',
+    tests: ['membership/prober/test.lib/prober.js', ORDERS],
+  },
+  {
+    name: 'a read that was only begun is no contact with the platform',
+    file: 'platform/adapter/src/storeReader.ts',
+    find: '    await reading',
+    replace: '    this.#lastAnswerMs = this.#clock.nowMs()\n    await reading',
+    tests: ['platform/adapter/test.lib/storeReader.js'],
+  },
   {
     name: 'the clock includes time during which the machine was suspended',
     file: 'net/system-env/src/systemClock.ts',
--- a/__utils__/bench/src/streamMechanisms.ts
+++ b/__utils__/bench/src/streamMechanisms.ts
@@ -8,6 +8,13 @@
 
 /** Mechanisms that keep answers whole once they have begun. */
 export const STREAM_MECHANISMS: readonly Mechanism[] = [
+  {
+    name: 'stream versions: an engine that misses a reading is asked again',
+    file: 'request/stream-origins/src/engineWitnesses.ts',
+    find: '[100, 300]',
+    replace: '[100]',
+    tests: ['request/stream-origins/test.lib/engineWitnesses.js'],
+  },
   {
     name: 'stream versions: a stream that is taken up goes on at the version that began it',
     file: 'request/relay/src/streamVersion.ts',
--- a/__utils__/platform-stand-ins/src/flood.ts
+++ b/__utils__/platform-stand-ins/src/flood.ts
@@ -77,7 +77,7 @@
 
 /** What comes before the flood, and what it repeats. */
 function textsOf (place: FloodPlace, id: string, firstEvent: number): [string, string] {
-  const headOf = (status: string, fields = '') => `HTTP/1.1 ${status}\r\nX-Reelspan-Request-Id: ${id}\r\n${fields}`
+  const headOf = (status: string, fields = '') => `HTTP/1.1 ${status}\r\nX-Reelspan-Request-Id: ${id}\r\nX-Reelspan-Server-Stamp: stamp-of-${id}\r\n${fields}`
   const stream = `${headOf('200 OK', 'Content-Type: text/event-stream\r\n')}\r\n`
   const eventAt = (i: number) => `id: ${firstEvent + i}\ndata: ${id} ${firstEvent + i}\n\n`
   switch (place) {
