fix(request.quarantine): a request beside a crashing prompt part is not quarantined with it

A resumable stream without the crashing part was refused for ten minutes with 503.

Cause: the stream had run at all three exits of the part, once sent again by its box and once by its client. A part with more exits explains an exit, and a content with as many makes a request one of two suspects; a part of others with as many did neither. And the last exit was judged before the run with the part was known there, which other boxes report up to some 300 ms later.

Ruled out: a ban of the part that is too wide, since the refusals name the content.

Change: a part of others that was at all of the exits counts as a second suspect, so that it takes five exits or one without the part. While the last exit was found less than 800 ms ago, what was at all the others counts as if it had been at that one.

The soak's test saves the logs of its boxes when it fails.

--- a/__utils__/bench/src/quarantineMechanisms.ts
+++ b/__utils__/bench/src/quarantineMechanisms.ts
@@ -78,10 +78,24 @@
   {
     name: 'quarantine: an exit at which a crashing prompt part was does not count against other requests',
     file: 'request/quarantine/src/judgeRequest.ts',
-    find: 'exitsOfStrongestPart(run) > ownExitCount || ',
+    find: 'partVerdicts.exitsOfStrongest(run) > ownExitCount || ',
     replace: '',
     tests: [QUARANTINE],
   },
+  {
+    name: 'quarantine: a request with as many exits as a prompt part of others is not taken for the cause',
+    file: 'request/quarantine/src/judgeRequest.ts',
+    find: ' || isPartOfOthersAtAll(runs, minExits, partVerdicts)',
+    replace: '',
+    tests: [QUARANTINE],
+  },
+  {
+    name: 'quarantine: a rival that was at all exits but the last may have been at that one as well',
+    file: 'request/quarantine/src/judgeRequest.ts',
+    find: 'isLastOpen && hasRival',
+    replace: '!isLastOpen && hasRival',
+    tests: [QUARANTINE],
+  },
   {
     name: 'quarantine: one request at a time may try after a quarantine',
     file: 'request/quarantine/src/partQuarantine.ts',
--- a/__utils__/soak/test/soak.ts
+++ b/__utils__/soak/test/soak.ts
@@ -44,6 +44,7 @@
   t.timeout(TIMEOUT_MS)
   const result = await soak({ seed: CRASH_SEED, kinds: [FaultKind.ChangeConfiguration], ...FLEET_SIZE, boxes: 4, clients: 8, crashes: true })
   t.log(result.crashPhases)
+  if (result.violations.length > 0) t.log(`logs of the boxes: ${await saveLogs(CRASH_SEED, result)}`)
   t.deepEqual(result.violations, [])
 })
 
--- a/box/runtime/test/__utils__/crashingParts.ts
+++ b/box/runtime/test/__utils__/crashingParts.ts
@@ -26,8 +26,8 @@
   /** Boxes that receive them; all live ones by default. */
   boxes?: () => readonly string[]
   callerOf?: (nth: number) => string
-  /** Every second request repeats the one before. */
-  repeats?: boolean
+  /** How many requests in a row are alike; 1 by default. */
+  copies?: number
   /** How long after its answer has begun the caller of the nth request disconnects, if it does. */
   leaveAfterMsOf?: (nth: number) => number | undefined
 }
@@ -59,13 +59,13 @@
 }
 
 /** Sends traffic until its duration has passed. The caller advances the clock. */
-export async function sendPrompts (fleet: FakeFleet, { name, everyMs, durationMs, partsOf, path = '/draft/', boxes, callerOf = () => '10.9.0.1', repeats = false, leaveAfterMsOf = () => undefined }: PromptTraffic): Promise<SentPrompt[]> {
+export async function sendPrompts (fleet: FakeFleet, { name, everyMs, durationMs, partsOf, path = '/draft/', boxes, callerOf = () => '10.9.0.1', copies = 1, leaveAfterMsOf = () => undefined }: PromptTraffic): Promise<SentPrompt[]> {
   const sent: SentPrompt[] = []
   const count = Math.floor(durationMs / everyMs)
   for (let i = 0; i < count; i++) {
     const names = boxes?.() ?? fleet.liveBoxes().map((box) => box.name)
     const [box] = fleet.random.sample(names, 1)
-    const content = repeats ? i - i % 2 : i
+    const content = i - i % copies
     const parts = partsOf(content)
     const own = `${name}-own-${content}`
     const prompt = { model: 'draft', promptTokens: 500, maxTokens: 40, prefixes: [...parts, own].map((digest, at) => ({ digest, tokens: 100 * (at + 1) })) }
--- a/box/runtime/test/crashingPromptPart.ts
+++ b/box/runtime/test/crashingPromptPart.ts
@@ -12,6 +12,8 @@
 const MIN_SOUND_SHARE = 0.95
 /** Crashes of one part where its requests come every 200 ms or slower. */
 const MAX_CRASHES = 8
+/** Streams of 13 s, none of which ends while engines crash. */
+const LONG_STREAMS = { events: 65, eventMs: 200 }
 
 /** Plays crashing traffic beside sound traffic and checks what callers and engines see. */
 async function checkPart (t: ExecutionContext, over: Partial<PromptTraffic>, { sound, seed = 1, minSoundShare = MIN_SOUND_SHARE }: { sound?: PromptTraffic, seed?: number, minSoundShare?: number } = {}): Promise<void> {
@@ -49,7 +51,7 @@
   await checkPart(t, { everyMs: 200 })
   await checkPart(t, { everyMs: 900 })
   await checkPart(t, { callerOf: (nth) => `10.9.0.${nth}` })
-  await checkPart(t, { repeats: true })
+  await checkPart(t, { copies: 2 })
 })
 
 test('a prompt part that crashes engines is found when all its requests come to one box', async (t) => {
@@ -69,13 +71,25 @@
 
 test('requests beside a prompt part that crashes engines are not quarantined when their callers repeat them', async (t) => {
   const fleet = await startPartFleet()
-  const repeated: PromptTraffic = { name: 'repeated', everyMs: 150, durationMs: 10_000, partsOf: () => ['aa', 'b1'], repeats: true }
+  const repeated: PromptTraffic = { name: 'repeated', everyMs: 150, durationMs: 10_000, partsOf: () => ['aa', 'b1'], copies: 2 }
   const [{ sound }, again] = await Promise.all([play(fleet, { crashing: [crashingTraffic({ everyMs: 250 })] }), sendPrompts(fleet, repeated)])
   t.true(crashTimes(fleet).length >= 3)
   t.deepEqual([...quarantinedPrompts(sound), ...quarantinedPrompts(again)].map(({ id }) => id), [])
   await fleet.stop()
 })
 
+// Guards against a quarantine of a request that ran beside the crashing part at each of its exits, and shares no part with it.
+test('long requests that run at all exits of a prompt part that crashes engines are not quarantined', async (t) => {
+  for (const seed of SEEDS) {
+    const fleet = await startPartFleet({ seed, timing: LONG_STREAMS })
+    const long: PromptTraffic = { name: 'long', everyMs: 50, durationMs: 6000, partsOf: () => [], copies: Number.POSITIVE_INFINITY, path: '/reply/' }
+    const { sound } = await play(fleet, { sound: long, crashing: [crashingTraffic({ everyMs: 800 })] })
+    t.true(crashTimes(fleet).length >= 3, `seed ${seed}`)
+    t.deepEqual(quarantinedPrompts(sound).map(({ id }) => id), [], `seed ${seed}`)
+    await fleet.stop()
+  }
+})
+
 test('a request with a prompt part that crashes engines is refused at once, as not run, with the reason', async (t) => {
   const fleet = await startPartFleet()
   const { crashing } = await play(fleet)
--- a/box/runtime/test/runsAtExits.ts
+++ b/box/runtime/test/runsAtExits.ts
@@ -131,7 +131,7 @@
 test('nothing is refused when engines exit by themselves and all answers end with their connection', async (t) => {
   const cases = [
     { partsOf: () => ['aa', 'b1'] },
-    { partsOf: () => ['aa'], repeats: true },
+    { partsOf: () => ['aa'], copies: 2 },
     { partsOf: () => ['aa', 'b1'], together: 4 },
     { partsOf: () => ['aa', 'b1'], events: 150 },
     { partsOf: () => ['aa', 'b1'], resetsConnections: false },
--- a/request/quarantine/src/judgeParts.ts
+++ b/request/quarantine/src/judgeParts.ts
@@ -47,6 +47,8 @@
   suspects: ReadonlyMap<string, SuspectedPart>
   /** Number of successive exits of the most suspicious part at the exit at which a run ended. */
   exitsOfStrongest: (run: PastRun) => number
+  /** Suspects at the exit at which a run ended that were at this many successive exits or more. */
+  suspectsWithExits: (run: PastRun, minExits: number) => readonly string[]
 }
 
 /** Key of a part that is a suspect at the upstreams of one version. */
@@ -89,6 +91,7 @@
       bans: [...bans.values()].filter((ban) => ![...bans.values()].some((other) => other !== ban && covers(other, ban))),
       suspects: this.#suspects(),
       exitsOfStrongest: ({ id }) => this.#strongestAt.get(id) ?? 0,
+      suspectsWithExits: ({ id }, minExits) => [...this.#suspectsAt.get(id) ?? []].filter((part) => (this.#exitCounts.get(part) as number) >= minExits),
     }
   }
 
--- a/request/quarantine/src/quarantine.ts
+++ b/request/quarantine/src/quarantine.ts
@@ -129,8 +129,8 @@
   }
 
   #quarantiningRuns (request: RequestIdentity): readonly PastRun[] {
-    const { history, didOthersLiveOn } = this.#opts
-    const runs = judgeRequest(history, request, { exitsOfStrongestPart: this.#parts.verdicts().exitsOfStrongest, didOthersLiveOn })
+    const { clock, history, didOthersLiveOn } = this.#opts
+    const runs = judgeRequest(history, request, { partVerdicts: this.#parts.verdicts(), nowMs: clock.nowMs(), didOthersLiveOn })
     const last = runs.at(-1)
     return last && this.#remainingMs(last) > 0 ? runs : []
   }
--- a/request/quarantine/test/quarantine.ts
+++ b/request/quarantine/test/quarantine.ts
@@ -8,6 +8,10 @@
 
 const RAN_MS = 60
 const INTERVAL_MS = 900
+/** Clearances and runs of the last exit can have arrived by then. */
+const SETTLED_MS = 1000
+/** A box looks again whether an upstream has exited, and others hear of it. */
+const LATE_REPORT_MS = 300
 
 class RecordingLog extends Log {
   readonly lines: (LogFields & { event: LogEvent })[] = []
@@ -54,6 +58,52 @@
   t.truthy(quarantine.refusalOf(() => requestWith(['aa', 'cc'])))
 })
 
+// Guards against a quarantine of a request that ran beside a crashing prompt part at each of its exits, and at no other.
+test('a request that was at all exits of a crashing prompt part is not quarantined before it is at one without the part', async (t) => {
+  const { clock, quarantine, exit } = startQuarantine()
+  const repeated = requestWith([])
+  for (let nth = 0; nth < 3; nth++) {
+    exit(requestWith(['aa', 'cc']), `u${nth}`)
+    exit(repeated, `u${nth}`, { ranMs: 300 })
+    await clock.advance(INTERVAL_MS)
+  }
+  t.is(quarantine.refusalOf(() => repeated), undefined)
+  t.truthy(quarantine.refusalOf(() => requestWith(['aa', 'cc'])))
+  exit(repeated, 'u3')
+  await clock.advance(SETTLED_MS)
+  t.truthy(quarantine.refusalOf(() => repeated))
+})
+
+// Guards against a quarantine in the time between the reports of two runs at the same exit.
+test('a request beside a crashing prompt part is not quarantined while the run with the part at the last exit may not be known yet', async (t) => {
+  for (const isReported of [true, false]) {
+    const { clock, quarantine, exit } = startQuarantine()
+    const repeated = requestWith([])
+    for (let nth = 0; nth < 3; nth++) {
+      if (nth < 2) exit(requestWith(['aa', 'cc']), `u${nth}`)
+      exit(repeated, `u${nth}`, { ranMs: 300 })
+      if (nth < 2) await clock.advance(INTERVAL_MS)
+    }
+    t.is(quarantine.refusalOf(() => repeated), undefined)
+    await clock.advance(LATE_REPORT_MS)
+    t.is(quarantine.refusalOf(() => repeated), undefined)
+    if (isReported) exit(requestWith(['aa', 'cc']), 'u2', { ageMs: LATE_REPORT_MS })
+    await clock.advance(SETTLED_MS)
+    t.is(quarantine.refusalOf(() => repeated) === undefined, isReported)
+  }
+})
+
+test('a request that crashes upstreams is quarantined after three exits, whatever parts it has', async (t) => {
+  const { clock, quarantine, exit } = startQuarantine()
+  const crashing = requestWith(['aa', 'cc'])
+  for (let nth = 0; nth < 3; nth++) {
+    exit(crashing, `u${nth}`)
+    exit(requestWith(['aa']), `u${nth}`, { ranMs: 300 })
+    await clock.advance(INTERVAL_MS)
+  }
+  t.truthy(quarantine.refusalOf(() => crashing))
+})
+
 test('calls that a proxy accepts for an upstream that has exited count as one exit, at whichever boxes', async (t) => {
   const { clock, quarantine, exit } = startQuarantine()
   const equal = requestWith([], { content: 'equal' })
@@ -70,9 +120,6 @@
 
 const CRASHING = ['aa', 'cc']
 
-/** Clearances of the last exit can have arrived by then. */
-const SETTLED_MS = 1000
-
 /** Three exits with the crashing part, of requests of different callers, after the last of which clearances can have arrived. */
 async function crashThree ({ clock, exit }: ReturnType<typeof startQuarantine>): Promise<void> {
   for (let nth = 0; nth < 3; nth++) {
