test(request.quarantine): a request beside more exits of a crashing prompt part than make it a suspect

Since a part of others with as many exits makes a request one of two suspects, the tests no longer needed the rule that a part with more exits explains an exit: `npm run mechanisms` reported «no test fails with these mechanisms disabled». The new test has the request at five of six exits, where only that rule decides. It fails with the rule disabled and passes with it.

--- a/request/quarantine/test/quarantine.ts
+++ b/request/quarantine/test/quarantine.ts
@@ -1,7 +1,7 @@
 import { ErrorCode, Verdict } from '@reelspan/core.error'
 import { type RunEvent } from '@reelspan/core.messages'
 import { hashOfPart, type RequestIdentity } from '@reelspan/request.identity'
-import { PART_QUARANTINE_MS, Quarantine, RunHistory } from '@reelspan/request.quarantine'
+import { MAX_UPSTREAM_EXITS_IF_AMBIGUOUS, PART_QUARANTINE_MS, Quarantine, RunHistory } from '@reelspan/request.quarantine'
 import { Log, LogEvent, type LogFields } from '@reelspan/telemetry.log'
 import { VirtualClock } from '@reelspan/utils.fakes'
 import test from 'ava'
@@ -58,6 +58,17 @@
   t.truthy(quarantine.refusalOf(() => requestWith(['aa', 'cc'])))
 })
 
+test('a request that a caller repeats is not quarantined however many exits of a crashing prompt part it was at', async (t) => {
+  const { clock, quarantine, exit } = startQuarantine()
+  const repeated = requestWith(['aa', 'b1'])
+  for (let nth = 0; nth <= MAX_UPSTREAM_EXITS_IF_AMBIGUOUS; nth++) {
+    exit(requestWith(['aa', 'cc']), `u${nth}`)
+    if (nth > 0) exit(repeated, `u${nth}`, { ranMs: 300 })
+    await clock.advance(INTERVAL_MS)
+  }
+  t.is(quarantine.refusalOf(() => repeated), undefined)
+})
+
 // Guards against a quarantine of a request that ran beside a crashing prompt part at each of its exits, and at no other.
 test('a request that was at all exits of a crashing prompt part is not quarantined before it is at one without the part', async (t) => {
   const { clock, quarantine, exit } = startQuarantine()
